--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
@@ -0,0 +1,69 @@
+package org.basilrill.coordination.admission;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.state.target.TargetAnnouncement;
+
+/**
+ * Queues requests fairly among client accounts and assigns each a target with a free slot. Implementations are thread
+ * safe.
+ */
+public interface Dispatcher {
+    /**
+     * Waits for a target.
+     *
+     * @return the assignment; fails with {@code QUEUE_FULL}, {@code DEADLINE_UNREACHABLE}, {@code MODEL_NOT_READY} or
+     *     {@code NO_TARGET}. Cancelling the future removes the request from the queue.
+     */
+    CompletableFuture<Assignment> dispatch(Request request);
+
+    /** What the dispatcher must know of a request. */
+    record Request(
+            String requestId,
+            Optional<AccountId> account,
+            Destination destination,
+            int priority,
+            long tokens,
+            long deadlineNanos,
+            Set<TargetId> excludedTargets,
+            List<Long> prefixHashes) {
+        public Request {
+            excludedTargets = Set.copyOf(excludedTargets);
+            prefixHashes = List.copyOf(prefixHashes);
+        }
+    }
+
+    /** A model or a plain service; exactly one is present. */
+    record Destination(Optional<ModelId> model, Optional<String> service) {
+        /** Returns the destination of requests to a model. */
+        public static Destination ofModel(ModelId model) {
+            return new Destination(Optional.of(model), Optional.empty());
+        }
+
+        /** Returns the destination of calls to a plain service. */
+        public static Destination ofService(String service) {
+            return new Destination(Optional.empty(), Optional.of(service));
+        }
+    }
+
+    /** A slot at a target, held until it is released. Thread safe. */
+    interface Assignment {
+        /** Returns the target to use. */
+        TargetAnnouncement target();
+
+        /** Gives the slot back and reports how the attempt went. Only the first call has an effect. */
+        void release(AttemptResult result);
+    }
+
+    /** How an attempt at a target went; failures count toward the ejection of the target. */
+    enum AttemptResult {
+        SUCCEEDED,
+        FAILED,
+        CANCELLED
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlResult.java
@@ -0,0 +1,38 @@
+package org.basilrill.state.control;
+
+import java.util.Optional;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+
+/** The answer of the control state machine to a command. Immutable and thread safe. */
+public sealed interface ControlResult {
+    /** The command took effect, or had taken effect before, and has no other answer. */
+    record Done() implements ControlResult {}
+
+    /** The rules were accepted under this revision. */
+    record RulesAccepted(long revision) implements ControlResult {}
+
+    /** Other rules were accepted first. */
+    record RulesConflict(long currentRevision, String winner) implements ControlResult {}
+
+    /** The attempt holds the claim and may run the order. */
+    record OrderGranted() implements ControlResult {}
+
+    /** Another attempt holds the claim and may still be running. */
+    record OrderRunning(InstanceId holder) implements ControlResult {}
+
+    /** The order has ended. The answer is absent if the outcome is unknown or the answer was not kept. */
+    record OrderFinished(org.basilrill.api.Outcome outcome, Optional<RecordedAnswer> answer) implements ControlResult {}
+
+    /** The bucket belongs to this instance since this epoch. */
+    record BucketHeld(InstanceId owner, long epoch) implements ControlResult {}
+
+    /** The memory is reserved; the order may be sent with this fencing number. */
+    record OrderReserved(long fencingNumber) implements ControlResult {}
+
+    /** Number of distinct targets lost during requests with the fingerprint. */
+    record CrashCount(int targets) implements ControlResult {}
+
+    /** The command had no effect. */
+    record Refused(ErrorCode code, String detail) implements ControlResult {}
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlView.java
@@ -0,0 +1,41 @@
+package org.basilrill.state.control;
+
+import java.util.Map;
+import java.util.Set;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.InstanceId;
+import org.basilrill.state.configuration.Rules;
+
+/**
+ * The part of the control state that every instance holds. Immutable and thread safe.
+ *
+ * @param index log index of the state; increases with every change
+ * @param bucketOwners owner of each client account's token bucket
+ * @param blockedFingerprints requests that were lost together with the maximum number of targets
+ * @param sessions open sessions by instance
+ */
+public record ControlView(
+        long index,
+        Rules rules,
+        Map<AccountId, BucketOwner> bucketOwners,
+        Set<String> blockedFingerprints,
+        Map<InstanceId, Long> sessions) {
+    public ControlView {
+        bucketOwners = Map.copyOf(bucketOwners);
+        blockedFingerprints = Set.copyOf(blockedFingerprints);
+        sessions = Map.copyOf(sessions);
+    }
+
+    /** Returns the view before the first answer of the log. */
+    public static ControlView empty() {
+        return new ControlView(0, Rules.empty(), Map.of(), Set.of(), Map.of());
+    }
+
+    /**
+     * Owner of a token bucket.
+     *
+     * @param epoch increases with each change of the owner
+     * @param startTokens level the owner starts from; 0 after a loss
+     */
+    public record BucketOwner(InstanceId owner, long sessionId, long epoch, long startTokens) {}
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/log/DurableStore.java
@@ -0,0 +1,70 @@
+package org.basilrill.state.log;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Stores what a replica must not forget. A method that returns has synced what it wrote. Called by one thread at a
+ * time. Every method throws {@link org.basilrill.api.BasilrillException} with {@code DISK_FAILED} when the medium fails
+ * and with {@code LOG_CORRUPT} when stored records are damaged other than by a torn tail.
+ */
+public interface DurableStore {
+    /** Returns the random incarnation number created with the data folder. */
+    long incarnation();
+
+    /** Returns the last saved term and vote. */
+    Vote vote();
+
+    /** Saves term and vote. */
+    void saveVote(Vote vote);
+
+    /** Appends records after the last one; one sync for all of them. */
+    void append(List<LogRecord> records);
+
+    /** Removes the record at the index and all after it. */
+    void truncateFrom(long index);
+
+    /** Returns the records from the index on, at most {@code maximumBytes} of payload but at least one if present. */
+    List<LogRecord> read(long fromIndex, int maximumBytes);
+
+    /** Returns the index of the last record, or that of the snapshot if no record follows it; 0 when empty. */
+    long lastIndex();
+
+    /** Returns the last saved snapshot. */
+    Optional<Snapshot> snapshot();
+
+    /** Saves a snapshot and drops the records it covers. */
+    void saveSnapshot(Snapshot snapshot);
+
+    /**
+     * One record of the log.
+     *
+     * @param index position, 1 for the first
+     * @param term term of the leader that created it
+     * @param kind what the payload holds
+     * @param payload encoded command or member set
+     */
+    record LogRecord(long index, long term, RecordKind kind, byte[] payload) {}
+
+    /** What a record holds. */
+    enum RecordKind {
+        COMMAND,
+        MEMBERS,
+        NO_OPERATION
+    }
+
+    /**
+     * Term and vote of a replica.
+     *
+     * @param votedFor encoded identity of the candidate, empty if none
+     */
+    record Vote(long term, Optional<String> votedFor) {}
+
+    /**
+     * State of the machine after a record, with the member set in force there.
+     *
+     * @param members encoded member set
+     * @param state encoded state of the machine
+     */
+    record Snapshot(long lastIndex, long lastTerm, byte[] members, byte[] state) {}
+}
--- /dev/null
+++ b/basilrill-thrift/src/main/thrift/envelope.thrift
@@ -0,0 +1,11 @@
+namespace java org.basilrill.thrift.envelope
+
+/** Carries one message between two instances. */
+struct Envelope {
+  /** Name of the sending instance. */
+  1: required string sender
+  /** Number of the subject the payload belongs to. */
+  2: required i16 subject
+  /** Encoded message of the subject. */
+  3: required binary payload
+}
