--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLog.java
@@ -0,0 +1,34 @@
+package org.basilrill.coordination.control;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.basilrill.api.InstanceId;
+
+/** The control log as the replica of this instance offers it. Implementations are thread safe and never block. */
+public interface ControlLog {
+    /**
+     * Proposes an encoded command.
+     *
+     * @return the encoded result once the command is committed and applied; fails with {@code NOT_LEADER} if nothing
+     *     was proposed, and with {@code CONTROL_UNAVAILABLE} if leadership was lost, in which case the command may
+     *     still take effect
+     */
+    CompletableFuture<byte[]> propose(byte[] command);
+
+    /**
+     * Confirms leadership by a quorum round that starts after this call.
+     *
+     * @return the commit index at the time of the call, once this replica has applied it; fails with {@code NOT_LEADER}
+     *     or {@code CONTROL_UNAVAILABLE}
+     */
+    CompletableFuture<Long> confirm();
+
+    /** Returns the leader as far as this replica knows. */
+    Optional<InstanceId> leader();
+
+    /** Tells whether this replica believes that it is the leader. */
+    boolean isLeader();
+
+    /** Returns the term of this replica; increases with each election. */
+    long term();
+}
