--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/Fact.java
@@ -0,0 +1,61 @@
+package org.basilrill.coordination.membership;
+
+import org.basilrill.api.TargetId;
+import org.basilrill.state.target.TargetAnnouncement;
+
+/** A small fact that one instance spreads to all others. Immutable and thread safe. */
+public sealed interface Fact {
+    /** Returns the key of the fact; a later fact of the same owner under the same key replaces it. */
+    String key();
+
+    /** What an instance says about itself; changes rarely. */
+    record InstanceFact(
+            String dataCentre,
+            String callerAddress,
+            String peerAddress,
+            boolean draining,
+            boolean current,
+            long revision)
+            implements Fact {
+        @Override
+        public String key() {
+            return "instance";
+        }
+    }
+
+    /** Load of an instance; changes often, so it is kept apart from the rest. */
+    record InstanceLoadFact(int requestsInFlight) implements Fact {
+        @Override
+        public String key() {
+            return "load";
+        }
+    }
+
+    /** A target announced to the owner of the fact, without its load. */
+    record TargetFact(TargetAnnouncement announcement) implements Fact {
+        @Override
+        public String key() {
+            return targetKey(announcement.id());
+        }
+    }
+
+    /** Load of a target announced to the owner of the fact. */
+    record TargetLoadFact(TargetId target, TargetAnnouncement.Load load) implements Fact {
+        @Override
+        public String key() {
+            return "target-load/" + target;
+        }
+    }
+
+    /** A target that is no longer announced to the owner of the fact. */
+    record TargetGoneFact(TargetId target) implements Fact {
+        @Override
+        public String key() {
+            return targetKey(target);
+        }
+    }
+
+    private static String targetKey(TargetId target) {
+        return "target/" + target;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
@@ -0,0 +1,211 @@
+package org.basilrill.coordination.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.MonotonicClock;
+import org.basilrill.api.Scheduler;
+import org.basilrill.coordination.membership.Fact.InstanceFact;
+import org.basilrill.coordination.membership.Fact.InstanceLoadFact;
+import org.basilrill.coordination.membership.GossipMessage.OwnerDelta;
+
+/**
+ * Spreads facts among instances by push-pull exchange with one random member a period, and detects failed members by
+ * versions that stop advancing. A fact published by this instance reaches every member that stays connected; facts of
+ * one owner are never applied out of order. Thread safe; listeners run on the calling thread without a lock held.
+ */
+public final class GossipMembership implements Membership {
+    /** Period of the exchange up to {@link #MEMBERS_AT_FULL_PACE} members. */
+    static final Duration BASE_PERIOD = Duration.ofMillis(500);
+    /** Above this number the period grows in proportion, so that the digest bytes a second stay bounded. */
+    static final int MEMBERS_AT_FULL_PACE = 48;
+    /** Periods without an advance after which a member is suspected: 3 s at the base period. */
+    static final int SUSPICION_PERIODS = 6;
+    /** Periods without an advance after which a member is removed: 30 s at the base period. */
+    static final int REMOVAL_PERIODS = 60;
+    /** Share of exchanges with a seed or suspected member, so that two halves of a healed partition meet again. */
+    private static final double RECONNECT_SHARE = 0.2;
+
+    private final InstanceId self;
+    private final List<InstanceId> seeds;
+    private final MonotonicClock clock;
+    private final Scheduler scheduler;
+    private final RandomGenerator random;
+    private final BiConsumer<InstanceId, GossipMessage> sender;
+    private final GossipState state;
+    private final List<BiConsumer<InstanceId, Fact>> listeners = new CopyOnWriteArrayList<>();
+    private final List<Runnable> tickListeners = new CopyOnWriteArrayList<>();
+    private volatile boolean stopped;
+
+    /**
+     * Creates the membership of one instance.
+     *
+     * @param seeds instances to contact while no others are known
+     * @param incarnation higher than in earlier runs of this instance; raised by itself if it turns out not to be
+     * @param sender sends a message; may lose it
+     */
+    public GossipMembership(
+            InstanceId self,
+            List<InstanceId> seeds,
+            long incarnation,
+            MonotonicClock clock,
+            Scheduler scheduler,
+            RandomGenerator random,
+            BiConsumer<InstanceId, GossipMessage> sender) {
+        this.self = self;
+        this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
+        this.clock = clock;
+        this.scheduler = scheduler;
+        this.random = random;
+        this.sender = sender;
+        this.state = new GossipState(self, incarnation, clock.nanos());
+    }
+
+    /** Starts the periodic exchange. */
+    public void start() {
+        scheduler.schedule(Duration.ZERO, this::exchange);
+    }
+
+    /** Ends the periodic exchange. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /** Publishes a fact; it spreads with the next exchanges. */
+    public void publish(Fact fact) {
+        state.publish(fact);
+    }
+
+    /** Publishes a fact and sends it to every member at once, for facts that must arrive within one period. */
+    public void publishUrgently(Fact fact) {
+        long before = state.ownVersion();
+        state.publish(fact);
+        OwnerDelta delta = state.ownDeltaAfter(before);
+        GossipMessage message = new GossipMessage(Optional.empty(), List.of(delta), false);
+        for (InstanceId member : state.lastAdvances().keySet()) {
+            if (!member.equals(self)) {
+                sender.accept(member, message);
+            }
+        }
+    }
+
+    /** Calls the listener with each new fact of another instance. */
+    public void onFact(BiConsumer<InstanceId, Fact> listener) {
+        listeners.add(listener);
+    }
+
+    /** Calls the listener once a period, before the exchange. */
+    public void onPeriod(Runnable listener) {
+        tickListeners.add(listener);
+    }
+
+    /** Returns the facts of one type that a member has published. */
+    public <T extends Fact> List<T> facts(InstanceId owner, Class<T> type) {
+        return state.facts(owner, type);
+    }
+
+    /** Handles a message of another instance. */
+    public void received(InstanceId from, GossipMessage message) {
+        long now = clock.nanos();
+        Map<InstanceId, List<Fact>> news = state.apply(message.deltas(), now);
+        message.digest().ifPresent(digest -> {
+            state.outrank(digest, now);
+            List<OwnerDelta> deltas = state.deltasFor(digest);
+            if (message.question()) {
+                sender.accept(from, new GossipMessage(Optional.of(state.digest()), deltas, false));
+            } else if (!deltas.isEmpty()) {
+                sender.accept(from, new GossipMessage(Optional.empty(), deltas, false));
+            }
+        });
+        news.forEach(
+                (owner, facts) -> facts.forEach(fact -> listeners.forEach(listener -> listener.accept(owner, fact))));
+    }
+
+    @Override
+    public Collection<Member> members() {
+        List<Member> members = new ArrayList<>();
+        state.lastAdvances()
+                .forEach((owner, advancedAt) -> memberOf(owner, advancedAt).ifPresent(members::add));
+        return members;
+    }
+
+    @Override
+    public Optional<Member> member(InstanceId id) {
+        Long advancedAt = state.lastAdvances().get(id);
+        return advancedAt == null ? Optional.empty() : memberOf(id, advancedAt);
+    }
+
+    private Optional<Member> memberOf(InstanceId owner, long advancedAtNanos) {
+        return state.fact(owner, InstanceFact.class)
+                .map(fact -> new Member(
+                        owner,
+                        fact.dataCentre(),
+                        fact.callerAddress(),
+                        fact.peerAddress(),
+                        !owner.equals(self) && isOlderThan(advancedAtNanos, SUSPICION_PERIODS),
+                        fact.draining(),
+                        fact.current(),
+                        fact.revision(),
+                        state.fact(owner, InstanceLoadFact.class)
+                                .map(InstanceLoadFact::requestsInFlight)
+                                .orElse(0)));
+    }
+
+    private void exchange() {
+        if (stopped) {
+            return;
+        }
+        state.advance(clock.nanos());
+        tickListeners.forEach(Runnable::run);
+        removeSilentMembers();
+        chooseMember()
+                .ifPresent(member ->
+                        sender.accept(member, new GossipMessage(Optional.of(state.digest()), List.of(), true)));
+        scheduler.schedule(period(), this::exchange);
+    }
+
+    private Optional<InstanceId> chooseMember() {
+        List<InstanceId> live = new ArrayList<>();
+        List<InstanceId> others = new ArrayList<>(seeds);
+        state.lastAdvances().forEach((owner, advancedAt) -> {
+            if (owner.equals(self)) {
+                return;
+            }
+            if (isOlderThan(advancedAt, SUSPICION_PERIODS)) {
+                others.add(owner);
+            } else {
+                live.add(owner);
+            }
+        });
+        boolean reconnect = live.isEmpty() || random.nextDouble() < RECONNECT_SHARE;
+        List<InstanceId> candidates = reconnect && !others.isEmpty() ? others : live;
+        return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(random.nextInt(candidates.size())));
+    }
+
+    private void removeSilentMembers() {
+        state.lastAdvances().forEach((owner, advancedAt) -> {
+            if (!owner.equals(self) && isOlderThan(advancedAt, REMOVAL_PERIODS)) {
+                state.remove(owner);
+            }
+        });
+    }
+
+    private Duration period() {
+        int members = state.lastAdvances().size();
+        if (members <= MEMBERS_AT_FULL_PACE) {
+            return BASE_PERIOD;
+        }
+        return Duration.ofNanos(BASE_PERIOD.toNanos() * members / MEMBERS_AT_FULL_PACE);
+    }
+
+    private boolean isOlderThan(long advancedAtNanos, int periods) {
+        return clock.nanos() - advancedAtNanos > period().toNanos() * periods;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipState.java
@@ -0,0 +1,173 @@
+package org.basilrill.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.basilrill.api.InstanceId;
+import org.basilrill.coordination.membership.GossipMessage.DigestEntry;
+import org.basilrill.coordination.membership.GossipMessage.OwnerDelta;
+
+/**
+ * The facts of all instances, reconciled by version per owner. Only the owner raises its version; a delta is applied
+ * only if it continues what is held, so no item of a lower version is ever missed. Thread safe: one lock guards all
+ * owners, as an exchange reads them together.
+ */
+final class GossipState {
+    /** Keeps a message below 64 KiB with items of a few hundred bytes; the rest follows in the next exchange. */
+    private static final int MAXIMUM_ITEMS_PER_MESSAGE = 128;
+
+    private final InstanceId self;
+    private final Map<InstanceId, OwnerState> owners = new TreeMap<>();
+    /** Last version of removed owners, so that a late delta of another instance does not bring them back. */
+    private final Map<InstanceId, DigestEntry> removed = new HashMap<>();
+
+    GossipState(InstanceId self, long incarnation, long nowNanos) {
+        this.self = self;
+        owners.put(self, new OwnerState(self, incarnation, nowNanos));
+    }
+
+    synchronized void publish(Fact fact) {
+        own().put(fact);
+    }
+
+    synchronized void advance(long nowNanos) {
+        own().advance(nowNanos);
+    }
+
+    synchronized List<DigestEntry> digest() {
+        return owners.entrySet().stream()
+                .map(entry -> new DigestEntry(
+                        entry.getKey(),
+                        entry.getValue().incarnation(),
+                        entry.getValue().version()))
+                .toList();
+    }
+
+    /** Returns what a peer with this digest lacks. */
+    synchronized List<OwnerDelta> deltasFor(List<DigestEntry> peerDigest) {
+        Map<InstanceId, DigestEntry> known = new HashMap<>();
+        peerDigest.forEach(entry -> known.put(entry.owner(), entry));
+        List<OwnerDelta> deltas = new ArrayList<>();
+        int remaining = MAXIMUM_ITEMS_PER_MESSAGE;
+        for (Map.Entry<InstanceId, OwnerState> entry : owners.entrySet()) {
+            if (remaining <= 0) {
+                break;
+            }
+            Optional<OwnerDelta> delta = deltaFor(entry.getValue(), known.get(entry.getKey()), remaining);
+            if (delta.isPresent()) {
+                deltas.add(delta.get());
+                remaining -= delta.get().items().size();
+            }
+        }
+        return deltas;
+    }
+
+    /** Returns the changes of this instance after a version. */
+    synchronized OwnerDelta ownDeltaAfter(long version) {
+        return own().deltaAfter(version, MAXIMUM_ITEMS_PER_MESSAGE);
+    }
+
+    synchronized long ownVersion() {
+        return own().version();
+    }
+
+    /** Applies deltas; returns the facts that were new, by owner. */
+    synchronized Map<InstanceId, List<Fact>> apply(List<OwnerDelta> deltas, long nowNanos) {
+        Map<InstanceId, List<Fact>> news = new TreeMap<>();
+        for (OwnerDelta delta : deltas) {
+            if (delta.owner().equals(self) || isStale(delta)) {
+                continue;
+            }
+            List<Fact> facts = stateFor(delta, nowNanos).apply(delta, nowNanos);
+            if (!facts.isEmpty()) {
+                news.put(delta.owner(), facts);
+            }
+        }
+        return news;
+    }
+
+    /**
+     * Raises this instance's incarnation above one that others hold from an earlier run, so that they accept what this
+     * run says.
+     */
+    synchronized void outrank(List<DigestEntry> peerDigest, long nowNanos) {
+        for (DigestEntry entry : peerDigest) {
+            if (!entry.owner().equals(self)) {
+                continue;
+            }
+            OwnerState own = own();
+            boolean fromEarlierRun = entry.incarnation() > own.incarnation()
+                    || (entry.incarnation() == own.incarnation() && entry.version() > own.version());
+            if (fromEarlierRun) {
+                OwnerState next = new OwnerState(self, entry.incarnation() + 1, nowNanos);
+                next.adopt(own);
+                owners.put(self, next);
+            }
+        }
+    }
+
+    synchronized void remove(InstanceId owner) {
+        OwnerState state = owners.remove(owner);
+        if (state != null) {
+            removed.put(owner, new DigestEntry(owner, state.incarnation(), state.version()));
+        }
+    }
+
+    /** Returns a snapshot of when each other owner's version last advanced. */
+    synchronized Map<InstanceId, Long> lastAdvances() {
+        Map<InstanceId, Long> advances = new TreeMap<>();
+        owners.forEach((owner, state) -> advances.put(owner, state.advancedAtNanos()));
+        return advances;
+    }
+
+    synchronized <T extends Fact> Optional<T> fact(InstanceId owner, Class<T> type) {
+        return Optional.ofNullable(owners.get(owner)).flatMap(state -> state.fact(type));
+    }
+
+    synchronized <T extends Fact> List<T> facts(InstanceId owner, Class<T> type) {
+        return Optional.ofNullable(owners.get(owner))
+                .map(state -> state.facts(type).toList())
+                .orElse(List.of());
+    }
+
+    private OwnerState own() {
+        return owners.get(self);
+    }
+
+    private Optional<OwnerDelta> deltaFor(OwnerState state, DigestEntry known, int maximumItems) {
+        if (known == null || known.incarnation() < state.incarnation()) {
+            return Optional.of(state.deltaAfter(0, maximumItems));
+        }
+        if (known.incarnation() > state.incarnation() || known.version() >= state.version()) {
+            return Optional.empty();
+        }
+        return Optional.of(state.deltaAfter(known.version(), maximumItems));
+    }
+
+    private boolean isStale(OwnerDelta delta) {
+        DigestEntry last = removed.get(delta.owner());
+        if (last != null) {
+            boolean seen = delta.incarnation() < last.incarnation()
+                    || (delta.incarnation() == last.incarnation() && delta.toVersion() <= last.version());
+            if (seen) {
+                return true;
+            }
+            removed.remove(delta.owner());
+        }
+        OwnerState held = owners.get(delta.owner());
+        return held != null && held.incarnation() > delta.incarnation();
+    }
+
+    private OwnerState stateFor(OwnerDelta delta, long nowNanos) {
+        OwnerState held = owners.get(delta.owner());
+        if (held != null && held.incarnation() == delta.incarnation()) {
+            return held;
+        }
+        OwnerState fresh = new OwnerState(delta.owner(), delta.incarnation(), nowNanos);
+        owners.put(delta.owner(), fresh);
+        return fresh;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
@@ -0,0 +1,147 @@
+package org.basilrill.protocol.peer;
+
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.membership.Fact;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.thrift.membership.FactPayload;
+import org.basilrill.thrift.membership.InstanceFact;
+import org.basilrill.thrift.membership.InstanceLoadFact;
+import org.basilrill.thrift.membership.LoadedModelFact;
+import org.basilrill.thrift.membership.TargetFact;
+import org.basilrill.thrift.membership.TargetGoneFact;
+import org.basilrill.thrift.membership.TargetLoadFact;
+
+/** Encodes the facts that instances spread. Stateless and thread safe. */
+final class FactCodec {
+    /** Load is spread as a fact of its own, so a decoded announcement starts from none. */
+    private static final TargetAnnouncement.Load NO_LOAD = new TargetAnnouncement.Load(0, 0);
+
+    private FactCodec() {}
+
+    static FactPayload encode(Fact fact) {
+        if (fact instanceof Fact.InstanceFact instance) {
+            return FactPayload.instance(new InstanceFact(
+                    instance.dataCentre(),
+                    instance.callerAddress(),
+                    instance.peerAddress(),
+                    instance.draining(),
+                    instance.current(),
+                    instance.revision()));
+        }
+        if (fact instanceof Fact.InstanceLoadFact load) {
+            return FactPayload.instanceLoad(new InstanceLoadFact(load.requestsInFlight()));
+        }
+        if (fact instanceof Fact.TargetFact target) {
+            return FactPayload.target(encodeTarget(target.announcement()));
+        }
+        if (fact instanceof Fact.TargetLoadFact load) {
+            return FactPayload.targetLoad(new TargetLoadFact(
+                    load.target().value(), load.load().running(), load.load().waiting()));
+        }
+        Fact.TargetGoneFact gone = (Fact.TargetGoneFact) fact;
+        return FactPayload.targetGone(new TargetGoneFact(gone.target().value()));
+    }
+
+    static Fact decode(FactPayload payload) {
+        if (payload.isSetInstance()) {
+            InstanceFact instance = payload.getInstance();
+            return new Fact.InstanceFact(
+                    instance.getDataCentre(),
+                    instance.getCallerAddress(),
+                    instance.getPeerAddress(),
+                    instance.isDraining(),
+                    instance.isCurrent(),
+                    instance.getRevision());
+        }
+        if (payload.isSetInstanceLoad()) {
+            return new Fact.InstanceLoadFact(payload.getInstanceLoad().getRequestsInFlight());
+        }
+        if (payload.isSetTarget()) {
+            return new Fact.TargetFact(decodeTarget(payload.getTarget()));
+        }
+        if (payload.isSetTargetLoad()) {
+            TargetLoadFact load = payload.getTargetLoad();
+            return new Fact.TargetLoadFact(
+                    new TargetId(load.getTarget()), new TargetAnnouncement.Load(load.getRunning(), load.getWaiting()));
+        }
+        if (payload.isSetTargetGone()) {
+            return new Fact.TargetGoneFact(new TargetId(payload.getTargetGone().getTarget()));
+        }
+        throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "fact of an unknown type");
+    }
+
+    private static TargetFact encodeTarget(TargetAnnouncement announcement) {
+        List<LoadedModelFact> contents = announcement.contents().entrySet().stream()
+                .map(entry -> new LoadedModelFact(
+                        entry.getKey().value(),
+                        entry.getValue().version(),
+                        entry.getValue().memoryBytes(),
+                        entry.getValue().ready()))
+                .toList();
+        TargetFact fact = new TargetFact(
+                announcement.id().value(),
+                announcement.incarnation(),
+                announcement.sequence(),
+                announcement.host(),
+                announcement.port(),
+                announcement.dataCentre(),
+                announcement.timeToLiveMillis(),
+                announcement.memoryBytes(),
+                contents,
+                encodeRoles(announcement.roles()),
+                announcement.slots(),
+                announcement.enforcesFencing(),
+                announcement.leaving());
+        announcement.service().ifPresent(fact::setServiceName);
+        return fact;
+    }
+
+    private static TargetAnnouncement decodeTarget(TargetFact fact) {
+        Map<ModelId, TargetAnnouncement.LoadedModel> contents = new HashMap<>();
+        for (LoadedModelFact model : fact.getContents()) {
+            contents.put(
+                    new ModelId(model.getModel()),
+                    new TargetAnnouncement.LoadedModel(model.getVersion(), model.getMemoryBytes(), model.isReady()));
+        }
+        return new TargetAnnouncement(
+                new TargetId(fact.getTarget()),
+                fact.getIncarnation(),
+                fact.getSequence(),
+                fact.getHost(),
+                fact.getPort(),
+                fact.getDataCentre(),
+                Optional.ofNullable(fact.getServiceName()),
+                fact.getTimeToLiveMillis(),
+                fact.getMemoryBytes(),
+                contents,
+                decodeRoles(fact.getRoles()),
+                fact.getSlots(),
+                NO_LOAD,
+                fact.isEnforcesFencing(),
+                fact.isLeaving());
+    }
+
+    /** Encodes roles as one bit each. */
+    private static int encodeRoles(Set<TargetAnnouncement.Role> roles) {
+        return roles.stream().mapToInt(role -> 1 << role.ordinal()).sum();
+    }
+
+    private static Set<TargetAnnouncement.Role> decodeRoles(int bits) {
+        Set<TargetAnnouncement.Role> roles = EnumSet.noneOf(TargetAnnouncement.Role.class);
+        for (TargetAnnouncement.Role role : TargetAnnouncement.Role.values()) {
+            if ((bits & (1 << role.ordinal())) != 0) {
+                roles.add(role);
+            }
+        }
+        return roles;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/GossipCodec.java
@@ -0,0 +1,73 @@
+package org.basilrill.protocol.peer;
+
+import java.util.List;
+import java.util.Optional;
+import org.basilrill.api.InstanceId;
+import org.basilrill.coordination.membership.GossipMessage;
+import org.basilrill.coordination.membership.GossipMessage.DigestEntry;
+import org.basilrill.coordination.membership.GossipMessage.OwnerDelta;
+import org.basilrill.thrift.membership.Item;
+
+/** Encodes the messages of the membership exchange. Stateless and thread safe. */
+public final class GossipCodec {
+    private GossipCodec() {}
+
+    /** Returns the encoded message. */
+    public static byte[] encode(GossipMessage message) {
+        org.basilrill.thrift.membership.GossipMessage encoded = new org.basilrill.thrift.membership.GossipMessage();
+        message.digest()
+                .ifPresent(digest -> encoded.setDigest(
+                        digest.stream().map(GossipCodec::encodeEntry).toList()));
+        encoded.setDeltas(
+                message.deltas().stream().map(GossipCodec::encodeDelta).toList());
+        encoded.setQuestion(message.question());
+        return ThriftCodec.encode(encoded);
+    }
+
+    /**
+     * Decodes a message.
+     *
+     * @throws org.basilrill.api.BasilrillException with {@code MESSAGE_MALFORMED} or {@code INVALID_NAME}
+     */
+    public static GossipMessage decode(byte[] payload) {
+        org.basilrill.thrift.membership.GossipMessage encoded =
+                ThriftCodec.decode(new org.basilrill.thrift.membership.GossipMessage(), payload);
+        Optional<List<DigestEntry>> digest = encoded.isSetDigest()
+                ? Optional.of(encoded.getDigest().stream()
+                        .map(GossipCodec::decodeEntry)
+                        .toList())
+                : Optional.empty();
+        List<OwnerDelta> deltas =
+                encoded.getDeltas().stream().map(GossipCodec::decodeDelta).toList();
+        return new GossipMessage(digest, deltas, encoded.isQuestion());
+    }
+
+    private static org.basilrill.thrift.membership.DigestEntry encodeEntry(DigestEntry entry) {
+        return new org.basilrill.thrift.membership.DigestEntry(
+                entry.owner().value(), entry.incarnation(), entry.version());
+    }
+
+    private static DigestEntry decodeEntry(org.basilrill.thrift.membership.DigestEntry entry) {
+        return new DigestEntry(new InstanceId(entry.getOwner()), entry.getIncarnation(), entry.getVersion());
+    }
+
+    private static org.basilrill.thrift.membership.OwnerDelta encodeDelta(OwnerDelta delta) {
+        List<Item> items = delta.items().stream()
+                .map(item -> new Item(item.fact().key(), item.version(), FactCodec.encode(item.fact())))
+                .toList();
+        return new org.basilrill.thrift.membership.OwnerDelta(
+                delta.owner().value(), delta.incarnation(), delta.fromVersion(), delta.toVersion(), items);
+    }
+
+    private static OwnerDelta decodeDelta(org.basilrill.thrift.membership.OwnerDelta delta) {
+        List<GossipMessage.Item> items = delta.getItems().stream()
+                .map(item -> new GossipMessage.Item(item.getVersion(), FactCodec.decode(item.getPayload())))
+                .toList();
+        return new OwnerDelta(
+                new InstanceId(delta.getOwner()),
+                delta.getIncarnation(),
+                delta.getFromVersion(),
+                delta.getToVersion(),
+                items);
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerDispatcher.java
@@ -0,0 +1,72 @@
+package org.basilrill.transport.peer;
+
+import com.google.common.flogger.FluentLogger;
+import java.nio.ByteBuffer;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.stream.Stream;
+import org.apache.thrift.TBaseHelper;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
+import org.basilrill.api.PeerHandler;
+import org.basilrill.api.PeerSubject;
+import org.basilrill.thrift.envelope.Envelope;
+import org.basilrill.thrift.envelope.PeerService;
+
+/**
+ * Hands received messages to the handler of their subject. The handlers run on the given executor, so the answer that
+ * keeps the connection alive does not wait for them. Thread safe.
+ */
+final class PeerDispatcher implements PeerService.Iface {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Map<PeerSubject, PeerHandler> handlers;
+    private final Executor executor;
+
+    PeerDispatcher(Map<PeerSubject, PeerHandler> handlers, Executor executor) {
+        this.handlers = new EnumMap<>(handlers);
+        this.executor = executor;
+    }
+
+    @Override
+    public void deliver(List<Envelope> envelopes) {
+        for (Envelope envelope : envelopes) {
+            handlerOf(envelope.getSubject()).ifPresent(handler -> submit(handler, envelope));
+        }
+    }
+
+    private void submit(PeerHandler handler, Envelope envelope) {
+        byte[] payload = bytesOf(envelope.bufferForPayload());
+        try {
+            executor.execute(() -> handle(handler, envelope.getSender(), payload));
+        } catch (RejectedExecutionException exception) {
+            LOGGER.atFine().log("message dropped after shutdown");
+        }
+    }
+
+    private static void handle(PeerHandler handler, String sender, byte[] payload) {
+        try {
+            handler.received(new InstanceId(sender), payload);
+        } catch (BasilrillException exception) {
+            LOGGER.atWarning().log("%s: sender %s, %s", LogEvent.MESSAGE_REJECTED, sender, exception.getMessage());
+        } catch (RuntimeException exception) {
+            LOGGER.atSevere().withCause(exception).log("%s: message from %s", LogEvent.INTERNAL_FAILURE, sender);
+        }
+    }
+
+    private Optional<PeerHandler> handlerOf(short subjectNumber) {
+        return Stream.of(PeerSubject.values())
+                .filter(subject -> subject.wireNumber() == subjectNumber)
+                .findFirst()
+                .map(handlers::get);
+    }
+
+    private static byte[] bytesOf(ByteBuffer buffer) {
+        return TBaseHelper.byteBufferToByteArray(TBaseHelper.rightSize(buffer));
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
@@ -0,0 +1,105 @@
+package org.basilrill.transport.peer;
+
+import java.net.InetSocketAddress;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.server.TThreadedSelectorServer;
+import org.apache.thrift.transport.TNonblockingServerSocket;
+import org.apache.thrift.transport.layered.TFramedTransport;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.PeerChannel;
+import org.basilrill.api.PeerHandler;
+import org.basilrill.api.PeerSubject;
+import org.basilrill.thrift.envelope.Envelope;
+import org.basilrill.thrift.envelope.PeerService;
+
+/**
+ * Carries messages between instances over framed TCP: one connection per recipient, opened on first use. Thread safe.
+ * A handler registered for a subject receives its messages on the given executor, several at a time.
+ */
+public final class PeerTransport implements PeerChannel, AutoCloseable {
+    private static final int MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
+
+    private final InstanceId self;
+    private final PeerDirectory directory;
+    private final ExecutorService executor;
+    private final Map<PeerSubject, PeerHandler> handlers = new EnumMap<>(PeerSubject.class);
+    private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
+    private TThreadedSelectorServer server;
+
+    /**
+     * Creates the transport of one instance.
+     *
+     * @param executor runs senders, each of which may block, and handlers; owned by the caller
+     */
+    public PeerTransport(InstanceId self, PeerDirectory directory, ExecutorService executor) {
+        this.self = self;
+        this.directory = directory;
+        this.executor = executor;
+    }
+
+    /** Registers the handler of a subject; must be called before {@link #start}. */
+    public void handle(PeerSubject subject, PeerHandler handler) {
+        handlers.put(subject, handler);
+    }
+
+    /**
+     * Starts to accept connections.
+     *
+     * @throws BasilrillException with {@code ADDRESS_IN_USE} if the address cannot be bound
+     */
+    public void start(InetSocketAddress address) {
+        try {
+            TNonblockingServerSocket socket = new TNonblockingServerSocket(address);
+            PeerDispatcher dispatcher = new PeerDispatcher(handlers, executor);
+            server = new TThreadedSelectorServer(new TThreadedSelectorServer.Args(socket)
+                    .selectorThreads(1)
+                    .executorService(executor)
+                    .transportFactory(new TFramedTransport.Factory(MAXIMUM_FRAME_BYTES))
+                    .protocolFactory(new TCompactProtocol.Factory())
+                    .processor(new PeerService.Processor<>(dispatcher)));
+        } catch (TException exception) {
+            throw new BasilrillException(
+                    ErrorCode.ADDRESS_IN_USE, "cannot listen for instances on " + address, exception);
+        }
+        executor.execute(server::serve);
+    }
+
+    @Override
+    public void send(InstanceId recipient, PeerSubject subject, byte[] payload) {
+        if (recipient.equals(self)) {
+            deliverLocally(subject, payload);
+            return;
+        }
+        Envelope envelope = new Envelope();
+        envelope.setSender(self.value());
+        envelope.setSubject((short) subject.wireNumber());
+        envelope.setPayload(payload);
+        links.computeIfAbsent(recipient, this::link).send(envelope);
+    }
+
+    @Override
+    public void close() {
+        if (server != null) {
+            server.stop();
+        }
+        links.values().forEach(PeerLink::close);
+    }
+
+    private PeerLink link(InstanceId recipient) {
+        return new PeerLink(recipient, () -> directory.address(recipient), executor);
+    }
+
+    private void deliverLocally(PeerSubject subject, byte[] payload) {
+        PeerHandler handler = handlers.get(subject);
+        if (handler != null) {
+            executor.execute(() -> handler.received(self, payload));
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ExecutorScheduler.java
@@ -0,0 +1,54 @@
+package org.basilrill.transport.threads;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.basilrill.api.LogEvent;
+import org.basilrill.api.Scheduler;
+
+/**
+ * Times tasks on one thread and runs them on a pool, so that a slow task delays no timer. Thread safe. After shutdown
+ * of either executor, tasks are dropped.
+ */
+public final class ExecutorScheduler implements Scheduler {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final ScheduledExecutorService timer;
+    private final Executor pool;
+
+    /** Creates a scheduler; the caller owns both executors and shuts them down. */
+    public ExecutorScheduler(ScheduledExecutorService timer, Executor pool) {
+        this.timer = timer;
+        this.pool = pool;
+    }
+
+    @Override
+    public Cancellable schedule(Duration delay, Runnable task) {
+        try {
+            ScheduledFuture<?> future = timer.schedule(() -> submit(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+            return () -> future.cancel(false);
+        } catch (RejectedExecutionException exception) {
+            return () -> {};
+        }
+    }
+
+    private void submit(Runnable task) {
+        try {
+            pool.execute(() -> run(task));
+        } catch (RejectedExecutionException exception) {
+            LOGGER.atFine().log("task dropped after shutdown");
+        }
+    }
+
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException exception) {
+            LOGGER.atSevere().withCause(exception).log("%s in a scheduled task", LogEvent.INTERNAL_FAILURE);
+        }
+    }
+}
--- a/basilrill-thrift/src/main/thrift/envelope.thrift
+++ b/basilrill-thrift/src/main/thrift/envelope.thrift
@@ -9,3 +9,9 @@
   /** Encoded message of the subject. */
   3: required binary payload
 }
+
+/** Takes messages from other instances. */
+service PeerService {
+  /** Hands over messages; the answer proves that the connection is alive, not that the messages were acted on. */
+  void deliver(1: list<Envelope> envelopes)
+}
--- /dev/null
+++ b/basilrill-thrift/src/main/thrift/membership.thrift
@@ -0,0 +1,84 @@
+namespace java org.basilrill.thrift.membership
+
+struct LoadedModelFact {
+  1: required string model
+  2: required i32 version
+  3: required i64 memoryBytes
+  4: required bool ready
+}
+
+struct InstanceFact {
+  1: required string dataCentre
+  2: required string callerAddress
+  3: required string peerAddress
+  4: required bool draining
+  5: required bool current
+  6: required i64 revision
+}
+
+struct InstanceLoadFact {
+  1: required i32 requestsInFlight
+}
+
+struct TargetFact {
+  1: required string target
+  2: required i64 incarnation
+  3: required i64 sequence
+  4: required string host
+  5: required i32 port
+  6: required string dataCentre
+  7: optional string serviceName
+  8: required i64 timeToLiveMillis
+  9: required i64 memoryBytes
+  10: required list<LoadedModelFact> contents
+  11: required i32 roles
+  12: required i32 slots
+  13: required bool enforcesFencing
+  14: required bool leaving
+}
+
+struct TargetLoadFact {
+  1: required string target
+  2: required i32 running
+  3: required i32 waiting
+}
+
+/** The target named by the key is no longer announced to the owner of the item. */
+struct TargetGoneFact {
+  1: required string target
+}
+
+union FactPayload {
+  1: InstanceFact instance
+  2: InstanceLoadFact instanceLoad
+  3: TargetFact target
+  4: TargetLoadFact targetLoad
+  5: TargetGoneFact targetGone
+}
+
+struct Item {
+  1: required string key
+  2: required i64 version
+  3: required FactPayload payload
+}
+
+struct OwnerDelta {
+  1: required string owner
+  2: required i64 incarnation
+  3: required i64 fromVersion
+  4: required i64 toVersion
+  5: required list<Item> items
+}
+
+struct DigestEntry {
+  1: required string owner
+  2: required i64 incarnation
+  3: required i64 version
+}
+
+/** Names what the sender holds. A question asks for an answer with the receiver's own digest. */
+struct GossipMessage {
+  1: optional list<DigestEntry> digest
+  2: required list<OwnerDelta> deltas
+  3: required bool question
+}
