--- /dev/null
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/Settings.java
@@ -0,0 +1,51 @@
+package org.basilrill.daemon.settings;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.basilrill.api.InstanceId;
+
+/**
+ * The checked settings of one instance. Immutable and thread safe.
+ *
+ * @param callerAddress IP number and port for callers, targets and operators
+ * @param peerAddress IP number and port for other instances
+ * @param replicas founding replicas of the control log; also the first members contacted
+ * @param dataFolder present exactly if the instance is a replica
+ * @param operatorKeyHash SHA-256 of a first operator key, accepted until the rules name an operator
+ * @param drainLimit longest time that a stop waits for running requests
+ * @param progressTimeout longest time without a byte from a target
+ */
+public record Settings(
+        InstanceId instance,
+        String dataCentre,
+        InetSocketAddress callerAddress,
+        InetSocketAddress peerAddress,
+        Set<Role> roles,
+        Map<InstanceId, InetSocketAddress> replicas,
+        Optional<Path> dataFolder,
+        Optional<String> operatorKeyHash,
+        Duration drainLimit,
+        Duration progressTimeout) {
+    public static final Duration DEFAULT_DRAIN_LIMIT = Duration.ofSeconds(60);
+    public static final Duration DEFAULT_PROGRESS_TIMEOUT = Duration.ofSeconds(10);
+
+    public Settings {
+        roles = Set.copyOf(roles);
+        replicas = Map.copyOf(replicas);
+    }
+
+    /** Tells whether the instance holds a replica of the control log. */
+    public boolean isReplica() {
+        return roles.contains(Role.REPLICA);
+    }
+
+    /** What an instance does. */
+    public enum Role {
+        ENTRY,
+        REPLICA
+    }
+}
--- /dev/null
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -0,0 +1,223 @@
+package org.basilrill.daemon.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.daemon.settings.SettingsDocument.Field;
+import org.basilrill.daemon.settings.SettingsFault.Kind;
+
+/** Reads and checks settings files; reports all faults of a file at once. Used for one file, by one thread. */
+public final class SettingsReader {
+    private static final Pattern ADDRESS =
+            Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]+]):(\\d{1,5})");
+    private static final Pattern KEY_HASH = Pattern.compile("sha256:([0-9a-f]{64})");
+    private static final int MAXIMUM_PORT = 65_535;
+    private static final long MAXIMUM_MILLIS = Duration.ofHours(1).toMillis();
+
+    private final List<SettingsFault> faults = new ArrayList<>();
+
+    private SettingsReader() {}
+
+    /**
+     * Reads a settings file.
+     *
+     * @throws SettingsException if the file has faults
+     * @throws BasilrillException with {@code FILE_UNREADABLE} if it cannot be read
+     */
+    public static Settings read(Path file) {
+        try {
+            return parse(file.toString(), Files.readString(file));
+        } catch (IOException exception) {
+            throw new BasilrillException(ErrorCode.FILE_UNREADABLE, "cannot read settings file " + file, exception);
+        }
+    }
+
+    /**
+     * Parses the text of a settings file.
+     *
+     * @param file name used in the description of faults
+     * @throws SettingsException if the text has faults
+     */
+    public static Settings parse(String file, String text) {
+        return new SettingsReader().parseText(file, text);
+    }
+
+    private Settings parseText(String file, String text) {
+        SettingsDocument document = new SettingsDocument(text, faults);
+        if (!faults.isEmpty()) {
+            throw new SettingsException(file, faults);
+        }
+        Optional<InstanceId> instance = document.require("instance").flatMap(this::instanceId);
+        Optional<String> dataCentre = document.require("dataCentre").flatMap(this::text);
+        Optional<InetSocketAddress> callerAddress =
+                document.require("callerAddress").flatMap(this::address);
+        Optional<InetSocketAddress> peerAddress =
+                document.require("peerAddress").flatMap(this::address);
+        Optional<Set<Settings.Role>> roles = document.require("roles").flatMap(this::roles);
+        Optional<Map<InstanceId, InetSocketAddress>> replicas =
+                document.require("replicas").flatMap(this::replicas);
+        Optional<Path> dataFolder =
+                document.take("dataFolder").flatMap(this::text).map(Path::of);
+        Optional<String> operatorKeyHash = document.take("operatorKeyHash").flatMap(this::keyHash);
+        Duration drainLimit =
+                document.take("drainLimitMillis").flatMap(this::millis).orElse(Settings.DEFAULT_DRAIN_LIMIT);
+        Duration progressTimeout =
+                document.take("progressTimeoutMillis").flatMap(this::millis).orElse(Settings.DEFAULT_PROGRESS_TIMEOUT);
+        document.rejectRemaining();
+        checkTogether(instance, roles, replicas, dataFolder);
+        if (!faults.isEmpty()) {
+            faults.sort(Comparator.comparingInt(SettingsFault::line));
+            throw new SettingsException(file, faults);
+        }
+        return new Settings(
+                instance.orElseThrow(),
+                dataCentre.orElseThrow(),
+                callerAddress.orElseThrow(),
+                peerAddress.orElseThrow(),
+                roles.orElseThrow(),
+                replicas.orElseThrow(),
+                dataFolder,
+                operatorKeyHash,
+                drainLimit,
+                progressTimeout);
+    }
+
+    private void checkTogether(
+            Optional<InstanceId> instance,
+            Optional<Set<Settings.Role>> roles,
+            Optional<Map<InstanceId, InetSocketAddress>> replicas,
+            Optional<Path> dataFolder) {
+        if (roles.isEmpty() || replicas.isEmpty() || instance.isEmpty()) {
+            return;
+        }
+        boolean isReplica = roles.get().contains(Settings.Role.REPLICA);
+        if (isReplica && dataFolder.isEmpty()) {
+            faults.add(new SettingsFault(
+                    0, "dataFolder", Kind.MISSING_FIELD, "must be present as the roles include \"replica\""));
+        }
+        if (!isReplica && dataFolder.isPresent()) {
+            faults.add(new SettingsFault(
+                    0, "dataFolder", Kind.CONTRADICTION, "is only for instances with the role \"replica\""));
+        }
+        if (isReplica && !replicas.get().containsKey(instance.get())) {
+            faults.add(new SettingsFault(
+                    0, "replicas", Kind.CONTRADICTION, "must name this instance as the roles include \"replica\""));
+        }
+    }
+
+    private Optional<String> text(Field field) {
+        if (!field.value().isTextual() || field.value().textValue().isBlank()) {
+            faults.add(field.fault(Kind.WRONG_TYPE, "must be a non-empty string"));
+            return Optional.empty();
+        }
+        return Optional.of(field.value().textValue());
+    }
+
+    private Optional<InstanceId> instanceId(Field field) {
+        return text(field).flatMap(name -> {
+            try {
+                return Optional.of(new InstanceId(name));
+            } catch (BasilrillException exception) {
+                faults.add(field.fault(Kind.INVALID_VALUE, exception.getMessage()));
+                return Optional.empty();
+            }
+        });
+    }
+
+    private Optional<InetSocketAddress> address(Field field) {
+        return text(field).flatMap(value -> parseAddress(value, detail -> field.fault(Kind.INVALID_VALUE, detail)));
+    }
+
+    private Optional<InetSocketAddress> parseAddress(String value, Function<String, SettingsFault> fault) {
+        Matcher matcher = ADDRESS.matcher(value);
+        if (!matcher.matches()) {
+            faults.add(fault.apply("must be an IP number with a port, such as 10.0.0.7:8080, not \"" + value + "\""));
+            return Optional.empty();
+        }
+        int port = Integer.parseInt(matcher.group(2));
+        if (port < 1 || port > MAXIMUM_PORT) {
+            faults.add(fault.apply("port " + port + " is not between 1 and " + MAXIMUM_PORT));
+            return Optional.empty();
+        }
+        return Optional.of(new InetSocketAddress(matcher.group(1), port));
+    }
+
+    private Optional<Set<Settings.Role>> roles(Field field) {
+        if (!field.value().isArray() || field.value().isEmpty()) {
+            faults.add(field.fault(Kind.WRONG_TYPE, "must be a non-empty list of \"entry\" and \"replica\""));
+            return Optional.empty();
+        }
+        Set<Settings.Role> roles = EnumSet.noneOf(Settings.Role.class);
+        for (JsonNode element : field.value()) {
+            Optional<Settings.Role> role = EnumSet.allOf(Settings.Role.class).stream()
+                    .filter(known -> known.name().toLowerCase(Locale.ROOT).equals(element.textValue()))
+                    .findFirst();
+            role.ifPresent(roles::add);
+            if (role.isEmpty()) {
+                faults.add(field.fault(Kind.INVALID_VALUE, element + " is neither \"entry\" nor \"replica\""));
+            }
+        }
+        return Optional.of(roles);
+    }
+
+    private Optional<Map<InstanceId, InetSocketAddress>> replicas(Field field) {
+        if (!field.value().isObject() || field.value().isEmpty()) {
+            faults.add(field.fault(Kind.WRONG_TYPE, "must be an object of instance names and peer addresses"));
+            return Optional.empty();
+        }
+        Map<InstanceId, InetSocketAddress> replicas = new LinkedHashMap<>();
+        field.value().fields().forEachRemaining(entry -> {
+            Field nested = new Field(field.name() + "." + entry.getKey(), field.line(), entry.getValue());
+            Field name = new Field(nested.name(), field.line(), TextNode.valueOf(entry.getKey()));
+            Optional<InstanceId> instance = instanceId(name);
+            Optional<InetSocketAddress> address = address(nested);
+            if (instance.isPresent() && address.isPresent()) {
+                replicas.put(instance.get(), address.get());
+            }
+        });
+        return Optional.of(replicas);
+    }
+
+    private Optional<String> keyHash(Field field) {
+        return text(field).flatMap(value -> {
+            Matcher matcher = KEY_HASH.matcher(value);
+            if (!matcher.matches()) {
+                faults.add(field.fault(Kind.INVALID_VALUE, "must be sha256: and 64 hexadecimal digits"));
+                return Optional.empty();
+            }
+            return Optional.of(matcher.group(1));
+        });
+    }
+
+    private Optional<Duration> millis(Field field) {
+        if (!field.value().canConvertToLong() || !field.value().isIntegralNumber()) {
+            faults.add(field.fault(Kind.WRONG_TYPE, "must be a whole number of milliseconds"));
+            return Optional.empty();
+        }
+        long millis = field.value().longValue();
+        if (millis < 1 || millis > MAXIMUM_MILLIS) {
+            faults.add(field.fault(Kind.INVALID_VALUE, millis + " is not between 1 and " + MAXIMUM_MILLIS));
+            return Optional.empty();
+        }
+        return Optional.of(Duration.ofMillis(millis));
+    }
+}
