Test the membership exchange, and let urgent facts skip heartbeat versions

An urgent delta named the last version of its owner as its start. Versions that only show liveness are unknown to peers, so they ignored the delta: the test of urgent facts saw revision 0 instead of 7. A delta now starts at the last version that carries an item.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
@@ -33,6 +33,9 @@
     /** Share of exchanges with a seed or suspected member, so that two halves of a healed partition meet again. */
     private static final double RECONNECT_SHARE = 0.2;
 
+    /** Urgent messages repeat the latest changes, so that they also reach members a few periods behind. */
+    private static final int URGENT_OVERLAP_VERSIONS = 16;
+
     private final InstanceId self;
     private final List<InstanceId> seeds;
     private final MonotonicClock clock;
@@ -87,7 +90,7 @@
     public void publishUrgently(Fact fact) {
         long before = state.ownVersion();
         state.publish(fact);
-        OwnerDelta delta = state.ownDeltaAfter(before);
+        OwnerDelta delta = state.ownDeltaAfter(Math.max(0, before - URGENT_OVERLAP_VERSIONS));
         GossipMessage message = new GossipMessage(Optional.empty(), List.of(delta), false);
         for (InstanceId member : state.lastAdvances().keySet()) {
             if (!member.equals(self)) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/OwnerState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/OwnerState.java
@@ -69,12 +69,13 @@
                 .filter(item -> item.version() > fromVersion)
                 .sorted(Comparator.comparingLong(Item::version))
                 .toList());
+        long continues = lastItemVersionUpTo(fromVersion);
         if (newer.size() <= maximumItems) {
-            return new OwnerDelta(owner, incarnation, fromVersion, version, newer);
+            return new OwnerDelta(owner, incarnation, continues, version, newer);
         }
         List<Item> oldest = newer.subList(0, maximumItems);
         long lastVersion = oldest.get(oldest.size() - 1).version();
-        return new OwnerDelta(owner, incarnation, fromVersion, lastVersion, oldest);
+        return new OwnerDelta(owner, incarnation, continues, lastVersion, oldest);
     }
 
     /** Applies a delta of the same incarnation; returns the facts that were new. */
@@ -94,4 +95,13 @@
         advancedAtNanos = nowNanos;
         return news;
     }
+
+    /** Versions without an item only show that the owner is alive, so a receiver that lacks them misses nothing. */
+    private long lastItemVersionUpTo(long limit) {
+        return items.values().stream()
+                .mapToLong(Item::version)
+                .filter(itemVersion -> itemVersion <= limit)
+                .max()
+                .orElse(0);
+    }
 }
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/membership/GossipMembershipTest.java
@@ -0,0 +1,151 @@
+package org.basilrill.coordination.membership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
+import org.basilrill.api.InstanceId;
+import org.basilrill.coordination.membership.Fact.InstanceFact;
+import org.basilrill.coordination.membership.Membership.Member;
+import org.basilrill.testing.VirtualTime;
+import org.junit.jupiter.api.Test;
+
+/** Guards the spread of facts and the detection of failed members against loss, partitions and restarts. */
+class GossipMembershipTest {
+    private static final long SEED = 20_261_204L;
+    private static final InstanceId FIRST = new InstanceId("i0");
+
+    private final VirtualTime time = new VirtualTime();
+    private final Random random = new Random(SEED);
+    private final Map<InstanceId, GossipMembership> instances = new TreeMap<>();
+    private BiPredicate<InstanceId, InstanceId> delivers = (from, to) -> true;
+
+    @Test
+    void everyInstanceLearnsOfEveryOtherAlthoughAThirdOfTheMessagesIsLost() {
+        delivers = (from, to) -> random.nextInt(3) > 0;
+        start(12);
+        time.advance(Duration.ofSeconds(20));
+        assertThat(memberCounts(), everyItem(is(12)));
+    }
+
+    @Test
+    void aNewerFactReplacesAnOlderOneEverywhereAndNeverTheOtherWayRound() {
+        delivers = (from, to) -> random.nextInt(3) > 0;
+        start(12);
+        List<Long> seen = new ArrayList<>();
+        instances.get(new InstanceId("i5")).onFact((owner, fact) -> {
+            if (owner.equals(FIRST) && fact instanceof InstanceFact instanceFact) {
+                seen.add(instanceFact.revision());
+            }
+        });
+        for (long revision = 1; revision <= 200; revision++) {
+            instances.get(FIRST).publish(fact(revision));
+            time.advance(Duration.ofMillis(100));
+        }
+        time.advance(Duration.ofSeconds(20));
+        assertThat(seen.stream().sorted().toList(), is(seen));
+        assertThat(seen.get(seen.size() - 1), is(200L));
+    }
+
+    @Test
+    void anUrgentFactArrivesWithoutWaitingForAnExchange() {
+        start(12);
+        time.advance(Duration.ofSeconds(10));
+        instances.get(FIRST).publishUrgently(fact(7));
+        time.advance(Duration.ofMillis(31));
+        for (GossipMembership membership : instances.values()) {
+            assertThat(membership.member(FIRST).orElseThrow().revision(), is(7L));
+        }
+    }
+
+    @Test
+    void aSilentMemberIsSuspectedThenRemovedAndNotBroughtBackByOldNews() {
+        start(6);
+        time.advance(Duration.ofSeconds(10));
+        instances.remove(FIRST).stop();
+        time.advance(Duration.ofSeconds(6));
+        assertThat(suspects(), everyItem(is(List.of(FIRST))));
+        time.advance(Duration.ofSeconds(60));
+        assertThat(memberCounts(), everyItem(is(5)));
+    }
+
+    @Test
+    void twoHalvesMeetAgainAfterALongPartition() {
+        start(6);
+        time.advance(Duration.ofSeconds(10));
+        delivers = (from, to) -> (half(from) == half(to));
+        time.advance(Duration.ofMinutes(5));
+        assertThat(memberCounts(), everyItem(is(3)));
+        delivers = (from, to) -> true;
+        time.advance(Duration.ofMinutes(1));
+        assertThat(memberCounts(), everyItem(is(6)));
+    }
+
+    @Test
+    void anInstanceThatRestartsWithAnOlderIncarnationIsStillHeard() {
+        start(4);
+        instances.get(FIRST).publish(fact(9));
+        time.advance(Duration.ofSeconds(10));
+        instances.get(FIRST).stop();
+        instances.put(FIRST, membership(FIRST, 1));
+        instances.get(FIRST).publish(fact(10));
+        instances.get(FIRST).start();
+        time.advance(Duration.ofSeconds(10));
+        for (GossipMembership membership : instances.values()) {
+            assertThat(membership.member(FIRST).orElseThrow().revision(), is(10L));
+        }
+    }
+
+    private void start(int count) {
+        for (int index = 0; index < count; index++) {
+            InstanceId id = new InstanceId("i" + index);
+            instances.put(id, membership(id, 100));
+            instances.get(id).publish(fact(0));
+        }
+        instances.values().forEach(GossipMembership::start);
+    }
+
+    private GossipMembership membership(InstanceId id, long incarnation) {
+        return new GossipMembership(
+                id, List.of(FIRST, new InstanceId("i1")), incarnation, time, time, random, (to, message) -> {
+                    long delayMillis = 1 + random.nextInt(30);
+                    time.schedule(Duration.ofMillis(delayMillis), () -> deliver(id, to, message));
+                });
+    }
+
+    private void deliver(InstanceId from, InstanceId to, GossipMessage message) {
+        if (instances.containsKey(to) && delivers.test(from, to)) {
+            instances.get(to).received(from, message);
+        }
+    }
+
+    private static InstanceFact fact(long revision) {
+        return new InstanceFact("dc-1", "127.0.0.1:1", "127.0.0.1:2", false, true, revision);
+    }
+
+    private static boolean half(InstanceId id) {
+        return id.value().compareTo("i3") < 0;
+    }
+
+    private List<Integer> memberCounts() {
+        return instances.values().stream()
+                .map(membership -> membership.members().size())
+                .toList();
+    }
+
+    private List<List<InstanceId>> suspects() {
+        return instances.values().stream()
+                .map(membership -> membership.members().stream()
+                        .filter(Member::suspected)
+                        .map(Member::id)
+                        .toList())
+                .toList();
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
@@ -0,0 +1,66 @@
+package org.basilrill.protocol.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.membership.Fact;
+import org.basilrill.coordination.membership.GossipMessage;
+import org.basilrill.coordination.membership.GossipMessage.DigestEntry;
+import org.basilrill.coordination.membership.GossipMessage.Item;
+import org.basilrill.coordination.membership.GossipMessage.OwnerDelta;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
+import org.junit.jupiter.api.Test;
+
+/** Guards the encoding of membership messages against lost fields and damaged payloads. */
+class GossipCodecTest {
+    @Test
+    void everyFactSurvivesEncoding() {
+        InstanceId owner = new InstanceId("entry-1");
+        TargetId target = new TargetId("engine-1");
+        TargetAnnouncement announcement = new TargetAnnouncement(
+                target,
+                3,
+                4,
+                "127.0.0.1",
+                80,
+                "dc-1",
+                Optional.of("ledger"),
+                2000,
+                1L << 34,
+                Map.of(new ModelId("m/a"), new LoadedModel(2, 10, true)),
+                EnumSet.of(TargetAnnouncement.Role.DECODE),
+                8,
+                new TargetAnnouncement.Load(0, 0),
+                true,
+                true);
+        List<Item> items = List.of(
+                new Item(1, new Fact.InstanceFact("dc-1", "127.0.0.1:1", "127.0.0.1:2", true, false, 5)),
+                new Item(2, new Fact.InstanceLoadFact(6)),
+                new Item(3, new Fact.TargetFact(announcement)),
+                new Item(4, new Fact.TargetLoadFact(target, new TargetAnnouncement.Load(1, 2))),
+                new Item(5, new Fact.TargetGoneFact(target)));
+        GossipMessage message = new GossipMessage(
+                Optional.of(List.of(new DigestEntry(owner, 7, 8))),
+                List.of(new OwnerDelta(owner, 7, 0, 5, items)),
+                true);
+        assertThat(GossipCodec.decode(GossipCodec.encode(message)), is(message));
+    }
+
+    @Test
+    void aDamagedPayloadIsRefusedWithATypedError() {
+        BasilrillException failure =
+                assertThrows(BasilrillException.class, () -> GossipCodec.decode(new byte[] {1, 2, 3}));
+        assertThat(failure.code(), is(ErrorCode.MESSAGE_MALFORMED));
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
@@ -0,0 +1,86 @@
+package org.basilrill.transport.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.PeerSubject;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the delivery of messages over real connections, and recovery from connections that went silent. */
+class PeerTransportTest {
+    private static final InstanceId ONE = new InstanceId("one");
+    private static final InstanceId TWO = new InstanceId("two");
+
+    private final ExecutorService executor = Executors.newCachedThreadPool();
+    private final AtomicReference<InetSocketAddress> addressOfTwo = new AtomicReference<>();
+    private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
+    private PeerTransport sender;
+    private PeerTransport receiver;
+
+    @AfterEach
+    void close() {
+        sender.close();
+        receiver.close();
+        executor.shutdown();
+    }
+
+    @Test
+    void aMessageArrivesWithItsSenderAndSubject() throws Exception {
+        start();
+        sender.send(TWO, PeerSubject.MEMBERSHIP, "hello".getBytes(StandardCharsets.UTF_8));
+        assertThat(received.poll(30, TimeUnit.SECONDS), is("one:hello"));
+    }
+
+    @Test
+    void messagesGetThroughAgainAfterAConnectionWentSilent() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            start();
+            InetSocketAddress working = addressOfTwo.getAndSet(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), silent.getLocalPort()));
+            sender.send(TWO, PeerSubject.MEMBERSHIP, "lost".getBytes(StandardCharsets.UTF_8));
+            addressOfTwo.set(working);
+            assertThat(pollWhileSending("again"), notNullValue());
+        }
+    }
+
+    private String pollWhileSending(String text) throws InterruptedException {
+        String message = null;
+        for (int attempt = 0; attempt < 600 && message == null; attempt++) {
+            sender.send(TWO, PeerSubject.MEMBERSHIP, text.getBytes(StandardCharsets.UTF_8));
+            message = received.poll(50, TimeUnit.MILLISECONDS);
+        }
+        return message;
+    }
+
+    private void start() throws IOException {
+        InetSocketAddress address = freeAddress();
+        addressOfTwo.set(address);
+        sender = new PeerTransport(ONE, instance -> Optional.of(addressOfTwo.get()), executor);
+        receiver = new PeerTransport(TWO, instance -> Optional.empty(), executor);
+        receiver.handle(
+                PeerSubject.MEMBERSHIP,
+                (from, payload) -> received.add(from + ":" + new String(payload, StandardCharsets.UTF_8)));
+        receiver.start(address);
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+}
