--- a/basilrill-library/src/test/java/org/basilrill/testing/VirtualTime.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/VirtualTime.java
@@ -1,12 +1,13 @@
-package org.basilrill.testing;
+package org.basilrill.api;
 
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.PriorityQueue;
-import org.basilrill.api.MonotonicClock;
-import org.basilrill.api.Scheduler;
 
-/** A clock and scheduler that a test moves on. Tasks due at the same time run in the order they were scheduled. */
+/**
+ * A clock and scheduler that the caller moves on, to run many instances in one process deterministically. Tasks due at
+ * the same time run in the order they were scheduled. Not thread safe.
+ */
 public final class VirtualTime implements MonotonicClock, Scheduler {
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparingLong(Task::dueNanos).thenComparingLong(Task::order));
--- a/basilrill-library/src/test/java/org/basilrill/coordination/membership/GossipMembershipTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/membership/GossipMembershipTest.java
@@ -12,9 +12,9 @@
 import java.util.TreeMap;
 import java.util.function.BiPredicate;
 import org.basilrill.api.InstanceId;
+import org.basilrill.api.VirtualTime;
 import org.basilrill.coordination.membership.Fact.InstanceFact;
 import org.basilrill.coordination.membership.Membership.Member;
-import org.basilrill.testing.VirtualTime;
 import org.junit.jupiter.api.Test;
 
 /** Guards the spread of facts and the detection of failed members against loss, partitions and restarts. */
