--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -13,7 +13,19 @@
     INSTANCE_CURRENT_AGAIN(105, "instance confirmed its revision again"),
     PEER_CONNECTION_FAILED(120, "connection to another instance failed"),
     MESSAGE_REJECTED(121, "message from another instance could not be decoded"),
-    INTERNAL_FAILURE(199, "unexpected failure");
+    INTERNAL_FAILURE(199, "unexpected failure"),
+    LEADER_ELECTED(200, "replica became leader of the control log"),
+    LEADERSHIP_LOST(201, "replica lost the leadership of the control log"),
+    LEADER_WITHOUT_QUORUM(202, "leader heard from no majority of the replicas and steps down"),
+    CLUSTER_FOUNDED(203, "first member set of the control log written"),
+    FOUNDING_REFUSED(204, "founding refused because a founding replica holds data"),
+    LEARNER_ACCEPTED(205, "replica joined the control log as a learner"),
+    MEMBERS_CHANGED(206, "member set of the control log changed"),
+    SNAPSHOT_TAKEN(207, "snapshot of the control log taken"),
+    SNAPSHOT_INSTALLED(208, "snapshot of the control log received from the leader and installed"),
+    LOG_TAIL_TRUNCATED(209, "incomplete last write of the control log removed"),
+    LOG_REBUILT(210, "damaged control log set aside; the replica rejoins under a new incarnation"),
+    REPLICA_FAILED(211, "replica of the control log stopped because of a failure");
 
     private final int number;
     private final String summary;
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
@@ -0,0 +1,261 @@
+package org.basilrill.coordination.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.ToLongFunction;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.LogEvent;
+import org.basilrill.api.Outcome;
+import org.basilrill.coordination.consensus.ConsensusMessage.AppendAnswer;
+import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotAnswer;
+import org.basilrill.state.log.DurableStore.LogRecord;
+import org.basilrill.state.log.DurableStore.RecordKind;
+
+/**
+ * The leader's part of one term: proposals, replication, quorum rounds and member changes. Exists only while the
+ * replica leads. Not thread safe.
+ */
+final class Leadership {
+    /** A learner this close to the end of the log is promoted; it receives the rest as a voter. */
+    private static final int PROMOTION_LAG = 64;
+
+    private final ReplicaState state;
+    private final Map<ReplicaId, PeerProgress> peers = new TreeMap<>();
+    private final Replicator replicator;
+    private final List<Proposal> queued = new ArrayList<>();
+    private final Map<Long, CompletableFuture<byte[]>> appended = new TreeMap<>();
+    private final QuorumReads reads = new QuorumReads();
+    private final long firstIndex;
+    private long round;
+    private long heartbeatAt;
+    private long announcedCommit;
+
+    Leadership(ReplicaState state) {
+        this.state = state;
+        this.replicator = new Replicator(state);
+        this.firstIndex = state.log().lastIndex() + 1;
+        long now = state.now();
+        voters().forEach(voter -> trackPeer(voter, firstIndex, now));
+        state.log().append(List.of(record(RecordKind.NO_OPERATION, new byte[0])));
+        state.report(LogEvent.LEADER_ELECTED, "term " + state.term());
+        beginRound();
+        advanceCommit();
+    }
+
+    void propose(byte[] command, CompletableFuture<byte[]> result) {
+        queued.add(new Proposal(command, result));
+    }
+
+    /** Queues a read; its index covers all that was committed, also by earlier leaders. */
+    void read(CompletableFuture<Long> answer) {
+        reads.add(Math.max(state.commitIndex(), firstIndex), answer);
+    }
+
+    /** Accepts a replica that is not a voter as a learner. */
+    void join(ReplicaId learner) {
+        boolean ownName = learner.instance().equals(state.self().instance());
+        if (ownName || state.log().members().contains(learner)) {
+            return;
+        }
+        if (peers.containsKey(learner)) {
+            return;
+        }
+        peers.keySet()
+                .removeIf(other -> other.instance().equals(learner.instance())
+                        && !state.log().members().contains(other));
+        // A learner starts from nothing: nothing but a record sent to it would reveal what it lacks.
+        trackPeer(learner, 1, state.now());
+        state.report(LogEvent.LEARNER_ACCEPTED, learner.toString());
+        replicator.heartbeat(peers.get(learner), round);
+    }
+
+    /** Writes what was queued with one sync, and begins a quorum round if reads wait for one. */
+    void flush() {
+        if (!queued.isEmpty()) {
+            List<LogRecord> records = new ArrayList<>();
+            for (Proposal proposal : queued) {
+                long index = state.log().lastIndex() + 1 + records.size();
+                records.add(new LogRecord(index, state.term(), RecordKind.COMMAND, proposal.command()));
+                appended.put(index, proposal.result());
+            }
+            queued.clear();
+            state.log().append(records);
+        }
+        advanceCommit();
+        changeMembersIfDue();
+        peers.values().forEach(peer -> replicator.sendRecords(peer, round));
+        if (reads.needRound(acknowledgedRound())) {
+            beginRound();
+        }
+        announceCommit();
+        reads.complete(acknowledgedRound(), state.commitIndex());
+    }
+
+    /** Sends heartbeats when due; returns false if the leader has heard from no majority for too long. */
+    boolean tick() {
+        long now = state.now();
+        long silence = state.settings().maximumElectionTimeout().toNanos();
+        if (now - majorityHeardAt() > silence) {
+            state.report(LogEvent.LEADER_WITHOUT_QUORUM, "term " + state.term());
+            return false;
+        }
+        long learnerTimeout = state.settings().learnerTimeout().toNanos();
+        peers.values()
+                .removeIf(
+                        peer -> !state.log().members().contains(peer.peer()) && now - peer.heardAt() > learnerTimeout);
+        if (now >= heartbeatAt) {
+            beginRound();
+        }
+        return true;
+    }
+
+    /** Tells whether a majority was heard within the time for which votes are refused. */
+    boolean holdsLease() {
+        return state.now() - majorityHeardAt()
+                < state.settings().minimumElectionTimeout().toNanos();
+    }
+
+    void answered(ReplicaId from, AppendAnswer answer) {
+        PeerProgress peer = peers.get(from);
+        if (peer == null) {
+            return;
+        }
+        peer.heard(state.now(), answer.round());
+        if (answer.matched()) {
+            peer.matched(answer.index());
+        } else {
+            peer.mismatched(answer.index());
+        }
+    }
+
+    void answered(ReplicaId from, SnapshotAnswer answer) {
+        PeerProgress peer = peers.get(from);
+        if (peer == null) {
+            return;
+        }
+        peer.heard(state.now(), answer.round());
+        boolean current = peer.snapshot()
+                .filter(sending -> sending.lastIndex() == answer.lastIndex())
+                .isPresent();
+        if (current) {
+            peer.chunkReceived(answer.nextOffset());
+        }
+    }
+
+    /** Fails what is still open; commands already in the log may yet take effect. */
+    void end() {
+        state.report(LogEvent.LEADERSHIP_LOST, "term " + state.term());
+        BasilrillException lost =
+                new BasilrillException(ErrorCode.CONTROL_UNAVAILABLE, "leadership of the control log was lost");
+        List<CompletableFuture<byte[]>> open = List.copyOf(appended.values());
+        appended.clear();
+        open.forEach(result -> result.completeExceptionally(lost.withOutcome(Outcome.MAY_HAVE_RUN)));
+        List<Proposal> unwritten = List.copyOf(queued);
+        queued.clear();
+        BasilrillException notLeader =
+                new BasilrillException(ErrorCode.NOT_LEADER, "leadership was lost before the command was written");
+        unwritten.forEach(proposal -> proposal.result().completeExceptionally(notLeader));
+        reads.fail(lost);
+    }
+
+    private void trackPeer(ReplicaId peer, long nextIndex, long now) {
+        if (!peer.equals(state.self())) {
+            peers.put(peer, new PeerProgress(peer, nextIndex, now));
+        }
+    }
+
+    private Iterable<ReplicaId> voters() {
+        return state.log().members().voters();
+    }
+
+    private LogRecord record(RecordKind kind, byte[] payload) {
+        return new LogRecord(state.log().lastIndex() + 1, state.term(), kind, payload);
+    }
+
+    private void beginRound() {
+        round++;
+        reads.roundBegins(round);
+        heartbeatAt = state.now() + state.settings().heartbeat().toNanos();
+        announcedCommit = state.commitIndex();
+        peers.values().forEach(peer -> replicator.heartbeat(peer, round));
+    }
+
+    /** Followers answer reads of their own instances, so they learn a new commit index without waiting. */
+    private void announceCommit() {
+        if (announcedCommit < state.commitIndex()) {
+            announcedCommit = state.commitIndex();
+            peers.values().forEach(peer -> replicator.heartbeat(peer, round));
+        }
+    }
+
+    private long acknowledgedRound() {
+        return byMajority(PeerProgress::acknowledgedRound, round);
+    }
+
+    private long majorityHeardAt() {
+        return byMajority(PeerProgress::heardAt, state.now());
+    }
+
+    private long byMajority(ToLongFunction<PeerProgress> value, long own) {
+        return state.log()
+                .members()
+                .reachedByMajority(voter -> voter.equals(state.self()) ? own : value.applyAsLong(peers.get(voter)));
+    }
+
+    private void advanceCommit() {
+        long matched = byMajority(PeerProgress::matchIndex, state.log().lastIndex());
+        // A record of an earlier term counts only through a later one of this term: alone it can still be replaced.
+        if (matched <= state.commitIndex() || state.log().termAt(matched) != state.term()) {
+            return;
+        }
+        state.commitTo(
+                matched,
+                (index, result) ->
+                        Optional.ofNullable(appended.remove(index)).ifPresent(open -> open.complete(result)));
+    }
+
+    /**
+     * Promotes a learner that is caught up. An old incarnation leaves in a record of its own before the new one enters:
+     * majorities of {a, b, c} and of {a', b, c} need not overlap, those of {b, c} overlap with both.
+     */
+    private void changeMembersIfDue() {
+        boolean changeOpen = state.log().membersIndex() > state.commitIndex();
+        if (changeOpen || state.commitIndex() < firstIndex) {
+            return;
+        }
+        MemberSet members = state.log().members();
+        long recent = state.now() - state.settings().minimumElectionTimeout().toNanos();
+        for (PeerProgress peer : peers.values()) {
+            boolean caughtUp = !members.contains(peer.peer())
+                    && peer.heardAt() > recent
+                    && peer.matchIndex() > 0
+                    && peer.matchIndex() + PROMOTION_LAG >= state.log().lastIndex();
+            if (!caughtUp) {
+                continue;
+            }
+            Optional<ReplicaId> replaced = members.voterOf(peer.peer());
+            if (replaced.isPresent()) {
+                peers.remove(replaced.get());
+                changeMembers(members.without(replaced.get()));
+                return;
+            }
+            if (members.voters().size() < MemberSet.MAXIMUM_VOTERS) {
+                changeMembers(members.with(peer.peer()));
+                return;
+            }
+        }
+    }
+
+    private void changeMembers(MemberSet changed) {
+        state.log().append(List.of(record(RecordKind.MEMBERS, changed.encode())));
+        advanceCommit();
+    }
+
+    /** A command that is not yet in the log. */
+    private record Proposal(byte[] command, CompletableFuture<byte[]> result) {}
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/MessageSender.java
@@ -0,0 +1,10 @@
+package org.basilrill.coordination.consensus;
+
+import org.basilrill.api.InstanceId;
+
+/** Sends messages to other replicas. Messages may be lost, delayed, reordered or delivered twice. Never blocks. */
+@FunctionalInterface
+public interface MessageSender {
+    /** Sends one message; gives no sign of whether it arrived. */
+    void send(InstanceId recipient, AddressedMessage message);
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -0,0 +1,367 @@
+package org.basilrill.coordination.consensus;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.coordination.consensus.ConsensusMessage.AppendAnswer;
+import org.basilrill.coordination.consensus.ConsensusMessage.AppendRequest;
+import org.basilrill.coordination.consensus.ConsensusMessage.FoundAnswer;
+import org.basilrill.coordination.consensus.ConsensusMessage.FoundRequest;
+import org.basilrill.coordination.consensus.ConsensusMessage.JoinRequest;
+import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotAnswer;
+import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotChunk;
+import org.basilrill.coordination.consensus.ConsensusMessage.VoteAnswer;
+import org.basilrill.coordination.consensus.ConsensusMessage.VoteRequest;
+import org.basilrill.state.log.DurableStore;
+import org.basilrill.state.log.DurableStore.LogRecord;
+import org.basilrill.state.log.DurableStore.Snapshot;
+import org.basilrill.state.log.ReplicatedStateMachine;
+
+/**
+ * One replica of the control log. The driver hands in messages, proposals, reads and ticks, and calls {@link #flush}
+ * after each group of them, which syncs all waiting proposals at once. The same inputs, clock and seed give the same
+ * outputs. Not thread safe: called by one thread at a time. After an exception from the store the replica must not be
+ * used further.
+ */
+public final class Replica {
+    private final ReplicaState state;
+    private final SortedSet<InstanceId> founders;
+    private final Founding founding;
+    private final SnapshotReceiver snapshotReceiver = new SnapshotReceiver();
+    private Optional<Leadership> leadership = Optional.empty();
+    private Optional<Election> election = Optional.empty();
+    private Optional<ReplicaId> leader = Optional.empty();
+    private long heardLeaderAt;
+    private long electionAt;
+    private long joinAt;
+
+    /**
+     * Recovers a replica from its store.
+     *
+     * @param founders instances named in the settings as founding replicas
+     * @param machine state machine in its initial state; a stored snapshot is restored into it
+     */
+    public Replica(
+            InstanceId self,
+            Collection<InstanceId> founders,
+            DurableStore store,
+            ReplicatedStateMachine machine,
+            ReplicaEnvironment environment,
+            ConsensusSettings settings) {
+        this.state = new ReplicaState(self, store, machine, environment, settings);
+        this.founders = new TreeSet<>(founders);
+        this.founding = new Founding(state, this.founders);
+        // A restarted replica may have heard the leader just before it stopped, so it refuses votes as if it had.
+        heardLeaderAt = state.now();
+        resetElectionTimer();
+    }
+
+    /** Queues a command; see {@link org.basilrill.coordination.control.ControlLog#propose}. */
+    public void propose(byte[] command, CompletableFuture<byte[]> result) {
+        leadership.ifPresentOrElse(
+                leading -> leading.propose(command, result), () -> result.completeExceptionally(notLeader()));
+    }
+
+    /** Queues a read; see {@link org.basilrill.coordination.control.ControlLog#confirm}. */
+    public void confirm(CompletableFuture<Long> answer) {
+        leadership.ifPresentOrElse(leading -> leading.read(answer), () -> answer.completeExceptionally(notLeader()));
+    }
+
+    /** Handles one message. */
+    public void received(InstanceId sender, AddressedMessage addressed) {
+        long recipient = addressed.recipientIncarnation();
+        boolean forThisIncarnation = recipient == state.self().incarnation();
+        ReplicaId from = new ReplicaId(sender, addressed.senderIncarnation());
+        ConsensusMessage message = addressed.message();
+        if (forThisIncarnation) {
+            dispatch(from, message);
+            return;
+        }
+        if (recipient != AddressedMessage.ANY_INCARNATION) {
+            return;
+        }
+        if (message instanceof FoundRequest request) {
+            founding.asked(from, request);
+        } else if (message instanceof JoinRequest) {
+            leadership.ifPresent(leading -> leading.join(from));
+        }
+    }
+
+    /** Lets time pass: heartbeats, elections, founding and joining. Called at least every 10 ms. */
+    public void tick() {
+        if (leadership.isPresent()) {
+            if (!leadership.get().tick()) {
+                stepDown();
+            }
+            return;
+        }
+        if (state.isVoter()) {
+            if (state.now() >= electionAt) {
+                campaign();
+            }
+            return;
+        }
+        founding.tick();
+        askToJoin();
+    }
+
+    /** Writes and sends what the previous calls queued. */
+    public void flush() {
+        leadership.ifPresent(Leadership::flush);
+    }
+
+    /** Fails all open proposals and reads; the replica must not be used afterwards. */
+    public void stop() {
+        stepDown();
+    }
+
+    /** Returns the current state. */
+    public ReplicaStatus status() {
+        return new ReplicaStatus(
+                state.self(),
+                role(),
+                state.term(),
+                leader.map(ReplicaId::instance),
+                state.commitIndex(),
+                state.log().lastIndex(),
+                state.log().members());
+    }
+
+    private ReplicaRole role() {
+        if (leadership.isPresent()) {
+            return ReplicaRole.LEADER;
+        }
+        if (!state.isVoter()) {
+            return ReplicaRole.LEARNER;
+        }
+        return election.map(running -> running.isPreVote() ? ReplicaRole.PRE_CANDIDATE : ReplicaRole.CANDIDATE)
+                .orElse(ReplicaRole.FOLLOWER);
+    }
+
+    private void dispatch(ReplicaId from, ConsensusMessage message) {
+        if (message instanceof AppendRequest request) {
+            append(from, request);
+        } else if (message instanceof AppendAnswer answer) {
+            if (isCurrent(answer.term())) {
+                leadership.ifPresent(leading -> leading.answered(from, answer));
+            }
+        } else if (message instanceof SnapshotAnswer answer) {
+            if (isCurrent(answer.term())) {
+                leadership.ifPresent(leading -> leading.answered(from, answer));
+            }
+        } else if (message instanceof SnapshotChunk chunk) {
+            installChunk(from, chunk);
+        } else if (message instanceof VoteRequest request) {
+            vote(from, request);
+        } else if (message instanceof VoteAnswer answer) {
+            voteAnswered(from, answer);
+        } else if (message instanceof FoundAnswer answer) {
+            founding.answered(from, answer);
+        }
+    }
+
+    /** Steps down for a later term; returns whether an answer of the term concerns this replica as it is now. */
+    private boolean isCurrent(long answerTerm) {
+        if (answerTerm > state.term()) {
+            stepDown();
+            state.adoptTerm(answerTerm);
+        }
+        return answerTerm == state.term();
+    }
+
+    private void append(ReplicaId from, AppendRequest request) {
+        if (request.term() < state.term()) {
+            state.send(from, new AppendAnswer(state.term(), false, 0, request.round()));
+            return;
+        }
+        follow(from, request.term());
+        ReplicaLog log = state.log();
+        long previous = request.previousIndex();
+        boolean gap = previous > log.lastIndex();
+        boolean differs = !gap && previous > log.baseIndex() && log.termAt(previous) != request.previousTerm();
+        if (gap || differs) {
+            long retryAfter = gap ? log.lastIndex() : log.firstOfTermAt(previous) - 1;
+            long hint = Math.max(retryAfter, state.commitIndex());
+            state.send(from, new AppendAnswer(state.term(), false, hint, request.round()));
+            return;
+        }
+        appendMissing(request.entries());
+        long matched = previous + request.entries().size();
+        state.send(from, new AppendAnswer(state.term(), true, matched, request.round()));
+        commit(Math.min(request.commitIndex(), matched));
+    }
+
+    private void appendMissing(List<LogRecord> received) {
+        ReplicaLog log = state.log();
+        List<LogRecord> missing = new ArrayList<>();
+        for (LogRecord candidate : received) {
+            long index = candidate.index();
+            boolean present = index <= log.baseIndex() || (missing.isEmpty() && log.termAt(index) == candidate.term());
+            if (present) {
+                continue;
+            }
+            if (missing.isEmpty() && index <= log.lastIndex()) {
+                requireUncommitted(index);
+                log.truncateFrom(index);
+            }
+            missing.add(candidate);
+        }
+        log.append(missing);
+    }
+
+    private void requireUncommitted(long index) {
+        if (index <= state.commitIndex()) {
+            throw new BasilrillException(
+                    ErrorCode.LOG_CORRUPT,
+                    String.format("the leader replaces record %d, which is committed here", index));
+        }
+    }
+
+    private void installChunk(ReplicaId from, SnapshotChunk chunk) {
+        if (chunk.term() < state.term()) {
+            state.send(from, new SnapshotAnswer(state.term(), chunk.lastIndex(), 0, chunk.round()));
+            return;
+        }
+        follow(from, chunk.term());
+        if (chunk.lastIndex() <= state.commitIndex()) {
+            state.send(from, new AppendAnswer(state.term(), true, state.commitIndex(), chunk.round()));
+            return;
+        }
+        Optional<Snapshot> complete = snapshotReceiver.add(chunk);
+        if (complete.isEmpty()) {
+            long next = snapshotReceiver.nextOffset();
+            state.send(from, new SnapshotAnswer(state.term(), chunk.lastIndex(), next, chunk.round()));
+            return;
+        }
+        state.install(complete.get());
+        state.send(from, new AppendAnswer(state.term(), true, chunk.lastIndex(), chunk.round()));
+    }
+
+    private void vote(ReplicaId from, VoteRequest request) {
+        if (request.term() < state.term() || leaderIsRecent()) {
+            // A candidate behind in term learns the term; one ahead learns nothing, so it cannot depose the leader.
+            if (request.term() < state.term()) {
+                state.send(from, new VoteAnswer(state.term(), request.preVote(), false));
+            }
+            return;
+        }
+        ReplicaLog log = state.log();
+        boolean upToDate = request.lastTerm() > log.lastTerm()
+                || (request.lastTerm() == log.lastTerm() && request.lastIndex() >= log.lastIndex());
+        if (request.preVote()) {
+            boolean granted = upToDate && request.term() > state.term();
+            long answerTerm = granted ? request.term() : state.term();
+            state.send(from, new VoteAnswer(answerTerm, true, granted));
+            return;
+        }
+        if (request.term() > state.term()) {
+            stepDown();
+            state.adoptTerm(request.term());
+        }
+        boolean granted = upToDate && state.mayVoteFor(from);
+        if (granted) {
+            state.voteFor(request.term(), from);
+            resetElectionTimer();
+        }
+        state.send(from, new VoteAnswer(state.term(), false, granted));
+    }
+
+    private boolean leaderIsRecent() {
+        if (leadership.isPresent()) {
+            return leadership.get().holdsLease();
+        }
+        return state.now() - heardLeaderAt
+                < state.settings().minimumElectionTimeout().toNanos();
+    }
+
+    private void voteAnswered(ReplicaId from, VoteAnswer answer) {
+        if (!answer.granted() && !isCurrent(answer.term())) {
+            return;
+        }
+        if (election.isEmpty()) {
+            return;
+        }
+        election.get().answered(from, answer);
+        countVotes();
+    }
+
+    private void campaign() {
+        resetElectionTimer();
+        leader = Optional.empty();
+        election = Optional.of(Election.preVote(state));
+        countVotes();
+    }
+
+    private void countVotes() {
+        if (election.filter(Election::isWon).isEmpty()) {
+            return;
+        }
+        if (election.get().isPreVote()) {
+            resetElectionTimer();
+            election = Optional.of(Election.vote(state));
+            countVotes();
+            return;
+        }
+        election = Optional.empty();
+        leader = Optional.of(state.self());
+        leadership = Optional.of(new Leadership(state));
+    }
+
+    private void follow(ReplicaId from, long term) {
+        if (term > state.term()) {
+            stepDown();
+            state.adoptTerm(term);
+        }
+        if (leadership.isPresent()) {
+            throw new BasilrillException(ErrorCode.INTERNAL, "two leaders in term " + term + ": " + from);
+        }
+        election = Optional.empty();
+        leader = Optional.of(from);
+        heardLeaderAt = state.now();
+        resetElectionTimer();
+    }
+
+    private void stepDown() {
+        election = Optional.empty();
+        leader = Optional.empty();
+        snapshotReceiver.discard();
+        Optional<Leadership> ended = leadership;
+        leadership = Optional.empty();
+        ended.ifPresent(Leadership::end);
+        resetElectionTimer();
+    }
+
+    private void commit(long index) {
+        if (index > state.commitIndex()) {
+            state.commitTo(index, (applied, result) -> {});
+        }
+    }
+
+    private void askToJoin() {
+        if (state.now() < joinAt) {
+            return;
+        }
+        joinAt = state.now() + state.settings().joinInterval().toNanos();
+        SortedSet<InstanceId> asked = new TreeSet<>(founders);
+        state.log().members().voters().forEach(voter -> asked.add(voter.instance()));
+        asked.remove(state.self().instance());
+        asked.forEach(instance -> state.sendToAnyIncarnation(instance, new JoinRequest()));
+    }
+
+    private void resetElectionTimer() {
+        long minimum = state.settings().minimumElectionTimeout().toNanos();
+        long maximum = state.settings().maximumElectionTimeout().toNanos();
+        electionAt = state.now() + state.environment().random().nextLong(minimum, maximum + 1);
+    }
+
+    private BasilrillException notLeader() {
+        return new BasilrillException(ErrorCode.NOT_LEADER, "this replica does not lead the control log");
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaLog.java
@@ -0,0 +1,189 @@
+package org.basilrill.coordination.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.state.log.DurableStore;
+import org.basilrill.state.log.DurableStore.LogRecord;
+import org.basilrill.state.log.DurableStore.RecordKind;
+import org.basilrill.state.log.DurableStore.Snapshot;
+
+/**
+ * The log of one replica: the durable records, mirrored in memory, and the member sets they contain. The mirror keeps
+ * some records that the last snapshot covers, so that followers slightly behind need no snapshot. Not thread safe.
+ */
+final class ReplicaLog {
+    /** Result of {@link #termAt} for an index whose record is not at hand. */
+    static final long UNKNOWN_TERM = -1;
+
+    /** Bounds the memory held by retained records, whose payload may be 64 KiB each. */
+    private static final long RETAINED_BYTES = 1 << 20;
+
+    private static final int LOAD_BYTES = 1 << 20;
+
+    private final DurableStore store;
+    private final int retainedEntries;
+    private final ArrayList<LogRecord> entries = new ArrayList<>();
+    private final TreeMap<Long, MemberSet> memberSets = new TreeMap<>();
+    private long baseIndex;
+    private long baseTerm;
+    private Optional<Snapshot> snapshot;
+
+    ReplicaLog(DurableStore store, int retainedEntries) {
+        this.store = store;
+        this.retainedEntries = retainedEntries;
+        snapshot = store.snapshot();
+        snapshot.ifPresent(this::startFrom);
+        while (lastIndex() < store.lastIndex()) {
+            store.read(lastIndex() + 1, LOAD_BYTES).forEach(this::mirror);
+        }
+    }
+
+    long lastIndex() {
+        return baseIndex + entries.size();
+    }
+
+    long lastTerm() {
+        return termAt(lastIndex());
+    }
+
+    /** Returns the index before the first record at hand. */
+    long baseIndex() {
+        return baseIndex;
+    }
+
+    long termAt(long index) {
+        if (index == baseIndex) {
+            return baseTerm;
+        }
+        boolean present = index > baseIndex && index <= lastIndex();
+        return present ? get(index).term() : UNKNOWN_TERM;
+    }
+
+    LogRecord get(long index) {
+        return entries.get((int) (index - baseIndex - 1));
+    }
+
+    /** Returns the lowest index of the unbroken run of records that share the term of the record at the index. */
+    long firstOfTermAt(long index) {
+        long term = termAt(index);
+        long first = index;
+        while (first - 1 > baseIndex && termAt(first - 1) == term) {
+            first--;
+        }
+        return first;
+    }
+
+    List<LogRecord> slice(long fromIndex, int maximumBytes) {
+        List<LogRecord> slice = new ArrayList<>();
+        long bytes = 0;
+        for (long index = fromIndex; index <= lastIndex(); index++) {
+            LogRecord next = get(index);
+            bytes += next.payload().length;
+            if (!slice.isEmpty() && bytes > maximumBytes) {
+                return slice;
+            }
+            slice.add(next);
+        }
+        return slice;
+    }
+
+    /** Appends and syncs the records. */
+    void append(List<LogRecord> records) {
+        if (records.isEmpty()) {
+            return;
+        }
+        store.append(records);
+        records.forEach(this::mirror);
+    }
+
+    void truncateFrom(long index) {
+        if (index > lastIndex()) {
+            return;
+        }
+        store.truncateFrom(index);
+        entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+        memberSets.tailMap(index, true).clear();
+    }
+
+    /** Returns the latest member set, which is in force whether or not it is committed. */
+    MemberSet members() {
+        return memberSets.isEmpty() ? MemberSet.empty() : memberSets.lastEntry().getValue();
+    }
+
+    /** Returns the index of the record that holds the latest member set. */
+    long membersIndex() {
+        return memberSets.isEmpty() ? 0 : memberSets.lastKey();
+    }
+
+    Optional<Snapshot> snapshot() {
+        return snapshot;
+    }
+
+    /** Saves the state after the record at the index and drops the records up to it. */
+    Snapshot saveSnapshot(long index, byte[] state) {
+        MemberSet members = memberSets.floorEntry(index).getValue();
+        Snapshot taken = new Snapshot(index, termAt(index), members.encode(), state);
+        store.saveSnapshot(taken);
+        snapshot = Optional.of(taken);
+        dropRecordsBehind(index);
+        return taken;
+    }
+
+    /** Replaces the log up to the snapshot by one received from the leader. */
+    void install(Snapshot received) {
+        boolean continues = termAt(received.lastIndex()) == received.lastTerm();
+        if (!continues) {
+            // Records before the snapshot stay until it is saved: they may be committed and counted on this replica.
+            truncateFrom(Math.max(received.lastIndex(), baseIndex + 1));
+        }
+        store.saveSnapshot(received);
+        snapshot = Optional.of(received);
+        List<LogRecord> kept = continues ? slice(received.lastIndex() + 1, Integer.MAX_VALUE) : List.of();
+        List<LogRecord> copy = List.copyOf(kept);
+        startFrom(received);
+        copy.forEach(this::mirror);
+    }
+
+    private void startFrom(Snapshot start) {
+        entries.clear();
+        memberSets.clear();
+        baseIndex = start.lastIndex();
+        baseTerm = start.lastTerm();
+        memberSets.put(baseIndex, MemberSet.decode(start.members()));
+    }
+
+    private void mirror(LogRecord added) {
+        if (added.index() != lastIndex() + 1) {
+            throw new BasilrillException(
+                    ErrorCode.LOG_CORRUPT, String.format("record %d follows record %d", added.index(), lastIndex()));
+        }
+        entries.add(added);
+        if (added.kind() == RecordKind.MEMBERS) {
+            memberSets.put(added.index(), MemberSet.decode(added.payload()));
+        }
+    }
+
+    private void dropRecordsBehind(long snapshotIndex) {
+        long newBase = snapshotIndex;
+        long bytes = 0;
+        while (newBase > baseIndex && snapshotIndex - newBase < retainedEntries) {
+            bytes += get(newBase).payload().length;
+            if (bytes > RETAINED_BYTES) {
+                break;
+            }
+            newBase--;
+        }
+        if (newBase == baseIndex) {
+            return;
+        }
+        baseTerm = termAt(newBase);
+        entries.subList(0, (int) (newBase - baseIndex)).clear();
+        baseIndex = newBase;
+        long oldestNeeded = memberSets.floorKey(newBase) == null ? newBase : memberSets.floorKey(newBase);
+        memberSets.headMap(oldestNeeded, false).clear();
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
@@ -0,0 +1,171 @@
+package org.basilrill.coordination.consensus;
+
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
+import org.basilrill.state.log.DurableStore;
+import org.basilrill.state.log.DurableStore.LogRecord;
+import org.basilrill.state.log.DurableStore.RecordKind;
+import org.basilrill.state.log.DurableStore.Snapshot;
+import org.basilrill.state.log.DurableStore.Vote;
+import org.basilrill.state.log.ReplicatedStateMachine;
+
+/**
+ * What every role of a replica shares: identity, term and vote, log, commit index and state machine. The commit index
+ * equals the index of the last applied record. Not thread safe.
+ */
+final class ReplicaState {
+    private final ReplicaId self;
+    private final DurableStore store;
+    private final ReplicatedStateMachine machine;
+    private final ReplicaEnvironment environment;
+    private final ConsensusSettings settings;
+    private final ReplicaLog log;
+    private Vote vote;
+    private long commitIndex;
+    private long bytesSinceSnapshot;
+
+    ReplicaState(
+            InstanceId instance,
+            DurableStore store,
+            ReplicatedStateMachine machine,
+            ReplicaEnvironment environment,
+            ConsensusSettings settings) {
+        this.self = new ReplicaId(instance, store.incarnation());
+        this.store = store;
+        this.machine = machine;
+        this.environment = environment;
+        this.settings = settings;
+        this.log = new ReplicaLog(store, settings.retainedEntries());
+        this.vote = store.vote();
+        log.snapshot().ifPresent(snapshot -> {
+            machine.restore(snapshot.state());
+            commitIndex = snapshot.lastIndex();
+        });
+    }
+
+    ReplicaId self() {
+        return self;
+    }
+
+    ConsensusSettings settings() {
+        return settings;
+    }
+
+    ReplicaEnvironment environment() {
+        return environment;
+    }
+
+    ReplicaLog log() {
+        return log;
+    }
+
+    long now() {
+        return environment.clock().nanos();
+    }
+
+    long term() {
+        return vote.term();
+    }
+
+    Vote vote() {
+        return vote;
+    }
+
+    long commitIndex() {
+        return commitIndex;
+    }
+
+    boolean isVoter() {
+        return log.members().contains(self);
+    }
+
+    /** Enters a later term without a vote. */
+    void adoptTerm(long term) {
+        if (term > vote.term()) {
+            saveVote(new Vote(term, Optional.empty()));
+        }
+    }
+
+    /** Saves a vote; it is on disk when the method returns. */
+    void voteFor(long term, ReplicaId candidate) {
+        saveVote(new Vote(term, Optional.of(candidate.toString())));
+    }
+
+    boolean mayVoteFor(ReplicaId candidate) {
+        return vote.votedFor().map(candidate.toString()::equals).orElse(true);
+    }
+
+    void send(ReplicaId recipient, ConsensusMessage message) {
+        environment
+                .sender()
+                .send(recipient.instance(), new AddressedMessage(self.incarnation(), recipient.incarnation(), message));
+    }
+
+    void sendToAnyIncarnation(InstanceId recipient, ConsensusMessage message) {
+        environment
+                .sender()
+                .send(recipient, new AddressedMessage(self.incarnation(), AddressedMessage.ANY_INCARNATION, message));
+    }
+
+    void report(LogEvent event, String detail) {
+        environment.events().event(event, self.instance() + ": " + detail);
+    }
+
+    /**
+     * Applies the records up to the index, which must be committed, and takes a snapshot when one is due.
+     *
+     * @param results receives index and result of each command
+     */
+    void commitTo(long index, BiConsumer<Long, byte[]> results) {
+        while (commitIndex < index) {
+            LogRecord next = log.get(commitIndex + 1);
+            byte[] result = next.kind() == RecordKind.COMMAND ? machine.apply(next.index(), next.payload()) : null;
+            commitIndex = next.index();
+            bytesSinceSnapshot += next.payload().length;
+            if (result != null) {
+                results.accept(next.index(), result);
+            }
+            if (next.kind() == RecordKind.MEMBERS) {
+                report(LogEvent.MEMBERS_CHANGED, "committed " + MemberSet.decode(next.payload()));
+            }
+            snapshotIfDue();
+        }
+    }
+
+    /** Replaces log and state by a snapshot from the leader, which must be ahead of the commit index. */
+    void install(Snapshot snapshot) {
+        if (snapshot.lastIndex() <= commitIndex) {
+            throw new BasilrillException(
+                    ErrorCode.INTERNAL,
+                    String.format("snapshot %d is behind commit index %d", snapshot.lastIndex(), commitIndex));
+        }
+        log.install(snapshot);
+        machine.restore(snapshot.state());
+        commitIndex = snapshot.lastIndex();
+        bytesSinceSnapshot = 0;
+        report(LogEvent.SNAPSHOT_INSTALLED, "covers index " + snapshot.lastIndex());
+    }
+
+    private void snapshotIfDue() {
+        long covered = log.snapshot().map(Snapshot::lastIndex).orElse(0L);
+        boolean due =
+                commitIndex - covered >= settings.snapshotEntries() || bytesSinceSnapshot >= settings.snapshotBytes();
+        if (!due) {
+            return;
+        }
+        Snapshot taken = log.saveSnapshot(commitIndex, machine.snapshot());
+        bytesSinceSnapshot = 0;
+        report(
+                LogEvent.SNAPSHOT_TAKEN,
+                String.format("covers index %d, %d bytes", taken.lastIndex(), taken.state().length));
+    }
+
+    private void saveVote(Vote saved) {
+        store.saveVote(saved);
+        vote = saved;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/ConsensusCodec.java
@@ -0,0 +1,190 @@
+package org.basilrill.protocol.peer;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TBinaryProtocol;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.coordination.consensus.AddressedMessage;
+import org.basilrill.coordination.consensus.ConsensusMessage;
+import org.basilrill.coordination.consensus.ConsensusMessage.AppendAnswer;
+import org.basilrill.coordination.consensus.ConsensusMessage.AppendRequest;
+import org.basilrill.coordination.consensus.ConsensusMessage.FoundAnswer;
+import org.basilrill.coordination.consensus.ConsensusMessage.FoundRequest;
+import org.basilrill.coordination.consensus.ConsensusMessage.JoinRequest;
+import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotAnswer;
+import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotChunk;
+import org.basilrill.coordination.consensus.ConsensusMessage.StoreState;
+import org.basilrill.coordination.consensus.ConsensusMessage.VoteAnswer;
+import org.basilrill.coordination.consensus.ConsensusMessage.VoteRequest;
+import org.basilrill.state.log.DurableStore.LogRecord;
+import org.basilrill.state.log.DurableStore.RecordKind;
+import org.basilrill.thrift.consensus.Body;
+import org.basilrill.thrift.consensus.ConsensusEnvelope;
+import org.basilrill.thrift.consensus.Entry;
+
+/** Encodes the messages of the control log with Thrift. Stateless and thread safe. */
+public final class ConsensusCodec {
+    private static final RecordKind[] KINDS = {RecordKind.COMMAND, RecordKind.MEMBERS, RecordKind.NO_OPERATION};
+    private static final StoreState[] STORE_STATES = {
+        StoreState.EMPTY, StoreState.RESERVED_FOR_SENDER, StoreState.IN_USE
+    };
+
+    private ConsensusCodec() {}
+
+    /** Encodes one message. */
+    public static byte[] encode(AddressedMessage addressed) {
+        ConsensusEnvelope envelope = new ConsensusEnvelope(
+                addressed.senderIncarnation(), addressed.recipientIncarnation(), body(addressed.message()));
+        try {
+            return new TSerializer(new TBinaryProtocol.Factory()).serialize(envelope);
+        } catch (TException exception) {
+            throw new BasilrillException(ErrorCode.INTERNAL, "consensus message could not be encoded", exception);
+        }
+    }
+
+    /**
+     * Decodes one message.
+     *
+     * @throws BasilrillException with {@link ErrorCode#MESSAGE_MALFORMED} if the payload is not a consensus message
+     */
+    public static AddressedMessage decode(byte[] payload) {
+        ConsensusEnvelope envelope = new ConsensusEnvelope();
+        try {
+            new TDeserializer(new TBinaryProtocol.Factory()).deserialize(envelope, payload);
+        } catch (TException | RuntimeException exception) {
+            throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "not a consensus message", exception);
+        }
+        return new AddressedMessage(
+                envelope.getSenderIncarnation(), envelope.getRecipientIncarnation(), message(envelope.getBody()));
+    }
+
+    private static Body body(ConsensusMessage message) {
+        if (message instanceof AppendRequest append) {
+            return Body.appendRequest(new org.basilrill.thrift.consensus.AppendRequest(
+                    append.term(),
+                    append.previousIndex(),
+                    append.previousTerm(),
+                    append.commitIndex(),
+                    append.round(),
+                    append.entries().stream().map(ConsensusCodec::entry).toList()));
+        }
+        if (message instanceof AppendAnswer answer) {
+            return Body.appendAnswer(new org.basilrill.thrift.consensus.AppendAnswer(
+                    answer.term(), answer.matched(), answer.index(), answer.round()));
+        }
+        if (message instanceof VoteRequest request) {
+            return Body.voteRequest(new org.basilrill.thrift.consensus.VoteRequest(
+                    request.term(), request.lastIndex(), request.lastTerm(), request.preVote()));
+        }
+        if (message instanceof VoteAnswer answer) {
+            return Body.voteAnswer(
+                    new org.basilrill.thrift.consensus.VoteAnswer(answer.term(), answer.preVote(), answer.granted()));
+        }
+        if (message instanceof SnapshotChunk chunk) {
+            return Body.snapshotChunk(new org.basilrill.thrift.consensus.SnapshotChunk(
+                    chunk.term(),
+                    chunk.lastIndex(),
+                    chunk.lastTerm(),
+                    ByteBuffer.wrap(chunk.members()),
+                    chunk.offset(),
+                    chunk.totalBytes(),
+                    ByteBuffer.wrap(chunk.data()),
+                    chunk.round()));
+        }
+        if (message instanceof SnapshotAnswer answer) {
+            return Body.snapshotAnswer(new org.basilrill.thrift.consensus.SnapshotAnswer(
+                    answer.term(), answer.lastIndex(), answer.nextOffset(), answer.round()));
+        }
+        if (message instanceof FoundRequest request) {
+            return Body.foundRequest(new org.basilrill.thrift.consensus.FoundRequest(request.round(), request.grant()));
+        }
+        if (message instanceof FoundAnswer answer) {
+            return Body.foundAnswer(new org.basilrill.thrift.consensus.FoundAnswer(
+                    answer.round(), wireNumber(STORE_STATES, answer.state())));
+        }
+        return Body.joinRequest(new org.basilrill.thrift.consensus.JoinRequest());
+    }
+
+    private static Entry entry(LogRecord logged) {
+        return new Entry(
+                logged.index(), logged.term(), wireNumber(KINDS, logged.kind()), ByteBuffer.wrap(logged.payload()));
+    }
+
+    private static ConsensusMessage message(Body body) {
+        if (body == null || !body.isSet()) {
+            throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "consensus message without a known body");
+        }
+        return switch (body.getSetField()) {
+            case APPEND_REQUEST -> append(body.getAppendRequest());
+            case APPEND_ANSWER -> {
+                var answer = body.getAppendAnswer();
+                yield new AppendAnswer(answer.getTerm(), answer.isMatched(), answer.getIndex(), answer.getRound());
+            }
+            case VOTE_REQUEST -> {
+                var request = body.getVoteRequest();
+                yield new VoteRequest(
+                        request.getTerm(), request.getLastIndex(), request.getLastTerm(), request.isPreVote());
+            }
+            case VOTE_ANSWER -> {
+                var answer = body.getVoteAnswer();
+                yield new VoteAnswer(answer.getTerm(), answer.isPreVote(), answer.isGranted());
+            }
+            case SNAPSHOT_CHUNK -> chunk(body.getSnapshotChunk());
+            case SNAPSHOT_ANSWER -> {
+                var answer = body.getSnapshotAnswer();
+                yield new SnapshotAnswer(
+                        answer.getTerm(), answer.getLastIndex(), answer.getNextOffset(), answer.getRound());
+            }
+            case FOUND_REQUEST -> {
+                var request = body.getFoundRequest();
+                yield new FoundRequest(request.getRound(), request.isGrant());
+            }
+            case FOUND_ANSWER -> {
+                var answer = body.getFoundAnswer();
+                yield new FoundAnswer(answer.getRound(), value(STORE_STATES, answer.getState()));
+            }
+            case JOIN_REQUEST -> new JoinRequest();
+        };
+    }
+
+    private static AppendRequest append(org.basilrill.thrift.consensus.AppendRequest append) {
+        List<LogRecord> entries = append.getEntries().stream()
+                .map(entry -> new LogRecord(
+                        entry.getIndex(), entry.getTerm(), value(KINDS, entry.getKind()), entry.getPayload()))
+                .toList();
+        return new AppendRequest(
+                append.getTerm(),
+                append.getPreviousIndex(),
+                append.getPreviousTerm(),
+                append.getCommitIndex(),
+                append.getRound(),
+                entries);
+    }
+
+    private static SnapshotChunk chunk(org.basilrill.thrift.consensus.SnapshotChunk chunk) {
+        return new SnapshotChunk(
+                chunk.getTerm(),
+                chunk.getLastIndex(),
+                chunk.getLastTerm(),
+                chunk.getMembers(),
+                chunk.getOffset(),
+                chunk.getTotalBytes(),
+                chunk.getData(),
+                chunk.getRound());
+    }
+
+    private static <T> byte wireNumber(T[] values, T value) {
+        return (byte) (List.of(values).indexOf(value) + 1);
+    }
+
+    private static <T> T value(T[] values, byte wireNumber) {
+        if (wireNumber < 1 || wireNumber > values.length) {
+            throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "unknown number " + wireNumber);
+        }
+        return values[wireNumber - 1];
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaFolder.java
@@ -0,0 +1,102 @@
+package org.basilrill.transport.threads;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.LogEvent;
+import org.basilrill.state.log.DurableStore.Vote;
+import org.basilrill.transport.disk.FileDurableStore;
+
+/** Opens the data folder of a replica, setting a damaged one aside. Stateless and thread safe. */
+final class ReplicaFolder {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final String DAMAGED_SUFFIX = ".damaged";
+    private static final String REPLACEMENT_SUFFIX = ".replacement";
+
+    private ReplicaFolder() {}
+
+    /**
+     * Opens the folder. A damaged one is renamed for inspection, replacing one renamed before, and a new one with a new
+     * incarnation takes its place. The new one is marked as in use, so that it never counts as empty when a cluster is
+     * founded: otherwise damage on all replicas would silently found an empty cluster.
+     */
+    static FileDurableStore open(Path folder, RandomGenerator random) {
+        Path location = folder.toAbsolutePath();
+        finishReplacement(location);
+        try {
+            FileDurableStore store = FileDurableStore.open(location, random);
+            if (store.tornTailRemoved()) {
+                LOGGER.atWarning().log("%s: %s", LogEvent.LOG_TAIL_TRUNCATED, location);
+            }
+            return store;
+        } catch (BasilrillException exception) {
+            if (exception.code() != ErrorCode.LOG_CORRUPT) {
+                throw exception;
+            }
+            LOGGER.atSevere().withCause(exception).log("%s: %s", LogEvent.LOG_REBUILT, exception.getMessage());
+        }
+        replace(location, random);
+        return FileDurableStore.open(location, random);
+    }
+
+    private static void replace(Path folder, RandomGenerator random) {
+        Path replacement = sibling(folder, REPLACEMENT_SUFFIX);
+        Path damaged = sibling(folder, DAMAGED_SUFFIX);
+        rename(() -> {
+            deleteTree(replacement);
+            deleteTree(damaged);
+        });
+        try (FileDurableStore store = FileDurableStore.open(replacement, random)) {
+            store.saveVote(new Vote(1, Optional.empty()));
+        }
+        rename(() -> Files.move(folder, damaged));
+        finishReplacement(folder);
+    }
+
+    /** Continues after a crash between the two renames, when the folder is missing and its replacement is complete. */
+    private static void finishReplacement(Path folder) {
+        Path replacement = sibling(folder, REPLACEMENT_SUFFIX);
+        if (!Files.exists(folder) && Files.exists(replacement)) {
+            rename(() -> Files.move(replacement, folder));
+        }
+    }
+
+    private static Path sibling(Path folder, String suffix) {
+        return folder.resolveSibling(folder.getFileName() + suffix);
+    }
+
+    private static void rename(FolderAction action) {
+        try {
+            action.run();
+        } catch (IOException exception) {
+            throw new BasilrillException(ErrorCode.DISK_FAILED, "damaged folder could not be replaced", exception);
+        }
+    }
+
+    private static void deleteTree(Path root) throws IOException {
+        if (!Files.exists(root)) {
+            return;
+        }
+        List<Path> files;
+        try (Stream<Path> walk = Files.walk(root)) {
+            files = walk.sorted(Comparator.reverseOrder()).toList();
+        }
+        for (Path file : files) {
+            Files.delete(file);
+        }
+    }
+
+    /** A change of folders. */
+    @FunctionalInterface
+    private interface FolderAction {
+        void run() throws IOException;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaTest.java
@@ -0,0 +1,232 @@
+package org.basilrill.coordination.consensus;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
+import org.basilrill.state.log.DurableStore.Vote;
+import org.junit.jupiter.api.Test;
+
+/** Exercises single failures of replicas on a virtual clock. */
+class ReplicaTest {
+    private static final long SEED = 41;
+    private static final int PATIENCE = 10_000;
+
+    /** Guards against a cluster that forms but cannot commit. */
+    @Test
+    void aNewClusterElectsALeaderAndCommits() {
+        VirtualCluster cluster = formed(3);
+        assertThat(commits(cluster), is(true));
+    }
+
+    /** Guards against a founding majority that forms a second cluster next to an unreachable one. */
+    @Test
+    void noClusterFormsWhileAFoundingReplicaIsUnreachable() {
+        VirtualCluster cluster = new VirtualCluster(SEED, 3, ConsensusSettings.standard());
+        cluster.isolate(cluster.instance(2));
+        cluster.run(PATIENCE);
+        assertThat(cluster.events(), not(hasItem(LogEvent.CLUSTER_FOUNDED)));
+        cluster.heal();
+        assertThat(cluster.runUntil(() -> cluster.leader().isPresent(), PATIENCE), is(true));
+    }
+
+    /** Guards against losing the configuration silently when a majority of data folders is wiped. */
+    @Test
+    void aWipedMajorityNeverFoundsASecondCluster() {
+        VirtualCluster cluster = formed(3);
+        commits(cluster);
+        cluster.events().clear();
+        cluster.loseDisk(cluster.instance(0));
+        cluster.loseDisk(cluster.instance(1));
+        cluster.run(PATIENCE);
+        assertThat(cluster.leader().isPresent(), is(false));
+        assertThat(cluster.events(), hasItem(LogEvent.FOUNDING_REFUSED));
+        assertThat(cluster.events(), not(hasItem(LogEvent.CLUSTER_FOUNDED)));
+    }
+
+    /** Guards against entries or terms that exist in memory only. */
+    @Test
+    void committedEntriesSurviveARestartOfAllReplicas() {
+        VirtualCluster cluster = formed(3);
+        IntStream.range(0, 300).forEach(number -> commits(cluster));
+        int acknowledged = cluster.oracle().acknowledgedCount();
+        IntStream.range(0, 3).forEach(number -> cluster.crash(cluster.instance(number)));
+        IntStream.range(0, 3).forEach(number -> cluster.restart(cluster.instance(number)));
+        assertThat(cluster.runUntil(() -> cluster.leader().isPresent(), PATIENCE), is(true));
+        assertThat(commits(cluster), is(true));
+        cluster.oracle().complete(cluster.history(cluster.leader().orElseThrow()));
+        assertThat(cluster.oracle().acknowledgedCount(), is(acknowledged + 1));
+    }
+
+    /** Guards against a failover slower than the objective of 1 s. */
+    @Test
+    void commitsResumeWithinOneSecondOfLosingTheLeader() {
+        for (long seed = 0; seed < 50; seed++) {
+            VirtualCluster cluster = formed(3, seed, ConsensusSettings.standard());
+            InstanceId lost = cluster.leader().orElseThrow();
+            cluster.crash(lost);
+            CompletableFuture<byte[]> next = new CompletableFuture<>();
+            boolean resumed = cluster.runUntil(
+                    () -> next.isDone()
+                            || cluster.leader()
+                                    .map(cluster::propose)
+                                    .filter(result -> result.thenAccept(next::complete) != null)
+                                    .filter(result -> next.isDone())
+                                    .isPresent(),
+                    1_000);
+            assertThat("seed " + seed, resumed, is(true));
+        }
+    }
+
+    /** Guards against a returning replica that forces an election with a higher term. */
+    @Test
+    void aReplicaReturningFromAPartitionDoesNotDeposeTheLeader() {
+        VirtualCluster cluster = formed(3);
+        InstanceId leader = cluster.leader().orElseThrow();
+        long term = cluster.replica(leader).status().term();
+        InstanceId follower = followerOf(cluster, leader);
+        cluster.isolate(follower);
+        cluster.run(PATIENCE);
+        cluster.heal();
+        cluster.run(PATIENCE);
+        assertThat(cluster.replica(leader).status().role(), is(ReplicaRole.LEADER));
+        assertThat(cluster.replica(leader).status().term(), is(term));
+    }
+
+    /** Guards against an isolated leader that goes on answering. */
+    @Test
+    void anIsolatedLeaderStepsDownAndAnswersNoRead() {
+        VirtualCluster cluster = formed(3);
+        InstanceId old = cluster.leader().orElseThrow();
+        cluster.isolate(old);
+        CompletableFuture<Long> read = cluster.confirm(old);
+        CompletableFuture<byte[]> write = cluster.propose(old);
+        cluster.run(600);
+        assertThat(cluster.replica(old).status().role(), not(ReplicaRole.LEADER));
+        assertThat(read.isCompletedExceptionally(), is(true));
+        assertThat(write.isCompletedExceptionally(), is(true));
+        assertThat(commits(cluster), is(true));
+    }
+
+    /** Guards against a read answered from a round that began before it, or never answered. */
+    @Test
+    void readsOfOneGroupAreAnsweredTogetherAfterAQuorumRound() {
+        VirtualCluster cluster = formed(3);
+        commits(cluster);
+        InstanceId leader = cluster.leader().orElseThrow();
+        List<CompletableFuture<Long>> reads = IntStream.range(0, 20)
+                .mapToObj(number -> cluster.confirm(leader))
+                .toList();
+        assertThat(reads.stream().map(CompletableFuture::isDone).toList(), everyItem(is(false)));
+        cluster.run(60);
+        assertThat(reads.stream().map(CompletableFuture::isDone).toList(), everyItem(is(true)));
+    }
+
+    /** Guards against a wiped replica that votes or counts under the identity it lost. */
+    @Test
+    void aWipedReplicaNeverVotesUnderItsOldIdentity() {
+        VirtualCluster cluster = formed(3);
+        commits(cluster);
+        InstanceId wiped = followerOf(cluster, cluster.leader().orElseThrow());
+        ReplicaId old = cluster.replica(wiped).status().self();
+        cluster.loseDisk(wiped);
+        cluster.replica(wiped)
+                .received(
+                        cluster.instance(0),
+                        new AddressedMessage(
+                                cluster.store(cluster.instance(0)).incarnation(),
+                                old.incarnation(),
+                                new ConsensusMessage.VoteRequest(99, 99, 99, false)));
+        assertThat(cluster.store(wiped).vote(), is(new Vote(0, Optional.empty())));
+    }
+
+    /** Guards against a repair that leaves the old incarnation in the member set, or takes two with one change. */
+    @Test
+    void aWipedReplicaIsCaughtUpBySnapshotAndReplacesItsOldIncarnation() {
+        VirtualCluster cluster = formed(3, SEED, VirtualCluster.smallSnapshots());
+        IntStream.range(0, 200).forEach(number -> commits(cluster));
+        InstanceId wiped = followerOf(cluster, cluster.leader().orElseThrow());
+        ReplicaId old = cluster.replica(wiped).status().self();
+        cluster.events().clear();
+        cluster.loseDisk(wiped);
+        ReplicaId replacement = cluster.replica(wiped).status().self();
+        assertThat(cluster.runUntil(() -> isMember(cluster, replacement), PATIENCE), is(true));
+        cluster.run(200);
+        ReplicaStatus status = cluster.replica(wiped).status();
+        assertThat(status.members().contains(old), is(false));
+        assertThat(status.members().voters().size(), is(3));
+        assertThat(cluster.events(), hasItem(LogEvent.SNAPSHOT_INSTALLED));
+        cluster.oracle().complete(cluster.history(wiped));
+    }
+
+    /** Guards against a repair that only looks complete: the second loss leaves the repaired replica decisive. */
+    @Test
+    void aSecondLossRightAfterARepairLosesNothing() {
+        VirtualCluster cluster = formed(3, SEED, VirtualCluster.smallSnapshots());
+        for (int round = 0; round < 12; round++) {
+            IntStream.range(0, 30).forEach(number -> commits(cluster));
+            InstanceId wiped = cluster.instance(round % 3);
+            cluster.loseDisk(wiped);
+            ReplicaId replacement = cluster.replica(wiped).status().self();
+            assertThat(cluster.runUntil(() -> isMember(cluster, replacement), PATIENCE), is(true));
+        }
+        commits(cluster);
+        cluster.oracle().complete(cluster.history(cluster.leader().orElseThrow()));
+    }
+
+    /** Guards against an instance outside the founding list that cannot join. */
+    @Test
+    void aNewInstanceBecomesAVoter() {
+        VirtualCluster cluster = formed(3);
+        InstanceId added = new InstanceId("replica-9");
+        cluster.startEmpty(added);
+        ReplicaId identity = cluster.replica(added).status().self();
+        assertThat(cluster.runUntil(() -> isMember(cluster, identity), PATIENCE), is(true));
+        assertThat(cluster.replica(added).status().members().voters().size(), is(4));
+    }
+
+    private static VirtualCluster formed(int size) {
+        return formed(size, SEED, ConsensusSettings.standard());
+    }
+
+    private static VirtualCluster formed(int size, long seed, ConsensusSettings settings) {
+        VirtualCluster cluster = new VirtualCluster(seed, size, settings);
+        assertThat(cluster.runUntil(() -> cluster.leader().isPresent(), PATIENCE), is(true));
+        cluster.run(100);
+        return cluster;
+    }
+
+    private static boolean commits(VirtualCluster cluster) {
+        for (int attempt = 0; attempt < 10; attempt++) {
+            if (!cluster.runUntil(() -> cluster.leader().isPresent(), PATIENCE)) {
+                return false;
+            }
+            CompletableFuture<byte[]> result = cluster.propose(cluster.leader().orElseThrow());
+            cluster.runUntil(result::isDone, PATIENCE);
+            if (result.isDone() && !result.isCompletedExceptionally()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static InstanceId followerOf(VirtualCluster cluster, InstanceId leader) {
+        return IntStream.range(0, 3)
+                .mapToObj(cluster::instance)
+                .filter(instance -> !instance.equals(leader))
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
+
+    private static boolean isMember(VirtualCluster cluster, ReplicaId replica) {
+        return cluster.replica(replica.instance()).status().members().contains(replica);
+    }
+}
