--- a/basilrill-library/src/main/java/org/basilrill/api/ErrorCode.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/ErrorCode.java
@@ -43,6 +43,7 @@
     DISK_FAILED(500, Outcome.NOT_RUN),
     NOT_LEADER(503, Outcome.NOT_RUN),
     MEMORY_EXCEEDED(409, Outcome.NOT_RUN),
+    TARGET_ORDER_OUTSTANDING(409, Outcome.NOT_RUN),
     MESSAGE_MALFORMED(500, Outcome.NOT_RUN),
     INTERNAL(500, Outcome.MAY_HAVE_RUN);
 
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/Claim.java
@@ -0,0 +1,119 @@
+package org.basilrill.state.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.Outcome;
+import org.basilrill.thrift.control.ClaimPhase;
+import org.basilrill.thrift.control.ClaimState;
+
+/**
+ * The claim of one order. Immutable.
+ *
+ * @param attempt the attempt that holds the claim, or held it last
+ * @param releasedAttempts attempts that ended without running anything; they are never granted again
+ * @param outcome present once the order has finished
+ */
+record Claim(
+        String fingerprint,
+        ClaimPhase phase,
+        String attempt,
+        InstanceId instance,
+        long sessionId,
+        long changedMillis,
+        List<String> releasedAttempts,
+        Optional<Outcome> outcome,
+        Optional<RecordedAnswer> answer) {
+    /** Released attempts remembered, to recognise late copies of their claims, which are late by seconds. */
+    private static final int MAXIMUM_RELEASED = 32;
+
+    Claim {
+        releasedAttempts = List.copyOf(releasedAttempts);
+    }
+
+    static Claim granted(ControlCommand.ClaimOrder command, List<String> released, long nowMillis) {
+        return new Claim(
+                command.fingerprint(),
+                ClaimPhase.RUNNING,
+                command.attempt(),
+                command.instance(),
+                command.sessionId(),
+                nowMillis,
+                released,
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    Claim withUnknownOutcome(long nowMillis) {
+        return ended(ClaimPhase.UNKNOWN, nowMillis, releasedAttempts, Optional.empty(), Optional.empty());
+    }
+
+    Claim finished(Outcome result, Optional<RecordedAnswer> recorded, long nowMillis) {
+        return ended(ClaimPhase.FINISHED, nowMillis, releasedAttempts, Optional.of(result), recorded);
+    }
+
+    Claim released(long nowMillis) {
+        List<String> released = new ArrayList<>(releasedAttempts);
+        released.add(attempt);
+        int surplus = Math.max(0, released.size() - MAXIMUM_RELEASED);
+        return ended(
+                ClaimPhase.RELEASED,
+                nowMillis,
+                released.subList(surplus, released.size()),
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    /** Returns the claim with its answer's status but without the body. */
+    Claim withoutBody() {
+        return ended(phase, changedMillis, releasedAttempts, outcome, answer.map(Claim::withoutBody));
+    }
+
+    int bodyBytes() {
+        return answer.map(kept -> kept.body().length).orElse(0);
+    }
+
+    ClaimState state(AccountId account, String idempotencyKey) {
+        ClaimState state = new ClaimState(
+                account.value(),
+                idempotencyKey,
+                fingerprint,
+                phase,
+                attempt,
+                instance.value(),
+                sessionId,
+                changedMillis,
+                releasedAttempts);
+        outcome.map(WireEnums::toWire).ifPresent(state::setOutcome);
+        answer.map(WireEnums::toWire).ifPresent(state::setAnswer);
+        return state;
+    }
+
+    static Claim fromState(ClaimState state) {
+        return new Claim(
+                state.getFingerprint(),
+                state.getPhase(),
+                state.getAttempt(),
+                new InstanceId(state.getInstance()),
+                state.getSessionId(),
+                state.getChangedMillis(),
+                state.getReleasedAttempts(),
+                Optional.ofNullable(state.getOutcome()).map(WireEnums::fromWire),
+                WireEnums.fromWire(state.getAnswer()));
+    }
+
+    static RecordedAnswer withoutBody(RecordedAnswer kept) {
+        return new RecordedAnswer(kept.status(), kept.contentType(), new byte[0], false);
+    }
+
+    private Claim ended(
+            ClaimPhase next,
+            long nowMillis,
+            List<String> released,
+            Optional<Outcome> result,
+            Optional<RecordedAnswer> recorded) {
+        return new Claim(fingerprint, next, attempt, instance, sessionId, nowMillis, released, result, recorded);
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
@@ -0,0 +1,192 @@
+package org.basilrill.state.control;
+
+import java.util.List;
+import java.util.Optional;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.TargetId;
+import org.basilrill.state.control.ControlCommand.AssignBucket;
+import org.basilrill.state.control.ControlCommand.ClaimOrder;
+import org.basilrill.state.control.ControlCommand.ExpireSession;
+import org.basilrill.state.control.ControlCommand.FinishOrder;
+import org.basilrill.state.control.ControlCommand.IntendOrder;
+import org.basilrill.state.control.ControlCommand.ObserveTarget;
+import org.basilrill.state.control.ControlCommand.RegisterSession;
+import org.basilrill.state.control.ControlCommand.ReplaceRules;
+import org.basilrill.state.control.ControlCommand.ReportCrash;
+import org.basilrill.state.control.ControlCommand.ResolveOrder;
+import org.basilrill.state.control.ControlResult.Done;
+import org.basilrill.state.control.ControlResult.Refused;
+import org.basilrill.state.ledger.LedgerRow;
+import org.basilrill.state.ledger.MemoryLedger;
+import org.basilrill.state.log.ReplicatedStateMachine;
+import org.basilrill.thrift.control.MachineState;
+import org.basilrill.thrift.control.ViewMessage;
+
+/**
+ * The control state: rules, claims of orders, bucket owners, sessions, crash suspects and the memory ledger. Time is
+ * the largest time that a command carried, so it never goes back. Thread safe: the log applies commands on one thread
+ * while others read.
+ */
+public final class ControlStateMachine implements ReplicatedStateMachine {
+    private final RulesRegister rules = new RulesRegister();
+    private final Sessions sessions = new Sessions();
+    private final OrderClaims claims = new OrderClaims();
+    private final BucketOwners buckets = new BucketOwners();
+    private final CrashSuspects suspects = new CrashSuspects();
+    private final MemoryLedger ledger = new MemoryLedger();
+    private long lastIndex;
+    private long nowMillis;
+    private volatile Published published = new Published(ControlView.empty(), "");
+
+    @Override
+    public synchronized byte[] apply(long index, byte[] command) {
+        lastIndex = index;
+        return ResultCodec.encode(applyDecoded(index, command));
+    }
+
+    @Override
+    public synchronized byte[] snapshot() {
+        return ThriftBytes.encode(new MachineState(
+                lastIndex,
+                published.view().index(),
+                nowMillis,
+                rules.state(),
+                claims.state(),
+                buckets.state(),
+                sessions.openState(),
+                sessions.endedState(),
+                suspects.state(),
+                ledger.state()));
+    }
+
+    @Override
+    public synchronized void restore(byte[] snapshot) {
+        MachineState state = ThriftBytes.decode(MachineState::new, snapshot);
+        lastIndex = state.getLastIndex();
+        nowMillis = state.getNowMillis();
+        rules.restore(state.getRules());
+        claims.restore(state.getClaims());
+        buckets.restore(state.getBuckets());
+        sessions.restore(state.getOpenSessions(), state.getEndedSessions());
+        suspects.restore(state.getCrashes());
+        ledger.restore(state.getLedger());
+        published = new Published(view(state.getViewIndex()), rules.text());
+    }
+
+    /** Returns the part of the state that every instance holds; its index is that of its last change. */
+    public ControlView view() {
+        return published.view();
+    }
+
+    /** Returns the message that carries the current view; the rules are left out if the puller holds their revision. */
+    public ViewMessage viewMessage(long heldRevision) {
+        Published current = published;
+        return ViewCodec.toMessage(current.view(), current.rulesText(), heldRevision);
+    }
+
+    /** Returns the text of the rules in force; empty before the first revision. */
+    public String rulesText() {
+        return published.rulesText();
+    }
+
+    /** Returns the memory ledger, ordered by target. Current only on a replica that has just confirmed its state. */
+    public synchronized List<LedgerRow> ledgerRows() {
+        return ledger.rows();
+    }
+
+    /** Returns the memory of one target; empty if it was never observed. */
+    public synchronized Optional<LedgerRow> ledgerRow(TargetId target) {
+        return ledger.row(target);
+    }
+
+    /** Returns the index of the last applied command. */
+    public synchronized long lastIndex() {
+        return lastIndex;
+    }
+
+    private ControlResult applyDecoded(long index, byte[] encoded) {
+        ControlCommand command;
+        try {
+            command = CommandCodec.decode(encoded);
+        } catch (BasilrillException exception) {
+            return new Refused(exception.code(), exception.getMessage());
+        }
+        if (command instanceof IntendOrder intend) {
+            return ledger.intend(index, intend);
+        }
+        if (command instanceof ResolveOrder resolve) {
+            return ledger.resolve(resolve);
+        }
+        if (command instanceof ObserveTarget observe) {
+            return ledger.observe(observe);
+        }
+        if (command instanceof FinishOrder finish) {
+            return claims.finish(finish, nowMillis);
+        }
+        if (command instanceof ClaimOrder claim) {
+            if (advance(claim.nowMillis())) {
+                publish(index);
+            }
+            return claims.claim(claim, sessions, nowMillis);
+        }
+        ControlResult result = applyToView(command);
+        publish(index);
+        return result;
+    }
+
+    /** Applies a command that may change the view. */
+    private ControlResult applyToView(ControlCommand command) {
+        if (command instanceof ReplaceRules replace) {
+            return rules.replace(replace);
+        }
+        if (command instanceof ReportCrash crash) {
+            advance(crash.nowMillis());
+            return suspects.report(crash, nowMillis);
+        }
+        if (command instanceof AssignBucket assign) {
+            return buckets.assign(assign, sessions);
+        }
+        if (command instanceof RegisterSession register) {
+            return register(new Sessions.Session(register.instance(), register.sessionId()));
+        }
+        ExpireSession expire = (ExpireSession) command;
+        Sessions.Session session = new Sessions.Session(expire.instance(), expire.sessionId());
+        claims.sessionEnded(session, nowMillis);
+        return sessions.expire(session);
+    }
+
+    private ControlResult register(Sessions.Session session) {
+        Optional<ControlResult> refusal = sessions.refusal(session);
+        if (refusal.isPresent()) {
+            return refusal.get();
+        }
+        sessions.register(session).ifPresent(replaced -> claims.sessionEnded(replaced, nowMillis));
+        return new Done();
+    }
+
+    /** Moves the time on; tells whether the view changes with it. */
+    private boolean advance(long millis) {
+        nowMillis = Math.max(nowMillis, millis);
+        claims.expire(nowMillis);
+        return suspects.expire(nowMillis);
+    }
+
+    private void publish(long index) {
+        ControlView next = view(index);
+        ControlView current = published.view();
+        boolean changed = next.rules() != current.rules()
+                || !next.bucketOwners().equals(current.bucketOwners())
+                || !next.blockedFingerprints().equals(current.blockedFingerprints())
+                || !next.sessions().equals(current.sessions());
+        if (changed) {
+            published = new Published(next, rules.text());
+        }
+    }
+
+    private ControlView view(long index) {
+        return new ControlView(index, rules.rules(), buckets.owners(), suspects.blocked(), sessions.open());
+    }
+
+    /** A view with the text of its rules. */
+    private record Published(ControlView view, String rulesText) {}
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/CrashSuspects.java
@@ -0,0 +1,89 @@
+package org.basilrill.state.control;
+
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.basilrill.api.TargetId;
+import org.basilrill.state.control.ControlCommand.ReportCrash;
+import org.basilrill.state.control.ControlResult.CrashCount;
+import org.basilrill.thrift.control.CrashState;
+
+/**
+ * Requests during which targets were lost, by fingerprint. The same target counts once, however often it restarts.
+ * Not thread safe.
+ */
+final class CrashSuspects {
+    /** Distinct targets lost after which a request is refused everywhere. */
+    static final int BLOCKING_TARGETS = 2;
+
+    private static final long RETENTION_MILLIS = Duration.ofHours(24).toMillis();
+
+    /** A lost target reports each request it ran, so innocent ones come in numbers; the oldest are dropped. */
+    private static final int MAXIMUM_SUSPECTS = 4_096;
+
+    /** In order of the last change, the oldest first. */
+    private final LinkedHashMap<String, Suspect> suspects = new LinkedHashMap<>();
+
+    ControlResult report(ReportCrash command, long nowMillis) {
+        Suspect known = suspects.get(command.fingerprint());
+        TreeSet<TargetId> targets = known == null ? new TreeSet<>() : known.targets();
+        if (targets.size() < BLOCKING_TARGETS && targets.add(command.target())) {
+            suspects.remove(command.fingerprint());
+            suspects.put(command.fingerprint(), new Suspect(targets, nowMillis));
+            dropOldest();
+        }
+        return new CrashCount(targets.size());
+    }
+
+    /** Drops suspects without a change for the retention time; tells whether there were any. */
+    boolean expire(long nowMillis) {
+        boolean expired = false;
+        Iterator<Suspect> oldest = suspects.values().iterator();
+        while (oldest.hasNext() && nowMillis - oldest.next().changedMillis() > RETENTION_MILLIS) {
+            oldest.remove();
+            expired = true;
+        }
+        return expired;
+    }
+
+    Set<String> blocked() {
+        return suspects.entrySet().stream()
+                .filter(entry -> entry.getValue().targets().size() >= BLOCKING_TARGETS)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    List<CrashState> state() {
+        return suspects.entrySet().stream()
+                .map(entry -> new CrashState(
+                        entry.getKey(),
+                        entry.getValue().targets().stream().map(TargetId::value).toList(),
+                        entry.getValue().changedMillis()))
+                .toList();
+    }
+
+    void restore(List<CrashState> state) {
+        suspects.clear();
+        for (CrashState suspect : state) {
+            TreeSet<TargetId> targets = new TreeSet<>();
+            suspect.getTargets().forEach(target -> targets.add(new TargetId(target)));
+            suspects.put(suspect.getFingerprint(), new Suspect(targets, suspect.getChangedMillis()));
+        }
+    }
+
+    private void dropOldest() {
+        if (suspects.size() > MAXIMUM_SUSPECTS) {
+            Iterator<String> oldest = suspects.keySet().iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
+    /** Targets lost during one request. */
+    private record Suspect(TreeSet<TargetId> targets, long changedMillis) {}
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ResultCodec.java
@@ -0,0 +1,119 @@
+package org.basilrill.state.control;
+
+import java.util.Arrays;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.state.control.ControlResult.BucketHeld;
+import org.basilrill.state.control.ControlResult.CrashCount;
+import org.basilrill.state.control.ControlResult.Done;
+import org.basilrill.state.control.ControlResult.OrderFinished;
+import org.basilrill.state.control.ControlResult.OrderGranted;
+import org.basilrill.state.control.ControlResult.OrderReserved;
+import org.basilrill.state.control.ControlResult.OrderRunning;
+import org.basilrill.state.control.ControlResult.Refused;
+import org.basilrill.state.control.ControlResult.RulesAccepted;
+import org.basilrill.state.control.ControlResult.RulesConflict;
+import org.basilrill.thrift.control.BucketHeldResult;
+import org.basilrill.thrift.control.CrashCountResult;
+import org.basilrill.thrift.control.DoneResult;
+import org.basilrill.thrift.control.OrderFinishedResult;
+import org.basilrill.thrift.control.OrderGrantedResult;
+import org.basilrill.thrift.control.OrderReservedResult;
+import org.basilrill.thrift.control.OrderRunningResult;
+import org.basilrill.thrift.control.RefusedResult;
+import org.basilrill.thrift.control.ResultMessage;
+import org.basilrill.thrift.control.RulesAcceptedResult;
+import org.basilrill.thrift.control.RulesConflictResult;
+
+/** Converts results of commands to bytes and back. Stateless and thread safe. */
+public final class ResultCodec {
+    private ResultCodec() {}
+
+    /** Encodes a result. */
+    public static byte[] encode(ControlResult result) {
+        return ThriftBytes.encode(message(result));
+    }
+
+    /** Decodes a result. Fails with {@code MESSAGE_MALFORMED} or {@code INVALID_NAME}. */
+    public static ControlResult decode(byte[] bytes) {
+        ResultMessage message = ThriftBytes.decode(ResultMessage::new, bytes);
+        if (!message.isSet()) {
+            throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "the message holds no known result");
+        }
+        switch (message.getSetField()) {
+            case DONE:
+                return new Done();
+            case RULES_ACCEPTED:
+                return new RulesAccepted(message.getRulesAccepted().getRevision());
+            case RULES_CONFLICT:
+                RulesConflictResult conflict = message.getRulesConflict();
+                return new RulesConflict(conflict.getCurrentRevision(), conflict.getWinner());
+            case ORDER_GRANTED:
+                return new OrderGranted();
+            case ORDER_RUNNING:
+                return new OrderRunning(new InstanceId(message.getOrderRunning().getHolder()));
+            case ORDER_FINISHED:
+                OrderFinishedResult finished = message.getOrderFinished();
+                return new OrderFinished(
+                        WireEnums.fromWire(finished.getOutcome()), WireEnums.fromWire(finished.getAnswer()));
+            case BUCKET_HELD:
+                BucketHeldResult held = message.getBucketHeld();
+                return new BucketHeld(new InstanceId(held.getOwner()), held.getEpoch());
+            case ORDER_RESERVED:
+                return new OrderReserved(message.getOrderReserved().getFencingNumber());
+            case CRASH_COUNT:
+                return new CrashCount(message.getCrashCount().getTargets());
+            case REFUSED:
+                RefusedResult refused = message.getRefused();
+                return new Refused(code(refused.getCode()), refused.getDetail());
+            default:
+                throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "the message holds no known result");
+        }
+    }
+
+    private static ResultMessage message(ControlResult result) {
+        if (result instanceof Done) {
+            return ResultMessage.done(new DoneResult());
+        }
+        if (result instanceof RulesAccepted accepted) {
+            return ResultMessage.rulesAccepted(new RulesAcceptedResult(accepted.revision()));
+        }
+        if (result instanceof RulesConflict conflict) {
+            return ResultMessage.rulesConflict(new RulesConflictResult(conflict.currentRevision(), conflict.winner()));
+        }
+        if (result instanceof OrderGranted) {
+            return ResultMessage.orderGranted(new OrderGrantedResult());
+        }
+        if (result instanceof OrderRunning running) {
+            return ResultMessage.orderRunning(
+                    new OrderRunningResult(running.holder().value()));
+        }
+        if (result instanceof OrderFinished finished) {
+            OrderFinishedResult encoded = new OrderFinishedResult(WireEnums.toWire(finished.outcome()));
+            finished.answer().map(WireEnums::toWire).ifPresent(encoded::setAnswer);
+            return ResultMessage.orderFinished(encoded);
+        }
+        if (result instanceof BucketHeld held) {
+            return ResultMessage.bucketHeld(new BucketHeldResult(held.owner().value(), held.epoch()));
+        }
+        if (result instanceof OrderReserved reserved) {
+            return ResultMessage.orderReserved(new OrderReservedResult(reserved.fencingNumber()));
+        }
+        if (result instanceof CrashCount count) {
+            return ResultMessage.crashCount(new CrashCountResult(count.targets()));
+        }
+        if (result instanceof Refused refused) {
+            return ResultMessage.refused(new RefusedResult(refused.code().name(), refused.detail()));
+        }
+        throw new BasilrillException(ErrorCode.INTERNAL, "no encoding for " + result.getClass());
+    }
+
+    /** Returns the code of this name; a name added by a newer version reads as {@code INTERNAL}. */
+    private static ErrorCode code(String name) {
+        return Arrays.stream(ErrorCode.values())
+                .filter(code -> code.name().equals(name))
+                .findFirst()
+                .orElse(ErrorCode.INTERNAL);
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ViewCodec.java
@@ -0,0 +1,105 @@
+package org.basilrill.state.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.configuration.RulesParser;
+import org.basilrill.state.control.ControlView.BucketOwner;
+import org.basilrill.thrift.control.BucketState;
+import org.basilrill.thrift.control.SessionState;
+import org.basilrill.thrift.control.ViewMessage;
+
+/** Converts control views to messages and back. Rules travel as their text. Stateless and thread safe. */
+public final class ViewCodec {
+    private ViewCodec() {}
+
+    /**
+     * Returns the message for a puller.
+     *
+     * @param rulesText text of the rules in the view
+     * @param heldRevision revision the puller holds; the text is left out if it is the view's revision
+     */
+    public static ViewMessage toMessage(ControlView view, String rulesText, long heldRevision) {
+        ViewMessage message = new ViewMessage(
+                view.index(),
+                view.rules().revision(),
+                buckets(view.bucketOwners()),
+                view.blockedFingerprints().stream().sorted().toList(),
+                sessions(view.sessions()));
+        if (view.rules().revision() != heldRevision) {
+            message.setRulesText(rulesText);
+        }
+        return message;
+    }
+
+    /**
+     * Returns the view of a message.
+     *
+     * @param held rules the puller holds, used if the message leaves the text out
+     * @throws BasilrillException with {@code MESSAGE_MALFORMED} if the message fits neither those rules nor the parser
+     */
+    public static ControlView fromMessage(ViewMessage message, Rules held) {
+        Map<AccountId, BucketOwner> owners = new HashMap<>();
+        for (BucketState bucket : message.getBuckets()) {
+            BucketOwner owner = new BucketOwner(
+                    new InstanceId(bucket.getOwner()),
+                    bucket.getSessionId(),
+                    bucket.getEpoch(),
+                    bucket.getStartTokens());
+            owners.put(new AccountId(bucket.getAccount()), owner);
+        }
+        Map<InstanceId, Long> sessions = new HashMap<>();
+        for (SessionState session : message.getSessions()) {
+            sessions.put(new InstanceId(session.getInstance()), session.getSessionId());
+        }
+        return new ControlView(
+                message.getIndex(),
+                rules(message, held),
+                owners,
+                Set.copyOf(message.getBlockedFingerprints()),
+                sessions);
+    }
+
+    static List<BucketState> buckets(Map<AccountId, BucketOwner> owners) {
+        return owners.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .map(entry -> new BucketState(
+                        entry.getKey().value(),
+                        entry.getValue().owner().value(),
+                        entry.getValue().sessionId(),
+                        entry.getValue().epoch(),
+                        entry.getValue().startTokens()))
+                .toList();
+    }
+
+    static List<SessionState> sessions(Map<InstanceId, Long> sessions) {
+        return sessions.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .map(entry -> new SessionState(entry.getKey().value(), entry.getValue()))
+                .toList();
+    }
+
+    private static Rules rules(ViewMessage message, Rules held) {
+        if (message.getRulesRevision() == 0) {
+            return Rules.empty();
+        }
+        if (message.isSetRulesText()) {
+            return RulesParser.parse(message.getRulesText(), message.getRulesRevision())
+                    .rules()
+                    .orElseThrow(() -> new BasilrillException(
+                            ErrorCode.MESSAGE_MALFORMED,
+                            "rules of revision " + message.getRulesRevision() + " cannot be parsed"));
+        }
+        if (held.revision() != message.getRulesRevision()) {
+            throw new BasilrillException(
+                    ErrorCode.MESSAGE_MALFORMED, "the view leaves out rules that are not held here");
+        }
+        return held;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/WireEnums.java
@@ -0,0 +1,48 @@
+package org.basilrill.state.control;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.basilrill.api.Outcome;
+import org.basilrill.thrift.control.AnswerBody;
+import org.basilrill.thrift.control.RequestOutcome;
+import org.basilrill.thrift.control.TargetOrderKind;
+import org.basilrill.thrift.control.TargetOrderOutcome;
+
+/** Converts the enums and the recorded answers of the control log. Stateless and thread safe. */
+public final class WireEnums {
+    private WireEnums() {}
+
+    public static TargetOrderKind toWire(OrderKind kind) {
+        return TargetOrderKind.valueOf(kind.name());
+    }
+
+    public static OrderKind fromWire(TargetOrderKind kind) {
+        return OrderKind.valueOf(kind.name());
+    }
+
+    public static TargetOrderOutcome toWire(OrderOutcome outcome) {
+        return TargetOrderOutcome.valueOf(outcome.name());
+    }
+
+    public static OrderOutcome fromWire(TargetOrderOutcome outcome) {
+        return OrderOutcome.valueOf(outcome.name());
+    }
+
+    static RequestOutcome toWire(Outcome outcome) {
+        return RequestOutcome.valueOf(outcome.name());
+    }
+
+    static Outcome fromWire(RequestOutcome outcome) {
+        return Outcome.valueOf(outcome.name());
+    }
+
+    static AnswerBody toWire(RecordedAnswer answer) {
+        return new AnswerBody(answer.status(), answer.contentType(), ByteBuffer.wrap(answer.body()), answer.complete());
+    }
+
+    static Optional<RecordedAnswer> fromWire(AnswerBody answer) {
+        return Optional.ofNullable(answer)
+                .map(body ->
+                        new RecordedAnswer(body.getStatus(), body.getContentType(), body.getBody(), body.isComplete()));
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/ledger/LedgerRow.java
@@ -0,0 +1,71 @@
+package org.basilrill.state.ledger;
+
+import java.util.List;
+import java.util.Optional;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.state.control.OrderKind;
+
+/**
+ * Accelerator memory of one target as the control log accounts for it. Immutable and thread safe.
+ *
+ * @param incarnation latest incarnation observed
+ * @param capacityBytes smallest accelerator memory that this incarnation reported
+ * @param enforcesFencing whether several orders may be open at once
+ * @param holdings memory that models and adapters hold, or may hold
+ * @param openOrders target orders without a known outcome, in the order of their fencing numbers
+ */
+public record LedgerRow(
+        TargetId target,
+        long incarnation,
+        long capacityBytes,
+        boolean enforcesFencing,
+        List<Holding> holdings,
+        List<OpenOrder> openOrders) {
+    public LedgerRow {
+        holdings = List.copyOf(holdings);
+        openOrders = List.copyOf(openOrders);
+    }
+
+    /** Returns the bytes that are held or reserved; saturates at {@code Long.MAX_VALUE}. */
+    public long reservedBytes() {
+        long held = holdings.stream().mapToLong(Holding::bytes).reduce(0, LedgerRow::saturatedSum);
+        return openOrders.stream().mapToLong(OpenOrder::bytes).reduce(held, LedgerRow::saturatedSum);
+    }
+
+    /** Returns the bytes that a new order may reserve; 0 if the target reports more than fits. */
+    public long freeBytes() {
+        return Math.max(0, capacityBytes - reservedBytes());
+    }
+
+    /** Returns the memory of a model or adapter, in whatever version; empty if none is held. */
+    public Optional<Long> heldBytes(ModelId model) {
+        return holdings.stream()
+                .filter(holding -> holding.model().equals(model))
+                .map(Holding::bytes)
+                .reduce(LedgerRow::saturatedSum);
+    }
+
+    /** Memory of one version of a model or adapter. */
+    public record Holding(ModelId model, int version, long bytes) {}
+
+    /**
+     * A target order whose outcome is not known.
+     *
+     * @param targetIncarnation incarnation of the target when the order was intended
+     * @param bytes memory reserved until the outcome is known
+     */
+    public record OpenOrder(
+            String orderId,
+            TargetId target,
+            long targetIncarnation,
+            long fencingNumber,
+            OrderKind kind,
+            ModelId model,
+            int version,
+            long bytes) {}
+
+    private static long saturatedSum(long left, long right) {
+        return left > Long.MAX_VALUE - right ? Long.MAX_VALUE : left + right;
+    }
+}
--- /dev/null
+++ b/basilrill-thrift/src/main/thrift/control.thrift
@@ -0,0 +1,354 @@
+namespace java org.basilrill.thrift.control
+
+// Commands of the control log.
+
+struct ReplaceRulesCommand {
+  1: required i64 expectedRevision
+  2: required string text
+  3: required string operatorName
+}
+
+struct ClaimOrderCommand {
+  1: required string account
+  2: required string idempotencyKey
+  3: required string fingerprint
+  4: required string attempt
+  5: required string instance
+  6: required i64 sessionId
+  7: required i64 nowMillis
+}
+
+struct AnswerBody {
+  1: required i32 status
+  2: required string contentType
+  3: required binary body
+  4: required bool complete
+}
+
+/** Outcome of a request; numbers never change. */
+enum RequestOutcome {
+  NOT_RUN = 1
+  MAY_HAVE_RUN = 2
+  RAN = 3
+}
+
+struct FinishOrderCommand {
+  1: required string account
+  2: required string idempotencyKey
+  3: required string attempt
+  4: required RequestOutcome outcome
+  5: optional AnswerBody answer
+}
+
+struct AssignBucketCommand {
+  1: required string account
+  2: required string owner
+  3: required i64 sessionId
+  4: required i64 expectedEpoch
+  5: required i64 handedOverTokens
+}
+
+/** Kind of a target order; numbers never change. */
+enum TargetOrderKind {
+  LOAD_MODEL = 1
+  UNLOAD_MODEL = 2
+  LOAD_ADAPTER = 3
+  UNLOAD_ADAPTER = 4
+  CHANGE_ROLE = 5
+}
+
+/** Outcome of a target order; numbers never change. */
+enum TargetOrderOutcome {
+  DONE = 1
+  FAILED = 2
+  REFUSED_STALE = 3
+}
+
+struct IntendOrderCommand {
+  1: required string target
+  2: required i64 targetIncarnation
+  3: required string orderId
+  4: required TargetOrderKind kind
+  5: required string model
+  6: required i32 version
+  7: required i64 bytes
+}
+
+struct ResolveOrderCommand {
+  1: required string orderId
+  2: required TargetOrderOutcome outcome
+}
+
+struct LoadedModelReport {
+  1: required string model
+  2: required i32 version
+  3: required i64 memoryBytes
+  4: required bool ready
+}
+
+struct ObserveTargetCommand {
+  1: required string target
+  2: required i64 incarnation
+  3: required i64 memoryBytes
+  4: required list<LoadedModelReport> contents
+  5: required bool enforcesFencing
+}
+
+struct ReportCrashCommand {
+  1: required string fingerprint
+  2: required string target
+  3: required i64 targetIncarnation
+  4: required i64 nowMillis
+}
+
+struct RegisterSessionCommand {
+  1: required string instance
+  2: required i64 sessionId
+}
+
+struct ExpireSessionCommand {
+  1: required string instance
+  2: required i64 sessionId
+}
+
+union CommandMessage {
+  1: ReplaceRulesCommand replaceRules
+  2: ClaimOrderCommand claimOrder
+  3: FinishOrderCommand finishOrder
+  4: AssignBucketCommand assignBucket
+  5: IntendOrderCommand intendOrder
+  6: ResolveOrderCommand resolveOrder
+  7: ObserveTargetCommand observeTarget
+  8: ReportCrashCommand reportCrash
+  9: RegisterSessionCommand registerSession
+  10: ExpireSessionCommand expireSession
+}
+
+// Results of commands.
+
+struct DoneResult {}
+
+struct RulesAcceptedResult {
+  1: required i64 revision
+}
+
+struct RulesConflictResult {
+  1: required i64 currentRevision
+  2: required string winner
+}
+
+struct OrderGrantedResult {}
+
+struct OrderRunningResult {
+  1: required string holder
+}
+
+struct OrderFinishedResult {
+  1: required RequestOutcome outcome
+  2: optional AnswerBody answer
+}
+
+struct BucketHeldResult {
+  1: required string owner
+  2: required i64 epoch
+}
+
+struct OrderReservedResult {
+  1: required i64 fencingNumber
+}
+
+struct CrashCountResult {
+  1: required i32 targets
+}
+
+struct RefusedResult {
+  /** Name of the error code. */
+  1: required string code
+  2: required string detail
+}
+
+union ResultMessage {
+  1: DoneResult done
+  2: RulesAcceptedResult rulesAccepted
+  3: RulesConflictResult rulesConflict
+  4: OrderGrantedResult orderGranted
+  5: OrderRunningResult orderRunning
+  6: OrderFinishedResult orderFinished
+  7: BucketHeldResult bucketHeld
+  8: OrderReservedResult orderReserved
+  9: CrashCountResult crashCount
+  10: RefusedResult refused
+}
+
+// State of the machine. Lists are ordered so that equal states have equal encodings.
+
+struct AcceptedRulesState {
+  1: required i64 revision
+  2: required string textHash
+  3: required string operatorName
+}
+
+struct RulesState {
+  1: required i64 revision
+  2: required string text
+  3: required list<AcceptedRulesState> history
+}
+
+/** Progress of a claim; numbers never change. */
+enum ClaimPhase {
+  RUNNING = 1
+  FINISHED = 2
+  UNKNOWN = 3
+  RELEASED = 4
+}
+
+struct ClaimState {
+  1: required string account
+  2: required string idempotencyKey
+  3: required string fingerprint
+  4: required ClaimPhase phase
+  5: required string attempt
+  6: required string instance
+  7: required i64 sessionId
+  8: required i64 changedMillis
+  9: required list<string> releasedAttempts
+  10: optional RequestOutcome outcome
+  11: optional AnswerBody answer
+}
+
+struct BucketState {
+  1: required string account
+  2: required string owner
+  3: required i64 sessionId
+  4: required i64 epoch
+  5: required i64 startTokens
+}
+
+struct SessionState {
+  1: required string instance
+  2: required i64 sessionId
+}
+
+struct CrashState {
+  1: required string fingerprint
+  2: required list<string> targets
+  3: required i64 changedMillis
+}
+
+struct HoldingState {
+  1: required string model
+  2: required i32 version
+  3: required i64 bytes
+}
+
+struct LedgerRowState {
+  1: required string target
+  2: required i64 incarnation
+  3: required i64 capacityBytes
+  4: required bool enforcesFencing
+  5: required list<HoldingState> holdings
+}
+
+struct TargetOrderState {
+  1: required string orderId
+  2: required string target
+  3: required i64 targetIncarnation
+  4: required i64 fencingNumber
+  5: required TargetOrderKind kind
+  6: required string model
+  7: required i32 version
+  8: required i64 bytes
+  9: optional TargetOrderOutcome outcome
+}
+
+struct LedgerState {
+  1: required list<LedgerRowState> rows
+  2: required list<TargetOrderState> openOrders
+  3: required list<TargetOrderState> resolvedOrders
+}
+
+struct MachineState {
+  1: required i64 lastIndex
+  2: required i64 viewIndex
+  3: required i64 nowMillis
+  4: required RulesState rules
+  5: required list<ClaimState> claims
+  6: required list<BucketState> buckets
+  7: required list<SessionState> openSessions
+  8: required list<SessionState> endedSessions
+  9: required list<CrashState> crashes
+  10: required LedgerState ledger
+}
+
+// The part of the state that every instance pulls.
+
+struct ViewMessage {
+  1: required i64 index
+  2: required i64 rulesRevision
+  /** Left out if the puller already holds this revision. */
+  3: optional string rulesText
+  4: required list<BucketState> buckets
+  5: required list<string> blockedFingerprints
+  6: required list<SessionState> sessions
+}
+
+// Messages of subject CONTROL between instances.
+
+/** How a request to a replica went; numbers never change. */
+enum AnswerStatus {
+  DONE = 1
+  /** Nothing was proposed; the leader is named if known. */
+  NOT_LEADER = 2
+  /** The command may still take effect. */
+  UNAVAILABLE = 3
+}
+
+struct SubmitRequest {
+  1: required i64 requestId
+  2: required binary command
+}
+
+struct SubmitAnswer {
+  1: required i64 requestId
+  2: required AnswerStatus status
+  3: optional binary result
+  4: optional string leader
+}
+
+struct PullRequest {
+  1: required i64 requestId
+  2: required i64 viewIndex
+  3: required i64 rulesRevision
+  /** 0 while the sender has no session. */
+  4: required i64 sessionId
+}
+
+struct PullAnswer {
+  1: required i64 requestId
+  2: required bool sessionHeld
+  /** Left out if the sender already holds the current view. */
+  3: optional ViewMessage view
+  4: required list<string> replicas
+  5: optional string leader
+}
+
+struct ConfirmRequest {
+  1: required i64 batchId
+  2: required list<SessionState> sessions
+}
+
+struct ConfirmAnswer {
+  1: required i64 batchId
+  2: required AnswerStatus status
+  3: required i64 viewIndex
+  4: required list<SessionState> heldSessions
+}
+
+union ControlMessage {
+  1: SubmitRequest submitRequest
+  2: SubmitAnswer submitAnswer
+  3: PullRequest pullRequest
+  4: PullAnswer pullAnswer
+  5: ConfirmRequest confirmRequest
+  6: ConfirmAnswer confirmAnswer
+}
