--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -13,6 +13,13 @@
     INSTANCE_CURRENT_AGAIN(105, "instance confirmed its revision again"),
     PEER_CONNECTION_FAILED(120, "connection to another instance failed"),
     MESSAGE_REJECTED(121, "message from another instance could not be decoded"),
+    SESSION_OPENED(250, "session with the control log opened"),
+    SESSION_LOST(251, "session with the control log lost"),
+    SESSION_EXPIRED(252, "session of a silent instance expired"),
+    SESSION_EXPIRY_FAILED(253, "session of a silent instance could not be expired"),
+    VIEW_LISTENER_FAILED(254, "listener for control views failed"),
+    RULES_IN_FORCE(255, "new revision of the rules is in force"),
+    COMMAND_DEADLINE_PASSED(256, "control log did not answer a command within its deadline"),
     INTERNAL_FAILURE(199, "unexpected failure");
 
     private final int number;
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -0,0 +1,132 @@
+package org.basilrill.coordination.control;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
+import org.basilrill.api.MonotonicClock;
+import org.basilrill.api.Scheduler;
+import org.basilrill.state.control.ControlClient;
+import org.basilrill.state.control.ControlCommand;
+import org.basilrill.state.control.ControlResult;
+import org.basilrill.state.control.ControlView;
+import org.basilrill.thrift.control.ControlMessage;
+
+/**
+ * Access of one instance to the control log through its replicas, whether or not the instance is one of them. Keeps a
+ * session open from the start on. Thread safe; never blocks and starts no thread.
+ */
+public final class ControlLogClient implements ControlClient {
+    private static final Duration REGISTRATION_DEADLINE = Duration.ofSeconds(2);
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final ControlEndpoint endpoint;
+    private final Scheduler scheduler;
+    private final RandomGenerator random;
+    private final ViewHolder holder = new ViewHolder();
+    private final CommandSubmitter submitter;
+    private final ViewPuller puller;
+    private volatile boolean stopped;
+
+    /**
+     * Creates a client that does nothing before {@link #start}.
+     *
+     * @param replicas replicas named in the settings, at least one; answers may name others later
+     */
+    public ControlLogClient(
+            ControlEndpoint endpoint,
+            List<InstanceId> replicas,
+            MonotonicClock clock,
+            Scheduler scheduler,
+            RandomGenerator random) {
+        this.endpoint = endpoint;
+        this.scheduler = scheduler;
+        this.random = random;
+        ReplicaDirectory directory = new ReplicaDirectory(replicas, random);
+        this.submitter = new CommandSubmitter(endpoint, directory, scheduler, random);
+        this.puller = new ViewPuller(endpoint, directory, holder, clock, scheduler, random);
+        endpoint.attachClient(this::handle);
+    }
+
+    /** Starts to pull the view and opens a session. Called once. */
+    public void start() {
+        puller.start(this::sessionLost);
+        register(newSessionId());
+    }
+
+    /** Stops pulling, so that the session ends by itself; commands on their way run to their deadline. */
+    public void stop() {
+        stopped = true;
+        puller.stop();
+    }
+
+    @Override
+    public CompletableFuture<ControlResult> submit(ControlCommand command, Duration deadline) {
+        return submitter.submit(command, deadline);
+    }
+
+    @Override
+    public ControlView view() {
+        return holder.view();
+    }
+
+    @Override
+    public boolean isCurrent() {
+        return puller.isCurrent();
+    }
+
+    @Override
+    public long sessionId() {
+        return puller.sessionId();
+    }
+
+    @Override
+    public boolean holdsSession() {
+        return puller.holdsSession();
+    }
+
+    @Override
+    public void onView(Consumer<ControlView> listener) {
+        holder.listen(listener);
+    }
+
+    private void handle(InstanceId sender, ControlMessage message) {
+        if (message.getSetField() == ControlMessage._Fields.SUBMIT_ANSWER) {
+            submitter.answered(sender, message.getSubmitAnswer());
+        } else {
+            puller.answered(sender, message.getPullAnswer());
+        }
+    }
+
+    private void sessionLost() {
+        LOGGER.atWarning().log("%s", LogEvent.SESSION_LOST);
+        register(newSessionId());
+    }
+
+    /** Registers a session; the same one again while it is unknown whether an earlier registration took effect. */
+    private void register(long id) {
+        if (stopped) {
+            return;
+        }
+        submit(new ControlCommand.RegisterSession(endpoint.self(), id), REGISTRATION_DEADLINE)
+                .whenComplete((result, failure) -> {
+                    if (result instanceof ControlResult.Done) {
+                        LOGGER.atInfo().log("%s: %d", LogEvent.SESSION_OPENED, id);
+                        puller.openSession(id);
+                        return;
+                    }
+                    long next = result == null ? id : newSessionId();
+                    scheduler.schedule(ViewPuller.PULL_INTERVAL, () -> register(next));
+                });
+    }
+
+    /** Returns a positive random number, so that two processes of one instance never share a session. */
+    private long newSessionId() {
+        return random.nextLong(1, Long.MAX_VALUE);
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewHolder.java
@@ -0,0 +1,76 @@
+package org.basilrill.coordination.control;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.basilrill.api.LogEvent;
+import org.basilrill.state.control.ControlView;
+
+/**
+ * The last view received and those who want to hear of new ones. The index of the view only grows. Listeners see the
+ * views in that order, one at a time. Thread safe; calls listeners outside its lock.
+ */
+final class ViewHolder {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final List<Consumer<ControlView>> listeners = new CopyOnWriteArrayList<>();
+    private final Queue<ControlView> undelivered = new ArrayDeque<>();
+    private ControlView view = ControlView.empty();
+    private boolean delivering;
+
+    synchronized ControlView view() {
+        return view;
+    }
+
+    void listen(Consumer<ControlView> listener) {
+        listeners.add(listener);
+    }
+
+    /** Installs a view unless one at least as new is held. */
+    void install(ControlView candidate) {
+        synchronized (this) {
+            if (candidate.index() <= view.index()) {
+                return;
+            }
+            if (candidate.rules().revision() != view.rules().revision()) {
+                LOGGER.atInfo().log(
+                        "%s: %d", LogEvent.RULES_IN_FORCE, candidate.rules().revision());
+            }
+            view = candidate;
+            undelivered.add(candidate);
+            if (delivering) {
+                return;
+            }
+            delivering = true;
+        }
+        deliver();
+    }
+
+    private void deliver() {
+        while (true) {
+            ControlView next;
+            synchronized (this) {
+                next = undelivered.poll();
+                if (next == null) {
+                    delivering = false;
+                    return;
+                }
+            }
+            for (Consumer<ControlView> listener : listeners) {
+                notify(listener, next);
+            }
+        }
+    }
+
+    /** Calls one listener; its failure must not keep the others from hearing of a revoked key. */
+    private static void notify(Consumer<ControlView> listener, ControlView next) {
+        try {
+            listener.accept(next);
+        } catch (RuntimeException exception) {
+            LOGGER.atSevere().withCause(exception).log("%s", LogEvent.VIEW_LISTENER_FAILED);
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -0,0 +1,168 @@
+package org.basilrill.coordination.control;
+
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.MonotonicClock;
+import org.basilrill.api.Scheduler;
+import org.basilrill.state.control.ControlView;
+import org.basilrill.state.control.ViewCodec;
+import org.basilrill.thrift.control.ControlMessage;
+import org.basilrill.thrift.control.PullAnswer;
+import org.basilrill.thrift.control.PullRequest;
+
+/**
+ * Pulls the control view from a replica and measures how fresh it is. Each pull carries the session and so renews it.
+ * Ages count from when the answered pull was sent. Thread safe; sends outside its lock.
+ */
+final class ViewPuller {
+    static final Duration PULL_INTERVAL = Duration.ofMillis(500);
+
+    /** Age of the last confirmation beyond which the view does not count as current. */
+    static final Duration FRESHNESS_BOUND = Duration.ofSeconds(3);
+
+    /** Age of the last renewal beyond which the session may have expired; 2 s less than the leader's limit. */
+    static final Duration SESSION_LEASE = Duration.ofSeconds(3);
+
+    /** Pulls that may still be answered; older ones no longer prove freshness. */
+    private static final int MAXIMUM_PENDING = 8;
+
+    private final ControlEndpoint endpoint;
+    private final ReplicaDirectory directory;
+    private final ViewHolder holder;
+    private final MonotonicClock clock;
+    private final Scheduler scheduler;
+    private final LinkedHashMap<Long, Pull> pending = new LinkedHashMap<>();
+    private InstanceId replica;
+    private boolean answeredSinceLastPull = true;
+    private long nextRequestId;
+    private long sessionId;
+    private OptionalLong confirmedNanos = OptionalLong.empty();
+    private OptionalLong renewedNanos = OptionalLong.empty();
+    private Runnable sessionLost = () -> {};
+    private boolean stopped;
+
+    ViewPuller(
+            ControlEndpoint endpoint,
+            ReplicaDirectory directory,
+            ViewHolder holder,
+            MonotonicClock clock,
+            Scheduler scheduler,
+            RandomGenerator random) {
+        this.endpoint = endpoint;
+        this.directory = directory;
+        this.holder = holder;
+        this.clock = clock;
+        this.scheduler = scheduler;
+        this.replica = directory.any();
+        this.nextRequestId = random.nextLong();
+    }
+
+    /** Starts pulling; the action runs whenever the session turns out to have ended. */
+    void start(Runnable onSessionLost) {
+        synchronized (this) {
+            sessionLost = onSessionLost;
+        }
+        pullAndRepeat();
+    }
+
+    synchronized void stop() {
+        stopped = true;
+    }
+
+    /** Uses a registered session from now on and renews it at once. */
+    void openSession(long id) {
+        synchronized (this) {
+            sessionId = id;
+            renewedNanos = OptionalLong.empty();
+        }
+        pull();
+    }
+
+    synchronized long sessionId() {
+        return sessionId;
+    }
+
+    synchronized boolean isCurrent() {
+        return isWithin(confirmedNanos, FRESHNESS_BOUND);
+    }
+
+    synchronized boolean holdsSession() {
+        return sessionId != 0 && isWithin(renewedNanos, SESSION_LEASE);
+    }
+
+    void answered(InstanceId sender, PullAnswer answer) {
+        directory.learnReplicas(
+                answer.getReplicas().stream().map(InstanceId::new).toList());
+        ControlView held = holder.view();
+        if (answer.isSetView() && answer.getView().getIndex() > held.index()) {
+            holder.install(ViewCodec.fromMessage(answer.getView(), held.rules()));
+        }
+        Runnable lost = () -> {};
+        synchronized (this) {
+            Pull pull = pending.remove(answer.getRequestId());
+            if (pull == null) {
+                return;
+            }
+            answeredSinceLastPull |= sender.equals(replica);
+            confirmedNanos = later(confirmedNanos, pull.sentNanos());
+            if (pull.sessionId() != 0 && pull.sessionId() == sessionId) {
+                if (answer.isSessionHeld()) {
+                    renewedNanos = later(renewedNanos, pull.sentNanos());
+                } else {
+                    sessionId = 0;
+                    renewedNanos = OptionalLong.empty();
+                    lost = sessionLost;
+                }
+            }
+        }
+        lost.run();
+    }
+
+    private void pullAndRepeat() {
+        synchronized (this) {
+            if (stopped) {
+                return;
+            }
+            if (!answeredSinceLastPull) {
+                replica = directory.after(replica);
+            }
+            answeredSinceLastPull = false;
+        }
+        pull();
+        scheduler.schedule(PULL_INTERVAL, this::pullAndRepeat);
+    }
+
+    private void pull() {
+        ControlView held = holder.view();
+        InstanceId recipient;
+        PullRequest request;
+        synchronized (this) {
+            recipient = replica;
+            request =
+                    new PullRequest(nextRequestId++, held.index(), held.rules().revision(), sessionId);
+            pending.put(request.getRequestId(), new Pull(clock.nanos(), sessionId));
+            if (pending.size() > MAXIMUM_PENDING) {
+                Iterator<Map.Entry<Long, Pull>> oldest = pending.entrySet().iterator();
+                oldest.next();
+                oldest.remove();
+            }
+        }
+        endpoint.send(recipient, ControlMessage.pullRequest(request));
+    }
+
+    private boolean isWithin(OptionalLong sentNanos, Duration bound) {
+        return sentNanos.isPresent() && clock.nanos() - sentNanos.getAsLong() < bound.toNanos();
+    }
+
+    private static OptionalLong later(OptionalLong known, long nanos) {
+        return known.isPresent() && known.getAsLong() - nanos >= 0 ? known : OptionalLong.of(nanos);
+    }
+
+    /** One pull that is not answered yet. */
+    private record Pull(long sentNanos, long sessionId) {}
+}
