--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -25,7 +25,14 @@
     SNAPSHOT_INSTALLED(208, "snapshot of the control log received from the leader and installed"),
     LOG_TAIL_TRUNCATED(209, "incomplete last write of the control log removed"),
     LOG_REBUILT(210, "damaged control log set aside; the replica rejoins under a new incarnation"),
-    REPLICA_FAILED(211, "replica of the control log stopped because of a failure");
+    REPLICA_FAILED(211, "replica of the control log stopped because of a failure"),
+    SESSION_OPENED(250, "session with the control log opened"),
+    SESSION_LOST(251, "session with the control log lost"),
+    SESSION_EXPIRED(252, "session of a silent instance expired"),
+    SESSION_EXPIRY_FAILED(253, "session of a silent instance could not be expired"),
+    VIEW_LISTENER_FAILED(254, "listener for control views failed"),
+    RULES_IN_FORCE(255, "new revision of the rules is in force"),
+    COMMAND_DEADLINE_PASSED(256, "control log did not answer a command within its deadline");
 
     private final int number;
     private final String summary;
--- /dev/null
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeMemory.java
@@ -0,0 +1,84 @@
+package org.basilrill.scaffold.target;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.basilrill.api.ModelId;
+import org.basilrill.coordination.placement.TargetOrders.Order;
+import org.basilrill.state.control.OrderKind;
+import org.basilrill.state.control.OrderOutcome;
+import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
+
+/**
+ * The accelerator memory of a fake target. It executes an order at most once by id, and remembers the highest memory
+ * use, so that a test can see whether memory was ever overcommitted. Thread safe.
+ */
+final class FakeMemory {
+    private final boolean enforcesFencing;
+    private final Duration loadDuration;
+    private final ScheduledExecutorService timer;
+    private final Map<ModelId, LoadedModel> contents;
+    private final Map<String, Optional<OrderOutcome>> orders = new HashMap<>();
+    private long highestFencingNumber;
+    private long peakBytes;
+
+    FakeMemory(FakeTargetSettings settings, ScheduledExecutorService timer) {
+        this.enforcesFencing = settings.enforcesFencing();
+        this.loadDuration = settings.loadDuration();
+        this.timer = timer;
+        this.contents = new HashMap<>(settings.contents());
+        this.peakBytes = usedBytes();
+    }
+
+    synchronized Map<ModelId, LoadedModel> contents() {
+        return Map.copyOf(contents);
+    }
+
+    synchronized long peakBytes() {
+        return peakBytes;
+    }
+
+    synchronized Optional<OrderOutcome> outcome(String orderId) {
+        return orders.getOrDefault(orderId, Optional.empty());
+    }
+
+    synchronized Optional<OrderOutcome> execute(Order order) {
+        if (orders.containsKey(order.orderId())) {
+            return orders.get(order.orderId());
+        }
+        if (enforcesFencing && order.fencingNumber() < highestFencingNumber) {
+            return finish(order, OrderOutcome.REFUSED_STALE);
+        }
+        highestFencingNumber = Math.max(highestFencingNumber, order.fencingNumber());
+        if (order.kind() == OrderKind.UNLOAD_MODEL || order.kind() == OrderKind.UNLOAD_ADAPTER) {
+            contents.remove(order.model());
+            return finish(order, OrderOutcome.DONE);
+        }
+        if (order.kind() == OrderKind.CHANGE_ROLE) {
+            return finish(order, OrderOutcome.DONE);
+        }
+        orders.put(order.orderId(), Optional.empty());
+        contents.put(order.model(), new LoadedModel(order.version(), order.bytes(), false));
+        peakBytes = Math.max(peakBytes, usedBytes());
+        timer.schedule(() -> loaded(order), loadDuration.toMillis(), TimeUnit.MILLISECONDS);
+        return Optional.empty();
+    }
+
+    private synchronized void loaded(Order order) {
+        contents.computeIfPresent(
+                order.model(), (model, loaded) -> new LoadedModel(order.version(), order.bytes(), true));
+        finish(order, OrderOutcome.DONE);
+    }
+
+    private Optional<OrderOutcome> finish(Order order, OrderOutcome outcome) {
+        orders.put(order.orderId(), Optional.of(outcome));
+        return Optional.of(outcome);
+    }
+
+    private long usedBytes() {
+        return contents.values().stream().mapToLong(LoadedModel::memoryBytes).sum();
+    }
+}
