Add token buckets with grants, their owners and requesters

The owner of a bucket grants tokens on demand while its session lease holds. Level plus outstanding grants never exceeds the burst, so the bound holds under lost, late and repeated messages, crashes and rule changes.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -13,6 +13,10 @@
     INSTANCE_CURRENT_AGAIN(105, "instance confirmed its revision again"),
     PEER_CONNECTION_FAILED(120, "connection to another instance failed"),
     MESSAGE_REJECTED(121, "message from another instance could not be decoded"),
+    BUCKET_ACQUIRED(350, "instance owns the token bucket of a client account"),
+    BUCKET_RELEASED(351, "instance no longer owns the token bucket of a client account"),
+    BUCKET_HANDED_OVER(352, "token bucket was handed over"),
+    BUCKET_CLAIM_FAILED(353, "claim or handover of a token bucket failed and is repeated"),
     INTERNAL_FAILURE(199, "unexpected failure");
 
     private final int number;
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/RendezvousRanking.java
@@ -0,0 +1,42 @@
+package org.basilrill.coordination.budget;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.InstanceId;
+
+/**
+ * Ranks instances for an account by rendezvous hashing: all instances compute the same order, and a lost instance moves
+ * only its own accounts. Stateless and thread safe.
+ */
+final class RendezvousRanking {
+    private static final String ALGORITHM = "SHA-256";
+
+    private RendezvousRanking() {}
+
+    /** Returns the instances, the preferred owner first. */
+    static List<InstanceId> rank(AccountId account, Collection<InstanceId> instances) {
+        return instances.stream()
+                .sorted(Comparator.comparingLong((InstanceId instance) -> weight(account, instance))
+                        .reversed()
+                        .thenComparing(Comparator.naturalOrder()))
+                .toList();
+    }
+
+    private static long weight(AccountId account, InstanceId instance) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance(ALGORITHM);
+            // A space occurs in no identifier, so the two names cannot run into each other.
+            String key = account.value() + ' ' + instance.value();
+            return ByteBuffer.wrap(digest.digest(key.getBytes(StandardCharsets.UTF_8)))
+                    .getLong();
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException(ALGORITHM + " is part of every Java platform", exception);
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/TokenCharge.java
@@ -0,0 +1,33 @@
+package org.basilrill.coordination.budget;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongConsumer;
+import org.basilrill.coordination.admission.TokenAdmission;
+
+/** A charge that gives back its unused tokens once. Thread safe. */
+final class TokenCharge implements TokenAdmission.Charge {
+    private final long tokens;
+    private final LongConsumer takeBack;
+    private final AtomicBoolean settled = new AtomicBoolean();
+
+    TokenCharge(long tokens, LongConsumer takeBack) {
+        this.tokens = tokens;
+        this.takeBack = takeBack;
+    }
+
+    @Override
+    public long tokens() {
+        return tokens;
+    }
+
+    @Override
+    public void settle(long usedTokens) {
+        if (!settled.compareAndSet(false, true)) {
+            return;
+        }
+        long unused = Math.min(tokens, tokens - usedTokens);
+        if (unused > 0) {
+            takeBack.accept(unused);
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/budget/GrantKey.java
@@ -0,0 +1,11 @@
+package org.basilrill.state.budget;
+
+import org.basilrill.api.InstanceId;
+
+/**
+ * Identifies one grant within an epoch of a bucket. Immutable and thread safe.
+ *
+ * @param incarnation random number of the requesting process
+ * @param ask number of the ask that the grant answers
+ */
+public record GrantKey(InstanceId requester, long incarnation, long ask) {}
--- /dev/null
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualNetwork.java
@@ -0,0 +1,100 @@
+package org.basilrill.scaffold.virtual;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.basilrill.api.InstanceId;
+
+/** Network between virtual processes that loses, repeats, delays and reorders messages. Not thread safe. */
+public final class VirtualNetwork {
+    private static final long SHORTEST_DELAY_NANOS = 500_000;
+    private static final long DELAY_SPREAD_NANOS = 500_000;
+    private static final long LATE_SPREAD_NANOS = 4_000_000_000L;
+
+    private final VirtualTime time;
+    private final RandomGenerator random;
+    private final Set<InstanceId> cutFromPeers = new HashSet<>();
+    private final Set<InstanceId> cutFromControl = new HashSet<>();
+    private Faults faults = Faults.NONE;
+    private long messages;
+    private long bytes;
+
+    public VirtualNetwork(VirtualTime time, RandomGenerator random) {
+        this.time = time;
+        this.random = random;
+    }
+
+    /** Sets the faults of messages from now on. */
+    public void inject(Faults newFaults) {
+        faults = newFaults;
+    }
+
+    /** Cuts or restores the links of an instance to all others. */
+    public void cutFromPeers(InstanceId instance, boolean cut) {
+        set(cutFromPeers, instance, cut);
+    }
+
+    /** Cuts or restores the link of an instance to the control log. */
+    public void cutFromControl(InstanceId instance, boolean cut) {
+        set(cutFromControl, instance, cut);
+    }
+
+    /** Returns the number of messages sent between instances. */
+    public long messages() {
+        return messages;
+    }
+
+    /** Returns the payload bytes sent between instances. */
+    public long bytes() {
+        return bytes;
+    }
+
+    /** Carries one message between instances. */
+    public void carry(InstanceId sender, InstanceId recipient, int size, Runnable arrival) {
+        messages++;
+        bytes += size;
+        if (cutFromPeers.contains(sender) || cutFromPeers.contains(recipient)) {
+            return;
+        }
+        deliver(arrival);
+    }
+
+    /** Carries one message between an instance and the control log. */
+    public void controlLink(InstanceId instance, Runnable arrival) {
+        if (!cutFromControl.contains(instance)) {
+            deliver(arrival);
+        }
+    }
+
+    private void deliver(Runnable arrival) {
+        if (random.nextDouble() >= faults.lost) {
+            time.schedule(delay(), arrival);
+        }
+        if (random.nextDouble() < faults.repeated) {
+            time.schedule(delay(), arrival);
+        }
+    }
+
+    private Duration delay() {
+        long nanos = SHORTEST_DELAY_NANOS + random.nextLong(DELAY_SPREAD_NANOS);
+        if (random.nextDouble() < faults.late) {
+            nanos += random.nextLong(LATE_SPREAD_NANOS);
+        }
+        return Duration.ofNanos(nanos);
+    }
+
+    private static void set(Set<InstanceId> cuts, InstanceId instance, boolean cut) {
+        if (cut) {
+            cuts.add(instance);
+        } else {
+            cuts.remove(instance);
+        }
+    }
+
+    /** Shares of messages that are lost, repeated, and late by up to 4 s. */
+    public record Faults(double lost, double repeated, double late) {
+        /** Every message arrives once, after 0.5 to 1 ms. */
+        public static final Faults NONE = new Faults(0, 0, 0);
+    }
+}
--- /dev/null
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/BudgetFuzzTest.java
@@ -0,0 +1,209 @@
+package org.basilrill.scaffold.virtual;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.InstanceId;
+import org.basilrill.state.configuration.Rules;
+
+/** Guards the bound of every account over all instances, in every window, under random faults and rule changes. */
+class BudgetFuzzTest {
+    private static final Logger LOGGER = Logger.getLogger("org.basilrill");
+    private static final Duration STEP = Duration.ofMillis(20);
+    private static final int STEPS = 1500;
+    /** Pull interval with lost answers, the lease of a cut-off owner (3 s) and the lifetime of a grant (2 s). */
+    private static final Duration PROPAGATION = Duration.ofMillis(5500);
+
+    private static final List<AccountId> ACCOUNTS = List.of(new AccountId("large"), new AccountId("small"));
+
+    @BeforeContainer
+    static void silenceLog() {
+        LOGGER.setLevel(Level.OFF);
+    }
+
+    @Property(tries = 150, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void noAccountExceedsItsRateAndBurstWhateverFails(@ForAll long seed) {
+        Run run = new Run(seed, true);
+        run.steps();
+        run.check();
+    }
+
+    @Property(tries = 40, seed = "4712", shrinking = ShrinkingMode.OFF)
+    void everyAccountIsServedAgainOnceFaultsEnd(@ForAll long seed) {
+        Run run = new Run(seed, true);
+        run.steps();
+        run.heal();
+        run.check();
+        for (AccountId account : ACCOUNTS) {
+            for (InstanceId instance : run.deployment.instances()) {
+                assertThat(
+                        account + " at " + instance + " with seed " + seed, run.isServed(instance, account), is(true));
+            }
+        }
+    }
+
+    @Property(tries = 60, seed = "4713", shrinking = ShrinkingMode.OFF)
+    void handoversAndRuleChangesAloneKeepTheBound(@ForAll long seed) {
+        Run run = new Run(seed, false);
+        run.steps();
+        run.check();
+        assertThat("seed " + seed, run.oracles.get(ACCOUNTS.get(0)).total(), greaterThan(0L));
+    }
+
+    /** One random run of a deployment. */
+    private static final class Run {
+        private final long seed;
+        private final boolean faulty;
+        private final Random random;
+        private final VirtualDeployment deployment;
+        private final Map<AccountId, SpendingOracle> oracles = new TreeMap<>();
+        private final Map<AccountId, Rules.Account> rules = new TreeMap<>();
+
+        Run(long seed, boolean faulty) {
+            this.seed = seed;
+            this.faulty = faulty;
+            this.random = new Random(seed);
+            this.deployment = new VirtualDeployment(2 + random.nextInt(4), random.nextLong());
+            ACCOUNTS.forEach(account -> oracles.put(account, new SpendingOracle(PROPAGATION)));
+            ACCOUNTS.forEach(this::replaceRule);
+            install(List.copyOf(rules.values()));
+            deployment.start();
+        }
+
+        void steps() {
+            for (int step = 0; step < STEPS; step++) {
+                if (random.nextInt(40) == 0) {
+                    disturb();
+                }
+                for (int request = random.nextInt(4); request > 0; request--) {
+                    charge(instance(), ACCOUNTS.get(random.nextInt(ACCOUNTS.size())));
+                }
+                deployment.time().runFor(STEP);
+            }
+        }
+
+        void check() {
+            oracles.forEach((account, oracle) ->
+                    assertThat(account + " with seed " + seed, oracle.violation(), is(Optional.empty())));
+        }
+
+        void heal() {
+            deployment.network().inject(VirtualNetwork.Faults.NONE);
+            deployment.instances().forEach(instance -> {
+                deployment.network().cutFromPeers(instance, false);
+                deployment.network().cutFromControl(instance, false);
+                // An instance that drains claims no bucket, so all start anew.
+                deployment.crash(instance);
+                deployment.restart(instance);
+            });
+            ACCOUNTS.forEach(this::replaceRule);
+            install(List.copyOf(rules.values()));
+            deployment.time().runFor(Duration.ofSeconds(20));
+        }
+
+        boolean isServed(InstanceId instance, AccountId account) {
+            boolean[] served = new boolean[1];
+            long deadline = deployment.nanos(instance) + Duration.ofSeconds(5).toNanos();
+            deployment.budgets(instance).charge(account, 1, deadline).thenAccept(charge -> served[0] = true);
+            deployment.time().runFor(Duration.ofSeconds(6));
+            return served[0];
+        }
+
+        private void charge(InstanceId instance, AccountId account) {
+            if (!deployment.isRunning(instance)) {
+                return;
+            }
+            long most = Math.max(2, rules.get(account).burstTokens() / 3);
+            long tokens = 1 + random.nextLong(random.nextInt(5) == 0 ? most : Math.max(2, most / 20));
+            long deadline = deployment.nanos(instance)
+                    + Duration.ofMillis(random.nextInt(3000)).toNanos();
+            deployment.budgets(instance).charge(account, tokens, deadline).thenAccept(charge -> {
+                long now = deployment.time().nanos();
+                SpendingOracle.Spending spending = oracles.get(account).charged(now, charge.tokens());
+                if (random.nextInt(3) > 0) {
+                    long used = random.nextLong(charge.tokens() + 1);
+                    Duration running = Duration.ofMillis(random.nextInt(random.nextBoolean() ? 100 : 8000));
+                    deployment.time().schedule(running, () -> {
+                        charge.settle(used);
+                        spending.used(used);
+                    });
+                }
+            });
+        }
+
+        private void disturb() {
+            InstanceId instance = instance();
+            switch (random.nextInt(faulty ? 9 : 3)) {
+                case 0 -> {
+                    replaceRule(ACCOUNTS.get(random.nextInt(ACCOUNTS.size())));
+                    List<Rules.Account> present = new ArrayList<>(rules.values());
+                    if (random.nextInt(4) == 0) {
+                        present.remove(random.nextInt(present.size()));
+                    }
+                    install(present);
+                }
+                case 1 -> {
+                    if (deployment.isRunning(instance)) {
+                        deployment.budgets(instance).handOver();
+                    }
+                }
+                case 2 -> {
+                    deployment.crash(instance);
+                    deployment.restart(instance);
+                }
+                case 3 -> deployment.crash(instance);
+                case 4 -> deployment.instances().forEach(deployment::restart);
+                case 5 -> deployment.network().cutFromPeers(instance, random.nextBoolean());
+                case 6 -> deployment.network().cutFromControl(instance, random.nextBoolean());
+                case 7 ->
+                    deployment.instances().forEach(all -> {
+                        deployment.network().cutFromPeers(all, false);
+                        deployment.network().cutFromControl(all, false);
+                    });
+                default ->
+                    deployment
+                            .network()
+                            .inject(new VirtualNetwork.Faults(
+                                    random.nextDouble() * 0.3, random.nextDouble() * 0.5, random.nextDouble() * 0.3));
+            }
+        }
+
+        private void replaceRule(AccountId account) {
+            long rate = 1 + random.nextLong(2000);
+            long burst = Math.max(1, (long) (rate * (0.1 + 5 * random.nextDouble())));
+            rules.put(account, new Rules.Account(account, rate, burst, 1));
+        }
+
+        private void install(List<Rules.Account> present) {
+            deployment.log().replaceAccounts(present);
+            long now = deployment.time().nanos();
+            rules.forEach((account, rule) -> {
+                if (present.contains(rule)) {
+                    oracles.get(account).limit(now, rule.tokensPerSecond(), rule.burstTokens());
+                } else {
+                    oracles.get(account).limit(now, 0, 0);
+                }
+            });
+        }
+
+        private InstanceId instance() {
+            List<InstanceId> all = deployment.instances();
+            return all.get(random.nextInt(all.size()));
+        }
+    }
+}
