--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -32,7 +32,11 @@
     SESSION_EXPIRY_FAILED(253, "session of a silent instance could not be expired"),
     VIEW_LISTENER_FAILED(254, "listener for control views failed"),
     RULES_IN_FORCE(255, "new revision of the rules is in force"),
-    COMMAND_DEADLINE_PASSED(256, "control log did not answer a command within its deadline");
+    COMMAND_DEADLINE_PASSED(256, "control log did not answer a command within its deadline"),
+    BUCKET_ACQUIRED(350, "instance owns the token bucket of a client account"),
+    BUCKET_RELEASED(351, "instance no longer owns the token bucket of a client account"),
+    BUCKET_HANDED_OVER(352, "token bucket was handed over"),
+    BUCKET_CLAIM_FAILED(353, "claim or handover of a token bucket failed and is repeated");
 
     private final int number;
     private final String summary;
