Add fair dispatch, routing and the target registry

AttemptResult gains TIMED_OUT and REFUSED_FULL, without which a progress timeout could not eject a target and a full target would count as failed.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -13,6 +13,9 @@
     INSTANCE_CURRENT_AGAIN(105, "instance confirmed its revision again"),
     PEER_CONNECTION_FAILED(120, "connection to another instance failed"),
     MESSAGE_REJECTED(121, "message from another instance could not be decoded"),
+    TARGET_EJECTED(400, "target is ejected after failures"),
+    TARGET_RESTORED(401, "target is used again after a successful probe"),
+    DISPATCH_CALLBACK_FAILED(402, "a callback of a dispatched request failed"),
     INTERNAL_FAILURE(199, "unexpected failure");
 
     private final int number;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
@@ -64,6 +64,10 @@
     enum AttemptResult {
         SUCCEEDED,
         FAILED,
-        CANCELLED
+        CANCELLED,
+        /** No byte came within the progress deadline; ejects the target at once. */
+        TIMED_OUT,
+        /** The target answered that it is full and ran nothing; the request may be dispatched again. */
+        REFUSED_FULL
     }
 }
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -0,0 +1,398 @@
+package org.basilrill.coordination.admission;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.ToIntFunction;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.MonotonicClock;
+import org.basilrill.api.Scheduler;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.admission.FairQueues.Served;
+import org.basilrill.coordination.routing.HeldSlot;
+import org.basilrill.coordination.routing.SlotResult;
+import org.basilrill.coordination.routing.TargetRouter;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetDirectory;
+
+/**
+ * Queues requests fairly among client accounts until the router finds a free slot.
+ *
+ * <p>Invariants: each request ends in exactly one of assignment, failure or cancellation; a slot is given back exactly
+ * once, also when the caller cancels while the slot is being assigned; no request is assigned after its deadline.
+ * Thread safe: one lock guards the queues, because the fair order is one order over all accounts. Slots, target health
+ * and prefix memory have locks of their own. Futures and listeners are completed without the lock.
+ */
+public final class FairDispatcher implements Dispatcher {
+    private final TargetDirectory directory;
+    private final TargetRouter router;
+    private final MonotonicClock clock;
+    private final Scheduler scheduler;
+    private final ReadinessEstimator readiness;
+    private final DispatcherOptions options;
+    private final DestinationLoads loads;
+    private final FairQueues queues;
+    private final RecentRequests refusedAsFull = new RecentRequests();
+    private final TreeSet<WaitingRequest> byDeadline = new TreeSet<>(WaitingRequest.BY_DEADLINE);
+    private final SerialEffects effects = new SerialEffects();
+    private final Object lock = new Object();
+
+    private long lastOrder;
+    private Optional<WaitingRequest> arriving = Optional.empty();
+    private Optional<Scheduler.Cancellable> wakeUp = Optional.empty();
+    private long wakeUpNanos;
+
+    /**
+     * Creates a dispatcher with empty queues.
+     *
+     * @param weights share of each client account under contention; less than 1 counts as 1
+     */
+    public FairDispatcher(
+            TargetDirectory directory,
+            TargetRouter router,
+            MonotonicClock clock,
+            Scheduler scheduler,
+            ToIntFunction<AccountId> weights,
+            ReadinessEstimator readiness,
+            DemandListener demand,
+            DispatcherOptions options) {
+        this.directory = directory;
+        this.router = router;
+        this.clock = clock;
+        this.scheduler = scheduler;
+        this.readiness = readiness;
+        this.options = options;
+        this.loads = new DestinationLoads(demand, effects);
+        this.queues = new FairQueues(weights, options.dispatchesPerTurn());
+    }
+
+    @Override
+    public CompletableFuture<Assignment> dispatch(Request request) {
+        CompletableFuture<Assignment> future = new CompletableFuture<>();
+        synchronized (lock) {
+            enqueue(request, future);
+            scheduleWakeUp();
+        }
+        effects.run();
+        return future;
+    }
+
+    /** Looks at the waiting requests again after the directory changed. */
+    public void targetChanged(TargetAnnouncement target) {
+        synchronized (lock) {
+            if (queues.size() == 0) {
+                return;
+            }
+            queues.unblock(destination -> serves(target, destination));
+            assignWaiting();
+            scheduleWakeUp();
+        }
+        effects.run();
+    }
+
+    /** Drops what was learned of a target whose announcement expired. */
+    public void targetExpired(TargetId target) {
+        router.forget(target);
+    }
+
+    /** Returns how many requests wait. */
+    public int waiting() {
+        synchronized (lock) {
+            return queues.size();
+        }
+    }
+
+    private void enqueue(Request request, CompletableFuture<Assignment> future) {
+        loads.requested(request);
+        Optional<BasilrillException> hopeless = hopeless(request);
+        if (hopeless.isPresent()) {
+            fail(future, hopeless.get());
+            return;
+        }
+        if (queues.size() == 0) {
+            queues.unblockAll();
+        }
+        boolean retry = refusedAsFull.remove(request.requestId())
+                || !request.excludedTargets().isEmpty();
+        WaitingRequest waiting = new WaitingRequest(request, nextOrder(retry), future);
+        queues.add(waiting);
+        byDeadline.add(waiting);
+        loads.entered(request.destination(), isReady(request.destination()), clock.nanos());
+        arriving = Optional.of(waiting);
+        assignWaiting();
+        arriving = Optional.empty();
+        if (!byDeadline.contains(waiting)) {
+            return;
+        }
+        Optional<BasilrillException> refusal = refusalOf(waiting);
+        if (refusal.isPresent()) {
+            remove(waiting);
+            fail(future, refusal.get());
+            return;
+        }
+        future.whenComplete((assignment, failure) -> {
+            if (future.isCancelled()) {
+                cancelled(waiting);
+            }
+        });
+    }
+
+    /** A retry goes before the other requests of its account: its caller has waited longest. */
+    private long nextOrder(boolean retry) {
+        lastOrder++;
+        return retry ? lastOrder + Long.MIN_VALUE / 2 : lastOrder;
+    }
+
+    /** Returns the reason why waiting cannot help, before the request is queued. */
+    private Optional<BasilrillException> hopeless(Request request) {
+        long leftNanos = request.deadlineNanos() - clock.nanos();
+        if (leftNanos <= 0) {
+            return Optional.of(new BasilrillException(
+                    ErrorCode.DEADLINE_UNREACHABLE,
+                    String.format("the deadline of request %s has passed", request.requestId())));
+        }
+        Collection<TargetAnnouncement> ready = readyTargets(request.destination());
+        if (ready.isEmpty()) {
+            return request.destination()
+                    .model()
+                    .flatMap(readiness::untilReady)
+                    .filter(untilReady -> untilReady.toNanos() > leftNanos)
+                    .map(untilReady ->
+                            notReady(request.destination()).withRetryAfter(bounded(untilReady.toNanos() - leftNanos)));
+        }
+        if (ready.stream().allMatch(target -> request.excludedTargets().contains(target.id()))) {
+            return Optional.of(new BasilrillException(
+                    ErrorCode.NO_TARGET,
+                    String.format("all %d targets of %s are excluded", ready.size(), DestinationLoads.name(request))));
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the reason why a request that found no free slot is not worth keeping. */
+    private Optional<BasilrillException> refusalOf(WaitingRequest waiting) {
+        Request request = waiting.request();
+        long now = clock.nanos();
+        boolean ready = isReady(request.destination());
+        Optional<Double> drainPerSecond = ready ? loads.drainPerSecond(request.destination(), now) : Optional.empty();
+        if (queues.size(request) > options.queueLimit()) {
+            long retryNanos =
+                    drainPerSecond.map(FairDispatcher::nanosPerDispatch).orElse(0L);
+            return Optional.of(new BasilrillException(
+                            ErrorCode.QUEUE_FULL,
+                            String.format("%d requests of the client account wait already", options.queueLimit()))
+                    .withRetryAfter(bounded(retryNanos)));
+        }
+        double ahead = queues.dispatchesUntil(request);
+        // A request with none ahead keeps the estimate alive: it is the one whose dispatch shows that a target drains.
+        if (drainPerSecond.isEmpty() || ahead <= 1) {
+            return Optional.empty();
+        }
+        double waitNanos = ahead * nanosPerDispatch(drainPerSecond.get());
+        long leftNanos = request.deadlineNanos() - now;
+        if (waitNanos <= leftNanos) {
+            return Optional.empty();
+        }
+        String detail = String.format(
+                "%.0f dispatches to %s come first at %.2f per second",
+                ahead, DestinationLoads.name(request), drainPerSecond.get());
+        return Optional.of(new BasilrillException(ErrorCode.DEADLINE_UNREACHABLE, detail)
+                .withRetryAfter(bounded(waitNanos - leftNanos)));
+    }
+
+    private void assignWaiting() {
+        expireWaiting();
+        Optional<Served<HeldSlot>> served = queues.serveNext(this::acquire);
+        while (served.isPresent()) {
+            assign(served.get());
+            served = queues.serveNext(this::acquire);
+        }
+    }
+
+    private Optional<HeldSlot> acquire(WaitingRequest waiting) {
+        Request request = waiting.request();
+        return router.acquire(
+                DestinationLoads.name(request),
+                readyTargets(request.destination()),
+                request.excludedTargets(),
+                request.prefixHashes());
+    }
+
+    private void assign(Served<HeldSlot> served) {
+        WaitingRequest waiting = served.waiting();
+        byDeadline.remove(waiting);
+        boolean neverWaited = arriving.filter(waiting::equals).isPresent();
+        loads.dispatched(waiting.request().destination(), neverWaited, clock.nanos());
+        SlotAssignment assignment = new SlotAssignment(served);
+        effects.add(() -> {
+            if (!waiting.future().complete(assignment)) {
+                assignment.withdraw();
+            }
+        });
+    }
+
+    private void expireWaiting() {
+        long now = clock.nanos();
+        while (!byDeadline.isEmpty() && byDeadline.first().request().deadlineNanos() - now <= 0) {
+            WaitingRequest waiting = byDeadline.first();
+            remove(waiting);
+            fail(waiting.future(), expired(waiting.request()));
+        }
+    }
+
+    private BasilrillException expired(Request request) {
+        if (!isReady(request.destination())) {
+            return notReady(request.destination());
+        }
+        return new BasilrillException(
+                ErrorCode.DEADLINE_UNREACHABLE,
+                String.format("no slot for %s became free before the deadline", DestinationLoads.name(request)));
+    }
+
+    private static BasilrillException notReady(Destination destination) {
+        return destination
+                .model()
+                .map(model -> new BasilrillException(
+                        ErrorCode.MODEL_NOT_READY, String.format("model %s has no ready copy", model)))
+                .orElseGet(() -> new BasilrillException(
+                        ErrorCode.NO_TARGET,
+                        String.format(
+                                "service %s has no target",
+                                destination.service().orElse(""))));
+    }
+
+    private void cancelled(WaitingRequest waiting) {
+        synchronized (lock) {
+            if (!remove(waiting)) {
+                return;
+            }
+            scheduleWakeUp();
+        }
+        effects.run();
+    }
+
+    private boolean remove(WaitingRequest waiting) {
+        if (!queues.remove(waiting)) {
+            return false;
+        }
+        byDeadline.remove(waiting);
+        loads.left(waiting.request().destination(), clock.nanos());
+        return true;
+    }
+
+    private void fail(CompletableFuture<Assignment> future, BasilrillException failure) {
+        effects.add(() -> future.completeExceptionally(failure));
+    }
+
+    /** Keeps one task scheduled while requests wait: for the next deadline, and for what changes without an event. */
+    private void scheduleWakeUp() {
+        if (queues.size() == 0) {
+            wakeUp.ifPresent(Scheduler.Cancellable::cancel);
+            wakeUp = Optional.empty();
+            return;
+        }
+        long now = clock.nanos();
+        long untilDeadline = Math.max(0, byDeadline.first().request().deadlineNanos() - now);
+        long delay = Math.min(options.recheckInterval().toNanos(), untilDeadline);
+        if (wakeUp.isPresent() && wakeUpNanos - (now + delay) <= 0) {
+            return;
+        }
+        wakeUp.ifPresent(Scheduler.Cancellable::cancel);
+        wakeUpNanos = now + delay;
+        wakeUp = Optional.of(scheduler.schedule(Duration.ofNanos(delay), this::wakeUp));
+    }
+
+    private void wakeUp() {
+        synchronized (lock) {
+            wakeUp = Optional.empty();
+            queues.unblockAll();
+            assignWaiting();
+            scheduleWakeUp();
+        }
+        effects.run();
+    }
+
+    private Collection<TargetAnnouncement> readyTargets(Destination destination) {
+        return destination
+                .model()
+                .map(directory::readyFor)
+                .orElseGet(() -> directory.ofService(destination.service().orElseThrow()));
+    }
+
+    private boolean isReady(Destination destination) {
+        return !readyTargets(destination).isEmpty();
+    }
+
+    private static boolean serves(TargetAnnouncement target, Destination destination) {
+        Optional<ModelId> model = destination.model();
+        return model.isPresent()
+                ? target.isReadyFor(model.get())
+                : destination.service().equals(target.service());
+    }
+
+    private Duration bounded(double nanos) {
+        double shortest = options.shortestRetryAfter().toNanos();
+        double longest = options.longestRetryAfter().toNanos();
+        return Duration.ofNanos((long) Math.max(shortest, Math.min(longest, nanos)));
+    }
+
+    private static long nanosPerDispatch(double perSecond) {
+        return (long) (Duration.ofSeconds(1).toNanos() / Math.max(perSecond, 1e-6));
+    }
+
+    /** A slot held for one request. Thread safe. */
+    private final class SlotAssignment implements Assignment {
+        private final Served<HeldSlot> served;
+        private final AtomicBoolean released = new AtomicBoolean();
+
+        SlotAssignment(Served<HeldSlot> served) {
+            this.served = served;
+        }
+
+        @Override
+        public TargetAnnouncement target() {
+            return served.assigned().target();
+        }
+
+        @Override
+        public void release(AttemptResult result) {
+            if (result == AttemptResult.REFUSED_FULL) {
+                giveBack(SlotResult.REFUSED_FULL, true);
+                return;
+            }
+            giveBack(SlotResult.valueOf(result.name()), false);
+        }
+
+        /** Gives the slot back because the caller cancelled before it got the assignment. */
+        void withdraw() {
+            giveBack(SlotResult.CANCELLED, true);
+        }
+
+        private void giveBack(SlotResult result, boolean neverRan) {
+            if (!released.compareAndSet(false, true)) {
+                return;
+            }
+            router.release(served.assigned(), result);
+            synchronized (lock) {
+                Request request = served.waiting().request();
+                if (neverRan) {
+                    queues.refund(request, served.charge());
+                }
+                if (result == SlotResult.REFUSED_FULL) {
+                    refusedAsFull.add(request.requestId());
+                }
+                if (queues.size() > 0) {
+                    queues.unblock(destination -> serves(target(), destination));
+                    assignWaiting();
+                    scheduleWakeUp();
+                }
+            }
+            effects.run();
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/ReadinessEstimator.java
@@ -0,0 +1,12 @@
+package org.basilrill.coordination.admission;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.basilrill.api.ModelId;
+
+/** Estimates when a model will have a ready copy. Implementations are thread safe and do not block. */
+@FunctionalInterface
+public interface ReadinessEstimator {
+    /** Returns the time until the model is ready, if a load is under way or planned and its end can be told. */
+    Optional<Duration> untilReady(ModelId model);
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/SlidingRetryBudget.java
@@ -0,0 +1,63 @@
+package org.basilrill.coordination.admission;
+
+import java.time.Duration;
+import org.basilrill.api.MonotonicClock;
+
+/**
+ * Allows retries up to a tenth of the requests of the last ten seconds, and always ten in that time so that an instance
+ * with few requests can retry at all. Thread safe: guards itself.
+ */
+public final class SlidingRetryBudget implements RetryBudget {
+    static final int MINIMUM_RETRIES = 10;
+    static final int REQUESTS_PER_RETRY = 10;
+
+    private static final int BUCKETS = 10;
+    private static final long BUCKET_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final MonotonicClock clock;
+    private final long originNanos;
+    private final long[] requests = new long[BUCKETS];
+    private final long[] retries = new long[BUCKETS];
+    private long currentBucket;
+
+    public SlidingRetryBudget(MonotonicClock clock) {
+        this.clock = clock;
+        this.originNanos = clock.nanos();
+    }
+
+    @Override
+    public synchronized void requestStarted() {
+        advance();
+        requests[(int) (currentBucket % BUCKETS)]++;
+    }
+
+    @Override
+    public synchronized boolean tryRetry() {
+        advance();
+        long allowed = Math.max(MINIMUM_RETRIES, sum(requests) / REQUESTS_PER_RETRY);
+        if (sum(retries) >= allowed) {
+            return false;
+        }
+        retries[(int) (currentBucket % BUCKETS)]++;
+        return true;
+    }
+
+    private void advance() {
+        long bucket = (clock.nanos() - originNanos) / BUCKET_NANOS;
+        long cleared = Math.min(bucket - currentBucket, BUCKETS);
+        for (long offset = 0; offset < cleared; offset++) {
+            int index = (int) ((bucket - offset) % BUCKETS);
+            requests[index] = 0;
+            retries[index] = 0;
+        }
+        currentBucket = Math.max(currentBucket, bucket);
+    }
+
+    private static long sum(long[] counts) {
+        long total = 0;
+        for (long count : counts) {
+            total += count;
+        }
+        return total;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/CacheEvent.java
@@ -0,0 +1,20 @@
+package org.basilrill.coordination.routing;
+
+import java.util.List;
+import org.basilrill.api.TargetId;
+
+/**
+ * A target's report on its prefix cache. Events arrive late and with gaps, and are hints only. Immutable and thread
+ * safe.
+ *
+ * @param incarnation of the target, as in its announcement
+ * @param sequence increases by one with each event of one incarnation; starts at 1
+ * @param stored prefix hashes now cached
+ * @param evicted prefix hashes no longer cached
+ */
+public record CacheEvent(TargetId target, long incarnation, long sequence, List<Long> stored, List<Long> evicted) {
+    public CacheEvent {
+        stored = List.copyOf(stored);
+        evicted = List.copyOf(evicted);
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/HeldSlot.java
@@ -0,0 +1,11 @@
+package org.basilrill.coordination.routing;
+
+import org.basilrill.state.target.TargetAnnouncement;
+
+/**
+ * A slot taken at a target; given back once through {@link TargetRouter#release}. Immutable and thread safe.
+ *
+ * @param target the announcement the choice was based on
+ * @param probe whether the request tests a target that was ejected
+ */
+public record HeldSlot(TargetAnnouncement target, TargetState state, boolean probe) {}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetChangeListener.java
@@ -0,0 +1,22 @@
+package org.basilrill.state.target;
+
+/** Hears of changes in the target registry. Called without locks held, possibly by several threads at once. */
+@FunctionalInterface
+public interface TargetChangeListener {
+    /**
+     * Handles one change. Two changes of one target may arrive out of order when several threads announce it, so a
+     * listener that keeps state reads the registry or compares with {@link TargetAnnouncement#isNewerThan}.
+     */
+    void changed(Change change);
+
+    /** What happened to a target. */
+    enum Kind {
+        APPEARED,
+        UPDATED,
+        RESTARTED,
+        EXPIRED
+    }
+
+    /** One change with the announcement it concerns; for an expiry, the last one held. */
+    record Change(Kind kind, TargetAnnouncement announcement) {}
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
@@ -0,0 +1,203 @@
+package org.basilrill.state.target;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.MonotonicClock;
+import org.basilrill.api.TargetId;
+import org.basilrill.state.target.TargetChangeListener.Change;
+import org.basilrill.state.target.TargetChangeListener.Kind;
+
+/**
+ * Holds the newest announcement of each target until its time to live ends.
+ *
+ * <p>Invariants: an announcement never replaces a newer one of the same target, not even after the newer one expired;
+ * a reader never gets an expired announcement, whether or not {@link #expire} ran. Thread safe: split into shards by
+ * target, each guarded by its own lock. An operation on one target, or a lookup of one model or service, is atomic;
+ * {@link #targets} reads the shards one after the other.
+ */
+public final class TargetRegistry implements TargetDirectory {
+    private static final int SHARDS = 16;
+
+    /** Expired announcements are kept this long, so that a delayed older announcement does not revive the target. */
+    private static final Duration EXPIRED_RETENTION = Duration.ofMinutes(1);
+
+    private final MonotonicClock clock;
+    private final List<Map<TargetId, HeldAnnouncement>> shards = new ArrayList<>();
+    private final DestinationIndex<ModelId> models = new DestinationIndex<>();
+    private final DestinationIndex<String> services = new DestinationIndex<>();
+    private final List<TargetChangeListener> listeners = new CopyOnWriteArrayList<>();
+
+    public TargetRegistry(MonotonicClock clock) {
+        this.clock = clock;
+        for (int number = 0; number < SHARDS; number++) {
+            shards.add(new HashMap<>());
+        }
+    }
+
+    /** Adds a listener for all later changes. */
+    public void addListener(TargetChangeListener listener) {
+        listeners.add(listener);
+    }
+
+    /** Takes an announcement made just now; returns whether it is newer than what was known. */
+    public boolean announce(TargetAnnouncement announcement) {
+        return announce(announcement, Duration.ZERO);
+    }
+
+    /**
+     * Takes an announcement that reached this instance by way of another.
+     *
+     * @param age time since the target made it; shortens the remaining time to live
+     * @return whether it is unexpired and newer than what was known; otherwise nothing changed
+     */
+    public boolean announce(TargetAnnouncement announcement, Duration age) {
+        long now = clock.nanos();
+        long timeToLiveNanos =
+                Duration.ofMillis(announcement.timeToLiveMillis()).toNanos();
+        HeldAnnouncement held = new HeldAnnouncement(announcement, now + timeToLiveNanos - age.toNanos(), false);
+        if (!held.isValidAt(now)) {
+            return false;
+        }
+        Kind kind;
+        Map<TargetId, HeldAnnouncement> shard = shardOf(announcement.id());
+        synchronized (shard) {
+            HeldAnnouncement previous = shard.get(announcement.id());
+            if (previous != null && !announcement.isNewerThan(previous.announcement())) {
+                return false;
+            }
+            shard.put(announcement.id(), held);
+            index(Optional.ofNullable(previous), held);
+            kind = kindOfChange(Optional.ofNullable(previous), held, now);
+        }
+        notifyListeners(new Change(kind, announcement));
+        return true;
+    }
+
+    /** Drops what has expired and tells the listeners. Worth calling every few hundred milliseconds. */
+    public void expire() {
+        long now = clock.nanos();
+        List<Change> changes = new ArrayList<>();
+        for (Map<TargetId, HeldAnnouncement> shard : shards) {
+            synchronized (shard) {
+                expireShard(shard, now, changes);
+            }
+        }
+        changes.sort(Comparator.comparing(change -> change.announcement().id()));
+        changes.forEach(this::notifyListeners);
+    }
+
+    @Override
+    public Collection<TargetAnnouncement> targets() {
+        long now = clock.nanos();
+        List<TargetAnnouncement> found = new ArrayList<>();
+        for (Map<TargetId, HeldAnnouncement> shard : shards) {
+            synchronized (shard) {
+                shard.values().stream()
+                        .filter(held -> held.isValidAt(now))
+                        .forEach(held -> found.add(held.announcement()));
+            }
+        }
+        found.sort(Comparator.comparing(TargetAnnouncement::id));
+        return found;
+    }
+
+    @Override
+    public Optional<TargetAnnouncement> target(TargetId id) {
+        Map<TargetId, HeldAnnouncement> shard = shardOf(id);
+        synchronized (shard) {
+            return Optional.ofNullable(shard.get(id))
+                    .filter(held -> held.isValidAt(clock.nanos()))
+                    .map(HeldAnnouncement::announcement);
+        }
+    }
+
+    @Override
+    public Collection<TargetAnnouncement> readyFor(ModelId model) {
+        return models.find(model, clock.nanos());
+    }
+
+    @Override
+    public Collection<TargetAnnouncement> ofService(String service) {
+        return services.find(service, clock.nanos());
+    }
+
+    private void expireShard(Map<TargetId, HeldAnnouncement> shard, long now, List<Change> changes) {
+        Iterator<Map.Entry<TargetId, HeldAnnouncement>> entries =
+                shard.entrySet().iterator();
+        while (entries.hasNext()) {
+            Map.Entry<TargetId, HeldAnnouncement> entry = entries.next();
+            HeldAnnouncement held = entry.getValue();
+            if (held.isValidAt(now)) {
+                continue;
+            }
+            if (!held.removalReported()) {
+                unindex(held.announcement(), Set.of(), Optional.empty());
+                entry.setValue(held.withRemovalReported());
+                changes.add(new Change(Kind.EXPIRED, held.announcement()));
+            } else if (now - held.expiresNanos() > EXPIRED_RETENTION.toNanos()) {
+                entries.remove();
+            }
+        }
+    }
+
+    private void index(Optional<HeldAnnouncement> previous, HeldAnnouncement held) {
+        TargetAnnouncement announcement = held.announcement();
+        Set<ModelId> ready = readyModels(announcement);
+        Optional<String> service = announcement.leaving() ? Optional.empty() : announcement.service();
+        previous.ifPresent(old -> unindex(old.announcement(), ready, service));
+        ready.forEach(model -> models.put(model, held));
+        service.ifPresent(name -> services.put(name, held));
+    }
+
+    /** Removes a target from the index, except under the keys that the caller is about to overwrite. */
+    private void unindex(TargetAnnouncement old, Set<ModelId> keptModels, Optional<String> keptService) {
+        for (ModelId model : readyModels(old)) {
+            if (!keptModels.contains(model)) {
+                models.remove(model, old.id());
+            }
+        }
+        if (!old.service().equals(keptService)) {
+            old.service().ifPresent(name -> services.remove(name, old.id()));
+        }
+    }
+
+    private static Set<ModelId> readyModels(TargetAnnouncement announcement) {
+        Set<ModelId> ready = new HashSet<>();
+        if (!announcement.leaving()) {
+            announcement.contents().forEach((model, loaded) -> {
+                if (loaded.ready()) {
+                    ready.add(model);
+                }
+            });
+        }
+        return ready;
+    }
+
+    private static Kind kindOfChange(Optional<HeldAnnouncement> previous, HeldAnnouncement held, long now) {
+        if (previous.isEmpty() || !previous.get().isValidAt(now)) {
+            return Kind.APPEARED;
+        }
+        boolean restarted = previous.get().announcement().incarnation()
+                != held.announcement().incarnation();
+        return restarted ? Kind.RESTARTED : Kind.UPDATED;
+    }
+
+    private void notifyListeners(Change change) {
+        listeners.forEach(listener -> listener.changed(change));
+    }
+
+    private Map<TargetId, HeldAnnouncement> shardOf(TargetId id) {
+        return shards.get(Math.floorMod(id.hashCode(), SHARDS));
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Sockets, threads, disks, metrics and traces. */
+package org.basilrill.transport;
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/Announcements.java
@@ -0,0 +1,64 @@
+package org.basilrill.coordination;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
+
+/** Builds announcements for tests. */
+public final class Announcements {
+    private Announcements() {}
+
+    /** Returns the first announcement of an idle engine that lives for an hour. */
+    public static TargetAnnouncement engine(String id, int slots, String... models) {
+        Map<ModelId, LoadedModel> contents =
+                Arrays.stream(models).collect(Collectors.toMap(ModelId::new, model -> new LoadedModel(1, 1, true)));
+        return new TargetAnnouncement(
+                new TargetId(id),
+                1,
+                1,
+                "127.0.0.1",
+                1,
+                "north",
+                Optional.empty(),
+                3_600_000,
+                1,
+                contents,
+                Set.of(),
+                slots,
+                new TargetAnnouncement.Load(0, 0),
+                true,
+                false);
+    }
+
+    /** Returns the next announcement with another load. */
+    public static TargetAnnouncement next(TargetAnnouncement last, int running, boolean leaving) {
+        return copy(last, last.incarnation(), last.sequence() + 1, last.timeToLiveMillis(), running, leaving);
+    }
+
+    /** Returns the announcement with other version, time to live, load and readiness. */
+    public static TargetAnnouncement copy(
+            TargetAnnouncement last, long incarnation, long sequence, long timeToLive, int running, boolean leaving) {
+        return new TargetAnnouncement(
+                last.id(),
+                incarnation,
+                sequence,
+                last.host(),
+                last.port(),
+                last.dataCentre(),
+                last.service(),
+                timeToLive,
+                last.memoryBytes(),
+                last.contents(),
+                last.roles(),
+                last.slots(),
+                new TargetAnnouncement.Load(running, 0),
+                last.enforcesFencing(),
+                leaving);
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatchBench.java
@@ -0,0 +1,147 @@
+package org.basilrill.coordination.admission;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.VirtualTime;
+import org.basilrill.coordination.admission.Dispatcher.Assignment;
+import org.basilrill.coordination.admission.Dispatcher.Destination;
+import org.basilrill.coordination.admission.Dispatcher.Request;
+import org.basilrill.coordination.routing.RoutingOptions;
+import org.basilrill.coordination.routing.TargetRouter;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetChangeListener.Kind;
+import org.basilrill.state.target.TargetRegistry;
+
+/** A dispatcher with registry and router on virtual time, as an instance assembles them. */
+final class DispatchBench {
+    private final VirtualTime time = new VirtualTime();
+    private final TargetRegistry registry = new TargetRegistry(time);
+    private final Map<AccountId, Integer> weights = new TreeMap<>();
+    private final Map<ModelId, Duration> untilReady = new TreeMap<>();
+    private final Map<ModelId, Integer> waitingForCopy = new TreeMap<>();
+    private final Map<ModelId, Integer> requested = new TreeMap<>();
+    private final TargetRouter router;
+    private final FairDispatcher dispatcher;
+    private long requests;
+
+    DispatchBench(long seed) {
+        this(seed, 1);
+    }
+
+    DispatchBench(long seed, int instances) {
+        router = new TargetRouter(
+                new InstanceId("one"),
+                "north",
+                time,
+                new SplittableRandom(seed),
+                () -> instances,
+                RoutingOptions.defaults());
+        dispatcher = new FairDispatcher(
+                registry,
+                router,
+                time,
+                time,
+                account -> weights.getOrDefault(account, 1),
+                model -> Optional.ofNullable(untilReady.get(model)),
+                demandRecorder(),
+                DispatcherOptions.defaults());
+        registry.addListener(change -> {
+            if (change.kind() == Kind.EXPIRED) {
+                dispatcher.targetExpired(change.announcement().id());
+            } else {
+                dispatcher.targetChanged(change.announcement());
+            }
+        });
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    TargetRegistry registry() {
+        return registry;
+    }
+
+    Map<AccountId, Integer> weights() {
+        return weights;
+    }
+
+    Map<ModelId, Duration> untilReady() {
+        return untilReady;
+    }
+
+    Map<ModelId, Integer> waitingForCopy() {
+        return waitingForCopy;
+    }
+
+    Map<ModelId, Integer> requested() {
+        return requested;
+    }
+
+    TargetRouter router() {
+        return router;
+    }
+
+    FairDispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    Request request(String account, String model, int priority, long tokens, Duration within) {
+        return request(account, model, priority, tokens, within, Set.of());
+    }
+
+    Request request(String account, String model, int priority, long tokens, Duration within, Set<TargetId> excluded) {
+        return new Request(
+                "r" + requests++,
+                Optional.of(new AccountId(account)),
+                Destination.ofModel(new ModelId(model)),
+                priority,
+                tokens,
+                time.nanos() + within.toNanos(),
+                excluded,
+                List.of());
+    }
+
+    CompletableFuture<Assignment> dispatch(String account, String model) {
+        return dispatcher.dispatch(request(account, model, 5, 100, Duration.ofSeconds(30)));
+    }
+
+    void announce(TargetAnnouncement announcement) {
+        registry.announce(announcement);
+    }
+
+    static BasilrillException failureOf(CompletableFuture<Assignment> future) {
+        try {
+            future.join();
+        } catch (CompletionException failure) {
+            return (BasilrillException) failure.getCause();
+        }
+        throw new AssertionError("the request was assigned");
+    }
+
+    private DemandListener demandRecorder() {
+        return new DemandListener() {
+            @Override
+            public void requested(ModelId model, long tokens) {
+                requested.merge(model, 1, Integer::sum);
+            }
+
+            @Override
+            public void waitingForCopy(ModelId model, int count) {
+                waitingForCopy.put(model, count);
+            }
+        };
+    }
+}
