--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/EjectionState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/EjectionState.java
@@ -25,6 +25,11 @@
         return !ejected || (!probing && now - ejectedUntilNanos >= 0);
     }
 
+    /** Tells whether nothing is held against the target. */
+    boolean isSpotless() {
+        return !ejected && failuresInARow == 0;
+    }
+
     /** Notes the start of a request that {@link #mayStart} allowed; returns whether it is the probe. */
     boolean started() {
         probing = ejected;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
@@ -118,16 +118,16 @@
         affinity.received(event);
     }
 
-    /** Drops what is known of a target whose announcement expired, unless slots are held there or it is ejected. */
+    /** Drops what is known of a target whose announcement expired, unless slots are held there or it has failed. */
     public void forget(TargetId target) {
-        states.computeIfPresent(target, (id, state) -> state.held() == 0 && !state.isEjected() ? null : state);
+        states.computeIfPresent(target, (id, state) -> state.isForgettable() ? null : state);
         affinity.forget(target);
     }
 
-    /** Returns the requests this instance has in flight at the target. */
-    public int held(TargetId target) {
-        TargetState state = states.get(target);
-        return state == null ? 0 : state.held();
+    /** Returns the slots this instance holds at the announced incarnation of the target. */
+    public int held(TargetAnnouncement target) {
+        TargetState state = states.get(target.id());
+        return state == null || state.incarnation() != target.incarnation() ? 0 : state.held();
     }
 
     private TargetAnnouncement chooseOfTwo(List<TargetAnnouncement> free, List<Long> prefixHashes) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
@@ -46,6 +46,11 @@
         return !ejection.mayStart(clock.nanos());
     }
 
+    /** Tells whether a new state would serve as well as this one. */
+    synchronized boolean isForgettable() {
+        return held == 0 && ejection.isSpotless();
+    }
+
     /** Takes a newer announcement into account; an older one has no effect. */
     synchronized void observe(TargetAnnouncement announcement, int instances) {
         if (announcement.incarnation() != incarnation || announcement.sequence() <= reportSequence) {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatchBench.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatchBench.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicLong;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.InstanceId;
@@ -34,13 +35,14 @@
     private final Map<ModelId, Integer> requested = new TreeMap<>();
     private final TargetRouter router;
     private final FairDispatcher dispatcher;
-    private long requests;
+    private final AtomicLong requests = new AtomicLong();
 
     DispatchBench(long seed) {
-        this(seed, 1);
+        this(seed, 1, DispatcherOptions.defaults().queueLimit());
     }
 
-    DispatchBench(long seed, int instances) {
+    DispatchBench(long seed, int instances, int queueLimit) {
+        DispatcherOptions defaults = DispatcherOptions.defaults();
         router = new TargetRouter(
                 new InstanceId("one"),
                 "north",
@@ -56,7 +58,12 @@
                 account -> weights.getOrDefault(account, 1),
                 model -> Optional.ofNullable(untilReady.get(model)),
                 demandRecorder(),
-                DispatcherOptions.defaults());
+                new DispatcherOptions(
+                        queueLimit,
+                        defaults.dispatchesPerTurn(),
+                        defaults.recheckInterval(),
+                        defaults.shortestRetryAfter(),
+                        defaults.longestRetryAfter()));
         registry.addListener(change -> {
             if (change.kind() == Kind.EXPIRED) {
                 dispatcher.targetExpired(change.announcement().id());
@@ -104,7 +111,7 @@
 
     Request request(String account, String model, int priority, long tokens, Duration within, Set<TargetId> excluded) {
         return new Request(
-                "r" + requests++,
+                "r" + requests.getAndIncrement(),
                 Optional.of(new AccountId(account)),
                 Destination.ofModel(new ModelId(model)),
                 priority,
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatchModel.java
@@ -0,0 +1,254 @@
+package org.basilrill.coordination.admission;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.Announcements;
+import org.basilrill.coordination.VirtualTime;
+import org.basilrill.coordination.admission.Dispatcher.Assignment;
+import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
+import org.basilrill.coordination.admission.Dispatcher.Request;
+import org.basilrill.state.target.TargetAnnouncement;
+
+/** Keeps simple books of what a dispatcher was asked and did, and checks them after every step. */
+final class DispatchModel {
+    private static final int QUEUE_LIMIT = 6;
+    private static final int TARGETS = 5;
+    private static final int MODELS = 4;
+    private static final long TIME_TO_LIVE_MILLIS = 4000;
+
+    private final DispatchBench bench;
+    private final List<Asked> asked = new ArrayList<>();
+    private final List<Running> running = new ArrayList<>();
+    private final Set<String> assignedRequests = new HashSet<>();
+    private final List<AssertionError> failedChecks = new ArrayList<>();
+    private final Map<Integer, TargetAnnouncement> announced = new TreeMap<>();
+    private final Map<String, HealthOracle> health = new HashMap<>();
+
+    DispatchModel(long seed, int instances) {
+        bench = new DispatchBench(seed, instances, QUEUE_LIMIT);
+    }
+
+    VirtualTime time() {
+        return bench.time();
+    }
+
+    int running() {
+        return running.size();
+    }
+
+    void dispatch(SplittableRandom random, Duration within) {
+        Set<TargetId> excluded =
+                random.nextInt(10) == 0 ? Set.of(new TargetId("t" + random.nextInt(TARGETS))) : Set.of();
+        Request request = bench.request(
+                "a" + random.nextInt(3),
+                "m" + random.nextInt(MODELS),
+                random.nextInt(3),
+                random.nextInt(1, 1000),
+                within,
+                excluded);
+        CompletableFuture<Assignment> future = bench.dispatcher().dispatch(request);
+        asked.add(new Asked(request, future));
+        future.thenAccept(assignment -> assigned(request, assignment)).whenComplete((done, failure) -> {
+            // The future would otherwise keep a failed check to itself.
+            if (failure != null && failure.getCause() instanceof AssertionError) {
+                failedChecks.add((AssertionError) failure.getCause());
+            }
+        });
+    }
+
+    void releaseOne(SplittableRandom random) {
+        if (running.isEmpty()) {
+            return;
+        }
+        AttemptResult[] results = AttemptResult.values();
+        // Half succeed; the rest end in one of the five ways.
+        AttemptResult result = random.nextBoolean() ? AttemptResult.SUCCEEDED : results[random.nextInt(results.length)];
+        release(running.remove(random.nextInt(running.size())), result);
+    }
+
+    void releaseAllSuccessfully() {
+        List<Running> ending = List.copyOf(running);
+        running.clear();
+        ending.forEach(one -> release(one, AttemptResult.SUCCEEDED));
+    }
+
+    void cancelOne(SplittableRandom random) {
+        List<Asked> open = asked.stream().filter(one -> !one.future().isDone()).toList();
+        if (!open.isEmpty()) {
+            open.get(random.nextInt(open.size())).future().cancel(false);
+        }
+    }
+
+    void announceOne(SplittableRandom random) {
+        int number = random.nextInt(TARGETS);
+        TargetAnnouncement last = announced.get(number);
+        long incarnation = last == null ? 1 : last.incarnation() + (random.nextInt(8) == 0 ? 1 : 0);
+        long sequence = last == null || incarnation != last.incarnation() ? 1 : last.sequence() + random.nextInt(-1, 3);
+        boolean leaving = random.nextInt(5) == 0;
+        announce(number, incarnation, sequence, TIME_TO_LIVE_MILLIS, random.nextInt(5), leaving);
+    }
+
+    void announceAllIdle() {
+        for (int number = 0; number < TARGETS; number++) {
+            TargetAnnouncement last = announced.get(number);
+            announce(
+                    number,
+                    last == null ? 1 : last.incarnation(),
+                    last == null ? 1 : last.sequence() + 9,
+                    3_600_000,
+                    0,
+                    false);
+        }
+    }
+
+    void expire() {
+        bench.registry().expire();
+    }
+
+    /** Checks slots, queue bounds and deadlines after a step. */
+    void checkBooks() {
+        failedChecks.forEach(failure -> {
+            throw failure;
+        });
+        for (int number = 0; number < TARGETS; number++) {
+            TargetAnnouncement last = announced.get(number);
+            if (last != null) {
+                assertThat(bench.router().held(last), is((int) heldAt(last)));
+            }
+        }
+        Map<String, Long> waiting = asked.stream()
+                .filter(one -> !one.future().isDone())
+                .collect(Collectors.groupingBy(
+                        one -> one.request().account() + "/" + one.request().priority(), Collectors.counting()));
+        waiting.values().forEach(count -> assertThat(count, lessThanOrEqualTo((long) QUEUE_LIMIT)));
+        assertThat(
+                (long) bench.dispatcher().waiting(),
+                is(asked.stream().filter(one -> !one.future().isDone()).count()));
+        asked.removeIf(one -> one.future().isDone());
+    }
+
+    /** Lets every deadline pass and every request end, then checks that nothing is left anywhere. */
+    void finish() {
+        time().advance(Duration.ofSeconds(10));
+        checkBooks();
+        assertThat(asked.stream().filter(one -> !one.future().isDone()).count(), is(0L));
+        assertThat(bench.dispatcher().waiting(), is(0));
+        assertThat(time().scheduled(), is(0));
+        releaseAllSuccessfully();
+        announced.values().forEach(last -> assertThat(bench.router().held(last), is(0)));
+    }
+
+    long waitingWithUsableTarget() {
+        return asked.stream()
+                .filter(one -> !one.future().isDone())
+                .filter(one -> bench
+                        .registry()
+                        .readyFor(one.request().destination().model().orElseThrow())
+                        .stream()
+                        .anyMatch(target -> !one.request().excludedTargets().contains(target.id())))
+                .count();
+    }
+
+    private void announce(int number, long incarnation, long sequence, long timeToLive, int load, boolean leaving) {
+        // Target n holds models n and n + 1, so that most models have two copies; model 0 has one with target 4 gone.
+        TargetAnnouncement base =
+                Announcements.engine("t" + number, 1 + number % 3, "m" + number % MODELS, "m" + (number + 1) % MODELS);
+        TargetAnnouncement next = Announcements.copy(base, incarnation, sequence, timeToLive, load, leaving);
+        if (announced.get(number) == null || next.isNewerThan(announced.get(number))) {
+            announced.put(number, next);
+        }
+        bench.announce(next);
+    }
+
+    private void assigned(Request request, Assignment assignment) {
+        TargetAnnouncement target = assignment.target();
+        ModelId model = request.destination().model().orElseThrow();
+        assertThat("dispatched once", assignedRequests.add(request.requestId()), is(true));
+        assertThat("in time", time().nanos() < request.deadlineNanos(), is(true));
+        assertThat("excluded", request.excludedTargets().contains(target.id()), is(false));
+        TargetAnnouncement last = bench.registry().target(target.id()).orElseThrow();
+        assertThat("current", last, is(target));
+        assertThat("usable", !last.leaving() && last.isReadyFor(model), is(true));
+        HealthOracle oracle = healthOf(target);
+        assertThat("not ejected", oracle.mayStart(time().nanos()), is(true));
+        running.add(new Running(assignment, oracle.started()));
+        assertThat("slots", heldAt(target), lessThanOrEqualTo((long) target.slots()));
+    }
+
+    private void release(Running one, AttemptResult result) {
+        healthOf(one.assignment().target()).ended(one.probe(), result, time().nanos());
+        one.assignment().release(result);
+        one.assignment().release(AttemptResult.FAILED);
+    }
+
+    private long heldAt(TargetAnnouncement target) {
+        return running.stream()
+                .map(one -> one.assignment().target())
+                .filter(used -> used.id().equals(target.id()) && used.incarnation() == target.incarnation())
+                .count();
+    }
+
+    private HealthOracle healthOf(TargetAnnouncement target) {
+        return health.computeIfAbsent(target.id() + "/" + target.incarnation(), key -> new HealthOracle());
+    }
+
+    /** A request that was handed to the dispatcher. */
+    private record Asked(Request request, CompletableFuture<Assignment> future) {}
+
+    /** An assignment that was not released. */
+    private record Running(Assignment assignment, boolean probe) {}
+
+    /** Says when a target may get a request, straight from the design page. */
+    private static final class HealthOracle {
+        private int failures;
+        private int ejections;
+        private boolean probeRunning;
+        private long until;
+
+        boolean mayStart(long now) {
+            return ejections == 0 || (!probeRunning && now >= until);
+        }
+
+        boolean started() {
+            probeRunning = ejections > 0;
+            return probeRunning;
+        }
+
+        void ended(boolean probe, AttemptResult result, long now) {
+            if (ejections > 0 && !probe) {
+                return;
+            }
+            probeRunning = false;
+            if (result == AttemptResult.SUCCEEDED) {
+                failures = 0;
+                ejections = 0;
+                return;
+            }
+            if (result != AttemptResult.FAILED && result != AttemptResult.TIMED_OUT) {
+                return;
+            }
+            failures++;
+            if (probe || failures >= 3 || result == AttemptResult.TIMED_OUT) {
+                ejections++;
+                until = now
+                        + Duration.ofSeconds(Math.min(30, 1L << Math.min(5, ejections - 1)))
+                                .toNanos();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/routing/TargetRouterTest.java
@@ -0,0 +1,191 @@
+package org.basilrill.coordination.routing;
+
+import static org.basilrill.coordination.Announcements.copy;
+import static org.basilrill.coordination.Announcements.engine;
+import static org.basilrill.coordination.Announcements.next;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.VirtualTime;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.junit.jupiter.api.Test;
+
+/** Guards the choice of targets, the slots left to other instances, and ejection. */
+class TargetRouterTest {
+    private static final long SEED = 4520;
+
+    private final VirtualTime time = new VirtualTime();
+
+    /** Guards against an ejection that does not double, never ends, or lets more than one probe through. */
+    @Test
+    void anEjectedTargetIsProbedOnceAfterADoublingTime() {
+        TargetRouter router = router("one", 1);
+        TargetAnnouncement target = engine("t1", 8, "m");
+        for (int failure = 0; failure < 3; failure++) {
+            router.release(take(router, target).orElseThrow(), SlotResult.FAILED);
+        }
+        long[] expectedSeconds = {1, 2, 4, 8, 16, 30, 30};
+        for (long seconds : expectedSeconds) {
+            time.advance(Duration.ofSeconds(seconds).minusNanos(1));
+            assertThat(take(router, target).isPresent(), is(false));
+            time.advance(Duration.ofNanos(1));
+            HeldSlot probe = take(router, target).orElseThrow();
+            assertThat(take(router, target).isPresent(), is(false));
+            router.release(probe, SlotResult.FAILED);
+        }
+        time.advance(Duration.ofSeconds(30));
+        router.release(take(router, target).orElseThrow(), SlotResult.SUCCEEDED);
+        take(router, target).orElseThrow();
+        assertThat(take(router, target).isPresent(), is(true));
+    }
+
+    /** Guards against keeping a hung target in use until it has hung three times. */
+    @Test
+    void oneProgressTimeoutEjects() {
+        TargetRouter router = router("one", 1);
+        TargetAnnouncement target = engine("t1", 8, "m");
+        router.release(take(router, target).orElseThrow(), SlotResult.TIMED_OUT);
+        assertThat(take(router, target).isPresent(), is(false));
+    }
+
+    /** Guards against blaming a restarted target for its predecessor, in slots or in health. */
+    @Test
+    void aNewIncarnationStartsWithFreeSlotsAndGoodHealth() {
+        TargetRouter router = router("one", 1);
+        TargetAnnouncement target = engine("t1", 1, "m");
+        HeldSlot old = take(router, target).orElseThrow();
+        TargetAnnouncement restarted = copy(target, 2, 1, 2000, 0, false);
+        HeldSlot slot = take(router, restarted).orElseThrow();
+        router.release(old, SlotResult.TIMED_OUT);
+        router.release(slot, SlotResult.SUCCEEDED);
+        assertThat(take(router, restarted).isPresent(), is(true));
+    }
+
+    /** Guards against one instance taking all free slots between two reports. */
+    @Test
+    void anInstanceLeavesFreeSlotsToTheOthersUntilTheNextReport() {
+        TargetRouter router = router("one", 4);
+        TargetAnnouncement target = engine("t1", 16, "m");
+        assertThat(takeAll(router, target), is(8));
+        // 12 run: our 8 and 4 of others. Of the 4 free slots, two more are ours.
+        TargetAnnouncement report = next(target, 12, false);
+        assertThat(takeAll(router, report), is(2));
+    }
+
+    /** Guards against an instance that is shut out because the others reuse their slots at a full target. */
+    @Test
+    void anInstanceMayAlwaysTryItsEqualPartOfABusyTarget() {
+        TargetRouter router = router("one", 4);
+        TargetAnnouncement busy = next(engine("t1", 16, "m"), 16, false);
+        assertThat(takeAll(router, busy), is(4));
+    }
+
+    /** Guards against asking a full target again before its back-off ends. */
+    @Test
+    void aTargetThatAnswersFullIsLeftAloneForAWhile() {
+        TargetRouter router = router("one", 1);
+        TargetAnnouncement target = engine("t1", 8, "m");
+        router.release(take(router, target).orElseThrow(), SlotResult.REFUSED_FULL);
+        assertThat(take(router, target).isPresent(), is(false));
+        time.advance(RoutingOptions.defaults().fullBackOff());
+        assertThat(take(router, target).isPresent(), is(true));
+    }
+
+    /** Guards against ignored load: with two choices the least loaded of two must win every time. */
+    @Test
+    void theLessLoadedOfTwoTargetsWins() {
+        TargetRouter router = router("one", 1);
+        TargetAnnouncement busy = next(engine("t1", 16, "m"), 10, false);
+        TargetAnnouncement idle = next(engine("t2", 16, "m"), 2, false);
+        for (int number = 0; number < 5; number++) {
+            assertThat(take(router, busy, idle).orElseThrow().target().id(), is(idle.id()));
+        }
+    }
+
+    /** Guards against a prompt that goes to a target without its prefix although a like target has it. */
+    @Test
+    void aKnownPrefixDrawsTheRequestUnlessTheTargetIsBusier() {
+        TargetRouter router = router("one", 1);
+        List<Long> prefix = List.of(1L, 2L, 3L);
+        TargetAnnouncement one = engine("t1", 8, "m");
+        TargetAnnouncement other = engine("t2", 8, "m");
+        router.received(new CacheEvent(other.id(), 1, 1, prefix, List.of()));
+        List<TargetAnnouncement> both = List.of(one, other);
+        for (int number = 0; number < 3; number++) {
+            HeldSlot slot = router.acquire("m", both, Set.of(), prefix).orElseThrow();
+            assertThat(slot.target().id(), is(other.id()));
+        }
+        Set<TargetId> used = new HashSet<>();
+        for (int number = 0; number < 6; number++) {
+            used.add(router.acquire("m", both, Set.of(), prefix)
+                    .orElseThrow()
+                    .target()
+                    .id());
+        }
+        assertThat(used.contains(one.id()), is(true));
+    }
+
+    /** Guards against subsets that are too large, equal at all instances, or that change with unrelated targets. */
+    @Test
+    void subsetsAreBoundedSpreadAndStable() {
+        List<TargetAnnouncement> targets = IntStream.range(0, 100)
+                .mapToObj(number -> engine("t" + number, 8, "m"))
+                .toList();
+        Set<TargetId> covered = new HashSet<>();
+        int moved = 0;
+        for (int number = 0; number < 40; number++) {
+            CandidateSubset subset =
+                    new CandidateSubset(new InstanceId("i" + number), "north", RoutingOptions.defaults());
+            Set<TargetId> before = identifiers(subset.select("m", targets));
+            Set<TargetId> after = identifiers(subset.select("m", targets.subList(1, 100)));
+            assertThat(before.size(), is(16));
+            covered.addAll(before);
+            after.removeAll(before);
+            assertThat(after.size(), lessThanOrEqualTo(1));
+            moved += after.size();
+        }
+        assertThat(covered.size(), greaterThan(95));
+        assertThat(moved, lessThan(20));
+    }
+
+    private static Set<TargetId> identifiers(List<TargetAnnouncement> targets) {
+        Set<TargetId> identifiers = new HashSet<>();
+        targets.forEach(target -> identifiers.add(target.id()));
+        return identifiers;
+    }
+
+    private TargetRouter router(String name, int instances) {
+        return new TargetRouter(
+                new InstanceId(name),
+                "north",
+                time,
+                new SplittableRandom(SEED),
+                () -> instances,
+                RoutingOptions.defaults());
+    }
+
+    private static Optional<HeldSlot> take(TargetRouter router, TargetAnnouncement... targets) {
+        return router.acquire("m", List.of(targets), Set.of(), List.of());
+    }
+
+    private static int takeAll(TargetRouter router, TargetAnnouncement target) {
+        List<HeldSlot> slots = new ArrayList<>();
+        for (Optional<HeldSlot> slot = take(router, target); slot.isPresent(); slot = take(router, target)) {
+            slots.add(slot.get());
+        }
+        return slots.size();
+    }
+}
