--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -36,7 +36,10 @@
     BUCKET_ACQUIRED(350, "instance owns the token bucket of a client account"),
     BUCKET_RELEASED(351, "instance no longer owns the token bucket of a client account"),
     BUCKET_HANDED_OVER(352, "token bucket was handed over"),
-    BUCKET_CLAIM_FAILED(353, "claim or handover of a token bucket failed and is repeated");
+    BUCKET_CLAIM_FAILED(353, "claim or handover of a token bucket failed and is repeated"),
+    TARGET_EJECTED(400, "target is ejected after failures"),
+    TARGET_RESTORED(401, "target is used again after a successful probe"),
+    DISPATCH_CALLBACK_FAILED(402, "a callback of a dispatched request failed");
 
     private final int number;
     private final String summary;
