--- a/basilrill-library/src/main/java/org/basilrill/protocol/package-info.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/package-info.java
@@ -1,6 +1,2 @@
-<<<<<<< HEAD
-/** Message codecs, the life cycle of a request and the assembled instance. Nothing here does input or output. */
-=======
-/** Message codecs, the life cycle of requests and the assembled instance. */
->>>>>>> dispatch
+/** Message codecs and the life cycle of requests; uses the layers api, state and coordination. */
 package org.basilrill.protocol;
--- a/basilrill-library/src/main/java/org/basilrill/transport/package-info.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/package-info.java
@@ -1,2 +1,2 @@
-/** Sockets, threads, disks, metrics and traces. */
+/** Sockets, disks and threads; the only layer that blocks. */
 package org.basilrill.transport;
