--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -13,7 +13,19 @@
     INSTANCE_CURRENT_AGAIN(105, "instance confirmed its revision again"),
     PEER_CONNECTION_FAILED(120, "connection to another instance failed"),
     MESSAGE_REJECTED(121, "message from another instance could not be decoded"),
-    INTERNAL_FAILURE(199, "unexpected failure");
+    INTERNAL_FAILURE(199, "unexpected failure"),
+    TARGET_LOST(300, "target was lost during a request"),
+    CRASH_REPORT_FAILED(301, "loss of a target could not be recorded"),
+    ORDER_NOT_RECORDED(302, "outcome of an order could not be recorded"),
+    ANSWER_CROSSED(303, "target answered with the id of another request"),
+    REQUESTS_CANCELLED(304, "running requests of a withdrawn key were cancelled"),
+    HTTP_LISTENING(310, "listening for callers"),
+    HTTP_STOPPED(311, "stopped listening for callers"),
+    HTTP_CONNECTION_FAILED(312, "connection of a caller or target failed"),
+    HTTP_REQUEST_MALFORMED(313, "request is not valid HTTP"),
+    ANNOUNCEMENT_REJECTED(314, "announcement of a target could not be decoded"),
+    RULES_REPLACED(320, "rules were replaced"),
+    OPERATOR_REFUSED(321, "request of an operator was refused");
 
     private final int number;
     private final String summary;
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/AnswerHead.java
@@ -0,0 +1,27 @@
+package org.basilrill.protocol.caller;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The status and the header fields of an answer. Immutable and thread safe. */
+public record AnswerHead(int status, List<HeaderField> headers) {
+    public static final String CONTENT_TYPE = "content-type";
+    public static final String CONTENT_LENGTH = "content-length";
+    public static final String EVENT_STREAM = "text/event-stream";
+
+    public AnswerHead {
+        headers = List.copyOf(headers);
+    }
+
+    /** Returns the value of the first header field with this name, ignoring case. */
+    public Optional<String> header(String name) {
+        return HeaderField.first(headers, name);
+    }
+
+    /** Tells whether the body is a stream of server-sent events. */
+    public boolean isEventStream() {
+        return header(CONTENT_TYPE)
+                .filter(type -> type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length()))
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
@@ -0,0 +1,176 @@
+package org.basilrill.protocol.instance;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.protocol.caller.AnswerHead;
+import org.basilrill.protocol.caller.ErrorBody;
+import org.basilrill.protocol.caller.ForwardedHeaders;
+import org.basilrill.protocol.caller.HeaderField;
+import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.caller.TokenUsage;
+import org.basilrill.state.control.RecordedAnswer;
+
+/**
+ * Passes an answer on to its caller and gives each caller exactly one final answer. The head is held until the first
+ * byte of the body, so that an attempt that fails before can be repeated. Not thread safe.
+ */
+final class AnswerRelay {
+    private final CallerStream caller;
+    private final String requestId;
+    private final boolean record;
+    private final ByteArrayOutputStream recorded = new ByteArrayOutputStream();
+    private TokenUsage usage = new TokenUsage();
+    private AnswerHead head;
+    private boolean started;
+    private boolean finished;
+    private boolean tooLong;
+    private long outstanding;
+
+    AnswerRelay(CallerStream caller, String requestId, boolean record) {
+        this.caller = caller;
+        this.requestId = requestId;
+        this.record = record;
+    }
+
+    /** Tells whether the target's answer has begun to reach the caller. */
+    boolean started() {
+        return started;
+    }
+
+    /** Tells whether the caller has its final answer or went away. */
+    boolean finished() {
+        return finished;
+    }
+
+    /** Returns the bytes the caller's connection has not taken yet. */
+    long outstanding() {
+        return outstanding;
+    }
+
+    /** Returns what the target's answer says about the tokens used. */
+    TokenUsage usage() {
+        return usage;
+    }
+
+    Optional<AnswerHead> head() {
+        return Optional.ofNullable(head);
+    }
+
+    /** Takes the head of the target's answer. */
+    void hold(AnswerHead answer) {
+        head = answer;
+    }
+
+    /** Forgets what a failed attempt sent; called only before the answer has started. */
+    void reset() {
+        head = null;
+        usage = new TokenUsage();
+    }
+
+    /** Passes part of the body on; returns true if the bytes wait for the caller, false if nobody takes them. */
+    boolean body(byte[] bytes) {
+        start();
+        usage.add(bytes);
+        keep(bytes);
+        if (finished) {
+            return false;
+        }
+        outstanding += bytes.length;
+        caller.write(bytes);
+        return true;
+    }
+
+    /** Notes that the caller's connection took bytes. */
+    void taken(int bytes) {
+        outstanding = Math.max(0, outstanding - bytes);
+    }
+
+    /** Ends a complete answer. */
+    void complete() {
+        start();
+        if (!finished) {
+            finished = true;
+            caller.end();
+        }
+    }
+
+    /** Gives the caller a failure as its final answer, in the form its state still allows. */
+    void fail(BasilrillException failure, PlainAnswer refusal) {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        if (!started) {
+            send(refusal);
+        } else if (head.isEventStream()) {
+            caller.write(ErrorBody.event(failure));
+            caller.end();
+        } else {
+            caller.abort();
+        }
+    }
+
+    /** Gives the caller the recorded answer of an order that ran before. */
+    void replay(RecordedAnswer answer) {
+        if (!finished) {
+            finished = true;
+            send(PlainAnswer.of(answer.status(), answer.contentType(), answer.body()));
+        }
+    }
+
+    /** Stops sending to a caller that went away. */
+    void abandon() {
+        if (!finished) {
+            finished = true;
+            caller.abort();
+        }
+    }
+
+    /** Returns the complete answer in the form that is kept to be replayed. */
+    Optional<RecordedAnswer> recorded() {
+        if (!record || head == null) {
+            return Optional.empty();
+        }
+        String type = head.header(AnswerHead.CONTENT_TYPE).orElse(PlainAnswer.TEXT);
+        byte[] body = tooLong ? new byte[0] : recorded.toByteArray();
+        return Optional.of(new RecordedAnswer(head.status(), type, body, !tooLong));
+    }
+
+    private void start() {
+        if (started) {
+            return;
+        }
+        started = true;
+        if (!finished) {
+            caller.start(new AnswerHead(head.status(), ForwardedHeaders.toCaller(head.headers())));
+        }
+    }
+
+    private void keep(byte[] bytes) {
+        if (!record || tooLong) {
+            return;
+        }
+        if (recorded.size() + bytes.length > RecordedAnswer.MAXIMUM_BODY_BYTES) {
+            tooLong = true;
+            recorded.reset();
+            return;
+        }
+        recorded.writeBytes(bytes);
+    }
+
+    private void send(PlainAnswer answer) {
+        List<HeaderField> headers = new ArrayList<>(answer.headers());
+        headers.add(new HeaderField(AnswerHead.CONTENT_TYPE, answer.contentType()));
+        headers.add(new HeaderField(AnswerHead.CONTENT_LENGTH, Integer.toString(answer.body().length)));
+        headers.add(new HeaderField(RequestHead.REQUEST_ID, requestId));
+        caller.start(new AnswerHead(answer.status(), headers));
+        if (answer.body().length > 0) {
+            caller.write(answer.body());
+        }
+        caller.end();
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
@@ -0,0 +1,47 @@
+package org.basilrill.protocol.instance;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.CompletableFuture;
+import org.basilrill.api.LogEvent;
+import org.basilrill.state.control.ControlCommand;
+import org.basilrill.state.control.ControlResult;
+import org.basilrill.state.target.TargetAnnouncement;
+
+/** Records in the control log which requests lost their targets. Stateless and thread safe. */
+final class CrashReports {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** Targets lost to one request after which no further target runs it. */
+    private static final int LOST_TARGETS_LIMIT = 2;
+
+    private CrashReports() {}
+
+    /** Reports a lost target; a report that fails is logged, too. */
+    static CompletableFuture<ControlResult> report(
+            RequestServices services, String fingerprint, TargetAnnouncement lost) {
+        LOGGER.atWarning().log("%s: target %s", LogEvent.TARGET_LOST, lost.id());
+        ControlCommand command = new ControlCommand.ReportCrash(
+                fingerprint,
+                lost.id(),
+                lost.incarnation(),
+                services.wallClockMillis().getAsLong());
+        CompletableFuture<ControlResult> report =
+                services.control().submit(command, services.limits().controlDeadline());
+        report.whenComplete((result, problem) -> {
+            if (problem != null) {
+                LOGGER.atWarning().withCause(problem).log("%s", LogEvent.CRASH_REPORT_FAILED);
+            }
+        });
+        return report;
+    }
+
+    /** Tells whether the log says that another target may be put at risk. */
+    static boolean allowsAnother(ControlResult result) {
+        return result instanceof ControlResult.CrashCount count && count.targets() < LOST_TARGETS_LIMIT;
+    }
+
+    /** Tells whether the log says that the request has cost too many targets. */
+    static boolean isSuspect(ControlResult result) {
+        return result instanceof ControlResult.CrashCount count && count.targets() >= LOST_TARGETS_LIMIT;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
@@ -0,0 +1,43 @@
+package org.basilrill.protocol.instance;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.basilrill.api.AccountId;
+import org.basilrill.coordination.admission.Dispatcher.Destination;
+import org.basilrill.protocol.caller.KeyGuard;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.state.configuration.KeyHash;
+
+/**
+ * An authorised request and everything that is decided about it before it runs. Immutable and thread safe.
+ *
+ * @param account client account it runs for; empty on routes open to all
+ * @param keyHash key it was authorised by
+ * @param promptTokens part of the charge that counts as used once the request ran
+ * @param chargedTokens most tokens it may use
+ * @param order present if it must run at most once
+ * @param repeatable whether it may run twice
+ * @param fingerprint identifies the request if it crashes targets
+ * @param deadline time to the first byte of the answer
+ */
+record RequestPlan(
+        String requestId,
+        RequestHead head,
+        Optional<AccountId> account,
+        Optional<KeyHash> keyHash,
+        KeyGuard keyGuard,
+        Destination destination,
+        int priority,
+        long promptTokens,
+        long chargedTokens,
+        List<Long> prefixHashes,
+        Optional<Order> order,
+        boolean repeatable,
+        String fingerprint,
+        Duration deadline,
+        String pathAndQuery,
+        byte[] body) {
+    /** The claim an order needs. */
+    record Order(AccountId account, String idempotencyKey, String fingerprint, String attempt) {}
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -0,0 +1,229 @@
+package org.basilrill.protocol.instance;
+
+import com.google.common.flogger.FluentLogger;
+import io.opentelemetry.api.trace.Span;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.LogEvent;
+import org.basilrill.api.Scheduler;
+import org.basilrill.coordination.admission.Dispatcher.Assignment;
+import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
+import org.basilrill.protocol.caller.AnswerHead;
+import org.basilrill.protocol.caller.ForwardedHeaders;
+import org.basilrill.protocol.caller.HeaderField;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.state.target.TargetAnnouncement;
+
+/**
+ * One attempt to run a request at one target. Holds the assignment until the attempt is over. The events of the
+ * connector are passed on through the events of the exchange; everything else is called by those events only.
+ */
+final class TargetAttempt implements TargetConnector.Listener {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final RequestServices services;
+    private final RequestPlan plan;
+    private final Assignment assignment;
+    private final Owner owner;
+    private final Executor events;
+    private final Span span;
+    private final SendPermit permit = new SendPermit();
+    private TargetConnector.Call call = new NoCall();
+    private boolean over;
+    private boolean answered;
+    private AttemptResult resultOfAnswer = AttemptResult.SUCCEEDED;
+    private long lastProgressNanos;
+    private Scheduler.Cancellable progressTimer = () -> {};
+
+    TargetAttempt(
+            RequestServices services,
+            RequestPlan plan,
+            Assignment assignment,
+            Owner owner,
+            Executor events,
+            Span requestSpan) {
+        this.services = services;
+        this.plan = plan;
+        this.assignment = assignment;
+        this.owner = owner;
+        this.events = events;
+        span = services.tracing()
+                .startAttempt(requestSpan, assignment.target().id().value());
+    }
+
+    /** What happens in the attempt, for the exchange it belongs to. */
+    interface Owner {
+        /** Takes the head of the answer. */
+        void answerBegan(AnswerHead head);
+
+        /** Takes part of the body. */
+        void answerContinued(byte[] bytes);
+
+        /** Takes the end of the answer; the attempt is over. */
+        void answerEnded();
+
+        /** Takes the failure; the attempt is over. */
+        void attemptFailed(AttemptFailure failure);
+
+        /** Tells whether the silence is that of a caller that does not read. */
+        boolean waitsForCaller();
+
+        /** Ends a request whose caller has not read for the progress deadline. */
+        void callerStalled();
+    }
+
+    /**
+     * How an attempt failed.
+     *
+     * @param mayHaveRun whether a byte may have left
+     * @param targetLost whether the target ended the connection while it had the request
+     */
+    record AttemptFailure(ErrorCode code, String detail, boolean mayHaveRun, boolean targetLost) {}
+
+    TargetAnnouncement target() {
+        return assignment.target();
+    }
+
+    void open(boolean freshConnection) {
+        noteProgress();
+        List<HeaderField> headers = ForwardedHeaders.toTarget(
+                plan.head(), plan.requestId(), services.tracing().fields(span), plan.keyGuard());
+        TargetConnector.Request request =
+                new TargetConnector.Request(plan.head().method(), plan.pathAndQuery(), headers, plan.body());
+        call = services.connector().open(assignment.target(), request, freshConnection, this);
+        watchProgress(services.limits().progressDeadline());
+    }
+
+    /** Revokes the permit to send; false if a byte may have left. */
+    boolean revoke() {
+        return permit.revoke();
+    }
+
+    void grant(int bytes) {
+        if (!over) {
+            noteProgress();
+            call.grant(bytes);
+        }
+    }
+
+    /** Ends the attempt without an answer; the target is told by the end of the connection. */
+    void cancel() {
+        if (!over) {
+            finish(AttemptResult.CANCELLED);
+            call.cancel();
+        }
+    }
+
+    @Override
+    public boolean maySend() {
+        return permit.take();
+    }
+
+    @Override
+    public void answered(AnswerHead head) {
+        event(() -> {
+            Optional<String> id = head.header(RequestHead.REQUEST_ID);
+            if (!id.equals(Optional.of(plan.requestId()))) {
+                LOGGER.atWarning().log("%s: target %s", LogEvent.ANSWER_CROSSED, target().id());
+                fail(ErrorCode.ANSWER_MISMATCH, "the target answered with another request id", false);
+                return;
+            }
+            answered = true;
+            noteProgress();
+            resultOfAnswer = head.status() >= FIRST_SERVER_ERROR ? AttemptResult.FAILED : AttemptResult.SUCCEEDED;
+            owner.answerBegan(head);
+        });
+    }
+
+    @Override
+    public void received(byte[] bytes) {
+        event(() -> {
+            noteProgress();
+            owner.answerContinued(bytes);
+        });
+    }
+
+    @Override
+    public void ended() {
+        event(() -> {
+            finish(resultOfAnswer);
+            owner.answerEnded();
+        });
+    }
+
+    @Override
+    public void failed(TargetConnector.Failure failure) {
+        event(() -> {
+            switch (failure.kind()) {
+                case UNREACHABLE -> fail(ErrorCode.TARGET_UNREACHABLE, failure.detail(), false);
+                // A target may close an idle connection at the moment it is used again; that is no crash.
+                case CONNECTION_LOST ->
+                    fail(ErrorCode.TARGET_FAILED, failure.detail(), answered || !failure.reusedConnection());
+                case INVALID_ANSWER -> fail(ErrorCode.TARGET_FAILED, failure.detail(), false);
+                default -> throw new IllegalStateException("unknown failure " + failure.kind());
+            }
+        });
+    }
+
+    private void fail(ErrorCode code, String detail, boolean connectionLost) {
+        boolean mayHaveRun = !permit.revoke();
+        finish(AttemptResult.FAILED);
+        call.cancel();
+        services.tracing().fail(span, new BasilrillException(code, detail));
+        owner.attemptFailed(new AttemptFailure(code, detail, mayHaveRun, mayHaveRun && connectionLost));
+    }
+
+    private void watchProgress(Duration delay) {
+        progressTimer = services.scheduler().schedule(delay, () -> event(this::checkProgress));
+    }
+
+    private void checkProgress() {
+        Duration limit = services.limits().progressDeadline();
+        Duration silence = Duration.ofNanos(services.clock().nanos() - lastProgressNanos);
+        if (silence.compareTo(limit) < 0) {
+            watchProgress(limit.minus(silence));
+        } else if (owner.waitsForCaller()) {
+            owner.callerStalled();
+        } else {
+            fail(ErrorCode.TARGET_TIMEOUT, "the target sent nothing for " + limit.toMillis() + " ms", false);
+        }
+    }
+
+    private void finish(AttemptResult result) {
+        over = true;
+        progressTimer.cancel();
+        assignment.release(result);
+        span.end();
+    }
+
+    /** Passes an event on unless the attempt is over; late events of a cancelled call have no effect. */
+    private void event(Runnable action) {
+        events.execute(() -> {
+            if (!over) {
+                action.run();
+            }
+        });
+    }
+
+    private void noteProgress() {
+        lastProgressNanos = services.clock().nanos();
+    }
+
+    /** Stands for the call until the connector returned one. */
+    private static final class NoCall implements TargetConnector.Call {
+        @Override
+        public void grant(int bytes) {
+            throw new IllegalStateException("the call is not open");
+        }
+
+        @Override
+        public void cancel() {
+            // Nothing was opened.
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TypedFailures.java
@@ -0,0 +1,22 @@
+package org.basilrill.protocol.instance;
+
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletionException;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+
+/** Finds the typed failure behind a failed future. Stateless and thread safe. */
+final class TypedFailures {
+    private TypedFailures() {}
+
+    static BasilrillException of(Throwable problem) {
+        Throwable cause = problem instanceof CompletionException ? problem.getCause() : problem;
+        if (cause instanceof BasilrillException failure) {
+            return failure;
+        }
+        if (cause instanceof CancellationException) {
+            return new BasilrillException(ErrorCode.DEADLINE_EXCEEDED, "the request was withdrawn from the queue");
+        }
+        return new BasilrillException(ErrorCode.INTERNAL, "unexpected failure", cause);
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
@@ -0,0 +1,70 @@
+package org.basilrill.state.target;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+
+/**
+ * What a target last said about itself. Immutable and thread safe.
+ *
+ * @param incarnation changes when the target restarts
+ * @param sequence increases with each announcement of one incarnation
+ * @param host IP number
+ * @param service name of the plain service it runs; empty for an engine
+ * @param timeToLiveMillis how long the announcement holds without a newer one
+ * @param memoryBytes accelerator memory
+ * @param contents models and adapters it holds, with their version
+ * @param slots requests it can run at once
+ * @param load reported load, which lags
+ * @param enforcesFencing whether it refuses orders with an old fencing number
+ * @param leaving whether it wants no new work
+ */
+public record TargetAnnouncement(
+        TargetId id,
+        long incarnation,
+        long sequence,
+        String host,
+        int port,
+        String dataCentre,
+        Optional<String> service,
+        long timeToLiveMillis,
+        long memoryBytes,
+        Map<ModelId, LoadedModel> contents,
+        Set<Role> roles,
+        int slots,
+        Load load,
+        boolean enforcesFencing,
+        boolean leaving) {
+    public TargetAnnouncement {
+        contents = Map.copyOf(contents);
+        roles = Set.copyOf(roles);
+    }
+
+    /** Tells whether the target can serve the model now. */
+    public boolean isReadyFor(ModelId model) {
+        LoadedModel loaded = contents.get(model);
+        return loaded != null && loaded.ready();
+    }
+
+    /** Tells whether this announcement is newer than another of the same target. */
+    public boolean isNewerThan(TargetAnnouncement other) {
+        if (incarnation != other.incarnation) {
+            return incarnation > other.incarnation;
+        }
+        return sequence > other.sequence;
+    }
+
+    /** The part of a request an engine does. */
+    public enum Role {
+        PREFILL,
+        DECODE
+    }
+
+    /** One model or adapter in accelerator memory. */
+    public record LoadedModel(int version, long memoryBytes, boolean ready) {}
+
+    /** Requests running and waiting at the target. */
+    public record Load(int running, int waiting) {}
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/BodyDetails.java
@@ -0,0 +1,37 @@
+package org.basilrill.transport.http;
+
+import java.util.Set;
+import org.apache.hc.core5.http.EntityDetails;
+
+/**
+ * The length of a body; negative for a chunked one. Its type is among the header fields already. Immutable and thread
+ * safe.
+ */
+record BodyDetails(long length) implements EntityDetails {
+    static final long CHUNKED = -1;
+
+    @Override
+    public long getContentLength() {
+        return length;
+    }
+
+    @Override
+    public String getContentType() {
+        return null;
+    }
+
+    @Override
+    public String getContentEncoding() {
+        return null;
+    }
+
+    @Override
+    public boolean isChunked() {
+        return length < 0;
+    }
+
+    @Override
+    public Set<String> getTrailerNames() {
+        return Set.of();
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/PlainRoutes.java
@@ -0,0 +1,12 @@
+package org.basilrill.transport.http;
+
+import java.util.concurrent.CompletableFuture;
+import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.caller.RequestHead;
+
+/** Answers requests that this instance serves itself. Implementations are thread safe and never block. */
+@FunctionalInterface
+public interface PlainRoutes {
+    /** Returns the answer; fails with a typed failure if the request is refused. */
+    CompletableFuture<PlainAnswer> answer(RequestHead head, byte[] body);
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/StrictRequestParser.java
@@ -0,0 +1,170 @@
+package org.basilrill.transport.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.nio.NHttpMessageParser;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.protocol.caller.HeaderField;
+import org.basilrill.protocol.caller.RequestHead;
+
+/**
+ * Parses request heads and accepts only those that every HTTP program reads the same way, so that no request can be
+ * smuggled past this one. After a rejected head nothing more is read from the connection. Used by the thread of one
+ * connection.
+ */
+final class StrictRequestParser implements NHttpMessageParser<HttpRequest> {
+    private static final Pattern REQUEST_LINE =
+            Pattern.compile("([A-Z]{1,16}) (/[\\x21-\\x7e&&[^#?]]*)(\\?[\\x21-\\x7e&&[^#]]*)? HTTP/1\\.1");
+    private static final Pattern HEADER_LINE =
+            Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \\t]*([\\x20-\\x7e\\t\\x80-\\xff]*?)[ \\t]*");
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,15}");
+    private static final String CONTENT_LENGTH = "content-length";
+    private static final String TRANSFER_ENCODING = "transfer-encoding";
+    private static final int MAXIMUM_HEADER_FIELDS = 100;
+
+    private final int maximumBytes;
+    private final CallerConnection connection;
+    private final CharArrayBuffer line = new CharArrayBuffer(256);
+    private Optional<Matcher> requestLine = Optional.empty();
+    private List<HeaderField> headers = new ArrayList<>();
+    private int bytes;
+    private boolean refusing;
+
+    StrictRequestParser(int maximumBytes, CallerConnection connection) {
+        this.maximumBytes = maximumBytes;
+        this.connection = connection;
+    }
+
+    @Override
+    public void reset() {
+        requestLine = Optional.empty();
+        headers = new ArrayList<>();
+        bytes = 0;
+    }
+
+    @Override
+    public HttpRequest parse(SessionInputBuffer input, boolean endOfStream) throws IOException {
+        if (refusing || connection.refusesInput()) {
+            discard(input);
+            return null;
+        }
+        try {
+            return parseLines(input, endOfStream);
+        } catch (MessageConstraintException exception) {
+            return reject(tooLarge());
+        } catch (BasilrillException rejection) {
+            return reject(rejection);
+        }
+    }
+
+    private HttpRequest parseLines(SessionInputBuffer input, boolean endOfStream) throws IOException {
+        while (input.hasData()) {
+            connection.headBegan();
+            int before = input.length();
+            line.clear();
+            boolean complete = input.readLine(line, endOfStream);
+            bytes += before - input.length();
+            if (bytes + (complete ? 0 : input.length()) > maximumBytes) {
+                throw tooLarge();
+            }
+            if (!complete) {
+                return null;
+            }
+            if (line.isEmpty() && requestLine.isPresent()) {
+                ParsedHttpRequest request = ParsedHttpRequest.accepted(head());
+                connection.headEnded();
+                return request;
+            }
+            readLine(line.toString());
+        }
+        return null;
+    }
+
+    /** An empty line may stand before a request, as some callers send one after a body. */
+    private void readLine(String text) {
+        if (requestLine.isEmpty()) {
+            if (!text.isEmpty()) {
+                Matcher matcher = REQUEST_LINE.matcher(text);
+                require(matcher.matches(), "the request line is not one of HTTP/1.1 with an absolute path");
+                requestLine = Optional.of(matcher);
+            }
+            return;
+        }
+        Matcher matcher = HEADER_LINE.matcher(text);
+        require(matcher.matches(), "a header line is malformed or folded");
+        headers.add(new HeaderField(matcher.group(1), matcher.group(2)));
+        if (headers.size() > MAXIMUM_HEADER_FIELDS) {
+            throw tooLarge();
+        }
+    }
+
+    private RequestHead head() {
+        Matcher first = requestLine.orElseThrow();
+        Optional<String> query = Optional.ofNullable(first.group(3)).map(text -> text.substring(1));
+        RequestHead head = new RequestHead(first.group(1), first.group(2), query, headers);
+        requireOneHost(head);
+        requireOneFraming(head);
+        if (head.method().equals("CONNECT") || head.method().equals("TRACE")) {
+            throw new BasilrillException(ErrorCode.METHOD_NOT_ALLOWED, head.method() + " is not supported");
+        }
+        return head;
+    }
+
+    private static void requireOneHost(RequestHead head) {
+        require(count(head, "host") == 1, "exactly one Host is required");
+    }
+
+    /** Two statements of the length would let two programs disagree on where the next request begins. */
+    private static void requireOneFraming(RequestHead head) {
+        int lengths = count(head, CONTENT_LENGTH);
+        int encodings = count(head, TRANSFER_ENCODING);
+        require(lengths + encodings <= 1, "the length of the body is stated more than once");
+        head.header(CONTENT_LENGTH)
+                .ifPresent(value -> require(LENGTH.matcher(value).matches(), "Content-Length is not a number"));
+        head.header(TRANSFER_ENCODING)
+                .ifPresent(value -> require(value.equalsIgnoreCase("chunked"), "Transfer-Encoding is not chunked"));
+        require(count(head, "upgrade") == 0, "Upgrade is not supported");
+    }
+
+    private static int count(RequestHead head, String name) {
+        return (int) head.headers().stream()
+                .filter(field -> field.name().equalsIgnoreCase(name))
+                .count();
+    }
+
+    private HttpRequest reject(BasilrillException rejection) {
+        refusing = true;
+        connection.headEnded();
+        return ParsedHttpRequest.rejected(rejection);
+    }
+
+    private BasilrillException tooLarge() {
+        return new BasilrillException(
+                ErrorCode.HEADERS_TOO_LARGE,
+                "the request line and the header fields exceed " + maximumBytes + " bytes");
+    }
+
+    private static void discard(SessionInputBuffer input) {
+        ByteBuffer scrap = ByteBuffer.allocate(1024);
+        while (input.hasData()) {
+            scrap.clear();
+            input.read(scrap);
+        }
+    }
+
+    private static void require(boolean condition, String detail) {
+        if (!condition) {
+            throw new BasilrillException(ErrorCode.MALFORMED_REQUEST, detail);
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -0,0 +1,221 @@
+package org.basilrill.transport.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiConsumer;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOSession;
+import org.basilrill.protocol.caller.AnswerHead;
+import org.basilrill.protocol.caller.HeaderField;
+import org.basilrill.protocol.instance.TargetConnector;
+
+/**
+ * One request to a target on one connection. Reports the answer as it arrives and at most one end. Thread safe: the
+ * callbacks of the connection run on its thread, grants and cancellation on any.
+ */
+final class TargetExchange implements AsyncClientExchangeHandler, TargetConnector.Call {
+    private static final String CLOSE = "close";
+    private static final String CONNECTION = "connection";
+
+    private final HttpHost host;
+    private final TargetConnector.Request request;
+    private final TargetConnector.Listener listener;
+    private final BiConsumer<HttpHost, IOSession> keep;
+    private final ByteBuffer body;
+    private final AtomicBoolean over = new AtomicBoolean();
+    private final Object lock = new Object();
+    private IOSession session;
+    private boolean reused;
+    private CapacityChannel capacity;
+    private int granted;
+    private boolean requestSent;
+    private boolean keepAlive;
+
+    TargetExchange(
+            HttpHost host,
+            TargetConnector.Request request,
+            TargetConnector.Listener listener,
+            BiConsumer<HttpHost, IOSession> keep) {
+        this.host = host;
+        this.request = request;
+        this.listener = listener;
+        this.keep = keep;
+        body = ByteBuffer.wrap(request.body());
+    }
+
+    /** Binds the exchange to its connection; false if it was cancelled before. */
+    boolean attach(IOSession connection, boolean usedBefore) {
+        synchronized (lock) {
+            session = connection;
+            reused = usedBefore;
+            return !over.get();
+        }
+    }
+
+    void connectFailed(Exception problem) {
+        if (over.compareAndSet(false, true)) {
+            report(TargetConnector.Kind.UNREACHABLE, problem);
+        }
+    }
+
+    @Override
+    public void grant(int bytes) {
+        synchronized (lock) {
+            granted += bytes;
+        }
+        applyGrants();
+    }
+
+    @Override
+    public void cancel() {
+        IOSession connection;
+        synchronized (lock) {
+            over.set(true);
+            connection = session;
+        }
+        if (connection != null) {
+            connection.close(CloseMode.IMMEDIATE);
+        }
+    }
+
+    @Override
+    public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+        if (over.get() || !listener.maySend()) {
+            throw new ConnectionClosedException("the request was withdrawn");
+        }
+        BasicHttpRequest message = new BasicHttpRequest(request.method(), host, request.pathAndQuery());
+        request.headers().forEach(field -> message.addHeader(field.name(), field.value()));
+        boolean hasBody = request.body().length > 0;
+        requestSent = !hasBody;
+        channel.sendRequest(message, hasBody ? new BodyDetails(request.body().length) : null, context);
+    }
+
+    @Override
+    public int available() {
+        return body.remaining();
+    }
+
+    @Override
+    public void produce(DataStreamChannel channel) throws IOException {
+        channel.write(body);
+        if (!body.hasRemaining() && !requestSent) {
+            requestSent = true;
+            channel.endStream();
+        }
+    }
+
+    @Override
+    public void consumeInformation(HttpResponse response, HttpContext context) {
+        // Interim answers such as 100 and 103 end here.
+    }
+
+    @Override
+    public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
+            throws HttpException, IOException {
+        boolean endsWithConnection = entity != null && entity.getContentLength() < 0 && !entity.isChunked();
+        if (endsWithConnection) {
+            // Its end could not be told from a cut.
+            throw new HttpException("the answer states no length");
+        }
+        List<HeaderField> headers = new ArrayList<>();
+        for (Header header : response.getHeaders()) {
+            headers.add(new HeaderField(header.getName(), header.getValue()));
+        }
+        AnswerHead head = new AnswerHead(response.getCode(), headers);
+        keepAlive = head.header(CONNECTION).filter(CLOSE::equalsIgnoreCase).isEmpty()
+                && response.getVersion().greaterEquals(HttpVersion.HTTP_1_1);
+        if (!over.get()) {
+            listener.answered(head);
+        }
+        if (entity == null) {
+            complete();
+        }
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel channel) throws IOException {
+        synchronized (lock) {
+            capacity = channel;
+        }
+        applyGrants();
+    }
+
+    @Override
+    public void consume(ByteBuffer source) {
+        byte[] bytes = new byte[source.remaining()];
+        source.get(bytes);
+        if (!over.get()) {
+            listener.received(bytes);
+        }
+    }
+
+    @Override
+    public void streamEnd(List<? extends Header> trailers) {
+        complete();
+    }
+
+    @Override
+    public void failed(Exception cause) {
+        if (over.compareAndSet(false, true)) {
+            boolean invalid = cause instanceof HttpException && !(cause instanceof ConnectionClosedException);
+            report(invalid ? TargetConnector.Kind.INVALID_ANSWER : TargetConnector.Kind.CONNECTION_LOST, cause);
+        }
+    }
+
+    @Override
+    public void releaseResources() {
+        failed(new ConnectionClosedException("the connection was closed"));
+    }
+
+    private void complete() {
+        if (!over.compareAndSet(false, true)) {
+            return;
+        }
+        if (keepAlive && requestSent) {
+            keep.accept(host, session);
+        } else {
+            session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
+        }
+        listener.ended();
+    }
+
+    private void applyGrants() {
+        CapacityChannel channel;
+        int bytes;
+        synchronized (lock) {
+            channel = capacity;
+            bytes = granted;
+            if (channel == null || bytes == 0) {
+                return;
+            }
+            granted = 0;
+        }
+        try {
+            channel.update(bytes);
+        } catch (IOException exception) {
+            failed(exception);
+        }
+    }
+
+    private void report(TargetConnector.Kind kind, Exception cause) {
+        listener.failed(new TargetConnector.Failure(kind, reused, String.valueOf(cause.getMessage())));
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeControl.java
@@ -0,0 +1,152 @@
+package org.basilrill.protocol.instance;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.Outcome;
+import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.control.ControlClient;
+import org.basilrill.state.control.ControlCommand;
+import org.basilrill.state.control.ControlResult;
+import org.basilrill.state.control.ControlView;
+import org.basilrill.state.control.RecordedAnswer;
+
+/** A control log in memory that knows claims of orders and crash reports. Thread safe. */
+public final class FakeControl implements ControlClient {
+    private final Map<String, Claim> claims = new HashMap<>();
+    private final Map<String, Set<String>> crashes = new HashMap<>();
+    private final List<ControlCommand> commands = new ArrayList<>();
+    private final List<Consumer<ControlView>> listeners = new CopyOnWriteArrayList<>();
+    private volatile ControlView view = ControlView.empty();
+    private volatile boolean current = true;
+    private volatile Consumer<Runnable> delivery = Runnable::run;
+
+    /** Decides when and whether answers arrive; the fuzz delays and loses them. */
+    public void deliverBy(Consumer<Runnable> newDelivery) {
+        delivery = newDelivery;
+    }
+
+    /** Installs rules and tells the listeners. */
+    public void install(Rules rules) {
+        view = new ControlView(view.index() + 1, rules, Map.of(), view.blockedFingerprints(), Map.of());
+        listeners.forEach(listener -> listener.accept(view));
+    }
+
+    /** Blocks a fingerprint as the log does after two lost targets. */
+    public void block(String fingerprint) {
+        view = new ControlView(view.index() + 1, view.rules(), Map.of(), Set.of(fingerprint), Map.of());
+    }
+
+    public void setCurrent(boolean isCurrent) {
+        current = isCurrent;
+    }
+
+    /** Returns all commands that reached the log. */
+    public synchronized List<ControlCommand> commands() {
+        return List.copyOf(commands);
+    }
+
+    /** Returns the outcome recorded for an idempotency key, if one is. */
+    public synchronized Optional<Outcome> outcomeOf(String idempotencyKey) {
+        return Optional.ofNullable(claims.get(idempotencyKey)).map(claim -> claim.outcome);
+    }
+
+    @Override
+    public CompletableFuture<ControlResult> submit(ControlCommand command, Duration deadline) {
+        CompletableFuture<ControlResult> answer = new CompletableFuture<>();
+        delivery.accept(() -> answer.complete(apply(command)));
+        return answer;
+    }
+
+    @Override
+    public ControlView view() {
+        return view;
+    }
+
+    @Override
+    public boolean isCurrent() {
+        return current;
+    }
+
+    @Override
+    public long sessionId() {
+        return 7;
+    }
+
+    @Override
+    public boolean holdsSession() {
+        return true;
+    }
+
+    @Override
+    public void onView(Consumer<ControlView> listener) {
+        listeners.add(listener);
+    }
+
+    private synchronized ControlResult apply(ControlCommand command) {
+        commands.add(command);
+        if (command instanceof ControlCommand.ClaimOrder order) {
+            return claim(order);
+        }
+        if (command instanceof ControlCommand.FinishOrder order) {
+            return finish(order);
+        }
+        if (command instanceof ControlCommand.ReportCrash crash) {
+            Set<String> targets = crashes.computeIfAbsent(crash.fingerprint(), unused -> new HashSet<>());
+            targets.add(crash.target().value());
+            return new ControlResult.CrashCount(targets.size());
+        }
+        if (command instanceof ControlCommand.ReplaceRules replace) {
+            return replace.expectedRevision() == view.rules().revision()
+                    ? new ControlResult.RulesAccepted(replace.expectedRevision() + 1)
+                    : new ControlResult.RulesConflict(view.rules().revision(), "luis");
+        }
+        return new ControlResult.Done();
+    }
+
+    private ControlResult claim(ControlCommand.ClaimOrder order) {
+        Claim claim = claims.get(order.idempotencyKey());
+        if (claim == null || claim.outcome == Outcome.NOT_RUN) {
+            claims.put(order.idempotencyKey(), new Claim(order));
+            return new ControlResult.OrderGranted();
+        }
+        if (!claim.order.fingerprint().equals(order.fingerprint())) {
+            return new ControlResult.Refused(ErrorCode.ORDER_MISMATCH, "the key was used for another order");
+        }
+        if (claim.outcome == null) {
+            return new ControlResult.OrderRunning(new InstanceId("elsewhere"));
+        }
+        return new ControlResult.OrderFinished(claim.outcome, claim.answer);
+    }
+
+    private ControlResult finish(ControlCommand.FinishOrder order) {
+        Claim claim = claims.get(order.idempotencyKey());
+        if (claim == null || !claim.order.attempt().equals(order.attempt())) {
+            return new ControlResult.Refused(ErrorCode.INTERNAL, "not the holder");
+        }
+        claim.outcome = order.outcome();
+        claim.answer = order.answer();
+        return new ControlResult.Done();
+    }
+
+    /** One claim and its outcome. */
+    private static final class Claim {
+        private final ControlCommand.ClaimOrder order;
+        private Outcome outcome;
+        private Optional<RecordedAnswer> answer = Optional.empty();
+
+        Claim(ControlCommand.ClaimOrder order) {
+            this.order = order;
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -0,0 +1,220 @@
+package org.basilrill.protocol.instance;
+
+import com.codahale.metrics.MetricRegistry;
+import io.opentelemetry.api.trace.Tracer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.MonotonicClock;
+import org.basilrill.api.Scheduler;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.admission.Dispatcher;
+import org.basilrill.coordination.admission.RetryBudget;
+import org.basilrill.coordination.admission.TokenAdmission;
+import org.basilrill.state.configuration.KeyHash;
+import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.TargetAnnouncement;
+
+/** The collaborators of a coordinator in memory, with counts of what must be given back. Thread safe. */
+public final class FakeServices implements TokenAdmission, Dispatcher, RetryBudget {
+    public static final String KEY = "brk-0123456789abcdef0123456789abcdef";
+    public static final String OPERATOR_KEY = "brk-operator-0123456789abcdef";
+    public static final AccountId ACCOUNT = new AccountId("parish-desk");
+    public static final String MODEL = "medal-match";
+
+    private final FakeControl control = new FakeControl();
+    private final List<TargetAnnouncement> targets = new CopyOnWriteArrayList<>();
+    private final AtomicInteger openCharges = new AtomicInteger();
+    private final AtomicInteger openAssignments = new AtomicInteger();
+    private final AtomicLong tokensUsed = new AtomicLong();
+    private final List<AttemptResult> results = new CopyOnWriteArrayList<>();
+    private volatile Optional<ErrorCode> admissionFailure = Optional.empty();
+    private volatile int retries = Integer.MAX_VALUE;
+
+    public FakeServices() {
+        control.install(rules(1, true));
+    }
+
+    /** Returns rules with one account, one model and a service with an order route. */
+    public static Rules rules(long revision, boolean keyInForce) {
+        ModelId model = new ModelId(MODEL);
+        return new Rules(
+                revision,
+                Map.of(ACCOUNT, new Rules.Account(ACCOUNT, 2000, 20000, 1)),
+                keyInForce ? Map.of(KeyHash.of(KEY), ACCOUNT) : Map.of(),
+                Map.of(KeyHash.of(OPERATOR_KEY), new Rules.Operator("ana", Rules.Role.ADMIN)),
+                Map.of(model, new Rules.Model(model, 1, 1, 1, 1, 5)),
+                Map.of(),
+                Map.of("ledger", new Rules.Service("ledger", 0, List.of(new Rules.RoutePattern("POST", "/orders")))),
+                List.of(new Rules.RoutePattern("GET", "/v1/services/ledger/status")),
+                Rules.StoreLimits.defaults());
+    }
+
+    public static TargetAnnouncement target(String name, int port) {
+        return new TargetAnnouncement(
+                new TargetId(name),
+                1,
+                1,
+                "127.0.0.1",
+                port,
+                "north",
+                Optional.empty(),
+                2000,
+                1,
+                Map.of(),
+                Set.of(),
+                8,
+                new TargetAnnouncement.Load(0, 0),
+                true,
+                false);
+    }
+
+    public RequestServices with(
+            TargetConnector connector, MonotonicClock clock, Scheduler scheduler, Tracer tracer, RequestLimits limits) {
+        return new RequestServices(
+                new InstanceId("north-1"),
+                control,
+                this,
+                this,
+                this,
+                connector,
+                clock,
+                scheduler,
+                () -> 1_000_000,
+                new Random(11),
+                new RequestTracing(tracer),
+                new MetricRegistry(),
+                limits,
+                () -> List.of("127.0.0.1:4001"));
+    }
+
+    public FakeControl control() {
+        return control;
+    }
+
+    /** Requests go to the first target of the list that is not excluded. */
+    public List<TargetAnnouncement> targets() {
+        return targets;
+    }
+
+    public int openCharges() {
+        return openCharges.get();
+    }
+
+    public int openAssignments() {
+        return openAssignments.get();
+    }
+
+    public long tokensUsed() {
+        return tokensUsed.get();
+    }
+
+    public List<AttemptResult> results() {
+        return new ArrayList<>(results);
+    }
+
+    public void failAdmission(ErrorCode code) {
+        admissionFailure = Optional.ofNullable(code);
+    }
+
+    public void allowRetries(int number) {
+        retries = number;
+    }
+
+    @Override
+    public CompletableFuture<Charge> charge(AccountId account, long tokens, long deadlineNanos) {
+        if (admissionFailure.isPresent()) {
+            return CompletableFuture.failedFuture(
+                    new BasilrillException(admissionFailure.get(), "refused by the test"));
+        }
+        openCharges.incrementAndGet();
+        return CompletableFuture.completedFuture(new CountedCharge(tokens));
+    }
+
+    @Override
+    public CompletableFuture<Assignment> dispatch(Request request) {
+        return targets.stream()
+                .filter(target -> !request.excludedTargets().contains(target.id()))
+                .findFirst()
+                .map(target -> {
+                    openAssignments.incrementAndGet();
+                    return CompletableFuture.<Assignment>completedFuture(new CountedAssignment(target));
+                })
+                .orElseGet(() -> CompletableFuture.failedFuture(
+                        new BasilrillException(ErrorCode.NO_TARGET, "no target is left")));
+    }
+
+    @Override
+    public void requestStarted() {
+        // The fake budget does not depend on the number of requests.
+    }
+
+    @Override
+    public synchronized boolean tryRetry() {
+        if (retries <= 0) {
+            return false;
+        }
+        retries--;
+        return true;
+    }
+
+    /** A charge whose settlement is counted. */
+    private final class CountedCharge implements Charge {
+        private final long tokens;
+        private boolean settled;
+
+        CountedCharge(long tokens) {
+            this.tokens = tokens;
+        }
+
+        @Override
+        public long tokens() {
+            return tokens;
+        }
+
+        @Override
+        public synchronized void settle(long usedTokens) {
+            if (!settled) {
+                settled = true;
+                openCharges.decrementAndGet();
+                tokensUsed.addAndGet(usedTokens);
+            }
+        }
+    }
+
+    /** An assignment whose release is counted. */
+    private final class CountedAssignment implements Assignment {
+        private final TargetAnnouncement target;
+        private boolean released;
+
+        CountedAssignment(TargetAnnouncement target) {
+            this.target = target;
+        }
+
+        @Override
+        public TargetAnnouncement target() {
+            return target;
+        }
+
+        @Override
+        public synchronized void release(AttemptResult result) {
+            if (!released) {
+                released = true;
+                openAssignments.decrementAndGet();
+                results.add(result);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
@@ -0,0 +1,107 @@
+package org.basilrill.transport.http;
+
+import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.sdk.trace.SdkTracerProvider;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.basilrill.api.Scheduler;
+import org.basilrill.protocol.instance.FakeServices;
+import org.basilrill.protocol.instance.RequestCoordinator;
+import org.basilrill.protocol.instance.RequestLimits;
+
+/** A gateway on loopback in front of raw targets, with all collaborators in memory. */
+final class GatewayFixture implements AutoCloseable {
+    static final int WINDOW_BYTES = 16 * 1024;
+
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final FakeServices services = new FakeServices();
+    private final TargetHttpClient client;
+    private final RequestCoordinator coordinator;
+    private final HttpGateway gateway;
+
+    GatewayFixture(Duration progressDeadline, Duration headerWait, PlainRoutes routes) {
+        Scheduler scheduler = scheduler(timer);
+        Tracer tracer = SdkTracerProvider.builder().build().get("test");
+        RequestLimits limits = new RequestLimits(
+                Duration.ofSeconds(15),
+                Duration.ofSeconds(60),
+                progressDeadline,
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                WINDOW_BYTES,
+                4);
+        client = new TargetHttpClient(TargetHttpClient.Settings.defaults(WINDOW_BYTES), System::nanoTime, scheduler);
+        coordinator = new RequestCoordinator(services.with(client, System::nanoTime, scheduler, tracer, limits));
+        GatewaySettings settings = new GatewaySettings(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                2,
+                headerWait,
+                Duration.ofMinutes(1),
+                8 * 1024 * 1024,
+                16 * 1024);
+        gateway = new HttpGateway(settings, coordinator, routes, System::nanoTime, scheduler);
+        gateway.start();
+    }
+
+    static GatewayFixture open() {
+        return new GatewayFixture(Duration.ofSeconds(15), Duration.ofSeconds(15), (head, body) -> {
+            throw new UnsupportedOperationException("no plain routes in this test");
+        });
+    }
+
+    static Scheduler scheduler(ScheduledExecutorService timer) {
+        return (delay, task) -> {
+            Future<?> scheduled = timer.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+            return () -> scheduled.cancel(false);
+        };
+    }
+
+    void addTarget(RawTarget target) {
+        services.targets()
+                .add(FakeServices.target("target-" + services.targets().size(), target.port()));
+    }
+
+    FakeServices services() {
+        return services;
+    }
+
+    RequestCoordinator coordinator() {
+        return coordinator;
+    }
+
+    HttpGateway gateway() {
+        return gateway;
+    }
+
+    TargetHttpClient client() {
+        return client;
+    }
+
+    RawHttp connect() throws IOException {
+        return new RawHttp(gateway.address().getPort());
+    }
+
+    /** Waits until nothing runs, then returns; for checks of what was given back. */
+    void awaitIdle() throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (coordinator.requestsInFlight() > 0 && System.nanoTime() < end) {
+            Thread.onSpinWait();
+        }
+        if (coordinator.requestsInFlight() > 0) {
+            throw new IllegalStateException("requests still run");
+        }
+    }
+
+    @Override
+    public void close() {
+        gateway.stop(Duration.ZERO).join();
+        client.close();
+        timer.shutdownNow();
+    }
+}
