--- /dev/null
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/DaemonThreads.java
@@ -0,0 +1,44 @@
+package org.basilrill.daemon;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.basilrill.transport.threads.ExecutorScheduler;
+
+/** The threads of one daemon. Thread safe. */
+final class DaemonThreads implements AutoCloseable {
+    /** Decisions are short and never block, so a few threads suffice on a small instance. */
+    private static final int DECISION_THREADS = 4;
+
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(named("timer"));
+    private final ExecutorService decisions = Executors.newFixedThreadPool(DECISION_THREADS, named("decision"));
+    /** Senders to other instances may block in a write, so they get a thread each. */
+    private final ExecutorService peers = Executors.newCachedThreadPool(named("peer"));
+
+    /** Returns a scheduler that runs its tasks on the decision threads. */
+    ExecutorScheduler scheduler() {
+        return new ExecutorScheduler(timer, decisions);
+    }
+
+    ExecutorService peers() {
+        return peers;
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        decisions.shutdown();
+        peers.shutdown();
+    }
+
+    private static ThreadFactory named(String prefix) {
+        AtomicInteger count = new AtomicInteger();
+        return task -> {
+            Thread thread = new Thread(task, prefix + "-" + count.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- /dev/null
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -0,0 +1,209 @@
+package org.basilrill.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
+import org.basilrill.api.PeerSubject;
+import org.basilrill.coordination.consensus.ReplicaId;
+import org.basilrill.coordination.control.RulesSource;
+import org.basilrill.coordination.membership.Membership.Member;
+import org.basilrill.daemon.settings.Settings;
+import org.basilrill.protocol.administration.AdministrationHandler;
+import org.basilrill.protocol.administration.AdministrationViews;
+import org.basilrill.protocol.administration.RulesText;
+import org.basilrill.protocol.instance.Instance;
+import org.basilrill.protocol.instance.InstanceEnvironment;
+import org.basilrill.protocol.instance.InstanceEnvironment.LocalReplica;
+import org.basilrill.protocol.instance.RequestLimits;
+import org.basilrill.state.configuration.KeyHash;
+import org.basilrill.state.control.ControlStateMachine;
+import org.basilrill.transport.http.GatewayRoutes;
+import org.basilrill.transport.http.GatewaySettings;
+import org.basilrill.transport.http.HttpGateway;
+import org.basilrill.transport.http.HttpTargetOrders;
+import org.basilrill.transport.http.TargetHttpClient;
+import org.basilrill.transport.observation.Tracing;
+import org.basilrill.transport.peer.PeerAddress;
+import org.basilrill.transport.peer.PeerTransport;
+import org.basilrill.transport.threads.ControlReplica;
+import org.basilrill.transport.threads.SystemClock;
+
+/** Runs one instance with real sockets, threads and disks. Thread safe. */
+public final class InstanceDaemon {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Duration ADMINISTRATION_DEADLINE = Duration.ofSeconds(5);
+    private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(2);
+    /** Handing buckets over spares the next owner the wait for a lost one; a stop does not depend on it. */
+    private static final Duration HAND_OVER_LIMIT = Duration.ofSeconds(2);
+
+    private final Settings settings;
+    private final DaemonThreads threads = new DaemonThreads();
+    private final SystemClock clock = new SystemClock();
+    private final PeerTransport peers;
+    private final TargetHttpClient targetClient;
+    private final Optional<ControlReplica> replica;
+    private final Instance instance;
+    private final HttpGateway gateway;
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    /**
+     * Assembles a daemon.
+     *
+     * @throws org.basilrill.api.BasilrillException with {@code DISK_FAILED} if the data folder cannot be used
+     */
+    public InstanceDaemon(Settings settings) {
+        this.settings = settings;
+        this.peers = new PeerTransport(settings.instance(), this::addressOf, threads.peers());
+        RequestLimits limits = limits();
+        this.targetClient = new TargetHttpClient(
+                TargetHttpClient.Settings.defaults(limits.windowBytes()), clock, threads.scheduler());
+        ControlStateMachine machine = new ControlStateMachine();
+        this.replica = settings.dataFolder()
+                .map(folder -> ControlReplica.start(
+                        settings.instance(), settings.replicas().keySet(), folder.resolve("log"), machine, peers));
+        MetricRegistry metrics = new MetricRegistry();
+        this.instance = new Instance(environment(machine, limits, metrics));
+        this.gateway = createGateway(metrics);
+    }
+
+    /**
+     * Starts to serve.
+     *
+     * @throws org.basilrill.api.BasilrillException with {@code ADDRESS_IN_USE} if an address cannot be bound
+     */
+    public void start() {
+        instance.handlers().forEach(peers::handle);
+        replica.ifPresent(log -> peers.handle(PeerSubject.CONSENSUS, log));
+        gateway.start();
+        peers.start(settings.peerAddress());
+        instance.start();
+        LOGGER.atInfo().log("%s: %s", LogEvent.INSTANCE_STARTED, settings.instance());
+    }
+
+    /** Stops gracefully, in the background: finishes the running requests within the drain limit. */
+    public void beginStop() {
+        if (stopping.compareAndSet(false, true)) {
+            new Thread(this::stop, "stop").start();
+        }
+    }
+
+    /** Waits until a stop has ended. */
+    public void awaitStop() throws InterruptedException {
+        stopped.await();
+    }
+
+    private void stop() {
+        LOGGER.atInfo().log("%s: %s", LogEvent.INSTANCE_DRAINING, settings.instance());
+        CompletableFuture<Void> handedOver = instance.beginDrain();
+        CompletableFuture<HttpGateway.StopReport> drained = gateway.stop(settings.drainLimit());
+        await(drained, settings.drainLimit().plusSeconds(1));
+        await(handedOver, HAND_OVER_LIMIT);
+        instance.stop();
+        replica.ifPresent(ControlReplica::close);
+        peers.close();
+        targetClient.close();
+        threads.close();
+        LOGGER.atInfo().log("%s: %s", LogEvent.INSTANCE_STOPPED, settings.instance());
+        stopped.countDown();
+    }
+
+    private static void await(CompletableFuture<?> future, Duration limit) {
+        try {
+            future.get(limit.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException | ExecutionException exception) {
+            LOGGER.atWarning().withCause(exception).log("a step of the stop did not end in time");
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private InstanceEnvironment environment(ControlStateMachine machine, RequestLimits limits, MetricRegistry metrics) {
+        return new InstanceEnvironment(
+                settings.instance(),
+                settings.dataCentre(),
+                text(settings.callerAddress()),
+                text(settings.peerAddress()),
+                List.copyOf(settings.replicas().keySet()),
+                clock,
+                threads.scheduler(),
+                new SplittableRandom(),
+                peers,
+                targetClient,
+                new HttpTargetOrders(targetClient, threads.scheduler(), ORDER_TIMEOUT),
+                System::currentTimeMillis,
+                Tracing.tracer(),
+                metrics,
+                limits,
+                settings.operatorKeyHash().map(KeyHash::new),
+                replica.map(log -> new LocalReplica(log, machine, () -> membersOf(log))));
+    }
+
+    private HttpGateway createGateway(MetricRegistry metrics) {
+        AdministrationViews views = new AdministrationViews(
+                settings.instance(),
+                instance.control(),
+                instance.membership(),
+                instance.targets(),
+                instance.coordinator()::requestsInFlight);
+        AdministrationHandler administration = new AdministrationHandler(
+                instance.control(),
+                this::rulesText,
+                views,
+                this::beginStop,
+                settings.operatorKeyHash().map(KeyHash::new),
+                ADMINISTRATION_DEADLINE);
+        GatewayRoutes routes = new GatewayRoutes(
+                instance.listing(), instance.announcements(), administration, metrics, instance::isReady);
+        return new HttpGateway(
+                GatewaySettings.defaults(settings.callerAddress()),
+                instance.coordinator(),
+                routes,
+                clock,
+                threads.scheduler());
+    }
+
+    private CompletableFuture<RulesText.Revision> rulesText() {
+        RulesSource source = instance.control().rulesSource();
+        return CompletableFuture.completedFuture(new RulesText.Revision(source.revision(), source.text()));
+    }
+
+    private RequestLimits limits() {
+        RequestLimits defaults = RequestLimits.defaults();
+        return new RequestLimits(
+                defaults.defaultDeadline(),
+                defaults.maximumDeadline(),
+                settings.progressTimeout(),
+                defaults.controlDeadline(),
+                defaults.orderRetryDelay(),
+                defaults.windowBytes(),
+                defaults.maximumAttempts());
+    }
+
+    private Optional<InetSocketAddress> addressOf(InstanceId other) {
+        Optional<Member> member =
+                instance == null ? Optional.empty() : instance.membership().member(other);
+        return member.flatMap(known -> PeerAddress.parse(known.peerAddress()))
+                .or(() -> Optional.ofNullable(settings.replicas().get(other)));
+    }
+
+    private static List<InstanceId> membersOf(ControlReplica log) {
+        return log.status().members().voters().stream().map(ReplicaId::instance).toList();
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/AdministrationOptions.java
@@ -0,0 +1,72 @@
+package org.basilrill.daemon.command;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.transport.http.AdministrationClient;
+import org.basilrill.transport.peer.PeerAddress;
+
+/** The options of every command that uses the administration API. Stateless. */
+final class AdministrationOptions {
+    private static final String ADDRESS = "address";
+    private static final String KEY_FILE = "key-file";
+    private static final String KEY_VARIABLE = "BASILRILL_OPERATOR_KEY";
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private AdministrationOptions() {}
+
+    static Options create() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt(ADDRESS)
+                        .hasArg()
+                        .required()
+                        .desc("caller address of an instance, IP:port")
+                        .build())
+                .addOption(Option.builder()
+                        .longOpt(KEY_FILE)
+                        .hasArg()
+                        .desc("file that holds the operator's key; otherwise taken from " + KEY_VARIABLE)
+                        .build());
+    }
+
+    static AdministrationClient connect(CommandLine arguments) {
+        String address = arguments.getOptionValue(ADDRESS);
+        return PeerAddress.parse(address)
+                .map(parsed -> new AdministrationClient(parsed, operatorKey(arguments), TIMEOUT))
+                .orElseThrow(() -> new UsageException("address \"" + address + "\" is not an IP number with a port"));
+    }
+
+    /** Returns the body of a successful answer; reports any other as a failure. */
+    static String bodyOf(PlainAnswer answer) {
+        String body = new String(answer.body(), StandardCharsets.UTF_8);
+        if (answer.status() >= 300) {
+            throw new BasilrillException(ErrorCode.REQUEST_REFUSED, "status " + answer.status() + ": " + body.strip());
+        }
+        return body;
+    }
+
+    private static String operatorKey(CommandLine arguments) {
+        if (!arguments.hasOption(KEY_FILE)) {
+            String key = System.getenv(KEY_VARIABLE);
+            if (key == null || key.isBlank()) {
+                throw new UsageException("give the operator's key by --" + KEY_FILE + " or in " + KEY_VARIABLE);
+            }
+            return key.strip();
+        }
+        Path file = Path.of(arguments.getOptionValue(KEY_FILE));
+        try {
+            return Files.readString(file).strip();
+        } catch (IOException exception) {
+            throw new BasilrillException(ErrorCode.FILE_UNREADABLE, "cannot read key file " + file, exception);
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/Commands.java
@@ -0,0 +1,20 @@
+package org.basilrill.daemon.command;
+
+import java.io.PrintStream;
+import java.util.List;
+
+/** Lists the subcommands of the program. Stateless. */
+public final class Commands {
+    private Commands() {}
+
+    /** Returns every subcommand, in the order of the help text. */
+    public static List<Command> all(PrintStream output) {
+        return List.of(
+                ServeCommand.create(),
+                RulesCommands.check(output),
+                RulesCommands.apply(output),
+                InstanceCommands.status(output),
+                InstanceCommands.drain(output),
+                KeyCommand.create(output));
+    }
+}
--- /dev/null
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/InstanceCommands.java
@@ -0,0 +1,69 @@
+package org.basilrill.daemon.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintStream;
+import org.apache.commons.cli.CommandLine;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.transport.http.AdministrationClient;
+
+/** Shows the state of the system and drains instances. Stateless. */
+final class InstanceCommands {
+    private static final String ACCOUNTS = "accounts";
+    private static final String RULES = "rules";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private InstanceCommands() {}
+
+    static Command status(PrintStream output) {
+        return new Command(
+                "status",
+                "[accounts|rules]",
+                "shows instances and targets, client accounts, or the rules in force",
+                AdministrationOptions.create(),
+                arguments -> status(arguments, output));
+    }
+
+    static Command drain(PrintStream output) {
+        return new Command(
+                "drain",
+                "",
+                "stops an instance once its requests have ended",
+                AdministrationOptions.create(),
+                arguments -> drain(arguments, output));
+    }
+
+    private static ExitCode status(CommandLine arguments, PrintStream output) {
+        String what =
+                arguments.getArgList().isEmpty() ? "" : arguments.getArgList().get(0);
+        try (AdministrationClient client = AdministrationOptions.connect(arguments)) {
+            switch (what) {
+                case "" -> output.println(indented(AdministrationOptions.bodyOf(client.status())));
+                case ACCOUNTS -> output.println(indented(AdministrationOptions.bodyOf(client.accounts())));
+                case RULES -> printRules(AdministrationOptions.bodyOf(client.rules()), output);
+                default -> throw new UsageException("cannot show \"" + what + "\"");
+            }
+        } catch (JsonProcessingException exception) {
+            throw new BasilrillException(ErrorCode.MALFORMED_REQUEST, "the answer is not JSON", exception);
+        }
+        return ExitCode.SUCCESS;
+    }
+
+    private static ExitCode drain(CommandLine arguments, PrintStream output) {
+        try (AdministrationClient client = AdministrationOptions.connect(arguments)) {
+            AdministrationOptions.bodyOf(client.drain());
+            output.println("draining");
+            return ExitCode.SUCCESS;
+        }
+    }
+
+    private static void printRules(String body, PrintStream output) throws JsonProcessingException {
+        output.println("# revision " + MAPPER.readTree(body).path("revision").asLong());
+        output.print(MAPPER.readTree(body).path("text").asText());
+    }
+
+    private static String indented(String body) throws JsonProcessingException {
+        return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(MAPPER.readTree(body));
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/api/ErrorCode.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/ErrorCode.java
@@ -9,6 +9,7 @@
     KEY_MISSING(401, Outcome.NOT_RUN),
     KEY_UNKNOWN(401, Outcome.NOT_RUN),
     KEY_WITHDRAWN(401, Outcome.MAY_HAVE_RUN),
+    REQUEST_REFUSED(400, Outcome.NOT_RUN),
     FORBIDDEN(403, Outcome.NOT_RUN),
     NOT_FOUND(404, Outcome.NOT_RUN),
     METHOD_NOT_ALLOWED(405, Outcome.NOT_RUN),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -75,6 +75,11 @@
         return holder.view();
     }
 
+    /** Returns the text of the newest rules received. */
+    public RulesSource rulesSource() {
+        return holder.rulesSource();
+    }
+
     @Override
     public boolean isCurrent() {
         return puller.isCurrent();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewHolder.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewHolder.java
@@ -19,12 +19,24 @@
     private final List<Consumer<ControlView>> listeners = new CopyOnWriteArrayList<>();
     private final Queue<ControlView> undelivered = new ArrayDeque<>();
     private ControlView view = ControlView.empty();
+    private RulesSource source = new RulesSource(0, "");
     private boolean delivering;
 
     synchronized ControlView view() {
         return view;
     }
 
+    synchronized RulesSource rulesSource() {
+        return source;
+    }
+
+    /** Keeps the text of newer rules; called before the view with these rules is installed. */
+    synchronized void keepText(RulesSource candidate) {
+        if (candidate.revision() > source.revision()) {
+            source = candidate;
+        }
+    }
+
     void listen(Consumer<ControlView> listener) {
         listeners.add(listener);
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -100,6 +100,10 @@
                 answer.getReplicas().stream().map(InstanceId::new).toList());
         ControlView held = holder.view();
         if (answer.isSetView() && answer.getView().getIndex() > held.index()) {
+            if (answer.getView().isSetRulesText()) {
+                holder.keepText(new RulesSource(
+                        answer.getView().getRulesRevision(), answer.getView().getRulesText()));
+            }
             holder.install(ViewCodec.fromMessage(answer.getView(), held.rules()));
         }
         Runnable lost = () -> {};
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -0,0 +1,252 @@
+package org.basilrill.protocol.instance;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator.SplittableGenerator;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.PeerHandler;
+import org.basilrill.api.PeerSubject;
+import org.basilrill.coordination.admission.DemandListener;
+import org.basilrill.coordination.admission.DispatcherOptions;
+import org.basilrill.coordination.admission.FairDispatcher;
+import org.basilrill.coordination.admission.SlidingRetryBudget;
+import org.basilrill.coordination.budget.ClientBudgets;
+import org.basilrill.coordination.control.ControlEndpoint;
+import org.basilrill.coordination.control.ControlLogClient;
+import org.basilrill.coordination.control.ControlLogServer;
+import org.basilrill.coordination.membership.Fact.InstanceFact;
+import org.basilrill.coordination.membership.GossipMembership;
+import org.basilrill.coordination.membership.Membership;
+import org.basilrill.coordination.membership.TargetSpread;
+import org.basilrill.coordination.routing.RoutingOptions;
+import org.basilrill.coordination.routing.TargetRouter;
+import org.basilrill.protocol.caller.InstanceListing;
+import org.basilrill.protocol.peer.GossipCodec;
+import org.basilrill.protocol.peer.ThriftBudgetCodec;
+import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.AnnouncementReceiver;
+import org.basilrill.state.target.TargetChangeListener.Change;
+import org.basilrill.state.target.TargetChangeListener.Kind;
+import org.basilrill.state.target.TargetDirectory;
+import org.basilrill.state.target.TargetRegistry;
+
+/**
+ * One instance, assembled from an environment. Its entry points are {@link #handlers} (message received),
+ * {@link #announcements} (target announced), {@link #coordinator} (request arrived, body part sent), {@link #control}
+ * (operator asked) and the environment's scheduler (time passed). Reads no wall clock, starts no thread and opens no
+ * socket. Thread safe.
+ */
+public final class Instance {
+    private static final Duration LISTING_VALIDITY = Duration.ofSeconds(10);
+
+    private final InstanceEnvironment environment;
+    private final GossipMembership membership;
+    private final TargetRegistry targets;
+    private final TargetSpread spread;
+    private final ControlEndpoint controlEndpoint;
+    private final ControlLogClient control;
+    private final Optional<ControlLogServer> controlServer;
+    private final ClientBudgets budgets;
+    private final FairDispatcher dispatcher;
+    private final RequestCoordinator coordinator;
+    private final InstanceListing listing;
+    private final OwnFacts ownFacts;
+    private volatile boolean draining;
+
+    /** Assembles the instance; nothing happens before {@link #start}. */
+    public Instance(InstanceEnvironment environment) {
+        this.environment = environment;
+        this.membership = createMembership();
+        this.ownFacts = new OwnFacts(membership);
+        this.targets = new TargetRegistry(environment.clock());
+        this.spread = new TargetSpread(membership, targets, environment.clock());
+        this.controlEndpoint = new ControlEndpoint(environment.self(), environment.channel(), environment.scheduler());
+        this.control = new ControlLogClient(
+                controlEndpoint, environment.replicas(), environment.clock(), environment.scheduler(), split());
+        this.controlServer = environment.replica().map(this::createControlServer);
+        this.budgets = new ClientBudgets(
+                environment.self(),
+                environment.clock(),
+                environment.scheduler(),
+                split(),
+                environment.channel(),
+                control,
+                new ThriftBudgetCodec());
+        this.dispatcher = createDispatcher();
+        this.listing = new InstanceListing(membership, environment.self(), split(), LISTING_VALIDITY);
+        this.coordinator = createCoordinator();
+        targets.addListener(this::targetChanged);
+        membership.onPeriod(this::publishOwnFacts);
+    }
+
+    /** Starts every part; the environment must already deliver messages to {@link #handlers}. */
+    public void start() {
+        controlServer.ifPresent(ControlLogServer::start);
+        control.start();
+        budgets.start();
+        publishOwnFacts();
+        membership.start();
+    }
+
+    /** Tells all instances and callers that this one takes no new work, and hands its buckets over. */
+    public CompletableFuture<Void> beginDrain() {
+        draining = true;
+        publishOwnFacts();
+        return budgets.handOver();
+    }
+
+    /** Stops every part. The session of this instance ends by itself. */
+    public void stop() {
+        membership.stop();
+        control.stop();
+        controlServer.ifPresent(ControlLogServer::stop);
+    }
+
+    /** Returns the handlers of messages from other instances, by subject. */
+    public Map<PeerSubject, PeerHandler> handlers() {
+        Map<PeerSubject, PeerHandler> handlers = new EnumMap<>(PeerSubject.class);
+        handlers.put(
+                PeerSubject.MEMBERSHIP, (sender, payload) -> membership.received(sender, GossipCodec.decode(payload)));
+        handlers.put(PeerSubject.CONTROL, controlEndpoint);
+        handlers.put(PeerSubject.BUDGET, budgets);
+        return handlers;
+    }
+
+    /** Returns the life cycle of callers' requests. */
+    public RequestCoordinator coordinator() {
+        return coordinator;
+    }
+
+    /** Returns where targets announce themselves. */
+    public AnnouncementReceiver announcements() {
+        return spread;
+    }
+
+    /** Returns the access to the control log. */
+    public ControlLogClient control() {
+        return control;
+    }
+
+    /** Returns the instances known here. */
+    public Membership membership() {
+        return membership;
+    }
+
+    /** Returns the targets known here. */
+    public TargetDirectory targets() {
+        return targets;
+    }
+
+    /** Returns the token buckets of client accounts. */
+    public ClientBudgets budgets() {
+        return budgets;
+    }
+
+    /** Returns the list of instances for callers. */
+    public InstanceListing listing() {
+        return listing;
+    }
+
+    /** Tells whether the instance takes new requests. */
+    public boolean isReady() {
+        return !draining && control.isCurrent();
+    }
+
+    private GossipMembership createMembership() {
+        return new GossipMembership(
+                environment.self(),
+                environment.replicas(),
+                environment.wallClockMillis().getAsLong(),
+                environment.clock(),
+                environment.scheduler(),
+                split(),
+                (recipient, message) ->
+                        environment.channel().send(recipient, PeerSubject.MEMBERSHIP, GossipCodec.encode(message)));
+    }
+
+    private ControlLogServer createControlServer(InstanceEnvironment.LocalReplica replica) {
+        return new ControlLogServer(
+                controlEndpoint,
+                replica.log(),
+                replica.machine(),
+                replica.members(),
+                environment.clock(),
+                environment.scheduler(),
+                environment.wallClockMillis());
+    }
+
+    private FairDispatcher createDispatcher() {
+        TargetRouter router = new TargetRouter(
+                environment.self(),
+                environment.dataCentre(),
+                environment.clock(),
+                split(),
+                this::usableInstances,
+                RoutingOptions.defaults());
+        return new FairDispatcher(
+                targets,
+                router,
+                environment.clock(),
+                environment.scheduler(),
+                this::weightOf,
+                model -> Optional.empty(),
+                DemandListener.none(),
+                DispatcherOptions.defaults());
+    }
+
+    private RequestCoordinator createCoordinator() {
+        return new RequestCoordinator(new RequestServices(
+                environment.self(),
+                control,
+                budgets,
+                dispatcher,
+                new SlidingRetryBudget(environment.clock()),
+                environment.connector(),
+                environment.clock(),
+                environment.scheduler(),
+                environment.wallClockMillis(),
+                split(),
+                new RequestTracing(environment.tracer()),
+                environment.metrics(),
+                environment.limits(),
+                listing::otherAddresses));
+    }
+
+    private void targetChanged(Change change) {
+        if (change.kind() == Kind.EXPIRED) {
+            dispatcher.targetExpired(change.announcement().id());
+        } else {
+            dispatcher.targetChanged(change.announcement());
+        }
+    }
+
+    private void publishOwnFacts() {
+        ownFacts.publish(new InstanceFact(
+                environment.dataCentre(),
+                environment.callerAddress(),
+                environment.peerAddress(),
+                draining,
+                control.isCurrent(),
+                control.view().rules().revision()));
+        ownFacts.publishLoad(coordinator.requestsInFlight());
+    }
+
+    private int usableInstances() {
+        return (int) membership.members().stream()
+                .filter(member -> !member.suspected() && !member.draining())
+                .count();
+    }
+
+    private int weightOf(AccountId account) {
+        return Optional.ofNullable(control.view().rules().accounts().get(account))
+                .map(Rules.Account::weight)
+                .orElse(1);
+    }
+
+    private SplittableGenerator split() {
+        return environment.random().split();
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
@@ -48,6 +48,46 @@
         return loaded != null && loaded.ready();
     }
 
+    /** Returns the same announcement with another load. */
+    public TargetAnnouncement withLoad(Load other) {
+        return new TargetAnnouncement(
+                id,
+                incarnation,
+                sequence,
+                host,
+                port,
+                dataCentre,
+                service,
+                timeToLiveMillis,
+                memoryBytes,
+                contents,
+                roles,
+                slots,
+                other,
+                enforcesFencing,
+                leaving);
+    }
+
+    /** Returns the same announcement with another sequence number. */
+    public TargetAnnouncement withSequence(long other) {
+        return new TargetAnnouncement(
+                id,
+                incarnation,
+                other,
+                host,
+                port,
+                dataCentre,
+                service,
+                timeToLiveMillis,
+                memoryBytes,
+                contents,
+                roles,
+                slots,
+                load,
+                enforcesFencing,
+                leaving);
+    }
+
     /** Tells whether this announcement is newer than another of the same target. */
     public boolean isNewerThan(TargetAnnouncement other) {
         if (incarnation != other.incarnation) {
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
@@ -84,6 +84,29 @@
         return true;
     }
 
+    /**
+     * Extends the time to live of an announcement that the instance it was made to still holds, and takes the load
+     * reported with it. An announcement that is newer than the held one is taken like any other.
+     */
+    public void renew(TargetAnnouncement announcement) {
+        if (announce(announcement)) {
+            return;
+        }
+        long now = clock.nanos();
+        Map<TargetId, HeldAnnouncement> shard = shardOf(announcement.id());
+        synchronized (shard) {
+            HeldAnnouncement previous = shard.get(announcement.id());
+            if (previous == null || previous.announcement().isNewerThan(announcement)) {
+                return;
+            }
+            long expiresNanos =
+                    now + Duration.ofMillis(announcement.timeToLiveMillis()).toNanos();
+            HeldAnnouncement renewed = new HeldAnnouncement(announcement, expiresNanos, false);
+            shard.put(announcement.id(), renewed);
+            index(Optional.of(previous), renewed);
+        }
+    }
+
     /** Drops what has expired and tells the listeners. Worth calling every few hundred milliseconds. */
     public void expire() {
         long now = clock.nanos();
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerDispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import org.apache.thrift.TBaseHelper;
 import org.basilrill.api.BasilrillException;
@@ -27,10 +28,18 @@
 
     private final Map<PeerSubject, PeerHandler> handlers;
     private final Executor executor;
+    private final BiConsumer<InstanceId, String> addressListener;
 
-    PeerDispatcher(Map<PeerSubject, PeerHandler> handlers, Executor executor) {
+    /**
+     * Creates a dispatcher.
+     *
+     * @param addressListener hears the address that a sender gives for itself
+     */
+    PeerDispatcher(
+            Map<PeerSubject, PeerHandler> handlers, Executor executor, BiConsumer<InstanceId, String> addressListener) {
         this.handlers = new EnumMap<>(handlers);
         this.executor = executor;
+        this.addressListener = addressListener;
     }
 
     @Override
@@ -43,15 +52,18 @@
     private void submit(PeerHandler handler, Envelope envelope) {
         byte[] payload = bytesOf(envelope.bufferForPayload());
         try {
-            executor.execute(() -> handle(handler, envelope.getSender(), payload));
+            executor.execute(() -> handle(handler, envelope, payload));
         } catch (RejectedExecutionException exception) {
             LOGGER.atFine().log("message dropped after shutdown");
         }
     }
 
-    private static void handle(PeerHandler handler, String sender, byte[] payload) {
+    private void handle(PeerHandler handler, Envelope envelope, byte[] payload) {
+        String sender = envelope.getSender();
         try {
-            handler.received(new InstanceId(sender), payload);
+            InstanceId id = new InstanceId(sender);
+            addressListener.accept(id, envelope.getSenderAddress());
+            handler.received(id, payload);
         } catch (BasilrillException exception) {
             LOGGER.atWarning().log("%s: sender %s, %s", LogEvent.MESSAGE_REJECTED, sender, exception.getMessage());
         } catch (RuntimeException exception) {
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import org.apache.thrift.TException;
@@ -31,6 +32,8 @@
     private final ExecutorService executor;
     private final Map<PeerSubject, PeerHandler> handlers = new EnumMap<>(PeerSubject.class);
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
+    private final Map<InstanceId, InetSocketAddress> learnedAddresses = new ConcurrentHashMap<>();
+    private volatile String ownAddress = "";
     private TThreadedSelectorServer server;
 
     /**
@@ -55,9 +58,10 @@
      * @throws BasilrillException with {@code ADDRESS_IN_USE} if the address cannot be bound
      */
     public void start(InetSocketAddress address) {
+        ownAddress = address.getAddress().getHostAddress() + ":" + address.getPort();
         try {
             TNonblockingServerSocket socket = new TNonblockingServerSocket(address);
-            PeerDispatcher dispatcher = new PeerDispatcher(handlers, executor);
+            PeerDispatcher dispatcher = new PeerDispatcher(handlers, executor, this::learnAddress);
             server = new TThreadedSelectorServer(new TThreadedSelectorServer.Args(socket)
                     .selectorThreads(1)
                     .executorService(executor)
@@ -79,6 +83,7 @@
         }
         Envelope envelope = new Envelope();
         envelope.setSender(self.value());
+        envelope.setSenderAddress(ownAddress);
         envelope.setSubject((short) subject.wireNumber());
         envelope.setPayload(payload);
         links.computeIfAbsent(recipient, this::link).send(envelope);
@@ -93,7 +98,16 @@
     }
 
     private PeerLink link(InstanceId recipient) {
-        return new PeerLink(recipient, () -> directory.address(recipient), executor);
+        return new PeerLink(recipient, () -> addressOf(recipient), executor);
+    }
+
+    /** The directory goes first; the learned address serves while the directory does not know the instance yet. */
+    private Optional<InetSocketAddress> addressOf(InstanceId recipient) {
+        return directory.address(recipient).or(() -> Optional.ofNullable(learnedAddresses.get(recipient)));
+    }
+
+    private void learnAddress(InstanceId sender, String address) {
+        PeerAddress.parse(address).ifPresent(parsed -> learnedAddresses.put(sender, parsed));
     }
 
     private void deliverLocally(PeerSubject subject, byte[] payload) {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/Announcer.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/Announcer.java
@@ -17,8 +17,10 @@
     private static final String PATH = "/v1/targets/announce";
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
-    private final HttpClient client =
-            HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(TIMEOUT)
+            .build();
     private final List<String> instances;
     private final Supplier<String> announcement;
     private int next;
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/envelope/Envelope.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/envelope/Envelope.java
@@ -20,6 +20,8 @@
 
     private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC =
             new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRING, (short) 1);
+    private static final org.apache.thrift.protocol.TField SENDER_ADDRESS_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("senderAddress", org.apache.thrift.protocol.TType.STRING, (short) 4);
     private static final org.apache.thrift.protocol.TField SUBJECT_FIELD_DESC =
             new org.apache.thrift.protocol.TField("subject", org.apache.thrift.protocol.TType.I16, (short) 2);
     private static final org.apache.thrift.protocol.TField PAYLOAD_FIELD_DESC =
@@ -30,6 +32,7 @@
     private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new EnvelopeTupleSchemeFactory();
 
     private @org.apache.thrift.annotation.Nullable java.lang.String sender; // required
+    private @org.apache.thrift.annotation.Nullable java.lang.String senderAddress; // required
     private short subject; // required
     private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer payload; // required
 
@@ -39,6 +42,10 @@
          * Name of the sending instance.
          */
         SENDER((short) 1, "sender"),
+        /**
+         * IP number and port at which the sender takes messages, so that a receiver that does not know it can answer.
+         */
+        SENDER_ADDRESS((short) 4, "senderAddress"),
         /**
          * Number of the subject the payload belongs to.
          */
@@ -65,6 +72,8 @@
             switch (fieldId) {
                 case 1: // SENDER
                     return SENDER;
+                case 4: // SENDER_ADDRESS
+                    return SENDER_ADDRESS;
                 case 2: // SUBJECT
                     return SUBJECT;
                 case 3: // PAYLOAD
@@ -125,6 +134,12 @@
                         "sender",
                         org.apache.thrift.TFieldRequirementType.REQUIRED,
                         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+        tmpMap.put(
+                _Fields.SENDER_ADDRESS,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "senderAddress",
+                        org.apache.thrift.TFieldRequirementType.REQUIRED,
+                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
         tmpMap.put(
                 _Fields.SUBJECT,
                 new org.apache.thrift.meta_data.FieldMetaData(
@@ -144,9 +159,11 @@
 
     public Envelope() {}
 
-    public Envelope(java.lang.String sender, short subject, java.nio.ByteBuffer payload) {
+    public Envelope(
+            java.lang.String sender, java.lang.String senderAddress, short subject, java.nio.ByteBuffer payload) {
         this();
         this.sender = sender;
+        this.senderAddress = senderAddress;
         this.subject = subject;
         setSubjectIsSet(true);
         this.payload = org.apache.thrift.TBaseHelper.copyBinary(payload);
@@ -160,6 +177,9 @@
         if (other.isSetSender()) {
             this.sender = other.sender;
         }
+        if (other.isSetSenderAddress()) {
+            this.senderAddress = other.senderAddress;
+        }
         this.subject = other.subject;
         if (other.isSetPayload()) {
             this.payload = org.apache.thrift.TBaseHelper.copyBinary(other.payload);
@@ -174,6 +194,7 @@
     @Override
     public void clear() {
         this.sender = null;
+        this.senderAddress = null;
         setSubjectIsSet(false);
         this.subject = 0;
         this.payload = null;
@@ -210,6 +231,37 @@
         }
     }
 
+    /**
+     * IP number and port at which the sender takes messages, so that a receiver that does not know it can answer.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public java.lang.String getSenderAddress() {
+        return this.senderAddress;
+    }
+
+    /**
+     * IP number and port at which the sender takes messages, so that a receiver that does not know it can answer.
+     */
+    public Envelope setSenderAddress(@org.apache.thrift.annotation.Nullable java.lang.String senderAddress) {
+        this.senderAddress = senderAddress;
+        return this;
+    }
+
+    public void unsetSenderAddress() {
+        this.senderAddress = null;
+    }
+
+    /** Returns true if field senderAddress is set (has been assigned a value) and false otherwise */
+    public boolean isSetSenderAddress() {
+        return this.senderAddress != null;
+    }
+
+    public void setSenderAddressIsSet(boolean value) {
+        if (!value) {
+            this.senderAddress = null;
+        }
+    }
+
     /**
      * Number of the subject the payload belongs to.
      */
@@ -290,6 +342,14 @@
                 }
                 break;
 
+            case SENDER_ADDRESS:
+                if (value == null) {
+                    unsetSenderAddress();
+                } else {
+                    setSenderAddress((java.lang.String) value);
+                }
+                break;
+
             case SUBJECT:
                 if (value == null) {
                     unsetSubject();
@@ -319,6 +379,9 @@
             case SENDER:
                 return getSender();
 
+            case SENDER_ADDRESS:
+                return getSenderAddress();
+
             case SUBJECT:
                 return getSubject();
 
@@ -338,6 +401,8 @@
         switch (field) {
             case SENDER:
                 return isSetSender();
+            case SENDER_ADDRESS:
+                return isSetSenderAddress();
             case SUBJECT:
                 return isSetSubject();
             case PAYLOAD:
@@ -363,6 +428,13 @@
             if (!this.sender.equals(that.sender)) return false;
         }
 
+        boolean this_present_senderAddress = true && this.isSetSenderAddress();
+        boolean that_present_senderAddress = true && that.isSetSenderAddress();
+        if (this_present_senderAddress || that_present_senderAddress) {
+            if (!(this_present_senderAddress && that_present_senderAddress)) return false;
+            if (!this.senderAddress.equals(that.senderAddress)) return false;
+        }
+
         boolean this_present_subject = true;
         boolean that_present_subject = true;
         if (this_present_subject || that_present_subject) {
@@ -387,6 +459,9 @@
         hashCode = hashCode * 8191 + ((isSetSender()) ? 131071 : 524287);
         if (isSetSender()) hashCode = hashCode * 8191 + sender.hashCode();
 
+        hashCode = hashCode * 8191 + ((isSetSenderAddress()) ? 131071 : 524287);
+        if (isSetSenderAddress()) hashCode = hashCode * 8191 + senderAddress.hashCode();
+
         hashCode = hashCode * 8191 + subject;
 
         hashCode = hashCode * 8191 + ((isSetPayload()) ? 131071 : 524287);
@@ -413,6 +488,16 @@
                 return lastComparison;
             }
         }
+        lastComparison = java.lang.Boolean.compare(isSetSenderAddress(), other.isSetSenderAddress());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetSenderAddress()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.senderAddress, other.senderAddress);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
         lastComparison = java.lang.Boolean.compare(isSetSubject(), other.isSetSubject());
         if (lastComparison != 0) {
             return lastComparison;
@@ -465,6 +550,14 @@
         }
         first = false;
         if (!first) sb.append(", ");
+        sb.append("senderAddress:");
+        if (this.senderAddress == null) {
+            sb.append("null");
+        } else {
+            sb.append(this.senderAddress);
+        }
+        first = false;
+        if (!first) sb.append(", ");
         sb.append("subject:");
         sb.append(this.subject);
         first = false;
@@ -486,6 +579,10 @@
             throw new org.apache.thrift.protocol.TProtocolException(
                     "Required field 'sender' was not present! Struct: " + toString());
         }
+        if (senderAddress == null) {
+            throw new org.apache.thrift.protocol.TProtocolException(
+                    "Required field 'senderAddress' was not present! Struct: " + toString());
+        }
         // alas, we cannot check 'subject' because it's a primitive and you chose the non-beans generator.
         if (payload == null) {
             throw new org.apache.thrift.protocol.TProtocolException(
@@ -543,6 +640,14 @@
                             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                         }
                         break;
+                    case 4: // SENDER_ADDRESS
+                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+                            struct.senderAddress = iprot.readString();
+                            struct.setSenderAddressIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
                     case 2: // SUBJECT
                         if (schemeField.type == org.apache.thrift.protocol.TType.I16) {
                             struct.subject = iprot.readI16();
@@ -593,6 +698,11 @@
                 oprot.writeBinary(struct.payload);
                 oprot.writeFieldEnd();
             }
+            if (struct.senderAddress != null) {
+                oprot.writeFieldBegin(SENDER_ADDRESS_FIELD_DESC);
+                oprot.writeString(struct.senderAddress);
+                oprot.writeFieldEnd();
+            }
             oprot.writeFieldStop();
             oprot.writeStructEnd();
         }
@@ -612,6 +722,7 @@
                 throws org.apache.thrift.TException {
             org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
             oprot.writeString(struct.sender);
+            oprot.writeString(struct.senderAddress);
             oprot.writeI16(struct.subject);
             oprot.writeBinary(struct.payload);
         }
@@ -622,6 +733,8 @@
             org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
             struct.sender = iprot.readString();
             struct.setSenderIsSet(true);
+            struct.senderAddress = iprot.readString();
+            struct.setSenderAddressIsSet(true);
             struct.subject = iprot.readI16();
             struct.setSubjectIsSet(true);
             struct.payload = iprot.readBinary();
--- a/basilrill-thrift/src/main/thrift/envelope.thrift
+++ b/basilrill-thrift/src/main/thrift/envelope.thrift
@@ -4,6 +4,8 @@
 struct Envelope {
   /** Name of the sending instance. */
   1: required string sender
+  /** IP number and port at which the sender takes messages, so that a receiver that does not know it can answer. */
+  4: required string senderAddress
   /** Number of the subject the payload belongs to. */
   2: required i16 subject
   /** Encoded message of the subject. */
