Test the request path and answer the instance's own routes

The coordinator runs against fakes with a seeded fuzz; streams, cuts, malformed requests and keys are tested over loopback sockets. Adds the administration and announcement routes, target orders over HTTP and the administration client.

--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
@@ -0,0 +1,204 @@
+package org.basilrill.protocol.administration;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.LogEvent;
+import org.basilrill.api.Outcome;
+import org.basilrill.protocol.caller.ErrorBody;
+import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.state.configuration.KeyHash;
+import org.basilrill.state.configuration.Rules.Operator;
+import org.basilrill.state.configuration.Rules.Role;
+import org.basilrill.state.control.ControlClient;
+import org.basilrill.state.control.ControlCommand;
+import org.basilrill.state.control.ControlResult;
+
+/** Answers the administration routes for holders of operators' keys. Thread safe. */
+public final class AdministrationHandler {
+    public static final String RULES = "/admin/rules";
+    public static final String STATUS = "/admin/status";
+    public static final String ACCOUNTS = "/admin/accounts";
+    public static final String DRAIN = "/admin/drain";
+    public static final String REVISION = "revision";
+    public static final String TEXT = "text";
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Pattern REVISION_QUERY = Pattern.compile(REVISION + "=([0-9]{1,18})");
+    private static final String FIRST_OPERATOR = "first-operator";
+
+    private final ControlClient control;
+    private final RulesText rulesText;
+    private final AdministrationViews views;
+    private final Runnable drain;
+    private final Optional<KeyHash> firstOperatorKey;
+    private final Duration deadline;
+
+    /**
+     * Creates a handler.
+     *
+     * @param drain starts the graceful shutdown of this instance; returns at once
+     * @param firstOperatorKey hash from the settings, by which the first rules are installed
+     * @param deadline longest wait for the control log
+     */
+    public AdministrationHandler(
+            ControlClient control,
+            RulesText rulesText,
+            AdministrationViews views,
+            Runnable drain,
+            Optional<KeyHash> firstOperatorKey,
+            Duration deadline) {
+        this.control = control;
+        this.rulesText = rulesText;
+        this.views = views;
+        this.drain = drain;
+        this.firstOperatorKey = firstOperatorKey;
+        this.deadline = deadline;
+    }
+
+    /** Tells whether the path belongs to the administration. */
+    public static boolean matches(String path) {
+        return path.startsWith("/admin/");
+    }
+
+    /** Returns the answer; fails with a typed failure if the request is refused. */
+    public CompletableFuture<PlainAnswer> answer(RequestHead head, byte[] body) {
+        Operator operator;
+        try {
+            operator = authenticate(head);
+        } catch (BasilrillException refusal) {
+            LOGGER.atWarning().log("%s: %s %s", LogEvent.OPERATOR_REFUSED, head.method(), head.path());
+            return CompletableFuture.failedFuture(refusal);
+        }
+        try {
+            return route(head, body, operator);
+        } catch (BasilrillException refusal) {
+            return CompletableFuture.failedFuture(refusal);
+        }
+    }
+
+    private CompletableFuture<PlainAnswer> route(RequestHead head, byte[] body, Operator operator) {
+        String action = head.method() + " " + head.path();
+        return switch (action) {
+            case "GET " + RULES -> rulesText.current().thenApply(AdministrationHandler::rules);
+            case "PUT " + RULES -> replaceRules(head, body, operator);
+            case "GET " + STATUS -> completed(200, views.status());
+            case "GET " + ACCOUNTS -> completed(200, views.accounts());
+            case "POST " + DRAIN -> drain(operator);
+            default -> CompletableFuture.failedFuture(unknown(head));
+        };
+    }
+
+    private Operator authenticate(RequestHead head) {
+        String key = head.key()
+                .orElseThrow(() -> new BasilrillException(
+                        ErrorCode.KEY_MISSING, "send the operator's key as Authorization: Bearer"));
+        KeyHash hash = KeyHash.of(key);
+        Operator known = control.view().rules().operators().get(hash);
+        if (known != null) {
+            return known;
+        }
+        if (firstOperatorKey.filter(hash::equals).isPresent()) {
+            return new Operator(FIRST_OPERATOR, Role.ADMIN);
+        }
+        throw new BasilrillException(ErrorCode.KEY_UNKNOWN, "the key is not that of an operator");
+    }
+
+    private CompletableFuture<PlainAnswer> replaceRules(RequestHead head, byte[] body, Operator operator) {
+        requireAdmin(operator);
+        long expected = head.query()
+                .map(REVISION_QUERY::matcher)
+                .filter(Matcher::matches)
+                .map(matcher -> Long.parseLong(matcher.group(1)))
+                .orElseThrow(() -> new BasilrillException(
+                        ErrorCode.MALFORMED_REQUEST, "the query must be revision=N, the revision to replace"));
+        ControlCommand command = new ControlCommand.ReplaceRules(expected, decode(body), operator.name());
+        return control.submit(command, deadline).thenApply(result -> replaced(result, operator));
+    }
+
+    private static PlainAnswer replaced(ControlResult result, Operator operator) {
+        if (result instanceof ControlResult.RulesAccepted accepted) {
+            LOGGER.atInfo().log("%s: revision %d by %s", LogEvent.RULES_REPLACED, accepted.revision(), operator.name());
+            ObjectNode body = MAPPER.createObjectNode();
+            body.put(REVISION, accepted.revision());
+            return PlainAnswer.json(200, body.toString());
+        }
+        if (result instanceof ControlResult.RulesConflict conflict) {
+            return conflict(conflict);
+        }
+        if (result instanceof ControlResult.Refused refused) {
+            throw new BasilrillException(refused.code(), refused.detail());
+        }
+        throw new BasilrillException(ErrorCode.INTERNAL, "unexpected answer to a change of rules");
+    }
+
+    private static PlainAnswer conflict(ControlResult.RulesConflict conflict) {
+        BasilrillException failure = new BasilrillException(
+                ErrorCode.REVISION_CONFLICT,
+                String.format("revision %d by %s is in force", conflict.currentRevision(), conflict.winner()));
+        ObjectNode body = ErrorBody.json(failure);
+        body.put(REVISION, conflict.currentRevision());
+        body.put("operator", conflict.winner());
+        return PlainAnswer.json(failure.code().httpStatus(), body.toString());
+    }
+
+    private CompletableFuture<PlainAnswer> drain(Operator operator) {
+        requireAdmin(operator);
+        drain.run();
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("draining", true);
+        return completed(202, body);
+    }
+
+    private static PlainAnswer rules(RulesText.Revision current) {
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put(REVISION, current.revision());
+        body.put(TEXT, current.text());
+        return PlainAnswer.json(200, body.toString());
+    }
+
+    private static BasilrillException unknown(RequestHead head) {
+        boolean known = head.path().equals(RULES)
+                || head.path().equals(STATUS)
+                || head.path().equals(ACCOUNTS)
+                || head.path().equals(DRAIN);
+        return known
+                ? new BasilrillException(ErrorCode.METHOD_NOT_ALLOWED, head.method() + " is not supported here")
+                : new BasilrillException(ErrorCode.NOT_FOUND, "no route for " + head.path());
+    }
+
+    private static void requireAdmin(Operator operator) {
+        if (operator.role() != Role.ADMIN) {
+            throw new BasilrillException(ErrorCode.FORBIDDEN, "operator " + operator.name() + " may only read");
+        }
+    }
+
+    /** Refuses bytes that are not UTF-8, because they would be replaced and change the meaning of a rule. */
+    private static String decode(byte[] body) {
+        try {
+            return StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(body))
+                    .toString();
+        } catch (CharacterCodingException exception) {
+            throw new BasilrillException(ErrorCode.RULES_INVALID, "the rules are not encoded in UTF-8", exception)
+                    .withOutcome(Outcome.NOT_RUN);
+        }
+    }
+
+    private static CompletableFuture<PlainAnswer> completed(int status, ObjectNode body) {
+        return CompletableFuture.completedFuture(PlainAnswer.json(status, body.toString()));
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationViews.java
@@ -0,0 +1,117 @@
+package org.basilrill.protocol.administration;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.IntSupplier;
+import org.basilrill.api.InstanceId;
+import org.basilrill.coordination.membership.Membership;
+import org.basilrill.coordination.membership.Membership.Member;
+import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.control.ControlClient;
+import org.basilrill.state.control.ControlView;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetDirectory;
+
+/** Describes the system as this instance sees it. Thread safe. */
+public final class AdministrationViews {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final InstanceId self;
+    private final ControlClient control;
+    private final Membership membership;
+    private final TargetDirectory targets;
+    private final IntSupplier requestsInFlight;
+
+    public AdministrationViews(
+            InstanceId self,
+            ControlClient control,
+            Membership membership,
+            TargetDirectory targets,
+            IntSupplier requestsInFlight) {
+        this.self = self;
+        this.control = control;
+        this.membership = membership;
+        this.targets = targets;
+        this.requestsInFlight = requestsInFlight;
+    }
+
+    /** Returns instances and targets with their state. */
+    public ObjectNode status() {
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("instance", self.value());
+        body.put("revision", control.view().rules().revision());
+        body.put("log_index", control.view().index());
+        body.put("current", control.isCurrent());
+        body.put("requests_in_flight", requestsInFlight.getAsInt());
+        ArrayNode instances = body.putArray("instances");
+        membership.members().stream()
+                .sorted(Comparator.comparing(Member::id))
+                .forEach(member -> instances.add(describe(member)));
+        ArrayNode announced = body.putArray("targets");
+        targets.targets().stream()
+                .sorted(Comparator.comparing(TargetAnnouncement::id))
+                .forEach(target -> announced.add(describe(target)));
+        return body;
+    }
+
+    /** Returns the client accounts with their rates and the owners of their buckets. */
+    public ObjectNode accounts() {
+        ControlView view = control.view();
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("revision", view.rules().revision());
+        ArrayNode accounts = body.putArray("accounts");
+        List<Rules.Account> sorted = view.rules().accounts().values().stream()
+                .sorted(Comparator.comparing(Rules.Account::id))
+                .toList();
+        for (Rules.Account account : sorted) {
+            ObjectNode entry = accounts.addObject();
+            entry.put("account", account.id().value());
+            entry.put("tokens_per_second", account.tokensPerSecond());
+            entry.put("burst_tokens", account.burstTokens());
+            entry.put("weight", account.weight());
+            Optional.ofNullable(view.bucketOwners().get(account.id()))
+                    .ifPresent(owner -> entry.put("bucket_owner", owner.owner().value()));
+        }
+        return body;
+    }
+
+    private static ObjectNode describe(Member member) {
+        ObjectNode entry = MAPPER.createObjectNode();
+        entry.put("instance", member.id().value());
+        entry.put("data_centre", member.dataCentre());
+        entry.put("caller_address", member.callerAddress());
+        entry.put("suspected", member.suspected());
+        entry.put("draining", member.draining());
+        entry.put("current", member.current());
+        entry.put("revision", member.revision());
+        entry.put("requests_in_flight", member.requestsInFlight());
+        return entry;
+    }
+
+    private static ObjectNode describe(TargetAnnouncement target) {
+        ObjectNode entry = MAPPER.createObjectNode();
+        entry.put("target", target.id().value());
+        entry.put("incarnation", target.incarnation());
+        entry.put("address", target.host() + ":" + target.port());
+        entry.put("data_centre", target.dataCentre());
+        target.service().ifPresent(service -> entry.put("service", service));
+        entry.put("memory_bytes", target.memoryBytes());
+        entry.put("slots", target.slots());
+        entry.put("running", target.load().running());
+        entry.put("waiting", target.load().waiting());
+        entry.put("leaving", target.leaving());
+        ArrayNode contents = entry.putArray("contents");
+        target.contents().entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .forEach(content -> contents.addObject()
+                        .put("model", content.getKey().value())
+                        .put("version", content.getValue().version())
+                        .put("ready", content.getValue().ready()));
+        return entry;
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
@@ -29,7 +29,7 @@
                 services.control().submit(command, services.limits().controlDeadline());
         report.whenComplete((result, problem) -> {
             if (problem != null) {
-                LOGGER.atWarning().withCause(problem).log("%s", LogEvent.CRASH_REPORT_FAILED);
+                LOGGER.atWarning().log("%s: %s", LogEvent.CRASH_REPORT_FAILED, problem.getMessage());
             }
         });
         return report;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/OrderClaim.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/OrderClaim.java
@@ -63,7 +63,8 @@
                 .submit(command, services.limits().controlDeadline())
                 .handle((result, failure) -> {
                     if (failure != null || result instanceof ControlResult.Refused) {
-                        LOGGER.atWarning().withCause(failure).log("%s: %s", LogEvent.ORDER_NOT_RECORDED, result);
+                        LOGGER.atWarning().log(
+                                "%s: %s", LogEvent.ORDER_NOT_RECORDED, failure == null ? result : failure.getMessage());
                     }
                     return null;
                 });
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/AdministrationClient.java
@@ -0,0 +1,99 @@
+package org.basilrill.transport.http;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.HttpHost;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.Scheduler;
+import org.basilrill.protocol.administration.AdministrationHandler;
+import org.basilrill.protocol.caller.AnswerHead;
+import org.basilrill.protocol.caller.HeaderField;
+import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.instance.TargetConnector;
+
+/** Uses the administration routes of one instance, for the command line program. Blocks. Thread safe. */
+public final class AdministrationClient implements AutoCloseable {
+    private static final int WINDOW_BYTES = 64 * 1024;
+
+    private final HttpHost host;
+    private final String operatorKey;
+    private final Duration timeout;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "administration-timer");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final TargetHttpClient client;
+
+    public AdministrationClient(InetSocketAddress address, String operatorKey, Duration timeout) {
+        this.operatorKey = operatorKey;
+        this.timeout = timeout;
+        host = new HttpHost("http", address.getHostString(), address.getPort());
+        TargetHttpClient.Settings settings =
+                new TargetHttpClient.Settings(1, timeout, Duration.ofSeconds(1), WINDOW_BYTES);
+        client = new TargetHttpClient(settings, System::nanoTime, this::schedule);
+    }
+
+    /** Returns the answer to {@code GET /admin/rules}: JSON with {@code revision} and {@code text}. */
+    public PlainAnswer rules() {
+        return exchange("GET", AdministrationHandler.RULES, "");
+    }
+
+    /** Replaces the rules if the revision in force is the expected one. */
+    public PlainAnswer replaceRules(long expectedRevision, String text) {
+        String path = AdministrationHandler.RULES + "?" + AdministrationHandler.REVISION + "=" + expectedRevision;
+        return exchange("PUT", path, text);
+    }
+
+    /** Returns the answer to {@code GET /admin/status}. */
+    public PlainAnswer status() {
+        return exchange("GET", AdministrationHandler.STATUS, "");
+    }
+
+    /** Returns the answer to {@code GET /admin/accounts}. */
+    public PlainAnswer accounts() {
+        return exchange("GET", AdministrationHandler.ACCOUNTS, "");
+    }
+
+    /** Starts the graceful shutdown of the instance. */
+    public PlainAnswer drain() {
+        return exchange("POST", AdministrationHandler.DRAIN, "");
+    }
+
+    @Override
+    public void close() {
+        client.close();
+        timer.shutdownNow();
+    }
+
+    /** Sends one request; throws a {@link BasilrillException} if there is no complete answer. */
+    private PlainAnswer exchange(String method, String path, String body) {
+        List<HeaderField> headers = List.of(
+                new HeaderField(RequestHead.AUTHORIZATION, "Bearer " + operatorKey),
+                new HeaderField(AnswerHead.CONTENT_TYPE, PlainAnswer.TEXT));
+        TargetConnector.Request request =
+                new TargetConnector.Request(method, path, headers, body.getBytes(StandardCharsets.UTF_8));
+        try {
+            return CollectedAnswer.of(client, this::schedule, host, request, timeout)
+                    .join();
+        } catch (CompletionException exception) {
+            if (exception.getCause() instanceof BasilrillException failure) {
+                throw failure;
+            }
+            throw exception;
+        }
+    }
+
+    private Scheduler.Cancellable schedule(Duration delay, Runnable task) {
+        Future<?> scheduled = timer.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+        return () -> scheduled.cancel(false);
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/GatewayRoutes.java
@@ -0,0 +1,120 @@
+package org.basilrill.transport.http;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.LogEvent;
+import org.basilrill.protocol.administration.AdministrationHandler;
+import org.basilrill.protocol.caller.InstanceListing;
+import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.target.AnnouncementCodec;
+import org.basilrill.state.target.AnnouncementReceiver;
+
+/** Answers the routes that this instance serves itself. Thread safe. */
+public final class GatewayRoutes implements PlainRoutes {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final InstanceListing instances;
+    private final AnnouncementReceiver announcements;
+    private final AdministrationHandler administration;
+    private final MetricRegistry metrics;
+    private final BooleanSupplier ready;
+    private final ObjectMapper mapper =
+            new ObjectMapper().registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+
+    /**
+     * Creates the routes.
+     *
+     * @param ready whether the instance takes new requests
+     */
+    public GatewayRoutes(
+            InstanceListing instances,
+            AnnouncementReceiver announcements,
+            AdministrationHandler administration,
+            MetricRegistry metrics,
+            BooleanSupplier ready) {
+        this.instances = instances;
+        this.announcements = announcements;
+        this.administration = administration;
+        this.metrics = metrics;
+        this.ready = ready;
+    }
+
+    @Override
+    public CompletableFuture<PlainAnswer> answer(RequestHead head, byte[] body) {
+        if (AdministrationHandler.matches(head.path())) {
+            return administration.answer(head, body);
+        }
+        try {
+            return CompletableFuture.completedFuture(answerNow(head, body));
+        } catch (BasilrillException refusal) {
+            return CompletableFuture.failedFuture(refusal);
+        }
+    }
+
+    private PlainAnswer answerNow(RequestHead head, byte[] body) {
+        return switch (head.path()) {
+            case "/v1/instances" -> {
+                requireMethod(head, "GET");
+                yield instances.answer();
+            }
+            case "/v1/targets/announce" -> {
+                requireMethod(head, "POST");
+                yield announced(body);
+            }
+            case "/healthz" -> {
+                requireMethod(head, "GET");
+                yield text(200, "alive\n");
+            }
+            case "/readyz" -> {
+                requireMethod(head, "GET");
+                yield ready.getAsBoolean() ? text(200, "ready\n") : text(503, "not ready\n");
+            }
+            case "/metrics" -> {
+                requireMethod(head, "GET");
+                yield metrics();
+            }
+            default -> throw new BasilrillException(ErrorCode.NOT_FOUND, "no route for " + head.path());
+        };
+    }
+
+    private PlainAnswer announced(byte[] body) {
+        try {
+            announcements.announced(AnnouncementCodec.read(body));
+        } catch (BasilrillException rejection) {
+            LOGGER.atWarning().log("%s: %s", LogEvent.ANNOUNCEMENT_REJECTED, rejection.getMessage());
+            throw rejection;
+        }
+        ObjectNode answer = mapper.createObjectNode();
+        instances.otherAddresses().forEach(answer.putArray("instances")::add);
+        return PlainAnswer.json(200, answer.toString());
+    }
+
+    private PlainAnswer metrics() {
+        try {
+            return PlainAnswer.of(200, PlainAnswer.JSON, mapper.writeValueAsBytes(metrics));
+        } catch (JsonProcessingException exception) {
+            throw new BasilrillException(ErrorCode.INTERNAL, "the metrics cannot be written", exception);
+        }
+    }
+
+    private static PlainAnswer text(int status, String text) {
+        return PlainAnswer.of(status, PlainAnswer.TEXT, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void requireMethod(RequestHead head, String method) {
+        if (!head.method().equals(method)) {
+            throw new BasilrillException(ErrorCode.METHOD_NOT_ALLOWED, head.method() + " is not supported here");
+        }
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -32,6 +32,7 @@
  * callbacks of the connection run on its thread, grants and cancellation on any.
  */
 final class TargetExchange implements AsyncClientExchangeHandler, TargetConnector.Call {
+    private static final String TRANSFER_ENCODING = "transfer-encoding";
     private static final String CLOSE = "close";
     private static final String CONNECTION = "connection";
 
@@ -130,7 +131,8 @@
     @Override
     public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
             throws HttpException, IOException {
-        boolean endsWithConnection = entity != null && entity.getContentLength() < 0 && !entity.isChunked();
+        boolean endsWithConnection =
+                entity != null && entity.getContentLength() < 0 && !response.containsHeader(TRANSFER_ENCODING);
         if (endsWithConnection) {
             // Its end could not be told from a cut.
             throw new HttpException("the answer states no length");
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeControl.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeControl.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.Outcome;
@@ -29,13 +30,36 @@
     private final List<Consumer<ControlView>> listeners = new CopyOnWriteArrayList<>();
     private volatile ControlView view = ControlView.empty();
     private volatile boolean current = true;
-    private volatile Consumer<Runnable> delivery = Runnable::run;
+    private volatile Consumer<Submission> delivery = Submission::applyAndAnswer;
 
-    /** Decides when and whether answers arrive; the fuzz delays and loses them. */
-    public void deliverBy(Consumer<Runnable> newDelivery) {
+    /** Decides when and whether commands and answers arrive; the fuzz delays and loses them. */
+    public void deliverBy(Consumer<Submission> newDelivery) {
         delivery = newDelivery;
     }
 
+    /** A command on its way to the log. */
+    public final class Submission {
+        private final ControlCommand command;
+        private final CompletableFuture<ControlResult> answer = new CompletableFuture<>();
+
+        Submission(ControlCommand command) {
+            this.command = command;
+        }
+
+        public void applyAndAnswer() {
+            answer.complete(apply(command));
+        }
+
+        public void applyAndLoseAnswer() {
+            apply(command);
+            lose();
+        }
+
+        public void lose() {
+            answer.completeExceptionally(new BasilrillException(ErrorCode.CONTROL_UNAVAILABLE, "lost by the test"));
+        }
+    }
+
     /** Installs rules and tells the listeners. */
     public void install(Rules rules) {
         view = new ControlView(view.index() + 1, rules, Map.of(), view.blockedFingerprints(), Map.of());
@@ -63,9 +87,9 @@
 
     @Override
     public CompletableFuture<ControlResult> submit(ControlCommand command, Duration deadline) {
-        CompletableFuture<ControlResult> answer = new CompletableFuture<>();
-        delivery.accept(() -> answer.complete(apply(command)));
-        return answer;
+        Submission submission = new Submission(command);
+        delivery.accept(submission);
+        return submission.answer;
     }
 
     @Override
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
@@ -0,0 +1,302 @@
+package org.basilrill.protocol.instance;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.Outcome;
+import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
+import org.basilrill.protocol.caller.RequestFingerprint;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.instance.CoordinatorFixture.Started;
+import org.junit.jupiter.api.Test;
+
+/** Guards the life cycle of requests, with all collaborators in memory. */
+class RequestCoordinatorTest {
+    private final CoordinatorFixture fixture = new CoordinatorFixture(3);
+
+    private FakeConnector.FakeCall call() {
+        return fixture.connector().last();
+    }
+
+    private void checkRefusal(Started started, ErrorCode code, String outcome) {
+        assertThat(started.stream().status(), is(code.httpStatus()));
+        assertThat(started.stream().text(), started.stream().failedWith(code.name()), is(true));
+        assertThat(started.stream().text(), started.stream().saysOutcome(outcome), is(true));
+        assertThat(started.stream().finals(), is(1));
+    }
+
+    /** Guards against requests that run for nobody. */
+    @Test
+    void aRequestWithoutAKnownKeyIsRefused() {
+        RequestHead without = new RequestHead("POST", "/v1/completions", Optional.empty(), List.of());
+        checkRefusal(fixture.start(without, CoordinatorFixture.COMPLETION), ErrorCode.KEY_MISSING, "not_run");
+        fixture.control().install(FakeServices.rules(2, false));
+        checkRefusal(fixture.complete(), ErrorCode.KEY_UNKNOWN, "not_run");
+        assertThat(fixture.connector().calls().isEmpty(), is(true));
+    }
+
+    /** Guards against work on rules that may be revoked, and against a wrong 401 for a key this instance lacks. */
+    @Test
+    void anInstanceThatIsNotCurrentRefusesAndNamesOthers() {
+        fixture.control().setCurrent(false);
+        Started known = fixture.complete();
+        checkRefusal(known, ErrorCode.INSTANCE_NOT_CURRENT, "not_run");
+        assertThat(known.stream().text(), containsString("\"instances\":[\"127.0.0.1:4001\"]"));
+        fixture.control().install(FakeServices.rules(2, false));
+        checkRefusal(fixture.complete(), ErrorCode.INSTANCE_NOT_CURRENT, "not_run");
+    }
+
+    /** Guards against a request that crashes a third target. */
+    @Test
+    void aSuspectRequestIsRefusedBeforeItRuns() {
+        byte[] body = CoordinatorFixture.COMPLETION.getBytes(StandardCharsets.UTF_8);
+        fixture.control().block(RequestFingerprint.ofContent(Optional.of(FakeServices.ACCOUNT), body));
+        checkRefusal(fixture.complete(), ErrorCode.CRASH_SUSPECT, "not_run");
+    }
+
+    /** Guards against one request that takes down target after target through retries. */
+    @Test
+    void aRequestThatLosesTwoTargetsIsNotSentToAThird() {
+        Started started = fixture.complete();
+        for (int lost = 0; lost < 2; lost++) {
+            call().send();
+            call().fail(TargetConnector.Kind.CONNECTION_LOST, false);
+        }
+        checkRefusal(started, ErrorCode.CRASH_SUSPECT, "may_have_run");
+        assertThat(fixture.connector().calls().size(), is(2));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against counting a connection that the target closed while idle as a crash of the target. */
+    @Test
+    void aReusedConnectionThatWasClosedIsNoCrash() {
+        fixture.complete();
+        call().send();
+        call().fail(TargetConnector.Kind.CONNECTION_LOST, true);
+        assertThat(fixture.control().commands().isEmpty(), is(true));
+        assertThat(call().fresh(), is(true));
+        call().stream();
+        call().end();
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against retries that multiply the load of a failing system. */
+    @Test
+    void noRetryGoesOutWithoutBudget() {
+        fixture.services().allowRetries(0);
+        Started started = fixture.complete();
+        call().fail(TargetConnector.Kind.UNREACHABLE, false);
+        checkRefusal(started, ErrorCode.TARGET_UNREACHABLE, "not_run");
+    }
+
+    /** Guards against a lost outcome: a later attempt that never left does not make the request one that never ran. */
+    @Test
+    void aRequestThatMayHaveRunOnceNeverSaysNotRun() {
+        fixture.services().targets().remove(2);
+        Started started = fixture.complete();
+        call().send();
+        call().fail(TargetConnector.Kind.CONNECTION_LOST, true);
+        call().fail(TargetConnector.Kind.UNREACHABLE, false);
+        assertThat(started.stream().saysOutcome("may_have_run"), is(true));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against a cut answer that looks complete. */
+    @Test
+    void aStreamCutAfterItsFirstTokenEndsWithAnErrorEvent() {
+        Started started = fixture.complete();
+        call().stream();
+        call().data("data: one\n\ndata: tw");
+        call().fail(TargetConnector.Kind.CONNECTION_LOST, false);
+        assertThat(started.stream().text(), containsString("\n\nevent: error\ndata: {\"error\""));
+        assertThat(started.stream().failedWith("STREAM_CUT"), is(true));
+        assertThat(started.stream().finals(), is(1));
+        assertThat(fixture.connector().calls().size(), is(1));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against an answer for another request reaching this caller. */
+    @Test
+    void anAnswerWithAnotherRequestIdIsNotPassedOn() {
+        Started started = fixture.complete();
+        call().send();
+        call().head(200, "text/event-stream", "another");
+        assertThat(fixture.connector().calls().get(0).cancelled(), is(true));
+        assertThat(started.stream().finals(), is(0));
+        call().stream();
+        call().data("data: mine\n\n");
+        call().end();
+        assertThat(started.stream().text(), is("data: mine\n\n"));
+    }
+
+    /** Guards against work at a target for a caller that is gone. */
+    @Test
+    void aCallerThatGoesAwayCancelsItsRequest() {
+        Started started = fixture.complete();
+        call().stream();
+        call().data("data: one\n\n");
+        started.running().callerGone();
+        assertThat(call().cancelled(), is(true));
+        assertThat(fixture.services().results(), is(List.of(AttemptResult.CANCELLED)));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against streams that go on after their key was withdrawn. */
+    @Test
+    void aWithdrawnKeyEndsItsStreams() {
+        Started started = fixture.complete();
+        call().stream();
+        call().data("data: one\n\n");
+        fixture.control().install(FakeServices.rules(2, false));
+        assertThat(started.stream().failedWith("KEY_WITHDRAWN"), is(true));
+        assertThat(call().cancelled(), is(true));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against an answer that waits forever, and against not_run while bytes may be on their way. */
+    @Test
+    void aDeadlineSaysNotRunOnlyIfThePermitWasRevoked() {
+        Started waiting = fixture.complete("X-Request-Timeout-Ms", "500");
+        FakeConnector.FakeCall connecting = call();
+        fixture.time().advance(Duration.ofMillis(500));
+        checkRefusal(waiting, ErrorCode.DEADLINE_EXCEEDED, "not_run");
+        connecting.send();
+        assertThat(connecting.sent(), is(false));
+        Started sent = fixture.complete("X-Request-Timeout-Ms", "500");
+        call().send();
+        fixture.time().advance(Duration.ofMillis(500));
+        checkRefusal(sent, ErrorCode.DEADLINE_EXCEEDED, "may_have_run");
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against a silent target that holds its caller. */
+    @Test
+    void aSilentTargetIsLeftAfterTheProgressDeadline() {
+        Started started = fixture.complete();
+        call().stream();
+        call().data("data: one\n\n");
+        started.running().taken(11);
+        fixture.time().advance(Duration.ofSeconds(10));
+        assertThat(started.stream().failedWith("STREAM_CUT"), is(true));
+        assertThat(fixture.services().results(), is(List.of(AttemptResult.FAILED)));
+    }
+
+    /** Guards against blaming a target for a caller that does not read. */
+    @Test
+    void aCallerThatDoesNotReadIsNotTheTargetsFault() {
+        Started started = fixture.complete();
+        call().stream();
+        call().data("x".repeat(CoordinatorFixture.WINDOW_BYTES));
+        fixture.time().advance(Duration.ofSeconds(10));
+        assertThat(started.stream().aborted(), is(true));
+        assertThat(fixture.services().results(), is(List.of(AttemptResult.CANCELLED)));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against an order that goes out before its claim is committed. */
+    @Test
+    void anOrderIsSentOnlyAfterItsClaimIsGranted() {
+        List<FakeControl.Submission> submissions = new ArrayList<>();
+        fixture.control().deliverBy(submissions::add);
+        fixture.order("k1");
+        assertThat(fixture.connector().calls().isEmpty(), is(true));
+        submissions.get(0).applyAndAnswer();
+        assertThat(fixture.connector().calls().size(), is(1));
+        assertThat(call().fresh(), is(true));
+    }
+
+    /** Guards against a second run of an order, and against a replay that differs from the answer. */
+    @Test
+    void aFinishedOrderReplaysItsAnswer() {
+        fixture.order("k1");
+        call().send();
+        call().head(201, "application/json", call().requestId());
+        call().data("{\"order\":9}");
+        call().end();
+        Started again = fixture.order("k1");
+        assertThat(again.stream().status(), is(201));
+        assertThat(again.stream().text(), is("{\"order\":9}"));
+        assertThat(fixture.connector().calls().size(), is(1));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against a retry of an order whose bytes may have left. */
+    @Test
+    void anOrderThatMayHaveRunIsNotRetried() {
+        Started started = fixture.order("k1");
+        call().send();
+        call().fail(TargetConnector.Kind.CONNECTION_LOST, false);
+        checkRefusal(started, ErrorCode.TARGET_FAILED, "may_have_run");
+        checkRefusal(fixture.order("k1"), ErrorCode.ORDER_OUTCOME_UNKNOWN, "may_have_run");
+        assertThat(fixture.connector().calls().size(), is(1));
+    }
+
+    /** Guards against losing the outcome of an order whose caller did not wait for it. */
+    @Test
+    void anOrderRunsOnWithoutItsCallerAndIsRecorded() {
+        Started started = fixture.order("k1");
+        call().send();
+        started.running().callerGone();
+        assertThat(call().cancelled(), is(false));
+        checkRefusal(fixture.order("k1"), ErrorCode.ORDER_RUNNING, "may_have_run");
+        call().head(200, "application/json", call().requestId());
+        call().data("{}");
+        call().end();
+        assertThat(fixture.control().outcomeOf("k1"), is(Optional.of(Outcome.RAN)));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against a claim that blocks an order which never ran. */
+    @Test
+    void anOrderThatWasRefusedAfterItsClaimCanBeSentAgain() {
+        fixture.services().failAdmission(ErrorCode.RATE_EXCEEDED);
+        checkRefusal(fixture.order("k1"), ErrorCode.RATE_EXCEEDED, "not_run");
+        assertThat(fixture.control().outcomeOf("k1"), is(Optional.of(Outcome.NOT_RUN)));
+        fixture.services().failAdmission(null);
+        fixture.order("k1");
+        assertThat(fixture.connector().calls().size(), is(1));
+    }
+
+    /** Guards against an order that goes to a second target although the first may have it. */
+    @Test
+    void anOrderWhoseConnectionWasRefusedGoesToAnotherTargetUnderTheSameClaim() {
+        fixture.order("k1");
+        call().fail(TargetConnector.Kind.UNREACHABLE, false);
+        assertThat(fixture.connector().calls().size(), is(2));
+        assertThat(fixture.control().commands().size(), is(1));
+    }
+
+    /** Guards against charges that differ from what was used. */
+    @Test
+    void aCompletionPaysForItsPromptAndItsTokens() {
+        fixture.complete();
+        call().stream();
+        call().data("data: a\n\nda");
+        call().data("ta: b\n\ndata: {\"usage\":{\"total_tokens\"");
+        call().data(": 17}}\n\n");
+        call().end();
+        assertThat(fixture.services().tokensUsed(), is(17L));
+    }
+
+    /** Guards against a stop that cuts requests or never ends. */
+    @Test
+    void aDrainRefusesNewRequestsAndWaitsForRunningOnes() {
+        Started started = fixture.complete();
+        call().stream();
+        var idle = fixture.coordinator().drain();
+        checkRefusal(fixture.complete(), ErrorCode.INSTANCE_DRAINING, "not_run");
+        assertThat(idle.isDone(), is(false));
+        call().data("data: [DONE]\n\n");
+        call().end();
+        assertThat(idle.isDone(), is(true));
+        assertThat(started.stream().text(), endsWith("[DONE]\n\n"));
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
@@ -0,0 +1,228 @@
+package org.basilrill.transport.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.membership.Membership;
+import org.basilrill.protocol.administration.AdministrationHandler;
+import org.basilrill.protocol.administration.AdministrationViews;
+import org.basilrill.protocol.administration.RulesText;
+import org.basilrill.protocol.caller.InstanceListing;
+import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.instance.FakeControl;
+import org.basilrill.protocol.instance.FakeServices;
+import org.basilrill.protocol.target.AnnouncementCodec;
+import org.basilrill.state.configuration.KeyHash;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetDirectory;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards the routes that an instance serves itself, over real sockets. */
+@Timeout(20)
+class GatewayRoutesTest {
+    private static final String FIRST_KEY = "brk-first-operator-key";
+    private static final InstanceId SELF = new InstanceId("north-1");
+
+    private final FakeControl control = new FakeControl();
+    private final List<TargetAnnouncement> announced = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean drained = new AtomicBoolean();
+    private final AtomicBoolean ready = new AtomicBoolean(true);
+    private final GatewayFixture fixture = new GatewayFixture(Duration.ofSeconds(15), Duration.ofSeconds(15), routes());
+
+    private static Membership.Member member(String name, boolean suspected, boolean draining, boolean current) {
+        return new Membership.Member(
+                new InstanceId(name), "north", name + ":80", name + ":81", suspected, draining, current, 1, 0);
+    }
+
+    private PlainRoutes routes() {
+        control.install(FakeServices.rules(1, true));
+        Membership membership = new FixedMembership(List.of(
+                member("north-1", false, false, true),
+                member("north-2", false, false, true),
+                member("suspected", true, false, true),
+                member("draining", false, true, true),
+                member("stale", false, false, false)));
+        RulesText text = () -> CompletableFuture.completedFuture(new RulesText.Revision(1, "account a rate 1 # Ana"));
+        AdministrationViews views =
+                new AdministrationViews(SELF, control, membership, new FixedDirectory(announced), () -> 3);
+        AdministrationHandler administration = new AdministrationHandler(
+                control,
+                text,
+                views,
+                () -> drained.set(true),
+                Optional.of(KeyHash.of(FIRST_KEY)),
+                Duration.ofSeconds(5));
+        MetricRegistry metrics = new MetricRegistry();
+        metrics.counter("requests.running").inc(4);
+        InstanceListing listing = new InstanceListing(membership, SELF, new Random(3), Duration.ofSeconds(5));
+        return new GatewayRoutes(listing, announced::add, administration, metrics, ready::get);
+    }
+
+    private String get(String path) throws IOException {
+        try (RawHttp caller = fixture.connect()) {
+            caller.send(RawHttp.request("GET", path, "", "", ""));
+            return caller.readAnswer();
+        }
+    }
+
+    private AdministrationClient operator(String key) {
+        InetSocketAddress address = fixture.gateway().address();
+        return new AdministrationClient(address, key, Duration.ofSeconds(10));
+    }
+
+    private static String text(PlainAnswer answer) {
+        return new String(answer.body(), StandardCharsets.UTF_8);
+    }
+
+    @AfterEach
+    void close() {
+        fixture.close();
+    }
+
+    /** Guards against callers that are sent to an instance which refuses them. */
+    @Test
+    void onlyUsableInstancesAreNamed() throws Exception {
+        String answer = get("/v1/instances");
+        assertThat(answer, containsString("north-1:80"));
+        assertThat(answer, containsString("north-2:80"));
+        assertThat(answer, containsString("\"valid_for_ms\":5000"));
+        for (String left : List.of("suspected", "draining", "stale")) {
+            assertThat(answer, not(containsString(left)));
+        }
+    }
+
+    /** Guards against a health check that hides an instance which takes no requests. */
+    @Test
+    void healthReadinessAndMetricsAreAnswered() throws Exception {
+        assertThat(get("/healthz"), startsWith("HTTP/1.1 200"));
+        assertThat(get("/readyz"), startsWith("HTTP/1.1 200"));
+        ready.set(false);
+        assertThat(get("/readyz"), startsWith("HTTP/1.1 503"));
+        assertThat(get("/metrics"), containsString("\"requests.running\":{\"count\":4}"));
+        assertThat(get("/nothing"), containsString("\"code\":\"NOT_FOUND\""));
+    }
+
+    /** Guards against announcements that lose a field or are accepted in part. */
+    @Test
+    void anAnnouncementIsHandedOverWhole() throws Exception {
+        TargetAnnouncement announcement = new TargetAnnouncement(
+                new TargetId("engine-7"),
+                4,
+                9,
+                "10.0.0.7",
+                8000,
+                "north",
+                Optional.empty(),
+                2000,
+                1L << 40,
+                Map.of(new ModelId("medal-match/oaxaca"), new TargetAnnouncement.LoadedModel(3, 1 << 20, true)),
+                Set.of(TargetAnnouncement.Role.DECODE),
+                16,
+                new TargetAnnouncement.Load(2, 1),
+                true,
+                false);
+        String json = new String(AnnouncementCodec.write(announcement), StandardCharsets.UTF_8);
+        try (RawHttp target = fixture.connect()) {
+            target.send(RawHttp.request("POST", "/v1/targets/announce", "", "", json));
+            assertThat(target.readAnswer(), containsString("{\"instances\":[\"north-2:80\"]}"));
+            assertThat(announced, is(List.of(announcement)));
+            target.send(RawHttp.request("POST", "/v1/targets/announce", "", "", json.replace("10.0.0.7", "a.example")));
+            assertThat(target.readAnswer(), containsString("\"code\":\"MALFORMED_REQUEST\""));
+            assertThat(announced.size(), is(1));
+        }
+    }
+
+    /** Guards against administration without an operator's key, and against lost revisions. */
+    @Test
+    void operatorsReadAndReplaceTheRules() {
+        try (AdministrationClient ana = operator(FakeServices.OPERATOR_KEY);
+                AdministrationClient caller = operator(FakeServices.KEY);
+                AdministrationClient first = operator(FIRST_KEY)) {
+            assertThat(text(ana.rules()), is("{\"revision\":1,\"text\":\"account a rate 1 # Ana\"}"));
+            assertThat(text(ana.replaceRules(1, "rules")), is("{\"revision\":2}"));
+            PlainAnswer conflict = first.replaceRules(0, "rules");
+            assertThat(conflict.status(), is(409));
+            assertThat(text(conflict), containsString("\"revision\":1,\"operator\":\"luis\""));
+            assertThat(caller.replaceRules(1, "rules").status(), is(401));
+            assertThat(text(ana.status()), containsString("\"requests_in_flight\":3"));
+            assertThat(text(ana.accounts()), containsString("\"account\":\"parish-desk\""));
+            assertThat(caller.drain().status(), is(401));
+            assertThat(drained.get(), is(false));
+            assertThat(ana.drain().status(), is(202));
+            assertThat(drained.get(), is(true));
+        }
+    }
+
+    /** Guards against a client that hangs where nothing listens. */
+    @Test
+    void anUnreachableInstanceIsReported() {
+        int port = fixture.gateway().address().getPort();
+        fixture.gateway().stop(Duration.ZERO).join();
+        try (AdministrationClient client =
+                new AdministrationClient(new InetSocketAddress("127.0.0.1", port), FIRST_KEY, Duration.ofSeconds(5))) {
+            BasilrillException failure = assertThrows(BasilrillException.class, client::status);
+            assertThat(failure.code(), is(ErrorCode.TARGET_UNREACHABLE));
+        }
+    }
+
+    /** Members that never change. */
+    private record FixedMembership(List<Member> list) implements Membership {
+        @Override
+        public Collection<Member> members() {
+            return list;
+        }
+
+        @Override
+        public Optional<Member> member(InstanceId id) {
+            return list.stream().filter(member -> member.id().equals(id)).findFirst();
+        }
+    }
+
+    /** Targets from a list. */
+    private record FixedDirectory(List<TargetAnnouncement> list) implements TargetDirectory {
+        @Override
+        public Collection<TargetAnnouncement> targets() {
+            return list;
+        }
+
+        @Override
+        public Optional<TargetAnnouncement> target(TargetId id) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Collection<TargetAnnouncement> readyFor(ModelId model) {
+            return List.of();
+        }
+
+        @Override
+        public Collection<TargetAnnouncement> ofService(String service) {
+            return List.of();
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/HttpTargetOrdersTest.java
@@ -0,0 +1,78 @@
+package org.basilrill.transport.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.Scheduler;
+import org.basilrill.coordination.placement.TargetOrders.Order;
+import org.basilrill.protocol.instance.FakeServices;
+import org.basilrill.state.control.OrderKind;
+import org.basilrill.state.control.OrderOutcome;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards the sending of target orders over real sockets. */
+@Timeout(20)
+class HttpTargetOrdersTest {
+    private static final Order ORDER =
+            new Order("order-1", 42, OrderKind.LOAD_MODEL, new ModelId("medal-match"), 3, 1024);
+
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final Scheduler scheduler = GatewayFixture.scheduler(timer);
+    private final TargetHttpClient client =
+            new TargetHttpClient(TargetHttpClient.Settings.defaults(16 * 1024), System::nanoTime, scheduler);
+    private final HttpTargetOrders orders = new HttpTargetOrders(client, scheduler, Duration.ofSeconds(10));
+
+    @AfterEach
+    void close() {
+        client.close();
+        timer.shutdownNow();
+    }
+
+    /** Guards against an order without its fencing number, and against a wrong reading of the outcome. */
+    @Test
+    void theOutcomeOfAnOrderIsTold() throws Exception {
+        try (RawTarget target = new RawTarget(exchange -> {
+            if (exchange.head().startsWith("POST")) {
+                exchange.answer(409, "{\"outcome\":\"refused_stale\"}");
+            } else if (exchange.head().startsWith("GET /orders/order-1 ")) {
+                exchange.answer(200, "{\"outcome\":\"done\"}");
+            } else {
+                exchange.answer(404, "{}");
+            }
+        })) {
+            TargetAnnouncement announcement = FakeServices.target("engine", target.port());
+            assertThat(orders.send(announcement, ORDER).join(), is(Optional.of(OrderOutcome.REFUSED_STALE)));
+            assertThat(target.requests().get(0), startsWith("POST /orders HTTP/1.1"));
+            assertThat(
+                    target.requests().get(0),
+                    containsString("{\"id\":\"order-1\",\"fencing_number\":42,\"kind\":\"load_model\","
+                            + "\"model\":\"medal-match\",\"version\":3,\"bytes\":1024}"));
+            assertThat(orders.outcome(announcement, "order-1").join(), is(Optional.of(OrderOutcome.DONE)));
+            assertThat(orders.outcome(announcement, "order-2").join(), is(Optional.empty()));
+        }
+    }
+
+    /** Guards against a lost answer that passes for an outcome. */
+    @Test
+    void aLostAnswerIsAFailure() throws Exception {
+        try (RawTarget target = new RawTarget(exchange -> exchange.socket().close())) {
+            var lost = orders.send(FakeServices.target("engine", target.port()), ORDER);
+            CompletionException failure = assertThrows(CompletionException.class, lost::join);
+            assertThat(failure.getCause(), is(instanceOf(BasilrillException.class)));
+        }
+    }
+}
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/RawTarget.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/RawTarget.java
@@ -50,6 +50,15 @@
             output.flush();
         }
 
+        /** Waits until the other side ends the connection, in whichever way. */
+        void awaitEnd() {
+            try {
+                input.read();
+            } catch (IOException reset) {
+                // A reset is an end, too.
+            }
+        }
+
         void startStream() throws IOException {
             send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Request-Id: "
                     + header("x-request-id") + "\r\n\r\n");
