Tell running requests when their caller's connection ends

The library finishes the answer first when a caller closes its connection, so a closed connection was noticed only at the progress deadline. The end of the input now ends the connection, and each ended connection releases its exchanges itself.

--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnection.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnection.java
@@ -1,5 +1,8 @@
 package org.basilrill.transport.http;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.Command;
@@ -10,9 +13,13 @@
  * One connection of a caller: what it waits for and since when. Thread safe; guarded by itself.
  */
 final class CallerConnection {
+    /** Lets a caller read its refusal before the connection ends, which may discard what it has not read. */
+    private static final Duration REFUSED_BODY_WAIT = Duration.ofSeconds(1);
+
     private final IOSession session;
     private final MonotonicClock clock;
     private final GatewaySettings settings;
+    private final List<Runnable> releases = new ArrayList<>();
     private long lastInputNanos;
     private long headSinceNanos;
     private boolean headRunning;
@@ -20,6 +27,7 @@
     private int openBodies;
     private boolean refusesInput;
     private boolean closing;
+    private boolean refusedEarly;
 
     CallerConnection(IOSession session, MonotonicClock clock, GatewaySettings settings) {
         this.session = session;
@@ -51,9 +59,10 @@
     }
 
     /** Notes that a request and its answer are complete. */
-    void requestEnded() {
+    void requestEnded(Runnable exchangeRelease) {
         boolean close;
         synchronized (this) {
+            releases.remove(exchangeRelease);
             openRequests--;
             lastInputNanos = clock.nanos();
             close = closing && openRequests == 0;
@@ -63,6 +72,40 @@
         }
     }
 
+    /**
+     * Notes that the caller sends nothing more. With a request open it counts as gone: a caller that closed its
+     * connection cannot be told from one that closed its sending side only, and nobody may wait for the answer.
+     */
+    void callerEnded() {
+        boolean waiting;
+        synchronized (this) {
+            waiting = openRequests > 0;
+        }
+        if (waiting) {
+            close();
+        }
+    }
+
+    /** Notes an exchange that must be told if the connection ends before its answer does. */
+    synchronized void opened(Runnable exchangeRelease) {
+        releases.add(exchangeRelease);
+    }
+
+    /** Releases the exchanges of an ended connection; the library does not do so for all of them. */
+    void releaseAll() {
+        List<Runnable> remaining;
+        synchronized (this) {
+            remaining = List.copyOf(releases);
+            releases.clear();
+        }
+        remaining.forEach(Runnable::run);
+    }
+
+    /** Notes that a request was refused before its body ended; what is left of it is waited for only shortly. */
+    synchronized void refusedEarly() {
+        refusedEarly = true;
+    }
+
     /** Reads nothing more, because the position of the next request is not known. */
     synchronized void refuseInput() {
         refusesInput = true;
@@ -98,7 +141,8 @@
             long silence = now - lastInputNanos;
             boolean headLate =
                     headRunning && now - headSinceNanos > settings.headerWait().toNanos();
-            boolean bodyLate = openBodies > 0 && silence > settings.headerWait().toNanos();
+            Duration bodyWait = refusedEarly ? REFUSED_BODY_WAIT : settings.headerWait();
+            boolean bodyLate = openBodies > 0 && silence > bodyWait.toNanos();
             late = headLate || bodyLate;
             idle = openRequests == 0 && silence > settings.idleLimit().toNanos();
         }
@@ -107,7 +151,9 @@
         }
     }
 
+    /** Closes the connection at once and releases its exchanges. */
     void close() {
         session.close(CloseMode.IMMEDIATE);
+        releaseAll();
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnections.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnections.java
@@ -117,7 +117,10 @@
 
     @Override
     public void disconnected(IOSession session) {
-        connections.remove(session.getId());
+        CallerConnection connection = connections.remove(session.getId());
+        if (connection != null) {
+            connection.releaseAll();
+        }
         completeIfNone();
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerExchange.java
@@ -45,6 +45,7 @@
     private final CallerConnection connection;
     private final CallerRequests requests;
     private final GatewaySettings settings;
+    private final Runnable release = this::releaseResources;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final AtomicBoolean released = new AtomicBoolean();
     private RequestHead head;
@@ -69,6 +70,7 @@
         this.connection = connection;
         this.requests = requests;
         this.settings = settings;
+        connection.opened(release);
     }
 
     @Override
@@ -242,7 +244,7 @@
         if (request != null) {
             request.callerGone();
         }
-        connection.requestEnded();
+        connection.requestEnded(release);
     }
 
     private void requireBodyFits(EntityDetails entity) {
@@ -260,6 +262,9 @@
     private void refuse(BasilrillException refusal) {
         refused = true;
         body.reset();
+        if (bodyOpen) {
+            connection.refusedEarly();
+        }
         requests.refuse(refusal, head, this);
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/StrictRequestParser.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/StrictRequestParser.java
@@ -54,6 +54,10 @@
 
     @Override
     public HttpRequest parse(SessionInputBuffer input, boolean endOfStream) throws IOException {
+        if (endOfStream && !input.hasData()) {
+            connection.callerEnded();
+            return null;
+        }
         if (refusing || connection.refusesInput()) {
             discard(input);
             return null;
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
@@ -19,6 +19,10 @@
 final class GatewayFixture implements AutoCloseable {
     static final int WINDOW_BYTES = 16 * 1024;
 
+    static final PlainRoutes NO_ROUTES = (head, body) -> {
+        throw new UnsupportedOperationException("no plain routes in this test");
+    };
+
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private final FakeServices services = new FakeServices();
     private final TargetHttpClient client;
@@ -50,9 +54,7 @@
     }
 
     static GatewayFixture open() {
-        return new GatewayFixture(Duration.ofSeconds(15), Duration.ofSeconds(15), (head, body) -> {
-            throw new UnsupportedOperationException("no plain routes in this test");
-        });
+        return new GatewayFixture(Duration.ofMinutes(1), Duration.ofSeconds(15), NO_ROUTES);
     }
 
     static Scheduler scheduler(ScheduledExecutorService timer) {
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/HttpHardeningTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/HttpHardeningTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Timeout;
 
 /** Guards the edge of the system against malformed requests and keys that travel on. */
-@Timeout(60)
+@Timeout(20)
 class HttpHardeningTest {
     private static final String BODY = "{\"model\":\"medal-match\",\"max_tokens\":5,\"prompt\":\"hello\"}";
     private static final String AUTHORIZED = "Host: h\r\nAuthorization: Bearer " + FakeServices.KEY + "\r\n";
@@ -76,7 +76,8 @@
     /** Guards against memory that callers without limits could fill. */
     @Test
     void oversizedHeadsAndBodiesAreRefused() throws Exception {
-        try (GatewayFixture fixture = GatewayFixture.open()) {
+        try (GatewayFixture fixture =
+                new GatewayFixture(Duration.ofSeconds(15), Duration.ofSeconds(2), GatewayFixture.NO_ROUTES)) {
             String large = "X-Large: " + "a".repeat(17 * 1024) + "\r\n";
             String many = ("X-Part: " + "a".repeat(1000) + "\r\n").repeat(20);
             String path = "GET /" + "p".repeat(17 * 1024) + " HTTP/1.1\r\n";
@@ -115,10 +116,8 @@
     /** Guards against connections that are held by a head that never ends. */
     @Test
     void aHeadThatDoesNotEndClosesItsConnection() throws Exception {
-        PlainRoutes none = (head, body) -> {
-            throw new UnsupportedOperationException("no plain routes in this test");
-        };
-        try (GatewayFixture fixture = new GatewayFixture(Duration.ofSeconds(15), Duration.ofMillis(200), none);
+        try (GatewayFixture fixture =
+                        new GatewayFixture(Duration.ofSeconds(15), Duration.ofMillis(200), GatewayFixture.NO_ROUTES);
                 RawHttp head = fixture.connect();
                 RawHttp body = fixture.connect();
                 RawHttp idle = fixture.connect()) {
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/StreamingTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/StreamingTest.java
@@ -25,9 +25,6 @@
     private static final String BODY = "{\"model\":\"medal-match\",\"stream\":true,\"max_tokens\":50,"
             + "\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}";
     private static final Duration LONG = Duration.ofSeconds(15);
-    private static final PlainRoutes NO_ROUTES = (head, body) -> {
-        throw new UnsupportedOperationException("no plain routes in this test");
-    };
 
     private static String completion(String extraHeaders) {
         return RawHttp.request("POST", "/v1/chat/completions", FakeServices.KEY, extraHeaders, BODY);
@@ -183,7 +180,7 @@
     @Test
     void aSilentTargetEndsInATypedTimeout() throws Exception {
         CountDownLatch ended = new CountDownLatch(1);
-        try (GatewayFixture fixture = new GatewayFixture(Duration.ofMillis(200), LONG, NO_ROUTES);
+        try (GatewayFixture fixture = new GatewayFixture(Duration.ofMillis(200), LONG, GatewayFixture.NO_ROUTES);
                 RawTarget target = new RawTarget(exchange -> {
                     exchange.awaitEnd();
                     ended.countDown();
