--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/CoordinatorFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/CoordinatorFixture.java
@@ -1,6 +1,7 @@
 package org.basilrill.protocol.instance;
 
 import io.opentelemetry.api.OpenTelemetry;
+import io.opentelemetry.api.trace.Tracer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -20,6 +21,10 @@
     private final RequestCoordinator coordinator;
 
     CoordinatorFixture(int targets) {
+        this(targets, OpenTelemetry.noop().getTracer("test"));
+    }
+
+    CoordinatorFixture(int targets, Tracer tracer) {
         RequestLimits limits = new RequestLimits(
                 Duration.ofSeconds(30),
                 Duration.ofMinutes(10),
@@ -28,8 +33,7 @@
                 Duration.ofSeconds(1),
                 WINDOW_BYTES,
                 4);
-        coordinator = new RequestCoordinator(
-                services.with(connector, time, time, OpenTelemetry.noop().getTracer("test"), limits));
+        coordinator = new RequestCoordinator(services.with(connector, time, time, tracer, limits));
         for (int number = 1; number <= targets; number++) {
             services.targets().add(FakeServices.target("target-" + number, 9000 + number));
         }
