--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
@@ -174,7 +174,7 @@
     private void publish(long index) {
         ControlView next = view(index);
         ControlView current = published.view();
-        boolean changed = next.rules() != current.rules()
+        boolean changed = next.rules().revision() != current.rules().revision()
                 || !next.bucketOwners().equals(current.bucketOwners())
                 || !next.blockedFingerprints().equals(current.blockedFingerprints())
                 || !next.sessions().equals(current.sessions());
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
@@ -0,0 +1,236 @@
+package org.basilrill.coordination.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.Outcome;
+import org.basilrill.state.control.ControlCommand.ClaimOrder;
+import org.basilrill.state.control.ControlCommand.ReplaceRules;
+import org.basilrill.state.control.ControlResult;
+import org.basilrill.state.control.ControlResult.OrderFinished;
+import org.basilrill.state.control.ControlResult.OrderGranted;
+import org.basilrill.state.control.ControlResult.RulesAccepted;
+import org.basilrill.state.control.ControlResult.RulesConflict;
+import org.junit.jupiter.api.Test;
+
+/** Guards the access of instances to the control log when replicas lead, follow, are cut off or are replaced. */
+class ControlLogTest {
+    private static final InstanceId ENTRY = new InstanceId("entry");
+    private static final Duration DEADLINE = Duration.ofSeconds(5);
+    private static final Duration SECOND = Duration.ofSeconds(1);
+
+    private final FakeCluster cluster = new FakeCluster(3, 4301);
+    private final ControlLogClient client = cluster.client(ENTRY);
+
+    @Test
+    void anInstanceBecomesCurrentAndHoldsASession() {
+        assertThat(client.isCurrent(), is(false));
+        start(client);
+        assertThat(client.isCurrent(), is(true));
+        assertThat(client.holdsSession(), is(true));
+        assertThat(client.view().sessions().get(ENTRY), is(client.sessionId()));
+    }
+
+    @Test
+    void anAcceptedConfigurationIsInForceEverywhereWithinASecond() {
+        List<ControlLogClient> clients = new ArrayList<>(List.of(client));
+        for (int number = 0; number < 9; number++) {
+            clients.add(cluster.client(new InstanceId("entry" + number)));
+        }
+        clients.forEach(ControlLogTest::begin);
+        cluster.time().advance(SECOND);
+        assertThat(result(replace(client, 0, "a", "ana")), is(new RulesAccepted(1)));
+        cluster.time().advance(SECOND);
+        for (ControlLogClient each : clients) {
+            assertThat(each.view().rules().accounts().containsKey(new AccountId("a")), is(true));
+        }
+    }
+
+    @Test
+    void ofTwoRacingOperatorsAtDifferentInstancesOneWinsAndBothMayResend() {
+        ControlLogClient other = cluster.client(new InstanceId("other"));
+        start(client);
+        start(other);
+        CompletableFuture<ControlResult> first = replace(client, 0, "a", "ana");
+        CompletableFuture<ControlResult> second = replace(other, 0, "b", "luis");
+        List<ControlResult> results = List.of(result(first), result(second));
+        String winner = results.get(0) instanceof RulesAccepted ? "ana" : "luis";
+        ControlLogClient won = winner.equals("ana") ? client : other;
+        ControlLogClient lost = winner.equals("ana") ? other : client;
+        String text = winner.equals("ana") ? "a" : "b";
+        assertThat(results.contains(new RulesConflict(1, winner)), is(true));
+        assertThat(result(replace(won, 0, text, winner)), is(new RulesAccepted(1)));
+        assertThat(result(replace(lost, 0, "c", "loser")), is(new RulesConflict(1, winner)));
+    }
+
+    @Test
+    void aReplicaUsesTheSameClientAlsoWhenItLeads() {
+        ControlLogClient onLeader = cluster.client(cluster.replicas().get(0));
+        ControlLogClient onFollower = cluster.client(cluster.replicas().get(1));
+        start(onLeader);
+        start(onFollower);
+        assertThat(onLeader.holdsSession(), is(true));
+        assertThat(result(replace(onFollower, 0, "a", "ana")), is(new RulesAccepted(1)));
+    }
+
+    @Test
+    void anInstanceCutOffStopsBeingCurrentAfterThreeSecondsAndResumesByItself() {
+        start(client);
+        long session = client.sessionId();
+        cluster.cutOff(ENTRY);
+        cluster.time().advance(Duration.ofMillis(2_400));
+        assertThat(client.isCurrent(), is(true));
+        cluster.time().advance(Duration.ofMillis(700));
+        assertThat(client.isCurrent(), is(false));
+        assertThat(client.holdsSession(), is(false));
+        cluster.time().advance(DEADLINE);
+        assertThat(leaderSessions().containsKey(ENTRY), is(false));
+        cluster.reconnect(ENTRY);
+        cluster.time().advance(Duration.ofSeconds(2));
+        assertThat(client.isCurrent(), is(true));
+        assertThat(client.holdsSession(), is(true));
+        assertThat(client.sessionId(), is(not(session)));
+    }
+
+    @Test
+    void aSessionIsExpiredOnlyAfterFiveSecondsAndItsClaimsBecomeUnknown() {
+        ControlLogClient other = cluster.client(new InstanceId("other"));
+        start(client);
+        start(other);
+        assertThat(result(claim(client, ENTRY, "first")), is(new OrderGranted()));
+        cluster.cutOff(ENTRY);
+        cluster.time().advance(Duration.ofMillis(4_400));
+        assertThat(leaderSessions().containsKey(ENTRY), is(true));
+        cluster.time().advance(Duration.ofMillis(1_200));
+        assertThat(leaderSessions().containsKey(ENTRY), is(false));
+        OrderFinished unknown = (OrderFinished) result(claim(other, new InstanceId("other"), "second"));
+        assertThat(unknown.outcome(), is(Outcome.MAY_HAVE_RUN));
+    }
+
+    @Test
+    void aLeaderThatIsCutOffConfirmsNothing() {
+        start(client);
+        InstanceId old = cluster.replicas().get(0);
+        ControlLogClient beside = cluster.client(old);
+        start(beside);
+        cluster.cutOff(old);
+        cluster.elect(cluster.replicas().get(1));
+        cluster.time().advance(Duration.ofSeconds(4));
+        assertThat("the instance of the isolated leader is not current", beside.isCurrent(), is(false));
+        assertThat(client.isCurrent(), is(true));
+        assertThat(client.holdsSession(), is(true));
+    }
+
+    @Test
+    void aNewLeaderDoesNotExpireSessionsThatItsPredecessorSaw() {
+        start(client);
+        long session = client.sessionId();
+        for (int change = 1; change <= 6; change++) {
+            cluster.depose();
+            cluster.time().advance(Duration.ofMillis(800));
+            cluster.elect(cluster.replicas().get(change % 3));
+            cluster.time().advance(Duration.ofMillis(1_500));
+        }
+        assertThat(client.sessionId(), is(session));
+        assertThat(client.holdsSession(), is(true));
+    }
+
+    @Test
+    void aCommandIsRepeatedUntilALeaderIsElected() {
+        start(client);
+        cluster.depose();
+        CompletableFuture<ControlResult> result = replace(client, 0, "a", "ana");
+        cluster.time().advance(SECOND);
+        assertThat(result.isDone(), is(false));
+        cluster.elect(cluster.replicas().get(2));
+        cluster.time().advance(Duration.ofMillis(500));
+        assertThat(result.join(), is(new RulesAccepted(1)));
+    }
+
+    @Test
+    void aCommandWithoutAnAnswerFailsAtItsDeadlineAndMayHaveTakenEffect() {
+        start(client);
+        cluster.replicas().forEach(cluster::cutOff);
+        CompletableFuture<ControlResult> result = replace(client, 0, "a", "ana");
+        cluster.time().advance(DEADLINE.minusMillis(1));
+        assertThat(result.isDone(), is(false));
+        cluster.time().advance(Duration.ofMillis(1));
+        CompletionException failure = assertThrows(CompletionException.class, result::join);
+        BasilrillException cause = (BasilrillException) failure.getCause();
+        assertThat(cause.code(), is(ErrorCode.CONTROL_UNAVAILABLE));
+        assertThat(cause.outcome(), is(Outcome.MAY_HAVE_RUN));
+    }
+
+    @Test
+    void aListenerThatFailsDoesNotKeepOthersFromTheView() {
+        List<Long> seen = new ArrayList<>();
+        client.onView(view -> {
+            throw new IllegalStateException("listener");
+        });
+        client.onView(view -> seen.add(view.index()));
+        start(client);
+        result(replace(client, 0, "a", "ana"));
+        cluster.time().advance(SECOND);
+        assertThat(seen, is(seen.stream().sorted().distinct().toList()));
+        assertThat(seen.size(), is(greaterThan(1)));
+    }
+
+    @Test
+    void aMalformedMessageIsReportedAsSuch() {
+        ControlEndpoint endpoint = new ControlEndpoint(ENTRY, (to, subject, payload) -> {}, cluster.time());
+        BasilrillException failure =
+                assertThrows(BasilrillException.class, () -> endpoint.received(ENTRY, new byte[] {5, 1, 2}));
+        assertThat(failure.code(), is(ErrorCode.MESSAGE_MALFORMED));
+        assertThat(failure, is(instanceOf(BasilrillException.class)));
+    }
+
+    private java.util.Map<InstanceId, Long> leaderSessions() {
+        return cluster.machine(cluster.replicas().get(0)).view().sessions();
+    }
+
+    private void start(ControlLogClient starting) {
+        begin(starting);
+        cluster.time().advance(SECOND);
+    }
+
+    private static void begin(ControlLogClient starting) {
+        starting.start();
+    }
+
+    private ControlResult result(CompletableFuture<ControlResult> future) {
+        advanceUntil(future::isDone);
+        return future.join();
+    }
+
+    private void advanceUntil(BooleanSupplier condition) {
+        for (int step = 0; step < 500 && !condition.getAsBoolean(); step++) {
+            cluster.time().advance(Duration.ofMillis(10));
+        }
+    }
+
+    private static CompletableFuture<ControlResult> replace(
+            ControlLogClient at, long revision, String account, String operator) {
+        String text = "account " + account + " rate 1 burst 1 # " + operator;
+        return at.submit(new ReplaceRules(revision, text, operator), DEADLINE);
+    }
+
+    private static CompletableFuture<ControlResult> claim(ControlLogClient at, InstanceId instance, String attempt) {
+        ClaimOrder command =
+                new ClaimOrder(new AccountId("a"), "key", "fingerprint", attempt, instance, at.sessionId(), 0);
+        return at.submit(command, DEADLINE);
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
@@ -0,0 +1,201 @@
+package org.basilrill.coordination.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.PeerSubject;
+import org.basilrill.state.control.ControlStateMachine;
+
+/**
+ * Replicas that share one committed log, and instances that reach them over a channel which loses, delays, repeats and
+ * reorders messages. Only a leader that is connected to a majority commits or confirms.
+ */
+final class FakeCluster {
+    private final VirtualTime time = new VirtualTime();
+    private final Random random;
+    private final List<byte[]> committed = new ArrayList<>();
+    private final List<InstanceId> replicas;
+    private final Map<InstanceId, Replica> logs = new HashMap<>();
+    private final Map<InstanceId, ControlEndpoint> endpoints = new HashMap<>();
+    private final Set<InstanceId> cutOff = new HashSet<>();
+    private double lossProbability;
+    private Optional<InstanceId> leader = Optional.empty();
+    private long term;
+
+    FakeCluster(int replicaCount, long seed) {
+        random = new Random(seed);
+        replicas = java.util.stream.IntStream.range(0, replicaCount)
+                .mapToObj(number -> new InstanceId("replica" + number))
+                .toList();
+        replicas.forEach(id -> {
+            Replica log = new Replica(id);
+            logs.put(id, log);
+            ControlLogServer server = new ControlLogServer(
+                    endpoint(id), log, log.machine, () -> replicas, time, time, () -> time.nanos() / 1_000_000);
+            server.start();
+        });
+        elect(replicas.get(0));
+    }
+
+    ControlLogClient client(InstanceId id) {
+        return new ControlLogClient(endpoint(id), replicas, time, time, new Random(random.nextLong()));
+    }
+
+    List<InstanceId> replicas() {
+        return replicas;
+    }
+
+    ControlStateMachine machine(InstanceId replica) {
+        return logs.get(replica).machine;
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    int committedCommands() {
+        return committed.size();
+    }
+
+    void elect(InstanceId replica) {
+        leader = Optional.of(replica);
+        term++;
+        logs.get(replica).catchUp();
+        logs.get(replica).believedTerm = term;
+    }
+
+    void depose() {
+        leader = Optional.empty();
+        term++;
+    }
+
+    void cutOff(InstanceId instance) {
+        cutOff.add(instance);
+    }
+
+    void reconnect(InstanceId instance) {
+        cutOff.remove(instance);
+    }
+
+    void loseMessages(double probability) {
+        lossProbability = probability;
+    }
+
+    private ControlEndpoint endpoint(InstanceId id) {
+        return endpoints.computeIfAbsent(
+                id,
+                self -> new ControlEndpoint(self, (to, subject, payload) -> send(self, to, subject, payload), time));
+    }
+
+    private void send(InstanceId from, InstanceId to, PeerSubject subject, byte[] payload) {
+        if (subject != PeerSubject.CONTROL) {
+            throw new IllegalArgumentException("unexpected subject " + subject);
+        }
+        int copies = random.nextDouble() < lossProbability / 2 ? 2 : 1;
+        for (int copy = 0; copy < copies; copy++) {
+            if (random.nextDouble() < lossProbability) {
+                continue;
+            }
+            int delayMillis = lossProbability > 0 && random.nextInt(10) == 0 ? random.nextInt(2_000) : 1;
+            time.schedule(Duration.ofMillis(delayMillis), () -> {
+                if (!cutOff.contains(from) && !cutOff.contains(to)) {
+                    endpoints.get(to).received(from, payload);
+                }
+            });
+        }
+    }
+
+    /** The log of one replica. A replica that is cut off keeps believing what it believed before. */
+    private final class Replica implements ControlLog {
+        private final InstanceId self;
+        private final ControlStateMachine machine = new ControlStateMachine();
+        private int applied;
+        private long believedTerm;
+
+        private Replica(InstanceId self) {
+            this.self = self;
+            follow();
+        }
+
+        @Override
+        public CompletableFuture<byte[]> propose(byte[] command) {
+            if (!isLeader()) {
+                return CompletableFuture.failedFuture(new BasilrillException(ErrorCode.NOT_LEADER, "not the leader"));
+            }
+            CompletableFuture<byte[]> result = new CompletableFuture<>();
+            time.schedule(Duration.ofMillis(2), () -> {
+                if (!leads()) {
+                    result.completeExceptionally(new BasilrillException(ErrorCode.CONTROL_UNAVAILABLE, "deposed"));
+                    return;
+                }
+                committed.add(command);
+                result.complete(catchUp());
+            });
+            return result;
+        }
+
+        @Override
+        public CompletableFuture<Long> confirm() {
+            CompletableFuture<Long> result = new CompletableFuture<>();
+            time.schedule(Duration.ofMillis(2), () -> {
+                if (leads()) {
+                    catchUp();
+                    result.complete((long) applied);
+                } else {
+                    result.completeExceptionally(new BasilrillException(ErrorCode.NOT_LEADER, "no quorum"));
+                }
+            });
+            return result;
+        }
+
+        @Override
+        public Optional<InstanceId> leader() {
+            return cutOff.contains(self) ? Optional.of(self).filter(id -> isLeader()) : leader;
+        }
+
+        @Override
+        public boolean isLeader() {
+            return believedTerm > 0 && (cutOff.contains(self) || leads());
+        }
+
+        @Override
+        public long term() {
+            return believedTerm;
+        }
+
+        private boolean leads() {
+            return leader.equals(Optional.of(self)) && believedTerm == term && !cutOff.contains(self);
+        }
+
+        /** Applies what is committed; returns the result of the last command. */
+        private byte[] catchUp() {
+            byte[] result = new byte[0];
+            while (applied < committed.size()) {
+                // Commands share the log with entries that the machine never sees, so indexes have gaps.
+                result = machine.apply(2L * applied + 2, committed.get(applied));
+                applied++;
+            }
+            return result;
+        }
+
+        /** Followers apply late, by up to 60 ms. */
+        private void follow() {
+            time.schedule(Duration.ofMillis(1 + random.nextInt(60)), () -> {
+                if (!cutOff.contains(self)) {
+                    catchUp();
+                }
+                follow();
+            });
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/MachineHarness.java
@@ -0,0 +1,36 @@
+package org.basilrill.state.control;
+
+import org.basilrill.thrift.control.MachineState;
+
+/** Drives a control state machine through its encoded interface, as a replica does. */
+public final class MachineHarness {
+    private ControlStateMachine machine = new ControlStateMachine();
+    private long index;
+
+    public ControlStateMachine machine() {
+        return machine;
+    }
+
+    public long index() {
+        return index;
+    }
+
+    public ControlResult apply(ControlCommand command) {
+        index++;
+        return ResultCodec.decode(machine.apply(index, CommandCodec.encode(command)));
+    }
+
+    /** Continues on a replica that starts from a snapshot. */
+    public void restart() {
+        ControlStateMachine restored = new ControlStateMachine();
+        restored.restore(machine.snapshot());
+        machine = restored;
+    }
+
+    /** Returns the state without the positions in the log. */
+    public MachineState state() {
+        return ThriftBytes.decode(MachineState::new, machine.snapshot())
+                .setLastIndex(0)
+                .setViewIndex(0);
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/OrderClaimsPropertyTest.java
@@ -0,0 +1,202 @@
+package org.basilrill.state.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.Outcome;
+import org.basilrill.state.control.ControlCommand.ClaimOrder;
+import org.basilrill.state.control.ControlCommand.ExpireSession;
+import org.basilrill.state.control.ControlCommand.FinishOrder;
+import org.basilrill.state.control.ControlCommand.RegisterSession;
+import org.basilrill.state.control.ControlResult.OrderFinished;
+import org.basilrill.state.control.ControlResult.OrderGranted;
+import org.basilrill.state.control.ControlResult.OrderRunning;
+import org.basilrill.state.control.ControlResult.Refused;
+
+/** Guards orders against running twice, whatever commands come late, twice or after the loss of an instance. */
+class OrderClaimsPropertyTest {
+    private static final AccountId ACCOUNT = new AccountId("account");
+    private static final InstanceId FIRST = new InstanceId("i0");
+    private static final long DAY_MILLIS = 24 * 3_600_000L;
+
+    @Property(tries = 500, seed = "4221")
+    void anOrderIsNeverGrantedAgainOnceAnAttemptMayHaveRunIt(
+            @ForAll @Size(max = 150) List<@IntRange(max = 999_999) Integer> choices) {
+        MachineHarness harness = new MachineHarness();
+        List<ControlCommand> sent = new ArrayList<>();
+        Oracle oracle = new Oracle();
+        for (int step = 0; step < choices.size(); step++) {
+            int choice = choices.get(step);
+            if (choice % 17 == 0) {
+                harness.restart();
+            }
+            ControlCommand command = choice % 4 == 0 && !sent.isEmpty()
+                    ? sent.get(choice / 4 % sent.size())
+                    : command(choice / 4, "attempt" + step, oracle);
+            sent.add(command);
+            ControlResult result = harness.apply(command);
+            oracle.check(command, result);
+            var state = harness.state();
+            assertThat("a command applied twice gives the same answer", harness.apply(command), is(result));
+            assertThat("a command applied twice gives the same state", harness.state(), is(state));
+        }
+    }
+
+    @Example
+    void aFinishedOrderReplaysItsAnswerAndAnOversizedBodyIsNotKept() {
+        MachineHarness harness = new MachineHarness();
+        harness.apply(new RegisterSession(FIRST, 1));
+        harness.apply(claim("k", "a", 0));
+        byte[] body = new byte[RecordedAnswer.MAXIMUM_BODY_BYTES + 1];
+        harness.apply(finish("k", "a", new RecordedAnswer(201, "text/plain", body, true)));
+        harness.restart();
+        OrderFinished finished = (OrderFinished) harness.apply(claim("k", "b", 0));
+        assertThat(finished.outcome(), is(Outcome.RAN));
+        assertThat(finished.answer().map(RecordedAnswer::status), is(Optional.of(201)));
+        assertThat(finished.answer().map(answer -> answer.body().length), is(Optional.of(0)));
+        assertThat(finished.answer().map(RecordedAnswer::complete), is(Optional.of(false)));
+    }
+
+    @Example
+    void theSameKeyWithDifferentContentIsRefused() {
+        MachineHarness harness = new MachineHarness();
+        harness.apply(new RegisterSession(FIRST, 1));
+        harness.apply(claim("k", "a", 0));
+        ClaimOrder other = new ClaimOrder(ACCOUNT, "k", "other fingerprint", "b", FIRST, 1, 0);
+        assertThat(((Refused) harness.apply(other)).code(), is(ErrorCode.ORDER_MISMATCH));
+    }
+
+    @Example
+    void finishedClaimsAreDroppedAfterADayAndRunningOnesAreNot() {
+        MachineHarness harness = new MachineHarness();
+        harness.apply(new RegisterSession(FIRST, 1));
+        harness.apply(claim("running", "a", 0));
+        harness.apply(claim("finished", "a", 0));
+        harness.apply(finish("finished", "a", new RecordedAnswer(200, "text/plain", new byte[1], true)));
+        assertThat(harness.apply(claim("finished", "b", DAY_MILLIS)) instanceof OrderFinished, is(true));
+        assertThat(harness.apply(claim("finished", "c", DAY_MILLIS + 1)), is(new OrderGranted()));
+        assertThat(harness.apply(claim("running", "c", DAY_MILLIS + 1)), is(new OrderRunning(FIRST)));
+    }
+
+    @Example
+    void retainedAnswersStayWithinTheirBoundAndTheOldestGoFirst() {
+        MachineHarness harness = new MachineHarness();
+        harness.apply(new RegisterSession(FIRST, 1));
+        int orders = OrderClaims.MAXIMUM_RETAINED_BYTES / RecordedAnswer.MAXIMUM_BODY_BYTES + 3;
+        for (int order = 0; order < orders; order++) {
+            harness.apply(claim("k" + order, "a", 0));
+            byte[] body = new byte[RecordedAnswer.MAXIMUM_BODY_BYTES];
+            harness.apply(finish("k" + order, "a", new RecordedAnswer(200, "text/plain", body, true)));
+        }
+        int overhead = orders * 256;
+        assertThat(
+                harness.machine().snapshot().length,
+                is(lessThanOrEqualTo(OrderClaims.MAXIMUM_RETAINED_BYTES + overhead)));
+        OrderFinished oldest = (OrderFinished) harness.apply(claim("k0", "b", 0));
+        OrderFinished newest = (OrderFinished) harness.apply(claim("k" + (orders - 1), "b", 0));
+        assertThat(oldest.answer().orElseThrow().complete(), is(false));
+        assertThat(newest.answer().orElseThrow().complete(), is(true));
+    }
+
+    private static ClaimOrder claim(String key, String attempt, long nowMillis) {
+        return new ClaimOrder(ACCOUNT, key, "fingerprint", attempt, FIRST, 1, nowMillis);
+    }
+
+    private static FinishOrder finish(String key, String attempt, RecordedAnswer answer) {
+        return new FinishOrder(ACCOUNT, key, attempt, Outcome.RAN, Optional.of(answer));
+    }
+
+    private static ControlCommand command(int choice, String attempt, Oracle oracle) {
+        InstanceId instance = new InstanceId("i" + choice / 8 % 3);
+        long session = 1 + choice / 24 % 4;
+        String key = "k" + choice / 96 % 2;
+        switch (choice % 8) {
+            case 0:
+                return new RegisterSession(instance, session);
+            case 1:
+                return new ExpireSession(instance, session);
+            case 2:
+            case 3:
+            case 4:
+                long current = oracle.open.getOrDefault(instance, session);
+                return new ClaimOrder(ACCOUNT, key, "fingerprint", attempt, instance, current, choice);
+            default:
+                List<String> attempts = oracle.granted.getOrDefault(key, List.of("none"));
+                Outcome outcome = Outcome.values()[choice / 192 % 3];
+                String ended = attempts.get(choice / 576 % attempts.size());
+                return new FinishOrder(ACCOUNT, key, ended, outcome, Optional.empty());
+        }
+    }
+
+    /** Follows who may run an order: everyone granted who has not reported that nothing ran. */
+    private static final class Oracle {
+        private final Map<InstanceId, Long> open = new HashMap<>();
+        private final Set<String> ended = new HashSet<>();
+        private final Map<String, List<String>> granted = new HashMap<>();
+        private final Map<String, Set<String>> mayHaveRun = new HashMap<>();
+        private final Map<String, Outcome> finished = new HashMap<>();
+
+        private void check(ControlCommand command, ControlResult result) {
+            if (command instanceof RegisterSession register) {
+                boolean refused = ended.contains(register.instance() + "/" + register.sessionId());
+                assertThat("an ended session never opens again", result instanceof Refused, is(refused));
+                if (!refused) {
+                    Long previous = open.put(register.instance(), register.sessionId());
+                    if (previous != null && previous != register.sessionId()) {
+                        ended.add(register.instance() + "/" + previous);
+                    }
+                }
+            }
+            if (command instanceof ExpireSession expire) {
+                open.remove(expire.instance(), expire.sessionId());
+                ended.add(expire.instance() + "/" + expire.sessionId());
+            }
+            if (command instanceof ClaimOrder claim) {
+                checkClaim(claim, result);
+            }
+            if (command instanceof FinishOrder finish && result instanceof ControlResult.Done) {
+                if (finish.outcome() == Outcome.NOT_RUN) {
+                    mayHaveRun.get(finish.idempotencyKey()).remove(finish.attempt());
+                } else {
+                    finished.put(finish.idempotencyKey(), finish.outcome());
+                }
+            }
+        }
+
+        private void checkClaim(ClaimOrder claim, ControlResult result) {
+            String key = claim.idempotencyKey();
+            Set<String> running = mayHaveRun.computeIfAbsent(key, unused -> new HashSet<>());
+            if (result instanceof OrderGranted) {
+                assertThat("only a repeated claim is granted while an attempt may run", finished.get(key) == null);
+                running.add(claim.attempt());
+                granted.computeIfAbsent(key, unused -> new ArrayList<>()).add(claim.attempt());
+                assertThat("at most one attempt may have run", running, is(Set.of(claim.attempt())));
+            }
+            if (result instanceof OrderFinished answer && finished.containsKey(key)) {
+                assertThat(answer.outcome(), is(finished.get(key)));
+            }
+            boolean free =
+                    running.isEmpty() && !granted.getOrDefault(key, List.of()).contains(claim.attempt());
+            boolean sessionOpen = Long.valueOf(claim.sessionId()).equals(open.get(claim.instance()));
+            if (free && sessionOpen) {
+                assertThat("a free order is granted", result, is(new OrderGranted()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/state/ledger/SimulatedTarget.java
@@ -0,0 +1,91 @@
+package org.basilrill.state.ledger;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.state.control.ControlCommand.ObserveTarget;
+import org.basilrill.state.control.OrderKind;
+import org.basilrill.state.control.OrderOutcome;
+import org.basilrill.state.ledger.LedgerRow.OpenOrder;
+import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
+
+/** A target that executes each order id once in an incarnation and records its peak use of memory. */
+final class SimulatedTarget {
+    static final long CAPACITY = 100;
+
+    private final TargetId id;
+    private final boolean enforcesFencing;
+    private final Map<ModelId, LoadedModel> contents = new HashMap<>();
+    private final Map<String, OrderOutcome> executed = new HashMap<>();
+    private long incarnation = 1;
+    private long highestFence;
+    private long peakBytes;
+
+    SimulatedTarget(TargetId id, boolean enforcesFencing) {
+        this.id = id;
+        this.enforcesFencing = enforcesFencing;
+    }
+
+    TargetId id() {
+        return id;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    long usedBytes() {
+        return contents.values().stream().mapToLong(LoadedModel::memoryBytes).sum();
+    }
+
+    long peakBytes() {
+        return peakBytes;
+    }
+
+    OrderOutcome execute(OpenOrder order, boolean succeeds) {
+        return Optional.ofNullable(executed.get(order.orderId())).orElseGet(() -> {
+            OrderOutcome outcome = executeOnce(order, succeeds);
+            executed.put(order.orderId(), outcome);
+            return outcome;
+        });
+    }
+
+    /** Restarts; keeps what it holds or loses it. Orders executed before are forgotten. */
+    void restart(boolean keepsContents) {
+        incarnation++;
+        executed.clear();
+        highestFence = 0;
+        if (!keepsContents) {
+            contents.clear();
+        }
+    }
+
+    ObserveTarget report() {
+        return new ObserveTarget(id, incarnation, CAPACITY, contents, enforcesFencing);
+    }
+
+    private OrderOutcome executeOnce(OpenOrder order, boolean succeeds) {
+        if (enforcesFencing && order.fencingNumber() < highestFence) {
+            return OrderOutcome.REFUSED_STALE;
+        }
+        highestFence = Math.max(highestFence, order.fencingNumber());
+        boolean load = order.kind() == OrderKind.LOAD_MODEL;
+        // While a load runs, the old version and the new one are in memory together. A version that is already held,
+        // such as by a target that restarted with its contents, is not loaded again.
+        LoadedModel current = contents.get(order.model());
+        boolean held = current != null && current.version() == order.version();
+        peakBytes = Math.max(peakBytes, usedBytes() + (load && !held ? order.bytes() : 0));
+        if (!succeeds) {
+            return OrderOutcome.FAILED;
+        }
+        if (load && !held) {
+            contents.put(order.model(), new LoadedModel(order.version(), order.bytes(), true));
+        }
+        if (!load) {
+            contents.remove(order.model());
+        }
+        return OrderOutcome.DONE;
+    }
+}
