--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
@@ -68,6 +69,7 @@
             Supplier<List<InstanceId>> replicas,
             MonotonicClock clock,
             Scheduler scheduler,
+            RandomGenerator random,
             LongSupplier wallClockMillis) {
         this.endpoint = endpoint;
         this.log = log;
@@ -77,7 +79,7 @@
         this.scheduler = scheduler;
         this.wallClockMillis = wallClockMillis;
         this.confirmation = new LeaderConfirmation(log, machine, seen, clock);
-        this.pulls = new PullDesk(endpoint, log, confirmation, machine, clock, scheduler, this::answer);
+        this.pulls = new PullDesk(endpoint, log, confirmation, machine, clock, scheduler, random, this::answer);
         endpoint.attachServer(this::handle);
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/PullDesk.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/PullDesk.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
@@ -64,6 +65,7 @@
             ControlStateMachine machine,
             MonotonicClock clock,
             Scheduler scheduler,
+            RandomGenerator random,
             BiConsumer<Waiting, Boolean> answer) {
         this.endpoint = endpoint;
         this.log = log;
@@ -72,6 +74,8 @@
         this.clock = clock;
         this.scheduler = scheduler;
         this.answer = answer;
+        // A random origin keeps an answer to an earlier process of this replica from confirming newer pulls.
+        this.nextBatchId = random.nextLong();
     }
 
     /** Adds a pull; it replaces an earlier one of the same instance. */
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
@@ -42,7 +42,14 @@
             Replica log = new Replica(id);
             logs.put(id, log);
             ControlLogServer server = new ControlLogServer(
-                    endpoint(id), log, log.machine, () -> replicas, time, time, () -> time.nanos() / 1_000_000);
+                    endpoint(id),
+                    log,
+                    log.machine,
+                    () -> replicas,
+                    time,
+                    time,
+                    new Random(random.nextLong()),
+                    () -> time.nanos() / 1_000_000);
             server.start();
         });
         elect(replicas.get(0));
--- a/basilrill-library/src/test/java/org/basilrill/state/control/MachineHarness.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/MachineHarness.java
@@ -1,5 +1,8 @@
 package org.basilrill.state.control;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
 import org.basilrill.thrift.control.MachineState;
 
 /** Drives a control state machine through its encoded interface, as a replica does. */
@@ -24,6 +27,9 @@
     public void restart() {
         ControlStateMachine restored = new ControlStateMachine();
         restored.restore(machine.snapshot());
+        assertThat("a snapshot restores the whole state", restored.snapshot(), is(machine.snapshot()));
+        assertThat("a snapshot restores the view", restored.view(), is(machine.view()));
+        assertThat(restored.ledgerRows(), is(machine.ledgerRows()));
         machine = restored;
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/state/control/OrderClaimsPropertyTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/OrderClaimsPropertyTest.java
@@ -154,6 +154,7 @@
         private final Set<String> ended = new HashSet<>();
         private final Map<String, List<String>> granted = new HashMap<>();
         private final Map<String, Set<String>> mayHaveRun = new HashMap<>();
+        private final Map<String, ClaimOrder> holders = new HashMap<>();
         private final Map<String, Outcome> finished = new HashMap<>();
 
         private void check(ControlCommand command, ControlResult result) {
@@ -191,9 +192,14 @@
                 boolean known = granted.getOrDefault(key, List.of()).contains(claim.attempt());
                 assertThat("only an open session is granted a claim", known || isOpen(claim));
                 running.add(claim.attempt());
+                holders.put(key, claim);
                 granted.computeIfAbsent(key, unused -> new ArrayList<>()).add(claim.attempt());
                 assertThat("at most one attempt may have run", running, is(Set.of(claim.attempt())));
             }
+            if (result instanceof OrderRunning) {
+                ClaimOrder holder = holders.get(key);
+                assertThat("a claim of an ended session is not running", isOpen(holder));
+            }
             if (result instanceof OrderFinished answer && finished.containsKey(key)) {
                 assertThat(answer.outcome(), is(finished.get(key)));
             }
--- a/basilrill-library/src/test/java/org/basilrill/state/ledger/MemoryLedgerPropertyTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/ledger/MemoryLedgerPropertyTest.java
@@ -68,7 +68,7 @@
                     harness.restart();
                     break;
                 case 1:
-                    restart(target, value % 2 == 0);
+                    restart(target, value % 2 == 0, value / 2 % 2 == 0);
                     break;
                 case 2:
                     late.add(target.report());
@@ -107,14 +107,18 @@
         }
 
         /** A restarted target takes orders only after it has announced itself. Open connections are lost with it. */
-        private void restart(SimulatedTarget target, boolean keepsContents) {
+        private void restart(SimulatedTarget target, boolean keepsContents, boolean reloads) {
             // An outcome carries no incarnation, so the controller drops answers of an earlier one; a load that is
             // reported as done only adds memory and may come late.
             late.removeIf(command -> command instanceof ResolveOrder resolve
                     && resolve.outcome() != OrderOutcome.DONE
                     && openOrders(target).stream()
                             .anyMatch(order -> order.orderId().equals(resolve.orderId())));
-            target.restart(keepsContents);
+            List<ModelId> unloading = openOrders(target).stream()
+                    .filter(order -> reloads && order.kind() == OrderKind.UNLOAD_MODEL)
+                    .map(OpenOrder::model)
+                    .toList();
+            target.restart(keepsContents, unloading);
             apply(target.report());
         }
 
--- a/basilrill-library/src/test/java/org/basilrill/state/ledger/SimulatedTarget.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/ledger/SimulatedTarget.java
@@ -1,6 +1,7 @@
 package org.basilrill.state.ledger;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.basilrill.api.ModelId;
@@ -18,6 +19,7 @@
     private final TargetId id;
     private final boolean enforcesFencing;
     private final Map<ModelId, LoadedModel> contents = new HashMap<>();
+    private final Map<ModelId, LoadedModel> unloaded = new HashMap<>();
     private final Map<String, OrderOutcome> executed = new HashMap<>();
     private long incarnation = 1;
     private long highestFence;
@@ -52,14 +54,20 @@
         });
     }
 
-    /** Restarts; keeps what it holds or loses it. Orders executed before are forgotten. */
-    void restart(boolean keepsContents) {
+    /**
+     * Restarts; keeps what it holds or loses it. Orders executed before are forgotten.
+     *
+     * @param reloaded models that it has unloaded and loads again by itself
+     */
+    void restart(boolean keepsContents, List<ModelId> reloaded) {
         incarnation++;
         executed.clear();
         highestFence = 0;
         if (!keepsContents) {
             contents.clear();
         }
+        reloaded.forEach(model ->
+                Optional.ofNullable(unloaded.get(model)).ifPresent(before -> contents.putIfAbsent(model, before)));
     }
 
     ObserveTarget report() {
@@ -81,10 +89,12 @@
             return OrderOutcome.FAILED;
         }
         if (load && !held) {
+            unloaded.remove(order.model());
             contents.put(order.model(), new LoadedModel(order.version(), order.bytes(), true));
         }
         if (!load) {
-            contents.remove(order.model());
+            Optional.ofNullable(contents.remove(order.model()))
+                    .ifPresent(removed -> unloaded.put(order.model(), removed));
         }
         return OrderOutcome.DONE;
     }
