--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
@@ -19,6 +20,7 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.Outcome;
 import org.basilrill.state.control.ControlCommand.ClaimOrder;
+import org.basilrill.state.control.ControlCommand.FinishOrder;
 import org.basilrill.state.control.ControlCommand.ReplaceRules;
 import org.basilrill.state.control.ControlResult;
 import org.basilrill.state.control.ControlResult.OrderFinished;
@@ -170,6 +172,28 @@
         assertThat(result(replace(client, 1, "b", "ana")), is(new RulesAccepted(2)));
     }
 
+    @Test
+    void aRedirectToANewLeaderIsFollowedWithoutAPause() {
+        start(client);
+        cluster.elect(cluster.replicas().get(2));
+        CompletableFuture<ControlResult> result = replace(client, 0, "a", "ana");
+        cluster.time().advance(CommandSubmitter.PAUSE.dividedBy(2));
+        assertThat(result.isDone(), is(true));
+    }
+
+    @Test
+    void aSubmitterWithAWrongClockDoesNotMakeTheLogForgetFinishedOrders() {
+        start(client);
+        result(claim(client, ENTRY, "first"));
+        result(client.submit(
+                new FinishOrder(new AccountId("a"), "key", "first", Outcome.RAN, Optional.empty()), DEADLINE));
+        long farFuture = Duration.ofDays(1_000).toMillis();
+        result(client.submit(
+                new ClaimOrder(new AccountId("a"), "other", "fingerprint", "x", ENTRY, client.sessionId(), farFuture),
+                DEADLINE));
+        assertThat(result(claim(client, ENTRY, "second")), is(new OrderFinished(Outcome.RAN, Optional.empty())));
+    }
+
     @Test
     void agesCountFromWhenThePullWasSentAndNotFromItsAnswer() {
         start(client);
