--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/ConsensusCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/ConsensusCodec.java
@@ -2,10 +2,12 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
-import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TBinaryProtocol;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.transport.TMemoryInputTransport;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.coordination.consensus.AddressedMessage;
@@ -54,7 +56,7 @@
     public static AddressedMessage decode(byte[] payload) {
         ConsensusEnvelope envelope = new ConsensusEnvelope();
         try {
-            new TDeserializer(new TBinaryProtocol.Factory()).deserialize(envelope, payload);
+            envelope.read(boundedProtocol(payload));
         } catch (TException | RuntimeException exception) {
             throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "not a consensus message", exception);
         }
@@ -62,6 +64,18 @@
                 envelope.getSenderIncarnation(), envelope.getRecipientIncarnation(), message(envelope.getBody()));
     }
 
+    /**
+     * Returns a protocol that refuses lengths beyond the payload. With the default limit of 100 MB, a damaged length
+     * made the decoder allocate until the heap was exhausted.
+     */
+    private static TProtocol boundedProtocol(byte[] payload) throws TException {
+        TConfiguration limits = TConfiguration.custom()
+                .setMaxMessageSize(payload.length)
+                .setMaxFrameSize(payload.length)
+                .build();
+        return new TBinaryProtocol(new TMemoryInputTransport(limits, payload), payload.length, payload.length);
+    }
+
     private static Body body(ConsensusMessage message) {
         if (message instanceof AppendRequest append) {
             return Body.appendRequest(new org.basilrill.thrift.consensus.AppendRequest(
