Promote a learner only after an answer to a message sent since it joined

A late join request and a late answer of a lost incarnation replaced the live one, which then never joined again.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
@@ -165,7 +165,7 @@
 
     private void trackPeer(ReplicaId peer, long nextIndex, long now) {
         if (!peer.equals(state.self())) {
-            peers.put(peer, new PeerProgress(peer, nextIndex, now));
+            peers.put(peer, new PeerProgress(peer, nextIndex, round + 1, now));
         }
     }
 
@@ -232,6 +232,7 @@
         long recent = state.now() - state.settings().minimumElectionTimeout().toNanos();
         for (PeerProgress peer : peers.values()) {
             boolean caughtUp = !members.contains(peer.peer())
+                    && peer.hasAnswered()
                     && peer.heardAt() > recent
                     && peer.matchIndex() > 0
                     && peer.matchIndex() + PROMOTION_LAG >= state.log().lastIndex();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
@@ -6,6 +6,7 @@
 /** What the leader knows of another replica. Not thread safe. */
 final class PeerProgress {
     private final ReplicaId peer;
+    private final long firstRound;
     private long nextIndex;
     private long matchIndex;
     private long inFlightIndex;
@@ -15,8 +16,9 @@
     private Optional<Snapshot> snapshot = Optional.empty();
     private long snapshotOffset;
 
-    PeerProgress(ReplicaId peer, long nextIndex, long now) {
+    PeerProgress(ReplicaId peer, long nextIndex, long firstRound, long now) {
         this.peer = peer;
+        this.firstRound = firstRound;
         this.nextIndex = nextIndex;
         this.heardAt = now;
     }
@@ -42,6 +44,11 @@
         return acknowledgedRound;
     }
 
+    /** Tells whether the peer answered a message sent since it is tracked; late answers may come from a lost one. */
+    boolean hasAnswered() {
+        return acknowledgedRound >= firstRound;
+    }
+
     Optional<Snapshot> snapshot() {
         return snapshot;
     }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaRulesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaRulesTest.java
@@ -14,6 +14,7 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.consensus.ConsensusMessage.AppendAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.AppendRequest;
+import org.basilrill.coordination.consensus.ConsensusMessage.JoinRequest;
 import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotChunk;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteRequest;
@@ -105,6 +106,25 @@
         assertThat(sent, contains(new VoteAnswer(TERM + 1, false, false)));
     }
 
+    /** Guards against a late request and a late answer of a lost incarnation that replace the one in its place. */
+    @Test
+    void aLostIncarnationIsNotPromotedByLateMessages() {
+        lead();
+        ReplicaId lost = new ReplicaId(THIRD.instance(), 99);
+        receive(SECOND, new AppendAnswer(TERM + 1, true, 3, 1));
+        replica.received(
+                lost.instance(),
+                new AddressedMessage(lost.incarnation(), AddressedMessage.ANY_INCARNATION, new JoinRequest()));
+        receive(lost, new AppendAnswer(TERM + 1, true, 3, 1));
+        replica.flush();
+        assertThat(replica.status().members().contains(THIRD), is(true));
+        wait(Duration.ofMillis(60));
+        replica.tick();
+        receive(lost, new AppendAnswer(TERM + 1, true, 3, 2));
+        replica.flush();
+        assertThat(replica.status().members().contains(THIRD), is(false));
+    }
+
     /** Guards against a snapshot put together from two leaders that encode the same state differently. */
     @Test
     void chunksOfTwoLeadersAreNotMixed() {
