--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/BudgetMessage.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/BudgetMessage.java
@@ -53,9 +53,10 @@
     /**
      * Tokens that were charged and not used.
      *
-     * @param grantedAtNanos time of the grant that paid the charge, on the clock of the owner
+     * @param ask number of the ask whose grant paid the charge
+     * @param grantedAtNanos time of that grant on the clock of the owner
      */
-    record Refund(long grantedAtNanos, long tokens) {}
+    record Refund(long ask, long grantedAtNanos, long tokens) {}
 
     /**
      * Answers an ask.
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantIssuer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantIssuer.java
@@ -110,7 +110,7 @@
         }
         bucket.advance(nowNanos);
         message.reports().forEach(report -> apply(requester, report, nowNanos));
-        message.refunds().forEach(refund -> apply(refund, nowNanos));
+        message.refunds().forEach(refund -> apply(requester, refund, nowNanos));
         servePending(acting, nowNanos, outbox);
         message.ask().ifPresent(ask -> handle(requester, state, ask, acting, nowNanos, outbox));
     }
@@ -136,10 +136,11 @@
         }
     }
 
-    private void apply(BudgetMessage.Refund refund, long nowNanos) {
+    private void apply(Requester requester, BudgetMessage.Refund refund, long nowNanos) {
         boolean known = nowNanos - refund.grantedAtNanos() <= BudgetTiming.REFUND_HORIZON;
         if (known && refund.tokens() > 0) {
-            bucket.refund(refund.tokens(), refund.grantedAtNanos(), nowNanos);
+            GrantKey key = new GrantKey(requester.instance, requester.incarnation, refund.ask());
+            bucket.refund(key, refund.tokens(), refund.grantedAtNanos(), nowNanos);
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/LocalGrant.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/LocalGrant.java
@@ -23,6 +23,10 @@
         this.usedAt = nowNanos;
     }
 
+    long ask() {
+        return ask;
+    }
+
     long epoch() {
         return epoch;
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/LocalPool.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/LocalPool.java
@@ -106,7 +106,8 @@
     List<BudgetMessage.Refund> takeRefunds(long epoch) {
         List<BudgetMessage.Refund> taken = refunds.stream()
                 .filter(part -> part.grant().epoch() == epoch)
-                .map(part -> new BudgetMessage.Refund(part.grant().grantedAt(), part.tokens()))
+                .map(part -> new BudgetMessage.Refund(
+                        part.grant().ask(), part.grant().grantedAt(), part.tokens()))
                 .toList();
         refunds.clear();
         return taken;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/ThriftBudgetCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/ThriftBudgetCodec.java
@@ -77,7 +77,7 @@
         }
         if (!message.refunds().isEmpty()) {
             encoded.setRefunds(message.refunds().stream()
-                    .map(refund -> new TokenRefund(refund.grantedAtNanos(), refund.tokens()))
+                    .map(refund -> new TokenRefund(refund.grantedAtNanos(), refund.tokens(), refund.ask()))
                     .toList());
         }
         return encoded;
@@ -137,7 +137,8 @@
                 .map(report -> new BudgetMessage.Report(report.getAsk(), report.getRemaining(), report.isClosed()))
                 .toList();
         List<BudgetMessage.Refund> refunds = orEmpty(message.getRefunds()).stream()
-                .map(refund -> new BudgetMessage.Refund(refund.getGrantedAtNanos(), refund.getTokens()))
+                .map(refund ->
+                        new BudgetMessage.Refund(refund.getAsk(), refund.getGrantedAtNanos(), refund.getTokens()))
                 .toList();
         return new BudgetMessage.FromRequester(
                 new AccountId(message.getAccount()),
--- a/basilrill-library/src/main/java/org/basilrill/state/budget/TokenBucket.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/budget/TokenBucket.java
@@ -18,8 +18,19 @@
     /** Answer for tokens that no refill will bring, such as while the account has no rate. */
     private static final long FAR_NANOS = TimeUnit.HOURS.toNanos(1);
 
+    /** 12 instances with 10 grants a second each fill this in 17 s, longer than most requests run. */
+    private static final int REMEMBERED_GRANTS = 2048;
+
     private final Map<GrantKey, Grant> grants = new LinkedHashMap<>();
     private final PeakHistory peaks = new PeakHistory();
+    /** When the first tokens of a grant were known to be spent; the latest grants only. */
+    private final Map<GrantKey, PeakHistory.Start> spentSince = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<GrantKey, PeakHistory.Start> eldest) {
+            return size() > REMEMBERED_GRANTS;
+        }
+    };
+
     private long tokensPerSecond;
     private long burst;
     private long level;
@@ -96,6 +107,7 @@
         }
         long kept = Math.max(0, remaining);
         outstanding -= grant.remaining - kept;
+        spentSince.putIfAbsent(key, peaks.startNow(nowNanos));
         grants.put(key, new Grant(grant.tokens, kept, grant.grantedAt, grant.expiresAt));
     }
 
@@ -118,18 +130,20 @@
     }
 
     /**
-     * Credits tokens that were charged and not used. Uses only the room that was there ever since the grant, because a
-     * full bucket has refilled those tokens already.
+     * Credits tokens that were charged and not used. Uses only the room that was there ever since the grant was known
+     * to be spent, because a full bucket has refilled those tokens already.
      *
-     * @param grantedAt when the grant was made from which the charge was paid
+     * @param key grant from which the charge was paid
+     * @param grantedAt when that grant was made; used if it ended too long ago to be remembered
      * @return tokens added to the level
      */
-    public long refund(long tokens, long grantedAt, long nowNanos) {
+    public long refund(GrantKey key, long tokens, long grantedAt, long nowNanos) {
         advance(nowNanos);
-        long room = burst - Math.max(peaks.highestSince(grantedAt), level + outstanding + (fraction > 0 ? 1 : 0));
+        PeakHistory.Start start = startOfRefund(key, grantedAt, nowNanos);
+        long room = burst - Math.max(peaks.highestSince(start), claim());
         long credit = Math.max(0, Math.min(tokens, room));
         if (credit > 0) {
-            peaks.raiseSince(grantedAt, credit);
+            peaks.raiseSince(start, credit);
             level += credit;
         }
         return credit;
@@ -211,11 +225,24 @@
             level = room;
             fraction = 0;
         }
-        peaks.record(refilledAt, level + outstanding + (fraction > 0 ? 1 : 0));
+        peaks.record(refilledAt, claim());
+    }
+
+    private long claim() {
+        return level + outstanding + (fraction > 0 ? 1 : 0);
+    }
+
+    private PeakHistory.Start startOfRefund(GrantKey key, long grantedAt, long nowNanos) {
+        if (grants.containsKey(key)) {
+            // Until its spending is known, the whole grant is part of the claim and so is the refund.
+            return spentSince.getOrDefault(key, peaks.startNow(nowNanos));
+        }
+        return spentSince.getOrDefault(key, new PeakHistory.Start(grantedAt, 0));
     }
 
     private void remove(GrantKey key) {
         outstanding -= grants.remove(key).remaining;
+        spentSince.putIfAbsent(key, peaks.startNow(refilledAt));
     }
 
     /**
--- /dev/null
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/StaticShares.java
@@ -0,0 +1,75 @@
+package org.basilrill.scaffold.measure;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.MonotonicClock;
+import org.basilrill.coordination.admission.TokenAdmission;
+import org.basilrill.state.budget.GrantKey;
+import org.basilrill.state.budget.TokenBucket;
+import org.basilrill.state.configuration.Rules;
+
+/**
+ * Baseline: every instance has an equal share of each account's rate and burst and exchanges no messages. With a single
+ * instance it is the ideal central bucket. Not thread safe.
+ */
+final class StaticShares implements TokenAdmission {
+    private static final InstanceId LOCAL = new InstanceId("local");
+
+    private final MonotonicClock clock;
+    private final int instances;
+    private final Map<AccountId, TokenBucket> buckets = new HashMap<>();
+    private long lastCharge;
+
+    StaticShares(MonotonicClock clock, int instances) {
+        this.clock = clock;
+        this.instances = instances;
+    }
+
+    void add(Rules.Account account) {
+        long burst = account.burstTokens() / instances;
+        long rate = account.tokensPerSecond() / instances;
+        buckets.put(account.id(), new TokenBucket(rate, burst, burst, clock.nanos()));
+    }
+
+    /** Tells whether a charge would be accepted now. */
+    boolean admits(AccountId account, long tokens) {
+        TokenBucket bucket = buckets.get(account);
+        bucket.advance(clock.nanos());
+        return bucket.level() >= tokens;
+    }
+
+    @Override
+    public CompletableFuture<Charge> charge(AccountId account, long tokens, long deadlineNanos) {
+        if (!admits(account, tokens)) {
+            return CompletableFuture.failedFuture(
+                    new BasilrillException(ErrorCode.RATE_EXCEEDED, "share of client account " + account + " is used"));
+        }
+        return CompletableFuture.completedFuture(take(account, tokens));
+    }
+
+    /** Takes the tokens at once; the level must suffice. */
+    Charge take(AccountId account, long tokens) {
+        TokenBucket bucket = buckets.get(account);
+        long now = clock.nanos();
+        lastCharge++;
+        GrantKey key = new GrantKey(LOCAL, 0, lastCharge);
+        bucket.grant(key, tokens, now, now + 1);
+        bucket.close(key, 0, now);
+        return new Charge() {
+            @Override
+            public long tokens() {
+                return tokens;
+            }
+
+            @Override
+            public void settle(long usedTokens) {
+                bucket.refund(key, tokens - usedTokens, now, clock.nanos());
+            }
+        };
+    }
+}
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/TokenRefund.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/TokenRefund.java
@@ -22,6 +22,8 @@
             new org.apache.thrift.protocol.TField("grantedAtNanos", org.apache.thrift.protocol.TType.I64, (short) 1);
     private static final org.apache.thrift.protocol.TField TOKENS_FIELD_DESC =
             new org.apache.thrift.protocol.TField("tokens", org.apache.thrift.protocol.TType.I64, (short) 2);
+    private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC =
+            new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.I64, (short) 3);
 
     private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
             new TokenRefundStandardSchemeFactory();
@@ -30,6 +32,7 @@
 
     private long grantedAtNanos; // required
     private long tokens; // required
+    private long ask; // required
 
     /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
     public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +40,11 @@
          * Time of the grant the charge was paid from, on the clock of the owner.
          */
         GRANTED_AT_NANOS((short) 1, "grantedAtNanos"),
-        TOKENS((short) 2, "tokens");
+        TOKENS((short) 2, "tokens"),
+        /**
+         * Number of the ask whose grant paid the charge.
+         */
+        ASK((short) 3, "ask");
 
         private static final java.util.Map<java.lang.String, _Fields> byName =
                 new java.util.HashMap<java.lang.String, _Fields>();
@@ -58,6 +65,8 @@
                     return GRANTED_AT_NANOS;
                 case 2: // TOKENS
                     return TOKENS;
+                case 3: // ASK
+                    return ASK;
                 default:
                     return null;
             }
@@ -103,6 +112,7 @@
     // isset id assignments
     private static final int __GRANTEDATNANOS_ISSET_ID = 0;
     private static final int __TOKENS_ISSET_ID = 1;
+    private static final int __ASK_ISSET_ID = 2;
     private byte __isset_bitfield = 0;
     public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
 
@@ -121,18 +131,26 @@
                         "tokens",
                         org.apache.thrift.TFieldRequirementType.REQUIRED,
                         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+        tmpMap.put(
+                _Fields.ASK,
+                new org.apache.thrift.meta_data.FieldMetaData(
+                        "ask",
+                        org.apache.thrift.TFieldRequirementType.REQUIRED,
+                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
         metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
         org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TokenRefund.class, metaDataMap);
     }
 
     public TokenRefund() {}
 
-    public TokenRefund(long grantedAtNanos, long tokens) {
+    public TokenRefund(long grantedAtNanos, long tokens, long ask) {
         this();
         this.grantedAtNanos = grantedAtNanos;
         setGrantedAtNanosIsSet(true);
         this.tokens = tokens;
         setTokensIsSet(true);
+        this.ask = ask;
+        setAskIsSet(true);
     }
 
     /**
@@ -142,6 +160,7 @@
         __isset_bitfield = other.__isset_bitfield;
         this.grantedAtNanos = other.grantedAtNanos;
         this.tokens = other.tokens;
+        this.ask = other.ask;
     }
 
     @Override
@@ -155,6 +174,8 @@
         this.grantedAtNanos = 0;
         setTokensIsSet(false);
         this.tokens = 0;
+        setAskIsSet(false);
+        this.ask = 0;
     }
 
     /**
@@ -209,6 +230,35 @@
         __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENS_ISSET_ID, value);
     }
 
+    /**
+     * Number of the ask whose grant paid the charge.
+     */
+    public long getAsk() {
+        return this.ask;
+    }
+
+    /**
+     * Number of the ask whose grant paid the charge.
+     */
+    public TokenRefund setAsk(long ask) {
+        this.ask = ask;
+        setAskIsSet(true);
+        return this;
+    }
+
+    public void unsetAsk() {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASK_ISSET_ID);
+    }
+
+    /** Returns true if field ask is set (has been assigned a value) and false otherwise */
+    public boolean isSetAsk() {
+        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASK_ISSET_ID);
+    }
+
+    public void setAskIsSet(boolean value) {
+        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASK_ISSET_ID, value);
+    }
+
     @Override
     public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
         switch (field) {
@@ -227,6 +277,14 @@
                     setTokens((java.lang.Long) value);
                 }
                 break;
+
+            case ASK:
+                if (value == null) {
+                    unsetAsk();
+                } else {
+                    setAsk((java.lang.Long) value);
+                }
+                break;
         }
     }
 
@@ -239,6 +297,9 @@
 
             case TOKENS:
                 return getTokens();
+
+            case ASK:
+                return getAsk();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -255,6 +316,8 @@
                 return isSetGrantedAtNanos();
             case TOKENS:
                 return isSetTokens();
+            case ASK:
+                return isSetAsk();
         }
         throw new java.lang.IllegalStateException();
     }
@@ -283,6 +346,13 @@
             if (this.tokens != that.tokens) return false;
         }
 
+        boolean this_present_ask = true;
+        boolean that_present_ask = true;
+        if (this_present_ask || that_present_ask) {
+            if (!(this_present_ask && that_present_ask)) return false;
+            if (this.ask != that.ask) return false;
+        }
+
         return true;
     }
 
@@ -294,6 +364,8 @@
 
         hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tokens);
 
+        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ask);
+
         return hashCode;
     }
 
@@ -325,6 +397,16 @@
                 return lastComparison;
             }
         }
+        lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
+        if (lastComparison != 0) {
+            return lastComparison;
+        }
+        if (isSetAsk()) {
+            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
+            if (lastComparison != 0) {
+                return lastComparison;
+            }
+        }
         return 0;
     }
 
@@ -356,6 +438,10 @@
         sb.append("tokens:");
         sb.append(this.tokens);
         first = false;
+        if (!first) sb.append(", ");
+        sb.append("ask:");
+        sb.append(this.ask);
+        first = false;
         sb.append(")");
         return sb.toString();
     }
@@ -364,6 +450,7 @@
         // check for required fields
         // alas, we cannot check 'grantedAtNanos' because it's a primitive and you chose the non-beans generator.
         // alas, we cannot check 'tokens' because it's a primitive and you chose the non-beans generator.
+        // alas, we cannot check 'ask' because it's a primitive and you chose the non-beans generator.
         // check for sub-struct validity
     }
 
@@ -424,6 +511,14 @@
                             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                         }
                         break;
+                    case 3: // ASK
+                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+                            struct.ask = iprot.readI64();
+                            struct.setAskIsSet(true);
+                        } else {
+                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+                        }
+                        break;
                     default:
                         org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
                 }
@@ -440,6 +535,10 @@
                 throw new org.apache.thrift.protocol.TProtocolException(
                         "Required field 'tokens' was not found in serialized data! Struct: " + toString());
             }
+            if (!struct.isSetAsk()) {
+                throw new org.apache.thrift.protocol.TProtocolException(
+                        "Required field 'ask' was not found in serialized data! Struct: " + toString());
+            }
             struct.validate();
         }
 
@@ -455,6 +554,9 @@
             oprot.writeFieldBegin(TOKENS_FIELD_DESC);
             oprot.writeI64(struct.tokens);
             oprot.writeFieldEnd();
+            oprot.writeFieldBegin(ASK_FIELD_DESC);
+            oprot.writeI64(struct.ask);
+            oprot.writeFieldEnd();
             oprot.writeFieldStop();
             oprot.writeStructEnd();
         }
@@ -475,6 +577,7 @@
             org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
             oprot.writeI64(struct.grantedAtNanos);
             oprot.writeI64(struct.tokens);
+            oprot.writeI64(struct.ask);
         }
 
         @Override
@@ -485,6 +588,8 @@
             struct.setGrantedAtNanosIsSet(true);
             struct.tokens = iprot.readI64();
             struct.setTokensIsSet(true);
+            struct.ask = iprot.readI64();
+            struct.setAskIsSet(true);
         }
     }
 
--- a/basilrill-thrift/src/main/thrift/budget.thrift
+++ b/basilrill-thrift/src/main/thrift/budget.thrift
@@ -26,6 +26,8 @@
   /** Time of the grant the charge was paid from, on the clock of the owner. */
   1: required i64 grantedAtNanos
   2: required i64 tokens
+  /** Number of the ask whose grant paid the charge. */
+  3: required i64 ask
 }
 
 /** Everything a requester tells the owner of a bucket. */
