--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/AccountBudget.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/AccountBudget.java
@@ -147,7 +147,8 @@
     }
 
     Optional<Long> nextDue(boolean draining, long nowNanos) {
-        Optional<Long> due = Times.earlier(requester.nextDue(nowNanos), issuer.flatMap(GrantIssuer::nextDue));
+        Optional<Long> due =
+                Times.earlier(requester.nextDue(nowNanos), issuer.flatMap(owned -> owned.nextDue(nowNanos)));
         Optional<Long> command = departure.isPresent()
                 ? departure.flatMap(BucketDeparture::nextDue)
                 : draining ? Optional.empty() : claims.nextDue();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/BudgetTiming.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/BudgetTiming.java
@@ -12,8 +12,10 @@
     static final long ASK_REPEAT = Duration.ofMillis(100).toNanos();
     /** Reports and refunds are collected this long, so that a busy account costs 20 messages a second at most. */
     static final long REPORT_DELAY = Duration.ofMillis(50).toNanos();
-    /** How long an ask waits at the owner for recalled grants; a recall takes one round trip. */
-    static final long RECALL_WAIT = Duration.ofMillis(20).toNanos();
+    /** How long an ask waits at the owner for refill or recalled grants; shorter than the repetition of an ask. */
+    static final long SHORT_WAIT = Duration.ofMillis(50).toNanos();
+    /** Shortest time between two recalls of one instance. */
+    static final long RECALL_INTERVAL = Duration.ofMillis(20).toNanos();
     /** No look-ahead is granted for this long after an ask was short, so that no instance holds what another lacks. */
     static final long LOOK_AHEAD_PAUSE = Duration.ofMillis(200).toNanos();
     /** Part of the recent spending that is asked for in advance. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantIssuer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantIssuer.java
@@ -122,9 +122,13 @@
         requesters.values().removeIf(state -> nowNanos - state.usedAt > 2 * BudgetTiming.REFUND_HORIZON);
     }
 
-    /** Returns the time of the next pending answer. */
-    Optional<Long> nextDue() {
-        return pending.stream().map(PendingAsk::due).min((first, second) -> Long.compare(first - second, 0));
+    /** Returns the time at which the first pending ask can be granted or has to be refused. */
+    Optional<Long> nextDue(long nowNanos) {
+        if (pending.isEmpty()) {
+            return Optional.empty();
+        }
+        PendingAsk first = pending.get(0);
+        return Optional.of(Times.earlier(first.due, nowNanos + bucket.nanosUntil(first.ask.minimum(), nowNanos)));
     }
 
     private void apply(Requester requester, BudgetMessage.Report report, long nowNanos) {
@@ -164,16 +168,23 @@
         if (state.grantedAsks.contains(ask.number(), nowNanos) || isPending(key)) {
             return;
         }
-        PendingAsk candidate = new PendingAsk(key, ask, nowNanos + BudgetTiming.RECALL_WAIT);
+        PendingAsk candidate = new PendingAsk(key, ask, nowNanos + BudgetTiming.SHORT_WAIT);
         if (pending.isEmpty() && tryGrant(candidate, nowNanos, outbox)) {
             return;
         }
         scarceUntil = nowNanos + BudgetTiming.LOOK_AHEAD_PAUSE;
-        if (!recallFor(candidate, nowNanos, outbox)) {
+        boolean refilledSoon = nanosUntil(ask.minimum(), nowNanos) <= BudgetTiming.SHORT_WAIT;
+        if (refilledSoon || recallFor(candidate, nowNanos, outbox)) {
+            pending.add(candidate);
+        } else {
             refuse(candidate, nowNanos, outbox);
-            return;
         }
-        pending.add(candidate);
+    }
+
+    /** Returns the time until the tokens are there once the pending asks are served. */
+    private long nanosUntil(long tokens, long nowNanos) {
+        long ahead = pending.stream().mapToLong(other -> other.ask.minimum()).sum();
+        return bucket.nanosUntil(Math.max(tokens, Math.min(bucket.burst(), ahead + tokens)), nowNanos);
     }
 
     private boolean isPending(GrantKey key) {
@@ -233,7 +244,7 @@
             return false;
         }
         requesters.forEach((requester, state) -> {
-            boolean recent = state.recalled && nowNanos - state.recalledAt < BudgetTiming.RECALL_WAIT;
+            boolean recent = state.recalled && nowNanos - state.recalledAt < BudgetTiming.RECALL_INTERVAL;
             if (held.containsKey(requester.instance) && !recent) {
                 state.recalled = true;
                 state.recalledAt = nowNanos;
@@ -244,7 +255,7 @@
     }
 
     private void refuse(PendingAsk candidate, long nowNanos, Outbox outbox) {
-        long wait = Math.max(BudgetTiming.MINIMUM_RETRY, bucket.nanosUntil(candidate.ask.minimum(), nowNanos));
+        long wait = Math.max(BudgetTiming.MINIMUM_RETRY, nanosUntil(candidate.ask.minimum(), nowNanos));
         answer(candidate.key, 0, nowNanos, wait, outbox);
     }
 
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/BudgetMeasurement.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/BudgetMeasurement.java
@@ -143,6 +143,7 @@
         long offered = 0;
         long refused = 0;
         long wrongful = 0;
+        long refusedWithinRate = 0;
         boolean boundHolds = true;
         double worstShare = Double.MAX_VALUE;
         String worst = "";
@@ -152,6 +153,7 @@
             offered += tally.offered();
             refused += tally.refusedRequests();
             wrongful += tally.wrongfullyRefused();
+            refusedWithinRate += ideal.get(entry.getKey()).refusedRequests() == 0 ? tally.refusedRequests() : 0;
             boundHolds &= tally.boundHolds();
             double share =
                     PERCENT * tally.servedTokens() / ideal.get(entry.getKey()).servedTokens();
@@ -174,6 +176,7 @@
                 refused,
                 wrongful,
                 PERCENT * wrongful / offered,
+                refusedWithinRate,
                 worst,
                 worstShare,
                 boundHolds,
@@ -201,11 +204,12 @@
     private static String markdown(Report report) {
         StringBuilder text = new StringBuilder();
         text.append(String.format("seed %d, %d s of virtual time%n%n", report.seed, report.seconds));
-        text.append("| instances | burst | system | offered | refused | wrongful | wrongful % | worst account | "
-                + "its share of the central bucket | bound |\n|---|---|---|---|---|---|---|---|---|---|\n");
+        text.append("| instances | burst | system | offered | refused | wrongful | wrongful % | "
+                + "refused within rate | worst account | "
+                + "its share of the central bucket | bound |\n|---|---|---|---|---|---|---|---|---|---|---|\n");
         for (Service row : report.services) {
             text.append(String.format(
-                    "| %d | %d s | %s | %d | %d | %d | %.3f | %s | %.2f%% | %s |%n",
+                    "| %d | %d s | %s | %d | %d | %d | %.3f | %d | %s | %.2f%% | %s |%n",
                     row.instances,
                     row.burstSeconds,
                     row.system,
@@ -213,6 +217,7 @@
                     row.refused,
                     row.wrongful,
                     row.wrongfulPercent,
+                    row.refusedWithinRate,
                     row.worstAccount,
                     row.worstSharePercent,
                     row.boundHolds ? "holds" : "broken"));
@@ -238,6 +243,7 @@
     /**
      * How one system served the requests.
      *
+     * @param refusedWithinRate refusals of accounts of which the central bucket refuses nothing
      * @param worstSharePercent charged tokens of the worst-served account, as a share of what the central bucket serves
      */
     record Service(
@@ -248,6 +254,7 @@
             long refused,
             long wrongful,
             double wrongfulPercent,
+            long refusedWithinRate,
             String worstAccount,
             double worstSharePercent,
             boolean boundHolds,
