--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/DestinationLoads.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/DestinationLoads.java
@@ -77,6 +77,11 @@
         }
     }
 
+    Optional<Double> optimisticDrainPerSecond(Destination destination, long now) {
+        Load load = loads.get(destination);
+        return load == null ? Optional.empty() : load.drain.optimisticPerSecond(now);
+    }
+
     Optional<Double> drainPerSecond(Destination destination, long now) {
         Load load = loads.get(destination);
         return load == null ? Optional.empty() : load.drain.perSecond(now);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/DrainRate.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/DrainRate.java
@@ -8,7 +8,7 @@
  * most. Not thread safe; guarded by the dispatcher.
  */
 final class DrainRate {
-    private static final double DECAY_NANOS = Duration.ofSeconds(2).toNanos();
+    private static final double DECAY_NANOS = Duration.ofSeconds(5).toNanos();
 
     /** Fewer observations than this say more about chance than about the rate. */
     private static final double LEAST_BACKLOG_NANOS = Duration.ofMillis(250).toNanos();
@@ -33,10 +33,23 @@
     /** Returns requests per second, or empty while too little was observed. */
     Optional<Double> perSecond(long now) {
         advance(now);
+        return perSecond(dispatches);
+    }
+
+    /**
+     * Returns a rate one standard deviation above the mean. An instance sees only a few dispatches per second, and an
+     * estimate that is low by chance would refuse requests that could be served.
+     */
+    Optional<Double> optimisticPerSecond(long now) {
+        advance(now);
+        return perSecond(dispatches + 1 + Math.sqrt(dispatches));
+    }
+
+    private Optional<Double> perSecond(double counted) {
         if (backlogNanos < LEAST_BACKLOG_NANOS) {
             return Optional.empty();
         }
-        return Optional.of(dispatches / backlogNanos * Duration.ofSeconds(1).toNanos());
+        return Optional.of(counted / backlogNanos * Duration.ofSeconds(1).toNanos());
     }
 
     private void advance(long now) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -193,11 +193,13 @@
         if (drainPerSecond.isEmpty() || ahead <= 1) {
             return Optional.empty();
         }
-        double waitNanos = ahead * nanosPerDispatch(drainPerSecond.get());
         long leftNanos = request.deadlineNanos() - now;
-        if (waitNanos <= leftNanos) {
+        double optimistic =
+                loads.optimisticDrainPerSecond(request.destination(), now).orElseThrow();
+        if (ahead * nanosPerDispatch(optimistic) <= leftNanos) {
             return Optional.empty();
         }
+        double waitNanos = ahead * nanosPerDispatch(drainPerSecond.get());
         String detail = String.format(
                 "%.0f dispatches to %s come first at %.2f per second",
                 ahead, DestinationLoads.name(request), drainPerSecond.get());
--- /dev/null
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DecisionTime.java
@@ -0,0 +1,170 @@
+package org.basilrill.scaffold.measure;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.HdrHistogram.Histogram;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.InstanceId;
+import org.basilrill.coordination.admission.DemandListener;
+import org.basilrill.coordination.admission.Dispatcher.Assignment;
+import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
+import org.basilrill.coordination.admission.Dispatcher.Destination;
+import org.basilrill.coordination.admission.Dispatcher.Request;
+import org.basilrill.coordination.admission.DispatcherOptions;
+import org.basilrill.coordination.admission.FairDispatcher;
+import org.basilrill.coordination.routing.RoutingOptions;
+import org.basilrill.coordination.routing.TargetRouter;
+import org.basilrill.state.target.TargetRegistry;
+
+/**
+ * Measures the real time of one dispatch with its release, without and with a backlog, and of one announcement. Each
+ * model has two copies, or more where there are more targets than copies. Not thread safe.
+ */
+final class DecisionTime {
+    private static final int[] TARGETS = {10, 100, 600};
+    private static final int[] MODELS = {13, 130, 1500};
+    private static final int[] BACKLOGS = {0, 1000};
+    private static final int COPIES = 2;
+    private static final int WARM_UP = 2_000;
+    private static final int MEASURED = 5_000;
+
+    private final SimulatedTime time = new SimulatedTime();
+    private final SplittableRandom random;
+    private final int models;
+    private final List<SimulatedEngine> engines = new ArrayList<>();
+    private final TargetRegistry registry = new TargetRegistry(time);
+    private final FairDispatcher dispatcher;
+    private long requests;
+
+    private DecisionTime(long seed, int targets, int models) {
+        this.random = new SplittableRandom(seed);
+        this.models = models;
+        int held = Math.max(1, (models * COPIES + targets - 1) / targets);
+        for (int number = 0; number < targets; number++) {
+            Set<Integer> contents = new HashSet<>();
+            for (int offset = 0; offset < held; offset++) {
+                contents.add((number * held + offset) % models);
+            }
+            engines.add(new SimulatedEngine(time, "engine-" + number, "dc-" + number % 6, contents));
+        }
+        engines.forEach(engine -> registry.announce(engine.announcement()));
+        TargetRouter router = new TargetRouter(
+                new InstanceId("one"), "dc-0", time, random.split(), () -> 1, RoutingOptions.defaults());
+        dispatcher = new FairDispatcher(
+                registry,
+                router,
+                time,
+                time,
+                account -> 1,
+                model -> Optional.empty(),
+                DemandListener.none(),
+                DispatcherOptions.defaults());
+    }
+
+    static List<Sample> measureAll(long seed) {
+        List<Sample> samples = new ArrayList<>();
+        // The first round only lets the compiler see every size; its samples are dropped.
+        for (boolean kept : new boolean[] {false, true}) {
+            for (int targets : TARGETS) {
+                for (int models : MODELS) {
+                    for (int backlog : BACKLOGS) {
+                        Sample sample = new DecisionTime(seed, targets, models).measure(targets, backlog);
+                        if (kept) {
+                            samples.add(sample);
+                        }
+                    }
+                }
+            }
+        }
+        return samples;
+    }
+
+    private Sample measure(int targets, int backlog) {
+        // Occupies every slot, so that the backlog has to wait and each release serves one of it.
+        List<Assignment> running = new ArrayList<>();
+        List<CompletableFuture<Assignment>> waiting = new ArrayList<>();
+        while (backlog > 0 && waiting.size() < backlog) {
+            CompletableFuture<Assignment> future = dispatcher.dispatch(request());
+            if (future.isDone()) {
+                running.add(future.join());
+            } else {
+                waiting.add(future);
+            }
+        }
+        Histogram nanos = new Histogram(3);
+        for (int number = 0; number < WARM_UP + MEASURED; number++) {
+            Request request = request();
+            Optional<Assignment> ending =
+                    running.isEmpty() ? Optional.empty() : Optional.of(running.get(random.nextInt(running.size())));
+            long start = System.nanoTime();
+            CompletableFuture<Assignment> future = dispatcher.dispatch(request);
+            ending.ifPresentOrElse(
+                    one -> one.release(AttemptResult.SUCCEEDED),
+                    () -> future.join().release(AttemptResult.SUCCEEDED));
+            long elapsed = System.nanoTime() - start;
+            if (number >= WARM_UP) {
+                nanos.recordValue(elapsed);
+            }
+            ending.ifPresent(running::remove);
+            if (backlog > 0) {
+                waiting.add(future);
+                collectAssigned(waiting, running);
+            }
+        }
+        return new Sample(
+                targets,
+                models,
+                backlog,
+                nanos.getValueAtPercentile(50) / 1000.0,
+                nanos.getValueAtPercentile(99) / 1000.0,
+                announcementMicros());
+    }
+
+    private static void collectAssigned(List<CompletableFuture<Assignment>> waiting, List<Assignment> running) {
+        waiting.removeIf(future -> {
+            if (future.isDone() && !future.isCompletedExceptionally()) {
+                running.add(future.join());
+            }
+            return future.isDone();
+        });
+    }
+
+    private double announcementMicros() {
+        Histogram nanos = new Histogram(3);
+        for (int number = 0; number < 2000; number++) {
+            SimulatedEngine engine = engines.get(random.nextInt(engines.size()));
+            var announcement = engine.announcement();
+            long start = System.nanoTime();
+            registry.announce(announcement);
+            nanos.recordValue(System.nanoTime() - start);
+        }
+        return nanos.getValueAtPercentile(50) / 1000.0;
+    }
+
+    private Request request() {
+        return new Request(
+                "request-" + requests++,
+                Optional.of(new AccountId("account-" + random.nextInt(50))),
+                Destination.ofModel(SimulatedEngine.model(random.nextInt(models))),
+                random.nextInt(3),
+                100,
+                time.nanos() + Duration.ofHours(1).toNanos(),
+                Set.of(),
+                List.of());
+    }
+
+    /** The times of one size. */
+    record Sample(
+            int targets,
+            int models,
+            int waiting,
+            double medianMicros,
+            double percentile99Micros,
+            double announcementMicros) {}
+}
