--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -108,6 +108,7 @@
     private void stop() {
         LOGGER.atInfo().log("%s: %s", LogEvent.INSTANCE_DRAINING, settings.instance());
         CompletableFuture<Void> handedOver = instance.beginDrain();
+        awaitStaleListings();
         CompletableFuture<HttpGateway.StopReport> drained = gateway.stop(settings.drainLimit());
         await(drained, settings.drainLimit().plusSeconds(1));
         await(handedOver, HAND_OVER_LIMIT);
@@ -120,6 +121,14 @@
         stopped.countDown();
     }
 
+    /** Callers that hold an answer of GET /v1/instances may still connect here until it is too old to be used. */
+    private void awaitStaleListings() {
+        await(
+                new CompletableFuture<Void>()
+                        .completeOnTimeout(null, Instance.LISTING_VALIDITY.toMillis(), TimeUnit.MILLISECONDS),
+                Instance.LISTING_VALIDITY.plusSeconds(1));
+    }
+
     private static void await(CompletableFuture<?> future, Duration limit) {
         try {
             future.get(limit.toMillis(), TimeUnit.MILLISECONDS);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -40,7 +40,8 @@
  * socket. Thread safe.
  */
 public final class Instance {
-    private static final Duration LISTING_VALIDITY = Duration.ofSeconds(10);
+    /** How long callers may use the list of instances; a stop goes on serving for as long. */
+    public static final Duration LISTING_VALIDITY = Duration.ofSeconds(5);
 
     private final InstanceEnvironment environment;
     private final GossipMembership membership;
@@ -175,6 +176,7 @@
                 replica.members(),
                 environment.clock(),
                 environment.scheduler(),
+                split(),
                 environment.wallClockMillis());
     }
 
