--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/BudgetScenarioTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/BudgetScenarioTest.java
@@ -122,6 +122,24 @@
         assertThat(snapshot(owner()).bucket().orElseThrow().level(), is(greaterThanOrEqualTo(BURST - 4000 - 1000)));
     }
 
+    /** Guards against a new owner that refills the room of tokens which the earlier owner granted. */
+    @Test
+    void grantsOfTheEarlierOwnerLimitTheLevelAfterAHandover() {
+        deployment.log().replaceAccounts(List.of(new Rules.Account(ACCOUNT, 10 * BURST, BURST, 1)));
+        run(1_500);
+        InstanceId instance = others().get(0);
+        for (int request = 0; request < 20; request++) {
+            charge(instance, 100, 1000);
+            run(20);
+        }
+        deployment.budgets(owner()).handOver();
+        run(200);
+        long unspent = snapshot(instance).unspentHere();
+        assertThat(unspent, is(greaterThan(10L)));
+        long level = snapshot(owner()).bucket().orElseThrow().level();
+        assertThat(level + unspent, is(lessThan(BURST + 1)));
+    }
+
     /** Guards against a bucket that stays without an owner after a crash, or is full after it. */
     @Test
     void aLostOwnerIsReplacedAfterSevenSecondsByOneThatStartsEmpty() {
