--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatchBench.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatchBench.java
@@ -130,6 +130,10 @@
     }
 
     static BasilrillException failureOf(CompletableFuture<Assignment> future) {
+        if (!future.isDone()) {
+            // Joining would hang instead of failing.
+            throw new AssertionError("the request still waits");
+        }
         try {
             future.join();
         } catch (CompletionException failure) {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/FairDispatcherTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/FairDispatcherTest.java
@@ -137,6 +137,7 @@
         CompletableFuture<Assignment> again = bench.dispatcher().dispatch(request);
         assertThat(again.isDone(), is(false));
         bench.announce(engine("t2", 1, "m"));
+        assertThat(again.isDone(), is(true));
         assertThat(again.join().target().id(), is(new TargetId("t2")));
         assertThat(behind.isDone(), is(false));
     }
