--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/BucketHandover.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/BucketHandover.java
@@ -10,896 +10,869 @@
  * Announces a committed planned handover.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class BucketHandover
-        implements org.apache.thrift.TBase<BucketHandover, BucketHandover._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<BucketHandover> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("BucketHandover");
-
-    private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField SESSION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("session", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short) 4);
-    private static final org.apache.thrift.protocol.TField LEVEL_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("level", org.apache.thrift.protocol.TType.I64, (short) 5);
-    private static final org.apache.thrift.protocol.TField OUTSTANDING_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("outstanding", org.apache.thrift.protocol.TType.I64, (short) 6);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new BucketHandoverStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new BucketHandoverTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
-    private long session; // required
-    private long epoch; // required
-    private long level; // required
-    private long outstanding; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ACCOUNT((short) 1, "account"),
-        OWNER((short) 2, "owner"),
-        SESSION((short) 3, "session"),
-        EPOCH((short) 4, "epoch"),
-        /**
-         * Level handed over, in tokens.
-         */
-        LEVEL((short) 5, "level"),
-        /**
-         * Unspent tokens of the grants of earlier epochs, at most.
-         */
-        OUTSTANDING((short) 6, "outstanding");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ACCOUNT
-                    return ACCOUNT;
-                case 2: // OWNER
-                    return OWNER;
-                case 3: // SESSION
-                    return SESSION;
-                case 4: // EPOCH
-                    return EPOCH;
-                case 5: // LEVEL
-                    return LEVEL;
-                case 6: // OUTSTANDING
-                    return OUTSTANDING;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __SESSION_ISSET_ID = 0;
-    private static final int __EPOCH_ISSET_ID = 1;
-    private static final int __LEVEL_ISSET_ID = 2;
-    private static final int __OUTSTANDING_ISSET_ID = 3;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ACCOUNT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "account",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.OWNER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "owner",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.SESSION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "session",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.EPOCH,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "epoch",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.LEVEL,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "level",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.OUTSTANDING,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "outstanding",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(BucketHandover.class, metaDataMap);
-    }
-
-    public BucketHandover() {}
-
-    public BucketHandover(
-            java.lang.String account, java.lang.String owner, long session, long epoch, long level, long outstanding) {
-        this();
-        this.account = account;
-        this.owner = owner;
-        this.session = session;
-        setSessionIsSet(true);
-        this.epoch = epoch;
-        setEpochIsSet(true);
-        this.level = level;
-        setLevelIsSet(true);
-        this.outstanding = outstanding;
-        setOutstandingIsSet(true);
-    }
-
-    /**
-     * Performs a deep copy on <i>other</i>.
-     */
-    public BucketHandover(BucketHandover other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetAccount()) {
-            this.account = other.account;
-        }
-        if (other.isSetOwner()) {
-            this.owner = other.owner;
-        }
-        this.session = other.session;
-        this.epoch = other.epoch;
-        this.level = other.level;
-        this.outstanding = other.outstanding;
-    }
-
-    @Override
-    public BucketHandover deepCopy() {
-        return new BucketHandover(this);
-    }
-
-    @Override
-    public void clear() {
-        this.account = null;
-        this.owner = null;
-        setSessionIsSet(false);
-        this.session = 0;
-        setEpochIsSet(false);
-        this.epoch = 0;
-        setLevelIsSet(false);
-        this.level = 0;
-        setOutstandingIsSet(false);
-        this.outstanding = 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAccount() {
-        return this.account;
-    }
-
-    public BucketHandover setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
-        this.account = account;
-        return this;
-    }
-
-    public void unsetAccount() {
-        this.account = null;
-    }
-
-    /** Returns true if field account is set (has been assigned a value) and false otherwise */
-    public boolean isSetAccount() {
-        return this.account != null;
-    }
-
-    public void setAccountIsSet(boolean value) {
-        if (!value) {
-            this.account = null;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getOwner() {
-        return this.owner;
-    }
-
-    public BucketHandover setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
-        this.owner = owner;
-        return this;
-    }
-
-    public void unsetOwner() {
-        this.owner = null;
-    }
-
-    /** Returns true if field owner is set (has been assigned a value) and false otherwise */
-    public boolean isSetOwner() {
-        return this.owner != null;
-    }
-
-    public void setOwnerIsSet(boolean value) {
-        if (!value) {
-            this.owner = null;
-        }
-    }
-
-    public long getSession() {
-        return this.session;
-    }
-
-    public BucketHandover setSession(long session) {
-        this.session = session;
-        setSessionIsSet(true);
-        return this;
-    }
-
-    public void unsetSession() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSION_ISSET_ID);
-    }
-
-    /** Returns true if field session is set (has been assigned a value) and false otherwise */
-    public boolean isSetSession() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSION_ISSET_ID);
-    }
-
-    public void setSessionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSION_ISSET_ID, value);
-    }
-
-    public long getEpoch() {
-        return this.epoch;
-    }
-
-    public BucketHandover setEpoch(long epoch) {
-        this.epoch = epoch;
-        setEpochIsSet(true);
-        return this;
-    }
-
-    public void unsetEpoch() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
-    }
-
-    /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
-    public boolean isSetEpoch() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
-    }
-
-    public void setEpochIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
-    }
-
+public class BucketHandover implements org.apache.thrift.TBase<BucketHandover, BucketHandover._Fields>, java.io.Serializable, Cloneable, Comparable<BucketHandover> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("BucketHandover");
+
+  private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC = new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField SESSION_FIELD_DESC = new org.apache.thrift.protocol.TField("session", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField LEVEL_FIELD_DESC = new org.apache.thrift.protocol.TField("level", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField OUTSTANDING_FIELD_DESC = new org.apache.thrift.protocol.TField("outstanding", org.apache.thrift.protocol.TType.I64, (short)6);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new BucketHandoverStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new BucketHandoverTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
+  private long session; // required
+  private long epoch; // required
+  private long level; // required
+  private long outstanding; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ACCOUNT((short)1, "account"),
+    OWNER((short)2, "owner"),
+    SESSION((short)3, "session"),
+    EPOCH((short)4, "epoch"),
     /**
      * Level handed over, in tokens.
      */
-    public long getLevel() {
-        return this.level;
-    }
-
+    LEVEL((short)5, "level"),
     /**
-     * Level handed over, in tokens.
+     * Unspent tokens of the grants of earlier epochs, at most.
      */
-    public BucketHandover setLevel(long level) {
-        this.level = level;
-        setLevelIsSet(true);
-        return this;
-    }
+    OUTSTANDING((short)6, "outstanding");
 
-    public void unsetLevel() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LEVEL_ISSET_ID);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    /** Returns true if field level is set (has been assigned a value) and false otherwise */
-    public boolean isSetLevel() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LEVEL_ISSET_ID);
-    }
-
-    public void setLevelIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEVEL_ISSET_ID, value);
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Unspent tokens of the grants of earlier epochs, at most.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public long getOutstanding() {
-        return this.outstanding;
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ACCOUNT
+          return ACCOUNT;
+        case 2: // OWNER
+          return OWNER;
+        case 3: // SESSION
+          return SESSION;
+        case 4: // EPOCH
+          return EPOCH;
+        case 5: // LEVEL
+          return LEVEL;
+        case 6: // OUTSTANDING
+          return OUTSTANDING;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Unspent tokens of the grants of earlier epochs, at most.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public BucketHandover setOutstanding(long outstanding) {
-        this.outstanding = outstanding;
-        setOutstandingIsSet(true);
-        return this;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    public void unsetOutstanding() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OUTSTANDING_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field outstanding is set (has been assigned a value) and false otherwise */
-    public boolean isSetOutstanding() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OUTSTANDING_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setOutstandingIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OUTSTANDING_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ACCOUNT:
-                if (value == null) {
-                    unsetAccount();
-                } else {
-                    setAccount((java.lang.String) value);
-                }
-                break;
-
-            case OWNER:
-                if (value == null) {
-                    unsetOwner();
-                } else {
-                    setOwner((java.lang.String) value);
-                }
-                break;
-
-            case SESSION:
-                if (value == null) {
-                    unsetSession();
-                } else {
-                    setSession((java.lang.Long) value);
-                }
-                break;
-
-            case EPOCH:
-                if (value == null) {
-                    unsetEpoch();
-                } else {
-                    setEpoch((java.lang.Long) value);
-                }
-                break;
-
-            case LEVEL:
-                if (value == null) {
-                    unsetLevel();
-                } else {
-                    setLevel((java.lang.Long) value);
-                }
-                break;
-
-            case OUTSTANDING:
-                if (value == null) {
-                    unsetOutstanding();
-                } else {
-                    setOutstanding((java.lang.Long) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ACCOUNT:
-                return getAccount();
-
-            case OWNER:
-                return getOwner();
-
-            case SESSION:
-                return getSession();
-
-            case EPOCH:
-                return getEpoch();
-
-            case LEVEL:
-                return getLevel();
-
-            case OUTSTANDING:
-                return getOutstanding();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __SESSION_ISSET_ID = 0;
+  private static final int __EPOCH_ISSET_ID = 1;
+  private static final int __LEVEL_ISSET_ID = 2;
+  private static final int __OUTSTANDING_ISSET_ID = 3;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ACCOUNT, new org.apache.thrift.meta_data.FieldMetaData("account", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.OWNER, new org.apache.thrift.meta_data.FieldMetaData("owner", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SESSION, new org.apache.thrift.meta_data.FieldMetaData("session", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.EPOCH, new org.apache.thrift.meta_data.FieldMetaData("epoch", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LEVEL, new org.apache.thrift.meta_data.FieldMetaData("level", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.OUTSTANDING, new org.apache.thrift.meta_data.FieldMetaData("outstanding", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(BucketHandover.class, metaDataMap);
+  }
+
+  public BucketHandover() {
+  }
+
+  public BucketHandover(
+    java.lang.String account,
+    java.lang.String owner,
+    long session,
+    long epoch,
+    long level,
+    long outstanding)
+  {
+    this();
+    this.account = account;
+    this.owner = owner;
+    this.session = session;
+    setSessionIsSet(true);
+    this.epoch = epoch;
+    setEpochIsSet(true);
+    this.level = level;
+    setLevelIsSet(true);
+    this.outstanding = outstanding;
+    setOutstandingIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public BucketHandover(BucketHandover other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetAccount()) {
+      this.account = other.account;
+    }
+    if (other.isSetOwner()) {
+      this.owner = other.owner;
+    }
+    this.session = other.session;
+    this.epoch = other.epoch;
+    this.level = other.level;
+    this.outstanding = other.outstanding;
+  }
+
+  @Override
+  public BucketHandover deepCopy() {
+    return new BucketHandover(this);
+  }
+
+  @Override
+  public void clear() {
+    this.account = null;
+    this.owner = null;
+    setSessionIsSet(false);
+    this.session = 0;
+    setEpochIsSet(false);
+    this.epoch = 0;
+    setLevelIsSet(false);
+    this.level = 0;
+    setOutstandingIsSet(false);
+    this.outstanding = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAccount() {
+    return this.account;
+  }
+
+  public BucketHandover setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
+    this.account = account;
+    return this;
+  }
+
+  public void unsetAccount() {
+    this.account = null;
+  }
+
+  /** Returns true if field account is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccount() {
+    return this.account != null;
+  }
+
+  public void setAccountIsSet(boolean value) {
+    if (!value) {
+      this.account = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOwner() {
+    return this.owner;
+  }
+
+  public BucketHandover setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
+    this.owner = owner;
+    return this;
+  }
+
+  public void unsetOwner() {
+    this.owner = null;
+  }
+
+  /** Returns true if field owner is set (has been assigned a value) and false otherwise */
+  public boolean isSetOwner() {
+    return this.owner != null;
+  }
+
+  public void setOwnerIsSet(boolean value) {
+    if (!value) {
+      this.owner = null;
+    }
+  }
+
+  public long getSession() {
+    return this.session;
+  }
+
+  public BucketHandover setSession(long session) {
+    this.session = session;
+    setSessionIsSet(true);
+    return this;
+  }
+
+  public void unsetSession() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSION_ISSET_ID);
+  }
+
+  /** Returns true if field session is set (has been assigned a value) and false otherwise */
+  public boolean isSetSession() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSION_ISSET_ID);
+  }
+
+  public void setSessionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSION_ISSET_ID, value);
+  }
+
+  public long getEpoch() {
+    return this.epoch;
+  }
+
+  public BucketHandover setEpoch(long epoch) {
+    this.epoch = epoch;
+    setEpochIsSet(true);
+    return this;
+  }
+
+  public void unsetEpoch() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
+  public boolean isSetEpoch() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  public void setEpochIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
+  }
+
+  /**
+   * Level handed over, in tokens.
+   */
+  public long getLevel() {
+    return this.level;
+  }
+
+  /**
+   * Level handed over, in tokens.
+   */
+  public BucketHandover setLevel(long level) {
+    this.level = level;
+    setLevelIsSet(true);
+    return this;
+  }
+
+  public void unsetLevel() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LEVEL_ISSET_ID);
+  }
+
+  /** Returns true if field level is set (has been assigned a value) and false otherwise */
+  public boolean isSetLevel() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LEVEL_ISSET_ID);
+  }
+
+  public void setLevelIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEVEL_ISSET_ID, value);
+  }
+
+  /**
+   * Unspent tokens of the grants of earlier epochs, at most.
+   */
+  public long getOutstanding() {
+    return this.outstanding;
+  }
+
+  /**
+   * Unspent tokens of the grants of earlier epochs, at most.
+   */
+  public BucketHandover setOutstanding(long outstanding) {
+    this.outstanding = outstanding;
+    setOutstandingIsSet(true);
+    return this;
+  }
+
+  public void unsetOutstanding() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OUTSTANDING_ISSET_ID);
+  }
+
+  /** Returns true if field outstanding is set (has been assigned a value) and false otherwise */
+  public boolean isSetOutstanding() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OUTSTANDING_ISSET_ID);
+  }
+
+  public void setOutstandingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OUTSTANDING_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ACCOUNT:
+      if (value == null) {
+        unsetAccount();
+      } else {
+        setAccount((java.lang.String)value);
+      }
+      break;
+
+    case OWNER:
+      if (value == null) {
+        unsetOwner();
+      } else {
+        setOwner((java.lang.String)value);
+      }
+      break;
+
+    case SESSION:
+      if (value == null) {
+        unsetSession();
+      } else {
+        setSession((java.lang.Long)value);
+      }
+      break;
+
+    case EPOCH:
+      if (value == null) {
+        unsetEpoch();
+      } else {
+        setEpoch((java.lang.Long)value);
+      }
+      break;
+
+    case LEVEL:
+      if (value == null) {
+        unsetLevel();
+      } else {
+        setLevel((java.lang.Long)value);
+      }
+      break;
+
+    case OUTSTANDING:
+      if (value == null) {
+        unsetOutstanding();
+      } else {
+        setOutstanding((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ACCOUNT:
+      return getAccount();
+
+    case OWNER:
+      return getOwner();
+
+    case SESSION:
+      return getSession();
+
+    case EPOCH:
+      return getEpoch();
+
+    case LEVEL:
+      return getLevel();
+
+    case OUTSTANDING:
+      return getOutstanding();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ACCOUNT:
+      return isSetAccount();
+    case OWNER:
+      return isSetOwner();
+    case SESSION:
+      return isSetSession();
+    case EPOCH:
+      return isSetEpoch();
+    case LEVEL:
+      return isSetLevel();
+    case OUTSTANDING:
+      return isSetOutstanding();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof BucketHandover)
+      return this.equals((BucketHandover)that);
+    return false;
+  }
+
+  public boolean equals(BucketHandover that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_account = true && this.isSetAccount();
+    boolean that_present_account = true && that.isSetAccount();
+    if (this_present_account || that_present_account) {
+      if (!(this_present_account && that_present_account))
+        return false;
+      if (!this.account.equals(that.account))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ACCOUNT:
-                return isSetAccount();
-            case OWNER:
-                return isSetOwner();
-            case SESSION:
-                return isSetSession();
-            case EPOCH:
-                return isSetEpoch();
-            case LEVEL:
-                return isSetLevel();
-            case OUTSTANDING:
-                return isSetOutstanding();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_owner = true && this.isSetOwner();
+    boolean that_present_owner = true && that.isSetOwner();
+    if (this_present_owner || that_present_owner) {
+      if (!(this_present_owner && that_present_owner))
+        return false;
+      if (!this.owner.equals(that.owner))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof BucketHandover) return this.equals((BucketHandover) that);
+    boolean this_present_session = true;
+    boolean that_present_session = true;
+    if (this_present_session || that_present_session) {
+      if (!(this_present_session && that_present_session))
+        return false;
+      if (this.session != that.session)
         return false;
     }
 
-    public boolean equals(BucketHandover that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_account = true && this.isSetAccount();
-        boolean that_present_account = true && that.isSetAccount();
-        if (this_present_account || that_present_account) {
-            if (!(this_present_account && that_present_account)) return false;
-            if (!this.account.equals(that.account)) return false;
-        }
-
-        boolean this_present_owner = true && this.isSetOwner();
-        boolean that_present_owner = true && that.isSetOwner();
-        if (this_present_owner || that_present_owner) {
-            if (!(this_present_owner && that_present_owner)) return false;
-            if (!this.owner.equals(that.owner)) return false;
-        }
-
-        boolean this_present_session = true;
-        boolean that_present_session = true;
-        if (this_present_session || that_present_session) {
-            if (!(this_present_session && that_present_session)) return false;
-            if (this.session != that.session) return false;
-        }
-
-        boolean this_present_epoch = true;
-        boolean that_present_epoch = true;
-        if (this_present_epoch || that_present_epoch) {
-            if (!(this_present_epoch && that_present_epoch)) return false;
-            if (this.epoch != that.epoch) return false;
-        }
-
-        boolean this_present_level = true;
-        boolean that_present_level = true;
-        if (this_present_level || that_present_level) {
-            if (!(this_present_level && that_present_level)) return false;
-            if (this.level != that.level) return false;
-        }
+    boolean this_present_epoch = true;
+    boolean that_present_epoch = true;
+    if (this_present_epoch || that_present_epoch) {
+      if (!(this_present_epoch && that_present_epoch))
+        return false;
+      if (this.epoch != that.epoch)
+        return false;
+    }
 
-        boolean this_present_outstanding = true;
-        boolean that_present_outstanding = true;
-        if (this_present_outstanding || that_present_outstanding) {
-            if (!(this_present_outstanding && that_present_outstanding)) return false;
-            if (this.outstanding != that.outstanding) return false;
-        }
+    boolean this_present_level = true;
+    boolean that_present_level = true;
+    if (this_present_level || that_present_level) {
+      if (!(this_present_level && that_present_level))
+        return false;
+      if (this.level != that.level)
+        return false;
+    }
 
-        return true;
+    boolean this_present_outstanding = true;
+    boolean that_present_outstanding = true;
+    if (this_present_outstanding || that_present_outstanding) {
+      if (!(this_present_outstanding && that_present_outstanding))
+        return false;
+      if (this.outstanding != that.outstanding)
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    return true;
+  }
 
-        hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
-        if (isSetAccount()) hashCode = hashCode * 8191 + account.hashCode();
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
-        if (isSetOwner()) hashCode = hashCode * 8191 + owner.hashCode();
+    hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
+    if (isSetAccount())
+      hashCode = hashCode * 8191 + account.hashCode();
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(session);
+    hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
+    if (isSetOwner())
+      hashCode = hashCode * 8191 + owner.hashCode();
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(session);
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(level);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(outstanding);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(level);
 
-        return hashCode;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(outstanding);
 
-    @Override
-    public int compareTo(BucketHandover other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    return hashCode;
+  }
 
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAccount()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOwner()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSession(), other.isSetSession());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSession()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.session, other.session);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEpoch()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetLevel(), other.isSetLevel());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLevel()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.level, other.level);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOutstanding(), other.isSetOutstanding());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOutstanding()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.outstanding, other.outstanding);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+  @Override
+  public int compareTo(BucketHandover other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
 
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOwner()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSession(), other.isSetSession());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSession()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.session, other.session);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEpoch()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLevel(), other.isSetLevel());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLevel()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.level, other.level);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOutstanding(), other.isSetOutstanding());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOutstanding()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.outstanding, other.outstanding);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("BucketHandover(");
+    boolean first = true;
+
+    sb.append("account:");
+    if (this.account == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.account);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("owner:");
+    if (this.owner == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.owner);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("session:");
+    sb.append(this.session);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("epoch:");
+    sb.append(this.epoch);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("level:");
+    sb.append(this.level);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("outstanding:");
+    sb.append(this.outstanding);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (account == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'account' was not present! Struct: " + toString());
+    }
+    if (owner == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'owner' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'session' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'level' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'outstanding' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class BucketHandoverStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public BucketHandoverStandardScheme getScheme() {
+      return new BucketHandoverStandardScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class BucketHandoverStandardScheme extends org.apache.thrift.scheme.StandardScheme<BucketHandover> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("BucketHandover(");
-        boolean first = true;
-
-        sb.append("account:");
-        if (this.account == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.account);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("owner:");
-        if (this.owner == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.owner);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("session:");
-        sb.append(this.session);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("epoch:");
-        sb.append(this.epoch);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("level:");
-        sb.append(this.level);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("outstanding:");
-        sb.append(this.outstanding);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (account == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'account' was not present! Struct: " + toString());
-        }
-        if (owner == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'owner' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'session' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'level' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'outstanding' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class BucketHandoverStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public BucketHandoverStandardScheme getScheme() {
-            return new BucketHandoverStandardScheme();
-        }
-    }
-
-    private static class BucketHandoverStandardScheme extends org.apache.thrift.scheme.StandardScheme<BucketHandover> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, BucketHandover struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ACCOUNT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.account = iprot.readString();
-                            struct.setAccountIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // OWNER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.owner = iprot.readString();
-                            struct.setOwnerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // SESSION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.session = iprot.readI64();
-                            struct.setSessionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // EPOCH
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.epoch = iprot.readI64();
-                            struct.setEpochIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // LEVEL
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.level = iprot.readI64();
-                            struct.setLevelIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // OUTSTANDING
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.outstanding = iprot.readI64();
-                            struct.setOutstandingIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetSession()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'session' was not found in serialized data! Struct: " + toString());
+    public void read(org.apache.thrift.protocol.TProtocol iprot, BucketHandover struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // ACCOUNT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.account = iprot.readString();
+              struct.setAccountIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetEpoch()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'epoch' was not found in serialized data! Struct: " + toString());
+            break;
+          case 2: // OWNER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.owner = iprot.readString();
+              struct.setOwnerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetLevel()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'level' was not found in serialized data! Struct: " + toString());
+            break;
+          case 3: // SESSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.session = iprot.readI64();
+              struct.setSessionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetOutstanding()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'outstanding' was not found in serialized data! Struct: " + toString());
+            break;
+          case 4: // EPOCH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.epoch = iprot.readI64();
+              struct.setEpochIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, BucketHandover struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.account != null) {
-                oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
-                oprot.writeString(struct.account);
-                oprot.writeFieldEnd();
+            break;
+          case 5: // LEVEL
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.level = iprot.readI64();
+              struct.setLevelIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.owner != null) {
-                oprot.writeFieldBegin(OWNER_FIELD_DESC);
-                oprot.writeString(struct.owner);
-                oprot.writeFieldEnd();
+            break;
+          case 6: // OUTSTANDING
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.outstanding = iprot.readI64();
+              struct.setOutstandingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldBegin(SESSION_FIELD_DESC);
-            oprot.writeI64(struct.session);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(EPOCH_FIELD_DESC);
-            oprot.writeI64(struct.epoch);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(LEVEL_FIELD_DESC);
-            oprot.writeI64(struct.level);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(OUTSTANDING_FIELD_DESC);
-            oprot.writeI64(struct.outstanding);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetSession()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'session' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetEpoch()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'epoch' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetLevel()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'level' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetOutstanding()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'outstanding' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class BucketHandoverTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public BucketHandoverTupleScheme getScheme() {
-            return new BucketHandoverTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, BucketHandover struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.account != null) {
+        oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
+        oprot.writeString(struct.account);
+        oprot.writeFieldEnd();
+      }
+      if (struct.owner != null) {
+        oprot.writeFieldBegin(OWNER_FIELD_DESC);
+        oprot.writeString(struct.owner);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(SESSION_FIELD_DESC);
+      oprot.writeI64(struct.session);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(EPOCH_FIELD_DESC);
+      oprot.writeI64(struct.epoch);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LEVEL_FIELD_DESC);
+      oprot.writeI64(struct.level);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(OUTSTANDING_FIELD_DESC);
+      oprot.writeI64(struct.outstanding);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class BucketHandoverTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public BucketHandoverTupleScheme getScheme() {
+      return new BucketHandoverTupleScheme();
     }
+  }
 
-    private static class BucketHandoverTupleScheme extends org.apache.thrift.scheme.TupleScheme<BucketHandover> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, BucketHandover struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.account);
-            oprot.writeString(struct.owner);
-            oprot.writeI64(struct.session);
-            oprot.writeI64(struct.epoch);
-            oprot.writeI64(struct.level);
-            oprot.writeI64(struct.outstanding);
-        }
+  private static class BucketHandoverTupleScheme extends org.apache.thrift.scheme.TupleScheme<BucketHandover> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, BucketHandover struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.account = iprot.readString();
-            struct.setAccountIsSet(true);
-            struct.owner = iprot.readString();
-            struct.setOwnerIsSet(true);
-            struct.session = iprot.readI64();
-            struct.setSessionIsSet(true);
-            struct.epoch = iprot.readI64();
-            struct.setEpochIsSet(true);
-            struct.level = iprot.readI64();
-            struct.setLevelIsSet(true);
-            struct.outstanding = iprot.readI64();
-            struct.setOutstandingIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, BucketHandover struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.account);
+      oprot.writeString(struct.owner);
+      oprot.writeI64(struct.session);
+      oprot.writeI64(struct.epoch);
+      oprot.writeI64(struct.level);
+      oprot.writeI64(struct.outstanding);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, BucketHandover struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.account = iprot.readString();
+      struct.setAccountIsSet(true);
+      struct.owner = iprot.readString();
+      struct.setOwnerIsSet(true);
+      struct.session = iprot.readI64();
+      struct.setSessionIsSet(true);
+      struct.epoch = iprot.readI64();
+      struct.setEpochIsSet(true);
+      struct.level = iprot.readI64();
+      struct.setLevelIsSet(true);
+      struct.outstanding = iprot.readI64();
+      struct.setOutstandingIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/BudgetMessage.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/BudgetMessage.java
@@ -8,504 +8,461 @@
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class BudgetMessage extends org.apache.thrift.TUnion<BudgetMessage, BudgetMessage._Fields> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("BudgetMessage");
-    private static final org.apache.thrift.protocol.TField REQUESTER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("requester", org.apache.thrift.protocol.TType.STRUCT, (short) 1);
-    private static final org.apache.thrift.protocol.TField ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("answer", org.apache.thrift.protocol.TType.STRUCT, (short) 2);
-    private static final org.apache.thrift.protocol.TField RECALL_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("recall", org.apache.thrift.protocol.TType.STRUCT, (short) 3);
-    private static final org.apache.thrift.protocol.TField HANDOVER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("handover", org.apache.thrift.protocol.TType.STRUCT, (short) 4);
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        REQUESTER((short) 1, "requester"),
-        ANSWER((short) 2, "answer"),
-        RECALL((short) 3, "recall"),
-        HANDOVER((short) 4, "handover");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // REQUESTER
-                    return REQUESTER;
-                case 2: // ANSWER
-                    return ANSWER;
-                case 3: // RECALL
-                    return RECALL;
-                case 4: // HANDOVER
-                    return HANDOVER;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("BudgetMessage");
+  private static final org.apache.thrift.protocol.TField REQUESTER_FIELD_DESC = new org.apache.thrift.protocol.TField("requester", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+  private static final org.apache.thrift.protocol.TField ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("answer", org.apache.thrift.protocol.TType.STRUCT, (short)2);
+  private static final org.apache.thrift.protocol.TField RECALL_FIELD_DESC = new org.apache.thrift.protocol.TField("recall", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField HANDOVER_FIELD_DESC = new org.apache.thrift.protocol.TField("handover", org.apache.thrift.protocol.TType.STRUCT, (short)4);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    REQUESTER((short)1, "requester"),
+    ANSWER((short)2, "answer"),
+    RECALL((short)3, "recall"),
+    HANDOVER((short)4, "handover");
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.REQUESTER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "requester",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, RequesterMessage.class)));
-        tmpMap.put(
-                _Fields.ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "answer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, GrantAnswer.class)));
-        tmpMap.put(
-                _Fields.RECALL,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "recall",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, GrantRecall.class)));
-        tmpMap.put(
-                _Fields.HANDOVER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "handover",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, BucketHandover.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(BudgetMessage.class, metaDataMap);
-    }
-
-    public BudgetMessage() {
-        super();
-    }
-
-    public BudgetMessage(_Fields setField, java.lang.Object value) {
-        super(setField, value);
-    }
-
-    public BudgetMessage(BudgetMessage other) {
-        super(other);
-    }
-
-    @Override
-    public BudgetMessage deepCopy() {
-        return new BudgetMessage(this);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public static BudgetMessage requester(RequesterMessage value) {
-        BudgetMessage x = new BudgetMessage();
-        x.setRequester(value);
-        return x;
-    }
-
-    public static BudgetMessage answer(GrantAnswer value) {
-        BudgetMessage x = new BudgetMessage();
-        x.setAnswer(value);
-        return x;
-    }
-
-    public static BudgetMessage recall(GrantRecall value) {
-        BudgetMessage x = new BudgetMessage();
-        x.setRecall(value);
-        return x;
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // REQUESTER
+          return REQUESTER;
+        case 2: // ANSWER
+          return ANSWER;
+        case 3: // RECALL
+          return RECALL;
+        case 4: // HANDOVER
+          return HANDOVER;
+        default:
+          return null;
+      }
+    }
+
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
+    }
+
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public static BudgetMessage handover(BucketHandover value) {
-        BudgetMessage x = new BudgetMessage();
-        x.setHandover(value);
-        return x;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
-        switch (setField) {
-            case REQUESTER:
-                if (value instanceof RequesterMessage) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type RequesterMessage for field 'requester', but got "
-                                + value.getClass().getSimpleName());
-            case ANSWER:
-                if (value instanceof GrantAnswer) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type GrantAnswer for field 'answer', but got "
-                                + value.getClass().getSimpleName());
-            case RECALL:
-                if (value instanceof GrantRecall) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type GrantRecall for field 'recall', but got "
-                                + value.getClass().getSimpleName());
-            case HANDOVER:
-                if (value instanceof BucketHandover) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type BucketHandover for field 'handover', but got "
-                                + value.getClass().getSimpleName());
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    protected java.lang.Object standardSchemeReadValue(
-            org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(field.id);
-        if (setField != null) {
-            switch (setField) {
-                case REQUESTER:
-                    if (field.type == REQUESTER_FIELD_DESC.type) {
-                        RequesterMessage requester;
-                        requester = new RequesterMessage();
-                        requester.read(iprot);
-                        return requester;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case ANSWER:
-                    if (field.type == ANSWER_FIELD_DESC.type) {
-                        GrantAnswer answer;
-                        answer = new GrantAnswer();
-                        answer.read(iprot);
-                        return answer;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case RECALL:
-                    if (field.type == RECALL_FIELD_DESC.type) {
-                        GrantRecall recall;
-                        recall = new GrantRecall();
-                        recall.read(iprot);
-                        return recall;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case HANDOVER:
-                    if (field.type == HANDOVER_FIELD_DESC.type) {
-                        BucketHandover handover;
-                        handover = new BucketHandover();
-                        handover.read(iprot);
-                        return handover;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case REQUESTER:
-                RequesterMessage requester = (RequesterMessage) value_;
-                requester.write(oprot);
-                return;
-            case ANSWER:
-                GrantAnswer answer = (GrantAnswer) value_;
-                answer.write(oprot);
-                return;
-            case RECALL:
-                GrantRecall recall = (GrantRecall) value_;
-                recall.write(oprot);
-                return;
-            case HANDOVER:
-                BucketHandover handover = (BucketHandover) value_;
-                handover.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.REQUESTER, new org.apache.thrift.meta_data.FieldMetaData("requester", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RequesterMessage.class)));
+    tmpMap.put(_Fields.ANSWER, new org.apache.thrift.meta_data.FieldMetaData("answer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, GrantAnswer.class)));
+    tmpMap.put(_Fields.RECALL, new org.apache.thrift.meta_data.FieldMetaData("recall", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, GrantRecall.class)));
+    tmpMap.put(_Fields.HANDOVER, new org.apache.thrift.meta_data.FieldMetaData("handover", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, BucketHandover.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(BudgetMessage.class, metaDataMap);
+  }
+
+  public BudgetMessage() {
+    super();
+  }
+
+  public BudgetMessage(_Fields setField, java.lang.Object value) {
+    super(setField, value);
+  }
+
+  public BudgetMessage(BudgetMessage other) {
+    super(other);
+  }
+  @Override
+  public BudgetMessage deepCopy() {
+    return new BudgetMessage(this);
+  }
+
+  public static BudgetMessage requester(RequesterMessage value) {
+    BudgetMessage x = new BudgetMessage();
+    x.setRequester(value);
+    return x;
+  }
+
+  public static BudgetMessage answer(GrantAnswer value) {
+    BudgetMessage x = new BudgetMessage();
+    x.setAnswer(value);
+    return x;
+  }
+
+  public static BudgetMessage recall(GrantRecall value) {
+    BudgetMessage x = new BudgetMessage();
+    x.setRecall(value);
+    return x;
+  }
+
+  public static BudgetMessage handover(BucketHandover value) {
+    BudgetMessage x = new BudgetMessage();
+    x.setHandover(value);
+    return x;
+  }
+
+
+  @Override
+  protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
+    switch (setField) {
+      case REQUESTER:
+        if (value instanceof RequesterMessage) {
+          break;
         }
-    }
-
-    @Override
-    protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(fieldID);
-        if (setField != null) {
-            switch (setField) {
-                case REQUESTER:
-                    RequesterMessage requester;
-                    requester = new RequesterMessage();
-                    requester.read(iprot);
-                    return requester;
-                case ANSWER:
-                    GrantAnswer answer;
-                    answer = new GrantAnswer();
-                    answer.read(iprot);
-                    return answer;
-                case RECALL:
-                    GrantRecall recall;
-                    recall = new GrantRecall();
-                    recall.read(iprot);
-                    return recall;
-                case HANDOVER:
-                    BucketHandover handover;
-                    handover = new BucketHandover();
-                    handover.read(iprot);
-                    return handover;
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
-        }
-    }
-
-    @Override
-    protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case REQUESTER:
-                RequesterMessage requester = (RequesterMessage) value_;
-                requester.write(oprot);
-                return;
-            case ANSWER:
-                GrantAnswer answer = (GrantAnswer) value_;
-                answer.write(oprot);
-                return;
-            case RECALL:
-                GrantRecall recall = (GrantRecall) value_;
-                recall.write(oprot);
-                return;
-            case HANDOVER:
-                BucketHandover handover = (BucketHandover) value_;
-                handover.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
-        }
-    }
-
-    @Override
-    protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
-        switch (setField) {
-            case REQUESTER:
-                return REQUESTER_FIELD_DESC;
-            case ANSWER:
-                return ANSWER_FIELD_DESC;
-            case RECALL:
-                return RECALL_FIELD_DESC;
-            case HANDOVER:
-                return HANDOVER_FIELD_DESC;
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+        throw new java.lang.ClassCastException("Was expecting value of type RequesterMessage for field 'requester', but got " + value.getClass().getSimpleName());
+      case ANSWER:
+        if (value instanceof GrantAnswer) {
+          break;
         }
-    }
-
-    @Override
-    protected org.apache.thrift.protocol.TStruct getStructDesc() {
-        return STRUCT_DESC;
-    }
-
-    @Override
-    protected _Fields enumForId(short id) {
-        return _Fields.findByThriftIdOrThrow(id);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
-    public RequesterMessage getRequester() {
-        if (getSetField() == _Fields.REQUESTER) {
-            return (RequesterMessage) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'requester' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
+        throw new java.lang.ClassCastException("Was expecting value of type GrantAnswer for field 'answer', but got " + value.getClass().getSimpleName());
+      case RECALL:
+        if (value instanceof GrantRecall) {
+          break;
         }
-    }
-
-    public void setRequester(RequesterMessage value) {
-        setField_ = _Fields.REQUESTER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.REQUESTER");
-    }
-
-    public GrantAnswer getAnswer() {
-        if (getSetField() == _Fields.ANSWER) {
-            return (GrantAnswer) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException(
-                    "Cannot get field 'answer' because union is currently set to " + getFieldDesc(getSetField()).name);
+        throw new java.lang.ClassCastException("Was expecting value of type GrantRecall for field 'recall', but got " + value.getClass().getSimpleName());
+      case HANDOVER:
+        if (value instanceof BucketHandover) {
+          break;
         }
-    }
-
-    public void setAnswer(GrantAnswer value) {
-        setField_ = _Fields.ANSWER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.ANSWER");
-    }
+        throw new java.lang.ClassCastException("Was expecting value of type BucketHandover for field 'handover', but got " + value.getClass().getSimpleName());
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected java.lang.Object standardSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(field.id);
+    if (setField != null) {
+      switch (setField) {
+        case REQUESTER:
+          if (field.type == REQUESTER_FIELD_DESC.type) {
+            RequesterMessage requester;
+            requester = new RequesterMessage();
+            requester.read(iprot);
+            return requester;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case ANSWER:
+          if (field.type == ANSWER_FIELD_DESC.type) {
+            GrantAnswer answer;
+            answer = new GrantAnswer();
+            answer.read(iprot);
+            return answer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case RECALL:
+          if (field.type == RECALL_FIELD_DESC.type) {
+            GrantRecall recall;
+            recall = new GrantRecall();
+            recall.read(iprot);
+            return recall;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case HANDOVER:
+          if (field.type == HANDOVER_FIELD_DESC.type) {
+            BucketHandover handover;
+            handover = new BucketHandover();
+            handover.read(iprot);
+            return handover;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+      return null;
+    }
+  }
+
+  @Override
+  protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case REQUESTER:
+        RequesterMessage requester = (RequesterMessage)value_;
+        requester.write(oprot);
+        return;
+      case ANSWER:
+        GrantAnswer answer = (GrantAnswer)value_;
+        answer.write(oprot);
+        return;
+      case RECALL:
+        GrantRecall recall = (GrantRecall)value_;
+        recall.write(oprot);
+        return;
+      case HANDOVER:
+        BucketHandover handover = (BucketHandover)value_;
+        handover.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(fieldID);
+    if (setField != null) {
+      switch (setField) {
+        case REQUESTER:
+          RequesterMessage requester;
+          requester = new RequesterMessage();
+          requester.read(iprot);
+          return requester;
+        case ANSWER:
+          GrantAnswer answer;
+          answer = new GrantAnswer();
+          answer.read(iprot);
+          return answer;
+        case RECALL:
+          GrantRecall recall;
+          recall = new GrantRecall();
+          recall.read(iprot);
+          return recall;
+        case HANDOVER:
+          BucketHandover handover;
+          handover = new BucketHandover();
+          handover.read(iprot);
+          return handover;
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+    }
+  }
+
+  @Override
+  protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case REQUESTER:
+        RequesterMessage requester = (RequesterMessage)value_;
+        requester.write(oprot);
+        return;
+      case ANSWER:
+        GrantAnswer answer = (GrantAnswer)value_;
+        answer.write(oprot);
+        return;
+      case RECALL:
+        GrantRecall recall = (GrantRecall)value_;
+        recall.write(oprot);
+        return;
+      case HANDOVER:
+        BucketHandover handover = (BucketHandover)value_;
+        handover.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
+    switch (setField) {
+      case REQUESTER:
+        return REQUESTER_FIELD_DESC;
+      case ANSWER:
+        return ANSWER_FIELD_DESC;
+      case RECALL:
+        return RECALL_FIELD_DESC;
+      case HANDOVER:
+        return HANDOVER_FIELD_DESC;
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TStruct getStructDesc() {
+    return STRUCT_DESC;
+  }
+
+  @Override
+  protected _Fields enumForId(short id) {
+    return _Fields.findByThriftIdOrThrow(id);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+
+  public RequesterMessage getRequester() {
+    if (getSetField() == _Fields.REQUESTER) {
+      return (RequesterMessage)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'requester' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setRequester(RequesterMessage value) {
+    setField_ = _Fields.REQUESTER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.REQUESTER");
+  }
+
+  public GrantAnswer getAnswer() {
+    if (getSetField() == _Fields.ANSWER) {
+      return (GrantAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'answer' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setAnswer(GrantAnswer value) {
+    setField_ = _Fields.ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.ANSWER");
+  }
+
+  public GrantRecall getRecall() {
+    if (getSetField() == _Fields.RECALL) {
+      return (GrantRecall)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'recall' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setRecall(GrantRecall value) {
+    setField_ = _Fields.RECALL;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.RECALL");
+  }
+
+  public BucketHandover getHandover() {
+    if (getSetField() == _Fields.HANDOVER) {
+      return (BucketHandover)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'handover' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setHandover(BucketHandover value) {
+    setField_ = _Fields.HANDOVER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.HANDOVER");
+  }
+
+  public boolean isSetRequester() {
+    return setField_ == _Fields.REQUESTER;
+  }
+
+
+  public boolean isSetAnswer() {
+    return setField_ == _Fields.ANSWER;
+  }
+
 
-    public GrantRecall getRecall() {
-        if (getSetField() == _Fields.RECALL) {
-            return (GrantRecall) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException(
-                    "Cannot get field 'recall' because union is currently set to " + getFieldDesc(getSetField()).name);
-        }
-    }
+  public boolean isSetRecall() {
+    return setField_ == _Fields.RECALL;
+  }
 
-    public void setRecall(GrantRecall value) {
-        setField_ = _Fields.RECALL;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.RECALL");
-    }
 
-    public BucketHandover getHandover() {
-        if (getSetField() == _Fields.HANDOVER) {
-            return (BucketHandover) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'handover' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public boolean isSetHandover() {
+    return setField_ == _Fields.HANDOVER;
+  }
 
-    public void setHandover(BucketHandover value) {
-        setField_ = _Fields.HANDOVER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.HANDOVER");
-    }
 
-    public boolean isSetRequester() {
-        return setField_ == _Fields.REQUESTER;
+  public boolean equals(java.lang.Object other) {
+    if (other instanceof BudgetMessage) {
+      return equals((BudgetMessage)other);
+    } else {
+      return false;
     }
+  }
 
-    public boolean isSetAnswer() {
-        return setField_ == _Fields.ANSWER;
-    }
+  public boolean equals(BudgetMessage other) {
+    return other != null && getSetField() == other.getSetField() && getFieldValue().equals(other.getFieldValue());
+  }
 
-    public boolean isSetRecall() {
-        return setField_ == _Fields.RECALL;
+  @Override
+  public int compareTo(BudgetMessage other) {
+    int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
+    if (lastComparison == 0) {
+      return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
     }
+    return lastComparison;
+  }
 
-    public boolean isSetHandover() {
-        return setField_ == _Fields.HANDOVER;
-    }
 
-    public boolean equals(java.lang.Object other) {
-        if (other instanceof BudgetMessage) {
-            return equals((BudgetMessage) other);
-        } else {
-            return false;
-        }
+  @Override
+  public int hashCode() {
+    java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
+    list.add(this.getClass().getName());
+    org.apache.thrift.TFieldIdEnum setField = getSetField();
+    if (setField != null) {
+      list.add(setField.getThriftFieldId());
+      java.lang.Object value = getFieldValue();
+      if (value instanceof org.apache.thrift.TEnum) {
+        list.add(((org.apache.thrift.TEnum)getFieldValue()).getValue());
+      } else {
+        list.add(value);
+      }
     }
-
-    public boolean equals(BudgetMessage other) {
-        return other != null
-                && getSetField() == other.getSetField()
-                && getFieldValue().equals(other.getFieldValue());
+    return list.hashCode();
+  }
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    @Override
-    public int compareTo(BudgetMessage other) {
-        int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
-        if (lastComparison == 0) {
-            return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
-        }
-        return lastComparison;
-    }
 
-    @Override
-    public int hashCode() {
-        java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
-        list.add(this.getClass().getName());
-        org.apache.thrift.TFieldIdEnum setField = getSetField();
-        if (setField != null) {
-            list.add(setField.getThriftFieldId());
-            java.lang.Object value = getFieldValue();
-            if (value instanceof org.apache.thrift.TEnum) {
-                list.add(((org.apache.thrift.TEnum) getFieldValue()).getValue());
-            } else {
-                list.add(value);
-            }
-        }
-        return list.hashCode();
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
 }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/GrantAnswer.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/GrantAnswer.java
@@ -10,995 +10,964 @@
  * Answers an ask.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class GrantAnswer
-        implements org.apache.thrift.TBase<GrantAnswer, GrantAnswer._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<GrantAnswer> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("GrantAnswer");
-
-    private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.I64, (short) 4);
-    private static final org.apache.thrift.protocol.TField TOKENS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("tokens", org.apache.thrift.protocol.TType.I64, (short) 5);
-    private static final org.apache.thrift.protocol.TField GRANTED_AT_NANOS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("grantedAtNanos", org.apache.thrift.protocol.TType.I64, (short) 6);
-    private static final org.apache.thrift.protocol.TField RETRY_AFTER_NANOS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("retryAfterNanos", org.apache.thrift.protocol.TType.I64, (short) 7);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new GrantAnswerStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new GrantAnswerTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
-    private long epoch; // required
-    private long incarnation; // required
-    private long ask; // required
-    private long tokens; // required
-    private long grantedAtNanos; // required
-    private long retryAfterNanos; // optional
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ACCOUNT((short) 1, "account"),
-        EPOCH((short) 2, "epoch"),
-        INCARNATION((short) 3, "incarnation"),
-        ASK((short) 4, "ask"),
-        /**
-         * Tokens granted; 0 if the minimum is not there.
-         */
-        TOKENS((short) 5, "tokens"),
-        GRANTED_AT_NANOS((short) 6, "grantedAtNanos"),
-        /**
-         * Time until the minimum is there, if it is not.
-         */
-        RETRY_AFTER_NANOS((short) 7, "retryAfterNanos");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ACCOUNT
-                    return ACCOUNT;
-                case 2: // EPOCH
-                    return EPOCH;
-                case 3: // INCARNATION
-                    return INCARNATION;
-                case 4: // ASK
-                    return ASK;
-                case 5: // TOKENS
-                    return TOKENS;
-                case 6: // GRANTED_AT_NANOS
-                    return GRANTED_AT_NANOS;
-                case 7: // RETRY_AFTER_NANOS
-                    return RETRY_AFTER_NANOS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+public class GrantAnswer implements org.apache.thrift.TBase<GrantAnswer, GrantAnswer._Fields>, java.io.Serializable, Cloneable, Comparable<GrantAnswer> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("GrantAnswer");
+
+  private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC = new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("tokens", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField GRANTED_AT_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("grantedAtNanos", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField RETRY_AFTER_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("retryAfterNanos", org.apache.thrift.protocol.TType.I64, (short)7);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new GrantAnswerStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new GrantAnswerTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
+  private long epoch; // required
+  private long incarnation; // required
+  private long ask; // required
+  private long tokens; // required
+  private long grantedAtNanos; // required
+  private long retryAfterNanos; // optional
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ACCOUNT((short)1, "account"),
+    EPOCH((short)2, "epoch"),
+    INCARNATION((short)3, "incarnation"),
+    ASK((short)4, "ask"),
+    /**
+     * Tokens granted; 0 if the minimum is not there.
+     */
+    TOKENS((short)5, "tokens"),
+    GRANTED_AT_NANOS((short)6, "grantedAtNanos"),
+    /**
+     * Time until the minimum is there, if it is not.
+     */
+    RETRY_AFTER_NANOS((short)7, "retryAfterNanos");
 
-    // isset id assignments
-    private static final int __EPOCH_ISSET_ID = 0;
-    private static final int __INCARNATION_ISSET_ID = 1;
-    private static final int __ASK_ISSET_ID = 2;
-    private static final int __TOKENS_ISSET_ID = 3;
-    private static final int __GRANTEDATNANOS_ISSET_ID = 4;
-    private static final int __RETRYAFTERNANOS_ISSET_ID = 5;
-    private byte __isset_bitfield = 0;
-    private static final _Fields optionals[] = {_Fields.RETRY_AFTER_NANOS};
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ACCOUNT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "account",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.EPOCH,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "epoch",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "incarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.ASK,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "ask",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.TOKENS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "tokens",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.GRANTED_AT_NANOS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "grantedAtNanos",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.RETRY_AFTER_NANOS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "retryAfterNanos",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GrantAnswer.class, metaDataMap);
-    }
-
-    public GrantAnswer() {}
-
-    public GrantAnswer(
-            java.lang.String account, long epoch, long incarnation, long ask, long tokens, long grantedAtNanos) {
-        this();
-        this.account = account;
-        this.epoch = epoch;
-        setEpochIsSet(true);
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        this.ask = ask;
-        setAskIsSet(true);
-        this.tokens = tokens;
-        setTokensIsSet(true);
-        this.grantedAtNanos = grantedAtNanos;
-        setGrantedAtNanosIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public GrantAnswer(GrantAnswer other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetAccount()) {
-            this.account = other.account;
-        }
-        this.epoch = other.epoch;
-        this.incarnation = other.incarnation;
-        this.ask = other.ask;
-        this.tokens = other.tokens;
-        this.grantedAtNanos = other.grantedAtNanos;
-        this.retryAfterNanos = other.retryAfterNanos;
-    }
-
-    @Override
-    public GrantAnswer deepCopy() {
-        return new GrantAnswer(this);
-    }
-
-    @Override
-    public void clear() {
-        this.account = null;
-        setEpochIsSet(false);
-        this.epoch = 0;
-        setIncarnationIsSet(false);
-        this.incarnation = 0;
-        setAskIsSet(false);
-        this.ask = 0;
-        setTokensIsSet(false);
-        this.tokens = 0;
-        setGrantedAtNanosIsSet(false);
-        this.grantedAtNanos = 0;
-        setRetryAfterNanosIsSet(false);
-        this.retryAfterNanos = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAccount() {
-        return this.account;
-    }
-
-    public GrantAnswer setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
-        this.account = account;
-        return this;
-    }
-
-    public void unsetAccount() {
-        this.account = null;
-    }
-
-    /** Returns true if field account is set (has been assigned a value) and false otherwise */
-    public boolean isSetAccount() {
-        return this.account != null;
-    }
-
-    public void setAccountIsSet(boolean value) {
-        if (!value) {
-            this.account = null;
-        }
-    }
-
-    public long getEpoch() {
-        return this.epoch;
-    }
-
-    public GrantAnswer setEpoch(long epoch) {
-        this.epoch = epoch;
-        setEpochIsSet(true);
-        return this;
-    }
-
-    public void unsetEpoch() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
-    }
-
-    /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
-    public boolean isSetEpoch() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
-    }
-
-    public void setEpochIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
-    }
-
-    public long getIncarnation() {
-        return this.incarnation;
-    }
-
-    public GrantAnswer setIncarnation(long incarnation) {
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        return this;
-    }
-
-    public void unsetIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
-
-    public void setIncarnationIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
-    }
-
-    public long getAsk() {
-        return this.ask;
-    }
-
-    public GrantAnswer setAsk(long ask) {
-        this.ask = ask;
-        setAskIsSet(true);
-        return this;
-    }
-
-    public void unsetAsk() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASK_ISSET_ID);
-    }
-
-    /** Returns true if field ask is set (has been assigned a value) and false otherwise */
-    public boolean isSetAsk() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASK_ISSET_ID);
-    }
-
-    public void setAskIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASK_ISSET_ID, value);
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ACCOUNT
+          return ACCOUNT;
+        case 2: // EPOCH
+          return EPOCH;
+        case 3: // INCARNATION
+          return INCARNATION;
+        case 4: // ASK
+          return ASK;
+        case 5: // TOKENS
+          return TOKENS;
+        case 6: // GRANTED_AT_NANOS
+          return GRANTED_AT_NANOS;
+        case 7: // RETRY_AFTER_NANOS
+          return RETRY_AFTER_NANOS;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Tokens granted; 0 if the minimum is not there.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public long getTokens() {
-        return this.tokens;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     * Tokens granted; 0 if the minimum is not there.
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public GrantAnswer setTokens(long tokens) {
-        this.tokens = tokens;
-        setTokensIsSet(true);
-        return this;
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void unsetTokens() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKENS_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    /** Returns true if field tokens is set (has been assigned a value) and false otherwise */
-    public boolean isSetTokens() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKENS_ISSET_ID);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    public void setTokensIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENS_ISSET_ID, value);
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public long getGrantedAtNanos() {
-        return this.grantedAtNanos;
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __EPOCH_ISSET_ID = 0;
+  private static final int __INCARNATION_ISSET_ID = 1;
+  private static final int __ASK_ISSET_ID = 2;
+  private static final int __TOKENS_ISSET_ID = 3;
+  private static final int __GRANTEDATNANOS_ISSET_ID = 4;
+  private static final int __RETRYAFTERNANOS_ISSET_ID = 5;
+  private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.RETRY_AFTER_NANOS};
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ACCOUNT, new org.apache.thrift.meta_data.FieldMetaData("account", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.EPOCH, new org.apache.thrift.meta_data.FieldMetaData("epoch", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ASK, new org.apache.thrift.meta_data.FieldMetaData("ask", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TOKENS, new org.apache.thrift.meta_data.FieldMetaData("tokens", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.GRANTED_AT_NANOS, new org.apache.thrift.meta_data.FieldMetaData("grantedAtNanos", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RETRY_AFTER_NANOS, new org.apache.thrift.meta_data.FieldMetaData("retryAfterNanos", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GrantAnswer.class, metaDataMap);
+  }
+
+  public GrantAnswer() {
+  }
+
+  public GrantAnswer(
+    java.lang.String account,
+    long epoch,
+    long incarnation,
+    long ask,
+    long tokens,
+    long grantedAtNanos)
+  {
+    this();
+    this.account = account;
+    this.epoch = epoch;
+    setEpochIsSet(true);
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    this.ask = ask;
+    setAskIsSet(true);
+    this.tokens = tokens;
+    setTokensIsSet(true);
+    this.grantedAtNanos = grantedAtNanos;
+    setGrantedAtNanosIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public GrantAnswer(GrantAnswer other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetAccount()) {
+      this.account = other.account;
+    }
+    this.epoch = other.epoch;
+    this.incarnation = other.incarnation;
+    this.ask = other.ask;
+    this.tokens = other.tokens;
+    this.grantedAtNanos = other.grantedAtNanos;
+    this.retryAfterNanos = other.retryAfterNanos;
+  }
+
+  @Override
+  public GrantAnswer deepCopy() {
+    return new GrantAnswer(this);
+  }
+
+  @Override
+  public void clear() {
+    this.account = null;
+    setEpochIsSet(false);
+    this.epoch = 0;
+    setIncarnationIsSet(false);
+    this.incarnation = 0;
+    setAskIsSet(false);
+    this.ask = 0;
+    setTokensIsSet(false);
+    this.tokens = 0;
+    setGrantedAtNanosIsSet(false);
+    this.grantedAtNanos = 0;
+    setRetryAfterNanosIsSet(false);
+    this.retryAfterNanos = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAccount() {
+    return this.account;
+  }
+
+  public GrantAnswer setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
+    this.account = account;
+    return this;
+  }
+
+  public void unsetAccount() {
+    this.account = null;
+  }
+
+  /** Returns true if field account is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccount() {
+    return this.account != null;
+  }
+
+  public void setAccountIsSet(boolean value) {
+    if (!value) {
+      this.account = null;
+    }
+  }
+
+  public long getEpoch() {
+    return this.epoch;
+  }
+
+  public GrantAnswer setEpoch(long epoch) {
+    this.epoch = epoch;
+    setEpochIsSet(true);
+    return this;
+  }
+
+  public void unsetEpoch() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
+  public boolean isSetEpoch() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  public void setEpochIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
+  }
+
+  public long getIncarnation() {
+    return this.incarnation;
+  }
+
+  public GrantAnswer setIncarnation(long incarnation) {
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  public void setIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+  }
+
+  public long getAsk() {
+    return this.ask;
+  }
+
+  public GrantAnswer setAsk(long ask) {
+    this.ask = ask;
+    setAskIsSet(true);
+    return this;
+  }
+
+  public void unsetAsk() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASK_ISSET_ID);
+  }
+
+  /** Returns true if field ask is set (has been assigned a value) and false otherwise */
+  public boolean isSetAsk() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASK_ISSET_ID);
+  }
+
+  public void setAskIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASK_ISSET_ID, value);
+  }
+
+  /**
+   * Tokens granted; 0 if the minimum is not there.
+   */
+  public long getTokens() {
+    return this.tokens;
+  }
+
+  /**
+   * Tokens granted; 0 if the minimum is not there.
+   */
+  public GrantAnswer setTokens(long tokens) {
+    this.tokens = tokens;
+    setTokensIsSet(true);
+    return this;
+  }
+
+  public void unsetTokens() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKENS_ISSET_ID);
+  }
+
+  /** Returns true if field tokens is set (has been assigned a value) and false otherwise */
+  public boolean isSetTokens() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKENS_ISSET_ID);
+  }
+
+  public void setTokensIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENS_ISSET_ID, value);
+  }
+
+  public long getGrantedAtNanos() {
+    return this.grantedAtNanos;
+  }
+
+  public GrantAnswer setGrantedAtNanos(long grantedAtNanos) {
+    this.grantedAtNanos = grantedAtNanos;
+    setGrantedAtNanosIsSet(true);
+    return this;
+  }
+
+  public void unsetGrantedAtNanos() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID);
+  }
+
+  /** Returns true if field grantedAtNanos is set (has been assigned a value) and false otherwise */
+  public boolean isSetGrantedAtNanos() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID);
+  }
+
+  public void setGrantedAtNanosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID, value);
+  }
+
+  /**
+   * Time until the minimum is there, if it is not.
+   */
+  public long getRetryAfterNanos() {
+    return this.retryAfterNanos;
+  }
+
+  /**
+   * Time until the minimum is there, if it is not.
+   */
+  public GrantAnswer setRetryAfterNanos(long retryAfterNanos) {
+    this.retryAfterNanos = retryAfterNanos;
+    setRetryAfterNanosIsSet(true);
+    return this;
+  }
+
+  public void unsetRetryAfterNanos() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RETRYAFTERNANOS_ISSET_ID);
+  }
+
+  /** Returns true if field retryAfterNanos is set (has been assigned a value) and false otherwise */
+  public boolean isSetRetryAfterNanos() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RETRYAFTERNANOS_ISSET_ID);
+  }
+
+  public void setRetryAfterNanosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RETRYAFTERNANOS_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ACCOUNT:
+      if (value == null) {
+        unsetAccount();
+      } else {
+        setAccount((java.lang.String)value);
+      }
+      break;
+
+    case EPOCH:
+      if (value == null) {
+        unsetEpoch();
+      } else {
+        setEpoch((java.lang.Long)value);
+      }
+      break;
+
+    case INCARNATION:
+      if (value == null) {
+        unsetIncarnation();
+      } else {
+        setIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case ASK:
+      if (value == null) {
+        unsetAsk();
+      } else {
+        setAsk((java.lang.Long)value);
+      }
+      break;
+
+    case TOKENS:
+      if (value == null) {
+        unsetTokens();
+      } else {
+        setTokens((java.lang.Long)value);
+      }
+      break;
+
+    case GRANTED_AT_NANOS:
+      if (value == null) {
+        unsetGrantedAtNanos();
+      } else {
+        setGrantedAtNanos((java.lang.Long)value);
+      }
+      break;
+
+    case RETRY_AFTER_NANOS:
+      if (value == null) {
+        unsetRetryAfterNanos();
+      } else {
+        setRetryAfterNanos((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ACCOUNT:
+      return getAccount();
+
+    case EPOCH:
+      return getEpoch();
+
+    case INCARNATION:
+      return getIncarnation();
+
+    case ASK:
+      return getAsk();
+
+    case TOKENS:
+      return getTokens();
+
+    case GRANTED_AT_NANOS:
+      return getGrantedAtNanos();
+
+    case RETRY_AFTER_NANOS:
+      return getRetryAfterNanos();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ACCOUNT:
+      return isSetAccount();
+    case EPOCH:
+      return isSetEpoch();
+    case INCARNATION:
+      return isSetIncarnation();
+    case ASK:
+      return isSetAsk();
+    case TOKENS:
+      return isSetTokens();
+    case GRANTED_AT_NANOS:
+      return isSetGrantedAtNanos();
+    case RETRY_AFTER_NANOS:
+      return isSetRetryAfterNanos();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof GrantAnswer)
+      return this.equals((GrantAnswer)that);
+    return false;
+  }
+
+  public boolean equals(GrantAnswer that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_account = true && this.isSetAccount();
+    boolean that_present_account = true && that.isSetAccount();
+    if (this_present_account || that_present_account) {
+      if (!(this_present_account && that_present_account))
+        return false;
+      if (!this.account.equals(that.account))
+        return false;
     }
 
-    public GrantAnswer setGrantedAtNanos(long grantedAtNanos) {
-        this.grantedAtNanos = grantedAtNanos;
-        setGrantedAtNanosIsSet(true);
-        return this;
+    boolean this_present_epoch = true;
+    boolean that_present_epoch = true;
+    if (this_present_epoch || that_present_epoch) {
+      if (!(this_present_epoch && that_present_epoch))
+        return false;
+      if (this.epoch != that.epoch)
+        return false;
     }
 
-    public void unsetGrantedAtNanos() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID);
+    boolean this_present_incarnation = true;
+    boolean that_present_incarnation = true;
+    if (this_present_incarnation || that_present_incarnation) {
+      if (!(this_present_incarnation && that_present_incarnation))
+        return false;
+      if (this.incarnation != that.incarnation)
+        return false;
     }
 
-    /** Returns true if field grantedAtNanos is set (has been assigned a value) and false otherwise */
-    public boolean isSetGrantedAtNanos() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID);
+    boolean this_present_ask = true;
+    boolean that_present_ask = true;
+    if (this_present_ask || that_present_ask) {
+      if (!(this_present_ask && that_present_ask))
+        return false;
+      if (this.ask != that.ask)
+        return false;
     }
 
-    public void setGrantedAtNanosIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID, value);
+    boolean this_present_tokens = true;
+    boolean that_present_tokens = true;
+    if (this_present_tokens || that_present_tokens) {
+      if (!(this_present_tokens && that_present_tokens))
+        return false;
+      if (this.tokens != that.tokens)
+        return false;
     }
 
-    /**
-     * Time until the minimum is there, if it is not.
-     */
-    public long getRetryAfterNanos() {
-        return this.retryAfterNanos;
+    boolean this_present_grantedAtNanos = true;
+    boolean that_present_grantedAtNanos = true;
+    if (this_present_grantedAtNanos || that_present_grantedAtNanos) {
+      if (!(this_present_grantedAtNanos && that_present_grantedAtNanos))
+        return false;
+      if (this.grantedAtNanos != that.grantedAtNanos)
+        return false;
     }
 
-    /**
-     * Time until the minimum is there, if it is not.
-     */
-    public GrantAnswer setRetryAfterNanos(long retryAfterNanos) {
-        this.retryAfterNanos = retryAfterNanos;
-        setRetryAfterNanosIsSet(true);
-        return this;
+    boolean this_present_retryAfterNanos = true && this.isSetRetryAfterNanos();
+    boolean that_present_retryAfterNanos = true && that.isSetRetryAfterNanos();
+    if (this_present_retryAfterNanos || that_present_retryAfterNanos) {
+      if (!(this_present_retryAfterNanos && that_present_retryAfterNanos))
+        return false;
+      if (this.retryAfterNanos != that.retryAfterNanos)
+        return false;
     }
 
-    public void unsetRetryAfterNanos() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RETRYAFTERNANOS_ISSET_ID);
-    }
+    return true;
+  }
 
-    /** Returns true if field retryAfterNanos is set (has been assigned a value) and false otherwise */
-    public boolean isSetRetryAfterNanos() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RETRYAFTERNANOS_ISSET_ID);
-    }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-    public void setRetryAfterNanosIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RETRYAFTERNANOS_ISSET_ID, value);
-    }
+    hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
+    if (isSetAccount())
+      hashCode = hashCode * 8191 + account.hashCode();
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ACCOUNT:
-                if (value == null) {
-                    unsetAccount();
-                } else {
-                    setAccount((java.lang.String) value);
-                }
-                break;
-
-            case EPOCH:
-                if (value == null) {
-                    unsetEpoch();
-                } else {
-                    setEpoch((java.lang.Long) value);
-                }
-                break;
-
-            case INCARNATION:
-                if (value == null) {
-                    unsetIncarnation();
-                } else {
-                    setIncarnation((java.lang.Long) value);
-                }
-                break;
-
-            case ASK:
-                if (value == null) {
-                    unsetAsk();
-                } else {
-                    setAsk((java.lang.Long) value);
-                }
-                break;
-
-            case TOKENS:
-                if (value == null) {
-                    unsetTokens();
-                } else {
-                    setTokens((java.lang.Long) value);
-                }
-                break;
-
-            case GRANTED_AT_NANOS:
-                if (value == null) {
-                    unsetGrantedAtNanos();
-                } else {
-                    setGrantedAtNanos((java.lang.Long) value);
-                }
-                break;
-
-            case RETRY_AFTER_NANOS:
-                if (value == null) {
-                    unsetRetryAfterNanos();
-                } else {
-                    setRetryAfterNanos((java.lang.Long) value);
-                }
-                break;
-        }
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ACCOUNT:
-                return getAccount();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
 
-            case EPOCH:
-                return getEpoch();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ask);
 
-            case INCARNATION:
-                return getIncarnation();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tokens);
 
-            case ASK:
-                return getAsk();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(grantedAtNanos);
 
-            case TOKENS:
-                return getTokens();
+    hashCode = hashCode * 8191 + ((isSetRetryAfterNanos()) ? 131071 : 524287);
+    if (isSetRetryAfterNanos())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(retryAfterNanos);
 
-            case GRANTED_AT_NANOS:
-                return getGrantedAtNanos();
+    return hashCode;
+  }
 
-            case RETRY_AFTER_NANOS:
-                return getRetryAfterNanos();
-        }
-        throw new java.lang.IllegalStateException();
+  @Override
+  public int compareTo(GrantAnswer other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
+    int lastComparison = 0;
 
-        switch (field) {
-            case ACCOUNT:
-                return isSetAccount();
-            case EPOCH:
-                return isSetEpoch();
-            case INCARNATION:
-                return isSetIncarnation();
-            case ASK:
-                return isSetAsk();
-            case TOKENS:
-                return isSetTokens();
-            case GRANTED_AT_NANOS:
-                return isSetGrantedAtNanos();
-            case RETRY_AFTER_NANOS:
-                return isSetRetryAfterNanos();
-        }
-        throw new java.lang.IllegalStateException();
+    lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
+    if (isSetAccount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEpoch()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAsk()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTokens(), other.isSetTokens());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTokens()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.tokens, other.tokens);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetGrantedAtNanos(), other.isSetGrantedAtNanos());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGrantedAtNanos()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.grantedAtNanos, other.grantedAtNanos);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRetryAfterNanos(), other.isSetRetryAfterNanos());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRetryAfterNanos()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.retryAfterNanos, other.retryAfterNanos);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("GrantAnswer(");
+    boolean first = true;
+
+    sb.append("account:");
+    if (this.account == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.account);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("epoch:");
+    sb.append(this.epoch);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("incarnation:");
+    sb.append(this.incarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("ask:");
+    sb.append(this.ask);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("tokens:");
+    sb.append(this.tokens);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("grantedAtNanos:");
+    sb.append(this.grantedAtNanos);
+    first = false;
+    if (isSetRetryAfterNanos()) {
+      if (!first) sb.append(", ");
+      sb.append("retryAfterNanos:");
+      sb.append(this.retryAfterNanos);
+      first = false;
+    }
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (account == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'account' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'ask' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'tokens' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'grantedAtNanos' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class GrantAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof GrantAnswer) return this.equals((GrantAnswer) that);
-        return false;
-    }
-
-    public boolean equals(GrantAnswer that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_account = true && this.isSetAccount();
-        boolean that_present_account = true && that.isSetAccount();
-        if (this_present_account || that_present_account) {
-            if (!(this_present_account && that_present_account)) return false;
-            if (!this.account.equals(that.account)) return false;
-        }
-
-        boolean this_present_epoch = true;
-        boolean that_present_epoch = true;
-        if (this_present_epoch || that_present_epoch) {
-            if (!(this_present_epoch && that_present_epoch)) return false;
-            if (this.epoch != that.epoch) return false;
-        }
-
-        boolean this_present_incarnation = true;
-        boolean that_present_incarnation = true;
-        if (this_present_incarnation || that_present_incarnation) {
-            if (!(this_present_incarnation && that_present_incarnation)) return false;
-            if (this.incarnation != that.incarnation) return false;
-        }
-
-        boolean this_present_ask = true;
-        boolean that_present_ask = true;
-        if (this_present_ask || that_present_ask) {
-            if (!(this_present_ask && that_present_ask)) return false;
-            if (this.ask != that.ask) return false;
-        }
-
-        boolean this_present_tokens = true;
-        boolean that_present_tokens = true;
-        if (this_present_tokens || that_present_tokens) {
-            if (!(this_present_tokens && that_present_tokens)) return false;
-            if (this.tokens != that.tokens) return false;
-        }
-
-        boolean this_present_grantedAtNanos = true;
-        boolean that_present_grantedAtNanos = true;
-        if (this_present_grantedAtNanos || that_present_grantedAtNanos) {
-            if (!(this_present_grantedAtNanos && that_present_grantedAtNanos)) return false;
-            if (this.grantedAtNanos != that.grantedAtNanos) return false;
-        }
-
-        boolean this_present_retryAfterNanos = true && this.isSetRetryAfterNanos();
-        boolean that_present_retryAfterNanos = true && that.isSetRetryAfterNanos();
-        if (this_present_retryAfterNanos || that_present_retryAfterNanos) {
-            if (!(this_present_retryAfterNanos && that_present_retryAfterNanos)) return false;
-            if (this.retryAfterNanos != that.retryAfterNanos) return false;
-        }
-
-        return true;
+    public GrantAnswerStandardScheme getScheme() {
+      return new GrantAnswerStandardScheme();
     }
+  }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
-        if (isSetAccount()) hashCode = hashCode * 8191 + account.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ask);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tokens);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(grantedAtNanos);
-
-        hashCode = hashCode * 8191 + ((isSetRetryAfterNanos()) ? 131071 : 524287);
-        if (isSetRetryAfterNanos())
-            hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(retryAfterNanos);
-
-        return hashCode;
-    }
+  private static class GrantAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<GrantAnswer> {
 
     @Override
-    public int compareTo(GrantAnswer other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAccount()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
-            if (lastComparison != 0) {
-                return lastComparison;
+    public void read(org.apache.thrift.protocol.TProtocol iprot, GrantAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // ACCOUNT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.account = iprot.readString();
+              struct.setAccountIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEpoch()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // EPOCH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.epoch = iprot.readI64();
+              struct.setEpochIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIncarnation()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnation = iprot.readI64();
+              struct.setIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAsk()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // ASK
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.ask = iprot.readI64();
+              struct.setAskIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetTokens(), other.isSetTokens());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTokens()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.tokens, other.tokens);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 5: // TOKENS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.tokens = iprot.readI64();
+              struct.setTokensIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetGrantedAtNanos(), other.isSetGrantedAtNanos());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetGrantedAtNanos()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.grantedAtNanos, other.grantedAtNanos);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 6: // GRANTED_AT_NANOS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.grantedAtNanos = iprot.readI64();
+              struct.setGrantedAtNanosIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRetryAfterNanos(), other.isSetRetryAfterNanos());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRetryAfterNanos()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.retryAfterNanos, other.retryAfterNanos);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 7: // RETRY_AFTER_NANOS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.retryAfterNanos = iprot.readI64();
+              struct.setRetryAfterNanosIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetEpoch()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'epoch' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetAsk()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'ask' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetTokens()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'tokens' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetGrantedAtNanos()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'grantedAtNanos' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, GrantAnswer struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.account != null) {
+        oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
+        oprot.writeString(struct.account);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(EPOCH_FIELD_DESC);
+      oprot.writeI64(struct.epoch);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ASK_FIELD_DESC);
+      oprot.writeI64(struct.ask);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(TOKENS_FIELD_DESC);
+      oprot.writeI64(struct.tokens);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(GRANTED_AT_NANOS_FIELD_DESC);
+      oprot.writeI64(struct.grantedAtNanos);
+      oprot.writeFieldEnd();
+      if (struct.isSetRetryAfterNanos()) {
+        oprot.writeFieldBegin(RETRY_AFTER_NANOS_FIELD_DESC);
+        oprot.writeI64(struct.retryAfterNanos);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class GrantAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public GrantAnswerTupleScheme getScheme() {
+      return new GrantAnswerTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class GrantAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<GrantAnswer> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("GrantAnswer(");
-        boolean first = true;
-
-        sb.append("account:");
-        if (this.account == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.account);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("epoch:");
-        sb.append(this.epoch);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("incarnation:");
-        sb.append(this.incarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("ask:");
-        sb.append(this.ask);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("tokens:");
-        sb.append(this.tokens);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("grantedAtNanos:");
-        sb.append(this.grantedAtNanos);
-        first = false;
-        if (isSetRetryAfterNanos()) {
-            if (!first) sb.append(", ");
-            sb.append("retryAfterNanos:");
-            sb.append(this.retryAfterNanos);
-            first = false;
-        }
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (account == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'account' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'ask' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'tokens' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'grantedAtNanos' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class GrantAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public GrantAnswerStandardScheme getScheme() {
-            return new GrantAnswerStandardScheme();
-        }
-    }
-
-    private static class GrantAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<GrantAnswer> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, GrantAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ACCOUNT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.account = iprot.readString();
-                            struct.setAccountIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // EPOCH
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.epoch = iprot.readI64();
-                            struct.setEpochIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.incarnation = iprot.readI64();
-                            struct.setIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // ASK
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.ask = iprot.readI64();
-                            struct.setAskIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // TOKENS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.tokens = iprot.readI64();
-                            struct.setTokensIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // GRANTED_AT_NANOS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.grantedAtNanos = iprot.readI64();
-                            struct.setGrantedAtNanosIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 7: // RETRY_AFTER_NANOS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.retryAfterNanos = iprot.readI64();
-                            struct.setRetryAfterNanosIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetEpoch()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'epoch' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'incarnation' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetAsk()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'ask' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetTokens()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'tokens' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetGrantedAtNanos()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'grantedAtNanos' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, GrantAnswer struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.account != null) {
-                oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
-                oprot.writeString(struct.account);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(EPOCH_FIELD_DESC);
-            oprot.writeI64(struct.epoch);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(ASK_FIELD_DESC);
-            oprot.writeI64(struct.ask);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(TOKENS_FIELD_DESC);
-            oprot.writeI64(struct.tokens);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(GRANTED_AT_NANOS_FIELD_DESC);
-            oprot.writeI64(struct.grantedAtNanos);
-            oprot.writeFieldEnd();
-            if (struct.isSetRetryAfterNanos()) {
-                oprot.writeFieldBegin(RETRY_AFTER_NANOS_FIELD_DESC);
-                oprot.writeI64(struct.retryAfterNanos);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, GrantAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.account);
+      oprot.writeI64(struct.epoch);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeI64(struct.ask);
+      oprot.writeI64(struct.tokens);
+      oprot.writeI64(struct.grantedAtNanos);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetRetryAfterNanos()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetRetryAfterNanos()) {
+        oprot.writeI64(struct.retryAfterNanos);
+      }
     }
 
-    private static class GrantAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public GrantAnswerTupleScheme getScheme() {
-            return new GrantAnswerTupleScheme();
-        }
-    }
-
-    private static class GrantAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<GrantAnswer> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, GrantAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.account);
-            oprot.writeI64(struct.epoch);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeI64(struct.ask);
-            oprot.writeI64(struct.tokens);
-            oprot.writeI64(struct.grantedAtNanos);
-            java.util.BitSet optionals = new java.util.BitSet();
-            if (struct.isSetRetryAfterNanos()) {
-                optionals.set(0);
-            }
-            oprot.writeBitSet(optionals, 1);
-            if (struct.isSetRetryAfterNanos()) {
-                oprot.writeI64(struct.retryAfterNanos);
-            }
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, GrantAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.account = iprot.readString();
-            struct.setAccountIsSet(true);
-            struct.epoch = iprot.readI64();
-            struct.setEpochIsSet(true);
-            struct.incarnation = iprot.readI64();
-            struct.setIncarnationIsSet(true);
-            struct.ask = iprot.readI64();
-            struct.setAskIsSet(true);
-            struct.tokens = iprot.readI64();
-            struct.setTokensIsSet(true);
-            struct.grantedAtNanos = iprot.readI64();
-            struct.setGrantedAtNanosIsSet(true);
-            java.util.BitSet incoming = iprot.readBitSet(1);
-            if (incoming.get(0)) {
-                struct.retryAfterNanos = iprot.readI64();
-                struct.setRetryAfterNanosIsSet(true);
-            }
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, GrantAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.account = iprot.readString();
+      struct.setAccountIsSet(true);
+      struct.epoch = iprot.readI64();
+      struct.setEpochIsSet(true);
+      struct.incarnation = iprot.readI64();
+      struct.setIncarnationIsSet(true);
+      struct.ask = iprot.readI64();
+      struct.setAskIsSet(true);
+      struct.tokens = iprot.readI64();
+      struct.setTokensIsSet(true);
+      struct.grantedAtNanos = iprot.readI64();
+      struct.setGrantedAtNanosIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.retryAfterNanos = iprot.readI64();
+        struct.setRetryAfterNanosIsSet(true);
+      }
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
