--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/GrantAsk.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/GrantAsk.java
@@ -10,706 +10,685 @@
  * Asks the bucket owner for one grant.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class GrantAsk
-        implements org.apache.thrift.TBase<GrantAsk, GrantAsk._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<GrantAsk> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("GrantAsk");
-
-    private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField MINIMUM_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("minimum", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField NEED_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("need", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField LOOK_AHEAD_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("lookAhead", org.apache.thrift.protocol.TType.I64, (short) 4);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new GrantAskStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new GrantAskTupleSchemeFactory();
-
-    private long ask; // required
-    private long minimum; // required
-    private long need; // required
-    private long lookAhead; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        /**
-         * Number of the ask; unique per account and incarnation of the requester.
-         */
-        ASK((short) 1, "ask"),
-        /**
-         * Smallest grant that is of use, in tokens.
-         */
-        MINIMUM((short) 2, "minimum"),
-        /**
-         * Tokens needed by the waiting requests.
-         */
-        NEED((short) 3, "need"),
-        /**
-         * Tokens wanted beyond the need.
-         */
-        LOOK_AHEAD((short) 4, "lookAhead");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ASK
-                    return ASK;
-                case 2: // MINIMUM
-                    return MINIMUM;
-                case 3: // NEED
-                    return NEED;
-                case 4: // LOOK_AHEAD
-                    return LOOK_AHEAD;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __ASK_ISSET_ID = 0;
-    private static final int __MINIMUM_ISSET_ID = 1;
-    private static final int __NEED_ISSET_ID = 2;
-    private static final int __LOOKAHEAD_ISSET_ID = 3;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ASK,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "ask",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.MINIMUM,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "minimum",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.NEED,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "need",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.LOOK_AHEAD,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "lookAhead",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GrantAsk.class, metaDataMap);
-    }
-
-    public GrantAsk() {}
-
-    public GrantAsk(long ask, long minimum, long need, long lookAhead) {
-        this();
-        this.ask = ask;
-        setAskIsSet(true);
-        this.minimum = minimum;
-        setMinimumIsSet(true);
-        this.need = need;
-        setNeedIsSet(true);
-        this.lookAhead = lookAhead;
-        setLookAheadIsSet(true);
-    }
+public class GrantAsk implements org.apache.thrift.TBase<GrantAsk, GrantAsk._Fields>, java.io.Serializable, Cloneable, Comparable<GrantAsk> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("GrantAsk");
 
-    /**
-     * Performs a deep copy on <i>other</i>.
-     */
-    public GrantAsk(GrantAsk other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.ask = other.ask;
-        this.minimum = other.minimum;
-        this.need = other.need;
-        this.lookAhead = other.lookAhead;
-    }
+  private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC = new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField MINIMUM_FIELD_DESC = new org.apache.thrift.protocol.TField("minimum", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField NEED_FIELD_DESC = new org.apache.thrift.protocol.TField("need", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField LOOK_AHEAD_FIELD_DESC = new org.apache.thrift.protocol.TField("lookAhead", org.apache.thrift.protocol.TType.I64, (short)4);
 
-    @Override
-    public GrantAsk deepCopy() {
-        return new GrantAsk(this);
-    }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new GrantAskStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new GrantAskTupleSchemeFactory();
 
-    @Override
-    public void clear() {
-        setAskIsSet(false);
-        this.ask = 0;
-        setMinimumIsSet(false);
-        this.minimum = 0;
-        setNeedIsSet(false);
-        this.need = 0;
-        setLookAheadIsSet(false);
-        this.lookAhead = 0;
-    }
+  private long ask; // required
+  private long minimum; // required
+  private long need; // required
+  private long lookAhead; // required
 
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     /**
      * Number of the ask; unique per account and incarnation of the requester.
      */
-    public long getAsk() {
-        return this.ask;
-    }
-
-    /**
-     * Number of the ask; unique per account and incarnation of the requester.
-     */
-    public GrantAsk setAsk(long ask) {
-        this.ask = ask;
-        setAskIsSet(true);
-        return this;
-    }
-
-    public void unsetAsk() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASK_ISSET_ID);
-    }
-
-    /** Returns true if field ask is set (has been assigned a value) and false otherwise */
-    public boolean isSetAsk() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASK_ISSET_ID);
-    }
-
-    public void setAskIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASK_ISSET_ID, value);
-    }
-
+    ASK((short)1, "ask"),
     /**
      * Smallest grant that is of use, in tokens.
      */
-    public long getMinimum() {
-        return this.minimum;
-    }
-
-    /**
-     * Smallest grant that is of use, in tokens.
-     */
-    public GrantAsk setMinimum(long minimum) {
-        this.minimum = minimum;
-        setMinimumIsSet(true);
-        return this;
-    }
-
-    public void unsetMinimum() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MINIMUM_ISSET_ID);
-    }
-
-    /** Returns true if field minimum is set (has been assigned a value) and false otherwise */
-    public boolean isSetMinimum() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MINIMUM_ISSET_ID);
-    }
-
-    public void setMinimumIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MINIMUM_ISSET_ID, value);
-    }
-
+    MINIMUM((short)2, "minimum"),
     /**
      * Tokens needed by the waiting requests.
      */
-    public long getNeed() {
-        return this.need;
-    }
-
+    NEED((short)3, "need"),
     /**
-     * Tokens needed by the waiting requests.
+     * Tokens wanted beyond the need.
      */
-    public GrantAsk setNeed(long need) {
-        this.need = need;
-        setNeedIsSet(true);
-        return this;
-    }
+    LOOK_AHEAD((short)4, "lookAhead");
 
-    public void unsetNeed() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NEED_ISSET_ID);
-    }
-
-    /** Returns true if field need is set (has been assigned a value) and false otherwise */
-    public boolean isSetNeed() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NEED_ISSET_ID);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    public void setNeedIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NEED_ISSET_ID, value);
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Tokens wanted beyond the need.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public long getLookAhead() {
-        return this.lookAhead;
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ASK
+          return ASK;
+        case 2: // MINIMUM
+          return MINIMUM;
+        case 3: // NEED
+          return NEED;
+        case 4: // LOOK_AHEAD
+          return LOOK_AHEAD;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Tokens wanted beyond the need.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public GrantAsk setLookAhead(long lookAhead) {
-        this.lookAhead = lookAhead;
-        setLookAheadIsSet(true);
-        return this;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    public void unsetLookAhead() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LOOKAHEAD_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field lookAhead is set (has been assigned a value) and false otherwise */
-    public boolean isSetLookAhead() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LOOKAHEAD_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setLookAheadIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LOOKAHEAD_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ASK:
-                if (value == null) {
-                    unsetAsk();
-                } else {
-                    setAsk((java.lang.Long) value);
-                }
-                break;
-
-            case MINIMUM:
-                if (value == null) {
-                    unsetMinimum();
-                } else {
-                    setMinimum((java.lang.Long) value);
-                }
-                break;
-
-            case NEED:
-                if (value == null) {
-                    unsetNeed();
-                } else {
-                    setNeed((java.lang.Long) value);
-                }
-                break;
-
-            case LOOK_AHEAD:
-                if (value == null) {
-                    unsetLookAhead();
-                } else {
-                    setLookAhead((java.lang.Long) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ASK:
-                return getAsk();
-
-            case MINIMUM:
-                return getMinimum();
-
-            case NEED:
-                return getNeed();
-
-            case LOOK_AHEAD:
-                return getLookAhead();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __ASK_ISSET_ID = 0;
+  private static final int __MINIMUM_ISSET_ID = 1;
+  private static final int __NEED_ISSET_ID = 2;
+  private static final int __LOOKAHEAD_ISSET_ID = 3;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ASK, new org.apache.thrift.meta_data.FieldMetaData("ask", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.MINIMUM, new org.apache.thrift.meta_data.FieldMetaData("minimum", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.NEED, new org.apache.thrift.meta_data.FieldMetaData("need", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LOOK_AHEAD, new org.apache.thrift.meta_data.FieldMetaData("lookAhead", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GrantAsk.class, metaDataMap);
+  }
+
+  public GrantAsk() {
+  }
+
+  public GrantAsk(
+    long ask,
+    long minimum,
+    long need,
+    long lookAhead)
+  {
+    this();
+    this.ask = ask;
+    setAskIsSet(true);
+    this.minimum = minimum;
+    setMinimumIsSet(true);
+    this.need = need;
+    setNeedIsSet(true);
+    this.lookAhead = lookAhead;
+    setLookAheadIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public GrantAsk(GrantAsk other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.ask = other.ask;
+    this.minimum = other.minimum;
+    this.need = other.need;
+    this.lookAhead = other.lookAhead;
+  }
+
+  @Override
+  public GrantAsk deepCopy() {
+    return new GrantAsk(this);
+  }
+
+  @Override
+  public void clear() {
+    setAskIsSet(false);
+    this.ask = 0;
+    setMinimumIsSet(false);
+    this.minimum = 0;
+    setNeedIsSet(false);
+    this.need = 0;
+    setLookAheadIsSet(false);
+    this.lookAhead = 0;
+  }
+
+  /**
+   * Number of the ask; unique per account and incarnation of the requester.
+   */
+  public long getAsk() {
+    return this.ask;
+  }
+
+  /**
+   * Number of the ask; unique per account and incarnation of the requester.
+   */
+  public GrantAsk setAsk(long ask) {
+    this.ask = ask;
+    setAskIsSet(true);
+    return this;
+  }
+
+  public void unsetAsk() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASK_ISSET_ID);
+  }
+
+  /** Returns true if field ask is set (has been assigned a value) and false otherwise */
+  public boolean isSetAsk() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASK_ISSET_ID);
+  }
+
+  public void setAskIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASK_ISSET_ID, value);
+  }
+
+  /**
+   * Smallest grant that is of use, in tokens.
+   */
+  public long getMinimum() {
+    return this.minimum;
+  }
+
+  /**
+   * Smallest grant that is of use, in tokens.
+   */
+  public GrantAsk setMinimum(long minimum) {
+    this.minimum = minimum;
+    setMinimumIsSet(true);
+    return this;
+  }
+
+  public void unsetMinimum() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MINIMUM_ISSET_ID);
+  }
+
+  /** Returns true if field minimum is set (has been assigned a value) and false otherwise */
+  public boolean isSetMinimum() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MINIMUM_ISSET_ID);
+  }
+
+  public void setMinimumIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MINIMUM_ISSET_ID, value);
+  }
+
+  /**
+   * Tokens needed by the waiting requests.
+   */
+  public long getNeed() {
+    return this.need;
+  }
+
+  /**
+   * Tokens needed by the waiting requests.
+   */
+  public GrantAsk setNeed(long need) {
+    this.need = need;
+    setNeedIsSet(true);
+    return this;
+  }
+
+  public void unsetNeed() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NEED_ISSET_ID);
+  }
+
+  /** Returns true if field need is set (has been assigned a value) and false otherwise */
+  public boolean isSetNeed() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NEED_ISSET_ID);
+  }
+
+  public void setNeedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NEED_ISSET_ID, value);
+  }
+
+  /**
+   * Tokens wanted beyond the need.
+   */
+  public long getLookAhead() {
+    return this.lookAhead;
+  }
+
+  /**
+   * Tokens wanted beyond the need.
+   */
+  public GrantAsk setLookAhead(long lookAhead) {
+    this.lookAhead = lookAhead;
+    setLookAheadIsSet(true);
+    return this;
+  }
+
+  public void unsetLookAhead() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LOOKAHEAD_ISSET_ID);
+  }
+
+  /** Returns true if field lookAhead is set (has been assigned a value) and false otherwise */
+  public boolean isSetLookAhead() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LOOKAHEAD_ISSET_ID);
+  }
+
+  public void setLookAheadIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LOOKAHEAD_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ASK:
+      if (value == null) {
+        unsetAsk();
+      } else {
+        setAsk((java.lang.Long)value);
+      }
+      break;
+
+    case MINIMUM:
+      if (value == null) {
+        unsetMinimum();
+      } else {
+        setMinimum((java.lang.Long)value);
+      }
+      break;
+
+    case NEED:
+      if (value == null) {
+        unsetNeed();
+      } else {
+        setNeed((java.lang.Long)value);
+      }
+      break;
+
+    case LOOK_AHEAD:
+      if (value == null) {
+        unsetLookAhead();
+      } else {
+        setLookAhead((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ASK:
+      return getAsk();
+
+    case MINIMUM:
+      return getMinimum();
+
+    case NEED:
+      return getNeed();
+
+    case LOOK_AHEAD:
+      return getLookAhead();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ASK:
+      return isSetAsk();
+    case MINIMUM:
+      return isSetMinimum();
+    case NEED:
+      return isSetNeed();
+    case LOOK_AHEAD:
+      return isSetLookAhead();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof GrantAsk)
+      return this.equals((GrantAsk)that);
+    return false;
+  }
+
+  public boolean equals(GrantAsk that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_ask = true;
+    boolean that_present_ask = true;
+    if (this_present_ask || that_present_ask) {
+      if (!(this_present_ask && that_present_ask))
+        return false;
+      if (this.ask != that.ask)
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ASK:
-                return isSetAsk();
-            case MINIMUM:
-                return isSetMinimum();
-            case NEED:
-                return isSetNeed();
-            case LOOK_AHEAD:
-                return isSetLookAhead();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_minimum = true;
+    boolean that_present_minimum = true;
+    if (this_present_minimum || that_present_minimum) {
+      if (!(this_present_minimum && that_present_minimum))
+        return false;
+      if (this.minimum != that.minimum)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof GrantAsk) return this.equals((GrantAsk) that);
+    boolean this_present_need = true;
+    boolean that_present_need = true;
+    if (this_present_need || that_present_need) {
+      if (!(this_present_need && that_present_need))
+        return false;
+      if (this.need != that.need)
         return false;
     }
 
-    public boolean equals(GrantAsk that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_ask = true;
-        boolean that_present_ask = true;
-        if (this_present_ask || that_present_ask) {
-            if (!(this_present_ask && that_present_ask)) return false;
-            if (this.ask != that.ask) return false;
-        }
-
-        boolean this_present_minimum = true;
-        boolean that_present_minimum = true;
-        if (this_present_minimum || that_present_minimum) {
-            if (!(this_present_minimum && that_present_minimum)) return false;
-            if (this.minimum != that.minimum) return false;
-        }
-
-        boolean this_present_need = true;
-        boolean that_present_need = true;
-        if (this_present_need || that_present_need) {
-            if (!(this_present_need && that_present_need)) return false;
-            if (this.need != that.need) return false;
-        }
-
-        boolean this_present_lookAhead = true;
-        boolean that_present_lookAhead = true;
-        if (this_present_lookAhead || that_present_lookAhead) {
-            if (!(this_present_lookAhead && that_present_lookAhead)) return false;
-            if (this.lookAhead != that.lookAhead) return false;
-        }
-
-        return true;
+    boolean this_present_lookAhead = true;
+    boolean that_present_lookAhead = true;
+    if (this_present_lookAhead || that_present_lookAhead) {
+      if (!(this_present_lookAhead && that_present_lookAhead))
+        return false;
+      if (this.lookAhead != that.lookAhead)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ask);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(minimum);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(need);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lookAhead);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(GrantAsk other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAsk()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetMinimum(), other.isSetMinimum());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMinimum()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.minimum, other.minimum);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetNeed(), other.isSetNeed());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetNeed()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.need, other.need);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLookAhead(), other.isSetLookAhead());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLookAhead()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lookAhead, other.lookAhead);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("GrantAsk(");
+    boolean first = true;
+
+    sb.append("ask:");
+    sb.append(this.ask);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("minimum:");
+    sb.append(this.minimum);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("need:");
+    sb.append(this.need);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("lookAhead:");
+    sb.append(this.lookAhead);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'ask' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'minimum' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'need' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'lookAhead' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class GrantAskStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ask);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(minimum);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(need);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lookAhead);
-
-        return hashCode;
+    public GrantAskStandardScheme getScheme() {
+      return new GrantAskStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(GrantAsk other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class GrantAskStandardScheme extends org.apache.thrift.scheme.StandardScheme<GrantAsk> {
 
-        lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAsk()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, GrantAsk struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // ASK
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.ask = iprot.readI64();
+              struct.setAskIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetMinimum(), other.isSetMinimum());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetMinimum()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.minimum, other.minimum);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // MINIMUM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.minimum = iprot.readI64();
+              struct.setMinimumIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetNeed(), other.isSetNeed());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetNeed()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.need, other.need);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // NEED
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.need = iprot.readI64();
+              struct.setNeedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetLookAhead(), other.isSetLookAhead());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLookAhead()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lookAhead, other.lookAhead);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // LOOK_AHEAD
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.lookAhead = iprot.readI64();
+              struct.setLookAheadIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetAsk()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'ask' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetMinimum()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'minimum' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetNeed()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'need' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetLookAhead()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'lookAhead' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, GrantAsk struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(ASK_FIELD_DESC);
+      oprot.writeI64(struct.ask);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(MINIMUM_FIELD_DESC);
+      oprot.writeI64(struct.minimum);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(NEED_FIELD_DESC);
+      oprot.writeI64(struct.need);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LOOK_AHEAD_FIELD_DESC);
+      oprot.writeI64(struct.lookAhead);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class GrantAskTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public GrantAskTupleScheme getScheme() {
+      return new GrantAskTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class GrantAskTupleScheme extends org.apache.thrift.scheme.TupleScheme<GrantAsk> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("GrantAsk(");
-        boolean first = true;
-
-        sb.append("ask:");
-        sb.append(this.ask);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("minimum:");
-        sb.append(this.minimum);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("need:");
-        sb.append(this.need);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("lookAhead:");
-        sb.append(this.lookAhead);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'ask' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'minimum' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'need' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'lookAhead' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, GrantAsk struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.ask);
+      oprot.writeI64(struct.minimum);
+      oprot.writeI64(struct.need);
+      oprot.writeI64(struct.lookAhead);
     }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class GrantAskStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public GrantAskStandardScheme getScheme() {
-            return new GrantAskStandardScheme();
-        }
-    }
-
-    private static class GrantAskStandardScheme extends org.apache.thrift.scheme.StandardScheme<GrantAsk> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, GrantAsk struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ASK
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.ask = iprot.readI64();
-                            struct.setAskIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // MINIMUM
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.minimum = iprot.readI64();
-                            struct.setMinimumIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // NEED
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.need = iprot.readI64();
-                            struct.setNeedIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // LOOK_AHEAD
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.lookAhead = iprot.readI64();
-                            struct.setLookAheadIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetAsk()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'ask' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetMinimum()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'minimum' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetNeed()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'need' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetLookAhead()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'lookAhead' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, GrantAsk struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(ASK_FIELD_DESC);
-            oprot.writeI64(struct.ask);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(MINIMUM_FIELD_DESC);
-            oprot.writeI64(struct.minimum);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(NEED_FIELD_DESC);
-            oprot.writeI64(struct.need);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(LOOK_AHEAD_FIELD_DESC);
-            oprot.writeI64(struct.lookAhead);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class GrantAskTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public GrantAskTupleScheme getScheme() {
-            return new GrantAskTupleScheme();
-        }
-    }
-
-    private static class GrantAskTupleScheme extends org.apache.thrift.scheme.TupleScheme<GrantAsk> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, GrantAsk struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.ask);
-            oprot.writeI64(struct.minimum);
-            oprot.writeI64(struct.need);
-            oprot.writeI64(struct.lookAhead);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, GrantAsk struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.ask = iprot.readI64();
-            struct.setAskIsSet(true);
-            struct.minimum = iprot.readI64();
-            struct.setMinimumIsSet(true);
-            struct.need = iprot.readI64();
-            struct.setNeedIsSet(true);
-            struct.lookAhead = iprot.readI64();
-            struct.setLookAheadIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, GrantAsk struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.ask = iprot.readI64();
+      struct.setAskIsSet(true);
+      struct.minimum = iprot.readI64();
+      struct.setMinimumIsSet(true);
+      struct.need = iprot.readI64();
+      struct.setNeedIsSet(true);
+      struct.lookAhead = iprot.readI64();
+      struct.setLookAheadIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/GrantRecall.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/GrantRecall.java
@@ -10,486 +10,471 @@
  * Asks a requester to return what it does not need at once.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class GrantRecall
-        implements org.apache.thrift.TBase<GrantRecall, GrantRecall._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<GrantRecall> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("GrantRecall");
-
-    private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new GrantRecallStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new GrantRecallTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
-    private long epoch; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ACCOUNT((short) 1, "account"),
-        EPOCH((short) 2, "epoch");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ACCOUNT
-                    return ACCOUNT;
-                case 2: // EPOCH
-                    return EPOCH;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+public class GrantRecall implements org.apache.thrift.TBase<GrantRecall, GrantRecall._Fields>, java.io.Serializable, Cloneable, Comparable<GrantRecall> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("GrantRecall");
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)2);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new GrantRecallStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new GrantRecallTupleSchemeFactory();
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
+  private long epoch; // required
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ACCOUNT((short)1, "account"),
+    EPOCH((short)2, "epoch");
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __EPOCH_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ACCOUNT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "account",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.EPOCH,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "epoch",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GrantRecall.class, metaDataMap);
-    }
-
-    public GrantRecall() {}
-
-    public GrantRecall(java.lang.String account, long epoch) {
-        this();
-        this.account = account;
-        this.epoch = epoch;
-        setEpochIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public GrantRecall(GrantRecall other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetAccount()) {
-            this.account = other.account;
-        }
-        this.epoch = other.epoch;
-    }
-
-    @Override
-    public GrantRecall deepCopy() {
-        return new GrantRecall(this);
-    }
-
-    @Override
-    public void clear() {
-        this.account = null;
-        setEpochIsSet(false);
-        this.epoch = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAccount() {
-        return this.account;
-    }
-
-    public GrantRecall setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
-        this.account = account;
-        return this;
-    }
-
-    public void unsetAccount() {
-        this.account = null;
-    }
-
-    /** Returns true if field account is set (has been assigned a value) and false otherwise */
-    public boolean isSetAccount() {
-        return this.account != null;
-    }
-
-    public void setAccountIsSet(boolean value) {
-        if (!value) {
-            this.account = null;
-        }
-    }
-
-    public long getEpoch() {
-        return this.epoch;
-    }
-
-    public GrantRecall setEpoch(long epoch) {
-        this.epoch = epoch;
-        setEpochIsSet(true);
-        return this;
-    }
-
-    public void unsetEpoch() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
-    }
-
-    /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
-    public boolean isSetEpoch() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ACCOUNT
+          return ACCOUNT;
+        case 2: // EPOCH
+          return EPOCH;
+        default:
+          return null;
+      }
     }
 
-    public void setEpochIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ACCOUNT:
-                if (value == null) {
-                    unsetAccount();
-                } else {
-                    setAccount((java.lang.String) value);
-                }
-                break;
-
-            case EPOCH:
-                if (value == null) {
-                    unsetEpoch();
-                } else {
-                    setEpoch((java.lang.Long) value);
-                }
-                break;
-        }
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ACCOUNT:
-                return getAccount();
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-            case EPOCH:
-                return getEpoch();
-        }
-        throw new java.lang.IllegalStateException();
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ACCOUNT:
-                return isSetAccount();
-            case EPOCH:
-                return isSetEpoch();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof GrantRecall) return this.equals((GrantRecall) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __EPOCH_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ACCOUNT, new org.apache.thrift.meta_data.FieldMetaData("account", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.EPOCH, new org.apache.thrift.meta_data.FieldMetaData("epoch", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GrantRecall.class, metaDataMap);
+  }
+
+  public GrantRecall() {
+  }
+
+  public GrantRecall(
+    java.lang.String account,
+    long epoch)
+  {
+    this();
+    this.account = account;
+    this.epoch = epoch;
+    setEpochIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public GrantRecall(GrantRecall other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetAccount()) {
+      this.account = other.account;
+    }
+    this.epoch = other.epoch;
+  }
+
+  @Override
+  public GrantRecall deepCopy() {
+    return new GrantRecall(this);
+  }
+
+  @Override
+  public void clear() {
+    this.account = null;
+    setEpochIsSet(false);
+    this.epoch = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAccount() {
+    return this.account;
+  }
+
+  public GrantRecall setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
+    this.account = account;
+    return this;
+  }
+
+  public void unsetAccount() {
+    this.account = null;
+  }
+
+  /** Returns true if field account is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccount() {
+    return this.account != null;
+  }
+
+  public void setAccountIsSet(boolean value) {
+    if (!value) {
+      this.account = null;
+    }
+  }
+
+  public long getEpoch() {
+    return this.epoch;
+  }
+
+  public GrantRecall setEpoch(long epoch) {
+    this.epoch = epoch;
+    setEpochIsSet(true);
+    return this;
+  }
+
+  public void unsetEpoch() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
+  public boolean isSetEpoch() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  public void setEpochIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ACCOUNT:
+      if (value == null) {
+        unsetAccount();
+      } else {
+        setAccount((java.lang.String)value);
+      }
+      break;
+
+    case EPOCH:
+      if (value == null) {
+        unsetEpoch();
+      } else {
+        setEpoch((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ACCOUNT:
+      return getAccount();
+
+    case EPOCH:
+      return getEpoch();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ACCOUNT:
+      return isSetAccount();
+    case EPOCH:
+      return isSetEpoch();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof GrantRecall)
+      return this.equals((GrantRecall)that);
+    return false;
+  }
+
+  public boolean equals(GrantRecall that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_account = true && this.isSetAccount();
+    boolean that_present_account = true && that.isSetAccount();
+    if (this_present_account || that_present_account) {
+      if (!(this_present_account && that_present_account))
+        return false;
+      if (!this.account.equals(that.account))
         return false;
     }
 
-    public boolean equals(GrantRecall that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_account = true && this.isSetAccount();
-        boolean that_present_account = true && that.isSetAccount();
-        if (this_present_account || that_present_account) {
-            if (!(this_present_account && that_present_account)) return false;
-            if (!this.account.equals(that.account)) return false;
-        }
-
-        boolean this_present_epoch = true;
-        boolean that_present_epoch = true;
-        if (this_present_epoch || that_present_epoch) {
-            if (!(this_present_epoch && that_present_epoch)) return false;
-            if (this.epoch != that.epoch) return false;
-        }
-
-        return true;
+    boolean this_present_epoch = true;
+    boolean that_present_epoch = true;
+    if (this_present_epoch || that_present_epoch) {
+      if (!(this_present_epoch && that_present_epoch))
+        return false;
+      if (this.epoch != that.epoch)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
+    if (isSetAccount())
+      hashCode = hashCode * 8191 + account.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(GrantRecall other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEpoch()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("GrantRecall(");
+    boolean first = true;
+
+    sb.append("account:");
+    if (this.account == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.account);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("epoch:");
+    sb.append(this.epoch);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (account == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'account' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class GrantRecallStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
-        if (isSetAccount()) hashCode = hashCode * 8191 + account.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
-
-        return hashCode;
+    public GrantRecallStandardScheme getScheme() {
+      return new GrantRecallStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(GrantRecall other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class GrantRecallStandardScheme extends org.apache.thrift.scheme.StandardScheme<GrantRecall> {
 
-        lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, GrantRecall struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetAccount()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // ACCOUNT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.account = iprot.readString();
+              struct.setAccountIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEpoch()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // EPOCH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.epoch = iprot.readI64();
+              struct.setEpochIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetEpoch()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'epoch' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+    public void write(org.apache.thrift.protocol.TProtocol oprot, GrantRecall struct) throws org.apache.thrift.TException {
+      struct.validate();
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("GrantRecall(");
-        boolean first = true;
-
-        sb.append("account:");
-        if (this.account == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.account);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("epoch:");
-        sb.append(this.epoch);
-        first = false;
-        sb.append(")");
-        return sb.toString();
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.account != null) {
+        oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
+        oprot.writeString(struct.account);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(EPOCH_FIELD_DESC);
+      oprot.writeI64(struct.epoch);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (account == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'account' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class GrantRecallStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public GrantRecallStandardScheme getScheme() {
-            return new GrantRecallStandardScheme();
-        }
-    }
-
-    private static class GrantRecallStandardScheme extends org.apache.thrift.scheme.StandardScheme<GrantRecall> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, GrantRecall struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ACCOUNT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.account = iprot.readString();
-                            struct.setAccountIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // EPOCH
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.epoch = iprot.readI64();
-                            struct.setEpochIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetEpoch()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'epoch' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, GrantRecall struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.account != null) {
-                oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
-                oprot.writeString(struct.account);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(EPOCH_FIELD_DESC);
-            oprot.writeI64(struct.epoch);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class GrantRecallTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public GrantRecallTupleScheme getScheme() {
-            return new GrantRecallTupleScheme();
-        }
+  private static class GrantRecallTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public GrantRecallTupleScheme getScheme() {
+      return new GrantRecallTupleScheme();
     }
+  }
 
-    private static class GrantRecallTupleScheme extends org.apache.thrift.scheme.TupleScheme<GrantRecall> {
+  private static class GrantRecallTupleScheme extends org.apache.thrift.scheme.TupleScheme<GrantRecall> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, GrantRecall struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.account);
-            oprot.writeI64(struct.epoch);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, GrantRecall struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.account = iprot.readString();
-            struct.setAccountIsSet(true);
-            struct.epoch = iprot.readI64();
-            struct.setEpochIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, GrantRecall struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.account);
+      oprot.writeI64(struct.epoch);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, GrantRecall struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.account = iprot.readString();
+      struct.setAccountIsSet(true);
+      struct.epoch = iprot.readI64();
+      struct.setEpochIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/GrantReport.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/GrantReport.java
@@ -10,593 +10,574 @@
  * Reports the state of one grant at its requester.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class GrantReport
-        implements org.apache.thrift.TBase<GrantReport, GrantReport._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<GrantReport> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("GrantReport");
-
-    private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField REMAINING_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("remaining", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField CLOSED_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("closed", org.apache.thrift.protocol.TType.BOOL, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new GrantReportStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new GrantReportTupleSchemeFactory();
-
-    private long ask; // required
-    private long remaining; // required
-    private boolean closed; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ASK((short) 1, "ask"),
-        /**
-         * Unspent tokens.
-         */
-        REMAINING((short) 2, "remaining"),
-        /**
-         * Whether the requester will spend no more of it.
-         */
-        CLOSED((short) 3, "closed");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ASK
-                    return ASK;
-                case 2: // REMAINING
-                    return REMAINING;
-                case 3: // CLOSED
-                    return CLOSED;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __ASK_ISSET_ID = 0;
-    private static final int __REMAINING_ISSET_ID = 1;
-    private static final int __CLOSED_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ASK,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "ask",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.REMAINING,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "remaining",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.CLOSED,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "closed",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GrantReport.class, metaDataMap);
-    }
-
-    public GrantReport() {}
-
-    public GrantReport(long ask, long remaining, boolean closed) {
-        this();
-        this.ask = ask;
-        setAskIsSet(true);
-        this.remaining = remaining;
-        setRemainingIsSet(true);
-        this.closed = closed;
-        setClosedIsSet(true);
-    }
-
-    /**
-     * Performs a deep copy on <i>other</i>.
-     */
-    public GrantReport(GrantReport other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.ask = other.ask;
-        this.remaining = other.remaining;
-        this.closed = other.closed;
-    }
-
-    @Override
-    public GrantReport deepCopy() {
-        return new GrantReport(this);
-    }
-
-    @Override
-    public void clear() {
-        setAskIsSet(false);
-        this.ask = 0;
-        setRemainingIsSet(false);
-        this.remaining = 0;
-        setClosedIsSet(false);
-        this.closed = false;
-    }
+public class GrantReport implements org.apache.thrift.TBase<GrantReport, GrantReport._Fields>, java.io.Serializable, Cloneable, Comparable<GrantReport> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("GrantReport");
 
-    public long getAsk() {
-        return this.ask;
-    }
+  private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC = new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField REMAINING_FIELD_DESC = new org.apache.thrift.protocol.TField("remaining", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField CLOSED_FIELD_DESC = new org.apache.thrift.protocol.TField("closed", org.apache.thrift.protocol.TType.BOOL, (short)3);
 
-    public GrantReport setAsk(long ask) {
-        this.ask = ask;
-        setAskIsSet(true);
-        return this;
-    }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new GrantReportStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new GrantReportTupleSchemeFactory();
 
-    public void unsetAsk() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASK_ISSET_ID);
-    }
-
-    /** Returns true if field ask is set (has been assigned a value) and false otherwise */
-    public boolean isSetAsk() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASK_ISSET_ID);
-    }
-
-    public void setAskIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASK_ISSET_ID, value);
-    }
+  private long ask; // required
+  private long remaining; // required
+  private boolean closed; // required
 
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ASK((short)1, "ask"),
     /**
      * Unspent tokens.
      */
-    public long getRemaining() {
-        return this.remaining;
-    }
-
+    REMAINING((short)2, "remaining"),
     /**
-     * Unspent tokens.
+     * Whether the requester will spend no more of it.
      */
-    public GrantReport setRemaining(long remaining) {
-        this.remaining = remaining;
-        setRemainingIsSet(true);
-        return this;
-    }
+    CLOSED((short)3, "closed");
 
-    public void unsetRemaining() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REMAINING_ISSET_ID);
-    }
-
-    /** Returns true if field remaining is set (has been assigned a value) and false otherwise */
-    public boolean isSetRemaining() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REMAINING_ISSET_ID);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    public void setRemainingIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REMAINING_ISSET_ID, value);
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Whether the requester will spend no more of it.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public boolean isClosed() {
-        return this.closed;
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ASK
+          return ASK;
+        case 2: // REMAINING
+          return REMAINING;
+        case 3: // CLOSED
+          return CLOSED;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Whether the requester will spend no more of it.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public GrantReport setClosed(boolean closed) {
-        this.closed = closed;
-        setClosedIsSet(true);
-        return this;
-    }
-
-    public void unsetClosed() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CLOSED_ISSET_ID);
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    /** Returns true if field closed is set (has been assigned a value) and false otherwise */
-    public boolean isSetClosed() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CLOSED_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setClosedIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLOSED_ISSET_ID, value);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ASK:
-                if (value == null) {
-                    unsetAsk();
-                } else {
-                    setAsk((java.lang.Long) value);
-                }
-                break;
-
-            case REMAINING:
-                if (value == null) {
-                    unsetRemaining();
-                } else {
-                    setRemaining((java.lang.Long) value);
-                }
-                break;
-
-            case CLOSED:
-                if (value == null) {
-                    unsetClosed();
-                } else {
-                    setClosed((java.lang.Boolean) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ASK:
-                return getAsk();
-
-            case REMAINING:
-                return getRemaining();
-
-            case CLOSED:
-                return isClosed();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ASK:
-                return isSetAsk();
-            case REMAINING:
-                return isSetRemaining();
-            case CLOSED:
-                return isSetClosed();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __ASK_ISSET_ID = 0;
+  private static final int __REMAINING_ISSET_ID = 1;
+  private static final int __CLOSED_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ASK, new org.apache.thrift.meta_data.FieldMetaData("ask", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.REMAINING, new org.apache.thrift.meta_data.FieldMetaData("remaining", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CLOSED, new org.apache.thrift.meta_data.FieldMetaData("closed", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GrantReport.class, metaDataMap);
+  }
+
+  public GrantReport() {
+  }
+
+  public GrantReport(
+    long ask,
+    long remaining,
+    boolean closed)
+  {
+    this();
+    this.ask = ask;
+    setAskIsSet(true);
+    this.remaining = remaining;
+    setRemainingIsSet(true);
+    this.closed = closed;
+    setClosedIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public GrantReport(GrantReport other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.ask = other.ask;
+    this.remaining = other.remaining;
+    this.closed = other.closed;
+  }
+
+  @Override
+  public GrantReport deepCopy() {
+    return new GrantReport(this);
+  }
+
+  @Override
+  public void clear() {
+    setAskIsSet(false);
+    this.ask = 0;
+    setRemainingIsSet(false);
+    this.remaining = 0;
+    setClosedIsSet(false);
+    this.closed = false;
+  }
+
+  public long getAsk() {
+    return this.ask;
+  }
+
+  public GrantReport setAsk(long ask) {
+    this.ask = ask;
+    setAskIsSet(true);
+    return this;
+  }
+
+  public void unsetAsk() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASK_ISSET_ID);
+  }
+
+  /** Returns true if field ask is set (has been assigned a value) and false otherwise */
+  public boolean isSetAsk() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASK_ISSET_ID);
+  }
+
+  public void setAskIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASK_ISSET_ID, value);
+  }
+
+  /**
+   * Unspent tokens.
+   */
+  public long getRemaining() {
+    return this.remaining;
+  }
+
+  /**
+   * Unspent tokens.
+   */
+  public GrantReport setRemaining(long remaining) {
+    this.remaining = remaining;
+    setRemainingIsSet(true);
+    return this;
+  }
+
+  public void unsetRemaining() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REMAINING_ISSET_ID);
+  }
+
+  /** Returns true if field remaining is set (has been assigned a value) and false otherwise */
+  public boolean isSetRemaining() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REMAINING_ISSET_ID);
+  }
+
+  public void setRemainingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REMAINING_ISSET_ID, value);
+  }
+
+  /**
+   * Whether the requester will spend no more of it.
+   */
+  public boolean isClosed() {
+    return this.closed;
+  }
+
+  /**
+   * Whether the requester will spend no more of it.
+   */
+  public GrantReport setClosed(boolean closed) {
+    this.closed = closed;
+    setClosedIsSet(true);
+    return this;
+  }
+
+  public void unsetClosed() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CLOSED_ISSET_ID);
+  }
+
+  /** Returns true if field closed is set (has been assigned a value) and false otherwise */
+  public boolean isSetClosed() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CLOSED_ISSET_ID);
+  }
+
+  public void setClosedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLOSED_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ASK:
+      if (value == null) {
+        unsetAsk();
+      } else {
+        setAsk((java.lang.Long)value);
+      }
+      break;
+
+    case REMAINING:
+      if (value == null) {
+        unsetRemaining();
+      } else {
+        setRemaining((java.lang.Long)value);
+      }
+      break;
+
+    case CLOSED:
+      if (value == null) {
+        unsetClosed();
+      } else {
+        setClosed((java.lang.Boolean)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ASK:
+      return getAsk();
+
+    case REMAINING:
+      return getRemaining();
+
+    case CLOSED:
+      return isClosed();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ASK:
+      return isSetAsk();
+    case REMAINING:
+      return isSetRemaining();
+    case CLOSED:
+      return isSetClosed();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof GrantReport)
+      return this.equals((GrantReport)that);
+    return false;
+  }
+
+  public boolean equals(GrantReport that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_ask = true;
+    boolean that_present_ask = true;
+    if (this_present_ask || that_present_ask) {
+      if (!(this_present_ask && that_present_ask))
+        return false;
+      if (this.ask != that.ask)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof GrantReport) return this.equals((GrantReport) that);
+    boolean this_present_remaining = true;
+    boolean that_present_remaining = true;
+    if (this_present_remaining || that_present_remaining) {
+      if (!(this_present_remaining && that_present_remaining))
+        return false;
+      if (this.remaining != that.remaining)
         return false;
     }
 
-    public boolean equals(GrantReport that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_ask = true;
-        boolean that_present_ask = true;
-        if (this_present_ask || that_present_ask) {
-            if (!(this_present_ask && that_present_ask)) return false;
-            if (this.ask != that.ask) return false;
-        }
-
-        boolean this_present_remaining = true;
-        boolean that_present_remaining = true;
-        if (this_present_remaining || that_present_remaining) {
-            if (!(this_present_remaining && that_present_remaining)) return false;
-            if (this.remaining != that.remaining) return false;
-        }
-
-        boolean this_present_closed = true;
-        boolean that_present_closed = true;
-        if (this_present_closed || that_present_closed) {
-            if (!(this_present_closed && that_present_closed)) return false;
-            if (this.closed != that.closed) return false;
-        }
-
-        return true;
+    boolean this_present_closed = true;
+    boolean that_present_closed = true;
+    if (this_present_closed || that_present_closed) {
+      if (!(this_present_closed && that_present_closed))
+        return false;
+      if (this.closed != that.closed)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ask);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(remaining);
+
+    hashCode = hashCode * 8191 + ((closed) ? 131071 : 524287);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(GrantReport other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAsk()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRemaining(), other.isSetRemaining());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRemaining()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.remaining, other.remaining);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetClosed(), other.isSetClosed());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetClosed()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.closed, other.closed);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("GrantReport(");
+    boolean first = true;
+
+    sb.append("ask:");
+    sb.append(this.ask);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("remaining:");
+    sb.append(this.remaining);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("closed:");
+    sb.append(this.closed);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'ask' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'remaining' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'closed' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class GrantReportStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ask);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(remaining);
-
-        hashCode = hashCode * 8191 + ((closed) ? 131071 : 524287);
-
-        return hashCode;
+    public GrantReportStandardScheme getScheme() {
+      return new GrantReportStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(GrantReport other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class GrantReportStandardScheme extends org.apache.thrift.scheme.StandardScheme<GrantReport> {
 
-        lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, GrantReport struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetAsk()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // ASK
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.ask = iprot.readI64();
+              struct.setAskIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRemaining(), other.isSetRemaining());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRemaining()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.remaining, other.remaining);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // REMAINING
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.remaining = iprot.readI64();
+              struct.setRemainingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetClosed(), other.isSetClosed());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetClosed()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.closed, other.closed);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // CLOSED
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.closed = iprot.readBool();
+              struct.setClosedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetAsk()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'ask' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetRemaining()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'remaining' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetClosed()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'closed' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, GrantReport struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(ASK_FIELD_DESC);
+      oprot.writeI64(struct.ask);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(REMAINING_FIELD_DESC);
+      oprot.writeI64(struct.remaining);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(CLOSED_FIELD_DESC);
+      oprot.writeBool(struct.closed);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class GrantReportTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public GrantReportTupleScheme getScheme() {
+      return new GrantReportTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class GrantReportTupleScheme extends org.apache.thrift.scheme.TupleScheme<GrantReport> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("GrantReport(");
-        boolean first = true;
-
-        sb.append("ask:");
-        sb.append(this.ask);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("remaining:");
-        sb.append(this.remaining);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("closed:");
-        sb.append(this.closed);
-        first = false;
-        sb.append(")");
-        return sb.toString();
+    public void write(org.apache.thrift.protocol.TProtocol prot, GrantReport struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.ask);
+      oprot.writeI64(struct.remaining);
+      oprot.writeBool(struct.closed);
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'ask' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'remaining' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'closed' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class GrantReportStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public GrantReportStandardScheme getScheme() {
-            return new GrantReportStandardScheme();
-        }
-    }
-
-    private static class GrantReportStandardScheme extends org.apache.thrift.scheme.StandardScheme<GrantReport> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, GrantReport struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ASK
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.ask = iprot.readI64();
-                            struct.setAskIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // REMAINING
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.remaining = iprot.readI64();
-                            struct.setRemainingIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // CLOSED
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.closed = iprot.readBool();
-                            struct.setClosedIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetAsk()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'ask' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetRemaining()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'remaining' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetClosed()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'closed' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, GrantReport struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(ASK_FIELD_DESC);
-            oprot.writeI64(struct.ask);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(REMAINING_FIELD_DESC);
-            oprot.writeI64(struct.remaining);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(CLOSED_FIELD_DESC);
-            oprot.writeBool(struct.closed);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class GrantReportTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public GrantReportTupleScheme getScheme() {
-            return new GrantReportTupleScheme();
-        }
-    }
-
-    private static class GrantReportTupleScheme extends org.apache.thrift.scheme.TupleScheme<GrantReport> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, GrantReport struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.ask);
-            oprot.writeI64(struct.remaining);
-            oprot.writeBool(struct.closed);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, GrantReport struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.ask = iprot.readI64();
-            struct.setAskIsSet(true);
-            struct.remaining = iprot.readI64();
-            struct.setRemainingIsSet(true);
-            struct.closed = iprot.readBool();
-            struct.setClosedIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, GrantReport struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.ask = iprot.readI64();
+      struct.setAskIsSet(true);
+      struct.remaining = iprot.readI64();
+      struct.setRemainingIsSet(true);
+      struct.closed = iprot.readBool();
+      struct.setClosedIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
