--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/RequesterMessage.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/RequesterMessage.java
@@ -10,1144 +10,1115 @@
  * Everything a requester tells the owner of a bucket.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class RequesterMessage
-        implements org.apache.thrift.TBase<RequesterMessage, RequesterMessage._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<RequesterMessage> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("RequesterMessage");
-
-    private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short) 4);
-    private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.STRUCT, (short) 5);
-    private static final org.apache.thrift.protocol.TField REPORTS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("reports", org.apache.thrift.protocol.TType.LIST, (short) 6);
-    private static final org.apache.thrift.protocol.TField REFUNDS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("refunds", org.apache.thrift.protocol.TType.LIST, (short) 7);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new RequesterMessageStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new RequesterMessageTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
-    private long epoch; // required
-    private long incarnation; // required
-    private long sequence; // required
-    private @org.apache.thrift.annotation.Nullable GrantAsk ask; // optional
-    private @org.apache.thrift.annotation.Nullable java.util.List<GrantReport> reports; // optional
-    private @org.apache.thrift.annotation.Nullable java.util.List<TokenRefund> refunds; // optional
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ACCOUNT((short) 1, "account"),
-        EPOCH((short) 2, "epoch"),
-        /**
-         * Random number of the requesting process.
-         */
-        INCARNATION((short) 3, "incarnation"),
-        /**
-         * Number of the message; unique per account and incarnation.
-         */
-        SEQUENCE((short) 4, "sequence"),
-        ASK((short) 5, "ask"),
-        REPORTS((short) 6, "reports"),
-        REFUNDS((short) 7, "refunds");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ACCOUNT
-                    return ACCOUNT;
-                case 2: // EPOCH
-                    return EPOCH;
-                case 3: // INCARNATION
-                    return INCARNATION;
-                case 4: // SEQUENCE
-                    return SEQUENCE;
-                case 5: // ASK
-                    return ASK;
-                case 6: // REPORTS
-                    return REPORTS;
-                case 7: // REFUNDS
-                    return REFUNDS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __EPOCH_ISSET_ID = 0;
-    private static final int __INCARNATION_ISSET_ID = 1;
-    private static final int __SEQUENCE_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    private static final _Fields optionals[] = {_Fields.ASK, _Fields.REPORTS, _Fields.REFUNDS};
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ACCOUNT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "account",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.EPOCH,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "epoch",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "incarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.SEQUENCE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sequence",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.ASK,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "ask",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, GrantAsk.class)));
-        tmpMap.put(
-                _Fields.REPORTS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "reports",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, GrantReport.class))));
-        tmpMap.put(
-                _Fields.REFUNDS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "refunds",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, TokenRefund.class))));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RequesterMessage.class, metaDataMap);
-    }
-
-    public RequesterMessage() {}
-
-    public RequesterMessage(java.lang.String account, long epoch, long incarnation, long sequence) {
-        this();
-        this.account = account;
-        this.epoch = epoch;
-        setEpochIsSet(true);
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        this.sequence = sequence;
-        setSequenceIsSet(true);
-    }
-
-    /**
-     * Performs a deep copy on <i>other</i>.
-     */
-    public RequesterMessage(RequesterMessage other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetAccount()) {
-            this.account = other.account;
-        }
-        this.epoch = other.epoch;
-        this.incarnation = other.incarnation;
-        this.sequence = other.sequence;
-        if (other.isSetAsk()) {
-            this.ask = new GrantAsk(other.ask);
-        }
-        if (other.isSetReports()) {
-            java.util.List<GrantReport> __this__reports = new java.util.ArrayList<GrantReport>(other.reports.size());
-            for (GrantReport other_element : other.reports) {
-                __this__reports.add(new GrantReport(other_element));
-            }
-            this.reports = __this__reports;
-        }
-        if (other.isSetRefunds()) {
-            java.util.List<TokenRefund> __this__refunds = new java.util.ArrayList<TokenRefund>(other.refunds.size());
-            for (TokenRefund other_element : other.refunds) {
-                __this__refunds.add(new TokenRefund(other_element));
-            }
-            this.refunds = __this__refunds;
-        }
-    }
-
-    @Override
-    public RequesterMessage deepCopy() {
-        return new RequesterMessage(this);
-    }
-
-    @Override
-    public void clear() {
-        this.account = null;
-        setEpochIsSet(false);
-        this.epoch = 0;
-        setIncarnationIsSet(false);
-        this.incarnation = 0;
-        setSequenceIsSet(false);
-        this.sequence = 0;
-        this.ask = null;
-        this.reports = null;
-        this.refunds = null;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAccount() {
-        return this.account;
-    }
-
-    public RequesterMessage setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
-        this.account = account;
-        return this;
-    }
-
-    public void unsetAccount() {
-        this.account = null;
-    }
-
-    /** Returns true if field account is set (has been assigned a value) and false otherwise */
-    public boolean isSetAccount() {
-        return this.account != null;
-    }
-
-    public void setAccountIsSet(boolean value) {
-        if (!value) {
-            this.account = null;
-        }
-    }
-
-    public long getEpoch() {
-        return this.epoch;
-    }
-
-    public RequesterMessage setEpoch(long epoch) {
-        this.epoch = epoch;
-        setEpochIsSet(true);
-        return this;
-    }
-
-    public void unsetEpoch() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
-    }
-
-    /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
-    public boolean isSetEpoch() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
-    }
-
-    public void setEpochIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
-    }
-
+public class RequesterMessage implements org.apache.thrift.TBase<RequesterMessage, RequesterMessage._Fields>, java.io.Serializable, Cloneable, Comparable<RequesterMessage> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("RequesterMessage");
+
+  private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC = new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField REPORTS_FIELD_DESC = new org.apache.thrift.protocol.TField("reports", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField REFUNDS_FIELD_DESC = new org.apache.thrift.protocol.TField("refunds", org.apache.thrift.protocol.TType.LIST, (short)7);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RequesterMessageStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RequesterMessageTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
+  private long epoch; // required
+  private long incarnation; // required
+  private long sequence; // required
+  private @org.apache.thrift.annotation.Nullable GrantAsk ask; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<GrantReport> reports; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<TokenRefund> refunds; // optional
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ACCOUNT((short)1, "account"),
+    EPOCH((short)2, "epoch"),
     /**
      * Random number of the requesting process.
      */
-    public long getIncarnation() {
-        return this.incarnation;
-    }
-
+    INCARNATION((short)3, "incarnation"),
     /**
-     * Random number of the requesting process.
+     * Number of the message; unique per account and incarnation.
      */
-    public RequesterMessage setIncarnation(long incarnation) {
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        return this;
-    }
+    SEQUENCE((short)4, "sequence"),
+    ASK((short)5, "ask"),
+    REPORTS((short)6, "reports"),
+    REFUNDS((short)7, "refunds");
 
-    public void unsetIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    public void setIncarnationIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Number of the message; unique per account and incarnation.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public long getSequence() {
-        return this.sequence;
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ACCOUNT
+          return ACCOUNT;
+        case 2: // EPOCH
+          return EPOCH;
+        case 3: // INCARNATION
+          return INCARNATION;
+        case 4: // SEQUENCE
+          return SEQUENCE;
+        case 5: // ASK
+          return ASK;
+        case 6: // REPORTS
+          return REPORTS;
+        case 7: // REFUNDS
+          return REFUNDS;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Number of the message; unique per account and incarnation.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public RequesterMessage setSequence(long sequence) {
-        this.sequence = sequence;
-        setSequenceIsSet(true);
-        return this;
-    }
-
-    public void unsetSequence() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
-    }
-
-    /** Returns true if field sequence is set (has been assigned a value) and false otherwise */
-    public boolean isSetSequence() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
-    }
-
-    public void setSequenceIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SEQUENCE_ISSET_ID, value);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public GrantAsk getAsk() {
-        return this.ask;
-    }
-
-    public RequesterMessage setAsk(@org.apache.thrift.annotation.Nullable GrantAsk ask) {
-        this.ask = ask;
-        return this;
-    }
-
-    public void unsetAsk() {
-        this.ask = null;
-    }
-
-    /** Returns true if field ask is set (has been assigned a value) and false otherwise */
-    public boolean isSetAsk() {
-        return this.ask != null;
-    }
-
-    public void setAskIsSet(boolean value) {
-        if (!value) {
-            this.ask = null;
-        }
-    }
-
-    public int getReportsSize() {
-        return (this.reports == null) ? 0 : this.reports.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<GrantReport> getReportsIterator() {
-        return (this.reports == null) ? null : this.reports.iterator();
-    }
-
-    public void addToReports(GrantReport elem) {
-        if (this.reports == null) {
-            this.reports = new java.util.ArrayList<GrantReport>();
-        }
-        this.reports.add(elem);
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<GrantReport> getReports() {
-        return this.reports;
-    }
-
-    public RequesterMessage setReports(@org.apache.thrift.annotation.Nullable java.util.List<GrantReport> reports) {
-        this.reports = reports;
-        return this;
-    }
-
-    public void unsetReports() {
-        this.reports = null;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field reports is set (has been assigned a value) and false otherwise */
-    public boolean isSetReports() {
-        return this.reports != null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setReportsIsSet(boolean value) {
-        if (!value) {
-            this.reports = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    public int getRefundsSize() {
-        return (this.refunds == null) ? 0 : this.refunds.size();
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<TokenRefund> getRefundsIterator() {
-        return (this.refunds == null) ? null : this.refunds.iterator();
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __EPOCH_ISSET_ID = 0;
+  private static final int __INCARNATION_ISSET_ID = 1;
+  private static final int __SEQUENCE_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.ASK,_Fields.REPORTS,_Fields.REFUNDS};
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ACCOUNT, new org.apache.thrift.meta_data.FieldMetaData("account", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.EPOCH, new org.apache.thrift.meta_data.FieldMetaData("epoch", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SEQUENCE, new org.apache.thrift.meta_data.FieldMetaData("sequence", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ASK, new org.apache.thrift.meta_data.FieldMetaData("ask", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, GrantAsk.class)));
+    tmpMap.put(_Fields.REPORTS, new org.apache.thrift.meta_data.FieldMetaData("reports", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, GrantReport.class))));
+    tmpMap.put(_Fields.REFUNDS, new org.apache.thrift.meta_data.FieldMetaData("refunds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TokenRefund.class))));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RequesterMessage.class, metaDataMap);
+  }
+
+  public RequesterMessage() {
+  }
+
+  public RequesterMessage(
+    java.lang.String account,
+    long epoch,
+    long incarnation,
+    long sequence)
+  {
+    this();
+    this.account = account;
+    this.epoch = epoch;
+    setEpochIsSet(true);
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    this.sequence = sequence;
+    setSequenceIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public RequesterMessage(RequesterMessage other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetAccount()) {
+      this.account = other.account;
+    }
+    this.epoch = other.epoch;
+    this.incarnation = other.incarnation;
+    this.sequence = other.sequence;
+    if (other.isSetAsk()) {
+      this.ask = new GrantAsk(other.ask);
+    }
+    if (other.isSetReports()) {
+      java.util.List<GrantReport> __this__reports = new java.util.ArrayList<GrantReport>(other.reports.size());
+      for (GrantReport other_element : other.reports) {
+        __this__reports.add(new GrantReport(other_element));
+      }
+      this.reports = __this__reports;
+    }
+    if (other.isSetRefunds()) {
+      java.util.List<TokenRefund> __this__refunds = new java.util.ArrayList<TokenRefund>(other.refunds.size());
+      for (TokenRefund other_element : other.refunds) {
+        __this__refunds.add(new TokenRefund(other_element));
+      }
+      this.refunds = __this__refunds;
+    }
+  }
+
+  @Override
+  public RequesterMessage deepCopy() {
+    return new RequesterMessage(this);
+  }
+
+  @Override
+  public void clear() {
+    this.account = null;
+    setEpochIsSet(false);
+    this.epoch = 0;
+    setIncarnationIsSet(false);
+    this.incarnation = 0;
+    setSequenceIsSet(false);
+    this.sequence = 0;
+    this.ask = null;
+    this.reports = null;
+    this.refunds = null;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAccount() {
+    return this.account;
+  }
+
+  public RequesterMessage setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
+    this.account = account;
+    return this;
+  }
+
+  public void unsetAccount() {
+    this.account = null;
+  }
+
+  /** Returns true if field account is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccount() {
+    return this.account != null;
+  }
+
+  public void setAccountIsSet(boolean value) {
+    if (!value) {
+      this.account = null;
+    }
+  }
+
+  public long getEpoch() {
+    return this.epoch;
+  }
+
+  public RequesterMessage setEpoch(long epoch) {
+    this.epoch = epoch;
+    setEpochIsSet(true);
+    return this;
+  }
+
+  public void unsetEpoch() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
+  public boolean isSetEpoch() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  public void setEpochIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
+  }
+
+  /**
+   * Random number of the requesting process.
+   */
+  public long getIncarnation() {
+    return this.incarnation;
+  }
+
+  /**
+   * Random number of the requesting process.
+   */
+  public RequesterMessage setIncarnation(long incarnation) {
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  public void setIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+  }
+
+  /**
+   * Number of the message; unique per account and incarnation.
+   */
+  public long getSequence() {
+    return this.sequence;
+  }
+
+  /**
+   * Number of the message; unique per account and incarnation.
+   */
+  public RequesterMessage setSequence(long sequence) {
+    this.sequence = sequence;
+    setSequenceIsSet(true);
+    return this;
+  }
+
+  public void unsetSequence() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
+  }
+
+  /** Returns true if field sequence is set (has been assigned a value) and false otherwise */
+  public boolean isSetSequence() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
+  }
+
+  public void setSequenceIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SEQUENCE_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public GrantAsk getAsk() {
+    return this.ask;
+  }
+
+  public RequesterMessage setAsk(@org.apache.thrift.annotation.Nullable GrantAsk ask) {
+    this.ask = ask;
+    return this;
+  }
+
+  public void unsetAsk() {
+    this.ask = null;
+  }
+
+  /** Returns true if field ask is set (has been assigned a value) and false otherwise */
+  public boolean isSetAsk() {
+    return this.ask != null;
+  }
+
+  public void setAskIsSet(boolean value) {
+    if (!value) {
+      this.ask = null;
+    }
+  }
+
+  public int getReportsSize() {
+    return (this.reports == null) ? 0 : this.reports.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<GrantReport> getReportsIterator() {
+    return (this.reports == null) ? null : this.reports.iterator();
+  }
+
+  public void addToReports(GrantReport elem) {
+    if (this.reports == null) {
+      this.reports = new java.util.ArrayList<GrantReport>();
+    }
+    this.reports.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<GrantReport> getReports() {
+    return this.reports;
+  }
+
+  public RequesterMessage setReports(@org.apache.thrift.annotation.Nullable java.util.List<GrantReport> reports) {
+    this.reports = reports;
+    return this;
+  }
+
+  public void unsetReports() {
+    this.reports = null;
+  }
+
+  /** Returns true if field reports is set (has been assigned a value) and false otherwise */
+  public boolean isSetReports() {
+    return this.reports != null;
+  }
+
+  public void setReportsIsSet(boolean value) {
+    if (!value) {
+      this.reports = null;
+    }
+  }
+
+  public int getRefundsSize() {
+    return (this.refunds == null) ? 0 : this.refunds.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TokenRefund> getRefundsIterator() {
+    return (this.refunds == null) ? null : this.refunds.iterator();
+  }
+
+  public void addToRefunds(TokenRefund elem) {
+    if (this.refunds == null) {
+      this.refunds = new java.util.ArrayList<TokenRefund>();
+    }
+    this.refunds.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TokenRefund> getRefunds() {
+    return this.refunds;
+  }
+
+  public RequesterMessage setRefunds(@org.apache.thrift.annotation.Nullable java.util.List<TokenRefund> refunds) {
+    this.refunds = refunds;
+    return this;
+  }
+
+  public void unsetRefunds() {
+    this.refunds = null;
+  }
+
+  /** Returns true if field refunds is set (has been assigned a value) and false otherwise */
+  public boolean isSetRefunds() {
+    return this.refunds != null;
+  }
+
+  public void setRefundsIsSet(boolean value) {
+    if (!value) {
+      this.refunds = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ACCOUNT:
+      if (value == null) {
+        unsetAccount();
+      } else {
+        setAccount((java.lang.String)value);
+      }
+      break;
+
+    case EPOCH:
+      if (value == null) {
+        unsetEpoch();
+      } else {
+        setEpoch((java.lang.Long)value);
+      }
+      break;
+
+    case INCARNATION:
+      if (value == null) {
+        unsetIncarnation();
+      } else {
+        setIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case SEQUENCE:
+      if (value == null) {
+        unsetSequence();
+      } else {
+        setSequence((java.lang.Long)value);
+      }
+      break;
+
+    case ASK:
+      if (value == null) {
+        unsetAsk();
+      } else {
+        setAsk((GrantAsk)value);
+      }
+      break;
+
+    case REPORTS:
+      if (value == null) {
+        unsetReports();
+      } else {
+        setReports((java.util.List<GrantReport>)value);
+      }
+      break;
+
+    case REFUNDS:
+      if (value == null) {
+        unsetRefunds();
+      } else {
+        setRefunds((java.util.List<TokenRefund>)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ACCOUNT:
+      return getAccount();
+
+    case EPOCH:
+      return getEpoch();
+
+    case INCARNATION:
+      return getIncarnation();
+
+    case SEQUENCE:
+      return getSequence();
+
+    case ASK:
+      return getAsk();
+
+    case REPORTS:
+      return getReports();
+
+    case REFUNDS:
+      return getRefunds();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ACCOUNT:
+      return isSetAccount();
+    case EPOCH:
+      return isSetEpoch();
+    case INCARNATION:
+      return isSetIncarnation();
+    case SEQUENCE:
+      return isSetSequence();
+    case ASK:
+      return isSetAsk();
+    case REPORTS:
+      return isSetReports();
+    case REFUNDS:
+      return isSetRefunds();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof RequesterMessage)
+      return this.equals((RequesterMessage)that);
+    return false;
+  }
+
+  public boolean equals(RequesterMessage that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_account = true && this.isSetAccount();
+    boolean that_present_account = true && that.isSetAccount();
+    if (this_present_account || that_present_account) {
+      if (!(this_present_account && that_present_account))
+        return false;
+      if (!this.account.equals(that.account))
+        return false;
     }
 
-    public void addToRefunds(TokenRefund elem) {
-        if (this.refunds == null) {
-            this.refunds = new java.util.ArrayList<TokenRefund>();
-        }
-        this.refunds.add(elem);
+    boolean this_present_epoch = true;
+    boolean that_present_epoch = true;
+    if (this_present_epoch || that_present_epoch) {
+      if (!(this_present_epoch && that_present_epoch))
+        return false;
+      if (this.epoch != that.epoch)
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<TokenRefund> getRefunds() {
-        return this.refunds;
+    boolean this_present_incarnation = true;
+    boolean that_present_incarnation = true;
+    if (this_present_incarnation || that_present_incarnation) {
+      if (!(this_present_incarnation && that_present_incarnation))
+        return false;
+      if (this.incarnation != that.incarnation)
+        return false;
     }
 
-    public RequesterMessage setRefunds(@org.apache.thrift.annotation.Nullable java.util.List<TokenRefund> refunds) {
-        this.refunds = refunds;
-        return this;
+    boolean this_present_sequence = true;
+    boolean that_present_sequence = true;
+    if (this_present_sequence || that_present_sequence) {
+      if (!(this_present_sequence && that_present_sequence))
+        return false;
+      if (this.sequence != that.sequence)
+        return false;
     }
 
-    public void unsetRefunds() {
-        this.refunds = null;
+    boolean this_present_ask = true && this.isSetAsk();
+    boolean that_present_ask = true && that.isSetAsk();
+    if (this_present_ask || that_present_ask) {
+      if (!(this_present_ask && that_present_ask))
+        return false;
+      if (!this.ask.equals(that.ask))
+        return false;
     }
 
-    /** Returns true if field refunds is set (has been assigned a value) and false otherwise */
-    public boolean isSetRefunds() {
-        return this.refunds != null;
+    boolean this_present_reports = true && this.isSetReports();
+    boolean that_present_reports = true && that.isSetReports();
+    if (this_present_reports || that_present_reports) {
+      if (!(this_present_reports && that_present_reports))
+        return false;
+      if (!this.reports.equals(that.reports))
+        return false;
     }
 
-    public void setRefundsIsSet(boolean value) {
-        if (!value) {
-            this.refunds = null;
-        }
+    boolean this_present_refunds = true && this.isSetRefunds();
+    boolean that_present_refunds = true && that.isSetRefunds();
+    if (this_present_refunds || that_present_refunds) {
+      if (!(this_present_refunds && that_present_refunds))
+        return false;
+      if (!this.refunds.equals(that.refunds))
+        return false;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ACCOUNT:
-                if (value == null) {
-                    unsetAccount();
-                } else {
-                    setAccount((java.lang.String) value);
-                }
-                break;
-
-            case EPOCH:
-                if (value == null) {
-                    unsetEpoch();
-                } else {
-                    setEpoch((java.lang.Long) value);
-                }
-                break;
+    return true;
+  }
 
-            case INCARNATION:
-                if (value == null) {
-                    unsetIncarnation();
-                } else {
-                    setIncarnation((java.lang.Long) value);
-                }
-                break;
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-            case SEQUENCE:
-                if (value == null) {
-                    unsetSequence();
-                } else {
-                    setSequence((java.lang.Long) value);
-                }
-                break;
+    hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
+    if (isSetAccount())
+      hashCode = hashCode * 8191 + account.hashCode();
 
-            case ASK:
-                if (value == null) {
-                    unsetAsk();
-                } else {
-                    setAsk((GrantAsk) value);
-                }
-                break;
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
 
-            case REPORTS:
-                if (value == null) {
-                    unsetReports();
-                } else {
-                    setReports((java.util.List<GrantReport>) value);
-                }
-                break;
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
 
-            case REFUNDS:
-                if (value == null) {
-                    unsetRefunds();
-                } else {
-                    setRefunds((java.util.List<TokenRefund>) value);
-                }
-                break;
-        }
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sequence);
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ACCOUNT:
-                return getAccount();
-
-            case EPOCH:
-                return getEpoch();
-
-            case INCARNATION:
-                return getIncarnation();
+    hashCode = hashCode * 8191 + ((isSetAsk()) ? 131071 : 524287);
+    if (isSetAsk())
+      hashCode = hashCode * 8191 + ask.hashCode();
 
-            case SEQUENCE:
-                return getSequence();
+    hashCode = hashCode * 8191 + ((isSetReports()) ? 131071 : 524287);
+    if (isSetReports())
+      hashCode = hashCode * 8191 + reports.hashCode();
 
-            case ASK:
-                return getAsk();
+    hashCode = hashCode * 8191 + ((isSetRefunds()) ? 131071 : 524287);
+    if (isSetRefunds())
+      hashCode = hashCode * 8191 + refunds.hashCode();
 
-            case REPORTS:
-                return getReports();
+    return hashCode;
+  }
 
-            case REFUNDS:
-                return getRefunds();
-        }
-        throw new java.lang.IllegalStateException();
+  @Override
+  public int compareTo(RequesterMessage other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEpoch()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSequence(), other.isSetSequence());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSequence()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sequence, other.sequence);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAsk()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetReports(), other.isSetReports());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetReports()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.reports, other.reports);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRefunds(), other.isSetRefunds());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRefunds()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.refunds, other.refunds);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("RequesterMessage(");
+    boolean first = true;
+
+    sb.append("account:");
+    if (this.account == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.account);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("epoch:");
+    sb.append(this.epoch);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("incarnation:");
+    sb.append(this.incarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sequence:");
+    sb.append(this.sequence);
+    first = false;
+    if (isSetAsk()) {
+      if (!first) sb.append(", ");
+      sb.append("ask:");
+      if (this.ask == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.ask);
+      }
+      first = false;
+    }
+    if (isSetReports()) {
+      if (!first) sb.append(", ");
+      sb.append("reports:");
+      if (this.reports == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.reports);
+      }
+      first = false;
+    }
+    if (isSetRefunds()) {
+      if (!first) sb.append(", ");
+      sb.append("refunds:");
+      if (this.refunds == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.refunds);
+      }
+      first = false;
+    }
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (account == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'account' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'sequence' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+    if (ask != null) {
+      ask.validate();
+    }
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class RequesterMessageStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ACCOUNT:
-                return isSetAccount();
-            case EPOCH:
-                return isSetEpoch();
-            case INCARNATION:
-                return isSetIncarnation();
-            case SEQUENCE:
-                return isSetSequence();
-            case ASK:
-                return isSetAsk();
-            case REPORTS:
-                return isSetReports();
-            case REFUNDS:
-                return isSetRefunds();
-        }
-        throw new java.lang.IllegalStateException();
+    public RequesterMessageStandardScheme getScheme() {
+      return new RequesterMessageStandardScheme();
     }
+  }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof RequesterMessage) return this.equals((RequesterMessage) that);
-        return false;
-    }
-
-    public boolean equals(RequesterMessage that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_account = true && this.isSetAccount();
-        boolean that_present_account = true && that.isSetAccount();
-        if (this_present_account || that_present_account) {
-            if (!(this_present_account && that_present_account)) return false;
-            if (!this.account.equals(that.account)) return false;
-        }
-
-        boolean this_present_epoch = true;
-        boolean that_present_epoch = true;
-        if (this_present_epoch || that_present_epoch) {
-            if (!(this_present_epoch && that_present_epoch)) return false;
-            if (this.epoch != that.epoch) return false;
-        }
-
-        boolean this_present_incarnation = true;
-        boolean that_present_incarnation = true;
-        if (this_present_incarnation || that_present_incarnation) {
-            if (!(this_present_incarnation && that_present_incarnation)) return false;
-            if (this.incarnation != that.incarnation) return false;
-        }
-
-        boolean this_present_sequence = true;
-        boolean that_present_sequence = true;
-        if (this_present_sequence || that_present_sequence) {
-            if (!(this_present_sequence && that_present_sequence)) return false;
-            if (this.sequence != that.sequence) return false;
-        }
-
-        boolean this_present_ask = true && this.isSetAsk();
-        boolean that_present_ask = true && that.isSetAsk();
-        if (this_present_ask || that_present_ask) {
-            if (!(this_present_ask && that_present_ask)) return false;
-            if (!this.ask.equals(that.ask)) return false;
-        }
-
-        boolean this_present_reports = true && this.isSetReports();
-        boolean that_present_reports = true && that.isSetReports();
-        if (this_present_reports || that_present_reports) {
-            if (!(this_present_reports && that_present_reports)) return false;
-            if (!this.reports.equals(that.reports)) return false;
-        }
-
-        boolean this_present_refunds = true && this.isSetRefunds();
-        boolean that_present_refunds = true && that.isSetRefunds();
-        if (this_present_refunds || that_present_refunds) {
-            if (!(this_present_refunds && that_present_refunds)) return false;
-            if (!this.refunds.equals(that.refunds)) return false;
-        }
-
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
-        if (isSetAccount()) hashCode = hashCode * 8191 + account.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sequence);
-
-        hashCode = hashCode * 8191 + ((isSetAsk()) ? 131071 : 524287);
-        if (isSetAsk()) hashCode = hashCode * 8191 + ask.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetReports()) ? 131071 : 524287);
-        if (isSetReports()) hashCode = hashCode * 8191 + reports.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetRefunds()) ? 131071 : 524287);
-        if (isSetRefunds()) hashCode = hashCode * 8191 + refunds.hashCode();
-
-        return hashCode;
-    }
+  private static class RequesterMessageStandardScheme extends org.apache.thrift.scheme.StandardScheme<RequesterMessage> {
 
     @Override
-    public int compareTo(RequesterMessage other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
-        if (lastComparison != 0) {
-            return lastComparison;
+    public void read(org.apache.thrift.protocol.TProtocol iprot, RequesterMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetAccount()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // ACCOUNT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.account = iprot.readString();
+              struct.setAccountIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEpoch()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // EPOCH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.epoch = iprot.readI64();
+              struct.setEpochIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIncarnation()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnation = iprot.readI64();
+              struct.setIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSequence(), other.isSetSequence());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSequence()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sequence, other.sequence);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // SEQUENCE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sequence = iprot.readI64();
+              struct.setSequenceIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAsk()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 5: // ASK
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.ask = new GrantAsk();
+              struct.ask.read(iprot);
+              struct.setAskIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetReports(), other.isSetReports());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetReports()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.reports, other.reports);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 6: // REPORTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
+                struct.reports = new java.util.ArrayList<GrantReport>(_list0.size);
+                @org.apache.thrift.annotation.Nullable GrantReport _elem1;
+                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                {
+                  _elem1 = new GrantReport();
+                  _elem1.read(iprot);
+                  struct.reports.add(_elem1);
+                }
+                iprot.readListEnd();
+              }
+              struct.setReportsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRefunds(), other.isSetRefunds());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRefunds()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.refunds, other.refunds);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 7: // REFUNDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list3 = iprot.readListBegin();
+                struct.refunds = new java.util.ArrayList<TokenRefund>(_list3.size);
+                @org.apache.thrift.annotation.Nullable TokenRefund _elem4;
+                for (int _i5 = 0; _i5 < _list3.size; ++_i5)
+                {
+                  _elem4 = new TokenRefund();
+                  _elem4.read(iprot);
+                  struct.refunds.add(_elem4);
+                }
+                iprot.readListEnd();
+              }
+              struct.setRefundsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetEpoch()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'epoch' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetSequence()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sequence' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
-
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("RequesterMessage(");
-        boolean first = true;
-
-        sb.append("account:");
-        if (this.account == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.account);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("epoch:");
-        sb.append(this.epoch);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("incarnation:");
-        sb.append(this.incarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sequence:");
-        sb.append(this.sequence);
-        first = false;
-        if (isSetAsk()) {
-            if (!first) sb.append(", ");
-            sb.append("ask:");
-            if (this.ask == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.ask);
-            }
-            first = false;
+    public void write(org.apache.thrift.protocol.TProtocol oprot, RequesterMessage struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.account != null) {
+        oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
+        oprot.writeString(struct.account);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(EPOCH_FIELD_DESC);
+      oprot.writeI64(struct.epoch);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SEQUENCE_FIELD_DESC);
+      oprot.writeI64(struct.sequence);
+      oprot.writeFieldEnd();
+      if (struct.ask != null) {
+        if (struct.isSetAsk()) {
+          oprot.writeFieldBegin(ASK_FIELD_DESC);
+          struct.ask.write(oprot);
+          oprot.writeFieldEnd();
         }
-        if (isSetReports()) {
-            if (!first) sb.append(", ");
-            sb.append("reports:");
-            if (this.reports == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.reports);
+      }
+      if (struct.reports != null) {
+        if (struct.isSetReports()) {
+          oprot.writeFieldBegin(REPORTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
+            for (GrantReport _iter6 : struct.reports)
+            {
+              _iter6.write(oprot);
             }
-            first = false;
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
         }
-        if (isSetRefunds()) {
-            if (!first) sb.append(", ");
-            sb.append("refunds:");
-            if (this.refunds == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.refunds);
+      }
+      if (struct.refunds != null) {
+        if (struct.isSetRefunds()) {
+          oprot.writeFieldBegin(REFUNDS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.refunds.size()));
+            for (TokenRefund _iter7 : struct.refunds)
+            {
+              _iter7.write(oprot);
             }
-            first = false;
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
         }
-        sb.append(")");
-        return sb.toString();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (account == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'account' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'sequence' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-        if (ask != null) {
-            ask.validate();
-        }
-    }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class RequesterMessageStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RequesterMessageStandardScheme getScheme() {
-            return new RequesterMessageStandardScheme();
-        }
+  private static class RequesterMessageTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public RequesterMessageTupleScheme getScheme() {
+      return new RequesterMessageTupleScheme();
     }
+  }
 
-    private static class RequesterMessageStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<RequesterMessage> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, RequesterMessage struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ACCOUNT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.account = iprot.readString();
-                            struct.setAccountIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // EPOCH
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.epoch = iprot.readI64();
-                            struct.setEpochIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.incarnation = iprot.readI64();
-                            struct.setIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // SEQUENCE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.sequence = iprot.readI64();
-                            struct.setSequenceIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // ASK
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                            struct.ask = new GrantAsk();
-                            struct.ask.read(iprot);
-                            struct.setAskIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // REPORTS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                                struct.reports = new java.util.ArrayList<GrantReport>(_list0.size);
-                                @org.apache.thrift.annotation.Nullable GrantReport _elem1;
-                                for (int _i2 = 0; _i2 < _list0.size; ++_i2) {
-                                    _elem1 = new GrantReport();
-                                    _elem1.read(iprot);
-                                    struct.reports.add(_elem1);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setReportsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 7: // REFUNDS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list3 = iprot.readListBegin();
-                                struct.refunds = new java.util.ArrayList<TokenRefund>(_list3.size);
-                                @org.apache.thrift.annotation.Nullable TokenRefund _elem4;
-                                for (int _i5 = 0; _i5 < _list3.size; ++_i5) {
-                                    _elem4 = new TokenRefund();
-                                    _elem4.read(iprot);
-                                    struct.refunds.add(_elem4);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setRefundsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetEpoch()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'epoch' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'incarnation' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetSequence()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'sequence' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
+  private static class RequesterMessageTupleScheme extends org.apache.thrift.scheme.TupleScheme<RequesterMessage> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, RequesterMessage struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.account != null) {
-                oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
-                oprot.writeString(struct.account);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(EPOCH_FIELD_DESC);
-            oprot.writeI64(struct.epoch);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(SEQUENCE_FIELD_DESC);
-            oprot.writeI64(struct.sequence);
-            oprot.writeFieldEnd();
-            if (struct.ask != null) {
-                if (struct.isSetAsk()) {
-                    oprot.writeFieldBegin(ASK_FIELD_DESC);
-                    struct.ask.write(oprot);
-                    oprot.writeFieldEnd();
-                }
-            }
-            if (struct.reports != null) {
-                if (struct.isSetReports()) {
-                    oprot.writeFieldBegin(REPORTS_FIELD_DESC);
-                    {
-                        oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                                org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-                        for (GrantReport _iter6 : struct.reports) {
-                            _iter6.write(oprot);
-                        }
-                        oprot.writeListEnd();
-                    }
-                    oprot.writeFieldEnd();
-                }
-            }
-            if (struct.refunds != null) {
-                if (struct.isSetRefunds()) {
-                    oprot.writeFieldBegin(REFUNDS_FIELD_DESC);
-                    {
-                        oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                                org.apache.thrift.protocol.TType.STRUCT, struct.refunds.size()));
-                        for (TokenRefund _iter7 : struct.refunds) {
-                            _iter7.write(oprot);
-                        }
-                        oprot.writeListEnd();
-                    }
-                    oprot.writeFieldEnd();
-                }
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, RequesterMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.account);
+      oprot.writeI64(struct.epoch);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeI64(struct.sequence);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetAsk()) {
+        optionals.set(0);
+      }
+      if (struct.isSetReports()) {
+        optionals.set(1);
+      }
+      if (struct.isSetRefunds()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetAsk()) {
+        struct.ask.write(oprot);
+      }
+      if (struct.isSetReports()) {
+        {
+          oprot.writeI32(struct.reports.size());
+          for (GrantReport _iter8 : struct.reports)
+          {
+            _iter8.write(oprot);
+          }
         }
-    }
-
-    private static class RequesterMessageTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RequesterMessageTupleScheme getScheme() {
-            return new RequesterMessageTupleScheme();
+      }
+      if (struct.isSetRefunds()) {
+        {
+          oprot.writeI32(struct.refunds.size());
+          for (TokenRefund _iter9 : struct.refunds)
+          {
+            _iter9.write(oprot);
+          }
         }
+      }
     }
 
-    private static class RequesterMessageTupleScheme extends org.apache.thrift.scheme.TupleScheme<RequesterMessage> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, RequesterMessage struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.account);
-            oprot.writeI64(struct.epoch);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeI64(struct.sequence);
-            java.util.BitSet optionals = new java.util.BitSet();
-            if (struct.isSetAsk()) {
-                optionals.set(0);
-            }
-            if (struct.isSetReports()) {
-                optionals.set(1);
-            }
-            if (struct.isSetRefunds()) {
-                optionals.set(2);
-            }
-            oprot.writeBitSet(optionals, 3);
-            if (struct.isSetAsk()) {
-                struct.ask.write(oprot);
-            }
-            if (struct.isSetReports()) {
-                {
-                    oprot.writeI32(struct.reports.size());
-                    for (GrantReport _iter8 : struct.reports) {
-                        _iter8.write(oprot);
-                    }
-                }
-            }
-            if (struct.isSetRefunds()) {
-                {
-                    oprot.writeI32(struct.refunds.size());
-                    for (TokenRefund _iter9 : struct.refunds) {
-                        _iter9.write(oprot);
-                    }
-                }
-            }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, RequesterMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.account = iprot.readString();
+      struct.setAccountIsSet(true);
+      struct.epoch = iprot.readI64();
+      struct.setEpochIsSet(true);
+      struct.incarnation = iprot.readI64();
+      struct.setIncarnationIsSet(true);
+      struct.sequence = iprot.readI64();
+      struct.setSequenceIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(3);
+      if (incoming.get(0)) {
+        struct.ask = new GrantAsk();
+        struct.ask.read(iprot);
+        struct.setAskIsSet(true);
+      }
+      if (incoming.get(1)) {
+        {
+          org.apache.thrift.protocol.TList _list10 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reports = new java.util.ArrayList<GrantReport>(_list10.size);
+          @org.apache.thrift.annotation.Nullable GrantReport _elem11;
+          for (int _i12 = 0; _i12 < _list10.size; ++_i12)
+          {
+            _elem11 = new GrantReport();
+            _elem11.read(iprot);
+            struct.reports.add(_elem11);
+          }
         }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, RequesterMessage struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.account = iprot.readString();
-            struct.setAccountIsSet(true);
-            struct.epoch = iprot.readI64();
-            struct.setEpochIsSet(true);
-            struct.incarnation = iprot.readI64();
-            struct.setIncarnationIsSet(true);
-            struct.sequence = iprot.readI64();
-            struct.setSequenceIsSet(true);
-            java.util.BitSet incoming = iprot.readBitSet(3);
-            if (incoming.get(0)) {
-                struct.ask = new GrantAsk();
-                struct.ask.read(iprot);
-                struct.setAskIsSet(true);
-            }
-            if (incoming.get(1)) {
-                {
-                    org.apache.thrift.protocol.TList _list10 =
-                            iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                    struct.reports = new java.util.ArrayList<GrantReport>(_list10.size);
-                    @org.apache.thrift.annotation.Nullable GrantReport _elem11;
-                    for (int _i12 = 0; _i12 < _list10.size; ++_i12) {
-                        _elem11 = new GrantReport();
-                        _elem11.read(iprot);
-                        struct.reports.add(_elem11);
-                    }
-                }
-                struct.setReportsIsSet(true);
-            }
-            if (incoming.get(2)) {
-                {
-                    org.apache.thrift.protocol.TList _list13 =
-                            iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                    struct.refunds = new java.util.ArrayList<TokenRefund>(_list13.size);
-                    @org.apache.thrift.annotation.Nullable TokenRefund _elem14;
-                    for (int _i15 = 0; _i15 < _list13.size; ++_i15) {
-                        _elem14 = new TokenRefund();
-                        _elem14.read(iprot);
-                        struct.refunds.add(_elem14);
-                    }
-                }
-                struct.setRefundsIsSet(true);
-            }
+        struct.setReportsIsSet(true);
+      }
+      if (incoming.get(2)) {
+        {
+          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.refunds = new java.util.ArrayList<TokenRefund>(_list13.size);
+          @org.apache.thrift.annotation.Nullable TokenRefund _elem14;
+          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+          {
+            _elem14 = new TokenRefund();
+            _elem14.read(iprot);
+            struct.refunds.add(_elem14);
+          }
         }
+        struct.setRefundsIsSet(true);
+      }
     }
+  }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/TokenRefund.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/budget/TokenRefund.java
@@ -10,593 +10,574 @@
  * Gives back tokens that were charged and not used.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class TokenRefund
-        implements org.apache.thrift.TBase<TokenRefund, TokenRefund._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<TokenRefund> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("TokenRefund");
-
-    private static final org.apache.thrift.protocol.TField GRANTED_AT_NANOS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("grantedAtNanos", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField TOKENS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("tokens", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.I64, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new TokenRefundStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new TokenRefundTupleSchemeFactory();
-
-    private long grantedAtNanos; // required
-    private long tokens; // required
-    private long ask; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        /**
-         * Time of the grant the charge was paid from, on the clock of the owner.
-         */
-        GRANTED_AT_NANOS((short) 1, "grantedAtNanos"),
-        TOKENS((short) 2, "tokens"),
-        /**
-         * Number of the ask whose grant paid the charge.
-         */
-        ASK((short) 3, "ask");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
+public class TokenRefund implements org.apache.thrift.TBase<TokenRefund, TokenRefund._Fields>, java.io.Serializable, Cloneable, Comparable<TokenRefund> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TokenRefund");
 
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // GRANTED_AT_NANOS
-                    return GRANTED_AT_NANOS;
-                case 2: // TOKENS
-                    return TOKENS;
-                case 3: // ASK
-                    return ASK;
-                default:
-                    return null;
-            }
-        }
+  private static final org.apache.thrift.protocol.TField GRANTED_AT_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("grantedAtNanos", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("tokens", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField ASK_FIELD_DESC = new org.apache.thrift.protocol.TField("ask", org.apache.thrift.protocol.TType.I64, (short)3);
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TokenRefundStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TokenRefundTupleSchemeFactory();
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __GRANTEDATNANOS_ISSET_ID = 0;
-    private static final int __TOKENS_ISSET_ID = 1;
-    private static final int __ASK_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.GRANTED_AT_NANOS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "grantedAtNanos",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.TOKENS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "tokens",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.ASK,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "ask",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TokenRefund.class, metaDataMap);
-    }
-
-    public TokenRefund() {}
-
-    public TokenRefund(long grantedAtNanos, long tokens, long ask) {
-        this();
-        this.grantedAtNanos = grantedAtNanos;
-        setGrantedAtNanosIsSet(true);
-        this.tokens = tokens;
-        setTokensIsSet(true);
-        this.ask = ask;
-        setAskIsSet(true);
-    }
-
-    /**
-     * Performs a deep copy on <i>other</i>.
-     */
-    public TokenRefund(TokenRefund other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.grantedAtNanos = other.grantedAtNanos;
-        this.tokens = other.tokens;
-        this.ask = other.ask;
-    }
-
-    @Override
-    public TokenRefund deepCopy() {
-        return new TokenRefund(this);
-    }
-
-    @Override
-    public void clear() {
-        setGrantedAtNanosIsSet(false);
-        this.grantedAtNanos = 0;
-        setTokensIsSet(false);
-        this.tokens = 0;
-        setAskIsSet(false);
-        this.ask = 0;
-    }
+  private long grantedAtNanos; // required
+  private long tokens; // required
+  private long ask; // required
 
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     /**
      * Time of the grant the charge was paid from, on the clock of the owner.
      */
-    public long getGrantedAtNanos() {
-        return this.grantedAtNanos;
-    }
-
+    GRANTED_AT_NANOS((short)1, "grantedAtNanos"),
+    TOKENS((short)2, "tokens"),
     /**
-     * Time of the grant the charge was paid from, on the clock of the owner.
+     * Number of the ask whose grant paid the charge.
      */
-    public TokenRefund setGrantedAtNanos(long grantedAtNanos) {
-        this.grantedAtNanos = grantedAtNanos;
-        setGrantedAtNanosIsSet(true);
-        return this;
-    }
+    ASK((short)3, "ask");
 
-    public void unsetGrantedAtNanos() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    /** Returns true if field grantedAtNanos is set (has been assigned a value) and false otherwise */
-    public boolean isSetGrantedAtNanos() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID);
-    }
-
-    public void setGrantedAtNanosIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID, value);
-    }
-
-    public long getTokens() {
-        return this.tokens;
-    }
-
-    public TokenRefund setTokens(long tokens) {
-        this.tokens = tokens;
-        setTokensIsSet(true);
-        return this;
-    }
-
-    public void unsetTokens() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKENS_ISSET_ID);
-    }
-
-    /** Returns true if field tokens is set (has been assigned a value) and false otherwise */
-    public boolean isSetTokens() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKENS_ISSET_ID);
-    }
-
-    public void setTokensIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENS_ISSET_ID, value);
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Number of the ask whose grant paid the charge.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public long getAsk() {
-        return this.ask;
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // GRANTED_AT_NANOS
+          return GRANTED_AT_NANOS;
+        case 2: // TOKENS
+          return TOKENS;
+        case 3: // ASK
+          return ASK;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Number of the ask whose grant paid the charge.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public TokenRefund setAsk(long ask) {
-        this.ask = ask;
-        setAskIsSet(true);
-        return this;
-    }
-
-    public void unsetAsk() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASK_ISSET_ID);
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    /** Returns true if field ask is set (has been assigned a value) and false otherwise */
-    public boolean isSetAsk() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASK_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setAskIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASK_ISSET_ID, value);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case GRANTED_AT_NANOS:
-                if (value == null) {
-                    unsetGrantedAtNanos();
-                } else {
-                    setGrantedAtNanos((java.lang.Long) value);
-                }
-                break;
-
-            case TOKENS:
-                if (value == null) {
-                    unsetTokens();
-                } else {
-                    setTokens((java.lang.Long) value);
-                }
-                break;
-
-            case ASK:
-                if (value == null) {
-                    unsetAsk();
-                } else {
-                    setAsk((java.lang.Long) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case GRANTED_AT_NANOS:
-                return getGrantedAtNanos();
-
-            case TOKENS:
-                return getTokens();
-
-            case ASK:
-                return getAsk();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case GRANTED_AT_NANOS:
-                return isSetGrantedAtNanos();
-            case TOKENS:
-                return isSetTokens();
-            case ASK:
-                return isSetAsk();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __GRANTEDATNANOS_ISSET_ID = 0;
+  private static final int __TOKENS_ISSET_ID = 1;
+  private static final int __ASK_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.GRANTED_AT_NANOS, new org.apache.thrift.meta_data.FieldMetaData("grantedAtNanos", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TOKENS, new org.apache.thrift.meta_data.FieldMetaData("tokens", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ASK, new org.apache.thrift.meta_data.FieldMetaData("ask", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TokenRefund.class, metaDataMap);
+  }
+
+  public TokenRefund() {
+  }
+
+  public TokenRefund(
+    long grantedAtNanos,
+    long tokens,
+    long ask)
+  {
+    this();
+    this.grantedAtNanos = grantedAtNanos;
+    setGrantedAtNanosIsSet(true);
+    this.tokens = tokens;
+    setTokensIsSet(true);
+    this.ask = ask;
+    setAskIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public TokenRefund(TokenRefund other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.grantedAtNanos = other.grantedAtNanos;
+    this.tokens = other.tokens;
+    this.ask = other.ask;
+  }
+
+  @Override
+  public TokenRefund deepCopy() {
+    return new TokenRefund(this);
+  }
+
+  @Override
+  public void clear() {
+    setGrantedAtNanosIsSet(false);
+    this.grantedAtNanos = 0;
+    setTokensIsSet(false);
+    this.tokens = 0;
+    setAskIsSet(false);
+    this.ask = 0;
+  }
+
+  /**
+   * Time of the grant the charge was paid from, on the clock of the owner.
+   */
+  public long getGrantedAtNanos() {
+    return this.grantedAtNanos;
+  }
+
+  /**
+   * Time of the grant the charge was paid from, on the clock of the owner.
+   */
+  public TokenRefund setGrantedAtNanos(long grantedAtNanos) {
+    this.grantedAtNanos = grantedAtNanos;
+    setGrantedAtNanosIsSet(true);
+    return this;
+  }
+
+  public void unsetGrantedAtNanos() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID);
+  }
+
+  /** Returns true if field grantedAtNanos is set (has been assigned a value) and false otherwise */
+  public boolean isSetGrantedAtNanos() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID);
+  }
+
+  public void setGrantedAtNanosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GRANTEDATNANOS_ISSET_ID, value);
+  }
+
+  public long getTokens() {
+    return this.tokens;
+  }
+
+  public TokenRefund setTokens(long tokens) {
+    this.tokens = tokens;
+    setTokensIsSet(true);
+    return this;
+  }
+
+  public void unsetTokens() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOKENS_ISSET_ID);
+  }
+
+  /** Returns true if field tokens is set (has been assigned a value) and false otherwise */
+  public boolean isSetTokens() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOKENS_ISSET_ID);
+  }
+
+  public void setTokensIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENS_ISSET_ID, value);
+  }
+
+  /**
+   * Number of the ask whose grant paid the charge.
+   */
+  public long getAsk() {
+    return this.ask;
+  }
+
+  /**
+   * Number of the ask whose grant paid the charge.
+   */
+  public TokenRefund setAsk(long ask) {
+    this.ask = ask;
+    setAskIsSet(true);
+    return this;
+  }
+
+  public void unsetAsk() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASK_ISSET_ID);
+  }
+
+  /** Returns true if field ask is set (has been assigned a value) and false otherwise */
+  public boolean isSetAsk() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASK_ISSET_ID);
+  }
+
+  public void setAskIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASK_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case GRANTED_AT_NANOS:
+      if (value == null) {
+        unsetGrantedAtNanos();
+      } else {
+        setGrantedAtNanos((java.lang.Long)value);
+      }
+      break;
+
+    case TOKENS:
+      if (value == null) {
+        unsetTokens();
+      } else {
+        setTokens((java.lang.Long)value);
+      }
+      break;
+
+    case ASK:
+      if (value == null) {
+        unsetAsk();
+      } else {
+        setAsk((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case GRANTED_AT_NANOS:
+      return getGrantedAtNanos();
+
+    case TOKENS:
+      return getTokens();
+
+    case ASK:
+      return getAsk();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case GRANTED_AT_NANOS:
+      return isSetGrantedAtNanos();
+    case TOKENS:
+      return isSetTokens();
+    case ASK:
+      return isSetAsk();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof TokenRefund)
+      return this.equals((TokenRefund)that);
+    return false;
+  }
+
+  public boolean equals(TokenRefund that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_grantedAtNanos = true;
+    boolean that_present_grantedAtNanos = true;
+    if (this_present_grantedAtNanos || that_present_grantedAtNanos) {
+      if (!(this_present_grantedAtNanos && that_present_grantedAtNanos))
+        return false;
+      if (this.grantedAtNanos != that.grantedAtNanos)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof TokenRefund) return this.equals((TokenRefund) that);
+    boolean this_present_tokens = true;
+    boolean that_present_tokens = true;
+    if (this_present_tokens || that_present_tokens) {
+      if (!(this_present_tokens && that_present_tokens))
+        return false;
+      if (this.tokens != that.tokens)
         return false;
     }
 
-    public boolean equals(TokenRefund that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_grantedAtNanos = true;
-        boolean that_present_grantedAtNanos = true;
-        if (this_present_grantedAtNanos || that_present_grantedAtNanos) {
-            if (!(this_present_grantedAtNanos && that_present_grantedAtNanos)) return false;
-            if (this.grantedAtNanos != that.grantedAtNanos) return false;
-        }
-
-        boolean this_present_tokens = true;
-        boolean that_present_tokens = true;
-        if (this_present_tokens || that_present_tokens) {
-            if (!(this_present_tokens && that_present_tokens)) return false;
-            if (this.tokens != that.tokens) return false;
-        }
-
-        boolean this_present_ask = true;
-        boolean that_present_ask = true;
-        if (this_present_ask || that_present_ask) {
-            if (!(this_present_ask && that_present_ask)) return false;
-            if (this.ask != that.ask) return false;
-        }
-
-        return true;
+    boolean this_present_ask = true;
+    boolean that_present_ask = true;
+    if (this_present_ask || that_present_ask) {
+      if (!(this_present_ask && that_present_ask))
+        return false;
+      if (this.ask != that.ask)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(grantedAtNanos);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tokens);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ask);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(TokenRefund other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetGrantedAtNanos(), other.isSetGrantedAtNanos());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGrantedAtNanos()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.grantedAtNanos, other.grantedAtNanos);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTokens(), other.isSetTokens());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTokens()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.tokens, other.tokens);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAsk()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("TokenRefund(");
+    boolean first = true;
+
+    sb.append("grantedAtNanos:");
+    sb.append(this.grantedAtNanos);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("tokens:");
+    sb.append(this.tokens);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("ask:");
+    sb.append(this.ask);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'grantedAtNanos' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'tokens' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'ask' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class TokenRefundStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(grantedAtNanos);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tokens);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ask);
-
-        return hashCode;
+    public TokenRefundStandardScheme getScheme() {
+      return new TokenRefundStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(TokenRefund other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class TokenRefundStandardScheme extends org.apache.thrift.scheme.StandardScheme<TokenRefund> {
 
-        lastComparison = java.lang.Boolean.compare(isSetGrantedAtNanos(), other.isSetGrantedAtNanos());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, TokenRefund struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetGrantedAtNanos()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.grantedAtNanos, other.grantedAtNanos);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // GRANTED_AT_NANOS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.grantedAtNanos = iprot.readI64();
+              struct.setGrantedAtNanosIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetTokens(), other.isSetTokens());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTokens()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.tokens, other.tokens);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // TOKENS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.tokens = iprot.readI64();
+              struct.setTokensIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetAsk(), other.isSetAsk());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAsk()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ask, other.ask);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // ASK
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.ask = iprot.readI64();
+              struct.setAskIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetGrantedAtNanos()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'grantedAtNanos' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetTokens()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'tokens' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetAsk()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'ask' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, TokenRefund struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(GRANTED_AT_NANOS_FIELD_DESC);
+      oprot.writeI64(struct.grantedAtNanos);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(TOKENS_FIELD_DESC);
+      oprot.writeI64(struct.tokens);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ASK_FIELD_DESC);
+      oprot.writeI64(struct.ask);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class TokenRefundTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public TokenRefundTupleScheme getScheme() {
+      return new TokenRefundTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class TokenRefundTupleScheme extends org.apache.thrift.scheme.TupleScheme<TokenRefund> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("TokenRefund(");
-        boolean first = true;
-
-        sb.append("grantedAtNanos:");
-        sb.append(this.grantedAtNanos);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("tokens:");
-        sb.append(this.tokens);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("ask:");
-        sb.append(this.ask);
-        first = false;
-        sb.append(")");
-        return sb.toString();
+    public void write(org.apache.thrift.protocol.TProtocol prot, TokenRefund struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.grantedAtNanos);
+      oprot.writeI64(struct.tokens);
+      oprot.writeI64(struct.ask);
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'grantedAtNanos' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'tokens' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'ask' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class TokenRefundStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public TokenRefundStandardScheme getScheme() {
-            return new TokenRefundStandardScheme();
-        }
-    }
-
-    private static class TokenRefundStandardScheme extends org.apache.thrift.scheme.StandardScheme<TokenRefund> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, TokenRefund struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // GRANTED_AT_NANOS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.grantedAtNanos = iprot.readI64();
-                            struct.setGrantedAtNanosIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // TOKENS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.tokens = iprot.readI64();
-                            struct.setTokensIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // ASK
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.ask = iprot.readI64();
-                            struct.setAskIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetGrantedAtNanos()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'grantedAtNanos' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetTokens()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'tokens' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetAsk()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'ask' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, TokenRefund struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(GRANTED_AT_NANOS_FIELD_DESC);
-            oprot.writeI64(struct.grantedAtNanos);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(TOKENS_FIELD_DESC);
-            oprot.writeI64(struct.tokens);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(ASK_FIELD_DESC);
-            oprot.writeI64(struct.ask);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class TokenRefundTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public TokenRefundTupleScheme getScheme() {
-            return new TokenRefundTupleScheme();
-        }
-    }
-
-    private static class TokenRefundTupleScheme extends org.apache.thrift.scheme.TupleScheme<TokenRefund> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, TokenRefund struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.grantedAtNanos);
-            oprot.writeI64(struct.tokens);
-            oprot.writeI64(struct.ask);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, TokenRefund struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.grantedAtNanos = iprot.readI64();
-            struct.setGrantedAtNanosIsSet(true);
-            struct.tokens = iprot.readI64();
-            struct.setTokensIsSet(true);
-            struct.ask = iprot.readI64();
-            struct.setAskIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, TokenRefund struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.grantedAtNanos = iprot.readI64();
+      struct.setGrantedAtNanosIsSet(true);
+      struct.tokens = iprot.readI64();
+      struct.setTokensIsSet(true);
+      struct.ask = iprot.readI64();
+      struct.setAskIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/AppendAnswer.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/AppendAnswer.java
@@ -10,680 +10,658 @@
  * Answers an append or a completed snapshot.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class AppendAnswer
-        implements org.apache.thrift.TBase<AppendAnswer, AppendAnswer._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<AppendAnswer> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("AppendAnswer");
-
-    private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField MATCHED_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("matched", org.apache.thrift.protocol.TType.BOOL, (short) 2);
-    private static final org.apache.thrift.protocol.TField INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("index", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField ROUND_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("round", org.apache.thrift.protocol.TType.I64, (short) 4);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new AppendAnswerStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new AppendAnswerTupleSchemeFactory();
-
-    private long term; // required
-    private boolean matched; // required
-    private long index; // required
-    private long round; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TERM((short) 1, "term"),
-        MATCHED((short) 2, "matched"),
-        /**
-         * Last index known to match; after a mismatch, the index after which to try again.
-         */
-        INDEX((short) 3, "index"),
-        ROUND((short) 4, "round");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TERM
-                    return TERM;
-                case 2: // MATCHED
-                    return MATCHED;
-                case 3: // INDEX
-                    return INDEX;
-                case 4: // ROUND
-                    return ROUND;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+public class AppendAnswer implements org.apache.thrift.TBase<AppendAnswer, AppendAnswer._Fields>, java.io.Serializable, Cloneable, Comparable<AppendAnswer> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("AppendAnswer");
+
+  private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField MATCHED_FIELD_DESC = new org.apache.thrift.protocol.TField("matched", org.apache.thrift.protocol.TType.BOOL, (short)2);
+  private static final org.apache.thrift.protocol.TField INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("index", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField ROUND_FIELD_DESC = new org.apache.thrift.protocol.TField("round", org.apache.thrift.protocol.TType.I64, (short)4);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AppendAnswerStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AppendAnswerTupleSchemeFactory();
+
+  private long term; // required
+  private boolean matched; // required
+  private long index; // required
+  private long round; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TERM((short)1, "term"),
+    MATCHED((short)2, "matched"),
+    /**
+     * Last index known to match; after a mismatch, the index after which to try again.
+     */
+    INDEX((short)3, "index"),
+    ROUND((short)4, "round");
 
-    // isset id assignments
-    private static final int __TERM_ISSET_ID = 0;
-    private static final int __MATCHED_ISSET_ID = 1;
-    private static final int __INDEX_ISSET_ID = 2;
-    private static final int __ROUND_ISSET_ID = 3;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TERM,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "term",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.MATCHED,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "matched",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        tmpMap.put(
-                _Fields.INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "index",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.ROUND,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "round",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AppendAnswer.class, metaDataMap);
-    }
-
-    public AppendAnswer() {}
-
-    public AppendAnswer(long term, boolean matched, long index, long round) {
-        this();
-        this.term = term;
-        setTermIsSet(true);
-        this.matched = matched;
-        setMatchedIsSet(true);
-        this.index = index;
-        setIndexIsSet(true);
-        this.round = round;
-        setRoundIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public AppendAnswer(AppendAnswer other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.term = other.term;
-        this.matched = other.matched;
-        this.index = other.index;
-        this.round = other.round;
-    }
-
-    @Override
-    public AppendAnswer deepCopy() {
-        return new AppendAnswer(this);
-    }
-
-    @Override
-    public void clear() {
-        setTermIsSet(false);
-        this.term = 0;
-        setMatchedIsSet(false);
-        this.matched = false;
-        setIndexIsSet(false);
-        this.index = 0;
-        setRoundIsSet(false);
-        this.round = 0;
-    }
-
-    public long getTerm() {
-        return this.term;
-    }
-
-    public AppendAnswer setTerm(long term) {
-        this.term = term;
-        setTermIsSet(true);
-        return this;
-    }
-
-    public void unsetTerm() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    /** Returns true if field term is set (has been assigned a value) and false otherwise */
-    public boolean isSetTerm() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    public void setTermIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
-    }
-
-    public boolean isMatched() {
-        return this.matched;
-    }
-
-    public AppendAnswer setMatched(boolean matched) {
-        this.matched = matched;
-        setMatchedIsSet(true);
-        return this;
-    }
-
-    public void unsetMatched() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MATCHED_ISSET_ID);
-    }
-
-    /** Returns true if field matched is set (has been assigned a value) and false otherwise */
-    public boolean isSetMatched() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MATCHED_ISSET_ID);
-    }
-
-    public void setMatchedIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MATCHED_ISSET_ID, value);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TERM
+          return TERM;
+        case 2: // MATCHED
+          return MATCHED;
+        case 3: // INDEX
+          return INDEX;
+        case 4: // ROUND
+          return ROUND;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Last index known to match; after a mismatch, the index after which to try again.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public long getIndex() {
-        return this.index;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     * Last index known to match; after a mismatch, the index after which to try again.
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public AppendAnswer setIndex(long index) {
-        this.index = index;
-        setIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INDEX_ISSET_ID);
-    }
-
-    /** Returns true if field index is set (has been assigned a value) and false otherwise */
-    public boolean isSetIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INDEX_ISSET_ID);
-    }
-
-    public void setIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INDEX_ISSET_ID, value);
-    }
-
-    public long getRound() {
-        return this.round;
-    }
-
-    public AppendAnswer setRound(long round) {
-        this.round = round;
-        setRoundIsSet(true);
-        return this;
-    }
-
-    public void unsetRound() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROUND_ISSET_ID);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field round is set (has been assigned a value) and false otherwise */
-    public boolean isSetRound() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROUND_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setRoundIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROUND_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TERM:
-                if (value == null) {
-                    unsetTerm();
-                } else {
-                    setTerm((java.lang.Long) value);
-                }
-                break;
-
-            case MATCHED:
-                if (value == null) {
-                    unsetMatched();
-                } else {
-                    setMatched((java.lang.Boolean) value);
-                }
-                break;
-
-            case INDEX:
-                if (value == null) {
-                    unsetIndex();
-                } else {
-                    setIndex((java.lang.Long) value);
-                }
-                break;
-
-            case ROUND:
-                if (value == null) {
-                    unsetRound();
-                } else {
-                    setRound((java.lang.Long) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TERM:
-                return getTerm();
-
-            case MATCHED:
-                return isMatched();
-
-            case INDEX:
-                return getIndex();
-
-            case ROUND:
-                return getRound();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __TERM_ISSET_ID = 0;
+  private static final int __MATCHED_ISSET_ID = 1;
+  private static final int __INDEX_ISSET_ID = 2;
+  private static final int __ROUND_ISSET_ID = 3;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.MATCHED, new org.apache.thrift.meta_data.FieldMetaData("matched", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.INDEX, new org.apache.thrift.meta_data.FieldMetaData("index", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ROUND, new org.apache.thrift.meta_data.FieldMetaData("round", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AppendAnswer.class, metaDataMap);
+  }
+
+  public AppendAnswer() {
+  }
+
+  public AppendAnswer(
+    long term,
+    boolean matched,
+    long index,
+    long round)
+  {
+    this();
+    this.term = term;
+    setTermIsSet(true);
+    this.matched = matched;
+    setMatchedIsSet(true);
+    this.index = index;
+    setIndexIsSet(true);
+    this.round = round;
+    setRoundIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public AppendAnswer(AppendAnswer other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.term = other.term;
+    this.matched = other.matched;
+    this.index = other.index;
+    this.round = other.round;
+  }
+
+  @Override
+  public AppendAnswer deepCopy() {
+    return new AppendAnswer(this);
+  }
+
+  @Override
+  public void clear() {
+    setTermIsSet(false);
+    this.term = 0;
+    setMatchedIsSet(false);
+    this.matched = false;
+    setIndexIsSet(false);
+    this.index = 0;
+    setRoundIsSet(false);
+    this.round = 0;
+  }
+
+  public long getTerm() {
+    return this.term;
+  }
+
+  public AppendAnswer setTerm(long term) {
+    this.term = term;
+    setTermIsSet(true);
+    return this;
+  }
+
+  public void unsetTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  /** Returns true if field term is set (has been assigned a value) and false otherwise */
+  public boolean isSetTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  public void setTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
+  }
+
+  public boolean isMatched() {
+    return this.matched;
+  }
+
+  public AppendAnswer setMatched(boolean matched) {
+    this.matched = matched;
+    setMatchedIsSet(true);
+    return this;
+  }
+
+  public void unsetMatched() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MATCHED_ISSET_ID);
+  }
+
+  /** Returns true if field matched is set (has been assigned a value) and false otherwise */
+  public boolean isSetMatched() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MATCHED_ISSET_ID);
+  }
+
+  public void setMatchedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MATCHED_ISSET_ID, value);
+  }
+
+  /**
+   * Last index known to match; after a mismatch, the index after which to try again.
+   */
+  public long getIndex() {
+    return this.index;
+  }
+
+  /**
+   * Last index known to match; after a mismatch, the index after which to try again.
+   */
+  public AppendAnswer setIndex(long index) {
+    this.index = index;
+    setIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INDEX_ISSET_ID);
+  }
+
+  /** Returns true if field index is set (has been assigned a value) and false otherwise */
+  public boolean isSetIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INDEX_ISSET_ID);
+  }
+
+  public void setIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INDEX_ISSET_ID, value);
+  }
+
+  public long getRound() {
+    return this.round;
+  }
+
+  public AppendAnswer setRound(long round) {
+    this.round = round;
+    setRoundIsSet(true);
+    return this;
+  }
+
+  public void unsetRound() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROUND_ISSET_ID);
+  }
+
+  /** Returns true if field round is set (has been assigned a value) and false otherwise */
+  public boolean isSetRound() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROUND_ISSET_ID);
+  }
+
+  public void setRoundIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROUND_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TERM:
+      if (value == null) {
+        unsetTerm();
+      } else {
+        setTerm((java.lang.Long)value);
+      }
+      break;
+
+    case MATCHED:
+      if (value == null) {
+        unsetMatched();
+      } else {
+        setMatched((java.lang.Boolean)value);
+      }
+      break;
+
+    case INDEX:
+      if (value == null) {
+        unsetIndex();
+      } else {
+        setIndex((java.lang.Long)value);
+      }
+      break;
+
+    case ROUND:
+      if (value == null) {
+        unsetRound();
+      } else {
+        setRound((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TERM:
+      return getTerm();
+
+    case MATCHED:
+      return isMatched();
+
+    case INDEX:
+      return getIndex();
+
+    case ROUND:
+      return getRound();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case TERM:
+      return isSetTerm();
+    case MATCHED:
+      return isSetMatched();
+    case INDEX:
+      return isSetIndex();
+    case ROUND:
+      return isSetRound();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof AppendAnswer)
+      return this.equals((AppendAnswer)that);
+    return false;
+  }
+
+  public boolean equals(AppendAnswer that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_term = true;
+    boolean that_present_term = true;
+    if (this_present_term || that_present_term) {
+      if (!(this_present_term && that_present_term))
+        return false;
+      if (this.term != that.term)
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TERM:
-                return isSetTerm();
-            case MATCHED:
-                return isSetMatched();
-            case INDEX:
-                return isSetIndex();
-            case ROUND:
-                return isSetRound();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_matched = true;
+    boolean that_present_matched = true;
+    if (this_present_matched || that_present_matched) {
+      if (!(this_present_matched && that_present_matched))
+        return false;
+      if (this.matched != that.matched)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof AppendAnswer) return this.equals((AppendAnswer) that);
+    boolean this_present_index = true;
+    boolean that_present_index = true;
+    if (this_present_index || that_present_index) {
+      if (!(this_present_index && that_present_index))
+        return false;
+      if (this.index != that.index)
         return false;
     }
 
-    public boolean equals(AppendAnswer that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_term = true;
-        boolean that_present_term = true;
-        if (this_present_term || that_present_term) {
-            if (!(this_present_term && that_present_term)) return false;
-            if (this.term != that.term) return false;
-        }
-
-        boolean this_present_matched = true;
-        boolean that_present_matched = true;
-        if (this_present_matched || that_present_matched) {
-            if (!(this_present_matched && that_present_matched)) return false;
-            if (this.matched != that.matched) return false;
-        }
-
-        boolean this_present_index = true;
-        boolean that_present_index = true;
-        if (this_present_index || that_present_index) {
-            if (!(this_present_index && that_present_index)) return false;
-            if (this.index != that.index) return false;
-        }
-
-        boolean this_present_round = true;
-        boolean that_present_round = true;
-        if (this_present_round || that_present_round) {
-            if (!(this_present_round && that_present_round)) return false;
-            if (this.round != that.round) return false;
-        }
-
-        return true;
+    boolean this_present_round = true;
+    boolean that_present_round = true;
+    if (this_present_round || that_present_round) {
+      if (!(this_present_round && that_present_round))
+        return false;
+      if (this.round != that.round)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
+
+    hashCode = hashCode * 8191 + ((matched) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(index);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(round);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(AppendAnswer other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetMatched(), other.isSetMatched());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMatched()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.matched, other.matched);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIndex(), other.isSetIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.index, other.index);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRound(), other.isSetRound());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRound()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.round, other.round);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("AppendAnswer(");
+    boolean first = true;
+
+    sb.append("term:");
+    sb.append(this.term);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("matched:");
+    sb.append(this.matched);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("index:");
+    sb.append(this.index);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("round:");
+    sb.append(this.round);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'matched' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'index' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'round' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class AppendAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
-
-        hashCode = hashCode * 8191 + ((matched) ? 131071 : 524287);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(index);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(round);
-
-        return hashCode;
+    public AppendAnswerStandardScheme getScheme() {
+      return new AppendAnswerStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(AppendAnswer other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class AppendAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<AppendAnswer> {
 
-        lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTerm()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, AppendAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.term = iprot.readI64();
+              struct.setTermIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetMatched(), other.isSetMatched());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetMatched()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.matched, other.matched);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // MATCHED
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.matched = iprot.readBool();
+              struct.setMatchedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIndex(), other.isSetIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.index, other.index);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.index = iprot.readI64();
+              struct.setIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRound(), other.isSetRound());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRound()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.round, other.round);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // ROUND
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.round = iprot.readI64();
+              struct.setRoundIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'term' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetMatched()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'matched' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'index' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetRound()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'round' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, AppendAnswer struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(TERM_FIELD_DESC);
+      oprot.writeI64(struct.term);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(MATCHED_FIELD_DESC);
+      oprot.writeBool(struct.matched);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(INDEX_FIELD_DESC);
+      oprot.writeI64(struct.index);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ROUND_FIELD_DESC);
+      oprot.writeI64(struct.round);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class AppendAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public AppendAnswerTupleScheme getScheme() {
+      return new AppendAnswerTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class AppendAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<AppendAnswer> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("AppendAnswer(");
-        boolean first = true;
-
-        sb.append("term:");
-        sb.append(this.term);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("matched:");
-        sb.append(this.matched);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("index:");
-        sb.append(this.index);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("round:");
-        sb.append(this.round);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'matched' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'index' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'round' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, AppendAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.term);
+      oprot.writeBool(struct.matched);
+      oprot.writeI64(struct.index);
+      oprot.writeI64(struct.round);
     }
 
-    private static class AppendAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public AppendAnswerStandardScheme getScheme() {
-            return new AppendAnswerStandardScheme();
-        }
-    }
-
-    private static class AppendAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<AppendAnswer> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, AppendAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TERM
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.term = iprot.readI64();
-                            struct.setTermIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // MATCHED
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.matched = iprot.readBool();
-                            struct.setMatchedIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.index = iprot.readI64();
-                            struct.setIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // ROUND
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.round = iprot.readI64();
-                            struct.setRoundIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetTerm()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'term' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetMatched()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'matched' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'index' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetRound()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'round' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, AppendAnswer struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(TERM_FIELD_DESC);
-            oprot.writeI64(struct.term);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(MATCHED_FIELD_DESC);
-            oprot.writeBool(struct.matched);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(INDEX_FIELD_DESC);
-            oprot.writeI64(struct.index);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(ROUND_FIELD_DESC);
-            oprot.writeI64(struct.round);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class AppendAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public AppendAnswerTupleScheme getScheme() {
-            return new AppendAnswerTupleScheme();
-        }
-    }
-
-    private static class AppendAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<AppendAnswer> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, AppendAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.term);
-            oprot.writeBool(struct.matched);
-            oprot.writeI64(struct.index);
-            oprot.writeI64(struct.round);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, AppendAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.term = iprot.readI64();
-            struct.setTermIsSet(true);
-            struct.matched = iprot.readBool();
-            struct.setMatchedIsSet(true);
-            struct.index = iprot.readI64();
-            struct.setIndexIsSet(true);
-            struct.round = iprot.readI64();
-            struct.setRoundIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, AppendAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.term = iprot.readI64();
+      struct.setTermIsSet(true);
+      struct.matched = iprot.readBool();
+      struct.setMatchedIsSet(true);
+      struct.index = iprot.readI64();
+      struct.setIndexIsSet(true);
+      struct.round = iprot.readI64();
+      struct.setRoundIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
