--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/AppendRequest.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/AppendRequest.java
@@ -7,939 +7,907 @@
 package org.basilrill.thrift.consensus;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class AppendRequest
-        implements org.apache.thrift.TBase<AppendRequest, AppendRequest._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<AppendRequest> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("AppendRequest");
-
-    private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField PREVIOUS_INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("previousIndex", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField PREVIOUS_TERM_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("previousTerm", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField COMMIT_INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("commitIndex", org.apache.thrift.protocol.TType.I64, (short) 4);
-    private static final org.apache.thrift.protocol.TField ROUND_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("round", org.apache.thrift.protocol.TType.I64, (short) 5);
-    private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.LIST, (short) 6);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new AppendRequestStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new AppendRequestTupleSchemeFactory();
-
-    private long term; // required
-    private long previousIndex; // required
-    private long previousTerm; // required
-    private long commitIndex; // required
-    private long round; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<Entry> entries; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TERM((short) 1, "term"),
-        PREVIOUS_INDEX((short) 2, "previousIndex"),
-        PREVIOUS_TERM((short) 3, "previousTerm"),
-        COMMIT_INDEX((short) 4, "commitIndex"),
-        /**
-         * Number of the quorum round; echoed in the answer to confirm reads.
-         */
-        ROUND((short) 5, "round"),
-        ENTRIES((short) 6, "entries");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TERM
-                    return TERM;
-                case 2: // PREVIOUS_INDEX
-                    return PREVIOUS_INDEX;
-                case 3: // PREVIOUS_TERM
-                    return PREVIOUS_TERM;
-                case 4: // COMMIT_INDEX
-                    return COMMIT_INDEX;
-                case 5: // ROUND
-                    return ROUND;
-                case 6: // ENTRIES
-                    return ENTRIES;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+public class AppendRequest implements org.apache.thrift.TBase<AppendRequest, AppendRequest._Fields>, java.io.Serializable, Cloneable, Comparable<AppendRequest> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("AppendRequest");
+
+  private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField PREVIOUS_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("previousIndex", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField PREVIOUS_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("previousTerm", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField COMMIT_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("commitIndex", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField ROUND_FIELD_DESC = new org.apache.thrift.protocol.TField("round", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.LIST, (short)6);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AppendRequestStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AppendRequestTupleSchemeFactory();
+
+  private long term; // required
+  private long previousIndex; // required
+  private long previousTerm; // required
+  private long commitIndex; // required
+  private long round; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<Entry> entries; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TERM((short)1, "term"),
+    PREVIOUS_INDEX((short)2, "previousIndex"),
+    PREVIOUS_TERM((short)3, "previousTerm"),
+    COMMIT_INDEX((short)4, "commitIndex"),
+    /**
+     * Number of the quorum round; echoed in the answer to confirm reads.
+     */
+    ROUND((short)5, "round"),
+    ENTRIES((short)6, "entries");
 
-    // isset id assignments
-    private static final int __TERM_ISSET_ID = 0;
-    private static final int __PREVIOUSINDEX_ISSET_ID = 1;
-    private static final int __PREVIOUSTERM_ISSET_ID = 2;
-    private static final int __COMMITINDEX_ISSET_ID = 3;
-    private static final int __ROUND_ISSET_ID = 4;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TERM,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "term",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.PREVIOUS_INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "previousIndex",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.PREVIOUS_TERM,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "previousTerm",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.COMMIT_INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "commitIndex",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.ROUND,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "round",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.ENTRIES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "entries",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, Entry.class))));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AppendRequest.class, metaDataMap);
-    }
-
-    public AppendRequest() {}
-
-    public AppendRequest(
-            long term,
-            long previousIndex,
-            long previousTerm,
-            long commitIndex,
-            long round,
-            java.util.List<Entry> entries) {
-        this();
-        this.term = term;
-        setTermIsSet(true);
-        this.previousIndex = previousIndex;
-        setPreviousIndexIsSet(true);
-        this.previousTerm = previousTerm;
-        setPreviousTermIsSet(true);
-        this.commitIndex = commitIndex;
-        setCommitIndexIsSet(true);
-        this.round = round;
-        setRoundIsSet(true);
-        this.entries = entries;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public AppendRequest(AppendRequest other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.term = other.term;
-        this.previousIndex = other.previousIndex;
-        this.previousTerm = other.previousTerm;
-        this.commitIndex = other.commitIndex;
-        this.round = other.round;
-        if (other.isSetEntries()) {
-            java.util.List<Entry> __this__entries = new java.util.ArrayList<Entry>(other.entries.size());
-            for (Entry other_element : other.entries) {
-                __this__entries.add(new Entry(other_element));
-            }
-            this.entries = __this__entries;
-        }
-    }
-
-    @Override
-    public AppendRequest deepCopy() {
-        return new AppendRequest(this);
-    }
-
-    @Override
-    public void clear() {
-        setTermIsSet(false);
-        this.term = 0;
-        setPreviousIndexIsSet(false);
-        this.previousIndex = 0;
-        setPreviousTermIsSet(false);
-        this.previousTerm = 0;
-        setCommitIndexIsSet(false);
-        this.commitIndex = 0;
-        setRoundIsSet(false);
-        this.round = 0;
-        this.entries = null;
-    }
-
-    public long getTerm() {
-        return this.term;
-    }
-
-    public AppendRequest setTerm(long term) {
-        this.term = term;
-        setTermIsSet(true);
-        return this;
-    }
-
-    public void unsetTerm() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    /** Returns true if field term is set (has been assigned a value) and false otherwise */
-    public boolean isSetTerm() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    public void setTermIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
-    }
-
-    public long getPreviousIndex() {
-        return this.previousIndex;
-    }
-
-    public AppendRequest setPreviousIndex(long previousIndex) {
-        this.previousIndex = previousIndex;
-        setPreviousIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetPreviousIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PREVIOUSINDEX_ISSET_ID);
-    }
-
-    /** Returns true if field previousIndex is set (has been assigned a value) and false otherwise */
-    public boolean isSetPreviousIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PREVIOUSINDEX_ISSET_ID);
-    }
-
-    public void setPreviousIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PREVIOUSINDEX_ISSET_ID, value);
-    }
-
-    public long getPreviousTerm() {
-        return this.previousTerm;
-    }
-
-    public AppendRequest setPreviousTerm(long previousTerm) {
-        this.previousTerm = previousTerm;
-        setPreviousTermIsSet(true);
-        return this;
-    }
-
-    public void unsetPreviousTerm() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PREVIOUSTERM_ISSET_ID);
-    }
-
-    /** Returns true if field previousTerm is set (has been assigned a value) and false otherwise */
-    public boolean isSetPreviousTerm() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PREVIOUSTERM_ISSET_ID);
-    }
-
-    public void setPreviousTermIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PREVIOUSTERM_ISSET_ID, value);
-    }
-
-    public long getCommitIndex() {
-        return this.commitIndex;
-    }
-
-    public AppendRequest setCommitIndex(long commitIndex) {
-        this.commitIndex = commitIndex;
-        setCommitIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetCommitIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __COMMITINDEX_ISSET_ID);
-    }
-
-    /** Returns true if field commitIndex is set (has been assigned a value) and false otherwise */
-    public boolean isSetCommitIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __COMMITINDEX_ISSET_ID);
-    }
-
-    public void setCommitIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COMMITINDEX_ISSET_ID, value);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TERM
+          return TERM;
+        case 2: // PREVIOUS_INDEX
+          return PREVIOUS_INDEX;
+        case 3: // PREVIOUS_TERM
+          return PREVIOUS_TERM;
+        case 4: // COMMIT_INDEX
+          return COMMIT_INDEX;
+        case 5: // ROUND
+          return ROUND;
+        case 6: // ENTRIES
+          return ENTRIES;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Number of the quorum round; echoed in the answer to confirm reads.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public long getRound() {
-        return this.round;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     * Number of the quorum round; echoed in the answer to confirm reads.
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public AppendRequest setRound(long round) {
-        this.round = round;
-        setRoundIsSet(true);
-        return this;
-    }
-
-    public void unsetRound() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROUND_ISSET_ID);
-    }
-
-    /** Returns true if field round is set (has been assigned a value) and false otherwise */
-    public boolean isSetRound() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROUND_ISSET_ID);
-    }
-
-    public void setRoundIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROUND_ISSET_ID, value);
-    }
-
-    public int getEntriesSize() {
-        return (this.entries == null) ? 0 : this.entries.size();
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<Entry> getEntriesIterator() {
-        return (this.entries == null) ? null : this.entries.iterator();
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void addToEntries(Entry elem) {
-        if (this.entries == null) {
-            this.entries = new java.util.ArrayList<Entry>();
-        }
-        this.entries.add(elem);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<Entry> getEntries() {
-        return this.entries;
-    }
-
-    public AppendRequest setEntries(@org.apache.thrift.annotation.Nullable java.util.List<Entry> entries) {
-        this.entries = entries;
-        return this;
-    }
-
-    public void unsetEntries() {
-        this.entries = null;
-    }
-
-    /** Returns true if field entries is set (has been assigned a value) and false otherwise */
-    public boolean isSetEntries() {
-        return this.entries != null;
-    }
-
-    public void setEntriesIsSet(boolean value) {
-        if (!value) {
-            this.entries = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TERM:
-                if (value == null) {
-                    unsetTerm();
-                } else {
-                    setTerm((java.lang.Long) value);
-                }
-                break;
-
-            case PREVIOUS_INDEX:
-                if (value == null) {
-                    unsetPreviousIndex();
-                } else {
-                    setPreviousIndex((java.lang.Long) value);
-                }
-                break;
-
-            case PREVIOUS_TERM:
-                if (value == null) {
-                    unsetPreviousTerm();
-                } else {
-                    setPreviousTerm((java.lang.Long) value);
-                }
-                break;
-
-            case COMMIT_INDEX:
-                if (value == null) {
-                    unsetCommitIndex();
-                } else {
-                    setCommitIndex((java.lang.Long) value);
-                }
-                break;
-
-            case ROUND:
-                if (value == null) {
-                    unsetRound();
-                } else {
-                    setRound((java.lang.Long) value);
-                }
-                break;
-
-            case ENTRIES:
-                if (value == null) {
-                    unsetEntries();
-                } else {
-                    setEntries((java.util.List<Entry>) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TERM:
-                return getTerm();
-
-            case PREVIOUS_INDEX:
-                return getPreviousIndex();
-
-            case PREVIOUS_TERM:
-                return getPreviousTerm();
-
-            case COMMIT_INDEX:
-                return getCommitIndex();
-
-            case ROUND:
-                return getRound();
-
-            case ENTRIES:
-                return getEntries();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __TERM_ISSET_ID = 0;
+  private static final int __PREVIOUSINDEX_ISSET_ID = 1;
+  private static final int __PREVIOUSTERM_ISSET_ID = 2;
+  private static final int __COMMITINDEX_ISSET_ID = 3;
+  private static final int __ROUND_ISSET_ID = 4;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PREVIOUS_INDEX, new org.apache.thrift.meta_data.FieldMetaData("previousIndex", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PREVIOUS_TERM, new org.apache.thrift.meta_data.FieldMetaData("previousTerm", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.COMMIT_INDEX, new org.apache.thrift.meta_data.FieldMetaData("commitIndex", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ROUND, new org.apache.thrift.meta_data.FieldMetaData("round", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ENTRIES, new org.apache.thrift.meta_data.FieldMetaData("entries", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Entry.class))));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AppendRequest.class, metaDataMap);
+  }
+
+  public AppendRequest() {
+  }
+
+  public AppendRequest(
+    long term,
+    long previousIndex,
+    long previousTerm,
+    long commitIndex,
+    long round,
+    java.util.List<Entry> entries)
+  {
+    this();
+    this.term = term;
+    setTermIsSet(true);
+    this.previousIndex = previousIndex;
+    setPreviousIndexIsSet(true);
+    this.previousTerm = previousTerm;
+    setPreviousTermIsSet(true);
+    this.commitIndex = commitIndex;
+    setCommitIndexIsSet(true);
+    this.round = round;
+    setRoundIsSet(true);
+    this.entries = entries;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public AppendRequest(AppendRequest other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.term = other.term;
+    this.previousIndex = other.previousIndex;
+    this.previousTerm = other.previousTerm;
+    this.commitIndex = other.commitIndex;
+    this.round = other.round;
+    if (other.isSetEntries()) {
+      java.util.List<Entry> __this__entries = new java.util.ArrayList<Entry>(other.entries.size());
+      for (Entry other_element : other.entries) {
+        __this__entries.add(new Entry(other_element));
+      }
+      this.entries = __this__entries;
+    }
+  }
+
+  @Override
+  public AppendRequest deepCopy() {
+    return new AppendRequest(this);
+  }
+
+  @Override
+  public void clear() {
+    setTermIsSet(false);
+    this.term = 0;
+    setPreviousIndexIsSet(false);
+    this.previousIndex = 0;
+    setPreviousTermIsSet(false);
+    this.previousTerm = 0;
+    setCommitIndexIsSet(false);
+    this.commitIndex = 0;
+    setRoundIsSet(false);
+    this.round = 0;
+    this.entries = null;
+  }
+
+  public long getTerm() {
+    return this.term;
+  }
+
+  public AppendRequest setTerm(long term) {
+    this.term = term;
+    setTermIsSet(true);
+    return this;
+  }
+
+  public void unsetTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  /** Returns true if field term is set (has been assigned a value) and false otherwise */
+  public boolean isSetTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  public void setTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
+  }
+
+  public long getPreviousIndex() {
+    return this.previousIndex;
+  }
+
+  public AppendRequest setPreviousIndex(long previousIndex) {
+    this.previousIndex = previousIndex;
+    setPreviousIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetPreviousIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PREVIOUSINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field previousIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetPreviousIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PREVIOUSINDEX_ISSET_ID);
+  }
+
+  public void setPreviousIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PREVIOUSINDEX_ISSET_ID, value);
+  }
+
+  public long getPreviousTerm() {
+    return this.previousTerm;
+  }
+
+  public AppendRequest setPreviousTerm(long previousTerm) {
+    this.previousTerm = previousTerm;
+    setPreviousTermIsSet(true);
+    return this;
+  }
+
+  public void unsetPreviousTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PREVIOUSTERM_ISSET_ID);
+  }
+
+  /** Returns true if field previousTerm is set (has been assigned a value) and false otherwise */
+  public boolean isSetPreviousTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PREVIOUSTERM_ISSET_ID);
+  }
+
+  public void setPreviousTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PREVIOUSTERM_ISSET_ID, value);
+  }
+
+  public long getCommitIndex() {
+    return this.commitIndex;
+  }
+
+  public AppendRequest setCommitIndex(long commitIndex) {
+    this.commitIndex = commitIndex;
+    setCommitIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetCommitIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __COMMITINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field commitIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetCommitIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __COMMITINDEX_ISSET_ID);
+  }
+
+  public void setCommitIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COMMITINDEX_ISSET_ID, value);
+  }
+
+  /**
+   * Number of the quorum round; echoed in the answer to confirm reads.
+   */
+  public long getRound() {
+    return this.round;
+  }
+
+  /**
+   * Number of the quorum round; echoed in the answer to confirm reads.
+   */
+  public AppendRequest setRound(long round) {
+    this.round = round;
+    setRoundIsSet(true);
+    return this;
+  }
+
+  public void unsetRound() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROUND_ISSET_ID);
+  }
+
+  /** Returns true if field round is set (has been assigned a value) and false otherwise */
+  public boolean isSetRound() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROUND_ISSET_ID);
+  }
+
+  public void setRoundIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROUND_ISSET_ID, value);
+  }
+
+  public int getEntriesSize() {
+    return (this.entries == null) ? 0 : this.entries.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<Entry> getEntriesIterator() {
+    return (this.entries == null) ? null : this.entries.iterator();
+  }
+
+  public void addToEntries(Entry elem) {
+    if (this.entries == null) {
+      this.entries = new java.util.ArrayList<Entry>();
+    }
+    this.entries.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<Entry> getEntries() {
+    return this.entries;
+  }
+
+  public AppendRequest setEntries(@org.apache.thrift.annotation.Nullable java.util.List<Entry> entries) {
+    this.entries = entries;
+    return this;
+  }
+
+  public void unsetEntries() {
+    this.entries = null;
+  }
+
+  /** Returns true if field entries is set (has been assigned a value) and false otherwise */
+  public boolean isSetEntries() {
+    return this.entries != null;
+  }
+
+  public void setEntriesIsSet(boolean value) {
+    if (!value) {
+      this.entries = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TERM:
+      if (value == null) {
+        unsetTerm();
+      } else {
+        setTerm((java.lang.Long)value);
+      }
+      break;
+
+    case PREVIOUS_INDEX:
+      if (value == null) {
+        unsetPreviousIndex();
+      } else {
+        setPreviousIndex((java.lang.Long)value);
+      }
+      break;
+
+    case PREVIOUS_TERM:
+      if (value == null) {
+        unsetPreviousTerm();
+      } else {
+        setPreviousTerm((java.lang.Long)value);
+      }
+      break;
+
+    case COMMIT_INDEX:
+      if (value == null) {
+        unsetCommitIndex();
+      } else {
+        setCommitIndex((java.lang.Long)value);
+      }
+      break;
+
+    case ROUND:
+      if (value == null) {
+        unsetRound();
+      } else {
+        setRound((java.lang.Long)value);
+      }
+      break;
+
+    case ENTRIES:
+      if (value == null) {
+        unsetEntries();
+      } else {
+        setEntries((java.util.List<Entry>)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TERM:
+      return getTerm();
+
+    case PREVIOUS_INDEX:
+      return getPreviousIndex();
+
+    case PREVIOUS_TERM:
+      return getPreviousTerm();
+
+    case COMMIT_INDEX:
+      return getCommitIndex();
+
+    case ROUND:
+      return getRound();
+
+    case ENTRIES:
+      return getEntries();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case TERM:
+      return isSetTerm();
+    case PREVIOUS_INDEX:
+      return isSetPreviousIndex();
+    case PREVIOUS_TERM:
+      return isSetPreviousTerm();
+    case COMMIT_INDEX:
+      return isSetCommitIndex();
+    case ROUND:
+      return isSetRound();
+    case ENTRIES:
+      return isSetEntries();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof AppendRequest)
+      return this.equals((AppendRequest)that);
+    return false;
+  }
+
+  public boolean equals(AppendRequest that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_term = true;
+    boolean that_present_term = true;
+    if (this_present_term || that_present_term) {
+      if (!(this_present_term && that_present_term))
+        return false;
+      if (this.term != that.term)
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TERM:
-                return isSetTerm();
-            case PREVIOUS_INDEX:
-                return isSetPreviousIndex();
-            case PREVIOUS_TERM:
-                return isSetPreviousTerm();
-            case COMMIT_INDEX:
-                return isSetCommitIndex();
-            case ROUND:
-                return isSetRound();
-            case ENTRIES:
-                return isSetEntries();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_previousIndex = true;
+    boolean that_present_previousIndex = true;
+    if (this_present_previousIndex || that_present_previousIndex) {
+      if (!(this_present_previousIndex && that_present_previousIndex))
+        return false;
+      if (this.previousIndex != that.previousIndex)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof AppendRequest) return this.equals((AppendRequest) that);
+    boolean this_present_previousTerm = true;
+    boolean that_present_previousTerm = true;
+    if (this_present_previousTerm || that_present_previousTerm) {
+      if (!(this_present_previousTerm && that_present_previousTerm))
+        return false;
+      if (this.previousTerm != that.previousTerm)
         return false;
     }
 
-    public boolean equals(AppendRequest that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_term = true;
-        boolean that_present_term = true;
-        if (this_present_term || that_present_term) {
-            if (!(this_present_term && that_present_term)) return false;
-            if (this.term != that.term) return false;
-        }
-
-        boolean this_present_previousIndex = true;
-        boolean that_present_previousIndex = true;
-        if (this_present_previousIndex || that_present_previousIndex) {
-            if (!(this_present_previousIndex && that_present_previousIndex)) return false;
-            if (this.previousIndex != that.previousIndex) return false;
-        }
-
-        boolean this_present_previousTerm = true;
-        boolean that_present_previousTerm = true;
-        if (this_present_previousTerm || that_present_previousTerm) {
-            if (!(this_present_previousTerm && that_present_previousTerm)) return false;
-            if (this.previousTerm != that.previousTerm) return false;
-        }
-
-        boolean this_present_commitIndex = true;
-        boolean that_present_commitIndex = true;
-        if (this_present_commitIndex || that_present_commitIndex) {
-            if (!(this_present_commitIndex && that_present_commitIndex)) return false;
-            if (this.commitIndex != that.commitIndex) return false;
-        }
-
-        boolean this_present_round = true;
-        boolean that_present_round = true;
-        if (this_present_round || that_present_round) {
-            if (!(this_present_round && that_present_round)) return false;
-            if (this.round != that.round) return false;
-        }
-
-        boolean this_present_entries = true && this.isSetEntries();
-        boolean that_present_entries = true && that.isSetEntries();
-        if (this_present_entries || that_present_entries) {
-            if (!(this_present_entries && that_present_entries)) return false;
-            if (!this.entries.equals(that.entries)) return false;
-        }
+    boolean this_present_commitIndex = true;
+    boolean that_present_commitIndex = true;
+    if (this_present_commitIndex || that_present_commitIndex) {
+      if (!(this_present_commitIndex && that_present_commitIndex))
+        return false;
+      if (this.commitIndex != that.commitIndex)
+        return false;
+    }
 
-        return true;
+    boolean this_present_round = true;
+    boolean that_present_round = true;
+    if (this_present_round || that_present_round) {
+      if (!(this_present_round && that_present_round))
+        return false;
+      if (this.round != that.round)
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    boolean this_present_entries = true && this.isSetEntries();
+    boolean that_present_entries = true && that.isSetEntries();
+    if (this_present_entries || that_present_entries) {
+      if (!(this_present_entries && that_present_entries))
+        return false;
+      if (!this.entries.equals(that.entries))
+        return false;
+    }
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
+    return true;
+  }
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(previousIndex);
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(previousTerm);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(commitIndex);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(previousIndex);
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(round);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(previousTerm);
 
-        hashCode = hashCode * 8191 + ((isSetEntries()) ? 131071 : 524287);
-        if (isSetEntries()) hashCode = hashCode * 8191 + entries.hashCode();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(commitIndex);
 
-        return hashCode;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(round);
 
-    @Override
-    public int compareTo(AppendRequest other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    hashCode = hashCode * 8191 + ((isSetEntries()) ? 131071 : 524287);
+    if (isSetEntries())
+      hashCode = hashCode * 8191 + entries.hashCode();
 
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTerm()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetPreviousIndex(), other.isSetPreviousIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetPreviousIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.previousIndex, other.previousIndex);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetPreviousTerm(), other.isSetPreviousTerm());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetPreviousTerm()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.previousTerm, other.previousTerm);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetCommitIndex(), other.isSetCommitIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetCommitIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.commitIndex, other.commitIndex);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRound(), other.isSetRound());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRound()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.round, other.round);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEntries(), other.isSetEntries());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEntries()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.entries, other.entries);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+    return hashCode;
+  }
 
+  @Override
+  public int compareTo(AppendRequest other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPreviousIndex(), other.isSetPreviousIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPreviousIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.previousIndex, other.previousIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPreviousTerm(), other.isSetPreviousTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPreviousTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.previousTerm, other.previousTerm);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetCommitIndex(), other.isSetCommitIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCommitIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.commitIndex, other.commitIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRound(), other.isSetRound());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRound()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.round, other.round);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEntries(), other.isSetEntries());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEntries()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.entries, other.entries);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("AppendRequest(");
+    boolean first = true;
+
+    sb.append("term:");
+    sb.append(this.term);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("previousIndex:");
+    sb.append(this.previousIndex);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("previousTerm:");
+    sb.append(this.previousTerm);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("commitIndex:");
+    sb.append(this.commitIndex);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("round:");
+    sb.append(this.round);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("entries:");
+    if (this.entries == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.entries);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'previousIndex' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'previousTerm' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'commitIndex' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'round' because it's a primitive and you chose the non-beans generator.
+    if (entries == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'entries' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class AppendRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public AppendRequestStandardScheme getScheme() {
+      return new AppendRequestStandardScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class AppendRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<AppendRequest> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("AppendRequest(");
-        boolean first = true;
-
-        sb.append("term:");
-        sb.append(this.term);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("previousIndex:");
-        sb.append(this.previousIndex);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("previousTerm:");
-        sb.append(this.previousTerm);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("commitIndex:");
-        sb.append(this.commitIndex);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("round:");
-        sb.append(this.round);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("entries:");
-        if (this.entries == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.entries);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'previousIndex' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'previousTerm' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'commitIndex' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'round' because it's a primitive and you chose the non-beans generator.
-        if (entries == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'entries' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class AppendRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public AppendRequestStandardScheme getScheme() {
-            return new AppendRequestStandardScheme();
-        }
-    }
-
-    private static class AppendRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<AppendRequest> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, AppendRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TERM
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.term = iprot.readI64();
-                            struct.setTermIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // PREVIOUS_INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.previousIndex = iprot.readI64();
-                            struct.setPreviousIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // PREVIOUS_TERM
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.previousTerm = iprot.readI64();
-                            struct.setPreviousTermIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // COMMIT_INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.commitIndex = iprot.readI64();
-                            struct.setCommitIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // ROUND
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.round = iprot.readI64();
-                            struct.setRoundIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // ENTRIES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                                struct.entries = new java.util.ArrayList<Entry>(_list0.size);
-                                @org.apache.thrift.annotation.Nullable Entry _elem1;
-                                for (int _i2 = 0; _i2 < _list0.size; ++_i2) {
-                                    _elem1 = new Entry();
-                                    _elem1.read(iprot);
-                                    struct.entries.add(_elem1);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setEntriesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
+    public void read(org.apache.thrift.protocol.TProtocol iprot, AppendRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.term = iprot.readI64();
+              struct.setTermIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetTerm()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'term' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetPreviousIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'previousIndex' was not found in serialized data! Struct: " + toString());
+            break;
+          case 2: // PREVIOUS_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.previousIndex = iprot.readI64();
+              struct.setPreviousIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetPreviousTerm()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'previousTerm' was not found in serialized data! Struct: " + toString());
+            break;
+          case 3: // PREVIOUS_TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.previousTerm = iprot.readI64();
+              struct.setPreviousTermIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetCommitIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'commitIndex' was not found in serialized data! Struct: " + toString());
+            break;
+          case 4: // COMMIT_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.commitIndex = iprot.readI64();
+              struct.setCommitIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetRound()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'round' was not found in serialized data! Struct: " + toString());
+            break;
+          case 5: // ROUND
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.round = iprot.readI64();
+              struct.setRoundIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, AppendRequest struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(TERM_FIELD_DESC);
-            oprot.writeI64(struct.term);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(PREVIOUS_INDEX_FIELD_DESC);
-            oprot.writeI64(struct.previousIndex);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(PREVIOUS_TERM_FIELD_DESC);
-            oprot.writeI64(struct.previousTerm);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(COMMIT_INDEX_FIELD_DESC);
-            oprot.writeI64(struct.commitIndex);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(ROUND_FIELD_DESC);
-            oprot.writeI64(struct.round);
-            oprot.writeFieldEnd();
-            if (struct.entries != null) {
-                oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
+            break;
+          case 6: // ENTRIES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
+                struct.entries = new java.util.ArrayList<Entry>(_list0.size);
+                @org.apache.thrift.annotation.Nullable Entry _elem1;
+                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.entries.size()));
-                    for (Entry _iter3 : struct.entries) {
-                        _iter3.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem1 = new Entry();
+                  _elem1.read(iprot);
+                  struct.entries.add(_elem1);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setEntriesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'term' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetPreviousIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'previousIndex' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetPreviousTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'previousTerm' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetCommitIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'commitIndex' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetRound()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'round' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class AppendRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public AppendRequestTupleScheme getScheme() {
-            return new AppendRequestTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, AppendRequest struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(TERM_FIELD_DESC);
+      oprot.writeI64(struct.term);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(PREVIOUS_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.previousIndex);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(PREVIOUS_TERM_FIELD_DESC);
+      oprot.writeI64(struct.previousTerm);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(COMMIT_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.commitIndex);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ROUND_FIELD_DESC);
+      oprot.writeI64(struct.round);
+      oprot.writeFieldEnd();
+      if (struct.entries != null) {
+        oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.entries.size()));
+          for (Entry _iter3 : struct.entries)
+          {
+            _iter3.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class AppendRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public AppendRequestTupleScheme getScheme() {
+      return new AppendRequestTupleScheme();
     }
+  }
 
-    private static class AppendRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<AppendRequest> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, AppendRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.term);
-            oprot.writeI64(struct.previousIndex);
-            oprot.writeI64(struct.previousTerm);
-            oprot.writeI64(struct.commitIndex);
-            oprot.writeI64(struct.round);
-            {
-                oprot.writeI32(struct.entries.size());
-                for (Entry _iter4 : struct.entries) {
-                    _iter4.write(oprot);
-                }
-            }
-        }
+  private static class AppendRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<AppendRequest> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, AppendRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.term = iprot.readI64();
-            struct.setTermIsSet(true);
-            struct.previousIndex = iprot.readI64();
-            struct.setPreviousIndexIsSet(true);
-            struct.previousTerm = iprot.readI64();
-            struct.setPreviousTermIsSet(true);
-            struct.commitIndex = iprot.readI64();
-            struct.setCommitIndexIsSet(true);
-            struct.round = iprot.readI64();
-            struct.setRoundIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.entries = new java.util.ArrayList<Entry>(_list5.size);
-                @org.apache.thrift.annotation.Nullable Entry _elem6;
-                for (int _i7 = 0; _i7 < _list5.size; ++_i7) {
-                    _elem6 = new Entry();
-                    _elem6.read(iprot);
-                    struct.entries.add(_elem6);
-                }
-            }
-            struct.setEntriesIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, AppendRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.term);
+      oprot.writeI64(struct.previousIndex);
+      oprot.writeI64(struct.previousTerm);
+      oprot.writeI64(struct.commitIndex);
+      oprot.writeI64(struct.round);
+      {
+        oprot.writeI32(struct.entries.size());
+        for (Entry _iter4 : struct.entries)
+        {
+          _iter4.write(oprot);
+        }
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, AppendRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.term = iprot.readI64();
+      struct.setTermIsSet(true);
+      struct.previousIndex = iprot.readI64();
+      struct.setPreviousIndexIsSet(true);
+      struct.previousTerm = iprot.readI64();
+      struct.setPreviousTermIsSet(true);
+      struct.commitIndex = iprot.readI64();
+      struct.setCommitIndexIsSet(true);
+      struct.round = iprot.readI64();
+      struct.setRoundIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.entries = new java.util.ArrayList<Entry>(_list5.size);
+        @org.apache.thrift.annotation.Nullable Entry _elem6;
+        for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+        {
+          _elem6 = new Entry();
+          _elem6.read(iprot);
+          struct.entries.add(_elem6);
+        }
+      }
+      struct.setEntriesIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/Body.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/Body.java
@@ -8,844 +8,761 @@
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class Body extends org.apache.thrift.TUnion<Body, Body._Fields> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("Body");
-    private static final org.apache.thrift.protocol.TField VOTE_REQUEST_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("voteRequest", org.apache.thrift.protocol.TType.STRUCT, (short) 1);
-    private static final org.apache.thrift.protocol.TField VOTE_ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("voteAnswer", org.apache.thrift.protocol.TType.STRUCT, (short) 2);
-    private static final org.apache.thrift.protocol.TField APPEND_REQUEST_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("appendRequest", org.apache.thrift.protocol.TType.STRUCT, (short) 3);
-    private static final org.apache.thrift.protocol.TField APPEND_ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("appendAnswer", org.apache.thrift.protocol.TType.STRUCT, (short) 4);
-    private static final org.apache.thrift.protocol.TField SNAPSHOT_CHUNK_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("snapshotChunk", org.apache.thrift.protocol.TType.STRUCT, (short) 5);
-    private static final org.apache.thrift.protocol.TField SNAPSHOT_ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("snapshotAnswer", org.apache.thrift.protocol.TType.STRUCT, (short) 6);
-    private static final org.apache.thrift.protocol.TField FOUND_REQUEST_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("foundRequest", org.apache.thrift.protocol.TType.STRUCT, (short) 7);
-    private static final org.apache.thrift.protocol.TField FOUND_ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("foundAnswer", org.apache.thrift.protocol.TType.STRUCT, (short) 8);
-    private static final org.apache.thrift.protocol.TField JOIN_REQUEST_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("joinRequest", org.apache.thrift.protocol.TType.STRUCT, (short) 9);
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        VOTE_REQUEST((short) 1, "voteRequest"),
-        VOTE_ANSWER((short) 2, "voteAnswer"),
-        APPEND_REQUEST((short) 3, "appendRequest"),
-        APPEND_ANSWER((short) 4, "appendAnswer"),
-        SNAPSHOT_CHUNK((short) 5, "snapshotChunk"),
-        SNAPSHOT_ANSWER((short) 6, "snapshotAnswer"),
-        FOUND_REQUEST((short) 7, "foundRequest"),
-        FOUND_ANSWER((short) 8, "foundAnswer"),
-        JOIN_REQUEST((short) 9, "joinRequest");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // VOTE_REQUEST
-                    return VOTE_REQUEST;
-                case 2: // VOTE_ANSWER
-                    return VOTE_ANSWER;
-                case 3: // APPEND_REQUEST
-                    return APPEND_REQUEST;
-                case 4: // APPEND_ANSWER
-                    return APPEND_ANSWER;
-                case 5: // SNAPSHOT_CHUNK
-                    return SNAPSHOT_CHUNK;
-                case 6: // SNAPSHOT_ANSWER
-                    return SNAPSHOT_ANSWER;
-                case 7: // FOUND_REQUEST
-                    return FOUND_REQUEST;
-                case 8: // FOUND_ANSWER
-                    return FOUND_ANSWER;
-                case 9: // JOIN_REQUEST
-                    return JOIN_REQUEST;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("Body");
+  private static final org.apache.thrift.protocol.TField VOTE_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("voteRequest", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+  private static final org.apache.thrift.protocol.TField VOTE_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("voteAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)2);
+  private static final org.apache.thrift.protocol.TField APPEND_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("appendRequest", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField APPEND_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("appendAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField SNAPSHOT_CHUNK_FIELD_DESC = new org.apache.thrift.protocol.TField("snapshotChunk", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField SNAPSHOT_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("snapshotAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)6);
+  private static final org.apache.thrift.protocol.TField FOUND_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("foundRequest", org.apache.thrift.protocol.TType.STRUCT, (short)7);
+  private static final org.apache.thrift.protocol.TField FOUND_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("foundAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)8);
+  private static final org.apache.thrift.protocol.TField JOIN_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("joinRequest", org.apache.thrift.protocol.TType.STRUCT, (short)9);
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    VOTE_REQUEST((short)1, "voteRequest"),
+    VOTE_ANSWER((short)2, "voteAnswer"),
+    APPEND_REQUEST((short)3, "appendRequest"),
+    APPEND_ANSWER((short)4, "appendAnswer"),
+    SNAPSHOT_CHUNK((short)5, "snapshotChunk"),
+    SNAPSHOT_ANSWER((short)6, "snapshotAnswer"),
+    FOUND_REQUEST((short)7, "foundRequest"),
+    FOUND_ANSWER((short)8, "foundAnswer"),
+    JOIN_REQUEST((short)9, "joinRequest");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.VOTE_REQUEST,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "voteRequest",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, VoteRequest.class)));
-        tmpMap.put(
-                _Fields.VOTE_ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "voteAnswer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, VoteAnswer.class)));
-        tmpMap.put(
-                _Fields.APPEND_REQUEST,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "appendRequest",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, AppendRequest.class)));
-        tmpMap.put(
-                _Fields.APPEND_ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "appendAnswer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, AppendAnswer.class)));
-        tmpMap.put(
-                _Fields.SNAPSHOT_CHUNK,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "snapshotChunk",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, SnapshotChunk.class)));
-        tmpMap.put(
-                _Fields.SNAPSHOT_ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "snapshotAnswer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, SnapshotAnswer.class)));
-        tmpMap.put(
-                _Fields.FOUND_REQUEST,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "foundRequest",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, FoundRequest.class)));
-        tmpMap.put(
-                _Fields.FOUND_ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "foundAnswer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, FoundAnswer.class)));
-        tmpMap.put(
-                _Fields.JOIN_REQUEST,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "joinRequest",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, JoinRequest.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Body.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public Body() {
-        super();
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // VOTE_REQUEST
+          return VOTE_REQUEST;
+        case 2: // VOTE_ANSWER
+          return VOTE_ANSWER;
+        case 3: // APPEND_REQUEST
+          return APPEND_REQUEST;
+        case 4: // APPEND_ANSWER
+          return APPEND_ANSWER;
+        case 5: // SNAPSHOT_CHUNK
+          return SNAPSHOT_CHUNK;
+        case 6: // SNAPSHOT_ANSWER
+          return SNAPSHOT_ANSWER;
+        case 7: // FOUND_REQUEST
+          return FOUND_REQUEST;
+        case 8: // FOUND_ANSWER
+          return FOUND_ANSWER;
+        case 9: // JOIN_REQUEST
+          return JOIN_REQUEST;
+        default:
+          return null;
+      }
+    }
+
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
+    }
+
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public Body(_Fields setField, java.lang.Object value) {
-        super(setField, value);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public Body(Body other) {
-        super(other);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public Body deepCopy() {
-        return new Body(this);
-    }
-
-    public static Body voteRequest(VoteRequest value) {
-        Body x = new Body();
-        x.setVoteRequest(value);
-        return x;
-    }
-
-    public static Body voteAnswer(VoteAnswer value) {
-        Body x = new Body();
-        x.setVoteAnswer(value);
-        return x;
-    }
-
-    public static Body appendRequest(AppendRequest value) {
-        Body x = new Body();
-        x.setAppendRequest(value);
-        return x;
-    }
-
-    public static Body appendAnswer(AppendAnswer value) {
-        Body x = new Body();
-        x.setAppendAnswer(value);
-        return x;
-    }
-
-    public static Body snapshotChunk(SnapshotChunk value) {
-        Body x = new Body();
-        x.setSnapshotChunk(value);
-        return x;
-    }
-
-    public static Body snapshotAnswer(SnapshotAnswer value) {
-        Body x = new Body();
-        x.setSnapshotAnswer(value);
-        return x;
-    }
-
-    public static Body foundRequest(FoundRequest value) {
-        Body x = new Body();
-        x.setFoundRequest(value);
-        return x;
-    }
-
-    public static Body foundAnswer(FoundAnswer value) {
-        Body x = new Body();
-        x.setFoundAnswer(value);
-        return x;
-    }
-
-    public static Body joinRequest(JoinRequest value) {
-        Body x = new Body();
-        x.setJoinRequest(value);
-        return x;
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
-        switch (setField) {
-            case VOTE_REQUEST:
-                if (value instanceof VoteRequest) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type VoteRequest for field 'voteRequest', but got "
-                                + value.getClass().getSimpleName());
-            case VOTE_ANSWER:
-                if (value instanceof VoteAnswer) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type VoteAnswer for field 'voteAnswer', but got "
-                                + value.getClass().getSimpleName());
-            case APPEND_REQUEST:
-                if (value instanceof AppendRequest) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type AppendRequest for field 'appendRequest', but got "
-                                + value.getClass().getSimpleName());
-            case APPEND_ANSWER:
-                if (value instanceof AppendAnswer) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type AppendAnswer for field 'appendAnswer', but got "
-                                + value.getClass().getSimpleName());
-            case SNAPSHOT_CHUNK:
-                if (value instanceof SnapshotChunk) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type SnapshotChunk for field 'snapshotChunk', but got "
-                                + value.getClass().getSimpleName());
-            case SNAPSHOT_ANSWER:
-                if (value instanceof SnapshotAnswer) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type SnapshotAnswer for field 'snapshotAnswer', but got "
-                                + value.getClass().getSimpleName());
-            case FOUND_REQUEST:
-                if (value instanceof FoundRequest) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type FoundRequest for field 'foundRequest', but got "
-                                + value.getClass().getSimpleName());
-            case FOUND_ANSWER:
-                if (value instanceof FoundAnswer) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type FoundAnswer for field 'foundAnswer', but got "
-                                + value.getClass().getSimpleName());
-            case JOIN_REQUEST:
-                if (value instanceof JoinRequest) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type JoinRequest for field 'joinRequest', but got "
-                                + value.getClass().getSimpleName());
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.VOTE_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("voteRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, VoteRequest.class)));
+    tmpMap.put(_Fields.VOTE_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("voteAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, VoteAnswer.class)));
+    tmpMap.put(_Fields.APPEND_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("appendRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AppendRequest.class)));
+    tmpMap.put(_Fields.APPEND_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("appendAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AppendAnswer.class)));
+    tmpMap.put(_Fields.SNAPSHOT_CHUNK, new org.apache.thrift.meta_data.FieldMetaData("snapshotChunk", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SnapshotChunk.class)));
+    tmpMap.put(_Fields.SNAPSHOT_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("snapshotAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SnapshotAnswer.class)));
+    tmpMap.put(_Fields.FOUND_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("foundRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, FoundRequest.class)));
+    tmpMap.put(_Fields.FOUND_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("foundAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, FoundAnswer.class)));
+    tmpMap.put(_Fields.JOIN_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("joinRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, JoinRequest.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Body.class, metaDataMap);
+  }
+
+  public Body() {
+    super();
+  }
+
+  public Body(_Fields setField, java.lang.Object value) {
+    super(setField, value);
+  }
+
+  public Body(Body other) {
+    super(other);
+  }
+  @Override
+  public Body deepCopy() {
+    return new Body(this);
+  }
+
+  public static Body voteRequest(VoteRequest value) {
+    Body x = new Body();
+    x.setVoteRequest(value);
+    return x;
+  }
+
+  public static Body voteAnswer(VoteAnswer value) {
+    Body x = new Body();
+    x.setVoteAnswer(value);
+    return x;
+  }
+
+  public static Body appendRequest(AppendRequest value) {
+    Body x = new Body();
+    x.setAppendRequest(value);
+    return x;
+  }
+
+  public static Body appendAnswer(AppendAnswer value) {
+    Body x = new Body();
+    x.setAppendAnswer(value);
+    return x;
+  }
+
+  public static Body snapshotChunk(SnapshotChunk value) {
+    Body x = new Body();
+    x.setSnapshotChunk(value);
+    return x;
+  }
+
+  public static Body snapshotAnswer(SnapshotAnswer value) {
+    Body x = new Body();
+    x.setSnapshotAnswer(value);
+    return x;
+  }
+
+  public static Body foundRequest(FoundRequest value) {
+    Body x = new Body();
+    x.setFoundRequest(value);
+    return x;
+  }
+
+  public static Body foundAnswer(FoundAnswer value) {
+    Body x = new Body();
+    x.setFoundAnswer(value);
+    return x;
+  }
+
+  public static Body joinRequest(JoinRequest value) {
+    Body x = new Body();
+    x.setJoinRequest(value);
+    return x;
+  }
+
+
+  @Override
+  protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
+    switch (setField) {
+      case VOTE_REQUEST:
+        if (value instanceof VoteRequest) {
+          break;
         }
-    }
-
-    @Override
-    protected java.lang.Object standardSchemeReadValue(
-            org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(field.id);
-        if (setField != null) {
-            switch (setField) {
-                case VOTE_REQUEST:
-                    if (field.type == VOTE_REQUEST_FIELD_DESC.type) {
-                        VoteRequest voteRequest;
-                        voteRequest = new VoteRequest();
-                        voteRequest.read(iprot);
-                        return voteRequest;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case VOTE_ANSWER:
-                    if (field.type == VOTE_ANSWER_FIELD_DESC.type) {
-                        VoteAnswer voteAnswer;
-                        voteAnswer = new VoteAnswer();
-                        voteAnswer.read(iprot);
-                        return voteAnswer;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case APPEND_REQUEST:
-                    if (field.type == APPEND_REQUEST_FIELD_DESC.type) {
-                        AppendRequest appendRequest;
-                        appendRequest = new AppendRequest();
-                        appendRequest.read(iprot);
-                        return appendRequest;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case APPEND_ANSWER:
-                    if (field.type == APPEND_ANSWER_FIELD_DESC.type) {
-                        AppendAnswer appendAnswer;
-                        appendAnswer = new AppendAnswer();
-                        appendAnswer.read(iprot);
-                        return appendAnswer;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case SNAPSHOT_CHUNK:
-                    if (field.type == SNAPSHOT_CHUNK_FIELD_DESC.type) {
-                        SnapshotChunk snapshotChunk;
-                        snapshotChunk = new SnapshotChunk();
-                        snapshotChunk.read(iprot);
-                        return snapshotChunk;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case SNAPSHOT_ANSWER:
-                    if (field.type == SNAPSHOT_ANSWER_FIELD_DESC.type) {
-                        SnapshotAnswer snapshotAnswer;
-                        snapshotAnswer = new SnapshotAnswer();
-                        snapshotAnswer.read(iprot);
-                        return snapshotAnswer;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case FOUND_REQUEST:
-                    if (field.type == FOUND_REQUEST_FIELD_DESC.type) {
-                        FoundRequest foundRequest;
-                        foundRequest = new FoundRequest();
-                        foundRequest.read(iprot);
-                        return foundRequest;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case FOUND_ANSWER:
-                    if (field.type == FOUND_ANSWER_FIELD_DESC.type) {
-                        FoundAnswer foundAnswer;
-                        foundAnswer = new FoundAnswer();
-                        foundAnswer.read(iprot);
-                        return foundAnswer;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case JOIN_REQUEST:
-                    if (field.type == JOIN_REQUEST_FIELD_DESC.type) {
-                        JoinRequest joinRequest;
-                        joinRequest = new JoinRequest();
-                        joinRequest.read(iprot);
-                        return joinRequest;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
+        throw new java.lang.ClassCastException("Was expecting value of type VoteRequest for field 'voteRequest', but got " + value.getClass().getSimpleName());
+      case VOTE_ANSWER:
+        if (value instanceof VoteAnswer) {
+          break;
         }
-    }
-
-    @Override
-    protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case VOTE_REQUEST:
-                VoteRequest voteRequest = (VoteRequest) value_;
-                voteRequest.write(oprot);
-                return;
-            case VOTE_ANSWER:
-                VoteAnswer voteAnswer = (VoteAnswer) value_;
-                voteAnswer.write(oprot);
-                return;
-            case APPEND_REQUEST:
-                AppendRequest appendRequest = (AppendRequest) value_;
-                appendRequest.write(oprot);
-                return;
-            case APPEND_ANSWER:
-                AppendAnswer appendAnswer = (AppendAnswer) value_;
-                appendAnswer.write(oprot);
-                return;
-            case SNAPSHOT_CHUNK:
-                SnapshotChunk snapshotChunk = (SnapshotChunk) value_;
-                snapshotChunk.write(oprot);
-                return;
-            case SNAPSHOT_ANSWER:
-                SnapshotAnswer snapshotAnswer = (SnapshotAnswer) value_;
-                snapshotAnswer.write(oprot);
-                return;
-            case FOUND_REQUEST:
-                FoundRequest foundRequest = (FoundRequest) value_;
-                foundRequest.write(oprot);
-                return;
-            case FOUND_ANSWER:
-                FoundAnswer foundAnswer = (FoundAnswer) value_;
-                foundAnswer.write(oprot);
-                return;
-            case JOIN_REQUEST:
-                JoinRequest joinRequest = (JoinRequest) value_;
-                joinRequest.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+        throw new java.lang.ClassCastException("Was expecting value of type VoteAnswer for field 'voteAnswer', but got " + value.getClass().getSimpleName());
+      case APPEND_REQUEST:
+        if (value instanceof AppendRequest) {
+          break;
         }
-    }
-
-    @Override
-    protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(fieldID);
-        if (setField != null) {
-            switch (setField) {
-                case VOTE_REQUEST:
-                    VoteRequest voteRequest;
-                    voteRequest = new VoteRequest();
-                    voteRequest.read(iprot);
-                    return voteRequest;
-                case VOTE_ANSWER:
-                    VoteAnswer voteAnswer;
-                    voteAnswer = new VoteAnswer();
-                    voteAnswer.read(iprot);
-                    return voteAnswer;
-                case APPEND_REQUEST:
-                    AppendRequest appendRequest;
-                    appendRequest = new AppendRequest();
-                    appendRequest.read(iprot);
-                    return appendRequest;
-                case APPEND_ANSWER:
-                    AppendAnswer appendAnswer;
-                    appendAnswer = new AppendAnswer();
-                    appendAnswer.read(iprot);
-                    return appendAnswer;
-                case SNAPSHOT_CHUNK:
-                    SnapshotChunk snapshotChunk;
-                    snapshotChunk = new SnapshotChunk();
-                    snapshotChunk.read(iprot);
-                    return snapshotChunk;
-                case SNAPSHOT_ANSWER:
-                    SnapshotAnswer snapshotAnswer;
-                    snapshotAnswer = new SnapshotAnswer();
-                    snapshotAnswer.read(iprot);
-                    return snapshotAnswer;
-                case FOUND_REQUEST:
-                    FoundRequest foundRequest;
-                    foundRequest = new FoundRequest();
-                    foundRequest.read(iprot);
-                    return foundRequest;
-                case FOUND_ANSWER:
-                    FoundAnswer foundAnswer;
-                    foundAnswer = new FoundAnswer();
-                    foundAnswer.read(iprot);
-                    return foundAnswer;
-                case JOIN_REQUEST:
-                    JoinRequest joinRequest;
-                    joinRequest = new JoinRequest();
-                    joinRequest.read(iprot);
-                    return joinRequest;
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+        throw new java.lang.ClassCastException("Was expecting value of type AppendRequest for field 'appendRequest', but got " + value.getClass().getSimpleName());
+      case APPEND_ANSWER:
+        if (value instanceof AppendAnswer) {
+          break;
         }
-    }
-
-    @Override
-    protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case VOTE_REQUEST:
-                VoteRequest voteRequest = (VoteRequest) value_;
-                voteRequest.write(oprot);
-                return;
-            case VOTE_ANSWER:
-                VoteAnswer voteAnswer = (VoteAnswer) value_;
-                voteAnswer.write(oprot);
-                return;
-            case APPEND_REQUEST:
-                AppendRequest appendRequest = (AppendRequest) value_;
-                appendRequest.write(oprot);
-                return;
-            case APPEND_ANSWER:
-                AppendAnswer appendAnswer = (AppendAnswer) value_;
-                appendAnswer.write(oprot);
-                return;
-            case SNAPSHOT_CHUNK:
-                SnapshotChunk snapshotChunk = (SnapshotChunk) value_;
-                snapshotChunk.write(oprot);
-                return;
-            case SNAPSHOT_ANSWER:
-                SnapshotAnswer snapshotAnswer = (SnapshotAnswer) value_;
-                snapshotAnswer.write(oprot);
-                return;
-            case FOUND_REQUEST:
-                FoundRequest foundRequest = (FoundRequest) value_;
-                foundRequest.write(oprot);
-                return;
-            case FOUND_ANSWER:
-                FoundAnswer foundAnswer = (FoundAnswer) value_;
-                foundAnswer.write(oprot);
-                return;
-            case JOIN_REQUEST:
-                JoinRequest joinRequest = (JoinRequest) value_;
-                joinRequest.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+        throw new java.lang.ClassCastException("Was expecting value of type AppendAnswer for field 'appendAnswer', but got " + value.getClass().getSimpleName());
+      case SNAPSHOT_CHUNK:
+        if (value instanceof SnapshotChunk) {
+          break;
         }
-    }
-
-    @Override
-    protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
-        switch (setField) {
-            case VOTE_REQUEST:
-                return VOTE_REQUEST_FIELD_DESC;
-            case VOTE_ANSWER:
-                return VOTE_ANSWER_FIELD_DESC;
-            case APPEND_REQUEST:
-                return APPEND_REQUEST_FIELD_DESC;
-            case APPEND_ANSWER:
-                return APPEND_ANSWER_FIELD_DESC;
-            case SNAPSHOT_CHUNK:
-                return SNAPSHOT_CHUNK_FIELD_DESC;
-            case SNAPSHOT_ANSWER:
-                return SNAPSHOT_ANSWER_FIELD_DESC;
-            case FOUND_REQUEST:
-                return FOUND_REQUEST_FIELD_DESC;
-            case FOUND_ANSWER:
-                return FOUND_ANSWER_FIELD_DESC;
-            case JOIN_REQUEST:
-                return JOIN_REQUEST_FIELD_DESC;
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+        throw new java.lang.ClassCastException("Was expecting value of type SnapshotChunk for field 'snapshotChunk', but got " + value.getClass().getSimpleName());
+      case SNAPSHOT_ANSWER:
+        if (value instanceof SnapshotAnswer) {
+          break;
         }
-    }
+        throw new java.lang.ClassCastException("Was expecting value of type SnapshotAnswer for field 'snapshotAnswer', but got " + value.getClass().getSimpleName());
+      case FOUND_REQUEST:
+        if (value instanceof FoundRequest) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type FoundRequest for field 'foundRequest', but got " + value.getClass().getSimpleName());
+      case FOUND_ANSWER:
+        if (value instanceof FoundAnswer) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type FoundAnswer for field 'foundAnswer', but got " + value.getClass().getSimpleName());
+      case JOIN_REQUEST:
+        if (value instanceof JoinRequest) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type JoinRequest for field 'joinRequest', but got " + value.getClass().getSimpleName());
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected java.lang.Object standardSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(field.id);
+    if (setField != null) {
+      switch (setField) {
+        case VOTE_REQUEST:
+          if (field.type == VOTE_REQUEST_FIELD_DESC.type) {
+            VoteRequest voteRequest;
+            voteRequest = new VoteRequest();
+            voteRequest.read(iprot);
+            return voteRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case VOTE_ANSWER:
+          if (field.type == VOTE_ANSWER_FIELD_DESC.type) {
+            VoteAnswer voteAnswer;
+            voteAnswer = new VoteAnswer();
+            voteAnswer.read(iprot);
+            return voteAnswer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case APPEND_REQUEST:
+          if (field.type == APPEND_REQUEST_FIELD_DESC.type) {
+            AppendRequest appendRequest;
+            appendRequest = new AppendRequest();
+            appendRequest.read(iprot);
+            return appendRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case APPEND_ANSWER:
+          if (field.type == APPEND_ANSWER_FIELD_DESC.type) {
+            AppendAnswer appendAnswer;
+            appendAnswer = new AppendAnswer();
+            appendAnswer.read(iprot);
+            return appendAnswer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case SNAPSHOT_CHUNK:
+          if (field.type == SNAPSHOT_CHUNK_FIELD_DESC.type) {
+            SnapshotChunk snapshotChunk;
+            snapshotChunk = new SnapshotChunk();
+            snapshotChunk.read(iprot);
+            return snapshotChunk;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case SNAPSHOT_ANSWER:
+          if (field.type == SNAPSHOT_ANSWER_FIELD_DESC.type) {
+            SnapshotAnswer snapshotAnswer;
+            snapshotAnswer = new SnapshotAnswer();
+            snapshotAnswer.read(iprot);
+            return snapshotAnswer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case FOUND_REQUEST:
+          if (field.type == FOUND_REQUEST_FIELD_DESC.type) {
+            FoundRequest foundRequest;
+            foundRequest = new FoundRequest();
+            foundRequest.read(iprot);
+            return foundRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case FOUND_ANSWER:
+          if (field.type == FOUND_ANSWER_FIELD_DESC.type) {
+            FoundAnswer foundAnswer;
+            foundAnswer = new FoundAnswer();
+            foundAnswer.read(iprot);
+            return foundAnswer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case JOIN_REQUEST:
+          if (field.type == JOIN_REQUEST_FIELD_DESC.type) {
+            JoinRequest joinRequest;
+            joinRequest = new JoinRequest();
+            joinRequest.read(iprot);
+            return joinRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+      return null;
+    }
+  }
+
+  @Override
+  protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case VOTE_REQUEST:
+        VoteRequest voteRequest = (VoteRequest)value_;
+        voteRequest.write(oprot);
+        return;
+      case VOTE_ANSWER:
+        VoteAnswer voteAnswer = (VoteAnswer)value_;
+        voteAnswer.write(oprot);
+        return;
+      case APPEND_REQUEST:
+        AppendRequest appendRequest = (AppendRequest)value_;
+        appendRequest.write(oprot);
+        return;
+      case APPEND_ANSWER:
+        AppendAnswer appendAnswer = (AppendAnswer)value_;
+        appendAnswer.write(oprot);
+        return;
+      case SNAPSHOT_CHUNK:
+        SnapshotChunk snapshotChunk = (SnapshotChunk)value_;
+        snapshotChunk.write(oprot);
+        return;
+      case SNAPSHOT_ANSWER:
+        SnapshotAnswer snapshotAnswer = (SnapshotAnswer)value_;
+        snapshotAnswer.write(oprot);
+        return;
+      case FOUND_REQUEST:
+        FoundRequest foundRequest = (FoundRequest)value_;
+        foundRequest.write(oprot);
+        return;
+      case FOUND_ANSWER:
+        FoundAnswer foundAnswer = (FoundAnswer)value_;
+        foundAnswer.write(oprot);
+        return;
+      case JOIN_REQUEST:
+        JoinRequest joinRequest = (JoinRequest)value_;
+        joinRequest.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(fieldID);
+    if (setField != null) {
+      switch (setField) {
+        case VOTE_REQUEST:
+          VoteRequest voteRequest;
+          voteRequest = new VoteRequest();
+          voteRequest.read(iprot);
+          return voteRequest;
+        case VOTE_ANSWER:
+          VoteAnswer voteAnswer;
+          voteAnswer = new VoteAnswer();
+          voteAnswer.read(iprot);
+          return voteAnswer;
+        case APPEND_REQUEST:
+          AppendRequest appendRequest;
+          appendRequest = new AppendRequest();
+          appendRequest.read(iprot);
+          return appendRequest;
+        case APPEND_ANSWER:
+          AppendAnswer appendAnswer;
+          appendAnswer = new AppendAnswer();
+          appendAnswer.read(iprot);
+          return appendAnswer;
+        case SNAPSHOT_CHUNK:
+          SnapshotChunk snapshotChunk;
+          snapshotChunk = new SnapshotChunk();
+          snapshotChunk.read(iprot);
+          return snapshotChunk;
+        case SNAPSHOT_ANSWER:
+          SnapshotAnswer snapshotAnswer;
+          snapshotAnswer = new SnapshotAnswer();
+          snapshotAnswer.read(iprot);
+          return snapshotAnswer;
+        case FOUND_REQUEST:
+          FoundRequest foundRequest;
+          foundRequest = new FoundRequest();
+          foundRequest.read(iprot);
+          return foundRequest;
+        case FOUND_ANSWER:
+          FoundAnswer foundAnswer;
+          foundAnswer = new FoundAnswer();
+          foundAnswer.read(iprot);
+          return foundAnswer;
+        case JOIN_REQUEST:
+          JoinRequest joinRequest;
+          joinRequest = new JoinRequest();
+          joinRequest.read(iprot);
+          return joinRequest;
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+    }
+  }
+
+  @Override
+  protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case VOTE_REQUEST:
+        VoteRequest voteRequest = (VoteRequest)value_;
+        voteRequest.write(oprot);
+        return;
+      case VOTE_ANSWER:
+        VoteAnswer voteAnswer = (VoteAnswer)value_;
+        voteAnswer.write(oprot);
+        return;
+      case APPEND_REQUEST:
+        AppendRequest appendRequest = (AppendRequest)value_;
+        appendRequest.write(oprot);
+        return;
+      case APPEND_ANSWER:
+        AppendAnswer appendAnswer = (AppendAnswer)value_;
+        appendAnswer.write(oprot);
+        return;
+      case SNAPSHOT_CHUNK:
+        SnapshotChunk snapshotChunk = (SnapshotChunk)value_;
+        snapshotChunk.write(oprot);
+        return;
+      case SNAPSHOT_ANSWER:
+        SnapshotAnswer snapshotAnswer = (SnapshotAnswer)value_;
+        snapshotAnswer.write(oprot);
+        return;
+      case FOUND_REQUEST:
+        FoundRequest foundRequest = (FoundRequest)value_;
+        foundRequest.write(oprot);
+        return;
+      case FOUND_ANSWER:
+        FoundAnswer foundAnswer = (FoundAnswer)value_;
+        foundAnswer.write(oprot);
+        return;
+      case JOIN_REQUEST:
+        JoinRequest joinRequest = (JoinRequest)value_;
+        joinRequest.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
+    switch (setField) {
+      case VOTE_REQUEST:
+        return VOTE_REQUEST_FIELD_DESC;
+      case VOTE_ANSWER:
+        return VOTE_ANSWER_FIELD_DESC;
+      case APPEND_REQUEST:
+        return APPEND_REQUEST_FIELD_DESC;
+      case APPEND_ANSWER:
+        return APPEND_ANSWER_FIELD_DESC;
+      case SNAPSHOT_CHUNK:
+        return SNAPSHOT_CHUNK_FIELD_DESC;
+      case SNAPSHOT_ANSWER:
+        return SNAPSHOT_ANSWER_FIELD_DESC;
+      case FOUND_REQUEST:
+        return FOUND_REQUEST_FIELD_DESC;
+      case FOUND_ANSWER:
+        return FOUND_ANSWER_FIELD_DESC;
+      case JOIN_REQUEST:
+        return JOIN_REQUEST_FIELD_DESC;
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TStruct getStructDesc() {
+    return STRUCT_DESC;
+  }
+
+  @Override
+  protected _Fields enumForId(short id) {
+    return _Fields.findByThriftIdOrThrow(id);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+
+  public VoteRequest getVoteRequest() {
+    if (getSetField() == _Fields.VOTE_REQUEST) {
+      return (VoteRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'voteRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setVoteRequest(VoteRequest value) {
+    setField_ = _Fields.VOTE_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.VOTE_REQUEST");
+  }
+
+  public VoteAnswer getVoteAnswer() {
+    if (getSetField() == _Fields.VOTE_ANSWER) {
+      return (VoteAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'voteAnswer' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setVoteAnswer(VoteAnswer value) {
+    setField_ = _Fields.VOTE_ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.VOTE_ANSWER");
+  }
+
+  public AppendRequest getAppendRequest() {
+    if (getSetField() == _Fields.APPEND_REQUEST) {
+      return (AppendRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'appendRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setAppendRequest(AppendRequest value) {
+    setField_ = _Fields.APPEND_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.APPEND_REQUEST");
+  }
+
+  public AppendAnswer getAppendAnswer() {
+    if (getSetField() == _Fields.APPEND_ANSWER) {
+      return (AppendAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'appendAnswer' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setAppendAnswer(AppendAnswer value) {
+    setField_ = _Fields.APPEND_ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.APPEND_ANSWER");
+  }
+
+  public SnapshotChunk getSnapshotChunk() {
+    if (getSetField() == _Fields.SNAPSHOT_CHUNK) {
+      return (SnapshotChunk)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'snapshotChunk' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setSnapshotChunk(SnapshotChunk value) {
+    setField_ = _Fields.SNAPSHOT_CHUNK;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SNAPSHOT_CHUNK");
+  }
 
-    @Override
-    protected org.apache.thrift.protocol.TStruct getStructDesc() {
-        return STRUCT_DESC;
+  public SnapshotAnswer getSnapshotAnswer() {
+    if (getSetField() == _Fields.SNAPSHOT_ANSWER) {
+      return (SnapshotAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'snapshotAnswer' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    @Override
-    protected _Fields enumForId(short id) {
-        return _Fields.findByThriftIdOrThrow(id);
-    }
+  public void setSnapshotAnswer(SnapshotAnswer value) {
+    setField_ = _Fields.SNAPSHOT_ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SNAPSHOT_ANSWER");
+  }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+  public FoundRequest getFoundRequest() {
+    if (getSetField() == _Fields.FOUND_REQUEST) {
+      return (FoundRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'foundRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public VoteRequest getVoteRequest() {
-        if (getSetField() == _Fields.VOTE_REQUEST) {
-            return (VoteRequest) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'voteRequest' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setFoundRequest(FoundRequest value) {
+    setField_ = _Fields.FOUND_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.FOUND_REQUEST");
+  }
 
-    public void setVoteRequest(VoteRequest value) {
-        setField_ = _Fields.VOTE_REQUEST;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.VOTE_REQUEST");
+  public FoundAnswer getFoundAnswer() {
+    if (getSetField() == _Fields.FOUND_ANSWER) {
+      return (FoundAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'foundAnswer' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public VoteAnswer getVoteAnswer() {
-        if (getSetField() == _Fields.VOTE_ANSWER) {
-            return (VoteAnswer) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'voteAnswer' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setFoundAnswer(FoundAnswer value) {
+    setField_ = _Fields.FOUND_ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.FOUND_ANSWER");
+  }
 
-    public void setVoteAnswer(VoteAnswer value) {
-        setField_ = _Fields.VOTE_ANSWER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.VOTE_ANSWER");
+  public JoinRequest getJoinRequest() {
+    if (getSetField() == _Fields.JOIN_REQUEST) {
+      return (JoinRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'joinRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public AppendRequest getAppendRequest() {
-        if (getSetField() == _Fields.APPEND_REQUEST) {
-            return (AppendRequest) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'appendRequest' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setJoinRequest(JoinRequest value) {
+    setField_ = _Fields.JOIN_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.JOIN_REQUEST");
+  }
 
-    public void setAppendRequest(AppendRequest value) {
-        setField_ = _Fields.APPEND_REQUEST;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.APPEND_REQUEST");
-    }
+  public boolean isSetVoteRequest() {
+    return setField_ == _Fields.VOTE_REQUEST;
+  }
 
-    public AppendAnswer getAppendAnswer() {
-        if (getSetField() == _Fields.APPEND_ANSWER) {
-            return (AppendAnswer) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'appendAnswer' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setAppendAnswer(AppendAnswer value) {
-        setField_ = _Fields.APPEND_ANSWER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.APPEND_ANSWER");
-    }
+  public boolean isSetVoteAnswer() {
+    return setField_ == _Fields.VOTE_ANSWER;
+  }
 
-    public SnapshotChunk getSnapshotChunk() {
-        if (getSetField() == _Fields.SNAPSHOT_CHUNK) {
-            return (SnapshotChunk) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'snapshotChunk' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setSnapshotChunk(SnapshotChunk value) {
-        setField_ = _Fields.SNAPSHOT_CHUNK;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.SNAPSHOT_CHUNK");
-    }
+  public boolean isSetAppendRequest() {
+    return setField_ == _Fields.APPEND_REQUEST;
+  }
 
-    public SnapshotAnswer getSnapshotAnswer() {
-        if (getSetField() == _Fields.SNAPSHOT_ANSWER) {
-            return (SnapshotAnswer) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'snapshotAnswer' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setSnapshotAnswer(SnapshotAnswer value) {
-        setField_ = _Fields.SNAPSHOT_ANSWER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.SNAPSHOT_ANSWER");
-    }
+  public boolean isSetAppendAnswer() {
+    return setField_ == _Fields.APPEND_ANSWER;
+  }
 
-    public FoundRequest getFoundRequest() {
-        if (getSetField() == _Fields.FOUND_REQUEST) {
-            return (FoundRequest) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'foundRequest' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setFoundRequest(FoundRequest value) {
-        setField_ = _Fields.FOUND_REQUEST;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.FOUND_REQUEST");
-    }
+  public boolean isSetSnapshotChunk() {
+    return setField_ == _Fields.SNAPSHOT_CHUNK;
+  }
 
-    public FoundAnswer getFoundAnswer() {
-        if (getSetField() == _Fields.FOUND_ANSWER) {
-            return (FoundAnswer) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'foundAnswer' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setFoundAnswer(FoundAnswer value) {
-        setField_ = _Fields.FOUND_ANSWER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.FOUND_ANSWER");
-    }
+  public boolean isSetSnapshotAnswer() {
+    return setField_ == _Fields.SNAPSHOT_ANSWER;
+  }
 
-    public JoinRequest getJoinRequest() {
-        if (getSetField() == _Fields.JOIN_REQUEST) {
-            return (JoinRequest) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'joinRequest' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setJoinRequest(JoinRequest value) {
-        setField_ = _Fields.JOIN_REQUEST;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.JOIN_REQUEST");
-    }
+  public boolean isSetFoundRequest() {
+    return setField_ == _Fields.FOUND_REQUEST;
+  }
 
-    public boolean isSetVoteRequest() {
-        return setField_ == _Fields.VOTE_REQUEST;
-    }
 
-    public boolean isSetVoteAnswer() {
-        return setField_ == _Fields.VOTE_ANSWER;
-    }
+  public boolean isSetFoundAnswer() {
+    return setField_ == _Fields.FOUND_ANSWER;
+  }
 
-    public boolean isSetAppendRequest() {
-        return setField_ == _Fields.APPEND_REQUEST;
-    }
 
-    public boolean isSetAppendAnswer() {
-        return setField_ == _Fields.APPEND_ANSWER;
-    }
+  public boolean isSetJoinRequest() {
+    return setField_ == _Fields.JOIN_REQUEST;
+  }
 
-    public boolean isSetSnapshotChunk() {
-        return setField_ == _Fields.SNAPSHOT_CHUNK;
-    }
 
-    public boolean isSetSnapshotAnswer() {
-        return setField_ == _Fields.SNAPSHOT_ANSWER;
+  public boolean equals(java.lang.Object other) {
+    if (other instanceof Body) {
+      return equals((Body)other);
+    } else {
+      return false;
     }
+  }
 
-    public boolean isSetFoundRequest() {
-        return setField_ == _Fields.FOUND_REQUEST;
-    }
+  public boolean equals(Body other) {
+    return other != null && getSetField() == other.getSetField() && getFieldValue().equals(other.getFieldValue());
+  }
 
-    public boolean isSetFoundAnswer() {
-        return setField_ == _Fields.FOUND_ANSWER;
+  @Override
+  public int compareTo(Body other) {
+    int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
+    if (lastComparison == 0) {
+      return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
     }
+    return lastComparison;
+  }
 
-    public boolean isSetJoinRequest() {
-        return setField_ == _Fields.JOIN_REQUEST;
-    }
 
-    public boolean equals(java.lang.Object other) {
-        if (other instanceof Body) {
-            return equals((Body) other);
-        } else {
-            return false;
-        }
+  @Override
+  public int hashCode() {
+    java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
+    list.add(this.getClass().getName());
+    org.apache.thrift.TFieldIdEnum setField = getSetField();
+    if (setField != null) {
+      list.add(setField.getThriftFieldId());
+      java.lang.Object value = getFieldValue();
+      if (value instanceof org.apache.thrift.TEnum) {
+        list.add(((org.apache.thrift.TEnum)getFieldValue()).getValue());
+      } else {
+        list.add(value);
+      }
     }
-
-    public boolean equals(Body other) {
-        return other != null
-                && getSetField() == other.getSetField()
-                && getFieldValue().equals(other.getFieldValue());
+    return list.hashCode();
+  }
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    @Override
-    public int compareTo(Body other) {
-        int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
-        if (lastComparison == 0) {
-            return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
-        }
-        return lastComparison;
-    }
 
-    @Override
-    public int hashCode() {
-        java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
-        list.add(this.getClass().getName());
-        org.apache.thrift.TFieldIdEnum setField = getSetField();
-        if (setField != null) {
-            list.add(setField.getThriftFieldId());
-            java.lang.Object value = getFieldValue();
-            if (value instanceof org.apache.thrift.TEnum) {
-                list.add(((org.apache.thrift.TEnum) getFieldValue()).getValue());
-            } else {
-                list.add(value);
-            }
-        }
-        return list.hashCode();
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
 }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/ConsensusEnvelope.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/ConsensusEnvelope.java
@@ -10,600 +10,575 @@
  * One message between replicas of the control log.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class ConsensusEnvelope
-        implements org.apache.thrift.TBase<ConsensusEnvelope, ConsensusEnvelope._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<ConsensusEnvelope> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ConsensusEnvelope");
-
-    private static final org.apache.thrift.protocol.TField SENDER_INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("senderIncarnation", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField RECIPIENT_INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField(
-                    "recipientIncarnation", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField BODY_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("body", org.apache.thrift.protocol.TType.STRUCT, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ConsensusEnvelopeStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new ConsensusEnvelopeTupleSchemeFactory();
-
-    private long senderIncarnation; // required
-    private long recipientIncarnation; // required
-    private @org.apache.thrift.annotation.Nullable Body body; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        SENDER_INCARNATION((short) 1, "senderIncarnation"),
-        /**
-         * Incarnation the message is meant for; 0 for any.
-         */
-        RECIPIENT_INCARNATION((short) 2, "recipientIncarnation"),
-        BODY((short) 3, "body");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // SENDER_INCARNATION
-                    return SENDER_INCARNATION;
-                case 2: // RECIPIENT_INCARNATION
-                    return RECIPIENT_INCARNATION;
-                case 3: // BODY
-                    return BODY;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+public class ConsensusEnvelope implements org.apache.thrift.TBase<ConsensusEnvelope, ConsensusEnvelope._Fields>, java.io.Serializable, Cloneable, Comparable<ConsensusEnvelope> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ConsensusEnvelope");
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TField SENDER_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("senderIncarnation", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField RECIPIENT_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("recipientIncarnation", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField BODY_FIELD_DESC = new org.apache.thrift.protocol.TField("body", org.apache.thrift.protocol.TType.STRUCT, (short)3);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ConsensusEnvelopeStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ConsensusEnvelopeTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private long senderIncarnation; // required
+  private long recipientIncarnation; // required
+  private @org.apache.thrift.annotation.Nullable Body body; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    SENDER_INCARNATION((short)1, "senderIncarnation"),
+    /**
+     * Incarnation the message is meant for; 0 for any.
+     */
+    RECIPIENT_INCARNATION((short)2, "recipientIncarnation"),
+    BODY((short)3, "body");
 
-    // isset id assignments
-    private static final int __SENDERINCARNATION_ISSET_ID = 0;
-    private static final int __RECIPIENTINCARNATION_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.SENDER_INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "senderIncarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.RECIPIENT_INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "recipientIncarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.BODY,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "body",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, Body.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConsensusEnvelope.class, metaDataMap);
-    }
-
-    public ConsensusEnvelope() {}
-
-    public ConsensusEnvelope(long senderIncarnation, long recipientIncarnation, Body body) {
-        this();
-        this.senderIncarnation = senderIncarnation;
-        setSenderIncarnationIsSet(true);
-        this.recipientIncarnation = recipientIncarnation;
-        setRecipientIncarnationIsSet(true);
-        this.body = body;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public ConsensusEnvelope(ConsensusEnvelope other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.senderIncarnation = other.senderIncarnation;
-        this.recipientIncarnation = other.recipientIncarnation;
-        if (other.isSetBody()) {
-            this.body = new Body(other.body);
-        }
-    }
-
-    @Override
-    public ConsensusEnvelope deepCopy() {
-        return new ConsensusEnvelope(this);
-    }
-
-    @Override
-    public void clear() {
-        setSenderIncarnationIsSet(false);
-        this.senderIncarnation = 0;
-        setRecipientIncarnationIsSet(false);
-        this.recipientIncarnation = 0;
-        this.body = null;
-    }
-
-    public long getSenderIncarnation() {
-        return this.senderIncarnation;
-    }
-
-    public ConsensusEnvelope setSenderIncarnation(long senderIncarnation) {
-        this.senderIncarnation = senderIncarnation;
-        setSenderIncarnationIsSet(true);
-        return this;
-    }
-
-    public void unsetSenderIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENDERINCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field senderIncarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetSenderIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENDERINCARNATION_ISSET_ID);
-    }
-
-    public void setSenderIncarnationIsSet(boolean value) {
-        __isset_bitfield =
-                org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENDERINCARNATION_ISSET_ID, value);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // SENDER_INCARNATION
+          return SENDER_INCARNATION;
+        case 2: // RECIPIENT_INCARNATION
+          return RECIPIENT_INCARNATION;
+        case 3: // BODY
+          return BODY;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Incarnation the message is meant for; 0 for any.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public long getRecipientIncarnation() {
-        return this.recipientIncarnation;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     * Incarnation the message is meant for; 0 for any.
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public ConsensusEnvelope setRecipientIncarnation(long recipientIncarnation) {
-        this.recipientIncarnation = recipientIncarnation;
-        setRecipientIncarnationIsSet(true);
-        return this;
-    }
-
-    public void unsetRecipientIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RECIPIENTINCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field recipientIncarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetRecipientIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RECIPIENTINCARNATION_ISSET_ID);
-    }
-
-    public void setRecipientIncarnationIsSet(boolean value) {
-        __isset_bitfield =
-                org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RECIPIENTINCARNATION_ISSET_ID, value);
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public Body getBody() {
-        return this.body;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public ConsensusEnvelope setBody(@org.apache.thrift.annotation.Nullable Body body) {
-        this.body = body;
-        return this;
-    }
-
-    public void unsetBody() {
-        this.body = null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    /** Returns true if field body is set (has been assigned a value) and false otherwise */
-    public boolean isSetBody() {
-        return this.body != null;
-    }
-
-    public void setBodyIsSet(boolean value) {
-        if (!value) {
-            this.body = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case SENDER_INCARNATION:
-                if (value == null) {
-                    unsetSenderIncarnation();
-                } else {
-                    setSenderIncarnation((java.lang.Long) value);
-                }
-                break;
-
-            case RECIPIENT_INCARNATION:
-                if (value == null) {
-                    unsetRecipientIncarnation();
-                } else {
-                    setRecipientIncarnation((java.lang.Long) value);
-                }
-                break;
-
-            case BODY:
-                if (value == null) {
-                    unsetBody();
-                } else {
-                    setBody((Body) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case SENDER_INCARNATION:
-                return getSenderIncarnation();
-
-            case RECIPIENT_INCARNATION:
-                return getRecipientIncarnation();
-
-            case BODY:
-                return getBody();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case SENDER_INCARNATION:
-                return isSetSenderIncarnation();
-            case RECIPIENT_INCARNATION:
-                return isSetRecipientIncarnation();
-            case BODY:
-                return isSetBody();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __SENDERINCARNATION_ISSET_ID = 0;
+  private static final int __RECIPIENTINCARNATION_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.SENDER_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("senderIncarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RECIPIENT_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("recipientIncarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.BODY, new org.apache.thrift.meta_data.FieldMetaData("body", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Body.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConsensusEnvelope.class, metaDataMap);
+  }
+
+  public ConsensusEnvelope() {
+  }
+
+  public ConsensusEnvelope(
+    long senderIncarnation,
+    long recipientIncarnation,
+    Body body)
+  {
+    this();
+    this.senderIncarnation = senderIncarnation;
+    setSenderIncarnationIsSet(true);
+    this.recipientIncarnation = recipientIncarnation;
+    setRecipientIncarnationIsSet(true);
+    this.body = body;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public ConsensusEnvelope(ConsensusEnvelope other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.senderIncarnation = other.senderIncarnation;
+    this.recipientIncarnation = other.recipientIncarnation;
+    if (other.isSetBody()) {
+      this.body = new Body(other.body);
+    }
+  }
+
+  @Override
+  public ConsensusEnvelope deepCopy() {
+    return new ConsensusEnvelope(this);
+  }
+
+  @Override
+  public void clear() {
+    setSenderIncarnationIsSet(false);
+    this.senderIncarnation = 0;
+    setRecipientIncarnationIsSet(false);
+    this.recipientIncarnation = 0;
+    this.body = null;
+  }
+
+  public long getSenderIncarnation() {
+    return this.senderIncarnation;
+  }
+
+  public ConsensusEnvelope setSenderIncarnation(long senderIncarnation) {
+    this.senderIncarnation = senderIncarnation;
+    setSenderIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetSenderIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENDERINCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field senderIncarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetSenderIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENDERINCARNATION_ISSET_ID);
+  }
+
+  public void setSenderIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENDERINCARNATION_ISSET_ID, value);
+  }
+
+  /**
+   * Incarnation the message is meant for; 0 for any.
+   */
+  public long getRecipientIncarnation() {
+    return this.recipientIncarnation;
+  }
+
+  /**
+   * Incarnation the message is meant for; 0 for any.
+   */
+  public ConsensusEnvelope setRecipientIncarnation(long recipientIncarnation) {
+    this.recipientIncarnation = recipientIncarnation;
+    setRecipientIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetRecipientIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RECIPIENTINCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field recipientIncarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetRecipientIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RECIPIENTINCARNATION_ISSET_ID);
+  }
+
+  public void setRecipientIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RECIPIENTINCARNATION_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public Body getBody() {
+    return this.body;
+  }
+
+  public ConsensusEnvelope setBody(@org.apache.thrift.annotation.Nullable Body body) {
+    this.body = body;
+    return this;
+  }
+
+  public void unsetBody() {
+    this.body = null;
+  }
+
+  /** Returns true if field body is set (has been assigned a value) and false otherwise */
+  public boolean isSetBody() {
+    return this.body != null;
+  }
+
+  public void setBodyIsSet(boolean value) {
+    if (!value) {
+      this.body = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case SENDER_INCARNATION:
+      if (value == null) {
+        unsetSenderIncarnation();
+      } else {
+        setSenderIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case RECIPIENT_INCARNATION:
+      if (value == null) {
+        unsetRecipientIncarnation();
+      } else {
+        setRecipientIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case BODY:
+      if (value == null) {
+        unsetBody();
+      } else {
+        setBody((Body)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case SENDER_INCARNATION:
+      return getSenderIncarnation();
+
+    case RECIPIENT_INCARNATION:
+      return getRecipientIncarnation();
+
+    case BODY:
+      return getBody();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case SENDER_INCARNATION:
+      return isSetSenderIncarnation();
+    case RECIPIENT_INCARNATION:
+      return isSetRecipientIncarnation();
+    case BODY:
+      return isSetBody();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof ConsensusEnvelope)
+      return this.equals((ConsensusEnvelope)that);
+    return false;
+  }
+
+  public boolean equals(ConsensusEnvelope that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_senderIncarnation = true;
+    boolean that_present_senderIncarnation = true;
+    if (this_present_senderIncarnation || that_present_senderIncarnation) {
+      if (!(this_present_senderIncarnation && that_present_senderIncarnation))
+        return false;
+      if (this.senderIncarnation != that.senderIncarnation)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof ConsensusEnvelope) return this.equals((ConsensusEnvelope) that);
+    boolean this_present_recipientIncarnation = true;
+    boolean that_present_recipientIncarnation = true;
+    if (this_present_recipientIncarnation || that_present_recipientIncarnation) {
+      if (!(this_present_recipientIncarnation && that_present_recipientIncarnation))
+        return false;
+      if (this.recipientIncarnation != that.recipientIncarnation)
         return false;
     }
 
-    public boolean equals(ConsensusEnvelope that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_senderIncarnation = true;
-        boolean that_present_senderIncarnation = true;
-        if (this_present_senderIncarnation || that_present_senderIncarnation) {
-            if (!(this_present_senderIncarnation && that_present_senderIncarnation)) return false;
-            if (this.senderIncarnation != that.senderIncarnation) return false;
-        }
-
-        boolean this_present_recipientIncarnation = true;
-        boolean that_present_recipientIncarnation = true;
-        if (this_present_recipientIncarnation || that_present_recipientIncarnation) {
-            if (!(this_present_recipientIncarnation && that_present_recipientIncarnation)) return false;
-            if (this.recipientIncarnation != that.recipientIncarnation) return false;
-        }
-
-        boolean this_present_body = true && this.isSetBody();
-        boolean that_present_body = true && that.isSetBody();
-        if (this_present_body || that_present_body) {
-            if (!(this_present_body && that_present_body)) return false;
-            if (!this.body.equals(that.body)) return false;
-        }
-
-        return true;
+    boolean this_present_body = true && this.isSetBody();
+    boolean that_present_body = true && that.isSetBody();
+    if (this_present_body || that_present_body) {
+      if (!(this_present_body && that_present_body))
+        return false;
+      if (!this.body.equals(that.body))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(senderIncarnation);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(recipientIncarnation);
+
+    hashCode = hashCode * 8191 + ((isSetBody()) ? 131071 : 524287);
+    if (isSetBody())
+      hashCode = hashCode * 8191 + body.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(ConsensusEnvelope other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetSenderIncarnation(), other.isSetSenderIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSenderIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.senderIncarnation, other.senderIncarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRecipientIncarnation(), other.isSetRecipientIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRecipientIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.recipientIncarnation, other.recipientIncarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetBody(), other.isSetBody());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBody()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.body, other.body);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("ConsensusEnvelope(");
+    boolean first = true;
+
+    sb.append("senderIncarnation:");
+    sb.append(this.senderIncarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("recipientIncarnation:");
+    sb.append(this.recipientIncarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("body:");
+    if (this.body == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.body);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'senderIncarnation' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'recipientIncarnation' because it's a primitive and you chose the non-beans generator.
+    if (body == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'body' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ConsensusEnvelopeStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(senderIncarnation);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(recipientIncarnation);
-
-        hashCode = hashCode * 8191 + ((isSetBody()) ? 131071 : 524287);
-        if (isSetBody()) hashCode = hashCode * 8191 + body.hashCode();
-
-        return hashCode;
+    public ConsensusEnvelopeStandardScheme getScheme() {
+      return new ConsensusEnvelopeStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(ConsensusEnvelope other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class ConsensusEnvelopeStandardScheme extends org.apache.thrift.scheme.StandardScheme<ConsensusEnvelope> {
 
-        lastComparison = java.lang.Boolean.compare(isSetSenderIncarnation(), other.isSetSenderIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSenderIncarnation()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.senderIncarnation, other.senderIncarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, ConsensusEnvelope struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // SENDER_INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.senderIncarnation = iprot.readI64();
+              struct.setSenderIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRecipientIncarnation(), other.isSetRecipientIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRecipientIncarnation()) {
-            lastComparison =
-                    org.apache.thrift.TBaseHelper.compareTo(this.recipientIncarnation, other.recipientIncarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // RECIPIENT_INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.recipientIncarnation = iprot.readI64();
+              struct.setRecipientIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetBody(), other.isSetBody());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetBody()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.body, other.body);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // BODY
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.body = new Body();
+              struct.body.read(iprot);
+              struct.setBodyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetSenderIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'senderIncarnation' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetRecipientIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'recipientIncarnation' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, ConsensusEnvelope struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(SENDER_INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.senderIncarnation);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(RECIPIENT_INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.recipientIncarnation);
+      oprot.writeFieldEnd();
+      if (struct.body != null) {
+        oprot.writeFieldBegin(BODY_FIELD_DESC);
+        struct.body.write(oprot);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class ConsensusEnvelopeTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public ConsensusEnvelopeTupleScheme getScheme() {
+      return new ConsensusEnvelopeTupleScheme();
     }
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("ConsensusEnvelope(");
-        boolean first = true;
-
-        sb.append("senderIncarnation:");
-        sb.append(this.senderIncarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("recipientIncarnation:");
-        sb.append(this.recipientIncarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("body:");
-        if (this.body == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.body);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'senderIncarnation' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'recipientIncarnation' because it's a primitive and you chose the non-beans generator.
-        if (body == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'body' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class ConsensusEnvelopeStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ConsensusEnvelopeStandardScheme getScheme() {
-            return new ConsensusEnvelopeStandardScheme();
-        }
-    }
-
-    private static class ConsensusEnvelopeStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<ConsensusEnvelope> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, ConsensusEnvelope struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // SENDER_INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.senderIncarnation = iprot.readI64();
-                            struct.setSenderIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // RECIPIENT_INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.recipientIncarnation = iprot.readI64();
-                            struct.setRecipientIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // BODY
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                            struct.body = new Body();
-                            struct.body.read(iprot);
-                            struct.setBodyIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetSenderIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'senderIncarnation' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetRecipientIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'recipientIncarnation' was not found in serialized data! Struct: "
-                                + toString());
-            }
-            struct.validate();
-        }
+  private static class ConsensusEnvelopeTupleScheme extends org.apache.thrift.scheme.TupleScheme<ConsensusEnvelope> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, ConsensusEnvelope struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(SENDER_INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.senderIncarnation);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(RECIPIENT_INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.recipientIncarnation);
-            oprot.writeFieldEnd();
-            if (struct.body != null) {
-                oprot.writeFieldBegin(BODY_FIELD_DESC);
-                struct.body.write(oprot);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class ConsensusEnvelopeTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ConsensusEnvelopeTupleScheme getScheme() {
-            return new ConsensusEnvelopeTupleScheme();
-        }
-    }
-
-    private static class ConsensusEnvelopeTupleScheme extends org.apache.thrift.scheme.TupleScheme<ConsensusEnvelope> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, ConsensusEnvelope struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.senderIncarnation);
-            oprot.writeI64(struct.recipientIncarnation);
-            struct.body.write(oprot);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, ConsensusEnvelope struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.senderIncarnation = iprot.readI64();
-            struct.setSenderIncarnationIsSet(true);
-            struct.recipientIncarnation = iprot.readI64();
-            struct.setRecipientIncarnationIsSet(true);
-            struct.body = new Body();
-            struct.body.read(iprot);
-            struct.setBodyIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, ConsensusEnvelope struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.senderIncarnation);
+      oprot.writeI64(struct.recipientIncarnation);
+      struct.body.write(oprot);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, ConsensusEnvelope struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.senderIncarnation = iprot.readI64();
+      struct.setSenderIncarnationIsSet(true);
+      struct.recipientIncarnation = iprot.readI64();
+      struct.setRecipientIncarnationIsSet(true);
+      struct.body = new Body();
+      struct.body.read(iprot);
+      struct.setBodyIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
