--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/Entry.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/Entry.java
@@ -10,694 +10,679 @@
  * One record of the log.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class Entry
-        implements org.apache.thrift.TBase<Entry, Entry._Fields>, java.io.Serializable, Cloneable, Comparable<Entry> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("Entry");
-
-    private static final org.apache.thrift.protocol.TField INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("index", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.BYTE, (short) 3);
-    private static final org.apache.thrift.protocol.TField PAYLOAD_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("payload", org.apache.thrift.protocol.TType.STRING, (short) 4);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new EntryStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new EntryTupleSchemeFactory();
-
-    private long index; // required
-    private long term; // required
-    private byte kind; // required
-    private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer payload; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        INDEX((short) 1, "index"),
-        TERM((short) 2, "term"),
-        /**
-         * 1 command, 2 member set, 3 no operation.
-         */
-        KIND((short) 3, "kind"),
-        PAYLOAD((short) 4, "payload");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // INDEX
-                    return INDEX;
-                case 2: // TERM
-                    return TERM;
-                case 3: // KIND
-                    return KIND;
-                case 4: // PAYLOAD
-                    return PAYLOAD;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+public class Entry implements org.apache.thrift.TBase<Entry, Entry._Fields>, java.io.Serializable, Cloneable, Comparable<Entry> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("Entry");
+
+  private static final org.apache.thrift.protocol.TField INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("index", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC = new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.BYTE, (short)3);
+  private static final org.apache.thrift.protocol.TField PAYLOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("payload", org.apache.thrift.protocol.TType.STRING, (short)4);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new EntryStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new EntryTupleSchemeFactory();
+
+  private long index; // required
+  private long term; // required
+  private byte kind; // required
+  private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer payload; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    INDEX((short)1, "index"),
+    TERM((short)2, "term"),
+    /**
+     * 1 command, 2 member set, 3 no operation.
+     */
+    KIND((short)3, "kind"),
+    PAYLOAD((short)4, "payload");
 
-    // isset id assignments
-    private static final int __INDEX_ISSET_ID = 0;
-    private static final int __TERM_ISSET_ID = 1;
-    private static final int __KIND_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "index",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.TERM,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "term",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.KIND,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "kind",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BYTE)));
-        tmpMap.put(
-                _Fields.PAYLOAD,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "payload",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(
-                                org.apache.thrift.protocol.TType.STRING, true)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Entry.class, metaDataMap);
-    }
-
-    public Entry() {}
-
-    public Entry(long index, long term, byte kind, java.nio.ByteBuffer payload) {
-        this();
-        this.index = index;
-        setIndexIsSet(true);
-        this.term = term;
-        setTermIsSet(true);
-        this.kind = kind;
-        setKindIsSet(true);
-        this.payload = org.apache.thrift.TBaseHelper.copyBinary(payload);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public Entry(Entry other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.index = other.index;
-        this.term = other.term;
-        this.kind = other.kind;
-        if (other.isSetPayload()) {
-            this.payload = org.apache.thrift.TBaseHelper.copyBinary(other.payload);
-        }
-    }
-
-    @Override
-    public Entry deepCopy() {
-        return new Entry(this);
-    }
-
-    @Override
-    public void clear() {
-        setIndexIsSet(false);
-        this.index = 0;
-        setTermIsSet(false);
-        this.term = 0;
-        setKindIsSet(false);
-        this.kind = 0;
-        this.payload = null;
-    }
-
-    public long getIndex() {
-        return this.index;
-    }
-
-    public Entry setIndex(long index) {
-        this.index = index;
-        setIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INDEX_ISSET_ID);
-    }
-
-    /** Returns true if field index is set (has been assigned a value) and false otherwise */
-    public boolean isSetIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INDEX_ISSET_ID);
-    }
-
-    public void setIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INDEX_ISSET_ID, value);
-    }
-
-    public long getTerm() {
-        return this.term;
-    }
-
-    public Entry setTerm(long term) {
-        this.term = term;
-        setTermIsSet(true);
-        return this;
-    }
-
-    public void unsetTerm() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    /** Returns true if field term is set (has been assigned a value) and false otherwise */
-    public boolean isSetTerm() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    public void setTermIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // INDEX
+          return INDEX;
+        case 2: // TERM
+          return TERM;
+        case 3: // KIND
+          return KIND;
+        case 4: // PAYLOAD
+          return PAYLOAD;
+        default:
+          return null;
+      }
     }
 
     /**
-     * 1 command, 2 member set, 3 no operation.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public byte getKind() {
-        return this.kind;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     * 1 command, 2 member set, 3 no operation.
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public Entry setKind(byte kind) {
-        this.kind = kind;
-        setKindIsSet(true);
-        return this;
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void unsetKind() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __KIND_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    /** Returns true if field kind is set (has been assigned a value) and false otherwise */
-    public boolean isSetKind() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __KIND_ISSET_ID);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    public void setKindIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __KIND_ISSET_ID, value);
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public byte[] getPayload() {
-        setPayload(org.apache.thrift.TBaseHelper.rightSize(payload));
-        return payload == null ? null : payload.array();
-    }
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __INDEX_ISSET_ID = 0;
+  private static final int __TERM_ISSET_ID = 1;
+  private static final int __KIND_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.INDEX, new org.apache.thrift.meta_data.FieldMetaData("index", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.KIND, new org.apache.thrift.meta_data.FieldMetaData("kind", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BYTE)));
+    tmpMap.put(_Fields.PAYLOAD, new org.apache.thrift.meta_data.FieldMetaData("payload", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Entry.class, metaDataMap);
+  }
+
+  public Entry() {
+  }
+
+  public Entry(
+    long index,
+    long term,
+    byte kind,
+    java.nio.ByteBuffer payload)
+  {
+    this();
+    this.index = index;
+    setIndexIsSet(true);
+    this.term = term;
+    setTermIsSet(true);
+    this.kind = kind;
+    setKindIsSet(true);
+    this.payload = org.apache.thrift.TBaseHelper.copyBinary(payload);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public Entry(Entry other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.index = other.index;
+    this.term = other.term;
+    this.kind = other.kind;
+    if (other.isSetPayload()) {
+      this.payload = org.apache.thrift.TBaseHelper.copyBinary(other.payload);
+    }
+  }
+
+  @Override
+  public Entry deepCopy() {
+    return new Entry(this);
+  }
+
+  @Override
+  public void clear() {
+    setIndexIsSet(false);
+    this.index = 0;
+    setTermIsSet(false);
+    this.term = 0;
+    setKindIsSet(false);
+    this.kind = 0;
+    this.payload = null;
+  }
+
+  public long getIndex() {
+    return this.index;
+  }
+
+  public Entry setIndex(long index) {
+    this.index = index;
+    setIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INDEX_ISSET_ID);
+  }
+
+  /** Returns true if field index is set (has been assigned a value) and false otherwise */
+  public boolean isSetIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INDEX_ISSET_ID);
+  }
+
+  public void setIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INDEX_ISSET_ID, value);
+  }
+
+  public long getTerm() {
+    return this.term;
+  }
+
+  public Entry setTerm(long term) {
+    this.term = term;
+    setTermIsSet(true);
+    return this;
+  }
+
+  public void unsetTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  /** Returns true if field term is set (has been assigned a value) and false otherwise */
+  public boolean isSetTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  public void setTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
+  }
+
+  /**
+   * 1 command, 2 member set, 3 no operation.
+   */
+  public byte getKind() {
+    return this.kind;
+  }
+
+  /**
+   * 1 command, 2 member set, 3 no operation.
+   */
+  public Entry setKind(byte kind) {
+    this.kind = kind;
+    setKindIsSet(true);
+    return this;
+  }
+
+  public void unsetKind() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __KIND_ISSET_ID);
+  }
+
+  /** Returns true if field kind is set (has been assigned a value) and false otherwise */
+  public boolean isSetKind() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __KIND_ISSET_ID);
+  }
+
+  public void setKindIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __KIND_ISSET_ID, value);
+  }
+
+  public byte[] getPayload() {
+    setPayload(org.apache.thrift.TBaseHelper.rightSize(payload));
+    return payload == null ? null : payload.array();
+  }
+
+  public java.nio.ByteBuffer bufferForPayload() {
+    return org.apache.thrift.TBaseHelper.copyBinary(payload);
+  }
+
+  public Entry setPayload(byte[] payload) {
+    this.payload = payload == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(payload.clone());
+    return this;
+  }
+
+  public Entry setPayload(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer payload) {
+    this.payload = org.apache.thrift.TBaseHelper.copyBinary(payload);
+    return this;
+  }
+
+  public void unsetPayload() {
+    this.payload = null;
+  }
+
+  /** Returns true if field payload is set (has been assigned a value) and false otherwise */
+  public boolean isSetPayload() {
+    return this.payload != null;
+  }
+
+  public void setPayloadIsSet(boolean value) {
+    if (!value) {
+      this.payload = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case INDEX:
+      if (value == null) {
+        unsetIndex();
+      } else {
+        setIndex((java.lang.Long)value);
+      }
+      break;
+
+    case TERM:
+      if (value == null) {
+        unsetTerm();
+      } else {
+        setTerm((java.lang.Long)value);
+      }
+      break;
+
+    case KIND:
+      if (value == null) {
+        unsetKind();
+      } else {
+        setKind((java.lang.Byte)value);
+      }
+      break;
+
+    case PAYLOAD:
+      if (value == null) {
+        unsetPayload();
+      } else {
+        if (value instanceof byte[]) {
+          setPayload((byte[])value);
+        } else {
+          setPayload((java.nio.ByteBuffer)value);
+        }
+      }
+      break;
 
-    public java.nio.ByteBuffer bufferForPayload() {
-        return org.apache.thrift.TBaseHelper.copyBinary(payload);
     }
+  }
 
-    public Entry setPayload(byte[] payload) {
-        this.payload = payload == null ? (java.nio.ByteBuffer) null : java.nio.ByteBuffer.wrap(payload.clone());
-        return this;
-    }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case INDEX:
+      return getIndex();
 
-    public Entry setPayload(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer payload) {
-        this.payload = org.apache.thrift.TBaseHelper.copyBinary(payload);
-        return this;
-    }
+    case TERM:
+      return getTerm();
 
-    public void unsetPayload() {
-        this.payload = null;
-    }
+    case KIND:
+      return getKind();
 
-    /** Returns true if field payload is set (has been assigned a value) and false otherwise */
-    public boolean isSetPayload() {
-        return this.payload != null;
-    }
+    case PAYLOAD:
+      return getPayload();
 
-    public void setPayloadIsSet(boolean value) {
-        if (!value) {
-            this.payload = null;
-        }
     }
+    throw new java.lang.IllegalStateException();
+  }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case INDEX:
-                if (value == null) {
-                    unsetIndex();
-                } else {
-                    setIndex((java.lang.Long) value);
-                }
-                break;
-
-            case TERM:
-                if (value == null) {
-                    unsetTerm();
-                } else {
-                    setTerm((java.lang.Long) value);
-                }
-                break;
-
-            case KIND:
-                if (value == null) {
-                    unsetKind();
-                } else {
-                    setKind((java.lang.Byte) value);
-                }
-                break;
-
-            case PAYLOAD:
-                if (value == null) {
-                    unsetPayload();
-                } else {
-                    if (value instanceof byte[]) {
-                        setPayload((byte[]) value);
-                    } else {
-                        setPayload((java.nio.ByteBuffer) value);
-                    }
-                }
-                break;
-        }
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case INDEX:
-                return getIndex();
+    switch (field) {
+    case INDEX:
+      return isSetIndex();
+    case TERM:
+      return isSetTerm();
+    case KIND:
+      return isSetKind();
+    case PAYLOAD:
+      return isSetPayload();
+    }
+    throw new java.lang.IllegalStateException();
+  }
 
-            case TERM:
-                return getTerm();
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof Entry)
+      return this.equals((Entry)that);
+    return false;
+  }
 
-            case KIND:
-                return getKind();
+  public boolean equals(Entry that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
 
-            case PAYLOAD:
-                return getPayload();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_index = true;
+    boolean that_present_index = true;
+    if (this_present_index || that_present_index) {
+      if (!(this_present_index && that_present_index))
+        return false;
+      if (this.index != that.index)
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case INDEX:
-                return isSetIndex();
-            case TERM:
-                return isSetTerm();
-            case KIND:
-                return isSetKind();
-            case PAYLOAD:
-                return isSetPayload();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_term = true;
+    boolean that_present_term = true;
+    if (this_present_term || that_present_term) {
+      if (!(this_present_term && that_present_term))
+        return false;
+      if (this.term != that.term)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof Entry) return this.equals((Entry) that);
+    boolean this_present_kind = true;
+    boolean that_present_kind = true;
+    if (this_present_kind || that_present_kind) {
+      if (!(this_present_kind && that_present_kind))
+        return false;
+      if (this.kind != that.kind)
         return false;
     }
 
-    public boolean equals(Entry that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_index = true;
-        boolean that_present_index = true;
-        if (this_present_index || that_present_index) {
-            if (!(this_present_index && that_present_index)) return false;
-            if (this.index != that.index) return false;
-        }
-
-        boolean this_present_term = true;
-        boolean that_present_term = true;
-        if (this_present_term || that_present_term) {
-            if (!(this_present_term && that_present_term)) return false;
-            if (this.term != that.term) return false;
-        }
-
-        boolean this_present_kind = true;
-        boolean that_present_kind = true;
-        if (this_present_kind || that_present_kind) {
-            if (!(this_present_kind && that_present_kind)) return false;
-            if (this.kind != that.kind) return false;
-        }
-
-        boolean this_present_payload = true && this.isSetPayload();
-        boolean that_present_payload = true && that.isSetPayload();
-        if (this_present_payload || that_present_payload) {
-            if (!(this_present_payload && that_present_payload)) return false;
-            if (!this.payload.equals(that.payload)) return false;
-        }
-
-        return true;
+    boolean this_present_payload = true && this.isSetPayload();
+    boolean that_present_payload = true && that.isSetPayload();
+    if (this_present_payload || that_present_payload) {
+      if (!(this_present_payload && that_present_payload))
+        return false;
+      if (!this.payload.equals(that.payload))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(index);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
+
+    hashCode = hashCode * 8191 + (int) (kind);
+
+    hashCode = hashCode * 8191 + ((isSetPayload()) ? 131071 : 524287);
+    if (isSetPayload())
+      hashCode = hashCode * 8191 + payload.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(Entry other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetIndex(), other.isSetIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.index, other.index);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetKind(), other.isSetKind());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetKind()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.kind, other.kind);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPayload(), other.isSetPayload());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPayload()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.payload, other.payload);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("Entry(");
+    boolean first = true;
+
+    sb.append("index:");
+    sb.append(this.index);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("term:");
+    sb.append(this.term);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("kind:");
+    sb.append(this.kind);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("payload:");
+    if (this.payload == null) {
+      sb.append("null");
+    } else {
+      org.apache.thrift.TBaseHelper.toString(this.payload, sb);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'index' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'kind' because it's a primitive and you chose the non-beans generator.
+    if (payload == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'payload' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class EntryStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(index);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
-
-        hashCode = hashCode * 8191 + (int) (kind);
-
-        hashCode = hashCode * 8191 + ((isSetPayload()) ? 131071 : 524287);
-        if (isSetPayload()) hashCode = hashCode * 8191 + payload.hashCode();
-
-        return hashCode;
+    public EntryStandardScheme getScheme() {
+      return new EntryStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(Entry other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class EntryStandardScheme extends org.apache.thrift.scheme.StandardScheme<Entry> {
 
-        lastComparison = java.lang.Boolean.compare(isSetIndex(), other.isSetIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.index, other.index);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, Entry struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.index = iprot.readI64();
+              struct.setIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTerm()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.term = iprot.readI64();
+              struct.setTermIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetKind(), other.isSetKind());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetKind()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.kind, other.kind);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // KIND
+            if (schemeField.type == org.apache.thrift.protocol.TType.BYTE) {
+              struct.kind = iprot.readByte();
+              struct.setKindIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetPayload(), other.isSetPayload());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetPayload()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.payload, other.payload);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // PAYLOAD
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.payload = iprot.readBinary();
+              struct.setPayloadIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'index' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'term' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetKind()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'kind' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, Entry struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(INDEX_FIELD_DESC);
+      oprot.writeI64(struct.index);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(TERM_FIELD_DESC);
+      oprot.writeI64(struct.term);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(KIND_FIELD_DESC);
+      oprot.writeByte(struct.kind);
+      oprot.writeFieldEnd();
+      if (struct.payload != null) {
+        oprot.writeFieldBegin(PAYLOAD_FIELD_DESC);
+        oprot.writeBinary(struct.payload);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class EntryTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public EntryTupleScheme getScheme() {
+      return new EntryTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class EntryTupleScheme extends org.apache.thrift.scheme.TupleScheme<Entry> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("Entry(");
-        boolean first = true;
-
-        sb.append("index:");
-        sb.append(this.index);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("term:");
-        sb.append(this.term);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("kind:");
-        sb.append(this.kind);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("payload:");
-        if (this.payload == null) {
-            sb.append("null");
-        } else {
-            org.apache.thrift.TBaseHelper.toString(this.payload, sb);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'index' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'kind' because it's a primitive and you chose the non-beans generator.
-        if (payload == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'payload' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class EntryStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public EntryStandardScheme getScheme() {
-            return new EntryStandardScheme();
-        }
-    }
-
-    private static class EntryStandardScheme extends org.apache.thrift.scheme.StandardScheme<Entry> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, Entry struct) throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.index = iprot.readI64();
-                            struct.setIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // TERM
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.term = iprot.readI64();
-                            struct.setTermIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // KIND
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BYTE) {
-                            struct.kind = iprot.readByte();
-                            struct.setKindIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // PAYLOAD
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.payload = iprot.readBinary();
-                            struct.setPayloadIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'index' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetTerm()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'term' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetKind()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'kind' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, Entry struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(INDEX_FIELD_DESC);
-            oprot.writeI64(struct.index);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(TERM_FIELD_DESC);
-            oprot.writeI64(struct.term);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(KIND_FIELD_DESC);
-            oprot.writeByte(struct.kind);
-            oprot.writeFieldEnd();
-            if (struct.payload != null) {
-                oprot.writeFieldBegin(PAYLOAD_FIELD_DESC);
-                oprot.writeBinary(struct.payload);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class EntryTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public EntryTupleScheme getScheme() {
-            return new EntryTupleScheme();
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, Entry struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.index);
+      oprot.writeI64(struct.term);
+      oprot.writeByte(struct.kind);
+      oprot.writeBinary(struct.payload);
     }
 
-    private static class EntryTupleScheme extends org.apache.thrift.scheme.TupleScheme<Entry> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, Entry struct) throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.index);
-            oprot.writeI64(struct.term);
-            oprot.writeByte(struct.kind);
-            oprot.writeBinary(struct.payload);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, Entry struct) throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.index = iprot.readI64();
-            struct.setIndexIsSet(true);
-            struct.term = iprot.readI64();
-            struct.setTermIsSet(true);
-            struct.kind = iprot.readByte();
-            struct.setKindIsSet(true);
-            struct.payload = iprot.readBinary();
-            struct.setPayloadIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, Entry struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.index = iprot.readI64();
+      struct.setIndexIsSet(true);
+      struct.term = iprot.readI64();
+      struct.setTermIsSet(true);
+      struct.kind = iprot.readByte();
+      struct.setKindIsSet(true);
+      struct.payload = iprot.readBinary();
+      struct.setPayloadIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/FoundAnswer.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/FoundAnswer.java
@@ -7,488 +7,472 @@
 package org.basilrill.thrift.consensus;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class FoundAnswer
-        implements org.apache.thrift.TBase<FoundAnswer, FoundAnswer._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<FoundAnswer> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("FoundAnswer");
-
-    private static final org.apache.thrift.protocol.TField ROUND_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("round", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField STATE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("state", org.apache.thrift.protocol.TType.BYTE, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new FoundAnswerStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new FoundAnswerTupleSchemeFactory();
-
-    private long round; // required
-    private byte state; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ROUND((short) 1, "round"),
-        /**
-         * 1 empty, 2 reserved for the sender, 3 in use.
-         */
-        STATE((short) 2, "state");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ROUND
-                    return ROUND;
-                case 2: // STATE
-                    return STATE;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+public class FoundAnswer implements org.apache.thrift.TBase<FoundAnswer, FoundAnswer._Fields>, java.io.Serializable, Cloneable, Comparable<FoundAnswer> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("FoundAnswer");
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TField ROUND_FIELD_DESC = new org.apache.thrift.protocol.TField("round", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField STATE_FIELD_DESC = new org.apache.thrift.protocol.TField("state", org.apache.thrift.protocol.TType.BYTE, (short)2);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FoundAnswerStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FoundAnswerTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private long round; // required
+  private byte state; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ROUND((short)1, "round"),
+    /**
+     * 1 empty, 2 reserved for the sender, 3 in use.
+     */
+    STATE((short)2, "state");
 
-    // isset id assignments
-    private static final int __ROUND_ISSET_ID = 0;
-    private static final int __STATE_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ROUND,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "round",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.STATE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "state",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BYTE)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FoundAnswer.class, metaDataMap);
-    }
-
-    public FoundAnswer() {}
-
-    public FoundAnswer(long round, byte state) {
-        this();
-        this.round = round;
-        setRoundIsSet(true);
-        this.state = state;
-        setStateIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public FoundAnswer(FoundAnswer other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.round = other.round;
-        this.state = other.state;
-    }
-
-    @Override
-    public FoundAnswer deepCopy() {
-        return new FoundAnswer(this);
-    }
-
-    @Override
-    public void clear() {
-        setRoundIsSet(false);
-        this.round = 0;
-        setStateIsSet(false);
-        this.state = 0;
-    }
-
-    public long getRound() {
-        return this.round;
-    }
-
-    public FoundAnswer setRound(long round) {
-        this.round = round;
-        setRoundIsSet(true);
-        return this;
-    }
-
-    public void unsetRound() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROUND_ISSET_ID);
-    }
-
-    /** Returns true if field round is set (has been assigned a value) and false otherwise */
-    public boolean isSetRound() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROUND_ISSET_ID);
-    }
-
-    public void setRoundIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROUND_ISSET_ID, value);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ROUND
+          return ROUND;
+        case 2: // STATE
+          return STATE;
+        default:
+          return null;
+      }
     }
 
     /**
-     * 1 empty, 2 reserved for the sender, 3 in use.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public byte getState() {
-        return this.state;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     * 1 empty, 2 reserved for the sender, 3 in use.
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public FoundAnswer setState(byte state) {
-        this.state = state;
-        setStateIsSet(true);
-        return this;
-    }
-
-    public void unsetState() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STATE_ISSET_ID);
-    }
-
-    /** Returns true if field state is set (has been assigned a value) and false otherwise */
-    public boolean isSetState() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STATE_ISSET_ID);
-    }
-
-    public void setStateIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STATE_ISSET_ID, value);
-    }
-
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ROUND:
-                if (value == null) {
-                    unsetRound();
-                } else {
-                    setRound((java.lang.Long) value);
-                }
-                break;
-
-            case STATE:
-                if (value == null) {
-                    unsetState();
-                } else {
-                    setState((java.lang.Byte) value);
-                }
-                break;
-        }
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ROUND:
-                return getRound();
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-            case STATE:
-                return getState();
-        }
-        throw new java.lang.IllegalStateException();
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ROUND:
-                return isSetRound();
-            case STATE:
-                return isSetState();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof FoundAnswer) return this.equals((FoundAnswer) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __ROUND_ISSET_ID = 0;
+  private static final int __STATE_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ROUND, new org.apache.thrift.meta_data.FieldMetaData("round", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.STATE, new org.apache.thrift.meta_data.FieldMetaData("state", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BYTE)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FoundAnswer.class, metaDataMap);
+  }
+
+  public FoundAnswer() {
+  }
+
+  public FoundAnswer(
+    long round,
+    byte state)
+  {
+    this();
+    this.round = round;
+    setRoundIsSet(true);
+    this.state = state;
+    setStateIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public FoundAnswer(FoundAnswer other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.round = other.round;
+    this.state = other.state;
+  }
+
+  @Override
+  public FoundAnswer deepCopy() {
+    return new FoundAnswer(this);
+  }
+
+  @Override
+  public void clear() {
+    setRoundIsSet(false);
+    this.round = 0;
+    setStateIsSet(false);
+    this.state = 0;
+  }
+
+  public long getRound() {
+    return this.round;
+  }
+
+  public FoundAnswer setRound(long round) {
+    this.round = round;
+    setRoundIsSet(true);
+    return this;
+  }
+
+  public void unsetRound() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROUND_ISSET_ID);
+  }
+
+  /** Returns true if field round is set (has been assigned a value) and false otherwise */
+  public boolean isSetRound() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROUND_ISSET_ID);
+  }
+
+  public void setRoundIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROUND_ISSET_ID, value);
+  }
+
+  /**
+   * 1 empty, 2 reserved for the sender, 3 in use.
+   */
+  public byte getState() {
+    return this.state;
+  }
+
+  /**
+   * 1 empty, 2 reserved for the sender, 3 in use.
+   */
+  public FoundAnswer setState(byte state) {
+    this.state = state;
+    setStateIsSet(true);
+    return this;
+  }
+
+  public void unsetState() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STATE_ISSET_ID);
+  }
+
+  /** Returns true if field state is set (has been assigned a value) and false otherwise */
+  public boolean isSetState() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STATE_ISSET_ID);
+  }
+
+  public void setStateIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STATE_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ROUND:
+      if (value == null) {
+        unsetRound();
+      } else {
+        setRound((java.lang.Long)value);
+      }
+      break;
+
+    case STATE:
+      if (value == null) {
+        unsetState();
+      } else {
+        setState((java.lang.Byte)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ROUND:
+      return getRound();
+
+    case STATE:
+      return getState();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ROUND:
+      return isSetRound();
+    case STATE:
+      return isSetState();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof FoundAnswer)
+      return this.equals((FoundAnswer)that);
+    return false;
+  }
+
+  public boolean equals(FoundAnswer that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_round = true;
+    boolean that_present_round = true;
+    if (this_present_round || that_present_round) {
+      if (!(this_present_round && that_present_round))
+        return false;
+      if (this.round != that.round)
         return false;
     }
 
-    public boolean equals(FoundAnswer that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_round = true;
-        boolean that_present_round = true;
-        if (this_present_round || that_present_round) {
-            if (!(this_present_round && that_present_round)) return false;
-            if (this.round != that.round) return false;
-        }
-
-        boolean this_present_state = true;
-        boolean that_present_state = true;
-        if (this_present_state || that_present_state) {
-            if (!(this_present_state && that_present_state)) return false;
-            if (this.state != that.state) return false;
-        }
-
-        return true;
+    boolean this_present_state = true;
+    boolean that_present_state = true;
+    if (this_present_state || that_present_state) {
+      if (!(this_present_state && that_present_state))
+        return false;
+      if (this.state != that.state)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(round);
+
+    hashCode = hashCode * 8191 + (int) (state);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(FoundAnswer other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetRound(), other.isSetRound());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRound()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.round, other.round);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetState(), other.isSetState());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetState()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.state, other.state);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("FoundAnswer(");
+    boolean first = true;
+
+    sb.append("round:");
+    sb.append(this.round);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("state:");
+    sb.append(this.state);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'round' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'state' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class FoundAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(round);
-
-        hashCode = hashCode * 8191 + (int) (state);
-
-        return hashCode;
+    public FoundAnswerStandardScheme getScheme() {
+      return new FoundAnswerStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(FoundAnswer other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+  private static class FoundAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<FoundAnswer> {
 
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetRound(), other.isSetRound());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, FoundAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetRound()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.round, other.round);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // ROUND
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.round = iprot.readI64();
+              struct.setRoundIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetState(), other.isSetState());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetState()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.state, other.state);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // STATE
+            if (schemeField.type == org.apache.thrift.protocol.TType.BYTE) {
+              struct.state = iprot.readByte();
+              struct.setStateIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRound()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'round' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetState()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'state' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("FoundAnswer(");
-        boolean first = true;
-
-        sb.append("round:");
-        sb.append(this.round);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("state:");
-        sb.append(this.state);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'round' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'state' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
+    public void write(org.apache.thrift.protocol.TProtocol oprot, FoundAnswer struct) throws org.apache.thrift.TException {
+      struct.validate();
 
-    private static class FoundAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public FoundAnswerStandardScheme getScheme() {
-            return new FoundAnswerStandardScheme();
-        }
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(ROUND_FIELD_DESC);
+      oprot.writeI64(struct.round);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(STATE_FIELD_DESC);
+      oprot.writeByte(struct.state);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    private static class FoundAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<FoundAnswer> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, FoundAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ROUND
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.round = iprot.readI64();
-                            struct.setRoundIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // STATE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BYTE) {
-                            struct.state = iprot.readByte();
-                            struct.setStateIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
+  }
 
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRound()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'round' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetState()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'state' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, FoundAnswer struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(ROUND_FIELD_DESC);
-            oprot.writeI64(struct.round);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(STATE_FIELD_DESC);
-            oprot.writeByte(struct.state);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class FoundAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public FoundAnswerTupleScheme getScheme() {
-            return new FoundAnswerTupleScheme();
-        }
+  private static class FoundAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public FoundAnswerTupleScheme getScheme() {
+      return new FoundAnswerTupleScheme();
     }
+  }
 
-    private static class FoundAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<FoundAnswer> {
+  private static class FoundAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<FoundAnswer> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, FoundAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.round);
-            oprot.writeByte(struct.state);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, FoundAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.round = iprot.readI64();
-            struct.setRoundIsSet(true);
-            struct.state = iprot.readByte();
-            struct.setStateIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, FoundAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.round);
+      oprot.writeByte(struct.state);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, FoundAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.round = iprot.readI64();
+      struct.setRoundIsSet(true);
+      struct.state = iprot.readByte();
+      struct.setStateIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/FoundRequest.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/FoundRequest.java
@@ -10,479 +10,463 @@
  * Asks a founding replica whether its store is empty, or with grant to reserve it for the sender's cluster.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class FoundRequest
-        implements org.apache.thrift.TBase<FoundRequest, FoundRequest._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<FoundRequest> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("FoundRequest");
-
-    private static final org.apache.thrift.protocol.TField ROUND_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("round", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField GRANT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("grant", org.apache.thrift.protocol.TType.BOOL, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new FoundRequestStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new FoundRequestTupleSchemeFactory();
-
-    private long round; // required
-    private boolean grant; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ROUND((short) 1, "round"),
-        GRANT((short) 2, "grant");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ROUND
-                    return ROUND;
-                case 2: // GRANT
-                    return GRANT;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+public class FoundRequest implements org.apache.thrift.TBase<FoundRequest, FoundRequest._Fields>, java.io.Serializable, Cloneable, Comparable<FoundRequest> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("FoundRequest");
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField ROUND_FIELD_DESC = new org.apache.thrift.protocol.TField("round", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField GRANT_FIELD_DESC = new org.apache.thrift.protocol.TField("grant", org.apache.thrift.protocol.TType.BOOL, (short)2);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FoundRequestStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FoundRequestTupleSchemeFactory();
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private long round; // required
+  private boolean grant; // required
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ROUND((short)1, "round"),
+    GRANT((short)2, "grant");
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __ROUND_ISSET_ID = 0;
-    private static final int __GRANT_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ROUND,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "round",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.GRANT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "grant",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FoundRequest.class, metaDataMap);
-    }
-
-    public FoundRequest() {}
-
-    public FoundRequest(long round, boolean grant) {
-        this();
-        this.round = round;
-        setRoundIsSet(true);
-        this.grant = grant;
-        setGrantIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public FoundRequest(FoundRequest other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.round = other.round;
-        this.grant = other.grant;
-    }
-
-    @Override
-    public FoundRequest deepCopy() {
-        return new FoundRequest(this);
-    }
-
-    @Override
-    public void clear() {
-        setRoundIsSet(false);
-        this.round = 0;
-        setGrantIsSet(false);
-        this.grant = false;
-    }
-
-    public long getRound() {
-        return this.round;
-    }
-
-    public FoundRequest setRound(long round) {
-        this.round = round;
-        setRoundIsSet(true);
-        return this;
-    }
-
-    public void unsetRound() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROUND_ISSET_ID);
-    }
-
-    /** Returns true if field round is set (has been assigned a value) and false otherwise */
-    public boolean isSetRound() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROUND_ISSET_ID);
-    }
-
-    public void setRoundIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROUND_ISSET_ID, value);
-    }
-
-    public boolean isGrant() {
-        return this.grant;
-    }
-
-    public FoundRequest setGrant(boolean grant) {
-        this.grant = grant;
-        setGrantIsSet(true);
-        return this;
-    }
-
-    public void unsetGrant() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __GRANT_ISSET_ID);
-    }
-
-    /** Returns true if field grant is set (has been assigned a value) and false otherwise */
-    public boolean isSetGrant() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __GRANT_ISSET_ID);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ROUND
+          return ROUND;
+        case 2: // GRANT
+          return GRANT;
+        default:
+          return null;
+      }
     }
 
-    public void setGrantIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GRANT_ISSET_ID, value);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ROUND:
-                if (value == null) {
-                    unsetRound();
-                } else {
-                    setRound((java.lang.Long) value);
-                }
-                break;
-
-            case GRANT:
-                if (value == null) {
-                    unsetGrant();
-                } else {
-                    setGrant((java.lang.Boolean) value);
-                }
-                break;
-        }
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ROUND:
-                return getRound();
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-            case GRANT:
-                return isGrant();
-        }
-        throw new java.lang.IllegalStateException();
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ROUND:
-                return isSetRound();
-            case GRANT:
-                return isSetGrant();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof FoundRequest) return this.equals((FoundRequest) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __ROUND_ISSET_ID = 0;
+  private static final int __GRANT_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ROUND, new org.apache.thrift.meta_data.FieldMetaData("round", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.GRANT, new org.apache.thrift.meta_data.FieldMetaData("grant", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FoundRequest.class, metaDataMap);
+  }
+
+  public FoundRequest() {
+  }
+
+  public FoundRequest(
+    long round,
+    boolean grant)
+  {
+    this();
+    this.round = round;
+    setRoundIsSet(true);
+    this.grant = grant;
+    setGrantIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public FoundRequest(FoundRequest other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.round = other.round;
+    this.grant = other.grant;
+  }
+
+  @Override
+  public FoundRequest deepCopy() {
+    return new FoundRequest(this);
+  }
+
+  @Override
+  public void clear() {
+    setRoundIsSet(false);
+    this.round = 0;
+    setGrantIsSet(false);
+    this.grant = false;
+  }
+
+  public long getRound() {
+    return this.round;
+  }
+
+  public FoundRequest setRound(long round) {
+    this.round = round;
+    setRoundIsSet(true);
+    return this;
+  }
+
+  public void unsetRound() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROUND_ISSET_ID);
+  }
+
+  /** Returns true if field round is set (has been assigned a value) and false otherwise */
+  public boolean isSetRound() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROUND_ISSET_ID);
+  }
+
+  public void setRoundIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROUND_ISSET_ID, value);
+  }
+
+  public boolean isGrant() {
+    return this.grant;
+  }
+
+  public FoundRequest setGrant(boolean grant) {
+    this.grant = grant;
+    setGrantIsSet(true);
+    return this;
+  }
+
+  public void unsetGrant() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __GRANT_ISSET_ID);
+  }
+
+  /** Returns true if field grant is set (has been assigned a value) and false otherwise */
+  public boolean isSetGrant() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __GRANT_ISSET_ID);
+  }
+
+  public void setGrantIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GRANT_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ROUND:
+      if (value == null) {
+        unsetRound();
+      } else {
+        setRound((java.lang.Long)value);
+      }
+      break;
+
+    case GRANT:
+      if (value == null) {
+        unsetGrant();
+      } else {
+        setGrant((java.lang.Boolean)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ROUND:
+      return getRound();
+
+    case GRANT:
+      return isGrant();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ROUND:
+      return isSetRound();
+    case GRANT:
+      return isSetGrant();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof FoundRequest)
+      return this.equals((FoundRequest)that);
+    return false;
+  }
+
+  public boolean equals(FoundRequest that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_round = true;
+    boolean that_present_round = true;
+    if (this_present_round || that_present_round) {
+      if (!(this_present_round && that_present_round))
+        return false;
+      if (this.round != that.round)
         return false;
     }
 
-    public boolean equals(FoundRequest that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_round = true;
-        boolean that_present_round = true;
-        if (this_present_round || that_present_round) {
-            if (!(this_present_round && that_present_round)) return false;
-            if (this.round != that.round) return false;
-        }
-
-        boolean this_present_grant = true;
-        boolean that_present_grant = true;
-        if (this_present_grant || that_present_grant) {
-            if (!(this_present_grant && that_present_grant)) return false;
-            if (this.grant != that.grant) return false;
-        }
-
-        return true;
+    boolean this_present_grant = true;
+    boolean that_present_grant = true;
+    if (this_present_grant || that_present_grant) {
+      if (!(this_present_grant && that_present_grant))
+        return false;
+      if (this.grant != that.grant)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(round);
+
+    hashCode = hashCode * 8191 + ((grant) ? 131071 : 524287);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(FoundRequest other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetRound(), other.isSetRound());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRound()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.round, other.round);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetGrant(), other.isSetGrant());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGrant()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.grant, other.grant);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("FoundRequest(");
+    boolean first = true;
+
+    sb.append("round:");
+    sb.append(this.round);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("grant:");
+    sb.append(this.grant);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'round' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'grant' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class FoundRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(round);
-
-        hashCode = hashCode * 8191 + ((grant) ? 131071 : 524287);
-
-        return hashCode;
+    public FoundRequestStandardScheme getScheme() {
+      return new FoundRequestStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(FoundRequest other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class FoundRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<FoundRequest> {
 
-        lastComparison = java.lang.Boolean.compare(isSetRound(), other.isSetRound());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, FoundRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetRound()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.round, other.round);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // ROUND
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.round = iprot.readI64();
+              struct.setRoundIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetGrant(), other.isSetGrant());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetGrant()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.grant, other.grant);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // GRANT
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.grant = iprot.readBool();
+              struct.setGrantIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRound()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'round' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetGrant()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'grant' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
+    public void write(org.apache.thrift.protocol.TProtocol oprot, FoundRequest struct) throws org.apache.thrift.TException {
+      struct.validate();
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
-
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("FoundRequest(");
-        boolean first = true;
-
-        sb.append("round:");
-        sb.append(this.round);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("grant:");
-        sb.append(this.grant);
-        first = false;
-        sb.append(")");
-        return sb.toString();
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(ROUND_FIELD_DESC);
+      oprot.writeI64(struct.round);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(GRANT_FIELD_DESC);
+      oprot.writeBool(struct.grant);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'round' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'grant' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class FoundRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public FoundRequestStandardScheme getScheme() {
-            return new FoundRequestStandardScheme();
-        }
-    }
-
-    private static class FoundRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<FoundRequest> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, FoundRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ROUND
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.round = iprot.readI64();
-                            struct.setRoundIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // GRANT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.grant = iprot.readBool();
-                            struct.setGrantIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRound()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'round' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetGrant()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'grant' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, FoundRequest struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(ROUND_FIELD_DESC);
-            oprot.writeI64(struct.round);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(GRANT_FIELD_DESC);
-            oprot.writeBool(struct.grant);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class FoundRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public FoundRequestTupleScheme getScheme() {
-            return new FoundRequestTupleScheme();
-        }
+  private static class FoundRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public FoundRequestTupleScheme getScheme() {
+      return new FoundRequestTupleScheme();
     }
+  }
 
-    private static class FoundRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<FoundRequest> {
+  private static class FoundRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<FoundRequest> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, FoundRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.round);
-            oprot.writeBool(struct.grant);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, FoundRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.round = iprot.readI64();
-            struct.setRoundIsSet(true);
-            struct.grant = iprot.readBool();
-            struct.setGrantIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, FoundRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.round);
+      oprot.writeBool(struct.grant);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, FoundRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.round = iprot.readI64();
+      struct.setRoundIsSet(true);
+      struct.grant = iprot.readBool();
+      struct.setGrantIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/JoinRequest.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/JoinRequest.java
@@ -10,277 +10,268 @@
  * Asks the leader to accept the sender as a learner.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class JoinRequest
-        implements org.apache.thrift.TBase<JoinRequest, JoinRequest._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<JoinRequest> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("JoinRequest");
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new JoinRequestStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new JoinRequestTupleSchemeFactory();
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ;
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+public class JoinRequest implements org.apache.thrift.TBase<JoinRequest, JoinRequest._Fields>, java.io.Serializable, Cloneable, Comparable<JoinRequest> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("JoinRequest");
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new JoinRequestStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new JoinRequestTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+;
 
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(JoinRequest.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public JoinRequest() {}
-
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public JoinRequest(JoinRequest other) {}
-
-    @Override
-    public JoinRequest deepCopy() {
-        return new JoinRequest(this);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        default:
+          return null;
+      }
     }
 
-    @Override
-    public void clear() {}
-
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-        }
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-        }
-        throw new java.lang.IllegalStateException();
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-        switch (field) {
-        }
-        throw new java.lang.IllegalStateException();
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof JoinRequest) return this.equals((JoinRequest) that);
-        return false;
-    }
-
-    public boolean equals(JoinRequest that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        return true;
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        return hashCode;
+    public java.lang.String getFieldName() {
+      return _fieldName;
     }
+  }
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(JoinRequest.class, metaDataMap);
+  }
+
+  public JoinRequest() {
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public JoinRequest(JoinRequest other) {
+  }
+
+  @Override
+  public JoinRequest deepCopy() {
+    return new JoinRequest(this);
+  }
+
+  @Override
+  public void clear() {
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    }
+  }
 
-    @Override
-    public int compareTo(JoinRequest other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        return 0;
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    switch (field) {
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof JoinRequest)
+      return this.equals((JoinRequest)that);
+    return false;
+  }
+
+  public boolean equals(JoinRequest that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(JoinRequest other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    int lastComparison = 0;
+
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("JoinRequest(");
+    boolean first = true;
+
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
+  private static class JoinRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("JoinRequest(");
-        boolean first = true;
-
-        sb.append(")");
-        return sb.toString();
+    public JoinRequestStandardScheme getScheme() {
+      return new JoinRequestStandardScheme();
     }
+  }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // check for sub-struct validity
-    }
+  private static class JoinRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<JoinRequest> {
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, JoinRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+        switch (schemeField.id) {
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    private static class JoinRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public JoinRequestStandardScheme getScheme() {
-            return new JoinRequestStandardScheme();
-        }
+      // check for required fields of primitive type, which can't be checked in the validate method
+      struct.validate();
     }
 
-    private static class JoinRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<JoinRequest> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, JoinRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, JoinRequest struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, JoinRequest struct) throws org.apache.thrift.TException {
+      struct.validate();
 
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    private static class JoinRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public JoinRequestTupleScheme getScheme() {
-            return new JoinRequestTupleScheme();
-        }
-    }
+  }
 
-    private static class JoinRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<JoinRequest> {
+  private static class JoinRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public JoinRequestTupleScheme getScheme() {
+      return new JoinRequestTupleScheme();
+    }
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, JoinRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-        }
+  private static class JoinRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<JoinRequest> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, JoinRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, JoinRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, JoinRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
     }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
