--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/SnapshotChunk.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/SnapshotChunk.java
@@ -7,1105 +7,1063 @@
 package org.basilrill.thrift.consensus;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class SnapshotChunk
-        implements org.apache.thrift.TBase<SnapshotChunk, SnapshotChunk._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<SnapshotChunk> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("SnapshotChunk");
-
-    private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField LAST_INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("lastIndex", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField LAST_TERM_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("lastTerm", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.STRING, (short) 4);
-    private static final org.apache.thrift.protocol.TField OFFSET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("offset", org.apache.thrift.protocol.TType.I64, (short) 5);
-    private static final org.apache.thrift.protocol.TField TOTAL_BYTES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("totalBytes", org.apache.thrift.protocol.TType.I64, (short) 6);
-    private static final org.apache.thrift.protocol.TField DATA_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("data", org.apache.thrift.protocol.TType.STRING, (short) 7);
-    private static final org.apache.thrift.protocol.TField ROUND_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("round", org.apache.thrift.protocol.TType.I64, (short) 8);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new SnapshotChunkStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new SnapshotChunkTupleSchemeFactory();
-
-    private long term; // required
-    private long lastIndex; // required
-    private long lastTerm; // required
-    private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer members; // required
-    private long offset; // required
-    private long totalBytes; // required
-    private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer data; // required
-    private long round; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TERM((short) 1, "term"),
-        LAST_INDEX((short) 2, "lastIndex"),
-        LAST_TERM((short) 3, "lastTerm"),
-        MEMBERS((short) 4, "members"),
-        OFFSET((short) 5, "offset"),
-        TOTAL_BYTES((short) 6, "totalBytes"),
-        DATA((short) 7, "data"),
-        ROUND((short) 8, "round");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TERM
-                    return TERM;
-                case 2: // LAST_INDEX
-                    return LAST_INDEX;
-                case 3: // LAST_TERM
-                    return LAST_TERM;
-                case 4: // MEMBERS
-                    return MEMBERS;
-                case 5: // OFFSET
-                    return OFFSET;
-                case 6: // TOTAL_BYTES
-                    return TOTAL_BYTES;
-                case 7: // DATA
-                    return DATA;
-                case 8: // ROUND
-                    return ROUND;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __TERM_ISSET_ID = 0;
-    private static final int __LASTINDEX_ISSET_ID = 1;
-    private static final int __LASTTERM_ISSET_ID = 2;
-    private static final int __OFFSET_ISSET_ID = 3;
-    private static final int __TOTALBYTES_ISSET_ID = 4;
-    private static final int __ROUND_ISSET_ID = 5;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+public class SnapshotChunk implements org.apache.thrift.TBase<SnapshotChunk, SnapshotChunk._Fields>, java.io.Serializable, Cloneable, Comparable<SnapshotChunk> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SnapshotChunk");
+
+  private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField LAST_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("lastIndex", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField LAST_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("lastTerm", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField OFFSET_FIELD_DESC = new org.apache.thrift.protocol.TField("offset", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField TOTAL_BYTES_FIELD_DESC = new org.apache.thrift.protocol.TField("totalBytes", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField DATA_FIELD_DESC = new org.apache.thrift.protocol.TField("data", org.apache.thrift.protocol.TType.STRING, (short)7);
+  private static final org.apache.thrift.protocol.TField ROUND_FIELD_DESC = new org.apache.thrift.protocol.TField("round", org.apache.thrift.protocol.TType.I64, (short)8);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SnapshotChunkStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SnapshotChunkTupleSchemeFactory();
+
+  private long term; // required
+  private long lastIndex; // required
+  private long lastTerm; // required
+  private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer members; // required
+  private long offset; // required
+  private long totalBytes; // required
+  private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer data; // required
+  private long round; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TERM((short)1, "term"),
+    LAST_INDEX((short)2, "lastIndex"),
+    LAST_TERM((short)3, "lastTerm"),
+    MEMBERS((short)4, "members"),
+    OFFSET((short)5, "offset"),
+    TOTAL_BYTES((short)6, "totalBytes"),
+    DATA((short)7, "data"),
+    ROUND((short)8, "round");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TERM,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "term",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.LAST_INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "lastIndex",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.LAST_TERM,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "lastTerm",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.MEMBERS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "members",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(
-                                org.apache.thrift.protocol.TType.STRING, true)));
-        tmpMap.put(
-                _Fields.OFFSET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "offset",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.TOTAL_BYTES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "totalBytes",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.DATA,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "data",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(
-                                org.apache.thrift.protocol.TType.STRING, true)));
-        tmpMap.put(
-                _Fields.ROUND,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "round",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SnapshotChunk.class, metaDataMap);
-    }
-
-    public SnapshotChunk() {}
-
-    public SnapshotChunk(
-            long term,
-            long lastIndex,
-            long lastTerm,
-            java.nio.ByteBuffer members,
-            long offset,
-            long totalBytes,
-            java.nio.ByteBuffer data,
-            long round) {
-        this();
-        this.term = term;
-        setTermIsSet(true);
-        this.lastIndex = lastIndex;
-        setLastIndexIsSet(true);
-        this.lastTerm = lastTerm;
-        setLastTermIsSet(true);
-        this.members = org.apache.thrift.TBaseHelper.copyBinary(members);
-        this.offset = offset;
-        setOffsetIsSet(true);
-        this.totalBytes = totalBytes;
-        setTotalBytesIsSet(true);
-        this.data = org.apache.thrift.TBaseHelper.copyBinary(data);
-        this.round = round;
-        setRoundIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public SnapshotChunk(SnapshotChunk other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.term = other.term;
-        this.lastIndex = other.lastIndex;
-        this.lastTerm = other.lastTerm;
-        if (other.isSetMembers()) {
-            this.members = org.apache.thrift.TBaseHelper.copyBinary(other.members);
-        }
-        this.offset = other.offset;
-        this.totalBytes = other.totalBytes;
-        if (other.isSetData()) {
-            this.data = org.apache.thrift.TBaseHelper.copyBinary(other.data);
-        }
-        this.round = other.round;
-    }
-
-    @Override
-    public SnapshotChunk deepCopy() {
-        return new SnapshotChunk(this);
-    }
-
-    @Override
-    public void clear() {
-        setTermIsSet(false);
-        this.term = 0;
-        setLastIndexIsSet(false);
-        this.lastIndex = 0;
-        setLastTermIsSet(false);
-        this.lastTerm = 0;
-        this.members = null;
-        setOffsetIsSet(false);
-        this.offset = 0;
-        setTotalBytesIsSet(false);
-        this.totalBytes = 0;
-        this.data = null;
-        setRoundIsSet(false);
-        this.round = 0;
-    }
-
-    public long getTerm() {
-        return this.term;
-    }
-
-    public SnapshotChunk setTerm(long term) {
-        this.term = term;
-        setTermIsSet(true);
-        return this;
-    }
-
-    public void unsetTerm() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    /** Returns true if field term is set (has been assigned a value) and false otherwise */
-    public boolean isSetTerm() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    public void setTermIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
-    }
-
-    public long getLastIndex() {
-        return this.lastIndex;
-    }
-
-    public SnapshotChunk setLastIndex(long lastIndex) {
-        this.lastIndex = lastIndex;
-        setLastIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetLastIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
-    }
-
-    /** Returns true if field lastIndex is set (has been assigned a value) and false otherwise */
-    public boolean isSetLastIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
-    }
-
-    public void setLastIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTINDEX_ISSET_ID, value);
-    }
-
-    public long getLastTerm() {
-        return this.lastTerm;
-    }
-
-    public SnapshotChunk setLastTerm(long lastTerm) {
-        this.lastTerm = lastTerm;
-        setLastTermIsSet(true);
-        return this;
-    }
-
-    public void unsetLastTerm() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTTERM_ISSET_ID);
-    }
-
-    /** Returns true if field lastTerm is set (has been assigned a value) and false otherwise */
-    public boolean isSetLastTerm() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTTERM_ISSET_ID);
-    }
-
-    public void setLastTermIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTTERM_ISSET_ID, value);
-    }
-
-    public byte[] getMembers() {
-        setMembers(org.apache.thrift.TBaseHelper.rightSize(members));
-        return members == null ? null : members.array();
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TERM
+          return TERM;
+        case 2: // LAST_INDEX
+          return LAST_INDEX;
+        case 3: // LAST_TERM
+          return LAST_TERM;
+        case 4: // MEMBERS
+          return MEMBERS;
+        case 5: // OFFSET
+          return OFFSET;
+        case 6: // TOTAL_BYTES
+          return TOTAL_BYTES;
+        case 7: // DATA
+          return DATA;
+        case 8: // ROUND
+          return ROUND;
+        default:
+          return null;
+      }
     }
 
-    public java.nio.ByteBuffer bufferForMembers() {
-        return org.apache.thrift.TBaseHelper.copyBinary(members);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    public SnapshotChunk setMembers(byte[] members) {
-        this.members = members == null ? (java.nio.ByteBuffer) null : java.nio.ByteBuffer.wrap(members.clone());
-        return this;
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public SnapshotChunk setMembers(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer members) {
-        this.members = org.apache.thrift.TBaseHelper.copyBinary(members);
-        return this;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void unsetMembers() {
-        this.members = null;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field members is set (has been assigned a value) and false otherwise */
-    public boolean isSetMembers() {
-        return this.members != null;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public void setMembersIsSet(boolean value) {
-        if (!value) {
-            this.members = null;
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __TERM_ISSET_ID = 0;
+  private static final int __LASTINDEX_ISSET_ID = 1;
+  private static final int __LASTTERM_ISSET_ID = 2;
+  private static final int __OFFSET_ISSET_ID = 3;
+  private static final int __TOTALBYTES_ISSET_ID = 4;
+  private static final int __ROUND_ISSET_ID = 5;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LAST_INDEX, new org.apache.thrift.meta_data.FieldMetaData("lastIndex", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LAST_TERM, new org.apache.thrift.meta_data.FieldMetaData("lastTerm", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.MEMBERS, new org.apache.thrift.meta_data.FieldMetaData("members", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    tmpMap.put(_Fields.OFFSET, new org.apache.thrift.meta_data.FieldMetaData("offset", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TOTAL_BYTES, new org.apache.thrift.meta_data.FieldMetaData("totalBytes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.DATA, new org.apache.thrift.meta_data.FieldMetaData("data", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    tmpMap.put(_Fields.ROUND, new org.apache.thrift.meta_data.FieldMetaData("round", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SnapshotChunk.class, metaDataMap);
+  }
+
+  public SnapshotChunk() {
+  }
+
+  public SnapshotChunk(
+    long term,
+    long lastIndex,
+    long lastTerm,
+    java.nio.ByteBuffer members,
+    long offset,
+    long totalBytes,
+    java.nio.ByteBuffer data,
+    long round)
+  {
+    this();
+    this.term = term;
+    setTermIsSet(true);
+    this.lastIndex = lastIndex;
+    setLastIndexIsSet(true);
+    this.lastTerm = lastTerm;
+    setLastTermIsSet(true);
+    this.members = org.apache.thrift.TBaseHelper.copyBinary(members);
+    this.offset = offset;
+    setOffsetIsSet(true);
+    this.totalBytes = totalBytes;
+    setTotalBytesIsSet(true);
+    this.data = org.apache.thrift.TBaseHelper.copyBinary(data);
+    this.round = round;
+    setRoundIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public SnapshotChunk(SnapshotChunk other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.term = other.term;
+    this.lastIndex = other.lastIndex;
+    this.lastTerm = other.lastTerm;
+    if (other.isSetMembers()) {
+      this.members = org.apache.thrift.TBaseHelper.copyBinary(other.members);
+    }
+    this.offset = other.offset;
+    this.totalBytes = other.totalBytes;
+    if (other.isSetData()) {
+      this.data = org.apache.thrift.TBaseHelper.copyBinary(other.data);
+    }
+    this.round = other.round;
+  }
+
+  @Override
+  public SnapshotChunk deepCopy() {
+    return new SnapshotChunk(this);
+  }
+
+  @Override
+  public void clear() {
+    setTermIsSet(false);
+    this.term = 0;
+    setLastIndexIsSet(false);
+    this.lastIndex = 0;
+    setLastTermIsSet(false);
+    this.lastTerm = 0;
+    this.members = null;
+    setOffsetIsSet(false);
+    this.offset = 0;
+    setTotalBytesIsSet(false);
+    this.totalBytes = 0;
+    this.data = null;
+    setRoundIsSet(false);
+    this.round = 0;
+  }
+
+  public long getTerm() {
+    return this.term;
+  }
+
+  public SnapshotChunk setTerm(long term) {
+    this.term = term;
+    setTermIsSet(true);
+    return this;
+  }
+
+  public void unsetTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  /** Returns true if field term is set (has been assigned a value) and false otherwise */
+  public boolean isSetTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  public void setTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
+  }
+
+  public long getLastIndex() {
+    return this.lastIndex;
+  }
+
+  public SnapshotChunk setLastIndex(long lastIndex) {
+    this.lastIndex = lastIndex;
+    setLastIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetLastIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field lastIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetLastIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
+  }
+
+  public void setLastIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTINDEX_ISSET_ID, value);
+  }
+
+  public long getLastTerm() {
+    return this.lastTerm;
+  }
+
+  public SnapshotChunk setLastTerm(long lastTerm) {
+    this.lastTerm = lastTerm;
+    setLastTermIsSet(true);
+    return this;
+  }
+
+  public void unsetLastTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTTERM_ISSET_ID);
+  }
+
+  /** Returns true if field lastTerm is set (has been assigned a value) and false otherwise */
+  public boolean isSetLastTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTTERM_ISSET_ID);
+  }
+
+  public void setLastTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTTERM_ISSET_ID, value);
+  }
+
+  public byte[] getMembers() {
+    setMembers(org.apache.thrift.TBaseHelper.rightSize(members));
+    return members == null ? null : members.array();
+  }
+
+  public java.nio.ByteBuffer bufferForMembers() {
+    return org.apache.thrift.TBaseHelper.copyBinary(members);
+  }
+
+  public SnapshotChunk setMembers(byte[] members) {
+    this.members = members == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(members.clone());
+    return this;
+  }
+
+  public SnapshotChunk setMembers(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer members) {
+    this.members = org.apache.thrift.TBaseHelper.copyBinary(members);
+    return this;
+  }
+
+  public void unsetMembers() {
+    this.members = null;
+  }
+
+  /** Returns true if field members is set (has been assigned a value) and false otherwise */
+  public boolean isSetMembers() {
+    return this.members != null;
+  }
+
+  public void setMembersIsSet(boolean value) {
+    if (!value) {
+      this.members = null;
+    }
+  }
+
+  public long getOffset() {
+    return this.offset;
+  }
+
+  public SnapshotChunk setOffset(long offset) {
+    this.offset = offset;
+    setOffsetIsSet(true);
+    return this;
+  }
+
+  public void unsetOffset() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OFFSET_ISSET_ID);
+  }
+
+  /** Returns true if field offset is set (has been assigned a value) and false otherwise */
+  public boolean isSetOffset() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OFFSET_ISSET_ID);
+  }
+
+  public void setOffsetIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OFFSET_ISSET_ID, value);
+  }
+
+  public long getTotalBytes() {
+    return this.totalBytes;
+  }
+
+  public SnapshotChunk setTotalBytes(long totalBytes) {
+    this.totalBytes = totalBytes;
+    setTotalBytesIsSet(true);
+    return this;
+  }
+
+  public void unsetTotalBytes() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOTALBYTES_ISSET_ID);
+  }
+
+  /** Returns true if field totalBytes is set (has been assigned a value) and false otherwise */
+  public boolean isSetTotalBytes() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOTALBYTES_ISSET_ID);
+  }
+
+  public void setTotalBytesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOTALBYTES_ISSET_ID, value);
+  }
+
+  public byte[] getData() {
+    setData(org.apache.thrift.TBaseHelper.rightSize(data));
+    return data == null ? null : data.array();
+  }
+
+  public java.nio.ByteBuffer bufferForData() {
+    return org.apache.thrift.TBaseHelper.copyBinary(data);
+  }
+
+  public SnapshotChunk setData(byte[] data) {
+    this.data = data == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(data.clone());
+    return this;
+  }
+
+  public SnapshotChunk setData(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer data) {
+    this.data = org.apache.thrift.TBaseHelper.copyBinary(data);
+    return this;
+  }
+
+  public void unsetData() {
+    this.data = null;
+  }
+
+  /** Returns true if field data is set (has been assigned a value) and false otherwise */
+  public boolean isSetData() {
+    return this.data != null;
+  }
+
+  public void setDataIsSet(boolean value) {
+    if (!value) {
+      this.data = null;
+    }
+  }
+
+  public long getRound() {
+    return this.round;
+  }
+
+  public SnapshotChunk setRound(long round) {
+    this.round = round;
+    setRoundIsSet(true);
+    return this;
+  }
+
+  public void unsetRound() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROUND_ISSET_ID);
+  }
+
+  /** Returns true if field round is set (has been assigned a value) and false otherwise */
+  public boolean isSetRound() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROUND_ISSET_ID);
+  }
+
+  public void setRoundIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROUND_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TERM:
+      if (value == null) {
+        unsetTerm();
+      } else {
+        setTerm((java.lang.Long)value);
+      }
+      break;
+
+    case LAST_INDEX:
+      if (value == null) {
+        unsetLastIndex();
+      } else {
+        setLastIndex((java.lang.Long)value);
+      }
+      break;
+
+    case LAST_TERM:
+      if (value == null) {
+        unsetLastTerm();
+      } else {
+        setLastTerm((java.lang.Long)value);
+      }
+      break;
+
+    case MEMBERS:
+      if (value == null) {
+        unsetMembers();
+      } else {
+        if (value instanceof byte[]) {
+          setMembers((byte[])value);
+        } else {
+          setMembers((java.nio.ByteBuffer)value);
         }
+      }
+      break;
+
+    case OFFSET:
+      if (value == null) {
+        unsetOffset();
+      } else {
+        setOffset((java.lang.Long)value);
+      }
+      break;
+
+    case TOTAL_BYTES:
+      if (value == null) {
+        unsetTotalBytes();
+      } else {
+        setTotalBytes((java.lang.Long)value);
+      }
+      break;
+
+    case DATA:
+      if (value == null) {
+        unsetData();
+      } else {
+        if (value instanceof byte[]) {
+          setData((byte[])value);
+        } else {
+          setData((java.nio.ByteBuffer)value);
+        }
+      }
+      break;
+
+    case ROUND:
+      if (value == null) {
+        unsetRound();
+      } else {
+        setRound((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TERM:
+      return getTerm();
+
+    case LAST_INDEX:
+      return getLastIndex();
+
+    case LAST_TERM:
+      return getLastTerm();
+
+    case MEMBERS:
+      return getMembers();
+
+    case OFFSET:
+      return getOffset();
+
+    case TOTAL_BYTES:
+      return getTotalBytes();
+
+    case DATA:
+      return getData();
+
+    case ROUND:
+      return getRound();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case TERM:
+      return isSetTerm();
+    case LAST_INDEX:
+      return isSetLastIndex();
+    case LAST_TERM:
+      return isSetLastTerm();
+    case MEMBERS:
+      return isSetMembers();
+    case OFFSET:
+      return isSetOffset();
+    case TOTAL_BYTES:
+      return isSetTotalBytes();
+    case DATA:
+      return isSetData();
+    case ROUND:
+      return isSetRound();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof SnapshotChunk)
+      return this.equals((SnapshotChunk)that);
+    return false;
+  }
+
+  public boolean equals(SnapshotChunk that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_term = true;
+    boolean that_present_term = true;
+    if (this_present_term || that_present_term) {
+      if (!(this_present_term && that_present_term))
+        return false;
+      if (this.term != that.term)
+        return false;
     }
 
-    public long getOffset() {
-        return this.offset;
+    boolean this_present_lastIndex = true;
+    boolean that_present_lastIndex = true;
+    if (this_present_lastIndex || that_present_lastIndex) {
+      if (!(this_present_lastIndex && that_present_lastIndex))
+        return false;
+      if (this.lastIndex != that.lastIndex)
+        return false;
     }
 
-    public SnapshotChunk setOffset(long offset) {
-        this.offset = offset;
-        setOffsetIsSet(true);
-        return this;
+    boolean this_present_lastTerm = true;
+    boolean that_present_lastTerm = true;
+    if (this_present_lastTerm || that_present_lastTerm) {
+      if (!(this_present_lastTerm && that_present_lastTerm))
+        return false;
+      if (this.lastTerm != that.lastTerm)
+        return false;
     }
 
-    public void unsetOffset() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OFFSET_ISSET_ID);
+    boolean this_present_members = true && this.isSetMembers();
+    boolean that_present_members = true && that.isSetMembers();
+    if (this_present_members || that_present_members) {
+      if (!(this_present_members && that_present_members))
+        return false;
+      if (!this.members.equals(that.members))
+        return false;
     }
 
-    /** Returns true if field offset is set (has been assigned a value) and false otherwise */
-    public boolean isSetOffset() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OFFSET_ISSET_ID);
+    boolean this_present_offset = true;
+    boolean that_present_offset = true;
+    if (this_present_offset || that_present_offset) {
+      if (!(this_present_offset && that_present_offset))
+        return false;
+      if (this.offset != that.offset)
+        return false;
     }
 
-    public void setOffsetIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OFFSET_ISSET_ID, value);
+    boolean this_present_totalBytes = true;
+    boolean that_present_totalBytes = true;
+    if (this_present_totalBytes || that_present_totalBytes) {
+      if (!(this_present_totalBytes && that_present_totalBytes))
+        return false;
+      if (this.totalBytes != that.totalBytes)
+        return false;
     }
 
-    public long getTotalBytes() {
-        return this.totalBytes;
+    boolean this_present_data = true && this.isSetData();
+    boolean that_present_data = true && that.isSetData();
+    if (this_present_data || that_present_data) {
+      if (!(this_present_data && that_present_data))
+        return false;
+      if (!this.data.equals(that.data))
+        return false;
     }
 
-    public SnapshotChunk setTotalBytes(long totalBytes) {
-        this.totalBytes = totalBytes;
-        setTotalBytesIsSet(true);
-        return this;
+    boolean this_present_round = true;
+    boolean that_present_round = true;
+    if (this_present_round || that_present_round) {
+      if (!(this_present_round && that_present_round))
+        return false;
+      if (this.round != that.round)
+        return false;
     }
 
-    public void unsetTotalBytes() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOTALBYTES_ISSET_ID);
-    }
+    return true;
+  }
 
-    /** Returns true if field totalBytes is set (has been assigned a value) and false otherwise */
-    public boolean isSetTotalBytes() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOTALBYTES_ISSET_ID);
-    }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-    public void setTotalBytesIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOTALBYTES_ISSET_ID, value);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
 
-    public byte[] getData() {
-        setData(org.apache.thrift.TBaseHelper.rightSize(data));
-        return data == null ? null : data.array();
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastIndex);
 
-    public java.nio.ByteBuffer bufferForData() {
-        return org.apache.thrift.TBaseHelper.copyBinary(data);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastTerm);
 
-    public SnapshotChunk setData(byte[] data) {
-        this.data = data == null ? (java.nio.ByteBuffer) null : java.nio.ByteBuffer.wrap(data.clone());
-        return this;
-    }
+    hashCode = hashCode * 8191 + ((isSetMembers()) ? 131071 : 524287);
+    if (isSetMembers())
+      hashCode = hashCode * 8191 + members.hashCode();
 
-    public SnapshotChunk setData(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer data) {
-        this.data = org.apache.thrift.TBaseHelper.copyBinary(data);
-        return this;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(offset);
 
-    public void unsetData() {
-        this.data = null;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(totalBytes);
 
-    /** Returns true if field data is set (has been assigned a value) and false otherwise */
-    public boolean isSetData() {
-        return this.data != null;
-    }
+    hashCode = hashCode * 8191 + ((isSetData()) ? 131071 : 524287);
+    if (isSetData())
+      hashCode = hashCode * 8191 + data.hashCode();
 
-    public void setDataIsSet(boolean value) {
-        if (!value) {
-            this.data = null;
-        }
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(round);
 
-    public long getRound() {
-        return this.round;
-    }
+    return hashCode;
+  }
 
-    public SnapshotChunk setRound(long round) {
-        this.round = round;
-        setRoundIsSet(true);
-        return this;
+  @Override
+  public int compareTo(SnapshotChunk other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    public void unsetRound() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROUND_ISSET_ID);
-    }
+    int lastComparison = 0;
 
-    /** Returns true if field round is set (has been assigned a value) and false otherwise */
-    public boolean isSetRound() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROUND_ISSET_ID);
+    lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    public void setRoundIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROUND_ISSET_ID, value);
+    if (isSetTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
+    lastComparison = java.lang.Boolean.compare(isSetLastIndex(), other.isSetLastIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLastIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastIndex, other.lastIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLastTerm(), other.isSetLastTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLastTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastTerm, other.lastTerm);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetMembers(), other.isSetMembers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMembers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.members, other.members);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOffset(), other.isSetOffset());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOffset()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.offset, other.offset);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTotalBytes(), other.isSetTotalBytes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTotalBytes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.totalBytes, other.totalBytes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetData(), other.isSetData());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetData()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.data, other.data);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRound(), other.isSetRound());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRound()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.round, other.round);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("SnapshotChunk(");
+    boolean first = true;
+
+    sb.append("term:");
+    sb.append(this.term);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("lastIndex:");
+    sb.append(this.lastIndex);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("lastTerm:");
+    sb.append(this.lastTerm);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("members:");
+    if (this.members == null) {
+      sb.append("null");
+    } else {
+      org.apache.thrift.TBaseHelper.toString(this.members, sb);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("offset:");
+    sb.append(this.offset);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("totalBytes:");
+    sb.append(this.totalBytes);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("data:");
+    if (this.data == null) {
+      sb.append("null");
+    } else {
+      org.apache.thrift.TBaseHelper.toString(this.data, sb);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("round:");
+    sb.append(this.round);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'lastIndex' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'lastTerm' because it's a primitive and you chose the non-beans generator.
+    if (members == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'members' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'offset' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'totalBytes' because it's a primitive and you chose the non-beans generator.
+    if (data == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'data' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'round' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class SnapshotChunkStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TERM:
-                if (value == null) {
-                    unsetTerm();
-                } else {
-                    setTerm((java.lang.Long) value);
-                }
-                break;
-
-            case LAST_INDEX:
-                if (value == null) {
-                    unsetLastIndex();
-                } else {
-                    setLastIndex((java.lang.Long) value);
-                }
-                break;
-
-            case LAST_TERM:
-                if (value == null) {
-                    unsetLastTerm();
-                } else {
-                    setLastTerm((java.lang.Long) value);
-                }
-                break;
-
-            case MEMBERS:
-                if (value == null) {
-                    unsetMembers();
-                } else {
-                    if (value instanceof byte[]) {
-                        setMembers((byte[]) value);
-                    } else {
-                        setMembers((java.nio.ByteBuffer) value);
-                    }
-                }
-                break;
-
-            case OFFSET:
-                if (value == null) {
-                    unsetOffset();
-                } else {
-                    setOffset((java.lang.Long) value);
-                }
-                break;
-
-            case TOTAL_BYTES:
-                if (value == null) {
-                    unsetTotalBytes();
-                } else {
-                    setTotalBytes((java.lang.Long) value);
-                }
-                break;
-
-            case DATA:
-                if (value == null) {
-                    unsetData();
-                } else {
-                    if (value instanceof byte[]) {
-                        setData((byte[]) value);
-                    } else {
-                        setData((java.nio.ByteBuffer) value);
-                    }
-                }
-                break;
-
-            case ROUND:
-                if (value == null) {
-                    unsetRound();
-                } else {
-                    setRound((java.lang.Long) value);
-                }
-                break;
-        }
+    public SnapshotChunkStandardScheme getScheme() {
+      return new SnapshotChunkStandardScheme();
     }
+  }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TERM:
-                return getTerm();
-
-            case LAST_INDEX:
-                return getLastIndex();
-
-            case LAST_TERM:
-                return getLastTerm();
-
-            case MEMBERS:
-                return getMembers();
-
-            case OFFSET:
-                return getOffset();
-
-            case TOTAL_BYTES:
-                return getTotalBytes();
-
-            case DATA:
-                return getData();
-
-            case ROUND:
-                return getRound();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TERM:
-                return isSetTerm();
-            case LAST_INDEX:
-                return isSetLastIndex();
-            case LAST_TERM:
-                return isSetLastTerm();
-            case MEMBERS:
-                return isSetMembers();
-            case OFFSET:
-                return isSetOffset();
-            case TOTAL_BYTES:
-                return isSetTotalBytes();
-            case DATA:
-                return isSetData();
-            case ROUND:
-                return isSetRound();
-        }
-        throw new java.lang.IllegalStateException();
-    }
+  private static class SnapshotChunkStandardScheme extends org.apache.thrift.scheme.StandardScheme<SnapshotChunk> {
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof SnapshotChunk) return this.equals((SnapshotChunk) that);
-        return false;
-    }
-
-    public boolean equals(SnapshotChunk that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_term = true;
-        boolean that_present_term = true;
-        if (this_present_term || that_present_term) {
-            if (!(this_present_term && that_present_term)) return false;
-            if (this.term != that.term) return false;
-        }
-
-        boolean this_present_lastIndex = true;
-        boolean that_present_lastIndex = true;
-        if (this_present_lastIndex || that_present_lastIndex) {
-            if (!(this_present_lastIndex && that_present_lastIndex)) return false;
-            if (this.lastIndex != that.lastIndex) return false;
-        }
-
-        boolean this_present_lastTerm = true;
-        boolean that_present_lastTerm = true;
-        if (this_present_lastTerm || that_present_lastTerm) {
-            if (!(this_present_lastTerm && that_present_lastTerm)) return false;
-            if (this.lastTerm != that.lastTerm) return false;
-        }
-
-        boolean this_present_members = true && this.isSetMembers();
-        boolean that_present_members = true && that.isSetMembers();
-        if (this_present_members || that_present_members) {
-            if (!(this_present_members && that_present_members)) return false;
-            if (!this.members.equals(that.members)) return false;
-        }
-
-        boolean this_present_offset = true;
-        boolean that_present_offset = true;
-        if (this_present_offset || that_present_offset) {
-            if (!(this_present_offset && that_present_offset)) return false;
-            if (this.offset != that.offset) return false;
-        }
-
-        boolean this_present_totalBytes = true;
-        boolean that_present_totalBytes = true;
-        if (this_present_totalBytes || that_present_totalBytes) {
-            if (!(this_present_totalBytes && that_present_totalBytes)) return false;
-            if (this.totalBytes != that.totalBytes) return false;
-        }
-
-        boolean this_present_data = true && this.isSetData();
-        boolean that_present_data = true && that.isSetData();
-        if (this_present_data || that_present_data) {
-            if (!(this_present_data && that_present_data)) return false;
-            if (!this.data.equals(that.data)) return false;
-        }
-
-        boolean this_present_round = true;
-        boolean that_present_round = true;
-        if (this_present_round || that_present_round) {
-            if (!(this_present_round && that_present_round)) return false;
-            if (this.round != that.round) return false;
+    public void read(org.apache.thrift.protocol.TProtocol iprot, SnapshotChunk struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastIndex);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastTerm);
-
-        hashCode = hashCode * 8191 + ((isSetMembers()) ? 131071 : 524287);
-        if (isSetMembers()) hashCode = hashCode * 8191 + members.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(offset);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(totalBytes);
-
-        hashCode = hashCode * 8191 + ((isSetData()) ? 131071 : 524287);
-        if (isSetData()) hashCode = hashCode * 8191 + data.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(round);
-
-        return hashCode;
-    }
-
-    @Override
-    public int compareTo(SnapshotChunk other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTerm()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.term = iprot.readI64();
+              struct.setTermIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetLastIndex(), other.isSetLastIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLastIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastIndex, other.lastIndex);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // LAST_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.lastIndex = iprot.readI64();
+              struct.setLastIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetLastTerm(), other.isSetLastTerm());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLastTerm()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastTerm, other.lastTerm);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // LAST_TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.lastTerm = iprot.readI64();
+              struct.setLastTermIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetMembers(), other.isSetMembers());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetMembers()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.members, other.members);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // MEMBERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.members = iprot.readBinary();
+              struct.setMembersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOffset(), other.isSetOffset());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOffset()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.offset, other.offset);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 5: // OFFSET
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.offset = iprot.readI64();
+              struct.setOffsetIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetTotalBytes(), other.isSetTotalBytes());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTotalBytes()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.totalBytes, other.totalBytes);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 6: // TOTAL_BYTES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.totalBytes = iprot.readI64();
+              struct.setTotalBytesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetData(), other.isSetData());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetData()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.data, other.data);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 7: // DATA
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.data = iprot.readBinary();
+              struct.setDataIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRound(), other.isSetRound());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRound()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.round, other.round);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 8: // ROUND
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.round = iprot.readI64();
+              struct.setRoundIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'term' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetLastIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'lastIndex' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetLastTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'lastTerm' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetOffset()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'offset' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetTotalBytes()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'totalBytes' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetRound()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'round' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, SnapshotChunk struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(TERM_FIELD_DESC);
+      oprot.writeI64(struct.term);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LAST_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.lastIndex);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LAST_TERM_FIELD_DESC);
+      oprot.writeI64(struct.lastTerm);
+      oprot.writeFieldEnd();
+      if (struct.members != null) {
+        oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
+        oprot.writeBinary(struct.members);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(OFFSET_FIELD_DESC);
+      oprot.writeI64(struct.offset);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(TOTAL_BYTES_FIELD_DESC);
+      oprot.writeI64(struct.totalBytes);
+      oprot.writeFieldEnd();
+      if (struct.data != null) {
+        oprot.writeFieldBegin(DATA_FIELD_DESC);
+        oprot.writeBinary(struct.data);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(ROUND_FIELD_DESC);
+      oprot.writeI64(struct.round);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class SnapshotChunkTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public SnapshotChunkTupleScheme getScheme() {
+      return new SnapshotChunkTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class SnapshotChunkTupleScheme extends org.apache.thrift.scheme.TupleScheme<SnapshotChunk> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("SnapshotChunk(");
-        boolean first = true;
-
-        sb.append("term:");
-        sb.append(this.term);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("lastIndex:");
-        sb.append(this.lastIndex);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("lastTerm:");
-        sb.append(this.lastTerm);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("members:");
-        if (this.members == null) {
-            sb.append("null");
-        } else {
-            org.apache.thrift.TBaseHelper.toString(this.members, sb);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("offset:");
-        sb.append(this.offset);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("totalBytes:");
-        sb.append(this.totalBytes);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("data:");
-        if (this.data == null) {
-            sb.append("null");
-        } else {
-            org.apache.thrift.TBaseHelper.toString(this.data, sb);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("round:");
-        sb.append(this.round);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'lastIndex' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'lastTerm' because it's a primitive and you chose the non-beans generator.
-        if (members == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'members' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'offset' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'totalBytes' because it's a primitive and you chose the non-beans generator.
-        if (data == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'data' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'round' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, SnapshotChunk struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.term);
+      oprot.writeI64(struct.lastIndex);
+      oprot.writeI64(struct.lastTerm);
+      oprot.writeBinary(struct.members);
+      oprot.writeI64(struct.offset);
+      oprot.writeI64(struct.totalBytes);
+      oprot.writeBinary(struct.data);
+      oprot.writeI64(struct.round);
     }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class SnapshotChunkStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public SnapshotChunkStandardScheme getScheme() {
-            return new SnapshotChunkStandardScheme();
-        }
-    }
-
-    private static class SnapshotChunkStandardScheme extends org.apache.thrift.scheme.StandardScheme<SnapshotChunk> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, SnapshotChunk struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TERM
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.term = iprot.readI64();
-                            struct.setTermIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // LAST_INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.lastIndex = iprot.readI64();
-                            struct.setLastIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // LAST_TERM
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.lastTerm = iprot.readI64();
-                            struct.setLastTermIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // MEMBERS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.members = iprot.readBinary();
-                            struct.setMembersIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // OFFSET
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.offset = iprot.readI64();
-                            struct.setOffsetIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // TOTAL_BYTES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.totalBytes = iprot.readI64();
-                            struct.setTotalBytesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 7: // DATA
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.data = iprot.readBinary();
-                            struct.setDataIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 8: // ROUND
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.round = iprot.readI64();
-                            struct.setRoundIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetTerm()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'term' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetLastIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'lastIndex' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetLastTerm()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'lastTerm' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetOffset()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'offset' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetTotalBytes()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'totalBytes' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetRound()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'round' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, SnapshotChunk struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(TERM_FIELD_DESC);
-            oprot.writeI64(struct.term);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(LAST_INDEX_FIELD_DESC);
-            oprot.writeI64(struct.lastIndex);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(LAST_TERM_FIELD_DESC);
-            oprot.writeI64(struct.lastTerm);
-            oprot.writeFieldEnd();
-            if (struct.members != null) {
-                oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
-                oprot.writeBinary(struct.members);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(OFFSET_FIELD_DESC);
-            oprot.writeI64(struct.offset);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(TOTAL_BYTES_FIELD_DESC);
-            oprot.writeI64(struct.totalBytes);
-            oprot.writeFieldEnd();
-            if (struct.data != null) {
-                oprot.writeFieldBegin(DATA_FIELD_DESC);
-                oprot.writeBinary(struct.data);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(ROUND_FIELD_DESC);
-            oprot.writeI64(struct.round);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class SnapshotChunkTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public SnapshotChunkTupleScheme getScheme() {
-            return new SnapshotChunkTupleScheme();
-        }
-    }
-
-    private static class SnapshotChunkTupleScheme extends org.apache.thrift.scheme.TupleScheme<SnapshotChunk> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, SnapshotChunk struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.term);
-            oprot.writeI64(struct.lastIndex);
-            oprot.writeI64(struct.lastTerm);
-            oprot.writeBinary(struct.members);
-            oprot.writeI64(struct.offset);
-            oprot.writeI64(struct.totalBytes);
-            oprot.writeBinary(struct.data);
-            oprot.writeI64(struct.round);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, SnapshotChunk struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.term = iprot.readI64();
-            struct.setTermIsSet(true);
-            struct.lastIndex = iprot.readI64();
-            struct.setLastIndexIsSet(true);
-            struct.lastTerm = iprot.readI64();
-            struct.setLastTermIsSet(true);
-            struct.members = iprot.readBinary();
-            struct.setMembersIsSet(true);
-            struct.offset = iprot.readI64();
-            struct.setOffsetIsSet(true);
-            struct.totalBytes = iprot.readI64();
-            struct.setTotalBytesIsSet(true);
-            struct.data = iprot.readBinary();
-            struct.setDataIsSet(true);
-            struct.round = iprot.readI64();
-            struct.setRoundIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, SnapshotChunk struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.term = iprot.readI64();
+      struct.setTermIsSet(true);
+      struct.lastIndex = iprot.readI64();
+      struct.setLastIndexIsSet(true);
+      struct.lastTerm = iprot.readI64();
+      struct.setLastTermIsSet(true);
+      struct.members = iprot.readBinary();
+      struct.setMembersIsSet(true);
+      struct.offset = iprot.readI64();
+      struct.setOffsetIsSet(true);
+      struct.totalBytes = iprot.readI64();
+      struct.setTotalBytesIsSet(true);
+      struct.data = iprot.readBinary();
+      struct.setDataIsSet(true);
+      struct.round = iprot.readI64();
+      struct.setRoundIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/VoteAnswer.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/VoteAnswer.java
@@ -7,575 +7,556 @@
 package org.basilrill.thrift.consensus;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class VoteAnswer
-        implements org.apache.thrift.TBase<VoteAnswer, VoteAnswer._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<VoteAnswer> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("VoteAnswer");
-
-    private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField PRE_VOTE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("preVote", org.apache.thrift.protocol.TType.BOOL, (short) 2);
-    private static final org.apache.thrift.protocol.TField GRANTED_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("granted", org.apache.thrift.protocol.TType.BOOL, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new VoteAnswerStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new VoteAnswerTupleSchemeFactory();
-
-    private long term; // required
-    private boolean preVote; // required
-    private boolean granted; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TERM((short) 1, "term"),
-        PRE_VOTE((short) 2, "preVote"),
-        GRANTED((short) 3, "granted");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TERM
-                    return TERM;
-                case 2: // PRE_VOTE
-                    return PRE_VOTE;
-                case 3: // GRANTED
-                    return GRANTED;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+public class VoteAnswer implements org.apache.thrift.TBase<VoteAnswer, VoteAnswer._Fields>, java.io.Serializable, Cloneable, Comparable<VoteAnswer> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("VoteAnswer");
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField PRE_VOTE_FIELD_DESC = new org.apache.thrift.protocol.TField("preVote", org.apache.thrift.protocol.TType.BOOL, (short)2);
+  private static final org.apache.thrift.protocol.TField GRANTED_FIELD_DESC = new org.apache.thrift.protocol.TField("granted", org.apache.thrift.protocol.TType.BOOL, (short)3);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new VoteAnswerStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new VoteAnswerTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private long term; // required
+  private boolean preVote; // required
+  private boolean granted; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TERM((short)1, "term"),
+    PRE_VOTE((short)2, "preVote"),
+    GRANTED((short)3, "granted");
 
-    // isset id assignments
-    private static final int __TERM_ISSET_ID = 0;
-    private static final int __PREVOTE_ISSET_ID = 1;
-    private static final int __GRANTED_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TERM,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "term",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.PRE_VOTE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "preVote",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        tmpMap.put(
-                _Fields.GRANTED,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "granted",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(VoteAnswer.class, metaDataMap);
-    }
-
-    public VoteAnswer() {}
-
-    public VoteAnswer(long term, boolean preVote, boolean granted) {
-        this();
-        this.term = term;
-        setTermIsSet(true);
-        this.preVote = preVote;
-        setPreVoteIsSet(true);
-        this.granted = granted;
-        setGrantedIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public VoteAnswer(VoteAnswer other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.term = other.term;
-        this.preVote = other.preVote;
-        this.granted = other.granted;
-    }
-
-    @Override
-    public VoteAnswer deepCopy() {
-        return new VoteAnswer(this);
-    }
-
-    @Override
-    public void clear() {
-        setTermIsSet(false);
-        this.term = 0;
-        setPreVoteIsSet(false);
-        this.preVote = false;
-        setGrantedIsSet(false);
-        this.granted = false;
-    }
-
-    public long getTerm() {
-        return this.term;
-    }
-
-    public VoteAnswer setTerm(long term) {
-        this.term = term;
-        setTermIsSet(true);
-        return this;
-    }
-
-    public void unsetTerm() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    /** Returns true if field term is set (has been assigned a value) and false otherwise */
-    public boolean isSetTerm() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    public void setTermIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
-    }
-
-    public boolean isPreVote() {
-        return this.preVote;
-    }
-
-    public VoteAnswer setPreVote(boolean preVote) {
-        this.preVote = preVote;
-        setPreVoteIsSet(true);
-        return this;
-    }
-
-    public void unsetPreVote() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PREVOTE_ISSET_ID);
-    }
-
-    /** Returns true if field preVote is set (has been assigned a value) and false otherwise */
-    public boolean isSetPreVote() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PREVOTE_ISSET_ID);
-    }
-
-    public void setPreVoteIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PREVOTE_ISSET_ID, value);
-    }
-
-    public boolean isGranted() {
-        return this.granted;
-    }
-
-    public VoteAnswer setGranted(boolean granted) {
-        this.granted = granted;
-        setGrantedIsSet(true);
-        return this;
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TERM
+          return TERM;
+        case 2: // PRE_VOTE
+          return PRE_VOTE;
+        case 3: // GRANTED
+          return GRANTED;
+        default:
+          return null;
+      }
     }
 
-    public void unsetGranted() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __GRANTED_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    /** Returns true if field granted is set (has been assigned a value) and false otherwise */
-    public boolean isSetGranted() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __GRANTED_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setGrantedIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GRANTED_ISSET_ID, value);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TERM:
-                if (value == null) {
-                    unsetTerm();
-                } else {
-                    setTerm((java.lang.Long) value);
-                }
-                break;
-
-            case PRE_VOTE:
-                if (value == null) {
-                    unsetPreVote();
-                } else {
-                    setPreVote((java.lang.Boolean) value);
-                }
-                break;
-
-            case GRANTED:
-                if (value == null) {
-                    unsetGranted();
-                } else {
-                    setGranted((java.lang.Boolean) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TERM:
-                return getTerm();
-
-            case PRE_VOTE:
-                return isPreVote();
-
-            case GRANTED:
-                return isGranted();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TERM:
-                return isSetTerm();
-            case PRE_VOTE:
-                return isSetPreVote();
-            case GRANTED:
-                return isSetGranted();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __TERM_ISSET_ID = 0;
+  private static final int __PREVOTE_ISSET_ID = 1;
+  private static final int __GRANTED_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PRE_VOTE, new org.apache.thrift.meta_data.FieldMetaData("preVote", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.GRANTED, new org.apache.thrift.meta_data.FieldMetaData("granted", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(VoteAnswer.class, metaDataMap);
+  }
+
+  public VoteAnswer() {
+  }
+
+  public VoteAnswer(
+    long term,
+    boolean preVote,
+    boolean granted)
+  {
+    this();
+    this.term = term;
+    setTermIsSet(true);
+    this.preVote = preVote;
+    setPreVoteIsSet(true);
+    this.granted = granted;
+    setGrantedIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public VoteAnswer(VoteAnswer other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.term = other.term;
+    this.preVote = other.preVote;
+    this.granted = other.granted;
+  }
+
+  @Override
+  public VoteAnswer deepCopy() {
+    return new VoteAnswer(this);
+  }
+
+  @Override
+  public void clear() {
+    setTermIsSet(false);
+    this.term = 0;
+    setPreVoteIsSet(false);
+    this.preVote = false;
+    setGrantedIsSet(false);
+    this.granted = false;
+  }
+
+  public long getTerm() {
+    return this.term;
+  }
+
+  public VoteAnswer setTerm(long term) {
+    this.term = term;
+    setTermIsSet(true);
+    return this;
+  }
+
+  public void unsetTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  /** Returns true if field term is set (has been assigned a value) and false otherwise */
+  public boolean isSetTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  public void setTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
+  }
+
+  public boolean isPreVote() {
+    return this.preVote;
+  }
+
+  public VoteAnswer setPreVote(boolean preVote) {
+    this.preVote = preVote;
+    setPreVoteIsSet(true);
+    return this;
+  }
+
+  public void unsetPreVote() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PREVOTE_ISSET_ID);
+  }
+
+  /** Returns true if field preVote is set (has been assigned a value) and false otherwise */
+  public boolean isSetPreVote() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PREVOTE_ISSET_ID);
+  }
+
+  public void setPreVoteIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PREVOTE_ISSET_ID, value);
+  }
+
+  public boolean isGranted() {
+    return this.granted;
+  }
+
+  public VoteAnswer setGranted(boolean granted) {
+    this.granted = granted;
+    setGrantedIsSet(true);
+    return this;
+  }
+
+  public void unsetGranted() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __GRANTED_ISSET_ID);
+  }
+
+  /** Returns true if field granted is set (has been assigned a value) and false otherwise */
+  public boolean isSetGranted() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __GRANTED_ISSET_ID);
+  }
+
+  public void setGrantedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GRANTED_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TERM:
+      if (value == null) {
+        unsetTerm();
+      } else {
+        setTerm((java.lang.Long)value);
+      }
+      break;
+
+    case PRE_VOTE:
+      if (value == null) {
+        unsetPreVote();
+      } else {
+        setPreVote((java.lang.Boolean)value);
+      }
+      break;
+
+    case GRANTED:
+      if (value == null) {
+        unsetGranted();
+      } else {
+        setGranted((java.lang.Boolean)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TERM:
+      return getTerm();
+
+    case PRE_VOTE:
+      return isPreVote();
+
+    case GRANTED:
+      return isGranted();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case TERM:
+      return isSetTerm();
+    case PRE_VOTE:
+      return isSetPreVote();
+    case GRANTED:
+      return isSetGranted();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof VoteAnswer)
+      return this.equals((VoteAnswer)that);
+    return false;
+  }
+
+  public boolean equals(VoteAnswer that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_term = true;
+    boolean that_present_term = true;
+    if (this_present_term || that_present_term) {
+      if (!(this_present_term && that_present_term))
+        return false;
+      if (this.term != that.term)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof VoteAnswer) return this.equals((VoteAnswer) that);
+    boolean this_present_preVote = true;
+    boolean that_present_preVote = true;
+    if (this_present_preVote || that_present_preVote) {
+      if (!(this_present_preVote && that_present_preVote))
+        return false;
+      if (this.preVote != that.preVote)
         return false;
     }
 
-    public boolean equals(VoteAnswer that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_term = true;
-        boolean that_present_term = true;
-        if (this_present_term || that_present_term) {
-            if (!(this_present_term && that_present_term)) return false;
-            if (this.term != that.term) return false;
-        }
-
-        boolean this_present_preVote = true;
-        boolean that_present_preVote = true;
-        if (this_present_preVote || that_present_preVote) {
-            if (!(this_present_preVote && that_present_preVote)) return false;
-            if (this.preVote != that.preVote) return false;
-        }
-
-        boolean this_present_granted = true;
-        boolean that_present_granted = true;
-        if (this_present_granted || that_present_granted) {
-            if (!(this_present_granted && that_present_granted)) return false;
-            if (this.granted != that.granted) return false;
-        }
-
-        return true;
+    boolean this_present_granted = true;
+    boolean that_present_granted = true;
+    if (this_present_granted || that_present_granted) {
+      if (!(this_present_granted && that_present_granted))
+        return false;
+      if (this.granted != that.granted)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
+
+    hashCode = hashCode * 8191 + ((preVote) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + ((granted) ? 131071 : 524287);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(VoteAnswer other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPreVote(), other.isSetPreVote());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPreVote()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.preVote, other.preVote);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetGranted(), other.isSetGranted());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGranted()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.granted, other.granted);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("VoteAnswer(");
+    boolean first = true;
+
+    sb.append("term:");
+    sb.append(this.term);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("preVote:");
+    sb.append(this.preVote);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("granted:");
+    sb.append(this.granted);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'preVote' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'granted' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class VoteAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
-
-        hashCode = hashCode * 8191 + ((preVote) ? 131071 : 524287);
-
-        hashCode = hashCode * 8191 + ((granted) ? 131071 : 524287);
-
-        return hashCode;
+    public VoteAnswerStandardScheme getScheme() {
+      return new VoteAnswerStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(VoteAnswer other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+  private static class VoteAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<VoteAnswer> {
 
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, VoteAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetTerm()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.term = iprot.readI64();
+              struct.setTermIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetPreVote(), other.isSetPreVote());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetPreVote()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.preVote, other.preVote);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // PRE_VOTE
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.preVote = iprot.readBool();
+              struct.setPreVoteIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetGranted(), other.isSetGranted());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetGranted()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.granted, other.granted);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // GRANTED
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.granted = iprot.readBool();
+              struct.setGrantedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'term' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetPreVote()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'preVote' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetGranted()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'granted' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, VoteAnswer struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(TERM_FIELD_DESC);
+      oprot.writeI64(struct.term);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(PRE_VOTE_FIELD_DESC);
+      oprot.writeBool(struct.preVote);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(GRANTED_FIELD_DESC);
+      oprot.writeBool(struct.granted);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class VoteAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public VoteAnswerTupleScheme getScheme() {
+      return new VoteAnswerTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class VoteAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<VoteAnswer> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("VoteAnswer(");
-        boolean first = true;
-
-        sb.append("term:");
-        sb.append(this.term);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("preVote:");
-        sb.append(this.preVote);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("granted:");
-        sb.append(this.granted);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'preVote' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'granted' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
+    public void write(org.apache.thrift.protocol.TProtocol prot, VoteAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.term);
+      oprot.writeBool(struct.preVote);
+      oprot.writeBool(struct.granted);
     }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class VoteAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public VoteAnswerStandardScheme getScheme() {
-            return new VoteAnswerStandardScheme();
-        }
-    }
-
-    private static class VoteAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<VoteAnswer> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, VoteAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TERM
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.term = iprot.readI64();
-                            struct.setTermIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // PRE_VOTE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.preVote = iprot.readBool();
-                            struct.setPreVoteIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // GRANTED
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.granted = iprot.readBool();
-                            struct.setGrantedIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetTerm()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'term' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetPreVote()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'preVote' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetGranted()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'granted' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, VoteAnswer struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(TERM_FIELD_DESC);
-            oprot.writeI64(struct.term);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(PRE_VOTE_FIELD_DESC);
-            oprot.writeBool(struct.preVote);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(GRANTED_FIELD_DESC);
-            oprot.writeBool(struct.granted);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class VoteAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public VoteAnswerTupleScheme getScheme() {
-            return new VoteAnswerTupleScheme();
-        }
-    }
-
-    private static class VoteAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<VoteAnswer> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, VoteAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.term);
-            oprot.writeBool(struct.preVote);
-            oprot.writeBool(struct.granted);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, VoteAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.term = iprot.readI64();
-            struct.setTermIsSet(true);
-            struct.preVote = iprot.readBool();
-            struct.setPreVoteIsSet(true);
-            struct.granted = iprot.readBool();
-            struct.setGrantedIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, VoteAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.term = iprot.readI64();
+      struct.setTermIsSet(true);
+      struct.preVote = iprot.readBool();
+      struct.setPreVoteIsSet(true);
+      struct.granted = iprot.readBool();
+      struct.setGrantedIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/VoteRequest.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/VoteRequest.java
@@ -10,671 +10,649 @@
  * Asks for a vote, or with preVote for the promise that a vote would be given.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class VoteRequest
-        implements org.apache.thrift.TBase<VoteRequest, VoteRequest._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<VoteRequest> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("VoteRequest");
-
-    private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField LAST_INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("lastIndex", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField LAST_TERM_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("lastTerm", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField PRE_VOTE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("preVote", org.apache.thrift.protocol.TType.BOOL, (short) 4);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new VoteRequestStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new VoteRequestTupleSchemeFactory();
-
-    private long term; // required
-    private long lastIndex; // required
-    private long lastTerm; // required
-    private boolean preVote; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TERM((short) 1, "term"),
-        LAST_INDEX((short) 2, "lastIndex"),
-        LAST_TERM((short) 3, "lastTerm"),
-        PRE_VOTE((short) 4, "preVote");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TERM
-                    return TERM;
-                case 2: // LAST_INDEX
-                    return LAST_INDEX;
-                case 3: // LAST_TERM
-                    return LAST_TERM;
-                case 4: // PRE_VOTE
-                    return PRE_VOTE;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+public class VoteRequest implements org.apache.thrift.TBase<VoteRequest, VoteRequest._Fields>, java.io.Serializable, Cloneable, Comparable<VoteRequest> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("VoteRequest");
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField LAST_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("lastIndex", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField LAST_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("lastTerm", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField PRE_VOTE_FIELD_DESC = new org.apache.thrift.protocol.TField("preVote", org.apache.thrift.protocol.TType.BOOL, (short)4);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new VoteRequestStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new VoteRequestTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private long term; // required
+  private long lastIndex; // required
+  private long lastTerm; // required
+  private boolean preVote; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TERM((short)1, "term"),
+    LAST_INDEX((short)2, "lastIndex"),
+    LAST_TERM((short)3, "lastTerm"),
+    PRE_VOTE((short)4, "preVote");
 
-    // isset id assignments
-    private static final int __TERM_ISSET_ID = 0;
-    private static final int __LASTINDEX_ISSET_ID = 1;
-    private static final int __LASTTERM_ISSET_ID = 2;
-    private static final int __PREVOTE_ISSET_ID = 3;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TERM,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "term",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.LAST_INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "lastIndex",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.LAST_TERM,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "lastTerm",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.PRE_VOTE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "preVote",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(VoteRequest.class, metaDataMap);
-    }
-
-    public VoteRequest() {}
-
-    public VoteRequest(long term, long lastIndex, long lastTerm, boolean preVote) {
-        this();
-        this.term = term;
-        setTermIsSet(true);
-        this.lastIndex = lastIndex;
-        setLastIndexIsSet(true);
-        this.lastTerm = lastTerm;
-        setLastTermIsSet(true);
-        this.preVote = preVote;
-        setPreVoteIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public VoteRequest(VoteRequest other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.term = other.term;
-        this.lastIndex = other.lastIndex;
-        this.lastTerm = other.lastTerm;
-        this.preVote = other.preVote;
-    }
-
-    @Override
-    public VoteRequest deepCopy() {
-        return new VoteRequest(this);
-    }
-
-    @Override
-    public void clear() {
-        setTermIsSet(false);
-        this.term = 0;
-        setLastIndexIsSet(false);
-        this.lastIndex = 0;
-        setLastTermIsSet(false);
-        this.lastTerm = 0;
-        setPreVoteIsSet(false);
-        this.preVote = false;
-    }
-
-    public long getTerm() {
-        return this.term;
-    }
-
-    public VoteRequest setTerm(long term) {
-        this.term = term;
-        setTermIsSet(true);
-        return this;
-    }
-
-    public void unsetTerm() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    /** Returns true if field term is set (has been assigned a value) and false otherwise */
-    public boolean isSetTerm() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
-    }
-
-    public void setTermIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
-    }
-
-    public long getLastIndex() {
-        return this.lastIndex;
-    }
-
-    public VoteRequest setLastIndex(long lastIndex) {
-        this.lastIndex = lastIndex;
-        setLastIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetLastIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
-    }
-
-    /** Returns true if field lastIndex is set (has been assigned a value) and false otherwise */
-    public boolean isSetLastIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
-    }
-
-    public void setLastIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTINDEX_ISSET_ID, value);
-    }
-
-    public long getLastTerm() {
-        return this.lastTerm;
-    }
-
-    public VoteRequest setLastTerm(long lastTerm) {
-        this.lastTerm = lastTerm;
-        setLastTermIsSet(true);
-        return this;
-    }
-
-    public void unsetLastTerm() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTTERM_ISSET_ID);
-    }
-
-    /** Returns true if field lastTerm is set (has been assigned a value) and false otherwise */
-    public boolean isSetLastTerm() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTTERM_ISSET_ID);
-    }
-
-    public void setLastTermIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTTERM_ISSET_ID, value);
-    }
-
-    public boolean isPreVote() {
-        return this.preVote;
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TERM
+          return TERM;
+        case 2: // LAST_INDEX
+          return LAST_INDEX;
+        case 3: // LAST_TERM
+          return LAST_TERM;
+        case 4: // PRE_VOTE
+          return PRE_VOTE;
+        default:
+          return null;
+      }
     }
 
-    public VoteRequest setPreVote(boolean preVote) {
-        this.preVote = preVote;
-        setPreVoteIsSet(true);
-        return this;
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    public void unsetPreVote() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PREVOTE_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field preVote is set (has been assigned a value) and false otherwise */
-    public boolean isSetPreVote() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PREVOTE_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setPreVoteIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PREVOTE_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TERM:
-                if (value == null) {
-                    unsetTerm();
-                } else {
-                    setTerm((java.lang.Long) value);
-                }
-                break;
-
-            case LAST_INDEX:
-                if (value == null) {
-                    unsetLastIndex();
-                } else {
-                    setLastIndex((java.lang.Long) value);
-                }
-                break;
-
-            case LAST_TERM:
-                if (value == null) {
-                    unsetLastTerm();
-                } else {
-                    setLastTerm((java.lang.Long) value);
-                }
-                break;
-
-            case PRE_VOTE:
-                if (value == null) {
-                    unsetPreVote();
-                } else {
-                    setPreVote((java.lang.Boolean) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TERM:
-                return getTerm();
-
-            case LAST_INDEX:
-                return getLastIndex();
-
-            case LAST_TERM:
-                return getLastTerm();
-
-            case PRE_VOTE:
-                return isPreVote();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __TERM_ISSET_ID = 0;
+  private static final int __LASTINDEX_ISSET_ID = 1;
+  private static final int __LASTTERM_ISSET_ID = 2;
+  private static final int __PREVOTE_ISSET_ID = 3;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LAST_INDEX, new org.apache.thrift.meta_data.FieldMetaData("lastIndex", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LAST_TERM, new org.apache.thrift.meta_data.FieldMetaData("lastTerm", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PRE_VOTE, new org.apache.thrift.meta_data.FieldMetaData("preVote", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(VoteRequest.class, metaDataMap);
+  }
+
+  public VoteRequest() {
+  }
+
+  public VoteRequest(
+    long term,
+    long lastIndex,
+    long lastTerm,
+    boolean preVote)
+  {
+    this();
+    this.term = term;
+    setTermIsSet(true);
+    this.lastIndex = lastIndex;
+    setLastIndexIsSet(true);
+    this.lastTerm = lastTerm;
+    setLastTermIsSet(true);
+    this.preVote = preVote;
+    setPreVoteIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public VoteRequest(VoteRequest other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.term = other.term;
+    this.lastIndex = other.lastIndex;
+    this.lastTerm = other.lastTerm;
+    this.preVote = other.preVote;
+  }
+
+  @Override
+  public VoteRequest deepCopy() {
+    return new VoteRequest(this);
+  }
+
+  @Override
+  public void clear() {
+    setTermIsSet(false);
+    this.term = 0;
+    setLastIndexIsSet(false);
+    this.lastIndex = 0;
+    setLastTermIsSet(false);
+    this.lastTerm = 0;
+    setPreVoteIsSet(false);
+    this.preVote = false;
+  }
+
+  public long getTerm() {
+    return this.term;
+  }
+
+  public VoteRequest setTerm(long term) {
+    this.term = term;
+    setTermIsSet(true);
+    return this;
+  }
+
+  public void unsetTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  /** Returns true if field term is set (has been assigned a value) and false otherwise */
+  public boolean isSetTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
+  }
+
+  public void setTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
+  }
+
+  public long getLastIndex() {
+    return this.lastIndex;
+  }
+
+  public VoteRequest setLastIndex(long lastIndex) {
+    this.lastIndex = lastIndex;
+    setLastIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetLastIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field lastIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetLastIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
+  }
+
+  public void setLastIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTINDEX_ISSET_ID, value);
+  }
+
+  public long getLastTerm() {
+    return this.lastTerm;
+  }
+
+  public VoteRequest setLastTerm(long lastTerm) {
+    this.lastTerm = lastTerm;
+    setLastTermIsSet(true);
+    return this;
+  }
+
+  public void unsetLastTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTTERM_ISSET_ID);
+  }
+
+  /** Returns true if field lastTerm is set (has been assigned a value) and false otherwise */
+  public boolean isSetLastTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTTERM_ISSET_ID);
+  }
+
+  public void setLastTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTTERM_ISSET_ID, value);
+  }
+
+  public boolean isPreVote() {
+    return this.preVote;
+  }
+
+  public VoteRequest setPreVote(boolean preVote) {
+    this.preVote = preVote;
+    setPreVoteIsSet(true);
+    return this;
+  }
+
+  public void unsetPreVote() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PREVOTE_ISSET_ID);
+  }
+
+  /** Returns true if field preVote is set (has been assigned a value) and false otherwise */
+  public boolean isSetPreVote() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PREVOTE_ISSET_ID);
+  }
+
+  public void setPreVoteIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PREVOTE_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TERM:
+      if (value == null) {
+        unsetTerm();
+      } else {
+        setTerm((java.lang.Long)value);
+      }
+      break;
+
+    case LAST_INDEX:
+      if (value == null) {
+        unsetLastIndex();
+      } else {
+        setLastIndex((java.lang.Long)value);
+      }
+      break;
+
+    case LAST_TERM:
+      if (value == null) {
+        unsetLastTerm();
+      } else {
+        setLastTerm((java.lang.Long)value);
+      }
+      break;
+
+    case PRE_VOTE:
+      if (value == null) {
+        unsetPreVote();
+      } else {
+        setPreVote((java.lang.Boolean)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TERM:
+      return getTerm();
+
+    case LAST_INDEX:
+      return getLastIndex();
+
+    case LAST_TERM:
+      return getLastTerm();
+
+    case PRE_VOTE:
+      return isPreVote();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case TERM:
+      return isSetTerm();
+    case LAST_INDEX:
+      return isSetLastIndex();
+    case LAST_TERM:
+      return isSetLastTerm();
+    case PRE_VOTE:
+      return isSetPreVote();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof VoteRequest)
+      return this.equals((VoteRequest)that);
+    return false;
+  }
+
+  public boolean equals(VoteRequest that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_term = true;
+    boolean that_present_term = true;
+    if (this_present_term || that_present_term) {
+      if (!(this_present_term && that_present_term))
+        return false;
+      if (this.term != that.term)
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TERM:
-                return isSetTerm();
-            case LAST_INDEX:
-                return isSetLastIndex();
-            case LAST_TERM:
-                return isSetLastTerm();
-            case PRE_VOTE:
-                return isSetPreVote();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_lastIndex = true;
+    boolean that_present_lastIndex = true;
+    if (this_present_lastIndex || that_present_lastIndex) {
+      if (!(this_present_lastIndex && that_present_lastIndex))
+        return false;
+      if (this.lastIndex != that.lastIndex)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof VoteRequest) return this.equals((VoteRequest) that);
+    boolean this_present_lastTerm = true;
+    boolean that_present_lastTerm = true;
+    if (this_present_lastTerm || that_present_lastTerm) {
+      if (!(this_present_lastTerm && that_present_lastTerm))
+        return false;
+      if (this.lastTerm != that.lastTerm)
         return false;
     }
 
-    public boolean equals(VoteRequest that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_term = true;
-        boolean that_present_term = true;
-        if (this_present_term || that_present_term) {
-            if (!(this_present_term && that_present_term)) return false;
-            if (this.term != that.term) return false;
-        }
-
-        boolean this_present_lastIndex = true;
-        boolean that_present_lastIndex = true;
-        if (this_present_lastIndex || that_present_lastIndex) {
-            if (!(this_present_lastIndex && that_present_lastIndex)) return false;
-            if (this.lastIndex != that.lastIndex) return false;
-        }
-
-        boolean this_present_lastTerm = true;
-        boolean that_present_lastTerm = true;
-        if (this_present_lastTerm || that_present_lastTerm) {
-            if (!(this_present_lastTerm && that_present_lastTerm)) return false;
-            if (this.lastTerm != that.lastTerm) return false;
-        }
-
-        boolean this_present_preVote = true;
-        boolean that_present_preVote = true;
-        if (this_present_preVote || that_present_preVote) {
-            if (!(this_present_preVote && that_present_preVote)) return false;
-            if (this.preVote != that.preVote) return false;
-        }
-
-        return true;
+    boolean this_present_preVote = true;
+    boolean that_present_preVote = true;
+    if (this_present_preVote || that_present_preVote) {
+      if (!(this_present_preVote && that_present_preVote))
+        return false;
+      if (this.preVote != that.preVote)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastIndex);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastTerm);
+
+    hashCode = hashCode * 8191 + ((preVote) ? 131071 : 524287);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(VoteRequest other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLastIndex(), other.isSetLastIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLastIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastIndex, other.lastIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLastTerm(), other.isSetLastTerm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLastTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastTerm, other.lastTerm);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPreVote(), other.isSetPreVote());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPreVote()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.preVote, other.preVote);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("VoteRequest(");
+    boolean first = true;
+
+    sb.append("term:");
+    sb.append(this.term);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("lastIndex:");
+    sb.append(this.lastIndex);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("lastTerm:");
+    sb.append(this.lastTerm);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("preVote:");
+    sb.append(this.preVote);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'lastIndex' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'lastTerm' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'preVote' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class VoteRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastIndex);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastTerm);
-
-        hashCode = hashCode * 8191 + ((preVote) ? 131071 : 524287);
-
-        return hashCode;
+    public VoteRequestStandardScheme getScheme() {
+      return new VoteRequestStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(VoteRequest other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class VoteRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<VoteRequest> {
 
-        lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTerm()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, VoteRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.term = iprot.readI64();
+              struct.setTermIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetLastIndex(), other.isSetLastIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLastIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastIndex, other.lastIndex);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // LAST_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.lastIndex = iprot.readI64();
+              struct.setLastIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetLastTerm(), other.isSetLastTerm());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLastTerm()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastTerm, other.lastTerm);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // LAST_TERM
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.lastTerm = iprot.readI64();
+              struct.setLastTermIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetPreVote(), other.isSetPreVote());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetPreVote()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.preVote, other.preVote);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // PRE_VOTE
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.preVote = iprot.readBool();
+              struct.setPreVoteIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'term' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetLastIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'lastIndex' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetLastTerm()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'lastTerm' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetPreVote()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'preVote' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, VoteRequest struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(TERM_FIELD_DESC);
+      oprot.writeI64(struct.term);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LAST_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.lastIndex);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LAST_TERM_FIELD_DESC);
+      oprot.writeI64(struct.lastTerm);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(PRE_VOTE_FIELD_DESC);
+      oprot.writeBool(struct.preVote);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class VoteRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public VoteRequestTupleScheme getScheme() {
+      return new VoteRequestTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class VoteRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<VoteRequest> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("VoteRequest(");
-        boolean first = true;
-
-        sb.append("term:");
-        sb.append(this.term);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("lastIndex:");
-        sb.append(this.lastIndex);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("lastTerm:");
-        sb.append(this.lastTerm);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("preVote:");
-        sb.append(this.preVote);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'term' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'lastIndex' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'lastTerm' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'preVote' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class VoteRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public VoteRequestStandardScheme getScheme() {
-            return new VoteRequestStandardScheme();
-        }
-    }
-
-    private static class VoteRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<VoteRequest> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, VoteRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TERM
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.term = iprot.readI64();
-                            struct.setTermIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // LAST_INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.lastIndex = iprot.readI64();
-                            struct.setLastIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // LAST_TERM
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.lastTerm = iprot.readI64();
-                            struct.setLastTermIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // PRE_VOTE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.preVote = iprot.readBool();
-                            struct.setPreVoteIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetTerm()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'term' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetLastIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'lastIndex' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetLastTerm()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'lastTerm' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetPreVote()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'preVote' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, VoteRequest struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(TERM_FIELD_DESC);
-            oprot.writeI64(struct.term);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(LAST_INDEX_FIELD_DESC);
-            oprot.writeI64(struct.lastIndex);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(LAST_TERM_FIELD_DESC);
-            oprot.writeI64(struct.lastTerm);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(PRE_VOTE_FIELD_DESC);
-            oprot.writeBool(struct.preVote);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, VoteRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.term);
+      oprot.writeI64(struct.lastIndex);
+      oprot.writeI64(struct.lastTerm);
+      oprot.writeBool(struct.preVote);
     }
 
-    private static class VoteRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public VoteRequestTupleScheme getScheme() {
-            return new VoteRequestTupleScheme();
-        }
-    }
-
-    private static class VoteRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<VoteRequest> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, VoteRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.term);
-            oprot.writeI64(struct.lastIndex);
-            oprot.writeI64(struct.lastTerm);
-            oprot.writeBool(struct.preVote);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, VoteRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.term = iprot.readI64();
-            struct.setTermIsSet(true);
-            struct.lastIndex = iprot.readI64();
-            struct.setLastIndexIsSet(true);
-            struct.lastTerm = iprot.readI64();
-            struct.setLastTermIsSet(true);
-            struct.preVote = iprot.readBool();
-            struct.setPreVoteIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, VoteRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.term = iprot.readI64();
+      struct.setTermIsSet(true);
+      struct.lastIndex = iprot.readI64();
+      struct.setLastIndexIsSet(true);
+      struct.lastTerm = iprot.readI64();
+      struct.setLastTermIsSet(true);
+      struct.preVote = iprot.readBool();
+      struct.setPreVoteIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
