--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/AcceptedRulesState.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/AcceptedRulesState.java
@@ -7,591 +7,572 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class AcceptedRulesState
-        implements org.apache.thrift.TBase<AcceptedRulesState, AcceptedRulesState._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<AcceptedRulesState> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("AcceptedRulesState");
-
-    private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField TEXT_HASH_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("textHash", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField OPERATOR_NAME_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("operatorName", org.apache.thrift.protocol.TType.STRING, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new AcceptedRulesStateStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new AcceptedRulesStateTupleSchemeFactory();
-
-    private long revision; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String textHash; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String operatorName; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        REVISION((short) 1, "revision"),
-        TEXT_HASH((short) 2, "textHash"),
-        OPERATOR_NAME((short) 3, "operatorName");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
+public class AcceptedRulesState implements org.apache.thrift.TBase<AcceptedRulesState, AcceptedRulesState._Fields>, java.io.Serializable, Cloneable, Comparable<AcceptedRulesState> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("AcceptedRulesState");
 
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // REVISION
-                    return REVISION;
-                case 2: // TEXT_HASH
-                    return TEXT_HASH;
-                case 3: // OPERATOR_NAME
-                    return OPERATOR_NAME;
-                default:
-                    return null;
-            }
-        }
+  private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField TEXT_HASH_FIELD_DESC = new org.apache.thrift.protocol.TField("textHash", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField OPERATOR_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("operatorName", org.apache.thrift.protocol.TType.STRING, (short)3);
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AcceptedRulesStateStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AcceptedRulesStateTupleSchemeFactory();
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private long revision; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String textHash; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String operatorName; // required
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    REVISION((short)1, "revision"),
+    TEXT_HASH((short)2, "textHash"),
+    OPERATOR_NAME((short)3, "operatorName");
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __REVISION_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.REVISION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "revision",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.TEXT_HASH,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "textHash",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.OPERATOR_NAME,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "operatorName",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AcceptedRulesState.class, metaDataMap);
-    }
-
-    public AcceptedRulesState() {}
-
-    public AcceptedRulesState(long revision, java.lang.String textHash, java.lang.String operatorName) {
-        this();
-        this.revision = revision;
-        setRevisionIsSet(true);
-        this.textHash = textHash;
-        this.operatorName = operatorName;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public AcceptedRulesState(AcceptedRulesState other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.revision = other.revision;
-        if (other.isSetTextHash()) {
-            this.textHash = other.textHash;
-        }
-        if (other.isSetOperatorName()) {
-            this.operatorName = other.operatorName;
-        }
-    }
-
-    @Override
-    public AcceptedRulesState deepCopy() {
-        return new AcceptedRulesState(this);
-    }
-
-    @Override
-    public void clear() {
-        setRevisionIsSet(false);
-        this.revision = 0;
-        this.textHash = null;
-        this.operatorName = null;
-    }
-
-    public long getRevision() {
-        return this.revision;
-    }
-
-    public AcceptedRulesState setRevision(long revision) {
-        this.revision = revision;
-        setRevisionIsSet(true);
-        return this;
-    }
-
-    public void unsetRevision() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REVISION_ISSET_ID);
-    }
-
-    /** Returns true if field revision is set (has been assigned a value) and false otherwise */
-    public boolean isSetRevision() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REVISION_ISSET_ID);
-    }
-
-    public void setRevisionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getTextHash() {
-        return this.textHash;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // REVISION
+          return REVISION;
+        case 2: // TEXT_HASH
+          return TEXT_HASH;
+        case 3: // OPERATOR_NAME
+          return OPERATOR_NAME;
+        default:
+          return null;
+      }
     }
 
-    public AcceptedRulesState setTextHash(@org.apache.thrift.annotation.Nullable java.lang.String textHash) {
-        this.textHash = textHash;
-        return this;
-    }
-
-    public void unsetTextHash() {
-        this.textHash = null;
-    }
-
-    /** Returns true if field textHash is set (has been assigned a value) and false otherwise */
-    public boolean isSetTextHash() {
-        return this.textHash != null;
-    }
-
-    public void setTextHashIsSet(boolean value) {
-        if (!value) {
-            this.textHash = null;
-        }
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getOperatorName() {
-        return this.operatorName;
-    }
-
-    public AcceptedRulesState setOperatorName(@org.apache.thrift.annotation.Nullable java.lang.String operatorName) {
-        this.operatorName = operatorName;
-        return this;
-    }
-
-    public void unsetOperatorName() {
-        this.operatorName = null;
-    }
-
-    /** Returns true if field operatorName is set (has been assigned a value) and false otherwise */
-    public boolean isSetOperatorName() {
-        return this.operatorName != null;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setOperatorNameIsSet(boolean value) {
-        if (!value) {
-            this.operatorName = null;
-        }
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case REVISION:
-                if (value == null) {
-                    unsetRevision();
-                } else {
-                    setRevision((java.lang.Long) value);
-                }
-                break;
-
-            case TEXT_HASH:
-                if (value == null) {
-                    unsetTextHash();
-                } else {
-                    setTextHash((java.lang.String) value);
-                }
-                break;
-
-            case OPERATOR_NAME:
-                if (value == null) {
-                    unsetOperatorName();
-                } else {
-                    setOperatorName((java.lang.String) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case REVISION:
-                return getRevision();
-
-            case TEXT_HASH:
-                return getTextHash();
-
-            case OPERATOR_NAME:
-                return getOperatorName();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case REVISION:
-                return isSetRevision();
-            case TEXT_HASH:
-                return isSetTextHash();
-            case OPERATOR_NAME:
-                return isSetOperatorName();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __REVISION_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.REVISION, new org.apache.thrift.meta_data.FieldMetaData("revision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TEXT_HASH, new org.apache.thrift.meta_data.FieldMetaData("textHash", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.OPERATOR_NAME, new org.apache.thrift.meta_data.FieldMetaData("operatorName", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AcceptedRulesState.class, metaDataMap);
+  }
+
+  public AcceptedRulesState() {
+  }
+
+  public AcceptedRulesState(
+    long revision,
+    java.lang.String textHash,
+    java.lang.String operatorName)
+  {
+    this();
+    this.revision = revision;
+    setRevisionIsSet(true);
+    this.textHash = textHash;
+    this.operatorName = operatorName;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public AcceptedRulesState(AcceptedRulesState other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.revision = other.revision;
+    if (other.isSetTextHash()) {
+      this.textHash = other.textHash;
+    }
+    if (other.isSetOperatorName()) {
+      this.operatorName = other.operatorName;
+    }
+  }
+
+  @Override
+  public AcceptedRulesState deepCopy() {
+    return new AcceptedRulesState(this);
+  }
+
+  @Override
+  public void clear() {
+    setRevisionIsSet(false);
+    this.revision = 0;
+    this.textHash = null;
+    this.operatorName = null;
+  }
+
+  public long getRevision() {
+    return this.revision;
+  }
+
+  public AcceptedRulesState setRevision(long revision) {
+    this.revision = revision;
+    setRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REVISION_ISSET_ID);
+  }
+
+  /** Returns true if field revision is set (has been assigned a value) and false otherwise */
+  public boolean isSetRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REVISION_ISSET_ID);
+  }
+
+  public void setRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getTextHash() {
+    return this.textHash;
+  }
+
+  public AcceptedRulesState setTextHash(@org.apache.thrift.annotation.Nullable java.lang.String textHash) {
+    this.textHash = textHash;
+    return this;
+  }
+
+  public void unsetTextHash() {
+    this.textHash = null;
+  }
+
+  /** Returns true if field textHash is set (has been assigned a value) and false otherwise */
+  public boolean isSetTextHash() {
+    return this.textHash != null;
+  }
+
+  public void setTextHashIsSet(boolean value) {
+    if (!value) {
+      this.textHash = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOperatorName() {
+    return this.operatorName;
+  }
+
+  public AcceptedRulesState setOperatorName(@org.apache.thrift.annotation.Nullable java.lang.String operatorName) {
+    this.operatorName = operatorName;
+    return this;
+  }
+
+  public void unsetOperatorName() {
+    this.operatorName = null;
+  }
+
+  /** Returns true if field operatorName is set (has been assigned a value) and false otherwise */
+  public boolean isSetOperatorName() {
+    return this.operatorName != null;
+  }
+
+  public void setOperatorNameIsSet(boolean value) {
+    if (!value) {
+      this.operatorName = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case REVISION:
+      if (value == null) {
+        unsetRevision();
+      } else {
+        setRevision((java.lang.Long)value);
+      }
+      break;
+
+    case TEXT_HASH:
+      if (value == null) {
+        unsetTextHash();
+      } else {
+        setTextHash((java.lang.String)value);
+      }
+      break;
+
+    case OPERATOR_NAME:
+      if (value == null) {
+        unsetOperatorName();
+      } else {
+        setOperatorName((java.lang.String)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case REVISION:
+      return getRevision();
+
+    case TEXT_HASH:
+      return getTextHash();
+
+    case OPERATOR_NAME:
+      return getOperatorName();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case REVISION:
+      return isSetRevision();
+    case TEXT_HASH:
+      return isSetTextHash();
+    case OPERATOR_NAME:
+      return isSetOperatorName();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof AcceptedRulesState)
+      return this.equals((AcceptedRulesState)that);
+    return false;
+  }
+
+  public boolean equals(AcceptedRulesState that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_revision = true;
+    boolean that_present_revision = true;
+    if (this_present_revision || that_present_revision) {
+      if (!(this_present_revision && that_present_revision))
+        return false;
+      if (this.revision != that.revision)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof AcceptedRulesState) return this.equals((AcceptedRulesState) that);
+    boolean this_present_textHash = true && this.isSetTextHash();
+    boolean that_present_textHash = true && that.isSetTextHash();
+    if (this_present_textHash || that_present_textHash) {
+      if (!(this_present_textHash && that_present_textHash))
+        return false;
+      if (!this.textHash.equals(that.textHash))
         return false;
     }
 
-    public boolean equals(AcceptedRulesState that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_revision = true;
-        boolean that_present_revision = true;
-        if (this_present_revision || that_present_revision) {
-            if (!(this_present_revision && that_present_revision)) return false;
-            if (this.revision != that.revision) return false;
-        }
-
-        boolean this_present_textHash = true && this.isSetTextHash();
-        boolean that_present_textHash = true && that.isSetTextHash();
-        if (this_present_textHash || that_present_textHash) {
-            if (!(this_present_textHash && that_present_textHash)) return false;
-            if (!this.textHash.equals(that.textHash)) return false;
-        }
-
-        boolean this_present_operatorName = true && this.isSetOperatorName();
-        boolean that_present_operatorName = true && that.isSetOperatorName();
-        if (this_present_operatorName || that_present_operatorName) {
-            if (!(this_present_operatorName && that_present_operatorName)) return false;
-            if (!this.operatorName.equals(that.operatorName)) return false;
-        }
-
-        return true;
+    boolean this_present_operatorName = true && this.isSetOperatorName();
+    boolean that_present_operatorName = true && that.isSetOperatorName();
+    if (this_present_operatorName || that_present_operatorName) {
+      if (!(this_present_operatorName && that_present_operatorName))
+        return false;
+      if (!this.operatorName.equals(that.operatorName))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
+
+    hashCode = hashCode * 8191 + ((isSetTextHash()) ? 131071 : 524287);
+    if (isSetTextHash())
+      hashCode = hashCode * 8191 + textHash.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetOperatorName()) ? 131071 : 524287);
+    if (isSetOperatorName())
+      hashCode = hashCode * 8191 + operatorName.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(AcceptedRulesState other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetRevision(), other.isSetRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.revision, other.revision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTextHash(), other.isSetTextHash());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTextHash()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.textHash, other.textHash);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOperatorName(), other.isSetOperatorName());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOperatorName()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.operatorName, other.operatorName);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("AcceptedRulesState(");
+    boolean first = true;
+
+    sb.append("revision:");
+    sb.append(this.revision);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("textHash:");
+    if (this.textHash == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.textHash);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("operatorName:");
+    if (this.operatorName == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.operatorName);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'revision' because it's a primitive and you chose the non-beans generator.
+    if (textHash == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'textHash' was not present! Struct: " + toString());
+    }
+    if (operatorName == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'operatorName' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class AcceptedRulesStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
-
-        hashCode = hashCode * 8191 + ((isSetTextHash()) ? 131071 : 524287);
-        if (isSetTextHash()) hashCode = hashCode * 8191 + textHash.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetOperatorName()) ? 131071 : 524287);
-        if (isSetOperatorName()) hashCode = hashCode * 8191 + operatorName.hashCode();
-
-        return hashCode;
+    public AcceptedRulesStateStandardScheme getScheme() {
+      return new AcceptedRulesStateStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(AcceptedRulesState other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+  private static class AcceptedRulesStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<AcceptedRulesState> {
 
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetRevision(), other.isSetRevision());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRevision()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.revision, other.revision);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, AcceptedRulesState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.revision = iprot.readI64();
+              struct.setRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetTextHash(), other.isSetTextHash());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTextHash()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.textHash, other.textHash);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // TEXT_HASH
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.textHash = iprot.readString();
+              struct.setTextHashIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOperatorName(), other.isSetOperatorName());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOperatorName()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.operatorName, other.operatorName);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // OPERATOR_NAME
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.operatorName = iprot.readString();
+              struct.setOperatorNameIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRevision()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'revision' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, AcceptedRulesState struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(REVISION_FIELD_DESC);
+      oprot.writeI64(struct.revision);
+      oprot.writeFieldEnd();
+      if (struct.textHash != null) {
+        oprot.writeFieldBegin(TEXT_HASH_FIELD_DESC);
+        oprot.writeString(struct.textHash);
+        oprot.writeFieldEnd();
+      }
+      if (struct.operatorName != null) {
+        oprot.writeFieldBegin(OPERATOR_NAME_FIELD_DESC);
+        oprot.writeString(struct.operatorName);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class AcceptedRulesStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public AcceptedRulesStateTupleScheme getScheme() {
+      return new AcceptedRulesStateTupleScheme();
     }
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("AcceptedRulesState(");
-        boolean first = true;
-
-        sb.append("revision:");
-        sb.append(this.revision);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("textHash:");
-        if (this.textHash == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.textHash);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("operatorName:");
-        if (this.operatorName == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.operatorName);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
+  private static class AcceptedRulesStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<AcceptedRulesState> {
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'revision' because it's a primitive and you chose the non-beans generator.
-        if (textHash == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'textHash' was not present! Struct: " + toString());
-        }
-        if (operatorName == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'operatorName' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class AcceptedRulesStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public AcceptedRulesStateStandardScheme getScheme() {
-            return new AcceptedRulesStateStandardScheme();
-        }
-    }
-
-    private static class AcceptedRulesStateStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<AcceptedRulesState> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, AcceptedRulesState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // REVISION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.revision = iprot.readI64();
-                            struct.setRevisionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // TEXT_HASH
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.textHash = iprot.readString();
-                            struct.setTextHashIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // OPERATOR_NAME
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.operatorName = iprot.readString();
-                            struct.setOperatorNameIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRevision()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'revision' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, AcceptedRulesState struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(REVISION_FIELD_DESC);
-            oprot.writeI64(struct.revision);
-            oprot.writeFieldEnd();
-            if (struct.textHash != null) {
-                oprot.writeFieldBegin(TEXT_HASH_FIELD_DESC);
-                oprot.writeString(struct.textHash);
-                oprot.writeFieldEnd();
-            }
-            if (struct.operatorName != null) {
-                oprot.writeFieldBegin(OPERATOR_NAME_FIELD_DESC);
-                oprot.writeString(struct.operatorName);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class AcceptedRulesStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public AcceptedRulesStateTupleScheme getScheme() {
-            return new AcceptedRulesStateTupleScheme();
-        }
-    }
-
-    private static class AcceptedRulesStateTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<AcceptedRulesState> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, AcceptedRulesState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.revision);
-            oprot.writeString(struct.textHash);
-            oprot.writeString(struct.operatorName);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, AcceptedRulesState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.revision = iprot.readI64();
-            struct.setRevisionIsSet(true);
-            struct.textHash = iprot.readString();
-            struct.setTextHashIsSet(true);
-            struct.operatorName = iprot.readString();
-            struct.setOperatorNameIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, AcceptedRulesState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.revision);
+      oprot.writeString(struct.textHash);
+      oprot.writeString(struct.operatorName);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, AcceptedRulesState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.revision = iprot.readI64();
+      struct.setRevisionIsSet(true);
+      struct.textHash = iprot.readString();
+      struct.setTextHashIsSet(true);
+      struct.operatorName = iprot.readString();
+      struct.setOperatorNameIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/AnswerBody.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/AnswerBody.java
@@ -7,699 +7,678 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class AnswerBody
-        implements org.apache.thrift.TBase<AnswerBody, AnswerBody._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<AnswerBody> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("AnswerBody");
-
-    private static final org.apache.thrift.protocol.TField STATUS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("status", org.apache.thrift.protocol.TType.I32, (short) 1);
-    private static final org.apache.thrift.protocol.TField CONTENT_TYPE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("contentType", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField BODY_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("body", org.apache.thrift.protocol.TType.STRING, (short) 3);
-    private static final org.apache.thrift.protocol.TField COMPLETE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("complete", org.apache.thrift.protocol.TType.BOOL, (short) 4);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new AnswerBodyStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new AnswerBodyTupleSchemeFactory();
-
-    private int status; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String contentType; // required
-    private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body; // required
-    private boolean complete; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        STATUS((short) 1, "status"),
-        CONTENT_TYPE((short) 2, "contentType"),
-        BODY((short) 3, "body"),
-        COMPLETE((short) 4, "complete");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // STATUS
-                    return STATUS;
-                case 2: // CONTENT_TYPE
-                    return CONTENT_TYPE;
-                case 3: // BODY
-                    return BODY;
-                case 4: // COMPLETE
-                    return COMPLETE;
-                default:
-                    return null;
-            }
-        }
+public class AnswerBody implements org.apache.thrift.TBase<AnswerBody, AnswerBody._Fields>, java.io.Serializable, Cloneable, Comparable<AnswerBody> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("AnswerBody");
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField STATUS_FIELD_DESC = new org.apache.thrift.protocol.TField("status", org.apache.thrift.protocol.TType.I32, (short)1);
+  private static final org.apache.thrift.protocol.TField CONTENT_TYPE_FIELD_DESC = new org.apache.thrift.protocol.TField("contentType", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField BODY_FIELD_DESC = new org.apache.thrift.protocol.TField("body", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField COMPLETE_FIELD_DESC = new org.apache.thrift.protocol.TField("complete", org.apache.thrift.protocol.TType.BOOL, (short)4);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AnswerBodyStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AnswerBodyTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private int status; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String contentType; // required
+  private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body; // required
+  private boolean complete; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    STATUS((short)1, "status"),
+    CONTENT_TYPE((short)2, "contentType"),
+    BODY((short)3, "body"),
+    COMPLETE((short)4, "complete");
 
-    // isset id assignments
-    private static final int __STATUS_ISSET_ID = 0;
-    private static final int __COMPLETE_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.STATUS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "status",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        tmpMap.put(
-                _Fields.CONTENT_TYPE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "contentType",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.BODY,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "body",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(
-                                org.apache.thrift.protocol.TType.STRING, true)));
-        tmpMap.put(
-                _Fields.COMPLETE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "complete",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AnswerBody.class, metaDataMap);
-    }
-
-    public AnswerBody() {}
-
-    public AnswerBody(int status, java.lang.String contentType, java.nio.ByteBuffer body, boolean complete) {
-        this();
-        this.status = status;
-        setStatusIsSet(true);
-        this.contentType = contentType;
-        this.body = org.apache.thrift.TBaseHelper.copyBinary(body);
-        this.complete = complete;
-        setCompleteIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public AnswerBody(AnswerBody other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.status = other.status;
-        if (other.isSetContentType()) {
-            this.contentType = other.contentType;
-        }
-        if (other.isSetBody()) {
-            this.body = org.apache.thrift.TBaseHelper.copyBinary(other.body);
-        }
-        this.complete = other.complete;
-    }
-
-    @Override
-    public AnswerBody deepCopy() {
-        return new AnswerBody(this);
-    }
-
-    @Override
-    public void clear() {
-        setStatusIsSet(false);
-        this.status = 0;
-        this.contentType = null;
-        this.body = null;
-        setCompleteIsSet(false);
-        this.complete = false;
-    }
-
-    public int getStatus() {
-        return this.status;
-    }
-
-    public AnswerBody setStatus(int status) {
-        this.status = status;
-        setStatusIsSet(true);
-        return this;
-    }
-
-    public void unsetStatus() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STATUS_ISSET_ID);
-    }
-
-    /** Returns true if field status is set (has been assigned a value) and false otherwise */
-    public boolean isSetStatus() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STATUS_ISSET_ID);
-    }
-
-    public void setStatusIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STATUS_ISSET_ID, value);
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getContentType() {
-        return this.contentType;
-    }
-
-    public AnswerBody setContentType(@org.apache.thrift.annotation.Nullable java.lang.String contentType) {
-        this.contentType = contentType;
-        return this;
-    }
-
-    public void unsetContentType() {
-        this.contentType = null;
-    }
-
-    /** Returns true if field contentType is set (has been assigned a value) and false otherwise */
-    public boolean isSetContentType() {
-        return this.contentType != null;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // STATUS
+          return STATUS;
+        case 2: // CONTENT_TYPE
+          return CONTENT_TYPE;
+        case 3: // BODY
+          return BODY;
+        case 4: // COMPLETE
+          return COMPLETE;
+        default:
+          return null;
+      }
     }
 
-    public void setContentTypeIsSet(boolean value) {
-        if (!value) {
-            this.contentType = null;
-        }
-    }
-
-    public byte[] getBody() {
-        setBody(org.apache.thrift.TBaseHelper.rightSize(body));
-        return body == null ? null : body.array();
-    }
-
-    public java.nio.ByteBuffer bufferForBody() {
-        return org.apache.thrift.TBaseHelper.copyBinary(body);
-    }
-
-    public AnswerBody setBody(byte[] body) {
-        this.body = body == null ? (java.nio.ByteBuffer) null : java.nio.ByteBuffer.wrap(body.clone());
-        return this;
-    }
-
-    public AnswerBody setBody(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body) {
-        this.body = org.apache.thrift.TBaseHelper.copyBinary(body);
-        return this;
-    }
-
-    public void unsetBody() {
-        this.body = null;
-    }
-
-    /** Returns true if field body is set (has been assigned a value) and false otherwise */
-    public boolean isSetBody() {
-        return this.body != null;
-    }
-
-    public void setBodyIsSet(boolean value) {
-        if (!value) {
-            this.body = null;
-        }
-    }
-
-    public boolean isComplete() {
-        return this.complete;
-    }
-
-    public AnswerBody setComplete(boolean complete) {
-        this.complete = complete;
-        setCompleteIsSet(true);
-        return this;
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    public void unsetComplete() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __COMPLETE_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field complete is set (has been assigned a value) and false otherwise */
-    public boolean isSetComplete() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __COMPLETE_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setCompleteIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COMPLETE_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case STATUS:
-                if (value == null) {
-                    unsetStatus();
-                } else {
-                    setStatus((java.lang.Integer) value);
-                }
-                break;
-
-            case CONTENT_TYPE:
-                if (value == null) {
-                    unsetContentType();
-                } else {
-                    setContentType((java.lang.String) value);
-                }
-                break;
-
-            case BODY:
-                if (value == null) {
-                    unsetBody();
-                } else {
-                    if (value instanceof byte[]) {
-                        setBody((byte[]) value);
-                    } else {
-                        setBody((java.nio.ByteBuffer) value);
-                    }
-                }
-                break;
-
-            case COMPLETE:
-                if (value == null) {
-                    unsetComplete();
-                } else {
-                    setComplete((java.lang.Boolean) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case STATUS:
-                return getStatus();
-
-            case CONTENT_TYPE:
-                return getContentType();
-
-            case BODY:
-                return getBody();
-
-            case COMPLETE:
-                return isComplete();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __STATUS_ISSET_ID = 0;
+  private static final int __COMPLETE_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.STATUS, new org.apache.thrift.meta_data.FieldMetaData("status", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.CONTENT_TYPE, new org.apache.thrift.meta_data.FieldMetaData("contentType", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.BODY, new org.apache.thrift.meta_data.FieldMetaData("body", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    tmpMap.put(_Fields.COMPLETE, new org.apache.thrift.meta_data.FieldMetaData("complete", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AnswerBody.class, metaDataMap);
+  }
+
+  public AnswerBody() {
+  }
+
+  public AnswerBody(
+    int status,
+    java.lang.String contentType,
+    java.nio.ByteBuffer body,
+    boolean complete)
+  {
+    this();
+    this.status = status;
+    setStatusIsSet(true);
+    this.contentType = contentType;
+    this.body = org.apache.thrift.TBaseHelper.copyBinary(body);
+    this.complete = complete;
+    setCompleteIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public AnswerBody(AnswerBody other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.status = other.status;
+    if (other.isSetContentType()) {
+      this.contentType = other.contentType;
+    }
+    if (other.isSetBody()) {
+      this.body = org.apache.thrift.TBaseHelper.copyBinary(other.body);
+    }
+    this.complete = other.complete;
+  }
+
+  @Override
+  public AnswerBody deepCopy() {
+    return new AnswerBody(this);
+  }
+
+  @Override
+  public void clear() {
+    setStatusIsSet(false);
+    this.status = 0;
+    this.contentType = null;
+    this.body = null;
+    setCompleteIsSet(false);
+    this.complete = false;
+  }
+
+  public int getStatus() {
+    return this.status;
+  }
+
+  public AnswerBody setStatus(int status) {
+    this.status = status;
+    setStatusIsSet(true);
+    return this;
+  }
+
+  public void unsetStatus() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STATUS_ISSET_ID);
+  }
+
+  /** Returns true if field status is set (has been assigned a value) and false otherwise */
+  public boolean isSetStatus() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STATUS_ISSET_ID);
+  }
+
+  public void setStatusIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STATUS_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getContentType() {
+    return this.contentType;
+  }
+
+  public AnswerBody setContentType(@org.apache.thrift.annotation.Nullable java.lang.String contentType) {
+    this.contentType = contentType;
+    return this;
+  }
+
+  public void unsetContentType() {
+    this.contentType = null;
+  }
+
+  /** Returns true if field contentType is set (has been assigned a value) and false otherwise */
+  public boolean isSetContentType() {
+    return this.contentType != null;
+  }
+
+  public void setContentTypeIsSet(boolean value) {
+    if (!value) {
+      this.contentType = null;
+    }
+  }
+
+  public byte[] getBody() {
+    setBody(org.apache.thrift.TBaseHelper.rightSize(body));
+    return body == null ? null : body.array();
+  }
+
+  public java.nio.ByteBuffer bufferForBody() {
+    return org.apache.thrift.TBaseHelper.copyBinary(body);
+  }
+
+  public AnswerBody setBody(byte[] body) {
+    this.body = body == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(body.clone());
+    return this;
+  }
+
+  public AnswerBody setBody(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body) {
+    this.body = org.apache.thrift.TBaseHelper.copyBinary(body);
+    return this;
+  }
+
+  public void unsetBody() {
+    this.body = null;
+  }
+
+  /** Returns true if field body is set (has been assigned a value) and false otherwise */
+  public boolean isSetBody() {
+    return this.body != null;
+  }
+
+  public void setBodyIsSet(boolean value) {
+    if (!value) {
+      this.body = null;
+    }
+  }
+
+  public boolean isComplete() {
+    return this.complete;
+  }
+
+  public AnswerBody setComplete(boolean complete) {
+    this.complete = complete;
+    setCompleteIsSet(true);
+    return this;
+  }
+
+  public void unsetComplete() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __COMPLETE_ISSET_ID);
+  }
+
+  /** Returns true if field complete is set (has been assigned a value) and false otherwise */
+  public boolean isSetComplete() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __COMPLETE_ISSET_ID);
+  }
+
+  public void setCompleteIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COMPLETE_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case STATUS:
+      if (value == null) {
+        unsetStatus();
+      } else {
+        setStatus((java.lang.Integer)value);
+      }
+      break;
+
+    case CONTENT_TYPE:
+      if (value == null) {
+        unsetContentType();
+      } else {
+        setContentType((java.lang.String)value);
+      }
+      break;
+
+    case BODY:
+      if (value == null) {
+        unsetBody();
+      } else {
+        if (value instanceof byte[]) {
+          setBody((byte[])value);
+        } else {
+          setBody((java.nio.ByteBuffer)value);
+        }
+      }
+      break;
+
+    case COMPLETE:
+      if (value == null) {
+        unsetComplete();
+      } else {
+        setComplete((java.lang.Boolean)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case STATUS:
+      return getStatus();
+
+    case CONTENT_TYPE:
+      return getContentType();
+
+    case BODY:
+      return getBody();
+
+    case COMPLETE:
+      return isComplete();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case STATUS:
+      return isSetStatus();
+    case CONTENT_TYPE:
+      return isSetContentType();
+    case BODY:
+      return isSetBody();
+    case COMPLETE:
+      return isSetComplete();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof AnswerBody)
+      return this.equals((AnswerBody)that);
+    return false;
+  }
+
+  public boolean equals(AnswerBody that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_status = true;
+    boolean that_present_status = true;
+    if (this_present_status || that_present_status) {
+      if (!(this_present_status && that_present_status))
+        return false;
+      if (this.status != that.status)
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case STATUS:
-                return isSetStatus();
-            case CONTENT_TYPE:
-                return isSetContentType();
-            case BODY:
-                return isSetBody();
-            case COMPLETE:
-                return isSetComplete();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_contentType = true && this.isSetContentType();
+    boolean that_present_contentType = true && that.isSetContentType();
+    if (this_present_contentType || that_present_contentType) {
+      if (!(this_present_contentType && that_present_contentType))
+        return false;
+      if (!this.contentType.equals(that.contentType))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof AnswerBody) return this.equals((AnswerBody) that);
+    boolean this_present_body = true && this.isSetBody();
+    boolean that_present_body = true && that.isSetBody();
+    if (this_present_body || that_present_body) {
+      if (!(this_present_body && that_present_body))
+        return false;
+      if (!this.body.equals(that.body))
         return false;
     }
 
-    public boolean equals(AnswerBody that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_status = true;
-        boolean that_present_status = true;
-        if (this_present_status || that_present_status) {
-            if (!(this_present_status && that_present_status)) return false;
-            if (this.status != that.status) return false;
-        }
-
-        boolean this_present_contentType = true && this.isSetContentType();
-        boolean that_present_contentType = true && that.isSetContentType();
-        if (this_present_contentType || that_present_contentType) {
-            if (!(this_present_contentType && that_present_contentType)) return false;
-            if (!this.contentType.equals(that.contentType)) return false;
-        }
-
-        boolean this_present_body = true && this.isSetBody();
-        boolean that_present_body = true && that.isSetBody();
-        if (this_present_body || that_present_body) {
-            if (!(this_present_body && that_present_body)) return false;
-            if (!this.body.equals(that.body)) return false;
-        }
-
-        boolean this_present_complete = true;
-        boolean that_present_complete = true;
-        if (this_present_complete || that_present_complete) {
-            if (!(this_present_complete && that_present_complete)) return false;
-            if (this.complete != that.complete) return false;
-        }
-
-        return true;
+    boolean this_present_complete = true;
+    boolean that_present_complete = true;
+    if (this_present_complete || that_present_complete) {
+      if (!(this_present_complete && that_present_complete))
+        return false;
+      if (this.complete != that.complete)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + status;
+
+    hashCode = hashCode * 8191 + ((isSetContentType()) ? 131071 : 524287);
+    if (isSetContentType())
+      hashCode = hashCode * 8191 + contentType.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetBody()) ? 131071 : 524287);
+    if (isSetBody())
+      hashCode = hashCode * 8191 + body.hashCode();
+
+    hashCode = hashCode * 8191 + ((complete) ? 131071 : 524287);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(AnswerBody other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetStatus(), other.isSetStatus());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStatus()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.status, other.status);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetContentType(), other.isSetContentType());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetContentType()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.contentType, other.contentType);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetBody(), other.isSetBody());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBody()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.body, other.body);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetComplete(), other.isSetComplete());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetComplete()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.complete, other.complete);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("AnswerBody(");
+    boolean first = true;
+
+    sb.append("status:");
+    sb.append(this.status);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("contentType:");
+    if (this.contentType == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.contentType);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("body:");
+    if (this.body == null) {
+      sb.append("null");
+    } else {
+      org.apache.thrift.TBaseHelper.toString(this.body, sb);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("complete:");
+    sb.append(this.complete);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'status' because it's a primitive and you chose the non-beans generator.
+    if (contentType == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'contentType' was not present! Struct: " + toString());
+    }
+    if (body == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'body' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'complete' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class AnswerBodyStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + status;
-
-        hashCode = hashCode * 8191 + ((isSetContentType()) ? 131071 : 524287);
-        if (isSetContentType()) hashCode = hashCode * 8191 + contentType.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetBody()) ? 131071 : 524287);
-        if (isSetBody()) hashCode = hashCode * 8191 + body.hashCode();
-
-        hashCode = hashCode * 8191 + ((complete) ? 131071 : 524287);
-
-        return hashCode;
+    public AnswerBodyStandardScheme getScheme() {
+      return new AnswerBodyStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(AnswerBody other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class AnswerBodyStandardScheme extends org.apache.thrift.scheme.StandardScheme<AnswerBody> {
 
-        lastComparison = java.lang.Boolean.compare(isSetStatus(), other.isSetStatus());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetStatus()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.status, other.status);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, AnswerBody struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // STATUS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.status = iprot.readI32();
+              struct.setStatusIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetContentType(), other.isSetContentType());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetContentType()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.contentType, other.contentType);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // CONTENT_TYPE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.contentType = iprot.readString();
+              struct.setContentTypeIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetBody(), other.isSetBody());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetBody()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.body, other.body);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // BODY
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.body = iprot.readBinary();
+              struct.setBodyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetComplete(), other.isSetComplete());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetComplete()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.complete, other.complete);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // COMPLETE
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.complete = iprot.readBool();
+              struct.setCompleteIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetStatus()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'status' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetComplete()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'complete' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, AnswerBody struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(STATUS_FIELD_DESC);
+      oprot.writeI32(struct.status);
+      oprot.writeFieldEnd();
+      if (struct.contentType != null) {
+        oprot.writeFieldBegin(CONTENT_TYPE_FIELD_DESC);
+        oprot.writeString(struct.contentType);
+        oprot.writeFieldEnd();
+      }
+      if (struct.body != null) {
+        oprot.writeFieldBegin(BODY_FIELD_DESC);
+        oprot.writeBinary(struct.body);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(COMPLETE_FIELD_DESC);
+      oprot.writeBool(struct.complete);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class AnswerBodyTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("AnswerBody(");
-        boolean first = true;
-
-        sb.append("status:");
-        sb.append(this.status);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("contentType:");
-        if (this.contentType == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.contentType);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("body:");
-        if (this.body == null) {
-            sb.append("null");
-        } else {
-            org.apache.thrift.TBaseHelper.toString(this.body, sb);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("complete:");
-        sb.append(this.complete);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'status' because it's a primitive and you chose the non-beans generator.
-        if (contentType == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'contentType' was not present! Struct: " + toString());
-        }
-        if (body == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'body' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'complete' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class AnswerBodyStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public AnswerBodyStandardScheme getScheme() {
-            return new AnswerBodyStandardScheme();
-        }
-    }
-
-    private static class AnswerBodyStandardScheme extends org.apache.thrift.scheme.StandardScheme<AnswerBody> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, AnswerBody struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // STATUS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.status = iprot.readI32();
-                            struct.setStatusIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // CONTENT_TYPE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.contentType = iprot.readString();
-                            struct.setContentTypeIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // BODY
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.body = iprot.readBinary();
-                            struct.setBodyIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // COMPLETE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.complete = iprot.readBool();
-                            struct.setCompleteIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetStatus()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'status' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetComplete()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'complete' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, AnswerBody struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(STATUS_FIELD_DESC);
-            oprot.writeI32(struct.status);
-            oprot.writeFieldEnd();
-            if (struct.contentType != null) {
-                oprot.writeFieldBegin(CONTENT_TYPE_FIELD_DESC);
-                oprot.writeString(struct.contentType);
-                oprot.writeFieldEnd();
-            }
-            if (struct.body != null) {
-                oprot.writeFieldBegin(BODY_FIELD_DESC);
-                oprot.writeBinary(struct.body);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(COMPLETE_FIELD_DESC);
-            oprot.writeBool(struct.complete);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+    public AnswerBodyTupleScheme getScheme() {
+      return new AnswerBodyTupleScheme();
     }
+  }
 
-    private static class AnswerBodyTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public AnswerBodyTupleScheme getScheme() {
-            return new AnswerBodyTupleScheme();
-        }
-    }
-
-    private static class AnswerBodyTupleScheme extends org.apache.thrift.scheme.TupleScheme<AnswerBody> {
+  private static class AnswerBodyTupleScheme extends org.apache.thrift.scheme.TupleScheme<AnswerBody> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, AnswerBody struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI32(struct.status);
-            oprot.writeString(struct.contentType);
-            oprot.writeBinary(struct.body);
-            oprot.writeBool(struct.complete);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, AnswerBody struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.status = iprot.readI32();
-            struct.setStatusIsSet(true);
-            struct.contentType = iprot.readString();
-            struct.setContentTypeIsSet(true);
-            struct.body = iprot.readBinary();
-            struct.setBodyIsSet(true);
-            struct.complete = iprot.readBool();
-            struct.setCompleteIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, AnswerBody struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI32(struct.status);
+      oprot.writeString(struct.contentType);
+      oprot.writeBinary(struct.body);
+      oprot.writeBool(struct.complete);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, AnswerBody struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.status = iprot.readI32();
+      struct.setStatusIsSet(true);
+      struct.contentType = iprot.readString();
+      struct.setContentTypeIsSet(true);
+      struct.body = iprot.readBinary();
+      struct.setBodyIsSet(true);
+      struct.complete = iprot.readBool();
+      struct.setCompleteIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/AnswerStatus.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/AnswerStatus.java
@@ -6,49 +6,50 @@
  */
 package org.basilrill.thrift.control;
 
+
 /**
  * How a request to a replica went; numbers never change.
  */
 public enum AnswerStatus implements org.apache.thrift.TEnum {
-    DONE(1),
-    /**
-     * Nothing was proposed; the leader is named if known.
-     */
-    NOT_LEADER(2),
-    /**
-     * The command may still take effect.
-     */
-    UNAVAILABLE(3);
+  DONE(1),
+  /**
+   * Nothing was proposed; the leader is named if known.
+   */
+  NOT_LEADER(2),
+  /**
+   * The command may still take effect.
+   */
+  UNAVAILABLE(3);
 
-    private final int value;
+  private final int value;
 
-    private AnswerStatus(int value) {
-        this.value = value;
-    }
+  private AnswerStatus(int value) {
+    this.value = value;
+  }
 
-    /**
-     * Get the integer value of this enum value, as defined in the Thrift IDL.
-     */
-    @Override
-    public int getValue() {
-        return value;
-    }
+  /**
+   * Get the integer value of this enum value, as defined in the Thrift IDL.
+   */
+  @Override
+  public int getValue() {
+    return value;
+  }
 
-    /**
-     * Find a the enum type by its integer value, as defined in the Thrift IDL.
-     * @return null if the value is not found.
-     */
-    @org.apache.thrift.annotation.Nullable
-    public static AnswerStatus findByValue(int value) {
-        switch (value) {
-            case 1:
-                return DONE;
-            case 2:
-                return NOT_LEADER;
-            case 3:
-                return UNAVAILABLE;
-            default:
-                return null;
-        }
+  /**
+   * Find a the enum type by its integer value, as defined in the Thrift IDL.
+   * @return null if the value is not found.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public static AnswerStatus findByValue(int value) { 
+    switch (value) {
+      case 1:
+        return DONE;
+      case 2:
+        return NOT_LEADER;
+      case 3:
+        return UNAVAILABLE;
+      default:
+        return null;
     }
+  }
 }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/AssignBucketCommand.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/AssignBucketCommand.java
@@ -7,788 +7,758 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class AssignBucketCommand
-        implements org.apache.thrift.TBase<AssignBucketCommand, AssignBucketCommand._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<AssignBucketCommand> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("AssignBucketCommand");
-
-    private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField EXPECTED_EPOCH_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("expectedEpoch", org.apache.thrift.protocol.TType.I64, (short) 4);
-    private static final org.apache.thrift.protocol.TField HANDED_OVER_TOKENS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("handedOverTokens", org.apache.thrift.protocol.TType.I64, (short) 5);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new AssignBucketCommandStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new AssignBucketCommandTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
-    private long sessionId; // required
-    private long expectedEpoch; // required
-    private long handedOverTokens; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ACCOUNT((short) 1, "account"),
-        OWNER((short) 2, "owner"),
-        SESSION_ID((short) 3, "sessionId"),
-        EXPECTED_EPOCH((short) 4, "expectedEpoch"),
-        HANDED_OVER_TOKENS((short) 5, "handedOverTokens");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ACCOUNT
-                    return ACCOUNT;
-                case 2: // OWNER
-                    return OWNER;
-                case 3: // SESSION_ID
-                    return SESSION_ID;
-                case 4: // EXPECTED_EPOCH
-                    return EXPECTED_EPOCH;
-                case 5: // HANDED_OVER_TOKENS
-                    return HANDED_OVER_TOKENS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __SESSIONID_ISSET_ID = 0;
-    private static final int __EXPECTEDEPOCH_ISSET_ID = 1;
-    private static final int __HANDEDOVERTOKENS_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+public class AssignBucketCommand implements org.apache.thrift.TBase<AssignBucketCommand, AssignBucketCommand._Fields>, java.io.Serializable, Cloneable, Comparable<AssignBucketCommand> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("AssignBucketCommand");
+
+  private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC = new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField EXPECTED_EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("expectedEpoch", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField HANDED_OVER_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("handedOverTokens", org.apache.thrift.protocol.TType.I64, (short)5);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AssignBucketCommandStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AssignBucketCommandTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
+  private long sessionId; // required
+  private long expectedEpoch; // required
+  private long handedOverTokens; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ACCOUNT((short)1, "account"),
+    OWNER((short)2, "owner"),
+    SESSION_ID((short)3, "sessionId"),
+    EXPECTED_EPOCH((short)4, "expectedEpoch"),
+    HANDED_OVER_TOKENS((short)5, "handedOverTokens");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ACCOUNT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "account",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.OWNER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "owner",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.SESSION_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sessionId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.EXPECTED_EPOCH,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "expectedEpoch",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.HANDED_OVER_TOKENS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "handedOverTokens",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AssignBucketCommand.class, metaDataMap);
-    }
-
-    public AssignBucketCommand() {}
-
-    public AssignBucketCommand(
-            java.lang.String account,
-            java.lang.String owner,
-            long sessionId,
-            long expectedEpoch,
-            long handedOverTokens) {
-        this();
-        this.account = account;
-        this.owner = owner;
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
-        this.expectedEpoch = expectedEpoch;
-        setExpectedEpochIsSet(true);
-        this.handedOverTokens = handedOverTokens;
-        setHandedOverTokensIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public AssignBucketCommand(AssignBucketCommand other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetAccount()) {
-            this.account = other.account;
-        }
-        if (other.isSetOwner()) {
-            this.owner = other.owner;
-        }
-        this.sessionId = other.sessionId;
-        this.expectedEpoch = other.expectedEpoch;
-        this.handedOverTokens = other.handedOverTokens;
-    }
-
-    @Override
-    public AssignBucketCommand deepCopy() {
-        return new AssignBucketCommand(this);
-    }
-
-    @Override
-    public void clear() {
-        this.account = null;
-        this.owner = null;
-        setSessionIdIsSet(false);
-        this.sessionId = 0;
-        setExpectedEpochIsSet(false);
-        this.expectedEpoch = 0;
-        setHandedOverTokensIsSet(false);
-        this.handedOverTokens = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAccount() {
-        return this.account;
-    }
-
-    public AssignBucketCommand setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
-        this.account = account;
-        return this;
-    }
-
-    public void unsetAccount() {
-        this.account = null;
-    }
-
-    /** Returns true if field account is set (has been assigned a value) and false otherwise */
-    public boolean isSetAccount() {
-        return this.account != null;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ACCOUNT
+          return ACCOUNT;
+        case 2: // OWNER
+          return OWNER;
+        case 3: // SESSION_ID
+          return SESSION_ID;
+        case 4: // EXPECTED_EPOCH
+          return EXPECTED_EPOCH;
+        case 5: // HANDED_OVER_TOKENS
+          return HANDED_OVER_TOKENS;
+        default:
+          return null;
+      }
     }
 
-    public void setAccountIsSet(boolean value) {
-        if (!value) {
-            this.account = null;
-        }
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getOwner() {
-        return this.owner;
-    }
-
-    public AssignBucketCommand setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
-        this.owner = owner;
-        return this;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void unsetOwner() {
-        this.owner = null;
-    }
-
-    /** Returns true if field owner is set (has been assigned a value) and false otherwise */
-    public boolean isSetOwner() {
-        return this.owner != null;
-    }
-
-    public void setOwnerIsSet(boolean value) {
-        if (!value) {
-            this.owner = null;
-        }
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public long getSessionId() {
-        return this.sessionId;
-    }
-
-    public AssignBucketCommand setSessionId(long sessionId) {
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
-        return this;
-    }
-
-    public void unsetSessionId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
-    }
-
-    /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
-    public boolean isSetSessionId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
-    }
-
-    public void setSessionIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
-    }
-
-    public long getExpectedEpoch() {
-        return this.expectedEpoch;
-    }
-
-    public AssignBucketCommand setExpectedEpoch(long expectedEpoch) {
-        this.expectedEpoch = expectedEpoch;
-        setExpectedEpochIsSet(true);
-        return this;
-    }
-
-    public void unsetExpectedEpoch() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EXPECTEDEPOCH_ISSET_ID);
-    }
-
-    /** Returns true if field expectedEpoch is set (has been assigned a value) and false otherwise */
-    public boolean isSetExpectedEpoch() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EXPECTEDEPOCH_ISSET_ID);
-    }
-
-    public void setExpectedEpochIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EXPECTEDEPOCH_ISSET_ID, value);
-    }
-
-    public long getHandedOverTokens() {
-        return this.handedOverTokens;
-    }
-
-    public AssignBucketCommand setHandedOverTokens(long handedOverTokens) {
-        this.handedOverTokens = handedOverTokens;
-        setHandedOverTokensIsSet(true);
-        return this;
-    }
-
-    public void unsetHandedOverTokens() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __HANDEDOVERTOKENS_ISSET_ID);
-    }
-
-    /** Returns true if field handedOverTokens is set (has been assigned a value) and false otherwise */
-    public boolean isSetHandedOverTokens() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __HANDEDOVERTOKENS_ISSET_ID);
-    }
-
-    public void setHandedOverTokensIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HANDEDOVERTOKENS_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ACCOUNT:
-                if (value == null) {
-                    unsetAccount();
-                } else {
-                    setAccount((java.lang.String) value);
-                }
-                break;
-
-            case OWNER:
-                if (value == null) {
-                    unsetOwner();
-                } else {
-                    setOwner((java.lang.String) value);
-                }
-                break;
-
-            case SESSION_ID:
-                if (value == null) {
-                    unsetSessionId();
-                } else {
-                    setSessionId((java.lang.Long) value);
-                }
-                break;
-
-            case EXPECTED_EPOCH:
-                if (value == null) {
-                    unsetExpectedEpoch();
-                } else {
-                    setExpectedEpoch((java.lang.Long) value);
-                }
-                break;
-
-            case HANDED_OVER_TOKENS:
-                if (value == null) {
-                    unsetHandedOverTokens();
-                } else {
-                    setHandedOverTokens((java.lang.Long) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ACCOUNT:
-                return getAccount();
-
-            case OWNER:
-                return getOwner();
-
-            case SESSION_ID:
-                return getSessionId();
-
-            case EXPECTED_EPOCH:
-                return getExpectedEpoch();
-
-            case HANDED_OVER_TOKENS:
-                return getHandedOverTokens();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __SESSIONID_ISSET_ID = 0;
+  private static final int __EXPECTEDEPOCH_ISSET_ID = 1;
+  private static final int __HANDEDOVERTOKENS_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ACCOUNT, new org.apache.thrift.meta_data.FieldMetaData("account", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.OWNER, new org.apache.thrift.meta_data.FieldMetaData("owner", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SESSION_ID, new org.apache.thrift.meta_data.FieldMetaData("sessionId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.EXPECTED_EPOCH, new org.apache.thrift.meta_data.FieldMetaData("expectedEpoch", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.HANDED_OVER_TOKENS, new org.apache.thrift.meta_data.FieldMetaData("handedOverTokens", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AssignBucketCommand.class, metaDataMap);
+  }
+
+  public AssignBucketCommand() {
+  }
+
+  public AssignBucketCommand(
+    java.lang.String account,
+    java.lang.String owner,
+    long sessionId,
+    long expectedEpoch,
+    long handedOverTokens)
+  {
+    this();
+    this.account = account;
+    this.owner = owner;
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+    this.expectedEpoch = expectedEpoch;
+    setExpectedEpochIsSet(true);
+    this.handedOverTokens = handedOverTokens;
+    setHandedOverTokensIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public AssignBucketCommand(AssignBucketCommand other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetAccount()) {
+      this.account = other.account;
+    }
+    if (other.isSetOwner()) {
+      this.owner = other.owner;
+    }
+    this.sessionId = other.sessionId;
+    this.expectedEpoch = other.expectedEpoch;
+    this.handedOverTokens = other.handedOverTokens;
+  }
+
+  @Override
+  public AssignBucketCommand deepCopy() {
+    return new AssignBucketCommand(this);
+  }
+
+  @Override
+  public void clear() {
+    this.account = null;
+    this.owner = null;
+    setSessionIdIsSet(false);
+    this.sessionId = 0;
+    setExpectedEpochIsSet(false);
+    this.expectedEpoch = 0;
+    setHandedOverTokensIsSet(false);
+    this.handedOverTokens = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAccount() {
+    return this.account;
+  }
+
+  public AssignBucketCommand setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
+    this.account = account;
+    return this;
+  }
+
+  public void unsetAccount() {
+    this.account = null;
+  }
+
+  /** Returns true if field account is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccount() {
+    return this.account != null;
+  }
+
+  public void setAccountIsSet(boolean value) {
+    if (!value) {
+      this.account = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOwner() {
+    return this.owner;
+  }
+
+  public AssignBucketCommand setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
+    this.owner = owner;
+    return this;
+  }
+
+  public void unsetOwner() {
+    this.owner = null;
+  }
+
+  /** Returns true if field owner is set (has been assigned a value) and false otherwise */
+  public boolean isSetOwner() {
+    return this.owner != null;
+  }
+
+  public void setOwnerIsSet(boolean value) {
+    if (!value) {
+      this.owner = null;
+    }
+  }
+
+  public long getSessionId() {
+    return this.sessionId;
+  }
+
+  public AssignBucketCommand setSessionId(long sessionId) {
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+    return this;
+  }
+
+  public void unsetSessionId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
+  public boolean isSetSessionId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  public void setSessionIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
+  }
+
+  public long getExpectedEpoch() {
+    return this.expectedEpoch;
+  }
+
+  public AssignBucketCommand setExpectedEpoch(long expectedEpoch) {
+    this.expectedEpoch = expectedEpoch;
+    setExpectedEpochIsSet(true);
+    return this;
+  }
+
+  public void unsetExpectedEpoch() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EXPECTEDEPOCH_ISSET_ID);
+  }
+
+  /** Returns true if field expectedEpoch is set (has been assigned a value) and false otherwise */
+  public boolean isSetExpectedEpoch() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EXPECTEDEPOCH_ISSET_ID);
+  }
+
+  public void setExpectedEpochIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EXPECTEDEPOCH_ISSET_ID, value);
+  }
+
+  public long getHandedOverTokens() {
+    return this.handedOverTokens;
+  }
+
+  public AssignBucketCommand setHandedOverTokens(long handedOverTokens) {
+    this.handedOverTokens = handedOverTokens;
+    setHandedOverTokensIsSet(true);
+    return this;
+  }
+
+  public void unsetHandedOverTokens() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __HANDEDOVERTOKENS_ISSET_ID);
+  }
+
+  /** Returns true if field handedOverTokens is set (has been assigned a value) and false otherwise */
+  public boolean isSetHandedOverTokens() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __HANDEDOVERTOKENS_ISSET_ID);
+  }
+
+  public void setHandedOverTokensIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HANDEDOVERTOKENS_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ACCOUNT:
+      if (value == null) {
+        unsetAccount();
+      } else {
+        setAccount((java.lang.String)value);
+      }
+      break;
+
+    case OWNER:
+      if (value == null) {
+        unsetOwner();
+      } else {
+        setOwner((java.lang.String)value);
+      }
+      break;
+
+    case SESSION_ID:
+      if (value == null) {
+        unsetSessionId();
+      } else {
+        setSessionId((java.lang.Long)value);
+      }
+      break;
+
+    case EXPECTED_EPOCH:
+      if (value == null) {
+        unsetExpectedEpoch();
+      } else {
+        setExpectedEpoch((java.lang.Long)value);
+      }
+      break;
+
+    case HANDED_OVER_TOKENS:
+      if (value == null) {
+        unsetHandedOverTokens();
+      } else {
+        setHandedOverTokens((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ACCOUNT:
+      return getAccount();
+
+    case OWNER:
+      return getOwner();
+
+    case SESSION_ID:
+      return getSessionId();
+
+    case EXPECTED_EPOCH:
+      return getExpectedEpoch();
+
+    case HANDED_OVER_TOKENS:
+      return getHandedOverTokens();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ACCOUNT:
+      return isSetAccount();
+    case OWNER:
+      return isSetOwner();
+    case SESSION_ID:
+      return isSetSessionId();
+    case EXPECTED_EPOCH:
+      return isSetExpectedEpoch();
+    case HANDED_OVER_TOKENS:
+      return isSetHandedOverTokens();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof AssignBucketCommand)
+      return this.equals((AssignBucketCommand)that);
+    return false;
+  }
+
+  public boolean equals(AssignBucketCommand that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_account = true && this.isSetAccount();
+    boolean that_present_account = true && that.isSetAccount();
+    if (this_present_account || that_present_account) {
+      if (!(this_present_account && that_present_account))
+        return false;
+      if (!this.account.equals(that.account))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ACCOUNT:
-                return isSetAccount();
-            case OWNER:
-                return isSetOwner();
-            case SESSION_ID:
-                return isSetSessionId();
-            case EXPECTED_EPOCH:
-                return isSetExpectedEpoch();
-            case HANDED_OVER_TOKENS:
-                return isSetHandedOverTokens();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_owner = true && this.isSetOwner();
+    boolean that_present_owner = true && that.isSetOwner();
+    if (this_present_owner || that_present_owner) {
+      if (!(this_present_owner && that_present_owner))
+        return false;
+      if (!this.owner.equals(that.owner))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof AssignBucketCommand) return this.equals((AssignBucketCommand) that);
+    boolean this_present_sessionId = true;
+    boolean that_present_sessionId = true;
+    if (this_present_sessionId || that_present_sessionId) {
+      if (!(this_present_sessionId && that_present_sessionId))
+        return false;
+      if (this.sessionId != that.sessionId)
         return false;
     }
 
-    public boolean equals(AssignBucketCommand that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_account = true && this.isSetAccount();
-        boolean that_present_account = true && that.isSetAccount();
-        if (this_present_account || that_present_account) {
-            if (!(this_present_account && that_present_account)) return false;
-            if (!this.account.equals(that.account)) return false;
-        }
-
-        boolean this_present_owner = true && this.isSetOwner();
-        boolean that_present_owner = true && that.isSetOwner();
-        if (this_present_owner || that_present_owner) {
-            if (!(this_present_owner && that_present_owner)) return false;
-            if (!this.owner.equals(that.owner)) return false;
-        }
-
-        boolean this_present_sessionId = true;
-        boolean that_present_sessionId = true;
-        if (this_present_sessionId || that_present_sessionId) {
-            if (!(this_present_sessionId && that_present_sessionId)) return false;
-            if (this.sessionId != that.sessionId) return false;
-        }
-
-        boolean this_present_expectedEpoch = true;
-        boolean that_present_expectedEpoch = true;
-        if (this_present_expectedEpoch || that_present_expectedEpoch) {
-            if (!(this_present_expectedEpoch && that_present_expectedEpoch)) return false;
-            if (this.expectedEpoch != that.expectedEpoch) return false;
-        }
-
-        boolean this_present_handedOverTokens = true;
-        boolean that_present_handedOverTokens = true;
-        if (this_present_handedOverTokens || that_present_handedOverTokens) {
-            if (!(this_present_handedOverTokens && that_present_handedOverTokens)) return false;
-            if (this.handedOverTokens != that.handedOverTokens) return false;
-        }
-
-        return true;
+    boolean this_present_expectedEpoch = true;
+    boolean that_present_expectedEpoch = true;
+    if (this_present_expectedEpoch || that_present_expectedEpoch) {
+      if (!(this_present_expectedEpoch && that_present_expectedEpoch))
+        return false;
+      if (this.expectedEpoch != that.expectedEpoch)
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    boolean this_present_handedOverTokens = true;
+    boolean that_present_handedOverTokens = true;
+    if (this_present_handedOverTokens || that_present_handedOverTokens) {
+      if (!(this_present_handedOverTokens && that_present_handedOverTokens))
+        return false;
+      if (this.handedOverTokens != that.handedOverTokens)
+        return false;
+    }
 
-        hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
-        if (isSetAccount()) hashCode = hashCode * 8191 + account.hashCode();
+    return true;
+  }
 
-        hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
-        if (isSetOwner()) hashCode = hashCode * 8191 + owner.hashCode();
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
+    hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
+    if (isSetAccount())
+      hashCode = hashCode * 8191 + account.hashCode();
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(expectedEpoch);
+    hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
+    if (isSetOwner())
+      hashCode = hashCode * 8191 + owner.hashCode();
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(handedOverTokens);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
 
-        return hashCode;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(expectedEpoch);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(handedOverTokens);
 
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(AssignBucketCommand other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOwner()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSessionId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetExpectedEpoch(), other.isSetExpectedEpoch());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetExpectedEpoch()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.expectedEpoch, other.expectedEpoch);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetHandedOverTokens(), other.isSetHandedOverTokens());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHandedOverTokens()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.handedOverTokens, other.handedOverTokens);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("AssignBucketCommand(");
+    boolean first = true;
+
+    sb.append("account:");
+    if (this.account == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.account);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("owner:");
+    if (this.owner == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.owner);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sessionId:");
+    sb.append(this.sessionId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("expectedEpoch:");
+    sb.append(this.expectedEpoch);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("handedOverTokens:");
+    sb.append(this.handedOverTokens);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (account == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'account' was not present! Struct: " + toString());
+    }
+    if (owner == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'owner' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'expectedEpoch' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'handedOverTokens' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class AssignBucketCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int compareTo(AssignBucketCommand other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    public AssignBucketCommandStandardScheme getScheme() {
+      return new AssignBucketCommandStandardScheme();
+    }
+  }
 
-        int lastComparison = 0;
+  private static class AssignBucketCommandStandardScheme extends org.apache.thrift.scheme.StandardScheme<AssignBucketCommand> {
 
-        lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAccount()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, AssignBucketCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // ACCOUNT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.account = iprot.readString();
+              struct.setAccountIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOwner()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // OWNER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.owner = iprot.readString();
+              struct.setOwnerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSessionId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // SESSION_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sessionId = iprot.readI64();
+              struct.setSessionIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetExpectedEpoch(), other.isSetExpectedEpoch());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetExpectedEpoch()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.expectedEpoch, other.expectedEpoch);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // EXPECTED_EPOCH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.expectedEpoch = iprot.readI64();
+              struct.setExpectedEpochIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetHandedOverTokens(), other.isSetHandedOverTokens());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetHandedOverTokens()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.handedOverTokens, other.handedOverTokens);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 5: // HANDED_OVER_TOKENS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.handedOverTokens = iprot.readI64();
+              struct.setHandedOverTokensIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetSessionId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sessionId' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetExpectedEpoch()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'expectedEpoch' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetHandedOverTokens()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'handedOverTokens' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, AssignBucketCommand struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.account != null) {
+        oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
+        oprot.writeString(struct.account);
+        oprot.writeFieldEnd();
+      }
+      if (struct.owner != null) {
+        oprot.writeFieldBegin(OWNER_FIELD_DESC);
+        oprot.writeString(struct.owner);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
+      oprot.writeI64(struct.sessionId);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(EXPECTED_EPOCH_FIELD_DESC);
+      oprot.writeI64(struct.expectedEpoch);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(HANDED_OVER_TOKENS_FIELD_DESC);
+      oprot.writeI64(struct.handedOverTokens);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class AssignBucketCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public AssignBucketCommandTupleScheme getScheme() {
+      return new AssignBucketCommandTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class AssignBucketCommandTupleScheme extends org.apache.thrift.scheme.TupleScheme<AssignBucketCommand> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("AssignBucketCommand(");
-        boolean first = true;
-
-        sb.append("account:");
-        if (this.account == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.account);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("owner:");
-        if (this.owner == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.owner);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sessionId:");
-        sb.append(this.sessionId);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("expectedEpoch:");
-        sb.append(this.expectedEpoch);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("handedOverTokens:");
-        sb.append(this.handedOverTokens);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (account == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'account' was not present! Struct: " + toString());
-        }
-        if (owner == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'owner' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'expectedEpoch' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'handedOverTokens' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, AssignBucketCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.account);
+      oprot.writeString(struct.owner);
+      oprot.writeI64(struct.sessionId);
+      oprot.writeI64(struct.expectedEpoch);
+      oprot.writeI64(struct.handedOverTokens);
     }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class AssignBucketCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public AssignBucketCommandStandardScheme getScheme() {
-            return new AssignBucketCommandStandardScheme();
-        }
-    }
-
-    private static class AssignBucketCommandStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<AssignBucketCommand> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, AssignBucketCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ACCOUNT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.account = iprot.readString();
-                            struct.setAccountIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // OWNER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.owner = iprot.readString();
-                            struct.setOwnerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // SESSION_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.sessionId = iprot.readI64();
-                            struct.setSessionIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // EXPECTED_EPOCH
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.expectedEpoch = iprot.readI64();
-                            struct.setExpectedEpochIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // HANDED_OVER_TOKENS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.handedOverTokens = iprot.readI64();
-                            struct.setHandedOverTokensIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetSessionId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'sessionId' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetExpectedEpoch()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'expectedEpoch' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetHandedOverTokens()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'handedOverTokens' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, AssignBucketCommand struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.account != null) {
-                oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
-                oprot.writeString(struct.account);
-                oprot.writeFieldEnd();
-            }
-            if (struct.owner != null) {
-                oprot.writeFieldBegin(OWNER_FIELD_DESC);
-                oprot.writeString(struct.owner);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
-            oprot.writeI64(struct.sessionId);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(EXPECTED_EPOCH_FIELD_DESC);
-            oprot.writeI64(struct.expectedEpoch);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(HANDED_OVER_TOKENS_FIELD_DESC);
-            oprot.writeI64(struct.handedOverTokens);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class AssignBucketCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public AssignBucketCommandTupleScheme getScheme() {
-            return new AssignBucketCommandTupleScheme();
-        }
-    }
-
-    private static class AssignBucketCommandTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<AssignBucketCommand> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, AssignBucketCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.account);
-            oprot.writeString(struct.owner);
-            oprot.writeI64(struct.sessionId);
-            oprot.writeI64(struct.expectedEpoch);
-            oprot.writeI64(struct.handedOverTokens);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, AssignBucketCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.account = iprot.readString();
-            struct.setAccountIsSet(true);
-            struct.owner = iprot.readString();
-            struct.setOwnerIsSet(true);
-            struct.sessionId = iprot.readI64();
-            struct.setSessionIdIsSet(true);
-            struct.expectedEpoch = iprot.readI64();
-            struct.setExpectedEpochIsSet(true);
-            struct.handedOverTokens = iprot.readI64();
-            struct.setHandedOverTokensIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, AssignBucketCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.account = iprot.readString();
+      struct.setAccountIsSet(true);
+      struct.owner = iprot.readString();
+      struct.setOwnerIsSet(true);
+      struct.sessionId = iprot.readI64();
+      struct.setSessionIdIsSet(true);
+      struct.expectedEpoch = iprot.readI64();
+      struct.setExpectedEpochIsSet(true);
+      struct.handedOverTokens = iprot.readI64();
+      struct.setHandedOverTokensIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/BucketHeldResult.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/BucketHeldResult.java
@@ -7,487 +7,471 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class BucketHeldResult
-        implements org.apache.thrift.TBase<BucketHeldResult, BucketHeldResult._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<BucketHeldResult> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("BucketHeldResult");
-
-    private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new BucketHeldResultStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new BucketHeldResultTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
-    private long epoch; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        OWNER((short) 1, "owner"),
-        EPOCH((short) 2, "epoch");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // OWNER
-                    return OWNER;
-                case 2: // EPOCH
-                    return EPOCH;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+public class BucketHeldResult implements org.apache.thrift.TBase<BucketHeldResult, BucketHeldResult._Fields>, java.io.Serializable, Cloneable, Comparable<BucketHeldResult> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("BucketHeldResult");
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC = new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)2);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new BucketHeldResultStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new BucketHeldResultTupleSchemeFactory();
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
+  private long epoch; // required
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    OWNER((short)1, "owner"),
+    EPOCH((short)2, "epoch");
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __EPOCH_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.OWNER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "owner",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.EPOCH,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "epoch",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(BucketHeldResult.class, metaDataMap);
-    }
-
-    public BucketHeldResult() {}
-
-    public BucketHeldResult(java.lang.String owner, long epoch) {
-        this();
-        this.owner = owner;
-        this.epoch = epoch;
-        setEpochIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public BucketHeldResult(BucketHeldResult other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetOwner()) {
-            this.owner = other.owner;
-        }
-        this.epoch = other.epoch;
-    }
-
-    @Override
-    public BucketHeldResult deepCopy() {
-        return new BucketHeldResult(this);
-    }
-
-    @Override
-    public void clear() {
-        this.owner = null;
-        setEpochIsSet(false);
-        this.epoch = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getOwner() {
-        return this.owner;
-    }
-
-    public BucketHeldResult setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
-        this.owner = owner;
-        return this;
-    }
-
-    public void unsetOwner() {
-        this.owner = null;
-    }
-
-    /** Returns true if field owner is set (has been assigned a value) and false otherwise */
-    public boolean isSetOwner() {
-        return this.owner != null;
-    }
-
-    public void setOwnerIsSet(boolean value) {
-        if (!value) {
-            this.owner = null;
-        }
-    }
-
-    public long getEpoch() {
-        return this.epoch;
-    }
-
-    public BucketHeldResult setEpoch(long epoch) {
-        this.epoch = epoch;
-        setEpochIsSet(true);
-        return this;
-    }
-
-    public void unsetEpoch() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
-    }
-
-    /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
-    public boolean isSetEpoch() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // OWNER
+          return OWNER;
+        case 2: // EPOCH
+          return EPOCH;
+        default:
+          return null;
+      }
     }
 
-    public void setEpochIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case OWNER:
-                if (value == null) {
-                    unsetOwner();
-                } else {
-                    setOwner((java.lang.String) value);
-                }
-                break;
-
-            case EPOCH:
-                if (value == null) {
-                    unsetEpoch();
-                } else {
-                    setEpoch((java.lang.Long) value);
-                }
-                break;
-        }
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case OWNER:
-                return getOwner();
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-            case EPOCH:
-                return getEpoch();
-        }
-        throw new java.lang.IllegalStateException();
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case OWNER:
-                return isSetOwner();
-            case EPOCH:
-                return isSetEpoch();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof BucketHeldResult) return this.equals((BucketHeldResult) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __EPOCH_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.OWNER, new org.apache.thrift.meta_data.FieldMetaData("owner", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.EPOCH, new org.apache.thrift.meta_data.FieldMetaData("epoch", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(BucketHeldResult.class, metaDataMap);
+  }
+
+  public BucketHeldResult() {
+  }
+
+  public BucketHeldResult(
+    java.lang.String owner,
+    long epoch)
+  {
+    this();
+    this.owner = owner;
+    this.epoch = epoch;
+    setEpochIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public BucketHeldResult(BucketHeldResult other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetOwner()) {
+      this.owner = other.owner;
+    }
+    this.epoch = other.epoch;
+  }
+
+  @Override
+  public BucketHeldResult deepCopy() {
+    return new BucketHeldResult(this);
+  }
+
+  @Override
+  public void clear() {
+    this.owner = null;
+    setEpochIsSet(false);
+    this.epoch = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOwner() {
+    return this.owner;
+  }
+
+  public BucketHeldResult setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
+    this.owner = owner;
+    return this;
+  }
+
+  public void unsetOwner() {
+    this.owner = null;
+  }
+
+  /** Returns true if field owner is set (has been assigned a value) and false otherwise */
+  public boolean isSetOwner() {
+    return this.owner != null;
+  }
+
+  public void setOwnerIsSet(boolean value) {
+    if (!value) {
+      this.owner = null;
+    }
+  }
+
+  public long getEpoch() {
+    return this.epoch;
+  }
+
+  public BucketHeldResult setEpoch(long epoch) {
+    this.epoch = epoch;
+    setEpochIsSet(true);
+    return this;
+  }
+
+  public void unsetEpoch() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
+  public boolean isSetEpoch() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  public void setEpochIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case OWNER:
+      if (value == null) {
+        unsetOwner();
+      } else {
+        setOwner((java.lang.String)value);
+      }
+      break;
+
+    case EPOCH:
+      if (value == null) {
+        unsetEpoch();
+      } else {
+        setEpoch((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case OWNER:
+      return getOwner();
+
+    case EPOCH:
+      return getEpoch();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case OWNER:
+      return isSetOwner();
+    case EPOCH:
+      return isSetEpoch();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof BucketHeldResult)
+      return this.equals((BucketHeldResult)that);
+    return false;
+  }
+
+  public boolean equals(BucketHeldResult that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_owner = true && this.isSetOwner();
+    boolean that_present_owner = true && that.isSetOwner();
+    if (this_present_owner || that_present_owner) {
+      if (!(this_present_owner && that_present_owner))
+        return false;
+      if (!this.owner.equals(that.owner))
         return false;
     }
 
-    public boolean equals(BucketHeldResult that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_owner = true && this.isSetOwner();
-        boolean that_present_owner = true && that.isSetOwner();
-        if (this_present_owner || that_present_owner) {
-            if (!(this_present_owner && that_present_owner)) return false;
-            if (!this.owner.equals(that.owner)) return false;
-        }
-
-        boolean this_present_epoch = true;
-        boolean that_present_epoch = true;
-        if (this_present_epoch || that_present_epoch) {
-            if (!(this_present_epoch && that_present_epoch)) return false;
-            if (this.epoch != that.epoch) return false;
-        }
-
-        return true;
+    boolean this_present_epoch = true;
+    boolean that_present_epoch = true;
+    if (this_present_epoch || that_present_epoch) {
+      if (!(this_present_epoch && that_present_epoch))
+        return false;
+      if (this.epoch != that.epoch)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
+    if (isSetOwner())
+      hashCode = hashCode * 8191 + owner.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(BucketHeldResult other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOwner()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEpoch()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("BucketHeldResult(");
+    boolean first = true;
+
+    sb.append("owner:");
+    if (this.owner == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.owner);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("epoch:");
+    sb.append(this.epoch);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (owner == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'owner' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class BucketHeldResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
-        if (isSetOwner()) hashCode = hashCode * 8191 + owner.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
-
-        return hashCode;
+    public BucketHeldResultStandardScheme getScheme() {
+      return new BucketHeldResultStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(BucketHeldResult other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class BucketHeldResultStandardScheme extends org.apache.thrift.scheme.StandardScheme<BucketHeldResult> {
 
-        lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, BucketHeldResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetOwner()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // OWNER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.owner = iprot.readString();
+              struct.setOwnerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEpoch()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // EPOCH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.epoch = iprot.readI64();
+              struct.setEpochIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetEpoch()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'epoch' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+    public void write(org.apache.thrift.protocol.TProtocol oprot, BucketHeldResult struct) throws org.apache.thrift.TException {
+      struct.validate();
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("BucketHeldResult(");
-        boolean first = true;
-
-        sb.append("owner:");
-        if (this.owner == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.owner);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("epoch:");
-        sb.append(this.epoch);
-        first = false;
-        sb.append(")");
-        return sb.toString();
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.owner != null) {
+        oprot.writeFieldBegin(OWNER_FIELD_DESC);
+        oprot.writeString(struct.owner);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(EPOCH_FIELD_DESC);
+      oprot.writeI64(struct.epoch);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (owner == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'owner' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class BucketHeldResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public BucketHeldResultStandardScheme getScheme() {
-            return new BucketHeldResultStandardScheme();
-        }
-    }
-
-    private static class BucketHeldResultStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<BucketHeldResult> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, BucketHeldResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // OWNER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.owner = iprot.readString();
-                            struct.setOwnerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // EPOCH
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.epoch = iprot.readI64();
-                            struct.setEpochIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetEpoch()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'epoch' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, BucketHeldResult struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.owner != null) {
-                oprot.writeFieldBegin(OWNER_FIELD_DESC);
-                oprot.writeString(struct.owner);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(EPOCH_FIELD_DESC);
-            oprot.writeI64(struct.epoch);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class BucketHeldResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public BucketHeldResultTupleScheme getScheme() {
-            return new BucketHeldResultTupleScheme();
-        }
+  private static class BucketHeldResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public BucketHeldResultTupleScheme getScheme() {
+      return new BucketHeldResultTupleScheme();
     }
+  }
 
-    private static class BucketHeldResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<BucketHeldResult> {
+  private static class BucketHeldResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<BucketHeldResult> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, BucketHeldResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.owner);
-            oprot.writeI64(struct.epoch);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, BucketHeldResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.owner = iprot.readString();
-            struct.setOwnerIsSet(true);
-            struct.epoch = iprot.readI64();
-            struct.setEpochIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, BucketHeldResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.owner);
+      oprot.writeI64(struct.epoch);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, BucketHeldResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.owner = iprot.readString();
+      struct.setOwnerIsSet(true);
+      struct.epoch = iprot.readI64();
+      struct.setEpochIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
