--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/BucketState.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/BucketState.java
@@ -7,781 +7,758 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class BucketState
-        implements org.apache.thrift.TBase<BucketState, BucketState._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<BucketState> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("BucketState");
-
-    private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short) 4);
-    private static final org.apache.thrift.protocol.TField START_TOKENS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("startTokens", org.apache.thrift.protocol.TType.I64, (short) 5);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new BucketStateStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new BucketStateTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
-    private long sessionId; // required
-    private long epoch; // required
-    private long startTokens; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ACCOUNT((short) 1, "account"),
-        OWNER((short) 2, "owner"),
-        SESSION_ID((short) 3, "sessionId"),
-        EPOCH((short) 4, "epoch"),
-        START_TOKENS((short) 5, "startTokens");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ACCOUNT
-                    return ACCOUNT;
-                case 2: // OWNER
-                    return OWNER;
-                case 3: // SESSION_ID
-                    return SESSION_ID;
-                case 4: // EPOCH
-                    return EPOCH;
-                case 5: // START_TOKENS
-                    return START_TOKENS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __SESSIONID_ISSET_ID = 0;
-    private static final int __EPOCH_ISSET_ID = 1;
-    private static final int __STARTTOKENS_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+public class BucketState implements org.apache.thrift.TBase<BucketState, BucketState._Fields>, java.io.Serializable, Cloneable, Comparable<BucketState> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("BucketState");
+
+  private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC = new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField START_TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("startTokens", org.apache.thrift.protocol.TType.I64, (short)5);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new BucketStateStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new BucketStateTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
+  private long sessionId; // required
+  private long epoch; // required
+  private long startTokens; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ACCOUNT((short)1, "account"),
+    OWNER((short)2, "owner"),
+    SESSION_ID((short)3, "sessionId"),
+    EPOCH((short)4, "epoch"),
+    START_TOKENS((short)5, "startTokens");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ACCOUNT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "account",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.OWNER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "owner",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.SESSION_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sessionId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.EPOCH,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "epoch",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.START_TOKENS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "startTokens",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(BucketState.class, metaDataMap);
-    }
-
-    public BucketState() {}
-
-    public BucketState(java.lang.String account, java.lang.String owner, long sessionId, long epoch, long startTokens) {
-        this();
-        this.account = account;
-        this.owner = owner;
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
-        this.epoch = epoch;
-        setEpochIsSet(true);
-        this.startTokens = startTokens;
-        setStartTokensIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public BucketState(BucketState other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetAccount()) {
-            this.account = other.account;
-        }
-        if (other.isSetOwner()) {
-            this.owner = other.owner;
-        }
-        this.sessionId = other.sessionId;
-        this.epoch = other.epoch;
-        this.startTokens = other.startTokens;
-    }
-
-    @Override
-    public BucketState deepCopy() {
-        return new BucketState(this);
-    }
-
-    @Override
-    public void clear() {
-        this.account = null;
-        this.owner = null;
-        setSessionIdIsSet(false);
-        this.sessionId = 0;
-        setEpochIsSet(false);
-        this.epoch = 0;
-        setStartTokensIsSet(false);
-        this.startTokens = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAccount() {
-        return this.account;
-    }
-
-    public BucketState setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
-        this.account = account;
-        return this;
-    }
-
-    public void unsetAccount() {
-        this.account = null;
-    }
-
-    /** Returns true if field account is set (has been assigned a value) and false otherwise */
-    public boolean isSetAccount() {
-        return this.account != null;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ACCOUNT
+          return ACCOUNT;
+        case 2: // OWNER
+          return OWNER;
+        case 3: // SESSION_ID
+          return SESSION_ID;
+        case 4: // EPOCH
+          return EPOCH;
+        case 5: // START_TOKENS
+          return START_TOKENS;
+        default:
+          return null;
+      }
     }
 
-    public void setAccountIsSet(boolean value) {
-        if (!value) {
-            this.account = null;
-        }
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getOwner() {
-        return this.owner;
-    }
-
-    public BucketState setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
-        this.owner = owner;
-        return this;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void unsetOwner() {
-        this.owner = null;
-    }
-
-    /** Returns true if field owner is set (has been assigned a value) and false otherwise */
-    public boolean isSetOwner() {
-        return this.owner != null;
-    }
-
-    public void setOwnerIsSet(boolean value) {
-        if (!value) {
-            this.owner = null;
-        }
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public long getSessionId() {
-        return this.sessionId;
-    }
-
-    public BucketState setSessionId(long sessionId) {
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
-        return this;
-    }
-
-    public void unsetSessionId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
-    }
-
-    /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
-    public boolean isSetSessionId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
-    }
-
-    public void setSessionIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
-    }
-
-    public long getEpoch() {
-        return this.epoch;
-    }
-
-    public BucketState setEpoch(long epoch) {
-        this.epoch = epoch;
-        setEpochIsSet(true);
-        return this;
-    }
-
-    public void unsetEpoch() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
-    }
-
-    /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
-    public boolean isSetEpoch() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
-    }
-
-    public void setEpochIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
-    }
-
-    public long getStartTokens() {
-        return this.startTokens;
-    }
-
-    public BucketState setStartTokens(long startTokens) {
-        this.startTokens = startTokens;
-        setStartTokensIsSet(true);
-        return this;
-    }
-
-    public void unsetStartTokens() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STARTTOKENS_ISSET_ID);
-    }
-
-    /** Returns true if field startTokens is set (has been assigned a value) and false otherwise */
-    public boolean isSetStartTokens() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STARTTOKENS_ISSET_ID);
-    }
-
-    public void setStartTokensIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTTOKENS_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ACCOUNT:
-                if (value == null) {
-                    unsetAccount();
-                } else {
-                    setAccount((java.lang.String) value);
-                }
-                break;
-
-            case OWNER:
-                if (value == null) {
-                    unsetOwner();
-                } else {
-                    setOwner((java.lang.String) value);
-                }
-                break;
-
-            case SESSION_ID:
-                if (value == null) {
-                    unsetSessionId();
-                } else {
-                    setSessionId((java.lang.Long) value);
-                }
-                break;
-
-            case EPOCH:
-                if (value == null) {
-                    unsetEpoch();
-                } else {
-                    setEpoch((java.lang.Long) value);
-                }
-                break;
-
-            case START_TOKENS:
-                if (value == null) {
-                    unsetStartTokens();
-                } else {
-                    setStartTokens((java.lang.Long) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ACCOUNT:
-                return getAccount();
-
-            case OWNER:
-                return getOwner();
-
-            case SESSION_ID:
-                return getSessionId();
-
-            case EPOCH:
-                return getEpoch();
-
-            case START_TOKENS:
-                return getStartTokens();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __SESSIONID_ISSET_ID = 0;
+  private static final int __EPOCH_ISSET_ID = 1;
+  private static final int __STARTTOKENS_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ACCOUNT, new org.apache.thrift.meta_data.FieldMetaData("account", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.OWNER, new org.apache.thrift.meta_data.FieldMetaData("owner", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SESSION_ID, new org.apache.thrift.meta_data.FieldMetaData("sessionId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.EPOCH, new org.apache.thrift.meta_data.FieldMetaData("epoch", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.START_TOKENS, new org.apache.thrift.meta_data.FieldMetaData("startTokens", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(BucketState.class, metaDataMap);
+  }
+
+  public BucketState() {
+  }
+
+  public BucketState(
+    java.lang.String account,
+    java.lang.String owner,
+    long sessionId,
+    long epoch,
+    long startTokens)
+  {
+    this();
+    this.account = account;
+    this.owner = owner;
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+    this.epoch = epoch;
+    setEpochIsSet(true);
+    this.startTokens = startTokens;
+    setStartTokensIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public BucketState(BucketState other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetAccount()) {
+      this.account = other.account;
+    }
+    if (other.isSetOwner()) {
+      this.owner = other.owner;
+    }
+    this.sessionId = other.sessionId;
+    this.epoch = other.epoch;
+    this.startTokens = other.startTokens;
+  }
+
+  @Override
+  public BucketState deepCopy() {
+    return new BucketState(this);
+  }
+
+  @Override
+  public void clear() {
+    this.account = null;
+    this.owner = null;
+    setSessionIdIsSet(false);
+    this.sessionId = 0;
+    setEpochIsSet(false);
+    this.epoch = 0;
+    setStartTokensIsSet(false);
+    this.startTokens = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAccount() {
+    return this.account;
+  }
+
+  public BucketState setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
+    this.account = account;
+    return this;
+  }
+
+  public void unsetAccount() {
+    this.account = null;
+  }
+
+  /** Returns true if field account is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccount() {
+    return this.account != null;
+  }
+
+  public void setAccountIsSet(boolean value) {
+    if (!value) {
+      this.account = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOwner() {
+    return this.owner;
+  }
+
+  public BucketState setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
+    this.owner = owner;
+    return this;
+  }
+
+  public void unsetOwner() {
+    this.owner = null;
+  }
+
+  /** Returns true if field owner is set (has been assigned a value) and false otherwise */
+  public boolean isSetOwner() {
+    return this.owner != null;
+  }
+
+  public void setOwnerIsSet(boolean value) {
+    if (!value) {
+      this.owner = null;
+    }
+  }
+
+  public long getSessionId() {
+    return this.sessionId;
+  }
+
+  public BucketState setSessionId(long sessionId) {
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+    return this;
+  }
+
+  public void unsetSessionId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
+  public boolean isSetSessionId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  public void setSessionIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
+  }
+
+  public long getEpoch() {
+    return this.epoch;
+  }
+
+  public BucketState setEpoch(long epoch) {
+    this.epoch = epoch;
+    setEpochIsSet(true);
+    return this;
+  }
+
+  public void unsetEpoch() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  /** Returns true if field epoch is set (has been assigned a value) and false otherwise */
+  public boolean isSetEpoch() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EPOCH_ISSET_ID);
+  }
+
+  public void setEpochIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EPOCH_ISSET_ID, value);
+  }
+
+  public long getStartTokens() {
+    return this.startTokens;
+  }
+
+  public BucketState setStartTokens(long startTokens) {
+    this.startTokens = startTokens;
+    setStartTokensIsSet(true);
+    return this;
+  }
+
+  public void unsetStartTokens() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STARTTOKENS_ISSET_ID);
+  }
+
+  /** Returns true if field startTokens is set (has been assigned a value) and false otherwise */
+  public boolean isSetStartTokens() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STARTTOKENS_ISSET_ID);
+  }
+
+  public void setStartTokensIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTTOKENS_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ACCOUNT:
+      if (value == null) {
+        unsetAccount();
+      } else {
+        setAccount((java.lang.String)value);
+      }
+      break;
+
+    case OWNER:
+      if (value == null) {
+        unsetOwner();
+      } else {
+        setOwner((java.lang.String)value);
+      }
+      break;
+
+    case SESSION_ID:
+      if (value == null) {
+        unsetSessionId();
+      } else {
+        setSessionId((java.lang.Long)value);
+      }
+      break;
+
+    case EPOCH:
+      if (value == null) {
+        unsetEpoch();
+      } else {
+        setEpoch((java.lang.Long)value);
+      }
+      break;
+
+    case START_TOKENS:
+      if (value == null) {
+        unsetStartTokens();
+      } else {
+        setStartTokens((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ACCOUNT:
+      return getAccount();
+
+    case OWNER:
+      return getOwner();
+
+    case SESSION_ID:
+      return getSessionId();
+
+    case EPOCH:
+      return getEpoch();
+
+    case START_TOKENS:
+      return getStartTokens();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ACCOUNT:
+      return isSetAccount();
+    case OWNER:
+      return isSetOwner();
+    case SESSION_ID:
+      return isSetSessionId();
+    case EPOCH:
+      return isSetEpoch();
+    case START_TOKENS:
+      return isSetStartTokens();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof BucketState)
+      return this.equals((BucketState)that);
+    return false;
+  }
+
+  public boolean equals(BucketState that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_account = true && this.isSetAccount();
+    boolean that_present_account = true && that.isSetAccount();
+    if (this_present_account || that_present_account) {
+      if (!(this_present_account && that_present_account))
+        return false;
+      if (!this.account.equals(that.account))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ACCOUNT:
-                return isSetAccount();
-            case OWNER:
-                return isSetOwner();
-            case SESSION_ID:
-                return isSetSessionId();
-            case EPOCH:
-                return isSetEpoch();
-            case START_TOKENS:
-                return isSetStartTokens();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_owner = true && this.isSetOwner();
+    boolean that_present_owner = true && that.isSetOwner();
+    if (this_present_owner || that_present_owner) {
+      if (!(this_present_owner && that_present_owner))
+        return false;
+      if (!this.owner.equals(that.owner))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof BucketState) return this.equals((BucketState) that);
+    boolean this_present_sessionId = true;
+    boolean that_present_sessionId = true;
+    if (this_present_sessionId || that_present_sessionId) {
+      if (!(this_present_sessionId && that_present_sessionId))
+        return false;
+      if (this.sessionId != that.sessionId)
         return false;
     }
 
-    public boolean equals(BucketState that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_account = true && this.isSetAccount();
-        boolean that_present_account = true && that.isSetAccount();
-        if (this_present_account || that_present_account) {
-            if (!(this_present_account && that_present_account)) return false;
-            if (!this.account.equals(that.account)) return false;
-        }
-
-        boolean this_present_owner = true && this.isSetOwner();
-        boolean that_present_owner = true && that.isSetOwner();
-        if (this_present_owner || that_present_owner) {
-            if (!(this_present_owner && that_present_owner)) return false;
-            if (!this.owner.equals(that.owner)) return false;
-        }
-
-        boolean this_present_sessionId = true;
-        boolean that_present_sessionId = true;
-        if (this_present_sessionId || that_present_sessionId) {
-            if (!(this_present_sessionId && that_present_sessionId)) return false;
-            if (this.sessionId != that.sessionId) return false;
-        }
-
-        boolean this_present_epoch = true;
-        boolean that_present_epoch = true;
-        if (this_present_epoch || that_present_epoch) {
-            if (!(this_present_epoch && that_present_epoch)) return false;
-            if (this.epoch != that.epoch) return false;
-        }
-
-        boolean this_present_startTokens = true;
-        boolean that_present_startTokens = true;
-        if (this_present_startTokens || that_present_startTokens) {
-            if (!(this_present_startTokens && that_present_startTokens)) return false;
-            if (this.startTokens != that.startTokens) return false;
-        }
-
-        return true;
+    boolean this_present_epoch = true;
+    boolean that_present_epoch = true;
+    if (this_present_epoch || that_present_epoch) {
+      if (!(this_present_epoch && that_present_epoch))
+        return false;
+      if (this.epoch != that.epoch)
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    boolean this_present_startTokens = true;
+    boolean that_present_startTokens = true;
+    if (this_present_startTokens || that_present_startTokens) {
+      if (!(this_present_startTokens && that_present_startTokens))
+        return false;
+      if (this.startTokens != that.startTokens)
+        return false;
+    }
 
-        hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
-        if (isSetAccount()) hashCode = hashCode * 8191 + account.hashCode();
+    return true;
+  }
 
-        hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
-        if (isSetOwner()) hashCode = hashCode * 8191 + owner.hashCode();
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
+    hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
+    if (isSetAccount())
+      hashCode = hashCode * 8191 + account.hashCode();
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
+    hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
+    if (isSetOwner())
+      hashCode = hashCode * 8191 + owner.hashCode();
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(startTokens);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
 
-        return hashCode;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(startTokens);
 
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(BucketState other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOwner()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSessionId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEpoch()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetStartTokens(), other.isSetStartTokens());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStartTokens()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.startTokens, other.startTokens);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("BucketState(");
+    boolean first = true;
+
+    sb.append("account:");
+    if (this.account == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.account);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("owner:");
+    if (this.owner == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.owner);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sessionId:");
+    sb.append(this.sessionId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("epoch:");
+    sb.append(this.epoch);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("startTokens:");
+    sb.append(this.startTokens);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (account == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'account' was not present! Struct: " + toString());
+    }
+    if (owner == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'owner' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'startTokens' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class BucketStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int compareTo(BucketState other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    public BucketStateStandardScheme getScheme() {
+      return new BucketStateStandardScheme();
+    }
+  }
 
-        int lastComparison = 0;
+  private static class BucketStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<BucketState> {
 
-        lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAccount()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, BucketState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // ACCOUNT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.account = iprot.readString();
+              struct.setAccountIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOwner()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // OWNER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.owner = iprot.readString();
+              struct.setOwnerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSessionId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // SESSION_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sessionId = iprot.readI64();
+              struct.setSessionIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEpoch()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.epoch, other.epoch);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // EPOCH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.epoch = iprot.readI64();
+              struct.setEpochIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetStartTokens(), other.isSetStartTokens());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetStartTokens()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.startTokens, other.startTokens);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 5: // START_TOKENS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.startTokens = iprot.readI64();
+              struct.setStartTokensIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetSessionId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sessionId' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetEpoch()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'epoch' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetStartTokens()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'startTokens' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, BucketState struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.account != null) {
+        oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
+        oprot.writeString(struct.account);
+        oprot.writeFieldEnd();
+      }
+      if (struct.owner != null) {
+        oprot.writeFieldBegin(OWNER_FIELD_DESC);
+        oprot.writeString(struct.owner);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
+      oprot.writeI64(struct.sessionId);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(EPOCH_FIELD_DESC);
+      oprot.writeI64(struct.epoch);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(START_TOKENS_FIELD_DESC);
+      oprot.writeI64(struct.startTokens);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class BucketStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public BucketStateTupleScheme getScheme() {
+      return new BucketStateTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class BucketStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<BucketState> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("BucketState(");
-        boolean first = true;
-
-        sb.append("account:");
-        if (this.account == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.account);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("owner:");
-        if (this.owner == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.owner);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sessionId:");
-        sb.append(this.sessionId);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("epoch:");
-        sb.append(this.epoch);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("startTokens:");
-        sb.append(this.startTokens);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (account == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'account' was not present! Struct: " + toString());
-        }
-        if (owner == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'owner' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'startTokens' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, BucketState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.account);
+      oprot.writeString(struct.owner);
+      oprot.writeI64(struct.sessionId);
+      oprot.writeI64(struct.epoch);
+      oprot.writeI64(struct.startTokens);
     }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class BucketStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public BucketStateStandardScheme getScheme() {
-            return new BucketStateStandardScheme();
-        }
-    }
-
-    private static class BucketStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<BucketState> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, BucketState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ACCOUNT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.account = iprot.readString();
-                            struct.setAccountIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // OWNER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.owner = iprot.readString();
-                            struct.setOwnerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // SESSION_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.sessionId = iprot.readI64();
-                            struct.setSessionIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // EPOCH
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.epoch = iprot.readI64();
-                            struct.setEpochIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // START_TOKENS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.startTokens = iprot.readI64();
-                            struct.setStartTokensIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetSessionId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'sessionId' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetEpoch()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'epoch' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetStartTokens()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'startTokens' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, BucketState struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.account != null) {
-                oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
-                oprot.writeString(struct.account);
-                oprot.writeFieldEnd();
-            }
-            if (struct.owner != null) {
-                oprot.writeFieldBegin(OWNER_FIELD_DESC);
-                oprot.writeString(struct.owner);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
-            oprot.writeI64(struct.sessionId);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(EPOCH_FIELD_DESC);
-            oprot.writeI64(struct.epoch);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(START_TOKENS_FIELD_DESC);
-            oprot.writeI64(struct.startTokens);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class BucketStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public BucketStateTupleScheme getScheme() {
-            return new BucketStateTupleScheme();
-        }
-    }
-
-    private static class BucketStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<BucketState> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, BucketState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.account);
-            oprot.writeString(struct.owner);
-            oprot.writeI64(struct.sessionId);
-            oprot.writeI64(struct.epoch);
-            oprot.writeI64(struct.startTokens);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, BucketState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.account = iprot.readString();
-            struct.setAccountIsSet(true);
-            struct.owner = iprot.readString();
-            struct.setOwnerIsSet(true);
-            struct.sessionId = iprot.readI64();
-            struct.setSessionIdIsSet(true);
-            struct.epoch = iprot.readI64();
-            struct.setEpochIsSet(true);
-            struct.startTokens = iprot.readI64();
-            struct.setStartTokensIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, BucketState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.account = iprot.readString();
+      struct.setAccountIsSet(true);
+      struct.owner = iprot.readString();
+      struct.setOwnerIsSet(true);
+      struct.sessionId = iprot.readI64();
+      struct.setSessionIdIsSet(true);
+      struct.epoch = iprot.readI64();
+      struct.setEpochIsSet(true);
+      struct.startTokens = iprot.readI64();
+      struct.setStartTokensIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ClaimOrderCommand.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ClaimOrderCommand.java
@@ -7,1002 +7,968 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class ClaimOrderCommand
-        implements org.apache.thrift.TBase<ClaimOrderCommand, ClaimOrderCommand._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<ClaimOrderCommand> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ClaimOrderCommand");
-
-    private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField IDEMPOTENCY_KEY_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("idempotencyKey", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.STRING, (short) 3);
-    private static final org.apache.thrift.protocol.TField ATTEMPT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("attempt", org.apache.thrift.protocol.TType.STRING, (short) 4);
-    private static final org.apache.thrift.protocol.TField INSTANCE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("instance", org.apache.thrift.protocol.TType.STRING, (short) 5);
-    private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short) 6);
-    private static final org.apache.thrift.protocol.TField NOW_MILLIS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("nowMillis", org.apache.thrift.protocol.TType.I64, (short) 7);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ClaimOrderCommandStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new ClaimOrderCommandTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String fingerprint; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String attempt; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String instance; // required
-    private long sessionId; // required
-    private long nowMillis; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ACCOUNT((short) 1, "account"),
-        IDEMPOTENCY_KEY((short) 2, "idempotencyKey"),
-        FINGERPRINT((short) 3, "fingerprint"),
-        ATTEMPT((short) 4, "attempt"),
-        INSTANCE((short) 5, "instance"),
-        SESSION_ID((short) 6, "sessionId"),
-        NOW_MILLIS((short) 7, "nowMillis");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ACCOUNT
-                    return ACCOUNT;
-                case 2: // IDEMPOTENCY_KEY
-                    return IDEMPOTENCY_KEY;
-                case 3: // FINGERPRINT
-                    return FINGERPRINT;
-                case 4: // ATTEMPT
-                    return ATTEMPT;
-                case 5: // INSTANCE
-                    return INSTANCE;
-                case 6: // SESSION_ID
-                    return SESSION_ID;
-                case 7: // NOW_MILLIS
-                    return NOW_MILLIS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __SESSIONID_ISSET_ID = 0;
-    private static final int __NOWMILLIS_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+public class ClaimOrderCommand implements org.apache.thrift.TBase<ClaimOrderCommand, ClaimOrderCommand._Fields>, java.io.Serializable, Cloneable, Comparable<ClaimOrderCommand> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ClaimOrderCommand");
+
+  private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField IDEMPOTENCY_KEY_FIELD_DESC = new org.apache.thrift.protocol.TField("idempotencyKey", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField ATTEMPT_FIELD_DESC = new org.apache.thrift.protocol.TField("attempt", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField INSTANCE_FIELD_DESC = new org.apache.thrift.protocol.TField("instance", org.apache.thrift.protocol.TType.STRING, (short)5);
+  private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField NOW_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("nowMillis", org.apache.thrift.protocol.TType.I64, (short)7);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ClaimOrderCommandStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ClaimOrderCommandTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String fingerprint; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String attempt; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String instance; // required
+  private long sessionId; // required
+  private long nowMillis; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ACCOUNT((short)1, "account"),
+    IDEMPOTENCY_KEY((short)2, "idempotencyKey"),
+    FINGERPRINT((short)3, "fingerprint"),
+    ATTEMPT((short)4, "attempt"),
+    INSTANCE((short)5, "instance"),
+    SESSION_ID((short)6, "sessionId"),
+    NOW_MILLIS((short)7, "nowMillis");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ACCOUNT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "account",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.IDEMPOTENCY_KEY,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "idempotencyKey",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.FINGERPRINT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "fingerprint",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.ATTEMPT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "attempt",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.INSTANCE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "instance",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.SESSION_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sessionId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.NOW_MILLIS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "nowMillis",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ClaimOrderCommand.class, metaDataMap);
-    }
-
-    public ClaimOrderCommand() {}
-
-    public ClaimOrderCommand(
-            java.lang.String account,
-            java.lang.String idempotencyKey,
-            java.lang.String fingerprint,
-            java.lang.String attempt,
-            java.lang.String instance,
-            long sessionId,
-            long nowMillis) {
-        this();
-        this.account = account;
-        this.idempotencyKey = idempotencyKey;
-        this.fingerprint = fingerprint;
-        this.attempt = attempt;
-        this.instance = instance;
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
-        this.nowMillis = nowMillis;
-        setNowMillisIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public ClaimOrderCommand(ClaimOrderCommand other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetAccount()) {
-            this.account = other.account;
-        }
-        if (other.isSetIdempotencyKey()) {
-            this.idempotencyKey = other.idempotencyKey;
-        }
-        if (other.isSetFingerprint()) {
-            this.fingerprint = other.fingerprint;
-        }
-        if (other.isSetAttempt()) {
-            this.attempt = other.attempt;
-        }
-        if (other.isSetInstance()) {
-            this.instance = other.instance;
-        }
-        this.sessionId = other.sessionId;
-        this.nowMillis = other.nowMillis;
-    }
-
-    @Override
-    public ClaimOrderCommand deepCopy() {
-        return new ClaimOrderCommand(this);
-    }
-
-    @Override
-    public void clear() {
-        this.account = null;
-        this.idempotencyKey = null;
-        this.fingerprint = null;
-        this.attempt = null;
-        this.instance = null;
-        setSessionIdIsSet(false);
-        this.sessionId = 0;
-        setNowMillisIsSet(false);
-        this.nowMillis = 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAccount() {
-        return this.account;
-    }
-
-    public ClaimOrderCommand setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
-        this.account = account;
-        return this;
-    }
-
-    public void unsetAccount() {
-        this.account = null;
-    }
-
-    /** Returns true if field account is set (has been assigned a value) and false otherwise */
-    public boolean isSetAccount() {
-        return this.account != null;
-    }
-
-    public void setAccountIsSet(boolean value) {
-        if (!value) {
-            this.account = null;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getIdempotencyKey() {
-        return this.idempotencyKey;
-    }
-
-    public ClaimOrderCommand setIdempotencyKey(@org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey) {
-        this.idempotencyKey = idempotencyKey;
-        return this;
-    }
-
-    public void unsetIdempotencyKey() {
-        this.idempotencyKey = null;
-    }
-
-    /** Returns true if field idempotencyKey is set (has been assigned a value) and false otherwise */
-    public boolean isSetIdempotencyKey() {
-        return this.idempotencyKey != null;
-    }
-
-    public void setIdempotencyKeyIsSet(boolean value) {
-        if (!value) {
-            this.idempotencyKey = null;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getFingerprint() {
-        return this.fingerprint;
-    }
-
-    public ClaimOrderCommand setFingerprint(@org.apache.thrift.annotation.Nullable java.lang.String fingerprint) {
-        this.fingerprint = fingerprint;
-        return this;
-    }
-
-    public void unsetFingerprint() {
-        this.fingerprint = null;
-    }
-
-    /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
-    public boolean isSetFingerprint() {
-        return this.fingerprint != null;
-    }
-
-    public void setFingerprintIsSet(boolean value) {
-        if (!value) {
-            this.fingerprint = null;
-        }
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAttempt() {
-        return this.attempt;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ACCOUNT
+          return ACCOUNT;
+        case 2: // IDEMPOTENCY_KEY
+          return IDEMPOTENCY_KEY;
+        case 3: // FINGERPRINT
+          return FINGERPRINT;
+        case 4: // ATTEMPT
+          return ATTEMPT;
+        case 5: // INSTANCE
+          return INSTANCE;
+        case 6: // SESSION_ID
+          return SESSION_ID;
+        case 7: // NOW_MILLIS
+          return NOW_MILLIS;
+        default:
+          return null;
+      }
     }
 
-    public ClaimOrderCommand setAttempt(@org.apache.thrift.annotation.Nullable java.lang.String attempt) {
-        this.attempt = attempt;
-        return this;
-    }
-
-    public void unsetAttempt() {
-        this.attempt = null;
-    }
-
-    /** Returns true if field attempt is set (has been assigned a value) and false otherwise */
-    public boolean isSetAttempt() {
-        return this.attempt != null;
-    }
-
-    public void setAttemptIsSet(boolean value) {
-        if (!value) {
-            this.attempt = null;
-        }
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getInstance() {
-        return this.instance;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public ClaimOrderCommand setInstance(@org.apache.thrift.annotation.Nullable java.lang.String instance) {
-        this.instance = instance;
-        return this;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void unsetInstance() {
-        this.instance = null;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field instance is set (has been assigned a value) and false otherwise */
-    public boolean isSetInstance() {
-        return this.instance != null;
-    }
-
-    public void setInstanceIsSet(boolean value) {
-        if (!value) {
-            this.instance = null;
-        }
-    }
-
-    public long getSessionId() {
-        return this.sessionId;
-    }
-
-    public ClaimOrderCommand setSessionId(long sessionId) {
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
-        return this;
-    }
-
-    public void unsetSessionId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
-    }
-
-    /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
-    public boolean isSetSessionId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
-    }
-
-    public void setSessionIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
-    }
-
-    public long getNowMillis() {
-        return this.nowMillis;
-    }
-
-    public ClaimOrderCommand setNowMillis(long nowMillis) {
-        this.nowMillis = nowMillis;
-        setNowMillisIsSet(true);
-        return this;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public void unsetNowMillis() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __SESSIONID_ISSET_ID = 0;
+  private static final int __NOWMILLIS_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ACCOUNT, new org.apache.thrift.meta_data.FieldMetaData("account", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.IDEMPOTENCY_KEY, new org.apache.thrift.meta_data.FieldMetaData("idempotencyKey", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.FINGERPRINT, new org.apache.thrift.meta_data.FieldMetaData("fingerprint", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.ATTEMPT, new org.apache.thrift.meta_data.FieldMetaData("attempt", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.INSTANCE, new org.apache.thrift.meta_data.FieldMetaData("instance", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SESSION_ID, new org.apache.thrift.meta_data.FieldMetaData("sessionId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.NOW_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("nowMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ClaimOrderCommand.class, metaDataMap);
+  }
+
+  public ClaimOrderCommand() {
+  }
+
+  public ClaimOrderCommand(
+    java.lang.String account,
+    java.lang.String idempotencyKey,
+    java.lang.String fingerprint,
+    java.lang.String attempt,
+    java.lang.String instance,
+    long sessionId,
+    long nowMillis)
+  {
+    this();
+    this.account = account;
+    this.idempotencyKey = idempotencyKey;
+    this.fingerprint = fingerprint;
+    this.attempt = attempt;
+    this.instance = instance;
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+    this.nowMillis = nowMillis;
+    setNowMillisIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public ClaimOrderCommand(ClaimOrderCommand other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetAccount()) {
+      this.account = other.account;
+    }
+    if (other.isSetIdempotencyKey()) {
+      this.idempotencyKey = other.idempotencyKey;
+    }
+    if (other.isSetFingerprint()) {
+      this.fingerprint = other.fingerprint;
+    }
+    if (other.isSetAttempt()) {
+      this.attempt = other.attempt;
+    }
+    if (other.isSetInstance()) {
+      this.instance = other.instance;
+    }
+    this.sessionId = other.sessionId;
+    this.nowMillis = other.nowMillis;
+  }
+
+  @Override
+  public ClaimOrderCommand deepCopy() {
+    return new ClaimOrderCommand(this);
+  }
+
+  @Override
+  public void clear() {
+    this.account = null;
+    this.idempotencyKey = null;
+    this.fingerprint = null;
+    this.attempt = null;
+    this.instance = null;
+    setSessionIdIsSet(false);
+    this.sessionId = 0;
+    setNowMillisIsSet(false);
+    this.nowMillis = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAccount() {
+    return this.account;
+  }
+
+  public ClaimOrderCommand setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
+    this.account = account;
+    return this;
+  }
+
+  public void unsetAccount() {
+    this.account = null;
+  }
+
+  /** Returns true if field account is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccount() {
+    return this.account != null;
+  }
+
+  public void setAccountIsSet(boolean value) {
+    if (!value) {
+      this.account = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getIdempotencyKey() {
+    return this.idempotencyKey;
+  }
+
+  public ClaimOrderCommand setIdempotencyKey(@org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey) {
+    this.idempotencyKey = idempotencyKey;
+    return this;
+  }
+
+  public void unsetIdempotencyKey() {
+    this.idempotencyKey = null;
+  }
+
+  /** Returns true if field idempotencyKey is set (has been assigned a value) and false otherwise */
+  public boolean isSetIdempotencyKey() {
+    return this.idempotencyKey != null;
+  }
+
+  public void setIdempotencyKeyIsSet(boolean value) {
+    if (!value) {
+      this.idempotencyKey = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getFingerprint() {
+    return this.fingerprint;
+  }
+
+  public ClaimOrderCommand setFingerprint(@org.apache.thrift.annotation.Nullable java.lang.String fingerprint) {
+    this.fingerprint = fingerprint;
+    return this;
+  }
+
+  public void unsetFingerprint() {
+    this.fingerprint = null;
+  }
+
+  /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
+  public boolean isSetFingerprint() {
+    return this.fingerprint != null;
+  }
+
+  public void setFingerprintIsSet(boolean value) {
+    if (!value) {
+      this.fingerprint = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAttempt() {
+    return this.attempt;
+  }
+
+  public ClaimOrderCommand setAttempt(@org.apache.thrift.annotation.Nullable java.lang.String attempt) {
+    this.attempt = attempt;
+    return this;
+  }
+
+  public void unsetAttempt() {
+    this.attempt = null;
+  }
+
+  /** Returns true if field attempt is set (has been assigned a value) and false otherwise */
+  public boolean isSetAttempt() {
+    return this.attempt != null;
+  }
+
+  public void setAttemptIsSet(boolean value) {
+    if (!value) {
+      this.attempt = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getInstance() {
+    return this.instance;
+  }
+
+  public ClaimOrderCommand setInstance(@org.apache.thrift.annotation.Nullable java.lang.String instance) {
+    this.instance = instance;
+    return this;
+  }
+
+  public void unsetInstance() {
+    this.instance = null;
+  }
+
+  /** Returns true if field instance is set (has been assigned a value) and false otherwise */
+  public boolean isSetInstance() {
+    return this.instance != null;
+  }
+
+  public void setInstanceIsSet(boolean value) {
+    if (!value) {
+      this.instance = null;
+    }
+  }
+
+  public long getSessionId() {
+    return this.sessionId;
+  }
+
+  public ClaimOrderCommand setSessionId(long sessionId) {
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+    return this;
+  }
+
+  public void unsetSessionId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
+  public boolean isSetSessionId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  public void setSessionIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
+  }
+
+  public long getNowMillis() {
+    return this.nowMillis;
+  }
+
+  public ClaimOrderCommand setNowMillis(long nowMillis) {
+    this.nowMillis = nowMillis;
+    setNowMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetNowMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field nowMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetNowMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
+  }
+
+  public void setNowMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NOWMILLIS_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ACCOUNT:
+      if (value == null) {
+        unsetAccount();
+      } else {
+        setAccount((java.lang.String)value);
+      }
+      break;
+
+    case IDEMPOTENCY_KEY:
+      if (value == null) {
+        unsetIdempotencyKey();
+      } else {
+        setIdempotencyKey((java.lang.String)value);
+      }
+      break;
+
+    case FINGERPRINT:
+      if (value == null) {
+        unsetFingerprint();
+      } else {
+        setFingerprint((java.lang.String)value);
+      }
+      break;
+
+    case ATTEMPT:
+      if (value == null) {
+        unsetAttempt();
+      } else {
+        setAttempt((java.lang.String)value);
+      }
+      break;
+
+    case INSTANCE:
+      if (value == null) {
+        unsetInstance();
+      } else {
+        setInstance((java.lang.String)value);
+      }
+      break;
+
+    case SESSION_ID:
+      if (value == null) {
+        unsetSessionId();
+      } else {
+        setSessionId((java.lang.Long)value);
+      }
+      break;
+
+    case NOW_MILLIS:
+      if (value == null) {
+        unsetNowMillis();
+      } else {
+        setNowMillis((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ACCOUNT:
+      return getAccount();
+
+    case IDEMPOTENCY_KEY:
+      return getIdempotencyKey();
+
+    case FINGERPRINT:
+      return getFingerprint();
+
+    case ATTEMPT:
+      return getAttempt();
+
+    case INSTANCE:
+      return getInstance();
+
+    case SESSION_ID:
+      return getSessionId();
+
+    case NOW_MILLIS:
+      return getNowMillis();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ACCOUNT:
+      return isSetAccount();
+    case IDEMPOTENCY_KEY:
+      return isSetIdempotencyKey();
+    case FINGERPRINT:
+      return isSetFingerprint();
+    case ATTEMPT:
+      return isSetAttempt();
+    case INSTANCE:
+      return isSetInstance();
+    case SESSION_ID:
+      return isSetSessionId();
+    case NOW_MILLIS:
+      return isSetNowMillis();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof ClaimOrderCommand)
+      return this.equals((ClaimOrderCommand)that);
+    return false;
+  }
+
+  public boolean equals(ClaimOrderCommand that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_account = true && this.isSetAccount();
+    boolean that_present_account = true && that.isSetAccount();
+    if (this_present_account || that_present_account) {
+      if (!(this_present_account && that_present_account))
+        return false;
+      if (!this.account.equals(that.account))
+        return false;
     }
 
-    /** Returns true if field nowMillis is set (has been assigned a value) and false otherwise */
-    public boolean isSetNowMillis() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
+    boolean this_present_idempotencyKey = true && this.isSetIdempotencyKey();
+    boolean that_present_idempotencyKey = true && that.isSetIdempotencyKey();
+    if (this_present_idempotencyKey || that_present_idempotencyKey) {
+      if (!(this_present_idempotencyKey && that_present_idempotencyKey))
+        return false;
+      if (!this.idempotencyKey.equals(that.idempotencyKey))
+        return false;
     }
 
-    public void setNowMillisIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NOWMILLIS_ISSET_ID, value);
+    boolean this_present_fingerprint = true && this.isSetFingerprint();
+    boolean that_present_fingerprint = true && that.isSetFingerprint();
+    if (this_present_fingerprint || that_present_fingerprint) {
+      if (!(this_present_fingerprint && that_present_fingerprint))
+        return false;
+      if (!this.fingerprint.equals(that.fingerprint))
+        return false;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ACCOUNT:
-                if (value == null) {
-                    unsetAccount();
-                } else {
-                    setAccount((java.lang.String) value);
-                }
-                break;
-
-            case IDEMPOTENCY_KEY:
-                if (value == null) {
-                    unsetIdempotencyKey();
-                } else {
-                    setIdempotencyKey((java.lang.String) value);
-                }
-                break;
-
-            case FINGERPRINT:
-                if (value == null) {
-                    unsetFingerprint();
-                } else {
-                    setFingerprint((java.lang.String) value);
-                }
-                break;
-
-            case ATTEMPT:
-                if (value == null) {
-                    unsetAttempt();
-                } else {
-                    setAttempt((java.lang.String) value);
-                }
-                break;
-
-            case INSTANCE:
-                if (value == null) {
-                    unsetInstance();
-                } else {
-                    setInstance((java.lang.String) value);
-                }
-                break;
-
-            case SESSION_ID:
-                if (value == null) {
-                    unsetSessionId();
-                } else {
-                    setSessionId((java.lang.Long) value);
-                }
-                break;
-
-            case NOW_MILLIS:
-                if (value == null) {
-                    unsetNowMillis();
-                } else {
-                    setNowMillis((java.lang.Long) value);
-                }
-                break;
-        }
+    boolean this_present_attempt = true && this.isSetAttempt();
+    boolean that_present_attempt = true && that.isSetAttempt();
+    if (this_present_attempt || that_present_attempt) {
+      if (!(this_present_attempt && that_present_attempt))
+        return false;
+      if (!this.attempt.equals(that.attempt))
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ACCOUNT:
-                return getAccount();
-
-            case IDEMPOTENCY_KEY:
-                return getIdempotencyKey();
-
-            case FINGERPRINT:
-                return getFingerprint();
-
-            case ATTEMPT:
-                return getAttempt();
-
-            case INSTANCE:
-                return getInstance();
-
-            case SESSION_ID:
-                return getSessionId();
-
-            case NOW_MILLIS:
-                return getNowMillis();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_instance = true && this.isSetInstance();
+    boolean that_present_instance = true && that.isSetInstance();
+    if (this_present_instance || that_present_instance) {
+      if (!(this_present_instance && that_present_instance))
+        return false;
+      if (!this.instance.equals(that.instance))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ACCOUNT:
-                return isSetAccount();
-            case IDEMPOTENCY_KEY:
-                return isSetIdempotencyKey();
-            case FINGERPRINT:
-                return isSetFingerprint();
-            case ATTEMPT:
-                return isSetAttempt();
-            case INSTANCE:
-                return isSetInstance();
-            case SESSION_ID:
-                return isSetSessionId();
-            case NOW_MILLIS:
-                return isSetNowMillis();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_sessionId = true;
+    boolean that_present_sessionId = true;
+    if (this_present_sessionId || that_present_sessionId) {
+      if (!(this_present_sessionId && that_present_sessionId))
+        return false;
+      if (this.sessionId != that.sessionId)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof ClaimOrderCommand) return this.equals((ClaimOrderCommand) that);
+    boolean this_present_nowMillis = true;
+    boolean that_present_nowMillis = true;
+    if (this_present_nowMillis || that_present_nowMillis) {
+      if (!(this_present_nowMillis && that_present_nowMillis))
+        return false;
+      if (this.nowMillis != that.nowMillis)
         return false;
     }
 
-    public boolean equals(ClaimOrderCommand that) {
-        if (that == null) return false;
-        if (this == that) return true;
+    return true;
+  }
 
-        boolean this_present_account = true && this.isSetAccount();
-        boolean that_present_account = true && that.isSetAccount();
-        if (this_present_account || that_present_account) {
-            if (!(this_present_account && that_present_account)) return false;
-            if (!this.account.equals(that.account)) return false;
-        }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        boolean this_present_idempotencyKey = true && this.isSetIdempotencyKey();
-        boolean that_present_idempotencyKey = true && that.isSetIdempotencyKey();
-        if (this_present_idempotencyKey || that_present_idempotencyKey) {
-            if (!(this_present_idempotencyKey && that_present_idempotencyKey)) return false;
-            if (!this.idempotencyKey.equals(that.idempotencyKey)) return false;
-        }
+    hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
+    if (isSetAccount())
+      hashCode = hashCode * 8191 + account.hashCode();
 
-        boolean this_present_fingerprint = true && this.isSetFingerprint();
-        boolean that_present_fingerprint = true && that.isSetFingerprint();
-        if (this_present_fingerprint || that_present_fingerprint) {
-            if (!(this_present_fingerprint && that_present_fingerprint)) return false;
-            if (!this.fingerprint.equals(that.fingerprint)) return false;
-        }
+    hashCode = hashCode * 8191 + ((isSetIdempotencyKey()) ? 131071 : 524287);
+    if (isSetIdempotencyKey())
+      hashCode = hashCode * 8191 + idempotencyKey.hashCode();
 
-        boolean this_present_attempt = true && this.isSetAttempt();
-        boolean that_present_attempt = true && that.isSetAttempt();
-        if (this_present_attempt || that_present_attempt) {
-            if (!(this_present_attempt && that_present_attempt)) return false;
-            if (!this.attempt.equals(that.attempt)) return false;
-        }
+    hashCode = hashCode * 8191 + ((isSetFingerprint()) ? 131071 : 524287);
+    if (isSetFingerprint())
+      hashCode = hashCode * 8191 + fingerprint.hashCode();
 
-        boolean this_present_instance = true && this.isSetInstance();
-        boolean that_present_instance = true && that.isSetInstance();
-        if (this_present_instance || that_present_instance) {
-            if (!(this_present_instance && that_present_instance)) return false;
-            if (!this.instance.equals(that.instance)) return false;
-        }
+    hashCode = hashCode * 8191 + ((isSetAttempt()) ? 131071 : 524287);
+    if (isSetAttempt())
+      hashCode = hashCode * 8191 + attempt.hashCode();
 
-        boolean this_present_sessionId = true;
-        boolean that_present_sessionId = true;
-        if (this_present_sessionId || that_present_sessionId) {
-            if (!(this_present_sessionId && that_present_sessionId)) return false;
-            if (this.sessionId != that.sessionId) return false;
-        }
+    hashCode = hashCode * 8191 + ((isSetInstance()) ? 131071 : 524287);
+    if (isSetInstance())
+      hashCode = hashCode * 8191 + instance.hashCode();
 
-        boolean this_present_nowMillis = true;
-        boolean that_present_nowMillis = true;
-        if (this_present_nowMillis || that_present_nowMillis) {
-            if (!(this_present_nowMillis && that_present_nowMillis)) return false;
-            if (this.nowMillis != that.nowMillis) return false;
-        }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
 
-        return true;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(nowMillis);
 
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(ClaimOrderCommand other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIdempotencyKey(), other.isSetIdempotencyKey());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIdempotencyKey()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.idempotencyKey, other.idempotencyKey);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFingerprint()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAttempt(), other.isSetAttempt());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAttempt()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.attempt, other.attempt);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetInstance(), other.isSetInstance());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetInstance()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.instance, other.instance);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSessionId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetNowMillis(), other.isSetNowMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetNowMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.nowMillis, other.nowMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("ClaimOrderCommand(");
+    boolean first = true;
+
+    sb.append("account:");
+    if (this.account == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.account);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("idempotencyKey:");
+    if (this.idempotencyKey == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.idempotencyKey);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("fingerprint:");
+    if (this.fingerprint == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.fingerprint);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("attempt:");
+    if (this.attempt == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.attempt);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("instance:");
+    if (this.instance == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.instance);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sessionId:");
+    sb.append(this.sessionId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("nowMillis:");
+    sb.append(this.nowMillis);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (account == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'account' was not present! Struct: " + toString());
+    }
+    if (idempotencyKey == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'idempotencyKey' was not present! Struct: " + toString());
+    }
+    if (fingerprint == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'fingerprint' was not present! Struct: " + toString());
+    }
+    if (attempt == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'attempt' was not present! Struct: " + toString());
+    }
+    if (instance == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'instance' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'nowMillis' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ClaimOrderCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
-        if (isSetAccount()) hashCode = hashCode * 8191 + account.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetIdempotencyKey()) ? 131071 : 524287);
-        if (isSetIdempotencyKey()) hashCode = hashCode * 8191 + idempotencyKey.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetFingerprint()) ? 131071 : 524287);
-        if (isSetFingerprint()) hashCode = hashCode * 8191 + fingerprint.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetAttempt()) ? 131071 : 524287);
-        if (isSetAttempt()) hashCode = hashCode * 8191 + attempt.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetInstance()) ? 131071 : 524287);
-        if (isSetInstance()) hashCode = hashCode * 8191 + instance.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(nowMillis);
-
-        return hashCode;
+    public ClaimOrderCommandStandardScheme getScheme() {
+      return new ClaimOrderCommandStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(ClaimOrderCommand other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class ClaimOrderCommandStandardScheme extends org.apache.thrift.scheme.StandardScheme<ClaimOrderCommand> {
 
-        lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAccount()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, ClaimOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // ACCOUNT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.account = iprot.readString();
+              struct.setAccountIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIdempotencyKey(), other.isSetIdempotencyKey());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIdempotencyKey()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.idempotencyKey, other.idempotencyKey);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // IDEMPOTENCY_KEY
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.idempotencyKey = iprot.readString();
+              struct.setIdempotencyKeyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetFingerprint()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // FINGERPRINT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.fingerprint = iprot.readString();
+              struct.setFingerprintIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetAttempt(), other.isSetAttempt());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAttempt()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.attempt, other.attempt);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // ATTEMPT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.attempt = iprot.readString();
+              struct.setAttemptIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetInstance(), other.isSetInstance());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetInstance()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.instance, other.instance);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 5: // INSTANCE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.instance = iprot.readString();
+              struct.setInstanceIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSessionId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 6: // SESSION_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sessionId = iprot.readI64();
+              struct.setSessionIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetNowMillis(), other.isSetNowMillis());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetNowMillis()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.nowMillis, other.nowMillis);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 7: // NOW_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.nowMillis = iprot.readI64();
+              struct.setNowMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetSessionId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sessionId' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetNowMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'nowMillis' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, ClaimOrderCommand struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.account != null) {
+        oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
+        oprot.writeString(struct.account);
+        oprot.writeFieldEnd();
+      }
+      if (struct.idempotencyKey != null) {
+        oprot.writeFieldBegin(IDEMPOTENCY_KEY_FIELD_DESC);
+        oprot.writeString(struct.idempotencyKey);
+        oprot.writeFieldEnd();
+      }
+      if (struct.fingerprint != null) {
+        oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
+        oprot.writeString(struct.fingerprint);
+        oprot.writeFieldEnd();
+      }
+      if (struct.attempt != null) {
+        oprot.writeFieldBegin(ATTEMPT_FIELD_DESC);
+        oprot.writeString(struct.attempt);
+        oprot.writeFieldEnd();
+      }
+      if (struct.instance != null) {
+        oprot.writeFieldBegin(INSTANCE_FIELD_DESC);
+        oprot.writeString(struct.instance);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
+      oprot.writeI64(struct.sessionId);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(NOW_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.nowMillis);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class ClaimOrderCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public ClaimOrderCommandTupleScheme getScheme() {
+      return new ClaimOrderCommandTupleScheme();
     }
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("ClaimOrderCommand(");
-        boolean first = true;
-
-        sb.append("account:");
-        if (this.account == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.account);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("idempotencyKey:");
-        if (this.idempotencyKey == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.idempotencyKey);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("fingerprint:");
-        if (this.fingerprint == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.fingerprint);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("attempt:");
-        if (this.attempt == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.attempt);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("instance:");
-        if (this.instance == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.instance);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sessionId:");
-        sb.append(this.sessionId);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("nowMillis:");
-        sb.append(this.nowMillis);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (account == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'account' was not present! Struct: " + toString());
-        }
-        if (idempotencyKey == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'idempotencyKey' was not present! Struct: " + toString());
-        }
-        if (fingerprint == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'fingerprint' was not present! Struct: " + toString());
-        }
-        if (attempt == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'attempt' was not present! Struct: " + toString());
-        }
-        if (instance == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'instance' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'nowMillis' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class ClaimOrderCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ClaimOrderCommandStandardScheme getScheme() {
-            return new ClaimOrderCommandStandardScheme();
-        }
-    }
+  private static class ClaimOrderCommandTupleScheme extends org.apache.thrift.scheme.TupleScheme<ClaimOrderCommand> {
 
-    private static class ClaimOrderCommandStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<ClaimOrderCommand> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, ClaimOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ACCOUNT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.account = iprot.readString();
-                            struct.setAccountIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // IDEMPOTENCY_KEY
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.idempotencyKey = iprot.readString();
-                            struct.setIdempotencyKeyIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // FINGERPRINT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.fingerprint = iprot.readString();
-                            struct.setFingerprintIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // ATTEMPT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.attempt = iprot.readString();
-                            struct.setAttemptIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // INSTANCE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.instance = iprot.readString();
-                            struct.setInstanceIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // SESSION_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.sessionId = iprot.readI64();
-                            struct.setSessionIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 7: // NOW_MILLIS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.nowMillis = iprot.readI64();
-                            struct.setNowMillisIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetSessionId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'sessionId' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetNowMillis()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'nowMillis' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, ClaimOrderCommand struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.account != null) {
-                oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
-                oprot.writeString(struct.account);
-                oprot.writeFieldEnd();
-            }
-            if (struct.idempotencyKey != null) {
-                oprot.writeFieldBegin(IDEMPOTENCY_KEY_FIELD_DESC);
-                oprot.writeString(struct.idempotencyKey);
-                oprot.writeFieldEnd();
-            }
-            if (struct.fingerprint != null) {
-                oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
-                oprot.writeString(struct.fingerprint);
-                oprot.writeFieldEnd();
-            }
-            if (struct.attempt != null) {
-                oprot.writeFieldBegin(ATTEMPT_FIELD_DESC);
-                oprot.writeString(struct.attempt);
-                oprot.writeFieldEnd();
-            }
-            if (struct.instance != null) {
-                oprot.writeFieldBegin(INSTANCE_FIELD_DESC);
-                oprot.writeString(struct.instance);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
-            oprot.writeI64(struct.sessionId);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(NOW_MILLIS_FIELD_DESC);
-            oprot.writeI64(struct.nowMillis);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class ClaimOrderCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ClaimOrderCommandTupleScheme getScheme() {
-            return new ClaimOrderCommandTupleScheme();
-        }
-    }
-
-    private static class ClaimOrderCommandTupleScheme extends org.apache.thrift.scheme.TupleScheme<ClaimOrderCommand> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, ClaimOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.account);
-            oprot.writeString(struct.idempotencyKey);
-            oprot.writeString(struct.fingerprint);
-            oprot.writeString(struct.attempt);
-            oprot.writeString(struct.instance);
-            oprot.writeI64(struct.sessionId);
-            oprot.writeI64(struct.nowMillis);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, ClaimOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.account = iprot.readString();
-            struct.setAccountIsSet(true);
-            struct.idempotencyKey = iprot.readString();
-            struct.setIdempotencyKeyIsSet(true);
-            struct.fingerprint = iprot.readString();
-            struct.setFingerprintIsSet(true);
-            struct.attempt = iprot.readString();
-            struct.setAttemptIsSet(true);
-            struct.instance = iprot.readString();
-            struct.setInstanceIsSet(true);
-            struct.sessionId = iprot.readI64();
-            struct.setSessionIdIsSet(true);
-            struct.nowMillis = iprot.readI64();
-            struct.setNowMillisIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, ClaimOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.account);
+      oprot.writeString(struct.idempotencyKey);
+      oprot.writeString(struct.fingerprint);
+      oprot.writeString(struct.attempt);
+      oprot.writeString(struct.instance);
+      oprot.writeI64(struct.sessionId);
+      oprot.writeI64(struct.nowMillis);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, ClaimOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.account = iprot.readString();
+      struct.setAccountIsSet(true);
+      struct.idempotencyKey = iprot.readString();
+      struct.setIdempotencyKeyIsSet(true);
+      struct.fingerprint = iprot.readString();
+      struct.setFingerprintIsSet(true);
+      struct.attempt = iprot.readString();
+      struct.setAttemptIsSet(true);
+      struct.instance = iprot.readString();
+      struct.setInstanceIsSet(true);
+      struct.sessionId = iprot.readI64();
+      struct.setSessionIdIsSet(true);
+      struct.nowMillis = iprot.readI64();
+      struct.setNowMillisIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ClaimPhase.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ClaimPhase.java
@@ -6,46 +6,47 @@
  */
 package org.basilrill.thrift.control;
 
+
 /**
  * Progress of a claim; numbers never change.
  */
 public enum ClaimPhase implements org.apache.thrift.TEnum {
-    RUNNING(1),
-    FINISHED(2),
-    UNKNOWN(3),
-    RELEASED(4);
+  RUNNING(1),
+  FINISHED(2),
+  UNKNOWN(3),
+  RELEASED(4);
 
-    private final int value;
+  private final int value;
 
-    private ClaimPhase(int value) {
-        this.value = value;
-    }
+  private ClaimPhase(int value) {
+    this.value = value;
+  }
 
-    /**
-     * Get the integer value of this enum value, as defined in the Thrift IDL.
-     */
-    @Override
-    public int getValue() {
-        return value;
-    }
+  /**
+   * Get the integer value of this enum value, as defined in the Thrift IDL.
+   */
+  @Override
+  public int getValue() {
+    return value;
+  }
 
-    /**
-     * Find a the enum type by its integer value, as defined in the Thrift IDL.
-     * @return null if the value is not found.
-     */
-    @org.apache.thrift.annotation.Nullable
-    public static ClaimPhase findByValue(int value) {
-        switch (value) {
-            case 1:
-                return RUNNING;
-            case 2:
-                return FINISHED;
-            case 3:
-                return UNKNOWN;
-            case 4:
-                return RELEASED;
-            default:
-                return null;
-        }
+  /**
+   * Find a the enum type by its integer value, as defined in the Thrift IDL.
+   * @return null if the value is not found.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public static ClaimPhase findByValue(int value) { 
+    switch (value) {
+      case 1:
+        return RUNNING;
+      case 2:
+        return FINISHED;
+      case 3:
+        return UNKNOWN;
+      case 4:
+        return RELEASED;
+      default:
+        return null;
     }
+  }
 }
