--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ClaimState.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ClaimState.java
@@ -7,1514 +7,1467 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class ClaimState
-        implements org.apache.thrift.TBase<ClaimState, ClaimState._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<ClaimState> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ClaimState");
-
-    private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField IDEMPOTENCY_KEY_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("idempotencyKey", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.STRING, (short) 3);
-    private static final org.apache.thrift.protocol.TField PHASE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("phase", org.apache.thrift.protocol.TType.I32, (short) 4);
-    private static final org.apache.thrift.protocol.TField ATTEMPT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("attempt", org.apache.thrift.protocol.TType.STRING, (short) 5);
-    private static final org.apache.thrift.protocol.TField INSTANCE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("instance", org.apache.thrift.protocol.TType.STRING, (short) 6);
-    private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short) 7);
-    private static final org.apache.thrift.protocol.TField CHANGED_MILLIS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("changedMillis", org.apache.thrift.protocol.TType.I64, (short) 8);
-    private static final org.apache.thrift.protocol.TField RELEASED_ATTEMPTS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("releasedAttempts", org.apache.thrift.protocol.TType.LIST, (short) 9);
-    private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short) 10);
-    private static final org.apache.thrift.protocol.TField ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("answer", org.apache.thrift.protocol.TType.STRUCT, (short) 11);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ClaimStateStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new ClaimStateTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String fingerprint; // required
-    private @org.apache.thrift.annotation.Nullable ClaimPhase phase; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String attempt; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String instance; // required
-    private long sessionId; // required
-    private long changedMillis; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> releasedAttempts; // required
-    private @org.apache.thrift.annotation.Nullable RequestOutcome outcome; // optional
-    private @org.apache.thrift.annotation.Nullable AnswerBody answer; // optional
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ACCOUNT((short) 1, "account"),
-        IDEMPOTENCY_KEY((short) 2, "idempotencyKey"),
-        FINGERPRINT((short) 3, "fingerprint"),
-        /**
-         *
-         * @see ClaimPhase
-         */
-        PHASE((short) 4, "phase"),
-        ATTEMPT((short) 5, "attempt"),
-        INSTANCE((short) 6, "instance"),
-        SESSION_ID((short) 7, "sessionId"),
-        CHANGED_MILLIS((short) 8, "changedMillis"),
-        RELEASED_ATTEMPTS((short) 9, "releasedAttempts"),
-        /**
-         *
-         * @see RequestOutcome
-         */
-        OUTCOME((short) 10, "outcome"),
-        ANSWER((short) 11, "answer");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ACCOUNT
-                    return ACCOUNT;
-                case 2: // IDEMPOTENCY_KEY
-                    return IDEMPOTENCY_KEY;
-                case 3: // FINGERPRINT
-                    return FINGERPRINT;
-                case 4: // PHASE
-                    return PHASE;
-                case 5: // ATTEMPT
-                    return ATTEMPT;
-                case 6: // INSTANCE
-                    return INSTANCE;
-                case 7: // SESSION_ID
-                    return SESSION_ID;
-                case 8: // CHANGED_MILLIS
-                    return CHANGED_MILLIS;
-                case 9: // RELEASED_ATTEMPTS
-                    return RELEASED_ATTEMPTS;
-                case 10: // OUTCOME
-                    return OUTCOME;
-                case 11: // ANSWER
-                    return ANSWER;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __SESSIONID_ISSET_ID = 0;
-    private static final int __CHANGEDMILLIS_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    private static final _Fields optionals[] = {_Fields.OUTCOME, _Fields.ANSWER};
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ACCOUNT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "account",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.IDEMPOTENCY_KEY,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "idempotencyKey",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.FINGERPRINT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "fingerprint",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.PHASE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "phase",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.EnumMetaData(
-                                org.apache.thrift.protocol.TType.ENUM, ClaimPhase.class)));
-        tmpMap.put(
-                _Fields.ATTEMPT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "attempt",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.INSTANCE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "instance",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.SESSION_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sessionId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.CHANGED_MILLIS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "changedMillis",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.RELEASED_ATTEMPTS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "releasedAttempts",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.FieldValueMetaData(
-                                        org.apache.thrift.protocol.TType.STRING))));
-        tmpMap.put(
-                _Fields.OUTCOME,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "outcome",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.EnumMetaData(
-                                org.apache.thrift.protocol.TType.ENUM, RequestOutcome.class)));
-        tmpMap.put(
-                _Fields.ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "answer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, AnswerBody.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ClaimState.class, metaDataMap);
-    }
-
-    public ClaimState() {}
-
-    public ClaimState(
-            java.lang.String account,
-            java.lang.String idempotencyKey,
-            java.lang.String fingerprint,
-            ClaimPhase phase,
-            java.lang.String attempt,
-            java.lang.String instance,
-            long sessionId,
-            long changedMillis,
-            java.util.List<java.lang.String> releasedAttempts) {
-        this();
-        this.account = account;
-        this.idempotencyKey = idempotencyKey;
-        this.fingerprint = fingerprint;
-        this.phase = phase;
-        this.attempt = attempt;
-        this.instance = instance;
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
-        this.changedMillis = changedMillis;
-        setChangedMillisIsSet(true);
-        this.releasedAttempts = releasedAttempts;
-    }
-
+public class ClaimState implements org.apache.thrift.TBase<ClaimState, ClaimState._Fields>, java.io.Serializable, Cloneable, Comparable<ClaimState> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ClaimState");
+
+  private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField IDEMPOTENCY_KEY_FIELD_DESC = new org.apache.thrift.protocol.TField("idempotencyKey", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField PHASE_FIELD_DESC = new org.apache.thrift.protocol.TField("phase", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField ATTEMPT_FIELD_DESC = new org.apache.thrift.protocol.TField("attempt", org.apache.thrift.protocol.TType.STRING, (short)5);
+  private static final org.apache.thrift.protocol.TField INSTANCE_FIELD_DESC = new org.apache.thrift.protocol.TField("instance", org.apache.thrift.protocol.TType.STRING, (short)6);
+  private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField CHANGED_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("changedMillis", org.apache.thrift.protocol.TType.I64, (short)8);
+  private static final org.apache.thrift.protocol.TField RELEASED_ATTEMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("releasedAttempts", org.apache.thrift.protocol.TType.LIST, (short)9);
+  private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC = new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short)10);
+  private static final org.apache.thrift.protocol.TField ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("answer", org.apache.thrift.protocol.TType.STRUCT, (short)11);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ClaimStateStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ClaimStateTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String fingerprint; // required
+  private @org.apache.thrift.annotation.Nullable ClaimPhase phase; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String attempt; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String instance; // required
+  private long sessionId; // required
+  private long changedMillis; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> releasedAttempts; // required
+  private @org.apache.thrift.annotation.Nullable RequestOutcome outcome; // optional
+  private @org.apache.thrift.annotation.Nullable AnswerBody answer; // optional
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ACCOUNT((short)1, "account"),
+    IDEMPOTENCY_KEY((short)2, "idempotencyKey"),
+    FINGERPRINT((short)3, "fingerprint"),
     /**
-     * Performs a deep copy on <i>other</i>.
+     * 
+     * @see ClaimPhase
      */
-    public ClaimState(ClaimState other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetAccount()) {
-            this.account = other.account;
-        }
-        if (other.isSetIdempotencyKey()) {
-            this.idempotencyKey = other.idempotencyKey;
-        }
-        if (other.isSetFingerprint()) {
-            this.fingerprint = other.fingerprint;
-        }
-        if (other.isSetPhase()) {
-            this.phase = other.phase;
-        }
-        if (other.isSetAttempt()) {
-            this.attempt = other.attempt;
-        }
-        if (other.isSetInstance()) {
-            this.instance = other.instance;
-        }
-        this.sessionId = other.sessionId;
-        this.changedMillis = other.changedMillis;
-        if (other.isSetReleasedAttempts()) {
-            java.util.List<java.lang.String> __this__releasedAttempts =
-                    new java.util.ArrayList<java.lang.String>(other.releasedAttempts);
-            this.releasedAttempts = __this__releasedAttempts;
-        }
-        if (other.isSetOutcome()) {
-            this.outcome = other.outcome;
-        }
-        if (other.isSetAnswer()) {
-            this.answer = new AnswerBody(other.answer);
-        }
-    }
-
-    @Override
-    public ClaimState deepCopy() {
-        return new ClaimState(this);
-    }
-
-    @Override
-    public void clear() {
-        this.account = null;
-        this.idempotencyKey = null;
-        this.fingerprint = null;
-        this.phase = null;
-        this.attempt = null;
-        this.instance = null;
-        setSessionIdIsSet(false);
-        this.sessionId = 0;
-        setChangedMillisIsSet(false);
-        this.changedMillis = 0;
-        this.releasedAttempts = null;
-        this.outcome = null;
-        this.answer = null;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAccount() {
-        return this.account;
-    }
-
-    public ClaimState setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
-        this.account = account;
-        return this;
-    }
-
-    public void unsetAccount() {
-        this.account = null;
-    }
-
-    /** Returns true if field account is set (has been assigned a value) and false otherwise */
-    public boolean isSetAccount() {
-        return this.account != null;
-    }
-
-    public void setAccountIsSet(boolean value) {
-        if (!value) {
-            this.account = null;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getIdempotencyKey() {
-        return this.idempotencyKey;
-    }
-
-    public ClaimState setIdempotencyKey(@org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey) {
-        this.idempotencyKey = idempotencyKey;
-        return this;
-    }
-
-    public void unsetIdempotencyKey() {
-        this.idempotencyKey = null;
-    }
-
-    /** Returns true if field idempotencyKey is set (has been assigned a value) and false otherwise */
-    public boolean isSetIdempotencyKey() {
-        return this.idempotencyKey != null;
-    }
-
-    public void setIdempotencyKeyIsSet(boolean value) {
-        if (!value) {
-            this.idempotencyKey = null;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getFingerprint() {
-        return this.fingerprint;
-    }
-
-    public ClaimState setFingerprint(@org.apache.thrift.annotation.Nullable java.lang.String fingerprint) {
-        this.fingerprint = fingerprint;
-        return this;
-    }
+    PHASE((short)4, "phase"),
+    ATTEMPT((short)5, "attempt"),
+    INSTANCE((short)6, "instance"),
+    SESSION_ID((short)7, "sessionId"),
+    CHANGED_MILLIS((short)8, "changedMillis"),
+    RELEASED_ATTEMPTS((short)9, "releasedAttempts"),
+    /**
+     * 
+     * @see RequestOutcome
+     */
+    OUTCOME((short)10, "outcome"),
+    ANSWER((short)11, "answer");
 
-    public void unsetFingerprint() {
-        this.fingerprint = null;
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
-    public boolean isSetFingerprint() {
-        return this.fingerprint != null;
-    }
-
-    public void setFingerprintIsSet(boolean value) {
-        if (!value) {
-            this.fingerprint = null;
-        }
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     *
-     * @see ClaimPhase
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
     @org.apache.thrift.annotation.Nullable
-    public ClaimPhase getPhase() {
-        return this.phase;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ACCOUNT
+          return ACCOUNT;
+        case 2: // IDEMPOTENCY_KEY
+          return IDEMPOTENCY_KEY;
+        case 3: // FINGERPRINT
+          return FINGERPRINT;
+        case 4: // PHASE
+          return PHASE;
+        case 5: // ATTEMPT
+          return ATTEMPT;
+        case 6: // INSTANCE
+          return INSTANCE;
+        case 7: // SESSION_ID
+          return SESSION_ID;
+        case 8: // CHANGED_MILLIS
+          return CHANGED_MILLIS;
+        case 9: // RELEASED_ATTEMPTS
+          return RELEASED_ATTEMPTS;
+        case 10: // OUTCOME
+          return OUTCOME;
+        case 11: // ANSWER
+          return ANSWER;
+        default:
+          return null;
+      }
     }
 
     /**
-     *
-     * @see ClaimPhase
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public ClaimState setPhase(@org.apache.thrift.annotation.Nullable ClaimPhase phase) {
-        this.phase = phase;
-        return this;
-    }
-
-    public void unsetPhase() {
-        this.phase = null;
-    }
-
-    /** Returns true if field phase is set (has been assigned a value) and false otherwise */
-    public boolean isSetPhase() {
-        return this.phase != null;
-    }
-
-    public void setPhaseIsSet(boolean value) {
-        if (!value) {
-            this.phase = null;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAttempt() {
-        return this.attempt;
-    }
-
-    public ClaimState setAttempt(@org.apache.thrift.annotation.Nullable java.lang.String attempt) {
-        this.attempt = attempt;
-        return this;
-    }
-
-    public void unsetAttempt() {
-        this.attempt = null;
-    }
-
-    /** Returns true if field attempt is set (has been assigned a value) and false otherwise */
-    public boolean isSetAttempt() {
-        return this.attempt != null;
-    }
-
-    public void setAttemptIsSet(boolean value) {
-        if (!value) {
-            this.attempt = null;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getInstance() {
-        return this.instance;
-    }
-
-    public ClaimState setInstance(@org.apache.thrift.annotation.Nullable java.lang.String instance) {
-        this.instance = instance;
-        return this;
-    }
-
-    public void unsetInstance() {
-        this.instance = null;
-    }
-
-    /** Returns true if field instance is set (has been assigned a value) and false otherwise */
-    public boolean isSetInstance() {
-        return this.instance != null;
-    }
-
-    public void setInstanceIsSet(boolean value) {
-        if (!value) {
-            this.instance = null;
-        }
-    }
-
-    public long getSessionId() {
-        return this.sessionId;
-    }
-
-    public ClaimState setSessionId(long sessionId) {
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
-        return this;
-    }
-
-    public void unsetSessionId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
-    }
-
-    /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
-    public boolean isSetSessionId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
-    }
-
-    public void setSessionIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
-    }
-
-    public long getChangedMillis() {
-        return this.changedMillis;
-    }
-
-    public ClaimState setChangedMillis(long changedMillis) {
-        this.changedMillis = changedMillis;
-        setChangedMillisIsSet(true);
-        return this;
-    }
-
-    public void unsetChangedMillis() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID);
-    }
-
-    /** Returns true if field changedMillis is set (has been assigned a value) and false otherwise */
-    public boolean isSetChangedMillis() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID);
-    }
-
-    public void setChangedMillisIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID, value);
-    }
-
-    public int getReleasedAttemptsSize() {
-        return (this.releasedAttempts == null) ? 0 : this.releasedAttempts.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<java.lang.String> getReleasedAttemptsIterator() {
-        return (this.releasedAttempts == null) ? null : this.releasedAttempts.iterator();
-    }
-
-    public void addToReleasedAttempts(java.lang.String elem) {
-        if (this.releasedAttempts == null) {
-            this.releasedAttempts = new java.util.ArrayList<java.lang.String>();
-        }
-        this.releasedAttempts.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<java.lang.String> getReleasedAttempts() {
-        return this.releasedAttempts;
-    }
-
-    public ClaimState setReleasedAttempts(
-            @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> releasedAttempts) {
-        this.releasedAttempts = releasedAttempts;
-        return this;
-    }
-
-    public void unsetReleasedAttempts() {
-        this.releasedAttempts = null;
-    }
-
-    /** Returns true if field releasedAttempts is set (has been assigned a value) and false otherwise */
-    public boolean isSetReleasedAttempts() {
-        return this.releasedAttempts != null;
-    }
-
-    public void setReleasedAttemptsIsSet(boolean value) {
-        if (!value) {
-            this.releasedAttempts = null;
-        }
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     *
-     * @see RequestOutcome
+     * Find the _Fields constant that matches name, or null if its not found.
      */
     @org.apache.thrift.annotation.Nullable
-    public RequestOutcome getOutcome() {
-        return this.outcome;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /**
-     *
-     * @see RequestOutcome
-     */
-    public ClaimState setOutcome(@org.apache.thrift.annotation.Nullable RequestOutcome outcome) {
-        this.outcome = outcome;
-        return this;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void unsetOutcome() {
-        this.outcome = null;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field outcome is set (has been assigned a value) and false otherwise */
-    public boolean isSetOutcome() {
-        return this.outcome != null;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public void setOutcomeIsSet(boolean value) {
-        if (!value) {
-            this.outcome = null;
-        }
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __SESSIONID_ISSET_ID = 0;
+  private static final int __CHANGEDMILLIS_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.OUTCOME,_Fields.ANSWER};
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ACCOUNT, new org.apache.thrift.meta_data.FieldMetaData("account", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.IDEMPOTENCY_KEY, new org.apache.thrift.meta_data.FieldMetaData("idempotencyKey", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.FINGERPRINT, new org.apache.thrift.meta_data.FieldMetaData("fingerprint", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.PHASE, new org.apache.thrift.meta_data.FieldMetaData("phase", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, ClaimPhase.class)));
+    tmpMap.put(_Fields.ATTEMPT, new org.apache.thrift.meta_data.FieldMetaData("attempt", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.INSTANCE, new org.apache.thrift.meta_data.FieldMetaData("instance", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SESSION_ID, new org.apache.thrift.meta_data.FieldMetaData("sessionId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CHANGED_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("changedMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RELEASED_ATTEMPTS, new org.apache.thrift.meta_data.FieldMetaData("releasedAttempts", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.OUTCOME, new org.apache.thrift.meta_data.FieldMetaData("outcome", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, RequestOutcome.class)));
+    tmpMap.put(_Fields.ANSWER, new org.apache.thrift.meta_data.FieldMetaData("answer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AnswerBody.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ClaimState.class, metaDataMap);
+  }
+
+  public ClaimState() {
+  }
+
+  public ClaimState(
+    java.lang.String account,
+    java.lang.String idempotencyKey,
+    java.lang.String fingerprint,
+    ClaimPhase phase,
+    java.lang.String attempt,
+    java.lang.String instance,
+    long sessionId,
+    long changedMillis,
+    java.util.List<java.lang.String> releasedAttempts)
+  {
+    this();
+    this.account = account;
+    this.idempotencyKey = idempotencyKey;
+    this.fingerprint = fingerprint;
+    this.phase = phase;
+    this.attempt = attempt;
+    this.instance = instance;
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+    this.changedMillis = changedMillis;
+    setChangedMillisIsSet(true);
+    this.releasedAttempts = releasedAttempts;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public ClaimState(ClaimState other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetAccount()) {
+      this.account = other.account;
+    }
+    if (other.isSetIdempotencyKey()) {
+      this.idempotencyKey = other.idempotencyKey;
+    }
+    if (other.isSetFingerprint()) {
+      this.fingerprint = other.fingerprint;
+    }
+    if (other.isSetPhase()) {
+      this.phase = other.phase;
+    }
+    if (other.isSetAttempt()) {
+      this.attempt = other.attempt;
+    }
+    if (other.isSetInstance()) {
+      this.instance = other.instance;
+    }
+    this.sessionId = other.sessionId;
+    this.changedMillis = other.changedMillis;
+    if (other.isSetReleasedAttempts()) {
+      java.util.List<java.lang.String> __this__releasedAttempts = new java.util.ArrayList<java.lang.String>(other.releasedAttempts);
+      this.releasedAttempts = __this__releasedAttempts;
+    }
+    if (other.isSetOutcome()) {
+      this.outcome = other.outcome;
+    }
+    if (other.isSetAnswer()) {
+      this.answer = new AnswerBody(other.answer);
+    }
+  }
+
+  @Override
+  public ClaimState deepCopy() {
+    return new ClaimState(this);
+  }
+
+  @Override
+  public void clear() {
+    this.account = null;
+    this.idempotencyKey = null;
+    this.fingerprint = null;
+    this.phase = null;
+    this.attempt = null;
+    this.instance = null;
+    setSessionIdIsSet(false);
+    this.sessionId = 0;
+    setChangedMillisIsSet(false);
+    this.changedMillis = 0;
+    this.releasedAttempts = null;
+    this.outcome = null;
+    this.answer = null;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAccount() {
+    return this.account;
+  }
+
+  public ClaimState setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
+    this.account = account;
+    return this;
+  }
+
+  public void unsetAccount() {
+    this.account = null;
+  }
+
+  /** Returns true if field account is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccount() {
+    return this.account != null;
+  }
+
+  public void setAccountIsSet(boolean value) {
+    if (!value) {
+      this.account = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getIdempotencyKey() {
+    return this.idempotencyKey;
+  }
+
+  public ClaimState setIdempotencyKey(@org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey) {
+    this.idempotencyKey = idempotencyKey;
+    return this;
+  }
+
+  public void unsetIdempotencyKey() {
+    this.idempotencyKey = null;
+  }
+
+  /** Returns true if field idempotencyKey is set (has been assigned a value) and false otherwise */
+  public boolean isSetIdempotencyKey() {
+    return this.idempotencyKey != null;
+  }
+
+  public void setIdempotencyKeyIsSet(boolean value) {
+    if (!value) {
+      this.idempotencyKey = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getFingerprint() {
+    return this.fingerprint;
+  }
+
+  public ClaimState setFingerprint(@org.apache.thrift.annotation.Nullable java.lang.String fingerprint) {
+    this.fingerprint = fingerprint;
+    return this;
+  }
+
+  public void unsetFingerprint() {
+    this.fingerprint = null;
+  }
+
+  /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
+  public boolean isSetFingerprint() {
+    return this.fingerprint != null;
+  }
+
+  public void setFingerprintIsSet(boolean value) {
+    if (!value) {
+      this.fingerprint = null;
+    }
+  }
+
+  /**
+   * 
+   * @see ClaimPhase
+   */
+  @org.apache.thrift.annotation.Nullable
+  public ClaimPhase getPhase() {
+    return this.phase;
+  }
+
+  /**
+   * 
+   * @see ClaimPhase
+   */
+  public ClaimState setPhase(@org.apache.thrift.annotation.Nullable ClaimPhase phase) {
+    this.phase = phase;
+    return this;
+  }
+
+  public void unsetPhase() {
+    this.phase = null;
+  }
+
+  /** Returns true if field phase is set (has been assigned a value) and false otherwise */
+  public boolean isSetPhase() {
+    return this.phase != null;
+  }
+
+  public void setPhaseIsSet(boolean value) {
+    if (!value) {
+      this.phase = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAttempt() {
+    return this.attempt;
+  }
+
+  public ClaimState setAttempt(@org.apache.thrift.annotation.Nullable java.lang.String attempt) {
+    this.attempt = attempt;
+    return this;
+  }
+
+  public void unsetAttempt() {
+    this.attempt = null;
+  }
+
+  /** Returns true if field attempt is set (has been assigned a value) and false otherwise */
+  public boolean isSetAttempt() {
+    return this.attempt != null;
+  }
+
+  public void setAttemptIsSet(boolean value) {
+    if (!value) {
+      this.attempt = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getInstance() {
+    return this.instance;
+  }
+
+  public ClaimState setInstance(@org.apache.thrift.annotation.Nullable java.lang.String instance) {
+    this.instance = instance;
+    return this;
+  }
+
+  public void unsetInstance() {
+    this.instance = null;
+  }
+
+  /** Returns true if field instance is set (has been assigned a value) and false otherwise */
+  public boolean isSetInstance() {
+    return this.instance != null;
+  }
+
+  public void setInstanceIsSet(boolean value) {
+    if (!value) {
+      this.instance = null;
+    }
+  }
+
+  public long getSessionId() {
+    return this.sessionId;
+  }
+
+  public ClaimState setSessionId(long sessionId) {
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+    return this;
+  }
+
+  public void unsetSessionId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
+  public boolean isSetSessionId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  public void setSessionIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
+  }
+
+  public long getChangedMillis() {
+    return this.changedMillis;
+  }
+
+  public ClaimState setChangedMillis(long changedMillis) {
+    this.changedMillis = changedMillis;
+    setChangedMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetChangedMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field changedMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetChangedMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID);
+  }
+
+  public void setChangedMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID, value);
+  }
+
+  public int getReleasedAttemptsSize() {
+    return (this.releasedAttempts == null) ? 0 : this.releasedAttempts.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getReleasedAttemptsIterator() {
+    return (this.releasedAttempts == null) ? null : this.releasedAttempts.iterator();
+  }
+
+  public void addToReleasedAttempts(java.lang.String elem) {
+    if (this.releasedAttempts == null) {
+      this.releasedAttempts = new java.util.ArrayList<java.lang.String>();
+    }
+    this.releasedAttempts.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getReleasedAttempts() {
+    return this.releasedAttempts;
+  }
+
+  public ClaimState setReleasedAttempts(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> releasedAttempts) {
+    this.releasedAttempts = releasedAttempts;
+    return this;
+  }
+
+  public void unsetReleasedAttempts() {
+    this.releasedAttempts = null;
+  }
+
+  /** Returns true if field releasedAttempts is set (has been assigned a value) and false otherwise */
+  public boolean isSetReleasedAttempts() {
+    return this.releasedAttempts != null;
+  }
+
+  public void setReleasedAttemptsIsSet(boolean value) {
+    if (!value) {
+      this.releasedAttempts = null;
+    }
+  }
+
+  /**
+   * 
+   * @see RequestOutcome
+   */
+  @org.apache.thrift.annotation.Nullable
+  public RequestOutcome getOutcome() {
+    return this.outcome;
+  }
+
+  /**
+   * 
+   * @see RequestOutcome
+   */
+  public ClaimState setOutcome(@org.apache.thrift.annotation.Nullable RequestOutcome outcome) {
+    this.outcome = outcome;
+    return this;
+  }
+
+  public void unsetOutcome() {
+    this.outcome = null;
+  }
+
+  /** Returns true if field outcome is set (has been assigned a value) and false otherwise */
+  public boolean isSetOutcome() {
+    return this.outcome != null;
+  }
+
+  public void setOutcomeIsSet(boolean value) {
+    if (!value) {
+      this.outcome = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public AnswerBody getAnswer() {
+    return this.answer;
+  }
+
+  public ClaimState setAnswer(@org.apache.thrift.annotation.Nullable AnswerBody answer) {
+    this.answer = answer;
+    return this;
+  }
+
+  public void unsetAnswer() {
+    this.answer = null;
+  }
+
+  /** Returns true if field answer is set (has been assigned a value) and false otherwise */
+  public boolean isSetAnswer() {
+    return this.answer != null;
+  }
+
+  public void setAnswerIsSet(boolean value) {
+    if (!value) {
+      this.answer = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ACCOUNT:
+      if (value == null) {
+        unsetAccount();
+      } else {
+        setAccount((java.lang.String)value);
+      }
+      break;
+
+    case IDEMPOTENCY_KEY:
+      if (value == null) {
+        unsetIdempotencyKey();
+      } else {
+        setIdempotencyKey((java.lang.String)value);
+      }
+      break;
+
+    case FINGERPRINT:
+      if (value == null) {
+        unsetFingerprint();
+      } else {
+        setFingerprint((java.lang.String)value);
+      }
+      break;
+
+    case PHASE:
+      if (value == null) {
+        unsetPhase();
+      } else {
+        setPhase((ClaimPhase)value);
+      }
+      break;
+
+    case ATTEMPT:
+      if (value == null) {
+        unsetAttempt();
+      } else {
+        setAttempt((java.lang.String)value);
+      }
+      break;
+
+    case INSTANCE:
+      if (value == null) {
+        unsetInstance();
+      } else {
+        setInstance((java.lang.String)value);
+      }
+      break;
+
+    case SESSION_ID:
+      if (value == null) {
+        unsetSessionId();
+      } else {
+        setSessionId((java.lang.Long)value);
+      }
+      break;
+
+    case CHANGED_MILLIS:
+      if (value == null) {
+        unsetChangedMillis();
+      } else {
+        setChangedMillis((java.lang.Long)value);
+      }
+      break;
+
+    case RELEASED_ATTEMPTS:
+      if (value == null) {
+        unsetReleasedAttempts();
+      } else {
+        setReleasedAttempts((java.util.List<java.lang.String>)value);
+      }
+      break;
+
+    case OUTCOME:
+      if (value == null) {
+        unsetOutcome();
+      } else {
+        setOutcome((RequestOutcome)value);
+      }
+      break;
+
+    case ANSWER:
+      if (value == null) {
+        unsetAnswer();
+      } else {
+        setAnswer((AnswerBody)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ACCOUNT:
+      return getAccount();
+
+    case IDEMPOTENCY_KEY:
+      return getIdempotencyKey();
+
+    case FINGERPRINT:
+      return getFingerprint();
+
+    case PHASE:
+      return getPhase();
+
+    case ATTEMPT:
+      return getAttempt();
+
+    case INSTANCE:
+      return getInstance();
+
+    case SESSION_ID:
+      return getSessionId();
+
+    case CHANGED_MILLIS:
+      return getChangedMillis();
+
+    case RELEASED_ATTEMPTS:
+      return getReleasedAttempts();
+
+    case OUTCOME:
+      return getOutcome();
+
+    case ANSWER:
+      return getAnswer();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ACCOUNT:
+      return isSetAccount();
+    case IDEMPOTENCY_KEY:
+      return isSetIdempotencyKey();
+    case FINGERPRINT:
+      return isSetFingerprint();
+    case PHASE:
+      return isSetPhase();
+    case ATTEMPT:
+      return isSetAttempt();
+    case INSTANCE:
+      return isSetInstance();
+    case SESSION_ID:
+      return isSetSessionId();
+    case CHANGED_MILLIS:
+      return isSetChangedMillis();
+    case RELEASED_ATTEMPTS:
+      return isSetReleasedAttempts();
+    case OUTCOME:
+      return isSetOutcome();
+    case ANSWER:
+      return isSetAnswer();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof ClaimState)
+      return this.equals((ClaimState)that);
+    return false;
+  }
+
+  public boolean equals(ClaimState that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_account = true && this.isSetAccount();
+    boolean that_present_account = true && that.isSetAccount();
+    if (this_present_account || that_present_account) {
+      if (!(this_present_account && that_present_account))
+        return false;
+      if (!this.account.equals(that.account))
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    public AnswerBody getAnswer() {
-        return this.answer;
+    boolean this_present_idempotencyKey = true && this.isSetIdempotencyKey();
+    boolean that_present_idempotencyKey = true && that.isSetIdempotencyKey();
+    if (this_present_idempotencyKey || that_present_idempotencyKey) {
+      if (!(this_present_idempotencyKey && that_present_idempotencyKey))
+        return false;
+      if (!this.idempotencyKey.equals(that.idempotencyKey))
+        return false;
     }
 
-    public ClaimState setAnswer(@org.apache.thrift.annotation.Nullable AnswerBody answer) {
-        this.answer = answer;
-        return this;
+    boolean this_present_fingerprint = true && this.isSetFingerprint();
+    boolean that_present_fingerprint = true && that.isSetFingerprint();
+    if (this_present_fingerprint || that_present_fingerprint) {
+      if (!(this_present_fingerprint && that_present_fingerprint))
+        return false;
+      if (!this.fingerprint.equals(that.fingerprint))
+        return false;
     }
 
-    public void unsetAnswer() {
-        this.answer = null;
+    boolean this_present_phase = true && this.isSetPhase();
+    boolean that_present_phase = true && that.isSetPhase();
+    if (this_present_phase || that_present_phase) {
+      if (!(this_present_phase && that_present_phase))
+        return false;
+      if (!this.phase.equals(that.phase))
+        return false;
     }
 
-    /** Returns true if field answer is set (has been assigned a value) and false otherwise */
-    public boolean isSetAnswer() {
-        return this.answer != null;
+    boolean this_present_attempt = true && this.isSetAttempt();
+    boolean that_present_attempt = true && that.isSetAttempt();
+    if (this_present_attempt || that_present_attempt) {
+      if (!(this_present_attempt && that_present_attempt))
+        return false;
+      if (!this.attempt.equals(that.attempt))
+        return false;
     }
 
-    public void setAnswerIsSet(boolean value) {
-        if (!value) {
-            this.answer = null;
-        }
+    boolean this_present_instance = true && this.isSetInstance();
+    boolean that_present_instance = true && that.isSetInstance();
+    if (this_present_instance || that_present_instance) {
+      if (!(this_present_instance && that_present_instance))
+        return false;
+      if (!this.instance.equals(that.instance))
+        return false;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ACCOUNT:
-                if (value == null) {
-                    unsetAccount();
-                } else {
-                    setAccount((java.lang.String) value);
-                }
-                break;
-
-            case IDEMPOTENCY_KEY:
-                if (value == null) {
-                    unsetIdempotencyKey();
-                } else {
-                    setIdempotencyKey((java.lang.String) value);
-                }
-                break;
-
-            case FINGERPRINT:
-                if (value == null) {
-                    unsetFingerprint();
-                } else {
-                    setFingerprint((java.lang.String) value);
-                }
-                break;
-
-            case PHASE:
-                if (value == null) {
-                    unsetPhase();
-                } else {
-                    setPhase((ClaimPhase) value);
-                }
-                break;
-
-            case ATTEMPT:
-                if (value == null) {
-                    unsetAttempt();
-                } else {
-                    setAttempt((java.lang.String) value);
-                }
-                break;
-
-            case INSTANCE:
-                if (value == null) {
-                    unsetInstance();
-                } else {
-                    setInstance((java.lang.String) value);
-                }
-                break;
-
-            case SESSION_ID:
-                if (value == null) {
-                    unsetSessionId();
-                } else {
-                    setSessionId((java.lang.Long) value);
-                }
-                break;
-
-            case CHANGED_MILLIS:
-                if (value == null) {
-                    unsetChangedMillis();
-                } else {
-                    setChangedMillis((java.lang.Long) value);
-                }
-                break;
-
-            case RELEASED_ATTEMPTS:
-                if (value == null) {
-                    unsetReleasedAttempts();
-                } else {
-                    setReleasedAttempts((java.util.List<java.lang.String>) value);
-                }
-                break;
-
-            case OUTCOME:
-                if (value == null) {
-                    unsetOutcome();
-                } else {
-                    setOutcome((RequestOutcome) value);
-                }
-                break;
-
-            case ANSWER:
-                if (value == null) {
-                    unsetAnswer();
-                } else {
-                    setAnswer((AnswerBody) value);
-                }
-                break;
-        }
+    boolean this_present_sessionId = true;
+    boolean that_present_sessionId = true;
+    if (this_present_sessionId || that_present_sessionId) {
+      if (!(this_present_sessionId && that_present_sessionId))
+        return false;
+      if (this.sessionId != that.sessionId)
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ACCOUNT:
-                return getAccount();
-
-            case IDEMPOTENCY_KEY:
-                return getIdempotencyKey();
-
-            case FINGERPRINT:
-                return getFingerprint();
-
-            case PHASE:
-                return getPhase();
-
-            case ATTEMPT:
-                return getAttempt();
-
-            case INSTANCE:
-                return getInstance();
-
-            case SESSION_ID:
-                return getSessionId();
-
-            case CHANGED_MILLIS:
-                return getChangedMillis();
-
-            case RELEASED_ATTEMPTS:
-                return getReleasedAttempts();
-
-            case OUTCOME:
-                return getOutcome();
-
-            case ANSWER:
-                return getAnswer();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_changedMillis = true;
+    boolean that_present_changedMillis = true;
+    if (this_present_changedMillis || that_present_changedMillis) {
+      if (!(this_present_changedMillis && that_present_changedMillis))
+        return false;
+      if (this.changedMillis != that.changedMillis)
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ACCOUNT:
-                return isSetAccount();
-            case IDEMPOTENCY_KEY:
-                return isSetIdempotencyKey();
-            case FINGERPRINT:
-                return isSetFingerprint();
-            case PHASE:
-                return isSetPhase();
-            case ATTEMPT:
-                return isSetAttempt();
-            case INSTANCE:
-                return isSetInstance();
-            case SESSION_ID:
-                return isSetSessionId();
-            case CHANGED_MILLIS:
-                return isSetChangedMillis();
-            case RELEASED_ATTEMPTS:
-                return isSetReleasedAttempts();
-            case OUTCOME:
-                return isSetOutcome();
-            case ANSWER:
-                return isSetAnswer();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_releasedAttempts = true && this.isSetReleasedAttempts();
+    boolean that_present_releasedAttempts = true && that.isSetReleasedAttempts();
+    if (this_present_releasedAttempts || that_present_releasedAttempts) {
+      if (!(this_present_releasedAttempts && that_present_releasedAttempts))
+        return false;
+      if (!this.releasedAttempts.equals(that.releasedAttempts))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof ClaimState) return this.equals((ClaimState) that);
+    boolean this_present_outcome = true && this.isSetOutcome();
+    boolean that_present_outcome = true && that.isSetOutcome();
+    if (this_present_outcome || that_present_outcome) {
+      if (!(this_present_outcome && that_present_outcome))
+        return false;
+      if (!this.outcome.equals(that.outcome))
         return false;
     }
 
-    public boolean equals(ClaimState that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_account = true && this.isSetAccount();
-        boolean that_present_account = true && that.isSetAccount();
-        if (this_present_account || that_present_account) {
-            if (!(this_present_account && that_present_account)) return false;
-            if (!this.account.equals(that.account)) return false;
-        }
-
-        boolean this_present_idempotencyKey = true && this.isSetIdempotencyKey();
-        boolean that_present_idempotencyKey = true && that.isSetIdempotencyKey();
-        if (this_present_idempotencyKey || that_present_idempotencyKey) {
-            if (!(this_present_idempotencyKey && that_present_idempotencyKey)) return false;
-            if (!this.idempotencyKey.equals(that.idempotencyKey)) return false;
-        }
-
-        boolean this_present_fingerprint = true && this.isSetFingerprint();
-        boolean that_present_fingerprint = true && that.isSetFingerprint();
-        if (this_present_fingerprint || that_present_fingerprint) {
-            if (!(this_present_fingerprint && that_present_fingerprint)) return false;
-            if (!this.fingerprint.equals(that.fingerprint)) return false;
-        }
-
-        boolean this_present_phase = true && this.isSetPhase();
-        boolean that_present_phase = true && that.isSetPhase();
-        if (this_present_phase || that_present_phase) {
-            if (!(this_present_phase && that_present_phase)) return false;
-            if (!this.phase.equals(that.phase)) return false;
-        }
-
-        boolean this_present_attempt = true && this.isSetAttempt();
-        boolean that_present_attempt = true && that.isSetAttempt();
-        if (this_present_attempt || that_present_attempt) {
-            if (!(this_present_attempt && that_present_attempt)) return false;
-            if (!this.attempt.equals(that.attempt)) return false;
-        }
-
-        boolean this_present_instance = true && this.isSetInstance();
-        boolean that_present_instance = true && that.isSetInstance();
-        if (this_present_instance || that_present_instance) {
-            if (!(this_present_instance && that_present_instance)) return false;
-            if (!this.instance.equals(that.instance)) return false;
-        }
-
-        boolean this_present_sessionId = true;
-        boolean that_present_sessionId = true;
-        if (this_present_sessionId || that_present_sessionId) {
-            if (!(this_present_sessionId && that_present_sessionId)) return false;
-            if (this.sessionId != that.sessionId) return false;
-        }
-
-        boolean this_present_changedMillis = true;
-        boolean that_present_changedMillis = true;
-        if (this_present_changedMillis || that_present_changedMillis) {
-            if (!(this_present_changedMillis && that_present_changedMillis)) return false;
-            if (this.changedMillis != that.changedMillis) return false;
-        }
-
-        boolean this_present_releasedAttempts = true && this.isSetReleasedAttempts();
-        boolean that_present_releasedAttempts = true && that.isSetReleasedAttempts();
-        if (this_present_releasedAttempts || that_present_releasedAttempts) {
-            if (!(this_present_releasedAttempts && that_present_releasedAttempts)) return false;
-            if (!this.releasedAttempts.equals(that.releasedAttempts)) return false;
-        }
-
-        boolean this_present_outcome = true && this.isSetOutcome();
-        boolean that_present_outcome = true && that.isSetOutcome();
-        if (this_present_outcome || that_present_outcome) {
-            if (!(this_present_outcome && that_present_outcome)) return false;
-            if (!this.outcome.equals(that.outcome)) return false;
-        }
-
-        boolean this_present_answer = true && this.isSetAnswer();
-        boolean that_present_answer = true && that.isSetAnswer();
-        if (this_present_answer || that_present_answer) {
-            if (!(this_present_answer && that_present_answer)) return false;
-            if (!this.answer.equals(that.answer)) return false;
-        }
-
-        return true;
+    boolean this_present_answer = true && this.isSetAnswer();
+    boolean that_present_answer = true && that.isSetAnswer();
+    if (this_present_answer || that_present_answer) {
+      if (!(this_present_answer && that_present_answer))
+        return false;
+      if (!this.answer.equals(that.answer))
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
-        if (isSetAccount()) hashCode = hashCode * 8191 + account.hashCode();
+    return true;
+  }
 
-        hashCode = hashCode * 8191 + ((isSetIdempotencyKey()) ? 131071 : 524287);
-        if (isSetIdempotencyKey()) hashCode = hashCode * 8191 + idempotencyKey.hashCode();
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        hashCode = hashCode * 8191 + ((isSetFingerprint()) ? 131071 : 524287);
-        if (isSetFingerprint()) hashCode = hashCode * 8191 + fingerprint.hashCode();
+    hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
+    if (isSetAccount())
+      hashCode = hashCode * 8191 + account.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetPhase()) ? 131071 : 524287);
-        if (isSetPhase()) hashCode = hashCode * 8191 + phase.getValue();
+    hashCode = hashCode * 8191 + ((isSetIdempotencyKey()) ? 131071 : 524287);
+    if (isSetIdempotencyKey())
+      hashCode = hashCode * 8191 + idempotencyKey.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetAttempt()) ? 131071 : 524287);
-        if (isSetAttempt()) hashCode = hashCode * 8191 + attempt.hashCode();
+    hashCode = hashCode * 8191 + ((isSetFingerprint()) ? 131071 : 524287);
+    if (isSetFingerprint())
+      hashCode = hashCode * 8191 + fingerprint.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetInstance()) ? 131071 : 524287);
-        if (isSetInstance()) hashCode = hashCode * 8191 + instance.hashCode();
+    hashCode = hashCode * 8191 + ((isSetPhase()) ? 131071 : 524287);
+    if (isSetPhase())
+      hashCode = hashCode * 8191 + phase.getValue();
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
+    hashCode = hashCode * 8191 + ((isSetAttempt()) ? 131071 : 524287);
+    if (isSetAttempt())
+      hashCode = hashCode * 8191 + attempt.hashCode();
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(changedMillis);
+    hashCode = hashCode * 8191 + ((isSetInstance()) ? 131071 : 524287);
+    if (isSetInstance())
+      hashCode = hashCode * 8191 + instance.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetReleasedAttempts()) ? 131071 : 524287);
-        if (isSetReleasedAttempts()) hashCode = hashCode * 8191 + releasedAttempts.hashCode();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
 
-        hashCode = hashCode * 8191 + ((isSetOutcome()) ? 131071 : 524287);
-        if (isSetOutcome()) hashCode = hashCode * 8191 + outcome.getValue();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(changedMillis);
 
-        hashCode = hashCode * 8191 + ((isSetAnswer()) ? 131071 : 524287);
-        if (isSetAnswer()) hashCode = hashCode * 8191 + answer.hashCode();
+    hashCode = hashCode * 8191 + ((isSetReleasedAttempts()) ? 131071 : 524287);
+    if (isSetReleasedAttempts())
+      hashCode = hashCode * 8191 + releasedAttempts.hashCode();
 
-        return hashCode;
-    }
+    hashCode = hashCode * 8191 + ((isSetOutcome()) ? 131071 : 524287);
+    if (isSetOutcome())
+      hashCode = hashCode * 8191 + outcome.getValue();
 
+    hashCode = hashCode * 8191 + ((isSetAnswer()) ? 131071 : 524287);
+    if (isSetAnswer())
+      hashCode = hashCode * 8191 + answer.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(ClaimState other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIdempotencyKey(), other.isSetIdempotencyKey());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIdempotencyKey()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.idempotencyKey, other.idempotencyKey);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFingerprint()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPhase(), other.isSetPhase());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPhase()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.phase, other.phase);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAttempt(), other.isSetAttempt());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAttempt()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.attempt, other.attempt);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetInstance(), other.isSetInstance());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetInstance()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.instance, other.instance);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSessionId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetChangedMillis(), other.isSetChangedMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetChangedMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.changedMillis, other.changedMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetReleasedAttempts(), other.isSetReleasedAttempts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetReleasedAttempts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.releasedAttempts, other.releasedAttempts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOutcome(), other.isSetOutcome());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOutcome()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.outcome, other.outcome);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAnswer(), other.isSetAnswer());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAnswer()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answer, other.answer);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("ClaimState(");
+    boolean first = true;
+
+    sb.append("account:");
+    if (this.account == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.account);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("idempotencyKey:");
+    if (this.idempotencyKey == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.idempotencyKey);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("fingerprint:");
+    if (this.fingerprint == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.fingerprint);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("phase:");
+    if (this.phase == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.phase);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("attempt:");
+    if (this.attempt == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.attempt);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("instance:");
+    if (this.instance == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.instance);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sessionId:");
+    sb.append(this.sessionId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("changedMillis:");
+    sb.append(this.changedMillis);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("releasedAttempts:");
+    if (this.releasedAttempts == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.releasedAttempts);
+    }
+    first = false;
+    if (isSetOutcome()) {
+      if (!first) sb.append(", ");
+      sb.append("outcome:");
+      if (this.outcome == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.outcome);
+      }
+      first = false;
+    }
+    if (isSetAnswer()) {
+      if (!first) sb.append(", ");
+      sb.append("answer:");
+      if (this.answer == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.answer);
+      }
+      first = false;
+    }
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (account == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'account' was not present! Struct: " + toString());
+    }
+    if (idempotencyKey == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'idempotencyKey' was not present! Struct: " + toString());
+    }
+    if (fingerprint == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'fingerprint' was not present! Struct: " + toString());
+    }
+    if (phase == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'phase' was not present! Struct: " + toString());
+    }
+    if (attempt == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'attempt' was not present! Struct: " + toString());
+    }
+    if (instance == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'instance' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'changedMillis' because it's a primitive and you chose the non-beans generator.
+    if (releasedAttempts == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'releasedAttempts' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+    if (answer != null) {
+      answer.validate();
+    }
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ClaimStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int compareTo(ClaimState other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAccount()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIdempotencyKey(), other.isSetIdempotencyKey());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIdempotencyKey()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.idempotencyKey, other.idempotencyKey);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetFingerprint()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetPhase(), other.isSetPhase());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetPhase()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.phase, other.phase);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetAttempt(), other.isSetAttempt());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAttempt()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.attempt, other.attempt);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetInstance(), other.isSetInstance());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetInstance()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.instance, other.instance);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSessionId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetChangedMillis(), other.isSetChangedMillis());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetChangedMillis()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.changedMillis, other.changedMillis);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetReleasedAttempts(), other.isSetReleasedAttempts());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetReleasedAttempts()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.releasedAttempts, other.releasedAttempts);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOutcome(), other.isSetOutcome());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOutcome()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.outcome, other.outcome);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetAnswer(), other.isSetAnswer());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAnswer()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answer, other.answer);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public ClaimStateStandardScheme getScheme() {
+      return new ClaimStateStandardScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class ClaimStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<ClaimState> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("ClaimState(");
-        boolean first = true;
-
-        sb.append("account:");
-        if (this.account == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.account);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("idempotencyKey:");
-        if (this.idempotencyKey == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.idempotencyKey);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("fingerprint:");
-        if (this.fingerprint == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.fingerprint);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("phase:");
-        if (this.phase == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.phase);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("attempt:");
-        if (this.attempt == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.attempt);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("instance:");
-        if (this.instance == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.instance);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sessionId:");
-        sb.append(this.sessionId);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("changedMillis:");
-        sb.append(this.changedMillis);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("releasedAttempts:");
-        if (this.releasedAttempts == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.releasedAttempts);
-        }
-        first = false;
-        if (isSetOutcome()) {
-            if (!first) sb.append(", ");
-            sb.append("outcome:");
-            if (this.outcome == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.outcome);
-            }
-            first = false;
-        }
-        if (isSetAnswer()) {
-            if (!first) sb.append(", ");
-            sb.append("answer:");
-            if (this.answer == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.answer);
-            }
-            first = false;
-        }
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (account == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'account' was not present! Struct: " + toString());
-        }
-        if (idempotencyKey == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'idempotencyKey' was not present! Struct: " + toString());
-        }
-        if (fingerprint == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'fingerprint' was not present! Struct: " + toString());
-        }
-        if (phase == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'phase' was not present! Struct: " + toString());
-        }
-        if (attempt == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'attempt' was not present! Struct: " + toString());
-        }
-        if (instance == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'instance' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'changedMillis' because it's a primitive and you chose the non-beans generator.
-        if (releasedAttempts == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'releasedAttempts' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-        if (answer != null) {
-            answer.validate();
-        }
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class ClaimStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ClaimStateStandardScheme getScheme() {
-            return new ClaimStateStandardScheme();
-        }
-    }
-
-    private static class ClaimStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<ClaimState> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, ClaimState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ACCOUNT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.account = iprot.readString();
-                            struct.setAccountIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // IDEMPOTENCY_KEY
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.idempotencyKey = iprot.readString();
-                            struct.setIdempotencyKeyIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // FINGERPRINT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.fingerprint = iprot.readString();
-                            struct.setFingerprintIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // PHASE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.phase = org.basilrill.thrift.control.ClaimPhase.findByValue(iprot.readI32());
-                            struct.setPhaseIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // ATTEMPT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.attempt = iprot.readString();
-                            struct.setAttemptIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // INSTANCE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.instance = iprot.readString();
-                            struct.setInstanceIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 7: // SESSION_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.sessionId = iprot.readI64();
-                            struct.setSessionIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 8: // CHANGED_MILLIS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.changedMillis = iprot.readI64();
-                            struct.setChangedMillisIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 9: // RELEASED_ATTEMPTS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                                struct.releasedAttempts = new java.util.ArrayList<java.lang.String>(_list16.size);
-                                @org.apache.thrift.annotation.Nullable java.lang.String _elem17;
-                                for (int _i18 = 0; _i18 < _list16.size; ++_i18) {
-                                    _elem17 = iprot.readString();
-                                    struct.releasedAttempts.add(_elem17);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setReleasedAttemptsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 10: // OUTCOME
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
-                            struct.setOutcomeIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 11: // ANSWER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                            struct.answer = new AnswerBody();
-                            struct.answer.read(iprot);
-                            struct.setAnswerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
+    public void read(org.apache.thrift.protocol.TProtocol iprot, ClaimState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // ACCOUNT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.account = iprot.readString();
+              struct.setAccountIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetSessionId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'sessionId' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetChangedMillis()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'changedMillis' was not found in serialized data! Struct: " + toString());
+            break;
+          case 2: // IDEMPOTENCY_KEY
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.idempotencyKey = iprot.readString();
+              struct.setIdempotencyKeyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, ClaimState struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.account != null) {
-                oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
-                oprot.writeString(struct.account);
-                oprot.writeFieldEnd();
+            break;
+          case 3: // FINGERPRINT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.fingerprint = iprot.readString();
+              struct.setFingerprintIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.idempotencyKey != null) {
-                oprot.writeFieldBegin(IDEMPOTENCY_KEY_FIELD_DESC);
-                oprot.writeString(struct.idempotencyKey);
-                oprot.writeFieldEnd();
+            break;
+          case 4: // PHASE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.phase = org.basilrill.thrift.control.ClaimPhase.findByValue(iprot.readI32());
+              struct.setPhaseIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.fingerprint != null) {
-                oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
-                oprot.writeString(struct.fingerprint);
-                oprot.writeFieldEnd();
+            break;
+          case 5: // ATTEMPT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.attempt = iprot.readString();
+              struct.setAttemptIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.phase != null) {
-                oprot.writeFieldBegin(PHASE_FIELD_DESC);
-                oprot.writeI32(struct.phase.getValue());
-                oprot.writeFieldEnd();
+            break;
+          case 6: // INSTANCE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.instance = iprot.readString();
+              struct.setInstanceIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.attempt != null) {
-                oprot.writeFieldBegin(ATTEMPT_FIELD_DESC);
-                oprot.writeString(struct.attempt);
-                oprot.writeFieldEnd();
+            break;
+          case 7: // SESSION_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sessionId = iprot.readI64();
+              struct.setSessionIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.instance != null) {
-                oprot.writeFieldBegin(INSTANCE_FIELD_DESC);
-                oprot.writeString(struct.instance);
-                oprot.writeFieldEnd();
+            break;
+          case 8: // CHANGED_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.changedMillis = iprot.readI64();
+              struct.setChangedMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
-            oprot.writeI64(struct.sessionId);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(CHANGED_MILLIS_FIELD_DESC);
-            oprot.writeI64(struct.changedMillis);
-            oprot.writeFieldEnd();
-            if (struct.releasedAttempts != null) {
-                oprot.writeFieldBegin(RELEASED_ATTEMPTS_FIELD_DESC);
+            break;
+          case 9: // RELEASED_ATTEMPTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.releasedAttempts = new java.util.ArrayList<java.lang.String>(_list16.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRING, struct.releasedAttempts.size()));
-                    for (java.lang.String _iter19 : struct.releasedAttempts) {
-                        oprot.writeString(_iter19);
-                    }
-                    oprot.writeListEnd();
+                  _elem17 = iprot.readString();
+                  struct.releasedAttempts.add(_elem17);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setReleasedAttemptsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.outcome != null) {
-                if (struct.isSetOutcome()) {
-                    oprot.writeFieldBegin(OUTCOME_FIELD_DESC);
-                    oprot.writeI32(struct.outcome.getValue());
-                    oprot.writeFieldEnd();
-                }
+            break;
+          case 10: // OUTCOME
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
+              struct.setOutcomeIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.answer != null) {
-                if (struct.isSetAnswer()) {
-                    oprot.writeFieldBegin(ANSWER_FIELD_DESC);
-                    struct.answer.write(oprot);
-                    oprot.writeFieldEnd();
-                }
+            break;
+          case 11: // ANSWER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.answer = new AnswerBody();
+              struct.answer.read(iprot);
+              struct.setAnswerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetSessionId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sessionId' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetChangedMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'changedMillis' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class ClaimStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ClaimStateTupleScheme getScheme() {
-            return new ClaimStateTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, ClaimState struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.account != null) {
+        oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
+        oprot.writeString(struct.account);
+        oprot.writeFieldEnd();
+      }
+      if (struct.idempotencyKey != null) {
+        oprot.writeFieldBegin(IDEMPOTENCY_KEY_FIELD_DESC);
+        oprot.writeString(struct.idempotencyKey);
+        oprot.writeFieldEnd();
+      }
+      if (struct.fingerprint != null) {
+        oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
+        oprot.writeString(struct.fingerprint);
+        oprot.writeFieldEnd();
+      }
+      if (struct.phase != null) {
+        oprot.writeFieldBegin(PHASE_FIELD_DESC);
+        oprot.writeI32(struct.phase.getValue());
+        oprot.writeFieldEnd();
+      }
+      if (struct.attempt != null) {
+        oprot.writeFieldBegin(ATTEMPT_FIELD_DESC);
+        oprot.writeString(struct.attempt);
+        oprot.writeFieldEnd();
+      }
+      if (struct.instance != null) {
+        oprot.writeFieldBegin(INSTANCE_FIELD_DESC);
+        oprot.writeString(struct.instance);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
+      oprot.writeI64(struct.sessionId);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(CHANGED_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.changedMillis);
+      oprot.writeFieldEnd();
+      if (struct.releasedAttempts != null) {
+        oprot.writeFieldBegin(RELEASED_ATTEMPTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.releasedAttempts.size()));
+          for (java.lang.String _iter19 : struct.releasedAttempts)
+          {
+            oprot.writeString(_iter19);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.outcome != null) {
+        if (struct.isSetOutcome()) {
+          oprot.writeFieldBegin(OUTCOME_FIELD_DESC);
+          oprot.writeI32(struct.outcome.getValue());
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.answer != null) {
+        if (struct.isSetAnswer()) {
+          oprot.writeFieldBegin(ANSWER_FIELD_DESC);
+          struct.answer.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class ClaimStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public ClaimStateTupleScheme getScheme() {
+      return new ClaimStateTupleScheme();
     }
+  }
 
-    private static class ClaimStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<ClaimState> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, ClaimState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.account);
-            oprot.writeString(struct.idempotencyKey);
-            oprot.writeString(struct.fingerprint);
-            oprot.writeI32(struct.phase.getValue());
-            oprot.writeString(struct.attempt);
-            oprot.writeString(struct.instance);
-            oprot.writeI64(struct.sessionId);
-            oprot.writeI64(struct.changedMillis);
-            {
-                oprot.writeI32(struct.releasedAttempts.size());
-                for (java.lang.String _iter20 : struct.releasedAttempts) {
-                    oprot.writeString(_iter20);
-                }
-            }
-            java.util.BitSet optionals = new java.util.BitSet();
-            if (struct.isSetOutcome()) {
-                optionals.set(0);
-            }
-            if (struct.isSetAnswer()) {
-                optionals.set(1);
-            }
-            oprot.writeBitSet(optionals, 2);
-            if (struct.isSetOutcome()) {
-                oprot.writeI32(struct.outcome.getValue());
-            }
-            if (struct.isSetAnswer()) {
-                struct.answer.write(oprot);
-            }
-        }
+  private static class ClaimStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<ClaimState> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, ClaimState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.account = iprot.readString();
-            struct.setAccountIsSet(true);
-            struct.idempotencyKey = iprot.readString();
-            struct.setIdempotencyKeyIsSet(true);
-            struct.fingerprint = iprot.readString();
-            struct.setFingerprintIsSet(true);
-            struct.phase = org.basilrill.thrift.control.ClaimPhase.findByValue(iprot.readI32());
-            struct.setPhaseIsSet(true);
-            struct.attempt = iprot.readString();
-            struct.setAttemptIsSet(true);
-            struct.instance = iprot.readString();
-            struct.setInstanceIsSet(true);
-            struct.sessionId = iprot.readI64();
-            struct.setSessionIdIsSet(true);
-            struct.changedMillis = iprot.readI64();
-            struct.setChangedMillisIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-                struct.releasedAttempts = new java.util.ArrayList<java.lang.String>(_list21.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem22;
-                for (int _i23 = 0; _i23 < _list21.size; ++_i23) {
-                    _elem22 = iprot.readString();
-                    struct.releasedAttempts.add(_elem22);
-                }
-            }
-            struct.setReleasedAttemptsIsSet(true);
-            java.util.BitSet incoming = iprot.readBitSet(2);
-            if (incoming.get(0)) {
-                struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
-                struct.setOutcomeIsSet(true);
-            }
-            if (incoming.get(1)) {
-                struct.answer = new AnswerBody();
-                struct.answer.read(iprot);
-                struct.setAnswerIsSet(true);
-            }
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, ClaimState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.account);
+      oprot.writeString(struct.idempotencyKey);
+      oprot.writeString(struct.fingerprint);
+      oprot.writeI32(struct.phase.getValue());
+      oprot.writeString(struct.attempt);
+      oprot.writeString(struct.instance);
+      oprot.writeI64(struct.sessionId);
+      oprot.writeI64(struct.changedMillis);
+      {
+        oprot.writeI32(struct.releasedAttempts.size());
+        for (java.lang.String _iter20 : struct.releasedAttempts)
+        {
+          oprot.writeString(_iter20);
+        }
+      }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetOutcome()) {
+        optionals.set(0);
+      }
+      if (struct.isSetAnswer()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetOutcome()) {
+        oprot.writeI32(struct.outcome.getValue());
+      }
+      if (struct.isSetAnswer()) {
+        struct.answer.write(oprot);
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, ClaimState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.account = iprot.readString();
+      struct.setAccountIsSet(true);
+      struct.idempotencyKey = iprot.readString();
+      struct.setIdempotencyKeyIsSet(true);
+      struct.fingerprint = iprot.readString();
+      struct.setFingerprintIsSet(true);
+      struct.phase = org.basilrill.thrift.control.ClaimPhase.findByValue(iprot.readI32());
+      struct.setPhaseIsSet(true);
+      struct.attempt = iprot.readString();
+      struct.setAttemptIsSet(true);
+      struct.instance = iprot.readString();
+      struct.setInstanceIsSet(true);
+      struct.sessionId = iprot.readI64();
+      struct.setSessionIdIsSet(true);
+      struct.changedMillis = iprot.readI64();
+      struct.setChangedMillisIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.releasedAttempts = new java.util.ArrayList<java.lang.String>(_list21.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem22;
+        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+        {
+          _elem22 = iprot.readString();
+          struct.releasedAttempts.add(_elem22);
+        }
+      }
+      struct.setReleasedAttemptsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(2);
+      if (incoming.get(0)) {
+        struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
+        struct.setOutcomeIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.answer = new AnswerBody();
+        struct.answer.read(iprot);
+        struct.setAnswerIsSet(true);
+      }
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/CommandMessage.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/CommandMessage.java
@@ -8,913 +8,821 @@
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class CommandMessage extends org.apache.thrift.TUnion<CommandMessage, CommandMessage._Fields> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("CommandMessage");
-    private static final org.apache.thrift.protocol.TField REPLACE_RULES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("replaceRules", org.apache.thrift.protocol.TType.STRUCT, (short) 1);
-    private static final org.apache.thrift.protocol.TField CLAIM_ORDER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("claimOrder", org.apache.thrift.protocol.TType.STRUCT, (short) 2);
-    private static final org.apache.thrift.protocol.TField FINISH_ORDER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("finishOrder", org.apache.thrift.protocol.TType.STRUCT, (short) 3);
-    private static final org.apache.thrift.protocol.TField ASSIGN_BUCKET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("assignBucket", org.apache.thrift.protocol.TType.STRUCT, (short) 4);
-    private static final org.apache.thrift.protocol.TField INTEND_ORDER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("intendOrder", org.apache.thrift.protocol.TType.STRUCT, (short) 5);
-    private static final org.apache.thrift.protocol.TField RESOLVE_ORDER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("resolveOrder", org.apache.thrift.protocol.TType.STRUCT, (short) 6);
-    private static final org.apache.thrift.protocol.TField OBSERVE_TARGET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("observeTarget", org.apache.thrift.protocol.TType.STRUCT, (short) 7);
-    private static final org.apache.thrift.protocol.TField REPORT_CRASH_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("reportCrash", org.apache.thrift.protocol.TType.STRUCT, (short) 8);
-    private static final org.apache.thrift.protocol.TField REGISTER_SESSION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField(
-                    "registerSession", org.apache.thrift.protocol.TType.STRUCT, (short) 9);
-    private static final org.apache.thrift.protocol.TField EXPIRE_SESSION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("expireSession", org.apache.thrift.protocol.TType.STRUCT, (short) 10);
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        REPLACE_RULES((short) 1, "replaceRules"),
-        CLAIM_ORDER((short) 2, "claimOrder"),
-        FINISH_ORDER((short) 3, "finishOrder"),
-        ASSIGN_BUCKET((short) 4, "assignBucket"),
-        INTEND_ORDER((short) 5, "intendOrder"),
-        RESOLVE_ORDER((short) 6, "resolveOrder"),
-        OBSERVE_TARGET((short) 7, "observeTarget"),
-        REPORT_CRASH((short) 8, "reportCrash"),
-        REGISTER_SESSION((short) 9, "registerSession"),
-        EXPIRE_SESSION((short) 10, "expireSession");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // REPLACE_RULES
-                    return REPLACE_RULES;
-                case 2: // CLAIM_ORDER
-                    return CLAIM_ORDER;
-                case 3: // FINISH_ORDER
-                    return FINISH_ORDER;
-                case 4: // ASSIGN_BUCKET
-                    return ASSIGN_BUCKET;
-                case 5: // INTEND_ORDER
-                    return INTEND_ORDER;
-                case 6: // RESOLVE_ORDER
-                    return RESOLVE_ORDER;
-                case 7: // OBSERVE_TARGET
-                    return OBSERVE_TARGET;
-                case 8: // REPORT_CRASH
-                    return REPORT_CRASH;
-                case 9: // REGISTER_SESSION
-                    return REGISTER_SESSION;
-                case 10: // EXPIRE_SESSION
-                    return EXPIRE_SESSION;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("CommandMessage");
+  private static final org.apache.thrift.protocol.TField REPLACE_RULES_FIELD_DESC = new org.apache.thrift.protocol.TField("replaceRules", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+  private static final org.apache.thrift.protocol.TField CLAIM_ORDER_FIELD_DESC = new org.apache.thrift.protocol.TField("claimOrder", org.apache.thrift.protocol.TType.STRUCT, (short)2);
+  private static final org.apache.thrift.protocol.TField FINISH_ORDER_FIELD_DESC = new org.apache.thrift.protocol.TField("finishOrder", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField ASSIGN_BUCKET_FIELD_DESC = new org.apache.thrift.protocol.TField("assignBucket", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField INTEND_ORDER_FIELD_DESC = new org.apache.thrift.protocol.TField("intendOrder", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField RESOLVE_ORDER_FIELD_DESC = new org.apache.thrift.protocol.TField("resolveOrder", org.apache.thrift.protocol.TType.STRUCT, (short)6);
+  private static final org.apache.thrift.protocol.TField OBSERVE_TARGET_FIELD_DESC = new org.apache.thrift.protocol.TField("observeTarget", org.apache.thrift.protocol.TType.STRUCT, (short)7);
+  private static final org.apache.thrift.protocol.TField REPORT_CRASH_FIELD_DESC = new org.apache.thrift.protocol.TField("reportCrash", org.apache.thrift.protocol.TType.STRUCT, (short)8);
+  private static final org.apache.thrift.protocol.TField REGISTER_SESSION_FIELD_DESC = new org.apache.thrift.protocol.TField("registerSession", org.apache.thrift.protocol.TType.STRUCT, (short)9);
+  private static final org.apache.thrift.protocol.TField EXPIRE_SESSION_FIELD_DESC = new org.apache.thrift.protocol.TField("expireSession", org.apache.thrift.protocol.TType.STRUCT, (short)10);
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    REPLACE_RULES((short)1, "replaceRules"),
+    CLAIM_ORDER((short)2, "claimOrder"),
+    FINISH_ORDER((short)3, "finishOrder"),
+    ASSIGN_BUCKET((short)4, "assignBucket"),
+    INTEND_ORDER((short)5, "intendOrder"),
+    RESOLVE_ORDER((short)6, "resolveOrder"),
+    OBSERVE_TARGET((short)7, "observeTarget"),
+    REPORT_CRASH((short)8, "reportCrash"),
+    REGISTER_SESSION((short)9, "registerSession"),
+    EXPIRE_SESSION((short)10, "expireSession");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.REPLACE_RULES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "replaceRules",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, ReplaceRulesCommand.class)));
-        tmpMap.put(
-                _Fields.CLAIM_ORDER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "claimOrder",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, ClaimOrderCommand.class)));
-        tmpMap.put(
-                _Fields.FINISH_ORDER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "finishOrder",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, FinishOrderCommand.class)));
-        tmpMap.put(
-                _Fields.ASSIGN_BUCKET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "assignBucket",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, AssignBucketCommand.class)));
-        tmpMap.put(
-                _Fields.INTEND_ORDER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "intendOrder",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, IntendOrderCommand.class)));
-        tmpMap.put(
-                _Fields.RESOLVE_ORDER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "resolveOrder",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, ResolveOrderCommand.class)));
-        tmpMap.put(
-                _Fields.OBSERVE_TARGET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "observeTarget",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, ObserveTargetCommand.class)));
-        tmpMap.put(
-                _Fields.REPORT_CRASH,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "reportCrash",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, ReportCrashCommand.class)));
-        tmpMap.put(
-                _Fields.REGISTER_SESSION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "registerSession",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, RegisterSessionCommand.class)));
-        tmpMap.put(
-                _Fields.EXPIRE_SESSION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "expireSession",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, ExpireSessionCommand.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CommandMessage.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public CommandMessage() {
-        super();
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // REPLACE_RULES
+          return REPLACE_RULES;
+        case 2: // CLAIM_ORDER
+          return CLAIM_ORDER;
+        case 3: // FINISH_ORDER
+          return FINISH_ORDER;
+        case 4: // ASSIGN_BUCKET
+          return ASSIGN_BUCKET;
+        case 5: // INTEND_ORDER
+          return INTEND_ORDER;
+        case 6: // RESOLVE_ORDER
+          return RESOLVE_ORDER;
+        case 7: // OBSERVE_TARGET
+          return OBSERVE_TARGET;
+        case 8: // REPORT_CRASH
+          return REPORT_CRASH;
+        case 9: // REGISTER_SESSION
+          return REGISTER_SESSION;
+        case 10: // EXPIRE_SESSION
+          return EXPIRE_SESSION;
+        default:
+          return null;
+      }
+    }
+
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
+    }
+
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public CommandMessage(_Fields setField, java.lang.Object value) {
-        super(setField, value);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public CommandMessage(CommandMessage other) {
-        super(other);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public CommandMessage deepCopy() {
-        return new CommandMessage(this);
-    }
-
-    public static CommandMessage replaceRules(ReplaceRulesCommand value) {
-        CommandMessage x = new CommandMessage();
-        x.setReplaceRules(value);
-        return x;
-    }
-
-    public static CommandMessage claimOrder(ClaimOrderCommand value) {
-        CommandMessage x = new CommandMessage();
-        x.setClaimOrder(value);
-        return x;
-    }
-
-    public static CommandMessage finishOrder(FinishOrderCommand value) {
-        CommandMessage x = new CommandMessage();
-        x.setFinishOrder(value);
-        return x;
-    }
-
-    public static CommandMessage assignBucket(AssignBucketCommand value) {
-        CommandMessage x = new CommandMessage();
-        x.setAssignBucket(value);
-        return x;
-    }
-
-    public static CommandMessage intendOrder(IntendOrderCommand value) {
-        CommandMessage x = new CommandMessage();
-        x.setIntendOrder(value);
-        return x;
-    }
-
-    public static CommandMessage resolveOrder(ResolveOrderCommand value) {
-        CommandMessage x = new CommandMessage();
-        x.setResolveOrder(value);
-        return x;
-    }
-
-    public static CommandMessage observeTarget(ObserveTargetCommand value) {
-        CommandMessage x = new CommandMessage();
-        x.setObserveTarget(value);
-        return x;
-    }
-
-    public static CommandMessage reportCrash(ReportCrashCommand value) {
-        CommandMessage x = new CommandMessage();
-        x.setReportCrash(value);
-        return x;
-    }
-
-    public static CommandMessage registerSession(RegisterSessionCommand value) {
-        CommandMessage x = new CommandMessage();
-        x.setRegisterSession(value);
-        return x;
-    }
-
-    public static CommandMessage expireSession(ExpireSessionCommand value) {
-        CommandMessage x = new CommandMessage();
-        x.setExpireSession(value);
-        return x;
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
-        switch (setField) {
-            case REPLACE_RULES:
-                if (value instanceof ReplaceRulesCommand) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type ReplaceRulesCommand for field 'replaceRules', but got "
-                                + value.getClass().getSimpleName());
-            case CLAIM_ORDER:
-                if (value instanceof ClaimOrderCommand) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type ClaimOrderCommand for field 'claimOrder', but got "
-                                + value.getClass().getSimpleName());
-            case FINISH_ORDER:
-                if (value instanceof FinishOrderCommand) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type FinishOrderCommand for field 'finishOrder', but got "
-                                + value.getClass().getSimpleName());
-            case ASSIGN_BUCKET:
-                if (value instanceof AssignBucketCommand) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type AssignBucketCommand for field 'assignBucket', but got "
-                                + value.getClass().getSimpleName());
-            case INTEND_ORDER:
-                if (value instanceof IntendOrderCommand) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type IntendOrderCommand for field 'intendOrder', but got "
-                                + value.getClass().getSimpleName());
-            case RESOLVE_ORDER:
-                if (value instanceof ResolveOrderCommand) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type ResolveOrderCommand for field 'resolveOrder', but got "
-                                + value.getClass().getSimpleName());
-            case OBSERVE_TARGET:
-                if (value instanceof ObserveTargetCommand) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type ObserveTargetCommand for field 'observeTarget', but got "
-                                + value.getClass().getSimpleName());
-            case REPORT_CRASH:
-                if (value instanceof ReportCrashCommand) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type ReportCrashCommand for field 'reportCrash', but got "
-                                + value.getClass().getSimpleName());
-            case REGISTER_SESSION:
-                if (value instanceof RegisterSessionCommand) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type RegisterSessionCommand for field 'registerSession', but got "
-                                + value.getClass().getSimpleName());
-            case EXPIRE_SESSION:
-                if (value instanceof ExpireSessionCommand) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type ExpireSessionCommand for field 'expireSession', but got "
-                                + value.getClass().getSimpleName());
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.REPLACE_RULES, new org.apache.thrift.meta_data.FieldMetaData("replaceRules", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ReplaceRulesCommand.class)));
+    tmpMap.put(_Fields.CLAIM_ORDER, new org.apache.thrift.meta_data.FieldMetaData("claimOrder", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ClaimOrderCommand.class)));
+    tmpMap.put(_Fields.FINISH_ORDER, new org.apache.thrift.meta_data.FieldMetaData("finishOrder", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, FinishOrderCommand.class)));
+    tmpMap.put(_Fields.ASSIGN_BUCKET, new org.apache.thrift.meta_data.FieldMetaData("assignBucket", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AssignBucketCommand.class)));
+    tmpMap.put(_Fields.INTEND_ORDER, new org.apache.thrift.meta_data.FieldMetaData("intendOrder", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, IntendOrderCommand.class)));
+    tmpMap.put(_Fields.RESOLVE_ORDER, new org.apache.thrift.meta_data.FieldMetaData("resolveOrder", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ResolveOrderCommand.class)));
+    tmpMap.put(_Fields.OBSERVE_TARGET, new org.apache.thrift.meta_data.FieldMetaData("observeTarget", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ObserveTargetCommand.class)));
+    tmpMap.put(_Fields.REPORT_CRASH, new org.apache.thrift.meta_data.FieldMetaData("reportCrash", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ReportCrashCommand.class)));
+    tmpMap.put(_Fields.REGISTER_SESSION, new org.apache.thrift.meta_data.FieldMetaData("registerSession", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RegisterSessionCommand.class)));
+    tmpMap.put(_Fields.EXPIRE_SESSION, new org.apache.thrift.meta_data.FieldMetaData("expireSession", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ExpireSessionCommand.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CommandMessage.class, metaDataMap);
+  }
+
+  public CommandMessage() {
+    super();
+  }
+
+  public CommandMessage(_Fields setField, java.lang.Object value) {
+    super(setField, value);
+  }
+
+  public CommandMessage(CommandMessage other) {
+    super(other);
+  }
+  @Override
+  public CommandMessage deepCopy() {
+    return new CommandMessage(this);
+  }
+
+  public static CommandMessage replaceRules(ReplaceRulesCommand value) {
+    CommandMessage x = new CommandMessage();
+    x.setReplaceRules(value);
+    return x;
+  }
+
+  public static CommandMessage claimOrder(ClaimOrderCommand value) {
+    CommandMessage x = new CommandMessage();
+    x.setClaimOrder(value);
+    return x;
+  }
+
+  public static CommandMessage finishOrder(FinishOrderCommand value) {
+    CommandMessage x = new CommandMessage();
+    x.setFinishOrder(value);
+    return x;
+  }
+
+  public static CommandMessage assignBucket(AssignBucketCommand value) {
+    CommandMessage x = new CommandMessage();
+    x.setAssignBucket(value);
+    return x;
+  }
+
+  public static CommandMessage intendOrder(IntendOrderCommand value) {
+    CommandMessage x = new CommandMessage();
+    x.setIntendOrder(value);
+    return x;
+  }
+
+  public static CommandMessage resolveOrder(ResolveOrderCommand value) {
+    CommandMessage x = new CommandMessage();
+    x.setResolveOrder(value);
+    return x;
+  }
+
+  public static CommandMessage observeTarget(ObserveTargetCommand value) {
+    CommandMessage x = new CommandMessage();
+    x.setObserveTarget(value);
+    return x;
+  }
+
+  public static CommandMessage reportCrash(ReportCrashCommand value) {
+    CommandMessage x = new CommandMessage();
+    x.setReportCrash(value);
+    return x;
+  }
+
+  public static CommandMessage registerSession(RegisterSessionCommand value) {
+    CommandMessage x = new CommandMessage();
+    x.setRegisterSession(value);
+    return x;
+  }
+
+  public static CommandMessage expireSession(ExpireSessionCommand value) {
+    CommandMessage x = new CommandMessage();
+    x.setExpireSession(value);
+    return x;
+  }
+
+
+  @Override
+  protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
+    switch (setField) {
+      case REPLACE_RULES:
+        if (value instanceof ReplaceRulesCommand) {
+          break;
         }
-    }
-
-    @Override
-    protected java.lang.Object standardSchemeReadValue(
-            org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(field.id);
-        if (setField != null) {
-            switch (setField) {
-                case REPLACE_RULES:
-                    if (field.type == REPLACE_RULES_FIELD_DESC.type) {
-                        ReplaceRulesCommand replaceRules;
-                        replaceRules = new ReplaceRulesCommand();
-                        replaceRules.read(iprot);
-                        return replaceRules;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case CLAIM_ORDER:
-                    if (field.type == CLAIM_ORDER_FIELD_DESC.type) {
-                        ClaimOrderCommand claimOrder;
-                        claimOrder = new ClaimOrderCommand();
-                        claimOrder.read(iprot);
-                        return claimOrder;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case FINISH_ORDER:
-                    if (field.type == FINISH_ORDER_FIELD_DESC.type) {
-                        FinishOrderCommand finishOrder;
-                        finishOrder = new FinishOrderCommand();
-                        finishOrder.read(iprot);
-                        return finishOrder;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case ASSIGN_BUCKET:
-                    if (field.type == ASSIGN_BUCKET_FIELD_DESC.type) {
-                        AssignBucketCommand assignBucket;
-                        assignBucket = new AssignBucketCommand();
-                        assignBucket.read(iprot);
-                        return assignBucket;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case INTEND_ORDER:
-                    if (field.type == INTEND_ORDER_FIELD_DESC.type) {
-                        IntendOrderCommand intendOrder;
-                        intendOrder = new IntendOrderCommand();
-                        intendOrder.read(iprot);
-                        return intendOrder;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case RESOLVE_ORDER:
-                    if (field.type == RESOLVE_ORDER_FIELD_DESC.type) {
-                        ResolveOrderCommand resolveOrder;
-                        resolveOrder = new ResolveOrderCommand();
-                        resolveOrder.read(iprot);
-                        return resolveOrder;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case OBSERVE_TARGET:
-                    if (field.type == OBSERVE_TARGET_FIELD_DESC.type) {
-                        ObserveTargetCommand observeTarget;
-                        observeTarget = new ObserveTargetCommand();
-                        observeTarget.read(iprot);
-                        return observeTarget;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case REPORT_CRASH:
-                    if (field.type == REPORT_CRASH_FIELD_DESC.type) {
-                        ReportCrashCommand reportCrash;
-                        reportCrash = new ReportCrashCommand();
-                        reportCrash.read(iprot);
-                        return reportCrash;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case REGISTER_SESSION:
-                    if (field.type == REGISTER_SESSION_FIELD_DESC.type) {
-                        RegisterSessionCommand registerSession;
-                        registerSession = new RegisterSessionCommand();
-                        registerSession.read(iprot);
-                        return registerSession;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case EXPIRE_SESSION:
-                    if (field.type == EXPIRE_SESSION_FIELD_DESC.type) {
-                        ExpireSessionCommand expireSession;
-                        expireSession = new ExpireSessionCommand();
-                        expireSession.read(iprot);
-                        return expireSession;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
+        throw new java.lang.ClassCastException("Was expecting value of type ReplaceRulesCommand for field 'replaceRules', but got " + value.getClass().getSimpleName());
+      case CLAIM_ORDER:
+        if (value instanceof ClaimOrderCommand) {
+          break;
         }
-    }
-
-    @Override
-    protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case REPLACE_RULES:
-                ReplaceRulesCommand replaceRules = (ReplaceRulesCommand) value_;
-                replaceRules.write(oprot);
-                return;
-            case CLAIM_ORDER:
-                ClaimOrderCommand claimOrder = (ClaimOrderCommand) value_;
-                claimOrder.write(oprot);
-                return;
-            case FINISH_ORDER:
-                FinishOrderCommand finishOrder = (FinishOrderCommand) value_;
-                finishOrder.write(oprot);
-                return;
-            case ASSIGN_BUCKET:
-                AssignBucketCommand assignBucket = (AssignBucketCommand) value_;
-                assignBucket.write(oprot);
-                return;
-            case INTEND_ORDER:
-                IntendOrderCommand intendOrder = (IntendOrderCommand) value_;
-                intendOrder.write(oprot);
-                return;
-            case RESOLVE_ORDER:
-                ResolveOrderCommand resolveOrder = (ResolveOrderCommand) value_;
-                resolveOrder.write(oprot);
-                return;
-            case OBSERVE_TARGET:
-                ObserveTargetCommand observeTarget = (ObserveTargetCommand) value_;
-                observeTarget.write(oprot);
-                return;
-            case REPORT_CRASH:
-                ReportCrashCommand reportCrash = (ReportCrashCommand) value_;
-                reportCrash.write(oprot);
-                return;
-            case REGISTER_SESSION:
-                RegisterSessionCommand registerSession = (RegisterSessionCommand) value_;
-                registerSession.write(oprot);
-                return;
-            case EXPIRE_SESSION:
-                ExpireSessionCommand expireSession = (ExpireSessionCommand) value_;
-                expireSession.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+        throw new java.lang.ClassCastException("Was expecting value of type ClaimOrderCommand for field 'claimOrder', but got " + value.getClass().getSimpleName());
+      case FINISH_ORDER:
+        if (value instanceof FinishOrderCommand) {
+          break;
         }
-    }
-
-    @Override
-    protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(fieldID);
-        if (setField != null) {
-            switch (setField) {
-                case REPLACE_RULES:
-                    ReplaceRulesCommand replaceRules;
-                    replaceRules = new ReplaceRulesCommand();
-                    replaceRules.read(iprot);
-                    return replaceRules;
-                case CLAIM_ORDER:
-                    ClaimOrderCommand claimOrder;
-                    claimOrder = new ClaimOrderCommand();
-                    claimOrder.read(iprot);
-                    return claimOrder;
-                case FINISH_ORDER:
-                    FinishOrderCommand finishOrder;
-                    finishOrder = new FinishOrderCommand();
-                    finishOrder.read(iprot);
-                    return finishOrder;
-                case ASSIGN_BUCKET:
-                    AssignBucketCommand assignBucket;
-                    assignBucket = new AssignBucketCommand();
-                    assignBucket.read(iprot);
-                    return assignBucket;
-                case INTEND_ORDER:
-                    IntendOrderCommand intendOrder;
-                    intendOrder = new IntendOrderCommand();
-                    intendOrder.read(iprot);
-                    return intendOrder;
-                case RESOLVE_ORDER:
-                    ResolveOrderCommand resolveOrder;
-                    resolveOrder = new ResolveOrderCommand();
-                    resolveOrder.read(iprot);
-                    return resolveOrder;
-                case OBSERVE_TARGET:
-                    ObserveTargetCommand observeTarget;
-                    observeTarget = new ObserveTargetCommand();
-                    observeTarget.read(iprot);
-                    return observeTarget;
-                case REPORT_CRASH:
-                    ReportCrashCommand reportCrash;
-                    reportCrash = new ReportCrashCommand();
-                    reportCrash.read(iprot);
-                    return reportCrash;
-                case REGISTER_SESSION:
-                    RegisterSessionCommand registerSession;
-                    registerSession = new RegisterSessionCommand();
-                    registerSession.read(iprot);
-                    return registerSession;
-                case EXPIRE_SESSION:
-                    ExpireSessionCommand expireSession;
-                    expireSession = new ExpireSessionCommand();
-                    expireSession.read(iprot);
-                    return expireSession;
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+        throw new java.lang.ClassCastException("Was expecting value of type FinishOrderCommand for field 'finishOrder', but got " + value.getClass().getSimpleName());
+      case ASSIGN_BUCKET:
+        if (value instanceof AssignBucketCommand) {
+          break;
         }
-    }
-
-    @Override
-    protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case REPLACE_RULES:
-                ReplaceRulesCommand replaceRules = (ReplaceRulesCommand) value_;
-                replaceRules.write(oprot);
-                return;
-            case CLAIM_ORDER:
-                ClaimOrderCommand claimOrder = (ClaimOrderCommand) value_;
-                claimOrder.write(oprot);
-                return;
-            case FINISH_ORDER:
-                FinishOrderCommand finishOrder = (FinishOrderCommand) value_;
-                finishOrder.write(oprot);
-                return;
-            case ASSIGN_BUCKET:
-                AssignBucketCommand assignBucket = (AssignBucketCommand) value_;
-                assignBucket.write(oprot);
-                return;
-            case INTEND_ORDER:
-                IntendOrderCommand intendOrder = (IntendOrderCommand) value_;
-                intendOrder.write(oprot);
-                return;
-            case RESOLVE_ORDER:
-                ResolveOrderCommand resolveOrder = (ResolveOrderCommand) value_;
-                resolveOrder.write(oprot);
-                return;
-            case OBSERVE_TARGET:
-                ObserveTargetCommand observeTarget = (ObserveTargetCommand) value_;
-                observeTarget.write(oprot);
-                return;
-            case REPORT_CRASH:
-                ReportCrashCommand reportCrash = (ReportCrashCommand) value_;
-                reportCrash.write(oprot);
-                return;
-            case REGISTER_SESSION:
-                RegisterSessionCommand registerSession = (RegisterSessionCommand) value_;
-                registerSession.write(oprot);
-                return;
-            case EXPIRE_SESSION:
-                ExpireSessionCommand expireSession = (ExpireSessionCommand) value_;
-                expireSession.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+        throw new java.lang.ClassCastException("Was expecting value of type AssignBucketCommand for field 'assignBucket', but got " + value.getClass().getSimpleName());
+      case INTEND_ORDER:
+        if (value instanceof IntendOrderCommand) {
+          break;
         }
-    }
-
-    @Override
-    protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
-        switch (setField) {
-            case REPLACE_RULES:
-                return REPLACE_RULES_FIELD_DESC;
-            case CLAIM_ORDER:
-                return CLAIM_ORDER_FIELD_DESC;
-            case FINISH_ORDER:
-                return FINISH_ORDER_FIELD_DESC;
-            case ASSIGN_BUCKET:
-                return ASSIGN_BUCKET_FIELD_DESC;
-            case INTEND_ORDER:
-                return INTEND_ORDER_FIELD_DESC;
-            case RESOLVE_ORDER:
-                return RESOLVE_ORDER_FIELD_DESC;
-            case OBSERVE_TARGET:
-                return OBSERVE_TARGET_FIELD_DESC;
-            case REPORT_CRASH:
-                return REPORT_CRASH_FIELD_DESC;
-            case REGISTER_SESSION:
-                return REGISTER_SESSION_FIELD_DESC;
-            case EXPIRE_SESSION:
-                return EXPIRE_SESSION_FIELD_DESC;
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+        throw new java.lang.ClassCastException("Was expecting value of type IntendOrderCommand for field 'intendOrder', but got " + value.getClass().getSimpleName());
+      case RESOLVE_ORDER:
+        if (value instanceof ResolveOrderCommand) {
+          break;
         }
-    }
+        throw new java.lang.ClassCastException("Was expecting value of type ResolveOrderCommand for field 'resolveOrder', but got " + value.getClass().getSimpleName());
+      case OBSERVE_TARGET:
+        if (value instanceof ObserveTargetCommand) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ObserveTargetCommand for field 'observeTarget', but got " + value.getClass().getSimpleName());
+      case REPORT_CRASH:
+        if (value instanceof ReportCrashCommand) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ReportCrashCommand for field 'reportCrash', but got " + value.getClass().getSimpleName());
+      case REGISTER_SESSION:
+        if (value instanceof RegisterSessionCommand) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type RegisterSessionCommand for field 'registerSession', but got " + value.getClass().getSimpleName());
+      case EXPIRE_SESSION:
+        if (value instanceof ExpireSessionCommand) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ExpireSessionCommand for field 'expireSession', but got " + value.getClass().getSimpleName());
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected java.lang.Object standardSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(field.id);
+    if (setField != null) {
+      switch (setField) {
+        case REPLACE_RULES:
+          if (field.type == REPLACE_RULES_FIELD_DESC.type) {
+            ReplaceRulesCommand replaceRules;
+            replaceRules = new ReplaceRulesCommand();
+            replaceRules.read(iprot);
+            return replaceRules;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case CLAIM_ORDER:
+          if (field.type == CLAIM_ORDER_FIELD_DESC.type) {
+            ClaimOrderCommand claimOrder;
+            claimOrder = new ClaimOrderCommand();
+            claimOrder.read(iprot);
+            return claimOrder;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case FINISH_ORDER:
+          if (field.type == FINISH_ORDER_FIELD_DESC.type) {
+            FinishOrderCommand finishOrder;
+            finishOrder = new FinishOrderCommand();
+            finishOrder.read(iprot);
+            return finishOrder;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case ASSIGN_BUCKET:
+          if (field.type == ASSIGN_BUCKET_FIELD_DESC.type) {
+            AssignBucketCommand assignBucket;
+            assignBucket = new AssignBucketCommand();
+            assignBucket.read(iprot);
+            return assignBucket;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case INTEND_ORDER:
+          if (field.type == INTEND_ORDER_FIELD_DESC.type) {
+            IntendOrderCommand intendOrder;
+            intendOrder = new IntendOrderCommand();
+            intendOrder.read(iprot);
+            return intendOrder;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case RESOLVE_ORDER:
+          if (field.type == RESOLVE_ORDER_FIELD_DESC.type) {
+            ResolveOrderCommand resolveOrder;
+            resolveOrder = new ResolveOrderCommand();
+            resolveOrder.read(iprot);
+            return resolveOrder;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case OBSERVE_TARGET:
+          if (field.type == OBSERVE_TARGET_FIELD_DESC.type) {
+            ObserveTargetCommand observeTarget;
+            observeTarget = new ObserveTargetCommand();
+            observeTarget.read(iprot);
+            return observeTarget;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case REPORT_CRASH:
+          if (field.type == REPORT_CRASH_FIELD_DESC.type) {
+            ReportCrashCommand reportCrash;
+            reportCrash = new ReportCrashCommand();
+            reportCrash.read(iprot);
+            return reportCrash;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case REGISTER_SESSION:
+          if (field.type == REGISTER_SESSION_FIELD_DESC.type) {
+            RegisterSessionCommand registerSession;
+            registerSession = new RegisterSessionCommand();
+            registerSession.read(iprot);
+            return registerSession;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case EXPIRE_SESSION:
+          if (field.type == EXPIRE_SESSION_FIELD_DESC.type) {
+            ExpireSessionCommand expireSession;
+            expireSession = new ExpireSessionCommand();
+            expireSession.read(iprot);
+            return expireSession;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+      return null;
+    }
+  }
+
+  @Override
+  protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case REPLACE_RULES:
+        ReplaceRulesCommand replaceRules = (ReplaceRulesCommand)value_;
+        replaceRules.write(oprot);
+        return;
+      case CLAIM_ORDER:
+        ClaimOrderCommand claimOrder = (ClaimOrderCommand)value_;
+        claimOrder.write(oprot);
+        return;
+      case FINISH_ORDER:
+        FinishOrderCommand finishOrder = (FinishOrderCommand)value_;
+        finishOrder.write(oprot);
+        return;
+      case ASSIGN_BUCKET:
+        AssignBucketCommand assignBucket = (AssignBucketCommand)value_;
+        assignBucket.write(oprot);
+        return;
+      case INTEND_ORDER:
+        IntendOrderCommand intendOrder = (IntendOrderCommand)value_;
+        intendOrder.write(oprot);
+        return;
+      case RESOLVE_ORDER:
+        ResolveOrderCommand resolveOrder = (ResolveOrderCommand)value_;
+        resolveOrder.write(oprot);
+        return;
+      case OBSERVE_TARGET:
+        ObserveTargetCommand observeTarget = (ObserveTargetCommand)value_;
+        observeTarget.write(oprot);
+        return;
+      case REPORT_CRASH:
+        ReportCrashCommand reportCrash = (ReportCrashCommand)value_;
+        reportCrash.write(oprot);
+        return;
+      case REGISTER_SESSION:
+        RegisterSessionCommand registerSession = (RegisterSessionCommand)value_;
+        registerSession.write(oprot);
+        return;
+      case EXPIRE_SESSION:
+        ExpireSessionCommand expireSession = (ExpireSessionCommand)value_;
+        expireSession.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(fieldID);
+    if (setField != null) {
+      switch (setField) {
+        case REPLACE_RULES:
+          ReplaceRulesCommand replaceRules;
+          replaceRules = new ReplaceRulesCommand();
+          replaceRules.read(iprot);
+          return replaceRules;
+        case CLAIM_ORDER:
+          ClaimOrderCommand claimOrder;
+          claimOrder = new ClaimOrderCommand();
+          claimOrder.read(iprot);
+          return claimOrder;
+        case FINISH_ORDER:
+          FinishOrderCommand finishOrder;
+          finishOrder = new FinishOrderCommand();
+          finishOrder.read(iprot);
+          return finishOrder;
+        case ASSIGN_BUCKET:
+          AssignBucketCommand assignBucket;
+          assignBucket = new AssignBucketCommand();
+          assignBucket.read(iprot);
+          return assignBucket;
+        case INTEND_ORDER:
+          IntendOrderCommand intendOrder;
+          intendOrder = new IntendOrderCommand();
+          intendOrder.read(iprot);
+          return intendOrder;
+        case RESOLVE_ORDER:
+          ResolveOrderCommand resolveOrder;
+          resolveOrder = new ResolveOrderCommand();
+          resolveOrder.read(iprot);
+          return resolveOrder;
+        case OBSERVE_TARGET:
+          ObserveTargetCommand observeTarget;
+          observeTarget = new ObserveTargetCommand();
+          observeTarget.read(iprot);
+          return observeTarget;
+        case REPORT_CRASH:
+          ReportCrashCommand reportCrash;
+          reportCrash = new ReportCrashCommand();
+          reportCrash.read(iprot);
+          return reportCrash;
+        case REGISTER_SESSION:
+          RegisterSessionCommand registerSession;
+          registerSession = new RegisterSessionCommand();
+          registerSession.read(iprot);
+          return registerSession;
+        case EXPIRE_SESSION:
+          ExpireSessionCommand expireSession;
+          expireSession = new ExpireSessionCommand();
+          expireSession.read(iprot);
+          return expireSession;
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+    }
+  }
+
+  @Override
+  protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case REPLACE_RULES:
+        ReplaceRulesCommand replaceRules = (ReplaceRulesCommand)value_;
+        replaceRules.write(oprot);
+        return;
+      case CLAIM_ORDER:
+        ClaimOrderCommand claimOrder = (ClaimOrderCommand)value_;
+        claimOrder.write(oprot);
+        return;
+      case FINISH_ORDER:
+        FinishOrderCommand finishOrder = (FinishOrderCommand)value_;
+        finishOrder.write(oprot);
+        return;
+      case ASSIGN_BUCKET:
+        AssignBucketCommand assignBucket = (AssignBucketCommand)value_;
+        assignBucket.write(oprot);
+        return;
+      case INTEND_ORDER:
+        IntendOrderCommand intendOrder = (IntendOrderCommand)value_;
+        intendOrder.write(oprot);
+        return;
+      case RESOLVE_ORDER:
+        ResolveOrderCommand resolveOrder = (ResolveOrderCommand)value_;
+        resolveOrder.write(oprot);
+        return;
+      case OBSERVE_TARGET:
+        ObserveTargetCommand observeTarget = (ObserveTargetCommand)value_;
+        observeTarget.write(oprot);
+        return;
+      case REPORT_CRASH:
+        ReportCrashCommand reportCrash = (ReportCrashCommand)value_;
+        reportCrash.write(oprot);
+        return;
+      case REGISTER_SESSION:
+        RegisterSessionCommand registerSession = (RegisterSessionCommand)value_;
+        registerSession.write(oprot);
+        return;
+      case EXPIRE_SESSION:
+        ExpireSessionCommand expireSession = (ExpireSessionCommand)value_;
+        expireSession.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
+    switch (setField) {
+      case REPLACE_RULES:
+        return REPLACE_RULES_FIELD_DESC;
+      case CLAIM_ORDER:
+        return CLAIM_ORDER_FIELD_DESC;
+      case FINISH_ORDER:
+        return FINISH_ORDER_FIELD_DESC;
+      case ASSIGN_BUCKET:
+        return ASSIGN_BUCKET_FIELD_DESC;
+      case INTEND_ORDER:
+        return INTEND_ORDER_FIELD_DESC;
+      case RESOLVE_ORDER:
+        return RESOLVE_ORDER_FIELD_DESC;
+      case OBSERVE_TARGET:
+        return OBSERVE_TARGET_FIELD_DESC;
+      case REPORT_CRASH:
+        return REPORT_CRASH_FIELD_DESC;
+      case REGISTER_SESSION:
+        return REGISTER_SESSION_FIELD_DESC;
+      case EXPIRE_SESSION:
+        return EXPIRE_SESSION_FIELD_DESC;
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TStruct getStructDesc() {
+    return STRUCT_DESC;
+  }
+
+  @Override
+  protected _Fields enumForId(short id) {
+    return _Fields.findByThriftIdOrThrow(id);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+
+  public ReplaceRulesCommand getReplaceRules() {
+    if (getSetField() == _Fields.REPLACE_RULES) {
+      return (ReplaceRulesCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'replaceRules' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setReplaceRules(ReplaceRulesCommand value) {
+    setField_ = _Fields.REPLACE_RULES;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.REPLACE_RULES");
+  }
+
+  public ClaimOrderCommand getClaimOrder() {
+    if (getSetField() == _Fields.CLAIM_ORDER) {
+      return (ClaimOrderCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'claimOrder' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setClaimOrder(ClaimOrderCommand value) {
+    setField_ = _Fields.CLAIM_ORDER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.CLAIM_ORDER");
+  }
+
+  public FinishOrderCommand getFinishOrder() {
+    if (getSetField() == _Fields.FINISH_ORDER) {
+      return (FinishOrderCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'finishOrder' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setFinishOrder(FinishOrderCommand value) {
+    setField_ = _Fields.FINISH_ORDER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.FINISH_ORDER");
+  }
+
+  public AssignBucketCommand getAssignBucket() {
+    if (getSetField() == _Fields.ASSIGN_BUCKET) {
+      return (AssignBucketCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'assignBucket' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setAssignBucket(AssignBucketCommand value) {
+    setField_ = _Fields.ASSIGN_BUCKET;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.ASSIGN_BUCKET");
+  }
+
+  public IntendOrderCommand getIntendOrder() {
+    if (getSetField() == _Fields.INTEND_ORDER) {
+      return (IntendOrderCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'intendOrder' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setIntendOrder(IntendOrderCommand value) {
+    setField_ = _Fields.INTEND_ORDER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.INTEND_ORDER");
+  }
 
-    @Override
-    protected org.apache.thrift.protocol.TStruct getStructDesc() {
-        return STRUCT_DESC;
+  public ResolveOrderCommand getResolveOrder() {
+    if (getSetField() == _Fields.RESOLVE_ORDER) {
+      return (ResolveOrderCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'resolveOrder' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    @Override
-    protected _Fields enumForId(short id) {
-        return _Fields.findByThriftIdOrThrow(id);
-    }
+  public void setResolveOrder(ResolveOrderCommand value) {
+    setField_ = _Fields.RESOLVE_ORDER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.RESOLVE_ORDER");
+  }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+  public ObserveTargetCommand getObserveTarget() {
+    if (getSetField() == _Fields.OBSERVE_TARGET) {
+      return (ObserveTargetCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'observeTarget' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public ReplaceRulesCommand getReplaceRules() {
-        if (getSetField() == _Fields.REPLACE_RULES) {
-            return (ReplaceRulesCommand) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'replaceRules' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setObserveTarget(ObserveTargetCommand value) {
+    setField_ = _Fields.OBSERVE_TARGET;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.OBSERVE_TARGET");
+  }
 
-    public void setReplaceRules(ReplaceRulesCommand value) {
-        setField_ = _Fields.REPLACE_RULES;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.REPLACE_RULES");
+  public ReportCrashCommand getReportCrash() {
+    if (getSetField() == _Fields.REPORT_CRASH) {
+      return (ReportCrashCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'reportCrash' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public ClaimOrderCommand getClaimOrder() {
-        if (getSetField() == _Fields.CLAIM_ORDER) {
-            return (ClaimOrderCommand) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'claimOrder' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setReportCrash(ReportCrashCommand value) {
+    setField_ = _Fields.REPORT_CRASH;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.REPORT_CRASH");
+  }
 
-    public void setClaimOrder(ClaimOrderCommand value) {
-        setField_ = _Fields.CLAIM_ORDER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.CLAIM_ORDER");
+  public RegisterSessionCommand getRegisterSession() {
+    if (getSetField() == _Fields.REGISTER_SESSION) {
+      return (RegisterSessionCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'registerSession' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public FinishOrderCommand getFinishOrder() {
-        if (getSetField() == _Fields.FINISH_ORDER) {
-            return (FinishOrderCommand) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'finishOrder' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setRegisterSession(RegisterSessionCommand value) {
+    setField_ = _Fields.REGISTER_SESSION;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.REGISTER_SESSION");
+  }
 
-    public void setFinishOrder(FinishOrderCommand value) {
-        setField_ = _Fields.FINISH_ORDER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.FINISH_ORDER");
+  public ExpireSessionCommand getExpireSession() {
+    if (getSetField() == _Fields.EXPIRE_SESSION) {
+      return (ExpireSessionCommand)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'expireSession' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public AssignBucketCommand getAssignBucket() {
-        if (getSetField() == _Fields.ASSIGN_BUCKET) {
-            return (AssignBucketCommand) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'assignBucket' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setExpireSession(ExpireSessionCommand value) {
+    setField_ = _Fields.EXPIRE_SESSION;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.EXPIRE_SESSION");
+  }
 
-    public void setAssignBucket(AssignBucketCommand value) {
-        setField_ = _Fields.ASSIGN_BUCKET;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.ASSIGN_BUCKET");
-    }
+  public boolean isSetReplaceRules() {
+    return setField_ == _Fields.REPLACE_RULES;
+  }
 
-    public IntendOrderCommand getIntendOrder() {
-        if (getSetField() == _Fields.INTEND_ORDER) {
-            return (IntendOrderCommand) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'intendOrder' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setIntendOrder(IntendOrderCommand value) {
-        setField_ = _Fields.INTEND_ORDER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.INTEND_ORDER");
-    }
+  public boolean isSetClaimOrder() {
+    return setField_ == _Fields.CLAIM_ORDER;
+  }
 
-    public ResolveOrderCommand getResolveOrder() {
-        if (getSetField() == _Fields.RESOLVE_ORDER) {
-            return (ResolveOrderCommand) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'resolveOrder' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setResolveOrder(ResolveOrderCommand value) {
-        setField_ = _Fields.RESOLVE_ORDER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.RESOLVE_ORDER");
-    }
+  public boolean isSetFinishOrder() {
+    return setField_ == _Fields.FINISH_ORDER;
+  }
 
-    public ObserveTargetCommand getObserveTarget() {
-        if (getSetField() == _Fields.OBSERVE_TARGET) {
-            return (ObserveTargetCommand) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'observeTarget' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setObserveTarget(ObserveTargetCommand value) {
-        setField_ = _Fields.OBSERVE_TARGET;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.OBSERVE_TARGET");
-    }
+  public boolean isSetAssignBucket() {
+    return setField_ == _Fields.ASSIGN_BUCKET;
+  }
 
-    public ReportCrashCommand getReportCrash() {
-        if (getSetField() == _Fields.REPORT_CRASH) {
-            return (ReportCrashCommand) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'reportCrash' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setReportCrash(ReportCrashCommand value) {
-        setField_ = _Fields.REPORT_CRASH;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.REPORT_CRASH");
-    }
+  public boolean isSetIntendOrder() {
+    return setField_ == _Fields.INTEND_ORDER;
+  }
 
-    public RegisterSessionCommand getRegisterSession() {
-        if (getSetField() == _Fields.REGISTER_SESSION) {
-            return (RegisterSessionCommand) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'registerSession' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setRegisterSession(RegisterSessionCommand value) {
-        setField_ = _Fields.REGISTER_SESSION;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.REGISTER_SESSION");
-    }
+  public boolean isSetResolveOrder() {
+    return setField_ == _Fields.RESOLVE_ORDER;
+  }
 
-    public ExpireSessionCommand getExpireSession() {
-        if (getSetField() == _Fields.EXPIRE_SESSION) {
-            return (ExpireSessionCommand) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'expireSession' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setExpireSession(ExpireSessionCommand value) {
-        setField_ = _Fields.EXPIRE_SESSION;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.EXPIRE_SESSION");
-    }
+  public boolean isSetObserveTarget() {
+    return setField_ == _Fields.OBSERVE_TARGET;
+  }
 
-    public boolean isSetReplaceRules() {
-        return setField_ == _Fields.REPLACE_RULES;
-    }
 
-    public boolean isSetClaimOrder() {
-        return setField_ == _Fields.CLAIM_ORDER;
-    }
+  public boolean isSetReportCrash() {
+    return setField_ == _Fields.REPORT_CRASH;
+  }
 
-    public boolean isSetFinishOrder() {
-        return setField_ == _Fields.FINISH_ORDER;
-    }
 
-    public boolean isSetAssignBucket() {
-        return setField_ == _Fields.ASSIGN_BUCKET;
-    }
+  public boolean isSetRegisterSession() {
+    return setField_ == _Fields.REGISTER_SESSION;
+  }
 
-    public boolean isSetIntendOrder() {
-        return setField_ == _Fields.INTEND_ORDER;
-    }
 
-    public boolean isSetResolveOrder() {
-        return setField_ == _Fields.RESOLVE_ORDER;
-    }
+  public boolean isSetExpireSession() {
+    return setField_ == _Fields.EXPIRE_SESSION;
+  }
 
-    public boolean isSetObserveTarget() {
-        return setField_ == _Fields.OBSERVE_TARGET;
-    }
 
-    public boolean isSetReportCrash() {
-        return setField_ == _Fields.REPORT_CRASH;
+  public boolean equals(java.lang.Object other) {
+    if (other instanceof CommandMessage) {
+      return equals((CommandMessage)other);
+    } else {
+      return false;
     }
+  }
 
-    public boolean isSetRegisterSession() {
-        return setField_ == _Fields.REGISTER_SESSION;
-    }
+  public boolean equals(CommandMessage other) {
+    return other != null && getSetField() == other.getSetField() && getFieldValue().equals(other.getFieldValue());
+  }
 
-    public boolean isSetExpireSession() {
-        return setField_ == _Fields.EXPIRE_SESSION;
+  @Override
+  public int compareTo(CommandMessage other) {
+    int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
+    if (lastComparison == 0) {
+      return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
     }
+    return lastComparison;
+  }
 
-    public boolean equals(java.lang.Object other) {
-        if (other instanceof CommandMessage) {
-            return equals((CommandMessage) other);
-        } else {
-            return false;
-        }
-    }
 
-    public boolean equals(CommandMessage other) {
-        return other != null
-                && getSetField() == other.getSetField()
-                && getFieldValue().equals(other.getFieldValue());
+  @Override
+  public int hashCode() {
+    java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
+    list.add(this.getClass().getName());
+    org.apache.thrift.TFieldIdEnum setField = getSetField();
+    if (setField != null) {
+      list.add(setField.getThriftFieldId());
+      java.lang.Object value = getFieldValue();
+      if (value instanceof org.apache.thrift.TEnum) {
+        list.add(((org.apache.thrift.TEnum)getFieldValue()).getValue());
+      } else {
+        list.add(value);
+      }
     }
-
-    @Override
-    public int compareTo(CommandMessage other) {
-        int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
-        if (lastComparison == 0) {
-            return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
-        }
-        return lastComparison;
+    return list.hashCode();
+  }
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    @Override
-    public int hashCode() {
-        java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
-        list.add(this.getClass().getName());
-        org.apache.thrift.TFieldIdEnum setField = getSetField();
-        if (setField != null) {
-            list.add(setField.getThriftFieldId());
-            java.lang.Object value = getFieldValue();
-            if (value instanceof org.apache.thrift.TEnum) {
-                list.add(((org.apache.thrift.TEnum) getFieldValue()).getValue());
-            } else {
-                list.add(value);
-            }
-        }
-        return list.hashCode();
-    }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
+
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
 }
