--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ConfirmAnswer.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ConfirmAnswer.java
@@ -7,755 +7,732 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class ConfirmAnswer
-        implements org.apache.thrift.TBase<ConfirmAnswer, ConfirmAnswer._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<ConfirmAnswer> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ConfirmAnswer");
-
-    private static final org.apache.thrift.protocol.TField BATCH_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("batchId", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField STATUS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("status", org.apache.thrift.protocol.TType.I32, (short) 2);
-    private static final org.apache.thrift.protocol.TField VIEW_INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("viewIndex", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField HELD_SESSIONS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("heldSessions", org.apache.thrift.protocol.TType.LIST, (short) 4);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ConfirmAnswerStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new ConfirmAnswerTupleSchemeFactory();
-
-    private long batchId; // required
-    private @org.apache.thrift.annotation.Nullable AnswerStatus status; // required
-    private long viewIndex; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<SessionState> heldSessions; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        BATCH_ID((short) 1, "batchId"),
-        /**
-         *
-         * @see AnswerStatus
-         */
-        STATUS((short) 2, "status"),
-        VIEW_INDEX((short) 3, "viewIndex"),
-        HELD_SESSIONS((short) 4, "heldSessions");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // BATCH_ID
-                    return BATCH_ID;
-                case 2: // STATUS
-                    return STATUS;
-                case 3: // VIEW_INDEX
-                    return VIEW_INDEX;
-                case 4: // HELD_SESSIONS
-                    return HELD_SESSIONS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+public class ConfirmAnswer implements org.apache.thrift.TBase<ConfirmAnswer, ConfirmAnswer._Fields>, java.io.Serializable, Cloneable, Comparable<ConfirmAnswer> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ConfirmAnswer");
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private static final org.apache.thrift.protocol.TField BATCH_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("batchId", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField STATUS_FIELD_DESC = new org.apache.thrift.protocol.TField("status", org.apache.thrift.protocol.TType.I32, (short)2);
+  private static final org.apache.thrift.protocol.TField VIEW_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("viewIndex", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField HELD_SESSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("heldSessions", org.apache.thrift.protocol.TType.LIST, (short)4);
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ConfirmAnswerStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ConfirmAnswerTupleSchemeFactory();
 
-    // isset id assignments
-    private static final int __BATCHID_ISSET_ID = 0;
-    private static final int __VIEWINDEX_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.BATCH_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "batchId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.STATUS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "status",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.EnumMetaData(
-                                org.apache.thrift.protocol.TType.ENUM, AnswerStatus.class)));
-        tmpMap.put(
-                _Fields.VIEW_INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "viewIndex",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.HELD_SESSIONS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "heldSessions",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, SessionState.class))));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConfirmAnswer.class, metaDataMap);
-    }
-
-    public ConfirmAnswer() {}
-
-    public ConfirmAnswer(long batchId, AnswerStatus status, long viewIndex, java.util.List<SessionState> heldSessions) {
-        this();
-        this.batchId = batchId;
-        setBatchIdIsSet(true);
-        this.status = status;
-        this.viewIndex = viewIndex;
-        setViewIndexIsSet(true);
-        this.heldSessions = heldSessions;
-    }
+  private long batchId; // required
+  private @org.apache.thrift.annotation.Nullable AnswerStatus status; // required
+  private long viewIndex; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<SessionState> heldSessions; // required
 
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    BATCH_ID((short)1, "batchId"),
     /**
-     * Performs a deep copy on <i>other</i>.
+     * 
+     * @see AnswerStatus
      */
-    public ConfirmAnswer(ConfirmAnswer other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.batchId = other.batchId;
-        if (other.isSetStatus()) {
-            this.status = other.status;
-        }
-        this.viewIndex = other.viewIndex;
-        if (other.isSetHeldSessions()) {
-            java.util.List<SessionState> __this__heldSessions =
-                    new java.util.ArrayList<SessionState>(other.heldSessions.size());
-            for (SessionState other_element : other.heldSessions) {
-                __this__heldSessions.add(new SessionState(other_element));
-            }
-            this.heldSessions = __this__heldSessions;
-        }
-    }
-
-    @Override
-    public ConfirmAnswer deepCopy() {
-        return new ConfirmAnswer(this);
-    }
-
-    @Override
-    public void clear() {
-        setBatchIdIsSet(false);
-        this.batchId = 0;
-        this.status = null;
-        setViewIndexIsSet(false);
-        this.viewIndex = 0;
-        this.heldSessions = null;
-    }
-
-    public long getBatchId() {
-        return this.batchId;
-    }
-
-    public ConfirmAnswer setBatchId(long batchId) {
-        this.batchId = batchId;
-        setBatchIdIsSet(true);
-        return this;
-    }
+    STATUS((short)2, "status"),
+    VIEW_INDEX((short)3, "viewIndex"),
+    HELD_SESSIONS((short)4, "heldSessions");
 
-    public void unsetBatchId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BATCHID_ISSET_ID);
-    }
-
-    /** Returns true if field batchId is set (has been assigned a value) and false otherwise */
-    public boolean isSetBatchId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BATCHID_ISSET_ID);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    public void setBatchIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BATCHID_ISSET_ID, value);
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     *
-     * @see AnswerStatus
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
     @org.apache.thrift.annotation.Nullable
-    public AnswerStatus getStatus() {
-        return this.status;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // BATCH_ID
+          return BATCH_ID;
+        case 2: // STATUS
+          return STATUS;
+        case 3: // VIEW_INDEX
+          return VIEW_INDEX;
+        case 4: // HELD_SESSIONS
+          return HELD_SESSIONS;
+        default:
+          return null;
+      }
     }
 
     /**
-     *
-     * @see AnswerStatus
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public ConfirmAnswer setStatus(@org.apache.thrift.annotation.Nullable AnswerStatus status) {
-        this.status = status;
-        return this;
-    }
-
-    public void unsetStatus() {
-        this.status = null;
-    }
-
-    /** Returns true if field status is set (has been assigned a value) and false otherwise */
-    public boolean isSetStatus() {
-        return this.status != null;
-    }
-
-    public void setStatusIsSet(boolean value) {
-        if (!value) {
-            this.status = null;
-        }
-    }
-
-    public long getViewIndex() {
-        return this.viewIndex;
-    }
-
-    public ConfirmAnswer setViewIndex(long viewIndex) {
-        this.viewIndex = viewIndex;
-        setViewIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetViewIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
-    }
-
-    /** Returns true if field viewIndex is set (has been assigned a value) and false otherwise */
-    public boolean isSetViewIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
-    }
-
-    public void setViewIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VIEWINDEX_ISSET_ID, value);
-    }
-
-    public int getHeldSessionsSize() {
-        return (this.heldSessions == null) ? 0 : this.heldSessions.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<SessionState> getHeldSessionsIterator() {
-        return (this.heldSessions == null) ? null : this.heldSessions.iterator();
-    }
-
-    public void addToHeldSessions(SessionState elem) {
-        if (this.heldSessions == null) {
-            this.heldSessions = new java.util.ArrayList<SessionState>();
-        }
-        this.heldSessions.add(elem);
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<SessionState> getHeldSessions() {
-        return this.heldSessions;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public ConfirmAnswer setHeldSessions(
-            @org.apache.thrift.annotation.Nullable java.util.List<SessionState> heldSessions) {
-        this.heldSessions = heldSessions;
-        return this;
-    }
-
-    public void unsetHeldSessions() {
-        this.heldSessions = null;
-    }
-
-    /** Returns true if field heldSessions is set (has been assigned a value) and false otherwise */
-    public boolean isSetHeldSessions() {
-        return this.heldSessions != null;
-    }
-
-    public void setHeldSessionsIsSet(boolean value) {
-        if (!value) {
-            this.heldSessions = null;
-        }
-    }
-
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case BATCH_ID:
-                if (value == null) {
-                    unsetBatchId();
-                } else {
-                    setBatchId((java.lang.Long) value);
-                }
-                break;
-
-            case STATUS:
-                if (value == null) {
-                    unsetStatus();
-                } else {
-                    setStatus((AnswerStatus) value);
-                }
-                break;
-
-            case VIEW_INDEX:
-                if (value == null) {
-                    unsetViewIndex();
-                } else {
-                    setViewIndex((java.lang.Long) value);
-                }
-                break;
-
-            case HELD_SESSIONS:
-                if (value == null) {
-                    unsetHeldSessions();
-                } else {
-                    setHeldSessions((java.util.List<SessionState>) value);
-                }
-                break;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case BATCH_ID:
-                return getBatchId();
-
-            case STATUS:
-                return getStatus();
-
-            case VIEW_INDEX:
-                return getViewIndex();
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-            case HELD_SESSIONS:
-                return getHeldSessions();
-        }
-        throw new java.lang.IllegalStateException();
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case BATCH_ID:
-                return isSetBatchId();
-            case STATUS:
-                return isSetStatus();
-            case VIEW_INDEX:
-                return isSetViewIndex();
-            case HELD_SESSIONS:
-                return isSetHeldSessions();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof ConfirmAnswer) return this.equals((ConfirmAnswer) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __BATCHID_ISSET_ID = 0;
+  private static final int __VIEWINDEX_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.BATCH_ID, new org.apache.thrift.meta_data.FieldMetaData("batchId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.STATUS, new org.apache.thrift.meta_data.FieldMetaData("status", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, AnswerStatus.class)));
+    tmpMap.put(_Fields.VIEW_INDEX, new org.apache.thrift.meta_data.FieldMetaData("viewIndex", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.HELD_SESSIONS, new org.apache.thrift.meta_data.FieldMetaData("heldSessions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SessionState.class))));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConfirmAnswer.class, metaDataMap);
+  }
+
+  public ConfirmAnswer() {
+  }
+
+  public ConfirmAnswer(
+    long batchId,
+    AnswerStatus status,
+    long viewIndex,
+    java.util.List<SessionState> heldSessions)
+  {
+    this();
+    this.batchId = batchId;
+    setBatchIdIsSet(true);
+    this.status = status;
+    this.viewIndex = viewIndex;
+    setViewIndexIsSet(true);
+    this.heldSessions = heldSessions;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public ConfirmAnswer(ConfirmAnswer other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.batchId = other.batchId;
+    if (other.isSetStatus()) {
+      this.status = other.status;
+    }
+    this.viewIndex = other.viewIndex;
+    if (other.isSetHeldSessions()) {
+      java.util.List<SessionState> __this__heldSessions = new java.util.ArrayList<SessionState>(other.heldSessions.size());
+      for (SessionState other_element : other.heldSessions) {
+        __this__heldSessions.add(new SessionState(other_element));
+      }
+      this.heldSessions = __this__heldSessions;
+    }
+  }
+
+  @Override
+  public ConfirmAnswer deepCopy() {
+    return new ConfirmAnswer(this);
+  }
+
+  @Override
+  public void clear() {
+    setBatchIdIsSet(false);
+    this.batchId = 0;
+    this.status = null;
+    setViewIndexIsSet(false);
+    this.viewIndex = 0;
+    this.heldSessions = null;
+  }
+
+  public long getBatchId() {
+    return this.batchId;
+  }
+
+  public ConfirmAnswer setBatchId(long batchId) {
+    this.batchId = batchId;
+    setBatchIdIsSet(true);
+    return this;
+  }
+
+  public void unsetBatchId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BATCHID_ISSET_ID);
+  }
+
+  /** Returns true if field batchId is set (has been assigned a value) and false otherwise */
+  public boolean isSetBatchId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BATCHID_ISSET_ID);
+  }
+
+  public void setBatchIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BATCHID_ISSET_ID, value);
+  }
+
+  /**
+   * 
+   * @see AnswerStatus
+   */
+  @org.apache.thrift.annotation.Nullable
+  public AnswerStatus getStatus() {
+    return this.status;
+  }
+
+  /**
+   * 
+   * @see AnswerStatus
+   */
+  public ConfirmAnswer setStatus(@org.apache.thrift.annotation.Nullable AnswerStatus status) {
+    this.status = status;
+    return this;
+  }
+
+  public void unsetStatus() {
+    this.status = null;
+  }
+
+  /** Returns true if field status is set (has been assigned a value) and false otherwise */
+  public boolean isSetStatus() {
+    return this.status != null;
+  }
+
+  public void setStatusIsSet(boolean value) {
+    if (!value) {
+      this.status = null;
+    }
+  }
+
+  public long getViewIndex() {
+    return this.viewIndex;
+  }
+
+  public ConfirmAnswer setViewIndex(long viewIndex) {
+    this.viewIndex = viewIndex;
+    setViewIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetViewIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field viewIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetViewIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
+  }
+
+  public void setViewIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VIEWINDEX_ISSET_ID, value);
+  }
+
+  public int getHeldSessionsSize() {
+    return (this.heldSessions == null) ? 0 : this.heldSessions.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<SessionState> getHeldSessionsIterator() {
+    return (this.heldSessions == null) ? null : this.heldSessions.iterator();
+  }
+
+  public void addToHeldSessions(SessionState elem) {
+    if (this.heldSessions == null) {
+      this.heldSessions = new java.util.ArrayList<SessionState>();
+    }
+    this.heldSessions.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<SessionState> getHeldSessions() {
+    return this.heldSessions;
+  }
+
+  public ConfirmAnswer setHeldSessions(@org.apache.thrift.annotation.Nullable java.util.List<SessionState> heldSessions) {
+    this.heldSessions = heldSessions;
+    return this;
+  }
+
+  public void unsetHeldSessions() {
+    this.heldSessions = null;
+  }
+
+  /** Returns true if field heldSessions is set (has been assigned a value) and false otherwise */
+  public boolean isSetHeldSessions() {
+    return this.heldSessions != null;
+  }
+
+  public void setHeldSessionsIsSet(boolean value) {
+    if (!value) {
+      this.heldSessions = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case BATCH_ID:
+      if (value == null) {
+        unsetBatchId();
+      } else {
+        setBatchId((java.lang.Long)value);
+      }
+      break;
+
+    case STATUS:
+      if (value == null) {
+        unsetStatus();
+      } else {
+        setStatus((AnswerStatus)value);
+      }
+      break;
+
+    case VIEW_INDEX:
+      if (value == null) {
+        unsetViewIndex();
+      } else {
+        setViewIndex((java.lang.Long)value);
+      }
+      break;
+
+    case HELD_SESSIONS:
+      if (value == null) {
+        unsetHeldSessions();
+      } else {
+        setHeldSessions((java.util.List<SessionState>)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case BATCH_ID:
+      return getBatchId();
+
+    case STATUS:
+      return getStatus();
+
+    case VIEW_INDEX:
+      return getViewIndex();
+
+    case HELD_SESSIONS:
+      return getHeldSessions();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case BATCH_ID:
+      return isSetBatchId();
+    case STATUS:
+      return isSetStatus();
+    case VIEW_INDEX:
+      return isSetViewIndex();
+    case HELD_SESSIONS:
+      return isSetHeldSessions();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof ConfirmAnswer)
+      return this.equals((ConfirmAnswer)that);
+    return false;
+  }
+
+  public boolean equals(ConfirmAnswer that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_batchId = true;
+    boolean that_present_batchId = true;
+    if (this_present_batchId || that_present_batchId) {
+      if (!(this_present_batchId && that_present_batchId))
+        return false;
+      if (this.batchId != that.batchId)
         return false;
     }
 
-    public boolean equals(ConfirmAnswer that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_batchId = true;
-        boolean that_present_batchId = true;
-        if (this_present_batchId || that_present_batchId) {
-            if (!(this_present_batchId && that_present_batchId)) return false;
-            if (this.batchId != that.batchId) return false;
-        }
-
-        boolean this_present_status = true && this.isSetStatus();
-        boolean that_present_status = true && that.isSetStatus();
-        if (this_present_status || that_present_status) {
-            if (!(this_present_status && that_present_status)) return false;
-            if (!this.status.equals(that.status)) return false;
-        }
-
-        boolean this_present_viewIndex = true;
-        boolean that_present_viewIndex = true;
-        if (this_present_viewIndex || that_present_viewIndex) {
-            if (!(this_present_viewIndex && that_present_viewIndex)) return false;
-            if (this.viewIndex != that.viewIndex) return false;
-        }
-
-        boolean this_present_heldSessions = true && this.isSetHeldSessions();
-        boolean that_present_heldSessions = true && that.isSetHeldSessions();
-        if (this_present_heldSessions || that_present_heldSessions) {
-            if (!(this_present_heldSessions && that_present_heldSessions)) return false;
-            if (!this.heldSessions.equals(that.heldSessions)) return false;
-        }
-
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(batchId);
-
-        hashCode = hashCode * 8191 + ((isSetStatus()) ? 131071 : 524287);
-        if (isSetStatus()) hashCode = hashCode * 8191 + status.getValue();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(viewIndex);
-
-        hashCode = hashCode * 8191 + ((isSetHeldSessions()) ? 131071 : 524287);
-        if (isSetHeldSessions()) hashCode = hashCode * 8191 + heldSessions.hashCode();
-
-        return hashCode;
+    boolean this_present_status = true && this.isSetStatus();
+    boolean that_present_status = true && that.isSetStatus();
+    if (this_present_status || that_present_status) {
+      if (!(this_present_status && that_present_status))
+        return false;
+      if (!this.status.equals(that.status))
+        return false;
     }
 
-    @Override
-    public int compareTo(ConfirmAnswer other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetBatchId(), other.isSetBatchId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetBatchId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.batchId, other.batchId);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetStatus(), other.isSetStatus());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetStatus()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.status, other.status);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetViewIndex(), other.isSetViewIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetViewIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.viewIndex, other.viewIndex);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetHeldSessions(), other.isSetHeldSessions());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetHeldSessions()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.heldSessions, other.heldSessions);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    boolean this_present_viewIndex = true;
+    boolean that_present_viewIndex = true;
+    if (this_present_viewIndex || that_present_viewIndex) {
+      if (!(this_present_viewIndex && that_present_viewIndex))
+        return false;
+      if (this.viewIndex != that.viewIndex)
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    boolean this_present_heldSessions = true && this.isSetHeldSessions();
+    boolean that_present_heldSessions = true && that.isSetHeldSessions();
+    if (this_present_heldSessions || that_present_heldSessions) {
+      if (!(this_present_heldSessions && that_present_heldSessions))
+        return false;
+      if (!this.heldSessions.equals(that.heldSessions))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(batchId);
+
+    hashCode = hashCode * 8191 + ((isSetStatus()) ? 131071 : 524287);
+    if (isSetStatus())
+      hashCode = hashCode * 8191 + status.getValue();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(viewIndex);
+
+    hashCode = hashCode * 8191 + ((isSetHeldSessions()) ? 131071 : 524287);
+    if (isSetHeldSessions())
+      hashCode = hashCode * 8191 + heldSessions.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(ConfirmAnswer other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetBatchId(), other.isSetBatchId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBatchId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.batchId, other.batchId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetStatus(), other.isSetStatus());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStatus()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.status, other.status);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetViewIndex(), other.isSetViewIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetViewIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.viewIndex, other.viewIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetHeldSessions(), other.isSetHeldSessions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHeldSessions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.heldSessions, other.heldSessions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("ConfirmAnswer(");
+    boolean first = true;
+
+    sb.append("batchId:");
+    sb.append(this.batchId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("status:");
+    if (this.status == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.status);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("viewIndex:");
+    sb.append(this.viewIndex);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("heldSessions:");
+    if (this.heldSessions == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.heldSessions);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'batchId' because it's a primitive and you chose the non-beans generator.
+    if (status == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'status' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'viewIndex' because it's a primitive and you chose the non-beans generator.
+    if (heldSessions == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'heldSessions' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ConfirmAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public ConfirmAnswerStandardScheme getScheme() {
+      return new ConfirmAnswerStandardScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class ConfirmAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<ConfirmAnswer> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("ConfirmAnswer(");
-        boolean first = true;
-
-        sb.append("batchId:");
-        sb.append(this.batchId);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("status:");
-        if (this.status == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.status);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("viewIndex:");
-        sb.append(this.viewIndex);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("heldSessions:");
-        if (this.heldSessions == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.heldSessions);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'batchId' because it's a primitive and you chose the non-beans generator.
-        if (status == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'status' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'viewIndex' because it's a primitive and you chose the non-beans generator.
-        if (heldSessions == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'heldSessions' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class ConfirmAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ConfirmAnswerStandardScheme getScheme() {
-            return new ConfirmAnswerStandardScheme();
-        }
-    }
-
-    private static class ConfirmAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<ConfirmAnswer> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, ConfirmAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // BATCH_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.batchId = iprot.readI64();
-                            struct.setBatchIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // STATUS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.status = org.basilrill.thrift.control.AnswerStatus.findByValue(iprot.readI32());
-                            struct.setStatusIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // VIEW_INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.viewIndex = iprot.readI64();
-                            struct.setViewIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // HELD_SESSIONS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list144 = iprot.readListBegin();
-                                struct.heldSessions = new java.util.ArrayList<SessionState>(_list144.size);
-                                @org.apache.thrift.annotation.Nullable SessionState _elem145;
-                                for (int _i146 = 0; _i146 < _list144.size; ++_i146) {
-                                    _elem145 = new SessionState();
-                                    _elem145.read(iprot);
-                                    struct.heldSessions.add(_elem145);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setHeldSessionsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
+    public void read(org.apache.thrift.protocol.TProtocol iprot, ConfirmAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // BATCH_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.batchId = iprot.readI64();
+              struct.setBatchIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetBatchId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'batchId' was not found in serialized data! Struct: " + toString());
+            break;
+          case 2: // STATUS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.status = org.basilrill.thrift.control.AnswerStatus.findByValue(iprot.readI32());
+              struct.setStatusIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetViewIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'viewIndex' was not found in serialized data! Struct: " + toString());
+            break;
+          case 3: // VIEW_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.viewIndex = iprot.readI64();
+              struct.setViewIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, ConfirmAnswer struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(BATCH_ID_FIELD_DESC);
-            oprot.writeI64(struct.batchId);
-            oprot.writeFieldEnd();
-            if (struct.status != null) {
-                oprot.writeFieldBegin(STATUS_FIELD_DESC);
-                oprot.writeI32(struct.status.getValue());
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(VIEW_INDEX_FIELD_DESC);
-            oprot.writeI64(struct.viewIndex);
-            oprot.writeFieldEnd();
-            if (struct.heldSessions != null) {
-                oprot.writeFieldBegin(HELD_SESSIONS_FIELD_DESC);
+            break;
+          case 4: // HELD_SESSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list144 = iprot.readListBegin();
+                struct.heldSessions = new java.util.ArrayList<SessionState>(_list144.size);
+                @org.apache.thrift.annotation.Nullable SessionState _elem145;
+                for (int _i146 = 0; _i146 < _list144.size; ++_i146)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.heldSessions.size()));
-                    for (SessionState _iter147 : struct.heldSessions) {
-                        _iter147.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem145 = new SessionState();
+                  _elem145.read(iprot);
+                  struct.heldSessions.add(_elem145);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setHeldSessionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    private static class ConfirmAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ConfirmAnswerTupleScheme getScheme() {
-            return new ConfirmAnswerTupleScheme();
-        }
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetBatchId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'batchId' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetViewIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'viewIndex' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class ConfirmAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<ConfirmAnswer> {
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, ConfirmAnswer struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(BATCH_ID_FIELD_DESC);
+      oprot.writeI64(struct.batchId);
+      oprot.writeFieldEnd();
+      if (struct.status != null) {
+        oprot.writeFieldBegin(STATUS_FIELD_DESC);
+        oprot.writeI32(struct.status.getValue());
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(VIEW_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.viewIndex);
+      oprot.writeFieldEnd();
+      if (struct.heldSessions != null) {
+        oprot.writeFieldBegin(HELD_SESSIONS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.heldSessions.size()));
+          for (SessionState _iter147 : struct.heldSessions)
+          {
+            _iter147.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class ConfirmAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public ConfirmAnswerTupleScheme getScheme() {
+      return new ConfirmAnswerTupleScheme();
+    }
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, ConfirmAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.batchId);
-            oprot.writeI32(struct.status.getValue());
-            oprot.writeI64(struct.viewIndex);
-            {
-                oprot.writeI32(struct.heldSessions.size());
-                for (SessionState _iter148 : struct.heldSessions) {
-                    _iter148.write(oprot);
-                }
-            }
-        }
+  private static class ConfirmAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<ConfirmAnswer> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, ConfirmAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.batchId = iprot.readI64();
-            struct.setBatchIdIsSet(true);
-            struct.status = org.basilrill.thrift.control.AnswerStatus.findByValue(iprot.readI32());
-            struct.setStatusIsSet(true);
-            struct.viewIndex = iprot.readI64();
-            struct.setViewIndexIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list149 =
-                        iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.heldSessions = new java.util.ArrayList<SessionState>(_list149.size);
-                @org.apache.thrift.annotation.Nullable SessionState _elem150;
-                for (int _i151 = 0; _i151 < _list149.size; ++_i151) {
-                    _elem150 = new SessionState();
-                    _elem150.read(iprot);
-                    struct.heldSessions.add(_elem150);
-                }
-            }
-            struct.setHeldSessionsIsSet(true);
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, ConfirmAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.batchId);
+      oprot.writeI32(struct.status.getValue());
+      oprot.writeI64(struct.viewIndex);
+      {
+        oprot.writeI32(struct.heldSessions.size());
+        for (SessionState _iter148 : struct.heldSessions)
+        {
+          _iter148.write(oprot);
         }
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, ConfirmAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.batchId = iprot.readI64();
+      struct.setBatchIdIsSet(true);
+      struct.status = org.basilrill.thrift.control.AnswerStatus.findByValue(iprot.readI32());
+      struct.setStatusIsSet(true);
+      struct.viewIndex = iprot.readI64();
+      struct.setViewIndexIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list149 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.heldSessions = new java.util.ArrayList<SessionState>(_list149.size);
+        @org.apache.thrift.annotation.Nullable SessionState _elem150;
+        for (int _i151 = 0; _i151 < _list149.size; ++_i151)
+        {
+          _elem150 = new SessionState();
+          _elem150.read(iprot);
+          struct.heldSessions.add(_elem150);
+        }
+      }
+      struct.setHeldSessionsIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ConfirmRequest.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ConfirmRequest.java
@@ -7,542 +7,526 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class ConfirmRequest
-        implements org.apache.thrift.TBase<ConfirmRequest, ConfirmRequest._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<ConfirmRequest> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ConfirmRequest");
-
-    private static final org.apache.thrift.protocol.TField BATCH_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("batchId", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField SESSIONS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sessions", org.apache.thrift.protocol.TType.LIST, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ConfirmRequestStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new ConfirmRequestTupleSchemeFactory();
-
-    private long batchId; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<SessionState> sessions; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        BATCH_ID((short) 1, "batchId"),
-        SESSIONS((short) 2, "sessions");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // BATCH_ID
-                    return BATCH_ID;
-                case 2: // SESSIONS
-                    return SESSIONS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+public class ConfirmRequest implements org.apache.thrift.TBase<ConfirmRequest, ConfirmRequest._Fields>, java.io.Serializable, Cloneable, Comparable<ConfirmRequest> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ConfirmRequest");
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TField BATCH_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("batchId", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField SESSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("sessions", org.apache.thrift.protocol.TType.LIST, (short)2);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ConfirmRequestStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ConfirmRequestTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private long batchId; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<SessionState> sessions; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    BATCH_ID((short)1, "batchId"),
+    SESSIONS((short)2, "sessions");
 
-    // isset id assignments
-    private static final int __BATCHID_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.BATCH_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "batchId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.SESSIONS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sessions",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, SessionState.class))));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConfirmRequest.class, metaDataMap);
-    }
-
-    public ConfirmRequest() {}
-
-    public ConfirmRequest(long batchId, java.util.List<SessionState> sessions) {
-        this();
-        this.batchId = batchId;
-        setBatchIdIsSet(true);
-        this.sessions = sessions;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public ConfirmRequest(ConfirmRequest other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.batchId = other.batchId;
-        if (other.isSetSessions()) {
-            java.util.List<SessionState> __this__sessions =
-                    new java.util.ArrayList<SessionState>(other.sessions.size());
-            for (SessionState other_element : other.sessions) {
-                __this__sessions.add(new SessionState(other_element));
-            }
-            this.sessions = __this__sessions;
-        }
-    }
-
-    @Override
-    public ConfirmRequest deepCopy() {
-        return new ConfirmRequest(this);
-    }
-
-    @Override
-    public void clear() {
-        setBatchIdIsSet(false);
-        this.batchId = 0;
-        this.sessions = null;
-    }
-
-    public long getBatchId() {
-        return this.batchId;
-    }
-
-    public ConfirmRequest setBatchId(long batchId) {
-        this.batchId = batchId;
-        setBatchIdIsSet(true);
-        return this;
-    }
-
-    public void unsetBatchId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BATCHID_ISSET_ID);
-    }
-
-    /** Returns true if field batchId is set (has been assigned a value) and false otherwise */
-    public boolean isSetBatchId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BATCHID_ISSET_ID);
-    }
-
-    public void setBatchIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BATCHID_ISSET_ID, value);
-    }
-
-    public int getSessionsSize() {
-        return (this.sessions == null) ? 0 : this.sessions.size();
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<SessionState> getSessionsIterator() {
-        return (this.sessions == null) ? null : this.sessions.iterator();
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // BATCH_ID
+          return BATCH_ID;
+        case 2: // SESSIONS
+          return SESSIONS;
+        default:
+          return null;
+      }
     }
 
-    public void addToSessions(SessionState elem) {
-        if (this.sessions == null) {
-            this.sessions = new java.util.ArrayList<SessionState>();
-        }
-        this.sessions.add(elem);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<SessionState> getSessions() {
-        return this.sessions;
-    }
-
-    public ConfirmRequest setSessions(@org.apache.thrift.annotation.Nullable java.util.List<SessionState> sessions) {
-        this.sessions = sessions;
-        return this;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void unsetSessions() {
-        this.sessions = null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    /** Returns true if field sessions is set (has been assigned a value) and false otherwise */
-    public boolean isSetSessions() {
-        return this.sessions != null;
-    }
-
-    public void setSessionsIsSet(boolean value) {
-        if (!value) {
-            this.sessions = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case BATCH_ID:
-                if (value == null) {
-                    unsetBatchId();
-                } else {
-                    setBatchId((java.lang.Long) value);
-                }
-                break;
-
-            case SESSIONS:
-                if (value == null) {
-                    unsetSessions();
-                } else {
-                    setSessions((java.util.List<SessionState>) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case BATCH_ID:
-                return getBatchId();
-
-            case SESSIONS:
-                return getSessions();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case BATCH_ID:
-                return isSetBatchId();
-            case SESSIONS:
-                return isSetSessions();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof ConfirmRequest) return this.equals((ConfirmRequest) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __BATCHID_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.BATCH_ID, new org.apache.thrift.meta_data.FieldMetaData("batchId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SESSIONS, new org.apache.thrift.meta_data.FieldMetaData("sessions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SessionState.class))));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConfirmRequest.class, metaDataMap);
+  }
+
+  public ConfirmRequest() {
+  }
+
+  public ConfirmRequest(
+    long batchId,
+    java.util.List<SessionState> sessions)
+  {
+    this();
+    this.batchId = batchId;
+    setBatchIdIsSet(true);
+    this.sessions = sessions;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public ConfirmRequest(ConfirmRequest other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.batchId = other.batchId;
+    if (other.isSetSessions()) {
+      java.util.List<SessionState> __this__sessions = new java.util.ArrayList<SessionState>(other.sessions.size());
+      for (SessionState other_element : other.sessions) {
+        __this__sessions.add(new SessionState(other_element));
+      }
+      this.sessions = __this__sessions;
+    }
+  }
+
+  @Override
+  public ConfirmRequest deepCopy() {
+    return new ConfirmRequest(this);
+  }
+
+  @Override
+  public void clear() {
+    setBatchIdIsSet(false);
+    this.batchId = 0;
+    this.sessions = null;
+  }
+
+  public long getBatchId() {
+    return this.batchId;
+  }
+
+  public ConfirmRequest setBatchId(long batchId) {
+    this.batchId = batchId;
+    setBatchIdIsSet(true);
+    return this;
+  }
+
+  public void unsetBatchId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BATCHID_ISSET_ID);
+  }
+
+  /** Returns true if field batchId is set (has been assigned a value) and false otherwise */
+  public boolean isSetBatchId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BATCHID_ISSET_ID);
+  }
+
+  public void setBatchIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BATCHID_ISSET_ID, value);
+  }
+
+  public int getSessionsSize() {
+    return (this.sessions == null) ? 0 : this.sessions.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<SessionState> getSessionsIterator() {
+    return (this.sessions == null) ? null : this.sessions.iterator();
+  }
+
+  public void addToSessions(SessionState elem) {
+    if (this.sessions == null) {
+      this.sessions = new java.util.ArrayList<SessionState>();
+    }
+    this.sessions.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<SessionState> getSessions() {
+    return this.sessions;
+  }
+
+  public ConfirmRequest setSessions(@org.apache.thrift.annotation.Nullable java.util.List<SessionState> sessions) {
+    this.sessions = sessions;
+    return this;
+  }
+
+  public void unsetSessions() {
+    this.sessions = null;
+  }
+
+  /** Returns true if field sessions is set (has been assigned a value) and false otherwise */
+  public boolean isSetSessions() {
+    return this.sessions != null;
+  }
+
+  public void setSessionsIsSet(boolean value) {
+    if (!value) {
+      this.sessions = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case BATCH_ID:
+      if (value == null) {
+        unsetBatchId();
+      } else {
+        setBatchId((java.lang.Long)value);
+      }
+      break;
+
+    case SESSIONS:
+      if (value == null) {
+        unsetSessions();
+      } else {
+        setSessions((java.util.List<SessionState>)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case BATCH_ID:
+      return getBatchId();
+
+    case SESSIONS:
+      return getSessions();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case BATCH_ID:
+      return isSetBatchId();
+    case SESSIONS:
+      return isSetSessions();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof ConfirmRequest)
+      return this.equals((ConfirmRequest)that);
+    return false;
+  }
+
+  public boolean equals(ConfirmRequest that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_batchId = true;
+    boolean that_present_batchId = true;
+    if (this_present_batchId || that_present_batchId) {
+      if (!(this_present_batchId && that_present_batchId))
+        return false;
+      if (this.batchId != that.batchId)
         return false;
     }
 
-    public boolean equals(ConfirmRequest that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_batchId = true;
-        boolean that_present_batchId = true;
-        if (this_present_batchId || that_present_batchId) {
-            if (!(this_present_batchId && that_present_batchId)) return false;
-            if (this.batchId != that.batchId) return false;
-        }
-
-        boolean this_present_sessions = true && this.isSetSessions();
-        boolean that_present_sessions = true && that.isSetSessions();
-        if (this_present_sessions || that_present_sessions) {
-            if (!(this_present_sessions && that_present_sessions)) return false;
-            if (!this.sessions.equals(that.sessions)) return false;
-        }
-
-        return true;
+    boolean this_present_sessions = true && this.isSetSessions();
+    boolean that_present_sessions = true && that.isSetSessions();
+    if (this_present_sessions || that_present_sessions) {
+      if (!(this_present_sessions && that_present_sessions))
+        return false;
+      if (!this.sessions.equals(that.sessions))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(batchId);
+
+    hashCode = hashCode * 8191 + ((isSetSessions()) ? 131071 : 524287);
+    if (isSetSessions())
+      hashCode = hashCode * 8191 + sessions.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(ConfirmRequest other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetBatchId(), other.isSetBatchId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBatchId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.batchId, other.batchId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSessions(), other.isSetSessions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSessions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessions, other.sessions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("ConfirmRequest(");
+    boolean first = true;
+
+    sb.append("batchId:");
+    sb.append(this.batchId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sessions:");
+    if (this.sessions == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.sessions);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'batchId' because it's a primitive and you chose the non-beans generator.
+    if (sessions == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'sessions' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ConfirmRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(batchId);
-
-        hashCode = hashCode * 8191 + ((isSetSessions()) ? 131071 : 524287);
-        if (isSetSessions()) hashCode = hashCode * 8191 + sessions.hashCode();
-
-        return hashCode;
+    public ConfirmRequestStandardScheme getScheme() {
+      return new ConfirmRequestStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(ConfirmRequest other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class ConfirmRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<ConfirmRequest> {
 
-        lastComparison = java.lang.Boolean.compare(isSetBatchId(), other.isSetBatchId());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, ConfirmRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetBatchId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.batchId, other.batchId);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // BATCH_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.batchId = iprot.readI64();
+              struct.setBatchIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSessions(), other.isSetSessions());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSessions()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessions, other.sessions);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // SESSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list136 = iprot.readListBegin();
+                struct.sessions = new java.util.ArrayList<SessionState>(_list136.size);
+                @org.apache.thrift.annotation.Nullable SessionState _elem137;
+                for (int _i138 = 0; _i138 < _list136.size; ++_i138)
+                {
+                  _elem137 = new SessionState();
+                  _elem137.read(iprot);
+                  struct.sessions.add(_elem137);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSessionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetBatchId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'batchId' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
-
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("ConfirmRequest(");
-        boolean first = true;
-
-        sb.append("batchId:");
-        sb.append(this.batchId);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sessions:");
-        if (this.sessions == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.sessions);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'batchId' because it's a primitive and you chose the non-beans generator.
-        if (sessions == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'sessions' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+    public void write(org.apache.thrift.protocol.TProtocol oprot, ConfirmRequest struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(BATCH_ID_FIELD_DESC);
+      oprot.writeI64(struct.batchId);
+      oprot.writeFieldEnd();
+      if (struct.sessions != null) {
+        oprot.writeFieldBegin(SESSIONS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.sessions.size()));
+          for (SessionState _iter139 : struct.sessions)
+          {
+            _iter139.write(oprot);
+          }
+          oprot.writeListEnd();
         }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
+  }
 
-    private static class ConfirmRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ConfirmRequestStandardScheme getScheme() {
-            return new ConfirmRequestStandardScheme();
-        }
+  private static class ConfirmRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public ConfirmRequestTupleScheme getScheme() {
+      return new ConfirmRequestTupleScheme();
     }
+  }
 
-    private static class ConfirmRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<ConfirmRequest> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, ConfirmRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // BATCH_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.batchId = iprot.readI64();
-                            struct.setBatchIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // SESSIONS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list136 = iprot.readListBegin();
-                                struct.sessions = new java.util.ArrayList<SessionState>(_list136.size);
-                                @org.apache.thrift.annotation.Nullable SessionState _elem137;
-                                for (int _i138 = 0; _i138 < _list136.size; ++_i138) {
-                                    _elem137 = new SessionState();
-                                    _elem137.read(iprot);
-                                    struct.sessions.add(_elem137);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setSessionsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetBatchId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'batchId' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
+  private static class ConfirmRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<ConfirmRequest> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, ConfirmRequest struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(BATCH_ID_FIELD_DESC);
-            oprot.writeI64(struct.batchId);
-            oprot.writeFieldEnd();
-            if (struct.sessions != null) {
-                oprot.writeFieldBegin(SESSIONS_FIELD_DESC);
-                {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.sessions.size()));
-                    for (SessionState _iter139 : struct.sessions) {
-                        _iter139.write(oprot);
-                    }
-                    oprot.writeListEnd();
-                }
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class ConfirmRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ConfirmRequestTupleScheme getScheme() {
-            return new ConfirmRequestTupleScheme();
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, ConfirmRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.batchId);
+      {
+        oprot.writeI32(struct.sessions.size());
+        for (SessionState _iter140 : struct.sessions)
+        {
+          _iter140.write(oprot);
         }
+      }
     }
 
-    private static class ConfirmRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<ConfirmRequest> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, ConfirmRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.batchId);
-            {
-                oprot.writeI32(struct.sessions.size());
-                for (SessionState _iter140 : struct.sessions) {
-                    _iter140.write(oprot);
-                }
-            }
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, ConfirmRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.batchId = iprot.readI64();
-            struct.setBatchIdIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list141 =
-                        iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.sessions = new java.util.ArrayList<SessionState>(_list141.size);
-                @org.apache.thrift.annotation.Nullable SessionState _elem142;
-                for (int _i143 = 0; _i143 < _list141.size; ++_i143) {
-                    _elem142 = new SessionState();
-                    _elem142.read(iprot);
-                    struct.sessions.add(_elem142);
-                }
-            }
-            struct.setSessionsIsSet(true);
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, ConfirmRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.batchId = iprot.readI64();
+      struct.setBatchIdIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list141 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.sessions = new java.util.ArrayList<SessionState>(_list141.size);
+        @org.apache.thrift.annotation.Nullable SessionState _elem142;
+        for (int _i143 = 0; _i143 < _list141.size; ++_i143)
+        {
+          _elem142 = new SessionState();
+          _elem142.read(iprot);
+          struct.sessions.add(_elem142);
         }
+      }
+      struct.setSessionsIsSet(true);
     }
+  }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ControlMessage.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ControlMessage.java
@@ -8,640 +8,581 @@
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class ControlMessage extends org.apache.thrift.TUnion<ControlMessage, ControlMessage._Fields> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ControlMessage");
-    private static final org.apache.thrift.protocol.TField SUBMIT_REQUEST_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("submitRequest", org.apache.thrift.protocol.TType.STRUCT, (short) 1);
-    private static final org.apache.thrift.protocol.TField SUBMIT_ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("submitAnswer", org.apache.thrift.protocol.TType.STRUCT, (short) 2);
-    private static final org.apache.thrift.protocol.TField PULL_REQUEST_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("pullRequest", org.apache.thrift.protocol.TType.STRUCT, (short) 3);
-    private static final org.apache.thrift.protocol.TField PULL_ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("pullAnswer", org.apache.thrift.protocol.TType.STRUCT, (short) 4);
-    private static final org.apache.thrift.protocol.TField CONFIRM_REQUEST_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("confirmRequest", org.apache.thrift.protocol.TType.STRUCT, (short) 5);
-    private static final org.apache.thrift.protocol.TField CONFIRM_ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("confirmAnswer", org.apache.thrift.protocol.TType.STRUCT, (short) 6);
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        SUBMIT_REQUEST((short) 1, "submitRequest"),
-        SUBMIT_ANSWER((short) 2, "submitAnswer"),
-        PULL_REQUEST((short) 3, "pullRequest"),
-        PULL_ANSWER((short) 4, "pullAnswer"),
-        CONFIRM_REQUEST((short) 5, "confirmRequest"),
-        CONFIRM_ANSWER((short) 6, "confirmAnswer");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // SUBMIT_REQUEST
-                    return SUBMIT_REQUEST;
-                case 2: // SUBMIT_ANSWER
-                    return SUBMIT_ANSWER;
-                case 3: // PULL_REQUEST
-                    return PULL_REQUEST;
-                case 4: // PULL_ANSWER
-                    return PULL_ANSWER;
-                case 5: // CONFIRM_REQUEST
-                    return CONFIRM_REQUEST;
-                case 6: // CONFIRM_ANSWER
-                    return CONFIRM_ANSWER;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ControlMessage");
+  private static final org.apache.thrift.protocol.TField SUBMIT_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("submitRequest", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+  private static final org.apache.thrift.protocol.TField SUBMIT_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("submitAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)2);
+  private static final org.apache.thrift.protocol.TField PULL_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("pullRequest", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField PULL_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("pullAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField CONFIRM_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("confirmRequest", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField CONFIRM_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("confirmAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)6);
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    SUBMIT_REQUEST((short)1, "submitRequest"),
+    SUBMIT_ANSWER((short)2, "submitAnswer"),
+    PULL_REQUEST((short)3, "pullRequest"),
+    PULL_ANSWER((short)4, "pullAnswer"),
+    CONFIRM_REQUEST((short)5, "confirmRequest"),
+    CONFIRM_ANSWER((short)6, "confirmAnswer");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.SUBMIT_REQUEST,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "submitRequest",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, SubmitRequest.class)));
-        tmpMap.put(
-                _Fields.SUBMIT_ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "submitAnswer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, SubmitAnswer.class)));
-        tmpMap.put(
-                _Fields.PULL_REQUEST,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "pullRequest",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, PullRequest.class)));
-        tmpMap.put(
-                _Fields.PULL_ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "pullAnswer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, PullAnswer.class)));
-        tmpMap.put(
-                _Fields.CONFIRM_REQUEST,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "confirmRequest",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, ConfirmRequest.class)));
-        tmpMap.put(
-                _Fields.CONFIRM_ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "confirmAnswer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, ConfirmAnswer.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlMessage.class, metaDataMap);
-    }
-
-    public ControlMessage() {
-        super();
-    }
-
-    public ControlMessage(_Fields setField, java.lang.Object value) {
-        super(setField, value);
-    }
-
-    public ControlMessage(ControlMessage other) {
-        super(other);
-    }
-
-    @Override
-    public ControlMessage deepCopy() {
-        return new ControlMessage(this);
-    }
-
-    public static ControlMessage submitRequest(SubmitRequest value) {
-        ControlMessage x = new ControlMessage();
-        x.setSubmitRequest(value);
-        return x;
-    }
-
-    public static ControlMessage submitAnswer(SubmitAnswer value) {
-        ControlMessage x = new ControlMessage();
-        x.setSubmitAnswer(value);
-        return x;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public static ControlMessage pullRequest(PullRequest value) {
-        ControlMessage x = new ControlMessage();
-        x.setPullRequest(value);
-        return x;
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // SUBMIT_REQUEST
+          return SUBMIT_REQUEST;
+        case 2: // SUBMIT_ANSWER
+          return SUBMIT_ANSWER;
+        case 3: // PULL_REQUEST
+          return PULL_REQUEST;
+        case 4: // PULL_ANSWER
+          return PULL_ANSWER;
+        case 5: // CONFIRM_REQUEST
+          return CONFIRM_REQUEST;
+        case 6: // CONFIRM_ANSWER
+          return CONFIRM_ANSWER;
+        default:
+          return null;
+      }
+    }
+
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
+    }
+
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public static ControlMessage pullAnswer(PullAnswer value) {
-        ControlMessage x = new ControlMessage();
-        x.setPullAnswer(value);
-        return x;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public static ControlMessage confirmRequest(ConfirmRequest value) {
-        ControlMessage x = new ControlMessage();
-        x.setConfirmRequest(value);
-        return x;
-    }
-
-    public static ControlMessage confirmAnswer(ConfirmAnswer value) {
-        ControlMessage x = new ControlMessage();
-        x.setConfirmAnswer(value);
-        return x;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
-        switch (setField) {
-            case SUBMIT_REQUEST:
-                if (value instanceof SubmitRequest) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type SubmitRequest for field 'submitRequest', but got "
-                                + value.getClass().getSimpleName());
-            case SUBMIT_ANSWER:
-                if (value instanceof SubmitAnswer) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type SubmitAnswer for field 'submitAnswer', but got "
-                                + value.getClass().getSimpleName());
-            case PULL_REQUEST:
-                if (value instanceof PullRequest) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type PullRequest for field 'pullRequest', but got "
-                                + value.getClass().getSimpleName());
-            case PULL_ANSWER:
-                if (value instanceof PullAnswer) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type PullAnswer for field 'pullAnswer', but got "
-                                + value.getClass().getSimpleName());
-            case CONFIRM_REQUEST:
-                if (value instanceof ConfirmRequest) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type ConfirmRequest for field 'confirmRequest', but got "
-                                + value.getClass().getSimpleName());
-            case CONFIRM_ANSWER:
-                if (value instanceof ConfirmAnswer) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type ConfirmAnswer for field 'confirmAnswer', but got "
-                                + value.getClass().getSimpleName());
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    protected java.lang.Object standardSchemeReadValue(
-            org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(field.id);
-        if (setField != null) {
-            switch (setField) {
-                case SUBMIT_REQUEST:
-                    if (field.type == SUBMIT_REQUEST_FIELD_DESC.type) {
-                        SubmitRequest submitRequest;
-                        submitRequest = new SubmitRequest();
-                        submitRequest.read(iprot);
-                        return submitRequest;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case SUBMIT_ANSWER:
-                    if (field.type == SUBMIT_ANSWER_FIELD_DESC.type) {
-                        SubmitAnswer submitAnswer;
-                        submitAnswer = new SubmitAnswer();
-                        submitAnswer.read(iprot);
-                        return submitAnswer;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case PULL_REQUEST:
-                    if (field.type == PULL_REQUEST_FIELD_DESC.type) {
-                        PullRequest pullRequest;
-                        pullRequest = new PullRequest();
-                        pullRequest.read(iprot);
-                        return pullRequest;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case PULL_ANSWER:
-                    if (field.type == PULL_ANSWER_FIELD_DESC.type) {
-                        PullAnswer pullAnswer;
-                        pullAnswer = new PullAnswer();
-                        pullAnswer.read(iprot);
-                        return pullAnswer;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case CONFIRM_REQUEST:
-                    if (field.type == CONFIRM_REQUEST_FIELD_DESC.type) {
-                        ConfirmRequest confirmRequest;
-                        confirmRequest = new ConfirmRequest();
-                        confirmRequest.read(iprot);
-                        return confirmRequest;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case CONFIRM_ANSWER:
-                    if (field.type == CONFIRM_ANSWER_FIELD_DESC.type) {
-                        ConfirmAnswer confirmAnswer;
-                        confirmAnswer = new ConfirmAnswer();
-                        confirmAnswer.read(iprot);
-                        return confirmAnswer;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.SUBMIT_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("submitRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SubmitRequest.class)));
+    tmpMap.put(_Fields.SUBMIT_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("submitAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SubmitAnswer.class)));
+    tmpMap.put(_Fields.PULL_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("pullRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PullRequest.class)));
+    tmpMap.put(_Fields.PULL_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("pullAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PullAnswer.class)));
+    tmpMap.put(_Fields.CONFIRM_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("confirmRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ConfirmRequest.class)));
+    tmpMap.put(_Fields.CONFIRM_ANSWER, new org.apache.thrift.meta_data.FieldMetaData("confirmAnswer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ConfirmAnswer.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ControlMessage.class, metaDataMap);
+  }
+
+  public ControlMessage() {
+    super();
+  }
+
+  public ControlMessage(_Fields setField, java.lang.Object value) {
+    super(setField, value);
+  }
+
+  public ControlMessage(ControlMessage other) {
+    super(other);
+  }
+  @Override
+  public ControlMessage deepCopy() {
+    return new ControlMessage(this);
+  }
+
+  public static ControlMessage submitRequest(SubmitRequest value) {
+    ControlMessage x = new ControlMessage();
+    x.setSubmitRequest(value);
+    return x;
+  }
+
+  public static ControlMessage submitAnswer(SubmitAnswer value) {
+    ControlMessage x = new ControlMessage();
+    x.setSubmitAnswer(value);
+    return x;
+  }
+
+  public static ControlMessage pullRequest(PullRequest value) {
+    ControlMessage x = new ControlMessage();
+    x.setPullRequest(value);
+    return x;
+  }
+
+  public static ControlMessage pullAnswer(PullAnswer value) {
+    ControlMessage x = new ControlMessage();
+    x.setPullAnswer(value);
+    return x;
+  }
+
+  public static ControlMessage confirmRequest(ConfirmRequest value) {
+    ControlMessage x = new ControlMessage();
+    x.setConfirmRequest(value);
+    return x;
+  }
+
+  public static ControlMessage confirmAnswer(ConfirmAnswer value) {
+    ControlMessage x = new ControlMessage();
+    x.setConfirmAnswer(value);
+    return x;
+  }
+
+
+  @Override
+  protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
+    switch (setField) {
+      case SUBMIT_REQUEST:
+        if (value instanceof SubmitRequest) {
+          break;
         }
-    }
-
-    @Override
-    protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case SUBMIT_REQUEST:
-                SubmitRequest submitRequest = (SubmitRequest) value_;
-                submitRequest.write(oprot);
-                return;
-            case SUBMIT_ANSWER:
-                SubmitAnswer submitAnswer = (SubmitAnswer) value_;
-                submitAnswer.write(oprot);
-                return;
-            case PULL_REQUEST:
-                PullRequest pullRequest = (PullRequest) value_;
-                pullRequest.write(oprot);
-                return;
-            case PULL_ANSWER:
-                PullAnswer pullAnswer = (PullAnswer) value_;
-                pullAnswer.write(oprot);
-                return;
-            case CONFIRM_REQUEST:
-                ConfirmRequest confirmRequest = (ConfirmRequest) value_;
-                confirmRequest.write(oprot);
-                return;
-            case CONFIRM_ANSWER:
-                ConfirmAnswer confirmAnswer = (ConfirmAnswer) value_;
-                confirmAnswer.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+        throw new java.lang.ClassCastException("Was expecting value of type SubmitRequest for field 'submitRequest', but got " + value.getClass().getSimpleName());
+      case SUBMIT_ANSWER:
+        if (value instanceof SubmitAnswer) {
+          break;
         }
-    }
-
-    @Override
-    protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(fieldID);
-        if (setField != null) {
-            switch (setField) {
-                case SUBMIT_REQUEST:
-                    SubmitRequest submitRequest;
-                    submitRequest = new SubmitRequest();
-                    submitRequest.read(iprot);
-                    return submitRequest;
-                case SUBMIT_ANSWER:
-                    SubmitAnswer submitAnswer;
-                    submitAnswer = new SubmitAnswer();
-                    submitAnswer.read(iprot);
-                    return submitAnswer;
-                case PULL_REQUEST:
-                    PullRequest pullRequest;
-                    pullRequest = new PullRequest();
-                    pullRequest.read(iprot);
-                    return pullRequest;
-                case PULL_ANSWER:
-                    PullAnswer pullAnswer;
-                    pullAnswer = new PullAnswer();
-                    pullAnswer.read(iprot);
-                    return pullAnswer;
-                case CONFIRM_REQUEST:
-                    ConfirmRequest confirmRequest;
-                    confirmRequest = new ConfirmRequest();
-                    confirmRequest.read(iprot);
-                    return confirmRequest;
-                case CONFIRM_ANSWER:
-                    ConfirmAnswer confirmAnswer;
-                    confirmAnswer = new ConfirmAnswer();
-                    confirmAnswer.read(iprot);
-                    return confirmAnswer;
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+        throw new java.lang.ClassCastException("Was expecting value of type SubmitAnswer for field 'submitAnswer', but got " + value.getClass().getSimpleName());
+      case PULL_REQUEST:
+        if (value instanceof PullRequest) {
+          break;
         }
-    }
-
-    @Override
-    protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case SUBMIT_REQUEST:
-                SubmitRequest submitRequest = (SubmitRequest) value_;
-                submitRequest.write(oprot);
-                return;
-            case SUBMIT_ANSWER:
-                SubmitAnswer submitAnswer = (SubmitAnswer) value_;
-                submitAnswer.write(oprot);
-                return;
-            case PULL_REQUEST:
-                PullRequest pullRequest = (PullRequest) value_;
-                pullRequest.write(oprot);
-                return;
-            case PULL_ANSWER:
-                PullAnswer pullAnswer = (PullAnswer) value_;
-                pullAnswer.write(oprot);
-                return;
-            case CONFIRM_REQUEST:
-                ConfirmRequest confirmRequest = (ConfirmRequest) value_;
-                confirmRequest.write(oprot);
-                return;
-            case CONFIRM_ANSWER:
-                ConfirmAnswer confirmAnswer = (ConfirmAnswer) value_;
-                confirmAnswer.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+        throw new java.lang.ClassCastException("Was expecting value of type PullRequest for field 'pullRequest', but got " + value.getClass().getSimpleName());
+      case PULL_ANSWER:
+        if (value instanceof PullAnswer) {
+          break;
         }
-    }
-
-    @Override
-    protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
-        switch (setField) {
-            case SUBMIT_REQUEST:
-                return SUBMIT_REQUEST_FIELD_DESC;
-            case SUBMIT_ANSWER:
-                return SUBMIT_ANSWER_FIELD_DESC;
-            case PULL_REQUEST:
-                return PULL_REQUEST_FIELD_DESC;
-            case PULL_ANSWER:
-                return PULL_ANSWER_FIELD_DESC;
-            case CONFIRM_REQUEST:
-                return CONFIRM_REQUEST_FIELD_DESC;
-            case CONFIRM_ANSWER:
-                return CONFIRM_ANSWER_FIELD_DESC;
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+        throw new java.lang.ClassCastException("Was expecting value of type PullAnswer for field 'pullAnswer', but got " + value.getClass().getSimpleName());
+      case CONFIRM_REQUEST:
+        if (value instanceof ConfirmRequest) {
+          break;
         }
-    }
-
-    @Override
-    protected org.apache.thrift.protocol.TStruct getStructDesc() {
-        return STRUCT_DESC;
-    }
-
-    @Override
-    protected _Fields enumForId(short id) {
-        return _Fields.findByThriftIdOrThrow(id);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
-    public SubmitRequest getSubmitRequest() {
-        if (getSetField() == _Fields.SUBMIT_REQUEST) {
-            return (SubmitRequest) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'submitRequest' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
+        throw new java.lang.ClassCastException("Was expecting value of type ConfirmRequest for field 'confirmRequest', but got " + value.getClass().getSimpleName());
+      case CONFIRM_ANSWER:
+        if (value instanceof ConfirmAnswer) {
+          break;
         }
+        throw new java.lang.ClassCastException("Was expecting value of type ConfirmAnswer for field 'confirmAnswer', but got " + value.getClass().getSimpleName());
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected java.lang.Object standardSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(field.id);
+    if (setField != null) {
+      switch (setField) {
+        case SUBMIT_REQUEST:
+          if (field.type == SUBMIT_REQUEST_FIELD_DESC.type) {
+            SubmitRequest submitRequest;
+            submitRequest = new SubmitRequest();
+            submitRequest.read(iprot);
+            return submitRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case SUBMIT_ANSWER:
+          if (field.type == SUBMIT_ANSWER_FIELD_DESC.type) {
+            SubmitAnswer submitAnswer;
+            submitAnswer = new SubmitAnswer();
+            submitAnswer.read(iprot);
+            return submitAnswer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case PULL_REQUEST:
+          if (field.type == PULL_REQUEST_FIELD_DESC.type) {
+            PullRequest pullRequest;
+            pullRequest = new PullRequest();
+            pullRequest.read(iprot);
+            return pullRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case PULL_ANSWER:
+          if (field.type == PULL_ANSWER_FIELD_DESC.type) {
+            PullAnswer pullAnswer;
+            pullAnswer = new PullAnswer();
+            pullAnswer.read(iprot);
+            return pullAnswer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case CONFIRM_REQUEST:
+          if (field.type == CONFIRM_REQUEST_FIELD_DESC.type) {
+            ConfirmRequest confirmRequest;
+            confirmRequest = new ConfirmRequest();
+            confirmRequest.read(iprot);
+            return confirmRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case CONFIRM_ANSWER:
+          if (field.type == CONFIRM_ANSWER_FIELD_DESC.type) {
+            ConfirmAnswer confirmAnswer;
+            confirmAnswer = new ConfirmAnswer();
+            confirmAnswer.read(iprot);
+            return confirmAnswer;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+      return null;
+    }
+  }
+
+  @Override
+  protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case SUBMIT_REQUEST:
+        SubmitRequest submitRequest = (SubmitRequest)value_;
+        submitRequest.write(oprot);
+        return;
+      case SUBMIT_ANSWER:
+        SubmitAnswer submitAnswer = (SubmitAnswer)value_;
+        submitAnswer.write(oprot);
+        return;
+      case PULL_REQUEST:
+        PullRequest pullRequest = (PullRequest)value_;
+        pullRequest.write(oprot);
+        return;
+      case PULL_ANSWER:
+        PullAnswer pullAnswer = (PullAnswer)value_;
+        pullAnswer.write(oprot);
+        return;
+      case CONFIRM_REQUEST:
+        ConfirmRequest confirmRequest = (ConfirmRequest)value_;
+        confirmRequest.write(oprot);
+        return;
+      case CONFIRM_ANSWER:
+        ConfirmAnswer confirmAnswer = (ConfirmAnswer)value_;
+        confirmAnswer.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(fieldID);
+    if (setField != null) {
+      switch (setField) {
+        case SUBMIT_REQUEST:
+          SubmitRequest submitRequest;
+          submitRequest = new SubmitRequest();
+          submitRequest.read(iprot);
+          return submitRequest;
+        case SUBMIT_ANSWER:
+          SubmitAnswer submitAnswer;
+          submitAnswer = new SubmitAnswer();
+          submitAnswer.read(iprot);
+          return submitAnswer;
+        case PULL_REQUEST:
+          PullRequest pullRequest;
+          pullRequest = new PullRequest();
+          pullRequest.read(iprot);
+          return pullRequest;
+        case PULL_ANSWER:
+          PullAnswer pullAnswer;
+          pullAnswer = new PullAnswer();
+          pullAnswer.read(iprot);
+          return pullAnswer;
+        case CONFIRM_REQUEST:
+          ConfirmRequest confirmRequest;
+          confirmRequest = new ConfirmRequest();
+          confirmRequest.read(iprot);
+          return confirmRequest;
+        case CONFIRM_ANSWER:
+          ConfirmAnswer confirmAnswer;
+          confirmAnswer = new ConfirmAnswer();
+          confirmAnswer.read(iprot);
+          return confirmAnswer;
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+    }
+  }
+
+  @Override
+  protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case SUBMIT_REQUEST:
+        SubmitRequest submitRequest = (SubmitRequest)value_;
+        submitRequest.write(oprot);
+        return;
+      case SUBMIT_ANSWER:
+        SubmitAnswer submitAnswer = (SubmitAnswer)value_;
+        submitAnswer.write(oprot);
+        return;
+      case PULL_REQUEST:
+        PullRequest pullRequest = (PullRequest)value_;
+        pullRequest.write(oprot);
+        return;
+      case PULL_ANSWER:
+        PullAnswer pullAnswer = (PullAnswer)value_;
+        pullAnswer.write(oprot);
+        return;
+      case CONFIRM_REQUEST:
+        ConfirmRequest confirmRequest = (ConfirmRequest)value_;
+        confirmRequest.write(oprot);
+        return;
+      case CONFIRM_ANSWER:
+        ConfirmAnswer confirmAnswer = (ConfirmAnswer)value_;
+        confirmAnswer.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
+    switch (setField) {
+      case SUBMIT_REQUEST:
+        return SUBMIT_REQUEST_FIELD_DESC;
+      case SUBMIT_ANSWER:
+        return SUBMIT_ANSWER_FIELD_DESC;
+      case PULL_REQUEST:
+        return PULL_REQUEST_FIELD_DESC;
+      case PULL_ANSWER:
+        return PULL_ANSWER_FIELD_DESC;
+      case CONFIRM_REQUEST:
+        return CONFIRM_REQUEST_FIELD_DESC;
+      case CONFIRM_ANSWER:
+        return CONFIRM_ANSWER_FIELD_DESC;
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TStruct getStructDesc() {
+    return STRUCT_DESC;
+  }
+
+  @Override
+  protected _Fields enumForId(short id) {
+    return _Fields.findByThriftIdOrThrow(id);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+
+  public SubmitRequest getSubmitRequest() {
+    if (getSetField() == _Fields.SUBMIT_REQUEST) {
+      return (SubmitRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'submitRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setSubmitRequest(SubmitRequest value) {
+    setField_ = _Fields.SUBMIT_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SUBMIT_REQUEST");
+  }
+
+  public SubmitAnswer getSubmitAnswer() {
+    if (getSetField() == _Fields.SUBMIT_ANSWER) {
+      return (SubmitAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'submitAnswer' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setSubmitAnswer(SubmitAnswer value) {
+    setField_ = _Fields.SUBMIT_ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SUBMIT_ANSWER");
+  }
+
+  public PullRequest getPullRequest() {
+    if (getSetField() == _Fields.PULL_REQUEST) {
+      return (PullRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'pullRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setPullRequest(PullRequest value) {
+    setField_ = _Fields.PULL_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.PULL_REQUEST");
+  }
+
+  public PullAnswer getPullAnswer() {
+    if (getSetField() == _Fields.PULL_ANSWER) {
+      return (PullAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'pullAnswer' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setPullAnswer(PullAnswer value) {
+    setField_ = _Fields.PULL_ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.PULL_ANSWER");
+  }
+
+  public ConfirmRequest getConfirmRequest() {
+    if (getSetField() == _Fields.CONFIRM_REQUEST) {
+      return (ConfirmRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'confirmRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setConfirmRequest(ConfirmRequest value) {
+    setField_ = _Fields.CONFIRM_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.CONFIRM_REQUEST");
+  }
+
+  public ConfirmAnswer getConfirmAnswer() {
+    if (getSetField() == _Fields.CONFIRM_ANSWER) {
+      return (ConfirmAnswer)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'confirmAnswer' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public void setSubmitRequest(SubmitRequest value) {
-        setField_ = _Fields.SUBMIT_REQUEST;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.SUBMIT_REQUEST");
-    }
+  public void setConfirmAnswer(ConfirmAnswer value) {
+    setField_ = _Fields.CONFIRM_ANSWER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.CONFIRM_ANSWER");
+  }
 
-    public SubmitAnswer getSubmitAnswer() {
-        if (getSetField() == _Fields.SUBMIT_ANSWER) {
-            return (SubmitAnswer) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'submitAnswer' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public boolean isSetSubmitRequest() {
+    return setField_ == _Fields.SUBMIT_REQUEST;
+  }
 
-    public void setSubmitAnswer(SubmitAnswer value) {
-        setField_ = _Fields.SUBMIT_ANSWER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.SUBMIT_ANSWER");
-    }
 
-    public PullRequest getPullRequest() {
-        if (getSetField() == _Fields.PULL_REQUEST) {
-            return (PullRequest) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'pullRequest' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public boolean isSetSubmitAnswer() {
+    return setField_ == _Fields.SUBMIT_ANSWER;
+  }
 
-    public void setPullRequest(PullRequest value) {
-        setField_ = _Fields.PULL_REQUEST;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.PULL_REQUEST");
-    }
 
-    public PullAnswer getPullAnswer() {
-        if (getSetField() == _Fields.PULL_ANSWER) {
-            return (PullAnswer) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'pullAnswer' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public boolean isSetPullRequest() {
+    return setField_ == _Fields.PULL_REQUEST;
+  }
 
-    public void setPullAnswer(PullAnswer value) {
-        setField_ = _Fields.PULL_ANSWER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.PULL_ANSWER");
-    }
 
-    public ConfirmRequest getConfirmRequest() {
-        if (getSetField() == _Fields.CONFIRM_REQUEST) {
-            return (ConfirmRequest) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'confirmRequest' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public boolean isSetPullAnswer() {
+    return setField_ == _Fields.PULL_ANSWER;
+  }
 
-    public void setConfirmRequest(ConfirmRequest value) {
-        setField_ = _Fields.CONFIRM_REQUEST;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.CONFIRM_REQUEST");
-    }
 
-    public ConfirmAnswer getConfirmAnswer() {
-        if (getSetField() == _Fields.CONFIRM_ANSWER) {
-            return (ConfirmAnswer) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'confirmAnswer' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public boolean isSetConfirmRequest() {
+    return setField_ == _Fields.CONFIRM_REQUEST;
+  }
 
-    public void setConfirmAnswer(ConfirmAnswer value) {
-        setField_ = _Fields.CONFIRM_ANSWER;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.CONFIRM_ANSWER");
-    }
 
-    public boolean isSetSubmitRequest() {
-        return setField_ == _Fields.SUBMIT_REQUEST;
-    }
+  public boolean isSetConfirmAnswer() {
+    return setField_ == _Fields.CONFIRM_ANSWER;
+  }
 
-    public boolean isSetSubmitAnswer() {
-        return setField_ == _Fields.SUBMIT_ANSWER;
-    }
 
-    public boolean isSetPullRequest() {
-        return setField_ == _Fields.PULL_REQUEST;
+  public boolean equals(java.lang.Object other) {
+    if (other instanceof ControlMessage) {
+      return equals((ControlMessage)other);
+    } else {
+      return false;
     }
+  }
 
-    public boolean isSetPullAnswer() {
-        return setField_ == _Fields.PULL_ANSWER;
-    }
+  public boolean equals(ControlMessage other) {
+    return other != null && getSetField() == other.getSetField() && getFieldValue().equals(other.getFieldValue());
+  }
 
-    public boolean isSetConfirmRequest() {
-        return setField_ == _Fields.CONFIRM_REQUEST;
+  @Override
+  public int compareTo(ControlMessage other) {
+    int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
+    if (lastComparison == 0) {
+      return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
     }
+    return lastComparison;
+  }
 
-    public boolean isSetConfirmAnswer() {
-        return setField_ == _Fields.CONFIRM_ANSWER;
-    }
 
-    public boolean equals(java.lang.Object other) {
-        if (other instanceof ControlMessage) {
-            return equals((ControlMessage) other);
-        } else {
-            return false;
-        }
+  @Override
+  public int hashCode() {
+    java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
+    list.add(this.getClass().getName());
+    org.apache.thrift.TFieldIdEnum setField = getSetField();
+    if (setField != null) {
+      list.add(setField.getThriftFieldId());
+      java.lang.Object value = getFieldValue();
+      if (value instanceof org.apache.thrift.TEnum) {
+        list.add(((org.apache.thrift.TEnum)getFieldValue()).getValue());
+      } else {
+        list.add(value);
+      }
     }
-
-    public boolean equals(ControlMessage other) {
-        return other != null
-                && getSetField() == other.getSetField()
-                && getFieldValue().equals(other.getFieldValue());
+    return list.hashCode();
+  }
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    @Override
-    public int compareTo(ControlMessage other) {
-        int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
-        if (lastComparison == 0) {
-            return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
-        }
-        return lastComparison;
-    }
 
-    @Override
-    public int hashCode() {
-        java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
-        list.add(this.getClass().getName());
-        org.apache.thrift.TFieldIdEnum setField = getSetField();
-        if (setField != null) {
-            list.add(setField.getThriftFieldId());
-            java.lang.Object value = getFieldValue();
-            if (value instanceof org.apache.thrift.TEnum) {
-                list.add(((org.apache.thrift.TEnum) getFieldValue()).getValue());
-            } else {
-                list.add(value);
-            }
-        }
-        return list.hashCode();
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
 }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/CrashCountResult.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/CrashCountResult.java
@@ -7,384 +7,370 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class CrashCountResult
-        implements org.apache.thrift.TBase<CrashCountResult, CrashCountResult._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<CrashCountResult> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("CrashCountResult");
-
-    private static final org.apache.thrift.protocol.TField TARGETS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("targets", org.apache.thrift.protocol.TType.I32, (short) 1);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new CrashCountResultStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new CrashCountResultTupleSchemeFactory();
-
-    private int targets; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TARGETS((short) 1, "targets");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TARGETS
-                    return TARGETS;
-                default:
-                    return null;
-            }
-        }
+public class CrashCountResult implements org.apache.thrift.TBase<CrashCountResult, CrashCountResult._Fields>, java.io.Serializable, Cloneable, Comparable<CrashCountResult> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("CrashCountResult");
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField TARGETS_FIELD_DESC = new org.apache.thrift.protocol.TField("targets", org.apache.thrift.protocol.TType.I32, (short)1);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new CrashCountResultStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new CrashCountResultTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private int targets; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TARGETS((short)1, "targets");
 
-    // isset id assignments
-    private static final int __TARGETS_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TARGETS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "targets",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CrashCountResult.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public CrashCountResult() {}
-
-    public CrashCountResult(int targets) {
-        this();
-        this.targets = targets;
-        setTargetsIsSet(true);
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TARGETS
+          return TARGETS;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public CrashCountResult(CrashCountResult other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.targets = other.targets;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    @Override
-    public CrashCountResult deepCopy() {
-        return new CrashCountResult(this);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @Override
-    public void clear() {
-        setTargetsIsSet(false);
-        this.targets = 0;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public int getTargets() {
-        return this.targets;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    public CrashCountResult setTargets(int targets) {
-        this.targets = targets;
-        setTargetsIsSet(true);
-        return this;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public void unsetTargets() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TARGETS_ISSET_ID);
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
     }
+  }
+
+  // isset id assignments
+  private static final int __TARGETS_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TARGETS, new org.apache.thrift.meta_data.FieldMetaData("targets", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CrashCountResult.class, metaDataMap);
+  }
+
+  public CrashCountResult() {
+  }
+
+  public CrashCountResult(
+    int targets)
+  {
+    this();
+    this.targets = targets;
+    setTargetsIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public CrashCountResult(CrashCountResult other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.targets = other.targets;
+  }
+
+  @Override
+  public CrashCountResult deepCopy() {
+    return new CrashCountResult(this);
+  }
+
+  @Override
+  public void clear() {
+    setTargetsIsSet(false);
+    this.targets = 0;
+  }
+
+  public int getTargets() {
+    return this.targets;
+  }
+
+  public CrashCountResult setTargets(int targets) {
+    this.targets = targets;
+    setTargetsIsSet(true);
+    return this;
+  }
+
+  public void unsetTargets() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TARGETS_ISSET_ID);
+  }
+
+  /** Returns true if field targets is set (has been assigned a value) and false otherwise */
+  public boolean isSetTargets() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TARGETS_ISSET_ID);
+  }
+
+  public void setTargetsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TARGETS_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TARGETS:
+      if (value == null) {
+        unsetTargets();
+      } else {
+        setTargets((java.lang.Integer)value);
+      }
+      break;
 
-    /** Returns true if field targets is set (has been assigned a value) and false otherwise */
-    public boolean isSetTargets() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TARGETS_ISSET_ID);
     }
+  }
 
-    public void setTargetsIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TARGETS_ISSET_ID, value);
-    }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TARGETS:
+      return getTargets();
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TARGETS:
-                if (value == null) {
-                    unsetTargets();
-                } else {
-                    setTargets((java.lang.Integer) value);
-                }
-                break;
-        }
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TARGETS:
-                return getTargets();
-        }
-        throw new java.lang.IllegalStateException();
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TARGETS:
-                return isSetTargets();
-        }
-        throw new java.lang.IllegalStateException();
+    switch (field) {
+    case TARGETS:
+      return isSetTargets();
     }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof CrashCountResult) return this.equals((CrashCountResult) that);
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof CrashCountResult)
+      return this.equals((CrashCountResult)that);
+    return false;
+  }
+
+  public boolean equals(CrashCountResult that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_targets = true;
+    boolean that_present_targets = true;
+    if (this_present_targets || that_present_targets) {
+      if (!(this_present_targets && that_present_targets))
+        return false;
+      if (this.targets != that.targets)
         return false;
     }
 
-    public boolean equals(CrashCountResult that) {
-        if (that == null) return false;
-        if (this == that) return true;
+    return true;
+  }
 
-        boolean this_present_targets = true;
-        boolean that_present_targets = true;
-        if (this_present_targets || that_present_targets) {
-            if (!(this_present_targets && that_present_targets)) return false;
-            if (this.targets != that.targets) return false;
-        }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    hashCode = hashCode * 8191 + targets;
 
-        hashCode = hashCode * 8191 + targets;
+    return hashCode;
+  }
 
-        return hashCode;
+  @Override
+  public int compareTo(CrashCountResult other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    @Override
-    public int compareTo(CrashCountResult other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+    int lastComparison = 0;
 
-        lastComparison = java.lang.Boolean.compare(isSetTargets(), other.isSetTargets());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTargets()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.targets, other.targets);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    lastComparison = java.lang.Boolean.compare(isSetTargets(), other.isSetTargets());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    if (isSetTargets()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.targets, other.targets);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("CrashCountResult(");
+    boolean first = true;
+
+    sb.append("targets:");
+    sb.append(this.targets);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'targets' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
+  private static class CrashCountResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("CrashCountResult(");
-        boolean first = true;
-
-        sb.append("targets:");
-        sb.append(this.targets);
-        first = false;
-        sb.append(")");
-        return sb.toString();
+    public CrashCountResultStandardScheme getScheme() {
+      return new CrashCountResultStandardScheme();
     }
+  }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'targets' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  private static class CrashCountResultStandardScheme extends org.apache.thrift.scheme.StandardScheme<CrashCountResult> {
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, CrashCountResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+        switch (schemeField.id) {
+          case 1: // TARGETS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.targets = iprot.readI32();
+              struct.setTargetsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetTargets()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'targets' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class CrashCountResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public CrashCountResultStandardScheme getScheme() {
-            return new CrashCountResultStandardScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, CrashCountResult struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(TARGETS_FIELD_DESC);
+      oprot.writeI32(struct.targets);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    private static class CrashCountResultStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<CrashCountResult> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, CrashCountResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TARGETS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.targets = iprot.readI32();
-                            struct.setTargetsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetTargets()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'targets' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, CrashCountResult struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(TARGETS_FIELD_DESC);
-            oprot.writeI32(struct.targets);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
+  }
 
-    private static class CrashCountResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public CrashCountResultTupleScheme getScheme() {
-            return new CrashCountResultTupleScheme();
-        }
+  private static class CrashCountResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public CrashCountResultTupleScheme getScheme() {
+      return new CrashCountResultTupleScheme();
     }
+  }
 
-    private static class CrashCountResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<CrashCountResult> {
+  private static class CrashCountResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<CrashCountResult> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, CrashCountResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI32(struct.targets);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, CrashCountResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.targets = iprot.readI32();
-            struct.setTargetsIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, CrashCountResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI32(struct.targets);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, CrashCountResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.targets = iprot.readI32();
+      struct.setTargetsIsSet(true);
     }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
