--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/CrashState.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/CrashState.java
@@ -7,638 +7,622 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class CrashState
-        implements org.apache.thrift.TBase<CrashState, CrashState._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<CrashState> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("CrashState");
-
-    private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField TARGETS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("targets", org.apache.thrift.protocol.TType.LIST, (short) 2);
-    private static final org.apache.thrift.protocol.TField CHANGED_MILLIS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("changedMillis", org.apache.thrift.protocol.TType.I64, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new CrashStateStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new CrashStateTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String fingerprint; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> targets; // required
-    private long changedMillis; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        FINGERPRINT((short) 1, "fingerprint"),
-        TARGETS((short) 2, "targets"),
-        CHANGED_MILLIS((short) 3, "changedMillis");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // FINGERPRINT
-                    return FINGERPRINT;
-                case 2: // TARGETS
-                    return TARGETS;
-                case 3: // CHANGED_MILLIS
-                    return CHANGED_MILLIS;
-                default:
-                    return null;
-            }
-        }
+public class CrashState implements org.apache.thrift.TBase<CrashState, CrashState._Fields>, java.io.Serializable, Cloneable, Comparable<CrashState> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("CrashState");
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField TARGETS_FIELD_DESC = new org.apache.thrift.protocol.TField("targets", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField CHANGED_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("changedMillis", org.apache.thrift.protocol.TType.I64, (short)3);
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new CrashStateStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new CrashStateTupleSchemeFactory();
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private @org.apache.thrift.annotation.Nullable java.lang.String fingerprint; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> targets; // required
+  private long changedMillis; // required
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    FINGERPRINT((short)1, "fingerprint"),
+    TARGETS((short)2, "targets"),
+    CHANGED_MILLIS((short)3, "changedMillis");
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __CHANGEDMILLIS_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.FINGERPRINT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "fingerprint",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.TARGETS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "targets",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.FieldValueMetaData(
-                                        org.apache.thrift.protocol.TType.STRING))));
-        tmpMap.put(
-                _Fields.CHANGED_MILLIS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "changedMillis",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CrashState.class, metaDataMap);
-    }
-
-    public CrashState() {}
-
-    public CrashState(java.lang.String fingerprint, java.util.List<java.lang.String> targets, long changedMillis) {
-        this();
-        this.fingerprint = fingerprint;
-        this.targets = targets;
-        this.changedMillis = changedMillis;
-        setChangedMillisIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public CrashState(CrashState other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetFingerprint()) {
-            this.fingerprint = other.fingerprint;
-        }
-        if (other.isSetTargets()) {
-            java.util.List<java.lang.String> __this__targets = new java.util.ArrayList<java.lang.String>(other.targets);
-            this.targets = __this__targets;
-        }
-        this.changedMillis = other.changedMillis;
-    }
-
-    @Override
-    public CrashState deepCopy() {
-        return new CrashState(this);
-    }
-
-    @Override
-    public void clear() {
-        this.fingerprint = null;
-        this.targets = null;
-        setChangedMillisIsSet(false);
-        this.changedMillis = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getFingerprint() {
-        return this.fingerprint;
-    }
-
-    public CrashState setFingerprint(@org.apache.thrift.annotation.Nullable java.lang.String fingerprint) {
-        this.fingerprint = fingerprint;
-        return this;
-    }
-
-    public void unsetFingerprint() {
-        this.fingerprint = null;
-    }
-
-    /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
-    public boolean isSetFingerprint() {
-        return this.fingerprint != null;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // FINGERPRINT
+          return FINGERPRINT;
+        case 2: // TARGETS
+          return TARGETS;
+        case 3: // CHANGED_MILLIS
+          return CHANGED_MILLIS;
+        default:
+          return null;
+      }
     }
 
-    public void setFingerprintIsSet(boolean value) {
-        if (!value) {
-            this.fingerprint = null;
-        }
-    }
-
-    public int getTargetsSize() {
-        return (this.targets == null) ? 0 : this.targets.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<java.lang.String> getTargetsIterator() {
-        return (this.targets == null) ? null : this.targets.iterator();
-    }
-
-    public void addToTargets(java.lang.String elem) {
-        if (this.targets == null) {
-            this.targets = new java.util.ArrayList<java.lang.String>();
-        }
-        this.targets.add(elem);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<java.lang.String> getTargets() {
-        return this.targets;
-    }
-
-    public CrashState setTargets(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> targets) {
-        this.targets = targets;
-        return this;
-    }
-
-    public void unsetTargets() {
-        this.targets = null;
-    }
-
-    /** Returns true if field targets is set (has been assigned a value) and false otherwise */
-    public boolean isSetTargets() {
-        return this.targets != null;
-    }
-
-    public void setTargetsIsSet(boolean value) {
-        if (!value) {
-            this.targets = null;
-        }
-    }
-
-    public long getChangedMillis() {
-        return this.changedMillis;
-    }
-
-    public CrashState setChangedMillis(long changedMillis) {
-        this.changedMillis = changedMillis;
-        setChangedMillisIsSet(true);
-        return this;
-    }
-
-    public void unsetChangedMillis() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID);
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field changedMillis is set (has been assigned a value) and false otherwise */
-    public boolean isSetChangedMillis() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setChangedMillisIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case FINGERPRINT:
-                if (value == null) {
-                    unsetFingerprint();
-                } else {
-                    setFingerprint((java.lang.String) value);
-                }
-                break;
-
-            case TARGETS:
-                if (value == null) {
-                    unsetTargets();
-                } else {
-                    setTargets((java.util.List<java.lang.String>) value);
-                }
-                break;
-
-            case CHANGED_MILLIS:
-                if (value == null) {
-                    unsetChangedMillis();
-                } else {
-                    setChangedMillis((java.lang.Long) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case FINGERPRINT:
-                return getFingerprint();
-
-            case TARGETS:
-                return getTargets();
-
-            case CHANGED_MILLIS:
-                return getChangedMillis();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case FINGERPRINT:
-                return isSetFingerprint();
-            case TARGETS:
-                return isSetTargets();
-            case CHANGED_MILLIS:
-                return isSetChangedMillis();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __CHANGEDMILLIS_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.FINGERPRINT, new org.apache.thrift.meta_data.FieldMetaData("fingerprint", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.TARGETS, new org.apache.thrift.meta_data.FieldMetaData("targets", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.CHANGED_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("changedMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(CrashState.class, metaDataMap);
+  }
+
+  public CrashState() {
+  }
+
+  public CrashState(
+    java.lang.String fingerprint,
+    java.util.List<java.lang.String> targets,
+    long changedMillis)
+  {
+    this();
+    this.fingerprint = fingerprint;
+    this.targets = targets;
+    this.changedMillis = changedMillis;
+    setChangedMillisIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public CrashState(CrashState other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetFingerprint()) {
+      this.fingerprint = other.fingerprint;
+    }
+    if (other.isSetTargets()) {
+      java.util.List<java.lang.String> __this__targets = new java.util.ArrayList<java.lang.String>(other.targets);
+      this.targets = __this__targets;
+    }
+    this.changedMillis = other.changedMillis;
+  }
+
+  @Override
+  public CrashState deepCopy() {
+    return new CrashState(this);
+  }
+
+  @Override
+  public void clear() {
+    this.fingerprint = null;
+    this.targets = null;
+    setChangedMillisIsSet(false);
+    this.changedMillis = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getFingerprint() {
+    return this.fingerprint;
+  }
+
+  public CrashState setFingerprint(@org.apache.thrift.annotation.Nullable java.lang.String fingerprint) {
+    this.fingerprint = fingerprint;
+    return this;
+  }
+
+  public void unsetFingerprint() {
+    this.fingerprint = null;
+  }
+
+  /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
+  public boolean isSetFingerprint() {
+    return this.fingerprint != null;
+  }
+
+  public void setFingerprintIsSet(boolean value) {
+    if (!value) {
+      this.fingerprint = null;
+    }
+  }
+
+  public int getTargetsSize() {
+    return (this.targets == null) ? 0 : this.targets.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getTargetsIterator() {
+    return (this.targets == null) ? null : this.targets.iterator();
+  }
+
+  public void addToTargets(java.lang.String elem) {
+    if (this.targets == null) {
+      this.targets = new java.util.ArrayList<java.lang.String>();
+    }
+    this.targets.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getTargets() {
+    return this.targets;
+  }
+
+  public CrashState setTargets(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> targets) {
+    this.targets = targets;
+    return this;
+  }
+
+  public void unsetTargets() {
+    this.targets = null;
+  }
+
+  /** Returns true if field targets is set (has been assigned a value) and false otherwise */
+  public boolean isSetTargets() {
+    return this.targets != null;
+  }
+
+  public void setTargetsIsSet(boolean value) {
+    if (!value) {
+      this.targets = null;
+    }
+  }
+
+  public long getChangedMillis() {
+    return this.changedMillis;
+  }
+
+  public CrashState setChangedMillis(long changedMillis) {
+    this.changedMillis = changedMillis;
+    setChangedMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetChangedMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field changedMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetChangedMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID);
+  }
+
+  public void setChangedMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CHANGEDMILLIS_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case FINGERPRINT:
+      if (value == null) {
+        unsetFingerprint();
+      } else {
+        setFingerprint((java.lang.String)value);
+      }
+      break;
+
+    case TARGETS:
+      if (value == null) {
+        unsetTargets();
+      } else {
+        setTargets((java.util.List<java.lang.String>)value);
+      }
+      break;
+
+    case CHANGED_MILLIS:
+      if (value == null) {
+        unsetChangedMillis();
+      } else {
+        setChangedMillis((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case FINGERPRINT:
+      return getFingerprint();
+
+    case TARGETS:
+      return getTargets();
+
+    case CHANGED_MILLIS:
+      return getChangedMillis();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case FINGERPRINT:
+      return isSetFingerprint();
+    case TARGETS:
+      return isSetTargets();
+    case CHANGED_MILLIS:
+      return isSetChangedMillis();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof CrashState)
+      return this.equals((CrashState)that);
+    return false;
+  }
+
+  public boolean equals(CrashState that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_fingerprint = true && this.isSetFingerprint();
+    boolean that_present_fingerprint = true && that.isSetFingerprint();
+    if (this_present_fingerprint || that_present_fingerprint) {
+      if (!(this_present_fingerprint && that_present_fingerprint))
+        return false;
+      if (!this.fingerprint.equals(that.fingerprint))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof CrashState) return this.equals((CrashState) that);
+    boolean this_present_targets = true && this.isSetTargets();
+    boolean that_present_targets = true && that.isSetTargets();
+    if (this_present_targets || that_present_targets) {
+      if (!(this_present_targets && that_present_targets))
+        return false;
+      if (!this.targets.equals(that.targets))
         return false;
     }
 
-    public boolean equals(CrashState that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_fingerprint = true && this.isSetFingerprint();
-        boolean that_present_fingerprint = true && that.isSetFingerprint();
-        if (this_present_fingerprint || that_present_fingerprint) {
-            if (!(this_present_fingerprint && that_present_fingerprint)) return false;
-            if (!this.fingerprint.equals(that.fingerprint)) return false;
-        }
-
-        boolean this_present_targets = true && this.isSetTargets();
-        boolean that_present_targets = true && that.isSetTargets();
-        if (this_present_targets || that_present_targets) {
-            if (!(this_present_targets && that_present_targets)) return false;
-            if (!this.targets.equals(that.targets)) return false;
-        }
-
-        boolean this_present_changedMillis = true;
-        boolean that_present_changedMillis = true;
-        if (this_present_changedMillis || that_present_changedMillis) {
-            if (!(this_present_changedMillis && that_present_changedMillis)) return false;
-            if (this.changedMillis != that.changedMillis) return false;
-        }
-
-        return true;
+    boolean this_present_changedMillis = true;
+    boolean that_present_changedMillis = true;
+    if (this_present_changedMillis || that_present_changedMillis) {
+      if (!(this_present_changedMillis && that_present_changedMillis))
+        return false;
+      if (this.changedMillis != that.changedMillis)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetFingerprint()) ? 131071 : 524287);
+    if (isSetFingerprint())
+      hashCode = hashCode * 8191 + fingerprint.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetTargets()) ? 131071 : 524287);
+    if (isSetTargets())
+      hashCode = hashCode * 8191 + targets.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(changedMillis);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(CrashState other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFingerprint()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTargets(), other.isSetTargets());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTargets()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.targets, other.targets);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetChangedMillis(), other.isSetChangedMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetChangedMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.changedMillis, other.changedMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("CrashState(");
+    boolean first = true;
+
+    sb.append("fingerprint:");
+    if (this.fingerprint == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.fingerprint);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("targets:");
+    if (this.targets == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.targets);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("changedMillis:");
+    sb.append(this.changedMillis);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (fingerprint == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'fingerprint' was not present! Struct: " + toString());
+    }
+    if (targets == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'targets' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'changedMillis' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class CrashStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetFingerprint()) ? 131071 : 524287);
-        if (isSetFingerprint()) hashCode = hashCode * 8191 + fingerprint.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetTargets()) ? 131071 : 524287);
-        if (isSetTargets()) hashCode = hashCode * 8191 + targets.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(changedMillis);
-
-        return hashCode;
+    public CrashStateStandardScheme getScheme() {
+      return new CrashStateStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(CrashState other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+  private static class CrashStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<CrashState> {
 
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetFingerprint()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, CrashState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // FINGERPRINT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.fingerprint = iprot.readString();
+              struct.setFingerprintIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetTargets(), other.isSetTargets());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTargets()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.targets, other.targets);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // TARGETS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.targets = new java.util.ArrayList<java.lang.String>(_list24.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                {
+                  _elem25 = iprot.readString();
+                  struct.targets.add(_elem25);
+                }
+                iprot.readListEnd();
+              }
+              struct.setTargetsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetChangedMillis(), other.isSetChangedMillis());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetChangedMillis()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.changedMillis, other.changedMillis);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // CHANGED_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.changedMillis = iprot.readI64();
+              struct.setChangedMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetChangedMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'changedMillis' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, CrashState struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.fingerprint != null) {
+        oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
+        oprot.writeString(struct.fingerprint);
+        oprot.writeFieldEnd();
+      }
+      if (struct.targets != null) {
+        oprot.writeFieldBegin(TARGETS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.targets.size()));
+          for (java.lang.String _iter27 : struct.targets)
+          {
+            oprot.writeString(_iter27);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(CHANGED_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.changedMillis);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class CrashStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("CrashState(");
-        boolean first = true;
-
-        sb.append("fingerprint:");
-        if (this.fingerprint == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.fingerprint);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("targets:");
-        if (this.targets == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.targets);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("changedMillis:");
-        sb.append(this.changedMillis);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (fingerprint == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'fingerprint' was not present! Struct: " + toString());
-        }
-        if (targets == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'targets' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'changedMillis' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
+    public CrashStateTupleScheme getScheme() {
+      return new CrashStateTupleScheme();
     }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class CrashStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public CrashStateStandardScheme getScheme() {
-            return new CrashStateStandardScheme();
-        }
-    }
-
-    private static class CrashStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<CrashState> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, CrashState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // FINGERPRINT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.fingerprint = iprot.readString();
-                            struct.setFingerprintIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // TARGETS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                                struct.targets = new java.util.ArrayList<java.lang.String>(_list24.size);
-                                @org.apache.thrift.annotation.Nullable java.lang.String _elem25;
-                                for (int _i26 = 0; _i26 < _list24.size; ++_i26) {
-                                    _elem25 = iprot.readString();
-                                    struct.targets.add(_elem25);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setTargetsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // CHANGED_MILLIS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.changedMillis = iprot.readI64();
-                            struct.setChangedMillisIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetChangedMillis()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'changedMillis' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, CrashState struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.fingerprint != null) {
-                oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
-                oprot.writeString(struct.fingerprint);
-                oprot.writeFieldEnd();
-            }
-            if (struct.targets != null) {
-                oprot.writeFieldBegin(TARGETS_FIELD_DESC);
-                {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRING, struct.targets.size()));
-                    for (java.lang.String _iter27 : struct.targets) {
-                        oprot.writeString(_iter27);
-                    }
-                    oprot.writeListEnd();
-                }
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(CHANGED_MILLIS_FIELD_DESC);
-            oprot.writeI64(struct.changedMillis);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
+  private static class CrashStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<CrashState> {
 
-    private static class CrashStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public CrashStateTupleScheme getScheme() {
-            return new CrashStateTupleScheme();
-        }
-    }
-
-    private static class CrashStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<CrashState> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, CrashState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.fingerprint);
-            {
-                oprot.writeI32(struct.targets.size());
-                for (java.lang.String _iter28 : struct.targets) {
-                    oprot.writeString(_iter28);
-                }
-            }
-            oprot.writeI64(struct.changedMillis);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, CrashState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.fingerprint = iprot.readString();
-            struct.setFingerprintIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-                struct.targets = new java.util.ArrayList<java.lang.String>(_list29.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem30;
-                for (int _i31 = 0; _i31 < _list29.size; ++_i31) {
-                    _elem30 = iprot.readString();
-                    struct.targets.add(_elem30);
-                }
-            }
-            struct.setTargetsIsSet(true);
-            struct.changedMillis = iprot.readI64();
-            struct.setChangedMillisIsSet(true);
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, CrashState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.fingerprint);
+      {
+        oprot.writeI32(struct.targets.size());
+        for (java.lang.String _iter28 : struct.targets)
+        {
+          oprot.writeString(_iter28);
         }
+      }
+      oprot.writeI64(struct.changedMillis);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, CrashState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.fingerprint = iprot.readString();
+      struct.setFingerprintIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.targets = new java.util.ArrayList<java.lang.String>(_list29.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem30;
+        for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+        {
+          _elem30 = iprot.readString();
+          struct.targets.add(_elem30);
+        }
+      }
+      struct.setTargetsIsSet(true);
+      struct.changedMillis = iprot.readI64();
+      struct.setChangedMillisIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/FinishOrderCommand.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/FinishOrderCommand.java
@@ -7,833 +7,805 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class FinishOrderCommand
-        implements org.apache.thrift.TBase<FinishOrderCommand, FinishOrderCommand._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<FinishOrderCommand> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("FinishOrderCommand");
-
-    private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField IDEMPOTENCY_KEY_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("idempotencyKey", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField ATTEMPT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("attempt", org.apache.thrift.protocol.TType.STRING, (short) 3);
-    private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short) 4);
-    private static final org.apache.thrift.protocol.TField ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("answer", org.apache.thrift.protocol.TType.STRUCT, (short) 5);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new FinishOrderCommandStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new FinishOrderCommandTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String attempt; // required
-    private @org.apache.thrift.annotation.Nullable RequestOutcome outcome; // required
-    private @org.apache.thrift.annotation.Nullable AnswerBody answer; // optional
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ACCOUNT((short) 1, "account"),
-        IDEMPOTENCY_KEY((short) 2, "idempotencyKey"),
-        ATTEMPT((short) 3, "attempt"),
-        /**
-         *
-         * @see RequestOutcome
-         */
-        OUTCOME((short) 4, "outcome"),
-        ANSWER((short) 5, "answer");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ACCOUNT
-                    return ACCOUNT;
-                case 2: // IDEMPOTENCY_KEY
-                    return IDEMPOTENCY_KEY;
-                case 3: // ATTEMPT
-                    return ATTEMPT;
-                case 4: // OUTCOME
-                    return OUTCOME;
-                case 5: // ANSWER
-                    return ANSWER;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+public class FinishOrderCommand implements org.apache.thrift.TBase<FinishOrderCommand, FinishOrderCommand._Fields>, java.io.Serializable, Cloneable, Comparable<FinishOrderCommand> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("FinishOrderCommand");
+
+  private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField IDEMPOTENCY_KEY_FIELD_DESC = new org.apache.thrift.protocol.TField("idempotencyKey", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField ATTEMPT_FIELD_DESC = new org.apache.thrift.protocol.TField("attempt", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC = new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("answer", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FinishOrderCommandStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FinishOrderCommandTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String account; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String attempt; // required
+  private @org.apache.thrift.annotation.Nullable RequestOutcome outcome; // required
+  private @org.apache.thrift.annotation.Nullable AnswerBody answer; // optional
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ACCOUNT((short)1, "account"),
+    IDEMPOTENCY_KEY((short)2, "idempotencyKey"),
+    ATTEMPT((short)3, "attempt"),
+    /**
+     * 
+     * @see RequestOutcome
+     */
+    OUTCOME((short)4, "outcome"),
+    ANSWER((short)5, "answer");
 
-    // isset id assignments
-    private static final _Fields optionals[] = {_Fields.ANSWER};
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ACCOUNT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "account",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.IDEMPOTENCY_KEY,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "idempotencyKey",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.ATTEMPT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "attempt",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.OUTCOME,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "outcome",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.EnumMetaData(
-                                org.apache.thrift.protocol.TType.ENUM, RequestOutcome.class)));
-        tmpMap.put(
-                _Fields.ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "answer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, AnswerBody.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FinishOrderCommand.class, metaDataMap);
-    }
-
-    public FinishOrderCommand() {}
-
-    public FinishOrderCommand(
-            java.lang.String account,
-            java.lang.String idempotencyKey,
-            java.lang.String attempt,
-            RequestOutcome outcome) {
-        this();
-        this.account = account;
-        this.idempotencyKey = idempotencyKey;
-        this.attempt = attempt;
-        this.outcome = outcome;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public FinishOrderCommand(FinishOrderCommand other) {
-        if (other.isSetAccount()) {
-            this.account = other.account;
-        }
-        if (other.isSetIdempotencyKey()) {
-            this.idempotencyKey = other.idempotencyKey;
-        }
-        if (other.isSetAttempt()) {
-            this.attempt = other.attempt;
-        }
-        if (other.isSetOutcome()) {
-            this.outcome = other.outcome;
-        }
-        if (other.isSetAnswer()) {
-            this.answer = new AnswerBody(other.answer);
-        }
-    }
-
-    @Override
-    public FinishOrderCommand deepCopy() {
-        return new FinishOrderCommand(this);
-    }
-
-    @Override
-    public void clear() {
-        this.account = null;
-        this.idempotencyKey = null;
-        this.attempt = null;
-        this.outcome = null;
-        this.answer = null;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAccount() {
-        return this.account;
-    }
-
-    public FinishOrderCommand setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
-        this.account = account;
-        return this;
-    }
-
-    public void unsetAccount() {
-        this.account = null;
-    }
-
-    /** Returns true if field account is set (has been assigned a value) and false otherwise */
-    public boolean isSetAccount() {
-        return this.account != null;
-    }
-
-    public void setAccountIsSet(boolean value) {
-        if (!value) {
-            this.account = null;
-        }
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getIdempotencyKey() {
-        return this.idempotencyKey;
-    }
-
-    public FinishOrderCommand setIdempotencyKey(
-            @org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey) {
-        this.idempotencyKey = idempotencyKey;
-        return this;
-    }
-
-    public void unsetIdempotencyKey() {
-        this.idempotencyKey = null;
-    }
-
-    /** Returns true if field idempotencyKey is set (has been assigned a value) and false otherwise */
-    public boolean isSetIdempotencyKey() {
-        return this.idempotencyKey != null;
-    }
-
-    public void setIdempotencyKeyIsSet(boolean value) {
-        if (!value) {
-            this.idempotencyKey = null;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getAttempt() {
-        return this.attempt;
-    }
-
-    public FinishOrderCommand setAttempt(@org.apache.thrift.annotation.Nullable java.lang.String attempt) {
-        this.attempt = attempt;
-        return this;
-    }
-
-    public void unsetAttempt() {
-        this.attempt = null;
-    }
-
-    /** Returns true if field attempt is set (has been assigned a value) and false otherwise */
-    public boolean isSetAttempt() {
-        return this.attempt != null;
-    }
-
-    public void setAttemptIsSet(boolean value) {
-        if (!value) {
-            this.attempt = null;
-        }
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ACCOUNT
+          return ACCOUNT;
+        case 2: // IDEMPOTENCY_KEY
+          return IDEMPOTENCY_KEY;
+        case 3: // ATTEMPT
+          return ATTEMPT;
+        case 4: // OUTCOME
+          return OUTCOME;
+        case 5: // ANSWER
+          return ANSWER;
+        default:
+          return null;
+      }
     }
 
     /**
-     *
-     * @see RequestOutcome
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    @org.apache.thrift.annotation.Nullable
-    public RequestOutcome getOutcome() {
-        return this.outcome;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     *
-     * @see RequestOutcome
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public FinishOrderCommand setOutcome(@org.apache.thrift.annotation.Nullable RequestOutcome outcome) {
-        this.outcome = outcome;
-        return this;
-    }
-
-    public void unsetOutcome() {
-        this.outcome = null;
-    }
-
-    /** Returns true if field outcome is set (has been assigned a value) and false otherwise */
-    public boolean isSetOutcome() {
-        return this.outcome != null;
-    }
-
-    public void setOutcomeIsSet(boolean value) {
-        if (!value) {
-            this.outcome = null;
-        }
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public AnswerBody getAnswer() {
-        return this.answer;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public FinishOrderCommand setAnswer(@org.apache.thrift.annotation.Nullable AnswerBody answer) {
-        this.answer = answer;
-        return this;
-    }
-
-    public void unsetAnswer() {
-        this.answer = null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    /** Returns true if field answer is set (has been assigned a value) and false otherwise */
-    public boolean isSetAnswer() {
-        return this.answer != null;
-    }
-
-    public void setAnswerIsSet(boolean value) {
-        if (!value) {
-            this.answer = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ACCOUNT:
-                if (value == null) {
-                    unsetAccount();
-                } else {
-                    setAccount((java.lang.String) value);
-                }
-                break;
-
-            case IDEMPOTENCY_KEY:
-                if (value == null) {
-                    unsetIdempotencyKey();
-                } else {
-                    setIdempotencyKey((java.lang.String) value);
-                }
-                break;
-
-            case ATTEMPT:
-                if (value == null) {
-                    unsetAttempt();
-                } else {
-                    setAttempt((java.lang.String) value);
-                }
-                break;
-
-            case OUTCOME:
-                if (value == null) {
-                    unsetOutcome();
-                } else {
-                    setOutcome((RequestOutcome) value);
-                }
-                break;
-
-            case ANSWER:
-                if (value == null) {
-                    unsetAnswer();
-                } else {
-                    setAnswer((AnswerBody) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ACCOUNT:
-                return getAccount();
-
-            case IDEMPOTENCY_KEY:
-                return getIdempotencyKey();
-
-            case ATTEMPT:
-                return getAttempt();
-
-            case OUTCOME:
-                return getOutcome();
-
-            case ANSWER:
-                return getAnswer();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final _Fields optionals[] = {_Fields.ANSWER};
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ACCOUNT, new org.apache.thrift.meta_data.FieldMetaData("account", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.IDEMPOTENCY_KEY, new org.apache.thrift.meta_data.FieldMetaData("idempotencyKey", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.ATTEMPT, new org.apache.thrift.meta_data.FieldMetaData("attempt", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.OUTCOME, new org.apache.thrift.meta_data.FieldMetaData("outcome", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, RequestOutcome.class)));
+    tmpMap.put(_Fields.ANSWER, new org.apache.thrift.meta_data.FieldMetaData("answer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AnswerBody.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FinishOrderCommand.class, metaDataMap);
+  }
+
+  public FinishOrderCommand() {
+  }
+
+  public FinishOrderCommand(
+    java.lang.String account,
+    java.lang.String idempotencyKey,
+    java.lang.String attempt,
+    RequestOutcome outcome)
+  {
+    this();
+    this.account = account;
+    this.idempotencyKey = idempotencyKey;
+    this.attempt = attempt;
+    this.outcome = outcome;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public FinishOrderCommand(FinishOrderCommand other) {
+    if (other.isSetAccount()) {
+      this.account = other.account;
+    }
+    if (other.isSetIdempotencyKey()) {
+      this.idempotencyKey = other.idempotencyKey;
+    }
+    if (other.isSetAttempt()) {
+      this.attempt = other.attempt;
+    }
+    if (other.isSetOutcome()) {
+      this.outcome = other.outcome;
+    }
+    if (other.isSetAnswer()) {
+      this.answer = new AnswerBody(other.answer);
+    }
+  }
+
+  @Override
+  public FinishOrderCommand deepCopy() {
+    return new FinishOrderCommand(this);
+  }
+
+  @Override
+  public void clear() {
+    this.account = null;
+    this.idempotencyKey = null;
+    this.attempt = null;
+    this.outcome = null;
+    this.answer = null;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAccount() {
+    return this.account;
+  }
+
+  public FinishOrderCommand setAccount(@org.apache.thrift.annotation.Nullable java.lang.String account) {
+    this.account = account;
+    return this;
+  }
+
+  public void unsetAccount() {
+    this.account = null;
+  }
+
+  /** Returns true if field account is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccount() {
+    return this.account != null;
+  }
+
+  public void setAccountIsSet(boolean value) {
+    if (!value) {
+      this.account = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getIdempotencyKey() {
+    return this.idempotencyKey;
+  }
+
+  public FinishOrderCommand setIdempotencyKey(@org.apache.thrift.annotation.Nullable java.lang.String idempotencyKey) {
+    this.idempotencyKey = idempotencyKey;
+    return this;
+  }
+
+  public void unsetIdempotencyKey() {
+    this.idempotencyKey = null;
+  }
+
+  /** Returns true if field idempotencyKey is set (has been assigned a value) and false otherwise */
+  public boolean isSetIdempotencyKey() {
+    return this.idempotencyKey != null;
+  }
+
+  public void setIdempotencyKeyIsSet(boolean value) {
+    if (!value) {
+      this.idempotencyKey = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getAttempt() {
+    return this.attempt;
+  }
+
+  public FinishOrderCommand setAttempt(@org.apache.thrift.annotation.Nullable java.lang.String attempt) {
+    this.attempt = attempt;
+    return this;
+  }
+
+  public void unsetAttempt() {
+    this.attempt = null;
+  }
+
+  /** Returns true if field attempt is set (has been assigned a value) and false otherwise */
+  public boolean isSetAttempt() {
+    return this.attempt != null;
+  }
+
+  public void setAttemptIsSet(boolean value) {
+    if (!value) {
+      this.attempt = null;
+    }
+  }
+
+  /**
+   * 
+   * @see RequestOutcome
+   */
+  @org.apache.thrift.annotation.Nullable
+  public RequestOutcome getOutcome() {
+    return this.outcome;
+  }
+
+  /**
+   * 
+   * @see RequestOutcome
+   */
+  public FinishOrderCommand setOutcome(@org.apache.thrift.annotation.Nullable RequestOutcome outcome) {
+    this.outcome = outcome;
+    return this;
+  }
+
+  public void unsetOutcome() {
+    this.outcome = null;
+  }
+
+  /** Returns true if field outcome is set (has been assigned a value) and false otherwise */
+  public boolean isSetOutcome() {
+    return this.outcome != null;
+  }
+
+  public void setOutcomeIsSet(boolean value) {
+    if (!value) {
+      this.outcome = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public AnswerBody getAnswer() {
+    return this.answer;
+  }
+
+  public FinishOrderCommand setAnswer(@org.apache.thrift.annotation.Nullable AnswerBody answer) {
+    this.answer = answer;
+    return this;
+  }
+
+  public void unsetAnswer() {
+    this.answer = null;
+  }
+
+  /** Returns true if field answer is set (has been assigned a value) and false otherwise */
+  public boolean isSetAnswer() {
+    return this.answer != null;
+  }
+
+  public void setAnswerIsSet(boolean value) {
+    if (!value) {
+      this.answer = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ACCOUNT:
+      if (value == null) {
+        unsetAccount();
+      } else {
+        setAccount((java.lang.String)value);
+      }
+      break;
+
+    case IDEMPOTENCY_KEY:
+      if (value == null) {
+        unsetIdempotencyKey();
+      } else {
+        setIdempotencyKey((java.lang.String)value);
+      }
+      break;
+
+    case ATTEMPT:
+      if (value == null) {
+        unsetAttempt();
+      } else {
+        setAttempt((java.lang.String)value);
+      }
+      break;
+
+    case OUTCOME:
+      if (value == null) {
+        unsetOutcome();
+      } else {
+        setOutcome((RequestOutcome)value);
+      }
+      break;
+
+    case ANSWER:
+      if (value == null) {
+        unsetAnswer();
+      } else {
+        setAnswer((AnswerBody)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ACCOUNT:
+      return getAccount();
+
+    case IDEMPOTENCY_KEY:
+      return getIdempotencyKey();
+
+    case ATTEMPT:
+      return getAttempt();
+
+    case OUTCOME:
+      return getOutcome();
+
+    case ANSWER:
+      return getAnswer();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ACCOUNT:
+      return isSetAccount();
+    case IDEMPOTENCY_KEY:
+      return isSetIdempotencyKey();
+    case ATTEMPT:
+      return isSetAttempt();
+    case OUTCOME:
+      return isSetOutcome();
+    case ANSWER:
+      return isSetAnswer();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof FinishOrderCommand)
+      return this.equals((FinishOrderCommand)that);
+    return false;
+  }
+
+  public boolean equals(FinishOrderCommand that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_account = true && this.isSetAccount();
+    boolean that_present_account = true && that.isSetAccount();
+    if (this_present_account || that_present_account) {
+      if (!(this_present_account && that_present_account))
+        return false;
+      if (!this.account.equals(that.account))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ACCOUNT:
-                return isSetAccount();
-            case IDEMPOTENCY_KEY:
-                return isSetIdempotencyKey();
-            case ATTEMPT:
-                return isSetAttempt();
-            case OUTCOME:
-                return isSetOutcome();
-            case ANSWER:
-                return isSetAnswer();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_idempotencyKey = true && this.isSetIdempotencyKey();
+    boolean that_present_idempotencyKey = true && that.isSetIdempotencyKey();
+    if (this_present_idempotencyKey || that_present_idempotencyKey) {
+      if (!(this_present_idempotencyKey && that_present_idempotencyKey))
+        return false;
+      if (!this.idempotencyKey.equals(that.idempotencyKey))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof FinishOrderCommand) return this.equals((FinishOrderCommand) that);
+    boolean this_present_attempt = true && this.isSetAttempt();
+    boolean that_present_attempt = true && that.isSetAttempt();
+    if (this_present_attempt || that_present_attempt) {
+      if (!(this_present_attempt && that_present_attempt))
+        return false;
+      if (!this.attempt.equals(that.attempt))
         return false;
     }
 
-    public boolean equals(FinishOrderCommand that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_account = true && this.isSetAccount();
-        boolean that_present_account = true && that.isSetAccount();
-        if (this_present_account || that_present_account) {
-            if (!(this_present_account && that_present_account)) return false;
-            if (!this.account.equals(that.account)) return false;
-        }
-
-        boolean this_present_idempotencyKey = true && this.isSetIdempotencyKey();
-        boolean that_present_idempotencyKey = true && that.isSetIdempotencyKey();
-        if (this_present_idempotencyKey || that_present_idempotencyKey) {
-            if (!(this_present_idempotencyKey && that_present_idempotencyKey)) return false;
-            if (!this.idempotencyKey.equals(that.idempotencyKey)) return false;
-        }
-
-        boolean this_present_attempt = true && this.isSetAttempt();
-        boolean that_present_attempt = true && that.isSetAttempt();
-        if (this_present_attempt || that_present_attempt) {
-            if (!(this_present_attempt && that_present_attempt)) return false;
-            if (!this.attempt.equals(that.attempt)) return false;
-        }
-
-        boolean this_present_outcome = true && this.isSetOutcome();
-        boolean that_present_outcome = true && that.isSetOutcome();
-        if (this_present_outcome || that_present_outcome) {
-            if (!(this_present_outcome && that_present_outcome)) return false;
-            if (!this.outcome.equals(that.outcome)) return false;
-        }
-
-        boolean this_present_answer = true && this.isSetAnswer();
-        boolean that_present_answer = true && that.isSetAnswer();
-        if (this_present_answer || that_present_answer) {
-            if (!(this_present_answer && that_present_answer)) return false;
-            if (!this.answer.equals(that.answer)) return false;
-        }
-
-        return true;
+    boolean this_present_outcome = true && this.isSetOutcome();
+    boolean that_present_outcome = true && that.isSetOutcome();
+    if (this_present_outcome || that_present_outcome) {
+      if (!(this_present_outcome && that_present_outcome))
+        return false;
+      if (!this.outcome.equals(that.outcome))
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
-        if (isSetAccount()) hashCode = hashCode * 8191 + account.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetIdempotencyKey()) ? 131071 : 524287);
-        if (isSetIdempotencyKey()) hashCode = hashCode * 8191 + idempotencyKey.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetAttempt()) ? 131071 : 524287);
-        if (isSetAttempt()) hashCode = hashCode * 8191 + attempt.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetOutcome()) ? 131071 : 524287);
-        if (isSetOutcome()) hashCode = hashCode * 8191 + outcome.getValue();
-
-        hashCode = hashCode * 8191 + ((isSetAnswer()) ? 131071 : 524287);
-        if (isSetAnswer()) hashCode = hashCode * 8191 + answer.hashCode();
-
-        return hashCode;
+    boolean this_present_answer = true && this.isSetAnswer();
+    boolean that_present_answer = true && that.isSetAnswer();
+    if (this_present_answer || that_present_answer) {
+      if (!(this_present_answer && that_present_answer))
+        return false;
+      if (!this.answer.equals(that.answer))
+        return false;
     }
 
-    @Override
-    public int compareTo(FinishOrderCommand other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+    return true;
+  }
 
-        lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAccount()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIdempotencyKey(), other.isSetIdempotencyKey());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIdempotencyKey()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.idempotencyKey, other.idempotencyKey);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetAttempt(), other.isSetAttempt());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAttempt()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.attempt, other.attempt);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOutcome(), other.isSetOutcome());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOutcome()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.outcome, other.outcome);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetAnswer(), other.isSetAnswer());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAnswer()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answer, other.answer);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
-    }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-    @org.apache.thrift.annotation.Nullable
+    hashCode = hashCode * 8191 + ((isSetAccount()) ? 131071 : 524287);
+    if (isSetAccount())
+      hashCode = hashCode * 8191 + account.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetIdempotencyKey()) ? 131071 : 524287);
+    if (isSetIdempotencyKey())
+      hashCode = hashCode * 8191 + idempotencyKey.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetAttempt()) ? 131071 : 524287);
+    if (isSetAttempt())
+      hashCode = hashCode * 8191 + attempt.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetOutcome()) ? 131071 : 524287);
+    if (isSetOutcome())
+      hashCode = hashCode * 8191 + outcome.getValue();
+
+    hashCode = hashCode * 8191 + ((isSetAnswer()) ? 131071 : 524287);
+    if (isSetAnswer())
+      hashCode = hashCode * 8191 + answer.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(FinishOrderCommand other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetAccount(), other.isSetAccount());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccount()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.account, other.account);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIdempotencyKey(), other.isSetIdempotencyKey());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIdempotencyKey()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.idempotencyKey, other.idempotencyKey);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAttempt(), other.isSetAttempt());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAttempt()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.attempt, other.attempt);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOutcome(), other.isSetOutcome());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOutcome()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.outcome, other.outcome);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAnswer(), other.isSetAnswer());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAnswer()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answer, other.answer);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("FinishOrderCommand(");
+    boolean first = true;
+
+    sb.append("account:");
+    if (this.account == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.account);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("idempotencyKey:");
+    if (this.idempotencyKey == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.idempotencyKey);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("attempt:");
+    if (this.attempt == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.attempt);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("outcome:");
+    if (this.outcome == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.outcome);
+    }
+    first = false;
+    if (isSetAnswer()) {
+      if (!first) sb.append(", ");
+      sb.append("answer:");
+      if (this.answer == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.answer);
+      }
+      first = false;
+    }
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (account == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'account' was not present! Struct: " + toString());
+    }
+    if (idempotencyKey == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'idempotencyKey' was not present! Struct: " + toString());
+    }
+    if (attempt == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'attempt' was not present! Struct: " + toString());
+    }
+    if (outcome == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'outcome' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+    if (answer != null) {
+      answer.validate();
+    }
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class FinishOrderCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    public FinishOrderCommandStandardScheme getScheme() {
+      return new FinishOrderCommandStandardScheme();
     }
+  }
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class FinishOrderCommandStandardScheme extends org.apache.thrift.scheme.StandardScheme<FinishOrderCommand> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("FinishOrderCommand(");
-        boolean first = true;
-
-        sb.append("account:");
-        if (this.account == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.account);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("idempotencyKey:");
-        if (this.idempotencyKey == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.idempotencyKey);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("attempt:");
-        if (this.attempt == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.attempt);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("outcome:");
-        if (this.outcome == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.outcome);
-        }
-        first = false;
-        if (isSetAnswer()) {
-            if (!first) sb.append(", ");
-            sb.append("answer:");
-            if (this.answer == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.answer);
+    public void read(org.apache.thrift.protocol.TProtocol iprot, FinishOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // ACCOUNT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.account = iprot.readString();
+              struct.setAccountIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            first = false;
-        }
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (account == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'account' was not present! Struct: " + toString());
-        }
-        if (idempotencyKey == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'idempotencyKey' was not present! Struct: " + toString());
-        }
-        if (attempt == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'attempt' was not present! Struct: " + toString());
-        }
-        if (outcome == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'outcome' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-        if (answer != null) {
-            answer.validate();
-        }
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class FinishOrderCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public FinishOrderCommandStandardScheme getScheme() {
-            return new FinishOrderCommandStandardScheme();
-        }
-    }
-
-    private static class FinishOrderCommandStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<FinishOrderCommand> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, FinishOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ACCOUNT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.account = iprot.readString();
-                            struct.setAccountIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // IDEMPOTENCY_KEY
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.idempotencyKey = iprot.readString();
-                            struct.setIdempotencyKeyIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // ATTEMPT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.attempt = iprot.readString();
-                            struct.setAttemptIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // OUTCOME
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
-                            struct.setOutcomeIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // ANSWER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                            struct.answer = new AnswerBody();
-                            struct.answer.read(iprot);
-                            struct.setAnswerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, FinishOrderCommand struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.account != null) {
-                oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
-                oprot.writeString(struct.account);
-                oprot.writeFieldEnd();
+            break;
+          case 2: // IDEMPOTENCY_KEY
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.idempotencyKey = iprot.readString();
+              struct.setIdempotencyKeyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.idempotencyKey != null) {
-                oprot.writeFieldBegin(IDEMPOTENCY_KEY_FIELD_DESC);
-                oprot.writeString(struct.idempotencyKey);
-                oprot.writeFieldEnd();
+            break;
+          case 3: // ATTEMPT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.attempt = iprot.readString();
+              struct.setAttemptIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.attempt != null) {
-                oprot.writeFieldBegin(ATTEMPT_FIELD_DESC);
-                oprot.writeString(struct.attempt);
-                oprot.writeFieldEnd();
+            break;
+          case 4: // OUTCOME
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
+              struct.setOutcomeIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.outcome != null) {
-                oprot.writeFieldBegin(OUTCOME_FIELD_DESC);
-                oprot.writeI32(struct.outcome.getValue());
-                oprot.writeFieldEnd();
+            break;
+          case 5: // ANSWER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.answer = new AnswerBody();
+              struct.answer.read(iprot);
+              struct.setAnswerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.answer != null) {
-                if (struct.isSetAnswer()) {
-                    oprot.writeFieldBegin(ANSWER_FIELD_DESC);
-                    struct.answer.write(oprot);
-                    oprot.writeFieldEnd();
-                }
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      struct.validate();
     }
 
-    private static class FinishOrderCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public FinishOrderCommandTupleScheme getScheme() {
-            return new FinishOrderCommandTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, FinishOrderCommand struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.account != null) {
+        oprot.writeFieldBegin(ACCOUNT_FIELD_DESC);
+        oprot.writeString(struct.account);
+        oprot.writeFieldEnd();
+      }
+      if (struct.idempotencyKey != null) {
+        oprot.writeFieldBegin(IDEMPOTENCY_KEY_FIELD_DESC);
+        oprot.writeString(struct.idempotencyKey);
+        oprot.writeFieldEnd();
+      }
+      if (struct.attempt != null) {
+        oprot.writeFieldBegin(ATTEMPT_FIELD_DESC);
+        oprot.writeString(struct.attempt);
+        oprot.writeFieldEnd();
+      }
+      if (struct.outcome != null) {
+        oprot.writeFieldBegin(OUTCOME_FIELD_DESC);
+        oprot.writeI32(struct.outcome.getValue());
+        oprot.writeFieldEnd();
+      }
+      if (struct.answer != null) {
+        if (struct.isSetAnswer()) {
+          oprot.writeFieldBegin(ANSWER_FIELD_DESC);
+          struct.answer.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class FinishOrderCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public FinishOrderCommandTupleScheme getScheme() {
+      return new FinishOrderCommandTupleScheme();
     }
+  }
 
-    private static class FinishOrderCommandTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<FinishOrderCommand> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, FinishOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.account);
-            oprot.writeString(struct.idempotencyKey);
-            oprot.writeString(struct.attempt);
-            oprot.writeI32(struct.outcome.getValue());
-            java.util.BitSet optionals = new java.util.BitSet();
-            if (struct.isSetAnswer()) {
-                optionals.set(0);
-            }
-            oprot.writeBitSet(optionals, 1);
-            if (struct.isSetAnswer()) {
-                struct.answer.write(oprot);
-            }
-        }
+  private static class FinishOrderCommandTupleScheme extends org.apache.thrift.scheme.TupleScheme<FinishOrderCommand> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, FinishOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.account = iprot.readString();
-            struct.setAccountIsSet(true);
-            struct.idempotencyKey = iprot.readString();
-            struct.setIdempotencyKeyIsSet(true);
-            struct.attempt = iprot.readString();
-            struct.setAttemptIsSet(true);
-            struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
-            struct.setOutcomeIsSet(true);
-            java.util.BitSet incoming = iprot.readBitSet(1);
-            if (incoming.get(0)) {
-                struct.answer = new AnswerBody();
-                struct.answer.read(iprot);
-                struct.setAnswerIsSet(true);
-            }
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, FinishOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.account);
+      oprot.writeString(struct.idempotencyKey);
+      oprot.writeString(struct.attempt);
+      oprot.writeI32(struct.outcome.getValue());
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetAnswer()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetAnswer()) {
+        struct.answer.write(oprot);
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, FinishOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.account = iprot.readString();
+      struct.setAccountIsSet(true);
+      struct.idempotencyKey = iprot.readString();
+      struct.setIdempotencyKeyIsSet(true);
+      struct.attempt = iprot.readString();
+      struct.setAttemptIsSet(true);
+      struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
+      struct.setOutcomeIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.answer = new AnswerBody();
+        struct.answer.read(iprot);
+        struct.setAnswerIsSet(true);
+      }
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/HoldingState.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/HoldingState.java
@@ -7,582 +7,564 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class HoldingState
-        implements org.apache.thrift.TBase<HoldingState, HoldingState._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<HoldingState> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("HoldingState");
-
-    private static final org.apache.thrift.protocol.TField MODEL_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("model", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I32, (short) 2);
-    private static final org.apache.thrift.protocol.TField BYTES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("bytes", org.apache.thrift.protocol.TType.I64, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new HoldingStateStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new HoldingStateTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String model; // required
-    private int version; // required
-    private long bytes; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        MODEL((short) 1, "model"),
-        VERSION((short) 2, "version"),
-        BYTES((short) 3, "bytes");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // MODEL
-                    return MODEL;
-                case 2: // VERSION
-                    return VERSION;
-                case 3: // BYTES
-                    return BYTES;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+public class HoldingState implements org.apache.thrift.TBase<HoldingState, HoldingState._Fields>, java.io.Serializable, Cloneable, Comparable<HoldingState> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("HoldingState");
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TField MODEL_FIELD_DESC = new org.apache.thrift.protocol.TField("model", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I32, (short)2);
+  private static final org.apache.thrift.protocol.TField BYTES_FIELD_DESC = new org.apache.thrift.protocol.TField("bytes", org.apache.thrift.protocol.TType.I64, (short)3);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new HoldingStateStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new HoldingStateTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private @org.apache.thrift.annotation.Nullable java.lang.String model; // required
+  private int version; // required
+  private long bytes; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    MODEL((short)1, "model"),
+    VERSION((short)2, "version"),
+    BYTES((short)3, "bytes");
 
-    // isset id assignments
-    private static final int __VERSION_ISSET_ID = 0;
-    private static final int __BYTES_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.MODEL,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "model",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.VERSION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "version",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        tmpMap.put(
-                _Fields.BYTES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "bytes",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(HoldingState.class, metaDataMap);
-    }
-
-    public HoldingState() {}
-
-    public HoldingState(java.lang.String model, int version, long bytes) {
-        this();
-        this.model = model;
-        this.version = version;
-        setVersionIsSet(true);
-        this.bytes = bytes;
-        setBytesIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public HoldingState(HoldingState other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetModel()) {
-            this.model = other.model;
-        }
-        this.version = other.version;
-        this.bytes = other.bytes;
-    }
-
-    @Override
-    public HoldingState deepCopy() {
-        return new HoldingState(this);
-    }
-
-    @Override
-    public void clear() {
-        this.model = null;
-        setVersionIsSet(false);
-        this.version = 0;
-        setBytesIsSet(false);
-        this.bytes = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getModel() {
-        return this.model;
-    }
-
-    public HoldingState setModel(@org.apache.thrift.annotation.Nullable java.lang.String model) {
-        this.model = model;
-        return this;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // MODEL
+          return MODEL;
+        case 2: // VERSION
+          return VERSION;
+        case 3: // BYTES
+          return BYTES;
+        default:
+          return null;
+      }
     }
 
-    public void unsetModel() {
-        this.model = null;
-    }
-
-    /** Returns true if field model is set (has been assigned a value) and false otherwise */
-    public boolean isSetModel() {
-        return this.model != null;
-    }
-
-    public void setModelIsSet(boolean value) {
-        if (!value) {
-            this.model = null;
-        }
-    }
-
-    public int getVersion() {
-        return this.version;
-    }
-
-    public HoldingState setVersion(int version) {
-        this.version = version;
-        setVersionIsSet(true);
-        return this;
-    }
-
-    public void unsetVersion() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
-    }
-
-    /** Returns true if field version is set (has been assigned a value) and false otherwise */
-    public boolean isSetVersion() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
-    }
-
-    public void setVersionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
-    }
-
-    public long getBytes() {
-        return this.bytes;
-    }
-
-    public HoldingState setBytes(long bytes) {
-        this.bytes = bytes;
-        setBytesIsSet(true);
-        return this;
-    }
-
-    public void unsetBytes() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BYTES_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    /** Returns true if field bytes is set (has been assigned a value) and false otherwise */
-    public boolean isSetBytes() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BYTES_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setBytesIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BYTES_ISSET_ID, value);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case MODEL:
-                if (value == null) {
-                    unsetModel();
-                } else {
-                    setModel((java.lang.String) value);
-                }
-                break;
-
-            case VERSION:
-                if (value == null) {
-                    unsetVersion();
-                } else {
-                    setVersion((java.lang.Integer) value);
-                }
-                break;
-
-            case BYTES:
-                if (value == null) {
-                    unsetBytes();
-                } else {
-                    setBytes((java.lang.Long) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case MODEL:
-                return getModel();
-
-            case VERSION:
-                return getVersion();
-
-            case BYTES:
-                return getBytes();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case MODEL:
-                return isSetModel();
-            case VERSION:
-                return isSetVersion();
-            case BYTES:
-                return isSetBytes();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __VERSION_ISSET_ID = 0;
+  private static final int __BYTES_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.MODEL, new org.apache.thrift.meta_data.FieldMetaData("model", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.BYTES, new org.apache.thrift.meta_data.FieldMetaData("bytes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(HoldingState.class, metaDataMap);
+  }
+
+  public HoldingState() {
+  }
+
+  public HoldingState(
+    java.lang.String model,
+    int version,
+    long bytes)
+  {
+    this();
+    this.model = model;
+    this.version = version;
+    setVersionIsSet(true);
+    this.bytes = bytes;
+    setBytesIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public HoldingState(HoldingState other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetModel()) {
+      this.model = other.model;
+    }
+    this.version = other.version;
+    this.bytes = other.bytes;
+  }
+
+  @Override
+  public HoldingState deepCopy() {
+    return new HoldingState(this);
+  }
+
+  @Override
+  public void clear() {
+    this.model = null;
+    setVersionIsSet(false);
+    this.version = 0;
+    setBytesIsSet(false);
+    this.bytes = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getModel() {
+    return this.model;
+  }
+
+  public HoldingState setModel(@org.apache.thrift.annotation.Nullable java.lang.String model) {
+    this.model = model;
+    return this;
+  }
+
+  public void unsetModel() {
+    this.model = null;
+  }
+
+  /** Returns true if field model is set (has been assigned a value) and false otherwise */
+  public boolean isSetModel() {
+    return this.model != null;
+  }
+
+  public void setModelIsSet(boolean value) {
+    if (!value) {
+      this.model = null;
+    }
+  }
+
+  public int getVersion() {
+    return this.version;
+  }
+
+  public HoldingState setVersion(int version) {
+    this.version = version;
+    setVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  /** Returns true if field version is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  public void setVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
+  }
+
+  public long getBytes() {
+    return this.bytes;
+  }
+
+  public HoldingState setBytes(long bytes) {
+    this.bytes = bytes;
+    setBytesIsSet(true);
+    return this;
+  }
+
+  public void unsetBytes() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BYTES_ISSET_ID);
+  }
+
+  /** Returns true if field bytes is set (has been assigned a value) and false otherwise */
+  public boolean isSetBytes() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BYTES_ISSET_ID);
+  }
+
+  public void setBytesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BYTES_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case MODEL:
+      if (value == null) {
+        unsetModel();
+      } else {
+        setModel((java.lang.String)value);
+      }
+      break;
+
+    case VERSION:
+      if (value == null) {
+        unsetVersion();
+      } else {
+        setVersion((java.lang.Integer)value);
+      }
+      break;
+
+    case BYTES:
+      if (value == null) {
+        unsetBytes();
+      } else {
+        setBytes((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case MODEL:
+      return getModel();
+
+    case VERSION:
+      return getVersion();
+
+    case BYTES:
+      return getBytes();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case MODEL:
+      return isSetModel();
+    case VERSION:
+      return isSetVersion();
+    case BYTES:
+      return isSetBytes();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof HoldingState)
+      return this.equals((HoldingState)that);
+    return false;
+  }
+
+  public boolean equals(HoldingState that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_model = true && this.isSetModel();
+    boolean that_present_model = true && that.isSetModel();
+    if (this_present_model || that_present_model) {
+      if (!(this_present_model && that_present_model))
+        return false;
+      if (!this.model.equals(that.model))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof HoldingState) return this.equals((HoldingState) that);
+    boolean this_present_version = true;
+    boolean that_present_version = true;
+    if (this_present_version || that_present_version) {
+      if (!(this_present_version && that_present_version))
+        return false;
+      if (this.version != that.version)
         return false;
     }
 
-    public boolean equals(HoldingState that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_model = true && this.isSetModel();
-        boolean that_present_model = true && that.isSetModel();
-        if (this_present_model || that_present_model) {
-            if (!(this_present_model && that_present_model)) return false;
-            if (!this.model.equals(that.model)) return false;
-        }
-
-        boolean this_present_version = true;
-        boolean that_present_version = true;
-        if (this_present_version || that_present_version) {
-            if (!(this_present_version && that_present_version)) return false;
-            if (this.version != that.version) return false;
-        }
-
-        boolean this_present_bytes = true;
-        boolean that_present_bytes = true;
-        if (this_present_bytes || that_present_bytes) {
-            if (!(this_present_bytes && that_present_bytes)) return false;
-            if (this.bytes != that.bytes) return false;
-        }
-
-        return true;
+    boolean this_present_bytes = true;
+    boolean that_present_bytes = true;
+    if (this_present_bytes || that_present_bytes) {
+      if (!(this_present_bytes && that_present_bytes))
+        return false;
+      if (this.bytes != that.bytes)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetModel()) ? 131071 : 524287);
+    if (isSetModel())
+      hashCode = hashCode * 8191 + model.hashCode();
+
+    hashCode = hashCode * 8191 + version;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(bytes);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(HoldingState other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetModel(), other.isSetModel());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetModel()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.model, other.model);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetBytes(), other.isSetBytes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBytes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.bytes, other.bytes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("HoldingState(");
+    boolean first = true;
+
+    sb.append("model:");
+    if (this.model == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.model);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("version:");
+    sb.append(this.version);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("bytes:");
+    sb.append(this.bytes);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (model == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'model' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'bytes' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class HoldingStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetModel()) ? 131071 : 524287);
-        if (isSetModel()) hashCode = hashCode * 8191 + model.hashCode();
-
-        hashCode = hashCode * 8191 + version;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(bytes);
-
-        return hashCode;
+    public HoldingStateStandardScheme getScheme() {
+      return new HoldingStateStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(HoldingState other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class HoldingStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<HoldingState> {
 
-        lastComparison = java.lang.Boolean.compare(isSetModel(), other.isSetModel());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetModel()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.model, other.model);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, HoldingState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // MODEL
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.model = iprot.readString();
+              struct.setModelIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetVersion()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.version = iprot.readI32();
+              struct.setVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetBytes(), other.isSetBytes());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetBytes()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.bytes, other.bytes);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // BYTES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.bytes = iprot.readI64();
+              struct.setBytesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetVersion()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'version' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetBytes()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'bytes' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, HoldingState struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.model != null) {
+        oprot.writeFieldBegin(MODEL_FIELD_DESC);
+        oprot.writeString(struct.model);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(VERSION_FIELD_DESC);
+      oprot.writeI32(struct.version);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(BYTES_FIELD_DESC);
+      oprot.writeI64(struct.bytes);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class HoldingStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public HoldingStateTupleScheme getScheme() {
+      return new HoldingStateTupleScheme();
     }
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("HoldingState(");
-        boolean first = true;
-
-        sb.append("model:");
-        if (this.model == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.model);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("version:");
-        sb.append(this.version);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("bytes:");
-        sb.append(this.bytes);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (model == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'model' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'bytes' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  private static class HoldingStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<HoldingState> {
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class HoldingStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public HoldingStateStandardScheme getScheme() {
-            return new HoldingStateStandardScheme();
-        }
-    }
-
-    private static class HoldingStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<HoldingState> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, HoldingState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // MODEL
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.model = iprot.readString();
-                            struct.setModelIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // VERSION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.version = iprot.readI32();
-                            struct.setVersionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // BYTES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.bytes = iprot.readI64();
-                            struct.setBytesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetVersion()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'version' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetBytes()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'bytes' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, HoldingState struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.model != null) {
-                oprot.writeFieldBegin(MODEL_FIELD_DESC);
-                oprot.writeString(struct.model);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(VERSION_FIELD_DESC);
-            oprot.writeI32(struct.version);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(BYTES_FIELD_DESC);
-            oprot.writeI64(struct.bytes);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class HoldingStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public HoldingStateTupleScheme getScheme() {
-            return new HoldingStateTupleScheme();
-        }
-    }
-
-    private static class HoldingStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<HoldingState> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, HoldingState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.model);
-            oprot.writeI32(struct.version);
-            oprot.writeI64(struct.bytes);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, HoldingState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.model = iprot.readString();
-            struct.setModelIsSet(true);
-            struct.version = iprot.readI32();
-            struct.setVersionIsSet(true);
-            struct.bytes = iprot.readI64();
-            struct.setBytesIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, HoldingState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.model);
+      oprot.writeI32(struct.version);
+      oprot.writeI64(struct.bytes);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, HoldingState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.model = iprot.readString();
+      struct.setModelIsSet(true);
+      struct.version = iprot.readI32();
+      struct.setVersionIsSet(true);
+      struct.bytes = iprot.readI64();
+      struct.setBytesIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
