--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/IntendOrderCommand.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/IntendOrderCommand.java
@@ -7,1010 +7,972 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class IntendOrderCommand
-        implements org.apache.thrift.TBase<IntendOrderCommand, IntendOrderCommand._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<IntendOrderCommand> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("IntendOrderCommand");
-
-    private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField TARGET_INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("targetIncarnation", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField ORDER_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("orderId", org.apache.thrift.protocol.TType.STRING, (short) 3);
-    private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.I32, (short) 4);
-    private static final org.apache.thrift.protocol.TField MODEL_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("model", org.apache.thrift.protocol.TType.STRING, (short) 5);
-    private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I32, (short) 6);
-    private static final org.apache.thrift.protocol.TField BYTES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("bytes", org.apache.thrift.protocol.TType.I64, (short) 7);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new IntendOrderCommandStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new IntendOrderCommandTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
-    private long targetIncarnation; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String orderId; // required
-    private @org.apache.thrift.annotation.Nullable TargetOrderKind kind; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String model; // required
-    private int version; // required
-    private long bytes; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TARGET((short) 1, "target"),
-        TARGET_INCARNATION((short) 2, "targetIncarnation"),
-        ORDER_ID((short) 3, "orderId"),
-        /**
-         *
-         * @see TargetOrderKind
-         */
-        KIND((short) 4, "kind"),
-        MODEL((short) 5, "model"),
-        VERSION((short) 6, "version"),
-        BYTES((short) 7, "bytes");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TARGET
-                    return TARGET;
-                case 2: // TARGET_INCARNATION
-                    return TARGET_INCARNATION;
-                case 3: // ORDER_ID
-                    return ORDER_ID;
-                case 4: // KIND
-                    return KIND;
-                case 5: // MODEL
-                    return MODEL;
-                case 6: // VERSION
-                    return VERSION;
-                case 7: // BYTES
-                    return BYTES;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+public class IntendOrderCommand implements org.apache.thrift.TBase<IntendOrderCommand, IntendOrderCommand._Fields>, java.io.Serializable, Cloneable, Comparable<IntendOrderCommand> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("IntendOrderCommand");
+
+  private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC = new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField TARGET_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("targetIncarnation", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField ORDER_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("orderId", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC = new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField MODEL_FIELD_DESC = new org.apache.thrift.protocol.TField("model", org.apache.thrift.protocol.TType.STRING, (short)5);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I32, (short)6);
+  private static final org.apache.thrift.protocol.TField BYTES_FIELD_DESC = new org.apache.thrift.protocol.TField("bytes", org.apache.thrift.protocol.TType.I64, (short)7);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new IntendOrderCommandStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new IntendOrderCommandTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
+  private long targetIncarnation; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String orderId; // required
+  private @org.apache.thrift.annotation.Nullable TargetOrderKind kind; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String model; // required
+  private int version; // required
+  private long bytes; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TARGET((short)1, "target"),
+    TARGET_INCARNATION((short)2, "targetIncarnation"),
+    ORDER_ID((short)3, "orderId"),
+    /**
+     * 
+     * @see TargetOrderKind
+     */
+    KIND((short)4, "kind"),
+    MODEL((short)5, "model"),
+    VERSION((short)6, "version"),
+    BYTES((short)7, "bytes");
 
-    // isset id assignments
-    private static final int __TARGETINCARNATION_ISSET_ID = 0;
-    private static final int __VERSION_ISSET_ID = 1;
-    private static final int __BYTES_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TARGET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "target",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.TARGET_INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "targetIncarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.ORDER_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "orderId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.KIND,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "kind",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.EnumMetaData(
-                                org.apache.thrift.protocol.TType.ENUM, TargetOrderKind.class)));
-        tmpMap.put(
-                _Fields.MODEL,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "model",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.VERSION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "version",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        tmpMap.put(
-                _Fields.BYTES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "bytes",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(IntendOrderCommand.class, metaDataMap);
-    }
-
-    public IntendOrderCommand() {}
-
-    public IntendOrderCommand(
-            java.lang.String target,
-            long targetIncarnation,
-            java.lang.String orderId,
-            TargetOrderKind kind,
-            java.lang.String model,
-            int version,
-            long bytes) {
-        this();
-        this.target = target;
-        this.targetIncarnation = targetIncarnation;
-        setTargetIncarnationIsSet(true);
-        this.orderId = orderId;
-        this.kind = kind;
-        this.model = model;
-        this.version = version;
-        setVersionIsSet(true);
-        this.bytes = bytes;
-        setBytesIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public IntendOrderCommand(IntendOrderCommand other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetTarget()) {
-            this.target = other.target;
-        }
-        this.targetIncarnation = other.targetIncarnation;
-        if (other.isSetOrderId()) {
-            this.orderId = other.orderId;
-        }
-        if (other.isSetKind()) {
-            this.kind = other.kind;
-        }
-        if (other.isSetModel()) {
-            this.model = other.model;
-        }
-        this.version = other.version;
-        this.bytes = other.bytes;
-    }
-
-    @Override
-    public IntendOrderCommand deepCopy() {
-        return new IntendOrderCommand(this);
-    }
-
-    @Override
-    public void clear() {
-        this.target = null;
-        setTargetIncarnationIsSet(false);
-        this.targetIncarnation = 0;
-        this.orderId = null;
-        this.kind = null;
-        this.model = null;
-        setVersionIsSet(false);
-        this.version = 0;
-        setBytesIsSet(false);
-        this.bytes = 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getTarget() {
-        return this.target;
-    }
-
-    public IntendOrderCommand setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
-        this.target = target;
-        return this;
-    }
-
-    public void unsetTarget() {
-        this.target = null;
-    }
-
-    /** Returns true if field target is set (has been assigned a value) and false otherwise */
-    public boolean isSetTarget() {
-        return this.target != null;
-    }
-
-    public void setTargetIsSet(boolean value) {
-        if (!value) {
-            this.target = null;
-        }
-    }
-
-    public long getTargetIncarnation() {
-        return this.targetIncarnation;
-    }
-
-    public IntendOrderCommand setTargetIncarnation(long targetIncarnation) {
-        this.targetIncarnation = targetIncarnation;
-        setTargetIncarnationIsSet(true);
-        return this;
-    }
-
-    public void unsetTargetIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field targetIncarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetTargetIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID);
-    }
-
-    public void setTargetIncarnationIsSet(boolean value) {
-        __isset_bitfield =
-                org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID, value);
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getOrderId() {
-        return this.orderId;
-    }
-
-    public IntendOrderCommand setOrderId(@org.apache.thrift.annotation.Nullable java.lang.String orderId) {
-        this.orderId = orderId;
-        return this;
-    }
-
-    public void unsetOrderId() {
-        this.orderId = null;
-    }
-
-    /** Returns true if field orderId is set (has been assigned a value) and false otherwise */
-    public boolean isSetOrderId() {
-        return this.orderId != null;
-    }
-
-    public void setOrderIdIsSet(boolean value) {
-        if (!value) {
-            this.orderId = null;
-        }
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TARGET
+          return TARGET;
+        case 2: // TARGET_INCARNATION
+          return TARGET_INCARNATION;
+        case 3: // ORDER_ID
+          return ORDER_ID;
+        case 4: // KIND
+          return KIND;
+        case 5: // MODEL
+          return MODEL;
+        case 6: // VERSION
+          return VERSION;
+        case 7: // BYTES
+          return BYTES;
+        default:
+          return null;
+      }
     }
 
     /**
-     *
-     * @see TargetOrderKind
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    @org.apache.thrift.annotation.Nullable
-    public TargetOrderKind getKind() {
-        return this.kind;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     *
-     * @see TargetOrderKind
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public IntendOrderCommand setKind(@org.apache.thrift.annotation.Nullable TargetOrderKind kind) {
-        this.kind = kind;
-        return this;
-    }
-
-    public void unsetKind() {
-        this.kind = null;
-    }
-
-    /** Returns true if field kind is set (has been assigned a value) and false otherwise */
-    public boolean isSetKind() {
-        return this.kind != null;
-    }
-
-    public void setKindIsSet(boolean value) {
-        if (!value) {
-            this.kind = null;
-        }
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getModel() {
-        return this.model;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public IntendOrderCommand setModel(@org.apache.thrift.annotation.Nullable java.lang.String model) {
-        this.model = model;
-        return this;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void unsetModel() {
-        this.model = null;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field model is set (has been assigned a value) and false otherwise */
-    public boolean isSetModel() {
-        return this.model != null;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public void setModelIsSet(boolean value) {
-        if (!value) {
-            this.model = null;
-        }
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __TARGETINCARNATION_ISSET_ID = 0;
+  private static final int __VERSION_ISSET_ID = 1;
+  private static final int __BYTES_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TARGET, new org.apache.thrift.meta_data.FieldMetaData("target", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.TARGET_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("targetIncarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ORDER_ID, new org.apache.thrift.meta_data.FieldMetaData("orderId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.KIND, new org.apache.thrift.meta_data.FieldMetaData("kind", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, TargetOrderKind.class)));
+    tmpMap.put(_Fields.MODEL, new org.apache.thrift.meta_data.FieldMetaData("model", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.BYTES, new org.apache.thrift.meta_data.FieldMetaData("bytes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(IntendOrderCommand.class, metaDataMap);
+  }
+
+  public IntendOrderCommand() {
+  }
+
+  public IntendOrderCommand(
+    java.lang.String target,
+    long targetIncarnation,
+    java.lang.String orderId,
+    TargetOrderKind kind,
+    java.lang.String model,
+    int version,
+    long bytes)
+  {
+    this();
+    this.target = target;
+    this.targetIncarnation = targetIncarnation;
+    setTargetIncarnationIsSet(true);
+    this.orderId = orderId;
+    this.kind = kind;
+    this.model = model;
+    this.version = version;
+    setVersionIsSet(true);
+    this.bytes = bytes;
+    setBytesIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public IntendOrderCommand(IntendOrderCommand other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetTarget()) {
+      this.target = other.target;
+    }
+    this.targetIncarnation = other.targetIncarnation;
+    if (other.isSetOrderId()) {
+      this.orderId = other.orderId;
+    }
+    if (other.isSetKind()) {
+      this.kind = other.kind;
+    }
+    if (other.isSetModel()) {
+      this.model = other.model;
+    }
+    this.version = other.version;
+    this.bytes = other.bytes;
+  }
+
+  @Override
+  public IntendOrderCommand deepCopy() {
+    return new IntendOrderCommand(this);
+  }
+
+  @Override
+  public void clear() {
+    this.target = null;
+    setTargetIncarnationIsSet(false);
+    this.targetIncarnation = 0;
+    this.orderId = null;
+    this.kind = null;
+    this.model = null;
+    setVersionIsSet(false);
+    this.version = 0;
+    setBytesIsSet(false);
+    this.bytes = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getTarget() {
+    return this.target;
+  }
+
+  public IntendOrderCommand setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
+    this.target = target;
+    return this;
+  }
+
+  public void unsetTarget() {
+    this.target = null;
+  }
+
+  /** Returns true if field target is set (has been assigned a value) and false otherwise */
+  public boolean isSetTarget() {
+    return this.target != null;
+  }
+
+  public void setTargetIsSet(boolean value) {
+    if (!value) {
+      this.target = null;
+    }
+  }
+
+  public long getTargetIncarnation() {
+    return this.targetIncarnation;
+  }
+
+  public IntendOrderCommand setTargetIncarnation(long targetIncarnation) {
+    this.targetIncarnation = targetIncarnation;
+    setTargetIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetTargetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field targetIncarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetTargetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID);
+  }
+
+  public void setTargetIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOrderId() {
+    return this.orderId;
+  }
+
+  public IntendOrderCommand setOrderId(@org.apache.thrift.annotation.Nullable java.lang.String orderId) {
+    this.orderId = orderId;
+    return this;
+  }
+
+  public void unsetOrderId() {
+    this.orderId = null;
+  }
+
+  /** Returns true if field orderId is set (has been assigned a value) and false otherwise */
+  public boolean isSetOrderId() {
+    return this.orderId != null;
+  }
+
+  public void setOrderIdIsSet(boolean value) {
+    if (!value) {
+      this.orderId = null;
+    }
+  }
+
+  /**
+   * 
+   * @see TargetOrderKind
+   */
+  @org.apache.thrift.annotation.Nullable
+  public TargetOrderKind getKind() {
+    return this.kind;
+  }
+
+  /**
+   * 
+   * @see TargetOrderKind
+   */
+  public IntendOrderCommand setKind(@org.apache.thrift.annotation.Nullable TargetOrderKind kind) {
+    this.kind = kind;
+    return this;
+  }
+
+  public void unsetKind() {
+    this.kind = null;
+  }
+
+  /** Returns true if field kind is set (has been assigned a value) and false otherwise */
+  public boolean isSetKind() {
+    return this.kind != null;
+  }
+
+  public void setKindIsSet(boolean value) {
+    if (!value) {
+      this.kind = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getModel() {
+    return this.model;
+  }
+
+  public IntendOrderCommand setModel(@org.apache.thrift.annotation.Nullable java.lang.String model) {
+    this.model = model;
+    return this;
+  }
+
+  public void unsetModel() {
+    this.model = null;
+  }
+
+  /** Returns true if field model is set (has been assigned a value) and false otherwise */
+  public boolean isSetModel() {
+    return this.model != null;
+  }
+
+  public void setModelIsSet(boolean value) {
+    if (!value) {
+      this.model = null;
+    }
+  }
+
+  public int getVersion() {
+    return this.version;
+  }
+
+  public IntendOrderCommand setVersion(int version) {
+    this.version = version;
+    setVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  /** Returns true if field version is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  public void setVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
+  }
+
+  public long getBytes() {
+    return this.bytes;
+  }
+
+  public IntendOrderCommand setBytes(long bytes) {
+    this.bytes = bytes;
+    setBytesIsSet(true);
+    return this;
+  }
+
+  public void unsetBytes() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BYTES_ISSET_ID);
+  }
+
+  /** Returns true if field bytes is set (has been assigned a value) and false otherwise */
+  public boolean isSetBytes() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BYTES_ISSET_ID);
+  }
+
+  public void setBytesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BYTES_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TARGET:
+      if (value == null) {
+        unsetTarget();
+      } else {
+        setTarget((java.lang.String)value);
+      }
+      break;
+
+    case TARGET_INCARNATION:
+      if (value == null) {
+        unsetTargetIncarnation();
+      } else {
+        setTargetIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case ORDER_ID:
+      if (value == null) {
+        unsetOrderId();
+      } else {
+        setOrderId((java.lang.String)value);
+      }
+      break;
+
+    case KIND:
+      if (value == null) {
+        unsetKind();
+      } else {
+        setKind((TargetOrderKind)value);
+      }
+      break;
+
+    case MODEL:
+      if (value == null) {
+        unsetModel();
+      } else {
+        setModel((java.lang.String)value);
+      }
+      break;
+
+    case VERSION:
+      if (value == null) {
+        unsetVersion();
+      } else {
+        setVersion((java.lang.Integer)value);
+      }
+      break;
+
+    case BYTES:
+      if (value == null) {
+        unsetBytes();
+      } else {
+        setBytes((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TARGET:
+      return getTarget();
+
+    case TARGET_INCARNATION:
+      return getTargetIncarnation();
+
+    case ORDER_ID:
+      return getOrderId();
+
+    case KIND:
+      return getKind();
+
+    case MODEL:
+      return getModel();
+
+    case VERSION:
+      return getVersion();
+
+    case BYTES:
+      return getBytes();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case TARGET:
+      return isSetTarget();
+    case TARGET_INCARNATION:
+      return isSetTargetIncarnation();
+    case ORDER_ID:
+      return isSetOrderId();
+    case KIND:
+      return isSetKind();
+    case MODEL:
+      return isSetModel();
+    case VERSION:
+      return isSetVersion();
+    case BYTES:
+      return isSetBytes();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof IntendOrderCommand)
+      return this.equals((IntendOrderCommand)that);
+    return false;
+  }
+
+  public boolean equals(IntendOrderCommand that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_target = true && this.isSetTarget();
+    boolean that_present_target = true && that.isSetTarget();
+    if (this_present_target || that_present_target) {
+      if (!(this_present_target && that_present_target))
+        return false;
+      if (!this.target.equals(that.target))
+        return false;
     }
 
-    public int getVersion() {
-        return this.version;
+    boolean this_present_targetIncarnation = true;
+    boolean that_present_targetIncarnation = true;
+    if (this_present_targetIncarnation || that_present_targetIncarnation) {
+      if (!(this_present_targetIncarnation && that_present_targetIncarnation))
+        return false;
+      if (this.targetIncarnation != that.targetIncarnation)
+        return false;
     }
 
-    public IntendOrderCommand setVersion(int version) {
-        this.version = version;
-        setVersionIsSet(true);
-        return this;
+    boolean this_present_orderId = true && this.isSetOrderId();
+    boolean that_present_orderId = true && that.isSetOrderId();
+    if (this_present_orderId || that_present_orderId) {
+      if (!(this_present_orderId && that_present_orderId))
+        return false;
+      if (!this.orderId.equals(that.orderId))
+        return false;
     }
 
-    public void unsetVersion() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
+    boolean this_present_kind = true && this.isSetKind();
+    boolean that_present_kind = true && that.isSetKind();
+    if (this_present_kind || that_present_kind) {
+      if (!(this_present_kind && that_present_kind))
+        return false;
+      if (!this.kind.equals(that.kind))
+        return false;
     }
 
-    /** Returns true if field version is set (has been assigned a value) and false otherwise */
-    public boolean isSetVersion() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
+    boolean this_present_model = true && this.isSetModel();
+    boolean that_present_model = true && that.isSetModel();
+    if (this_present_model || that_present_model) {
+      if (!(this_present_model && that_present_model))
+        return false;
+      if (!this.model.equals(that.model))
+        return false;
     }
 
-    public void setVersionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
+    boolean this_present_version = true;
+    boolean that_present_version = true;
+    if (this_present_version || that_present_version) {
+      if (!(this_present_version && that_present_version))
+        return false;
+      if (this.version != that.version)
+        return false;
     }
 
-    public long getBytes() {
-        return this.bytes;
+    boolean this_present_bytes = true;
+    boolean that_present_bytes = true;
+    if (this_present_bytes || that_present_bytes) {
+      if (!(this_present_bytes && that_present_bytes))
+        return false;
+      if (this.bytes != that.bytes)
+        return false;
     }
 
-    public IntendOrderCommand setBytes(long bytes) {
-        this.bytes = bytes;
-        setBytesIsSet(true);
-        return this;
-    }
+    return true;
+  }
 
-    public void unsetBytes() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BYTES_ISSET_ID);
-    }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-    /** Returns true if field bytes is set (has been assigned a value) and false otherwise */
-    public boolean isSetBytes() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BYTES_ISSET_ID);
-    }
+    hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
+    if (isSetTarget())
+      hashCode = hashCode * 8191 + target.hashCode();
 
-    public void setBytesIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BYTES_ISSET_ID, value);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(targetIncarnation);
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TARGET:
-                if (value == null) {
-                    unsetTarget();
-                } else {
-                    setTarget((java.lang.String) value);
-                }
-                break;
-
-            case TARGET_INCARNATION:
-                if (value == null) {
-                    unsetTargetIncarnation();
-                } else {
-                    setTargetIncarnation((java.lang.Long) value);
-                }
-                break;
-
-            case ORDER_ID:
-                if (value == null) {
-                    unsetOrderId();
-                } else {
-                    setOrderId((java.lang.String) value);
-                }
-                break;
-
-            case KIND:
-                if (value == null) {
-                    unsetKind();
-                } else {
-                    setKind((TargetOrderKind) value);
-                }
-                break;
-
-            case MODEL:
-                if (value == null) {
-                    unsetModel();
-                } else {
-                    setModel((java.lang.String) value);
-                }
-                break;
-
-            case VERSION:
-                if (value == null) {
-                    unsetVersion();
-                } else {
-                    setVersion((java.lang.Integer) value);
-                }
-                break;
-
-            case BYTES:
-                if (value == null) {
-                    unsetBytes();
-                } else {
-                    setBytes((java.lang.Long) value);
-                }
-                break;
-        }
-    }
+    hashCode = hashCode * 8191 + ((isSetOrderId()) ? 131071 : 524287);
+    if (isSetOrderId())
+      hashCode = hashCode * 8191 + orderId.hashCode();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TARGET:
-                return getTarget();
+    hashCode = hashCode * 8191 + ((isSetKind()) ? 131071 : 524287);
+    if (isSetKind())
+      hashCode = hashCode * 8191 + kind.getValue();
 
-            case TARGET_INCARNATION:
-                return getTargetIncarnation();
+    hashCode = hashCode * 8191 + ((isSetModel()) ? 131071 : 524287);
+    if (isSetModel())
+      hashCode = hashCode * 8191 + model.hashCode();
 
-            case ORDER_ID:
-                return getOrderId();
+    hashCode = hashCode * 8191 + version;
 
-            case KIND:
-                return getKind();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(bytes);
 
-            case MODEL:
-                return getModel();
+    return hashCode;
+  }
 
-            case VERSION:
-                return getVersion();
-
-            case BYTES:
-                return getBytes();
-        }
-        throw new java.lang.IllegalStateException();
+  @Override
+  public int compareTo(IntendOrderCommand other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTarget()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTargetIncarnation(), other.isSetTargetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTargetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.targetIncarnation, other.targetIncarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOrderId(), other.isSetOrderId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOrderId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.orderId, other.orderId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetKind(), other.isSetKind());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetKind()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.kind, other.kind);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetModel(), other.isSetModel());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetModel()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.model, other.model);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetBytes(), other.isSetBytes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBytes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.bytes, other.bytes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("IntendOrderCommand(");
+    boolean first = true;
+
+    sb.append("target:");
+    if (this.target == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.target);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("targetIncarnation:");
+    sb.append(this.targetIncarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("orderId:");
+    if (this.orderId == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.orderId);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("kind:");
+    if (this.kind == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.kind);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("model:");
+    if (this.model == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.model);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("version:");
+    sb.append(this.version);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("bytes:");
+    sb.append(this.bytes);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (target == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'target' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'targetIncarnation' because it's a primitive and you chose the non-beans generator.
+    if (orderId == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'orderId' was not present! Struct: " + toString());
+    }
+    if (kind == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'kind' was not present! Struct: " + toString());
+    }
+    if (model == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'model' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'bytes' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class IntendOrderCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TARGET:
-                return isSetTarget();
-            case TARGET_INCARNATION:
-                return isSetTargetIncarnation();
-            case ORDER_ID:
-                return isSetOrderId();
-            case KIND:
-                return isSetKind();
-            case MODEL:
-                return isSetModel();
-            case VERSION:
-                return isSetVersion();
-            case BYTES:
-                return isSetBytes();
-        }
-        throw new java.lang.IllegalStateException();
+    public IntendOrderCommandStandardScheme getScheme() {
+      return new IntendOrderCommandStandardScheme();
     }
+  }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof IntendOrderCommand) return this.equals((IntendOrderCommand) that);
-        return false;
-    }
-
-    public boolean equals(IntendOrderCommand that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_target = true && this.isSetTarget();
-        boolean that_present_target = true && that.isSetTarget();
-        if (this_present_target || that_present_target) {
-            if (!(this_present_target && that_present_target)) return false;
-            if (!this.target.equals(that.target)) return false;
-        }
-
-        boolean this_present_targetIncarnation = true;
-        boolean that_present_targetIncarnation = true;
-        if (this_present_targetIncarnation || that_present_targetIncarnation) {
-            if (!(this_present_targetIncarnation && that_present_targetIncarnation)) return false;
-            if (this.targetIncarnation != that.targetIncarnation) return false;
-        }
-
-        boolean this_present_orderId = true && this.isSetOrderId();
-        boolean that_present_orderId = true && that.isSetOrderId();
-        if (this_present_orderId || that_present_orderId) {
-            if (!(this_present_orderId && that_present_orderId)) return false;
-            if (!this.orderId.equals(that.orderId)) return false;
-        }
-
-        boolean this_present_kind = true && this.isSetKind();
-        boolean that_present_kind = true && that.isSetKind();
-        if (this_present_kind || that_present_kind) {
-            if (!(this_present_kind && that_present_kind)) return false;
-            if (!this.kind.equals(that.kind)) return false;
-        }
-
-        boolean this_present_model = true && this.isSetModel();
-        boolean that_present_model = true && that.isSetModel();
-        if (this_present_model || that_present_model) {
-            if (!(this_present_model && that_present_model)) return false;
-            if (!this.model.equals(that.model)) return false;
-        }
-
-        boolean this_present_version = true;
-        boolean that_present_version = true;
-        if (this_present_version || that_present_version) {
-            if (!(this_present_version && that_present_version)) return false;
-            if (this.version != that.version) return false;
-        }
-
-        boolean this_present_bytes = true;
-        boolean that_present_bytes = true;
-        if (this_present_bytes || that_present_bytes) {
-            if (!(this_present_bytes && that_present_bytes)) return false;
-            if (this.bytes != that.bytes) return false;
-        }
-
-        return true;
-    }
+  private static class IntendOrderCommandStandardScheme extends org.apache.thrift.scheme.StandardScheme<IntendOrderCommand> {
 
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
-        if (isSetTarget()) hashCode = hashCode * 8191 + target.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(targetIncarnation);
-
-        hashCode = hashCode * 8191 + ((isSetOrderId()) ? 131071 : 524287);
-        if (isSetOrderId()) hashCode = hashCode * 8191 + orderId.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetKind()) ? 131071 : 524287);
-        if (isSetKind()) hashCode = hashCode * 8191 + kind.getValue();
-
-        hashCode = hashCode * 8191 + ((isSetModel()) ? 131071 : 524287);
-        if (isSetModel()) hashCode = hashCode * 8191 + model.hashCode();
-
-        hashCode = hashCode * 8191 + version;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(bytes);
-
-        return hashCode;
-    }
-
-    @Override
-    public int compareTo(IntendOrderCommand other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTarget()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
-            if (lastComparison != 0) {
-                return lastComparison;
+    public void read(org.apache.thrift.protocol.TProtocol iprot, IntendOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // TARGET
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.target = iprot.readString();
+              struct.setTargetIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetTargetIncarnation(), other.isSetTargetIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTargetIncarnation()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.targetIncarnation, other.targetIncarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // TARGET_INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.targetIncarnation = iprot.readI64();
+              struct.setTargetIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOrderId(), other.isSetOrderId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOrderId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.orderId, other.orderId);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // ORDER_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.orderId = iprot.readString();
+              struct.setOrderIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetKind(), other.isSetKind());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetKind()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.kind, other.kind);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // KIND
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.kind = org.basilrill.thrift.control.TargetOrderKind.findByValue(iprot.readI32());
+              struct.setKindIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetModel(), other.isSetModel());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetModel()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.model, other.model);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 5: // MODEL
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.model = iprot.readString();
+              struct.setModelIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetVersion()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 6: // VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.version = iprot.readI32();
+              struct.setVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetBytes(), other.isSetBytes());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetBytes()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.bytes, other.bytes);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 7: // BYTES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.bytes = iprot.readI64();
+              struct.setBytesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetTargetIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'targetIncarnation' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetVersion()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'version' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetBytes()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'bytes' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, IntendOrderCommand struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.target != null) {
+        oprot.writeFieldBegin(TARGET_FIELD_DESC);
+        oprot.writeString(struct.target);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(TARGET_INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.targetIncarnation);
+      oprot.writeFieldEnd();
+      if (struct.orderId != null) {
+        oprot.writeFieldBegin(ORDER_ID_FIELD_DESC);
+        oprot.writeString(struct.orderId);
+        oprot.writeFieldEnd();
+      }
+      if (struct.kind != null) {
+        oprot.writeFieldBegin(KIND_FIELD_DESC);
+        oprot.writeI32(struct.kind.getValue());
+        oprot.writeFieldEnd();
+      }
+      if (struct.model != null) {
+        oprot.writeFieldBegin(MODEL_FIELD_DESC);
+        oprot.writeString(struct.model);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(VERSION_FIELD_DESC);
+      oprot.writeI32(struct.version);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(BYTES_FIELD_DESC);
+      oprot.writeI64(struct.bytes);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class IntendOrderCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public IntendOrderCommandTupleScheme getScheme() {
+      return new IntendOrderCommandTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class IntendOrderCommandTupleScheme extends org.apache.thrift.scheme.TupleScheme<IntendOrderCommand> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("IntendOrderCommand(");
-        boolean first = true;
-
-        sb.append("target:");
-        if (this.target == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.target);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("targetIncarnation:");
-        sb.append(this.targetIncarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("orderId:");
-        if (this.orderId == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.orderId);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("kind:");
-        if (this.kind == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.kind);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("model:");
-        if (this.model == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.model);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("version:");
-        sb.append(this.version);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("bytes:");
-        sb.append(this.bytes);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (target == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'target' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'targetIncarnation' because it's a primitive and you chose the non-beans generator.
-        if (orderId == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'orderId' was not present! Struct: " + toString());
-        }
-        if (kind == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'kind' was not present! Struct: " + toString());
-        }
-        if (model == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'model' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'bytes' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class IntendOrderCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public IntendOrderCommandStandardScheme getScheme() {
-            return new IntendOrderCommandStandardScheme();
-        }
-    }
-
-    private static class IntendOrderCommandStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<IntendOrderCommand> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, IntendOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TARGET
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.target = iprot.readString();
-                            struct.setTargetIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // TARGET_INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.targetIncarnation = iprot.readI64();
-                            struct.setTargetIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // ORDER_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.orderId = iprot.readString();
-                            struct.setOrderIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // KIND
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.kind = org.basilrill.thrift.control.TargetOrderKind.findByValue(iprot.readI32());
-                            struct.setKindIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // MODEL
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.model = iprot.readString();
-                            struct.setModelIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // VERSION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.version = iprot.readI32();
-                            struct.setVersionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 7: // BYTES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.bytes = iprot.readI64();
-                            struct.setBytesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetTargetIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'targetIncarnation' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetVersion()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'version' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetBytes()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'bytes' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, IntendOrderCommand struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.target != null) {
-                oprot.writeFieldBegin(TARGET_FIELD_DESC);
-                oprot.writeString(struct.target);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(TARGET_INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.targetIncarnation);
-            oprot.writeFieldEnd();
-            if (struct.orderId != null) {
-                oprot.writeFieldBegin(ORDER_ID_FIELD_DESC);
-                oprot.writeString(struct.orderId);
-                oprot.writeFieldEnd();
-            }
-            if (struct.kind != null) {
-                oprot.writeFieldBegin(KIND_FIELD_DESC);
-                oprot.writeI32(struct.kind.getValue());
-                oprot.writeFieldEnd();
-            }
-            if (struct.model != null) {
-                oprot.writeFieldBegin(MODEL_FIELD_DESC);
-                oprot.writeString(struct.model);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(VERSION_FIELD_DESC);
-            oprot.writeI32(struct.version);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(BYTES_FIELD_DESC);
-            oprot.writeI64(struct.bytes);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class IntendOrderCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public IntendOrderCommandTupleScheme getScheme() {
-            return new IntendOrderCommandTupleScheme();
-        }
-    }
-
-    private static class IntendOrderCommandTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<IntendOrderCommand> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, IntendOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.target);
-            oprot.writeI64(struct.targetIncarnation);
-            oprot.writeString(struct.orderId);
-            oprot.writeI32(struct.kind.getValue());
-            oprot.writeString(struct.model);
-            oprot.writeI32(struct.version);
-            oprot.writeI64(struct.bytes);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, IntendOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.target = iprot.readString();
-            struct.setTargetIsSet(true);
-            struct.targetIncarnation = iprot.readI64();
-            struct.setTargetIncarnationIsSet(true);
-            struct.orderId = iprot.readString();
-            struct.setOrderIdIsSet(true);
-            struct.kind = org.basilrill.thrift.control.TargetOrderKind.findByValue(iprot.readI32());
-            struct.setKindIsSet(true);
-            struct.model = iprot.readString();
-            struct.setModelIsSet(true);
-            struct.version = iprot.readI32();
-            struct.setVersionIsSet(true);
-            struct.bytes = iprot.readI64();
-            struct.setBytesIsSet(true);
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, IntendOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.target);
+      oprot.writeI64(struct.targetIncarnation);
+      oprot.writeString(struct.orderId);
+      oprot.writeI32(struct.kind.getValue());
+      oprot.writeString(struct.model);
+      oprot.writeI32(struct.version);
+      oprot.writeI64(struct.bytes);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, IntendOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.target = iprot.readString();
+      struct.setTargetIsSet(true);
+      struct.targetIncarnation = iprot.readI64();
+      struct.setTargetIncarnationIsSet(true);
+      struct.orderId = iprot.readString();
+      struct.setOrderIdIsSet(true);
+      struct.kind = org.basilrill.thrift.control.TargetOrderKind.findByValue(iprot.readI32());
+      struct.setKindIsSet(true);
+      struct.model = iprot.readString();
+      struct.setModelIsSet(true);
+      struct.version = iprot.readI32();
+      struct.setVersionIsSet(true);
+      struct.bytes = iprot.readI64();
+      struct.setBytesIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/LedgerRowState.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/LedgerRowState.java
@@ -7,841 +7,813 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class LedgerRowState
-        implements org.apache.thrift.TBase<LedgerRowState, LedgerRowState._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<LedgerRowState> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("LedgerRowState");
-
-    private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField CAPACITY_BYTES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("capacityBytes", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField ENFORCES_FENCING_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("enforcesFencing", org.apache.thrift.protocol.TType.BOOL, (short) 4);
-    private static final org.apache.thrift.protocol.TField HOLDINGS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("holdings", org.apache.thrift.protocol.TType.LIST, (short) 5);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new LedgerRowStateStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new LedgerRowStateTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
-    private long incarnation; // required
-    private long capacityBytes; // required
-    private boolean enforcesFencing; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<HoldingState> holdings; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TARGET((short) 1, "target"),
-        INCARNATION((short) 2, "incarnation"),
-        CAPACITY_BYTES((short) 3, "capacityBytes"),
-        ENFORCES_FENCING((short) 4, "enforcesFencing"),
-        HOLDINGS((short) 5, "holdings");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TARGET
-                    return TARGET;
-                case 2: // INCARNATION
-                    return INCARNATION;
-                case 3: // CAPACITY_BYTES
-                    return CAPACITY_BYTES;
-                case 4: // ENFORCES_FENCING
-                    return ENFORCES_FENCING;
-                case 5: // HOLDINGS
-                    return HOLDINGS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __INCARNATION_ISSET_ID = 0;
-    private static final int __CAPACITYBYTES_ISSET_ID = 1;
-    private static final int __ENFORCESFENCING_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+public class LedgerRowState implements org.apache.thrift.TBase<LedgerRowState, LedgerRowState._Fields>, java.io.Serializable, Cloneable, Comparable<LedgerRowState> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("LedgerRowState");
+
+  private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC = new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField CAPACITY_BYTES_FIELD_DESC = new org.apache.thrift.protocol.TField("capacityBytes", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField ENFORCES_FENCING_FIELD_DESC = new org.apache.thrift.protocol.TField("enforcesFencing", org.apache.thrift.protocol.TType.BOOL, (short)4);
+  private static final org.apache.thrift.protocol.TField HOLDINGS_FIELD_DESC = new org.apache.thrift.protocol.TField("holdings", org.apache.thrift.protocol.TType.LIST, (short)5);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LedgerRowStateStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LedgerRowStateTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
+  private long incarnation; // required
+  private long capacityBytes; // required
+  private boolean enforcesFencing; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<HoldingState> holdings; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TARGET((short)1, "target"),
+    INCARNATION((short)2, "incarnation"),
+    CAPACITY_BYTES((short)3, "capacityBytes"),
+    ENFORCES_FENCING((short)4, "enforcesFencing"),
+    HOLDINGS((short)5, "holdings");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TARGET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "target",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "incarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.CAPACITY_BYTES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "capacityBytes",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.ENFORCES_FENCING,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "enforcesFencing",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        tmpMap.put(
-                _Fields.HOLDINGS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "holdings",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, HoldingState.class))));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LedgerRowState.class, metaDataMap);
-    }
-
-    public LedgerRowState() {}
-
-    public LedgerRowState(
-            java.lang.String target,
-            long incarnation,
-            long capacityBytes,
-            boolean enforcesFencing,
-            java.util.List<HoldingState> holdings) {
-        this();
-        this.target = target;
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        this.capacityBytes = capacityBytes;
-        setCapacityBytesIsSet(true);
-        this.enforcesFencing = enforcesFencing;
-        setEnforcesFencingIsSet(true);
-        this.holdings = holdings;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public LedgerRowState(LedgerRowState other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetTarget()) {
-            this.target = other.target;
-        }
-        this.incarnation = other.incarnation;
-        this.capacityBytes = other.capacityBytes;
-        this.enforcesFencing = other.enforcesFencing;
-        if (other.isSetHoldings()) {
-            java.util.List<HoldingState> __this__holdings =
-                    new java.util.ArrayList<HoldingState>(other.holdings.size());
-            for (HoldingState other_element : other.holdings) {
-                __this__holdings.add(new HoldingState(other_element));
-            }
-            this.holdings = __this__holdings;
-        }
-    }
-
-    @Override
-    public LedgerRowState deepCopy() {
-        return new LedgerRowState(this);
-    }
-
-    @Override
-    public void clear() {
-        this.target = null;
-        setIncarnationIsSet(false);
-        this.incarnation = 0;
-        setCapacityBytesIsSet(false);
-        this.capacityBytes = 0;
-        setEnforcesFencingIsSet(false);
-        this.enforcesFencing = false;
-        this.holdings = null;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getTarget() {
-        return this.target;
-    }
-
-    public LedgerRowState setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
-        this.target = target;
-        return this;
-    }
-
-    public void unsetTarget() {
-        this.target = null;
-    }
-
-    /** Returns true if field target is set (has been assigned a value) and false otherwise */
-    public boolean isSetTarget() {
-        return this.target != null;
-    }
-
-    public void setTargetIsSet(boolean value) {
-        if (!value) {
-            this.target = null;
-        }
-    }
-
-    public long getIncarnation() {
-        return this.incarnation;
-    }
-
-    public LedgerRowState setIncarnation(long incarnation) {
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        return this;
-    }
-
-    public void unsetIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TARGET
+          return TARGET;
+        case 2: // INCARNATION
+          return INCARNATION;
+        case 3: // CAPACITY_BYTES
+          return CAPACITY_BYTES;
+        case 4: // ENFORCES_FENCING
+          return ENFORCES_FENCING;
+        case 5: // HOLDINGS
+          return HOLDINGS;
+        default:
+          return null;
+      }
     }
 
-    public void setIncarnationIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
-    }
-
-    public long getCapacityBytes() {
-        return this.capacityBytes;
-    }
-
-    public LedgerRowState setCapacityBytes(long capacityBytes) {
-        this.capacityBytes = capacityBytes;
-        setCapacityBytesIsSet(true);
-        return this;
-    }
-
-    public void unsetCapacityBytes() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CAPACITYBYTES_ISSET_ID);
-    }
-
-    /** Returns true if field capacityBytes is set (has been assigned a value) and false otherwise */
-    public boolean isSetCapacityBytes() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CAPACITYBYTES_ISSET_ID);
-    }
-
-    public void setCapacityBytesIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CAPACITYBYTES_ISSET_ID, value);
-    }
-
-    public boolean isEnforcesFencing() {
-        return this.enforcesFencing;
-    }
-
-    public LedgerRowState setEnforcesFencing(boolean enforcesFencing) {
-        this.enforcesFencing = enforcesFencing;
-        setEnforcesFencingIsSet(true);
-        return this;
-    }
-
-    public void unsetEnforcesFencing() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
-    }
-
-    /** Returns true if field enforcesFencing is set (has been assigned a value) and false otherwise */
-    public boolean isSetEnforcesFencing() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
-    }
-
-    public void setEnforcesFencingIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID, value);
-    }
-
-    public int getHoldingsSize() {
-        return (this.holdings == null) ? 0 : this.holdings.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<HoldingState> getHoldingsIterator() {
-        return (this.holdings == null) ? null : this.holdings.iterator();
-    }
-
-    public void addToHoldings(HoldingState elem) {
-        if (this.holdings == null) {
-            this.holdings = new java.util.ArrayList<HoldingState>();
-        }
-        this.holdings.add(elem);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<HoldingState> getHoldings() {
-        return this.holdings;
-    }
-
-    public LedgerRowState setHoldings(@org.apache.thrift.annotation.Nullable java.util.List<HoldingState> holdings) {
-        this.holdings = holdings;
-        return this;
-    }
-
-    public void unsetHoldings() {
-        this.holdings = null;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field holdings is set (has been assigned a value) and false otherwise */
-    public boolean isSetHoldings() {
-        return this.holdings != null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setHoldingsIsSet(boolean value) {
-        if (!value) {
-            this.holdings = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TARGET:
-                if (value == null) {
-                    unsetTarget();
-                } else {
-                    setTarget((java.lang.String) value);
-                }
-                break;
-
-            case INCARNATION:
-                if (value == null) {
-                    unsetIncarnation();
-                } else {
-                    setIncarnation((java.lang.Long) value);
-                }
-                break;
-
-            case CAPACITY_BYTES:
-                if (value == null) {
-                    unsetCapacityBytes();
-                } else {
-                    setCapacityBytes((java.lang.Long) value);
-                }
-                break;
-
-            case ENFORCES_FENCING:
-                if (value == null) {
-                    unsetEnforcesFencing();
-                } else {
-                    setEnforcesFencing((java.lang.Boolean) value);
-                }
-                break;
-
-            case HOLDINGS:
-                if (value == null) {
-                    unsetHoldings();
-                } else {
-                    setHoldings((java.util.List<HoldingState>) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TARGET:
-                return getTarget();
-
-            case INCARNATION:
-                return getIncarnation();
-
-            case CAPACITY_BYTES:
-                return getCapacityBytes();
-
-            case ENFORCES_FENCING:
-                return isEnforcesFencing();
-
-            case HOLDINGS:
-                return getHoldings();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __INCARNATION_ISSET_ID = 0;
+  private static final int __CAPACITYBYTES_ISSET_ID = 1;
+  private static final int __ENFORCESFENCING_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TARGET, new org.apache.thrift.meta_data.FieldMetaData("target", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CAPACITY_BYTES, new org.apache.thrift.meta_data.FieldMetaData("capacityBytes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ENFORCES_FENCING, new org.apache.thrift.meta_data.FieldMetaData("enforcesFencing", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.HOLDINGS, new org.apache.thrift.meta_data.FieldMetaData("holdings", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HoldingState.class))));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LedgerRowState.class, metaDataMap);
+  }
+
+  public LedgerRowState() {
+  }
+
+  public LedgerRowState(
+    java.lang.String target,
+    long incarnation,
+    long capacityBytes,
+    boolean enforcesFencing,
+    java.util.List<HoldingState> holdings)
+  {
+    this();
+    this.target = target;
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    this.capacityBytes = capacityBytes;
+    setCapacityBytesIsSet(true);
+    this.enforcesFencing = enforcesFencing;
+    setEnforcesFencingIsSet(true);
+    this.holdings = holdings;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public LedgerRowState(LedgerRowState other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetTarget()) {
+      this.target = other.target;
+    }
+    this.incarnation = other.incarnation;
+    this.capacityBytes = other.capacityBytes;
+    this.enforcesFencing = other.enforcesFencing;
+    if (other.isSetHoldings()) {
+      java.util.List<HoldingState> __this__holdings = new java.util.ArrayList<HoldingState>(other.holdings.size());
+      for (HoldingState other_element : other.holdings) {
+        __this__holdings.add(new HoldingState(other_element));
+      }
+      this.holdings = __this__holdings;
+    }
+  }
+
+  @Override
+  public LedgerRowState deepCopy() {
+    return new LedgerRowState(this);
+  }
+
+  @Override
+  public void clear() {
+    this.target = null;
+    setIncarnationIsSet(false);
+    this.incarnation = 0;
+    setCapacityBytesIsSet(false);
+    this.capacityBytes = 0;
+    setEnforcesFencingIsSet(false);
+    this.enforcesFencing = false;
+    this.holdings = null;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getTarget() {
+    return this.target;
+  }
+
+  public LedgerRowState setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
+    this.target = target;
+    return this;
+  }
+
+  public void unsetTarget() {
+    this.target = null;
+  }
+
+  /** Returns true if field target is set (has been assigned a value) and false otherwise */
+  public boolean isSetTarget() {
+    return this.target != null;
+  }
+
+  public void setTargetIsSet(boolean value) {
+    if (!value) {
+      this.target = null;
+    }
+  }
+
+  public long getIncarnation() {
+    return this.incarnation;
+  }
+
+  public LedgerRowState setIncarnation(long incarnation) {
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  public void setIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+  }
+
+  public long getCapacityBytes() {
+    return this.capacityBytes;
+  }
+
+  public LedgerRowState setCapacityBytes(long capacityBytes) {
+    this.capacityBytes = capacityBytes;
+    setCapacityBytesIsSet(true);
+    return this;
+  }
+
+  public void unsetCapacityBytes() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CAPACITYBYTES_ISSET_ID);
+  }
+
+  /** Returns true if field capacityBytes is set (has been assigned a value) and false otherwise */
+  public boolean isSetCapacityBytes() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CAPACITYBYTES_ISSET_ID);
+  }
+
+  public void setCapacityBytesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CAPACITYBYTES_ISSET_ID, value);
+  }
+
+  public boolean isEnforcesFencing() {
+    return this.enforcesFencing;
+  }
+
+  public LedgerRowState setEnforcesFencing(boolean enforcesFencing) {
+    this.enforcesFencing = enforcesFencing;
+    setEnforcesFencingIsSet(true);
+    return this;
+  }
+
+  public void unsetEnforcesFencing() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
+  }
+
+  /** Returns true if field enforcesFencing is set (has been assigned a value) and false otherwise */
+  public boolean isSetEnforcesFencing() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
+  }
+
+  public void setEnforcesFencingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID, value);
+  }
+
+  public int getHoldingsSize() {
+    return (this.holdings == null) ? 0 : this.holdings.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<HoldingState> getHoldingsIterator() {
+    return (this.holdings == null) ? null : this.holdings.iterator();
+  }
+
+  public void addToHoldings(HoldingState elem) {
+    if (this.holdings == null) {
+      this.holdings = new java.util.ArrayList<HoldingState>();
+    }
+    this.holdings.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<HoldingState> getHoldings() {
+    return this.holdings;
+  }
+
+  public LedgerRowState setHoldings(@org.apache.thrift.annotation.Nullable java.util.List<HoldingState> holdings) {
+    this.holdings = holdings;
+    return this;
+  }
+
+  public void unsetHoldings() {
+    this.holdings = null;
+  }
+
+  /** Returns true if field holdings is set (has been assigned a value) and false otherwise */
+  public boolean isSetHoldings() {
+    return this.holdings != null;
+  }
+
+  public void setHoldingsIsSet(boolean value) {
+    if (!value) {
+      this.holdings = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TARGET:
+      if (value == null) {
+        unsetTarget();
+      } else {
+        setTarget((java.lang.String)value);
+      }
+      break;
+
+    case INCARNATION:
+      if (value == null) {
+        unsetIncarnation();
+      } else {
+        setIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case CAPACITY_BYTES:
+      if (value == null) {
+        unsetCapacityBytes();
+      } else {
+        setCapacityBytes((java.lang.Long)value);
+      }
+      break;
+
+    case ENFORCES_FENCING:
+      if (value == null) {
+        unsetEnforcesFencing();
+      } else {
+        setEnforcesFencing((java.lang.Boolean)value);
+      }
+      break;
+
+    case HOLDINGS:
+      if (value == null) {
+        unsetHoldings();
+      } else {
+        setHoldings((java.util.List<HoldingState>)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TARGET:
+      return getTarget();
+
+    case INCARNATION:
+      return getIncarnation();
+
+    case CAPACITY_BYTES:
+      return getCapacityBytes();
+
+    case ENFORCES_FENCING:
+      return isEnforcesFencing();
+
+    case HOLDINGS:
+      return getHoldings();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case TARGET:
+      return isSetTarget();
+    case INCARNATION:
+      return isSetIncarnation();
+    case CAPACITY_BYTES:
+      return isSetCapacityBytes();
+    case ENFORCES_FENCING:
+      return isSetEnforcesFencing();
+    case HOLDINGS:
+      return isSetHoldings();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof LedgerRowState)
+      return this.equals((LedgerRowState)that);
+    return false;
+  }
+
+  public boolean equals(LedgerRowState that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_target = true && this.isSetTarget();
+    boolean that_present_target = true && that.isSetTarget();
+    if (this_present_target || that_present_target) {
+      if (!(this_present_target && that_present_target))
+        return false;
+      if (!this.target.equals(that.target))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TARGET:
-                return isSetTarget();
-            case INCARNATION:
-                return isSetIncarnation();
-            case CAPACITY_BYTES:
-                return isSetCapacityBytes();
-            case ENFORCES_FENCING:
-                return isSetEnforcesFencing();
-            case HOLDINGS:
-                return isSetHoldings();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_incarnation = true;
+    boolean that_present_incarnation = true;
+    if (this_present_incarnation || that_present_incarnation) {
+      if (!(this_present_incarnation && that_present_incarnation))
+        return false;
+      if (this.incarnation != that.incarnation)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof LedgerRowState) return this.equals((LedgerRowState) that);
+    boolean this_present_capacityBytes = true;
+    boolean that_present_capacityBytes = true;
+    if (this_present_capacityBytes || that_present_capacityBytes) {
+      if (!(this_present_capacityBytes && that_present_capacityBytes))
+        return false;
+      if (this.capacityBytes != that.capacityBytes)
         return false;
     }
 
-    public boolean equals(LedgerRowState that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_target = true && this.isSetTarget();
-        boolean that_present_target = true && that.isSetTarget();
-        if (this_present_target || that_present_target) {
-            if (!(this_present_target && that_present_target)) return false;
-            if (!this.target.equals(that.target)) return false;
-        }
-
-        boolean this_present_incarnation = true;
-        boolean that_present_incarnation = true;
-        if (this_present_incarnation || that_present_incarnation) {
-            if (!(this_present_incarnation && that_present_incarnation)) return false;
-            if (this.incarnation != that.incarnation) return false;
-        }
-
-        boolean this_present_capacityBytes = true;
-        boolean that_present_capacityBytes = true;
-        if (this_present_capacityBytes || that_present_capacityBytes) {
-            if (!(this_present_capacityBytes && that_present_capacityBytes)) return false;
-            if (this.capacityBytes != that.capacityBytes) return false;
-        }
-
-        boolean this_present_enforcesFencing = true;
-        boolean that_present_enforcesFencing = true;
-        if (this_present_enforcesFencing || that_present_enforcesFencing) {
-            if (!(this_present_enforcesFencing && that_present_enforcesFencing)) return false;
-            if (this.enforcesFencing != that.enforcesFencing) return false;
-        }
-
-        boolean this_present_holdings = true && this.isSetHoldings();
-        boolean that_present_holdings = true && that.isSetHoldings();
-        if (this_present_holdings || that_present_holdings) {
-            if (!(this_present_holdings && that_present_holdings)) return false;
-            if (!this.holdings.equals(that.holdings)) return false;
-        }
-
-        return true;
+    boolean this_present_enforcesFencing = true;
+    boolean that_present_enforcesFencing = true;
+    if (this_present_enforcesFencing || that_present_enforcesFencing) {
+      if (!(this_present_enforcesFencing && that_present_enforcesFencing))
+        return false;
+      if (this.enforcesFencing != that.enforcesFencing)
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
-        if (isSetTarget()) hashCode = hashCode * 8191 + target.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(capacityBytes);
-
-        hashCode = hashCode * 8191 + ((enforcesFencing) ? 131071 : 524287);
-
-        hashCode = hashCode * 8191 + ((isSetHoldings()) ? 131071 : 524287);
-        if (isSetHoldings()) hashCode = hashCode * 8191 + holdings.hashCode();
-
-        return hashCode;
+    boolean this_present_holdings = true && this.isSetHoldings();
+    boolean that_present_holdings = true && that.isSetHoldings();
+    if (this_present_holdings || that_present_holdings) {
+      if (!(this_present_holdings && that_present_holdings))
+        return false;
+      if (!this.holdings.equals(that.holdings))
+        return false;
     }
 
-    @Override
-    public int compareTo(LedgerRowState other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    return true;
+  }
 
-        int lastComparison = 0;
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTarget()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIncarnation()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetCapacityBytes(), other.isSetCapacityBytes());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetCapacityBytes()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.capacityBytes, other.capacityBytes);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEnforcesFencing(), other.isSetEnforcesFencing());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEnforcesFencing()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.enforcesFencing, other.enforcesFencing);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetHoldings(), other.isSetHoldings());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetHoldings()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.holdings, other.holdings);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
-    }
+    hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
+    if (isSetTarget())
+      hashCode = hashCode * 8191 + target.hashCode();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(capacityBytes);
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+    hashCode = hashCode * 8191 + ((enforcesFencing) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetHoldings()) ? 131071 : 524287);
+    if (isSetHoldings())
+      hashCode = hashCode * 8191 + holdings.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(LedgerRowState other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTarget()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetCapacityBytes(), other.isSetCapacityBytes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCapacityBytes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.capacityBytes, other.capacityBytes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEnforcesFencing(), other.isSetEnforcesFencing());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEnforcesFencing()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.enforcesFencing, other.enforcesFencing);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetHoldings(), other.isSetHoldings());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHoldings()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.holdings, other.holdings);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("LedgerRowState(");
+    boolean first = true;
+
+    sb.append("target:");
+    if (this.target == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.target);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("incarnation:");
+    sb.append(this.incarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("capacityBytes:");
+    sb.append(this.capacityBytes);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("enforcesFencing:");
+    sb.append(this.enforcesFencing);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("holdings:");
+    if (this.holdings == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.holdings);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (target == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'target' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'capacityBytes' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'enforcesFencing' because it's a primitive and you chose the non-beans generator.
+    if (holdings == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'holdings' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class LedgerRowStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("LedgerRowState(");
-        boolean first = true;
-
-        sb.append("target:");
-        if (this.target == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.target);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("incarnation:");
-        sb.append(this.incarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("capacityBytes:");
-        sb.append(this.capacityBytes);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("enforcesFencing:");
-        sb.append(this.enforcesFencing);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("holdings:");
-        if (this.holdings == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.holdings);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (target == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'target' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'capacityBytes' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'enforcesFencing' because it's a primitive and you chose the non-beans generator.
-        if (holdings == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'holdings' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    public LedgerRowStateStandardScheme getScheme() {
+      return new LedgerRowStateStandardScheme();
     }
+  }
 
-    private static class LedgerRowStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public LedgerRowStateStandardScheme getScheme() {
-            return new LedgerRowStateStandardScheme();
-        }
-    }
-
-    private static class LedgerRowStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<LedgerRowState> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, LedgerRowState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TARGET
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.target = iprot.readString();
-                            struct.setTargetIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.incarnation = iprot.readI64();
-                            struct.setIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // CAPACITY_BYTES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.capacityBytes = iprot.readI64();
-                            struct.setCapacityBytesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // ENFORCES_FENCING
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.enforcesFencing = iprot.readBool();
-                            struct.setEnforcesFencingIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // HOLDINGS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                                struct.holdings = new java.util.ArrayList<HoldingState>(_list32.size);
-                                @org.apache.thrift.annotation.Nullable HoldingState _elem33;
-                                for (int _i34 = 0; _i34 < _list32.size; ++_i34) {
-                                    _elem33 = new HoldingState();
-                                    _elem33.read(iprot);
-                                    struct.holdings.add(_elem33);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setHoldingsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
+  private static class LedgerRowStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<LedgerRowState> {
 
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'incarnation' was not found in serialized data! Struct: " + toString());
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, LedgerRowState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // TARGET
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.target = iprot.readString();
+              struct.setTargetIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetCapacityBytes()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'capacityBytes' was not found in serialized data! Struct: " + toString());
+            break;
+          case 2: // INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnation = iprot.readI64();
+              struct.setIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetEnforcesFencing()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'enforcesFencing' was not found in serialized data! Struct: " + toString());
+            break;
+          case 3: // CAPACITY_BYTES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.capacityBytes = iprot.readI64();
+              struct.setCapacityBytesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, LedgerRowState struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.target != null) {
-                oprot.writeFieldBegin(TARGET_FIELD_DESC);
-                oprot.writeString(struct.target);
-                oprot.writeFieldEnd();
+            break;
+          case 4: // ENFORCES_FENCING
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.enforcesFencing = iprot.readBool();
+              struct.setEnforcesFencingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(CAPACITY_BYTES_FIELD_DESC);
-            oprot.writeI64(struct.capacityBytes);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(ENFORCES_FENCING_FIELD_DESC);
-            oprot.writeBool(struct.enforcesFencing);
-            oprot.writeFieldEnd();
-            if (struct.holdings != null) {
-                oprot.writeFieldBegin(HOLDINGS_FIELD_DESC);
+            break;
+          case 5: // HOLDINGS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
+                struct.holdings = new java.util.ArrayList<HoldingState>(_list32.size);
+                @org.apache.thrift.annotation.Nullable HoldingState _elem33;
+                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.holdings.size()));
-                    for (HoldingState _iter35 : struct.holdings) {
-                        _iter35.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem33 = new HoldingState();
+                  _elem33.read(iprot);
+                  struct.holdings.add(_elem33);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setHoldingsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetCapacityBytes()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'capacityBytes' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetEnforcesFencing()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'enforcesFencing' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class LedgerRowStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public LedgerRowStateTupleScheme getScheme() {
-            return new LedgerRowStateTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, LedgerRowState struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.target != null) {
+        oprot.writeFieldBegin(TARGET_FIELD_DESC);
+        oprot.writeString(struct.target);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(CAPACITY_BYTES_FIELD_DESC);
+      oprot.writeI64(struct.capacityBytes);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ENFORCES_FENCING_FIELD_DESC);
+      oprot.writeBool(struct.enforcesFencing);
+      oprot.writeFieldEnd();
+      if (struct.holdings != null) {
+        oprot.writeFieldBegin(HOLDINGS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.holdings.size()));
+          for (HoldingState _iter35 : struct.holdings)
+          {
+            _iter35.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class LedgerRowStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public LedgerRowStateTupleScheme getScheme() {
+      return new LedgerRowStateTupleScheme();
     }
+  }
 
-    private static class LedgerRowStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<LedgerRowState> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, LedgerRowState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.target);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeI64(struct.capacityBytes);
-            oprot.writeBool(struct.enforcesFencing);
-            {
-                oprot.writeI32(struct.holdings.size());
-                for (HoldingState _iter36 : struct.holdings) {
-                    _iter36.write(oprot);
-                }
-            }
-        }
+  private static class LedgerRowStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<LedgerRowState> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, LedgerRowState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.target = iprot.readString();
-            struct.setTargetIsSet(true);
-            struct.incarnation = iprot.readI64();
-            struct.setIncarnationIsSet(true);
-            struct.capacityBytes = iprot.readI64();
-            struct.setCapacityBytesIsSet(true);
-            struct.enforcesFencing = iprot.readBool();
-            struct.setEnforcesFencingIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.holdings = new java.util.ArrayList<HoldingState>(_list37.size);
-                @org.apache.thrift.annotation.Nullable HoldingState _elem38;
-                for (int _i39 = 0; _i39 < _list37.size; ++_i39) {
-                    _elem38 = new HoldingState();
-                    _elem38.read(iprot);
-                    struct.holdings.add(_elem38);
-                }
-            }
-            struct.setHoldingsIsSet(true);
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, LedgerRowState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.target);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeI64(struct.capacityBytes);
+      oprot.writeBool(struct.enforcesFencing);
+      {
+        oprot.writeI32(struct.holdings.size());
+        for (HoldingState _iter36 : struct.holdings)
+        {
+          _iter36.write(oprot);
         }
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, LedgerRowState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.target = iprot.readString();
+      struct.setTargetIsSet(true);
+      struct.incarnation = iprot.readI64();
+      struct.setIncarnationIsSet(true);
+      struct.capacityBytes = iprot.readI64();
+      struct.setCapacityBytesIsSet(true);
+      struct.enforcesFencing = iprot.readBool();
+      struct.setEnforcesFencingIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.holdings = new java.util.ArrayList<HoldingState>(_list37.size);
+        @org.apache.thrift.annotation.Nullable HoldingState _elem38;
+        for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+        {
+          _elem38 = new HoldingState();
+          _elem38.read(iprot);
+          struct.holdings.add(_elem38);
+        }
+      }
+      struct.setHoldingsIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/LedgerState.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/LedgerState.java
@@ -7,760 +7,741 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class LedgerState
-        implements org.apache.thrift.TBase<LedgerState, LedgerState._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<LedgerState> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("LedgerState");
-
-    private static final org.apache.thrift.protocol.TField ROWS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("rows", org.apache.thrift.protocol.TType.LIST, (short) 1);
-    private static final org.apache.thrift.protocol.TField OPEN_ORDERS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("openOrders", org.apache.thrift.protocol.TType.LIST, (short) 2);
-    private static final org.apache.thrift.protocol.TField RESOLVED_ORDERS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("resolvedOrders", org.apache.thrift.protocol.TType.LIST, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new LedgerStateStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new LedgerStateTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.util.List<LedgerRowState> rows; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<TargetOrderState> openOrders; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<TargetOrderState> resolvedOrders; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ROWS((short) 1, "rows"),
-        OPEN_ORDERS((short) 2, "openOrders"),
-        RESOLVED_ORDERS((short) 3, "resolvedOrders");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ROWS
-                    return ROWS;
-                case 2: // OPEN_ORDERS
-                    return OPEN_ORDERS;
-                case 3: // RESOLVED_ORDERS
-                    return RESOLVED_ORDERS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+public class LedgerState implements org.apache.thrift.TBase<LedgerState, LedgerState._Fields>, java.io.Serializable, Cloneable, Comparable<LedgerState> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("LedgerState");
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TField ROWS_FIELD_DESC = new org.apache.thrift.protocol.TField("rows", org.apache.thrift.protocol.TType.LIST, (short)1);
+  private static final org.apache.thrift.protocol.TField OPEN_ORDERS_FIELD_DESC = new org.apache.thrift.protocol.TField("openOrders", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField RESOLVED_ORDERS_FIELD_DESC = new org.apache.thrift.protocol.TField("resolvedOrders", org.apache.thrift.protocol.TType.LIST, (short)3);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LedgerStateStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LedgerStateTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private @org.apache.thrift.annotation.Nullable java.util.List<LedgerRowState> rows; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<TargetOrderState> openOrders; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<TargetOrderState> resolvedOrders; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ROWS((short)1, "rows"),
+    OPEN_ORDERS((short)2, "openOrders"),
+    RESOLVED_ORDERS((short)3, "resolvedOrders");
 
-    // isset id assignments
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ROWS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "rows",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, LedgerRowState.class))));
-        tmpMap.put(
-                _Fields.OPEN_ORDERS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "openOrders",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, TargetOrderState.class))));
-        tmpMap.put(
-                _Fields.RESOLVED_ORDERS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "resolvedOrders",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, TargetOrderState.class))));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LedgerState.class, metaDataMap);
-    }
-
-    public LedgerState() {}
-
-    public LedgerState(
-            java.util.List<LedgerRowState> rows,
-            java.util.List<TargetOrderState> openOrders,
-            java.util.List<TargetOrderState> resolvedOrders) {
-        this();
-        this.rows = rows;
-        this.openOrders = openOrders;
-        this.resolvedOrders = resolvedOrders;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public LedgerState(LedgerState other) {
-        if (other.isSetRows()) {
-            java.util.List<LedgerRowState> __this__rows = new java.util.ArrayList<LedgerRowState>(other.rows.size());
-            for (LedgerRowState other_element : other.rows) {
-                __this__rows.add(new LedgerRowState(other_element));
-            }
-            this.rows = __this__rows;
-        }
-        if (other.isSetOpenOrders()) {
-            java.util.List<TargetOrderState> __this__openOrders =
-                    new java.util.ArrayList<TargetOrderState>(other.openOrders.size());
-            for (TargetOrderState other_element : other.openOrders) {
-                __this__openOrders.add(new TargetOrderState(other_element));
-            }
-            this.openOrders = __this__openOrders;
-        }
-        if (other.isSetResolvedOrders()) {
-            java.util.List<TargetOrderState> __this__resolvedOrders =
-                    new java.util.ArrayList<TargetOrderState>(other.resolvedOrders.size());
-            for (TargetOrderState other_element : other.resolvedOrders) {
-                __this__resolvedOrders.add(new TargetOrderState(other_element));
-            }
-            this.resolvedOrders = __this__resolvedOrders;
-        }
-    }
-
-    @Override
-    public LedgerState deepCopy() {
-        return new LedgerState(this);
-    }
-
-    @Override
-    public void clear() {
-        this.rows = null;
-        this.openOrders = null;
-        this.resolvedOrders = null;
-    }
-
-    public int getRowsSize() {
-        return (this.rows == null) ? 0 : this.rows.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<LedgerRowState> getRowsIterator() {
-        return (this.rows == null) ? null : this.rows.iterator();
-    }
-
-    public void addToRows(LedgerRowState elem) {
-        if (this.rows == null) {
-            this.rows = new java.util.ArrayList<LedgerRowState>();
-        }
-        this.rows.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<LedgerRowState> getRows() {
-        return this.rows;
-    }
-
-    public LedgerState setRows(@org.apache.thrift.annotation.Nullable java.util.List<LedgerRowState> rows) {
-        this.rows = rows;
-        return this;
-    }
-
-    public void unsetRows() {
-        this.rows = null;
-    }
-
-    /** Returns true if field rows is set (has been assigned a value) and false otherwise */
-    public boolean isSetRows() {
-        return this.rows != null;
-    }
-
-    public void setRowsIsSet(boolean value) {
-        if (!value) {
-            this.rows = null;
-        }
-    }
-
-    public int getOpenOrdersSize() {
-        return (this.openOrders == null) ? 0 : this.openOrders.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<TargetOrderState> getOpenOrdersIterator() {
-        return (this.openOrders == null) ? null : this.openOrders.iterator();
-    }
-
-    public void addToOpenOrders(TargetOrderState elem) {
-        if (this.openOrders == null) {
-            this.openOrders = new java.util.ArrayList<TargetOrderState>();
-        }
-        this.openOrders.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<TargetOrderState> getOpenOrders() {
-        return this.openOrders;
-    }
-
-    public LedgerState setOpenOrders(
-            @org.apache.thrift.annotation.Nullable java.util.List<TargetOrderState> openOrders) {
-        this.openOrders = openOrders;
-        return this;
-    }
-
-    public void unsetOpenOrders() {
-        this.openOrders = null;
-    }
-
-    /** Returns true if field openOrders is set (has been assigned a value) and false otherwise */
-    public boolean isSetOpenOrders() {
-        return this.openOrders != null;
-    }
-
-    public void setOpenOrdersIsSet(boolean value) {
-        if (!value) {
-            this.openOrders = null;
-        }
-    }
-
-    public int getResolvedOrdersSize() {
-        return (this.resolvedOrders == null) ? 0 : this.resolvedOrders.size();
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<TargetOrderState> getResolvedOrdersIterator() {
-        return (this.resolvedOrders == null) ? null : this.resolvedOrders.iterator();
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ROWS
+          return ROWS;
+        case 2: // OPEN_ORDERS
+          return OPEN_ORDERS;
+        case 3: // RESOLVED_ORDERS
+          return RESOLVED_ORDERS;
+        default:
+          return null;
+      }
     }
 
-    public void addToResolvedOrders(TargetOrderState elem) {
-        if (this.resolvedOrders == null) {
-            this.resolvedOrders = new java.util.ArrayList<TargetOrderState>();
-        }
-        this.resolvedOrders.add(elem);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<TargetOrderState> getResolvedOrders() {
-        return this.resolvedOrders;
-    }
-
-    public LedgerState setResolvedOrders(
-            @org.apache.thrift.annotation.Nullable java.util.List<TargetOrderState> resolvedOrders) {
-        this.resolvedOrders = resolvedOrders;
-        return this;
-    }
-
-    public void unsetResolvedOrders() {
-        this.resolvedOrders = null;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field resolvedOrders is set (has been assigned a value) and false otherwise */
-    public boolean isSetResolvedOrders() {
-        return this.resolvedOrders != null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setResolvedOrdersIsSet(boolean value) {
-        if (!value) {
-            this.resolvedOrders = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ROWS:
-                if (value == null) {
-                    unsetRows();
-                } else {
-                    setRows((java.util.List<LedgerRowState>) value);
-                }
-                break;
-
-            case OPEN_ORDERS:
-                if (value == null) {
-                    unsetOpenOrders();
-                } else {
-                    setOpenOrders((java.util.List<TargetOrderState>) value);
-                }
-                break;
-
-            case RESOLVED_ORDERS:
-                if (value == null) {
-                    unsetResolvedOrders();
-                } else {
-                    setResolvedOrders((java.util.List<TargetOrderState>) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ROWS:
-                return getRows();
-
-            case OPEN_ORDERS:
-                return getOpenOrders();
-
-            case RESOLVED_ORDERS:
-                return getResolvedOrders();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ROWS:
-                return isSetRows();
-            case OPEN_ORDERS:
-                return isSetOpenOrders();
-            case RESOLVED_ORDERS:
-                return isSetResolvedOrders();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof LedgerState) return this.equals((LedgerState) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ROWS, new org.apache.thrift.meta_data.FieldMetaData("rows", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LedgerRowState.class))));
+    tmpMap.put(_Fields.OPEN_ORDERS, new org.apache.thrift.meta_data.FieldMetaData("openOrders", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TargetOrderState.class))));
+    tmpMap.put(_Fields.RESOLVED_ORDERS, new org.apache.thrift.meta_data.FieldMetaData("resolvedOrders", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TargetOrderState.class))));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LedgerState.class, metaDataMap);
+  }
+
+  public LedgerState() {
+  }
+
+  public LedgerState(
+    java.util.List<LedgerRowState> rows,
+    java.util.List<TargetOrderState> openOrders,
+    java.util.List<TargetOrderState> resolvedOrders)
+  {
+    this();
+    this.rows = rows;
+    this.openOrders = openOrders;
+    this.resolvedOrders = resolvedOrders;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public LedgerState(LedgerState other) {
+    if (other.isSetRows()) {
+      java.util.List<LedgerRowState> __this__rows = new java.util.ArrayList<LedgerRowState>(other.rows.size());
+      for (LedgerRowState other_element : other.rows) {
+        __this__rows.add(new LedgerRowState(other_element));
+      }
+      this.rows = __this__rows;
+    }
+    if (other.isSetOpenOrders()) {
+      java.util.List<TargetOrderState> __this__openOrders = new java.util.ArrayList<TargetOrderState>(other.openOrders.size());
+      for (TargetOrderState other_element : other.openOrders) {
+        __this__openOrders.add(new TargetOrderState(other_element));
+      }
+      this.openOrders = __this__openOrders;
+    }
+    if (other.isSetResolvedOrders()) {
+      java.util.List<TargetOrderState> __this__resolvedOrders = new java.util.ArrayList<TargetOrderState>(other.resolvedOrders.size());
+      for (TargetOrderState other_element : other.resolvedOrders) {
+        __this__resolvedOrders.add(new TargetOrderState(other_element));
+      }
+      this.resolvedOrders = __this__resolvedOrders;
+    }
+  }
+
+  @Override
+  public LedgerState deepCopy() {
+    return new LedgerState(this);
+  }
+
+  @Override
+  public void clear() {
+    this.rows = null;
+    this.openOrders = null;
+    this.resolvedOrders = null;
+  }
+
+  public int getRowsSize() {
+    return (this.rows == null) ? 0 : this.rows.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<LedgerRowState> getRowsIterator() {
+    return (this.rows == null) ? null : this.rows.iterator();
+  }
+
+  public void addToRows(LedgerRowState elem) {
+    if (this.rows == null) {
+      this.rows = new java.util.ArrayList<LedgerRowState>();
+    }
+    this.rows.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<LedgerRowState> getRows() {
+    return this.rows;
+  }
+
+  public LedgerState setRows(@org.apache.thrift.annotation.Nullable java.util.List<LedgerRowState> rows) {
+    this.rows = rows;
+    return this;
+  }
+
+  public void unsetRows() {
+    this.rows = null;
+  }
+
+  /** Returns true if field rows is set (has been assigned a value) and false otherwise */
+  public boolean isSetRows() {
+    return this.rows != null;
+  }
+
+  public void setRowsIsSet(boolean value) {
+    if (!value) {
+      this.rows = null;
+    }
+  }
+
+  public int getOpenOrdersSize() {
+    return (this.openOrders == null) ? 0 : this.openOrders.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TargetOrderState> getOpenOrdersIterator() {
+    return (this.openOrders == null) ? null : this.openOrders.iterator();
+  }
+
+  public void addToOpenOrders(TargetOrderState elem) {
+    if (this.openOrders == null) {
+      this.openOrders = new java.util.ArrayList<TargetOrderState>();
+    }
+    this.openOrders.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TargetOrderState> getOpenOrders() {
+    return this.openOrders;
+  }
+
+  public LedgerState setOpenOrders(@org.apache.thrift.annotation.Nullable java.util.List<TargetOrderState> openOrders) {
+    this.openOrders = openOrders;
+    return this;
+  }
+
+  public void unsetOpenOrders() {
+    this.openOrders = null;
+  }
+
+  /** Returns true if field openOrders is set (has been assigned a value) and false otherwise */
+  public boolean isSetOpenOrders() {
+    return this.openOrders != null;
+  }
+
+  public void setOpenOrdersIsSet(boolean value) {
+    if (!value) {
+      this.openOrders = null;
+    }
+  }
+
+  public int getResolvedOrdersSize() {
+    return (this.resolvedOrders == null) ? 0 : this.resolvedOrders.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TargetOrderState> getResolvedOrdersIterator() {
+    return (this.resolvedOrders == null) ? null : this.resolvedOrders.iterator();
+  }
+
+  public void addToResolvedOrders(TargetOrderState elem) {
+    if (this.resolvedOrders == null) {
+      this.resolvedOrders = new java.util.ArrayList<TargetOrderState>();
+    }
+    this.resolvedOrders.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TargetOrderState> getResolvedOrders() {
+    return this.resolvedOrders;
+  }
+
+  public LedgerState setResolvedOrders(@org.apache.thrift.annotation.Nullable java.util.List<TargetOrderState> resolvedOrders) {
+    this.resolvedOrders = resolvedOrders;
+    return this;
+  }
+
+  public void unsetResolvedOrders() {
+    this.resolvedOrders = null;
+  }
+
+  /** Returns true if field resolvedOrders is set (has been assigned a value) and false otherwise */
+  public boolean isSetResolvedOrders() {
+    return this.resolvedOrders != null;
+  }
+
+  public void setResolvedOrdersIsSet(boolean value) {
+    if (!value) {
+      this.resolvedOrders = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ROWS:
+      if (value == null) {
+        unsetRows();
+      } else {
+        setRows((java.util.List<LedgerRowState>)value);
+      }
+      break;
+
+    case OPEN_ORDERS:
+      if (value == null) {
+        unsetOpenOrders();
+      } else {
+        setOpenOrders((java.util.List<TargetOrderState>)value);
+      }
+      break;
+
+    case RESOLVED_ORDERS:
+      if (value == null) {
+        unsetResolvedOrders();
+      } else {
+        setResolvedOrders((java.util.List<TargetOrderState>)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ROWS:
+      return getRows();
+
+    case OPEN_ORDERS:
+      return getOpenOrders();
+
+    case RESOLVED_ORDERS:
+      return getResolvedOrders();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ROWS:
+      return isSetRows();
+    case OPEN_ORDERS:
+      return isSetOpenOrders();
+    case RESOLVED_ORDERS:
+      return isSetResolvedOrders();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof LedgerState)
+      return this.equals((LedgerState)that);
+    return false;
+  }
+
+  public boolean equals(LedgerState that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_rows = true && this.isSetRows();
+    boolean that_present_rows = true && that.isSetRows();
+    if (this_present_rows || that_present_rows) {
+      if (!(this_present_rows && that_present_rows))
+        return false;
+      if (!this.rows.equals(that.rows))
         return false;
     }
 
-    public boolean equals(LedgerState that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_rows = true && this.isSetRows();
-        boolean that_present_rows = true && that.isSetRows();
-        if (this_present_rows || that_present_rows) {
-            if (!(this_present_rows && that_present_rows)) return false;
-            if (!this.rows.equals(that.rows)) return false;
-        }
-
-        boolean this_present_openOrders = true && this.isSetOpenOrders();
-        boolean that_present_openOrders = true && that.isSetOpenOrders();
-        if (this_present_openOrders || that_present_openOrders) {
-            if (!(this_present_openOrders && that_present_openOrders)) return false;
-            if (!this.openOrders.equals(that.openOrders)) return false;
-        }
-
-        boolean this_present_resolvedOrders = true && this.isSetResolvedOrders();
-        boolean that_present_resolvedOrders = true && that.isSetResolvedOrders();
-        if (this_present_resolvedOrders || that_present_resolvedOrders) {
-            if (!(this_present_resolvedOrders && that_present_resolvedOrders)) return false;
-            if (!this.resolvedOrders.equals(that.resolvedOrders)) return false;
-        }
-
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetRows()) ? 131071 : 524287);
-        if (isSetRows()) hashCode = hashCode * 8191 + rows.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetOpenOrders()) ? 131071 : 524287);
-        if (isSetOpenOrders()) hashCode = hashCode * 8191 + openOrders.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetResolvedOrders()) ? 131071 : 524287);
-        if (isSetResolvedOrders()) hashCode = hashCode * 8191 + resolvedOrders.hashCode();
-
-        return hashCode;
-    }
-
-    @Override
-    public int compareTo(LedgerState other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetRows(), other.isSetRows());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRows()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rows, other.rows);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOpenOrders(), other.isSetOpenOrders());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOpenOrders()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.openOrders, other.openOrders);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetResolvedOrders(), other.isSetResolvedOrders());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetResolvedOrders()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.resolvedOrders, other.resolvedOrders);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    boolean this_present_openOrders = true && this.isSetOpenOrders();
+    boolean that_present_openOrders = true && that.isSetOpenOrders();
+    if (this_present_openOrders || that_present_openOrders) {
+      if (!(this_present_openOrders && that_present_openOrders))
+        return false;
+      if (!this.openOrders.equals(that.openOrders))
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    boolean this_present_resolvedOrders = true && this.isSetResolvedOrders();
+    boolean that_present_resolvedOrders = true && that.isSetResolvedOrders();
+    if (this_present_resolvedOrders || that_present_resolvedOrders) {
+      if (!(this_present_resolvedOrders && that_present_resolvedOrders))
+        return false;
+      if (!this.resolvedOrders.equals(that.resolvedOrders))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetRows()) ? 131071 : 524287);
+    if (isSetRows())
+      hashCode = hashCode * 8191 + rows.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetOpenOrders()) ? 131071 : 524287);
+    if (isSetOpenOrders())
+      hashCode = hashCode * 8191 + openOrders.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetResolvedOrders()) ? 131071 : 524287);
+    if (isSetResolvedOrders())
+      hashCode = hashCode * 8191 + resolvedOrders.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(LedgerState other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetRows(), other.isSetRows());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRows()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rows, other.rows);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOpenOrders(), other.isSetOpenOrders());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOpenOrders()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.openOrders, other.openOrders);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetResolvedOrders(), other.isSetResolvedOrders());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetResolvedOrders()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.resolvedOrders, other.resolvedOrders);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("LedgerState(");
+    boolean first = true;
+
+    sb.append("rows:");
+    if (this.rows == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.rows);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("openOrders:");
+    if (this.openOrders == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.openOrders);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("resolvedOrders:");
+    if (this.resolvedOrders == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.resolvedOrders);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (rows == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'rows' was not present! Struct: " + toString());
+    }
+    if (openOrders == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'openOrders' was not present! Struct: " + toString());
+    }
+    if (resolvedOrders == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'resolvedOrders' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class LedgerStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public LedgerStateStandardScheme getScheme() {
+      return new LedgerStateStandardScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class LedgerStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<LedgerState> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("LedgerState(");
-        boolean first = true;
-
-        sb.append("rows:");
-        if (this.rows == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.rows);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("openOrders:");
-        if (this.openOrders == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.openOrders);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("resolvedOrders:");
-        if (this.resolvedOrders == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.resolvedOrders);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (rows == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'rows' was not present! Struct: " + toString());
-        }
-        if (openOrders == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'openOrders' was not present! Struct: " + toString());
-        }
-        if (resolvedOrders == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'resolvedOrders' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class LedgerStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public LedgerStateStandardScheme getScheme() {
-            return new LedgerStateStandardScheme();
-        }
-    }
-
-    private static class LedgerStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<LedgerState> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, LedgerState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ROWS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                                struct.rows = new java.util.ArrayList<LedgerRowState>(_list40.size);
-                                @org.apache.thrift.annotation.Nullable LedgerRowState _elem41;
-                                for (int _i42 = 0; _i42 < _list40.size; ++_i42) {
-                                    _elem41 = new LedgerRowState();
-                                    _elem41.read(iprot);
-                                    struct.rows.add(_elem41);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setRowsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // OPEN_ORDERS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
-                                struct.openOrders = new java.util.ArrayList<TargetOrderState>(_list43.size);
-                                @org.apache.thrift.annotation.Nullable TargetOrderState _elem44;
-                                for (int _i45 = 0; _i45 < _list43.size; ++_i45) {
-                                    _elem44 = new TargetOrderState();
-                                    _elem44.read(iprot);
-                                    struct.openOrders.add(_elem44);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setOpenOrdersIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // RESOLVED_ORDERS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list46 = iprot.readListBegin();
-                                struct.resolvedOrders = new java.util.ArrayList<TargetOrderState>(_list46.size);
-                                @org.apache.thrift.annotation.Nullable TargetOrderState _elem47;
-                                for (int _i48 = 0; _i48 < _list46.size; ++_i48) {
-                                    _elem47 = new TargetOrderState();
-                                    _elem47.read(iprot);
-                                    struct.resolvedOrders.add(_elem47);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setResolvedOrdersIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, LedgerState struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.rows != null) {
-                oprot.writeFieldBegin(ROWS_FIELD_DESC);
+    public void read(org.apache.thrift.protocol.TProtocol iprot, LedgerState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // ROWS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.rows = new java.util.ArrayList<LedgerRowState>(_list40.size);
+                @org.apache.thrift.annotation.Nullable LedgerRowState _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.rows.size()));
-                    for (LedgerRowState _iter49 : struct.rows) {
-                        _iter49.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem41 = new LedgerRowState();
+                  _elem41.read(iprot);
+                  struct.rows.add(_elem41);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setRowsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.openOrders != null) {
-                oprot.writeFieldBegin(OPEN_ORDERS_FIELD_DESC);
+            break;
+          case 2: // OPEN_ORDERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
+                struct.openOrders = new java.util.ArrayList<TargetOrderState>(_list43.size);
+                @org.apache.thrift.annotation.Nullable TargetOrderState _elem44;
+                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.openOrders.size()));
-                    for (TargetOrderState _iter50 : struct.openOrders) {
-                        _iter50.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem44 = new TargetOrderState();
+                  _elem44.read(iprot);
+                  struct.openOrders.add(_elem44);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setOpenOrdersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.resolvedOrders != null) {
-                oprot.writeFieldBegin(RESOLVED_ORDERS_FIELD_DESC);
+            break;
+          case 3: // RESOLVED_ORDERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list46 = iprot.readListBegin();
+                struct.resolvedOrders = new java.util.ArrayList<TargetOrderState>(_list46.size);
+                @org.apache.thrift.annotation.Nullable TargetOrderState _elem47;
+                for (int _i48 = 0; _i48 < _list46.size; ++_i48)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.resolvedOrders.size()));
-                    for (TargetOrderState _iter51 : struct.resolvedOrders) {
-                        _iter51.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem47 = new TargetOrderState();
+                  _elem47.read(iprot);
+                  struct.resolvedOrders.add(_elem47);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setResolvedOrdersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    private static class LedgerStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public LedgerStateTupleScheme getScheme() {
-            return new LedgerStateTupleScheme();
-        }
+      // check for required fields of primitive type, which can't be checked in the validate method
+      struct.validate();
     }
 
-    private static class LedgerStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<LedgerState> {
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, LedgerState struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.rows != null) {
+        oprot.writeFieldBegin(ROWS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.rows.size()));
+          for (LedgerRowState _iter49 : struct.rows)
+          {
+            _iter49.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.openOrders != null) {
+        oprot.writeFieldBegin(OPEN_ORDERS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.openOrders.size()));
+          for (TargetOrderState _iter50 : struct.openOrders)
+          {
+            _iter50.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.resolvedOrders != null) {
+        oprot.writeFieldBegin(RESOLVED_ORDERS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.resolvedOrders.size()));
+          for (TargetOrderState _iter51 : struct.resolvedOrders)
+          {
+            _iter51.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class LedgerStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public LedgerStateTupleScheme getScheme() {
+      return new LedgerStateTupleScheme();
+    }
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, LedgerState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            {
-                oprot.writeI32(struct.rows.size());
-                for (LedgerRowState _iter52 : struct.rows) {
-                    _iter52.write(oprot);
-                }
-            }
-            {
-                oprot.writeI32(struct.openOrders.size());
-                for (TargetOrderState _iter53 : struct.openOrders) {
-                    _iter53.write(oprot);
-                }
-            }
-            {
-                oprot.writeI32(struct.resolvedOrders.size());
-                for (TargetOrderState _iter54 : struct.resolvedOrders) {
-                    _iter54.write(oprot);
-                }
-            }
-        }
+  private static class LedgerStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<LedgerState> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, LedgerState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            {
-                org.apache.thrift.protocol.TList _list55 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.rows = new java.util.ArrayList<LedgerRowState>(_list55.size);
-                @org.apache.thrift.annotation.Nullable LedgerRowState _elem56;
-                for (int _i57 = 0; _i57 < _list55.size; ++_i57) {
-                    _elem56 = new LedgerRowState();
-                    _elem56.read(iprot);
-                    struct.rows.add(_elem56);
-                }
-            }
-            struct.setRowsIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list58 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.openOrders = new java.util.ArrayList<TargetOrderState>(_list58.size);
-                @org.apache.thrift.annotation.Nullable TargetOrderState _elem59;
-                for (int _i60 = 0; _i60 < _list58.size; ++_i60) {
-                    _elem59 = new TargetOrderState();
-                    _elem59.read(iprot);
-                    struct.openOrders.add(_elem59);
-                }
-            }
-            struct.setOpenOrdersIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.resolvedOrders = new java.util.ArrayList<TargetOrderState>(_list61.size);
-                @org.apache.thrift.annotation.Nullable TargetOrderState _elem62;
-                for (int _i63 = 0; _i63 < _list61.size; ++_i63) {
-                    _elem62 = new TargetOrderState();
-                    _elem62.read(iprot);
-                    struct.resolvedOrders.add(_elem62);
-                }
-            }
-            struct.setResolvedOrdersIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, LedgerState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      {
+        oprot.writeI32(struct.rows.size());
+        for (LedgerRowState _iter52 : struct.rows)
+        {
+          _iter52.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.openOrders.size());
+        for (TargetOrderState _iter53 : struct.openOrders)
+        {
+          _iter53.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.resolvedOrders.size());
+        for (TargetOrderState _iter54 : struct.resolvedOrders)
+        {
+          _iter54.write(oprot);
+        }
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, LedgerState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      {
+        org.apache.thrift.protocol.TList _list55 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.rows = new java.util.ArrayList<LedgerRowState>(_list55.size);
+        @org.apache.thrift.annotation.Nullable LedgerRowState _elem56;
+        for (int _i57 = 0; _i57 < _list55.size; ++_i57)
+        {
+          _elem56 = new LedgerRowState();
+          _elem56.read(iprot);
+          struct.rows.add(_elem56);
+        }
+      }
+      struct.setRowsIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list58 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.openOrders = new java.util.ArrayList<TargetOrderState>(_list58.size);
+        @org.apache.thrift.annotation.Nullable TargetOrderState _elem59;
+        for (int _i60 = 0; _i60 < _list58.size; ++_i60)
+        {
+          _elem59 = new TargetOrderState();
+          _elem59.read(iprot);
+          struct.openOrders.add(_elem59);
+        }
+      }
+      struct.setOpenOrdersIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.resolvedOrders = new java.util.ArrayList<TargetOrderState>(_list61.size);
+        @org.apache.thrift.annotation.Nullable TargetOrderState _elem62;
+        for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+        {
+          _elem62 = new TargetOrderState();
+          _elem62.read(iprot);
+          struct.resolvedOrders.add(_elem62);
+        }
+      }
+      struct.setResolvedOrdersIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
