--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/LoadedModelReport.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/LoadedModelReport.java
@@ -7,679 +7,657 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class LoadedModelReport
-        implements org.apache.thrift.TBase<LoadedModelReport, LoadedModelReport._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<LoadedModelReport> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("LoadedModelReport");
-
-    private static final org.apache.thrift.protocol.TField MODEL_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("model", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I32, (short) 2);
-    private static final org.apache.thrift.protocol.TField MEMORY_BYTES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("memoryBytes", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField READY_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("ready", org.apache.thrift.protocol.TType.BOOL, (short) 4);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new LoadedModelReportStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new LoadedModelReportTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String model; // required
-    private int version; // required
-    private long memoryBytes; // required
-    private boolean ready; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        MODEL((short) 1, "model"),
-        VERSION((short) 2, "version"),
-        MEMORY_BYTES((short) 3, "memoryBytes"),
-        READY((short) 4, "ready");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // MODEL
-                    return MODEL;
-                case 2: // VERSION
-                    return VERSION;
-                case 3: // MEMORY_BYTES
-                    return MEMORY_BYTES;
-                case 4: // READY
-                    return READY;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+public class LoadedModelReport implements org.apache.thrift.TBase<LoadedModelReport, LoadedModelReport._Fields>, java.io.Serializable, Cloneable, Comparable<LoadedModelReport> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("LoadedModelReport");
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TField MODEL_FIELD_DESC = new org.apache.thrift.protocol.TField("model", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I32, (short)2);
+  private static final org.apache.thrift.protocol.TField MEMORY_BYTES_FIELD_DESC = new org.apache.thrift.protocol.TField("memoryBytes", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField READY_FIELD_DESC = new org.apache.thrift.protocol.TField("ready", org.apache.thrift.protocol.TType.BOOL, (short)4);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LoadedModelReportStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LoadedModelReportTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private @org.apache.thrift.annotation.Nullable java.lang.String model; // required
+  private int version; // required
+  private long memoryBytes; // required
+  private boolean ready; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    MODEL((short)1, "model"),
+    VERSION((short)2, "version"),
+    MEMORY_BYTES((short)3, "memoryBytes"),
+    READY((short)4, "ready");
 
-    // isset id assignments
-    private static final int __VERSION_ISSET_ID = 0;
-    private static final int __MEMORYBYTES_ISSET_ID = 1;
-    private static final int __READY_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.MODEL,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "model",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.VERSION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "version",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        tmpMap.put(
-                _Fields.MEMORY_BYTES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "memoryBytes",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.READY,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "ready",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadedModelReport.class, metaDataMap);
-    }
-
-    public LoadedModelReport() {}
-
-    public LoadedModelReport(java.lang.String model, int version, long memoryBytes, boolean ready) {
-        this();
-        this.model = model;
-        this.version = version;
-        setVersionIsSet(true);
-        this.memoryBytes = memoryBytes;
-        setMemoryBytesIsSet(true);
-        this.ready = ready;
-        setReadyIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public LoadedModelReport(LoadedModelReport other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetModel()) {
-            this.model = other.model;
-        }
-        this.version = other.version;
-        this.memoryBytes = other.memoryBytes;
-        this.ready = other.ready;
-    }
-
-    @Override
-    public LoadedModelReport deepCopy() {
-        return new LoadedModelReport(this);
-    }
-
-    @Override
-    public void clear() {
-        this.model = null;
-        setVersionIsSet(false);
-        this.version = 0;
-        setMemoryBytesIsSet(false);
-        this.memoryBytes = 0;
-        setReadyIsSet(false);
-        this.ready = false;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getModel() {
-        return this.model;
-    }
-
-    public LoadedModelReport setModel(@org.apache.thrift.annotation.Nullable java.lang.String model) {
-        this.model = model;
-        return this;
-    }
-
-    public void unsetModel() {
-        this.model = null;
-    }
-
-    /** Returns true if field model is set (has been assigned a value) and false otherwise */
-    public boolean isSetModel() {
-        return this.model != null;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // MODEL
+          return MODEL;
+        case 2: // VERSION
+          return VERSION;
+        case 3: // MEMORY_BYTES
+          return MEMORY_BYTES;
+        case 4: // READY
+          return READY;
+        default:
+          return null;
+      }
     }
 
-    public void setModelIsSet(boolean value) {
-        if (!value) {
-            this.model = null;
-        }
-    }
-
-    public int getVersion() {
-        return this.version;
-    }
-
-    public LoadedModelReport setVersion(int version) {
-        this.version = version;
-        setVersionIsSet(true);
-        return this;
-    }
-
-    public void unsetVersion() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
-    }
-
-    /** Returns true if field version is set (has been assigned a value) and false otherwise */
-    public boolean isSetVersion() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
-    }
-
-    public void setVersionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
-    }
-
-    public long getMemoryBytes() {
-        return this.memoryBytes;
-    }
-
-    public LoadedModelReport setMemoryBytes(long memoryBytes) {
-        this.memoryBytes = memoryBytes;
-        setMemoryBytesIsSet(true);
-        return this;
-    }
-
-    public void unsetMemoryBytes() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
-    }
-
-    /** Returns true if field memoryBytes is set (has been assigned a value) and false otherwise */
-    public boolean isSetMemoryBytes() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
-    }
-
-    public void setMemoryBytesIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID, value);
-    }
-
-    public boolean isReady() {
-        return this.ready;
-    }
-
-    public LoadedModelReport setReady(boolean ready) {
-        this.ready = ready;
-        setReadyIsSet(true);
-        return this;
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    public void unsetReady() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __READY_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field ready is set (has been assigned a value) and false otherwise */
-    public boolean isSetReady() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __READY_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setReadyIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __READY_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case MODEL:
-                if (value == null) {
-                    unsetModel();
-                } else {
-                    setModel((java.lang.String) value);
-                }
-                break;
-
-            case VERSION:
-                if (value == null) {
-                    unsetVersion();
-                } else {
-                    setVersion((java.lang.Integer) value);
-                }
-                break;
-
-            case MEMORY_BYTES:
-                if (value == null) {
-                    unsetMemoryBytes();
-                } else {
-                    setMemoryBytes((java.lang.Long) value);
-                }
-                break;
-
-            case READY:
-                if (value == null) {
-                    unsetReady();
-                } else {
-                    setReady((java.lang.Boolean) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case MODEL:
-                return getModel();
-
-            case VERSION:
-                return getVersion();
-
-            case MEMORY_BYTES:
-                return getMemoryBytes();
-
-            case READY:
-                return isReady();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __VERSION_ISSET_ID = 0;
+  private static final int __MEMORYBYTES_ISSET_ID = 1;
+  private static final int __READY_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.MODEL, new org.apache.thrift.meta_data.FieldMetaData("model", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.MEMORY_BYTES, new org.apache.thrift.meta_data.FieldMetaData("memoryBytes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.READY, new org.apache.thrift.meta_data.FieldMetaData("ready", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LoadedModelReport.class, metaDataMap);
+  }
+
+  public LoadedModelReport() {
+  }
+
+  public LoadedModelReport(
+    java.lang.String model,
+    int version,
+    long memoryBytes,
+    boolean ready)
+  {
+    this();
+    this.model = model;
+    this.version = version;
+    setVersionIsSet(true);
+    this.memoryBytes = memoryBytes;
+    setMemoryBytesIsSet(true);
+    this.ready = ready;
+    setReadyIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public LoadedModelReport(LoadedModelReport other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetModel()) {
+      this.model = other.model;
+    }
+    this.version = other.version;
+    this.memoryBytes = other.memoryBytes;
+    this.ready = other.ready;
+  }
+
+  @Override
+  public LoadedModelReport deepCopy() {
+    return new LoadedModelReport(this);
+  }
+
+  @Override
+  public void clear() {
+    this.model = null;
+    setVersionIsSet(false);
+    this.version = 0;
+    setMemoryBytesIsSet(false);
+    this.memoryBytes = 0;
+    setReadyIsSet(false);
+    this.ready = false;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getModel() {
+    return this.model;
+  }
+
+  public LoadedModelReport setModel(@org.apache.thrift.annotation.Nullable java.lang.String model) {
+    this.model = model;
+    return this;
+  }
+
+  public void unsetModel() {
+    this.model = null;
+  }
+
+  /** Returns true if field model is set (has been assigned a value) and false otherwise */
+  public boolean isSetModel() {
+    return this.model != null;
+  }
+
+  public void setModelIsSet(boolean value) {
+    if (!value) {
+      this.model = null;
+    }
+  }
+
+  public int getVersion() {
+    return this.version;
+  }
+
+  public LoadedModelReport setVersion(int version) {
+    this.version = version;
+    setVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  /** Returns true if field version is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  public void setVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
+  }
+
+  public long getMemoryBytes() {
+    return this.memoryBytes;
+  }
+
+  public LoadedModelReport setMemoryBytes(long memoryBytes) {
+    this.memoryBytes = memoryBytes;
+    setMemoryBytesIsSet(true);
+    return this;
+  }
+
+  public void unsetMemoryBytes() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
+  }
+
+  /** Returns true if field memoryBytes is set (has been assigned a value) and false otherwise */
+  public boolean isSetMemoryBytes() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
+  }
+
+  public void setMemoryBytesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID, value);
+  }
+
+  public boolean isReady() {
+    return this.ready;
+  }
+
+  public LoadedModelReport setReady(boolean ready) {
+    this.ready = ready;
+    setReadyIsSet(true);
+    return this;
+  }
+
+  public void unsetReady() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __READY_ISSET_ID);
+  }
+
+  /** Returns true if field ready is set (has been assigned a value) and false otherwise */
+  public boolean isSetReady() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __READY_ISSET_ID);
+  }
+
+  public void setReadyIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __READY_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case MODEL:
+      if (value == null) {
+        unsetModel();
+      } else {
+        setModel((java.lang.String)value);
+      }
+      break;
+
+    case VERSION:
+      if (value == null) {
+        unsetVersion();
+      } else {
+        setVersion((java.lang.Integer)value);
+      }
+      break;
+
+    case MEMORY_BYTES:
+      if (value == null) {
+        unsetMemoryBytes();
+      } else {
+        setMemoryBytes((java.lang.Long)value);
+      }
+      break;
+
+    case READY:
+      if (value == null) {
+        unsetReady();
+      } else {
+        setReady((java.lang.Boolean)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case MODEL:
+      return getModel();
+
+    case VERSION:
+      return getVersion();
+
+    case MEMORY_BYTES:
+      return getMemoryBytes();
+
+    case READY:
+      return isReady();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case MODEL:
+      return isSetModel();
+    case VERSION:
+      return isSetVersion();
+    case MEMORY_BYTES:
+      return isSetMemoryBytes();
+    case READY:
+      return isSetReady();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof LoadedModelReport)
+      return this.equals((LoadedModelReport)that);
+    return false;
+  }
+
+  public boolean equals(LoadedModelReport that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_model = true && this.isSetModel();
+    boolean that_present_model = true && that.isSetModel();
+    if (this_present_model || that_present_model) {
+      if (!(this_present_model && that_present_model))
+        return false;
+      if (!this.model.equals(that.model))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case MODEL:
-                return isSetModel();
-            case VERSION:
-                return isSetVersion();
-            case MEMORY_BYTES:
-                return isSetMemoryBytes();
-            case READY:
-                return isSetReady();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_version = true;
+    boolean that_present_version = true;
+    if (this_present_version || that_present_version) {
+      if (!(this_present_version && that_present_version))
+        return false;
+      if (this.version != that.version)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof LoadedModelReport) return this.equals((LoadedModelReport) that);
+    boolean this_present_memoryBytes = true;
+    boolean that_present_memoryBytes = true;
+    if (this_present_memoryBytes || that_present_memoryBytes) {
+      if (!(this_present_memoryBytes && that_present_memoryBytes))
+        return false;
+      if (this.memoryBytes != that.memoryBytes)
         return false;
     }
 
-    public boolean equals(LoadedModelReport that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_model = true && this.isSetModel();
-        boolean that_present_model = true && that.isSetModel();
-        if (this_present_model || that_present_model) {
-            if (!(this_present_model && that_present_model)) return false;
-            if (!this.model.equals(that.model)) return false;
-        }
-
-        boolean this_present_version = true;
-        boolean that_present_version = true;
-        if (this_present_version || that_present_version) {
-            if (!(this_present_version && that_present_version)) return false;
-            if (this.version != that.version) return false;
-        }
-
-        boolean this_present_memoryBytes = true;
-        boolean that_present_memoryBytes = true;
-        if (this_present_memoryBytes || that_present_memoryBytes) {
-            if (!(this_present_memoryBytes && that_present_memoryBytes)) return false;
-            if (this.memoryBytes != that.memoryBytes) return false;
-        }
-
-        boolean this_present_ready = true;
-        boolean that_present_ready = true;
-        if (this_present_ready || that_present_ready) {
-            if (!(this_present_ready && that_present_ready)) return false;
-            if (this.ready != that.ready) return false;
-        }
-
-        return true;
+    boolean this_present_ready = true;
+    boolean that_present_ready = true;
+    if (this_present_ready || that_present_ready) {
+      if (!(this_present_ready && that_present_ready))
+        return false;
+      if (this.ready != that.ready)
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetModel()) ? 131071 : 524287);
-        if (isSetModel()) hashCode = hashCode * 8191 + model.hashCode();
-
-        hashCode = hashCode * 8191 + version;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(memoryBytes);
-
-        hashCode = hashCode * 8191 + ((ready) ? 131071 : 524287);
-
-        return hashCode;
-    }
+    return true;
+  }
 
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetModel()) ? 131071 : 524287);
+    if (isSetModel())
+      hashCode = hashCode * 8191 + model.hashCode();
+
+    hashCode = hashCode * 8191 + version;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(memoryBytes);
+
+    hashCode = hashCode * 8191 + ((ready) ? 131071 : 524287);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(LoadedModelReport other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetModel(), other.isSetModel());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetModel()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.model, other.model);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetMemoryBytes(), other.isSetMemoryBytes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMemoryBytes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.memoryBytes, other.memoryBytes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetReady(), other.isSetReady());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetReady()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ready, other.ready);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("LoadedModelReport(");
+    boolean first = true;
+
+    sb.append("model:");
+    if (this.model == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.model);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("version:");
+    sb.append(this.version);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("memoryBytes:");
+    sb.append(this.memoryBytes);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("ready:");
+    sb.append(this.ready);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (model == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'model' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'memoryBytes' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'ready' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class LoadedModelReportStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int compareTo(LoadedModelReport other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    public LoadedModelReportStandardScheme getScheme() {
+      return new LoadedModelReportStandardScheme();
+    }
+  }
 
-        int lastComparison = 0;
+  private static class LoadedModelReportStandardScheme extends org.apache.thrift.scheme.StandardScheme<LoadedModelReport> {
 
-        lastComparison = java.lang.Boolean.compare(isSetModel(), other.isSetModel());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetModel()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.model, other.model);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, LoadedModelReport struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // MODEL
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.model = iprot.readString();
+              struct.setModelIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetVersion()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.version = iprot.readI32();
+              struct.setVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetMemoryBytes(), other.isSetMemoryBytes());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetMemoryBytes()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.memoryBytes, other.memoryBytes);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // MEMORY_BYTES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.memoryBytes = iprot.readI64();
+              struct.setMemoryBytesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetReady(), other.isSetReady());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetReady()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ready, other.ready);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // READY
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.ready = iprot.readBool();
+              struct.setReadyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetVersion()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'version' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetMemoryBytes()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'memoryBytes' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetReady()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'ready' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, LoadedModelReport struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.model != null) {
+        oprot.writeFieldBegin(MODEL_FIELD_DESC);
+        oprot.writeString(struct.model);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(VERSION_FIELD_DESC);
+      oprot.writeI32(struct.version);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(MEMORY_BYTES_FIELD_DESC);
+      oprot.writeI64(struct.memoryBytes);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(READY_FIELD_DESC);
+      oprot.writeBool(struct.ready);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class LoadedModelReportTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public LoadedModelReportTupleScheme getScheme() {
+      return new LoadedModelReportTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class LoadedModelReportTupleScheme extends org.apache.thrift.scheme.TupleScheme<LoadedModelReport> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("LoadedModelReport(");
-        boolean first = true;
-
-        sb.append("model:");
-        if (this.model == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.model);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("version:");
-        sb.append(this.version);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("memoryBytes:");
-        sb.append(this.memoryBytes);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("ready:");
-        sb.append(this.ready);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (model == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'model' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'memoryBytes' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'ready' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class LoadedModelReportStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public LoadedModelReportStandardScheme getScheme() {
-            return new LoadedModelReportStandardScheme();
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, LoadedModelReport struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.model);
+      oprot.writeI32(struct.version);
+      oprot.writeI64(struct.memoryBytes);
+      oprot.writeBool(struct.ready);
     }
 
-    private static class LoadedModelReportStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<LoadedModelReport> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, LoadedModelReport struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // MODEL
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.model = iprot.readString();
-                            struct.setModelIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // VERSION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.version = iprot.readI32();
-                            struct.setVersionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // MEMORY_BYTES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.memoryBytes = iprot.readI64();
-                            struct.setMemoryBytesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // READY
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.ready = iprot.readBool();
-                            struct.setReadyIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetVersion()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'version' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetMemoryBytes()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'memoryBytes' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetReady()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'ready' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, LoadedModelReport struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.model != null) {
-                oprot.writeFieldBegin(MODEL_FIELD_DESC);
-                oprot.writeString(struct.model);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(VERSION_FIELD_DESC);
-            oprot.writeI32(struct.version);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(MEMORY_BYTES_FIELD_DESC);
-            oprot.writeI64(struct.memoryBytes);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(READY_FIELD_DESC);
-            oprot.writeBool(struct.ready);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class LoadedModelReportTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public LoadedModelReportTupleScheme getScheme() {
-            return new LoadedModelReportTupleScheme();
-        }
-    }
-
-    private static class LoadedModelReportTupleScheme extends org.apache.thrift.scheme.TupleScheme<LoadedModelReport> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, LoadedModelReport struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.model);
-            oprot.writeI32(struct.version);
-            oprot.writeI64(struct.memoryBytes);
-            oprot.writeBool(struct.ready);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, LoadedModelReport struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.model = iprot.readString();
-            struct.setModelIsSet(true);
-            struct.version = iprot.readI32();
-            struct.setVersionIsSet(true);
-            struct.memoryBytes = iprot.readI64();
-            struct.setMemoryBytesIsSet(true);
-            struct.ready = iprot.readBool();
-            struct.setReadyIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, LoadedModelReport struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.model = iprot.readString();
+      struct.setModelIsSet(true);
+      struct.version = iprot.readI32();
+      struct.setVersionIsSet(true);
+      struct.memoryBytes = iprot.readI64();
+      struct.setMemoryBytesIsSet(true);
+      struct.ready = iprot.readBool();
+      struct.setReadyIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/MachineState.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/MachineState.java
@@ -7,1593 +7,1548 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class MachineState
-        implements org.apache.thrift.TBase<MachineState, MachineState._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<MachineState> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("MachineState");
-
-    private static final org.apache.thrift.protocol.TField LAST_INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("lastIndex", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField VIEW_INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("viewIndex", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField NOW_MILLIS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("nowMillis", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField RULES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("rules", org.apache.thrift.protocol.TType.STRUCT, (short) 4);
-    private static final org.apache.thrift.protocol.TField CLAIMS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("claims", org.apache.thrift.protocol.TType.LIST, (short) 5);
-    private static final org.apache.thrift.protocol.TField BUCKETS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("buckets", org.apache.thrift.protocol.TType.LIST, (short) 6);
-    private static final org.apache.thrift.protocol.TField OPEN_SESSIONS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("openSessions", org.apache.thrift.protocol.TType.LIST, (short) 7);
-    private static final org.apache.thrift.protocol.TField ENDED_SESSIONS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("endedSessions", org.apache.thrift.protocol.TType.LIST, (short) 8);
-    private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.LIST, (short) 9);
-    private static final org.apache.thrift.protocol.TField LEDGER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("ledger", org.apache.thrift.protocol.TType.STRUCT, (short) 10);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new MachineStateStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new MachineStateTupleSchemeFactory();
-
-    private long lastIndex; // required
-    private long viewIndex; // required
-    private long nowMillis; // required
-    private @org.apache.thrift.annotation.Nullable RulesState rules; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<ClaimState> claims; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<BucketState> buckets; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<SessionState> openSessions; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<SessionState> endedSessions; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<CrashState> crashes; // required
-    private @org.apache.thrift.annotation.Nullable LedgerState ledger; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        LAST_INDEX((short) 1, "lastIndex"),
-        VIEW_INDEX((short) 2, "viewIndex"),
-        NOW_MILLIS((short) 3, "nowMillis"),
-        RULES((short) 4, "rules"),
-        CLAIMS((short) 5, "claims"),
-        BUCKETS((short) 6, "buckets"),
-        OPEN_SESSIONS((short) 7, "openSessions"),
-        ENDED_SESSIONS((short) 8, "endedSessions"),
-        CRASHES((short) 9, "crashes"),
-        LEDGER((short) 10, "ledger");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // LAST_INDEX
-                    return LAST_INDEX;
-                case 2: // VIEW_INDEX
-                    return VIEW_INDEX;
-                case 3: // NOW_MILLIS
-                    return NOW_MILLIS;
-                case 4: // RULES
-                    return RULES;
-                case 5: // CLAIMS
-                    return CLAIMS;
-                case 6: // BUCKETS
-                    return BUCKETS;
-                case 7: // OPEN_SESSIONS
-                    return OPEN_SESSIONS;
-                case 8: // ENDED_SESSIONS
-                    return ENDED_SESSIONS;
-                case 9: // CRASHES
-                    return CRASHES;
-                case 10: // LEDGER
-                    return LEDGER;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __LASTINDEX_ISSET_ID = 0;
-    private static final int __VIEWINDEX_ISSET_ID = 1;
-    private static final int __NOWMILLIS_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+public class MachineState implements org.apache.thrift.TBase<MachineState, MachineState._Fields>, java.io.Serializable, Cloneable, Comparable<MachineState> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("MachineState");
+
+  private static final org.apache.thrift.protocol.TField LAST_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("lastIndex", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField VIEW_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("viewIndex", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField NOW_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("nowMillis", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField RULES_FIELD_DESC = new org.apache.thrift.protocol.TField("rules", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField CLAIMS_FIELD_DESC = new org.apache.thrift.protocol.TField("claims", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField BUCKETS_FIELD_DESC = new org.apache.thrift.protocol.TField("buckets", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField OPEN_SESSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("openSessions", org.apache.thrift.protocol.TType.LIST, (short)7);
+  private static final org.apache.thrift.protocol.TField ENDED_SESSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("endedSessions", org.apache.thrift.protocol.TType.LIST, (short)8);
+  private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.LIST, (short)9);
+  private static final org.apache.thrift.protocol.TField LEDGER_FIELD_DESC = new org.apache.thrift.protocol.TField("ledger", org.apache.thrift.protocol.TType.STRUCT, (short)10);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new MachineStateStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new MachineStateTupleSchemeFactory();
+
+  private long lastIndex; // required
+  private long viewIndex; // required
+  private long nowMillis; // required
+  private @org.apache.thrift.annotation.Nullable RulesState rules; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<ClaimState> claims; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<BucketState> buckets; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<SessionState> openSessions; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<SessionState> endedSessions; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<CrashState> crashes; // required
+  private @org.apache.thrift.annotation.Nullable LedgerState ledger; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    LAST_INDEX((short)1, "lastIndex"),
+    VIEW_INDEX((short)2, "viewIndex"),
+    NOW_MILLIS((short)3, "nowMillis"),
+    RULES((short)4, "rules"),
+    CLAIMS((short)5, "claims"),
+    BUCKETS((short)6, "buckets"),
+    OPEN_SESSIONS((short)7, "openSessions"),
+    ENDED_SESSIONS((short)8, "endedSessions"),
+    CRASHES((short)9, "crashes"),
+    LEDGER((short)10, "ledger");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.LAST_INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "lastIndex",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.VIEW_INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "viewIndex",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.NOW_MILLIS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "nowMillis",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.RULES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "rules",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, RulesState.class)));
-        tmpMap.put(
-                _Fields.CLAIMS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "claims",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, ClaimState.class))));
-        tmpMap.put(
-                _Fields.BUCKETS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "buckets",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, BucketState.class))));
-        tmpMap.put(
-                _Fields.OPEN_SESSIONS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "openSessions",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, SessionState.class))));
-        tmpMap.put(
-                _Fields.ENDED_SESSIONS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "endedSessions",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, SessionState.class))));
-        tmpMap.put(
-                _Fields.CRASHES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "crashes",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, CrashState.class))));
-        tmpMap.put(
-                _Fields.LEDGER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "ledger",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, LedgerState.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(MachineState.class, metaDataMap);
-    }
-
-    public MachineState() {}
-
-    public MachineState(
-            long lastIndex,
-            long viewIndex,
-            long nowMillis,
-            RulesState rules,
-            java.util.List<ClaimState> claims,
-            java.util.List<BucketState> buckets,
-            java.util.List<SessionState> openSessions,
-            java.util.List<SessionState> endedSessions,
-            java.util.List<CrashState> crashes,
-            LedgerState ledger) {
-        this();
-        this.lastIndex = lastIndex;
-        setLastIndexIsSet(true);
-        this.viewIndex = viewIndex;
-        setViewIndexIsSet(true);
-        this.nowMillis = nowMillis;
-        setNowMillisIsSet(true);
-        this.rules = rules;
-        this.claims = claims;
-        this.buckets = buckets;
-        this.openSessions = openSessions;
-        this.endedSessions = endedSessions;
-        this.crashes = crashes;
-        this.ledger = ledger;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public MachineState(MachineState other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.lastIndex = other.lastIndex;
-        this.viewIndex = other.viewIndex;
-        this.nowMillis = other.nowMillis;
-        if (other.isSetRules()) {
-            this.rules = new RulesState(other.rules);
-        }
-        if (other.isSetClaims()) {
-            java.util.List<ClaimState> __this__claims = new java.util.ArrayList<ClaimState>(other.claims.size());
-            for (ClaimState other_element : other.claims) {
-                __this__claims.add(new ClaimState(other_element));
-            }
-            this.claims = __this__claims;
-        }
-        if (other.isSetBuckets()) {
-            java.util.List<BucketState> __this__buckets = new java.util.ArrayList<BucketState>(other.buckets.size());
-            for (BucketState other_element : other.buckets) {
-                __this__buckets.add(new BucketState(other_element));
-            }
-            this.buckets = __this__buckets;
-        }
-        if (other.isSetOpenSessions()) {
-            java.util.List<SessionState> __this__openSessions =
-                    new java.util.ArrayList<SessionState>(other.openSessions.size());
-            for (SessionState other_element : other.openSessions) {
-                __this__openSessions.add(new SessionState(other_element));
-            }
-            this.openSessions = __this__openSessions;
-        }
-        if (other.isSetEndedSessions()) {
-            java.util.List<SessionState> __this__endedSessions =
-                    new java.util.ArrayList<SessionState>(other.endedSessions.size());
-            for (SessionState other_element : other.endedSessions) {
-                __this__endedSessions.add(new SessionState(other_element));
-            }
-            this.endedSessions = __this__endedSessions;
-        }
-        if (other.isSetCrashes()) {
-            java.util.List<CrashState> __this__crashes = new java.util.ArrayList<CrashState>(other.crashes.size());
-            for (CrashState other_element : other.crashes) {
-                __this__crashes.add(new CrashState(other_element));
-            }
-            this.crashes = __this__crashes;
-        }
-        if (other.isSetLedger()) {
-            this.ledger = new LedgerState(other.ledger);
-        }
-    }
-
-    @Override
-    public MachineState deepCopy() {
-        return new MachineState(this);
-    }
-
-    @Override
-    public void clear() {
-        setLastIndexIsSet(false);
-        this.lastIndex = 0;
-        setViewIndexIsSet(false);
-        this.viewIndex = 0;
-        setNowMillisIsSet(false);
-        this.nowMillis = 0;
-        this.rules = null;
-        this.claims = null;
-        this.buckets = null;
-        this.openSessions = null;
-        this.endedSessions = null;
-        this.crashes = null;
-        this.ledger = null;
-    }
-
-    public long getLastIndex() {
-        return this.lastIndex;
-    }
-
-    public MachineState setLastIndex(long lastIndex) {
-        this.lastIndex = lastIndex;
-        setLastIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetLastIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
-    }
-
-    /** Returns true if field lastIndex is set (has been assigned a value) and false otherwise */
-    public boolean isSetLastIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
-    }
-
-    public void setLastIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTINDEX_ISSET_ID, value);
-    }
-
-    public long getViewIndex() {
-        return this.viewIndex;
-    }
-
-    public MachineState setViewIndex(long viewIndex) {
-        this.viewIndex = viewIndex;
-        setViewIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetViewIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
-    }
-
-    /** Returns true if field viewIndex is set (has been assigned a value) and false otherwise */
-    public boolean isSetViewIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
-    }
-
-    public void setViewIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VIEWINDEX_ISSET_ID, value);
-    }
-
-    public long getNowMillis() {
-        return this.nowMillis;
-    }
-
-    public MachineState setNowMillis(long nowMillis) {
-        this.nowMillis = nowMillis;
-        setNowMillisIsSet(true);
-        return this;
-    }
-
-    public void unsetNowMillis() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
-    }
-
-    /** Returns true if field nowMillis is set (has been assigned a value) and false otherwise */
-    public boolean isSetNowMillis() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
-    }
-
-    public void setNowMillisIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NOWMILLIS_ISSET_ID, value);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public RulesState getRules() {
-        return this.rules;
-    }
-
-    public MachineState setRules(@org.apache.thrift.annotation.Nullable RulesState rules) {
-        this.rules = rules;
-        return this;
-    }
-
-    public void unsetRules() {
-        this.rules = null;
-    }
-
-    /** Returns true if field rules is set (has been assigned a value) and false otherwise */
-    public boolean isSetRules() {
-        return this.rules != null;
-    }
-
-    public void setRulesIsSet(boolean value) {
-        if (!value) {
-            this.rules = null;
-        }
-    }
-
-    public int getClaimsSize() {
-        return (this.claims == null) ? 0 : this.claims.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<ClaimState> getClaimsIterator() {
-        return (this.claims == null) ? null : this.claims.iterator();
-    }
-
-    public void addToClaims(ClaimState elem) {
-        if (this.claims == null) {
-            this.claims = new java.util.ArrayList<ClaimState>();
-        }
-        this.claims.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<ClaimState> getClaims() {
-        return this.claims;
-    }
-
-    public MachineState setClaims(@org.apache.thrift.annotation.Nullable java.util.List<ClaimState> claims) {
-        this.claims = claims;
-        return this;
-    }
-
-    public void unsetClaims() {
-        this.claims = null;
-    }
-
-    /** Returns true if field claims is set (has been assigned a value) and false otherwise */
-    public boolean isSetClaims() {
-        return this.claims != null;
-    }
-
-    public void setClaimsIsSet(boolean value) {
-        if (!value) {
-            this.claims = null;
-        }
-    }
-
-    public int getBucketsSize() {
-        return (this.buckets == null) ? 0 : this.buckets.size();
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<BucketState> getBucketsIterator() {
-        return (this.buckets == null) ? null : this.buckets.iterator();
-    }
-
-    public void addToBuckets(BucketState elem) {
-        if (this.buckets == null) {
-            this.buckets = new java.util.ArrayList<BucketState>();
-        }
-        this.buckets.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<BucketState> getBuckets() {
-        return this.buckets;
-    }
-
-    public MachineState setBuckets(@org.apache.thrift.annotation.Nullable java.util.List<BucketState> buckets) {
-        this.buckets = buckets;
-        return this;
-    }
-
-    public void unsetBuckets() {
-        this.buckets = null;
-    }
-
-    /** Returns true if field buckets is set (has been assigned a value) and false otherwise */
-    public boolean isSetBuckets() {
-        return this.buckets != null;
-    }
-
-    public void setBucketsIsSet(boolean value) {
-        if (!value) {
-            this.buckets = null;
-        }
-    }
-
-    public int getOpenSessionsSize() {
-        return (this.openSessions == null) ? 0 : this.openSessions.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<SessionState> getOpenSessionsIterator() {
-        return (this.openSessions == null) ? null : this.openSessions.iterator();
-    }
-
-    public void addToOpenSessions(SessionState elem) {
-        if (this.openSessions == null) {
-            this.openSessions = new java.util.ArrayList<SessionState>();
-        }
-        this.openSessions.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<SessionState> getOpenSessions() {
-        return this.openSessions;
-    }
-
-    public MachineState setOpenSessions(
-            @org.apache.thrift.annotation.Nullable java.util.List<SessionState> openSessions) {
-        this.openSessions = openSessions;
-        return this;
-    }
-
-    public void unsetOpenSessions() {
-        this.openSessions = null;
-    }
-
-    /** Returns true if field openSessions is set (has been assigned a value) and false otherwise */
-    public boolean isSetOpenSessions() {
-        return this.openSessions != null;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // LAST_INDEX
+          return LAST_INDEX;
+        case 2: // VIEW_INDEX
+          return VIEW_INDEX;
+        case 3: // NOW_MILLIS
+          return NOW_MILLIS;
+        case 4: // RULES
+          return RULES;
+        case 5: // CLAIMS
+          return CLAIMS;
+        case 6: // BUCKETS
+          return BUCKETS;
+        case 7: // OPEN_SESSIONS
+          return OPEN_SESSIONS;
+        case 8: // ENDED_SESSIONS
+          return ENDED_SESSIONS;
+        case 9: // CRASHES
+          return CRASHES;
+        case 10: // LEDGER
+          return LEDGER;
+        default:
+          return null;
+      }
     }
 
-    public void setOpenSessionsIsSet(boolean value) {
-        if (!value) {
-            this.openSessions = null;
-        }
-    }
-
-    public int getEndedSessionsSize() {
-        return (this.endedSessions == null) ? 0 : this.endedSessions.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<SessionState> getEndedSessionsIterator() {
-        return (this.endedSessions == null) ? null : this.endedSessions.iterator();
-    }
-
-    public void addToEndedSessions(SessionState elem) {
-        if (this.endedSessions == null) {
-            this.endedSessions = new java.util.ArrayList<SessionState>();
-        }
-        this.endedSessions.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<SessionState> getEndedSessions() {
-        return this.endedSessions;
-    }
-
-    public MachineState setEndedSessions(
-            @org.apache.thrift.annotation.Nullable java.util.List<SessionState> endedSessions) {
-        this.endedSessions = endedSessions;
-        return this;
-    }
-
-    public void unsetEndedSessions() {
-        this.endedSessions = null;
-    }
-
-    /** Returns true if field endedSessions is set (has been assigned a value) and false otherwise */
-    public boolean isSetEndedSessions() {
-        return this.endedSessions != null;
-    }
-
-    public void setEndedSessionsIsSet(boolean value) {
-        if (!value) {
-            this.endedSessions = null;
-        }
-    }
-
-    public int getCrashesSize() {
-        return (this.crashes == null) ? 0 : this.crashes.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<CrashState> getCrashesIterator() {
-        return (this.crashes == null) ? null : this.crashes.iterator();
-    }
-
-    public void addToCrashes(CrashState elem) {
-        if (this.crashes == null) {
-            this.crashes = new java.util.ArrayList<CrashState>();
-        }
-        this.crashes.add(elem);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<CrashState> getCrashes() {
-        return this.crashes;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public MachineState setCrashes(@org.apache.thrift.annotation.Nullable java.util.List<CrashState> crashes) {
-        this.crashes = crashes;
-        return this;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void unsetCrashes() {
-        this.crashes = null;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field crashes is set (has been assigned a value) and false otherwise */
-    public boolean isSetCrashes() {
-        return this.crashes != null;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public void setCrashesIsSet(boolean value) {
-        if (!value) {
-            this.crashes = null;
-        }
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __LASTINDEX_ISSET_ID = 0;
+  private static final int __VIEWINDEX_ISSET_ID = 1;
+  private static final int __NOWMILLIS_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.LAST_INDEX, new org.apache.thrift.meta_data.FieldMetaData("lastIndex", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.VIEW_INDEX, new org.apache.thrift.meta_data.FieldMetaData("viewIndex", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.NOW_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("nowMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RULES, new org.apache.thrift.meta_data.FieldMetaData("rules", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RulesState.class)));
+    tmpMap.put(_Fields.CLAIMS, new org.apache.thrift.meta_data.FieldMetaData("claims", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ClaimState.class))));
+    tmpMap.put(_Fields.BUCKETS, new org.apache.thrift.meta_data.FieldMetaData("buckets", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, BucketState.class))));
+    tmpMap.put(_Fields.OPEN_SESSIONS, new org.apache.thrift.meta_data.FieldMetaData("openSessions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SessionState.class))));
+    tmpMap.put(_Fields.ENDED_SESSIONS, new org.apache.thrift.meta_data.FieldMetaData("endedSessions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SessionState.class))));
+    tmpMap.put(_Fields.CRASHES, new org.apache.thrift.meta_data.FieldMetaData("crashes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CrashState.class))));
+    tmpMap.put(_Fields.LEDGER, new org.apache.thrift.meta_data.FieldMetaData("ledger", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LedgerState.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(MachineState.class, metaDataMap);
+  }
+
+  public MachineState() {
+  }
+
+  public MachineState(
+    long lastIndex,
+    long viewIndex,
+    long nowMillis,
+    RulesState rules,
+    java.util.List<ClaimState> claims,
+    java.util.List<BucketState> buckets,
+    java.util.List<SessionState> openSessions,
+    java.util.List<SessionState> endedSessions,
+    java.util.List<CrashState> crashes,
+    LedgerState ledger)
+  {
+    this();
+    this.lastIndex = lastIndex;
+    setLastIndexIsSet(true);
+    this.viewIndex = viewIndex;
+    setViewIndexIsSet(true);
+    this.nowMillis = nowMillis;
+    setNowMillisIsSet(true);
+    this.rules = rules;
+    this.claims = claims;
+    this.buckets = buckets;
+    this.openSessions = openSessions;
+    this.endedSessions = endedSessions;
+    this.crashes = crashes;
+    this.ledger = ledger;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public MachineState(MachineState other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.lastIndex = other.lastIndex;
+    this.viewIndex = other.viewIndex;
+    this.nowMillis = other.nowMillis;
+    if (other.isSetRules()) {
+      this.rules = new RulesState(other.rules);
+    }
+    if (other.isSetClaims()) {
+      java.util.List<ClaimState> __this__claims = new java.util.ArrayList<ClaimState>(other.claims.size());
+      for (ClaimState other_element : other.claims) {
+        __this__claims.add(new ClaimState(other_element));
+      }
+      this.claims = __this__claims;
+    }
+    if (other.isSetBuckets()) {
+      java.util.List<BucketState> __this__buckets = new java.util.ArrayList<BucketState>(other.buckets.size());
+      for (BucketState other_element : other.buckets) {
+        __this__buckets.add(new BucketState(other_element));
+      }
+      this.buckets = __this__buckets;
+    }
+    if (other.isSetOpenSessions()) {
+      java.util.List<SessionState> __this__openSessions = new java.util.ArrayList<SessionState>(other.openSessions.size());
+      for (SessionState other_element : other.openSessions) {
+        __this__openSessions.add(new SessionState(other_element));
+      }
+      this.openSessions = __this__openSessions;
+    }
+    if (other.isSetEndedSessions()) {
+      java.util.List<SessionState> __this__endedSessions = new java.util.ArrayList<SessionState>(other.endedSessions.size());
+      for (SessionState other_element : other.endedSessions) {
+        __this__endedSessions.add(new SessionState(other_element));
+      }
+      this.endedSessions = __this__endedSessions;
+    }
+    if (other.isSetCrashes()) {
+      java.util.List<CrashState> __this__crashes = new java.util.ArrayList<CrashState>(other.crashes.size());
+      for (CrashState other_element : other.crashes) {
+        __this__crashes.add(new CrashState(other_element));
+      }
+      this.crashes = __this__crashes;
+    }
+    if (other.isSetLedger()) {
+      this.ledger = new LedgerState(other.ledger);
+    }
+  }
+
+  @Override
+  public MachineState deepCopy() {
+    return new MachineState(this);
+  }
+
+  @Override
+  public void clear() {
+    setLastIndexIsSet(false);
+    this.lastIndex = 0;
+    setViewIndexIsSet(false);
+    this.viewIndex = 0;
+    setNowMillisIsSet(false);
+    this.nowMillis = 0;
+    this.rules = null;
+    this.claims = null;
+    this.buckets = null;
+    this.openSessions = null;
+    this.endedSessions = null;
+    this.crashes = null;
+    this.ledger = null;
+  }
+
+  public long getLastIndex() {
+    return this.lastIndex;
+  }
+
+  public MachineState setLastIndex(long lastIndex) {
+    this.lastIndex = lastIndex;
+    setLastIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetLastIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field lastIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetLastIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
+  }
+
+  public void setLastIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTINDEX_ISSET_ID, value);
+  }
+
+  public long getViewIndex() {
+    return this.viewIndex;
+  }
+
+  public MachineState setViewIndex(long viewIndex) {
+    this.viewIndex = viewIndex;
+    setViewIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetViewIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field viewIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetViewIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
+  }
+
+  public void setViewIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VIEWINDEX_ISSET_ID, value);
+  }
+
+  public long getNowMillis() {
+    return this.nowMillis;
+  }
+
+  public MachineState setNowMillis(long nowMillis) {
+    this.nowMillis = nowMillis;
+    setNowMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetNowMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field nowMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetNowMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
+  }
+
+  public void setNowMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NOWMILLIS_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public RulesState getRules() {
+    return this.rules;
+  }
+
+  public MachineState setRules(@org.apache.thrift.annotation.Nullable RulesState rules) {
+    this.rules = rules;
+    return this;
+  }
+
+  public void unsetRules() {
+    this.rules = null;
+  }
+
+  /** Returns true if field rules is set (has been assigned a value) and false otherwise */
+  public boolean isSetRules() {
+    return this.rules != null;
+  }
+
+  public void setRulesIsSet(boolean value) {
+    if (!value) {
+      this.rules = null;
+    }
+  }
+
+  public int getClaimsSize() {
+    return (this.claims == null) ? 0 : this.claims.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<ClaimState> getClaimsIterator() {
+    return (this.claims == null) ? null : this.claims.iterator();
+  }
+
+  public void addToClaims(ClaimState elem) {
+    if (this.claims == null) {
+      this.claims = new java.util.ArrayList<ClaimState>();
+    }
+    this.claims.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<ClaimState> getClaims() {
+    return this.claims;
+  }
+
+  public MachineState setClaims(@org.apache.thrift.annotation.Nullable java.util.List<ClaimState> claims) {
+    this.claims = claims;
+    return this;
+  }
+
+  public void unsetClaims() {
+    this.claims = null;
+  }
+
+  /** Returns true if field claims is set (has been assigned a value) and false otherwise */
+  public boolean isSetClaims() {
+    return this.claims != null;
+  }
+
+  public void setClaimsIsSet(boolean value) {
+    if (!value) {
+      this.claims = null;
+    }
+  }
+
+  public int getBucketsSize() {
+    return (this.buckets == null) ? 0 : this.buckets.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<BucketState> getBucketsIterator() {
+    return (this.buckets == null) ? null : this.buckets.iterator();
+  }
+
+  public void addToBuckets(BucketState elem) {
+    if (this.buckets == null) {
+      this.buckets = new java.util.ArrayList<BucketState>();
+    }
+    this.buckets.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<BucketState> getBuckets() {
+    return this.buckets;
+  }
+
+  public MachineState setBuckets(@org.apache.thrift.annotation.Nullable java.util.List<BucketState> buckets) {
+    this.buckets = buckets;
+    return this;
+  }
+
+  public void unsetBuckets() {
+    this.buckets = null;
+  }
+
+  /** Returns true if field buckets is set (has been assigned a value) and false otherwise */
+  public boolean isSetBuckets() {
+    return this.buckets != null;
+  }
+
+  public void setBucketsIsSet(boolean value) {
+    if (!value) {
+      this.buckets = null;
     }
-
-    @org.apache.thrift.annotation.Nullable
-    public LedgerState getLedger() {
-        return this.ledger;
+  }
+
+  public int getOpenSessionsSize() {
+    return (this.openSessions == null) ? 0 : this.openSessions.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<SessionState> getOpenSessionsIterator() {
+    return (this.openSessions == null) ? null : this.openSessions.iterator();
+  }
+
+  public void addToOpenSessions(SessionState elem) {
+    if (this.openSessions == null) {
+      this.openSessions = new java.util.ArrayList<SessionState>();
+    }
+    this.openSessions.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<SessionState> getOpenSessions() {
+    return this.openSessions;
+  }
+
+  public MachineState setOpenSessions(@org.apache.thrift.annotation.Nullable java.util.List<SessionState> openSessions) {
+    this.openSessions = openSessions;
+    return this;
+  }
+
+  public void unsetOpenSessions() {
+    this.openSessions = null;
+  }
+
+  /** Returns true if field openSessions is set (has been assigned a value) and false otherwise */
+  public boolean isSetOpenSessions() {
+    return this.openSessions != null;
+  }
+
+  public void setOpenSessionsIsSet(boolean value) {
+    if (!value) {
+      this.openSessions = null;
+    }
+  }
+
+  public int getEndedSessionsSize() {
+    return (this.endedSessions == null) ? 0 : this.endedSessions.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<SessionState> getEndedSessionsIterator() {
+    return (this.endedSessions == null) ? null : this.endedSessions.iterator();
+  }
+
+  public void addToEndedSessions(SessionState elem) {
+    if (this.endedSessions == null) {
+      this.endedSessions = new java.util.ArrayList<SessionState>();
+    }
+    this.endedSessions.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<SessionState> getEndedSessions() {
+    return this.endedSessions;
+  }
+
+  public MachineState setEndedSessions(@org.apache.thrift.annotation.Nullable java.util.List<SessionState> endedSessions) {
+    this.endedSessions = endedSessions;
+    return this;
+  }
+
+  public void unsetEndedSessions() {
+    this.endedSessions = null;
+  }
+
+  /** Returns true if field endedSessions is set (has been assigned a value) and false otherwise */
+  public boolean isSetEndedSessions() {
+    return this.endedSessions != null;
+  }
+
+  public void setEndedSessionsIsSet(boolean value) {
+    if (!value) {
+      this.endedSessions = null;
+    }
+  }
+
+  public int getCrashesSize() {
+    return (this.crashes == null) ? 0 : this.crashes.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<CrashState> getCrashesIterator() {
+    return (this.crashes == null) ? null : this.crashes.iterator();
+  }
+
+  public void addToCrashes(CrashState elem) {
+    if (this.crashes == null) {
+      this.crashes = new java.util.ArrayList<CrashState>();
+    }
+    this.crashes.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<CrashState> getCrashes() {
+    return this.crashes;
+  }
+
+  public MachineState setCrashes(@org.apache.thrift.annotation.Nullable java.util.List<CrashState> crashes) {
+    this.crashes = crashes;
+    return this;
+  }
+
+  public void unsetCrashes() {
+    this.crashes = null;
+  }
+
+  /** Returns true if field crashes is set (has been assigned a value) and false otherwise */
+  public boolean isSetCrashes() {
+    return this.crashes != null;
+  }
+
+  public void setCrashesIsSet(boolean value) {
+    if (!value) {
+      this.crashes = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public LedgerState getLedger() {
+    return this.ledger;
+  }
+
+  public MachineState setLedger(@org.apache.thrift.annotation.Nullable LedgerState ledger) {
+    this.ledger = ledger;
+    return this;
+  }
+
+  public void unsetLedger() {
+    this.ledger = null;
+  }
+
+  /** Returns true if field ledger is set (has been assigned a value) and false otherwise */
+  public boolean isSetLedger() {
+    return this.ledger != null;
+  }
+
+  public void setLedgerIsSet(boolean value) {
+    if (!value) {
+      this.ledger = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case LAST_INDEX:
+      if (value == null) {
+        unsetLastIndex();
+      } else {
+        setLastIndex((java.lang.Long)value);
+      }
+      break;
+
+    case VIEW_INDEX:
+      if (value == null) {
+        unsetViewIndex();
+      } else {
+        setViewIndex((java.lang.Long)value);
+      }
+      break;
+
+    case NOW_MILLIS:
+      if (value == null) {
+        unsetNowMillis();
+      } else {
+        setNowMillis((java.lang.Long)value);
+      }
+      break;
+
+    case RULES:
+      if (value == null) {
+        unsetRules();
+      } else {
+        setRules((RulesState)value);
+      }
+      break;
+
+    case CLAIMS:
+      if (value == null) {
+        unsetClaims();
+      } else {
+        setClaims((java.util.List<ClaimState>)value);
+      }
+      break;
+
+    case BUCKETS:
+      if (value == null) {
+        unsetBuckets();
+      } else {
+        setBuckets((java.util.List<BucketState>)value);
+      }
+      break;
+
+    case OPEN_SESSIONS:
+      if (value == null) {
+        unsetOpenSessions();
+      } else {
+        setOpenSessions((java.util.List<SessionState>)value);
+      }
+      break;
+
+    case ENDED_SESSIONS:
+      if (value == null) {
+        unsetEndedSessions();
+      } else {
+        setEndedSessions((java.util.List<SessionState>)value);
+      }
+      break;
+
+    case CRASHES:
+      if (value == null) {
+        unsetCrashes();
+      } else {
+        setCrashes((java.util.List<CrashState>)value);
+      }
+      break;
+
+    case LEDGER:
+      if (value == null) {
+        unsetLedger();
+      } else {
+        setLedger((LedgerState)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case LAST_INDEX:
+      return getLastIndex();
+
+    case VIEW_INDEX:
+      return getViewIndex();
+
+    case NOW_MILLIS:
+      return getNowMillis();
+
+    case RULES:
+      return getRules();
+
+    case CLAIMS:
+      return getClaims();
+
+    case BUCKETS:
+      return getBuckets();
+
+    case OPEN_SESSIONS:
+      return getOpenSessions();
+
+    case ENDED_SESSIONS:
+      return getEndedSessions();
+
+    case CRASHES:
+      return getCrashes();
+
+    case LEDGER:
+      return getLedger();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case LAST_INDEX:
+      return isSetLastIndex();
+    case VIEW_INDEX:
+      return isSetViewIndex();
+    case NOW_MILLIS:
+      return isSetNowMillis();
+    case RULES:
+      return isSetRules();
+    case CLAIMS:
+      return isSetClaims();
+    case BUCKETS:
+      return isSetBuckets();
+    case OPEN_SESSIONS:
+      return isSetOpenSessions();
+    case ENDED_SESSIONS:
+      return isSetEndedSessions();
+    case CRASHES:
+      return isSetCrashes();
+    case LEDGER:
+      return isSetLedger();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof MachineState)
+      return this.equals((MachineState)that);
+    return false;
+  }
+
+  public boolean equals(MachineState that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_lastIndex = true;
+    boolean that_present_lastIndex = true;
+    if (this_present_lastIndex || that_present_lastIndex) {
+      if (!(this_present_lastIndex && that_present_lastIndex))
+        return false;
+      if (this.lastIndex != that.lastIndex)
+        return false;
     }
 
-    public MachineState setLedger(@org.apache.thrift.annotation.Nullable LedgerState ledger) {
-        this.ledger = ledger;
-        return this;
+    boolean this_present_viewIndex = true;
+    boolean that_present_viewIndex = true;
+    if (this_present_viewIndex || that_present_viewIndex) {
+      if (!(this_present_viewIndex && that_present_viewIndex))
+        return false;
+      if (this.viewIndex != that.viewIndex)
+        return false;
     }
 
-    public void unsetLedger() {
-        this.ledger = null;
+    boolean this_present_nowMillis = true;
+    boolean that_present_nowMillis = true;
+    if (this_present_nowMillis || that_present_nowMillis) {
+      if (!(this_present_nowMillis && that_present_nowMillis))
+        return false;
+      if (this.nowMillis != that.nowMillis)
+        return false;
     }
 
-    /** Returns true if field ledger is set (has been assigned a value) and false otherwise */
-    public boolean isSetLedger() {
-        return this.ledger != null;
+    boolean this_present_rules = true && this.isSetRules();
+    boolean that_present_rules = true && that.isSetRules();
+    if (this_present_rules || that_present_rules) {
+      if (!(this_present_rules && that_present_rules))
+        return false;
+      if (!this.rules.equals(that.rules))
+        return false;
     }
 
-    public void setLedgerIsSet(boolean value) {
-        if (!value) {
-            this.ledger = null;
-        }
+    boolean this_present_claims = true && this.isSetClaims();
+    boolean that_present_claims = true && that.isSetClaims();
+    if (this_present_claims || that_present_claims) {
+      if (!(this_present_claims && that_present_claims))
+        return false;
+      if (!this.claims.equals(that.claims))
+        return false;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case LAST_INDEX:
-                if (value == null) {
-                    unsetLastIndex();
-                } else {
-                    setLastIndex((java.lang.Long) value);
-                }
-                break;
-
-            case VIEW_INDEX:
-                if (value == null) {
-                    unsetViewIndex();
-                } else {
-                    setViewIndex((java.lang.Long) value);
-                }
-                break;
-
-            case NOW_MILLIS:
-                if (value == null) {
-                    unsetNowMillis();
-                } else {
-                    setNowMillis((java.lang.Long) value);
-                }
-                break;
-
-            case RULES:
-                if (value == null) {
-                    unsetRules();
-                } else {
-                    setRules((RulesState) value);
-                }
-                break;
-
-            case CLAIMS:
-                if (value == null) {
-                    unsetClaims();
-                } else {
-                    setClaims((java.util.List<ClaimState>) value);
-                }
-                break;
-
-            case BUCKETS:
-                if (value == null) {
-                    unsetBuckets();
-                } else {
-                    setBuckets((java.util.List<BucketState>) value);
-                }
-                break;
-
-            case OPEN_SESSIONS:
-                if (value == null) {
-                    unsetOpenSessions();
-                } else {
-                    setOpenSessions((java.util.List<SessionState>) value);
-                }
-                break;
-
-            case ENDED_SESSIONS:
-                if (value == null) {
-                    unsetEndedSessions();
-                } else {
-                    setEndedSessions((java.util.List<SessionState>) value);
-                }
-                break;
-
-            case CRASHES:
-                if (value == null) {
-                    unsetCrashes();
-                } else {
-                    setCrashes((java.util.List<CrashState>) value);
-                }
-                break;
-
-            case LEDGER:
-                if (value == null) {
-                    unsetLedger();
-                } else {
-                    setLedger((LedgerState) value);
-                }
-                break;
-        }
+    boolean this_present_buckets = true && this.isSetBuckets();
+    boolean that_present_buckets = true && that.isSetBuckets();
+    if (this_present_buckets || that_present_buckets) {
+      if (!(this_present_buckets && that_present_buckets))
+        return false;
+      if (!this.buckets.equals(that.buckets))
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case LAST_INDEX:
-                return getLastIndex();
-
-            case VIEW_INDEX:
-                return getViewIndex();
-
-            case NOW_MILLIS:
-                return getNowMillis();
-
-            case RULES:
-                return getRules();
-
-            case CLAIMS:
-                return getClaims();
-
-            case BUCKETS:
-                return getBuckets();
-
-            case OPEN_SESSIONS:
-                return getOpenSessions();
-
-            case ENDED_SESSIONS:
-                return getEndedSessions();
-
-            case CRASHES:
-                return getCrashes();
-
-            case LEDGER:
-                return getLedger();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_openSessions = true && this.isSetOpenSessions();
+    boolean that_present_openSessions = true && that.isSetOpenSessions();
+    if (this_present_openSessions || that_present_openSessions) {
+      if (!(this_present_openSessions && that_present_openSessions))
+        return false;
+      if (!this.openSessions.equals(that.openSessions))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case LAST_INDEX:
-                return isSetLastIndex();
-            case VIEW_INDEX:
-                return isSetViewIndex();
-            case NOW_MILLIS:
-                return isSetNowMillis();
-            case RULES:
-                return isSetRules();
-            case CLAIMS:
-                return isSetClaims();
-            case BUCKETS:
-                return isSetBuckets();
-            case OPEN_SESSIONS:
-                return isSetOpenSessions();
-            case ENDED_SESSIONS:
-                return isSetEndedSessions();
-            case CRASHES:
-                return isSetCrashes();
-            case LEDGER:
-                return isSetLedger();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_endedSessions = true && this.isSetEndedSessions();
+    boolean that_present_endedSessions = true && that.isSetEndedSessions();
+    if (this_present_endedSessions || that_present_endedSessions) {
+      if (!(this_present_endedSessions && that_present_endedSessions))
+        return false;
+      if (!this.endedSessions.equals(that.endedSessions))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof MachineState) return this.equals((MachineState) that);
+    boolean this_present_crashes = true && this.isSetCrashes();
+    boolean that_present_crashes = true && that.isSetCrashes();
+    if (this_present_crashes || that_present_crashes) {
+      if (!(this_present_crashes && that_present_crashes))
+        return false;
+      if (!this.crashes.equals(that.crashes))
         return false;
     }
 
-    public boolean equals(MachineState that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_lastIndex = true;
-        boolean that_present_lastIndex = true;
-        if (this_present_lastIndex || that_present_lastIndex) {
-            if (!(this_present_lastIndex && that_present_lastIndex)) return false;
-            if (this.lastIndex != that.lastIndex) return false;
-        }
-
-        boolean this_present_viewIndex = true;
-        boolean that_present_viewIndex = true;
-        if (this_present_viewIndex || that_present_viewIndex) {
-            if (!(this_present_viewIndex && that_present_viewIndex)) return false;
-            if (this.viewIndex != that.viewIndex) return false;
-        }
-
-        boolean this_present_nowMillis = true;
-        boolean that_present_nowMillis = true;
-        if (this_present_nowMillis || that_present_nowMillis) {
-            if (!(this_present_nowMillis && that_present_nowMillis)) return false;
-            if (this.nowMillis != that.nowMillis) return false;
-        }
-
-        boolean this_present_rules = true && this.isSetRules();
-        boolean that_present_rules = true && that.isSetRules();
-        if (this_present_rules || that_present_rules) {
-            if (!(this_present_rules && that_present_rules)) return false;
-            if (!this.rules.equals(that.rules)) return false;
-        }
-
-        boolean this_present_claims = true && this.isSetClaims();
-        boolean that_present_claims = true && that.isSetClaims();
-        if (this_present_claims || that_present_claims) {
-            if (!(this_present_claims && that_present_claims)) return false;
-            if (!this.claims.equals(that.claims)) return false;
-        }
-
-        boolean this_present_buckets = true && this.isSetBuckets();
-        boolean that_present_buckets = true && that.isSetBuckets();
-        if (this_present_buckets || that_present_buckets) {
-            if (!(this_present_buckets && that_present_buckets)) return false;
-            if (!this.buckets.equals(that.buckets)) return false;
-        }
-
-        boolean this_present_openSessions = true && this.isSetOpenSessions();
-        boolean that_present_openSessions = true && that.isSetOpenSessions();
-        if (this_present_openSessions || that_present_openSessions) {
-            if (!(this_present_openSessions && that_present_openSessions)) return false;
-            if (!this.openSessions.equals(that.openSessions)) return false;
-        }
-
-        boolean this_present_endedSessions = true && this.isSetEndedSessions();
-        boolean that_present_endedSessions = true && that.isSetEndedSessions();
-        if (this_present_endedSessions || that_present_endedSessions) {
-            if (!(this_present_endedSessions && that_present_endedSessions)) return false;
-            if (!this.endedSessions.equals(that.endedSessions)) return false;
-        }
-
-        boolean this_present_crashes = true && this.isSetCrashes();
-        boolean that_present_crashes = true && that.isSetCrashes();
-        if (this_present_crashes || that_present_crashes) {
-            if (!(this_present_crashes && that_present_crashes)) return false;
-            if (!this.crashes.equals(that.crashes)) return false;
-        }
-
-        boolean this_present_ledger = true && this.isSetLedger();
-        boolean that_present_ledger = true && that.isSetLedger();
-        if (this_present_ledger || that_present_ledger) {
-            if (!(this_present_ledger && that_present_ledger)) return false;
-            if (!this.ledger.equals(that.ledger)) return false;
-        }
-
-        return true;
+    boolean this_present_ledger = true && this.isSetLedger();
+    boolean that_present_ledger = true && that.isSetLedger();
+    if (this_present_ledger || that_present_ledger) {
+      if (!(this_present_ledger && that_present_ledger))
+        return false;
+      if (!this.ledger.equals(that.ledger))
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    return true;
+  }
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastIndex);
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(viewIndex);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastIndex);
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(nowMillis);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(viewIndex);
 
-        hashCode = hashCode * 8191 + ((isSetRules()) ? 131071 : 524287);
-        if (isSetRules()) hashCode = hashCode * 8191 + rules.hashCode();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(nowMillis);
 
-        hashCode = hashCode * 8191 + ((isSetClaims()) ? 131071 : 524287);
-        if (isSetClaims()) hashCode = hashCode * 8191 + claims.hashCode();
+    hashCode = hashCode * 8191 + ((isSetRules()) ? 131071 : 524287);
+    if (isSetRules())
+      hashCode = hashCode * 8191 + rules.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetBuckets()) ? 131071 : 524287);
-        if (isSetBuckets()) hashCode = hashCode * 8191 + buckets.hashCode();
+    hashCode = hashCode * 8191 + ((isSetClaims()) ? 131071 : 524287);
+    if (isSetClaims())
+      hashCode = hashCode * 8191 + claims.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetOpenSessions()) ? 131071 : 524287);
-        if (isSetOpenSessions()) hashCode = hashCode * 8191 + openSessions.hashCode();
+    hashCode = hashCode * 8191 + ((isSetBuckets()) ? 131071 : 524287);
+    if (isSetBuckets())
+      hashCode = hashCode * 8191 + buckets.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetEndedSessions()) ? 131071 : 524287);
-        if (isSetEndedSessions()) hashCode = hashCode * 8191 + endedSessions.hashCode();
+    hashCode = hashCode * 8191 + ((isSetOpenSessions()) ? 131071 : 524287);
+    if (isSetOpenSessions())
+      hashCode = hashCode * 8191 + openSessions.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetCrashes()) ? 131071 : 524287);
-        if (isSetCrashes()) hashCode = hashCode * 8191 + crashes.hashCode();
+    hashCode = hashCode * 8191 + ((isSetEndedSessions()) ? 131071 : 524287);
+    if (isSetEndedSessions())
+      hashCode = hashCode * 8191 + endedSessions.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetLedger()) ? 131071 : 524287);
-        if (isSetLedger()) hashCode = hashCode * 8191 + ledger.hashCode();
+    hashCode = hashCode * 8191 + ((isSetCrashes()) ? 131071 : 524287);
+    if (isSetCrashes())
+      hashCode = hashCode * 8191 + crashes.hashCode();
 
-        return hashCode;
-    }
-
-    @Override
-    public int compareTo(MachineState other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    hashCode = hashCode * 8191 + ((isSetLedger()) ? 131071 : 524287);
+    if (isSetLedger())
+      hashCode = hashCode * 8191 + ledger.hashCode();
 
-        int lastComparison = 0;
+    return hashCode;
+  }
 
-        lastComparison = java.lang.Boolean.compare(isSetLastIndex(), other.isSetLastIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLastIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastIndex, other.lastIndex);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetViewIndex(), other.isSetViewIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetViewIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.viewIndex, other.viewIndex);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetNowMillis(), other.isSetNowMillis());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetNowMillis()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.nowMillis, other.nowMillis);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRules(), other.isSetRules());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRules()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rules, other.rules);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetClaims(), other.isSetClaims());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetClaims()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.claims, other.claims);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetBuckets(), other.isSetBuckets());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetBuckets()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.buckets, other.buckets);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOpenSessions(), other.isSetOpenSessions());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOpenSessions()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.openSessions, other.openSessions);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEndedSessions(), other.isSetEndedSessions());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEndedSessions()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.endedSessions, other.endedSessions);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetCrashes(), other.isSetCrashes());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetCrashes()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.crashes, other.crashes);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetLedger(), other.isSetLedger());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLedger()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ledger, other.ledger);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+  @Override
+  public int compareTo(MachineState other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetLastIndex(), other.isSetLastIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
+    if (isSetLastIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastIndex, other.lastIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetViewIndex(), other.isSetViewIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetViewIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.viewIndex, other.viewIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetNowMillis(), other.isSetNowMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetNowMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.nowMillis, other.nowMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRules(), other.isSetRules());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRules()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rules, other.rules);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetClaims(), other.isSetClaims());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetClaims()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.claims, other.claims);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetBuckets(), other.isSetBuckets());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBuckets()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.buckets, other.buckets);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOpenSessions(), other.isSetOpenSessions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOpenSessions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.openSessions, other.openSessions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEndedSessions(), other.isSetEndedSessions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEndedSessions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.endedSessions, other.endedSessions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetCrashes(), other.isSetCrashes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCrashes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.crashes, other.crashes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLedger(), other.isSetLedger());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLedger()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ledger, other.ledger);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("MachineState(");
+    boolean first = true;
+
+    sb.append("lastIndex:");
+    sb.append(this.lastIndex);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("viewIndex:");
+    sb.append(this.viewIndex);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("nowMillis:");
+    sb.append(this.nowMillis);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("rules:");
+    if (this.rules == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.rules);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("claims:");
+    if (this.claims == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.claims);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("buckets:");
+    if (this.buckets == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.buckets);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("openSessions:");
+    if (this.openSessions == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.openSessions);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("endedSessions:");
+    if (this.endedSessions == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.endedSessions);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("crashes:");
+    if (this.crashes == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.crashes);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("ledger:");
+    if (this.ledger == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.ledger);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'lastIndex' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'viewIndex' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'nowMillis' because it's a primitive and you chose the non-beans generator.
+    if (rules == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'rules' was not present! Struct: " + toString());
+    }
+    if (claims == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'claims' was not present! Struct: " + toString());
+    }
+    if (buckets == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'buckets' was not present! Struct: " + toString());
+    }
+    if (openSessions == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'openSessions' was not present! Struct: " + toString());
+    }
+    if (endedSessions == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'endedSessions' was not present! Struct: " + toString());
+    }
+    if (crashes == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'crashes' was not present! Struct: " + toString());
+    }
+    if (ledger == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'ledger' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+    if (rules != null) {
+      rules.validate();
+    }
+    if (ledger != null) {
+      ledger.validate();
+    }
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class MachineStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public MachineStateStandardScheme getScheme() {
+      return new MachineStateStandardScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class MachineStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<MachineState> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("MachineState(");
-        boolean first = true;
-
-        sb.append("lastIndex:");
-        sb.append(this.lastIndex);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("viewIndex:");
-        sb.append(this.viewIndex);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("nowMillis:");
-        sb.append(this.nowMillis);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("rules:");
-        if (this.rules == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.rules);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("claims:");
-        if (this.claims == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.claims);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("buckets:");
-        if (this.buckets == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.buckets);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("openSessions:");
-        if (this.openSessions == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.openSessions);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("endedSessions:");
-        if (this.endedSessions == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.endedSessions);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("crashes:");
-        if (this.crashes == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.crashes);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("ledger:");
-        if (this.ledger == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.ledger);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'lastIndex' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'viewIndex' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'nowMillis' because it's a primitive and you chose the non-beans generator.
-        if (rules == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'rules' was not present! Struct: " + toString());
-        }
-        if (claims == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'claims' was not present! Struct: " + toString());
-        }
-        if (buckets == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'buckets' was not present! Struct: " + toString());
-        }
-        if (openSessions == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'openSessions' was not present! Struct: " + toString());
-        }
-        if (endedSessions == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'endedSessions' was not present! Struct: " + toString());
-        }
-        if (crashes == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'crashes' was not present! Struct: " + toString());
-        }
-        if (ledger == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'ledger' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-        if (rules != null) {
-            rules.validate();
-        }
-        if (ledger != null) {
-            ledger.validate();
-        }
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class MachineStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public MachineStateStandardScheme getScheme() {
-            return new MachineStateStandardScheme();
-        }
-    }
-
-    private static class MachineStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<MachineState> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, MachineState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // LAST_INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.lastIndex = iprot.readI64();
-                            struct.setLastIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // VIEW_INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.viewIndex = iprot.readI64();
-                            struct.setViewIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // NOW_MILLIS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.nowMillis = iprot.readI64();
-                            struct.setNowMillisIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // RULES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                            struct.rules = new RulesState();
-                            struct.rules.read(iprot);
-                            struct.setRulesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // CLAIMS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
-                                struct.claims = new java.util.ArrayList<ClaimState>(_list64.size);
-                                @org.apache.thrift.annotation.Nullable ClaimState _elem65;
-                                for (int _i66 = 0; _i66 < _list64.size; ++_i66) {
-                                    _elem65 = new ClaimState();
-                                    _elem65.read(iprot);
-                                    struct.claims.add(_elem65);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setClaimsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // BUCKETS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list67 = iprot.readListBegin();
-                                struct.buckets = new java.util.ArrayList<BucketState>(_list67.size);
-                                @org.apache.thrift.annotation.Nullable BucketState _elem68;
-                                for (int _i69 = 0; _i69 < _list67.size; ++_i69) {
-                                    _elem68 = new BucketState();
-                                    _elem68.read(iprot);
-                                    struct.buckets.add(_elem68);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setBucketsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 7: // OPEN_SESSIONS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list70 = iprot.readListBegin();
-                                struct.openSessions = new java.util.ArrayList<SessionState>(_list70.size);
-                                @org.apache.thrift.annotation.Nullable SessionState _elem71;
-                                for (int _i72 = 0; _i72 < _list70.size; ++_i72) {
-                                    _elem71 = new SessionState();
-                                    _elem71.read(iprot);
-                                    struct.openSessions.add(_elem71);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setOpenSessionsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 8: // ENDED_SESSIONS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list73 = iprot.readListBegin();
-                                struct.endedSessions = new java.util.ArrayList<SessionState>(_list73.size);
-                                @org.apache.thrift.annotation.Nullable SessionState _elem74;
-                                for (int _i75 = 0; _i75 < _list73.size; ++_i75) {
-                                    _elem74 = new SessionState();
-                                    _elem74.read(iprot);
-                                    struct.endedSessions.add(_elem74);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setEndedSessionsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 9: // CRASHES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list76 = iprot.readListBegin();
-                                struct.crashes = new java.util.ArrayList<CrashState>(_list76.size);
-                                @org.apache.thrift.annotation.Nullable CrashState _elem77;
-                                for (int _i78 = 0; _i78 < _list76.size; ++_i78) {
-                                    _elem77 = new CrashState();
-                                    _elem77.read(iprot);
-                                    struct.crashes.add(_elem77);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setCrashesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 10: // LEDGER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                            struct.ledger = new LedgerState();
-                            struct.ledger.read(iprot);
-                            struct.setLedgerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetLastIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'lastIndex' was not found in serialized data! Struct: " + toString());
+    public void read(org.apache.thrift.protocol.TProtocol iprot, MachineState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // LAST_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.lastIndex = iprot.readI64();
+              struct.setLastIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetViewIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'viewIndex' was not found in serialized data! Struct: " + toString());
+            break;
+          case 2: // VIEW_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.viewIndex = iprot.readI64();
+              struct.setViewIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetNowMillis()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'nowMillis' was not found in serialized data! Struct: " + toString());
+            break;
+          case 3: // NOW_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.nowMillis = iprot.readI64();
+              struct.setNowMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, MachineState struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(LAST_INDEX_FIELD_DESC);
-            oprot.writeI64(struct.lastIndex);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(VIEW_INDEX_FIELD_DESC);
-            oprot.writeI64(struct.viewIndex);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(NOW_MILLIS_FIELD_DESC);
-            oprot.writeI64(struct.nowMillis);
-            oprot.writeFieldEnd();
-            if (struct.rules != null) {
-                oprot.writeFieldBegin(RULES_FIELD_DESC);
-                struct.rules.write(oprot);
-                oprot.writeFieldEnd();
+            break;
+          case 4: // RULES
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.rules = new RulesState();
+              struct.rules.read(iprot);
+              struct.setRulesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.claims != null) {
-                oprot.writeFieldBegin(CLAIMS_FIELD_DESC);
+            break;
+          case 5: // CLAIMS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
+                struct.claims = new java.util.ArrayList<ClaimState>(_list64.size);
+                @org.apache.thrift.annotation.Nullable ClaimState _elem65;
+                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.claims.size()));
-                    for (ClaimState _iter79 : struct.claims) {
-                        _iter79.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem65 = new ClaimState();
+                  _elem65.read(iprot);
+                  struct.claims.add(_elem65);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setClaimsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.buckets != null) {
-                oprot.writeFieldBegin(BUCKETS_FIELD_DESC);
+            break;
+          case 6: // BUCKETS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list67 = iprot.readListBegin();
+                struct.buckets = new java.util.ArrayList<BucketState>(_list67.size);
+                @org.apache.thrift.annotation.Nullable BucketState _elem68;
+                for (int _i69 = 0; _i69 < _list67.size; ++_i69)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.buckets.size()));
-                    for (BucketState _iter80 : struct.buckets) {
-                        _iter80.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem68 = new BucketState();
+                  _elem68.read(iprot);
+                  struct.buckets.add(_elem68);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setBucketsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.openSessions != null) {
-                oprot.writeFieldBegin(OPEN_SESSIONS_FIELD_DESC);
+            break;
+          case 7: // OPEN_SESSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list70 = iprot.readListBegin();
+                struct.openSessions = new java.util.ArrayList<SessionState>(_list70.size);
+                @org.apache.thrift.annotation.Nullable SessionState _elem71;
+                for (int _i72 = 0; _i72 < _list70.size; ++_i72)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.openSessions.size()));
-                    for (SessionState _iter81 : struct.openSessions) {
-                        _iter81.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem71 = new SessionState();
+                  _elem71.read(iprot);
+                  struct.openSessions.add(_elem71);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setOpenSessionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.endedSessions != null) {
-                oprot.writeFieldBegin(ENDED_SESSIONS_FIELD_DESC);
+            break;
+          case 8: // ENDED_SESSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list73 = iprot.readListBegin();
+                struct.endedSessions = new java.util.ArrayList<SessionState>(_list73.size);
+                @org.apache.thrift.annotation.Nullable SessionState _elem74;
+                for (int _i75 = 0; _i75 < _list73.size; ++_i75)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.endedSessions.size()));
-                    for (SessionState _iter82 : struct.endedSessions) {
-                        _iter82.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem74 = new SessionState();
+                  _elem74.read(iprot);
+                  struct.endedSessions.add(_elem74);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setEndedSessionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.crashes != null) {
-                oprot.writeFieldBegin(CRASHES_FIELD_DESC);
+            break;
+          case 9: // CRASHES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list76 = iprot.readListBegin();
+                struct.crashes = new java.util.ArrayList<CrashState>(_list76.size);
+                @org.apache.thrift.annotation.Nullable CrashState _elem77;
+                for (int _i78 = 0; _i78 < _list76.size; ++_i78)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
-                    for (CrashState _iter83 : struct.crashes) {
-                        _iter83.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem77 = new CrashState();
+                  _elem77.read(iprot);
+                  struct.crashes.add(_elem77);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setCrashesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.ledger != null) {
-                oprot.writeFieldBegin(LEDGER_FIELD_DESC);
-                struct.ledger.write(oprot);
-                oprot.writeFieldEnd();
+            break;
+          case 10: // LEDGER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.ledger = new LedgerState();
+              struct.ledger.read(iprot);
+              struct.setLedgerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetLastIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'lastIndex' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetViewIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'viewIndex' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetNowMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'nowMillis' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class MachineStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public MachineStateTupleScheme getScheme() {
-            return new MachineStateTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, MachineState struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(LAST_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.lastIndex);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(VIEW_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.viewIndex);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(NOW_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.nowMillis);
+      oprot.writeFieldEnd();
+      if (struct.rules != null) {
+        oprot.writeFieldBegin(RULES_FIELD_DESC);
+        struct.rules.write(oprot);
+        oprot.writeFieldEnd();
+      }
+      if (struct.claims != null) {
+        oprot.writeFieldBegin(CLAIMS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.claims.size()));
+          for (ClaimState _iter79 : struct.claims)
+          {
+            _iter79.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.buckets != null) {
+        oprot.writeFieldBegin(BUCKETS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.buckets.size()));
+          for (BucketState _iter80 : struct.buckets)
+          {
+            _iter80.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.openSessions != null) {
+        oprot.writeFieldBegin(OPEN_SESSIONS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.openSessions.size()));
+          for (SessionState _iter81 : struct.openSessions)
+          {
+            _iter81.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.endedSessions != null) {
+        oprot.writeFieldBegin(ENDED_SESSIONS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.endedSessions.size()));
+          for (SessionState _iter82 : struct.endedSessions)
+          {
+            _iter82.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.crashes != null) {
+        oprot.writeFieldBegin(CRASHES_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
+          for (CrashState _iter83 : struct.crashes)
+          {
+            _iter83.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.ledger != null) {
+        oprot.writeFieldBegin(LEDGER_FIELD_DESC);
+        struct.ledger.write(oprot);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class MachineStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public MachineStateTupleScheme getScheme() {
+      return new MachineStateTupleScheme();
     }
+  }
 
-    private static class MachineStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<MachineState> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, MachineState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.lastIndex);
-            oprot.writeI64(struct.viewIndex);
-            oprot.writeI64(struct.nowMillis);
-            struct.rules.write(oprot);
-            {
-                oprot.writeI32(struct.claims.size());
-                for (ClaimState _iter84 : struct.claims) {
-                    _iter84.write(oprot);
-                }
-            }
-            {
-                oprot.writeI32(struct.buckets.size());
-                for (BucketState _iter85 : struct.buckets) {
-                    _iter85.write(oprot);
-                }
-            }
-            {
-                oprot.writeI32(struct.openSessions.size());
-                for (SessionState _iter86 : struct.openSessions) {
-                    _iter86.write(oprot);
-                }
-            }
-            {
-                oprot.writeI32(struct.endedSessions.size());
-                for (SessionState _iter87 : struct.endedSessions) {
-                    _iter87.write(oprot);
-                }
-            }
-            {
-                oprot.writeI32(struct.crashes.size());
-                for (CrashState _iter88 : struct.crashes) {
-                    _iter88.write(oprot);
-                }
-            }
-            struct.ledger.write(oprot);
-        }
+  private static class MachineStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<MachineState> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, MachineState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.lastIndex = iprot.readI64();
-            struct.setLastIndexIsSet(true);
-            struct.viewIndex = iprot.readI64();
-            struct.setViewIndexIsSet(true);
-            struct.nowMillis = iprot.readI64();
-            struct.setNowMillisIsSet(true);
-            struct.rules = new RulesState();
-            struct.rules.read(iprot);
-            struct.setRulesIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list89 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.claims = new java.util.ArrayList<ClaimState>(_list89.size);
-                @org.apache.thrift.annotation.Nullable ClaimState _elem90;
-                for (int _i91 = 0; _i91 < _list89.size; ++_i91) {
-                    _elem90 = new ClaimState();
-                    _elem90.read(iprot);
-                    struct.claims.add(_elem90);
-                }
-            }
-            struct.setClaimsIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list92 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.buckets = new java.util.ArrayList<BucketState>(_list92.size);
-                @org.apache.thrift.annotation.Nullable BucketState _elem93;
-                for (int _i94 = 0; _i94 < _list92.size; ++_i94) {
-                    _elem93 = new BucketState();
-                    _elem93.read(iprot);
-                    struct.buckets.add(_elem93);
-                }
-            }
-            struct.setBucketsIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list95 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.openSessions = new java.util.ArrayList<SessionState>(_list95.size);
-                @org.apache.thrift.annotation.Nullable SessionState _elem96;
-                for (int _i97 = 0; _i97 < _list95.size; ++_i97) {
-                    _elem96 = new SessionState();
-                    _elem96.read(iprot);
-                    struct.openSessions.add(_elem96);
-                }
-            }
-            struct.setOpenSessionsIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list98 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.endedSessions = new java.util.ArrayList<SessionState>(_list98.size);
-                @org.apache.thrift.annotation.Nullable SessionState _elem99;
-                for (int _i100 = 0; _i100 < _list98.size; ++_i100) {
-                    _elem99 = new SessionState();
-                    _elem99.read(iprot);
-                    struct.endedSessions.add(_elem99);
-                }
-            }
-            struct.setEndedSessionsIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list101 =
-                        iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.crashes = new java.util.ArrayList<CrashState>(_list101.size);
-                @org.apache.thrift.annotation.Nullable CrashState _elem102;
-                for (int _i103 = 0; _i103 < _list101.size; ++_i103) {
-                    _elem102 = new CrashState();
-                    _elem102.read(iprot);
-                    struct.crashes.add(_elem102);
-                }
-            }
-            struct.setCrashesIsSet(true);
-            struct.ledger = new LedgerState();
-            struct.ledger.read(iprot);
-            struct.setLedgerIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, MachineState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.lastIndex);
+      oprot.writeI64(struct.viewIndex);
+      oprot.writeI64(struct.nowMillis);
+      struct.rules.write(oprot);
+      {
+        oprot.writeI32(struct.claims.size());
+        for (ClaimState _iter84 : struct.claims)
+        {
+          _iter84.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.buckets.size());
+        for (BucketState _iter85 : struct.buckets)
+        {
+          _iter85.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.openSessions.size());
+        for (SessionState _iter86 : struct.openSessions)
+        {
+          _iter86.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.endedSessions.size());
+        for (SessionState _iter87 : struct.endedSessions)
+        {
+          _iter87.write(oprot);
+        }
+      }
+      {
+        oprot.writeI32(struct.crashes.size());
+        for (CrashState _iter88 : struct.crashes)
+        {
+          _iter88.write(oprot);
+        }
+      }
+      struct.ledger.write(oprot);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, MachineState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.lastIndex = iprot.readI64();
+      struct.setLastIndexIsSet(true);
+      struct.viewIndex = iprot.readI64();
+      struct.setViewIndexIsSet(true);
+      struct.nowMillis = iprot.readI64();
+      struct.setNowMillisIsSet(true);
+      struct.rules = new RulesState();
+      struct.rules.read(iprot);
+      struct.setRulesIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list89 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.claims = new java.util.ArrayList<ClaimState>(_list89.size);
+        @org.apache.thrift.annotation.Nullable ClaimState _elem90;
+        for (int _i91 = 0; _i91 < _list89.size; ++_i91)
+        {
+          _elem90 = new ClaimState();
+          _elem90.read(iprot);
+          struct.claims.add(_elem90);
+        }
+      }
+      struct.setClaimsIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list92 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.buckets = new java.util.ArrayList<BucketState>(_list92.size);
+        @org.apache.thrift.annotation.Nullable BucketState _elem93;
+        for (int _i94 = 0; _i94 < _list92.size; ++_i94)
+        {
+          _elem93 = new BucketState();
+          _elem93.read(iprot);
+          struct.buckets.add(_elem93);
+        }
+      }
+      struct.setBucketsIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list95 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.openSessions = new java.util.ArrayList<SessionState>(_list95.size);
+        @org.apache.thrift.annotation.Nullable SessionState _elem96;
+        for (int _i97 = 0; _i97 < _list95.size; ++_i97)
+        {
+          _elem96 = new SessionState();
+          _elem96.read(iprot);
+          struct.openSessions.add(_elem96);
+        }
+      }
+      struct.setOpenSessionsIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list98 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.endedSessions = new java.util.ArrayList<SessionState>(_list98.size);
+        @org.apache.thrift.annotation.Nullable SessionState _elem99;
+        for (int _i100 = 0; _i100 < _list98.size; ++_i100)
+        {
+          _elem99 = new SessionState();
+          _elem99.read(iprot);
+          struct.endedSessions.add(_elem99);
+        }
+      }
+      struct.setEndedSessionsIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.crashes = new java.util.ArrayList<CrashState>(_list101.size);
+        @org.apache.thrift.annotation.Nullable CrashState _elem102;
+        for (int _i103 = 0; _i103 < _list101.size; ++_i103)
+        {
+          _elem102 = new CrashState();
+          _elem102.read(iprot);
+          struct.crashes.add(_elem102);
+        }
+      }
+      struct.setCrashesIsSet(true);
+      struct.ledger = new LedgerState();
+      struct.ledger.read(iprot);
+      struct.setLedgerIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
