--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ObserveTargetCommand.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ObserveTargetCommand.java
@@ -7,844 +7,813 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class ObserveTargetCommand
-        implements org.apache.thrift.TBase<ObserveTargetCommand, ObserveTargetCommand._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<ObserveTargetCommand> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ObserveTargetCommand");
-
-    private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField MEMORY_BYTES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("memoryBytes", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField CONTENTS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("contents", org.apache.thrift.protocol.TType.LIST, (short) 4);
-    private static final org.apache.thrift.protocol.TField ENFORCES_FENCING_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("enforcesFencing", org.apache.thrift.protocol.TType.BOOL, (short) 5);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ObserveTargetCommandStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new ObserveTargetCommandTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
-    private long incarnation; // required
-    private long memoryBytes; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<LoadedModelReport> contents; // required
-    private boolean enforcesFencing; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TARGET((short) 1, "target"),
-        INCARNATION((short) 2, "incarnation"),
-        MEMORY_BYTES((short) 3, "memoryBytes"),
-        CONTENTS((short) 4, "contents"),
-        ENFORCES_FENCING((short) 5, "enforcesFencing");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TARGET
-                    return TARGET;
-                case 2: // INCARNATION
-                    return INCARNATION;
-                case 3: // MEMORY_BYTES
-                    return MEMORY_BYTES;
-                case 4: // CONTENTS
-                    return CONTENTS;
-                case 5: // ENFORCES_FENCING
-                    return ENFORCES_FENCING;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __INCARNATION_ISSET_ID = 0;
-    private static final int __MEMORYBYTES_ISSET_ID = 1;
-    private static final int __ENFORCESFENCING_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+public class ObserveTargetCommand implements org.apache.thrift.TBase<ObserveTargetCommand, ObserveTargetCommand._Fields>, java.io.Serializable, Cloneable, Comparable<ObserveTargetCommand> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ObserveTargetCommand");
+
+  private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC = new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField MEMORY_BYTES_FIELD_DESC = new org.apache.thrift.protocol.TField("memoryBytes", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField CONTENTS_FIELD_DESC = new org.apache.thrift.protocol.TField("contents", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField ENFORCES_FENCING_FIELD_DESC = new org.apache.thrift.protocol.TField("enforcesFencing", org.apache.thrift.protocol.TType.BOOL, (short)5);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ObserveTargetCommandStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ObserveTargetCommandTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
+  private long incarnation; // required
+  private long memoryBytes; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<LoadedModelReport> contents; // required
+  private boolean enforcesFencing; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TARGET((short)1, "target"),
+    INCARNATION((short)2, "incarnation"),
+    MEMORY_BYTES((short)3, "memoryBytes"),
+    CONTENTS((short)4, "contents"),
+    ENFORCES_FENCING((short)5, "enforcesFencing");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TARGET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "target",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "incarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.MEMORY_BYTES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "memoryBytes",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.CONTENTS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "contents",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, LoadedModelReport.class))));
-        tmpMap.put(
-                _Fields.ENFORCES_FENCING,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "enforcesFencing",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ObserveTargetCommand.class, metaDataMap);
-    }
-
-    public ObserveTargetCommand() {}
-
-    public ObserveTargetCommand(
-            java.lang.String target,
-            long incarnation,
-            long memoryBytes,
-            java.util.List<LoadedModelReport> contents,
-            boolean enforcesFencing) {
-        this();
-        this.target = target;
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        this.memoryBytes = memoryBytes;
-        setMemoryBytesIsSet(true);
-        this.contents = contents;
-        this.enforcesFencing = enforcesFencing;
-        setEnforcesFencingIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public ObserveTargetCommand(ObserveTargetCommand other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetTarget()) {
-            this.target = other.target;
-        }
-        this.incarnation = other.incarnation;
-        this.memoryBytes = other.memoryBytes;
-        if (other.isSetContents()) {
-            java.util.List<LoadedModelReport> __this__contents =
-                    new java.util.ArrayList<LoadedModelReport>(other.contents.size());
-            for (LoadedModelReport other_element : other.contents) {
-                __this__contents.add(new LoadedModelReport(other_element));
-            }
-            this.contents = __this__contents;
-        }
-        this.enforcesFencing = other.enforcesFencing;
-    }
-
-    @Override
-    public ObserveTargetCommand deepCopy() {
-        return new ObserveTargetCommand(this);
-    }
-
-    @Override
-    public void clear() {
-        this.target = null;
-        setIncarnationIsSet(false);
-        this.incarnation = 0;
-        setMemoryBytesIsSet(false);
-        this.memoryBytes = 0;
-        this.contents = null;
-        setEnforcesFencingIsSet(false);
-        this.enforcesFencing = false;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getTarget() {
-        return this.target;
-    }
-
-    public ObserveTargetCommand setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
-        this.target = target;
-        return this;
-    }
-
-    public void unsetTarget() {
-        this.target = null;
-    }
-
-    /** Returns true if field target is set (has been assigned a value) and false otherwise */
-    public boolean isSetTarget() {
-        return this.target != null;
-    }
-
-    public void setTargetIsSet(boolean value) {
-        if (!value) {
-            this.target = null;
-        }
-    }
-
-    public long getIncarnation() {
-        return this.incarnation;
-    }
-
-    public ObserveTargetCommand setIncarnation(long incarnation) {
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        return this;
-    }
-
-    public void unsetIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TARGET
+          return TARGET;
+        case 2: // INCARNATION
+          return INCARNATION;
+        case 3: // MEMORY_BYTES
+          return MEMORY_BYTES;
+        case 4: // CONTENTS
+          return CONTENTS;
+        case 5: // ENFORCES_FENCING
+          return ENFORCES_FENCING;
+        default:
+          return null;
+      }
     }
 
-    public void setIncarnationIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
-    }
-
-    public long getMemoryBytes() {
-        return this.memoryBytes;
-    }
-
-    public ObserveTargetCommand setMemoryBytes(long memoryBytes) {
-        this.memoryBytes = memoryBytes;
-        setMemoryBytesIsSet(true);
-        return this;
-    }
-
-    public void unsetMemoryBytes() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
-    }
-
-    /** Returns true if field memoryBytes is set (has been assigned a value) and false otherwise */
-    public boolean isSetMemoryBytes() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
-    }
-
-    public void setMemoryBytesIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID, value);
-    }
-
-    public int getContentsSize() {
-        return (this.contents == null) ? 0 : this.contents.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<LoadedModelReport> getContentsIterator() {
-        return (this.contents == null) ? null : this.contents.iterator();
-    }
-
-    public void addToContents(LoadedModelReport elem) {
-        if (this.contents == null) {
-            this.contents = new java.util.ArrayList<LoadedModelReport>();
-        }
-        this.contents.add(elem);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<LoadedModelReport> getContents() {
-        return this.contents;
-    }
-
-    public ObserveTargetCommand setContents(
-            @org.apache.thrift.annotation.Nullable java.util.List<LoadedModelReport> contents) {
-        this.contents = contents;
-        return this;
-    }
-
-    public void unsetContents() {
-        this.contents = null;
-    }
-
-    /** Returns true if field contents is set (has been assigned a value) and false otherwise */
-    public boolean isSetContents() {
-        return this.contents != null;
-    }
-
-    public void setContentsIsSet(boolean value) {
-        if (!value) {
-            this.contents = null;
-        }
-    }
-
-    public boolean isEnforcesFencing() {
-        return this.enforcesFencing;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public ObserveTargetCommand setEnforcesFencing(boolean enforcesFencing) {
-        this.enforcesFencing = enforcesFencing;
-        setEnforcesFencingIsSet(true);
-        return this;
-    }
-
-    public void unsetEnforcesFencing() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    /** Returns true if field enforcesFencing is set (has been assigned a value) and false otherwise */
-    public boolean isSetEnforcesFencing() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
-    }
-
-    public void setEnforcesFencingIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TARGET:
-                if (value == null) {
-                    unsetTarget();
-                } else {
-                    setTarget((java.lang.String) value);
-                }
-                break;
-
-            case INCARNATION:
-                if (value == null) {
-                    unsetIncarnation();
-                } else {
-                    setIncarnation((java.lang.Long) value);
-                }
-                break;
-
-            case MEMORY_BYTES:
-                if (value == null) {
-                    unsetMemoryBytes();
-                } else {
-                    setMemoryBytes((java.lang.Long) value);
-                }
-                break;
-
-            case CONTENTS:
-                if (value == null) {
-                    unsetContents();
-                } else {
-                    setContents((java.util.List<LoadedModelReport>) value);
-                }
-                break;
-
-            case ENFORCES_FENCING:
-                if (value == null) {
-                    unsetEnforcesFencing();
-                } else {
-                    setEnforcesFencing((java.lang.Boolean) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TARGET:
-                return getTarget();
-
-            case INCARNATION:
-                return getIncarnation();
-
-            case MEMORY_BYTES:
-                return getMemoryBytes();
-
-            case CONTENTS:
-                return getContents();
-
-            case ENFORCES_FENCING:
-                return isEnforcesFencing();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __INCARNATION_ISSET_ID = 0;
+  private static final int __MEMORYBYTES_ISSET_ID = 1;
+  private static final int __ENFORCESFENCING_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TARGET, new org.apache.thrift.meta_data.FieldMetaData("target", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.MEMORY_BYTES, new org.apache.thrift.meta_data.FieldMetaData("memoryBytes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CONTENTS, new org.apache.thrift.meta_data.FieldMetaData("contents", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LoadedModelReport.class))));
+    tmpMap.put(_Fields.ENFORCES_FENCING, new org.apache.thrift.meta_data.FieldMetaData("enforcesFencing", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ObserveTargetCommand.class, metaDataMap);
+  }
+
+  public ObserveTargetCommand() {
+  }
+
+  public ObserveTargetCommand(
+    java.lang.String target,
+    long incarnation,
+    long memoryBytes,
+    java.util.List<LoadedModelReport> contents,
+    boolean enforcesFencing)
+  {
+    this();
+    this.target = target;
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    this.memoryBytes = memoryBytes;
+    setMemoryBytesIsSet(true);
+    this.contents = contents;
+    this.enforcesFencing = enforcesFencing;
+    setEnforcesFencingIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public ObserveTargetCommand(ObserveTargetCommand other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetTarget()) {
+      this.target = other.target;
+    }
+    this.incarnation = other.incarnation;
+    this.memoryBytes = other.memoryBytes;
+    if (other.isSetContents()) {
+      java.util.List<LoadedModelReport> __this__contents = new java.util.ArrayList<LoadedModelReport>(other.contents.size());
+      for (LoadedModelReport other_element : other.contents) {
+        __this__contents.add(new LoadedModelReport(other_element));
+      }
+      this.contents = __this__contents;
+    }
+    this.enforcesFencing = other.enforcesFencing;
+  }
+
+  @Override
+  public ObserveTargetCommand deepCopy() {
+    return new ObserveTargetCommand(this);
+  }
+
+  @Override
+  public void clear() {
+    this.target = null;
+    setIncarnationIsSet(false);
+    this.incarnation = 0;
+    setMemoryBytesIsSet(false);
+    this.memoryBytes = 0;
+    this.contents = null;
+    setEnforcesFencingIsSet(false);
+    this.enforcesFencing = false;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getTarget() {
+    return this.target;
+  }
+
+  public ObserveTargetCommand setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
+    this.target = target;
+    return this;
+  }
+
+  public void unsetTarget() {
+    this.target = null;
+  }
+
+  /** Returns true if field target is set (has been assigned a value) and false otherwise */
+  public boolean isSetTarget() {
+    return this.target != null;
+  }
+
+  public void setTargetIsSet(boolean value) {
+    if (!value) {
+      this.target = null;
+    }
+  }
+
+  public long getIncarnation() {
+    return this.incarnation;
+  }
+
+  public ObserveTargetCommand setIncarnation(long incarnation) {
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  public void setIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+  }
+
+  public long getMemoryBytes() {
+    return this.memoryBytes;
+  }
+
+  public ObserveTargetCommand setMemoryBytes(long memoryBytes) {
+    this.memoryBytes = memoryBytes;
+    setMemoryBytesIsSet(true);
+    return this;
+  }
+
+  public void unsetMemoryBytes() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
+  }
+
+  /** Returns true if field memoryBytes is set (has been assigned a value) and false otherwise */
+  public boolean isSetMemoryBytes() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
+  }
+
+  public void setMemoryBytesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID, value);
+  }
+
+  public int getContentsSize() {
+    return (this.contents == null) ? 0 : this.contents.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<LoadedModelReport> getContentsIterator() {
+    return (this.contents == null) ? null : this.contents.iterator();
+  }
+
+  public void addToContents(LoadedModelReport elem) {
+    if (this.contents == null) {
+      this.contents = new java.util.ArrayList<LoadedModelReport>();
+    }
+    this.contents.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<LoadedModelReport> getContents() {
+    return this.contents;
+  }
+
+  public ObserveTargetCommand setContents(@org.apache.thrift.annotation.Nullable java.util.List<LoadedModelReport> contents) {
+    this.contents = contents;
+    return this;
+  }
+
+  public void unsetContents() {
+    this.contents = null;
+  }
+
+  /** Returns true if field contents is set (has been assigned a value) and false otherwise */
+  public boolean isSetContents() {
+    return this.contents != null;
+  }
+
+  public void setContentsIsSet(boolean value) {
+    if (!value) {
+      this.contents = null;
+    }
+  }
+
+  public boolean isEnforcesFencing() {
+    return this.enforcesFencing;
+  }
+
+  public ObserveTargetCommand setEnforcesFencing(boolean enforcesFencing) {
+    this.enforcesFencing = enforcesFencing;
+    setEnforcesFencingIsSet(true);
+    return this;
+  }
+
+  public void unsetEnforcesFencing() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
+  }
+
+  /** Returns true if field enforcesFencing is set (has been assigned a value) and false otherwise */
+  public boolean isSetEnforcesFencing() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
+  }
+
+  public void setEnforcesFencingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TARGET:
+      if (value == null) {
+        unsetTarget();
+      } else {
+        setTarget((java.lang.String)value);
+      }
+      break;
+
+    case INCARNATION:
+      if (value == null) {
+        unsetIncarnation();
+      } else {
+        setIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case MEMORY_BYTES:
+      if (value == null) {
+        unsetMemoryBytes();
+      } else {
+        setMemoryBytes((java.lang.Long)value);
+      }
+      break;
+
+    case CONTENTS:
+      if (value == null) {
+        unsetContents();
+      } else {
+        setContents((java.util.List<LoadedModelReport>)value);
+      }
+      break;
+
+    case ENFORCES_FENCING:
+      if (value == null) {
+        unsetEnforcesFencing();
+      } else {
+        setEnforcesFencing((java.lang.Boolean)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TARGET:
+      return getTarget();
+
+    case INCARNATION:
+      return getIncarnation();
+
+    case MEMORY_BYTES:
+      return getMemoryBytes();
+
+    case CONTENTS:
+      return getContents();
+
+    case ENFORCES_FENCING:
+      return isEnforcesFencing();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case TARGET:
+      return isSetTarget();
+    case INCARNATION:
+      return isSetIncarnation();
+    case MEMORY_BYTES:
+      return isSetMemoryBytes();
+    case CONTENTS:
+      return isSetContents();
+    case ENFORCES_FENCING:
+      return isSetEnforcesFencing();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof ObserveTargetCommand)
+      return this.equals((ObserveTargetCommand)that);
+    return false;
+  }
+
+  public boolean equals(ObserveTargetCommand that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_target = true && this.isSetTarget();
+    boolean that_present_target = true && that.isSetTarget();
+    if (this_present_target || that_present_target) {
+      if (!(this_present_target && that_present_target))
+        return false;
+      if (!this.target.equals(that.target))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TARGET:
-                return isSetTarget();
-            case INCARNATION:
-                return isSetIncarnation();
-            case MEMORY_BYTES:
-                return isSetMemoryBytes();
-            case CONTENTS:
-                return isSetContents();
-            case ENFORCES_FENCING:
-                return isSetEnforcesFencing();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_incarnation = true;
+    boolean that_present_incarnation = true;
+    if (this_present_incarnation || that_present_incarnation) {
+      if (!(this_present_incarnation && that_present_incarnation))
+        return false;
+      if (this.incarnation != that.incarnation)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof ObserveTargetCommand) return this.equals((ObserveTargetCommand) that);
+    boolean this_present_memoryBytes = true;
+    boolean that_present_memoryBytes = true;
+    if (this_present_memoryBytes || that_present_memoryBytes) {
+      if (!(this_present_memoryBytes && that_present_memoryBytes))
+        return false;
+      if (this.memoryBytes != that.memoryBytes)
         return false;
     }
 
-    public boolean equals(ObserveTargetCommand that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_target = true && this.isSetTarget();
-        boolean that_present_target = true && that.isSetTarget();
-        if (this_present_target || that_present_target) {
-            if (!(this_present_target && that_present_target)) return false;
-            if (!this.target.equals(that.target)) return false;
-        }
-
-        boolean this_present_incarnation = true;
-        boolean that_present_incarnation = true;
-        if (this_present_incarnation || that_present_incarnation) {
-            if (!(this_present_incarnation && that_present_incarnation)) return false;
-            if (this.incarnation != that.incarnation) return false;
-        }
-
-        boolean this_present_memoryBytes = true;
-        boolean that_present_memoryBytes = true;
-        if (this_present_memoryBytes || that_present_memoryBytes) {
-            if (!(this_present_memoryBytes && that_present_memoryBytes)) return false;
-            if (this.memoryBytes != that.memoryBytes) return false;
-        }
-
-        boolean this_present_contents = true && this.isSetContents();
-        boolean that_present_contents = true && that.isSetContents();
-        if (this_present_contents || that_present_contents) {
-            if (!(this_present_contents && that_present_contents)) return false;
-            if (!this.contents.equals(that.contents)) return false;
-        }
-
-        boolean this_present_enforcesFencing = true;
-        boolean that_present_enforcesFencing = true;
-        if (this_present_enforcesFencing || that_present_enforcesFencing) {
-            if (!(this_present_enforcesFencing && that_present_enforcesFencing)) return false;
-            if (this.enforcesFencing != that.enforcesFencing) return false;
-        }
-
-        return true;
+    boolean this_present_contents = true && this.isSetContents();
+    boolean that_present_contents = true && that.isSetContents();
+    if (this_present_contents || that_present_contents) {
+      if (!(this_present_contents && that_present_contents))
+        return false;
+      if (!this.contents.equals(that.contents))
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
-        if (isSetTarget()) hashCode = hashCode * 8191 + target.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(memoryBytes);
-
-        hashCode = hashCode * 8191 + ((isSetContents()) ? 131071 : 524287);
-        if (isSetContents()) hashCode = hashCode * 8191 + contents.hashCode();
-
-        hashCode = hashCode * 8191 + ((enforcesFencing) ? 131071 : 524287);
-
-        return hashCode;
+    boolean this_present_enforcesFencing = true;
+    boolean that_present_enforcesFencing = true;
+    if (this_present_enforcesFencing || that_present_enforcesFencing) {
+      if (!(this_present_enforcesFencing && that_present_enforcesFencing))
+        return false;
+      if (this.enforcesFencing != that.enforcesFencing)
+        return false;
     }
 
-    @Override
-    public int compareTo(ObserveTargetCommand other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    return true;
+  }
 
-        int lastComparison = 0;
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTarget()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIncarnation()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetMemoryBytes(), other.isSetMemoryBytes());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetMemoryBytes()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.memoryBytes, other.memoryBytes);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetContents(), other.isSetContents());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetContents()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.contents, other.contents);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEnforcesFencing(), other.isSetEnforcesFencing());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEnforcesFencing()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.enforcesFencing, other.enforcesFencing);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+    hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
+    if (isSetTarget())
+      hashCode = hashCode * 8191 + target.hashCode();
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(memoryBytes);
 
+    hashCode = hashCode * 8191 + ((isSetContents()) ? 131071 : 524287);
+    if (isSetContents())
+      hashCode = hashCode * 8191 + contents.hashCode();
+
+    hashCode = hashCode * 8191 + ((enforcesFencing) ? 131071 : 524287);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(ObserveTargetCommand other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTarget()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetMemoryBytes(), other.isSetMemoryBytes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMemoryBytes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.memoryBytes, other.memoryBytes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetContents(), other.isSetContents());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetContents()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.contents, other.contents);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEnforcesFencing(), other.isSetEnforcesFencing());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEnforcesFencing()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.enforcesFencing, other.enforcesFencing);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("ObserveTargetCommand(");
+    boolean first = true;
+
+    sb.append("target:");
+    if (this.target == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.target);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("incarnation:");
+    sb.append(this.incarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("memoryBytes:");
+    sb.append(this.memoryBytes);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("contents:");
+    if (this.contents == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.contents);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("enforcesFencing:");
+    sb.append(this.enforcesFencing);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (target == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'target' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'memoryBytes' because it's a primitive and you chose the non-beans generator.
+    if (contents == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'contents' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'enforcesFencing' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ObserveTargetCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("ObserveTargetCommand(");
-        boolean first = true;
-
-        sb.append("target:");
-        if (this.target == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.target);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("incarnation:");
-        sb.append(this.incarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("memoryBytes:");
-        sb.append(this.memoryBytes);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("contents:");
-        if (this.contents == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.contents);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("enforcesFencing:");
-        sb.append(this.enforcesFencing);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (target == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'target' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'memoryBytes' because it's a primitive and you chose the non-beans generator.
-        if (contents == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'contents' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'enforcesFencing' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class ObserveTargetCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ObserveTargetCommandStandardScheme getScheme() {
-            return new ObserveTargetCommandStandardScheme();
-        }
+    public ObserveTargetCommandStandardScheme getScheme() {
+      return new ObserveTargetCommandStandardScheme();
     }
+  }
 
-    private static class ObserveTargetCommandStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<ObserveTargetCommand> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, ObserveTargetCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TARGET
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.target = iprot.readString();
-                            struct.setTargetIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.incarnation = iprot.readI64();
-                            struct.setIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // MEMORY_BYTES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.memoryBytes = iprot.readI64();
-                            struct.setMemoryBytesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // CONTENTS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                                struct.contents = new java.util.ArrayList<LoadedModelReport>(_list0.size);
-                                @org.apache.thrift.annotation.Nullable LoadedModelReport _elem1;
-                                for (int _i2 = 0; _i2 < _list0.size; ++_i2) {
-                                    _elem1 = new LoadedModelReport();
-                                    _elem1.read(iprot);
-                                    struct.contents.add(_elem1);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setContentsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // ENFORCES_FENCING
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.enforcesFencing = iprot.readBool();
-                            struct.setEnforcesFencingIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
+  private static class ObserveTargetCommandStandardScheme extends org.apache.thrift.scheme.StandardScheme<ObserveTargetCommand> {
 
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'incarnation' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetMemoryBytes()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'memoryBytes' was not found in serialized data! Struct: " + toString());
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, ObserveTargetCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // TARGET
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.target = iprot.readString();
+              struct.setTargetIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetEnforcesFencing()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'enforcesFencing' was not found in serialized data! Struct: " + toString());
+            break;
+          case 2: // INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnation = iprot.readI64();
+              struct.setIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, ObserveTargetCommand struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.target != null) {
-                oprot.writeFieldBegin(TARGET_FIELD_DESC);
-                oprot.writeString(struct.target);
-                oprot.writeFieldEnd();
+            break;
+          case 3: // MEMORY_BYTES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.memoryBytes = iprot.readI64();
+              struct.setMemoryBytesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(MEMORY_BYTES_FIELD_DESC);
-            oprot.writeI64(struct.memoryBytes);
-            oprot.writeFieldEnd();
-            if (struct.contents != null) {
-                oprot.writeFieldBegin(CONTENTS_FIELD_DESC);
+            break;
+          case 4: // CONTENTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
+                struct.contents = new java.util.ArrayList<LoadedModelReport>(_list0.size);
+                @org.apache.thrift.annotation.Nullable LoadedModelReport _elem1;
+                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.contents.size()));
-                    for (LoadedModelReport _iter3 : struct.contents) {
-                        _iter3.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem1 = new LoadedModelReport();
+                  _elem1.read(iprot);
+                  struct.contents.add(_elem1);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setContentsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldBegin(ENFORCES_FENCING_FIELD_DESC);
-            oprot.writeBool(struct.enforcesFencing);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+            break;
+          case 5: // ENFORCES_FENCING
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.enforcesFencing = iprot.readBool();
+              struct.setEnforcesFencingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetMemoryBytes()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'memoryBytes' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetEnforcesFencing()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'enforcesFencing' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class ObserveTargetCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ObserveTargetCommandTupleScheme getScheme() {
-            return new ObserveTargetCommandTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, ObserveTargetCommand struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.target != null) {
+        oprot.writeFieldBegin(TARGET_FIELD_DESC);
+        oprot.writeString(struct.target);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(MEMORY_BYTES_FIELD_DESC);
+      oprot.writeI64(struct.memoryBytes);
+      oprot.writeFieldEnd();
+      if (struct.contents != null) {
+        oprot.writeFieldBegin(CONTENTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.contents.size()));
+          for (LoadedModelReport _iter3 : struct.contents)
+          {
+            _iter3.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(ENFORCES_FENCING_FIELD_DESC);
+      oprot.writeBool(struct.enforcesFencing);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class ObserveTargetCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public ObserveTargetCommandTupleScheme getScheme() {
+      return new ObserveTargetCommandTupleScheme();
     }
+  }
 
-    private static class ObserveTargetCommandTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<ObserveTargetCommand> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, ObserveTargetCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.target);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeI64(struct.memoryBytes);
-            {
-                oprot.writeI32(struct.contents.size());
-                for (LoadedModelReport _iter4 : struct.contents) {
-                    _iter4.write(oprot);
-                }
-            }
-            oprot.writeBool(struct.enforcesFencing);
-        }
+  private static class ObserveTargetCommandTupleScheme extends org.apache.thrift.scheme.TupleScheme<ObserveTargetCommand> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, ObserveTargetCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.target = iprot.readString();
-            struct.setTargetIsSet(true);
-            struct.incarnation = iprot.readI64();
-            struct.setIncarnationIsSet(true);
-            struct.memoryBytes = iprot.readI64();
-            struct.setMemoryBytesIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.contents = new java.util.ArrayList<LoadedModelReport>(_list5.size);
-                @org.apache.thrift.annotation.Nullable LoadedModelReport _elem6;
-                for (int _i7 = 0; _i7 < _list5.size; ++_i7) {
-                    _elem6 = new LoadedModelReport();
-                    _elem6.read(iprot);
-                    struct.contents.add(_elem6);
-                }
-            }
-            struct.setContentsIsSet(true);
-            struct.enforcesFencing = iprot.readBool();
-            struct.setEnforcesFencingIsSet(true);
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, ObserveTargetCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.target);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeI64(struct.memoryBytes);
+      {
+        oprot.writeI32(struct.contents.size());
+        for (LoadedModelReport _iter4 : struct.contents)
+        {
+          _iter4.write(oprot);
         }
+      }
+      oprot.writeBool(struct.enforcesFencing);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, ObserveTargetCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.target = iprot.readString();
+      struct.setTargetIsSet(true);
+      struct.incarnation = iprot.readI64();
+      struct.setIncarnationIsSet(true);
+      struct.memoryBytes = iprot.readI64();
+      struct.setMemoryBytesIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.contents = new java.util.ArrayList<LoadedModelReport>(_list5.size);
+        @org.apache.thrift.annotation.Nullable LoadedModelReport _elem6;
+        for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+        {
+          _elem6 = new LoadedModelReport();
+          _elem6.read(iprot);
+          struct.contents.add(_elem6);
+        }
+      }
+      struct.setContentsIsSet(true);
+      struct.enforcesFencing = iprot.readBool();
+      struct.setEnforcesFencingIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/OrderFinishedResult.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/OrderFinishedResult.java
@@ -7,519 +7,502 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class OrderFinishedResult
-        implements org.apache.thrift.TBase<OrderFinishedResult, OrderFinishedResult._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<OrderFinishedResult> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("OrderFinishedResult");
-
-    private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short) 1);
-    private static final org.apache.thrift.protocol.TField ANSWER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("answer", org.apache.thrift.protocol.TType.STRUCT, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new OrderFinishedResultStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new OrderFinishedResultTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable RequestOutcome outcome; // required
-    private @org.apache.thrift.annotation.Nullable AnswerBody answer; // optional
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        /**
-         *
-         * @see RequestOutcome
-         */
-        OUTCOME((short) 1, "outcome"),
-        ANSWER((short) 2, "answer");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // OUTCOME
-                    return OUTCOME;
-                case 2: // ANSWER
-                    return ANSWER;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+public class OrderFinishedResult implements org.apache.thrift.TBase<OrderFinishedResult, OrderFinishedResult._Fields>, java.io.Serializable, Cloneable, Comparable<OrderFinishedResult> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("OrderFinishedResult");
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC = new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short)1);
+  private static final org.apache.thrift.protocol.TField ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("answer", org.apache.thrift.protocol.TType.STRUCT, (short)2);
 
-    // isset id assignments
-    private static final _Fields optionals[] = {_Fields.ANSWER};
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new OrderFinishedResultStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new OrderFinishedResultTupleSchemeFactory();
 
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.OUTCOME,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "outcome",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.EnumMetaData(
-                                org.apache.thrift.protocol.TType.ENUM, RequestOutcome.class)));
-        tmpMap.put(
-                _Fields.ANSWER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "answer",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, AnswerBody.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OrderFinishedResult.class, metaDataMap);
-    }
-
-    public OrderFinishedResult() {}
-
-    public OrderFinishedResult(RequestOutcome outcome) {
-        this();
-        this.outcome = outcome;
-    }
+  private @org.apache.thrift.annotation.Nullable RequestOutcome outcome; // required
+  private @org.apache.thrift.annotation.Nullable AnswerBody answer; // optional
 
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     /**
-     * Performs a deep copy on <i>other</i>.
+     * 
+     * @see RequestOutcome
      */
-    public OrderFinishedResult(OrderFinishedResult other) {
-        if (other.isSetOutcome()) {
-            this.outcome = other.outcome;
-        }
-        if (other.isSetAnswer()) {
-            this.answer = new AnswerBody(other.answer);
-        }
-    }
+    OUTCOME((short)1, "outcome"),
+    ANSWER((short)2, "answer");
 
-    @Override
-    public OrderFinishedResult deepCopy() {
-        return new OrderFinishedResult(this);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    @Override
-    public void clear() {
-        this.outcome = null;
-        this.answer = null;
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     *
-     * @see RequestOutcome
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
     @org.apache.thrift.annotation.Nullable
-    public RequestOutcome getOutcome() {
-        return this.outcome;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // OUTCOME
+          return OUTCOME;
+        case 2: // ANSWER
+          return ANSWER;
+        default:
+          return null;
+      }
     }
 
     /**
-     *
-     * @see RequestOutcome
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public OrderFinishedResult setOutcome(@org.apache.thrift.annotation.Nullable RequestOutcome outcome) {
-        this.outcome = outcome;
-        return this;
-    }
-
-    public void unsetOutcome() {
-        this.outcome = null;
-    }
-
-    /** Returns true if field outcome is set (has been assigned a value) and false otherwise */
-    public boolean isSetOutcome() {
-        return this.outcome != null;
-    }
-
-    public void setOutcomeIsSet(boolean value) {
-        if (!value) {
-            this.outcome = null;
-        }
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public AnswerBody getAnswer() {
-        return this.answer;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public OrderFinishedResult setAnswer(@org.apache.thrift.annotation.Nullable AnswerBody answer) {
-        this.answer = answer;
-        return this;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void unsetAnswer() {
-        this.answer = null;
-    }
-
-    /** Returns true if field answer is set (has been assigned a value) and false otherwise */
-    public boolean isSetAnswer() {
-        return this.answer != null;
-    }
-
-    public void setAnswerIsSet(boolean value) {
-        if (!value) {
-            this.answer = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case OUTCOME:
-                if (value == null) {
-                    unsetOutcome();
-                } else {
-                    setOutcome((RequestOutcome) value);
-                }
-                break;
-
-            case ANSWER:
-                if (value == null) {
-                    unsetAnswer();
-                } else {
-                    setAnswer((AnswerBody) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case OUTCOME:
-                return getOutcome();
-
-            case ANSWER:
-                return getAnswer();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case OUTCOME:
-                return isSetOutcome();
-            case ANSWER:
-                return isSetAnswer();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof OrderFinishedResult) return this.equals((OrderFinishedResult) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final _Fields optionals[] = {_Fields.ANSWER};
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.OUTCOME, new org.apache.thrift.meta_data.FieldMetaData("outcome", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, RequestOutcome.class)));
+    tmpMap.put(_Fields.ANSWER, new org.apache.thrift.meta_data.FieldMetaData("answer", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AnswerBody.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OrderFinishedResult.class, metaDataMap);
+  }
+
+  public OrderFinishedResult() {
+  }
+
+  public OrderFinishedResult(
+    RequestOutcome outcome)
+  {
+    this();
+    this.outcome = outcome;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public OrderFinishedResult(OrderFinishedResult other) {
+    if (other.isSetOutcome()) {
+      this.outcome = other.outcome;
+    }
+    if (other.isSetAnswer()) {
+      this.answer = new AnswerBody(other.answer);
+    }
+  }
+
+  @Override
+  public OrderFinishedResult deepCopy() {
+    return new OrderFinishedResult(this);
+  }
+
+  @Override
+  public void clear() {
+    this.outcome = null;
+    this.answer = null;
+  }
+
+  /**
+   * 
+   * @see RequestOutcome
+   */
+  @org.apache.thrift.annotation.Nullable
+  public RequestOutcome getOutcome() {
+    return this.outcome;
+  }
+
+  /**
+   * 
+   * @see RequestOutcome
+   */
+  public OrderFinishedResult setOutcome(@org.apache.thrift.annotation.Nullable RequestOutcome outcome) {
+    this.outcome = outcome;
+    return this;
+  }
+
+  public void unsetOutcome() {
+    this.outcome = null;
+  }
+
+  /** Returns true if field outcome is set (has been assigned a value) and false otherwise */
+  public boolean isSetOutcome() {
+    return this.outcome != null;
+  }
+
+  public void setOutcomeIsSet(boolean value) {
+    if (!value) {
+      this.outcome = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public AnswerBody getAnswer() {
+    return this.answer;
+  }
+
+  public OrderFinishedResult setAnswer(@org.apache.thrift.annotation.Nullable AnswerBody answer) {
+    this.answer = answer;
+    return this;
+  }
+
+  public void unsetAnswer() {
+    this.answer = null;
+  }
+
+  /** Returns true if field answer is set (has been assigned a value) and false otherwise */
+  public boolean isSetAnswer() {
+    return this.answer != null;
+  }
+
+  public void setAnswerIsSet(boolean value) {
+    if (!value) {
+      this.answer = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case OUTCOME:
+      if (value == null) {
+        unsetOutcome();
+      } else {
+        setOutcome((RequestOutcome)value);
+      }
+      break;
+
+    case ANSWER:
+      if (value == null) {
+        unsetAnswer();
+      } else {
+        setAnswer((AnswerBody)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case OUTCOME:
+      return getOutcome();
+
+    case ANSWER:
+      return getAnswer();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case OUTCOME:
+      return isSetOutcome();
+    case ANSWER:
+      return isSetAnswer();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof OrderFinishedResult)
+      return this.equals((OrderFinishedResult)that);
+    return false;
+  }
+
+  public boolean equals(OrderFinishedResult that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_outcome = true && this.isSetOutcome();
+    boolean that_present_outcome = true && that.isSetOutcome();
+    if (this_present_outcome || that_present_outcome) {
+      if (!(this_present_outcome && that_present_outcome))
+        return false;
+      if (!this.outcome.equals(that.outcome))
         return false;
     }
 
-    public boolean equals(OrderFinishedResult that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_outcome = true && this.isSetOutcome();
-        boolean that_present_outcome = true && that.isSetOutcome();
-        if (this_present_outcome || that_present_outcome) {
-            if (!(this_present_outcome && that_present_outcome)) return false;
-            if (!this.outcome.equals(that.outcome)) return false;
-        }
-
-        boolean this_present_answer = true && this.isSetAnswer();
-        boolean that_present_answer = true && that.isSetAnswer();
-        if (this_present_answer || that_present_answer) {
-            if (!(this_present_answer && that_present_answer)) return false;
-            if (!this.answer.equals(that.answer)) return false;
-        }
-
-        return true;
+    boolean this_present_answer = true && this.isSetAnswer();
+    boolean that_present_answer = true && that.isSetAnswer();
+    if (this_present_answer || that_present_answer) {
+      if (!(this_present_answer && that_present_answer))
+        return false;
+      if (!this.answer.equals(that.answer))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetOutcome()) ? 131071 : 524287);
+    if (isSetOutcome())
+      hashCode = hashCode * 8191 + outcome.getValue();
+
+    hashCode = hashCode * 8191 + ((isSetAnswer()) ? 131071 : 524287);
+    if (isSetAnswer())
+      hashCode = hashCode * 8191 + answer.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(OrderFinishedResult other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetOutcome(), other.isSetOutcome());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOutcome()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.outcome, other.outcome);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAnswer(), other.isSetAnswer());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAnswer()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answer, other.answer);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("OrderFinishedResult(");
+    boolean first = true;
+
+    sb.append("outcome:");
+    if (this.outcome == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.outcome);
+    }
+    first = false;
+    if (isSetAnswer()) {
+      if (!first) sb.append(", ");
+      sb.append("answer:");
+      if (this.answer == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.answer);
+      }
+      first = false;
+    }
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (outcome == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'outcome' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+    if (answer != null) {
+      answer.validate();
+    }
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class OrderFinishedResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetOutcome()) ? 131071 : 524287);
-        if (isSetOutcome()) hashCode = hashCode * 8191 + outcome.getValue();
-
-        hashCode = hashCode * 8191 + ((isSetAnswer()) ? 131071 : 524287);
-        if (isSetAnswer()) hashCode = hashCode * 8191 + answer.hashCode();
-
-        return hashCode;
+    public OrderFinishedResultStandardScheme getScheme() {
+      return new OrderFinishedResultStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(OrderFinishedResult other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+  private static class OrderFinishedResultStandardScheme extends org.apache.thrift.scheme.StandardScheme<OrderFinishedResult> {
 
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetOutcome(), other.isSetOutcome());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOutcome()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.outcome, other.outcome);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, OrderFinishedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // OUTCOME
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
+              struct.setOutcomeIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetAnswer(), other.isSetAnswer());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetAnswer()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answer, other.answer);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // ANSWER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.answer = new AnswerBody();
+              struct.answer.read(iprot);
+              struct.setAnswerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      struct.validate();
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+    public void write(org.apache.thrift.protocol.TProtocol oprot, OrderFinishedResult struct) throws org.apache.thrift.TException {
+      struct.validate();
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("OrderFinishedResult(");
-        boolean first = true;
-
-        sb.append("outcome:");
-        if (this.outcome == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.outcome);
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.outcome != null) {
+        oprot.writeFieldBegin(OUTCOME_FIELD_DESC);
+        oprot.writeI32(struct.outcome.getValue());
+        oprot.writeFieldEnd();
+      }
+      if (struct.answer != null) {
+        if (struct.isSetAnswer()) {
+          oprot.writeFieldBegin(ANSWER_FIELD_DESC);
+          struct.answer.write(oprot);
+          oprot.writeFieldEnd();
         }
-        first = false;
-        if (isSetAnswer()) {
-            if (!first) sb.append(", ");
-            sb.append("answer:");
-            if (this.answer == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.answer);
-            }
-            first = false;
-        }
-        sb.append(")");
-        return sb.toString();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (outcome == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'outcome' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-        if (answer != null) {
-            answer.validate();
-        }
-    }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class OrderFinishedResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public OrderFinishedResultStandardScheme getScheme() {
-            return new OrderFinishedResultStandardScheme();
-        }
-    }
-
-    private static class OrderFinishedResultStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<OrderFinishedResult> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, OrderFinishedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // OUTCOME
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
-                            struct.setOutcomeIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // ANSWER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                            struct.answer = new AnswerBody();
-                            struct.answer.read(iprot);
-                            struct.setAnswerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, OrderFinishedResult struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.outcome != null) {
-                oprot.writeFieldBegin(OUTCOME_FIELD_DESC);
-                oprot.writeI32(struct.outcome.getValue());
-                oprot.writeFieldEnd();
-            }
-            if (struct.answer != null) {
-                if (struct.isSetAnswer()) {
-                    oprot.writeFieldBegin(ANSWER_FIELD_DESC);
-                    struct.answer.write(oprot);
-                    oprot.writeFieldEnd();
-                }
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class OrderFinishedResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public OrderFinishedResultTupleScheme getScheme() {
-            return new OrderFinishedResultTupleScheme();
-        }
+  private static class OrderFinishedResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public OrderFinishedResultTupleScheme getScheme() {
+      return new OrderFinishedResultTupleScheme();
     }
+  }
 
-    private static class OrderFinishedResultTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<OrderFinishedResult> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, OrderFinishedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI32(struct.outcome.getValue());
-            java.util.BitSet optionals = new java.util.BitSet();
-            if (struct.isSetAnswer()) {
-                optionals.set(0);
-            }
-            oprot.writeBitSet(optionals, 1);
-            if (struct.isSetAnswer()) {
-                struct.answer.write(oprot);
-            }
-        }
+  private static class OrderFinishedResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<OrderFinishedResult> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, OrderFinishedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
-            struct.setOutcomeIsSet(true);
-            java.util.BitSet incoming = iprot.readBitSet(1);
-            if (incoming.get(0)) {
-                struct.answer = new AnswerBody();
-                struct.answer.read(iprot);
-                struct.setAnswerIsSet(true);
-            }
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, OrderFinishedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI32(struct.outcome.getValue());
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetAnswer()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetAnswer()) {
+        struct.answer.write(oprot);
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, OrderFinishedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.outcome = org.basilrill.thrift.control.RequestOutcome.findByValue(iprot.readI32());
+      struct.setOutcomeIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.answer = new AnswerBody();
+        struct.answer.read(iprot);
+        struct.setAnswerIsSet(true);
+      }
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/OrderReservedResult.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/OrderReservedResult.java
@@ -7,385 +7,370 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class OrderReservedResult
-        implements org.apache.thrift.TBase<OrderReservedResult, OrderReservedResult._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<OrderReservedResult> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("OrderReservedResult");
-
-    private static final org.apache.thrift.protocol.TField FENCING_NUMBER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("fencingNumber", org.apache.thrift.protocol.TType.I64, (short) 1);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new OrderReservedResultStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new OrderReservedResultTupleSchemeFactory();
-
-    private long fencingNumber; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        FENCING_NUMBER((short) 1, "fencingNumber");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // FENCING_NUMBER
-                    return FENCING_NUMBER;
-                default:
-                    return null;
-            }
-        }
+public class OrderReservedResult implements org.apache.thrift.TBase<OrderReservedResult, OrderReservedResult._Fields>, java.io.Serializable, Cloneable, Comparable<OrderReservedResult> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("OrderReservedResult");
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField FENCING_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("fencingNumber", org.apache.thrift.protocol.TType.I64, (short)1);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new OrderReservedResultStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new OrderReservedResultTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private long fencingNumber; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    FENCING_NUMBER((short)1, "fencingNumber");
 
-    // isset id assignments
-    private static final int __FENCINGNUMBER_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.FENCING_NUMBER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "fencingNumber",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OrderReservedResult.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public OrderReservedResult() {}
-
-    public OrderReservedResult(long fencingNumber) {
-        this();
-        this.fencingNumber = fencingNumber;
-        setFencingNumberIsSet(true);
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // FENCING_NUMBER
+          return FENCING_NUMBER;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public OrderReservedResult(OrderReservedResult other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.fencingNumber = other.fencingNumber;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    @Override
-    public OrderReservedResult deepCopy() {
-        return new OrderReservedResult(this);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @Override
-    public void clear() {
-        setFencingNumberIsSet(false);
-        this.fencingNumber = 0;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public long getFencingNumber() {
-        return this.fencingNumber;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    public OrderReservedResult setFencingNumber(long fencingNumber) {
-        this.fencingNumber = fencingNumber;
-        setFencingNumberIsSet(true);
-        return this;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public void unsetFencingNumber() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FENCINGNUMBER_ISSET_ID);
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
     }
+  }
+
+  // isset id assignments
+  private static final int __FENCINGNUMBER_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.FENCING_NUMBER, new org.apache.thrift.meta_data.FieldMetaData("fencingNumber", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OrderReservedResult.class, metaDataMap);
+  }
+
+  public OrderReservedResult() {
+  }
+
+  public OrderReservedResult(
+    long fencingNumber)
+  {
+    this();
+    this.fencingNumber = fencingNumber;
+    setFencingNumberIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public OrderReservedResult(OrderReservedResult other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.fencingNumber = other.fencingNumber;
+  }
+
+  @Override
+  public OrderReservedResult deepCopy() {
+    return new OrderReservedResult(this);
+  }
+
+  @Override
+  public void clear() {
+    setFencingNumberIsSet(false);
+    this.fencingNumber = 0;
+  }
+
+  public long getFencingNumber() {
+    return this.fencingNumber;
+  }
+
+  public OrderReservedResult setFencingNumber(long fencingNumber) {
+    this.fencingNumber = fencingNumber;
+    setFencingNumberIsSet(true);
+    return this;
+  }
+
+  public void unsetFencingNumber() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FENCINGNUMBER_ISSET_ID);
+  }
+
+  /** Returns true if field fencingNumber is set (has been assigned a value) and false otherwise */
+  public boolean isSetFencingNumber() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FENCINGNUMBER_ISSET_ID);
+  }
+
+  public void setFencingNumberIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FENCINGNUMBER_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case FENCING_NUMBER:
+      if (value == null) {
+        unsetFencingNumber();
+      } else {
+        setFencingNumber((java.lang.Long)value);
+      }
+      break;
 
-    /** Returns true if field fencingNumber is set (has been assigned a value) and false otherwise */
-    public boolean isSetFencingNumber() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FENCINGNUMBER_ISSET_ID);
     }
+  }
 
-    public void setFencingNumberIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FENCINGNUMBER_ISSET_ID, value);
-    }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case FENCING_NUMBER:
+      return getFencingNumber();
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case FENCING_NUMBER:
-                if (value == null) {
-                    unsetFencingNumber();
-                } else {
-                    setFencingNumber((java.lang.Long) value);
-                }
-                break;
-        }
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case FENCING_NUMBER:
-                return getFencingNumber();
-        }
-        throw new java.lang.IllegalStateException();
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case FENCING_NUMBER:
-                return isSetFencingNumber();
-        }
-        throw new java.lang.IllegalStateException();
+    switch (field) {
+    case FENCING_NUMBER:
+      return isSetFencingNumber();
     }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof OrderReservedResult) return this.equals((OrderReservedResult) that);
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof OrderReservedResult)
+      return this.equals((OrderReservedResult)that);
+    return false;
+  }
+
+  public boolean equals(OrderReservedResult that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_fencingNumber = true;
+    boolean that_present_fencingNumber = true;
+    if (this_present_fencingNumber || that_present_fencingNumber) {
+      if (!(this_present_fencingNumber && that_present_fencingNumber))
+        return false;
+      if (this.fencingNumber != that.fencingNumber)
         return false;
     }
 
-    public boolean equals(OrderReservedResult that) {
-        if (that == null) return false;
-        if (this == that) return true;
+    return true;
+  }
 
-        boolean this_present_fencingNumber = true;
-        boolean that_present_fencingNumber = true;
-        if (this_present_fencingNumber || that_present_fencingNumber) {
-            if (!(this_present_fencingNumber && that_present_fencingNumber)) return false;
-            if (this.fencingNumber != that.fencingNumber) return false;
-        }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(fencingNumber);
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(fencingNumber);
+    return hashCode;
+  }
 
-        return hashCode;
+  @Override
+  public int compareTo(OrderReservedResult other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    @Override
-    public int compareTo(OrderReservedResult other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+    int lastComparison = 0;
 
-        lastComparison = java.lang.Boolean.compare(isSetFencingNumber(), other.isSetFencingNumber());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetFencingNumber()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fencingNumber, other.fencingNumber);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    lastComparison = java.lang.Boolean.compare(isSetFencingNumber(), other.isSetFencingNumber());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    if (isSetFencingNumber()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fencingNumber, other.fencingNumber);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("OrderReservedResult(");
+    boolean first = true;
+
+    sb.append("fencingNumber:");
+    sb.append(this.fencingNumber);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'fencingNumber' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
+  private static class OrderReservedResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("OrderReservedResult(");
-        boolean first = true;
-
-        sb.append("fencingNumber:");
-        sb.append(this.fencingNumber);
-        first = false;
-        sb.append(")");
-        return sb.toString();
+    public OrderReservedResultStandardScheme getScheme() {
+      return new OrderReservedResultStandardScheme();
     }
+  }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'fencingNumber' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  private static class OrderReservedResultStandardScheme extends org.apache.thrift.scheme.StandardScheme<OrderReservedResult> {
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, OrderReservedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+        switch (schemeField.id) {
+          case 1: // FENCING_NUMBER
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.fencingNumber = iprot.readI64();
+              struct.setFencingNumberIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetFencingNumber()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'fencingNumber' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class OrderReservedResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public OrderReservedResultStandardScheme getScheme() {
-            return new OrderReservedResultStandardScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, OrderReservedResult struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(FENCING_NUMBER_FIELD_DESC);
+      oprot.writeI64(struct.fencingNumber);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    private static class OrderReservedResultStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<OrderReservedResult> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, OrderReservedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // FENCING_NUMBER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.fencingNumber = iprot.readI64();
-                            struct.setFencingNumberIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetFencingNumber()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'fencingNumber' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, OrderReservedResult struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(FENCING_NUMBER_FIELD_DESC);
-            oprot.writeI64(struct.fencingNumber);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
+  }
 
-    private static class OrderReservedResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public OrderReservedResultTupleScheme getScheme() {
-            return new OrderReservedResultTupleScheme();
-        }
+  private static class OrderReservedResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public OrderReservedResultTupleScheme getScheme() {
+      return new OrderReservedResultTupleScheme();
     }
+  }
 
-    private static class OrderReservedResultTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<OrderReservedResult> {
+  private static class OrderReservedResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<OrderReservedResult> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, OrderReservedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.fencingNumber);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, OrderReservedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.fencingNumber = iprot.readI64();
-            struct.setFencingNumberIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, OrderReservedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.fencingNumber);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, OrderReservedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.fencingNumber = iprot.readI64();
+      struct.setFencingNumberIsSet(true);
     }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/OrderRunningResult.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/OrderRunningResult.java
@@ -7,387 +7,374 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class OrderRunningResult
-        implements org.apache.thrift.TBase<OrderRunningResult, OrderRunningResult._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<OrderRunningResult> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("OrderRunningResult");
-
-    private static final org.apache.thrift.protocol.TField HOLDER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("holder", org.apache.thrift.protocol.TType.STRING, (short) 1);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new OrderRunningResultStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new OrderRunningResultTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String holder; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        HOLDER((short) 1, "holder");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
+public class OrderRunningResult implements org.apache.thrift.TBase<OrderRunningResult, OrderRunningResult._Fields>, java.io.Serializable, Cloneable, Comparable<OrderRunningResult> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("OrderRunningResult");
 
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // HOLDER
-                    return HOLDER;
-                default:
-                    return null;
-            }
-        }
+  private static final org.apache.thrift.protocol.TField HOLDER_FIELD_DESC = new org.apache.thrift.protocol.TField("holder", org.apache.thrift.protocol.TType.STRING, (short)1);
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new OrderRunningResultStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new OrderRunningResultTupleSchemeFactory();
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private @org.apache.thrift.annotation.Nullable java.lang.String holder; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    HOLDER((short)1, "holder");
 
-    // isset id assignments
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.HOLDER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "holder",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OrderRunningResult.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public OrderRunningResult() {}
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // HOLDER
+          return HOLDER;
+        default:
+          return null;
+      }
+    }
 
-    public OrderRunningResult(java.lang.String holder) {
-        this();
-        this.holder = holder;
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public OrderRunningResult(OrderRunningResult other) {
-        if (other.isSetHolder()) {
-            this.holder = other.holder;
-        }
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @Override
-    public OrderRunningResult deepCopy() {
-        return new OrderRunningResult(this);
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
+
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void clear() {
-        this.holder = null;
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getHolder() {
-        return this.holder;
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
     }
-
-    public OrderRunningResult setHolder(@org.apache.thrift.annotation.Nullable java.lang.String holder) {
-        this.holder = holder;
-        return this;
+  }
+
+  // isset id assignments
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.HOLDER, new org.apache.thrift.meta_data.FieldMetaData("holder", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OrderRunningResult.class, metaDataMap);
+  }
+
+  public OrderRunningResult() {
+  }
+
+  public OrderRunningResult(
+    java.lang.String holder)
+  {
+    this();
+    this.holder = holder;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public OrderRunningResult(OrderRunningResult other) {
+    if (other.isSetHolder()) {
+      this.holder = other.holder;
     }
-
-    public void unsetHolder() {
-        this.holder = null;
+  }
+
+  @Override
+  public OrderRunningResult deepCopy() {
+    return new OrderRunningResult(this);
+  }
+
+  @Override
+  public void clear() {
+    this.holder = null;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getHolder() {
+    return this.holder;
+  }
+
+  public OrderRunningResult setHolder(@org.apache.thrift.annotation.Nullable java.lang.String holder) {
+    this.holder = holder;
+    return this;
+  }
+
+  public void unsetHolder() {
+    this.holder = null;
+  }
+
+  /** Returns true if field holder is set (has been assigned a value) and false otherwise */
+  public boolean isSetHolder() {
+    return this.holder != null;
+  }
+
+  public void setHolderIsSet(boolean value) {
+    if (!value) {
+      this.holder = null;
     }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case HOLDER:
+      if (value == null) {
+        unsetHolder();
+      } else {
+        setHolder((java.lang.String)value);
+      }
+      break;
 
-    /** Returns true if field holder is set (has been assigned a value) and false otherwise */
-    public boolean isSetHolder() {
-        return this.holder != null;
     }
+  }
 
-    public void setHolderIsSet(boolean value) {
-        if (!value) {
-            this.holder = null;
-        }
-    }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case HOLDER:
+      return getHolder();
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case HOLDER:
-                if (value == null) {
-                    unsetHolder();
-                } else {
-                    setHolder((java.lang.String) value);
-                }
-                break;
-        }
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case HOLDER:
-                return getHolder();
-        }
-        throw new java.lang.IllegalStateException();
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case HOLDER:
-                return isSetHolder();
-        }
-        throw new java.lang.IllegalStateException();
+    switch (field) {
+    case HOLDER:
+      return isSetHolder();
     }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof OrderRunningResult) return this.equals((OrderRunningResult) that);
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof OrderRunningResult)
+      return this.equals((OrderRunningResult)that);
+    return false;
+  }
+
+  public boolean equals(OrderRunningResult that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_holder = true && this.isSetHolder();
+    boolean that_present_holder = true && that.isSetHolder();
+    if (this_present_holder || that_present_holder) {
+      if (!(this_present_holder && that_present_holder))
+        return false;
+      if (!this.holder.equals(that.holder))
         return false;
     }
 
-    public boolean equals(OrderRunningResult that) {
-        if (that == null) return false;
-        if (this == that) return true;
+    return true;
+  }
 
-        boolean this_present_holder = true && this.isSetHolder();
-        boolean that_present_holder = true && that.isSetHolder();
-        if (this_present_holder || that_present_holder) {
-            if (!(this_present_holder && that_present_holder)) return false;
-            if (!this.holder.equals(that.holder)) return false;
-        }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    hashCode = hashCode * 8191 + ((isSetHolder()) ? 131071 : 524287);
+    if (isSetHolder())
+      hashCode = hashCode * 8191 + holder.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetHolder()) ? 131071 : 524287);
-        if (isSetHolder()) hashCode = hashCode * 8191 + holder.hashCode();
+    return hashCode;
+  }
 
-        return hashCode;
+  @Override
+  public int compareTo(OrderRunningResult other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    @Override
-    public int compareTo(OrderRunningResult other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+    int lastComparison = 0;
 
-        lastComparison = java.lang.Boolean.compare(isSetHolder(), other.isSetHolder());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetHolder()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.holder, other.holder);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    lastComparison = java.lang.Boolean.compare(isSetHolder(), other.isSetHolder());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    if (isSetHolder()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.holder, other.holder);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("OrderRunningResult(");
+    boolean first = true;
+
+    sb.append("holder:");
+    if (this.holder == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.holder);
     }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (holder == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'holder' was not present! Struct: " + toString());
     }
-
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("OrderRunningResult(");
-        boolean first = true;
-
-        sb.append("holder:");
-        if (this.holder == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.holder);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (holder == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'holder' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+  private static class OrderRunningResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public OrderRunningResultStandardScheme getScheme() {
+      return new OrderRunningResultStandardScheme();
     }
+  }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
+  private static class OrderRunningResultStandardScheme extends org.apache.thrift.scheme.StandardScheme<OrderRunningResult> {
 
-    private static class OrderRunningResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public OrderRunningResultStandardScheme getScheme() {
-            return new OrderRunningResultStandardScheme();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, OrderRunningResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-    }
-
-    private static class OrderRunningResultStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<OrderRunningResult> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, OrderRunningResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // HOLDER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.holder = iprot.readString();
-                            struct.setHolderIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
+        switch (schemeField.id) {
+          case 1: // HOLDER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.holder = iprot.readString();
+              struct.setHolderIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            struct.validate();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, OrderRunningResult struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.holder != null) {
-                oprot.writeFieldBegin(HOLDER_FIELD_DESC);
-                oprot.writeString(struct.holder);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+      // check for required fields of primitive type, which can't be checked in the validate method
+      struct.validate();
     }
 
-    private static class OrderRunningResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public OrderRunningResultTupleScheme getScheme() {
-            return new OrderRunningResultTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, OrderRunningResult struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.holder != null) {
+        oprot.writeFieldBegin(HOLDER_FIELD_DESC);
+        oprot.writeString(struct.holder);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    private static class OrderRunningResultTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<OrderRunningResult> {
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, OrderRunningResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.holder);
-        }
+  private static class OrderRunningResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public OrderRunningResultTupleScheme getScheme() {
+      return new OrderRunningResultTupleScheme();
+    }
+  }
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, OrderRunningResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.holder = iprot.readString();
-            struct.setHolderIsSet(true);
-        }
+  private static class OrderRunningResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<OrderRunningResult> {
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, OrderRunningResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.holder);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, OrderRunningResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.holder = iprot.readString();
+      struct.setHolderIsSet(true);
     }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
