--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/PullAnswer.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/PullAnswer.java
@@ -7,870 +7,846 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class PullAnswer
-        implements org.apache.thrift.TBase<PullAnswer, PullAnswer._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<PullAnswer> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("PullAnswer");
-
-    private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField SESSION_HELD_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sessionHeld", org.apache.thrift.protocol.TType.BOOL, (short) 2);
-    private static final org.apache.thrift.protocol.TField VIEW_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("view", org.apache.thrift.protocol.TType.STRUCT, (short) 3);
-    private static final org.apache.thrift.protocol.TField REPLICAS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("replicas", org.apache.thrift.protocol.TType.LIST, (short) 4);
-    private static final org.apache.thrift.protocol.TField LEADER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("leader", org.apache.thrift.protocol.TType.STRING, (short) 5);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new PullAnswerStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new PullAnswerTupleSchemeFactory();
-
-    private long requestId; // required
-    private boolean sessionHeld; // required
-    private @org.apache.thrift.annotation.Nullable ViewMessage view; // optional
-    private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> replicas; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String leader; // optional
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        REQUEST_ID((short) 1, "requestId"),
-        SESSION_HELD((short) 2, "sessionHeld"),
-        /**
-         * Left out if the sender already holds the current view.
-         */
-        VIEW((short) 3, "view"),
-        REPLICAS((short) 4, "replicas"),
-        LEADER((short) 5, "leader");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // REQUEST_ID
-                    return REQUEST_ID;
-                case 2: // SESSION_HELD
-                    return SESSION_HELD;
-                case 3: // VIEW
-                    return VIEW;
-                case 4: // REPLICAS
-                    return REPLICAS;
-                case 5: // LEADER
-                    return LEADER;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __REQUESTID_ISSET_ID = 0;
-    private static final int __SESSIONHELD_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    private static final _Fields optionals[] = {_Fields.VIEW, _Fields.LEADER};
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.REQUEST_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "requestId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.SESSION_HELD,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sessionHeld",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        tmpMap.put(
-                _Fields.VIEW,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "view",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, ViewMessage.class)));
-        tmpMap.put(
-                _Fields.REPLICAS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "replicas",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.FieldValueMetaData(
-                                        org.apache.thrift.protocol.TType.STRING))));
-        tmpMap.put(
-                _Fields.LEADER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "leader",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PullAnswer.class, metaDataMap);
-    }
-
-    public PullAnswer() {}
-
-    public PullAnswer(long requestId, boolean sessionHeld, java.util.List<java.lang.String> replicas) {
-        this();
-        this.requestId = requestId;
-        setRequestIdIsSet(true);
-        this.sessionHeld = sessionHeld;
-        setSessionHeldIsSet(true);
-        this.replicas = replicas;
-    }
-
+public class PullAnswer implements org.apache.thrift.TBase<PullAnswer, PullAnswer._Fields>, java.io.Serializable, Cloneable, Comparable<PullAnswer> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("PullAnswer");
+
+  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField SESSION_HELD_FIELD_DESC = new org.apache.thrift.protocol.TField("sessionHeld", org.apache.thrift.protocol.TType.BOOL, (short)2);
+  private static final org.apache.thrift.protocol.TField VIEW_FIELD_DESC = new org.apache.thrift.protocol.TField("view", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField REPLICAS_FIELD_DESC = new org.apache.thrift.protocol.TField("replicas", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField LEADER_FIELD_DESC = new org.apache.thrift.protocol.TField("leader", org.apache.thrift.protocol.TType.STRING, (short)5);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PullAnswerStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PullAnswerTupleSchemeFactory();
+
+  private long requestId; // required
+  private boolean sessionHeld; // required
+  private @org.apache.thrift.annotation.Nullable ViewMessage view; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> replicas; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String leader; // optional
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    REQUEST_ID((short)1, "requestId"),
+    SESSION_HELD((short)2, "sessionHeld"),
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Left out if the sender already holds the current view.
      */
-    public PullAnswer(PullAnswer other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.requestId = other.requestId;
-        this.sessionHeld = other.sessionHeld;
-        if (other.isSetView()) {
-            this.view = new ViewMessage(other.view);
-        }
-        if (other.isSetReplicas()) {
-            java.util.List<java.lang.String> __this__replicas =
-                    new java.util.ArrayList<java.lang.String>(other.replicas);
-            this.replicas = __this__replicas;
-        }
-        if (other.isSetLeader()) {
-            this.leader = other.leader;
-        }
-    }
+    VIEW((short)3, "view"),
+    REPLICAS((short)4, "replicas"),
+    LEADER((short)5, "leader");
 
-    @Override
-    public PullAnswer deepCopy() {
-        return new PullAnswer(this);
-    }
-
-    @Override
-    public void clear() {
-        setRequestIdIsSet(false);
-        this.requestId = 0;
-        setSessionHeldIsSet(false);
-        this.sessionHeld = false;
-        this.view = null;
-        this.replicas = null;
-        this.leader = null;
-    }
-
-    public long getRequestId() {
-        return this.requestId;
-    }
-
-    public PullAnswer setRequestId(long requestId) {
-        this.requestId = requestId;
-        setRequestIdIsSet(true);
-        return this;
-    }
-
-    public void unsetRequestId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
-    }
-
-    /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
-    public boolean isSetRequestId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    public void setRequestIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
-    }
-
-    public boolean isSessionHeld() {
-        return this.sessionHeld;
-    }
-
-    public PullAnswer setSessionHeld(boolean sessionHeld) {
-        this.sessionHeld = sessionHeld;
-        setSessionHeldIsSet(true);
-        return this;
-    }
-
-    public void unsetSessionHeld() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONHELD_ISSET_ID);
-    }
-
-    /** Returns true if field sessionHeld is set (has been assigned a value) and false otherwise */
-    public boolean isSetSessionHeld() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONHELD_ISSET_ID);
-    }
-
-    public void setSessionHeldIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONHELD_ISSET_ID, value);
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Left out if the sender already holds the current view.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
     @org.apache.thrift.annotation.Nullable
-    public ViewMessage getView() {
-        return this.view;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // REQUEST_ID
+          return REQUEST_ID;
+        case 2: // SESSION_HELD
+          return SESSION_HELD;
+        case 3: // VIEW
+          return VIEW;
+        case 4: // REPLICAS
+          return REPLICAS;
+        case 5: // LEADER
+          return LEADER;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Left out if the sender already holds the current view.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public PullAnswer setView(@org.apache.thrift.annotation.Nullable ViewMessage view) {
-        this.view = view;
-        return this;
-    }
-
-    public void unsetView() {
-        this.view = null;
-    }
-
-    /** Returns true if field view is set (has been assigned a value) and false otherwise */
-    public boolean isSetView() {
-        return this.view != null;
-    }
-
-    public void setViewIsSet(boolean value) {
-        if (!value) {
-            this.view = null;
-        }
-    }
-
-    public int getReplicasSize() {
-        return (this.replicas == null) ? 0 : this.replicas.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<java.lang.String> getReplicasIterator() {
-        return (this.replicas == null) ? null : this.replicas.iterator();
-    }
-
-    public void addToReplicas(java.lang.String elem) {
-        if (this.replicas == null) {
-            this.replicas = new java.util.ArrayList<java.lang.String>();
-        }
-        this.replicas.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<java.lang.String> getReplicas() {
-        return this.replicas;
-    }
-
-    public PullAnswer setReplicas(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> replicas) {
-        this.replicas = replicas;
-        return this;
-    }
-
-    public void unsetReplicas() {
-        this.replicas = null;
-    }
-
-    /** Returns true if field replicas is set (has been assigned a value) and false otherwise */
-    public boolean isSetReplicas() {
-        return this.replicas != null;
-    }
-
-    public void setReplicasIsSet(boolean value) {
-        if (!value) {
-            this.replicas = null;
-        }
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getLeader() {
-        return this.leader;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public PullAnswer setLeader(@org.apache.thrift.annotation.Nullable java.lang.String leader) {
-        this.leader = leader;
-        return this;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void unsetLeader() {
-        this.leader = null;
-    }
-
-    /** Returns true if field leader is set (has been assigned a value) and false otherwise */
-    public boolean isSetLeader() {
-        return this.leader != null;
-    }
-
-    public void setLeaderIsSet(boolean value) {
-        if (!value) {
-            this.leader = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case REQUEST_ID:
-                if (value == null) {
-                    unsetRequestId();
-                } else {
-                    setRequestId((java.lang.Long) value);
-                }
-                break;
-
-            case SESSION_HELD:
-                if (value == null) {
-                    unsetSessionHeld();
-                } else {
-                    setSessionHeld((java.lang.Boolean) value);
-                }
-                break;
-
-            case VIEW:
-                if (value == null) {
-                    unsetView();
-                } else {
-                    setView((ViewMessage) value);
-                }
-                break;
-
-            case REPLICAS:
-                if (value == null) {
-                    unsetReplicas();
-                } else {
-                    setReplicas((java.util.List<java.lang.String>) value);
-                }
-                break;
-
-            case LEADER:
-                if (value == null) {
-                    unsetLeader();
-                } else {
-                    setLeader((java.lang.String) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case REQUEST_ID:
-                return getRequestId();
-
-            case SESSION_HELD:
-                return isSessionHeld();
-
-            case VIEW:
-                return getView();
-
-            case REPLICAS:
-                return getReplicas();
-
-            case LEADER:
-                return getLeader();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __REQUESTID_ISSET_ID = 0;
+  private static final int __SESSIONHELD_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.VIEW,_Fields.LEADER};
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.REQUEST_ID, new org.apache.thrift.meta_data.FieldMetaData("requestId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SESSION_HELD, new org.apache.thrift.meta_data.FieldMetaData("sessionHeld", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.VIEW, new org.apache.thrift.meta_data.FieldMetaData("view", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ViewMessage.class)));
+    tmpMap.put(_Fields.REPLICAS, new org.apache.thrift.meta_data.FieldMetaData("replicas", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.LEADER, new org.apache.thrift.meta_data.FieldMetaData("leader", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PullAnswer.class, metaDataMap);
+  }
+
+  public PullAnswer() {
+  }
+
+  public PullAnswer(
+    long requestId,
+    boolean sessionHeld,
+    java.util.List<java.lang.String> replicas)
+  {
+    this();
+    this.requestId = requestId;
+    setRequestIdIsSet(true);
+    this.sessionHeld = sessionHeld;
+    setSessionHeldIsSet(true);
+    this.replicas = replicas;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public PullAnswer(PullAnswer other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.requestId = other.requestId;
+    this.sessionHeld = other.sessionHeld;
+    if (other.isSetView()) {
+      this.view = new ViewMessage(other.view);
+    }
+    if (other.isSetReplicas()) {
+      java.util.List<java.lang.String> __this__replicas = new java.util.ArrayList<java.lang.String>(other.replicas);
+      this.replicas = __this__replicas;
+    }
+    if (other.isSetLeader()) {
+      this.leader = other.leader;
+    }
+  }
+
+  @Override
+  public PullAnswer deepCopy() {
+    return new PullAnswer(this);
+  }
+
+  @Override
+  public void clear() {
+    setRequestIdIsSet(false);
+    this.requestId = 0;
+    setSessionHeldIsSet(false);
+    this.sessionHeld = false;
+    this.view = null;
+    this.replicas = null;
+    this.leader = null;
+  }
+
+  public long getRequestId() {
+    return this.requestId;
+  }
+
+  public PullAnswer setRequestId(long requestId) {
+    this.requestId = requestId;
+    setRequestIdIsSet(true);
+    return this;
+  }
+
+  public void unsetRequestId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+  }
+
+  /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
+  public boolean isSetRequestId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+  }
+
+  public void setRequestIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
+  }
+
+  public boolean isSessionHeld() {
+    return this.sessionHeld;
+  }
+
+  public PullAnswer setSessionHeld(boolean sessionHeld) {
+    this.sessionHeld = sessionHeld;
+    setSessionHeldIsSet(true);
+    return this;
+  }
+
+  public void unsetSessionHeld() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONHELD_ISSET_ID);
+  }
+
+  /** Returns true if field sessionHeld is set (has been assigned a value) and false otherwise */
+  public boolean isSetSessionHeld() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONHELD_ISSET_ID);
+  }
+
+  public void setSessionHeldIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONHELD_ISSET_ID, value);
+  }
+
+  /**
+   * Left out if the sender already holds the current view.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public ViewMessage getView() {
+    return this.view;
+  }
+
+  /**
+   * Left out if the sender already holds the current view.
+   */
+  public PullAnswer setView(@org.apache.thrift.annotation.Nullable ViewMessage view) {
+    this.view = view;
+    return this;
+  }
+
+  public void unsetView() {
+    this.view = null;
+  }
+
+  /** Returns true if field view is set (has been assigned a value) and false otherwise */
+  public boolean isSetView() {
+    return this.view != null;
+  }
+
+  public void setViewIsSet(boolean value) {
+    if (!value) {
+      this.view = null;
+    }
+  }
+
+  public int getReplicasSize() {
+    return (this.replicas == null) ? 0 : this.replicas.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getReplicasIterator() {
+    return (this.replicas == null) ? null : this.replicas.iterator();
+  }
+
+  public void addToReplicas(java.lang.String elem) {
+    if (this.replicas == null) {
+      this.replicas = new java.util.ArrayList<java.lang.String>();
+    }
+    this.replicas.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getReplicas() {
+    return this.replicas;
+  }
+
+  public PullAnswer setReplicas(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> replicas) {
+    this.replicas = replicas;
+    return this;
+  }
+
+  public void unsetReplicas() {
+    this.replicas = null;
+  }
+
+  /** Returns true if field replicas is set (has been assigned a value) and false otherwise */
+  public boolean isSetReplicas() {
+    return this.replicas != null;
+  }
+
+  public void setReplicasIsSet(boolean value) {
+    if (!value) {
+      this.replicas = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getLeader() {
+    return this.leader;
+  }
+
+  public PullAnswer setLeader(@org.apache.thrift.annotation.Nullable java.lang.String leader) {
+    this.leader = leader;
+    return this;
+  }
+
+  public void unsetLeader() {
+    this.leader = null;
+  }
+
+  /** Returns true if field leader is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeader() {
+    return this.leader != null;
+  }
+
+  public void setLeaderIsSet(boolean value) {
+    if (!value) {
+      this.leader = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case REQUEST_ID:
+      if (value == null) {
+        unsetRequestId();
+      } else {
+        setRequestId((java.lang.Long)value);
+      }
+      break;
+
+    case SESSION_HELD:
+      if (value == null) {
+        unsetSessionHeld();
+      } else {
+        setSessionHeld((java.lang.Boolean)value);
+      }
+      break;
+
+    case VIEW:
+      if (value == null) {
+        unsetView();
+      } else {
+        setView((ViewMessage)value);
+      }
+      break;
+
+    case REPLICAS:
+      if (value == null) {
+        unsetReplicas();
+      } else {
+        setReplicas((java.util.List<java.lang.String>)value);
+      }
+      break;
+
+    case LEADER:
+      if (value == null) {
+        unsetLeader();
+      } else {
+        setLeader((java.lang.String)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case REQUEST_ID:
+      return getRequestId();
+
+    case SESSION_HELD:
+      return isSessionHeld();
+
+    case VIEW:
+      return getView();
+
+    case REPLICAS:
+      return getReplicas();
+
+    case LEADER:
+      return getLeader();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case REQUEST_ID:
+      return isSetRequestId();
+    case SESSION_HELD:
+      return isSetSessionHeld();
+    case VIEW:
+      return isSetView();
+    case REPLICAS:
+      return isSetReplicas();
+    case LEADER:
+      return isSetLeader();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof PullAnswer)
+      return this.equals((PullAnswer)that);
+    return false;
+  }
+
+  public boolean equals(PullAnswer that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_requestId = true;
+    boolean that_present_requestId = true;
+    if (this_present_requestId || that_present_requestId) {
+      if (!(this_present_requestId && that_present_requestId))
+        return false;
+      if (this.requestId != that.requestId)
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case REQUEST_ID:
-                return isSetRequestId();
-            case SESSION_HELD:
-                return isSetSessionHeld();
-            case VIEW:
-                return isSetView();
-            case REPLICAS:
-                return isSetReplicas();
-            case LEADER:
-                return isSetLeader();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_sessionHeld = true;
+    boolean that_present_sessionHeld = true;
+    if (this_present_sessionHeld || that_present_sessionHeld) {
+      if (!(this_present_sessionHeld && that_present_sessionHeld))
+        return false;
+      if (this.sessionHeld != that.sessionHeld)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof PullAnswer) return this.equals((PullAnswer) that);
+    boolean this_present_view = true && this.isSetView();
+    boolean that_present_view = true && that.isSetView();
+    if (this_present_view || that_present_view) {
+      if (!(this_present_view && that_present_view))
+        return false;
+      if (!this.view.equals(that.view))
         return false;
     }
 
-    public boolean equals(PullAnswer that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_requestId = true;
-        boolean that_present_requestId = true;
-        if (this_present_requestId || that_present_requestId) {
-            if (!(this_present_requestId && that_present_requestId)) return false;
-            if (this.requestId != that.requestId) return false;
-        }
-
-        boolean this_present_sessionHeld = true;
-        boolean that_present_sessionHeld = true;
-        if (this_present_sessionHeld || that_present_sessionHeld) {
-            if (!(this_present_sessionHeld && that_present_sessionHeld)) return false;
-            if (this.sessionHeld != that.sessionHeld) return false;
-        }
-
-        boolean this_present_view = true && this.isSetView();
-        boolean that_present_view = true && that.isSetView();
-        if (this_present_view || that_present_view) {
-            if (!(this_present_view && that_present_view)) return false;
-            if (!this.view.equals(that.view)) return false;
-        }
-
-        boolean this_present_replicas = true && this.isSetReplicas();
-        boolean that_present_replicas = true && that.isSetReplicas();
-        if (this_present_replicas || that_present_replicas) {
-            if (!(this_present_replicas && that_present_replicas)) return false;
-            if (!this.replicas.equals(that.replicas)) return false;
-        }
-
-        boolean this_present_leader = true && this.isSetLeader();
-        boolean that_present_leader = true && that.isSetLeader();
-        if (this_present_leader || that_present_leader) {
-            if (!(this_present_leader && that_present_leader)) return false;
-            if (!this.leader.equals(that.leader)) return false;
-        }
-
-        return true;
+    boolean this_present_replicas = true && this.isSetReplicas();
+    boolean that_present_replicas = true && that.isSetReplicas();
+    if (this_present_replicas || that_present_replicas) {
+      if (!(this_present_replicas && that_present_replicas))
+        return false;
+      if (!this.replicas.equals(that.replicas))
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
-
-        hashCode = hashCode * 8191 + ((sessionHeld) ? 131071 : 524287);
-
-        hashCode = hashCode * 8191 + ((isSetView()) ? 131071 : 524287);
-        if (isSetView()) hashCode = hashCode * 8191 + view.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetReplicas()) ? 131071 : 524287);
-        if (isSetReplicas()) hashCode = hashCode * 8191 + replicas.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetLeader()) ? 131071 : 524287);
-        if (isSetLeader()) hashCode = hashCode * 8191 + leader.hashCode();
-
-        return hashCode;
+    boolean this_present_leader = true && this.isSetLeader();
+    boolean that_present_leader = true && that.isSetLeader();
+    if (this_present_leader || that_present_leader) {
+      if (!(this_present_leader && that_present_leader))
+        return false;
+      if (!this.leader.equals(that.leader))
+        return false;
     }
 
-    @Override
-    public int compareTo(PullAnswer other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    return true;
+  }
 
-        int lastComparison = 0;
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRequestId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestId, other.requestId);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSessionHeld(), other.isSetSessionHeld());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSessionHeld()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionHeld, other.sessionHeld);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetView(), other.isSetView());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetView()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.view, other.view);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetReplicas(), other.isSetReplicas());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetReplicas()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.replicas, other.replicas);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetLeader(), other.isSetLeader());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLeader()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leader, other.leader);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+    hashCode = hashCode * 8191 + ((sessionHeld) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetView()) ? 131071 : 524287);
+    if (isSetView())
+      hashCode = hashCode * 8191 + view.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetReplicas()) ? 131071 : 524287);
+    if (isSetReplicas())
+      hashCode = hashCode * 8191 + replicas.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetLeader()) ? 131071 : 524287);
+    if (isSetLeader())
+      hashCode = hashCode * 8191 + leader.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(PullAnswer other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRequestId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestId, other.requestId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSessionHeld(), other.isSetSessionHeld());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSessionHeld()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionHeld, other.sessionHeld);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetView(), other.isSetView());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetView()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.view, other.view);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetReplicas(), other.isSetReplicas());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetReplicas()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.replicas, other.replicas);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLeader(), other.isSetLeader());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeader()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leader, other.leader);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("PullAnswer(");
+    boolean first = true;
+
+    sb.append("requestId:");
+    sb.append(this.requestId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sessionHeld:");
+    sb.append(this.sessionHeld);
+    first = false;
+    if (isSetView()) {
+      if (!first) sb.append(", ");
+      sb.append("view:");
+      if (this.view == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.view);
+      }
+      first = false;
+    }
+    if (!first) sb.append(", ");
+    sb.append("replicas:");
+    if (this.replicas == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.replicas);
+    }
+    first = false;
+    if (isSetLeader()) {
+      if (!first) sb.append(", ");
+      sb.append("leader:");
+      if (this.leader == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.leader);
+      }
+      first = false;
+    }
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'requestId' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'sessionHeld' because it's a primitive and you chose the non-beans generator.
+    if (replicas == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'replicas' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+    if (view != null) {
+      view.validate();
+    }
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class PullAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public PullAnswerStandardScheme getScheme() {
+      return new PullAnswerStandardScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class PullAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<PullAnswer> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("PullAnswer(");
-        boolean first = true;
-
-        sb.append("requestId:");
-        sb.append(this.requestId);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sessionHeld:");
-        sb.append(this.sessionHeld);
-        first = false;
-        if (isSetView()) {
-            if (!first) sb.append(", ");
-            sb.append("view:");
-            if (this.view == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.view);
-            }
-            first = false;
-        }
-        if (!first) sb.append(", ");
-        sb.append("replicas:");
-        if (this.replicas == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.replicas);
-        }
-        first = false;
-        if (isSetLeader()) {
-            if (!first) sb.append(", ");
-            sb.append("leader:");
-            if (this.leader == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.leader);
-            }
-            first = false;
-        }
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'requestId' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'sessionHeld' because it's a primitive and you chose the non-beans generator.
-        if (replicas == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'replicas' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-        if (view != null) {
-            view.validate();
-        }
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class PullAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public PullAnswerStandardScheme getScheme() {
-            return new PullAnswerStandardScheme();
-        }
-    }
-
-    private static class PullAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<PullAnswer> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, PullAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // REQUEST_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.requestId = iprot.readI64();
-                            struct.setRequestIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // SESSION_HELD
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.sessionHeld = iprot.readBool();
-                            struct.setSessionHeldIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // VIEW
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                            struct.view = new ViewMessage();
-                            struct.view.read(iprot);
-                            struct.setViewIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // REPLICAS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list128 = iprot.readListBegin();
-                                struct.replicas = new java.util.ArrayList<java.lang.String>(_list128.size);
-                                @org.apache.thrift.annotation.Nullable java.lang.String _elem129;
-                                for (int _i130 = 0; _i130 < _list128.size; ++_i130) {
-                                    _elem129 = iprot.readString();
-                                    struct.replicas.add(_elem129);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setReplicasIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // LEADER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.leader = iprot.readString();
-                            struct.setLeaderIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRequestId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'requestId' was not found in serialized data! Struct: " + toString());
+    public void read(org.apache.thrift.protocol.TProtocol iprot, PullAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // REQUEST_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.requestId = iprot.readI64();
+              struct.setRequestIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetSessionHeld()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'sessionHeld' was not found in serialized data! Struct: " + toString());
+            break;
+          case 2: // SESSION_HELD
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.sessionHeld = iprot.readBool();
+              struct.setSessionHeldIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, PullAnswer struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
-            oprot.writeI64(struct.requestId);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(SESSION_HELD_FIELD_DESC);
-            oprot.writeBool(struct.sessionHeld);
-            oprot.writeFieldEnd();
-            if (struct.view != null) {
-                if (struct.isSetView()) {
-                    oprot.writeFieldBegin(VIEW_FIELD_DESC);
-                    struct.view.write(oprot);
-                    oprot.writeFieldEnd();
-                }
+            break;
+          case 3: // VIEW
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.view = new ViewMessage();
+              struct.view.read(iprot);
+              struct.setViewIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.replicas != null) {
-                oprot.writeFieldBegin(REPLICAS_FIELD_DESC);
+            break;
+          case 4: // REPLICAS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list128 = iprot.readListBegin();
+                struct.replicas = new java.util.ArrayList<java.lang.String>(_list128.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem129;
+                for (int _i130 = 0; _i130 < _list128.size; ++_i130)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRING, struct.replicas.size()));
-                    for (java.lang.String _iter131 : struct.replicas) {
-                        oprot.writeString(_iter131);
-                    }
-                    oprot.writeListEnd();
+                  _elem129 = iprot.readString();
+                  struct.replicas.add(_elem129);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setReplicasIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.leader != null) {
-                if (struct.isSetLeader()) {
-                    oprot.writeFieldBegin(LEADER_FIELD_DESC);
-                    oprot.writeString(struct.leader);
-                    oprot.writeFieldEnd();
-                }
+            break;
+          case 5: // LEADER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.leader = iprot.readString();
+              struct.setLeaderIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    private static class PullAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public PullAnswerTupleScheme getScheme() {
-            return new PullAnswerTupleScheme();
-        }
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRequestId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'requestId' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetSessionHeld()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sessionHeld' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class PullAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<PullAnswer> {
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, PullAnswer struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
+      oprot.writeI64(struct.requestId);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SESSION_HELD_FIELD_DESC);
+      oprot.writeBool(struct.sessionHeld);
+      oprot.writeFieldEnd();
+      if (struct.view != null) {
+        if (struct.isSetView()) {
+          oprot.writeFieldBegin(VIEW_FIELD_DESC);
+          struct.view.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.replicas != null) {
+        oprot.writeFieldBegin(REPLICAS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.replicas.size()));
+          for (java.lang.String _iter131 : struct.replicas)
+          {
+            oprot.writeString(_iter131);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.leader != null) {
+        if (struct.isSetLeader()) {
+          oprot.writeFieldBegin(LEADER_FIELD_DESC);
+          oprot.writeString(struct.leader);
+          oprot.writeFieldEnd();
+        }
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class PullAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public PullAnswerTupleScheme getScheme() {
+      return new PullAnswerTupleScheme();
+    }
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, PullAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.requestId);
-            oprot.writeBool(struct.sessionHeld);
-            {
-                oprot.writeI32(struct.replicas.size());
-                for (java.lang.String _iter132 : struct.replicas) {
-                    oprot.writeString(_iter132);
-                }
-            }
-            java.util.BitSet optionals = new java.util.BitSet();
-            if (struct.isSetView()) {
-                optionals.set(0);
-            }
-            if (struct.isSetLeader()) {
-                optionals.set(1);
-            }
-            oprot.writeBitSet(optionals, 2);
-            if (struct.isSetView()) {
-                struct.view.write(oprot);
-            }
-            if (struct.isSetLeader()) {
-                oprot.writeString(struct.leader);
-            }
-        }
+  private static class PullAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<PullAnswer> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, PullAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.requestId = iprot.readI64();
-            struct.setRequestIdIsSet(true);
-            struct.sessionHeld = iprot.readBool();
-            struct.setSessionHeldIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list133 =
-                        iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-                struct.replicas = new java.util.ArrayList<java.lang.String>(_list133.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem134;
-                for (int _i135 = 0; _i135 < _list133.size; ++_i135) {
-                    _elem134 = iprot.readString();
-                    struct.replicas.add(_elem134);
-                }
-            }
-            struct.setReplicasIsSet(true);
-            java.util.BitSet incoming = iprot.readBitSet(2);
-            if (incoming.get(0)) {
-                struct.view = new ViewMessage();
-                struct.view.read(iprot);
-                struct.setViewIsSet(true);
-            }
-            if (incoming.get(1)) {
-                struct.leader = iprot.readString();
-                struct.setLeaderIsSet(true);
-            }
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, PullAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.requestId);
+      oprot.writeBool(struct.sessionHeld);
+      {
+        oprot.writeI32(struct.replicas.size());
+        for (java.lang.String _iter132 : struct.replicas)
+        {
+          oprot.writeString(_iter132);
+        }
+      }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetView()) {
+        optionals.set(0);
+      }
+      if (struct.isSetLeader()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetView()) {
+        struct.view.write(oprot);
+      }
+      if (struct.isSetLeader()) {
+        oprot.writeString(struct.leader);
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, PullAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.requestId = iprot.readI64();
+      struct.setRequestIdIsSet(true);
+      struct.sessionHeld = iprot.readBool();
+      struct.setSessionHeldIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list133 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.replicas = new java.util.ArrayList<java.lang.String>(_list133.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem134;
+        for (int _i135 = 0; _i135 < _list133.size; ++_i135)
+        {
+          _elem134 = iprot.readString();
+          struct.replicas.add(_elem134);
+        }
+      }
+      struct.setReplicasIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(2);
+      if (incoming.get(0)) {
+        struct.view = new ViewMessage();
+        struct.view.read(iprot);
+        struct.setViewIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.leader = iprot.readString();
+        struct.setLeaderIsSet(true);
+      }
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/PullRequest.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/PullRequest.java
@@ -7,680 +7,658 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class PullRequest
-        implements org.apache.thrift.TBase<PullRequest, PullRequest._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<PullRequest> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("PullRequest");
-
-    private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField VIEW_INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("viewIndex", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField RULES_REVISION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("rulesRevision", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short) 4);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new PullRequestStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new PullRequestTupleSchemeFactory();
-
-    private long requestId; // required
-    private long viewIndex; // required
-    private long rulesRevision; // required
-    private long sessionId; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        REQUEST_ID((short) 1, "requestId"),
-        VIEW_INDEX((short) 2, "viewIndex"),
-        RULES_REVISION((short) 3, "rulesRevision"),
-        /**
-         * 0 while the sender has no session.
-         */
-        SESSION_ID((short) 4, "sessionId");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // REQUEST_ID
-                    return REQUEST_ID;
-                case 2: // VIEW_INDEX
-                    return VIEW_INDEX;
-                case 3: // RULES_REVISION
-                    return RULES_REVISION;
-                case 4: // SESSION_ID
-                    return SESSION_ID;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+public class PullRequest implements org.apache.thrift.TBase<PullRequest, PullRequest._Fields>, java.io.Serializable, Cloneable, Comparable<PullRequest> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("PullRequest");
+
+  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField VIEW_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("viewIndex", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField RULES_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("rulesRevision", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short)4);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PullRequestStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PullRequestTupleSchemeFactory();
+
+  private long requestId; // required
+  private long viewIndex; // required
+  private long rulesRevision; // required
+  private long sessionId; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    REQUEST_ID((short)1, "requestId"),
+    VIEW_INDEX((short)2, "viewIndex"),
+    RULES_REVISION((short)3, "rulesRevision"),
+    /**
+     * 0 while the sender has no session.
+     */
+    SESSION_ID((short)4, "sessionId");
 
-    // isset id assignments
-    private static final int __REQUESTID_ISSET_ID = 0;
-    private static final int __VIEWINDEX_ISSET_ID = 1;
-    private static final int __RULESREVISION_ISSET_ID = 2;
-    private static final int __SESSIONID_ISSET_ID = 3;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.REQUEST_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "requestId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.VIEW_INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "viewIndex",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.RULES_REVISION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "rulesRevision",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.SESSION_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sessionId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PullRequest.class, metaDataMap);
-    }
-
-    public PullRequest() {}
-
-    public PullRequest(long requestId, long viewIndex, long rulesRevision, long sessionId) {
-        this();
-        this.requestId = requestId;
-        setRequestIdIsSet(true);
-        this.viewIndex = viewIndex;
-        setViewIndexIsSet(true);
-        this.rulesRevision = rulesRevision;
-        setRulesRevisionIsSet(true);
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public PullRequest(PullRequest other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.requestId = other.requestId;
-        this.viewIndex = other.viewIndex;
-        this.rulesRevision = other.rulesRevision;
-        this.sessionId = other.sessionId;
-    }
-
-    @Override
-    public PullRequest deepCopy() {
-        return new PullRequest(this);
-    }
-
-    @Override
-    public void clear() {
-        setRequestIdIsSet(false);
-        this.requestId = 0;
-        setViewIndexIsSet(false);
-        this.viewIndex = 0;
-        setRulesRevisionIsSet(false);
-        this.rulesRevision = 0;
-        setSessionIdIsSet(false);
-        this.sessionId = 0;
-    }
-
-    public long getRequestId() {
-        return this.requestId;
-    }
-
-    public PullRequest setRequestId(long requestId) {
-        this.requestId = requestId;
-        setRequestIdIsSet(true);
-        return this;
-    }
-
-    public void unsetRequestId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
-    }
-
-    /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
-    public boolean isSetRequestId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
-    }
-
-    public void setRequestIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
-    }
-
-    public long getViewIndex() {
-        return this.viewIndex;
-    }
-
-    public PullRequest setViewIndex(long viewIndex) {
-        this.viewIndex = viewIndex;
-        setViewIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetViewIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
-    }
-
-    /** Returns true if field viewIndex is set (has been assigned a value) and false otherwise */
-    public boolean isSetViewIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
-    }
-
-    public void setViewIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VIEWINDEX_ISSET_ID, value);
-    }
-
-    public long getRulesRevision() {
-        return this.rulesRevision;
-    }
-
-    public PullRequest setRulesRevision(long rulesRevision) {
-        this.rulesRevision = rulesRevision;
-        setRulesRevisionIsSet(true);
-        return this;
-    }
-
-    public void unsetRulesRevision() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RULESREVISION_ISSET_ID);
-    }
-
-    /** Returns true if field rulesRevision is set (has been assigned a value) and false otherwise */
-    public boolean isSetRulesRevision() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RULESREVISION_ISSET_ID);
-    }
-
-    public void setRulesRevisionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RULESREVISION_ISSET_ID, value);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // REQUEST_ID
+          return REQUEST_ID;
+        case 2: // VIEW_INDEX
+          return VIEW_INDEX;
+        case 3: // RULES_REVISION
+          return RULES_REVISION;
+        case 4: // SESSION_ID
+          return SESSION_ID;
+        default:
+          return null;
+      }
     }
 
     /**
-     * 0 while the sender has no session.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public long getSessionId() {
-        return this.sessionId;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     * 0 while the sender has no session.
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public PullRequest setSessionId(long sessionId) {
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
-        return this;
-    }
-
-    public void unsetSessionId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
-    public boolean isSetSessionId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setSessionIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case REQUEST_ID:
-                if (value == null) {
-                    unsetRequestId();
-                } else {
-                    setRequestId((java.lang.Long) value);
-                }
-                break;
-
-            case VIEW_INDEX:
-                if (value == null) {
-                    unsetViewIndex();
-                } else {
-                    setViewIndex((java.lang.Long) value);
-                }
-                break;
-
-            case RULES_REVISION:
-                if (value == null) {
-                    unsetRulesRevision();
-                } else {
-                    setRulesRevision((java.lang.Long) value);
-                }
-                break;
-
-            case SESSION_ID:
-                if (value == null) {
-                    unsetSessionId();
-                } else {
-                    setSessionId((java.lang.Long) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case REQUEST_ID:
-                return getRequestId();
-
-            case VIEW_INDEX:
-                return getViewIndex();
-
-            case RULES_REVISION:
-                return getRulesRevision();
-
-            case SESSION_ID:
-                return getSessionId();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __REQUESTID_ISSET_ID = 0;
+  private static final int __VIEWINDEX_ISSET_ID = 1;
+  private static final int __RULESREVISION_ISSET_ID = 2;
+  private static final int __SESSIONID_ISSET_ID = 3;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.REQUEST_ID, new org.apache.thrift.meta_data.FieldMetaData("requestId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.VIEW_INDEX, new org.apache.thrift.meta_data.FieldMetaData("viewIndex", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RULES_REVISION, new org.apache.thrift.meta_data.FieldMetaData("rulesRevision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SESSION_ID, new org.apache.thrift.meta_data.FieldMetaData("sessionId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PullRequest.class, metaDataMap);
+  }
+
+  public PullRequest() {
+  }
+
+  public PullRequest(
+    long requestId,
+    long viewIndex,
+    long rulesRevision,
+    long sessionId)
+  {
+    this();
+    this.requestId = requestId;
+    setRequestIdIsSet(true);
+    this.viewIndex = viewIndex;
+    setViewIndexIsSet(true);
+    this.rulesRevision = rulesRevision;
+    setRulesRevisionIsSet(true);
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public PullRequest(PullRequest other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.requestId = other.requestId;
+    this.viewIndex = other.viewIndex;
+    this.rulesRevision = other.rulesRevision;
+    this.sessionId = other.sessionId;
+  }
+
+  @Override
+  public PullRequest deepCopy() {
+    return new PullRequest(this);
+  }
+
+  @Override
+  public void clear() {
+    setRequestIdIsSet(false);
+    this.requestId = 0;
+    setViewIndexIsSet(false);
+    this.viewIndex = 0;
+    setRulesRevisionIsSet(false);
+    this.rulesRevision = 0;
+    setSessionIdIsSet(false);
+    this.sessionId = 0;
+  }
+
+  public long getRequestId() {
+    return this.requestId;
+  }
+
+  public PullRequest setRequestId(long requestId) {
+    this.requestId = requestId;
+    setRequestIdIsSet(true);
+    return this;
+  }
+
+  public void unsetRequestId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+  }
+
+  /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
+  public boolean isSetRequestId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+  }
+
+  public void setRequestIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
+  }
+
+  public long getViewIndex() {
+    return this.viewIndex;
+  }
+
+  public PullRequest setViewIndex(long viewIndex) {
+    this.viewIndex = viewIndex;
+    setViewIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetViewIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field viewIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetViewIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VIEWINDEX_ISSET_ID);
+  }
+
+  public void setViewIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VIEWINDEX_ISSET_ID, value);
+  }
+
+  public long getRulesRevision() {
+    return this.rulesRevision;
+  }
+
+  public PullRequest setRulesRevision(long rulesRevision) {
+    this.rulesRevision = rulesRevision;
+    setRulesRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetRulesRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RULESREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field rulesRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetRulesRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RULESREVISION_ISSET_ID);
+  }
+
+  public void setRulesRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RULESREVISION_ISSET_ID, value);
+  }
+
+  /**
+   * 0 while the sender has no session.
+   */
+  public long getSessionId() {
+    return this.sessionId;
+  }
+
+  /**
+   * 0 while the sender has no session.
+   */
+  public PullRequest setSessionId(long sessionId) {
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+    return this;
+  }
+
+  public void unsetSessionId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
+  public boolean isSetSessionId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  public void setSessionIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case REQUEST_ID:
+      if (value == null) {
+        unsetRequestId();
+      } else {
+        setRequestId((java.lang.Long)value);
+      }
+      break;
+
+    case VIEW_INDEX:
+      if (value == null) {
+        unsetViewIndex();
+      } else {
+        setViewIndex((java.lang.Long)value);
+      }
+      break;
+
+    case RULES_REVISION:
+      if (value == null) {
+        unsetRulesRevision();
+      } else {
+        setRulesRevision((java.lang.Long)value);
+      }
+      break;
+
+    case SESSION_ID:
+      if (value == null) {
+        unsetSessionId();
+      } else {
+        setSessionId((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case REQUEST_ID:
+      return getRequestId();
+
+    case VIEW_INDEX:
+      return getViewIndex();
+
+    case RULES_REVISION:
+      return getRulesRevision();
+
+    case SESSION_ID:
+      return getSessionId();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case REQUEST_ID:
+      return isSetRequestId();
+    case VIEW_INDEX:
+      return isSetViewIndex();
+    case RULES_REVISION:
+      return isSetRulesRevision();
+    case SESSION_ID:
+      return isSetSessionId();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof PullRequest)
+      return this.equals((PullRequest)that);
+    return false;
+  }
+
+  public boolean equals(PullRequest that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_requestId = true;
+    boolean that_present_requestId = true;
+    if (this_present_requestId || that_present_requestId) {
+      if (!(this_present_requestId && that_present_requestId))
+        return false;
+      if (this.requestId != that.requestId)
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case REQUEST_ID:
-                return isSetRequestId();
-            case VIEW_INDEX:
-                return isSetViewIndex();
-            case RULES_REVISION:
-                return isSetRulesRevision();
-            case SESSION_ID:
-                return isSetSessionId();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_viewIndex = true;
+    boolean that_present_viewIndex = true;
+    if (this_present_viewIndex || that_present_viewIndex) {
+      if (!(this_present_viewIndex && that_present_viewIndex))
+        return false;
+      if (this.viewIndex != that.viewIndex)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof PullRequest) return this.equals((PullRequest) that);
+    boolean this_present_rulesRevision = true;
+    boolean that_present_rulesRevision = true;
+    if (this_present_rulesRevision || that_present_rulesRevision) {
+      if (!(this_present_rulesRevision && that_present_rulesRevision))
+        return false;
+      if (this.rulesRevision != that.rulesRevision)
         return false;
     }
 
-    public boolean equals(PullRequest that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_requestId = true;
-        boolean that_present_requestId = true;
-        if (this_present_requestId || that_present_requestId) {
-            if (!(this_present_requestId && that_present_requestId)) return false;
-            if (this.requestId != that.requestId) return false;
-        }
-
-        boolean this_present_viewIndex = true;
-        boolean that_present_viewIndex = true;
-        if (this_present_viewIndex || that_present_viewIndex) {
-            if (!(this_present_viewIndex && that_present_viewIndex)) return false;
-            if (this.viewIndex != that.viewIndex) return false;
-        }
-
-        boolean this_present_rulesRevision = true;
-        boolean that_present_rulesRevision = true;
-        if (this_present_rulesRevision || that_present_rulesRevision) {
-            if (!(this_present_rulesRevision && that_present_rulesRevision)) return false;
-            if (this.rulesRevision != that.rulesRevision) return false;
-        }
-
-        boolean this_present_sessionId = true;
-        boolean that_present_sessionId = true;
-        if (this_present_sessionId || that_present_sessionId) {
-            if (!(this_present_sessionId && that_present_sessionId)) return false;
-            if (this.sessionId != that.sessionId) return false;
-        }
-
-        return true;
+    boolean this_present_sessionId = true;
+    boolean that_present_sessionId = true;
+    if (this_present_sessionId || that_present_sessionId) {
+      if (!(this_present_sessionId && that_present_sessionId))
+        return false;
+      if (this.sessionId != that.sessionId)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(viewIndex);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(rulesRevision);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(PullRequest other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRequestId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestId, other.requestId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetViewIndex(), other.isSetViewIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetViewIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.viewIndex, other.viewIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRulesRevision(), other.isSetRulesRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRulesRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rulesRevision, other.rulesRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSessionId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("PullRequest(");
+    boolean first = true;
+
+    sb.append("requestId:");
+    sb.append(this.requestId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("viewIndex:");
+    sb.append(this.viewIndex);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("rulesRevision:");
+    sb.append(this.rulesRevision);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sessionId:");
+    sb.append(this.sessionId);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'requestId' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'viewIndex' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'rulesRevision' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class PullRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(viewIndex);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(rulesRevision);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
-
-        return hashCode;
+    public PullRequestStandardScheme getScheme() {
+      return new PullRequestStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(PullRequest other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class PullRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<PullRequest> {
 
-        lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRequestId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestId, other.requestId);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, PullRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // REQUEST_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.requestId = iprot.readI64();
+              struct.setRequestIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetViewIndex(), other.isSetViewIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetViewIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.viewIndex, other.viewIndex);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // VIEW_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.viewIndex = iprot.readI64();
+              struct.setViewIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRulesRevision(), other.isSetRulesRevision());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRulesRevision()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rulesRevision, other.rulesRevision);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // RULES_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.rulesRevision = iprot.readI64();
+              struct.setRulesRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSessionId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // SESSION_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sessionId = iprot.readI64();
+              struct.setSessionIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRequestId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'requestId' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetViewIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'viewIndex' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetRulesRevision()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'rulesRevision' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetSessionId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sessionId' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, PullRequest struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
+      oprot.writeI64(struct.requestId);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(VIEW_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.viewIndex);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(RULES_REVISION_FIELD_DESC);
+      oprot.writeI64(struct.rulesRevision);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
+      oprot.writeI64(struct.sessionId);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class PullRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public PullRequestTupleScheme getScheme() {
+      return new PullRequestTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class PullRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<PullRequest> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("PullRequest(");
-        boolean first = true;
-
-        sb.append("requestId:");
-        sb.append(this.requestId);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("viewIndex:");
-        sb.append(this.viewIndex);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("rulesRevision:");
-        sb.append(this.rulesRevision);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sessionId:");
-        sb.append(this.sessionId);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'requestId' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'viewIndex' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'rulesRevision' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, PullRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.requestId);
+      oprot.writeI64(struct.viewIndex);
+      oprot.writeI64(struct.rulesRevision);
+      oprot.writeI64(struct.sessionId);
     }
 
-    private static class PullRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public PullRequestStandardScheme getScheme() {
-            return new PullRequestStandardScheme();
-        }
-    }
-
-    private static class PullRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<PullRequest> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, PullRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // REQUEST_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.requestId = iprot.readI64();
-                            struct.setRequestIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // VIEW_INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.viewIndex = iprot.readI64();
-                            struct.setViewIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // RULES_REVISION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.rulesRevision = iprot.readI64();
-                            struct.setRulesRevisionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // SESSION_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.sessionId = iprot.readI64();
-                            struct.setSessionIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRequestId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'requestId' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetViewIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'viewIndex' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetRulesRevision()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'rulesRevision' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetSessionId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'sessionId' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, PullRequest struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
-            oprot.writeI64(struct.requestId);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(VIEW_INDEX_FIELD_DESC);
-            oprot.writeI64(struct.viewIndex);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(RULES_REVISION_FIELD_DESC);
-            oprot.writeI64(struct.rulesRevision);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
-            oprot.writeI64(struct.sessionId);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class PullRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public PullRequestTupleScheme getScheme() {
-            return new PullRequestTupleScheme();
-        }
-    }
-
-    private static class PullRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<PullRequest> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, PullRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.requestId);
-            oprot.writeI64(struct.viewIndex);
-            oprot.writeI64(struct.rulesRevision);
-            oprot.writeI64(struct.sessionId);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, PullRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.requestId = iprot.readI64();
-            struct.setRequestIdIsSet(true);
-            struct.viewIndex = iprot.readI64();
-            struct.setViewIndexIsSet(true);
-            struct.rulesRevision = iprot.readI64();
-            struct.setRulesRevisionIsSet(true);
-            struct.sessionId = iprot.readI64();
-            struct.setSessionIdIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, PullRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.requestId = iprot.readI64();
+      struct.setRequestIdIsSet(true);
+      struct.viewIndex = iprot.readI64();
+      struct.setViewIndexIsSet(true);
+      struct.rulesRevision = iprot.readI64();
+      struct.setRulesRevisionIsSet(true);
+      struct.sessionId = iprot.readI64();
+      struct.setSessionIdIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RefusedResult.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RefusedResult.java
@@ -7,497 +7,484 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class RefusedResult
-        implements org.apache.thrift.TBase<RefusedResult, RefusedResult._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<RefusedResult> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("RefusedResult");
-
-    private static final org.apache.thrift.protocol.TField CODE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("code", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField DETAIL_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("detail", org.apache.thrift.protocol.TType.STRING, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new RefusedResultStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new RefusedResultTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String code; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String detail; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        /**
-         * Name of the error code.
-         */
-        CODE((short) 1, "code"),
-        DETAIL((short) 2, "detail");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // CODE
-                    return CODE;
-                case 2: // DETAIL
-                    return DETAIL;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+public class RefusedResult implements org.apache.thrift.TBase<RefusedResult, RefusedResult._Fields>, java.io.Serializable, Cloneable, Comparable<RefusedResult> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("RefusedResult");
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField CODE_FIELD_DESC = new org.apache.thrift.protocol.TField("code", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField DETAIL_FIELD_DESC = new org.apache.thrift.protocol.TField("detail", org.apache.thrift.protocol.TType.STRING, (short)2);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RefusedResultStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RefusedResultTupleSchemeFactory();
 
-    // isset id assignments
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.CODE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "code",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.DETAIL,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "detail",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RefusedResult.class, metaDataMap);
-    }
-
-    public RefusedResult() {}
-
-    public RefusedResult(java.lang.String code, java.lang.String detail) {
-        this();
-        this.code = code;
-        this.detail = detail;
-    }
+  private @org.apache.thrift.annotation.Nullable java.lang.String code; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String detail; // required
 
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Name of the error code.
      */
-    public RefusedResult(RefusedResult other) {
-        if (other.isSetCode()) {
-            this.code = other.code;
-        }
-        if (other.isSetDetail()) {
-            this.detail = other.detail;
-        }
-    }
+    CODE((short)1, "code"),
+    DETAIL((short)2, "detail");
 
-    @Override
-    public RefusedResult deepCopy() {
-        return new RefusedResult(this);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    @Override
-    public void clear() {
-        this.code = null;
-        this.detail = null;
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Name of the error code.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getCode() {
-        return this.code;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // CODE
+          return CODE;
+        case 2: // DETAIL
+          return DETAIL;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Name of the error code.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public RefusedResult setCode(@org.apache.thrift.annotation.Nullable java.lang.String code) {
-        this.code = code;
-        return this;
-    }
-
-    public void unsetCode() {
-        this.code = null;
-    }
-
-    /** Returns true if field code is set (has been assigned a value) and false otherwise */
-    public boolean isSetCode() {
-        return this.code != null;
-    }
-
-    public void setCodeIsSet(boolean value) {
-        if (!value) {
-            this.code = null;
-        }
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getDetail() {
-        return this.detail;
-    }
-
-    public RefusedResult setDetail(@org.apache.thrift.annotation.Nullable java.lang.String detail) {
-        this.detail = detail;
-        return this;
-    }
-
-    public void unsetDetail() {
-        this.detail = null;
-    }
-
-    /** Returns true if field detail is set (has been assigned a value) and false otherwise */
-    public boolean isSetDetail() {
-        return this.detail != null;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setDetailIsSet(boolean value) {
-        if (!value) {
-            this.detail = null;
-        }
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case CODE:
-                if (value == null) {
-                    unsetCode();
-                } else {
-                    setCode((java.lang.String) value);
-                }
-                break;
-
-            case DETAIL:
-                if (value == null) {
-                    unsetDetail();
-                } else {
-                    setDetail((java.lang.String) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case CODE:
-                return getCode();
-
-            case DETAIL:
-                return getDetail();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case CODE:
-                return isSetCode();
-            case DETAIL:
-                return isSetDetail();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.CODE, new org.apache.thrift.meta_data.FieldMetaData("code", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.DETAIL, new org.apache.thrift.meta_data.FieldMetaData("detail", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RefusedResult.class, metaDataMap);
+  }
+
+  public RefusedResult() {
+  }
+
+  public RefusedResult(
+    java.lang.String code,
+    java.lang.String detail)
+  {
+    this();
+    this.code = code;
+    this.detail = detail;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public RefusedResult(RefusedResult other) {
+    if (other.isSetCode()) {
+      this.code = other.code;
+    }
+    if (other.isSetDetail()) {
+      this.detail = other.detail;
+    }
+  }
+
+  @Override
+  public RefusedResult deepCopy() {
+    return new RefusedResult(this);
+  }
+
+  @Override
+  public void clear() {
+    this.code = null;
+    this.detail = null;
+  }
+
+  /**
+   * Name of the error code.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getCode() {
+    return this.code;
+  }
+
+  /**
+   * Name of the error code.
+   */
+  public RefusedResult setCode(@org.apache.thrift.annotation.Nullable java.lang.String code) {
+    this.code = code;
+    return this;
+  }
+
+  public void unsetCode() {
+    this.code = null;
+  }
+
+  /** Returns true if field code is set (has been assigned a value) and false otherwise */
+  public boolean isSetCode() {
+    return this.code != null;
+  }
+
+  public void setCodeIsSet(boolean value) {
+    if (!value) {
+      this.code = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getDetail() {
+    return this.detail;
+  }
+
+  public RefusedResult setDetail(@org.apache.thrift.annotation.Nullable java.lang.String detail) {
+    this.detail = detail;
+    return this;
+  }
+
+  public void unsetDetail() {
+    this.detail = null;
+  }
+
+  /** Returns true if field detail is set (has been assigned a value) and false otherwise */
+  public boolean isSetDetail() {
+    return this.detail != null;
+  }
+
+  public void setDetailIsSet(boolean value) {
+    if (!value) {
+      this.detail = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case CODE:
+      if (value == null) {
+        unsetCode();
+      } else {
+        setCode((java.lang.String)value);
+      }
+      break;
+
+    case DETAIL:
+      if (value == null) {
+        unsetDetail();
+      } else {
+        setDetail((java.lang.String)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case CODE:
+      return getCode();
+
+    case DETAIL:
+      return getDetail();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case CODE:
+      return isSetCode();
+    case DETAIL:
+      return isSetDetail();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof RefusedResult)
+      return this.equals((RefusedResult)that);
+    return false;
+  }
+
+  public boolean equals(RefusedResult that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_code = true && this.isSetCode();
+    boolean that_present_code = true && that.isSetCode();
+    if (this_present_code || that_present_code) {
+      if (!(this_present_code && that_present_code))
+        return false;
+      if (!this.code.equals(that.code))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof RefusedResult) return this.equals((RefusedResult) that);
+    boolean this_present_detail = true && this.isSetDetail();
+    boolean that_present_detail = true && that.isSetDetail();
+    if (this_present_detail || that_present_detail) {
+      if (!(this_present_detail && that_present_detail))
+        return false;
+      if (!this.detail.equals(that.detail))
         return false;
     }
 
-    public boolean equals(RefusedResult that) {
-        if (that == null) return false;
-        if (this == that) return true;
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetCode()) ? 131071 : 524287);
+    if (isSetCode())
+      hashCode = hashCode * 8191 + code.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetDetail()) ? 131071 : 524287);
+    if (isSetDetail())
+      hashCode = hashCode * 8191 + detail.hashCode();
+
+    return hashCode;
+  }
 
-        boolean this_present_code = true && this.isSetCode();
-        boolean that_present_code = true && that.isSetCode();
-        if (this_present_code || that_present_code) {
-            if (!(this_present_code && that_present_code)) return false;
-            if (!this.code.equals(that.code)) return false;
-        }
-
-        boolean this_present_detail = true && this.isSetDetail();
-        boolean that_present_detail = true && that.isSetDetail();
-        if (this_present_detail || that_present_detail) {
-            if (!(this_present_detail && that_present_detail)) return false;
-            if (!this.detail.equals(that.detail)) return false;
-        }
-
-        return true;
+  @Override
+  public int compareTo(RefusedResult other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetCode()) ? 131071 : 524287);
-        if (isSetCode()) hashCode = hashCode * 8191 + code.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetDetail()) ? 131071 : 524287);
-        if (isSetDetail()) hashCode = hashCode * 8191 + detail.hashCode();
+    int lastComparison = 0;
 
-        return hashCode;
+    lastComparison = java.lang.Boolean.compare(isSetCode(), other.isSetCode());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    @Override
-    public int compareTo(RefusedResult other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetCode(), other.isSetCode());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetCode()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.code, other.code);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetDetail(), other.isSetDetail());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetDetail()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.detail, other.detail);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    if (isSetCode()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.code, other.code);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    lastComparison = java.lang.Boolean.compare(isSetDetail(), other.isSetDetail());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    if (isSetDetail()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.detail, other.detail);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
+    return 0;
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("RefusedResult(");
-        boolean first = true;
-
-        sb.append("code:");
-        if (this.code == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.code);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("detail:");
-        if (this.detail == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.detail);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (code == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'code' was not present! Struct: " + toString());
-        }
-        if (detail == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'detail' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("RefusedResult(");
+    boolean first = true;
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    sb.append("code:");
+    if (this.code == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.code);
     }
-
-    private static class RefusedResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RefusedResultStandardScheme getScheme() {
-            return new RefusedResultStandardScheme();
-        }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("detail:");
+    if (this.detail == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.detail);
     }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
 
-    private static class RefusedResultStandardScheme extends org.apache.thrift.scheme.StandardScheme<RefusedResult> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, RefusedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // CODE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.code = iprot.readString();
-                            struct.setCodeIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // DETAIL
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.detail = iprot.readString();
-                            struct.setDetailIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            struct.validate();
-        }
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (code == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'code' was not present! Struct: " + toString());
+    }
+    if (detail == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'detail' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class RefusedResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public RefusedResultStandardScheme getScheme() {
+      return new RefusedResultStandardScheme();
+    }
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, RefusedResult struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
+  private static class RefusedResultStandardScheme extends org.apache.thrift.scheme.StandardScheme<RefusedResult> {
 
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.code != null) {
-                oprot.writeFieldBegin(CODE_FIELD_DESC);
-                oprot.writeString(struct.code);
-                oprot.writeFieldEnd();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, RefusedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // CODE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.code = iprot.readString();
+              struct.setCodeIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.detail != null) {
-                oprot.writeFieldBegin(DETAIL_FIELD_DESC);
-                oprot.writeString(struct.detail);
-                oprot.writeFieldEnd();
+            break;
+          case 2: // DETAIL
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.detail = iprot.readString();
+              struct.setDetailIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    private static class RefusedResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RefusedResultTupleScheme getScheme() {
-            return new RefusedResultTupleScheme();
-        }
+      // check for required fields of primitive type, which can't be checked in the validate method
+      struct.validate();
     }
 
-    private static class RefusedResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<RefusedResult> {
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, RefusedResult struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.code != null) {
+        oprot.writeFieldBegin(CODE_FIELD_DESC);
+        oprot.writeString(struct.code);
+        oprot.writeFieldEnd();
+      }
+      if (struct.detail != null) {
+        oprot.writeFieldBegin(DETAIL_FIELD_DESC);
+        oprot.writeString(struct.detail);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class RefusedResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public RefusedResultTupleScheme getScheme() {
+      return new RefusedResultTupleScheme();
+    }
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, RefusedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.code);
-            oprot.writeString(struct.detail);
-        }
+  private static class RefusedResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<RefusedResult> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, RefusedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.code = iprot.readString();
-            struct.setCodeIsSet(true);
-            struct.detail = iprot.readString();
-            struct.setDetailIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, RefusedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.code);
+      oprot.writeString(struct.detail);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, RefusedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.code = iprot.readString();
+      struct.setCodeIsSet(true);
+      struct.detail = iprot.readString();
+      struct.setDetailIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RegisterSessionCommand.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RegisterSessionCommand.java
@@ -7,488 +7,471 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class RegisterSessionCommand
-        implements org.apache.thrift.TBase<RegisterSessionCommand, RegisterSessionCommand._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<RegisterSessionCommand> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("RegisterSessionCommand");
-
-    private static final org.apache.thrift.protocol.TField INSTANCE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("instance", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new RegisterSessionCommandStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new RegisterSessionCommandTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String instance; // required
-    private long sessionId; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        INSTANCE((short) 1, "instance"),
-        SESSION_ID((short) 2, "sessionId");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // INSTANCE
-                    return INSTANCE;
-                case 2: // SESSION_ID
-                    return SESSION_ID;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+public class RegisterSessionCommand implements org.apache.thrift.TBase<RegisterSessionCommand, RegisterSessionCommand._Fields>, java.io.Serializable, Cloneable, Comparable<RegisterSessionCommand> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("RegisterSessionCommand");
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField INSTANCE_FIELD_DESC = new org.apache.thrift.protocol.TField("instance", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField SESSION_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("sessionId", org.apache.thrift.protocol.TType.I64, (short)2);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RegisterSessionCommandStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RegisterSessionCommandTupleSchemeFactory();
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private @org.apache.thrift.annotation.Nullable java.lang.String instance; // required
+  private long sessionId; // required
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    INSTANCE((short)1, "instance"),
+    SESSION_ID((short)2, "sessionId");
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __SESSIONID_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.INSTANCE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "instance",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.SESSION_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sessionId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RegisterSessionCommand.class, metaDataMap);
-    }
-
-    public RegisterSessionCommand() {}
-
-    public RegisterSessionCommand(java.lang.String instance, long sessionId) {
-        this();
-        this.instance = instance;
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public RegisterSessionCommand(RegisterSessionCommand other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetInstance()) {
-            this.instance = other.instance;
-        }
-        this.sessionId = other.sessionId;
-    }
-
-    @Override
-    public RegisterSessionCommand deepCopy() {
-        return new RegisterSessionCommand(this);
-    }
-
-    @Override
-    public void clear() {
-        this.instance = null;
-        setSessionIdIsSet(false);
-        this.sessionId = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getInstance() {
-        return this.instance;
-    }
-
-    public RegisterSessionCommand setInstance(@org.apache.thrift.annotation.Nullable java.lang.String instance) {
-        this.instance = instance;
-        return this;
-    }
-
-    public void unsetInstance() {
-        this.instance = null;
-    }
-
-    /** Returns true if field instance is set (has been assigned a value) and false otherwise */
-    public boolean isSetInstance() {
-        return this.instance != null;
-    }
-
-    public void setInstanceIsSet(boolean value) {
-        if (!value) {
-            this.instance = null;
-        }
-    }
-
-    public long getSessionId() {
-        return this.sessionId;
-    }
-
-    public RegisterSessionCommand setSessionId(long sessionId) {
-        this.sessionId = sessionId;
-        setSessionIdIsSet(true);
-        return this;
-    }
-
-    public void unsetSessionId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
-    }
-
-    /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
-    public boolean isSetSessionId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // INSTANCE
+          return INSTANCE;
+        case 2: // SESSION_ID
+          return SESSION_ID;
+        default:
+          return null;
+      }
     }
 
-    public void setSessionIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case INSTANCE:
-                if (value == null) {
-                    unsetInstance();
-                } else {
-                    setInstance((java.lang.String) value);
-                }
-                break;
-
-            case SESSION_ID:
-                if (value == null) {
-                    unsetSessionId();
-                } else {
-                    setSessionId((java.lang.Long) value);
-                }
-                break;
-        }
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case INSTANCE:
-                return getInstance();
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-            case SESSION_ID:
-                return getSessionId();
-        }
-        throw new java.lang.IllegalStateException();
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case INSTANCE:
-                return isSetInstance();
-            case SESSION_ID:
-                return isSetSessionId();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof RegisterSessionCommand) return this.equals((RegisterSessionCommand) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __SESSIONID_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.INSTANCE, new org.apache.thrift.meta_data.FieldMetaData("instance", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SESSION_ID, new org.apache.thrift.meta_data.FieldMetaData("sessionId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RegisterSessionCommand.class, metaDataMap);
+  }
+
+  public RegisterSessionCommand() {
+  }
+
+  public RegisterSessionCommand(
+    java.lang.String instance,
+    long sessionId)
+  {
+    this();
+    this.instance = instance;
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public RegisterSessionCommand(RegisterSessionCommand other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetInstance()) {
+      this.instance = other.instance;
+    }
+    this.sessionId = other.sessionId;
+  }
+
+  @Override
+  public RegisterSessionCommand deepCopy() {
+    return new RegisterSessionCommand(this);
+  }
+
+  @Override
+  public void clear() {
+    this.instance = null;
+    setSessionIdIsSet(false);
+    this.sessionId = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getInstance() {
+    return this.instance;
+  }
+
+  public RegisterSessionCommand setInstance(@org.apache.thrift.annotation.Nullable java.lang.String instance) {
+    this.instance = instance;
+    return this;
+  }
+
+  public void unsetInstance() {
+    this.instance = null;
+  }
+
+  /** Returns true if field instance is set (has been assigned a value) and false otherwise */
+  public boolean isSetInstance() {
+    return this.instance != null;
+  }
+
+  public void setInstanceIsSet(boolean value) {
+    if (!value) {
+      this.instance = null;
+    }
+  }
+
+  public long getSessionId() {
+    return this.sessionId;
+  }
+
+  public RegisterSessionCommand setSessionId(long sessionId) {
+    this.sessionId = sessionId;
+    setSessionIdIsSet(true);
+    return this;
+  }
+
+  public void unsetSessionId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  /** Returns true if field sessionId is set (has been assigned a value) and false otherwise */
+  public boolean isSetSessionId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SESSIONID_ISSET_ID);
+  }
+
+  public void setSessionIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SESSIONID_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case INSTANCE:
+      if (value == null) {
+        unsetInstance();
+      } else {
+        setInstance((java.lang.String)value);
+      }
+      break;
+
+    case SESSION_ID:
+      if (value == null) {
+        unsetSessionId();
+      } else {
+        setSessionId((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case INSTANCE:
+      return getInstance();
+
+    case SESSION_ID:
+      return getSessionId();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case INSTANCE:
+      return isSetInstance();
+    case SESSION_ID:
+      return isSetSessionId();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof RegisterSessionCommand)
+      return this.equals((RegisterSessionCommand)that);
+    return false;
+  }
+
+  public boolean equals(RegisterSessionCommand that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_instance = true && this.isSetInstance();
+    boolean that_present_instance = true && that.isSetInstance();
+    if (this_present_instance || that_present_instance) {
+      if (!(this_present_instance && that_present_instance))
+        return false;
+      if (!this.instance.equals(that.instance))
         return false;
     }
 
-    public boolean equals(RegisterSessionCommand that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_instance = true && this.isSetInstance();
-        boolean that_present_instance = true && that.isSetInstance();
-        if (this_present_instance || that_present_instance) {
-            if (!(this_present_instance && that_present_instance)) return false;
-            if (!this.instance.equals(that.instance)) return false;
-        }
-
-        boolean this_present_sessionId = true;
-        boolean that_present_sessionId = true;
-        if (this_present_sessionId || that_present_sessionId) {
-            if (!(this_present_sessionId && that_present_sessionId)) return false;
-            if (this.sessionId != that.sessionId) return false;
-        }
-
-        return true;
+    boolean this_present_sessionId = true;
+    boolean that_present_sessionId = true;
+    if (this_present_sessionId || that_present_sessionId) {
+      if (!(this_present_sessionId && that_present_sessionId))
+        return false;
+      if (this.sessionId != that.sessionId)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetInstance()) ? 131071 : 524287);
+    if (isSetInstance())
+      hashCode = hashCode * 8191 + instance.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(RegisterSessionCommand other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetInstance(), other.isSetInstance());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetInstance()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.instance, other.instance);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSessionId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("RegisterSessionCommand(");
+    boolean first = true;
+
+    sb.append("instance:");
+    if (this.instance == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.instance);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sessionId:");
+    sb.append(this.sessionId);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (instance == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'instance' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class RegisterSessionCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetInstance()) ? 131071 : 524287);
-        if (isSetInstance()) hashCode = hashCode * 8191 + instance.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sessionId);
-
-        return hashCode;
+    public RegisterSessionCommandStandardScheme getScheme() {
+      return new RegisterSessionCommandStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(RegisterSessionCommand other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class RegisterSessionCommandStandardScheme extends org.apache.thrift.scheme.StandardScheme<RegisterSessionCommand> {
 
-        lastComparison = java.lang.Boolean.compare(isSetInstance(), other.isSetInstance());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, RegisterSessionCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetInstance()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.instance, other.instance);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // INSTANCE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.instance = iprot.readString();
+              struct.setInstanceIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSessionId(), other.isSetSessionId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSessionId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessionId, other.sessionId);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // SESSION_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sessionId = iprot.readI64();
+              struct.setSessionIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetSessionId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sessionId' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+    public void write(org.apache.thrift.protocol.TProtocol oprot, RegisterSessionCommand struct) throws org.apache.thrift.TException {
+      struct.validate();
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("RegisterSessionCommand(");
-        boolean first = true;
-
-        sb.append("instance:");
-        if (this.instance == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.instance);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sessionId:");
-        sb.append(this.sessionId);
-        first = false;
-        sb.append(")");
-        return sb.toString();
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.instance != null) {
+        oprot.writeFieldBegin(INSTANCE_FIELD_DESC);
+        oprot.writeString(struct.instance);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
+      oprot.writeI64(struct.sessionId);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (instance == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'instance' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'sessionId' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class RegisterSessionCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RegisterSessionCommandStandardScheme getScheme() {
-            return new RegisterSessionCommandStandardScheme();
-        }
-    }
-
-    private static class RegisterSessionCommandStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<RegisterSessionCommand> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, RegisterSessionCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // INSTANCE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.instance = iprot.readString();
-                            struct.setInstanceIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // SESSION_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.sessionId = iprot.readI64();
-                            struct.setSessionIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetSessionId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'sessionId' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, RegisterSessionCommand struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.instance != null) {
-                oprot.writeFieldBegin(INSTANCE_FIELD_DESC);
-                oprot.writeString(struct.instance);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(SESSION_ID_FIELD_DESC);
-            oprot.writeI64(struct.sessionId);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class RegisterSessionCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RegisterSessionCommandTupleScheme getScheme() {
-            return new RegisterSessionCommandTupleScheme();
-        }
+  private static class RegisterSessionCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public RegisterSessionCommandTupleScheme getScheme() {
+      return new RegisterSessionCommandTupleScheme();
     }
+  }
 
-    private static class RegisterSessionCommandTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<RegisterSessionCommand> {
+  private static class RegisterSessionCommandTupleScheme extends org.apache.thrift.scheme.TupleScheme<RegisterSessionCommand> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, RegisterSessionCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.instance);
-            oprot.writeI64(struct.sessionId);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, RegisterSessionCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.instance = iprot.readString();
-            struct.setInstanceIsSet(true);
-            struct.sessionId = iprot.readI64();
-            struct.setSessionIdIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, RegisterSessionCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.instance);
+      oprot.writeI64(struct.sessionId);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, RegisterSessionCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.instance = iprot.readString();
+      struct.setInstanceIsSet(true);
+      struct.sessionId = iprot.readI64();
+      struct.setSessionIdIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
