--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ReplaceRulesCommand.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ReplaceRulesCommand.java
@@ -7,591 +7,572 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class ReplaceRulesCommand
-        implements org.apache.thrift.TBase<ReplaceRulesCommand, ReplaceRulesCommand._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<ReplaceRulesCommand> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ReplaceRulesCommand");
-
-    private static final org.apache.thrift.protocol.TField EXPECTED_REVISION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("expectedRevision", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField TEXT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("text", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField OPERATOR_NAME_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("operatorName", org.apache.thrift.protocol.TType.STRING, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ReplaceRulesCommandStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new ReplaceRulesCommandTupleSchemeFactory();
-
-    private long expectedRevision; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String text; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String operatorName; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        EXPECTED_REVISION((short) 1, "expectedRevision"),
-        TEXT((short) 2, "text"),
-        OPERATOR_NAME((short) 3, "operatorName");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
+public class ReplaceRulesCommand implements org.apache.thrift.TBase<ReplaceRulesCommand, ReplaceRulesCommand._Fields>, java.io.Serializable, Cloneable, Comparable<ReplaceRulesCommand> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ReplaceRulesCommand");
 
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // EXPECTED_REVISION
-                    return EXPECTED_REVISION;
-                case 2: // TEXT
-                    return TEXT;
-                case 3: // OPERATOR_NAME
-                    return OPERATOR_NAME;
-                default:
-                    return null;
-            }
-        }
+  private static final org.apache.thrift.protocol.TField EXPECTED_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("expectedRevision", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField TEXT_FIELD_DESC = new org.apache.thrift.protocol.TField("text", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField OPERATOR_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("operatorName", org.apache.thrift.protocol.TType.STRING, (short)3);
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ReplaceRulesCommandStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ReplaceRulesCommandTupleSchemeFactory();
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private long expectedRevision; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String text; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String operatorName; // required
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    EXPECTED_REVISION((short)1, "expectedRevision"),
+    TEXT((short)2, "text"),
+    OPERATOR_NAME((short)3, "operatorName");
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __EXPECTEDREVISION_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.EXPECTED_REVISION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "expectedRevision",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.TEXT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "text",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.OPERATOR_NAME,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "operatorName",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ReplaceRulesCommand.class, metaDataMap);
-    }
-
-    public ReplaceRulesCommand() {}
-
-    public ReplaceRulesCommand(long expectedRevision, java.lang.String text, java.lang.String operatorName) {
-        this();
-        this.expectedRevision = expectedRevision;
-        setExpectedRevisionIsSet(true);
-        this.text = text;
-        this.operatorName = operatorName;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public ReplaceRulesCommand(ReplaceRulesCommand other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.expectedRevision = other.expectedRevision;
-        if (other.isSetText()) {
-            this.text = other.text;
-        }
-        if (other.isSetOperatorName()) {
-            this.operatorName = other.operatorName;
-        }
-    }
-
-    @Override
-    public ReplaceRulesCommand deepCopy() {
-        return new ReplaceRulesCommand(this);
-    }
-
-    @Override
-    public void clear() {
-        setExpectedRevisionIsSet(false);
-        this.expectedRevision = 0;
-        this.text = null;
-        this.operatorName = null;
-    }
-
-    public long getExpectedRevision() {
-        return this.expectedRevision;
-    }
-
-    public ReplaceRulesCommand setExpectedRevision(long expectedRevision) {
-        this.expectedRevision = expectedRevision;
-        setExpectedRevisionIsSet(true);
-        return this;
-    }
-
-    public void unsetExpectedRevision() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EXPECTEDREVISION_ISSET_ID);
-    }
-
-    /** Returns true if field expectedRevision is set (has been assigned a value) and false otherwise */
-    public boolean isSetExpectedRevision() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EXPECTEDREVISION_ISSET_ID);
-    }
-
-    public void setExpectedRevisionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EXPECTEDREVISION_ISSET_ID, value);
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getText() {
-        return this.text;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // EXPECTED_REVISION
+          return EXPECTED_REVISION;
+        case 2: // TEXT
+          return TEXT;
+        case 3: // OPERATOR_NAME
+          return OPERATOR_NAME;
+        default:
+          return null;
+      }
     }
 
-    public ReplaceRulesCommand setText(@org.apache.thrift.annotation.Nullable java.lang.String text) {
-        this.text = text;
-        return this;
-    }
-
-    public void unsetText() {
-        this.text = null;
-    }
-
-    /** Returns true if field text is set (has been assigned a value) and false otherwise */
-    public boolean isSetText() {
-        return this.text != null;
-    }
-
-    public void setTextIsSet(boolean value) {
-        if (!value) {
-            this.text = null;
-        }
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getOperatorName() {
-        return this.operatorName;
-    }
-
-    public ReplaceRulesCommand setOperatorName(@org.apache.thrift.annotation.Nullable java.lang.String operatorName) {
-        this.operatorName = operatorName;
-        return this;
-    }
-
-    public void unsetOperatorName() {
-        this.operatorName = null;
-    }
-
-    /** Returns true if field operatorName is set (has been assigned a value) and false otherwise */
-    public boolean isSetOperatorName() {
-        return this.operatorName != null;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setOperatorNameIsSet(boolean value) {
-        if (!value) {
-            this.operatorName = null;
-        }
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case EXPECTED_REVISION:
-                if (value == null) {
-                    unsetExpectedRevision();
-                } else {
-                    setExpectedRevision((java.lang.Long) value);
-                }
-                break;
-
-            case TEXT:
-                if (value == null) {
-                    unsetText();
-                } else {
-                    setText((java.lang.String) value);
-                }
-                break;
-
-            case OPERATOR_NAME:
-                if (value == null) {
-                    unsetOperatorName();
-                } else {
-                    setOperatorName((java.lang.String) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case EXPECTED_REVISION:
-                return getExpectedRevision();
-
-            case TEXT:
-                return getText();
-
-            case OPERATOR_NAME:
-                return getOperatorName();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case EXPECTED_REVISION:
-                return isSetExpectedRevision();
-            case TEXT:
-                return isSetText();
-            case OPERATOR_NAME:
-                return isSetOperatorName();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __EXPECTEDREVISION_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.EXPECTED_REVISION, new org.apache.thrift.meta_data.FieldMetaData("expectedRevision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TEXT, new org.apache.thrift.meta_data.FieldMetaData("text", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.OPERATOR_NAME, new org.apache.thrift.meta_data.FieldMetaData("operatorName", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ReplaceRulesCommand.class, metaDataMap);
+  }
+
+  public ReplaceRulesCommand() {
+  }
+
+  public ReplaceRulesCommand(
+    long expectedRevision,
+    java.lang.String text,
+    java.lang.String operatorName)
+  {
+    this();
+    this.expectedRevision = expectedRevision;
+    setExpectedRevisionIsSet(true);
+    this.text = text;
+    this.operatorName = operatorName;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public ReplaceRulesCommand(ReplaceRulesCommand other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.expectedRevision = other.expectedRevision;
+    if (other.isSetText()) {
+      this.text = other.text;
+    }
+    if (other.isSetOperatorName()) {
+      this.operatorName = other.operatorName;
+    }
+  }
+
+  @Override
+  public ReplaceRulesCommand deepCopy() {
+    return new ReplaceRulesCommand(this);
+  }
+
+  @Override
+  public void clear() {
+    setExpectedRevisionIsSet(false);
+    this.expectedRevision = 0;
+    this.text = null;
+    this.operatorName = null;
+  }
+
+  public long getExpectedRevision() {
+    return this.expectedRevision;
+  }
+
+  public ReplaceRulesCommand setExpectedRevision(long expectedRevision) {
+    this.expectedRevision = expectedRevision;
+    setExpectedRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetExpectedRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EXPECTEDREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field expectedRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetExpectedRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EXPECTEDREVISION_ISSET_ID);
+  }
+
+  public void setExpectedRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EXPECTEDREVISION_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getText() {
+    return this.text;
+  }
+
+  public ReplaceRulesCommand setText(@org.apache.thrift.annotation.Nullable java.lang.String text) {
+    this.text = text;
+    return this;
+  }
+
+  public void unsetText() {
+    this.text = null;
+  }
+
+  /** Returns true if field text is set (has been assigned a value) and false otherwise */
+  public boolean isSetText() {
+    return this.text != null;
+  }
+
+  public void setTextIsSet(boolean value) {
+    if (!value) {
+      this.text = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOperatorName() {
+    return this.operatorName;
+  }
+
+  public ReplaceRulesCommand setOperatorName(@org.apache.thrift.annotation.Nullable java.lang.String operatorName) {
+    this.operatorName = operatorName;
+    return this;
+  }
+
+  public void unsetOperatorName() {
+    this.operatorName = null;
+  }
+
+  /** Returns true if field operatorName is set (has been assigned a value) and false otherwise */
+  public boolean isSetOperatorName() {
+    return this.operatorName != null;
+  }
+
+  public void setOperatorNameIsSet(boolean value) {
+    if (!value) {
+      this.operatorName = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case EXPECTED_REVISION:
+      if (value == null) {
+        unsetExpectedRevision();
+      } else {
+        setExpectedRevision((java.lang.Long)value);
+      }
+      break;
+
+    case TEXT:
+      if (value == null) {
+        unsetText();
+      } else {
+        setText((java.lang.String)value);
+      }
+      break;
+
+    case OPERATOR_NAME:
+      if (value == null) {
+        unsetOperatorName();
+      } else {
+        setOperatorName((java.lang.String)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case EXPECTED_REVISION:
+      return getExpectedRevision();
+
+    case TEXT:
+      return getText();
+
+    case OPERATOR_NAME:
+      return getOperatorName();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case EXPECTED_REVISION:
+      return isSetExpectedRevision();
+    case TEXT:
+      return isSetText();
+    case OPERATOR_NAME:
+      return isSetOperatorName();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof ReplaceRulesCommand)
+      return this.equals((ReplaceRulesCommand)that);
+    return false;
+  }
+
+  public boolean equals(ReplaceRulesCommand that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_expectedRevision = true;
+    boolean that_present_expectedRevision = true;
+    if (this_present_expectedRevision || that_present_expectedRevision) {
+      if (!(this_present_expectedRevision && that_present_expectedRevision))
+        return false;
+      if (this.expectedRevision != that.expectedRevision)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof ReplaceRulesCommand) return this.equals((ReplaceRulesCommand) that);
+    boolean this_present_text = true && this.isSetText();
+    boolean that_present_text = true && that.isSetText();
+    if (this_present_text || that_present_text) {
+      if (!(this_present_text && that_present_text))
+        return false;
+      if (!this.text.equals(that.text))
         return false;
     }
 
-    public boolean equals(ReplaceRulesCommand that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_expectedRevision = true;
-        boolean that_present_expectedRevision = true;
-        if (this_present_expectedRevision || that_present_expectedRevision) {
-            if (!(this_present_expectedRevision && that_present_expectedRevision)) return false;
-            if (this.expectedRevision != that.expectedRevision) return false;
-        }
-
-        boolean this_present_text = true && this.isSetText();
-        boolean that_present_text = true && that.isSetText();
-        if (this_present_text || that_present_text) {
-            if (!(this_present_text && that_present_text)) return false;
-            if (!this.text.equals(that.text)) return false;
-        }
-
-        boolean this_present_operatorName = true && this.isSetOperatorName();
-        boolean that_present_operatorName = true && that.isSetOperatorName();
-        if (this_present_operatorName || that_present_operatorName) {
-            if (!(this_present_operatorName && that_present_operatorName)) return false;
-            if (!this.operatorName.equals(that.operatorName)) return false;
-        }
-
-        return true;
+    boolean this_present_operatorName = true && this.isSetOperatorName();
+    boolean that_present_operatorName = true && that.isSetOperatorName();
+    if (this_present_operatorName || that_present_operatorName) {
+      if (!(this_present_operatorName && that_present_operatorName))
+        return false;
+      if (!this.operatorName.equals(that.operatorName))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(expectedRevision);
+
+    hashCode = hashCode * 8191 + ((isSetText()) ? 131071 : 524287);
+    if (isSetText())
+      hashCode = hashCode * 8191 + text.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetOperatorName()) ? 131071 : 524287);
+    if (isSetOperatorName())
+      hashCode = hashCode * 8191 + operatorName.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(ReplaceRulesCommand other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetExpectedRevision(), other.isSetExpectedRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetExpectedRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.expectedRevision, other.expectedRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetText(), other.isSetText());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetText()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.text, other.text);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetOperatorName(), other.isSetOperatorName());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOperatorName()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.operatorName, other.operatorName);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("ReplaceRulesCommand(");
+    boolean first = true;
+
+    sb.append("expectedRevision:");
+    sb.append(this.expectedRevision);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("text:");
+    if (this.text == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.text);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("operatorName:");
+    if (this.operatorName == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.operatorName);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'expectedRevision' because it's a primitive and you chose the non-beans generator.
+    if (text == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'text' was not present! Struct: " + toString());
+    }
+    if (operatorName == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'operatorName' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ReplaceRulesCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(expectedRevision);
-
-        hashCode = hashCode * 8191 + ((isSetText()) ? 131071 : 524287);
-        if (isSetText()) hashCode = hashCode * 8191 + text.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetOperatorName()) ? 131071 : 524287);
-        if (isSetOperatorName()) hashCode = hashCode * 8191 + operatorName.hashCode();
-
-        return hashCode;
+    public ReplaceRulesCommandStandardScheme getScheme() {
+      return new ReplaceRulesCommandStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(ReplaceRulesCommand other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+  private static class ReplaceRulesCommandStandardScheme extends org.apache.thrift.scheme.StandardScheme<ReplaceRulesCommand> {
 
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetExpectedRevision(), other.isSetExpectedRevision());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetExpectedRevision()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.expectedRevision, other.expectedRevision);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, ReplaceRulesCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // EXPECTED_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.expectedRevision = iprot.readI64();
+              struct.setExpectedRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetText(), other.isSetText());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetText()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.text, other.text);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // TEXT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.text = iprot.readString();
+              struct.setTextIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOperatorName(), other.isSetOperatorName());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOperatorName()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.operatorName, other.operatorName);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // OPERATOR_NAME
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.operatorName = iprot.readString();
+              struct.setOperatorNameIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetExpectedRevision()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'expectedRevision' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, ReplaceRulesCommand struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(EXPECTED_REVISION_FIELD_DESC);
+      oprot.writeI64(struct.expectedRevision);
+      oprot.writeFieldEnd();
+      if (struct.text != null) {
+        oprot.writeFieldBegin(TEXT_FIELD_DESC);
+        oprot.writeString(struct.text);
+        oprot.writeFieldEnd();
+      }
+      if (struct.operatorName != null) {
+        oprot.writeFieldBegin(OPERATOR_NAME_FIELD_DESC);
+        oprot.writeString(struct.operatorName);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class ReplaceRulesCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public ReplaceRulesCommandTupleScheme getScheme() {
+      return new ReplaceRulesCommandTupleScheme();
     }
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("ReplaceRulesCommand(");
-        boolean first = true;
-
-        sb.append("expectedRevision:");
-        sb.append(this.expectedRevision);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("text:");
-        if (this.text == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.text);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("operatorName:");
-        if (this.operatorName == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.operatorName);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
+  private static class ReplaceRulesCommandTupleScheme extends org.apache.thrift.scheme.TupleScheme<ReplaceRulesCommand> {
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'expectedRevision' because it's a primitive and you chose the non-beans generator.
-        if (text == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'text' was not present! Struct: " + toString());
-        }
-        if (operatorName == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'operatorName' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class ReplaceRulesCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ReplaceRulesCommandStandardScheme getScheme() {
-            return new ReplaceRulesCommandStandardScheme();
-        }
-    }
-
-    private static class ReplaceRulesCommandStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<ReplaceRulesCommand> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, ReplaceRulesCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // EXPECTED_REVISION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.expectedRevision = iprot.readI64();
-                            struct.setExpectedRevisionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // TEXT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.text = iprot.readString();
-                            struct.setTextIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // OPERATOR_NAME
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.operatorName = iprot.readString();
-                            struct.setOperatorNameIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetExpectedRevision()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'expectedRevision' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, ReplaceRulesCommand struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(EXPECTED_REVISION_FIELD_DESC);
-            oprot.writeI64(struct.expectedRevision);
-            oprot.writeFieldEnd();
-            if (struct.text != null) {
-                oprot.writeFieldBegin(TEXT_FIELD_DESC);
-                oprot.writeString(struct.text);
-                oprot.writeFieldEnd();
-            }
-            if (struct.operatorName != null) {
-                oprot.writeFieldBegin(OPERATOR_NAME_FIELD_DESC);
-                oprot.writeString(struct.operatorName);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class ReplaceRulesCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ReplaceRulesCommandTupleScheme getScheme() {
-            return new ReplaceRulesCommandTupleScheme();
-        }
-    }
-
-    private static class ReplaceRulesCommandTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<ReplaceRulesCommand> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, ReplaceRulesCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.expectedRevision);
-            oprot.writeString(struct.text);
-            oprot.writeString(struct.operatorName);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, ReplaceRulesCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.expectedRevision = iprot.readI64();
-            struct.setExpectedRevisionIsSet(true);
-            struct.text = iprot.readString();
-            struct.setTextIsSet(true);
-            struct.operatorName = iprot.readString();
-            struct.setOperatorNameIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, ReplaceRulesCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.expectedRevision);
+      oprot.writeString(struct.text);
+      oprot.writeString(struct.operatorName);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, ReplaceRulesCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.expectedRevision = iprot.readI64();
+      struct.setExpectedRevisionIsSet(true);
+      struct.text = iprot.readString();
+      struct.setTextIsSet(true);
+      struct.operatorName = iprot.readString();
+      struct.setOperatorNameIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ReportCrashCommand.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ReportCrashCommand.java
@@ -7,689 +7,665 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class ReportCrashCommand
-        implements org.apache.thrift.TBase<ReportCrashCommand, ReportCrashCommand._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<ReportCrashCommand> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ReportCrashCommand");
-
-    private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField TARGET_INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("targetIncarnation", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField NOW_MILLIS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("nowMillis", org.apache.thrift.protocol.TType.I64, (short) 4);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ReportCrashCommandStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new ReportCrashCommandTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String fingerprint; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
-    private long targetIncarnation; // required
-    private long nowMillis; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        FINGERPRINT((short) 1, "fingerprint"),
-        TARGET((short) 2, "target"),
-        TARGET_INCARNATION((short) 3, "targetIncarnation"),
-        NOW_MILLIS((short) 4, "nowMillis");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // FINGERPRINT
-                    return FINGERPRINT;
-                case 2: // TARGET
-                    return TARGET;
-                case 3: // TARGET_INCARNATION
-                    return TARGET_INCARNATION;
-                case 4: // NOW_MILLIS
-                    return NOW_MILLIS;
-                default:
-                    return null;
-            }
-        }
+public class ReportCrashCommand implements org.apache.thrift.TBase<ReportCrashCommand, ReportCrashCommand._Fields>, java.io.Serializable, Cloneable, Comparable<ReportCrashCommand> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ReportCrashCommand");
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.protocol.TField FINGERPRINT_FIELD_DESC = new org.apache.thrift.protocol.TField("fingerprint", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC = new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField TARGET_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("targetIncarnation", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField NOW_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("nowMillis", org.apache.thrift.protocol.TType.I64, (short)4);
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ReportCrashCommandStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ReportCrashCommandTupleSchemeFactory();
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private @org.apache.thrift.annotation.Nullable java.lang.String fingerprint; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
+  private long targetIncarnation; // required
+  private long nowMillis; // required
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    FINGERPRINT((short)1, "fingerprint"),
+    TARGET((short)2, "target"),
+    TARGET_INCARNATION((short)3, "targetIncarnation"),
+    NOW_MILLIS((short)4, "nowMillis");
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __TARGETINCARNATION_ISSET_ID = 0;
-    private static final int __NOWMILLIS_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.FINGERPRINT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "fingerprint",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.TARGET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "target",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.TARGET_INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "targetIncarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.NOW_MILLIS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "nowMillis",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ReportCrashCommand.class, metaDataMap);
-    }
-
-    public ReportCrashCommand() {}
-
-    public ReportCrashCommand(
-            java.lang.String fingerprint, java.lang.String target, long targetIncarnation, long nowMillis) {
-        this();
-        this.fingerprint = fingerprint;
-        this.target = target;
-        this.targetIncarnation = targetIncarnation;
-        setTargetIncarnationIsSet(true);
-        this.nowMillis = nowMillis;
-        setNowMillisIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public ReportCrashCommand(ReportCrashCommand other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetFingerprint()) {
-            this.fingerprint = other.fingerprint;
-        }
-        if (other.isSetTarget()) {
-            this.target = other.target;
-        }
-        this.targetIncarnation = other.targetIncarnation;
-        this.nowMillis = other.nowMillis;
-    }
-
-    @Override
-    public ReportCrashCommand deepCopy() {
-        return new ReportCrashCommand(this);
-    }
-
-    @Override
-    public void clear() {
-        this.fingerprint = null;
-        this.target = null;
-        setTargetIncarnationIsSet(false);
-        this.targetIncarnation = 0;
-        setNowMillisIsSet(false);
-        this.nowMillis = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getFingerprint() {
-        return this.fingerprint;
-    }
-
-    public ReportCrashCommand setFingerprint(@org.apache.thrift.annotation.Nullable java.lang.String fingerprint) {
-        this.fingerprint = fingerprint;
-        return this;
-    }
-
-    public void unsetFingerprint() {
-        this.fingerprint = null;
-    }
-
-    /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
-    public boolean isSetFingerprint() {
-        return this.fingerprint != null;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // FINGERPRINT
+          return FINGERPRINT;
+        case 2: // TARGET
+          return TARGET;
+        case 3: // TARGET_INCARNATION
+          return TARGET_INCARNATION;
+        case 4: // NOW_MILLIS
+          return NOW_MILLIS;
+        default:
+          return null;
+      }
     }
 
-    public void setFingerprintIsSet(boolean value) {
-        if (!value) {
-            this.fingerprint = null;
-        }
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getTarget() {
-        return this.target;
-    }
-
-    public ReportCrashCommand setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
-        this.target = target;
-        return this;
-    }
-
-    public void unsetTarget() {
-        this.target = null;
-    }
-
-    /** Returns true if field target is set (has been assigned a value) and false otherwise */
-    public boolean isSetTarget() {
-        return this.target != null;
-    }
-
-    public void setTargetIsSet(boolean value) {
-        if (!value) {
-            this.target = null;
-        }
-    }
-
-    public long getTargetIncarnation() {
-        return this.targetIncarnation;
-    }
-
-    public ReportCrashCommand setTargetIncarnation(long targetIncarnation) {
-        this.targetIncarnation = targetIncarnation;
-        setTargetIncarnationIsSet(true);
-        return this;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void unsetTargetIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field targetIncarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetTargetIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID);
-    }
-
-    public void setTargetIncarnationIsSet(boolean value) {
-        __isset_bitfield =
-                org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID, value);
-    }
-
-    public long getNowMillis() {
-        return this.nowMillis;
-    }
-
-    public ReportCrashCommand setNowMillis(long nowMillis) {
-        this.nowMillis = nowMillis;
-        setNowMillisIsSet(true);
-        return this;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void unsetNowMillis() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
-    }
-
-    /** Returns true if field nowMillis is set (has been assigned a value) and false otherwise */
-    public boolean isSetNowMillis() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
-    }
-
-    public void setNowMillisIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NOWMILLIS_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case FINGERPRINT:
-                if (value == null) {
-                    unsetFingerprint();
-                } else {
-                    setFingerprint((java.lang.String) value);
-                }
-                break;
-
-            case TARGET:
-                if (value == null) {
-                    unsetTarget();
-                } else {
-                    setTarget((java.lang.String) value);
-                }
-                break;
-
-            case TARGET_INCARNATION:
-                if (value == null) {
-                    unsetTargetIncarnation();
-                } else {
-                    setTargetIncarnation((java.lang.Long) value);
-                }
-                break;
-
-            case NOW_MILLIS:
-                if (value == null) {
-                    unsetNowMillis();
-                } else {
-                    setNowMillis((java.lang.Long) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case FINGERPRINT:
-                return getFingerprint();
-
-            case TARGET:
-                return getTarget();
-
-            case TARGET_INCARNATION:
-                return getTargetIncarnation();
-
-            case NOW_MILLIS:
-                return getNowMillis();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __TARGETINCARNATION_ISSET_ID = 0;
+  private static final int __NOWMILLIS_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.FINGERPRINT, new org.apache.thrift.meta_data.FieldMetaData("fingerprint", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.TARGET, new org.apache.thrift.meta_data.FieldMetaData("target", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.TARGET_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("targetIncarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.NOW_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("nowMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ReportCrashCommand.class, metaDataMap);
+  }
+
+  public ReportCrashCommand() {
+  }
+
+  public ReportCrashCommand(
+    java.lang.String fingerprint,
+    java.lang.String target,
+    long targetIncarnation,
+    long nowMillis)
+  {
+    this();
+    this.fingerprint = fingerprint;
+    this.target = target;
+    this.targetIncarnation = targetIncarnation;
+    setTargetIncarnationIsSet(true);
+    this.nowMillis = nowMillis;
+    setNowMillisIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public ReportCrashCommand(ReportCrashCommand other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetFingerprint()) {
+      this.fingerprint = other.fingerprint;
+    }
+    if (other.isSetTarget()) {
+      this.target = other.target;
+    }
+    this.targetIncarnation = other.targetIncarnation;
+    this.nowMillis = other.nowMillis;
+  }
+
+  @Override
+  public ReportCrashCommand deepCopy() {
+    return new ReportCrashCommand(this);
+  }
+
+  @Override
+  public void clear() {
+    this.fingerprint = null;
+    this.target = null;
+    setTargetIncarnationIsSet(false);
+    this.targetIncarnation = 0;
+    setNowMillisIsSet(false);
+    this.nowMillis = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getFingerprint() {
+    return this.fingerprint;
+  }
+
+  public ReportCrashCommand setFingerprint(@org.apache.thrift.annotation.Nullable java.lang.String fingerprint) {
+    this.fingerprint = fingerprint;
+    return this;
+  }
+
+  public void unsetFingerprint() {
+    this.fingerprint = null;
+  }
+
+  /** Returns true if field fingerprint is set (has been assigned a value) and false otherwise */
+  public boolean isSetFingerprint() {
+    return this.fingerprint != null;
+  }
+
+  public void setFingerprintIsSet(boolean value) {
+    if (!value) {
+      this.fingerprint = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getTarget() {
+    return this.target;
+  }
+
+  public ReportCrashCommand setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
+    this.target = target;
+    return this;
+  }
+
+  public void unsetTarget() {
+    this.target = null;
+  }
+
+  /** Returns true if field target is set (has been assigned a value) and false otherwise */
+  public boolean isSetTarget() {
+    return this.target != null;
+  }
+
+  public void setTargetIsSet(boolean value) {
+    if (!value) {
+      this.target = null;
+    }
+  }
+
+  public long getTargetIncarnation() {
+    return this.targetIncarnation;
+  }
+
+  public ReportCrashCommand setTargetIncarnation(long targetIncarnation) {
+    this.targetIncarnation = targetIncarnation;
+    setTargetIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetTargetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field targetIncarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetTargetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID);
+  }
+
+  public void setTargetIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TARGETINCARNATION_ISSET_ID, value);
+  }
+
+  public long getNowMillis() {
+    return this.nowMillis;
+  }
+
+  public ReportCrashCommand setNowMillis(long nowMillis) {
+    this.nowMillis = nowMillis;
+    setNowMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetNowMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field nowMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetNowMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __NOWMILLIS_ISSET_ID);
+  }
+
+  public void setNowMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NOWMILLIS_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case FINGERPRINT:
+      if (value == null) {
+        unsetFingerprint();
+      } else {
+        setFingerprint((java.lang.String)value);
+      }
+      break;
+
+    case TARGET:
+      if (value == null) {
+        unsetTarget();
+      } else {
+        setTarget((java.lang.String)value);
+      }
+      break;
+
+    case TARGET_INCARNATION:
+      if (value == null) {
+        unsetTargetIncarnation();
+      } else {
+        setTargetIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case NOW_MILLIS:
+      if (value == null) {
+        unsetNowMillis();
+      } else {
+        setNowMillis((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case FINGERPRINT:
+      return getFingerprint();
+
+    case TARGET:
+      return getTarget();
+
+    case TARGET_INCARNATION:
+      return getTargetIncarnation();
+
+    case NOW_MILLIS:
+      return getNowMillis();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case FINGERPRINT:
+      return isSetFingerprint();
+    case TARGET:
+      return isSetTarget();
+    case TARGET_INCARNATION:
+      return isSetTargetIncarnation();
+    case NOW_MILLIS:
+      return isSetNowMillis();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof ReportCrashCommand)
+      return this.equals((ReportCrashCommand)that);
+    return false;
+  }
+
+  public boolean equals(ReportCrashCommand that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_fingerprint = true && this.isSetFingerprint();
+    boolean that_present_fingerprint = true && that.isSetFingerprint();
+    if (this_present_fingerprint || that_present_fingerprint) {
+      if (!(this_present_fingerprint && that_present_fingerprint))
+        return false;
+      if (!this.fingerprint.equals(that.fingerprint))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case FINGERPRINT:
-                return isSetFingerprint();
-            case TARGET:
-                return isSetTarget();
-            case TARGET_INCARNATION:
-                return isSetTargetIncarnation();
-            case NOW_MILLIS:
-                return isSetNowMillis();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_target = true && this.isSetTarget();
+    boolean that_present_target = true && that.isSetTarget();
+    if (this_present_target || that_present_target) {
+      if (!(this_present_target && that_present_target))
+        return false;
+      if (!this.target.equals(that.target))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof ReportCrashCommand) return this.equals((ReportCrashCommand) that);
+    boolean this_present_targetIncarnation = true;
+    boolean that_present_targetIncarnation = true;
+    if (this_present_targetIncarnation || that_present_targetIncarnation) {
+      if (!(this_present_targetIncarnation && that_present_targetIncarnation))
+        return false;
+      if (this.targetIncarnation != that.targetIncarnation)
         return false;
     }
 
-    public boolean equals(ReportCrashCommand that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_fingerprint = true && this.isSetFingerprint();
-        boolean that_present_fingerprint = true && that.isSetFingerprint();
-        if (this_present_fingerprint || that_present_fingerprint) {
-            if (!(this_present_fingerprint && that_present_fingerprint)) return false;
-            if (!this.fingerprint.equals(that.fingerprint)) return false;
-        }
-
-        boolean this_present_target = true && this.isSetTarget();
-        boolean that_present_target = true && that.isSetTarget();
-        if (this_present_target || that_present_target) {
-            if (!(this_present_target && that_present_target)) return false;
-            if (!this.target.equals(that.target)) return false;
-        }
-
-        boolean this_present_targetIncarnation = true;
-        boolean that_present_targetIncarnation = true;
-        if (this_present_targetIncarnation || that_present_targetIncarnation) {
-            if (!(this_present_targetIncarnation && that_present_targetIncarnation)) return false;
-            if (this.targetIncarnation != that.targetIncarnation) return false;
-        }
-
-        boolean this_present_nowMillis = true;
-        boolean that_present_nowMillis = true;
-        if (this_present_nowMillis || that_present_nowMillis) {
-            if (!(this_present_nowMillis && that_present_nowMillis)) return false;
-            if (this.nowMillis != that.nowMillis) return false;
-        }
-
-        return true;
+    boolean this_present_nowMillis = true;
+    boolean that_present_nowMillis = true;
+    if (this_present_nowMillis || that_present_nowMillis) {
+      if (!(this_present_nowMillis && that_present_nowMillis))
+        return false;
+      if (this.nowMillis != that.nowMillis)
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetFingerprint()) ? 131071 : 524287);
-        if (isSetFingerprint()) hashCode = hashCode * 8191 + fingerprint.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
-        if (isSetTarget()) hashCode = hashCode * 8191 + target.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(targetIncarnation);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(nowMillis);
-
-        return hashCode;
-    }
+    return true;
+  }
 
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetFingerprint()) ? 131071 : 524287);
+    if (isSetFingerprint())
+      hashCode = hashCode * 8191 + fingerprint.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
+    if (isSetTarget())
+      hashCode = hashCode * 8191 + target.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(targetIncarnation);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(nowMillis);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(ReportCrashCommand other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFingerprint()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTarget()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTargetIncarnation(), other.isSetTargetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTargetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.targetIncarnation, other.targetIncarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetNowMillis(), other.isSetNowMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetNowMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.nowMillis, other.nowMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("ReportCrashCommand(");
+    boolean first = true;
+
+    sb.append("fingerprint:");
+    if (this.fingerprint == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.fingerprint);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("target:");
+    if (this.target == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.target);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("targetIncarnation:");
+    sb.append(this.targetIncarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("nowMillis:");
+    sb.append(this.nowMillis);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (fingerprint == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'fingerprint' was not present! Struct: " + toString());
+    }
+    if (target == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'target' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'targetIncarnation' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'nowMillis' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ReportCrashCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int compareTo(ReportCrashCommand other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    public ReportCrashCommandStandardScheme getScheme() {
+      return new ReportCrashCommandStandardScheme();
+    }
+  }
 
-        int lastComparison = 0;
+  private static class ReportCrashCommandStandardScheme extends org.apache.thrift.scheme.StandardScheme<ReportCrashCommand> {
 
-        lastComparison = java.lang.Boolean.compare(isSetFingerprint(), other.isSetFingerprint());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetFingerprint()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fingerprint, other.fingerprint);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, ReportCrashCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // FINGERPRINT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.fingerprint = iprot.readString();
+              struct.setFingerprintIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTarget()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // TARGET
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.target = iprot.readString();
+              struct.setTargetIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetTargetIncarnation(), other.isSetTargetIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTargetIncarnation()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.targetIncarnation, other.targetIncarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // TARGET_INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.targetIncarnation = iprot.readI64();
+              struct.setTargetIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetNowMillis(), other.isSetNowMillis());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetNowMillis()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.nowMillis, other.nowMillis);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // NOW_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.nowMillis = iprot.readI64();
+              struct.setNowMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetTargetIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'targetIncarnation' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetNowMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'nowMillis' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, ReportCrashCommand struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.fingerprint != null) {
+        oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
+        oprot.writeString(struct.fingerprint);
+        oprot.writeFieldEnd();
+      }
+      if (struct.target != null) {
+        oprot.writeFieldBegin(TARGET_FIELD_DESC);
+        oprot.writeString(struct.target);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(TARGET_INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.targetIncarnation);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(NOW_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.nowMillis);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class ReportCrashCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public ReportCrashCommandTupleScheme getScheme() {
+      return new ReportCrashCommandTupleScheme();
     }
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("ReportCrashCommand(");
-        boolean first = true;
-
-        sb.append("fingerprint:");
-        if (this.fingerprint == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.fingerprint);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("target:");
-        if (this.target == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.target);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("targetIncarnation:");
-        sb.append(this.targetIncarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("nowMillis:");
-        sb.append(this.nowMillis);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (fingerprint == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'fingerprint' was not present! Struct: " + toString());
-        }
-        if (target == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'target' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'targetIncarnation' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'nowMillis' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class ReportCrashCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ReportCrashCommandStandardScheme getScheme() {
-            return new ReportCrashCommandStandardScheme();
-        }
-    }
-
-    private static class ReportCrashCommandStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<ReportCrashCommand> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, ReportCrashCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // FINGERPRINT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.fingerprint = iprot.readString();
-                            struct.setFingerprintIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // TARGET
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.target = iprot.readString();
-                            struct.setTargetIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // TARGET_INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.targetIncarnation = iprot.readI64();
-                            struct.setTargetIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // NOW_MILLIS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.nowMillis = iprot.readI64();
-                            struct.setNowMillisIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetTargetIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'targetIncarnation' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetNowMillis()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'nowMillis' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, ReportCrashCommand struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.fingerprint != null) {
-                oprot.writeFieldBegin(FINGERPRINT_FIELD_DESC);
-                oprot.writeString(struct.fingerprint);
-                oprot.writeFieldEnd();
-            }
-            if (struct.target != null) {
-                oprot.writeFieldBegin(TARGET_FIELD_DESC);
-                oprot.writeString(struct.target);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(TARGET_INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.targetIncarnation);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(NOW_MILLIS_FIELD_DESC);
-            oprot.writeI64(struct.nowMillis);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class ReportCrashCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ReportCrashCommandTupleScheme getScheme() {
-            return new ReportCrashCommandTupleScheme();
-        }
-    }
-
-    private static class ReportCrashCommandTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<ReportCrashCommand> {
+  private static class ReportCrashCommandTupleScheme extends org.apache.thrift.scheme.TupleScheme<ReportCrashCommand> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, ReportCrashCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.fingerprint);
-            oprot.writeString(struct.target);
-            oprot.writeI64(struct.targetIncarnation);
-            oprot.writeI64(struct.nowMillis);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, ReportCrashCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.fingerprint = iprot.readString();
-            struct.setFingerprintIsSet(true);
-            struct.target = iprot.readString();
-            struct.setTargetIsSet(true);
-            struct.targetIncarnation = iprot.readI64();
-            struct.setTargetIncarnationIsSet(true);
-            struct.nowMillis = iprot.readI64();
-            struct.setNowMillisIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, ReportCrashCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.fingerprint);
+      oprot.writeString(struct.target);
+      oprot.writeI64(struct.targetIncarnation);
+      oprot.writeI64(struct.nowMillis);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, ReportCrashCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.fingerprint = iprot.readString();
+      struct.setFingerprintIsSet(true);
+      struct.target = iprot.readString();
+      struct.setTargetIsSet(true);
+      struct.targetIncarnation = iprot.readI64();
+      struct.setTargetIncarnationIsSet(true);
+      struct.nowMillis = iprot.readI64();
+      struct.setNowMillisIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RequestOutcome.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RequestOutcome.java
@@ -6,43 +6,44 @@
  */
 package org.basilrill.thrift.control;
 
+
 /**
  * Outcome of a request; numbers never change.
  */
 public enum RequestOutcome implements org.apache.thrift.TEnum {
-    NOT_RUN(1),
-    MAY_HAVE_RUN(2),
-    RAN(3);
+  NOT_RUN(1),
+  MAY_HAVE_RUN(2),
+  RAN(3);
 
-    private final int value;
+  private final int value;
 
-    private RequestOutcome(int value) {
-        this.value = value;
-    }
+  private RequestOutcome(int value) {
+    this.value = value;
+  }
 
-    /**
-     * Get the integer value of this enum value, as defined in the Thrift IDL.
-     */
-    @Override
-    public int getValue() {
-        return value;
-    }
+  /**
+   * Get the integer value of this enum value, as defined in the Thrift IDL.
+   */
+  @Override
+  public int getValue() {
+    return value;
+  }
 
-    /**
-     * Find a the enum type by its integer value, as defined in the Thrift IDL.
-     * @return null if the value is not found.
-     */
-    @org.apache.thrift.annotation.Nullable
-    public static RequestOutcome findByValue(int value) {
-        switch (value) {
-            case 1:
-                return NOT_RUN;
-            case 2:
-                return MAY_HAVE_RUN;
-            case 3:
-                return RAN;
-            default:
-                return null;
-        }
+  /**
+   * Find a the enum type by its integer value, as defined in the Thrift IDL.
+   * @return null if the value is not found.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public static RequestOutcome findByValue(int value) { 
+    switch (value) {
+      case 1:
+        return NOT_RUN;
+      case 2:
+        return MAY_HAVE_RUN;
+      case 3:
+        return RAN;
+      default:
+        return null;
     }
+  }
 }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ResolveOrderCommand.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ResolveOrderCommand.java
@@ -7,504 +7,487 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class ResolveOrderCommand
-        implements org.apache.thrift.TBase<ResolveOrderCommand, ResolveOrderCommand._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<ResolveOrderCommand> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ResolveOrderCommand");
-
-    private static final org.apache.thrift.protocol.TField ORDER_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("orderId", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ResolveOrderCommandStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new ResolveOrderCommandTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String orderId; // required
-    private @org.apache.thrift.annotation.Nullable TargetOrderOutcome outcome; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        ORDER_ID((short) 1, "orderId"),
-        /**
-         *
-         * @see TargetOrderOutcome
-         */
-        OUTCOME((short) 2, "outcome");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // ORDER_ID
-                    return ORDER_ID;
-                case 2: // OUTCOME
-                    return OUTCOME;
-                default:
-                    return null;
-            }
-        }
+public class ResolveOrderCommand implements org.apache.thrift.TBase<ResolveOrderCommand, ResolveOrderCommand._Fields>, java.io.Serializable, Cloneable, Comparable<ResolveOrderCommand> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ResolveOrderCommand");
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.protocol.TField ORDER_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("orderId", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC = new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.I32, (short)2);
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ResolveOrderCommandStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ResolveOrderCommandTupleSchemeFactory();
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private @org.apache.thrift.annotation.Nullable java.lang.String orderId; // required
+  private @org.apache.thrift.annotation.Nullable TargetOrderOutcome outcome; // required
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    ORDER_ID((short)1, "orderId"),
+    /**
+     * 
+     * @see TargetOrderOutcome
+     */
+    OUTCOME((short)2, "outcome");
 
-    // isset id assignments
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.ORDER_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "orderId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.OUTCOME,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "outcome",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.EnumMetaData(
-                                org.apache.thrift.protocol.TType.ENUM, TargetOrderOutcome.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ResolveOrderCommand.class, metaDataMap);
-    }
-
-    public ResolveOrderCommand() {}
-
-    public ResolveOrderCommand(java.lang.String orderId, TargetOrderOutcome outcome) {
-        this();
-        this.orderId = orderId;
-        this.outcome = outcome;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public ResolveOrderCommand(ResolveOrderCommand other) {
-        if (other.isSetOrderId()) {
-            this.orderId = other.orderId;
-        }
-        if (other.isSetOutcome()) {
-            this.outcome = other.outcome;
-        }
-    }
-
-    @Override
-    public ResolveOrderCommand deepCopy() {
-        return new ResolveOrderCommand(this);
-    }
-
-    @Override
-    public void clear() {
-        this.orderId = null;
-        this.outcome = null;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getOrderId() {
-        return this.orderId;
-    }
-
-    public ResolveOrderCommand setOrderId(@org.apache.thrift.annotation.Nullable java.lang.String orderId) {
-        this.orderId = orderId;
-        return this;
-    }
-
-    public void unsetOrderId() {
-        this.orderId = null;
-    }
-
-    /** Returns true if field orderId is set (has been assigned a value) and false otherwise */
-    public boolean isSetOrderId() {
-        return this.orderId != null;
-    }
-
-    public void setOrderIdIsSet(boolean value) {
-        if (!value) {
-            this.orderId = null;
-        }
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // ORDER_ID
+          return ORDER_ID;
+        case 2: // OUTCOME
+          return OUTCOME;
+        default:
+          return null;
+      }
     }
 
     /**
-     *
-     * @see TargetOrderOutcome
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    @org.apache.thrift.annotation.Nullable
-    public TargetOrderOutcome getOutcome() {
-        return this.outcome;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     *
-     * @see TargetOrderOutcome
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public ResolveOrderCommand setOutcome(@org.apache.thrift.annotation.Nullable TargetOrderOutcome outcome) {
-        this.outcome = outcome;
-        return this;
-    }
-
-    public void unsetOutcome() {
-        this.outcome = null;
-    }
-
-    /** Returns true if field outcome is set (has been assigned a value) and false otherwise */
-    public boolean isSetOutcome() {
-        return this.outcome != null;
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setOutcomeIsSet(boolean value) {
-        if (!value) {
-            this.outcome = null;
-        }
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case ORDER_ID:
-                if (value == null) {
-                    unsetOrderId();
-                } else {
-                    setOrderId((java.lang.String) value);
-                }
-                break;
-
-            case OUTCOME:
-                if (value == null) {
-                    unsetOutcome();
-                } else {
-                    setOutcome((TargetOrderOutcome) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case ORDER_ID:
-                return getOrderId();
-
-            case OUTCOME:
-                return getOutcome();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case ORDER_ID:
-                return isSetOrderId();
-            case OUTCOME:
-                return isSetOutcome();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.ORDER_ID, new org.apache.thrift.meta_data.FieldMetaData("orderId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.OUTCOME, new org.apache.thrift.meta_data.FieldMetaData("outcome", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, TargetOrderOutcome.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ResolveOrderCommand.class, metaDataMap);
+  }
+
+  public ResolveOrderCommand() {
+  }
+
+  public ResolveOrderCommand(
+    java.lang.String orderId,
+    TargetOrderOutcome outcome)
+  {
+    this();
+    this.orderId = orderId;
+    this.outcome = outcome;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public ResolveOrderCommand(ResolveOrderCommand other) {
+    if (other.isSetOrderId()) {
+      this.orderId = other.orderId;
+    }
+    if (other.isSetOutcome()) {
+      this.outcome = other.outcome;
+    }
+  }
+
+  @Override
+  public ResolveOrderCommand deepCopy() {
+    return new ResolveOrderCommand(this);
+  }
+
+  @Override
+  public void clear() {
+    this.orderId = null;
+    this.outcome = null;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOrderId() {
+    return this.orderId;
+  }
+
+  public ResolveOrderCommand setOrderId(@org.apache.thrift.annotation.Nullable java.lang.String orderId) {
+    this.orderId = orderId;
+    return this;
+  }
+
+  public void unsetOrderId() {
+    this.orderId = null;
+  }
+
+  /** Returns true if field orderId is set (has been assigned a value) and false otherwise */
+  public boolean isSetOrderId() {
+    return this.orderId != null;
+  }
+
+  public void setOrderIdIsSet(boolean value) {
+    if (!value) {
+      this.orderId = null;
+    }
+  }
+
+  /**
+   * 
+   * @see TargetOrderOutcome
+   */
+  @org.apache.thrift.annotation.Nullable
+  public TargetOrderOutcome getOutcome() {
+    return this.outcome;
+  }
+
+  /**
+   * 
+   * @see TargetOrderOutcome
+   */
+  public ResolveOrderCommand setOutcome(@org.apache.thrift.annotation.Nullable TargetOrderOutcome outcome) {
+    this.outcome = outcome;
+    return this;
+  }
+
+  public void unsetOutcome() {
+    this.outcome = null;
+  }
+
+  /** Returns true if field outcome is set (has been assigned a value) and false otherwise */
+  public boolean isSetOutcome() {
+    return this.outcome != null;
+  }
+
+  public void setOutcomeIsSet(boolean value) {
+    if (!value) {
+      this.outcome = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case ORDER_ID:
+      if (value == null) {
+        unsetOrderId();
+      } else {
+        setOrderId((java.lang.String)value);
+      }
+      break;
+
+    case OUTCOME:
+      if (value == null) {
+        unsetOutcome();
+      } else {
+        setOutcome((TargetOrderOutcome)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case ORDER_ID:
+      return getOrderId();
+
+    case OUTCOME:
+      return getOutcome();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case ORDER_ID:
+      return isSetOrderId();
+    case OUTCOME:
+      return isSetOutcome();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof ResolveOrderCommand)
+      return this.equals((ResolveOrderCommand)that);
+    return false;
+  }
+
+  public boolean equals(ResolveOrderCommand that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_orderId = true && this.isSetOrderId();
+    boolean that_present_orderId = true && that.isSetOrderId();
+    if (this_present_orderId || that_present_orderId) {
+      if (!(this_present_orderId && that_present_orderId))
+        return false;
+      if (!this.orderId.equals(that.orderId))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof ResolveOrderCommand) return this.equals((ResolveOrderCommand) that);
+    boolean this_present_outcome = true && this.isSetOutcome();
+    boolean that_present_outcome = true && that.isSetOutcome();
+    if (this_present_outcome || that_present_outcome) {
+      if (!(this_present_outcome && that_present_outcome))
+        return false;
+      if (!this.outcome.equals(that.outcome))
         return false;
     }
 
-    public boolean equals(ResolveOrderCommand that) {
-        if (that == null) return false;
-        if (this == that) return true;
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetOrderId()) ? 131071 : 524287);
+    if (isSetOrderId())
+      hashCode = hashCode * 8191 + orderId.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetOutcome()) ? 131071 : 524287);
+    if (isSetOutcome())
+      hashCode = hashCode * 8191 + outcome.getValue();
+
+    return hashCode;
+  }
 
-        boolean this_present_orderId = true && this.isSetOrderId();
-        boolean that_present_orderId = true && that.isSetOrderId();
-        if (this_present_orderId || that_present_orderId) {
-            if (!(this_present_orderId && that_present_orderId)) return false;
-            if (!this.orderId.equals(that.orderId)) return false;
-        }
-
-        boolean this_present_outcome = true && this.isSetOutcome();
-        boolean that_present_outcome = true && that.isSetOutcome();
-        if (this_present_outcome || that_present_outcome) {
-            if (!(this_present_outcome && that_present_outcome)) return false;
-            if (!this.outcome.equals(that.outcome)) return false;
-        }
-
-        return true;
+  @Override
+  public int compareTo(ResolveOrderCommand other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetOrderId()) ? 131071 : 524287);
-        if (isSetOrderId()) hashCode = hashCode * 8191 + orderId.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetOutcome()) ? 131071 : 524287);
-        if (isSetOutcome()) hashCode = hashCode * 8191 + outcome.getValue();
+    int lastComparison = 0;
 
-        return hashCode;
+    lastComparison = java.lang.Boolean.compare(isSetOrderId(), other.isSetOrderId());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    @Override
-    public int compareTo(ResolveOrderCommand other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetOrderId(), other.isSetOrderId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOrderId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.orderId, other.orderId);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetOutcome(), other.isSetOutcome());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOutcome()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.outcome, other.outcome);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    if (isSetOrderId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.orderId, other.orderId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    lastComparison = java.lang.Boolean.compare(isSetOutcome(), other.isSetOutcome());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    if (isSetOutcome()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.outcome, other.outcome);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
+    return 0;
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("ResolveOrderCommand(");
-        boolean first = true;
-
-        sb.append("orderId:");
-        if (this.orderId == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.orderId);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("outcome:");
-        if (this.outcome == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.outcome);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (orderId == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'orderId' was not present! Struct: " + toString());
-        }
-        if (outcome == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'outcome' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("ResolveOrderCommand(");
+    boolean first = true;
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    sb.append("orderId:");
+    if (this.orderId == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.orderId);
     }
-
-    private static class ResolveOrderCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ResolveOrderCommandStandardScheme getScheme() {
-            return new ResolveOrderCommandStandardScheme();
-        }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("outcome:");
+    if (this.outcome == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.outcome);
     }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
 
-    private static class ResolveOrderCommandStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<ResolveOrderCommand> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, ResolveOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // ORDER_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.orderId = iprot.readString();
-                            struct.setOrderIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // OUTCOME
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.outcome =
-                                    org.basilrill.thrift.control.TargetOrderOutcome.findByValue(iprot.readI32());
-                            struct.setOutcomeIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            struct.validate();
-        }
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (orderId == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'orderId' was not present! Struct: " + toString());
+    }
+    if (outcome == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'outcome' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ResolveOrderCommandStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public ResolveOrderCommandStandardScheme getScheme() {
+      return new ResolveOrderCommandStandardScheme();
+    }
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, ResolveOrderCommand struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
+  private static class ResolveOrderCommandStandardScheme extends org.apache.thrift.scheme.StandardScheme<ResolveOrderCommand> {
 
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.orderId != null) {
-                oprot.writeFieldBegin(ORDER_ID_FIELD_DESC);
-                oprot.writeString(struct.orderId);
-                oprot.writeFieldEnd();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, ResolveOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // ORDER_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.orderId = iprot.readString();
+              struct.setOrderIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.outcome != null) {
-                oprot.writeFieldBegin(OUTCOME_FIELD_DESC);
-                oprot.writeI32(struct.outcome.getValue());
-                oprot.writeFieldEnd();
+            break;
+          case 2: // OUTCOME
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.outcome = org.basilrill.thrift.control.TargetOrderOutcome.findByValue(iprot.readI32());
+              struct.setOutcomeIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    private static class ResolveOrderCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ResolveOrderCommandTupleScheme getScheme() {
-            return new ResolveOrderCommandTupleScheme();
-        }
+      // check for required fields of primitive type, which can't be checked in the validate method
+      struct.validate();
     }
 
-    private static class ResolveOrderCommandTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<ResolveOrderCommand> {
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, ResolveOrderCommand struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.orderId != null) {
+        oprot.writeFieldBegin(ORDER_ID_FIELD_DESC);
+        oprot.writeString(struct.orderId);
+        oprot.writeFieldEnd();
+      }
+      if (struct.outcome != null) {
+        oprot.writeFieldBegin(OUTCOME_FIELD_DESC);
+        oprot.writeI32(struct.outcome.getValue());
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class ResolveOrderCommandTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public ResolveOrderCommandTupleScheme getScheme() {
+      return new ResolveOrderCommandTupleScheme();
+    }
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, ResolveOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.orderId);
-            oprot.writeI32(struct.outcome.getValue());
-        }
+  private static class ResolveOrderCommandTupleScheme extends org.apache.thrift.scheme.TupleScheme<ResolveOrderCommand> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, ResolveOrderCommand struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.orderId = iprot.readString();
-            struct.setOrderIdIsSet(true);
-            struct.outcome = org.basilrill.thrift.control.TargetOrderOutcome.findByValue(iprot.readI32());
-            struct.setOutcomeIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, ResolveOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.orderId);
+      oprot.writeI32(struct.outcome.getValue());
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, ResolveOrderCommand struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.orderId = iprot.readString();
+      struct.setOrderIdIsSet(true);
+      struct.outcome = org.basilrill.thrift.control.TargetOrderOutcome.findByValue(iprot.readI32());
+      struct.setOutcomeIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
