--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ResultMessage.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ResultMessage.java
@@ -8,912 +8,821 @@
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class ResultMessage extends org.apache.thrift.TUnion<ResultMessage, ResultMessage._Fields> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ResultMessage");
-    private static final org.apache.thrift.protocol.TField DONE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("done", org.apache.thrift.protocol.TType.STRUCT, (short) 1);
-    private static final org.apache.thrift.protocol.TField RULES_ACCEPTED_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("rulesAccepted", org.apache.thrift.protocol.TType.STRUCT, (short) 2);
-    private static final org.apache.thrift.protocol.TField RULES_CONFLICT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("rulesConflict", org.apache.thrift.protocol.TType.STRUCT, (short) 3);
-    private static final org.apache.thrift.protocol.TField ORDER_GRANTED_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("orderGranted", org.apache.thrift.protocol.TType.STRUCT, (short) 4);
-    private static final org.apache.thrift.protocol.TField ORDER_RUNNING_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("orderRunning", org.apache.thrift.protocol.TType.STRUCT, (short) 5);
-    private static final org.apache.thrift.protocol.TField ORDER_FINISHED_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("orderFinished", org.apache.thrift.protocol.TType.STRUCT, (short) 6);
-    private static final org.apache.thrift.protocol.TField BUCKET_HELD_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("bucketHeld", org.apache.thrift.protocol.TType.STRUCT, (short) 7);
-    private static final org.apache.thrift.protocol.TField ORDER_RESERVED_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("orderReserved", org.apache.thrift.protocol.TType.STRUCT, (short) 8);
-    private static final org.apache.thrift.protocol.TField CRASH_COUNT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("crashCount", org.apache.thrift.protocol.TType.STRUCT, (short) 9);
-    private static final org.apache.thrift.protocol.TField REFUSED_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("refused", org.apache.thrift.protocol.TType.STRUCT, (short) 10);
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        DONE((short) 1, "done"),
-        RULES_ACCEPTED((short) 2, "rulesAccepted"),
-        RULES_CONFLICT((short) 3, "rulesConflict"),
-        ORDER_GRANTED((short) 4, "orderGranted"),
-        ORDER_RUNNING((short) 5, "orderRunning"),
-        ORDER_FINISHED((short) 6, "orderFinished"),
-        BUCKET_HELD((short) 7, "bucketHeld"),
-        ORDER_RESERVED((short) 8, "orderReserved"),
-        CRASH_COUNT((short) 9, "crashCount"),
-        REFUSED((short) 10, "refused");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // DONE
-                    return DONE;
-                case 2: // RULES_ACCEPTED
-                    return RULES_ACCEPTED;
-                case 3: // RULES_CONFLICT
-                    return RULES_CONFLICT;
-                case 4: // ORDER_GRANTED
-                    return ORDER_GRANTED;
-                case 5: // ORDER_RUNNING
-                    return ORDER_RUNNING;
-                case 6: // ORDER_FINISHED
-                    return ORDER_FINISHED;
-                case 7: // BUCKET_HELD
-                    return BUCKET_HELD;
-                case 8: // ORDER_RESERVED
-                    return ORDER_RESERVED;
-                case 9: // CRASH_COUNT
-                    return CRASH_COUNT;
-                case 10: // REFUSED
-                    return REFUSED;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ResultMessage");
+  private static final org.apache.thrift.protocol.TField DONE_FIELD_DESC = new org.apache.thrift.protocol.TField("done", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+  private static final org.apache.thrift.protocol.TField RULES_ACCEPTED_FIELD_DESC = new org.apache.thrift.protocol.TField("rulesAccepted", org.apache.thrift.protocol.TType.STRUCT, (short)2);
+  private static final org.apache.thrift.protocol.TField RULES_CONFLICT_FIELD_DESC = new org.apache.thrift.protocol.TField("rulesConflict", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField ORDER_GRANTED_FIELD_DESC = new org.apache.thrift.protocol.TField("orderGranted", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField ORDER_RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("orderRunning", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField ORDER_FINISHED_FIELD_DESC = new org.apache.thrift.protocol.TField("orderFinished", org.apache.thrift.protocol.TType.STRUCT, (short)6);
+  private static final org.apache.thrift.protocol.TField BUCKET_HELD_FIELD_DESC = new org.apache.thrift.protocol.TField("bucketHeld", org.apache.thrift.protocol.TType.STRUCT, (short)7);
+  private static final org.apache.thrift.protocol.TField ORDER_RESERVED_FIELD_DESC = new org.apache.thrift.protocol.TField("orderReserved", org.apache.thrift.protocol.TType.STRUCT, (short)8);
+  private static final org.apache.thrift.protocol.TField CRASH_COUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("crashCount", org.apache.thrift.protocol.TType.STRUCT, (short)9);
+  private static final org.apache.thrift.protocol.TField REFUSED_FIELD_DESC = new org.apache.thrift.protocol.TField("refused", org.apache.thrift.protocol.TType.STRUCT, (short)10);
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    DONE((short)1, "done"),
+    RULES_ACCEPTED((short)2, "rulesAccepted"),
+    RULES_CONFLICT((short)3, "rulesConflict"),
+    ORDER_GRANTED((short)4, "orderGranted"),
+    ORDER_RUNNING((short)5, "orderRunning"),
+    ORDER_FINISHED((short)6, "orderFinished"),
+    BUCKET_HELD((short)7, "bucketHeld"),
+    ORDER_RESERVED((short)8, "orderReserved"),
+    CRASH_COUNT((short)9, "crashCount"),
+    REFUSED((short)10, "refused");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.DONE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "done",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, DoneResult.class)));
-        tmpMap.put(
-                _Fields.RULES_ACCEPTED,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "rulesAccepted",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, RulesAcceptedResult.class)));
-        tmpMap.put(
-                _Fields.RULES_CONFLICT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "rulesConflict",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, RulesConflictResult.class)));
-        tmpMap.put(
-                _Fields.ORDER_GRANTED,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "orderGranted",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, OrderGrantedResult.class)));
-        tmpMap.put(
-                _Fields.ORDER_RUNNING,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "orderRunning",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, OrderRunningResult.class)));
-        tmpMap.put(
-                _Fields.ORDER_FINISHED,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "orderFinished",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, OrderFinishedResult.class)));
-        tmpMap.put(
-                _Fields.BUCKET_HELD,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "bucketHeld",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, BucketHeldResult.class)));
-        tmpMap.put(
-                _Fields.ORDER_RESERVED,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "orderReserved",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, OrderReservedResult.class)));
-        tmpMap.put(
-                _Fields.CRASH_COUNT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "crashCount",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, CrashCountResult.class)));
-        tmpMap.put(
-                _Fields.REFUSED,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "refused",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, RefusedResult.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ResultMessage.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public ResultMessage() {
-        super();
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // DONE
+          return DONE;
+        case 2: // RULES_ACCEPTED
+          return RULES_ACCEPTED;
+        case 3: // RULES_CONFLICT
+          return RULES_CONFLICT;
+        case 4: // ORDER_GRANTED
+          return ORDER_GRANTED;
+        case 5: // ORDER_RUNNING
+          return ORDER_RUNNING;
+        case 6: // ORDER_FINISHED
+          return ORDER_FINISHED;
+        case 7: // BUCKET_HELD
+          return BUCKET_HELD;
+        case 8: // ORDER_RESERVED
+          return ORDER_RESERVED;
+        case 9: // CRASH_COUNT
+          return CRASH_COUNT;
+        case 10: // REFUSED
+          return REFUSED;
+        default:
+          return null;
+      }
+    }
+
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
+    }
+
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public ResultMessage(_Fields setField, java.lang.Object value) {
-        super(setField, value);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public ResultMessage(ResultMessage other) {
-        super(other);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public ResultMessage deepCopy() {
-        return new ResultMessage(this);
-    }
-
-    public static ResultMessage done(DoneResult value) {
-        ResultMessage x = new ResultMessage();
-        x.setDone(value);
-        return x;
-    }
-
-    public static ResultMessage rulesAccepted(RulesAcceptedResult value) {
-        ResultMessage x = new ResultMessage();
-        x.setRulesAccepted(value);
-        return x;
-    }
-
-    public static ResultMessage rulesConflict(RulesConflictResult value) {
-        ResultMessage x = new ResultMessage();
-        x.setRulesConflict(value);
-        return x;
-    }
-
-    public static ResultMessage orderGranted(OrderGrantedResult value) {
-        ResultMessage x = new ResultMessage();
-        x.setOrderGranted(value);
-        return x;
-    }
-
-    public static ResultMessage orderRunning(OrderRunningResult value) {
-        ResultMessage x = new ResultMessage();
-        x.setOrderRunning(value);
-        return x;
-    }
-
-    public static ResultMessage orderFinished(OrderFinishedResult value) {
-        ResultMessage x = new ResultMessage();
-        x.setOrderFinished(value);
-        return x;
-    }
-
-    public static ResultMessage bucketHeld(BucketHeldResult value) {
-        ResultMessage x = new ResultMessage();
-        x.setBucketHeld(value);
-        return x;
-    }
-
-    public static ResultMessage orderReserved(OrderReservedResult value) {
-        ResultMessage x = new ResultMessage();
-        x.setOrderReserved(value);
-        return x;
-    }
-
-    public static ResultMessage crashCount(CrashCountResult value) {
-        ResultMessage x = new ResultMessage();
-        x.setCrashCount(value);
-        return x;
-    }
-
-    public static ResultMessage refused(RefusedResult value) {
-        ResultMessage x = new ResultMessage();
-        x.setRefused(value);
-        return x;
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
-        switch (setField) {
-            case DONE:
-                if (value instanceof DoneResult) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type DoneResult for field 'done', but got "
-                                + value.getClass().getSimpleName());
-            case RULES_ACCEPTED:
-                if (value instanceof RulesAcceptedResult) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type RulesAcceptedResult for field 'rulesAccepted', but got "
-                                + value.getClass().getSimpleName());
-            case RULES_CONFLICT:
-                if (value instanceof RulesConflictResult) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type RulesConflictResult for field 'rulesConflict', but got "
-                                + value.getClass().getSimpleName());
-            case ORDER_GRANTED:
-                if (value instanceof OrderGrantedResult) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type OrderGrantedResult for field 'orderGranted', but got "
-                                + value.getClass().getSimpleName());
-            case ORDER_RUNNING:
-                if (value instanceof OrderRunningResult) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type OrderRunningResult for field 'orderRunning', but got "
-                                + value.getClass().getSimpleName());
-            case ORDER_FINISHED:
-                if (value instanceof OrderFinishedResult) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type OrderFinishedResult for field 'orderFinished', but got "
-                                + value.getClass().getSimpleName());
-            case BUCKET_HELD:
-                if (value instanceof BucketHeldResult) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type BucketHeldResult for field 'bucketHeld', but got "
-                                + value.getClass().getSimpleName());
-            case ORDER_RESERVED:
-                if (value instanceof OrderReservedResult) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type OrderReservedResult for field 'orderReserved', but got "
-                                + value.getClass().getSimpleName());
-            case CRASH_COUNT:
-                if (value instanceof CrashCountResult) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type CrashCountResult for field 'crashCount', but got "
-                                + value.getClass().getSimpleName());
-            case REFUSED:
-                if (value instanceof RefusedResult) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type RefusedResult for field 'refused', but got "
-                                + value.getClass().getSimpleName());
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.DONE, new org.apache.thrift.meta_data.FieldMetaData("done", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DoneResult.class)));
+    tmpMap.put(_Fields.RULES_ACCEPTED, new org.apache.thrift.meta_data.FieldMetaData("rulesAccepted", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RulesAcceptedResult.class)));
+    tmpMap.put(_Fields.RULES_CONFLICT, new org.apache.thrift.meta_data.FieldMetaData("rulesConflict", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RulesConflictResult.class)));
+    tmpMap.put(_Fields.ORDER_GRANTED, new org.apache.thrift.meta_data.FieldMetaData("orderGranted", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, OrderGrantedResult.class)));
+    tmpMap.put(_Fields.ORDER_RUNNING, new org.apache.thrift.meta_data.FieldMetaData("orderRunning", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, OrderRunningResult.class)));
+    tmpMap.put(_Fields.ORDER_FINISHED, new org.apache.thrift.meta_data.FieldMetaData("orderFinished", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, OrderFinishedResult.class)));
+    tmpMap.put(_Fields.BUCKET_HELD, new org.apache.thrift.meta_data.FieldMetaData("bucketHeld", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, BucketHeldResult.class)));
+    tmpMap.put(_Fields.ORDER_RESERVED, new org.apache.thrift.meta_data.FieldMetaData("orderReserved", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, OrderReservedResult.class)));
+    tmpMap.put(_Fields.CRASH_COUNT, new org.apache.thrift.meta_data.FieldMetaData("crashCount", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CrashCountResult.class)));
+    tmpMap.put(_Fields.REFUSED, new org.apache.thrift.meta_data.FieldMetaData("refused", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RefusedResult.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ResultMessage.class, metaDataMap);
+  }
+
+  public ResultMessage() {
+    super();
+  }
+
+  public ResultMessage(_Fields setField, java.lang.Object value) {
+    super(setField, value);
+  }
+
+  public ResultMessage(ResultMessage other) {
+    super(other);
+  }
+  @Override
+  public ResultMessage deepCopy() {
+    return new ResultMessage(this);
+  }
+
+  public static ResultMessage done(DoneResult value) {
+    ResultMessage x = new ResultMessage();
+    x.setDone(value);
+    return x;
+  }
+
+  public static ResultMessage rulesAccepted(RulesAcceptedResult value) {
+    ResultMessage x = new ResultMessage();
+    x.setRulesAccepted(value);
+    return x;
+  }
+
+  public static ResultMessage rulesConflict(RulesConflictResult value) {
+    ResultMessage x = new ResultMessage();
+    x.setRulesConflict(value);
+    return x;
+  }
+
+  public static ResultMessage orderGranted(OrderGrantedResult value) {
+    ResultMessage x = new ResultMessage();
+    x.setOrderGranted(value);
+    return x;
+  }
+
+  public static ResultMessage orderRunning(OrderRunningResult value) {
+    ResultMessage x = new ResultMessage();
+    x.setOrderRunning(value);
+    return x;
+  }
+
+  public static ResultMessage orderFinished(OrderFinishedResult value) {
+    ResultMessage x = new ResultMessage();
+    x.setOrderFinished(value);
+    return x;
+  }
+
+  public static ResultMessage bucketHeld(BucketHeldResult value) {
+    ResultMessage x = new ResultMessage();
+    x.setBucketHeld(value);
+    return x;
+  }
+
+  public static ResultMessage orderReserved(OrderReservedResult value) {
+    ResultMessage x = new ResultMessage();
+    x.setOrderReserved(value);
+    return x;
+  }
+
+  public static ResultMessage crashCount(CrashCountResult value) {
+    ResultMessage x = new ResultMessage();
+    x.setCrashCount(value);
+    return x;
+  }
+
+  public static ResultMessage refused(RefusedResult value) {
+    ResultMessage x = new ResultMessage();
+    x.setRefused(value);
+    return x;
+  }
+
+
+  @Override
+  protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
+    switch (setField) {
+      case DONE:
+        if (value instanceof DoneResult) {
+          break;
         }
-    }
-
-    @Override
-    protected java.lang.Object standardSchemeReadValue(
-            org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(field.id);
-        if (setField != null) {
-            switch (setField) {
-                case DONE:
-                    if (field.type == DONE_FIELD_DESC.type) {
-                        DoneResult done;
-                        done = new DoneResult();
-                        done.read(iprot);
-                        return done;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case RULES_ACCEPTED:
-                    if (field.type == RULES_ACCEPTED_FIELD_DESC.type) {
-                        RulesAcceptedResult rulesAccepted;
-                        rulesAccepted = new RulesAcceptedResult();
-                        rulesAccepted.read(iprot);
-                        return rulesAccepted;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case RULES_CONFLICT:
-                    if (field.type == RULES_CONFLICT_FIELD_DESC.type) {
-                        RulesConflictResult rulesConflict;
-                        rulesConflict = new RulesConflictResult();
-                        rulesConflict.read(iprot);
-                        return rulesConflict;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case ORDER_GRANTED:
-                    if (field.type == ORDER_GRANTED_FIELD_DESC.type) {
-                        OrderGrantedResult orderGranted;
-                        orderGranted = new OrderGrantedResult();
-                        orderGranted.read(iprot);
-                        return orderGranted;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case ORDER_RUNNING:
-                    if (field.type == ORDER_RUNNING_FIELD_DESC.type) {
-                        OrderRunningResult orderRunning;
-                        orderRunning = new OrderRunningResult();
-                        orderRunning.read(iprot);
-                        return orderRunning;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case ORDER_FINISHED:
-                    if (field.type == ORDER_FINISHED_FIELD_DESC.type) {
-                        OrderFinishedResult orderFinished;
-                        orderFinished = new OrderFinishedResult();
-                        orderFinished.read(iprot);
-                        return orderFinished;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case BUCKET_HELD:
-                    if (field.type == BUCKET_HELD_FIELD_DESC.type) {
-                        BucketHeldResult bucketHeld;
-                        bucketHeld = new BucketHeldResult();
-                        bucketHeld.read(iprot);
-                        return bucketHeld;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case ORDER_RESERVED:
-                    if (field.type == ORDER_RESERVED_FIELD_DESC.type) {
-                        OrderReservedResult orderReserved;
-                        orderReserved = new OrderReservedResult();
-                        orderReserved.read(iprot);
-                        return orderReserved;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case CRASH_COUNT:
-                    if (field.type == CRASH_COUNT_FIELD_DESC.type) {
-                        CrashCountResult crashCount;
-                        crashCount = new CrashCountResult();
-                        crashCount.read(iprot);
-                        return crashCount;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case REFUSED:
-                    if (field.type == REFUSED_FIELD_DESC.type) {
-                        RefusedResult refused;
-                        refused = new RefusedResult();
-                        refused.read(iprot);
-                        return refused;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
+        throw new java.lang.ClassCastException("Was expecting value of type DoneResult for field 'done', but got " + value.getClass().getSimpleName());
+      case RULES_ACCEPTED:
+        if (value instanceof RulesAcceptedResult) {
+          break;
         }
-    }
-
-    @Override
-    protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case DONE:
-                DoneResult done = (DoneResult) value_;
-                done.write(oprot);
-                return;
-            case RULES_ACCEPTED:
-                RulesAcceptedResult rulesAccepted = (RulesAcceptedResult) value_;
-                rulesAccepted.write(oprot);
-                return;
-            case RULES_CONFLICT:
-                RulesConflictResult rulesConflict = (RulesConflictResult) value_;
-                rulesConflict.write(oprot);
-                return;
-            case ORDER_GRANTED:
-                OrderGrantedResult orderGranted = (OrderGrantedResult) value_;
-                orderGranted.write(oprot);
-                return;
-            case ORDER_RUNNING:
-                OrderRunningResult orderRunning = (OrderRunningResult) value_;
-                orderRunning.write(oprot);
-                return;
-            case ORDER_FINISHED:
-                OrderFinishedResult orderFinished = (OrderFinishedResult) value_;
-                orderFinished.write(oprot);
-                return;
-            case BUCKET_HELD:
-                BucketHeldResult bucketHeld = (BucketHeldResult) value_;
-                bucketHeld.write(oprot);
-                return;
-            case ORDER_RESERVED:
-                OrderReservedResult orderReserved = (OrderReservedResult) value_;
-                orderReserved.write(oprot);
-                return;
-            case CRASH_COUNT:
-                CrashCountResult crashCount = (CrashCountResult) value_;
-                crashCount.write(oprot);
-                return;
-            case REFUSED:
-                RefusedResult refused = (RefusedResult) value_;
-                refused.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+        throw new java.lang.ClassCastException("Was expecting value of type RulesAcceptedResult for field 'rulesAccepted', but got " + value.getClass().getSimpleName());
+      case RULES_CONFLICT:
+        if (value instanceof RulesConflictResult) {
+          break;
         }
-    }
-
-    @Override
-    protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(fieldID);
-        if (setField != null) {
-            switch (setField) {
-                case DONE:
-                    DoneResult done;
-                    done = new DoneResult();
-                    done.read(iprot);
-                    return done;
-                case RULES_ACCEPTED:
-                    RulesAcceptedResult rulesAccepted;
-                    rulesAccepted = new RulesAcceptedResult();
-                    rulesAccepted.read(iprot);
-                    return rulesAccepted;
-                case RULES_CONFLICT:
-                    RulesConflictResult rulesConflict;
-                    rulesConflict = new RulesConflictResult();
-                    rulesConflict.read(iprot);
-                    return rulesConflict;
-                case ORDER_GRANTED:
-                    OrderGrantedResult orderGranted;
-                    orderGranted = new OrderGrantedResult();
-                    orderGranted.read(iprot);
-                    return orderGranted;
-                case ORDER_RUNNING:
-                    OrderRunningResult orderRunning;
-                    orderRunning = new OrderRunningResult();
-                    orderRunning.read(iprot);
-                    return orderRunning;
-                case ORDER_FINISHED:
-                    OrderFinishedResult orderFinished;
-                    orderFinished = new OrderFinishedResult();
-                    orderFinished.read(iprot);
-                    return orderFinished;
-                case BUCKET_HELD:
-                    BucketHeldResult bucketHeld;
-                    bucketHeld = new BucketHeldResult();
-                    bucketHeld.read(iprot);
-                    return bucketHeld;
-                case ORDER_RESERVED:
-                    OrderReservedResult orderReserved;
-                    orderReserved = new OrderReservedResult();
-                    orderReserved.read(iprot);
-                    return orderReserved;
-                case CRASH_COUNT:
-                    CrashCountResult crashCount;
-                    crashCount = new CrashCountResult();
-                    crashCount.read(iprot);
-                    return crashCount;
-                case REFUSED:
-                    RefusedResult refused;
-                    refused = new RefusedResult();
-                    refused.read(iprot);
-                    return refused;
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+        throw new java.lang.ClassCastException("Was expecting value of type RulesConflictResult for field 'rulesConflict', but got " + value.getClass().getSimpleName());
+      case ORDER_GRANTED:
+        if (value instanceof OrderGrantedResult) {
+          break;
         }
-    }
-
-    @Override
-    protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case DONE:
-                DoneResult done = (DoneResult) value_;
-                done.write(oprot);
-                return;
-            case RULES_ACCEPTED:
-                RulesAcceptedResult rulesAccepted = (RulesAcceptedResult) value_;
-                rulesAccepted.write(oprot);
-                return;
-            case RULES_CONFLICT:
-                RulesConflictResult rulesConflict = (RulesConflictResult) value_;
-                rulesConflict.write(oprot);
-                return;
-            case ORDER_GRANTED:
-                OrderGrantedResult orderGranted = (OrderGrantedResult) value_;
-                orderGranted.write(oprot);
-                return;
-            case ORDER_RUNNING:
-                OrderRunningResult orderRunning = (OrderRunningResult) value_;
-                orderRunning.write(oprot);
-                return;
-            case ORDER_FINISHED:
-                OrderFinishedResult orderFinished = (OrderFinishedResult) value_;
-                orderFinished.write(oprot);
-                return;
-            case BUCKET_HELD:
-                BucketHeldResult bucketHeld = (BucketHeldResult) value_;
-                bucketHeld.write(oprot);
-                return;
-            case ORDER_RESERVED:
-                OrderReservedResult orderReserved = (OrderReservedResult) value_;
-                orderReserved.write(oprot);
-                return;
-            case CRASH_COUNT:
-                CrashCountResult crashCount = (CrashCountResult) value_;
-                crashCount.write(oprot);
-                return;
-            case REFUSED:
-                RefusedResult refused = (RefusedResult) value_;
-                refused.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+        throw new java.lang.ClassCastException("Was expecting value of type OrderGrantedResult for field 'orderGranted', but got " + value.getClass().getSimpleName());
+      case ORDER_RUNNING:
+        if (value instanceof OrderRunningResult) {
+          break;
         }
-    }
-
-    @Override
-    protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
-        switch (setField) {
-            case DONE:
-                return DONE_FIELD_DESC;
-            case RULES_ACCEPTED:
-                return RULES_ACCEPTED_FIELD_DESC;
-            case RULES_CONFLICT:
-                return RULES_CONFLICT_FIELD_DESC;
-            case ORDER_GRANTED:
-                return ORDER_GRANTED_FIELD_DESC;
-            case ORDER_RUNNING:
-                return ORDER_RUNNING_FIELD_DESC;
-            case ORDER_FINISHED:
-                return ORDER_FINISHED_FIELD_DESC;
-            case BUCKET_HELD:
-                return BUCKET_HELD_FIELD_DESC;
-            case ORDER_RESERVED:
-                return ORDER_RESERVED_FIELD_DESC;
-            case CRASH_COUNT:
-                return CRASH_COUNT_FIELD_DESC;
-            case REFUSED:
-                return REFUSED_FIELD_DESC;
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+        throw new java.lang.ClassCastException("Was expecting value of type OrderRunningResult for field 'orderRunning', but got " + value.getClass().getSimpleName());
+      case ORDER_FINISHED:
+        if (value instanceof OrderFinishedResult) {
+          break;
         }
-    }
+        throw new java.lang.ClassCastException("Was expecting value of type OrderFinishedResult for field 'orderFinished', but got " + value.getClass().getSimpleName());
+      case BUCKET_HELD:
+        if (value instanceof BucketHeldResult) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type BucketHeldResult for field 'bucketHeld', but got " + value.getClass().getSimpleName());
+      case ORDER_RESERVED:
+        if (value instanceof OrderReservedResult) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type OrderReservedResult for field 'orderReserved', but got " + value.getClass().getSimpleName());
+      case CRASH_COUNT:
+        if (value instanceof CrashCountResult) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type CrashCountResult for field 'crashCount', but got " + value.getClass().getSimpleName());
+      case REFUSED:
+        if (value instanceof RefusedResult) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type RefusedResult for field 'refused', but got " + value.getClass().getSimpleName());
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected java.lang.Object standardSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(field.id);
+    if (setField != null) {
+      switch (setField) {
+        case DONE:
+          if (field.type == DONE_FIELD_DESC.type) {
+            DoneResult done;
+            done = new DoneResult();
+            done.read(iprot);
+            return done;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case RULES_ACCEPTED:
+          if (field.type == RULES_ACCEPTED_FIELD_DESC.type) {
+            RulesAcceptedResult rulesAccepted;
+            rulesAccepted = new RulesAcceptedResult();
+            rulesAccepted.read(iprot);
+            return rulesAccepted;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case RULES_CONFLICT:
+          if (field.type == RULES_CONFLICT_FIELD_DESC.type) {
+            RulesConflictResult rulesConflict;
+            rulesConflict = new RulesConflictResult();
+            rulesConflict.read(iprot);
+            return rulesConflict;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case ORDER_GRANTED:
+          if (field.type == ORDER_GRANTED_FIELD_DESC.type) {
+            OrderGrantedResult orderGranted;
+            orderGranted = new OrderGrantedResult();
+            orderGranted.read(iprot);
+            return orderGranted;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case ORDER_RUNNING:
+          if (field.type == ORDER_RUNNING_FIELD_DESC.type) {
+            OrderRunningResult orderRunning;
+            orderRunning = new OrderRunningResult();
+            orderRunning.read(iprot);
+            return orderRunning;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case ORDER_FINISHED:
+          if (field.type == ORDER_FINISHED_FIELD_DESC.type) {
+            OrderFinishedResult orderFinished;
+            orderFinished = new OrderFinishedResult();
+            orderFinished.read(iprot);
+            return orderFinished;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case BUCKET_HELD:
+          if (field.type == BUCKET_HELD_FIELD_DESC.type) {
+            BucketHeldResult bucketHeld;
+            bucketHeld = new BucketHeldResult();
+            bucketHeld.read(iprot);
+            return bucketHeld;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case ORDER_RESERVED:
+          if (field.type == ORDER_RESERVED_FIELD_DESC.type) {
+            OrderReservedResult orderReserved;
+            orderReserved = new OrderReservedResult();
+            orderReserved.read(iprot);
+            return orderReserved;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case CRASH_COUNT:
+          if (field.type == CRASH_COUNT_FIELD_DESC.type) {
+            CrashCountResult crashCount;
+            crashCount = new CrashCountResult();
+            crashCount.read(iprot);
+            return crashCount;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case REFUSED:
+          if (field.type == REFUSED_FIELD_DESC.type) {
+            RefusedResult refused;
+            refused = new RefusedResult();
+            refused.read(iprot);
+            return refused;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+      return null;
+    }
+  }
+
+  @Override
+  protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case DONE:
+        DoneResult done = (DoneResult)value_;
+        done.write(oprot);
+        return;
+      case RULES_ACCEPTED:
+        RulesAcceptedResult rulesAccepted = (RulesAcceptedResult)value_;
+        rulesAccepted.write(oprot);
+        return;
+      case RULES_CONFLICT:
+        RulesConflictResult rulesConflict = (RulesConflictResult)value_;
+        rulesConflict.write(oprot);
+        return;
+      case ORDER_GRANTED:
+        OrderGrantedResult orderGranted = (OrderGrantedResult)value_;
+        orderGranted.write(oprot);
+        return;
+      case ORDER_RUNNING:
+        OrderRunningResult orderRunning = (OrderRunningResult)value_;
+        orderRunning.write(oprot);
+        return;
+      case ORDER_FINISHED:
+        OrderFinishedResult orderFinished = (OrderFinishedResult)value_;
+        orderFinished.write(oprot);
+        return;
+      case BUCKET_HELD:
+        BucketHeldResult bucketHeld = (BucketHeldResult)value_;
+        bucketHeld.write(oprot);
+        return;
+      case ORDER_RESERVED:
+        OrderReservedResult orderReserved = (OrderReservedResult)value_;
+        orderReserved.write(oprot);
+        return;
+      case CRASH_COUNT:
+        CrashCountResult crashCount = (CrashCountResult)value_;
+        crashCount.write(oprot);
+        return;
+      case REFUSED:
+        RefusedResult refused = (RefusedResult)value_;
+        refused.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(fieldID);
+    if (setField != null) {
+      switch (setField) {
+        case DONE:
+          DoneResult done;
+          done = new DoneResult();
+          done.read(iprot);
+          return done;
+        case RULES_ACCEPTED:
+          RulesAcceptedResult rulesAccepted;
+          rulesAccepted = new RulesAcceptedResult();
+          rulesAccepted.read(iprot);
+          return rulesAccepted;
+        case RULES_CONFLICT:
+          RulesConflictResult rulesConflict;
+          rulesConflict = new RulesConflictResult();
+          rulesConflict.read(iprot);
+          return rulesConflict;
+        case ORDER_GRANTED:
+          OrderGrantedResult orderGranted;
+          orderGranted = new OrderGrantedResult();
+          orderGranted.read(iprot);
+          return orderGranted;
+        case ORDER_RUNNING:
+          OrderRunningResult orderRunning;
+          orderRunning = new OrderRunningResult();
+          orderRunning.read(iprot);
+          return orderRunning;
+        case ORDER_FINISHED:
+          OrderFinishedResult orderFinished;
+          orderFinished = new OrderFinishedResult();
+          orderFinished.read(iprot);
+          return orderFinished;
+        case BUCKET_HELD:
+          BucketHeldResult bucketHeld;
+          bucketHeld = new BucketHeldResult();
+          bucketHeld.read(iprot);
+          return bucketHeld;
+        case ORDER_RESERVED:
+          OrderReservedResult orderReserved;
+          orderReserved = new OrderReservedResult();
+          orderReserved.read(iprot);
+          return orderReserved;
+        case CRASH_COUNT:
+          CrashCountResult crashCount;
+          crashCount = new CrashCountResult();
+          crashCount.read(iprot);
+          return crashCount;
+        case REFUSED:
+          RefusedResult refused;
+          refused = new RefusedResult();
+          refused.read(iprot);
+          return refused;
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+    }
+  }
+
+  @Override
+  protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case DONE:
+        DoneResult done = (DoneResult)value_;
+        done.write(oprot);
+        return;
+      case RULES_ACCEPTED:
+        RulesAcceptedResult rulesAccepted = (RulesAcceptedResult)value_;
+        rulesAccepted.write(oprot);
+        return;
+      case RULES_CONFLICT:
+        RulesConflictResult rulesConflict = (RulesConflictResult)value_;
+        rulesConflict.write(oprot);
+        return;
+      case ORDER_GRANTED:
+        OrderGrantedResult orderGranted = (OrderGrantedResult)value_;
+        orderGranted.write(oprot);
+        return;
+      case ORDER_RUNNING:
+        OrderRunningResult orderRunning = (OrderRunningResult)value_;
+        orderRunning.write(oprot);
+        return;
+      case ORDER_FINISHED:
+        OrderFinishedResult orderFinished = (OrderFinishedResult)value_;
+        orderFinished.write(oprot);
+        return;
+      case BUCKET_HELD:
+        BucketHeldResult bucketHeld = (BucketHeldResult)value_;
+        bucketHeld.write(oprot);
+        return;
+      case ORDER_RESERVED:
+        OrderReservedResult orderReserved = (OrderReservedResult)value_;
+        orderReserved.write(oprot);
+        return;
+      case CRASH_COUNT:
+        CrashCountResult crashCount = (CrashCountResult)value_;
+        crashCount.write(oprot);
+        return;
+      case REFUSED:
+        RefusedResult refused = (RefusedResult)value_;
+        refused.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
+    switch (setField) {
+      case DONE:
+        return DONE_FIELD_DESC;
+      case RULES_ACCEPTED:
+        return RULES_ACCEPTED_FIELD_DESC;
+      case RULES_CONFLICT:
+        return RULES_CONFLICT_FIELD_DESC;
+      case ORDER_GRANTED:
+        return ORDER_GRANTED_FIELD_DESC;
+      case ORDER_RUNNING:
+        return ORDER_RUNNING_FIELD_DESC;
+      case ORDER_FINISHED:
+        return ORDER_FINISHED_FIELD_DESC;
+      case BUCKET_HELD:
+        return BUCKET_HELD_FIELD_DESC;
+      case ORDER_RESERVED:
+        return ORDER_RESERVED_FIELD_DESC;
+      case CRASH_COUNT:
+        return CRASH_COUNT_FIELD_DESC;
+      case REFUSED:
+        return REFUSED_FIELD_DESC;
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TStruct getStructDesc() {
+    return STRUCT_DESC;
+  }
+
+  @Override
+  protected _Fields enumForId(short id) {
+    return _Fields.findByThriftIdOrThrow(id);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+
+  public DoneResult getDone() {
+    if (getSetField() == _Fields.DONE) {
+      return (DoneResult)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'done' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setDone(DoneResult value) {
+    setField_ = _Fields.DONE;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.DONE");
+  }
+
+  public RulesAcceptedResult getRulesAccepted() {
+    if (getSetField() == _Fields.RULES_ACCEPTED) {
+      return (RulesAcceptedResult)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'rulesAccepted' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setRulesAccepted(RulesAcceptedResult value) {
+    setField_ = _Fields.RULES_ACCEPTED;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.RULES_ACCEPTED");
+  }
+
+  public RulesConflictResult getRulesConflict() {
+    if (getSetField() == _Fields.RULES_CONFLICT) {
+      return (RulesConflictResult)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'rulesConflict' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setRulesConflict(RulesConflictResult value) {
+    setField_ = _Fields.RULES_CONFLICT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.RULES_CONFLICT");
+  }
+
+  public OrderGrantedResult getOrderGranted() {
+    if (getSetField() == _Fields.ORDER_GRANTED) {
+      return (OrderGrantedResult)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'orderGranted' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setOrderGranted(OrderGrantedResult value) {
+    setField_ = _Fields.ORDER_GRANTED;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.ORDER_GRANTED");
+  }
+
+  public OrderRunningResult getOrderRunning() {
+    if (getSetField() == _Fields.ORDER_RUNNING) {
+      return (OrderRunningResult)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'orderRunning' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setOrderRunning(OrderRunningResult value) {
+    setField_ = _Fields.ORDER_RUNNING;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.ORDER_RUNNING");
+  }
 
-    @Override
-    protected org.apache.thrift.protocol.TStruct getStructDesc() {
-        return STRUCT_DESC;
+  public OrderFinishedResult getOrderFinished() {
+    if (getSetField() == _Fields.ORDER_FINISHED) {
+      return (OrderFinishedResult)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'orderFinished' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    @Override
-    protected _Fields enumForId(short id) {
-        return _Fields.findByThriftIdOrThrow(id);
-    }
+  public void setOrderFinished(OrderFinishedResult value) {
+    setField_ = _Fields.ORDER_FINISHED;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.ORDER_FINISHED");
+  }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+  public BucketHeldResult getBucketHeld() {
+    if (getSetField() == _Fields.BUCKET_HELD) {
+      return (BucketHeldResult)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'bucketHeld' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public DoneResult getDone() {
-        if (getSetField() == _Fields.DONE) {
-            return (DoneResult) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException(
-                    "Cannot get field 'done' because union is currently set to " + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setBucketHeld(BucketHeldResult value) {
+    setField_ = _Fields.BUCKET_HELD;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.BUCKET_HELD");
+  }
 
-    public void setDone(DoneResult value) {
-        setField_ = _Fields.DONE;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.DONE");
+  public OrderReservedResult getOrderReserved() {
+    if (getSetField() == _Fields.ORDER_RESERVED) {
+      return (OrderReservedResult)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'orderReserved' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public RulesAcceptedResult getRulesAccepted() {
-        if (getSetField() == _Fields.RULES_ACCEPTED) {
-            return (RulesAcceptedResult) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'rulesAccepted' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setOrderReserved(OrderReservedResult value) {
+    setField_ = _Fields.ORDER_RESERVED;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.ORDER_RESERVED");
+  }
 
-    public void setRulesAccepted(RulesAcceptedResult value) {
-        setField_ = _Fields.RULES_ACCEPTED;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.RULES_ACCEPTED");
+  public CrashCountResult getCrashCount() {
+    if (getSetField() == _Fields.CRASH_COUNT) {
+      return (CrashCountResult)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'crashCount' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public RulesConflictResult getRulesConflict() {
-        if (getSetField() == _Fields.RULES_CONFLICT) {
-            return (RulesConflictResult) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'rulesConflict' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setCrashCount(CrashCountResult value) {
+    setField_ = _Fields.CRASH_COUNT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.CRASH_COUNT");
+  }
 
-    public void setRulesConflict(RulesConflictResult value) {
-        setField_ = _Fields.RULES_CONFLICT;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.RULES_CONFLICT");
+  public RefusedResult getRefused() {
+    if (getSetField() == _Fields.REFUSED) {
+      return (RefusedResult)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'refused' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+  }
 
-    public OrderGrantedResult getOrderGranted() {
-        if (getSetField() == _Fields.ORDER_GRANTED) {
-            return (OrderGrantedResult) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'orderGranted' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setRefused(RefusedResult value) {
+    setField_ = _Fields.REFUSED;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.REFUSED");
+  }
 
-    public void setOrderGranted(OrderGrantedResult value) {
-        setField_ = _Fields.ORDER_GRANTED;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.ORDER_GRANTED");
-    }
+  public boolean isSetDone() {
+    return setField_ == _Fields.DONE;
+  }
 
-    public OrderRunningResult getOrderRunning() {
-        if (getSetField() == _Fields.ORDER_RUNNING) {
-            return (OrderRunningResult) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'orderRunning' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setOrderRunning(OrderRunningResult value) {
-        setField_ = _Fields.ORDER_RUNNING;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.ORDER_RUNNING");
-    }
+  public boolean isSetRulesAccepted() {
+    return setField_ == _Fields.RULES_ACCEPTED;
+  }
 
-    public OrderFinishedResult getOrderFinished() {
-        if (getSetField() == _Fields.ORDER_FINISHED) {
-            return (OrderFinishedResult) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'orderFinished' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setOrderFinished(OrderFinishedResult value) {
-        setField_ = _Fields.ORDER_FINISHED;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.ORDER_FINISHED");
-    }
+  public boolean isSetRulesConflict() {
+    return setField_ == _Fields.RULES_CONFLICT;
+  }
 
-    public BucketHeldResult getBucketHeld() {
-        if (getSetField() == _Fields.BUCKET_HELD) {
-            return (BucketHeldResult) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'bucketHeld' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setBucketHeld(BucketHeldResult value) {
-        setField_ = _Fields.BUCKET_HELD;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.BUCKET_HELD");
-    }
+  public boolean isSetOrderGranted() {
+    return setField_ == _Fields.ORDER_GRANTED;
+  }
 
-    public OrderReservedResult getOrderReserved() {
-        if (getSetField() == _Fields.ORDER_RESERVED) {
-            return (OrderReservedResult) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'orderReserved' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setOrderReserved(OrderReservedResult value) {
-        setField_ = _Fields.ORDER_RESERVED;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.ORDER_RESERVED");
-    }
+  public boolean isSetOrderRunning() {
+    return setField_ == _Fields.ORDER_RUNNING;
+  }
 
-    public CrashCountResult getCrashCount() {
-        if (getSetField() == _Fields.CRASH_COUNT) {
-            return (CrashCountResult) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'crashCount' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setCrashCount(CrashCountResult value) {
-        setField_ = _Fields.CRASH_COUNT;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.CRASH_COUNT");
-    }
+  public boolean isSetOrderFinished() {
+    return setField_ == _Fields.ORDER_FINISHED;
+  }
 
-    public RefusedResult getRefused() {
-        if (getSetField() == _Fields.REFUSED) {
-            return (RefusedResult) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException(
-                    "Cannot get field 'refused' because union is currently set to " + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setRefused(RefusedResult value) {
-        setField_ = _Fields.REFUSED;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.REFUSED");
-    }
+  public boolean isSetBucketHeld() {
+    return setField_ == _Fields.BUCKET_HELD;
+  }
 
-    public boolean isSetDone() {
-        return setField_ == _Fields.DONE;
-    }
 
-    public boolean isSetRulesAccepted() {
-        return setField_ == _Fields.RULES_ACCEPTED;
-    }
+  public boolean isSetOrderReserved() {
+    return setField_ == _Fields.ORDER_RESERVED;
+  }
 
-    public boolean isSetRulesConflict() {
-        return setField_ == _Fields.RULES_CONFLICT;
-    }
 
-    public boolean isSetOrderGranted() {
-        return setField_ == _Fields.ORDER_GRANTED;
-    }
+  public boolean isSetCrashCount() {
+    return setField_ == _Fields.CRASH_COUNT;
+  }
 
-    public boolean isSetOrderRunning() {
-        return setField_ == _Fields.ORDER_RUNNING;
-    }
 
-    public boolean isSetOrderFinished() {
-        return setField_ == _Fields.ORDER_FINISHED;
-    }
+  public boolean isSetRefused() {
+    return setField_ == _Fields.REFUSED;
+  }
 
-    public boolean isSetBucketHeld() {
-        return setField_ == _Fields.BUCKET_HELD;
-    }
 
-    public boolean isSetOrderReserved() {
-        return setField_ == _Fields.ORDER_RESERVED;
+  public boolean equals(java.lang.Object other) {
+    if (other instanceof ResultMessage) {
+      return equals((ResultMessage)other);
+    } else {
+      return false;
     }
+  }
 
-    public boolean isSetCrashCount() {
-        return setField_ == _Fields.CRASH_COUNT;
-    }
+  public boolean equals(ResultMessage other) {
+    return other != null && getSetField() == other.getSetField() && getFieldValue().equals(other.getFieldValue());
+  }
 
-    public boolean isSetRefused() {
-        return setField_ == _Fields.REFUSED;
+  @Override
+  public int compareTo(ResultMessage other) {
+    int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
+    if (lastComparison == 0) {
+      return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
     }
+    return lastComparison;
+  }
 
-    public boolean equals(java.lang.Object other) {
-        if (other instanceof ResultMessage) {
-            return equals((ResultMessage) other);
-        } else {
-            return false;
-        }
-    }
 
-    public boolean equals(ResultMessage other) {
-        return other != null
-                && getSetField() == other.getSetField()
-                && getFieldValue().equals(other.getFieldValue());
+  @Override
+  public int hashCode() {
+    java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
+    list.add(this.getClass().getName());
+    org.apache.thrift.TFieldIdEnum setField = getSetField();
+    if (setField != null) {
+      list.add(setField.getThriftFieldId());
+      java.lang.Object value = getFieldValue();
+      if (value instanceof org.apache.thrift.TEnum) {
+        list.add(((org.apache.thrift.TEnum)getFieldValue()).getValue());
+      } else {
+        list.add(value);
+      }
     }
-
-    @Override
-    public int compareTo(ResultMessage other) {
-        int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
-        if (lastComparison == 0) {
-            return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
-        }
-        return lastComparison;
+    return list.hashCode();
+  }
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    @Override
-    public int hashCode() {
-        java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
-        list.add(this.getClass().getName());
-        org.apache.thrift.TFieldIdEnum setField = getSetField();
-        if (setField != null) {
-            list.add(setField.getThriftFieldId());
-            java.lang.Object value = getFieldValue();
-            if (value instanceof org.apache.thrift.TEnum) {
-                list.add(((org.apache.thrift.TEnum) getFieldValue()).getValue());
-            } else {
-                list.add(value);
-            }
-        }
-        return list.hashCode();
-    }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
+
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
 }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RulesAcceptedResult.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RulesAcceptedResult.java
@@ -7,385 +7,370 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class RulesAcceptedResult
-        implements org.apache.thrift.TBase<RulesAcceptedResult, RulesAcceptedResult._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<RulesAcceptedResult> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("RulesAcceptedResult");
-
-    private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short) 1);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new RulesAcceptedResultStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new RulesAcceptedResultTupleSchemeFactory();
-
-    private long revision; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        REVISION((short) 1, "revision");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // REVISION
-                    return REVISION;
-                default:
-                    return null;
-            }
-        }
+public class RulesAcceptedResult implements org.apache.thrift.TBase<RulesAcceptedResult, RulesAcceptedResult._Fields>, java.io.Serializable, Cloneable, Comparable<RulesAcceptedResult> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("RulesAcceptedResult");
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)1);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RulesAcceptedResultStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RulesAcceptedResultTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private long revision; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    REVISION((short)1, "revision");
 
-    // isset id assignments
-    private static final int __REVISION_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.REVISION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "revision",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RulesAcceptedResult.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public RulesAcceptedResult() {}
-
-    public RulesAcceptedResult(long revision) {
-        this();
-        this.revision = revision;
-        setRevisionIsSet(true);
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // REVISION
+          return REVISION;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public RulesAcceptedResult(RulesAcceptedResult other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.revision = other.revision;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    @Override
-    public RulesAcceptedResult deepCopy() {
-        return new RulesAcceptedResult(this);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @Override
-    public void clear() {
-        setRevisionIsSet(false);
-        this.revision = 0;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public long getRevision() {
-        return this.revision;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    public RulesAcceptedResult setRevision(long revision) {
-        this.revision = revision;
-        setRevisionIsSet(true);
-        return this;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public void unsetRevision() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REVISION_ISSET_ID);
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
     }
+  }
+
+  // isset id assignments
+  private static final int __REVISION_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.REVISION, new org.apache.thrift.meta_data.FieldMetaData("revision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RulesAcceptedResult.class, metaDataMap);
+  }
+
+  public RulesAcceptedResult() {
+  }
+
+  public RulesAcceptedResult(
+    long revision)
+  {
+    this();
+    this.revision = revision;
+    setRevisionIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public RulesAcceptedResult(RulesAcceptedResult other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.revision = other.revision;
+  }
+
+  @Override
+  public RulesAcceptedResult deepCopy() {
+    return new RulesAcceptedResult(this);
+  }
+
+  @Override
+  public void clear() {
+    setRevisionIsSet(false);
+    this.revision = 0;
+  }
+
+  public long getRevision() {
+    return this.revision;
+  }
+
+  public RulesAcceptedResult setRevision(long revision) {
+    this.revision = revision;
+    setRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REVISION_ISSET_ID);
+  }
+
+  /** Returns true if field revision is set (has been assigned a value) and false otherwise */
+  public boolean isSetRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REVISION_ISSET_ID);
+  }
+
+  public void setRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case REVISION:
+      if (value == null) {
+        unsetRevision();
+      } else {
+        setRevision((java.lang.Long)value);
+      }
+      break;
 
-    /** Returns true if field revision is set (has been assigned a value) and false otherwise */
-    public boolean isSetRevision() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REVISION_ISSET_ID);
     }
+  }
 
-    public void setRevisionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
-    }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case REVISION:
+      return getRevision();
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case REVISION:
-                if (value == null) {
-                    unsetRevision();
-                } else {
-                    setRevision((java.lang.Long) value);
-                }
-                break;
-        }
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case REVISION:
-                return getRevision();
-        }
-        throw new java.lang.IllegalStateException();
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case REVISION:
-                return isSetRevision();
-        }
-        throw new java.lang.IllegalStateException();
+    switch (field) {
+    case REVISION:
+      return isSetRevision();
     }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof RulesAcceptedResult) return this.equals((RulesAcceptedResult) that);
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof RulesAcceptedResult)
+      return this.equals((RulesAcceptedResult)that);
+    return false;
+  }
+
+  public boolean equals(RulesAcceptedResult that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_revision = true;
+    boolean that_present_revision = true;
+    if (this_present_revision || that_present_revision) {
+      if (!(this_present_revision && that_present_revision))
+        return false;
+      if (this.revision != that.revision)
         return false;
     }
 
-    public boolean equals(RulesAcceptedResult that) {
-        if (that == null) return false;
-        if (this == that) return true;
+    return true;
+  }
 
-        boolean this_present_revision = true;
-        boolean that_present_revision = true;
-        if (this_present_revision || that_present_revision) {
-            if (!(this_present_revision && that_present_revision)) return false;
-            if (this.revision != that.revision) return false;
-        }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
 
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
+    return hashCode;
+  }
 
-        return hashCode;
+  @Override
+  public int compareTo(RulesAcceptedResult other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    @Override
-    public int compareTo(RulesAcceptedResult other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+    int lastComparison = 0;
 
-        lastComparison = java.lang.Boolean.compare(isSetRevision(), other.isSetRevision());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRevision()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.revision, other.revision);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    lastComparison = java.lang.Boolean.compare(isSetRevision(), other.isSetRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    if (isSetRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.revision, other.revision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("RulesAcceptedResult(");
+    boolean first = true;
+
+    sb.append("revision:");
+    sb.append(this.revision);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'revision' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
+  private static class RulesAcceptedResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("RulesAcceptedResult(");
-        boolean first = true;
-
-        sb.append("revision:");
-        sb.append(this.revision);
-        first = false;
-        sb.append(")");
-        return sb.toString();
+    public RulesAcceptedResultStandardScheme getScheme() {
+      return new RulesAcceptedResultStandardScheme();
     }
+  }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'revision' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  private static class RulesAcceptedResultStandardScheme extends org.apache.thrift.scheme.StandardScheme<RulesAcceptedResult> {
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, RulesAcceptedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+        switch (schemeField.id) {
+          case 1: // REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.revision = iprot.readI64();
+              struct.setRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRevision()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'revision' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class RulesAcceptedResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RulesAcceptedResultStandardScheme getScheme() {
-            return new RulesAcceptedResultStandardScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, RulesAcceptedResult struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(REVISION_FIELD_DESC);
+      oprot.writeI64(struct.revision);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    private static class RulesAcceptedResultStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<RulesAcceptedResult> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, RulesAcceptedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // REVISION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.revision = iprot.readI64();
-                            struct.setRevisionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRevision()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'revision' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, RulesAcceptedResult struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(REVISION_FIELD_DESC);
-            oprot.writeI64(struct.revision);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
+  }
 
-    private static class RulesAcceptedResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RulesAcceptedResultTupleScheme getScheme() {
-            return new RulesAcceptedResultTupleScheme();
-        }
+  private static class RulesAcceptedResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public RulesAcceptedResultTupleScheme getScheme() {
+      return new RulesAcceptedResultTupleScheme();
     }
+  }
 
-    private static class RulesAcceptedResultTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<RulesAcceptedResult> {
+  private static class RulesAcceptedResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<RulesAcceptedResult> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, RulesAcceptedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.revision);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, RulesAcceptedResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.revision = iprot.readI64();
-            struct.setRevisionIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, RulesAcceptedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.revision);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, RulesAcceptedResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.revision = iprot.readI64();
+      struct.setRevisionIsSet(true);
     }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RulesConflictResult.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RulesConflictResult.java
@@ -7,488 +7,471 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class RulesConflictResult
-        implements org.apache.thrift.TBase<RulesConflictResult, RulesConflictResult._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<RulesConflictResult> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("RulesConflictResult");
-
-    private static final org.apache.thrift.protocol.TField CURRENT_REVISION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("currentRevision", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField WINNER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("winner", org.apache.thrift.protocol.TType.STRING, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new RulesConflictResultStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new RulesConflictResultTupleSchemeFactory();
-
-    private long currentRevision; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String winner; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        CURRENT_REVISION((short) 1, "currentRevision"),
-        WINNER((short) 2, "winner");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // CURRENT_REVISION
-                    return CURRENT_REVISION;
-                case 2: // WINNER
-                    return WINNER;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+public class RulesConflictResult implements org.apache.thrift.TBase<RulesConflictResult, RulesConflictResult._Fields>, java.io.Serializable, Cloneable, Comparable<RulesConflictResult> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("RulesConflictResult");
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField CURRENT_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("currentRevision", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField WINNER_FIELD_DESC = new org.apache.thrift.protocol.TField("winner", org.apache.thrift.protocol.TType.STRING, (short)2);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RulesConflictResultStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RulesConflictResultTupleSchemeFactory();
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private long currentRevision; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String winner; // required
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    CURRENT_REVISION((short)1, "currentRevision"),
+    WINNER((short)2, "winner");
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __CURRENTREVISION_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.CURRENT_REVISION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "currentRevision",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.WINNER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "winner",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RulesConflictResult.class, metaDataMap);
-    }
-
-    public RulesConflictResult() {}
-
-    public RulesConflictResult(long currentRevision, java.lang.String winner) {
-        this();
-        this.currentRevision = currentRevision;
-        setCurrentRevisionIsSet(true);
-        this.winner = winner;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public RulesConflictResult(RulesConflictResult other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.currentRevision = other.currentRevision;
-        if (other.isSetWinner()) {
-            this.winner = other.winner;
-        }
-    }
-
-    @Override
-    public RulesConflictResult deepCopy() {
-        return new RulesConflictResult(this);
-    }
-
-    @Override
-    public void clear() {
-        setCurrentRevisionIsSet(false);
-        this.currentRevision = 0;
-        this.winner = null;
-    }
-
-    public long getCurrentRevision() {
-        return this.currentRevision;
-    }
-
-    public RulesConflictResult setCurrentRevision(long currentRevision) {
-        this.currentRevision = currentRevision;
-        setCurrentRevisionIsSet(true);
-        return this;
-    }
-
-    public void unsetCurrentRevision() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CURRENTREVISION_ISSET_ID);
-    }
-
-    /** Returns true if field currentRevision is set (has been assigned a value) and false otherwise */
-    public boolean isSetCurrentRevision() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CURRENTREVISION_ISSET_ID);
-    }
-
-    public void setCurrentRevisionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CURRENTREVISION_ISSET_ID, value);
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getWinner() {
-        return this.winner;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // CURRENT_REVISION
+          return CURRENT_REVISION;
+        case 2: // WINNER
+          return WINNER;
+        default:
+          return null;
+      }
     }
 
-    public RulesConflictResult setWinner(@org.apache.thrift.annotation.Nullable java.lang.String winner) {
-        this.winner = winner;
-        return this;
-    }
-
-    public void unsetWinner() {
-        this.winner = null;
-    }
-
-    /** Returns true if field winner is set (has been assigned a value) and false otherwise */
-    public boolean isSetWinner() {
-        return this.winner != null;
-    }
-
-    public void setWinnerIsSet(boolean value) {
-        if (!value) {
-            this.winner = null;
-        }
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case CURRENT_REVISION:
-                if (value == null) {
-                    unsetCurrentRevision();
-                } else {
-                    setCurrentRevision((java.lang.Long) value);
-                }
-                break;
-
-            case WINNER:
-                if (value == null) {
-                    unsetWinner();
-                } else {
-                    setWinner((java.lang.String) value);
-                }
-                break;
-        }
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case CURRENT_REVISION:
-                return getCurrentRevision();
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-            case WINNER:
-                return getWinner();
-        }
-        throw new java.lang.IllegalStateException();
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case CURRENT_REVISION:
-                return isSetCurrentRevision();
-            case WINNER:
-                return isSetWinner();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof RulesConflictResult) return this.equals((RulesConflictResult) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __CURRENTREVISION_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.CURRENT_REVISION, new org.apache.thrift.meta_data.FieldMetaData("currentRevision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.WINNER, new org.apache.thrift.meta_data.FieldMetaData("winner", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RulesConflictResult.class, metaDataMap);
+  }
+
+  public RulesConflictResult() {
+  }
+
+  public RulesConflictResult(
+    long currentRevision,
+    java.lang.String winner)
+  {
+    this();
+    this.currentRevision = currentRevision;
+    setCurrentRevisionIsSet(true);
+    this.winner = winner;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public RulesConflictResult(RulesConflictResult other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.currentRevision = other.currentRevision;
+    if (other.isSetWinner()) {
+      this.winner = other.winner;
+    }
+  }
+
+  @Override
+  public RulesConflictResult deepCopy() {
+    return new RulesConflictResult(this);
+  }
+
+  @Override
+  public void clear() {
+    setCurrentRevisionIsSet(false);
+    this.currentRevision = 0;
+    this.winner = null;
+  }
+
+  public long getCurrentRevision() {
+    return this.currentRevision;
+  }
+
+  public RulesConflictResult setCurrentRevision(long currentRevision) {
+    this.currentRevision = currentRevision;
+    setCurrentRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetCurrentRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CURRENTREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field currentRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetCurrentRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CURRENTREVISION_ISSET_ID);
+  }
+
+  public void setCurrentRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CURRENTREVISION_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getWinner() {
+    return this.winner;
+  }
+
+  public RulesConflictResult setWinner(@org.apache.thrift.annotation.Nullable java.lang.String winner) {
+    this.winner = winner;
+    return this;
+  }
+
+  public void unsetWinner() {
+    this.winner = null;
+  }
+
+  /** Returns true if field winner is set (has been assigned a value) and false otherwise */
+  public boolean isSetWinner() {
+    return this.winner != null;
+  }
+
+  public void setWinnerIsSet(boolean value) {
+    if (!value) {
+      this.winner = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case CURRENT_REVISION:
+      if (value == null) {
+        unsetCurrentRevision();
+      } else {
+        setCurrentRevision((java.lang.Long)value);
+      }
+      break;
+
+    case WINNER:
+      if (value == null) {
+        unsetWinner();
+      } else {
+        setWinner((java.lang.String)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case CURRENT_REVISION:
+      return getCurrentRevision();
+
+    case WINNER:
+      return getWinner();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case CURRENT_REVISION:
+      return isSetCurrentRevision();
+    case WINNER:
+      return isSetWinner();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof RulesConflictResult)
+      return this.equals((RulesConflictResult)that);
+    return false;
+  }
+
+  public boolean equals(RulesConflictResult that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_currentRevision = true;
+    boolean that_present_currentRevision = true;
+    if (this_present_currentRevision || that_present_currentRevision) {
+      if (!(this_present_currentRevision && that_present_currentRevision))
+        return false;
+      if (this.currentRevision != that.currentRevision)
         return false;
     }
 
-    public boolean equals(RulesConflictResult that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_currentRevision = true;
-        boolean that_present_currentRevision = true;
-        if (this_present_currentRevision || that_present_currentRevision) {
-            if (!(this_present_currentRevision && that_present_currentRevision)) return false;
-            if (this.currentRevision != that.currentRevision) return false;
-        }
-
-        boolean this_present_winner = true && this.isSetWinner();
-        boolean that_present_winner = true && that.isSetWinner();
-        if (this_present_winner || that_present_winner) {
-            if (!(this_present_winner && that_present_winner)) return false;
-            if (!this.winner.equals(that.winner)) return false;
-        }
-
-        return true;
+    boolean this_present_winner = true && this.isSetWinner();
+    boolean that_present_winner = true && that.isSetWinner();
+    if (this_present_winner || that_present_winner) {
+      if (!(this_present_winner && that_present_winner))
+        return false;
+      if (!this.winner.equals(that.winner))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(currentRevision);
+
+    hashCode = hashCode * 8191 + ((isSetWinner()) ? 131071 : 524287);
+    if (isSetWinner())
+      hashCode = hashCode * 8191 + winner.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(RulesConflictResult other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetCurrentRevision(), other.isSetCurrentRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCurrentRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.currentRevision, other.currentRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetWinner(), other.isSetWinner());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWinner()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.winner, other.winner);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("RulesConflictResult(");
+    boolean first = true;
+
+    sb.append("currentRevision:");
+    sb.append(this.currentRevision);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("winner:");
+    if (this.winner == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.winner);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'currentRevision' because it's a primitive and you chose the non-beans generator.
+    if (winner == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'winner' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class RulesConflictResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(currentRevision);
-
-        hashCode = hashCode * 8191 + ((isSetWinner()) ? 131071 : 524287);
-        if (isSetWinner()) hashCode = hashCode * 8191 + winner.hashCode();
-
-        return hashCode;
+    public RulesConflictResultStandardScheme getScheme() {
+      return new RulesConflictResultStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(RulesConflictResult other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class RulesConflictResultStandardScheme extends org.apache.thrift.scheme.StandardScheme<RulesConflictResult> {
 
-        lastComparison = java.lang.Boolean.compare(isSetCurrentRevision(), other.isSetCurrentRevision());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, RulesConflictResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetCurrentRevision()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.currentRevision, other.currentRevision);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // CURRENT_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.currentRevision = iprot.readI64();
+              struct.setCurrentRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetWinner(), other.isSetWinner());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetWinner()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.winner, other.winner);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // WINNER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.winner = iprot.readString();
+              struct.setWinnerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetCurrentRevision()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'currentRevision' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+    public void write(org.apache.thrift.protocol.TProtocol oprot, RulesConflictResult struct) throws org.apache.thrift.TException {
+      struct.validate();
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("RulesConflictResult(");
-        boolean first = true;
-
-        sb.append("currentRevision:");
-        sb.append(this.currentRevision);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("winner:");
-        if (this.winner == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.winner);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(CURRENT_REVISION_FIELD_DESC);
+      oprot.writeI64(struct.currentRevision);
+      oprot.writeFieldEnd();
+      if (struct.winner != null) {
+        oprot.writeFieldBegin(WINNER_FIELD_DESC);
+        oprot.writeString(struct.winner);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'currentRevision' because it's a primitive and you chose the non-beans generator.
-        if (winner == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'winner' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class RulesConflictResultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RulesConflictResultStandardScheme getScheme() {
-            return new RulesConflictResultStandardScheme();
-        }
-    }
-
-    private static class RulesConflictResultStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<RulesConflictResult> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, RulesConflictResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // CURRENT_REVISION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.currentRevision = iprot.readI64();
-                            struct.setCurrentRevisionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // WINNER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.winner = iprot.readString();
-                            struct.setWinnerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetCurrentRevision()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'currentRevision' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, RulesConflictResult struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(CURRENT_REVISION_FIELD_DESC);
-            oprot.writeI64(struct.currentRevision);
-            oprot.writeFieldEnd();
-            if (struct.winner != null) {
-                oprot.writeFieldBegin(WINNER_FIELD_DESC);
-                oprot.writeString(struct.winner);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class RulesConflictResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RulesConflictResultTupleScheme getScheme() {
-            return new RulesConflictResultTupleScheme();
-        }
+  private static class RulesConflictResultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public RulesConflictResultTupleScheme getScheme() {
+      return new RulesConflictResultTupleScheme();
     }
+  }
 
-    private static class RulesConflictResultTupleScheme
-            extends org.apache.thrift.scheme.TupleScheme<RulesConflictResult> {
+  private static class RulesConflictResultTupleScheme extends org.apache.thrift.scheme.TupleScheme<RulesConflictResult> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, RulesConflictResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.currentRevision);
-            oprot.writeString(struct.winner);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, RulesConflictResult struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.currentRevision = iprot.readI64();
-            struct.setCurrentRevisionIsSet(true);
-            struct.winner = iprot.readString();
-            struct.setWinnerIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, RulesConflictResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.currentRevision);
+      oprot.writeString(struct.winner);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, RulesConflictResult struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.currentRevision = iprot.readI64();
+      struct.setCurrentRevisionIsSet(true);
+      struct.winner = iprot.readString();
+      struct.setWinnerIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RulesState.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/RulesState.java
@@ -7,644 +7,627 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class RulesState
-        implements org.apache.thrift.TBase<RulesState, RulesState._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<RulesState> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("RulesState");
-
-    private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField TEXT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("text", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField HISTORY_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("history", org.apache.thrift.protocol.TType.LIST, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new RulesStateStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new RulesStateTupleSchemeFactory();
-
-    private long revision; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String text; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<AcceptedRulesState> history; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        REVISION((short) 1, "revision"),
-        TEXT((short) 2, "text"),
-        HISTORY((short) 3, "history");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // REVISION
-                    return REVISION;
-                case 2: // TEXT
-                    return TEXT;
-                case 3: // HISTORY
-                    return HISTORY;
-                default:
-                    return null;
-            }
-        }
+public class RulesState implements org.apache.thrift.TBase<RulesState, RulesState._Fields>, java.io.Serializable, Cloneable, Comparable<RulesState> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("RulesState");
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField TEXT_FIELD_DESC = new org.apache.thrift.protocol.TField("text", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField HISTORY_FIELD_DESC = new org.apache.thrift.protocol.TField("history", org.apache.thrift.protocol.TType.LIST, (short)3);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RulesStateStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RulesStateTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private long revision; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String text; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<AcceptedRulesState> history; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    REVISION((short)1, "revision"),
+    TEXT((short)2, "text"),
+    HISTORY((short)3, "history");
 
-    // isset id assignments
-    private static final int __REVISION_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.REVISION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "revision",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.TEXT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "text",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.HISTORY,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "history",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, AcceptedRulesState.class))));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RulesState.class, metaDataMap);
-    }
-
-    public RulesState() {}
-
-    public RulesState(long revision, java.lang.String text, java.util.List<AcceptedRulesState> history) {
-        this();
-        this.revision = revision;
-        setRevisionIsSet(true);
-        this.text = text;
-        this.history = history;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public RulesState(RulesState other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.revision = other.revision;
-        if (other.isSetText()) {
-            this.text = other.text;
-        }
-        if (other.isSetHistory()) {
-            java.util.List<AcceptedRulesState> __this__history =
-                    new java.util.ArrayList<AcceptedRulesState>(other.history.size());
-            for (AcceptedRulesState other_element : other.history) {
-                __this__history.add(new AcceptedRulesState(other_element));
-            }
-            this.history = __this__history;
-        }
-    }
-
-    @Override
-    public RulesState deepCopy() {
-        return new RulesState(this);
-    }
-
-    @Override
-    public void clear() {
-        setRevisionIsSet(false);
-        this.revision = 0;
-        this.text = null;
-        this.history = null;
-    }
-
-    public long getRevision() {
-        return this.revision;
-    }
-
-    public RulesState setRevision(long revision) {
-        this.revision = revision;
-        setRevisionIsSet(true);
-        return this;
-    }
-
-    public void unsetRevision() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REVISION_ISSET_ID);
-    }
-
-    /** Returns true if field revision is set (has been assigned a value) and false otherwise */
-    public boolean isSetRevision() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REVISION_ISSET_ID);
-    }
-
-    public void setRevisionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getText() {
-        return this.text;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // REVISION
+          return REVISION;
+        case 2: // TEXT
+          return TEXT;
+        case 3: // HISTORY
+          return HISTORY;
+        default:
+          return null;
+      }
     }
 
-    public RulesState setText(@org.apache.thrift.annotation.Nullable java.lang.String text) {
-        this.text = text;
-        return this;
-    }
-
-    public void unsetText() {
-        this.text = null;
-    }
-
-    /** Returns true if field text is set (has been assigned a value) and false otherwise */
-    public boolean isSetText() {
-        return this.text != null;
-    }
-
-    public void setTextIsSet(boolean value) {
-        if (!value) {
-            this.text = null;
-        }
-    }
-
-    public int getHistorySize() {
-        return (this.history == null) ? 0 : this.history.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<AcceptedRulesState> getHistoryIterator() {
-        return (this.history == null) ? null : this.history.iterator();
-    }
-
-    public void addToHistory(AcceptedRulesState elem) {
-        if (this.history == null) {
-            this.history = new java.util.ArrayList<AcceptedRulesState>();
-        }
-        this.history.add(elem);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<AcceptedRulesState> getHistory() {
-        return this.history;
-    }
-
-    public RulesState setHistory(@org.apache.thrift.annotation.Nullable java.util.List<AcceptedRulesState> history) {
-        this.history = history;
-        return this;
-    }
-
-    public void unsetHistory() {
-        this.history = null;
-    }
-
-    /** Returns true if field history is set (has been assigned a value) and false otherwise */
-    public boolean isSetHistory() {
-        return this.history != null;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setHistoryIsSet(boolean value) {
-        if (!value) {
-            this.history = null;
-        }
-    }
-
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case REVISION:
-                if (value == null) {
-                    unsetRevision();
-                } else {
-                    setRevision((java.lang.Long) value);
-                }
-                break;
-
-            case TEXT:
-                if (value == null) {
-                    unsetText();
-                } else {
-                    setText((java.lang.String) value);
-                }
-                break;
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-            case HISTORY:
-                if (value == null) {
-                    unsetHistory();
-                } else {
-                    setHistory((java.util.List<AcceptedRulesState>) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case REVISION:
-                return getRevision();
-
-            case TEXT:
-                return getText();
-
-            case HISTORY:
-                return getHistory();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case REVISION:
-                return isSetRevision();
-            case TEXT:
-                return isSetText();
-            case HISTORY:
-                return isSetHistory();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof RulesState) return this.equals((RulesState) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __REVISION_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.REVISION, new org.apache.thrift.meta_data.FieldMetaData("revision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TEXT, new org.apache.thrift.meta_data.FieldMetaData("text", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.HISTORY, new org.apache.thrift.meta_data.FieldMetaData("history", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AcceptedRulesState.class))));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RulesState.class, metaDataMap);
+  }
+
+  public RulesState() {
+  }
+
+  public RulesState(
+    long revision,
+    java.lang.String text,
+    java.util.List<AcceptedRulesState> history)
+  {
+    this();
+    this.revision = revision;
+    setRevisionIsSet(true);
+    this.text = text;
+    this.history = history;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public RulesState(RulesState other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.revision = other.revision;
+    if (other.isSetText()) {
+      this.text = other.text;
+    }
+    if (other.isSetHistory()) {
+      java.util.List<AcceptedRulesState> __this__history = new java.util.ArrayList<AcceptedRulesState>(other.history.size());
+      for (AcceptedRulesState other_element : other.history) {
+        __this__history.add(new AcceptedRulesState(other_element));
+      }
+      this.history = __this__history;
+    }
+  }
+
+  @Override
+  public RulesState deepCopy() {
+    return new RulesState(this);
+  }
+
+  @Override
+  public void clear() {
+    setRevisionIsSet(false);
+    this.revision = 0;
+    this.text = null;
+    this.history = null;
+  }
+
+  public long getRevision() {
+    return this.revision;
+  }
+
+  public RulesState setRevision(long revision) {
+    this.revision = revision;
+    setRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REVISION_ISSET_ID);
+  }
+
+  /** Returns true if field revision is set (has been assigned a value) and false otherwise */
+  public boolean isSetRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REVISION_ISSET_ID);
+  }
+
+  public void setRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getText() {
+    return this.text;
+  }
+
+  public RulesState setText(@org.apache.thrift.annotation.Nullable java.lang.String text) {
+    this.text = text;
+    return this;
+  }
+
+  public void unsetText() {
+    this.text = null;
+  }
+
+  /** Returns true if field text is set (has been assigned a value) and false otherwise */
+  public boolean isSetText() {
+    return this.text != null;
+  }
+
+  public void setTextIsSet(boolean value) {
+    if (!value) {
+      this.text = null;
+    }
+  }
+
+  public int getHistorySize() {
+    return (this.history == null) ? 0 : this.history.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<AcceptedRulesState> getHistoryIterator() {
+    return (this.history == null) ? null : this.history.iterator();
+  }
+
+  public void addToHistory(AcceptedRulesState elem) {
+    if (this.history == null) {
+      this.history = new java.util.ArrayList<AcceptedRulesState>();
+    }
+    this.history.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<AcceptedRulesState> getHistory() {
+    return this.history;
+  }
+
+  public RulesState setHistory(@org.apache.thrift.annotation.Nullable java.util.List<AcceptedRulesState> history) {
+    this.history = history;
+    return this;
+  }
+
+  public void unsetHistory() {
+    this.history = null;
+  }
+
+  /** Returns true if field history is set (has been assigned a value) and false otherwise */
+  public boolean isSetHistory() {
+    return this.history != null;
+  }
+
+  public void setHistoryIsSet(boolean value) {
+    if (!value) {
+      this.history = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case REVISION:
+      if (value == null) {
+        unsetRevision();
+      } else {
+        setRevision((java.lang.Long)value);
+      }
+      break;
+
+    case TEXT:
+      if (value == null) {
+        unsetText();
+      } else {
+        setText((java.lang.String)value);
+      }
+      break;
+
+    case HISTORY:
+      if (value == null) {
+        unsetHistory();
+      } else {
+        setHistory((java.util.List<AcceptedRulesState>)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case REVISION:
+      return getRevision();
+
+    case TEXT:
+      return getText();
+
+    case HISTORY:
+      return getHistory();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case REVISION:
+      return isSetRevision();
+    case TEXT:
+      return isSetText();
+    case HISTORY:
+      return isSetHistory();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof RulesState)
+      return this.equals((RulesState)that);
+    return false;
+  }
+
+  public boolean equals(RulesState that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_revision = true;
+    boolean that_present_revision = true;
+    if (this_present_revision || that_present_revision) {
+      if (!(this_present_revision && that_present_revision))
+        return false;
+      if (this.revision != that.revision)
         return false;
     }
 
-    public boolean equals(RulesState that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_revision = true;
-        boolean that_present_revision = true;
-        if (this_present_revision || that_present_revision) {
-            if (!(this_present_revision && that_present_revision)) return false;
-            if (this.revision != that.revision) return false;
-        }
-
-        boolean this_present_text = true && this.isSetText();
-        boolean that_present_text = true && that.isSetText();
-        if (this_present_text || that_present_text) {
-            if (!(this_present_text && that_present_text)) return false;
-            if (!this.text.equals(that.text)) return false;
-        }
-
-        boolean this_present_history = true && this.isSetHistory();
-        boolean that_present_history = true && that.isSetHistory();
-        if (this_present_history || that_present_history) {
-            if (!(this_present_history && that_present_history)) return false;
-            if (!this.history.equals(that.history)) return false;
-        }
-
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
-
-        hashCode = hashCode * 8191 + ((isSetText()) ? 131071 : 524287);
-        if (isSetText()) hashCode = hashCode * 8191 + text.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetHistory()) ? 131071 : 524287);
-        if (isSetHistory()) hashCode = hashCode * 8191 + history.hashCode();
-
-        return hashCode;
-    }
-
-    @Override
-    public int compareTo(RulesState other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetRevision(), other.isSetRevision());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRevision()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.revision, other.revision);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetText(), other.isSetText());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetText()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.text, other.text);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetHistory(), other.isSetHistory());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetHistory()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.history, other.history);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    boolean this_present_text = true && this.isSetText();
+    boolean that_present_text = true && that.isSetText();
+    if (this_present_text || that_present_text) {
+      if (!(this_present_text && that_present_text))
+        return false;
+      if (!this.text.equals(that.text))
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    boolean this_present_history = true && this.isSetHistory();
+    boolean that_present_history = true && that.isSetHistory();
+    if (this_present_history || that_present_history) {
+      if (!(this_present_history && that_present_history))
+        return false;
+      if (!this.history.equals(that.history))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
+
+    hashCode = hashCode * 8191 + ((isSetText()) ? 131071 : 524287);
+    if (isSetText())
+      hashCode = hashCode * 8191 + text.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetHistory()) ? 131071 : 524287);
+    if (isSetHistory())
+      hashCode = hashCode * 8191 + history.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(RulesState other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetRevision(), other.isSetRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.revision, other.revision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetText(), other.isSetText());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetText()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.text, other.text);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetHistory(), other.isSetHistory());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHistory()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.history, other.history);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("RulesState(");
+    boolean first = true;
+
+    sb.append("revision:");
+    sb.append(this.revision);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("text:");
+    if (this.text == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.text);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("history:");
+    if (this.history == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.history);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'revision' because it's a primitive and you chose the non-beans generator.
+    if (text == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'text' was not present! Struct: " + toString());
+    }
+    if (history == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'history' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class RulesStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public RulesStateStandardScheme getScheme() {
+      return new RulesStateStandardScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class RulesStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<RulesState> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("RulesState(");
-        boolean first = true;
-
-        sb.append("revision:");
-        sb.append(this.revision);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("text:");
-        if (this.text == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.text);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("history:");
-        if (this.history == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.history);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'revision' because it's a primitive and you chose the non-beans generator.
-        if (text == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'text' was not present! Struct: " + toString());
-        }
-        if (history == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'history' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class RulesStateStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RulesStateStandardScheme getScheme() {
-            return new RulesStateStandardScheme();
-        }
-    }
-
-    private static class RulesStateStandardScheme extends org.apache.thrift.scheme.StandardScheme<RulesState> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, RulesState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // REVISION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.revision = iprot.readI64();
-                            struct.setRevisionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // TEXT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.text = iprot.readString();
-                            struct.setTextIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // HISTORY
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                                struct.history = new java.util.ArrayList<AcceptedRulesState>(_list8.size);
-                                @org.apache.thrift.annotation.Nullable AcceptedRulesState _elem9;
-                                for (int _i10 = 0; _i10 < _list8.size; ++_i10) {
-                                    _elem9 = new AcceptedRulesState();
-                                    _elem9.read(iprot);
-                                    struct.history.add(_elem9);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setHistoryIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRevision()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'revision' was not found in serialized data! Struct: " + toString());
+    public void read(org.apache.thrift.protocol.TProtocol iprot, RulesState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.revision = iprot.readI64();
+              struct.setRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, RulesState struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(REVISION_FIELD_DESC);
-            oprot.writeI64(struct.revision);
-            oprot.writeFieldEnd();
-            if (struct.text != null) {
-                oprot.writeFieldBegin(TEXT_FIELD_DESC);
-                oprot.writeString(struct.text);
-                oprot.writeFieldEnd();
+            break;
+          case 2: // TEXT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.text = iprot.readString();
+              struct.setTextIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.history != null) {
-                oprot.writeFieldBegin(HISTORY_FIELD_DESC);
+            break;
+          case 3: // HISTORY
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
+                struct.history = new java.util.ArrayList<AcceptedRulesState>(_list8.size);
+                @org.apache.thrift.annotation.Nullable AcceptedRulesState _elem9;
+                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.history.size()));
-                    for (AcceptedRulesState _iter11 : struct.history) {
-                        _iter11.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem9 = new AcceptedRulesState();
+                  _elem9.read(iprot);
+                  struct.history.add(_elem9);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setHistoryIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRevision()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'revision' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class RulesStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public RulesStateTupleScheme getScheme() {
-            return new RulesStateTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, RulesState struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(REVISION_FIELD_DESC);
+      oprot.writeI64(struct.revision);
+      oprot.writeFieldEnd();
+      if (struct.text != null) {
+        oprot.writeFieldBegin(TEXT_FIELD_DESC);
+        oprot.writeString(struct.text);
+        oprot.writeFieldEnd();
+      }
+      if (struct.history != null) {
+        oprot.writeFieldBegin(HISTORY_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.history.size()));
+          for (AcceptedRulesState _iter11 : struct.history)
+          {
+            _iter11.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class RulesStateTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public RulesStateTupleScheme getScheme() {
+      return new RulesStateTupleScheme();
     }
+  }
 
-    private static class RulesStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<RulesState> {
+  private static class RulesStateTupleScheme extends org.apache.thrift.scheme.TupleScheme<RulesState> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, RulesState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.revision);
-            oprot.writeString(struct.text);
-            {
-                oprot.writeI32(struct.history.size());
-                for (AcceptedRulesState _iter12 : struct.history) {
-                    _iter12.write(oprot);
-                }
-            }
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, RulesState struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.revision = iprot.readI64();
-            struct.setRevisionIsSet(true);
-            struct.text = iprot.readString();
-            struct.setTextIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.history = new java.util.ArrayList<AcceptedRulesState>(_list13.size);
-                @org.apache.thrift.annotation.Nullable AcceptedRulesState _elem14;
-                for (int _i15 = 0; _i15 < _list13.size; ++_i15) {
-                    _elem14 = new AcceptedRulesState();
-                    _elem14.read(iprot);
-                    struct.history.add(_elem14);
-                }
-            }
-            struct.setHistoryIsSet(true);
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, RulesState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.revision);
+      oprot.writeString(struct.text);
+      {
+        oprot.writeI32(struct.history.size());
+        for (AcceptedRulesState _iter12 : struct.history)
+        {
+          _iter12.write(oprot);
         }
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, RulesState struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.revision = iprot.readI64();
+      struct.setRevisionIsSet(true);
+      struct.text = iprot.readString();
+      struct.setTextIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.history = new java.util.ArrayList<AcceptedRulesState>(_list13.size);
+        @org.apache.thrift.annotation.Nullable AcceptedRulesState _elem14;
+        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+        {
+          _elem14 = new AcceptedRulesState();
+          _elem14.read(iprot);
+          struct.history.add(_elem14);
+        }
+      }
+      struct.setHistoryIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
