--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/SubmitAnswer.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/SubmitAnswer.java
@@ -7,735 +7,714 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class SubmitAnswer
-        implements org.apache.thrift.TBase<SubmitAnswer, SubmitAnswer._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<SubmitAnswer> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("SubmitAnswer");
-
-    private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField STATUS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("status", org.apache.thrift.protocol.TType.I32, (short) 2);
-    private static final org.apache.thrift.protocol.TField RESULT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("result", org.apache.thrift.protocol.TType.STRING, (short) 3);
-    private static final org.apache.thrift.protocol.TField LEADER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("leader", org.apache.thrift.protocol.TType.STRING, (short) 4);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new SubmitAnswerStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new SubmitAnswerTupleSchemeFactory();
-
-    private long requestId; // required
-    private @org.apache.thrift.annotation.Nullable AnswerStatus status; // required
-    private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer result; // optional
-    private @org.apache.thrift.annotation.Nullable java.lang.String leader; // optional
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        REQUEST_ID((short) 1, "requestId"),
-        /**
-         *
-         * @see AnswerStatus
-         */
-        STATUS((short) 2, "status"),
-        RESULT((short) 3, "result"),
-        LEADER((short) 4, "leader");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
+public class SubmitAnswer implements org.apache.thrift.TBase<SubmitAnswer, SubmitAnswer._Fields>, java.io.Serializable, Cloneable, Comparable<SubmitAnswer> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SubmitAnswer");
 
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // REQUEST_ID
-                    return REQUEST_ID;
-                case 2: // STATUS
-                    return STATUS;
-                case 3: // RESULT
-                    return RESULT;
-                case 4: // LEADER
-                    return LEADER;
-                default:
-                    return null;
-            }
-        }
+  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField STATUS_FIELD_DESC = new org.apache.thrift.protocol.TField("status", org.apache.thrift.protocol.TType.I32, (short)2);
+  private static final org.apache.thrift.protocol.TField RESULT_FIELD_DESC = new org.apache.thrift.protocol.TField("result", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField LEADER_FIELD_DESC = new org.apache.thrift.protocol.TField("leader", org.apache.thrift.protocol.TType.STRING, (short)4);
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SubmitAnswerStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SubmitAnswerTupleSchemeFactory();
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __REQUESTID_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    private static final _Fields optionals[] = {_Fields.RESULT, _Fields.LEADER};
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.REQUEST_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "requestId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.STATUS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "status",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.EnumMetaData(
-                                org.apache.thrift.protocol.TType.ENUM, AnswerStatus.class)));
-        tmpMap.put(
-                _Fields.RESULT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "result",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(
-                                org.apache.thrift.protocol.TType.STRING, true)));
-        tmpMap.put(
-                _Fields.LEADER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "leader",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SubmitAnswer.class, metaDataMap);
-    }
-
-    public SubmitAnswer() {}
-
-    public SubmitAnswer(long requestId, AnswerStatus status) {
-        this();
-        this.requestId = requestId;
-        setRequestIdIsSet(true);
-        this.status = status;
-    }
+  private long requestId; // required
+  private @org.apache.thrift.annotation.Nullable AnswerStatus status; // required
+  private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer result; // optional
+  private @org.apache.thrift.annotation.Nullable java.lang.String leader; // optional
 
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    REQUEST_ID((short)1, "requestId"),
     /**
-     * Performs a deep copy on <i>other</i>.
+     * 
+     * @see AnswerStatus
      */
-    public SubmitAnswer(SubmitAnswer other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.requestId = other.requestId;
-        if (other.isSetStatus()) {
-            this.status = other.status;
-        }
-        if (other.isSetResult()) {
-            this.result = org.apache.thrift.TBaseHelper.copyBinary(other.result);
-        }
-        if (other.isSetLeader()) {
-            this.leader = other.leader;
-        }
-    }
-
-    @Override
-    public SubmitAnswer deepCopy() {
-        return new SubmitAnswer(this);
-    }
+    STATUS((short)2, "status"),
+    RESULT((short)3, "result"),
+    LEADER((short)4, "leader");
 
-    @Override
-    public void clear() {
-        setRequestIdIsSet(false);
-        this.requestId = 0;
-        this.status = null;
-        this.result = null;
-        this.leader = null;
-    }
-
-    public long getRequestId() {
-        return this.requestId;
-    }
-
-    public SubmitAnswer setRequestId(long requestId) {
-        this.requestId = requestId;
-        setRequestIdIsSet(true);
-        return this;
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    public void unsetRequestId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
-    }
-
-    /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
-    public boolean isSetRequestId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
-    }
-
-    public void setRequestIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     *
-     * @see AnswerStatus
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
     @org.apache.thrift.annotation.Nullable
-    public AnswerStatus getStatus() {
-        return this.status;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // REQUEST_ID
+          return REQUEST_ID;
+        case 2: // STATUS
+          return STATUS;
+        case 3: // RESULT
+          return RESULT;
+        case 4: // LEADER
+          return LEADER;
+        default:
+          return null;
+      }
     }
 
     /**
-     *
-     * @see AnswerStatus
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public SubmitAnswer setStatus(@org.apache.thrift.annotation.Nullable AnswerStatus status) {
-        this.status = status;
-        return this;
-    }
-
-    public void unsetStatus() {
-        this.status = null;
-    }
-
-    /** Returns true if field status is set (has been assigned a value) and false otherwise */
-    public boolean isSetStatus() {
-        return this.status != null;
-    }
-
-    public void setStatusIsSet(boolean value) {
-        if (!value) {
-            this.status = null;
-        }
-    }
-
-    public byte[] getResult() {
-        setResult(org.apache.thrift.TBaseHelper.rightSize(result));
-        return result == null ? null : result.array();
-    }
-
-    public java.nio.ByteBuffer bufferForResult() {
-        return org.apache.thrift.TBaseHelper.copyBinary(result);
-    }
-
-    public SubmitAnswer setResult(byte[] result) {
-        this.result = result == null ? (java.nio.ByteBuffer) null : java.nio.ByteBuffer.wrap(result.clone());
-        return this;
-    }
-
-    public SubmitAnswer setResult(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer result) {
-        this.result = org.apache.thrift.TBaseHelper.copyBinary(result);
-        return this;
-    }
-
-    public void unsetResult() {
-        this.result = null;
-    }
-
-    /** Returns true if field result is set (has been assigned a value) and false otherwise */
-    public boolean isSetResult() {
-        return this.result != null;
-    }
-
-    public void setResultIsSet(boolean value) {
-        if (!value) {
-            this.result = null;
-        }
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getLeader() {
-        return this.leader;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public SubmitAnswer setLeader(@org.apache.thrift.annotation.Nullable java.lang.String leader) {
-        this.leader = leader;
-        return this;
-    }
-
-    public void unsetLeader() {
-        this.leader = null;
-    }
-
-    /** Returns true if field leader is set (has been assigned a value) and false otherwise */
-    public boolean isSetLeader() {
-        return this.leader != null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setLeaderIsSet(boolean value) {
-        if (!value) {
-            this.leader = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case REQUEST_ID:
-                if (value == null) {
-                    unsetRequestId();
-                } else {
-                    setRequestId((java.lang.Long) value);
-                }
-                break;
-
-            case STATUS:
-                if (value == null) {
-                    unsetStatus();
-                } else {
-                    setStatus((AnswerStatus) value);
-                }
-                break;
-
-            case RESULT:
-                if (value == null) {
-                    unsetResult();
-                } else {
-                    if (value instanceof byte[]) {
-                        setResult((byte[]) value);
-                    } else {
-                        setResult((java.nio.ByteBuffer) value);
-                    }
-                }
-                break;
-
-            case LEADER:
-                if (value == null) {
-                    unsetLeader();
-                } else {
-                    setLeader((java.lang.String) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case REQUEST_ID:
-                return getRequestId();
-
-            case STATUS:
-                return getStatus();
-
-            case RESULT:
-                return getResult();
-
-            case LEADER:
-                return getLeader();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __REQUESTID_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.RESULT,_Fields.LEADER};
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.REQUEST_ID, new org.apache.thrift.meta_data.FieldMetaData("requestId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.STATUS, new org.apache.thrift.meta_data.FieldMetaData("status", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, AnswerStatus.class)));
+    tmpMap.put(_Fields.RESULT, new org.apache.thrift.meta_data.FieldMetaData("result", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    tmpMap.put(_Fields.LEADER, new org.apache.thrift.meta_data.FieldMetaData("leader", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SubmitAnswer.class, metaDataMap);
+  }
+
+  public SubmitAnswer() {
+  }
+
+  public SubmitAnswer(
+    long requestId,
+    AnswerStatus status)
+  {
+    this();
+    this.requestId = requestId;
+    setRequestIdIsSet(true);
+    this.status = status;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public SubmitAnswer(SubmitAnswer other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.requestId = other.requestId;
+    if (other.isSetStatus()) {
+      this.status = other.status;
+    }
+    if (other.isSetResult()) {
+      this.result = org.apache.thrift.TBaseHelper.copyBinary(other.result);
+    }
+    if (other.isSetLeader()) {
+      this.leader = other.leader;
+    }
+  }
+
+  @Override
+  public SubmitAnswer deepCopy() {
+    return new SubmitAnswer(this);
+  }
+
+  @Override
+  public void clear() {
+    setRequestIdIsSet(false);
+    this.requestId = 0;
+    this.status = null;
+    this.result = null;
+    this.leader = null;
+  }
+
+  public long getRequestId() {
+    return this.requestId;
+  }
+
+  public SubmitAnswer setRequestId(long requestId) {
+    this.requestId = requestId;
+    setRequestIdIsSet(true);
+    return this;
+  }
+
+  public void unsetRequestId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+  }
+
+  /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
+  public boolean isSetRequestId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+  }
+
+  public void setRequestIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
+  }
+
+  /**
+   * 
+   * @see AnswerStatus
+   */
+  @org.apache.thrift.annotation.Nullable
+  public AnswerStatus getStatus() {
+    return this.status;
+  }
+
+  /**
+   * 
+   * @see AnswerStatus
+   */
+  public SubmitAnswer setStatus(@org.apache.thrift.annotation.Nullable AnswerStatus status) {
+    this.status = status;
+    return this;
+  }
+
+  public void unsetStatus() {
+    this.status = null;
+  }
+
+  /** Returns true if field status is set (has been assigned a value) and false otherwise */
+  public boolean isSetStatus() {
+    return this.status != null;
+  }
+
+  public void setStatusIsSet(boolean value) {
+    if (!value) {
+      this.status = null;
+    }
+  }
+
+  public byte[] getResult() {
+    setResult(org.apache.thrift.TBaseHelper.rightSize(result));
+    return result == null ? null : result.array();
+  }
+
+  public java.nio.ByteBuffer bufferForResult() {
+    return org.apache.thrift.TBaseHelper.copyBinary(result);
+  }
+
+  public SubmitAnswer setResult(byte[] result) {
+    this.result = result == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(result.clone());
+    return this;
+  }
+
+  public SubmitAnswer setResult(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer result) {
+    this.result = org.apache.thrift.TBaseHelper.copyBinary(result);
+    return this;
+  }
+
+  public void unsetResult() {
+    this.result = null;
+  }
+
+  /** Returns true if field result is set (has been assigned a value) and false otherwise */
+  public boolean isSetResult() {
+    return this.result != null;
+  }
+
+  public void setResultIsSet(boolean value) {
+    if (!value) {
+      this.result = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getLeader() {
+    return this.leader;
+  }
+
+  public SubmitAnswer setLeader(@org.apache.thrift.annotation.Nullable java.lang.String leader) {
+    this.leader = leader;
+    return this;
+  }
+
+  public void unsetLeader() {
+    this.leader = null;
+  }
+
+  /** Returns true if field leader is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeader() {
+    return this.leader != null;
+  }
+
+  public void setLeaderIsSet(boolean value) {
+    if (!value) {
+      this.leader = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case REQUEST_ID:
+      if (value == null) {
+        unsetRequestId();
+      } else {
+        setRequestId((java.lang.Long)value);
+      }
+      break;
+
+    case STATUS:
+      if (value == null) {
+        unsetStatus();
+      } else {
+        setStatus((AnswerStatus)value);
+      }
+      break;
+
+    case RESULT:
+      if (value == null) {
+        unsetResult();
+      } else {
+        if (value instanceof byte[]) {
+          setResult((byte[])value);
+        } else {
+          setResult((java.nio.ByteBuffer)value);
+        }
+      }
+      break;
+
+    case LEADER:
+      if (value == null) {
+        unsetLeader();
+      } else {
+        setLeader((java.lang.String)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case REQUEST_ID:
+      return getRequestId();
+
+    case STATUS:
+      return getStatus();
+
+    case RESULT:
+      return getResult();
+
+    case LEADER:
+      return getLeader();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case REQUEST_ID:
+      return isSetRequestId();
+    case STATUS:
+      return isSetStatus();
+    case RESULT:
+      return isSetResult();
+    case LEADER:
+      return isSetLeader();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof SubmitAnswer)
+      return this.equals((SubmitAnswer)that);
+    return false;
+  }
+
+  public boolean equals(SubmitAnswer that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_requestId = true;
+    boolean that_present_requestId = true;
+    if (this_present_requestId || that_present_requestId) {
+      if (!(this_present_requestId && that_present_requestId))
+        return false;
+      if (this.requestId != that.requestId)
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case REQUEST_ID:
-                return isSetRequestId();
-            case STATUS:
-                return isSetStatus();
-            case RESULT:
-                return isSetResult();
-            case LEADER:
-                return isSetLeader();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_status = true && this.isSetStatus();
+    boolean that_present_status = true && that.isSetStatus();
+    if (this_present_status || that_present_status) {
+      if (!(this_present_status && that_present_status))
+        return false;
+      if (!this.status.equals(that.status))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof SubmitAnswer) return this.equals((SubmitAnswer) that);
+    boolean this_present_result = true && this.isSetResult();
+    boolean that_present_result = true && that.isSetResult();
+    if (this_present_result || that_present_result) {
+      if (!(this_present_result && that_present_result))
+        return false;
+      if (!this.result.equals(that.result))
         return false;
     }
 
-    public boolean equals(SubmitAnswer that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_requestId = true;
-        boolean that_present_requestId = true;
-        if (this_present_requestId || that_present_requestId) {
-            if (!(this_present_requestId && that_present_requestId)) return false;
-            if (this.requestId != that.requestId) return false;
-        }
-
-        boolean this_present_status = true && this.isSetStatus();
-        boolean that_present_status = true && that.isSetStatus();
-        if (this_present_status || that_present_status) {
-            if (!(this_present_status && that_present_status)) return false;
-            if (!this.status.equals(that.status)) return false;
-        }
-
-        boolean this_present_result = true && this.isSetResult();
-        boolean that_present_result = true && that.isSetResult();
-        if (this_present_result || that_present_result) {
-            if (!(this_present_result && that_present_result)) return false;
-            if (!this.result.equals(that.result)) return false;
-        }
-
-        boolean this_present_leader = true && this.isSetLeader();
-        boolean that_present_leader = true && that.isSetLeader();
-        if (this_present_leader || that_present_leader) {
-            if (!(this_present_leader && that_present_leader)) return false;
-            if (!this.leader.equals(that.leader)) return false;
-        }
-
-        return true;
+    boolean this_present_leader = true && this.isSetLeader();
+    boolean that_present_leader = true && that.isSetLeader();
+    if (this_present_leader || that_present_leader) {
+      if (!(this_present_leader && that_present_leader))
+        return false;
+      if (!this.leader.equals(that.leader))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
+
+    hashCode = hashCode * 8191 + ((isSetStatus()) ? 131071 : 524287);
+    if (isSetStatus())
+      hashCode = hashCode * 8191 + status.getValue();
+
+    hashCode = hashCode * 8191 + ((isSetResult()) ? 131071 : 524287);
+    if (isSetResult())
+      hashCode = hashCode * 8191 + result.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetLeader()) ? 131071 : 524287);
+    if (isSetLeader())
+      hashCode = hashCode * 8191 + leader.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(SubmitAnswer other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRequestId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestId, other.requestId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetStatus(), other.isSetStatus());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStatus()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.status, other.status);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetResult(), other.isSetResult());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetResult()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.result, other.result);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLeader(), other.isSetLeader());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeader()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leader, other.leader);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("SubmitAnswer(");
+    boolean first = true;
+
+    sb.append("requestId:");
+    sb.append(this.requestId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("status:");
+    if (this.status == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.status);
+    }
+    first = false;
+    if (isSetResult()) {
+      if (!first) sb.append(", ");
+      sb.append("result:");
+      if (this.result == null) {
+        sb.append("null");
+      } else {
+        org.apache.thrift.TBaseHelper.toString(this.result, sb);
+      }
+      first = false;
+    }
+    if (isSetLeader()) {
+      if (!first) sb.append(", ");
+      sb.append("leader:");
+      if (this.leader == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.leader);
+      }
+      first = false;
+    }
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'requestId' because it's a primitive and you chose the non-beans generator.
+    if (status == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'status' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class SubmitAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
-
-        hashCode = hashCode * 8191 + ((isSetStatus()) ? 131071 : 524287);
-        if (isSetStatus()) hashCode = hashCode * 8191 + status.getValue();
-
-        hashCode = hashCode * 8191 + ((isSetResult()) ? 131071 : 524287);
-        if (isSetResult()) hashCode = hashCode * 8191 + result.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetLeader()) ? 131071 : 524287);
-        if (isSetLeader()) hashCode = hashCode * 8191 + leader.hashCode();
-
-        return hashCode;
+    public SubmitAnswerStandardScheme getScheme() {
+      return new SubmitAnswerStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(SubmitAnswer other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class SubmitAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<SubmitAnswer> {
 
-        lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRequestId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestId, other.requestId);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, SubmitAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // REQUEST_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.requestId = iprot.readI64();
+              struct.setRequestIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetStatus(), other.isSetStatus());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetStatus()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.status, other.status);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // STATUS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.status = org.basilrill.thrift.control.AnswerStatus.findByValue(iprot.readI32());
+              struct.setStatusIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetResult(), other.isSetResult());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetResult()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.result, other.result);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // RESULT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.result = iprot.readBinary();
+              struct.setResultIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetLeader(), other.isSetLeader());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLeader()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leader, other.leader);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // LEADER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.leader = iprot.readString();
+              struct.setLeaderIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRequestId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'requestId' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, SubmitAnswer struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
+      oprot.writeI64(struct.requestId);
+      oprot.writeFieldEnd();
+      if (struct.status != null) {
+        oprot.writeFieldBegin(STATUS_FIELD_DESC);
+        oprot.writeI32(struct.status.getValue());
+        oprot.writeFieldEnd();
+      }
+      if (struct.result != null) {
+        if (struct.isSetResult()) {
+          oprot.writeFieldBegin(RESULT_FIELD_DESC);
+          oprot.writeBinary(struct.result);
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.leader != null) {
+        if (struct.isSetLeader()) {
+          oprot.writeFieldBegin(LEADER_FIELD_DESC);
+          oprot.writeString(struct.leader);
+          oprot.writeFieldEnd();
+        }
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class SubmitAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public SubmitAnswerTupleScheme getScheme() {
+      return new SubmitAnswerTupleScheme();
     }
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("SubmitAnswer(");
-        boolean first = true;
-
-        sb.append("requestId:");
-        sb.append(this.requestId);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("status:");
-        if (this.status == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.status);
-        }
-        first = false;
-        if (isSetResult()) {
-            if (!first) sb.append(", ");
-            sb.append("result:");
-            if (this.result == null) {
-                sb.append("null");
-            } else {
-                org.apache.thrift.TBaseHelper.toString(this.result, sb);
-            }
-            first = false;
-        }
-        if (isSetLeader()) {
-            if (!first) sb.append(", ");
-            sb.append("leader:");
-            if (this.leader == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.leader);
-            }
-            first = false;
-        }
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'requestId' because it's a primitive and you chose the non-beans generator.
-        if (status == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'status' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
+  private static class SubmitAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<SubmitAnswer> {
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class SubmitAnswerStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public SubmitAnswerStandardScheme getScheme() {
-            return new SubmitAnswerStandardScheme();
-        }
-    }
-
-    private static class SubmitAnswerStandardScheme extends org.apache.thrift.scheme.StandardScheme<SubmitAnswer> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, SubmitAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // REQUEST_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.requestId = iprot.readI64();
-                            struct.setRequestIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // STATUS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.status = org.basilrill.thrift.control.AnswerStatus.findByValue(iprot.readI32());
-                            struct.setStatusIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // RESULT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.result = iprot.readBinary();
-                            struct.setResultIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // LEADER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.leader = iprot.readString();
-                            struct.setLeaderIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRequestId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'requestId' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, SubmitAnswer struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
-            oprot.writeI64(struct.requestId);
-            oprot.writeFieldEnd();
-            if (struct.status != null) {
-                oprot.writeFieldBegin(STATUS_FIELD_DESC);
-                oprot.writeI32(struct.status.getValue());
-                oprot.writeFieldEnd();
-            }
-            if (struct.result != null) {
-                if (struct.isSetResult()) {
-                    oprot.writeFieldBegin(RESULT_FIELD_DESC);
-                    oprot.writeBinary(struct.result);
-                    oprot.writeFieldEnd();
-                }
-            }
-            if (struct.leader != null) {
-                if (struct.isSetLeader()) {
-                    oprot.writeFieldBegin(LEADER_FIELD_DESC);
-                    oprot.writeString(struct.leader);
-                    oprot.writeFieldEnd();
-                }
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class SubmitAnswerTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public SubmitAnswerTupleScheme getScheme() {
-            return new SubmitAnswerTupleScheme();
-        }
-    }
-
-    private static class SubmitAnswerTupleScheme extends org.apache.thrift.scheme.TupleScheme<SubmitAnswer> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, SubmitAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.requestId);
-            oprot.writeI32(struct.status.getValue());
-            java.util.BitSet optionals = new java.util.BitSet();
-            if (struct.isSetResult()) {
-                optionals.set(0);
-            }
-            if (struct.isSetLeader()) {
-                optionals.set(1);
-            }
-            oprot.writeBitSet(optionals, 2);
-            if (struct.isSetResult()) {
-                oprot.writeBinary(struct.result);
-            }
-            if (struct.isSetLeader()) {
-                oprot.writeString(struct.leader);
-            }
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, SubmitAnswer struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.requestId = iprot.readI64();
-            struct.setRequestIdIsSet(true);
-            struct.status = org.basilrill.thrift.control.AnswerStatus.findByValue(iprot.readI32());
-            struct.setStatusIsSet(true);
-            java.util.BitSet incoming = iprot.readBitSet(2);
-            if (incoming.get(0)) {
-                struct.result = iprot.readBinary();
-                struct.setResultIsSet(true);
-            }
-            if (incoming.get(1)) {
-                struct.leader = iprot.readString();
-                struct.setLeaderIsSet(true);
-            }
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, SubmitAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.requestId);
+      oprot.writeI32(struct.status.getValue());
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetResult()) {
+        optionals.set(0);
+      }
+      if (struct.isSetLeader()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetResult()) {
+        oprot.writeBinary(struct.result);
+      }
+      if (struct.isSetLeader()) {
+        oprot.writeString(struct.leader);
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, SubmitAnswer struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.requestId = iprot.readI64();
+      struct.setRequestIdIsSet(true);
+      struct.status = org.basilrill.thrift.control.AnswerStatus.findByValue(iprot.readI32());
+      struct.setStatusIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(2);
+      if (incoming.get(0)) {
+        struct.result = iprot.readBinary();
+        struct.setResultIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.leader = iprot.readString();
+        struct.setLeaderIsSet(true);
+      }
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/SubmitRequest.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/SubmitRequest.java
@@ -7,500 +7,484 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class SubmitRequest
-        implements org.apache.thrift.TBase<SubmitRequest, SubmitRequest._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<SubmitRequest> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("SubmitRequest");
-
-    private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField COMMAND_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("command", org.apache.thrift.protocol.TType.STRING, (short) 2);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new SubmitRequestStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new SubmitRequestTupleSchemeFactory();
-
-    private long requestId; // required
-    private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer command; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        REQUEST_ID((short) 1, "requestId"),
-        COMMAND((short) 2, "command");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // REQUEST_ID
-                    return REQUEST_ID;
-                case 2: // COMMAND
-                    return COMMAND;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+public class SubmitRequest implements org.apache.thrift.TBase<SubmitRequest, SubmitRequest._Fields>, java.io.Serializable, Cloneable, Comparable<SubmitRequest> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SubmitRequest");
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField REQUEST_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("requestId", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField COMMAND_FIELD_DESC = new org.apache.thrift.protocol.TField("command", org.apache.thrift.protocol.TType.STRING, (short)2);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SubmitRequestStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SubmitRequestTupleSchemeFactory();
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private long requestId; // required
+  private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer command; // required
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    REQUEST_ID((short)1, "requestId"),
+    COMMAND((short)2, "command");
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __REQUESTID_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.REQUEST_ID,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "requestId",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.COMMAND,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "command",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(
-                                org.apache.thrift.protocol.TType.STRING, true)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SubmitRequest.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public SubmitRequest() {}
-
-    public SubmitRequest(long requestId, java.nio.ByteBuffer command) {
-        this();
-        this.requestId = requestId;
-        setRequestIdIsSet(true);
-        this.command = org.apache.thrift.TBaseHelper.copyBinary(command);
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // REQUEST_ID
+          return REQUEST_ID;
+        case 2: // COMMAND
+          return COMMAND;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public SubmitRequest(SubmitRequest other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.requestId = other.requestId;
-        if (other.isSetCommand()) {
-            this.command = org.apache.thrift.TBaseHelper.copyBinary(other.command);
-        }
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    @Override
-    public SubmitRequest deepCopy() {
-        return new SubmitRequest(this);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @Override
-    public void clear() {
-        setRequestIdIsSet(false);
-        this.requestId = 0;
-        this.command = null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public long getRequestId() {
-        return this.requestId;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    public SubmitRequest setRequestId(long requestId) {
-        this.requestId = requestId;
-        setRequestIdIsSet(true);
-        return this;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public void unsetRequestId() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
-    }
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __REQUESTID_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.REQUEST_ID, new org.apache.thrift.meta_data.FieldMetaData("requestId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.COMMAND, new org.apache.thrift.meta_data.FieldMetaData("command", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SubmitRequest.class, metaDataMap);
+  }
+
+  public SubmitRequest() {
+  }
+
+  public SubmitRequest(
+    long requestId,
+    java.nio.ByteBuffer command)
+  {
+    this();
+    this.requestId = requestId;
+    setRequestIdIsSet(true);
+    this.command = org.apache.thrift.TBaseHelper.copyBinary(command);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public SubmitRequest(SubmitRequest other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.requestId = other.requestId;
+    if (other.isSetCommand()) {
+      this.command = org.apache.thrift.TBaseHelper.copyBinary(other.command);
+    }
+  }
+
+  @Override
+  public SubmitRequest deepCopy() {
+    return new SubmitRequest(this);
+  }
+
+  @Override
+  public void clear() {
+    setRequestIdIsSet(false);
+    this.requestId = 0;
+    this.command = null;
+  }
+
+  public long getRequestId() {
+    return this.requestId;
+  }
+
+  public SubmitRequest setRequestId(long requestId) {
+    this.requestId = requestId;
+    setRequestIdIsSet(true);
+    return this;
+  }
+
+  public void unsetRequestId() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+  }
+
+  /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
+  public boolean isSetRequestId() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
+  }
+
+  public void setRequestIdIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
+  }
+
+  public byte[] getCommand() {
+    setCommand(org.apache.thrift.TBaseHelper.rightSize(command));
+    return command == null ? null : command.array();
+  }
+
+  public java.nio.ByteBuffer bufferForCommand() {
+    return org.apache.thrift.TBaseHelper.copyBinary(command);
+  }
+
+  public SubmitRequest setCommand(byte[] command) {
+    this.command = command == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(command.clone());
+    return this;
+  }
+
+  public SubmitRequest setCommand(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer command) {
+    this.command = org.apache.thrift.TBaseHelper.copyBinary(command);
+    return this;
+  }
+
+  public void unsetCommand() {
+    this.command = null;
+  }
+
+  /** Returns true if field command is set (has been assigned a value) and false otherwise */
+  public boolean isSetCommand() {
+    return this.command != null;
+  }
+
+  public void setCommandIsSet(boolean value) {
+    if (!value) {
+      this.command = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case REQUEST_ID:
+      if (value == null) {
+        unsetRequestId();
+      } else {
+        setRequestId((java.lang.Long)value);
+      }
+      break;
+
+    case COMMAND:
+      if (value == null) {
+        unsetCommand();
+      } else {
+        if (value instanceof byte[]) {
+          setCommand((byte[])value);
+        } else {
+          setCommand((java.nio.ByteBuffer)value);
+        }
+      }
+      break;
 
-    /** Returns true if field requestId is set (has been assigned a value) and false otherwise */
-    public boolean isSetRequestId() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTID_ISSET_ID);
     }
+  }
 
-    public void setRequestIdIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTID_ISSET_ID, value);
-    }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case REQUEST_ID:
+      return getRequestId();
 
-    public byte[] getCommand() {
-        setCommand(org.apache.thrift.TBaseHelper.rightSize(command));
-        return command == null ? null : command.array();
-    }
+    case COMMAND:
+      return getCommand();
 
-    public java.nio.ByteBuffer bufferForCommand() {
-        return org.apache.thrift.TBaseHelper.copyBinary(command);
     }
+    throw new java.lang.IllegalStateException();
+  }
 
-    public SubmitRequest setCommand(byte[] command) {
-        this.command = command == null ? (java.nio.ByteBuffer) null : java.nio.ByteBuffer.wrap(command.clone());
-        return this;
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
 
-    public SubmitRequest setCommand(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer command) {
-        this.command = org.apache.thrift.TBaseHelper.copyBinary(command);
-        return this;
+    switch (field) {
+    case REQUEST_ID:
+      return isSetRequestId();
+    case COMMAND:
+      return isSetCommand();
     }
+    throw new java.lang.IllegalStateException();
+  }
 
-    public void unsetCommand() {
-        this.command = null;
-    }
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof SubmitRequest)
+      return this.equals((SubmitRequest)that);
+    return false;
+  }
 
-    /** Returns true if field command is set (has been assigned a value) and false otherwise */
-    public boolean isSetCommand() {
-        return this.command != null;
-    }
+  public boolean equals(SubmitRequest that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
 
-    public void setCommandIsSet(boolean value) {
-        if (!value) {
-            this.command = null;
-        }
+    boolean this_present_requestId = true;
+    boolean that_present_requestId = true;
+    if (this_present_requestId || that_present_requestId) {
+      if (!(this_present_requestId && that_present_requestId))
+        return false;
+      if (this.requestId != that.requestId)
+        return false;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case REQUEST_ID:
-                if (value == null) {
-                    unsetRequestId();
-                } else {
-                    setRequestId((java.lang.Long) value);
-                }
-                break;
-
-            case COMMAND:
-                if (value == null) {
-                    unsetCommand();
-                } else {
-                    if (value instanceof byte[]) {
-                        setCommand((byte[]) value);
-                    } else {
-                        setCommand((java.nio.ByteBuffer) value);
-                    }
-                }
-                break;
-        }
+    boolean this_present_command = true && this.isSetCommand();
+    boolean that_present_command = true && that.isSetCommand();
+    if (this_present_command || that_present_command) {
+      if (!(this_present_command && that_present_command))
+        return false;
+      if (!this.command.equals(that.command))
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
+
+    hashCode = hashCode * 8191 + ((isSetCommand()) ? 131071 : 524287);
+    if (isSetCommand())
+      hashCode = hashCode * 8191 + command.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(SubmitRequest other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRequestId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestId, other.requestId);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetCommand(), other.isSetCommand());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCommand()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.command, other.command);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("SubmitRequest(");
+    boolean first = true;
+
+    sb.append("requestId:");
+    sb.append(this.requestId);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("command:");
+    if (this.command == null) {
+      sb.append("null");
+    } else {
+      org.apache.thrift.TBaseHelper.toString(this.command, sb);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'requestId' because it's a primitive and you chose the non-beans generator.
+    if (command == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'command' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class SubmitRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case REQUEST_ID:
-                return getRequestId();
-
-            case COMMAND:
-                return getCommand();
-        }
-        throw new java.lang.IllegalStateException();
+    public SubmitRequestStandardScheme getScheme() {
+      return new SubmitRequestStandardScheme();
     }
+  }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case REQUEST_ID:
-                return isSetRequestId();
-            case COMMAND:
-                return isSetCommand();
-        }
-        throw new java.lang.IllegalStateException();
-    }
+  private static class SubmitRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<SubmitRequest> {
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof SubmitRequest) return this.equals((SubmitRequest) that);
-        return false;
-    }
-
-    public boolean equals(SubmitRequest that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_requestId = true;
-        boolean that_present_requestId = true;
-        if (this_present_requestId || that_present_requestId) {
-            if (!(this_present_requestId && that_present_requestId)) return false;
-            if (this.requestId != that.requestId) return false;
+    public void read(org.apache.thrift.protocol.TProtocol iprot, SubmitRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-
-        boolean this_present_command = true && this.isSetCommand();
-        boolean that_present_command = true && that.isSetCommand();
-        if (this_present_command || that_present_command) {
-            if (!(this_present_command && that_present_command)) return false;
-            if (!this.command.equals(that.command)) return false;
+        switch (schemeField.id) {
+          case 1: // REQUEST_ID
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.requestId = iprot.readI64();
+              struct.setRequestIdIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 2: // COMMAND
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.command = iprot.readBinary();
+              struct.setCommandIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-        return true;
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRequestId()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'requestId' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(requestId);
+    public void write(org.apache.thrift.protocol.TProtocol oprot, SubmitRequest struct) throws org.apache.thrift.TException {
+      struct.validate();
 
-        hashCode = hashCode * 8191 + ((isSetCommand()) ? 131071 : 524287);
-        if (isSetCommand()) hashCode = hashCode * 8191 + command.hashCode();
-
-        return hashCode;
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
+      oprot.writeI64(struct.requestId);
+      oprot.writeFieldEnd();
+      if (struct.command != null) {
+        oprot.writeFieldBegin(COMMAND_FIELD_DESC);
+        oprot.writeBinary(struct.command);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    @Override
-    public int compareTo(SubmitRequest other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetRequestId(), other.isSetRequestId());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRequestId()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestId, other.requestId);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetCommand(), other.isSetCommand());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetCommand()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.command, other.command);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
-    }
+  }
 
-    @org.apache.thrift.annotation.Nullable
+  private static class SubmitRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    public SubmitRequestTupleScheme getScheme() {
+      return new SubmitRequestTupleScheme();
     }
+  }
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
+  private static class SubmitRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<SubmitRequest> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public void write(org.apache.thrift.protocol.TProtocol prot, SubmitRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.requestId);
+      oprot.writeBinary(struct.command);
     }
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("SubmitRequest(");
-        boolean first = true;
-
-        sb.append("requestId:");
-        sb.append(this.requestId);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("command:");
-        if (this.command == null) {
-            sb.append("null");
-        } else {
-            org.apache.thrift.TBaseHelper.toString(this.command, sb);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'requestId' because it's a primitive and you chose the non-beans generator.
-        if (command == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'command' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class SubmitRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public SubmitRequestStandardScheme getScheme() {
-            return new SubmitRequestStandardScheme();
-        }
-    }
-
-    private static class SubmitRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<SubmitRequest> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, SubmitRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // REQUEST_ID
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.requestId = iprot.readI64();
-                            struct.setRequestIdIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // COMMAND
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.command = iprot.readBinary();
-                            struct.setCommandIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRequestId()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'requestId' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, SubmitRequest struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(REQUEST_ID_FIELD_DESC);
-            oprot.writeI64(struct.requestId);
-            oprot.writeFieldEnd();
-            if (struct.command != null) {
-                oprot.writeFieldBegin(COMMAND_FIELD_DESC);
-                oprot.writeBinary(struct.command);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class SubmitRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public SubmitRequestTupleScheme getScheme() {
-            return new SubmitRequestTupleScheme();
-        }
-    }
-
-    private static class SubmitRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<SubmitRequest> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, SubmitRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.requestId);
-            oprot.writeBinary(struct.command);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, SubmitRequest struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.requestId = iprot.readI64();
-            struct.setRequestIdIsSet(true);
-            struct.command = iprot.readBinary();
-            struct.setCommandIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    public void read(org.apache.thrift.protocol.TProtocol prot, SubmitRequest struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.requestId = iprot.readI64();
+      struct.setRequestIdIsSet(true);
+      struct.command = iprot.readBinary();
+      struct.setCommandIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/TargetOrderKind.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/TargetOrderKind.java
@@ -6,49 +6,50 @@
  */
 package org.basilrill.thrift.control;
 
+
 /**
  * Kind of a target order; numbers never change.
  */
 public enum TargetOrderKind implements org.apache.thrift.TEnum {
-    LOAD_MODEL(1),
-    UNLOAD_MODEL(2),
-    LOAD_ADAPTER(3),
-    UNLOAD_ADAPTER(4),
-    CHANGE_ROLE(5);
+  LOAD_MODEL(1),
+  UNLOAD_MODEL(2),
+  LOAD_ADAPTER(3),
+  UNLOAD_ADAPTER(4),
+  CHANGE_ROLE(5);
 
-    private final int value;
+  private final int value;
 
-    private TargetOrderKind(int value) {
-        this.value = value;
-    }
+  private TargetOrderKind(int value) {
+    this.value = value;
+  }
 
-    /**
-     * Get the integer value of this enum value, as defined in the Thrift IDL.
-     */
-    @Override
-    public int getValue() {
-        return value;
-    }
+  /**
+   * Get the integer value of this enum value, as defined in the Thrift IDL.
+   */
+  @Override
+  public int getValue() {
+    return value;
+  }
 
-    /**
-     * Find a the enum type by its integer value, as defined in the Thrift IDL.
-     * @return null if the value is not found.
-     */
-    @org.apache.thrift.annotation.Nullable
-    public static TargetOrderKind findByValue(int value) {
-        switch (value) {
-            case 1:
-                return LOAD_MODEL;
-            case 2:
-                return UNLOAD_MODEL;
-            case 3:
-                return LOAD_ADAPTER;
-            case 4:
-                return UNLOAD_ADAPTER;
-            case 5:
-                return CHANGE_ROLE;
-            default:
-                return null;
-        }
+  /**
+   * Find a the enum type by its integer value, as defined in the Thrift IDL.
+   * @return null if the value is not found.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public static TargetOrderKind findByValue(int value) { 
+    switch (value) {
+      case 1:
+        return LOAD_MODEL;
+      case 2:
+        return UNLOAD_MODEL;
+      case 3:
+        return LOAD_ADAPTER;
+      case 4:
+        return UNLOAD_ADAPTER;
+      case 5:
+        return CHANGE_ROLE;
+      default:
+        return null;
     }
+  }
 }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/TargetOrderOutcome.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/TargetOrderOutcome.java
@@ -6,43 +6,44 @@
  */
 package org.basilrill.thrift.control;
 
+
 /**
  * Outcome of a target order; numbers never change.
  */
 public enum TargetOrderOutcome implements org.apache.thrift.TEnum {
-    DONE(1),
-    FAILED(2),
-    REFUSED_STALE(3);
+  DONE(1),
+  FAILED(2),
+  REFUSED_STALE(3);
 
-    private final int value;
+  private final int value;
 
-    private TargetOrderOutcome(int value) {
-        this.value = value;
-    }
+  private TargetOrderOutcome(int value) {
+    this.value = value;
+  }
 
-    /**
-     * Get the integer value of this enum value, as defined in the Thrift IDL.
-     */
-    @Override
-    public int getValue() {
-        return value;
-    }
+  /**
+   * Get the integer value of this enum value, as defined in the Thrift IDL.
+   */
+  @Override
+  public int getValue() {
+    return value;
+  }
 
-    /**
-     * Find a the enum type by its integer value, as defined in the Thrift IDL.
-     * @return null if the value is not found.
-     */
-    @org.apache.thrift.annotation.Nullable
-    public static TargetOrderOutcome findByValue(int value) {
-        switch (value) {
-            case 1:
-                return DONE;
-            case 2:
-                return FAILED;
-            case 3:
-                return REFUSED_STALE;
-            default:
-                return null;
-        }
+  /**
+   * Find a the enum type by its integer value, as defined in the Thrift IDL.
+   * @return null if the value is not found.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public static TargetOrderOutcome findByValue(int value) { 
+    switch (value) {
+      case 1:
+        return DONE;
+      case 2:
+        return FAILED;
+      case 3:
+        return REFUSED_STALE;
+      default:
+        return null;
     }
+  }
 }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ViewMessage.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/control/ViewMessage.java
@@ -7,1080 +7,1046 @@
 package org.basilrill.thrift.control;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class ViewMessage
-        implements org.apache.thrift.TBase<ViewMessage, ViewMessage._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<ViewMessage> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("ViewMessage");
-
-    private static final org.apache.thrift.protocol.TField INDEX_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("index", org.apache.thrift.protocol.TType.I64, (short) 1);
-    private static final org.apache.thrift.protocol.TField RULES_REVISION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("rulesRevision", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField RULES_TEXT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("rulesText", org.apache.thrift.protocol.TType.STRING, (short) 3);
-    private static final org.apache.thrift.protocol.TField BUCKETS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("buckets", org.apache.thrift.protocol.TType.LIST, (short) 4);
-    private static final org.apache.thrift.protocol.TField BLOCKED_FINGERPRINTS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField(
-                    "blockedFingerprints", org.apache.thrift.protocol.TType.LIST, (short) 5);
-    private static final org.apache.thrift.protocol.TField SESSIONS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sessions", org.apache.thrift.protocol.TType.LIST, (short) 6);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ViewMessageStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new ViewMessageTupleSchemeFactory();
-
-    private long index; // required
-    private long rulesRevision; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String rulesText; // optional
-    private @org.apache.thrift.annotation.Nullable java.util.List<BucketState> buckets; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> blockedFingerprints; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<SessionState> sessions; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        INDEX((short) 1, "index"),
-        RULES_REVISION((short) 2, "rulesRevision"),
-        /**
-         * Left out if the puller already holds this revision.
-         */
-        RULES_TEXT((short) 3, "rulesText"),
-        BUCKETS((short) 4, "buckets"),
-        BLOCKED_FINGERPRINTS((short) 5, "blockedFingerprints"),
-        SESSIONS((short) 6, "sessions");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // INDEX
-                    return INDEX;
-                case 2: // RULES_REVISION
-                    return RULES_REVISION;
-                case 3: // RULES_TEXT
-                    return RULES_TEXT;
-                case 4: // BUCKETS
-                    return BUCKETS;
-                case 5: // BLOCKED_FINGERPRINTS
-                    return BLOCKED_FINGERPRINTS;
-                case 6: // SESSIONS
-                    return SESSIONS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __INDEX_ISSET_ID = 0;
-    private static final int __RULESREVISION_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    private static final _Fields optionals[] = {_Fields.RULES_TEXT};
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.INDEX,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "index",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.RULES_REVISION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "rulesRevision",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.RULES_TEXT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "rulesText",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.BUCKETS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "buckets",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, BucketState.class))));
-        tmpMap.put(
-                _Fields.BLOCKED_FINGERPRINTS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "blockedFingerprints",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.FieldValueMetaData(
-                                        org.apache.thrift.protocol.TType.STRING))));
-        tmpMap.put(
-                _Fields.SESSIONS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sessions",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, SessionState.class))));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ViewMessage.class, metaDataMap);
-    }
-
-    public ViewMessage() {}
-
-    public ViewMessage(
-            long index,
-            long rulesRevision,
-            java.util.List<BucketState> buckets,
-            java.util.List<java.lang.String> blockedFingerprints,
-            java.util.List<SessionState> sessions) {
-        this();
-        this.index = index;
-        setIndexIsSet(true);
-        this.rulesRevision = rulesRevision;
-        setRulesRevisionIsSet(true);
-        this.buckets = buckets;
-        this.blockedFingerprints = blockedFingerprints;
-        this.sessions = sessions;
-    }
-
+public class ViewMessage implements org.apache.thrift.TBase<ViewMessage, ViewMessage._Fields>, java.io.Serializable, Cloneable, Comparable<ViewMessage> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ViewMessage");
+
+  private static final org.apache.thrift.protocol.TField INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("index", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField RULES_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("rulesRevision", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField RULES_TEXT_FIELD_DESC = new org.apache.thrift.protocol.TField("rulesText", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField BUCKETS_FIELD_DESC = new org.apache.thrift.protocol.TField("buckets", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField BLOCKED_FINGERPRINTS_FIELD_DESC = new org.apache.thrift.protocol.TField("blockedFingerprints", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField SESSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("sessions", org.apache.thrift.protocol.TType.LIST, (short)6);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ViewMessageStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ViewMessageTupleSchemeFactory();
+
+  private long index; // required
+  private long rulesRevision; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String rulesText; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<BucketState> buckets; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> blockedFingerprints; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<SessionState> sessions; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    INDEX((short)1, "index"),
+    RULES_REVISION((short)2, "rulesRevision"),
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Left out if the puller already holds this revision.
      */
-    public ViewMessage(ViewMessage other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.index = other.index;
-        this.rulesRevision = other.rulesRevision;
-        if (other.isSetRulesText()) {
-            this.rulesText = other.rulesText;
-        }
-        if (other.isSetBuckets()) {
-            java.util.List<BucketState> __this__buckets = new java.util.ArrayList<BucketState>(other.buckets.size());
-            for (BucketState other_element : other.buckets) {
-                __this__buckets.add(new BucketState(other_element));
-            }
-            this.buckets = __this__buckets;
-        }
-        if (other.isSetBlockedFingerprints()) {
-            java.util.List<java.lang.String> __this__blockedFingerprints =
-                    new java.util.ArrayList<java.lang.String>(other.blockedFingerprints);
-            this.blockedFingerprints = __this__blockedFingerprints;
-        }
-        if (other.isSetSessions()) {
-            java.util.List<SessionState> __this__sessions =
-                    new java.util.ArrayList<SessionState>(other.sessions.size());
-            for (SessionState other_element : other.sessions) {
-                __this__sessions.add(new SessionState(other_element));
-            }
-            this.sessions = __this__sessions;
-        }
-    }
+    RULES_TEXT((short)3, "rulesText"),
+    BUCKETS((short)4, "buckets"),
+    BLOCKED_FINGERPRINTS((short)5, "blockedFingerprints"),
+    SESSIONS((short)6, "sessions");
 
-    @Override
-    public ViewMessage deepCopy() {
-        return new ViewMessage(this);
-    }
-
-    @Override
-    public void clear() {
-        setIndexIsSet(false);
-        this.index = 0;
-        setRulesRevisionIsSet(false);
-        this.rulesRevision = 0;
-        this.rulesText = null;
-        this.buckets = null;
-        this.blockedFingerprints = null;
-        this.sessions = null;
-    }
-
-    public long getIndex() {
-        return this.index;
-    }
-
-    public ViewMessage setIndex(long index) {
-        this.index = index;
-        setIndexIsSet(true);
-        return this;
-    }
-
-    public void unsetIndex() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INDEX_ISSET_ID);
-    }
-
-    /** Returns true if field index is set (has been assigned a value) and false otherwise */
-    public boolean isSetIndex() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INDEX_ISSET_ID);
-    }
-
-    public void setIndexIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INDEX_ISSET_ID, value);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    public long getRulesRevision() {
-        return this.rulesRevision;
-    }
-
-    public ViewMessage setRulesRevision(long rulesRevision) {
-        this.rulesRevision = rulesRevision;
-        setRulesRevisionIsSet(true);
-        return this;
-    }
-
-    public void unsetRulesRevision() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RULESREVISION_ISSET_ID);
-    }
-
-    /** Returns true if field rulesRevision is set (has been assigned a value) and false otherwise */
-    public boolean isSetRulesRevision() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RULESREVISION_ISSET_ID);
-    }
-
-    public void setRulesRevisionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RULESREVISION_ISSET_ID, value);
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Left out if the puller already holds this revision.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getRulesText() {
-        return this.rulesText;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // INDEX
+          return INDEX;
+        case 2: // RULES_REVISION
+          return RULES_REVISION;
+        case 3: // RULES_TEXT
+          return RULES_TEXT;
+        case 4: // BUCKETS
+          return BUCKETS;
+        case 5: // BLOCKED_FINGERPRINTS
+          return BLOCKED_FINGERPRINTS;
+        case 6: // SESSIONS
+          return SESSIONS;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Left out if the puller already holds this revision.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public ViewMessage setRulesText(@org.apache.thrift.annotation.Nullable java.lang.String rulesText) {
-        this.rulesText = rulesText;
-        return this;
-    }
-
-    public void unsetRulesText() {
-        this.rulesText = null;
-    }
-
-    /** Returns true if field rulesText is set (has been assigned a value) and false otherwise */
-    public boolean isSetRulesText() {
-        return this.rulesText != null;
-    }
-
-    public void setRulesTextIsSet(boolean value) {
-        if (!value) {
-            this.rulesText = null;
-        }
-    }
-
-    public int getBucketsSize() {
-        return (this.buckets == null) ? 0 : this.buckets.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<BucketState> getBucketsIterator() {
-        return (this.buckets == null) ? null : this.buckets.iterator();
-    }
-
-    public void addToBuckets(BucketState elem) {
-        if (this.buckets == null) {
-            this.buckets = new java.util.ArrayList<BucketState>();
-        }
-        this.buckets.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<BucketState> getBuckets() {
-        return this.buckets;
-    }
-
-    public ViewMessage setBuckets(@org.apache.thrift.annotation.Nullable java.util.List<BucketState> buckets) {
-        this.buckets = buckets;
-        return this;
-    }
-
-    public void unsetBuckets() {
-        this.buckets = null;
-    }
-
-    /** Returns true if field buckets is set (has been assigned a value) and false otherwise */
-    public boolean isSetBuckets() {
-        return this.buckets != null;
-    }
-
-    public void setBucketsIsSet(boolean value) {
-        if (!value) {
-            this.buckets = null;
-        }
-    }
-
-    public int getBlockedFingerprintsSize() {
-        return (this.blockedFingerprints == null) ? 0 : this.blockedFingerprints.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<java.lang.String> getBlockedFingerprintsIterator() {
-        return (this.blockedFingerprints == null) ? null : this.blockedFingerprints.iterator();
-    }
-
-    public void addToBlockedFingerprints(java.lang.String elem) {
-        if (this.blockedFingerprints == null) {
-            this.blockedFingerprints = new java.util.ArrayList<java.lang.String>();
-        }
-        this.blockedFingerprints.add(elem);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<java.lang.String> getBlockedFingerprints() {
-        return this.blockedFingerprints;
-    }
-
-    public ViewMessage setBlockedFingerprints(
-            @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> blockedFingerprints) {
-        this.blockedFingerprints = blockedFingerprints;
-        return this;
-    }
-
-    public void unsetBlockedFingerprints() {
-        this.blockedFingerprints = null;
-    }
-
-    /** Returns true if field blockedFingerprints is set (has been assigned a value) and false otherwise */
-    public boolean isSetBlockedFingerprints() {
-        return this.blockedFingerprints != null;
-    }
-
-    public void setBlockedFingerprintsIsSet(boolean value) {
-        if (!value) {
-            this.blockedFingerprints = null;
-        }
-    }
-
-    public int getSessionsSize() {
-        return (this.sessions == null) ? 0 : this.sessions.size();
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<SessionState> getSessionsIterator() {
-        return (this.sessions == null) ? null : this.sessions.iterator();
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void addToSessions(SessionState elem) {
-        if (this.sessions == null) {
-            this.sessions = new java.util.ArrayList<SessionState>();
-        }
-        this.sessions.add(elem);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<SessionState> getSessions() {
-        return this.sessions;
-    }
-
-    public ViewMessage setSessions(@org.apache.thrift.annotation.Nullable java.util.List<SessionState> sessions) {
-        this.sessions = sessions;
-        return this;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    public void unsetSessions() {
-        this.sessions = null;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field sessions is set (has been assigned a value) and false otherwise */
-    public boolean isSetSessions() {
-        return this.sessions != null;
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __INDEX_ISSET_ID = 0;
+  private static final int __RULESREVISION_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.RULES_TEXT};
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.INDEX, new org.apache.thrift.meta_data.FieldMetaData("index", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RULES_REVISION, new org.apache.thrift.meta_data.FieldMetaData("rulesRevision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RULES_TEXT, new org.apache.thrift.meta_data.FieldMetaData("rulesText", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.BUCKETS, new org.apache.thrift.meta_data.FieldMetaData("buckets", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, BucketState.class))));
+    tmpMap.put(_Fields.BLOCKED_FINGERPRINTS, new org.apache.thrift.meta_data.FieldMetaData("blockedFingerprints", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.SESSIONS, new org.apache.thrift.meta_data.FieldMetaData("sessions", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SessionState.class))));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ViewMessage.class, metaDataMap);
+  }
+
+  public ViewMessage() {
+  }
+
+  public ViewMessage(
+    long index,
+    long rulesRevision,
+    java.util.List<BucketState> buckets,
+    java.util.List<java.lang.String> blockedFingerprints,
+    java.util.List<SessionState> sessions)
+  {
+    this();
+    this.index = index;
+    setIndexIsSet(true);
+    this.rulesRevision = rulesRevision;
+    setRulesRevisionIsSet(true);
+    this.buckets = buckets;
+    this.blockedFingerprints = blockedFingerprints;
+    this.sessions = sessions;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public ViewMessage(ViewMessage other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.index = other.index;
+    this.rulesRevision = other.rulesRevision;
+    if (other.isSetRulesText()) {
+      this.rulesText = other.rulesText;
+    }
+    if (other.isSetBuckets()) {
+      java.util.List<BucketState> __this__buckets = new java.util.ArrayList<BucketState>(other.buckets.size());
+      for (BucketState other_element : other.buckets) {
+        __this__buckets.add(new BucketState(other_element));
+      }
+      this.buckets = __this__buckets;
+    }
+    if (other.isSetBlockedFingerprints()) {
+      java.util.List<java.lang.String> __this__blockedFingerprints = new java.util.ArrayList<java.lang.String>(other.blockedFingerprints);
+      this.blockedFingerprints = __this__blockedFingerprints;
+    }
+    if (other.isSetSessions()) {
+      java.util.List<SessionState> __this__sessions = new java.util.ArrayList<SessionState>(other.sessions.size());
+      for (SessionState other_element : other.sessions) {
+        __this__sessions.add(new SessionState(other_element));
+      }
+      this.sessions = __this__sessions;
+    }
+  }
+
+  @Override
+  public ViewMessage deepCopy() {
+    return new ViewMessage(this);
+  }
+
+  @Override
+  public void clear() {
+    setIndexIsSet(false);
+    this.index = 0;
+    setRulesRevisionIsSet(false);
+    this.rulesRevision = 0;
+    this.rulesText = null;
+    this.buckets = null;
+    this.blockedFingerprints = null;
+    this.sessions = null;
+  }
+
+  public long getIndex() {
+    return this.index;
+  }
+
+  public ViewMessage setIndex(long index) {
+    this.index = index;
+    setIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INDEX_ISSET_ID);
+  }
+
+  /** Returns true if field index is set (has been assigned a value) and false otherwise */
+  public boolean isSetIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INDEX_ISSET_ID);
+  }
+
+  public void setIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INDEX_ISSET_ID, value);
+  }
+
+  public long getRulesRevision() {
+    return this.rulesRevision;
+  }
+
+  public ViewMessage setRulesRevision(long rulesRevision) {
+    this.rulesRevision = rulesRevision;
+    setRulesRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetRulesRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RULESREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field rulesRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetRulesRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RULESREVISION_ISSET_ID);
+  }
+
+  public void setRulesRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RULESREVISION_ISSET_ID, value);
+  }
+
+  /**
+   * Left out if the puller already holds this revision.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getRulesText() {
+    return this.rulesText;
+  }
+
+  /**
+   * Left out if the puller already holds this revision.
+   */
+  public ViewMessage setRulesText(@org.apache.thrift.annotation.Nullable java.lang.String rulesText) {
+    this.rulesText = rulesText;
+    return this;
+  }
+
+  public void unsetRulesText() {
+    this.rulesText = null;
+  }
+
+  /** Returns true if field rulesText is set (has been assigned a value) and false otherwise */
+  public boolean isSetRulesText() {
+    return this.rulesText != null;
+  }
+
+  public void setRulesTextIsSet(boolean value) {
+    if (!value) {
+      this.rulesText = null;
+    }
+  }
+
+  public int getBucketsSize() {
+    return (this.buckets == null) ? 0 : this.buckets.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<BucketState> getBucketsIterator() {
+    return (this.buckets == null) ? null : this.buckets.iterator();
+  }
+
+  public void addToBuckets(BucketState elem) {
+    if (this.buckets == null) {
+      this.buckets = new java.util.ArrayList<BucketState>();
+    }
+    this.buckets.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<BucketState> getBuckets() {
+    return this.buckets;
+  }
+
+  public ViewMessage setBuckets(@org.apache.thrift.annotation.Nullable java.util.List<BucketState> buckets) {
+    this.buckets = buckets;
+    return this;
+  }
+
+  public void unsetBuckets() {
+    this.buckets = null;
+  }
+
+  /** Returns true if field buckets is set (has been assigned a value) and false otherwise */
+  public boolean isSetBuckets() {
+    return this.buckets != null;
+  }
+
+  public void setBucketsIsSet(boolean value) {
+    if (!value) {
+      this.buckets = null;
+    }
+  }
+
+  public int getBlockedFingerprintsSize() {
+    return (this.blockedFingerprints == null) ? 0 : this.blockedFingerprints.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getBlockedFingerprintsIterator() {
+    return (this.blockedFingerprints == null) ? null : this.blockedFingerprints.iterator();
+  }
+
+  public void addToBlockedFingerprints(java.lang.String elem) {
+    if (this.blockedFingerprints == null) {
+      this.blockedFingerprints = new java.util.ArrayList<java.lang.String>();
+    }
+    this.blockedFingerprints.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getBlockedFingerprints() {
+    return this.blockedFingerprints;
+  }
+
+  public ViewMessage setBlockedFingerprints(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> blockedFingerprints) {
+    this.blockedFingerprints = blockedFingerprints;
+    return this;
+  }
+
+  public void unsetBlockedFingerprints() {
+    this.blockedFingerprints = null;
+  }
+
+  /** Returns true if field blockedFingerprints is set (has been assigned a value) and false otherwise */
+  public boolean isSetBlockedFingerprints() {
+    return this.blockedFingerprints != null;
+  }
+
+  public void setBlockedFingerprintsIsSet(boolean value) {
+    if (!value) {
+      this.blockedFingerprints = null;
+    }
+  }
+
+  public int getSessionsSize() {
+    return (this.sessions == null) ? 0 : this.sessions.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<SessionState> getSessionsIterator() {
+    return (this.sessions == null) ? null : this.sessions.iterator();
+  }
+
+  public void addToSessions(SessionState elem) {
+    if (this.sessions == null) {
+      this.sessions = new java.util.ArrayList<SessionState>();
+    }
+    this.sessions.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<SessionState> getSessions() {
+    return this.sessions;
+  }
+
+  public ViewMessage setSessions(@org.apache.thrift.annotation.Nullable java.util.List<SessionState> sessions) {
+    this.sessions = sessions;
+    return this;
+  }
+
+  public void unsetSessions() {
+    this.sessions = null;
+  }
+
+  /** Returns true if field sessions is set (has been assigned a value) and false otherwise */
+  public boolean isSetSessions() {
+    return this.sessions != null;
+  }
+
+  public void setSessionsIsSet(boolean value) {
+    if (!value) {
+      this.sessions = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case INDEX:
+      if (value == null) {
+        unsetIndex();
+      } else {
+        setIndex((java.lang.Long)value);
+      }
+      break;
+
+    case RULES_REVISION:
+      if (value == null) {
+        unsetRulesRevision();
+      } else {
+        setRulesRevision((java.lang.Long)value);
+      }
+      break;
+
+    case RULES_TEXT:
+      if (value == null) {
+        unsetRulesText();
+      } else {
+        setRulesText((java.lang.String)value);
+      }
+      break;
+
+    case BUCKETS:
+      if (value == null) {
+        unsetBuckets();
+      } else {
+        setBuckets((java.util.List<BucketState>)value);
+      }
+      break;
+
+    case BLOCKED_FINGERPRINTS:
+      if (value == null) {
+        unsetBlockedFingerprints();
+      } else {
+        setBlockedFingerprints((java.util.List<java.lang.String>)value);
+      }
+      break;
+
+    case SESSIONS:
+      if (value == null) {
+        unsetSessions();
+      } else {
+        setSessions((java.util.List<SessionState>)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case INDEX:
+      return getIndex();
+
+    case RULES_REVISION:
+      return getRulesRevision();
+
+    case RULES_TEXT:
+      return getRulesText();
+
+    case BUCKETS:
+      return getBuckets();
+
+    case BLOCKED_FINGERPRINTS:
+      return getBlockedFingerprints();
+
+    case SESSIONS:
+      return getSessions();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case INDEX:
+      return isSetIndex();
+    case RULES_REVISION:
+      return isSetRulesRevision();
+    case RULES_TEXT:
+      return isSetRulesText();
+    case BUCKETS:
+      return isSetBuckets();
+    case BLOCKED_FINGERPRINTS:
+      return isSetBlockedFingerprints();
+    case SESSIONS:
+      return isSetSessions();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof ViewMessage)
+      return this.equals((ViewMessage)that);
+    return false;
+  }
+
+  public boolean equals(ViewMessage that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_index = true;
+    boolean that_present_index = true;
+    if (this_present_index || that_present_index) {
+      if (!(this_present_index && that_present_index))
+        return false;
+      if (this.index != that.index)
+        return false;
     }
 
-    public void setSessionsIsSet(boolean value) {
-        if (!value) {
-            this.sessions = null;
-        }
+    boolean this_present_rulesRevision = true;
+    boolean that_present_rulesRevision = true;
+    if (this_present_rulesRevision || that_present_rulesRevision) {
+      if (!(this_present_rulesRevision && that_present_rulesRevision))
+        return false;
+      if (this.rulesRevision != that.rulesRevision)
+        return false;
     }
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case INDEX:
-                if (value == null) {
-                    unsetIndex();
-                } else {
-                    setIndex((java.lang.Long) value);
-                }
-                break;
-
-            case RULES_REVISION:
-                if (value == null) {
-                    unsetRulesRevision();
-                } else {
-                    setRulesRevision((java.lang.Long) value);
-                }
-                break;
-
-            case RULES_TEXT:
-                if (value == null) {
-                    unsetRulesText();
-                } else {
-                    setRulesText((java.lang.String) value);
-                }
-                break;
-
-            case BUCKETS:
-                if (value == null) {
-                    unsetBuckets();
-                } else {
-                    setBuckets((java.util.List<BucketState>) value);
-                }
-                break;
-
-            case BLOCKED_FINGERPRINTS:
-                if (value == null) {
-                    unsetBlockedFingerprints();
-                } else {
-                    setBlockedFingerprints((java.util.List<java.lang.String>) value);
-                }
-                break;
-
-            case SESSIONS:
-                if (value == null) {
-                    unsetSessions();
-                } else {
-                    setSessions((java.util.List<SessionState>) value);
-                }
-                break;
-        }
+    boolean this_present_rulesText = true && this.isSetRulesText();
+    boolean that_present_rulesText = true && that.isSetRulesText();
+    if (this_present_rulesText || that_present_rulesText) {
+      if (!(this_present_rulesText && that_present_rulesText))
+        return false;
+      if (!this.rulesText.equals(that.rulesText))
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case INDEX:
-                return getIndex();
-
-            case RULES_REVISION:
-                return getRulesRevision();
-
-            case RULES_TEXT:
-                return getRulesText();
-
-            case BUCKETS:
-                return getBuckets();
-
-            case BLOCKED_FINGERPRINTS:
-                return getBlockedFingerprints();
-
-            case SESSIONS:
-                return getSessions();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_buckets = true && this.isSetBuckets();
+    boolean that_present_buckets = true && that.isSetBuckets();
+    if (this_present_buckets || that_present_buckets) {
+      if (!(this_present_buckets && that_present_buckets))
+        return false;
+      if (!this.buckets.equals(that.buckets))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case INDEX:
-                return isSetIndex();
-            case RULES_REVISION:
-                return isSetRulesRevision();
-            case RULES_TEXT:
-                return isSetRulesText();
-            case BUCKETS:
-                return isSetBuckets();
-            case BLOCKED_FINGERPRINTS:
-                return isSetBlockedFingerprints();
-            case SESSIONS:
-                return isSetSessions();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_blockedFingerprints = true && this.isSetBlockedFingerprints();
+    boolean that_present_blockedFingerprints = true && that.isSetBlockedFingerprints();
+    if (this_present_blockedFingerprints || that_present_blockedFingerprints) {
+      if (!(this_present_blockedFingerprints && that_present_blockedFingerprints))
+        return false;
+      if (!this.blockedFingerprints.equals(that.blockedFingerprints))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof ViewMessage) return this.equals((ViewMessage) that);
+    boolean this_present_sessions = true && this.isSetSessions();
+    boolean that_present_sessions = true && that.isSetSessions();
+    if (this_present_sessions || that_present_sessions) {
+      if (!(this_present_sessions && that_present_sessions))
+        return false;
+      if (!this.sessions.equals(that.sessions))
         return false;
     }
 
-    public boolean equals(ViewMessage that) {
-        if (that == null) return false;
-        if (this == that) return true;
+    return true;
+  }
 
-        boolean this_present_index = true;
-        boolean that_present_index = true;
-        if (this_present_index || that_present_index) {
-            if (!(this_present_index && that_present_index)) return false;
-            if (this.index != that.index) return false;
-        }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        boolean this_present_rulesRevision = true;
-        boolean that_present_rulesRevision = true;
-        if (this_present_rulesRevision || that_present_rulesRevision) {
-            if (!(this_present_rulesRevision && that_present_rulesRevision)) return false;
-            if (this.rulesRevision != that.rulesRevision) return false;
-        }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(index);
 
-        boolean this_present_rulesText = true && this.isSetRulesText();
-        boolean that_present_rulesText = true && that.isSetRulesText();
-        if (this_present_rulesText || that_present_rulesText) {
-            if (!(this_present_rulesText && that_present_rulesText)) return false;
-            if (!this.rulesText.equals(that.rulesText)) return false;
-        }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(rulesRevision);
 
-        boolean this_present_buckets = true && this.isSetBuckets();
-        boolean that_present_buckets = true && that.isSetBuckets();
-        if (this_present_buckets || that_present_buckets) {
-            if (!(this_present_buckets && that_present_buckets)) return false;
-            if (!this.buckets.equals(that.buckets)) return false;
-        }
+    hashCode = hashCode * 8191 + ((isSetRulesText()) ? 131071 : 524287);
+    if (isSetRulesText())
+      hashCode = hashCode * 8191 + rulesText.hashCode();
 
-        boolean this_present_blockedFingerprints = true && this.isSetBlockedFingerprints();
-        boolean that_present_blockedFingerprints = true && that.isSetBlockedFingerprints();
-        if (this_present_blockedFingerprints || that_present_blockedFingerprints) {
-            if (!(this_present_blockedFingerprints && that_present_blockedFingerprints)) return false;
-            if (!this.blockedFingerprints.equals(that.blockedFingerprints)) return false;
-        }
-
-        boolean this_present_sessions = true && this.isSetSessions();
-        boolean that_present_sessions = true && that.isSetSessions();
-        if (this_present_sessions || that_present_sessions) {
-            if (!(this_present_sessions && that_present_sessions)) return false;
-            if (!this.sessions.equals(that.sessions)) return false;
-        }
+    hashCode = hashCode * 8191 + ((isSetBuckets()) ? 131071 : 524287);
+    if (isSetBuckets())
+      hashCode = hashCode * 8191 + buckets.hashCode();
 
-        return true;
-    }
+    hashCode = hashCode * 8191 + ((isSetBlockedFingerprints()) ? 131071 : 524287);
+    if (isSetBlockedFingerprints())
+      hashCode = hashCode * 8191 + blockedFingerprints.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSessions()) ? 131071 : 524287);
+    if (isSetSessions())
+      hashCode = hashCode * 8191 + sessions.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(ViewMessage other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetIndex(), other.isSetIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.index, other.index);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRulesRevision(), other.isSetRulesRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRulesRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rulesRevision, other.rulesRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRulesText(), other.isSetRulesText());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRulesText()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rulesText, other.rulesText);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetBuckets(), other.isSetBuckets());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBuckets()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.buckets, other.buckets);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetBlockedFingerprints(), other.isSetBlockedFingerprints());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBlockedFingerprints()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.blockedFingerprints, other.blockedFingerprints);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSessions(), other.isSetSessions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSessions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessions, other.sessions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("ViewMessage(");
+    boolean first = true;
+
+    sb.append("index:");
+    sb.append(this.index);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("rulesRevision:");
+    sb.append(this.rulesRevision);
+    first = false;
+    if (isSetRulesText()) {
+      if (!first) sb.append(", ");
+      sb.append("rulesText:");
+      if (this.rulesText == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.rulesText);
+      }
+      first = false;
+    }
+    if (!first) sb.append(", ");
+    sb.append("buckets:");
+    if (this.buckets == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.buckets);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("blockedFingerprints:");
+    if (this.blockedFingerprints == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.blockedFingerprints);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sessions:");
+    if (this.sessions == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.sessions);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'index' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'rulesRevision' because it's a primitive and you chose the non-beans generator.
+    if (buckets == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'buckets' was not present! Struct: " + toString());
+    }
+    if (blockedFingerprints == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'blockedFingerprints' was not present! Struct: " + toString());
+    }
+    if (sessions == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'sessions' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ViewMessageStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(index);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(rulesRevision);
-
-        hashCode = hashCode * 8191 + ((isSetRulesText()) ? 131071 : 524287);
-        if (isSetRulesText()) hashCode = hashCode * 8191 + rulesText.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetBuckets()) ? 131071 : 524287);
-        if (isSetBuckets()) hashCode = hashCode * 8191 + buckets.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetBlockedFingerprints()) ? 131071 : 524287);
-        if (isSetBlockedFingerprints()) hashCode = hashCode * 8191 + blockedFingerprints.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetSessions()) ? 131071 : 524287);
-        if (isSetSessions()) hashCode = hashCode * 8191 + sessions.hashCode();
-
-        return hashCode;
+    public ViewMessageStandardScheme getScheme() {
+      return new ViewMessageStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(ViewMessage other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class ViewMessageStandardScheme extends org.apache.thrift.scheme.StandardScheme<ViewMessage> {
 
-        lastComparison = java.lang.Boolean.compare(isSetIndex(), other.isSetIndex());
-        if (lastComparison != 0) {
-            return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, ViewMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-        if (isSetIndex()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.index, other.index);
-            if (lastComparison != 0) {
-                return lastComparison;
+        switch (schemeField.id) {
+          case 1: // INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.index = iprot.readI64();
+              struct.setIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRulesRevision(), other.isSetRulesRevision());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRulesRevision()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rulesRevision, other.rulesRevision);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // RULES_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.rulesRevision = iprot.readI64();
+              struct.setRulesRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRulesText(), other.isSetRulesText());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRulesText()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rulesText, other.rulesText);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // RULES_TEXT
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.rulesText = iprot.readString();
+              struct.setRulesTextIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetBuckets(), other.isSetBuckets());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetBuckets()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.buckets, other.buckets);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // BUCKETS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list104 = iprot.readListBegin();
+                struct.buckets = new java.util.ArrayList<BucketState>(_list104.size);
+                @org.apache.thrift.annotation.Nullable BucketState _elem105;
+                for (int _i106 = 0; _i106 < _list104.size; ++_i106)
+                {
+                  _elem105 = new BucketState();
+                  _elem105.read(iprot);
+                  struct.buckets.add(_elem105);
+                }
+                iprot.readListEnd();
+              }
+              struct.setBucketsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetBlockedFingerprints(), other.isSetBlockedFingerprints());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetBlockedFingerprints()) {
-            lastComparison =
-                    org.apache.thrift.TBaseHelper.compareTo(this.blockedFingerprints, other.blockedFingerprints);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 5: // BLOCKED_FINGERPRINTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list107 = iprot.readListBegin();
+                struct.blockedFingerprints = new java.util.ArrayList<java.lang.String>(_list107.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem108;
+                for (int _i109 = 0; _i109 < _list107.size; ++_i109)
+                {
+                  _elem108 = iprot.readString();
+                  struct.blockedFingerprints.add(_elem108);
+                }
+                iprot.readListEnd();
+              }
+              struct.setBlockedFingerprintsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSessions(), other.isSetSessions());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSessions()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sessions, other.sessions);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 6: // SESSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list110 = iprot.readListBegin();
+                struct.sessions = new java.util.ArrayList<SessionState>(_list110.size);
+                @org.apache.thrift.annotation.Nullable SessionState _elem111;
+                for (int _i112 = 0; _i112 < _list110.size; ++_i112)
+                {
+                  _elem111 = new SessionState();
+                  _elem111.read(iprot);
+                  struct.sessions.add(_elem111);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSessionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetIndex()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'index' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetRulesRevision()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'rulesRevision' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("ViewMessage(");
-        boolean first = true;
-
-        sb.append("index:");
-        sb.append(this.index);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("rulesRevision:");
-        sb.append(this.rulesRevision);
-        first = false;
-        if (isSetRulesText()) {
-            if (!first) sb.append(", ");
-            sb.append("rulesText:");
-            if (this.rulesText == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.rulesText);
-            }
-            first = false;
+    public void write(org.apache.thrift.protocol.TProtocol oprot, ViewMessage struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(INDEX_FIELD_DESC);
+      oprot.writeI64(struct.index);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(RULES_REVISION_FIELD_DESC);
+      oprot.writeI64(struct.rulesRevision);
+      oprot.writeFieldEnd();
+      if (struct.rulesText != null) {
+        if (struct.isSetRulesText()) {
+          oprot.writeFieldBegin(RULES_TEXT_FIELD_DESC);
+          oprot.writeString(struct.rulesText);
+          oprot.writeFieldEnd();
         }
-        if (!first) sb.append(", ");
-        sb.append("buckets:");
-        if (this.buckets == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.buckets);
+      }
+      if (struct.buckets != null) {
+        oprot.writeFieldBegin(BUCKETS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.buckets.size()));
+          for (BucketState _iter113 : struct.buckets)
+          {
+            _iter113.write(oprot);
+          }
+          oprot.writeListEnd();
         }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("blockedFingerprints:");
-        if (this.blockedFingerprints == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.blockedFingerprints);
+        oprot.writeFieldEnd();
+      }
+      if (struct.blockedFingerprints != null) {
+        oprot.writeFieldBegin(BLOCKED_FINGERPRINTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.blockedFingerprints.size()));
+          for (java.lang.String _iter114 : struct.blockedFingerprints)
+          {
+            oprot.writeString(_iter114);
+          }
+          oprot.writeListEnd();
         }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sessions:");
-        if (this.sessions == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.sessions);
+        oprot.writeFieldEnd();
+      }
+      if (struct.sessions != null) {
+        oprot.writeFieldBegin(SESSIONS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.sessions.size()));
+          for (SessionState _iter115 : struct.sessions)
+          {
+            _iter115.write(oprot);
+          }
+          oprot.writeListEnd();
         }
-        first = false;
-        sb.append(")");
-        return sb.toString();
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'index' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'rulesRevision' because it's a primitive and you chose the non-beans generator.
-        if (buckets == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'buckets' was not present! Struct: " + toString());
-        }
-        if (blockedFingerprints == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'blockedFingerprints' was not present! Struct: " + toString());
-        }
-        if (sessions == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'sessions' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+  private static class ViewMessageTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public ViewMessageTupleScheme getScheme() {
+      return new ViewMessageTupleScheme();
     }
+  }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
+  private static class ViewMessageTupleScheme extends org.apache.thrift.scheme.TupleScheme<ViewMessage> {
 
-    private static class ViewMessageStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ViewMessageStandardScheme getScheme() {
-            return new ViewMessageStandardScheme();
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, ViewMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI64(struct.index);
+      oprot.writeI64(struct.rulesRevision);
+      {
+        oprot.writeI32(struct.buckets.size());
+        for (BucketState _iter116 : struct.buckets)
+        {
+          _iter116.write(oprot);
         }
-    }
-
-    private static class ViewMessageStandardScheme extends org.apache.thrift.scheme.StandardScheme<ViewMessage> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, ViewMessage struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // INDEX
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.index = iprot.readI64();
-                            struct.setIndexIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // RULES_REVISION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.rulesRevision = iprot.readI64();
-                            struct.setRulesRevisionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // RULES_TEXT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.rulesText = iprot.readString();
-                            struct.setRulesTextIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // BUCKETS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list104 = iprot.readListBegin();
-                                struct.buckets = new java.util.ArrayList<BucketState>(_list104.size);
-                                @org.apache.thrift.annotation.Nullable BucketState _elem105;
-                                for (int _i106 = 0; _i106 < _list104.size; ++_i106) {
-                                    _elem105 = new BucketState();
-                                    _elem105.read(iprot);
-                                    struct.buckets.add(_elem105);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setBucketsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // BLOCKED_FINGERPRINTS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list107 = iprot.readListBegin();
-                                struct.blockedFingerprints = new java.util.ArrayList<java.lang.String>(_list107.size);
-                                @org.apache.thrift.annotation.Nullable java.lang.String _elem108;
-                                for (int _i109 = 0; _i109 < _list107.size; ++_i109) {
-                                    _elem108 = iprot.readString();
-                                    struct.blockedFingerprints.add(_elem108);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setBlockedFingerprintsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // SESSIONS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list110 = iprot.readListBegin();
-                                struct.sessions = new java.util.ArrayList<SessionState>(_list110.size);
-                                @org.apache.thrift.annotation.Nullable SessionState _elem111;
-                                for (int _i112 = 0; _i112 < _list110.size; ++_i112) {
-                                    _elem111 = new SessionState();
-                                    _elem111.read(iprot);
-                                    struct.sessions.add(_elem111);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setSessionsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetIndex()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'index' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetRulesRevision()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'rulesRevision' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
+      }
+      {
+        oprot.writeI32(struct.blockedFingerprints.size());
+        for (java.lang.String _iter117 : struct.blockedFingerprints)
+        {
+          oprot.writeString(_iter117);
         }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, ViewMessage struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(INDEX_FIELD_DESC);
-            oprot.writeI64(struct.index);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(RULES_REVISION_FIELD_DESC);
-            oprot.writeI64(struct.rulesRevision);
-            oprot.writeFieldEnd();
-            if (struct.rulesText != null) {
-                if (struct.isSetRulesText()) {
-                    oprot.writeFieldBegin(RULES_TEXT_FIELD_DESC);
-                    oprot.writeString(struct.rulesText);
-                    oprot.writeFieldEnd();
-                }
-            }
-            if (struct.buckets != null) {
-                oprot.writeFieldBegin(BUCKETS_FIELD_DESC);
-                {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.buckets.size()));
-                    for (BucketState _iter113 : struct.buckets) {
-                        _iter113.write(oprot);
-                    }
-                    oprot.writeListEnd();
-                }
-                oprot.writeFieldEnd();
-            }
-            if (struct.blockedFingerprints != null) {
-                oprot.writeFieldBegin(BLOCKED_FINGERPRINTS_FIELD_DESC);
-                {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRING, struct.blockedFingerprints.size()));
-                    for (java.lang.String _iter114 : struct.blockedFingerprints) {
-                        oprot.writeString(_iter114);
-                    }
-                    oprot.writeListEnd();
-                }
-                oprot.writeFieldEnd();
-            }
-            if (struct.sessions != null) {
-                oprot.writeFieldBegin(SESSIONS_FIELD_DESC);
-                {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.sessions.size()));
-                    for (SessionState _iter115 : struct.sessions) {
-                        _iter115.write(oprot);
-                    }
-                    oprot.writeListEnd();
-                }
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+      }
+      {
+        oprot.writeI32(struct.sessions.size());
+        for (SessionState _iter118 : struct.sessions)
+        {
+          _iter118.write(oprot);
         }
+      }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetRulesText()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetRulesText()) {
+        oprot.writeString(struct.rulesText);
+      }
     }
 
-    private static class ViewMessageTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ViewMessageTupleScheme getScheme() {
-            return new ViewMessageTupleScheme();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, ViewMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.index = iprot.readI64();
+      struct.setIndexIsSet(true);
+      struct.rulesRevision = iprot.readI64();
+      struct.setRulesRevisionIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.buckets = new java.util.ArrayList<BucketState>(_list119.size);
+        @org.apache.thrift.annotation.Nullable BucketState _elem120;
+        for (int _i121 = 0; _i121 < _list119.size; ++_i121)
+        {
+          _elem120 = new BucketState();
+          _elem120.read(iprot);
+          struct.buckets.add(_elem120);
         }
-    }
-
-    private static class ViewMessageTupleScheme extends org.apache.thrift.scheme.TupleScheme<ViewMessage> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, ViewMessage struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI64(struct.index);
-            oprot.writeI64(struct.rulesRevision);
-            {
-                oprot.writeI32(struct.buckets.size());
-                for (BucketState _iter116 : struct.buckets) {
-                    _iter116.write(oprot);
-                }
-            }
-            {
-                oprot.writeI32(struct.blockedFingerprints.size());
-                for (java.lang.String _iter117 : struct.blockedFingerprints) {
-                    oprot.writeString(_iter117);
-                }
-            }
-            {
-                oprot.writeI32(struct.sessions.size());
-                for (SessionState _iter118 : struct.sessions) {
-                    _iter118.write(oprot);
-                }
-            }
-            java.util.BitSet optionals = new java.util.BitSet();
-            if (struct.isSetRulesText()) {
-                optionals.set(0);
-            }
-            oprot.writeBitSet(optionals, 1);
-            if (struct.isSetRulesText()) {
-                oprot.writeString(struct.rulesText);
-            }
+      }
+      struct.setBucketsIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list122 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.blockedFingerprints = new java.util.ArrayList<java.lang.String>(_list122.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem123;
+        for (int _i124 = 0; _i124 < _list122.size; ++_i124)
+        {
+          _elem123 = iprot.readString();
+          struct.blockedFingerprints.add(_elem123);
         }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, ViewMessage struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.index = iprot.readI64();
-            struct.setIndexIsSet(true);
-            struct.rulesRevision = iprot.readI64();
-            struct.setRulesRevisionIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list119 =
-                        iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.buckets = new java.util.ArrayList<BucketState>(_list119.size);
-                @org.apache.thrift.annotation.Nullable BucketState _elem120;
-                for (int _i121 = 0; _i121 < _list119.size; ++_i121) {
-                    _elem120 = new BucketState();
-                    _elem120.read(iprot);
-                    struct.buckets.add(_elem120);
-                }
-            }
-            struct.setBucketsIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list122 =
-                        iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-                struct.blockedFingerprints = new java.util.ArrayList<java.lang.String>(_list122.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem123;
-                for (int _i124 = 0; _i124 < _list122.size; ++_i124) {
-                    _elem123 = iprot.readString();
-                    struct.blockedFingerprints.add(_elem123);
-                }
-            }
-            struct.setBlockedFingerprintsIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list125 =
-                        iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.sessions = new java.util.ArrayList<SessionState>(_list125.size);
-                @org.apache.thrift.annotation.Nullable SessionState _elem126;
-                for (int _i127 = 0; _i127 < _list125.size; ++_i127) {
-                    _elem126 = new SessionState();
-                    _elem126.read(iprot);
-                    struct.sessions.add(_elem126);
-                }
-            }
-            struct.setSessionsIsSet(true);
-            java.util.BitSet incoming = iprot.readBitSet(1);
-            if (incoming.get(0)) {
-                struct.rulesText = iprot.readString();
-                struct.setRulesTextIsSet(true);
-            }
+      }
+      struct.setBlockedFingerprintsIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list125 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.sessions = new java.util.ArrayList<SessionState>(_list125.size);
+        @org.apache.thrift.annotation.Nullable SessionState _elem126;
+        for (int _i127 = 0; _i127 < _list125.size; ++_i127)
+        {
+          _elem126 = new SessionState();
+          _elem126.read(iprot);
+          struct.sessions.add(_elem126);
         }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+      }
+      struct.setSessionsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.rulesText = iprot.readString();
+        struct.setRulesTextIsSet(true);
+      }
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
