--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/envelope/Envelope.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/envelope/Envelope.java
@@ -10,742 +10,722 @@
  * Carries one message between two instances.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class Envelope
-        implements org.apache.thrift.TBase<Envelope, Envelope._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<Envelope> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("Envelope");
-
-    private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField SENDER_ADDRESS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("senderAddress", org.apache.thrift.protocol.TType.STRING, (short) 4);
-    private static final org.apache.thrift.protocol.TField SUBJECT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("subject", org.apache.thrift.protocol.TType.I16, (short) 2);
-    private static final org.apache.thrift.protocol.TField PAYLOAD_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("payload", org.apache.thrift.protocol.TType.STRING, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new EnvelopeStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new EnvelopeTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String sender; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String senderAddress; // required
-    private short subject; // required
-    private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer payload; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        /**
-         * Name of the sending instance.
-         */
-        SENDER((short) 1, "sender"),
-        /**
-         * IP number and port at which the sender takes messages, so that a receiver that does not know it can answer.
-         */
-        SENDER_ADDRESS((short) 4, "senderAddress"),
-        /**
-         * Number of the subject the payload belongs to.
-         */
-        SUBJECT((short) 2, "subject"),
-        /**
-         * Encoded message of the subject.
-         */
-        PAYLOAD((short) 3, "payload");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // SENDER
-                    return SENDER;
-                case 4: // SENDER_ADDRESS
-                    return SENDER_ADDRESS;
-                case 2: // SUBJECT
-                    return SUBJECT;
-                case 3: // PAYLOAD
-                    return PAYLOAD;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+public class Envelope implements org.apache.thrift.TBase<Envelope, Envelope._Fields>, java.io.Serializable, Cloneable, Comparable<Envelope> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("Envelope");
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField SENDER_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("senderAddress", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField SUBJECT_FIELD_DESC = new org.apache.thrift.protocol.TField("subject", org.apache.thrift.protocol.TType.I16, (short)2);
+  private static final org.apache.thrift.protocol.TField PAYLOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("payload", org.apache.thrift.protocol.TType.STRING, (short)3);
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new EnvelopeStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new EnvelopeTupleSchemeFactory();
 
-    // isset id assignments
-    private static final int __SUBJECT_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-    static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.SENDER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sender",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.SENDER_ADDRESS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "senderAddress",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.SUBJECT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "subject",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I16)));
-        tmpMap.put(
-                _Fields.PAYLOAD,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "payload",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(
-                                org.apache.thrift.protocol.TType.STRING, true)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Envelope.class, metaDataMap);
-    }
-
-    public Envelope() {}
-
-    public Envelope(
-            java.lang.String sender, java.lang.String senderAddress, short subject, java.nio.ByteBuffer payload) {
-        this();
-        this.sender = sender;
-        this.senderAddress = senderAddress;
-        this.subject = subject;
-        setSubjectIsSet(true);
-        this.payload = org.apache.thrift.TBaseHelper.copyBinary(payload);
-    }
-
-    /**
-     * Performs a deep copy on <i>other</i>.
-     */
-    public Envelope(Envelope other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetSender()) {
-            this.sender = other.sender;
-        }
-        if (other.isSetSenderAddress()) {
-            this.senderAddress = other.senderAddress;
-        }
-        this.subject = other.subject;
-        if (other.isSetPayload()) {
-            this.payload = org.apache.thrift.TBaseHelper.copyBinary(other.payload);
-        }
-    }
-
-    @Override
-    public Envelope deepCopy() {
-        return new Envelope(this);
-    }
-
-    @Override
-    public void clear() {
-        this.sender = null;
-        this.senderAddress = null;
-        setSubjectIsSet(false);
-        this.subject = 0;
-        this.payload = null;
-    }
+  private @org.apache.thrift.annotation.Nullable java.lang.String sender; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String senderAddress; // required
+  private short subject; // required
+  private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer payload; // required
 
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     /**
      * Name of the sending instance.
      */
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getSender() {
-        return this.sender;
-    }
-
-    /**
-     * Name of the sending instance.
-     */
-    public Envelope setSender(@org.apache.thrift.annotation.Nullable java.lang.String sender) {
-        this.sender = sender;
-        return this;
-    }
-
-    public void unsetSender() {
-        this.sender = null;
-    }
-
-    /** Returns true if field sender is set (has been assigned a value) and false otherwise */
-    public boolean isSetSender() {
-        return this.sender != null;
-    }
-
-    public void setSenderIsSet(boolean value) {
-        if (!value) {
-            this.sender = null;
-        }
-    }
-
+    SENDER((short)1, "sender"),
     /**
      * IP number and port at which the sender takes messages, so that a receiver that does not know it can answer.
      */
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getSenderAddress() {
-        return this.senderAddress;
-    }
-
-    /**
-     * IP number and port at which the sender takes messages, so that a receiver that does not know it can answer.
-     */
-    public Envelope setSenderAddress(@org.apache.thrift.annotation.Nullable java.lang.String senderAddress) {
-        this.senderAddress = senderAddress;
-        return this;
-    }
-
-    public void unsetSenderAddress() {
-        this.senderAddress = null;
-    }
-
-    /** Returns true if field senderAddress is set (has been assigned a value) and false otherwise */
-    public boolean isSetSenderAddress() {
-        return this.senderAddress != null;
-    }
-
-    public void setSenderAddressIsSet(boolean value) {
-        if (!value) {
-            this.senderAddress = null;
-        }
-    }
-
+    SENDER_ADDRESS((short)4, "senderAddress"),
     /**
      * Number of the subject the payload belongs to.
      */
-    public short getSubject() {
-        return this.subject;
-    }
-
+    SUBJECT((short)2, "subject"),
     /**
-     * Number of the subject the payload belongs to.
+     * Encoded message of the subject.
      */
-    public Envelope setSubject(short subject) {
-        this.subject = subject;
-        setSubjectIsSet(true);
-        return this;
-    }
-
-    public void unsetSubject() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SUBJECT_ISSET_ID);
-    }
+    PAYLOAD((short)3, "payload");
 
-    /** Returns true if field subject is set (has been assigned a value) and false otherwise */
-    public boolean isSetSubject() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SUBJECT_ISSET_ID);
-    }
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
-    public void setSubjectIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUBJECT_ISSET_ID, value);
+    static {
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Encoded message of the subject.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public byte[] getPayload() {
-        setPayload(org.apache.thrift.TBaseHelper.rightSize(payload));
-        return payload == null ? null : payload.array();
-    }
-
-    public java.nio.ByteBuffer bufferForPayload() {
-        return org.apache.thrift.TBaseHelper.copyBinary(payload);
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // SENDER
+          return SENDER;
+        case 4: // SENDER_ADDRESS
+          return SENDER_ADDRESS;
+        case 2: // SUBJECT
+          return SUBJECT;
+        case 3: // PAYLOAD
+          return PAYLOAD;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Encoded message of the subject.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public Envelope setPayload(byte[] payload) {
-        this.payload = payload == null ? (java.nio.ByteBuffer) null : java.nio.ByteBuffer.wrap(payload.clone());
-        return this;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    public Envelope setPayload(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer payload) {
-        this.payload = org.apache.thrift.TBaseHelper.copyBinary(payload);
-        return this;
-    }
-
-    public void unsetPayload() {
-        this.payload = null;
-    }
-
-    /** Returns true if field payload is set (has been assigned a value) and false otherwise */
-    public boolean isSetPayload() {
-        return this.payload != null;
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setPayloadIsSet(boolean value) {
-        if (!value) {
-            this.payload = null;
-        }
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case SENDER:
-                if (value == null) {
-                    unsetSender();
-                } else {
-                    setSender((java.lang.String) value);
-                }
-                break;
-
-            case SENDER_ADDRESS:
-                if (value == null) {
-                    unsetSenderAddress();
-                } else {
-                    setSenderAddress((java.lang.String) value);
-                }
-                break;
-
-            case SUBJECT:
-                if (value == null) {
-                    unsetSubject();
-                } else {
-                    setSubject((java.lang.Short) value);
-                }
-                break;
-
-            case PAYLOAD:
-                if (value == null) {
-                    unsetPayload();
-                } else {
-                    if (value instanceof byte[]) {
-                        setPayload((byte[]) value);
-                    } else {
-                        setPayload((java.nio.ByteBuffer) value);
-                    }
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case SENDER:
-                return getSender();
-
-            case SENDER_ADDRESS:
-                return getSenderAddress();
-
-            case SUBJECT:
-                return getSubject();
-
-            case PAYLOAD:
-                return getPayload();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __SUBJECT_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.SENDER, new org.apache.thrift.meta_data.FieldMetaData("sender", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SENDER_ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("senderAddress", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SUBJECT, new org.apache.thrift.meta_data.FieldMetaData("subject", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I16)));
+    tmpMap.put(_Fields.PAYLOAD, new org.apache.thrift.meta_data.FieldMetaData("payload", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Envelope.class, metaDataMap);
+  }
+
+  public Envelope() {
+  }
+
+  public Envelope(
+    java.lang.String sender,
+    java.lang.String senderAddress,
+    short subject,
+    java.nio.ByteBuffer payload)
+  {
+    this();
+    this.sender = sender;
+    this.senderAddress = senderAddress;
+    this.subject = subject;
+    setSubjectIsSet(true);
+    this.payload = org.apache.thrift.TBaseHelper.copyBinary(payload);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public Envelope(Envelope other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetSender()) {
+      this.sender = other.sender;
+    }
+    if (other.isSetSenderAddress()) {
+      this.senderAddress = other.senderAddress;
+    }
+    this.subject = other.subject;
+    if (other.isSetPayload()) {
+      this.payload = org.apache.thrift.TBaseHelper.copyBinary(other.payload);
+    }
+  }
+
+  @Override
+  public Envelope deepCopy() {
+    return new Envelope(this);
+  }
+
+  @Override
+  public void clear() {
+    this.sender = null;
+    this.senderAddress = null;
+    setSubjectIsSet(false);
+    this.subject = 0;
+    this.payload = null;
+  }
+
+  /**
+   * Name of the sending instance.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getSender() {
+    return this.sender;
+  }
+
+  /**
+   * Name of the sending instance.
+   */
+  public Envelope setSender(@org.apache.thrift.annotation.Nullable java.lang.String sender) {
+    this.sender = sender;
+    return this;
+  }
+
+  public void unsetSender() {
+    this.sender = null;
+  }
+
+  /** Returns true if field sender is set (has been assigned a value) and false otherwise */
+  public boolean isSetSender() {
+    return this.sender != null;
+  }
+
+  public void setSenderIsSet(boolean value) {
+    if (!value) {
+      this.sender = null;
+    }
+  }
+
+  /**
+   * IP number and port at which the sender takes messages, so that a receiver that does not know it can answer.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getSenderAddress() {
+    return this.senderAddress;
+  }
+
+  /**
+   * IP number and port at which the sender takes messages, so that a receiver that does not know it can answer.
+   */
+  public Envelope setSenderAddress(@org.apache.thrift.annotation.Nullable java.lang.String senderAddress) {
+    this.senderAddress = senderAddress;
+    return this;
+  }
+
+  public void unsetSenderAddress() {
+    this.senderAddress = null;
+  }
+
+  /** Returns true if field senderAddress is set (has been assigned a value) and false otherwise */
+  public boolean isSetSenderAddress() {
+    return this.senderAddress != null;
+  }
+
+  public void setSenderAddressIsSet(boolean value) {
+    if (!value) {
+      this.senderAddress = null;
+    }
+  }
+
+  /**
+   * Number of the subject the payload belongs to.
+   */
+  public short getSubject() {
+    return this.subject;
+  }
+
+  /**
+   * Number of the subject the payload belongs to.
+   */
+  public Envelope setSubject(short subject) {
+    this.subject = subject;
+    setSubjectIsSet(true);
+    return this;
+  }
+
+  public void unsetSubject() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SUBJECT_ISSET_ID);
+  }
+
+  /** Returns true if field subject is set (has been assigned a value) and false otherwise */
+  public boolean isSetSubject() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SUBJECT_ISSET_ID);
+  }
+
+  public void setSubjectIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUBJECT_ISSET_ID, value);
+  }
+
+  /**
+   * Encoded message of the subject.
+   */
+  public byte[] getPayload() {
+    setPayload(org.apache.thrift.TBaseHelper.rightSize(payload));
+    return payload == null ? null : payload.array();
+  }
+
+  public java.nio.ByteBuffer bufferForPayload() {
+    return org.apache.thrift.TBaseHelper.copyBinary(payload);
+  }
+
+  /**
+   * Encoded message of the subject.
+   */
+  public Envelope setPayload(byte[] payload) {
+    this.payload = payload == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(payload.clone());
+    return this;
+  }
+
+  public Envelope setPayload(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer payload) {
+    this.payload = org.apache.thrift.TBaseHelper.copyBinary(payload);
+    return this;
+  }
+
+  public void unsetPayload() {
+    this.payload = null;
+  }
+
+  /** Returns true if field payload is set (has been assigned a value) and false otherwise */
+  public boolean isSetPayload() {
+    return this.payload != null;
+  }
+
+  public void setPayloadIsSet(boolean value) {
+    if (!value) {
+      this.payload = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case SENDER:
+      if (value == null) {
+        unsetSender();
+      } else {
+        setSender((java.lang.String)value);
+      }
+      break;
+
+    case SENDER_ADDRESS:
+      if (value == null) {
+        unsetSenderAddress();
+      } else {
+        setSenderAddress((java.lang.String)value);
+      }
+      break;
+
+    case SUBJECT:
+      if (value == null) {
+        unsetSubject();
+      } else {
+        setSubject((java.lang.Short)value);
+      }
+      break;
+
+    case PAYLOAD:
+      if (value == null) {
+        unsetPayload();
+      } else {
+        if (value instanceof byte[]) {
+          setPayload((byte[])value);
+        } else {
+          setPayload((java.nio.ByteBuffer)value);
         }
+      }
+      break;
 
-        switch (field) {
-            case SENDER:
-                return isSetSender();
-            case SENDER_ADDRESS:
-                return isSetSenderAddress();
-            case SUBJECT:
-                return isSetSubject();
-            case PAYLOAD:
-                return isSetPayload();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof Envelope) return this.equals((Envelope) that);
-        return false;
     }
+  }
 
-    public boolean equals(Envelope that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_sender = true && this.isSetSender();
-        boolean that_present_sender = true && that.isSetSender();
-        if (this_present_sender || that_present_sender) {
-            if (!(this_present_sender && that_present_sender)) return false;
-            if (!this.sender.equals(that.sender)) return false;
-        }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case SENDER:
+      return getSender();
 
-        boolean this_present_senderAddress = true && this.isSetSenderAddress();
-        boolean that_present_senderAddress = true && that.isSetSenderAddress();
-        if (this_present_senderAddress || that_present_senderAddress) {
-            if (!(this_present_senderAddress && that_present_senderAddress)) return false;
-            if (!this.senderAddress.equals(that.senderAddress)) return false;
-        }
+    case SENDER_ADDRESS:
+      return getSenderAddress();
 
-        boolean this_present_subject = true;
-        boolean that_present_subject = true;
-        if (this_present_subject || that_present_subject) {
-            if (!(this_present_subject && that_present_subject)) return false;
-            if (this.subject != that.subject) return false;
-        }
+    case SUBJECT:
+      return getSubject();
 
-        boolean this_present_payload = true && this.isSetPayload();
-        boolean that_present_payload = true && that.isSetPayload();
-        if (this_present_payload || that_present_payload) {
-            if (!(this_present_payload && that_present_payload)) return false;
-            if (!this.payload.equals(that.payload)) return false;
-        }
+    case PAYLOAD:
+      return getPayload();
 
-        return true;
     }
+    throw new java.lang.IllegalStateException();
+  }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetSender()) ? 131071 : 524287);
-        if (isSetSender()) hashCode = hashCode * 8191 + sender.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetSenderAddress()) ? 131071 : 524287);
-        if (isSetSenderAddress()) hashCode = hashCode * 8191 + senderAddress.hashCode();
-
-        hashCode = hashCode * 8191 + subject;
-
-        hashCode = hashCode * 8191 + ((isSetPayload()) ? 131071 : 524287);
-        if (isSetPayload()) hashCode = hashCode * 8191 + payload.hashCode();
-
-        return hashCode;
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
 
-    @Override
-    public int compareTo(Envelope other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetSender(), other.isSetSender());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSender()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sender, other.sender);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSenderAddress(), other.isSetSenderAddress());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSenderAddress()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.senderAddress, other.senderAddress);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSubject(), other.isSetSubject());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSubject()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.subject, other.subject);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetPayload(), other.isSetPayload());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetPayload()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.payload, other.payload);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    switch (field) {
+    case SENDER:
+      return isSetSender();
+    case SENDER_ADDRESS:
+      return isSetSenderAddress();
+    case SUBJECT:
+      return isSetSubject();
+    case PAYLOAD:
+      return isSetPayload();
     }
+    throw new java.lang.IllegalStateException();
+  }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof Envelope)
+      return this.equals((Envelope)that);
+    return false;
+  }
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
+  public boolean equals(Envelope that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    boolean this_present_sender = true && this.isSetSender();
+    boolean that_present_sender = true && that.isSetSender();
+    if (this_present_sender || that_present_sender) {
+      if (!(this_present_sender && that_present_sender))
+        return false;
+      if (!this.sender.equals(that.sender))
+        return false;
     }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("Envelope(");
-        boolean first = true;
-
-        sb.append("sender:");
-        if (this.sender == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.sender);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("senderAddress:");
-        if (this.senderAddress == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.senderAddress);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("subject:");
-        sb.append(this.subject);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("payload:");
-        if (this.payload == null) {
-            sb.append("null");
-        } else {
-            org.apache.thrift.TBaseHelper.toString(this.payload, sb);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
+    boolean this_present_senderAddress = true && this.isSetSenderAddress();
+    boolean that_present_senderAddress = true && that.isSetSenderAddress();
+    if (this_present_senderAddress || that_present_senderAddress) {
+      if (!(this_present_senderAddress && that_present_senderAddress))
+        return false;
+      if (!this.senderAddress.equals(that.senderAddress))
+        return false;
     }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (sender == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'sender' was not present! Struct: " + toString());
-        }
-        if (senderAddress == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'senderAddress' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'subject' because it's a primitive and you chose the non-beans generator.
-        if (payload == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'payload' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
+    boolean this_present_subject = true;
+    boolean that_present_subject = true;
+    if (this_present_subject || that_present_subject) {
+      if (!(this_present_subject && that_present_subject))
+        return false;
+      if (this.subject != that.subject)
+        return false;
     }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    boolean this_present_payload = true && this.isSetPayload();
+    boolean that_present_payload = true && that.isSetPayload();
+    if (this_present_payload || that_present_payload) {
+      if (!(this_present_payload && that_present_payload))
+        return false;
+      if (!this.payload.equals(that.payload))
+        return false;
     }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
+    return true;
+  }
 
-    private static class EnvelopeStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public EnvelopeStandardScheme getScheme() {
-            return new EnvelopeStandardScheme();
-        }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetSender()) ? 131071 : 524287);
+    if (isSetSender())
+      hashCode = hashCode * 8191 + sender.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetSenderAddress()) ? 131071 : 524287);
+    if (isSetSenderAddress())
+      hashCode = hashCode * 8191 + senderAddress.hashCode();
+
+    hashCode = hashCode * 8191 + subject;
+
+    hashCode = hashCode * 8191 + ((isSetPayload()) ? 131071 : 524287);
+    if (isSetPayload())
+      hashCode = hashCode * 8191 + payload.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(Envelope other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetSender(), other.isSetSender());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSender()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sender, other.sender);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSenderAddress(), other.isSetSenderAddress());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSenderAddress()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.senderAddress, other.senderAddress);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSubject(), other.isSetSubject());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSubject()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.subject, other.subject);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPayload(), other.isSetPayload());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPayload()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.payload, other.payload);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("Envelope(");
+    boolean first = true;
+
+    sb.append("sender:");
+    if (this.sender == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.sender);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("senderAddress:");
+    if (this.senderAddress == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.senderAddress);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("subject:");
+    sb.append(this.subject);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("payload:");
+    if (this.payload == null) {
+      sb.append("null");
+    } else {
+      org.apache.thrift.TBaseHelper.toString(this.payload, sb);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (sender == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'sender' was not present! Struct: " + toString());
+    }
+    if (senderAddress == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'senderAddress' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'subject' because it's a primitive and you chose the non-beans generator.
+    if (payload == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'payload' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class EnvelopeStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public EnvelopeStandardScheme getScheme() {
+      return new EnvelopeStandardScheme();
     }
+  }
 
-    private static class EnvelopeStandardScheme extends org.apache.thrift.scheme.StandardScheme<Envelope> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, Envelope struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // SENDER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.sender = iprot.readString();
-                            struct.setSenderIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // SENDER_ADDRESS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.senderAddress = iprot.readString();
-                            struct.setSenderAddressIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // SUBJECT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I16) {
-                            struct.subject = iprot.readI16();
-                            struct.setSubjectIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // PAYLOAD
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.payload = iprot.readBinary();
-                            struct.setPayloadIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
+  private static class EnvelopeStandardScheme extends org.apache.thrift.scheme.StandardScheme<Envelope> {
 
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetSubject()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'subject' was not found in serialized data! Struct: " + toString());
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, Envelope struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // SENDER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.sender = iprot.readString();
+              struct.setSenderIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, Envelope struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.sender != null) {
-                oprot.writeFieldBegin(SENDER_FIELD_DESC);
-                oprot.writeString(struct.sender);
-                oprot.writeFieldEnd();
+            break;
+          case 4: // SENDER_ADDRESS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.senderAddress = iprot.readString();
+              struct.setSenderAddressIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldBegin(SUBJECT_FIELD_DESC);
-            oprot.writeI16(struct.subject);
-            oprot.writeFieldEnd();
-            if (struct.payload != null) {
-                oprot.writeFieldBegin(PAYLOAD_FIELD_DESC);
-                oprot.writeBinary(struct.payload);
-                oprot.writeFieldEnd();
+            break;
+          case 2: // SUBJECT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I16) {
+              struct.subject = iprot.readI16();
+              struct.setSubjectIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.senderAddress != null) {
-                oprot.writeFieldBegin(SENDER_ADDRESS_FIELD_DESC);
-                oprot.writeString(struct.senderAddress);
-                oprot.writeFieldEnd();
+            break;
+          case 3: // PAYLOAD
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.payload = iprot.readBinary();
+              struct.setPayloadIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    private static class EnvelopeTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public EnvelopeTupleScheme getScheme() {
-            return new EnvelopeTupleScheme();
-        }
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetSubject()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'subject' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class EnvelopeTupleScheme extends org.apache.thrift.scheme.TupleScheme<Envelope> {
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, Envelope struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.sender != null) {
+        oprot.writeFieldBegin(SENDER_FIELD_DESC);
+        oprot.writeString(struct.sender);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(SUBJECT_FIELD_DESC);
+      oprot.writeI16(struct.subject);
+      oprot.writeFieldEnd();
+      if (struct.payload != null) {
+        oprot.writeFieldBegin(PAYLOAD_FIELD_DESC);
+        oprot.writeBinary(struct.payload);
+        oprot.writeFieldEnd();
+      }
+      if (struct.senderAddress != null) {
+        oprot.writeFieldBegin(SENDER_ADDRESS_FIELD_DESC);
+        oprot.writeString(struct.senderAddress);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class EnvelopeTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public EnvelopeTupleScheme getScheme() {
+      return new EnvelopeTupleScheme();
+    }
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, Envelope struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.sender);
-            oprot.writeString(struct.senderAddress);
-            oprot.writeI16(struct.subject);
-            oprot.writeBinary(struct.payload);
-        }
+  private static class EnvelopeTupleScheme extends org.apache.thrift.scheme.TupleScheme<Envelope> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, Envelope struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.sender = iprot.readString();
-            struct.setSenderIsSet(true);
-            struct.senderAddress = iprot.readString();
-            struct.setSenderAddressIsSet(true);
-            struct.subject = iprot.readI16();
-            struct.setSubjectIsSet(true);
-            struct.payload = iprot.readBinary();
-            struct.setPayloadIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, Envelope struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.sender);
+      oprot.writeString(struct.senderAddress);
+      oprot.writeI16(struct.subject);
+      oprot.writeBinary(struct.payload);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, Envelope struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.sender = iprot.readString();
+      struct.setSenderIsSet(true);
+      struct.senderAddress = iprot.readString();
+      struct.setSenderAddressIsSet(true);
+      struct.subject = iprot.readI16();
+      struct.setSubjectIsSet(true);
+      struct.payload = iprot.readBinary();
+      struct.setPayloadIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/envelope/PeerService.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/envelope/PeerService.java
@@ -9,1036 +9,951 @@
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class PeerService {
 
+  /**
+   * Takes messages from other instances.
+   */
+  public interface Iface {
+
     /**
-     * Takes messages from other instances.
+     * Hands over messages; the answer proves that the connection is alive, not that the messages were acted on.
+     * 
+     * @param envelopes
      */
-    public interface Iface {
-
-        /**
-         * Hands over messages; the answer proves that the connection is alive, not that the messages were acted on.
-         *
-         * @param envelopes
-         */
-        public void deliver(java.util.List<Envelope> envelopes) throws org.apache.thrift.TException;
-    }
-
-    public interface AsyncIface {
-
-        public void deliver(
-                java.util.List<Envelope> envelopes, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler)
-                throws org.apache.thrift.TException;
-    }
-
-    public static class Client extends org.apache.thrift.TServiceClient implements Iface {
-        public static class Factory implements org.apache.thrift.TServiceClientFactory<Client> {
-            public Factory() {}
-
-            @Override
-            public Client getClient(org.apache.thrift.protocol.TProtocol prot) {
-                return new Client(prot);
-            }
+    public void deliver(java.util.List<Envelope> envelopes) throws org.apache.thrift.TException;
 
-            @Override
-            public Client getClient(
-                    org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TProtocol oprot) {
-                return new Client(iprot, oprot);
-            }
-        }
+  }
 
-        public Client(org.apache.thrift.protocol.TProtocol prot) {
-            super(prot, prot);
-        }
+  public interface AsyncIface {
 
-        public Client(org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TProtocol oprot) {
-            super(iprot, oprot);
-        }
+    public void deliver(java.util.List<Envelope> envelopes, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
 
-        @Override
-        public void deliver(java.util.List<Envelope> envelopes) throws org.apache.thrift.TException {
-            send_deliver(envelopes);
-            recv_deliver();
-        }
+  }
 
-        public void send_deliver(java.util.List<Envelope> envelopes) throws org.apache.thrift.TException {
-            deliver_args args = new deliver_args();
-            args.setEnvelopes(envelopes);
-            sendBase("deliver", args);
-        }
-
-        public void recv_deliver() throws org.apache.thrift.TException {
-            deliver_result result = new deliver_result();
-            receiveBase(result, "deliver");
-            return;
-        }
+  public static class Client extends org.apache.thrift.TServiceClient implements Iface {
+    public static class Factory implements org.apache.thrift.TServiceClientFactory<Client> {
+      public Factory() {}
+      @Override
+      public Client getClient(org.apache.thrift.protocol.TProtocol prot) {
+        return new Client(prot);
+      }
+      @Override
+      public Client getClient(org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TProtocol oprot) {
+        return new Client(iprot, oprot);
+      }
     }
 
-    public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
-        public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
-            private org.apache.thrift.async.TAsyncClientManager clientManager;
-            private org.apache.thrift.protocol.TProtocolFactory protocolFactory;
-
-            public Factory(
-                    org.apache.thrift.async.TAsyncClientManager clientManager,
-                    org.apache.thrift.protocol.TProtocolFactory protocolFactory) {
-                this.clientManager = clientManager;
-                this.protocolFactory = protocolFactory;
-            }
-
-            @Override
-            public AsyncClient getAsyncClient(org.apache.thrift.transport.TNonblockingTransport transport) {
-                return new AsyncClient(protocolFactory, clientManager, transport);
-            }
-        }
-
-        public AsyncClient(
-                org.apache.thrift.protocol.TProtocolFactory protocolFactory,
-                org.apache.thrift.async.TAsyncClientManager clientManager,
-                org.apache.thrift.transport.TNonblockingTransport transport) {
-            super(protocolFactory, clientManager, transport);
-        }
-
-        @Override
-        public void deliver(
-                java.util.List<Envelope> envelopes, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler)
-                throws org.apache.thrift.TException {
-            checkReady();
-            deliver_call method_call =
-                    new deliver_call(envelopes, resultHandler, this, ___protocolFactory, ___transport);
-            this.___currentMethod = method_call;
-            ___manager.call(method_call);
-        }
-
-        public static class deliver_call extends org.apache.thrift.async.TAsyncMethodCall<Void> {
-            private java.util.List<Envelope> envelopes;
-
-            public deliver_call(
-                    java.util.List<Envelope> envelopes,
-                    org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler,
-                    org.apache.thrift.async.TAsyncClient client,
-                    org.apache.thrift.protocol.TProtocolFactory protocolFactory,
-                    org.apache.thrift.transport.TNonblockingTransport transport)
-                    throws org.apache.thrift.TException {
-                super(client, protocolFactory, transport, resultHandler, false);
-                this.envelopes = envelopes;
-            }
-
-            @Override
-            public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
-                prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage(
-                        "deliver", org.apache.thrift.protocol.TMessageType.CALL, 0));
-                deliver_args args = new deliver_args();
-                args.setEnvelopes(envelopes);
-                args.write(prot);
-                prot.writeMessageEnd();
-            }
-
-            @Override
-            public Void getResult() throws org.apache.thrift.TException {
-                if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
-                    throw new java.lang.IllegalStateException("Method call not finished!");
-                }
-                org.apache.thrift.transport.TMemoryInputTransport memoryTransport =
-                        new org.apache.thrift.transport.TMemoryInputTransport(
-                                getFrameBuffer().array());
-                org.apache.thrift.protocol.TProtocol prot =
-                        client.getProtocolFactory().getProtocol(memoryTransport);
-                (new Client(prot)).recv_deliver();
-                return null;
-            }
-        }
+    public Client(org.apache.thrift.protocol.TProtocol prot)
+    {
+      super(prot, prot);
     }
 
-    public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I>
-            implements org.apache.thrift.TProcessor {
-        private static final org.slf4j.Logger _LOGGER = org.slf4j.LoggerFactory.getLogger(Processor.class.getName());
-
-        public Processor(I iface) {
-            super(
-                    iface,
-                    getProcessMap(new java.util.HashMap<
-                            java.lang.String,
-                            org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>>()));
-        }
-
-        protected Processor(
-                I iface,
-                java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>>
-                        processMap) {
-            super(iface, getProcessMap(processMap));
-        }
-
-        private static <I extends Iface>
-                java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>>
-                        getProcessMap(
-                                java.util.Map<
-                                                java.lang.String,
-                                                org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>>
-                                        processMap) {
-            processMap.put("deliver", new deliver());
-            return processMap;
-        }
-
-        public static class deliver<I extends Iface> extends org.apache.thrift.ProcessFunction<I, deliver_args> {
-            public deliver() {
-                super("deliver");
-            }
-
-            @Override
-            public deliver_args getEmptyArgsInstance() {
-                return new deliver_args();
-            }
-
-            @Override
-            protected boolean isOneway() {
-                return false;
-            }
-
-            @Override
-            protected boolean rethrowUnhandledExceptions() {
-                return false;
-            }
-
-            @Override
-            public deliver_result getResult(I iface, deliver_args args) throws org.apache.thrift.TException {
-                deliver_result result = new deliver_result();
-                iface.deliver(args.envelopes);
-                return result;
-            }
-        }
+    public Client(org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TProtocol oprot) {
+      super(iprot, oprot);
     }
 
-    public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
-        private static final org.slf4j.Logger _LOGGER =
-                org.slf4j.LoggerFactory.getLogger(AsyncProcessor.class.getName());
-
-        public AsyncProcessor(I iface) {
-            super(
-                    iface,
-                    getProcessMap(new java.util.HashMap<
-                            java.lang.String,
-                            org.apache.thrift.AsyncProcessFunction<I, ? extends org.apache.thrift.TBase, ?>>()));
-        }
-
-        protected AsyncProcessor(
-                I iface,
-                java.util.Map<
-                                java.lang.String,
-                                org.apache.thrift.AsyncProcessFunction<I, ? extends org.apache.thrift.TBase, ?>>
-                        processMap) {
-            super(iface, getProcessMap(processMap));
-        }
-
-        private static <I extends AsyncIface>
-                java.util.Map<
-                                java.lang.String,
-                                org.apache.thrift.AsyncProcessFunction<I, ? extends org.apache.thrift.TBase, ?>>
-                        getProcessMap(
-                                java.util.Map<
-                                                java.lang.String,
-                                                org.apache.thrift.AsyncProcessFunction<
-                                                        I, ? extends org.apache.thrift.TBase, ?>>
-                                        processMap) {
-            processMap.put("deliver", new deliver());
-            return processMap;
-        }
-
-        public static class deliver<I extends AsyncIface>
-                extends org.apache.thrift.AsyncProcessFunction<I, deliver_args, Void> {
-            public deliver() {
-                super("deliver");
-            }
-
-            @Override
-            public deliver_args getEmptyArgsInstance() {
-                return new deliver_args();
-            }
-
-            @Override
-            public org.apache.thrift.async.AsyncMethodCallback<Void> getResultHandler(
-                    final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
-                final org.apache.thrift.AsyncProcessFunction fcall = this;
-                return new org.apache.thrift.async.AsyncMethodCallback<Void>() {
-                    @Override
-                    public void onComplete(Void o) {
-                        deliver_result result = new deliver_result();
-                        try {
-                            fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY, seqid);
-                        } catch (org.apache.thrift.transport.TTransportException e) {
-                            _LOGGER.error("TTransportException writing to internal frame buffer", e);
-                            fb.close();
-                        } catch (java.lang.Exception e) {
-                            _LOGGER.error("Exception writing to internal frame buffer", e);
-                            onError(e);
-                        }
-                    }
-
-                    @Override
-                    public void onError(java.lang.Exception e) {
-                        byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
-                        org.apache.thrift.TSerializable msg;
-                        deliver_result result = new deliver_result();
-                        if (e instanceof org.apache.thrift.transport.TTransportException) {
-                            _LOGGER.error("TTransportException inside handler", e);
-                            fb.close();
-                            return;
-                        } else if (e instanceof org.apache.thrift.TApplicationException) {
-                            _LOGGER.error("TApplicationException inside handler", e);
-                            msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
-                            msg = (org.apache.thrift.TApplicationException) e;
-                        } else {
-                            _LOGGER.error("Exception inside handler", e);
-                            msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
-                            msg = new org.apache.thrift.TApplicationException(
-                                    org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
-                        }
-                        try {
-                            fcall.sendResponse(fb, msg, msgType, seqid);
-                        } catch (java.lang.Exception ex) {
-                            _LOGGER.error("Exception writing to internal frame buffer", ex);
-                            fb.close();
-                        }
-                    }
-                };
-            }
-
-            @Override
-            protected boolean isOneway() {
-                return false;
-            }
-
-            @Override
-            public void start(
-                    I iface, deliver_args args, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler)
-                    throws org.apache.thrift.TException {
-                iface.deliver(args.envelopes, resultHandler);
-            }
-        }
+    @Override
+    public void deliver(java.util.List<Envelope> envelopes) throws org.apache.thrift.TException
+    {
+      send_deliver(envelopes);
+      recv_deliver();
     }
 
-    @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-    public static class deliver_args
-            implements org.apache.thrift.TBase<deliver_args, deliver_args._Fields>,
-                    java.io.Serializable,
-                    Cloneable,
-                    Comparable<deliver_args> {
-        private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-                new org.apache.thrift.protocol.TStruct("deliver_args");
-
-        private static final org.apache.thrift.protocol.TField ENVELOPES_FIELD_DESC =
-                new org.apache.thrift.protocol.TField("envelopes", org.apache.thrift.protocol.TType.LIST, (short) 1);
-
-        private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-                new deliver_argsStandardSchemeFactory();
-        private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-                new deliver_argsTupleSchemeFactory();
-
-        private @org.apache.thrift.annotation.Nullable java.util.List<Envelope> envelopes; // required
-
-        /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-        public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-            ENVELOPES((short) 1, "envelopes");
-
-            private static final java.util.Map<java.lang.String, _Fields> byName =
-                    new java.util.HashMap<java.lang.String, _Fields>();
-
-            static {
-                for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                    byName.put(field.getFieldName(), field);
-                }
-            }
-
-            /**
-             * Find the _Fields constant that matches fieldId, or null if its not found.
-             */
-            @org.apache.thrift.annotation.Nullable
-            public static _Fields findByThriftId(int fieldId) {
-                switch (fieldId) {
-                    case 1: // ENVELOPES
-                        return ENVELOPES;
-                    default:
-                        return null;
-                }
-            }
-
-            /**
-             * Find the _Fields constant that matches fieldId, throwing an exception
-             * if it is not found.
-             */
-            public static _Fields findByThriftIdOrThrow(int fieldId) {
-                _Fields fields = findByThriftId(fieldId);
-                if (fields == null)
-                    throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-                return fields;
-            }
-
-            /**
-             * Find the _Fields constant that matches name, or null if its not found.
-             */
-            @org.apache.thrift.annotation.Nullable
-            public static _Fields findByName(java.lang.String name) {
-                return byName.get(name);
-            }
-
-            private final short _thriftId;
-            private final java.lang.String _fieldName;
-
-            _Fields(short thriftId, java.lang.String fieldName) {
-                _thriftId = thriftId;
-                _fieldName = fieldName;
-            }
-
-            @Override
-            public short getThriftFieldId() {
-                return _thriftId;
-            }
-
-            @Override
-            public java.lang.String getFieldName() {
-                return _fieldName;
-            }
-        }
+    public void send_deliver(java.util.List<Envelope> envelopes) throws org.apache.thrift.TException
+    {
+      deliver_args args = new deliver_args();
+      args.setEnvelopes(envelopes);
+      sendBase("deliver", args);
+    }
 
-        // isset id assignments
-        public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
-
-        static {
-            java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                    new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-            tmpMap.put(
-                    _Fields.ENVELOPES,
-                    new org.apache.thrift.meta_data.FieldMetaData(
-                            "envelopes",
-                            org.apache.thrift.TFieldRequirementType.DEFAULT,
-                            new org.apache.thrift.meta_data.ListMetaData(
-                                    org.apache.thrift.protocol.TType.LIST,
-                                    new org.apache.thrift.meta_data.StructMetaData(
-                                            org.apache.thrift.protocol.TType.STRUCT, Envelope.class))));
-            metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-            org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(deliver_args.class, metaDataMap);
-        }
+    public void recv_deliver() throws org.apache.thrift.TException
+    {
+      deliver_result result = new deliver_result();
+      receiveBase(result, "deliver");
+      return;
+    }
 
-        public deliver_args() {}
+  }
+  public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
+    public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
+      private org.apache.thrift.async.TAsyncClientManager clientManager;
+      private org.apache.thrift.protocol.TProtocolFactory protocolFactory;
+      public Factory(org.apache.thrift.async.TAsyncClientManager clientManager, org.apache.thrift.protocol.TProtocolFactory protocolFactory) {
+        this.clientManager = clientManager;
+        this.protocolFactory = protocolFactory;
+      }
+    @Override
+      public AsyncClient getAsyncClient(org.apache.thrift.transport.TNonblockingTransport transport) {
+        return new AsyncClient(protocolFactory, clientManager, transport);
+      }
+    }
 
-        public deliver_args(java.util.List<Envelope> envelopes) {
-            this();
-            this.envelopes = envelopes;
-        }
+    public AsyncClient(org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.async.TAsyncClientManager clientManager, org.apache.thrift.transport.TNonblockingTransport transport) {
+      super(protocolFactory, clientManager, transport);
+    }
 
-        /**
-         * Performs a deep copy on <i>other</i>.
-         */
-        public deliver_args(deliver_args other) {
-            if (other.isSetEnvelopes()) {
-                java.util.List<Envelope> __this__envelopes = new java.util.ArrayList<Envelope>(other.envelopes.size());
-                for (Envelope other_element : other.envelopes) {
-                    __this__envelopes.add(new Envelope(other_element));
-                }
-                this.envelopes = __this__envelopes;
-            }
-        }
+    @Override
+    public void deliver(java.util.List<Envelope> envelopes, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      deliver_call method_call = new deliver_call(envelopes, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
 
-        @Override
-        public deliver_args deepCopy() {
-            return new deliver_args(this);
-        }
+    public static class deliver_call extends org.apache.thrift.async.TAsyncMethodCall<Void> {
+      private java.util.List<Envelope> envelopes;
+      public deliver_call(java.util.List<Envelope> envelopes, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.envelopes = envelopes;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("deliver", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        deliver_args args = new deliver_args();
+        args.setEnvelopes(envelopes);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public Void getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        (new Client(prot)).recv_deliver();
+        return null;
+      }
+    }
 
-        @Override
-        public void clear() {
-            this.envelopes = null;
-        }
+  }
 
-        public int getEnvelopesSize() {
-            return (this.envelopes == null) ? 0 : this.envelopes.size();
-        }
+  public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
+    private static final org.slf4j.Logger _LOGGER = org.slf4j.LoggerFactory.getLogger(Processor.class.getName());
+    public Processor(I iface) {
+      super(iface, getProcessMap(new java.util.HashMap<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>>()));
+    }
 
-        @org.apache.thrift.annotation.Nullable
-        public java.util.Iterator<Envelope> getEnvelopesIterator() {
-            return (this.envelopes == null) ? null : this.envelopes.iterator();
-        }
+    protected Processor(I iface, java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> processMap) {
+      super(iface, getProcessMap(processMap));
+    }
 
-        public void addToEnvelopes(Envelope elem) {
-            if (this.envelopes == null) {
-                this.envelopes = new java.util.ArrayList<Envelope>();
-            }
-            this.envelopes.add(elem);
-        }
+    private static <I extends Iface> java.util.Map<java.lang.String,  org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> getProcessMap(java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends  org.apache.thrift.TBase>> processMap) {
+      processMap.put("deliver", new deliver());
+      return processMap;
+    }
 
-        @org.apache.thrift.annotation.Nullable
-        public java.util.List<Envelope> getEnvelopes() {
-            return this.envelopes;
-        }
+    public static class deliver<I extends Iface> extends org.apache.thrift.ProcessFunction<I, deliver_args> {
+      public deliver() {
+        super("deliver");
+      }
+
+      @Override
+      public deliver_args getEmptyArgsInstance() {
+        return new deliver_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public deliver_result getResult(I iface, deliver_args args) throws org.apache.thrift.TException {
+        deliver_result result = new deliver_result();
+        iface.deliver(args.envelopes);
+        return result;
+      }
+    }
 
-        public deliver_args setEnvelopes(@org.apache.thrift.annotation.Nullable java.util.List<Envelope> envelopes) {
-            this.envelopes = envelopes;
-            return this;
-        }
+  }
 
-        public void unsetEnvelopes() {
-            this.envelopes = null;
-        }
+  public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
+    private static final org.slf4j.Logger _LOGGER = org.slf4j.LoggerFactory.getLogger(AsyncProcessor.class.getName());
+    public AsyncProcessor(I iface) {
+      super(iface, getProcessMap(new java.util.HashMap<java.lang.String, org.apache.thrift.AsyncProcessFunction<I, ? extends org.apache.thrift.TBase, ?>>()));
+    }
 
-        /** Returns true if field envelopes is set (has been assigned a value) and false otherwise */
-        public boolean isSetEnvelopes() {
-            return this.envelopes != null;
-        }
+    protected AsyncProcessor(I iface, java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase, ?>> processMap) {
+      super(iface, getProcessMap(processMap));
+    }
 
-        public void setEnvelopesIsSet(boolean value) {
-            if (!value) {
-                this.envelopes = null;
-            }
-        }
+    private static <I extends AsyncIface> java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase,?>> getProcessMap(java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase, ?>> processMap) {
+      processMap.put("deliver", new deliver());
+      return processMap;
+    }
 
-        @Override
-        public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-            switch (field) {
-                case ENVELOPES:
-                    if (value == null) {
-                        unsetEnvelopes();
-                    } else {
-                        setEnvelopes((java.util.List<Envelope>) value);
-                    }
-                    break;
+    public static class deliver<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, deliver_args, Void> {
+      public deliver() {
+        super("deliver");
+      }
+
+      @Override
+      public deliver_args getEmptyArgsInstance() {
+        return new deliver_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<Void> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<Void>() { 
+          @Override
+          public void onComplete(Void o) {
+            deliver_result result = new deliver_result();
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            deliver_result result = new deliver_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
             }
-        }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, deliver_args args, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+        iface.deliver(args.envelopes,resultHandler);
+      }
+    }
 
-        @org.apache.thrift.annotation.Nullable
-        @Override
-        public java.lang.Object getFieldValue(_Fields field) {
-            switch (field) {
-                case ENVELOPES:
-                    return getEnvelopes();
-            }
-            throw new java.lang.IllegalStateException();
-        }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class deliver_args implements org.apache.thrift.TBase<deliver_args, deliver_args._Fields>, java.io.Serializable, Cloneable, Comparable<deliver_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("deliver_args");
+
+    private static final org.apache.thrift.protocol.TField ENVELOPES_FIELD_DESC = new org.apache.thrift.protocol.TField("envelopes", org.apache.thrift.protocol.TType.LIST, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new deliver_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new deliver_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable java.util.List<Envelope> envelopes; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      ENVELOPES((short)1, "envelopes");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // ENVELOPES
+            return ENVELOPES;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
 
-        /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-        @Override
-        public boolean isSet(_Fields field) {
-            if (field == null) {
-                throw new java.lang.IllegalArgumentException();
-            }
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.ENVELOPES, new org.apache.thrift.meta_data.FieldMetaData("envelopes", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+              new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Envelope.class))));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(deliver_args.class, metaDataMap);
+    }
 
-            switch (field) {
-                case ENVELOPES:
-                    return isSetEnvelopes();
-            }
-            throw new java.lang.IllegalStateException();
-        }
+    public deliver_args() {
+    }
 
-        @Override
-        public boolean equals(java.lang.Object that) {
-            if (that instanceof deliver_args) return this.equals((deliver_args) that);
-            return false;
-        }
+    public deliver_args(
+      java.util.List<Envelope> envelopes)
+    {
+      this();
+      this.envelopes = envelopes;
+    }
 
-        public boolean equals(deliver_args that) {
-            if (that == null) return false;
-            if (this == that) return true;
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public deliver_args(deliver_args other) {
+      if (other.isSetEnvelopes()) {
+        java.util.List<Envelope> __this__envelopes = new java.util.ArrayList<Envelope>(other.envelopes.size());
+        for (Envelope other_element : other.envelopes) {
+          __this__envelopes.add(new Envelope(other_element));
+        }
+        this.envelopes = __this__envelopes;
+      }
+    }
 
-            boolean this_present_envelopes = true && this.isSetEnvelopes();
-            boolean that_present_envelopes = true && that.isSetEnvelopes();
-            if (this_present_envelopes || that_present_envelopes) {
-                if (!(this_present_envelopes && that_present_envelopes)) return false;
-                if (!this.envelopes.equals(that.envelopes)) return false;
-            }
+    @Override
+    public deliver_args deepCopy() {
+      return new deliver_args(this);
+    }
 
-            return true;
-        }
+    @Override
+    public void clear() {
+      this.envelopes = null;
+    }
 
-        @Override
-        public int hashCode() {
-            int hashCode = 1;
+    public int getEnvelopesSize() {
+      return (this.envelopes == null) ? 0 : this.envelopes.size();
+    }
 
-            hashCode = hashCode * 8191 + ((isSetEnvelopes()) ? 131071 : 524287);
-            if (isSetEnvelopes()) hashCode = hashCode * 8191 + envelopes.hashCode();
+    @org.apache.thrift.annotation.Nullable
+    public java.util.Iterator<Envelope> getEnvelopesIterator() {
+      return (this.envelopes == null) ? null : this.envelopes.iterator();
+    }
 
-            return hashCode;
-        }
+    public void addToEnvelopes(Envelope elem) {
+      if (this.envelopes == null) {
+        this.envelopes = new java.util.ArrayList<Envelope>();
+      }
+      this.envelopes.add(elem);
+    }
 
-        @Override
-        public int compareTo(deliver_args other) {
-            if (!getClass().equals(other.getClass())) {
-                return getClass().getName().compareTo(other.getClass().getName());
-            }
+    @org.apache.thrift.annotation.Nullable
+    public java.util.List<Envelope> getEnvelopes() {
+      return this.envelopes;
+    }
 
-            int lastComparison = 0;
+    public deliver_args setEnvelopes(@org.apache.thrift.annotation.Nullable java.util.List<Envelope> envelopes) {
+      this.envelopes = envelopes;
+      return this;
+    }
 
-            lastComparison = java.lang.Boolean.compare(isSetEnvelopes(), other.isSetEnvelopes());
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-            if (isSetEnvelopes()) {
-                lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.envelopes, other.envelopes);
-                if (lastComparison != 0) {
-                    return lastComparison;
-                }
-            }
-            return 0;
-        }
+    public void unsetEnvelopes() {
+      this.envelopes = null;
+    }
 
-        @org.apache.thrift.annotation.Nullable
-        @Override
-        public _Fields fieldForId(int fieldId) {
-            return _Fields.findByThriftId(fieldId);
-        }
+    /** Returns true if field envelopes is set (has been assigned a value) and false otherwise */
+    public boolean isSetEnvelopes() {
+      return this.envelopes != null;
+    }
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-            scheme(iprot).read(iprot, this);
-        }
+    public void setEnvelopesIsSet(boolean value) {
+      if (!value) {
+        this.envelopes = null;
+      }
+    }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-            scheme(oprot).write(oprot, this);
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case ENVELOPES:
+        if (value == null) {
+          unsetEnvelopes();
+        } else {
+          setEnvelopes((java.util.List<Envelope>)value);
         }
+        break;
 
-        @Override
-        public java.lang.String toString() {
-            java.lang.StringBuilder sb = new java.lang.StringBuilder("deliver_args(");
-            boolean first = true;
-
-            sb.append("envelopes:");
-            if (this.envelopes == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.envelopes);
-            }
-            first = false;
-            sb.append(")");
-            return sb.toString();
-        }
+      }
+    }
 
-        public void validate() throws org.apache.thrift.TException {
-            // check for required fields
-            // check for sub-struct validity
-        }
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case ENVELOPES:
+        return getEnvelopes();
 
-        private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-            try {
-                write(new org.apache.thrift.protocol.TCompactProtocol(
-                        new org.apache.thrift.transport.TIOStreamTransport(out)));
-            } catch (org.apache.thrift.TException te) {
-                throw new java.io.IOException(te);
-            }
-        }
+      }
+      throw new java.lang.IllegalStateException();
+    }
 
-        private void readObject(java.io.ObjectInputStream in)
-                throws java.io.IOException, java.lang.ClassNotFoundException {
-            try {
-                read(new org.apache.thrift.protocol.TCompactProtocol(
-                        new org.apache.thrift.transport.TIOStreamTransport(in)));
-            } catch (org.apache.thrift.TException te) {
-                throw new java.io.IOException(te);
-            }
-        }
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case ENVELOPES:
+        return isSetEnvelopes();
+      }
+      throw new java.lang.IllegalStateException();
+    }
 
-        private static class deliver_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-            @Override
-            public deliver_argsStandardScheme getScheme() {
-                return new deliver_argsStandardScheme();
-            }
-        }
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof deliver_args)
+        return this.equals((deliver_args)that);
+      return false;
+    }
 
-        private static class deliver_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<deliver_args> {
-
-            @Override
-            public void read(org.apache.thrift.protocol.TProtocol iprot, deliver_args struct)
-                    throws org.apache.thrift.TException {
-                org.apache.thrift.protocol.TField schemeField;
-                iprot.readStructBegin();
-                while (true) {
-                    schemeField = iprot.readFieldBegin();
-                    if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                        break;
-                    }
-                    switch (schemeField.id) {
-                        case 1: // ENVELOPES
-                            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                                {
-                                    org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                                    struct.envelopes = new java.util.ArrayList<Envelope>(_list0.size);
-                                    @org.apache.thrift.annotation.Nullable Envelope _elem1;
-                                    for (int _i2 = 0; _i2 < _list0.size; ++_i2) {
-                                        _elem1 = new Envelope();
-                                        _elem1.read(iprot);
-                                        struct.envelopes.add(_elem1);
-                                    }
-                                    iprot.readListEnd();
-                                }
-                                struct.setEnvelopesIsSet(true);
-                            } else {
-                                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                            }
-                            break;
-                        default:
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                    }
-                    iprot.readFieldEnd();
-                }
-                iprot.readStructEnd();
+    public boolean equals(deliver_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_envelopes = true && this.isSetEnvelopes();
+      boolean that_present_envelopes = true && that.isSetEnvelopes();
+      if (this_present_envelopes || that_present_envelopes) {
+        if (!(this_present_envelopes && that_present_envelopes))
+          return false;
+        if (!this.envelopes.equals(that.envelopes))
+          return false;
+      }
+
+      return true;
+    }
 
-                // check for required fields of primitive type, which can't be checked in the validate method
-                struct.validate();
-            }
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
 
-            @Override
-            public void write(org.apache.thrift.protocol.TProtocol oprot, deliver_args struct)
-                    throws org.apache.thrift.TException {
-                struct.validate();
-
-                oprot.writeStructBegin(STRUCT_DESC);
-                if (struct.envelopes != null) {
-                    oprot.writeFieldBegin(ENVELOPES_FIELD_DESC);
-                    {
-                        oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                                org.apache.thrift.protocol.TType.STRUCT, struct.envelopes.size()));
-                        for (Envelope _iter3 : struct.envelopes) {
-                            _iter3.write(oprot);
-                        }
-                        oprot.writeListEnd();
-                    }
-                    oprot.writeFieldEnd();
-                }
-                oprot.writeFieldStop();
-                oprot.writeStructEnd();
-            }
-        }
+      hashCode = hashCode * 8191 + ((isSetEnvelopes()) ? 131071 : 524287);
+      if (isSetEnvelopes())
+        hashCode = hashCode * 8191 + envelopes.hashCode();
 
-        private static class deliver_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-            @Override
-            public deliver_argsTupleScheme getScheme() {
-                return new deliver_argsTupleScheme();
-            }
-        }
+      return hashCode;
+    }
 
-        private static class deliver_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<deliver_args> {
+    @Override
+    public int compareTo(deliver_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetEnvelopes(), other.isSetEnvelopes());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetEnvelopes()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.envelopes, other.envelopes);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
 
-            @Override
-            public void write(org.apache.thrift.protocol.TProtocol prot, deliver_args struct)
-                    throws org.apache.thrift.TException {
-                org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-                java.util.BitSet optionals = new java.util.BitSet();
-                if (struct.isSetEnvelopes()) {
-                    optionals.set(0);
-                }
-                oprot.writeBitSet(optionals, 1);
-                if (struct.isSetEnvelopes()) {
-                    {
-                        oprot.writeI32(struct.envelopes.size());
-                        for (Envelope _iter4 : struct.envelopes) {
-                            _iter4.write(oprot);
-                        }
-                    }
-                }
-            }
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
 
-            @Override
-            public void read(org.apache.thrift.protocol.TProtocol prot, deliver_args struct)
-                    throws org.apache.thrift.TException {
-                org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-                java.util.BitSet incoming = iprot.readBitSet(1);
-                if (incoming.get(0)) {
-                    {
-                        org.apache.thrift.protocol.TList _list5 =
-                                iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                        struct.envelopes = new java.util.ArrayList<Envelope>(_list5.size);
-                        @org.apache.thrift.annotation.Nullable Envelope _elem6;
-                        for (int _i7 = 0; _i7 < _list5.size; ++_i7) {
-                            _elem6 = new Envelope();
-                            _elem6.read(iprot);
-                            struct.envelopes.add(_elem6);
-                        }
-                    }
-                    struct.setEnvelopesIsSet(true);
-                }
-            }
-        }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
 
-        private static <S extends org.apache.thrift.scheme.IScheme> S scheme(
-                org.apache.thrift.protocol.TProtocol proto) {
-            return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                            ? STANDARD_SCHEME_FACTORY
-                            : TUPLE_SCHEME_FACTORY)
-                    .getScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
     }
 
-    @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-    public static class deliver_result
-            implements org.apache.thrift.TBase<deliver_result, deliver_result._Fields>,
-                    java.io.Serializable,
-                    Cloneable,
-                    Comparable<deliver_result> {
-        private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-                new org.apache.thrift.protocol.TStruct("deliver_result");
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("deliver_args(");
+      boolean first = true;
+
+      sb.append("envelopes:");
+      if (this.envelopes == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.envelopes);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
 
-        private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-                new deliver_resultStandardSchemeFactory();
-        private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-                new deliver_resultTupleSchemeFactory();
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
 
-        /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-        public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-            ;
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
 
-            private static final java.util.Map<java.lang.String, _Fields> byName =
-                    new java.util.HashMap<java.lang.String, _Fields>();
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
 
-            static {
-                for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                    byName.put(field.getFieldName(), field);
-                }
-            }
+    private static class deliver_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public deliver_argsStandardScheme getScheme() {
+        return new deliver_argsStandardScheme();
+      }
+    }
 
-            /**
-             * Find the _Fields constant that matches fieldId, or null if its not found.
-             */
-            @org.apache.thrift.annotation.Nullable
-            public static _Fields findByThriftId(int fieldId) {
-                switch (fieldId) {
-                    default:
-                        return null;
+    private static class deliver_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<deliver_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, deliver_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // ENVELOPES
+              if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+                {
+                  org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
+                  struct.envelopes = new java.util.ArrayList<Envelope>(_list0.size);
+                  @org.apache.thrift.annotation.Nullable Envelope _elem1;
+                  for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                  {
+                    _elem1 = new Envelope();
+                    _elem1.read(iprot);
+                    struct.envelopes.add(_elem1);
+                  }
+                  iprot.readListEnd();
                 }
-            }
-
-            /**
-             * Find the _Fields constant that matches fieldId, throwing an exception
-             * if it is not found.
-             */
-            public static _Fields findByThriftIdOrThrow(int fieldId) {
-                _Fields fields = findByThriftId(fieldId);
-                if (fields == null)
-                    throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-                return fields;
-            }
-
-            /**
-             * Find the _Fields constant that matches name, or null if its not found.
-             */
-            @org.apache.thrift.annotation.Nullable
-            public static _Fields findByName(java.lang.String name) {
-                return byName.get(name);
-            }
-
-            private final short _thriftId;
-            private final java.lang.String _fieldName;
-
-            _Fields(short thriftId, java.lang.String fieldName) {
-                _thriftId = thriftId;
-                _fieldName = fieldName;
-            }
-
-            @Override
-            public short getThriftFieldId() {
-                return _thriftId;
-            }
+                struct.setEnvelopesIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, deliver_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.envelopes != null) {
+          oprot.writeFieldBegin(ENVELOPES_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.envelopes.size()));
+            for (Envelope _iter3 : struct.envelopes)
+            {
+              _iter3.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
 
-            @Override
-            public java.lang.String getFieldName() {
-                return _fieldName;
-            }
-        }
+    }
 
-        public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static class deliver_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public deliver_argsTupleScheme getScheme() {
+        return new deliver_argsTupleScheme();
+      }
+    }
 
-        static {
-            java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                    new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-            metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-            org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(deliver_result.class, metaDataMap);
-        }
+    private static class deliver_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<deliver_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, deliver_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetEnvelopes()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetEnvelopes()) {
+          {
+            oprot.writeI32(struct.envelopes.size());
+            for (Envelope _iter4 : struct.envelopes)
+            {
+              _iter4.write(oprot);
+            }
+          }
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, deliver_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          {
+            org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+            struct.envelopes = new java.util.ArrayList<Envelope>(_list5.size);
+            @org.apache.thrift.annotation.Nullable Envelope _elem6;
+            for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+            {
+              _elem6 = new Envelope();
+              _elem6.read(iprot);
+              struct.envelopes.add(_elem6);
+            }
+          }
+          struct.setEnvelopesIsSet(true);
+        }
+      }
+    }
 
-        public deliver_result() {}
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class deliver_result implements org.apache.thrift.TBase<deliver_result, deliver_result._Fields>, java.io.Serializable, Cloneable, Comparable<deliver_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("deliver_result");
+
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new deliver_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new deliver_resultTupleSchemeFactory();
+
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+;
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(deliver_result.class, metaDataMap);
+    }
 
-        /**
-         * Performs a deep copy on <i>other</i>.
-         */
-        public deliver_result(deliver_result other) {}
+    public deliver_result() {
+    }
 
-        @Override
-        public deliver_result deepCopy() {
-            return new deliver_result(this);
-        }
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public deliver_result(deliver_result other) {
+    }
 
-        @Override
-        public void clear() {}
+    @Override
+    public deliver_result deepCopy() {
+      return new deliver_result(this);
+    }
 
-        @Override
-        public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-            switch (field) {
-            }
-        }
+    @Override
+    public void clear() {
+    }
 
-        @org.apache.thrift.annotation.Nullable
-        @Override
-        public java.lang.Object getFieldValue(_Fields field) {
-            switch (field) {
-            }
-            throw new java.lang.IllegalStateException();
-        }
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      }
+    }
 
-        /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-        @Override
-        public boolean isSet(_Fields field) {
-            if (field == null) {
-                throw new java.lang.IllegalArgumentException();
-            }
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
 
-            switch (field) {
-            }
-            throw new java.lang.IllegalStateException();
-        }
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
 
-        @Override
-        public boolean equals(java.lang.Object that) {
-            if (that instanceof deliver_result) return this.equals((deliver_result) that);
-            return false;
-        }
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
 
-        public boolean equals(deliver_result that) {
-            if (that == null) return false;
-            if (this == that) return true;
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof deliver_result)
+        return this.equals((deliver_result)that);
+      return false;
+    }
 
-            return true;
-        }
+    public boolean equals(deliver_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
 
-        @Override
-        public int hashCode() {
-            int hashCode = 1;
+      return true;
+    }
 
-            return hashCode;
-        }
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
 
-        @Override
-        public int compareTo(deliver_result other) {
-            if (!getClass().equals(other.getClass())) {
-                return getClass().getName().compareTo(other.getClass().getName());
-            }
+      return hashCode;
+    }
 
-            int lastComparison = 0;
+    @Override
+    public int compareTo(deliver_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
 
-            return 0;
-        }
+      int lastComparison = 0;
 
-        @org.apache.thrift.annotation.Nullable
-        @Override
-        public _Fields fieldForId(int fieldId) {
-            return _Fields.findByThriftId(fieldId);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-            scheme(iprot).read(iprot, this);
-        }
+      return 0;
+    }
 
-        public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-            scheme(oprot).write(oprot, this);
-        }
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
 
-        @Override
-        public java.lang.String toString() {
-            java.lang.StringBuilder sb = new java.lang.StringBuilder("deliver_result(");
-            boolean first = true;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
 
-            sb.append(")");
-            return sb.toString();
-        }
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
 
-        public void validate() throws org.apache.thrift.TException {
-            // check for required fields
-            // check for sub-struct validity
-        }
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("deliver_result(");
+      boolean first = true;
 
-        private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-            try {
-                write(new org.apache.thrift.protocol.TCompactProtocol(
-                        new org.apache.thrift.transport.TIOStreamTransport(out)));
-            } catch (org.apache.thrift.TException te) {
-                throw new java.io.IOException(te);
-            }
-        }
+      sb.append(")");
+      return sb.toString();
+    }
 
-        private void readObject(java.io.ObjectInputStream in)
-                throws java.io.IOException, java.lang.ClassNotFoundException {
-            try {
-                read(new org.apache.thrift.protocol.TCompactProtocol(
-                        new org.apache.thrift.transport.TIOStreamTransport(in)));
-            } catch (org.apache.thrift.TException te) {
-                throw new java.io.IOException(te);
-            }
-        }
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
 
-        private static class deliver_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-            @Override
-            public deliver_resultStandardScheme getScheme() {
-                return new deliver_resultStandardScheme();
-            }
-        }
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
 
-        private static class deliver_resultStandardScheme
-                extends org.apache.thrift.scheme.StandardScheme<deliver_result> {
-
-            @Override
-            public void read(org.apache.thrift.protocol.TProtocol iprot, deliver_result struct)
-                    throws org.apache.thrift.TException {
-                org.apache.thrift.protocol.TField schemeField;
-                iprot.readStructBegin();
-                while (true) {
-                    schemeField = iprot.readFieldBegin();
-                    if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                        break;
-                    }
-                    switch (schemeField.id) {
-                        default:
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                    }
-                    iprot.readFieldEnd();
-                }
-                iprot.readStructEnd();
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
 
-                // check for required fields of primitive type, which can't be checked in the validate method
-                struct.validate();
-            }
+    private static class deliver_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public deliver_resultStandardScheme getScheme() {
+        return new deliver_resultStandardScheme();
+      }
+    }
 
-            @Override
-            public void write(org.apache.thrift.protocol.TProtocol oprot, deliver_result struct)
-                    throws org.apache.thrift.TException {
-                struct.validate();
+    private static class deliver_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<deliver_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, deliver_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, deliver_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
 
-                oprot.writeStructBegin(STRUCT_DESC);
-                oprot.writeFieldStop();
-                oprot.writeStructEnd();
-            }
-        }
+    }
 
-        private static class deliver_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-            @Override
-            public deliver_resultTupleScheme getScheme() {
-                return new deliver_resultTupleScheme();
-            }
-        }
+    private static class deliver_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public deliver_resultTupleScheme getScheme() {
+        return new deliver_resultTupleScheme();
+      }
+    }
 
-        private static class deliver_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<deliver_result> {
+    private static class deliver_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<deliver_result> {
 
-            @Override
-            public void write(org.apache.thrift.protocol.TProtocol prot, deliver_result struct)
-                    throws org.apache.thrift.TException {
-                org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            }
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, deliver_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
 
-            @Override
-            public void read(org.apache.thrift.protocol.TProtocol prot, deliver_result struct)
-                    throws org.apache.thrift.TException {
-                org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            }
-        }
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, deliver_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+    }
 
-        private static <S extends org.apache.thrift.scheme.IScheme> S scheme(
-                org.apache.thrift.protocol.TProtocol proto) {
-            return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                            ? STANDARD_SCHEME_FACTORY
-                            : TUPLE_SCHEME_FACTORY)
-                    .getScheme();
-        }
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
     }
+  }
+
 }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/DigestEntry.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/DigestEntry.java
@@ -7,582 +7,564 @@
 package org.basilrill.thrift.membership;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class DigestEntry
-        implements org.apache.thrift.TBase<DigestEntry, DigestEntry._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<DigestEntry> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("DigestEntry");
-
-    private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new DigestEntryStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new DigestEntryTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
-    private long incarnation; // required
-    private long version; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        OWNER((short) 1, "owner"),
-        INCARNATION((short) 2, "incarnation"),
-        VERSION((short) 3, "version");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // OWNER
-                    return OWNER;
-                case 2: // INCARNATION
-                    return INCARNATION;
-                case 3: // VERSION
-                    return VERSION;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+public class DigestEntry implements org.apache.thrift.TBase<DigestEntry, DigestEntry._Fields>, java.io.Serializable, Cloneable, Comparable<DigestEntry> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("DigestEntry");
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC = new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short)3);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DigestEntryStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DigestEntryTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
+  private long incarnation; // required
+  private long version; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    OWNER((short)1, "owner"),
+    INCARNATION((short)2, "incarnation"),
+    VERSION((short)3, "version");
 
-    // isset id assignments
-    private static final int __INCARNATION_ISSET_ID = 0;
-    private static final int __VERSION_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.OWNER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "owner",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "incarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.VERSION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "version",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DigestEntry.class, metaDataMap);
-    }
-
-    public DigestEntry() {}
-
-    public DigestEntry(java.lang.String owner, long incarnation, long version) {
-        this();
-        this.owner = owner;
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        this.version = version;
-        setVersionIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public DigestEntry(DigestEntry other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetOwner()) {
-            this.owner = other.owner;
-        }
-        this.incarnation = other.incarnation;
-        this.version = other.version;
-    }
-
-    @Override
-    public DigestEntry deepCopy() {
-        return new DigestEntry(this);
-    }
-
-    @Override
-    public void clear() {
-        this.owner = null;
-        setIncarnationIsSet(false);
-        this.incarnation = 0;
-        setVersionIsSet(false);
-        this.version = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getOwner() {
-        return this.owner;
-    }
-
-    public DigestEntry setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
-        this.owner = owner;
-        return this;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // OWNER
+          return OWNER;
+        case 2: // INCARNATION
+          return INCARNATION;
+        case 3: // VERSION
+          return VERSION;
+        default:
+          return null;
+      }
     }
 
-    public void unsetOwner() {
-        this.owner = null;
-    }
-
-    /** Returns true if field owner is set (has been assigned a value) and false otherwise */
-    public boolean isSetOwner() {
-        return this.owner != null;
-    }
-
-    public void setOwnerIsSet(boolean value) {
-        if (!value) {
-            this.owner = null;
-        }
-    }
-
-    public long getIncarnation() {
-        return this.incarnation;
-    }
-
-    public DigestEntry setIncarnation(long incarnation) {
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        return this;
-    }
-
-    public void unsetIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
-
-    public void setIncarnationIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
-    }
-
-    public long getVersion() {
-        return this.version;
-    }
-
-    public DigestEntry setVersion(long version) {
-        this.version = version;
-        setVersionIsSet(true);
-        return this;
-    }
-
-    public void unsetVersion() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    /** Returns true if field version is set (has been assigned a value) and false otherwise */
-    public boolean isSetVersion() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setVersionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case OWNER:
-                if (value == null) {
-                    unsetOwner();
-                } else {
-                    setOwner((java.lang.String) value);
-                }
-                break;
-
-            case INCARNATION:
-                if (value == null) {
-                    unsetIncarnation();
-                } else {
-                    setIncarnation((java.lang.Long) value);
-                }
-                break;
-
-            case VERSION:
-                if (value == null) {
-                    unsetVersion();
-                } else {
-                    setVersion((java.lang.Long) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case OWNER:
-                return getOwner();
-
-            case INCARNATION:
-                return getIncarnation();
-
-            case VERSION:
-                return getVersion();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case OWNER:
-                return isSetOwner();
-            case INCARNATION:
-                return isSetIncarnation();
-            case VERSION:
-                return isSetVersion();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __INCARNATION_ISSET_ID = 0;
+  private static final int __VERSION_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.OWNER, new org.apache.thrift.meta_data.FieldMetaData("owner", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DigestEntry.class, metaDataMap);
+  }
+
+  public DigestEntry() {
+  }
+
+  public DigestEntry(
+    java.lang.String owner,
+    long incarnation,
+    long version)
+  {
+    this();
+    this.owner = owner;
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    this.version = version;
+    setVersionIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public DigestEntry(DigestEntry other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetOwner()) {
+      this.owner = other.owner;
+    }
+    this.incarnation = other.incarnation;
+    this.version = other.version;
+  }
+
+  @Override
+  public DigestEntry deepCopy() {
+    return new DigestEntry(this);
+  }
+
+  @Override
+  public void clear() {
+    this.owner = null;
+    setIncarnationIsSet(false);
+    this.incarnation = 0;
+    setVersionIsSet(false);
+    this.version = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOwner() {
+    return this.owner;
+  }
+
+  public DigestEntry setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
+    this.owner = owner;
+    return this;
+  }
+
+  public void unsetOwner() {
+    this.owner = null;
+  }
+
+  /** Returns true if field owner is set (has been assigned a value) and false otherwise */
+  public boolean isSetOwner() {
+    return this.owner != null;
+  }
+
+  public void setOwnerIsSet(boolean value) {
+    if (!value) {
+      this.owner = null;
+    }
+  }
+
+  public long getIncarnation() {
+    return this.incarnation;
+  }
+
+  public DigestEntry setIncarnation(long incarnation) {
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  public void setIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+  }
+
+  public long getVersion() {
+    return this.version;
+  }
+
+  public DigestEntry setVersion(long version) {
+    this.version = version;
+    setVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  /** Returns true if field version is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  public void setVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case OWNER:
+      if (value == null) {
+        unsetOwner();
+      } else {
+        setOwner((java.lang.String)value);
+      }
+      break;
+
+    case INCARNATION:
+      if (value == null) {
+        unsetIncarnation();
+      } else {
+        setIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case VERSION:
+      if (value == null) {
+        unsetVersion();
+      } else {
+        setVersion((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case OWNER:
+      return getOwner();
+
+    case INCARNATION:
+      return getIncarnation();
+
+    case VERSION:
+      return getVersion();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case OWNER:
+      return isSetOwner();
+    case INCARNATION:
+      return isSetIncarnation();
+    case VERSION:
+      return isSetVersion();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof DigestEntry)
+      return this.equals((DigestEntry)that);
+    return false;
+  }
+
+  public boolean equals(DigestEntry that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_owner = true && this.isSetOwner();
+    boolean that_present_owner = true && that.isSetOwner();
+    if (this_present_owner || that_present_owner) {
+      if (!(this_present_owner && that_present_owner))
+        return false;
+      if (!this.owner.equals(that.owner))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof DigestEntry) return this.equals((DigestEntry) that);
+    boolean this_present_incarnation = true;
+    boolean that_present_incarnation = true;
+    if (this_present_incarnation || that_present_incarnation) {
+      if (!(this_present_incarnation && that_present_incarnation))
+        return false;
+      if (this.incarnation != that.incarnation)
         return false;
     }
 
-    public boolean equals(DigestEntry that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_owner = true && this.isSetOwner();
-        boolean that_present_owner = true && that.isSetOwner();
-        if (this_present_owner || that_present_owner) {
-            if (!(this_present_owner && that_present_owner)) return false;
-            if (!this.owner.equals(that.owner)) return false;
-        }
-
-        boolean this_present_incarnation = true;
-        boolean that_present_incarnation = true;
-        if (this_present_incarnation || that_present_incarnation) {
-            if (!(this_present_incarnation && that_present_incarnation)) return false;
-            if (this.incarnation != that.incarnation) return false;
-        }
-
-        boolean this_present_version = true;
-        boolean that_present_version = true;
-        if (this_present_version || that_present_version) {
-            if (!(this_present_version && that_present_version)) return false;
-            if (this.version != that.version) return false;
-        }
-
-        return true;
+    boolean this_present_version = true;
+    boolean that_present_version = true;
+    if (this_present_version || that_present_version) {
+      if (!(this_present_version && that_present_version))
+        return false;
+      if (this.version != that.version)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
+    if (isSetOwner())
+      hashCode = hashCode * 8191 + owner.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(version);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(DigestEntry other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOwner()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("DigestEntry(");
+    boolean first = true;
+
+    sb.append("owner:");
+    if (this.owner == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.owner);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("incarnation:");
+    sb.append(this.incarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("version:");
+    sb.append(this.version);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (owner == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'owner' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class DigestEntryStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
-        if (isSetOwner()) hashCode = hashCode * 8191 + owner.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(version);
-
-        return hashCode;
+    public DigestEntryStandardScheme getScheme() {
+      return new DigestEntryStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(DigestEntry other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class DigestEntryStandardScheme extends org.apache.thrift.scheme.StandardScheme<DigestEntry> {
 
-        lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOwner()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, DigestEntry struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // OWNER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.owner = iprot.readString();
+              struct.setOwnerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIncarnation()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnation = iprot.readI64();
+              struct.setIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetVersion()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.version = iprot.readI64();
+              struct.setVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetVersion()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'version' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, DigestEntry struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.owner != null) {
+        oprot.writeFieldBegin(OWNER_FIELD_DESC);
+        oprot.writeString(struct.owner);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(VERSION_FIELD_DESC);
+      oprot.writeI64(struct.version);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class DigestEntryTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public DigestEntryTupleScheme getScheme() {
+      return new DigestEntryTupleScheme();
     }
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("DigestEntry(");
-        boolean first = true;
-
-        sb.append("owner:");
-        if (this.owner == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.owner);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("incarnation:");
-        sb.append(this.incarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("version:");
-        sb.append(this.version);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (owner == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'owner' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  private static class DigestEntryTupleScheme extends org.apache.thrift.scheme.TupleScheme<DigestEntry> {
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class DigestEntryStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public DigestEntryStandardScheme getScheme() {
-            return new DigestEntryStandardScheme();
-        }
-    }
-
-    private static class DigestEntryStandardScheme extends org.apache.thrift.scheme.StandardScheme<DigestEntry> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, DigestEntry struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // OWNER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.owner = iprot.readString();
-                            struct.setOwnerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.incarnation = iprot.readI64();
-                            struct.setIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // VERSION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.version = iprot.readI64();
-                            struct.setVersionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'incarnation' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetVersion()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'version' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, DigestEntry struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.owner != null) {
-                oprot.writeFieldBegin(OWNER_FIELD_DESC);
-                oprot.writeString(struct.owner);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(VERSION_FIELD_DESC);
-            oprot.writeI64(struct.version);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class DigestEntryTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public DigestEntryTupleScheme getScheme() {
-            return new DigestEntryTupleScheme();
-        }
-    }
-
-    private static class DigestEntryTupleScheme extends org.apache.thrift.scheme.TupleScheme<DigestEntry> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, DigestEntry struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.owner);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeI64(struct.version);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, DigestEntry struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.owner = iprot.readString();
-            struct.setOwnerIsSet(true);
-            struct.incarnation = iprot.readI64();
-            struct.setIncarnationIsSet(true);
-            struct.version = iprot.readI64();
-            struct.setVersionIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, DigestEntry struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.owner);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeI64(struct.version);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, DigestEntry struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.owner = iprot.readString();
+      struct.setOwnerIsSet(true);
+      struct.incarnation = iprot.readI64();
+      struct.setIncarnationIsSet(true);
+      struct.version = iprot.readI64();
+      struct.setVersionIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
