--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/FactPayload.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/FactPayload.java
@@ -8,572 +8,521 @@
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class FactPayload extends org.apache.thrift.TUnion<FactPayload, FactPayload._Fields> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("FactPayload");
-    private static final org.apache.thrift.protocol.TField INSTANCE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("instance", org.apache.thrift.protocol.TType.STRUCT, (short) 1);
-    private static final org.apache.thrift.protocol.TField INSTANCE_LOAD_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("instanceLoad", org.apache.thrift.protocol.TType.STRUCT, (short) 2);
-    private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRUCT, (short) 3);
-    private static final org.apache.thrift.protocol.TField TARGET_LOAD_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("targetLoad", org.apache.thrift.protocol.TType.STRUCT, (short) 4);
-    private static final org.apache.thrift.protocol.TField TARGET_GONE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("targetGone", org.apache.thrift.protocol.TType.STRUCT, (short) 5);
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        INSTANCE((short) 1, "instance"),
-        INSTANCE_LOAD((short) 2, "instanceLoad"),
-        TARGET((short) 3, "target"),
-        TARGET_LOAD((short) 4, "targetLoad"),
-        TARGET_GONE((short) 5, "targetGone");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // INSTANCE
-                    return INSTANCE;
-                case 2: // INSTANCE_LOAD
-                    return INSTANCE_LOAD;
-                case 3: // TARGET
-                    return TARGET;
-                case 4: // TARGET_LOAD
-                    return TARGET_LOAD;
-                case 5: // TARGET_GONE
-                    return TARGET_GONE;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("FactPayload");
+  private static final org.apache.thrift.protocol.TField INSTANCE_FIELD_DESC = new org.apache.thrift.protocol.TField("instance", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+  private static final org.apache.thrift.protocol.TField INSTANCE_LOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("instanceLoad", org.apache.thrift.protocol.TType.STRUCT, (short)2);
+  private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC = new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField TARGET_LOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("targetLoad", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField TARGET_GONE_FIELD_DESC = new org.apache.thrift.protocol.TField("targetGone", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    INSTANCE((short)1, "instance"),
+    INSTANCE_LOAD((short)2, "instanceLoad"),
+    TARGET((short)3, "target"),
+    TARGET_LOAD((short)4, "targetLoad"),
+    TARGET_GONE((short)5, "targetGone");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.INSTANCE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "instance",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, InstanceFact.class)));
-        tmpMap.put(
-                _Fields.INSTANCE_LOAD,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "instanceLoad",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, InstanceLoadFact.class)));
-        tmpMap.put(
-                _Fields.TARGET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "target",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, TargetFact.class)));
-        tmpMap.put(
-                _Fields.TARGET_LOAD,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "targetLoad",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, TargetLoadFact.class)));
-        tmpMap.put(
-                _Fields.TARGET_GONE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "targetGone",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, TargetGoneFact.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FactPayload.class, metaDataMap);
-    }
-
-    public FactPayload() {
-        super();
-    }
-
-    public FactPayload(_Fields setField, java.lang.Object value) {
-        super(setField, value);
-    }
-
-    public FactPayload(FactPayload other) {
-        super(other);
-    }
-
-    @Override
-    public FactPayload deepCopy() {
-        return new FactPayload(this);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public static FactPayload instance(InstanceFact value) {
-        FactPayload x = new FactPayload();
-        x.setInstance(value);
-        return x;
-    }
-
-    public static FactPayload instanceLoad(InstanceLoadFact value) {
-        FactPayload x = new FactPayload();
-        x.setInstanceLoad(value);
-        return x;
-    }
-
-    public static FactPayload target(TargetFact value) {
-        FactPayload x = new FactPayload();
-        x.setTarget(value);
-        return x;
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // INSTANCE
+          return INSTANCE;
+        case 2: // INSTANCE_LOAD
+          return INSTANCE_LOAD;
+        case 3: // TARGET
+          return TARGET;
+        case 4: // TARGET_LOAD
+          return TARGET_LOAD;
+        case 5: // TARGET_GONE
+          return TARGET_GONE;
+        default:
+          return null;
+      }
+    }
+
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
+    }
+
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public static FactPayload targetLoad(TargetLoadFact value) {
-        FactPayload x = new FactPayload();
-        x.setTargetLoad(value);
-        return x;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public static FactPayload targetGone(TargetGoneFact value) {
-        FactPayload x = new FactPayload();
-        x.setTargetGone(value);
-        return x;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
-        switch (setField) {
-            case INSTANCE:
-                if (value instanceof InstanceFact) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type InstanceFact for field 'instance', but got "
-                                + value.getClass().getSimpleName());
-            case INSTANCE_LOAD:
-                if (value instanceof InstanceLoadFact) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type InstanceLoadFact for field 'instanceLoad', but got "
-                                + value.getClass().getSimpleName());
-            case TARGET:
-                if (value instanceof TargetFact) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type TargetFact for field 'target', but got "
-                                + value.getClass().getSimpleName());
-            case TARGET_LOAD:
-                if (value instanceof TargetLoadFact) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type TargetLoadFact for field 'targetLoad', but got "
-                                + value.getClass().getSimpleName());
-            case TARGET_GONE:
-                if (value instanceof TargetGoneFact) {
-                    break;
-                }
-                throw new java.lang.ClassCastException(
-                        "Was expecting value of type TargetGoneFact for field 'targetGone', but got "
-                                + value.getClass().getSimpleName());
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    protected java.lang.Object standardSchemeReadValue(
-            org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(field.id);
-        if (setField != null) {
-            switch (setField) {
-                case INSTANCE:
-                    if (field.type == INSTANCE_FIELD_DESC.type) {
-                        InstanceFact instance;
-                        instance = new InstanceFact();
-                        instance.read(iprot);
-                        return instance;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case INSTANCE_LOAD:
-                    if (field.type == INSTANCE_LOAD_FIELD_DESC.type) {
-                        InstanceLoadFact instanceLoad;
-                        instanceLoad = new InstanceLoadFact();
-                        instanceLoad.read(iprot);
-                        return instanceLoad;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case TARGET:
-                    if (field.type == TARGET_FIELD_DESC.type) {
-                        TargetFact target;
-                        target = new TargetFact();
-                        target.read(iprot);
-                        return target;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case TARGET_LOAD:
-                    if (field.type == TARGET_LOAD_FIELD_DESC.type) {
-                        TargetLoadFact targetLoad;
-                        targetLoad = new TargetLoadFact();
-                        targetLoad.read(iprot);
-                        return targetLoad;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                case TARGET_GONE:
-                    if (field.type == TARGET_GONE_FIELD_DESC.type) {
-                        TargetGoneFact targetGone;
-                        targetGone = new TargetGoneFact();
-                        targetGone.read(iprot);
-                        return targetGone;
-                    } else {
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-                        return null;
-                    }
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.INSTANCE, new org.apache.thrift.meta_data.FieldMetaData("instance", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, InstanceFact.class)));
+    tmpMap.put(_Fields.INSTANCE_LOAD, new org.apache.thrift.meta_data.FieldMetaData("instanceLoad", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, InstanceLoadFact.class)));
+    tmpMap.put(_Fields.TARGET, new org.apache.thrift.meta_data.FieldMetaData("target", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TargetFact.class)));
+    tmpMap.put(_Fields.TARGET_LOAD, new org.apache.thrift.meta_data.FieldMetaData("targetLoad", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TargetLoadFact.class)));
+    tmpMap.put(_Fields.TARGET_GONE, new org.apache.thrift.meta_data.FieldMetaData("targetGone", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TargetGoneFact.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FactPayload.class, metaDataMap);
+  }
+
+  public FactPayload() {
+    super();
+  }
+
+  public FactPayload(_Fields setField, java.lang.Object value) {
+    super(setField, value);
+  }
+
+  public FactPayload(FactPayload other) {
+    super(other);
+  }
+  @Override
+  public FactPayload deepCopy() {
+    return new FactPayload(this);
+  }
+
+  public static FactPayload instance(InstanceFact value) {
+    FactPayload x = new FactPayload();
+    x.setInstance(value);
+    return x;
+  }
+
+  public static FactPayload instanceLoad(InstanceLoadFact value) {
+    FactPayload x = new FactPayload();
+    x.setInstanceLoad(value);
+    return x;
+  }
+
+  public static FactPayload target(TargetFact value) {
+    FactPayload x = new FactPayload();
+    x.setTarget(value);
+    return x;
+  }
+
+  public static FactPayload targetLoad(TargetLoadFact value) {
+    FactPayload x = new FactPayload();
+    x.setTargetLoad(value);
+    return x;
+  }
+
+  public static FactPayload targetGone(TargetGoneFact value) {
+    FactPayload x = new FactPayload();
+    x.setTargetGone(value);
+    return x;
+  }
+
+
+  @Override
+  protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
+    switch (setField) {
+      case INSTANCE:
+        if (value instanceof InstanceFact) {
+          break;
         }
-    }
-
-    @Override
-    protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case INSTANCE:
-                InstanceFact instance = (InstanceFact) value_;
-                instance.write(oprot);
-                return;
-            case INSTANCE_LOAD:
-                InstanceLoadFact instanceLoad = (InstanceLoadFact) value_;
-                instanceLoad.write(oprot);
-                return;
-            case TARGET:
-                TargetFact target = (TargetFact) value_;
-                target.write(oprot);
-                return;
-            case TARGET_LOAD:
-                TargetLoadFact targetLoad = (TargetLoadFact) value_;
-                targetLoad.write(oprot);
-                return;
-            case TARGET_GONE:
-                TargetGoneFact targetGone = (TargetGoneFact) value_;
-                targetGone.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+        throw new java.lang.ClassCastException("Was expecting value of type InstanceFact for field 'instance', but got " + value.getClass().getSimpleName());
+      case INSTANCE_LOAD:
+        if (value instanceof InstanceLoadFact) {
+          break;
         }
-    }
-
-    @Override
-    protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID)
-            throws org.apache.thrift.TException {
-        _Fields setField = _Fields.findByThriftId(fieldID);
-        if (setField != null) {
-            switch (setField) {
-                case INSTANCE:
-                    InstanceFact instance;
-                    instance = new InstanceFact();
-                    instance.read(iprot);
-                    return instance;
-                case INSTANCE_LOAD:
-                    InstanceLoadFact instanceLoad;
-                    instanceLoad = new InstanceLoadFact();
-                    instanceLoad.read(iprot);
-                    return instanceLoad;
-                case TARGET:
-                    TargetFact target;
-                    target = new TargetFact();
-                    target.read(iprot);
-                    return target;
-                case TARGET_LOAD:
-                    TargetLoadFact targetLoad;
-                    targetLoad = new TargetLoadFact();
-                    targetLoad.read(iprot);
-                    return targetLoad;
-                case TARGET_GONE:
-                    TargetGoneFact targetGone;
-                    targetGone = new TargetGoneFact();
-                    targetGone.read(iprot);
-                    return targetGone;
-                default:
-                    throw new java.lang.IllegalStateException(
-                            "setField wasn't null, but didn't match any of the case statements!");
-            }
-        } else {
-            throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+        throw new java.lang.ClassCastException("Was expecting value of type InstanceLoadFact for field 'instanceLoad', but got " + value.getClass().getSimpleName());
+      case TARGET:
+        if (value instanceof TargetFact) {
+          break;
         }
-    }
-
-    @Override
-    protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot)
-            throws org.apache.thrift.TException {
-        switch (setField_) {
-            case INSTANCE:
-                InstanceFact instance = (InstanceFact) value_;
-                instance.write(oprot);
-                return;
-            case INSTANCE_LOAD:
-                InstanceLoadFact instanceLoad = (InstanceLoadFact) value_;
-                instanceLoad.write(oprot);
-                return;
-            case TARGET:
-                TargetFact target = (TargetFact) value_;
-                target.write(oprot);
-                return;
-            case TARGET_LOAD:
-                TargetLoadFact targetLoad = (TargetLoadFact) value_;
-                targetLoad.write(oprot);
-                return;
-            case TARGET_GONE:
-                TargetGoneFact targetGone = (TargetGoneFact) value_;
-                targetGone.write(oprot);
-                return;
-            default:
-                throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+        throw new java.lang.ClassCastException("Was expecting value of type TargetFact for field 'target', but got " + value.getClass().getSimpleName());
+      case TARGET_LOAD:
+        if (value instanceof TargetLoadFact) {
+          break;
         }
-    }
-
-    @Override
-    protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
-        switch (setField) {
-            case INSTANCE:
-                return INSTANCE_FIELD_DESC;
-            case INSTANCE_LOAD:
-                return INSTANCE_LOAD_FIELD_DESC;
-            case TARGET:
-                return TARGET_FIELD_DESC;
-            case TARGET_LOAD:
-                return TARGET_LOAD_FIELD_DESC;
-            case TARGET_GONE:
-                return TARGET_GONE_FIELD_DESC;
-            default:
-                throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+        throw new java.lang.ClassCastException("Was expecting value of type TargetLoadFact for field 'targetLoad', but got " + value.getClass().getSimpleName());
+      case TARGET_GONE:
+        if (value instanceof TargetGoneFact) {
+          break;
         }
-    }
-
-    @Override
-    protected org.apache.thrift.protocol.TStruct getStructDesc() {
-        return STRUCT_DESC;
-    }
-
-    @Override
-    protected _Fields enumForId(short id) {
-        return _Fields.findByThriftIdOrThrow(id);
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+        throw new java.lang.ClassCastException("Was expecting value of type TargetGoneFact for field 'targetGone', but got " + value.getClass().getSimpleName());
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected java.lang.Object standardSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(field.id);
+    if (setField != null) {
+      switch (setField) {
+        case INSTANCE:
+          if (field.type == INSTANCE_FIELD_DESC.type) {
+            InstanceFact instance;
+            instance = new InstanceFact();
+            instance.read(iprot);
+            return instance;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case INSTANCE_LOAD:
+          if (field.type == INSTANCE_LOAD_FIELD_DESC.type) {
+            InstanceLoadFact instanceLoad;
+            instanceLoad = new InstanceLoadFact();
+            instanceLoad.read(iprot);
+            return instanceLoad;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case TARGET:
+          if (field.type == TARGET_FIELD_DESC.type) {
+            TargetFact target;
+            target = new TargetFact();
+            target.read(iprot);
+            return target;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case TARGET_LOAD:
+          if (field.type == TARGET_LOAD_FIELD_DESC.type) {
+            TargetLoadFact targetLoad;
+            targetLoad = new TargetLoadFact();
+            targetLoad.read(iprot);
+            return targetLoad;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case TARGET_GONE:
+          if (field.type == TARGET_GONE_FIELD_DESC.type) {
+            TargetGoneFact targetGone;
+            targetGone = new TargetGoneFact();
+            targetGone.read(iprot);
+            return targetGone;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+      return null;
+    }
+  }
+
+  @Override
+  protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case INSTANCE:
+        InstanceFact instance = (InstanceFact)value_;
+        instance.write(oprot);
+        return;
+      case INSTANCE_LOAD:
+        InstanceLoadFact instanceLoad = (InstanceLoadFact)value_;
+        instanceLoad.write(oprot);
+        return;
+      case TARGET:
+        TargetFact target = (TargetFact)value_;
+        target.write(oprot);
+        return;
+      case TARGET_LOAD:
+        TargetLoadFact targetLoad = (TargetLoadFact)value_;
+        targetLoad.write(oprot);
+        return;
+      case TARGET_GONE:
+        TargetGoneFact targetGone = (TargetGoneFact)value_;
+        targetGone.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID) throws org.apache.thrift.TException {
+    _Fields setField = _Fields.findByThriftId(fieldID);
+    if (setField != null) {
+      switch (setField) {
+        case INSTANCE:
+          InstanceFact instance;
+          instance = new InstanceFact();
+          instance.read(iprot);
+          return instance;
+        case INSTANCE_LOAD:
+          InstanceLoadFact instanceLoad;
+          instanceLoad = new InstanceLoadFact();
+          instanceLoad.read(iprot);
+          return instanceLoad;
+        case TARGET:
+          TargetFact target;
+          target = new TargetFact();
+          target.read(iprot);
+          return target;
+        case TARGET_LOAD:
+          TargetLoadFact targetLoad;
+          targetLoad = new TargetLoadFact();
+          targetLoad.read(iprot);
+          return targetLoad;
+        case TARGET_GONE:
+          TargetGoneFact targetGone;
+          targetGone = new TargetGoneFact();
+          targetGone.read(iprot);
+          return targetGone;
+        default:
+          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
+      }
+    } else {
+      throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
+    }
+  }
+
+  @Override
+  protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    switch (setField_) {
+      case INSTANCE:
+        InstanceFact instance = (InstanceFact)value_;
+        instance.write(oprot);
+        return;
+      case INSTANCE_LOAD:
+        InstanceLoadFact instanceLoad = (InstanceLoadFact)value_;
+        instanceLoad.write(oprot);
+        return;
+      case TARGET:
+        TargetFact target = (TargetFact)value_;
+        target.write(oprot);
+        return;
+      case TARGET_LOAD:
+        TargetLoadFact targetLoad = (TargetLoadFact)value_;
+        targetLoad.write(oprot);
+        return;
+      case TARGET_GONE:
+        TargetGoneFact targetGone = (TargetGoneFact)value_;
+        targetGone.write(oprot);
+        return;
+      default:
+        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
+    switch (setField) {
+      case INSTANCE:
+        return INSTANCE_FIELD_DESC;
+      case INSTANCE_LOAD:
+        return INSTANCE_LOAD_FIELD_DESC;
+      case TARGET:
+        return TARGET_FIELD_DESC;
+      case TARGET_LOAD:
+        return TARGET_LOAD_FIELD_DESC;
+      case TARGET_GONE:
+        return TARGET_GONE_FIELD_DESC;
+      default:
+        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+    }
+  }
+
+  @Override
+  protected org.apache.thrift.protocol.TStruct getStructDesc() {
+    return STRUCT_DESC;
+  }
+
+  @Override
+  protected _Fields enumForId(short id) {
+    return _Fields.findByThriftIdOrThrow(id);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+
+  public InstanceFact getInstance() {
+    if (getSetField() == _Fields.INSTANCE) {
+      return (InstanceFact)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'instance' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setInstance(InstanceFact value) {
+    setField_ = _Fields.INSTANCE;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.INSTANCE");
+  }
+
+  public InstanceLoadFact getInstanceLoad() {
+    if (getSetField() == _Fields.INSTANCE_LOAD) {
+      return (InstanceLoadFact)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'instanceLoad' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setInstanceLoad(InstanceLoadFact value) {
+    setField_ = _Fields.INSTANCE_LOAD;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.INSTANCE_LOAD");
+  }
+
+  public TargetFact getTarget() {
+    if (getSetField() == _Fields.TARGET) {
+      return (TargetFact)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'target' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setTarget(TargetFact value) {
+    setField_ = _Fields.TARGET;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.TARGET");
+  }
+
+  public TargetLoadFact getTargetLoad() {
+    if (getSetField() == _Fields.TARGET_LOAD) {
+      return (TargetLoadFact)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'targetLoad' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setTargetLoad(TargetLoadFact value) {
+    setField_ = _Fields.TARGET_LOAD;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.TARGET_LOAD");
+  }
+
+  public TargetGoneFact getTargetGone() {
+    if (getSetField() == _Fields.TARGET_GONE) {
+      return (TargetGoneFact)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'targetGone' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
 
-    public InstanceFact getInstance() {
-        if (getSetField() == _Fields.INSTANCE) {
-            return (InstanceFact) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'instance' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
+  public void setTargetGone(TargetGoneFact value) {
+    setField_ = _Fields.TARGET_GONE;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.TARGET_GONE");
+  }
 
-    public void setInstance(InstanceFact value) {
-        setField_ = _Fields.INSTANCE;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.INSTANCE");
-    }
+  public boolean isSetInstance() {
+    return setField_ == _Fields.INSTANCE;
+  }
 
-    public InstanceLoadFact getInstanceLoad() {
-        if (getSetField() == _Fields.INSTANCE_LOAD) {
-            return (InstanceLoadFact) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'instanceLoad' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setInstanceLoad(InstanceLoadFact value) {
-        setField_ = _Fields.INSTANCE_LOAD;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.INSTANCE_LOAD");
-    }
+  public boolean isSetInstanceLoad() {
+    return setField_ == _Fields.INSTANCE_LOAD;
+  }
 
-    public TargetFact getTarget() {
-        if (getSetField() == _Fields.TARGET) {
-            return (TargetFact) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException(
-                    "Cannot get field 'target' because union is currently set to " + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setTarget(TargetFact value) {
-        setField_ = _Fields.TARGET;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.TARGET");
-    }
+  public boolean isSetTarget() {
+    return setField_ == _Fields.TARGET;
+  }
 
-    public TargetLoadFact getTargetLoad() {
-        if (getSetField() == _Fields.TARGET_LOAD) {
-            return (TargetLoadFact) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'targetLoad' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setTargetLoad(TargetLoadFact value) {
-        setField_ = _Fields.TARGET_LOAD;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.TARGET_LOAD");
-    }
+  public boolean isSetTargetLoad() {
+    return setField_ == _Fields.TARGET_LOAD;
+  }
 
-    public TargetGoneFact getTargetGone() {
-        if (getSetField() == _Fields.TARGET_GONE) {
-            return (TargetGoneFact) getFieldValue();
-        } else {
-            throw new java.lang.RuntimeException("Cannot get field 'targetGone' because union is currently set to "
-                    + getFieldDesc(getSetField()).name);
-        }
-    }
 
-    public void setTargetGone(TargetGoneFact value) {
-        setField_ = _Fields.TARGET_GONE;
-        value_ = java.util.Objects.requireNonNull(value, "_Fields.TARGET_GONE");
-    }
+  public boolean isSetTargetGone() {
+    return setField_ == _Fields.TARGET_GONE;
+  }
 
-    public boolean isSetInstance() {
-        return setField_ == _Fields.INSTANCE;
-    }
 
-    public boolean isSetInstanceLoad() {
-        return setField_ == _Fields.INSTANCE_LOAD;
+  public boolean equals(java.lang.Object other) {
+    if (other instanceof FactPayload) {
+      return equals((FactPayload)other);
+    } else {
+      return false;
     }
+  }
 
-    public boolean isSetTarget() {
-        return setField_ == _Fields.TARGET;
-    }
+  public boolean equals(FactPayload other) {
+    return other != null && getSetField() == other.getSetField() && getFieldValue().equals(other.getFieldValue());
+  }
 
-    public boolean isSetTargetLoad() {
-        return setField_ == _Fields.TARGET_LOAD;
+  @Override
+  public int compareTo(FactPayload other) {
+    int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
+    if (lastComparison == 0) {
+      return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
     }
+    return lastComparison;
+  }
 
-    public boolean isSetTargetGone() {
-        return setField_ == _Fields.TARGET_GONE;
-    }
 
-    public boolean equals(java.lang.Object other) {
-        if (other instanceof FactPayload) {
-            return equals((FactPayload) other);
-        } else {
-            return false;
-        }
+  @Override
+  public int hashCode() {
+    java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
+    list.add(this.getClass().getName());
+    org.apache.thrift.TFieldIdEnum setField = getSetField();
+    if (setField != null) {
+      list.add(setField.getThriftFieldId());
+      java.lang.Object value = getFieldValue();
+      if (value instanceof org.apache.thrift.TEnum) {
+        list.add(((org.apache.thrift.TEnum)getFieldValue()).getValue());
+      } else {
+        list.add(value);
+      }
     }
-
-    public boolean equals(FactPayload other) {
-        return other != null
-                && getSetField() == other.getSetField()
-                && getFieldValue().equals(other.getFieldValue());
+    return list.hashCode();
+  }
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    @Override
-    public int compareTo(FactPayload other) {
-        int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
-        if (lastComparison == 0) {
-            return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
-        }
-        return lastComparison;
-    }
 
-    @Override
-    public int hashCode() {
-        java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
-        list.add(this.getClass().getName());
-        org.apache.thrift.TFieldIdEnum setField = getSetField();
-        if (setField != null) {
-            list.add(setField.getThriftFieldId());
-            java.lang.Object value = getFieldValue();
-            if (value instanceof org.apache.thrift.TEnum) {
-                list.add(((org.apache.thrift.TEnum) getFieldValue()).getValue());
-            } else {
-                list.add(value);
-            }
-        }
-        return list.hashCode();
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
 }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/GossipMessage.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/GossipMessage.java
@@ -10,708 +10,692 @@
  * Names what the sender holds. A question asks for an answer with the receiver's own digest.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class GossipMessage
-        implements org.apache.thrift.TBase<GossipMessage, GossipMessage._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<GossipMessage> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("GossipMessage");
-
-    private static final org.apache.thrift.protocol.TField DIGEST_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("digest", org.apache.thrift.protocol.TType.LIST, (short) 1);
-    private static final org.apache.thrift.protocol.TField DELTAS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("deltas", org.apache.thrift.protocol.TType.LIST, (short) 2);
-    private static final org.apache.thrift.protocol.TField QUESTION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("question", org.apache.thrift.protocol.TType.BOOL, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new GossipMessageStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new GossipMessageTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.util.List<DigestEntry> digest; // optional
-    private @org.apache.thrift.annotation.Nullable java.util.List<OwnerDelta> deltas; // required
-    private boolean question; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        DIGEST((short) 1, "digest"),
-        DELTAS((short) 2, "deltas"),
-        QUESTION((short) 3, "question");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
+public class GossipMessage implements org.apache.thrift.TBase<GossipMessage, GossipMessage._Fields>, java.io.Serializable, Cloneable, Comparable<GossipMessage> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("GossipMessage");
 
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // DIGEST
-                    return DIGEST;
-                case 2: // DELTAS
-                    return DELTAS;
-                case 3: // QUESTION
-                    return QUESTION;
-                default:
-                    return null;
-            }
-        }
+  private static final org.apache.thrift.protocol.TField DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("digest", org.apache.thrift.protocol.TType.LIST, (short)1);
+  private static final org.apache.thrift.protocol.TField DELTAS_FIELD_DESC = new org.apache.thrift.protocol.TField("deltas", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField QUESTION_FIELD_DESC = new org.apache.thrift.protocol.TField("question", org.apache.thrift.protocol.TType.BOOL, (short)3);
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new GossipMessageStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new GossipMessageTupleSchemeFactory();
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private @org.apache.thrift.annotation.Nullable java.util.List<DigestEntry> digest; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<OwnerDelta> deltas; // required
+  private boolean question; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    DIGEST((short)1, "digest"),
+    DELTAS((short)2, "deltas"),
+    QUESTION((short)3, "question");
 
-    // isset id assignments
-    private static final int __QUESTION_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    private static final _Fields optionals[] = {_Fields.DIGEST};
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.DIGEST,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "digest",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, DigestEntry.class))));
-        tmpMap.put(
-                _Fields.DELTAS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "deltas",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, OwnerDelta.class))));
-        tmpMap.put(
-                _Fields.QUESTION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "question",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GossipMessage.class, metaDataMap);
-    }
-
-    public GossipMessage() {}
-
-    public GossipMessage(java.util.List<OwnerDelta> deltas, boolean question) {
-        this();
-        this.deltas = deltas;
-        this.question = question;
-        setQuestionIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public GossipMessage(GossipMessage other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetDigest()) {
-            java.util.List<DigestEntry> __this__digest = new java.util.ArrayList<DigestEntry>(other.digest.size());
-            for (DigestEntry other_element : other.digest) {
-                __this__digest.add(new DigestEntry(other_element));
-            }
-            this.digest = __this__digest;
-        }
-        if (other.isSetDeltas()) {
-            java.util.List<OwnerDelta> __this__deltas = new java.util.ArrayList<OwnerDelta>(other.deltas.size());
-            for (OwnerDelta other_element : other.deltas) {
-                __this__deltas.add(new OwnerDelta(other_element));
-            }
-            this.deltas = __this__deltas;
-        }
-        this.question = other.question;
-    }
-
-    @Override
-    public GossipMessage deepCopy() {
-        return new GossipMessage(this);
-    }
-
-    @Override
-    public void clear() {
-        this.digest = null;
-        this.deltas = null;
-        setQuestionIsSet(false);
-        this.question = false;
-    }
-
-    public int getDigestSize() {
-        return (this.digest == null) ? 0 : this.digest.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<DigestEntry> getDigestIterator() {
-        return (this.digest == null) ? null : this.digest.iterator();
-    }
-
-    public void addToDigest(DigestEntry elem) {
-        if (this.digest == null) {
-            this.digest = new java.util.ArrayList<DigestEntry>();
-        }
-        this.digest.add(elem);
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<DigestEntry> getDigest() {
-        return this.digest;
-    }
-
-    public GossipMessage setDigest(@org.apache.thrift.annotation.Nullable java.util.List<DigestEntry> digest) {
-        this.digest = digest;
-        return this;
-    }
-
-    public void unsetDigest() {
-        this.digest = null;
-    }
-
-    /** Returns true if field digest is set (has been assigned a value) and false otherwise */
-    public boolean isSetDigest() {
-        return this.digest != null;
-    }
-
-    public void setDigestIsSet(boolean value) {
-        if (!value) {
-            this.digest = null;
-        }
-    }
-
-    public int getDeltasSize() {
-        return (this.deltas == null) ? 0 : this.deltas.size();
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // DIGEST
+          return DIGEST;
+        case 2: // DELTAS
+          return DELTAS;
+        case 3: // QUESTION
+          return QUESTION;
+        default:
+          return null;
+      }
     }
 
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<OwnerDelta> getDeltasIterator() {
-        return (this.deltas == null) ? null : this.deltas.iterator();
-    }
-
-    public void addToDeltas(OwnerDelta elem) {
-        if (this.deltas == null) {
-            this.deltas = new java.util.ArrayList<OwnerDelta>();
-        }
-        this.deltas.add(elem);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<OwnerDelta> getDeltas() {
-        return this.deltas;
-    }
-
-    public GossipMessage setDeltas(@org.apache.thrift.annotation.Nullable java.util.List<OwnerDelta> deltas) {
-        this.deltas = deltas;
-        return this;
-    }
-
-    public void unsetDeltas() {
-        this.deltas = null;
-    }
-
-    /** Returns true if field deltas is set (has been assigned a value) and false otherwise */
-    public boolean isSetDeltas() {
-        return this.deltas != null;
-    }
-
-    public void setDeltasIsSet(boolean value) {
-        if (!value) {
-            this.deltas = null;
-        }
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public boolean isQuestion() {
-        return this.question;
-    }
-
-    public GossipMessage setQuestion(boolean question) {
-        this.question = question;
-        setQuestionIsSet(true);
-        return this;
-    }
-
-    public void unsetQuestion() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __QUESTION_ISSET_ID);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    /** Returns true if field question is set (has been assigned a value) and false otherwise */
-    public boolean isSetQuestion() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __QUESTION_ISSET_ID);
-    }
-
-    public void setQuestionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __QUESTION_ISSET_ID, value);
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case DIGEST:
-                if (value == null) {
-                    unsetDigest();
-                } else {
-                    setDigest((java.util.List<DigestEntry>) value);
-                }
-                break;
-
-            case DELTAS:
-                if (value == null) {
-                    unsetDeltas();
-                } else {
-                    setDeltas((java.util.List<OwnerDelta>) value);
-                }
-                break;
-
-            case QUESTION:
-                if (value == null) {
-                    unsetQuestion();
-                } else {
-                    setQuestion((java.lang.Boolean) value);
-                }
-                break;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case DIGEST:
-                return getDigest();
-
-            case DELTAS:
-                return getDeltas();
-
-            case QUESTION:
-                return isQuestion();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case DIGEST:
-                return isSetDigest();
-            case DELTAS:
-                return isSetDeltas();
-            case QUESTION:
-                return isSetQuestion();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
     @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof GossipMessage) return this.equals((GossipMessage) that);
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __QUESTION_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.DIGEST};
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.DIGEST, new org.apache.thrift.meta_data.FieldMetaData("digest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DigestEntry.class))));
+    tmpMap.put(_Fields.DELTAS, new org.apache.thrift.meta_data.FieldMetaData("deltas", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, OwnerDelta.class))));
+    tmpMap.put(_Fields.QUESTION, new org.apache.thrift.meta_data.FieldMetaData("question", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(GossipMessage.class, metaDataMap);
+  }
+
+  public GossipMessage() {
+  }
+
+  public GossipMessage(
+    java.util.List<OwnerDelta> deltas,
+    boolean question)
+  {
+    this();
+    this.deltas = deltas;
+    this.question = question;
+    setQuestionIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public GossipMessage(GossipMessage other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetDigest()) {
+      java.util.List<DigestEntry> __this__digest = new java.util.ArrayList<DigestEntry>(other.digest.size());
+      for (DigestEntry other_element : other.digest) {
+        __this__digest.add(new DigestEntry(other_element));
+      }
+      this.digest = __this__digest;
+    }
+    if (other.isSetDeltas()) {
+      java.util.List<OwnerDelta> __this__deltas = new java.util.ArrayList<OwnerDelta>(other.deltas.size());
+      for (OwnerDelta other_element : other.deltas) {
+        __this__deltas.add(new OwnerDelta(other_element));
+      }
+      this.deltas = __this__deltas;
+    }
+    this.question = other.question;
+  }
+
+  @Override
+  public GossipMessage deepCopy() {
+    return new GossipMessage(this);
+  }
+
+  @Override
+  public void clear() {
+    this.digest = null;
+    this.deltas = null;
+    setQuestionIsSet(false);
+    this.question = false;
+  }
+
+  public int getDigestSize() {
+    return (this.digest == null) ? 0 : this.digest.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<DigestEntry> getDigestIterator() {
+    return (this.digest == null) ? null : this.digest.iterator();
+  }
+
+  public void addToDigest(DigestEntry elem) {
+    if (this.digest == null) {
+      this.digest = new java.util.ArrayList<DigestEntry>();
+    }
+    this.digest.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<DigestEntry> getDigest() {
+    return this.digest;
+  }
+
+  public GossipMessage setDigest(@org.apache.thrift.annotation.Nullable java.util.List<DigestEntry> digest) {
+    this.digest = digest;
+    return this;
+  }
+
+  public void unsetDigest() {
+    this.digest = null;
+  }
+
+  /** Returns true if field digest is set (has been assigned a value) and false otherwise */
+  public boolean isSetDigest() {
+    return this.digest != null;
+  }
+
+  public void setDigestIsSet(boolean value) {
+    if (!value) {
+      this.digest = null;
+    }
+  }
+
+  public int getDeltasSize() {
+    return (this.deltas == null) ? 0 : this.deltas.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<OwnerDelta> getDeltasIterator() {
+    return (this.deltas == null) ? null : this.deltas.iterator();
+  }
+
+  public void addToDeltas(OwnerDelta elem) {
+    if (this.deltas == null) {
+      this.deltas = new java.util.ArrayList<OwnerDelta>();
+    }
+    this.deltas.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<OwnerDelta> getDeltas() {
+    return this.deltas;
+  }
+
+  public GossipMessage setDeltas(@org.apache.thrift.annotation.Nullable java.util.List<OwnerDelta> deltas) {
+    this.deltas = deltas;
+    return this;
+  }
+
+  public void unsetDeltas() {
+    this.deltas = null;
+  }
+
+  /** Returns true if field deltas is set (has been assigned a value) and false otherwise */
+  public boolean isSetDeltas() {
+    return this.deltas != null;
+  }
+
+  public void setDeltasIsSet(boolean value) {
+    if (!value) {
+      this.deltas = null;
+    }
+  }
+
+  public boolean isQuestion() {
+    return this.question;
+  }
+
+  public GossipMessage setQuestion(boolean question) {
+    this.question = question;
+    setQuestionIsSet(true);
+    return this;
+  }
+
+  public void unsetQuestion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __QUESTION_ISSET_ID);
+  }
+
+  /** Returns true if field question is set (has been assigned a value) and false otherwise */
+  public boolean isSetQuestion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __QUESTION_ISSET_ID);
+  }
+
+  public void setQuestionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __QUESTION_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case DIGEST:
+      if (value == null) {
+        unsetDigest();
+      } else {
+        setDigest((java.util.List<DigestEntry>)value);
+      }
+      break;
+
+    case DELTAS:
+      if (value == null) {
+        unsetDeltas();
+      } else {
+        setDeltas((java.util.List<OwnerDelta>)value);
+      }
+      break;
+
+    case QUESTION:
+      if (value == null) {
+        unsetQuestion();
+      } else {
+        setQuestion((java.lang.Boolean)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case DIGEST:
+      return getDigest();
+
+    case DELTAS:
+      return getDeltas();
+
+    case QUESTION:
+      return isQuestion();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case DIGEST:
+      return isSetDigest();
+    case DELTAS:
+      return isSetDeltas();
+    case QUESTION:
+      return isSetQuestion();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof GossipMessage)
+      return this.equals((GossipMessage)that);
+    return false;
+  }
+
+  public boolean equals(GossipMessage that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_digest = true && this.isSetDigest();
+    boolean that_present_digest = true && that.isSetDigest();
+    if (this_present_digest || that_present_digest) {
+      if (!(this_present_digest && that_present_digest))
+        return false;
+      if (!this.digest.equals(that.digest))
         return false;
     }
 
-    public boolean equals(GossipMessage that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_digest = true && this.isSetDigest();
-        boolean that_present_digest = true && that.isSetDigest();
-        if (this_present_digest || that_present_digest) {
-            if (!(this_present_digest && that_present_digest)) return false;
-            if (!this.digest.equals(that.digest)) return false;
-        }
-
-        boolean this_present_deltas = true && this.isSetDeltas();
-        boolean that_present_deltas = true && that.isSetDeltas();
-        if (this_present_deltas || that_present_deltas) {
-            if (!(this_present_deltas && that_present_deltas)) return false;
-            if (!this.deltas.equals(that.deltas)) return false;
-        }
-
-        boolean this_present_question = true;
-        boolean that_present_question = true;
-        if (this_present_question || that_present_question) {
-            if (!(this_present_question && that_present_question)) return false;
-            if (this.question != that.question) return false;
-        }
-
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetDigest()) ? 131071 : 524287);
-        if (isSetDigest()) hashCode = hashCode * 8191 + digest.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetDeltas()) ? 131071 : 524287);
-        if (isSetDeltas()) hashCode = hashCode * 8191 + deltas.hashCode();
-
-        hashCode = hashCode * 8191 + ((question) ? 131071 : 524287);
-
-        return hashCode;
-    }
-
-    @Override
-    public int compareTo(GossipMessage other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetDigest(), other.isSetDigest());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetDigest()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.digest, other.digest);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetDeltas(), other.isSetDeltas());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetDeltas()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.deltas, other.deltas);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetQuestion(), other.isSetQuestion());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetQuestion()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.question, other.question);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    boolean this_present_deltas = true && this.isSetDeltas();
+    boolean that_present_deltas = true && that.isSetDeltas();
+    if (this_present_deltas || that_present_deltas) {
+      if (!(this_present_deltas && that_present_deltas))
+        return false;
+      if (!this.deltas.equals(that.deltas))
+        return false;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    boolean this_present_question = true;
+    boolean that_present_question = true;
+    if (this_present_question || that_present_question) {
+      if (!(this_present_question && that_present_question))
+        return false;
+      if (this.question != that.question)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetDigest()) ? 131071 : 524287);
+    if (isSetDigest())
+      hashCode = hashCode * 8191 + digest.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetDeltas()) ? 131071 : 524287);
+    if (isSetDeltas())
+      hashCode = hashCode * 8191 + deltas.hashCode();
+
+    hashCode = hashCode * 8191 + ((question) ? 131071 : 524287);
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(GossipMessage other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetDigest(), other.isSetDigest());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDigest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.digest, other.digest);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetDeltas(), other.isSetDeltas());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDeltas()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.deltas, other.deltas);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetQuestion(), other.isSetQuestion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQuestion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.question, other.question);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("GossipMessage(");
+    boolean first = true;
+
+    if (isSetDigest()) {
+      sb.append("digest:");
+      if (this.digest == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.digest);
+      }
+      first = false;
+    }
+    if (!first) sb.append(", ");
+    sb.append("deltas:");
+    if (this.deltas == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.deltas);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("question:");
+    sb.append(this.question);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (deltas == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'deltas' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'question' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class GossipMessageStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public GossipMessageStandardScheme getScheme() {
+      return new GossipMessageStandardScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class GossipMessageStandardScheme extends org.apache.thrift.scheme.StandardScheme<GossipMessage> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("GossipMessage(");
-        boolean first = true;
-
-        if (isSetDigest()) {
-            sb.append("digest:");
-            if (this.digest == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.digest);
-            }
-            first = false;
-        }
-        if (!first) sb.append(", ");
-        sb.append("deltas:");
-        if (this.deltas == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.deltas);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("question:");
-        sb.append(this.question);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (deltas == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'deltas' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'question' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class GossipMessageStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public GossipMessageStandardScheme getScheme() {
-            return new GossipMessageStandardScheme();
-        }
-    }
-
-    private static class GossipMessageStandardScheme extends org.apache.thrift.scheme.StandardScheme<GossipMessage> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, GossipMessage struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // DIGEST
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                                struct.digest = new java.util.ArrayList<DigestEntry>(_list16.size);
-                                @org.apache.thrift.annotation.Nullable DigestEntry _elem17;
-                                for (int _i18 = 0; _i18 < _list16.size; ++_i18) {
-                                    _elem17 = new DigestEntry();
-                                    _elem17.read(iprot);
-                                    struct.digest.add(_elem17);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setDigestIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // DELTAS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
-                                struct.deltas = new java.util.ArrayList<OwnerDelta>(_list19.size);
-                                @org.apache.thrift.annotation.Nullable OwnerDelta _elem20;
-                                for (int _i21 = 0; _i21 < _list19.size; ++_i21) {
-                                    _elem20 = new OwnerDelta();
-                                    _elem20.read(iprot);
-                                    struct.deltas.add(_elem20);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setDeltasIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // QUESTION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.question = iprot.readBool();
-                            struct.setQuestionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetQuestion()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'question' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, GossipMessage struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.digest != null) {
-                if (struct.isSetDigest()) {
-                    oprot.writeFieldBegin(DIGEST_FIELD_DESC);
-                    {
-                        oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                                org.apache.thrift.protocol.TType.STRUCT, struct.digest.size()));
-                        for (DigestEntry _iter22 : struct.digest) {
-                            _iter22.write(oprot);
-                        }
-                        oprot.writeListEnd();
-                    }
-                    oprot.writeFieldEnd();
+    public void read(org.apache.thrift.protocol.TProtocol iprot, GossipMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // DIGEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.digest = new java.util.ArrayList<DigestEntry>(_list16.size);
+                @org.apache.thrift.annotation.Nullable DigestEntry _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                {
+                  _elem17 = new DigestEntry();
+                  _elem17.read(iprot);
+                  struct.digest.add(_elem17);
                 }
+                iprot.readListEnd();
+              }
+              struct.setDigestIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (struct.deltas != null) {
-                oprot.writeFieldBegin(DELTAS_FIELD_DESC);
+            break;
+          case 2: // DELTAS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
+                struct.deltas = new java.util.ArrayList<OwnerDelta>(_list19.size);
+                @org.apache.thrift.annotation.Nullable OwnerDelta _elem20;
+                for (int _i21 = 0; _i21 < _list19.size; ++_i21)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.deltas.size()));
-                    for (OwnerDelta _iter23 : struct.deltas) {
-                        _iter23.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem20 = new OwnerDelta();
+                  _elem20.read(iprot);
+                  struct.deltas.add(_elem20);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setDeltasIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 3: // QUESTION
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.question = iprot.readBool();
+              struct.setQuestionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldBegin(QUESTION_FIELD_DESC);
-            oprot.writeBool(struct.question);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    private static class GossipMessageTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public GossipMessageTupleScheme getScheme() {
-            return new GossipMessageTupleScheme();
-        }
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetQuestion()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'question' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class GossipMessageTupleScheme extends org.apache.thrift.scheme.TupleScheme<GossipMessage> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, GossipMessage struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            {
-                oprot.writeI32(struct.deltas.size());
-                for (OwnerDelta _iter24 : struct.deltas) {
-                    _iter24.write(oprot);
-                }
-            }
-            oprot.writeBool(struct.question);
-            java.util.BitSet optionals = new java.util.BitSet();
-            if (struct.isSetDigest()) {
-                optionals.set(0);
-            }
-            oprot.writeBitSet(optionals, 1);
-            if (struct.isSetDigest()) {
-                {
-                    oprot.writeI32(struct.digest.size());
-                    for (DigestEntry _iter25 : struct.digest) {
-                        _iter25.write(oprot);
-                    }
-                }
-            }
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, GossipMessage struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, GossipMessage struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.digest != null) {
+        if (struct.isSetDigest()) {
+          oprot.writeFieldBegin(DIGEST_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.digest.size()));
+            for (DigestEntry _iter22 : struct.digest)
             {
-                org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.deltas = new java.util.ArrayList<OwnerDelta>(_list26.size);
-                @org.apache.thrift.annotation.Nullable OwnerDelta _elem27;
-                for (int _i28 = 0; _i28 < _list26.size; ++_i28) {
-                    _elem27 = new OwnerDelta();
-                    _elem27.read(iprot);
-                    struct.deltas.add(_elem27);
-                }
+              _iter22.write(oprot);
             }
-            struct.setDeltasIsSet(true);
-            struct.question = iprot.readBool();
-            struct.setQuestionIsSet(true);
-            java.util.BitSet incoming = iprot.readBitSet(1);
-            if (incoming.get(0)) {
-                {
-                    org.apache.thrift.protocol.TList _list29 =
-                            iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                    struct.digest = new java.util.ArrayList<DigestEntry>(_list29.size);
-                    @org.apache.thrift.annotation.Nullable DigestEntry _elem30;
-                    for (int _i31 = 0; _i31 < _list29.size; ++_i31) {
-                        _elem30 = new DigestEntry();
-                        _elem30.read(iprot);
-                        struct.digest.add(_elem30);
-                    }
-                }
-                struct.setDigestIsSet(true);
-            }
-        }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.deltas != null) {
+        oprot.writeFieldBegin(DELTAS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.deltas.size()));
+          for (OwnerDelta _iter23 : struct.deltas)
+          {
+            _iter23.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(QUESTION_FIELD_DESC);
+      oprot.writeBool(struct.question);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class GossipMessageTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public GossipMessageTupleScheme getScheme() {
+      return new GossipMessageTupleScheme();
     }
+  }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
+  private static class GossipMessageTupleScheme extends org.apache.thrift.scheme.TupleScheme<GossipMessage> {
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, GossipMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      {
+        oprot.writeI32(struct.deltas.size());
+        for (OwnerDelta _iter24 : struct.deltas)
+        {
+          _iter24.write(oprot);
+        }
+      }
+      oprot.writeBool(struct.question);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetDigest()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetDigest()) {
+        {
+          oprot.writeI32(struct.digest.size());
+          for (DigestEntry _iter25 : struct.digest)
+          {
+            _iter25.write(oprot);
+          }
+        }
+      }
     }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, GossipMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      {
+        org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.deltas = new java.util.ArrayList<OwnerDelta>(_list26.size);
+        @org.apache.thrift.annotation.Nullable OwnerDelta _elem27;
+        for (int _i28 = 0; _i28 < _list26.size; ++_i28)
+        {
+          _elem27 = new OwnerDelta();
+          _elem27.read(iprot);
+          struct.deltas.add(_elem27);
+        }
+      }
+      struct.setDeltasIsSet(true);
+      struct.question = iprot.readBool();
+      struct.setQuestionIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.digest = new java.util.ArrayList<DigestEntry>(_list29.size);
+          @org.apache.thrift.annotation.Nullable DigestEntry _elem30;
+          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          {
+            _elem30 = new DigestEntry();
+            _elem30.read(iprot);
+            struct.digest.add(_elem30);
+          }
+        }
+        struct.setDigestIsSet(true);
+      }
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/InstanceFact.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/InstanceFact.java
@@ -7,890 +7,859 @@
 package org.basilrill.thrift.membership;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class InstanceFact
-        implements org.apache.thrift.TBase<InstanceFact, InstanceFact._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<InstanceFact> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("InstanceFact");
-
-    private static final org.apache.thrift.protocol.TField DATA_CENTRE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("dataCentre", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField CALLER_ADDRESS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("callerAddress", org.apache.thrift.protocol.TType.STRING, (short) 2);
-    private static final org.apache.thrift.protocol.TField PEER_ADDRESS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("peerAddress", org.apache.thrift.protocol.TType.STRING, (short) 3);
-    private static final org.apache.thrift.protocol.TField DRAINING_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("draining", org.apache.thrift.protocol.TType.BOOL, (short) 4);
-    private static final org.apache.thrift.protocol.TField CURRENT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("current", org.apache.thrift.protocol.TType.BOOL, (short) 5);
-    private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short) 6);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new InstanceFactStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new InstanceFactTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String dataCentre; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String callerAddress; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String peerAddress; // required
-    private boolean draining; // required
-    private boolean current; // required
-    private long revision; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        DATA_CENTRE((short) 1, "dataCentre"),
-        CALLER_ADDRESS((short) 2, "callerAddress"),
-        PEER_ADDRESS((short) 3, "peerAddress"),
-        DRAINING((short) 4, "draining"),
-        CURRENT((short) 5, "current"),
-        REVISION((short) 6, "revision");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // DATA_CENTRE
-                    return DATA_CENTRE;
-                case 2: // CALLER_ADDRESS
-                    return CALLER_ADDRESS;
-                case 3: // PEER_ADDRESS
-                    return PEER_ADDRESS;
-                case 4: // DRAINING
-                    return DRAINING;
-                case 5: // CURRENT
-                    return CURRENT;
-                case 6: // REVISION
-                    return REVISION;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __DRAINING_ISSET_ID = 0;
-    private static final int __CURRENT_ISSET_ID = 1;
-    private static final int __REVISION_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+public class InstanceFact implements org.apache.thrift.TBase<InstanceFact, InstanceFact._Fields>, java.io.Serializable, Cloneable, Comparable<InstanceFact> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("InstanceFact");
+
+  private static final org.apache.thrift.protocol.TField DATA_CENTRE_FIELD_DESC = new org.apache.thrift.protocol.TField("dataCentre", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField CALLER_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("callerAddress", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField PEER_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("peerAddress", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField DRAINING_FIELD_DESC = new org.apache.thrift.protocol.TField("draining", org.apache.thrift.protocol.TType.BOOL, (short)4);
+  private static final org.apache.thrift.protocol.TField CURRENT_FIELD_DESC = new org.apache.thrift.protocol.TField("current", org.apache.thrift.protocol.TType.BOOL, (short)5);
+  private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)6);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new InstanceFactStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new InstanceFactTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String dataCentre; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String callerAddress; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String peerAddress; // required
+  private boolean draining; // required
+  private boolean current; // required
+  private long revision; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    DATA_CENTRE((short)1, "dataCentre"),
+    CALLER_ADDRESS((short)2, "callerAddress"),
+    PEER_ADDRESS((short)3, "peerAddress"),
+    DRAINING((short)4, "draining"),
+    CURRENT((short)5, "current"),
+    REVISION((short)6, "revision");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.DATA_CENTRE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "dataCentre",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.CALLER_ADDRESS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "callerAddress",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.PEER_ADDRESS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "peerAddress",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.DRAINING,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "draining",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        tmpMap.put(
-                _Fields.CURRENT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "current",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        tmpMap.put(
-                _Fields.REVISION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "revision",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(InstanceFact.class, metaDataMap);
-    }
-
-    public InstanceFact() {}
-
-    public InstanceFact(
-            java.lang.String dataCentre,
-            java.lang.String callerAddress,
-            java.lang.String peerAddress,
-            boolean draining,
-            boolean current,
-            long revision) {
-        this();
-        this.dataCentre = dataCentre;
-        this.callerAddress = callerAddress;
-        this.peerAddress = peerAddress;
-        this.draining = draining;
-        setDrainingIsSet(true);
-        this.current = current;
-        setCurrentIsSet(true);
-        this.revision = revision;
-        setRevisionIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public InstanceFact(InstanceFact other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetDataCentre()) {
-            this.dataCentre = other.dataCentre;
-        }
-        if (other.isSetCallerAddress()) {
-            this.callerAddress = other.callerAddress;
-        }
-        if (other.isSetPeerAddress()) {
-            this.peerAddress = other.peerAddress;
-        }
-        this.draining = other.draining;
-        this.current = other.current;
-        this.revision = other.revision;
-    }
-
-    @Override
-    public InstanceFact deepCopy() {
-        return new InstanceFact(this);
-    }
-
-    @Override
-    public void clear() {
-        this.dataCentre = null;
-        this.callerAddress = null;
-        this.peerAddress = null;
-        setDrainingIsSet(false);
-        this.draining = false;
-        setCurrentIsSet(false);
-        this.current = false;
-        setRevisionIsSet(false);
-        this.revision = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getDataCentre() {
-        return this.dataCentre;
-    }
-
-    public InstanceFact setDataCentre(@org.apache.thrift.annotation.Nullable java.lang.String dataCentre) {
-        this.dataCentre = dataCentre;
-        return this;
-    }
-
-    public void unsetDataCentre() {
-        this.dataCentre = null;
-    }
-
-    /** Returns true if field dataCentre is set (has been assigned a value) and false otherwise */
-    public boolean isSetDataCentre() {
-        return this.dataCentre != null;
-    }
-
-    public void setDataCentreIsSet(boolean value) {
-        if (!value) {
-            this.dataCentre = null;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getCallerAddress() {
-        return this.callerAddress;
-    }
-
-    public InstanceFact setCallerAddress(@org.apache.thrift.annotation.Nullable java.lang.String callerAddress) {
-        this.callerAddress = callerAddress;
-        return this;
-    }
-
-    public void unsetCallerAddress() {
-        this.callerAddress = null;
-    }
-
-    /** Returns true if field callerAddress is set (has been assigned a value) and false otherwise */
-    public boolean isSetCallerAddress() {
-        return this.callerAddress != null;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // DATA_CENTRE
+          return DATA_CENTRE;
+        case 2: // CALLER_ADDRESS
+          return CALLER_ADDRESS;
+        case 3: // PEER_ADDRESS
+          return PEER_ADDRESS;
+        case 4: // DRAINING
+          return DRAINING;
+        case 5: // CURRENT
+          return CURRENT;
+        case 6: // REVISION
+          return REVISION;
+        default:
+          return null;
+      }
     }
 
-    public void setCallerAddressIsSet(boolean value) {
-        if (!value) {
-            this.callerAddress = null;
-        }
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getPeerAddress() {
-        return this.peerAddress;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public InstanceFact setPeerAddress(@org.apache.thrift.annotation.Nullable java.lang.String peerAddress) {
-        this.peerAddress = peerAddress;
-        return this;
-    }
-
-    public void unsetPeerAddress() {
-        this.peerAddress = null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    /** Returns true if field peerAddress is set (has been assigned a value) and false otherwise */
-    public boolean isSetPeerAddress() {
-        return this.peerAddress != null;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    public void setPeerAddressIsSet(boolean value) {
-        if (!value) {
-            this.peerAddress = null;
-        }
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public boolean isDraining() {
-        return this.draining;
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __DRAINING_ISSET_ID = 0;
+  private static final int __CURRENT_ISSET_ID = 1;
+  private static final int __REVISION_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.DATA_CENTRE, new org.apache.thrift.meta_data.FieldMetaData("dataCentre", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.CALLER_ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("callerAddress", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.PEER_ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("peerAddress", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.DRAINING, new org.apache.thrift.meta_data.FieldMetaData("draining", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.CURRENT, new org.apache.thrift.meta_data.FieldMetaData("current", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.REVISION, new org.apache.thrift.meta_data.FieldMetaData("revision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(InstanceFact.class, metaDataMap);
+  }
+
+  public InstanceFact() {
+  }
+
+  public InstanceFact(
+    java.lang.String dataCentre,
+    java.lang.String callerAddress,
+    java.lang.String peerAddress,
+    boolean draining,
+    boolean current,
+    long revision)
+  {
+    this();
+    this.dataCentre = dataCentre;
+    this.callerAddress = callerAddress;
+    this.peerAddress = peerAddress;
+    this.draining = draining;
+    setDrainingIsSet(true);
+    this.current = current;
+    setCurrentIsSet(true);
+    this.revision = revision;
+    setRevisionIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public InstanceFact(InstanceFact other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetDataCentre()) {
+      this.dataCentre = other.dataCentre;
+    }
+    if (other.isSetCallerAddress()) {
+      this.callerAddress = other.callerAddress;
+    }
+    if (other.isSetPeerAddress()) {
+      this.peerAddress = other.peerAddress;
+    }
+    this.draining = other.draining;
+    this.current = other.current;
+    this.revision = other.revision;
+  }
+
+  @Override
+  public InstanceFact deepCopy() {
+    return new InstanceFact(this);
+  }
+
+  @Override
+  public void clear() {
+    this.dataCentre = null;
+    this.callerAddress = null;
+    this.peerAddress = null;
+    setDrainingIsSet(false);
+    this.draining = false;
+    setCurrentIsSet(false);
+    this.current = false;
+    setRevisionIsSet(false);
+    this.revision = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getDataCentre() {
+    return this.dataCentre;
+  }
+
+  public InstanceFact setDataCentre(@org.apache.thrift.annotation.Nullable java.lang.String dataCentre) {
+    this.dataCentre = dataCentre;
+    return this;
+  }
+
+  public void unsetDataCentre() {
+    this.dataCentre = null;
+  }
+
+  /** Returns true if field dataCentre is set (has been assigned a value) and false otherwise */
+  public boolean isSetDataCentre() {
+    return this.dataCentre != null;
+  }
+
+  public void setDataCentreIsSet(boolean value) {
+    if (!value) {
+      this.dataCentre = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getCallerAddress() {
+    return this.callerAddress;
+  }
+
+  public InstanceFact setCallerAddress(@org.apache.thrift.annotation.Nullable java.lang.String callerAddress) {
+    this.callerAddress = callerAddress;
+    return this;
+  }
+
+  public void unsetCallerAddress() {
+    this.callerAddress = null;
+  }
+
+  /** Returns true if field callerAddress is set (has been assigned a value) and false otherwise */
+  public boolean isSetCallerAddress() {
+    return this.callerAddress != null;
+  }
+
+  public void setCallerAddressIsSet(boolean value) {
+    if (!value) {
+      this.callerAddress = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getPeerAddress() {
+    return this.peerAddress;
+  }
+
+  public InstanceFact setPeerAddress(@org.apache.thrift.annotation.Nullable java.lang.String peerAddress) {
+    this.peerAddress = peerAddress;
+    return this;
+  }
+
+  public void unsetPeerAddress() {
+    this.peerAddress = null;
+  }
+
+  /** Returns true if field peerAddress is set (has been assigned a value) and false otherwise */
+  public boolean isSetPeerAddress() {
+    return this.peerAddress != null;
+  }
+
+  public void setPeerAddressIsSet(boolean value) {
+    if (!value) {
+      this.peerAddress = null;
+    }
+  }
+
+  public boolean isDraining() {
+    return this.draining;
+  }
+
+  public InstanceFact setDraining(boolean draining) {
+    this.draining = draining;
+    setDrainingIsSet(true);
+    return this;
+  }
+
+  public void unsetDraining() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __DRAINING_ISSET_ID);
+  }
+
+  /** Returns true if field draining is set (has been assigned a value) and false otherwise */
+  public boolean isSetDraining() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __DRAINING_ISSET_ID);
+  }
+
+  public void setDrainingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __DRAINING_ISSET_ID, value);
+  }
+
+  public boolean isCurrent() {
+    return this.current;
+  }
+
+  public InstanceFact setCurrent(boolean current) {
+    this.current = current;
+    setCurrentIsSet(true);
+    return this;
+  }
+
+  public void unsetCurrent() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CURRENT_ISSET_ID);
+  }
+
+  /** Returns true if field current is set (has been assigned a value) and false otherwise */
+  public boolean isSetCurrent() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CURRENT_ISSET_ID);
+  }
+
+  public void setCurrentIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CURRENT_ISSET_ID, value);
+  }
+
+  public long getRevision() {
+    return this.revision;
+  }
+
+  public InstanceFact setRevision(long revision) {
+    this.revision = revision;
+    setRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REVISION_ISSET_ID);
+  }
+
+  /** Returns true if field revision is set (has been assigned a value) and false otherwise */
+  public boolean isSetRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REVISION_ISSET_ID);
+  }
+
+  public void setRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case DATA_CENTRE:
+      if (value == null) {
+        unsetDataCentre();
+      } else {
+        setDataCentre((java.lang.String)value);
+      }
+      break;
+
+    case CALLER_ADDRESS:
+      if (value == null) {
+        unsetCallerAddress();
+      } else {
+        setCallerAddress((java.lang.String)value);
+      }
+      break;
+
+    case PEER_ADDRESS:
+      if (value == null) {
+        unsetPeerAddress();
+      } else {
+        setPeerAddress((java.lang.String)value);
+      }
+      break;
+
+    case DRAINING:
+      if (value == null) {
+        unsetDraining();
+      } else {
+        setDraining((java.lang.Boolean)value);
+      }
+      break;
+
+    case CURRENT:
+      if (value == null) {
+        unsetCurrent();
+      } else {
+        setCurrent((java.lang.Boolean)value);
+      }
+      break;
+
+    case REVISION:
+      if (value == null) {
+        unsetRevision();
+      } else {
+        setRevision((java.lang.Long)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case DATA_CENTRE:
+      return getDataCentre();
+
+    case CALLER_ADDRESS:
+      return getCallerAddress();
+
+    case PEER_ADDRESS:
+      return getPeerAddress();
+
+    case DRAINING:
+      return isDraining();
+
+    case CURRENT:
+      return isCurrent();
+
+    case REVISION:
+      return getRevision();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case DATA_CENTRE:
+      return isSetDataCentre();
+    case CALLER_ADDRESS:
+      return isSetCallerAddress();
+    case PEER_ADDRESS:
+      return isSetPeerAddress();
+    case DRAINING:
+      return isSetDraining();
+    case CURRENT:
+      return isSetCurrent();
+    case REVISION:
+      return isSetRevision();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof InstanceFact)
+      return this.equals((InstanceFact)that);
+    return false;
+  }
+
+  public boolean equals(InstanceFact that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_dataCentre = true && this.isSetDataCentre();
+    boolean that_present_dataCentre = true && that.isSetDataCentre();
+    if (this_present_dataCentre || that_present_dataCentre) {
+      if (!(this_present_dataCentre && that_present_dataCentre))
+        return false;
+      if (!this.dataCentre.equals(that.dataCentre))
+        return false;
     }
 
-    public InstanceFact setDraining(boolean draining) {
-        this.draining = draining;
-        setDrainingIsSet(true);
-        return this;
+    boolean this_present_callerAddress = true && this.isSetCallerAddress();
+    boolean that_present_callerAddress = true && that.isSetCallerAddress();
+    if (this_present_callerAddress || that_present_callerAddress) {
+      if (!(this_present_callerAddress && that_present_callerAddress))
+        return false;
+      if (!this.callerAddress.equals(that.callerAddress))
+        return false;
     }
 
-    public void unsetDraining() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __DRAINING_ISSET_ID);
+    boolean this_present_peerAddress = true && this.isSetPeerAddress();
+    boolean that_present_peerAddress = true && that.isSetPeerAddress();
+    if (this_present_peerAddress || that_present_peerAddress) {
+      if (!(this_present_peerAddress && that_present_peerAddress))
+        return false;
+      if (!this.peerAddress.equals(that.peerAddress))
+        return false;
     }
 
-    /** Returns true if field draining is set (has been assigned a value) and false otherwise */
-    public boolean isSetDraining() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __DRAINING_ISSET_ID);
+    boolean this_present_draining = true;
+    boolean that_present_draining = true;
+    if (this_present_draining || that_present_draining) {
+      if (!(this_present_draining && that_present_draining))
+        return false;
+      if (this.draining != that.draining)
+        return false;
     }
 
-    public void setDrainingIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __DRAINING_ISSET_ID, value);
+    boolean this_present_current = true;
+    boolean that_present_current = true;
+    if (this_present_current || that_present_current) {
+      if (!(this_present_current && that_present_current))
+        return false;
+      if (this.current != that.current)
+        return false;
     }
 
-    public boolean isCurrent() {
-        return this.current;
+    boolean this_present_revision = true;
+    boolean that_present_revision = true;
+    if (this_present_revision || that_present_revision) {
+      if (!(this_present_revision && that_present_revision))
+        return false;
+      if (this.revision != that.revision)
+        return false;
     }
 
-    public InstanceFact setCurrent(boolean current) {
-        this.current = current;
-        setCurrentIsSet(true);
-        return this;
-    }
+    return true;
+  }
 
-    public void unsetCurrent() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CURRENT_ISSET_ID);
-    }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-    /** Returns true if field current is set (has been assigned a value) and false otherwise */
-    public boolean isSetCurrent() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CURRENT_ISSET_ID);
-    }
+    hashCode = hashCode * 8191 + ((isSetDataCentre()) ? 131071 : 524287);
+    if (isSetDataCentre())
+      hashCode = hashCode * 8191 + dataCentre.hashCode();
 
-    public void setCurrentIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CURRENT_ISSET_ID, value);
-    }
+    hashCode = hashCode * 8191 + ((isSetCallerAddress()) ? 131071 : 524287);
+    if (isSetCallerAddress())
+      hashCode = hashCode * 8191 + callerAddress.hashCode();
 
-    public long getRevision() {
-        return this.revision;
-    }
+    hashCode = hashCode * 8191 + ((isSetPeerAddress()) ? 131071 : 524287);
+    if (isSetPeerAddress())
+      hashCode = hashCode * 8191 + peerAddress.hashCode();
 
-    public InstanceFact setRevision(long revision) {
-        this.revision = revision;
-        setRevisionIsSet(true);
-        return this;
-    }
+    hashCode = hashCode * 8191 + ((draining) ? 131071 : 524287);
 
-    public void unsetRevision() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REVISION_ISSET_ID);
-    }
+    hashCode = hashCode * 8191 + ((current) ? 131071 : 524287);
 
-    /** Returns true if field revision is set (has been assigned a value) and false otherwise */
-    public boolean isSetRevision() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REVISION_ISSET_ID);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
 
-    public void setRevisionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
-    }
+    return hashCode;
+  }
 
+  @Override
+  public int compareTo(InstanceFact other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetDataCentre(), other.isSetDataCentre());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDataCentre()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.dataCentre, other.dataCentre);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetCallerAddress(), other.isSetCallerAddress());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCallerAddress()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.callerAddress, other.callerAddress);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPeerAddress(), other.isSetPeerAddress());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPeerAddress()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.peerAddress, other.peerAddress);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetDraining(), other.isSetDraining());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDraining()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.draining, other.draining);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetCurrent(), other.isSetCurrent());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCurrent()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.current, other.current);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRevision(), other.isSetRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.revision, other.revision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("InstanceFact(");
+    boolean first = true;
+
+    sb.append("dataCentre:");
+    if (this.dataCentre == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.dataCentre);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("callerAddress:");
+    if (this.callerAddress == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.callerAddress);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("peerAddress:");
+    if (this.peerAddress == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.peerAddress);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("draining:");
+    sb.append(this.draining);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("current:");
+    sb.append(this.current);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("revision:");
+    sb.append(this.revision);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (dataCentre == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'dataCentre' was not present! Struct: " + toString());
+    }
+    if (callerAddress == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'callerAddress' was not present! Struct: " + toString());
+    }
+    if (peerAddress == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'peerAddress' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'draining' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'current' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'revision' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class InstanceFactStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case DATA_CENTRE:
-                if (value == null) {
-                    unsetDataCentre();
-                } else {
-                    setDataCentre((java.lang.String) value);
-                }
-                break;
-
-            case CALLER_ADDRESS:
-                if (value == null) {
-                    unsetCallerAddress();
-                } else {
-                    setCallerAddress((java.lang.String) value);
-                }
-                break;
-
-            case PEER_ADDRESS:
-                if (value == null) {
-                    unsetPeerAddress();
-                } else {
-                    setPeerAddress((java.lang.String) value);
-                }
-                break;
-
-            case DRAINING:
-                if (value == null) {
-                    unsetDraining();
-                } else {
-                    setDraining((java.lang.Boolean) value);
-                }
-                break;
-
-            case CURRENT:
-                if (value == null) {
-                    unsetCurrent();
-                } else {
-                    setCurrent((java.lang.Boolean) value);
-                }
-                break;
-
-            case REVISION:
-                if (value == null) {
-                    unsetRevision();
-                } else {
-                    setRevision((java.lang.Long) value);
-                }
-                break;
-        }
+    public InstanceFactStandardScheme getScheme() {
+      return new InstanceFactStandardScheme();
     }
+  }
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case DATA_CENTRE:
-                return getDataCentre();
-
-            case CALLER_ADDRESS:
-                return getCallerAddress();
-
-            case PEER_ADDRESS:
-                return getPeerAddress();
+  private static class InstanceFactStandardScheme extends org.apache.thrift.scheme.StandardScheme<InstanceFact> {
 
-            case DRAINING:
-                return isDraining();
-
-            case CURRENT:
-                return isCurrent();
-
-            case REVISION:
-                return getRevision();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case DATA_CENTRE:
-                return isSetDataCentre();
-            case CALLER_ADDRESS:
-                return isSetCallerAddress();
-            case PEER_ADDRESS:
-                return isSetPeerAddress();
-            case DRAINING:
-                return isSetDraining();
-            case CURRENT:
-                return isSetCurrent();
-            case REVISION:
-                return isSetRevision();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof InstanceFact) return this.equals((InstanceFact) that);
-        return false;
-    }
-
-    public boolean equals(InstanceFact that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_dataCentre = true && this.isSetDataCentre();
-        boolean that_present_dataCentre = true && that.isSetDataCentre();
-        if (this_present_dataCentre || that_present_dataCentre) {
-            if (!(this_present_dataCentre && that_present_dataCentre)) return false;
-            if (!this.dataCentre.equals(that.dataCentre)) return false;
-        }
-
-        boolean this_present_callerAddress = true && this.isSetCallerAddress();
-        boolean that_present_callerAddress = true && that.isSetCallerAddress();
-        if (this_present_callerAddress || that_present_callerAddress) {
-            if (!(this_present_callerAddress && that_present_callerAddress)) return false;
-            if (!this.callerAddress.equals(that.callerAddress)) return false;
-        }
-
-        boolean this_present_peerAddress = true && this.isSetPeerAddress();
-        boolean that_present_peerAddress = true && that.isSetPeerAddress();
-        if (this_present_peerAddress || that_present_peerAddress) {
-            if (!(this_present_peerAddress && that_present_peerAddress)) return false;
-            if (!this.peerAddress.equals(that.peerAddress)) return false;
-        }
-
-        boolean this_present_draining = true;
-        boolean that_present_draining = true;
-        if (this_present_draining || that_present_draining) {
-            if (!(this_present_draining && that_present_draining)) return false;
-            if (this.draining != that.draining) return false;
-        }
-
-        boolean this_present_current = true;
-        boolean that_present_current = true;
-        if (this_present_current || that_present_current) {
-            if (!(this_present_current && that_present_current)) return false;
-            if (this.current != that.current) return false;
-        }
-
-        boolean this_present_revision = true;
-        boolean that_present_revision = true;
-        if (this_present_revision || that_present_revision) {
-            if (!(this_present_revision && that_present_revision)) return false;
-            if (this.revision != that.revision) return false;
-        }
-
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetDataCentre()) ? 131071 : 524287);
-        if (isSetDataCentre()) hashCode = hashCode * 8191 + dataCentre.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetCallerAddress()) ? 131071 : 524287);
-        if (isSetCallerAddress()) hashCode = hashCode * 8191 + callerAddress.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetPeerAddress()) ? 131071 : 524287);
-        if (isSetPeerAddress()) hashCode = hashCode * 8191 + peerAddress.hashCode();
-
-        hashCode = hashCode * 8191 + ((draining) ? 131071 : 524287);
-
-        hashCode = hashCode * 8191 + ((current) ? 131071 : 524287);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
-
-        return hashCode;
-    }
-
-    @Override
-    public int compareTo(InstanceFact other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetDataCentre(), other.isSetDataCentre());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetDataCentre()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.dataCentre, other.dataCentre);
-            if (lastComparison != 0) {
-                return lastComparison;
+    public void read(org.apache.thrift.protocol.TProtocol iprot, InstanceFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // DATA_CENTRE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.dataCentre = iprot.readString();
+              struct.setDataCentreIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetCallerAddress(), other.isSetCallerAddress());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetCallerAddress()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.callerAddress, other.callerAddress);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // CALLER_ADDRESS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.callerAddress = iprot.readString();
+              struct.setCallerAddressIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetPeerAddress(), other.isSetPeerAddress());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetPeerAddress()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.peerAddress, other.peerAddress);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // PEER_ADDRESS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.peerAddress = iprot.readString();
+              struct.setPeerAddressIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetDraining(), other.isSetDraining());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetDraining()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.draining, other.draining);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // DRAINING
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.draining = iprot.readBool();
+              struct.setDrainingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetCurrent(), other.isSetCurrent());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetCurrent()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.current, other.current);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 5: // CURRENT
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.current = iprot.readBool();
+              struct.setCurrentIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRevision(), other.isSetRevision());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRevision()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.revision, other.revision);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 6: // REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.revision = iprot.readI64();
+              struct.setRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetDraining()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'draining' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetCurrent()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'current' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetRevision()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'revision' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, InstanceFact struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.dataCentre != null) {
+        oprot.writeFieldBegin(DATA_CENTRE_FIELD_DESC);
+        oprot.writeString(struct.dataCentre);
+        oprot.writeFieldEnd();
+      }
+      if (struct.callerAddress != null) {
+        oprot.writeFieldBegin(CALLER_ADDRESS_FIELD_DESC);
+        oprot.writeString(struct.callerAddress);
+        oprot.writeFieldEnd();
+      }
+      if (struct.peerAddress != null) {
+        oprot.writeFieldBegin(PEER_ADDRESS_FIELD_DESC);
+        oprot.writeString(struct.peerAddress);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(DRAINING_FIELD_DESC);
+      oprot.writeBool(struct.draining);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(CURRENT_FIELD_DESC);
+      oprot.writeBool(struct.current);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(REVISION_FIELD_DESC);
+      oprot.writeI64(struct.revision);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class InstanceFactTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public InstanceFactTupleScheme getScheme() {
+      return new InstanceFactTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class InstanceFactTupleScheme extends org.apache.thrift.scheme.TupleScheme<InstanceFact> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("InstanceFact(");
-        boolean first = true;
-
-        sb.append("dataCentre:");
-        if (this.dataCentre == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.dataCentre);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("callerAddress:");
-        if (this.callerAddress == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.callerAddress);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("peerAddress:");
-        if (this.peerAddress == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.peerAddress);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("draining:");
-        sb.append(this.draining);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("current:");
-        sb.append(this.current);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("revision:");
-        sb.append(this.revision);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (dataCentre == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'dataCentre' was not present! Struct: " + toString());
-        }
-        if (callerAddress == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'callerAddress' was not present! Struct: " + toString());
-        }
-        if (peerAddress == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'peerAddress' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'draining' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'current' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'revision' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, InstanceFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.dataCentre);
+      oprot.writeString(struct.callerAddress);
+      oprot.writeString(struct.peerAddress);
+      oprot.writeBool(struct.draining);
+      oprot.writeBool(struct.current);
+      oprot.writeI64(struct.revision);
     }
 
-    private static class InstanceFactStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public InstanceFactStandardScheme getScheme() {
-            return new InstanceFactStandardScheme();
-        }
-    }
-
-    private static class InstanceFactStandardScheme extends org.apache.thrift.scheme.StandardScheme<InstanceFact> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, InstanceFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // DATA_CENTRE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.dataCentre = iprot.readString();
-                            struct.setDataCentreIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // CALLER_ADDRESS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.callerAddress = iprot.readString();
-                            struct.setCallerAddressIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // PEER_ADDRESS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.peerAddress = iprot.readString();
-                            struct.setPeerAddressIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // DRAINING
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.draining = iprot.readBool();
-                            struct.setDrainingIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // CURRENT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.current = iprot.readBool();
-                            struct.setCurrentIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // REVISION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.revision = iprot.readI64();
-                            struct.setRevisionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetDraining()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'draining' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetCurrent()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'current' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetRevision()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'revision' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, InstanceFact struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.dataCentre != null) {
-                oprot.writeFieldBegin(DATA_CENTRE_FIELD_DESC);
-                oprot.writeString(struct.dataCentre);
-                oprot.writeFieldEnd();
-            }
-            if (struct.callerAddress != null) {
-                oprot.writeFieldBegin(CALLER_ADDRESS_FIELD_DESC);
-                oprot.writeString(struct.callerAddress);
-                oprot.writeFieldEnd();
-            }
-            if (struct.peerAddress != null) {
-                oprot.writeFieldBegin(PEER_ADDRESS_FIELD_DESC);
-                oprot.writeString(struct.peerAddress);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(DRAINING_FIELD_DESC);
-            oprot.writeBool(struct.draining);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(CURRENT_FIELD_DESC);
-            oprot.writeBool(struct.current);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(REVISION_FIELD_DESC);
-            oprot.writeI64(struct.revision);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class InstanceFactTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public InstanceFactTupleScheme getScheme() {
-            return new InstanceFactTupleScheme();
-        }
-    }
-
-    private static class InstanceFactTupleScheme extends org.apache.thrift.scheme.TupleScheme<InstanceFact> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, InstanceFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.dataCentre);
-            oprot.writeString(struct.callerAddress);
-            oprot.writeString(struct.peerAddress);
-            oprot.writeBool(struct.draining);
-            oprot.writeBool(struct.current);
-            oprot.writeI64(struct.revision);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, InstanceFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.dataCentre = iprot.readString();
-            struct.setDataCentreIsSet(true);
-            struct.callerAddress = iprot.readString();
-            struct.setCallerAddressIsSet(true);
-            struct.peerAddress = iprot.readString();
-            struct.setPeerAddressIsSet(true);
-            struct.draining = iprot.readBool();
-            struct.setDrainingIsSet(true);
-            struct.current = iprot.readBool();
-            struct.setCurrentIsSet(true);
-            struct.revision = iprot.readI64();
-            struct.setRevisionIsSet(true);
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, InstanceFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.dataCentre = iprot.readString();
+      struct.setDataCentreIsSet(true);
+      struct.callerAddress = iprot.readString();
+      struct.setCallerAddressIsSet(true);
+      struct.peerAddress = iprot.readString();
+      struct.setPeerAddressIsSet(true);
+      struct.draining = iprot.readBool();
+      struct.setDrainingIsSet(true);
+      struct.current = iprot.readBool();
+      struct.setCurrentIsSet(true);
+      struct.revision = iprot.readI64();
+      struct.setRevisionIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/InstanceLoadFact.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/InstanceLoadFact.java
@@ -7,384 +7,370 @@
 package org.basilrill.thrift.membership;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class InstanceLoadFact
-        implements org.apache.thrift.TBase<InstanceLoadFact, InstanceLoadFact._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<InstanceLoadFact> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("InstanceLoadFact");
-
-    private static final org.apache.thrift.protocol.TField REQUESTS_IN_FLIGHT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("requestsInFlight", org.apache.thrift.protocol.TType.I32, (short) 1);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new InstanceLoadFactStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new InstanceLoadFactTupleSchemeFactory();
-
-    private int requestsInFlight; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        REQUESTS_IN_FLIGHT((short) 1, "requestsInFlight");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // REQUESTS_IN_FLIGHT
-                    return REQUESTS_IN_FLIGHT;
-                default:
-                    return null;
-            }
-        }
+public class InstanceLoadFact implements org.apache.thrift.TBase<InstanceLoadFact, InstanceLoadFact._Fields>, java.io.Serializable, Cloneable, Comparable<InstanceLoadFact> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("InstanceLoadFact");
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+  private static final org.apache.thrift.protocol.TField REQUESTS_IN_FLIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("requestsInFlight", org.apache.thrift.protocol.TType.I32, (short)1);
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new InstanceLoadFactStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new InstanceLoadFactTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private int requestsInFlight; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    REQUESTS_IN_FLIGHT((short)1, "requestsInFlight");
 
-    // isset id assignments
-    private static final int __REQUESTSINFLIGHT_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.REQUESTS_IN_FLIGHT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "requestsInFlight",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(InstanceLoadFact.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public InstanceLoadFact() {}
-
-    public InstanceLoadFact(int requestsInFlight) {
-        this();
-        this.requestsInFlight = requestsInFlight;
-        setRequestsInFlightIsSet(true);
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // REQUESTS_IN_FLIGHT
+          return REQUESTS_IN_FLIGHT;
+        default:
+          return null;
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
      */
-    public InstanceLoadFact(InstanceLoadFact other) {
-        __isset_bitfield = other.__isset_bitfield;
-        this.requestsInFlight = other.requestsInFlight;
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    @Override
-    public InstanceLoadFact deepCopy() {
-        return new InstanceLoadFact(this);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @Override
-    public void clear() {
-        setRequestsInFlightIsSet(false);
-        this.requestsInFlight = 0;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public int getRequestsInFlight() {
-        return this.requestsInFlight;
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    public InstanceLoadFact setRequestsInFlight(int requestsInFlight) {
-        this.requestsInFlight = requestsInFlight;
-        setRequestsInFlightIsSet(true);
-        return this;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public void unsetRequestsInFlight() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTSINFLIGHT_ISSET_ID);
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
     }
+  }
+
+  // isset id assignments
+  private static final int __REQUESTSINFLIGHT_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.REQUESTS_IN_FLIGHT, new org.apache.thrift.meta_data.FieldMetaData("requestsInFlight", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(InstanceLoadFact.class, metaDataMap);
+  }
+
+  public InstanceLoadFact() {
+  }
+
+  public InstanceLoadFact(
+    int requestsInFlight)
+  {
+    this();
+    this.requestsInFlight = requestsInFlight;
+    setRequestsInFlightIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public InstanceLoadFact(InstanceLoadFact other) {
+    __isset_bitfield = other.__isset_bitfield;
+    this.requestsInFlight = other.requestsInFlight;
+  }
+
+  @Override
+  public InstanceLoadFact deepCopy() {
+    return new InstanceLoadFact(this);
+  }
+
+  @Override
+  public void clear() {
+    setRequestsInFlightIsSet(false);
+    this.requestsInFlight = 0;
+  }
+
+  public int getRequestsInFlight() {
+    return this.requestsInFlight;
+  }
+
+  public InstanceLoadFact setRequestsInFlight(int requestsInFlight) {
+    this.requestsInFlight = requestsInFlight;
+    setRequestsInFlightIsSet(true);
+    return this;
+  }
+
+  public void unsetRequestsInFlight() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __REQUESTSINFLIGHT_ISSET_ID);
+  }
+
+  /** Returns true if field requestsInFlight is set (has been assigned a value) and false otherwise */
+  public boolean isSetRequestsInFlight() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTSINFLIGHT_ISSET_ID);
+  }
+
+  public void setRequestsInFlightIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTSINFLIGHT_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case REQUESTS_IN_FLIGHT:
+      if (value == null) {
+        unsetRequestsInFlight();
+      } else {
+        setRequestsInFlight((java.lang.Integer)value);
+      }
+      break;
 
-    /** Returns true if field requestsInFlight is set (has been assigned a value) and false otherwise */
-    public boolean isSetRequestsInFlight() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __REQUESTSINFLIGHT_ISSET_ID);
     }
+  }
 
-    public void setRequestsInFlightIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REQUESTSINFLIGHT_ISSET_ID, value);
-    }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case REQUESTS_IN_FLIGHT:
+      return getRequestsInFlight();
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case REQUESTS_IN_FLIGHT:
-                if (value == null) {
-                    unsetRequestsInFlight();
-                } else {
-                    setRequestsInFlight((java.lang.Integer) value);
-                }
-                break;
-        }
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case REQUESTS_IN_FLIGHT:
-                return getRequestsInFlight();
-        }
-        throw new java.lang.IllegalStateException();
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case REQUESTS_IN_FLIGHT:
-                return isSetRequestsInFlight();
-        }
-        throw new java.lang.IllegalStateException();
+    switch (field) {
+    case REQUESTS_IN_FLIGHT:
+      return isSetRequestsInFlight();
     }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof InstanceLoadFact) return this.equals((InstanceLoadFact) that);
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof InstanceLoadFact)
+      return this.equals((InstanceLoadFact)that);
+    return false;
+  }
+
+  public boolean equals(InstanceLoadFact that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_requestsInFlight = true;
+    boolean that_present_requestsInFlight = true;
+    if (this_present_requestsInFlight || that_present_requestsInFlight) {
+      if (!(this_present_requestsInFlight && that_present_requestsInFlight))
+        return false;
+      if (this.requestsInFlight != that.requestsInFlight)
         return false;
     }
 
-    public boolean equals(InstanceLoadFact that) {
-        if (that == null) return false;
-        if (this == that) return true;
+    return true;
+  }
 
-        boolean this_present_requestsInFlight = true;
-        boolean that_present_requestsInFlight = true;
-        if (this_present_requestsInFlight || that_present_requestsInFlight) {
-            if (!(this_present_requestsInFlight && that_present_requestsInFlight)) return false;
-            if (this.requestsInFlight != that.requestsInFlight) return false;
-        }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    hashCode = hashCode * 8191 + requestsInFlight;
 
-        hashCode = hashCode * 8191 + requestsInFlight;
+    return hashCode;
+  }
 
-        return hashCode;
+  @Override
+  public int compareTo(InstanceLoadFact other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    @Override
-    public int compareTo(InstanceLoadFact other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+    int lastComparison = 0;
 
-        lastComparison = java.lang.Boolean.compare(isSetRequestsInFlight(), other.isSetRequestsInFlight());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRequestsInFlight()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestsInFlight, other.requestsInFlight);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    lastComparison = java.lang.Boolean.compare(isSetRequestsInFlight(), other.isSetRequestsInFlight());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    if (isSetRequestsInFlight()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.requestsInFlight, other.requestsInFlight);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("InstanceLoadFact(");
+    boolean first = true;
+
+    sb.append("requestsInFlight:");
+    sb.append(this.requestsInFlight);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    // alas, we cannot check 'requestsInFlight' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
+  private static class InstanceLoadFactStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("InstanceLoadFact(");
-        boolean first = true;
-
-        sb.append("requestsInFlight:");
-        sb.append(this.requestsInFlight);
-        first = false;
-        sb.append(")");
-        return sb.toString();
+    public InstanceLoadFactStandardScheme getScheme() {
+      return new InstanceLoadFactStandardScheme();
     }
+  }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        // alas, we cannot check 'requestsInFlight' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  private static class InstanceLoadFactStandardScheme extends org.apache.thrift.scheme.StandardScheme<InstanceLoadFact> {
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, InstanceLoadFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
+        switch (schemeField.id) {
+          case 1: // REQUESTS_IN_FLIGHT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.requestsInFlight = iprot.readI32();
+              struct.setRequestsInFlightIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRequestsInFlight()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'requestsInFlight' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class InstanceLoadFactStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public InstanceLoadFactStandardScheme getScheme() {
-            return new InstanceLoadFactStandardScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, InstanceLoadFact struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      oprot.writeFieldBegin(REQUESTS_IN_FLIGHT_FIELD_DESC);
+      oprot.writeI32(struct.requestsInFlight);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    private static class InstanceLoadFactStandardScheme
-            extends org.apache.thrift.scheme.StandardScheme<InstanceLoadFact> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, InstanceLoadFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // REQUESTS_IN_FLIGHT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.requestsInFlight = iprot.readI32();
-                            struct.setRequestsInFlightIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRequestsInFlight()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'requestsInFlight' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, InstanceLoadFact struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            oprot.writeFieldBegin(REQUESTS_IN_FLIGHT_FIELD_DESC);
-            oprot.writeI32(struct.requestsInFlight);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
+  }
 
-    private static class InstanceLoadFactTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public InstanceLoadFactTupleScheme getScheme() {
-            return new InstanceLoadFactTupleScheme();
-        }
+  private static class InstanceLoadFactTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public InstanceLoadFactTupleScheme getScheme() {
+      return new InstanceLoadFactTupleScheme();
     }
+  }
 
-    private static class InstanceLoadFactTupleScheme extends org.apache.thrift.scheme.TupleScheme<InstanceLoadFact> {
+  private static class InstanceLoadFactTupleScheme extends org.apache.thrift.scheme.TupleScheme<InstanceLoadFact> {
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, InstanceLoadFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeI32(struct.requestsInFlight);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, InstanceLoadFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.requestsInFlight = iprot.readI32();
-            struct.setRequestsInFlightIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, InstanceLoadFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeI32(struct.requestsInFlight);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, InstanceLoadFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.requestsInFlight = iprot.readI32();
+      struct.setRequestsInFlightIsSet(true);
     }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
