--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/Item.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/Item.java
@@ -7,584 +7,574 @@
 package org.basilrill.thrift.membership;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class Item
-        implements org.apache.thrift.TBase<Item, Item._Fields>, java.io.Serializable, Cloneable, Comparable<Item> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("Item");
-
-    private static final org.apache.thrift.protocol.TField KEY_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("key", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField PAYLOAD_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("payload", org.apache.thrift.protocol.TType.STRUCT, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new ItemStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ItemTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String key; // required
-    private long version; // required
-    private @org.apache.thrift.annotation.Nullable FactPayload payload; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        KEY((short) 1, "key"),
-        VERSION((short) 2, "version"),
-        PAYLOAD((short) 3, "payload");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
+public class Item implements org.apache.thrift.TBase<Item, Item._Fields>, java.io.Serializable, Cloneable, Comparable<Item> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("Item");
 
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // KEY
-                    return KEY;
-                case 2: // VERSION
-                    return VERSION;
-                case 3: // PAYLOAD
-                    return PAYLOAD;
-                default:
-                    return null;
-            }
-        }
+  private static final org.apache.thrift.protocol.TField KEY_FIELD_DESC = new org.apache.thrift.protocol.TField("key", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField PAYLOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("payload", org.apache.thrift.protocol.TType.STRUCT, (short)3);
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ItemStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ItemTupleSchemeFactory();
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private @org.apache.thrift.annotation.Nullable java.lang.String key; // required
+  private long version; // required
+  private @org.apache.thrift.annotation.Nullable FactPayload payload; // required
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    KEY((short)1, "key"),
+    VERSION((short)2, "version"),
+    PAYLOAD((short)3, "payload");
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __VERSION_ISSET_ID = 0;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.KEY,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "key",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.VERSION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "version",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.PAYLOAD,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "payload",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.StructMetaData(
-                                org.apache.thrift.protocol.TType.STRUCT, FactPayload.class)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Item.class, metaDataMap);
-    }
-
-    public Item() {}
-
-    public Item(java.lang.String key, long version, FactPayload payload) {
-        this();
-        this.key = key;
-        this.version = version;
-        setVersionIsSet(true);
-        this.payload = payload;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public Item(Item other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetKey()) {
-            this.key = other.key;
-        }
-        this.version = other.version;
-        if (other.isSetPayload()) {
-            this.payload = new FactPayload(other.payload);
-        }
-    }
-
-    @Override
-    public Item deepCopy() {
-        return new Item(this);
-    }
-
-    @Override
-    public void clear() {
-        this.key = null;
-        setVersionIsSet(false);
-        this.version = 0;
-        this.payload = null;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getKey() {
-        return this.key;
-    }
-
-    public Item setKey(@org.apache.thrift.annotation.Nullable java.lang.String key) {
-        this.key = key;
-        return this;
-    }
-
-    public void unsetKey() {
-        this.key = null;
-    }
-
-    /** Returns true if field key is set (has been assigned a value) and false otherwise */
-    public boolean isSetKey() {
-        return this.key != null;
-    }
-
-    public void setKeyIsSet(boolean value) {
-        if (!value) {
-            this.key = null;
-        }
-    }
-
-    public long getVersion() {
-        return this.version;
-    }
-
-    public Item setVersion(long version) {
-        this.version = version;
-        setVersionIsSet(true);
-        return this;
-    }
-
-    public void unsetVersion() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // KEY
+          return KEY;
+        case 2: // VERSION
+          return VERSION;
+        case 3: // PAYLOAD
+          return PAYLOAD;
+        default:
+          return null;
+      }
     }
 
-    /** Returns true if field version is set (has been assigned a value) and false otherwise */
-    public boolean isSetVersion() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
-    }
-
-    public void setVersionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public FactPayload getPayload() {
-        return this.payload;
-    }
-
-    public Item setPayload(@org.apache.thrift.annotation.Nullable FactPayload payload) {
-        this.payload = payload;
-        return this;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void unsetPayload() {
-        this.payload = null;
-    }
-
-    /** Returns true if field payload is set (has been assigned a value) and false otherwise */
-    public boolean isSetPayload() {
-        return this.payload != null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setPayloadIsSet(boolean value) {
-        if (!value) {
-            this.payload = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case KEY:
-                if (value == null) {
-                    unsetKey();
-                } else {
-                    setKey((java.lang.String) value);
-                }
-                break;
-
-            case VERSION:
-                if (value == null) {
-                    unsetVersion();
-                } else {
-                    setVersion((java.lang.Long) value);
-                }
-                break;
-
-            case PAYLOAD:
-                if (value == null) {
-                    unsetPayload();
-                } else {
-                    setPayload((FactPayload) value);
-                }
-                break;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case KEY:
-                return getKey();
-
-            case VERSION:
-                return getVersion();
-
-            case PAYLOAD:
-                return getPayload();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case KEY:
-                return isSetKey();
-            case VERSION:
-                return isSetVersion();
-            case PAYLOAD:
-                return isSetPayload();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __VERSION_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.KEY, new org.apache.thrift.meta_data.FieldMetaData("key", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PAYLOAD, new org.apache.thrift.meta_data.FieldMetaData("payload", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, FactPayload.class)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Item.class, metaDataMap);
+  }
+
+  public Item() {
+  }
+
+  public Item(
+    java.lang.String key,
+    long version,
+    FactPayload payload)
+  {
+    this();
+    this.key = key;
+    this.version = version;
+    setVersionIsSet(true);
+    this.payload = payload;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public Item(Item other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetKey()) {
+      this.key = other.key;
+    }
+    this.version = other.version;
+    if (other.isSetPayload()) {
+      this.payload = new FactPayload(other.payload);
+    }
+  }
+
+  @Override
+  public Item deepCopy() {
+    return new Item(this);
+  }
+
+  @Override
+  public void clear() {
+    this.key = null;
+    setVersionIsSet(false);
+    this.version = 0;
+    this.payload = null;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getKey() {
+    return this.key;
+  }
+
+  public Item setKey(@org.apache.thrift.annotation.Nullable java.lang.String key) {
+    this.key = key;
+    return this;
+  }
+
+  public void unsetKey() {
+    this.key = null;
+  }
+
+  /** Returns true if field key is set (has been assigned a value) and false otherwise */
+  public boolean isSetKey() {
+    return this.key != null;
+  }
+
+  public void setKeyIsSet(boolean value) {
+    if (!value) {
+      this.key = null;
+    }
+  }
+
+  public long getVersion() {
+    return this.version;
+  }
+
+  public Item setVersion(long version) {
+    this.version = version;
+    setVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  /** Returns true if field version is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
+  }
+
+  public void setVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public FactPayload getPayload() {
+    return this.payload;
+  }
+
+  public Item setPayload(@org.apache.thrift.annotation.Nullable FactPayload payload) {
+    this.payload = payload;
+    return this;
+  }
+
+  public void unsetPayload() {
+    this.payload = null;
+  }
+
+  /** Returns true if field payload is set (has been assigned a value) and false otherwise */
+  public boolean isSetPayload() {
+    return this.payload != null;
+  }
+
+  public void setPayloadIsSet(boolean value) {
+    if (!value) {
+      this.payload = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case KEY:
+      if (value == null) {
+        unsetKey();
+      } else {
+        setKey((java.lang.String)value);
+      }
+      break;
+
+    case VERSION:
+      if (value == null) {
+        unsetVersion();
+      } else {
+        setVersion((java.lang.Long)value);
+      }
+      break;
+
+    case PAYLOAD:
+      if (value == null) {
+        unsetPayload();
+      } else {
+        setPayload((FactPayload)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case KEY:
+      return getKey();
+
+    case VERSION:
+      return getVersion();
+
+    case PAYLOAD:
+      return getPayload();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case KEY:
+      return isSetKey();
+    case VERSION:
+      return isSetVersion();
+    case PAYLOAD:
+      return isSetPayload();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof Item)
+      return this.equals((Item)that);
+    return false;
+  }
+
+  public boolean equals(Item that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_key = true && this.isSetKey();
+    boolean that_present_key = true && that.isSetKey();
+    if (this_present_key || that_present_key) {
+      if (!(this_present_key && that_present_key))
+        return false;
+      if (!this.key.equals(that.key))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof Item) return this.equals((Item) that);
+    boolean this_present_version = true;
+    boolean that_present_version = true;
+    if (this_present_version || that_present_version) {
+      if (!(this_present_version && that_present_version))
+        return false;
+      if (this.version != that.version)
         return false;
     }
 
-    public boolean equals(Item that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_key = true && this.isSetKey();
-        boolean that_present_key = true && that.isSetKey();
-        if (this_present_key || that_present_key) {
-            if (!(this_present_key && that_present_key)) return false;
-            if (!this.key.equals(that.key)) return false;
-        }
-
-        boolean this_present_version = true;
-        boolean that_present_version = true;
-        if (this_present_version || that_present_version) {
-            if (!(this_present_version && that_present_version)) return false;
-            if (this.version != that.version) return false;
-        }
-
-        boolean this_present_payload = true && this.isSetPayload();
-        boolean that_present_payload = true && that.isSetPayload();
-        if (this_present_payload || that_present_payload) {
-            if (!(this_present_payload && that_present_payload)) return false;
-            if (!this.payload.equals(that.payload)) return false;
-        }
-
-        return true;
+    boolean this_present_payload = true && this.isSetPayload();
+    boolean that_present_payload = true && that.isSetPayload();
+    if (this_present_payload || that_present_payload) {
+      if (!(this_present_payload && that_present_payload))
+        return false;
+      if (!this.payload.equals(that.payload))
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetKey()) ? 131071 : 524287);
+    if (isSetKey())
+      hashCode = hashCode * 8191 + key.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(version);
+
+    hashCode = hashCode * 8191 + ((isSetPayload()) ? 131071 : 524287);
+    if (isSetPayload())
+      hashCode = hashCode * 8191 + payload.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(Item other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetKey(), other.isSetKey());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetKey()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.key, other.key);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPayload(), other.isSetPayload());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPayload()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.payload, other.payload);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("Item(");
+    boolean first = true;
+
+    sb.append("key:");
+    if (this.key == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.key);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("version:");
+    sb.append(this.version);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("payload:");
+    if (this.payload == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.payload);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (key == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'key' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
+    if (payload == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'payload' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class ItemStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetKey()) ? 131071 : 524287);
-        if (isSetKey()) hashCode = hashCode * 8191 + key.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(version);
-
-        hashCode = hashCode * 8191 + ((isSetPayload()) ? 131071 : 524287);
-        if (isSetPayload()) hashCode = hashCode * 8191 + payload.hashCode();
-
-        return hashCode;
+    public ItemStandardScheme getScheme() {
+      return new ItemStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(Item other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class ItemStandardScheme extends org.apache.thrift.scheme.StandardScheme<Item> {
 
-        lastComparison = java.lang.Boolean.compare(isSetKey(), other.isSetKey());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetKey()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.key, other.key);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, Item struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // KEY
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.key = iprot.readString();
+              struct.setKeyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetVersion()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.version = iprot.readI64();
+              struct.setVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetPayload(), other.isSetPayload());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetPayload()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.payload, other.payload);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // PAYLOAD
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.payload = new FactPayload();
+              struct.payload.read(iprot);
+              struct.setPayloadIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetVersion()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'version' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, Item struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.key != null) {
+        oprot.writeFieldBegin(KEY_FIELD_DESC);
+        oprot.writeString(struct.key);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(VERSION_FIELD_DESC);
+      oprot.writeI64(struct.version);
+      oprot.writeFieldEnd();
+      if (struct.payload != null) {
+        oprot.writeFieldBegin(PAYLOAD_FIELD_DESC);
+        struct.payload.write(oprot);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class ItemTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public ItemTupleScheme getScheme() {
+      return new ItemTupleScheme();
     }
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("Item(");
-        boolean first = true;
-
-        sb.append("key:");
-        if (this.key == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.key);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("version:");
-        sb.append(this.version);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("payload:");
-        if (this.payload == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.payload);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
+  private static class ItemTupleScheme extends org.apache.thrift.scheme.TupleScheme<Item> {
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (key == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'key' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
-        if (payload == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'payload' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class ItemStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ItemStandardScheme getScheme() {
-            return new ItemStandardScheme();
-        }
-    }
-
-    private static class ItemStandardScheme extends org.apache.thrift.scheme.StandardScheme<Item> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, Item struct) throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // KEY
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.key = iprot.readString();
-                            struct.setKeyIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // VERSION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.version = iprot.readI64();
-                            struct.setVersionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // PAYLOAD
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                            struct.payload = new FactPayload();
-                            struct.payload.read(iprot);
-                            struct.setPayloadIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetVersion()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'version' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, Item struct) throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.key != null) {
-                oprot.writeFieldBegin(KEY_FIELD_DESC);
-                oprot.writeString(struct.key);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(VERSION_FIELD_DESC);
-            oprot.writeI64(struct.version);
-            oprot.writeFieldEnd();
-            if (struct.payload != null) {
-                oprot.writeFieldBegin(PAYLOAD_FIELD_DESC);
-                struct.payload.write(oprot);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class ItemTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public ItemTupleScheme getScheme() {
-            return new ItemTupleScheme();
-        }
-    }
-
-    private static class ItemTupleScheme extends org.apache.thrift.scheme.TupleScheme<Item> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, Item struct) throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.key);
-            oprot.writeI64(struct.version);
-            struct.payload.write(oprot);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, Item struct) throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.key = iprot.readString();
-            struct.setKeyIsSet(true);
-            struct.version = iprot.readI64();
-            struct.setVersionIsSet(true);
-            struct.payload = new FactPayload();
-            struct.payload.read(iprot);
-            struct.setPayloadIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, Item struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.key);
+      oprot.writeI64(struct.version);
+      struct.payload.write(oprot);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, Item struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.key = iprot.readString();
+      struct.setKeyIsSet(true);
+      struct.version = iprot.readI64();
+      struct.setVersionIsSet(true);
+      struct.payload = new FactPayload();
+      struct.payload.read(iprot);
+      struct.setPayloadIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/OwnerDelta.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/OwnerDelta.java
@@ -7,836 +7,813 @@
 package org.basilrill.thrift.membership;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class OwnerDelta
-        implements org.apache.thrift.TBase<OwnerDelta, OwnerDelta._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<OwnerDelta> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("OwnerDelta");
-
-    private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField FROM_VERSION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("fromVersion", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField TO_VERSION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("toVersion", org.apache.thrift.protocol.TType.I64, (short) 4);
-    private static final org.apache.thrift.protocol.TField ITEMS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("items", org.apache.thrift.protocol.TType.LIST, (short) 5);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new OwnerDeltaStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new OwnerDeltaTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
-    private long incarnation; // required
-    private long fromVersion; // required
-    private long toVersion; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<Item> items; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        OWNER((short) 1, "owner"),
-        INCARNATION((short) 2, "incarnation"),
-        FROM_VERSION((short) 3, "fromVersion"),
-        TO_VERSION((short) 4, "toVersion"),
-        ITEMS((short) 5, "items");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // OWNER
-                    return OWNER;
-                case 2: // INCARNATION
-                    return INCARNATION;
-                case 3: // FROM_VERSION
-                    return FROM_VERSION;
-                case 4: // TO_VERSION
-                    return TO_VERSION;
-                case 5: // ITEMS
-                    return ITEMS;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __INCARNATION_ISSET_ID = 0;
-    private static final int __FROMVERSION_ISSET_ID = 1;
-    private static final int __TOVERSION_ISSET_ID = 2;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+public class OwnerDelta implements org.apache.thrift.TBase<OwnerDelta, OwnerDelta._Fields>, java.io.Serializable, Cloneable, Comparable<OwnerDelta> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("OwnerDelta");
+
+  private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC = new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField FROM_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("fromVersion", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField TO_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("toVersion", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField ITEMS_FIELD_DESC = new org.apache.thrift.protocol.TField("items", org.apache.thrift.protocol.TType.LIST, (short)5);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new OwnerDeltaStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new OwnerDeltaTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
+  private long incarnation; // required
+  private long fromVersion; // required
+  private long toVersion; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<Item> items; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    OWNER((short)1, "owner"),
+    INCARNATION((short)2, "incarnation"),
+    FROM_VERSION((short)3, "fromVersion"),
+    TO_VERSION((short)4, "toVersion"),
+    ITEMS((short)5, "items");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.OWNER,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "owner",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "incarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.FROM_VERSION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "fromVersion",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.TO_VERSION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "toVersion",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.ITEMS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "items",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, Item.class))));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OwnerDelta.class, metaDataMap);
-    }
-
-    public OwnerDelta() {}
-
-    public OwnerDelta(
-            java.lang.String owner, long incarnation, long fromVersion, long toVersion, java.util.List<Item> items) {
-        this();
-        this.owner = owner;
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        this.fromVersion = fromVersion;
-        setFromVersionIsSet(true);
-        this.toVersion = toVersion;
-        setToVersionIsSet(true);
-        this.items = items;
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public OwnerDelta(OwnerDelta other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetOwner()) {
-            this.owner = other.owner;
-        }
-        this.incarnation = other.incarnation;
-        this.fromVersion = other.fromVersion;
-        this.toVersion = other.toVersion;
-        if (other.isSetItems()) {
-            java.util.List<Item> __this__items = new java.util.ArrayList<Item>(other.items.size());
-            for (Item other_element : other.items) {
-                __this__items.add(new Item(other_element));
-            }
-            this.items = __this__items;
-        }
-    }
-
-    @Override
-    public OwnerDelta deepCopy() {
-        return new OwnerDelta(this);
-    }
-
-    @Override
-    public void clear() {
-        this.owner = null;
-        setIncarnationIsSet(false);
-        this.incarnation = 0;
-        setFromVersionIsSet(false);
-        this.fromVersion = 0;
-        setToVersionIsSet(false);
-        this.toVersion = 0;
-        this.items = null;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getOwner() {
-        return this.owner;
-    }
-
-    public OwnerDelta setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
-        this.owner = owner;
-        return this;
-    }
-
-    public void unsetOwner() {
-        this.owner = null;
-    }
-
-    /** Returns true if field owner is set (has been assigned a value) and false otherwise */
-    public boolean isSetOwner() {
-        return this.owner != null;
-    }
-
-    public void setOwnerIsSet(boolean value) {
-        if (!value) {
-            this.owner = null;
-        }
-    }
-
-    public long getIncarnation() {
-        return this.incarnation;
-    }
-
-    public OwnerDelta setIncarnation(long incarnation) {
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        return this;
-    }
-
-    public void unsetIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // OWNER
+          return OWNER;
+        case 2: // INCARNATION
+          return INCARNATION;
+        case 3: // FROM_VERSION
+          return FROM_VERSION;
+        case 4: // TO_VERSION
+          return TO_VERSION;
+        case 5: // ITEMS
+          return ITEMS;
+        default:
+          return null;
+      }
     }
 
-    public void setIncarnationIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
-    }
-
-    public long getFromVersion() {
-        return this.fromVersion;
-    }
-
-    public OwnerDelta setFromVersion(long fromVersion) {
-        this.fromVersion = fromVersion;
-        setFromVersionIsSet(true);
-        return this;
-    }
-
-    public void unsetFromVersion() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FROMVERSION_ISSET_ID);
-    }
-
-    /** Returns true if field fromVersion is set (has been assigned a value) and false otherwise */
-    public boolean isSetFromVersion() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FROMVERSION_ISSET_ID);
-    }
-
-    public void setFromVersionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FROMVERSION_ISSET_ID, value);
-    }
-
-    public long getToVersion() {
-        return this.toVersion;
-    }
-
-    public OwnerDelta setToVersion(long toVersion) {
-        this.toVersion = toVersion;
-        setToVersionIsSet(true);
-        return this;
-    }
-
-    public void unsetToVersion() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOVERSION_ISSET_ID);
-    }
-
-    /** Returns true if field toVersion is set (has been assigned a value) and false otherwise */
-    public boolean isSetToVersion() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOVERSION_ISSET_ID);
-    }
-
-    public void setToVersionIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOVERSION_ISSET_ID, value);
-    }
-
-    public int getItemsSize() {
-        return (this.items == null) ? 0 : this.items.size();
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<Item> getItemsIterator() {
-        return (this.items == null) ? null : this.items.iterator();
-    }
-
-    public void addToItems(Item elem) {
-        if (this.items == null) {
-            this.items = new java.util.ArrayList<Item>();
-        }
-        this.items.add(elem);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.util.List<Item> getItems() {
-        return this.items;
-    }
-
-    public OwnerDelta setItems(@org.apache.thrift.annotation.Nullable java.util.List<Item> items) {
-        this.items = items;
-        return this;
-    }
-
-    public void unsetItems() {
-        this.items = null;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    /** Returns true if field items is set (has been assigned a value) and false otherwise */
-    public boolean isSetItems() {
-        return this.items != null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setItemsIsSet(boolean value) {
-        if (!value) {
-            this.items = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case OWNER:
-                if (value == null) {
-                    unsetOwner();
-                } else {
-                    setOwner((java.lang.String) value);
-                }
-                break;
-
-            case INCARNATION:
-                if (value == null) {
-                    unsetIncarnation();
-                } else {
-                    setIncarnation((java.lang.Long) value);
-                }
-                break;
-
-            case FROM_VERSION:
-                if (value == null) {
-                    unsetFromVersion();
-                } else {
-                    setFromVersion((java.lang.Long) value);
-                }
-                break;
-
-            case TO_VERSION:
-                if (value == null) {
-                    unsetToVersion();
-                } else {
-                    setToVersion((java.lang.Long) value);
-                }
-                break;
-
-            case ITEMS:
-                if (value == null) {
-                    unsetItems();
-                } else {
-                    setItems((java.util.List<Item>) value);
-                }
-                break;
-        }
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case OWNER:
-                return getOwner();
-
-            case INCARNATION:
-                return getIncarnation();
-
-            case FROM_VERSION:
-                return getFromVersion();
-
-            case TO_VERSION:
-                return getToVersion();
-
-            case ITEMS:
-                return getItems();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __INCARNATION_ISSET_ID = 0;
+  private static final int __FROMVERSION_ISSET_ID = 1;
+  private static final int __TOVERSION_ISSET_ID = 2;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.OWNER, new org.apache.thrift.meta_data.FieldMetaData("owner", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.FROM_VERSION, new org.apache.thrift.meta_data.FieldMetaData("fromVersion", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TO_VERSION, new org.apache.thrift.meta_data.FieldMetaData("toVersion", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ITEMS, new org.apache.thrift.meta_data.FieldMetaData("items", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Item.class))));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OwnerDelta.class, metaDataMap);
+  }
+
+  public OwnerDelta() {
+  }
+
+  public OwnerDelta(
+    java.lang.String owner,
+    long incarnation,
+    long fromVersion,
+    long toVersion,
+    java.util.List<Item> items)
+  {
+    this();
+    this.owner = owner;
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    this.fromVersion = fromVersion;
+    setFromVersionIsSet(true);
+    this.toVersion = toVersion;
+    setToVersionIsSet(true);
+    this.items = items;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public OwnerDelta(OwnerDelta other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetOwner()) {
+      this.owner = other.owner;
+    }
+    this.incarnation = other.incarnation;
+    this.fromVersion = other.fromVersion;
+    this.toVersion = other.toVersion;
+    if (other.isSetItems()) {
+      java.util.List<Item> __this__items = new java.util.ArrayList<Item>(other.items.size());
+      for (Item other_element : other.items) {
+        __this__items.add(new Item(other_element));
+      }
+      this.items = __this__items;
+    }
+  }
+
+  @Override
+  public OwnerDelta deepCopy() {
+    return new OwnerDelta(this);
+  }
+
+  @Override
+  public void clear() {
+    this.owner = null;
+    setIncarnationIsSet(false);
+    this.incarnation = 0;
+    setFromVersionIsSet(false);
+    this.fromVersion = 0;
+    setToVersionIsSet(false);
+    this.toVersion = 0;
+    this.items = null;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOwner() {
+    return this.owner;
+  }
+
+  public OwnerDelta setOwner(@org.apache.thrift.annotation.Nullable java.lang.String owner) {
+    this.owner = owner;
+    return this;
+  }
+
+  public void unsetOwner() {
+    this.owner = null;
+  }
+
+  /** Returns true if field owner is set (has been assigned a value) and false otherwise */
+  public boolean isSetOwner() {
+    return this.owner != null;
+  }
+
+  public void setOwnerIsSet(boolean value) {
+    if (!value) {
+      this.owner = null;
+    }
+  }
+
+  public long getIncarnation() {
+    return this.incarnation;
+  }
+
+  public OwnerDelta setIncarnation(long incarnation) {
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  public void setIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+  }
+
+  public long getFromVersion() {
+    return this.fromVersion;
+  }
+
+  public OwnerDelta setFromVersion(long fromVersion) {
+    this.fromVersion = fromVersion;
+    setFromVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetFromVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FROMVERSION_ISSET_ID);
+  }
+
+  /** Returns true if field fromVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetFromVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FROMVERSION_ISSET_ID);
+  }
+
+  public void setFromVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FROMVERSION_ISSET_ID, value);
+  }
+
+  public long getToVersion() {
+    return this.toVersion;
+  }
+
+  public OwnerDelta setToVersion(long toVersion) {
+    this.toVersion = toVersion;
+    setToVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetToVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TOVERSION_ISSET_ID);
+  }
+
+  /** Returns true if field toVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetToVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TOVERSION_ISSET_ID);
+  }
+
+  public void setToVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOVERSION_ISSET_ID, value);
+  }
+
+  public int getItemsSize() {
+    return (this.items == null) ? 0 : this.items.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<Item> getItemsIterator() {
+    return (this.items == null) ? null : this.items.iterator();
+  }
+
+  public void addToItems(Item elem) {
+    if (this.items == null) {
+      this.items = new java.util.ArrayList<Item>();
+    }
+    this.items.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<Item> getItems() {
+    return this.items;
+  }
+
+  public OwnerDelta setItems(@org.apache.thrift.annotation.Nullable java.util.List<Item> items) {
+    this.items = items;
+    return this;
+  }
+
+  public void unsetItems() {
+    this.items = null;
+  }
+
+  /** Returns true if field items is set (has been assigned a value) and false otherwise */
+  public boolean isSetItems() {
+    return this.items != null;
+  }
+
+  public void setItemsIsSet(boolean value) {
+    if (!value) {
+      this.items = null;
+    }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case OWNER:
+      if (value == null) {
+        unsetOwner();
+      } else {
+        setOwner((java.lang.String)value);
+      }
+      break;
+
+    case INCARNATION:
+      if (value == null) {
+        unsetIncarnation();
+      } else {
+        setIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case FROM_VERSION:
+      if (value == null) {
+        unsetFromVersion();
+      } else {
+        setFromVersion((java.lang.Long)value);
+      }
+      break;
+
+    case TO_VERSION:
+      if (value == null) {
+        unsetToVersion();
+      } else {
+        setToVersion((java.lang.Long)value);
+      }
+      break;
+
+    case ITEMS:
+      if (value == null) {
+        unsetItems();
+      } else {
+        setItems((java.util.List<Item>)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case OWNER:
+      return getOwner();
+
+    case INCARNATION:
+      return getIncarnation();
+
+    case FROM_VERSION:
+      return getFromVersion();
+
+    case TO_VERSION:
+      return getToVersion();
+
+    case ITEMS:
+      return getItems();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case OWNER:
+      return isSetOwner();
+    case INCARNATION:
+      return isSetIncarnation();
+    case FROM_VERSION:
+      return isSetFromVersion();
+    case TO_VERSION:
+      return isSetToVersion();
+    case ITEMS:
+      return isSetItems();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof OwnerDelta)
+      return this.equals((OwnerDelta)that);
+    return false;
+  }
+
+  public boolean equals(OwnerDelta that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_owner = true && this.isSetOwner();
+    boolean that_present_owner = true && that.isSetOwner();
+    if (this_present_owner || that_present_owner) {
+      if (!(this_present_owner && that_present_owner))
+        return false;
+      if (!this.owner.equals(that.owner))
+        return false;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case OWNER:
-                return isSetOwner();
-            case INCARNATION:
-                return isSetIncarnation();
-            case FROM_VERSION:
-                return isSetFromVersion();
-            case TO_VERSION:
-                return isSetToVersion();
-            case ITEMS:
-                return isSetItems();
-        }
-        throw new java.lang.IllegalStateException();
+    boolean this_present_incarnation = true;
+    boolean that_present_incarnation = true;
+    if (this_present_incarnation || that_present_incarnation) {
+      if (!(this_present_incarnation && that_present_incarnation))
+        return false;
+      if (this.incarnation != that.incarnation)
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof OwnerDelta) return this.equals((OwnerDelta) that);
+    boolean this_present_fromVersion = true;
+    boolean that_present_fromVersion = true;
+    if (this_present_fromVersion || that_present_fromVersion) {
+      if (!(this_present_fromVersion && that_present_fromVersion))
+        return false;
+      if (this.fromVersion != that.fromVersion)
         return false;
     }
 
-    public boolean equals(OwnerDelta that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_owner = true && this.isSetOwner();
-        boolean that_present_owner = true && that.isSetOwner();
-        if (this_present_owner || that_present_owner) {
-            if (!(this_present_owner && that_present_owner)) return false;
-            if (!this.owner.equals(that.owner)) return false;
-        }
-
-        boolean this_present_incarnation = true;
-        boolean that_present_incarnation = true;
-        if (this_present_incarnation || that_present_incarnation) {
-            if (!(this_present_incarnation && that_present_incarnation)) return false;
-            if (this.incarnation != that.incarnation) return false;
-        }
-
-        boolean this_present_fromVersion = true;
-        boolean that_present_fromVersion = true;
-        if (this_present_fromVersion || that_present_fromVersion) {
-            if (!(this_present_fromVersion && that_present_fromVersion)) return false;
-            if (this.fromVersion != that.fromVersion) return false;
-        }
-
-        boolean this_present_toVersion = true;
-        boolean that_present_toVersion = true;
-        if (this_present_toVersion || that_present_toVersion) {
-            if (!(this_present_toVersion && that_present_toVersion)) return false;
-            if (this.toVersion != that.toVersion) return false;
-        }
-
-        boolean this_present_items = true && this.isSetItems();
-        boolean that_present_items = true && that.isSetItems();
-        if (this_present_items || that_present_items) {
-            if (!(this_present_items && that_present_items)) return false;
-            if (!this.items.equals(that.items)) return false;
-        }
-
-        return true;
+    boolean this_present_toVersion = true;
+    boolean that_present_toVersion = true;
+    if (this_present_toVersion || that_present_toVersion) {
+      if (!(this_present_toVersion && that_present_toVersion))
+        return false;
+      if (this.toVersion != that.toVersion)
+        return false;
     }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
-        if (isSetOwner()) hashCode = hashCode * 8191 + owner.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(fromVersion);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(toVersion);
-
-        hashCode = hashCode * 8191 + ((isSetItems()) ? 131071 : 524287);
-        if (isSetItems()) hashCode = hashCode * 8191 + items.hashCode();
-
-        return hashCode;
+    boolean this_present_items = true && this.isSetItems();
+    boolean that_present_items = true && that.isSetItems();
+    if (this_present_items || that_present_items) {
+      if (!(this_present_items && that_present_items))
+        return false;
+      if (!this.items.equals(that.items))
+        return false;
     }
 
-    @Override
-    public int compareTo(OwnerDelta other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
+    return true;
+  }
 
-        int lastComparison = 0;
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetOwner()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIncarnation()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetFromVersion(), other.isSetFromVersion());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetFromVersion()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fromVersion, other.fromVersion);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetToVersion(), other.isSetToVersion());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetToVersion()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.toVersion, other.toVersion);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetItems(), other.isSetItems());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetItems()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.items, other.items);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
-    }
+    hashCode = hashCode * 8191 + ((isSetOwner()) ? 131071 : 524287);
+    if (isSetOwner())
+      hashCode = hashCode * 8191 + owner.hashCode();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
 
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(fromVersion);
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(toVersion);
 
+    hashCode = hashCode * 8191 + ((isSetItems()) ? 131071 : 524287);
+    if (isSetItems())
+      hashCode = hashCode * 8191 + items.hashCode();
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(OwnerDelta other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetOwner(), other.isSetOwner());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOwner()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.owner, other.owner);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetFromVersion(), other.isSetFromVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFromVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fromVersion, other.fromVersion);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetToVersion(), other.isSetToVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetToVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.toVersion, other.toVersion);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetItems(), other.isSetItems());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetItems()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.items, other.items);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("OwnerDelta(");
+    boolean first = true;
+
+    sb.append("owner:");
+    if (this.owner == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.owner);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("incarnation:");
+    sb.append(this.incarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("fromVersion:");
+    sb.append(this.fromVersion);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("toVersion:");
+    sb.append(this.toVersion);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("items:");
+    if (this.items == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.items);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (owner == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'owner' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'fromVersion' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'toVersion' because it's a primitive and you chose the non-beans generator.
+    if (items == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'items' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class OwnerDeltaStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("OwnerDelta(");
-        boolean first = true;
-
-        sb.append("owner:");
-        if (this.owner == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.owner);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("incarnation:");
-        sb.append(this.incarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("fromVersion:");
-        sb.append(this.fromVersion);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("toVersion:");
-        sb.append(this.toVersion);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("items:");
-        if (this.items == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.items);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (owner == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'owner' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'fromVersion' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'toVersion' because it's a primitive and you chose the non-beans generator.
-        if (items == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'items' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    public OwnerDeltaStandardScheme getScheme() {
+      return new OwnerDeltaStandardScheme();
     }
+  }
 
-    private static class OwnerDeltaStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public OwnerDeltaStandardScheme getScheme() {
-            return new OwnerDeltaStandardScheme();
-        }
-    }
-
-    private static class OwnerDeltaStandardScheme extends org.apache.thrift.scheme.StandardScheme<OwnerDelta> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, OwnerDelta struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // OWNER
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.owner = iprot.readString();
-                            struct.setOwnerIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.incarnation = iprot.readI64();
-                            struct.setIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // FROM_VERSION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.fromVersion = iprot.readI64();
-                            struct.setFromVersionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // TO_VERSION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.toVersion = iprot.readI64();
-                            struct.setToVersionIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // ITEMS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                                struct.items = new java.util.ArrayList<Item>(_list8.size);
-                                @org.apache.thrift.annotation.Nullable Item _elem9;
-                                for (int _i10 = 0; _i10 < _list8.size; ++_i10) {
-                                    _elem9 = new Item();
-                                    _elem9.read(iprot);
-                                    struct.items.add(_elem9);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setItemsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
+  private static class OwnerDeltaStandardScheme extends org.apache.thrift.scheme.StandardScheme<OwnerDelta> {
 
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'incarnation' was not found in serialized data! Struct: " + toString());
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, OwnerDelta struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // OWNER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.owner = iprot.readString();
+              struct.setOwnerIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetFromVersion()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'fromVersion' was not found in serialized data! Struct: " + toString());
+            break;
+          case 2: // INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnation = iprot.readI64();
+              struct.setIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            if (!struct.isSetToVersion()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'toVersion' was not found in serialized data! Struct: " + toString());
+            break;
+          case 3: // FROM_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.fromVersion = iprot.readI64();
+              struct.setFromVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, OwnerDelta struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.owner != null) {
-                oprot.writeFieldBegin(OWNER_FIELD_DESC);
-                oprot.writeString(struct.owner);
-                oprot.writeFieldEnd();
+            break;
+          case 4: // TO_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.toVersion = iprot.readI64();
+              struct.setToVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(FROM_VERSION_FIELD_DESC);
-            oprot.writeI64(struct.fromVersion);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(TO_VERSION_FIELD_DESC);
-            oprot.writeI64(struct.toVersion);
-            oprot.writeFieldEnd();
-            if (struct.items != null) {
-                oprot.writeFieldBegin(ITEMS_FIELD_DESC);
+            break;
+          case 5: // ITEMS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
+                struct.items = new java.util.ArrayList<Item>(_list8.size);
+                @org.apache.thrift.annotation.Nullable Item _elem9;
+                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
                 {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.items.size()));
-                    for (Item _iter11 : struct.items) {
-                        _iter11.write(oprot);
-                    }
-                    oprot.writeListEnd();
+                  _elem9 = new Item();
+                  _elem9.read(iprot);
+                  struct.items.add(_elem9);
                 }
-                oprot.writeFieldEnd();
+                iprot.readListEnd();
+              }
+              struct.setItemsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetFromVersion()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'fromVersion' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetToVersion()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'toVersion' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    private static class OwnerDeltaTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public OwnerDeltaTupleScheme getScheme() {
-            return new OwnerDeltaTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, OwnerDelta struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.owner != null) {
+        oprot.writeFieldBegin(OWNER_FIELD_DESC);
+        oprot.writeString(struct.owner);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(FROM_VERSION_FIELD_DESC);
+      oprot.writeI64(struct.fromVersion);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(TO_VERSION_FIELD_DESC);
+      oprot.writeI64(struct.toVersion);
+      oprot.writeFieldEnd();
+      if (struct.items != null) {
+        oprot.writeFieldBegin(ITEMS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.items.size()));
+          for (Item _iter11 : struct.items)
+          {
+            _iter11.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class OwnerDeltaTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public OwnerDeltaTupleScheme getScheme() {
+      return new OwnerDeltaTupleScheme();
     }
+  }
 
-    private static class OwnerDeltaTupleScheme extends org.apache.thrift.scheme.TupleScheme<OwnerDelta> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, OwnerDelta struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.owner);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeI64(struct.fromVersion);
-            oprot.writeI64(struct.toVersion);
-            {
-                oprot.writeI32(struct.items.size());
-                for (Item _iter12 : struct.items) {
-                    _iter12.write(oprot);
-                }
-            }
-        }
+  private static class OwnerDeltaTupleScheme extends org.apache.thrift.scheme.TupleScheme<OwnerDelta> {
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, OwnerDelta struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.owner = iprot.readString();
-            struct.setOwnerIsSet(true);
-            struct.incarnation = iprot.readI64();
-            struct.setIncarnationIsSet(true);
-            struct.fromVersion = iprot.readI64();
-            struct.setFromVersionIsSet(true);
-            struct.toVersion = iprot.readI64();
-            struct.setToVersionIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.items = new java.util.ArrayList<Item>(_list13.size);
-                @org.apache.thrift.annotation.Nullable Item _elem14;
-                for (int _i15 = 0; _i15 < _list13.size; ++_i15) {
-                    _elem14 = new Item();
-                    _elem14.read(iprot);
-                    struct.items.add(_elem14);
-                }
-            }
-            struct.setItemsIsSet(true);
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, OwnerDelta struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.owner);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeI64(struct.fromVersion);
+      oprot.writeI64(struct.toVersion);
+      {
+        oprot.writeI32(struct.items.size());
+        for (Item _iter12 : struct.items)
+        {
+          _iter12.write(oprot);
         }
+      }
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, OwnerDelta struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.owner = iprot.readString();
+      struct.setOwnerIsSet(true);
+      struct.incarnation = iprot.readI64();
+      struct.setIncarnationIsSet(true);
+      struct.fromVersion = iprot.readI64();
+      struct.setFromVersionIsSet(true);
+      struct.toVersion = iprot.readI64();
+      struct.setToVersionIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.items = new java.util.ArrayList<Item>(_list13.size);
+        @org.apache.thrift.annotation.Nullable Item _elem14;
+        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+        {
+          _elem14 = new Item();
+          _elem14.read(iprot);
+          struct.items.add(_elem14);
+        }
+      }
+      struct.setItemsIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
