--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/TargetFact.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/TargetFact.java
@@ -7,1744 +7,1684 @@
 package org.basilrill.thrift.membership;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class TargetFact
-        implements org.apache.thrift.TBase<TargetFact, TargetFact._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<TargetFact> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("TargetFact");
-
-    private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short) 2);
-    private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short) 3);
-    private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short) 4);
-    private static final org.apache.thrift.protocol.TField PORT_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("port", org.apache.thrift.protocol.TType.I32, (short) 5);
-    private static final org.apache.thrift.protocol.TField DATA_CENTRE_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("dataCentre", org.apache.thrift.protocol.TType.STRING, (short) 6);
-    private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short) 7);
-    private static final org.apache.thrift.protocol.TField TIME_TO_LIVE_MILLIS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("timeToLiveMillis", org.apache.thrift.protocol.TType.I64, (short) 8);
-    private static final org.apache.thrift.protocol.TField MEMORY_BYTES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("memoryBytes", org.apache.thrift.protocol.TType.I64, (short) 9);
-    private static final org.apache.thrift.protocol.TField CONTENTS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("contents", org.apache.thrift.protocol.TType.LIST, (short) 10);
-    private static final org.apache.thrift.protocol.TField ROLES_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("roles", org.apache.thrift.protocol.TType.I32, (short) 11);
-    private static final org.apache.thrift.protocol.TField SLOTS_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("slots", org.apache.thrift.protocol.TType.I32, (short) 12);
-    private static final org.apache.thrift.protocol.TField ENFORCES_FENCING_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("enforcesFencing", org.apache.thrift.protocol.TType.BOOL, (short) 13);
-    private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.BOOL, (short) 14);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new TargetFactStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new TargetFactTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
-    private long incarnation; // required
-    private long sequence; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String host; // required
-    private int port; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String dataCentre; // required
-    private @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // optional
-    private long timeToLiveMillis; // required
-    private long memoryBytes; // required
-    private @org.apache.thrift.annotation.Nullable java.util.List<LoadedModelFact> contents; // required
-    private int roles; // required
-    private int slots; // required
-    private boolean enforcesFencing; // required
-    private boolean leaving; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TARGET((short) 1, "target"),
-        INCARNATION((short) 2, "incarnation"),
-        SEQUENCE((short) 3, "sequence"),
-        HOST((short) 4, "host"),
-        PORT((short) 5, "port"),
-        DATA_CENTRE((short) 6, "dataCentre"),
-        SERVICE_NAME((short) 7, "serviceName"),
-        TIME_TO_LIVE_MILLIS((short) 8, "timeToLiveMillis"),
-        MEMORY_BYTES((short) 9, "memoryBytes"),
-        CONTENTS((short) 10, "contents"),
-        ROLES((short) 11, "roles"),
-        SLOTS((short) 12, "slots"),
-        ENFORCES_FENCING((short) 13, "enforcesFencing"),
-        LEAVING((short) 14, "leaving");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TARGET
-                    return TARGET;
-                case 2: // INCARNATION
-                    return INCARNATION;
-                case 3: // SEQUENCE
-                    return SEQUENCE;
-                case 4: // HOST
-                    return HOST;
-                case 5: // PORT
-                    return PORT;
-                case 6: // DATA_CENTRE
-                    return DATA_CENTRE;
-                case 7: // SERVICE_NAME
-                    return SERVICE_NAME;
-                case 8: // TIME_TO_LIVE_MILLIS
-                    return TIME_TO_LIVE_MILLIS;
-                case 9: // MEMORY_BYTES
-                    return MEMORY_BYTES;
-                case 10: // CONTENTS
-                    return CONTENTS;
-                case 11: // ROLES
-                    return ROLES;
-                case 12: // SLOTS
-                    return SLOTS;
-                case 13: // ENFORCES_FENCING
-                    return ENFORCES_FENCING;
-                case 14: // LEAVING
-                    return LEAVING;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
-
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
-
-    // isset id assignments
-    private static final int __INCARNATION_ISSET_ID = 0;
-    private static final int __SEQUENCE_ISSET_ID = 1;
-    private static final int __PORT_ISSET_ID = 2;
-    private static final int __TIMETOLIVEMILLIS_ISSET_ID = 3;
-    private static final int __MEMORYBYTES_ISSET_ID = 4;
-    private static final int __ROLES_ISSET_ID = 5;
-    private static final int __SLOTS_ISSET_ID = 6;
-    private static final int __ENFORCESFENCING_ISSET_ID = 7;
-    private static final int __LEAVING_ISSET_ID = 8;
-    private short __isset_bitfield = 0;
-    private static final _Fields optionals[] = {_Fields.SERVICE_NAME};
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+public class TargetFact implements org.apache.thrift.TBase<TargetFact, TargetFact._Fields>, java.io.Serializable, Cloneable, Comparable<TargetFact> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TargetFact");
+
+  private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC = new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)4);
+  private static final org.apache.thrift.protocol.TField PORT_FIELD_DESC = new org.apache.thrift.protocol.TField("port", org.apache.thrift.protocol.TType.I32, (short)5);
+  private static final org.apache.thrift.protocol.TField DATA_CENTRE_FIELD_DESC = new org.apache.thrift.protocol.TField("dataCentre", org.apache.thrift.protocol.TType.STRING, (short)6);
+  private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)7);
+  private static final org.apache.thrift.protocol.TField TIME_TO_LIVE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("timeToLiveMillis", org.apache.thrift.protocol.TType.I64, (short)8);
+  private static final org.apache.thrift.protocol.TField MEMORY_BYTES_FIELD_DESC = new org.apache.thrift.protocol.TField("memoryBytes", org.apache.thrift.protocol.TType.I64, (short)9);
+  private static final org.apache.thrift.protocol.TField CONTENTS_FIELD_DESC = new org.apache.thrift.protocol.TField("contents", org.apache.thrift.protocol.TType.LIST, (short)10);
+  private static final org.apache.thrift.protocol.TField ROLES_FIELD_DESC = new org.apache.thrift.protocol.TField("roles", org.apache.thrift.protocol.TType.I32, (short)11);
+  private static final org.apache.thrift.protocol.TField SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slots", org.apache.thrift.protocol.TType.I32, (short)12);
+  private static final org.apache.thrift.protocol.TField ENFORCES_FENCING_FIELD_DESC = new org.apache.thrift.protocol.TField("enforcesFencing", org.apache.thrift.protocol.TType.BOOL, (short)13);
+  private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.BOOL, (short)14);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TargetFactStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TargetFactTupleSchemeFactory();
+
+  private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
+  private long incarnation; // required
+  private long sequence; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String host; // required
+  private int port; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String dataCentre; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // optional
+  private long timeToLiveMillis; // required
+  private long memoryBytes; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<LoadedModelFact> contents; // required
+  private int roles; // required
+  private int slots; // required
+  private boolean enforcesFencing; // required
+  private boolean leaving; // required
+
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TARGET((short)1, "target"),
+    INCARNATION((short)2, "incarnation"),
+    SEQUENCE((short)3, "sequence"),
+    HOST((short)4, "host"),
+    PORT((short)5, "port"),
+    DATA_CENTRE((short)6, "dataCentre"),
+    SERVICE_NAME((short)7, "serviceName"),
+    TIME_TO_LIVE_MILLIS((short)8, "timeToLiveMillis"),
+    MEMORY_BYTES((short)9, "memoryBytes"),
+    CONTENTS((short)10, "contents"),
+    ROLES((short)11, "roles"),
+    SLOTS((short)12, "slots"),
+    ENFORCES_FENCING((short)13, "enforcesFencing"),
+    LEAVING((short)14, "leaving");
+
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TARGET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "target",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.INCARNATION,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "incarnation",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.SEQUENCE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "sequence",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.HOST,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "host",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.PORT,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "port",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        tmpMap.put(
-                _Fields.DATA_CENTRE,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "dataCentre",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.SERVICE_NAME,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "serviceName",
-                        org.apache.thrift.TFieldRequirementType.OPTIONAL,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.TIME_TO_LIVE_MILLIS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "timeToLiveMillis",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.MEMORY_BYTES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "memoryBytes",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-        tmpMap.put(
-                _Fields.CONTENTS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "contents",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.ListMetaData(
-                                org.apache.thrift.protocol.TType.LIST,
-                                new org.apache.thrift.meta_data.StructMetaData(
-                                        org.apache.thrift.protocol.TType.STRUCT, LoadedModelFact.class))));
-        tmpMap.put(
-                _Fields.ROLES,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "roles",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        tmpMap.put(
-                _Fields.SLOTS,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "slots",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        tmpMap.put(
-                _Fields.ENFORCES_FENCING,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "enforcesFencing",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        tmpMap.put(
-                _Fields.LEAVING,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "leaving",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TargetFact.class, metaDataMap);
-    }
-
-    public TargetFact() {}
-
-    public TargetFact(
-            java.lang.String target,
-            long incarnation,
-            long sequence,
-            java.lang.String host,
-            int port,
-            java.lang.String dataCentre,
-            long timeToLiveMillis,
-            long memoryBytes,
-            java.util.List<LoadedModelFact> contents,
-            int roles,
-            int slots,
-            boolean enforcesFencing,
-            boolean leaving) {
-        this();
-        this.target = target;
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        this.sequence = sequence;
-        setSequenceIsSet(true);
-        this.host = host;
-        this.port = port;
-        setPortIsSet(true);
-        this.dataCentre = dataCentre;
-        this.timeToLiveMillis = timeToLiveMillis;
-        setTimeToLiveMillisIsSet(true);
-        this.memoryBytes = memoryBytes;
-        setMemoryBytesIsSet(true);
-        this.contents = contents;
-        this.roles = roles;
-        setRolesIsSet(true);
-        this.slots = slots;
-        setSlotsIsSet(true);
-        this.enforcesFencing = enforcesFencing;
-        setEnforcesFencingIsSet(true);
-        this.leaving = leaving;
-        setLeavingIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public TargetFact(TargetFact other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetTarget()) {
-            this.target = other.target;
-        }
-        this.incarnation = other.incarnation;
-        this.sequence = other.sequence;
-        if (other.isSetHost()) {
-            this.host = other.host;
-        }
-        this.port = other.port;
-        if (other.isSetDataCentre()) {
-            this.dataCentre = other.dataCentre;
-        }
-        if (other.isSetServiceName()) {
-            this.serviceName = other.serviceName;
-        }
-        this.timeToLiveMillis = other.timeToLiveMillis;
-        this.memoryBytes = other.memoryBytes;
-        if (other.isSetContents()) {
-            java.util.List<LoadedModelFact> __this__contents =
-                    new java.util.ArrayList<LoadedModelFact>(other.contents.size());
-            for (LoadedModelFact other_element : other.contents) {
-                __this__contents.add(new LoadedModelFact(other_element));
-            }
-            this.contents = __this__contents;
-        }
-        this.roles = other.roles;
-        this.slots = other.slots;
-        this.enforcesFencing = other.enforcesFencing;
-        this.leaving = other.leaving;
-    }
-
-    @Override
-    public TargetFact deepCopy() {
-        return new TargetFact(this);
-    }
-
-    @Override
-    public void clear() {
-        this.target = null;
-        setIncarnationIsSet(false);
-        this.incarnation = 0;
-        setSequenceIsSet(false);
-        this.sequence = 0;
-        this.host = null;
-        setPortIsSet(false);
-        this.port = 0;
-        this.dataCentre = null;
-        this.serviceName = null;
-        setTimeToLiveMillisIsSet(false);
-        this.timeToLiveMillis = 0;
-        setMemoryBytesIsSet(false);
-        this.memoryBytes = 0;
-        this.contents = null;
-        setRolesIsSet(false);
-        this.roles = 0;
-        setSlotsIsSet(false);
-        this.slots = 0;
-        setEnforcesFencingIsSet(false);
-        this.enforcesFencing = false;
-        setLeavingIsSet(false);
-        this.leaving = false;
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getTarget() {
-        return this.target;
-    }
-
-    public TargetFact setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
-        this.target = target;
-        return this;
-    }
-
-    public void unsetTarget() {
-        this.target = null;
-    }
-
-    /** Returns true if field target is set (has been assigned a value) and false otherwise */
-    public boolean isSetTarget() {
-        return this.target != null;
-    }
-
-    public void setTargetIsSet(boolean value) {
-        if (!value) {
-            this.target = null;
-        }
-    }
-
-    public long getIncarnation() {
-        return this.incarnation;
-    }
-
-    public TargetFact setIncarnation(long incarnation) {
-        this.incarnation = incarnation;
-        setIncarnationIsSet(true);
-        return this;
-    }
-
-    public void unsetIncarnation() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
-
-    /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
-    public boolean isSetIncarnation() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
-    }
-
-    public void setIncarnationIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
-    }
-
-    public long getSequence() {
-        return this.sequence;
-    }
-
-    public TargetFact setSequence(long sequence) {
-        this.sequence = sequence;
-        setSequenceIsSet(true);
-        return this;
-    }
-
-    public void unsetSequence() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
-    }
-
-    /** Returns true if field sequence is set (has been assigned a value) and false otherwise */
-    public boolean isSetSequence() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
-    }
-
-    public void setSequenceIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SEQUENCE_ISSET_ID, value);
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getHost() {
-        return this.host;
-    }
-
-    public TargetFact setHost(@org.apache.thrift.annotation.Nullable java.lang.String host) {
-        this.host = host;
-        return this;
-    }
-
-    public void unsetHost() {
-        this.host = null;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TARGET
+          return TARGET;
+        case 2: // INCARNATION
+          return INCARNATION;
+        case 3: // SEQUENCE
+          return SEQUENCE;
+        case 4: // HOST
+          return HOST;
+        case 5: // PORT
+          return PORT;
+        case 6: // DATA_CENTRE
+          return DATA_CENTRE;
+        case 7: // SERVICE_NAME
+          return SERVICE_NAME;
+        case 8: // TIME_TO_LIVE_MILLIS
+          return TIME_TO_LIVE_MILLIS;
+        case 9: // MEMORY_BYTES
+          return MEMORY_BYTES;
+        case 10: // CONTENTS
+          return CONTENTS;
+        case 11: // ROLES
+          return ROLES;
+        case 12: // SLOTS
+          return SLOTS;
+        case 13: // ENFORCES_FENCING
+          return ENFORCES_FENCING;
+        case 14: // LEAVING
+          return LEAVING;
+        default:
+          return null;
+      }
     }
 
-    /** Returns true if field host is set (has been assigned a value) and false otherwise */
-    public boolean isSetHost() {
-        return this.host != null;
-    }
-
-    public void setHostIsSet(boolean value) {
-        if (!value) {
-            this.host = null;
-        }
-    }
-
-    public int getPort() {
-        return this.port;
-    }
-
-    public TargetFact setPort(int port) {
-        this.port = port;
-        setPortIsSet(true);
-        return this;
-    }
-
-    public void unsetPort() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PORT_ISSET_ID);
-    }
-
-    /** Returns true if field port is set (has been assigned a value) and false otherwise */
-    public boolean isSetPort() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PORT_ISSET_ID);
-    }
-
-    public void setPortIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PORT_ISSET_ID, value);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getDataCentre() {
-        return this.dataCentre;
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public TargetFact setDataCentre(@org.apache.thrift.annotation.Nullable java.lang.String dataCentre) {
-        this.dataCentre = dataCentre;
-        return this;
-    }
-
-    public void unsetDataCentre() {
-        this.dataCentre = null;
-    }
-
-    /** Returns true if field dataCentre is set (has been assigned a value) and false otherwise */
-    public boolean isSetDataCentre() {
-        return this.dataCentre != null;
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    public void setDataCentreIsSet(boolean value) {
-        if (!value) {
-            this.dataCentre = null;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getServiceName() {
-        return this.serviceName;
+    @Override
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    public TargetFact setServiceName(@org.apache.thrift.annotation.Nullable java.lang.String serviceName) {
-        this.serviceName = serviceName;
-        return this;
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __INCARNATION_ISSET_ID = 0;
+  private static final int __SEQUENCE_ISSET_ID = 1;
+  private static final int __PORT_ISSET_ID = 2;
+  private static final int __TIMETOLIVEMILLIS_ISSET_ID = 3;
+  private static final int __MEMORYBYTES_ISSET_ID = 4;
+  private static final int __ROLES_ISSET_ID = 5;
+  private static final int __SLOTS_ISSET_ID = 6;
+  private static final int __ENFORCESFENCING_ISSET_ID = 7;
+  private static final int __LEAVING_ISSET_ID = 8;
+  private short __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SERVICE_NAME};
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TARGET, new org.apache.thrift.meta_data.FieldMetaData("target", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SEQUENCE, new org.apache.thrift.meta_data.FieldMetaData("sequence", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.HOST, new org.apache.thrift.meta_data.FieldMetaData("host", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.PORT, new org.apache.thrift.meta_data.FieldMetaData("port", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.DATA_CENTRE, new org.apache.thrift.meta_data.FieldMetaData("dataCentre", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SERVICE_NAME, new org.apache.thrift.meta_data.FieldMetaData("serviceName", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.TIME_TO_LIVE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("timeToLiveMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.MEMORY_BYTES, new org.apache.thrift.meta_data.FieldMetaData("memoryBytes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CONTENTS, new org.apache.thrift.meta_data.FieldMetaData("contents", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LoadedModelFact.class))));
+    tmpMap.put(_Fields.ROLES, new org.apache.thrift.meta_data.FieldMetaData("roles", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.SLOTS, new org.apache.thrift.meta_data.FieldMetaData("slots", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.ENFORCES_FENCING, new org.apache.thrift.meta_data.FieldMetaData("enforcesFencing", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TargetFact.class, metaDataMap);
+  }
+
+  public TargetFact() {
+  }
+
+  public TargetFact(
+    java.lang.String target,
+    long incarnation,
+    long sequence,
+    java.lang.String host,
+    int port,
+    java.lang.String dataCentre,
+    long timeToLiveMillis,
+    long memoryBytes,
+    java.util.List<LoadedModelFact> contents,
+    int roles,
+    int slots,
+    boolean enforcesFencing,
+    boolean leaving)
+  {
+    this();
+    this.target = target;
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    this.sequence = sequence;
+    setSequenceIsSet(true);
+    this.host = host;
+    this.port = port;
+    setPortIsSet(true);
+    this.dataCentre = dataCentre;
+    this.timeToLiveMillis = timeToLiveMillis;
+    setTimeToLiveMillisIsSet(true);
+    this.memoryBytes = memoryBytes;
+    setMemoryBytesIsSet(true);
+    this.contents = contents;
+    this.roles = roles;
+    setRolesIsSet(true);
+    this.slots = slots;
+    setSlotsIsSet(true);
+    this.enforcesFencing = enforcesFencing;
+    setEnforcesFencingIsSet(true);
+    this.leaving = leaving;
+    setLeavingIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public TargetFact(TargetFact other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetTarget()) {
+      this.target = other.target;
+    }
+    this.incarnation = other.incarnation;
+    this.sequence = other.sequence;
+    if (other.isSetHost()) {
+      this.host = other.host;
+    }
+    this.port = other.port;
+    if (other.isSetDataCentre()) {
+      this.dataCentre = other.dataCentre;
+    }
+    if (other.isSetServiceName()) {
+      this.serviceName = other.serviceName;
+    }
+    this.timeToLiveMillis = other.timeToLiveMillis;
+    this.memoryBytes = other.memoryBytes;
+    if (other.isSetContents()) {
+      java.util.List<LoadedModelFact> __this__contents = new java.util.ArrayList<LoadedModelFact>(other.contents.size());
+      for (LoadedModelFact other_element : other.contents) {
+        __this__contents.add(new LoadedModelFact(other_element));
+      }
+      this.contents = __this__contents;
+    }
+    this.roles = other.roles;
+    this.slots = other.slots;
+    this.enforcesFencing = other.enforcesFencing;
+    this.leaving = other.leaving;
+  }
+
+  @Override
+  public TargetFact deepCopy() {
+    return new TargetFact(this);
+  }
+
+  @Override
+  public void clear() {
+    this.target = null;
+    setIncarnationIsSet(false);
+    this.incarnation = 0;
+    setSequenceIsSet(false);
+    this.sequence = 0;
+    this.host = null;
+    setPortIsSet(false);
+    this.port = 0;
+    this.dataCentre = null;
+    this.serviceName = null;
+    setTimeToLiveMillisIsSet(false);
+    this.timeToLiveMillis = 0;
+    setMemoryBytesIsSet(false);
+    this.memoryBytes = 0;
+    this.contents = null;
+    setRolesIsSet(false);
+    this.roles = 0;
+    setSlotsIsSet(false);
+    this.slots = 0;
+    setEnforcesFencingIsSet(false);
+    this.enforcesFencing = false;
+    setLeavingIsSet(false);
+    this.leaving = false;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getTarget() {
+    return this.target;
+  }
+
+  public TargetFact setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
+    this.target = target;
+    return this;
+  }
+
+  public void unsetTarget() {
+    this.target = null;
+  }
+
+  /** Returns true if field target is set (has been assigned a value) and false otherwise */
+  public boolean isSetTarget() {
+    return this.target != null;
+  }
+
+  public void setTargetIsSet(boolean value) {
+    if (!value) {
+      this.target = null;
+    }
+  }
+
+  public long getIncarnation() {
+    return this.incarnation;
+  }
+
+  public TargetFact setIncarnation(long incarnation) {
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  public void setIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+  }
+
+  public long getSequence() {
+    return this.sequence;
+  }
+
+  public TargetFact setSequence(long sequence) {
+    this.sequence = sequence;
+    setSequenceIsSet(true);
+    return this;
+  }
+
+  public void unsetSequence() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
+  }
+
+  /** Returns true if field sequence is set (has been assigned a value) and false otherwise */
+  public boolean isSetSequence() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
+  }
+
+  public void setSequenceIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SEQUENCE_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getHost() {
+    return this.host;
+  }
+
+  public TargetFact setHost(@org.apache.thrift.annotation.Nullable java.lang.String host) {
+    this.host = host;
+    return this;
+  }
+
+  public void unsetHost() {
+    this.host = null;
+  }
+
+  /** Returns true if field host is set (has been assigned a value) and false otherwise */
+  public boolean isSetHost() {
+    return this.host != null;
+  }
+
+  public void setHostIsSet(boolean value) {
+    if (!value) {
+      this.host = null;
+    }
+  }
+
+  public int getPort() {
+    return this.port;
+  }
+
+  public TargetFact setPort(int port) {
+    this.port = port;
+    setPortIsSet(true);
+    return this;
+  }
+
+  public void unsetPort() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PORT_ISSET_ID);
+  }
+
+  /** Returns true if field port is set (has been assigned a value) and false otherwise */
+  public boolean isSetPort() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PORT_ISSET_ID);
+  }
+
+  public void setPortIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PORT_ISSET_ID, value);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getDataCentre() {
+    return this.dataCentre;
+  }
+
+  public TargetFact setDataCentre(@org.apache.thrift.annotation.Nullable java.lang.String dataCentre) {
+    this.dataCentre = dataCentre;
+    return this;
+  }
+
+  public void unsetDataCentre() {
+    this.dataCentre = null;
+  }
+
+  /** Returns true if field dataCentre is set (has been assigned a value) and false otherwise */
+  public boolean isSetDataCentre() {
+    return this.dataCentre != null;
+  }
+
+  public void setDataCentreIsSet(boolean value) {
+    if (!value) {
+      this.dataCentre = null;
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getServiceName() {
+    return this.serviceName;
+  }
+
+  public TargetFact setServiceName(@org.apache.thrift.annotation.Nullable java.lang.String serviceName) {
+    this.serviceName = serviceName;
+    return this;
+  }
+
+  public void unsetServiceName() {
+    this.serviceName = null;
+  }
+
+  /** Returns true if field serviceName is set (has been assigned a value) and false otherwise */
+  public boolean isSetServiceName() {
+    return this.serviceName != null;
+  }
+
+  public void setServiceNameIsSet(boolean value) {
+    if (!value) {
+      this.serviceName = null;
+    }
+  }
+
+  public long getTimeToLiveMillis() {
+    return this.timeToLiveMillis;
+  }
+
+  public TargetFact setTimeToLiveMillis(long timeToLiveMillis) {
+    this.timeToLiveMillis = timeToLiveMillis;
+    setTimeToLiveMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetTimeToLiveMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TIMETOLIVEMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field timeToLiveMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetTimeToLiveMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TIMETOLIVEMILLIS_ISSET_ID);
+  }
+
+  public void setTimeToLiveMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TIMETOLIVEMILLIS_ISSET_ID, value);
+  }
+
+  public long getMemoryBytes() {
+    return this.memoryBytes;
+  }
+
+  public TargetFact setMemoryBytes(long memoryBytes) {
+    this.memoryBytes = memoryBytes;
+    setMemoryBytesIsSet(true);
+    return this;
+  }
+
+  public void unsetMemoryBytes() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
+  }
+
+  /** Returns true if field memoryBytes is set (has been assigned a value) and false otherwise */
+  public boolean isSetMemoryBytes() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
+  }
+
+  public void setMemoryBytesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID, value);
+  }
+
+  public int getContentsSize() {
+    return (this.contents == null) ? 0 : this.contents.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<LoadedModelFact> getContentsIterator() {
+    return (this.contents == null) ? null : this.contents.iterator();
+  }
+
+  public void addToContents(LoadedModelFact elem) {
+    if (this.contents == null) {
+      this.contents = new java.util.ArrayList<LoadedModelFact>();
+    }
+    this.contents.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<LoadedModelFact> getContents() {
+    return this.contents;
+  }
+
+  public TargetFact setContents(@org.apache.thrift.annotation.Nullable java.util.List<LoadedModelFact> contents) {
+    this.contents = contents;
+    return this;
+  }
+
+  public void unsetContents() {
+    this.contents = null;
+  }
+
+  /** Returns true if field contents is set (has been assigned a value) and false otherwise */
+  public boolean isSetContents() {
+    return this.contents != null;
+  }
+
+  public void setContentsIsSet(boolean value) {
+    if (!value) {
+      this.contents = null;
+    }
+  }
+
+  public int getRoles() {
+    return this.roles;
+  }
+
+  public TargetFact setRoles(int roles) {
+    this.roles = roles;
+    setRolesIsSet(true);
+    return this;
+  }
+
+  public void unsetRoles() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROLES_ISSET_ID);
+  }
+
+  /** Returns true if field roles is set (has been assigned a value) and false otherwise */
+  public boolean isSetRoles() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROLES_ISSET_ID);
+  }
+
+  public void setRolesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROLES_ISSET_ID, value);
+  }
+
+  public int getSlots() {
+    return this.slots;
+  }
+
+  public TargetFact setSlots(int slots) {
+    this.slots = slots;
+    setSlotsIsSet(true);
+    return this;
+  }
+
+  public void unsetSlots() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SLOTS_ISSET_ID);
+  }
+
+  /** Returns true if field slots is set (has been assigned a value) and false otherwise */
+  public boolean isSetSlots() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SLOTS_ISSET_ID);
+  }
+
+  public void setSlotsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SLOTS_ISSET_ID, value);
+  }
+
+  public boolean isEnforcesFencing() {
+    return this.enforcesFencing;
+  }
+
+  public TargetFact setEnforcesFencing(boolean enforcesFencing) {
+    this.enforcesFencing = enforcesFencing;
+    setEnforcesFencingIsSet(true);
+    return this;
+  }
+
+  public void unsetEnforcesFencing() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
+  }
+
+  /** Returns true if field enforcesFencing is set (has been assigned a value) and false otherwise */
+  public boolean isSetEnforcesFencing() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
+  }
+
+  public void setEnforcesFencingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID, value);
+  }
+
+  public boolean isLeaving() {
+    return this.leaving;
+  }
+
+  public TargetFact setLeaving(boolean leaving) {
+    this.leaving = leaving;
+    setLeavingIsSet(true);
+    return this;
+  }
+
+  public void unsetLeaving() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LEAVING_ISSET_ID);
+  }
+
+  /** Returns true if field leaving is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaving() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LEAVING_ISSET_ID);
+  }
+
+  public void setLeavingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEAVING_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TARGET:
+      if (value == null) {
+        unsetTarget();
+      } else {
+        setTarget((java.lang.String)value);
+      }
+      break;
+
+    case INCARNATION:
+      if (value == null) {
+        unsetIncarnation();
+      } else {
+        setIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case SEQUENCE:
+      if (value == null) {
+        unsetSequence();
+      } else {
+        setSequence((java.lang.Long)value);
+      }
+      break;
+
+    case HOST:
+      if (value == null) {
+        unsetHost();
+      } else {
+        setHost((java.lang.String)value);
+      }
+      break;
+
+    case PORT:
+      if (value == null) {
+        unsetPort();
+      } else {
+        setPort((java.lang.Integer)value);
+      }
+      break;
+
+    case DATA_CENTRE:
+      if (value == null) {
+        unsetDataCentre();
+      } else {
+        setDataCentre((java.lang.String)value);
+      }
+      break;
+
+    case SERVICE_NAME:
+      if (value == null) {
+        unsetServiceName();
+      } else {
+        setServiceName((java.lang.String)value);
+      }
+      break;
+
+    case TIME_TO_LIVE_MILLIS:
+      if (value == null) {
+        unsetTimeToLiveMillis();
+      } else {
+        setTimeToLiveMillis((java.lang.Long)value);
+      }
+      break;
+
+    case MEMORY_BYTES:
+      if (value == null) {
+        unsetMemoryBytes();
+      } else {
+        setMemoryBytes((java.lang.Long)value);
+      }
+      break;
+
+    case CONTENTS:
+      if (value == null) {
+        unsetContents();
+      } else {
+        setContents((java.util.List<LoadedModelFact>)value);
+      }
+      break;
+
+    case ROLES:
+      if (value == null) {
+        unsetRoles();
+      } else {
+        setRoles((java.lang.Integer)value);
+      }
+      break;
+
+    case SLOTS:
+      if (value == null) {
+        unsetSlots();
+      } else {
+        setSlots((java.lang.Integer)value);
+      }
+      break;
+
+    case ENFORCES_FENCING:
+      if (value == null) {
+        unsetEnforcesFencing();
+      } else {
+        setEnforcesFencing((java.lang.Boolean)value);
+      }
+      break;
+
+    case LEAVING:
+      if (value == null) {
+        unsetLeaving();
+      } else {
+        setLeaving((java.lang.Boolean)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TARGET:
+      return getTarget();
+
+    case INCARNATION:
+      return getIncarnation();
+
+    case SEQUENCE:
+      return getSequence();
+
+    case HOST:
+      return getHost();
+
+    case PORT:
+      return getPort();
+
+    case DATA_CENTRE:
+      return getDataCentre();
+
+    case SERVICE_NAME:
+      return getServiceName();
+
+    case TIME_TO_LIVE_MILLIS:
+      return getTimeToLiveMillis();
+
+    case MEMORY_BYTES:
+      return getMemoryBytes();
+
+    case CONTENTS:
+      return getContents();
+
+    case ROLES:
+      return getRoles();
+
+    case SLOTS:
+      return getSlots();
+
+    case ENFORCES_FENCING:
+      return isEnforcesFencing();
+
+    case LEAVING:
+      return isLeaving();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case TARGET:
+      return isSetTarget();
+    case INCARNATION:
+      return isSetIncarnation();
+    case SEQUENCE:
+      return isSetSequence();
+    case HOST:
+      return isSetHost();
+    case PORT:
+      return isSetPort();
+    case DATA_CENTRE:
+      return isSetDataCentre();
+    case SERVICE_NAME:
+      return isSetServiceName();
+    case TIME_TO_LIVE_MILLIS:
+      return isSetTimeToLiveMillis();
+    case MEMORY_BYTES:
+      return isSetMemoryBytes();
+    case CONTENTS:
+      return isSetContents();
+    case ROLES:
+      return isSetRoles();
+    case SLOTS:
+      return isSetSlots();
+    case ENFORCES_FENCING:
+      return isSetEnforcesFencing();
+    case LEAVING:
+      return isSetLeaving();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof TargetFact)
+      return this.equals((TargetFact)that);
+    return false;
+  }
+
+  public boolean equals(TargetFact that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_target = true && this.isSetTarget();
+    boolean that_present_target = true && that.isSetTarget();
+    if (this_present_target || that_present_target) {
+      if (!(this_present_target && that_present_target))
+        return false;
+      if (!this.target.equals(that.target))
+        return false;
     }
 
-    public void unsetServiceName() {
-        this.serviceName = null;
+    boolean this_present_incarnation = true;
+    boolean that_present_incarnation = true;
+    if (this_present_incarnation || that_present_incarnation) {
+      if (!(this_present_incarnation && that_present_incarnation))
+        return false;
+      if (this.incarnation != that.incarnation)
+        return false;
     }
 
-    /** Returns true if field serviceName is set (has been assigned a value) and false otherwise */
-    public boolean isSetServiceName() {
-        return this.serviceName != null;
+    boolean this_present_sequence = true;
+    boolean that_present_sequence = true;
+    if (this_present_sequence || that_present_sequence) {
+      if (!(this_present_sequence && that_present_sequence))
+        return false;
+      if (this.sequence != that.sequence)
+        return false;
     }
 
-    public void setServiceNameIsSet(boolean value) {
-        if (!value) {
-            this.serviceName = null;
-        }
+    boolean this_present_host = true && this.isSetHost();
+    boolean that_present_host = true && that.isSetHost();
+    if (this_present_host || that_present_host) {
+      if (!(this_present_host && that_present_host))
+        return false;
+      if (!this.host.equals(that.host))
+        return false;
     }
 
-    public long getTimeToLiveMillis() {
-        return this.timeToLiveMillis;
+    boolean this_present_port = true;
+    boolean that_present_port = true;
+    if (this_present_port || that_present_port) {
+      if (!(this_present_port && that_present_port))
+        return false;
+      if (this.port != that.port)
+        return false;
     }
 
-    public TargetFact setTimeToLiveMillis(long timeToLiveMillis) {
-        this.timeToLiveMillis = timeToLiveMillis;
-        setTimeToLiveMillisIsSet(true);
-        return this;
+    boolean this_present_dataCentre = true && this.isSetDataCentre();
+    boolean that_present_dataCentre = true && that.isSetDataCentre();
+    if (this_present_dataCentre || that_present_dataCentre) {
+      if (!(this_present_dataCentre && that_present_dataCentre))
+        return false;
+      if (!this.dataCentre.equals(that.dataCentre))
+        return false;
     }
 
-    public void unsetTimeToLiveMillis() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TIMETOLIVEMILLIS_ISSET_ID);
+    boolean this_present_serviceName = true && this.isSetServiceName();
+    boolean that_present_serviceName = true && that.isSetServiceName();
+    if (this_present_serviceName || that_present_serviceName) {
+      if (!(this_present_serviceName && that_present_serviceName))
+        return false;
+      if (!this.serviceName.equals(that.serviceName))
+        return false;
     }
 
-    /** Returns true if field timeToLiveMillis is set (has been assigned a value) and false otherwise */
-    public boolean isSetTimeToLiveMillis() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TIMETOLIVEMILLIS_ISSET_ID);
+    boolean this_present_timeToLiveMillis = true;
+    boolean that_present_timeToLiveMillis = true;
+    if (this_present_timeToLiveMillis || that_present_timeToLiveMillis) {
+      if (!(this_present_timeToLiveMillis && that_present_timeToLiveMillis))
+        return false;
+      if (this.timeToLiveMillis != that.timeToLiveMillis)
+        return false;
     }
 
-    public void setTimeToLiveMillisIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TIMETOLIVEMILLIS_ISSET_ID, value);
+    boolean this_present_memoryBytes = true;
+    boolean that_present_memoryBytes = true;
+    if (this_present_memoryBytes || that_present_memoryBytes) {
+      if (!(this_present_memoryBytes && that_present_memoryBytes))
+        return false;
+      if (this.memoryBytes != that.memoryBytes)
+        return false;
     }
 
-    public long getMemoryBytes() {
-        return this.memoryBytes;
+    boolean this_present_contents = true && this.isSetContents();
+    boolean that_present_contents = true && that.isSetContents();
+    if (this_present_contents || that_present_contents) {
+      if (!(this_present_contents && that_present_contents))
+        return false;
+      if (!this.contents.equals(that.contents))
+        return false;
     }
 
-    public TargetFact setMemoryBytes(long memoryBytes) {
-        this.memoryBytes = memoryBytes;
-        setMemoryBytesIsSet(true);
-        return this;
+    boolean this_present_roles = true;
+    boolean that_present_roles = true;
+    if (this_present_roles || that_present_roles) {
+      if (!(this_present_roles && that_present_roles))
+        return false;
+      if (this.roles != that.roles)
+        return false;
     }
 
-    public void unsetMemoryBytes() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
+    boolean this_present_slots = true;
+    boolean that_present_slots = true;
+    if (this_present_slots || that_present_slots) {
+      if (!(this_present_slots && that_present_slots))
+        return false;
+      if (this.slots != that.slots)
+        return false;
     }
 
-    /** Returns true if field memoryBytes is set (has been assigned a value) and false otherwise */
-    public boolean isSetMemoryBytes() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID);
+    boolean this_present_enforcesFencing = true;
+    boolean that_present_enforcesFencing = true;
+    if (this_present_enforcesFencing || that_present_enforcesFencing) {
+      if (!(this_present_enforcesFencing && that_present_enforcesFencing))
+        return false;
+      if (this.enforcesFencing != that.enforcesFencing)
+        return false;
     }
 
-    public void setMemoryBytesIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMORYBYTES_ISSET_ID, value);
+    boolean this_present_leaving = true;
+    boolean that_present_leaving = true;
+    if (this_present_leaving || that_present_leaving) {
+      if (!(this_present_leaving && that_present_leaving))
+        return false;
+      if (this.leaving != that.leaving)
+        return false;
     }
 
-    public int getContentsSize() {
-        return (this.contents == null) ? 0 : this.contents.size();
-    }
+    return true;
+  }
 
-    @org.apache.thrift.annotation.Nullable
-    public java.util.Iterator<LoadedModelFact> getContentsIterator() {
-        return (this.contents == null) ? null : this.contents.iterator();
-    }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-    public void addToContents(LoadedModelFact elem) {
-        if (this.contents == null) {
-            this.contents = new java.util.ArrayList<LoadedModelFact>();
-        }
-        this.contents.add(elem);
-    }
+    hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
+    if (isSetTarget())
+      hashCode = hashCode * 8191 + target.hashCode();
 
-    @org.apache.thrift.annotation.Nullable
-    public java.util.List<LoadedModelFact> getContents() {
-        return this.contents;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
 
-    public TargetFact setContents(@org.apache.thrift.annotation.Nullable java.util.List<LoadedModelFact> contents) {
-        this.contents = contents;
-        return this;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sequence);
 
-    public void unsetContents() {
-        this.contents = null;
-    }
+    hashCode = hashCode * 8191 + ((isSetHost()) ? 131071 : 524287);
+    if (isSetHost())
+      hashCode = hashCode * 8191 + host.hashCode();
 
-    /** Returns true if field contents is set (has been assigned a value) and false otherwise */
-    public boolean isSetContents() {
-        return this.contents != null;
-    }
+    hashCode = hashCode * 8191 + port;
 
-    public void setContentsIsSet(boolean value) {
-        if (!value) {
-            this.contents = null;
-        }
-    }
+    hashCode = hashCode * 8191 + ((isSetDataCentre()) ? 131071 : 524287);
+    if (isSetDataCentre())
+      hashCode = hashCode * 8191 + dataCentre.hashCode();
 
-    public int getRoles() {
-        return this.roles;
-    }
+    hashCode = hashCode * 8191 + ((isSetServiceName()) ? 131071 : 524287);
+    if (isSetServiceName())
+      hashCode = hashCode * 8191 + serviceName.hashCode();
 
-    public TargetFact setRoles(int roles) {
-        this.roles = roles;
-        setRolesIsSet(true);
-        return this;
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(timeToLiveMillis);
 
-    public void unsetRoles() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ROLES_ISSET_ID);
-    }
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(memoryBytes);
 
-    /** Returns true if field roles is set (has been assigned a value) and false otherwise */
-    public boolean isSetRoles() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ROLES_ISSET_ID);
-    }
+    hashCode = hashCode * 8191 + ((isSetContents()) ? 131071 : 524287);
+    if (isSetContents())
+      hashCode = hashCode * 8191 + contents.hashCode();
 
-    public void setRolesIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROLES_ISSET_ID, value);
-    }
+    hashCode = hashCode * 8191 + roles;
 
-    public int getSlots() {
-        return this.slots;
-    }
+    hashCode = hashCode * 8191 + slots;
 
-    public TargetFact setSlots(int slots) {
-        this.slots = slots;
-        setSlotsIsSet(true);
-        return this;
-    }
+    hashCode = hashCode * 8191 + ((enforcesFencing) ? 131071 : 524287);
 
-    public void unsetSlots() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SLOTS_ISSET_ID);
-    }
+    hashCode = hashCode * 8191 + ((leaving) ? 131071 : 524287);
 
-    /** Returns true if field slots is set (has been assigned a value) and false otherwise */
-    public boolean isSetSlots() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SLOTS_ISSET_ID);
-    }
+    return hashCode;
+  }
 
-    public void setSlotsIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SLOTS_ISSET_ID, value);
+  @Override
+  public int compareTo(TargetFact other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    public boolean isEnforcesFencing() {
-        return this.enforcesFencing;
-    }
+    int lastComparison = 0;
 
-    public TargetFact setEnforcesFencing(boolean enforcesFencing) {
-        this.enforcesFencing = enforcesFencing;
-        setEnforcesFencingIsSet(true);
-        return this;
+    lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    public void unsetEnforcesFencing() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
+    if (isSetTarget()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    /** Returns true if field enforcesFencing is set (has been assigned a value) and false otherwise */
-    public boolean isSetEnforcesFencing() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID);
+    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    public void setEnforcesFencingIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ENFORCESFENCING_ISSET_ID, value);
+    if (isSetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    public boolean isLeaving() {
-        return this.leaving;
+    lastComparison = java.lang.Boolean.compare(isSetSequence(), other.isSetSequence());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    public TargetFact setLeaving(boolean leaving) {
-        this.leaving = leaving;
-        setLeavingIsSet(true);
-        return this;
+    if (isSetSequence()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sequence, other.sequence);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    public void unsetLeaving() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LEAVING_ISSET_ID);
+    lastComparison = java.lang.Boolean.compare(isSetHost(), other.isSetHost());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    /** Returns true if field leaving is set (has been assigned a value) and false otherwise */
-    public boolean isSetLeaving() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LEAVING_ISSET_ID);
+    if (isSetHost()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.host, other.host);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    public void setLeavingIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEAVING_ISSET_ID, value);
+    lastComparison = java.lang.Boolean.compare(isSetPort(), other.isSetPort());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
+    if (isSetPort()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.port, other.port);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetDataCentre(), other.isSetDataCentre());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDataCentre()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.dataCentre, other.dataCentre);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetServiceName(), other.isSetServiceName());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServiceName()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serviceName, other.serviceName);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTimeToLiveMillis(), other.isSetTimeToLiveMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTimeToLiveMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.timeToLiveMillis, other.timeToLiveMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetMemoryBytes(), other.isSetMemoryBytes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMemoryBytes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.memoryBytes, other.memoryBytes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetContents(), other.isSetContents());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetContents()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.contents, other.contents);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRoles(), other.isSetRoles());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRoles()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.roles, other.roles);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSlots(), other.isSetSlots());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSlots()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slots, other.slots);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetEnforcesFencing(), other.isSetEnforcesFencing());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEnforcesFencing()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.enforcesFencing, other.enforcesFencing);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLeaving(), other.isSetLeaving());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaving()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaving, other.leaving);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("TargetFact(");
+    boolean first = true;
+
+    sb.append("target:");
+    if (this.target == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.target);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("incarnation:");
+    sb.append(this.incarnation);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sequence:");
+    sb.append(this.sequence);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("host:");
+    if (this.host == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.host);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("port:");
+    sb.append(this.port);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("dataCentre:");
+    if (this.dataCentre == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.dataCentre);
+    }
+    first = false;
+    if (isSetServiceName()) {
+      if (!first) sb.append(", ");
+      sb.append("serviceName:");
+      if (this.serviceName == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.serviceName);
+      }
+      first = false;
+    }
+    if (!first) sb.append(", ");
+    sb.append("timeToLiveMillis:");
+    sb.append(this.timeToLiveMillis);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("memoryBytes:");
+    sb.append(this.memoryBytes);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("contents:");
+    if (this.contents == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.contents);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("roles:");
+    sb.append(this.roles);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("slots:");
+    sb.append(this.slots);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("enforcesFencing:");
+    sb.append(this.enforcesFencing);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("leaving:");
+    sb.append(this.leaving);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (target == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'target' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'sequence' because it's a primitive and you chose the non-beans generator.
+    if (host == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'host' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'port' because it's a primitive and you chose the non-beans generator.
+    if (dataCentre == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'dataCentre' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'timeToLiveMillis' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'memoryBytes' because it's a primitive and you chose the non-beans generator.
+    if (contents == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'contents' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'roles' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'slots' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'enforcesFencing' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'leaving' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class TargetFactStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TARGET:
-                if (value == null) {
-                    unsetTarget();
-                } else {
-                    setTarget((java.lang.String) value);
-                }
-                break;
-
-            case INCARNATION:
-                if (value == null) {
-                    unsetIncarnation();
-                } else {
-                    setIncarnation((java.lang.Long) value);
-                }
-                break;
-
-            case SEQUENCE:
-                if (value == null) {
-                    unsetSequence();
-                } else {
-                    setSequence((java.lang.Long) value);
-                }
-                break;
-
-            case HOST:
-                if (value == null) {
-                    unsetHost();
-                } else {
-                    setHost((java.lang.String) value);
-                }
-                break;
-
-            case PORT:
-                if (value == null) {
-                    unsetPort();
-                } else {
-                    setPort((java.lang.Integer) value);
-                }
-                break;
-
-            case DATA_CENTRE:
-                if (value == null) {
-                    unsetDataCentre();
-                } else {
-                    setDataCentre((java.lang.String) value);
-                }
-                break;
-
-            case SERVICE_NAME:
-                if (value == null) {
-                    unsetServiceName();
-                } else {
-                    setServiceName((java.lang.String) value);
-                }
-                break;
-
-            case TIME_TO_LIVE_MILLIS:
-                if (value == null) {
-                    unsetTimeToLiveMillis();
-                } else {
-                    setTimeToLiveMillis((java.lang.Long) value);
-                }
-                break;
-
-            case MEMORY_BYTES:
-                if (value == null) {
-                    unsetMemoryBytes();
-                } else {
-                    setMemoryBytes((java.lang.Long) value);
-                }
-                break;
-
-            case CONTENTS:
-                if (value == null) {
-                    unsetContents();
-                } else {
-                    setContents((java.util.List<LoadedModelFact>) value);
-                }
-                break;
-
-            case ROLES:
-                if (value == null) {
-                    unsetRoles();
-                } else {
-                    setRoles((java.lang.Integer) value);
-                }
-                break;
-
-            case SLOTS:
-                if (value == null) {
-                    unsetSlots();
-                } else {
-                    setSlots((java.lang.Integer) value);
-                }
-                break;
-
-            case ENFORCES_FENCING:
-                if (value == null) {
-                    unsetEnforcesFencing();
-                } else {
-                    setEnforcesFencing((java.lang.Boolean) value);
-                }
-                break;
-
-            case LEAVING:
-                if (value == null) {
-                    unsetLeaving();
-                } else {
-                    setLeaving((java.lang.Boolean) value);
-                }
-                break;
-        }
-    }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TARGET:
-                return getTarget();
-
-            case INCARNATION:
-                return getIncarnation();
-
-            case SEQUENCE:
-                return getSequence();
-
-            case HOST:
-                return getHost();
-
-            case PORT:
-                return getPort();
-
-            case DATA_CENTRE:
-                return getDataCentre();
-
-            case SERVICE_NAME:
-                return getServiceName();
-
-            case TIME_TO_LIVE_MILLIS:
-                return getTimeToLiveMillis();
-
-            case MEMORY_BYTES:
-                return getMemoryBytes();
-
-            case CONTENTS:
-                return getContents();
-
-            case ROLES:
-                return getRoles();
-
-            case SLOTS:
-                return getSlots();
-
-            case ENFORCES_FENCING:
-                return isEnforcesFencing();
-
-            case LEAVING:
-                return isLeaving();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TARGET:
-                return isSetTarget();
-            case INCARNATION:
-                return isSetIncarnation();
-            case SEQUENCE:
-                return isSetSequence();
-            case HOST:
-                return isSetHost();
-            case PORT:
-                return isSetPort();
-            case DATA_CENTRE:
-                return isSetDataCentre();
-            case SERVICE_NAME:
-                return isSetServiceName();
-            case TIME_TO_LIVE_MILLIS:
-                return isSetTimeToLiveMillis();
-            case MEMORY_BYTES:
-                return isSetMemoryBytes();
-            case CONTENTS:
-                return isSetContents();
-            case ROLES:
-                return isSetRoles();
-            case SLOTS:
-                return isSetSlots();
-            case ENFORCES_FENCING:
-                return isSetEnforcesFencing();
-            case LEAVING:
-                return isSetLeaving();
-        }
-        throw new java.lang.IllegalStateException();
-    }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof TargetFact) return this.equals((TargetFact) that);
-        return false;
-    }
-
-    public boolean equals(TargetFact that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_target = true && this.isSetTarget();
-        boolean that_present_target = true && that.isSetTarget();
-        if (this_present_target || that_present_target) {
-            if (!(this_present_target && that_present_target)) return false;
-            if (!this.target.equals(that.target)) return false;
-        }
-
-        boolean this_present_incarnation = true;
-        boolean that_present_incarnation = true;
-        if (this_present_incarnation || that_present_incarnation) {
-            if (!(this_present_incarnation && that_present_incarnation)) return false;
-            if (this.incarnation != that.incarnation) return false;
-        }
-
-        boolean this_present_sequence = true;
-        boolean that_present_sequence = true;
-        if (this_present_sequence || that_present_sequence) {
-            if (!(this_present_sequence && that_present_sequence)) return false;
-            if (this.sequence != that.sequence) return false;
-        }
-
-        boolean this_present_host = true && this.isSetHost();
-        boolean that_present_host = true && that.isSetHost();
-        if (this_present_host || that_present_host) {
-            if (!(this_present_host && that_present_host)) return false;
-            if (!this.host.equals(that.host)) return false;
-        }
-
-        boolean this_present_port = true;
-        boolean that_present_port = true;
-        if (this_present_port || that_present_port) {
-            if (!(this_present_port && that_present_port)) return false;
-            if (this.port != that.port) return false;
-        }
-
-        boolean this_present_dataCentre = true && this.isSetDataCentre();
-        boolean that_present_dataCentre = true && that.isSetDataCentre();
-        if (this_present_dataCentre || that_present_dataCentre) {
-            if (!(this_present_dataCentre && that_present_dataCentre)) return false;
-            if (!this.dataCentre.equals(that.dataCentre)) return false;
-        }
-
-        boolean this_present_serviceName = true && this.isSetServiceName();
-        boolean that_present_serviceName = true && that.isSetServiceName();
-        if (this_present_serviceName || that_present_serviceName) {
-            if (!(this_present_serviceName && that_present_serviceName)) return false;
-            if (!this.serviceName.equals(that.serviceName)) return false;
-        }
-
-        boolean this_present_timeToLiveMillis = true;
-        boolean that_present_timeToLiveMillis = true;
-        if (this_present_timeToLiveMillis || that_present_timeToLiveMillis) {
-            if (!(this_present_timeToLiveMillis && that_present_timeToLiveMillis)) return false;
-            if (this.timeToLiveMillis != that.timeToLiveMillis) return false;
-        }
-
-        boolean this_present_memoryBytes = true;
-        boolean that_present_memoryBytes = true;
-        if (this_present_memoryBytes || that_present_memoryBytes) {
-            if (!(this_present_memoryBytes && that_present_memoryBytes)) return false;
-            if (this.memoryBytes != that.memoryBytes) return false;
-        }
-
-        boolean this_present_contents = true && this.isSetContents();
-        boolean that_present_contents = true && that.isSetContents();
-        if (this_present_contents || that_present_contents) {
-            if (!(this_present_contents && that_present_contents)) return false;
-            if (!this.contents.equals(that.contents)) return false;
-        }
-
-        boolean this_present_roles = true;
-        boolean that_present_roles = true;
-        if (this_present_roles || that_present_roles) {
-            if (!(this_present_roles && that_present_roles)) return false;
-            if (this.roles != that.roles) return false;
-        }
-
-        boolean this_present_slots = true;
-        boolean that_present_slots = true;
-        if (this_present_slots || that_present_slots) {
-            if (!(this_present_slots && that_present_slots)) return false;
-            if (this.slots != that.slots) return false;
-        }
-
-        boolean this_present_enforcesFencing = true;
-        boolean that_present_enforcesFencing = true;
-        if (this_present_enforcesFencing || that_present_enforcesFencing) {
-            if (!(this_present_enforcesFencing && that_present_enforcesFencing)) return false;
-            if (this.enforcesFencing != that.enforcesFencing) return false;
-        }
-
-        boolean this_present_leaving = true;
-        boolean that_present_leaving = true;
-        if (this_present_leaving || that_present_leaving) {
-            if (!(this_present_leaving && that_present_leaving)) return false;
-            if (this.leaving != that.leaving) return false;
-        }
-
-        return true;
+    public TargetFactStandardScheme getScheme() {
+      return new TargetFactStandardScheme();
     }
+  }
 
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
-        if (isSetTarget()) hashCode = hashCode * 8191 + target.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sequence);
-
-        hashCode = hashCode * 8191 + ((isSetHost()) ? 131071 : 524287);
-        if (isSetHost()) hashCode = hashCode * 8191 + host.hashCode();
-
-        hashCode = hashCode * 8191 + port;
-
-        hashCode = hashCode * 8191 + ((isSetDataCentre()) ? 131071 : 524287);
-        if (isSetDataCentre()) hashCode = hashCode * 8191 + dataCentre.hashCode();
-
-        hashCode = hashCode * 8191 + ((isSetServiceName()) ? 131071 : 524287);
-        if (isSetServiceName()) hashCode = hashCode * 8191 + serviceName.hashCode();
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(timeToLiveMillis);
-
-        hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(memoryBytes);
-
-        hashCode = hashCode * 8191 + ((isSetContents()) ? 131071 : 524287);
-        if (isSetContents()) hashCode = hashCode * 8191 + contents.hashCode();
-
-        hashCode = hashCode * 8191 + roles;
-
-        hashCode = hashCode * 8191 + slots;
-
-        hashCode = hashCode * 8191 + ((enforcesFencing) ? 131071 : 524287);
-
-        hashCode = hashCode * 8191 + ((leaving) ? 131071 : 524287);
-
-        return hashCode;
-    }
+  private static class TargetFactStandardScheme extends org.apache.thrift.scheme.StandardScheme<TargetFact> {
 
     @Override
-    public int compareTo(TargetFact other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
-
-        lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTarget()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
-            if (lastComparison != 0) {
-                return lastComparison;
+    public void read(org.apache.thrift.protocol.TProtocol iprot, TargetFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // TARGET
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.target = iprot.readString();
+              struct.setTargetIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetIncarnation()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnation = iprot.readI64();
+              struct.setIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSequence(), other.isSetSequence());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSequence()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sequence, other.sequence);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // SEQUENCE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sequence = iprot.readI64();
+              struct.setSequenceIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetHost(), other.isSetHost());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetHost()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.host, other.host);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 4: // HOST
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.host = iprot.readString();
+              struct.setHostIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetPort(), other.isSetPort());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetPort()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.port, other.port);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 5: // PORT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.port = iprot.readI32();
+              struct.setPortIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetDataCentre(), other.isSetDataCentre());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetDataCentre()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.dataCentre, other.dataCentre);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 6: // DATA_CENTRE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.dataCentre = iprot.readString();
+              struct.setDataCentreIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetServiceName(), other.isSetServiceName());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetServiceName()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serviceName, other.serviceName);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 7: // SERVICE_NAME
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.serviceName = iprot.readString();
+              struct.setServiceNameIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetTimeToLiveMillis(), other.isSetTimeToLiveMillis());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTimeToLiveMillis()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.timeToLiveMillis, other.timeToLiveMillis);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 8: // TIME_TO_LIVE_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.timeToLiveMillis = iprot.readI64();
+              struct.setTimeToLiveMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetMemoryBytes(), other.isSetMemoryBytes());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetMemoryBytes()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.memoryBytes, other.memoryBytes);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 9: // MEMORY_BYTES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.memoryBytes = iprot.readI64();
+              struct.setMemoryBytesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetContents(), other.isSetContents());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetContents()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.contents, other.contents);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 10: // CONTENTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
+                struct.contents = new java.util.ArrayList<LoadedModelFact>(_list0.size);
+                @org.apache.thrift.annotation.Nullable LoadedModelFact _elem1;
+                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                {
+                  _elem1 = new LoadedModelFact();
+                  _elem1.read(iprot);
+                  struct.contents.add(_elem1);
+                }
+                iprot.readListEnd();
+              }
+              struct.setContentsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRoles(), other.isSetRoles());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRoles()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.roles, other.roles);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 11: // ROLES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.roles = iprot.readI32();
+              struct.setRolesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetSlots(), other.isSetSlots());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetSlots()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slots, other.slots);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 12: // SLOTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.slots = iprot.readI32();
+              struct.setSlotsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetEnforcesFencing(), other.isSetEnforcesFencing());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetEnforcesFencing()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.enforcesFencing, other.enforcesFencing);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 13: // ENFORCES_FENCING
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.enforcesFencing = iprot.readBool();
+              struct.setEnforcesFencingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetLeaving(), other.isSetLeaving());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetLeaving()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaving, other.leaving);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 14: // LEAVING
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.leaving = iprot.readBool();
+              struct.setLeavingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        return 0;
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetSequence()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sequence' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetPort()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'port' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetTimeToLiveMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'timeToLiveMillis' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetMemoryBytes()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'memoryBytes' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetRoles()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'roles' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetSlots()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'slots' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetEnforcesFencing()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'enforcesFencing' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetLeaving()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'leaving' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, TargetFact struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.target != null) {
+        oprot.writeFieldBegin(TARGET_FIELD_DESC);
+        oprot.writeString(struct.target);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SEQUENCE_FIELD_DESC);
+      oprot.writeI64(struct.sequence);
+      oprot.writeFieldEnd();
+      if (struct.host != null) {
+        oprot.writeFieldBegin(HOST_FIELD_DESC);
+        oprot.writeString(struct.host);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(PORT_FIELD_DESC);
+      oprot.writeI32(struct.port);
+      oprot.writeFieldEnd();
+      if (struct.dataCentre != null) {
+        oprot.writeFieldBegin(DATA_CENTRE_FIELD_DESC);
+        oprot.writeString(struct.dataCentre);
+        oprot.writeFieldEnd();
+      }
+      if (struct.serviceName != null) {
+        if (struct.isSetServiceName()) {
+          oprot.writeFieldBegin(SERVICE_NAME_FIELD_DESC);
+          oprot.writeString(struct.serviceName);
+          oprot.writeFieldEnd();
+        }
+      }
+      oprot.writeFieldBegin(TIME_TO_LIVE_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.timeToLiveMillis);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(MEMORY_BYTES_FIELD_DESC);
+      oprot.writeI64(struct.memoryBytes);
+      oprot.writeFieldEnd();
+      if (struct.contents != null) {
+        oprot.writeFieldBegin(CONTENTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.contents.size()));
+          for (LoadedModelFact _iter3 : struct.contents)
+          {
+            _iter3.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(ROLES_FIELD_DESC);
+      oprot.writeI32(struct.roles);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SLOTS_FIELD_DESC);
+      oprot.writeI32(struct.slots);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ENFORCES_FENCING_FIELD_DESC);
+      oprot.writeBool(struct.enforcesFencing);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LEAVING_FIELD_DESC);
+      oprot.writeBool(struct.leaving);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class TargetFactTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    public TargetFactTupleScheme getScheme() {
+      return new TargetFactTupleScheme();
     }
+  }
 
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
-    }
+  private static class TargetFactTupleScheme extends org.apache.thrift.scheme.TupleScheme<TargetFact> {
 
     @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("TargetFact(");
-        boolean first = true;
-
-        sb.append("target:");
-        if (this.target == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.target);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("incarnation:");
-        sb.append(this.incarnation);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("sequence:");
-        sb.append(this.sequence);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("host:");
-        if (this.host == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.host);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("port:");
-        sb.append(this.port);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("dataCentre:");
-        if (this.dataCentre == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.dataCentre);
-        }
-        first = false;
-        if (isSetServiceName()) {
-            if (!first) sb.append(", ");
-            sb.append("serviceName:");
-            if (this.serviceName == null) {
-                sb.append("null");
-            } else {
-                sb.append(this.serviceName);
-            }
-            first = false;
-        }
-        if (!first) sb.append(", ");
-        sb.append("timeToLiveMillis:");
-        sb.append(this.timeToLiveMillis);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("memoryBytes:");
-        sb.append(this.memoryBytes);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("contents:");
-        if (this.contents == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.contents);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("roles:");
-        sb.append(this.roles);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("slots:");
-        sb.append(this.slots);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("enforcesFencing:");
-        sb.append(this.enforcesFencing);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("leaving:");
-        sb.append(this.leaving);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (target == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'target' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'sequence' because it's a primitive and you chose the non-beans generator.
-        if (host == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'host' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'port' because it's a primitive and you chose the non-beans generator.
-        if (dataCentre == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'dataCentre' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'timeToLiveMillis' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'memoryBytes' because it's a primitive and you chose the non-beans generator.
-        if (contents == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'contents' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'roles' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'slots' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'enforcesFencing' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'leaving' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
-
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+    public void write(org.apache.thrift.protocol.TProtocol prot, TargetFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.target);
+      oprot.writeI64(struct.incarnation);
+      oprot.writeI64(struct.sequence);
+      oprot.writeString(struct.host);
+      oprot.writeI32(struct.port);
+      oprot.writeString(struct.dataCentre);
+      oprot.writeI64(struct.timeToLiveMillis);
+      oprot.writeI64(struct.memoryBytes);
+      {
+        oprot.writeI32(struct.contents.size());
+        for (LoadedModelFact _iter4 : struct.contents)
+        {
+          _iter4.write(oprot);
+        }
+      }
+      oprot.writeI32(struct.roles);
+      oprot.writeI32(struct.slots);
+      oprot.writeBool(struct.enforcesFencing);
+      oprot.writeBool(struct.leaving);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetServiceName()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetServiceName()) {
+        oprot.writeString(struct.serviceName);
+      }
     }
 
-    private static class TargetFactStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public TargetFactStandardScheme getScheme() {
-            return new TargetFactStandardScheme();
-        }
-    }
-
-    private static class TargetFactStandardScheme extends org.apache.thrift.scheme.StandardScheme<TargetFact> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, TargetFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TARGET
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.target = iprot.readString();
-                            struct.setTargetIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // INCARNATION
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.incarnation = iprot.readI64();
-                            struct.setIncarnationIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // SEQUENCE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.sequence = iprot.readI64();
-                            struct.setSequenceIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 4: // HOST
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.host = iprot.readString();
-                            struct.setHostIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 5: // PORT
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.port = iprot.readI32();
-                            struct.setPortIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 6: // DATA_CENTRE
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.dataCentre = iprot.readString();
-                            struct.setDataCentreIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 7: // SERVICE_NAME
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.serviceName = iprot.readString();
-                            struct.setServiceNameIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 8: // TIME_TO_LIVE_MILLIS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.timeToLiveMillis = iprot.readI64();
-                            struct.setTimeToLiveMillisIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 9: // MEMORY_BYTES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-                            struct.memoryBytes = iprot.readI64();
-                            struct.setMemoryBytesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 10: // CONTENTS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-                            {
-                                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                                struct.contents = new java.util.ArrayList<LoadedModelFact>(_list0.size);
-                                @org.apache.thrift.annotation.Nullable LoadedModelFact _elem1;
-                                for (int _i2 = 0; _i2 < _list0.size; ++_i2) {
-                                    _elem1 = new LoadedModelFact();
-                                    _elem1.read(iprot);
-                                    struct.contents.add(_elem1);
-                                }
-                                iprot.readListEnd();
-                            }
-                            struct.setContentsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 11: // ROLES
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.roles = iprot.readI32();
-                            struct.setRolesIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 12: // SLOTS
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.slots = iprot.readI32();
-                            struct.setSlotsIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 13: // ENFORCES_FENCING
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.enforcesFencing = iprot.readBool();
-                            struct.setEnforcesFencingIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 14: // LEAVING
-                        if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-                            struct.leaving = iprot.readBool();
-                            struct.setLeavingIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetIncarnation()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'incarnation' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetSequence()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'sequence' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetPort()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'port' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetTimeToLiveMillis()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'timeToLiveMillis' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetMemoryBytes()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'memoryBytes' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetRoles()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'roles' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetSlots()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'slots' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetEnforcesFencing()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'enforcesFencing' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetLeaving()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'leaving' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, TargetFact struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.target != null) {
-                oprot.writeFieldBegin(TARGET_FIELD_DESC);
-                oprot.writeString(struct.target);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(SEQUENCE_FIELD_DESC);
-            oprot.writeI64(struct.sequence);
-            oprot.writeFieldEnd();
-            if (struct.host != null) {
-                oprot.writeFieldBegin(HOST_FIELD_DESC);
-                oprot.writeString(struct.host);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(PORT_FIELD_DESC);
-            oprot.writeI32(struct.port);
-            oprot.writeFieldEnd();
-            if (struct.dataCentre != null) {
-                oprot.writeFieldBegin(DATA_CENTRE_FIELD_DESC);
-                oprot.writeString(struct.dataCentre);
-                oprot.writeFieldEnd();
-            }
-            if (struct.serviceName != null) {
-                if (struct.isSetServiceName()) {
-                    oprot.writeFieldBegin(SERVICE_NAME_FIELD_DESC);
-                    oprot.writeString(struct.serviceName);
-                    oprot.writeFieldEnd();
-                }
-            }
-            oprot.writeFieldBegin(TIME_TO_LIVE_MILLIS_FIELD_DESC);
-            oprot.writeI64(struct.timeToLiveMillis);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(MEMORY_BYTES_FIELD_DESC);
-            oprot.writeI64(struct.memoryBytes);
-            oprot.writeFieldEnd();
-            if (struct.contents != null) {
-                oprot.writeFieldBegin(CONTENTS_FIELD_DESC);
-                {
-                    oprot.writeListBegin(new org.apache.thrift.protocol.TList(
-                            org.apache.thrift.protocol.TType.STRUCT, struct.contents.size()));
-                    for (LoadedModelFact _iter3 : struct.contents) {
-                        _iter3.write(oprot);
-                    }
-                    oprot.writeListEnd();
-                }
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(ROLES_FIELD_DESC);
-            oprot.writeI32(struct.roles);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(SLOTS_FIELD_DESC);
-            oprot.writeI32(struct.slots);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(ENFORCES_FENCING_FIELD_DESC);
-            oprot.writeBool(struct.enforcesFencing);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(LEAVING_FIELD_DESC);
-            oprot.writeBool(struct.leaving);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class TargetFactTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public TargetFactTupleScheme getScheme() {
-            return new TargetFactTupleScheme();
-        }
-    }
-
-    private static class TargetFactTupleScheme extends org.apache.thrift.scheme.TupleScheme<TargetFact> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, TargetFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.target);
-            oprot.writeI64(struct.incarnation);
-            oprot.writeI64(struct.sequence);
-            oprot.writeString(struct.host);
-            oprot.writeI32(struct.port);
-            oprot.writeString(struct.dataCentre);
-            oprot.writeI64(struct.timeToLiveMillis);
-            oprot.writeI64(struct.memoryBytes);
-            {
-                oprot.writeI32(struct.contents.size());
-                for (LoadedModelFact _iter4 : struct.contents) {
-                    _iter4.write(oprot);
-                }
-            }
-            oprot.writeI32(struct.roles);
-            oprot.writeI32(struct.slots);
-            oprot.writeBool(struct.enforcesFencing);
-            oprot.writeBool(struct.leaving);
-            java.util.BitSet optionals = new java.util.BitSet();
-            if (struct.isSetServiceName()) {
-                optionals.set(0);
-            }
-            oprot.writeBitSet(optionals, 1);
-            if (struct.isSetServiceName()) {
-                oprot.writeString(struct.serviceName);
-            }
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, TargetFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.target = iprot.readString();
-            struct.setTargetIsSet(true);
-            struct.incarnation = iprot.readI64();
-            struct.setIncarnationIsSet(true);
-            struct.sequence = iprot.readI64();
-            struct.setSequenceIsSet(true);
-            struct.host = iprot.readString();
-            struct.setHostIsSet(true);
-            struct.port = iprot.readI32();
-            struct.setPortIsSet(true);
-            struct.dataCentre = iprot.readString();
-            struct.setDataCentreIsSet(true);
-            struct.timeToLiveMillis = iprot.readI64();
-            struct.setTimeToLiveMillisIsSet(true);
-            struct.memoryBytes = iprot.readI64();
-            struct.setMemoryBytesIsSet(true);
-            {
-                org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-                struct.contents = new java.util.ArrayList<LoadedModelFact>(_list5.size);
-                @org.apache.thrift.annotation.Nullable LoadedModelFact _elem6;
-                for (int _i7 = 0; _i7 < _list5.size; ++_i7) {
-                    _elem6 = new LoadedModelFact();
-                    _elem6.read(iprot);
-                    struct.contents.add(_elem6);
-                }
-            }
-            struct.setContentsIsSet(true);
-            struct.roles = iprot.readI32();
-            struct.setRolesIsSet(true);
-            struct.slots = iprot.readI32();
-            struct.setSlotsIsSet(true);
-            struct.enforcesFencing = iprot.readBool();
-            struct.setEnforcesFencingIsSet(true);
-            struct.leaving = iprot.readBool();
-            struct.setLeavingIsSet(true);
-            java.util.BitSet incoming = iprot.readBitSet(1);
-            if (incoming.get(0)) {
-                struct.serviceName = iprot.readString();
-                struct.setServiceNameIsSet(true);
-            }
-        }
-    }
-
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, TargetFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.target = iprot.readString();
+      struct.setTargetIsSet(true);
+      struct.incarnation = iprot.readI64();
+      struct.setIncarnationIsSet(true);
+      struct.sequence = iprot.readI64();
+      struct.setSequenceIsSet(true);
+      struct.host = iprot.readString();
+      struct.setHostIsSet(true);
+      struct.port = iprot.readI32();
+      struct.setPortIsSet(true);
+      struct.dataCentre = iprot.readString();
+      struct.setDataCentreIsSet(true);
+      struct.timeToLiveMillis = iprot.readI64();
+      struct.setTimeToLiveMillisIsSet(true);
+      struct.memoryBytes = iprot.readI64();
+      struct.setMemoryBytesIsSet(true);
+      {
+        org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.contents = new java.util.ArrayList<LoadedModelFact>(_list5.size);
+        @org.apache.thrift.annotation.Nullable LoadedModelFact _elem6;
+        for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+        {
+          _elem6 = new LoadedModelFact();
+          _elem6.read(iprot);
+          struct.contents.add(_elem6);
+        }
+      }
+      struct.setContentsIsSet(true);
+      struct.roles = iprot.readI32();
+      struct.setRolesIsSet(true);
+      struct.slots = iprot.readI32();
+      struct.setSlotsIsSet(true);
+      struct.enforcesFencing = iprot.readBool();
+      struct.setEnforcesFencingIsSet(true);
+      struct.leaving = iprot.readBool();
+      struct.setLeavingIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.serviceName = iprot.readString();
+        struct.setServiceNameIsSet(true);
+      }
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/TargetGoneFact.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/TargetGoneFact.java
@@ -10,385 +10,374 @@
  * The target named by the key is no longer announced to the owner of the item.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class TargetGoneFact
-        implements org.apache.thrift.TBase<TargetGoneFact, TargetGoneFact._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<TargetGoneFact> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("TargetGoneFact");
-
-    private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short) 1);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new TargetGoneFactStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new TargetGoneFactTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TARGET((short) 1, "target");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
+public class TargetGoneFact implements org.apache.thrift.TBase<TargetGoneFact, TargetGoneFact._Fields>, java.io.Serializable, Cloneable, Comparable<TargetGoneFact> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TargetGoneFact");
 
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TARGET
-                    return TARGET;
-                default:
-                    return null;
-            }
-        }
+  private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC = new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short)1);
 
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TargetGoneFactStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TargetGoneFactTupleSchemeFactory();
 
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
-
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
-
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
-
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TARGET((short)1, "target");
 
-    // isset id assignments
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TARGET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "target",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TargetGoneFact.class, metaDataMap);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
-    public TargetGoneFact() {}
+    /**
+     * Find the _Fields constant that matches fieldId, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TARGET
+          return TARGET;
+        default:
+          return null;
+      }
+    }
 
-    public TargetGoneFact(java.lang.String target) {
-        this();
-        this.target = target;
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches name, or null if its not found.
      */
-    public TargetGoneFact(TargetGoneFact other) {
-        if (other.isSetTarget()) {
-            this.target = other.target;
-        }
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    @Override
-    public TargetGoneFact deepCopy() {
-        return new TargetGoneFact(this);
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
+
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
     @Override
-    public void clear() {
-        this.target = null;
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    @org.apache.thrift.annotation.Nullable
-    public java.lang.String getTarget() {
-        return this.target;
+    @Override
+    public java.lang.String getFieldName() {
+      return _fieldName;
     }
-
-    public TargetGoneFact setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
-        this.target = target;
-        return this;
+  }
+
+  // isset id assignments
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TARGET, new org.apache.thrift.meta_data.FieldMetaData("target", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TargetGoneFact.class, metaDataMap);
+  }
+
+  public TargetGoneFact() {
+  }
+
+  public TargetGoneFact(
+    java.lang.String target)
+  {
+    this();
+    this.target = target;
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public TargetGoneFact(TargetGoneFact other) {
+    if (other.isSetTarget()) {
+      this.target = other.target;
     }
-
-    public void unsetTarget() {
-        this.target = null;
+  }
+
+  @Override
+  public TargetGoneFact deepCopy() {
+    return new TargetGoneFact(this);
+  }
+
+  @Override
+  public void clear() {
+    this.target = null;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getTarget() {
+    return this.target;
+  }
+
+  public TargetGoneFact setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
+    this.target = target;
+    return this;
+  }
+
+  public void unsetTarget() {
+    this.target = null;
+  }
+
+  /** Returns true if field target is set (has been assigned a value) and false otherwise */
+  public boolean isSetTarget() {
+    return this.target != null;
+  }
+
+  public void setTargetIsSet(boolean value) {
+    if (!value) {
+      this.target = null;
     }
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TARGET:
+      if (value == null) {
+        unsetTarget();
+      } else {
+        setTarget((java.lang.String)value);
+      }
+      break;
 
-    /** Returns true if field target is set (has been assigned a value) and false otherwise */
-    public boolean isSetTarget() {
-        return this.target != null;
     }
+  }
 
-    public void setTargetIsSet(boolean value) {
-        if (!value) {
-            this.target = null;
-        }
-    }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TARGET:
+      return getTarget();
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TARGET:
-                if (value == null) {
-                    unsetTarget();
-                } else {
-                    setTarget((java.lang.String) value);
-                }
-                break;
-        }
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TARGET:
-                return getTarget();
-        }
-        throw new java.lang.IllegalStateException();
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
-    @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TARGET:
-                return isSetTarget();
-        }
-        throw new java.lang.IllegalStateException();
+    switch (field) {
+    case TARGET:
+      return isSetTarget();
     }
-
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof TargetGoneFact) return this.equals((TargetGoneFact) that);
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof TargetGoneFact)
+      return this.equals((TargetGoneFact)that);
+    return false;
+  }
+
+  public boolean equals(TargetGoneFact that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_target = true && this.isSetTarget();
+    boolean that_present_target = true && that.isSetTarget();
+    if (this_present_target || that_present_target) {
+      if (!(this_present_target && that_present_target))
+        return false;
+      if (!this.target.equals(that.target))
         return false;
     }
 
-    public boolean equals(TargetGoneFact that) {
-        if (that == null) return false;
-        if (this == that) return true;
+    return true;
+  }
 
-        boolean this_present_target = true && this.isSetTarget();
-        boolean that_present_target = true && that.isSetTarget();
-        if (this_present_target || that_present_target) {
-            if (!(this_present_target && that_present_target)) return false;
-            if (!this.target.equals(that.target)) return false;
-        }
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-        return true;
-    }
-
-    @Override
-    public int hashCode() {
-        int hashCode = 1;
+    hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
+    if (isSetTarget())
+      hashCode = hashCode * 8191 + target.hashCode();
 
-        hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
-        if (isSetTarget()) hashCode = hashCode * 8191 + target.hashCode();
+    return hashCode;
+  }
 
-        return hashCode;
+  @Override
+  public int compareTo(TargetGoneFact other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
     }
 
-    @Override
-    public int compareTo(TargetGoneFact other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+    int lastComparison = 0;
 
-        lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTarget()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
-            if (lastComparison != 0) {
-                return lastComparison;
-            }
-        }
-        return 0;
+    lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
+    if (lastComparison != 0) {
+      return lastComparison;
     }
-
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+    if (isSetTarget()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
     }
-
-    @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("TargetGoneFact(");
+    boolean first = true;
+
+    sb.append("target:");
+    if (this.target == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.target);
     }
-
-    @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (target == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'target' was not present! Struct: " + toString());
     }
-
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("TargetGoneFact(");
-        boolean first = true;
-
-        sb.append("target:");
-        if (this.target == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.target);
-        }
-        first = false;
-        sb.append(")");
-        return sb.toString();
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (target == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'target' was not present! Struct: " + toString());
-        }
-        // check for sub-struct validity
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
     }
+  }
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
+  private static class TargetGoneFactStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public TargetGoneFactStandardScheme getScheme() {
+      return new TargetGoneFactStandardScheme();
     }
+  }
 
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
+  private static class TargetGoneFactStandardScheme extends org.apache.thrift.scheme.StandardScheme<TargetGoneFact> {
 
-    private static class TargetGoneFactStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public TargetGoneFactStandardScheme getScheme() {
-            return new TargetGoneFactStandardScheme();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, TargetGoneFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
         }
-    }
-
-    private static class TargetGoneFactStandardScheme extends org.apache.thrift.scheme.StandardScheme<TargetGoneFact> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, TargetGoneFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TARGET
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.target = iprot.readString();
-                            struct.setTargetIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
+        switch (schemeField.id) {
+          case 1: // TARGET
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.target = iprot.readString();
+              struct.setTargetIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            struct.validate();
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, TargetGoneFact struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.target != null) {
-                oprot.writeFieldBegin(TARGET_FIELD_DESC);
-                oprot.writeString(struct.target);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
+      // check for required fields of primitive type, which can't be checked in the validate method
+      struct.validate();
     }
 
-    private static class TargetGoneFactTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public TargetGoneFactTupleScheme getScheme() {
-            return new TargetGoneFactTupleScheme();
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, TargetGoneFact struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.target != null) {
+        oprot.writeFieldBegin(TARGET_FIELD_DESC);
+        oprot.writeString(struct.target);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
     }
 
-    private static class TargetGoneFactTupleScheme extends org.apache.thrift.scheme.TupleScheme<TargetGoneFact> {
+  }
 
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, TargetGoneFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.target);
-        }
+  private static class TargetGoneFactTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public TargetGoneFactTupleScheme getScheme() {
+      return new TargetGoneFactTupleScheme();
+    }
+  }
 
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, TargetGoneFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.target = iprot.readString();
-            struct.setTargetIsSet(true);
-        }
+  private static class TargetGoneFactTupleScheme extends org.apache.thrift.scheme.TupleScheme<TargetGoneFact> {
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, TargetGoneFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.target);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, TargetGoneFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.target = iprot.readString();
+      struct.setTargetIsSet(true);
     }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
