--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/TargetLoadFact.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/TargetLoadFact.java
@@ -7,582 +7,564 @@
 package org.basilrill.thrift.membership;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class TargetLoadFact
-        implements org.apache.thrift.TBase<TargetLoadFact, TargetLoadFact._Fields>,
-                java.io.Serializable,
-                Cloneable,
-                Comparable<TargetLoadFact> {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC =
-            new org.apache.thrift.protocol.TStruct("TargetLoadFact");
-
-    private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short) 1);
-    private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short) 2);
-    private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC =
-            new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.I32, (short) 3);
-
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY =
-            new TargetLoadFactStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY =
-            new TargetLoadFactTupleSchemeFactory();
-
-    private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
-    private int running; // required
-    private int waiting; // required
-
-    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
-    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-        TARGET((short) 1, "target"),
-        RUNNING((short) 2, "running"),
-        WAITING((short) 3, "waiting");
-
-        private static final java.util.Map<java.lang.String, _Fields> byName =
-                new java.util.HashMap<java.lang.String, _Fields>();
-
-        static {
-            for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
-                byName.put(field.getFieldName(), field);
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByThriftId(int fieldId) {
-            switch (fieldId) {
-                case 1: // TARGET
-                    return TARGET;
-                case 2: // RUNNING
-                    return RUNNING;
-                case 3: // WAITING
-                    return WAITING;
-                default:
-                    return null;
-            }
-        }
-
-        /**
-         * Find the _Fields constant that matches fieldId, throwing an exception
-         * if it is not found.
-         */
-        public static _Fields findByThriftIdOrThrow(int fieldId) {
-            _Fields fields = findByThriftId(fieldId);
-            if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
-            return fields;
-        }
-
-        /**
-         * Find the _Fields constant that matches name, or null if its not found.
-         */
-        @org.apache.thrift.annotation.Nullable
-        public static _Fields findByName(java.lang.String name) {
-            return byName.get(name);
-        }
+public class TargetLoadFact implements org.apache.thrift.TBase<TargetLoadFact, TargetLoadFact._Fields>, java.io.Serializable, Cloneable, Comparable<TargetLoadFact> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TargetLoadFact");
 
-        private final short _thriftId;
-        private final java.lang.String _fieldName;
+  private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC = new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short)2);
+  private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.I32, (short)3);
 
-        _Fields(short thriftId, java.lang.String fieldName) {
-            _thriftId = thriftId;
-            _fieldName = fieldName;
-        }
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TargetLoadFactStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TargetLoadFactTupleSchemeFactory();
 
-        @Override
-        public short getThriftFieldId() {
-            return _thriftId;
-        }
+  private @org.apache.thrift.annotation.Nullable java.lang.String target; // required
+  private int running; // required
+  private int waiting; // required
 
-        @Override
-        public java.lang.String getFieldName() {
-            return _fieldName;
-        }
-    }
+  /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+  public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+    TARGET((short)1, "target"),
+    RUNNING((short)2, "running"),
+    WAITING((short)3, "waiting");
 
-    // isset id assignments
-    private static final int __RUNNING_ISSET_ID = 0;
-    private static final int __WAITING_ISSET_ID = 1;
-    private byte __isset_bitfield = 0;
-    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
     static {
-        java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap =
-                new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-        tmpMap.put(
-                _Fields.TARGET,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "target",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-        tmpMap.put(
-                _Fields.RUNNING,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "running",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        tmpMap.put(
-                _Fields.WAITING,
-                new org.apache.thrift.meta_data.FieldMetaData(
-                        "waiting",
-                        org.apache.thrift.TFieldRequirementType.REQUIRED,
-                        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-        metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-        org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TargetLoadFact.class, metaDataMap);
-    }
-
-    public TargetLoadFact() {}
-
-    public TargetLoadFact(java.lang.String target, int running, int waiting) {
-        this();
-        this.target = target;
-        this.running = running;
-        setRunningIsSet(true);
-        this.waiting = waiting;
-        setWaitingIsSet(true);
+      for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+        byName.put(field.getFieldName(), field);
+      }
     }
 
     /**
-     * Performs a deep copy on <i>other</i>.
+     * Find the _Fields constant that matches fieldId, or null if its not found.
      */
-    public TargetLoadFact(TargetLoadFact other) {
-        __isset_bitfield = other.__isset_bitfield;
-        if (other.isSetTarget()) {
-            this.target = other.target;
-        }
-        this.running = other.running;
-        this.waiting = other.waiting;
-    }
-
-    @Override
-    public TargetLoadFact deepCopy() {
-        return new TargetLoadFact(this);
-    }
-
-    @Override
-    public void clear() {
-        this.target = null;
-        setRunningIsSet(false);
-        this.running = 0;
-        setWaitingIsSet(false);
-        this.waiting = 0;
-    }
-
     @org.apache.thrift.annotation.Nullable
-    public java.lang.String getTarget() {
-        return this.target;
-    }
-
-    public TargetLoadFact setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
-        this.target = target;
-        return this;
+    public static _Fields findByThriftId(int fieldId) {
+      switch(fieldId) {
+        case 1: // TARGET
+          return TARGET;
+        case 2: // RUNNING
+          return RUNNING;
+        case 3: // WAITING
+          return WAITING;
+        default:
+          return null;
+      }
     }
 
-    public void unsetTarget() {
-        this.target = null;
-    }
-
-    /** Returns true if field target is set (has been assigned a value) and false otherwise */
-    public boolean isSetTarget() {
-        return this.target != null;
-    }
-
-    public void setTargetIsSet(boolean value) {
-        if (!value) {
-            this.target = null;
-        }
-    }
-
-    public int getRunning() {
-        return this.running;
-    }
-
-    public TargetLoadFact setRunning(int running) {
-        this.running = running;
-        setRunningIsSet(true);
-        return this;
-    }
-
-    public void unsetRunning() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RUNNING_ISSET_ID);
-    }
-
-    /** Returns true if field running is set (has been assigned a value) and false otherwise */
-    public boolean isSetRunning() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RUNNING_ISSET_ID);
-    }
-
-    public void setRunningIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RUNNING_ISSET_ID, value);
-    }
-
-    public int getWaiting() {
-        return this.waiting;
-    }
-
-    public TargetLoadFact setWaiting(int waiting) {
-        this.waiting = waiting;
-        setWaitingIsSet(true);
-        return this;
-    }
-
-    public void unsetWaiting() {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WAITING_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches fieldId, throwing an exception
+     * if it is not found.
+     */
+    public static _Fields findByThriftIdOrThrow(int fieldId) {
+      _Fields fields = findByThriftId(fieldId);
+      if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+      return fields;
     }
 
-    /** Returns true if field waiting is set (has been assigned a value) and false otherwise */
-    public boolean isSetWaiting() {
-        return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WAITING_ISSET_ID);
+    /**
+     * Find the _Fields constant that matches name, or null if its not found.
+     */
+    @org.apache.thrift.annotation.Nullable
+    public static _Fields findByName(java.lang.String name) {
+      return byName.get(name);
     }
 
-    public void setWaitingIsSet(boolean value) {
-        __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WAITING_ISSET_ID, value);
-    }
+    private final short _thriftId;
+    private final java.lang.String _fieldName;
 
-    @Override
-    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
-        switch (field) {
-            case TARGET:
-                if (value == null) {
-                    unsetTarget();
-                } else {
-                    setTarget((java.lang.String) value);
-                }
-                break;
-
-            case RUNNING:
-                if (value == null) {
-                    unsetRunning();
-                } else {
-                    setRunning((java.lang.Integer) value);
-                }
-                break;
-
-            case WAITING:
-                if (value == null) {
-                    unsetWaiting();
-                } else {
-                    setWaiting((java.lang.Integer) value);
-                }
-                break;
-        }
+    _Fields(short thriftId, java.lang.String fieldName) {
+      _thriftId = thriftId;
+      _fieldName = fieldName;
     }
 
-    @org.apache.thrift.annotation.Nullable
     @Override
-    public java.lang.Object getFieldValue(_Fields field) {
-        switch (field) {
-            case TARGET:
-                return getTarget();
-
-            case RUNNING:
-                return getRunning();
-
-            case WAITING:
-                return getWaiting();
-        }
-        throw new java.lang.IllegalStateException();
+    public short getThriftFieldId() {
+      return _thriftId;
     }
 
-    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
     @Override
-    public boolean isSet(_Fields field) {
-        if (field == null) {
-            throw new java.lang.IllegalArgumentException();
-        }
-
-        switch (field) {
-            case TARGET:
-                return isSetTarget();
-            case RUNNING:
-                return isSetRunning();
-            case WAITING:
-                return isSetWaiting();
-        }
-        throw new java.lang.IllegalStateException();
+    public java.lang.String getFieldName() {
+      return _fieldName;
+    }
+  }
+
+  // isset id assignments
+  private static final int __RUNNING_ISSET_ID = 0;
+  private static final int __WAITING_ISSET_ID = 1;
+  private byte __isset_bitfield = 0;
+  public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+  static {
+    java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+    tmpMap.put(_Fields.TARGET, new org.apache.thrift.meta_data.FieldMetaData("target", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.RUNNING, new org.apache.thrift.meta_data.FieldMetaData("running", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.WAITING, new org.apache.thrift.meta_data.FieldMetaData("waiting", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TargetLoadFact.class, metaDataMap);
+  }
+
+  public TargetLoadFact() {
+  }
+
+  public TargetLoadFact(
+    java.lang.String target,
+    int running,
+    int waiting)
+  {
+    this();
+    this.target = target;
+    this.running = running;
+    setRunningIsSet(true);
+    this.waiting = waiting;
+    setWaitingIsSet(true);
+  }
+
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
+  public TargetLoadFact(TargetLoadFact other) {
+    __isset_bitfield = other.__isset_bitfield;
+    if (other.isSetTarget()) {
+      this.target = other.target;
+    }
+    this.running = other.running;
+    this.waiting = other.waiting;
+  }
+
+  @Override
+  public TargetLoadFact deepCopy() {
+    return new TargetLoadFact(this);
+  }
+
+  @Override
+  public void clear() {
+    this.target = null;
+    setRunningIsSet(false);
+    this.running = 0;
+    setWaitingIsSet(false);
+    this.waiting = 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getTarget() {
+    return this.target;
+  }
+
+  public TargetLoadFact setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
+    this.target = target;
+    return this;
+  }
+
+  public void unsetTarget() {
+    this.target = null;
+  }
+
+  /** Returns true if field target is set (has been assigned a value) and false otherwise */
+  public boolean isSetTarget() {
+    return this.target != null;
+  }
+
+  public void setTargetIsSet(boolean value) {
+    if (!value) {
+      this.target = null;
+    }
+  }
+
+  public int getRunning() {
+    return this.running;
+  }
+
+  public TargetLoadFact setRunning(int running) {
+    this.running = running;
+    setRunningIsSet(true);
+    return this;
+  }
+
+  public void unsetRunning() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RUNNING_ISSET_ID);
+  }
+
+  /** Returns true if field running is set (has been assigned a value) and false otherwise */
+  public boolean isSetRunning() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RUNNING_ISSET_ID);
+  }
+
+  public void setRunningIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RUNNING_ISSET_ID, value);
+  }
+
+  public int getWaiting() {
+    return this.waiting;
+  }
+
+  public TargetLoadFact setWaiting(int waiting) {
+    this.waiting = waiting;
+    setWaitingIsSet(true);
+    return this;
+  }
+
+  public void unsetWaiting() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WAITING_ISSET_ID);
+  }
+
+  /** Returns true if field waiting is set (has been assigned a value) and false otherwise */
+  public boolean isSetWaiting() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WAITING_ISSET_ID);
+  }
+
+  public void setWaitingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WAITING_ISSET_ID, value);
+  }
+
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case TARGET:
+      if (value == null) {
+        unsetTarget();
+      } else {
+        setTarget((java.lang.String)value);
+      }
+      break;
+
+    case RUNNING:
+      if (value == null) {
+        unsetRunning();
+      } else {
+        setRunning((java.lang.Integer)value);
+      }
+      break;
+
+    case WAITING:
+      if (value == null) {
+        unsetWaiting();
+      } else {
+        setWaiting((java.lang.Integer)value);
+      }
+      break;
+
+    }
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case TARGET:
+      return getTarget();
+
+    case RUNNING:
+      return getRunning();
+
+    case WAITING:
+      return getWaiting();
+
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
+    }
+
+    switch (field) {
+    case TARGET:
+      return isSetTarget();
+    case RUNNING:
+      return isSetRunning();
+    case WAITING:
+      return isSetWaiting();
+    }
+    throw new java.lang.IllegalStateException();
+  }
+
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof TargetLoadFact)
+      return this.equals((TargetLoadFact)that);
+    return false;
+  }
+
+  public boolean equals(TargetLoadFact that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_target = true && this.isSetTarget();
+    boolean that_present_target = true && that.isSetTarget();
+    if (this_present_target || that_present_target) {
+      if (!(this_present_target && that_present_target))
+        return false;
+      if (!this.target.equals(that.target))
+        return false;
     }
 
-    @Override
-    public boolean equals(java.lang.Object that) {
-        if (that instanceof TargetLoadFact) return this.equals((TargetLoadFact) that);
+    boolean this_present_running = true;
+    boolean that_present_running = true;
+    if (this_present_running || that_present_running) {
+      if (!(this_present_running && that_present_running))
+        return false;
+      if (this.running != that.running)
         return false;
     }
 
-    public boolean equals(TargetLoadFact that) {
-        if (that == null) return false;
-        if (this == that) return true;
-
-        boolean this_present_target = true && this.isSetTarget();
-        boolean that_present_target = true && that.isSetTarget();
-        if (this_present_target || that_present_target) {
-            if (!(this_present_target && that_present_target)) return false;
-            if (!this.target.equals(that.target)) return false;
-        }
-
-        boolean this_present_running = true;
-        boolean that_present_running = true;
-        if (this_present_running || that_present_running) {
-            if (!(this_present_running && that_present_running)) return false;
-            if (this.running != that.running) return false;
-        }
-
-        boolean this_present_waiting = true;
-        boolean that_present_waiting = true;
-        if (this_present_waiting || that_present_waiting) {
-            if (!(this_present_waiting && that_present_waiting)) return false;
-            if (this.waiting != that.waiting) return false;
-        }
-
-        return true;
+    boolean this_present_waiting = true;
+    boolean that_present_waiting = true;
+    if (this_present_waiting || that_present_waiting) {
+      if (!(this_present_waiting && that_present_waiting))
+        return false;
+      if (this.waiting != that.waiting)
+        return false;
     }
 
+    return true;
+  }
+
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
+
+    hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
+    if (isSetTarget())
+      hashCode = hashCode * 8191 + target.hashCode();
+
+    hashCode = hashCode * 8191 + running;
+
+    hashCode = hashCode * 8191 + waiting;
+
+    return hashCode;
+  }
+
+  @Override
+  public int compareTo(TargetLoadFact other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
+
+    int lastComparison = 0;
+
+    lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTarget()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRunning(), other.isSetRunning());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRunning()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.running, other.running);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetWaiting(), other.isSetWaiting());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWaiting()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.waiting, other.waiting);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
+  }
+
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
+  }
+
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
+  }
+
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("TargetLoadFact(");
+    boolean first = true;
+
+    sb.append("target:");
+    if (this.target == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.target);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("running:");
+    sb.append(this.running);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("waiting:");
+    sb.append(this.waiting);
+    first = false;
+    sb.append(")");
+    return sb.toString();
+  }
+
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (target == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'target' was not present! Struct: " + toString());
+    }
+    // alas, we cannot check 'running' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'waiting' because it's a primitive and you chose the non-beans generator.
+    // check for sub-struct validity
+  }
+
+  private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+    try {
+      write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+    try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
+      read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+    } catch (org.apache.thrift.TException te) {
+      throw new java.io.IOException(te);
+    }
+  }
+
+  private static class TargetLoadFactStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public int hashCode() {
-        int hashCode = 1;
-
-        hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
-        if (isSetTarget()) hashCode = hashCode * 8191 + target.hashCode();
-
-        hashCode = hashCode * 8191 + running;
-
-        hashCode = hashCode * 8191 + waiting;
-
-        return hashCode;
+    public TargetLoadFactStandardScheme getScheme() {
+      return new TargetLoadFactStandardScheme();
     }
+  }
 
-    @Override
-    public int compareTo(TargetLoadFact other) {
-        if (!getClass().equals(other.getClass())) {
-            return getClass().getName().compareTo(other.getClass().getName());
-        }
-
-        int lastComparison = 0;
+  private static class TargetLoadFactStandardScheme extends org.apache.thrift.scheme.StandardScheme<TargetLoadFact> {
 
-        lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetTarget()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
-            if (lastComparison != 0) {
-                return lastComparison;
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, TargetLoadFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // TARGET
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.target = iprot.readString();
+              struct.setTargetIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetRunning(), other.isSetRunning());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetRunning()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.running, other.running);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 2: // RUNNING
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.running = iprot.readI32();
+              struct.setRunningIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
-        }
-        lastComparison = java.lang.Boolean.compare(isSetWaiting(), other.isSetWaiting());
-        if (lastComparison != 0) {
-            return lastComparison;
-        }
-        if (isSetWaiting()) {
-            lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.waiting, other.waiting);
-            if (lastComparison != 0) {
-                return lastComparison;
+            break;
+          case 3: // WAITING
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.waiting = iprot.readI32();
+              struct.setWaitingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
-        return 0;
-    }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
 
-    @org.apache.thrift.annotation.Nullable
-    @Override
-    public _Fields fieldForId(int fieldId) {
-        return _Fields.findByThriftId(fieldId);
+      // check for required fields of primitive type, which can't be checked in the validate method
+      if (!struct.isSetRunning()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'running' was not found in serialized data! Struct: " + toString());
+      }
+      if (!struct.isSetWaiting()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'waiting' was not found in serialized data! Struct: " + toString());
+      }
+      struct.validate();
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
-        scheme(iprot).read(iprot, this);
-    }
-
+    public void write(org.apache.thrift.protocol.TProtocol oprot, TargetLoadFact struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.target != null) {
+        oprot.writeFieldBegin(TARGET_FIELD_DESC);
+        oprot.writeString(struct.target);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(RUNNING_FIELD_DESC);
+      oprot.writeI32(struct.running);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(WAITING_FIELD_DESC);
+      oprot.writeI32(struct.waiting);
+      oprot.writeFieldEnd();
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class TargetLoadFactTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-        scheme(oprot).write(oprot, this);
+    public TargetLoadFactTupleScheme getScheme() {
+      return new TargetLoadFactTupleScheme();
     }
+  }
 
-    @Override
-    public java.lang.String toString() {
-        java.lang.StringBuilder sb = new java.lang.StringBuilder("TargetLoadFact(");
-        boolean first = true;
-
-        sb.append("target:");
-        if (this.target == null) {
-            sb.append("null");
-        } else {
-            sb.append(this.target);
-        }
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("running:");
-        sb.append(this.running);
-        first = false;
-        if (!first) sb.append(", ");
-        sb.append("waiting:");
-        sb.append(this.waiting);
-        first = false;
-        sb.append(")");
-        return sb.toString();
-    }
-
-    public void validate() throws org.apache.thrift.TException {
-        // check for required fields
-        if (target == null) {
-            throw new org.apache.thrift.protocol.TProtocolException(
-                    "Required field 'target' was not present! Struct: " + toString());
-        }
-        // alas, we cannot check 'running' because it's a primitive and you chose the non-beans generator.
-        // alas, we cannot check 'waiting' because it's a primitive and you chose the non-beans generator.
-        // check for sub-struct validity
-    }
+  private static class TargetLoadFactTupleScheme extends org.apache.thrift.scheme.TupleScheme<TargetLoadFact> {
 
-    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
-        try {
-            write(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(out)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
-        try {
-            // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the
-            // default constructor.
-            __isset_bitfield = 0;
-            read(new org.apache.thrift.protocol.TCompactProtocol(
-                    new org.apache.thrift.transport.TIOStreamTransport(in)));
-        } catch (org.apache.thrift.TException te) {
-            throw new java.io.IOException(te);
-        }
-    }
-
-    private static class TargetLoadFactStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public TargetLoadFactStandardScheme getScheme() {
-            return new TargetLoadFactStandardScheme();
-        }
-    }
-
-    private static class TargetLoadFactStandardScheme extends org.apache.thrift.scheme.StandardScheme<TargetLoadFact> {
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol iprot, TargetLoadFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TField schemeField;
-            iprot.readStructBegin();
-            while (true) {
-                schemeField = iprot.readFieldBegin();
-                if (schemeField.type == org.apache.thrift.protocol.TType.STOP) {
-                    break;
-                }
-                switch (schemeField.id) {
-                    case 1: // TARGET
-                        if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-                            struct.target = iprot.readString();
-                            struct.setTargetIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 2: // RUNNING
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.running = iprot.readI32();
-                            struct.setRunningIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    case 3: // WAITING
-                        if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-                            struct.waiting = iprot.readI32();
-                            struct.setWaitingIsSet(true);
-                        } else {
-                            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                        }
-                        break;
-                    default:
-                        org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-                }
-                iprot.readFieldEnd();
-            }
-            iprot.readStructEnd();
-
-            // check for required fields of primitive type, which can't be checked in the validate method
-            if (!struct.isSetRunning()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'running' was not found in serialized data! Struct: " + toString());
-            }
-            if (!struct.isSetWaiting()) {
-                throw new org.apache.thrift.protocol.TProtocolException(
-                        "Required field 'waiting' was not found in serialized data! Struct: " + toString());
-            }
-            struct.validate();
-        }
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol oprot, TargetLoadFact struct)
-                throws org.apache.thrift.TException {
-            struct.validate();
-
-            oprot.writeStructBegin(STRUCT_DESC);
-            if (struct.target != null) {
-                oprot.writeFieldBegin(TARGET_FIELD_DESC);
-                oprot.writeString(struct.target);
-                oprot.writeFieldEnd();
-            }
-            oprot.writeFieldBegin(RUNNING_FIELD_DESC);
-            oprot.writeI32(struct.running);
-            oprot.writeFieldEnd();
-            oprot.writeFieldBegin(WAITING_FIELD_DESC);
-            oprot.writeI32(struct.waiting);
-            oprot.writeFieldEnd();
-            oprot.writeFieldStop();
-            oprot.writeStructEnd();
-        }
-    }
-
-    private static class TargetLoadFactTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
-        @Override
-        public TargetLoadFactTupleScheme getScheme() {
-            return new TargetLoadFactTupleScheme();
-        }
-    }
-
-    private static class TargetLoadFactTupleScheme extends org.apache.thrift.scheme.TupleScheme<TargetLoadFact> {
-
-        @Override
-        public void write(org.apache.thrift.protocol.TProtocol prot, TargetLoadFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            oprot.writeString(struct.target);
-            oprot.writeI32(struct.running);
-            oprot.writeI32(struct.waiting);
-        }
-
-        @Override
-        public void read(org.apache.thrift.protocol.TProtocol prot, TargetLoadFact struct)
-                throws org.apache.thrift.TException {
-            org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-            struct.target = iprot.readString();
-            struct.setTargetIsSet(true);
-            struct.running = iprot.readI32();
-            struct.setRunningIsSet(true);
-            struct.waiting = iprot.readI32();
-            struct.setWaitingIsSet(true);
-        }
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, TargetLoadFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.target);
+      oprot.writeI32(struct.running);
+      oprot.writeI32(struct.waiting);
     }
 
-    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
-        return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme())
-                        ? STANDARD_SCHEME_FACTORY
-                        : TUPLE_SCHEME_FACTORY)
-                .getScheme();
-    }
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, TargetLoadFact struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.target = iprot.readString();
+      struct.setTargetIsSet(true);
+      struct.running = iprot.readI32();
+      struct.setRunningIsSet(true);
+      struct.waiting = iprot.readI32();
+      struct.setWaitingIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
