--- /dev/null
+++ b/basilrill-daemon/src/test/java/org/basilrill/daemon/command/CommandRunnerTest.java
@@ -0,0 +1,103 @@
+package org.basilrill.daemon.command;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.matchesPattern;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against bad input that gives no clear line, a stack trace, or exit code 0. */
+class CommandRunnerTest {
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void helpAndVersionSucceed() {
+        assertThat(run("--help"), is(ExitCode.SUCCESS));
+        assertThat(run("--version"), is(ExitCode.SUCCESS));
+        assertThat(run("serve", "--help"), is(ExitCode.SUCCESS));
+        assertThat(output.toString(StandardCharsets.UTF_8), containsString("basilrill 0.1.0"));
+    }
+
+    @Test
+    void unknownCommandsAndOptionsAreUsageErrors() {
+        assertThat(run("fly"), is(ExitCode.USAGE));
+        assertThat(run("serve", "--wings"), is(ExitCode.USAGE));
+        assertThat(run("serve"), is(ExitCode.USAGE));
+        assertThat(run("status", "--address", "nowhere"), is(ExitCode.USAGE));
+    }
+
+    @Test
+    void aMissingFileGivesOneLineWithItsName() {
+        assertThat(run("serve", "--settings", "no-such-file.json"), is(ExitCode.FAILURE));
+        assertThat(errorLines(), containsString("FILE_UNREADABLE: cannot read settings file no-such-file.json"));
+        assertThat(errorLines().lines().count(), is(1L));
+    }
+
+    @Test
+    void aMalformedRuleIsNamedWithFileLineAndField() throws IOException {
+        Path rules = folder.resolve("rules.txt");
+        Files.writeString(rules, "account desk rate 10 burst 20 # asked by Ana\naccount desk2 rate x burst 20 # Ana\n");
+        assertThat(run("check", rules.toString()), is(ExitCode.FAILURE));
+        assertThat(errorLines(), containsString(rules + ":2"));
+    }
+
+    @Test
+    void aPortInUseGivesOneLineAndFailure() throws IOException {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Path settings = settings(taken.getLocalPort(), folder.resolve("data"));
+            assertThat(run("serve", "--settings", settings.toString()), is(ExitCode.FAILURE));
+        }
+        assertThat(errorLines(), containsString("ADDRESS_IN_USE"));
+        assertThat(errorLines().lines().count(), is(1L));
+    }
+
+    @Test
+    void anUnusableDataFolderGivesOneLineAndFailure() throws IOException {
+        Path file = Files.writeString(folder.resolve("a-file"), "not a folder");
+        Path settings = settings(1, file);
+        assertThat(run("serve", "--settings", settings.toString()), is(ExitCode.FAILURE));
+        assertThat(errorLines(), containsString("DISK_FAILED"));
+        assertThat(errorLines().lines().count(), is(1L));
+    }
+
+    @Test
+    void aNewKeyIsPrintedWithTheRuleThatHoldsOnlyItsHash() {
+        assertThat(run("key", "new", "parish-desk"), is(ExitCode.SUCCESS));
+        String[] lines = output.toString(StandardCharsets.UTF_8).split("\\R");
+        assertThat(lines[0], matchesPattern("brk-[A-Za-z0-9_-]{43}"));
+        assertThat(lines[1], matchesPattern("key parish-desk sha256:[0-9a-f]{64}  # asked by NAME"));
+    }
+
+    private Path settings(int callerPort, Path dataFolder) throws IOException {
+        String text = String.format("""
+                {"instance": "one", "dataCentre": "dc-1", "callerAddress": "127.0.0.1:%d",
+                 "peerAddress": "127.0.0.1:1", "roles": ["entry", "replica"], "dataFolder": "%s",
+                 "replicas": {"one": "127.0.0.1:1"}}
+                """, callerPort, dataFolder);
+        return Files.writeString(folder.resolve("settings.json"), text);
+    }
+
+    private ExitCode run(String... arguments) {
+        PrintStream printed = new PrintStream(output, true, StandardCharsets.UTF_8);
+        PrintStream failures = new PrintStream(errors, true, StandardCharsets.UTF_8);
+        return new CommandRunner(Commands.all(printed), printed, failures).run(arguments);
+    }
+
+    private String errorLines() {
+        return errors.toString(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/basilrill-daemon/src/test/java/org/basilrill/daemon/settings/SettingsReaderTest.java
@@ -0,0 +1,89 @@
+package org.basilrill.daemon.settings;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.daemon.settings.SettingsFault.Kind;
+import org.junit.jupiter.api.Test;
+
+/** Guards against settings that are accepted with faults, and against faults that name no line or field. */
+class SettingsReaderTest {
+    private static final String VALID = """
+            // An entry instance.
+            {
+              "instance": "entry-4", /* unique */
+              "dataCentre": "dc-1",
+              "callerAddress": "127.0.0.1:8080",
+              "peerAddress": "127.0.0.1:9080",
+              "roles": ["entry"],
+              "replicas": {"entry-1": "127.0.0.1:9081"},
+              "drainLimitMillis": 5000,
+            }
+            """;
+
+    @Test
+    void settingsWithCommentsAndATrailingCommaAreRead() {
+        Settings settings = SettingsReader.parse("a.json", VALID);
+        assertThat(settings.roles(), is(Set.of(Settings.Role.ENTRY)));
+        assertThat(settings.drainLimit(), is(Duration.ofSeconds(5)));
+        assertThat(settings.isReplica(), is(false));
+    }
+
+    @Test
+    void theExampleSettingsAreValid() {
+        Settings settings = SettingsReader.read(Path.of("../examples/instance.json"));
+        assertThat(settings.isReplica(), is(true));
+    }
+
+    @Test
+    void allFaultsAreReportedInOneGoWithLineAndField() {
+        String text = VALID.replace("127.0.0.1:8080", "localhost")
+                .replace("\"entry\"]", "\"router\"]")
+                .replace("\"dataCentre\"", "\"datacenter\"")
+                .replace("5000", "\"soon\"");
+        SettingsException failure = assertThrows(SettingsException.class, () -> SettingsReader.parse("a.json", text));
+        assertThat(
+                failure.faults().stream().map(SettingsFault::field).toList(),
+                contains("dataCentre", "datacenter", "callerAddress", "roles", "drainLimitMillis"));
+        assertThat(
+                failure.faults().stream().map(SettingsFault::kind).toList(),
+                is(List.of(
+                        Kind.MISSING_FIELD,
+                        Kind.UNKNOWN_FIELD,
+                        Kind.INVALID_VALUE,
+                        Kind.INVALID_VALUE,
+                        Kind.WRONG_TYPE)));
+        assertThat(failure.getMessage(), containsString("a.json:5: field \"callerAddress\": must be an IP number"));
+    }
+
+    @Test
+    void aReplicaWithoutADataFolderIsRefused() {
+        String text = VALID.replace("[\"entry\"]", "[\"entry\", \"replica\"]");
+        SettingsException failure = assertThrows(SettingsException.class, () -> SettingsReader.parse("a.json", text));
+        assertThat(failure.faults().stream().map(SettingsFault::field).toList(), contains("dataFolder", "replicas"));
+    }
+
+    @Test
+    void brokenJsonIsReportedWithItsLine() {
+        SettingsException failure =
+                assertThrows(SettingsException.class, () -> SettingsReader.parse("a.json", "{\n\"a\": 1\n\"b\": 2}"));
+        assertThat(failure.faults().get(0).line(), is(3));
+        assertThat(failure.faults().get(0).kind(), is(Kind.NOT_JSON));
+    }
+
+    @Test
+    void aMissingFileIsATypedFailure() {
+        BasilrillException failure =
+                assertThrows(BasilrillException.class, () -> SettingsReader.read(Path.of("no-such-file.json")));
+        assertThat(failure.code(), is(ErrorCode.FILE_UNREADABLE));
+    }
+}
