--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -56,6 +56,8 @@
     private final InstanceListing listing;
     private final OwnFacts ownFacts;
     private volatile boolean draining;
+    /** Counted once a period: counting the members for every dispatch costs more than the dispatch itself. */
+    private volatile int usableInstances = 1;
 
     /** Assembles the instance; nothing happens before {@link #start}. */
     public Instance(InstanceEnvironment environment) {
@@ -186,7 +188,7 @@
                 environment.dataCentre(),
                 environment.clock(),
                 split(),
-                this::usableInstances,
+                () -> usableInstances,
                 RoutingOptions.defaults());
         return new FairDispatcher(
                 targets,
@@ -234,10 +236,7 @@
                 control.isCurrent(),
                 control.view().rules().revision()));
         ownFacts.publishLoad(coordinator.requestsInFlight());
-    }
-
-    private int usableInstances() {
-        return (int) membership.members().stream()
+        usableInstances = (int) membership.members().stream()
                 .filter(member -> !member.suspected() && !member.draining())
                 .count();
     }
