Place models by demand within the weight store's limits

The controller on the leader commits each intent before it sends the order, repeats lost orders under their id, and sends an unload only while another target serves the model.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -39,7 +39,14 @@
     BUCKET_CLAIM_FAILED(353, "claim or handover of a token bucket failed and is repeated"),
     TARGET_EJECTED(400, "target is ejected after failures"),
     TARGET_RESTORED(401, "target is used again after a successful probe"),
-    DISPATCH_CALLBACK_FAILED(402, "a callback of a dispatched request failed");
+    DISPATCH_CALLBACK_FAILED(402, "a callback of a dispatched request failed"),
+    PLACEMENT_STARTED(450, "replica controls the placement"),
+    PLACEMENT_STOPPED(451, "replica no longer controls the placement"),
+    TARGET_ORDER_INTENDED(452, "target order committed"),
+    TARGET_ORDER_RESOLVED(453, "target order has an outcome"),
+    TARGET_ORDER_REFUSED(454, "control log refused a target order"),
+    UNLOAD_HELD_BACK(455, "unload held back because no other copy is ready"),
+    PLACEMENT_STEP_FAILED(456, "placement step failed and is repeated");
 
     private final int number;
     private final String summary;
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/Move.java
@@ -0,0 +1,24 @@
+package org.basilrill.coordination.placement;
+
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.state.control.OrderKind;
+
+/**
+ * One order that the placement wants. Immutable and thread safe.
+ *
+ * @param bytes memory that the order reserves; 0 for an unload
+ */
+public record Move(
+        TargetId target,
+        long targetIncarnation,
+        OrderKind kind,
+        ModelId model,
+        int version,
+        long bytes,
+        MoveReason reason) {
+    /** Tells whether the order takes a slot of the weight store. */
+    public boolean loadsModel() {
+        return kind == OrderKind.LOAD_MODEL;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/PlacementEnvironment.java
@@ -0,0 +1,28 @@
+package org.basilrill.coordination.placement;
+
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.MonotonicClock;
+import org.basilrill.api.Scheduler;
+import org.basilrill.state.control.ControlClient;
+import org.basilrill.state.control.ControlStateMachine;
+import org.basilrill.state.target.TargetDirectory;
+
+/**
+ * What a placement controller works with. Immutable and thread safe.
+ *
+ * @param leads whether the replica of this instance leads the control log
+ * @param state control state of this instance's replica
+ * @param orders sends each order to the one incarnation of a target that the announcement names
+ */
+public record PlacementEnvironment(
+        InstanceId self,
+        BooleanSupplier leads,
+        ControlStateMachine state,
+        ControlClient client,
+        TargetDirectory directory,
+        TargetOrders orders,
+        MonotonicClock clock,
+        Scheduler scheduler,
+        RandomGenerator random) {}
