--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -22,6 +22,7 @@
 import org.basilrill.daemon.settings.Settings;
 import org.basilrill.protocol.administration.AdministrationHandler;
 import org.basilrill.protocol.administration.AdministrationViews;
+import org.basilrill.protocol.administration.PlacementView;
 import org.basilrill.protocol.administration.RulesText;
 import org.basilrill.protocol.instance.Instance;
 import org.basilrill.protocol.instance.InstanceEnvironment;
@@ -171,6 +172,7 @@
                 instance.control(),
                 this::rulesText,
                 views,
+                () -> instance.placement().map(PlacementView::describe).orElseGet(PlacementView::absent),
                 this::beginStop,
                 settings.operatorKeyHash().map(KeyHash::new),
                 ADMINISTRATION_DEADLINE);
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/InstanceCommands.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/InstanceCommands.java
@@ -11,6 +11,7 @@
 /** Shows the state of the system and drains instances. Stateless. */
 final class InstanceCommands {
     private static final String ACCOUNTS = "accounts";
+    private static final String MODELS = "models";
     private static final String RULES = "rules";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -19,8 +20,8 @@
     static Command status(PrintStream output) {
         return new Command(
                 "status",
-                "[accounts|rules]",
-                "shows instances and targets, client accounts, or the rules in force",
+                "[accounts|models|rules]",
+                "shows instances and targets, client accounts, models, or the rules in force",
                 AdministrationOptions.create(),
                 arguments -> status(arguments, output));
     }
@@ -41,6 +42,7 @@
             switch (what) {
                 case "" -> output.println(indented(AdministrationOptions.bodyOf(client.status())));
                 case ACCOUNTS -> output.println(indented(AdministrationOptions.bodyOf(client.accounts())));
+                case MODELS -> output.println(indented(AdministrationOptions.bodyOf(client.models())));
                 case RULES -> printRules(AdministrationOptions.bodyOf(client.rules()), output);
                 default -> throw new UsageException("cannot show \"" + what + "\"");
             }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.basilrill.api.BasilrillException;
@@ -30,6 +31,7 @@
     public static final String RULES = "/admin/rules";
     public static final String STATUS = "/admin/status";
     public static final String ACCOUNTS = "/admin/accounts";
+    public static final String MODELS = "/admin/models";
     public static final String DRAIN = "/admin/drain";
     public static final String REVISION = "revision";
     public static final String TEXT = "text";
@@ -42,6 +44,7 @@
     private final ControlClient control;
     private final RulesText rulesText;
     private final AdministrationViews views;
+    private final Supplier<ObjectNode> models;
     private final Runnable drain;
     private final Optional<KeyHash> firstOperatorKey;
     private final Duration deadline;
@@ -49,20 +52,23 @@
     /**
      * Creates a handler.
      *
+     * @param models describes the placement of models
      * @param drain starts the graceful shutdown of this instance; returns at once
-     * @param firstOperatorKey hash from the settings, by which the first rules are installed
+     * @param firstOperatorKey hash from the settings, accepted until the rules name an operator
      * @param deadline longest wait for the control log
      */
     public AdministrationHandler(
             ControlClient control,
             RulesText rulesText,
             AdministrationViews views,
+            Supplier<ObjectNode> models,
             Runnable drain,
             Optional<KeyHash> firstOperatorKey,
             Duration deadline) {
         this.control = control;
         this.rulesText = rulesText;
         this.views = views;
+        this.models = models;
         this.drain = drain;
         this.firstOperatorKey = firstOperatorKey;
         this.deadline = deadline;
@@ -96,6 +102,7 @@
             case "PUT " + RULES -> replaceRules(head, body, operator);
             case "GET " + STATUS -> completed(200, views.status());
             case "GET " + ACCOUNTS -> completed(200, views.accounts());
+            case "GET " + MODELS -> completed(200, models.get());
             case "POST " + DRAIN -> drain(operator);
             default -> CompletableFuture.failedFuture(unknown(head));
         };
@@ -110,7 +117,8 @@
         if (known != null) {
             return known;
         }
-        if (firstOperatorKey.filter(hash::equals).isPresent()) {
+        boolean noOperatorYet = control.view().rules().operators().isEmpty();
+        if (noOperatorYet && firstOperatorKey.filter(hash::equals).isPresent()) {
             return new Operator(FIRST_OPERATOR, Role.ADMIN);
         }
         throw new BasilrillException(ErrorCode.KEY_UNKNOWN, "the key is not that of an operator");
@@ -173,6 +181,7 @@
         boolean known = head.path().equals(RULES)
                 || head.path().equals(STATUS)
                 || head.path().equals(ACCOUNTS)
+                || head.path().equals(MODELS)
                 || head.path().equals(DRAIN);
         return known
                 ? new BasilrillException(ErrorCode.METHOD_NOT_ALLOWED, head.method() + " is not supported here")
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -9,7 +9,6 @@
 import org.basilrill.api.AccountId;
 import org.basilrill.api.PeerHandler;
 import org.basilrill.api.PeerSubject;
-import org.basilrill.coordination.admission.DemandListener;
 import org.basilrill.coordination.admission.DispatcherOptions;
 import org.basilrill.coordination.admission.FairDispatcher;
 import org.basilrill.coordination.admission.SlidingRetryBudget;
@@ -21,11 +20,19 @@
 import org.basilrill.coordination.membership.GossipMembership;
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.coordination.membership.TargetSpread;
+import org.basilrill.coordination.placement.DemandBook;
+import org.basilrill.coordination.placement.DemandReporter;
+import org.basilrill.coordination.placement.PlacementController;
+import org.basilrill.coordination.placement.PlacementEnvironment;
+import org.basilrill.coordination.placement.PlacementMessenger;
+import org.basilrill.coordination.placement.PlacementSettings;
+import org.basilrill.coordination.placement.PlacementStatus;
 import org.basilrill.coordination.routing.RoutingOptions;
 import org.basilrill.coordination.routing.TargetRouter;
 import org.basilrill.protocol.caller.InstanceListing;
 import org.basilrill.protocol.peer.GossipCodec;
 import org.basilrill.protocol.peer.ThriftBudgetCodec;
+import org.basilrill.protocol.peer.ThriftPlacementCodec;
 import org.basilrill.state.configuration.Rules;
 import org.basilrill.state.target.AnnouncementReceiver;
 import org.basilrill.state.target.TargetChangeListener.Change;
@@ -51,6 +58,9 @@
     private final ControlLogClient control;
     private final Optional<ControlLogServer> controlServer;
     private final ClientBudgets budgets;
+    private final PlacementMessenger placementMessenger;
+    private final DemandReporter demand;
+    private final Optional<PlacementController> placement;
     private final FairDispatcher dispatcher;
     private final RequestCoordinator coordinator;
     private final InstanceListing listing;
@@ -78,6 +88,15 @@
                 environment.channel(),
                 control,
                 new ThriftBudgetCodec());
+        this.placementMessenger = new PlacementMessenger(
+                environment.self(), environment.channel(), new ThriftPlacementCodec(), environment.scheduler());
+        this.demand = new DemandReporter(
+                environment.wallClockMillis().getAsLong(),
+                environment::replicas,
+                placementMessenger,
+                environment.clock(),
+                environment.scheduler());
+        this.placement = environment.replica().map(this::createPlacement);
         this.dispatcher = createDispatcher();
         this.listing = new InstanceListing(membership, environment.self(), split(), LISTING_VALIDITY);
         this.coordinator = createCoordinator();
@@ -90,6 +109,8 @@
         controlServer.ifPresent(ControlLogServer::start);
         control.start();
         budgets.start();
+        demand.start();
+        placement.ifPresent(PlacementController::start);
         publishOwnFacts();
         membership.start();
     }
@@ -104,6 +125,7 @@
     /** Stops every part. The session of this instance ends by itself. */
     public void stop() {
         membership.stop();
+        placement.ifPresent(PlacementController::stop);
         control.stop();
         controlServer.ifPresent(ControlLogServer::stop);
     }
@@ -115,6 +137,7 @@
                 PeerSubject.MEMBERSHIP, (sender, payload) -> membership.received(sender, GossipCodec.decode(payload)));
         handlers.put(PeerSubject.CONTROL, controlEndpoint);
         handlers.put(PeerSubject.BUDGET, budgets);
+        handlers.put(PeerSubject.PLACEMENT, placementMessenger);
         return handlers;
     }
 
@@ -148,6 +171,11 @@
         return budgets;
     }
 
+    /** Returns the placement of models, if this instance holds a replica of the control log. */
+    public Optional<PlacementStatus> placement() {
+        return placement.map(PlacementController::status);
+    }
+
     /** Returns the list of instances for callers. */
     public InstanceListing listing() {
         return listing;
@@ -182,6 +210,21 @@
                 environment.wallClockMillis());
     }
 
+    private PlacementController createPlacement(InstanceEnvironment.LocalReplica replica) {
+        PlacementEnvironment parts = new PlacementEnvironment(
+                environment.self(),
+                replica.log()::isLeader,
+                replica.machine(),
+                control,
+                targets,
+                environment.orders(),
+                environment.clock(),
+                environment.scheduler(),
+                split());
+        return new PlacementController(
+                parts, PlacementSettings.defaults(), new DemandBook(environment.clock()), placementMessenger);
+    }
+
     private FairDispatcher createDispatcher() {
         TargetRouter router = new TargetRouter(
                 environment.self(),
@@ -196,8 +239,8 @@
                 environment.clock(),
                 environment.scheduler(),
                 this::weightOf,
-                model -> Optional.empty(),
-                DemandListener.none(),
+                demand,
+                demand,
                 DispatcherOptions.defaults());
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/target/TargetOrderCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/target/TargetOrderCodec.java
@@ -19,10 +19,15 @@
 
     private TargetOrderCodec() {}
 
-    /** Returns the body of {@code POST /orders}. */
-    public static byte[] write(Order order) {
+    /**
+     * Returns the body of {@code POST /orders}.
+     *
+     * @param targetIncarnation the incarnation the order is meant for; a target that restarted refuses it as stale
+     */
+    public static byte[] write(Order order, long targetIncarnation) {
         ObjectNode body = MAPPER.createObjectNode();
         body.put("id", order.orderId());
+        body.put("target_incarnation", targetIncarnation);
         body.put("fencing_number", order.fencingNumber());
         body.put("kind", order.kind().name().toLowerCase(Locale.ROOT));
         body.put("model", order.model().value());
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/AdministrationClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/AdministrationClient.java
@@ -63,6 +63,11 @@
         return exchange("GET", AdministrationHandler.ACCOUNTS, "");
     }
 
+    /** Returns the answer to {@code GET /admin/models}. */
+    public PlainAnswer models() {
+        return exchange("GET", AdministrationHandler.MODELS, "");
+    }
+
     /** Starts the graceful shutdown of the instance. */
     public PlainAnswer drain() {
         return exchange("POST", AdministrationHandler.DRAIN, "");
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpTargetOrders.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpTargetOrders.java
@@ -47,7 +47,7 @@
                 "POST",
                 ORDERS,
                 List.of(new HeaderField(AnswerHead.CONTENT_TYPE, PlainAnswer.JSON)),
-                TargetOrderCodec.write(order));
+                TargetOrderCodec.write(order, target.incarnation()));
         return exchange(target, request).thenApply(answer -> switch (answer.status()) {
             case OK, CONFLICT -> TargetOrderCodec.readOutcome(answer.body());
             case ACCEPTED -> Optional.empty();
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeMemory.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeMemory.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.basilrill.api.ModelId;
 import org.basilrill.coordination.placement.TargetOrders.Order;
 import org.basilrill.state.control.OrderKind;
@@ -21,6 +22,9 @@
     private final Duration loadDuration;
     private final ScheduledExecutorService timer;
     private final Map<ModelId, LoadedModel> contents;
+    /** Models being loaded; an older version in the contents serves until the load is done. */
+    private final Map<ModelId, LoadedModel> loading = new HashMap<>();
+
     private final Map<String, Optional<OrderOutcome>> orders = new HashMap<>();
     private long highestFencingNumber;
     private long peakBytes;
@@ -34,7 +38,9 @@
     }
 
     synchronized Map<ModelId, LoadedModel> contents() {
-        return Map.copyOf(contents);
+        Map<ModelId, LoadedModel> reported = new HashMap<>(loading);
+        reported.putAll(contents);
+        return reported;
     }
 
     synchronized long peakBytes() {
@@ -61,15 +67,15 @@
             return finish(order, OrderOutcome.DONE);
         }
         orders.put(order.orderId(), Optional.empty());
-        contents.put(order.model(), new LoadedModel(order.version(), order.bytes(), false));
+        loading.put(order.model(), new LoadedModel(order.version(), order.bytes(), false));
         peakBytes = Math.max(peakBytes, usedBytes());
         timer.schedule(() -> loaded(order), loadDuration.toMillis(), TimeUnit.MILLISECONDS);
         return Optional.empty();
     }
 
     private synchronized void loaded(Order order) {
-        contents.computeIfPresent(
-                order.model(), (model, loaded) -> new LoadedModel(order.version(), order.bytes(), true));
+        loading.remove(order.model());
+        contents.put(order.model(), new LoadedModel(order.version(), order.bytes(), true));
         finish(order, OrderOutcome.DONE);
     }
 
@@ -79,6 +85,8 @@
     }
 
     private long usedBytes() {
-        return contents.values().stream().mapToLong(LoadedModel::memoryBytes).sum();
+        return Stream.concat(contents.values().stream(), loading.values().stream())
+                .mapToLong(LoadedModel::memoryBytes)
+                .sum();
     }
 }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTarget.java
@@ -45,7 +45,7 @@
         FakeTarget target = new FakeTarget(settings);
         HttpServer server = HttpServer.create(new InetSocketAddress(settings.host(), settings.port()), 256);
         server.setExecutor(Executors.newCachedThreadPool());
-        new FakeTargetApi(target.engine, target.memory, target::leave)
+        new FakeTargetApi(target.engine, target.memory, target.incarnation, target::leave)
                 .register(server, settings.service().isPresent());
         server.start();
         target.timer.scheduleWithFixedDelay(
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTargetApi.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTargetApi.java
@@ -20,11 +20,13 @@
 
     private final FakeEngine engine;
     private final FakeMemory memory;
+    private final long incarnation;
     private final Runnable leave;
 
-    FakeTargetApi(FakeEngine engine, FakeMemory memory, Runnable leave) {
+    FakeTargetApi(FakeEngine engine, FakeMemory memory, long incarnation, Runnable leave) {
         this.engine = engine;
         this.memory = memory;
+        this.incarnation = incarnation;
         this.leave = leave;
     }
 
@@ -45,13 +47,18 @@
 
     private void order(HttpExchange exchange) throws IOException {
         Optional<OrderOutcome> outcome = exchange.getRequestMethod().equals("POST")
-                ? memory.execute(read(MAPPER.readTree(exchange.getRequestBody())))
+                ? execute(MAPPER.readTree(exchange.getRequestBody()))
                 : memory.outcome(exchange.getRequestURI().getPath().substring(ORDERS.length() + 1));
         String text =
                 outcome.map(known -> known.name().toLowerCase(Locale.ROOT)).orElse("running");
         answer(exchange, Map.of("outcome", text));
     }
 
+    private Optional<OrderOutcome> execute(JsonNode json) {
+        boolean forEarlierIncarnation = json.path("target_incarnation").asLong() != incarnation;
+        return forEarlierIncarnation ? Optional.of(OrderOutcome.REFUSED_STALE) : memory.execute(read(json));
+    }
+
     private static Order read(JsonNode json) {
         return new Order(
                 json.path("id").asText(),
