--- a/basilrill-library/src/main/java/org/basilrill/protocol/administration/PlacementView.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/PlacementView.java
@@ -17,7 +17,7 @@
 
     private PlacementView() {}
 
-    /** Returns copies, memory, open orders and waiting loads; {@code active} tells whether this replica controls them. */
+    /** Returns copies, memory, open orders and waiting loads; {@code active} is true on the controlling replica. */
     public static ObjectNode describe(PlacementStatus status) {
         ObjectNode body = MAPPER.createObjectNode();
         body.put("active", status.active());
