--- a/basilrill-library/src/main/java/org/basilrill/api/VirtualTime.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/VirtualTime.java
@@ -2,11 +2,12 @@
 
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.Optional;
 import java.util.PriorityQueue;
 
 /**
  * A clock and scheduler that the caller moves on, to run many instances in one process deterministically. Tasks due at
- * the same time run in the order they were scheduled. Not thread safe.
+ * the same time run in the order they were scheduled, on the thread that moves the clock. Thread safe.
  */
 public final class VirtualTime implements MonotonicClock, Scheduler {
     private final PriorityQueue<Task> tasks =
@@ -15,26 +16,45 @@
     private long scheduled;
 
     @Override
-    public long nanos() {
+    public synchronized long nanos() {
         return nowNanos;
     }
 
     @Override
-    public Cancellable schedule(Duration delay, Runnable action) {
+    public synchronized Cancellable schedule(Duration delay, Runnable action) {
         Task task = new Task(nowNanos + delay.toNanos(), scheduled++, action);
         tasks.add(task);
-        return () -> tasks.remove(task);
+        return () -> cancel(task);
     }
 
     /** Runs every task that is due within the duration, and moves the clock to its end. */
     public void advance(Duration duration) {
-        long end = nowNanos + duration.toNanos();
-        while (!tasks.isEmpty() && tasks.peek().dueNanos() <= end) {
-            Task task = tasks.poll();
-            nowNanos = Math.max(nowNanos, task.dueNanos());
-            task.action().run();
+        long end = nanos() + duration.toNanos();
+        Optional<Task> task = nextBefore(end);
+        while (task.isPresent()) {
+            task.get().action().run();
+            task = nextBefore(end);
         }
-        nowNanos = end;
+    }
+
+    /** Returns the number of tasks that wait for their time. */
+    public synchronized int scheduled() {
+        return tasks.size();
+    }
+
+    private synchronized void cancel(Task task) {
+        tasks.remove(task);
+    }
+
+    /** Takes the next task due by the end and moves the clock to it, or to the end if there is none. */
+    private synchronized Optional<Task> nextBefore(long endNanos) {
+        if (tasks.isEmpty() || tasks.peek().dueNanos() > endNanos) {
+            nowNanos = Math.max(nowNanos, endNanos);
+            return Optional.empty();
+        }
+        Task task = tasks.poll();
+        nowNanos = Math.max(nowNanos, task.dueNanos());
+        return Optional.of(task);
     }
 
     /** A task with its due time and its place among tasks due at the same time. */
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatchBench.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatchBench.java
@@ -15,7 +15,7 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
-import org.basilrill.coordination.VirtualTime;
+import org.basilrill.api.VirtualTime;
 import org.basilrill.coordination.admission.Dispatcher.Assignment;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
 import org.basilrill.coordination.admission.Dispatcher.Request;
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/SlidingRetryBudgetTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/SlidingRetryBudgetTest.java
@@ -10,7 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
-import org.basilrill.coordination.VirtualTime;
+import org.basilrill.api.VirtualTime;
 
 /** Guards against retries that multiply the load, and against an idle instance that cannot retry at all. */
 class SlidingRetryBudgetTest {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
@@ -14,6 +14,7 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.PeerSubject;
+import org.basilrill.api.VirtualTime;
 import org.basilrill.state.control.ControlStateMachine;
 
 /**
--- a/basilrill-library/src/test/java/org/basilrill/coordination/placement/FuzzController.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/placement/FuzzController.java
@@ -12,7 +12,7 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.Scheduler;
-import org.basilrill.coordination.VirtualTime;
+import org.basilrill.api.VirtualTime;
 import org.basilrill.protocol.peer.ThriftPlacementCodec;
 import org.basilrill.state.control.CommandCodec;
 import org.basilrill.state.control.ControlClient;
--- a/basilrill-library/src/test/java/org/basilrill/coordination/placement/FuzzOracle.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/placement/FuzzOracle.java
@@ -9,7 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.basilrill.api.ModelId;
-import org.basilrill.coordination.VirtualTime;
+import org.basilrill.api.VirtualTime;
 
 /** Collects breaches of the invariants from the true state of all targets. Not thread safe. */
 final class FuzzOracle {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/placement/FuzzTarget.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/placement/FuzzTarget.java
@@ -9,7 +9,7 @@
 import java.util.TreeMap;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
-import org.basilrill.coordination.VirtualTime;
+import org.basilrill.api.VirtualTime;
 import org.basilrill.coordination.placement.TargetOrders.Order;
 import org.basilrill.state.control.OrderKind;
 import org.basilrill.state.control.OrderOutcome;
--- a/basilrill-library/src/test/java/org/basilrill/coordination/placement/PlacementFuzzTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/placement/PlacementFuzzTest.java
@@ -17,7 +17,7 @@
 import net.jqwik.api.statistics.Statistics;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
-import org.basilrill.coordination.VirtualTime;
+import org.basilrill.api.VirtualTime;
 import org.basilrill.coordination.placement.FuzzController.FuzzLog;
 import org.basilrill.coordination.placement.PlacementMessage.DemandReport;
 import org.basilrill.coordination.placement.PlacementMessage.ReportedDemand;
--- a/basilrill-library/src/test/java/org/basilrill/coordination/routing/TargetRouterTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/routing/TargetRouterTest.java
@@ -19,7 +19,7 @@
 import java.util.stream.IntStream;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.TargetId;
-import org.basilrill.coordination.VirtualTime;
+import org.basilrill.api.VirtualTime;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.junit.jupiter.api.Test;
 
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/CoordinatorFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/CoordinatorFixture.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.basilrill.api.VirtualTime;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.RequestHead;
 
--- a/basilrill-library/src/test/java/org/basilrill/state/target/TargetRegistryTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/target/TargetRegistryTest.java
@@ -16,7 +16,7 @@
 import net.jqwik.api.constraints.LongRange;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
-import org.basilrill.coordination.VirtualTime;
+import org.basilrill.api.VirtualTime;
 import org.basilrill.state.target.TargetChangeListener.Change;
 import org.basilrill.state.target.TargetChangeListener.Kind;
 import org.junit.jupiter.api.Test;
