Refuse the late claim of an attempt that has already ended

An order whose ClaimOrder timed out at its instance sends FinishOrder(NOT_RUN). If that command was applied first, it was refused as "not the holder" and forgotten; the claim applied after it was granted and stayed held, with nobody to finish it, until the session of the instance ended.

The state machine now remembers the ended attempt with the claim (or in a placeholder without a fingerprint if there is no claim yet) and answers its late claim as it answers one of a released attempt.

Ruled out: a deadline carried in the claim, since the leader's clock sets the time and a claim may legitimately wait in the log; and finishing with MAY_HAVE_RUN, which would make the order unrepeatable although nothing ran.

Test: OrderClaimsPropertyTest.aClaimAppliedAfterTheEndOfItsAttemptIsRefused- AndLeavesTheOrderFree failed before and passes now; the property in the same class now also ends attempts before their claims arrive.

--- a/basilrill-library/src/main/java/org/basilrill/state/control/Claim.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/Claim.java
@@ -12,6 +12,7 @@
 /**
  * The claim of one order. Immutable.
  *
+ * @param fingerprint fingerprint of the request; empty while only ends of attempts are known
  * @param attempt the attempt that holds the claim, or held it last
  * @param releasedAttempts attempts that ended without running anything; they are never granted again
  * @param outcome present once the order has finished
@@ -29,6 +30,9 @@
     /** Released attempts remembered, to recognise late copies of their claims, which are late by seconds. */
     private static final int MAXIMUM_RELEASED = 32;
 
+    /** Stands for the instance of a claim that was never granted; no session has this name and the number 0. */
+    private static final InstanceId NO_INSTANCE = new InstanceId("none");
+
     Claim {
         releasedAttempts = List.copyOf(releasedAttempts);
     }
@@ -46,6 +50,30 @@
                 Optional.empty());
     }
 
+    /** Returns a claim that nobody holds and that refuses the attempt. */
+    static Claim refusing(String attempt, long nowMillis) {
+        return new Claim(
+                "",
+                ClaimPhase.RELEASED,
+                attempt,
+                NO_INSTANCE,
+                0,
+                nowMillis,
+                List.of(attempt),
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    /** Returns this claim, which the attempt of the command does not hold, refusing that attempt from now on. */
+    Claim refusing(ControlCommand.FinishOrder command, long nowMillis) {
+        return ended(phase, nowMillis, releasedWith(command.attempt()), outcome, answer);
+    }
+
+    /** Tells whether the request of the claim is known to be another one. */
+    boolean contradicts(String other) {
+        return !fingerprint.isEmpty() && !fingerprint.equals(other);
+    }
+
     Claim withUnknownOutcome(long nowMillis) {
         return ended(ClaimPhase.UNKNOWN, nowMillis, releasedAttempts, Optional.empty(), Optional.empty());
     }
@@ -55,15 +83,7 @@
     }
 
     Claim released(long nowMillis) {
-        List<String> released = new ArrayList<>(releasedAttempts);
-        released.add(attempt);
-        int surplus = Math.max(0, released.size() - MAXIMUM_RELEASED);
-        return ended(
-                ClaimPhase.RELEASED,
-                nowMillis,
-                released.subList(surplus, released.size()),
-                Optional.empty(),
-                Optional.empty());
+        return ended(ClaimPhase.RELEASED, nowMillis, releasedWith(attempt), Optional.empty(), Optional.empty());
     }
 
     /** Returns the claim with its answer's status but without the body. */
@@ -108,6 +128,12 @@
         return new RecordedAnswer(kept.status(), kept.contentType(), new byte[0], false);
     }
 
+    private List<String> releasedWith(String ended) {
+        List<String> released = new ArrayList<>(releasedAttempts);
+        released.add(ended);
+        return released.subList(Math.max(0, released.size() - MAXIMUM_RELEASED), released.size());
+    }
+
     private Claim ended(
             ClaimPhase next,
             long nowMillis,
--- a/basilrill-library/src/main/java/org/basilrill/state/control/OrderClaims.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/OrderClaims.java
@@ -22,7 +22,8 @@
 
 /**
  * Claims of orders by account and idempotency key. At most one attempt holds a claim, and once an attempt may have run,
- * no other attempt is granted while the claim is retained. Running claims are retained until their session ends. Not
+ * no other attempt is granted while the claim is retained. An attempt that ended without running anything is never
+ * granted, also if its end is applied before its claim. Running claims are retained until their session ends. Not
  * thread safe.
  */
 final class OrderClaims {
@@ -40,7 +41,7 @@
     ControlResult claim(ClaimOrder command, Sessions sessions, long nowMillis) {
         Key key = new Key(command.account(), command.idempotencyKey());
         Claim claim = claims.get(key);
-        if (claim != null && !claim.fingerprint().equals(command.fingerprint())) {
+        if (claim != null && claim.contradicts(command.fingerprint())) {
             return new Refused(ErrorCode.ORDER_MISMATCH, "the idempotency key was used for a different request");
         }
         if (claim != null && claim.phase() != ClaimPhase.RELEASED) {
@@ -63,7 +64,14 @@
         if (claim != null && released && claim.releasedAttempts().contains(command.attempt())) {
             return new Done();
         }
-        if (claim == null || !claim.attempt().equals(command.attempt()) || claim.phase() == ClaimPhase.RELEASED) {
+        boolean holds =
+                claim != null && claim.attempt().equals(command.attempt()) && claim.phase() != ClaimPhase.RELEASED;
+        if (released && !holds && (claim == null || claim.phase() != ClaimPhase.FINISHED)) {
+            // The claim of the attempt is still under way; once applied it would be held until its session ends.
+            put(key, claim == null ? Claim.refusing(command.attempt(), nowMillis) : claim.refusing(command, nowMillis));
+            return new Done();
+        }
+        if (!holds) {
             return new Refused(ErrorCode.ORDER_MISMATCH, "the attempt does not hold the claim");
         }
         if (claim.phase() == ClaimPhase.FINISHED) {
--- a/basilrill-library/src/test/java/org/basilrill/state/control/OrderClaimsPropertyTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/OrderClaimsPropertyTest.java
@@ -47,7 +47,7 @@
             }
             ControlCommand command = choice % 4 == 0 && !sent.isEmpty()
                     ? sent.get(choice / 4 % sent.size())
-                    : command(choice / 4, "attempt" + step, oracle);
+                    : command(choice / 4, step, oracle);
             sent.add(command);
             ControlResult result = harness.apply(command);
             oracle.check(command, result);
@@ -77,6 +77,19 @@
         assertThat(finished.answer().map(RecordedAnswer::complete), is(Optional.of(false)));
     }
 
+    @Example
+    void aClaimAppliedAfterTheEndOfItsAttemptIsRefusedAndLeavesTheOrderFree() {
+        MachineHarness harness = new MachineHarness();
+        harness.apply(new RegisterSession(FIRST, 1));
+        FinishOrder end = new FinishOrder(ACCOUNT, "k", "late", Outcome.NOT_RUN, Optional.empty());
+        assertThat(harness.apply(end), is(new ControlResult.Done()));
+        harness.restart();
+        OrderFinished refused = new OrderFinished(Outcome.NOT_RUN, Optional.empty());
+        assertThat(harness.apply(claim("k", "late", 0)), is(refused));
+        assertThat(harness.apply(claim("k", "other", 0)), is(new OrderGranted()));
+        assertThat(harness.apply(claim("k", "late", 0)), is(new OrderRunning(FIRST)));
+    }
+
     @Example
     void theSameKeyWithDifferentContentIsRefused() {
         MachineHarness harness = new MachineHarness();
@@ -126,7 +139,7 @@
         return new FinishOrder(ACCOUNT, key, attempt, Outcome.RAN, Optional.of(answer));
     }
 
-    private static ControlCommand command(int choice, String attempt, Oracle oracle) {
+    private static ControlCommand command(int choice, int step, Oracle oracle) {
         InstanceId instance = new InstanceId("i" + choice / 8 % 3);
         long session = 1 + choice / 24 % 4;
         String key = "k" + choice / 96 % 2;
@@ -139,7 +152,10 @@
             case 3:
             case 4:
                 long current = choice / 768 % 4 == 0 ? session : oracle.open.getOrDefault(instance, session);
-                return new ClaimOrder(ACCOUNT, key, "fingerprint", attempt, instance, current, choice);
+                return new ClaimOrder(ACCOUNT, key, "fingerprint", "attempt" + step, instance, current, choice);
+            case 5:
+                String unclaimed = "attempt" + (step + 1 + choice / 192 % 3);
+                return new FinishOrder(ACCOUNT, key, unclaimed, Outcome.NOT_RUN, Optional.empty());
             default:
                 List<String> attempts = oracle.granted.getOrDefault(key, List.of("none"));
                 Outcome outcome = Outcome.values()[choice / 192 % 3];
@@ -154,6 +170,7 @@
         private final Set<String> ended = new HashSet<>();
         private final Map<String, List<String>> granted = new HashMap<>();
         private final Map<String, Set<String>> mayHaveRun = new HashMap<>();
+        private final Map<String, Set<String>> notRun = new HashMap<>();
         private final Map<String, ClaimOrder> holders = new HashMap<>();
         private final Map<String, Outcome> finished = new HashMap<>();
 
@@ -177,7 +194,8 @@
             }
             if (command instanceof FinishOrder finish && result instanceof ControlResult.Done) {
                 if (finish.outcome() == Outcome.NOT_RUN) {
-                    mayHaveRun.get(finish.idempotencyKey()).remove(finish.attempt());
+                    of(mayHaveRun, finish.idempotencyKey()).remove(finish.attempt());
+                    of(notRun, finish.idempotencyKey()).add(finish.attempt());
                 } else {
                     finished.put(finish.idempotencyKey(), finish.outcome());
                 }
@@ -186,10 +204,11 @@
 
         private void checkClaim(ClaimOrder claim, ControlResult result) {
             String key = claim.idempotencyKey();
-            Set<String> running = mayHaveRun.computeIfAbsent(key, unused -> new HashSet<>());
+            Set<String> running = of(mayHaveRun, key);
             if (result instanceof OrderGranted) {
                 assertThat("only a repeated claim is granted while an attempt may run", finished.get(key) == null);
                 boolean known = granted.getOrDefault(key, List.of()).contains(claim.attempt());
+                assertThat("an ended attempt is not granted", of(notRun, key).contains(claim.attempt()), is(false));
                 assertThat("only an open session is granted a claim", known || isOpen(claim));
                 running.add(claim.attempt());
                 holders.put(key, claim);
@@ -205,11 +224,15 @@
             }
             boolean free =
                     running.isEmpty() && !granted.getOrDefault(key, List.of()).contains(claim.attempt());
-            if (free && isOpen(claim)) {
+            if (free && isOpen(claim) && !of(notRun, key).contains(claim.attempt())) {
                 assertThat("a free order is granted", result, is(new OrderGranted()));
             }
         }
 
+        private static Set<String> of(Map<String, Set<String>> attempts, String key) {
+            return attempts.computeIfAbsent(key, unused -> new HashSet<>());
+        }
+
         private boolean isOpen(ClaimOrder claim) {
             return Long.valueOf(claim.sessionId()).equals(open.get(claim.instance()));
         }
