Limit the lengths in every Thrift decoding by the size of its payload

Only ConsensusCodec limited lengths. In ThriftCodec, ThriftBytes and ThriftBudgetCodec a damaged count made the decoder reserve memory for two billion elements, and unknown fields nested as deep as the payload allows overflowed the stack. Neither is an exception that callers catch. The envelope and the answers in transport.peer had the same fault.

There is now one codec, state.codec.ThriftCodec, in the lowest layer that uses Thrift. It limits lengths by the payload, limits the depth of skipped fields to 64 and turns unchecked exceptions into MESSAGE_MALFORMED. ConsensusCodec uses it too, so consensus messages change from the binary to the compact protocol; they are never stored. PeerTransport limits a batch to 4096 envelopes and all frames being received to 32 MiB; PeerLink limits answers to 64 KiB.

Ruled out: the codec in api, which knows no Thrift; and limiting only messages from other instances, since commands in the log are decoded from bytes that a caller submitted.

Tests: GossipCodecTest.aCountBeyondThePayloadIsRefused (ended the JVM of the tests with "Requested array size exceeds VM limit"), deeplyNestedUnknownFieldsAreRefused (StackOverflowError) and PeerTransportTest. aDamagedCountIsAnsweredWithAnErrorAndDisturbsNoOtherConnection (OutOfMemory- Error) failed before and pass now. PeerTransportTest.anAbsurdFrameLength- ClosesItsConnection passed before too, through a default limit of the library.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlEndpoint.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlEndpoint.java
@@ -9,7 +9,7 @@
 import org.basilrill.api.PeerHandler;
 import org.basilrill.api.PeerSubject;
 import org.basilrill.api.Scheduler;
-import org.basilrill.state.control.ThriftBytes;
+import org.basilrill.state.codec.ThriftCodec;
 import org.basilrill.thrift.control.ControlMessage;
 
 /**
@@ -31,7 +31,7 @@
 
     @Override
     public void received(InstanceId sender, byte[] payload) {
-        ControlMessage message = ThriftBytes.decode(ControlMessage::new, payload);
+        ControlMessage message = ThriftCodec.decode(ControlMessage::new, payload);
         if (!message.isSet()) {
             throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "the message is of no known kind");
         }
@@ -57,7 +57,7 @@
     }
 
     void send(InstanceId recipient, ControlMessage message) {
-        byte[] payload = ThriftBytes.encode(message);
+        byte[] payload = ThriftCodec.encode(message);
         if (recipient.equals(self)) {
             scheduler.schedule(Duration.ZERO, () -> received(self, payload));
             return;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/ConsensusCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/ConsensusCodec.java
@@ -2,12 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
-import org.apache.thrift.TConfiguration;
-import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TBinaryProtocol;
-import org.apache.thrift.protocol.TProtocol;
-import org.apache.thrift.transport.TMemoryInputTransport;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.coordination.consensus.AddressedMessage;
@@ -22,6 +16,7 @@
 import org.basilrill.coordination.consensus.ConsensusMessage.StoreState;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteRequest;
+import org.basilrill.state.codec.ThriftCodec;
 import org.basilrill.state.log.DurableStore.LogRecord;
 import org.basilrill.state.log.DurableStore.RecordKind;
 import org.basilrill.thrift.consensus.Body;
@@ -41,11 +36,7 @@
     public static byte[] encode(AddressedMessage addressed) {
         ConsensusEnvelope envelope = new ConsensusEnvelope(
                 addressed.senderIncarnation(), addressed.recipientIncarnation(), body(addressed.message()));
-        try {
-            return new TSerializer(new TBinaryProtocol.Factory()).serialize(envelope);
-        } catch (TException exception) {
-            throw new BasilrillException(ErrorCode.INTERNAL, "consensus message could not be encoded", exception);
-        }
+        return ThriftCodec.encode(envelope);
     }
 
     /**
@@ -54,28 +45,11 @@
      * @throws BasilrillException with {@link ErrorCode#MESSAGE_MALFORMED} if the payload is not a consensus message
      */
     public static AddressedMessage decode(byte[] payload) {
-        ConsensusEnvelope envelope = new ConsensusEnvelope();
-        try {
-            envelope.read(boundedProtocol(payload));
-        } catch (TException | RuntimeException exception) {
-            throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "not a consensus message", exception);
-        }
+        ConsensusEnvelope envelope = ThriftCodec.decode(ConsensusEnvelope::new, payload);
         return new AddressedMessage(
                 envelope.getSenderIncarnation(), envelope.getRecipientIncarnation(), message(envelope.getBody()));
     }
 
-    /**
-     * Returns a protocol that refuses lengths beyond the payload. With the default limit of 100 MB, a damaged length
-     * made the decoder allocate until the heap was exhausted.
-     */
-    private static TProtocol boundedProtocol(byte[] payload) throws TException {
-        TConfiguration limits = TConfiguration.custom()
-                .setMaxMessageSize(payload.length)
-                .setMaxFrameSize(payload.length)
-                .build();
-        return new TBinaryProtocol(new TMemoryInputTransport(limits, payload), payload.length, payload.length);
-    }
-
     private static Body body(ConsensusMessage message) {
         if (message instanceof AppendRequest append) {
             return Body.appendRequest(new org.basilrill.thrift.consensus.AppendRequest(
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/GossipCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/GossipCodec.java
@@ -6,6 +6,7 @@
 import org.basilrill.coordination.membership.GossipMessage;
 import org.basilrill.coordination.membership.GossipMessage.DigestEntry;
 import org.basilrill.coordination.membership.GossipMessage.OwnerDelta;
+import org.basilrill.state.codec.ThriftCodec;
 import org.basilrill.thrift.membership.Item;
 
 /** Encodes the messages of the membership exchange. Stateless and thread safe. */
@@ -31,7 +32,7 @@
      */
     public static GossipMessage decode(byte[] payload) {
         org.basilrill.thrift.membership.GossipMessage encoded =
-                ThriftCodec.decode(new org.basilrill.thrift.membership.GossipMessage(), payload);
+                ThriftCodec.decode(org.basilrill.thrift.membership.GossipMessage::new, payload);
         Optional<List<DigestEntry>> digest = encoded.isSetDigest()
                 ? Optional.of(encoded.getDigest().stream()
                         .map(GossipCodec::decodeEntry)
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/ThriftBudgetCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/ThriftBudgetCodec.java
@@ -3,16 +3,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.apache.thrift.TDeserializer;
-import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.budget.BudgetMessage;
 import org.basilrill.coordination.budget.BudgetMessageCodec;
+import org.basilrill.state.codec.ThriftCodec;
 import org.basilrill.thrift.budget.BucketHandover;
 import org.basilrill.thrift.budget.GrantAnswer;
 import org.basilrill.thrift.budget.GrantAsk;
@@ -25,20 +22,16 @@
 public final class ThriftBudgetCodec implements BudgetMessageCodec {
     @Override
     public byte[] encode(BudgetMessage message) {
-        try {
-            return new TSerializer(new TCompactProtocol.Factory()).serialize(toThrift(message));
-        } catch (TException exception) {
-            throw new BasilrillException(ErrorCode.INTERNAL, "budget message could not be encoded", exception);
-        }
+        return ThriftCodec.encode(toThrift(message));
     }
 
     @Override
     public BudgetMessage decode(byte[] payload) {
-        org.basilrill.thrift.budget.BudgetMessage decoded = new org.basilrill.thrift.budget.BudgetMessage();
+        org.basilrill.thrift.budget.BudgetMessage decoded =
+                ThriftCodec.decode(org.basilrill.thrift.budget.BudgetMessage::new, payload);
         try {
-            new TDeserializer(new TCompactProtocol.Factory()).deserialize(decoded, payload);
             return fromThrift(decoded);
-        } catch (TException | RuntimeException exception) {
+        } catch (RuntimeException exception) {
             throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "budget message could not be decoded", exception);
         }
     }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/CommandCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/CommandCodec.java
@@ -9,6 +9,7 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
+import org.basilrill.state.codec.ThriftCodec;
 import org.basilrill.state.control.ControlCommand.AssignBucket;
 import org.basilrill.state.control.ControlCommand.ClaimOrder;
 import org.basilrill.state.control.ControlCommand.ExpireSession;
@@ -39,12 +40,12 @@
 
     /** Encodes a command. */
     public static byte[] encode(ControlCommand command) {
-        return ThriftBytes.encode(message(command));
+        return ThriftCodec.encode(message(command));
     }
 
     /** Decodes a command. Fails with {@code MESSAGE_MALFORMED} or {@code INVALID_NAME}. */
     public static ControlCommand decode(byte[] bytes) {
-        CommandMessage message = ThriftBytes.decode(CommandMessage::new, bytes);
+        CommandMessage message = ThriftCodec.decode(CommandMessage::new, bytes);
         if (!message.isSet()) {
             throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "the message holds no known command");
         }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.TargetId;
+import org.basilrill.state.codec.ThriftCodec;
 import org.basilrill.state.control.ControlCommand.AssignBucket;
 import org.basilrill.state.control.ControlCommand.ClaimOrder;
 import org.basilrill.state.control.ControlCommand.ExpireSession;
@@ -46,7 +47,7 @@
 
     @Override
     public synchronized byte[] snapshot() {
-        return ThriftBytes.encode(new MachineState(
+        return ThriftCodec.encode(new MachineState(
                 lastIndex,
                 published.view().index(),
                 nowMillis,
@@ -61,7 +62,7 @@
 
     @Override
     public synchronized void restore(byte[] snapshot) {
-        MachineState state = ThriftBytes.decode(MachineState::new, snapshot);
+        MachineState state = ThriftCodec.decode(MachineState::new, snapshot);
         lastIndex = state.getLastIndex();
         nowMillis = state.getNowMillis();
         rules.restore(state.getRules());
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ResultCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ResultCodec.java
@@ -4,6 +4,7 @@
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
+import org.basilrill.state.codec.ThriftCodec;
 import org.basilrill.state.control.ControlResult.BucketHeld;
 import org.basilrill.state.control.ControlResult.CrashCount;
 import org.basilrill.state.control.ControlResult.Done;
@@ -32,12 +33,12 @@
 
     /** Encodes a result. */
     public static byte[] encode(ControlResult result) {
-        return ThriftBytes.encode(message(result));
+        return ThriftCodec.encode(message(result));
     }
 
     /** Decodes a result. Fails with {@code MESSAGE_MALFORMED} or {@code INVALID_NAME}. */
     public static ControlResult decode(byte[] bytes) {
-        ResultMessage message = ThriftBytes.decode(ResultMessage::new, bytes);
+        ResultMessage message = ThriftCodec.decode(ResultMessage::new, bytes);
         if (!message.isSet()) {
             throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "the message holds no known result");
         }
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerLink.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerLink.java
@@ -33,6 +33,8 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     /** Above the longest stop of a healthy receiver; a silent connection costs at most this long. */
     private static final int ANSWER_TIMEOUT_MILLIS = 1000;
+    /** An answer holds nothing or a short error; longer lengths in it are damage. */
+    private static final int MAXIMUM_ANSWER_BYTES = 64 * 1024;
     /** Keeps an instance that is down from being dialled for every message. */
     private static final long RECONNECT_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -135,9 +137,9 @@
                 current.get().getPort(),
                 ANSWER_TIMEOUT_MILLIS,
                 CONNECT_TIMEOUT_MILLIS);
-        connection = new TFramedTransport(socket);
+        connection = new TFramedTransport(socket, MAXIMUM_ANSWER_BYTES);
         connection.open();
-        client = new PeerService.Client(new TCompactProtocol(connection));
+        client = new PeerService.Client(new TCompactProtocol(connection, MAXIMUM_ANSWER_BYTES, MAXIMUM_ANSWER_BYTES));
         return true;
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
@@ -26,6 +26,10 @@
  */
 public final class PeerTransport implements PeerChannel, AutoCloseable {
     private static final int MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
+    /** All frames being received together; two of the largest, so that one that stalls does not block the others. */
+    private static final long MAXIMUM_READ_BYTES = 2L * MAXIMUM_FRAME_BYTES;
+    /** Far above the batch of a sender; without a limit, a damaged count made the decoder exhaust the heap. */
+    private static final int MAXIMUM_BATCH_ENVELOPES = 4096;
 
     private final InstanceId self;
     private final PeerDirectory directory;
@@ -62,12 +66,14 @@
         try {
             TNonblockingServerSocket socket = new TNonblockingServerSocket(address);
             PeerDispatcher dispatcher = new PeerDispatcher(handlers, executor, this::learnAddress);
-            server = new TThreadedSelectorServer(new TThreadedSelectorServer.Args(socket)
+            TThreadedSelectorServer.Args arguments = new TThreadedSelectorServer.Args(socket)
                     .selectorThreads(1)
                     .executorService(executor)
                     .transportFactory(new TFramedTransport.Factory(MAXIMUM_FRAME_BYTES))
-                    .protocolFactory(new TCompactProtocol.Factory())
-                    .processor(new PeerService.Processor<>(dispatcher)));
+                    .protocolFactory(new TCompactProtocol.Factory(MAXIMUM_FRAME_BYTES, MAXIMUM_BATCH_ENVELOPES))
+                    .processor(new PeerService.Processor<>(dispatcher));
+            arguments.maxReadBufferBytes = MAXIMUM_READ_BYTES;
+            server = new TThreadedSelectorServer(arguments);
         } catch (TException exception) {
             throw new BasilrillException(
                     ErrorCode.ADDRESS_IN_USE, "cannot listen for instances on " + address, exception);
--- a/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
@@ -63,4 +64,25 @@
                 assertThrows(BasilrillException.class, () -> GossipCodec.decode(new byte[] {1, 2, 3}));
         assertThat(failure.code(), is(ErrorCode.MESSAGE_MALFORMED));
     }
+
+    /** Guards the heap against a damaged count: the decoder reserved memory for two billion records. */
+    @Test
+    void aCountBeyondThePayloadIsRefused() {
+        byte[] twoBillionStructs = {0x19, (byte) 0xFC, (byte) 0xFF, (byte) 0xFF, (byte) 0xFF, (byte) 0xFF, 0x07};
+        assertMalformed(twoBillionStructs);
+    }
+
+    /** Guards the stack against unknown fields nested as deep as the payload allows. */
+    @Test
+    void deeplyNestedUnknownFieldsAreRefused() {
+        byte[] nested = new byte[1 << 20];
+        Arrays.fill(nested, (byte) 0x1C);
+        nested[0] = (byte) 0xFC;
+        assertMalformed(nested);
+    }
+
+    private static void assertMalformed(byte[] payload) {
+        BasilrillException refusal = assertThrows(BasilrillException.class, () -> GossipCodec.decode(payload));
+        assertThat(refusal.code(), is(ErrorCode.MESSAGE_MALFORMED));
+    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/state/control/MachineHarness.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/MachineHarness.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import org.basilrill.state.codec.ThriftCodec;
 import org.basilrill.thrift.control.MachineState;
 
 /** Drives a control state machine through its encoded interface, as a replica does. */
@@ -35,7 +36,7 @@
 
     /** Returns the state without the positions in the log. */
     public MachineState state() {
-        return ThriftBytes.decode(MachineState::new, machine.snapshot())
+        return ThriftCodec.decode(MachineState::new, machine.snapshot())
                 .setLastIndex(0)
                 .setViewIndex(0);
     }
--- a/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
@@ -4,10 +4,12 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.notNullValue;
 
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -58,6 +60,41 @@
         }
     }
 
+    /** Guards the heap against a count of two billion envelopes: it must be refused, not end in a lack of memory. */
+    @Test
+    void aDamagedCountIsAnsweredWithAnErrorAndDisturbsNoOtherConnection() throws Exception {
+        start();
+        byte[] call = {(byte) 0x82, 0x21, 1, 7, 'd', 'e', 'l', 'i', 'v', 'e', 'r'};
+        byte[] count = {0x19, (byte) 0xFC, (byte) 0xFF, (byte) 0xFF, (byte) 0xFF, (byte) 0xFF, 0x07, 0};
+        try (Socket socket =
+                new Socket(addressOfTwo.get().getAddress(), addressOfTwo.get().getPort())) {
+            DataOutputStream output = new DataOutputStream(socket.getOutputStream());
+            output.writeInt(call.length + count.length);
+            output.write(call);
+            output.write(count);
+            int firstByteOfAnswerLength = 0;
+            assertThat(readOutcome(socket), is(firstByteOfAnswerLength));
+        }
+        sender.send(TWO, PeerSubject.MEMBERSHIP, "hello".getBytes(StandardCharsets.UTF_8));
+        assertThat(received.poll(30, TimeUnit.SECONDS), is("one:hello"));
+    }
+
+    /** Guards the heap against a damaged frame length: memory was reserved for it before the frame arrived. */
+    @Test
+    void anAbsurdFrameLengthClosesItsConnection() throws Exception {
+        start();
+        try (Socket socket =
+                new Socket(addressOfTwo.get().getAddress(), addressOfTwo.get().getPort())) {
+            new DataOutputStream(socket.getOutputStream()).writeInt(200 * 1024 * 1024);
+            assertThat(readOutcome(socket), is(-1));
+        }
+    }
+
+    private static int readOutcome(Socket socket) throws IOException {
+        socket.setSoTimeout(10_000);
+        return socket.getInputStream().read();
+    }
+
     private String pollWhileSending(String text) throws InterruptedException {
         String message = null;
         for (int attempt = 0; attempt < 600 && message == null; attempt++) {
