Hand the leadership of the control log over on a planned stop

A leader that stopped cost every caller of the control log an election timeout (250 to 500 ms and the election). A draining leader now accepts no further proposals, lets the voter that holds most of the log catch up and tells it to stand at once (TimeoutNow). Its vote requests say so, and voters then do not wait for the leader's silence. After 500 ms without success the leader goes on leading. InstanceDaemon.stop hands over after the buckets, whose handover needs commits, and once more before the replica closes.

Safe because votes still go only to a candidate whose log is up to date, and reads are confirmed by a quorum round, never by the lease alone.

Ruled out: an early step-down without a successor, which costs the election timeout all the same; a pre-vote of the successor, which voters refuse while they hear the leader.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -107,11 +107,16 @@
 
     private void stop() {
         LOGGER.atInfo().log("%s: %s", LogEvent.INSTANCE_DRAINING, settings.instance());
-        CompletableFuture<Void> handedOver = instance.beginDrain();
+        // Buckets first, as handing them over needs a leader that commits.
+        CompletableFuture<Boolean> handedOver = instance.beginDrain()
+                .completeOnTimeout(null, HAND_OVER_LIMIT.toMillis(), TimeUnit.MILLISECONDS)
+                .thenCompose(buckets -> handOverLeadership());
         awaitStaleListings();
         CompletableFuture<HttpGateway.StopReport> drained = gateway.stop(settings.drainLimit());
         await(drained, settings.drainLimit().plusSeconds(1));
         await(handedOver, HAND_OVER_LIMIT);
+        // Another replica may have handed its leadership to this one during the drain.
+        await(handOverLeadership(), HAND_OVER_LIMIT);
         instance.stop();
         replica.ifPresent(ControlReplica::close);
         peers.close();
@@ -121,6 +126,10 @@
         stopped.countDown();
     }
 
+    private CompletableFuture<Boolean> handOverLeadership() {
+        return replica.map(ControlReplica::handOverLeadership).orElseGet(() -> CompletableFuture.completedFuture(true));
+    }
+
     /** Callers that hold an answer of GET /v1/instances may still connect here until it is too old to be used. */
     private void awaitStaleListings() {
         await(
--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -51,7 +51,8 @@
     BUCKET_CLAIM_FAILED(353, "claim or handover of a token bucket failed and is repeated"),
     TARGET_EJECTED(400, "target is ejected after failures"),
     TARGET_RESTORED(401, "target is used again after a successful probe"),
-    DISPATCH_CALLBACK_FAILED(402, "a callback of a dispatched request failed");
+    DISPATCH_CALLBACK_FAILED(402, "a callback of a dispatched request failed"),
+    LEADERSHIP_HANDOVER(540, "leader hands the leadership of the control log to another replica");
 
     private final int number;
     private final String summary;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ConsensusMessage.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ConsensusMessage.java
@@ -12,8 +12,15 @@
      * @param lastIndex index of the candidate's last record
      * @param lastTerm term of the candidate's last record
      * @param preVote whether only the promise of a vote is asked for
+     * @param handedOver whether the leader told the candidate to stand, so that voters need not wait for its silence
      */
-    record VoteRequest(long term, long lastIndex, long lastTerm, boolean preVote) implements ConsensusMessage {}
+    record VoteRequest(long term, long lastIndex, long lastTerm, boolean preVote, boolean handedOver)
+            implements ConsensusMessage {
+        /** Creates the request of a candidate that no longer hears the leader. */
+        public VoteRequest(long term, long lastIndex, long lastTerm, boolean preVote) {
+            this(term, lastIndex, lastTerm, preVote, false);
+        }
+    }
 
     /**
      * Answers a request for a vote.
@@ -79,6 +86,13 @@
     /** Answers a question of the founding replica with the lowest name. */
     record FoundAnswer(long round, StoreState state) implements ConsensusMessage {}
 
+    /**
+     * Tells a follower that holds the whole log to stand for election at once.
+     *
+     * @param term term of the leader that hands over
+     */
+    record TimeoutNow(long term) implements ConsensusMessage {}
+
     /** Asks the leader to accept the sender as a learner. */
     record JoinRequest() implements ConsensusMessage {}
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Election.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Election.java
@@ -15,13 +15,13 @@
     private final long term;
     private final Set<ReplicaId> granted = new TreeSet<>();
 
-    private Election(ReplicaState state, boolean preVote, long term) {
+    private Election(ReplicaState state, boolean preVote, long term, boolean handedOver) {
         this.state = state;
         this.preVote = preVote;
         this.term = term;
         granted.add(state.self());
         VoteRequest request =
-                new VoteRequest(term, state.log().lastIndex(), state.log().lastTerm(), preVote);
+                new VoteRequest(term, state.log().lastIndex(), state.log().lastTerm(), preVote, handedOver);
         state.log().members().voters().stream()
                 .filter(voter -> !voter.equals(state.self()))
                 .forEach(voter -> state.send(voter, request));
@@ -29,13 +29,17 @@
 
     /** Asks for promises of votes in the next term. */
     static Election preVote(ReplicaState state) {
-        return new Election(state, true, state.term() + 1);
+        return new Election(state, true, state.term() + 1, false);
     }
 
     /** Enters the next term, votes for this replica and asks for votes. */
     static Election vote(ReplicaState state) {
-        state.voteFor(state.term() + 1, state.self());
-        return new Election(state, false, state.term());
+        return vote(state, false);
+    }
+
+    /** As {@link #vote}, without a pre-vote, as the leader has handed its leadership to this replica. */
+    static Election voteAfterHandover(ReplicaState state) {
+        return vote(state, true);
     }
 
     boolean isPreVote() {
@@ -51,4 +55,9 @@
     boolean isWon() {
         return state.log().members().isMajority(granted);
     }
+
+    private static Election vote(ReplicaState state, boolean handedOver) {
+        state.voteFor(state.term() + 1, state.self());
+        return new Election(state, false, state.term(), handedOver);
+    }
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
@@ -1,6 +1,7 @@
 package org.basilrill.coordination.consensus;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,6 +35,7 @@
     private long round;
     private long heartbeatAt;
     private long announcedCommit;
+    private Optional<LeadershipHandover> handover = Optional.empty();
 
     Leadership(ReplicaState state) {
         this.state = state;
@@ -48,6 +50,11 @@
     }
 
     void propose(byte[] command, CompletableFuture<byte[]> result) {
+        if (handover.isPresent()) {
+            result.completeExceptionally(
+                    new BasilrillException(ErrorCode.NOT_LEADER, "the leadership is being handed over"));
+            return;
+        }
         queued.add(new Proposal(command, result));
     }
 
@@ -56,6 +63,21 @@
         reads.add(Math.max(state.commitIndex(), firstIndex), answer);
     }
 
+    /** Hands the leadership to the voter that holds most of the log; completes with whether it has ended here. */
+    void handOver(CompletableFuture<Boolean> done) {
+        long recent = state.now() - state.settings().minimumElectionTimeout().toNanos();
+        Optional<PeerProgress> successor = peers.values().stream()
+                .filter(peer -> state.log().members().contains(peer.peer()) && peer.heardAt() > recent)
+                .max(Comparator.comparingLong(PeerProgress::matchIndex));
+        if (handover.isPresent() || successor.isEmpty()) {
+            done.complete(false);
+            return;
+        }
+        state.report(
+                LogEvent.LEADERSHIP_HANDOVER, "to " + successor.get().peer().instance());
+        handover = Optional.of(new LeadershipHandover(state, successor.get(), done));
+    }
+
     /** Accepts a replica that is not a voter as a learner. */
     void join(ReplicaId learner) {
         boolean ownName = learner.instance().equals(state.self().instance());
@@ -93,6 +115,7 @@
             beginRound();
         }
         announceCommit();
+        handover = handover.filter(LeadershipHandover::proceed);
         reads.complete(acknowledgedRound(), state.commitIndex());
     }
 
@@ -161,6 +184,7 @@
                 new BasilrillException(ErrorCode.NOT_LEADER, "leadership was lost before the command was written");
         unwritten.forEach(proposal -> proposal.result().completeExceptionally(notLeader));
         reads.fail(lost);
+        handover.ifPresent(LeadershipHandover::leadershipEnded);
     }
 
     private void trackPeer(ReplicaId peer, long nextIndex, long now) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -17,6 +17,7 @@
 import org.basilrill.coordination.consensus.ConsensusMessage.JoinRequest;
 import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotChunk;
+import org.basilrill.coordination.consensus.ConsensusMessage.TimeoutNow;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteRequest;
 import org.basilrill.state.log.DurableStore;
@@ -74,6 +75,15 @@
         leadership.ifPresentOrElse(leading -> leading.read(answer), () -> answer.completeExceptionally(notLeader()));
     }
 
+    /**
+     * Hands the leadership to an up-to-date follower, which takes over without an election timeout.
+     *
+     * @param done completes with whether this replica does not lead any more; false if no follower could take over
+     */
+    public void handOverLeadership(CompletableFuture<Boolean> done) {
+        leadership.ifPresentOrElse(leading -> leading.handOver(done), () -> done.complete(true));
+    }
+
     /** Handles one message. */
     public void received(InstanceId sender, AddressedMessage addressed) {
         long recipient = addressed.recipientIncarnation();
@@ -162,6 +172,8 @@
             vote(from, request);
         } else if (message instanceof VoteAnswer answer) {
             voteAnswered(from, answer);
+        } else if (message instanceof TimeoutNow request) {
+            standAtOnce(request);
         } else if (message instanceof FoundAnswer answer) {
             founding.answered(from, answer);
         }
@@ -245,7 +257,8 @@
     }
 
     private void vote(ReplicaId from, VoteRequest request) {
-        if (request.term() < state.term() || leaderIsRecent()) {
+        boolean waitsForSilence = leaderIsRecent() && !request.handedOver();
+        if (request.term() < state.term() || waitsForSilence) {
             // A candidate behind in term learns the term; one ahead learns nothing, so it cannot depose the leader.
             if (request.term() < state.term()) {
                 state.send(from, new VoteAnswer(state.term(), request.preVote(), false));
@@ -299,6 +312,16 @@
         countVotes();
     }
 
+    private void standAtOnce(TimeoutNow request) {
+        if (request.term() != state.term() || leadership.isPresent() || !state.isVoter()) {
+            return;
+        }
+        resetElectionTimer();
+        leader = Optional.empty();
+        election = Optional.of(Election.voteAfterHandover(state));
+        countVotes();
+    }
+
     private void countVotes() {
         if (election.filter(Election::isWon).isEmpty()) {
             return;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/ConsensusCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/ConsensusCodec.java
@@ -14,6 +14,7 @@
 import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotChunk;
 import org.basilrill.coordination.consensus.ConsensusMessage.StoreState;
+import org.basilrill.coordination.consensus.ConsensusMessage.TimeoutNow;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteRequest;
 import org.basilrill.state.codec.ThriftCodec;
@@ -66,7 +67,8 @@
         }
         if (message instanceof VoteRequest request) {
             return Body.voteRequest(new org.basilrill.thrift.consensus.VoteRequest(
-                    request.term(), request.lastIndex(), request.lastTerm(), request.preVote()));
+                            request.term(), request.lastIndex(), request.lastTerm(), request.preVote())
+                    .setHandedOver(request.handedOver()));
         }
         if (message instanceof VoteAnswer answer) {
             return Body.voteAnswer(
@@ -94,6 +96,9 @@
             return Body.foundAnswer(new org.basilrill.thrift.consensus.FoundAnswer(
                     answer.round(), wireNumber(STORE_STATES, answer.state())));
         }
+        if (message instanceof TimeoutNow request) {
+            return Body.timeoutNow(new org.basilrill.thrift.consensus.TimeoutNow(request.term()));
+        }
         return Body.joinRequest(new org.basilrill.thrift.consensus.JoinRequest());
     }
 
@@ -115,7 +120,11 @@
             case VOTE_REQUEST -> {
                 var request = body.getVoteRequest();
                 yield new VoteRequest(
-                        request.getTerm(), request.getLastIndex(), request.getLastTerm(), request.isPreVote());
+                        request.getTerm(),
+                        request.getLastIndex(),
+                        request.getLastTerm(),
+                        request.isPreVote(),
+                        request.isHandedOver());
             }
             case VOTE_ANSWER -> {
                 var answer = body.getVoteAnswer();
@@ -135,6 +144,7 @@
                 var answer = body.getFoundAnswer();
                 yield new FoundAnswer(answer.getRound(), value(STORE_STATES, answer.getState()));
             }
+            case TIMEOUT_NOW -> new TimeoutNow(body.getTimeoutNow().getTerm());
             case JOIN_REQUEST -> new JoinRequest();
         };
     }
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
@@ -122,6 +122,17 @@
         return answer;
     }
 
+    /**
+     * Hands the leadership to another replica, if this one leads.
+     *
+     * @return whether this replica does not lead any more; fails with {@code CONTROL_UNAVAILABLE} after a stop
+     */
+    public CompletableFuture<Boolean> handOverLeadership() {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        submit(new Task(() -> replica.handOverLeadership(done), done::completeExceptionally));
+        return done;
+    }
+
     @Override
     public Optional<InstanceId> leader() {
         return status.leader();
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaFuzzTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaFuzzTest.java
@@ -49,6 +49,7 @@
                         2,
                         Arbitraries.of(
                                 Kind.ISOLATE, Kind.ISOLATE_LEADER, Kind.HEAL, Kind.HEAL, Kind.FAULTS, Kind.CALM)),
+                Tuple.of(1, Arbitraries.of(Kind.HAND_OVER)),
                 Tuple.of(1, Arbitraries.of(Kind.RESTART_ALL, Kind.REPAIR_THEN_LOSE_ANOTHER)));
         return Combinators.combine(kinds, Arbitraries.integers().between(0, 999))
                 .as(Action::new)
@@ -84,6 +85,7 @@
         switch (action.kind()) {
             case WRITE -> repeat(action.argument() % 40, () -> cluster.propose(writer(cluster, instance, action)));
             case READ -> repeat(1 + action.argument() % 5, () -> cluster.confirm(writer(cluster, instance, action)));
+            case HAND_OVER -> cluster.handOver(writer(cluster, instance, action));
             case RUN -> cluster.run(action.argument());
             case CRASH -> cluster.crash(instance);
             case CRASH_IN_WRITE -> cluster.store(instance).failNextWrite(action.argument() % 2 == 0);
@@ -193,6 +195,7 @@
     enum Kind {
         WRITE,
         READ,
+        HAND_OVER,
         RUN,
         CRASH,
         CRASH_IN_WRITE,
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaTest.java
@@ -72,6 +72,44 @@
         assertThat(cluster.oracle().acknowledgedCount(), is(acknowledged + 1));
     }
 
+    /** Guards against a planned stop that costs callers an election timeout, or a command that was acknowledged. */
+    @Test
+    void aLeaderThatHandsOverIsReplacedBeforeAnyElectionTimeout() {
+        for (long seed = 0; seed < 20; seed++) {
+            VirtualCluster cluster = formed(3, seed, ConsensusSettings.standard());
+            InstanceId leader = cluster.leader().orElseThrow();
+            IntStream.range(0, 50).forEach(number -> cluster.propose(leader));
+            CompletableFuture<Boolean> done = cluster.handOver(leader);
+            int belowAnyElectionTimeout = 100;
+            boolean replaced = cluster.runUntil(
+                    () -> cluster.leader()
+                            .filter(other -> !other.equals(leader))
+                            .isPresent(),
+                    belowAnyElectionTimeout);
+            assertThat("seed " + seed, replaced, is(true));
+            assertThat(commits(cluster), is(true));
+            assertThat(done.join(), is(true));
+            cluster.oracle().complete(cluster.history(cluster.leader().orElseThrow()));
+            cluster.oracle().verify();
+        }
+    }
+
+    /** Guards against a leader that refuses proposals for good because its successor was lost. */
+    @Test
+    void aHandoverWithoutAnAnswerIsGivenUp() {
+        VirtualCluster cluster = formed(3);
+        InstanceId leader = cluster.leader().orElseThrow();
+        IntStream.range(0, 3)
+                .mapToObj(cluster::instance)
+                .filter(other -> !other.equals(leader))
+                .forEach(cluster::crash);
+        CompletableFuture<Boolean> done = cluster.handOver(leader);
+        assertThat(cluster.runUntil(done::isDone, PATIENCE), is(true));
+        IntStream.range(0, 3).mapToObj(cluster::instance).forEach(cluster::restart);
+        assertThat(cluster.runUntil(() -> cluster.leader().isPresent(), PATIENCE), is(true));
+        assertThat(commits(cluster), is(true));
+    }
+
     /** Guards against a failover slower than the objective of 1 s. */
     @Test
     void commitsResumeWithinOneSecondOfLosingTheLeader() {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
@@ -160,6 +160,13 @@
         return result;
     }
 
+    /** Asks one replica to hand its leadership to another. */
+    CompletableFuture<Boolean> handOver(InstanceId instance) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        nodes.get(instance).run(replica -> replica.handOverLeadership(done));
+        return done;
+    }
+
     /** Asks one replica for a confirmation and checks the answer. */
     CompletableFuture<Long> confirm(InstanceId instance) {
         CompletableFuture<Long> answer = new CompletableFuture<>();
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/Body.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/Body.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField FOUND_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("foundRequest", org.apache.thrift.protocol.TType.STRUCT, (short)7);
   private static final org.apache.thrift.protocol.TField FOUND_ANSWER_FIELD_DESC = new org.apache.thrift.protocol.TField("foundAnswer", org.apache.thrift.protocol.TType.STRUCT, (short)8);
   private static final org.apache.thrift.protocol.TField JOIN_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("joinRequest", org.apache.thrift.protocol.TType.STRUCT, (short)9);
+  private static final org.apache.thrift.protocol.TField TIMEOUT_NOW_FIELD_DESC = new org.apache.thrift.protocol.TField("timeoutNow", org.apache.thrift.protocol.TType.STRUCT, (short)10);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -29,7 +30,8 @@
     SNAPSHOT_ANSWER((short)6, "snapshotAnswer"),
     FOUND_REQUEST((short)7, "foundRequest"),
     FOUND_ANSWER((short)8, "foundAnswer"),
-    JOIN_REQUEST((short)9, "joinRequest");
+    JOIN_REQUEST((short)9, "joinRequest"),
+    TIMEOUT_NOW((short)10, "timeoutNow");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -63,6 +65,8 @@
           return FOUND_ANSWER;
         case 9: // JOIN_REQUEST
           return JOIN_REQUEST;
+        case 10: // TIMEOUT_NOW
+          return TIMEOUT_NOW;
         default:
           return null;
       }
@@ -126,6 +130,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, FoundAnswer.class)));
     tmpMap.put(_Fields.JOIN_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("joinRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, JoinRequest.class)));
+    tmpMap.put(_Fields.TIMEOUT_NOW, new org.apache.thrift.meta_data.FieldMetaData("timeoutNow", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TimeoutNow.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Body.class, metaDataMap);
   }
@@ -200,6 +206,12 @@
     return x;
   }
 
+  public static Body timeoutNow(TimeoutNow value) {
+    Body x = new Body();
+    x.setTimeoutNow(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -249,6 +261,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type JoinRequest for field 'joinRequest', but got " + value.getClass().getSimpleName());
+      case TIMEOUT_NOW:
+        if (value instanceof TimeoutNow) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type TimeoutNow for field 'timeoutNow', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -349,6 +366,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case TIMEOUT_NOW:
+          if (field.type == TIMEOUT_NOW_FIELD_DESC.type) {
+            TimeoutNow timeoutNow;
+            timeoutNow = new TimeoutNow();
+            timeoutNow.read(iprot);
+            return timeoutNow;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -397,6 +424,10 @@
         JoinRequest joinRequest = (JoinRequest)value_;
         joinRequest.write(oprot);
         return;
+      case TIMEOUT_NOW:
+        TimeoutNow timeoutNow = (TimeoutNow)value_;
+        timeoutNow.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -452,6 +483,11 @@
           joinRequest = new JoinRequest();
           joinRequest.read(iprot);
           return joinRequest;
+        case TIMEOUT_NOW:
+          TimeoutNow timeoutNow;
+          timeoutNow = new TimeoutNow();
+          timeoutNow.read(iprot);
+          return timeoutNow;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -499,6 +535,10 @@
         JoinRequest joinRequest = (JoinRequest)value_;
         joinRequest.write(oprot);
         return;
+      case TIMEOUT_NOW:
+        TimeoutNow timeoutNow = (TimeoutNow)value_;
+        timeoutNow.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -525,6 +565,8 @@
         return FOUND_ANSWER_FIELD_DESC;
       case JOIN_REQUEST:
         return JOIN_REQUEST_FIELD_DESC;
+      case TIMEOUT_NOW:
+        return TIMEOUT_NOW_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -664,6 +706,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.JOIN_REQUEST");
   }
 
+  public TimeoutNow getTimeoutNow() {
+    if (getSetField() == _Fields.TIMEOUT_NOW) {
+      return (TimeoutNow)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'timeoutNow' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setTimeoutNow(TimeoutNow value) {
+    setField_ = _Fields.TIMEOUT_NOW;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.TIMEOUT_NOW");
+  }
+
   public boolean isSetVoteRequest() {
     return setField_ == _Fields.VOTE_REQUEST;
   }
@@ -709,6 +764,11 @@
   }
 
 
+  public boolean isSetTimeoutNow() {
+    return setField_ == _Fields.TIMEOUT_NOW;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof Body) {
       return equals((Body)other);
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/VoteRequest.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/consensus/VoteRequest.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField LAST_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("lastIndex", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField LAST_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("lastTerm", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField PRE_VOTE_FIELD_DESC = new org.apache.thrift.protocol.TField("preVote", org.apache.thrift.protocol.TType.BOOL, (short)4);
+  private static final org.apache.thrift.protocol.TField HANDED_OVER_FIELD_DESC = new org.apache.thrift.protocol.TField("handedOver", org.apache.thrift.protocol.TType.BOOL, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new VoteRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new VoteRequestTupleSchemeFactory();
@@ -25,13 +26,18 @@
   private long lastIndex; // required
   private long lastTerm; // required
   private boolean preVote; // required
+  private boolean handedOver; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     TERM((short)1, "term"),
     LAST_INDEX((short)2, "lastIndex"),
     LAST_TERM((short)3, "lastTerm"),
-    PRE_VOTE((short)4, "preVote");
+    PRE_VOTE((short)4, "preVote"),
+    /**
+     * Whether the leader handed its leadership to the sender, so that the vote need not wait for its silence.
+     */
+    HANDED_OVER((short)5, "handedOver");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +61,8 @@
           return LAST_TERM;
         case 4: // PRE_VOTE
           return PRE_VOTE;
+        case 5: // HANDED_OVER
+          return HANDED_OVER;
         default:
           return null;
       }
@@ -102,7 +110,9 @@
   private static final int __LASTINDEX_ISSET_ID = 1;
   private static final int __LASTTERM_ISSET_ID = 2;
   private static final int __PREVOTE_ISSET_ID = 3;
+  private static final int __HANDEDOVER_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.HANDED_OVER};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -114,11 +124,15 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.PRE_VOTE, new org.apache.thrift.meta_data.FieldMetaData("preVote", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.HANDED_OVER, new org.apache.thrift.meta_data.FieldMetaData("handedOver", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(VoteRequest.class, metaDataMap);
   }
 
   public VoteRequest() {
+    this.handedOver = false;
+
   }
 
   public VoteRequest(
@@ -147,6 +161,7 @@
     this.lastIndex = other.lastIndex;
     this.lastTerm = other.lastTerm;
     this.preVote = other.preVote;
+    this.handedOver = other.handedOver;
   }
 
   @Override
@@ -164,6 +179,8 @@
     this.lastTerm = 0;
     setPreVoteIsSet(false);
     this.preVote = false;
+    this.handedOver = false;
+
   }
 
   public long getTerm() {
@@ -258,6 +275,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PREVOTE_ISSET_ID, value);
   }
 
+  /**
+   * Whether the leader handed its leadership to the sender, so that the vote need not wait for its silence.
+   */
+  public boolean isHandedOver() {
+    return this.handedOver;
+  }
+
+  /**
+   * Whether the leader handed its leadership to the sender, so that the vote need not wait for its silence.
+   */
+  public VoteRequest setHandedOver(boolean handedOver) {
+    this.handedOver = handedOver;
+    setHandedOverIsSet(true);
+    return this;
+  }
+
+  public void unsetHandedOver() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __HANDEDOVER_ISSET_ID);
+  }
+
+  /** Returns true if field handedOver is set (has been assigned a value) and false otherwise */
+  public boolean isSetHandedOver() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __HANDEDOVER_ISSET_ID);
+  }
+
+  public void setHandedOverIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HANDEDOVER_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -293,6 +339,14 @@
       }
       break;
 
+    case HANDED_OVER:
+      if (value == null) {
+        unsetHandedOver();
+      } else {
+        setHandedOver((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -312,6 +366,9 @@
     case PRE_VOTE:
       return isPreVote();
 
+    case HANDED_OVER:
+      return isHandedOver();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -332,6 +389,8 @@
       return isSetLastTerm();
     case PRE_VOTE:
       return isSetPreVote();
+    case HANDED_OVER:
+      return isSetHandedOver();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -385,6 +444,15 @@
         return false;
     }
 
+    boolean this_present_handedOver = true && this.isSetHandedOver();
+    boolean that_present_handedOver = true && that.isSetHandedOver();
+    if (this_present_handedOver || that_present_handedOver) {
+      if (!(this_present_handedOver && that_present_handedOver))
+        return false;
+      if (this.handedOver != that.handedOver)
+        return false;
+    }
+
     return true;
   }
 
@@ -400,6 +468,10 @@
 
     hashCode = hashCode * 8191 + ((preVote) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetHandedOver()) ? 131071 : 524287);
+    if (isSetHandedOver())
+      hashCode = hashCode * 8191 + ((handedOver) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -451,6 +523,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetHandedOver(), other.isSetHandedOver());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHandedOver()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.handedOver, other.handedOver);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -490,6 +572,12 @@
     sb.append("preVote:");
     sb.append(this.preVote);
     first = false;
+    if (isSetHandedOver()) {
+      if (!first) sb.append(", ");
+      sb.append("handedOver:");
+      sb.append(this.handedOver);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -573,6 +661,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // HANDED_OVER
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.handedOver = iprot.readBool();
+              struct.setHandedOverIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -613,6 +709,11 @@
       oprot.writeFieldBegin(PRE_VOTE_FIELD_DESC);
       oprot.writeBool(struct.preVote);
       oprot.writeFieldEnd();
+      if (struct.isSetHandedOver()) {
+        oprot.writeFieldBegin(HANDED_OVER_FIELD_DESC);
+        oprot.writeBool(struct.handedOver);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -635,6 +736,14 @@
       oprot.writeI64(struct.lastIndex);
       oprot.writeI64(struct.lastTerm);
       oprot.writeBool(struct.preVote);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetHandedOver()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetHandedOver()) {
+        oprot.writeBool(struct.handedOver);
+      }
     }
 
     @Override
@@ -648,6 +757,11 @@
       struct.setLastTermIsSet(true);
       struct.preVote = iprot.readBool();
       struct.setPreVoteIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.handedOver = iprot.readBool();
+        struct.setHandedOverIsSet(true);
+      }
     }
   }
 
--- a/basilrill-thrift/src/main/thrift/consensus.thrift
+++ b/basilrill-thrift/src/main/thrift/consensus.thrift
@@ -6,6 +6,8 @@
   2: required i64 lastIndex
   3: required i64 lastTerm
   4: required bool preVote
+  /** Whether the leader handed its leadership to the sender, so that the vote need not wait for its silence. */
+  5: optional bool handedOver = false
 }
 
 struct VoteAnswer {
@@ -78,6 +80,12 @@
 struct JoinRequest {
 }
 
+/** Tells a follower that holds the whole log to stand for election at once. */
+struct TimeoutNow {
+  /** Term of the leader that hands over. */
+  1: required i64 term
+}
+
 union Body {
   1: VoteRequest voteRequest
   2: VoteAnswer voteAnswer
@@ -88,6 +96,7 @@
   7: FoundRequest foundRequest
   8: FoundAnswer foundAnswer
   9: JoinRequest joinRequest
+  10: TimeoutNow timeoutNow
 }
 
 /** One message between replicas of the control log. */
