--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -58,7 +58,8 @@
     TARGET_ORDER_RESOLVED(453, "target order has an outcome"),
     TARGET_ORDER_REFUSED(454, "control log refused a target order"),
     UNLOAD_HELD_BACK(455, "unload held back because no other copy is ready"),
-    PLACEMENT_STEP_FAILED(456, "placement step failed and is repeated");
+    PLACEMENT_STEP_FAILED(456, "placement step failed and is repeated"),
+    LEADERSHIP_HANDOVER(540, "leader hands the leadership of the control log to another replica");
 
     private final int number;
     private final String summary;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/ConsensusCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/ConsensusCodec.java
@@ -2,12 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
-import org.apache.thrift.TConfiguration;
-import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TBinaryProtocol;
-import org.apache.thrift.protocol.TProtocol;
-import org.apache.thrift.transport.TMemoryInputTransport;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.coordination.consensus.AddressedMessage;
@@ -20,8 +14,10 @@
 import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotChunk;
 import org.basilrill.coordination.consensus.ConsensusMessage.StoreState;
+import org.basilrill.coordination.consensus.ConsensusMessage.TimeoutNow;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteRequest;
+import org.basilrill.state.codec.ThriftCodec;
 import org.basilrill.state.log.DurableStore.LogRecord;
 import org.basilrill.state.log.DurableStore.RecordKind;
 import org.basilrill.thrift.consensus.Body;
@@ -41,11 +37,7 @@
     public static byte[] encode(AddressedMessage addressed) {
         ConsensusEnvelope envelope = new ConsensusEnvelope(
                 addressed.senderIncarnation(), addressed.recipientIncarnation(), body(addressed.message()));
-        try {
-            return new TSerializer(new TBinaryProtocol.Factory()).serialize(envelope);
-        } catch (TException exception) {
-            throw new BasilrillException(ErrorCode.INTERNAL, "consensus message could not be encoded", exception);
-        }
+        return ThriftCodec.encode(envelope);
     }
 
     /**
@@ -54,28 +46,11 @@
      * @throws BasilrillException with {@link ErrorCode#MESSAGE_MALFORMED} if the payload is not a consensus message
      */
     public static AddressedMessage decode(byte[] payload) {
-        ConsensusEnvelope envelope = new ConsensusEnvelope();
-        try {
-            envelope.read(boundedProtocol(payload));
-        } catch (TException | RuntimeException exception) {
-            throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "not a consensus message", exception);
-        }
+        ConsensusEnvelope envelope = ThriftCodec.decode(ConsensusEnvelope::new, payload);
         return new AddressedMessage(
                 envelope.getSenderIncarnation(), envelope.getRecipientIncarnation(), message(envelope.getBody()));
     }
 
-    /**
-     * Returns a protocol that refuses lengths beyond the payload. With the default limit of 100 MB, a damaged length
-     * made the decoder allocate until the heap was exhausted.
-     */
-    private static TProtocol boundedProtocol(byte[] payload) throws TException {
-        TConfiguration limits = TConfiguration.custom()
-                .setMaxMessageSize(payload.length)
-                .setMaxFrameSize(payload.length)
-                .build();
-        return new TBinaryProtocol(new TMemoryInputTransport(limits, payload), payload.length, payload.length);
-    }
-
     private static Body body(ConsensusMessage message) {
         if (message instanceof AppendRequest append) {
             return Body.appendRequest(new org.basilrill.thrift.consensus.AppendRequest(
@@ -92,7 +67,8 @@
         }
         if (message instanceof VoteRequest request) {
             return Body.voteRequest(new org.basilrill.thrift.consensus.VoteRequest(
-                    request.term(), request.lastIndex(), request.lastTerm(), request.preVote()));
+                            request.term(), request.lastIndex(), request.lastTerm(), request.preVote())
+                    .setHandedOver(request.handedOver()));
         }
         if (message instanceof VoteAnswer answer) {
             return Body.voteAnswer(
@@ -120,6 +96,9 @@
             return Body.foundAnswer(new org.basilrill.thrift.consensus.FoundAnswer(
                     answer.round(), wireNumber(STORE_STATES, answer.state())));
         }
+        if (message instanceof TimeoutNow request) {
+            return Body.timeoutNow(new org.basilrill.thrift.consensus.TimeoutNow(request.term()));
+        }
         return Body.joinRequest(new org.basilrill.thrift.consensus.JoinRequest());
     }
 
@@ -141,7 +120,11 @@
             case VOTE_REQUEST -> {
                 var request = body.getVoteRequest();
                 yield new VoteRequest(
-                        request.getTerm(), request.getLastIndex(), request.getLastTerm(), request.isPreVote());
+                        request.getTerm(),
+                        request.getLastIndex(),
+                        request.getLastTerm(),
+                        request.isPreVote(),
+                        request.isHandedOver());
             }
             case VOTE_ANSWER -> {
                 var answer = body.getVoteAnswer();
@@ -161,6 +144,7 @@
                 var answer = body.getFoundAnswer();
                 yield new FoundAnswer(answer.getRound(), value(STORE_STATES, answer.getState()));
             }
+            case TIMEOUT_NOW -> new TimeoutNow(body.getTimeoutNow().getTerm());
             case JOIN_REQUEST -> new JoinRequest();
         };
     }
