Let replicas run on a monotonic clock that is negative

Cause: a replica compared the clock with timers that start at 0. A monotonic clock has an arbitrary origin, and with a negative one a cluster was never founded and a lost replica never asked to join. The virtual cluster of the consensus tests now has a negative clock.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
@@ -24,6 +24,7 @@
     private final ReplicaEnvironment environment;
     private final ConsensusSettings settings;
     private final ReplicaLog log;
+    private final long originNanos;
     private Vote vote;
     private long commitIndex;
     private long bytesSinceSnapshot;
@@ -40,6 +41,7 @@
         this.environment = environment;
         this.settings = settings;
         this.log = new ReplicaLog(store, settings.retainedEntries());
+        this.originNanos = environment.clock().nanos();
         this.vote = store.vote();
         log.snapshot().ifPresent(snapshot -> {
             machine.restore(snapshot.state());
@@ -63,8 +65,9 @@
         return log;
     }
 
+    /** Returns nanoseconds since this replica started, as the clock itself may be negative. */
     long now() {
-        return environment.clock().nanos();
+        return environment.clock().nanos() - originNanos;
     }
 
     long term() {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
@@ -32,6 +32,8 @@
 final class VirtualCluster {
     private static final long MILLISECOND = 1_000_000;
     private static final long TICK = 10 * MILLISECOND;
+    /** A monotonic clock may be negative; replicas that compared it with 0 never founded the cluster. */
+    private static final long CLOCK_ORIGIN = -Duration.ofDays(1).toNanos();
 
     private final Random random;
     private final HistoryOracle oracle = new HistoryOracle();
@@ -232,7 +234,7 @@
         Node node = new Node(instance, store);
         nodes.put(instance, node);
         ReplicaEnvironment environment = new ReplicaEnvironment(
-                () -> now,
+                () -> CLOCK_ORIGIN + now,
                 new Random(random.nextLong()),
                 (recipient, message) -> send(instance, recipient, message),
                 (event, detail) -> events.add(event));
