--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -17,7 +17,6 @@
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.PeerSubject;
 import org.basilrill.coordination.consensus.ReplicaId;
-import org.basilrill.coordination.control.RulesSource;
 import org.basilrill.coordination.membership.Membership.Member;
 import org.basilrill.daemon.settings.Settings;
 import org.basilrill.protocol.administration.AdministrationHandler;
@@ -185,8 +184,9 @@
     }
 
     private CompletableFuture<RulesText.Revision> rulesText() {
-        RulesSource source = instance.control().rulesSource();
-        return CompletableFuture.completedFuture(new RulesText.Revision(source.revision(), source.text()));
+        return instance.control()
+                .readRules(ADMINISTRATION_DEADLINE)
+                .thenApply(source -> new RulesText.Revision(source.revision(), source.text()));
     }
 
     private RequestLimits limits() {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -75,9 +75,13 @@
         return holder.view();
     }
 
-    /** Returns the text of the newest rules received. */
-    public RulesSource rulesSource() {
-        return holder.rulesSource();
+    /**
+     * Reads the rules from the log: the text is at least as new as any accepted before this call.
+     *
+     * @param deadline longest wait; then the future fails with {@code CONTROL_UNAVAILABLE}
+     */
+    public CompletableFuture<RulesSource> readRules(Duration deadline) {
+        return puller.confirm(deadline).thenApply(confirmed -> holder.rulesSource());
     }
 
     @Override
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -1,11 +1,16 @@
 package org.basilrill.coordination.control;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
@@ -28,6 +33,9 @@
     /** Age of the last renewal beyond which the session may have expired; 2 s less than the leader's limit. */
     static final Duration SESSION_LEASE = Duration.ofSeconds(3);
 
+    /** Reads within this time share one pull, so that many of them do not displace the pending pulls. */
+    private static final Duration READ_GATHERING = Duration.ofMillis(50);
+
     /** Pulls that may still be answered; older ones no longer prove freshness. */
     private static final int MAXIMUM_PENDING = 8;
 
@@ -44,6 +52,8 @@
     private OptionalLong confirmedNanos = OptionalLong.empty();
     private OptionalLong renewedNanos = OptionalLong.empty();
     private Runnable sessionLost = () -> {};
+    private final List<Read> reads = new ArrayList<>();
+    private boolean readPullScheduled;
     private boolean stopped;
 
     ViewPuller(
@@ -95,6 +105,26 @@
         return sessionId != 0 && isWithin(renewedNanos, SESSION_LEASE);
     }
 
+    /** Completes once a pull sent after this call is confirmed; fails with {@code CONTROL_UNAVAILABLE}. */
+    CompletableFuture<Void> confirm(Duration deadline) {
+        CompletableFuture<Void> confirmed = new CompletableFuture<>();
+        Scheduler.Cancellable timer = scheduler.schedule(
+                deadline,
+                () -> confirmed.completeExceptionally(new BasilrillException(
+                        ErrorCode.CONTROL_UNAVAILABLE, "no replica of the control log confirmed the state in time")));
+        boolean schedule;
+        synchronized (this) {
+            reads.removeIf(read -> read.confirmed().isDone());
+            reads.add(new Read(nextRequestId, confirmed));
+            schedule = !readPullScheduled;
+            readPullScheduled = true;
+        }
+        if (schedule) {
+            scheduler.schedule(READ_GATHERING, this::pullForReads);
+        }
+        return confirmed.whenComplete((done, failure) -> timer.cancel());
+    }
+
     void answered(InstanceId sender, PullAnswer answer) {
         directory.learnReplicas(
                 answer.getReplicas().stream().map(InstanceId::new).toList());
@@ -107,6 +137,7 @@
             holder.install(ViewCodec.fromMessage(answer.getView(), held.rules()));
         }
         Runnable lost = () -> {};
+        List<Read> answered;
         synchronized (this) {
             Pull pull = pending.remove(answer.getRequestId());
             if (pull == null) {
@@ -114,6 +145,7 @@
             }
             answeredSinceLastPull |= sender.equals(replica);
             confirmedNanos = later(confirmedNanos, pull.sentNanos());
+            answered = takeReads(answer.getRequestId());
             if (pull.sessionId() != 0 && pull.sessionId() == sessionId) {
                 if (answer.isSessionHeld()) {
                     renewedNanos = later(renewedNanos, pull.sentNanos());
@@ -125,6 +157,23 @@
             }
         }
         lost.run();
+        answered.forEach(read -> read.confirmed().complete(null));
+    }
+
+    /** Takes the reads that began before the pull was sent. Called with the lock held. */
+    private List<Read> takeReads(long requestId) {
+        List<Read> taken = reads.stream()
+                .filter(read -> requestId - read.firstRequestId() >= 0)
+                .toList();
+        reads.removeAll(taken);
+        return taken;
+    }
+
+    private void pullForReads() {
+        synchronized (this) {
+            readPullScheduled = false;
+        }
+        pull();
     }
 
     private void pullAndRepeat() {
@@ -167,6 +216,9 @@
         return known.isPresent() && known.getAsLong() - nanos >= 0 ? known : OptionalLong.of(nanos);
     }
 
+    /** A read that any pull from the given request id on confirms. */
+    private record Read(long firstRequestId, CompletableFuture<Void> confirmed) {}
+
     /** One pull that is not answered yet. */
     private record Pull(long sentNanos, long sessionId) {}
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
@@ -123,6 +123,22 @@
         assertThat(unknown.outcome(), is(Outcome.MAY_HAVE_RUN));
     }
 
+    /** Guards against operators who read a revision that another one has already replaced. */
+    @Test
+    void aReadOfTheRulesSeesWhatWasAcceptedBeforeAndFailsWhereThatIsUnknown() {
+        ControlLogClient other = cluster.client(new InstanceId("other"));
+        start(client);
+        start(other);
+        assertThat(result(replace(client, 0, "a", "ana")), is(new RulesAccepted(1)));
+        CompletableFuture<RulesSource> read = other.readRules(DEADLINE);
+        cluster.time().advance(SECOND);
+        assertThat(read.join().revision(), is(1L));
+        cluster.cutOff(ENTRY);
+        CompletableFuture<RulesSource> unconfirmed = client.readRules(DEADLINE);
+        cluster.time().advance(DEADLINE);
+        assertThat(unconfirmed.isCompletedExceptionally(), is(true));
+    }
+
     @Test
     void aLeaderThatIsCutOffConfirmsNothing() {
         start(client);
