Check the invariants on random histories of complete instances

Messages are lost, repeated, late and cut; processes crash, replicas lose their data folders, targets fail and leave, operators race. Simple oracles check the history.

--- /dev/null
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
@@ -0,0 +1,288 @@
+package org.basilrill.scaffold.virtual;
+
+import com.codahale.metrics.MetricRegistry;
+import io.opentelemetry.api.OpenTelemetry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.MonotonicClock;
+import org.basilrill.api.PeerChannel;
+import org.basilrill.api.PeerHandler;
+import org.basilrill.api.PeerSubject;
+import org.basilrill.api.Scheduler;
+import org.basilrill.coordination.consensus.ConsensusSettings;
+import org.basilrill.coordination.consensus.ReplicaEnvironment;
+import org.basilrill.coordination.consensus.ReplicaId;
+import org.basilrill.coordination.consensus.ReplicaStatus;
+import org.basilrill.coordination.placement.TargetOrders;
+import org.basilrill.protocol.administration.AdministrationHandler;
+import org.basilrill.protocol.administration.AdministrationViews;
+import org.basilrill.protocol.administration.RulesText;
+import org.basilrill.protocol.instance.Instance;
+import org.basilrill.protocol.instance.InstanceEnvironment;
+import org.basilrill.protocol.instance.InstanceEnvironment.LocalReplica;
+import org.basilrill.protocol.instance.RequestLimits;
+import org.basilrill.protocol.peer.ConsensusCodec;
+import org.basilrill.state.configuration.KeyHash;
+import org.basilrill.state.control.ControlStateMachine;
+import org.basilrill.state.control.OrderOutcome;
+import org.basilrill.state.target.TargetAnnouncement;
+
+/**
+ * Several complete instances, the first of them with replicas of the control log, on one virtual clock. Not thread
+ * safe.
+ */
+public final class VirtualInstances {
+    private static final Duration ADMINISTRATION_DEADLINE = Duration.ofSeconds(5);
+    private static final long NANOS_PER_MILLISECOND = 1_000_000;
+    private static final long FIRST_WALL_CLOCK_MILLIS = 1_700_000_000_000L;
+    /** Snapshots small and frequent enough to be exercised by short histories. */
+    private static final ConsensusSettings SETTINGS = new ConsensusSettings(
+            Duration.ofMillis(50),
+            Duration.ofMillis(250),
+            Duration.ofMillis(500),
+            Duration.ofMillis(500),
+            Duration.ofSeconds(5),
+            40,
+            1 << 20,
+            1024,
+            64 * 1024);
+
+    private final VirtualTime time;
+    private final Random random;
+    private final VirtualNetwork network;
+    private final VirtualTargets targets;
+    private final KeyHash firstOperatorKey;
+    private final List<InstanceId> instances = new ArrayList<>();
+    private final List<InstanceId> replicas;
+    private final Map<InstanceId, VirtualStore> stores = new TreeMap<>();
+    private final Map<InstanceId, Process> processes = new TreeMap<>();
+
+    public VirtualInstances(
+            int count,
+            int replicaCount,
+            VirtualTime time,
+            Random random,
+            VirtualNetwork network,
+            VirtualTargets targets,
+            KeyHash firstOperatorKey) {
+        this.time = time;
+        this.random = random;
+        this.network = network;
+        this.targets = targets;
+        this.firstOperatorKey = firstOperatorKey;
+        for (int number = 1; number <= count; number++) {
+            instances.add(new InstanceId("instance-" + number));
+        }
+        replicas = List.copyOf(instances.subList(0, replicaCount));
+        replicas.forEach(this::createStore);
+    }
+
+    /** Starts all instances. */
+    public void start() {
+        instances.forEach(this::restart);
+    }
+
+    public List<InstanceId> instances() {
+        return List.copyOf(instances);
+    }
+
+    public List<InstanceId> replicas() {
+        return replicas;
+    }
+
+    /** Returns the instance, if its process runs. */
+    public Optional<Instance> running(InstanceId id) {
+        return Optional.ofNullable(processes.get(id)).map(process -> process.instance);
+    }
+
+    /** Returns the present time on the clock of a running instance. */
+    public long nanos(InstanceId id) {
+        return processes.get(id).clock.nanos();
+    }
+
+    /** Returns the administration of a running instance, with the parts the daemon gives it. */
+    public AdministrationHandler administration(InstanceId id) {
+        Instance instance = processes.get(id).instance;
+        return new AdministrationHandler(
+                instance.control(),
+                () -> instance.control()
+                        .readRules(ADMINISTRATION_DEADLINE)
+                        .thenApply(source -> new RulesText.Revision(source.revision(), source.text())),
+                new AdministrationViews(id, instance.control(), instance.membership(), instance.targets(), () -> 0),
+                () -> {},
+                Optional.of(firstOperatorKey),
+                ADMINISTRATION_DEADLINE);
+    }
+
+    /** Returns the state machines of the running replicas. */
+    public List<ControlStateMachine> machines() {
+        return replicas.stream()
+                .filter(processes::containsKey)
+                .map(id -> processes.get(id).machine)
+                .toList();
+    }
+
+    /** Ends a process; only its store is left. */
+    public void crash(InstanceId id) {
+        Process process = processes.remove(id);
+        if (process != null) {
+            process.alive = false;
+        }
+    }
+
+    /** Starts the process of an instance that does not run. */
+    public void restart(InstanceId id) {
+        if (!processes.containsKey(id)) {
+            Process process = new Process(id);
+            processes.put(id, process);
+            process.start();
+        }
+    }
+
+    /** Replaces the data folder of a replica that does not run by an empty one. */
+    public void wipe(InstanceId id) {
+        createStore(id);
+    }
+
+    /** Tells whether all replicas run, and are members of the log under their present incarnations. */
+    public boolean isWhole() {
+        return replicas.stream()
+                .allMatch(id -> processes.containsKey(id)
+                        && processes.get(id).replica.orElseThrow().status().members().voters().stream()
+                                        .filter(this::isPresent)
+                                        .count()
+                                == replicas.size());
+    }
+
+    /** Tells whether the usable replicas are a majority of the members of the log. */
+    public boolean hasMajority(Predicate<InstanceId> usable) {
+        return replicas.stream()
+                .filter(usable)
+                .flatMap(id -> Optional.ofNullable(processes.get(id)).stream())
+                .map(process -> process.replica.orElseThrow().status())
+                .max(Comparator.comparingLong(ReplicaStatus::commitIndex))
+                .map(ReplicaStatus::members)
+                .filter(members -> members.isMajority(members.voters().stream()
+                        .filter(voter -> usable.test(voter.instance())
+                                && processes.containsKey(voter.instance())
+                                && isPresent(voter))
+                        .toList()))
+                .isPresent();
+    }
+
+    private boolean isPresent(ReplicaId voter) {
+        return stores.get(voter.instance()).incarnation() == voter.incarnation();
+    }
+
+    private void createStore(InstanceId id) {
+        stores.put(id, new VirtualStore(random.nextLong(1, Long.MAX_VALUE)));
+    }
+
+    /** One process of an instance. */
+    private final class Process {
+        private final InstanceId id;
+        private final ControlStateMachine machine = new ControlStateMachine();
+        private final Map<PeerSubject, PeerHandler> handlers = new EnumMap<>(PeerSubject.class);
+        private final Scheduler scheduler;
+        // Each process has another clock origin, so that a time compared across processes shows as a fault.
+        private final MonotonicClock clock = time.clockWithOrigin(random.nextLong());
+        private final PeerChannel channel = this::send;
+        private final Optional<VirtualReplica> replica;
+        private final Instance instance;
+        private boolean alive = true;
+
+        Process(InstanceId id) {
+            this.id = id;
+            this.scheduler = time.schedulerOf(() -> alive);
+            this.replica = Optional.ofNullable(stores.get(id)).map(this::createReplica);
+            this.instance = new Instance(environment());
+        }
+
+        void start() {
+            handlers.putAll(instance.handlers());
+            replica.ifPresent(log -> handlers.put(PeerSubject.CONSENSUS, log));
+            instance.start();
+        }
+
+        private void send(InstanceId recipient, PeerSubject subject, byte[] payload) {
+            if (recipient.equals(id)) {
+                scheduler.schedule(Duration.ZERO, () -> receive(id, subject, payload));
+                return;
+            }
+            network.carry(
+                    id,
+                    recipient,
+                    payload.length,
+                    () -> Optional.ofNullable(processes.get(recipient))
+                            .ifPresent(process -> process.receive(id, subject, payload)));
+        }
+
+        private void receive(InstanceId sender, PeerSubject subject, byte[] payload) {
+            PeerHandler handler = handlers.get(subject);
+            if (handler != null) {
+                handler.received(sender, payload);
+            }
+        }
+
+        private VirtualReplica createReplica(VirtualStore store) {
+            ReplicaEnvironment environment = new ReplicaEnvironment(
+                    clock,
+                    new Random(random.nextLong()),
+                    (recipient, message) ->
+                            channel.send(recipient, PeerSubject.CONSENSUS, ConsensusCodec.encode(message)),
+                    (event, detail) -> {});
+            return new VirtualReplica(id, replicas, store, machine, environment, SETTINGS, scheduler);
+        }
+
+        private InstanceEnvironment environment() {
+            return new InstanceEnvironment(
+                    id,
+                    "north",
+                    "127.0.0.1:4001",
+                    "127.0.0.1:5001",
+                    replicas,
+                    clock,
+                    scheduler,
+                    new SplittableRandom(random.nextLong()),
+                    channel,
+                    targets.connector(id, () -> alive),
+                    new NoOrders(),
+                    () -> FIRST_WALL_CLOCK_MILLIS + time.nanos() / NANOS_PER_MILLISECOND,
+                    OpenTelemetry.noop().getTracer("simulation"),
+                    new MetricRegistry(),
+                    RequestLimits.defaults(),
+                    Optional.of(firstOperatorKey),
+                    replica.map(log -> new LocalReplica(log, machine, () -> membersOf(log))));
+        }
+
+        private List<InstanceId> membersOf(VirtualReplica log) {
+            return log.status().members().voters().stream()
+                    .map(ReplicaId::instance)
+                    .toList();
+        }
+    }
+
+    /** Takes no target orders, as no placement runs. */
+    private static final class NoOrders implements TargetOrders {
+        @Override
+        public CompletableFuture<Optional<OrderOutcome>> send(TargetAnnouncement target, Order order) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+
+        @Override
+        public CompletableFuture<Optional<OrderOutcome>> outcome(TargetAnnouncement target, String orderId) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+    }
+}
