--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -88,7 +88,7 @@
         instance.handlers().forEach(peers::handle);
         replica.ifPresent(log -> peers.handle(PeerSubject.CONSENSUS, log));
         gateway.start();
-        peers.start(settings.peerAddress());
+        peers.start(settings.peerListenAddress(), settings.peerAddress());
         instance.start();
         LOGGER.atInfo().log("%s: %s", LogEvent.INSTANCE_STARTED, settings.instance());
     }
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/Settings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/Settings.java
@@ -12,7 +12,8 @@
  * The checked settings of one instance. Immutable and thread safe.
  *
  * @param callerAddress IP number and port for callers, targets and operators
- * @param peerAddress IP number and port for other instances
+ * @param peerAddress IP number and port that other instances connect to
+ * @param peerListenAddress address to listen on for other instances; differs from the peer address only behind a relay
  * @param replicas founding replicas of the control log; also the first members contacted
  * @param dataFolder present exactly if the instance is a replica
  * @param operatorKeyHash SHA-256 of a first operator key, accepted until the rules name an operator
@@ -24,6 +25,7 @@
         String dataCentre,
         InetSocketAddress callerAddress,
         InetSocketAddress peerAddress,
+        InetSocketAddress peerListenAddress,
         Set<Role> roles,
         Map<InstanceId, InetSocketAddress> replicas,
         Optional<Path> dataFolder,
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -72,6 +72,8 @@
                 document.require("callerAddress").flatMap(this::address);
         Optional<InetSocketAddress> peerAddress =
                 document.require("peerAddress").flatMap(this::address);
+        Optional<InetSocketAddress> peerListenAddress =
+                document.take("peerListenAddress").flatMap(this::address);
         Optional<Set<Settings.Role>> roles = document.require("roles").flatMap(this::roles);
         Optional<Map<InstanceId, InetSocketAddress>> replicas =
                 document.require("replicas").flatMap(this::replicas);
@@ -93,6 +95,7 @@
                 dataCentre.orElseThrow(),
                 callerAddress.orElseThrow(),
                 peerAddress.orElseThrow(),
+                peerListenAddress.or(() -> peerAddress).orElseThrow(),
                 roles.orElseThrow(),
                 replicas.orElseThrow(),
                 dataFolder,
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
@@ -55,10 +55,12 @@
     /**
      * Starts to accept connections.
      *
+     * @param address address to listen on
+     * @param announcedAddress address at which other instances reach this one
      * @throws BasilrillException with {@code ADDRESS_IN_USE} if the address cannot be bound
      */
-    public void start(InetSocketAddress address) {
-        ownAddress = address.getAddress().getHostAddress() + ":" + address.getPort();
+    public void start(InetSocketAddress address, InetSocketAddress announcedAddress) {
+        ownAddress = announcedAddress.getAddress().getHostAddress() + ":" + announcedAddress.getPort();
         try {
             TNonblockingServerSocket socket = new TNonblockingServerSocket(address);
             PeerDispatcher dispatcher = new PeerDispatcher(handlers, executor, this::learnAddress);
--- a/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
@@ -75,7 +75,7 @@
         receiver.handle(
                 PeerSubject.MEMBERSHIP,
                 (from, payload) -> received.add(from + ":" + new String(payload, StandardCharsets.UTF_8)));
-        receiver.start(address);
+        receiver.start(address, address);
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
