--- /dev/null
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/Executions.java
@@ -0,0 +1,22 @@
+package org.basilrill.scaffold.prove;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.basilrill.scaffold.prove.Exchange.Call;
+
+/** How often a fake service has executed each request body. Immutable. */
+final class Executions {
+    private final JsonNode counts;
+
+    private Executions(JsonNode counts) {
+        this.counts = counts;
+    }
+
+    static Executions of(Exchange targetState) {
+        ProofFailure.unless(targetState.ok(), "the state of the fake service", targetState.describe());
+        return new Executions(targetState.json().path("executions"));
+    }
+
+    int of(Call call) {
+        return counts.path(call.body()).asInt();
+    }
+}
--- /dev/null
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/RuleText.java
@@ -0,0 +1,58 @@
+package org.basilrill.scaffold.prove;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.basilrill.state.configuration.KeyHash;
+
+/** Composes the rules of a scenario. Used by one thread at a time. */
+final class RuleText {
+    static final String OPERATOR_KEY = "brk-proof-operator";
+    static final String MODEL = "medal-match";
+    static final String SERVICE = "ledger";
+
+    private static final String ORIGIN = "  # asked by the proof\n";
+    private static final int AMPLE_TOKENS = 10_000_000;
+
+    private final Map<String, String> accounts = new TreeMap<>();
+    private final Map<String, String> keys = new TreeMap<>();
+
+    /** Adds an account that is never short of tokens, with one key. */
+    RuleText account(String name) {
+        return account(name, AMPLE_TOKENS, AMPLE_TOKENS);
+    }
+
+    RuleText account(String name, int tokensPerSecond, int burstTokens) {
+        accounts.put(name, "rate " + tokensPerSecond + " burst " + burstTokens);
+        keys.put(keyOf(name), name);
+        return this;
+    }
+
+    /** Removes the key of an account from the next text. */
+    RuleText revoke(String name) {
+        keys.remove(keyOf(name));
+        return this;
+    }
+
+    static String keyOf(String account) {
+        return "brk-proof-" + account;
+    }
+
+    /** Returns the text; it differs from others of the same rules by the marker, which must be a name. */
+    String text(String marker) {
+        StringBuilder text = new StringBuilder();
+        accounts.forEach((name, limits) ->
+                text.append("account ").append(name).append(' ').append(limits).append(ORIGIN));
+        keys.forEach((key, account) -> text.append("key ")
+                .append(account)
+                .append(" sha256:")
+                .append(KeyHash.of(key).hexadecimal())
+                .append(ORIGIN));
+        text.append("operator proof role admin sha256:")
+                .append(KeyHash.of(OPERATOR_KEY).hexadecimal())
+                .append(ORIGIN);
+        text.append("model " + MODEL + " memory 1GiB copies 1..8 version 1" + ORIGIN);
+        text.append("service " + SERVICE + " priority 0 order POST /orders" + ORIGIN);
+        text.append("account marker-").append(marker).append(" rate 1 burst 1").append(ORIGIN);
+        return text.toString();
+    }
+}
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeEngine.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeEngine.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -25,6 +26,11 @@
 
     private static final int CRASH_EXIT_CODE = 134;
     private static final int DEFAULT_TOKENS = 16;
+    /** Repeated in each token of a completion, so that a caller sees whose answer it receives. */
+    private static final String USER = "user";
+
+    /** Bodies up to this length are repeated in the answer of a service. */
+    private static final int LONGEST_ECHO = 1024;
 
     private final String name;
     private final Duration tokenInterval;
@@ -56,7 +62,7 @@
             JsonNode request = MAPPER.readTree(body);
             int tokens = request.path("max_tokens").asInt(DEFAULT_TOKENS);
             if (request.path("stream").asBoolean(false)) {
-                stream(exchange, tokens);
+                stream(exchange, tokens, request.path(USER).asText("t"));
             } else {
                 pause(tokenInterval.multipliedBy(tokens));
                 answer(exchange, completion(request.path("model").asText(), tokens));
@@ -72,7 +78,8 @@
             String body = begin(exchange);
             int count = executions.merge(body, 1, Integer::sum);
             pause(tokenInterval);
-            answer(exchange, MAPPER.writeValueAsBytes(Map.of("target", name, "executions", count)));
+            String echo = body.length() <= LONGEST_ECHO ? body : "";
+            answer(exchange, MAPPER.writeValueAsBytes(Map.of("target", name, "executions", count, "echo", echo)));
         } finally {
             running.decrementAndGet();
         }
@@ -94,13 +101,15 @@
         return body;
     }
 
-    private void stream(HttpExchange exchange, int tokens) throws IOException {
+    private void stream(HttpExchange exchange, int tokens, String user) throws IOException {
         exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
         exchange.sendResponseHeaders(200, 0);
         OutputStream output = exchange.getResponseBody();
         for (int token = 0; token < tokens; token++) {
             pause(tokenInterval);
-            String event = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t" + token + " \"}}]}\n\n";
+            Map<String, Object> delta = Map.of("content", user + token + " ");
+            Object[] choices = {new TreeMap<>(Map.of("index", 0, "delta", delta))};
+            String event = "data: " + MAPPER.writeValueAsString(Map.of("choices", choices)) + "\n\n";
             output.write(event.getBytes(StandardCharsets.UTF_8));
             output.flush();
         }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTarget.java
@@ -64,7 +64,7 @@
                 incarnation,
                 sequence.incrementAndGet(),
                 settings.host(),
-                settings.port(),
+                settings.announcedPort(),
                 settings.dataCentre(),
                 settings.service(),
                 TIME_TO_LIVE_MILLIS,
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTargetProgram.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTargetProgram.java
@@ -39,6 +39,7 @@
                 line.getOptionValue("name"),
                 HOST,
                 Integer.parseInt(line.getOptionValue("port")),
+                Integer.parseInt(line.getOptionValue("announced-port", line.getOptionValue("port"))),
                 line.getOptionValue("data-centre", "dc-1"),
                 Optional.ofNullable(line.getOptionValue("service")),
                 List.of(line.getOptionValue("instances").split(",")),
@@ -64,8 +65,15 @@
         options.addOption(required("name"));
         options.addOption(required("port"));
         options.addOption(required("instances"));
-        for (String name :
-                List.of("data-centre", "service", "memory", "models", "slots", "token-millis", "load-millis")) {
+        for (String name : List.of(
+                "announced-port",
+                "data-centre",
+                "service",
+                "memory",
+                "models",
+                "slots",
+                "token-millis",
+                "load-millis")) {
             options.addOption(Option.builder().longOpt(name).hasArg().build());
         }
         options.addOption(Option.builder().longOpt("ignores-fencing").build());
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTargetSettings.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTargetSettings.java
@@ -10,6 +10,7 @@
 /**
  * What a fake target is to be. Immutable.
  *
+ * @param announcedPort port that instances connect to; differs from the port it listens on only behind a relay
  * @param instances addresses of the instances it announces itself to
  * @param tokenInterval time between two generated tokens
  * @param loadDuration time that loading a model takes
@@ -18,6 +19,7 @@
         String name,
         String host,
         int port,
+        int announcedPort,
         String dataCentre,
         Optional<String> service,
         List<String> instances,
