--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/Calls.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/Calls.java
@@ -26,6 +26,11 @@
         return new Call("PUT", servicePath("/lots"), RuleText.keyOf(account), quoted(id), Optional.empty(), DEADLINE);
     }
 
+    /** A call on the route that is open to all. */
+    static Call open() {
+        return new Call("GET", servicePath("/status"), "", "", Optional.empty(), DEADLINE);
+    }
+
     /** A call of the plain service that must not be repeated. */
     static Call order(String account, String id, Duration deadline) {
         return new Call("POST", servicePath("/orders"), RuleText.keyOf(account), quoted(id), Optional.of(id), deadline);
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/RuleText.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/RuleText.java
@@ -52,6 +52,7 @@
                 .append(ORIGIN);
         text.append("model " + MODEL + " memory 1GiB copies 1..8 version 1" + ORIGIN);
         text.append("service " + SERVICE + " priority 0 order POST /orders" + ORIGIN);
+        text.append("open GET /v1/services/" + SERVICE + "/status" + ORIGIN);
         text.append("account marker-").append(marker).append(" rate 1 burst 1").append(ORIGIN);
         return text.toString();
     }
