--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/RacingOperators.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/RacingOperators.java
@@ -1,6 +1,7 @@
 package org.basilrill.scaffold.prove;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -68,7 +69,15 @@
         String leader = deployment.leader();
         long began = System.nanoTime();
         if (kill) {
+            // A follower that lags and wakes up as the leader dies must not be elected.
+            List<String> followers = new ArrayList<>(deployment.replicas());
+            followers.remove(leader);
+            String lagging = followers.get(random.nextInt(followers.size()));
+            deployment.signal(lagging, Signal.STOP);
+            Waiting.millis(600 + random.nextInt(900));
             deployment.kill(leader);
+            deployment.signal(lagging, Signal.CONT);
+            faults.add(new Fault(lagging, began, System.nanoTime()));
             lives.merge(leader, 1, Integer::sum);
             Waiting.millis(1000 + random.nextInt(1500));
             deployment.startInstance(leader);
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/RollingRestart.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/RollingRestart.java
@@ -12,7 +12,11 @@
 /** Restarts all instances one after another under load: no request may be cut, refused or left unanswered. */
 final class RollingRestart implements Scenario {
     private static final String ACCOUNT = "parish-desk";
-    private static final int CALLERS = 6;
+    private static final int CALLERS = 8;
+    /** These callers send streams that outlast the time for which a stopping instance takes new requests. */
+    private static final int LONG_CALLERS = 2;
+
+    private static final int LONG_TOKENS = 1600;
     private static final int TOKENS = 20;
     private static final Duration STOP_LIMIT = Duration.ofSeconds(75);
     private static final Duration DEADLINE = Duration.ofSeconds(10);
@@ -53,7 +57,8 @@
         InstanceFollower follower = new InstanceFollower(new LoadClient(), random, deployment.addresses());
         return count -> {
             String id = "caller-" + thread + "-" + count;
-            load.send(follower.next(), call(id, random));
+            Call call = thread < LONG_CALLERS ? Calls.stream(ACCOUNT, id, LONG_TOKENS) : call(id, random);
+            load.send(follower.next(), call);
             Waiting.millis(random.nextInt(20));
         };
     }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/SilentConnections.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/SilentConnections.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.basilrill.scaffold.prove.Deployment.Shape;
+import org.basilrill.scaffold.prove.Relay.Direction;
 import org.basilrill.scaffold.prove.Relay.Treatment;
 
 /** Open connections to targets and between instances go silent while new ones work: callers are answered in time. */
@@ -14,6 +15,8 @@
     private static final String ACCOUNT = "parish-desk";
     private static final int CALLERS = 10;
     private static final int PROGRESS_MILLIS = 2000;
+    private static final int SILENT_WAYS = 3;
+    private static final Duration NEW_CONNECTION_DELAY = Duration.ofMillis(1);
     private static final Duration DEADLINE = Duration.ofSeconds(5);
     /** The deadline ends the wait for a first byte, the progress limit a stream after it; the rest is for the run. */
     private static final Duration LONGEST = DEADLINE.plusMillis(1000);
@@ -43,7 +46,8 @@
                 List<String> relayed = new ArrayList<>(instances);
                 relayed.addAll(targets);
                 silent = System.nanoTime();
-                relayed.forEach(name -> silence(deployment.relay(name)));
+                int shift = random.nextInt(SILENT_WAYS);
+                relayed.forEach(name -> silence(deployment.relay(name), shift));
                 Exchange changed = deployment
                         .operator()
                         .replace(deployment.address(instances.get(random.nextInt(5))), 1, rules.text("second"));
@@ -56,9 +60,17 @@
         }
     }
 
-    private static void silence(Relay relay) {
+    /** Connections that are open now lose what is sent out, what comes back, or both; new ones are a little slow. */
+    private static void silence(Relay relay, int shift) {
         long last = relay.openedConnections();
-        relay.treat((connection, direction) -> connection.number() <= last ? Treatment.SWALLOW : Treatment.PASS);
+        relay.treat((connection, direction) -> {
+            if (connection.number() > last) {
+                return Treatment.delayed(NEW_CONNECTION_DELAY);
+            }
+            long way = (connection.number() + shift) % SILENT_WAYS;
+            boolean silent = way == 0 || (way == 1) == (direction == Direction.OUT);
+            return silent ? Treatment.SWALLOW : Treatment.PASS;
+        });
     }
 
     private static Crowd.Work caller(int thread, Random random, LoadClient load, Deployment deployment) {
