Report files, addresses and refusals in one clear line; log in one line

Messages held Java class names, JSON bodies or only a path. key new makes operators' rules and says what comes next.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/Main.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/Main.java
@@ -10,11 +10,18 @@
     /** Named by text: a use of the class would initialise the log manager of the platform first. */
     private static final String LOG_MANAGER = "org.basilrill.daemon.DaemonLogManager";
 
+    private static final String LOG_FORMAT_PROPERTY = "java.util.logging.SimpleFormatter.format";
+    /** One line to an event, with time, level, text and stack trace if any; the default takes two lines. */
+    static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL%1$tz %4$s %5$s%6$s%n";
+
     private Main() {}
 
     /** Runs the program and ends the process with its exit code. */
     public static void main(String[] arguments) {
         System.setProperty(LOG_MANAGER_PROPERTY, LOG_MANAGER);
+        if (System.getProperty(LOG_FORMAT_PROPERTY) == null) {
+            System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
+        }
         ExitCode code = new CommandRunner(Commands.all(System.out), System.out, System.err).run(arguments);
         System.exit(code.number());
     }
--- /dev/null
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/TextFiles.java
@@ -0,0 +1,30 @@
+package org.basilrill.daemon;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.transport.disk.FileFailure;
+
+/** Reads the files that the command line names. Stateless and thread safe. */
+public final class TextFiles {
+    private TextFiles() {}
+
+    /**
+     * Returns the text of a file.
+     *
+     * @param description what the file is, for the message, such as "settings file"
+     * @throws BasilrillException with {@code FILE_UNREADABLE} and the reason if it cannot be read
+     */
+    public static String read(String description, Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException exception) {
+            throw new BasilrillException(
+                    ErrorCode.FILE_UNREADABLE,
+                    "cannot read " + description + " " + file + ": " + FileFailure.reason(exception),
+                    exception);
+        }
+    }
+}
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/AdministrationOptions.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/AdministrationOptions.java
@@ -1,8 +1,9 @@
 package org.basilrill.daemon.command;
 
-import java.io.IOException;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import org.apache.commons.cli.CommandLine;
@@ -10,6 +11,7 @@
 import org.apache.commons.cli.Options;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
+import org.basilrill.daemon.TextFiles;
 import org.basilrill.protocol.caller.PlainAnswer;
 import org.basilrill.transport.http.AdministrationClient;
 import org.basilrill.transport.peer.PeerAddress;
@@ -19,6 +21,7 @@
     private static final String ADDRESS = "address";
     private static final String KEY_FILE = "key-file";
     private static final String KEY_VARIABLE = "BASILRILL_OPERATOR_KEY";
+    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
     private AdministrationOptions() {}
@@ -45,15 +48,29 @@
                 .orElseThrow(() -> new UsageException("address \"" + address + "\" is not an IP number with a port"));
     }
 
-    /** Returns the body of a successful answer; reports any other as a failure. */
+    /** Returns the body of a successful answer; throws the failure that any other reports. */
     static String bodyOf(PlainAnswer answer) {
         String body = new String(answer.body(), StandardCharsets.UTF_8);
         if (answer.status() >= 300) {
-            throw new BasilrillException(ErrorCode.REQUEST_REFUSED, "status " + answer.status() + ": " + body.strip());
+            throw failureOf(answer.status(), body);
         }
         return body;
     }
 
+    private static BasilrillException failureOf(int status, String body) {
+        try {
+            JsonNode error = MAPPER.readTree(body).path("error");
+            if (error.path("message").isTextual()) {
+                return new BasilrillException(
+                        ErrorCode.valueOf(error.path("code").asText()),
+                        error.path("message").asText());
+            }
+        } catch (JsonProcessingException | IllegalArgumentException exception) {
+            // The answer is not one of this version; it is shown as it came.
+        }
+        return new BasilrillException(ErrorCode.REQUEST_REFUSED, "status " + status + ": " + body.strip());
+    }
+
     private static String operatorKey(CommandLine arguments) {
         if (!arguments.hasOption(KEY_FILE)) {
             String key = System.getenv(KEY_VARIABLE);
@@ -62,11 +79,7 @@
             }
             return key.strip();
         }
-        Path file = Path.of(arguments.getOptionValue(KEY_FILE));
-        try {
-            return Files.readString(file).strip();
-        } catch (IOException exception) {
-            throw new BasilrillException(ErrorCode.FILE_UNREADABLE, "cannot read key file " + file, exception);
-        }
+        return TextFiles.read("key file", Path.of(arguments.getOptionValue(KEY_FILE)))
+                .strip();
     }
 }
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/CommandRunner.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/CommandRunner.java
@@ -9,6 +9,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.ParseException;
 import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
 import org.basilrill.daemon.settings.SettingsException;
 
 /** Finds and runs the subcommand that the arguments name. Not thread safe. */
@@ -57,7 +58,7 @@
             errors.println("basilrill " + command.name() + ": " + exception.getMessage());
             errors.println("usage: " + command.usage());
             return ExitCode.USAGE;
-        } catch (SettingsException exception) {
+        } catch (SettingsException | RulesFaultsException exception) {
             errors.println(exception.getMessage());
             return ExitCode.FAILURE;
         } catch (BasilrillException exception) {
@@ -67,9 +68,10 @@
     }
 
     private static String describe(BasilrillException exception) {
-        if (exception.getCause() == null) {
+        if (exception.code() != ErrorCode.INTERNAL || exception.getCause() == null) {
             return exception.getMessage();
         }
+        // Only an unexpected failure needs its cause; the messages of all others hold the reason.
         return exception.getMessage() + " (" + exception.getCause() + ")";
     }
 
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/KeyCommand.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/KeyCommand.java
@@ -2,39 +2,66 @@
 
 import java.io.PrintStream;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.Base64;
+import java.util.Locale;
+import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.basilrill.api.AccountId;
 import org.basilrill.state.configuration.KeyHash;
+import org.basilrill.state.configuration.Rules;
 
 /** Makes keys. Only the hash goes into the rules; the key itself is shown once. Stateless. */
 final class KeyCommand {
     private static final int KEY_BYTES = 32;
+    private static final String ROLE = "role";
     private static final String KEY_PREFIX = "brk-";
 
     private KeyCommand() {}
 
     static Command create(PrintStream output) {
+        Options options = new Options()
+                .addOption(Option.builder()
+                        .longOpt(ROLE)
+                        .hasArg()
+                        .desc("makes the key of an operator with this role, admin or viewer")
+                        .build());
         return new Command(
                 "key new",
-                "ACCOUNT",
-                "prints a new key and the rule line with its hash",
-                new Options(),
+                "NAME",
+                "prints a new key of a client account, or of an operator, and the rule line with its hash",
+                options,
                 arguments -> run(arguments, output));
     }
 
     private static ExitCode run(CommandLine arguments, PrintStream output) {
         if (arguments.getArgList().size() != 1) {
-            throw new UsageException("names exactly one client account");
+            throw new UsageException("names exactly one client account or operator");
         }
-        AccountId account = new AccountId(arguments.getArgList().get(0));
+        String name = arguments.getArgList().get(0);
+        Optional<String> role = Optional.ofNullable(arguments.getOptionValue(ROLE));
+        String rule = role.map(given -> operatorRule(name, given)).orElseGet(() -> "key " + new AccountId(name));
         byte[] random = new byte[KEY_BYTES];
         new SecureRandom().nextBytes(random);
         String key = KEY_PREFIX + Base64.getUrlEncoder().withoutPadding().encodeToString(random);
         output.println(key);
-        output.printf(
-                "key %s sha256:%s  # asked by NAME%n", account, KeyHash.of(key).hexadecimal());
+        output.printf("%s sha256:%s  # asked by NAME%n", rule, KeyHash.of(key).hexadecimal());
+        output.println("# The first line is the key: hand it to its holder, it is not stored anywhere.");
+        output.println("# Put the second line into the rules file, with who asked for it; then: basilrill apply.");
+        if (role.isPresent()) {
+            output.println("# First operator: also put the hash into operatorKeyHash of every settings file.");
+        }
         return ExitCode.SUCCESS;
     }
+
+    private static String operatorRule(String name, String role) {
+        boolean known = Arrays.stream(Rules.Role.values())
+                .anyMatch(value -> value.name().toLowerCase(Locale.ROOT).equals(role));
+        if (!known) {
+            throw new UsageException("role \"" + role + "\" is neither admin nor viewer");
+        }
+        return "operator " + new AccountId(name) + " role " + role;
+    }
 }
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/RulesCommands.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/RulesCommands.java
@@ -2,18 +2,16 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
+import org.basilrill.daemon.TextFiles;
 import org.basilrill.daemon.settings.SettingsReader;
 import org.basilrill.state.configuration.ParsedRules;
-import org.basilrill.state.configuration.RuleFault;
 import org.basilrill.state.configuration.RulesParser;
 import org.basilrill.transport.http.AdministrationClient;
 
@@ -78,8 +76,7 @@
     private static void checkRules(Path file, String text) {
         ParsedRules parsed = RulesParser.parse(text, 1);
         if (!parsed.faults().isEmpty()) {
-            throw new BasilrillException(
-                    ErrorCode.RULES_INVALID, RuleFault.describeAll(file.toString(), parsed.faults()));
+            throw new RulesFaultsException(file, parsed.faults());
         }
     }
 
@@ -100,10 +97,6 @@
     }
 
     private static String read(Path file) {
-        try {
-            return Files.readString(file);
-        } catch (IOException exception) {
-            throw new BasilrillException(ErrorCode.FILE_UNREADABLE, "cannot read file " + file, exception);
-        }
+        return TextFiles.read("file", file);
     }
 }
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -2,9 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.TextNode;
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -20,8 +18,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.basilrill.api.BasilrillException;
-import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
+import org.basilrill.daemon.TextFiles;
 import org.basilrill.daemon.settings.SettingsDocument.Field;
 import org.basilrill.daemon.settings.SettingsFault.Kind;
 
@@ -44,11 +42,7 @@
      * @throws BasilrillException with {@code FILE_UNREADABLE} if it cannot be read
      */
     public static Settings read(Path file) {
-        try {
-            return parse(file.toString(), Files.readString(file));
-        } catch (IOException exception) {
-            throw new BasilrillException(ErrorCode.FILE_UNREADABLE, "cannot read settings file " + file, exception);
-        }
+        return parse(file.toString(), TextFiles.read("settings file", file));
     }
 
     /**
--- a/basilrill-daemon/src/test/java/org/basilrill/daemon/command/CommandRunnerTest.java
+++ b/basilrill-daemon/src/test/java/org/basilrill/daemon/command/CommandRunnerTest.java
@@ -1,9 +1,12 @@
 package org.basilrill.daemon.command;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.matchesPattern;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -13,6 +16,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.protocol.caller.PlainAnswer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -52,7 +58,46 @@
         Path rules = folder.resolve("rules.txt");
         Files.writeString(rules, "account desk rate 10 burst 20 # asked by Ana\naccount desk2 rate x burst 20 # Ana\n");
         assertThat(run("check", rules.toString()), is(ExitCode.FAILURE));
-        assertThat(errorLines(), containsString(rules + ":2"));
+        assertThat(errorLines(), is(rules + ":2: rate: INVALID_VALUE: \"x\" is not a quantity of this field\n"));
+    }
+
+    @Test
+    void unreadableFilesAreReportedWithTheReason() throws IOException {
+        Path binary = Files.write(folder.resolve("binary"), new byte[] {(byte) 0xff, (byte) 0xfe});
+        assertThat(run("check", "no-such-file"), is(ExitCode.FAILURE));
+        assertThat(run("check", folder.toString()), is(ExitCode.FAILURE));
+        assertThat(run("check", binary.toString()), is(ExitCode.FAILURE));
+        assertThat(
+                errorLines().lines().toList(),
+                contains(
+                        endsWith("no-such-file: no such file or folder"),
+                        endsWith("Is a directory"),
+                        endsWith("the text is not encoded in UTF-8")));
+    }
+
+    @Test
+    void anAddressWithoutAnInstanceIsNamed() throws IOException {
+        Path key = Files.writeString(folder.resolve("key"), "brk-x");
+        int port;
+        try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = closed.getLocalPort();
+        }
+        String address = "127.0.0.1:" + port;
+        assertThat(run("status", "--address", address, "--key-file", key.toString()), is(ExitCode.FAILURE));
+        assertThat(errorLines(), containsString("TARGET_UNREACHABLE: instance at " + address + ": "));
+        assertThat(errorLines().lines().count(), is(1L));
+    }
+
+    @Test
+    void aRefusalOfAnInstanceIsReportedByItsCodeAndNotAsJson() {
+        String body = "{\"error\":{\"code\":\"REVISION_CONFLICT\",\"message\":\"revision 7 by ana is in force\"}}";
+        BasilrillException failure =
+                assertThrows(BasilrillException.class, () -> AdministrationOptions.bodyOf(PlainAnswer.json(409, body)));
+        assertThat(failure.code(), is(ErrorCode.REVISION_CONFLICT));
+        assertThat(failure.getMessage(), is("revision 7 by ana is in force"));
+        BasilrillException other = assertThrows(
+                BasilrillException.class, () -> AdministrationOptions.bodyOf(PlainAnswer.json(418, "short and stout")));
+        assertThat(other.getMessage(), is("status 418: short and stout"));
     }
 
     @Test
@@ -61,7 +106,8 @@
             Path settings = settings(taken.getLocalPort(), folder.resolve("data"));
             assertThat(run("serve", "--settings", settings.toString()), is(ExitCode.FAILURE));
         }
-        assertThat(errorLines(), containsString("ADDRESS_IN_USE"));
+        assertThat(errorLines(), containsString("ADDRESS_IN_USE: cannot listen for callers on 127.0.0.1:"));
+        assertThat(errorLines(), containsString("Address already in use"));
         assertThat(errorLines().lines().count(), is(1L));
     }
 
@@ -70,7 +116,7 @@
         Path file = Files.writeString(folder.resolve("a-file"), "not a folder");
         Path settings = settings(1, file);
         assertThat(run("serve", "--settings", settings.toString()), is(ExitCode.FAILURE));
-        assertThat(errorLines(), containsString("DISK_FAILED"));
+        assertThat(errorLines(), containsString("DISK_FAILED: data folder " + file + "/log cannot be used: "));
         assertThat(errorLines().lines().count(), is(1L));
     }
 
@@ -82,6 +128,14 @@
         assertThat(lines[1], matchesPattern("key parish-desk sha256:[0-9a-f]{64}  # asked by NAME"));
     }
 
+    @Test
+    void aNewKeyOfAnOperatorIsPrintedWithAnOperatorRule() {
+        assertThat(run("key", "new", "--role", "viewer", "luis"), is(ExitCode.SUCCESS));
+        String[] lines = output.toString(StandardCharsets.UTF_8).split("\\R");
+        assertThat(lines[1], matchesPattern("operator luis role viewer sha256:[0-9a-f]{64}  # asked by NAME"));
+        assertThat(run("key", "new", "--role", "king", "luis"), is(ExitCode.USAGE));
+    }
+
     private Path settings(int callerPort, Path dataFolder) throws IOException {
         String text = String.format("""
                 {"instance": "one", "dataCentre": "dc-1", "callerAddress": "127.0.0.1:%d",
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -65,6 +65,7 @@
     private final RequestCoordinator coordinator;
     private final InstanceListing listing;
     private final OwnFacts ownFacts;
+    private final CurrencyLog currencyLog;
     private volatile boolean draining;
     /** Counted once a period: counting the members for every dispatch costs more than the dispatch itself. */
     private volatile int usableInstances = 1;
@@ -74,6 +75,7 @@
         this.environment = environment;
         this.membership = createMembership();
         this.ownFacts = new OwnFacts(membership);
+        this.currencyLog = new CurrencyLog(environment.self());
         this.targets = new TargetRegistry(environment.clock());
         this.spread = new TargetSpread(membership, targets, environment.clock());
         this.controlEndpoint = new ControlEndpoint(environment.self(), environment.channel(), environment.scheduler());
@@ -271,6 +273,7 @@
     }
 
     private void publishOwnFacts() {
+        currencyLog.observe(control.isCurrent());
         ownFacts.publish(new InstanceFact(
                 environment.dataCentre(),
                 environment.callerAddress(),
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -151,7 +151,11 @@
     }
 
     private void viewChanged(ControlView view) {
-        running.forEach(exchange -> exchange.viewChanged(view));
+        long cancelled =
+                running.stream().filter(exchange -> exchange.viewChanged(view)).count();
+        if (cancelled > 0) {
+            LOGGER.atInfo().log("%s: %d", LogEvent.REQUESTS_CANCELLED, cancelled);
+        }
     }
 
     private void closed(RequestExchange exchange) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -102,14 +102,15 @@
         });
     }
 
-    /** Ends the request if its key is no longer in force. */
-    void viewChanged(ControlView view) {
+    /** Ends the request if its key is no longer in force; tells whether it is not. */
+    boolean viewChanged(ControlView view) {
         boolean withdrawn = plan.keyHash()
                 .filter(key -> !view.rules().accountOf(key).equals(plan.account()))
                 .isPresent();
         if (withdrawn) {
             event(() -> giveUp(ErrorCode.KEY_WITHDRAWN, "the key was withdrawn while the request ran"));
         }
+        return withdrawn;
     }
 
     /** Ends the request because the instance stops. */
--- a/basilrill-library/src/main/java/org/basilrill/transport/disk/DurableFiles.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/disk/DurableFiles.java
@@ -91,7 +91,7 @@
         try {
             return action.run();
         } catch (IOException exception) {
-            throw new BasilrillException(ErrorCode.DISK_FAILED, String.valueOf(exception.getMessage()), exception);
+            throw new BasilrillException(ErrorCode.DISK_FAILED, FileFailure.reason(exception), exception);
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/disk/FileDurableStore.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/disk/FileDurableStore.java
@@ -71,7 +71,14 @@
      *     LOG_CORRUPT} if its content is damaged
      */
     public static FileDurableStore open(Path folder, RandomGenerator random) {
-        return DurableFiles.run(() -> new FileDurableStore(folder, random));
+        try {
+            return new FileDurableStore(folder, random);
+        } catch (IOException exception) {
+            throw new BasilrillException(
+                    ErrorCode.DISK_FAILED,
+                    "data folder " + folder + " cannot be used: " + FileFailure.reason(exception),
+                    exception);
+        }
     }
 
     /** Tells whether opening removed a write that had been cut off before its sync. */
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/AdministrationClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/AdministrationClient.java
@@ -91,7 +91,8 @@
                     .join();
         } catch (CompletionException exception) {
             if (exception.getCause() instanceof BasilrillException failure) {
-                throw failure;
+                throw new BasilrillException(
+                        failure.code(), "instance at " + host.toHostString() + ": " + failure.getMessage(), failure);
             }
             throw exception;
         }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
-import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -20,6 +19,7 @@
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
 import org.basilrill.protocol.instance.RequestCoordinator;
+import org.basilrill.transport.peer.BindFailure;
 
 /** Listens for callers, targets and operators, and stops gracefully. Thread safe. */
 public final class HttpGateway {
@@ -79,9 +79,10 @@
             endpoint = server.listen(settings.address(), URIScheme.HTTP).get();
         } catch (ExecutionException exception) {
             server.close(CloseMode.IMMEDIATE);
-            String reason = exception.getCause() instanceof BindException ? "is in use" : "cannot be bound";
             throw new BasilrillException(
-                    ErrorCode.ADDRESS_IN_USE, "address " + settings.address() + " " + reason, exception.getCause());
+                    ErrorCode.ADDRESS_IN_USE,
+                    "cannot listen for callers on " + BindFailure.describe(settings.address(), exception),
+                    exception.getCause());
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             server.close(CloseMode.IMMEDIATE);
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
@@ -70,7 +70,9 @@
                     .processor(new PeerService.Processor<>(dispatcher)));
         } catch (TException exception) {
             throw new BasilrillException(
-                    ErrorCode.ADDRESS_IN_USE, "cannot listen for instances on " + address, exception);
+                    ErrorCode.ADDRESS_IN_USE,
+                    "cannot listen for instances on " + BindFailure.describe(address, exception),
+                    exception);
         }
         executor.execute(server::serve);
     }
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaFolder.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaFolder.java
@@ -14,6 +14,7 @@
 import org.basilrill.api.LogEvent;
 import org.basilrill.state.log.DurableStore.Vote;
 import org.basilrill.transport.disk.FileDurableStore;
+import org.basilrill.transport.disk.FileFailure;
 
 /** Opens the data folder of a replica, setting a damaged one aside. Stateless and thread safe. */
 final class ReplicaFolder {
@@ -77,7 +78,10 @@
         try {
             action.run();
         } catch (IOException exception) {
-            throw new BasilrillException(ErrorCode.DISK_FAILED, "damaged folder could not be replaced", exception);
+            throw new BasilrillException(
+                    ErrorCode.DISK_FAILED,
+                    "damaged data folder could not be replaced: " + FileFailure.reason(exception),
+                    exception);
         }
     }
 
