--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
@@ -27,6 +27,7 @@
 import org.basilrill.coordination.placement.TargetOrders;
 import org.basilrill.protocol.administration.AdministrationHandler;
 import org.basilrill.protocol.administration.AdministrationViews;
+import org.basilrill.protocol.administration.PlacementView;
 import org.basilrill.protocol.administration.RulesText;
 import org.basilrill.protocol.instance.Instance;
 import org.basilrill.protocol.instance.InstanceEnvironment;
@@ -120,6 +121,7 @@
                         .readRules(ADMINISTRATION_DEADLINE)
                         .thenApply(source -> new RulesText.Revision(source.revision(), source.text())),
                 new AdministrationViews(id, instance.control(), instance.membership(), instance.targets(), () -> 0),
+                () -> instance.placement().map(PlacementView::describe).orElseGet(PlacementView::absent),
                 () -> {},
                 Optional.of(firstOperatorKey),
                 ADMINISTRATION_DEADLINE);
