Pass on how long the owner of a membership record has been silent

Cause: a record that a third instance passed on counted as news of its owner. An instance that returned from a partition believed for 3 s that a silent member was alive, and used the targets announced there for 5 s. After: each delta carries the time since the sender heard of the owner, which ages the member and the targets announced there. The message grows by one field per owner; its effect on the bytes per second was not measured.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
@@ -109,6 +109,12 @@
         tickListeners.add(listener);
     }
 
+    /** Returns how long nothing was heard of a member; zero if it is not known. */
+    public Duration silenceOf(InstanceId owner) {
+        Long advancedAt = state.lastAdvances().get(owner);
+        return advancedAt == null ? Duration.ZERO : Duration.ofNanos(clock.nanos() - advancedAt);
+    }
+
     /** Returns the facts of one type that a member has published. */
     public <T extends Fact> List<T> facts(InstanceId owner, Class<T> type) {
         return state.facts(owner, type);
@@ -120,7 +126,7 @@
         Map<InstanceId, List<Fact>> news = state.apply(message.deltas(), now);
         message.digest().ifPresent(digest -> {
             state.outrank(digest, now);
-            List<OwnerDelta> deltas = state.deltasFor(digest);
+            List<OwnerDelta> deltas = state.deltasFor(digest, now);
             if (message.question()) {
                 sender.accept(from, new GossipMessage(Optional.of(state.digest()), deltas, false));
             } else if (!deltas.isEmpty()) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMessage.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMessage.java
@@ -23,8 +23,10 @@
      * The items of one owner with versions above {@code fromVersion}, up to {@code toVersion}.
      *
      * @param fromVersion a receiver that holds less must ignore the delta, as it would miss items
+     * @param ageMillis how long the sender has not heard of the owner
      */
-    public record OwnerDelta(InstanceId owner, long incarnation, long fromVersion, long toVersion, List<Item> items) {
+    public record OwnerDelta(
+            InstanceId owner, long incarnation, long fromVersion, long toVersion, List<Item> items, long ageMillis) {
         public OwnerDelta {
             items = List.copyOf(items);
         }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipState.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.membership.GossipMessage.DigestEntry;
 import org.basilrill.coordination.membership.GossipMessage.OwnerDelta;
@@ -47,7 +48,7 @@
     }
 
     /** Returns what a peer with this digest lacks. */
-    synchronized List<OwnerDelta> deltasFor(List<DigestEntry> peerDigest) {
+    synchronized List<OwnerDelta> deltasFor(List<DigestEntry> peerDigest, long nowNanos) {
         Map<InstanceId, DigestEntry> known = new HashMap<>();
         peerDigest.forEach(entry -> known.put(entry.owner(), entry));
         List<OwnerDelta> deltas = new ArrayList<>();
@@ -56,7 +57,8 @@
             if (remaining <= 0) {
                 break;
             }
-            Optional<OwnerDelta> delta = deltaFor(entry.getValue(), known.get(entry.getKey()), remaining);
+            Optional<OwnerDelta> delta =
+                    deltaFor(entry.getValue(), known.get(entry.getKey()), remaining, ageMillis(entry, nowNanos));
             if (delta.isPresent()) {
                 deltas.add(delta.get());
                 remaining -= delta.get().items().size();
@@ -67,7 +69,7 @@
 
     /** Returns the changes of this instance after a version. */
     synchronized OwnerDelta ownDeltaAfter(long version) {
-        return own().deltaAfter(version, MAXIMUM_ITEMS_PER_MESSAGE);
+        return own().deltaAfter(version, MAXIMUM_ITEMS_PER_MESSAGE, 0);
     }
 
     synchronized long ownVersion() {
@@ -133,18 +135,25 @@
                 .orElse(List.of());
     }
 
+    private long ageMillis(Map.Entry<InstanceId, OwnerState> entry, long nowNanos) {
+        boolean own = entry.getKey().equals(self);
+        return own
+                ? 0
+                : TimeUnit.NANOSECONDS.toMillis(nowNanos - entry.getValue().advancedAtNanos());
+    }
+
     private OwnerState own() {
         return owners.get(self);
     }
 
-    private Optional<OwnerDelta> deltaFor(OwnerState state, DigestEntry known, int maximumItems) {
+    private Optional<OwnerDelta> deltaFor(OwnerState state, DigestEntry known, int maximumItems, long ageMillis) {
         if (known == null || known.incarnation() < state.incarnation()) {
-            return Optional.of(state.deltaAfter(0, maximumItems));
+            return Optional.of(state.deltaAfter(0, maximumItems, ageMillis));
         }
         if (known.incarnation() > state.incarnation() || known.version() >= state.version()) {
             return Optional.empty();
         }
-        return Optional.of(state.deltaAfter(known.version(), maximumItems));
+        return Optional.of(state.deltaAfter(known.version(), maximumItems, ageMillis));
     }
 
     private boolean isStale(OwnerDelta delta) {
@@ -166,7 +175,8 @@
         if (held != null && held.incarnation() == delta.incarnation()) {
             return held;
         }
-        OwnerState fresh = new OwnerState(delta.owner(), delta.incarnation(), nowNanos);
+        long heardNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, delta.ageMillis()));
+        OwnerState fresh = new OwnerState(delta.owner(), delta.incarnation(), heardNanos);
         owners.put(delta.owner(), fresh);
         return fresh;
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/OwnerState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/OwnerState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.membership.GossipMessage.Item;
@@ -64,18 +65,18 @@
     }
 
     /** Returns the oldest changes after a version, at most {@code maximumItems} of them. */
-    OwnerDelta deltaAfter(long fromVersion, int maximumItems) {
+    OwnerDelta deltaAfter(long fromVersion, int maximumItems, long ageMillis) {
         List<Item> newer = new ArrayList<>(items.values().stream()
                 .filter(item -> item.version() > fromVersion)
                 .sorted(Comparator.comparingLong(Item::version))
                 .toList());
         long continues = lastItemVersionUpTo(fromVersion);
         if (newer.size() <= maximumItems) {
-            return new OwnerDelta(owner, incarnation, continues, version, newer);
+            return new OwnerDelta(owner, incarnation, continues, version, newer, ageMillis);
         }
         List<Item> oldest = newer.subList(0, maximumItems);
         long lastVersion = oldest.get(oldest.size() - 1).version();
-        return new OwnerDelta(owner, incarnation, continues, lastVersion, oldest);
+        return new OwnerDelta(owner, incarnation, continues, lastVersion, oldest, ageMillis);
     }
 
     /** Applies a delta of the same incarnation; returns the facts that were new. */
@@ -92,7 +93,9 @@
             }
         }
         version = delta.toVersion();
-        advancedAtNanos = nowNanos;
+        // What a relay has held for long does not show that the owner is alive.
+        long heardNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, delta.ageMillis()));
+        advancedAtNanos = heardNanos - advancedAtNanos > 0 ? heardNanos : advancedAtNanos;
         return news;
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/TargetSpread.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/TargetSpread.java
@@ -63,7 +63,7 @@
     /** Takes a fact of another instance at once when it concerns a target, so that leaving targets are known. */
     private void learn(InstanceId owner, Fact fact) {
         if (fact instanceof TargetFact target) {
-            registry.announce(target.announcement());
+            registry.announce(target.announcement(), membership.silenceOf(owner));
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/GossipCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/GossipCodec.java
@@ -56,7 +56,12 @@
                 .map(item -> new Item(item.fact().key(), item.version(), FactCodec.encode(item.fact())))
                 .toList();
         return new org.basilrill.thrift.membership.OwnerDelta(
-                delta.owner().value(), delta.incarnation(), delta.fromVersion(), delta.toVersion(), items);
+                delta.owner().value(),
+                delta.incarnation(),
+                delta.fromVersion(),
+                delta.toVersion(),
+                items,
+                delta.ageMillis());
     }
 
     private static OwnerDelta decodeDelta(org.basilrill.thrift.membership.OwnerDelta delta) {
@@ -68,6 +73,7 @@
                 delta.getIncarnation(),
                 delta.getFromVersion(),
                 delta.getToVersion(),
-                items);
+                items,
+                delta.getAgeMillis());
     }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/membership/GossipMembershipTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/membership/GossipMembershipTest.java
@@ -76,6 +76,23 @@
         assertThat(memberCounts(), everyItem(is(5)));
     }
 
+    /** Guards against targets of a lost instance that are used again where an instance returns from a partition. */
+    @Test
+    void newsOfASilentMemberFromOthersDoesNotShowThatItIsAlive() {
+        InstanceId returning = new InstanceId("i5");
+        start(6);
+        time.advance(Duration.ofSeconds(10));
+        delivers = (from, to) -> !from.equals(returning) && !to.equals(returning);
+        time.advance(Duration.ofSeconds(5));
+        instances.remove(FIRST).stop();
+        time.advance(Duration.ofSeconds(6));
+        delivers = (from, to) -> true;
+        for (int step = 0; step < 50; step++) {
+            time.advance(Duration.ofMillis(100));
+            assertThat(instances.get(returning).member(FIRST).orElseThrow().suspected(), is(true));
+        }
+    }
+
     @Test
     void twoHalvesMeetAgainAfterALongPartition() {
         start(6);
--- a/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
@@ -52,7 +52,7 @@
                 new Item(5, new Fact.TargetGoneFact(target)));
         GossipMessage message = new GossipMessage(
                 Optional.of(List.of(new DigestEntry(owner, 7, 8))),
-                List.of(new OwnerDelta(owner, 7, 0, 5, items)),
+                List.of(new OwnerDelta(owner, 7, 0, 5, items, 250)),
                 true);
         assertThat(GossipCodec.decode(GossipCodec.encode(message)), is(message));
     }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/MembershipBytes.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/MembershipBytes.java
@@ -116,7 +116,7 @@
             List<GossipMessage.Item> items = any.facts(owner, Fact.class).stream()
                     .map(fact -> new GossipMessage.Item(1, fact))
                     .toList();
-            deltas.add(new GossipMessage.OwnerDelta(owner, 1, 0, 1, items));
+            deltas.add(new GossipMessage.OwnerDelta(owner, 1, 0, 1, items, 0));
         }
         return GossipCodec.encode(new GossipMessage(Optional.empty(), deltas, false)).length;
     }
--- a/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/OwnerDelta.java
+++ b/basilrill-thrift/src/main/java/org/basilrill/thrift/membership/OwnerDelta.java
@@ -15,6 +15,7 @@
   private static final org.apache.thrift.protocol.TField FROM_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("fromVersion", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField TO_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("toVersion", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField ITEMS_FIELD_DESC = new org.apache.thrift.protocol.TField("items", org.apache.thrift.protocol.TType.LIST, (short)5);
+  private static final org.apache.thrift.protocol.TField AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMillis", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new OwnerDeltaStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new OwnerDeltaTupleSchemeFactory();
@@ -24,6 +25,7 @@
   private long fromVersion; // required
   private long toVersion; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<Item> items; // required
+  private long ageMillis; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +33,8 @@
     INCARNATION((short)2, "incarnation"),
     FROM_VERSION((short)3, "fromVersion"),
     TO_VERSION((short)4, "toVersion"),
-    ITEMS((short)5, "items");
+    ITEMS((short)5, "items"),
+    AGE_MILLIS((short)6, "ageMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -57,6 +60,8 @@
           return TO_VERSION;
         case 5: // ITEMS
           return ITEMS;
+        case 6: // AGE_MILLIS
+          return AGE_MILLIS;
         default:
           return null;
       }
@@ -103,6 +108,7 @@
   private static final int __INCARNATION_ISSET_ID = 0;
   private static final int __FROMVERSION_ISSET_ID = 1;
   private static final int __TOVERSION_ISSET_ID = 2;
+  private static final int __AGEMILLIS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -118,6 +124,8 @@
     tmpMap.put(_Fields.ITEMS, new org.apache.thrift.meta_data.FieldMetaData("items", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Item.class))));
+    tmpMap.put(_Fields.AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("ageMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(OwnerDelta.class, metaDataMap);
   }
@@ -130,7 +138,8 @@
     long incarnation,
     long fromVersion,
     long toVersion,
-    java.util.List<Item> items)
+    java.util.List<Item> items,
+    long ageMillis)
   {
     this();
     this.owner = owner;
@@ -141,6 +150,8 @@
     this.toVersion = toVersion;
     setToVersionIsSet(true);
     this.items = items;
+    this.ageMillis = ageMillis;
+    setAgeMillisIsSet(true);
   }
 
   /**
@@ -161,6 +172,7 @@
       }
       this.items = __this__items;
     }
+    this.ageMillis = other.ageMillis;
   }
 
   @Override
@@ -178,6 +190,8 @@
     setToVersionIsSet(false);
     this.toVersion = 0;
     this.items = null;
+    setAgeMillisIsSet(false);
+    this.ageMillis = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -315,6 +329,29 @@
     }
   }
 
+  public long getAgeMillis() {
+    return this.ageMillis;
+  }
+
+  public OwnerDelta setAgeMillis(long ageMillis) {
+    this.ageMillis = ageMillis;
+    setAgeMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetAgeMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field ageMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetAgeMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+  }
+
+  public void setAgeMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGEMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -358,6 +395,14 @@
       }
       break;
 
+    case AGE_MILLIS:
+      if (value == null) {
+        unsetAgeMillis();
+      } else {
+        setAgeMillis((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -380,6 +425,9 @@
     case ITEMS:
       return getItems();
 
+    case AGE_MILLIS:
+      return getAgeMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -402,6 +450,8 @@
       return isSetToVersion();
     case ITEMS:
       return isSetItems();
+    case AGE_MILLIS:
+      return isSetAgeMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -464,6 +514,15 @@
         return false;
     }
 
+    boolean this_present_ageMillis = true;
+    boolean that_present_ageMillis = true;
+    if (this_present_ageMillis || that_present_ageMillis) {
+      if (!(this_present_ageMillis && that_present_ageMillis))
+        return false;
+      if (this.ageMillis != that.ageMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -485,6 +544,8 @@
     if (isSetItems())
       hashCode = hashCode * 8191 + items.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ageMillis);
+
     return hashCode;
   }
 
@@ -546,6 +607,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAgeMillis(), other.isSetAgeMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAgeMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ageMillis, other.ageMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -597,6 +668,10 @@
       sb.append(this.items);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("ageMillis:");
+    sb.append(this.ageMillis);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -612,6 +687,7 @@
     if (items == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'items' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'ageMillis' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -704,6 +780,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // AGE_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.ageMillis = iprot.readI64();
+              struct.setAgeMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -721,6 +805,9 @@
       if (!struct.isSetToVersion()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'toVersion' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetAgeMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'ageMillis' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -755,6 +842,9 @@
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(AGE_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.ageMillis);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -784,6 +874,7 @@
           _iter12.write(oprot);
         }
       }
+      oprot.writeI64(struct.ageMillis);
     }
 
     @Override
@@ -809,6 +900,8 @@
         }
       }
       struct.setItemsIsSet(true);
+      struct.ageMillis = iprot.readI64();
+      struct.setAgeMillisIsSet(true);
     }
   }
 
--- a/basilrill-thrift/src/main/thrift/membership.thrift
+++ b/basilrill-thrift/src/main/thrift/membership.thrift
@@ -68,6 +68,7 @@
   3: required i64 fromVersion
   4: required i64 toVersion
   5: required list<Item> items
+  6: required i64 ageMillis
 }
 
 struct DigestEntry {
