--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -251,6 +251,10 @@
                 Optional.ofNullable(assignment).ifPresent(late -> late.release(AttemptResult.CANCELLED));
             } else if (problem != null) {
                 refuse(TypedFailures.of(problem));
+            } else if (!services.control().isCurrent()) {
+                // The key may have been revoked while the request waited on an instance that is cut off.
+                assignment.release(AttemptResult.CANCELLED);
+                giveUp(ErrorCode.INSTANCE_NOT_CURRENT, "this instance can no longer confirm its rules");
             } else {
                 attempts++;
                 TargetAttempt next = new TargetAttempt(services, plan, assignment, this, events, span);
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
@@ -213,6 +213,21 @@
         assertThat(call().fresh(), is(true));
     }
 
+    /** Guards against a request of a revoked key that waits on an instance that is cut off and then runs. */
+    @Test
+    void aRequestThatWaitedIsNotSentOnceTheRulesCannotBeConfirmed() {
+        List<FakeControl.Submission> submissions = new ArrayList<>();
+        fixture.control().deliverBy(submissions::add);
+        Started order = fixture.order("k1");
+        fixture.control().setCurrent(false);
+        submissions.get(0).applyAndAnswer();
+        checkRefusal(order, ErrorCode.INSTANCE_NOT_CURRENT, "not_run");
+        assertThat(fixture.connector().calls().isEmpty(), is(true));
+        submissions.get(1).applyAndAnswer();
+        assertThat(fixture.control().outcomeOf("k1"), is(Optional.of(Outcome.NOT_RUN)));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
     /** Guards against a second run of an order, and against a replay that differs from the answer. */
     @Test
     void aFinishedOrderReplaysItsAnswer() {
