--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/HistoryChecks.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/HistoryChecks.java
@@ -81,7 +81,7 @@
         if (cut) {
             open.putIfAbsent(id, time.nanos());
         } else {
-            Optional.ofNullable(open.remove(id)).ifPresent(from -> cuts.add(new Cut(from, time.nanos())));
+            Optional.ofNullable(open.remove(id)).ifPresent(from -> cuts.add(new Cut(id, from, time.nanos())));
         }
     }
 
@@ -152,7 +152,7 @@
             }
             Duration allowed = cutBefore(execution) ? LEAVING_WHILE_CUT : LEAVING;
             if (execution.leavingNanos() > allowed.toNanos()) {
-                violations.add("leaving targets: " + execution);
+                violations.add("leaving targets: " + execution + " with cuts " + cuts);
             }
         });
     }
@@ -169,5 +169,5 @@
     }
 
     /** A time in which an instance was cut off. */
-    private record Cut(long from, long to) {}
+    private record Cut(InstanceId instance, long from, long to) {}
 }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/RevisionHistory.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/RevisionHistory.java
@@ -31,6 +31,9 @@
             if (!done.counts()) {
                 continue;
             }
+            if (done.skipped) {
+                return Optional.of(done + " replaced another revision than the expected one");
+            }
             String other = done.text == null ? null : texts.putIfAbsent(done.revision, done.text);
             if (other != null && !other.equals(done.text)) {
                 return Optional.of("two texts of revision " + done.revision);
@@ -61,6 +64,7 @@
         private long revision;
         private String text;
         private long endNanos = Long.MAX_VALUE;
+        private boolean skipped;
 
         private Operation(long startNanos, boolean write, long revision, String text) {
             this.startNanos = startNanos;
@@ -72,6 +76,7 @@
         /** Notes that the write was accepted. */
         public void accepted(long nanos, long acceptedRevision) {
             endNanos = nanos;
+            skipped = revision != acceptedRevision;
             revision = acceptedRevision;
         }
 
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
@@ -1,6 +1,7 @@
 package org.basilrill.scaffold.virtual;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
 import io.opentelemetry.api.OpenTelemetry;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -14,7 +15,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
+import org.basilrill.api.BasilrillException;
 import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.PeerChannel;
 import org.basilrill.api.PeerHandler;
@@ -43,6 +46,7 @@
  * safe.
  */
 public final class VirtualInstances {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration ADMINISTRATION_DEADLINE = Duration.ofSeconds(5);
     private static final long NANOS_PER_MILLISECOND = 1_000_000;
     private static final long FIRST_WALL_CLOCK_MILLIS = 1_700_000_000_000L;
@@ -230,8 +234,11 @@
 
         private void receive(InstanceId sender, PeerSubject subject, byte[] payload) {
             PeerHandler handler = handlers.get(subject);
-            if (handler != null) {
-                handler.received(sender, payload);
+            try {
+                Optional.ofNullable(handler).ifPresent(known -> known.received(sender, payload));
+            } catch (BasilrillException exception) {
+                // As in the transport: an answer to a question of an earlier process is rejected.
+                LOGGER.atFine().log("%s: %s", LogEvent.MESSAGE_REJECTED, exception.getMessage());
             }
         }
 
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
@@ -63,7 +63,7 @@
         LATE,
         /** Ends the connection before or within the answer. */
         CUT,
-        /** Answers under the id of another request. */
+        /** Answers another request. */
         CROSSED,
         /** Crashes and loses all connections. */
         CRASH
@@ -74,7 +74,8 @@
      *
      * @param leavingNanos how long the target had been leaving; negative if it was not
      */
-    public record Execution(InstanceId sender, String requestId, String body, long nanos, long leavingNanos) {}
+    public record Execution(
+            TargetId target, InstanceId sender, String requestId, String body, long nanos, long leavingNanos) {}
 
     /** Returns the whole answer to a request with the body; it states that all charged tokens were used. */
     public static String answerTo(String body) {
@@ -214,11 +215,11 @@
             String requestId =
                     HeaderField.first(request.headers(), RequestHead.REQUEST_ID).orElse("");
             long leaving = isLeaving() ? time.nanos() - leavingSince : -1;
-            executions.add(new Execution(sender, requestId, body, time.nanos(), leaving));
+            executions.add(new Execution(id, sender, requestId, body, time.nanos(), leaving));
             if (happens(Behaviour.CRASH)) {
                 crash();
             } else if (!happens(Behaviour.SILENT)) {
-                time.schedule(serviceTime(), () -> answer(requestId, answerTo(body)));
+                time.schedule(serviceTime(), () -> answer(requestId, body));
             }
         }
 
@@ -231,9 +232,11 @@
                     : Duration.ofMillis(5 + random.nextInt(45));
         }
 
-        private void answer(String requestId, String body) {
+        private void answer(String requestId, String request) {
             boolean cut = happens(Behaviour.CUT);
-            String echoed = happens(Behaviour.CROSSED) ? "another" : requestId;
+            boolean crossed = happens(Behaviour.CROSSED);
+            String body = answerTo(crossed ? "another" : request);
+            String echoed = crossed ? "another" : requestId;
             String type = service.isPresent() ? "text/plain" : AnswerHead.EVENT_STREAM;
             AnswerHead head = new AnswerHead(
                     200,
