--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/GossipCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/GossipCodec.java
@@ -57,7 +57,12 @@
                 .map(item -> new Item(item.fact().key(), item.version(), FactCodec.encode(item.fact())))
                 .toList();
         return new org.basilrill.thrift.membership.OwnerDelta(
-                delta.owner().value(), delta.incarnation(), delta.fromVersion(), delta.toVersion(), items);
+                delta.owner().value(),
+                delta.incarnation(),
+                delta.fromVersion(),
+                delta.toVersion(),
+                items,
+                delta.ageMillis());
     }
 
     private static OwnerDelta decodeDelta(org.basilrill.thrift.membership.OwnerDelta delta) {
@@ -69,6 +74,7 @@
                 delta.getIncarnation(),
                 delta.getFromVersion(),
                 delta.getToVersion(),
-                items);
+                items,
+                delta.getAgeMillis());
     }
 }
