Treat a 503 answer as a full target and silence as a progress timeout

TargetAttempt released every failed attempt as FAILED. A target that was full was therefore ejected after three answers, its 503 went to the caller, and an order was finished as RAN although nothing ran.

A 503 is now the answer of a full target, which has run nothing: the attempt ends as REFUSED_FULL, the request (also an order, under the same claim) is dispatched again within the retry budget, and in the end the caller gets TARGET_FULL with not_run and a retry time. The full target is not excluded, as the dispatcher leaves it alone for its own back-off. A progress timeout ends as TIMED_OUT.

Ruled out: every 5xx as "nothing ran", since a service may fail half-way.

Tests: RequestCoordinatorTest.anOrderRefusedByAFullTargetRunsAtAnotherUnderThe- SameClaim, aRequestThatOnlyMetFullTargetsSaysNotRun and aSilentTargetIsLeft- AfterTheProgressDeadline (which expected FAILED and now expects TIMED_OUT) fail without the mechanism and pass with it. The fuzz test of the coordinator now answers with 503 at random.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -29,6 +29,9 @@
  * outcome is recorded. Thread safe: everything runs as serial events.
  */
 final class RequestExchange implements RunningRequest, TargetAttempt.Owner {
+    /** About the time in which a slot of a full target becomes free. */
+    private static final Duration FULL_RETRY_DELAY = Duration.ofSeconds(1);
+
     private final RequestServices services;
     private final RequestMetrics metrics;
     private final RequestPlan plan;
@@ -155,7 +158,9 @@
     public void attemptFailed(TargetAttempt.AttemptFailure failure) {
         TargetAttempt failed = attempt.orElseThrow();
         attempt = Optional.empty();
-        excluded.add(failed.target().id());
+        if (failure.code() != ErrorCode.TARGET_FULL) {
+            excluded.add(failed.target().id());
+        }
         mayHaveRun |= failure.mayHaveRun();
         if (!failure.targetLost()) {
             retryOrFail(failure);
@@ -298,7 +303,9 @@
     /** Ends the request with a failure found here; its outcome follows from whether a byte may have left. */
     private void giveUp(ErrorCode code, String detail) {
         noteOutcome();
-        refuse(new BasilrillException(code, detail).withOutcome(mayHaveRun ? Outcome.MAY_HAVE_RUN : Outcome.NOT_RUN));
+        BasilrillException failure =
+                new BasilrillException(code, detail).withOutcome(mayHaveRun ? Outcome.MAY_HAVE_RUN : Outcome.NOT_RUN);
+        refuse(code == ErrorCode.TARGET_FULL ? failure.withRetryAfter(FULL_RETRY_DELAY) : failure);
     }
 
     private void refuse(BasilrillException failure) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -25,6 +25,10 @@
 final class TargetAttempt implements TargetConnector.Listener {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int FIRST_SERVER_ERROR = 500;
+    /** Status of a target that is full: it answers so before it runs anything. */
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    private static final String FULL = "the target is full and ran nothing";
 
     private final RequestServices services;
     private final RequestPlan plan;
@@ -80,7 +84,7 @@
     /**
      * How an attempt failed.
      *
-     * @param mayHaveRun whether a byte may have left
+     * @param mayHaveRun whether the target may have run the request; false if it said that it is full
      * @param targetLost whether the target ended the connection while it had the request
      */
     record AttemptFailure(ErrorCode code, String detail, boolean mayHaveRun, boolean targetLost) {}
@@ -133,6 +137,10 @@
                 fail(ErrorCode.ANSWER_MISMATCH, "the target answered with another request id", false);
                 return;
             }
+            if (head.status() == SERVICE_UNAVAILABLE) {
+                end(AttemptResult.REFUSED_FULL, new AttemptFailure(ErrorCode.TARGET_FULL, FULL, false, false));
+                return;
+            }
             answered = true;
             noteProgress();
             resultOfAnswer = head.status() >= FIRST_SERVER_ERROR ? AttemptResult.FAILED : AttemptResult.SUCCEEDED;
@@ -172,10 +180,15 @@
 
     private void fail(ErrorCode code, String detail, boolean connectionLost) {
         boolean mayHaveRun = !permit.revoke();
-        finish(AttemptResult.FAILED);
+        AttemptResult result = code == ErrorCode.TARGET_TIMEOUT ? AttemptResult.TIMED_OUT : AttemptResult.FAILED;
+        end(result, new AttemptFailure(code, detail, mayHaveRun, mayHaveRun && connectionLost));
+    }
+
+    private void end(AttemptResult result, AttemptFailure failure) {
+        finish(result);
         call.cancel();
-        services.tracing().fail(span, new BasilrillException(code, detail));
-        owner.attemptFailed(new AttemptFailure(code, detail, mayHaveRun, mayHaveRun && connectionLost));
+        services.tracing().fail(span, new BasilrillException(failure.code(), failure.detail()));
+        owner.attemptFailed(failure);
     }
 
     private void watchProgress(Duration delay) {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
@@ -112,6 +112,13 @@
             head(200, AnswerHead.EVENT_STREAM, requestId());
         }
 
+        /** Answers as a full target does, which has not run the request. */
+        void refuseAsFull() {
+            sentByRequest.merge(requestId(), -1, Integer::sum);
+            over = true;
+            head(503, "application/json", requestId());
+        }
+
         void data(String text) {
             listener.received(text.getBytes(StandardCharsets.UTF_8));
         }
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorFuzzTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorFuzzTest.java
@@ -178,6 +178,10 @@
                 }
                 return;
             }
+            if (!call.headSent() && call.active() && random.nextInt(6) == 0) {
+                call.refuseAsFull();
+                return;
+            }
             if (!call.headSent()) {
                 String id = random.nextInt(10) == 0 ? "another" : call.requestId();
                 call.head(200, "text/event-stream", id);
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
@@ -186,7 +186,7 @@
         started.running().taken(11);
         fixture.time().advance(Duration.ofSeconds(10));
         assertThat(started.stream().failedWith("STREAM_CUT"), is(true));
-        assertThat(fixture.services().results(), is(List.of(AttemptResult.FAILED)));
+        assertThat(fixture.services().results(), is(List.of(AttemptResult.TIMED_OUT)));
     }
 
     /** Guards against blaming a target for a caller that does not read. */
@@ -274,6 +274,34 @@
         assertThat(fixture.control().commands().size(), is(1));
     }
 
+    /** Guards against an order that is lost to a full target although nothing ran, and against ejecting the target. */
+    @Test
+    void anOrderRefusedByAFullTargetRunsAtAnotherUnderTheSameClaim() {
+        Started started = fixture.order("k1");
+        call().send();
+        call().refuseAsFull();
+        assertThat(fixture.connector().calls().size(), is(2));
+        call().send();
+        call().head(201, "application/json", call().requestId());
+        call().end();
+        assertThat(started.stream().status(), is(201));
+        assertThat(fixture.control().outcomeOf("k1"), is(Optional.of(Outcome.RAN)));
+        assertThat(fixture.services().results(), is(List.of(AttemptResult.REFUSED_FULL, AttemptResult.SUCCEEDED)));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    /** Guards against may_have_run, and a missing hint when to come back, after full targets only. */
+    @Test
+    void aRequestThatOnlyMetFullTargetsSaysNotRun() {
+        fixture.services().allowRetries(0);
+        Started started = fixture.complete();
+        call().send();
+        call().refuseAsFull();
+        checkRefusal(started, ErrorCode.TARGET_FULL, "not_run");
+        assertThat(started.stream().text(), containsString("retry_after_ms"));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
     /** Guards against charges that differ from what was used. */
     @Test
     void aCompletionPaysForItsPromptAndItsTokens() {
