--- a/basilrill-library/src/main/java/org/basilrill/state/control/BucketOwners.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/BucketOwners.java
@@ -42,8 +42,10 @@
         if (ownerLives && command.handedOverTokens() <= 0) {
             return new BucketHeld(current.owner(), current.epoch());
         }
-        // A level handed over by an owner whose session has ended may be out of date.
-        long startTokens = ownerLives ? command.handedOverTokens() : 0;
+        // A level handed over by an owner whose session has ended may be out of date. No grant of a bucket that never
+        // had
+        // an owner can have been spent, so it starts with the level that the first owner states.
+        long startTokens = ownerLives || current == null ? command.handedOverTokens() : 0;
         BucketOwner next = new BucketOwner(command.owner(), command.sessionId(), epoch + 1, startTokens);
         owners.put(command.account(), next);
         return new BucketHeld(next.owner(), next.epoch());
