--- a/basilrill-library/src/test/java/org/basilrill/coordination/membership/GossipStateTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/membership/GossipStateTest.java
@@ -30,7 +30,7 @@
         OwnerDelta onlyTheLast = owner.ownDeltaAfter(known);
         assertThat(reader.apply(List.of(onlyTheLast), 0), is(anEmptyMap()));
         assertThat(reader.fact(OWNER, InstanceLoadFact.class), is(Optional.empty()));
-        reader.apply(owner.deltasFor(reader.digest()), 0);
+        reader.apply(owner.deltasFor(reader.digest(), 0), 0);
         assertThat(reader.fact(OWNER, InstanceLoadFact.class), is(Optional.of(new InstanceLoadFact(3))));
         assertThat(reader.facts(OWNER, TargetGoneFact.class).size(), is(1));
     }
@@ -38,7 +38,7 @@
     @Test
     void anOverlappingDeltaReportsOnlyWhatIsNew() {
         owner.publish(new TargetGoneFact(new TargetId("a")));
-        reader.apply(owner.deltasFor(reader.digest()), 0);
+        reader.apply(owner.deltasFor(reader.digest(), 0), 0);
         owner.publish(new InstanceLoadFact(3));
         Map<InstanceId, List<Fact>> news = reader.apply(List.of(owner.ownDeltaAfter(0)), 0);
         assertThat(news, is(Map.of(OWNER, List.of(new InstanceLoadFact(3)))));
@@ -47,7 +47,7 @@
     @Test
     void anUrgentDeltaReachesAReaderThatOnlyMissesSignsOfLife() {
         owner.publish(new TargetGoneFact(new TargetId("a")));
-        reader.apply(owner.deltasFor(reader.digest()), 0);
+        reader.apply(owner.deltasFor(reader.digest(), 0), 0);
         owner.advance(0);
         long known = owner.ownVersion();
         owner.publish(new InstanceLoadFact(3));
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/BudgetConcurrencyTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/BudgetConcurrencyTest.java
@@ -8,11 +8,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -21,6 +19,7 @@
 import java.util.function.Consumer;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.InstanceId;
+import org.basilrill.api.VirtualTime;
 import org.basilrill.coordination.budget.ClientBudgets;
 import org.basilrill.protocol.peer.ThriftBudgetCodec;
 import org.basilrill.state.configuration.Rules;
@@ -39,8 +38,7 @@
     private static final int THREADS = 6;
     private static final int CHARGES = 5_000;
 
-    private final AtomicLong clock = new AtomicLong();
-    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final VirtualTime time = new VirtualTime();
     private final Map<InstanceId, ClientBudgets> budgets = new HashMap<>();
 
     /** Guards against charges that two threads pay from the same tokens, and against deadlocks between instances. */
@@ -51,11 +49,8 @@
                     instance,
                     new ClientBudgets(
                             instance,
-                            clock::get,
-                            (delay, task) -> {
-                                tasks.add(task);
-                                return () -> {};
-                            },
+                            time,
+                            time,
                             new Random(4719),
                             (recipient, subject, payload) ->
                                     budgets.get(recipient).received(instance, payload),
@@ -82,10 +77,7 @@
         }
         threads.shutdown();
         // Less than one token of refill, and long enough for reports and refunds to be due.
-        clock.set(Duration.ofMillis(600).toNanos());
-        while (!tasks.isEmpty()) {
-            tasks.poll().run();
-        }
+        time.advance(Duration.ofMillis(600));
         long unspent = budgets.values().stream()
                 .mapToLong(instance -> instance.snapshots().get(0).unspentHere())
                 .sum();
