Bound the memory of request bodies, proposal groups and peer queues

Each was bounded by count only: bodies of 8 MiB on any number of connections, 1024 proposals written as one frame, 1024 messages of any size for each instance that does not answer. Each could exhaust a heap of 128 MB alone.

An instance now holds bodies of at most an eighth of its heap together; beyond that a request is refused with INSTANCE_OVERLOADED, not_run and a retry time. A collected body is no longer kept twice. A leader syncs proposals in groups of at most 8 MiB. A peer link queues at most 2 MiB, drops the oldest and sends batches of at most 1 MiB.

Ruled out: reserving the announced length before the first byte, with which a few slow callers would hold the whole share.

Not covered: the body of an order that runs on after its caller left.

Tests: HeldBodiesTest, ReplicaRulesTest.manyLargeProposalsAreWrittenInGroups- AndInOrder and PeerTransportTest.theQueueOfALinkHoldsTheNewestMessagesWithin- ItsBytes fail with the limits out of reach and pass with them.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
@@ -25,6 +25,9 @@
     /** A learner this close to the end of the log is promoted; it receives the rest as a voter. */
     private static final int PROMOTION_LAG = 64;
 
+    /** Bounds the memory of one write, as every command may be as large as a rule file. */
+    private static final long GROUP_BYTES = 8L << 20;
+
     private final ReplicaState state;
     private final Map<ReplicaId, PeerProgress> peers = new TreeMap<>();
     private final Replicator replicator;
@@ -96,17 +99,10 @@
         replicator.heartbeat(peers.get(learner), round);
     }
 
-    /** Writes what was queued with one sync, and begins a quorum round if reads wait for one. */
+    /** Writes what was queued with one sync per group, and begins a quorum round if reads wait for one. */
     void flush() {
-        if (!queued.isEmpty()) {
-            List<LogRecord> records = new ArrayList<>();
-            for (Proposal proposal : queued) {
-                long index = state.log().lastIndex() + 1 + records.size();
-                records.add(new LogRecord(index, state.term(), RecordKind.COMMAND, proposal.command()));
-                appended.put(index, proposal.result());
-            }
-            queued.clear();
-            state.log().append(records);
+        while (!queued.isEmpty()) {
+            appendGroup();
         }
         advanceCommit();
         changeMembersIfDue();
@@ -187,6 +183,23 @@
         handover.ifPresent(LeadershipHandover::leadershipEnded);
     }
 
+    /** Writes the first of the queued commands, at least one and otherwise at most the bytes of one group. */
+    private void appendGroup() {
+        List<LogRecord> records = new ArrayList<>();
+        long bytes = 0;
+        for (Proposal proposal : queued) {
+            bytes += proposal.command().length;
+            if (!records.isEmpty() && bytes > GROUP_BYTES) {
+                break;
+            }
+            long index = state.log().lastIndex() + 1 + records.size();
+            records.add(new LogRecord(index, state.term(), RecordKind.COMMAND, proposal.command()));
+            appended.put(index, proposal.result());
+        }
+        queued.subList(0, records.size()).clear();
+        state.log().append(records);
+    }
+
     private void trackPeer(ReplicaId peer, long nextIndex, long now) {
         if (!peer.equals(state.self())) {
             peers.put(peer, new PeerProgress(peer, nextIndex, round + 1, now));
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnections.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnections.java
@@ -28,6 +28,7 @@
     private final MonotonicClock clock;
     private final HttpProcessor processor =
             new DefaultHttpProcessor(new ResponseDate(), new ResponseContent(), new ResponseConnControl());
+    private final HeldBodies bodies;
     private final Http1Config config;
     private final Map<String, CallerConnection> connections = new ConcurrentHashMap<>();
     private final CompletableFuture<Void> allClosed = new CompletableFuture<>();
@@ -37,6 +38,7 @@
         this.settings = settings;
         this.requests = requests;
         this.clock = clock;
+        this.bodies = new HeldBodies(settings.maximumHeldBytes());
         config = Http1Config.custom()
                 .setBufferSize(BUFFER_BYTES)
                 .setMaxLineLength(settings.maximumHeadBytes())
@@ -56,7 +58,7 @@
         return new ServerHttp1IOEventHandler(new CallerDuplexer(
                 session,
                 processor,
-                (request, context) -> new CallerExchange(connection, requests, settings),
+                (request, context) -> new CallerExchange(connection, requests, settings, bodies),
                 config,
                 settings,
                 connection));
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerExchange.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -41,13 +42,17 @@
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
     private static final int WINDOW_BYTES = 64 * 1024;
+    /** Takes the place of a body that is no longer needed, so that its buffer can be collected. */
+    private static final ByteArrayOutputStream NO_BODY = new ByteArrayOutputStream(0);
 
     private final CallerConnection connection;
     private final CallerRequests requests;
     private final GatewaySettings settings;
     private final Runnable release = this::releaseResources;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final HeldBodies bodies;
+    private final AtomicLong held = new AtomicLong();
     private final AtomicBoolean released = new AtomicBoolean();
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private RequestHead head;
     private ResponseChannel responses;
     private HttpContext context;
@@ -66,10 +71,11 @@
     private volatile boolean withoutBody;
     private volatile int available;
 
-    CallerExchange(CallerConnection connection, CallerRequests requests, GatewaySettings settings) {
+    CallerExchange(CallerConnection connection, CallerRequests requests, GatewaySettings settings, HeldBodies bodies) {
         this.connection = connection;
         this.requests = requests;
         this.settings = settings;
+        this.bodies = bodies;
         connection.opened(release);
     }
 
@@ -123,9 +129,20 @@
             refuse(tooLarge());
             return;
         }
+        try {
+            bodies.reserve(length);
+        } catch (BasilrillException refusal) {
+            source.position(source.limit());
+            refuse(refusal);
+            return;
+        }
+        held.addAndGet(length);
         byte[] bytes = new byte[length];
         source.get(bytes);
         body.writeBytes(bytes);
+        if (released.get()) {
+            releaseBody();
+        }
     }
 
     @Override
@@ -244,6 +261,7 @@
         if (request != null) {
             request.callerGone();
         }
+        releaseBody();
         connection.requestEnded(release);
     }
 
@@ -261,15 +279,22 @@
     /** Answers before the request is handed over; what is left of its body is read and dropped. */
     private void refuse(BasilrillException refusal) {
         refused = true;
-        body.reset();
+        releaseBody();
         if (bodyOpen) {
             connection.refusedEarly();
         }
         requests.refuse(refusal, head, this);
     }
 
+    private void releaseBody() {
+        body = NO_BODY;
+        bodies.release(held.getAndSet(0));
+    }
+
     private void handOver() {
-        RunningRequest started = requests.start(head, body.toByteArray(), this);
+        byte[] complete = body.toByteArray();
+        body = NO_BODY;
+        RunningRequest started = requests.start(head, complete, this);
         int taken;
         boolean gone;
         synchronized (lock) {
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/GatewaySettings.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param headerWait longest time for a head once its first byte is there, and longest silence within a body
  * @param idleLimit longest time a connection may wait for its next request
  * @param maximumBodyBytes longest body of a request
+ * @param maximumHeldBytes bytes of request bodies held together; beyond it requests are refused
  * @param maximumHeadBytes longest request line with header fields
  */
 public record GatewaySettings(
@@ -18,10 +19,20 @@
         Duration headerWait,
         Duration idleLimit,
         int maximumBodyBytes,
+        long maximumHeldBytes,
         int maximumHeadBytes) {
+    /** A body is copied once while it grows and once to the target, so this share becomes at most three eighths. */
+    private static final int SHARE_OF_HEAP = 8;
+
     /** Returns the settings of section 4.10 of the design page for an address. */
     public static GatewaySettings defaults(InetSocketAddress address) {
         return new GatewaySettings(
-                address, 2, Duration.ofSeconds(10), Duration.ofMinutes(5), 8 * 1024 * 1024, 16 * 1024);
+                address,
+                2,
+                Duration.ofSeconds(10),
+                Duration.ofMinutes(5),
+                8 * 1024 * 1024,
+                Runtime.getRuntime().maxMemory() / SHARE_OF_HEAP,
+                16 * 1024);
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerLink.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerLink.java
@@ -22,14 +22,19 @@
 import org.basilrill.thrift.envelope.PeerService;
 
 /**
- * Sends messages to one other instance over one connection. Messages wait in a bounded queue; when it is full the
- * oldest is dropped, as a newer message usually replaces it. Every batch is answered by the receiver, so a connection
- * that has gone silent is found within the answer timeout and replaced. Thread safe.
+ * Sends messages to one other instance over one connection. Messages wait in a queue bounded by count and bytes; when
+ * it is full the oldest are dropped, as a newer message usually replaces an older one. Every batch is answered by the
+ * receiver, so a connection that has gone silent is found within the answer timeout and replaced. Thread safe.
  */
 final class PeerLink {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int MAXIMUM_QUEUED_MESSAGES = 1024;
     private static final int MAXIMUM_BATCH_MESSAGES = 64;
+    /** With a dozen links to instances that do not answer, a queue of full messages must fit into a small heap. */
+    private static final long MAXIMUM_QUEUED_BYTES = 2L << 20;
+    /** Exceeded only by a single larger message. */
+    private static final long MAXIMUM_BATCH_BYTES = 1L << 20;
+
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     /** Above the longest stop of a healthy receiver; a silent connection costs at most this long. */
     private static final int ANSWER_TIMEOUT_MILLIS = 1000;
@@ -42,6 +47,7 @@
     private final Supplier<Optional<InetSocketAddress>> address;
     private final Executor executor;
     private final Deque<Envelope> queue = new ArrayDeque<>();
+    private long queuedBytes;
     private boolean draining;
     private boolean closed;
 
@@ -62,10 +68,11 @@
             if (closed) {
                 return;
             }
-            if (queue.size() >= MAXIMUM_QUEUED_MESSAGES) {
-                queue.removeFirst();
-            }
             queue.addLast(envelope);
+            queuedBytes += bytesOf(envelope);
+            while (queue.size() > 1 && isTooLong()) {
+                removeFirst();
+            }
             if (draining) {
                 return;
             }
@@ -81,6 +88,7 @@
     synchronized void close() {
         closed = true;
         queue.clear();
+        queuedBytes = 0;
         if (!draining) {
             disconnect();
         }
@@ -97,8 +105,13 @@
     /** Returns the messages to send next; when there are none, the draining task ends. */
     private synchronized List<Envelope> nextBatch() {
         List<Envelope> batch = new ArrayList<>();
+        long bytes = 0;
         while (!queue.isEmpty() && batch.size() < MAXIMUM_BATCH_MESSAGES) {
-            batch.add(queue.removeFirst());
+            bytes += bytesOf(queue.getFirst());
+            if (!batch.isEmpty() && bytes > MAXIMUM_BATCH_BYTES) {
+                return batch;
+            }
+            batch.add(removeFirst());
         }
         if (batch.isEmpty()) {
             draining = false;
@@ -109,6 +122,20 @@
         return batch;
     }
 
+    private boolean isTooLong() {
+        return queue.size() > MAXIMUM_QUEUED_MESSAGES || queuedBytes > MAXIMUM_QUEUED_BYTES;
+    }
+
+    private Envelope removeFirst() {
+        Envelope first = queue.removeFirst();
+        queuedBytes -= bytesOf(first);
+        return first;
+    }
+
+    private static int bytesOf(Envelope envelope) {
+        return envelope.bufferForPayload().remaining();
+    }
+
     private void deliver(List<Envelope> batch) {
         if (client == null && System.nanoTime() - retryAtNanos < 0) {
             return;
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaRulesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaRulesTest.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.consensus.ConsensusMessage.AppendAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.AppendRequest;
@@ -62,6 +64,23 @@
         assertThat(replica.status().commitIndex(), is(3L));
     }
 
+    /** Guards the heap of the leader against one write of all that was proposed while the disk was slow. */
+    @Test
+    void manyLargeProposalsAreWrittenInGroupsAndInOrder() {
+        lead();
+        for (int number = 0; number < 20; number++) {
+            byte[] command = new byte[1 << 20];
+            command[0] = (byte) number;
+            replica.propose(command, new CompletableFuture<>());
+        }
+        replica.flush();
+        List<LogRecord> written = store.read(4, Integer.MAX_VALUE);
+        assertThat(
+                written.stream().map(next -> (int) next.payload()[0]).toList(),
+                is(IntStream.range(0, 20).boxed().toList()));
+        assertThat(store.largestWrite(), is(8L << 20));
+    }
+
     /** Guards against a candidate that deposes a leader which this replica hears. */
     @Test
     void votesAreRefusedWhileTheLeaderIsHeard() {
--- a/basilrill-library/src/test/java/org/basilrill/state/log/InMemoryDurableStore.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/log/InMemoryDurableStore.java
@@ -17,6 +17,8 @@
     private Optional<Snapshot> snapshot = Optional.empty();
     private Optional<Boolean> failAfterEffect = Optional.empty();
 
+    private long largestWrite;
+
     public InMemoryDurableStore(long incarnation) {
         this.incarnation = incarnation;
     }
@@ -26,6 +28,11 @@
         failAfterEffect = Optional.of(afterEffect);
     }
 
+    /** Returns the payload bytes of the largest write so far. */
+    public long largestWrite() {
+        return largestWrite;
+    }
+
     /** Forgets a failure that no write has met. */
     public void repair() {
         failAfterEffect = Optional.empty();
@@ -48,6 +55,9 @@
 
     @Override
     public void append(List<LogRecord> added) {
+        largestWrite = Math.max(
+                largestWrite,
+                added.stream().mapToLong(next -> next.payload().length).sum());
         write(() -> {
             for (LogRecord next : added) {
                 if (next.index() != lastIndex() + 1) {
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
@@ -30,6 +30,10 @@
     private final HttpGateway gateway;
 
     GatewayFixture(Duration progressDeadline, Duration headerWait, PlainRoutes routes) {
+        this(progressDeadline, headerWait, routes, 64 * 1024 * 1024);
+    }
+
+    GatewayFixture(Duration progressDeadline, Duration headerWait, PlainRoutes routes, long heldBytes) {
         Scheduler scheduler = scheduler(timer);
         Tracer tracer = SdkTracerProvider.builder().build().get("test");
         RequestLimits limits = new RequestLimits(
@@ -48,6 +52,7 @@
                 headerWait,
                 Duration.ofMinutes(1),
                 8 * 1024 * 1024,
+                heldBytes,
                 16 * 1024);
         gateway = new HttpGateway(settings, coordinator, routes, System::nanoTime, scheduler);
         gateway.start();
--- a/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
@@ -10,8 +10,14 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -20,6 +26,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.PeerSubject;
+import org.basilrill.thrift.envelope.Envelope;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -90,6 +97,28 @@
         }
     }
 
+    /** Guards the heap against large messages to an instance that does not take them, and against losing the newest. */
+    @Test
+    void theQueueOfALinkHoldsTheNewestMessagesWithinItsBytes() throws Exception {
+        start();
+        List<Runnable> tasks = new ArrayList<>();
+        PeerLink link = new PeerLink(TWO, () -> Optional.of(addressOfTwo.get()), tasks::add);
+        int messageBytes = 512 * 1024;
+        for (int number = 0; number < 10; number++) {
+            byte[] payload = new byte[messageBytes];
+            Arrays.fill(payload, (byte) ('0' + number));
+            link.send(new Envelope(
+                    ONE.value(), "", (short) PeerSubject.MEMBERSHIP.wireNumber(), ByteBuffer.wrap(payload)));
+        }
+        tasks.forEach(Runnable::run);
+        link.close();
+        Set<String> arrived = new TreeSet<>();
+        for (int message = 0; message < 4; message++) {
+            arrived.add(received.poll(30, TimeUnit.SECONDS).substring(0, 5));
+        }
+        assertThat(arrived, is(Set.of("one:6", "one:7", "one:8", "one:9")));
+    }
+
     private static int readOutcome(Socket socket) throws IOException {
         socket.setSoTimeout(10_000);
         return socket.getInputStream().read();
