Refuse a second process of the same instance name

RegisterSession replaced an open session at once. The process of the replaced session went on trusting its lease for up to 3 s, while its buckets were claimed after 2 s: two owners could spend at once.

The leader now refuses a registration with INSTANCE_NAME_IN_USE while it has seen the other session within its lease, and confirms the other no more once it allows the replacement. The refused process logs E541 and refuses all work, as a process does now before its first session. A process that restarts after a crash gets its session at most 3 s after the last pull of its predecessor; after a planned stop at once, as the session was released.

Ruled out: replacing at once and telling the first process, as the message can be lost to exactly the process that matters.

Not covered: the second process still takes part in the membership exchange under the shared name, so messages for the first may reach the second.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -52,7 +52,8 @@
     TARGET_EJECTED(400, "target is ejected after failures"),
     TARGET_RESTORED(401, "target is used again after a successful probe"),
     DISPATCH_CALLBACK_FAILED(402, "a callback of a dispatched request failed"),
-    LEADERSHIP_HANDOVER(540, "leader hands the leadership of the control log to another replica");
+    LEADERSHIP_HANDOVER(540, "leader hands the leadership of the control log to another replica"),
+    INSTANCE_NAME_IN_USE(541, "another process uses the name of this instance; this one refuses new work");
 
     private final int number;
     private final String summary;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
@@ -34,6 +35,9 @@
     private final ViewHolder holder = new ViewHolder();
     private final CommandSubmitter submitter;
     private final ViewPuller puller;
+    /** Set once a session was opened, and cleared when another process turns out to use the name of this instance. */
+    private volatile boolean registered;
+
     private volatile boolean stopped;
 
     /**
@@ -101,7 +105,7 @@
 
     @Override
     public boolean isCurrent() {
-        return puller.isCurrent();
+        return registered && puller.isCurrent();
     }
 
     @Override
@@ -144,9 +148,15 @@
                     }
                     if (result instanceof ControlResult.Done) {
                         LOGGER.atInfo().log("%s: %d", LogEvent.SESSION_OPENED, id);
+                        registered = true;
                         puller.openSession(id);
                         return;
                     }
+                    if (result instanceof ControlResult.Refused refused
+                            && refused.code() == ErrorCode.INSTANCE_NAME_IN_USE) {
+                        registered = false;
+                        LOGGER.atSevere().log("%s: %s", LogEvent.INSTANCE_NAME_IN_USE, endpoint.self());
+                    }
                     long next = result == null ? id : newSessionId();
                     scheduler.schedule(ViewPuller.PULL_INTERVAL, () -> register(next));
                 });
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -21,6 +22,7 @@
 import org.basilrill.state.control.ControlCommand;
 import org.basilrill.state.control.ControlCommand.ClaimOrder;
 import org.basilrill.state.control.ControlCommand.ExpireSession;
+import org.basilrill.state.control.ControlCommand.RegisterSession;
 import org.basilrill.state.control.ControlCommand.ReportCrash;
 import org.basilrill.state.control.ControlResult;
 import org.basilrill.state.control.ControlStateMachine;
@@ -118,19 +120,37 @@
             return;
         }
         byte[] command;
+        Optional<Session> replaced;
         try {
             command = stamped(request.getCommand());
+            replaced = replacedBy(command);
         } catch (BasilrillException exception) {
             ControlResult refused = new ControlResult.Refused(exception.code(), exception.getMessage());
             send(sender, success(request.getRequestId(), ResultCodec.encode(refused)));
             return;
         }
-        log.propose(command)
-                .whenComplete((result, failure) -> send(
-                        sender,
-                        failure == null
-                                ? success(request.getRequestId(), result)
-                                : failure(request.getRequestId(), status(failure))));
+        log.propose(command).whenComplete((result, failure) -> {
+            if (failure == null) {
+                send(sender, success(request.getRequestId(), result));
+                return;
+            }
+            AnswerStatus status = status(failure);
+            if (status == AnswerStatus.NOT_LEADER) {
+                replaced.ifPresent(seen::withdraw);
+            }
+            send(sender, failure(request.getRequestId(), status));
+        });
+    }
+
+    /** Returns the session that a registration ends; refuses the registration while that session may be in use. */
+    private Optional<Session> replacedBy(byte[] encoded) {
+        return CommandCodec.decode(encoded) instanceof RegisterSession register
+                ? seen.replace(
+                        log.term(),
+                        clock.nanos(),
+                        new Session(register.instance(), register.sessionId()),
+                        () -> machine.view().sessions())
+                : Optional.empty();
     }
 
     /** Sets the time of commands that carry one, so that all times come from leaders. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/SeenSessions.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/SeenSessions.java
@@ -6,8 +6,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 
 /**
@@ -59,6 +62,29 @@
         return expired;
     }
 
+    /**
+     * Decides on the registration of a session. One that replaces another is allowed only once that other's lease has
+     * surely ended, as its process may still act under it; the other is not confirmed any more then.
+     *
+     * @return the session to be replaced, or empty if there is none
+     * @throws BasilrillException with {@code INSTANCE_NAME_IN_USE} if the other session may still be in use
+     */
+    synchronized Optional<Session> replace(
+            long leaderTerm, long nowNanos, Session next, Supplier<Map<InstanceId, Long>> open) {
+        Long current = open.get().get(next.instance());
+        if (!enter(leaderTerm) || current == null || current == next.sessionId()) {
+            return Optional.empty();
+        }
+        Session replaced = new Session(next.instance(), current);
+        long seen = seenNanos.computeIfAbsent(replaced, key -> nowNanos);
+        if (nowNanos - seen < ViewPuller.SESSION_LEASE.toNanos()) {
+            throw new BasilrillException(
+                    ErrorCode.INSTANCE_NAME_IN_USE, "another process uses the name " + next.instance());
+        }
+        expiring.add(replaced);
+        return Optional.of(replaced);
+    }
+
     /** Forgets an expiry that surely was not proposed. */
     synchronized void withdraw(Session session) {
         expiring.remove(session);
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
@@ -21,10 +21,12 @@
 import org.basilrill.api.Outcome;
 import org.basilrill.state.control.ControlCommand.ClaimOrder;
 import org.basilrill.state.control.ControlCommand.FinishOrder;
+import org.basilrill.state.control.ControlCommand.RegisterSession;
 import org.basilrill.state.control.ControlCommand.ReplaceRules;
 import org.basilrill.state.control.ControlResult;
 import org.basilrill.state.control.ControlResult.OrderFinished;
 import org.basilrill.state.control.ControlResult.OrderGranted;
+import org.basilrill.state.control.ControlResult.Refused;
 import org.basilrill.state.control.ControlResult.RulesAccepted;
 import org.basilrill.state.control.ControlResult.RulesConflict;
 import org.junit.jupiter.api.Test;
@@ -136,6 +138,29 @@
         assertThat(leaderSessions().containsKey(ENTRY), is(false));
     }
 
+    /** Guards against two processes of one name that act at once, the first under a lease that it still trusts. */
+    @Test
+    void aSecondProcessOfANameIsRefusedUntilTheLeaseOfTheFirstHasEnded() {
+        ControlLogClient other = cluster.client(new InstanceId("other"));
+        start(client);
+        start(other);
+        RegisterSession second = new RegisterSession(ENTRY, 1);
+        assertThat(((Refused) result(other.submit(second, DEADLINE))).code(), is(ErrorCode.INSTANCE_NAME_IN_USE));
+        cluster.cutOff(ENTRY);
+        while (client.holdsSession()) {
+            ControlResult refusal = result(other.submit(second, DEADLINE));
+            assertThat(((Refused) refusal).code(), is(ErrorCode.INSTANCE_NAME_IN_USE));
+            cluster.time().advance(Duration.ofMillis(50));
+        }
+        // The last pull may have reached the leader without its answer reaching the first process.
+        cluster.time().advance(SECOND);
+        assertThat(result(other.submit(second, DEADLINE)), is(new ControlResult.Done()));
+        cluster.reconnect(ENTRY);
+        cluster.time().advance(Duration.ofSeconds(2));
+        assertThat("the first is refused in its turn", client.holdsSession(), is(false));
+        assertThat(leaderSessions().get(ENTRY), is(1L));
+    }
+
     @Test
     void aLeaderThatIsCutOffConfirmsNothing() {
         start(client);
