Show what accounts have left and what the local replica knows

GET /admin/accounts named the owner of a bucket but not what is in it, and GET /admin/status said nothing about the control log. The owner of a bucket now shows tokens_left and tokens_granted; other instances still name the owner as bucket_owner. An instance with a replica shows role, leader, term, indexes and members as that replica knows them.

Test: GatewayRoutesTest.operatorsReadAndReplaceTheRules checks both.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -176,7 +176,9 @@
                 instance.control(),
                 instance.membership(),
                 instance.targets(),
-                instance.coordinator()::requestsInFlight);
+                instance.coordinator()::requestsInFlight,
+                instance.budgets()::snapshots,
+                () -> replica.map(ControlReplica::status));
         AdministrationHandler administration = new AdministrationHandler(
                 instance.control(),
                 this::rulesText,
--- a/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationViews.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationViews.java
@@ -4,11 +4,16 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import org.basilrill.api.AccountId;
 import org.basilrill.api.InstanceId;
+import org.basilrill.coordination.budget.BudgetSnapshot;
+import org.basilrill.coordination.consensus.ReplicaStatus;
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.coordination.membership.Membership.Member;
 import org.basilrill.state.configuration.Rules;
@@ -26,18 +31,30 @@
     private final Membership membership;
     private final TargetDirectory targets;
     private final IntSupplier requestsInFlight;
+    private final Supplier<List<BudgetSnapshot>> budgets;
+    private final Supplier<Optional<ReplicaStatus>> replica;
 
+    /**
+     * Creates the views of one instance.
+     *
+     * @param budgets token buckets as this instance knows them
+     * @param replica state of the replica of the control log on this instance, if it has one
+     */
     public AdministrationViews(
             InstanceId self,
             ControlClient control,
             Membership membership,
             TargetDirectory targets,
-            IntSupplier requestsInFlight) {
+            IntSupplier requestsInFlight,
+            Supplier<List<BudgetSnapshot>> budgets,
+            Supplier<Optional<ReplicaStatus>> replica) {
         this.self = self;
         this.control = control;
         this.membership = membership;
         this.targets = targets;
         this.requestsInFlight = requestsInFlight;
+        this.budgets = budgets;
+        this.replica = replica;
     }
 
     /** Returns instances and targets with their state. */
@@ -48,6 +65,7 @@
         body.put("log_index", control.view().index());
         body.put("current", control.isCurrent());
         body.put("requests_in_flight", requestsInFlight.getAsInt());
+        replica.get().ifPresent(status -> describe(status, body.putObject("control_log")));
         ArrayNode instances = body.putArray("instances");
         membership.members().stream()
                 .sorted(Comparator.comparing(Member::id))
@@ -59,11 +77,16 @@
         return body;
     }
 
-    /** Returns the client accounts with their rates and the owners of their buckets. */
+    /**
+     * Returns the client accounts with their rates and the owners of their buckets. What an account has left is known
+     * to the owner of its bucket only; other instances name the owner.
+     */
     public ObjectNode accounts() {
         ControlView view = control.view();
         ObjectNode body = MAPPER.createObjectNode();
         body.put("revision", view.rules().revision());
+        Map<AccountId, BudgetSnapshot.Bucket> owned = new HashMap<>();
+        budgets.get().forEach(budget -> budget.bucket().ifPresent(bucket -> owned.put(budget.account(), bucket)));
         ArrayNode accounts = body.putArray("accounts");
         List<Rules.Account> sorted = view.rules().accounts().values().stream()
                 .sorted(Comparator.comparing(Rules.Account::id))
@@ -76,10 +99,29 @@
             entry.put("weight", account.weight());
             Optional.ofNullable(view.bucketOwners().get(account.id()))
                     .ifPresent(owner -> entry.put("bucket_owner", owner.owner().value()));
+            Optional.ofNullable(owned.get(account.id())).ifPresent(bucket -> {
+                entry.put("tokens_left", bucket.level());
+                entry.put(
+                        "tokens_granted",
+                        bucket.outstanding().values().stream()
+                                .mapToLong(Long::longValue)
+                                .sum());
+            });
         }
         return body;
     }
 
+    private static void describe(ReplicaStatus status, ObjectNode entry) {
+        entry.put("replica", status.self().toString());
+        entry.put("role", status.role().name());
+        status.leader().ifPresent(leader -> entry.put("leader", leader.value()));
+        entry.put("term", status.term());
+        entry.put("commit_index", status.commitIndex());
+        entry.put("last_index", status.lastIndex());
+        ArrayNode members = entry.putArray("members");
+        status.members().voters().forEach(member -> members.add(member.toString()));
+    }
+
     private static ObjectNode describe(Member member) {
         ObjectNode entry = MAPPER.createObjectNode();
         entry.put("instance", member.id().value());
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -26,6 +27,11 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
+import org.basilrill.coordination.budget.BudgetSnapshot;
+import org.basilrill.coordination.consensus.MemberSet;
+import org.basilrill.coordination.consensus.ReplicaId;
+import org.basilrill.coordination.consensus.ReplicaRole;
+import org.basilrill.coordination.consensus.ReplicaStatus;
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.protocol.administration.AdministrationHandler;
 import org.basilrill.protocol.administration.AdministrationViews;
@@ -47,6 +53,21 @@
 class GatewayRoutesTest {
     private static final String FIRST_KEY = "brk-first-operator-key";
     private static final InstanceId SELF = new InstanceId("north-1");
+    private static final BudgetSnapshot BUDGET = new BudgetSnapshot(
+            FakeServices.ACCOUNT,
+            Optional.of(SELF),
+            1,
+            Optional.of(new BudgetSnapshot.Bucket(700, 20000, Map.of(SELF, 40L, new InstanceId("north-2"), 2L))),
+            0,
+            0);
+    private static final ReplicaStatus REPLICA = new ReplicaStatus(
+            new ReplicaId(SELF, 5),
+            ReplicaRole.FOLLOWER,
+            8,
+            Optional.of(new InstanceId("north-2")),
+            90,
+            91,
+            new MemberSet(new TreeSet<>(List.of(new ReplicaId(SELF, 5)))));
 
     private final FakeControl control = new FakeControl();
     private final List<TargetAnnouncement> announced = new CopyOnWriteArrayList<>();
@@ -68,8 +89,14 @@
                 member("draining", false, true, true),
                 member("stale", false, false, false)));
         RulesText text = () -> CompletableFuture.completedFuture(new RulesText.Revision(1, "account a rate 1 # Ana"));
-        AdministrationViews views =
-                new AdministrationViews(SELF, control, membership, new FixedDirectory(announced), () -> 3);
+        AdministrationViews views = new AdministrationViews(
+                SELF,
+                control,
+                membership,
+                new FixedDirectory(announced),
+                () -> 3,
+                () -> List.of(BUDGET),
+                () -> Optional.of(REPLICA));
         AdministrationHandler administration = new AdministrationHandler(
                 control,
                 text,
@@ -171,6 +198,10 @@
             assertThat(caller.replaceRules(1, "rules").status(), is(401));
             assertThat(text(ana.status()), containsString("\"requests_in_flight\":3"));
             assertThat(text(ana.accounts()), containsString("\"account\":\"parish-desk\""));
+            assertThat(text(ana.accounts()), containsString("\"tokens_left\":700,\"tokens_granted\":42"));
+            assertThat(
+                    text(ana.status()),
+                    containsString("\"leader\":\"north-2\",\"term\":8,\"commit_index\":90,\"last_index\":91"));
             assertThat(caller.drain().status(), is(401));
             assertThat(drained.get(), is(false));
             assertThat(ana.drain().status(), is(202));
