Check a key on announcements of targets if the settings name its hash

Anyone who reached an entry instance could announce a target and was then sent requests of callers. With announcementKeyHash in the settings, an announcement must carry the key as Authorization: Bearer; without it nothing changes.

Test: GatewayRoutesTest.anAnnouncementWithoutTheKeyInTheSettingsIsRefused.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -187,7 +187,12 @@
                 settings.operatorKeyHash().map(KeyHash::new),
                 ADMINISTRATION_DEADLINE);
         GatewayRoutes routes = new GatewayRoutes(
-                instance.listing(), instance.announcements(), administration, metrics, instance::isReady);
+                instance.listing(),
+                instance.announcements(),
+                settings.announcementKeyHash().map(KeyHash::new),
+                administration,
+                metrics,
+                instance::isReady);
         return new HttpGateway(
                 GatewaySettings.defaults(settings.callerAddress()),
                 instance.coordinator(),
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/Settings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/Settings.java
@@ -16,6 +16,7 @@
  * @param replicas founding replicas of the control log; also the first members contacted
  * @param dataFolder present exactly if the instance is a replica
  * @param operatorKeyHash SHA-256 of a first operator key, accepted until the rules name an operator
+ * @param announcementKeyHash SHA-256 of the key that targets must send with their announcements; any may if absent
  * @param drainLimit longest time that a stop waits for running requests
  * @param progressTimeout longest time without a byte from a target
  */
@@ -28,6 +29,7 @@
         Map<InstanceId, InetSocketAddress> replicas,
         Optional<Path> dataFolder,
         Optional<String> operatorKeyHash,
+        Optional<String> announcementKeyHash,
         Duration drainLimit,
         Duration progressTimeout) {
     public static final Duration DEFAULT_DRAIN_LIMIT = Duration.ofSeconds(60);
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -78,6 +78,8 @@
         Optional<Path> dataFolder =
                 document.take("dataFolder").flatMap(this::text).map(Path::of);
         Optional<String> operatorKeyHash = document.take("operatorKeyHash").flatMap(this::keyHash);
+        Optional<String> announcementKeyHash =
+                document.take("announcementKeyHash").flatMap(this::keyHash);
         Duration drainLimit =
                 document.take("drainLimitMillis").flatMap(this::millis).orElse(Settings.DEFAULT_DRAIN_LIMIT);
         Duration progressTimeout =
@@ -97,6 +99,7 @@
                 replicas.orElseThrow(),
                 dataFolder,
                 operatorKeyHash,
+                announcementKeyHash,
                 drainLimit,
                 progressTimeout);
     }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/GatewayRoutes.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/GatewayRoutes.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -18,6 +19,7 @@
 import org.basilrill.protocol.caller.PlainAnswer;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.target.AnnouncementCodec;
+import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.target.AnnouncementReceiver;
 
 /** Answers the routes that this instance serves itself. Thread safe. */
@@ -26,6 +28,7 @@
 
     private final InstanceListing instances;
     private final AnnouncementReceiver announcements;
+    private final Optional<KeyHash> announcementKey;
     private final AdministrationHandler administration;
     private final MetricRegistry metrics;
     private final BooleanSupplier ready;
@@ -35,16 +38,19 @@
     /**
      * Creates the routes.
      *
+     * @param announcementKey hash of the key that targets must send; any target may announce itself if it is absent
      * @param ready whether the instance takes new requests
      */
     public GatewayRoutes(
             InstanceListing instances,
             AnnouncementReceiver announcements,
+            Optional<KeyHash> announcementKey,
             AdministrationHandler administration,
             MetricRegistry metrics,
             BooleanSupplier ready) {
         this.instances = instances;
         this.announcements = announcements;
+        this.announcementKey = announcementKey;
         this.administration = administration;
         this.metrics = metrics;
         this.ready = ready;
@@ -70,7 +76,7 @@
             }
             case "/v1/targets/announce" -> {
                 requireMethod(head, "POST");
-                yield announced(body);
+                yield announced(head, body);
             }
             case "/healthz" -> {
                 requireMethod(head, "GET");
@@ -88,8 +94,9 @@
         };
     }
 
-    private PlainAnswer announced(byte[] body) {
+    private PlainAnswer announced(RequestHead head, byte[] body) {
         try {
+            requireAnnouncementKey(head);
             announcements.announced(AnnouncementCodec.read(body));
         } catch (BasilrillException rejection) {
             LOGGER.atWarning().log("%s: %s", LogEvent.ANNOUNCEMENT_REJECTED, rejection.getMessage());
@@ -100,6 +107,18 @@
         return PlainAnswer.json(200, answer.toString());
     }
 
+    private void requireAnnouncementKey(RequestHead head) {
+        if (announcementKey.isEmpty()) {
+            return;
+        }
+        String key = head.key()
+                .orElseThrow(() -> new BasilrillException(
+                        ErrorCode.KEY_MISSING, "send the key for announcements as Authorization: Bearer"));
+        if (!KeyHash.of(key).equals(announcementKey.get())) {
+            throw new BasilrillException(ErrorCode.KEY_UNKNOWN, "the key for announcements is not the one in force");
+        }
+    }
+
     private PlainAnswer metrics() {
         try {
             return PlainAnswer.of(200, PlainAnswer.JSON, mapper.writeValueAsBytes(metrics));
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
@@ -51,6 +51,7 @@
 /** Guards the routes that an instance serves itself, over real sockets. */
 @Timeout(20)
 class GatewayRoutesTest {
+    private static final String TARGET_KEY = "brk-target-key";
     private static final String FIRST_KEY = "brk-first-operator-key";
     private static final InstanceId SELF = new InstanceId("north-1");
     private static final BudgetSnapshot BUDGET = new BudgetSnapshot(
@@ -107,7 +108,8 @@
         MetricRegistry metrics = new MetricRegistry();
         metrics.counter("requests.running").inc(4);
         InstanceListing listing = new InstanceListing(membership, SELF, new Random(3), Duration.ofSeconds(5));
-        return new GatewayRoutes(listing, announced::add, administration, metrics, ready::get);
+        return new GatewayRoutes(
+                listing, announced::add, Optional.of(KeyHash.of(TARGET_KEY)), administration, metrics, ready::get);
     }
 
     private String get(String path) throws IOException {
@@ -122,6 +124,13 @@
         return new AdministrationClient(address, key, Duration.ofSeconds(10));
     }
 
+    private String announce(String key) throws IOException {
+        try (RawHttp target = fixture.connect()) {
+            target.send(RawHttp.request("POST", "/v1/targets/announce", key, "", "{}"));
+            return target.readAnswer();
+        }
+    }
+
     private static String text(PlainAnswer answer) {
         return new String(answer.body(), StandardCharsets.UTF_8);
     }
@@ -175,10 +184,11 @@
                 false);
         String json = new String(AnnouncementCodec.write(announcement), StandardCharsets.UTF_8);
         try (RawHttp target = fixture.connect()) {
-            target.send(RawHttp.request("POST", "/v1/targets/announce", "", "", json));
+            target.send(RawHttp.request("POST", "/v1/targets/announce", TARGET_KEY, "", json));
             assertThat(target.readAnswer(), containsString("{\"instances\":[\"north-2:80\"]}"));
             assertThat(announced, is(List.of(announcement)));
-            target.send(RawHttp.request("POST", "/v1/targets/announce", "", "", json.replace("10.0.0.7", "a.example")));
+            String named = json.replace("10.0.0.7", "a.example");
+            target.send(RawHttp.request("POST", "/v1/targets/announce", TARGET_KEY, "", named));
             assertThat(target.readAnswer(), containsString("\"code\":\"MALFORMED_REQUEST\""));
             assertThat(announced.size(), is(1));
         }
@@ -209,6 +219,15 @@
         }
     }
 
+    /** Guards against a stranger that announces a target of its own and is sent the requests of callers. */
+    @Test
+    void anAnnouncementWithoutTheKeyInTheSettingsIsRefused() throws Exception {
+        assertThat(announce(""), containsString("\"code\":\"KEY_MISSING\""));
+        assertThat(announce(FIRST_KEY), containsString("\"code\":\"KEY_UNKNOWN\""));
+        assertThat(announce(TARGET_KEY), containsString("\"code\":\"MALFORMED_REQUEST\""));
+        assertThat(announced.size(), is(0));
+    }
+
     /** Guards against a client that hangs where nothing listens. */
     @Test
     void anUnreachableInstanceIsReported() {
