--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -115,6 +115,7 @@
         CompletableFuture<HttpGateway.StopReport> drained = gateway.stop(settings.drainLimit());
         await(drained, settings.drainLimit().plusSeconds(1));
         await(handedOver, HAND_OVER_LIMIT);
+        await(instance.releaseSession(), HAND_OVER_LIMIT);
         // Another replica may have handed its leadership to this one during the drain.
         await(handOverLeadership(), HAND_OVER_LIMIT);
         instance.stop();
@@ -175,7 +176,9 @@
                 instance.control(),
                 instance.membership(),
                 instance.targets(),
-                instance.coordinator()::requestsInFlight);
+                instance.coordinator()::requestsInFlight,
+                instance.budgets()::snapshots,
+                () -> replica.map(ControlReplica::status));
         AdministrationHandler administration = new AdministrationHandler(
                 instance.control(),
                 this::rulesText,
@@ -185,7 +188,12 @@
                 settings.operatorKeyHash().map(KeyHash::new),
                 ADMINISTRATION_DEADLINE);
         GatewayRoutes routes = new GatewayRoutes(
-                instance.listing(), instance.announcements(), administration, metrics, instance::isReady);
+                instance.listing(),
+                instance.announcements(),
+                settings.announcementKeyHash().map(KeyHash::new),
+                administration,
+                metrics,
+                instance::isReady);
         return new HttpGateway(
                 GatewaySettings.defaults(settings.callerAddress()),
                 instance.coordinator(),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
@@ -23,6 +24,9 @@
 public final class ControlLogClient implements ControlClient {
     private static final Duration REGISTRATION_DEADLINE = Duration.ofSeconds(2);
 
+    /** A stop does not wait longer for an election: the session then ends by its timeout. */
+    private static final Duration RELEASE_DEADLINE = Duration.ofSeconds(1);
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final ControlEndpoint endpoint;
@@ -31,6 +35,9 @@
     private final ViewHolder holder = new ViewHolder();
     private final CommandSubmitter submitter;
     private final ViewPuller puller;
+    /** Set once a session was opened, and cleared when another process turns out to use the name of this instance. */
+    private volatile boolean registered;
+
     private volatile boolean stopped;
 
     /**
@@ -59,6 +66,22 @@
         register(newSessionId());
     }
 
+    /**
+     * Ends the session at once instead of by its timeout, so that the buckets left here can be claimed 5 s earlier.
+     * Called when nothing acts under the session any more; no other session is opened.
+     *
+     * @return completes when the end is committed or could not be committed in time; never fails
+     */
+    public CompletableFuture<Void> releaseSession() {
+        stopped = true;
+        long released = puller.closeSession();
+        if (released == 0) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return submit(new ControlCommand.ExpireSession(endpoint.self(), released), RELEASE_DEADLINE)
+                .handle((result, failure) -> null);
+    }
+
     /** Stops pulling, so that the session ends by itself; commands on their way run to their deadline. */
     public void stop() {
         stopped = true;
@@ -86,7 +109,7 @@
 
     @Override
     public boolean isCurrent() {
-        return puller.isCurrent();
+        return registered && puller.isCurrent();
     }
 
     @Override
@@ -124,11 +147,20 @@
         }
         submit(new ControlCommand.RegisterSession(endpoint.self(), id), REGISTRATION_DEADLINE)
                 .whenComplete((result, failure) -> {
+                    if (stopped) {
+                        return;
+                    }
                     if (result instanceof ControlResult.Done) {
                         LOGGER.atInfo().log("%s: %d", LogEvent.SESSION_OPENED, id);
+                        registered = true;
                         puller.openSession(id);
                         return;
                     }
+                    if (result instanceof ControlResult.Refused refused
+                            && refused.code() == ErrorCode.INSTANCE_NAME_IN_USE) {
+                        registered = false;
+                        LOGGER.atSevere().log("%s: %s", LogEvent.INSTANCE_NAME_IN_USE, endpoint.self());
+                    }
                     long next = result == null ? id : newSessionId();
                     scheduler.schedule(ViewPuller.PULL_INTERVAL, () -> register(next));
                 });
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -26,6 +27,11 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
+import org.basilrill.coordination.budget.BudgetSnapshot;
+import org.basilrill.coordination.consensus.MemberSet;
+import org.basilrill.coordination.consensus.ReplicaId;
+import org.basilrill.coordination.consensus.ReplicaRole;
+import org.basilrill.coordination.consensus.ReplicaStatus;
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.protocol.administration.AdministrationHandler;
 import org.basilrill.protocol.administration.AdministrationViews;
@@ -47,8 +53,24 @@
 /** Guards the routes that an instance serves itself, over real sockets. */
 @Timeout(20)
 class GatewayRoutesTest {
+    private static final String TARGET_KEY = "brk-target-key";
     private static final String FIRST_KEY = "brk-first-operator-key";
     private static final InstanceId SELF = new InstanceId("north-1");
+    private static final BudgetSnapshot BUDGET = new BudgetSnapshot(
+            FakeServices.ACCOUNT,
+            Optional.of(SELF),
+            1,
+            Optional.of(new BudgetSnapshot.Bucket(700, 20000, Map.of(SELF, 40L, new InstanceId("north-2"), 2L))),
+            0,
+            0);
+    private static final ReplicaStatus REPLICA = new ReplicaStatus(
+            new ReplicaId(SELF, 5),
+            ReplicaRole.FOLLOWER,
+            8,
+            Optional.of(new InstanceId("north-2")),
+            90,
+            91,
+            new MemberSet(new TreeSet<>(List.of(new ReplicaId(SELF, 5)))));
 
     private final FakeControl control = new FakeControl();
     private final List<TargetAnnouncement> announced = new CopyOnWriteArrayList<>();
@@ -70,8 +92,14 @@
                 member("draining", false, true, true),
                 member("stale", false, false, false)));
         RulesText text = () -> CompletableFuture.completedFuture(new RulesText.Revision(1, "account a rate 1 # Ana"));
-        AdministrationViews views =
-                new AdministrationViews(SELF, control, membership, new FixedDirectory(announced), () -> 3);
+        AdministrationViews views = new AdministrationViews(
+                SELF,
+                control,
+                membership,
+                new FixedDirectory(announced),
+                () -> 3,
+                () -> List.of(BUDGET),
+                () -> Optional.of(REPLICA));
         AdministrationHandler administration = new AdministrationHandler(
                 control,
                 text,
@@ -83,7 +111,8 @@
         MetricRegistry metrics = new MetricRegistry();
         metrics.counter("requests.running").inc(4);
         InstanceListing listing = new InstanceListing(membership, SELF, new Random(3), Duration.ofSeconds(5));
-        return new GatewayRoutes(listing, announced::add, administration, metrics, ready::get);
+        return new GatewayRoutes(
+                listing, announced::add, Optional.of(KeyHash.of(TARGET_KEY)), administration, metrics, ready::get);
     }
 
     private String get(String path) throws IOException {
@@ -98,6 +127,13 @@
         return new AdministrationClient(address, key, Duration.ofSeconds(10));
     }
 
+    private String announce(String key) throws IOException {
+        try (RawHttp target = fixture.connect()) {
+            target.send(RawHttp.request("POST", "/v1/targets/announce", key, "", "{}"));
+            return target.readAnswer();
+        }
+    }
+
     private static String text(PlainAnswer answer) {
         return new String(answer.body(), StandardCharsets.UTF_8);
     }
@@ -151,10 +187,11 @@
                 false);
         String json = new String(AnnouncementCodec.write(announcement), StandardCharsets.UTF_8);
         try (RawHttp target = fixture.connect()) {
-            target.send(RawHttp.request("POST", "/v1/targets/announce", "", "", json));
+            target.send(RawHttp.request("POST", "/v1/targets/announce", TARGET_KEY, "", json));
             assertThat(target.readAnswer(), containsString("{\"instances\":[\"north-2:80\"]}"));
             assertThat(announced, is(List.of(announcement)));
-            target.send(RawHttp.request("POST", "/v1/targets/announce", "", "", json.replace("10.0.0.7", "a.example")));
+            String named = json.replace("10.0.0.7", "a.example");
+            target.send(RawHttp.request("POST", "/v1/targets/announce", TARGET_KEY, "", named));
             assertThat(target.readAnswer(), containsString("\"code\":\"MALFORMED_REQUEST\""));
             assertThat(announced.size(), is(1));
         }
@@ -175,6 +212,10 @@
             assertThat(caller.replaceRules(1, "rules").status(), is(401));
             assertThat(text(ana.status()), containsString("\"requests_in_flight\":3"));
             assertThat(text(ana.accounts()), containsString("\"account\":\"parish-desk\""));
+            assertThat(text(ana.accounts()), containsString("\"tokens_left\":700,\"tokens_granted\":42"));
+            assertThat(
+                    text(ana.status()),
+                    containsString("\"leader\":\"north-2\",\"term\":8,\"commit_index\":90,\"last_index\":91"));
             assertThat(caller.drain().status(), is(401));
             assertThat(drained.get(), is(false));
             assertThat(ana.drain().status(), is(202));
@@ -193,6 +234,15 @@
         }
     }
 
+    /** Guards against a stranger that announces a target of its own and is sent the requests of callers. */
+    @Test
+    void anAnnouncementWithoutTheKeyInTheSettingsIsRefused() throws Exception {
+        assertThat(announce(""), containsString("\"code\":\"KEY_MISSING\""));
+        assertThat(announce(FIRST_KEY), containsString("\"code\":\"KEY_UNKNOWN\""));
+        assertThat(announce(TARGET_KEY), containsString("\"code\":\"MALFORMED_REQUEST\""));
+        assertThat(announced.size(), is(0));
+    }
+
     /** Guards against a client that hangs where nothing listens. */
     @Test
     void anUnreachableInstanceIsReported() {
