--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -66,7 +66,8 @@
      */
     public InstanceDaemon(Settings settings) {
         this.settings = settings;
-        this.peers = new PeerTransport(settings.instance(), this::addressOf, threads.peers());
+        MetricRegistry metrics = new MetricRegistry();
+        this.peers = new PeerTransport(settings.instance(), this::addressOf, threads.peers(), metrics);
         RequestLimits limits = limits();
         this.targetClient = new TargetHttpClient(
                 TargetHttpClient.Settings.defaults(limits.windowBytes()), clock, threads.scheduler());
@@ -74,7 +75,6 @@
         this.replica = settings.dataFolder()
                 .map(folder -> ControlReplica.start(
                         settings.instance(), settings.replicas().keySet(), folder.resolve("log"), machine, peers));
-        MetricRegistry metrics = new MetricRegistry();
         this.instance = new Instance(environment(machine, limits, metrics));
         this.gateway = createGateway(metrics);
     }
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerDispatcher.java
@@ -29,6 +29,7 @@
     private final Map<PeerSubject, PeerHandler> handlers;
     private final Executor executor;
     private final BiConsumer<InstanceId, String> addressListener;
+    private final PeerTraffic traffic;
 
     /**
      * Creates a dispatcher.
@@ -36,15 +37,20 @@
      * @param addressListener hears the address that a sender gives for itself
      */
     PeerDispatcher(
-            Map<PeerSubject, PeerHandler> handlers, Executor executor, BiConsumer<InstanceId, String> addressListener) {
+            Map<PeerSubject, PeerHandler> handlers,
+            Executor executor,
+            BiConsumer<InstanceId, String> addressListener,
+            PeerTraffic traffic) {
         this.handlers = new EnumMap<>(handlers);
         this.executor = executor;
         this.addressListener = addressListener;
+        this.traffic = traffic;
     }
 
     @Override
     public void deliver(List<Envelope> envelopes) {
         for (Envelope envelope : envelopes) {
+            traffic.received(envelope);
             handlerOf(envelope.getSubject()).ifPresent(handler -> submit(handler, envelope));
         }
     }
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerLink.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerLink.java
@@ -39,6 +39,7 @@
     private final InstanceId recipient;
     private final Supplier<Optional<InetSocketAddress>> address;
     private final Executor executor;
+    private final PeerTraffic traffic;
     private final Deque<Envelope> queue = new ArrayDeque<>();
     private boolean draining;
     private boolean closed;
@@ -49,10 +50,15 @@
     private PeerService.Client client;
     private long retryAtNanos = System.nanoTime();
 
-    PeerLink(InstanceId recipient, Supplier<Optional<InetSocketAddress>> address, Executor executor) {
+    PeerLink(
+            InstanceId recipient,
+            Supplier<Optional<InetSocketAddress>> address,
+            Executor executor,
+            PeerTraffic traffic) {
         this.recipient = recipient;
         this.address = address;
         this.executor = executor;
+        this.traffic = traffic;
     }
 
     void send(Envelope envelope) {
@@ -116,6 +122,7 @@
                 return;
             }
             client.deliver(batch);
+            traffic.sent(batch);
         } catch (TException exception) {
             LOGGER.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
                     "%s: recipient %s, %s", LogEvent.PEER_CONNECTION_FAILED, recipient, exception.getMessage());
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
@@ -1,5 +1,6 @@
 package org.basilrill.transport.peer;
 
+import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
 import java.util.Map;
@@ -30,6 +31,7 @@
     private final InstanceId self;
     private final PeerDirectory directory;
     private final ExecutorService executor;
+    private final PeerTraffic traffic;
     private final Map<PeerSubject, PeerHandler> handlers = new EnumMap<>(PeerSubject.class);
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<InstanceId, InetSocketAddress> learnedAddresses = new ConcurrentHashMap<>();
@@ -40,11 +42,13 @@
      * Creates the transport of one instance.
      *
      * @param executor runs senders, each of which may block, and handlers; owned by the caller
+     * @param metrics registry for the message and byte counters of each subject
      */
-    public PeerTransport(InstanceId self, PeerDirectory directory, ExecutorService executor) {
+    public PeerTransport(InstanceId self, PeerDirectory directory, ExecutorService executor, MetricRegistry metrics) {
         this.self = self;
         this.directory = directory;
         this.executor = executor;
+        this.traffic = new PeerTraffic(metrics);
     }
 
     /** Registers the handler of a subject; must be called before {@link #start}. */
@@ -61,7 +65,7 @@
         ownAddress = address.getAddress().getHostAddress() + ":" + address.getPort();
         try {
             TNonblockingServerSocket socket = new TNonblockingServerSocket(address);
-            PeerDispatcher dispatcher = new PeerDispatcher(handlers, executor, this::learnAddress);
+            PeerDispatcher dispatcher = new PeerDispatcher(handlers, executor, this::learnAddress, traffic);
             server = new TThreadedSelectorServer(new TThreadedSelectorServer.Args(socket)
                     .selectorThreads(1)
                     .executorService(executor)
@@ -98,7 +102,7 @@
     }
 
     private PeerLink link(InstanceId recipient) {
-        return new PeerLink(recipient, () -> addressOf(recipient), executor);
+        return new PeerLink(recipient, () -> addressOf(recipient), executor, traffic);
     }
 
     /** The directory goes first; the learned address serves while the directory does not know the instance yet. */
--- a/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
@@ -1,9 +1,12 @@
 package org.basilrill.transport.peer;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.notNullValue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -29,6 +32,8 @@
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final AtomicReference<InetSocketAddress> addressOfTwo = new AtomicReference<>();
     private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
+    private final MetricRegistry senderMetrics = new MetricRegistry();
+    private final MetricRegistry receiverMetrics = new MetricRegistry();
     private PeerTransport sender;
     private PeerTransport receiver;
 
@@ -58,6 +63,25 @@
         }
     }
 
+    /** Guards against a cost of the messages between instances that the metrics hide or book under another subject. */
+    @Test
+    void messagesAreCountedBySubjectAtBothEnds() throws Exception {
+        start();
+        sender.send(TWO, PeerSubject.MEMBERSHIP, new byte[1000]);
+        assertThat(received.poll(30, TimeUnit.SECONDS), notNullValue());
+        assertThat(receiverMetrics.counter("peer.received.membership.messages").getCount(), is(1L));
+        assertThat(receiverMetrics.counter("peer.received.control.messages").getCount(), is(0L));
+        // The sender counts once the receiver has acknowledged, which may be after the handler ran.
+        while (senderMetrics.counter("peer.sent.batches").getCount() == 0
+                || senderMetrics.counter("peer.sent.membership.bytes").getCount() == 0) {
+            Thread.onSpinWait();
+        }
+        long bytes = receiverMetrics.counter("peer.received.membership.bytes").getCount();
+        assertThat(bytes, greaterThan(1000L));
+        assertThat(bytes, lessThan(1040L));
+        assertThat(senderMetrics.counter("peer.sent.membership.bytes").getCount(), is(bytes));
+    }
+
     private String pollWhileSending(String text) throws InterruptedException {
         String message = null;
         for (int attempt = 0; attempt < 600 && message == null; attempt++) {
@@ -70,8 +94,8 @@
     private void start() throws IOException {
         InetSocketAddress address = freeAddress();
         addressOfTwo.set(address);
-        sender = new PeerTransport(ONE, instance -> Optional.of(addressOfTwo.get()), executor);
-        receiver = new PeerTransport(TWO, instance -> Optional.empty(), executor);
+        sender = new PeerTransport(ONE, instance -> Optional.of(addressOfTwo.get()), executor, senderMetrics);
+        receiver = new PeerTransport(TWO, instance -> Optional.empty(), executor, receiverMetrics);
         receiver.handle(
                 PeerSubject.MEMBERSHIP,
                 (from, payload) -> received.add(from + ":" + new String(payload, StandardCharsets.UTF_8)));
