--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
@@ -124,7 +124,14 @@
                 () -> instance.control()
                         .readRules(ADMINISTRATION_DEADLINE)
                         .thenApply(source -> new RulesText.Revision(source.revision(), source.text())),
-                new AdministrationViews(id, instance.control(), instance.membership(), instance.targets(), () -> 0),
+                new AdministrationViews(
+                        id,
+                        instance.control(),
+                        instance.membership(),
+                        instance.targets(),
+                        () -> 0,
+                        () -> instance.budgets().snapshots(),
+                        Optional::empty),
                 () -> instance.placement().map(PlacementView::describe).orElseGet(PlacementView::absent),
                 () -> {},
                 Optional.of(firstOperatorKey),
