--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/Main.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/Main.java
@@ -6,13 +6,14 @@
 
 /** Entry point of the command line program. */
 public final class Main {
+    /** One line to an event, with time, level, text and stack trace if any; the default takes two lines. */
+    static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL%1$tz %4$s %5$s%6$s%n";
+
     private static final String LOG_MANAGER_PROPERTY = "java.util.logging.manager";
     /** Named by text: a use of the class would initialise the log manager of the platform first. */
     private static final String LOG_MANAGER = "org.basilrill.daemon.DaemonLogManager";
 
     private static final String LOG_FORMAT_PROPERTY = "java.util.logging.SimpleFormatter.format";
-    /** One line to an event, with time, level, text and stack trace if any; the default takes two lines. */
-    static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL%1$tz %4$s %5$s%6$s%n";
 
     private Main() {}
 
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/TextFiles.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/TextFiles.java
@@ -21,10 +21,9 @@
         try {
             return Files.readString(file);
         } catch (IOException exception) {
+            String reason = FileFailure.reason(exception).replace(file + ": ", "");
             throw new BasilrillException(
-                    ErrorCode.FILE_UNREADABLE,
-                    "cannot read " + description + " " + file + ": " + FileFailure.reason(exception),
-                    exception);
+                    ErrorCode.FILE_UNREADABLE, "cannot read " + description + " " + file + ": " + reason, exception);
         }
     }
 }
