--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/Settings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/Settings.java
@@ -42,7 +42,7 @@
         replicas = Map.copyOf(replicas);
     }
 
-    /** Tells whether the instance holds a replica of the control log. */
+    /** Returns whether the instance holds a replica of the control log. */
     public boolean isReplica() {
         return roles.contains(Role.REPLICA);
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/DemandListener.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/DemandListener.java
@@ -2,7 +2,7 @@
 
 import org.basilrill.api.ModelId;
 
-/** Hears of the demand for models, so that placement can load them. Called without locks held; must not block. */
+/** Is notified of the demand for models, so that placement can load them. Called without locks held; must not block. */
 public interface DemandListener {
     /** Counts a request for a model, whatever becomes of it. */
     void requested(ModelId model, long tokens);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantIssuer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantIssuer.java
@@ -272,7 +272,7 @@
     /** What is remembered of one requester to recognise repeated messages. */
     private static final class RequesterState {
         private final SequenceWindow messages = new SequenceWindow();
-        private final GrantedAsks grantedAsks = new GrantedAsks();
+        private final GrantedRequests grantedAsks = new GrantedRequests();
         private long usedAt;
         private boolean recalled;
         private long recalledAt;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantedAsks.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantedRequests.java
@@ -8,7 +8,7 @@
  * must not be granted again, as the requester would ignore that grant. Not thread safe; guarded by the lock of the
  * shard.
  */
-final class GrantedAsks {
+final class GrantedRequests {
     /** An ask is sent again for up to one lifetime of a grant and may be late by as much. */
     private static final long KEPT_NANOS = 2 * BudgetTiming.GRANT_LIFETIME;
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/LocalPool.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/LocalPool.java
@@ -69,7 +69,7 @@
         }
     }
 
-    /** Tells whether something should be reported now. */
+    /** Returns whether something should be reported now. */
     boolean isFlushDue(long nowNanos) {
         dropExpired(nowNanos);
         return flushAt.filter(due -> due - nowNanos <= 0).isPresent()
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Founding.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ClusterBootstrap.java
@@ -20,7 +20,7 @@
  * writes the first member set. A founded cluster therefore leaves a mark on every founding replica, and no second one
  * forms unless all of them are wiped. Not thread safe.
  */
-final class Founding {
+final class ClusterBootstrap {
     private static final long FIRST_TERM = 1;
 
     private final ReplicaState state;
@@ -31,7 +31,7 @@
     private boolean reserving;
     private boolean refusalReported;
 
-    Founding(ReplicaState state, SortedSet<InstanceId> founders) {
+    ClusterBootstrap(ReplicaState state, SortedSet<InstanceId> founders) {
         this.state = state;
         this.founders = founders;
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
@@ -133,7 +133,7 @@
         return true;
     }
 
-    /** Tells whether a majority was heard within the time for which votes are refused. */
+    /** Returns whether a majority was heard within the time for which votes are refused. */
     boolean holdsLease() {
         return state.now() - majorityHeardAt()
                 < state.settings().minimumElectionTimeout().toNanos();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/MemberSet.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/MemberSet.java
@@ -46,7 +46,7 @@
                 .getBytes(StandardCharsets.UTF_8);
     }
 
-    /** Tells whether the replica is a voter under this very incarnation. */
+    /** Returns whether the replica is a voter under this very incarnation. */
     public boolean contains(ReplicaId replica) {
         return voters.contains(replica);
     }
@@ -72,7 +72,7 @@
         return new MemberSet(changed);
     }
 
-    /** Tells whether the replicas include more than half of the voters. */
+    /** Returns whether the replicas include more than half of the voters. */
     public boolean isMajority(Collection<ReplicaId> replicas) {
         long present = voters.stream().filter(replicas::contains).count();
         return present > voters.size() / 2;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
@@ -44,7 +44,7 @@
         return acknowledgedRound;
     }
 
-    /** Tells whether the peer answered a message sent since it is tracked; late answers may come from a lost one. */
+    /** Returns whether the peer answered a message sent since it is tracked; late answers may come from a lost one. */
     boolean hasAnswered() {
         return acknowledgedRound >= firstRound;
     }
@@ -57,7 +57,7 @@
         return snapshotOffset;
     }
 
-    /** Tells whether records or a chunk were sent and neither answered nor overdue. */
+    /** Returns whether records or a chunk were sent and neither answered nor overdue. */
     boolean awaitsAnswer(long now, long overdueAfter) {
         return inFlightIndex > 0 && now - sentAt < overdueAfter;
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/QuorumReads.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/QuorumReads.java
@@ -17,7 +17,7 @@
         waiting.add(new Read(readIndex, answer));
     }
 
-    /** Tells whether reads wait for a round to begin and no earlier round is still open. */
+    /** Returns whether reads wait for a round to begin and no earlier round is still open. */
     boolean needRound(long acknowledgedRound) {
         return acknowledgedRound >= startedRound && waiting.stream().anyMatch(read -> read.round == 0);
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -34,7 +34,7 @@
 public final class Replica {
     private final ReplicaState state;
     private final SortedSet<InstanceId> founders;
-    private final Founding founding;
+    private final ClusterBootstrap founding;
     private final SnapshotReceiver snapshotReceiver = new SnapshotReceiver();
     private Optional<Leadership> leadership = Optional.empty();
     private Optional<Election> election = Optional.empty();
@@ -58,7 +58,7 @@
             ConsensusSettings settings) {
         this.state = new ReplicaState(self, store, machine, environment, settings);
         this.founders = new TreeSet<>(founders);
-        this.founding = new Founding(state, this.founders);
+        this.founding = new ClusterBootstrap(state, this.founders);
         // A restarted replica may have heard the leader just before it stopped, so it refuses votes as if it had.
         heardLeaderAt = state.now();
         resetElectionTimer();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLog.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLog.java
@@ -26,7 +26,7 @@
     /** Returns the leader as far as this replica knows. */
     Optional<InstanceId> leader();
 
-    /** Tells whether this replica believes that it is the leader. */
+    /** Returns whether this replica believes that it is the leader. */
     boolean isLeader();
 
     /** Returns the term of this replica; increases with each election. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
@@ -16,7 +16,7 @@
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
 import org.basilrill.coordination.control.LeaderConfirmation.Confirmed;
-import org.basilrill.coordination.control.PullDesk.Waiting;
+import org.basilrill.coordination.control.PullBatcher.Waiting;
 import org.basilrill.coordination.control.SeenSessions.Session;
 import org.basilrill.state.control.CommandCodec;
 import org.basilrill.state.control.ControlCommand;
@@ -54,7 +54,7 @@
     private final LongSupplier wallClockMillis;
     private final SeenSessions seen = new SeenSessions();
     private final LeaderConfirmation confirmation;
-    private final PullDesk pulls;
+    private final PullBatcher pulls;
     private volatile boolean stopped;
 
     /**
@@ -81,7 +81,7 @@
         this.scheduler = scheduler;
         this.wallClockMillis = wallClockMillis;
         this.confirmation = new LeaderConfirmation(log, machine, seen, clock);
-        this.pulls = new PullDesk(endpoint, log, confirmation, machine, clock, scheduler, random, this::answer);
+        this.pulls = new PullBatcher(endpoint, log, confirmation, machine, clock, scheduler, random, this::answer);
         endpoint.attachServer(this::handle);
     }
 
@@ -175,7 +175,7 @@
 
     private void confirm(InstanceId sender, ConfirmRequest request) {
         List<Session> sessions =
-                request.getSessions().stream().map(PullDesk::session).toList();
+                request.getSessions().stream().map(PullBatcher::session).toList();
         confirmation
                 .confirm(sessions)
                 .handle((confirmed, failure) -> failure == null
@@ -189,7 +189,7 @@
                 batchId,
                 AnswerStatus.DONE,
                 confirmed.viewIndex(),
-                confirmed.held().stream().map(PullDesk::state).toList());
+                confirmed.held().stream().map(PullBatcher::state).toList());
     }
 
     private void answer(Waiting pull, boolean sessionHeld) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/PullDesk.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/PullBatcher.java
@@ -29,7 +29,7 @@
  * own state once it is at least as new as the confirmed one. One batch is under way at a time. Thread safe; sends
  * outside its lock.
  */
-final class PullDesk {
+final class PullBatcher {
     /** Time to gather pulls into a batch; small against the objective of 1 s for a change to be in force. */
     static final Duration GATHERING_TIME = Duration.ofMillis(10);
 
@@ -54,11 +54,11 @@
     private long nextBatchId;
 
     /**
-     * Creates an empty desk.
+     * Creates an empty batcher.
      *
      * @param answer sends the answer to a pull, given whether the session is held
      */
-    PullDesk(
+    PullBatcher(
             ControlEndpoint endpoint,
             ControlLog log,
             LeaderConfirmation confirmation,
@@ -93,7 +93,7 @@
             return;
         }
         List<Session> held =
-                message.getHeldSessions().stream().map(PullDesk::session).toList();
+                message.getHeldSessions().stream().map(PullBatcher::session).toList();
         confirmed(message.getBatchId(), new Confirmed(message.getViewIndex(), held));
     }
 
@@ -137,7 +137,7 @@
         // Without a known leader the batch fails by its timeout and is sent again.
         log.leader().filter(leader -> !leader.equals(endpoint.self())).ifPresent(leader -> {
             List<SessionState> sessions =
-                    batch.sessions().stream().map(PullDesk::state).toList();
+                    batch.sessions().stream().map(PullBatcher::state).toList();
             endpoint.send(leader, ControlMessage.confirmRequest(new ConfirmRequest(batch.id(), sessions)));
         });
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/SeenSessions.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/SeenSessions.java
@@ -90,7 +90,7 @@
         expiring.remove(session);
     }
 
-    /** Starts anew with each term; tells whether the term is not an earlier one. */
+    /** Starts anew with each term; returns whether the term is not an earlier one. */
     private boolean enter(long leaderTerm) {
         if (leaderTerm > term) {
             term = leaderTerm;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/RoomFinder.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/EvictionPlanner.java
@@ -12,7 +12,7 @@
 import org.basilrill.coordination.placement.Site.Copy;
 
 /** Finds memory for one more copy: free, being freed, or held by something that may be unloaded. Not thread safe. */
-final class RoomFinder {
+final class EvictionPlanner {
     /** A copy in use goes for one that serves this many times as much, and the margin as a share of a copy more. */
     private static final double GAIN_FACTOR = 1.5;
 
@@ -21,7 +21,7 @@
     private final Fleet fleet;
     private final PlacementSettings settings;
 
-    RoomFinder(Fleet fleet, PlacementSettings settings) {
+    EvictionPlanner(Fleet fleet, PlacementSettings settings) {
         this.fleet = fleet;
         this.settings = settings;
     }
@@ -173,7 +173,7 @@
         return site.accepts(copies.model()) && isPlaceFor(site, copies);
     }
 
-    /** Tells whether the target holds none yet; an adapter also needs a ready copy of its base model there. */
+    /** Returns whether the target holds none yet; an adapter also needs a ready copy of its base model there. */
     private boolean isPlaceFor(Site site, ModelCopies copies) {
         if (site.isLeaving() || site.copy(copies.model()) != null || site.avoids(copies.model())) {
             return false;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/Move.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/Move.java
@@ -17,7 +17,7 @@
         int version,
         long bytes,
         MoveReason reason) {
-    /** Tells whether the order takes a slot of the weight store. */
+    /** Returns whether the order takes a slot of the weight store. */
     public boolean loadsModel() {
         return kind == OrderKind.LOAD_MODEL;
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/OrderTracker.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/OrderTracker.java
@@ -87,12 +87,12 @@
                 .filter(announcement -> announcement.incarnation() == order.targetIncarnation());
     }
 
-    /** Tells whether the target has said that it is at work on the order. */
+    /** Returns whether the target has said that it is at work on the order. */
     boolean isAccepted(String orderId) {
         return attempts.get(orderId).accepted;
     }
 
-    /** Tells whether the order may take effect now; an unload only while another target serves the model. */
+    /** Returns whether the order may take effect now; an unload only while another target serves the model. */
     boolean isSafe(Observation observation, OpenOrder order, Rules rules, long now) {
         if (order.kind() != OrderKind.UNLOAD_MODEL || !rules.models().containsKey(order.model())) {
             return true;
@@ -140,7 +140,7 @@
         return Duration.ofNanos(now - attempts.get(orderId).seenNanos);
     }
 
-    /** Notes that a hold was reported; tells whether it was the first time. */
+    /** Notes that a hold was reported; returns whether it was the first time. */
     boolean holdNoted(String orderId) {
         Attempt attempt = attempts.get(orderId);
         boolean first = !attempt.holdNoted;
@@ -148,7 +148,7 @@
         return first;
     }
 
-    /** Tells whether the announcement was surely made after the last order at the target had ended. */
+    /** Returns whether the announcement was surely made after the last order at the target had ended. */
     boolean isSettled(TargetAnnouncement announcement, long now) {
         return now - busyNanos.getOrDefault(announcement.id(), startedNanos) > expiryNanos(announcement);
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/PlacementPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/PlacementPlanner.java
@@ -39,7 +39,7 @@
     private final class Decision {
         private final Rules rules;
         private final Fleet fleet;
-        private final RoomFinder rooms;
+        private final EvictionPlanner rooms;
         private final List<WaitingLoad> waiting = new ArrayList<>();
         private int storeTokens;
         private int searches;
@@ -48,7 +48,7 @@
         Decision(PlacementInput input) {
             rules = input.rules();
             fleet = new Fleet(input);
-            rooms = new RoomFinder(fleet, settings);
+            rooms = new EvictionPlanner(fleet, settings);
             storeTokens = input.storeTokens();
         }
 
@@ -158,7 +158,7 @@
             if (rooms.claimBeingFreed(need.copies(), rule.memoryBytes())) {
                 return Obstacle.MEMORY_BEING_FREED;
             }
-            Optional<RoomFinder.Eviction> eviction = rooms.eviction(need, rule.memoryBytes());
+            Optional<EvictionPlanner.Eviction> eviction = rooms.eviction(need, rule.memoryBytes());
             if (eviction.isPresent()) {
                 eviction.get().copies().forEach(copy -> fleet.unload(copy, reason(copy)));
                 eviction.get().site().claim(rule.memoryBytes());
@@ -168,7 +168,7 @@
                 return Obstacle.MEMORY_BEING_FREED;
             }
             if (need.reason() == MoveReason.NO_COPY) {
-                Optional<RoomFinder.Relocation> relocation = rooms.relocation(need.copies(), rule.memoryBytes());
+                Optional<EvictionPlanner.Relocation> relocation = rooms.relocation(need.copies(), rule.memoryBytes());
                 relocation.ifPresent(found -> {
                     ModelCopies moved = fleet.model(found.copy().model());
                     load(found.destination(), moved, moved.rule().orElseThrow(), MoveReason.MOVE_AWAY);
@@ -218,7 +218,7 @@
             if (rooms.claimBeingFreed(adapter, rule.memoryBytes())) {
                 obstacle = Obstacle.MEMORY_BEING_FREED;
             } else {
-                Optional<RoomFinder.Eviction> eviction = rooms.eviction(need, rule.memoryBytes());
+                Optional<EvictionPlanner.Eviction> eviction = rooms.eviction(need, rule.memoryBytes());
                 if (eviction.isPresent()) {
                     eviction.get().copies().forEach(copy -> fleet.unload(copy, reason(copy)));
                     eviction.get().site().claim(rule.memoryBytes());
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/Site.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/Site.java
@@ -82,7 +82,7 @@
         rate += tokensPerSecond;
     }
 
-    /** Tells whether the target may get an order for the model now. */
+    /** Returns whether the target may get an order for the model now. */
     boolean accepts(ModelId model) {
         return open
                 && !announcement.leaving()
@@ -187,22 +187,22 @@
             return model.adapter().isPresent();
         }
 
-        /** Tells whether callers can be served here and will be for now; in a version change, by the older version. */
+        /** Returns whether callers can be served here and will be for now; in a version change, by the older version. */
         boolean isReady() {
             return ready && !unloading && !site.isLeaving();
         }
 
-        /** Tells whether the copy is ready and not about to change. */
+        /** Returns whether the copy is ready and not about to change. */
         boolean isSteady() {
             return isReady() && !loading;
         }
 
-        /** Tells whether the copy is expected to become ready. */
+        /** Returns whether the copy is expected to become ready. */
         boolean isComing() {
             return !isReady() && !unloading && !site.isLeaving() && (loading || pending);
         }
 
-        /** Tells whether the memory is held to no use: the target announces no ready copy and no order is open. */
+        /** Returns whether the memory is held to no use: the target announces no ready copy and no order is open. */
         boolean isStale() {
             return !ready && !pending && !loading && !unloading;
         }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/EjectionState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/EjectionState.java
@@ -25,7 +25,7 @@
         return !ejected || (!probing && now - ejectedUntilNanos >= 0);
     }
 
-    /** Tells whether nothing is held against the target. */
+    /** Returns whether nothing is held against the target. */
     boolean isSpotless() {
         return !ejected && failuresInARow == 0;
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
@@ -46,7 +46,7 @@
         return !ejection.mayStart(clock.nanos());
     }
 
-    /** Tells whether a new state would serve as well as this one. */
+    /** Returns whether a new state would serve as well as this one. */
     synchronized boolean isForgettable() {
         return held == 0 && ejection.isSpotless();
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
@@ -74,7 +74,7 @@
         this.deadline = deadline;
     }
 
-    /** Tells whether the path belongs to the administration. */
+    /** Returns whether the path belongs to the administration. */
     public static boolean matches(String path) {
         return path.startsWith("/admin/");
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/caller/AnswerHead.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/AnswerHead.java
@@ -18,7 +18,7 @@
         return HeaderField.first(headers, name);
     }
 
-    /** Tells whether the body is a stream of server-sent events. */
+    /** Returns whether the body is a stream of server-sent events. */
     public boolean isEventStream() {
         return header(CONTENT_TYPE)
                 .filter(type -> type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length()))
--- a/basilrill-library/src/main/java/org/basilrill/protocol/caller/CallerRoute.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/CallerRoute.java
@@ -37,7 +37,7 @@
                 new CallerRoute(Kind.SERVICE, Optional.of(service), slash < 0 ? "/" : rest.substring(slash)));
     }
 
-    /** Tells whether the path is one that targets serve. */
+    /** Returns whether the path is one that targets serve. */
     public static boolean matches(String path) {
         return path.equals(CHAT) || path.equals(TEXT) || path.startsWith(SERVICES);
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/caller/KeyGuard.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/KeyGuard.java
@@ -21,14 +21,14 @@
         this.rules = rules;
     }
 
-    /** Tells whether the text contains the presented key, or is a key of the rules. */
+    /** Returns whether the text contains the presented key, or is a key of the rules. */
     public boolean reveals(String text) {
         String trimmed = text.trim();
         String lastWord = trimmed.substring(trimmed.lastIndexOf(' ') + 1);
         return presented.filter(text::contains).isPresent() || isKey(trimmed) || isKey(lastWord);
     }
 
-    /** Tells whether the body contains the presented key. */
+    /** Returns whether the body contains the presented key. */
     public boolean reveals(byte[] body) {
         return presented
                 .filter(key -> contains(body, key.getBytes(StandardCharsets.UTF_8)))
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
@@ -36,12 +36,12 @@
         this.record = record;
     }
 
-    /** Tells whether the target's answer has begun to reach the caller. */
+    /** Returns whether the target's answer has begun to reach the caller. */
     boolean started() {
         return started;
     }
 
-    /** Tells whether the caller has its final answer or went away. */
+    /** Returns whether the caller has its final answer or went away. */
     boolean finished() {
         return finished;
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
@@ -35,12 +35,12 @@
         return report;
     }
 
-    /** Tells whether the log says that another target may be put at risk. */
+    /** Returns whether the log says that another target may be put at risk. */
     static boolean allowsAnother(ControlResult result) {
         return result instanceof ControlResult.CrashCount count && count.targets() < LOST_TARGETS_LIMIT;
     }
 
-    /** Tells whether the log says that the request has cost too many targets. */
+    /** Returns whether the log says that the request has cost too many targets. */
     static boolean isSuspect(ControlResult result) {
         return result instanceof ControlResult.CrashCount count && count.targets() >= LOST_TARGETS_LIMIT;
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -188,7 +188,7 @@
         return listing;
     }
 
-    /** Tells whether the instance takes new requests. */
+    /** Returns whether the instance takes new requests. */
     public boolean isReady() {
         return !draining && control.isCurrent();
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -102,7 +102,7 @@
         return idle;
     }
 
-    /** Tells whether new requests are refused because the instance stops. */
+    /** Returns whether new requests are refused because the instance stops. */
     public boolean isDraining() {
         return draining;
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -105,7 +105,7 @@
         });
     }
 
-    /** Ends the request if its key is no longer in force; tells whether it is not. */
+    /** Ends the request if its key is no longer in force; returns whether it is not. */
     boolean viewChanged(ControlView view) {
         boolean withdrawn = plan.keyHash()
                 .filter(key -> !view.rules().accountOf(key).equals(plan.account()))
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -74,7 +74,7 @@
         /** Takes the failure; the attempt is over. */
         void attemptFailed(AttemptFailure failure);
 
-        /** Tells whether the silence is that of a caller that does not read. */
+        /** Returns whether the silence is that of a caller that does not read. */
         boolean waitsForCaller();
 
         /** Ends a request whose caller has not read for the progress deadline. */
--- a/basilrill-library/src/main/java/org/basilrill/state/configuration/Rules.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/configuration/Rules.java
@@ -46,7 +46,7 @@
         return Optional.ofNullable(keys.get(key));
     }
 
-    /** Tells whether callers may use the route without a key. */
+    /** Returns whether callers may use the route without a key. */
     public boolean isOpen(String method, String path) {
         return openRoutes.stream().anyMatch(route -> route.matches(method, path));
     }
@@ -93,7 +93,7 @@
         }
 
         /**
-         * Tells whether a call must run at most once.
+         * Returns whether a call must run at most once.
          *
          * @param path path below the service, starting with a slash
          */
@@ -110,7 +110,7 @@
     public record RoutePattern(String method, String path) {
         private static final String WILDCARD = "*";
 
-        /** Tells whether a request belongs to this route. */
+        /** Returns whether a request belongs to this route. */
         public boolean matches(String requestMethod, String requestPath) {
             if (!method.equals(requestMethod)) {
                 return false;
--- a/basilrill-library/src/main/java/org/basilrill/state/control/Claim.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/Claim.java
@@ -69,7 +69,7 @@
         return ended(phase, nowMillis, releasedWith(command.attempt()), outcome, answer);
     }
 
-    /** Tells whether the request of the claim is known to be another one. */
+    /** Returns whether the request of the claim is known to be another one. */
     boolean contradicts(String other) {
         return !fingerprint.isEmpty() && !fingerprint.equals(other);
     }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlClient.java
@@ -17,7 +17,7 @@
     ControlView view();
 
     /**
-     * Tells whether the log confirmed this instance's state within the freshness bound. Counted from the time at which
+     * Returns whether the log confirmed this instance's state within the freshness bound. Counted from the time at which
      * the confirmed question was sent.
      */
     boolean isCurrent();
@@ -26,7 +26,7 @@
     long sessionId();
 
     /**
-     * Tells whether the session lease of this instance surely holds; counted from the time at which the last confirmed
+     * Returns whether the session lease of this instance surely holds; counted from the time at which the last confirmed
      * question was sent.
      */
     boolean holdsSession();
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
@@ -165,7 +165,7 @@
         return new Done();
     }
 
-    /** Moves the time on; tells whether the view changes with it. */
+    /** Moves the time on; returns whether the view changes with it. */
     private boolean advance(long millis) {
         nowMillis = Math.max(nowMillis, millis);
         claims.expire(nowMillis);
--- a/basilrill-library/src/main/java/org/basilrill/state/control/CrashSuspects.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/CrashSuspects.java
@@ -40,7 +40,7 @@
         return new CrashCount(targets.size());
     }
 
-    /** Drops suspects without a change for the retention time; tells whether there were any. */
+    /** Drops suspects without a change for the retention time; returns whether there were any. */
     boolean expire(long nowMillis) {
         boolean expired = false;
         Iterator<Suspect> oldest = suspects.values().iterator();
--- a/basilrill-library/src/main/java/org/basilrill/state/control/Sessions.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/Sessions.java
@@ -35,7 +35,7 @@
         return current != null && current == sessionId;
     }
 
-    /** Tells whether the answer to a registration would be a refusal. */
+    /** Returns whether the answer to a registration would be a refusal. */
     Optional<ControlResult> refusal(Session session) {
         if (session.sessionId() == 0 || ended.contains(session)) {
             return Optional.of(new Refused(
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
@@ -42,7 +42,7 @@
         roles = Set.copyOf(roles);
     }
 
-    /** Tells whether the target can serve the model now. */
+    /** Returns whether the target can serve the model now. */
     public boolean isReadyFor(ModelId model) {
         LoadedModel loaded = contents.get(model);
         return loaded != null && loaded.ready();
@@ -88,7 +88,7 @@
                 leaving);
     }
 
-    /** Tells whether this announcement is newer than another of the same target. */
+    /** Returns whether this announcement is newer than another of the same target. */
     public boolean isNewerThan(TargetAnnouncement other) {
         if (incarnation != other.incarnation) {
             return incarnation > other.incarnation;
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetChangeListener.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetChangeListener.java
@@ -1,6 +1,6 @@
 package org.basilrill.state.target;
 
-/** Hears of changes in the target registry. Called without locks held, possibly by several threads at once. */
+/** Is notified of changes in the target registry. Called without locks held, possibly by several threads at once. */
 @FunctionalInterface
 public interface TargetChangeListener {
     /**
--- a/basilrill-library/src/main/java/org/basilrill/transport/disk/FileDurableStore.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/disk/FileDurableStore.java
@@ -81,7 +81,7 @@
         }
     }
 
-    /** Tells whether opening removed a write that had been cut off before its sync. */
+    /** Returns whether opening removed a write that had been cut off before its sync. */
     public boolean tornTailRemoved() {
         return tornTailRemoved;
     }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnection.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnection.java
@@ -127,7 +127,7 @@
         }
     }
 
-    /** Tells whether the next answer must be the last one of the connection. */
+    /** Returns whether the next answer must be the last one of the connection. */
     synchronized boolean isClosing() {
         return closing || refusesInput;
     }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
@@ -182,7 +182,7 @@
         return checked;
     }
 
-    /** Tells whether the committed members are the current incarnations of all replicas but the given one. */
+    /** Returns whether the committed members are the current incarnations of all replicas but the given one. */
     boolean allOthersAreMembers(InstanceId except) {
         Optional<MemberSet> members = running().stream()
                 .max(Comparator.comparingLong(node -> node.status().commitIndex()))
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/CoordinatorFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/CoordinatorFixture.java
@@ -85,7 +85,7 @@
         return coordinator;
     }
 
-    /** Tells whether every charge, assignment and request was given back. */
+    /** Returns whether every charge, assignment and request was given back. */
     boolean everythingReturned() {
         return services.openCharges() == 0
                 && services.openAssignments() == 0
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RecordingStream.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RecordingStream.java
@@ -58,7 +58,7 @@
         return body.toString(StandardCharsets.UTF_8);
     }
 
-    /** Tells whether the answer is a refusal or an error event with this code. */
+    /** Returns whether the answer is a refusal or an error event with this code. */
     boolean failedWith(String code) {
         return text().contains("\"code\":\"" + code + "\"");
     }
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/RawHttp.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/RawHttp.java
@@ -86,7 +86,7 @@
         return head + readBody(head);
     }
 
-    /** Tells whether the connection ended without another byte. */
+    /** Returns whether the connection ended without another byte. */
     boolean atEnd() throws IOException {
         try {
             return input.read() < 0;
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/LocalDeployment.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/LocalDeployment.java
@@ -289,7 +289,7 @@
     /** Something to wait for. */
     @FunctionalInterface
     interface Condition {
-        /** Tells whether it has happened; an {@link IOException} counts as not yet. */
+        /** Returns whether it has happened; an {@link IOException} counts as not yet. */
         boolean holds() throws IOException, InterruptedException;
     }
 }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/StaticShares.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/StaticShares.java
@@ -36,7 +36,7 @@
         buckets.put(account.id(), new TokenBucket(rate, burst, burst, clock.nanos()));
     }
 
-    /** Tells whether a charge would be accepted now. */
+    /** Returns whether a charge would be accepted now. */
     boolean admits(AccountId account, long tokens) {
         TokenBucket bucket = buckets.get(account);
         bucket.advance(clock.nanos());
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/Calls.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/Calls.java
@@ -36,7 +36,7 @@
         return new Call("POST", servicePath("/orders"), RuleText.keyOf(account), quoted(id), Optional.of(id), deadline);
     }
 
-    /** Tells whether the answer is complete and belongs to this request. */
+    /** Returns whether the answer is complete and belongs to this request. */
     static boolean isWhole(Exchange exchange) {
         if (!exchange.ok()) {
             return false;
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/RacingOperators.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/RacingOperators.java
@@ -148,7 +148,7 @@
                 + " 6 s, none reverted in " + sampler.samples().size() + " samples";
     }
 
-    /** Tells whether the instance was killed or stopped shortly before the sample. */
+    /** Returns whether the instance was killed or stopped shortly before the sample. */
     private boolean disturbed(Sample sample) {
         return faults.stream()
                 .anyMatch(fault -> fault.instance().equals(sample.instance())
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/HistoryChecks.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/HistoryChecks.java
@@ -157,7 +157,7 @@
         });
     }
 
-    /** Tells whether any instance was cut off at some time from shortly before the target began to leave. */
+    /** Returns whether any instance was cut off at some time from shortly before the target began to leave. */
     private boolean cutBefore(Execution execution) {
         long from = execution.nanos() - execution.leavingNanos() - LEAVING.toNanos();
         return cuts.stream().anyMatch(cut -> cut.from <= execution.nanos() && cut.to >= from)
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualCaller.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualCaller.java
@@ -83,17 +83,17 @@
         return instance;
     }
 
-    /** Tells whether the final answer came, or never will. */
+    /** Returns whether the final answer came, or never will. */
     public boolean isOver() {
         return finalNanos >= 0 || gone;
     }
 
-    /** Tells whether the target's answer came complete. */
+    /** Returns whether the target's answer came complete. */
     public boolean succeeded() {
         return complete && status == 200 && !text().contains("event: error");
     }
 
-    /** Tells whether the final answer says that nothing ran. */
+    /** Returns whether the final answer says that nothing ran. */
     public boolean saysNotRun() {
         return text().contains("\"outcome\":\"not_run\"");
     }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
@@ -168,7 +168,7 @@
         createStore(id);
     }
 
-    /** Tells whether all replicas run, and are members of the log under their present incarnations. */
+    /** Returns whether all replicas run, and are members of the log under their present incarnations. */
     public boolean isWhole() {
         return replicas.stream()
                 .allMatch(id -> processes.containsKey(id)
@@ -178,7 +178,7 @@
                                 == replicas.size());
     }
 
-    /** Tells whether the usable replicas are a majority of the members of the log. */
+    /** Returns whether the usable replicas are a majority of the members of the log. */
     public boolean hasMajority(Predicate<InstanceId> usable) {
         return replicas.stream()
                 .filter(usable)
