--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
@@ -44,7 +44,9 @@
     /** Bounds how much is handled between two ticks, so that heartbeats are not delayed under load. */
     private static final int GROUP_LIMIT = 1024;
 
-    private static final long TICK_MILLISECONDS = 10;
+    /** Half of the heartbeat period; ticks of 10 ms cost an idle follower about 1% of a core. */
+    private static final long TICK_MILLISECONDS = 25;
+
     private static final long STOP_SECONDS = 10;
 
     private final FileDurableStore store;
