--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/Site.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/Site.java
@@ -187,7 +187,10 @@
             return model.adapter().isPresent();
         }
 
-        /** Returns whether callers can be served here and will be for now; in a version change, by the older version. */
+        /**
+         * Returns whether callers can be served here and will be for now; in a version change, by the older
+         * version.
+         */
         boolean isReady() {
             return ready && !unloading && !site.isLeaving();
         }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlClient.java
@@ -17,7 +17,8 @@
     ControlView view();
 
     /**
-     * Returns whether the log confirmed this instance's state within the freshness bound. Counted from the time at which
+     * Returns whether the log confirmed this instance's state within the freshness bound. Counted from the
+     * time at which
      * the confirmed question was sent.
      */
     boolean isCurrent();
@@ -26,7 +27,8 @@
     long sessionId();
 
     /**
-     * Returns whether the session lease of this instance surely holds; counted from the time at which the last confirmed
+     * Returns whether the session lease of this instance surely holds; counted from the time at which the last
+     * confirmed
      * question was sent.
      */
     boolean holdsSession();
