Count a crash on a reused connection, and spread blocked requests at once

Such a target is now asked for a new connection; one that accepts none has crashed. Two new tests fail without the two mechanisms.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/Fact.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/Fact.java
@@ -55,6 +55,19 @@
         }
     }
 
+    /**
+     * A request that must not run any more. It only bridges the time until the next pull of the control state, so a
+     * later one of the same owner may replace it.
+     *
+     * @param fingerprint SHA-256 of account and body
+     */
+    record BlockedRequestFact(String fingerprint) implements Fact {
+        @Override
+        public String key() {
+            return "blocked-request";
+        }
+    }
+
     private static String targetKey(TargetId target) {
         return "target/" + target;
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
@@ -9,6 +9,9 @@
 
 /** Records in the control log which requests lost their targets. Stateless and thread safe. */
 final class CrashReports {
+    /** Detail of the refusal of a request that has cost too many targets. */
+    static final String SUSPECT = "targets were lost while they ran this request";
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** Targets lost to one request after which no further target runs it. */
@@ -28,6 +31,9 @@
         CompletableFuture<ControlResult> report =
                 services.control().submit(command, services.limits().controlDeadline());
         report.whenComplete((result, problem) -> {
+            if (isSuspect(result)) {
+                services.blockedRequests().block(fingerprint);
+            }
             if (problem != null) {
                 LOGGER.atWarning().log("%s: %s", LogEvent.CRASH_REPORT_FAILED, problem.getMessage());
             }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -16,6 +16,8 @@
 import org.basilrill.coordination.control.ControlEndpoint;
 import org.basilrill.coordination.control.ControlLogClient;
 import org.basilrill.coordination.control.ControlLogServer;
+import org.basilrill.coordination.membership.Fact;
+import org.basilrill.coordination.membership.Fact.BlockedRequestFact;
 import org.basilrill.coordination.membership.Fact.InstanceFact;
 import org.basilrill.coordination.membership.GossipMembership;
 import org.basilrill.coordination.membership.Membership;
@@ -62,6 +64,7 @@
     private final DemandReporter demand;
     private final Optional<PlacementController> placement;
     private final FairDispatcher dispatcher;
+    private final BlockedRequests blockedRequests;
     private final RequestCoordinator coordinator;
     private final InstanceListing listing;
     private final OwnFacts ownFacts;
@@ -101,8 +104,11 @@
         this.placement = environment.replica().map(this::createPlacement);
         this.dispatcher = createDispatcher();
         this.listing = new InstanceListing(membership, environment.self(), split(), LISTING_VALIDITY);
+        this.blockedRequests = new BlockedRequests(
+                environment.clock(), request -> membership.publishUrgently(new BlockedRequestFact(request)));
         this.coordinator = createCoordinator();
         targets.addListener(this::targetChanged);
+        membership.onFact((owner, fact) -> learnBlocked(fact));
         membership.onPeriod(this::publishOwnFacts);
     }
 
@@ -266,7 +272,14 @@
                 new RequestTracing(environment.tracer()),
                 environment.metrics(),
                 environment.limits(),
-                listing::otherAddresses));
+                listing::otherAddresses,
+                blockedRequests));
+    }
+
+    private void learnBlocked(Fact fact) {
+        if (fact instanceof BlockedRequestFact blocked) {
+            blockedRequests.learn(blocked.fingerprint());
+        }
     }
 
     private void targetChanged(Change change) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -136,9 +136,10 @@
         }
     }
 
-    private static void requireNotSuspect(RequestPlan plan, ControlView view) {
-        if (view.blockedFingerprints().contains(plan.fingerprint())) {
-            throw new BasilrillException(ErrorCode.CRASH_SUSPECT, "targets were lost while they ran this request");
+    private void requireNotSuspect(RequestPlan plan, ControlView view) {
+        if (view.blockedFingerprints().contains(plan.fingerprint())
+                || services.blockedRequests().contains(plan.fingerprint())) {
+            throw new BasilrillException(ErrorCode.CRASH_SUSPECT, CrashReports.SUSPECT);
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -177,7 +177,7 @@
             if (CrashReports.allowsAnother(result)) {
                 retryOrFail(failure);
             } else if (CrashReports.isSuspect(result)) {
-                giveUp(ErrorCode.CRASH_SUSPECT, "targets were lost while they ran this request");
+                giveUp(ErrorCode.CRASH_SUSPECT, CrashReports.SUSPECT);
             } else {
                 giveUp(failure.code(), failure.detail());
             }
@@ -257,10 +257,12 @@
                 Optional.ofNullable(assignment).ifPresent(late -> late.release(AttemptResult.CANCELLED));
             } else if (problem != null) {
                 refuse(TypedFailures.of(problem));
-            } else if (!services.control().isCurrent()) {
-                // The key may have been revoked while the request waited on an instance that is cut off.
+            } else if (!services.control().isCurrent()) { // The key may have been revoked while the request waited.
                 assignment.release(AttemptResult.CANCELLED);
                 giveUp(ErrorCode.INSTANCE_NOT_CURRENT, "this instance can no longer confirm its rules");
+            } else if (services.blockedRequests().contains(plan.fingerprint())) {
+                assignment.release(AttemptResult.CANCELLED);
+                giveUp(ErrorCode.CRASH_SUSPECT, CrashReports.SUSPECT);
             } else {
                 attempts++;
                 TargetAttempt next = new TargetAttempt(services, plan, assignment, this, events, span);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
@@ -19,6 +19,7 @@
  * @param wallClockMillis time for the expiry of claims and crash reports; never compared by this instance
  * @param random used under a lock, so it need not be thread safe
  * @param otherInstances caller addresses of instances that take requests, for refusals
+ * @param blockedRequests requests blocked since the last pull of the control state
  */
 public record RequestServices(
         InstanceId instance,
@@ -34,4 +35,5 @@
         RequestTracing tracing,
         MetricRegistry metrics,
         RequestLimits limits,
-        Supplier<List<String>> otherInstances) {}
+        Supplier<List<String>> otherInstances,
+        BlockedRequests blockedRequests) {}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -169,15 +169,27 @@
         event(() -> {
             switch (failure.kind()) {
                 case UNREACHABLE -> fail(ErrorCode.TARGET_UNREACHABLE, failure.detail(), false);
-                // A target may close an idle connection at the moment it is used again; that is no crash.
-                case CONNECTION_LOST ->
-                    fail(ErrorCode.TARGET_FAILED, failure.detail(), answered || !failure.reusedConnection());
+                case CONNECTION_LOST -> connectionLost(failure);
                 case INVALID_ANSWER -> fail(ErrorCode.TARGET_FAILED, failure.detail(), false);
                 default -> throw new IllegalStateException("unknown failure " + failure.kind());
             }
         });
     }
 
+    /**
+     * A target may close an idle connection at the moment it is used again, which is no crash. One that accepts no new
+     * connection either has crashed: counted as closed, it cost a request one target more than the limit.
+     */
+    private void connectionLost(TargetConnector.Failure failure) {
+        if (answered || !failure.reusedConnection()) {
+            fail(ErrorCode.TARGET_FAILED, failure.detail(), true);
+            return;
+        }
+        services.connector()
+                .accepts(target())
+                .thenAccept(accepts -> event(() -> fail(ErrorCode.TARGET_FAILED, failure.detail(), !accepts)));
+    }
+
     private void fail(ErrorCode code, String detail, boolean connectionLost) {
         boolean mayHaveRun = !permit.revoke();
         AttemptResult result = code == ErrorCode.TARGET_TIMEOUT ? AttemptResult.TIMED_OUT : AttemptResult.FAILED;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetConnector.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetConnector.java
@@ -1,6 +1,7 @@
 package org.basilrill.protocol.instance;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.basilrill.protocol.caller.AnswerHead;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.state.target.TargetAnnouncement;
@@ -15,6 +16,13 @@
      */
     Call open(TargetAnnouncement target, Request request, boolean freshConnection, Listener listener);
 
+    /**
+     * Opens a connection and closes it again without sending anything.
+     *
+     * @return whether the target accepted the connection; does not fail
+     */
+    CompletableFuture<Boolean> accepts(TargetAnnouncement target);
+
     /**
      * A request as a target receives it. The body must not be modified.
      *
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
@@ -12,6 +12,7 @@
 import org.basilrill.api.TargetId;
 import org.basilrill.coordination.membership.Fact;
 import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.thrift.membership.BlockedRequestFact;
 import org.basilrill.thrift.membership.FactPayload;
 import org.basilrill.thrift.membership.InstanceFact;
 import org.basilrill.thrift.membership.InstanceLoadFact;
@@ -47,6 +48,9 @@
             return FactPayload.targetLoad(new TargetLoadFact(
                     load.target().value(), load.load().running(), load.load().waiting()));
         }
+        if (fact instanceof Fact.BlockedRequestFact blocked) {
+            return FactPayload.blockedRequest(new BlockedRequestFact(blocked.fingerprint()));
+        }
         Fact.TargetGoneFact gone = (Fact.TargetGoneFact) fact;
         return FactPayload.targetGone(new TargetGoneFact(gone.target().value()));
     }
@@ -76,6 +80,9 @@
         if (payload.isSetTargetGone()) {
             return new Fact.TargetGoneFact(new TargetId(payload.getTargetGone().getTarget()));
         }
+        if (payload.isSetBlockedRequest()) {
+            return new Fact.BlockedRequestFact(payload.getBlockedRequest().getFingerprint());
+        }
         throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "fact of an unknown type");
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
@@ -83,6 +84,30 @@
         return open(host, request, freshConnection, listener);
     }
 
+    @Override
+    public CompletableFuture<Boolean> accepts(TargetAnnouncement target) {
+        HttpHost host = new HttpHost("http", target.host(), target.port());
+        CompletableFuture<Boolean> accepted = new CompletableFuture<>();
+        requester.requestSession(host, Timeout.of(settings.connectTimeout()), null, new FutureCallback<IOSession>() {
+            @Override
+            public void completed(IOSession session) {
+                session.close(CloseMode.GRACEFUL);
+                accepted.complete(true);
+            }
+
+            @Override
+            public void failed(Exception problem) {
+                accepted.complete(false);
+            }
+
+            @Override
+            public void cancelled() {
+                accepted.complete(false);
+            }
+        });
+        return accepted;
+    }
+
     /** Sends a request to an address that is not that of an announced target. */
     Call open(HttpHost host, Request request, boolean freshConnection, Listener listener) {
         TargetExchange exchange = new TargetExchange(host, request, listener, this::keep);
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.basilrill.protocol.caller.AnswerHead;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.RequestHead;
@@ -14,6 +15,7 @@
 final class FakeConnector implements TargetConnector {
     private final List<FakeCall> calls = new ArrayList<>();
     private final Map<String, Integer> sentByRequest = new HashMap<>();
+    private boolean accepting = true;
 
     @Override
     public Call open(TargetAnnouncement target, Request request, boolean freshConnection, Listener listener) {
@@ -22,6 +24,16 @@
         return call;
     }
 
+    @Override
+    public CompletableFuture<Boolean> accepts(TargetAnnouncement target) {
+        return CompletableFuture.completedFuture(accepting);
+    }
+
+    /** Decides whether targets accept new connections. */
+    void setAccepting(boolean accept) {
+        accepting = accept;
+    }
+
     List<FakeCall> calls() {
         return calls;
     }
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -34,6 +34,7 @@
     public static final AccountId ACCOUNT = new AccountId("parish-desk");
     public static final String MODEL = "medal-match";
 
+    private final List<String> publishedBlocks = new CopyOnWriteArrayList<>();
     private final FakeControl control = new FakeControl();
     private final List<TargetAnnouncement> targets = new CopyOnWriteArrayList<>();
     private final AtomicInteger openCharges = new AtomicInteger();
@@ -97,7 +98,13 @@
                 new RequestTracing(tracer),
                 new MetricRegistry(),
                 limits,
-                () -> List.of("127.0.0.1:4001"));
+                () -> List.of("127.0.0.1:4001"),
+                new BlockedRequests(clock, publishedBlocks::add));
+    }
+
+    /** Fingerprints of the requests that other instances were told to block. */
+    public List<String> publishedBlocks() {
+        return publishedBlocks;
     }
 
     public FakeControl control() {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
@@ -75,6 +75,35 @@
         assertThat(fixture.everythingReturned(), is(true));
     }
 
+    /** Guards against a third target lost to a resend that arrives before the next pull of the control state. */
+    @Test
+    void aRequestIsRefusedFromTheMomentItsSecondTargetWasLost() {
+        fixture.complete();
+        for (int lost = 0; lost < 2; lost++) {
+            call().send();
+            call().fail(TargetConnector.Kind.CONNECTION_LOST, false);
+        }
+        byte[] body = CoordinatorFixture.COMPLETION.getBytes(StandardCharsets.UTF_8);
+        String fingerprint = RequestFingerprint.ofContent(Optional.of(FakeServices.ACCOUNT), body);
+        assertThat(fixture.services().publishedBlocks(), is(List.of(fingerprint)));
+        assertThat(fixture.control().view().blockedFingerprints().isEmpty(), is(true));
+        checkRefusal(fixture.complete(), ErrorCode.CRASH_SUSPECT, "not_run");
+        assertThat(fixture.connector().calls().size(), is(2));
+    }
+
+    /** Guards against a crash on a reused connection that passes for the close of an idle one. */
+    @Test
+    void aTargetThatAcceptsNoConnectionAfterALostReusedOneHasCrashed() {
+        fixture.connector().setAccepting(false);
+        Started started = fixture.complete();
+        for (int lost = 0; lost < 2; lost++) {
+            call().send();
+            call().fail(TargetConnector.Kind.CONNECTION_LOST, true);
+        }
+        checkRefusal(started, ErrorCode.CRASH_SUSPECT, "may_have_run");
+        assertThat(fixture.connector().calls().size(), is(2));
+    }
+
     /** Guards against counting a connection that the target closed while idle as a crash of the target. */
     @Test
     void aReusedConnectionThatWasClosedIsNoCrash() {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
@@ -50,7 +50,8 @@
                 new Item(2, new Fact.InstanceLoadFact(6)),
                 new Item(3, new Fact.TargetFact(announcement)),
                 new Item(4, new Fact.TargetLoadFact(target, new TargetAnnouncement.Load(1, 2))),
-                new Item(5, new Fact.TargetGoneFact(target)));
+                new Item(5, new Fact.TargetGoneFact(target)),
+                new Item(6, new Fact.BlockedRequestFact("5f")));
         GossipMessage message = new GossipMessage(
                 Optional.of(List.of(new DigestEntry(owner, 7, 8))),
                 List.of(new OwnerDelta(owner, 7, 0, 5, items, 250)),
--- a/basilrill-thrift/src/main/thrift/membership.thrift
+++ b/basilrill-thrift/src/main/thrift/membership.thrift
@@ -48,12 +48,18 @@
   1: required string target
 }
 
+/** A request that must not run any more, because it was lost with too many targets. */
+struct BlockedRequestFact {
+  1: required string fingerprint
+}
+
 union FactPayload {
   1: InstanceFact instance
   2: InstanceLoadFact instanceLoad
   3: TargetFact target
   4: TargetLoadFact targetLoad
   5: TargetGoneFact targetGone
+  6: BlockedRequestFact blockedRequest
 }
 
 struct Item {
