Accept answers without a request id from targets that never send one

Cause: common engines do not send the id of a request back, so every answer of theirs was refused as a mismatch. Another id is still refused, and a missing one from a target that has sent ids since it started.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -273,7 +273,8 @@
                 environment.metrics(),
                 environment.limits(),
                 listing::otherAddresses,
-                blockedRequests));
+                blockedRequests,
+                new RequestIdEchoes()));
     }
 
     private void learnBlocked(Fact fact) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
@@ -20,6 +20,7 @@
  * @param random used under a lock, so it need not be thread safe
  * @param otherInstances caller addresses of instances that take requests, for refusals
  * @param blockedRequests requests blocked since the last pull of the control state
+ * @param requestIdEchoes which targets send the id of a request back
  */
 public record RequestServices(
         InstanceId instance,
@@ -36,4 +37,5 @@
         MetricRegistry metrics,
         RequestLimits limits,
         Supplier<List<String>> otherInstances,
-        BlockedRequests blockedRequests) {}
+        BlockedRequests blockedRequests,
+        RequestIdEchoes requestIdEchoes) {}
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
@@ -13,6 +13,7 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.Outcome;
 import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
+import org.basilrill.protocol.caller.AnswerHead;
 import org.basilrill.protocol.caller.RequestFingerprint;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.instance.CoordinatorFixture.Started;
@@ -166,6 +167,30 @@
         assertThat(started.stream().text(), is("data: mine\n\n"));
     }
 
+    /** Guards against refusing engines that send no ids, and against losing the check of those that do. */
+    @Test
+    void aMissingRequestIdIsAcceptedOnlyFromATargetThatNeverSentOne() {
+        Started first = fixture.complete();
+        answerWithoutId();
+        assertThat(first.stream().text(), is("data: mine\n\n"));
+        fixture.complete();
+        call().stream();
+        call().end();
+        Started third = fixture.complete();
+        int calls = fixture.connector().calls().size();
+        call().send();
+        call().head(200, AnswerHead.EVENT_STREAM, "");
+        assertThat(fixture.connector().calls().get(calls - 1).cancelled(), is(true));
+        assertThat(third.stream().finals(), is(0));
+    }
+
+    private void answerWithoutId() {
+        call().send();
+        call().head(200, AnswerHead.EVENT_STREAM, "");
+        call().data("data: mine\n\n");
+        call().end();
+    }
+
     /** Guards against work at a target for a caller that is gone. */
     @Test
     void aCallerThatGoesAwayCancelsItsRequest() {
