--- /dev/null
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/ControlRulesStore.java
@@ -0,0 +1,25 @@
+package org.basilrill.daemon;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.basilrill.coordination.control.ControlLogClient;
+import org.basilrill.coordination.control.RulesSource;
+import org.basilrill.protocol.dialect.InstanceAccess.RulesStore;
+import org.basilrill.state.control.ControlCommand.InstallRules;
+import org.basilrill.state.control.ControlResult;
+
+/** Keeps the operators' rules in the control log. Immutable and thread safe. */
+record ControlRulesStore(ControlLogClient control, Duration deadline) implements RulesStore {
+    /** The operators of a dialect are not named; the log records them together. */
+    private static final String OPERATOR = "operator";
+
+    @Override
+    public CompletableFuture<ControlResult> install(long revision, String text) {
+        return control.submit(new InstallRules(revision, text, OPERATOR), deadline);
+    }
+
+    @Override
+    public CompletableFuture<RulesSource> read() {
+        return control.readRules(deadline);
+    }
+}
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -3,9 +3,12 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.ServiceLoader;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -13,6 +16,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.PeerSubject;
@@ -23,9 +28,16 @@
 import org.basilrill.protocol.administration.AdministrationViews;
 import org.basilrill.protocol.administration.PlacementView;
 import org.basilrill.protocol.administration.RulesText;
+import org.basilrill.protocol.caller.PlainRoutes;
+import org.basilrill.protocol.dialect.Dialect;
+import org.basilrill.protocol.dialect.DialectProvider;
+import org.basilrill.protocol.dialect.DialectProvider.DialectOptions;
+import org.basilrill.protocol.dialect.InstanceAccess;
+import org.basilrill.protocol.dialect.InstanceAccess.RulesStore;
 import org.basilrill.protocol.instance.Instance;
 import org.basilrill.protocol.instance.InstanceEnvironment;
 import org.basilrill.protocol.instance.InstanceEnvironment.LocalReplica;
+import org.basilrill.protocol.instance.OutsideOptions;
 import org.basilrill.protocol.instance.RequestLimits;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.control.ControlStateMachine;
@@ -53,6 +65,7 @@
     private final SystemClock clock = new SystemClock();
     private final PeerTransport peers;
     private final TargetHttpClient targetClient;
+    private final Optional<Dialect> dialect;
     private final Optional<ControlReplica> replica;
     private final Instance instance;
     private final HttpGateway gateway;
@@ -71,11 +84,15 @@
         RequestLimits limits = limits();
         this.targetClient = new TargetHttpClient(
                 TargetHttpClient.Settings.defaults(limits.windowBytes()), clock, threads.scheduler());
-        ControlStateMachine machine = new ControlStateMachine();
-        this.replica = settings.dataFolder()
-                .map(folder -> ControlReplica.start(
-                        settings.instance(), settings.replicas().keySet(), folder.resolve("log"), machine, peers));
-        this.instance = new Instance(environment(machine, limits, metrics));
+        this.dialect = settings.outside().dialect().map(this::createDialect);
+        OutsideOptions outside = new OutsideOptions(
+                dialect,
+                settings.outside().listingValidity(),
+                new OutsideOptions.RetryLimits(
+                        settings.outside().retryShare(), settings.outside().retrySlack()));
+        ControlStateMachine machine = new ControlStateMachine(outside.rulesFormat());
+        this.replica = settings.dataFolder().map(folder -> startReplica(folder, machine));
+        this.instance = new Instance(environment(machine, limits, metrics, outside));
         this.gateway = createGateway(metrics);
     }
 
@@ -133,10 +150,10 @@
 
     /** Callers that hold an answer of GET /v1/instances may still connect here until it is too old to be used. */
     private void awaitStaleListings() {
+        Duration validity = settings.outside().listingValidity();
         await(
-                new CompletableFuture<Void>()
-                        .completeOnTimeout(null, Instance.LISTING_VALIDITY.toMillis(), TimeUnit.MILLISECONDS),
-                Instance.LISTING_VALIDITY.plusSeconds(1));
+                new CompletableFuture<Void>().completeOnTimeout(null, validity.toMillis(), TimeUnit.MILLISECONDS),
+                validity.plusSeconds(1));
     }
 
     private static void await(CompletableFuture<?> future, Duration limit) {
@@ -149,7 +166,8 @@
         }
     }
 
-    private InstanceEnvironment environment(ControlStateMachine machine, RequestLimits limits, MetricRegistry metrics) {
+    private InstanceEnvironment environment(
+            ControlStateMachine machine, RequestLimits limits, MetricRegistry metrics, OutsideOptions outside) {
         return new InstanceEnvironment(
                 settings.instance(),
                 settings.dataCentre(),
@@ -167,7 +185,8 @@
                 metrics,
                 limits,
                 settings.operatorKeyHash().map(KeyHash::new),
-                replica.map(log -> new LocalReplica(log, machine, () -> membersOf(log))));
+                replica.map(log -> new LocalReplica(log, machine, () -> membersOf(log), log::learnContacts)),
+                outside);
     }
 
     private HttpGateway createGateway(MetricRegistry metrics) {
@@ -189,19 +208,49 @@
                 ADMINISTRATION_DEADLINE);
         GatewayRoutes routes = new GatewayRoutes(
                 instance.listing(),
-                instance.announcements(),
+                instance.announcements()::announced,
                 settings.announcementKeyHash().map(KeyHash::new),
                 administration,
                 metrics,
                 instance::isReady);
+        PlainRoutes served = dialect.map(spoken -> spoken.routes(access())).orElse(routes);
         return new HttpGateway(
-                GatewaySettings.defaults(settings.callerAddress()),
+                GatewaySettings.defaults(settings.callerAddress())
+                        .withOwnAddresses(settings.outside().ownAddresses()),
                 instance.coordinator(),
-                routes,
+                served,
                 clock,
                 threads.scheduler());
     }
 
+    private Dialect createDialect(String name) {
+        DialectOptions options = new DialectOptions(
+                settings.outside().announcementValidity(), settings.outside().listingValidity());
+        return ServiceLoader.load(DialectProvider.class).stream()
+                .map(ServiceLoader.Provider::get)
+                .filter(provider -> provider.name().equals(name))
+                .findFirst()
+                .map(provider -> provider.create(options))
+                .orElseThrow(() -> new BasilrillException(
+                        ErrorCode.SETTINGS_INVALID, "dialect: \"" + name + "\" is not part of this program"));
+    }
+
+    private ControlReplica startReplica(Path folder, ControlStateMachine machine) {
+        Set<InstanceId> seeds = settings.replicas().keySet();
+        return ControlReplica.start(
+                settings.instance(),
+                settings.outside().foundsCluster() ? seeds : Set.of(),
+                seeds,
+                folder.resolve("log"),
+                machine,
+                peers);
+    }
+
+    private InstanceAccess access() {
+        RulesStore store = new ControlRulesStore(instance.control(), ADMINISTRATION_DEADLINE);
+        return new InstanceAccess(instance.listing(), instance.announcements(), store, instance::isReady);
+    }
+
     private CompletableFuture<RulesText.Revision> rulesText() {
         return instance.control()
                 .readRules(ADMINISTRATION_DEADLINE)
@@ -224,7 +273,8 @@
         Optional<Member> member =
                 instance == null ? Optional.empty() : instance.membership().member(other);
         return member.flatMap(known -> PeerAddress.parse(known.peerAddress()))
-                .or(() -> Optional.ofNullable(settings.replicas().get(other)));
+                .or(() -> Optional.ofNullable(settings.replicas().get(other)))
+                .or(() -> PeerAddress.parse(other.value()));
     }
 
     private static List<InstanceId> membersOf(ControlReplica log) {
--- /dev/null
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
@@ -0,0 +1,35 @@
+package org.basilrill.daemon.settings;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * How an instance finds the others, and how callers, targets and operators speak to it. Immutable and thread safe.
+ *
+ * @param dialect name of the dialect; the product's own interface if absent
+ * @param ownAddresses addresses for targets and operators, if they differ from that of the callers
+ * @param foundsCluster whether this start may found a new cluster
+ * @param listingValidity how long callers may use the list of instances
+ * @param announcementValidity how long an announcement of a target holds that states no time itself
+ * @param retryShare retries allowed for each request, over all instances
+ * @param retrySlack retries allowed besides in ten seconds, over all instances
+ */
+public record OutsideSettings(
+        Optional<String> dialect,
+        List<InetSocketAddress> ownAddresses,
+        boolean foundsCluster,
+        Duration listingValidity,
+        Duration announcementValidity,
+        double retryShare,
+        double retrySlack) {
+    public static final Duration DEFAULT_LISTING_VALIDITY = Duration.ofSeconds(5);
+    public static final Duration DEFAULT_ANNOUNCEMENT_VALIDITY = Duration.ofSeconds(5);
+    public static final double DEFAULT_RETRY_SHARE = 0.1;
+    public static final double DEFAULT_RETRY_SLACK = 120;
+
+    public OutsideSettings {
+        ownAddresses = List.copyOf(ownAddresses);
+    }
+}
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/Settings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/Settings.java
@@ -20,6 +20,7 @@
  * @param announcementKeyHash SHA-256 of the key that targets must send with their announcements; any may if absent
  * @param drainLimit longest time that a stop waits for running requests
  * @param progressTimeout longest time without a byte from a target
+ * @param outside how the instance is found and spoken to
  */
 public record Settings(
         InstanceId instance,
@@ -33,7 +34,8 @@
         Optional<String> operatorKeyHash,
         Optional<String> announcementKeyHash,
         Duration drainLimit,
-        Duration progressTimeout) {
+        Duration progressTimeout,
+        OutsideSettings outside) {
     public static final Duration DEFAULT_DRAIN_LIMIT = Duration.ofSeconds(60);
     public static final Duration DEFAULT_PROGRESS_TIMEOUT = Duration.ofSeconds(10);
 
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -69,8 +69,10 @@
         Optional<InetSocketAddress> peerListenAddress =
                 document.take("peerListenAddress").flatMap(this::address);
         Optional<Set<Settings.Role>> roles = document.require("roles").flatMap(this::roles);
+        Optional<Map<InstanceId, InetSocketAddress>> seeds =
+                document.take("seeds").flatMap(field -> seeds(field, peerAddress));
         Optional<Map<InstanceId, InetSocketAddress>> replicas =
-                document.require("replicas").flatMap(this::replicas);
+                seeds.isPresent() ? seeds : document.require("replicas").flatMap(this::replicas);
         Optional<Path> dataFolder =
                 document.take("dataFolder").flatMap(this::text).map(Path::of);
         Optional<String> operatorKeyHash = document.take("operatorKeyHash").flatMap(this::keyHash);
@@ -80,8 +82,9 @@
                 document.take("drainLimitMillis").flatMap(this::millis).orElse(Settings.DEFAULT_DRAIN_LIMIT);
         Duration progressTimeout =
                 document.take("progressTimeoutMillis").flatMap(this::millis).orElse(Settings.DEFAULT_PROGRESS_TIMEOUT);
+        OutsideSettings outside = outside(document);
         document.rejectRemaining();
-        checkTogether(instance, roles, replicas, dataFolder);
+        checkTogether(instance, roles, replicas, dataFolder, seeds.isPresent());
         if (!faults.isEmpty()) {
             faults.sort(Comparator.comparingInt(SettingsFault::line));
             throw new SettingsException(file, faults);
@@ -98,14 +101,31 @@
                 operatorKeyHash,
                 announcementKeyHash,
                 drainLimit,
-                progressTimeout);
+                progressTimeout,
+                outside);
+    }
+
+    private OutsideSettings outside(SettingsDocument document) {
+        return new OutsideSettings(
+                document.take("dialect").flatMap(this::text),
+                document.take("ownAddresses").flatMap(this::addresses).orElse(List.of()),
+                document.take("foundsCluster").flatMap(this::flag).orElse(true),
+                document.take("listingValidityMillis")
+                        .flatMap(this::millis)
+                        .orElse(OutsideSettings.DEFAULT_LISTING_VALIDITY),
+                document.take("announcementValidityMillis")
+                        .flatMap(this::millis)
+                        .orElse(OutsideSettings.DEFAULT_ANNOUNCEMENT_VALIDITY),
+                document.take("retryShare").flatMap(this::number).orElse(OutsideSettings.DEFAULT_RETRY_SHARE),
+                document.take("retrySlack").flatMap(this::number).orElse(OutsideSettings.DEFAULT_RETRY_SLACK));
     }
 
     private void checkTogether(
             Optional<InstanceId> instance,
             Optional<Set<Settings.Role>> roles,
             Optional<Map<InstanceId, InetSocketAddress>> replicas,
-            Optional<Path> dataFolder) {
+            Optional<Path> dataFolder,
+            boolean bySeeds) {
         if (roles.isEmpty() || replicas.isEmpty() || instance.isEmpty()) {
             return;
         }
@@ -118,7 +138,7 @@
             faults.add(new SettingsFault(
                     0, "dataFolder", Kind.CONTRADICTION, "is only for instances with the role \"replica\""));
         }
-        if (isReplica && !replicas.get().containsKey(instance.get())) {
+        if (isReplica && !bySeeds && !replicas.get().containsKey(instance.get())) {
             faults.add(new SettingsFault(
                     0, "replicas", Kind.CONTRADICTION, "must name this instance as the roles include \"replica\""));
         }
@@ -197,6 +217,48 @@
         return Optional.of(replicas);
     }
 
+    /** Seeds are instances named by their peer addresses, which have the same port everywhere. */
+    private Optional<Map<InstanceId, InetSocketAddress>> seeds(Field field, Optional<InetSocketAddress> peerAddress) {
+        if (peerAddress.isEmpty()) {
+            return Optional.empty();
+        }
+        Map<InstanceId, InetSocketAddress> seeds = new LinkedHashMap<>();
+        for (InetSocketAddress seed : addresses(field).orElse(List.of())) {
+            InetSocketAddress peer =
+                    new InetSocketAddress(seed.getAddress(), peerAddress.get().getPort());
+            seeds.put(new InstanceId(peer.getAddress().getHostAddress() + ":" + peer.getPort()), peer);
+        }
+        return seeds.isEmpty() ? Optional.empty() : Optional.of(seeds);
+    }
+
+    private Optional<List<InetSocketAddress>> addresses(Field field) {
+        if (!field.value().isArray()) {
+            faults.add(field.fault(Kind.WRONG_TYPE, "must be a list of IP numbers with ports"));
+            return Optional.empty();
+        }
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (JsonNode element : field.value()) {
+            address(new Field(field.name(), field.line(), element)).ifPresent(addresses::add);
+        }
+        return Optional.of(addresses);
+    }
+
+    private Optional<Boolean> flag(Field field) {
+        if (!field.value().isBoolean()) {
+            faults.add(field.fault(Kind.WRONG_TYPE, "must be true or false"));
+            return Optional.empty();
+        }
+        return Optional.of(field.value().booleanValue());
+    }
+
+    private Optional<Double> number(Field field) {
+        if (!field.value().isNumber() || field.value().doubleValue() < 0) {
+            faults.add(field.fault(Kind.WRONG_TYPE, "must be a number of 0 or more"));
+            return Optional.empty();
+        }
+        return Optional.of(field.value().doubleValue());
+    }
+
     private Optional<String> keyHash(Field field) {
         return text(field).flatMap(value -> {
             Matcher matcher = KEY_HASH.matcher(value);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.basilrill.coordination.admission;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -8,6 +9,7 @@
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
 import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetDirectory;
 
 /**
  * Queues requests fairly among client accounts and assigns each a target with a free slot. Implementations are thread
@@ -38,17 +40,42 @@
         }
     }
 
-    /** A model or a plain service; exactly one is present. */
+    /** A model, a plain service, or a model at the engines of one service. */
     record Destination(Optional<ModelId> model, Optional<String> service) {
         /** Returns the destination of requests to a model. */
         public static Destination ofModel(ModelId model) {
             return new Destination(Optional.of(model), Optional.empty());
         }
 
+        /** Returns the destination of requests to a model that only the engines of one service may serve. */
+        public static Destination ofModelAt(String service, ModelId model) {
+            return new Destination(Optional.of(model), Optional.of(service));
+        }
+
         /** Returns the destination of calls to a plain service. */
         public static Destination ofService(String service) {
             return new Destination(Optional.empty(), Optional.of(service));
         }
+
+        /** Returns the targets that serve this destination now. */
+        public Collection<TargetAnnouncement> readyTargets(TargetDirectory directory) {
+            if (model.isEmpty()) {
+                return directory.ofService(service.orElseThrow());
+            }
+            Collection<TargetAnnouncement> ready = directory.readyFor(model.get());
+            if (service.isEmpty()) {
+                return ready;
+            }
+            return ready.stream()
+                    .filter(target -> target.service().equals(service))
+                    .toList();
+        }
+
+        /** Returns whether the target serves this destination. */
+        public boolean isServedBy(TargetAnnouncement target) {
+            boolean ofService = service.isEmpty() || target.service().equals(service);
+            return ofService && model.map(target::isReadyFor).orElse(true);
+        }
     }
 
     /** A slot at a target, held until it is released. Thread safe. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -10,7 +10,6 @@
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
-import org.basilrill.api.ModelId;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
 import org.basilrill.api.TargetId;
@@ -89,7 +88,7 @@
             if (queues.size() == 0) {
                 return;
             }
-            queues.unblock(destination -> serves(target, destination));
+            queues.unblock(destination -> destination.isServedBy(target));
             assignWaiting();
             scheduleWakeUp();
         }
@@ -320,23 +319,13 @@
     }
 
     private Collection<TargetAnnouncement> readyTargets(Destination destination) {
-        return destination
-                .model()
-                .map(directory::readyFor)
-                .orElseGet(() -> directory.ofService(destination.service().orElseThrow()));
+        return destination.readyTargets(directory);
     }
 
     private boolean isReady(Destination destination) {
         return !readyTargets(destination).isEmpty();
     }
 
-    private static boolean serves(TargetAnnouncement target, Destination destination) {
-        Optional<ModelId> model = destination.model();
-        return model.isPresent()
-                ? target.isReadyFor(model.get())
-                : destination.service().equals(target.service());
-    }
-
     private Duration bounded(double nanos) {
         double shortest = options.shortestRetryAfter().toNanos();
         double longest = options.longestRetryAfter().toNanos();
@@ -389,7 +378,7 @@
                     refusedAsFull.add(request.requestId());
                 }
                 if (queues.size() > 0) {
-                    queues.unblock(destination -> serves(target(), destination));
+                    queues.unblock(destination -> destination.isServedBy(target()));
                     assignWaiting();
                     scheduleWakeUp();
                 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/SlidingRetryBudget.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/SlidingRetryBudget.java
@@ -1,11 +1,12 @@
 package org.basilrill.coordination.admission;
 
 import java.time.Duration;
+import java.util.function.ToDoubleFunction;
 import org.basilrill.api.MonotonicClock;
 
 /**
- * Allows retries up to a tenth of the requests of the last ten seconds, and always ten in that time so that an instance
- * with few requests can retry at all. Thread safe: guards itself.
+ * Allows retries up to a share of the requests of the last ten seconds, and always a few in that time so that an
+ * instance with few requests can retry at all. Thread safe: guards itself.
  */
 public final class SlidingRetryBudget implements RetryBudget {
     static final int MINIMUM_RETRIES = 10;
@@ -15,13 +16,25 @@
     private static final long BUCKET_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final MonotonicClock clock;
+    private final ToDoubleFunction<Long> allowance;
     private final long originNanos;
     private final long[] requests = new long[BUCKETS];
     private final long[] retries = new long[BUCKETS];
     private long currentBucket;
 
+    /** Creates a budget of a tenth of the requests, and at least ten retries. */
     public SlidingRetryBudget(MonotonicClock clock) {
+        this(clock, requests -> Math.max(MINIMUM_RETRIES, requests / REQUESTS_PER_RETRY));
+    }
+
+    /**
+     * Creates a budget.
+     *
+     * @param allowance retries allowed in ten seconds with the given number of requests
+     */
+    public SlidingRetryBudget(MonotonicClock clock, ToDoubleFunction<Long> allowance) {
         this.clock = clock;
+        this.allowance = allowance;
         this.originNanos = clock.nanos();
     }
 
@@ -34,8 +47,7 @@
     @Override
     public synchronized boolean tryRetry() {
         advance();
-        long allowed = Math.max(MINIMUM_RETRIES, sum(requests) / REQUESTS_PER_RETRY);
-        if (sum(retries) >= allowed) {
+        if (sum(retries) + 1 > allowance.applyAsDouble(sum(requests))) {
             return false;
         }
         retries[(int) (currentBucket % BUCKETS)]++;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -33,7 +33,7 @@
  */
 public final class Replica {
     private final ReplicaState state;
-    private final SortedSet<InstanceId> founders;
+    private final SortedSet<InstanceId> contacts;
     private final ClusterBootstrap founding;
     private final SnapshotReceiver snapshotReceiver = new SnapshotReceiver();
     private Optional<Leadership> leadership = Optional.empty();
@@ -46,19 +46,21 @@
     /**
      * Recovers a replica from its store.
      *
-     * @param founders instances named in the settings as founding replicas
+     * @param founders instances named in the settings as founding replicas; empty if this one must not found a cluster
+     * @param contacts instances that are asked to admit this one, besides the members it knows
      * @param machine state machine in its initial state; a stored snapshot is restored into it
      */
     public Replica(
             InstanceId self,
             Collection<InstanceId> founders,
+            Collection<InstanceId> contacts,
             DurableStore store,
             ReplicatedStateMachine machine,
             ReplicaEnvironment environment,
             ConsensusSettings settings) {
         this.state = new ReplicaState(self, store, machine, environment, settings);
-        this.founders = new TreeSet<>(founders);
-        this.founding = new ClusterBootstrap(state, this.founders);
+        this.contacts = new TreeSet<>(contacts);
+        this.founding = new ClusterBootstrap(state, new TreeSet<>(founders));
         // A restarted replica may have heard the leader just before it stopped, so it refuses votes as if it had.
         heardLeaderAt = state.now();
         resetElectionTimer();
@@ -84,6 +86,11 @@
         leadership.ifPresentOrElse(leading -> leading.handOver(done), () -> done.complete(true));
     }
 
+    /** Adds instances that are asked to admit this one. */
+    public void learnContacts(Collection<InstanceId> instances) {
+        contacts.addAll(instances);
+    }
+
     /** Handles one message. */
     public void received(InstanceId sender, AddressedMessage addressed) {
         long recipient = addressed.recipientIncarnation();
@@ -372,7 +379,7 @@
             return;
         }
         joinAt = state.now() + state.settings().joinInterval().toNanos();
-        SortedSet<InstanceId> asked = new TreeSet<>(founders);
+        SortedSet<InstanceId> asked = new TreeSet<>(contacts);
         state.log().members().voters().forEach(voter -> asked.add(voter.instance()));
         asked.remove(state.self().instance());
         asked.forEach(instance -> state.sendToAnyIncarnation(instance, new JoinRequest()));
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -11,6 +11,7 @@
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
+import org.basilrill.state.configuration.RulesFormat;
 import org.basilrill.state.control.ControlClient;
 import org.basilrill.state.control.ControlCommand;
 import org.basilrill.state.control.ControlResult;
@@ -30,6 +31,7 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final ControlEndpoint endpoint;
+    private final ReplicaDirectory directory;
     private final Scheduler scheduler;
     private final RandomGenerator random;
     private final ViewHolder holder = new ViewHolder();
@@ -44,22 +46,29 @@
      * Creates a client that does nothing before {@link #start}.
      *
      * @param replicas replicas named in the settings, at least one; answers may name others later
+     * @param format format of the rules
      */
     public ControlLogClient(
             ControlEndpoint endpoint,
             List<InstanceId> replicas,
+            RulesFormat format,
             MonotonicClock clock,
             Scheduler scheduler,
             RandomGenerator random) {
         this.endpoint = endpoint;
         this.scheduler = scheduler;
         this.random = random;
-        ReplicaDirectory directory = new ReplicaDirectory(replicas, random);
+        directory = new ReplicaDirectory(replicas, random);
         this.submitter = new CommandSubmitter(endpoint, directory, scheduler, random);
-        this.puller = new ViewPuller(endpoint, directory, holder, clock, scheduler, random);
+        this.puller = new ViewPuller(endpoint, directory, holder, format, clock, scheduler, random);
         endpoint.attachClient(this::handle);
     }
 
+    /** Takes the instances that say that they hold a replica, so that one is found although no seed holds any. */
+    public void hintReplicas(List<InstanceId> instances) {
+        directory.hintReplicas(instances);
+    }
+
     /** Starts to pull the view and opens a session. Called once. */
     public void start() {
         puller.start(this::sessionLost);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ReplicaDirectory.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ReplicaDirectory.java
@@ -15,6 +15,8 @@
 final class ReplicaDirectory {
     private final List<InstanceId> seeds;
     private final RandomGenerator random;
+    private List<InstanceId> told = List.of();
+    private List<InstanceId> hinted = List.of();
     private List<InstanceId> replicas;
     private Optional<InstanceId> leader = Optional.empty();
 
@@ -51,11 +53,23 @@
         leader = leader.filter(known -> !known.equals(replica));
     }
 
-    synchronized void learnReplicas(List<InstanceId> told) {
-        if (told.isEmpty()) {
-            return;
+    /** Takes the members of the log that a replica told. */
+    synchronized void learnReplicas(List<InstanceId> members) {
+        if (!members.isEmpty()) {
+            told = List.copyOf(members);
+            combine();
         }
+    }
+
+    /** Takes the instances that say of themselves that they hold a replica; the seeds may hold none. */
+    synchronized void hintReplicas(List<InstanceId> instances) {
+        hinted = List.copyOf(instances);
+        combine();
+    }
+
+    private void combine() {
         Set<InstanceId> all = new LinkedHashSet<>(told);
+        all.addAll(hinted);
         all.addAll(seeds);
         replicas = new ArrayList<>(all);
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -14,6 +14,7 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
+import org.basilrill.state.configuration.RulesFormat;
 import org.basilrill.state.control.ControlView;
 import org.basilrill.state.control.ViewCodec;
 import org.basilrill.thrift.control.ControlMessage;
@@ -42,6 +43,7 @@
     private final ControlEndpoint endpoint;
     private final ReplicaDirectory directory;
     private final ViewHolder holder;
+    private final RulesFormat format;
     private final MonotonicClock clock;
     private final Scheduler scheduler;
     private final LinkedHashMap<Long, Pull> pending = new LinkedHashMap<>();
@@ -60,12 +62,14 @@
             ControlEndpoint endpoint,
             ReplicaDirectory directory,
             ViewHolder holder,
+            RulesFormat format,
             MonotonicClock clock,
             Scheduler scheduler,
             RandomGenerator random) {
         this.endpoint = endpoint;
         this.directory = directory;
         this.holder = holder;
+        this.format = format;
         this.clock = clock;
         this.scheduler = scheduler;
         this.replica = directory.any();
@@ -142,7 +146,7 @@
                 holder.keepText(new RulesSource(
                         answer.getView().getRulesRevision(), answer.getView().getRulesText()));
             }
-            holder.install(ViewCodec.fromMessage(answer.getView(), held.rules()));
+            holder.install(ViewCodec.fromMessage(answer.getView(), held.rules(), format));
         }
         Runnable lost = () -> {};
         List<Read> answered;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/Fact.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/Fact.java
@@ -1,5 +1,6 @@
 package org.basilrill.coordination.membership;
 
+import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
 import org.basilrill.state.target.TargetAnnouncement;
 
@@ -15,8 +16,20 @@
             String peerAddress,
             boolean draining,
             boolean current,
-            long revision)
+            long revision,
+            boolean replica)
             implements Fact {
+        /** Creates the fact of an instance without a replica of the control log. */
+        public InstanceFact(
+                String dataCentre,
+                String callerAddress,
+                String peerAddress,
+                boolean draining,
+                boolean current,
+                long revision) {
+            this(dataCentre, callerAddress, peerAddress, draining, current, revision, false);
+        }
+
         @Override
         public String key() {
             return "instance";
@@ -68,6 +81,17 @@
         }
     }
 
+    /**
+     * A model or adapter that the owner of the fact had loaded at a target, or unloaded. It only bridges the time until
+     * the target announces it.
+     */
+    record TargetContentFact(TargetId target, long incarnation, ModelId model, boolean present) implements Fact {
+        @Override
+        public String key() {
+            return "target-content/" + target + "/" + model;
+        }
+    }
+
     private static String targetKey(TargetId target) {
         return "target/" + target;
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
@@ -164,7 +164,8 @@
                         fact.revision(),
                         state.fact(owner, InstanceLoadFact.class)
                                 .map(InstanceLoadFact::requestsInFlight)
-                                .orElse(0)));
+                                .orElse(0),
+                        fact.replica()));
     }
 
     private void exchange() {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/Membership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/Membership.java
@@ -22,6 +22,7 @@
      * @param current whether it confirmed its revision lately
      * @param revision revision of the rules in force there
      * @param requestsInFlight load, for the spread of callers
+     * @param replica whether it holds a replica of the control log
      */
     record Member(
             InstanceId id,
@@ -32,5 +33,6 @@
             boolean draining,
             boolean current,
             long revision,
-            int requestsInFlight) {}
+            int requestsInFlight,
+            boolean replica) {}
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/TargetSpread.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/TargetSpread.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.basilrill.api.InstanceId;
+import org.basilrill.api.ModelId;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.TargetId;
+import org.basilrill.coordination.membership.Fact.TargetContentFact;
 import org.basilrill.coordination.membership.Fact.TargetFact;
 import org.basilrill.coordination.membership.Fact.TargetGoneFact;
 import org.basilrill.coordination.membership.Fact.TargetLoadFact;
@@ -60,11 +62,25 @@
         }
     }
 
+    @Override
+    public void left(TargetId target) {
+        registry.target(target).filter(known -> !known.leaving()).ifPresent(known -> announced(known.left()));
+    }
+
+    /** Tells all instances that a model or adapter was loaded at a target, or unloaded. */
+    public void contentChanged(TargetAnnouncement target, ModelId model, boolean present) {
+        registry.contentChanged(target.id(), target.incarnation(), model, present);
+        membership.publishUrgently(new TargetContentFact(target.id(), target.incarnation(), model, present));
+    }
+
     /** Takes a fact of another instance at once when it concerns a target, so that leaving targets are known. */
     private void learn(InstanceId owner, Fact fact) {
         if (fact instanceof TargetFact target) {
             registry.announce(target.announcement(), membership.silenceOf(owner));
         }
+        if (fact instanceof TargetContentFact content) {
+            registry.contentChanged(content.target(), content.incarnation(), content.model(), content.present());
+        }
     }
 
     private void periodPassed() {
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/PlainRoutes.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/PlainRoutes.java
@@ -1,8 +1,6 @@
-package org.basilrill.transport.http;
+package org.basilrill.protocol.caller;
 
 import java.util.concurrent.CompletableFuture;
-import org.basilrill.protocol.caller.PlainAnswer;
-import org.basilrill.protocol.caller.RequestHead;
 
 /** Answers requests that this instance serves itself. Implementations are thread safe and never block. */
 @FunctionalInterface
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/dialect/EngineReport.java
@@ -0,0 +1,19 @@
+package org.basilrill.protocol.dialect;
+
+import java.util.Set;
+import org.basilrill.api.ModelId;
+
+/**
+ * State of an engine some hundred milliseconds ago. Immutable and thread safe.
+ *
+ * @param contents models and adapters that it holds
+ * @param pending adapters on their way to it
+ * @param busy whether it carries out an order for a model
+ * @param acceptedOrders orders accepted since its start
+ */
+public record EngineReport(Set<ModelId> contents, Set<ModelId> pending, boolean busy, long acceptedOrders) {
+    public EngineReport {
+        contents = Set.copyOf(contents);
+        pending = Set.copyOf(pending);
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
@@ -6,12 +6,11 @@
 import java.util.Optional;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.protocol.caller.AnswerHead;
-import org.basilrill.protocol.caller.ErrorBody;
-import org.basilrill.protocol.caller.ForwardedHeaders;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.PlainAnswer;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.caller.TokenUsage;
+import org.basilrill.protocol.dialect.RequestMessages;
 import org.basilrill.state.control.RecordedAnswer;
 
 /**
@@ -22,6 +21,7 @@
     private final CallerStream caller;
     private final String requestId;
     private final boolean record;
+    private final RequestMessages messages;
     private final ByteArrayOutputStream recorded = new ByteArrayOutputStream();
     private TokenUsage usage = new TokenUsage();
     private AnswerHead head;
@@ -30,10 +30,16 @@
     private boolean tooLong;
     private long outstanding;
 
-    AnswerRelay(CallerStream caller, String requestId, boolean record) {
+    AnswerRelay(CallerStream caller, String requestId, boolean record, RequestMessages messages) {
         this.caller = caller;
         this.requestId = requestId;
         this.record = record;
+        this.messages = messages;
+    }
+
+    /** Gives a caller the refusal of a request that was not started. */
+    static void refuse(CallerStream caller, String requestId, PlainAnswer refusal) {
+        send(caller, requestId, refusal);
     }
 
     /** Returns whether the target's answer has begun to reach the caller. */
@@ -51,13 +57,15 @@
         return outstanding;
     }
 
-    /** Returns what the target's answer says about the tokens used. */
-    TokenUsage usage() {
-        return usage;
-    }
-
-    Optional<AnswerHead> head() {
-        return Optional.ofNullable(head);
+    /**
+     * Returns the tokens that the request used, as far as the target's answer tells.
+     *
+     * @param promptTokens used in any case
+     * @param chargedTokens most that may count as used
+     */
+    long usedTokens(long promptTokens, long chargedTokens) {
+        boolean eventStream = head != null && head.isEventStream();
+        return usage.tokens(promptTokens, chargedTokens, eventStream);
     }
 
     /** Takes the head of the target's answer. */
@@ -105,20 +113,23 @@
         }
         finished = true;
         if (!started) {
-            send(refusal);
-        } else if (head.isEventStream()) {
-            caller.write(ErrorBody.event(failure));
-            caller.end();
-        } else {
+            send(caller, requestId, refusal);
+            return;
+        }
+        Optional<byte[]> event = head.isEventStream() ? messages.failureEvent(failure) : Optional.empty();
+        if (event.isEmpty()) {
             caller.abort();
+            return;
         }
+        caller.write(event.get());
+        caller.end();
     }
 
     /** Gives the caller the recorded answer of an order that ran before. */
     void replay(RecordedAnswer answer) {
         if (!finished) {
             finished = true;
-            send(PlainAnswer.of(answer.status(), answer.contentType(), answer.body()));
+            send(caller, requestId, PlainAnswer.of(answer.status(), answer.contentType(), answer.body()));
         }
     }
 
@@ -146,7 +157,7 @@
         }
         started = true;
         if (!finished) {
-            caller.start(new AnswerHead(head.status(), ForwardedHeaders.toCaller(head.headers())));
+            caller.start(new AnswerHead(head.status(), messages.toCaller(head.headers())));
         }
     }
 
@@ -162,7 +173,7 @@
         recorded.writeBytes(bytes);
     }
 
-    private void send(PlainAnswer answer) {
+    private static void send(CallerStream caller, String requestId, PlainAnswer answer) {
         List<HeaderField> headers = new ArrayList<>(answer.headers());
         headers.add(new HeaderField(AnswerHead.CONTENT_TYPE, answer.contentType()));
         headers.add(new HeaderField(AnswerHead.CONTENT_LENGTH, Integer.toString(answer.body().length)));
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CompletionMessages.java
@@ -0,0 +1,44 @@
+package org.basilrill.protocol.instance;
+
+import java.util.List;
+import java.util.Optional;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.protocol.caller.AnswerHead;
+import org.basilrill.protocol.caller.ErrorBody;
+import org.basilrill.protocol.caller.ForwardedHeaders;
+import org.basilrill.protocol.caller.HeaderField;
+import org.basilrill.protocol.caller.KeyGuard;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.dialect.RequestMessages;
+import org.basilrill.protocol.dialect.TargetCall;
+
+/** The messages of completions and service calls in the product's own interface. Immutable and thread safe. */
+record CompletionMessages(RequestHead head, String id, KeyGuard guard) implements RequestMessages {
+    /** Status of a target that is full: it answers so before it runs anything. */
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    @Override
+    public List<HeaderField> toTarget(TargetCall call) {
+        return ForwardedHeaders.toTarget(head, id, call.traceFields(), guard);
+    }
+
+    @Override
+    public List<HeaderField> toCaller(List<HeaderField> answer) {
+        return ForwardedHeaders.toCaller(answer);
+    }
+
+    @Override
+    public Optional<String> requestId(AnswerHead answer) {
+        return answer.header(RequestHead.REQUEST_ID);
+    }
+
+    @Override
+    public boolean ranNothing(AnswerHead answer) {
+        return answer.status() == SERVICE_UNAVAILABLE;
+    }
+
+    @Override
+    public Optional<byte[]> failureEvent(BasilrillException failure) {
+        return Optional.of(ErrorBody.event(failure));
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -1,12 +1,13 @@
 package org.basilrill.protocol.instance;
 
-import java.time.Duration;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator.SplittableGenerator;
 import org.basilrill.api.AccountId;
+import org.basilrill.api.InstanceId;
 import org.basilrill.api.PeerHandler;
 import org.basilrill.api.PeerSubject;
 import org.basilrill.coordination.admission.DispatcherOptions;
@@ -21,6 +22,7 @@
 import org.basilrill.coordination.membership.Fact.InstanceFact;
 import org.basilrill.coordination.membership.GossipMembership;
 import org.basilrill.coordination.membership.Membership;
+import org.basilrill.coordination.membership.Membership.Member;
 import org.basilrill.coordination.membership.TargetSpread;
 import org.basilrill.coordination.placement.DemandBook;
 import org.basilrill.coordination.placement.DemandReporter;
@@ -32,6 +34,7 @@
 import org.basilrill.coordination.routing.RoutingOptions;
 import org.basilrill.coordination.routing.TargetRouter;
 import org.basilrill.protocol.caller.InstanceListing;
+import org.basilrill.protocol.dialect.Dialect;
 import org.basilrill.protocol.peer.GossipCodec;
 import org.basilrill.protocol.peer.ThriftBudgetCodec;
 import org.basilrill.protocol.peer.ThriftPlacementCodec;
@@ -49,9 +52,6 @@
  * socket. Thread safe.
  */
 public final class Instance {
-    /** How long callers may use the list of instances; a stop goes on serving for as long. */
-    public static final Duration LISTING_VALIDITY = Duration.ofSeconds(5);
-
     private final InstanceEnvironment environment;
     private final GossipMembership membership;
     private final TargetRegistry targets;
@@ -83,7 +83,12 @@
         this.spread = new TargetSpread(membership, targets, environment.clock());
         this.controlEndpoint = new ControlEndpoint(environment.self(), environment.channel(), environment.scheduler());
         this.control = new ControlLogClient(
-                controlEndpoint, environment.replicas(), environment.clock(), environment.scheduler(), split());
+                controlEndpoint,
+                environment.replicas(),
+                environment.outside().rulesFormat(),
+                environment.clock(),
+                environment.scheduler(),
+                split());
         this.controlServer = environment.replica().map(this::createControlServer);
         this.budgets = new ClientBudgets(
                 environment.self(),
@@ -103,7 +108,8 @@
                 environment.scheduler());
         this.placement = environment.replica().map(this::createPlacement);
         this.dispatcher = createDispatcher();
-        this.listing = new InstanceListing(membership, environment.self(), split(), LISTING_VALIDITY);
+        this.listing = new InstanceListing(
+                membership, environment.self(), split(), environment.outside().listingValidity());
         this.blockedRequests = new BlockedRequests(
                 environment.clock(), request -> membership.publishUrgently(new BlockedRequestFact(request)));
         this.coordinator = createCoordinator();
@@ -263,7 +269,7 @@
                 control,
                 budgets,
                 dispatcher,
-                new SlidingRetryBudget(environment.clock()),
+                createRetryBudget(),
                 environment.connector(),
                 environment.clock(),
                 environment.scheduler(),
@@ -274,7 +280,13 @@
                 environment.limits(),
                 listing::otherAddresses,
                 blockedRequests,
-                new RequestIdEchoes()));
+                new RequestIdEchoes(),
+                environment.outside().dialect().map(Dialect::callers)));
+    }
+
+    private SlidingRetryBudget createRetryBudget() {
+        return new SlidingRetryBudget(
+                environment.clock(), requests -> environment.outside().retries().allowance(requests, usableInstances));
     }
 
     private void learnBlocked(Fact fact) {
@@ -299,13 +311,24 @@
                 environment.peerAddress(),
                 draining,
                 control.isCurrent(),
-                control.view().rules().revision()));
+                control.view().rules().revision(),
+                environment.replica().isPresent()));
+        tellReplicas();
         ownFacts.publishLoad(coordinator.requestsInFlight());
         usableInstances = (int) membership.members().stream()
                 .filter(member -> !member.suspected() && !member.draining())
                 .count();
     }
 
+    private void tellReplicas() {
+        List<InstanceId> holders = membership.members().stream()
+                .filter(member -> member.replica() && !member.suspected())
+                .map(Member::id)
+                .toList();
+        control.hintReplicas(holders);
+        environment.replica().ifPresent(local -> local.contacts().accept(holders));
+    }
+
     private int weightOf(AccountId account) {
         return Optional.ofNullable(control.view().rules().accounts().get(account))
                 .map(Rules.Account::weight)
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstanceEnvironment.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstanceEnvironment.java
@@ -4,6 +4,7 @@
 import io.opentelemetry.api.trace.Tracer;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator.SplittableGenerator;
@@ -27,6 +28,7 @@
  * @param wallClockMillis used for retention and as the incarnation of the instance only
  * @param firstOperatorKey key by which the first rules are installed
  * @param replica replica of the control log that this instance holds, if any
+ * @param outside how this instance deals with callers, targets and operators
  */
 public record InstanceEnvironment(
         InstanceId self,
@@ -45,7 +47,8 @@
         MetricRegistry metrics,
         RequestLimits limits,
         Optional<KeyHash> firstOperatorKey,
-        Optional<LocalReplica> replica) {
+        Optional<LocalReplica> replica,
+        OutsideOptions outside) {
     public InstanceEnvironment {
         replicas = List.copyOf(replicas);
     }
@@ -54,6 +57,11 @@
      * The replica of the control log that this instance holds.
      *
      * @param members instances that hold replicas according to the log
+     * @param contacts takes the instances that say that they hold a replica
      */
-    public record LocalReplica(ControlLog log, ControlStateMachine machine, Supplier<List<InstanceId>> members) {}
+    public record LocalReplica(
+            ControlLog log,
+            ControlStateMachine machine,
+            Supplier<List<InstanceId>> members,
+            Consumer<List<InstanceId>> contacts) {}
 }
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/OutsideOptions.java
@@ -0,0 +1,39 @@
+package org.basilrill.protocol.instance;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.basilrill.protocol.dialect.Dialect;
+import org.basilrill.state.configuration.RulesFormat;
+import org.basilrill.state.configuration.RulesParser;
+
+/**
+ * How an instance deals with callers, targets and operators. Immutable and thread safe.
+ *
+ * @param dialect how they speak, if not in the product's own interface
+ * @param listingValidity how long callers may use the list of instances; a stop goes on serving for as long
+ * @param retries retries that all instances together may make
+ */
+public record OutsideOptions(Optional<Dialect> dialect, Duration listingValidity, RetryLimits retries) {
+    /**
+     * Limits of the retries of all instances together, in any ten seconds.
+     *
+     * @param share retries allowed for each request
+     * @param slack retries allowed besides, shared by the instances
+     */
+    public record RetryLimits(double share, double slack) {
+        /** Returns the retries that one instance may make. */
+        double allowance(long requests, int instances) {
+            return share * requests + slack / Math.max(1, instances);
+        }
+    }
+
+    /** Returns the options of the product's own interface. */
+    public static OutsideOptions defaults() {
+        return new OutsideOptions(Optional.empty(), Duration.ofSeconds(5), new RetryLimits(0.1, 120));
+    }
+
+    /** Returns the format of the rules. */
+    public RulesFormat rulesFormat() {
+        return dialect.map(Dialect::rulesFormat).orElse(RulesParser::parse);
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -27,7 +27,7 @@
 
     private final RequestServices services;
     private final RequestMetrics metrics;
-    private final RequestPlanner planner;
+    private final Planner planner;
     private final Set<RequestExchange> running = ConcurrentHashMap.newKeySet();
     private final CompletableFuture<Void> idle = new CompletableFuture<>();
     private volatile boolean draining;
@@ -35,7 +35,9 @@
     public RequestCoordinator(RequestServices services) {
         this.services = services;
         metrics = new RequestMetrics(services.metrics());
-        planner = new RequestPlanner(services.limits(), new RequestIdentifiers(services.random()));
+        planner = services.dialect()
+                .<Planner>map(dialect -> new RoutePlanner(dialect, services.random()))
+                .orElseGet(() -> new RequestPlanner(services.limits(), new RequestIdentifiers(services.random())));
         services.control().onView(this::viewChanged);
     }
 
@@ -53,8 +55,8 @@
         ControlView view = services.control().view();
         RequestPlan plan;
         try {
-            RequestPlanner.Authorization authorization = authorize(head, view);
-            plan = planner.plan(head, body, authorization, view.rules());
+            Planner.Authorization authorization = authorize(head, view);
+            plan = authorization.plan(body);
             requireNotSuspect(plan, view);
         } catch (BasilrillException failure) {
             return refuse(failure.withOutcome(Outcome.NOT_RUN), head, caller);
@@ -78,6 +80,9 @@
 
     /** Returns a failure as an answer; names other instances where this one takes no requests. */
     public PlainAnswer refusal(BasilrillException failure) {
+        if (services.dialect().isPresent()) {
+            return services.dialect().get().refusal(failure);
+        }
         PlainAnswer answer = ErrorBody.answer(failure);
         boolean elsewhere =
                 failure.code() == ErrorCode.INSTANCE_NOT_CURRENT || failure.code() == ErrorCode.INSTANCE_DRAINING;
@@ -112,9 +117,9 @@
         List.copyOf(running).forEach(RequestExchange::stop);
     }
 
-    private RequestPlanner.Authorization authorize(RequestHead head, ControlView view) {
+    private Planner.Authorization authorize(RequestHead head, ControlView view) {
         try {
-            RequestPlanner.Authorization authorization = planner.authorize(head, view.rules());
+            Planner.Authorization authorization = planner.authorize(head, view.rules());
             requireOpen();
             return authorization;
         } catch (BasilrillException failure) {
@@ -146,8 +151,7 @@
     /** Sends a refusal of a request that was not started. */
     public RunningRequest refuse(BasilrillException failure, RequestHead head, CallerStream caller) {
         metrics.failed(failure.code());
-        AnswerRelay relay = new AnswerRelay(caller, planner.requestId(head), false);
-        relay.fail(failure, refusal(failure));
+        AnswerRelay.refuse(caller, planner.requestId(head), refusal(failure));
         return new RefusedRequest();
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -44,14 +44,15 @@
     private final Set<TargetId> excluded = new HashSet<>();
     private final long startNanos;
     private final long deadlineNanos;
+    private final Retries retries;
 
     private Scheduler.Cancellable deadlineTimer = () -> {};
     private CompletableFuture<Assignment> queued = CompletableFuture.completedFuture(null);
     private Optional<Charge> charge = Optional.empty();
     private Optional<TargetAttempt> attempt = Optional.empty();
-    private int attempts;
     private boolean mayHaveRun;
     private boolean recording;
+
     private boolean closed;
 
     RequestExchange(
@@ -66,11 +67,12 @@
         this.plan = plan;
         this.refusals = refusals;
         this.closedListener = closedListener;
-        relay = new AnswerRelay(caller, plan.requestId(), plan.order().isPresent());
+        relay = new AnswerRelay(caller, plan.requestId(), plan.order().isPresent(), plan.messages());
         claim = plan.order().map(order -> new OrderClaim(services, order));
         span = services.tracing().startRequest(plan);
         startNanos = services.clock().nanos();
         deadlineNanos = startNanos + plan.deadline().toNanos();
+        retries = new Retries(services, plan, deadlineNanos);
     }
 
     /** Starts the life cycle. */
@@ -184,6 +186,11 @@
         });
     }
 
+    @Override
+    public boolean wantsAnother() {
+        return retries.replacesServerError();
+    }
+
     @Override
     public boolean waitsForCaller() {
         return !relay.finished() && relay.outstanding() >= services.limits().windowBytes();
@@ -199,7 +206,7 @@
             giveUp(ErrorCode.CONTROL_UNAVAILABLE, "this instance has no session with the control log");
             return;
         }
-        awaitResult(order.claim(remaining()), (result, problem) -> {
+        awaitResult(order.claim(retries.timeLeft()), (result, problem) -> {
             if (problem != null) {
                 refuse(problem.withOutcome(Outcome.NOT_RUN));
             } else if (result instanceof ControlResult.OrderGranted) {
@@ -222,7 +229,7 @@
     }
 
     private void chargeTokens() {
-        if (plan.account().isEmpty()) {
+        if (plan.account().isEmpty() || plan.chargedTokens() == 0) {
             dispatch();
             return;
         }
@@ -264,10 +271,10 @@
                 assignment.release(AttemptResult.CANCELLED);
                 giveUp(ErrorCode.CRASH_SUSPECT, CrashReports.SUSPECT);
             } else {
-                attempts++;
-                TargetAttempt next = new TargetAttempt(services, plan, assignment, this, events, span);
+                boolean first = retries.attemptBegins();
+                TargetAttempt next = new TargetAttempt(services, plan, assignment, this, events, span, deadlineNanos);
                 attempt = Optional.of(next);
-                next.open(claim.isPresent() || attempts > 1);
+                next.open(claim.isPresent() || !first);
             }
         }));
     }
@@ -277,7 +284,7 @@
             giveUp(ErrorCode.STREAM_CUT, "the answer was cut: " + failure.detail());
             return;
         }
-        if (!mayRepeat(failure) || !services.retryBudget().tryRetry()) {
+        if (!mayRepeat(failure) || !retries.pay()) {
             giveUp(failure.code(), failure.detail());
             return;
         }
@@ -287,20 +294,18 @@
     }
 
     private boolean mayRepeat(TargetAttempt.AttemptFailure failure) {
-        return !relay.started()
-                && !relay.finished()
-                && attempts < services.limits().maximumAttempts()
-                && (!failure.mayHaveRun() || plan.repeatable())
-                && services.clock().nanos() - deadlineNanos < 0;
+        return !relay.started() && !relay.finished() && retries.mayRepeat(failure);
     }
 
     private void answerStarts() {
-        deadlineTimer.cancel();
+        if (!plan.attempts().coversWholeAnswer()) {
+            deadlineTimer.cancel();
+        }
         metrics.firstByte(services.clock().nanos() - startNanos);
     }
 
     private void deadlinePassed() {
-        if (!relay.started()) {
+        if (!relay.started() || plan.attempts().coversWholeAnswer()) {
             giveUp(
                     ErrorCode.DEADLINE_EXCEEDED,
                     "no answer within " + plan.deadline().toMillis() + " ms");
@@ -364,17 +369,11 @@
     }
 
     private void settle(Charge taken, Outcome outcome) {
-        boolean eventStream = relay.head().filter(AnswerHead::isEventStream).isPresent();
-        long used =
-                outcome == Outcome.NOT_RUN ? 0 : relay.usage().tokens(plan.promptTokens(), taken.tokens(), eventStream);
+        long used = outcome == Outcome.NOT_RUN ? 0 : relay.usedTokens(plan.promptTokens(), taken.tokens());
         taken.settle(used);
         metrics.used(plan.account(), used);
     }
 
-    private Duration remaining() {
-        return Duration.ofNanos(Math.max(1, deadlineNanos - services.clock().nanos()));
-    }
-
     private <T> void await(CompletableFuture<T> future, Consumer<T> next) {
         future.whenComplete((value, problem) -> event(() -> next.accept(value)));
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
@@ -7,6 +7,7 @@
 import org.basilrill.coordination.admission.Dispatcher.Destination;
 import org.basilrill.protocol.caller.KeyGuard;
 import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.dialect.RequestMessages;
 import org.basilrill.state.configuration.KeyHash;
 
 /**
@@ -19,7 +20,8 @@
  * @param order present if it must run at most once
  * @param repeatable whether it may run twice
  * @param fingerprint identifies the request if it crashes targets
- * @param deadline time to the first byte of the answer
+ * @param deadline time to the first byte of the answer or, as the attempts say, to its end
+ * @param messages how the messages of the request are written
  */
 record RequestPlan(
         String requestId,
@@ -37,7 +39,9 @@
         String fingerprint,
         Duration deadline,
         String pathAndQuery,
-        byte[] body) {
+        byte[] body,
+        RequestMessages messages,
+        AttemptPolicy attempts) {
     /** The claim an order needs. */
     record Order(AccountId account, String idempotencyKey, String fingerprint, String attempt) {}
 }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
@@ -19,8 +19,8 @@
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.configuration.Rules;
 
-/** Authorises requests against the rules and plans how they run. Thread safe. */
-final class RequestPlanner {
+/** Plans completions and service calls in the product's own interface. Thread safe. */
+final class RequestPlanner implements Planner {
     private static final Pattern REQUEST_ID = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
     private static final Pattern IDEMPOTENCY_KEY = Pattern.compile("[\\x21-\\x7e]{1,255}");
     private static final Pattern TIMEOUT = Pattern.compile("[1-9][0-9]{0,8}");
@@ -37,14 +37,22 @@
     }
 
     /** Whose request it is and where it goes. */
-    record Authorization(CallerRoute route, Optional<AccountId> account, Optional<KeyHash> keyHash) {}
-
-    /**
-     * Authorises a request by its head.
-     *
-     * @throws BasilrillException if the request is refused; nothing ran
-     */
-    Authorization authorize(RequestHead head, Rules rules) {
+    private record Authorized(
+            RequestPlanner planner,
+            RequestHead head,
+            Rules rules,
+            CallerRoute route,
+            Optional<AccountId> account,
+            Optional<KeyHash> keyHash)
+            implements Authorization {
+        @Override
+        public RequestPlan plan(byte[] body) {
+            return planner.plan(head, body, this, rules);
+        }
+    }
+
+    @Override
+    public Authorization authorize(RequestHead head, Rules rules) {
         RequestPaths.requireCanonical(head.path());
         CallerRoute route = CallerRoute.of(head.path())
                 .orElseThrow(() -> new BasilrillException(ErrorCode.NOT_FOUND, "no route for " + head.path()));
@@ -63,15 +71,10 @@
         if (route.kind() == CallerRoute.Kind.COMPLETION && !head.method().equals("POST")) {
             throw new BasilrillException(ErrorCode.METHOD_NOT_ALLOWED, "completions are requested by POST");
         }
-        return new Authorization(route, account, account.isPresent() ? keyHash : Optional.empty());
+        return new Authorized(this, head, rules, route, account, account.isPresent() ? keyHash : Optional.empty());
     }
 
-    /**
-     * Plans an authorised request.
-     *
-     * @throws BasilrillException if the request is refused; nothing ran
-     */
-    RequestPlan plan(RequestHead head, byte[] body, Authorization authorization, Rules rules) {
+    private RequestPlan plan(RequestHead head, byte[] body, Authorized authorization, Rules rules) {
         KeyGuard guard = new KeyGuard(head.key(), rules);
         if (guard.reveals(body)) {
             throw new BasilrillException(ErrorCode.MALFORMED_REQUEST, "the body contains the key");
@@ -82,11 +85,12 @@
     }
 
     private RequestPlan planCompletion(
-            RequestHead head, byte[] body, Authorization authorization, KeyGuard guard, Rules rules) {
+            RequestHead head, byte[] body, Authorized authorization, KeyGuard guard, Rules rules) {
         CompletionBody completion = CompletionBody.parse(body);
         int priority = priorityOf(completion.model(), rules);
+        String id = requestId(head, guard);
         return new RequestPlan(
-                requestId(head, guard),
+                id,
                 head,
                 authorization.account(),
                 authorization.keyHash(),
@@ -101,11 +105,13 @@
                 RequestFingerprint.ofContent(authorization.account(), body),
                 deadline(head),
                 authorization.route().targetPath(),
-                completion.body());
+                completion.body(),
+                new CompletionMessages(head, id, guard),
+                attempts());
     }
 
     private RequestPlan planService(
-            RequestHead head, byte[] body, Authorization authorization, KeyGuard guard, Rules rules) {
+            RequestHead head, byte[] body, Authorized authorization, KeyGuard guard, Rules rules) {
         String name = authorization.route().service().orElseThrow();
         Rules.Service service = Optional.ofNullable(rules.services().get(name))
                 .orElseThrow(() -> new BasilrillException(ErrorCode.NOT_FOUND, "there is no service " + name));
@@ -118,8 +124,9 @@
         String fingerprint = RequestFingerprint.ofCall(authorization.account(), head.method(), head.path(), body);
         Optional<RequestPlan.Order> order = order(head, authorization, service, path, fingerprint, guard);
         long tokens = Math.max(1, (body.length + 3) / 4);
+        String id = requestId(head, guard);
         return new RequestPlan(
-                requestId(head, guard),
+                id,
                 head,
                 authorization.account(),
                 authorization.keyHash(),
@@ -134,12 +141,14 @@
                 fingerprint,
                 deadline(head),
                 pathAndQuery,
-                body);
+                body,
+                new CompletionMessages(head, id, guard),
+                attempts());
     }
 
     private Optional<RequestPlan.Order> order(
             RequestHead head,
-            Authorization authorization,
+            Authorized authorization,
             Rules.Service service,
             String path,
             String fingerprint,
@@ -183,8 +192,12 @@
                 .orElseGet(identifiers::next);
     }
 
-    /** Returns the id under which a refusal is answered. */
-    String requestId(RequestHead head) {
+    private AttemptPolicy attempts() {
+        return new AttemptPolicy(limits.maximumAttempts(), false, false);
+    }
+
+    @Override
+    public String requestId(RequestHead head) {
         return requestId(head, new KeyGuard(head.key(), Rules.empty()));
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -11,6 +12,7 @@
 import org.basilrill.coordination.admission.Dispatcher;
 import org.basilrill.coordination.admission.RetryBudget;
 import org.basilrill.coordination.admission.TokenAdmission;
+import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.state.control.ControlClient;
 
 /**
@@ -21,6 +23,7 @@
  * @param otherInstances caller addresses of instances that take requests, for refusals
  * @param blockedRequests requests blocked since the last pull of the control state
  * @param requestIdEchoes which targets send the id of a request back
+ * @param dialect how callers speak, if not in the product's own interface
  */
 public record RequestServices(
         InstanceId instance,
@@ -38,4 +41,5 @@
         RequestLimits limits,
         Supplier<List<String>> otherInstances,
         BlockedRequests blockedRequests,
-        RequestIdEchoes requestIdEchoes) {}
+        RequestIdEchoes requestIdEchoes,
+        Optional<CallerDialect> dialect) {}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
@@ -0,0 +1,53 @@
+package org.basilrill.protocol.instance;
+
+import java.time.Duration;
+import org.basilrill.protocol.instance.TargetAttempt.AttemptFailure;
+
+/** Counts the attempts of one request and decides whether another one may follow. Not thread safe. */
+final class Retries {
+    private final RequestServices services;
+    private final RequestPlan plan;
+    private final long deadlineNanos;
+    private int attempts;
+    /** Whether the retry budget has already paid for the next attempt. */
+    private boolean granted;
+
+    Retries(RequestServices services, RequestPlan plan, long deadlineNanos) {
+        this.services = services;
+        this.plan = plan;
+        this.deadlineNanos = deadlineNanos;
+    }
+
+    /** Returns the time to the deadline, at least a nanosecond. */
+    Duration timeLeft() {
+        return Duration.ofNanos(Math.max(1, deadlineNanos - services.clock().nanos()));
+    }
+
+    /** Notes that an attempt begins; returns whether it is the first one. */
+    boolean attemptBegins() {
+        attempts++;
+        return attempts == 1;
+    }
+
+    /** Returns whether the request may be sent once more, apart from the retry budget. */
+    boolean mayRepeat(AttemptFailure failure) {
+        return attempts < plan.attempts().maximumAttempts()
+                && (!failure.mayHaveRun() || plan.repeatable())
+                && services.clock().nanos() - deadlineNanos < 0;
+    }
+
+    /** Returns whether a failure that the target answered is replaced by another attempt, and pays for it. */
+    boolean replacesServerError() {
+        granted = plan.attempts().repeatsServerErrors()
+                && attempts < plan.attempts().maximumAttempts()
+                && services.retryBudget().tryRetry();
+        return granted;
+    }
+
+    /** Pays for the next attempt; returns whether the retry budget allows it. */
+    boolean pay() {
+        boolean paid = granted || services.retryBudget().tryRetry();
+        granted = false;
+        return paid;
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
@@ -0,0 +1,160 @@
+package org.basilrill.protocol.instance;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.basilrill.api.AccountId;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.coordination.admission.Dispatcher.Destination;
+import org.basilrill.protocol.caller.KeyGuard;
+import org.basilrill.protocol.caller.RequestFingerprint;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.dialect.CallRequest;
+import org.basilrill.protocol.dialect.CallRequest.PromptPart;
+import org.basilrill.protocol.dialect.CallRequest.TokenCounts;
+import org.basilrill.protocol.dialect.CallerDialect;
+import org.basilrill.state.configuration.CallRoute;
+import org.basilrill.state.configuration.KeyHash;
+import org.basilrill.state.configuration.Rules;
+
+/** Plans requests by the routes of the rules: by host and longest prefix. Thread safe. */
+final class RoutePlanner implements Planner {
+    private final CallerDialect dialect;
+    private final RandomGenerator random;
+
+    /**
+     * Creates a planner.
+     *
+     * @param random chooses the services of routes with several; used under a lock
+     */
+    RoutePlanner(CallerDialect dialect, RandomGenerator random) {
+        this.dialect = dialect;
+        this.random = random;
+    }
+
+    @Override
+    public Authorization authorize(RequestHead head, Rules rules) {
+        CallRequest request = dialect.read(head);
+        if (rules.revision() == 0) {
+            throw new BasilrillException(ErrorCode.INSTANCE_NOT_CURRENT, "this instance knows no rules yet");
+        }
+        CallRoute route = rules.callRoutes()
+                .find(request.host(), head.path())
+                .orElseThrow(() ->
+                        new BasilrillException(ErrorCode.NOT_FOUND, "no route for " + request.host() + head.path()));
+        Optional<KeyHash> keyHash = request.key().map(KeyHash::of);
+        Optional<AccountId> account = keyHash.flatMap(rules::accountOf);
+        boolean keysInUse = !rules.accounts().isEmpty();
+        if (keysInUse && !route.open() && account.isEmpty()) {
+            throw keyHash.isPresent()
+                    ? new BasilrillException(ErrorCode.KEY_UNKNOWN, "the key is not in force")
+                    : new BasilrillException(ErrorCode.KEY_MISSING, "the route needs a key");
+        }
+        return new Routed(request, route, rules, account, account.isPresent() ? keyHash : Optional.empty());
+    }
+
+    @Override
+    public String requestId(RequestHead head) {
+        return dialect.read(head).requestId();
+    }
+
+    private double fraction() {
+        synchronized (random) {
+            return random.nextDouble();
+        }
+    }
+
+    /** Hashes of the prompt's prefixes, shortest first: each part together with all parts before it. */
+    private static List<Long> prefixHashes(List<PromptPart> parts) {
+        List<Long> hashes = new ArrayList<>(parts.size());
+        long hash = 0;
+        for (PromptPart part : parts) {
+            hash = hash * 31 + part.id();
+            hashes.add(hash);
+        }
+        return hashes;
+    }
+
+    /** A request that a route allows. */
+    private final class Routed implements Authorization {
+        private final CallRequest request;
+        private final CallRoute route;
+        private final Rules rules;
+        private final Optional<AccountId> account;
+        private final Optional<KeyHash> keyHash;
+
+        Routed(
+                CallRequest request,
+                CallRoute route,
+                Rules rules,
+                Optional<AccountId> account,
+                Optional<KeyHash> keyHash) {
+            this.request = request;
+            this.route = route;
+            this.rules = rules;
+            this.account = account;
+            this.keyHash = keyHash;
+        }
+
+        @Override
+        public Optional<AccountId> account() {
+            return account;
+        }
+
+        @Override
+        public Optional<KeyHash> keyHash() {
+            return keyHash;
+        }
+
+        @Override
+        public RequestPlan plan(byte[] body) {
+            RequestHead head = request.head();
+            Optional<Rules.Account> payer = account.map(rules.accounts()::get);
+            String fingerprint = RequestFingerprint.ofCall(account, head.method(), head.path(), body);
+            String query = head.query().map(text -> "?" + text).orElse("");
+            return new RequestPlan(
+                    request.requestId(),
+                    head,
+                    account,
+                    keyHash,
+                    new KeyGuard(request.key(), rules),
+                    destination(),
+                    payer.flatMap(Rules.Account::priority).orElse(route.priority()),
+                    charge(payer),
+                    charge(payer),
+                    prefixHashes(request.promptParts()),
+                    Optional.empty(),
+                    route.kind().isRepeatable(),
+                    fingerprint,
+                    timeLeft(),
+                    head.path() + query,
+                    body,
+                    dialect.messages(request),
+                    new AttemptPolicy(Math.max(1, route.maximumAttempts()), true, route.kind() == CallRoute.Kind.SAFE));
+        }
+
+        private Destination destination() {
+            String service = route.serviceAt(fraction())
+                    .orElseThrow(() -> new BasilrillException(
+                            ErrorCode.NO_TARGET, "route " + route.name() + " has no service with a weight"));
+            return request.model()
+                    .map(model -> Destination.ofModelAt(service, model))
+                    .orElseGet(() -> Destination.ofService(service));
+        }
+
+        /** An account without a limit pays nothing, so that its requests wait for no bucket. */
+        private long charge(Optional<Rules.Account> payer) {
+            return payer.filter(paying -> !paying.isUnlimited())
+                    .map(paying -> paying.charging().costOf(request.tokens().map(TokenCounts::total)))
+                    .orElse(0L);
+        }
+
+        private Duration timeLeft() {
+            Duration stated = request.timeLeft().orElse(route.timeout());
+            return stated.compareTo(route.timeout()) < 0 ? stated : route.timeout();
+        }
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -13,9 +13,8 @@
 import org.basilrill.coordination.admission.Dispatcher.Assignment;
 import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
 import org.basilrill.protocol.caller.AnswerHead;
-import org.basilrill.protocol.caller.ForwardedHeaders;
 import org.basilrill.protocol.caller.HeaderField;
-import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.dialect.TargetCall;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /**
@@ -25,9 +24,6 @@
 final class TargetAttempt implements TargetConnector.Listener {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int FIRST_SERVER_ERROR = 500;
-    /** Status of a target that is full: it answers so before it runs anything. */
-    private static final int SERVICE_UNAVAILABLE = 503;
-
     private static final String FULL = "the target is full and ran nothing";
 
     private final RequestServices services;
@@ -36,6 +32,7 @@
     private final Owner owner;
     private final Executor events;
     private final Span span;
+    private final long deadlineNanos;
     private final SendPermit permit = new SendPermit();
     private TargetConnector.Call call = new NoCall();
     private boolean over;
@@ -50,12 +47,14 @@
             Assignment assignment,
             Owner owner,
             Executor events,
-            Span requestSpan) {
+            Span requestSpan,
+            long deadlineNanos) {
         this.services = services;
         this.plan = plan;
         this.assignment = assignment;
         this.owner = owner;
         this.events = events;
+        this.deadlineNanos = deadlineNanos;
         span = services.tracing()
                 .startAttempt(requestSpan, assignment.target().id().value());
     }
@@ -74,6 +73,9 @@
         /** Takes the failure; the attempt is over. */
         void attemptFailed(AttemptFailure failure);
 
+        /** Returns whether a failure that the target answered is worth another attempt instead of being passed on. */
+        boolean wantsAnother();
+
         /** Returns whether the silence is that of a caller that does not read. */
         boolean waitsForCaller();
 
@@ -95,8 +97,14 @@
 
     void open(boolean freshConnection) {
         noteProgress();
-        List<HeaderField> headers = ForwardedHeaders.toTarget(
-                plan.head(), plan.requestId(), services.tracing().fields(span), plan.keyGuard());
+        List<HeaderField> headers = plan.messages()
+                .toTarget(new TargetCall(
+                        target().id(),
+                        plan.account(),
+                        Duration.ofNanos(
+                                Math.max(0, deadlineNanos - services.clock().nanos())),
+                        plan.priority(),
+                        services.tracing().fields(span)));
         TargetConnector.Request request =
                 new TargetConnector.Request(plan.head().method(), plan.pathAndQuery(), headers, plan.body());
         call = services.connector().open(assignment.target(), request, freshConnection, this);
@@ -131,16 +139,20 @@
     @Override
     public void answered(AnswerHead head) {
         event(() -> {
-            Optional<String> id = head.header(RequestHead.REQUEST_ID);
+            Optional<String> id = plan.messages().requestId(head);
             if (!services.requestIdEchoes().matches(target(), plan.requestId(), id)) {
                 LOGGER.atWarning().log("%s: target %s", LogEvent.ANSWER_CROSSED, target().id());
                 fail(ErrorCode.ANSWER_MISMATCH, "the target answered without the id of the request", false);
                 return;
             }
-            if (head.status() == SERVICE_UNAVAILABLE) {
+            if (plan.messages().ranNothing(head)) {
                 end(AttemptResult.REFUSED_FULL, new AttemptFailure(ErrorCode.TARGET_FULL, FULL, false, false));
                 return;
             }
+            if (head.status() >= FIRST_SERVER_ERROR && owner.wantsAnother()) {
+                fail(ErrorCode.TARGET_FAILED, "the target answered with status " + head.status(), false);
+                return;
+            }
             answered = true;
             noteProgress();
             resultOfAnswer = head.status() >= FIRST_SERVER_ERROR ? AttemptResult.FAILED : AttemptResult.SUCCEEDED;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
@@ -17,6 +17,7 @@
 import org.basilrill.thrift.membership.InstanceFact;
 import org.basilrill.thrift.membership.InstanceLoadFact;
 import org.basilrill.thrift.membership.LoadedModelFact;
+import org.basilrill.thrift.membership.TargetContentFact;
 import org.basilrill.thrift.membership.TargetFact;
 import org.basilrill.thrift.membership.TargetGoneFact;
 import org.basilrill.thrift.membership.TargetLoadFact;
@@ -30,13 +31,15 @@
 
     static FactPayload encode(Fact fact) {
         if (fact instanceof Fact.InstanceFact instance) {
-            return FactPayload.instance(new InstanceFact(
+            InstanceFact message = new InstanceFact(
                     instance.dataCentre(),
                     instance.callerAddress(),
                     instance.peerAddress(),
                     instance.draining(),
                     instance.current(),
-                    instance.revision()));
+                    instance.revision());
+            message.setReplica(instance.replica());
+            return FactPayload.instance(message);
         }
         if (fact instanceof Fact.InstanceLoadFact load) {
             return FactPayload.instanceLoad(new InstanceLoadFact(load.requestsInFlight()));
@@ -51,6 +54,13 @@
         if (fact instanceof Fact.BlockedRequestFact blocked) {
             return FactPayload.blockedRequest(new BlockedRequestFact(blocked.fingerprint()));
         }
+        if (fact instanceof Fact.TargetContentFact content) {
+            return FactPayload.targetContent(new TargetContentFact(
+                    content.target().value(),
+                    content.incarnation(),
+                    content.model().value(),
+                    content.present()));
+        }
         Fact.TargetGoneFact gone = (Fact.TargetGoneFact) fact;
         return FactPayload.targetGone(new TargetGoneFact(gone.target().value()));
     }
@@ -64,7 +74,8 @@
                     instance.getPeerAddress(),
                     instance.isDraining(),
                     instance.isCurrent(),
-                    instance.getRevision());
+                    instance.getRevision(),
+                    instance.isReplica());
         }
         if (payload.isSetInstanceLoad()) {
             return new Fact.InstanceLoadFact(payload.getInstanceLoad().getRequestsInFlight());
@@ -80,6 +91,14 @@
         if (payload.isSetTargetGone()) {
             return new Fact.TargetGoneFact(new TargetId(payload.getTargetGone().getTarget()));
         }
+        if (payload.isSetTargetContent()) {
+            TargetContentFact content = payload.getTargetContent();
+            return new Fact.TargetContentFact(
+                    new TargetId(content.getTarget()),
+                    content.getIncarnation(),
+                    new ModelId(content.getModel()),
+                    content.isPresent());
+        }
         if (payload.isSetBlockedRequest()) {
             return new Fact.BlockedRequestFact(payload.getBlockedRequest().getFingerprint());
         }
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/state/configuration/CallRoute.java
@@ -0,0 +1,80 @@
+package org.basilrill.state.configuration;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A route by which callers reach a service: every path under a prefix at a host. Immutable and thread safe.
+ *
+ * @param host host name in lower case
+ * @param pathPrefix begins and ends with a slash
+ * @param timeout longest time that a request is kept waiting for its complete answer
+ * @param latencyTarget time within which an answer is of full use to its caller
+ * @param priority class of service of its requests; 0 goes first
+ * @param shares services that take the requests, at least one with a weight above 0
+ * @param maximumAttempts targets that one request may be sent to
+ * @param open whether callers need no key
+ */
+public record CallRoute(
+        String name,
+        String host,
+        String pathPrefix,
+        Kind kind,
+        Duration timeout,
+        Duration latencyTarget,
+        int priority,
+        List<Share> shares,
+        int maximumAttempts,
+        boolean open) {
+    public CallRoute {
+        shares = List.copyOf(shares);
+    }
+
+    /** What may be repeated of a route's requests. */
+    public enum Kind {
+        /** A request may run more than once. */
+        SAFE,
+        /** A request runs at most once. */
+        UNSAFE,
+        /** The answer is a stream of events; a request runs at most once. */
+        STREAM,
+        /** The answer is a stream of events that another target can continue after a given event. */
+        RESUMABLE_STREAM;
+
+        /** Returns whether a request that may have run can be sent again before its answer has begun. */
+        public boolean isRepeatable() {
+            return this == SAFE || this == RESUMABLE_STREAM;
+        }
+
+        /** Returns whether the answer is a stream of events. */
+        public boolean isStream() {
+            return this == STREAM || this == RESUMABLE_STREAM;
+        }
+    }
+
+    /**
+     * A service that takes part of a route's requests.
+     *
+     * @param weight part of the requests, relative to the weights of the other shares; 0 or more
+     */
+    public record Share(String service, int weight) {}
+
+    /**
+     * Chooses the service of one request.
+     *
+     * @param fraction where the request falls among all requests of the route, from 0 up to but excluding 1
+     * @return empty if all weights are 0
+     */
+    public Optional<String> serviceAt(double fraction) {
+        long total = shares.stream().mapToLong(Share::weight).sum();
+        double left = fraction * total;
+        for (Share share : shares) {
+            left -= share.weight();
+            if (left < 0) {
+                return Optional.of(share.service());
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/state/configuration/Rules.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/configuration/Rules.java
@@ -12,6 +12,8 @@
  * @param revision 0 before the first accepted rules, then one higher with each accepted change
  * @param keys the client account of each key that is in force
  * @param services plain services by name
+ * @param callRoutes routes by host and prefix
+ * @param enginePools pools of engines by service
  */
 public record Rules(
         long revision,
@@ -22,7 +24,9 @@
         Map<ModelId, Adapter> adapters,
         Map<String, Service> services,
         List<RoutePattern> openRoutes,
-        StoreLimits storeLimits) {
+        StoreLimits storeLimits,
+        RouteTable callRoutes,
+        Map<String, EnginePool> enginePools) {
     public static final int DEFAULT_PRIORITY = 5;
 
     public Rules {
@@ -33,6 +37,32 @@
         adapters = Map.copyOf(adapters);
         services = Map.copyOf(services);
         openRoutes = List.copyOf(openRoutes);
+        enginePools = Map.copyOf(enginePools);
+    }
+
+    /** Creates rules without routes by host and without pools of engines. */
+    public Rules(
+            long revision,
+            Map<AccountId, Account> accounts,
+            Map<KeyHash, AccountId> keys,
+            Map<KeyHash, Operator> operators,
+            Map<ModelId, Model> models,
+            Map<ModelId, Adapter> adapters,
+            Map<String, Service> services,
+            List<RoutePattern> openRoutes,
+            StoreLimits storeLimits) {
+        this(
+                revision,
+                accounts,
+                keys,
+                operators,
+                models,
+                adapters,
+                services,
+                openRoutes,
+                storeLimits,
+                RouteTable.empty(),
+                Map.of());
     }
 
     /** Returns the rules before the first revision: nothing is allowed. */
@@ -57,8 +87,45 @@
      * @param tokensPerSecond refill of the token bucket
      * @param burstTokens capacity of the token bucket
      * @param weight share of the service under contention, 1 or more
+     * @param priority class of service of all its requests, where it has one of its own
+     * @param charging what a request costs
      */
-    public record Account(AccountId id, long tokensPerSecond, long burstTokens, int weight) {}
+    public record Account(
+            AccountId id,
+            long tokensPerSecond,
+            long burstTokens,
+            int weight,
+            Optional<Integer> priority,
+            Charging charging) {
+        /** Creates an account whose requests have the class of their route and cost the tokens they state. */
+        public Account(AccountId id, long tokensPerSecond, long burstTokens, int weight) {
+            this(id, tokensPerSecond, burstTokens, weight, Optional.empty(), Charging.BY_TOKENS);
+        }
+
+        /** Returns whether its rate has no limit. */
+        public boolean isUnlimited() {
+            return tokensPerSecond == 0;
+        }
+    }
+
+    /**
+     * What a request costs its account.
+     *
+     * @param byTokens whether a request costs the tokens it states; otherwise every request costs 1
+     * @param tokensOfPlainRequest cost of a request that states no tokens, if requests cost tokens
+     */
+    public record Charging(boolean byTokens, long tokensOfPlainRequest) {
+        /** Every request states its tokens. */
+        public static final Charging BY_TOKENS = new Charging(true, 1);
+
+        /** Returns the cost of a request. */
+        public long costOf(Optional<Long> statedTokens) {
+            if (!byTokens) {
+                return 1;
+            }
+            return Math.max(1, statedTokens.orElse(tokensOfPlainRequest));
+        }
+    }
 
     /** What an operator's key allows. */
     public enum Role {
--- a/basilrill-library/src/main/java/org/basilrill/state/control/CommandCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/CommandCodec.java
@@ -14,6 +14,7 @@
 import org.basilrill.state.control.ControlCommand.ClaimOrder;
 import org.basilrill.state.control.ControlCommand.ExpireSession;
 import org.basilrill.state.control.ControlCommand.FinishOrder;
+import org.basilrill.state.control.ControlCommand.InstallRules;
 import org.basilrill.state.control.ControlCommand.IntendOrder;
 import org.basilrill.state.control.ControlCommand.ObserveTarget;
 import org.basilrill.state.control.ControlCommand.RegisterSession;
@@ -26,6 +27,7 @@
 import org.basilrill.thrift.control.CommandMessage;
 import org.basilrill.thrift.control.ExpireSessionCommand;
 import org.basilrill.thrift.control.FinishOrderCommand;
+import org.basilrill.thrift.control.InstallRulesCommand;
 import org.basilrill.thrift.control.IntendOrderCommand;
 import org.basilrill.thrift.control.LoadedModelReport;
 import org.basilrill.thrift.control.ObserveTargetCommand;
@@ -53,6 +55,9 @@
             case REPLACE_RULES:
                 ReplaceRulesCommand replace = message.getReplaceRules();
                 return new ReplaceRules(replace.getExpectedRevision(), replace.getText(), replace.getOperatorName());
+            case INSTALL_RULES:
+                InstallRulesCommand install = message.getInstallRules();
+                return new InstallRules(install.getRevision(), install.getText(), install.getOperatorName());
             case CLAIM_ORDER:
                 return claim(message.getClaimOrder());
             case FINISH_ORDER:
@@ -84,6 +89,10 @@
             return CommandMessage.replaceRules(
                     new ReplaceRulesCommand(replace.expectedRevision(), replace.text(), replace.operator()));
         }
+        if (command instanceof InstallRules install) {
+            return CommandMessage.installRules(
+                    new InstallRulesCommand(install.revision(), install.text(), install.operator()));
+        }
         if (command instanceof ClaimOrder claim) {
             return CommandMessage.claimOrder(new ClaimOrderCommand(
                     claim.account().value(),
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlCommand.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlCommand.java
@@ -19,6 +19,15 @@
      */
     record ReplaceRules(long expectedRevision, String text, String operator) implements ControlCommand {}
 
+    /**
+     * Makes a revision that the operator numbered the rules in force, if it is the highest so far. A revision that is
+     * not higher changes nothing and is accepted, so a repeated or overtaken change is never refused.
+     *
+     * @param text complete rules file
+     * @param operator name of the operator who asked
+     */
+    record InstallRules(long revision, String text, String operator) implements ControlCommand {}
+
     /**
      * Claims the right to run an order.
      *
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
@@ -5,10 +5,13 @@
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.TargetId;
 import org.basilrill.state.codec.ThriftCodec;
+import org.basilrill.state.configuration.RulesFormat;
+import org.basilrill.state.configuration.RulesParser;
 import org.basilrill.state.control.ControlCommand.AssignBucket;
 import org.basilrill.state.control.ControlCommand.ClaimOrder;
 import org.basilrill.state.control.ControlCommand.ExpireSession;
 import org.basilrill.state.control.ControlCommand.FinishOrder;
+import org.basilrill.state.control.ControlCommand.InstallRules;
 import org.basilrill.state.control.ControlCommand.IntendOrder;
 import org.basilrill.state.control.ControlCommand.ObserveTarget;
 import org.basilrill.state.control.ControlCommand.RegisterSession;
@@ -29,7 +32,7 @@
  * while others read.
  */
 public final class ControlStateMachine implements ReplicatedStateMachine {
-    private final RulesRegister rules = new RulesRegister();
+    private final RulesRegister rules;
     private final Sessions sessions = new Sessions();
     private final OrderClaims claims = new OrderClaims();
     private final BucketOwners buckets = new BucketOwners();
@@ -39,6 +42,16 @@
     private long nowMillis;
     private volatile Published published = new Published(ControlView.empty(), "");
 
+    /** Creates the initial state, with rules in the product's own format. */
+    public ControlStateMachine() {
+        this(RulesParser::parse);
+    }
+
+    /** Creates the initial state, with rules in the given format; the same on every replica. */
+    public ControlStateMachine(RulesFormat format) {
+        rules = new RulesRegister(format);
+    }
+
     @Override
     public synchronized byte[] apply(long index, byte[] command) {
         lastIndex = index;
@@ -140,6 +153,9 @@
         if (command instanceof ReplaceRules replace) {
             return rules.replace(replace);
         }
+        if (command instanceof InstallRules install) {
+            return rules.install(install);
+        }
         if (command instanceof ReportCrash crash) {
             advance(crash.nowMillis());
             return suspects.report(crash, nowMillis);
--- a/basilrill-library/src/main/java/org/basilrill/state/control/RulesRegister.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/RulesRegister.java
@@ -10,7 +10,8 @@
 import org.basilrill.state.configuration.ParsedRules;
 import org.basilrill.state.configuration.RuleFault;
 import org.basilrill.state.configuration.Rules;
-import org.basilrill.state.configuration.RulesParser;
+import org.basilrill.state.configuration.RulesFormat;
+import org.basilrill.state.control.ControlCommand.InstallRules;
 import org.basilrill.state.control.ControlCommand.ReplaceRules;
 import org.basilrill.state.control.ControlResult.Refused;
 import org.basilrill.state.control.ControlResult.RulesAccepted;
@@ -31,10 +32,15 @@
 
     private static final String FILE = "rules";
 
+    private final RulesFormat format;
     private final TreeMap<Long, Accepted> history = new TreeMap<>();
     private String text = "";
     private Rules rules = Rules.empty();
 
+    RulesRegister(RulesFormat format) {
+        this.format = format;
+    }
+
     Rules rules() {
         return rules;
     }
@@ -51,19 +57,36 @@
         if (command.expectedRevision() != rules.revision()) {
             return new RulesConflict(rules.revision(), winner(Optional.ofNullable(successor)));
         }
-        ParsedRules parsed = RulesParser.parse(command.text(), rules.revision() + 1);
+        return take(rules.revision() + 1, command.text(), command.operator());
+    }
+
+    /** Takes the revision if it is valid and higher than the one in force; an older valid one changes nothing. */
+    ControlResult install(InstallRules command) {
+        if (command.revision() > rules.revision()) {
+            return take(command.revision(), command.text(), command.operator());
+        }
+        ParsedRules parsed = format.parse(command.text(), command.revision());
+        return parsed.rules().isEmpty() ? invalid(parsed) : new RulesAccepted(rules.revision());
+    }
+
+    private ControlResult take(long revision, String accepted, String operator) {
+        ParsedRules parsed = format.parse(accepted, revision);
         if (parsed.rules().isEmpty()) {
-            return new Refused(ErrorCode.RULES_INVALID, describe(parsed.faults()));
+            return invalid(parsed);
         }
         rules = parsed.rules().get();
-        text = command.text();
-        history.put(rules.revision(), new Accepted(hash(text), command.operator()));
+        text = accepted;
+        history.put(rules.revision(), new Accepted(hash(text), operator));
         while (history.size() > HISTORY_LENGTH) {
             history.pollFirstEntry();
         }
         return new RulesAccepted(rules.revision());
     }
 
+    private static ControlResult invalid(ParsedRules parsed) {
+        return new Refused(ErrorCode.RULES_INVALID, describe(parsed.faults()));
+    }
+
     RulesState state() {
         List<AcceptedRulesState> accepted = new ArrayList<>();
         history.forEach((revision, entry) ->
@@ -75,7 +98,7 @@
         text = state.getText();
         rules = state.getRevision() == 0
                 ? Rules.empty()
-                : RulesParser.parse(text, state.getRevision())
+                : format.parse(text, state.getRevision())
                         .rules()
                         .orElseThrow(() -> new BasilrillException(
                                 ErrorCode.LOG_CORRUPT, "the rules of the snapshot cannot be parsed"));
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ViewCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ViewCodec.java
@@ -9,6 +9,7 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.configuration.RulesFormat;
 import org.basilrill.state.configuration.RulesParser;
 import org.basilrill.state.control.ControlView.BucketOwner;
 import org.basilrill.thrift.control.BucketState;
@@ -45,6 +46,11 @@
      * @throws BasilrillException with {@code MESSAGE_MALFORMED} if the message fits neither those rules nor the parser
      */
     public static ControlView fromMessage(ViewMessage message, Rules held) {
+        return fromMessage(message, held, RulesParser::parse);
+    }
+
+    /** Returns the view of a message whose rules are in the given format; see {@link #fromMessage}. */
+    public static ControlView fromMessage(ViewMessage message, Rules held, RulesFormat format) {
         Map<AccountId, BucketOwner> owners = new HashMap<>();
         for (BucketState bucket : message.getBuckets()) {
             BucketOwner owner = new BucketOwner(
@@ -60,7 +66,7 @@
         }
         return new ControlView(
                 message.getIndex(),
-                rules(message, held),
+                rules(message, held, format),
                 owners,
                 Set.copyOf(message.getBlockedFingerprints()),
                 sessions);
@@ -85,12 +91,12 @@
                 .toList();
     }
 
-    private static Rules rules(ViewMessage message, Rules held) {
+    private static Rules rules(ViewMessage message, Rules held, RulesFormat format) {
         if (message.getRulesRevision() == 0) {
             return Rules.empty();
         }
         if (message.isSetRulesText()) {
-            return RulesParser.parse(message.getRulesText(), message.getRulesRevision())
+            return format.parse(message.getRulesText(), message.getRulesRevision())
                     .rules()
                     .orElseThrow(() -> new BasilrillException(
                             ErrorCode.MESSAGE_MALFORMED,
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
@@ -12,7 +12,7 @@
  * @param incarnation changes when the target restarts
  * @param sequence increases with each announcement of one incarnation
  * @param host IP number
- * @param service name of the plain service it runs; empty for an engine
+ * @param service name of the plain service it runs, or of the pool of engines it belongs to
  * @param timeToLiveMillis how long the announcement holds without a newer one
  * @param memoryBytes accelerator memory
  * @param contents models and adapters it holds, with their version
@@ -42,6 +42,11 @@
         roles = Set.copyOf(roles);
     }
 
+    /** Returns whether the target runs models. */
+    public boolean isEngine() {
+        return service.isEmpty() || !roles.isEmpty();
+    }
+
     /** Returns whether the target can serve the model now. */
     public boolean isReadyFor(ModelId model) {
         LoadedModel loaded = contents.get(model);
@@ -68,6 +73,46 @@
                 leaving);
     }
 
+    /** Returns the same announcement with other contents. */
+    public TargetAnnouncement withContents(Map<ModelId, LoadedModel> other) {
+        return new TargetAnnouncement(
+                id,
+                incarnation,
+                sequence,
+                host,
+                port,
+                dataCentre,
+                service,
+                timeToLiveMillis,
+                memoryBytes,
+                other,
+                roles,
+                slots,
+                load,
+                enforcesFencing,
+                leaving);
+    }
+
+    /** Returns the last announcement of this incarnation: that it leaves. No later one of it is newer. */
+    public TargetAnnouncement left() {
+        return new TargetAnnouncement(
+                id,
+                incarnation,
+                Long.MAX_VALUE,
+                host,
+                port,
+                dataCentre,
+                service,
+                timeToLiveMillis,
+                memoryBytes,
+                contents,
+                roles,
+                slots,
+                load,
+                enforcesFencing,
+                true);
+    }
+
     /** Returns the same announcement with another sequence number. */
     public TargetAnnouncement withSequence(long other) {
         return new TargetAnnouncement(
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
@@ -37,9 +37,11 @@
     private final DestinationIndex<ModelId> models = new DestinationIndex<>();
     private final DestinationIndex<String> services = new DestinationIndex<>();
     private final List<TargetChangeListener> listeners = new CopyOnWriteArrayList<>();
+    private final ContentChanges changes;
 
     public TargetRegistry(MonotonicClock clock) {
         this.clock = clock;
+        changes = new ContentChanges(clock);
         for (int number = 0; number < SHARDS; number++) {
             shards.add(new HashMap<>());
         }
@@ -58,10 +60,12 @@
     /**
      * Takes an announcement that reached this instance by way of another.
      *
+     * @param told the announcement as the target made it
      * @param age time since the target made it; shortens the remaining time to live
      * @return whether it is unexpired and newer than what was known; otherwise nothing changed
      */
-    public boolean announce(TargetAnnouncement announcement, Duration age) {
+    public boolean announce(TargetAnnouncement told, Duration age) {
+        TargetAnnouncement announcement = changes.applied(told);
         long now = clock.nanos();
         long timeToLiveNanos =
                 Duration.ofMillis(announcement.timeToLiveMillis()).toNanos();
@@ -88,10 +92,11 @@
      * Extends the time to live of an announcement that the instance it was made to still holds, and takes the load
      * reported with it. An announcement that is newer than the held one is taken like any other.
      */
-    public void renew(TargetAnnouncement announcement) {
-        if (announce(announcement)) {
+    public void renew(TargetAnnouncement told) {
+        if (announce(told)) {
             return;
         }
+        TargetAnnouncement announcement = changes.applied(told);
         long now = clock.nanos();
         Map<TargetId, HeldAnnouncement> shard = shardOf(announcement.id());
         synchronized (shard) {
@@ -107,6 +112,31 @@
         }
     }
 
+    /**
+     * Notes that a model or adapter was loaded at an incarnation of a target, or unloaded, before the target announces
+     * it.
+     */
+    public void contentChanged(TargetId target, long incarnation, ModelId model, boolean present) {
+        changes.note(target, incarnation, model, present);
+        Optional<TargetAnnouncement> changed = Optional.empty();
+        Map<TargetId, HeldAnnouncement> shard = shardOf(target);
+        synchronized (shard) {
+            HeldAnnouncement previous = shard.get(target);
+            if (previous == null || !previous.isValidAt(clock.nanos())) {
+                return;
+            }
+            TargetAnnouncement updated = changes.applied(previous.announcement());
+            if (!updated.contents().equals(previous.announcement().contents())) {
+                HeldAnnouncement held =
+                        new HeldAnnouncement(updated, previous.expiresNanos(), previous.removalReported());
+                shard.put(target, held);
+                index(Optional.of(previous), held);
+                changed = Optional.of(updated);
+            }
+        }
+        changed.ifPresent(announcement -> notifyListeners(new Change(Kind.UPDATED, announcement)));
+    }
+
     /** Drops what has expired and tells the listeners. Worth calling every few hundred milliseconds. */
     public void expire() {
         long now = clock.nanos();
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnections.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnections.java
@@ -1,8 +1,10 @@
 package org.basilrill.transport.http;
 
+import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.protocol.DefaultHttpProcessor;
@@ -24,7 +26,7 @@
     private static final int MAXIMUM_TRAILERS = 100;
 
     private final GatewaySettings settings;
-    private final CallerRequests requests;
+    private final Function<InetSocketAddress, CallerRequests> requestsAt;
     private final MonotonicClock clock;
     private final HttpProcessor processor =
             new DefaultHttpProcessor(new ResponseDate(), new ResponseContent(), new ResponseConnControl());
@@ -34,9 +36,15 @@
     private final CompletableFuture<Void> allClosed = new CompletableFuture<>();
     private volatile boolean closing;
 
-    CallerConnections(GatewaySettings settings, CallerRequests requests, MonotonicClock clock) {
+    /**
+     * Creates an empty set of connections.
+     *
+     * @param requestsAt what happens to the requests at a local address
+     */
+    CallerConnections(
+            GatewaySettings settings, Function<InetSocketAddress, CallerRequests> requestsAt, MonotonicClock clock) {
         this.settings = settings;
-        this.requests = requests;
+        this.requestsAt = requestsAt;
         this.clock = clock;
         this.bodies = new HeldBodies(settings.maximumHeldBytes());
         config = Http1Config.custom()
@@ -53,6 +61,7 @@
         if (closing) {
             connection.closeWhenIdle();
         }
+        CallerRequests requests = requestsAt.apply((InetSocketAddress) session.getLocalAddress());
         // Silence is judged by what the connection waits for, so the reactor's own limit stays off.
         session.setSocketTimeout(Timeout.DISABLED);
         return new ServerHttp1IOEventHandler(new CallerDuplexer(
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerRequests.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerRequests.java
@@ -5,14 +5,15 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.Predicate;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.Outcome;
 import org.basilrill.protocol.caller.AnswerHead;
-import org.basilrill.protocol.caller.CallerRoute;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.caller.PlainRoutes;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.instance.CallerStream;
 import org.basilrill.protocol.instance.RequestCoordinator;
@@ -24,15 +25,22 @@
 
     private final RequestCoordinator coordinator;
     private final PlainRoutes plainRoutes;
+    private final Predicate<RequestHead> forTargets;
 
-    CallerRequests(RequestCoordinator coordinator, PlainRoutes plainRoutes) {
+    /**
+     * Creates the way of the requests at one address.
+     *
+     * @param forTargets which requests go to the coordinator
+     */
+    CallerRequests(RequestCoordinator coordinator, PlainRoutes plainRoutes, Predicate<RequestHead> forTargets) {
         this.coordinator = coordinator;
         this.plainRoutes = plainRoutes;
+        this.forTargets = forTargets;
     }
 
     /** Checks a request before its body is read; throws a typed refusal. */
     void check(RequestHead head) {
-        if (CallerRoute.matches(head.path())) {
+        if (forTargets.test(head)) {
             coordinator.check(head);
         }
     }
@@ -43,7 +51,7 @@
     }
 
     RunningRequest start(RequestHead head, byte[] body, CallerStream stream) {
-        if (CallerRoute.matches(head.path())) {
+        if (forTargets.test(head)) {
             return coordinator.start(head, body, stream);
         }
         CompletableFuture<PlainAnswer> answer;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/GatewayRoutes.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/GatewayRoutes.java
@@ -11,23 +11,25 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.LogEvent;
 import org.basilrill.protocol.administration.AdministrationHandler;
 import org.basilrill.protocol.caller.InstanceListing;
 import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.caller.PlainRoutes;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.target.AnnouncementCodec;
 import org.basilrill.state.configuration.KeyHash;
-import org.basilrill.state.target.AnnouncementReceiver;
+import org.basilrill.state.target.TargetAnnouncement;
 
 /** Answers the routes that this instance serves itself. Thread safe. */
 public final class GatewayRoutes implements PlainRoutes {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final InstanceListing instances;
-    private final AnnouncementReceiver announcements;
+    private final Consumer<TargetAnnouncement> announcements;
     private final Optional<KeyHash> announcementKey;
     private final AdministrationHandler administration;
     private final MetricRegistry metrics;
@@ -38,12 +40,13 @@
     /**
      * Creates the routes.
      *
+     * @param announcements takes the announcements of targets
      * @param announcementKey hash of the key that targets must send; any target may announce itself if it is absent
      * @param ready whether the instance takes new requests
      */
     public GatewayRoutes(
             InstanceListing instances,
-            AnnouncementReceiver announcements,
+            Consumer<TargetAnnouncement> announcements,
             Optional<KeyHash> announcementKey,
             AdministrationHandler administration,
             MetricRegistry metrics,
@@ -97,7 +100,7 @@
     private PlainAnswer announced(RequestHead head, byte[] body) {
         try {
             requireAnnouncementKey(head);
-            announcements.announced(AnnouncementCodec.read(body));
+            announcements.accept(AnnouncementCodec.read(body));
         } catch (BasilrillException rejection) {
             LOGGER.atWarning().log("%s: %s", LogEvent.ANNOUNCEMENT_REJECTED, rejection.getMessage());
             throw rejection;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/GatewaySettings.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 
 /**
  * Settings of the listener for callers. Immutable and thread safe.
@@ -12,6 +13,8 @@
  * @param maximumBodyBytes longest body of a request
  * @param maximumHeldBytes bytes of request bodies held together; beyond it requests are refused
  * @param maximumHeadBytes longest request line with header fields
+ * @param ownAddresses addresses for what the instance serves itself; if there are any, all requests at the other
+ *     address are for targets
  */
 public record GatewaySettings(
         InetSocketAddress address,
@@ -20,10 +23,53 @@
         Duration idleLimit,
         int maximumBodyBytes,
         long maximumHeldBytes,
-        int maximumHeadBytes) {
+        int maximumHeadBytes,
+        List<InetSocketAddress> ownAddresses) {
     /** A body is copied once while it grows and once to the target, so this share becomes at most three eighths. */
     private static final int SHARE_OF_HEAP = 8;
 
+    public GatewaySettings {
+        ownAddresses = List.copyOf(ownAddresses);
+    }
+
+    /** Creates settings of a listener at whose address everything is served. */
+    public GatewaySettings(
+            InetSocketAddress address,
+            int ioThreads,
+            Duration headerWait,
+            Duration idleLimit,
+            int maximumBodyBytes,
+            long maximumHeldBytes,
+            int maximumHeadBytes) {
+        this(
+                address,
+                ioThreads,
+                headerWait,
+                idleLimit,
+                maximumBodyBytes,
+                maximumHeldBytes,
+                maximumHeadBytes,
+                List.of());
+    }
+
+    /** Returns whether callers have an address of their own, at which all requests are for targets. */
+    boolean separatesCallers() {
+        return !ownAddresses.isEmpty();
+    }
+
+    /** Returns the same settings with addresses at which only the instance itself answers. */
+    public GatewaySettings withOwnAddresses(List<InetSocketAddress> addresses) {
+        return new GatewaySettings(
+                address,
+                ioThreads,
+                headerWait,
+                idleLimit,
+                maximumBodyBytes,
+                maximumHeldBytes,
+                maximumHeadBytes,
+                addresses);
+    }
+
     /** Returns the settings of section 4.10 of the design page for an address. */
     public static GatewaySettings defaults(InetSocketAddress address) {
         return new GatewaySettings(
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.io.CloseMode;
@@ -18,6 +19,8 @@
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
+import org.basilrill.protocol.caller.CallerRoute;
+import org.basilrill.protocol.caller.PlainRoutes;
 import org.basilrill.protocol.instance.RequestCoordinator;
 import org.basilrill.transport.peer.BindFailure;
 
@@ -51,7 +54,7 @@
         this.settings = settings;
         this.coordinator = coordinator;
         this.scheduler = scheduler;
-        connections = new CallerConnections(settings, new CallerRequests(coordinator, plainRoutes), clock);
+        connections = new CallerConnections(settings, requestsByAddress(settings, coordinator, plainRoutes), clock);
         IOReactorConfig reactor = IOReactorConfig.custom()
                 .setIoThreadCount(settings.ioThreads())
                 .setTcpNoDelay(true)
@@ -77,6 +80,9 @@
         server.start();
         try {
             endpoint = server.listen(settings.address(), URIScheme.HTTP).get();
+            for (InetSocketAddress own : settings.ownAddresses()) {
+                server.listen(own, URIScheme.HTTP).get();
+            }
         } catch (ExecutionException exception) {
             server.close(CloseMode.IMMEDIATE);
             throw new BasilrillException(
@@ -121,6 +127,19 @@
         return stopped;
     }
 
+    private static Function<InetSocketAddress, CallerRequests> requestsByAddress(
+            GatewaySettings settings, RequestCoordinator coordinator, PlainRoutes plainRoutes) {
+        if (!settings.separatesCallers()) {
+            CallerRequests mixed =
+                    new CallerRequests(coordinator, plainRoutes, head -> CallerRoute.matches(head.path()));
+            return address -> mixed;
+        }
+        CallerRequests ofCallers = new CallerRequests(coordinator, plainRoutes, head -> true);
+        CallerRequests own = new CallerRequests(coordinator, plainRoutes, head -> false);
+        int callerPort = settings.address().getPort();
+        return address -> address.getPort() == callerPort ? ofCallers : own;
+    }
+
     private void stopAccepting() {
         try {
             endpoint.close();
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
@@ -60,6 +60,7 @@
     private ControlReplica(
             InstanceId self,
             Collection<InstanceId> founders,
+            Collection<InstanceId> contacts,
             FileDurableStore store,
             ReplicatedStateMachine machine,
             PeerChannel channel) {
@@ -69,7 +70,7 @@
                 new SecureRandom(),
                 (recipient, message) -> channel.send(recipient, PeerSubject.CONSENSUS, ConsensusCodec.encode(message)),
                 (event, detail) -> LOGGER.atInfo().log("%s: %s", event, detail));
-        this.replica = new Replica(self, founders, store, machine, environment, ConsensusSettings.standard());
+        this.replica = new Replica(self, founders, contacts, store, machine, environment, ConsensusSettings.standard());
         this.status = replica.status();
         this.executor = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "control-log");
@@ -79,11 +80,22 @@
         executor.scheduleWithFixedDelay(() -> group(true), TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 
+    /** Starts a replica that asks the founding replicas to admit it. */
+    public static ControlReplica start(
+            InstanceId self,
+            Collection<InstanceId> founders,
+            Path folder,
+            ReplicatedStateMachine machine,
+            PeerChannel channel) {
+        return start(self, founders, founders, folder, machine, channel);
+    }
+
     /**
      * Opens the data folder and starts a replica.
      *
      * @param self name of this instance
-     * @param founders instances named in the settings as founding replicas; the same on every replica
+     * @param founders instances that found the cluster; the same on every replica, or empty if this one must not found
+     * @param contacts instances that are asked to admit this one
      * @param folder folder of the control log, created if missing
      * @param machine state machine in its initial state, used only on the replica's thread from now on
      * @param channel carries messages to the other replicas
@@ -92,12 +104,13 @@
     public static ControlReplica start(
             InstanceId self,
             Collection<InstanceId> founders,
+            Collection<InstanceId> contacts,
             Path folder,
             ReplicatedStateMachine machine,
             PeerChannel channel) {
         FileDurableStore store = ReplicaFolder.open(folder, new SecureRandom());
         try {
-            return new ControlReplica(self, founders, store, machine, channel);
+            return new ControlReplica(self, founders, contacts, store, machine, channel);
         } catch (RuntimeException exception) {
             store.close();
             throw exception;
@@ -110,6 +123,11 @@
         submit(new Task(() -> replica.received(sender, message), exception -> {}));
     }
 
+    /** Adds instances that are asked to admit this replica while it is no member. */
+    public void learnContacts(Collection<InstanceId> instances) {
+        submit(new Task(() -> replica.learnContacts(instances), exception -> {}));
+    }
+
     @Override
     public CompletableFuture<byte[]> propose(byte[] command) {
         CompletableFuture<byte[]> result = new CompletableFuture<>();
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaRulesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaRulesTest.java
@@ -162,6 +162,7 @@
         replica = new Replica(
                 SELF.instance(),
                 List.of(),
+                List.of(),
                 store,
                 new HistoryMachine(new HistoryOracle()),
                 environment,
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
@@ -245,7 +245,8 @@
                 new Random(random.nextLong()),
                 (recipient, message) -> send(instance, recipient, message),
                 (event, detail) -> events.add(event));
-        node.replica = Optional.of(new Replica(instance, founders, store, node.machine, environment, settings));
+        node.replica =
+                Optional.of(new Replica(instance, founders, founders, store, node.machine, environment, settings));
     }
 
     private void send(InstanceId sender, InstanceId recipient, AddressedMessage message) {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
@@ -15,6 +15,7 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.PeerSubject;
 import org.basilrill.api.VirtualTime;
+import org.basilrill.state.configuration.RulesParser;
 import org.basilrill.state.control.ControlStateMachine;
 
 /**
@@ -57,7 +58,8 @@
     }
 
     ControlLogClient client(InstanceId id) {
-        return new ControlLogClient(endpoint(id), replicas, time, time, new Random(random.nextLong()));
+        return new ControlLogClient(
+                endpoint(id), replicas, RulesParser::parse, time, time, new Random(random.nextLong()));
     }
 
     List<InstanceId> replicas() {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -100,7 +100,8 @@
                 limits,
                 () -> List.of("127.0.0.1:4001"),
                 new BlockedRequests(clock, publishedBlocks::add),
-                new RequestIdEchoes());
+                new RequestIdEchoes(),
+                Optional.empty());
     }
 
     /** Fingerprints of the requests that other instances were told to block. */
--- a/basilrill-library/src/test/java/org/basilrill/state/control/CodecTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/CodecTest.java
@@ -36,6 +36,7 @@
     void everyCommandIsReadAsItWasWritten() {
         List<ControlCommand> commands = List.of(
                 new ControlCommand.ReplaceRules(3, "text é", "ana"),
+                new ControlCommand.InstallRules(8, "text é", "ana"),
                 new ControlCommand.ClaimOrder(ACCOUNT, "key", "fingerprint", "attempt", INSTANCE, 4, 5),
                 new ControlCommand.FinishOrder(ACCOUNT, "key", "attempt", Outcome.MAY_HAVE_RUN, Optional.empty()),
                 new ControlCommand.AssignBucket(ACCOUNT, INSTANCE, 1, 2, 3),
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.basilrill.api.Scheduler;
+import org.basilrill.protocol.caller.PlainRoutes;
 import org.basilrill.protocol.instance.FakeServices;
 import org.basilrill.protocol.instance.RequestCoordinator;
 import org.basilrill.protocol.instance.RequestLimits;
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
@@ -39,6 +39,7 @@
 import org.basilrill.protocol.administration.RulesText;
 import org.basilrill.protocol.caller.InstanceListing;
 import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.caller.PlainRoutes;
 import org.basilrill.protocol.instance.FakeControl;
 import org.basilrill.protocol.instance.FakeServices;
 import org.basilrill.protocol.target.AnnouncementCodec;
@@ -80,7 +81,7 @@
 
     private static Membership.Member member(String name, boolean suspected, boolean draining, boolean current) {
         return new Membership.Member(
-                new InstanceId(name), "north", name + ":80", name + ":81", suspected, draining, current, 1, 0);
+                new InstanceId(name), "north", name + ":80", name + ":81", suspected, draining, current, 1, 0, false);
     }
 
     private PlainRoutes routes() {
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/StreamingTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/StreamingTest.java
@@ -93,6 +93,35 @@
         }
     }
 
+    /**
+     * Guards against an instance that goes on reading past its window for as long as the target sends faster than it
+     * reads: the connection was read again and again before the window was looked at.
+     */
+    @Test
+    void aTargetThatAlwaysHasMoreToSendIsStoppedToo() throws Exception {
+        String part = "data: " + "x".repeat(8000) + "\n\n";
+        String framed = Integer.toHexString(part.length()) + "\r\n" + part + "\r\n";
+        String block = framed.repeat(125);
+        int blocks = 120;
+        AtomicLong written = new AtomicLong();
+        try (GatewayFixture fixture = GatewayFixture.open();
+                RawTarget target = new RawTarget(exchange -> {
+                    exchange.startStream();
+                    for (int number = 0; number < blocks; number++) {
+                        exchange.send(block);
+                        written.addAndGet(block.length());
+                    }
+                    exchange.endStream();
+                });
+                RawHttp caller = new RawHttp(fixture.gateway().address().getPort(), 8 * 1024)) {
+            fixture.addTarget(target);
+            caller.send(completion(""));
+            caller.readHead();
+            long stalledAt = awaitStandstill(written);
+            assertThat("bytes on the way", stalledAt, lessThan((long) blocks * block.length() / 2));
+        }
+    }
+
     /** Returns the count once it has stood still for a while. */
     private static long awaitStandstill(AtomicLong written) throws InterruptedException {
         CountDownLatch never = new CountDownLatch(1);
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
@@ -35,6 +35,7 @@
 import org.basilrill.protocol.instance.Instance;
 import org.basilrill.protocol.instance.InstanceEnvironment;
 import org.basilrill.protocol.instance.InstanceEnvironment.LocalReplica;
+import org.basilrill.protocol.instance.OutsideOptions;
 import org.basilrill.protocol.instance.RequestLimits;
 import org.basilrill.protocol.peer.ConsensusCodec;
 import org.basilrill.state.configuration.KeyHash;
@@ -279,7 +280,8 @@
                     new MetricRegistry(),
                     RequestLimits.defaults(),
                     Optional.of(firstOperatorKey),
-                    replica.map(log -> new LocalReplica(log, machine, () -> membersOf(log))));
+                    replica.map(log -> new LocalReplica(log, machine, () -> membersOf(log), holders -> {})),
+                    OutsideOptions.defaults());
         }
 
         private List<InstanceId> membersOf(VirtualReplica log) {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualReplica.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualReplica.java
@@ -39,7 +39,7 @@
             ReplicaEnvironment environment,
             ConsensusSettings settings,
             Scheduler scheduler) {
-        this.replica = new Replica(self, founders, store, machine, environment, settings);
+        this.replica = new Replica(self, founders, founders, store, machine, environment, settings);
         this.scheduler = scheduler;
         tickAndRepeat();
     }
--- a/basilrill-thrift/src/main/thrift/control.thrift
+++ b/basilrill-thrift/src/main/thrift/control.thrift
@@ -8,6 +8,13 @@
   3: required string operatorName
 }
 
+/** Makes a numbered revision the rules in force if it is the highest so far. */
+struct InstallRulesCommand {
+  1: required i64 revision
+  2: required string text
+  3: required string operatorName
+}
+
 struct ClaimOrderCommand {
   1: required string account
   2: required string idempotencyKey
@@ -122,6 +129,7 @@
   8: ReportCrashCommand reportCrash
   9: RegisterSessionCommand registerSession
   10: ExpireSessionCommand expireSession
+  11: InstallRulesCommand installRules
 }
 
 // Results of commands.
--- a/basilrill-thrift/src/main/thrift/membership.thrift
+++ b/basilrill-thrift/src/main/thrift/membership.thrift
@@ -14,6 +14,8 @@
   4: required bool draining
   5: required bool current
   6: required i64 revision
+  /** Whether the instance holds a replica of the control log. */
+  7: optional bool replica
 }
 
 struct InstanceLoadFact {
@@ -53,6 +55,14 @@
   1: required string fingerprint
 }
 
+/** A model or adapter that the owner of the item had loaded at a target, or unloaded. */
+struct TargetContentFact {
+  1: required string target
+  2: required i64 incarnation
+  3: required string model
+  4: required bool present
+}
+
 union FactPayload {
   1: InstanceFact instance
   2: InstanceLoadFact instanceLoad
@@ -60,6 +70,7 @@
   4: TargetLoadFact targetLoad
   5: TargetGoneFact targetGone
   6: BlockedRequestFact blockedRequest
+  7: TargetContentFact targetContent
 }
 
 struct Item {
