Order engines from the leader of the control log

Orders name the number of orders that the engine must have accepted so far; a late order has no effect then, and the contents need no record in the log. The leader's term is the fencing number.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -22,6 +22,7 @@
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.PeerSubject;
 import org.basilrill.coordination.consensus.ReplicaId;
+import org.basilrill.coordination.engine.EngineOrders;
 import org.basilrill.coordination.membership.Membership.Member;
 import org.basilrill.daemon.settings.Settings;
 import org.basilrill.protocol.administration.AdministrationHandler;
@@ -38,11 +39,13 @@
 import org.basilrill.protocol.instance.InstanceEnvironment;
 import org.basilrill.protocol.instance.InstanceEnvironment.LocalReplica;
 import org.basilrill.protocol.instance.OutsideOptions;
+import org.basilrill.protocol.instance.OutsideOptions.EngineAccess;
 import org.basilrill.protocol.instance.RequestLimits;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.control.ControlStateMachine;
 import org.basilrill.transport.http.GatewayRoutes;
 import org.basilrill.transport.http.GatewaySettings;
+import org.basilrill.transport.http.HttpEngineOrders;
 import org.basilrill.transport.http.HttpGateway;
 import org.basilrill.transport.http.HttpTargetOrders;
 import org.basilrill.transport.http.TargetHttpClient;
@@ -89,7 +92,8 @@
                 dialect,
                 settings.outside().listingValidity(),
                 new OutsideOptions.RetryLimits(
-                        settings.outside().retryShare(), settings.outside().retrySlack()));
+                        settings.outside().retryShare(), settings.outside().retrySlack()),
+                dialect.map(this::engineAccess));
         ControlStateMachine machine = new ControlStateMachine(outside.rulesFormat());
         this.replica = settings.dataFolder().map(folder -> startReplica(folder, machine));
         this.instance = new Instance(environment(machine, limits, metrics, outside));
@@ -235,6 +239,12 @@
                         ErrorCode.SETTINGS_INVALID, "dialect: \"" + name + "\" is not part of this program"));
     }
 
+    private EngineAccess engineAccess(Dialect spoken) {
+        EngineOrders orders = new HttpEngineOrders(
+                targetClient, threads.scheduler(), spoken.engines(), settings.instance(), ORDER_TIMEOUT);
+        return new EngineAccess(orders, settings.outside().orderLease());
+    }
+
     private ControlReplica startReplica(Path folder, ControlStateMachine machine) {
         Set<InstanceId> seeds = settings.replicas().keySet();
         return ControlReplica.start(
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
@@ -15,6 +15,7 @@
  * @param announcementValidity how long an announcement of a target holds that states no time itself
  * @param retryShare retries allowed for each request, over all instances
  * @param retrySlack retries allowed besides in ten seconds, over all instances
+ * @param orderLease time for which the orders of an earlier leader may still reach engines
  */
 public record OutsideSettings(
         Optional<String> dialect,
@@ -23,11 +24,13 @@
         Duration listingValidity,
         Duration announcementValidity,
         double retryShare,
-        double retrySlack) {
+        double retrySlack,
+        Duration orderLease) {
     public static final Duration DEFAULT_LISTING_VALIDITY = Duration.ofSeconds(5);
     public static final Duration DEFAULT_ANNOUNCEMENT_VALIDITY = Duration.ofSeconds(5);
     public static final double DEFAULT_RETRY_SHARE = 0.1;
     public static final double DEFAULT_RETRY_SLACK = 120;
+    public static final Duration DEFAULT_ORDER_LEASE = Duration.ofSeconds(3);
 
     public OutsideSettings {
         ownAddresses = List.copyOf(ownAddresses);
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -117,7 +117,8 @@
                         .flatMap(this::millis)
                         .orElse(OutsideSettings.DEFAULT_ANNOUNCEMENT_VALIDITY),
                 document.take("retryShare").flatMap(this::number).orElse(OutsideSettings.DEFAULT_RETRY_SHARE),
-                document.take("retrySlack").flatMap(this::number).orElse(OutsideSettings.DEFAULT_RETRY_SLACK));
+                document.take("retrySlack").flatMap(this::number).orElse(OutsideSettings.DEFAULT_RETRY_SLACK),
+                document.take("orderLeaseMillis").flatMap(this::millis).orElse(OutsideSettings.DEFAULT_ORDER_LEASE));
     }
 
     private void checkTogether(
--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -59,6 +59,7 @@
     TARGET_ORDER_REFUSED(454, "control log refused a target order"),
     UNLOAD_HELD_BACK(455, "unload held back because no other copy is ready"),
     PLACEMENT_STEP_FAILED(456, "placement step failed and is repeated"),
+    ENGINE_UNANSWERED(457, "engine did not answer a report or an order"),
     LEADERSHIP_HANDOVER(540, "leader hands the leadership of the control log to another replica"),
     INSTANCE_NAME_IN_USE(541, "another process uses the name of this instance; this one refuses new work");
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/EngineOrder.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineOrder.java
@@ -1,4 +1,4 @@
-package org.basilrill.protocol.dialect;
+package org.basilrill.coordination.engine;
 
 import org.basilrill.api.ModelId;
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/EngineReport.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineReport.java
@@ -1,4 +1,4 @@
-package org.basilrill.protocol.dialect;
+package org.basilrill.coordination.engine;
 
 import java.util.Set;
 import org.basilrill.api.ModelId;
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -0,0 +1,192 @@
+package org.basilrill.coordination.engine;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.basilrill.api.ModelId;
+import org.basilrill.coordination.engine.EngineOrder.Action;
+import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.TargetAnnouncement;
+
+/**
+ * What one incarnation of an engine holds, as far as its reports and the orders of this holder tell. Memory of a load
+ * counts from the order on, memory of an unload until the engine reports that it is done, so the sum is never too low.
+ * Not thread safe; guarded by the controller.
+ */
+final class EngineState {
+    private final Set<ModelId> models = new HashSet<>();
+    private final Set<ModelId> adapters = new HashSet<>();
+    private final Set<ModelId> loading = new HashSet<>();
+    private final Set<ModelId> unloading = new HashSet<>();
+    private TargetAnnouncement announcement;
+    private Optional<Long> acceptedOrders = Optional.empty();
+    private boolean awaitsAnswer;
+    private boolean fenced;
+    private long notBeforeNanos;
+
+    EngineState(TargetAnnouncement announcement, long nowNanos) {
+        this.announcement = announcement;
+        notBeforeNanos = nowNanos;
+    }
+
+    TargetAnnouncement announcement() {
+        return announcement;
+    }
+
+    /** Takes a newer announcement of the same incarnation. */
+    void announced(TargetAnnouncement newer) {
+        announcement = newer;
+    }
+
+    /** Returns whether the state must be asked for before the next order. */
+    boolean needsReport(long nowNanos) {
+        return !awaitsAnswer
+                && !fenced
+                && nowNanos - notBeforeNanos >= 0
+                && (acceptedOrders.isEmpty() || isBusy());
+    }
+
+    /** Returns whether an order may be sent now. */
+    boolean isFree(long nowNanos) {
+        return !awaitsAnswer
+                && !fenced
+                && acceptedOrders.isPresent()
+                && !announcement.leaving()
+                && nowNanos - notBeforeNanos >= 0;
+    }
+
+    /** Returns whether a model is being loaded or unloaded. */
+    boolean isBusy() {
+        return !loading.isEmpty() || !unloading.isEmpty();
+    }
+
+    boolean holdsModel(ModelId model) {
+        return models.contains(model) && !unloading.contains(model);
+    }
+
+    boolean isLoading(ModelId model) {
+        return loading.contains(model);
+    }
+
+    boolean holdsAdapter(ModelId adapter) {
+        return adapters.contains(adapter);
+    }
+
+    Set<ModelId> adapters() {
+        return Set.copyOf(adapters);
+    }
+
+    /** Returns the models that are here or on their way, without those on their way out. */
+    Set<ModelId> heldModels() {
+        Set<ModelId> held = new HashSet<>(models);
+        held.removeAll(unloading);
+        return held;
+    }
+
+    /** Returns the models that serve requests here. */
+    Set<ModelId> readyModels() {
+        Set<ModelId> ready = new HashSet<>(models);
+        ready.removeAll(loading);
+        ready.removeAll(unloading);
+        return ready;
+    }
+
+    /** Returns the memory in use, with what is on its way. */
+    long usedBytes(Rules rules) {
+        long used = 0;
+        for (ModelId model : models) {
+            used += Optional.ofNullable(rules.models().get(model))
+                    .map(Rules.Model::memoryBytes)
+                    .orElse(0L);
+        }
+        for (ModelId adapter : adapters) {
+            used += Optional.ofNullable(rules.adapters().get(adapter))
+                    .map(Rules.Adapter::memoryBytes)
+                    .orElse(0L);
+        }
+        return used;
+    }
+
+    /** Notes that a report or an order is on its way. */
+    void asked() {
+        awaitsAnswer = true;
+    }
+
+    /** Takes a report; an engine that does not answer is asked again after the pause. */
+    void reported(Optional<EngineReport> answer, long nowNanos, long pauseNanos) {
+        awaitsAnswer = false;
+        if (answer.isEmpty()) {
+            notBeforeNanos = nowNanos + pauseNanos;
+            return;
+        }
+        EngineReport report = answer.get();
+        boolean outdated = acceptedOrders.filter(known -> report.acceptedOrders() < known)
+                .isPresent();
+        if (outdated || report.busy()) {
+            notBeforeNanos = nowNanos + pauseNanos;
+            return;
+        }
+        acceptedOrders = Optional.of(report.acceptedOrders());
+        loading.clear();
+        unloading.clear();
+        models.clear();
+        adapters.clear();
+        report.contents().forEach(held -> (held.adapter().isPresent() ? adapters : models).add(held));
+        adapters.addAll(report.pending());
+    }
+
+    /** Returns the precondition of the next order. */
+    long expectedOrders() {
+        return acceptedOrders.orElseThrow();
+    }
+
+    /**
+     * Takes the answer to an order.
+     *
+     * @return whether the engine now holds, or is about to hold, what the order asks for
+     */
+    boolean answered(EngineOrder order, EngineOrder.Answer answer, long nowNanos, long pauseNanos) {
+        awaitsAnswer = false;
+        switch (answer) {
+            case ACCEPTED:
+                acceptedOrders = acceptedOrders.map(known -> known + 1);
+                accepted(order, nowNanos, pauseNanos);
+                return true;
+            case HOLDS_ALREADY:
+                // The engine may have counted the order, so the count is asked for before the next one.
+                acceptedOrders = order.model().adapter().isPresent() && order.action() == Action.UNLOAD
+                        ? acceptedOrders.map(known -> known + 1)
+                        : Optional.empty();
+                accepted(order, nowNanos, 0);
+                return true;
+            case FENCED:
+                fenced = true;
+                return false;
+            default:
+                acceptedOrders = Optional.empty();
+                notBeforeNanos = nowNanos + pauseNanos;
+                return false;
+        }
+    }
+
+    private void accepted(EngineOrder order, long nowNanos, long pauseNanos) {
+        ModelId model = order.model();
+        boolean load = order.action() == Action.LOAD;
+        if (model.adapter().isPresent()) {
+            if (load) {
+                adapters.add(model);
+            } else {
+                adapters.remove(model);
+            }
+            return;
+        }
+        if (load) {
+            models.add(model);
+            loading.add(model);
+        } else {
+            unloading.add(model);
+            adapters.removeIf(adapter -> adapter.base().equals(model));
+        }
+        notBeforeNanos = nowNanos + pauseNanos;
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/DemandBook.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/DemandBook.java
@@ -19,7 +19,9 @@
  * Thread safe: guarded by its own lock.
  */
 public final class DemandBook {
-    private static final double SHORT_NANOS = Duration.ofSeconds(30).toNanos();
+    /** Horizon of the short average, unless another is asked for. */
+    private static final Duration SHORT_HORIZON = Duration.ofSeconds(30);
+
     private static final double LONG_NANOS = Duration.ofMinutes(10).toNanos();
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -33,11 +35,18 @@
     private static final double NEGLIGIBLE_RATE = 1e-3;
 
     private final MonotonicClock clock;
+    private final double shortNanos;
     private final Map<InstanceId, Reporter> reporters = new TreeMap<>();
     private final Map<ModelId, Averages> averages = new TreeMap<>();
 
     public DemandBook(MonotonicClock clock) {
+        this(clock, SHORT_HORIZON);
+    }
+
+    /** Creates an empty book whose short averages have the given horizon. */
+    public DemandBook(MonotonicClock clock, Duration shortHorizon) {
         this.clock = clock;
+        shortNanos = shortHorizon.toNanos();
     }
 
     /**
@@ -126,7 +135,7 @@
     }
 
     /** Two exponentially decaying averages of one rate. */
-    private static final class Averages {
+    private final class Averages {
         private double shortRate;
         private double longRate;
         private long updatedNanos;
@@ -137,7 +146,7 @@
 
         private void add(long tokens, long now) {
             decay(now);
-            shortRate += tokens * NANOS_PER_SECOND / SHORT_NANOS;
+            shortRate += tokens * NANOS_PER_SECOND / shortNanos;
             longRate += tokens * NANOS_PER_SECOND / LONG_NANOS;
         }
 
@@ -153,7 +162,7 @@
 
         private void decay(long now) {
             long elapsed = now - updatedNanos;
-            shortRate *= Math.exp(-elapsed / SHORT_NANOS);
+            shortRate *= Math.exp(-elapsed / shortNanos);
             longRate *= Math.exp(-elapsed / LONG_NANOS);
             updatedNanos = now;
         }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/PlacementMessenger.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/PlacementMessenger.java
@@ -28,7 +28,7 @@
     }
 
     /** Passes demand reports to the handler; without one, they are ignored. */
-    void onDemand(BiConsumer<InstanceId, PlacementMessage.DemandReport> handler) {
+    public void onDemand(BiConsumer<InstanceId, PlacementMessage.DemandReport> handler) {
         demandHandler = handler;
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -1,5 +1,6 @@
 package org.basilrill.protocol.instance;
 
+import java.time.Duration;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
 import org.basilrill.coordination.control.ControlEndpoint;
 import org.basilrill.coordination.control.ControlLogClient;
 import org.basilrill.coordination.control.ControlLogServer;
+import org.basilrill.coordination.engine.EngineController;
 import org.basilrill.coordination.membership.Fact;
 import org.basilrill.coordination.membership.Fact.BlockedRequestFact;
 import org.basilrill.coordination.membership.Fact.InstanceFact;
@@ -35,6 +37,7 @@
 import org.basilrill.coordination.routing.TargetRouter;
 import org.basilrill.protocol.caller.InstanceListing;
 import org.basilrill.protocol.dialect.Dialect;
+import org.basilrill.protocol.instance.OutsideOptions.EngineAccess;
 import org.basilrill.protocol.peer.GossipCodec;
 import org.basilrill.protocol.peer.ThriftBudgetCodec;
 import org.basilrill.protocol.peer.ThriftPlacementCodec;
@@ -52,6 +55,9 @@
  * socket. Thread safe.
  */
 public final class Instance {
+    /** Demand of the last seconds decides which models the engines hold, as loads take seconds only. */
+    private static final Duration ENGINE_DEMAND_HORIZON = Duration.ofSeconds(6);
+
     private final InstanceEnvironment environment;
     private final GossipMembership membership;
     private final TargetRegistry targets;
@@ -63,6 +69,7 @@
     private final PlacementMessenger placementMessenger;
     private final DemandReporter demand;
     private final Optional<PlacementController> placement;
+    private final Optional<EngineController> engineControl;
     private final FairDispatcher dispatcher;
     private final BlockedRequests blockedRequests;
     private final RequestCoordinator coordinator;
@@ -106,7 +113,10 @@
                 placementMessenger,
                 environment.clock(),
                 environment.scheduler());
-        this.placement = environment.replica().map(this::createPlacement);
+        Optional<EngineAccess> engines = environment.outside().engines();
+        this.placement = engines.isPresent() ? Optional.empty() : environment.replica().map(this::createPlacement);
+        this.engineControl =
+                engines.flatMap(access -> environment.replica().map(local -> createEngineControl(access, local)));
         this.dispatcher = createDispatcher();
         this.listing = new InstanceListing(
                 membership, environment.self(), split(), environment.outside().listingValidity());
@@ -125,6 +135,7 @@
         budgets.start();
         demand.start();
         placement.ifPresent(PlacementController::start);
+        engineControl.ifPresent(EngineController::start);
         publishOwnFacts();
         membership.start();
     }
@@ -145,6 +156,7 @@
     public void stop() {
         membership.stop();
         placement.ifPresent(PlacementController::stop);
+        engineControl.ifPresent(EngineController::stop);
         control.stop();
         controlServer.ifPresent(ControlLogServer::stop);
     }
@@ -244,6 +256,28 @@
                 parts, PlacementSettings.defaults(), new DemandBook(environment.clock()), placementMessenger);
     }
 
+    private EngineController createEngineControl(EngineAccess access, InstanceEnvironment.LocalReplica replica) {
+        DemandBook book = new DemandBook(environment.clock(), ENGINE_DEMAND_HORIZON);
+        EngineController controller = new EngineController(
+                new EngineController.Environment(
+                        replica.log()::isLeader,
+                        replica.log()::term,
+                        () -> replica.machine().view().rules(),
+                        targets,
+                        access.orders(),
+                        spread::contentChanged,
+                        access.lease(),
+                        environment.clock(),
+                        environment.scheduler()),
+                book);
+        placementMessenger.onDemand((sender, report) -> {
+            if (book.received(sender, report)) {
+                controller.urge();
+            }
+        });
+        return controller;
+    }
+
     private FairDispatcher createDispatcher() {
         TargetRouter router = new TargetRouter(
                 environment.self(),
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/OutsideOptions.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/OutsideOptions.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.basilrill.coordination.engine.EngineOrders;
 import org.basilrill.protocol.dialect.Dialect;
 import org.basilrill.state.configuration.RulesFormat;
 import org.basilrill.state.configuration.RulesParser;
@@ -12,8 +13,10 @@
  * @param dialect how they speak, if not in the product's own interface
  * @param listingValidity how long callers may use the list of instances; a stop goes on serving for as long
  * @param retries retries that all instances together may make
+ * @param engines how engines are ordered that carry out orders only in an expected state; the memory ledger in the
+ *     control log guards the orders to other engines
  */
-public record OutsideOptions(Optional<Dialect> dialect, Duration listingValidity, RetryLimits retries) {
+public record OutsideOptions(Optional<Dialect> dialect, Duration listingValidity, RetryLimits retries, Optional<EngineAccess> engines) {
     /**
      * Limits of the retries of all instances together, in any ten seconds.
      *
@@ -27,9 +30,16 @@
         }
     }
 
+    /**
+     * Access to engines that carry out orders only in an expected state.
+     *
+     * @param lease time for which the orders of an earlier leader may still arrive
+     */
+    public record EngineAccess(EngineOrders orders, Duration lease) {}
+
     /** Returns the options of the product's own interface. */
     public static OutsideOptions defaults() {
-        return new OutsideOptions(Optional.empty(), Duration.ofSeconds(5), new RetryLimits(0.1, 120));
+        return new OutsideOptions(Optional.empty(), Duration.ofSeconds(5), new RetryLimits(0.1, 120), Optional.empty());
     }
 
     /** Returns the format of the rules. */
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CollectedAnswer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CollectedAnswer.java
@@ -38,8 +38,28 @@
             HttpHost host,
             TargetConnector.Request request,
             Duration timeout) {
+        return send(client, scheduler, host, request, timeout, true);
+    }
+
+    /** Sends a request that may be lost on a connection that was used before; see {@link #of}. */
+    static CompletableFuture<PlainAnswer> onKeptConnection(
+            TargetHttpClient client,
+            Scheduler scheduler,
+            HttpHost host,
+            TargetConnector.Request request,
+            Duration timeout) {
+        return send(client, scheduler, host, request, timeout, false);
+    }
+
+    private static CompletableFuture<PlainAnswer> send(
+            TargetHttpClient client,
+            Scheduler scheduler,
+            HttpHost host,
+            TargetConnector.Request request,
+            Duration timeout,
+            boolean freshConnection) {
         CollectedAnswer collected = new CollectedAnswer();
-        collected.call = client.open(host, request, true, collected);
+        collected.call = client.open(host, request, freshConnection, collected);
         Scheduler.Cancellable timer = scheduler.schedule(timeout, collected::timedOut);
         collected.answer.whenComplete((value, problem) -> {
             timer.cancel();
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineOrders.java
@@ -0,0 +1,80 @@
+package org.basilrill.transport.http;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.HttpHost;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
+import org.basilrill.api.Scheduler;
+import org.basilrill.coordination.engine.EngineOrder;
+import org.basilrill.coordination.engine.EngineOrder.Answer;
+import org.basilrill.coordination.engine.EngineOrders;
+import org.basilrill.coordination.engine.EngineReport;
+import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.dialect.EngineDialect;
+import org.basilrill.protocol.dialect.EngineDialect.EngineCall;
+import org.basilrill.protocol.instance.TargetConnector;
+import org.basilrill.state.target.TargetAnnouncement;
+
+/** Reaches engines over HTTP, in the words of a dialect. Thread safe. */
+public final class HttpEngineOrders implements EngineOrders {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final TargetHttpClient client;
+    private final Scheduler scheduler;
+    private final EngineDialect dialect;
+    private final InstanceId holder;
+    private final Duration timeout;
+
+    /**
+     * Creates the access of one instance.
+     *
+     * @param holder name under which the orders are given
+     * @param timeout longest wait for one answer
+     */
+    public HttpEngineOrders(
+            TargetHttpClient client, Scheduler scheduler, EngineDialect dialect, InstanceId holder, Duration timeout) {
+        this.client = client;
+        this.scheduler = scheduler;
+        this.dialect = dialect;
+        this.holder = holder;
+        this.timeout = timeout;
+    }
+
+    @Override
+    public CompletableFuture<Optional<EngineReport>> report(TargetAnnouncement engine) {
+        return exchange(engine, dialect.report(engine)).handle((answer, problem) -> {
+            if (problem != null) {
+                unanswered(engine, problem);
+                return Optional.empty();
+            }
+            return dialect.readReport(answer);
+        });
+    }
+
+    @Override
+    public CompletableFuture<Answer> order(TargetAnnouncement engine, EngineOrder order) {
+        return exchange(engine, dialect.order(engine, order, holder)).handle((answer, problem) -> {
+            if (problem != null) {
+                unanswered(engine, problem);
+                return Answer.UNKNOWN;
+            }
+            return dialect.readOrderAnswer(answer);
+        });
+    }
+
+    private static void unanswered(TargetAnnouncement engine, Throwable problem) {
+        LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                "%s: %s, %s", LogEvent.ENGINE_UNANSWERED, engine.id(), problem.getMessage());
+    }
+
+    private CompletableFuture<PlainAnswer> exchange(TargetAnnouncement engine, EngineCall call) {
+        TargetConnector.Request request =
+                new TargetConnector.Request(call.method(), call.path(), call.headers(), call.body());
+        HttpHost host = new HttpHost("http", engine.host(), engine.port());
+        return CollectedAnswer.onKeptConnection(client, scheduler, host, request, timeout);
+    }
+}
