Stop reading a target's answer once its window is used up

Cause: HttpCore reads a connection again for as long as data comes in faster than it is taken, and looks at the window only between such runs. Counted in a trial: over 1 MB beyond the window with no grant in between, in the end whole answers of 64 MB. Ruled out: grants that are given twice (their count stood still), buffers of the kernel (36 MB at most).

--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
@@ -184,10 +184,8 @@
                 continue;
             }
             engine.asked();
-            effects.add(() -> environment
-                    .orders()
-                    .report(engine.announcement())
-                    .thenAccept(answer -> reported(engine, answer)));
+            effects.add(() ->
+                    environment.orders().report(engine.announcement()).thenAccept(answer -> reported(engine, answer)));
         }
     }
 
@@ -206,8 +204,7 @@
                     .filter(engine -> engine.announcement().service().equals(Optional.of(pool.service())))
                     .filter(engine -> !engine.announcement().leaving())
                     .toList();
-            LoadAllowance allowance =
-                    allowances.computeIfAbsent(pool.service(), absent -> new LoadAllowance(now));
+            LoadAllowance allowance = allowances.computeIfAbsent(pool.service(), absent -> new LoadAllowance(now));
             int loads = allowance.available(pool.loadsPerSecond(), now);
             new EnginePlanner(rules, pool, ofPool, demand.demand(), loads, now)
                     .plan()
@@ -218,8 +215,7 @@
     /** Notes an order as sent and returns what sends it. */
     private Runnable send(PlannedOrder planned, LoadAllowance allowance) {
         EngineState engine = planned.engine();
-        EngineOrder order =
-                new EngineOrder(planned.action(), planned.model(), termSeen, engine.expectedOrders());
+        EngineOrder order = new EngineOrder(planned.action(), planned.model(), termSeen, engine.expectedOrders());
         boolean adapter = planned.model().adapter().isPresent();
         if (planned.action() == Action.LOAD && !adapter) {
             allowance.take();
@@ -250,7 +246,8 @@
                 order.fencingNumber(),
                 order.expectedOrders(),
                 answer);
-        boolean adapterLoad = order.action() == Action.LOAD && order.model().adapter().isPresent();
+        boolean adapterLoad =
+                order.action() == Action.LOAD && order.model().adapter().isPresent();
         if (done && adapterLoad) {
             Duration delay = answer == Answer.HOLDS_ALREADY ? Duration.ZERO : ADAPTER_LOAD;
             environment
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -165,14 +165,14 @@
                 .filter(entry -> entry.getKey().adapter().isPresent()
                         && entry.getValue().waiting() > 0
                         && rules.adapters().containsKey(entry.getKey()))
-                .sorted(Map.Entry.<ModelId, ModelDemand>comparingByValue(
-                                Comparator.comparingInt(ModelDemand::waiting))
+                .sorted(Map.Entry.<ModelId, ModelDemand>comparingByValue(Comparator.comparingInt(ModelDemand::waiting))
                         .reversed()
                         .thenComparing(Map.Entry.comparingByKey()))
                 .map(Map.Entry::getKey)
-                .filter(adapter -> engines.stream().noneMatch(engine -> engine.holdsAdapter(adapter)
-                        && engine.holdsModel(adapter.base())
-                        && !engine.announcement().leaving()))
+                .filter(adapter -> engines.stream()
+                        .noneMatch(engine -> engine.holdsAdapter(adapter)
+                                && engine.holdsModel(adapter.base())
+                                && !engine.announcement().leaving()))
                 .toList();
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -40,10 +40,7 @@
 
     /** Returns whether the state must be asked for before the next order. */
     boolean needsReport(long nowNanos) {
-        return !awaitsAnswer
-                && !fenced
-                && nowNanos - notBeforeNanos >= 0
-                && (acceptedOrders.isEmpty() || isBusy());
+        return !awaitsAnswer && !fenced && nowNanos - notBeforeNanos >= 0 && (acceptedOrders.isEmpty() || isBusy());
     }
 
     /** Returns whether an order may be sent now. */
@@ -120,8 +117,8 @@
             return;
         }
         EngineReport report = answer.get();
-        boolean outdated = acceptedOrders.filter(known -> report.acceptedOrders() < known)
-                .isPresent();
+        boolean outdated =
+                acceptedOrders.filter(known -> report.acceptedOrders() < known).isPresent();
         if (outdated || report.busy()) {
             notBeforeNanos = nowNanos + pauseNanos;
             return;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -114,7 +114,8 @@
                 environment.clock(),
                 environment.scheduler());
         Optional<EngineAccess> engines = environment.outside().engines();
-        this.placement = engines.isPresent() ? Optional.empty() : environment.replica().map(this::createPlacement);
+        this.placement =
+                engines.isPresent() ? Optional.empty() : environment.replica().map(this::createPlacement);
         this.engineControl =
                 engines.flatMap(access -> environment.replica().map(local -> createEngineControl(access, local)));
         this.dispatcher = createDispatcher();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/OutsideOptions.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/OutsideOptions.java
@@ -16,7 +16,8 @@
  * @param engines how engines are ordered that carry out orders only in an expected state; the memory ledger in the
  *     control log guards the orders to other engines
  */
-public record OutsideOptions(Optional<Dialect> dialect, Duration listingValidity, RetryLimits retries, Optional<EngineAccess> engines) {
+public record OutsideOptions(
+        Optional<Dialect> dialect, Duration listingValidity, RetryLimits retries, Optional<EngineAccess> engines) {
     /**
      * Limits of the retries of all instances together, in any ten seconds.
      *
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -5,7 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -40,6 +42,10 @@
     private final TargetConnector.Request request;
     private final TargetConnector.Listener listener;
     private final BiConsumer<HttpHost, IOSession> keep;
+    private final Consumer<IOSession> ended;
+    /** Bytes of the answer that may still be taken; falls below 0 by what was buffered. */
+    private final AtomicLong window;
+
     private final ByteBuffer body;
     private final AtomicBoolean over = new AtomicBoolean();
     private final Object lock = new Object();
@@ -50,15 +56,26 @@
     private boolean requestSent;
     private boolean keepAlive;
 
+    /**
+     * Creates an exchange that is bound to no connection yet.
+     *
+     * @param windowBytes bytes of the answer taken before any were granted
+     * @param keep takes a connection that can be used again
+     * @param ended is told the connection on which the exchange ended
+     */
     TargetExchange(
             HttpHost host,
             TargetConnector.Request request,
             TargetConnector.Listener listener,
-            BiConsumer<HttpHost, IOSession> keep) {
+            int windowBytes,
+            BiConsumer<HttpHost, IOSession> keep,
+            Consumer<IOSession> ended) {
         this.host = host;
         this.request = request;
         this.listener = listener;
         this.keep = keep;
+        this.ended = ended;
+        window = new AtomicLong(windowBytes);
         body = ByteBuffer.wrap(request.body());
     }
 
@@ -77,8 +94,14 @@
         }
     }
 
+    /** Returns whether more of the answer may be read from the connection. */
+    boolean isWindowOpen() {
+        return window.get() > 0;
+    }
+
     @Override
     public void grant(int bytes) {
+        window.addAndGet(bytes);
         synchronized (lock) {
             granted += bytes;
         }
@@ -93,6 +116,7 @@
             connection = session;
         }
         if (connection != null) {
+            ended.accept(connection);
             connection.close(CloseMode.IMMEDIATE);
         }
     }
@@ -163,6 +187,7 @@
     @Override
     public void consume(ByteBuffer source) {
         byte[] bytes = new byte[source.remaining()];
+        window.addAndGet(-bytes.length);
         source.get(bytes);
         if (!over.get()) {
             listener.received(bytes);
@@ -177,6 +202,7 @@
     @Override
     public void failed(Exception cause) {
         if (over.compareAndSet(false, true)) {
+            ended.accept(session);
             boolean invalid = cause instanceof HttpException && !(cause instanceof ConnectionClosedException);
             report(invalid ? TargetConnector.Kind.INVALID_ANSWER : TargetConnector.Kind.CONNECTION_LOST, cause);
         }
@@ -191,6 +217,7 @@
         if (!over.compareAndSet(false, true)) {
             return;
         }
+        ended.accept(session);
         if (keepAlive && requestSent) {
             keep.accept(host, session);
         } else {
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
@@ -10,16 +10,17 @@
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequester;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandlerFactory;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.http.protocol.DefaultHttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.RequestContent;
 import org.apache.hc.core5.http.protocol.RequestTargetHost;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
@@ -42,6 +43,9 @@
     private final Scheduler scheduler;
     private final AsyncRequester requester;
     private final Map<HttpHost, Deque<Idle>> idle = new ConcurrentHashMap<>();
+    /** The exchange on each connection, by the id of the connection. */
+    private final Map<String, TargetExchange> running = new ConcurrentHashMap<>();
+
     private volatile boolean closed;
 
     public TargetHttpClient(Settings settings, MonotonicClock clock, Scheduler scheduler) {
@@ -58,10 +62,10 @@
                 .setIoThreadCount(settings.ioThreads())
                 .setTcpNoDelay(true)
                 .build();
-        ClientHttp1StreamDuplexerFactory duplexers = new ClientHttp1StreamDuplexerFactory(
-                new DefaultHttpProcessor(new RequestTargetHost(), new RequestContent()), http, null);
-        requester = new AsyncRequester(
-                new ClientHttp1IOEventHandlerFactory(duplexers, null, null), reactor, null, null, null, null, null);
+        HttpProcessor processor = new DefaultHttpProcessor(new RequestTargetHost(), new RequestContent());
+        IOEventHandlerFactory connections = (session, attachment) -> new ClientHttp1IOEventHandler(
+                new TargetDuplexer(session, processor, http, () -> isWindowOpen(session.getId())));
+        requester = new AsyncRequester(connections, reactor, null, null, null, null, null);
         requester.start();
     }
 
@@ -110,7 +114,13 @@
 
     /** Sends a request to an address that is not that of an announced target. */
     Call open(HttpHost host, Request request, boolean freshConnection, Listener listener) {
-        TargetExchange exchange = new TargetExchange(host, request, listener, this::keep);
+        TargetExchange exchange = new TargetExchange(
+                host,
+                request,
+                listener,
+                settings.windowBytes(),
+                this::keep,
+                session -> running.remove(session.getId()));
         if (!freshConnection) {
             IOSession session = takeIdle(host);
             if (session != null) {
@@ -154,7 +164,13 @@
         requester.close(CloseMode.IMMEDIATE);
     }
 
-    private static void execute(TargetExchange exchange, IOSession session, boolean reused) {
+    private boolean isWindowOpen(String session) {
+        TargetExchange exchange = running.get(session);
+        return exchange == null || exchange.isWindowOpen();
+    }
+
+    private void execute(TargetExchange exchange, IOSession session, boolean reused) {
+        running.put(session.getId(), exchange);
         if (!exchange.attach(session, reused)) {
             session.close(CloseMode.IMMEDIATE);
             return;
