--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/ControlRulesStore.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/ControlRulesStore.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.basilrill.coordination.control.ControlLogClient;
-import org.basilrill.coordination.control.RulesSource;
 import org.basilrill.protocol.dialect.InstanceAccess.RulesStore;
+import org.basilrill.state.configuration.RulesSource;
 import org.basilrill.state.control.ControlCommand.InstallRules;
 import org.basilrill.state.control.ControlResult;
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -12,6 +12,7 @@
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
 import org.basilrill.state.configuration.RulesFormat;
+import org.basilrill.state.configuration.RulesSource;
 import org.basilrill.state.control.ControlClient;
 import org.basilrill.state.control.ControlCommand;
 import org.basilrill.state.control.ControlResult;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewHolder.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewHolder.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.basilrill.api.LogEvent;
+import org.basilrill.state.configuration.RulesSource;
 import org.basilrill.state.control.ControlView;
 
 /**
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -15,6 +15,7 @@
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
 import org.basilrill.state.configuration.RulesFormat;
+import org.basilrill.state.configuration.RulesSource;
 import org.basilrill.state.control.ControlView;
 import org.basilrill.state.control.ViewCodec;
 import org.basilrill.thrift.control.ControlMessage;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
@@ -16,11 +16,13 @@
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
 import org.basilrill.api.TargetId;
-import org.basilrill.coordination.engine.EngineOrder.Action;
-import org.basilrill.coordination.engine.EngineOrder.Answer;
 import org.basilrill.coordination.placement.DemandBook;
 import org.basilrill.state.configuration.EnginePool;
 import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.EngineOrder;
+import org.basilrill.state.target.EngineOrder.Action;
+import org.basilrill.state.target.EngineOrder.Answer;
+import org.basilrill.state.target.EngineReport;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetDirectory;
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineOrders.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineOrders.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.basilrill.state.target.EngineOrder;
+import org.basilrill.state.target.EngineReport;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /** Reaches engines that carry out orders only in an expected state. Implementations are thread safe, never block. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -10,10 +10,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.basilrill.api.ModelId;
-import org.basilrill.coordination.engine.EngineOrder.Action;
 import org.basilrill.coordination.placement.ModelDemand;
 import org.basilrill.state.configuration.EnginePool;
 import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.EngineOrder.Action;
 
 /**
  * Decides which models and adapters the engines of a pool load and unload. Waiting requests come first: an adapter goes
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -4,8 +4,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.basilrill.api.ModelId;
-import org.basilrill.coordination.engine.EngineOrder.Action;
 import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.EngineOrder;
+import org.basilrill.state.target.EngineOrder.Action;
+import org.basilrill.state.target.EngineReport;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /**
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/PlannedOrder.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/PlannedOrder.java
@@ -1,7 +1,7 @@
 package org.basilrill.coordination.engine;
 
 import org.basilrill.api.ModelId;
-import org.basilrill.coordination.engine.EngineOrder.Action;
+import org.basilrill.state.target.EngineOrder.Action;
 
 /** An order that the planner wants an engine to have. */
 record PlannedOrder(EngineState engine, Action action, ModelId model) {}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/EngineDialect.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/dialect/EngineDialect.java
@@ -3,10 +3,10 @@
 import java.util.List;
 import java.util.Optional;
 import org.basilrill.api.InstanceId;
-import org.basilrill.coordination.engine.EngineOrder;
-import org.basilrill.coordination.engine.EngineReport;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.state.target.EngineOrder;
+import org.basilrill.state.target.EngineReport;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /** How engines are asked for their state and ordered to load and unload. Implementations are stateless. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/InstanceAccess.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/dialect/InstanceAccess.java
@@ -2,8 +2,8 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
-import org.basilrill.coordination.control.RulesSource;
 import org.basilrill.protocol.caller.InstanceListing;
+import org.basilrill.state.configuration.RulesSource;
 import org.basilrill.state.control.ControlResult;
 import org.basilrill.state.target.AnnouncementReceiver;
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/RulesSource.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/configuration/RulesSource.java
@@ -1,4 +1,4 @@
-package org.basilrill.coordination.control;
+package org.basilrill.state.configuration;
 
 /**
  * The text of one revision of the rules, with the comments of the operators. Immutable and thread safe.
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineReport.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/EngineReport.java
@@ -1,4 +1,4 @@
-package org.basilrill.coordination.engine;
+package org.basilrill.state.target;
 
 import java.util.Set;
 import org.basilrill.api.ModelId;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineOrders.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineOrders.java
@@ -9,14 +9,14 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.Scheduler;
-import org.basilrill.coordination.engine.EngineOrder;
-import org.basilrill.coordination.engine.EngineOrder.Answer;
 import org.basilrill.coordination.engine.EngineOrders;
-import org.basilrill.coordination.engine.EngineReport;
 import org.basilrill.protocol.caller.PlainAnswer;
 import org.basilrill.protocol.dialect.EngineDialect;
 import org.basilrill.protocol.dialect.EngineDialect.EngineCall;
 import org.basilrill.protocol.instance.TargetConnector;
+import org.basilrill.state.target.EngineOrder;
+import org.basilrill.state.target.EngineOrder.Answer;
+import org.basilrill.state.target.EngineReport;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /** Reaches engines over HTTP, in the words of a dialect. Thread safe. */
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
@@ -19,6 +19,7 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.Outcome;
+import org.basilrill.state.configuration.RulesSource;
 import org.basilrill.state.control.ControlCommand.ClaimOrder;
 import org.basilrill.state.control.ControlCommand.FinishOrder;
 import org.basilrill.state.control.ControlCommand.RegisterSession;
--- a/basilrill-library/src/test/java/org/basilrill/state/target/ContentChangesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/target/ContentChangesTest.java
@@ -14,7 +14,7 @@
 import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
 import org.junit.jupiter.api.Test;
 
-/** Guards against requests that wait for a model that is loaded but not announced yet, or go to one that is unloaded. */
+/** Guards against requests that wait for a model loaded but not announced yet, or go to one that is unloaded. */
 class ContentChangesTest {
     private static final TargetId TARGET = new TargetId("engine-1");
     private static final ModelId MODEL = new ModelId("m");
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/StreamingTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/StreamingTest.java
@@ -65,8 +65,8 @@
     }
 
     /**
-     * Guards against an instance that takes an answer into memory when its caller does not read. Only compiled code read
-     * past the window for long, so a single run rarely showed it: 14 of 25 repetitions in one process failed.
+     * Guards against an instance that takes an answer into memory when its caller does not read. Only compiled code
+     * read past the window for long, so a single run rarely showed it: 14 of 25 repetitions in one process failed.
      */
     @RepeatedTest(12)
     void aCallerThatDoesNotReadStopsTheTarget() throws Exception {
