--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -114,6 +114,14 @@
         LOGGER.atInfo().log("%s: %s", LogEvent.INSTANCE_STARTED, settings.instance());
     }
 
+    /** Takes settings that were changed while the instance runs: the seeds. Everything else needs a new start. */
+    public void reload(Settings changed) {
+        List<InstanceId> seeds = List.copyOf(changed.replicas().keySet());
+        instance.learnSeeds(seeds);
+        replica.ifPresent(log -> log.learnContacts(seeds));
+        LOGGER.atInfo().log("%s: seeds %s", LogEvent.SETTINGS_RELOADED, seeds);
+    }
+
     /** Stops gracefully, in the background: finishes the running requests within the drain limit. */
     public void beginStop() {
         if (stopping.compareAndSet(false, true)) {
@@ -132,6 +140,7 @@
         CompletableFuture<Boolean> handedOver = instance.beginDrain()
                 .completeOnTimeout(null, HAND_OVER_LIMIT.toMillis(), TimeUnit.MILLISECONDS)
                 .thenCompose(buckets -> handOverLeadership());
+        gateway.sendCallersAway();
         awaitStaleListings();
         CompletableFuture<HttpGateway.StopReport> drained = gateway.stop(settings.drainLimit());
         await(drained, settings.drainLimit().plusSeconds(1));
@@ -154,7 +163,7 @@
 
     /** Callers that hold an answer of GET /v1/instances may still connect here until it is too old to be used. */
     private void awaitStaleListings() {
-        Duration validity = settings.outside().listingValidity();
+        Duration validity = settings.outside().staleListingWait();
         await(
                 new CompletableFuture<Void>().completeOnTimeout(null, validity.toMillis(), TimeUnit.MILLISECONDS),
                 validity.plusSeconds(1));
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/ServeCommand.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/ServeCommand.java
@@ -1,17 +1,23 @@
 package org.basilrill.daemon.command;
 
+import com.google.common.flogger.FluentLogger;
 import java.nio.file.Path;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
+import org.basilrill.api.LogEvent;
 import org.basilrill.daemon.InstanceDaemon;
+import org.basilrill.daemon.settings.SettingsException;
 import org.basilrill.daemon.settings.SettingsReader;
+import sun.misc.Signal;
 
 /** Runs an instance until it is told to stop. Stateless. */
 final class ServeCommand {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final String SETTINGS = "settings";
+    private static final String HANG_UP = "HUP";
 
     private ServeCommand() {}
 
@@ -27,8 +33,11 @@
     }
 
     private static ExitCode run(CommandLine arguments) {
-        InstanceDaemon daemon = new InstanceDaemon(SettingsReader.read(Path.of(arguments.getOptionValue(SETTINGS))));
+        Path file = Path.of(arguments.getOptionValue(SETTINGS));
+        InstanceDaemon daemon = new InstanceDaemon(SettingsReader.read(file));
         daemon.start();
+        // Without a handler the hang-up signal ends the process.
+        Signal.handle(new Signal(HANG_UP), signal -> reload(daemon, file));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
         try {
             daemon.awaitStop();
@@ -39,6 +48,14 @@
         }
     }
 
+    private static void reload(InstanceDaemon daemon, Path file) {
+        try {
+            daemon.reload(SettingsReader.read(file));
+        } catch (BasilrillException | SettingsException exception) {
+            LOGGER.atWarning().log("%s: %s", LogEvent.SETTINGS_REJECTED, exception.getMessage());
+        }
+    }
+
     private static void stop(InstanceDaemon daemon) {
         daemon.beginStop();
         try {
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
@@ -12,6 +12,7 @@
  * @param ownAddresses addresses for targets and operators, if they differ from that of the callers
  * @param foundsCluster whether this start may found a new cluster
  * @param listingValidity how long callers may use the list of instances
+ * @param staleListingWait how long a stop goes on taking requests of callers that still hold an older list
  * @param announcementValidity how long an announcement of a target holds that states no time itself
  * @param retryShare retries allowed for each request, over all instances
  * @param retrySlack retries allowed besides in ten seconds, over all instances
@@ -22,6 +23,7 @@
         List<InetSocketAddress> ownAddresses,
         boolean foundsCluster,
         Duration listingValidity,
+        Duration staleListingWait,
         Duration announcementValidity,
         double retryShare,
         double retrySlack,
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -106,13 +106,15 @@
     }
 
     private OutsideSettings outside(SettingsDocument document) {
+        Duration listingValidity = document.take("listingValidityMillis")
+                .flatMap(this::millis)
+                .orElse(OutsideSettings.DEFAULT_LISTING_VALIDITY);
         return new OutsideSettings(
                 document.take("dialect").flatMap(this::text),
                 document.take("ownAddresses").flatMap(this::addresses).orElse(List.of()),
                 document.take("foundsCluster").flatMap(this::flag).orElse(true),
-                document.take("listingValidityMillis")
-                        .flatMap(this::millis)
-                        .orElse(OutsideSettings.DEFAULT_LISTING_VALIDITY),
+                listingValidity,
+                document.take("staleListingWaitMillis").flatMap(this::millis).orElse(listingValidity),
                 document.take("announcementValidityMillis")
                         .flatMap(this::millis)
                         .orElse(OutsideSettings.DEFAULT_ANNOUNCEMENT_VALIDITY),
--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -11,6 +11,8 @@
     DRAIN_LIMIT_REACHED(103, "drain limit reached with requests still running"),
     INSTANCE_NOT_CURRENT(104, "instance cannot confirm its revision and refuses new work"),
     INSTANCE_CURRENT_AGAIN(105, "instance confirmed its revision again"),
+    SETTINGS_RELOADED(106, "changed settings were taken"),
+    SETTINGS_REJECTED(107, "changed settings are invalid; the earlier ones stay in force"),
     PEER_CONNECTION_FAILED(120, "connection to another instance failed"),
     MESSAGE_REJECTED(121, "message from another instance could not be decoded"),
     INTERNAL_FAILURE(199, "unexpected failure"),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
@@ -37,7 +37,7 @@
     private static final int URGENT_OVERLAP_VERSIONS = 16;
 
     private final InstanceId self;
-    private final List<InstanceId> seeds;
+    private volatile List<InstanceId> seeds;
     private final MonotonicClock clock;
     private final Scheduler scheduler;
     private final RandomGenerator random;
@@ -71,6 +71,11 @@
         this.state = new GossipState(self, incarnation, clock.nanos());
     }
 
+    /** Takes instances to contact while no others are known, in place of those known so far. */
+    public void learnSeeds(List<InstanceId> instances) {
+        seeds = instances.stream().filter(seed -> !seed.equals(self)).toList();
+    }
+
     /** Starts the periodic exchange. */
     public void start() {
         scheduler.schedule(Duration.ZERO, this::exchange);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -141,6 +141,11 @@
         membership.start();
     }
 
+    /** Takes instances to contact while others are unknown, in place of those it was started with. */
+    public void learnSeeds(List<InstanceId> seeds) {
+        membership.learnSeeds(seeds);
+    }
+
     /** Tells all instances and callers that this one takes no new work, and hands its buckets over. */
     public CompletableFuture<Void> beginDrain() {
         draining = true;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnection.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnection.java
@@ -115,6 +115,11 @@
         return refusesInput;
     }
 
+    /** Makes the answers of this connection its last ones, so that its caller goes elsewhere; closes nothing yet. */
+    synchronized void lastAnswers() {
+        closing = true;
+    }
+
     /** Makes the answers of this connection its last ones; closes it now if it is idle. */
     void closeWhenIdle() {
         boolean close;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnections.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnections.java
@@ -35,6 +35,7 @@
     private final Map<String, CallerConnection> connections = new ConcurrentHashMap<>();
     private final CompletableFuture<Void> allClosed = new CompletableFuture<>();
     private volatile boolean closing;
+    private volatile boolean leaving;
 
     /**
      * Creates an empty set of connections.
@@ -58,6 +59,9 @@
     public IOEventHandler createHandler(ProtocolIOSession session, Object attachment) {
         CallerConnection connection = new CallerConnection(session, clock, settings);
         connections.put(session.getId(), connection);
+        if (leaving) {
+            connection.lastAnswers();
+        }
         if (closing) {
             connection.closeWhenIdle();
         }
@@ -81,6 +85,12 @@
         connections.values().forEach(CallerConnection::sweep);
     }
 
+    /** Makes the next answer on each connection its last one, now and on connections opened from now on. */
+    void lastAnswers() {
+        leaving = true;
+        connections.values().forEach(CallerConnection::lastAnswers);
+    }
+
     /** Closes idle connections now and the others after their answers; completes once all are closed. */
     CompletableFuture<Void> closeWhenIdle() {
         closing = true;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
@@ -108,6 +108,11 @@
         return connections.size();
     }
 
+    /** Goes on serving, but makes the next answer on each connection its last one, so that callers go elsewhere. */
+    public void sendCallersAway() {
+        connections.lastAnswers();
+    }
+
     /**
      * Stops: accepts no connection, closes idle ones, finishes running requests within the limit and cuts the others.
      *
