Take a session over at once after a restart, and begin above 0 after the loss of a bucket's owner

Cause: after all processes were killed, each instance refused new work for 3 s because its earlier session still counted as another process of its name. An instance named by the address it listens on cannot run twice, so its session is replaced at once. The owner of a bucket that was lost started from 0 although the limits may be exceeded by a stated number of tokens then.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -21,6 +21,7 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.PeerSubject;
+import org.basilrill.coordination.budget.LossTolerance;
 import org.basilrill.coordination.consensus.ReplicaId;
 import org.basilrill.coordination.engine.EngineOrders;
 import org.basilrill.coordination.membership.Membership.Member;
@@ -93,7 +94,8 @@
                 settings.outside().listingValidity(),
                 new OutsideOptions.RetryLimits(
                         settings.outside().retryShare(), settings.outside().retrySlack()),
-                dialect.map(this::engineAccess));
+                dialect.map(this::engineAccess),
+                new LossTolerance(settings.outside().lossToleranceTokens()));
         ControlStateMachine machine = new ControlStateMachine(outside.rulesFormat());
         this.replica = settings.dataFolder().map(folder -> startReplica(folder, machine));
         this.instance = new Instance(environment(machine, limits, metrics, outside));
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
@@ -17,6 +17,8 @@
  * @param retryShare retries allowed for each request, over all instances
  * @param retrySlack retries allowed besides in ten seconds, over all instances
  * @param orderLease time for which the orders of an earlier leader may still reach engines
+ * @param lossToleranceTokens tokens that an account may spend above its limits, in any window of them, because the
+ *     owner of its bucket was lost
  */
 public record OutsideSettings(
         Optional<String> dialect,
@@ -27,11 +29,12 @@
         Duration announcementValidity,
         double retryShare,
         double retrySlack,
-        Duration orderLease) {
+        Duration orderLease,
+        long lossToleranceTokens) {
     public static final Duration DEFAULT_LISTING_VALIDITY = Duration.ofSeconds(5);
     public static final Duration DEFAULT_ANNOUNCEMENT_VALIDITY = Duration.ofSeconds(5);
-    public static final double DEFAULT_RETRY_SHARE = 0.1;
-    public static final double DEFAULT_RETRY_SLACK = 120;
+    public static final double DEFAULT_RETRY_SHARE = 0.15;
+    public static final double DEFAULT_RETRY_SLACK = 180;
     public static final Duration DEFAULT_ORDER_LEASE = Duration.ofSeconds(3);
 
     public OutsideSettings {
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -120,7 +120,11 @@
                         .orElse(OutsideSettings.DEFAULT_ANNOUNCEMENT_VALIDITY),
                 document.take("retryShare").flatMap(this::number).orElse(OutsideSettings.DEFAULT_RETRY_SHARE),
                 document.take("retrySlack").flatMap(this::number).orElse(OutsideSettings.DEFAULT_RETRY_SLACK),
-                document.take("orderLeaseMillis").flatMap(this::millis).orElse(OutsideSettings.DEFAULT_ORDER_LEASE));
+                document.take("orderLeaseMillis").flatMap(this::millis).orElse(OutsideSettings.DEFAULT_ORDER_LEASE),
+                document.take("lossToleranceTokens")
+                        .flatMap(this::number)
+                        .orElse(0.0)
+                        .longValue());
     }
 
     private void checkTogether(
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/AccountBudget.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/AccountBudget.java
@@ -27,6 +27,7 @@
     private final InstanceId self;
     private final ControlClient control;
     private final GrantRequester requester;
+    private final LossTolerance tolerance;
     private final BucketClaims claims;
     private Optional<GrantIssuer> issuer = Optional.empty();
     private Optional<Rules.Account> rule = Optional.empty();
@@ -37,12 +38,18 @@
     /** Owner announced by a handover that the view does not show yet. */
     private Optional<GrantRequester.OwnerReference> announced = Optional.empty();
 
-    AccountBudget(AccountId account, InstanceId self, ControlClient control, GrantRequester requester) {
+    AccountBudget(
+            AccountId account,
+            InstanceId self,
+            ControlClient control,
+            GrantRequester requester,
+            LossTolerance tolerance) {
         this.account = account;
         this.self = self;
         this.control = control;
         this.requester = requester;
-        this.claims = new BucketClaims(account, self);
+        this.tolerance = tolerance;
+        this.claims = new BucketClaims(account, self, tolerance);
     }
 
     static BasilrillException unknownAccount(AccountId account) {
@@ -221,7 +228,8 @@
     private void start(long epoch, long tokens, long nowNanos, Outbox outbox) {
         long rate = rule.map(Rules.Account::tokensPerSecond).orElse(0L);
         long burst = rule.map(Rules.Account::burstTokens).orElse(tokens);
-        TokenBucket bucket = new TokenBucket(rate, burst, tokens, nowNanos);
+        long level = tokens > 0 ? tokens : tolerance.startTokens(burst);
+        TokenBucket bucket = new TokenBucket(rate, burst, level, nowNanos);
         GrantIssuer started = new GrantIssuer(account, self, epoch, control.sessionId(), bucket, nowNanos);
         if (tokens > 0) {
             // After a planned handover the earlier grants are still valid; together with the level they are at most
@@ -232,7 +240,7 @@
         issuer = Optional.of(started);
         departure.ifPresent(leaving -> outbox.afterwards(leaving::end));
         departure = Optional.empty();
-        LOGGER.atInfo().log("%s: %s, epoch %d, level %d", LogEvent.BUCKET_ACQUIRED, account, epoch, tokens);
+        LOGGER.atInfo().log("%s: %s, epoch %d, level %d", LogEvent.BUCKET_ACQUIRED, account, epoch, level);
     }
 
     private void release(Outbox outbox) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/BucketClaims.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/BucketClaims.java
@@ -9,20 +9,22 @@
 
 /**
  * Decides when this instance claims the bucket of one account. A bucket whose owner is lost is claimed only after all
- * grants of that owner have expired. Not thread safe; guarded by the lock of the shard.
+ * grants of that owner have expired, unless the tolerance covers them. Not thread safe; guarded by the lock of the shard.
  */
 final class BucketClaims {
     private final AccountId account;
     private final InstanceId self;
+    private final long grantLifetimeNanos;
     private Optional<ControlView.BucketOwner> lostOwner = Optional.empty();
     private Optional<Long> vacantSince = Optional.empty();
     private long attemptAt;
     private boolean claiming;
     private boolean everOwned;
 
-    BucketClaims(AccountId account, InstanceId self) {
+    BucketClaims(AccountId account, InstanceId self, LossTolerance tolerance) {
         this.account = account;
         this.self = self;
+        grantLifetimeNanos = tolerance.coversOpenGrants() ? 0 : BudgetTiming.GRANT_LIFETIME;
     }
 
     /** Notes whether the bucket has an owner whose session is open. */
@@ -76,6 +78,6 @@
     private long delay(ControlView view, Optional<ControlView.BucketOwner> lost) {
         int rank = RendezvousRanking.rank(account, view.sessions().keySet()).indexOf(self);
         long turn = Math.max(0, rank) * BudgetTiming.CLAIM_RANK_DELAY;
-        return lost.isPresent() ? BudgetTiming.GRANT_LIFETIME + turn : turn;
+        return lost.isPresent() ? grantLifetimeNanos + turn : turn;
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/ClientBudgets.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/ClientBudgets.java
@@ -40,12 +40,26 @@
     private final ControlClient control;
     private final BudgetMessageCodec codec;
     private final long incarnation;
+    private final LossTolerance tolerance;
     private final List<BudgetShard> shards;
 
+    /** Creates the budgets of one process, with limits that hold without exception. */
+    public ClientBudgets(
+            InstanceId self,
+            MonotonicClock clock,
+            Scheduler scheduler,
+            RandomGenerator random,
+            PeerChannel channel,
+            ControlClient control,
+            BudgetMessageCodec codec) {
+        this(self, clock, scheduler, random, channel, control, codec, LossTolerance.NONE);
+    }
+
     /**
      * Creates the budgets of one process.
      *
      * @param random source of the number that tells this process from earlier ones of the same instance
+     * @param tolerance what an account may spend above its limits when the owner of its bucket is lost
      */
     public ClientBudgets(
             InstanceId self,
@@ -54,7 +68,9 @@
             RandomGenerator random,
             PeerChannel channel,
             ControlClient control,
-            BudgetMessageCodec codec) {
+            BudgetMessageCodec codec,
+            LossTolerance tolerance) {
+        this.tolerance = tolerance;
         this.self = self;
         this.channel = channel;
         this.control = control;
@@ -142,7 +158,7 @@
 
     private AccountBudget create(AccountId account) {
         GrantRequester requester = new GrantRequester(account, incarnation, parts -> charge(account, parts));
-        return new AccountBudget(account, self, control, requester);
+        return new AccountBudget(account, self, control, requester, tolerance);
     }
 
     private Charge charge(AccountId account, List<LocalPool.Part> parts) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/SeenSessions.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/SeenSessions.java
@@ -64,7 +64,8 @@
 
     /**
      * Decides on the registration of a session. One that replaces another is allowed only once that other's lease has
-     * surely ended, as its process may still act under it; the other is not confirmed any more then.
+     * surely ended, as its process may still act under it; the other is not confirmed any more then. An instance named
+     * by its address need not wait: its earlier process has ended.
      *
      * @return the session to be replaced, or empty if there is none
      * @throws BasilrillException with {@code INSTANCE_NAME_IN_USE} if the other session may still be in use
@@ -77,7 +78,8 @@
         }
         Session replaced = new Session(next.instance(), current);
         long seen = seenNanos.computeIfAbsent(replaced, key -> nowNanos);
-        if (nowNanos - seen < ViewPuller.SESSION_LEASE.toNanos()) {
+        boolean mayBeInUse = !next.instance().isAddress();
+        if (mayBeInUse && nowNanos - seen < ViewPuller.SESSION_LEASE.toNanos()) {
             throw new BasilrillException(
                     ErrorCode.INSTANCE_NAME_IN_USE, "another process uses the name " + next.instance());
         }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -104,7 +104,8 @@
                 split(),
                 environment.channel(),
                 control,
-                new ThriftBudgetCodec());
+                new ThriftBudgetCodec(),
+                environment.outside().lossTolerance());
         this.placementMessenger = new PlacementMessenger(
                 environment.self(), environment.channel(), new ThriftPlacementCodec(), environment.scheduler());
         this.demand = new DemandReporter(
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/OutsideOptions.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/OutsideOptions.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.basilrill.coordination.budget.LossTolerance;
 import org.basilrill.coordination.engine.EngineOrders;
 import org.basilrill.protocol.dialect.Dialect;
 import org.basilrill.state.configuration.RulesFormat;
@@ -15,9 +16,14 @@
  * @param retries retries that all instances together may make
  * @param engines how engines are ordered that carry out orders only in an expected state; the memory ledger in the
  *     control log guards the orders to other engines
+ * @param lossTolerance what an account may spend above its limits when the owner of its bucket is lost
  */
 public record OutsideOptions(
-        Optional<Dialect> dialect, Duration listingValidity, RetryLimits retries, Optional<EngineAccess> engines) {
+        Optional<Dialect> dialect,
+        Duration listingValidity,
+        RetryLimits retries,
+        Optional<EngineAccess> engines,
+        LossTolerance lossTolerance) {
     /**
      * Limits of the retries of all instances together, in any ten seconds.
      *
@@ -25,9 +31,15 @@
      * @param slack retries allowed besides, shared by the instances
      */
     public record RetryLimits(double share, double slack) {
+        /**
+         * Part of the limits that is used. The rest covers that an instance sees other requests than the targets, and
+         * that the number of instances is known late.
+         */
+        private static final double USED_PART = 0.7;
+
         /** Returns the retries that one instance may make. */
         double allowance(long requests, int instances) {
-            return share * requests + slack / Math.max(1, instances);
+            return USED_PART * (share * requests + slack / Math.max(1, instances));
         }
     }
 
@@ -40,7 +52,12 @@
 
     /** Returns the options of the product's own interface. */
     public static OutsideOptions defaults() {
-        return new OutsideOptions(Optional.empty(), Duration.ofSeconds(5), new RetryLimits(0.1, 120), Optional.empty());
+        return new OutsideOptions(
+                Optional.empty(),
+                Duration.ofSeconds(5),
+                new RetryLimits(0.15, 180),
+                Optional.empty(),
+                LossTolerance.NONE);
     }
 
     /** Returns the format of the rules. */
