--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/AdapterPlanner.java
@@ -0,0 +1,129 @@
+package org.basilrill.coordination.engine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import org.basilrill.api.ModelId;
+import org.basilrill.coordination.placement.ModelDemand;
+import org.basilrill.state.configuration.EnginePool;
+import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.EngineOrder.Action;
+
+/**
+ * Decides which adapters the engines of a pool load and unload: first those that requests wait for, at the least loaded
+ * engine that holds the model; then, where slots are free, those in demand that have fewest copies. An adapter makes way
+ * only once the requests it was loaded for have come. Pure; used by one thread at a time.
+ */
+final class AdapterPlanner {
+    /** An adapter in demand gets this many copies while slots are free, so that the loss of an engine is not felt. */
+    private static final int WANTED_COPIES = 2;
+    /** Demand in tokens per second below which an adapter is not loaded in advance. */
+    private static final double NEGLIGIBLE_RATE = 100;
+
+    private final Rules rules;
+    private final EnginePool pool;
+    private final Map<ModelId, ModelDemand> demand;
+    private final long now;
+    private final List<PlannedOrder> orders = new ArrayList<>();
+    private final Set<EngineState> taken = new HashSet<>();
+
+    AdapterPlanner(Rules rules, EnginePool pool, Map<ModelId, ModelDemand> demand, long now) {
+        this.rules = rules;
+        this.pool = pool;
+        this.demand = demand;
+        this.now = now;
+    }
+
+    /**
+     * Returns at most one order for each free engine.
+     *
+     * @param free engines that may get an order
+     * @param load what an engine carries; the lowest goes first
+     */
+    List<PlannedOrder> plan(
+            Collection<EngineState> engines, Collection<EngineState> free, ToDoubleFunction<EngineState> load) {
+        for (ModelId adapter : wanted(wish -> wish.waiting())) {
+            boolean held = engines.stream().anyMatch(engine -> holds(engine, adapter));
+            if (!held) {
+                place(adapter, hosts(adapter, free, load));
+            }
+        }
+        for (ModelId adapter : wanted(ModelDemand::shortRate)) {
+            long copies =
+                    engines.stream().filter(engine -> holds(engine, adapter)).count();
+            boolean worthIt = demand.get(adapter).shortRate() > NEGLIGIBLE_RATE && copies < WANTED_COPIES;
+            if (worthIt) {
+                hosts(adapter, free, load).stream()
+                        .filter(this::hasFreeSlot)
+                        .findFirst()
+                        .ifPresent(engine -> order(engine, Action.LOAD, adapter));
+            }
+        }
+        return orders;
+    }
+
+    /** Returns the known adapters with a positive measure, the highest first. */
+    private List<ModelId> wanted(ToDoubleFunction<ModelDemand> measure) {
+        return demand.entrySet().stream()
+                .filter(entry -> entry.getKey().adapter().isPresent()
+                        && measure.applyAsDouble(entry.getValue()) > 0
+                        && rules.adapters().containsKey(entry.getKey()))
+                .sorted(Comparator.comparingDouble(
+                                (Map.Entry<ModelId, ModelDemand> entry) -> -measure.applyAsDouble(entry.getValue()))
+                        .thenComparing(Map.Entry.comparingByKey()))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private static boolean holds(EngineState engine, ModelId adapter) {
+        return engine.holdsAdapter(adapter)
+                && engine.holdsModel(adapter.base())
+                && !engine.announcement().leaving();
+    }
+
+    private List<EngineState> hosts(ModelId adapter, Collection<EngineState> free, ToDoubleFunction<EngineState> load) {
+        return free.stream()
+                .filter(engine -> !taken.contains(engine)
+                        && !engine.holdsAdapter(adapter)
+                        && engine.readyModels().contains(adapter.base())
+                        && engine.announcement().isReadyFor(adapter.base()))
+                .sorted(Comparator.comparingDouble(load))
+                .toList();
+    }
+
+    private boolean hasFreeSlot(EngineState engine) {
+        return engine.adapters().size() < pool.adapterSlots();
+    }
+
+    private void place(ModelId adapter, List<EngineState> hosts) {
+        Optional<EngineState> open = hosts.stream().filter(this::hasFreeSlot).findFirst();
+        if (open.isPresent()) {
+            order(open.get(), Action.LOAD, adapter);
+            return;
+        }
+        Optional<PlannedOrder> victim = Optional.empty();
+        double leastRate = Double.MAX_VALUE;
+        for (EngineState engine : hosts) {
+            for (ModelId held : engine.adapters()) {
+                ModelDemand wish = demand.getOrDefault(held, ModelDemand.NONE);
+                boolean mayGo = engine.isSettled(held, now) && wish.waiting() == 0;
+                if (mayGo && wish.shortRate() < leastRate) {
+                    leastRate = wish.shortRate();
+                    victim = Optional.of(new PlannedOrder(engine, Action.UNLOAD, held));
+                }
+            }
+        }
+        victim.ifPresent(way -> order(way.engine(), way.action(), way.model()));
+    }
+
+    private void order(EngineState engine, Action action, ModelId model) {
+        taken.add(engine);
+        orders.add(new PlannedOrder(engine, action, model));
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
@@ -219,7 +219,7 @@
         EngineState engine = planned.engine();
         EngineOrder order = new EngineOrder(planned.action(), planned.model(), termSeen, engine.expectedOrders());
         boolean adapter = planned.model().adapter().isPresent();
-        if (planned.action() == Action.LOAD && !adapter) {
+        if (planned.action() == Action.LOAD && !adapter && !engine.hasAtHand(planned.model())) {
             allowance.take();
         }
         engine.asked();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -1,8 +1,11 @@
 package org.basilrill.coordination.engine;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.basilrill.api.ModelId;
 import org.basilrill.state.configuration.Rules;
 import org.basilrill.state.target.EngineOrder;
@@ -16,10 +19,15 @@
  * Not thread safe; guarded by the controller.
  */
 final class EngineState {
+    /** Waiting requests are sent at once; those of the next moments profit as well. */
+    private static final long ADAPTER_SETTLES_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final Set<ModelId> models = new HashSet<>();
     private final Set<ModelId> adapters = new HashSet<>();
     private final Set<ModelId> loading = new HashSet<>();
     private final Set<ModelId> unloading = new HashSet<>();
+    private final Set<ModelId> atHand = new HashSet<>();
+    private final Map<ModelId, Long> adapterSinceNanos = new HashMap<>();
     private TargetAnnouncement announcement;
     private Optional<Long> acceptedOrders = Optional.empty();
     private boolean awaitsAnswer;
@@ -90,6 +98,17 @@
         return ready;
     }
 
+    /** Returns whether the model loads here without the weight store. */
+    boolean hasAtHand(ModelId model) {
+        return atHand.contains(model);
+    }
+
+    /** Returns whether an adapter was loaded here so long ago that the requests it was loaded for have come. */
+    boolean isSettled(ModelId adapter, long nowNanos) {
+        Long since = adapterSinceNanos.get(adapter);
+        return since == null || nowNanos - since >= ADAPTER_SETTLES_NANOS;
+    }
+
     /** Returns the memory in use, with what is on its way. */
     long usedBytes(Rules rules) {
         long used = 0;
@@ -132,6 +151,8 @@
         adapters.clear();
         report.contents().forEach(held -> (held.adapter().isPresent() ? adapters : models).add(held));
         adapters.addAll(report.pending());
+        atHand.clear();
+        atHand.addAll(report.atHand());
     }
 
     /** Returns the precondition of the next order. */
@@ -174,7 +195,9 @@
         if (model.adapter().isPresent()) {
             if (load) {
                 adapters.add(model);
+                adapterSinceNanos.put(model, nowNanos);
             } else {
+                adapterSinceNanos.remove(model);
                 adapters.remove(model);
             }
             return;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/LoadAllowance.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/LoadAllowance.java
@@ -8,7 +8,7 @@
  */
 final class LoadAllowance {
     /** Loads that may begin at once after a pause. */
-    private static final double BURST = 2;
+    private static final double BURST = 3;
 
     private double tokens;
     private long updatedNanos;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/RequestMessages.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/dialect/RequestMessages.java
@@ -20,6 +20,12 @@
     /** Returns whether the target says by its answer that it ran nothing. */
     boolean ranNothing(AnswerHead answer);
 
+    /**
+     * Returns whether the target says that the request is not for it: it is another one by now, or does not hold the
+     * model. It ran nothing then.
+     */
+    boolean misdirected(AnswerHead answer);
+
     /**
      * Returns what ends a stream of events that failed after it had begun; if empty, the caller's connection is cut, so
      * that the stream does not look complete.
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/AttemptPolicy.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AttemptPolicy.java
@@ -6,5 +6,13 @@
  * @param maximumAttempts targets that the request may be sent to
  * @param coversWholeAnswer whether the deadline is that of the complete answer, not of its first byte
  * @param repeatsServerErrors whether a target's own failure is worth another attempt
+ * @param endsWithKey whether a request that a target already has ends when its key is withdrawn
+ * @param confirmsLosses whether, after a lost connection, the next target gets the request only once the control log has
+ *     told how many targets it has cost; otherwise the loss is looked into while the request goes on
  */
-record AttemptPolicy(int maximumAttempts, boolean coversWholeAnswer, boolean repeatsServerErrors) {}
+record AttemptPolicy(
+        int maximumAttempts,
+        boolean coversWholeAnswer,
+        boolean repeatsServerErrors,
+        boolean endsWithKey,
+        boolean confirmsLosses) {}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CompletionMessages.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CompletionMessages.java
@@ -37,6 +37,11 @@
         return answer.status() == SERVICE_UNAVAILABLE;
     }
 
+    @Override
+    public boolean misdirected(AnswerHead answer) {
+        return false;
+    }
+
     @Override
     public Optional<byte[]> failureEvent(BasilrillException failure) {
         return Optional.of(ErrorBody.event(failure));
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -113,11 +113,17 @@
                 .filter(key -> !view.rules().accountOf(key).equals(plan.account()))
                 .isPresent();
         if (withdrawn) {
-            event(() -> giveUp(ErrorCode.KEY_WITHDRAWN, "the key was withdrawn while the request ran"));
+            event(this::keyWithdrawn);
         }
         return withdrawn;
     }
 
+    private void keyWithdrawn() {
+        if (plan.attempts().endsWithKey() || attempt.isEmpty()) {
+            giveUp(ErrorCode.KEY_WITHDRAWN, "the key was withdrawn while the request ran");
+        }
+    }
+
     /** Ends the request because the instance stops. */
     void stop() {
         event(() -> giveUp(ErrorCode.INSTANCE_DRAINING, "the instance stopped before the request was complete"));
@@ -161,6 +167,7 @@
     public void attemptFailed(TargetAttempt.AttemptFailure failure) {
         TargetAttempt failed = attempt.orElseThrow();
         attempt = Optional.empty();
+        retries.attemptFailed(failure);
         if (failure.code() != ErrorCode.TARGET_FULL) {
             excluded.add(failed.target().id());
         }
@@ -284,7 +291,7 @@
             giveUp(ErrorCode.STREAM_CUT, "the answer was cut: " + failure.detail());
             return;
         }
-        if (!mayRepeat(failure) || !retries.pay()) {
+        if (!mayRepeat(failure) || !retries.pay(failure)) {
             giveUp(failure.code(), failure.detail());
             return;
         }
@@ -390,10 +397,4 @@
     private void event(Runnable action) {
         events.execute(action);
     }
-
-    /** Takes a result or a failure; one of them is null. */
-    @FunctionalInterface
-    private interface ResultHandler {
-        void handle(ControlResult result, BasilrillException problem);
-    }
 }
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/ResultHandler.java
@@ -0,0 +1,10 @@
+package org.basilrill.protocol.instance;
+
+import org.basilrill.api.BasilrillException;
+import org.basilrill.state.control.ControlResult;
+
+/** Takes the result of a command or its failure; one of them is null. */
+@FunctionalInterface
+interface ResultHandler {
+    void handle(ControlResult result, BasilrillException problem);
+}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
@@ -1,6 +1,7 @@
 package org.basilrill.protocol.instance;
 
 import java.time.Duration;
+import org.basilrill.api.ErrorCode;
 import org.basilrill.protocol.instance.TargetAttempt.AttemptFailure;
 
 /** Counts the attempts of one request and decides whether another one may follow. Not thread safe. */
@@ -44,9 +45,18 @@
         return granted;
     }
 
-    /** Pays for the next attempt; returns whether the retry budget allows it. */
-    boolean pay() {
-        boolean paid = granted || services.retryBudget().tryRetry();
+    /** Notes how an attempt failed: one that reached no target does not count. */
+    void attemptFailed(AttemptFailure failure) {
+        if (failure.code() == ErrorCode.TARGET_UNREACHABLE) {
+            attempts--;
+        }
+    }
+
+    /** Pays for the next attempt; one after an attempt that reached no target is no repetition and costs nothing. */
+    boolean pay(AttemptFailure failure) {
+        boolean paid = granted
+                || failure.code() == ErrorCode.TARGET_UNREACHABLE
+                || services.retryBudget().tryRetry();
         granted = false;
         return paid;
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
@@ -133,7 +133,12 @@
                     head.path() + query,
                     body,
                     dialect.messages(request),
-                    new AttemptPolicy(Math.max(1, route.maximumAttempts()), true, route.kind() == CallRoute.Kind.SAFE));
+                    new AttemptPolicy(
+                            Math.max(1, route.maximumAttempts()),
+                            true,
+                            route.kind() == CallRoute.Kind.SAFE,
+                            false,
+                            false));
         }
 
         private Destination destination() {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -145,6 +145,13 @@
                 fail(ErrorCode.ANSWER_MISMATCH, "the target answered without the id of the request", false);
                 return;
             }
+            if (plan.messages().misdirected(head)) {
+                end(
+                        AttemptResult.CANCELLED,
+                        new AttemptFailure(
+                                ErrorCode.TARGET_MISDIRECTED, "the request is not for the target", false, false));
+                return;
+            }
             if (plan.messages().ranNothing(head)) {
                 end(AttemptResult.REFUSED_FULL, new AttemptFailure(ErrorCode.TARGET_FULL, FULL, false, false));
                 return;
@@ -180,7 +187,7 @@
     public void failed(TargetConnector.Failure failure) {
         event(() -> {
             switch (failure.kind()) {
-                case UNREACHABLE -> fail(ErrorCode.TARGET_UNREACHABLE, failure.detail(), false);
+                case UNREACHABLE -> unreachable(failure);
                 case CONNECTION_LOST -> connectionLost(failure);
                 case INVALID_ANSWER -> fail(ErrorCode.TARGET_FAILED, failure.detail(), false);
                 default -> throw new IllegalStateException("unknown failure " + failure.kind());
@@ -188,11 +195,22 @@
         });
     }
 
+    /** A target that accepts no connection gets no further request before a probe succeeds. */
+    private void unreachable(TargetConnector.Failure failure) {
+        permit.revoke();
+        end(AttemptResult.TIMED_OUT, new AttemptFailure(ErrorCode.TARGET_UNREACHABLE, failure.detail(), false, false));
+    }
+
     /**
      * A target may close an idle connection at the moment it is used again, which is no crash. One that accepts no new
      * connection either has crashed: counted as closed, it cost a request one target more than the limit.
      */
     private void connectionLost(TargetConnector.Failure failure) {
+        if (!plan.attempts().confirmsLosses()) {
+            fail(ErrorCode.TARGET_FAILED, failure.detail(), false);
+            lookIntoLoss();
+            return;
+        }
         if (answered || !failure.reusedConnection()) {
             fail(ErrorCode.TARGET_FAILED, failure.detail(), true);
             return;
@@ -202,6 +220,15 @@
                 .thenAccept(accepts -> event(() -> fail(ErrorCode.TARGET_FAILED, failure.detail(), !accepts)));
     }
 
+    /** A connection that is reset is no crash; a target that then accepts no new one has crashed. */
+    private void lookIntoLoss() {
+        services.connector().accepts(target()).thenAccept(accepts -> {
+            if (!accepts) {
+                CrashReports.report(services, plan.fingerprint(), target());
+            }
+        });
+    }
+
     private void fail(ErrorCode code, String detail, boolean connectionLost) {
         boolean mayHaveRun = !permit.revoke();
         AttemptResult result = code == ErrorCode.TARGET_TIMEOUT ? AttemptResult.TIMED_OUT : AttemptResult.FAILED;
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.MonotonicClock;
@@ -38,6 +39,8 @@
     private final DestinationIndex<String> services = new DestinationIndex<>();
     private final List<TargetChangeListener> listeners = new CopyOnWriteArrayList<>();
     private final ContentChanges changes;
+    /** The target that started last at each address. */
+    private final Map<Address, TargetAnnouncement> occupants = new ConcurrentHashMap<>();
 
     public TargetRegistry(MonotonicClock clock) {
         this.clock = clock;
@@ -85,9 +88,49 @@
             kind = kindOfChange(Optional.ofNullable(previous), held, now);
         }
         notifyListeners(new Change(kind, announcement));
+        replaceAtAddress(announcement);
         return true;
     }
 
+    /** A target that started later at the address of another one proves that the other has ended. */
+    private void replaceAtAddress(TargetAnnouncement announcement) {
+        Address address = new Address(announcement.host(), announcement.port());
+        TargetAnnouncement occupant = occupants.merge(
+                address, announcement, (held, next) -> next.incarnation() >= held.incarnation() ? next : held);
+        TargetId ended = occupant == announcement ? null : announcement.id();
+        if (ended == null) {
+            endOthersAt(address, announcement);
+        } else if (!occupant.id().equals(ended)) {
+            end(ended);
+        }
+    }
+
+    private void endOthersAt(Address address, TargetAnnouncement occupant) {
+        for (TargetAnnouncement known : targets()) {
+            boolean sameAddress = known.port() == address.port() && known.host().equals(address.host());
+            boolean earlier = known.incarnation() < occupant.incarnation();
+            if (sameAddress && earlier && !known.id().equals(occupant.id())) {
+                end(known.id());
+            }
+        }
+    }
+
+    /** Drops a target that has ended; only a later incarnation of it brings it back. */
+    private void end(TargetId target) {
+        Optional<HeldAnnouncement> ended = Optional.empty();
+        Map<TargetId, HeldAnnouncement> shard = shardOf(target);
+        synchronized (shard) {
+            HeldAnnouncement held = shard.get(target);
+            if (held != null && !held.removalReported()) {
+                HeldAnnouncement last = new HeldAnnouncement(held.announcement().left(), clock.nanos(), true);
+                unindex(held.announcement(), Set.of(), Optional.empty());
+                shard.put(target, last);
+                ended = Optional.of(last);
+            }
+        }
+        ended.ifPresent(last -> notifyListeners(new Change(Kind.EXPIRED, last.announcement())));
+    }
+
     /**
      * Extends the time to live of an announcement that the instance it was made to still holds, and takes the load
      * reported with it. An announcement that is newer than the held one is taken like any other.
@@ -250,6 +293,9 @@
         listeners.forEach(listener -> listener.changed(change));
     }
 
+    /** Where a target is reached. */
+    private record Address(String host, int port) {}
+
     private Map<TargetId, HeldAnnouncement> shardOf(TargetId id) {
         return shards.get(Math.floorMod(id.hashCode(), SHARDS));
     }
