--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -0,0 +1,233 @@
+package org.basilrill.coordination.engine;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.placement.ModelDemand;
+import org.basilrill.state.configuration.EnginePool;
+import org.basilrill.state.configuration.RouteTable;
+import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.EngineOrder;
+import org.basilrill.state.target.EngineOrder.Action;
+import org.basilrill.state.target.EngineOrder.Answer;
+import org.basilrill.state.target.EngineReport;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
+import org.junit.jupiter.api.Test;
+
+/** Guards what engines are ordered under the patterns of load and failure that the days of a site bring. */
+class EnginePlannerTest {
+    private static final long NOW = Duration.ofHours(1).toNanos();
+    private static final String POOL = "pool";
+    private static final ModelId HOT = new ModelId("hot");
+    private static final ModelId WARM = new ModelId("warm");
+    private static final ModelId RARE = new ModelId("rare");
+
+    private final Map<ModelId, ModelDemand> demand = new HashMap<>();
+    private final List<EngineState> engines = new ArrayList<>();
+    private final Rules rules = rules();
+
+    private static Rules rules() {
+        Map<ModelId, Rules.Model> models = new HashMap<>();
+        Map<ModelId, Rules.Adapter> adapters = new HashMap<>();
+        Map<ModelId, Duration> times = new HashMap<>();
+        for (ModelId model : List.of(HOT, WARM, RARE)) {
+            models.put(model, new Rules.Model(model, 40, 1, 9, 1, 5));
+            times.put(model, Duration.ofSeconds(3));
+            for (int number = 1; number <= 9; number++) {
+                ModelId adapter = new ModelId(model + "/a" + number);
+                adapters.put(adapter, new Rules.Adapter(adapter, 1));
+            }
+        }
+        return new Rules(
+                1,
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                models,
+                adapters,
+                Map.of(),
+                List.of(),
+                Rules.StoreLimits.defaults(),
+                RouteTable.empty(),
+                Map.of(POOL, new EnginePool(POOL, 100, 3, 1, times)));
+    }
+
+    private static TargetAnnouncement announcement(String id, ModelId... contents) {
+        Map<ModelId, LoadedModel> held = new HashMap<>();
+        Arrays.stream(contents).forEach(model -> held.put(model, new LoadedModel(0, 0, true)));
+        return new TargetAnnouncement(
+                new TargetId(id),
+                1,
+                1,
+                "127.0.0.1",
+                1,
+                "north",
+                Optional.of(POOL),
+                5000,
+                0,
+                held,
+                Set.of(TargetAnnouncement.Role.DECODE),
+                64,
+                new TargetAnnouncement.Load(0, 0),
+                true,
+                false);
+    }
+
+    private EngineState engine(String id, Set<ModelId> atHand, ModelId... contents) {
+        EngineState engine = new EngineState(announcement(id, contents), NOW);
+        engine.asked();
+        Set<ModelId> held = new HashSet<>(Arrays.asList(contents));
+        engine.reported(Optional.of(new EngineReport(held, Set.of(), atHand, false, 7)), NOW, 0);
+        engines.add(engine);
+        return engine;
+    }
+
+    private EngineState engine(String id, ModelId... contents) {
+        return engine(id, Set.of(), contents);
+    }
+
+    private void wish(ModelId model, double rate, int waiting) {
+        demand.put(model, new ModelDemand(rate, 0, waiting));
+    }
+
+    private List<PlannedOrder> plan(int loads, long now) {
+        EnginePool pool = rules.enginePools().get(POOL);
+        return new EnginePlanner(rules, pool, engines, demand, loads, now).plan();
+    }
+
+    private List<PlannedOrder> plan() {
+        return plan(9, NOW);
+    }
+
+    /** Pattern: an adapter is asked for that no engine holds. */
+    @Test
+    void aWaitingAdapterGoesToTheLeastLoadedEngineWithItsModel() {
+        engine("busy", HOT, WARM);
+        EngineState idle = engine("idle", HOT, RARE);
+        engine("other", WARM, RARE);
+        wish(WARM, 10_000, 0);
+        ModelId adapter = new ModelId("hot/a1");
+        wish(adapter, 50, 1);
+        assertThat(plan(), hasItem(new PlannedOrder(idle, Action.LOAD, adapter)));
+    }
+
+    /** Pattern: more adapters are asked for at once than the slots hold; each must be used before it makes way. */
+    @Test
+    void anAdapterThatWasJustLoadedDoesNotMakeWay() {
+        ModelId first = new ModelId("hot/a1");
+        EngineState engine = engine("one", HOT, WARM, new ModelId("hot/a8"), new ModelId("hot/a9"));
+        wish(first, 0, 1);
+        assertThat(plan(), is(List.of(new PlannedOrder(engine, Action.LOAD, first))));
+        engine.asked();
+        engine.answered(new EngineOrder(Action.LOAD, first, 1, 7), Answer.ACCEPTED, NOW, 0);
+        wish(first, 0, 0);
+        wish(new ModelId("hot/a2"), 0, 1);
+        wish(new ModelId("hot/a8"), 500, 0);
+        wish(new ModelId("hot/a9"), 400, 0);
+        List<PlannedOrder> next = plan();
+        assertThat(next, not(hasItem(new PlannedOrder(engine, Action.UNLOAD, first))));
+        assertThat(next, is(List.of(new PlannedOrder(engine, Action.UNLOAD, new ModelId("hot/a9")))));
+    }
+
+    /** Pattern: an engine crashes and comes back empty, with copies on its disk. */
+    @Test
+    void anEngineThatRestartedIsFilledFromItsDiskWithoutTheWeightStore() {
+        engine("one", HOT, WARM);
+        engine("two", HOT, RARE);
+        EngineState restarted = engine("three", Set.of(HOT, WARM));
+        wish(HOT, 9000, 0);
+        assertThat(plan(0, NOW), is(List.of(new PlannedOrder(restarted, Action.LOAD, HOT))));
+    }
+
+    /** Pattern: the only copy of a rare model is lost with its engine while the others are full. */
+    @Test
+    void aModelWithoutACopyTakesThePlaceOfASecondCopyAndNeverOfALastOne() {
+        EngineState first = engine("one", HOT, WARM);
+        engine("two", HOT, new ModelId("warm"));
+        wish(HOT, 9000, 0);
+        wish(RARE, 0, 2);
+        List<PlannedOrder> orders = plan();
+        assertThat(orders.size(), is(1));
+        assertThat(orders.get(0).action(), is(Action.UNLOAD));
+        assertThat(orders.get(0).model(), is(WARM));
+        engines.remove(first);
+        assertThat("only last copies are left", plan(), empty());
+    }
+
+    /** Pattern: the demand for one model jumps. */
+    @Test
+    void aHotModelGetsAnotherCopyWhereMemoryIsFree() {
+        engine("one", HOT, WARM);
+        EngineState roomy = engine("two", RARE);
+        wish(HOT, 9000, 0);
+        assertThat(plan(), is(List.of(new PlannedOrder(roomy, Action.LOAD, HOT))));
+        assertThat("the weight store is exhausted", plan(0, NOW), empty());
+    }
+
+    /** Pattern: the demand is even, so a move would cost loads and gain nothing. */
+    @Test
+    void evenDemandMovesNothing() {
+        engine("one", HOT, WARM);
+        engine("two", HOT, RARE);
+        engine("three", WARM, RARE);
+        List.of(HOT, WARM, RARE).forEach(model -> wish(model, 3000, 0));
+        assertThat(plan(), empty());
+    }
+
+    @Test
+    void noOrderOvercommitsAnEngine() {
+        engine("one", Set.of(HOT, WARM, RARE), HOT);
+        engine("two", HOT, WARM);
+        engine("three", Set.of(HOT, WARM, RARE));
+        List.of(HOT, WARM, RARE).forEach(model -> wish(model, 5000, 1));
+        for (int round = 0; round < 10; round++) {
+            for (PlannedOrder order : plan(9, NOW + round)) {
+                long expected = order.engine().expectedOrders();
+                order.engine().asked();
+                order.engine()
+                        .answered(new EngineOrder(order.action(), order.model(), 1, expected), Answer.ACCEPTED, NOW, 0);
+            }
+            List<Long> used =
+                    engines.stream().map(engine -> engine.usedBytes(rules)).toList();
+            assertThat(used, everyItem(lessThanOrEqualTo(100L)));
+        }
+    }
+
+    /** Pattern: an order's answer is lost and it is carried out late, after others. */
+    @Test
+    void anOrderWithoutAnAnswerIsFollowedByAReportBeforeTheNextOrder() {
+        EngineState engine = engine("one", HOT);
+        engine.asked();
+        engine.answered(new EngineOrder(Action.LOAD, WARM, 1, 7), Answer.UNKNOWN, NOW, 100);
+        assertThat(engine.isFree(NOW + 200), is(false));
+        assertThat(engine.needsReport(NOW + 50), is(false));
+        assertThat(engine.needsReport(NOW + 200), is(true));
+    }
+
+    @Test
+    void anEngineThatSawALaterLeaderGetsNoMoreOrders() {
+        EngineState engine = engine("one", HOT);
+        engine.asked();
+        engine.answered(new EngineOrder(Action.LOAD, WARM, 1, 7), Answer.FENCED, NOW, 0);
+        wish(WARM, 0, 1);
+        assertThat(plan(9, NOW + Duration.ofMinutes(1).toNanos()), empty());
+        assertThat(engine.needsReport(NOW + Duration.ofMinutes(1).toNanos()), is(false));
+    }
+}
