Send a prompt to the target whose answer will probably begin first

Cause: with six engines the one that holds a prompt was seldom one of two random candidates. The cost is in milliseconds: tokens to read there, less those cached, requests that wait there, load and distance. All instances prefer the same target for a shared prefix without a message. Load that targets tell with their answers counts.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
@@ -8,7 +8,9 @@
 import org.basilrill.api.AccountId;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
+import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetAnnouncement.Load;
 import org.basilrill.state.target.TargetDirectory;
 
 /**
@@ -33,10 +35,30 @@
             long tokens,
             long deadlineNanos,
             Set<TargetId> excludedTargets,
-            List<Long> prefixHashes) {
+            Prompt prompt) {
         public Request {
             excludedTargets = Set.copyOf(excludedTargets);
-            prefixHashes = List.copyOf(prefixHashes);
+        }
+
+        /** Creates a request of whose prompt only the prefixes are known. */
+        public Request(
+                String requestId,
+                Optional<AccountId> account,
+                Destination destination,
+                int priority,
+                long tokens,
+                long deadlineNanos,
+                Set<TargetId> excludedTargets,
+                List<Long> prefixHashes) {
+            this(
+                    requestId,
+                    account,
+                    destination,
+                    priority,
+                    tokens,
+                    deadlineNanos,
+                    excludedTargets,
+                    Prompt.ofEqualParts(prefixHashes, tokens));
         }
     }
 
@@ -83,6 +105,13 @@
         /** Returns the target to use. */
         TargetAnnouncement target();
 
+        /**
+         * Notes that the target's answer began, and the load it told. Only the first call has an effect.
+         *
+         * @param load what the target runs and has waiting, if it says so
+         */
+        default void answered(Optional<Load> load) {}
+
         /** Gives the slot back and reports how the attempt went. Only the first call has an effect. */
         void release(AttemptResult result);
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -221,7 +221,7 @@
                 DestinationLoads.name(request),
                 readyTargets(request.destination()),
                 request.excludedTargets(),
-                request.prefixHashes());
+                request.prompt());
     }
 
     private void assign(Served<HeldSlot> served) {
@@ -340,6 +340,7 @@
     private final class SlotAssignment implements Assignment {
         private final Served<HeldSlot> served;
         private final AtomicBoolean released = new AtomicBoolean();
+        private final AtomicBoolean begun = new AtomicBoolean();
 
         SlotAssignment(Served<HeldSlot> served) {
             this.served = served;
@@ -350,6 +351,13 @@
             return served.assigned().target();
         }
 
+        @Override
+        public void answered(Optional<TargetAnnouncement.Load> load) {
+            if (begun.compareAndSet(false, true)) {
+                router.answered(served.assigned(), load);
+            }
+        }
+
         @Override
         public void release(AttemptResult result) {
             if (result == AttemptResult.REFUSED_FULL) {
@@ -368,6 +376,9 @@
             if (!released.compareAndSet(false, true)) {
                 return;
             }
+            if (begun.compareAndSet(false, true)) {
+                router.abandoned(served.assigned());
+            }
             router.release(served.assigned(), result);
             synchronized (lock) {
                 Request request = served.waiting().request();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/HeldSlot.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/HeldSlot.java
@@ -7,5 +7,6 @@
  *
  * @param target the announcement the choice was based on
  * @param probe whether the request tests a target that was ejected
+ * @param pendingTokens prompt tokens that the target probably has to read before the answer begins
  */
-public record HeldSlot(TargetAnnouncement target, TargetState state, boolean probe) {}
+public record HeldSlot(TargetAnnouncement target, TargetState state, boolean probe, long pendingTokens) {}
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/PrefixAffinity.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/PrefixAffinity.java
@@ -43,6 +43,20 @@
         return cache.matched(prefixHashes) / prefixHashes.size();
     }
 
+    /** Returns the tokens of the prompt that are probably cached at the target. */
+    public double cachedTokens(TargetId target, long incarnation, Prompt prompt) {
+        Cache cache = caches.get(target);
+        if (prompt.isEmpty() || cache == null || cache.incarnation != incarnation) {
+            return 0;
+        }
+        double parts = cache.matched(prompt.prefixHashes());
+        int whole = (int) parts;
+        double tokens = prompt.tokensOf(whole);
+        return whole < prompt.partTokens().size()
+                ? tokens + (parts - whole) * prompt.partTokens().get(whole)
+                : tokens;
+    }
+
     /** Drops what is known of a target that is gone. */
     public void forget(TargetId target) {
         caches.remove(target);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
@@ -17,10 +18,9 @@
 import org.basilrill.state.target.TargetAnnouncement;
 
 /**
- * Chooses a target with a free slot for a request: of two random candidates, the one with the lower score.
- *
- * <p>The score is the load (reported by the target, decayed with age, plus held by this instance) plus the distance
- * minus the prefix affinity. Thread safe: state per target, each with its lock; the random generator is guarded here.
+ * Chooses a target with a free slot for a request. A request with a prompt goes to the candidate whose answer will
+ * probably begin first: prompt tokens to read there, less those cached, requests that wait there, load and distance, all
+ * in milliseconds. Other requests go to the less loaded of two random candidates. Thread safe: state per target, each with its lock; the random generator is guarded here.
  */
 public final class TargetRouter {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -60,11 +60,11 @@
      * @param destination name of the model or service, which decides the subset
      * @param ready targets that are ready for the destination and not leaving
      * @param excluded targets the request must not use
-     * @param prefixHashes hashes of the prompt's prefixes, shortest first
+     * @param prompt prompt of the request, to find the targets that have read parts of it
      * @return empty if no candidate has a free slot now
      */
     public Optional<HeldSlot> acquire(
-            String destination, Collection<TargetAnnouncement> ready, Set<TargetId> excluded, List<Long> prefixHashes) {
+            String destination, Collection<TargetAnnouncement> ready, Set<TargetId> excluded, Prompt prompt) {
         List<TargetAnnouncement> usable = new ArrayList<>(ready.size());
         for (TargetAnnouncement target : ready) {
             if (target.leaving() || excluded.contains(target.id())) {
@@ -83,10 +83,11 @@
             }
         }
         while (!free.isEmpty()) {
-            TargetAnnouncement target = chooseOfTwo(free, prefixHashes);
-            Optional<HeldSlot> slot = stateOf(target).tryAcquire(target);
+            TargetAnnouncement target = prompt.isEmpty() ? chooseOfTwo(free) : soonest(free, prompt);
+            long tokensToRead = Math.round(prompt.tokens() - cachedTokens(target, prompt, free));
+            Optional<HeldSlot> slot = stateOf(target).tryAcquire(target, tokensToRead);
             if (slot.isPresent()) {
-                affinity.routed(target.id(), target.incarnation(), prefixHashes);
+                affinity.routed(target.id(), target.incarnation(), prompt.prefixHashes());
                 return slot;
             }
             // Another thread took the last slot since the check above.
@@ -130,7 +131,18 @@
         return state == null || state.incarnation() != target.incarnation() ? 0 : state.held();
     }
 
-    private TargetAnnouncement chooseOfTwo(List<TargetAnnouncement> free, List<Long> prefixHashes) {
+    /** Notes that the answer for a slot began, and the load that the target told with it. */
+    public void answered(HeldSlot slot, Optional<TargetAnnouncement.Load> load) {
+        slot.state().read(slot.pendingTokens());
+        load.ifPresent(slot.state()::told);
+    }
+
+    /** Notes that a slot is given back without an answer. */
+    public void abandoned(HeldSlot slot) {
+        slot.state().read(slot.pendingTokens());
+    }
+
+    private TargetAnnouncement chooseOfTwo(List<TargetAnnouncement> free) {
         if (free.size() == 1) {
             return free.get(0);
         }
@@ -143,13 +155,61 @@
         // Skips the first choice, so that the two always differ.
         TargetAnnouncement one = free.get(first);
         TargetAnnouncement other = free.get(second >= first ? second + 1 : second);
-        return score(one, prefixHashes) <= score(other, prefixHashes) ? one : other;
+        return score(one) <= score(other) ? one : other;
+    }
+
+    private double score(TargetAnnouncement target) {
+        return stateOf(target).load() + distance(target);
+    }
+
+    private double distance(TargetAnnouncement target) {
+        return target.dataCentre().equals(dataCentre) ? 0 : options.distancePenalty();
+    }
+
+    /** Returns the target whose answer will probably begin first. */
+    private TargetAnnouncement soonest(List<TargetAnnouncement> free, Prompt prompt) {
+        TargetAnnouncement best = free.get(0);
+        double least = Double.MAX_VALUE;
+        for (TargetAnnouncement target : free) {
+            double millis = millisToFirstToken(target, prompt, free);
+            if (millis < least) {
+                least = millis;
+                best = target;
+            }
+        }
+        return best;
+    }
+
+    private double millisToFirstToken(TargetAnnouncement target, Prompt prompt, List<TargetAnnouncement> free) {
+        TargetState state = stateOf(target);
+        double toRead = prompt.tokens() - cachedTokens(target, prompt, free) + state.pendingTokens();
+        double waiting = state.waiting() * options.millisPerWaiting();
+        double chance;
+        synchronized (random) {
+            chance = random.nextDouble() * options.millisOfChance();
+        }
+        double load = (state.load() + distance(target)) * options.millisOfFullTarget();
+        return toRead / options.tokensPerMilli() + waiting + load + chance;
+    }
+
+    /** Returns what the target has probably cached: what this instance sent there, or what all instances send there. */
+    private double cachedTokens(TargetAnnouncement target, Prompt prompt, List<TargetAnnouncement> free) {
+        double known = affinity.cachedTokens(target.id(), target.incarnation(), prompt);
+        int shared = prompt.sharedParts();
+        if (shared == 0 || !isPreferred(target, prompt.prefixHashes().get(shared - 1), free)) {
+            return known;
+        }
+        return Math.max(known, options.preferredTrust() * prompt.tokensOf(shared));
+    }
+
+    /** Returns whether the target comes first for a shared prefix; all instances agree on it without a message. */
+    private static boolean isPreferred(TargetAnnouncement target, long prefixHash, List<TargetAnnouncement> free) {
+        long weight = preference(target, prefixHash);
+        return free.stream().allMatch(other -> preference(other, prefixHash) <= weight);
     }
 
-    private double score(TargetAnnouncement target, List<Long> prefixHashes) {
-        double distance = target.dataCentre().equals(dataCentre) ? 0 : options.distancePenalty();
-        double matched = affinity.matchedPart(target.id(), target.incarnation(), prefixHashes);
-        return stateOf(target).load() + distance - matched * options.affinityWeight();
+    private static long preference(TargetAnnouncement target, long prefixHash) {
+        return new SplittableRandom(prefixHash ^ ((long) target.id().value().hashCode() << 32)).nextLong();
     }
 
     /** Returns the state of the announced incarnation; slots held at an earlier one do not count against it. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
@@ -24,6 +24,10 @@
     private int limit;
     private double othersAtReport;
     private int slots;
+    private long pendingTokens;
+    private long toldNanos;
+    private double othersTold;
+    private double waitingTold;
     private boolean full;
     private long fullUntilNanos;
 
@@ -70,12 +74,35 @@
     }
 
     /** Takes a slot; empty if none is free or the target is ejected. */
-    synchronized Optional<HeldSlot> tryAcquire(TargetAnnouncement announcement) {
+    synchronized Optional<HeldSlot> tryAcquire(TargetAnnouncement announcement, long tokensToRead) {
         if (!isFree(clock.nanos())) {
             return Optional.empty();
         }
         held++;
-        return Optional.of(new HeldSlot(announcement, this, ejection.started()));
+        pendingTokens += tokensToRead;
+        return Optional.of(new HeldSlot(announcement, this, ejection.started(), tokensToRead));
+    }
+
+    /** Notes that the prompt of a slot need not be read any more. */
+    synchronized void read(long tokens) {
+        pendingTokens -= tokens;
+    }
+
+    /** Takes the load that the target told with an answer. */
+    synchronized void told(TargetAnnouncement.Load load) {
+        toldNanos = clock.nanos();
+        othersTold = Math.max(0, load.running() + load.waiting() - held);
+        waitingTold = load.waiting();
+    }
+
+    /** Returns the prompt tokens sent from here whose answers have not begun. */
+    synchronized long pendingTokens() {
+        return pendingTokens;
+    }
+
+    /** Returns the requests that waited at the target when it last told, trusted less with age. */
+    synchronized double waiting() {
+        return waitingTold * decay(toldNanos);
     }
 
     /** Gives a slot back; returns how the health of the target changed. */
@@ -103,9 +130,13 @@
 
     /** Returns the load in units of a full target: the others' share, trusted less with age, and our own. */
     synchronized double load() {
-        double age = clock.nanos() - reportNanos;
-        double decay = Math.pow(0.5, age / options.reportHalfLife().toNanos());
-        return (othersAtReport * decay + held) / Math.max(1, slots);
+        double others = Math.max(othersAtReport * decay(reportNanos), othersTold * decay(toldNanos));
+        return (others + held) / Math.max(1, slots);
+    }
+
+    private double decay(long sinceNanos) {
+        double age = clock.nanos() - sinceNanos;
+        return Math.pow(0.5, age / options.reportHalfLife().toNanos());
     }
 
     synchronized Duration ejectionLength() {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/RequestMessages.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/dialect/RequestMessages.java
@@ -5,6 +5,7 @@
 import org.basilrill.api.BasilrillException;
 import org.basilrill.protocol.caller.AnswerHead;
 import org.basilrill.protocol.caller.HeaderField;
+import org.basilrill.state.target.TargetAnnouncement.Load;
 
 /** Writes and reads the messages of one request. Implementations are immutable and thread safe. */
 public interface RequestMessages {
@@ -26,6 +27,9 @@
      */
     boolean misdirected(AnswerHead answer);
 
+    /** Returns the load that the target tells with its answer. */
+    Optional<Load> load(AnswerHead answer);
+
     /**
      * Returns what ends a stream of events that failed after it had begun; if empty, the caller's connection is cut, so
      * that the stream does not look complete.
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CompletionMessages.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CompletionMessages.java
@@ -11,6 +11,7 @@
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.dialect.RequestMessages;
 import org.basilrill.protocol.dialect.TargetCall;
+import org.basilrill.state.target.TargetAnnouncement.Load;
 
 /** The messages of completions and service calls in the product's own interface. Immutable and thread safe. */
 record CompletionMessages(RequestHead head, String id, KeyGuard guard) implements RequestMessages {
@@ -42,6 +43,11 @@
         return false;
     }
 
+    @Override
+    public Optional<Load> load(AnswerHead answer) {
+        return Optional.empty();
+    }
+
     @Override
     public Optional<byte[]> failureEvent(BasilrillException failure) {
         return Optional.of(ErrorBody.event(failure));
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -264,7 +264,7 @@
                         plan.chargedTokens(),
                         deadlineNanos,
                         excluded,
-                        plan.prefixHashes()));
+                        plan.prompt()));
         queued = request;
         request.whenComplete((assignment, problem) -> event(() -> {
             if (closed) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
@@ -1,10 +1,10 @@
 package org.basilrill.protocol.instance;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import org.basilrill.api.AccountId;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
+import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.protocol.caller.KeyGuard;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.dialect.RequestMessages;
@@ -33,7 +33,7 @@
         int priority,
         long promptTokens,
         long chargedTokens,
-        List<Long> prefixHashes,
+        Prompt prompt,
         Optional<Order> order,
         boolean repeatable,
         String fingerprint,
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
@@ -1,7 +1,6 @@
 package org.basilrill.protocol.instance;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.regex.Pattern;
@@ -10,6 +9,7 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.ModelId;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
+import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.protocol.caller.CallerRoute;
 import org.basilrill.protocol.caller.CompletionBody;
 import org.basilrill.protocol.caller.KeyGuard;
@@ -99,7 +99,7 @@
                 priority,
                 completion.promptTokens(),
                 completion.promptTokens() + completion.outputTokens(),
-                completion.prefixHashes(),
+                Prompt.ofEqualParts(completion.prefixHashes(), completion.promptTokens()),
                 Optional.empty(),
                 true,
                 RequestFingerprint.ofContent(authorization.account(), body),
@@ -135,7 +135,7 @@
                 service.priority(),
                 tokens,
                 tokens,
-                List.of(),
+                Prompt.none(),
                 order,
                 order.isEmpty() && IDEMPOTENT.contains(head.method()),
                 fingerprint,
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
@@ -8,7 +8,9 @@
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
+import org.basilrill.api.ModelId;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
+import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.protocol.caller.KeyGuard;
 import org.basilrill.protocol.caller.RequestFingerprint;
 import org.basilrill.protocol.caller.RequestHead;
@@ -22,6 +24,8 @@
 
 /** Plans requests by the routes of the rules: by host and longest prefix. Thread safe. */
 final class RoutePlanner implements Planner {
+    private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
+
     private final CallerDialect dialect;
     private final RandomGenerator random;
 
@@ -67,15 +71,17 @@
         }
     }
 
-    /** Hashes of the prompt's prefixes, shortest first: each part together with all parts before it. */
-    private static List<Long> prefixHashes(List<PromptPart> parts) {
-        List<Long> hashes = new ArrayList<>(parts.size());
-        long hash = 0;
-        for (PromptPart part : parts) {
-            hash = hash * 31 + part.id();
+    /** What is cached for one model or adapter is of no use for another one, so its name is part of each prefix. */
+    private static Prompt prompt(CallRequest request) {
+        List<Long> hashes = new ArrayList<>();
+        List<Long> tokens = new ArrayList<>();
+        long hash = request.model().map(ModelId::hashCode).orElse(0);
+        for (PromptPart part : request.promptParts()) {
+            hash = hash * HASH_FACTOR + part.id();
             hashes.add(hash);
+            tokens.add(part.tokens());
         }
-        return hashes;
+        return new Prompt(hashes, tokens);
     }
 
     /** A request that a route allows. */
@@ -125,7 +131,7 @@
                     payer.flatMap(Rules.Account::priority).orElse(route.priority()),
                     charge(payer),
                     charge(payer),
-                    prefixHashes(request.promptParts()),
+                    prompt(request),
                     Optional.empty(),
                     route.kind().isRepeatable(),
                     fingerprint,
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -145,6 +145,7 @@
                 fail(ErrorCode.ANSWER_MISMATCH, "the target answered without the id of the request", false);
                 return;
             }
+            assignment.answered(plan.messages().load(head));
             if (plan.messages().misdirected(head)) {
                 end(
                         AttemptResult.CANCELLED,
--- a/basilrill-library/src/test/java/org/basilrill/coordination/routing/TargetRouterTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/routing/TargetRouterTest.java
@@ -125,12 +125,13 @@
         router.received(new CacheEvent(other.id(), 1, 1, prefix, List.of()));
         List<TargetAnnouncement> both = List.of(one, other);
         for (int number = 0; number < 3; number++) {
-            HeldSlot slot = router.acquire("m", both, Set.of(), prefix).orElseThrow();
+            HeldSlot slot = router.acquire("m", both, Set.of(), Prompt.ofEqualParts(prefix, 12_000))
+                    .orElseThrow();
             assertThat(slot.target().id(), is(other.id()));
         }
         Set<TargetId> used = new HashSet<>();
         for (int number = 0; number < 6; number++) {
-            used.add(router.acquire("m", both, Set.of(), prefix)
+            used.add(router.acquire("m", both, Set.of(), Prompt.ofEqualParts(prefix, 12_000))
                     .orElseThrow()
                     .target()
                     .id());
@@ -178,7 +179,7 @@
     }
 
     private static Optional<HeldSlot> take(TargetRouter router, TargetAnnouncement... targets) {
-        return router.acquire("m", List.of(targets), Set.of(), List.of());
+        return router.acquire("m", List.of(targets), Set.of(), Prompt.none());
     }
 
     private static int takeAll(TargetRouter router, TargetAnnouncement target) {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/BaselineDispatcher.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/BaselineDispatcher.java
@@ -46,7 +46,7 @@
                                 request.destination().model().orElseThrow().value(),
                                 directory.readyFor(request.destination().model().orElseThrow()),
                                 request.excludedTargets(),
-                                request.prefixHashes())
+                                request.prompt())
                         .map(slot -> dispatcher.routed(router, slot)));
     }
 
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DispatchMeasurement.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DispatchMeasurement.java
@@ -76,13 +76,17 @@
                 options.subsetSize(),
                 options.remoteShare(),
                 options.distancePenalty(),
-                options.affinityWeight(),
                 options.reportHalfLife(),
                 options.failuresToEject(),
                 options.firstEjection(),
                 options.longestEjection(),
                 options.fullBackOff(),
-                DispatchSimulation.INSTANCES);
+                DispatchSimulation.INSTANCES,
+                options.tokensPerMilli(),
+                options.millisPerWaiting(),
+                options.millisOfFullTarget(),
+                options.millisOfChance(),
+                options.preferredTrust());
     }
 
     private static void printSchemes(Map<String, List<SchemeResult>> results) {
