--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -62,6 +62,7 @@
 
     /** Returns at most one order for each engine. */
     List<PlannedOrder> plan() {
+        loadReserved();
         missingModels().forEach(this::placeModel);
         List<EngineState> free = engines.stream().filter(this::isFree).toList();
         for (PlannedOrder order : adapters.plan(engines, free, this::load)) {
@@ -73,6 +74,17 @@
         return orders;
     }
 
+    /** Loads what earlier unloads made way for. */
+    private void loadReserved() {
+        for (EngineState engine : engines) {
+            if (isFree(engine) && !engine.isBusy()) {
+                engine.takeReserved()
+                        .filter(model -> !engine.holdsModel(model) && fits(engine, model))
+                        .ifPresent(model -> load(engine, model));
+            }
+        }
+    }
+
     /** Models without any copy, those that requests wait for first, then those with the most demand. */
     private List<ModelId> missingModels() {
         return pool.models().keySet().stream()
@@ -143,11 +155,13 @@
                 }
             }
         }
-        best.ifPresent(victim -> unload(victim.engine(), victim.model()));
+        best.ifPresent(victim -> unload(victim.engine(), victim.model(), model));
     }
 
     private boolean makesWay(EngineState engine, ModelId held, ModelId next) {
-        return copies(held) > 1 && engine.usedBytes(rules) - bytes(held) + bytes(next) <= pool.memoryBytes();
+        return copies(held) > 1
+                && engine.isSettled(held, now)
+                && engine.usedBytes(rules) - bytes(held) + bytes(next) <= pool.memoryBytes();
     }
 
     private static Optional<Victim> cheaper(Optional<Victim> best, Victim other) {
@@ -163,6 +177,7 @@
             pool.models().keySet().stream()
                     .filter(model -> !engine.holdsModel(model)
                             && engine.hasAtHand(model)
+                            && engine.isSettled(model, now)
                             && rate(model) > NEGLIGIBLE_RATE
                             && fits(engine, model))
                     .max(Comparator.comparingDouble((ModelId model) -> rate(model) / Math.max(1, copies(model)))
@@ -213,7 +228,7 @@
                 }
             }
         }
-        best.ifPresent(victim -> unload(victim.engine(), victim.model()));
+        best.ifPresent(victim -> unload(victim.engine(), victim.model(), model));
     }
 
     /** Returns the demand that an engine carries, in tokens per second. */
@@ -234,7 +249,8 @@
         orders.add(new PlannedOrder(engine, Action.LOAD, model));
     }
 
-    private void unload(EngineState engine, ModelId model) {
+    private void unload(EngineState engine, ModelId model, ModelId successor) {
+        engine.reserveFor(successor);
         copies.merge(model, -1, Integer::sum);
         taken.add(engine);
         orders.add(new PlannedOrder(engine, Action.UNLOAD, model));
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -21,13 +21,16 @@
 final class EngineState {
     /** Waiting requests are sent at once; those of the next moments profit as well. */
     private static final long ADAPTER_SETTLES_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** A model that was moved stays for a while, so that a passing change of the demand moves nothing back and forth. */
+    private static final long MODEL_SETTLES_NANOS = TimeUnit.SECONDS.toNanos(8);
 
     private final Set<ModelId> models = new HashSet<>();
     private final Set<ModelId> adapters = new HashSet<>();
     private final Set<ModelId> loading = new HashSet<>();
     private final Set<ModelId> unloading = new HashSet<>();
     private final Set<ModelId> atHand = new HashSet<>();
-    private final Map<ModelId, Long> adapterSinceNanos = new HashMap<>();
+    private final Map<ModelId, Long> sinceNanos = new HashMap<>();
+    private Optional<ModelId> reservedFor = Optional.empty();
     private TargetAnnouncement announcement;
     private Optional<Long> acceptedOrders = Optional.empty();
     private boolean awaitsAnswer;
@@ -103,10 +106,23 @@
         return atHand.contains(model);
     }
 
-    /** Returns whether an adapter was loaded here so long ago that the requests it was loaded for have come. */
-    boolean isSettled(ModelId adapter, long nowNanos) {
-        Long since = adapterSinceNanos.get(adapter);
-        return since == null || nowNanos - since >= ADAPTER_SETTLES_NANOS;
+    /** Returns whether a model or adapter was loaded or unloaded here so long ago that it has had its use. */
+    boolean isSettled(ModelId model, long nowNanos) {
+        Long since = sinceNanos.get(model);
+        long settles = model.adapter().isPresent() ? ADAPTER_SETTLES_NANOS : MODEL_SETTLES_NANOS;
+        return since == null || nowNanos - since >= settles;
+    }
+
+    /** Keeps the memory that an unload frees for the model it makes way for. */
+    void reserveFor(ModelId model) {
+        reservedFor = Optional.of(model);
+    }
+
+    /** Returns the model that memory was freed for, once. */
+    Optional<ModelId> takeReserved() {
+        Optional<ModelId> model = reservedFor;
+        reservedFor = Optional.empty();
+        return model;
     }
 
     /** Returns the memory in use, with what is on its way. */
@@ -195,13 +211,14 @@
         if (model.adapter().isPresent()) {
             if (load) {
                 adapters.add(model);
-                adapterSinceNanos.put(model, nowNanos);
+                sinceNanos.put(model, nowNanos);
             } else {
-                adapterSinceNanos.remove(model);
+                sinceNanos.remove(model);
                 adapters.remove(model);
             }
             return;
         }
+        sinceNanos.put(model, nowNanos);
         if (load) {
             models.add(model);
             loading.add(model);
