Continue a cut stream at another target, and find connections that went silent

A resumable stream is passed on event by event, so when its target is lost another one continues it after the last whole event. TCP probes end connections that something between the ends has forgotten; a kept connection is reused only while the target says that it keeps it.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.protocol.caller.AnswerHead;
+import org.basilrill.protocol.caller.EventBoundaries;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.PlainAnswer;
 import org.basilrill.protocol.caller.RequestHead;
@@ -22,6 +23,9 @@
     private final String requestId;
     private final boolean record;
     private final RequestMessages messages;
+    /** Present if the answer can be continued by another target. */
+    private final Optional<EventBoundaries> boundaries;
+
     private final ByteArrayOutputStream recorded = new ByteArrayOutputStream();
     private TokenUsage usage = new TokenUsage();
     private AnswerHead head;
@@ -30,11 +34,12 @@
     private boolean tooLong;
     private long outstanding;
 
-    AnswerRelay(CallerStream caller, String requestId, boolean record, RequestMessages messages) {
+    AnswerRelay(CallerStream caller, RequestPlan plan) {
         this.caller = caller;
-        this.requestId = requestId;
-        this.record = record;
-        this.messages = messages;
+        requestId = plan.requestId();
+        record = plan.order().isPresent();
+        messages = plan.messages();
+        boundaries = plan.attempts().resumes() ? Optional.of(new EventBoundaries()) : Optional.empty();
     }
 
     /** Gives a caller the refusal of a request that was not started. */
@@ -70,17 +75,40 @@
 
     /** Takes the head of the target's answer. */
     void hold(AnswerHead answer) {
-        head = answer;
+        if (!started) {
+            head = answer;
+        }
+    }
+
+    /** Returns whether another target can continue the answer that has begun. */
+    boolean isResumable() {
+        return started && lastEventId().isPresent();
+    }
+
+    /** Returns the last event that went to the caller whole. */
+    Optional<String> lastEventId() {
+        return started ? boundaries.flatMap(EventBoundaries::lastId) : Optional.empty();
     }
 
-    /** Forgets what a failed attempt sent; called only before the answer has started. */
+    /** Forgets what a failed attempt sent and the caller has not received. */
     void reset() {
-        head = null;
-        usage = new TokenUsage();
+        boundaries.ifPresent(EventBoundaries::dropPartial);
+        if (!started) {
+            head = null;
+            usage = new TokenUsage();
+        }
     }
 
     /** Passes part of the body on; returns true if the bytes wait for the caller, false if nobody takes them. */
     boolean body(byte[] bytes) {
+        if (boundaries.isEmpty() || !head.isEventStream()) {
+            return pass(bytes);
+        }
+        byte[] events = boundaries.get().complete(bytes);
+        return events.length == 0 ? !finished : pass(events);
+    }
+
+    private boolean pass(byte[] bytes) {
         start();
         usage.add(bytes);
         keep(bytes);
@@ -99,6 +127,10 @@
 
     /** Ends a complete answer. */
     void complete() {
+        byte[] rest = boundaries.map(EventBoundaries::rest).orElse(new byte[0]);
+        if (rest.length > 0) {
+            pass(rest);
+        }
         start();
         if (!finished) {
             finished = true;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/AttemptPolicy.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AttemptPolicy.java
@@ -9,10 +9,12 @@
  * @param endsWithKey whether a request that a target already has ends when its key is withdrawn
  * @param confirmsLosses whether, after a lost connection, the next target gets the request only once the control log has
  *     told how many targets it has cost; otherwise the loss is looked into while the request goes on
+ * @param resumes whether another target can continue an answer that was cut
  */
 record AttemptPolicy(
         int maximumAttempts,
         boolean coversWholeAnswer,
         boolean repeatsServerErrors,
         boolean endsWithKey,
-        boolean confirmsLosses) {}
+        boolean confirmsLosses,
+        boolean resumes) {}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
@@ -1,7 +1,9 @@
 package org.basilrill.protocol.instance;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.basilrill.api.ErrorCode;
 import org.basilrill.api.LogEvent;
 import org.basilrill.state.control.ControlCommand;
 import org.basilrill.state.control.ControlResult;
@@ -41,9 +43,16 @@
         return report;
     }
 
-    /** Returns whether the log says that another target may be put at risk. */
-    static boolean allowsAnother(ControlResult result) {
-        return result instanceof ControlResult.CrashCount count && count.targets() < LOST_TARGETS_LIMIT;
+    /**
+     * Returns why no other target may be put at risk; empty if one may.
+     *
+     * @param unknown reason if the log did not tell
+     */
+    static Optional<ErrorCode> obstacle(ControlResult result, ErrorCode unknown) {
+        if (isSuspect(result)) {
+            return Optional.of(ErrorCode.CRASH_SUSPECT);
+        }
+        return result instanceof ControlResult.CrashCount ? Optional.empty() : Optional.of(unknown);
     }
 
     /** Returns whether the log says that the request has cost too many targets. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -67,7 +67,7 @@
         this.plan = plan;
         this.refusals = refusals;
         this.closedListener = closedListener;
-        relay = new AnswerRelay(caller, plan.requestId(), plan.order().isPresent(), plan.messages());
+        relay = new AnswerRelay(caller, plan);
         claim = plan.order().map(order -> new OrderClaim(services, order));
         span = services.tracing().startRequest(plan);
         startNanos = services.clock().nanos();
@@ -136,12 +136,13 @@
 
     @Override
     public void answerContinued(byte[] bytes) {
-        if (!relay.started()) {
-            answerStarts();
-        }
+        boolean begins = !relay.started();
         if (!relay.body(bytes)) {
             attempt.ifPresent(running -> running.grant(bytes.length));
         }
+        if (begins && relay.started()) {
+            answerStarts();
+        }
     }
 
     @Override
@@ -182,25 +183,20 @@
             return;
         }
         // The next target is put at risk only once it is known how many this request has cost.
-        awaitResult(report, (result, problem) -> {
-            if (CrashReports.allowsAnother(result)) {
-                retryOrFail(failure);
-            } else if (CrashReports.isSuspect(result)) {
-                giveUp(ErrorCode.CRASH_SUSPECT, CrashReports.SUSPECT);
-            } else {
-                giveUp(failure.code(), failure.detail());
-            }
-        });
+        awaitResult(
+                report,
+                (result, problem) -> CrashReports.obstacle(result, failure.code())
+                        .ifPresentOrElse(code -> giveUp(code, failure.detail()), () -> retryOrFail(failure)));
     }
 
     @Override
-    public boolean wantsAnother() {
-        return retries.replacesServerError();
+    public AnswerRelay answer() {
+        return relay;
     }
 
     @Override
-    public boolean waitsForCaller() {
-        return !relay.finished() && relay.outstanding() >= services.limits().windowBytes();
+    public boolean wantsAnother() {
+        return retries.replacesServerError();
     }
 
     @Override
@@ -287,7 +283,7 @@
     }
 
     private void retryOrFail(TargetAttempt.AttemptFailure failure) {
-        if (relay.started()) {
+        if (relay.started() && !relay.isResumable()) {
             giveUp(ErrorCode.STREAM_CUT, "the answer was cut: " + failure.detail());
             return;
         }
@@ -301,7 +297,7 @@
     }
 
     private boolean mayRepeat(TargetAttempt.AttemptFailure failure) {
-        return !relay.started() && !relay.finished() && retries.mayRepeat(failure);
+        return (!relay.started() || relay.isResumable()) && !relay.finished() && retries.mayRepeat(failure);
     }
 
     private void answerStarts() {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
@@ -193,7 +193,7 @@
     }
 
     private AttemptPolicy attempts() {
-        return new AttemptPolicy(limits.maximumAttempts(), false, false, true, true);
+        return new AttemptPolicy(limits.maximumAttempts(), false, false, true, true, false);
     }
 
     @Override
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
@@ -144,7 +144,8 @@
                             true,
                             route.kind() == CallRoute.Kind.SAFE,
                             false,
-                            false));
+                            false,
+                            route.kind() == CallRoute.Kind.RESUMABLE_STREAM));
         }
 
         private Destination destination() {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -24,6 +24,7 @@
 final class TargetAttempt implements TargetConnector.Listener {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int FIRST_SERVER_ERROR = 500;
+    private static final int FIRST_ERROR = 300;
     private static final String FULL = "the target is full and ran nothing";
 
     private final RequestServices services;
@@ -73,12 +74,12 @@
         /** Takes the failure; the attempt is over. */
         void attemptFailed(AttemptFailure failure);
 
+        /** Returns what the caller has received of the answer; this attempt continues it. */
+        AnswerRelay answer();
+
         /** Returns whether a failure that the target answered is worth another attempt instead of being passed on. */
         boolean wantsAnother();
 
-        /** Returns whether the silence is that of a caller that does not read. */
-        boolean waitsForCaller();
-
         /** Ends a request whose caller has not read for the progress deadline. */
         void callerStalled();
     }
@@ -104,6 +105,7 @@
                         Duration.ofNanos(
                                 Math.max(0, deadlineNanos - services.clock().nanos())),
                         plan.priority(),
+                        owner.answer().lastEventId(),
                         services.tracing().fields(span)));
         TargetConnector.Request request =
                 new TargetConnector.Request(plan.head().method(), plan.pathAndQuery(), headers, plan.body());
@@ -157,6 +159,10 @@
                 end(AttemptResult.REFUSED_FULL, new AttemptFailure(ErrorCode.TARGET_FULL, FULL, false, false));
                 return;
             }
+            if (owner.answer().started() && head.status() >= FIRST_ERROR) {
+                fail(ErrorCode.STREAM_CUT, "the target answered with status " + head.status(), false);
+                return;
+            }
             if (head.status() >= FIRST_SERVER_ERROR && owner.wantsAnother()) {
                 fail(ErrorCode.TARGET_FAILED, "the target answered with status " + head.status(), false);
                 return;
@@ -252,13 +258,19 @@
         Duration silence = Duration.ofNanos(services.clock().nanos() - lastProgressNanos);
         if (silence.compareTo(limit) < 0) {
             watchProgress(limit.minus(silence));
-        } else if (owner.waitsForCaller()) {
+        } else if (waitsForCaller()) {
             owner.callerStalled();
         } else {
             fail(ErrorCode.TARGET_TIMEOUT, "the target sent nothing for " + limit.toMillis() + " ms", false);
         }
     }
 
+    /** Returns whether the silence is that of a caller that does not read. */
+    private boolean waitsForCaller() {
+        AnswerRelay answer = owner.answer();
+        return !answer.finished() && answer.outstanding() >= services.limits().windowBytes();
+    }
+
     private void finish(AttemptResult result) {
         over = true;
         progressTimer.cancel();
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
@@ -55,7 +55,7 @@
         this.coordinator = coordinator;
         this.scheduler = scheduler;
         connections = new CallerConnections(settings, requestsByAddress(settings, coordinator, plainRoutes), clock);
-        IOReactorConfig reactor = IOReactorConfig.custom()
+        IOReactorConfig reactor = KeepAliveProbes.on(IOReactorConfig.custom())
                 .setIoThreadCount(settings.ioThreads())
                 .setTcpNoDelay(true)
                 .setSoReuseAddress(true)
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -2,12 +2,15 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -37,11 +40,13 @@
     private static final String TRANSFER_ENCODING = "transfer-encoding";
     private static final String CLOSE = "close";
     private static final String CONNECTION = "connection";
+    private static final String KEEP_ALIVE = "keep-alive";
+    private static final Pattern KEPT_SECONDS = Pattern.compile("(?:^|[,;\\s])timeout\\s*=\\s*([0-9]{1,6})");
 
     private final HttpHost host;
     private final TargetConnector.Request request;
     private final TargetConnector.Listener listener;
-    private final BiConsumer<HttpHost, IOSession> keep;
+    private final KeptConnections keep;
     private final Consumer<IOSession> ended;
     /** Bytes of the answer that may still be taken; falls below 0 by what was buffered. */
     private final AtomicLong window;
@@ -55,6 +60,7 @@
     private int granted;
     private boolean requestSent;
     private boolean keepAlive;
+    private Optional<Duration> keptFor = Optional.empty();
 
     /**
      * Creates an exchange that is bound to no connection yet.
@@ -68,7 +74,7 @@
             TargetConnector.Request request,
             TargetConnector.Listener listener,
             int windowBytes,
-            BiConsumer<HttpHost, IOSession> keep,
+            KeptConnections keep,
             Consumer<IOSession> ended) {
         this.host = host;
         this.request = request;
@@ -168,6 +174,7 @@
         AnswerHead head = new AnswerHead(response.getCode(), headers);
         keepAlive = head.header(CONNECTION).filter(CLOSE::equalsIgnoreCase).isEmpty()
                 && response.getVersion().greaterEquals(HttpVersion.HTTP_1_1);
+        keptFor = head.header(KEEP_ALIVE).flatMap(TargetExchange::keptFor);
         if (!over.get()) {
             listener.answered(head);
         }
@@ -219,13 +226,29 @@
         }
         ended.accept(session);
         if (keepAlive && requestSent) {
-            keep.accept(host, session);
+            keep.accept(host, session, keptFor);
         } else {
             session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
         }
         listener.ended();
     }
 
+    private static Optional<Duration> keptFor(String keepAlive) {
+        Matcher matcher = KEPT_SECONDS.matcher(keepAlive);
+        return matcher.find() ? Optional.of(Duration.ofSeconds(Long.parseLong(matcher.group(1)))) : Optional.empty();
+    }
+
+    /** Takes a connection that can be used again. */
+    @FunctionalInterface
+    interface KeptConnections {
+        /**
+         * Takes one connection.
+         *
+         * @param targetKeepsIt how long the target keeps it open, if it says so
+         */
+        void accept(HttpHost host, IOSession session, Optional<Duration> targetKeepsIt);
+    }
+
     private void applyGrants() {
         CapacityChannel channel;
         int bytes;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -37,6 +38,8 @@
     private static final int BUFFER_BYTES = 8 * 1024;
     private static final int MAXIMUM_LINE_BYTES = 16 * 1024;
     private static final int MAXIMUM_HEADERS = 100;
+    /** A request must reach the target before it closes the connection. */
+    private static final Duration KEEP_MARGIN = Duration.ofMillis(500);
 
     private final Settings settings;
     private final MonotonicClock clock;
@@ -58,7 +61,7 @@
                 .setMaxLineLength(MAXIMUM_LINE_BYTES)
                 .setMaxHeaderCount(MAXIMUM_HEADERS)
                 .build();
-        IOReactorConfig reactor = IOReactorConfig.custom()
+        IOReactorConfig reactor = KeepAliveProbes.on(IOReactorConfig.custom())
                 .setIoThreadCount(settings.ioThreads())
                 .setTcpNoDelay(true)
                 .build();
@@ -188,8 +191,7 @@
         synchronized (connections) {
             while (!connections.isEmpty()) {
                 Idle candidate = connections.pop();
-                boolean fresh = clock.nanos() - candidate.sinceNanos()
-                        < settings.idleReuse().toNanos();
+                boolean fresh = clock.nanos() - candidate.untilNanos() < 0;
                 if (fresh && candidate.session().getStatus() == IOSession.Status.ACTIVE) {
                     return candidate.session();
                 }
@@ -199,17 +201,26 @@
         return null;
     }
 
-    private void keep(HttpHost host, IOSession session) {
+    /** Keeps a connection for its next request, for less time than the target keeps it. */
+    private void keep(HttpHost host, IOSession session, Optional<Duration> targetKeepsIt) {
+        Duration reuse = targetKeepsIt
+                .map(kept -> kept.minus(KEEP_MARGIN))
+                .filter(kept -> kept.compareTo(settings.idleReuse()) < 0)
+                .orElse(settings.idleReuse());
+        if (reuse.isNegative() || reuse.isZero()) {
+            session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
+            return;
+        }
         if (closed) {
             session.close(CloseMode.IMMEDIATE);
             return;
         }
-        Idle entry = new Idle(session, clock.nanos());
+        Idle entry = new Idle(session, clock.nanos() + reuse.toNanos());
         Deque<Idle> connections = idle.computeIfAbsent(host, unused -> new ArrayDeque<>());
         synchronized (connections) {
             connections.push(entry);
         }
-        scheduler.schedule(settings.idleReuse(), () -> expire(connections, entry));
+        scheduler.schedule(reuse, () -> expire(connections, entry));
     }
 
     private static void expire(Deque<Idle> connections, Idle entry) {
@@ -223,5 +234,5 @@
     }
 
     /** A connection that waits for its next request. */
-    private record Idle(IOSession session, long sinceNanos) {}
+    private record Idle(IOSession session, long untilNanos) {}
 }
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/caller/EventBoundariesTest.java
@@ -0,0 +1,51 @@
+package org.basilrill.protocol.caller;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a stream that is continued within an event, or after the wrong one. */
+class EventBoundariesTest {
+    private static final String STREAM = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+
+    private final EventBoundaries boundaries = new EventBoundaries();
+
+    private String complete(String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return new String(boundaries.complete(bytes), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void anEventThatBrokeOffIsNotPassedOn() {
+        assertThat(complete("id: 1\ndata: a\n\nid: 2\nda"), is("id: 1\ndata: a\n\n"));
+        assertThat(boundaries.lastId(), is(Optional.of("1")));
+        boundaries.dropPartial();
+        assertThat(complete("id: 2\ndata: b\n\n"), is("id: 2\ndata: b\n\n"));
+        assertThat(boundaries.lastId(), is(Optional.of("2")));
+    }
+
+    @Test
+    void whereverTheStreamIsCutIntoPiecesAllOfItArrives() {
+        for (int length = 1; length <= STREAM.length(); length++) {
+            EventBoundaries pieces = new EventBoundaries();
+            StringBuilder passed = new StringBuilder();
+            for (int start = 0; start < STREAM.length(); start += length) {
+                String piece = STREAM.substring(start, Math.min(STREAM.length(), start + length));
+                byte[] events = pieces.complete(piece.getBytes(StandardCharsets.UTF_8));
+                passed.append(new String(events, StandardCharsets.UTF_8));
+            }
+            assertThat(passed.toString(), is(STREAM));
+            assertThat(pieces.lastId(), is(Optional.of("3")));
+        }
+    }
+
+    @Test
+    void whatFollowsTheLastEventIsTheRestOfACompleteAnswer() {
+        complete(STREAM + ": done\n");
+        assertThat(new String(boundaries.rest(), StandardCharsets.UTF_8), is(": done\n"));
+        assertThat(boundaries.rest().length, is(0));
+    }
+}
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/CoordinatorFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/CoordinatorFixture.java
@@ -10,6 +10,7 @@
 import org.basilrill.api.VirtualTime;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.dialect.CallerDialect;
 
 /** A coordinator with everything around it in memory. Not thread safe. */
 final class CoordinatorFixture {
@@ -26,6 +27,10 @@
     }
 
     CoordinatorFixture(int targets, Tracer tracer) {
+        this(targets, tracer, Optional.empty());
+    }
+
+    CoordinatorFixture(int targets, Tracer tracer, Optional<CallerDialect> dialect) {
         RequestLimits limits = new RequestLimits(
                 Duration.ofSeconds(30),
                 Duration.ofMinutes(10),
@@ -34,7 +39,7 @@
                 Duration.ofSeconds(1),
                 WINDOW_BYTES,
                 4);
-        coordinator = new RequestCoordinator(services.with(connector, time, time, tracer, limits));
+        coordinator = new RequestCoordinator(services.with(connector, time, time, tracer, limits, dialect));
         for (int number = 1; number <= targets; number++) {
             services.targets().add(FakeServices.target("target-" + number, 9000 + number));
         }
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -23,6 +23,7 @@
 import org.basilrill.coordination.admission.Dispatcher;
 import org.basilrill.coordination.admission.RetryBudget;
 import org.basilrill.coordination.admission.TokenAdmission;
+import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.configuration.Rules;
 import org.basilrill.state.target.TargetAnnouncement;
@@ -84,6 +85,16 @@
 
     public RequestServices with(
             TargetConnector connector, MonotonicClock clock, Scheduler scheduler, Tracer tracer, RequestLimits limits) {
+        return with(connector, clock, scheduler, tracer, limits, Optional.empty());
+    }
+
+    RequestServices with(
+            TargetConnector connector,
+            MonotonicClock clock,
+            Scheduler scheduler,
+            Tracer tracer,
+            RequestLimits limits,
+            Optional<CallerDialect> dialect) {
         return new RequestServices(
                 new InstanceId("north-1"),
                 control,
@@ -101,7 +112,7 @@
                 () -> List.of("127.0.0.1:4001"),
                 new BlockedRequests(clock, publishedBlocks::add),
                 new RequestIdEchoes(),
-                Optional.empty());
+                dialect);
     }
 
     /** Fingerprints of the requests that other instances were told to block. */
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RecordingStream.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RecordingStream.java
@@ -42,6 +42,11 @@
         return finals;
     }
 
+    /** Returns whether the answer ended as complete. */
+    boolean complete() {
+        return finals == 1 && !aborted;
+    }
+
     boolean aborted() {
         return aborted;
     }
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -0,0 +1,188 @@
+package org.basilrill.protocol.instance;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.opentelemetry.api.OpenTelemetry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.basilrill.protocol.caller.HeaderField;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.instance.CoordinatorFixture.Started;
+import org.basilrill.protocol.instance.FakeConnector.FakeCall;
+import org.basilrill.state.configuration.CallRoute;
+import org.basilrill.state.configuration.CallRoute.Kind;
+import org.basilrill.state.configuration.CallRoute.Share;
+import org.basilrill.state.configuration.KeyHash;
+import org.basilrill.state.configuration.RouteTable;
+import org.basilrill.state.configuration.Rules;
+import org.junit.jupiter.api.Test;
+
+/** Guards the life cycle of requests that a route allows: what is repeated, continued, cut and refused. */
+class RoutedRequestTest {
+    private static final String HOST = "a.example";
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+    private final CoordinatorFixture fixture =
+            new CoordinatorFixture(3, OpenTelemetry.noop().getTracer("test"), Optional.of(new StubDialect()));
+
+    RoutedRequestTest() {
+        fixture.control().install(rules(1, true));
+    }
+
+    private static CallRoute route(String prefix, Kind kind, int attempts) {
+        return new CallRoute(
+                prefix, HOST, prefix, kind, TIMEOUT, TIMEOUT, 0, List.of(new Share("pool", 1)), attempts, false);
+    }
+
+    private static Rules rules(long revision, boolean keyInForce) {
+        return new Rules(
+                revision,
+                Map.of(FakeServices.ACCOUNT, new Rules.Account(FakeServices.ACCOUNT, 2000, 20_000, 1)),
+                keyInForce ? Map.of(KeyHash.of(FakeServices.KEY), FakeServices.ACCOUNT) : Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of("pool", new Rules.Service("pool", 0, List.of())),
+                List.of(),
+                Rules.StoreLimits.defaults(),
+                new RouteTable(List.of(
+                        route("/safe/", Kind.SAFE, 2),
+                        route("/unsafe/", Kind.UNSAFE, 2),
+                        route("/stream/", Kind.RESUMABLE_STREAM, 3),
+                        route("/once/", Kind.STREAM, 3))),
+                Map.of());
+    }
+
+    private Started send(String path) {
+        return fixture.start(
+                CoordinatorFixture.head("POST", path, "Host", HOST, RequestHead.REQUEST_ID, "r-1"), "body");
+    }
+
+    private FakeCall last() {
+        return fixture.connector().last();
+    }
+
+    private int calls() {
+        return fixture.connector().calls().size();
+    }
+
+    @Test
+    void aStreamThatWasCutGoesOnAtAnotherTargetAfterItsLastWholeEvent() {
+        Started started = send("/stream/x");
+        last().stream();
+        last().data("id: 1\ndata: a\n\nid: 2\nda");
+        last().fail(TargetConnector.Kind.CONNECTION_LOST, false);
+        assertThat(calls(), is(2));
+        assertThat(HeaderField.first(last().request().headers(), StubDialect.LAST_EVENT), is(Optional.of("1")));
+        last().stream();
+        last().data("id: 2\ndata: b\n\n");
+        last().end();
+        assertThat(started.stream().text(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+        assertThat(started.stream().complete(), is(true));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    @Test
+    void aStreamThatNoTargetCanContinueIsCutAndNeverLooksComplete() {
+        Started started = send("/once/x");
+        last().stream();
+        last().data("id: 1\ndata: a\n\n");
+        last().fail(TargetConnector.Kind.CONNECTION_LOST, false);
+        assertThat(calls(), is(1));
+        assertThat(started.stream().aborted(), is(true));
+        assertThat(started.stream().complete(), is(false));
+    }
+
+    @Test
+    void anUnsafeRequestIsNotRepeatedOnceItMayHaveRun() {
+        Started started = send("/unsafe/x");
+        last().send();
+        last().fail(TargetConnector.Kind.CONNECTION_LOST, false);
+        assertThat(calls(), is(1));
+        assertThat(started.stream().status(), is(502));
+    }
+
+    @Test
+    void aRequestGoesToAnotherTargetIfItWasNotMeantForTheFirst() {
+        Started started = send("/unsafe/x");
+        FakeCall first = last();
+        first.send();
+        first.head(421, "application/json", "r-1");
+        assertThat(calls(), is(2));
+        assertThat(last().target().id().equals(first.target().id()), is(false));
+        last().send();
+        last().head(200, "application/json", "r-1");
+        last().data("{}");
+        last().end();
+        assertThat(started.stream().status(), is(200));
+    }
+
+    @Test
+    void aSafeRequestIsRepeatedOnceIfItsTargetFails() {
+        Started started = send("/safe/x");
+        last().send();
+        last().head(500, "application/json", "r-1");
+        assertThat(calls(), is(2));
+        last().send();
+        last().head(500, "application/json", "r-1");
+        last().end();
+        assertThat(calls(), is(2));
+        assertThat(started.stream().status(), is(500));
+    }
+
+    @Test
+    void anAnswerThatIsNotCompleteAtTheTimeoutIsCut() {
+        Started started = send("/stream/x");
+        last().stream();
+        last().data("id: 1\ndata: a\n\n");
+        fixture.time().advance(TIMEOUT);
+        assertThat(started.stream().aborted(), is(true));
+        assertThat(last().cancelled(), is(true));
+        assertThat(fixture.everythingReturned(), is(true));
+    }
+
+    @Test
+    void aRequestThatATargetHasGoesOnWhenItsKeyIsWithdrawn() {
+        Started started = send("/stream/x");
+        last().stream();
+        last().data("id: 1\ndata: a\n\n");
+        fixture.control().install(rules(2, false));
+        last().data("id: 2\ndata: b\n\n");
+        last().end();
+        assertThat(started.stream().complete(), is(true));
+        assertThat(send("/stream/x").stream().status(), is(401));
+    }
+
+    @Test
+    void aResetConnectionIsNoCrashOfTheTarget() {
+        for (int round = 0; round < 5; round++) {
+            send("/safe/x");
+            last().send();
+            last().fail(TargetConnector.Kind.CONNECTION_LOST, false);
+            last().send();
+            last().head(200, "application/json", "r-1");
+            last().end();
+        }
+        assertThat(send("/safe/x").stream().head() != null, is(false));
+        assertThat(fixture.services().publishedBlocks().isEmpty(), is(true));
+    }
+
+    @Test
+    void anUnknownPathIsNotFoundAndInstancesWithoutRulesDoNotSaySo() {
+        assertThat(send("/elsewhere/x").stream().status(), is(404));
+        fixture.control().install(Rules.empty());
+        assertThat(send("/elsewhere/x").stream().status(), is(503));
+    }
+
+    @Test
+    void anAnswerThatHasNoBodyIsPassedOn() {
+        Started started = send("/unsafe/x");
+        last().send();
+        last().head(204, "application/json", "r-1");
+        last().end();
+        assertThat(started.stream().status(), is(204));
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StubDialect.java
@@ -0,0 +1,88 @@
+package org.basilrill.protocol.instance;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ModelId;
+import org.basilrill.protocol.caller.AnswerHead;
+import org.basilrill.protocol.caller.ErrorBody;
+import org.basilrill.protocol.caller.HeaderField;
+import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.dialect.CallRequest;
+import org.basilrill.protocol.dialect.CallerDialect;
+import org.basilrill.protocol.dialect.RequestMessages;
+import org.basilrill.protocol.dialect.TargetCall;
+import org.basilrill.state.target.TargetAnnouncement.Load;
+
+/** A dialect with plain names, for tests of routed requests. Stateless. */
+final class StubDialect implements CallerDialect {
+    static final String LAST_EVENT = "x-last-event";
+    static final String RAN_NOTHING = "x-ran-nothing";
+    private static final int MISDIRECTED = 421;
+
+    @Override
+    public CallRequest read(RequestHead head) {
+        return new CallRequest(
+                head,
+                head.header(RequestHead.REQUEST_ID).orElse("none"),
+                head.header("host").orElse(""),
+                head.key(),
+                Optional.empty(),
+                head.header("x-model").map(ModelId::new),
+                Optional.empty(),
+                List.of());
+    }
+
+    @Override
+    public RequestMessages messages(CallRequest request) {
+        return new Messages(request);
+    }
+
+    @Override
+    public PlainAnswer refusal(BasilrillException failure) {
+        return ErrorBody.answer(failure);
+    }
+
+    /** Messages of one request. */
+    private record Messages(CallRequest request) implements RequestMessages {
+        @Override
+        public List<HeaderField> toTarget(TargetCall call) {
+            List<HeaderField> fields = new ArrayList<>();
+            fields.add(new HeaderField(RequestHead.REQUEST_ID, request.requestId()));
+            call.lastEventId().ifPresent(id -> fields.add(new HeaderField(LAST_EVENT, id)));
+            return fields;
+        }
+
+        @Override
+        public List<HeaderField> toCaller(List<HeaderField> answer) {
+            return answer;
+        }
+
+        @Override
+        public Optional<String> requestId(AnswerHead answer) {
+            return answer.header(RequestHead.REQUEST_ID);
+        }
+
+        @Override
+        public boolean ranNothing(AnswerHead answer) {
+            return misdirected(answer) || answer.header(RAN_NOTHING).isPresent();
+        }
+
+        @Override
+        public boolean misdirected(AnswerHead answer) {
+            return answer.status() == MISDIRECTED;
+        }
+
+        @Override
+        public Optional<Load> load(AnswerHead answer) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<byte[]> failureEvent(BasilrillException failure) {
+            return Optional.empty();
+        }
+    }
+}
