--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -240,7 +240,9 @@
 
     private Dialect createDialect(String name) {
         DialectOptions options = new DialectOptions(
-                settings.outside().announcementValidity(), settings.outside().listingValidity());
+                settings.outside().announcementValidity(),
+                settings.outside().listingValidity(),
+                settings.outside().listedInstances());
         return ServiceLoader.load(DialectProvider.class).stream()
                 .map(ServiceLoader.Provider::get)
                 .filter(provider -> provider.name().equals(name))
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
@@ -12,6 +12,7 @@
  * @param ownAddresses addresses for targets and operators, if they differ from that of the callers
  * @param foundsCluster whether this start may found a new cluster
  * @param listingValidity how long callers may use the list of instances
+ * @param listedInstances instances that one list names at most, where the dialect bounds it
  * @param staleListingWait how long a stop goes on taking requests of callers that still hold an older list
  * @param announcementValidity how long an announcement of a target holds that states no time itself
  * @param retryShare retries allowed for each request, over all instances
@@ -26,6 +27,7 @@
         boolean foundsCluster,
         Duration listingValidity,
         Duration staleListingWait,
+        int listedInstances,
         Duration announcementValidity,
         double retryShare,
         double retrySlack,
@@ -35,6 +37,7 @@
     public static final Duration DEFAULT_ANNOUNCEMENT_VALIDITY = Duration.ofSeconds(5);
     public static final double DEFAULT_RETRY_SHARE = 0.15;
     public static final double DEFAULT_RETRY_SLACK = 180;
+    public static final int DEFAULT_LISTED_INSTANCES = 64;
     public static final Duration DEFAULT_ORDER_LEASE = Duration.ofSeconds(3);
 
     public OutsideSettings {
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -115,6 +115,10 @@
                 document.take("foundsCluster").flatMap(this::flag).orElse(true),
                 listingValidity,
                 document.take("staleListingWaitMillis").flatMap(this::millis).orElse(listingValidity),
+                document.take("listedInstances")
+                        .flatMap(this::number)
+                        .map(Double::intValue)
+                        .orElse(OutsideSettings.DEFAULT_LISTED_INSTANCES),
                 document.take("announcementValidityMillis")
                         .flatMap(this::millis)
                         .orElse(OutsideSettings.DEFAULT_ANNOUNCEMENT_VALIDITY),
--- a/basilrill-library/src/main/java/org/basilrill/protocol/caller/InstanceListing.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/InstanceListing.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.membership.Membership;
@@ -21,6 +22,8 @@
 
     /** Added to the load, so that an idle instance does not draw all callers at once. */
     private static final int LOAD_OFFSET = 4;
+    /** An instance in another data centre counts as loaded as one in the same with this many times its requests. */
+    private static final double DISTANT_FACTOR = 3;
 
     private final Membership membership;
     private final InstanceId self;
@@ -42,15 +45,31 @@
 
     /** Returns the caller addresses of the usable instances, the preferred one first. */
     public List<String> addresses() {
-        return shuffledByLoad(
-                membership.members().stream().filter(InstanceListing::isUsable).toList());
+        return shuffledByLoad(usable(), Optional.empty());
+    }
+
+    /**
+     * Returns the caller addresses of some usable instances, the preferred one first. Each answer draws them anew: a
+     * caller that has given an address up then gets others, and comes back to it later.
+     *
+     * @param dataCentre where the caller is; instances there are preferred
+     * @param most longest list
+     */
+    public List<String> someAddresses(Optional<String> dataCentre, int most) {
+        return shuffledByLoad(usable(), dataCentre).stream().limit(most).toList();
+    }
+
+    private List<Member> usable() {
+        return membership.members().stream().filter(InstanceListing::isUsable).toList();
     }
 
     /** Returns the caller addresses of the usable instances other than this one. */
     public List<String> otherAddresses() {
-        return shuffledByLoad(membership.members().stream()
-                .filter(member -> isUsable(member) && !member.id().equals(self))
-                .toList());
+        return shuffledByLoad(
+                membership.members().stream()
+                        .filter(member -> isUsable(member) && !member.id().equals(self))
+                        .toList(),
+                Optional.empty());
     }
 
     /** Returns the answer to {@code GET /v1/instances}. */
@@ -67,12 +86,16 @@
     }
 
     /** Weighted random order without replacement: an exponential variate with the load as its mean is the sort key. */
-    private List<String> shuffledByLoad(List<Member> members) {
+    private List<String> shuffledByLoad(List<Member> members, Optional<String> dataCentre) {
         List<Keyed> keyed = new ArrayList<>();
         synchronized (this) {
             for (Member member : members) {
                 double variate = -Math.log(1 - random.nextDouble());
-                keyed.add(new Keyed(variate * (member.requestsInFlight() + LOAD_OFFSET), member.callerAddress()));
+                boolean distant = dataCentre
+                        .filter(near -> !near.equals(member.dataCentre()))
+                        .isPresent();
+                double weight = (member.requestsInFlight() + LOAD_OFFSET) * (distant ? DISTANT_FACTOR : 1);
+                keyed.add(new Keyed(variate * weight, member.callerAddress()));
             }
         }
         return keyed.stream()
--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/DialectProvider.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/dialect/DialectProvider.java
@@ -15,6 +15,7 @@
      *
      * @param announcementValidity how long an announcement of a target holds that states no time itself
      * @param listingValidity how long callers may use the list of instances
+     * @param listedInstances instances that one list names at most
      */
-    record DialectOptions(Duration announcementValidity, Duration listingValidity) {}
+    record DialectOptions(Duration announcementValidity, Duration listingValidity, int listedInstances) {}
 }
