--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -17,12 +17,14 @@
 
 /**
  * Decides which models the engines of a pool load and unload. A model without a copy goes where memory is free or held
- * by copies that are not needed; the last copy of a model is never unloaded. Then models with much demand get more
- * copies. Adapters follow the models: {@link AdapterPlanner}. Pure; used by one thread at a time.
+ * by copies that are not needed; then models with much demand get more copies. The last copy of a model makes way only
+ * while another one is at hand on the machine. Adapters follow the models: {@link AdapterPlanner}. Pure; used by one thread at a time.
  */
 final class EnginePlanner {
     /** A model gets another copy once each of its copies carries this much more than the mean engine. */
     private static final double OVERLOAD = 1.4;
+    /** The last copy of a model makes way only for a model with much more demand. */
+    private static final double LAST_COPY_SHARE = 0.2;
     /** A model whose demand in tokens per second is below this is left with one copy. */
     private static final double NEGLIGIBLE_RATE = 200;
 
@@ -151,15 +153,22 @@
             }
             for (ModelId held : engine.readyModels()) {
                 if (makesWay(engine, held, model)) {
-                    best = cheaper(best, new Victim(engine, held, rate(held) / (copies(held) - 1)));
+                    best = cheaper(best, new Victim(engine, held, rate(held) / Math.max(1, copies(held) - 1)));
                 }
             }
         }
         best.ifPresent(victim -> unload(victim.engine(), victim.model(), model));
     }
 
+    /**
+     * Returns whether a copy may be unloaded for another model. The last copy of a model may only if nobody waits for it,
+     * it is asked for far less, and it loads again from the machine's own copy within a second.
+     */
     private boolean makesWay(EngineState engine, ModelId held, ModelId next) {
-        return copies(held) > 1
+        boolean replaceable = engine.hasAtHand(held)
+                && waitingByBase.getOrDefault(held, 0) == 0
+                && rate(held) < LAST_COPY_SHARE * rate(next);
+        return (copies(held) > 1 || replaceable)
                 && engine.isSettled(held, now)
                 && engine.usedBytes(rules) - bytes(held) + bytes(next) <= pool.memoryBytes();
     }
@@ -207,18 +216,16 @@
                         && !engine.holdsModel(model)
                         && fits(engine, model)
                         && mayLoad(engine, model))
-                .min(Comparator.comparingDouble(this::load));
+                .min(Comparator.comparing((EngineState engine) -> !engine.hasAtHand(model))
+                        .thenComparingDouble(this::load));
         if (roomy.isPresent()) {
             load(roomy.get(), model);
             return;
         }
-        if (loadsLeft <= 0) {
-            return;
-        }
         double gain = rate(model) / copies(model) - rate(model) / (copies(model) + 1);
         Optional<Victim> best = Optional.empty();
         for (EngineState engine : engines) {
-            if (!isFree(engine) || engine.isBusy() || engine.holdsModel(model)) {
+            if (!isFree(engine) || engine.isBusy() || engine.holdsModel(model) || !mayLoad(engine, model)) {
                 continue;
             }
             for (ModelId held : engine.readyModels()) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -71,7 +71,7 @@
     }
 
     boolean holdsModel(ModelId model) {
-        return models.contains(model) && !unloading.contains(model);
+        return heldModels().contains(model);
     }
 
     boolean isLoading(ModelId model) {
@@ -88,11 +88,23 @@
 
     /** Returns the models that are here or on their way, without those on their way out. */
     Set<ModelId> heldModels() {
+        if (acceptedOrders.isEmpty() && models.isEmpty()) {
+            return announcedModels();
+        }
         Set<ModelId> held = new HashSet<>(models);
         held.removeAll(unloading);
         return held;
     }
 
+    /** What the engine announces stands for a report that has not come yet. */
+    private Set<ModelId> announcedModels() {
+        Set<ModelId> announced = new HashSet<>();
+        announcement.contents().keySet().stream()
+                .filter(model -> model.adapter().isEmpty())
+                .forEach(announced::add);
+        return announced;
+    }
+
     /** Returns the models that serve requests here. */
     Set<ModelId> readyModels() {
         Set<ModelId> ready = new HashSet<>(models);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -57,7 +57,7 @@
  */
 public final class Instance {
     /** Demand of the last seconds decides which models the engines hold, as loads take seconds only. */
-    private static final Duration ENGINE_DEMAND_HORIZON = Duration.ofSeconds(6);
+    private static final Duration ENGINE_DEMAND_HORIZON = Duration.ofSeconds(4);
 
     private final InstanceEnvironment environment;
     private final GossipMembership membership;
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -171,6 +171,26 @@
         assertThat("only last copies are left", plan(), empty());
     }
 
+    /** Pattern: the demand moves to another model while every place is taken by last copies. */
+    @Test
+    void anIdleModelThatIsAtHandMakesWayForAHotOne() {
+        engine("one", HOT);
+        EngineState idle = engine("two", Set.of(WARM, RARE), WARM, RARE);
+        wish(HOT, 20_000, 0);
+        wish(WARM, 5000, 0);
+        assertThat(plan(), is(List.of(new PlannedOrder(idle, Action.UNLOAD, RARE))));
+        wish(RARE, 0, 1);
+        assertThat("somebody waits for it", plan(), not(hasItem(new PlannedOrder(idle, Action.UNLOAD, RARE))));
+    }
+
+    /** Pattern: the leader has changed, and not all engines have told their state yet. */
+    @Test
+    void whatAnEngineAnnouncesCountsUntilItReports() {
+        engine("one", WARM);
+        engines.add(new EngineState(announcement("two", HOT, RARE), NOW));
+        assertThat(plan(), empty());
+    }
+
     /** Pattern: the demand for one model jumps. */
     @Test
     void aHotModelGetsAnotherCopyWhereMemoryIsFree() {
