--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/ServeCommand.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/ServeCommand.java
@@ -2,6 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.nio.file.Path;
+import java.time.Clock;
+import java.util.logging.Handler;
+import java.util.logging.Logger;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
@@ -9,6 +12,7 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.LogEvent;
 import org.basilrill.daemon.InstanceDaemon;
+import org.basilrill.daemon.log.BoundedLog;
 import org.basilrill.daemon.settings.SettingsException;
 import org.basilrill.daemon.settings.SettingsReader;
 import sun.misc.Signal;
@@ -33,6 +37,7 @@
     }
 
     private static ExitCode run(CommandLine arguments) {
+        logJsonLines();
         Path file = Path.of(arguments.getOptionValue(SETTINGS));
         InstanceDaemon daemon = new InstanceDaemon(SettingsReader.read(file));
         daemon.start();
@@ -48,6 +53,15 @@
         }
     }
 
+    /** Logs go to the standard output as JSON lines, from a thread of their own. */
+    private static void logJsonLines() {
+        Logger root = Logger.getLogger("");
+        for (Handler handler : root.getHandlers()) {
+            root.removeHandler(handler);
+        }
+        root.addHandler(new BoundedLog(System.out, Clock.systemUTC()));
+    }
+
     private static void reload(InstanceDaemon daemon, Path file) {
         try {
             daemon.reload(SettingsReader.read(file));
--- /dev/null
+++ b/basilrill-daemon/src/test/java/org/basilrill/daemon/log/BoundedLogTest.java
@@ -0,0 +1,106 @@
+package org.basilrill.daemon.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a log that grows without bound, or that holds up whoever writes to it. */
+class BoundedLogTest {
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private Clock clock = Clock.fixed(Instant.parse("2026-01-01T00:00:00Z"), ZoneOffset.UTC);
+
+    private static LogRecord info(String message) {
+        return new LogRecord(Level.INFO, message);
+    }
+
+    private List<String> lines() {
+        return output.toString(StandardCharsets.UTF_8).lines().toList();
+    }
+
+    @Test
+    void aLineCarriesTheEventAndItsData() {
+        BoundedLog log = new BoundedLog(output, clock);
+        log.publish(info("E331 request failed: {\"request\":\"r-1\",\"code\":\"NO_TARGET\"}"));
+        log.close();
+        assertThat(lines().size(), is(1));
+        assertThat(lines().get(0), containsString("\"event\":331"));
+        assertThat(lines().get(0), containsString("\"data\":{\"request\":\"r-1\",\"code\":\"NO_TARGET\"}"));
+    }
+
+    @Test
+    void anEventIsLimitedPerSecondAndWhatIsLeftOutIsCounted() {
+        Instant start = clock.instant();
+        Instant[] now = {start};
+        Clock moving = new Clock() {
+            @Override
+            public Instant instant() {
+                return now[0];
+            }
+
+            @Override
+            public java.time.ZoneId getZone() {
+                return ZoneOffset.UTC;
+            }
+
+            @Override
+            public Clock withZone(java.time.ZoneId zone) {
+                return this;
+            }
+        };
+        BoundedLog log = new BoundedLog(output, moving);
+        for (int number = 0; number < 1000; number++) {
+            log.publish(info("E330 request answered: " + number));
+        }
+        log.publish(info("E255 another event"));
+        now[0] = start.plus(Duration.ofSeconds(1));
+        log.publish(info("E330 request answered: last"));
+        log.close();
+        assertThat(lines().size(), is(BoundedLog.LINES_PER_SECOND + 3));
+        assertThat(
+                output.toString(StandardCharsets.UTF_8),
+                containsString("\"omitted\":" + (1000 - BoundedLog.LINES_PER_SECOND)));
+    }
+
+    @Test
+    void aReaderThatStallsHoldsNobodyUp() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        CountDownLatch stalled = new CountDownLatch(1);
+        OutputStream stalling = new OutputStream() {
+            @Override
+            public void write(int value) {
+                stalled.countDown();
+                try {
+                    never.await();
+                } catch (InterruptedException exception) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        };
+        BoundedLog log = new BoundedLog(stalling, clock);
+        log.publish(info("E1 first"));
+        stalled.await();
+        Runtime runtime = Runtime.getRuntime();
+        long before = runtime.totalMemory() - runtime.freeMemory();
+        for (int number = 0; number < 200_000; number++) {
+            log.publish(info("E" + number % 500 + " many"));
+        }
+        long grown = runtime.totalMemory() - runtime.freeMemory() - before;
+        assertThat(grown, lessThanOrEqualTo(400L * 1024 * 1024));
+        never.countDown();
+        log.close();
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/BucketClaims.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/BucketClaims.java
@@ -9,7 +9,8 @@
 
 /**
  * Decides when this instance claims the bucket of one account. A bucket whose owner is lost is claimed only after all
- * grants of that owner have expired, unless the tolerance covers them. Not thread safe; guarded by the lock of the shard.
+ * grants of that owner have expired, unless the tolerance covers them. Not thread safe; guarded by the lock of the
+ * shard.
  */
 final class BucketClaims {
     private final AccountId account;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/AdapterPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/AdapterPlanner.java
@@ -16,9 +16,9 @@
 import org.basilrill.state.target.EngineOrder.Action;
 
 /**
- * Decides which adapters the engines of a pool load and unload: first those that requests wait for, at the least loaded
- * engine that holds the model; then, where slots are free, those in demand that have fewest copies. An adapter makes way
- * only once the requests it was loaded for have come. Pure; used by one thread at a time.
+ * Decides which adapters the engines of a pool load and unload: first those that requests wait for, at the least
+ * loaded engine that holds the model; then, where slots are free, those in demand that have fewest copies. An adapter
+ * makes way only once the requests it was loaded for have come. Pure; used by one thread at a time.
  */
 final class AdapterPlanner {
     /** An adapter in demand gets this many copies while slots are free, so that the loss of an engine is not felt. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -18,13 +18,14 @@
 /**
  * Decides which models the engines of a pool load and unload. A model without a copy goes where memory is free or held
  * by copies that are not needed; then models with much demand get more copies. The last copy of a model makes way only
- * while another one is at hand on the machine. Adapters follow the models: {@link AdapterPlanner}. Pure; used by one thread at a time.
+ * while another one is at hand on the machine, and one at a time. Adapters follow the models: {@link AdapterPlanner}.
+ * Pure; used by one thread at a time.
  */
 final class EnginePlanner {
     /** A model gets another copy once each of its copies carries this much more than the mean engine. */
-    private static final double OVERLOAD = 1.4;
+    private static final double OVERLOAD = 1.5;
     /** The last copy of a model makes way only for a model with much more demand. */
-    private static final double LAST_COPY_SHARE = 0.2;
+    private static final double LAST_COPY_SHARE = 0.01;
     /** A model whose demand in tokens per second is below this is left with one copy. */
     private static final double NEGLIGIBLE_RATE = 200;
 
@@ -39,6 +40,7 @@
     private final List<PlannedOrder> orders = new ArrayList<>();
     private final AdapterPlanner adapters;
     private int loadsLeft;
+    private boolean lastCopyTaken;
 
     EnginePlanner(
             Rules rules,
@@ -82,11 +84,19 @@
             if (isFree(engine) && !engine.isBusy()) {
                 engine.takeReserved()
                         .filter(model -> !engine.holdsModel(model) && fits(engine, model))
-                        .ifPresent(model -> load(engine, model));
+                        .ifPresent(model -> loadOrReserve(engine, model));
             }
         }
     }
 
+    private void loadOrReserve(EngineState engine, ModelId model) {
+        if (mayLoad(engine, model)) {
+            load(engine, model);
+        } else {
+            engine.reserveFor(model);
+        }
+    }
+
     /** Models without any copy, those that requests wait for first, then those with the most demand. */
     private List<ModelId> missingModels() {
         return pool.models().keySet().stream()
@@ -146,13 +156,14 @@
         if (engines.stream().filter(EngineState::isBusy).count() > 1) {
             return;
         }
+        boolean waiting = waitingByBase.getOrDefault(model, 0) > 0;
         Optional<Victim> best = Optional.empty();
         for (EngineState engine : engines) {
             if (!isFree(engine) || engine.isBusy()) {
                 continue;
             }
             for (ModelId held : engine.readyModels()) {
-                if (makesWay(engine, held, model)) {
+                if (makesWay(engine, held, model, waiting ? 1 : 0)) {
                     best = cheaper(best, new Victim(engine, held, rate(held) / Math.max(1, copies(held) - 1)));
                 }
             }
@@ -161,13 +172,18 @@
     }
 
     /**
-     * Returns whether a copy may be unloaded for another model. The last copy of a model may only if nobody waits for it,
-     * it is asked for far less, and it loads again from the machine's own copy within a second.
+     * Returns whether a copy may be unloaded for another model. The last copy of a model may only if nobody waits for
+     * it, it is asked for far less, and it loads again from the machine's own copy within a second. Only one last copy
+     * at a time makes way: several at once made each other's models missing, and all of them went round.
+     *
+     * @param share demand for the last copy, relative to that for the other model, below which it may go
      */
-    private boolean makesWay(EngineState engine, ModelId held, ModelId next) {
+    private boolean makesWay(EngineState engine, ModelId held, ModelId next, double share) {
         boolean replaceable = engine.hasAtHand(held)
                 && waitingByBase.getOrDefault(held, 0) == 0
-                && rate(held) < LAST_COPY_SHARE * rate(next);
+                && rate(held) < share * rate(next)
+                && !lastCopyTaken
+                && engines.stream().noneMatch(EngineState::isBusy);
         return (copies(held) > 1 || replaceable)
                 && engine.isSettled(held, now)
                 && engine.usedBytes(rules) - bytes(held) + bytes(next) <= pool.memoryBytes();
@@ -230,7 +246,7 @@
             }
             for (ModelId held : engine.readyModels()) {
                 double loss = load(engine) + rate(held) / Math.max(1, copies(held) - 1);
-                if (loss < gain && makesWay(engine, held, model)) {
+                if (loss < gain && makesWay(engine, held, model, LAST_COPY_SHARE)) {
                     best = cheaper(best, new Victim(engine, held, loss));
                 }
             }
@@ -258,6 +274,7 @@
 
     private void unload(EngineState engine, ModelId model, ModelId successor) {
         engine.reserveFor(successor);
+        lastCopyTaken |= copies(model) == 1;
         copies.merge(model, -1, Integer::sum);
         taken.add(engine);
         orders.add(new PlannedOrder(engine, Action.UNLOAD, model));
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -21,7 +21,7 @@
 final class EngineState {
     /** Waiting requests are sent at once; those of the next moments profit as well. */
     private static final long ADAPTER_SETTLES_NANOS = TimeUnit.SECONDS.toNanos(2);
-    /** A model that was moved stays for a while, so that a passing change of the demand moves nothing back and forth. */
+    /** A model that was moved stays for a while, so that a passing change of the demand moves nothing twice. */
     private static final long MODEL_SETTLES_NANOS = TimeUnit.SECONDS.toNanos(8);
 
     private final Set<ModelId> models = new HashSet<>();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
@@ -19,8 +19,9 @@
 
 /**
  * Chooses a target with a free slot for a request. A request with a prompt goes to the candidate whose answer will
- * probably begin first: prompt tokens to read there, less those cached, requests that wait there, load and distance, all
- * in milliseconds. Other requests go to the less loaded of two random candidates. Thread safe: state per target, each with its lock; the random generator is guarded here.
+ * probably begin first: prompt tokens to read there, less those cached, requests that wait there, load and distance,
+ * all in milliseconds. Other requests go to the less loaded of two random candidates. Thread safe: state per target,
+ * each with its lock; the random generator is guarded here.
  */
 public final class TargetRouter {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/caller/EventBoundaries.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/EventBoundaries.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 
 /**
- * Cuts a stream of server-sent events at the ends of its events, so that a stream that breaks off within an event can be
- * continued by another target after the last whole one. Not thread safe.
+ * Cuts a stream of server-sent events at the ends of its events, so that a stream that breaks off within an event can
+ * be continued by another target after the last whole one. Not thread safe.
  */
 public final class EventBoundaries {
     private static final String ID_FIELD = "id:";
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.basilrill.api.BasilrillException;
+import org.basilrill.api.MonotonicClock;
 import org.basilrill.protocol.caller.AnswerHead;
 import org.basilrill.protocol.caller.EventBoundaries;
 import org.basilrill.protocol.caller.HeaderField;
@@ -23,6 +24,7 @@
     private final String requestId;
     private final boolean record;
     private final RequestMessages messages;
+    private final RequestTrail trail;
     /** Present if the answer can be continued by another target. */
     private final Optional<EventBoundaries> boundaries;
 
@@ -34,8 +36,9 @@
     private boolean tooLong;
     private long outstanding;
 
-    AnswerRelay(CallerStream caller, RequestPlan plan) {
+    AnswerRelay(CallerStream caller, RequestPlan plan, MonotonicClock clock) {
         this.caller = caller;
+        trail = new RequestTrail(plan, clock);
         requestId = plan.requestId();
         record = plan.order().isPresent();
         messages = plan.messages();
@@ -47,6 +50,11 @@
         send(caller, requestId, refusal);
     }
 
+    /** Returns the decisions on the request so far. */
+    RequestTrail trail() {
+        return trail;
+    }
+
     /** Returns whether the target's answer has begun to reach the caller. */
     boolean started() {
         return started;
@@ -134,6 +142,7 @@
         start();
         if (!finished) {
             finished = true;
+            trail.answered();
             caller.end();
         }
     }
@@ -144,6 +153,7 @@
             return;
         }
         finished = true;
+        trail.failed(failure.code() + (started ? " after the answer began" : ""), failure.getMessage());
         if (!started) {
             send(caller, requestId, refusal);
             return;
@@ -169,6 +179,7 @@
     void abandon() {
         if (!finished) {
             finished = true;
+            trail.abandoned();
             caller.abort();
         }
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/AttemptPolicy.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AttemptPolicy.java
@@ -7,8 +7,8 @@
  * @param coversWholeAnswer whether the deadline is that of the complete answer, not of its first byte
  * @param repeatsServerErrors whether a target's own failure is worth another attempt
  * @param endsWithKey whether a request that a target already has ends when its key is withdrawn
- * @param confirmsLosses whether, after a lost connection, the next target gets the request only once the control log has
- *     told how many targets it has cost; otherwise the loss is looked into while the request goes on
+ * @param confirmsLosses whether, after a lost connection, the next target gets the request only once the control log
+ *     has told how many targets it has cost; otherwise the loss is looked into while the request goes on
  * @param resumes whether another target can continue an answer that was cut
  */
 record AttemptPolicy(
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -151,6 +151,14 @@
     /** Sends a refusal of a request that was not started. */
     public RunningRequest refuse(BasilrillException failure, RequestHead head, CallerStream caller) {
         metrics.failed(failure.code());
+        LOGGER.atInfo().log(
+                "%s: %s %s, %s %s: %s",
+                LogEvent.REQUEST_REFUSED,
+                planner.requestId(head),
+                failure.code(),
+                head.method(),
+                head.path(),
+                failure.getMessage());
         AnswerRelay.refuse(caller, planner.requestId(head), refusal(failure));
         return new RefusedRequest();
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -67,7 +67,7 @@
         this.plan = plan;
         this.refusals = refusals;
         this.closedListener = closedListener;
-        relay = new AnswerRelay(caller, plan);
+        relay = new AnswerRelay(caller, plan, services.clock());
         claim = plan.order().map(order -> new OrderClaim(services, order));
         span = services.tracing().startRequest(plan);
         startNanos = services.clock().nanos();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
@@ -21,6 +21,7 @@
  * @param repeatable whether it may run twice
  * @param fingerprint identifies the request if it crashes targets
  * @param deadline time to the first byte of the answer or, as the attempts say, to its end
+ * @param rulesRevision revision of the rules by which all of this was decided
  * @param messages how the messages of the request are written
  */
 record RequestPlan(
@@ -41,7 +42,8 @@
         String pathAndQuery,
         byte[] body,
         RequestMessages messages,
-        AttemptPolicy attempts) {
+        AttemptPolicy attempts,
+        long rulesRevision) {
     /** The claim an order needs. */
     record Order(AccountId account, String idempotencyKey, String fingerprint, String attempt) {}
 }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
@@ -107,7 +107,8 @@
                 authorization.route().targetPath(),
                 completion.body(),
                 new CompletionMessages(head, id, guard),
-                attempts());
+                attempts(),
+                rules.revision());
     }
 
     private RequestPlan planService(
@@ -143,7 +144,8 @@
                 pathAndQuery,
                 body,
                 new CompletionMessages(head, id, guard),
-                attempts());
+                attempts(),
+                rules.revision());
     }
 
     private Optional<RequestPlan.Order> order(
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
@@ -145,7 +145,8 @@
                             route.kind() == CallRoute.Kind.SAFE,
                             false,
                             false,
-                            route.kind() == CallRoute.Kind.RESUMABLE_STREAM));
+                            route.kind() == CallRoute.Kind.RESUMABLE_STREAM),
+                    rules.revision());
         }
 
         private Destination destination() {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -98,6 +98,7 @@
 
     void open(boolean freshConnection) {
         noteProgress();
+        owner.answer().trail().note("sent to", target());
         List<HeaderField> headers = plan.messages()
                 .toTarget(new TargetCall(
                         target().id(),
@@ -147,6 +148,7 @@
                 fail(ErrorCode.ANSWER_MISMATCH, "the target answered without the id of the request", false);
                 return;
             }
+            owner.answer().trail().note("status " + head.status() + " from", target());
             assignment.answered(plan.messages().load(head));
             if (plan.messages().misdirected(head)) {
                 end(
@@ -243,6 +245,7 @@
     }
 
     private void end(AttemptResult result, AttemptFailure failure) {
+        owner.answer().trail().note(failure.code() + " (" + failure.detail() + ") at", target());
         finish(result);
         call.cancel();
         services.tracing().fail(span, new BasilrillException(failure.code(), failure.detail()));
