--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -54,6 +54,7 @@
 import org.basilrill.transport.peer.PeerAddress;
 import org.basilrill.transport.peer.PeerTransport;
 import org.basilrill.transport.threads.ControlReplica;
+import org.basilrill.transport.threads.FoundingPermit;
 import org.basilrill.transport.threads.SystemClock;
 
 /** Runs one instance with real sockets, threads and disks. Thread safe. */
@@ -262,7 +263,7 @@
         Set<InstanceId> seeds = settings.replicas().keySet();
         return ControlReplica.start(
                 settings.instance(),
-                settings.outside().foundsCluster() ? seeds : Set.of(),
+                FoundingPermit.granted(folder, settings.outside().foundsCluster()) ? seeds : Set.of(),
                 seeds,
                 folder.resolve("log"),
                 machine,
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/FoundingPermit.java
@@ -0,0 +1,47 @@
+package org.basilrill.transport.threads;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.transport.disk.FileFailure;
+
+/**
+ * Remembers in the data folder that a replica may found a cluster. A founding replica that ends before the cluster is
+ * founded is started again without the permission in its settings; the founding would then wait for it for good. A
+ * folder that was wiped holds no permit. Stateless and thread safe.
+ */
+public final class FoundingPermit {
+    private static final String FILE = "may-found";
+
+    private FoundingPermit() {}
+
+    /**
+     * Returns whether the replica may found a cluster.
+     *
+     * @param folder data folder, created if missing
+     * @param settingsAllow whether the settings of this start allow it
+     * @throws BasilrillException with {@code DISK_FAILED} if the folder cannot be used
+     */
+    public static boolean granted(Path folder, boolean settingsAllow) {
+        Path permit = folder.resolve(FILE);
+        if (!settingsAllow) {
+            return Files.exists(permit);
+        }
+        try {
+            Files.createDirectories(folder);
+            try (FileChannel channel = FileChannel.open(permit, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+                channel.force(true);
+            }
+            return true;
+        } catch (IOException exception) {
+            throw new BasilrillException(
+                    ErrorCode.DISK_FAILED,
+                    "the permit to found a cluster could not be written: " + FileFailure.reason(exception),
+                    exception);
+        }
+    }
+}
