--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/AttemptPolicy.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AttemptPolicy.java
@@ -1,5 +1,7 @@
 package org.basilrill.protocol.instance;
 
+import org.basilrill.state.configuration.CallRoute;
+
 /**
  * How often and for how long a request is tried. Immutable and thread safe.
  *
@@ -17,4 +19,20 @@
         boolean repeatsServerErrors,
         boolean endsWithKey,
         boolean confirmsLosses,
-        boolean resumes) {}
+        boolean resumes) {
+    /** Returns the policy of completions and service calls in the product's own interface. */
+    static AttemptPolicy ofCompletions(int maximumAttempts) {
+        return new AttemptPolicy(maximumAttempts, false, false, true, true, false);
+    }
+
+    /** Returns the policy of requests that a route allows. */
+    static AttemptPolicy ofRoute(CallRoute route) {
+        return new AttemptPolicy(
+                Math.max(1, route.maximumAttempts()),
+                true,
+                route.kind() == CallRoute.Kind.SAFE,
+                false,
+                false,
+                route.kind() == CallRoute.Kind.RESUMABLE_STREAM);
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
@@ -107,7 +107,7 @@
                 authorization.route().targetPath(),
                 completion.body(),
                 new CompletionMessages(head, id, guard),
-                attempts(),
+                AttemptPolicy.ofCompletions(limits.maximumAttempts()),
                 rules.revision());
     }
 
@@ -144,7 +144,7 @@
                 pathAndQuery,
                 body,
                 new CompletionMessages(head, id, guard),
-                attempts(),
+                AttemptPolicy.ofCompletions(limits.maximumAttempts()),
                 rules.revision());
     }
 
@@ -194,10 +194,6 @@
                 .orElseGet(identifiers::next);
     }
 
-    private AttemptPolicy attempts() {
-        return new AttemptPolicy(limits.maximumAttempts(), false, false, true, true, false);
-    }
-
     @Override
     public String requestId(RequestHead head) {
         return requestId(head, new KeyGuard(head.key(), Rules.empty()));
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
@@ -139,13 +139,7 @@
                     head.path() + query,
                     body,
                     dialect.messages(request),
-                    new AttemptPolicy(
-                            Math.max(1, route.maximumAttempts()),
-                            true,
-                            route.kind() == CallRoute.Kind.SAFE,
-                            false,
-                            false,
-                            route.kind() == CallRoute.Kind.RESUMABLE_STREAM),
+                    AttemptPolicy.ofRoute(route),
                     rules.revision());
         }
 
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
@@ -41,7 +41,7 @@
     private final List<TargetChangeListener> listeners = new CopyOnWriteArrayList<>();
     private final ContentChanges changes;
     /** The target that started last at each address. */
-    private final Map<Address, TargetAnnouncement> occupants = new ConcurrentHashMap<>();
+    private final Map<Address, TargetAnnouncement> latestAt = new ConcurrentHashMap<>();
 
     /** Creates a registry of targets whose incarnations can be compared for one target only. */
     public TargetRegistry(MonotonicClock clock) {
@@ -105,29 +105,18 @@
         }
         notifyListeners(new Change(kind, announcement));
         if (incarnations == Incarnations.START_TIMES) {
-            replaceAtAddress(announcement);
+            endOthersAtAddressOf(announcement);
         }
         return true;
     }
 
-    /** A target that started later at the address of another one proves that the other has ended. */
-    private void replaceAtAddress(TargetAnnouncement announcement) {
-        Address address = new Address(announcement.host(), announcement.port());
-        TargetAnnouncement occupant = occupants.merge(
+    /** Of the targets at one address, the one that started last proves that the others have ended. */
+    private void endOthersAtAddressOf(TargetAnnouncement announcement) {
+        Address address = Address.of(announcement);
+        TargetAnnouncement latest = latestAt.merge(
                 address, announcement, (held, next) -> next.incarnation() >= held.incarnation() ? next : held);
-        TargetId ended = occupant == announcement ? null : announcement.id();
-        if (ended == null) {
-            endOthersAt(address, announcement);
-        } else if (!occupant.id().equals(ended)) {
-            end(ended);
-        }
-    }
-
-    private void endOthersAt(Address address, TargetAnnouncement occupant) {
         for (TargetAnnouncement known : targets()) {
-            boolean sameAddress = known.port() == address.port() && known.host().equals(address.host());
-            boolean earlier = known.incarnation() < occupant.incarnation();
-            if (sameAddress && earlier && !known.id().equals(occupant.id())) {
+            if (Address.of(known).equals(address) && !known.id().equals(latest.id())) {
                 end(known.id());
             }
         }
@@ -312,7 +301,11 @@
     }
 
     /** Where a target is reached. */
-    private record Address(String host, int port) {}
+    private record Address(String host, int port) {
+        static Address of(TargetAnnouncement target) {
+            return new Address(target.host(), target.port());
+        }
+    }
 
     private Map<TargetId, HeldAnnouncement> shardOf(TargetId id) {
         return shards.get(Math.floorMod(id.hashCode(), SHARDS));
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/SeenSessionsTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/SeenSessionsTest.java
@@ -4,10 +4,13 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.basilrill.api.BasilrillException;
 import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.control.SeenSessions.Session;
 import org.basilrill.state.configuration.Rules;
@@ -33,6 +36,24 @@
         assertThat(seen.confirm(1, TIMEOUT, List.of(SESSION), () -> OPEN), contains(SESSION));
     }
 
+    @Test
+    void aSecondProcessOfANameWaitsUntilTheFirstHasSurelyEnded() {
+        seen.confirm(1, 0, List.of(SESSION), () -> OPEN);
+        Session next = new Session(SESSION.instance(), 8);
+        assertThrows(BasilrillException.class, () -> seen.replace(1, 1, next, () -> OPEN));
+    }
+
+    /** Pattern: all processes are killed at once and come back; each waited 3 s for its own earlier session. */
+    @Test
+    void aProcessNamedByItsAddressReplacesTheEarlierOneAtOnce() {
+        Session earlier = new Session(new InstanceId("10.1.0.25:7600"), 7);
+        Map<InstanceId, Long> open = Map.of(earlier.instance(), earlier.sessionId());
+        seen.confirm(1, 0, List.of(earlier), () -> open);
+        Session next = new Session(earlier.instance(), 8);
+        assertThat(seen.replace(1, 1, next, () -> open), is(Optional.of(earlier)));
+        assertThat(seen.confirm(1, 2, List.of(earlier), () -> open), is(empty()));
+    }
+
     @Test
     void aSessionThatIsNotOpenIsNotConfirmed() {
         assertThat(seen.confirm(1, 0, List.of(SESSION), Map::of), is(empty()));
--- a/basilrill-library/src/test/java/org/basilrill/coordination/routing/TargetRouterTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/routing/TargetRouterTest.java
@@ -162,6 +162,67 @@
         assertThat(moved, lessThan(20));
     }
 
+    /** Pattern: sessions that share a catalogue arrive at all instances, none of which sees the whole of it. */
+    @Test
+    void instancesSendASharedPrefixToTheSameTargetWithoutAMessage() {
+        List<TargetAnnouncement> targets = IntStream.range(0, 6)
+                .mapToObj(number -> engine("t" + number, 64, "m"))
+                .toList();
+        for (long prefix = 1; prefix <= 20; prefix++) {
+            Set<TargetId> chosen = new HashSet<>();
+            for (int instance = 0; instance < 12; instance++) {
+                Prompt prompt = new Prompt(List.of(prefix, prefix * 1000 + instance), List.of(6300L, 2890L));
+                chosen.add(router("i" + instance, 12)
+                        .acquire("m", targets, Set.of(), prompt)
+                        .orElseThrow()
+                        .target()
+                        .id());
+            }
+            assertThat(chosen.size(), is(1));
+        }
+    }
+
+    /** Pattern: a burst for one prefix; the preferred target must not take all of it. */
+    @Test
+    void aBurstForOnePrefixSpillsOver() {
+        TargetRouter router = router("one", 1);
+        List<TargetAnnouncement> targets = IntStream.range(0, 4)
+                .mapToObj(number -> engine("t" + number, 64, "m"))
+                .toList();
+        Set<TargetId> used = new HashSet<>();
+        for (long number = 0; number < 24; number++) {
+            Prompt prompt = new Prompt(List.of(1L, 100 + number), List.of(6300L, 2890L));
+            used.add(router.acquire("m", targets, Set.of(), prompt)
+                    .orElseThrow()
+                    .target()
+                    .id());
+        }
+        assertThat(used.size(), greaterThan(2));
+    }
+
+    /** Pattern: one target has a queue that other instances made, and says so with an answer. */
+    @Test
+    void aTargetThatTellsOfAQueueIsAvoidedWhileThatIsNews() {
+        TargetRouter router = router("one", 12);
+        TargetAnnouncement queued = engine("t1", 64, "m");
+        TargetAnnouncement free = engine("t2", 64, "m");
+        HeldSlot slot =
+                router.acquire("m", List.of(queued), Set.of(), prompt(1)).orElseThrow();
+        router.answered(slot, Optional.of(new TargetAnnouncement.Load(64, 20)));
+        for (int number = 2; number < 6; number++) {
+            assertThat(
+                    router.acquire("m", List.of(queued, free), Set.of(), prompt(number))
+                            .orElseThrow()
+                            .target()
+                            .id(),
+                    is(free.id()));
+        }
+    }
+
+    private static Prompt prompt(long number) {
+        return new Prompt(List.of(number), List.of(800L));
+    }
+
     private static Set<TargetId> identifiers(List<TargetAnnouncement> targets) {
         Set<TargetId> identifiers = new HashSet<>();
         targets.forEach(target -> identifiers.add(target.id()));
