--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/FoundingPermit.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/FoundingPermit.java
@@ -1,12 +1,12 @@
 package org.basilrill.transport.threads;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import org.basilrill.api.BasilrillException;
-import org.basilrill.api.ErrorCode;
+import org.basilrill.api.LogEvent;
 import org.basilrill.transport.disk.FileFailure;
 
 /**
@@ -15,16 +15,17 @@
  * folder that was wiped holds no permit. Stateless and thread safe.
  */
 public final class FoundingPermit {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final String FILE = "may-found";
 
     private FoundingPermit() {}
 
     /**
-     * Returns whether the replica may found a cluster.
+     * Returns whether the replica may found a cluster. A permit that cannot be kept is logged and still holds for this
+     * start; the store tells of a folder that cannot be used at all.
      *
      * @param folder data folder, created if missing
      * @param settingsAllow whether the settings of this start allow it
-     * @throws BasilrillException with {@code DISK_FAILED} if the folder cannot be used
      */
     public static boolean granted(Path folder, boolean settingsAllow) {
         Path permit = folder.resolve(FILE);
@@ -36,12 +37,9 @@
             try (FileChannel channel = FileChannel.open(permit, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
                 channel.force(true);
             }
-            return true;
         } catch (IOException exception) {
-            throw new BasilrillException(
-                    ErrorCode.DISK_FAILED,
-                    "the permit to found a cluster could not be written: " + FileFailure.reason(exception),
-                    exception);
+            LOGGER.atWarning().log("%s: %s", LogEvent.FOUNDING_PERMIT_NOT_KEPT, FileFailure.reason(exception));
         }
+        return true;
     }
 }
