Remove a silent voter of the control log when another can stand in

Cause: a core machine that is replaced for good left four voters of which one was dead. A further loss then stopped the log, though the loss of one is to be borne at any time.

A voter that is silent for 3 s leaves an even number of voters at once, an odd number only when a learner that is caught up takes its place, so the number of losses that the others bear never drops. A voter that was only cut off does not know of its removal: it asks to join again while it hears from no leader.

Ruled out: removing silent voters whatever their number (two of three left bear no loss at all); keeping them as learners under their old identity (a learner is forgotten when it is silent).

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -29,6 +29,7 @@
     LOG_REBUILT(210, "damaged control log set aside; the replica rejoins under a new incarnation"),
     REPLICA_FAILED(211, "replica of the control log stopped because of a failure"),
     FOUNDING_PERMIT_NOT_KEPT(212, "permit to found a cluster could not be kept in the data folder"),
+    VOTER_REMOVED(213, "voter removed from the control log because it is silent or was replaced"),
     SESSION_OPENED(250, "session with the control log opened"),
     SESSION_LOST(251, "session with the control log lost"),
     SESSION_EXPIRED(252, "session of a silent instance expired"),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ConsensusSettings.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ConsensusSettings.java
@@ -12,6 +12,7 @@
  *     that hears from no majority steps down
  * @param joinInterval interval at which a replica outside the member set asks to join
  * @param learnerTimeout silence after which the leader forgets a learner
+ * @param voterTimeout silence after which a voter makes way for a learner, or leaves an even number of voters
  * @param snapshotEntries applied records after which a snapshot is taken
  * @param snapshotBytes payload bytes of applied records after which a snapshot is taken
  * @param chunkBytes size of a part of a snapshot
@@ -23,6 +24,7 @@
         Duration maximumElectionTimeout,
         Duration joinInterval,
         Duration learnerTimeout,
+        Duration voterTimeout,
         int snapshotEntries,
         long snapshotBytes,
         int chunkBytes,
@@ -36,6 +38,7 @@
                 Duration.ofMillis(500),
                 Duration.ofMillis(500),
                 Duration.ofSeconds(5),
+                Duration.ofSeconds(3),
                 4096,
                 8L << 20,
                 64 << 10,
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
@@ -257,36 +257,59 @@
     }
 
     /**
-     * Promotes a learner that is caught up. An old incarnation leaves in a record of its own before the new one enters:
-     * majorities of {a, b, c} and of {a', b, c} need not overlap, those of {b, c} overlap with both.
+     * Makes at most one change of members: replaces voters that are gone by learners that are caught up. A voter that
+     * leaves does so in a record of its own before another enters: majorities of {a, b, c} and of {a', b, c} need not
+     * overlap, those of {b, c} overlap with both.
      */
     private void changeMembersIfDue() {
         boolean changeOpen = state.log().membersIndex() > state.commitIndex();
         if (changeOpen || state.commitIndex() < firstIndex) {
             return;
         }
+        Optional<ReplicaId> learner =
+                peers.values().stream().filter(this::isCaughtUp).findFirst().map(PeerProgress::peer);
+        Optional<ReplicaId> leaving = leavingVoter(learner);
+        if (leaving.isPresent()) {
+            remove(leaving.get());
+            return;
+        }
         MemberSet members = state.log().members();
+        learner.filter(ready -> members.voters().size() < MemberSet.MAXIMUM_VOTERS)
+                .ifPresent(ready -> changeMembers(members.with(ready)));
+    }
+
+    private boolean isCaughtUp(PeerProgress peer) {
         long recent = state.now() - state.settings().minimumElectionTimeout().toNanos();
-        for (PeerProgress peer : peers.values()) {
-            boolean caughtUp = !members.contains(peer.peer())
-                    && peer.hasAnswered()
-                    && peer.heardAt() > recent
-                    && peer.matchIndex() > 0
-                    && peer.matchIndex() + PROMOTION_LAG >= state.log().lastIndex();
-            if (!caughtUp) {
-                continue;
-            }
-            Optional<ReplicaId> replaced = members.voterOf(peer.peer());
-            if (replaced.isPresent()) {
-                peers.remove(replaced.get());
-                changeMembers(members.without(replaced.get()));
-                return;
-            }
-            if (members.voters().size() < MemberSet.MAXIMUM_VOTERS) {
-                changeMembers(members.with(peer.peer()));
-                return;
-            }
+        return !state.log().members().contains(peer.peer())
+                && peer.hasAnswered()
+                && peer.heardAt() > recent
+                && peer.matchIndex() > 0
+                && peer.matchIndex() + PROMOTION_LAG >= state.log().lastIndex();
+    }
+
+    /**
+     * Returns the voter to remove: the old incarnation of the learner, or one that has been silent for long if the
+     * others then bear the loss of as many as before. An even number of voters bears no more losses than one voter
+     * less; from an odd number one may leave only if the learner takes its place.
+     */
+    private Optional<ReplicaId> leavingVoter(Optional<ReplicaId> learner) {
+        MemberSet members = state.log().members();
+        Optional<ReplicaId> replaced = learner.flatMap(members::voterOf);
+        boolean even = members.voters().size() % 2 == 0;
+        if (replaced.isPresent() || learner.isPresent() == even) {
+            return replaced;
         }
+        long silent = state.now() - state.settings().voterTimeout().toNanos();
+        return peers.values().stream()
+                .filter(peer -> members.contains(peer.peer()) && peer.heardAt() < silent)
+                .min(Comparator.comparingLong(PeerProgress::heardAt))
+                .map(PeerProgress::peer);
+    }
+
+    private void remove(ReplicaId voter) {
+        state.report(LogEvent.VOTER_REMOVED, voter.toString());
+        peers.remove(voter);
+        changeMembers(state.log().members().without(voter));
     }
 
     private void changeMembers(MemberSet changed) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -1,8 +1,6 @@
 package org.basilrill.coordination.consensus;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 import java.util.SortedSet;
 import java.util.TreeSet;
@@ -21,7 +19,6 @@
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteAnswer;
 import org.basilrill.coordination.consensus.ConsensusMessage.VoteRequest;
 import org.basilrill.state.log.DurableStore;
-import org.basilrill.state.log.DurableStore.LogRecord;
 import org.basilrill.state.log.DurableStore.Snapshot;
 import org.basilrill.state.log.ReplicatedStateMachine;
 
@@ -123,6 +120,9 @@
             if (state.now() >= electionAt) {
                 campaign();
             }
+            if (hasLostLeader()) {
+                askToJoin();
+            }
             return;
         }
         founding.tick();
@@ -211,38 +211,12 @@
             state.send(from, new AppendAnswer(state.term(), false, hint, request.round()));
             return;
         }
-        appendMissing(request.entries());
+        log.appendMissing(request.entries(), state.commitIndex());
         long matched = previous + request.entries().size();
         state.send(from, new AppendAnswer(state.term(), true, matched, request.round()));
         commit(Math.min(request.commitIndex(), matched));
     }
 
-    private void appendMissing(List<LogRecord> received) {
-        ReplicaLog log = state.log();
-        List<LogRecord> missing = new ArrayList<>();
-        for (LogRecord candidate : received) {
-            long index = candidate.index();
-            boolean present = index <= log.baseIndex() || (missing.isEmpty() && log.termAt(index) == candidate.term());
-            if (present) {
-                continue;
-            }
-            if (missing.isEmpty() && index <= log.lastIndex()) {
-                requireUncommitted(index);
-                log.truncateFrom(index);
-            }
-            missing.add(candidate);
-        }
-        log.append(missing);
-    }
-
-    private void requireUncommitted(long index) {
-        if (index <= state.commitIndex()) {
-            throw new BasilrillException(
-                    ErrorCode.LOG_CORRUPT,
-                    String.format("the leader replaces record %d, which is committed here", index));
-        }
-    }
-
     private void installChunk(ReplicaId from, SnapshotChunk chunk) {
         if (chunk.term() < state.term()) {
             state.send(from, new SnapshotAnswer(state.term(), chunk.lastIndex(), 0, chunk.round()));
@@ -301,6 +275,12 @@
                 < state.settings().minimumElectionTimeout().toNanos();
     }
 
+    /** A voter that was removed while it was cut off hears from no leader, and does not know why. */
+    private boolean hasLostLeader() {
+        return state.now() - heardLeaderAt
+                > state.settings().maximumElectionTimeout().toNanos();
+    }
+
     private void voteAnswered(ReplicaId from, VoteAnswer answer) {
         if (!answer.granted() && !isCurrent(answer.term())) {
             return;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaLog.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaLog.java
@@ -186,4 +186,30 @@
         long oldestNeeded = memberSets.floorKey(newBase) == null ? newBase : memberSets.floorKey(newBase);
         memberSets.headMap(oldestNeeded, false).clear();
     }
+
+    /** Appends what is not yet here of the leader's records, in place of uncommitted records that differ. */
+    void appendMissing(List<LogRecord> received, long commitIndex) {
+        List<LogRecord> missing = new ArrayList<>();
+        for (LogRecord candidate : received) {
+            long index = candidate.index();
+            boolean present = index <= baseIndex() || (missing.isEmpty() && termAt(index) == candidate.term());
+            if (present) {
+                continue;
+            }
+            if (missing.isEmpty() && index <= lastIndex()) {
+                requireUncommitted(index, commitIndex);
+                truncateFrom(index);
+            }
+            missing.add(candidate);
+        }
+        append(missing);
+    }
+
+    private static void requireUncommitted(long index, long commitIndex) {
+        if (index <= commitIndex) {
+            throw new BasilrillException(
+                    ErrorCode.LOG_CORRUPT,
+                    String.format("the leader replaces record %d, which is committed here", index));
+        }
+    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaFuzzTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaFuzzTest.java
@@ -32,6 +32,12 @@
         check(new VirtualCluster(seed, 3, VirtualCluster.smallSnapshots()), 3, actions);
     }
 
+    /** Guards against the same with four replicas, of which a silent one is removed and comes back. */
+    @Property(seed = SEED, tries = 500, shrinking = ShrinkingMode.BOUNDED)
+    void fourReplicasKeepWhatTheyAcknowledged(@ForAll long seed, @ForAll("actions") List<Action> actions) {
+        check(new VirtualCluster(seed, 4, VirtualCluster.smallSnapshots()), 4, actions);
+    }
+
     /** Guards against the same with five replicas, where two may be lost. */
     @Property(seed = SEED, tries = 500, shrinking = ShrinkingMode.BOUNDED)
     void fiveReplicasKeepWhatTheyAcknowledged(@ForAll long seed, @ForAll("actions") List<Action> actions) {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
@@ -239,6 +240,77 @@
         assertThat(cluster.replica(added).status().members().voters().size(), is(4));
     }
 
+    /** Guards against a dead voter beside its successor: four voters of which one is gone bear no further loss. */
+    @Test
+    void aVoterThatIsGoneLeavesForTheInstanceThatReplacesIt() {
+        VirtualCluster cluster = formed(3);
+        InstanceId gone = followerOf(cluster, cluster.leader().orElseThrow());
+        ReplicaId lost = cluster.replica(gone).status().self();
+        cluster.crash(gone);
+        cluster.run(PATIENCE);
+        ReplicaId successor = started(cluster, "replica-9");
+        assertThat(cluster.runUntil(() -> isMember(cluster, successor), PATIENCE), is(true));
+        assertThat(cluster.replica(successor.instance()).status().members().contains(lost), is(false));
+        assertThat(cluster.replica(successor.instance()).status().members().voters(), hasSize(3));
+        assertBearsALoss(cluster);
+    }
+
+    /** Guards against a voter that stays for good because its successor entered before the silence was noticed. */
+    @Test
+    void aVoterThatIsGoneLeavesAlsoAfterItsSuccessorEntered() {
+        VirtualCluster cluster = formed(3);
+        cluster.crash(followerOf(cluster, cluster.leader().orElseThrow()));
+        ReplicaId successor = started(cluster, "replica-9");
+        assertThat(cluster.runUntil(() -> voterCount(cluster) == 4, PATIENCE), is(true));
+        assertThat(isMember(cluster, successor), is(true));
+        int catchUp = 4_000;
+        assertThat(cluster.runUntil(() -> voterCount(cluster) == 3, catchUp), is(true));
+        assertBearsALoss(cluster);
+    }
+
+    /** Guards against a voter that was only cut off and is left out for good, or that returns under two identities. */
+    @Test
+    void aVoterRemovedWhileItWasCutOffReturns() {
+        VirtualCluster cluster = formed(4);
+        InstanceId cut = followerOf(cluster, cluster.leader().orElseThrow());
+        ReplicaId identity = cluster.replica(cut).status().self();
+        cluster.isolate(cut);
+        assertThat(cluster.runUntil(() -> voterCount(cluster) == 3, PATIENCE), is(true));
+        commits(cluster);
+        cluster.heal();
+        assertThat(cluster.runUntil(() -> isMember(cluster, identity) && voterCount(cluster) == 4, PATIENCE), is(true));
+    }
+
+    /** Guards against removing voters from an odd number, which would then bear fewer losses. */
+    @Test
+    void aSilentVoterStaysAmongThreeWhileNobodyTakesItsPlace() {
+        VirtualCluster cluster = formed(3);
+        cluster.crash(followerOf(cluster, cluster.leader().orElseThrow()));
+        cluster.run(PATIENCE);
+        assertThat(voterCount(cluster), is(3));
+    }
+
+    private static ReplicaId started(VirtualCluster cluster, String name) {
+        InstanceId added = new InstanceId(name);
+        cluster.startEmpty(added);
+        return cluster.replica(added).status().self();
+    }
+
+    private static int voterCount(VirtualCluster cluster) {
+        return cluster.leader()
+                .map(leader ->
+                        cluster.replica(leader).status().members().voters().size())
+                .orElse(0);
+    }
+
+    private static void assertBearsALoss(VirtualCluster cluster) {
+        cluster.run(200);
+        cluster.crash(cluster.leader().orElseThrow());
+        assertThat(commits(cluster), is(true));
+        cluster.oracle().complete(cluster.history(cluster.leader().orElseThrow()));
+        cluster.oracle().verify();
+    }
+
     private static VirtualCluster formed(int size) {
         return formed(size, SEED, ConsensusSettings.standard());
     }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
@@ -68,6 +68,7 @@
                 Duration.ofMillis(500),
                 Duration.ofMillis(500),
                 Duration.ofSeconds(5),
+                Duration.ofSeconds(3),
                 40,
                 1 << 20,
                 128,
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
@@ -59,6 +59,7 @@
             Duration.ofMillis(500),
             Duration.ofMillis(500),
             Duration.ofSeconds(5),
+            Duration.ofSeconds(3),
             40,
             1 << 20,
             1024,
