Serve counters and latency histograms in the Prometheus text format at an address of its own

Cause: on the users' platform the metrics had no address, and there were no counts by outcome and no histograms of the parts of a request, so a rise of failures could not be told from a lack of targets or a slow one.

Final answers are counted by service, account and outcome, attempts by target and result; queue, connection, first piece and whole are histograms with fixed ranges, so that instances add up.

Ruled out: the timers of Dropwizard for these, as their sampled quantiles cannot be added over instances and each keeps about a thousand samples; a second metrics library beside Dropwizard for four families.

Tests: PrometheusTextTest, GatewayAddressesTest.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -42,6 +42,7 @@
 import org.basilrill.protocol.instance.OutsideOptions;
 import org.basilrill.protocol.instance.OutsideOptions.EngineAccess;
 import org.basilrill.protocol.instance.RequestLimits;
+import org.basilrill.protocol.observation.MetricsRoute;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.control.ControlStateMachine;
 import org.basilrill.transport.http.GatewayRoutes;
@@ -229,10 +230,13 @@
                 administration,
                 metrics,
                 instance::isReady);
-        PlainRoutes served = dialect.map(spoken -> spoken.routes(access())).orElse(routes);
+        PlainRoutes served = new MetricsRoute(
+                metrics, dialect.map(spoken -> spoken.routes(access())).orElse(routes));
         return new HttpGateway(
                 GatewaySettings.defaults(settings.callerAddress())
-                        .withOwnAddresses(settings.outside().ownAddresses()),
+                        .withOwnAddresses(
+                                settings.outside().ownAddresses(),
+                                settings.outside().metricsAddress()),
                 instance.coordinator(),
                 served,
                 clock,
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/OutsideSettings.java
@@ -10,6 +10,7 @@
  *
  * @param dialect name of the dialect; the product's own interface if absent
  * @param ownAddresses addresses for targets and operators, if they differ from that of the callers
+ * @param metricsAddress address for those who watch the instance, beside that of the callers
  * @param foundsCluster whether this start may found a new cluster
  * @param listingValidity how long callers may use the list of instances
  * @param listedInstances instances that one list names at most, where the dialect bounds it
@@ -24,6 +25,7 @@
 public record OutsideSettings(
         Optional<String> dialect,
         List<InetSocketAddress> ownAddresses,
+        Optional<InetSocketAddress> metricsAddress,
         boolean foundsCluster,
         Duration listingValidity,
         Duration staleListingWait,
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AnswerRelay.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.basilrill.api.BasilrillException;
-import org.basilrill.api.MonotonicClock;
 import org.basilrill.protocol.caller.AnswerHead;
 import org.basilrill.protocol.caller.EventBoundaries;
 import org.basilrill.protocol.caller.HeaderField;
@@ -36,9 +35,9 @@
     private boolean tooLong;
     private long outstanding;
 
-    AnswerRelay(CallerStream caller, RequestPlan plan, MonotonicClock clock) {
+    AnswerRelay(CallerStream caller, RequestPlan plan, RequestTrail trail) {
         this.caller = caller;
-        trail = new RequestTrail(plan, clock);
+        this.trail = trail;
         requestId = plan.requestId();
         record = plan.order().isPresent();
         messages = plan.messages();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -67,7 +67,7 @@
         this.plan = plan;
         this.refusals = refusals;
         this.closedListener = closedListener;
-        relay = new AnswerRelay(caller, plan, services.clock());
+        relay = new AnswerRelay(caller, plan, new RequestTrail(plan, services.clock(), metrics));
         claim = plan.order().map(order -> new OrderClaim(services, order));
         span = services.tracing().startRequest(plan);
         startNanos = services.clock().nanos();
@@ -304,7 +304,7 @@
         if (!plan.attempts().coversWholeAnswer()) {
             deadlineTimer.cancel();
         }
-        metrics.firstByte(services.clock().nanos() - startNanos);
+        metrics.firstByte(plan.destination(), services.clock().nanos() - startNanos);
     }
 
     private void deadlinePassed() {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestTrail.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestTrail.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.basilrill.api.ErrorCode;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
+import org.basilrill.protocol.instance.RequestMetrics.Phase;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /**
@@ -23,15 +25,22 @@
     /** One in this many requests that went well is written. */
     private static final int SAMPLED_ONE_IN = 64;
 
+    private static final String ANSWERED = "ANSWERED";
+    private static final String CALLER_GONE = "CALLER_GONE";
+
     private final RequestPlan plan;
     private final MonotonicClock clock;
     private final long startNanos;
+    private final RequestMetrics metrics;
     private final List<Step> steps = new ArrayList<>();
+    private long queuedNanos;
 
-    RequestTrail(RequestPlan plan, MonotonicClock clock) {
+    RequestTrail(RequestPlan plan, MonotonicClock clock, RequestMetrics metrics) {
         this.plan = plan;
         this.clock = clock;
+        this.metrics = metrics;
         startNanos = clock.nanos();
+        queuedNanos = startNanos;
     }
 
     /** Notes a step that concerns no target. */
@@ -44,23 +53,54 @@
         add(new Step(what, target.id().value(), target.sequence(), elapsedMillis()));
     }
 
+    /** Notes that a target was chosen and gets the request. */
+    void sent(TargetAnnouncement target) {
+        metrics.timed(plan.destination(), Phase.QUEUE, clock.nanos() - queuedNanos);
+        note("sent to", target);
+    }
+
+    /** Notes that the connection to the target takes the request. */
+    void connected(long sentNanos) {
+        metrics.timed(plan.destination(), Phase.CONNECTION, clock.nanos() - sentNanos);
+    }
+
+    /** Notes that an attempt failed. */
+    void attemptFailed(ErrorCode code, String detail, TargetAnnouncement target) {
+        queuedNanos = clock.nanos();
+        metrics.attempted(target.id(), code.name());
+        note(code + " (" + detail + ") at", target);
+    }
+
+    /** Notes that an attempt brought the whole answer. */
+    void attemptSucceeded(TargetAnnouncement target) {
+        metrics.attempted(target.id(), ANSWERED);
+    }
+
     /** Writes that the caller received a failure. */
     void failed(String code, String detail) {
+        ended(code);
         LOGGER.atInfo().log("%s: %s", LogEvent.REQUEST_FAILED, line(code, detail));
     }
 
     /** Writes that the caller went away. */
     void abandoned() {
-        LOGGER.atInfo().log("%s: %s", LogEvent.REQUEST_ABANDONED, line("CALLER_GONE", ""));
+        ended(CALLER_GONE);
+        LOGGER.atInfo().log("%s: %s", LogEvent.REQUEST_ABANDONED, line(CALLER_GONE, ""));
     }
 
     /** Writes that the caller received the whole answer of a target, if the request is sampled. */
     void answered() {
+        ended(ANSWERED);
         if (Math.floorMod(plan.requestId().hashCode(), SAMPLED_ONE_IN) == 0) {
-            LOGGER.atInfo().log("%s: %s", LogEvent.REQUEST_ANSWERED, line("ANSWERED", ""));
+            LOGGER.atInfo().log("%s: %s", LogEvent.REQUEST_ANSWERED, line(ANSWERED, ""));
         }
     }
 
+    private void ended(String outcome) {
+        metrics.ended(plan, outcome);
+        metrics.timed(plan.destination(), Phase.WHOLE, clock.nanos() - startNanos);
+    }
+
     private void add(Step step) {
         if (steps.size() < MAXIMUM_STEPS) {
             steps.add(step);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -40,6 +40,7 @@
     private boolean answered;
     private AttemptResult resultOfAnswer = AttemptResult.SUCCEEDED;
     private long lastProgressNanos;
+    private long sentNanos;
     private Scheduler.Cancellable progressTimer = () -> {};
 
     TargetAttempt(
@@ -98,7 +99,8 @@
 
     void open(boolean freshConnection) {
         noteProgress();
-        owner.answer().trail().note("sent to", target());
+        owner.answer().trail().sent(target());
+        sentNanos = services.clock().nanos();
         List<HeaderField> headers = plan.messages()
                 .toTarget(new TargetCall(
                         target().id(),
@@ -136,7 +138,11 @@
 
     @Override
     public boolean maySend() {
-        return permit.take();
+        boolean taken = permit.take();
+        if (taken) {
+            owner.answer().trail().connected(sentNanos);
+        }
+        return taken;
     }
 
     @Override
@@ -188,6 +194,7 @@
     public void ended() {
         event(() -> {
             finish(resultOfAnswer);
+            owner.answer().trail().attemptSucceeded(target());
             owner.answerEnded();
         });
     }
@@ -245,7 +252,7 @@
     }
 
     private void end(AttemptResult result, AttemptFailure failure) {
-        owner.answer().trail().note(failure.code() + " (" + failure.detail() + ") at", target());
+        owner.answer().trail().attemptFailed(failure.code(), failure.detail(), target());
         finish(result);
         call.cancel();
         services.tracing().fail(span, new BasilrillException(failure.code(), failure.detail()));
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/observation/SeriesName.java
@@ -0,0 +1,31 @@
+package org.basilrill.protocol.observation;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * The name of one metric with its labels, as it stands in the registry. Immutable and thread safe.
+ *
+ * @param family what is measured, in lower case with underscores
+ */
+public record SeriesName(String family, List<Label> labels) {
+    public SeriesName {
+        labels = List.copyOf(labels);
+    }
+
+    /** One label; the value may be any text. */
+    public record Label(String name, String value) {
+        private String text() {
+            String escaped = value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+            return name + "=\"" + escaped + "\"";
+        }
+    }
+
+    /** Returns the name as the Prometheus text format writes it. */
+    @Override
+    public String toString() {
+        return labels.isEmpty()
+                ? family
+                : labels.stream().map(Label::text).collect(Collectors.joining(",", family + "{", "}"));
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/GatewaySettings.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/GatewaySettings.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * Settings of the listener for callers. Immutable and thread safe.
@@ -15,6 +17,7 @@
  * @param maximumHeadBytes longest request line with header fields
  * @param ownAddresses addresses for what the instance serves itself; if there are any, all requests at the other
  *     address are for targets
+ * @param metricsAddress address for those who watch the instance, at which no request for a target is taken
  */
 public record GatewaySettings(
         InetSocketAddress address,
@@ -24,7 +27,8 @@
         int maximumBodyBytes,
         long maximumHeldBytes,
         int maximumHeadBytes,
-        List<InetSocketAddress> ownAddresses) {
+        List<InetSocketAddress> ownAddresses,
+        Optional<InetSocketAddress> metricsAddress) {
     /** A body is copied once while it grows and once to the target, so this share becomes at most three eighths. */
     private static final int SHARE_OF_HEAP = 8;
 
@@ -49,7 +53,13 @@
                 maximumBodyBytes,
                 maximumHeldBytes,
                 maximumHeadBytes,
-                List.of());
+                List.of(),
+                Optional.empty());
+    }
+
+    /** Returns all addresses to listen at besides that of the callers. */
+    List<InetSocketAddress> otherAddresses() {
+        return Stream.concat(ownAddresses.stream(), metricsAddress.stream()).toList();
     }
 
     /** Returns whether callers have an address of their own, at which all requests are for targets. */
@@ -58,7 +68,7 @@
     }
 
     /** Returns the same settings with addresses at which only the instance itself answers. */
-    public GatewaySettings withOwnAddresses(List<InetSocketAddress> addresses) {
+    public GatewaySettings withOwnAddresses(List<InetSocketAddress> addresses, Optional<InetSocketAddress> metrics) {
         return new GatewaySettings(
                 address,
                 ioThreads,
@@ -67,7 +77,8 @@
                 maximumBodyBytes,
                 maximumHeldBytes,
                 maximumHeadBytes,
-                addresses);
+                addresses,
+                metrics);
     }
 
     /** Returns the settings of section 4.10 of the design page for an address. */
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
@@ -4,11 +4,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.io.CloseMode;
@@ -80,7 +82,7 @@
         server.start();
         try {
             endpoint = server.listen(settings.address(), URIScheme.HTTP).get();
-            for (InetSocketAddress own : settings.ownAddresses()) {
+            for (InetSocketAddress own : settings.otherAddresses()) {
                 server.listen(own, URIScheme.HTTP).get();
             }
         } catch (ExecutionException exception) {
@@ -134,15 +136,14 @@
 
     private static Function<InetSocketAddress, CallerRequests> requestsByAddress(
             GatewaySettings settings, RequestCoordinator coordinator, PlainRoutes plainRoutes) {
-        if (!settings.separatesCallers()) {
-            CallerRequests mixed =
-                    new CallerRequests(coordinator, plainRoutes, head -> CallerRoute.matches(head.path()));
-            return address -> mixed;
-        }
-        CallerRequests ofCallers = new CallerRequests(coordinator, plainRoutes, head -> true);
+        boolean separate = settings.separatesCallers();
+        CallerRequests ofCallers =
+                new CallerRequests(coordinator, plainRoutes, head -> separate || CallerRoute.matches(head.path()));
         CallerRequests own = new CallerRequests(coordinator, plainRoutes, head -> false);
-        int callerPort = settings.address().getPort();
-        return address -> address.getPort() == callerPort ? ofCallers : own;
+        Set<Integer> otherPorts = settings.otherAddresses().stream()
+                .map(InetSocketAddress::getPort)
+                .collect(Collectors.toSet());
+        return address -> otherPorts.contains(address.getPort()) ? own : ofCallers;
     }
 
     private void stopAccepting() {
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/observation/PrometheusTextTest.java
@@ -0,0 +1,69 @@
+package org.basilrill.protocol.observation;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.basilrill.protocol.observation.SeriesName.Label;
+import org.junit.jupiter.api.Test;
+
+/** Exercises the text that monitoring systems read. */
+class PrometheusTextTest {
+    private final MetricRegistry registry = new MetricRegistry();
+
+    /** Guards against ranges that do not add up, which would make quantiles wrong. */
+    @Test
+    void aHistogramIsWrittenWithCumulativeRangesInSeconds() {
+        LatencyHistogram histogram = registry.register("request_seconds{phase=\"queue\"}", new LatencyHistogram());
+        histogram.add(TimeUnit.MILLISECONDS.toNanos(5));
+        histogram.add(TimeUnit.MILLISECONDS.toNanos(400));
+        histogram.add(TimeUnit.SECONDS.toNanos(60));
+        String text = text();
+        assertThat(text, containsString("# TYPE basilrill_request_seconds histogram\n"));
+        assertThat(text, containsString("basilrill_request_seconds_bucket{phase=\"queue\",le=\"0.005\"} 1\n"));
+        assertThat(text, containsString("basilrill_request_seconds_bucket{phase=\"queue\",le=\"0.25\"} 1\n"));
+        assertThat(text, containsString("basilrill_request_seconds_bucket{phase=\"queue\",le=\"0.5\"} 2\n"));
+        assertThat(text, containsString("basilrill_request_seconds_bucket{phase=\"queue\",le=\"+Inf\"} 3\n"));
+        assertThat(text, containsString("basilrill_request_seconds_sum{phase=\"queue\"} 60.405\n"));
+        assertThat(text, containsString("basilrill_request_seconds_count{phase=\"queue\"} 3\n"));
+    }
+
+    /** Guards against a family that is announced once for each of its series, which readers reject. */
+    @Test
+    void theSeriesOfAFamilyStandUnderOneType() {
+        registry.counter("requests_total{outcome=\"A\"}").inc(2);
+        registry.counter("requests_total{outcome=\"B\"}").inc();
+        registry.counter("requests.running").inc(4);
+        registry.meter("requests.started").mark();
+        assertThat(
+                text(),
+                is("# TYPE basilrill_requests_running gauge\nbasilrill_requests_running 4\n"
+                        + "# TYPE basilrill_requests_started counter\nbasilrill_requests_started 1\n"
+                        + "# TYPE basilrill_requests_total counter\n"
+                        + "basilrill_requests_total{outcome=\"A\"} 2\nbasilrill_requests_total{outcome=\"B\"} 1\n"));
+    }
+
+    /** Guards against names of accounts or targets that break the format. */
+    @Test
+    void valuesOfLabelsAreEscaped() {
+        SeriesName name = new SeriesName("requests_total", List.of(new Label("account", "a\"b\\c\nd")));
+        assertThat(name.toString(), is("requests_total{account=\"a\\\"b\\\\c\\nd\"}"));
+    }
+
+    /** Guards against memory that grows with the names that callers or targets bring. */
+    @Test
+    void valuesBeyondTheLimitShareOneSeries() {
+        BoundedLabel label = new BoundedLabel("target", 2);
+        assertThat(label.of("a").value(), is("a"));
+        assertThat(label.of("b").value(), is("b"));
+        assertThat(label.of("c").value(), is(BoundedLabel.OTHER));
+        assertThat(label.of("a").value(), is("a"));
+    }
+
+    private String text() {
+        return new PrometheusText(registry).write();
+    }
+}
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayAddressesTest.java
@@ -0,0 +1,78 @@
+package org.basilrill.transport.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.basilrill.protocol.caller.PlainAnswer;
+import org.basilrill.protocol.caller.PlainRoutes;
+import org.basilrill.protocol.observation.MetricsRoute;
+import org.junit.jupiter.api.Test;
+
+/** Exercises what an instance serves at which of its addresses. */
+class GatewayAddressesTest {
+    private static final String OF_CALLERS = "/v1/completions";
+    private static final PlainRoutes PLAIN = (head, body) -> CompletableFuture.completedFuture(
+            PlainAnswer.of(200, PlainAnswer.TEXT, "plain".getBytes(StandardCharsets.UTF_8)));
+
+    /** Guards against metrics that only an address open to callers shows, and requests for targets at that of metrics. */
+    @Test
+    void theMetricsAddressServesMetricsAndTakesNoRequestsForTargets() throws Exception {
+        InetSocketAddress metricsAddress = freeAddress();
+        MetricRegistry metrics = new MetricRegistry();
+        metrics.counter("requests.running").inc(3);
+        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+        try (GatewayFixture fixture = GatewayFixture.open()) {
+            HttpGateway gateway = new HttpGateway(
+                    GatewaySettings.defaults(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                            .withOwnAddresses(List.of(), Optional.of(metricsAddress)),
+                    fixture.coordinator(),
+                    new MetricsRoute(metrics, PLAIN),
+                    System::nanoTime,
+                    GatewayFixture.scheduler(timer));
+            gateway.start();
+            HttpResponse<String> text = get(metricsAddress, MetricsRoute.PATH);
+            assertThat(text.statusCode(), is(200));
+            assertThat(text.body(), containsString("basilrill_requests_running 3\n"));
+            assertThat(get(metricsAddress, OF_CALLERS).body(), is("plain"));
+            assertThat(get(gateway.address(), "/readyz").body(), is("plain"));
+            assertThat("asks for a key", get(gateway.address(), OF_CALLERS).statusCode(), is(401));
+            gateway.stop(Duration.ZERO).join();
+        } finally {
+            timer.shutdownNow();
+        }
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+
+    private static HttpResponse<String> get(InetSocketAddress address, String path)
+            throws IOException, InterruptedException {
+        URI target = URI.create("http://127.0.0.1:" + address.getPort() + path);
+        return HttpClient.newHttpClient()
+                .send(
+                        HttpRequest.newBuilder(target)
+                                .version(HttpClient.Version.HTTP_1_1)
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
+    }
+}
