--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayAddressesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayAddressesTest.java
@@ -31,7 +31,7 @@
     private static final PlainRoutes PLAIN = (head, body) -> CompletableFuture.completedFuture(
             PlainAnswer.of(200, PlainAnswer.TEXT, "plain".getBytes(StandardCharsets.UTF_8)));
 
-    /** Guards against metrics that only an address open to callers shows, and requests for targets at that of metrics. */
+    /** Guards against metrics that only callers reach, and against requests for targets at the address of metrics. */
     @Test
     void theMetricsAddressServesMetricsAndTakesNoRequestsForTargets() throws Exception {
         InetSocketAddress metricsAddress = freeAddress();
