Report demand to every replica of the control log, not to the seeds only

The same holds for a replica that replaces a seed.

Ruled out: the wait for the lease (orders went out from 19.1 s on); the allowance for loads (five loads in six seconds).

Now every instance that says it holds a replica gets the reports, also while it is silent here, and the seeds besides. ReplicaHoldersTest names the case.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -24,7 +24,7 @@
 import org.basilrill.coordination.membership.Fact.InstanceFact;
 import org.basilrill.coordination.membership.GossipMembership;
 import org.basilrill.coordination.membership.Membership;
-import org.basilrill.coordination.membership.Membership.Member;
+import org.basilrill.coordination.membership.ReplicaHolders;
 import org.basilrill.coordination.membership.TargetSpread;
 import org.basilrill.coordination.placement.DemandBook;
 import org.basilrill.coordination.placement.DemandReporter;
@@ -75,6 +75,7 @@
     private final BlockedRequests blockedRequests;
     private final RequestCoordinator coordinator;
     private final InstanceListing listing;
+    private final ReplicaHolders holders;
     private final OwnFacts ownFacts;
     private final CurrencyLog currencyLog;
     private volatile boolean draining;
@@ -85,6 +86,7 @@
     public Instance(InstanceEnvironment environment) {
         this.environment = environment;
         this.membership = createMembership();
+        this.holders = new ReplicaHolders(membership, environment.replicas());
         this.ownFacts = new OwnFacts(membership);
         this.currencyLog = new CurrencyLog(environment.self());
         this.targets = new TargetRegistry(
@@ -113,7 +115,7 @@
                 environment.self(), environment.channel(), new ThriftPlacementCodec(), environment.scheduler());
         this.demand = new DemandReporter(
                 environment.wallClockMillis().getAsLong(),
-                environment::replicas,
+                holders::all,
                 placementMessenger,
                 environment.clock(),
                 environment.scheduler());
@@ -148,6 +150,7 @@
     /** Takes instances to contact while others are unknown, in place of those it was started with. */
     public void learnSeeds(List<InstanceId> seeds) {
         membership.learnSeeds(seeds);
+        holders.learnSeeds(seeds);
     }
 
     /** Tells all instances and callers that this one takes no new work, and hands its buckets over. */
@@ -365,12 +368,9 @@
     }
 
     private void tellReplicas() {
-        List<InstanceId> holders = membership.members().stream()
-                .filter(member -> member.replica() && !member.suspected())
-                .map(Member::id)
-                .toList();
-        control.hintReplicas(holders);
-        environment.replica().ifPresent(local -> local.contacts().accept(holders));
+        List<InstanceId> reachable = holders.reachable();
+        control.hintReplicas(reachable);
+        environment.replica().ifPresent(local -> local.contacts().accept(reachable));
     }
 
     private int weightOf(AccountId account) {
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/membership/ReplicaHoldersTest.java
@@ -0,0 +1,61 @@
+package org.basilrill.coordination.membership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.basilrill.api.InstanceId;
+import org.junit.jupiter.api.Test;
+
+/** Exercises who is taken for a holder of the control log. */
+class ReplicaHoldersTest {
+    private static final InstanceId SEED = new InstanceId("replica-1");
+    private static final InstanceId JOINED = new InstanceId("replica-4");
+    private static final InstanceId PLAIN = new InstanceId("entry-1");
+
+    private final List<Membership.Member> members = new ArrayList<>();
+    private final ReplicaHolders holders = new ReplicaHolders(new FixedMembership(members), List.of(SEED));
+
+    /**
+     * Guards against a leader that is no seed and gets no reports of demand: with a fourth replica leading, the models
+     * that requests waited for were not loaded until the leader changed.
+     */
+    @Test
+    void aReplicaThatIsNoSeedIsAHolder() {
+        members.add(member(JOINED, true, false));
+        members.add(member(PLAIN, false, false));
+        assertThat(holders.all(), contains(SEED, JOINED));
+        assertThat(holders.reachable(), contains(JOINED));
+    }
+
+    /** Guards against leaving out a leader that only this instance does not hear. */
+    @Test
+    void aSilentReplicaStaysAHolder() {
+        members.add(member(JOINED, true, true));
+        assertThat(holders.all(), contains(SEED, JOINED));
+        assertThat(holders.reachable(), empty());
+    }
+
+    /** Guards against seeds that stay in use after the settings named others. */
+    @Test
+    void changedSeedsReplaceTheEarlierOnes() {
+        holders.learnSeeds(List.of(PLAIN));
+        assertThat(holders.all(), contains(PLAIN));
+    }
+
+    private static Membership.Member member(InstanceId id, boolean replica, boolean suspected) {
+        return new Membership.Member(id, "a", "", "", suspected, false, true, 1, 0, replica);
+    }
+
+    /** A membership that consists of the given members. */
+    private record FixedMembership(Collection<Member> members) implements Membership {
+        @Override
+        public Optional<Member> member(InstanceId id) {
+            return members.stream().filter(known -> known.id().equals(id)).findFirst();
+        }
+    }
+}
