--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -9,7 +9,6 @@
 import java.util.function.ToIntFunction;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
-import org.basilrill.api.ErrorCode;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
 import org.basilrill.api.TargetId;
@@ -33,10 +32,10 @@
     private final TargetRouter router;
     private final MonotonicClock clock;
     private final Scheduler scheduler;
-    private final ReadinessEstimator readiness;
     private final DispatcherOptions options;
     private final DestinationLoads loads;
     private final FairQueues queues;
+    private final DispatchRefusals refusals;
     private final RecentRequests refusedAsFull = new RecentRequests();
     private final TreeSet<WaitingRequest> byDeadline = new TreeSet<>(WaitingRequest.BY_DEADLINE);
     private final SerialEffects effects = new SerialEffects();
@@ -65,10 +64,10 @@
         this.router = router;
         this.clock = clock;
         this.scheduler = scheduler;
-        this.readiness = readiness;
         this.options = options;
         this.loads = new DestinationLoads(demand, effects);
         this.queues = new FairQueues(weights, options.dispatchesPerTurn());
+        this.refusals = new DispatchRefusals(directory, router, queues, loads, readiness, clock, options);
     }
 
     @Override
@@ -109,7 +108,7 @@
 
     private void enqueue(Request request, CompletableFuture<Assignment> future) {
         loads.requested(request);
-        Optional<BasilrillException> hopeless = hopeless(request);
+        Optional<BasilrillException> hopeless = refusals.beforeQueueing(request);
         if (hopeless.isPresent()) {
             fail(future, hopeless.get());
             return;
@@ -129,7 +128,7 @@
         if (!byDeadline.contains(waiting)) {
             return;
         }
-        Optional<BasilrillException> refusal = refusalOf(waiting);
+        Optional<BasilrillException> refusal = refusals.whileQueued(request);
         if (refusal.isPresent()) {
             remove(waiting);
             fail(future, refusal.get());
@@ -148,64 +147,6 @@
         return retry ? lastOrder + Long.MIN_VALUE / 2 : lastOrder;
     }
 
-    /** Returns the reason why waiting cannot help, before the request is queued. */
-    private Optional<BasilrillException> hopeless(Request request) {
-        long leftNanos = request.deadlineNanos() - clock.nanos();
-        if (leftNanos <= 0) {
-            return Optional.of(new BasilrillException(
-                    ErrorCode.DEADLINE_UNREACHABLE,
-                    String.format("the deadline of request %s has passed", request.requestId())));
-        }
-        Collection<TargetAnnouncement> ready = readyTargets(request.destination());
-        if (ready.isEmpty()) {
-            return request.destination()
-                    .model()
-                    .flatMap(readiness::untilReady)
-                    .filter(untilReady -> untilReady.toNanos() > leftNanos)
-                    .map(untilReady ->
-                            notReady(request.destination()).withRetryAfter(bounded(untilReady.toNanos() - leftNanos)));
-        }
-        if (ready.stream().allMatch(target -> request.excludedTargets().contains(target.id()))) {
-            return Optional.of(new BasilrillException(
-                    ErrorCode.NO_TARGET,
-                    String.format("all %d targets of %s are excluded", ready.size(), DestinationLoads.name(request))));
-        }
-        return Optional.empty();
-    }
-
-    /** Returns the reason why a request that found no free slot is not worth keeping. */
-    private Optional<BasilrillException> refusalOf(WaitingRequest waiting) {
-        Request request = waiting.request();
-        long now = clock.nanos();
-        boolean ready = isReady(request.destination());
-        Optional<Double> drainPerSecond = ready ? loads.drainPerSecond(request.destination(), now) : Optional.empty();
-        if (queues.size(request) > options.queueLimit()) {
-            long retryNanos =
-                    drainPerSecond.map(FairDispatcher::nanosPerDispatch).orElse(0L);
-            return Optional.of(new BasilrillException(
-                            ErrorCode.QUEUE_FULL,
-                            String.format("%d requests of the client account wait already", options.queueLimit()))
-                    .withRetryAfter(bounded(retryNanos)));
-        }
-        double ahead = queues.dispatchesUntil(request);
-        // A request with none ahead keeps the estimate alive: it is the one whose dispatch shows that a target drains.
-        if (drainPerSecond.isEmpty() || ahead <= 1) {
-            return Optional.empty();
-        }
-        long leftNanos = request.deadlineNanos() - now;
-        double optimistic =
-                loads.optimisticDrainPerSecond(request.destination(), now).orElseThrow();
-        if (ahead * nanosPerDispatch(optimistic) <= leftNanos) {
-            return Optional.empty();
-        }
-        double waitNanos = ahead * nanosPerDispatch(drainPerSecond.get());
-        String detail = String.format(
-                "%.0f dispatches to %s come first at %.2f per second",
-                ahead, DestinationLoads.name(request), drainPerSecond.get());
-        return Optional.of(new BasilrillException(ErrorCode.DEADLINE_UNREACHABLE, detail)
-                .withRetryAfter(bounded(waitNanos - leftNanos)));
-    }
-
     private void assignWaiting() {
         expireWaiting();
         Optional<Served<HeldSlot>> served = queues.serveNext(this::acquire);
@@ -242,31 +183,10 @@
         while (!byDeadline.isEmpty() && byDeadline.first().request().deadlineNanos() - now <= 0) {
             WaitingRequest waiting = byDeadline.first();
             remove(waiting);
-            fail(waiting.future(), expired(waiting.request()));
+            fail(waiting.future(), refusals.expired(waiting.request()));
         }
     }
 
-    private BasilrillException expired(Request request) {
-        if (!isReady(request.destination())) {
-            return notReady(request.destination());
-        }
-        return new BasilrillException(
-                ErrorCode.DEADLINE_UNREACHABLE,
-                String.format("no slot for %s became free before the deadline", DestinationLoads.name(request)));
-    }
-
-    private static BasilrillException notReady(Destination destination) {
-        return destination
-                .model()
-                .map(model -> new BasilrillException(
-                        ErrorCode.MODEL_NOT_READY, String.format("model %s has no ready copy", model)))
-                .orElseGet(() -> new BasilrillException(
-                        ErrorCode.NO_TARGET,
-                        String.format(
-                                "service %s has no target",
-                                destination.service().orElse(""))));
-    }
-
     private void cancelled(WaitingRequest waiting) {
         synchronized (lock) {
             if (!remove(waiting)) {
@@ -326,16 +246,6 @@
         return !readyTargets(destination).isEmpty();
     }
 
-    private Duration bounded(double nanos) {
-        double shortest = options.shortestRetryAfter().toNanos();
-        double longest = options.longestRetryAfter().toNanos();
-        return Duration.ofNanos((long) Math.max(shortest, Math.min(longest, nanos)));
-    }
-
-    private static long nanosPerDispatch(double perSecond) {
-        return (long) (Duration.ofSeconds(1).toNanos() / Math.max(perSecond, 1e-6));
-    }
-
     /** A slot held for one request. Thread safe. */
     private final class SlotAssignment implements Assignment {
         private final Served<HeldSlot> served;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/HeldSlot.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/HeldSlot.java
@@ -7,6 +7,7 @@
  *
  * @param target the announcement the choice was based on
  * @param probe whether the request tests a target that was ejected
+ * @param number counts the requests sent to the target
  * @param pendingTokens prompt tokens that the target probably has to read before the answer begins
  */
-public record HeldSlot(TargetAnnouncement target, TargetState state, boolean probe, long pendingTokens) {}
+public record HeldSlot(TargetAnnouncement target, TargetState state, boolean probe, long number, long pendingTokens) {}
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/Prompt.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/Prompt.java
@@ -56,6 +56,11 @@
         return tokens;
     }
 
+    /** Returns the tokens of the last part, which no target has read before. */
+    public long ownTokens() {
+        return partTokens.isEmpty() ? 0 : partTokens.get(partTokens.size() - 1);
+    }
+
     /** Returns the number of parts that other requests may share: all but the last, which is the request's own. */
     public int sharedParts() {
         return Math.max(0, partTokens.size() - 1);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
@@ -1,8 +1,10 @@
 package org.basilrill.coordination.routing;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -66,6 +68,53 @@
      */
     public Optional<HeldSlot> acquire(
             String destination, Collection<TargetAnnouncement> ready, Set<TargetId> excluded, Prompt prompt) {
+        List<TargetAnnouncement> free = freeTargets(destination, ready, excluded);
+        while (!free.isEmpty()) {
+            TargetAnnouncement target = prompt.isEmpty() ? chooseOfTwo(free) : soonest(free, prompt);
+            long tokensToRead = Math.round(prompt.tokens() - cachedTokens(target, prompt, free));
+            Optional<HeldSlot> slot = stateOf(target).tryAcquire(target, tokensToRead);
+            if (slot.isPresent()) {
+                affinity.routed(target.id(), target.incarnation(), prompt.prefixHashes());
+                return slot;
+            }
+            // Another thread took the last slot since the check above.
+            free.remove(target);
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns how long it probably takes until the answer begins at the best target with a free slot.
+     *
+     * @return empty if no target has a free slot, or if nothing is known of the prompt
+     */
+    public Optional<Duration> timeToBegin(
+            String destination, Collection<TargetAnnouncement> ready, Set<TargetId> excluded, Prompt prompt) {
+        if (prompt.isEmpty()) {
+            return Optional.empty();
+        }
+        List<TargetAnnouncement> free = freeTargets(destination, ready, excluded);
+        return free.stream().map(target -> timeToBegin(target, prompt, free)).min(Comparator.naturalOrder());
+    }
+
+    /** Returns how long one target takes to read this many tokens from each instance. */
+    public Duration timeToRead(long tokens) {
+        double millis = tokens * Math.max(1, instances.getAsInt()) / options.tokensPerMilli();
+        return Duration.ofMillis(Math.round(millis));
+    }
+
+    private Duration timeToBegin(TargetAnnouncement target, Prompt prompt, List<TargetAnnouncement> free) {
+        TargetState state = stateOf(target);
+        double ownTokens = prompt.tokens() - cachedTokens(target, prompt, free);
+        double millis = (ownTokens + state.pendingTokens()) / options.tokensPerMilli();
+        double waiting = Math.max(
+                state.waiting() * options.millisPerWaiting(),
+                state.longestWait().toMillis());
+        return Duration.ofMillis(Math.round(millis + waiting));
+    }
+
+    private List<TargetAnnouncement> freeTargets(
+            String destination, Collection<TargetAnnouncement> ready, Set<TargetId> excluded) {
         List<TargetAnnouncement> usable = new ArrayList<>(ready.size());
         for (TargetAnnouncement target : ready) {
             if (target.leaving() || excluded.contains(target.id())) {
@@ -83,18 +132,7 @@
                 free.add(target);
             }
         }
-        while (!free.isEmpty()) {
-            TargetAnnouncement target = prompt.isEmpty() ? chooseOfTwo(free) : soonest(free, prompt);
-            long tokensToRead = Math.round(prompt.tokens() - cachedTokens(target, prompt, free));
-            Optional<HeldSlot> slot = stateOf(target).tryAcquire(target, tokensToRead);
-            if (slot.isPresent()) {
-                affinity.routed(target.id(), target.incarnation(), prompt.prefixHashes());
-                return slot;
-            }
-            // Another thread took the last slot since the check above.
-            free.remove(target);
-        }
-        return Optional.empty();
+        return free;
     }
 
     /** Gives a slot back. Must be called exactly once per slot. */
@@ -134,13 +172,13 @@
 
     /** Notes that the answer for a slot began, and the load that the target told with it. */
     public void answered(HeldSlot slot, Optional<TargetAnnouncement.Load> load) {
-        slot.state().read(slot.pendingTokens());
+        slot.state().answered(slot);
         load.ifPresent(slot.state()::told);
     }
 
     /** Notes that a slot is given back without an answer. */
     public void abandoned(HeldSlot slot) {
-        slot.state().read(slot.pendingTokens());
+        slot.state().abandoned(slot);
     }
 
     private TargetAnnouncement chooseOfTwo(List<TargetAnnouncement> free) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
@@ -18,6 +18,7 @@
     private final long incarnation;
     private final EjectionState ejection;
 
+    private final UnansweredRequests unanswered = new UnansweredRequests();
     private int held;
     private long reportSequence = Long.MIN_VALUE;
     private long reportNanos;
@@ -80,12 +81,25 @@
         }
         held++;
         pendingTokens += tokensToRead;
-        return Optional.of(new HeldSlot(announcement, this, ejection.started(), tokensToRead));
+        long number = unanswered.sent(clock.nanos());
+        return Optional.of(new HeldSlot(announcement, this, ejection.started(), number, tokensToRead));
     }
 
-    /** Notes that the prompt of a slot need not be read any more. */
-    synchronized void read(long tokens) {
-        pendingTokens -= tokens;
+    /** Notes that the answer for a slot begins. */
+    synchronized void answered(HeldSlot slot) {
+        pendingTokens -= slot.pendingTokens();
+        unanswered.answered(slot.number());
+    }
+
+    /** Notes that a slot is given back without an answer. */
+    synchronized void abandoned(HeldSlot slot) {
+        pendingTokens -= slot.pendingTokens();
+        unanswered.ended(slot.number());
+    }
+
+    /** Returns how long the target keeps requests from here waiting now. */
+    synchronized Duration longestWait() {
+        return Duration.ofNanos(unanswered.longestWaitNanos(clock.nanos()));
     }
 
     /** Takes the load that the target told with an answer. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -258,7 +258,7 @@
                         plan.destination(),
                         plan.priority(),
                         plan.chargedTokens(),
-                        deadlineNanos,
+                        retries.patienceEndsNanos(relay.started()),
                         excluded,
                         plan.prompt()));
         queued = request;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
@@ -24,6 +24,22 @@
         return Duration.ofNanos(Math.max(1, deadlineNanos - services.clock().nanos()));
     }
 
+    /**
+     * Returns when the caller probably leaves if the answer has not begun, or does not go on, by then.
+     *
+     * @param begun whether the caller has received part of the answer
+     */
+    long patienceEndsNanos(boolean begun) {
+        long waitsSince = begun
+                ? services.clock().nanos()
+                : deadlineNanos - plan.deadline().toNanos();
+        return plan.attempts()
+                .patience()
+                .map(patience -> waitsSince + patience.toNanos())
+                .filter(end -> end - deadlineNanos < 0)
+                .orElse(deadlineNanos);
+    }
+
     /** Notes that an attempt begins; returns whether it is the first one. */
     boolean attemptBegins() {
         attempts++;
