--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
@@ -26,6 +26,11 @@
      */
     CompletableFuture<Assignment> dispatch(Request request);
 
+    /** Returns whether the destination has a target besides these. */
+    default boolean hasTargetBesides(Destination destination, Set<TargetId> targets) {
+        return true;
+    }
+
     /** What the dispatcher must know of a request. */
     record Request(
             String requestId,
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -81,6 +82,11 @@
         return future;
     }
 
+    @Override
+    public boolean hasTargetBesides(Destination destination, Set<TargetId> targets) {
+        return readyTargets(destination).stream().anyMatch(target -> !targets.contains(target.id()));
+    }
+
     /** Looks at the waiting requests again after the directory changed. */
     public void targetChanged(TargetAnnouncement target) {
         synchronized (lock) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/AccountBudget.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/AccountBudget.java
@@ -28,6 +28,7 @@
     private final ControlClient control;
     private final GrantRequester requester;
     private final LossTolerance tolerance;
+    private final OwnerRanking ranking;
     private final BucketClaims claims;
     private Optional<GrantIssuer> issuer = Optional.empty();
     private Optional<Rules.Account> rule = Optional.empty();
@@ -43,13 +44,15 @@
             InstanceId self,
             ControlClient control,
             GrantRequester requester,
-            LossTolerance tolerance) {
+            LossTolerance tolerance,
+            OwnerRanking ranking) {
         this.account = account;
         this.self = self;
         this.control = control;
         this.requester = requester;
         this.tolerance = tolerance;
-        this.claims = new BucketClaims(account, self, tolerance);
+        this.ranking = ranking;
+        this.claims = new BucketClaims(account, self, tolerance, ranking);
     }
 
     static BasilrillException unknownAccount(AccountId account) {
@@ -149,7 +152,7 @@
         if (owned.isEmpty()) {
             return CompletableFuture.completedFuture(null);
         }
-        departure = Optional.of(new BucketDeparture(account, self, owned.get(), nowNanos));
+        departure = Optional.of(new BucketDeparture(account, self, owned.get(), ranking, nowNanos));
         return departure.get().completion();
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/BucketClaims.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/BucketClaims.java
@@ -15,6 +15,7 @@
 final class BucketClaims {
     private final AccountId account;
     private final InstanceId self;
+    private final OwnerRanking ranking;
     private final long grantLifetimeNanos;
     private Optional<ControlView.BucketOwner> lostOwner = Optional.empty();
     private Optional<Long> vacantSince = Optional.empty();
@@ -22,9 +23,10 @@
     private boolean claiming;
     private boolean everOwned;
 
-    BucketClaims(AccountId account, InstanceId self, LossTolerance tolerance) {
+    BucketClaims(AccountId account, InstanceId self, LossTolerance tolerance, OwnerRanking ranking) {
         this.account = account;
         this.self = self;
+        this.ranking = ranking;
         grantLifetimeNanos = tolerance.coversOpenGrants() ? 0 : BudgetTiming.GRANT_LIFETIME;
     }
 
@@ -77,8 +79,11 @@
     }
 
     private long delay(ControlView view, Optional<ControlView.BucketOwner> lost) {
-        int rank = RendezvousRanking.rank(account, view.sessions().keySet()).indexOf(self);
+        int rank = ranking.rank(account, view.sessions().keySet()).indexOf(self);
         long turn = Math.max(0, rank) * BudgetTiming.CLAIM_RANK_DELAY;
-        return lost.isPresent() ? grantLifetimeNanos + turn : turn;
+        if (lost.isPresent()) {
+            return grantLifetimeNanos + turn;
+        }
+        return ranking.holdsReplica().test(self) ? turn + BudgetTiming.FIRST_CLAIM_OF_REPLICA : turn;
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/BucketDeparture.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/BucketDeparture.java
@@ -21,15 +21,17 @@
     private final AccountId account;
     private final InstanceId self;
     private final GrantIssuer issuer;
+    private final OwnerRanking ranking;
     private final CompletableFuture<Void> completion = new CompletableFuture<>();
     private boolean submitting;
     private long attemptAt;
     private long outstanding;
 
-    BucketDeparture(AccountId account, InstanceId self, GrantIssuer issuer, long nowNanos) {
+    BucketDeparture(AccountId account, InstanceId self, GrantIssuer issuer, OwnerRanking ranking, long nowNanos) {
         this.account = account;
         this.self = self;
         this.issuer = issuer;
+        this.ranking = ranking;
         this.attemptAt = nowNanos;
     }
 
@@ -62,7 +64,7 @@
             attemptAt = nowNanos + BudgetTiming.REPORT_DELAY;
             return Optional.empty();
         }
-        InstanceId successor = RendezvousRanking.rank(account, successors).get(0);
+        InstanceId successor = ranking.rank(account, successors).get(0);
         outstanding = issuer.bucket().outstanding();
         submitting = true;
         return Optional.of(new ControlCommand.AssignBucket(
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/BudgetTiming.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/BudgetTiming.java
@@ -24,6 +24,8 @@
     static final double SPENDING_AVERAGE_SECONDS = 1.0;
     /** Waiting time of the next candidate by rendezvous rank, in case the earlier ones do not claim the bucket. */
     static final long CLAIM_RANK_DELAY = Duration.ofSeconds(1).toNanos();
+    /** An instance with a replica leaves buckets that never had an owner to those that are still starting. */
+    static final long FIRST_CLAIM_OF_REPLICA = Duration.ofSeconds(2).toNanos();
     /** Pause between two claims of the same bucket. */
     static final long CLAIM_REPEAT = Duration.ofMillis(500).toNanos();
     /** Deadline of one command to the control log. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/ClientBudgets.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/ClientBudgets.java
@@ -41,6 +41,7 @@
     private final BudgetMessageCodec codec;
     private final long incarnation;
     private final LossTolerance tolerance;
+    private final OwnerRanking ranking;
     private final List<BudgetShard> shards;
 
     /** Creates the budgets of one process, with limits that hold without exception. */
@@ -52,7 +53,7 @@
             PeerChannel channel,
             ControlClient control,
             BudgetMessageCodec codec) {
-        this(self, clock, scheduler, random, channel, control, codec, LossTolerance.NONE);
+        this(self, clock, scheduler, random, channel, control, codec, LossTolerance.NONE, OwnerRanking.EQUAL);
     }
 
     /**
@@ -60,6 +61,7 @@
      *
      * @param random source of the number that tells this process from earlier ones of the same instance
      * @param tolerance what an account may spend above its limits when the owner of its bucket is lost
+     * @param ranking who is to own the buckets
      */
     public ClientBudgets(
             InstanceId self,
@@ -69,8 +71,10 @@
             PeerChannel channel,
             ControlClient control,
             BudgetMessageCodec codec,
-            LossTolerance tolerance) {
+            LossTolerance tolerance,
+            OwnerRanking ranking) {
         this.tolerance = tolerance;
+        this.ranking = ranking;
         this.self = self;
         this.channel = channel;
         this.control = control;
@@ -158,7 +162,7 @@
 
     private AccountBudget create(AccountId account) {
         GrantRequester requester = new GrantRequester(account, incarnation, parts -> charge(account, parts));
-        return new AccountBudget(account, self, control, requester, tolerance);
+        return new AccountBudget(account, self, control, requester, tolerance, ranking);
     }
 
     private Charge charge(AccountId account, List<LocalPool.Part> parts) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -24,6 +24,11 @@
 final class EnginePlanner {
     /** A model gets another copy once each of its copies carries this much more than the mean engine. */
     private static final double OVERLOAD = 1.5;
+    /**
+     * A copy with less demand than this, in tokens per second, is not relieved: it is a small part of what an engine reads,
+     * and the averages of the first moments say little.
+     */
+    private static final double RELIEF_RATE = 8_000;
     /** The last copy of a model makes way only for a model with much more demand. */
     private static final double LAST_COPY_SHARE = 0.01;
     /** A model whose demand in tokens per second is below this is left with one copy. */
@@ -97,11 +102,11 @@
         }
     }
 
-    /** Models without any copy, those that requests wait for first, then those with the most demand. */
+    /** Models without any copy, those that requests wait for first, in each group those with the most demand first. */
     private List<ModelId> missingModels() {
         return pool.models().keySet().stream()
                 .filter(model -> copies(model) == 0)
-                .sorted(Comparator.comparingInt((ModelId model) -> -waitingByBase.getOrDefault(model, 0))
+                .sorted(Comparator.comparing((ModelId model) -> waitingByBase.getOrDefault(model, 0) == 0)
                         .thenComparingDouble(model -> -rate(model))
                         .thenComparing(model -> model))
                 .toList();
@@ -219,7 +224,7 @@
         double mean = engines.stream().mapToDouble(this::load).average().orElse(0);
         pool.models().keySet().stream()
                 .filter(model -> copies(model) > 0 && rate(model) > NEGLIGIBLE_RATE)
-                .filter(model -> rate(model) / copies(model) > OVERLOAD * mean)
+                .filter(model -> rate(model) / copies(model) > Math.max(RELIEF_RATE, OVERLOAD * mean))
                 .max(Comparator.comparingDouble((ModelId model) -> rate(model) / copies(model))
                         .thenComparing(model -> model))
                 .ifPresent(this::addCopy);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/ReplicaHolders.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/ReplicaHolders.java
@@ -33,6 +33,11 @@
                 .toList();
     }
 
+    /** Returns whether the instance is known to hold a replica. */
+    public boolean contains(InstanceId instance) {
+        return membership.member(instance).filter(Member::replica).isPresent();
+    }
+
     /** Returns all instances that may hold a replica: one that is silent here may still lead the log. */
     public SortedSet<InstanceId> all() {
         SortedSet<InstanceId> holders = new TreeSet<>(seeds);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -15,6 +15,7 @@
 import org.basilrill.coordination.admission.FairDispatcher;
 import org.basilrill.coordination.admission.SlidingRetryBudget;
 import org.basilrill.coordination.budget.ClientBudgets;
+import org.basilrill.coordination.budget.OwnerRanking;
 import org.basilrill.coordination.control.ControlEndpoint;
 import org.basilrill.coordination.control.ControlLogClient;
 import org.basilrill.coordination.control.ControlLogServer;
@@ -110,7 +111,8 @@
                 environment.channel(),
                 control,
                 new ThriftBudgetCodec(),
-                environment.outside().lossTolerance());
+                environment.outside().lossTolerance(),
+                new OwnerRanking(holders::contains));
         this.placementMessenger = new PlacementMessenger(
                 environment.self(), environment.channel(), new ThriftPlacementCodec(), environment.scheduler());
         this.demand = new DemandReporter(
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -196,7 +196,9 @@
 
     @Override
     public boolean wantsAnother() {
-        return retries.replacesServerError();
+        Set<TargetId> used = new HashSet<>(excluded);
+        attempt.ifPresent(running -> used.add(running.target().id()));
+        return services.dispatcher().hasTargetBesides(plan.destination(), used) && retries.replacesServerError();
     }
 
     @Override
@@ -245,6 +247,7 @@
                 refuse(TypedFailures.of(problem));
             } else {
                 charge = Optional.of(taken);
+                relay.trail().note("tokens charged");
                 dispatch();
             }
         }));
