--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
@@ -11,6 +11,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.MonotonicClock;
@@ -46,6 +47,9 @@
     /** After a pause of the process this long another leader may have given orders. */
     private static final long MAXIMUM_GAP_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Interval of the estimates; requests that begin to wait learn of them within this time. */
+    private static final long FORECAST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
     private final Environment environment;
     private final DemandBook demand;
     private final Map<TargetId, EngineState> engines = new HashMap<>();
@@ -53,6 +57,7 @@
     private long termSeen = -1;
     private long leadsSinceNanos;
     private long lastStepNanos;
+    private long forecastNanos = Long.MIN_VALUE / 2;
     private boolean wakes;
     private boolean stopped;
 
@@ -68,6 +73,7 @@
      * @param term number of the leadership; greater than that of every leader before
      * @param lease time for which the orders of an earlier leader may still arrive
      * @param changes is told what was loaded and unloaded
+     * @param readiness is told when the models that requests wait for will be ready
      */
     public record Environment(
             BooleanSupplier leads,
@@ -76,6 +82,7 @@
             TargetDirectory directory,
             EngineOrders orders,
             ContentListener changes,
+            ReadinessListener readiness,
             Duration lease,
             MonotonicClock clock,
             Scheduler scheduler) {}
@@ -87,6 +94,13 @@
         void changed(TargetAnnouncement engine, ModelId model, boolean present);
     }
 
+    /** Is told how long the requests of an instance wait at least for models that are not ready. */
+    @FunctionalInterface
+    public interface ReadinessListener {
+        /** Takes the present estimates for one instance. */
+        void estimated(InstanceId instance, Map<ModelId, Duration> untilReady);
+    }
+
     /** Begins to work whenever the replica leads. Called once. */
     public void start() {
         tick();
@@ -201,6 +215,10 @@
     private void decide(List<Runnable> effects) {
         Rules rules = environment.rules().get();
         long now = environment.clock().nanos();
+        boolean forecasts = now - forecastNanos >= FORECAST_INTERVAL_NANOS;
+        if (forecasts) {
+            forecastNanos = now;
+        }
         for (EnginePool pool : rules.enginePools().values()) {
             List<EngineState> ofPool = engines.values().stream()
                     .filter(engine -> engine.announcement().service().equals(Optional.of(pool.service())))
@@ -211,9 +229,22 @@
             new EnginePlanner(rules, pool, ofPool, demand.demand(), loads, now)
                     .plan()
                     .forEach(planned -> effects.add(send(planned, allowance)));
+            if (forecasts) {
+                forecast(pool, ofPool, now, effects);
+            }
         }
     }
 
+    /** Tells the instances where requests wait; the estimates expire there if they are not repeated. */
+    private void forecast(EnginePool pool, List<EngineState> ofPool, long now, List<Runnable> effects) {
+        demand.waiting().forEach((instance, models) -> {
+            Map<ModelId, Duration> untilReady = EngineForecast.untilReady(pool, ofPool, models, now);
+            if (!untilReady.isEmpty()) {
+                effects.add(() -> environment.readiness().estimated(instance, untilReady));
+            }
+        });
+    }
+
     /** Notes an order as sent and returns what sends it. */
     private Runnable send(PlannedOrder planned, LoadAllowance allowance) {
         EngineState engine = planned.engine();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -1,5 +1,6 @@
 package org.basilrill.coordination.engine;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -125,6 +126,11 @@
         return since == null || nowNanos - since >= settles;
     }
 
+    /** Returns how long ago the last order for a model was accepted; zero if there was none. */
+    Duration sinceChange(ModelId model, long nowNanos) {
+        return Duration.ofNanos(nowNanos - sinceNanos.getOrDefault(model, nowNanos));
+    }
+
     /** Keeps the memory that an unload frees for the model it makes way for. */
     void reserveFor(ModelId model) {
         reservedFor = Optional.of(model);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/PlacementMessenger.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/PlacementMessenger.java
@@ -1,8 +1,10 @@
 package org.basilrill.coordination.placement;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.function.BiConsumer;
 import org.basilrill.api.InstanceId;
+import org.basilrill.api.ModelId;
 import org.basilrill.api.PeerChannel;
 import org.basilrill.api.PeerHandler;
 import org.basilrill.api.PeerSubject;
@@ -37,6 +39,11 @@
         readinessHandler = handler;
     }
 
+    /** Tells an instance how long its requests wait at least for models that are not ready. */
+    public void tellReadiness(InstanceId recipient, Map<ModelId, Duration> untilReady) {
+        send(recipient, new PlacementMessage.ReadinessReport(untilReady));
+    }
+
     void send(InstanceId recipient, PlacementMessage message) {
         if (recipient.equals(self)) {
             scheduler.schedule(Duration.ZERO, () -> handle(self, message));
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -281,6 +281,7 @@
                         targets,
                         access.orders(),
                         spread::contentChanged,
+                        placementMessenger::tellReadiness,
                         access.lease(),
                         environment.clock(),
                         environment.scheduler()),
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/FairDispatcherTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/FairDispatcherTest.java
@@ -10,14 +10,17 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.basilrill.api.AccountId;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.Outcome;
 import org.basilrill.api.TargetId;
 import org.basilrill.coordination.admission.Dispatcher.Assignment;
 import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
+import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.junit.jupiter.api.Test;
 
@@ -193,4 +196,52 @@
                 .findFirst()
                 .orElseThrow();
     }
+
+    /** Pattern: the only copy of a hot model has a queue; what is sent there now begins after its caller has left. */
+    @Test
+    void aRequestThatWouldBeginTooLateIsRefusedAtOnce() {
+        bench.announce(engine("t1", 64, "hot"));
+        for (int number = 0; number < 8; number++) {
+            assertThat(
+                    bench.dispatcher().dispatch(prompted(number, "hot", 12_000)).isDone(), is(true));
+        }
+        CompletableFuture<Assignment> refused = bench.dispatcher().dispatch(prompted(9, "hot", 12_000));
+        assertThat(DispatchBench.failureOf(refused).code(), is(ErrorCode.DEADLINE_UNREACHABLE));
+        assertThat(DispatchBench.failureOf(refused).outcome(), is(Outcome.NOT_RUN));
+        assertThat(DispatchBench.failureOf(refused).retryAfter().isPresent(), is(true));
+    }
+
+    /** Pattern: the same queue, but the answers have begun, so the next request is read at once. */
+    @Test
+    void aRequestIsSentWhereTheAnswersHaveBegun() {
+        bench.announce(engine("t1", 64, "hot"));
+        for (int number = 0; number < 8; number++) {
+            bench.dispatcher().dispatch(prompted(number, "hot", 12_000)).join().answered(Optional.empty());
+        }
+        assertThat(bench.dispatcher().dispatch(prompted(9, "hot", 12_000)).isDone(), is(true));
+    }
+
+    /** Pattern: a model has no copy and a backlog builds up that its first copy cannot read in time. */
+    @Test
+    void aBacklogForAModelWithoutACopyIsBounded() {
+        bench.untilReady().put(new ModelId("cold"), Duration.ofSeconds(1));
+        int kept = 0;
+        for (int number = 0; number < 50; number++) {
+            kept += bench.dispatcher().dispatch(prompted(number, "cold", 8_000)).isDone() ? 0 : 1;
+        }
+        // One second is left after the load; 40 tokens are read in a millisecond.
+        assertThat(kept, is(5));
+    }
+
+    private Dispatcher.Request prompted(int number, String model, long tokens) {
+        return new Dispatcher.Request(
+                "p" + number,
+                Optional.of(new AccountId("a")),
+                Dispatcher.Destination.ofModel(new ModelId(model)),
+                5,
+                tokens,
+                bench.time().nanos() + Duration.ofSeconds(2).toNanos(),
+                Set.of(),
+                new Prompt(List.of((long) number), List.of(tokens)));
+    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -211,6 +211,51 @@
         assertThat(plan(), empty());
     }
 
+    /** Pattern: several models lost their copies, and the store allows one load; most callers want the hot one. */
+    @Test
+    void ofTheModelsThatRequestsWaitForTheOneInMostDemandIsLoadedFirst() {
+        EngineState empty = engine("one");
+        wish(RARE, 20, 3);
+        wish(HOT, 9000, 1);
+        assertThat(plan(1, NOW), is(List.of(new PlannedOrder(empty, Action.LOAD, HOT))));
+    }
+
+    /** Pattern: traffic has just begun, and the first few requests happen to be for one model. */
+    @Test
+    void theFirstMomentsOfDemandMoveNoModel() {
+        engine("one", HOT, WARM);
+        engine("two", WARM, RARE);
+        wish(HOT, 3000, 0);
+        wish(WARM, 300, 0);
+        assertThat(plan(), empty());
+    }
+
+    /** Pattern: callers wait for a model that loads for longer than they stay; they are told to come back. */
+    @Test
+    void theForecastCountsDownWhileAModelLoads() {
+        EngineState engine = engine("one", WARM);
+        assertThat(forecast(HOT, NOW), is(Duration.ofSeconds(3)));
+        engine.asked();
+        engine.answered(new EngineOrder(Action.LOAD, HOT, 1, 7), Answer.ACCEPTED, NOW, 0);
+        long later = NOW + Duration.ofSeconds(2).toNanos();
+        assertThat(forecast(HOT, later), is(Duration.ofSeconds(1)));
+        assertThat("an adapter waits for its model", forecast(new ModelId("hot/a1"), later), is(Duration.ofSeconds(1)));
+    }
+
+    /** Pattern: the model comes from the engine's own disk, so callers had better wait. */
+    @Test
+    void theForecastIsShortForAModelAtHandAndAbsentForAReadyOne() {
+        engine("one", Set.of(HOT), WARM);
+        assertThat(forecast(HOT, NOW), is(Duration.ofMillis(600)));
+        EnginePool pool = rules.enginePools().get(POOL);
+        assertThat(EngineForecast.untilReady(pool, engines, List.of(WARM), NOW).isEmpty(), is(true));
+    }
+
+    private Duration forecast(ModelId model, long now) {
+        EnginePool pool = rules.enginePools().get(POOL);
+        return EngineForecast.untilReady(pool, engines, List.of(model), now).get(model);
+    }
+
     @Test
     void noOrderOvercommitsAnEngine() {
         engine("one", Set.of(HOT, WARM, RARE), HOT);
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -163,6 +163,11 @@
         return CompletableFuture.completedFuture(new CountedCharge(tokens));
     }
 
+    @Override
+    public boolean hasTargetBesides(Destination destination, Set<TargetId> used) {
+        return targets.stream().anyMatch(target -> !used.contains(target.id()));
+    }
+
     @Override
     public CompletableFuture<Assignment> dispatch(Request request) {
         return targets.stream()
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -133,6 +133,36 @@
         assertThat(started.stream().status(), is(500));
     }
 
+    /** Guards against a target's own answer that is replaced by a failure because no other target is known. */
+    @Test
+    void theFailureOfTheOnlyTargetIsPassedOn() {
+        CoordinatorFixture single =
+                new CoordinatorFixture(1, OpenTelemetry.noop().getTracer("test"), Optional.of(new StubDialect()));
+        single.control().install(rules(1, true));
+        Started started = single.start(
+                CoordinatorFixture.head("POST", "/safe/x", "Host", HOST, RequestHead.REQUEST_ID, "r-1"), "body");
+        single.connector().last().send();
+        single.connector().last().head(500, "application/json", "r-1");
+        single.connector().last().end();
+        assertThat(single.connector().calls().size(), is(1));
+        assertThat(started.stream().status(), is(500));
+        assertThat(single.everythingReturned(), is(true));
+    }
+
+    /** Guards against requests kept for callers that leave long before their deadline. */
+    @Test
+    void callersOfAStreamAreTakenToWaitForFourTimesTheLatencyTarget() {
+        assertThat(patience(Kind.STREAM, Duration.ofMillis(600)), is(Optional.of(Duration.ofMillis(2400))));
+        assertThat(patience(Kind.STREAM, Duration.ofMillis(100)), is(Optional.of(Duration.ofSeconds(2))));
+        assertThat(patience(Kind.SAFE, Duration.ofMillis(100)), is(Optional.empty()));
+    }
+
+    private static Optional<Duration> patience(Kind kind, Duration latencyTarget) {
+        CallRoute route = new CallRoute(
+                "route", HOST, "/p/", kind, TIMEOUT, latencyTarget, 0, List.of(new Share("pool", 1)), 1, false);
+        return AttemptPolicy.ofRoute(route).patience();
+    }
+
     @Test
     void anAnswerThatIsNotCompleteAtTheTimeoutIsCut() {
         Started started = send("/stream/x");
