Keep requests that arrive before a starting instance knows its rules

The window from 34 s on served nobody.

A refusal because of missing rules says when to come back: it carried no Retry-After.

Ruled out: listening later, as a refused connection costs callers a try as well.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -13,6 +13,7 @@
     INSTANCE_CURRENT_AGAIN(105, "instance confirmed its revision again"),
     SETTINGS_RELOADED(106, "changed settings were taken"),
     SETTINGS_REJECTED(107, "changed settings are invalid; the earlier ones stay in force"),
+    KEPT_REQUESTS_STARTED(108, "requests kept while the instance learned its rules were started"),
     PEER_CONNECTION_FAILED(120, "connection to another instance failed"),
     MESSAGE_REJECTED(121, "message from another instance could not be decoded"),
     INTERNAL_FAILURE(199, "unexpected failure"),
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -23,11 +24,15 @@
 public final class RequestCoordinator {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /** Another instance may serve the request at once; the pause spares the callers a second refusal here. */
+    private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(500);
+
     private static final String STOPPING = "this instance is stopping";
 
     private final RequestServices services;
     private final RequestMetrics metrics;
     private final Planner planner;
+    private final StartingRequests starting;
     private final Set<RequestExchange> running = ConcurrentHashMap.newKeySet();
     private final CompletableFuture<Void> idle = new CompletableFuture<>();
     private volatile boolean draining;
@@ -38,6 +43,11 @@
         planner = services.dialect()
                 .<Planner>map(dialect -> new RoutePlanner(dialect, services.random()))
                 .orElseGet(() -> new RequestPlanner(services.limits(), new RequestIdentifiers(services.random())));
+        starting = new StartingRequests(
+                () -> services.control().isCurrent()
+                        && services.control().view().rules().revision() > 0,
+                services.clock(),
+                services.scheduler());
         services.control().onView(this::viewChanged);
     }
 
@@ -47,16 +57,26 @@
      * @throws BasilrillException if the request is refused; nothing ran
      */
     public void check(RequestHead head) {
+        if (starting.isOpen()) {
+            return;
+        }
         authorize(head, services.control().view());
     }
 
     /** Runs a request. A refusal is sent to the caller's stream; nothing is thrown. */
     public RunningRequest start(RequestHead head, byte[] body, CallerStream caller) {
+        if (starting.isOpen()) {
+            return starting.keep(keptFor -> start(head, body, caller, keptFor), caller);
+        }
+        return start(head, body, caller, Duration.ZERO);
+    }
+
+    private RunningRequest start(RequestHead head, byte[] body, CallerStream caller, Duration keptFor) {
         ControlView view = services.control().view();
         RequestPlan plan;
         try {
             Planner.Authorization authorization = authorize(head, view);
-            plan = authorization.plan(body);
+            plan = authorization.plan(body).after(keptFor);
             requireNotSuspect(plan, view);
         } catch (BasilrillException failure) {
             return refuse(failure.withOutcome(Outcome.NOT_RUN), head, caller);
@@ -137,7 +157,8 @@
         }
         if (!services.control().isCurrent()) {
             throw new BasilrillException(
-                    ErrorCode.INSTANCE_NOT_CURRENT, "this instance cannot confirm its rules; use another one");
+                            ErrorCode.INSTANCE_NOT_CURRENT, "this instance cannot confirm its rules; use another one")
+                    .withRetryAfter(RETRY_ELSEWHERE);
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.basilrill.api.AccountId;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
 import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.protocol.caller.KeyGuard;
@@ -44,6 +46,38 @@
         RequestMessages messages,
         AttemptPolicy attempts,
         long rulesRevision) {
+    /** Returns the plan of a request whose caller has waited for a while. */
+    RequestPlan after(Duration waited) {
+        return waited.isZero() ? this : withDeadline(deadline.minus(waited));
+    }
+
+    private RequestPlan withDeadline(Duration left) {
+        if (left.isNegative() || left.isZero()) {
+            throw new BasilrillException(
+                    ErrorCode.DEADLINE_UNREACHABLE, "the deadline passed before this instance knew its rules");
+        }
+        return new RequestPlan(
+                requestId,
+                head,
+                account,
+                keyHash,
+                keyGuard,
+                destination,
+                priority,
+                promptTokens,
+                chargedTokens,
+                prompt,
+                order,
+                repeatable,
+                fingerprint,
+                left,
+                pathAndQuery,
+                body,
+                messages,
+                attempts,
+                rulesRevision);
+    }
+
     /** The claim an order needs. */
     record Order(AccountId account, String idempotencyKey, String fingerprint, String attempt) {}
 }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
@@ -26,6 +26,9 @@
 final class RoutePlanner implements Planner {
     private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
 
+    /** About the time in which a leader is elected and the rules are pulled. */
+    private static final Duration RETRY_WITHOUT_RULES = Duration.ofSeconds(1);
+
     private final CallerDialect dialect;
     private final RandomGenerator random;
 
@@ -43,7 +46,8 @@
     public Authorization authorize(RequestHead head, Rules rules) {
         CallRequest request = dialect.read(head);
         if (rules.revision() == 0) {
-            throw new BasilrillException(ErrorCode.INSTANCE_NOT_CURRENT, "this instance knows no rules yet");
+            throw new BasilrillException(ErrorCode.INSTANCE_NOT_CURRENT, "this instance knows no rules yet")
+                    .withRetryAfter(RETRY_WITHOUT_RULES);
         }
         CallRoute route = rules.callRoutes()
                 .find(request.host(), head.path())
