Send a request again to the only target that can serve it after a lost answer

A target that lost an answer is excluded only if there is another one. A refused connection and a misdirected request exclude it as before. The retry budget and the route's attempts apply as to any other repeat. The set of used targets is a class of its own now.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -2,9 +2,7 @@
 
 import io.opentelemetry.api.trace.Span;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -12,7 +10,6 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.Outcome;
 import org.basilrill.api.Scheduler;
-import org.basilrill.api.TargetId;
 import org.basilrill.coordination.admission.Dispatcher;
 import org.basilrill.coordination.admission.Dispatcher.Assignment;
 import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
@@ -41,7 +38,7 @@
     private final Optional<OrderClaim> claim;
     private final Span span;
     private final SerialEvents events = new SerialEvents(() -> giveUp(ErrorCode.INTERNAL, "unexpected failure"));
-    private final Set<TargetId> excluded = new HashSet<>();
+    private final UsedTargets targets;
     private final long startNanos;
     private final long deadlineNanos;
     private final Retries retries;
@@ -72,6 +69,7 @@
         span = services.tracing().startRequest(plan);
         startNanos = services.clock().nanos();
         deadlineNanos = startNanos + plan.deadline().toNanos();
+        targets = new UsedTargets(services.dispatcher(), plan.destination());
         retries = new Retries(services, plan, deadlineNanos);
     }
 
@@ -169,9 +167,7 @@
         TargetAttempt failed = attempt.orElseThrow();
         attempt = Optional.empty();
         retries.attemptFailed(failure);
-        if (failure.code() != ErrorCode.TARGET_FULL) {
-            excluded.add(failed.target().id());
-        }
+        targets.failed(failed.target().id(), failure);
         mayHaveRun |= failure.mayHaveRun();
         if (!failure.targetLost()) {
             retryOrFail(failure);
@@ -196,9 +192,9 @@
 
     @Override
     public boolean wantsAnother() {
-        Set<TargetId> used = new HashSet<>(excluded);
-        attempt.ifPresent(running -> used.add(running.target().id()));
-        return services.dispatcher().hasTargetBesides(plan.destination(), used) && retries.replacesServerError();
+        return attempt.filter(running -> targets.hasOthersThan(running.target().id()))
+                        .isPresent()
+                && retries.replacesServerError();
     }
 
     @Override
@@ -262,7 +258,7 @@
                         plan.priority(),
                         plan.chargedTokens(),
                         retries.patienceEndsNanos(relay.started()),
-                        excluded,
+                        targets.excluded(),
                         plan.prompt()));
         queued = request;
         request.whenComplete((assignment, problem) -> event(() -> {
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/UsedTargets.java
@@ -0,0 +1,45 @@
+package org.basilrill.protocol.instance;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.basilrill.api.ErrorCode;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.admission.Dispatcher;
+import org.basilrill.coordination.admission.Dispatcher.Destination;
+import org.basilrill.protocol.instance.TargetAttempt.AttemptFailure;
+
+/** The targets that failed one request and do not get it again. Not thread safe. */
+final class UsedTargets {
+    private final Dispatcher dispatcher;
+    private final Destination destination;
+    private final Set<TargetId> excluded = new HashSet<>();
+
+    UsedTargets(Dispatcher dispatcher, Destination destination) {
+        this.dispatcher = dispatcher;
+        this.destination = destination;
+    }
+
+    /** Returns the targets that must not get the request. */
+    Set<TargetId> excluded() {
+        return excluded;
+    }
+
+    /** Returns whether the request could go to a target besides this one and those that failed. */
+    boolean hasOthersThan(TargetId target) {
+        Set<TargetId> used = new HashSet<>(excluded);
+        used.add(target);
+        return dispatcher.hasTargetBesides(destination, used);
+    }
+
+    /**
+     * Notes that an attempt failed. A target that lost an answer may get the request again if it is the only one, as the
+     * only holder of a model is; one that is full excludes itself for a while.
+     */
+    void failed(TargetId target, AttemptFailure failure) {
+        boolean lostAnswer = failure.code() == ErrorCode.TARGET_FAILED;
+        if (failure.code() == ErrorCode.TARGET_FULL || (lostAnswer && !hasOthersThan(target))) {
+            return;
+        }
+        excluded.add(target);
+    }
+}
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -149,6 +149,26 @@
         assertThat(single.everythingReturned(), is(true));
     }
 
+    /** Pattern: the only holder of a model loses an answer; it can still continue the stream. */
+    @Test
+    void aStreamGoesOnAtTheOnlyTargetThatHoldsItsModel() {
+        CoordinatorFixture single =
+                new CoordinatorFixture(1, OpenTelemetry.noop().getTracer("test"), Optional.of(new StubDialect()));
+        single.control().install(rules(1, true));
+        Started started = single.start(
+                CoordinatorFixture.head("POST", "/stream/x", "Host", HOST, RequestHead.REQUEST_ID, "r-1"), "body");
+        single.connector().last().stream();
+        single.connector().last().data("id: 1\ndata: a\n\n");
+        single.connector().last().fail(TargetConnector.Kind.CONNECTION_LOST, false);
+        assertThat(single.connector().calls().size(), is(2));
+        single.connector().last().stream();
+        single.connector().last().data("id: 2\ndata: b\n\n");
+        single.connector().last().end();
+        assertThat(started.stream().text(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+        assertThat(started.stream().complete(), is(true));
+        assertThat(single.everythingReturned(), is(true));
+    }
+
     /** Guards against requests kept for callers that leave long before their deadline. */
     @Test
     void callersOfAStreamAreTakenToWaitForFourTimesTheLatencyTarget() {
