--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -34,6 +34,9 @@
     /** A model whose demand in tokens per second is below this is left with one copy. */
     private static final double NEGLIGIBLE_RATE = 200;
 
+    /** Part of the engines that may load or unload at a time, so that most models keep their copies meanwhile. */
+    private static final double MOVING_SHARE = 0.4;
+
     private final Rules rules;
     private final EnginePool pool;
     private final List<EngineState> engines;
@@ -57,7 +60,9 @@
         this.rules = rules;
         this.pool = pool;
         this.engines = List.copyOf(engines);
-        this.loadsLeft = loadsLeft;
+        // What an earlier unload made way for is as good as ordered.
+        this.loadsLeft = loadsLeft
+                - (int) this.engines.stream().filter(EnginePlanner::awaitsStore).count();
         this.now = now;
         demand.forEach((model, wish) -> {
             rates.merge(model.base(), wish.shortRate(), Double::sum);
@@ -83,23 +88,20 @@
         return orders;
     }
 
-    /** Loads what earlier unloads made way for. */
+    /** Loads what earlier unloads made way for; their loads were counted when the room was made. */
     private void loadReserved() {
         for (EngineState engine : engines) {
             if (isFree(engine) && !engine.isBusy()) {
                 engine.takeReserved()
                         .filter(model -> !engine.holdsModel(model) && fits(engine, model))
-                        .ifPresent(model -> loadOrReserve(engine, model));
+                        .ifPresent(model -> load(engine, model));
             }
         }
     }
 
-    private void loadOrReserve(EngineState engine, ModelId model) {
-        if (mayLoad(engine, model)) {
-            load(engine, model);
-        } else {
-            engine.reserveFor(model);
-        }
+    /** Returns whether room is being made at the engine for a model that comes from the weight store. */
+    private static boolean awaitsStore(EngineState engine) {
+        return engine.reserved().filter(model -> !engine.hasAtHand(model)).isPresent();
     }
 
     /** Models without any copy, those that requests wait for first, in each group those with the most demand first. */
@@ -121,8 +123,13 @@
         return copies.getOrDefault(model, 0);
     }
 
+    /** Returns whether there is room for a model beside what room is being made for. */
     private boolean fits(EngineState engine, ModelId model) {
-        return engine.usedBytes(rules) + bytes(model) <= pool.memoryBytes();
+        long reserved = engine.reserved()
+                .filter(other -> !other.equals(model))
+                .map(this::bytes)
+                .orElse(0L);
+        return engine.usedBytes(rules) + reserved + bytes(model) <= pool.memoryBytes();
     }
 
     private long bytes(ModelId model) {
@@ -158,18 +165,19 @@
 
     /** Unloads the copy that is needed least where the model would then fit. */
     private void makeRoom(ModelId model) {
-        if (engines.stream().filter(EngineState::isBusy).count() > 1) {
+        if (movesEnough()) {
             return;
         }
         boolean waiting = waitingByBase.getOrDefault(model, 0) > 0;
         Optional<Victim> best = Optional.empty();
         for (EngineState engine : engines) {
-            if (!isFree(engine) || engine.isBusy()) {
+            if (!isFree(engine) || engine.isBusy() || !mayLoad(engine, model)) {
                 continue;
             }
             for (ModelId held : engine.readyModels()) {
                 if (makesWay(engine, held, model, waiting ? 1 : 0)) {
-                    best = cheaper(best, new Victim(engine, held, rate(held) / Math.max(1, copies(held) - 1)));
+                    double loss = rate(held) / Math.max(1, copies(held) - 1);
+                    best = better(best, new Victim(engine, held, engine.hasAtHand(model), loss));
                 }
             }
         }
@@ -194,8 +202,17 @@
                 && engine.usedBytes(rules) - bytes(held) + bytes(next) <= pool.memoryBytes();
     }
 
-    private static Optional<Victim> cheaper(Optional<Victim> best, Victim other) {
-        return best.filter(known -> known.loss() <= other.loss()).or(() -> Optional.of(other));
+    private static Optional<Victim> better(Optional<Victim> best, Victim other) {
+        return best.filter(known -> Victim.BEST_FIRST.compare(known, other) <= 0)
+                .or(() -> Optional.of(other));
+    }
+
+    /** Returns whether as many engines load or unload as may without another model losing its copies meanwhile. */
+    private boolean movesEnough() {
+        long moving = engines.stream()
+                .filter(engine -> engine.isBusy() || engine.reserved().isPresent())
+                .count();
+        return moving > Math.max(1, engines.size() * MOVING_SHARE);
     }
 
     /** Fills engines that have room for a model in demand with copies that are at hand, as after a restart. */
@@ -218,7 +235,7 @@
 
     /** Gives the model whose copies carry the most another copy, at the expense of copies that carry little. */
     private void relieveBusiest() {
-        if (engines.stream().filter(EngineState::isBusy).count() > 1) {
+        if (movesEnough()) {
             return;
         }
         double mean = engines.stream().mapToDouble(this::load).average().orElse(0);
@@ -252,7 +269,7 @@
             for (ModelId held : engine.readyModels()) {
                 double loss = load(engine) + rate(held) / Math.max(1, copies(held) - 1);
                 if (loss < gain && makesWay(engine, held, model, LAST_COPY_SHARE)) {
-                    best = cheaper(best, new Victim(engine, held, loss));
+                    best = better(best, new Victim(engine, held, engine.hasAtHand(model), loss));
                 }
             }
         }
@@ -280,11 +297,22 @@
     private void unload(EngineState engine, ModelId model, ModelId successor) {
         engine.reserveFor(successor);
         lastCopyTaken |= copies(model) == 1;
+        if (!engine.hasAtHand(successor)) {
+            loadsLeft--;
+        }
         copies.merge(model, -1, Integer::sum);
         taken.add(engine);
         orders.add(new PlannedOrder(engine, Action.UNLOAD, model));
     }
 
-    /** What would make way, and what that costs in tokens per second. */
-    private record Victim(EngineState engine, ModelId model, double loss) {}
+    /**
+     * What would make way.
+     *
+     * @param quick whether the engine has the successor at hand, so that it loads in a fraction of the time
+     * @param loss what that costs, in tokens per second
+     */
+    private record Victim(EngineState engine, ModelId model, boolean quick, double loss) {
+        private static final Comparator<Victim> BEST_FIRST =
+                Comparator.comparing((Victim victim) -> !victim.quick()).thenComparingDouble(Victim::loss);
+    }
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -136,6 +136,11 @@
         reservedFor = Optional.of(model);
     }
 
+    /** Returns the model that memory is being freed for. */
+    Optional<ModelId> reserved() {
+        return reservedFor;
+    }
+
     /** Returns the model that memory was freed for, once. */
     Optional<ModelId> takeReserved() {
         Optional<ModelId> model = reservedFor;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
@@ -107,9 +107,7 @@
         TargetState state = stateOf(target);
         double ownTokens = prompt.tokens() - cachedTokens(target, prompt, free);
         double millis = (ownTokens + state.pendingTokens()) / options.tokensPerMilli();
-        double waiting = Math.max(
-                state.waiting() * options.millisPerWaiting(),
-                state.longestWait().toMillis());
+        double waiting = Math.max(state.waiting() * options.millisPerWaiting(), state.waitMillis());
         return Duration.ofMillis(Math.round(millis + waiting));
     }
 
@@ -222,7 +220,7 @@
     private double millisToFirstToken(TargetAnnouncement target, Prompt prompt, List<TargetAnnouncement> free) {
         TargetState state = stateOf(target);
         double toRead = prompt.tokens() - cachedTokens(target, prompt, free) + state.pendingTokens();
-        double waiting = state.waiting() * options.millisPerWaiting();
+        double waiting = Math.max(state.waiting() * options.millisPerWaiting(), state.waitMillis());
         double chance;
         synchronized (random) {
             chance = random.nextDouble() * options.millisOfChance();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
@@ -13,12 +13,16 @@
  * only its part of what looked free. Thread safe: guards itself.
  */
 public final class TargetState {
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final MonotonicClock clock;
     private final RoutingOptions options;
     private final long incarnation;
     private final EjectionState ejection;
 
     private final UnansweredRequests unanswered = new UnansweredRequests();
+    private double lastWaitNanos;
+    private long lastAnswerNanos;
     private int held;
     private long reportSequence = Long.MIN_VALUE;
     private long reportNanos;
@@ -81,14 +85,19 @@
         }
         held++;
         pendingTokens += tokensToRead;
-        long number = unanswered.sent(clock.nanos());
-        return Optional.of(new HeldSlot(announcement, this, ejection.started(), number, tokensToRead));
+        long now = clock.nanos();
+        long number = unanswered.sent(now);
+        return Optional.of(new HeldSlot(announcement, this, ejection.started(), number, now, tokensToRead));
     }
 
     /** Notes that the answer for a slot begins. */
     synchronized void answered(HeldSlot slot) {
+        long now = clock.nanos();
         pendingTokens -= slot.pendingTokens();
         unanswered.answered(slot.number());
+        double reading = slot.pendingTokens() / options.tokensPerMilli() * NANOS_PER_MILLI;
+        lastWaitNanos = Math.max(0, now - slot.sentNanos() - reading);
+        lastAnswerNanos = now;
     }
 
     /** Notes that a slot is given back without an answer. */
@@ -97,9 +106,13 @@
         unanswered.ended(slot.number());
     }
 
-    /** Returns how long the target keeps requests from here waiting now. */
-    synchronized Duration longestWait() {
-        return Duration.ofNanos(unanswered.longestWaitNanos(clock.nanos()));
+    /**
+     * Returns how long the target keeps requests from here waiting, in milliseconds: as long as the next one to be
+     * answered has waited, or the last one that was answered, trusted less with age.
+     */
+    synchronized double waitMillis() {
+        double lastWait = lastWaitNanos * decay(lastAnswerNanos);
+        return Math.max(lastWait, unanswered.longestWaitNanos(clock.nanos())) / NANOS_PER_MILLI;
     }
 
     /** Takes the load that the target told with an answer. */
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -230,6 +230,46 @@
         assertThat(plan(), empty());
     }
 
+    /** Pattern: room was made for a hot model, and a model that is at hand there takes it before the load begins. */
+    @Test
+    void roomThatIsBeingMadeIsKeptForTheModelThatItIsMadeFor() {
+        EngineState engine = engine("one", Set.of(RARE), WARM);
+        engine.reserveFor(HOT);
+        engine.asked();
+        wish(RARE, 500, 2);
+        wish(WARM, 500, 0);
+        assertThat(plan(), empty());
+        engine.reported(Optional.of(new EngineReport(Set.of(WARM), Set.of(), Set.of(RARE), false, 8)), NOW, 0);
+        wish(HOT, 9000, 0);
+        assertThat(plan(), hasItem(new PlannedOrder(engine, Action.LOAD, HOT)));
+    }
+
+    /** Pattern: several models want another copy at once, more than the weight store allows to load. */
+    @Test
+    void noRoomIsMadeForLoadsThatTheWeightStoreDoesNotAllow() {
+        for (String id : List.of("one", "two", "three", "four")) {
+            engine(id, WARM, RARE);
+        }
+        wish(HOT, 20_000, 5);
+        assertThat(plan(0, NOW), empty());
+        List<PlannedOrder> orders = plan(1, NOW);
+        assertThat(orders.size(), is(1));
+        orders.get(0).engine().asked();
+        assertThat("the one load is spoken for", plan(1, NOW), empty());
+    }
+
+    /** Pattern: demand jumps to a model that some engines have on their disk; from the store it takes five times as long. */
+    @Test
+    void anotherCopyGoesWhereTheModelIsAtHand() {
+        engine("one", HOT, RARE);
+        engine("two", WARM, RARE);
+        EngineState quick = engine("three", Set.of(HOT), WARM, RARE);
+        wish(HOT, 30_000, 0);
+        wish(WARM, 300, 0);
+        wish(RARE, 100, 0);
+        assertThat(plan().get(0).engine(), is(quick));
+    }
+
     /** Pattern: callers wait for a model that loads for longer than they stay; they are told to come back. */
     @Test
     void theForecastCountsDownWhileAModelLoads() {
