--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineForecast.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineForecast.java
@@ -21,8 +21,8 @@
     private EngineForecast() {}
 
     /**
-     * Returns the time until the models are ready, without those that are ready now or belong to other pools. An adapter
-     * takes as long as its model, as it loads in milliseconds itself.
+     * Returns the time until the models are ready, without those that are ready now or belong to other pools. An
+     * adapter takes as long as its model, as it loads in milliseconds itself.
      *
      * @param models models and adapters that requests wait for
      */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -25,8 +25,8 @@
     /** A model gets another copy once each of its copies carries this much more than the mean engine. */
     private static final double OVERLOAD = 1.5;
     /**
-     * A copy with less demand than this, in tokens per second, is not relieved: it is a small part of what an engine reads,
-     * and the averages of the first moments say little.
+     * A copy with less demand than this, in tokens per second, is not relieved: it is a small part of what an engine
+     * reads, and the averages of the first moments say little.
      */
     private static final double RELIEF_RATE = 8_000;
     /** The last copy of a model makes way only for a model with much more demand. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/UnansweredRequests.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/UnansweredRequests.java
@@ -32,8 +32,8 @@
     }
 
     /**
-     * Returns how long the request that is next to be answered has waited, in nanoseconds; 0 if none waits. Requests sent
-     * before one that has been answered do not count: the target has passed over them or lost them.
+     * Returns how long the request that is next to be answered has waited, in nanoseconds; 0 if none waits. Requests
+     * sent before one that has been answered do not count: the target has passed over them or lost them.
      */
     long longestWaitNanos(long nowNanos) {
         Map.Entry<Long, Long> next = sentNanos.higherEntry(lastAnswered);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/UsedTargets.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/UsedTargets.java
@@ -32,8 +32,8 @@
     }
 
     /**
-     * Notes that an attempt failed. A target that lost an answer may get the request again if it is the only one, as the
-     * only holder of a model is; one that is full excludes itself for a while.
+     * Notes that an attempt failed. A target that lost an answer may get the request again if it is the only one, as
+     * the only holder of a model is; one that is full excludes itself for a while.
      */
     void failed(TargetId target, AttemptFailure failure) {
         boolean lostAnswer = failure.code() == ErrorCode.TARGET_FAILED;
