--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/OwnerRanking.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/OwnerRanking.java
@@ -8,9 +8,9 @@
 import org.basilrill.api.InstanceId;
 
 /**
- * Ranks the instances that may own the bucket of an account. Instances without a replica of the control log go first: an
- * owner that is lost together with replicas cannot be replaced before the log has a leader again. Immutable and thread
- * safe.
+ * Ranks the instances that may own the bucket of an account. Instances without a replica of the control log go first:
+ * an owner that is lost together with replicas cannot be replaced before the log has a leader again. Immutable and
+ * thread safe.
  *
  * @param holdsReplica whether an instance is known to hold a replica; thread safe
  */
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -258,7 +258,7 @@
         assertThat("the one load is spoken for", plan(1, NOW), empty());
     }
 
-    /** Pattern: demand jumps to a model that some engines have on their disk; from the store it takes five times as long. */
+    /** Pattern: demand jumps to a model that some engines have on their disk, where it loads much faster. */
     @Test
     void anotherCopyGoesWhereTheModelIsAtHand() {
         engine("one", HOT, RARE);
