--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/AdapterPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/AdapterPlanner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -18,7 +19,8 @@
 /**
  * Decides which adapters the engines of a pool load and unload: first those that requests wait for, at the least
  * loaded engine that holds the model; then, where slots are free, those in demand that have fewest copies. An adapter
- * makes way only once the requests it was loaded for have come. Pure; used by one thread at a time.
+ * makes way only once the requests it was loaded for have come, and only one that is hardly used or much less than the
+ * one it makes way for: an engine takes no other order until the runs of an adapter on its way out have ended. Pure; used by one thread at a time.
  */
 final class AdapterPlanner {
     /** An adapter in demand gets this many copies while slots are free, so that the loss of an engine is not felt. */
@@ -26,12 +28,18 @@
     /** Demand in tokens per second below which an adapter is not loaded in advance. */
     private static final double NEGLIGIBLE_RATE = 100;
 
+    /** Demand in tokens per second below which an adapter has probably no runs: a small request some seconds ago. */
+    private static final double IDLE_RATE = 150;
+    /** An adapter in use makes way only for one with this many times its demand. */
+    private static final double WORTH_WAITING = 2;
+
     private final Rules rules;
     private final EnginePool pool;
     private final Map<ModelId, ModelDemand> demand;
     private final long now;
     private final List<PlannedOrder> orders = new ArrayList<>();
     private final Set<EngineState> taken = new HashSet<>();
+    private final Map<ModelId, Integer> copies = new HashMap<>();
 
     AdapterPlanner(Rules rules, EnginePool pool, Map<ModelId, ModelDemand> demand, long now) {
         this.rules = rules;
@@ -48,7 +56,10 @@
      */
     List<PlannedOrder> plan(
             Collection<EngineState> engines, Collection<EngineState> free, ToDoubleFunction<EngineState> load) {
-        for (ModelId adapter : wanted(wish -> wish.waiting())) {
+        for (EngineState engine : engines) {
+            engine.adapters().forEach(adapter -> copies.merge(adapter, 1, Integer::sum));
+        }
+        for (ModelId adapter : wanted(ModelDemand::waiting)) {
             boolean held = engines.stream().anyMatch(engine -> holds(engine, adapter));
             if (!held) {
                 place(adapter, hosts(adapter, free, load));
@@ -68,6 +79,19 @@
         return orders;
     }
 
+    /** Returns whether requests wait for adapters of the model. */
+    boolean isWaitedFor(ModelId base) {
+        return wanted(ModelDemand::waiting).stream()
+                .anyMatch(adapter -> adapter.base().equals(base));
+    }
+
+    /** Returns how many adapters of the model are in demand. */
+    long wantedOf(ModelId base) {
+        return wanted(wish -> wish.waiting() + Math.max(0, wish.shortRate() - IDLE_RATE)).stream()
+                .filter(adapter -> adapter.base().equals(base))
+                .count();
+    }
+
     /** Returns the known adapters with a positive measure, the highest first. */
     private List<ModelId> wanted(ToDoubleFunction<ModelDemand> measure) {
         return demand.entrySet().stream()
@@ -108,13 +132,14 @@
             return;
         }
         Optional<PlannedOrder> victim = Optional.empty();
-        double leastRate = Double.MAX_VALUE;
+        double least = Math.max(IDLE_RATE, rateOf(adapter) / WORTH_WAITING);
         for (EngineState engine : hosts) {
             for (ModelId held : engine.adapters()) {
-                ModelDemand wish = demand.getOrDefault(held, ModelDemand.NONE);
-                boolean mayGo = engine.isSettled(held, now) && wish.waiting() == 0;
-                if (mayGo && wish.shortRate() < leastRate) {
-                    leastRate = wish.shortRate();
+                boolean mayGo = engine.isSettled(held, now)
+                        && demand.getOrDefault(held, ModelDemand.NONE).waiting() == 0;
+                double rate = rateOf(held) / copies.getOrDefault(held, 1);
+                if (mayGo && rate < least) {
+                    least = rate;
                     victim = Optional.of(new PlannedOrder(engine, Action.UNLOAD, held));
                 }
             }
@@ -122,6 +147,10 @@
         victim.ifPresent(way -> order(way.engine(), way.action(), way.model()));
     }
 
+    private double rateOf(ModelId adapter) {
+        return demand.getOrDefault(adapter, ModelDemand.NONE).shortRate();
+    }
+
     private void order(EngineState engine, Action action, ModelId model) {
         taken.add(engine);
         orders.add(new PlannedOrder(engine, action, model));
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -76,16 +76,23 @@
 
     /** Returns at most one order for each engine. */
     List<PlannedOrder> plan() {
+        // Adapters go first: they load in milliseconds, and an engine that loads a model takes no order for seconds.
+        placeAdapters();
         loadReserved();
         missingModels().forEach(this::placeModel);
-        List<EngineState> free = engines.stream().filter(this::isFree).toList();
+        refill();
+        relieveBusiest();
+        return orders;
+    }
+
+    private void placeAdapters() {
+        List<EngineState> free = engines.stream()
+                .filter(engine -> isFree(engine) && !engine.isBusy())
+                .toList();
         for (PlannedOrder order : adapters.plan(engines, free, this::load)) {
             taken.add(order.engine());
             orders.add(order);
         }
-        refill();
-        relieveBusiest();
-        return orders;
     }
 
     /** Loads what earlier unloads made way for; their loads were counted when the room was made. */
@@ -241,12 +248,19 @@
         double mean = engines.stream().mapToDouble(this::load).average().orElse(0);
         pool.models().keySet().stream()
                 .filter(model -> copies(model) > 0 && rate(model) > NEGLIGIBLE_RATE)
-                .filter(model -> rate(model) / copies(model) > Math.max(RELIEF_RATE, OVERLOAD * mean))
-                .max(Comparator.comparingDouble((ModelId model) -> rate(model) / copies(model))
+                .filter(model -> lacksAdapterSlots(model)
+                        || rate(model) / copies(model) > Math.max(RELIEF_RATE, OVERLOAD * mean))
+                .max(Comparator.comparing(this::lacksAdapterSlots)
+                        .thenComparingDouble((ModelId model) -> rate(model) / copies(model))
                         .thenComparing(model -> model))
                 .ifPresent(this::addCopy);
     }
 
+    /** Returns whether requests wait for adapters that the copies of their model have no slots for. */
+    private boolean lacksAdapterSlots(ModelId model) {
+        return adapters.isWaitedFor(model) && adapters.wantedOf(model) > copies(model) * pool.adapterSlots();
+    }
+
     private void addCopy(ModelId model) {
         Optional<EngineState> roomy = engines.stream()
                 .filter(engine -> isFree(engine)
