--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/AdapterPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/AdapterPlanner.java
@@ -19,8 +19,9 @@
 /**
  * Decides which adapters the engines of a pool load and unload: first those that requests wait for, at the least
  * loaded engine that holds the model; then, where slots are free, those in demand that have fewest copies. An adapter
- * makes way only once the requests it was loaded for have come, and only one that is hardly used or much less than the
- * one it makes way for: an engine takes no other order until the runs of an adapter on its way out have ended. Pure; used by one thread at a time.
+ * makes way only once the requests it was loaded for have come, and only if it is hardly used, or used much less than
+ * the one it makes way for: an engine takes no other order until the runs of an adapter on its way out have ended.
+ * Pure; used by one thread at a time.
  */
 final class AdapterPlanner {
     /** An adapter in demand gets this many copies while slots are free, so that the loss of an engine is not felt. */
