Send no request whose caller is about to leave, and move idle models sooner

The last copy of an idle model made way only below a hundredth of the demand of the model that needed its place. Now a twentieth, and while one other engine moves.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/DispatchRefusals.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/DispatchRefusals.java
@@ -62,7 +62,7 @@
                     ErrorCode.NO_TARGET,
                     String.format("all %d targets of %s are excluded", ready.size(), DestinationLoads.name(request))));
         }
-        return tooSlow(request, ready, leftNanos);
+        return tooSlow(request, ready);
     }
 
     /** Returns the reason why a request that found no free slot is not worth keeping. */
@@ -97,9 +97,9 @@
                 String.format("no slot for %s became free before the deadline", DestinationLoads.name(request)));
     }
 
-    /** Requests sent to a target that reads for longer than their callers wait make those behind them late as well. */
-    private Optional<BasilrillException> tooSlow(
-            Request request, Collection<TargetAnnouncement> ready, long leftNanos) {
+    /** Returns the reason why sending the request now is of no use to its caller. */
+    Optional<BasilrillException> tooSlow(Request request, Collection<TargetAnnouncement> ready) {
+        long leftNanos = request.deadlineNanos() - clock.nanos();
         return router.timeToBegin(DestinationLoads.name(request), ready, request.excludedTargets(), request.prompt())
                 .filter(toBegin -> toBegin.toNanos() > leftNanos)
                 .map(toBegin -> new BasilrillException(
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -39,6 +41,7 @@
     private final DispatchRefusals refusals;
     private final RecentRequests refusedAsFull = new RecentRequests();
     private final TreeSet<WaitingRequest> byDeadline = new TreeSet<>(WaitingRequest.BY_DEADLINE);
+    private final Map<WaitingRequest, BasilrillException> tooLate = new HashMap<>();
     private final SerialEffects effects = new SerialEffects();
     private final Object lock = new Object();
 
@@ -155,15 +158,39 @@
 
     private void assignWaiting() {
         expireWaiting();
-        Optional<Served<HeldSlot>> served = queues.serveNext(this::acquire);
-        while (served.isPresent()) {
-            assign(served.get());
-            served = queues.serveNext(this::acquire);
+        do {
+            Optional<Served<HeldSlot>> served = queues.serveNext(this::acquire);
+            while (served.isPresent()) {
+                assign(served.get());
+                served = queues.serveNext(this::acquire);
+            }
+        } while (refuseTooLate());
+    }
+
+    /** Refuses what was found too late to be sent, so that those behind are seen; returns whether there was any. */
+    private boolean refuseTooLate() {
+        if (tooLate.isEmpty()) {
+            return false;
         }
+        tooLate.forEach((waiting, refusal) -> {
+            remove(waiting);
+            fail(waiting.future(), refusal);
+            queues.unblock(waiting.request().destination()::equals);
+        });
+        tooLate.clear();
+        return true;
     }
 
     private Optional<HeldSlot> acquire(WaitingRequest waiting) {
         Request request = waiting.request();
+        // A target that reads for callers who are about to leave makes those behind them late as well.
+        Optional<BasilrillException> refusal = arriving.filter(waiting::equals).isPresent()
+                ? Optional.empty()
+                : refusals.tooSlow(request, readyTargets(request.destination()));
+        if (refusal.isPresent()) {
+            tooLate.put(waiting, refusal.get());
+            return Optional.empty();
+        }
         return router.acquire(
                 DestinationLoads.name(request),
                 readyTargets(request.destination()),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -30,7 +30,7 @@
      */
     private static final double RELIEF_RATE = 8_000;
     /** The last copy of a model makes way only for a model with much more demand. */
-    private static final double LAST_COPY_SHARE = 0.01;
+    private static final double LAST_COPY_SHARE = 0.05;
     /** A model whose demand in tokens per second is below this is left with one copy. */
     private static final double NEGLIGIBLE_RATE = 200;
 
@@ -194,7 +194,8 @@
     /**
      * Returns whether a copy may be unloaded for another model. The last copy of a model may only if nobody waits for
      * it, it is asked for far less, and it loads again from the machine's own copy within a second. Only one last copy
-     * at a time makes way: several at once made each other's models missing, and all of them went round.
+     * at a time makes way, while at most one engine moves: several at once made each other's models missing, and all of
+     * them went round.
      *
      * @param share demand for the last copy, relative to that for the other model, below which it may go
      */
@@ -203,7 +204,7 @@
                 && waitingByBase.getOrDefault(held, 0) == 0
                 && rate(held) < share * rate(next)
                 && !lastCopyTaken
-                && engines.stream().noneMatch(EngineState::isBusy);
+                && engines.stream().filter(EngineState::isBusy).count() <= 1;
         return (copies(held) > 1 || replaceable)
                 && engine.isSettled(held, now)
                 && engine.usedBytes(rules) - bytes(held) + bytes(next) <= pool.memoryBytes();
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/FairDispatcherTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/FairDispatcherTest.java
@@ -233,6 +233,18 @@
         assertThat(kept, is(5));
     }
 
+    /** Pattern: a model becomes ready just before the callers who wait for it leave; reading for them is in vain. */
+    @Test
+    void aRequestThatWaitedTooLongIsNotSentWhenItsModelBecomesReady() {
+        CompletableFuture<Assignment> small = bench.dispatcher().dispatch(prompted(1, "cold", 4_000));
+        CompletableFuture<Assignment> large = bench.dispatcher().dispatch(prompted(2, "cold", 30_000));
+        bench.time().advance(Duration.ofMillis(1_800));
+        bench.announce(engine("t1", 64, "cold"));
+        assertThat(small.isDone() && !small.isCompletedExceptionally(), is(true));
+        assertThat(DispatchBench.failureOf(large).code(), is(ErrorCode.DEADLINE_UNREACHABLE));
+        assertThat(bench.dispatcher().waiting(), is(0));
+    }
+
     private Dispatcher.Request prompted(int number, String model, long tokens) {
         return new Dispatcher.Request(
                 "p" + number,
