Use one virtual clock in the scaffold's measurements and simulations

SimulatedTime did the same as virtual.VirtualTime; the measurements use that one now. No behaviour changes: both run tasks of the same time in the order they were scheduled.

--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/BaselineDispatcher.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/BaselineDispatcher.java
@@ -16,6 +16,7 @@
 import org.basilrill.coordination.routing.HeldSlot;
 import org.basilrill.coordination.routing.SlotResult;
 import org.basilrill.coordination.routing.TargetRouter;
+import org.basilrill.scaffold.virtual.VirtualTime;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetDirectory;
 
@@ -26,20 +27,20 @@
 final class BaselineDispatcher implements Dispatcher {
     private static final Duration RECHECK = Duration.ofMillis(20);
 
-    private final SimulatedTime time;
+    private final VirtualTime time;
     private final Function<Request, Optional<Assignment>> assigner;
     private final List<Waiting> queue = new ArrayList<>();
     private boolean wakeUpScheduled;
     private int turn;
 
     private BaselineDispatcher(
-            SimulatedTime time, Function<BaselineDispatcher, Function<Request, Optional<Assignment>>> assigner) {
+            VirtualTime time, Function<BaselineDispatcher, Function<Request, Optional<Assignment>>> assigner) {
         this.time = time;
         this.assigner = assigner.apply(this);
     }
 
     /** Serves in order of arrival, with the slots and scores of our router. */
-    static BaselineDispatcher firstComeFirstServed(SimulatedTime time, TargetDirectory directory, TargetRouter router) {
+    static BaselineDispatcher firstComeFirstServed(VirtualTime time, TargetDirectory directory, TargetRouter router) {
         return new BaselineDispatcher(
                 time,
                 dispatcher -> request -> router.acquire(
@@ -51,7 +52,7 @@
     }
 
     /** Sends each request at once to the next ready target in turn. */
-    static BaselineDispatcher roundRobin(SimulatedTime time, TargetDirectory directory) {
+    static BaselineDispatcher roundRobin(VirtualTime time, TargetDirectory directory) {
         return new BaselineDispatcher(time, dispatcher -> request -> {
             List<TargetAnnouncement> ready =
                     List.copyOf(directory.readyFor(request.destination().model().orElseThrow()));
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DecisionTime.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DecisionTime.java
@@ -20,6 +20,7 @@
 import org.basilrill.coordination.admission.FairDispatcher;
 import org.basilrill.coordination.routing.RoutingOptions;
 import org.basilrill.coordination.routing.TargetRouter;
+import org.basilrill.scaffold.virtual.VirtualTime;
 import org.basilrill.state.target.TargetRegistry;
 
 /**
@@ -34,7 +35,7 @@
     private static final int WARM_UP = 2_000;
     private static final int MEASURED = 5_000;
 
-    private final SimulatedTime time = new SimulatedTime();
+    private final VirtualTime time = new VirtualTime();
     private final SplittableRandom random;
     private final int models;
     private final List<SimulatedEngine> engines = new ArrayList<>();
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DispatchSimulation.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DispatchSimulation.java
@@ -29,6 +29,7 @@
 import org.basilrill.scaffold.measure.SchemeResult.AccountResult;
 import org.basilrill.scaffold.measure.Workload.Account;
 import org.basilrill.scaffold.measure.Workload.Arrival;
+import org.basilrill.scaffold.virtual.VirtualTime;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetRegistry;
 
@@ -48,7 +49,7 @@
     private static final Duration ONE_WAY = Duration.ofMillis(1);
     private static final Duration DEADLINE = Duration.ofSeconds(10);
 
-    private final SimulatedTime time = new SimulatedTime();
+    private final VirtualTime time = new VirtualTime();
     private final Workload workload;
     private final SplittableRandom random;
     private final Map<TargetId, SimulatedEngine> engines = new TreeMap<>();
@@ -73,7 +74,7 @@
         long start = REPORT_INTERVAL.plus(LONGEST_REPORT_LAG).toNanos();
         for (Arrival arrival : workload.arrivals()) {
             Instance instance = instances.get(random.nextInt(INSTANCES));
-            time.at(start + arrival.atNanos(), () -> send(instance, arrival));
+            time.schedule(Duration.ofNanos(start + arrival.atNanos() - time.nanos()), () -> send(instance, arrival));
         }
         time.runUntil(start + Workload.LENGTH.plus(DEADLINE).plus(DEADLINE).toNanos());
         List<AccountResult> accounts = workload.accounts().stream()
@@ -185,7 +186,7 @@
     @FunctionalInterface
     interface Scheme {
         Dispatcher create(
-                SimulatedTime time, TargetRegistry registry, TargetRouter router, ToIntFunction<AccountId> weights);
+                VirtualTime time, TargetRegistry registry, TargetRouter router, ToIntFunction<AccountId> weights);
 
         /** Returns our scheme. */
         static Scheme fair() {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/SimulatedEngine.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/SimulatedEngine.java
@@ -15,6 +15,7 @@
 import org.basilrill.api.TargetId;
 import org.basilrill.coordination.routing.CacheEvent;
 import org.basilrill.scaffold.measure.Workload.Arrival;
+import org.basilrill.scaffold.virtual.VirtualTime;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
 
@@ -31,7 +32,7 @@
     private static final Duration PER_OUTPUT_TOKEN = Duration.ofMillis(15);
     private static final int CACHED_BLOCKS = 400;
 
-    private final SimulatedTime time;
+    private final VirtualTime time;
     private final TargetAnnouncement first;
     private final Queue<Job> waiting = new ArrayDeque<>();
     private final Map<Long, Boolean> cache = new LinkedHashMap<>(16, 0.75f, true);
@@ -41,7 +42,7 @@
     private long sequence;
     private long eventSequence;
 
-    SimulatedEngine(SimulatedTime time, String id, String dataCentre, Set<Integer> models) {
+    SimulatedEngine(VirtualTime time, String id, String dataCentre, Set<Integer> models) {
         this.time = time;
         Map<ModelId, LoadedModel> contents =
                 models.stream().collect(Collectors.toMap(SimulatedEngine::model, model -> new LoadedModel(1, 1, true)));
