--- a/basilrill-daemon/src/test/java/org/basilrill/daemon/settings/SettingsReaderTest.java
+++ b/basilrill-daemon/src/test/java/org/basilrill/daemon/settings/SettingsReaderTest.java
@@ -6,9 +6,11 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
@@ -65,6 +67,18 @@
         assertThat(failure.getMessage(), containsString("a.json:5: field \"callerAddress\": must be an IP number"));
     }
 
+    @Test
+    void theAddressOfTheMetricsIsOptionalAndChecked() {
+        assertThat(SettingsReader.parse("a.json", VALID).outside().metricsAddress(), is(Optional.empty()));
+        String stated = VALID.replace("\"roles\"", "\"metricsAddress\": \"127.0.0.1:9464\", \"roles\"");
+        assertThat(
+                SettingsReader.parse("a.json", stated).outside().metricsAddress(),
+                is(Optional.of(new InetSocketAddress("127.0.0.1", 9464))));
+        String wrong = stated.replace("9464", "94640");
+        SettingsException failure = assertThrows(SettingsException.class, () -> SettingsReader.parse("a.json", wrong));
+        assertThat(failure.getMessage(), containsString("field \"metricsAddress\": port 94640 is not between"));
+    }
+
     @Test
     void aReplicaWithoutADataFolderIsRefused() {
         String text = VALID.replace("[\"entry\"]", "[\"entry\", \"replica\"]");
