--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Planner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Planner.java
@@ -1,5 +1,6 @@
 package org.basilrill.protocol.instance;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
@@ -19,6 +20,13 @@
     /** Returns the id under which a refusal is answered. */
     String requestId(RequestHead head);
 
+    /**
+     * Returns how long the caller waits for the answer; empty if its request does not say so.
+     *
+     * @throws BasilrillException if what it says is not valid; nothing ran
+     */
+    Optional<Duration> timeLeft(RequestHead head);
+
     /** A request that may run. */
     interface Authorization {
         /** Returns the client account that it runs for; empty on routes open to all. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -65,10 +66,16 @@
 
     /** Runs a request. A refusal is sent to the caller's stream; nothing is thrown. */
     public RunningRequest start(RequestHead head, byte[] body, CallerStream caller) {
-        if (starting.isOpen()) {
-            return starting.keep(keptFor -> start(head, body, caller, keptFor), caller);
+        if (!starting.isOpen()) {
+            return start(head, body, caller, Duration.ZERO);
+        }
+        Optional<Duration> timeLeft;
+        try {
+            timeLeft = planner.timeLeft(head);
+        } catch (BasilrillException invalid) {
+            return refuse(invalid.withOutcome(Outcome.NOT_RUN), head, caller);
         }
-        return start(head, body, caller, Duration.ZERO);
+        return starting.keep(keptFor -> start(head, body, caller, keptFor), caller, timeLeft);
     }
 
     private RunningRequest start(RequestHead head, byte[] body, CallerStream caller, Duration keptFor) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
@@ -199,6 +199,11 @@
         return requestId(head, new KeyGuard(head.key(), Rules.empty()));
     }
 
+    @Override
+    public Optional<Duration> timeLeft(RequestHead head) {
+        return Optional.of(deadline(head));
+    }
+
     private Duration deadline(RequestHead head) {
         Optional<String> stated = head.header(RequestHead.REQUEST_TIMEOUT);
         if (stated.isEmpty()) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
@@ -69,6 +69,11 @@
         return dialect.read(head).requestId();
     }
 
+    @Override
+    public Optional<Duration> timeLeft(RequestHead head) {
+        return dialect.read(head).timeLeft();
+    }
+
     private double fraction() {
         synchronized (random) {
             return random.nextDouble();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/StartingRequests.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/StartingRequests.java
@@ -13,7 +13,8 @@
 /**
  * Keeps the requests that arrive before a starting instance knows its rules. It learns them within moments, or within
  * about a second if the control log has to elect a leader first; a refusal would send callers away although all that
- * they need is about to be there. After a bounded time requests are no longer kept. Thread safe: guarded by its own
+ * they need is about to be there. None is kept past the time for which its caller waits, nor at all after a bounded
+ * time. Thread safe: guarded by its own
  * lock, which is not held while requests are started.
  */
 final class StartingRequests {
@@ -24,6 +25,9 @@
 
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(10);
 
+    /** Covers two checks and the way to the caller. */
+    private static final Duration ANSWER_TIME = Duration.ofMillis(30);
+
     private final BooleanSupplier ready;
     private final MonotonicClock clock;
     private final Scheduler scheduler;
@@ -63,9 +67,17 @@
         return !over;
     }
 
-    /** Keeps a request until the rules are known, or the wait is over. */
-    RunningRequest keep(Starter starter, CallerStream caller) {
-        KeptRequest request = new KeptRequest(starter, caller, clock.nanos());
+    /**
+     * Keeps a request until the rules are known, or the wait is over.
+     *
+     * @param timeLeft how long the caller waits for the answer, if it says so
+     */
+    RunningRequest keep(Starter starter, CallerStream caller, Optional<Duration> timeLeft) {
+        long now = clock.nanos();
+        // The answer of the last moment still has to reach the caller in time.
+        long latest =
+                timeLeft.map(left -> now + left.minus(ANSWER_TIME).toNanos()).orElse(endNanos);
+        KeptRequest request = new KeptRequest(starter, caller, now, latest);
         synchronized (kept) {
             kept.add(request);
             if (kept.size() == 1) {
@@ -77,16 +89,20 @@
 
     private void check() {
         boolean open = isOpen();
+        long now = clock.nanos();
         List<KeptRequest> released;
         synchronized (kept) {
-            if (open) {
+            released = kept.stream()
+                    .filter(request -> !open || now - request.latestNanos >= 0)
+                    .toList();
+            kept.removeAll(released);
+            if (!kept.isEmpty()) {
                 scheduler.schedule(CHECK_INTERVAL, this::check);
-                return;
             }
-            released = List.copyOf(kept);
-            kept.clear();
         }
-        LOGGER.atInfo().log("%s: %d", LogEvent.KEPT_REQUESTS_STARTED, released.size());
+        if (!released.isEmpty()) {
+            LOGGER.atInfo().log("%s: %d", LogEvent.KEPT_REQUESTS_STARTED, released.size());
+        }
         released.forEach(KeptRequest::release);
     }
 
@@ -95,13 +111,15 @@
         private final Starter starter;
         private final CallerStream caller;
         private final long sinceNanos;
+        private final long latestNanos;
         private Optional<RunningRequest> started = Optional.empty();
         private boolean gone;
 
-        KeptRequest(Starter starter, CallerStream caller, long sinceNanos) {
+        KeptRequest(Starter starter, CallerStream caller, long sinceNanos, long latestNanos) {
             this.starter = starter;
             this.caller = caller;
             this.sinceNanos = sinceNanos;
+            this.latestNanos = latestNanos;
         }
 
         synchronized void release() {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StartingRequestsTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StartingRequestsTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.basilrill.api.VirtualTime;
 import org.junit.jupiter.api.Test;
@@ -44,6 +45,18 @@
         assertThat(starting.isOpen(), is(false));
     }
 
+    /** Guards against an answer after the deadline: a caller may wait for less than the rules take. */
+    @Test
+    void aRequestIsKeptNoLongerThanItsCallerWaits() {
+        keep(Optional.of(Duration.ofMillis(200)));
+        keep(Optional.of(Duration.ofMillis(800)));
+        time.advance(Duration.ofMillis(200));
+        assertThat(started, is(List.of(Duration.ofMillis(170))));
+        time.advance(Duration.ofMillis(600));
+        assertThat(started, is(List.of(Duration.ofMillis(170), Duration.ofMillis(770))));
+        assertThat(time.scheduled(), is(0));
+    }
+
     /** Guards against running a request whose caller has left. */
     @Test
     void aRequestWhoseCallerLeftIsNotStarted() {
@@ -66,6 +79,10 @@
     }
 
     private RunningRequest keep() {
+        return keep(Optional.empty());
+    }
+
+    private RunningRequest keep(Optional<Duration> timeLeft) {
         return starting.keep(
                 keptFor -> {
                     started.add(keptFor);
@@ -81,6 +98,7 @@
                         }
                     };
                 },
-                caller);
+                caller,
+                timeLeft);
     }
 }
