--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/DaemonThreads.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/DaemonThreads.java
@@ -12,10 +12,13 @@
     /** Decisions are short and never block, so a few threads suffice on a small instance. */
     private static final int DECISION_THREADS = 4;
 
+    /** A handler that decodes a large message must not hold up the small ones of the control log. */
+    private static final int PEER_THREADS = 2;
+
     private final ScheduledThreadPoolExecutor timer = createTimer();
     private final ExecutorService decisions = Executors.newFixedThreadPool(DECISION_THREADS, named("decision"));
-    /** Senders to other instances may block in a write, so they get a thread each. */
-    private final ExecutorService peers = Executors.newCachedThreadPool(named("peer"));
+    /** Messages from other instances have threads of their own, so that callers' requests do not delay them. */
+    private final ExecutorService peers = Executors.newFixedThreadPool(PEER_THREADS, named("peer"));
 
     /** Returns a scheduler that runs its tasks on the decision threads. */
     ExecutorScheduler scheduler() {
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -86,7 +86,8 @@
     public InstanceDaemon(Settings settings) {
         this.settings = settings;
         MetricRegistry metrics = new MetricRegistry();
-        this.peers = new PeerTransport(settings.instance(), this::addressOf, threads.peers(), metrics);
+        this.peers = new PeerTransport(
+                settings.instance(), this::addressOf, threads.peers(), clock, threads.scheduler(), metrics);
         RequestLimits limits = limits();
         this.targetClient = new TargetHttpClient(
                 TargetHttpClient.Settings.defaults(limits.windowBytes()), clock, threads.scheduler());
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerLink.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerLink.java
@@ -1,33 +1,21 @@
 package org.basilrill.transport.peer;
 
-import com.google.common.flogger.FluentLogger;
-import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.Executor;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.apache.thrift.TException;
-import org.apache.thrift.protocol.TCompactProtocol;
-import org.apache.thrift.transport.TSocket;
-import org.apache.thrift.transport.TTransport;
-import org.apache.thrift.transport.layered.TFramedTransport;
-import org.basilrill.api.InstanceId;
-import org.basilrill.api.LogEvent;
+import org.basilrill.api.MonotonicClock;
 import org.basilrill.thrift.envelope.Envelope;
-import org.basilrill.thrift.envelope.PeerService;
 
 /**
- * Sends messages to one other instance over one connection. Messages wait in a queue bounded by count and bytes; when
- * it is full the oldest are dropped, as a newer message usually replaces an older one. Every batch is answered by the
- * receiver, so a connection that has gone silent is found within the answer timeout and replaced. Thread safe.
+ * Queues the messages to one other instance and sends them in batches, one at a time. The queue is bounded by count and
+ * bytes; when it is full the oldest are dropped, as a newer message usually replaces an older one. Every batch is
+ * answered by the receiver, so a connection that has gone silent is found within the answer timeout and replaced. Never
+ * blocks. Thread safe; connections are called without the lock held.
  */
 final class PeerLink {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int MAXIMUM_QUEUED_MESSAGES = 1024;
     private static final int MAXIMUM_BATCH_MESSAGES = 64;
     /** With a dozen links to instances that do not answer, a queue of full messages must fit into a small heap. */
@@ -35,40 +23,40 @@
     /** Exceeded only by a single larger message. */
     private static final long MAXIMUM_BATCH_BYTES = 1L << 20;
 
-    private static final int CONNECT_TIMEOUT_MILLIS = 500;
     /** Above the longest stop of a healthy receiver; a silent connection costs at most this long. */
-    private static final int ANSWER_TIMEOUT_MILLIS = 1000;
-    /** An answer holds nothing or a short error; longer lengths in it are damage. */
-    private static final int MAXIMUM_ANSWER_BYTES = 64 * 1024;
+    static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(1);
     /** Keeps an instance that is down from being dialled for every message. */
-    private static final long RECONNECT_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    static final Duration RECONNECT_DELAY = Duration.ofMillis(100);
+    /** An exchange with a random member uses its connection once; without a limit each instance held one to every other. */
+    static final Duration IDLE_LIMIT = Duration.ofSeconds(5);
 
-    private final InstanceId recipient;
-    private final Supplier<Optional<InetSocketAddress>> address;
-    private final Executor executor;
+    private final Supplier<PeerConnection> connections;
+    private final MonotonicClock clock;
     private final PeerTraffic traffic;
     private final Deque<Envelope> queue = new ArrayDeque<>();
     private long queuedBytes;
-    private boolean draining;
     private boolean closed;
-
-    /** Only the draining task uses the fields below; one task runs at a time. */
-    private TTransport connection;
-
-    private PeerService.Client client;
-    private long retryAtNanos = System.nanoTime();
-
-    PeerLink(
-            InstanceId recipient,
-            Supplier<Optional<InetSocketAddress>> address,
-            Executor executor,
-            PeerTraffic traffic) {
-        this.recipient = recipient;
-        this.address = address;
-        this.executor = executor;
+    private PeerConnection connection = PeerConnection.NONE;
+    /** Number of the batch under way; an outcome of an earlier one has no effect. */
+    private long batchNumber;
+
+    private boolean underWay;
+    private long sentNanos;
+    private long retryAtNanos;
+
+    /**
+     * Creates a link without a connection.
+     *
+     * @param connections opens a connection to the recipient; {@link PeerConnection#NONE} if its address is not known
+     */
+    PeerLink(Supplier<PeerConnection> connections, MonotonicClock clock, PeerTraffic traffic) {
+        this.connections = connections;
+        this.clock = clock;
         this.traffic = traffic;
+        this.retryAtNanos = clock.nanos();
     }
 
+    /** Queues a message and sends it unless a batch is under way. */
     void send(Envelope envelope) {
         synchronized (this) {
             if (closed) {
@@ -79,37 +67,106 @@
             while (queue.size() > 1 && isTooLong()) {
                 removeFirst();
             }
-            if (draining) {
+        }
+        sendNext();
+    }
+
+    /** Gives up the batch under way if its answer is overdue, and closes a connection that is not used. */
+    void check() {
+        PeerConnection unused;
+        synchronized (this) {
+            long age = clock.nanos() - sentNanos;
+            boolean overdue = underWay && age > ANSWER_TIMEOUT.toNanos();
+            boolean idle = !underWay && age > IDLE_LIMIT.toNanos();
+            if (!overdue && !idle) {
                 return;
             }
-            draining = true;
-        }
-        try {
-            executor.execute(this::drain);
-        } catch (RejectedExecutionException exception) {
-            LOGGER.atFine().log("message dropped after shutdown");
+            unused = takeConnection();
+            if (overdue) {
+                endBatch();
+                retryAtNanos = clock.nanos() + RECONNECT_DELAY.toNanos();
+            }
         }
+        unused.close();
+        sendNext();
     }
 
-    synchronized void close() {
-        closed = true;
-        queue.clear();
-        queuedBytes = 0;
-        if (!draining) {
-            disconnect();
+    /** Drops all messages and the connection. */
+    void close() {
+        PeerConnection unused;
+        synchronized (this) {
+            closed = true;
+            queue.clear();
+            queuedBytes = 0;
+            endBatch();
+            unused = takeConnection();
         }
+        unused.close();
     }
 
-    private void drain() {
-        List<Envelope> batch = nextBatch();
-        while (!batch.isEmpty()) {
-            deliver(batch);
+    private void sendNext() {
+        List<Envelope> batch;
+        PeerConnection used;
+        long number;
+        synchronized (this) {
+            if (underWay || queue.isEmpty()) {
+                return;
+            }
+            if (connection == PeerConnection.NONE) {
+                connect();
+            }
+            if (connection == PeerConnection.NONE) {
+                queue.clear();
+                queuedBytes = 0;
+                return;
+            }
             batch = nextBatch();
+            underWay = true;
+            sentNanos = clock.nanos();
+            number = batchNumber;
+            used = connection;
+        }
+        used.deliver(batch, delivered -> ended(number, batch, delivered));
+    }
+
+    /** Called with the lock held; opening a connection does not block. */
+    private void connect() {
+        if (clock.nanos() - retryAtNanos >= 0) {
+            connection = connections.get();
+        }
+    }
+
+    private void ended(long number, List<Envelope> batch, boolean delivered) {
+        PeerConnection unused = PeerConnection.NONE;
+        synchronized (this) {
+            if (number != batchNumber) {
+                return;
+            }
+            endBatch();
+            if (!delivered) {
+                unused = takeConnection();
+                retryAtNanos = clock.nanos() + RECONNECT_DELAY.toNanos();
+            }
+        }
+        unused.close();
+        if (delivered) {
+            traffic.sent(batch);
         }
+        sendNext();
+    }
+
+    private void endBatch() {
+        underWay = false;
+        batchNumber++;
     }
 
-    /** Returns the messages to send next; when there are none, the draining task ends. */
-    private synchronized List<Envelope> nextBatch() {
+    private PeerConnection takeConnection() {
+        PeerConnection taken = connection;
+        connection = PeerConnection.NONE;
+        return taken;
+    }
+
+    private List<Envelope> nextBatch() {
         List<Envelope> batch = new ArrayList<>();
         long bytes = 0;
         while (!queue.isEmpty() && batch.size() < MAXIMUM_BATCH_MESSAGES) {
@@ -119,12 +176,6 @@
             }
             batch.add(removeFirst());
         }
-        if (batch.isEmpty()) {
-            draining = false;
-            if (closed) {
-                disconnect();
-            }
-        }
         return batch;
     }
 
@@ -141,47 +192,4 @@
     private static int bytesOf(Envelope envelope) {
         return envelope.bufferForPayload().remaining();
     }
-
-    private void deliver(List<Envelope> batch) {
-        if (client == null && System.nanoTime() - retryAtNanos < 0) {
-            return;
-        }
-        try {
-            if (client == null && !connect()) {
-                return;
-            }
-            client.deliver(batch);
-            traffic.sent(batch);
-        } catch (TException exception) {
-            LOGGER.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
-                    "%s: recipient %s, %s", LogEvent.PEER_CONNECTION_FAILED, recipient, exception.getMessage());
-            disconnect();
-            retryAtNanos = System.nanoTime() + RECONNECT_DELAY_NANOS;
-        }
-    }
-
-    private boolean connect() throws TException {
-        Optional<InetSocketAddress> current = address.get();
-        if (current.isEmpty()) {
-            return false;
-        }
-        TSocket socket = new TSocket(
-                null,
-                current.get().getHostString(),
-                current.get().getPort(),
-                ANSWER_TIMEOUT_MILLIS,
-                CONNECT_TIMEOUT_MILLIS);
-        connection = new TFramedTransport(socket, MAXIMUM_ANSWER_BYTES);
-        connection.open();
-        client = new PeerService.Client(new TCompactProtocol(connection, MAXIMUM_ANSWER_BYTES, MAXIMUM_ANSWER_BYTES));
-        return true;
-    }
-
-    private void disconnect() {
-        if (connection != null) {
-            connection.close();
-        }
-        connection = null;
-        client = null;
-    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -169,6 +169,18 @@
         assertThat(plan(), is(List.of(new PlannedOrder(roomy, Action.LOAD, HOT))));
     }
 
+    /** Pattern: room was made for one model, an adapter goes first there, and another model is missing as well. */
+    @Test
+    void aMissingModelDoesNotCountOnRoomThatIsMadeForAnother() {
+        EngineState promised = engine("one", HOT);
+        promised.reserveFor(WARM);
+        promised.asked();
+        EngineState full = engine("two", HOT, WARM);
+        wish(HOT, 9000, 0);
+        wish(RARE, 0, 2);
+        assertThat(plan(), is(List.of(new PlannedOrder(full, Action.UNLOAD, HOT))));
+    }
+
     /** Pattern: an engine has just loaded a model whose adapters are waited for, and another model is missing. */
     @Test
     void adaptersThatRequestsWaitForAreLoadedBeforeTheNextModel() {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/ControlLogMeasurement.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/ControlLogMeasurement.java
@@ -19,6 +19,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
@@ -32,6 +33,8 @@
 import org.basilrill.state.control.ControlStateMachine;
 import org.basilrill.transport.peer.PeerTransport;
 import org.basilrill.transport.threads.ControlReplica;
+import org.basilrill.transport.threads.ExecutorScheduler;
+import org.basilrill.transport.threads.SystemClock;
 
 /**
  * Measures the latency and rate of commits with real disks and TCP on loopback, with all replicas as threads of this
@@ -48,6 +51,7 @@
     private final SplittableRandom random;
     private final Path folder;
     private final ExecutorService executor = Executors.newCachedThreadPool();
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private final Map<InstanceId, ControlReplica> replicas = new LinkedHashMap<>();
     private final List<PeerTransport> transports = new ArrayList<>();
 
@@ -118,7 +122,12 @@
         }
         for (InstanceId founder : founders) {
             PeerTransport transport = new PeerTransport(
-                    founder, other -> Optional.ofNullable(addresses.get(other)), executor, new MetricRegistry());
+                    founder,
+                    other -> Optional.ofNullable(addresses.get(other)),
+                    executor,
+                    new SystemClock(),
+                    new ExecutorScheduler(timer, executor),
+                    new MetricRegistry());
             ControlReplica replica = ControlReplica.start(
                     founder, founders, folder.resolve(founder.value()), new ControlStateMachine(), transport);
             transport.handle(PeerSubject.CONSENSUS, replica);
@@ -188,6 +197,7 @@
         replicas.values().forEach(ControlReplica::close);
         transports.forEach(PeerTransport::close);
         executor.shutdown();
+        timer.shutdownNow();
         try (Stream<Path> files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder())
                     .forEach(file -> file.toFile().delete());
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/PullCostMeasurement.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/PullCostMeasurement.java
@@ -25,6 +25,8 @@
 import org.basilrill.thrift.envelope.Envelope;
 import org.basilrill.thrift.envelope.PeerService;
 import org.basilrill.transport.peer.PeerTransport;
+import org.basilrill.transport.threads.ExecutorScheduler;
+import org.basilrill.transport.threads.SystemClock;
 
 /**
  * Measures the processor time of a control pull at the replica that takes it and of its confirmation at the leader, as
@@ -92,8 +94,13 @@
         List<Double> pulls = new ArrayList<>();
         List<Double> leaderShare = new ArrayList<>();
         List<Double> takingShare = new ArrayList<>();
-        try (PeerTransport sink =
-                new PeerTransport(new InstanceId("sink"), any -> Optional.empty(), executor, new MetricRegistry())) {
+        try (PeerTransport sink = new PeerTransport(
+                new InstanceId("sink"),
+                any -> Optional.empty(),
+                executor,
+                new SystemClock(),
+                new ExecutorScheduler(senders, executor),
+                new MetricRegistry())) {
             sink.handle(PeerSubject.CONTROL, (sender, payload) -> answers.incrementAndGet());
             InetSocketAddress sinkAddress = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
             sink.start(sinkAddress, sinkAddress);
