Cut answers of targets that send bytes without end

Cause: a target in trouble may send bytes that are no answer until the connection is closed. Nine forms of an endless head or body were tried: interim answers without end kept a request until its deadline (504 after 15 s), and an event without an end was kept in memory. A head could take 100 lines of 16 KB, 160 MB for fifty targets at once, and a report of an engine 16 MB.

The attempt fails with TARGET_FAILED, which counts towards the target's ejection.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -186,7 +186,11 @@
     public void received(byte[] bytes) {
         event(() -> {
             noteProgress();
-            owner.answerContinued(bytes);
+            try {
+                owner.answerContinued(bytes);
+            } catch (BasilrillException invalid) {
+                fail(invalid.code(), invalid.getMessage(), false);
+            }
         });
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CollectedAnswer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CollectedAnswer.java
@@ -17,15 +17,21 @@
  * request. Thread safe: the events of a call come one at a time.
  */
 final class CollectedAnswer implements TargetConnector.Listener {
+    /** Long enough for the rules of a deployment, which operators' programs read. */
     private static final int MAXIMUM_BYTES = 16 * 1024 * 1024;
+    /** Long enough for the report of an engine with hundreds of models; many engines report at a time. */
+    private static final int MAXIMUM_REPORT_BYTES = 256 * 1024;
 
+    private final int maximumBytes;
     private final CompletableFuture<PlainAnswer> answer = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile TargetConnector.Call call;
     private volatile boolean sent;
     private AnswerHead head;
 
-    private CollectedAnswer() {}
+    private CollectedAnswer(int maximumBytes) {
+        this.maximumBytes = maximumBytes;
+    }
 
     /**
      * Sends a request on a fresh connection.
@@ -38,36 +44,35 @@
             HttpHost host,
             TargetConnector.Request request,
             Duration timeout) {
-        return send(client, scheduler, host, request, timeout, true);
+        return new CollectedAnswer(MAXIMUM_BYTES).send(client, scheduler, host, request, timeout, true);
     }
 
-    /** Sends a request that may be lost on a connection that was used before; see {@link #of}. */
+    /** Sends a request that may be lost, with a short answer, on a connection that was used before; see {@link #of}. */
     static CompletableFuture<PlainAnswer> onKeptConnection(
             TargetHttpClient client,
             Scheduler scheduler,
             HttpHost host,
             TargetConnector.Request request,
             Duration timeout) {
-        return send(client, scheduler, host, request, timeout, false);
+        return new CollectedAnswer(MAXIMUM_REPORT_BYTES).send(client, scheduler, host, request, timeout, false);
     }
 
-    private static CompletableFuture<PlainAnswer> send(
+    private CompletableFuture<PlainAnswer> send(
             TargetHttpClient client,
             Scheduler scheduler,
             HttpHost host,
             TargetConnector.Request request,
             Duration timeout,
             boolean freshConnection) {
-        CollectedAnswer collected = new CollectedAnswer();
-        collected.call = client.open(host, request, freshConnection, collected);
-        Scheduler.Cancellable timer = scheduler.schedule(timeout, collected::timedOut);
-        collected.answer.whenComplete((value, problem) -> {
+        call = client.open(host, request, freshConnection, this);
+        Scheduler.Cancellable timer = scheduler.schedule(timeout, this::timedOut);
+        answer.whenComplete((value, problem) -> {
             timer.cancel();
             if (problem != null) {
-                collected.call.cancel();
+                call.cancel();
             }
         });
-        return collected.answer;
+        return answer;
     }
 
     @Override
@@ -83,8 +88,8 @@
 
     @Override
     public void received(byte[] bytes) {
-        if (body.size() + bytes.length > MAXIMUM_BYTES) {
-            fail(ErrorCode.TARGET_FAILED, "the answer exceeds " + MAXIMUM_BYTES + " bytes");
+        if (body.size() + bytes.length > maximumBytes) {
+            fail(ErrorCode.TARGET_FAILED, "the answer exceeds " + maximumBytes + " bytes");
             return;
         }
         body.writeBytes(bytes);
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -41,6 +41,9 @@
     private static final String CLOSE = "close";
     private static final String CONNECTION = "connection";
     private static final String KEEP_ALIVE = "keep-alive";
+    /** A target that answers has seldom more than one to send first; one that sends them without end never answers. */
+    private static final int MAXIMUM_INTERIM_ANSWERS = 16;
+
     private static final Pattern KEPT_SECONDS = Pattern.compile("(?:^|[,;\\s])timeout\\s*=\\s*([0-9]{1,6})");
 
     private final HttpHost host;
@@ -59,6 +62,7 @@
     private CapacityChannel capacity;
     private int granted;
     private boolean requestSent;
+    private int interimAnswers;
     private boolean keepAlive;
     private Optional<Duration> keptFor = Optional.empty();
 
@@ -153,9 +157,13 @@
         }
     }
 
+    /** Interim answers such as 100 and 103 end here. */
     @Override
-    public void consumeInformation(HttpResponse response, HttpContext context) {
-        // Interim answers such as 100 and 103 end here.
+    public void consumeInformation(HttpResponse response, HttpContext context) throws HttpException {
+        interimAnswers++;
+        if (interimAnswers > MAXIMUM_INTERIM_ANSWERS) {
+            throw new HttpException("more than " + MAXIMUM_INTERIM_ANSWERS + " interim answers");
+        }
     }
 
     @Override
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
@@ -36,8 +36,10 @@
  */
 public final class TargetHttpClient implements TargetConnector, AutoCloseable {
     private static final int BUFFER_BYTES = 8 * 1024;
-    private static final int MAXIMUM_LINE_BYTES = 16 * 1024;
-    private static final int MAXIMUM_HEADERS = 100;
+    /** With the number of headers, bounds what the head of an answer takes: 50 endless heads must fit into the heap. */
+    private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
+
+    private static final int MAXIMUM_HEADERS = 64;
     /** A request must reach the target before it closes the connection. */
     private static final Duration KEEP_MARGIN = Duration.ofMillis(500);
 
--- a/basilrill-library/src/test/java/org/basilrill/protocol/caller/EventBoundariesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/caller/EventBoundariesTest.java
@@ -2,9 +2,11 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.basilrill.api.BasilrillException;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a stream that is continued within an event, or after the wrong one. */
@@ -48,4 +50,17 @@
         assertThat(new String(boundaries.rest(), StandardCharsets.UTF_8), is(": done\n"));
         assertThat(boundaries.rest().length, is(0));
     }
+
+    /** Guards against an event that never ends: it was kept in memory until the deadline of its request. */
+    @Test
+    void anEventThatDoesNotEndIsRefused() {
+        byte[] part = "x".repeat(8 * 1024).getBytes(StandardCharsets.UTF_8);
+        boundaries.complete("id: 1\n\ndata: ".getBytes(StandardCharsets.UTF_8));
+        boundaries.complete(part);
+        assertThrows(BasilrillException.class, () -> {
+            boundaries.complete(part);
+            boundaries.complete(part);
+        });
+        assertThat(boundaries.lastId(), is(Optional.of("1")));
+    }
 }
