--- a/basilrill-library/src/main/java/org/basilrill/api/AccountId.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/AccountId.java
@@ -10,6 +10,19 @@
         Identifiers.requireValid("client account", value);
     }
 
+    // Written out, as names are the keys of most maps: the generated methods are linked at run time, which costs a
+    // start
+    // some milliseconds each and every later call an indirection.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof AccountId name && value.equals(name.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(AccountId other) {
         return value.compareTo(other.value);
--- a/basilrill-library/src/main/java/org/basilrill/api/InstanceId.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/InstanceId.java
@@ -22,6 +22,19 @@
         return ADDRESS.matcher(value).matches();
     }
 
+    // Written out, as names are the keys of most maps: the generated methods are linked at run time, which costs a
+    // start
+    // some milliseconds each and every later call an indirection.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof InstanceId name && value.equals(name.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(InstanceId other) {
         return value.compareTo(other.value);
--- a/basilrill-library/src/main/java/org/basilrill/api/TargetId.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/TargetId.java
@@ -10,6 +10,19 @@
         Identifiers.requireValid("target", value);
     }
 
+    // Written out, as names are the keys of most maps: the generated methods are linked at run time, which costs a
+    // start
+    // some milliseconds each and every later call an indirection.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TargetId name && value.equals(name.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(TargetId other) {
         return value.compareTo(other.value);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
@@ -118,8 +118,7 @@
     /** Sends heartbeats when due; returns false if the leader has heard from no majority for too long. */
     boolean tick() {
         long now = state.now();
-        long silence = state.settings().maximumElectionTimeout().toNanos();
-        if (now - majorityHeardAt() > silence) {
+        if (now - majorityHeardAt() > state.longestSilence()) {
             state.report(LogEvent.LEADER_WITHOUT_QUORUM, "term " + state.term());
             return false;
         }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -321,6 +321,7 @@
         }
         election = Optional.empty();
         leader = Optional.of(state.self());
+        state.noteLeader();
         leadership = Optional.of(new Leadership(state));
     }
 
@@ -334,6 +335,7 @@
         }
         election = Optional.empty();
         leader = Optional.of(from);
+        state.noteLeader();
         heardLeaderAt = state.now();
         resetElectionTimer();
     }
@@ -366,9 +368,7 @@
     }
 
     private void resetElectionTimer() {
-        long minimum = state.settings().minimumElectionTimeout().toNanos();
-        long maximum = state.settings().maximumElectionTimeout().toNanos();
-        electionAt = state.now() + state.environment().random().nextLong(minimum, maximum + 1);
+        electionAt = state.now() + state.electionTimeout();
     }
 
     private BasilrillException notLeader() {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
@@ -24,6 +24,7 @@
     private final ReplicaEnvironment environment;
     private final ConsensusSettings settings;
     private final ReplicaLog log;
+    private final LeaderChanges leaderChanges = new LeaderChanges();
     private final long originNanos;
     private Vote vote;
     private long commitIndex;
@@ -74,6 +75,23 @@
         return vote.term();
     }
 
+    /** Notes that the present term has a leader. */
+    void noteLeader() {
+        leaderChanges.leads(term(), now());
+    }
+
+    /** Returns the longest silence in nanoseconds before an election, and before a leader without a majority resigns. */
+    long longestSilence() {
+        return leaderChanges.patience(now()) * settings.maximumElectionTimeout().toNanos();
+    }
+
+    /** Returns the silence in nanoseconds before an election; another one each time, so that candidates differ. */
+    long electionTimeout() {
+        long patience = leaderChanges.patience(now());
+        long minimum = patience * settings.minimumElectionTimeout().toNanos();
+        return environment.random().nextLong(minimum, longestSilence() + 1);
+    }
+
     Vote vote() {
         return vote;
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/PullBatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/PullBatcher.java
@@ -30,8 +30,11 @@
  * outside its lock.
  */
 final class PullBatcher {
-    /** Time to gather pulls into a batch; small against the objective of 1 s for a change to be in force. */
-    static final Duration GATHERING_TIME = Duration.ofMillis(10);
+    /**
+     * Time to gather pulls into a batch. Each batch costs the leader a message and a round, so that the work of the leader
+     * grows with the replicas and not with the instances; small against the objective of 1 s for a change to be in force.
+     */
+    static final Duration GATHERING_TIME = Duration.ofMillis(50);
 
     /** Time after which a batch is taken as lost. */
     static final Duration BATCH_TIMEOUT = Duration.ofMillis(200);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/AdapterPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/AdapterPlanner.java
@@ -41,12 +41,35 @@
     private final List<PlannedOrder> orders = new ArrayList<>();
     private final Set<EngineState> taken = new HashSet<>();
     private final Map<ModelId, Integer> copies = new HashMap<>();
+    /** Copies that can serve: their model is there as well, and the engine does not leave. */
+    private final Map<ModelId, Integer> serving = new HashMap<>();
+    /** Models whose adapters requests wait for. */
+    private final Set<ModelId> waitedFor = new HashSet<>();
+    /** Adapters in demand by their model. */
+    private final Map<ModelId, Integer> wanted = new HashMap<>();
 
     AdapterPlanner(Rules rules, EnginePool pool, Map<ModelId, ModelDemand> demand, long now) {
         this.rules = rules;
         this.pool = pool;
         this.demand = demand;
         this.now = now;
+        demand.forEach(this::count);
+    }
+
+    private void count(ModelId adapter, ModelDemand wish) {
+        if (!isKnown(adapter)) {
+            return;
+        }
+        if (wish.waiting() > 0) {
+            waitedFor.add(adapter.base());
+        }
+        if (wish.waiting() > 0 || wish.shortRate() > IDLE_RATE) {
+            wanted.merge(adapter.base(), 1, Integer::sum);
+        }
+    }
+
+    private boolean isKnown(ModelId adapter) {
+        return adapter.adapter().isPresent() && rules.adapters().containsKey(adapter);
     }
 
     /**
@@ -57,19 +80,15 @@
      */
     List<PlannedOrder> plan(
             Collection<EngineState> engines, Collection<EngineState> free, ToDoubleFunction<EngineState> load) {
-        for (EngineState engine : engines) {
-            engine.adapters().forEach(adapter -> copies.merge(adapter, 1, Integer::sum));
-        }
+        engines.forEach(this::countCopies);
         for (ModelId adapter : wanted(ModelDemand::waiting)) {
-            boolean held = engines.stream().anyMatch(engine -> holds(engine, adapter));
-            if (!held) {
+            if (!serving.containsKey(adapter)) {
                 place(adapter, hosts(adapter, free, load));
             }
         }
         for (ModelId adapter : wanted(ModelDemand::shortRate)) {
-            long copies =
-                    engines.stream().filter(engine -> holds(engine, adapter)).count();
-            boolean worthIt = demand.get(adapter).shortRate() > NEGLIGIBLE_RATE && copies < WANTED_COPIES;
+            boolean worthIt = demand.get(adapter).shortRate() > NEGLIGIBLE_RATE
+                    && serving.getOrDefault(adapter, 0) < WANTED_COPIES;
             if (worthIt) {
                 hosts(adapter, free, load).stream()
                         .filter(this::hasFreeSlot)
@@ -82,23 +101,18 @@
 
     /** Returns whether requests wait for adapters of the model. */
     boolean isWaitedFor(ModelId base) {
-        return wanted(ModelDemand::waiting).stream()
-                .anyMatch(adapter -> adapter.base().equals(base));
+        return waitedFor.contains(base);
     }
 
     /** Returns how many adapters of the model are in demand. */
-    long wantedOf(ModelId base) {
-        return wanted(wish -> wish.waiting() + Math.max(0, wish.shortRate() - IDLE_RATE)).stream()
-                .filter(adapter -> adapter.base().equals(base))
-                .count();
+    int wantedOf(ModelId base) {
+        return wanted.getOrDefault(base, 0);
     }
 
     /** Returns the known adapters with a positive measure, the highest first. */
     private List<ModelId> wanted(ToDoubleFunction<ModelDemand> measure) {
         return demand.entrySet().stream()
-                .filter(entry -> entry.getKey().adapter().isPresent()
-                        && measure.applyAsDouble(entry.getValue()) > 0
-                        && rules.adapters().containsKey(entry.getKey()))
+                .filter(entry -> measure.applyAsDouble(entry.getValue()) > 0 && isKnown(entry.getKey()))
                 .sorted(Comparator.comparingDouble(
                                 (Map.Entry<ModelId, ModelDemand> entry) -> -measure.applyAsDouble(entry.getValue()))
                         .thenComparing(Map.Entry.comparingByKey()))
@@ -106,10 +120,13 @@
                 .toList();
     }
 
-    private static boolean holds(EngineState engine, ModelId adapter) {
-        return engine.holdsAdapter(adapter)
-                && engine.holdsModel(adapter.base())
-                && !engine.announcement().leaving();
+    private void countCopies(EngineState engine) {
+        for (ModelId adapter : engine.adapters()) {
+            copies.merge(adapter, 1, Integer::sum);
+            if (engine.holdsModel(adapter.base()) && !engine.announcement().leaving()) {
+                serving.merge(adapter, 1, Integer::sum);
+            }
+        }
     }
 
     private List<EngineState> hosts(ModelId adapter, Collection<EngineState> free, ToDoubleFunction<EngineState> load) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
@@ -50,6 +50,15 @@
     /** Interval of the estimates; requests that begin to wait learn of them within this time. */
     private static final long FORECAST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    /**
+     * Pause after a decision, as a multiple of the time it took: the leader also serves callers and confirms the state of
+     * all instances, which must not wait for the planning of a large pool.
+     */
+    private static final int PAUSE_PER_DECISION = 6;
+
+    private static final Duration SHORTEST_PAUSE = Duration.ofMillis(5);
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(200);
+
     private final Environment environment;
     private final DemandBook demand;
     private final Map<TargetId, EngineState> engines = new HashMap<>();
@@ -57,6 +66,7 @@
     private long termSeen = -1;
     private long leadsSinceNanos;
     private long lastStepNanos;
+    private long notBeforeNanos;
     private long forecastNanos = Long.MIN_VALUE / 2;
     private boolean wakes;
     private boolean stopped;
@@ -65,6 +75,7 @@
     public EngineController(Environment environment, DemandBook demand) {
         this.environment = environment;
         this.demand = demand;
+        this.notBeforeNanos = environment.clock().nanos();
     }
 
     /**
@@ -113,11 +124,11 @@
 
     /** Decides soon, because requests began to wait. */
     public void urge() {
-        wake(Duration.ZERO);
+        wake();
     }
 
     private void tick() {
-        step();
+        wake();
         synchronized (this) {
             if (!stopped) {
                 environment.scheduler().schedule(TICK, this::tick);
@@ -125,12 +136,16 @@
         }
     }
 
-    private void wake(Duration delay) {
+    /** Decides once the pause after the last decision is over. */
+    private void wake() {
+        Duration delay;
         synchronized (this) {
             if (wakes || stopped) {
                 return;
             }
             wakes = true;
+            long left = notBeforeNanos - environment.clock().nanos();
+            delay = Duration.ofNanos(Math.max(0, left));
         }
         environment.scheduler().schedule(delay, () -> {
             synchronized (this) {
@@ -144,14 +159,22 @@
         List<Runnable> effects = new ArrayList<>();
         synchronized (this) {
             if (!stopped && holdsLease()) {
+                long began = environment.clock().nanos();
                 observe();
                 askForReports(effects);
                 decide(effects);
+                pauseAfter(began);
             }
         }
         effects.forEach(Runnable::run);
     }
 
+    private void pauseAfter(long beganNanos) {
+        long now = environment.clock().nanos();
+        long pause = Math.max(SHORTEST_PAUSE.toNanos(), PAUSE_PER_DECISION * (now - beganNanos));
+        notBeforeNanos = now + Math.min(LONGEST_PAUSE.toNanos(), pause);
+    }
+
     /** Returns whether orders of this leader cannot meet those of the one before. */
     private boolean holdsLease() {
         long now = environment.clock().nanos();
@@ -209,7 +232,7 @@
         synchronized (this) {
             engine.reported(answer, environment.clock().nanos(), PAUSE_NANOS);
         }
-        wake(Duration.ZERO);
+        wake();
     }
 
     private void decide(List<Runnable> effects) {
@@ -290,6 +313,6 @@
         if (!done && order.action() == Action.UNLOAD) {
             environment.changes().changed(engine.announcement(), order.model(), true);
         }
-        wake(Duration.ZERO);
+        wake();
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -1,6 +1,7 @@
 package org.basilrill.coordination.engine;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -31,6 +32,10 @@
     private final Set<ModelId> unloading = new HashSet<>();
     private final Set<ModelId> atHand = new HashSet<>();
     private final Map<ModelId, Long> sinceNanos = new HashMap<>();
+    /** Models that are here or on their way, and those that serve; derived from the sets above. */
+    private Set<ModelId> held = Set.of();
+
+    private Set<ModelId> ready = Set.of();
     private Optional<ModelId> reservedFor = Optional.empty();
     private TargetAnnouncement announcement;
     private Optional<Long> acceptedOrders = Optional.empty();
@@ -41,6 +46,7 @@
     EngineState(TargetAnnouncement announcement, long nowNanos) {
         this.announcement = announcement;
         notBeforeNanos = nowNanos;
+        derive();
     }
 
     TargetAnnouncement announcement() {
@@ -49,7 +55,10 @@
 
     /** Takes a newer announcement of the same incarnation. */
     void announced(TargetAnnouncement newer) {
-        announcement = newer;
+        if (newer != announcement) {
+            announcement = newer;
+            derive();
+        }
     }
 
     /** Returns whether the state must be asked for before the next order. */
@@ -72,7 +81,7 @@
     }
 
     boolean holdsModel(ModelId model) {
-        return heldModels().contains(model);
+        return held.contains(model);
     }
 
     boolean isLoading(ModelId model) {
@@ -84,16 +93,11 @@
     }
 
     Set<ModelId> adapters() {
-        return Set.copyOf(adapters);
+        return Collections.unmodifiableSet(adapters);
     }
 
     /** Returns the models that are here or on their way, without those on their way out. */
     Set<ModelId> heldModels() {
-        if (acceptedOrders.isEmpty() && models.isEmpty()) {
-            return announcedModels();
-        }
-        Set<ModelId> held = new HashSet<>(models);
-        held.removeAll(unloading);
         return held;
     }
 
@@ -108,10 +112,20 @@
 
     /** Returns the models that serve requests here. */
     Set<ModelId> readyModels() {
-        Set<ModelId> ready = new HashSet<>(models);
+        return ready;
+    }
+
+    /** Called after each change: a decision asks for these sets thousands of times. */
+    private void derive() {
+        if (acceptedOrders.isEmpty() && models.isEmpty()) {
+            held = announcedModels();
+        } else {
+            held = new HashSet<>(models);
+            held.removeAll(unloading);
+        }
+        ready = new HashSet<>(models);
         ready.removeAll(loading);
         ready.removeAll(unloading);
-        return ready;
     }
 
     /** Returns whether the model loads here without the weight store. */
@@ -192,6 +206,7 @@
         adapters.addAll(report.pending());
         atHand.clear();
         atHand.addAll(report.atHand());
+        derive();
     }
 
     /** Returns the precondition of the next order. */
@@ -206,6 +221,12 @@
      */
     boolean answered(EngineOrder order, EngineOrder.Answer answer, long nowNanos, long pauseNanos) {
         awaitsAnswer = false;
+        boolean holds = taken(order, answer, nowNanos, pauseNanos);
+        derive();
+        return holds;
+    }
+
+    private boolean taken(EngineOrder order, EngineOrder.Answer answer, long nowNanos, long pauseNanos) {
         switch (answer) {
             case ACCEPTED:
                 acceptedOrders = acceptedOrders.map(known -> known + 1);
