Keep copies of models that were asked for lately, and take one copy of a model at a time

Change: what a copy would be missed for is the demand of the last 30 s, not of 4 s; a model that gave a copy up keeps the others for 5 s; the averages of the first seconds are those of the time observed, where they showed a fraction of the demand.

EnginePlannerTest has both patterns.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
@@ -63,6 +63,7 @@
     private final DemandBook demand;
     private final Map<TargetId, EngineState> engines = new HashMap<>();
     private final Map<String, LoadAllowance> allowances = new HashMap<>();
+    private final RecentUnloads recentUnloads = new RecentUnloads();
     private long termSeen = -1;
     private long leadsSinceNanos;
     private long lastStepNanos;
@@ -249,7 +250,7 @@
                     .toList();
             LoadAllowance allowance = allowances.computeIfAbsent(pool.service(), absent -> new LoadAllowance(now));
             int loads = allowance.available(pool.loadsPerSecond(), now);
-            new EnginePlanner(rules, pool, ofPool, demand.demand(), loads, now)
+            new EnginePlanner(rules, pool, ofPool, demand.demand(), loads, recentUnloads, now)
                     .plan()
                     .forEach(planned -> effects.add(send(planned, allowance)));
             if (forecasts) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -41,7 +41,10 @@
     private final EnginePool pool;
     private final List<EngineState> engines;
     private final long now;
+    private final RecentUnloads recentUnloads;
     private final Map<ModelId, Double> rates = new HashMap<>();
+    /** Demand that copies are kept for: a rise counts at once, a fall only after a while. */
+    private final Map<ModelId, Double> keptRates = new HashMap<>();
     private final Map<ModelId, Integer> waitingByBase = new HashMap<>();
     private final Map<ModelId, Integer> copies = new HashMap<>();
     private final Set<EngineState> taken = new HashSet<>();
@@ -56,7 +59,9 @@
             Collection<EngineState> engines,
             Map<ModelId, ModelDemand> demand,
             int loadsLeft,
+            RecentUnloads recentUnloads,
             long now) {
+        this.recentUnloads = recentUnloads;
         this.rules = rules;
         this.pool = pool;
         this.engines = List.copyOf(engines);
@@ -66,6 +71,7 @@
         this.now = now;
         demand.forEach((model, wish) -> {
             rates.merge(model.base(), wish.shortRate(), Double::sum);
+            keptRates.merge(model.base(), wish.rate(), Double::sum);
             waitingByBase.merge(model.base(), wish.waiting(), Integer::sum);
         });
         for (EngineState engine : this.engines) {
@@ -126,6 +132,10 @@
         return rates.getOrDefault(base, 0.0);
     }
 
+    private double keptRate(ModelId base) {
+        return keptRates.getOrDefault(base, 0.0);
+    }
+
     private int copies(ModelId model) {
         return copies.getOrDefault(model, 0);
     }
@@ -183,7 +193,7 @@
             }
             for (ModelId held : engine.readyModels()) {
                 if (makesWay(engine, held, model, waiting ? 1 : 0)) {
-                    double loss = rate(held) / Math.max(1, copies(held) - 1);
+                    double loss = keptRate(held) / Math.max(1, copies(held) - 1);
                     best = better(best, new Victim(engine, held, engine.hasAtHand(model), loss));
                 }
             }
@@ -282,8 +292,8 @@
                 continue;
             }
             for (ModelId held : engine.readyModels()) {
-                double loss = load(engine) + rate(held) / Math.max(1, copies(held) - 1);
-                if (loss < gain && makesWay(engine, held, model, LAST_COPY_SHARE)) {
+                double loss = load(engine) + keptRate(held) / Math.max(1, copies(held) - 1);
+                if (loss < gain && !recentUnloads.contains(held, now) && makesWay(engine, held, model, LAST_COPY_SHARE)) {
                     best = better(best, new Victim(engine, held, engine.hasAtHand(model), loss));
                 }
             }
@@ -316,6 +326,7 @@
             loadsLeft--;
         }
         copies.merge(model, -1, Integer::sum);
+        recentUnloads.note(model, now);
         taken.add(engine);
         orders.add(new PlannedOrder(engine, Action.UNLOAD, model));
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/DemandBook.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/DemandBook.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.basilrill.api.InstanceId;
@@ -22,7 +23,11 @@
     /** Horizon of the short average, unless another is asked for. */
     private static final Duration SHORT_HORIZON = Duration.ofSeconds(30);
 
-    private static final double LONG_NANOS = Duration.ofMinutes(10).toNanos();
+    /** Horizon of the long average, unless another is asked for. */
+    private static final Duration LONG_HORIZON = Duration.ofMinutes(10);
+    /** An average over less than this says more about chance than about the demand. */
+    private static final double LEAST_OBSERVED_NANOS = Duration.ofSeconds(1).toNanos();
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     /** An instance that reports every second and is silent for this long has no waiting callers any more. */
@@ -36,17 +41,29 @@
 
     private final MonotonicClock clock;
     private final double shortNanos;
+    private final double longNanos;
+    private final boolean scaled;
+    private Optional<Long> firstReportNanos = Optional.empty();
     private final Map<InstanceId, Reporter> reporters = new TreeMap<>();
     private final Map<ModelId, Averages> averages = new TreeMap<>();
 
     public DemandBook(MonotonicClock clock) {
-        this(clock, SHORT_HORIZON);
+        this(clock, SHORT_HORIZON, LONG_HORIZON, false);
+    }
+
+    /**
+     * Creates an empty book whose averages have the given horizons, and are those of the time observed while that is
+     * shorter: otherwise the first seconds show a fraction of the demand, and a model that is asked for then seems cold.
+     */
+    public static DemandBook scaled(MonotonicClock clock, Duration shortHorizon, Duration longHorizon) {
+        return new DemandBook(clock, shortHorizon, longHorizon, true);
     }
 
-    /** Creates an empty book whose short averages have the given horizon. */
-    public DemandBook(MonotonicClock clock, Duration shortHorizon) {
+    private DemandBook(MonotonicClock clock, Duration shortHorizon, Duration longHorizon, boolean scaled) {
         this.clock = clock;
-        shortNanos = shortHorizon.toNanos();
+        this.shortNanos = shortHorizon.toNanos();
+        this.longNanos = longHorizon.toNanos();
+        this.scaled = scaled;
     }
 
     /**
@@ -56,6 +73,7 @@
      */
     public synchronized boolean received(InstanceId sender, DemandReport report) {
         long now = clock.nanos();
+        firstReportNanos = firstReportNanos.or(() -> Optional.of(now));
         Reporter reporter = reporters.get(sender);
         if (reporter == null || reporter.incarnation != report.incarnation()) {
             if (reporter != null && report.incarnation() < reporter.incarnation) {
@@ -109,6 +127,15 @@
         return waiting;
     }
 
+    /** Returns what makes an average of the whole horizon one of the time observed so far. */
+    private double scale(double horizonNanos, long now) {
+        if (!scaled) {
+            return 1;
+        }
+        double observed = Math.max(LEAST_OBSERVED_NANOS, now - firstReportNanos.orElse(now));
+        return 1 / (1 - Math.exp(-observed / horizonNanos));
+    }
+
     /** Counts what was added to a total. The first total seen of a reporter that was known before is only noted. */
     private void count(Reporter reporter, ReportedDemand model, long now) {
         Long before = reporter.totals.put(model.model(), model.tokens());
@@ -147,12 +174,13 @@
         private void add(long tokens, long now) {
             decay(now);
             shortRate += tokens * NANOS_PER_SECOND / shortNanos;
-            longRate += tokens * NANOS_PER_SECOND / LONG_NANOS;
+            longRate += tokens * NANOS_PER_SECOND / longNanos;
         }
 
         private ModelDemand at(long now) {
             decay(now);
-            return new ModelDemand(shortRate < NEGLIGIBLE_RATE ? 0 : shortRate, longRate, 0);
+            double recent = shortRate * scale(shortNanos, now);
+            return new ModelDemand(recent < NEGLIGIBLE_RATE ? 0 : recent, longRate * scale(longNanos, now), 0);
         }
 
         private boolean isNegligible(long now) {
@@ -163,7 +191,7 @@
         private void decay(long now) {
             long elapsed = now - updatedNanos;
             shortRate *= Math.exp(-elapsed / shortNanos);
-            longRate *= Math.exp(-elapsed / LONG_NANOS);
+            longRate *= Math.exp(-elapsed / longNanos);
             updatedNanos = now;
         }
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -57,8 +57,10 @@
  * socket. Thread safe.
  */
 public final class Instance {
-    /** Demand of the last seconds decides which models the engines hold, as loads take seconds only. */
+    /** Demand of the last seconds decides which models the engines load, as loads take seconds only. */
     private static final Duration ENGINE_DEMAND_HORIZON = Duration.ofSeconds(4);
+    /** Demand that was there lately may return, so it decides which models the engines keep. */
+    private static final Duration ENGINE_KEEPING_HORIZON = Duration.ofSeconds(30);
 
     private final InstanceEnvironment environment;
     private final GossipMembership membership;
@@ -271,7 +273,7 @@
     }
 
     private EngineController createEngineControl(EngineAccess access, InstanceEnvironment.LocalReplica replica) {
-        DemandBook book = new DemandBook(environment.clock(), ENGINE_DEMAND_HORIZON);
+        DemandBook book = DemandBook.scaled(environment.clock(), ENGINE_DEMAND_HORIZON, ENGINE_KEEPING_HORIZON);
         EngineController controller = new EngineController(
                 new EngineController.Environment(
                         replica.log()::isLeader,
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -41,6 +41,7 @@
 
     private final Map<ModelId, ModelDemand> demand = new HashMap<>();
     private final List<EngineState> engines = new ArrayList<>();
+    private final RecentUnloads recentUnloads = new RecentUnloads();
     private final Rules rules = rules();
 
     private static Rules rules() {
@@ -109,7 +110,7 @@
 
     private List<PlannedOrder> plan(int loads, long now) {
         EnginePool pool = rules.enginePools().get(POOL);
-        return new EnginePlanner(rules, pool, engines, demand, loads, now).plan();
+        return new EnginePlanner(rules, pool, engines, demand, loads, recentUnloads, now).plan();
     }
 
     private List<PlannedOrder> plan() {
@@ -169,6 +170,38 @@
         assertThat(plan(), is(List.of(new PlannedOrder(roomy, Action.LOAD, HOT))));
     }
 
+    /** Pattern: the demand shifts for some seconds; several copies that made way at once were missed when it came back. */
+    @Test
+    void aModelGivesUpOneCopyAtATimeForAHotterOne() {
+        for (int number = 0; number < 4; number++) {
+            engine("warm-" + number, WARM, RARE);
+        }
+        engine("hot", HOT);
+        wish(HOT, 40_000, 0);
+        PlannedOrder first = plan().get(0);
+        assertThat(first.action(), is(Action.UNLOAD));
+        List<ModelId> unloadedNext = plan(9, NOW + Duration.ofSeconds(1).toNanos()).stream()
+                .filter(order -> order.action() == Action.UNLOAD)
+                .map(PlannedOrder::model)
+                .toList();
+        assertThat(unloadedNext, not(hasItem(first.model())));
+        List<ModelId> unloadedLater = plan(9, NOW + Duration.ofSeconds(20).toNanos()).stream()
+                .map(PlannedOrder::model)
+                .toList();
+        assertThat(unloadedLater, hasItem(first.model()));
+    }
+
+    /** Pattern: a model was hot until some seconds ago, another one was not; the demand may return. */
+    @Test
+    void aModelThatWasAskedForLatelyKeepsItsCopiesLongerThanOneThatWasNot() {
+        engine("one", WARM, RARE);
+        engine("two", WARM, RARE);
+        engine("hot", HOT);
+        wish(HOT, 40_000, 0);
+        demand.put(WARM, new ModelDemand(10, 9_000, 0));
+        assertThat(plan().get(0).model(), is(RARE));
+    }
+
     /** Pattern: room was made for one model, an adapter goes first there, and another model is missing as well. */
     @Test
     void aMissingModelDoesNotCountOnRoomThatIsMadeForAnother() {
