Wait for adapters that an engine does not hold yet or any more, and let last copies make way in large pools

An engine refuses requests for an adapter while its order is carried out, and those for one that was just unloaded; two such answers used up the attempts of a route, or the target was excluded and no other held the adapter. Only runs count as attempts in the agreement with callers, and nothing had run.

Change: up to five refused attempts for an adapter do not count (each still pays from the retry budget); a target that answers that it does not hold a model is taken as not ready for it until a change is told, so the request waits and is reported as demand. The last copy of a model may make way while a tenth of the engines moves, not only one: in a pool of 53 some engine always does.

Tests with both patterns; the attempts of requests for models are as before.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
@@ -129,6 +129,8 @@
         /** No byte came within the progress deadline; ejects the target at once. */
         TIMED_OUT,
         /** The target answered that it is full and ran nothing; the request may be dispatched again. */
-        REFUSED_FULL
+        REFUSED_FULL,
+        /** The target answered that it does not hold the model and ran nothing. */
+        REFUSED_ABSENT
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -12,6 +12,7 @@
 import java.util.function.ToIntFunction;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ModelId;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
 import org.basilrill.api.TargetId;
@@ -44,6 +45,7 @@
     private final Map<WaitingRequest, BasilrillException> tooLate = new HashMap<>();
     private final SerialEffects effects = new SerialEffects();
     private final Object lock = new Object();
+    private volatile AbsenceListener absences = (target, model) -> {};
 
     private long lastOrder;
     private Optional<WaitingRequest> arriving = Optional.empty();
@@ -103,6 +105,18 @@
         effects.run();
     }
 
+    /** Is told of targets that turn out not to hold a model; replaces an earlier listener. */
+    public void onAbsence(AbsenceListener listener) {
+        absences = listener;
+    }
+
+    /** Learns that a target does not hold a model that it announced. */
+    @FunctionalInterface
+    public interface AbsenceListener {
+        /** Takes one such observation; called without a lock held. */
+        void absent(TargetAnnouncement target, ModelId model);
+    }
+
     /** Drops what was learned of a target whose announcement expired. */
     public void targetExpired(TargetId target) {
         router.forget(target);
@@ -307,6 +321,11 @@
                 giveBack(SlotResult.REFUSED_FULL, true);
                 return;
             }
+            if (result == AttemptResult.REFUSED_ABSENT) {
+                served.waiting().request().destination().model().ifPresent(model -> absences.absent(target(), model));
+                giveBack(SlotResult.CANCELLED, true);
+                return;
+            }
             giveBack(SlotResult.valueOf(result.name()), false);
         }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -34,6 +34,8 @@
     /** A model whose demand in tokens per second is below this is left with one copy. */
     private static final double NEGLIGIBLE_RATE = 200;
 
+    /** A last copy makes way only while no larger part of the engines loads or unloads, so that it can return at once. */
+    private static final double QUIET_SHARE = 0.1;
     /** Part of the engines that may load or unload at a time, so that most models keep their copies meanwhile. */
     private static final double MOVING_SHARE = 0.4;
 
@@ -45,6 +47,7 @@
     private final Map<ModelId, Double> rates = new HashMap<>();
     /** Demand that copies are kept for: a rise counts at once, a fall only after a while. */
     private final Map<ModelId, Double> keptRates = new HashMap<>();
+
     private final Map<ModelId, Integer> waitingByBase = new HashMap<>();
     private final Map<ModelId, Integer> copies = new HashMap<>();
     private final Set<EngineState> taken = new HashSet<>();
@@ -204,8 +207,8 @@
     /**
      * Returns whether a copy may be unloaded for another model. The last copy of a model may only if nobody waits for
      * it, it is asked for far less, and it loads again from the machine's own copy within a second. Only one last copy
-     * at a time makes way, while at most one engine moves: several at once made each other's models missing, and all of
-     * them went round.
+     * in a decision makes way, while few engines move: several at once made each other's models missing, and all of them
+     * went round.
      *
      * @param share demand for the last copy, relative to that for the other model, below which it may go
      */
@@ -214,12 +217,16 @@
                 && waitingByBase.getOrDefault(held, 0) == 0
                 && rate(held) < share * rate(next)
                 && !lastCopyTaken
-                && engines.stream().filter(EngineState::isBusy).count() <= 1;
+                && busyEngines() <= Math.max(1, engines.size() * QUIET_SHARE);
         return (copies(held) > 1 || replaceable)
                 && engine.isSettled(held, now)
                 && engine.usedBytes(rules) - bytes(held) + bytes(next) <= pool.memoryBytes();
     }
 
+    private long busyEngines() {
+        return engines.stream().filter(EngineState::isBusy).count();
+    }
+
     private static Optional<Victim> better(Optional<Victim> best, Victim other) {
         return best.filter(known -> Victim.BEST_FIRST.compare(known, other) <= 0)
                 .or(() -> Optional.of(other));
@@ -293,7 +300,9 @@
             }
             for (ModelId held : engine.readyModels()) {
                 double loss = load(engine) + keptRate(held) / Math.max(1, copies(held) - 1);
-                if (loss < gain && !recentUnloads.contains(held, now) && makesWay(engine, held, model, LAST_COPY_SHARE)) {
+                if (loss < gain
+                        && !recentUnloads.contains(held, now)
+                        && makesWay(engine, held, model, LAST_COPY_SHARE)) {
                     best = better(best, new Victim(engine, held, engine.hasAtHand(model), loss));
                 }
             }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -134,6 +134,8 @@
         this.blockedRequests = new BlockedRequests(
                 environment.clock(), request -> membership.publishUrgently(new BlockedRequestFact(request)));
         this.coordinator = createCoordinator();
+        dispatcher.onAbsence(
+                (target, model) -> targets.contentChanged(target.id(), target.incarnation(), model, false));
         targets.addListener(this::targetChanged);
         membership.onFact((owner, fact) -> learnBlocked(fact));
         membership.onPeriod(this::publishOwnFacts);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
@@ -2,14 +2,22 @@
 
 import java.time.Duration;
 import org.basilrill.api.ErrorCode;
+import org.basilrill.api.ModelId;
 import org.basilrill.protocol.instance.TargetAttempt.AttemptFailure;
 
 /** Counts the attempts of one request and decides whether another one may follow. Not thread safe. */
 final class Retries {
+    /**
+     * Attempts for an adapter that a target refused without running anything, and that do not count: the adapter is on
+     * its way there, or was just unloaded, and is at hand again within some tens of milliseconds.
+     */
+    private static final int MAXIMUM_UNCOUNTED = 5;
+
     private final RequestServices services;
     private final RequestPlan plan;
     private final long deadlineNanos;
     private int attempts;
+    private int uncounted;
     /** Whether the retry budget has already paid for the next attempt. */
     private boolean granted;
 
@@ -61,10 +69,17 @@
         return granted;
     }
 
-    /** Notes how an attempt failed: one that reached no target does not count. */
+    /** Notes how an attempt failed: one that reached no target does not count, nor some that ran nothing. */
     void attemptFailed(AttemptFailure failure) {
         if (failure.code() == ErrorCode.TARGET_UNREACHABLE) {
             attempts--;
+            return;
+        }
+        boolean ranNothing = failure.code() == ErrorCode.TARGET_FULL || failure.code() == ErrorCode.TARGET_MISDIRECTED;
+        boolean adapter = plan.destination().model().flatMap(ModelId::adapter).isPresent();
+        if (adapter && ranNothing && uncounted < MAXIMUM_UNCOUNTED) {
+            uncounted++;
+            attempts--;
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -158,7 +158,7 @@
             assignment.answered(plan.messages().load(head));
             if (plan.messages().misdirected(head)) {
                 end(
-                        AttemptResult.CANCELLED,
+                        AttemptResult.REFUSED_ABSENT,
                         new AttemptFailure(
                                 ErrorCode.TARGET_MISDIRECTED, "the request is not for the target", false, false));
                 return;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/UsedTargets.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/UsedTargets.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.basilrill.api.ErrorCode;
+import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
 import org.basilrill.coordination.admission.Dispatcher;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
@@ -33,11 +34,14 @@
 
     /**
      * Notes that an attempt failed. A target that lost an answer may get the request again if it is the only one, as
-     * the only holder of a model is; one that is full excludes itself for a while.
+     * the only holder of a model is; one that is full excludes itself for a while; one that lacks an adapter may get it
+     * again, and is not ready for the request until then.
      */
     void failed(TargetId target, AttemptFailure failure) {
+        boolean lacksAdapter = failure.code() == ErrorCode.TARGET_MISDIRECTED
+                && destination.model().flatMap(ModelId::adapter).isPresent();
         boolean lostAnswer = failure.code() == ErrorCode.TARGET_FAILED;
-        if (failure.code() == ErrorCode.TARGET_FULL || (lostAnswer && !hasOthersThan(target))) {
+        if (lacksAdapter || failure.code() == ErrorCode.TARGET_FULL || (lostAnswer && !hasOthersThan(target))) {
             return;
         }
         excluded.add(target);
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatchBench.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatchBench.java
@@ -64,6 +64,8 @@
                         defaults.recheckInterval(),
                         defaults.shortestRetryAfter(),
                         defaults.longestRetryAfter()));
+        dispatcher.onAbsence(
+                (target, model) -> registry.contentChanged(target.id(), target.incarnation(), model, false));
         registry.addListener(change -> {
             if (change.kind() == Kind.EXPIRED) {
                 dispatcher.targetExpired(change.announcement().id());
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/FairDispatcherTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/FairDispatcherTest.java
@@ -54,6 +54,21 @@
         assertThat(bench.dispatch("a", "m").isDone(), is(false));
     }
 
+    /** Pattern: an adapter made way and the news of it is on its way; the request must wait for it, not fail. */
+    @Test
+    void aModelThatItsTargetDoesNotHoldIsWaitedForAsIfItWereNotReady() {
+        ModelId adapter = new ModelId("m/a1");
+        TargetAnnouncement target = engine("t1", 4, "m/a1");
+        bench.announce(target);
+        bench.untilReady().put(adapter, SECOND);
+        bench.dispatch("a", "m/a1").join().release(AttemptResult.REFUSED_ABSENT);
+        CompletableFuture<Assignment> again = bench.dispatch("a", "m/a1");
+        assertThat(again.isDone(), is(false));
+        assertThat(bench.waitingForCopy().get(adapter), is(1));
+        bench.registry().contentChanged(target.id(), target.incarnation(), adapter, true);
+        assertThat(again.isDone(), is(true));
+    }
+
     /** Guards against refusing requests for a model that is being loaded in time. */
     @Test
     void aRequestWaitsForAModelThatBecomesReadyWithinItsDeadline() {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
@@ -133,6 +133,13 @@
             head(503, "application/json", requestId());
         }
 
+        /** Answers with a failure and a header that says, in the words of a dialect, that nothing ran. */
+        void refuseUnrun(String header) {
+            over = true;
+            listener.answered(new AnswerHead(
+                    503, List.of(new HeaderField(RequestHead.REQUEST_ID, requestId()), new HeaderField(header, "1"))));
+        }
+
         void data(String text) {
             listener.received(text.getBytes(StandardCharsets.UTF_8));
         }
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -69,6 +69,35 @@
         return fixture.connector().calls().size();
     }
 
+    /** Pattern: an adapter is on its way to the only engine with its model, which refuses requests for it until then. */
+    @Test
+    void aRequestForAnAdapterOnItsWayIsSentAgainAlthoughItsAttemptsAreUsed() {
+        Started started = fixture.start(
+                CoordinatorFixture.head(
+                        "POST", "/safe/x", "Host", HOST, RequestHead.REQUEST_ID, "r-1", "X-Model", "m/a1"),
+                "body");
+        for (int refusal = 0; refusal < 4; refusal++) {
+            last().refuseUnrun(StubDialect.RAN_NOTHING);
+        }
+        assertThat(calls(), is(5));
+        last().stream();
+        last().data("data: a\n\n");
+        last().end();
+        assertThat(started.stream().status(), is(200));
+    }
+
+    /** Guards against requests that keep an overloaded target busy with refusals. */
+    @Test
+    void aRequestForAModelIsNotSentMoreOftenThanItsRouteAllows() {
+        fixture.start(
+                CoordinatorFixture.head("POST", "/safe/x", "Host", HOST, RequestHead.REQUEST_ID, "r-1", "X-Model", "m"),
+                "body");
+        for (int refusal = 0; refusal < 2; refusal++) {
+            last().refuseUnrun(StubDialect.RAN_NOTHING);
+        }
+        assertThat(calls(), is(2));
+    }
+
     @Test
     void aStreamThatWasCutGoesOnAtAnotherTargetAfterItsLastWholeEvent() {
         Started started = send("/stream/x");
