Never unload the only copy of a model that serves while another one loads

Copies on their way counted as copies.

Change: only copies that serve count when one makes way. The new test failed before.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -50,6 +50,9 @@
 
     private final Map<ModelId, Integer> waitingByBase = new HashMap<>();
     private final Map<ModelId, Integer> copies = new HashMap<>();
+    /** Copies that serve; those on their way do not replace one that is unloaded. */
+    private final Map<ModelId, Integer> readyCopies = new HashMap<>();
+
     private final Set<EngineState> taken = new HashSet<>();
     private final List<PlannedOrder> orders = new ArrayList<>();
     private final AdapterPlanner adapters;
@@ -79,6 +82,7 @@
         });
         for (EngineState engine : this.engines) {
             engine.heldModels().forEach(model -> copies.merge(model, 1, Integer::sum));
+            engine.readyModels().forEach(model -> readyCopies.merge(model, 1, Integer::sum));
         }
         adapters = new AdapterPlanner(rules, pool, demand, now);
     }
@@ -205,7 +209,7 @@
     }
 
     /**
-     * Returns whether a copy may be unloaded for another model. The last copy of a model may only if nobody waits for
+     * Returns whether a copy may be unloaded for another model. The last copy that serves may only if nobody waits for
      * it, it is asked for far less, and it loads again from the machine's own copy within a second. Only one last copy
      * in a decision makes way, while few engines move: several at once made each other's models missing, and all of them
      * went round.
@@ -218,7 +222,7 @@
                 && rate(held) < share * rate(next)
                 && !lastCopyTaken
                 && busyEngines() <= Math.max(1, engines.size() * QUIET_SHARE);
-        return (copies(held) > 1 || replaceable)
+        return (readyCopies.getOrDefault(held, 0) > 1 || replaceable)
                 && engine.isSettled(held, now)
                 && engine.usedBytes(rules) - bytes(held) + bytes(next) <= pool.memoryBytes();
     }
@@ -330,11 +334,12 @@
 
     private void unload(EngineState engine, ModelId model, ModelId successor) {
         engine.reserveFor(successor);
-        lastCopyTaken |= copies(model) == 1;
+        lastCopyTaken |= readyCopies.getOrDefault(model, 0) <= 1;
         if (!engine.hasAtHand(successor)) {
             loadsLeft--;
         }
         copies.merge(model, -1, Integer::sum);
+        readyCopies.merge(model, -1, Integer::sum);
         recentUnloads.note(model, now);
         taken.add(engine);
         orders.add(new PlannedOrder(engine, Action.UNLOAD, model));
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -191,6 +191,19 @@
         assertThat(unloadedLater, hasItem(first.model()));
     }
 
+    /** Pattern: a hot model has one copy that serves and one that loads; a missing model needs room. */
+    @Test
+    void theOnlyCopyThatServesStaysWhileAnotherOneLoads() {
+        engine("serving", HOT, WARM);
+        EngineState loading = engine("loading", WARM);
+        loading.asked();
+        loading.answered(new EngineOrder(Action.LOAD, HOT, 1, 7), Answer.ACCEPTED, NOW, 0);
+        wish(HOT, 5_000, 0);
+        wish(WARM, 6_000, 0);
+        wish(RARE, 0, 2);
+        assertThat(plan().stream().map(PlannedOrder::model).toList(), not(hasItem(HOT)));
+    }
+
     /** Pattern: a model was hot until some seconds ago, another one was not; the demand may return. */
     @Test
     void aModelThatWasAskedForLatelyKeepsItsCopiesLongerThanOneThatWasNot() {
