Read the number of members without copying the member table

Cause, from stack samples of 60 instances on virtual time: 74% of the time of an exchange went into the period, which copied the table of all members for each member it looked at. The work of an instance grew with the square of the members, and among 100 the decision threads were the largest part of its processor time. The same copy was made for each fact received.

Change: size and the last advance of one owner are read directly; a fact of one type is found without a stream.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
@@ -137,8 +137,9 @@
 
     /** Returns how long nothing was heard of a member; zero if it is not known. */
     public Duration silenceOf(InstanceId owner) {
-        Long advancedAt = state.lastAdvances().get(owner);
-        return advancedAt == null ? Duration.ZERO : Duration.ofNanos(clock.nanos() - advancedAt);
+        return state.lastAdvance(owner)
+                .map(advancedAt -> Duration.ofNanos(clock.nanos() - advancedAt))
+                .orElse(Duration.ZERO);
     }
 
     /** Returns the facts of one type that a member has published. */
@@ -173,8 +174,7 @@
 
     @Override
     public Optional<Member> member(InstanceId id) {
-        Long advancedAt = state.lastAdvances().get(id);
-        return advancedAt == null ? Optional.empty() : memberOf(id, advancedAt);
+        return state.lastAdvance(id).flatMap(advancedAt -> memberOf(id, advancedAt));
     }
 
     private Optional<Member> memberOf(InstanceId owner, long advancedAtNanos) {
@@ -234,7 +234,7 @@
     }
 
     private Duration period() {
-        int members = state.lastAdvances().size();
+        int members = state.size();
         if (members <= MEMBERS_AT_FULL_PACE) {
             return BASE_PERIOD;
         }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipState.java
@@ -125,6 +125,16 @@
         return advances;
     }
 
+    /** Returns when the version of an owner last advanced, if the owner is known. */
+    synchronized Optional<Long> lastAdvance(InstanceId owner) {
+        return Optional.ofNullable(owners.get(owner)).map(OwnerState::advancedAtNanos);
+    }
+
+    /** Returns how many owners are known, this instance included. */
+    synchronized int size() {
+        return owners.size();
+    }
+
     synchronized <T extends Fact> Optional<T> fact(InstanceId owner, Class<T> type) {
         return Optional.ofNullable(owners.get(owner)).flatMap(state -> state.fact(type));
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/OwnerState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/OwnerState.java
@@ -52,7 +52,12 @@
     }
 
     <T extends Fact> Optional<T> fact(Class<T> type) {
-        return facts(type).findFirst();
+        for (Item item : items.values()) {
+            if (type.isInstance(item.fact())) {
+                return Optional.of(type.cast(item.fact()));
+            }
+        }
+        return Optional.empty();
     }
 
     <T extends Fact> Stream<T> facts(Class<T> type) {
