--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EngineControllerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EngineControllerTest.java
@@ -18,14 +18,12 @@
 import org.basilrill.coordination.placement.PlacementMessage.DemandReport;
 import org.basilrill.coordination.placement.PlacementMessage.ReportedDemand;
 import org.basilrill.state.configuration.EnginePool;
-import org.basilrill.state.configuration.RouteTable;
 import org.basilrill.state.configuration.Rules;
 import org.junit.jupiter.api.Test;
 
 /** Guards the engines against two holders in turn, and against more models and adapters than they have room for. */
 class EngineControllerTest {
     private static final Duration LEASE = Duration.ofSeconds(3);
-    private static final String POOL = "pool";
     /** Each takes as many units of memory as it has letters; an engine has ten, so that not all fit. */
     private static final List<ModelId> MODELS = List.of(
             new ModelId("five1"), new ModelId("five2"), new ModelId("six333"), new ModelId("four"), new ModelId("tri"));
@@ -79,7 +77,7 @@
         private History(Random random) {
             this.random = random;
             Rules rules = rules();
-            engines = new VirtualEngines(time, random, rules.enginePools().get(POOL), LEASE);
+            engines = new VirtualEngines(time, random, rules.enginePools().get(EnginePlanning.POOL), LEASE);
             engines.add("one", MODELS.get(0), MODELS.get(3));
             engines.add("two", MODELS.get(2));
             engines.add("three", MODELS.get(1), MODELS.get(4));
@@ -143,28 +141,8 @@
     }
 
     private static Rules rules() {
-        Map<ModelId, Rules.Model> models = new HashMap<>();
-        Map<ModelId, Rules.Adapter> adapters = new HashMap<>();
-        Map<ModelId, Duration> times = new HashMap<>();
-        for (ModelId model : MODELS) {
-            models.put(model, new Rules.Model(model, model.value().length(), 1, 9, 1, 5));
-            times.put(model, Duration.ofMillis(800));
-            for (int number = 1; number <= 4; number++) {
-                ModelId adapter = new ModelId(model + "/a" + number);
-                adapters.put(adapter, new Rules.Adapter(adapter, 0));
-            }
-        }
-        return new Rules(
-                1,
-                Map.of(),
-                Map.of(),
-                Map.of(),
-                models,
-                adapters,
-                Map.of(),
-                List.of(),
-                Rules.StoreLimits.defaults(),
-                RouteTable.empty(),
-                Map.of(POOL, new EnginePool(POOL, 10, 2, 5, times)));
+        EnginePool pool =
+                new EnginePool(EnginePlanning.POOL, 10, 2, 5, EnginePlanning.loadTimes(MODELS, Duration.ofMillis(800)));
+        return EnginePlanning.rules(MODELS, model -> model.value().length(), 4, 0, pool);
     }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -9,114 +9,19 @@
 import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.basilrill.api.ModelId;
-import org.basilrill.api.TargetId;
-import org.basilrill.coordination.placement.ModelDemand;
 import org.basilrill.state.configuration.EnginePool;
-import org.basilrill.state.configuration.RouteTable;
-import org.basilrill.state.configuration.Rules;
 import org.basilrill.state.target.EngineOrder;
 import org.basilrill.state.target.EngineOrder.Action;
 import org.basilrill.state.target.EngineOrder.Answer;
 import org.basilrill.state.target.EngineReport;
-import org.basilrill.state.target.TargetAnnouncement;
-import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
 import org.junit.jupiter.api.Test;
 
 /** Guards what engines are ordered under the patterns of load and failure that the days of a site bring. */
-class EnginePlannerTest {
-    private static final long NOW = Duration.ofHours(1).toNanos();
-    private static final String POOL = "pool";
-    private static final ModelId HOT = new ModelId("hot");
-    private static final ModelId WARM = new ModelId("warm");
-    private static final ModelId RARE = new ModelId("rare");
-
-    private final Map<ModelId, ModelDemand> demand = new HashMap<>();
-    private final List<EngineState> engines = new ArrayList<>();
-    private final RecentUnloads recentUnloads = new RecentUnloads();
-    private final Rules rules = rules(List.of(HOT, WARM, RARE));
-
-    private static Rules rules(List<ModelId> known) {
-        Map<ModelId, Rules.Model> models = new HashMap<>();
-        Map<ModelId, Rules.Adapter> adapters = new HashMap<>();
-        Map<ModelId, Duration> times = new HashMap<>();
-        for (ModelId model : known) {
-            models.put(model, new Rules.Model(model, 40, 1, 9, 1, 5));
-            times.put(model, Duration.ofSeconds(3));
-            for (int number = 1; number <= 9; number++) {
-                ModelId adapter = new ModelId(model + "/a" + number);
-                adapters.put(adapter, new Rules.Adapter(adapter, 1));
-            }
-        }
-        return new Rules(
-                1,
-                Map.of(),
-                Map.of(),
-                Map.of(),
-                models,
-                adapters,
-                Map.of(),
-                List.of(),
-                Rules.StoreLimits.defaults(),
-                RouteTable.empty(),
-                Map.of(POOL, new EnginePool(POOL, 100, 3, 1, times)));
-    }
-
-    private static TargetAnnouncement announcement(String id, ModelId... contents) {
-        Map<ModelId, LoadedModel> held = new HashMap<>();
-        Arrays.stream(contents).forEach(model -> held.put(model, new LoadedModel(0, 0, true)));
-        return new TargetAnnouncement(
-                new TargetId(id),
-                1,
-                1,
-                "127.0.0.1",
-                1,
-                "north",
-                Optional.of(POOL),
-                5000,
-                0,
-                held,
-                Set.of(TargetAnnouncement.Role.DECODE),
-                64,
-                new TargetAnnouncement.Load(0, 0),
-                true,
-                false);
-    }
-
-    private EngineState engine(String id, Set<ModelId> atHand, ModelId... contents) {
-        EngineState engine = new EngineState(announcement(id, contents), NOW);
-        engine.asked();
-        Set<ModelId> held = new HashSet<>(Arrays.asList(contents));
-        engine.reported(Optional.of(new EngineReport(held, Set.of(), atHand, false, 7)), NOW, 0);
-        engines.add(engine);
-        return engine;
-    }
-
-    private EngineState engine(String id, ModelId... contents) {
-        return engine(id, Set.of(), contents);
-    }
-
-    private void wish(ModelId model, double rate, int waiting) {
-        demand.put(model, new ModelDemand(rate, 0, waiting));
-    }
-
-    private List<PlannedOrder> plan(int loads, long now) {
-        EnginePool pool = rules.enginePools().get(POOL);
-        return new EnginePlanner(rules, pool, engines, demand, loads, recentUnloads, now).plan();
-    }
-
-    private List<PlannedOrder> plan() {
-        return plan(9, NOW);
-    }
-
+class EnginePlannerTest extends EnginePlanning {
     /** Pattern: an adapter is asked for that no engine holds. */
     @Test
     void aWaitingAdapterGoesToTheLeastLoadedEngineWithItsModel() {
@@ -170,98 +75,6 @@
         assertThat(plan(), is(List.of(new PlannedOrder(roomy, Action.LOAD, HOT))));
     }
 
-    /** Pattern: the demand shifts for some seconds; several copies that made way at once were missed when it came back. */
-    @Test
-    void aModelGivesUpOneCopyAtATimeForAHotterOne() {
-        for (int number = 0; number < 4; number++) {
-            engine("warm-" + number, WARM, RARE);
-        }
-        engine("hot", HOT);
-        wish(HOT, 40_000, 0);
-        PlannedOrder first = plan().get(0);
-        assertThat(first.action(), is(Action.UNLOAD));
-        List<ModelId> unloadedNext = plan(9, NOW + Duration.ofSeconds(1).toNanos()).stream()
-                .filter(order -> order.action() == Action.UNLOAD)
-                .map(PlannedOrder::model)
-                .toList();
-        assertThat(unloadedNext, not(hasItem(first.model())));
-        List<ModelId> unloadedLater = plan(9, NOW + Duration.ofSeconds(20).toNanos()).stream()
-                .map(PlannedOrder::model)
-                .toList();
-        assertThat(unloadedLater, hasItem(first.model()));
-    }
-
-    /** Pattern: a hot model has one copy that serves and one that loads; a missing model needs room. */
-    @Test
-    void theOnlyCopyThatServesStaysWhileAnotherOneLoads() {
-        engine("serving", HOT, WARM);
-        EngineState loading = engine("loading", WARM);
-        loading.asked();
-        loading.answered(new EngineOrder(Action.LOAD, HOT, 1, 7), Answer.ACCEPTED, NOW, 0);
-        wish(HOT, 5_000, 0);
-        wish(WARM, 6_000, 0);
-        wish(RARE, 0, 2);
-        assertThat(plan().stream().map(PlannedOrder::model).toList(), not(hasItem(HOT)));
-    }
-
-    /** Pattern: rare models are asked for at once; room for one of them was made twice while others had no copy. */
-    @Test
-    void roomForAMissingModelIsMadeOnce() {
-        engine("one", HOT, WARM);
-        engine("two", HOT, WARM);
-        wish(RARE, 100, 2);
-        PlannedOrder first = plan().get(0);
-        assertThat(first.action(), is(Action.UNLOAD));
-        first.engine().asked();
-        assertThat(plan(), empty());
-    }
-
-    /** Pattern: the same, in a pool where no model has a second copy and some engines always load. */
-    @Test
-    void aLastCopyMakesWayInALargePoolWhileOtherEnginesLoad() {
-        List<ModelId> known = new ArrayList<>();
-        for (int number = 0; number < 22; number++) {
-            known.add(new ModelId("m" + number));
-        }
-        for (int number = 0; number < 10; number++) {
-            Set<ModelId> held = Set.of(known.get(2 * number), known.get(2 * number + 1));
-            engine("engine-" + number, held, held.toArray(ModelId[]::new));
-        }
-        for (EngineState busy : engines.subList(0, 2)) {
-            ModelId leaving = busy.readyModels().iterator().next();
-            busy.asked();
-            busy.answered(new EngineOrder(Action.UNLOAD, leaving, 1, 7), Answer.ACCEPTED, NOW, 0);
-        }
-        wish(known.get(20), 100, 2);
-        Rules large = rules(known);
-        List<PlannedOrder> orders =
-                new EnginePlanner(large, large.enginePools().get(POOL), engines, demand, 9, recentUnloads, NOW).plan();
-        assertThat(orders.get(0).action(), is(Action.UNLOAD));
-    }
-
-    /** Pattern: a model was hot until some seconds ago, another one was not; the demand may return. */
-    @Test
-    void aModelThatWasAskedForLatelyKeepsItsCopiesLongerThanOneThatWasNot() {
-        engine("one", WARM, RARE);
-        engine("two", WARM, RARE);
-        engine("hot", HOT);
-        wish(HOT, 40_000, 0);
-        demand.put(WARM, new ModelDemand(10, 9_000, 0));
-        assertThat(plan().get(0).model(), is(RARE));
-    }
-
-    /** Pattern: room was made for one model, an adapter goes first there, and another model is missing as well. */
-    @Test
-    void aMissingModelDoesNotCountOnRoomThatIsMadeForAnother() {
-        EngineState promised = engine("one", HOT);
-        promised.reserveFor(WARM);
-        promised.asked();
-        EngineState full = engine("two", HOT, WARM);
-        wish(HOT, 9000, 0);
-        wish(RARE, 0, 2);
-        assertThat(plan(), is(List.of(new PlannedOrder(full, Action.UNLOAD, HOT))));
-    }
-
     /** Pattern: an engine has just loaded a model whose adapters are waited for, and another model is missing. */
     @Test
     void adaptersThatRequestsWaitForAreLoadedBeforeTheNextModel() {
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlanning.java
@@ -0,0 +1,138 @@
+package org.basilrill.coordination.engine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.placement.ModelDemand;
+import org.basilrill.state.configuration.EnginePool;
+import org.basilrill.state.configuration.RouteTable;
+import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.EngineReport;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
+
+/** Engines of one pool, the demand for their models, and the decisions on them. Not thread safe. */
+abstract class EnginePlanning {
+    static final long NOW = Duration.ofHours(1).toNanos();
+    static final String POOL = "pool";
+    static final ModelId HOT = new ModelId("hot");
+    static final ModelId WARM = new ModelId("warm");
+    static final ModelId RARE = new ModelId("rare");
+
+    private static final long MODEL_BYTES = 40;
+    private static final long ENGINE_BYTES = 100;
+    private static final int ADAPTER_SLOTS = 3;
+
+    final Map<ModelId, ModelDemand> demand = new HashMap<>();
+    final List<EngineState> engines = new ArrayList<>();
+    private final RecentUnloads recentUnloads = new RecentUnloads();
+    Rules rules = rules(List.of(HOT, WARM, RARE));
+
+    /** Returns rules with models of the given memory, some adapters of each, and one pool. */
+    static Rules rules(
+            Collection<ModelId> known,
+            ToLongFunction<ModelId> memory,
+            int adaptersOfEach,
+            long bytes,
+            EnginePool pool) {
+        Map<ModelId, Rules.Model> models = new HashMap<>();
+        Map<ModelId, Rules.Adapter> adapters = new HashMap<>();
+        for (ModelId model : known) {
+            models.put(model, new Rules.Model(model, memory.applyAsLong(model), 1, 9, 1, 5));
+            for (int number = 1; number <= adaptersOfEach; number++) {
+                ModelId adapter = new ModelId(model + "/a" + number);
+                adapters.put(adapter, new Rules.Adapter(adapter, bytes));
+            }
+        }
+        return new Rules(
+                1,
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                models,
+                adapters,
+                Map.of(),
+                List.of(),
+                Rules.StoreLimits.defaults(),
+                RouteTable.empty(),
+                Map.of(pool.service(), pool));
+    }
+
+    /** Returns the same load time for each model. */
+    static Map<ModelId, Duration> loadTimes(Collection<ModelId> known, Duration time) {
+        Map<ModelId, Duration> times = new HashMap<>();
+        known.forEach(model -> times.put(model, time));
+        return times;
+    }
+
+    static TargetAnnouncement announcement(String id, ModelId... ready) {
+        return announcement(new TargetId(id), 1, List.of(ready));
+    }
+
+    static TargetAnnouncement announcement(TargetId id, long incarnation, Collection<ModelId> ready) {
+        Map<ModelId, LoadedModel> held = new HashMap<>();
+        ready.forEach(model -> held.put(model, new LoadedModel(0, 0, true)));
+        return new TargetAnnouncement(
+                id,
+                incarnation,
+                1,
+                "127.0.0.1",
+                1,
+                "north",
+                Optional.of(POOL),
+                5000,
+                0,
+                held,
+                Set.of(TargetAnnouncement.Role.DECODE),
+                64,
+                new TargetAnnouncement.Load(0, 0),
+                true,
+                false);
+    }
+
+    /** Replaces the models of the pool; an engine has room for two of them. */
+    void useModels(Collection<ModelId> known) {
+        rules = rules(known);
+    }
+
+    EngineState engine(String id, Set<ModelId> atHand, ModelId... contents) {
+        EngineState engine = new EngineState(announcement(id, contents), NOW);
+        engine.asked();
+        Set<ModelId> held = new HashSet<>(Arrays.asList(contents));
+        engine.reported(Optional.of(new EngineReport(held, Set.of(), atHand, false, 7)), NOW, 0);
+        engines.add(engine);
+        return engine;
+    }
+
+    EngineState engine(String id, ModelId... contents) {
+        return engine(id, Set.of(), contents);
+    }
+
+    void wish(ModelId model, double rate, int waiting) {
+        demand.put(model, new ModelDemand(rate, 0, waiting));
+    }
+
+    List<PlannedOrder> plan(int loads, long now) {
+        EnginePool pool = rules.enginePools().get(POOL);
+        return new EnginePlanner(rules, pool, engines, demand, loads, recentUnloads, now).plan();
+    }
+
+    List<PlannedOrder> plan() {
+        return plan(9, NOW);
+    }
+
+    private static Rules rules(Collection<ModelId> known) {
+        EnginePool pool = new EnginePool(POOL, ENGINE_BYTES, ADAPTER_SLOTS, 1, loadTimes(known, Duration.ofSeconds(3)));
+        return rules(known, model -> MODEL_BYTES, 9, 1, pool);
+    }
+}
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/VirtualEngines.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/VirtualEngines.java
@@ -20,7 +20,6 @@
 import org.basilrill.state.target.EngineOrder.Answer;
 import org.basilrill.state.target.EngineReport;
 import org.basilrill.state.target.TargetAnnouncement;
-import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
 import org.basilrill.state.target.TargetDirectory;
 
 /**
@@ -234,24 +233,7 @@
         }
 
         private TargetAnnouncement announcement() {
-            Map<ModelId, LoadedModel> contents = new HashMap<>();
-            ready.forEach(model -> contents.put(model, new LoadedModel(0, 0, true)));
-            return new TargetAnnouncement(
-                    id,
-                    incarnation,
-                    1,
-                    "127.0.0.1",
-                    1,
-                    "north",
-                    Optional.of(pool.service()),
-                    5000,
-                    0,
-                    contents,
-                    Set.of(TargetAnnouncement.Role.DECODE),
-                    64,
-                    new TargetAnnouncement.Load(0, 0),
-                    false,
-                    false);
+            return EnginePlanning.announcement(id, incarnation, ready);
         }
     }
 }
