--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantIssuer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantIssuer.java
@@ -19,8 +19,8 @@
  * thread safe; guarded by the lock of the shard.
  */
 final class GrantIssuer {
-    /** Part of the level left after the need that one look-ahead may take, so that one instance does not drain it. */
-    private static final int LOOK_AHEAD_DIVISOR = 4;
+    /** One look-ahead takes at most this part of the level left after the need, so that one instance does not drain it. */
+    private static final int LEAST_LOOK_AHEAD_DIVISOR = 4;
     /** Stands for all grants of earlier epochs; no process has incarnation and ask 0 together. */
     private static final long EARLIER_EPOCHS = 0;
 
@@ -217,7 +217,7 @@
         }
         long needed = Math.min(level, ask.need());
         boolean scarce = scarceUntil - nowNanos > 0;
-        long ahead = scarce ? 0 : Math.min(ask.lookAhead(), (level - needed) / LOOK_AHEAD_DIVISOR);
+        long ahead = scarce ? 0 : Math.min(ask.lookAhead(), (level - needed) / lookAheadDivisor());
         long tokens = needed + ahead;
         GrantKey key = candidate.key;
         bucket.grant(key, tokens, nowNanos, nowNanos + BudgetTiming.GRANT_LIFETIME);
@@ -229,6 +229,11 @@
         return true;
     }
 
+    /** With many instances, unspent grants of a quarter each left nothing in the bucket for those that needed tokens. */
+    private long lookAheadDivisor() {
+        return Math.max(LEAST_LOOK_AHEAD_DIVISOR, requesters.size());
+    }
+
     /** Recalls unspent grants of other instances if they can make up what is missing. */
     private boolean recallFor(PendingAsk candidate, long nowNanos, Outbox outbox) {
         InstanceId asking = candidate.key.requester();
--- a/basilrill-library/src/main/java/org/basilrill/state/target/ContentChanges.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/ContentChanges.java
@@ -15,7 +15,7 @@
  */
 final class ContentChanges {
     /** Longer than an announcement takes to every instance of a large deployment by the periodic exchange. */
-    private static final Duration VALIDITY = Duration.ofSeconds(10);
+    private static final Duration VALIDITY = Duration.ofSeconds(8);
 
     private final MonotonicClock clock;
     private final Map<TargetId, Map<ModelId, Change>> changes = new HashMap<>();
--- a/basilrill-library/src/test/java/org/basilrill/coordination/budget/GrantProtocolTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/budget/GrantProtocolTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -104,6 +105,27 @@
         assertThat(bucket.outstanding(), is(0L));
     }
 
+    /** Pattern: many instances with little traffic each; what they held in advance was missing where it was needed. */
+    @Test
+    void lookAheadsOfManyInstancesLeaveTokensInTheBucket() {
+        int instances = 20;
+        for (long ask = 1; ask <= 2; ask++) {
+            for (int number = 0; number < instances; number++) {
+                long lookAhead = ask == 1 ? 0 : 1000;
+                BudgetMessage.FromRequester message = new BudgetMessage.FromRequester(
+                        ACCOUNT,
+                        EPOCH,
+                        INCARNATION,
+                        ask,
+                        Optional.of(new BudgetMessage.Ask(ask, 1, 1, lookAhead)),
+                        List.of(),
+                        List.of());
+                issuer.receive(new InstanceId("instance-" + number), message, true, millis(1), new Outbox());
+            }
+        }
+        assertThat(bucket.level(), greaterThan(300L));
+    }
+
     /** Guards against a lost answer that costs the tokens of its grant. */
     @Test
     void anAskThatIsSentAgainIsAnsweredWithTheSameGrant() {
