--- a/basilrill-library/src/main/java/org/basilrill/api/AccountId.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/AccountId.java
@@ -10,9 +10,7 @@
         Identifiers.requireValid("client account", value);
     }
 
-    // Written out, as names are the keys of most maps: the generated methods are linked at run time, which costs a
-    // start
-    // some milliseconds each and every later call an indirection.
+    // Written out: the generated methods are linked at run time, which costs each start some milliseconds.
     @Override
     public boolean equals(Object other) {
         return other instanceof AccountId name && value.equals(name.value);
--- a/basilrill-library/src/main/java/org/basilrill/api/InstanceId.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/InstanceId.java
@@ -22,9 +22,7 @@
         return ADDRESS.matcher(value).matches();
     }
 
-    // Written out, as names are the keys of most maps: the generated methods are linked at run time, which costs a
-    // start
-    // some milliseconds each and every later call an indirection.
+    // Written out: the generated methods are linked at run time, which costs each start some milliseconds.
     @Override
     public boolean equals(Object other) {
         return other instanceof InstanceId name && value.equals(name.value);
--- a/basilrill-library/src/main/java/org/basilrill/api/ModelId.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/ModelId.java
@@ -26,9 +26,7 @@
         return separator < 0 ? Optional.empty() : Optional.of(value.substring(separator + 1));
     }
 
-    // Written out, as names are the keys of most maps: the generated methods are linked at run time, which costs a
-    // start
-    // some milliseconds each and every later call an indirection.
+    // Written out: the generated methods are linked at run time, which costs each start some milliseconds.
     @Override
     public boolean equals(Object other) {
         return other instanceof ModelId name && value.equals(name.value);
--- a/basilrill-library/src/main/java/org/basilrill/api/TargetId.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/TargetId.java
@@ -10,9 +10,7 @@
         Identifiers.requireValid("target", value);
     }
 
-    // Written out, as names are the keys of most maps: the generated methods are linked at run time, which costs a
-    // start
-    // some milliseconds each and every later call an indirection.
+    // Written out: the generated methods are linked at run time, which costs each start some milliseconds.
     @Override
     public boolean equals(Object other) {
         return other instanceof TargetId name && value.equals(name.value);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -215,8 +215,8 @@
     /**
      * Returns whether a copy may be unloaded for another model. The last copy that serves may only if nobody waits for
      * it, it is asked for far less, and it loads again from the machine's own copy within a second. Only one last copy
-     * in a decision makes way, while few engines move: several at once made each other's models missing, and all of them
-     * went round.
+     * in a decision makes way, while few engines move: several at once made each other's models missing, and each
+     * of them was loaded again.
      *
      * @param share demand for the last copy, relative to that for the other model, below which it may go
      */
