--- a/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantIssuer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/budget/GrantIssuer.java
@@ -19,7 +19,7 @@
  * thread safe; guarded by the lock of the shard.
  */
 final class GrantIssuer {
-    /** One look-ahead takes at most this part of the level left after the need, so that one instance does not drain it. */
+    /** One look-ahead takes at most this part of the level left, so that one instance does not drain it. */
     private static final int LEAST_LOOK_AHEAD_DIVISOR = 4;
     /** Stands for all grants of earlier epochs; no process has incarnation and ask 0 together. */
     private static final long EARLIER_EPOCHS = 0;
@@ -229,7 +229,7 @@
         return true;
     }
 
-    /** With many instances, unspent grants of a quarter each left nothing in the bucket for those that needed tokens. */
+    /** With many instances, unspent grants of a quarter each left nothing for those that needed tokens. */
     private long lookAheadDivisor() {
         return Math.max(LEAST_LOOK_AHEAD_DIVISOR, requesters.size());
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/LeaderChanges.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/LeaderChanges.java
@@ -11,7 +11,7 @@
  */
 final class LeaderChanges {
     private static final long REMEMBERED_NANOS = Duration.ofSeconds(5).toNanos();
-    /** Bounds the timeouts to 2 s, so that a leader that is lost after many changes is still replaced within seconds. */
+    /** Bounds the timeouts to 2 s, so that a leader lost after many changes is still replaced within seconds. */
     private static final int LONGEST_FACTOR = 4;
 
     private final Deque<Long> recent = new ArrayDeque<>();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
@@ -80,7 +80,7 @@
         leaderChanges.leads(term(), now());
     }
 
-    /** Returns the longest silence in nanoseconds before an election, and before a leader without a majority resigns. */
+    /** Returns the nanoseconds of silence before an election at the latest, and before a leader resigns. */
     long longestSilence() {
         return leaderChanges.patience(now()) * settings.maximumElectionTimeout().toNanos();
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/PullBatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/PullBatcher.java
@@ -31,8 +31,8 @@
  */
 final class PullBatcher {
     /**
-     * Time to gather pulls into a batch. Each batch costs the leader a message and a round, so that the work of the leader
-     * grows with the replicas and not with the instances; small against the objective of 1 s for a change to be in force.
+     * Time to gather pulls into a batch. Each batch costs the leader a message and a round, so that its work grows with
+     * the replicas and not with the instances; small against the objective of 1 s for a change to be in force.
      */
     static final Duration GATHERING_TIME = Duration.ofMillis(50);
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
@@ -51,8 +51,8 @@
     private static final long FORECAST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     /**
-     * Pause after a decision, as a multiple of the time it took: the leader also serves callers and confirms the state of
-     * all instances, which must not wait for the planning of a large pool.
+     * Pause after a decision, as a multiple of the time it took: the leader also serves callers and confirms the state
+     * of all instances, which must not wait for the planning of a large pool.
      */
     private static final int PAUSE_PER_DECISION = 6;
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -34,7 +34,7 @@
     /** A model whose demand in tokens per second is below this is left with one copy. */
     private static final double NEGLIGIBLE_RATE = 200;
 
-    /** A last copy makes way only while no larger part of the engines loads or unloads, so that it can return at once. */
+    /** A last copy makes way only while no larger part of the engines moves, so that it can return at once. */
     private static final double QUIET_SHARE = 0.2;
     /** Part of the engines that may load or unload at a time, so that most models keep their copies meanwhile. */
     private static final double MOVING_SHARE = 0.4;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
@@ -31,13 +31,13 @@
     static final int SUSPICION_PERIODS = 6;
     /** Periods without an advance after which a member is removed: 30 s at the base period. */
     static final int REMOVAL_PERIODS = 60;
+    /** Facts told soon wait this long for others, as each message goes to every member. */
+    static final Duration GATHERING_TIME = Duration.ofMillis(20);
     /** Share of exchanges with a seed or suspected member, so that two halves of a healed partition meet again. */
     private static final double RECONNECT_SHARE = 0.2;
 
     /** Urgent messages repeat the latest changes, so that they also reach members a few periods behind. */
     private static final int URGENT_OVERLAP_VERSIONS = 16;
-    /** Facts told soon wait this long for others, as each message goes to every member. */
-    static final Duration GATHERING_TIME = Duration.ofMillis(20);
 
     private final InstanceId self;
     private volatile List<InstanceId> seeds;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/DemandBook.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/DemandBook.java
@@ -51,14 +51,6 @@
         this(clock, SHORT_HORIZON, LONG_HORIZON, false);
     }
 
-    /**
-     * Creates an empty book whose averages have the given horizons, and are those of the time observed while that is
-     * shorter: otherwise the first seconds show a fraction of the demand, and a model that is asked for then seems cold.
-     */
-    public static DemandBook scaled(MonotonicClock clock, Duration shortHorizon, Duration longHorizon) {
-        return new DemandBook(clock, shortHorizon, longHorizon, true);
-    }
-
     private DemandBook(MonotonicClock clock, Duration shortHorizon, Duration longHorizon, boolean scaled) {
         this.clock = clock;
         this.shortNanos = shortHorizon.toNanos();
@@ -66,6 +58,14 @@
         this.scaled = scaled;
     }
 
+    /**
+     * Creates an empty book whose averages have the given horizons, and are those of the time observed while that is
+     * shorter: otherwise the first seconds show a fraction of the demand, and a model asked for then seems cold.
+     */
+    public static DemandBook scaled(MonotonicClock clock, Duration shortHorizon, Duration longHorizon) {
+        return new DemandBook(clock, shortHorizon, longHorizon, true);
+    }
+
     /**
      * Takes a report.
      *
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerLink.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerLink.java
@@ -16,6 +16,13 @@
  * blocks. Thread safe; connections are called without the lock held.
  */
 final class PeerLink {
+    /** Above the longest stop of a healthy receiver; a silent connection costs at most this long. */
+    static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(1);
+    /** Keeps an instance that is down from being dialled for every message. */
+    static final Duration RECONNECT_DELAY = Duration.ofMillis(100);
+    /** Without a limit, exchanges with random members leave a connection to every other instance open. */
+    static final Duration IDLE_LIMIT = Duration.ofSeconds(5);
+
     private static final int MAXIMUM_QUEUED_MESSAGES = 1024;
     private static final int MAXIMUM_BATCH_MESSAGES = 64;
     /** With a dozen links to instances that do not answer, a queue of full messages must fit into a small heap. */
@@ -23,13 +30,6 @@
     /** Exceeded only by a single larger message. */
     private static final long MAXIMUM_BATCH_BYTES = 1L << 20;
 
-    /** Above the longest stop of a healthy receiver; a silent connection costs at most this long. */
-    static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(1);
-    /** Keeps an instance that is down from being dialled for every message. */
-    static final Duration RECONNECT_DELAY = Duration.ofMillis(100);
-    /** An exchange with a random member uses its connection once; without a limit each instance held one to every other. */
-    static final Duration IDLE_LIMIT = Duration.ofSeconds(5);
-
     private final Supplier<PeerConnection> connections;
     private final MonotonicClock clock;
     private final PeerTraffic traffic;
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerRoomTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerRoomTest.java
@@ -19,7 +19,7 @@
 
 /** Guards which copies make way, and for what, when demand moves and engines are full. */
 class EnginePlannerRoomTest extends EnginePlanning {
-    /** Pattern: the demand shifts for some seconds; several copies that made way at once were missed when it came back. */
+    /** Pattern: demand shifts for some seconds; copies that made way at once were missed when it came back. */
     @Test
     void aModelGivesUpOneCopyAtATimeForAHotterOne() {
         for (int number = 0; number < 4; number++) {
@@ -76,7 +76,7 @@
             Set<ModelId> held = Set.of(known.get(2 * number), known.get(2 * number + 1));
             engine("engine-" + number, held, held.toArray(ModelId[]::new));
         }
-        for (EngineState busy : engines.subList(0, 2)) {
+        for (EngineState busy : engines().subList(0, 2)) {
             ModelId leaving = busy.readyModels().iterator().next();
             busy.asked();
             busy.answered(new EngineOrder(Action.UNLOAD, leaving, 1, 7), Answer.ACCEPTED, NOW, 0);
@@ -93,7 +93,7 @@
         engine("two", WARM, RARE);
         engine("hot", HOT);
         wish(HOT, 40_000, 0);
-        demand.put(WARM, new ModelDemand(10, 9_000, 0));
+        demand().put(WARM, new ModelDemand(10, 9_000, 0));
         assertThat(plan().get(0).model(), is(RARE));
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -105,7 +105,7 @@
         assertThat(orders.size(), is(1));
         assertThat(orders.get(0).action(), is(Action.UNLOAD));
         assertThat(orders.get(0).model(), is(WARM));
-        engines.remove(first);
+        engines().remove(first);
         assertThat("only last copies are left", plan(), empty());
     }
 
@@ -125,7 +125,7 @@
     @Test
     void whatAnEngineAnnouncesCountsUntilItReports() {
         engine("one", WARM);
-        engines.add(new EngineState(announcement("two", HOT, RARE), NOW));
+        engines().add(new EngineState(announcement("two", HOT, RARE), NOW));
         assertThat(plan(), empty());
     }
 
@@ -225,13 +225,14 @@
     void theForecastIsShortForAModelAtHandAndAbsentForAReadyOne() {
         engine("one", Set.of(HOT), WARM);
         assertThat(forecast(HOT, NOW), is(Duration.ofMillis(600)));
-        EnginePool pool = rules.enginePools().get(POOL);
-        assertThat(EngineForecast.untilReady(pool, engines, List.of(WARM), NOW).isEmpty(), is(true));
+        EnginePool pool = rules().enginePools().get(POOL);
+        assertThat(
+                EngineForecast.untilReady(pool, engines(), List.of(WARM), NOW).isEmpty(), is(true));
     }
 
     private Duration forecast(ModelId model, long now) {
-        EnginePool pool = rules.enginePools().get(POOL);
-        return EngineForecast.untilReady(pool, engines, List.of(model), now).get(model);
+        EnginePool pool = rules().enginePools().get(POOL);
+        return EngineForecast.untilReady(pool, engines(), List.of(model), now).get(model);
     }
 
     @Test
@@ -248,7 +249,7 @@
                         .answered(new EngineOrder(order.action(), order.model(), 1, expected), Answer.ACCEPTED, NOW, 0);
             }
             List<Long> used =
-                    engines.stream().map(engine -> engine.usedBytes(rules)).toList();
+                    engines().stream().map(engine -> engine.usedBytes(rules())).toList();
             assertThat(used, everyItem(lessThanOrEqualTo(100L)));
         }
     }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlanning.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlanning.java
@@ -33,10 +33,10 @@
     private static final long ENGINE_BYTES = 100;
     private static final int ADAPTER_SLOTS = 3;
 
-    final Map<ModelId, ModelDemand> demand = new HashMap<>();
-    final List<EngineState> engines = new ArrayList<>();
+    private final Map<ModelId, ModelDemand> demand = new HashMap<>();
+    private final List<EngineState> engines = new ArrayList<>();
     private final RecentUnloads recentUnloads = new RecentUnloads();
-    Rules rules = rules(List.of(HOT, WARM, RARE));
+    private Rules rules = rules(List.of(HOT, WARM, RARE));
 
     /** Returns rules with models of the given memory, some adapters of each, and one pool. */
     static Rules rules(
@@ -100,6 +100,18 @@
                 false);
     }
 
+    Map<ModelId, ModelDemand> demand() {
+        return demand;
+    }
+
+    List<EngineState> engines() {
+        return engines;
+    }
+
+    Rules rules() {
+        return rules;
+    }
+
     /** Replaces the models of the pool; an engine has room for two of them. */
     void useModels(Collection<ModelId> known) {
         rules = rules(known);
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -69,7 +69,7 @@
         return fixture.connector().calls().size();
     }
 
-    /** Pattern: an adapter is on its way to the only engine with its model, which refuses requests for it until then. */
+    /** Pattern: an adapter is on its way to the only engine with its model, which refuses requests until then. */
     @Test
     void aRequestForAnAdapterOnItsWayIsSentAgainAlthoughItsAttemptsAreUsed() {
         Started started = fixture.start(
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/EndlessAnswerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/EndlessAnswerTest.java
@@ -21,7 +21,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Guards against targets in trouble that send bytes without end, in a head or a body, until the connection is closed. */
+/** Guards against targets in trouble that send bytes without end until the connection is closed. */
 @Timeout(60)
 class EndlessAnswerTest {
     private static final String BODY = "{\"model\":\"medal-match\",\"max_tokens\":5,\"prompt\":\"hello\"}";
--- a/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
@@ -107,7 +107,7 @@
         }
     }
 
-    /** Guards against a thread for each other instance: 59 of them used a fifth of the processor time of an instance. */
+    /** Guards against a thread for each other instance: 59 of them used a fifth of its processor time. */
     @Test
     void theThreadsDoNotGrowWithTheInstances() throws Exception {
         start();
@@ -142,7 +142,7 @@
         }
     }
 
-    /** Guards the thread of all connections against a damaged length: memory was reserved for the answer it announces. */
+    /** Guards against a damaged length: memory was reserved for the answer that it announces. */
     @Test
     void anAbsurdAnswerLengthClosesItsConnectionAndDisturbsNoOther() throws Exception {
         start();
