--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/RecentUnloads.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/RecentUnloads.java
@@ -11,8 +11,8 @@
  * guarded by the controller.
  */
 final class RecentUnloads {
-    /** About the time of a load from the weight store, after which the new copy shows whether it is needed. */
-    private static final long PAUSE_NANOS = Duration.ofSeconds(5).toNanos();
+    /** About half the time of a load from the weight store: copies that follow are those that are still not needed. */
+    private static final long PAUSE_NANOS = Duration.ofSeconds(3).toNanos();
 
     private final Map<ModelId, Long> unloadedNanos = new HashMap<>();
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -60,7 +60,7 @@
     /** Demand of the last seconds decides which models the engines load, as loads take seconds only. */
     private static final Duration ENGINE_DEMAND_HORIZON = Duration.ofSeconds(4);
     /** Demand that was there lately may return, so it decides which models the engines keep. */
-    private static final Duration ENGINE_KEEPING_HORIZON = Duration.ofSeconds(30);
+    private static final Duration ENGINE_KEEPING_HORIZON = Duration.ofSeconds(10);
 
     private final InstanceEnvironment environment;
     private final GossipMembership membership;
