Move the creation of the placement components out of Instance

The creation of the placement controller and of the engine controller, with the demand horizons of the latter, is now in PlacementAssembly. No decision changes.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -1,6 +1,5 @@
 package org.basilrill.protocol.instance;
 
-import java.time.Duration;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -27,12 +26,9 @@
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.coordination.membership.ReplicaHolders;
 import org.basilrill.coordination.membership.TargetPublisher;
-import org.basilrill.coordination.placement.DemandAggregator;
 import org.basilrill.coordination.placement.DemandReporter;
 import org.basilrill.coordination.placement.PlacementController;
-import org.basilrill.coordination.placement.PlacementEnvironment;
 import org.basilrill.coordination.placement.PlacementMessenger;
-import org.basilrill.coordination.placement.PlacementSettings;
 import org.basilrill.coordination.placement.PlacementStatus;
 import org.basilrill.coordination.routing.RoutingOptions;
 import org.basilrill.coordination.routing.TargetRouter;
@@ -57,11 +53,6 @@
  * socket. Thread safe.
  */
 public final class Instance {
-    /** Horizon of the demand by which models are loaded on engines. It is short because a load takes only seconds. */
-    private static final Duration ENGINE_DEMAND_HORIZON = Duration.ofSeconds(4);
-    /** Horizon of the demand by which models stay resident in engines. It is longer because recent demand may recur. */
-    private static final Duration ENGINE_RETENTION_HORIZON = Duration.ofSeconds(10);
-
     private final InstanceEnvironment environment;
     private final GossipMembership membership;
     private final TargetRegistry targets;
@@ -123,11 +114,13 @@
                 placementMessenger,
                 environment.clock(),
                 environment.scheduler());
+        PlacementAssembly placementAssembly =
+                new PlacementAssembly(environment, control, targets, targetPublisher, placementMessenger);
         Optional<EngineAccess> engines = environment.interfaces().engines();
         this.placement =
-                engines.isPresent() ? Optional.empty() : environment.replica().map(this::createPlacement);
-        this.engineControl =
-                engines.flatMap(access -> environment.replica().map(local -> createEngineControl(access, local)));
+                engines.isPresent() ? Optional.empty() : environment.replica().map(placementAssembly::placement);
+        this.engineControl = engines.flatMap(
+                access -> environment.replica().map(local -> placementAssembly.engineControl(access, local)));
         this.dispatcher = createDispatcher();
         this.listing = new InstanceListing(
                 membership,
@@ -262,48 +255,6 @@
                 environment.wallClockMillis());
     }
 
-    private PlacementController createPlacement(InstanceEnvironment.LocalReplica replica) {
-        PlacementEnvironment placementEnvironment = new PlacementEnvironment(
-                environment.self(),
-                replica.log()::isLeader,
-                replica.machine(),
-                control,
-                targets,
-                environment.targetOrderClient(),
-                environment.clock(),
-                environment.scheduler(),
-                splitRandom());
-        return new PlacementController(
-                placementEnvironment,
-                PlacementSettings.defaults(),
-                new DemandAggregator(environment.clock()),
-                placementMessenger);
-    }
-
-    private EngineController createEngineControl(EngineAccess access, InstanceEnvironment.LocalReplica replica) {
-        DemandAggregator demandAggregator = DemandAggregator.withWarmUpCorrection(
-                environment.clock(), ENGINE_DEMAND_HORIZON, ENGINE_RETENTION_HORIZON);
-        EngineController controller = new EngineController(
-                new EngineController.Environment(
-                        replica.log()::isLeader,
-                        replica.log()::term,
-                        () -> replica.machine().view().rules(),
-                        targets,
-                        access.engineClient(),
-                        targetPublisher::contentChanged,
-                        placementMessenger::sendReadiness,
-                        access.lease(),
-                        environment.clock(),
-                        environment.scheduler()),
-                demandAggregator);
-        placementMessenger.onDemand((sender, report) -> {
-            if (demandAggregator.received(sender, report)) {
-                controller.requestDecision();
-            }
-        });
-        return controller;
-    }
-
     private FairDispatcher createDispatcher() {
         TargetRouter router = new TargetRouter(
                 environment.self(),
