Log and count the request rates that targets state

The dialects now read the field (x-request-rate-limit in the native API). Events 410 and 411 log the begin, change and end of a stated rate at each instance, the decision log of a request names the limit at its send, and target_limited_requests_total counts these requests. Routing does not use the rate yet.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -61,6 +61,8 @@
     TARGET_EJECTED(400, "target is ejected after failures"),
     TARGET_RESTORED(401, "target is used again after a successful probe"),
     DISPATCH_CALLBACK_FAILED(402, "a callback of a dispatched request failed"),
+    TARGET_LIMIT_STATED(410, "target states the requests per second that it accepts"),
+    TARGET_LIMIT_ENDED(411, "target no longer limits its requests per second"),
     PLACEMENT_STARTED(450, "replica controls the placement"),
     PLACEMENT_STOPPED(451, "replica no longer controls the placement"),
     TARGET_ORDER_INTENDED(452, "target order committed"),
--- a/basilrill-library/src/main/java/org/basilrill/protocol/caller/ResponseHead.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/ResponseHead.java
@@ -8,6 +8,8 @@
     public static final String CONTENT_TYPE = "content-type";
     public static final String CONTENT_LENGTH = "content-length";
     public static final String EVENT_STREAM = "text/event-stream";
+    /** Requests per second that a target accepts from all instances together, a decimal number. */
+    public static final String REQUEST_RATE_LIMIT = "x-request-rate-limit";
 
     public ResponseHead {
         headers = List.copyOf(headers);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/RequestMessages.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/dialect/RequestMessages.java
@@ -5,6 +5,7 @@
 import org.basilrill.api.BasilrillException;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.ResponseHead;
+import org.basilrill.state.target.RequestRate;
 import org.basilrill.state.target.TargetAnnouncement.Load;
 
 /** Formats and parses the messages that belong to one request. Implementations are immutable and thread safe. */
@@ -30,6 +31,9 @@
     /** Returns the target's load, if its response states it. */
     Optional<Load> load(ResponseHead response);
 
+    /** Returns the requests per second that the target accepts from all instances, if its response states them. */
+    Optional<RequestRate> requestRate(ResponseHead response);
+
     /**
      * Returns the event that ends a stream of events which failed after its start. If empty, the caller's connection is
      * closed abruptly, so that the stream does not look complete.
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CompletionMessages.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CompletionMessages.java
@@ -11,6 +11,7 @@
 import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.dialect.RequestMessages;
 import org.basilrill.protocol.dialect.TargetCall;
+import org.basilrill.state.target.RequestRate;
 import org.basilrill.state.target.TargetAnnouncement.Load;
 
 /** The messages of completions and service calls in the native API. Immutable and thread safe. */
@@ -48,6 +49,11 @@
         return Optional.empty();
     }
 
+    @Override
+    public Optional<RequestRate> requestRate(ResponseHead response) {
+        return response.header(ResponseHead.REQUEST_RATE_LIMIT).flatMap(RequestRate::parse);
+    }
+
     @Override
     public Optional<byte[]> failureEvent(BasilrillException failure) {
         return Optional.of(ErrorBody.event(failure));
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -19,6 +19,7 @@
 import org.basilrill.coordination.control.ControlLogClient;
 import org.basilrill.coordination.control.ControlLogServer;
 import org.basilrill.coordination.engine.EngineController;
+import org.basilrill.coordination.limit.ObservedLimits;
 import org.basilrill.coordination.membership.Fact;
 import org.basilrill.coordination.membership.Fact.BlockedRequestFact;
 import org.basilrill.coordination.membership.Fact.InstanceFact;
@@ -292,6 +293,7 @@
                 listing::otherAddresses,
                 blockedRequests,
                 new RequestIdCheck(),
+                new ObservedLimits(environment.clock()),
                 environment.interfaces().dialect().map(Dialect::callers)));
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestDecisionLog.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestDecisionLog.java
@@ -11,6 +11,7 @@
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.protocol.instance.RequestMetrics.Phase;
+import org.basilrill.state.target.RequestRate;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /**
@@ -65,6 +66,12 @@
         metrics.recordDuration(plan.destination(), Phase.CONNECTION, clock.nanos() - sentNanos);
     }
 
+    /** Records that the request is sent to a target that accepts a stated number of requests per second. */
+    void sentToLimitedTarget(TargetAnnouncement target, RequestRate rate) {
+        metrics.countLimitedRequest(target.id());
+        addStep("limit of " + rate.perSecond() + " per second at", target);
+    }
+
     /** Records that an attempt failed. */
     void attemptFailed(ErrorCode code, String detail, TargetAnnouncement target) {
         queuedNanos = clock.nanos();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestMetrics.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestMetrics.java
@@ -103,6 +103,13 @@
         count("target_attempts_total", targets.of(target.value()), new Label("result", result));
     }
 
+    /** Counts a request sent to a target that states a request rate. */
+    void countLimitedRequest(TargetId target) {
+        registry.counter(
+                        new SeriesName("target_limited_requests_total", List.of(targets.of(target.value()))).toString())
+                .inc();
+    }
+
     private Label service(Destination destination) {
         return services.of(destination.service().orElse(MODELS));
     }
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StubDialect.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StubDialect.java
@@ -14,6 +14,7 @@
 import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.protocol.dialect.RequestMessages;
 import org.basilrill.protocol.dialect.TargetCall;
+import org.basilrill.state.target.RequestRate;
 import org.basilrill.state.target.TargetAnnouncement.Load;
 
 /** A minimal dialect for tests of routed requests. Stateless and thread safe. */
@@ -80,6 +81,11 @@
             return Optional.empty();
         }
 
+        @Override
+        public Optional<RequestRate> requestRate(ResponseHead response) {
+            return response.header(ResponseHead.REQUEST_RATE_LIMIT).flatMap(RequestRate::parse);
+        }
+
         @Override
         public Optional<byte[]> failureEvent(BasilrillException failure) {
             return Optional.empty();
