--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -41,6 +42,10 @@
     private long sequence;
     private boolean up = true;
     private long leavingSince = -1;
+    private OptionalDouble statedRate = OptionalDouble.empty();
+    private int responsesPerStatement = 1;
+    private int responses;
+    private final List<Statement> statements = new ArrayList<>();
 
     /** Creates a target of a plain service, or of an engine on which the model is resident. */
     public VirtualTarget(
@@ -87,6 +92,24 @@
                 + "data: " + body + "\n\n";
     }
 
+    /** A response that stated a request rate to an instance, empty if the response stated none. */
+    public record Statement(InstanceId instance, OptionalDouble perSecond, long nanos) {}
+
+    /**
+     * Sets the requests per second that responses state from now on.
+     *
+     * @param responsesPerStatement one in this many responses states the rate
+     */
+    public void stateRate(OptionalDouble perSecond, int responsesPerStatement) {
+        statedRate = perSecond;
+        this.responsesPerStatement = responsesPerStatement;
+    }
+
+    /** Returns what the responses stated about the request rate, in the order in which they were received. */
+    public List<Statement> statements() {
+        return statements;
+    }
+
     /** Sets the faults that may occur from now on. */
     public void setBehaviours(Set<Behaviour> now) {
         behaviours = now;
@@ -242,12 +265,16 @@
             String body = expectedResponse(wrongResponse ? "another" : request);
             String echoed = wrongResponse ? "another" : requestId;
             String type = service.isPresent() ? "text/plain" : ResponseHead.EVENT_STREAM;
-            ResponseHead head = new ResponseHead(
-                    200,
-                    List.of(
-                            new HeaderField(ResponseHead.CONTENT_TYPE, type),
-                            new HeaderField(RequestHead.REQUEST_ID, echoed)));
-            deliver(() -> listener.headReceived(head));
+            List<HeaderField> headers = new ArrayList<>(List.of(
+                    new HeaderField(ResponseHead.CONTENT_TYPE, type), new HeaderField(RequestHead.REQUEST_ID, echoed)));
+            OptionalDouble rate = responses++ % responsesPerStatement == 0 ? statedRate : OptionalDouble.empty();
+            rate.ifPresent(perSecond ->
+                    headers.add(new HeaderField(ResponseHead.REQUEST_RATE_LIMIT, Double.toString(perSecond))));
+            ResponseHead head = new ResponseHead(200, headers);
+            deliver(() -> {
+                statements.add(new Statement(sender, rate, time.nanos()));
+                listener.headReceived(head);
+            });
             int parts = incomplete ? random.nextInt(RESPONSE_PARTS) : RESPONSE_PARTS;
             sendPart(body, 0, parts);
         }
--- /dev/null
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitScenario.java
@@ -0,0 +1,135 @@
+package org.basilrill.scaffold.virtual;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.TargetId;
+import org.basilrill.protocol.instance.Instance;
+import org.basilrill.state.configuration.KeyHash;
+
+/** Complete instances, callers of one service, and targets of it that may state a request rate. Not thread safe. */
+final class RateLimitScenario {
+    private static final Duration STEP = Duration.ofMillis(50);
+    private static final Duration ANNOUNCEMENT_PERIOD = Duration.ofMillis(500);
+    private static final int REPLICAS = 3;
+
+    private final VirtualTime time = new VirtualTime();
+    private final Random random;
+    private final VirtualNetwork network;
+    private final VirtualTargets targets = new VirtualTargets();
+    private final VirtualInstances deployment;
+    private final VirtualOperators operators;
+    private final List<VirtualCaller> callers = new ArrayList<>();
+    private final List<VirtualTarget> ledgers = new ArrayList<>();
+
+    /** Starts the instances and announces the targets; the log has rules at the end. */
+    RateLimitScenario(long seed, int instances, int targetCount) {
+        random = new Random(seed);
+        network = new VirtualNetwork(time, new Random(random.nextLong()));
+        deployment = new VirtualInstances(
+                instances,
+                REPLICAS,
+                time,
+                new Random(random.nextLong()),
+                network,
+                targets,
+                KeyHash.of(VirtualOperators.OPERATOR_KEY));
+        operators = new VirtualOperators(time, random, deployment, new SpendingOracle(Duration.ZERO));
+        deployment.start();
+        time.runFor(Duration.ofSeconds(3));
+        operators.installFirstRules();
+        time.runFor(Duration.ofSeconds(1));
+        for (int number = 1; number <= targetCount; number++) {
+            addTarget("ledger-" + number);
+        }
+        time.runFor(Duration.ofSeconds(5));
+        operators.recordAcceptedRevisions();
+    }
+
+    VirtualTarget target(int index) {
+        return ledgers.get(index);
+    }
+
+    VirtualInstances deployment() {
+        return deployment;
+    }
+
+    VirtualNetwork network() {
+        return network;
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    List<VirtualCaller> callers() {
+        return callers;
+    }
+
+    /** Lets all targets with an index from {@code first} to {@code last} state a rate in every response. */
+    void stateRate(int first, int last, double perSecond) {
+        for (int index = first; index <= last; index++) {
+            target(index).stateRate(OptionalDouble.of(perSecond), 1);
+        }
+    }
+
+    /** Sends requests at random instances, this many per second, with the given deadline. */
+    void run(Duration duration, double requestsPerSecond, Duration deadline) {
+        double due = 0;
+        for (long end = time.nanos() + duration.toNanos(); time.nanos() < end; ) {
+            due += requestsPerSecond * STEP.toMillis() / 1000.0;
+            for (; due >= 1; due--) {
+                InstanceId instance = deployment
+                        .instances()
+                        .get(random.nextInt(deployment.instances().size()));
+                deployment.running(instance).ifPresent(running -> call(instance, running, deadline));
+            }
+            time.runFor(STEP);
+        }
+    }
+
+    private void call(InstanceId id, Instance instance, Duration deadline) {
+        VirtualCaller.Call call = new VirtualCaller.Call(
+                "request-" + callers.size(),
+                operators.validKey(),
+                "/v1/services/ledger/status",
+                "status " + callers.size(),
+                Optional.empty(),
+                deadline);
+        VirtualCaller caller = new VirtualCaller(time, id, call);
+        callers.add(caller);
+        caller.attach(instance.coordinator().start(call.head(), call.body().getBytes(StandardCharsets.UTF_8), caller));
+    }
+
+    private void addTarget(String name) {
+        VirtualTarget target = new VirtualTarget(
+                time,
+                new Random(random.nextLong()),
+                new TargetId(name),
+                Optional.of(VirtualOperators.SERVICE),
+                Optional.empty());
+        targets.add(target);
+        ledgers.add(target);
+        announceAndRepeat(target, ledgers.size());
+    }
+
+    /** Announces a running target to an instance, the next one if that is not running. */
+    private void announceAndRepeat(VirtualTarget target, int position) {
+        if (target.isUp()) {
+            List<InstanceId> instances = deployment.instances();
+            for (int offset = 0; offset < instances.size(); offset++) {
+                Optional<Instance> receiver = deployment.running(instances.get((position + offset) % instances.size()));
+                if (receiver.isPresent()) {
+                    receiver.get().announcements().receiveAnnouncement(target.announcement());
+                    break;
+                }
+            }
+        }
+        time.schedule(ANNOUNCEMENT_PERIOD, () -> announceAndRepeat(target, position));
+    }
+}
