Keep the request rate that a target states for all instances together

Cause: a limit that holds for all instances together had no owner. No instance read the field, so routing treated the target like the others.

Change: the leader of the control log issues permits from one bucket for each such target; an instance sends such a target a request only with a permit, for each attempt. Leadership is unique by quorum, so no second record of an owner is needed, and the buckets of a new leader start empty, so that it need not know what its predecessor issued. Permits are valid for a second from the report that requested them. Limits are sent to all instances when they begin, change and end, and every 2 s. Orders and reports of the leader are charged to the bucket. Requests that wait for a permit keep the fair order of the dispatcher; between instances the priority class and the time since the last permit decide. If all targets of a service state a rate, a request that cannot get a permit in time is refused at once, with the time at which it could as Retry-After.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -63,6 +63,8 @@
     DISPATCH_CALLBACK_FAILED(402, "a callback of a dispatched request failed"),
     TARGET_LIMIT_STATED(410, "target states the requests per second that it accepts"),
     TARGET_LIMIT_ENDED(411, "target no longer limits its requests per second"),
+    TARGET_PERMITS_ISSUED(412, "replica issues the permits for a target with a limited request rate"),
+    TARGET_PERMITS_ENDED(413, "replica issues no more permits, as the target no longer limits its requests"),
     PLACEMENT_STARTED(450, "replica controls the placement"),
     PLACEMENT_STOPPED(451, "replica no longer controls the placement"),
     TARGET_ORDER_INTENDED(452, "target order committed"),
--- a/basilrill-library/src/main/java/org/basilrill/api/PeerSubject.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/PeerSubject.java
@@ -6,7 +6,8 @@
     CONTROL(2),
     MEMBERSHIP(3),
     BUDGET(4),
-    PLACEMENT(5);
+    PLACEMENT(5),
+    TARGET_LIMIT(6);
 
     private final int wireNumber;
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/AccountQueue.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/AccountQueue.java
@@ -1,6 +1,7 @@
 package org.basilrill.coordination.admission;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -78,6 +79,13 @@
         return Optional.ofNullable(oldest);
     }
 
+    /** Returns the number of queued requests for each destination. */
+    Map<Destination, Integer> countByDestination() {
+        Map<Destination, Integer> counts = new HashMap<>();
+        byRoute.forEach((route, requests) -> counts.merge(route.destination(), requests.size(), Integer::sum));
+        return counts;
+    }
+
     /** Returns the number of queued requests for the destination, not counting those that exclude targets. */
     int queuedFor(Destination destination) {
         TreeSet<QueuedRequest> requests = byRoute.get(new Route(destination, Set.of()));
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/DispatchRefusals.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/DispatchRefusals.java
@@ -8,6 +8,8 @@
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
 import org.basilrill.coordination.admission.Dispatcher.Request;
+import org.basilrill.coordination.limit.RequestPermits;
+import org.basilrill.coordination.limit.RequestPermits.ExpectedPermits;
 import org.basilrill.coordination.routing.TargetRouter;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetDirectory;
@@ -17,6 +19,8 @@
  * retry. Not thread safe; guarded by the lock of the dispatcher.
  */
 final class DispatchRefusals {
+    private static final double NANOS_PER_MILLISECOND = 1e6;
+
     private final TargetDirectory directory;
     private final TargetRouter router;
     private final FairQueues queues;
@@ -24,6 +28,7 @@
     private final ReadinessEstimator readiness;
     private final MonotonicClock clock;
     private final DispatcherOptions options;
+    private final RequestPermits permits;
 
     DispatchRefusals(
             TargetDirectory directory,
@@ -32,7 +37,9 @@
             DestinationStatistics statistics,
             ReadinessEstimator readiness,
             MonotonicClock clock,
-            DispatcherOptions options) {
+            DispatcherOptions options,
+            RequestPermits permits) {
+        this.permits = permits;
         this.directory = directory;
         this.router = router;
         this.queues = queues;
@@ -81,6 +88,11 @@
                     .withRetryAfter(retryAfter(retryNanos)));
         }
         double ahead = queues.dispatchesUntil(request);
+        Optional<BasilrillException> limited =
+                permitsTooLate(request, request.destination().readyTargets(directory), ahead);
+        if (limited.isPresent()) {
+            return limited;
+        }
         // A request with no others ahead stays queued: its dispatch updates the measured drain rate.
         if (ahead <= 1) {
             return Optional.empty();
@@ -101,6 +113,47 @@
                 String.format("no slot for %s became free before the deadline", DestinationStatistics.name(request)));
     }
 
+    /** Returns the reason to refuse a queued request that cannot be sent, or get its first token, in time. */
+    Optional<BasilrillException> tooLate(Request request, Collection<TargetAnnouncement> ready) {
+        return permitsTooLate(request, ready, queues.dispatchesUntil(request))
+                .or(() -> firstTokenTooLate(request, ready));
+    }
+
+    /**
+     * Refuses a request if all its targets state a request rate, and together will not have served the requests before
+     * it by its deadline. Its caller can be served once they have.
+     *
+     * @param ahead dispatches up to and including this request
+     */
+    private Optional<BasilrillException> permitsTooLate(
+            Request request, Collection<TargetAnnouncement> ready, double ahead) {
+        if (!permits.hasLimits() || ready.isEmpty()) {
+            return Optional.empty();
+        }
+        double permitsPerNano = 0;
+        long nanosUntilPermit = Long.MAX_VALUE;
+        for (TargetAnnouncement target : ready) {
+            if (target.leaving() || request.excludedTargets().contains(target.id())) {
+                continue;
+            }
+            Optional<ExpectedPermits> expected = permits.expectedPermits(target);
+            if (expected.isEmpty()) {
+                return Optional.empty();
+            }
+            permitsPerNano += 1.0 / Math.max(1, expected.get().nanosPerPermit());
+            nanosUntilPermit = Math.min(nanosUntilPermit, expected.get().nanosUntilNext());
+        }
+        double waitNanos = nanosUntilPermit + (ahead - 1) / permitsPerNano;
+        if (waitNanos <= request.deadlineNanos() - clock.nanos()) {
+            return Optional.empty();
+        }
+        String detail = String.format(
+                "the request rates that all targets of %s state allow the request in %.0f ms",
+                DestinationStatistics.name(request), waitNanos / NANOS_PER_MILLISECOND);
+        return Optional.of(
+                new BasilrillException(ErrorCode.DEADLINE_UNREACHABLE, detail).withRetryAfter(retryAfter(waitNanos)));
+    }
+
     /** Returns the reason to refuse a request whose first token would come after its deadline, if it were sent now. */
     Optional<BasilrillException> firstTokenTooLate(Request request, Collection<TargetAnnouncement> ready) {
         long remainingNanos = request.deadlineNanos() - clock.nanos();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -17,6 +17,7 @@
 import org.basilrill.api.Scheduler;
 import org.basilrill.api.TargetId;
 import org.basilrill.coordination.admission.FairQueues.Dispatched;
+import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.coordination.routing.AcquiredSlot;
 import org.basilrill.coordination.routing.SlotResult;
 import org.basilrill.coordination.routing.TargetRouter;
@@ -41,6 +42,8 @@
     private final DestinationStatistics statistics;
     private final FairQueues queues;
     private final DispatchRefusals refusals;
+    private final RequestPermits permits;
+    private final PermitDemand permitDemand;
     private final RecentRequests recentlyRefusedAsFull = new RecentRequests();
     private final TreeSet<QueuedRequest> byDeadline = new TreeSet<>(QueuedRequest.BY_DEADLINE);
     private final Map<QueuedRequest, BasilrillException> lateRequests = new HashMap<>();
@@ -57,6 +60,7 @@
      * Creates a dispatcher with empty queues.
      *
      * @param weights relative share of each client account under contention; values below 1 count as 1
+     * @param permits permits for targets that state a request rate
      */
     public FairDispatcher(
             TargetDirectory directory,
@@ -66,15 +70,18 @@
             ToIntFunction<AccountId> weights,
             ReadinessEstimator readiness,
             DemandListener demand,
-            DispatcherOptions options) {
+            DispatcherOptions options,
+            RequestPermits permits) {
         this.directory = directory;
         this.router = router;
         this.clock = clock;
         this.scheduler = scheduler;
         this.options = options;
+        this.permits = permits;
         this.statistics = new DestinationStatistics(demand, callbacks);
         this.queues = new FairQueues(weights, options.dispatchesPerTurn());
-        this.refusals = new DispatchRefusals(directory, router, queues, statistics, readiness, clock, options);
+        this.refusals = new DispatchRefusals(directory, router, queues, statistics, readiness, clock, options, permits);
+        this.permitDemand = new PermitDemand(directory, permits, queues, scheduler, lock);
     }
 
     @Override
@@ -213,7 +220,7 @@
         Optional<BasilrillException> refusal =
                 arrivingRequest.filter(queued::equals).isPresent()
                         ? Optional.empty()
-                        : refusals.firstTokenTooLate(request, readyTargets(request.destination()));
+                        : refusals.tooLate(request, readyTargets(request.destination()));
         if (refusal.isPresent()) {
             lateRequests.put(queued, refusal.get());
             return Optional.empty();
@@ -275,6 +282,7 @@
      * for changes without an event.
      */
     private void scheduleWakeUp() {
+        permitDemand.scheduleUpdate();
         if (queues.size() == 0) {
             wakeUp.ifPresent(Scheduler.Cancellable::cancel);
             wakeUp = Optional.empty();
@@ -352,6 +360,7 @@
 
         /** Releases the slot of a request that was cancelled before it received the assignment. */
         void releaseUnused() {
+            permits.release(target());
             releaseSlot(SlotResult.CANCELLED, true);
         }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairQueues.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairQueues.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -14,6 +16,7 @@
 import org.basilrill.coordination.admission.Dispatcher.Destination;
 import org.basilrill.coordination.admission.Dispatcher.Request;
 import org.basilrill.coordination.admission.QueuedRequest.Route;
+import org.basilrill.coordination.limit.RequestPermits.QueuedDemand;
 
 /**
  * Orders queued requests by priority class and, within a class, fairly among client accounts. Not thread safe; guarded
@@ -121,6 +124,19 @@
         return Math.min(withinClass + ahead, withinClass * dispatchesPerTurn);
     }
 
+    /** Returns the queued requests of each destination. */
+    Map<Destination, QueuedDemand> demand() {
+        Map<Destination, QueuedDemand> demand = new HashMap<>();
+        for (PriorityClass priorityClass : classes.values()) {
+            for (AccountQueue queue : priorityClass.active()) {
+                queue.countByDestination()
+                        .forEach((destination, count) -> demand.merge(
+                                destination, new QueuedDemand(count, priorityClass.number()), QueuedDemand::plus));
+            }
+        }
+        return demand;
+    }
+
     private List<PriorityClass> classesInDispatchOrder() {
         List<PriorityClass> ordered = new ArrayList<>();
         for (PriorityClass priorityClass : classes.values()) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -73,6 +74,11 @@
         directory.updateAdvertisedReplicas(instances);
     }
 
+    /** Returns the leader of the control log that a replica reported last; empty if none is known. */
+    public Optional<InstanceId> leader() {
+        return directory.leader();
+    }
+
     /** Starts pulling the view and opens a session. Called once. */
     public void start() {
         puller.start(this::sessionLost);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ReplicaDirectory.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ReplicaDirectory.java
@@ -39,6 +39,11 @@
         return replicas.get((replicas.indexOf(replica) + 1) % replicas.size());
     }
 
+    /** Returns the last reported leader. */
+    synchronized Optional<InstanceId> leader() {
+        return leader;
+    }
+
     /** Returns the known leader, or otherwise a random replica. */
     synchronized InstanceId leaderOrAny() {
         return leader.orElseGet(this::any);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -141,6 +141,9 @@
     void responseReceived(InstanceId sender, PullAnswer response) {
         directory.updateMembers(
                 response.getReplicas().stream().map(InstanceId::new).toList());
+        if (response.isSetLeader()) {
+            directory.recordLeader(new InstanceId(response.getLeader()));
+        }
         ControlView currentView = viewHolder.view();
         if (response.isSetView() && response.getView().getIndex() > currentView.index()) {
             if (response.getView().isSetRulesText()) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
@@ -17,6 +17,7 @@
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.TargetId;
+import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /**
@@ -33,14 +34,27 @@
     private final RandomGenerator random;
     private final IntSupplier instanceCount;
     private final RoutingOptions options;
+    private final RequestPermits permits;
     private final CandidateSubset subset;
     private final PrefixAffinity affinity = new PrefixAffinity();
     private final Map<TargetId, TargetState> states = new ConcurrentHashMap<>();
 
+    /** Creates a router without state of any target, for targets that accept any number of requests per second. */
+    public TargetRouter(
+            InstanceId instance,
+            String dataCentre,
+            MonotonicClock clock,
+            RandomGenerator random,
+            IntSupplier instanceCount,
+            RoutingOptions options) {
+        this(instance, dataCentre, clock, random, instanceCount, options, RequestPermits.UNLIMITED);
+    }
+
     /**
      * Creates a router without state of any target.
      *
      * @param instanceCount number of instances that share the targets, including this one
+     * @param permits permits for targets that state a request rate
      */
     public TargetRouter(
             InstanceId instance,
@@ -48,7 +62,9 @@
             MonotonicClock clock,
             RandomGenerator random,
             IntSupplier instanceCount,
-            RoutingOptions options) {
+            RoutingOptions options,
+            RequestPermits permits) {
+        this.permits = permits;
         this.dataCentre = dataCentre;
         this.clock = clock;
         this.random = random;
@@ -72,17 +88,29 @@
         while (!free.isEmpty()) {
             TargetAnnouncement target = prompt.isEmpty() ? lessLoadedOfTwo(free) : withEarliestFirstToken(free, prompt);
             long tokensToPrefill = Math.round(prompt.tokens() - estimatedCachedTokens(target, prompt, free));
-            Optional<AcquiredSlot> slot = stateOf(target).tryAcquire(target, tokensToPrefill);
+            Optional<AcquiredSlot> slot = tryAcquire(target, tokensToPrefill);
             if (slot.isPresent()) {
                 affinity.requestRouted(target.id(), target.incarnation(), prompt.prefixHashes());
                 return slot;
             }
-            // Another thread acquired the last slot since the check above.
+            // Another thread acquired the last slot or permit since the check above.
             free.remove(target);
         }
         return Optional.empty();
     }
 
+    /** Acquires a slot, and a permit if the target states a request rate. */
+    private Optional<AcquiredSlot> tryAcquire(TargetAnnouncement target, long tokensToPrefill) {
+        if (!permits.acquire(target)) {
+            return Optional.empty();
+        }
+        Optional<AcquiredSlot> slot = stateOf(target).tryAcquire(target, tokensToPrefill);
+        if (slot.isEmpty()) {
+            permits.release(target);
+        }
+        return slot;
+    }
+
     /**
      * Returns the lowest estimated time until the response begins, over all targets with a free slot.
      *
@@ -128,7 +156,7 @@
         }
         List<TargetAnnouncement> free = new ArrayList<>(options.subsetSize());
         for (TargetAnnouncement target : subset.select(destination, usable)) {
-            if (stateOf(target).hasFreeSlot()) {
+            if (stateOf(target).hasFreeSlot() && permits.isAvailable(target)) {
                 free.add(target);
             }
         }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -10,6 +10,7 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.PeerHandler;
 import org.basilrill.api.PeerSubject;
+import org.basilrill.api.TargetId;
 import org.basilrill.coordination.admission.DispatcherOptions;
 import org.basilrill.coordination.admission.FairDispatcher;
 import org.basilrill.coordination.admission.SlidingRetryBudget;
@@ -19,12 +20,15 @@
 import org.basilrill.coordination.control.ControlLogClient;
 import org.basilrill.coordination.control.ControlLogServer;
 import org.basilrill.coordination.engine.EngineController;
-import org.basilrill.coordination.limit.ObservedLimits;
+import org.basilrill.coordination.limit.LimitMessenger;
+import org.basilrill.coordination.limit.PermitIssuer;
+import org.basilrill.coordination.limit.TargetPermits;
 import org.basilrill.coordination.membership.Fact;
 import org.basilrill.coordination.membership.Fact.BlockedRequestFact;
 import org.basilrill.coordination.membership.Fact.InstanceFact;
 import org.basilrill.coordination.membership.GossipMembership;
 import org.basilrill.coordination.membership.Membership;
+import org.basilrill.coordination.membership.Membership.Member;
 import org.basilrill.coordination.membership.ReplicaHolders;
 import org.basilrill.coordination.membership.TargetPublisher;
 import org.basilrill.coordination.placement.DemandReporter;
@@ -38,6 +42,7 @@
 import org.basilrill.protocol.instance.InterfaceOptions.EngineAccess;
 import org.basilrill.protocol.peer.GossipCodec;
 import org.basilrill.protocol.peer.ThriftBudgetCodec;
+import org.basilrill.protocol.peer.ThriftLimitCodec;
 import org.basilrill.protocol.peer.ThriftPlacementCodec;
 import org.basilrill.state.configuration.Rules;
 import org.basilrill.state.target.AnnouncementReceiver;
@@ -66,6 +71,8 @@
     private final DemandReporter demandReporter;
     private final Optional<PlacementController> placement;
     private final Optional<EngineController> engineControl;
+    private final LimitMessenger limitMessenger;
+    private final TargetPermits permits;
     private final FairDispatcher dispatcher;
     private final BlockedRequests blockedRequests;
     private final RequestCoordinator coordinator;
@@ -115,8 +122,12 @@
                 placementMessenger,
                 environment.clock(),
                 environment.scheduler());
+        this.limitMessenger = new LimitMessenger(
+                environment.self(), environment.channel(), new ThriftLimitCodec(), environment.scheduler());
+        this.permits = createPermits();
+        Optional<PermitIssuer> permitIssuer = environment.replica().map(this::createPermitIssuer);
         PlacementAssembly placementAssembly =
-                new PlacementAssembly(environment, control, targets, targetPublisher, placementMessenger);
+                new PlacementAssembly(environment, control, targets, targetPublisher, placementMessenger, permitIssuer);
         Optional<EngineAccess> engines = environment.interfaces().engines();
         this.placement =
                 engines.isPresent() ? Optional.empty() : environment.replica().map(placementAssembly::placement);
@@ -185,6 +196,7 @@
         handlers.put(PeerSubject.CONTROL, controlEndpoint);
         handlers.put(PeerSubject.BUDGET, budgets);
         handlers.put(PeerSubject.PLACEMENT, placementMessenger);
+        handlers.put(PeerSubject.TARGET_LIMIT, limitMessenger);
         return handlers;
     }
 
@@ -256,6 +268,31 @@
                 environment.wallClockMillis());
     }
 
+    private TargetPermits createPermits() {
+        return new TargetPermits(
+                new TargetPermits.Environment(
+                        control::leader,
+                        limitMessenger,
+                        this::permitsChanged,
+                        environment.clock(),
+                        environment.scheduler()),
+                splitRandom());
+    }
+
+    private PermitIssuer createPermitIssuer(InstanceEnvironment.LocalReplica replica) {
+        return new PermitIssuer(new PermitIssuer.Environment(
+                replica.log()::isLeader,
+                replica.log()::term,
+                () -> membership.members().stream().map(Member::id).toList(),
+                limitMessenger,
+                environment.clock(),
+                environment.scheduler()));
+    }
+
+    private void permitsChanged(TargetId target) {
+        targets.target(target).ifPresent(dispatcher::targetChanged);
+    }
+
     private FairDispatcher createDispatcher() {
         TargetRouter router = new TargetRouter(
                 environment.self(),
@@ -263,7 +300,8 @@
                 environment.clock(),
                 splitRandom(),
                 () -> usableInstances,
-                RoutingOptions.defaults());
+                RoutingOptions.defaults(),
+                permits);
         return new FairDispatcher(
                 targets,
                 router,
@@ -272,7 +310,8 @@
                 this::weightOf,
                 demandReporter,
                 demandReporter,
-                DispatcherOptions.defaults());
+                DispatcherOptions.defaults(),
+                permits);
     }
 
     private RequestCoordinator createCoordinator() {
@@ -293,7 +332,7 @@
                 listing::otherAddresses,
                 blockedRequests,
                 new RequestIdCheck(),
-                new ObservedLimits(environment.clock()),
+                permits,
                 environment.interfaces().dialect().map(Dialect::callers)));
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/PlacementAssembly.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/PlacementAssembly.java
@@ -1,8 +1,12 @@
 package org.basilrill.protocol.instance;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.basilrill.coordination.control.ControlLogClient;
 import org.basilrill.coordination.engine.EngineController;
+import org.basilrill.coordination.limit.ChargingEngineClient;
+import org.basilrill.coordination.limit.ChargingTargetOrderClient;
+import org.basilrill.coordination.limit.PermitIssuer;
 import org.basilrill.coordination.membership.TargetPublisher;
 import org.basilrill.coordination.placement.DemandAggregator;
 import org.basilrill.coordination.placement.PlacementController;
@@ -11,6 +15,7 @@
 import org.basilrill.coordination.placement.PlacementSettings;
 import org.basilrill.protocol.instance.InstanceEnvironment.LocalReplica;
 import org.basilrill.protocol.instance.InterfaceOptions.EngineAccess;
+import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetRegistry;
 
 /** Creates the component that controls the contents of targets on a replica of the control log. Immutable. */
@@ -19,7 +24,8 @@
         ControlLogClient control,
         TargetRegistry targets,
         TargetPublisher targetPublisher,
-        PlacementMessenger messenger) {
+        PlacementMessenger messenger,
+        Optional<PermitIssuer> permitIssuer) {
     /** Horizon of the demand by which models are loaded on engines. It is short because a load takes only seconds. */
     private static final Duration ENGINE_DEMAND_HORIZON = Duration.ofSeconds(4);
     /** Horizon of the demand by which models stay resident in engines. It is longer because recent demand may recur. */
@@ -33,7 +39,7 @@
                 replica.machine(),
                 control,
                 targets,
-                environment.targetOrderClient(),
+                new ChargingTargetOrderClient(environment.targetOrderClient(), this::charge),
                 environment.clock(),
                 environment.scheduler(),
                 environment.random().split());
@@ -54,7 +60,7 @@
                         replica.log()::term,
                         () -> replica.machine().view().rules(),
                         targets,
-                        access.engineClient(),
+                        new ChargingEngineClient(access.engineClient(), this::charge),
                         targetPublisher::contentChanged,
                         messenger::sendReadiness,
                         access.lease(),
@@ -68,4 +74,8 @@
         });
         return controller;
     }
+
+    private void charge(TargetAnnouncement target) {
+        permitIssuer.ifPresent(issuer -> issuer.charge(target));
+    }
 }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
@@ -12,7 +12,7 @@
 import org.basilrill.coordination.admission.Dispatcher;
 import org.basilrill.coordination.admission.RetryBudget;
 import org.basilrill.coordination.admission.TokenAdmission;
-import org.basilrill.coordination.limit.ObservedLimits;
+import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.state.control.ControlClient;
 
@@ -24,7 +24,7 @@
  * @param otherInstances caller addresses of instances that accept requests, listed in error responses
  * @param blockedRequests requests blocked since the last pull of the control state
  * @param requestIdCheck checks the request IDs echoed by targets
- * @param observedLimits request rates stated by targets
+ * @param permits permits for targets that state a request rate
  * @param dialect dialect of callers; empty for the native API
  */
 public record RequestServices(
@@ -44,5 +44,5 @@
         Supplier<List<String>> otherInstances,
         BlockedRequests blockedRequests,
         RequestIdCheck requestIdCheck,
-        ObservedLimits observedLimits,
+        RequestPermits permits,
         Optional<CallerDialect> dialect) {}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -142,7 +142,7 @@
         boolean acquired = permit.acquire();
         if (acquired) {
             owner.relay().decisionLog().connected(sentNanos);
-            services.observedLimits()
+            services.permits()
                     .rateOf(target())
                     .ifPresent(rate -> owner.relay().decisionLog().sentToLimitedTarget(target(), rate));
         }
@@ -159,7 +159,7 @@
                 return;
             }
             owner.relay().decisionLog().addStep("status " + head.status() + " from", target());
-            services.observedLimits().observe(target(), plan.messages().requestRate(head));
+            services.permits().observe(target(), plan.messages().requestRate(head));
             assignment.responseStarted(plan.messages().load(head));
             if (plan.messages().reportsMisdirected(head)) {
                 end(
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatcherFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatcherFixture.java
@@ -19,6 +19,7 @@
 import org.basilrill.coordination.admission.Dispatcher.Assignment;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
 import org.basilrill.coordination.admission.Dispatcher.Request;
+import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.coordination.routing.RoutingOptions;
 import org.basilrill.coordination.routing.TargetRouter;
 import org.basilrill.state.target.TargetAnnouncement;
@@ -63,7 +64,8 @@
                         defaults.dispatchesPerTurn(),
                         defaults.recheckInterval(),
                         defaults.shortestRetryAfter(),
-                        defaults.longestRetryAfter()));
+                        defaults.longestRetryAfter()),
+                RequestPermits.UNLIMITED);
         dispatcher.setAbsenceListener(
                 (target, model) -> registry.contentChanged(target.id(), target.incarnation(), model, false));
         registry.addListener(change -> {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -23,7 +23,7 @@
 import org.basilrill.coordination.admission.Dispatcher;
 import org.basilrill.coordination.admission.RetryBudget;
 import org.basilrill.coordination.admission.TokenAdmission;
-import org.basilrill.coordination.limit.ObservedLimits;
+import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.configuration.Rules;
@@ -113,7 +113,7 @@
                 () -> List.of("127.0.0.1:4001"),
                 new BlockedRequests(clock, publishedFingerprints::add),
                 new RequestIdCheck(),
-                new ObservedLimits(clock),
+                RequestPermits.UNLIMITED,
                 dialect);
     }
 
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DecisionTime.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DecisionTime.java
@@ -18,6 +18,7 @@
 import org.basilrill.coordination.admission.Dispatcher.Request;
 import org.basilrill.coordination.admission.DispatcherOptions;
 import org.basilrill.coordination.admission.FairDispatcher;
+import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.coordination.routing.RoutingOptions;
 import org.basilrill.coordination.routing.TargetRouter;
 import org.basilrill.scaffold.virtual.VirtualTime;
@@ -65,7 +66,8 @@
                 account -> 1,
                 model -> Optional.empty(),
                 DemandListener.none(),
-                DispatcherOptions.defaults());
+                DispatcherOptions.defaults(),
+                RequestPermits.UNLIMITED);
     }
 
     static List<Sample> measureAll(long seed) {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DispatchSimulation.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/DispatchSimulation.java
@@ -23,6 +23,7 @@
 import org.basilrill.coordination.admission.Dispatcher.Request;
 import org.basilrill.coordination.admission.DispatcherOptions;
 import org.basilrill.coordination.admission.FairDispatcher;
+import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.coordination.routing.CacheEvent;
 import org.basilrill.coordination.routing.RoutingOptions;
 import org.basilrill.coordination.routing.TargetRouter;
@@ -199,7 +200,8 @@
                     weights,
                     model -> Optional.empty(),
                     DemandListener.none(),
-                    DispatcherOptions.defaults());
+                    DispatcherOptions.defaults(),
+                    RequestPermits.UNLIMITED);
         }
 
         /** Returns the baseline that dispatches in order of arrival with the {@link TargetRouter}. */
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualCaller.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualCaller.java
@@ -98,6 +98,11 @@
         return receivedText().contains("\"outcome\":\"not_run\"");
     }
 
+    /** Returns the time from the request to the end of the response, which must be finished. */
+    public Duration elapsed() {
+        return Duration.ofNanos(endNanos - startNanos);
+    }
+
     /** Returns the body received so far. */
     public String receivedText() {
         return body.toString(StandardCharsets.UTF_8);
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
@@ -148,6 +148,15 @@
                 .toList();
     }
 
+    /** Returns the running replica that leads the control log, the one of the highest term if there are several. */
+    public Optional<InstanceId> leader() {
+        return replicas.stream()
+                .filter(id -> processes.containsKey(id)
+                        && processes.get(id).replica.orElseThrow().isLeader())
+                .max(Comparator.comparingLong(
+                        id -> processes.get(id).replica.orElseThrow().term()));
+    }
+
     /** Ends the process of an instance; only its data folder survives. */
     public void crash(InstanceId id) {
         Process process = processes.remove(id);
