Guard the issue of permits for request rates with tests

The wait that is reported to an instance now counts demands of equal urgency: two instances that asked at the same time were both told that they were next.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/LimitedTarget.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/LimitedTarget.java
@@ -85,13 +85,13 @@
         return mostUrgent(nowNanos).map(instance -> bucket.nanosUntil(1, nowNanos));
     }
 
-    /** Returns the time until the next permit of an instance: until the more urgent demands got one permit each. */
+    /** Returns the time until the next permit of an instance: demands that are as urgent get one permit each before. */
     long nanosUntilPermitOf(InstanceId instance, long nowNanos) {
         InstanceDemand own = demands.get(instance);
-        long moreUrgent = otherWaiting(instance, nowNanos)
-                .filter(other -> InstanceDemand.byUrgency(nowNanos).compare(other, own) < 0)
+        long asUrgent = otherWaiting(instance, nowNanos)
+                .filter(other -> InstanceDemand.byUrgency(nowNanos).compare(other, own) <= 0)
                 .count();
-        return bucket.nanosUntil(moreUrgent + 1, nowNanos);
+        return bucket.nanosUntil(asUrgent + 1, nowNanos);
     }
 
     /** Returns the time between two permits of an instance while all instances with queued requests have some. */
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
@@ -133,6 +133,17 @@
             head(503, "application/json", requestId());
         }
 
+        /** Responds with a status and a stated request rate. */
+        void stateRate(int status, String rate) {
+            send();
+            finished = true;
+            listener.headReceived(new ResponseHead(
+                    status,
+                    List.of(
+                            new HeaderField(RequestHead.REQUEST_ID, requestId()),
+                            new HeaderField(ResponseHead.REQUEST_RATE_LIMIT, rate))));
+        }
+
         /** Responds with an error status and a header by which the dialect recognises that the request did not run. */
         void refuseWithoutRunning(String header) {
             finished = true;
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -27,10 +27,11 @@
 import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.RequestRate;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /** In-memory dependencies of a coordinator, which count open charges and assignments. Thread safe. */
-public final class FakeServices implements TokenAdmission, Dispatcher, RetryBudget {
+public final class FakeServices implements TokenAdmission, Dispatcher, RetryBudget, RequestPermits {
     public static final String KEY = "brk-0123456789abcdef0123456789abcdef";
     public static final String OPERATOR_KEY = "brk-operator-0123456789abcdef";
     public static final AccountId ACCOUNT = new AccountId("parish-desk");
@@ -39,6 +40,7 @@
     private final List<String> publishedFingerprints = new CopyOnWriteArrayList<>();
     private final FakeControl control = new FakeControl();
     private final List<TargetAnnouncement> targets = new CopyOnWriteArrayList<>();
+    private final List<RequestRate> statedRates = new CopyOnWriteArrayList<>();
     private final AtomicInteger openCharges = new AtomicInteger();
     private final AtomicInteger openAssignments = new AtomicInteger();
     private final AtomicLong tokensUsed = new AtomicLong();
@@ -113,10 +115,20 @@
                 () -> List.of("127.0.0.1:4001"),
                 new BlockedRequests(clock, publishedFingerprints::add),
                 new RequestIdCheck(),
-                RequestPermits.UNLIMITED,
+                this,
                 dialect);
     }
 
+    @Override
+    public void observe(TargetAnnouncement target, Optional<RequestRate> rate) {
+        rate.ifPresent(statedRates::add);
+    }
+
+    /** Returns the request rates that targets stated. */
+    public List<RequestRate> statedRates() {
+        return statedRates;
+    }
+
     /** Returns the fingerprints of blocked requests that were published to other instances. */
     public List<String> publishedFingerprints() {
         return publishedFingerprints;
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -18,6 +18,7 @@
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.configuration.RouteTable;
 import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.RequestRate;
 import org.junit.jupiter.api.Test;
 
 /** Tests the life cycle of routed requests: which are retried, resumed, cut and refused. */
@@ -264,4 +265,15 @@
         last().end();
         assertThat(started.stream().status(), is(204));
     }
+
+    /** Guards against a limit that is missed because the response that states it refuses or fails the request. */
+    @Test
+    void aRefusalAndAFailureStateTheRequestRateToo() {
+        send("/safe/x");
+        last().stateRate(503, "2");
+        fixture.services().allowRetries(0);
+        send("/once/x");
+        last().stateRate(500, "3");
+        assertThat(fixture.services().statedRates(), is(List.of(new RequestRate(2), new RequestRate(3))));
+    }
 }
