Give a model another copy if its engines accept too few requests

Nothing counted its requests as waiting, because a copy is ready.

Change: the leader, which issues the permits, knows the queued requests of all instances. If those for an engine need more than a second of its rate, its copies do not count as enough: a model that has copies only there gets one elsewhere, before other further copies, and missing models go elsewhere if they can. Two tests of the planner failed before (no order; the copy placed at the limited engine).

--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
@@ -87,6 +88,7 @@
      * The dependencies of the controller.
      *
      * @param term term of the leadership; greater than the term of every previous leader
+     * @param overLimit returns whether more requests are queued for an engine than its request rate serves soon
      * @param lease time during which orders of a previous leader may still arrive
      * @param contentListener is notified of what was loaded and unloaded
      * @param readinessListener is notified when the models that requests are queued for will be ready
@@ -99,6 +101,7 @@
             EngineClient engineClient,
             ContentListener contentListener,
             ReadinessListener readinessListener,
+            Predicate<TargetAnnouncement> overLimit,
             Duration lease,
             MonotonicClock clock,
             Scheduler scheduler) {}
@@ -216,6 +219,7 @@
                     existing != null && existing.announcement().incarnation() == target.incarnation();
             EngineState state = sameIncarnation ? existing : new EngineState(target, now);
             state.updateAnnouncement(target);
+            state.setOverLimit(environment.overLimit().test(target));
             currentStates.put(target.id(), state);
         }
         engines.clear();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -199,8 +199,7 @@
         }
         Optional<EngineState> withFreeMemory = engines.stream()
                 .filter(engine -> isFree(engine) && !engine.isBusy() && fits(engine, model) && mayLoad(engine, model))
-                .min(Comparator.comparing((EngineState engine) -> !engine.hasLocalWeights(model))
-                        .thenComparingDouble(this::servedRate));
+                .min(bestFirst(model));
         if (withFreeMemory.isPresent()) {
             load(withFreeMemory.get(), model);
             return;
@@ -212,13 +211,20 @@
         }
     }
 
+    /** Orders engines with free memory: those that accept enough requests, then those with local weights first. */
+    private Comparator<EngineState> bestFirst(ModelId model) {
+        return Comparator.comparing(EngineState::isOverLimit)
+                .thenComparing(engine -> !engine.hasLocalWeights(model))
+                .thenComparingDouble(this::servedRate);
+    }
+
     /** Unloads the least needed copy on an engine where the model would then fit. */
     private void evictFor(ModelId model) {
         if (isBusyLimitReached()) {
             return;
         }
         boolean waiting = waitingByBase.getOrDefault(model, 0) > 0;
-        Optional<Victim> best = Optional.empty();
+        Optional<EvictionCandidate> best = Optional.empty();
         for (EngineState engine : engines) {
             if (!isFree(engine) || engine.isBusy() || !mayLoad(engine, model)) {
                 continue;
@@ -226,11 +232,12 @@
             for (ModelId resident : engine.readyModels()) {
                 if (mayEvict(engine, resident, model, waiting ? 1 : 0)) {
                     double loss = retentionRate(resident) / Math.max(1, copies(resident) - 1);
-                    best = betterVictim(best, new Victim(engine, resident, engine.hasLocalWeights(model), loss));
+                    best = betterCandidate(
+                            best, new EvictionCandidate(engine, resident, engine.hasLocalWeights(model), loss));
                 }
             }
         }
-        best.ifPresent(victim -> unload(victim.engine(), victim.model(), model));
+        best.ifPresent(candidate -> unload(candidate.engine(), candidate.model(), model));
     }
 
     /**
@@ -256,8 +263,9 @@
         return engines.stream().filter(EngineState::isBusy).count();
     }
 
-    private static Optional<Victim> betterVictim(Optional<Victim> best, Victim other) {
-        return best.filter(current -> Victim.BEST_FIRST.compare(current, other) <= 0)
+    private static Optional<EvictionCandidate> betterCandidate(
+            Optional<EvictionCandidate> best, EvictionCandidate other) {
+        return best.filter(current -> EvictionCandidate.BEST_FIRST.compare(current, other) <= 0)
                 .or(() -> Optional.of(other));
     }
 
@@ -298,13 +306,22 @@
         pool.models().keySet().stream()
                 .filter(model -> copies(model) > 0 && rate(model) > NEGLIGIBLE_RATE)
                 .filter(model -> lacksAdapterSlots(model)
+                        || isOnlyOverLimit(model)
                         || rate(model) / copies(model) > Math.max(MIN_OVERLOAD_RATE, OVERLOAD_FACTOR * mean))
-                .max(Comparator.comparing(this::lacksAdapterSlots)
+                .max(Comparator.comparing(this::isOnlyOverLimit)
+                        .thenComparing(this::lacksAdapterSlots)
                         .thenComparingDouble((ModelId model) -> rate(model) / copies(model))
                         .thenComparing(model -> model))
                 .ifPresent(this::addCopy);
     }
 
+    /** Returns whether all copies of a model are on engines that accept fewer requests than are queued for them. */
+    private boolean isOnlyOverLimit(ModelId model) {
+        return engines.stream()
+                .filter(engine -> engine.isResidentOrLoading(model))
+                .allMatch(EngineState::isOverLimit);
+    }
+
     /**
      * Returns whether requests are queued for adapters that do not fit into the adapter slots of the copies of their
      * model.
@@ -316,21 +333,17 @@
 
     private void addCopy(ModelId model) {
         Optional<EngineState> withFreeMemory = engines.stream()
-                .filter(engine -> isFree(engine)
-                        && !engine.isBusy()
-                        && !engine.isResidentOrLoading(model)
-                        && fits(engine, model)
-                        && mayLoad(engine, model))
-                .min(Comparator.comparing((EngineState engine) -> !engine.hasLocalWeights(model))
-                        .thenComparingDouble(this::servedRate));
+                .filter(engine -> mayHostCopy(engine, model) && fits(engine, model))
+                .min(bestFirst(model));
         if (withFreeMemory.isPresent()) {
             load(withFreeMemory.get(), model);
             return;
         }
-        double gain = rate(model) / copies(model) - rate(model) / (copies(model) + 1);
-        Optional<Victim> best = Optional.empty();
+        double gain =
+                isOnlyOverLimit(model) ? rate(model) : rate(model) / copies(model) - rate(model) / (copies(model) + 1);
+        Optional<EvictionCandidate> best = Optional.empty();
         for (EngineState engine : engines) {
-            if (!isFree(engine) || engine.isBusy() || engine.isResidentOrLoading(model) || !mayLoad(engine, model)) {
+            if (!mayHostCopy(engine, model)) {
                 continue;
             }
             for (ModelId resident : engine.readyModels()) {
@@ -338,11 +351,20 @@
                 if (loss < gain
                         && !recentUnloads.contains(resident, now)
                         && mayEvict(engine, resident, model, LAST_COPY_DEMAND_SHARE)) {
-                    best = betterVictim(best, new Victim(engine, resident, engine.hasLocalWeights(model), loss));
+                    best = betterCandidate(
+                            best, new EvictionCandidate(engine, resident, engine.hasLocalWeights(model), loss));
                 }
             }
         }
-        best.ifPresent(victim -> unload(victim.engine(), victim.model(), model));
+        best.ifPresent(candidate -> unload(candidate.engine(), candidate.model(), model));
+    }
+
+    private boolean mayHostCopy(EngineState engine, ModelId model) {
+        return isFree(engine)
+                && !engine.isBusy()
+                && !engine.isOverLimit()
+                && !engine.isResidentOrLoading(model)
+                && mayLoad(engine, model);
     }
 
     /** Returns the demand that an engine serves, in tokens per second. */
@@ -375,17 +397,4 @@
         assignedEngines.add(engine);
         orders.add(new PlannedOrder(engine, Action.UNLOAD, model));
     }
-
-    /**
-     * A copy that could be evicted.
-     *
-     * @param successorIsLocal whether the engine has the weights of the successor locally, so that it loads in a
-     *     fraction of the time
-     * @param loss cost of the eviction, in tokens per second
-     */
-    private record Victim(EngineState engine, ModelId model, boolean successorIsLocal, double loss) {
-        private static final Comparator<Victim> BEST_FIRST = Comparator.comparing(
-                        (Victim victim) -> !victim.successorIsLocal())
-                .thenComparingDouble(Victim::loss);
-    }
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -47,6 +47,7 @@
     private Optional<Long> acceptedOrders = Optional.empty();
     private boolean awaitsResponse;
     private boolean fenced;
+    private boolean overLimit;
     private long notBeforeNanos;
 
     EngineState(TargetAnnouncement announcement, long nowNanos) {
@@ -67,6 +68,15 @@
         }
     }
 
+    /** Returns whether more requests are queued for the engine than its request rate serves soon. */
+    boolean isOverLimit() {
+        return overLimit;
+    }
+
+    void setOverLimit(boolean newValue) {
+        overLimit = newValue;
+    }
+
     /** Returns whether a report must be requested before the next order. */
     boolean needsReport(long nowNanos) {
         return !awaitsResponse && !fenced && nowNanos - notBeforeNanos >= 0 && (acceptedOrders.isEmpty() || isBusy());
--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/LimitedTarget.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/LimitedTarget.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.basilrill.api.InstanceId;
@@ -14,6 +15,9 @@
  * The limit of one target at the issuer, with the demands of all instances. Not thread safe; guarded by the issuer.
  */
 final class LimitedTarget {
+    /** Wait of the last queued request above which other targets should serve a part of the requests. */
+    private static final long OVER_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final PermitBucket bucket;
     private final Map<InstanceId, InstanceDemand> demands = new TreeMap<>();
     private RequestRate rate;
@@ -99,6 +103,14 @@
         return bucket.nanosPer(otherWaiting(instance, nowNanos).count() + 1);
     }
 
+    /** Returns whether the queued requests of all instances need more permits than are issued within a second. */
+    boolean isOverLimit(long nowNanos) {
+        int waiting = demands.values().stream()
+                .mapToInt(demand -> demand.waiting(nowNanos))
+                .sum();
+        return waiting > 0 && bucket.nanosUntil(waiting, nowNanos) > OVER_LIMIT_NANOS;
+    }
+
     private Stream<InstanceDemand> otherWaiting(InstanceId instance, long nowNanos) {
         return demands.entrySet().stream()
                 .filter(entry -> !entry.getKey().equals(instance))
--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitIssuer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitIssuer.java
@@ -71,6 +71,15 @@
         }
     }
 
+    /** Returns whether more requests are queued for a target than its request rate serves within a second. */
+    public synchronized boolean isOverLimit(TargetAnnouncement target) {
+        return leads()
+                && Optional.ofNullable(targets.get(TargetKey.of(target)))
+                        .filter(limited ->
+                                limited.isOverLimit(environment.clock().nanos()))
+                        .isPresent();
+    }
+
     private void received(InstanceId sender, PermitReport report) {
         IssueBatch batch;
         synchronized (this) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/PlacementAssembly.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/PlacementAssembly.java
@@ -63,6 +63,7 @@
                         new ChargingEngineClient(access.engineClient(), this::charge),
                         targetPublisher::contentChanged,
                         messenger::sendReadiness,
+                        this::isOverLimit,
                         access.lease(),
                         environment.clock(),
                         environment.scheduler()),
@@ -78,4 +79,8 @@
     private void charge(TargetAnnouncement target) {
         permitIssuer.ifPresent(issuer -> issuer.charge(target));
     }
+
+    private boolean isOverLimit(TargetAnnouncement target) {
+        return permitIssuer.filter(issuer -> issuer.isOverLimit(target)).isPresent();
+    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EngineControllerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EngineControllerTest.java
@@ -102,6 +102,7 @@
                                 engines.clientOf("controller-" + ownNumber),
                                 (engine, model, present) -> {},
                                 (instance, untilReady) -> {},
+                                engine -> false,
                                 LEASE,
                                 time,
                                 time),
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerTest.java
@@ -75,6 +75,31 @@
         assertThat(plan(), is(List.of(new PlannedOrder(withFreeMemory, Action.LOAD, HOT))));
     }
 
+    /**
+     * The only copy of a model is on an engine that accepts fewer requests per second than are queued for it. Another
+     * engine must serve the others.
+     */
+    @Test
+    void aModelWhoseOnlyEngineAcceptsTooFewRequestsGetsACopyOnAnotherEngine() {
+        EngineState limited = engine("limited", WARM);
+        EngineState withFreeMemory = engine("free", HOT);
+        engine("full", HOT, RARE);
+        setDemand(WARM, 1_000, 0);
+        assertThat(plan(), empty());
+        limited.setOverLimit(true);
+        assertThat(plan(), is(List.of(new PlannedOrder(withFreeMemory, Action.LOAD, WARM))));
+    }
+
+    /** A model without a copy must not be placed where hardly any request is accepted. */
+    @Test
+    void aMissingModelIsNotPlacedOnAnEngineThatAcceptsTooFewRequests() {
+        engine("limited").setOverLimit(true);
+        EngineState other = engine("other", HOT);
+        setDemand(HOT, 1_000, 0);
+        setDemand(WARM, 1_000, 1);
+        assertThat(plan(), hasItem(new PlannedOrder(other, Action.LOAD, WARM)));
+    }
+
     /** An engine has just loaded a model whose adapters have queued requests, and another model is missing. */
     @Test
     void adaptersThatRequestsWaitForAreLoadedBeforeTheNextModel() {
