--- a/basilrill-library/src/test/java/org/basilrill/coordination/limit/PermitIssuerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/limit/PermitIssuerTest.java
@@ -89,6 +89,20 @@
         assertThat(recipients(), contains(FIRST, SECOND));
     }
 
+    /** Guards against a second permit for a request whose report crosses the grant of the first. */
+    @Test
+    void aReportThatCrossesAGrantRequestsNoSecondPermit() {
+        demand(FIRST, 1, 0);
+        run(Duration.ofMillis(800));
+        time.advance(Duration.ofMillis(250));
+        PermitReport crossing =
+                new PermitReport(1, ++sequence, List.of(permitDemand(1, 0, 1050, granted(FIRST) - 1, 0)), List.of());
+        demands.clear();
+        receive(FIRST, crossing);
+        run(Duration.ofMillis(990));
+        assertThat(recipients(), contains(FIRST));
+    }
+
     /** Guards against a new leader that issues again at once what its predecessor has issued. */
     @Test
     void anIssuerOfANewTermStartsWithAnEmptyBucket() {
