--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitOracle.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitOracle.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.basilrill.api.InstanceId;
 import org.basilrill.scaffold.virtual.VirtualTarget.Execution;
 import org.basilrill.scaffold.virtual.VirtualTarget.Statement;
@@ -24,11 +25,18 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final VirtualTarget target;
+    private final Predicate<Execution> excused;
     /** Highest rate in force in the window that ends at a time, as the most permissive reading of the rule. */
     private final TreeMap<Long, Double> rates = new TreeMap<>();
 
-    RateLimitOracle(VirtualTarget target) {
+    /**
+     * Creates the oracle of one target.
+     *
+     * @param excused requests that do not count, because their sender was restarted or isolated shortly before
+     */
+    RateLimitOracle(VirtualTarget target, Predicate<Execution> excused) {
         this.target = target;
+        this.excused = excused;
         for (Statement statement : target.statements()) {
             statement.perSecond().ifPresent(rate -> rates.put(statement.nanos(), rate));
         }
@@ -46,7 +54,7 @@
         long from = rates.firstKey() + REACTION_NANOS;
         List<Long> counted = target.executions().stream()
                 .filter(execution -> execution.nanos() >= from && execution.nanos() <= untilNanos)
-                .filter(execution -> isTold(toldSince, execution))
+                .filter(execution -> isTold(toldSince, execution) && !excused.test(execution))
                 .map(Execution::nanos)
                 .toList();
         for (int last = 0, first = 0; last < counted.size(); last++) {
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitScenario.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitScenario.java
@@ -17,6 +17,9 @@
     private static final Duration STEP = Duration.ofMillis(50);
     private static final Duration ANNOUNCEMENT_PERIOD = Duration.ofMillis(500);
     private static final int REPLICAS = 3;
+    private static final double[] RATES = {0.5, 1, 2, 5, 20};
+    /** Time after a restart or an isolation until an instance has to know the limits again. */
+    private static final Duration CONTACT = Duration.ofSeconds(3);
 
     private final VirtualTime time = new VirtualTime();
     private final Random random;
@@ -27,6 +30,9 @@
     private final List<VirtualCaller> callers = new ArrayList<>();
     private final List<VirtualTarget> ledgers = new ArrayList<>();
 
+    /** Times at which the requests of an instance do not count, because it was restarted or isolated. */
+    private final List<Excuse> excuses = new ArrayList<>();
+
     /** Starts the instances and announces the targets; the log has rules at the end. */
     RateLimitScenario(long seed, int instances, int targetCount) {
         random = new Random(seed);
@@ -93,6 +99,47 @@
         }
     }
 
+    /** Returns the first violation of the rate that a target states, if there is one. */
+    Optional<String> violation(int index) {
+        return new RateLimitOracle(target(index), execution -> isExcused(execution.sender(), execution.nanos()))
+                .violation(time.nanos());
+    }
+
+    /** Crashes and restarts or isolates a random instance, or changes the rate of a random target. */
+    void applyRandomEvent() {
+        InstanceId instance =
+                deployment.instances().get(random.nextInt(deployment.instances().size()));
+        InstanceId victim = random.nextInt(3) == 0 ? deployment.leader().orElse(instance) : instance;
+        long millis = 200 + random.nextInt(6000);
+        switch (random.nextInt(4)) {
+            case 0 -> {
+                deployment.crash(victim);
+                excuse(victim, millis);
+                time.schedule(Duration.ofMillis(millis), () -> deployment.restart(victim));
+            }
+            case 1 -> {
+                network.cutFromPeers(victim, true);
+                excuse(victim, millis);
+                time.schedule(Duration.ofMillis(millis), () -> network.cutFromPeers(victim, false));
+            }
+            case 2 -> stateRate(0, 0, RATES[random.nextInt(RATES.length)]);
+            default ->
+                target(1).stateRate(OptionalDouble.of(RATES[random.nextInt(RATES.length)]), 1 + random.nextInt(3));
+        }
+    }
+
+    private void excuse(InstanceId instance, long millis) {
+        long until = time.nanos() + Duration.ofMillis(millis).plus(CONTACT).toNanos();
+        excuses.add(new Excuse(instance, time.nanos(), until));
+    }
+
+    private boolean isExcused(InstanceId instance, long nanos) {
+        return excuses.stream()
+                .anyMatch(excuse -> excuse.instance().equals(instance)
+                        && nanos >= excuse.fromNanos()
+                        && nanos <= excuse.untilNanos());
+    }
+
     private void call(InstanceId id, Instance instance, Duration deadline) {
         VirtualCaller.Call call = new VirtualCaller.Call(
                 "request-" + callers.size(),
@@ -132,4 +179,7 @@
         }
         time.schedule(ANNOUNCEMENT_PERIOD, () -> announceAndRepeat(target, position));
     }
+
+    /** A time in which the requests of an instance do not count. */
+    private record Excuse(InstanceId instance, long fromNanos, long untilNanos) {}
 }
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/TargetRateLimitTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/TargetRateLimitTest.java
@@ -19,6 +19,7 @@
 class TargetRateLimitTest {
     private static final Logger LOGGER = Logger.getLogger("org.basilrill");
     private static final Duration DEADLINE = Duration.ofSeconds(2);
+    private static final int RANDOM_SCENARIOS = 8;
 
     @BeforeEach
     void silenceLog() {
@@ -31,8 +32,8 @@
         RateLimitScenario scenario = new RateLimitScenario(1, 12, 6);
         scenario.stateRate(0, 1, 1);
         scenario.run(Duration.ofSeconds(20), 20, DEADLINE);
-        assertThat(violation(scenario, 0), is(Optional.empty()));
-        assertThat(violation(scenario, 1), is(Optional.empty()));
+        assertThat(scenario.violation(0), is(Optional.empty()));
+        assertThat(scenario.violation(1), is(Optional.empty()));
         assertThat(servedShare(scenario), greaterThan(0.99));
     }
 
@@ -42,7 +43,7 @@
         RateLimitScenario scenario = new RateLimitScenario(2, 12, 1);
         scenario.stateRate(0, 0, 1);
         scenario.run(Duration.ofSeconds(30), 6, DEADLINE);
-        assertThat(violation(scenario, 0), is(Optional.empty()));
+        assertThat(scenario.violation(0), is(Optional.empty()));
         assertThat(arrivals(scenario, 0, Duration.ofSeconds(20)), greaterThan(17L));
     }
 
@@ -52,7 +53,7 @@
         RateLimitScenario scenario = new RateLimitScenario(3, 100, 1);
         scenario.stateRate(0, 0, 0.5);
         scenario.run(Duration.ofSeconds(30), 10, DEADLINE);
-        assertThat(violation(scenario, 0), is(Optional.empty()));
+        assertThat(scenario.violation(0), is(Optional.empty()));
         assertThat(arrivals(scenario, 0, Duration.ofSeconds(20)), greaterThan(7L));
     }
 
@@ -62,7 +63,7 @@
         RateLimitScenario scenario = new RateLimitScenario(4, 100, 1);
         scenario.stateRate(0, 0, 50);
         scenario.run(Duration.ofSeconds(15), 70, DEADLINE);
-        assertThat(violation(scenario, 0), is(Optional.empty()));
+        assertThat(scenario.violation(0), is(Optional.empty()));
         assertThat(arrivals(scenario, 0, Duration.ofSeconds(10)), greaterThan(400L));
     }
 
@@ -86,7 +87,7 @@
                 .count();
         assertThat((double) immediate / refused.size(), greaterThan(0.9));
         for (int target = 0; target < 3; target++) {
-            assertThat(violation(scenario, target), is(Optional.empty()));
+            assertThat(scenario.violation(target), is(Optional.empty()));
             assertThat(arrivals(scenario, target, Duration.ofSeconds(10)), greaterThan(7L));
         }
     }
@@ -97,7 +98,7 @@
         RateLimitScenario scenario = new RateLimitScenario(6, 12, 2);
         scenario.target(0).stateRate(OptionalDouble.of(2), 3);
         scenario.run(Duration.ofSeconds(25), 20, DEADLINE);
-        assertThat(violation(scenario, 0), is(Optional.empty()));
+        assertThat(scenario.violation(0), is(Optional.empty()));
     }
 
     /** Guards against a rate that is used as first stated after the target has lowered or raised it. */
@@ -112,7 +113,7 @@
         scenario.stateRate(0, 0, 8);
         scenario.run(Duration.ofSeconds(15), 20, DEADLINE);
         assertThat(arrivals(scenario, 0, Duration.ofSeconds(8)), greaterThan(50L));
-        assertThat(violation(scenario, 0), is(Optional.empty()));
+        assertThat(scenario.violation(0), is(Optional.empty()));
     }
 
     /** Guards against a target that stays limited after it has stopped stating a rate. */
@@ -137,7 +138,7 @@
         scenario.run(Duration.ofSeconds(5), 20, DEADLINE);
         scenario.deployment().restart(leader);
         scenario.run(Duration.ofSeconds(15), 20, DEADLINE);
-        assertThat(violation(scenario, 0), is(Optional.empty()));
+        assertThat(scenario.violation(0), is(Optional.empty()));
         assertThat(arrivals(scenario, 0, Duration.ofSeconds(10)), greaterThan(33L));
     }
 
@@ -152,7 +153,7 @@
         scenario.run(Duration.ofSeconds(10), 20, DEADLINE);
         scenario.network().cutFromPeers(leader, false);
         scenario.run(Duration.ofSeconds(10), 20, DEADLINE);
-        assertThat(violation(scenario, 0), is(Optional.empty()));
+        assertThat(scenario.violation(0), is(Optional.empty()));
     }
 
     /** Guards against a limit that an instance does not know because it started after the limit was stated. */
@@ -176,8 +177,29 @@
             scenario.network().inject(new VirtualNetwork.Faults(0.05, 0.05, 0.02));
             scenario.stateRate(0, 1, 1 + seed % 3);
             scenario.run(Duration.ofSeconds(25), 20, DEADLINE);
-            assertThat("seed " + seed, violation(scenario, 0), is(Optional.empty()));
-            assertThat("seed " + seed, violation(scenario, 1), is(Optional.empty()));
+            assertThat("seed " + seed, scenario.violation(0), is(Optional.empty()));
+            assertThat("seed " + seed, scenario.violation(1), is(Optional.empty()));
+        }
+    }
+
+    /** Guards against limits that do not survive crashes, isolations, faulty messages and changed rates together. */
+    @Test
+    void theRateIsKeptUnderRandomFaultsAndUsedAfterThem() {
+        for (int seed = 100; seed < 100 + RANDOM_SCENARIOS; seed++) {
+            RateLimitScenario scenario = new RateLimitScenario(seed, 12, 3);
+            scenario.stateRate(0, 1, 2);
+            scenario.network().inject(new VirtualNetwork.Faults(0.02, 0.02, seed % 2 == 0 ? 0.01 : 0));
+            for (int event = 0; event < 10; event++) {
+                scenario.run(Duration.ofMillis(1000 + 137 * (seed % 7)), 30, DEADLINE);
+                scenario.applyRandomEvent();
+            }
+            scenario.run(Duration.ofSeconds(15), 30, DEADLINE);
+            assertThat("seed " + seed, scenario.violation(0), is(Optional.empty()));
+            assertThat("seed " + seed, scenario.violation(1), is(Optional.empty()));
+            scenario.network().inject(VirtualNetwork.Faults.NONE);
+            scenario.stateRate(0, 2, 3);
+            scenario.run(Duration.ofSeconds(10), 30, DEADLINE);
+            assertThat("seed " + seed, arrivals(scenario, 0, Duration.ofSeconds(5)), greaterThan(11L));
         }
     }
 
@@ -188,11 +210,6 @@
                 .count();
     }
 
-    private static Optional<String> violation(RateLimitScenario scenario, int target) {
-        return new RateLimitOracle(scenario.target(target))
-                .violation(scenario.time().nanos());
-    }
-
     private static double servedShare(RateLimitScenario scenario) {
         long finished =
                 scenario.callers().stream().filter(VirtualCaller::isFinished).count();
