Send only notable changes of a stated rate to all instances

A target whose stated rate varies a little from response to response would cause a message to every instance, and a log line on each, for each response. Found by reading; the issuer's bucket still follows each statement. The test counted three messages for 1.0, 1.1 and 0.9 before (read from the code, not run).

--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/LimitedTarget.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/LimitedTarget.java
@@ -21,11 +21,15 @@
     private final PermitBucket bucket;
     private final Map<InstanceId, InstanceDemand> demands = new TreeMap<>();
     private RequestRate rate;
+    /** Rate at the last change that {@link #stated} reported. */
+    private RequestRate notedRate;
+
     private long statedNanos;
     private boolean issueScheduled;
 
     LimitedTarget(RequestRate rate, long statedNanos, long nowNanos) {
         this.rate = rate;
+        this.notedRate = rate;
         this.statedNanos = statedNanos;
         bucket = new PermitBucket(rate, nowNanos);
     }
@@ -38,14 +42,15 @@
         return statedNanos;
     }
 
-    /** Applies a statement of the target unless a newer one is known; returns whether the rate changed. */
+    /** Applies a statement of the target unless a newer one is known; returns whether the rate changed notably. */
     boolean stated(RequestRate newRate, long atNanos, long nowNanos) {
         if (atNanos - statedNanos < 0) {
             return false;
         }
         statedNanos = atNanos;
-        boolean changed = !newRate.equals(rate);
         rate = newRate;
+        boolean changed = newRate.differsNotablyFrom(notedRate);
+        notedRate = changed ? newRate : notedRate;
         bucket.configure(newRate, nowNanos);
         return changed;
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitPool.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitPool.java
@@ -20,6 +20,9 @@
     private final Deque<Long> permits = new ArrayDeque<>();
 
     private RequestRate rate;
+    /** Rate at the last change that {@link #stated} reported. */
+    private RequestRate notedRate;
+
     private long statedNanos;
     private Optional<QueuedDemand> demand = Optional.empty();
     private long demandSinceNanos;
@@ -34,6 +37,7 @@
     PermitPool(TargetKey target, RequestRate rate, long statedNanos) {
         this.target = target;
         this.rate = rate;
+        this.notedRate = rate;
         this.statedNanos = statedNanos;
         this.nextPermitNanos = statedNanos;
     }
@@ -56,14 +60,15 @@
         return statedNanos;
     }
 
-    /** Applies a statement of the target unless a newer one is known; returns whether the rate changed. */
+    /** Applies a statement of the target unless a newer one is known; returns whether the rate changed notably. */
     boolean stated(RequestRate newRate, long atNanos) {
         if (atNanos - statedNanos < 0) {
             return false;
         }
         statedNanos = atNanos;
-        boolean changed = !newRate.equals(rate);
         rate = newRate;
+        boolean changed = newRate.differsNotablyFrom(notedRate);
+        notedRate = changed ? newRate : notedRate;
         return changed;
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/state/target/RequestRate.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/RequestRate.java
@@ -8,6 +8,9 @@
  * @param perSecond finite and not negative
  */
 public record RequestRate(double perSecond) {
+    /** Part of the higher rate by which two rates differ notably. */
+    private static final double NOTABLE_DIFFERENCE = 0.2;
+
     public RequestRate {
         if (!Double.isFinite(perSecond) || perSecond < 0) {
             throw new IllegalArgumentException("request rate " + perSecond + " is not a finite, non-negative number");
@@ -25,4 +28,10 @@
             return Optional.empty();
         }
     }
+
+    /** Returns whether the rates differ by so much that instances and operators should be notified. */
+    public boolean differsNotablyFrom(RequestRate other) {
+        double higher = Math.max(perSecond, other.perSecond);
+        return Math.abs(perSecond - other.perSecond) > NOTABLE_DIFFERENCE * higher;
+    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/limit/PermitIssuerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/limit/PermitIssuerTest.java
@@ -128,6 +128,17 @@
         assertThat(recipients(), empty());
     }
 
+    /** Guards against messages to all instances for each response of a target whose rate varies a little. */
+    @Test
+    void onlyANotableChangeOfARateIsSentToAllInstances() {
+        observe(1.0);
+        observe(1.1);
+        observe(0.9);
+        assertThat(notices(SECOND), is(1L));
+        observe(0.5);
+        assertThat(notices(SECOND), is(2L));
+    }
+
     /** Guards against orders to an engine that come on top of the requests of callers. */
     @Test
     void requestsSentWithoutAPermitDelayTheNextPermit() {
@@ -150,6 +161,18 @@
         assertThat(report.intervalMillis(), is(2000L));
     }
 
+    private void observe(double perSecond) {
+        Observation observation = new Observation(TARGET, Optional.of(new RequestRate(perSecond)), 0);
+        receive(FIRST, new PermitReport(1, ++sequence, List.of(), List.of(observation)));
+    }
+
+    private long notices(InstanceId instance) {
+        return sent.stream()
+                .filter(message -> message.recipient().equals(instance))
+                .mapToLong(message -> message.issue().limits().size())
+                .sum();
+    }
+
     /** Sets the demand of an instance, which is reported now and repeated while time passes. */
     private void demand(InstanceId instance, int waiting, int priority) {
         demands.put(instance, new Demand(waiting, priority, time.nanos()));
