--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitPool.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitPool.java
@@ -86,7 +86,9 @@
 
     /** Adds a permit that was not used. */
     void release(long nowNanos) {
-        permits.addFirst(nowNanos + LimitTiming.REPORT_INTERVAL.toNanos());
+        long expiryNanos = nowNanos + LimitTiming.REPORT_INTERVAL.toNanos();
+        boolean beforeNext = permits.isEmpty() || expiryNanos - permits.peek() < 0;
+        permits.addFirst(beforeNext ? expiryNanos : permits.peek());
     }
 
     /**
