Refuse no request for the rates of targets that it cannot use

If all ready targets were excluded for a queued request, and others were queued for the same destination, the wait was computed from no target at all and the request was refused as if a limit were too low. The test failed before. Also: plainer names and comments in the new code and tests.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/DispatchRefusals.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/DispatchRefusals.java
@@ -143,6 +143,9 @@
             permitsPerNano += 1.0 / Math.max(1, expected.get().nanosPerPermit());
             nanosUntilPermit = Math.min(nanosUntilPermit, expected.get().nanosUntilNext());
         }
+        if (permitsPerNano == 0) {
+            return Optional.empty();
+        }
         double waitNanos = nanosUntilPermit + (ahead - 1) / permitsPerNano;
         if (waitNanos <= request.deadlineNanos() - clock.nanos()) {
             return Optional.empty();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitIssuer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitIssuer.java
@@ -24,9 +24,9 @@
 
 /**
  * Issues the permits for targets with a limited request rate to all instances, while this replica leads the control
- * log; does nothing otherwise. In any window, all instances together get at most the rate times the length of the
- * window and the burst of the bucket. The buckets of a new leader start empty, so that what its predecessor issued need
- * not be known.
+ * log; does nothing otherwise. The permits issued in any window are at most the rate times the length of the window,
+ * plus the burst of the bucket. The buckets of a new leader start empty, because it does not know what its predecessor
+ * issued.
  *
  * <p>Thread safe: guarded by its own lock, which is not held while messages are sent.
  */
@@ -97,7 +97,7 @@
         send(batch);
     }
 
-    /** Returns whether this replica leads; forgets what an earlier term knew. */
+    /** Returns whether this replica leads; in a new term, clears the state of the earlier one. */
     private boolean leads() {
         if (!environment.isLeader().getAsBoolean()) {
             return false;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitPool.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitPool.java
@@ -92,17 +92,17 @@
     }
 
     /**
-     * Records that a request could have used a permit. Returns whether that is news. Queued requests are reported as
-     * demand instead.
+     * Records that a request could have used a permit. Returns whether this has to be reported. Queued requests are
+     * reported as demand instead.
      */
     boolean requestInAdvance(long nowNanos) {
         if (waiting() > 0) {
             return false;
         }
         lastRequestedNanos = nowNanos;
-        boolean news = !requestedInAdvance;
+        boolean reportDue = !requestedInAdvance;
         requestedInAdvance = true;
-        return news;
+        return reportDue;
     }
 
     /** Replaces the queued requests; returns whether the number changed. */
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatcherFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatcherFixture.java
@@ -43,6 +43,10 @@
     }
 
     DispatcherFixture(long seed, int instances, int queueLimit) {
+        this(seed, instances, queueLimit, RequestPermits.UNLIMITED);
+    }
+
+    DispatcherFixture(long seed, int instances, int queueLimit, RequestPermits permits) {
         DispatcherOptions defaults = DispatcherOptions.defaults();
         router = new TargetRouter(
                 new InstanceId("one"),
@@ -50,7 +54,8 @@
                 time,
                 new SplittableRandom(seed),
                 () -> instances,
-                RoutingOptions.defaults());
+                RoutingOptions.defaults(),
+                permits);
         dispatcher = new FairDispatcher(
                 registry,
                 router,
@@ -65,7 +70,7 @@
                         defaults.recheckInterval(),
                         defaults.shortestRetryAfter(),
                         defaults.longestRetryAfter()),
-                RequestPermits.UNLIMITED);
+                permits);
         dispatcher.setAbsenceListener(
                 (target, model) -> registry.contentChanged(target.id(), target.incarnation(), model, false));
         registry.addListener(change -> {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/FairDispatcherTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/FairDispatcherTest.java
@@ -20,6 +20,7 @@
 import org.basilrill.api.TargetId;
 import org.basilrill.coordination.admission.Dispatcher.Assignment;
 import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
+import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.junit.jupiter.api.Test;
@@ -54,6 +55,30 @@
         assertThat(fixture.dispatch("a", "m").isDone(), is(false));
     }
 
+    /** Guards against refusing a request for the limits of targets that cannot serve it anyway. */
+    @Test
+    void aRequestWhoseTargetsAllLeaveOrAreExcludedIsNotRefusedForTheirRequestRates() {
+        RequestPermits permits = new RequestPermits() {
+            @Override
+            public boolean hasLimits() {
+                return true;
+            }
+        };
+        DispatcherFixture limited = new DispatcherFixture(SEED, 1, 16, permits);
+        TargetAnnouncement leaving = engine("t1", 1, "m");
+        limited.announce(leaving);
+        limited.announce(engine("t2", 1, "m"));
+        Set<TargetId> excluded = Set.of(new TargetId("t2"));
+        limited.dispatcher().dispatch(limited.request("a", "m", 5, 100, SECOND, excluded));
+        limited.dispatch("a", "m");
+        limited.dispatch("a", "m");
+        CompletableFuture<Assignment> waiting =
+                limited.dispatcher().dispatch(limited.request("a", "m", 5, 100, SECOND, excluded));
+        limited.announce(next(leaving, 1, true));
+        limited.time().advance(Duration.ofMillis(100));
+        assertThat(waiting.isDone(), is(false));
+    }
+
     /**
      * Guards against failing a request for an adapter that was evicted while the announcement of the eviction has not
      * arrived yet. The request must be queued.
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitOracle.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitOracle.java
@@ -19,24 +19,24 @@
 final class RateLimitOracle {
     private static final long WINDOW_NANOS = Duration.ofSeconds(4).toNanos();
     private static final long REACTION_NANOS = Duration.ofSeconds(3).toNanos();
-    private static final long TOLD_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long INFORMED_NANOS = Duration.ofMillis(500).toNanos();
     private static final double FACTOR = 1.5;
     private static final double SLACK = 5;
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final VirtualTarget target;
-    private final Predicate<Execution> excused;
+    private final Predicate<Execution> exempt;
     /** Highest rate in force in the window that ends at a time, as the most permissive reading of the rule. */
     private final TreeMap<Long, Double> rates = new TreeMap<>();
 
     /**
      * Creates the oracle of one target.
      *
-     * @param excused requests that do not count, because their sender was restarted or isolated shortly before
+     * @param exempt requests that do not count, because their sender was restarted or isolated shortly before
      */
-    RateLimitOracle(VirtualTarget target, Predicate<Execution> excused) {
+    RateLimitOracle(VirtualTarget target, Predicate<Execution> exempt) {
         this.target = target;
-        this.excused = excused;
+        this.exempt = exempt;
         for (Statement statement : target.statements()) {
             statement.perSecond().ifPresent(rate -> rates.put(statement.nanos(), rate));
         }
@@ -47,14 +47,14 @@
         if (rates.isEmpty()) {
             return Optional.empty();
         }
-        Map<InstanceId, Long> toldSince = new HashMap<>();
+        Map<InstanceId, Long> informedSince = new HashMap<>();
         target.statements().stream()
                 .filter(statement -> statement.perSecond().isPresent())
-                .forEach(statement -> toldSince.putIfAbsent(statement.instance(), statement.nanos()));
+                .forEach(statement -> informedSince.putIfAbsent(statement.instance(), statement.nanos()));
         long from = rates.firstKey() + REACTION_NANOS;
         List<Long> counted = target.executions().stream()
                 .filter(execution -> execution.nanos() >= from && execution.nanos() <= untilNanos)
-                .filter(execution -> isTold(toldSince, execution) && !excused.test(execution))
+                .filter(execution -> isInformed(informedSince, execution) && !exempt.test(execution))
                 .map(Execution::nanos)
                 .toList();
         for (int last = 0, first = 0; last < counted.size(); last++) {
@@ -72,9 +72,9 @@
         return Optional.empty();
     }
 
-    private static boolean isTold(Map<InstanceId, Long> toldSince, Execution execution) {
-        Long since = toldSince.get(execution.sender());
-        return since != null && execution.nanos() - since >= TOLD_NANOS;
+    private static boolean isInformed(Map<InstanceId, Long> informedSince, Execution execution) {
+        Long since = informedSince.get(execution.sender());
+        return since != null && execution.nanos() - since >= INFORMED_NANOS;
     }
 
     private double highestRate(long nanos) {
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitScenario.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitScenario.java
@@ -31,7 +31,7 @@
     private final List<VirtualTarget> ledgers = new ArrayList<>();
 
     /** Times at which the requests of an instance do not count, because it was restarted or isolated. */
-    private final List<Excuse> excuses = new ArrayList<>();
+    private final List<Exemption> exemptions = new ArrayList<>();
 
     /** Starts the instances and announces the targets; the log has rules at the end. */
     RateLimitScenario(long seed, int instances, int targetCount) {
@@ -101,7 +101,7 @@
 
     /** Returns the first violation of the rate that a target states, if there is one. */
     Optional<String> violation(int index) {
-        return new RateLimitOracle(target(index), execution -> isExcused(execution.sender(), execution.nanos()))
+        return new RateLimitOracle(target(index), execution -> isExemptiond(execution.sender(), execution.nanos()))
                 .violation(time.nanos());
     }
 
@@ -114,12 +114,12 @@
         switch (random.nextInt(4)) {
             case 0 -> {
                 deployment.crash(victim);
-                excuse(victim, millis);
+                exempt(victim, millis);
                 time.schedule(Duration.ofMillis(millis), () -> deployment.restart(victim));
             }
             case 1 -> {
                 network.cutFromPeers(victim, true);
-                excuse(victim, millis);
+                exempt(victim, millis);
                 time.schedule(Duration.ofMillis(millis), () -> network.cutFromPeers(victim, false));
             }
             case 2 -> stateRate(0, 0, RATES[random.nextInt(RATES.length)]);
@@ -128,16 +128,16 @@
         }
     }
 
-    private void excuse(InstanceId instance, long millis) {
+    private void exempt(InstanceId instance, long millis) {
         long until = time.nanos() + Duration.ofMillis(millis).plus(CONTACT).toNanos();
-        excuses.add(new Excuse(instance, time.nanos(), until));
+        exemptions.add(new Exemption(instance, time.nanos(), until));
     }
 
-    private boolean isExcused(InstanceId instance, long nanos) {
-        return excuses.stream()
-                .anyMatch(excuse -> excuse.instance().equals(instance)
-                        && nanos >= excuse.fromNanos()
-                        && nanos <= excuse.untilNanos());
+    private boolean isExemptiond(InstanceId instance, long nanos) {
+        return exemptions.stream()
+                .anyMatch(exemption -> exemption.instance().equals(instance)
+                        && nanos >= exemption.fromNanos()
+                        && nanos <= exemption.untilNanos());
     }
 
     private void call(InstanceId id, Instance instance, Duration deadline) {
@@ -181,5 +181,5 @@
     }
 
     /** A time in which the requests of an instance do not count. */
-    private record Excuse(InstanceId instance, long fromNanos, long untilNanos) {}
+    private record Exemption(InstanceId instance, long fromNanos, long untilNanos) {}
 }
