Keep returned permits from accumulating in circulation

Cause: a permit that is returned unused was issued again at once, while the refill went on. With a hundred instances that request permits in advance and do not use them, up to one permit for each was held at a time: in a model of the bucket 100 at 10 per second, where the bound of the design allows 12, so that a sudden use would have exceeded the limit. The bucket now counts the permits that may still be used: with the level they never exceed the burst and a second of the rate.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitBucket.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitBucket.java
@@ -1,11 +1,15 @@
 package org.basilrill.coordination.limit;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.basilrill.state.target.RequestRate;
 
 /**
  * Token bucket of the permits for one target. It starts empty, because the requests sent before are unknown. The level
- * never exceeds the burst of one request and a tenth of a second of the rate. Not thread safe; guarded by its user.
+ * never exceeds the burst of one request and a tenth of a second of the rate. The level and the permits that may still
+ * be used never exceed the burst and the refill in the validity of a permit, so that permits which are returned and
+ * issued again do not accumulate. Not thread safe; guarded by its user.
  */
 final class PermitBucket {
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
@@ -16,6 +20,11 @@
     /** A target that states a lower rate still gets a request now and then, by which the end of its limit is seen. */
     private static final double MINIMUM_PER_SECOND = 0.05;
 
+    private static final double VALIDITY_SECONDS = LimitTiming.PERMIT_VALIDITY / NANOS_PER_SECOND;
+
+    /** Times at which permits were issued that may still be used, the earliest first. */
+    private final Deque<Long> outstanding = new ArrayDeque<>();
+
     private double perSecond;
     private double level;
     private long refilledNanos;
@@ -39,6 +48,7 @@
             return false;
         }
         level--;
+        outstanding.add(nowNanos);
         return true;
     }
 
@@ -51,7 +61,9 @@
     /** Adds permits that were returned unused. */
     void giveBack(long permits, long nowNanos) {
         refill(nowNanos);
-        level = Math.min(burst(), level + permits);
+        for (long permit = 0; permit < permits && outstanding.poll() != null; permit++) {
+            level = Math.min(burst(), level + 1);
+        }
     }
 
     /** Returns the time in which this many permits become available, at least one nanosecond. */
@@ -67,7 +79,12 @@
 
     private void refill(long nowNanos) {
         long elapsed = Math.max(0, nowNanos - refilledNanos);
-        level = Math.min(burst(), level + elapsed * perSecond / NANOS_PER_SECOND);
+        while (!outstanding.isEmpty() && nowNanos - outstanding.peek() > LimitTiming.PERMIT_VALIDITY) {
+            outstanding.poll();
+        }
+        double headroom = burst() + perSecond * VALIDITY_SECONDS - outstanding.size();
+        double refilled = Math.min(Math.min(burst(), headroom), level + elapsed * perSecond / NANOS_PER_SECOND);
+        level = Math.max(Math.min(level, burst()), refilled);
         refilledNanos = nowNanos;
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/coordination/limit/PermitIssuerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/limit/PermitIssuerTest.java
@@ -8,7 +8,9 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -139,6 +141,26 @@
         assertThat(notices(SECOND), is(2L));
     }
 
+    /** Guards against permits that are returned and issued again and so add up to many that can be used at once. */
+    @Test
+    void returnedPermitsDoNotAccumulate() {
+        PermitBucket bucket = new PermitBucket(new RequestRate(10), 0);
+        Deque<Long> held = new ArrayDeque<>();
+        long end = Duration.ofSeconds(60).toNanos();
+        for (long now = 0; now < end; now += Duration.ofMillis(10).toNanos()) {
+            boolean returns = !held.isEmpty()
+                    && now - held.peek() >= Duration.ofMillis(400).toNanos();
+            if (returns) {
+                held.poll();
+                bucket.giveBack(1, now);
+            }
+            if (held.size() < 100 && bucket.take(now)) {
+                held.add(now);
+            }
+            assertThat(held.size(), lessThan(14));
+        }
+    }
+
     /** Guards against orders to an engine that come on top of the requests of callers. */
     @Test
     void requestsSentWithoutAPermitDelayTheNextPermit() {
