Wait for the expiry of unused permits before the next one

With the level held below one by permits that may still be used, the issuer's timer expected the next permit after the refill of a fraction and ran again and again until one expired.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitBucket.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitBucket.java
@@ -69,7 +69,10 @@
     /** Returns the time in which this many permits become available, at least one nanosecond. */
     long nanosUntil(long permits, long nowNanos) {
         refill(nowNanos);
-        return (long) Math.ceil(Math.max(0, permits - level) / perSecond * NANOS_PER_SECOND) + 1;
+        long refillNanos = (long) Math.ceil(Math.max(0, permits - level) / perSecond * NANOS_PER_SECOND);
+        boolean waitsForExpiry = level < 1 && headroom() < 1;
+        long expiryNanos = waitsForExpiry ? outstanding.peek() + LimitTiming.PERMIT_VALIDITY - nowNanos : 0;
+        return Math.max(refillNanos, expiryNanos) + 1;
     }
 
     /** Returns the time in which this many permits are refilled. */
@@ -82,12 +85,16 @@
         while (!outstanding.isEmpty() && nowNanos - outstanding.peek() > LimitTiming.PERMIT_VALIDITY) {
             outstanding.poll();
         }
-        double headroom = burst() + perSecond * VALIDITY_SECONDS - outstanding.size();
-        double refilled = Math.min(Math.min(burst(), headroom), level + elapsed * perSecond / NANOS_PER_SECOND);
+        double refilled = Math.min(Math.min(burst(), headroom()), level + elapsed * perSecond / NANOS_PER_SECOND);
         level = Math.max(Math.min(level, burst()), refilled);
         refilledNanos = nowNanos;
     }
 
+    /** Returns how many permits the level may have besides those that may still be used. */
+    private double headroom() {
+        return burst() + perSecond * VALIDITY_SECONDS - outstanding.size();
+    }
+
     private double burst() {
         return 1 + BURST_SECONDS * perSecond;
     }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/limit/PermitIssuerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/limit/PermitIssuerTest.java
@@ -161,6 +161,19 @@
         }
     }
 
+    /** Guards against a timer that runs again and again while unused permits leave no room for the next one. */
+    @Test
+    void theNextPermitIsNotExpectedBeforeAnUnusedOneHasExpired() {
+        PermitBucket bucket = new PermitBucket(new RequestRate(100), 0);
+        long now = Duration.ofSeconds(1).toNanos();
+        for (int permit = 0; permit < 11; permit++) {
+            assertThat(bucket.take(now), is(true));
+        }
+        bucket.configure(new RequestRate(9), now);
+        now += Duration.ofMillis(150).toNanos();
+        assertThat(bucket.nanosUntil(1, now), greaterThan(Duration.ofMillis(800).toNanos()));
+    }
+
     /** Guards against orders to an engine that come on top of the requests of callers. */
     @Test
     void requestsSentWithoutAPermitDelayTheNextPermit() {
