Keep a stated rate in one class, at the issuer and at the instances

Found by reading the change as a newcomer: the same rule for which statement is newer and which change is notable stood in LimitedTarget and in PermitPool, and the observation was built in two places. StatedRate has it now. Two types were called PermitDemand: the one of the dispatcher is PermitDemandReporter. The method notifyAll of IssueBatch, which overloaded that of Object, is addLimit.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -43,7 +43,7 @@
     private final FairQueues queues;
     private final DispatchRefusals refusals;
     private final RequestPermits permits;
-    private final PermitDemand permitDemand;
+    private final PermitDemandReporter permitDemandReporter;
     private final RecentRequests recentlyRefusedAsFull = new RecentRequests();
     private final TreeSet<QueuedRequest> byDeadline = new TreeSet<>(QueuedRequest.BY_DEADLINE);
     private final Map<QueuedRequest, BasilrillException> lateRequests = new HashMap<>();
@@ -81,7 +81,7 @@
         this.statistics = new DestinationStatistics(demand, callbacks);
         this.queues = new FairQueues(weights, options.dispatchesPerTurn());
         this.refusals = new DispatchRefusals(directory, router, queues, statistics, readiness, clock, options, permits);
-        this.permitDemand = new PermitDemand(directory, permits, queues, scheduler, lock);
+        this.permitDemandReporter = new PermitDemandReporter(directory, permits, queues, scheduler, lock);
     }
 
     @Override
@@ -282,7 +282,7 @@
      * for changes without an event.
      */
     private void scheduleWakeUp() {
-        permitDemand.scheduleUpdate();
+        permitDemandReporter.scheduleUpdate();
         if (queues.size() == 0) {
             wakeUp.ifPresent(Scheduler.Cancellable::cancel);
             wakeUp = Optional.empty();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/PermitDemand.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/PermitDemandReporter.java
@@ -14,10 +14,10 @@
 import org.basilrill.state.target.TargetDirectory;
 
 /**
- * Computes the permits that the queued requests need: those of a destination are divided equally among its targets that
+ * Reports the permits that the queued requests need: those of a destination are divided equally among its targets that
  * state a request rate. Guarded by the lock of the dispatcher.
  */
-final class PermitDemand {
+final class PermitDemandReporter {
     /** Collects the changes of the queues that one burst of requests causes. */
     private static final Duration UPDATE_DELAY = Duration.ofMillis(2);
 
@@ -29,11 +29,11 @@
     private boolean updateScheduled;
 
     /**
-     * Creates the demand of one dispatcher.
+     * Creates the reporter of one dispatcher.
      *
      * @param lock lock of the dispatcher, which guards the queues
      */
-    PermitDemand(
+    PermitDemandReporter(
             TargetDirectory directory, RequestPermits permits, FairQueues queues, Scheduler scheduler, Object lock) {
         this.directory = directory;
         this.permits = permits;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/IssueBatch.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/IssueBatch.java
@@ -24,7 +24,7 @@
     }
 
     /** Adds a limit of which all instances are notified. */
-    void notifyAll(Observation limit) {
+    void addLimit(Observation limit) {
         limits.add(limit);
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/LimitedTarget.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/LimitedTarget.java
@@ -20,38 +20,22 @@
 
     private final PermitBucket bucket;
     private final Map<InstanceId, InstanceDemand> demands = new TreeMap<>();
-    private RequestRate rate;
-    /** Rate at the last change that {@link #stated} reported. */
-    private RequestRate notedRate;
-
-    private long statedNanos;
+    private final StatedRate limit;
     private boolean issueScheduled;
 
     LimitedTarget(RequestRate rate, long statedNanos, long nowNanos) {
-        this.rate = rate;
-        this.notedRate = rate;
-        this.statedNanos = statedNanos;
+        limit = new StatedRate(rate, statedNanos);
         bucket = new PermitBucket(rate, nowNanos);
     }
 
-    RequestRate rate() {
-        return rate;
-    }
-
-    long statedNanos() {
-        return statedNanos;
+    StatedRate limit() {
+        return limit;
     }
 
     /** Applies a statement of the target unless a newer one is known; returns whether the rate changed notably. */
     boolean stated(RequestRate newRate, long atNanos, long nowNanos) {
-        if (atNanos - statedNanos < 0) {
-            return false;
-        }
-        statedNanos = atNanos;
-        rate = newRate;
-        boolean changed = newRate.differsNotablyFrom(notedRate);
-        notedRate = changed ? newRate : notedRate;
-        bucket.configure(newRate, nowNanos);
+        boolean changed = limit.update(newRate, atNanos);
+        bucket.configure(limit.rate(), nowNanos);
         return changed;
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitIssuer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitIssuer.java
@@ -118,11 +118,11 @@
         LimitedTarget known = targets.get(observation.target());
         if (observation.rate().isPresent()) {
             stated(observation.target(), observation.rate().get(), at, batch);
-        } else if (known != null && at - known.statedNanos() > LimitTiming.LIMIT_VALIDITY) {
+        } else if (known != null && at - known.limit().nanos() > LimitTiming.LIMIT_VALIDITY) {
             targets.remove(observation.target());
             ended.put(observation.target(), now);
             LOGGER.atInfo().log("%s: %s, term %d", LogEvent.TARGET_PERMITS_ENDED, observation.target(), observedTerm);
-            batch.notifyAll(new Observation(observation.target(), Optional.empty(), 0));
+            batch.addLimit(new Observation(observation.target(), Optional.empty(), 0));
         }
     }
 
@@ -130,7 +130,7 @@
         long now = environment.clock().nanos();
         Long endedNanos = ended.get(target);
         if (endedNanos != null && atNanos - endedNanos < 0) {
-            batch.notifyAll(new Observation(target, Optional.empty(), 0));
+            batch.addLimit(new Observation(target, Optional.empty(), 0));
             return;
         }
         LimitedTarget known = targets.get(target);
@@ -145,7 +145,7 @@
             LOGGER.atInfo().log(
                     "%s: %s, %s requests per second, term %d",
                     LogEvent.TARGET_PERMITS_ISSUED, target, rate.perSecond(), observedTerm);
-            batch.notifyAll(noticeOf(target, now));
+            batch.addLimit(targets.get(target).limit().observation(target, now));
         }
     }
 
@@ -225,21 +225,15 @@
                 batch = new IssueBatch(observedTerm);
                 long now = environment.clock().nanos();
                 forgetOldLimits(now);
-                targets.keySet().forEach(target -> batch.notifyAll(noticeOf(target, now)));
+                targets.forEach((key, target) -> batch.addLimit(target.limit().observation(key, now)));
                 scheduleNotices();
             }
             send(batch);
         });
     }
 
-    private Observation noticeOf(TargetKey key, long nowNanos) {
-        LimitedTarget target = targets.get(key);
-        long ageMillis = TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - target.statedNanos()));
-        return new Observation(key, Optional.of(target.rate()), ageMillis);
-    }
-
     private void forgetOldLimits(long nowNanos) {
-        targets.values().removeIf(target -> nowNanos - target.statedNanos() > LimitTiming.LIMIT_RETENTION);
+        targets.values().removeIf(target -> nowNanos - target.limit().nanos() > LimitTiming.LIMIT_RETENTION);
         ended.values().removeIf(endedNanos -> nowNanos - endedNanos > LimitTiming.LIMIT_RETENTION);
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitPool.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/PermitPool.java
@@ -19,11 +19,7 @@
     /** Times at which the permits expire, the earliest first. */
     private final Deque<Long> permits = new ArrayDeque<>();
 
-    private RequestRate rate;
-    /** Rate at the last change that {@link #stated} reported. */
-    private RequestRate notedRate;
-
-    private long statedNanos;
+    private final StatedRate limit;
     private Optional<QueuedDemand> demand = Optional.empty();
     private long demandSinceNanos;
     private int reportedNeed;
@@ -36,14 +32,12 @@
 
     PermitPool(TargetKey target, RequestRate rate, long statedNanos) {
         this.target = target;
-        this.rate = rate;
-        this.notedRate = rate;
-        this.statedNanos = statedNanos;
+        this.limit = new StatedRate(rate, statedNanos);
         this.nextPermitNanos = statedNanos;
     }
 
-    RequestRate rate() {
-        return rate;
+    StatedRate limit() {
+        return limit;
     }
 
     /** Returns the estimated time until the next permit; 0 if there is one or if the issuer has reported nothing. */
@@ -56,22 +50,6 @@
         return nanosPerPermit;
     }
 
-    long statedNanos() {
-        return statedNanos;
-    }
-
-    /** Applies a statement of the target unless a newer one is known; returns whether the rate changed notably. */
-    boolean stated(RequestRate newRate, long atNanos) {
-        if (atNanos - statedNanos < 0) {
-            return false;
-        }
-        statedNanos = atNanos;
-        rate = newRate;
-        boolean changed = newRate.differsNotablyFrom(notedRate);
-        notedRate = changed ? newRate : notedRate;
-        return changed;
-    }
-
     /** Returns whether there is a permit. */
     boolean hasPermit(long nowNanos) {
         expire(nowNanos);
@@ -164,8 +142,7 @@
 
     /** Returns the limit as known here. */
     Observation observation(long nowNanos) {
-        long age = TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - statedNanos));
-        return new Observation(target, Optional.of(rate), age);
+        return limit.observation(target, nowNanos);
     }
 
     private int waiting() {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/limit/TargetPermits.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/limit/TargetPermits.java
@@ -92,7 +92,7 @@
             if (pool == null) {
                 return;
             }
-            ended = rate.isEmpty() && now - pool.statedNanos() > LimitTiming.LIMIT_VALIDITY;
+            ended = rate.isEmpty() && now - pool.limit().nanos() > LimitTiming.LIMIT_VALIDITY;
             if (ended) {
                 end(target);
             }
@@ -145,7 +145,8 @@
             return Optional.empty();
         }
         synchronized (this) {
-            return Optional.ofNullable(pools.get(TargetKey.of(target))).map(PermitPool::rate);
+            return Optional.ofNullable(pools.get(TargetKey.of(target)))
+                    .map(pool -> pool.limit().rate());
         }
     }
 
@@ -176,7 +177,7 @@
 
     private void stated(TargetKey target, RequestRate rate, long atNanos) {
         PermitPool known = pools.get(target);
-        boolean changed = known == null || known.stated(rate, atNanos);
+        boolean changed = known == null || known.limit().update(rate, atNanos);
         if (known == null) {
             forgetOldLimits(target);
             pools.put(target, new PermitPool(target, rate, atNanos));
@@ -200,7 +201,7 @@
         pools.entrySet().removeIf(entry -> {
             TargetKey key = entry.getKey();
             boolean replaced = key.target().equals(added.target()) && key.incarnation() < added.incarnation();
-            return replaced || now - entry.getValue().statedNanos() > LimitTiming.LIMIT_RETENTION;
+            return replaced || now - entry.getValue().limit().nanos() > LimitTiming.LIMIT_RETENTION;
         });
     }
 
@@ -277,7 +278,7 @@
         if (limit.rate().isPresent()) {
             stated(limit.target(), limit.rate().get(), atNanos);
             scheduleRepetition();
-        } else if (pool != null && nowNanos - pool.statedNanos() > LimitTiming.PERMIT_VALIDITY) {
+        } else if (pool != null && nowNanos - pool.limit().nanos() > LimitTiming.PERMIT_VALIDITY) {
             end(limit.target());
             changed.add(limit.target().target());
         }
