Log the prompt parts and the age of requests on lost targets

The lines of on lost targets name only the target, and the line of a request has no prompt parts, so they cannot tell a part that all lost targets had in common from parts that were there by chance. Event 300 now has the request, the time since it was sent and its shared prompt parts; the line of a request lists the parts as well. A part is named by the service or model and its number. No decision uses them.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashReports.java
@@ -1,6 +1,7 @@
 package org.basilrill.protocol.instance;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.basilrill.api.ErrorCode;
@@ -21,10 +22,17 @@
 
     private CrashReports() {}
 
-    /** Reports a lost target; a failure of the report is logged. */
+    /**
+     * Reports a lost target; a failure of the report is logged.
+     *
+     * @param running time since the request was sent to the target
+     */
     static CompletableFuture<ControlResult> report(
-            RequestServices services, String fingerprint, TargetAnnouncement lostTarget) {
-        LOGGER.atWarning().log("%s: target %s", LogEvent.TARGET_LOST, lostTarget.id());
+            RequestServices services, RequestPlan plan, TargetAnnouncement lostTarget, Duration running) {
+        String fingerprint = plan.fingerprint();
+        LOGGER.atWarning().log(
+                "%s: target %s, request %s sent %d ms ago, prompt parts %s",
+                LogEvent.TARGET_LOST, lostTarget.id(), plan.requestId(), running.toMillis(), plan.sharedParts());
         ControlCommand command = new ControlCommand.ReportCrash(
                 fingerprint,
                 lostTarget.id(),
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestDecisionLog.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestDecisionLog.java
@@ -126,6 +126,9 @@
         plan.destination().service().ifPresent(service -> line.put("service", service));
         plan.destination().model().ifPresent(model -> line.put("model", model.value()));
         line.put("path", plan.head().path());
+        if (!plan.sharedParts().isEmpty()) {
+            line.put("prompt_parts", plan.sharedParts().toString());
+        }
         line.put("priority", plan.priority());
         line.put("tokens", plan.chargedTokens());
         line.put("rules_revision", plan.rulesRevision());
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -174,7 +174,8 @@
             retryOrFail(failure);
             return;
         }
-        CompletableFuture<ControlResult> report = CrashReports.report(services, plan.fingerprint(), failed.target());
+        CompletableFuture<ControlResult> report =
+                CrashReports.report(services, plan, failed.target(), failed.timeSinceSent());
         if (!mayRetry(failure)) {
             retryOrFail(failure);
             return;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
@@ -1,10 +1,12 @@
 package org.basilrill.protocol.instance;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
+import org.basilrill.api.PromptPartId;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
 import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.protocol.caller.KeyGuard;
@@ -19,6 +21,7 @@
  * @param keyHash hash of the key that authorised the request
  * @param promptTokens tokens that count as used once the request has run
  * @param chargedTokens maximum number of tokens that the request may use
+ * @param sharedParts parts of the prompt that other requests may contain as well
  * @param order present if the request must run at most once
  * @param repeatable whether the request may run more than once
  * @param fingerprint identifies the request in crash reports
@@ -37,6 +40,7 @@
         long promptTokens,
         long chargedTokens,
         Prompt prompt,
+        List<PromptPartId> sharedParts,
         Optional<Order> order,
         boolean repeatable,
         String fingerprint,
@@ -46,6 +50,10 @@
         RequestMessages messages,
         AttemptPolicy attemptPolicy,
         long rulesRevision) {
+    RequestPlan {
+        sharedParts = List.copyOf(sharedParts);
+    }
+
     /** Returns the plan with the deadline reduced by the time that the caller has waited already. */
     RequestPlan afterWaiting(Duration waited) {
         return waited.isZero() ? this : withDeadline(deadline.minus(waited));
@@ -67,6 +75,7 @@
                 promptTokens,
                 chargedTokens,
                 prompt,
+                sharedParts,
                 order,
                 repeatable,
                 fingerprint,
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlanner.java
@@ -1,6 +1,7 @@
 package org.basilrill.protocol.instance;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.regex.Pattern;
@@ -100,6 +101,7 @@
                 completion.promptTokens(),
                 completion.promptTokens() + completion.outputTokens(),
                 Prompt.ofEqualParts(completion.prefixHashes(), completion.promptTokens()),
+                SharedPromptParts.of(completion.model().base().value(), completion.prefixHashes()),
                 Optional.empty(),
                 true,
                 RequestFingerprint.ofContent(authorization.account(), body),
@@ -137,6 +139,7 @@
                 tokens,
                 tokens,
                 Prompt.none(),
+                List.of(),
                 order,
                 order.isEmpty() && IDEMPOTENT.contains(head.method()),
                 fingerprint,
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
@@ -9,6 +9,7 @@
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.ModelId;
+import org.basilrill.api.PromptPartId;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
 import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.protocol.caller.KeyGuard;
@@ -93,6 +94,11 @@
         return new Prompt(hashes, tokens);
     }
 
+    private static List<PromptPartId> sharedParts(CallRequest request, Destination destination) {
+        List<Long> values = request.promptParts().stream().map(PromptPart::id).toList();
+        return SharedPromptParts.of(destination.service().orElse(""), values);
+    }
+
     /** A request that is authorised by its route. */
     private final class RouteAuthorization implements Authorization {
         private final CallRequest request;
@@ -130,17 +136,19 @@
             Optional<Rules.Account> chargedAccount = account.map(rules.accounts()::get);
             String fingerprint = RequestFingerprint.ofCall(account, head.method(), head.path(), body);
             String query = head.query().map(text -> "?" + text).orElse("");
+            Destination destination = destination();
             return new RequestPlan(
                     request.requestId(),
                     head,
                     account,
                     keyHash,
                     new KeyGuard(request.key(), rules),
-                    destination(),
+                    destination,
                     chargedAccount.flatMap(Rules.Account::priority).orElse(route.priority()),
                     tokensToCharge(chargedAccount),
                     tokensToCharge(chargedAccount),
                     prompt(request),
+                    sharedParts(request, destination),
                     Optional.empty(),
                     route.kind().isRepeatable(),
                     fingerprint,
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -98,6 +98,11 @@
         return assignment.target();
     }
 
+    /** Returns the time since the attempt began; called only after {@link #open}. */
+    Duration timeSinceSent() {
+        return Duration.ofNanos(services.clock().nanos() - sentNanos);
+    }
+
     void open(boolean freshConnection) {
         recordProgress();
         owner.relay().decisionLog().sent(target());
@@ -252,7 +257,7 @@
     private void detectCrash() {
         services.connector().acceptsConnection(target()).thenAccept(accepts -> {
             if (!accepts) {
-                CrashReports.report(services, plan.fingerprint(), target());
+                CrashReports.report(services, plan, target(), timeSinceSent());
             }
         });
     }
