--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
@@ -46,6 +47,9 @@
     private int responsesPerStatement = 1;
     private int responses;
     private final List<Statement> statements = new ArrayList<>();
+    private Predicate<String> crashesOn = body -> false;
+    private Duration downtime = Duration.ZERO;
+    private final List<Long> crashNanos = new ArrayList<>();
 
     /** Creates a target of a plain service, or of an engine on which the model is resident. */
     public VirtualTarget(
@@ -115,6 +119,22 @@
         behaviours = now;
     }
 
+    /**
+     * Lets the target crash whenever it begins to respond to one of these requests.
+     *
+     * @param bodies matches the bodies of the requests
+     * @param downtime time from the crash until the target is up again, with a new incarnation
+     */
+    public void crashOn(Predicate<String> bodies, Duration downtime) {
+        crashesOn = bodies;
+        this.downtime = downtime;
+    }
+
+    /** Returns the times of the crashes that requests caused. */
+    public List<Long> crashNanos() {
+        return crashNanos;
+    }
+
     /** Stops the target; all connections and running requests are lost. */
     public void crash() {
         up = false;
@@ -260,6 +280,12 @@
         }
 
         private void respond(String requestId, String request) {
+            if (open.contains(this) && crashesOn.test(request)) {
+                crashNanos.add(time.nanos());
+                crash();
+                time.schedule(downtime, VirtualTarget.this::restart);
+                return;
+            }
             boolean incomplete = occurs(Behaviour.CUT);
             boolean wrongResponse = occurs(Behaviour.WRONG_RESPONSE);
             String body = expectedResponse(wrongResponse ? "another" : request);
--- /dev/null
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/VirtualFleet.java
@@ -0,0 +1,138 @@
+package org.basilrill.scaffold.virtual;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Supplier;
+import org.basilrill.api.InstanceId;
+import org.basilrill.api.ModelId;
+import org.basilrill.api.TargetId;
+import org.basilrill.protocol.instance.Instance;
+import org.basilrill.state.configuration.KeyHash;
+
+/** Complete instances with rules, their targets and callers, on one virtual clock. Not thread safe. */
+final class VirtualFleet {
+    private static final Duration STEP = Duration.ofMillis(50);
+    private static final Duration ANNOUNCEMENT_PERIOD = Duration.ofMillis(500);
+    private static final int REPLICAS = 3;
+
+    private final VirtualTime time = new VirtualTime();
+    private final Random random;
+    private final VirtualNetwork network;
+    private final VirtualTargets targets = new VirtualTargets();
+    private final VirtualInstances deployment;
+    private final VirtualOperators operators;
+    private final List<VirtualCaller> callers = new ArrayList<>();
+    private final List<VirtualTarget> announced = new ArrayList<>();
+
+    /** Starts the instances, installs the rules and adds targets of one service or one model. */
+    VirtualFleet(long seed, int instances, int targetCount, Optional<String> service, Optional<ModelId> model) {
+        random = new Random(seed);
+        network = new VirtualNetwork(time, new Random(random.nextLong()));
+        deployment = new VirtualInstances(
+                instances,
+                REPLICAS,
+                time,
+                new Random(random.nextLong()),
+                network,
+                targets,
+                KeyHash.of(VirtualOperators.OPERATOR_KEY));
+        operators = new VirtualOperators(time, random, deployment, new SpendingOracle(Duration.ZERO));
+        deployment.start();
+        time.runFor(Duration.ofSeconds(3));
+        operators.installFirstRules();
+        time.runFor(Duration.ofSeconds(1));
+        for (int number = 1; number <= targetCount; number++) {
+            addTarget(service.orElse("engine") + "-" + number, service, model);
+        }
+        time.runFor(Duration.ofSeconds(5));
+        operators.recordAcceptedRevisions();
+    }
+
+    Random random() {
+        return random;
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    VirtualNetwork network() {
+        return network;
+    }
+
+    VirtualInstances deployment() {
+        return deployment;
+    }
+
+    VirtualTarget target(int index) {
+        return announced.get(index);
+    }
+
+    List<VirtualTarget> targets() {
+        return announced;
+    }
+
+    List<VirtualCaller> callers() {
+        return callers;
+    }
+
+    /** Sends requests at random instances for a while; the supplier returns the path and body of each. */
+    void run(Duration duration, double requestsPerSecond, Duration deadline, Supplier<Content> contents) {
+        double due = 0;
+        for (long end = time.nanos() + duration.toNanos(); time.nanos() < end; ) {
+            due += requestsPerSecond * STEP.toMillis() / 1000.0;
+            for (; due >= 1; due--) {
+                InstanceId instance = randomInstance();
+                deployment.running(instance).ifPresent(running -> call(instance, running, deadline, contents.get()));
+            }
+            time.runFor(STEP);
+        }
+    }
+
+    InstanceId randomInstance() {
+        return deployment.instances().get(random.nextInt(deployment.instances().size()));
+    }
+
+    private void call(InstanceId id, Instance instance, Duration deadline, Content content) {
+        VirtualCaller.Call call = new VirtualCaller.Call(
+                "request-" + callers.size(),
+                operators.validKey(),
+                content.path(),
+                content.body(),
+                Optional.empty(),
+                deadline);
+        VirtualCaller caller = new VirtualCaller(time, id, call);
+        callers.add(caller);
+        caller.attach(instance.coordinator().start(call.head(), call.body().getBytes(StandardCharsets.UTF_8), caller));
+    }
+
+    private void addTarget(String name, Optional<String> service, Optional<ModelId> model) {
+        VirtualTarget target =
+                new VirtualTarget(time, new Random(random.nextLong()), new TargetId(name), service, model);
+        targets.add(target);
+        announced.add(target);
+        announceAndRepeat(target, announced.size());
+    }
+
+    /** Announces a running target to an instance, the next one if that is not running. */
+    private void announceAndRepeat(VirtualTarget target, int position) {
+        if (target.isUp()) {
+            List<InstanceId> instances = deployment.instances();
+            for (int offset = 0; offset < instances.size(); offset++) {
+                Optional<Instance> receiver = deployment.running(instances.get((position + offset) % instances.size()));
+                if (receiver.isPresent()) {
+                    receiver.get().announcements().receiveAnnouncement(target.announcement());
+                    break;
+                }
+            }
+        }
+        time.schedule(ANNOUNCEMENT_PERIOD, () -> announceAndRepeat(target, position));
+    }
+
+    /** Path and body of a request. */
+    record Content(String path, String body) {}
+}
