--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/Commands.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/Commands.java
@@ -15,6 +15,7 @@
                 RulesCommands.apply(output),
                 InstanceCommands.status(output),
                 InstanceCommands.drain(output),
+                InstanceCommands.release(output),
                 KeyCommand.create(output));
     }
 }
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/InstanceCommands.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/InstanceCommands.java
@@ -8,7 +8,7 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.transport.http.AdministrationClient;
 
-/** The commands that show the state of the system and drain an instance. Stateless. */
+/** The commands that show the state of the system, drain an instance and release prompt parts. Stateless. */
 final class InstanceCommands {
     private static final String ACCOUNTS = "accounts";
     private static final String MODELS = "models";
@@ -35,6 +35,15 @@
                 arguments -> drain(arguments, output));
     }
 
+    static Command release(PrintStream output) {
+        return new Command(
+                "release",
+                "PART",
+                "accepts requests with a blocked prompt part again; status lists the blocked parts",
+                AdministrationOptions.create(),
+                arguments -> release(arguments, output));
+    }
+
     private static ExitCode status(CommandLine arguments, PrintStream output) {
         String topic =
                 arguments.getArgList().isEmpty() ? "" : arguments.getArgList().get(0);
@@ -60,6 +69,18 @@
         }
     }
 
+    private static ExitCode release(CommandLine arguments, PrintStream output) {
+        if (arguments.getArgList().size() != 1) {
+            throw new UsageException("release requires the name of one prompt part");
+        }
+        try (AdministrationClient client = AdministrationOptions.connect(arguments)) {
+            String part = arguments.getArgList().get(0);
+            AdministrationOptions.bodyOf(client.releasePromptPart(part));
+            output.println("released " + part);
+            return ExitCode.SUCCESS;
+        }
+    }
+
     private static void printRules(String body, PrintStream output) throws JsonProcessingException {
         output.println("# revision " + MAPPER.readTree(body).path("revision").asLong());
         output.print(MAPPER.readTree(body).path("text").asText());
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
@@ -24,6 +24,8 @@
 import org.basilrill.state.control.ControlCommand.ExpireSession;
 import org.basilrill.state.control.ControlCommand.RegisterSession;
 import org.basilrill.state.control.ControlCommand.ReportCrash;
+import org.basilrill.state.control.ControlCommand.ReportPartAnswers;
+import org.basilrill.state.control.ControlCommand.RequestPartTrial;
 import org.basilrill.state.control.ControlResult;
 import org.basilrill.state.control.ControlStateMachine;
 import org.basilrill.state.control.ResultCodec;
@@ -170,7 +172,18 @@
         }
         if (command instanceof ReportCrash crash) {
             return CommandCodec.encode(new ReportCrash(
-                    crash.fingerprint(), crash.target(), crash.targetIncarnation(), wallClockMillis.getAsLong()));
+                    crash.fingerprint(),
+                    crash.target(),
+                    crash.targetIncarnation(),
+                    wallClockMillis.getAsLong(),
+                    crash.promptParts(),
+                    crash.runningMillis()));
+        }
+        if (command instanceof ReportPartAnswers answers) {
+            return CommandCodec.encode(new ReportPartAnswers(answers.answers(), wallClockMillis.getAsLong()));
+        }
+        if (command instanceof RequestPartTrial trial) {
+            return CommandCodec.encode(new RequestPartTrial(trial.part(), wallClockMillis.getAsLong()));
         }
         return encoded;
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
@@ -16,6 +16,7 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.Outcome;
+import org.basilrill.api.PromptPartId;
 import org.basilrill.protocol.caller.ErrorBody;
 import org.basilrill.protocol.caller.PlainResponse;
 import org.basilrill.protocol.caller.RequestHead;
@@ -33,6 +34,7 @@
     public static final String ACCOUNTS = "/admin/accounts";
     public static final String MODELS = "/admin/models";
     public static final String DRAIN = "/admin/drain";
+    public static final String PROMPT_PARTS = "/admin/prompt-parts";
     public static final String REVISION = "revision";
     public static final String TEXT = "text";
 
@@ -104,6 +106,7 @@
             case "GET " + ACCOUNTS -> completed(200, views.accounts());
             case "GET " + MODELS -> completed(200, models.get());
             case "POST " + DRAIN -> drain(operator);
+            case "DELETE " + PROMPT_PARTS -> releasePart(body, operator);
             default -> CompletableFuture.failedFuture(unsupportedRoute(head));
         };
     }
@@ -170,6 +173,21 @@
         return completed(202, body);
     }
 
+    /** Accepts requests with the prompt part that the body names, until it crashes targets again. */
+    private CompletableFuture<PlainResponse> releasePart(byte[] body, Operator operator) {
+        requireAdmin(operator);
+        PromptPartId part = PromptPartId.parse(decode(body).trim());
+        return control.submit(new ControlCommand.ReleasePart(part), deadline).thenApply(result -> {
+            if (result instanceof ControlResult.Refused refused) {
+                throw new BasilrillException(refused.code(), refused.detail());
+            }
+            LOGGER.atInfo().log("%s: %s by %s", LogEvent.PROMPT_PART_RELEASED, part, operator.name());
+            ObjectNode released = MAPPER.createObjectNode();
+            released.put("released", part.toString());
+            return PlainResponse.json(200, released.toString());
+        });
+    }
+
     private static PlainResponse rulesResponse(RulesReader.Revision current) {
         ObjectNode body = MAPPER.createObjectNode();
         body.put(REVISION, current.revision());
@@ -182,7 +200,8 @@
                 || head.path().equals(STATUS)
                 || head.path().equals(ACCOUNTS)
                 || head.path().equals(MODELS)
-                || head.path().equals(DRAIN);
+                || head.path().equals(DRAIN)
+                || head.path().equals(PROMPT_PARTS);
         return known
                 ? new BasilrillException(ErrorCode.METHOD_NOT_ALLOWED, head.method() + " is not supported here")
                 : new BasilrillException(ErrorCode.NOT_FOUND, "no route for " + head.path());
--- a/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationViews.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationViews.java
@@ -19,6 +19,7 @@
 import org.basilrill.state.configuration.Rules;
 import org.basilrill.state.control.ControlClient;
 import org.basilrill.state.control.ControlView;
+import org.basilrill.state.control.SuspectPart;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetDirectory;
 
@@ -74,6 +75,8 @@
         targets.targets().stream()
                 .sorted(Comparator.comparing(TargetAnnouncement::id))
                 .forEach(target -> announced.add(describe(target)));
+        ArrayNode suspects = body.putArray("suspect_prompt_parts");
+        control.view().suspectParts().forEach(suspect -> suspects.add(describe(suspect)));
         return body;
     }
 
@@ -136,6 +139,15 @@
         return entry;
     }
 
+    private static ObjectNode describe(SuspectPart suspect) {
+        ObjectNode entry = MAPPER.createObjectNode();
+        entry.put("part", suspect.part().toString());
+        entry.put("crashes", suspect.crashes());
+        entry.put("blocked", suspect.blocked());
+        suspect.block().ifPresent(block -> entry.put("trial_after_seconds", block.toSeconds()));
+        return entry;
+    }
+
     private static ObjectNode describe(TargetAnnouncement target) {
         ObjectNode entry = MAPPER.createObjectNode();
         entry.put("target", target.id().value());
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -19,6 +19,7 @@
 import org.basilrill.coordination.control.ControlEndpoint;
 import org.basilrill.coordination.control.ControlLogClient;
 import org.basilrill.coordination.control.ControlLogServer;
+import org.basilrill.coordination.crash.PromptPartGuard;
 import org.basilrill.coordination.engine.EngineController;
 import org.basilrill.coordination.limit.LimitMessenger;
 import org.basilrill.coordination.limit.PermitIssuer;
@@ -331,6 +332,7 @@
                 environment.limits(),
                 listing::otherAddresses,
                 blockedRequests,
+                new PromptPartGuard(control, environment.clock(), environment.scheduler()),
                 new RequestIdCheck(),
                 permits,
                 environment.interfaces().dialect().map(Dialect::callers)));
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -10,10 +10,8 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.Outcome;
 import org.basilrill.api.Scheduler;
-import org.basilrill.coordination.admission.Dispatcher;
 import org.basilrill.coordination.admission.Dispatcher.Assignment;
 import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
-import org.basilrill.coordination.admission.TokenAdmission.Charge;
 import org.basilrill.protocol.caller.PlainResponse;
 import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.state.control.ControlResult;
@@ -43,10 +41,11 @@
     private final long startNanos;
     private final long deadlineNanos;
     private final Retries retries;
+    private final CrashGuard crashGuard;
+    private final RequestTokens tokens;
 
     private Scheduler.Cancellable deadlineTimer = () -> {};
     private CompletableFuture<Assignment> queued = CompletableFuture.completedFuture(null);
-    private Optional<Charge> charge = Optional.empty();
     private Optional<TargetAttempt> attempt = Optional.empty();
     private boolean mayHaveRun;
     private boolean recordingOutcome;
@@ -57,6 +56,7 @@
             RequestServices services,
             RequestMetrics metrics,
             RequestPlan plan,
+            boolean trial,
             CallerStream caller,
             Function<BasilrillException, PlainResponse> errorResponses,
             Consumer<RequestExchange> closedListener) {
@@ -72,6 +72,8 @@
         deadlineNanos = startNanos + plan.deadline().toNanos();
         excludedTargets = new ExcludedTargets(services.dispatcher(), plan.destination());
         retries = new Retries(services, plan, deadlineNanos);
+        tokens = new RequestTokens(services, metrics, plan);
+        crashGuard = new CrashGuard(services, plan, trial);
     }
 
     /** Starts the life cycle. */
@@ -174,17 +176,17 @@
             retryOrFail(failure);
             return;
         }
-        CompletableFuture<ControlResult> report =
-                CrashReports.report(services, plan, failed.target(), failed.timeSinceSent());
+        CompletableFuture<Optional<ErrorCode>> verdict = crashGuard.targetLost(failed, failure);
         if (!mayRetry(failure)) {
             retryOrFail(failure);
             return;
         }
         // A retry could crash another target, so it waits for the number of targets that this request has crashed.
-        handleResult(
-                report,
-                (result, problem) -> CrashReports.refusalCode(result, failure.code())
-                        .ifPresentOrElse(code -> failWith(code, failure.detail()), () -> retryOrFail(failure)));
+        executeAfter(verdict, refusal -> {
+            if (!closed) {
+                refusal.ifPresentOrElse(code -> failWith(code, failure.detail()), () -> retryOrFail(failure));
+            }
+        });
     }
 
     @Override
@@ -233,36 +235,28 @@
     }
 
     private void chargeTokens() {
-        if (plan.account().isEmpty() || plan.chargedTokens() == 0) {
+        if (!tokens.needed()) {
             dispatch();
             return;
         }
-        CompletableFuture<Charge> request =
-                services.admission().charge(plan.account().get(), plan.chargedTokens(), deadlineNanos);
-        request.whenComplete((charged, problem) -> execute(() -> {
-            if (closed) {
-                Optional.ofNullable(charged).ifPresent(unneeded -> unneeded.settle(0));
-            } else if (problem != null) {
-                failRequest(FailureCauses.of(problem));
-            } else {
-                charge = Optional.of(charged);
-                relay.decisionLog().addStep("tokens charged");
-                dispatch();
-            }
-        }));
+        tokens.request(deadlineNanos)
+                .whenComplete((charged, problem) -> execute(() -> {
+                    if (closed) {
+                        Optional.ofNullable(charged).ifPresent(unneeded -> unneeded.settle(0));
+                    } else if (problem != null) {
+                        failRequest(FailureCauses.of(problem));
+                    } else {
+                        tokens.charged(charged);
+                        relay.decisionLog().addStep("tokens charged");
+                        dispatch();
+                    }
+                }));
     }
 
     private void dispatch() {
         CompletableFuture<Assignment> request = services.dispatcher()
-                .dispatch(new Dispatcher.Request(
-                        plan.requestId(),
-                        plan.account(),
-                        plan.destination(),
-                        plan.priority(),
-                        plan.chargedTokens(),
-                        retries.callerTimeoutNanos(relay.started()),
-                        excludedTargets.excluded(),
-                        plan.prompt()));
+                .dispatch(
+                        plan.dispatchRequest(retries.callerTimeoutNanos(relay.started()), excludedTargets.excluded()));
         queued = request;
         request.whenComplete((assignment, problem) -> execute(() -> {
             if (closed) {
@@ -272,18 +266,25 @@
             } else if (!services.control().isCurrent()) { // The key may have been withdrawn while queueing.
                 assignment.release(AttemptResult.CANCELLED);
                 failWith(ErrorCode.INSTANCE_NOT_CURRENT, "this instance can no longer confirm its rules");
-            } else if (services.blockedRequests().contains(plan.fingerprint())) {
-                assignment.release(AttemptResult.CANCELLED);
-                failWith(ErrorCode.CRASH_SUSPECT, CrashReports.SUSPECT_DETAIL);
             } else {
-                boolean first = retries.beginAttempt();
-                TargetAttempt next = new TargetAttempt(services, plan, assignment, this, executor, span, deadlineNanos);
-                attempt = Optional.of(next);
-                next.open(claim.isPresent() || !first);
+                Optional<String> refusal = crashGuard.refusalBeforeAttempt();
+                if (refusal.isPresent()) {
+                    assignment.release(AttemptResult.CANCELLED);
+                    failWith(ErrorCode.CRASH_SUSPECT, refusal.get());
+                    return;
+                }
+                startAttempt(assignment);
             }
         }));
     }
 
+    private void startAttempt(Assignment assignment) {
+        boolean first = retries.beginAttempt();
+        TargetAttempt next = new TargetAttempt(services, plan, assignment, this, executor, span, deadlineNanos);
+        attempt = Optional.of(next);
+        next.open(claim.isPresent() || !first);
+    }
+
     private void retryOrFail(TargetAttempt.AttemptFailure failure) {
         if (relay.started() && !relay.isResumable()) {
             failWith(ErrorCode.STREAM_CUT, "the response was cut: " + failure.detail());
@@ -365,7 +366,7 @@
         attempt.ifPresent(TargetAttempt::cancel);
         attempt = Optional.empty();
         queued.cancel(false);
-        charge.ifPresent(charged -> settle(charged, outcome));
+        tokens.settle(outcome, relay);
         span.end();
         metrics.finished();
         CompletableFuture<Void> recorded = claim.map(orderClaim -> orderClaim.finish(outcome, Optional.empty()))
@@ -373,12 +374,6 @@
         recorded.whenComplete((done, problem) -> closedListener.accept(this));
     }
 
-    private void settle(Charge charged, Outcome outcome) {
-        long used = outcome == Outcome.NOT_RUN ? 0 : relay.usedTokens(plan.promptTokens(), charged.tokens());
-        charged.settle(used);
-        metrics.countTokens(plan.account(), used);
-    }
-
     private <T> void executeAfter(CompletableFuture<T> future, Consumer<T> next) {
         future.whenComplete((value, problem) -> execute(() -> next.accept(value)));
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestMetrics.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestMetrics.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.TargetId;
@@ -44,6 +45,11 @@
         retries = registry.meter("requests.retries");
     }
 
+    /** Exports the number of prompt parts that are blocked because they crash targets. */
+    void registerBlockedParts(IntSupplier blockedParts) {
+        registry.registerGauge("prompt_parts.blocked", blockedParts::getAsInt);
+    }
+
     /** The phases of a request whose duration is measured. */
     enum Phase {
         /** From the arrival, or the end of the previous attempt, until a target is chosen. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
@@ -3,10 +3,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.PromptPartId;
+import org.basilrill.api.TargetId;
+import org.basilrill.coordination.admission.Dispatcher;
 import org.basilrill.coordination.admission.Dispatcher.Destination;
 import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.protocol.caller.KeyGuard;
@@ -54,6 +57,17 @@
         sharedParts = List.copyOf(sharedParts);
     }
 
+    /**
+     * Returns the request to the dispatcher for one attempt.
+     *
+     * @param deadlineNanos time at which the caller is expected to disconnect
+     * @param excludedTargets targets that must not be used
+     */
+    Dispatcher.Request dispatchRequest(long deadlineNanos, Set<TargetId> excludedTargets) {
+        return new Dispatcher.Request(
+                requestId, account, destination, priority, chargedTokens, deadlineNanos, excludedTargets, prompt);
+    }
+
     /** Returns the plan with the deadline reduced by the time that the caller has waited already. */
     RequestPlan afterWaiting(Duration waited) {
         return waited.isZero() ? this : withDeadline(deadline.minus(waited));
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
@@ -12,6 +12,7 @@
 import org.basilrill.coordination.admission.Dispatcher;
 import org.basilrill.coordination.admission.RetryBudget;
 import org.basilrill.coordination.admission.TokenAdmission;
+import org.basilrill.coordination.crash.PromptPartGuard;
 import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.state.control.ControlClient;
@@ -23,6 +24,7 @@
  * @param random used only under a lock, so it need not be thread safe
  * @param otherInstances caller addresses of instances that accept requests, listed in error responses
  * @param blockedRequests requests blocked since the last pull of the control state
+ * @param promptParts knows the prompt parts that are blocked because they crash targets
  * @param requestIdCheck checks the request IDs echoed by targets
  * @param permits permits for targets that state a request rate
  * @param dialect dialect of callers; empty for the native API
@@ -43,6 +45,7 @@
         RequestLimits limits,
         Supplier<List<String>> otherInstances,
         BlockedRequests blockedRequests,
+        PromptPartGuard promptParts,
         RequestIdCheck requestIdCheck,
         RequestPermits permits,
         Optional<CallerDialect> dialect) {}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -9,6 +9,7 @@
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.LogEvent;
+import org.basilrill.api.PromptPartId;
 import org.basilrill.api.Scheduler;
 import org.basilrill.coordination.admission.Dispatcher.Assignment;
 import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
@@ -26,6 +27,9 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
     private static final int FIRST_NON_SUCCESS_STATUS = 300;
+    /** Connections within a region are accepted or refused in a few milliseconds. */
+    private static final Duration LOSS_CONFIRMATION_TIMEOUT = Duration.ofMillis(100);
+
     private static final String FULL_DETAIL = "the target is full and ran nothing";
 
     private final RequestServices services;
@@ -36,6 +40,7 @@
     private final Span span;
     private final long deadlineNanos;
     private final SendPermit permit = new SendPermit();
+    private final ResponseEvidence evidence;
     private TargetConnector.Call call = new UnopenedCall();
     private boolean finished;
     private boolean responseStarted;
@@ -58,6 +63,7 @@
         this.owner = owner;
         this.executor = executor;
         this.deadlineNanos = deadlineNanos;
+        evidence = new ResponseEvidence(services, plan);
         span = services.tracing()
                 .startAttempt(requestSpan, assignment.target().id().value());
     }
@@ -91,8 +97,15 @@
      *
      * @param mayHaveRun whether the target may have run the request; false if it reported that it is full
      * @param targetLost whether the connection was lost after the request may have been sent
+     * @param suspectParts prompt parts that may have crashed the target: those of a request that waited for a response
+     *     at a target that then accepted no connection
      */
-    record AttemptFailure(ErrorCode code, String detail, boolean mayHaveRun, boolean targetLost) {}
+    record AttemptFailure(
+            ErrorCode code, String detail, boolean mayHaveRun, boolean targetLost, List<PromptPartId> suspectParts) {
+        AttemptFailure(ErrorCode code, String detail, boolean mayHaveRun, boolean targetLost) {
+            this(code, detail, mayHaveRun, targetLost, List.of());
+        }
+    }
 
     TargetAnnouncement target() {
         return assignment.target();
@@ -186,6 +199,7 @@
                 return;
             }
             responseStarted = true;
+            evidence.headReceived(head);
             recordProgress();
             responseResult =
                     head.status() >= FIRST_SERVER_ERROR_STATUS ? AttemptResult.FAILED : AttemptResult.SUCCEEDED;
@@ -197,6 +211,7 @@
     public void bodyReceived(byte[] bytes) {
         executeUnlessFinished(() -> {
             recordProgress();
+            evidence.bodyReceived(bytes, this::executeUnlessFinished);
             try {
                 owner.bodyReceived(bytes);
             } catch (BasilrillException invalid) {
@@ -209,6 +224,7 @@
     public void responseCompleted() {
         executeUnlessFinished(() -> {
             finish(responseResult);
+            evidence.completed();
             owner.relay().decisionLog().attemptSucceeded(target());
             owner.responseCompleted();
         });
@@ -238,26 +254,47 @@
      * connection, a request crashed one target more than the limit.
      */
     private void connectionLost(TargetConnector.Failure failure) {
-        if (!plan.attemptPolicy().confirmsLossBeforeRetry()) {
-            fail(ErrorCode.TARGET_FAILED, failure.detail(), false);
-            detectCrash();
-            return;
-        }
-        if (responseStarted || !failure.reusedConnection()) {
-            fail(ErrorCode.TARGET_FAILED, failure.detail(), true);
+        boolean confirmsLoss = plan.attemptPolicy().confirmsLossBeforeRetry();
+        if (evidence.isEstablished() || !confirmsLoss && plan.sharedParts().isEmpty()) {
+            fail(ErrorCode.TARGET_FAILED, failure.detail(), confirmsLoss);
+            if (!confirmsLoss) {
+                detectCrash();
+            }
             return;
         }
-        services.connector()
-                .acceptsConnection(target())
-                .thenAccept(accepts ->
-                        executeUnlessFinished(() -> fail(ErrorCode.TARGET_FAILED, failure.detail(), !accepts)));
+        boolean certainlyLost = confirmsLoss && (responseStarted || !failure.reusedConnection());
+        confirmLoss(failure.detail(), certainlyLost);
+    }
+
+    /**
+     * Ends the attempt once it is known whether the target accepts connections. A target that does not respond to the
+     * connection request is treated as reachable, so that the retry is not delayed further.
+     */
+    private void confirmLoss(String detail, boolean certainlyLost) {
+        Scheduler.Cancellable timer = services.scheduler()
+                .schedule(LOSS_CONFIRMATION_TIMEOUT, () -> lossConfirmed(detail, certainlyLost, true));
+        services.connector().acceptsConnection(target()).thenAccept(accepts -> {
+            timer.cancel();
+            lossConfirmed(detail, certainlyLost, accepts);
+        });
+    }
+
+    private void lossConfirmed(String detail, boolean certainlyLost, boolean acceptsConnections) {
+        executeUnlessFinished(() -> {
+            boolean mayHaveRun = !permit.revoke();
+            boolean lost = mayHaveRun && (certainlyLost || !acceptsConnections);
+            List<PromptPartId> suspectParts = lost && !acceptsConnections ? plan.sharedParts() : List.of();
+            end(
+                    AttemptResult.FAILED,
+                    new AttemptFailure(ErrorCode.TARGET_FAILED, detail, mayHaveRun, lost, suspectParts));
+        });
     }
 
     /** Reports a crash if the target accepts no new connection; a reset connection alone is not a crash. */
     private void detectCrash() {
         services.connector().acceptsConnection(target()).thenAccept(accepts -> {
             if (!accepts) {
-                CrashReports.report(services, plan, target(), timeSinceSent());
+                CrashReports.report(services, plan, target(), timeSinceSent(), List.of());
             }
         });
     }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/CommandCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/CommandCodec.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
@@ -18,8 +19,11 @@
 import org.basilrill.state.control.ControlCommand.IntendOrder;
 import org.basilrill.state.control.ControlCommand.ObserveTarget;
 import org.basilrill.state.control.ControlCommand.RegisterSession;
+import org.basilrill.state.control.ControlCommand.ReleasePart;
 import org.basilrill.state.control.ControlCommand.ReplaceRules;
 import org.basilrill.state.control.ControlCommand.ReportCrash;
+import org.basilrill.state.control.ControlCommand.ReportPartAnswers;
+import org.basilrill.state.control.ControlCommand.RequestPartTrial;
 import org.basilrill.state.control.ControlCommand.ResolveOrder;
 import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
 import org.basilrill.thrift.control.AssignBucketCommand;
@@ -31,9 +35,13 @@
 import org.basilrill.thrift.control.IntendOrderCommand;
 import org.basilrill.thrift.control.LoadedModelReport;
 import org.basilrill.thrift.control.ObserveTargetCommand;
+import org.basilrill.thrift.control.PartAnswer;
 import org.basilrill.thrift.control.RegisterSessionCommand;
+import org.basilrill.thrift.control.ReleasePartCommand;
 import org.basilrill.thrift.control.ReplaceRulesCommand;
 import org.basilrill.thrift.control.ReportCrashCommand;
+import org.basilrill.thrift.control.ReportPartAnswersCommand;
+import org.basilrill.thrift.control.RequestPartTrialCommand;
 import org.basilrill.thrift.control.ResolveOrderCommand;
 
 /** Converts commands of the control log to bytes and back. Stateless and thread safe. */
@@ -75,6 +83,14 @@
                 return observe(message.getObserveTarget());
             case REPORT_CRASH:
                 return crash(message.getReportCrash());
+            case REPORT_PART_ANSWERS:
+                return answers(message.getReportPartAnswers());
+            case REQUEST_PART_TRIAL:
+                RequestPartTrialCommand trial = message.getRequestPartTrial();
+                return new RequestPartTrial(WireEnums.fromWire(trial.getPart()), trial.getNowMillis());
+            case RELEASE_PART:
+                return new ReleasePart(
+                        WireEnums.fromWire(message.getReleasePart().getPart()));
             case REGISTER_SESSION:
                 RegisterSessionCommand register = message.getRegisterSession();
                 return new RegisterSession(new InstanceId(register.getInstance()), register.getSessionId());
@@ -165,8 +181,29 @@
                     observe.enforcesFencing()));
         }
         if (command instanceof ReportCrash crash) {
-            return CommandMessage.reportCrash(new ReportCrashCommand(
-                    crash.fingerprint(), crash.target().value(), crash.targetIncarnation(), crash.nowMillis()));
+            ReportCrashCommand encoded = new ReportCrashCommand(
+                    crash.fingerprint(), crash.target().value(), crash.targetIncarnation(), crash.nowMillis());
+            encoded.setPromptParts(
+                    crash.promptParts().stream().map(WireEnums::toWire).toList());
+            encoded.setRunningMillis(crash.runningMillis());
+            return CommandMessage.reportCrash(encoded);
+        }
+        return promptPartMessage(command);
+    }
+
+    private static CommandMessage promptPartMessage(ControlCommand command) {
+        if (command instanceof ReportPartAnswers report) {
+            List<PartAnswer> answers = report.answers().stream()
+                    .map(answer -> new PartAnswer(WireEnums.toWire(answer.part()), answer.ageMillis()))
+                    .toList();
+            return CommandMessage.reportPartAnswers(new ReportPartAnswersCommand(answers, report.nowMillis()));
+        }
+        if (command instanceof RequestPartTrial trial) {
+            return CommandMessage.requestPartTrial(
+                    new RequestPartTrialCommand(WireEnums.toWire(trial.part()), trial.nowMillis()));
+        }
+        if (command instanceof ReleasePart release) {
+            return CommandMessage.releasePart(new ReleasePartCommand(WireEnums.toWire(release.part())));
         }
         throw new BasilrillException(ErrorCode.INTERNAL, "no encoding for " + command.getClass());
     }
@@ -231,6 +268,18 @@
                 crash.getFingerprint(),
                 new TargetId(crash.getTarget()),
                 crash.getTargetIncarnation(),
-                crash.getNowMillis());
+                crash.getNowMillis(),
+                Optional.ofNullable(crash.getPromptParts()).orElse(List.of()).stream()
+                        .map(WireEnums::fromWire)
+                        .toList(),
+                crash.getRunningMillis());
+    }
+
+    private static ReportPartAnswers answers(ReportPartAnswersCommand report) {
+        List<ControlCommand.PartAnswer> answers = report.getAnswers().stream()
+                .map(answer ->
+                        new ControlCommand.PartAnswer(WireEnums.fromWire(answer.getPart()), answer.getAgeMillis()))
+                .toList();
+        return new ReportPartAnswers(answers, report.getNowMillis());
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlCommand.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlCommand.java
@@ -1,11 +1,13 @@
 package org.basilrill.state.control;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.Outcome;
+import org.basilrill.api.PromptPartId;
 import org.basilrill.api.TargetId;
 import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
 
@@ -93,9 +95,54 @@
         }
     }
 
-    /** Records that a target was lost while it ran the request with this fingerprint. */
-    record ReportCrash(String fingerprint, TargetId target, long targetIncarnation, long nowMillis)
-            implements ControlCommand {}
+    /**
+     * Records that a target was lost while it ran the request with this fingerprint.
+     *
+     * @param nowMillis wall-clock time, set by the leader
+     * @param promptParts parts of the prompt that other requests may contain; empty once a response had begun
+     * @param runningMillis time since the request was sent to the target
+     */
+    record ReportCrash(
+            String fingerprint,
+            TargetId target,
+            long targetIncarnation,
+            long nowMillis,
+            List<PromptPartId> promptParts,
+            long runningMillis)
+            implements ControlCommand {
+        public ReportCrash {
+            promptParts = List.copyOf(promptParts);
+        }
+
+        /** Creates a report of a request without shared prompt parts. */
+        public ReportCrash(String fingerprint, TargetId target, long targetIncarnation, long nowMillis) {
+            this(fingerprint, target, targetIncarnation, nowMillis, List.of(), 0);
+        }
+    }
+
+    /**
+     * Reports responses that began, as evidence that parts of their prompts crash no targets.
+     *
+     * @param nowMillis wall-clock time, set by the leader
+     */
+    record ReportPartAnswers(List<PartAnswer> answers, long nowMillis) implements ControlCommand {
+        public ReportPartAnswers {
+            answers = List.copyOf(answers);
+        }
+    }
+
+    /** The age of the last response that began to a request with a prompt part. */
+    record PartAnswer(PromptPartId part, long ageMillis) {}
+
+    /**
+     * Requests permission to send one request with a blocked prompt part, to find out whether it still crashes targets.
+     *
+     * @param nowMillis wall-clock time, set by the leader
+     */
+    record RequestPartTrial(PromptPartId part, long nowMillis) implements ControlCommand {}
+
+    /** Discards the crashes that count against a prompt part, by order of an operator. */
+    record ReleasePart(PromptPartId part) implements ControlCommand {}
 
     /** Opens a session for an instance; a newer session of the same instance expires the older one. */
     record RegisterSession(InstanceId instance, long sessionId) implements ControlCommand {}
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlResult.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlResult.java
@@ -1,8 +1,10 @@
 package org.basilrill.state.control;
 
+import java.util.List;
 import java.util.Optional;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
+import org.basilrill.api.PromptPartId;
 
 /** Result of applying a command to the control state machine. Immutable and thread safe. */
 public sealed interface ControlResult {
@@ -31,8 +33,22 @@
     /** The memory is reserved; the target order may be sent with this fencing number. */
     record OrderReserved(long fencingNumber) implements ControlResult {}
 
-    /** Number of distinct targets lost during requests with the fingerprint. */
-    record CrashCount(int targets) implements ControlResult {}
+    /**
+     * The consequences of a reported crash.
+     *
+     * @param targets number of distinct targets lost during requests with the fingerprint
+     * @param blockedParts reported prompt parts that are blocked
+     */
+    record CrashCount(int targets, List<PromptPartId> blockedParts) implements ControlResult {
+        public CrashCount {
+            blockedParts = List.copyOf(blockedParts);
+        }
+
+        /** Creates a result without blocked prompt parts. */
+        public CrashCount(int targets) {
+            this(targets, List.of());
+        }
+    }
 
     /** The command had no effect. */
     record Refused(ErrorCode code, String detail) implements ControlResult {}
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
@@ -15,9 +15,13 @@
 import org.basilrill.state.control.ControlCommand.IntendOrder;
 import org.basilrill.state.control.ControlCommand.ObserveTarget;
 import org.basilrill.state.control.ControlCommand.RegisterSession;
+import org.basilrill.state.control.ControlCommand.ReleasePart;
 import org.basilrill.state.control.ControlCommand.ReplaceRules;
 import org.basilrill.state.control.ControlCommand.ReportCrash;
+import org.basilrill.state.control.ControlCommand.ReportPartAnswers;
+import org.basilrill.state.control.ControlCommand.RequestPartTrial;
 import org.basilrill.state.control.ControlCommand.ResolveOrder;
+import org.basilrill.state.control.ControlResult.CrashCount;
 import org.basilrill.state.control.ControlResult.Done;
 import org.basilrill.state.control.ControlResult.Refused;
 import org.basilrill.state.ledger.LedgerRow;
@@ -27,7 +31,8 @@
 import org.basilrill.thrift.control.ViewMessage;
 
 /**
- * The control state: rules, claims of orders, bucket owners, sessions, crash suspects and the memory ledger. Time is
+ * The control state: rules, claims of orders, bucket owners, sessions, requests and prompt parts that crash targets,
+ * and the memory ledger. Time is
  * the largest time that a command carried, so it never goes back. Thread safe: the log applies commands on one thread
  * while others read.
  */
@@ -37,6 +42,7 @@
     private final OrderClaims claims = new OrderClaims();
     private final BucketOwners buckets = new BucketOwners();
     private final CrashSuspects suspects = new CrashSuspects();
+    private final PartSuspects partSuspects = new PartSuspects();
     private final MemoryLedger ledger = new MemoryLedger();
     private long lastIndex;
     private long nowMillis;
@@ -60,7 +66,7 @@
 
     @Override
     public synchronized byte[] snapshot() {
-        return ThriftCodec.encode(new MachineState(
+        MachineState state = new MachineState(
                 lastIndex,
                 published.view().index(),
                 nowMillis,
@@ -70,7 +76,9 @@
                 sessions.openState(),
                 sessions.endedState(),
                 suspects.state(),
-                ledger.state()));
+                ledger.state());
+        state.setPartSuspects(partSuspects.state());
+        return ThriftCodec.encode(state);
     }
 
     @Override
@@ -84,6 +92,7 @@
         sessions.restore(state.getOpenSessions(), state.getEndedSessions());
         suspects.restore(state.getCrashes());
         ledger.restore(state.getLedger());
+        partSuspects.restore(Optional.ofNullable(state.getPartSuspects()).orElse(List.of()));
         published = new Published(view(state.getViewIndex()), rules.text());
     }
 
@@ -160,7 +169,20 @@
         }
         if (command instanceof ReportCrash crash) {
             advance(crash.nowMillis());
-            return suspects.report(crash, nowMillis);
+            int targets = suspects.report(crash, nowMillis);
+            return new CrashCount(targets, partSuspects.report(crash, nowMillis));
+        }
+        if (command instanceof ReportPartAnswers answers) {
+            advance(answers.nowMillis());
+            partSuspects.answered(answers, nowMillis);
+            return new Done();
+        }
+        if (command instanceof RequestPartTrial trial) {
+            advance(trial.nowMillis());
+            return partSuspects.requestTrial(trial, nowMillis);
+        }
+        if (command instanceof ReleasePart release) {
+            return partSuspects.release(release);
         }
         if (command instanceof AssignBucket assign) {
             return buckets.assign(assign, sessions);
@@ -187,7 +209,7 @@
     private boolean advance(long millis) {
         nowMillis = Math.max(nowMillis, millis);
         claims.expire(nowMillis);
-        return suspects.expire(nowMillis);
+        return suspects.expire(nowMillis) | partSuspects.expire(nowMillis);
     }
 
     private void publish(long index) {
@@ -196,6 +218,7 @@
         boolean changed = next.rules().revision() != current.rules().revision()
                 || !next.bucketOwners().equals(current.bucketOwners())
                 || !next.blockedFingerprints().equals(current.blockedFingerprints())
+                || !next.suspectParts().equals(current.suspectParts())
                 || !next.sessions().equals(current.sessions());
         if (changed) {
             published = new Published(next, rules.text());
@@ -203,7 +226,8 @@
     }
 
     private ControlView view(long index) {
-        return new ControlView(index, rules.rules(), buckets.owners(), suspects.blocked(), sessions.open());
+        return new ControlView(
+                index, rules.rules(), buckets.owners(), suspects.blocked(), sessions.open(), partSuspects.view());
     }
 
     /** A view with the text of its rules. */
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlView.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlView.java
@@ -1,5 +1,6 @@
 package org.basilrill.state.control;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.basilrill.api.AccountId;
@@ -13,17 +14,30 @@
  * @param bucketOwners owner of each client account's token bucket
  * @param blockedFingerprints requests during which so many targets were lost that they are refused
  * @param sessions open sessions by instance
+ * @param suspectParts prompt parts that were at crashed targets, in the order of their last change
  */
 public record ControlView(
         long index,
         Rules rules,
         Map<AccountId, BucketOwner> bucketOwners,
         Set<String> blockedFingerprints,
-        Map<InstanceId, Long> sessions) {
+        Map<InstanceId, Long> sessions,
+        List<SuspectPart> suspectParts) {
     public ControlView {
         bucketOwners = Map.copyOf(bucketOwners);
         blockedFingerprints = Set.copyOf(blockedFingerprints);
         sessions = Map.copyOf(sessions);
+        suspectParts = List.copyOf(suspectParts);
+    }
+
+    /** Creates a view without suspect prompt parts. */
+    public ControlView(
+            long index,
+            Rules rules,
+            Map<AccountId, BucketOwner> bucketOwners,
+            Set<String> blockedFingerprints,
+            Map<InstanceId, Long> sessions) {
+        this(index, rules, bucketOwners, blockedFingerprints, sessions, List.of());
     }
 
     /** Returns the view used until the first one is received from the log. */
--- a/basilrill-library/src/main/java/org/basilrill/state/control/CrashSuspects.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/CrashSuspects.java
@@ -10,7 +10,6 @@
 import java.util.stream.Collectors;
 import org.basilrill.api.TargetId;
 import org.basilrill.state.control.ControlCommand.ReportCrash;
-import org.basilrill.state.control.ControlResult.CrashCount;
 import org.basilrill.thrift.control.CrashState;
 
 /**
@@ -29,7 +28,8 @@
     /** Suspects ordered by their last change, oldest first. */
     private final LinkedHashMap<String, Suspect> suspects = new LinkedHashMap<>();
 
-    ControlResult report(ReportCrash command, long nowMillis) {
+    /** Returns the number of distinct targets lost during requests with the fingerprint. */
+    int report(ReportCrash command, long nowMillis) {
         Suspect known = suspects.get(command.fingerprint());
         TreeSet<TargetId> targets = known == null ? new TreeSet<>() : known.targets();
         if (targets.size() < BLOCKING_TARGETS && targets.add(command.target())) {
@@ -37,7 +37,7 @@
             suspects.put(command.fingerprint(), new Suspect(targets, nowMillis));
             dropOldest();
         }
-        return new CrashCount(targets.size());
+        return targets.size();
     }
 
     /** Drops suspects that have not changed for the retention time; returns whether any was dropped. */
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ResultCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ResultCodec.java
@@ -1,6 +1,8 @@
 package org.basilrill.state.control;
 
 import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
@@ -22,6 +24,7 @@
 import org.basilrill.thrift.control.OrderGrantedResult;
 import org.basilrill.thrift.control.OrderReservedResult;
 import org.basilrill.thrift.control.OrderRunningResult;
+import org.basilrill.thrift.control.PromptPart;
 import org.basilrill.thrift.control.RefusedResult;
 import org.basilrill.thrift.control.ResultMessage;
 import org.basilrill.thrift.control.RulesAcceptedResult;
@@ -64,7 +67,7 @@
             case ORDER_RESERVED:
                 return new OrderReserved(message.getOrderReserved().getFencingNumber());
             case CRASH_COUNT:
-                return new CrashCount(message.getCrashCount().getTargets());
+                return crashCount(message.getCrashCount());
             case REFUSED:
                 RefusedResult refused = message.getRefused();
                 return new Refused(code(refused.getCode()), refused.getDetail());
@@ -102,7 +105,10 @@
             return ResultMessage.orderReserved(new OrderReservedResult(reserved.fencingNumber()));
         }
         if (result instanceof CrashCount count) {
-            return ResultMessage.crashCount(new CrashCountResult(count.targets()));
+            CrashCountResult encoded = new CrashCountResult(count.targets());
+            encoded.setBlockedParts(
+                    count.blockedParts().stream().map(WireEnums::toWire).toList());
+            return ResultMessage.crashCount(encoded);
         }
         if (result instanceof Refused refused) {
             return ResultMessage.refused(new RefusedResult(refused.code().name(), refused.detail()));
@@ -110,6 +116,12 @@
         throw new BasilrillException(ErrorCode.INTERNAL, "no encoding for " + result.getClass());
     }
 
+    private static CrashCount crashCount(CrashCountResult count) {
+        List<PromptPart> blocked = Optional.ofNullable(count.getBlockedParts()).orElse(List.of());
+        return new CrashCount(
+                count.getTargets(), blocked.stream().map(WireEnums::fromWire).toList());
+    }
+
     /** Returns the error code of this name, or {@code INTERNAL} for a name that only a newer version knows. */
     private static ErrorCode code(String name) {
         return Arrays.stream(ErrorCode.values())
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ViewCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ViewCodec.java
@@ -1,8 +1,10 @@
 package org.basilrill.state.control;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
@@ -33,6 +35,10 @@
                 buckets(view.bucketOwners()),
                 view.blockedFingerprints().stream().sorted().toList(),
                 sessions(view.sessions()));
+        if (!view.suspectParts().isEmpty()) {
+            message.setSuspectParts(
+                    view.suspectParts().stream().map(ViewCodec::toWire).toList());
+        }
         if (view.rules().revision() != knownRevision) {
             message.setRulesText(rulesText);
         }
@@ -70,7 +76,10 @@
                 rules(message, knownRules, format),
                 owners,
                 Set.copyOf(message.getBlockedFingerprints()),
-                sessions);
+                sessions,
+                Optional.ofNullable(message.getSuspectParts()).orElse(List.of()).stream()
+                        .map(ViewCodec::fromWire)
+                        .toList());
     }
 
     static List<BucketState> buckets(Map<AccountId, BucketOwner> owners) {
@@ -92,6 +101,20 @@
                 .toList();
     }
 
+    private static org.basilrill.thrift.control.SuspectPart toWire(SuspectPart suspect) {
+        org.basilrill.thrift.control.SuspectPart message =
+                new org.basilrill.thrift.control.SuspectPart(WireEnums.toWire(suspect.part()), suspect.crashes());
+        suspect.block().map(Duration::toMillis).ifPresent(message::setBlockMillis);
+        return message;
+    }
+
+    private static SuspectPart fromWire(org.basilrill.thrift.control.SuspectPart message) {
+        Optional<Duration> block = message.isSetBlockMillis()
+                ? Optional.of(Duration.ofMillis(message.getBlockMillis()))
+                : Optional.empty();
+        return new SuspectPart(WireEnums.fromWire(message.getPart()), message.getCrashes(), block);
+    }
+
     private static Rules rules(ViewMessage message, Rules knownRules, RulesFormat format) {
         if (message.getRulesRevision() == 0) {
             return Rules.empty();
--- a/basilrill-library/src/main/java/org/basilrill/state/control/WireEnums.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/WireEnums.java
@@ -3,13 +3,16 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.basilrill.api.Outcome;
+import org.basilrill.api.PromptPartId;
 import org.basilrill.thrift.control.AnswerBody;
+import org.basilrill.thrift.control.PromptPart;
 import org.basilrill.thrift.control.RequestOutcome;
 import org.basilrill.thrift.control.TargetOrderKind;
 import org.basilrill.thrift.control.TargetOrderOutcome;
 
 /**
- * Converts the enums and the recorded responses of the control log to Thrift types and back. Stateless and thread safe.
+ * Converts the enums, recorded responses and prompt parts of the control log to Thrift types and back. Stateless and
+ * thread safe.
  */
 public final class WireEnums {
     private WireEnums() {}
@@ -38,6 +41,14 @@
         return Outcome.valueOf(outcome.name());
     }
 
+    static PromptPart toWire(PromptPartId part) {
+        return new PromptPart(part.scope(), part.value());
+    }
+
+    static PromptPartId fromWire(PromptPart part) {
+        return new PromptPartId(part.getScope(), part.getValue());
+    }
+
     static AnswerBody toWire(RecordedResponse response) {
         return new AnswerBody(
                 response.status(), response.contentType(), ByteBuffer.wrap(response.body()), response.complete());
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/AdministrationClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/AdministrationClient.java
@@ -68,6 +68,11 @@
         return exchange("GET", AdministrationHandler.MODELS, "");
     }
 
+    /** Accepts requests again that were refused because of the named prompt part. */
+    public PlainResponse releasePromptPart(String part) {
+        return exchange("DELETE", AdministrationHandler.PROMPT_PARTS, part);
+    }
+
     /** Starts the graceful shutdown of the instance. */
     public PlainResponse drain() {
         return exchange("POST", AdministrationHandler.DRAIN, "");
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -23,6 +23,7 @@
 import org.basilrill.coordination.admission.Dispatcher;
 import org.basilrill.coordination.admission.RetryBudget;
 import org.basilrill.coordination.admission.TokenAdmission;
+import org.basilrill.coordination.crash.PromptPartGuard;
 import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.state.configuration.KeyHash;
@@ -114,6 +115,7 @@
                 limits,
                 () -> List.of("127.0.0.1:4001"),
                 new BlockedRequests(clock, publishedFingerprints::add),
+                new PromptPartGuard(control, clock, scheduler),
                 new RequestIdCheck(),
                 this,
                 dialect);
--- a/basilrill-library/src/test/java/org/basilrill/state/control/CodecTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/CodecTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.Outcome;
+import org.basilrill.api.PromptPartId;
 import org.basilrill.api.TargetId;
 import org.basilrill.state.configuration.Rules;
 import org.basilrill.state.configuration.RulesParser;
@@ -29,6 +31,7 @@
     private static final AccountId ACCOUNT = new AccountId("a");
     private static final InstanceId INSTANCE = new InstanceId("i");
     private static final TargetId TARGET = new TargetId("t");
+    private static final PromptPartId PART = new PromptPartId("service", 7);
     private static final ModelId MODEL = new ModelId("m/x");
     private static final RecordedResponse RESPONSE = new RecordedResponse(201, "text/plain", new byte[] {1, 2}, true);
 
@@ -43,7 +46,10 @@
                 new ControlCommand.IntendOrder(TARGET, 1, "order", OrderKind.CHANGE_ROLE, MODEL, 2, 3),
                 new ControlCommand.ResolveOrder("order", OrderOutcome.REFUSED_STALE),
                 new ControlCommand.ObserveTarget(TARGET, 1, 2, Map.of(MODEL, new LoadedModel(1, 2, true)), true),
-                new ControlCommand.ReportCrash("fingerprint", TARGET, 1, 2),
+                new ControlCommand.ReportCrash("fingerprint", TARGET, 1, 2, List.of(PART), 3),
+                new ControlCommand.ReportPartAnswers(List.of(new ControlCommand.PartAnswer(PART, 4)), 5),
+                new ControlCommand.RequestPartTrial(PART, 6),
+                new ControlCommand.ReleasePart(PART),
                 new ControlCommand.RegisterSession(INSTANCE, 1),
                 new ControlCommand.ExpireSession(INSTANCE, 1));
         assertThat(commands.size(), is(ControlCommand.class.getPermittedSubclasses().length));
@@ -61,7 +67,7 @@
                 new ControlResult.OrderFinished(Outcome.RAN, Optional.empty()),
                 new ControlResult.BucketHeld(INSTANCE, 3),
                 new ControlResult.OrderReserved(4),
-                new ControlResult.CrashCount(2),
+                new ControlResult.CrashCount(2, List.of(PART)),
                 new ControlResult.Refused(ErrorCode.MEMORY_EXCEEDED, "detail"));
         assertThat(results.size(), is(ControlResult.class.getPermittedSubclasses().length));
         results.forEach(result -> assertThat(ResultCodec.decode(ResultCodec.encode(result)), is(result)));
@@ -83,7 +89,14 @@
         String text = "account a rate 1 burst 2 # Ana";
         Rules rules = RulesParser.parse(text, 5).rules().orElseThrow();
         ControlView view = new ControlView(
-                9, rules, Map.of(ACCOUNT, new BucketOwner(INSTANCE, 1, 2, 3)), Set.of("f"), Map.of(INSTANCE, 1L));
+                9,
+                rules,
+                Map.of(ACCOUNT, new BucketOwner(INSTANCE, 1, 2, 3)),
+                Set.of("f"),
+                Map.of(INSTANCE, 1L),
+                List.of(
+                        new SuspectPart(PART, 3, Optional.of(Duration.ofMinutes(1))),
+                        new SuspectPart(new PromptPartId("service", 8), 1, Optional.empty())));
         assertThat(ViewCodec.fromMessage(ViewCodec.toMessage(view, text, 4), Rules.empty()), is(view));
         assertThat(ViewCodec.fromMessage(ViewCodec.toMessage(view, text, 5), rules), is(view));
         BasilrillException failure = assertThrows(
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/CrashingPartScenario.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/CrashingPartScenario.java
@@ -16,8 +16,11 @@
 final class CrashingPartScenario {
     static final Duration DEADLINE = Duration.ofSeconds(5);
     static final Duration DOWNTIME = Duration.ofSeconds(3);
+    /** Crashes after which a part has to be known. */
+    private static final int KNOWN_AFTER_CRASHES = 5;
+
     /** Time after which an instance that is in contact with the others has to know a verdict. */
-    static final Duration CONTACT = Duration.ofSeconds(3);
+    private static final Duration CONTACT = Duration.ofSeconds(3);
 
     /** Length of the blocks by which prompts are compared. */
     private static final int PART_LENGTH = 256;
@@ -66,17 +69,38 @@
                 .sum();
     }
 
-    /** Returns the time of the crash with this number, counted from one. */
-    Optional<Long> crashNanos(int number) {
-        return engines().stream()
+    /** Crashes an engine for a while; no request is the cause. */
+    void crashEngine(int index, Duration downtime) {
+        VirtualTarget engine = engines().get(index);
+        if (engine.isUp()) {
+            engine.crash();
+            fleet.time().schedule(downtime, engine::restart);
+        }
+    }
+
+    /**
+     * Returns how many requests with a crashing document arrived at engines after the time at which all instances have
+     * to know it; zero if there were too few crashes.
+     */
+    long arrivalsAfterVerdict() {
+        Optional<Long> lastCrash = engines().stream()
                 .flatMap(engine -> engine.crashNanos().stream())
                 .sorted()
-                .skip(number - 1)
+                .skip(KNOWN_AFTER_CRASHES - 1)
                 .findFirst();
+        return lastCrash
+                .map(nanos -> crashingArrivalsAfter(nanos + CONTACT.toNanos()))
+                .orElse(0L);
+    }
+
+    /** Returns how many callers from the given index on were refused for a part of their prompts. */
+    long refusedForPart(int firstCaller) {
+        return callersFrom(firstCaller, body -> true).stream()
+                .filter(caller -> caller.receivedText().contains("CRASH_SUSPECT"))
+                .count();
     }
 
-    /** Returns how many requests with a crashing document arrived at engines after this time. */
-    long crashingArrivalsAfter(long nanos) {
+    private long crashingArrivalsAfter(long nanos) {
         return engines().stream()
                 .flatMap(engine -> engine.executions().stream())
                 .filter(execution ->
--- a/basilrill-thrift/src/main/thrift/control.thrift
+++ b/basilrill-thrift/src/main/thrift/control.thrift
@@ -101,11 +101,43 @@
   5: required bool enforcesFencing
 }
 
+/** A part of a prompt that several requests may contain. */
+struct PromptPart {
+  1: required string scope
+  2: required i64 value
+}
+
 struct ReportCrashCommand {
   1: required string fingerprint
   2: required string target
   3: required i64 targetIncarnation
   4: required i64 nowMillis
+  /** Absent from instances that do not report prompt parts. */
+  5: optional list<PromptPart> promptParts
+  /** Time since the request was sent. */
+  6: optional i64 runningMillis
+}
+
+struct PartAnswer {
+  1: required PromptPart part
+  2: required i64 ageMillis
+}
+
+/** Reports responses that began, each as evidence that a prompt part crashes no targets. */
+struct ReportPartAnswersCommand {
+  1: required list<PartAnswer> answers
+  2: required i64 nowMillis
+}
+
+/** Requests permission to send one request with a blocked prompt part. */
+struct RequestPartTrialCommand {
+  1: required PromptPart part
+  2: required i64 nowMillis
+}
+
+/** Releases a blocked prompt part by order of an operator. */
+struct ReleasePartCommand {
+  1: required PromptPart part
 }
 
 struct RegisterSessionCommand {
@@ -130,6 +162,9 @@
   9: RegisterSessionCommand registerSession
   10: ExpireSessionCommand expireSession
   11: InstallRulesCommand installRules
+  12: ReportPartAnswersCommand reportPartAnswers
+  13: RequestPartTrialCommand requestPartTrial
+  14: ReleasePartCommand releasePart
 }
 
 // Results of commands.
@@ -167,6 +202,8 @@
 
 struct CrashCountResult {
   1: required i32 targets
+  /** The reported prompt parts that are blocked. */
+  2: optional list<PromptPart> blockedParts
 }
 
 struct RefusedResult {
@@ -243,6 +280,22 @@
   3: required i64 changedMillis
 }
 
+struct PartCrash {
+  1: required i64 atMillis
+  2: required string target
+  3: required i64 targetIncarnation
+  /** Whether the request was sent after the crash before this one. */
+  4: required bool independent
+}
+
+struct PartSuspectState {
+  1: required PromptPart part
+  2: required list<PartCrash> crashes
+  3: required i64 changedMillis
+  4: required i64 trialMillis
+  5: required i32 trials
+}
+
 struct HoldingState {
   1: required string model
   2: required i32 version
@@ -286,10 +339,18 @@
   8: required list<SessionState> endedSessions
   9: required list<CrashState> crashes
   10: required LedgerState ledger
+  11: optional list<PartSuspectState> partSuspects
 }
 
 // The part of the state that every instance pulls from a replica.
 
+struct SuspectPart {
+  1: required PromptPart part
+  2: required i32 crashes
+  /** Time from the block until one request is permitted as a trial; absent if the part is not blocked. */
+  3: optional i64 blockMillis
+}
+
 struct ViewMessage {
   1: required i64 index
   2: required i64 rulesRevision
@@ -298,6 +359,7 @@
   4: required list<BucketState> buckets
   5: required list<string> blockedFingerprints
   6: required list<SessionState> sessions
+  7: optional list<SuspectPart> suspectParts
 }
 
 // Messages of subject CONTROL between instances.
