Log the software version of each attempt and the stream that a caller resumes

The logs of that code name neither the version of an engine nor the stream that a request takes up. The version is read from the heartbeat now and travels with the announcement; the line of a request has it in the step of each attempt, and the first request and last event of a stream that the caller resumes. No decision uses them.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/CallRequest.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/dialect/CallRequest.java
@@ -16,6 +16,7 @@
  * @param model model or adapter that the request is for
  * @param tokens size of the request in tokens, if the head states it
  * @param promptParts parts of the prompt in order; those that other requests may share come first
+ * @param resumption the stream that the request resumes, if it does
  */
 public record CallRequest(
         RequestHead head,
@@ -25,11 +26,20 @@
         Optional<Duration> remainingTime,
         Optional<ModelId> model,
         Optional<TokenCounts> tokens,
-        List<PromptPart> promptParts) {
+        List<PromptPart> promptParts,
+        Optional<StreamResumption> resumption) {
     public CallRequest {
         promptParts = List.copyOf(promptParts);
     }
 
+    /**
+     * A stream that a caller resumes with a new request after its connection was lost.
+     *
+     * @param lastEventId id of the last event that the caller received
+     * @param firstRequestId id of the request whose response contained the first event, if the caller states it
+     */
+    public record StreamResumption(String lastEventId, Optional<String> firstRequestId) {}
+
     /** Number of tokens of the prompt, and maximum number of tokens of the output. */
     public record TokenCounts(long prompt, long maximumOutput) {
         /** Returns the maximum number of tokens that the request may use. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestDecisionLog.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestDecisionLog.java
@@ -58,7 +58,12 @@
     /** Records that a target was chosen for the next attempt. */
     void sent(TargetAnnouncement target) {
         metrics.recordDuration(plan.destination(), Phase.QUEUE, clock.nanos() - queuedNanos);
-        addStep("sent to", target);
+        addStep(
+                "sent to"
+                        + target.softwareVersion()
+                                .map(version -> " version " + version + " at")
+                                .orElse(""),
+                target);
     }
 
     /** Records that the connection to the target is ready to send the request. */
@@ -129,6 +134,10 @@
         if (!plan.sharedParts().isEmpty()) {
             line.put("prompt_parts", plan.sharedParts().toString());
         }
+        plan.resumption()
+                .ifPresent(
+                        resumed -> line.put("resumes", resumed.firstRequestId().orElse(""))
+                                .put("last_event", resumed.lastEventId()));
         line.put("priority", plan.priority());
         line.put("tokens", plan.chargedTokens());
         line.put("rules_revision", plan.rulesRevision());
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
@@ -14,6 +14,7 @@
 import org.basilrill.coordination.routing.Prompt;
 import org.basilrill.protocol.caller.KeyGuard;
 import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.dialect.CallRequest.StreamResumption;
 import org.basilrill.protocol.dialect.RequestMessages;
 import org.basilrill.state.configuration.KeyHash;
 
@@ -25,6 +26,7 @@
  * @param promptTokens tokens that count as used once the request has run
  * @param chargedTokens maximum number of tokens that the request may use
  * @param sharedParts parts of the prompt that other requests may contain as well
+ * @param resumption the stream that the caller resumes with this request, if it does
  * @param order present if the request must run at most once
  * @param repeatable whether the request may run more than once
  * @param fingerprint identifies the request in crash reports
@@ -44,6 +46,7 @@
         long chargedTokens,
         Prompt prompt,
         List<PromptPartId> sharedParts,
+        Optional<StreamResumption> resumption,
         Optional<Order> order,
         boolean repeatable,
         String fingerprint,
@@ -90,6 +93,7 @@
                 chargedTokens,
                 prompt,
                 sharedParts,
+                resumption,
                 order,
                 repeatable,
                 fingerprint,
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RoutePlanner.java
@@ -149,6 +149,7 @@
                     tokensToCharge(chargedAccount),
                     prompt(request),
                     sharedParts(request, destination),
+                    request.resumption(),
                     Optional.empty(),
                     route.kind().isRepeatable(),
                     fingerprint,
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
@@ -128,6 +128,7 @@
                 announcement.enforcesFencing(),
                 announcement.leaving());
         announcement.service().ifPresent(fact::setServiceName);
+        announcement.softwareVersion().ifPresent(fact::setSoftwareVersion);
         return fact;
     }
 
@@ -153,7 +154,8 @@
                 fact.getSlots(),
                 NO_LOAD,
                 fact.isEnforcesFencing(),
-                fact.isLeaving());
+                fact.isLeaving(),
+                Optional.ofNullable(fact.getSoftwareVersion()));
     }
 
     /** Encodes roles as a bit set indexed by the ordinal of the role. */
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
@@ -20,6 +20,7 @@
  * @param load reported load, which may be out of date
  * @param enforcesFencing whether it refuses target orders with an outdated fencing number
  * @param leaving whether it is leaving and must not get new requests
+ * @param softwareVersion version of the software that it runs, if it announces one
  */
 public record TargetAnnouncement(
         TargetId id,
@@ -36,12 +37,49 @@
         int slots,
         Load load,
         boolean enforcesFencing,
-        boolean leaving) {
+        boolean leaving,
+        Optional<String> softwareVersion) {
     public TargetAnnouncement {
         contents = Map.copyOf(contents);
         roles = Set.copyOf(roles);
     }
 
+    /** Creates an announcement without a software version. */
+    public TargetAnnouncement(
+            TargetId id,
+            long incarnation,
+            long sequence,
+            String host,
+            int port,
+            String dataCentre,
+            Optional<String> service,
+            long timeToLiveMillis,
+            long memoryBytes,
+            Map<ModelId, LoadedModel> contents,
+            Set<Role> roles,
+            int slots,
+            Load load,
+            boolean enforcesFencing,
+            boolean leaving) {
+        this(
+                id,
+                incarnation,
+                sequence,
+                host,
+                port,
+                dataCentre,
+                service,
+                timeToLiveMillis,
+                memoryBytes,
+                contents,
+                roles,
+                slots,
+                load,
+                enforcesFencing,
+                leaving,
+                Optional.empty());
+    }
+
     /** Returns whether the target serves models. */
     public boolean isEngine() {
         return service.isEmpty() || !roles.isEmpty();
@@ -70,7 +108,8 @@
                 slots,
                 other,
                 enforcesFencing,
-                leaving);
+                leaving,
+                softwareVersion);
     }
 
     /** Returns the same announcement with other contents. */
@@ -90,7 +129,8 @@
                 slots,
                 load,
                 enforcesFencing,
-                leaving);
+                leaving,
+                softwareVersion);
     }
 
     /**
@@ -112,7 +152,8 @@
                 slots,
                 load,
                 enforcesFencing,
-                true);
+                true,
+                softwareVersion);
     }
 
     /** Returns the same announcement with another sequence number. */
@@ -132,7 +173,8 @@
                 slots,
                 load,
                 enforcesFencing,
-                leaving);
+                leaving,
+                softwareVersion);
     }
 
     /** Returns whether this announcement is newer than another of the same target. */
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StubDialect.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StubDialect.java
@@ -1,6 +1,7 @@
 package org.basilrill.protocol.instance;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import org.basilrill.api.BasilrillException;
@@ -11,6 +12,8 @@
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.dialect.CallRequest;
+import org.basilrill.protocol.dialect.CallRequest.PromptPart;
+import org.basilrill.protocol.dialect.CallRequest.StreamResumption;
 import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.protocol.dialect.RequestMessages;
 import org.basilrill.protocol.dialect.TargetCall;
@@ -20,6 +23,8 @@
 /** A minimal dialect for tests of routed requests. Stateless and thread safe. */
 final class StubDialect implements CallerDialect {
     static final String LAST_EVENT = "x-last-event";
+    static final String FIRST_REQUEST = "x-first-request";
+    static final String PROMPT_PARTS = "x-prompt-parts";
     static final String RAN_NOTHING = "x-ran-nothing";
     private static final int MISDIRECTED = 421;
 
@@ -33,7 +38,15 @@
                 Optional.empty(),
                 head.header("x-model").map(ModelId::new),
                 Optional.empty(),
-                List.of());
+                promptParts(head),
+                head.header(LAST_EVENT).map(event -> new StreamResumption(event, head.header(FIRST_REQUEST))));
+    }
+
+    private static List<PromptPart> promptParts(RequestHead head) {
+        return head.header(PROMPT_PARTS).stream()
+                .flatMap(parts -> Arrays.stream(parts.split(",")))
+                .map(part -> new PromptPart(Long.parseLong(part), 100))
+                .toList();
     }
 
     @Override
--- a/basilrill-thrift/src/main/thrift/membership.thrift
+++ b/basilrill-thrift/src/main/thrift/membership.thrift
@@ -37,6 +37,8 @@
   12: required i32 slots
   13: required bool enforcesFencing
   14: required bool leaving
+  /** Absent if the target announces none. */
+  15: optional string softwareVersion
 }
 
 struct TargetLoadFact {
