Reproduce streams that are joined from two software versions

One instance with a target of each of two versions: a cut stream goes on at the other version within the response, and a stream that its caller takes up with a new request does so as well.

--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -87,6 +87,27 @@
                 false);
     }
 
+    /** Returns a target of a service with a software version. */
+    static TargetAnnouncement target(String name, int port, String service, String softwareVersion) {
+        return new TargetAnnouncement(
+                new TargetId(name),
+                1,
+                1,
+                "127.0.0.1",
+                port,
+                "north",
+                Optional.of(service),
+                2000,
+                1,
+                Map.of(),
+                Set.of(),
+                8,
+                new TargetAnnouncement.Load(0, 0),
+                true,
+                false,
+                Optional.of(softwareVersion));
+    }
+
     public RequestServices with(
             TargetConnector connector, MonotonicClock clock, Scheduler scheduler, Tracer tracer, RequestLimits limits) {
         return with(connector, clock, scheduler, tracer, limits, Optional.empty());
--- /dev/null
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
@@ -0,0 +1,124 @@
+package org.basilrill.protocol.instance;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.opentelemetry.api.OpenTelemetry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.instance.CoordinatorFixture.Started;
+import org.basilrill.protocol.instance.FakeConnector.FakeCall;
+import org.basilrill.state.configuration.CallRoute;
+import org.basilrill.state.configuration.CallRoute.Kind;
+import org.basilrill.state.configuration.CallRoute.Share;
+import org.basilrill.state.configuration.KeyHash;
+import org.basilrill.state.configuration.RouteTable;
+import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.target.TargetAnnouncement;
+import org.junit.jupiter.api.Test;
+
+/** Guards streams against events from targets of different software versions. */
+class StreamVersionTest {
+    private static final String HOST = "a.example";
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+    private static final TargetAnnouncement OLD = FakeServices.target("old", 9001, "pool", "v1");
+    private static final TargetAnnouncement SECOND_OLD = FakeServices.target("old-2", 9002, "pool", "v1");
+    private static final TargetAnnouncement NEW = FakeServices.target("new", 9003, "pool", "v2");
+
+    private final CoordinatorFixture fixture = instance(OLD, NEW);
+
+    /** Guards against a stream that another version continues within one response. */
+    @Test
+    void aCutStreamIsNotContinuedAtATargetOfAnotherVersion() {
+        Started started = send("r-1");
+        begin(last());
+        last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+        assertThat(calls(), is(1));
+        assertThat(started.stream().aborted(), is(true));
+    }
+
+    /** Guards against a stream that its caller takes up with a new request and that another version continues. */
+    @Test
+    void aStreamIsNotTakenUpAtATargetOfAnotherVersion() {
+        send("r-1");
+        begin(last());
+        last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+        fixture.services().targets().remove(OLD);
+        int before = calls();
+        Started takenUp = takeUp("r-2", "r-1");
+        assertThat(calls(), is(before));
+        assertThat(takenUp.stream().text().contains("\"outcome\":\"not_run\""), is(true));
+    }
+
+    private static CoordinatorFixture instance(TargetAnnouncement... targets) {
+        CoordinatorFixture fixture =
+                new CoordinatorFixture(0, OpenTelemetry.noop().getTracer("test"), Optional.of(new StubDialect()));
+        fixture.control().install(rules());
+        fixture.services().targets().addAll(List.of(targets));
+        return fixture;
+    }
+
+    private static Rules rules() {
+        CallRoute route = new CallRoute(
+                "stream",
+                HOST,
+                "/stream/",
+                Kind.RESUMABLE_STREAM,
+                TIMEOUT,
+                TIMEOUT,
+                0,
+                List.of(new Share("pool", 1)),
+                3,
+                false);
+        return new Rules(
+                1,
+                Map.of(FakeServices.ACCOUNT, new Rules.Account(FakeServices.ACCOUNT, 2000, 20_000, 1)),
+                Map.of(KeyHash.of(FakeServices.KEY), FakeServices.ACCOUNT),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of("pool", new Rules.Service("pool", 0, List.of())),
+                List.of(),
+                Rules.StoreLimits.defaults(),
+                new RouteTable(List.of(route)),
+                Map.of());
+    }
+
+    private Started send(String requestId) {
+        return fixture.start(
+                CoordinatorFixture.head("POST", "/stream/x", "Host", HOST, RequestHead.REQUEST_ID, requestId), "body");
+    }
+
+    private Started takeUp(String requestId, String firstRequestId) {
+        return fixture.start(
+                CoordinatorFixture.head(
+                        "POST",
+                        "/stream/x",
+                        "Host",
+                        HOST,
+                        RequestHead.REQUEST_ID,
+                        requestId,
+                        StubDialect.LAST_EVENT,
+                        "1",
+                        StubDialect.FIRST_REQUEST,
+                        firstRequestId),
+                "body");
+    }
+
+    private static void begin(FakeCall call) {
+        call.stream();
+        call.data("id: 1\ndata: a\n\n");
+    }
+
+    private FakeCall last() {
+        return fixture.connector().last();
+    }
+
+    private int calls() {
+        return fixture.connector().calls().size();
+    }
+}
