Continue a stream only at the software version that began it

Cause: a target was chosen by service and model only, and the id of the request that began a stream was not read. Ruled out: heartbeats that are out of date; no code read the version.

Change: the control log registers a software version before a resumable stream begins at it, and records which version began which stream while a service has several. A destination can require a version; an instance that takes up a stream asks the log. A stream without a record belongs to the only version of its time, or is refused at once (STREAM_VERSION_UNKNOWN). Records survive the loss of all processes. RequestDispatch is split from RequestExchange.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -46,6 +46,8 @@
     PROMPT_PART_BLOCKED(305, "prompt part is blocked, as targets crashed whenever they began to respond to it"),
     PROMPT_PART_RELEASED(306, "prompt part is no longer blocked"),
     PROMPT_PART_TRIED(307, "one request with a blocked prompt part is sent as a trial"),
+    SOFTWARE_VERSIONS_CHANGED(308, "software versions of targets were registered or retired"),
+    STREAMS_NOT_RECORDED(309, "versions that began streams could not be recorded"),
     HTTP_LISTENING(310, "listening for callers"),
     HTTP_STOPPED(311, "stopped listening for callers"),
     HTTP_CONNECTION_FAILED(312, "connection of a caller or target failed"),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/Dispatcher.java
@@ -69,8 +69,22 @@
         }
     }
 
-    /** What a request is addressed to: a model, a plain service, or a model on the engines of one service. */
-    record Destination(Optional<ModelId> model, Optional<String> service) {
+    /**
+     * What a request is addressed to: a model, a plain service, or a model on the engines of one service.
+     *
+     * @param softwareVersion version of the targets that may serve it; empty if any may
+     */
+    record Destination(Optional<ModelId> model, Optional<String> service, Optional<String> softwareVersion) {
+        /** Creates a destination that targets of any software version may serve. */
+        public Destination(Optional<ModelId> model, Optional<String> service) {
+            this(model, service, Optional.empty());
+        }
+
+        /** Returns the same destination, restricted to targets of a software version. */
+        public Destination atVersion(String version) {
+            return new Destination(model, service, Optional.of(version));
+        }
+
         /** Returns the destination of requests to a model. */
         public static Destination ofModel(ModelId model) {
             return new Destination(Optional.of(model), Optional.empty());
@@ -88,22 +102,20 @@
 
         /** Returns the targets that currently serve this destination. */
         public Collection<TargetAnnouncement> readyTargets(TargetDirectory directory) {
-            if (model.isEmpty()) {
-                return directory.ofService(service.orElseThrow());
-            }
-            Collection<TargetAnnouncement> ready = directory.readyFor(model.get());
-            if (service.isEmpty()) {
+            Collection<TargetAnnouncement> ready =
+                    model.map(directory::readyFor).orElseGet(() -> directory.ofService(service.orElseThrow()));
+            if (softwareVersion.isEmpty() && (model.isEmpty() || service.isEmpty())) {
                 return ready;
             }
-            return ready.stream()
-                    .filter(target -> target.service().equals(service))
-                    .toList();
+            return ready.stream().filter(this::isServedBy).toList();
         }
 
         /** Returns whether the target serves this destination. */
         public boolean isServedBy(TargetAnnouncement target) {
             boolean ofService = service.isEmpty() || target.service().equals(service);
-            return ofService && model.map(target::isReadyFor).orElse(true);
+            boolean ofVersion = softwareVersion.isEmpty()
+                    || softwareVersion.get().equals(target.softwareVersion().orElse(""));
+            return ofService && ofVersion && model.map(target::isReadyFor).orElse(true);
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
@@ -22,10 +22,13 @@
 import org.basilrill.state.control.ControlCommand;
 import org.basilrill.state.control.ControlCommand.ClaimOrder;
 import org.basilrill.state.control.ControlCommand.ExpireSession;
+import org.basilrill.state.control.ControlCommand.FindStream;
+import org.basilrill.state.control.ControlCommand.RecordStreams;
 import org.basilrill.state.control.ControlCommand.RegisterSession;
 import org.basilrill.state.control.ControlCommand.ReportCrash;
 import org.basilrill.state.control.ControlCommand.ReportPartAnswers;
 import org.basilrill.state.control.ControlCommand.RequestPartTrial;
+import org.basilrill.state.control.ControlCommand.RetireVersion;
 import org.basilrill.state.control.ControlResult;
 import org.basilrill.state.control.ControlStateMachine;
 import org.basilrill.state.control.ResultCodec;
@@ -185,6 +188,17 @@
         if (command instanceof RequestPartTrial trial) {
             return CommandCodec.encode(new RequestPartTrial(trial.part(), wallClockMillis.getAsLong()));
         }
+        if (command instanceof RetireVersion retire) {
+            return CommandCodec.encode(
+                    new RetireVersion(retire.service(), retire.version(), wallClockMillis.getAsLong()));
+        }
+        if (command instanceof RecordStreams streams) {
+            return CommandCodec.encode(new RecordStreams(streams.streams(), wallClockMillis.getAsLong()));
+        }
+        if (command instanceof FindStream find) {
+            return CommandCodec.encode(new FindStream(
+                    find.firstRequestId(), find.service(), find.windowMillis(), wallClockMillis.getAsLong()));
+        }
         return encoded;
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/AttemptPolicy.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/AttemptPolicy.java
@@ -15,6 +15,7 @@
  *     control log has reported how many targets the request has crashed; otherwise the loss is checked concurrently
  * @param callerTimeout how long callers wait for the response to start, if that is known
  * @param resumesStreams whether another target can resume a response that was cut
+ * @param longestStream longest time for which a caller may wait for a stream, with all its requests
  */
 record AttemptPolicy(
         int maximumAttempts,
@@ -23,15 +24,19 @@
         boolean endsOnKeyWithdrawal,
         boolean confirmsLossBeforeRetry,
         Optional<Duration> callerTimeout,
-        boolean resumesStreams) {
+        boolean resumesStreams,
+        Duration longestStream) {
     /** Callers of streams disconnect after about this many times the latency target. */
     private static final int CALLER_TIMEOUT_IN_LATENCY_TARGETS = 4;
     /** Callers of streams wait at least this long, independent of the latency target. */
     private static final Duration MINIMUM_CALLER_TIMEOUT = Duration.ofSeconds(2);
 
+    /** A caller resumes a stream a few times, each within the timeout of the route. */
+    private static final int STREAM_REQUESTS = 4;
+
     /** Returns the policy of completions and service calls in the native API. */
     static AttemptPolicy ofCompletions(int maximumAttempts) {
-        return new AttemptPolicy(maximumAttempts, false, false, true, true, Optional.empty(), false);
+        return new AttemptPolicy(maximumAttempts, false, false, true, true, Optional.empty(), false, Duration.ZERO);
     }
 
     /** Returns the policy of the requests of a route. */
@@ -43,7 +48,8 @@
                 false,
                 false,
                 callerTimeoutOf(route),
-                route.kind() == CallRoute.Kind.RESUMABLE_STREAM);
+                route.kind() == CallRoute.Kind.RESUMABLE_STREAM,
+                route.timeout().multipliedBy(STREAM_REQUESTS));
     }
 
     /** Callers disconnect from a stream that does not start; callers of other routes wait until their own deadline. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/BlockedRequests.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/BlockedRequests.java
@@ -4,7 +4,10 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.basilrill.api.InstanceId;
 import org.basilrill.api.MonotonicClock;
+import org.basilrill.coordination.membership.Fact;
+import org.basilrill.coordination.membership.Fact.BlockedRequestFact;
 
 /**
  * Fingerprints of requests that were recently blocked, here or at another instance. The control state lists them, too,
@@ -37,6 +40,13 @@
         publisher.accept(fingerprint);
     }
 
+    /** Blocks the request of a fact that another instance published; ignores other facts. */
+    void factReceived(InstanceId owner, Fact fact) {
+        if (fact instanceof BlockedRequestFact blocked) {
+            blockLocally(blocked.fingerprint());
+        }
+    }
+
     /** Blocks a request at this instance only; used for requests that another instance has blocked. */
     synchronized void blockLocally(String fingerprint) {
         long now = clock.nanos();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/ExcludedTargets.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/ExcludedTargets.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
@@ -12,12 +13,17 @@
 /** The targets that failed one request and are excluded from its further attempts. Not thread safe. */
 final class ExcludedTargets {
     private final Dispatcher dispatcher;
-    private final Destination destination;
+    private final Supplier<Destination> destinations;
     private final Set<TargetId> excluded = new HashSet<>();
 
-    ExcludedTargets(Dispatcher dispatcher, Destination destination) {
+    /**
+     * Creates an empty set.
+     *
+     * @param destinations returns the destination of the next attempt
+     */
+    ExcludedTargets(Dispatcher dispatcher, Supplier<Destination> destinations) {
         this.dispatcher = dispatcher;
-        this.destination = destination;
+        this.destinations = destinations;
     }
 
     /** Returns the targets that the request must not be sent to. */
@@ -29,7 +35,7 @@
     boolean hasOtherThan(TargetId target) {
         Set<TargetId> used = new HashSet<>(excluded);
         used.add(target);
-        return dispatcher.hasOtherTarget(destination, used);
+        return dispatcher.hasOtherTarget(destinations.get(), used);
     }
 
     /**
@@ -40,7 +46,7 @@
      */
     void attemptFailed(TargetId target, AttemptFailure failure) {
         boolean lacksAdapter = failure.code() == ErrorCode.TARGET_MISDIRECTED
-                && destination.model().flatMap(ModelId::adapter).isPresent();
+                && destinations.get().model().flatMap(ModelId::adapter).isPresent();
         boolean lostResponse = failure.code() == ErrorCode.TARGET_FAILED;
         if (lacksAdapter || failure.code() == ErrorCode.TARGET_FULL || (lostResponse && !hasOtherThan(target))) {
             return;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -24,7 +24,6 @@
 import org.basilrill.coordination.limit.LimitMessenger;
 import org.basilrill.coordination.limit.PermitIssuer;
 import org.basilrill.coordination.limit.TargetPermits;
-import org.basilrill.coordination.membership.Fact;
 import org.basilrill.coordination.membership.Fact.BlockedRequestFact;
 import org.basilrill.coordination.membership.Fact.InstanceFact;
 import org.basilrill.coordination.membership.GossipMembership;
@@ -38,6 +37,8 @@
 import org.basilrill.coordination.placement.PlacementStatus;
 import org.basilrill.coordination.routing.RoutingOptions;
 import org.basilrill.coordination.routing.TargetRouter;
+import org.basilrill.coordination.stream.StreamVersionGuard;
+import org.basilrill.coordination.stream.VersionRetirement;
 import org.basilrill.protocol.caller.InstanceListing;
 import org.basilrill.protocol.dialect.Dialect;
 import org.basilrill.protocol.instance.InterfaceOptions.EngineAccess;
@@ -76,6 +77,7 @@
     private final TargetPermits permits;
     private final FairDispatcher dispatcher;
     private final BlockedRequests blockedRequests;
+    private final StreamVersionGuard streamVersions;
     private final RequestCoordinator coordinator;
     private final InstanceListing listing;
     private final ReplicaHolders replicaHolders;
@@ -142,12 +144,18 @@
                 environment.interfaces().listingValidity());
         this.blockedRequests = new BlockedRequests(
                 environment.clock(), request -> membership.publishUrgently(new BlockedRequestFact(request)));
+        this.streamVersions = new StreamVersionGuard(control, environment.clock(), environment.scheduler());
         this.coordinator = createCoordinator();
         dispatcher.setAbsenceListener(
                 (target, model) -> targets.contentChanged(target.id(), target.incarnation(), model, false));
         targets.addListener(this::targetChanged);
-        membership.onFact((owner, fact) -> applyBlockedRequest(fact));
+        membership.onFact(blockedRequests::factReceived);
         membership.onPeriod(this::publishOwnFacts);
+        membership.onPeriod(new VersionRetirement(
+                control,
+                targets::targets,
+                environment.replica().map(InstanceEnvironment.LocalReplica::log),
+                environment.clock())::check);
     }
 
     /** Starts all components; the environment must already deliver messages to {@link #handlers}. */
@@ -333,6 +341,7 @@
                 listing::otherAddresses,
                 blockedRequests,
                 new PromptPartGuard(control, environment.clock(), environment.scheduler()),
+                streamVersions,
                 new RequestIdCheck(),
                 permits,
                 environment.interfaces().dialect().map(Dialect::callers)));
@@ -344,17 +353,12 @@
                 requests -> environment.interfaces().retries().allowance(requests, usableInstances));
     }
 
-    private void applyBlockedRequest(Fact fact) {
-        if (fact instanceof BlockedRequestFact blocked) {
-            blockedRequests.blockLocally(blocked.fingerprint());
-        }
-    }
-
     private void targetChanged(Change change) {
         if (change.kind() == Kind.EXPIRED) {
             dispatcher.targetExpired(change.announcement().id());
         } else {
             dispatcher.targetChanged(change.announcement());
+            streamVersions.targetAnnounced(change.announcement());
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -37,15 +37,16 @@
     private final Span span;
     private final SerialExecutor executor =
             new SerialExecutor(() -> failWith(ErrorCode.INTERNAL, "unexpected failure"));
+    private final StreamContinuity continuity;
     private final ExcludedTargets excludedTargets;
     private final long startNanos;
     private final long deadlineNanos;
     private final Retries retries;
     private final CrashGuard crashGuard;
     private final RequestTokens tokens;
+    private final RequestDispatch dispatch;
 
     private Scheduler.Cancellable deadlineTimer = () -> {};
-    private CompletableFuture<Assignment> queued = CompletableFuture.completedFuture(null);
     private Optional<TargetAttempt> attempt = Optional.empty();
     private boolean mayHaveRun;
     private boolean recordingOutcome;
@@ -70,10 +71,12 @@
         span = services.tracing().startRequest(plan);
         startNanos = services.clock().nanos();
         deadlineNanos = startNanos + plan.deadline().toNanos();
-        excludedTargets = new ExcludedTargets(services.dispatcher(), plan.destination());
+        continuity = new StreamContinuity(services, plan);
+        excludedTargets = new ExcludedTargets(services.dispatcher(), continuity::destination);
         retries = new Retries(services, plan, deadlineNanos);
         tokens = new RequestTokens(services, metrics, plan);
         crashGuard = new CrashGuard(services, plan, trial);
+        dispatch = new RequestDispatch(services, plan, crashGuard, continuity);
     }
 
     /** Starts the life cycle. */
@@ -142,6 +145,7 @@
             attempt.ifPresent(running -> running.extendWindow(bytes.length));
         }
         if (beforeBody && relay.started()) {
+            attempt.map(TargetAttempt::target).ifPresent(continuity::responseStarted);
             responseStarted();
         }
     }
@@ -236,7 +240,7 @@
 
     private void chargeTokens() {
         if (!tokens.needed()) {
-            dispatch();
+            findStream();
             return;
         }
         tokens.request(deadlineNanos)
@@ -248,34 +252,35 @@
                     } else {
                         tokens.charged(charged);
                         relay.decisionLog().addStep("tokens charged");
+                        findStream();
+                    }
+                }));
+    }
+
+    private void findStream() {
+        continuity
+                .findStream()
+                .whenComplete((found, problem) -> execute(() -> {
+                    if (!closed && problem != null) {
+                        failRequest(FailureCauses.of(problem));
+                    } else if (!closed) {
                         dispatch();
                     }
                 }));
     }
 
     private void dispatch() {
-        CompletableFuture<Assignment> request = services.dispatcher()
-                .dispatch(
-                        plan.dispatchRequest(retries.callerTimeoutNanos(relay.started()), excludedTargets.excluded()));
-        queued = request;
-        request.whenComplete((assignment, problem) -> execute(() -> {
-            if (closed) {
-                Optional.ofNullable(assignment).ifPresent(unneeded -> unneeded.release(AttemptResult.CANCELLED));
-            } else if (problem != null) {
-                failRequest(FailureCauses.of(problem));
-            } else if (!services.control().isCurrent()) { // The key may have been withdrawn while queueing.
-                assignment.release(AttemptResult.CANCELLED);
-                failWith(ErrorCode.INSTANCE_NOT_CURRENT, "this instance can no longer confirm its rules");
-            } else {
-                Optional<String> refusal = crashGuard.refusalBeforeAttempt();
-                if (refusal.isPresent()) {
-                    assignment.release(AttemptResult.CANCELLED);
-                    failWith(ErrorCode.CRASH_SUSPECT, refusal.get());
-                    return;
-                }
-                startAttempt(assignment);
-            }
-        }));
+        dispatch.next(retries.callerTimeoutNanos(relay.started()), excludedTargets.excluded())
+                .whenComplete((assignment, problem) -> execute(() -> {
+                    if (closed) {
+                        Optional.ofNullable(assignment)
+                                .ifPresent(unneeded -> unneeded.release(AttemptResult.CANCELLED));
+                    } else if (problem != null) {
+                        failRequest(FailureCauses.of(problem));
+                    } else {
+                        startAttempt(assignment);
+                    }
+                }));
     }
 
     private void startAttempt(Assignment assignment) {
@@ -365,7 +370,7 @@
         deadlineTimer.cancel();
         attempt.ifPresent(TargetAttempt::cancel);
         attempt = Optional.empty();
-        queued.cancel(false);
+        dispatch.cancel();
         tokens.settle(outcome, relay);
         span.end();
         metrics.finished();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestPlan.java
@@ -65,10 +65,11 @@
      *
      * @param deadlineNanos time at which the caller is expected to disconnect
      * @param excludedTargets targets that must not be used
+     * @param restricted destination of the plan, or that of a certain software version
      */
-    Dispatcher.Request dispatchRequest(long deadlineNanos, Set<TargetId> excludedTargets) {
+    Dispatcher.Request dispatchRequest(long deadlineNanos, Set<TargetId> excludedTargets, Destination restricted) {
         return new Dispatcher.Request(
-                requestId, account, destination, priority, chargedTokens, deadlineNanos, excludedTargets, prompt);
+                requestId, account, restricted, priority, chargedTokens, deadlineNanos, excludedTargets, prompt);
     }
 
     /** Returns the plan with the deadline reduced by the time that the caller has waited already. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
@@ -14,6 +14,7 @@
 import org.basilrill.coordination.admission.TokenAdmission;
 import org.basilrill.coordination.crash.PromptPartGuard;
 import org.basilrill.coordination.limit.RequestPermits;
+import org.basilrill.coordination.stream.StreamVersionGuard;
 import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.state.control.ControlClient;
 
@@ -25,6 +26,7 @@
  * @param otherInstances caller addresses of instances that accept requests, listed in error responses
  * @param blockedRequests requests blocked since the last pull of the control state
  * @param promptParts knows the prompt parts that are blocked because they crash targets
+ * @param streams knows the software versions that began streams
  * @param requestIdCheck checks the request IDs echoed by targets
  * @param permits permits for targets that state a request rate
  * @param dialect dialect of callers; empty for the native API
@@ -46,6 +48,7 @@
         Supplier<List<String>> otherInstances,
         BlockedRequests blockedRequests,
         PromptPartGuard promptParts,
+        StreamVersionGuard streams,
         RequestIdCheck requestIdCheck,
         RequestPermits permits,
         Optional<CallerDialect> dialect) {}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/target/AnnouncementCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/target/AnnouncementCodec.java
@@ -122,7 +122,8 @@
                             ? new TargetAnnouncement.Load(0, 0)
                             : new TargetAnnouncement.Load(load.running, load.waiting),
                     enforcesFencing,
-                    leaving);
+                    leaving,
+                    Optional.empty());
         }
 
         static Message of(TargetAnnouncement announcement) {
--- a/basilrill-library/src/main/java/org/basilrill/state/control/CommandCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/CommandCodec.java
@@ -98,7 +98,9 @@
                 ExpireSessionCommand expire = message.getExpireSession();
                 return new ExpireSession(new InstanceId(expire.getInstance()), expire.getSessionId());
             default:
-                throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "the message contains no known command");
+                return StreamCommandCodec.decode(message)
+                        .orElseThrow(() -> new BasilrillException(
+                                ErrorCode.MESSAGE_MALFORMED, "the message contains no known command"));
         }
     }
 
@@ -205,7 +207,8 @@
         if (command instanceof ReleasePart release) {
             return CommandMessage.releasePart(new ReleasePartCommand(WireEnums.toWire(release.part())));
         }
-        throw new BasilrillException(ErrorCode.INTERNAL, "no encoding for " + command.getClass());
+        return StreamCommandCodec.message(command)
+                .orElseThrow(() -> new BasilrillException(ErrorCode.INTERNAL, "no encoding for " + command.getClass()));
     }
 
     private static ClaimOrder claim(ClaimOrderCommand claim) {
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlCommand.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlCommand.java
@@ -144,6 +144,43 @@
     /** Discards the crashes that count against a prompt part, by order of an operator. */
     record ReleasePart(PromptPartId part) implements ControlCommand {}
 
+    /** Registers a software version of a service before a stream begins at it. */
+    record RegisterVersion(String service, String version) implements ControlCommand {}
+
+    /**
+     * Records that no target of a service has a software version any more.
+     *
+     * @param nowMillis wall-clock time, set by the leader
+     */
+    record RetireVersion(String service, String version, long nowMillis) implements ControlCommand {}
+
+    /**
+     * Records which software versions began streams.
+     *
+     * @param nowMillis wall-clock time, set by the leader
+     */
+    record RecordStreams(List<StreamRecord> streams, long nowMillis) implements ControlCommand {
+        public RecordStreams {
+            streams = List.copyOf(streams);
+        }
+    }
+
+    /**
+     * The software version that began a stream.
+     *
+     * @param requestId id of the request that brought the first event
+     */
+    record StreamRecord(String requestId, String service, String version) {}
+
+    /**
+     * Finds the software version that began a stream.
+     *
+     * @param windowMillis versions that were retired before this time cannot have begun the stream
+     * @param nowMillis wall-clock time, set by the leader
+     */
+    record FindStream(Optional<String> firstRequestId, String service, long windowMillis, long nowMillis)
+            implements ControlCommand {}
+
     /** Opens a session for an instance; a newer session of the same instance expires the older one. */
     record RegisterSession(InstanceId instance, long sessionId) implements ControlCommand {}
 
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlResult.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlResult.java
@@ -50,6 +50,9 @@
         }
     }
 
+    /** The software version that began a stream; empty if it is unknown. */
+    record StreamVersion(Optional<String> version) implements ControlResult {}
+
     /** The command had no effect. */
     record Refused(ErrorCode code, String detail) implements ControlResult {}
 }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlStateMachine.java
@@ -10,20 +10,25 @@
 import org.basilrill.state.control.ControlCommand.AssignBucket;
 import org.basilrill.state.control.ControlCommand.ClaimOrder;
 import org.basilrill.state.control.ControlCommand.ExpireSession;
+import org.basilrill.state.control.ControlCommand.FindStream;
 import org.basilrill.state.control.ControlCommand.FinishOrder;
 import org.basilrill.state.control.ControlCommand.InstallRules;
 import org.basilrill.state.control.ControlCommand.IntendOrder;
 import org.basilrill.state.control.ControlCommand.ObserveTarget;
+import org.basilrill.state.control.ControlCommand.RecordStreams;
 import org.basilrill.state.control.ControlCommand.RegisterSession;
+import org.basilrill.state.control.ControlCommand.RegisterVersion;
 import org.basilrill.state.control.ControlCommand.ReleasePart;
 import org.basilrill.state.control.ControlCommand.ReplaceRules;
 import org.basilrill.state.control.ControlCommand.ReportCrash;
 import org.basilrill.state.control.ControlCommand.ReportPartAnswers;
 import org.basilrill.state.control.ControlCommand.RequestPartTrial;
 import org.basilrill.state.control.ControlCommand.ResolveOrder;
+import org.basilrill.state.control.ControlCommand.RetireVersion;
 import org.basilrill.state.control.ControlResult.CrashCount;
 import org.basilrill.state.control.ControlResult.Done;
 import org.basilrill.state.control.ControlResult.Refused;
+import org.basilrill.state.control.ControlResult.StreamVersion;
 import org.basilrill.state.ledger.LedgerRow;
 import org.basilrill.state.ledger.MemoryLedger;
 import org.basilrill.state.log.ReplicatedStateMachine;
@@ -42,6 +47,7 @@
     private final OrderClaims claims = new OrderClaims();
     private final BucketOwners buckets = new BucketOwners();
     private final CrashSuspects suspects = new CrashSuspects();
+    private final StreamVersions streamVersions = new StreamVersions();
     private final PartSuspects partSuspects = new PartSuspects();
     private final MemoryLedger ledger = new MemoryLedger();
     private long lastIndex;
@@ -78,6 +84,8 @@
                 suspects.state(),
                 ledger.state());
         state.setPartSuspects(partSuspects.state());
+        state.setVersions(streamVersions.versionState());
+        state.setStreams(streamVersions.streamState());
         return ThriftCodec.encode(state);
     }
 
@@ -93,6 +101,9 @@
         suspects.restore(state.getCrashes());
         ledger.restore(state.getLedger());
         partSuspects.restore(Optional.ofNullable(state.getPartSuspects()).orElse(List.of()));
+        streamVersions.restore(
+                Optional.ofNullable(state.getVersions()).orElse(List.of()),
+                Optional.ofNullable(state.getStreams()).orElse(List.of()));
         published = new Published(view(state.getViewIndex()), rules.text());
     }
 
@@ -154,6 +165,19 @@
             }
             return claims.claim(claim, sessions, nowMillis);
         }
+        if (command instanceof RecordStreams record) {
+            if (advance(record.nowMillis())) {
+                publish(index);
+            }
+            streamVersions.record(record, nowMillis);
+            return new Done();
+        }
+        if (command instanceof FindStream find) {
+            if (advance(find.nowMillis())) {
+                publish(index);
+            }
+            return new StreamVersion(streamVersions.find(find, nowMillis));
+        }
         ControlResult result = applyToView(command);
         publish(index);
         return result;
@@ -181,6 +205,15 @@
             advance(trial.nowMillis());
             return partSuspects.requestTrial(trial, nowMillis);
         }
+        if (command instanceof RegisterVersion register) {
+            streamVersions.register(register);
+            return new Done();
+        }
+        if (command instanceof RetireVersion retire) {
+            advance(retire.nowMillis());
+            streamVersions.retire(retire, nowMillis);
+            return new Done();
+        }
         if (command instanceof ReleasePart release) {
             return partSuspects.release(release);
         }
@@ -209,7 +242,7 @@
     private boolean advance(long millis) {
         nowMillis = Math.max(nowMillis, millis);
         claims.expire(nowMillis);
-        return suspects.expire(nowMillis) | partSuspects.expire(nowMillis);
+        return suspects.expire(nowMillis) | partSuspects.expire(nowMillis) | streamVersions.expire(nowMillis);
     }
 
     private void publish(long index) {
@@ -219,6 +252,7 @@
                 || !next.bucketOwners().equals(current.bucketOwners())
                 || !next.blockedFingerprints().equals(current.blockedFingerprints())
                 || !next.suspectParts().equals(current.suspectParts())
+                || !next.serviceVersions().equals(current.serviceVersions())
                 || !next.sessions().equals(current.sessions());
         if (changed) {
             published = new Published(next, rules.text());
@@ -227,7 +261,13 @@
 
     private ControlView view(long index) {
         return new ControlView(
-                index, rules.rules(), buckets.owners(), suspects.blocked(), sessions.open(), partSuspects.view());
+                index,
+                rules.rules(),
+                buckets.owners(),
+                suspects.blocked(),
+                sessions.open(),
+                partSuspects.view(),
+                streamVersions.view());
     }
 
     /** A view with the text of its rules. */
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlView.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlView.java
@@ -15,6 +15,7 @@
  * @param blockedFingerprints requests during which so many targets were lost that they are refused
  * @param sessions open sessions by instance
  * @param suspectParts prompt parts that were at crashed targets, in the order of their last change
+ * @param serviceVersions software versions by service, ordered by name
  */
 public record ControlView(
         long index,
@@ -22,22 +23,24 @@
         Map<AccountId, BucketOwner> bucketOwners,
         Set<String> blockedFingerprints,
         Map<InstanceId, Long> sessions,
-        List<SuspectPart> suspectParts) {
+        List<SuspectPart> suspectParts,
+        List<ServiceVersions> serviceVersions) {
     public ControlView {
         bucketOwners = Map.copyOf(bucketOwners);
         blockedFingerprints = Set.copyOf(blockedFingerprints);
         sessions = Map.copyOf(sessions);
         suspectParts = List.copyOf(suspectParts);
+        serviceVersions = List.copyOf(serviceVersions);
     }
 
-    /** Creates a view without suspect prompt parts. */
+    /** Creates a view without suspect prompt parts and software versions. */
     public ControlView(
             long index,
             Rules rules,
             Map<AccountId, BucketOwner> bucketOwners,
             Set<String> blockedFingerprints,
             Map<InstanceId, Long> sessions) {
-        this(index, rules, bucketOwners, blockedFingerprints, sessions, List.of());
+        this(index, rules, bucketOwners, blockedFingerprints, sessions, List.of(), List.of());
     }
 
     /** Returns the view used until the first one is received from the log. */
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ResultCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ResultCodec.java
@@ -17,6 +17,7 @@
 import org.basilrill.state.control.ControlResult.Refused;
 import org.basilrill.state.control.ControlResult.RulesAccepted;
 import org.basilrill.state.control.ControlResult.RulesConflict;
+import org.basilrill.state.control.ControlResult.StreamVersion;
 import org.basilrill.thrift.control.BucketHeldResult;
 import org.basilrill.thrift.control.CrashCountResult;
 import org.basilrill.thrift.control.DoneResult;
@@ -29,6 +30,7 @@
 import org.basilrill.thrift.control.ResultMessage;
 import org.basilrill.thrift.control.RulesAcceptedResult;
 import org.basilrill.thrift.control.RulesConflictResult;
+import org.basilrill.thrift.control.StreamVersionResult;
 
 /** Converts results of commands to bytes and back. Stateless and thread safe. */
 public final class ResultCodec {
@@ -68,6 +70,9 @@
                 return new OrderReserved(message.getOrderReserved().getFencingNumber());
             case CRASH_COUNT:
                 return crashCount(message.getCrashCount());
+            case STREAM_VERSION:
+                return new StreamVersion(
+                        Optional.ofNullable(message.getStreamVersion().getVersion()));
             case REFUSED:
                 RefusedResult refused = message.getRefused();
                 return new Refused(code(refused.getCode()), refused.getDetail());
@@ -110,6 +115,11 @@
                     count.blockedParts().stream().map(WireEnums::toWire).toList());
             return ResultMessage.crashCount(encoded);
         }
+        if (result instanceof StreamVersion stream) {
+            StreamVersionResult encoded = new StreamVersionResult();
+            stream.version().ifPresent(encoded::setVersion);
+            return ResultMessage.streamVersion(encoded);
+        }
         if (result instanceof Refused refused) {
             return ResultMessage.refused(new RefusedResult(refused.code().name(), refused.detail()));
         }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ViewCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ViewCodec.java
@@ -39,6 +39,10 @@
             message.setSuspectParts(
                     view.suspectParts().stream().map(ViewCodec::toWire).toList());
         }
+        if (!view.serviceVersions().isEmpty()) {
+            message.setServiceVersions(
+                    view.serviceVersions().stream().map(ViewCodec::toWire).toList());
+        }
         if (view.rules().revision() != knownRevision) {
             message.setRulesText(rulesText);
         }
@@ -78,6 +82,9 @@
                 Set.copyOf(message.getBlockedFingerprints()),
                 sessions,
                 Optional.ofNullable(message.getSuspectParts()).orElse(List.of()).stream()
+                        .map(ViewCodec::fromWire)
+                        .toList(),
+                Optional.ofNullable(message.getServiceVersions()).orElse(List.of()).stream()
                         .map(ViewCodec::fromWire)
                         .toList());
     }
@@ -115,6 +122,15 @@
         return new SuspectPart(WireEnums.fromWire(message.getPart()), message.getCrashes(), block);
     }
 
+    private static org.basilrill.thrift.control.ServiceVersions toWire(ServiceVersions versions) {
+        return new org.basilrill.thrift.control.ServiceVersions(
+                versions.service(), versions.inService().stream().sorted().toList(), versions.several());
+    }
+
+    private static ServiceVersions fromWire(org.basilrill.thrift.control.ServiceVersions message) {
+        return new ServiceVersions(message.getServiceName(), Set.copyOf(message.getInService()), message.isSeveral());
+    }
+
     private static Rules rules(ViewMessage message, Rules knownRules, RulesFormat format) {
         if (message.getRulesRevision() == 0) {
             return Rules.empty();
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
@@ -44,42 +44,6 @@
         roles = Set.copyOf(roles);
     }
 
-    /** Creates an announcement without a software version. */
-    public TargetAnnouncement(
-            TargetId id,
-            long incarnation,
-            long sequence,
-            String host,
-            int port,
-            String dataCentre,
-            Optional<String> service,
-            long timeToLiveMillis,
-            long memoryBytes,
-            Map<ModelId, LoadedModel> contents,
-            Set<Role> roles,
-            int slots,
-            Load load,
-            boolean enforcesFencing,
-            boolean leaving) {
-        this(
-                id,
-                incarnation,
-                sequence,
-                host,
-                port,
-                dataCentre,
-                service,
-                timeToLiveMillis,
-                memoryBytes,
-                contents,
-                roles,
-                slots,
-                load,
-                enforcesFencing,
-                leaving,
-                Optional.empty());
-    }
-
     /** Returns whether the target serves models. */
     public boolean isEngine() {
         return service.isEmpty() || !roles.isEmpty();
--- a/basilrill-library/src/test/java/org/basilrill/coordination/Announcements.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/Announcements.java
@@ -33,7 +33,8 @@
                 slots,
                 new TargetAnnouncement.Load(0, 0),
                 true,
-                false);
+                false,
+                Optional.empty());
     }
 
     /** Returns the announcement that follows the given one, with another load and leaving state. */
@@ -59,6 +60,7 @@
                 last.slots(),
                 new TargetAnnouncement.Load(running, 0),
                 last.enforcesFencing(),
-                leaving);
+                leaving,
+                last.softwareVersion());
     }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerFixture.java
@@ -97,7 +97,8 @@
                 64,
                 new TargetAnnouncement.Load(0, 0),
                 true,
-                false);
+                false,
+                Optional.empty());
     }
 
     Map<ModelId, ModelDemand> demand() {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/placement/FuzzTarget.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/placement/FuzzTarget.java
@@ -86,7 +86,8 @@
                 8,
                 new TargetAnnouncement.Load(0, 0),
                 enforcesFencing,
-                leaving);
+                leaving,
+                Optional.empty());
     }
 
     /** Restarts with empty memory or with a random part of its copies. */
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeControl.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeControl.java
@@ -16,11 +16,14 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.Outcome;
 import org.basilrill.state.configuration.Rules;
+import org.basilrill.state.control.CommandCodec;
 import org.basilrill.state.control.ControlClient;
 import org.basilrill.state.control.ControlCommand;
 import org.basilrill.state.control.ControlResult;
+import org.basilrill.state.control.ControlStateMachine;
 import org.basilrill.state.control.ControlView;
 import org.basilrill.state.control.RecordedResponse;
+import org.basilrill.state.control.ResultCodec;
 
 /** An in-memory control log that supports order claims and crash reports. Thread safe. */
 public final class FakeControl implements ControlClient {
@@ -29,6 +32,8 @@
     private final List<ControlCommand> commands = new ArrayList<>();
     private final List<Consumer<ControlView>> listeners = new CopyOnWriteArrayList<>();
     private volatile ControlView view = ControlView.empty();
+    private final ControlStateMachine machine = new ControlStateMachine();
+    private long machineIndex;
     private volatile boolean current = true;
     private volatile Consumer<Submission> delivery = Submission::applyAndRespond;
 
@@ -62,7 +67,14 @@
 
     /** Installs rules and notifies the listeners. */
     public void install(Rules rules) {
-        view = new ControlView(view.index() + 1, rules, Map.of(), view.blockedFingerprints(), Map.of());
+        view = new ControlView(
+                view.index() + 1,
+                rules,
+                Map.of(),
+                view.blockedFingerprints(),
+                Map.of(),
+                view.suspectParts(),
+                view.serviceVersions());
         listeners.forEach(listener -> listener.accept(view));
     }
 
@@ -135,7 +147,26 @@
                     ? new ControlResult.RulesAccepted(replace.expectedRevision() + 1)
                     : new ControlResult.RulesConflict(view.rules().revision(), "luis");
         }
-        return new ControlResult.Done();
+        return applyToMachine(command);
+    }
+
+    /** Applies a command that concerns prompt parts or streams as the control log does, and installs the new view. */
+    private ControlResult applyToMachine(ControlCommand command) {
+        ControlResult result = ResultCodec.decode(machine.apply(++machineIndex, CommandCodec.encode(command)));
+        ControlView state = machine.view();
+        if (!state.serviceVersions().equals(view.serviceVersions())
+                || !state.suspectParts().equals(view.suspectParts())) {
+            view = new ControlView(
+                    view.index() + 1,
+                    view.rules(),
+                    Map.of(),
+                    view.blockedFingerprints(),
+                    Map.of(),
+                    state.suspectParts(),
+                    state.serviceVersions());
+            listeners.forEach(listener -> listener.accept(view));
+        }
+        return result;
     }
 
     private ControlResult claim(ControlCommand.ClaimOrder order) {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -25,6 +25,7 @@
 import org.basilrill.coordination.admission.TokenAdmission;
 import org.basilrill.coordination.crash.PromptPartGuard;
 import org.basilrill.coordination.limit.RequestPermits;
+import org.basilrill.coordination.stream.StreamVersionGuard;
 import org.basilrill.protocol.dialect.CallerDialect;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.configuration.Rules;
@@ -84,7 +85,8 @@
                 8,
                 new TargetAnnouncement.Load(0, 0),
                 true,
-                false);
+                false,
+                Optional.empty());
     }
 
     /** Returns a target of a service with a software version. */
@@ -137,6 +139,7 @@
                 () -> List.of("127.0.0.1:4001"),
                 new BlockedRequests(clock, publishedFingerprints::add),
                 new PromptPartGuard(control, clock, scheduler),
+                new StreamVersionGuard(control, clock, scheduler),
                 new RequestIdCheck(),
                 this,
                 dialect);
@@ -202,13 +205,14 @@
 
     @Override
     public boolean hasOtherTarget(Destination destination, Set<TargetId> used) {
-        return targets.stream().anyMatch(target -> !used.contains(target.id()));
+        return targets.stream().anyMatch(target -> !used.contains(target.id()) && isOfVersion(target, destination));
     }
 
     @Override
     public CompletableFuture<Assignment> dispatch(Request request) {
         return targets.stream()
                 .filter(target -> !request.excludedTargets().contains(target.id()))
+                .filter(target -> isOfVersion(target, request.destination()))
                 .findFirst()
                 .map(target -> {
                     openAssignments.incrementAndGet();
@@ -218,6 +222,13 @@
                         new BasilrillException(ErrorCode.NO_TARGET, "no target is left")));
     }
 
+    private static boolean isOfVersion(TargetAnnouncement target, Destination destination) {
+        return destination
+                .softwareVersion()
+                .map(version -> version.equals(target.softwareVersion().orElse("")))
+                .orElse(true);
+    }
+
     @Override
     public void requestStarted() {
         // The number of retries of this fake does not depend on the number of requests.
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
@@ -36,21 +36,31 @@
     void aCutStreamIsNotContinuedAtATargetOfAnotherVersion() {
         Started started = send("r-1");
         begin(last());
+        fixture.services().targets().remove(OLD);
         last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
-        assertThat(calls(), is(1));
+        assertThat(callsTo(NEW), is(0L));
         assertThat(started.stream().aborted(), is(true));
     }
 
-    /** Guards against a stream that its caller takes up with a new request and that another version continues. */
+    /** Guards against a cut stream that is given up although a target of its version serves. */
     @Test
-    void aStreamIsNotTakenUpAtATargetOfAnotherVersion() {
-        send("r-1");
+    void aCutStreamIsContinuedAtATargetOfItsVersion() {
+        fixture.services().targets().add(SECOND_OLD);
+        Started started = send("r-1");
         begin(last());
         last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+        assertThat(last().target(), is(SECOND_OLD));
+        finish(last());
+        assertThat(started.stream().text(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    }
+
+    /** Guards against a stream that its caller takes up with a new request and that another version continues. */
+    @Test
+    void aStreamIsNotTakenUpAtATargetOfAnotherVersion() {
+        cutStream("r-1");
         fixture.services().targets().remove(OLD);
-        int before = calls();
         Started takenUp = takeUp("r-2", "r-1");
-        assertThat(calls(), is(before));
+        assertThat(callsTo(NEW), is(0L));
         assertThat(takenUp.stream().text().contains("\"outcome\":\"not_run\""), is(true));
     }
 
@@ -109,6 +119,55 @@
                 "body");
     }
 
+    /** Guards against a stream that is refused although a target of its version serves. */
+    @Test
+    void aStreamIsTakenUpAtATargetOfItsVersion() {
+        cutStream("r-1");
+        fixture.services().targets().add(0, NEW);
+        takeUp("r-2", "r-1");
+        assertThat(last().target(), is(OLD));
+    }
+
+    /** Guards against a second request for the same stream that goes on at another version than the first one. */
+    @Test
+    void aStreamThatIsTakenUpTwiceStaysAtItsVersion() {
+        cutStream("r-1");
+        Started takenUp = takeUp("r-2", "r-1");
+        begin(last());
+        takenUp.running().callerDisconnected();
+        fixture.services().targets().add(0, NEW);
+        takeUp("r-3", "r-1");
+        assertThat(last().target(), is(OLD));
+    }
+
+    /** Guards against a guess of the version while streams of several versions may be in progress. */
+    @Test
+    void aStreamOfUnknownVersionIsRefusedImmediately() {
+        send("r-1");
+        begin(last());
+        fixture.services().targets().remove(OLD);
+        send("r-2");
+        begin(last());
+        int before = fixture.connector().calls().size();
+        Started takenUp = takeUp("r-3", "unknown");
+        assertThat(fixture.connector().calls().size(), is(before));
+        assertThat(takenUp.stream().status(), is(409));
+        assertThat(takenUp.stream().text().contains("\"outcome\":\"not_run\""), is(true));
+    }
+
+    /** Begins a stream at the first target and leaves it incomplete. */
+    private void cutStream(String requestId) {
+        Started started = send(requestId);
+        begin(last());
+        started.running().callerDisconnected();
+    }
+
+    private static void finish(FakeCall call) {
+        call.stream();
+        call.data("id: 2\ndata: b\n\n");
+        call.end();
+    }
+
     private static void begin(FakeCall call) {
         call.stream();
         call.data("id: 1\ndata: a\n\n");
@@ -118,7 +177,9 @@
         return fixture.connector().last();
     }
 
-    private int calls() {
-        return fixture.connector().calls().size();
+    private long callsTo(TargetAnnouncement target) {
+        return fixture.connector().calls().stream()
+                .filter(call -> call.target().equals(target))
+                .count();
     }
 }
--- a/basilrill-library/src/test/java/org/basilrill/state/control/CodecTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/CodecTest.java
@@ -50,6 +50,11 @@
                 new ControlCommand.ReportPartAnswers(List.of(new ControlCommand.PartAnswer(PART, 4)), 5),
                 new ControlCommand.RequestPartTrial(PART, 6),
                 new ControlCommand.ReleasePart(PART),
+                new ControlCommand.RegisterVersion("service", "v1"),
+                new ControlCommand.RetireVersion("service", "v1", 7),
+                new ControlCommand.RecordStreams(
+                        List.of(new ControlCommand.StreamRecord("request", "service", "v1")), 8),
+                new ControlCommand.FindStream(Optional.of("request"), "service", 9, 10),
                 new ControlCommand.RegisterSession(INSTANCE, 1),
                 new ControlCommand.ExpireSession(INSTANCE, 1));
         assertThat(commands.size(), is(ControlCommand.class.getPermittedSubclasses().length));
@@ -68,6 +73,7 @@
                 new ControlResult.BucketHeld(INSTANCE, 3),
                 new ControlResult.OrderReserved(4),
                 new ControlResult.CrashCount(2, List.of(PART)),
+                new ControlResult.StreamVersion(Optional.of("v1")),
                 new ControlResult.Refused(ErrorCode.MEMORY_EXCEEDED, "detail"));
         assertThat(results.size(), is(ControlResult.class.getPermittedSubclasses().length));
         results.forEach(result -> assertThat(ResultCodec.decode(ResultCodec.encode(result)), is(result)));
@@ -96,7 +102,8 @@
                 Map.of(INSTANCE, 1L),
                 List.of(
                         new SuspectPart(PART, 3, Optional.of(Duration.ofMinutes(1))),
-                        new SuspectPart(new PromptPartId("service", 8), 1, Optional.empty())));
+                        new SuspectPart(new PromptPartId("service", 8), 1, Optional.empty())),
+                List.of(new ServiceVersions("service", Set.of("v1", "v2"), true)));
         assertThat(ViewCodec.fromMessage(ViewCodec.toMessage(view, text, 4), Rules.empty()), is(view));
         assertThat(ViewCodec.fromMessage(ViewCodec.toMessage(view, text, 5), rules), is(view));
         BasilrillException failure = assertThrows(
--- a/basilrill-library/src/test/java/org/basilrill/state/target/ContentChangesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/target/ContentChangesTest.java
@@ -45,7 +45,8 @@
                 4,
                 new TargetAnnouncement.Load(0, 0),
                 true,
-                false);
+                false,
+                Optional.empty());
     }
 
     @Test
@@ -107,7 +108,8 @@
                 4,
                 old.load(),
                 true,
-                false);
+                false,
+                Optional.empty());
         byStart.announce(old);
         byStart.announce(next);
         assertThat(byStart.readyFor(MODEL).size(), is(0));
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
@@ -186,7 +186,8 @@
                 16,
                 new TargetAnnouncement.Load(2, 1),
                 true,
-                false);
+                false,
+                Optional.empty());
         String json = new String(AnnouncementCodec.write(announcement), StandardCharsets.UTF_8);
         try (RawHttp target = fixture.connect()) {
             target.send(RawHttp.request("POST", "/v1/targets/announce", TARGET_KEY, "", json));
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/MembershipBytes.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/MembershipBytes.java
@@ -172,7 +172,8 @@
                 32,
                 new TargetAnnouncement.Load(0, 0),
                 true,
-                false));
+                false,
+                Optional.empty()));
     }
 
     private static double seconds(Duration duration) {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/PlacementPolicies.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/PlacementPolicies.java
@@ -204,7 +204,8 @@
                     32,
                     new TargetAnnouncement.Load(0, 0),
                     true,
-                    false);
+                    false,
+                    Optional.empty());
         }
     }
 }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/SimulatedEngine.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/SimulatedEngine.java
@@ -61,7 +61,8 @@
                 SLOTS,
                 new TargetAnnouncement.Load(0, 0),
                 true,
-                false);
+                false,
+                Optional.empty());
     }
 
     static ModelId modelId(int number) {
@@ -90,7 +91,8 @@
                 initialAnnouncement.slots(),
                 new TargetAnnouncement.Load(running, queuedJobs.size()),
                 true,
-                false);
+                false,
+                Optional.empty());
     }
 
     /** Returns the blocks added to and evicted from the prefix cache since the previous event. */
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/StateSizeMeasurement.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/measure/StateSizeMeasurement.java
@@ -225,7 +225,8 @@
                 32,
                 new TargetAnnouncement.Load(running, 0),
                 true,
-                false);
+                false,
+                Optional.empty());
     }
 
     private static String rules(int models, long number) {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/target/FakeTarget.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.EnumSet;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -74,6 +75,7 @@
                 settings.slots(),
                 new TargetAnnouncement.Load(engine.running(), 0),
                 settings.enforcesFencing(),
-                leaving.get());
+                leaving.get(),
+                Optional.empty());
     }
 }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
@@ -191,7 +191,8 @@
                 64,
                 new TargetAnnouncement.Load(0, 0),
                 true,
-                isLeaving());
+                isLeaving(),
+                Optional.empty());
     }
 
     /** Opens a connection from an instance; no events are delivered once the process of the instance has ended. */
--- a/basilrill-thrift/src/main/thrift/control.thrift
+++ b/basilrill-thrift/src/main/thrift/control.thrift
@@ -140,6 +140,41 @@
   1: required PromptPart part
 }
 
+/** Registers a software version of a service before a stream begins at it. */
+struct RegisterVersionCommand {
+  1: required string serviceName
+  2: required string version
+}
+
+/** Records that no target of a service has a software version any more. */
+struct RetireVersionCommand {
+  1: required string serviceName
+  2: required string version
+  3: required i64 nowMillis
+}
+
+struct StreamRecord {
+  /** Id of the request that brought the first event. */
+  1: required string requestId
+  2: required string serviceName
+  3: required string version
+}
+
+/** Records which software versions began streams. */
+struct RecordStreamsCommand {
+  1: required list<StreamRecord> streams
+  2: required i64 nowMillis
+}
+
+/** Finds the software version that began a stream. */
+struct FindStreamCommand {
+  1: optional string firstRequestId
+  2: required string serviceName
+  /** Versions that were retired before this time cannot have begun the stream. */
+  3: required i64 windowMillis
+  4: required i64 nowMillis
+}
+
 struct RegisterSessionCommand {
   1: required string instance
   2: required i64 sessionId
@@ -165,6 +200,10 @@
   12: ReportPartAnswersCommand reportPartAnswers
   13: RequestPartTrialCommand requestPartTrial
   14: ReleasePartCommand releasePart
+  15: RegisterVersionCommand registerVersion
+  16: RetireVersionCommand retireVersion
+  17: RecordStreamsCommand recordStreams
+  18: FindStreamCommand findStream
 }
 
 // Results of commands.
@@ -206,6 +245,11 @@
   2: optional list<PromptPart> blockedParts
 }
 
+struct StreamVersionResult {
+  /** Absent if the version that began the stream is unknown. */
+  1: optional string version
+}
+
 struct RefusedResult {
   /** Name of the error code. */
   1: required string code
@@ -223,6 +267,7 @@
   8: OrderReservedResult orderReserved
   9: CrashCountResult crashCount
   10: RefusedResult refused
+  11: StreamVersionResult streamVersion
 }
 
 // State of the state machine. Lists are sorted so that equal states have equal encodings.
@@ -296,6 +341,20 @@
   5: required i32 trials
 }
 
+struct VersionState {
+  1: required string serviceName
+  2: required string version
+  /** The largest number while the version is in service. */
+  3: required i64 retiredMillis
+}
+
+struct StreamState {
+  1: required string requestId
+  2: required string serviceName
+  3: required string version
+  4: required i64 recordedMillis
+}
+
 struct HoldingState {
   1: required string model
   2: required i32 version
@@ -340,6 +399,8 @@
   9: required list<CrashState> crashes
   10: required LedgerState ledger
   11: optional list<PartSuspectState> partSuspects
+  12: optional list<VersionState> versions
+  13: optional list<StreamState> streams
 }
 
 // The part of the state that every instance pulls from a replica.
@@ -351,6 +412,12 @@
   3: optional i64 blockMillis
 }
 
+struct ServiceVersions {
+  1: required string serviceName
+  2: required list<string> inService
+  3: required bool several
+}
+
 struct ViewMessage {
   1: required i64 index
   2: required i64 rulesRevision
@@ -360,6 +427,7 @@
   5: required list<string> blockedFingerprints
   6: required list<SessionState> sessions
   7: optional list<SuspectPart> suspectParts
+  8: optional list<ServiceVersions> serviceVersions
 }
 
 // Messages of subject CONTROL between instances.
