Refuse only requests with all parts that crashes do not tell apart

Cause: three engines crashed within 0.7 s, before a response to the shared first part could begin, so this part was blocked with the guilty one; a blocked part gets no response that could clear it, and the first trial came after a minute.

Change: parts with the same crashes form a group, and only requests with the whole group are refused. Requests with a part of it run: a response clears a sound part, a further crash tells the parts apart. The first trial of a block comes after 5 s, the later ones after 1 min, 12 min, 2.4 h and 8 h.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/crash/PromptPartGuard.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/crash/PromptPartGuard.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.PromptPartId;
@@ -43,11 +45,14 @@
     private final Scheduler scheduler;
     private final PartAnswers answers;
     private final PartTrials trials;
-    private final Map<PromptPartId, Long> reportedBlockNanos = new HashMap<>();
+    /** Parts because of which the control log refused a request of this instance, and when. */
+    private final Map<Set<PromptPartId>, Long> reportedBlockNanos = new HashMap<>();
     /** The suspects of the last view whose answers were not reported since, so that one view causes one report. */
     private final Set<PromptPartId> unreportedSuspects = new HashSet<>();
 
-    private Set<PromptPartId> blocked = Set.of();
+    /** Blocked parts of the last view; requests that contain a whole group are refused. */
+    private List<Set<PromptPartId>> blockedGroups = List.of();
+
     private boolean reportScheduled;
 
     public PromptPartGuard(ControlClient control, MonotonicClock clock, Scheduler scheduler) {
@@ -59,14 +64,14 @@
         control.onView(this::viewChanged);
     }
 
-    /** Returns the first of the parts that is blocked. */
+    /** Returns a part because of which a request with these parts is refused. */
     public synchronized Optional<PromptPartId> blockedAmong(List<PromptPartId> parts) {
-        return parts.stream().filter(this::isBlocked).findFirst();
+        return blockedGroups(parts).map(group -> group.iterator().next()).findFirst();
     }
 
     /** Returns the number of blocked parts in the last view. */
     public synchronized int blockedParts() {
-        return blocked.size();
+        return blockedGroups.stream().mapToInt(Set::size).sum();
     }
 
     /**
@@ -76,12 +81,15 @@
     public boolean tryAsTrial(List<PromptPartId> parts) {
         List<PromptPartId> due;
         synchronized (this) {
-            List<PromptPartId> refused = parts.stream().filter(this::isBlocked).toList();
-            if (refused.size() == 1 && trials.use(refused.get(0))) {
-                LOGGER.atInfo().log("%s: %s", LogEvent.PROMPT_PART_TRIED, refused.get(0));
+            List<Set<PromptPartId>> refusing = blockedGroups(parts).toList();
+            if (refusing.size() == 1 && refusing.get(0).stream().anyMatch(trials::use)) {
+                LOGGER.atInfo().log("%s: %s", LogEvent.PROMPT_PART_TRIED, refusing.get(0));
                 return true;
             }
-            due = refused.stream().filter(trials::requestDue).toList();
+            due = refusing.stream()
+                    .flatMap(Set::stream)
+                    .filter(trials::requestDue)
+                    .toList();
         }
         due.forEach(this::requestTrial);
         return false;
@@ -106,41 +114,48 @@
     public synchronized void crashReported(ControlResult.CrashCount count) {
         long now = clock.nanos();
         reportedBlockNanos.values().removeIf(nanos -> now - nanos > REPORTED_BLOCK_VALIDITY.toNanos());
-        count.blockedParts().forEach(part -> reportedBlockNanos.put(part, now));
+        if (!count.blockedParts().isEmpty()) {
+            reportedBlockNanos.put(Set.copyOf(count.blockedParts()), now);
+        }
     }
 
-    private boolean isBlocked(PromptPartId part) {
-        Long reported = reportedBlockNanos.get(part);
-        return blocked.contains(part)
-                || reported != null && clock.nanos() - reported <= REPORTED_BLOCK_VALIDITY.toNanos();
+    /** Returns the groups of blocked parts that a request with these parts contains. */
+    private Stream<Set<PromptPartId>> blockedGroups(List<PromptPartId> parts) {
+        long now = clock.nanos();
+        Stream<Set<PromptPartId>> reported = reportedBlockNanos.entrySet().stream()
+                .filter(entry -> now - entry.getValue() <= REPORTED_BLOCK_VALIDITY.toNanos())
+                .map(Map.Entry::getKey);
+        return Stream.concat(blockedGroups.stream(), reported).filter(parts::containsAll);
     }
 
     private void viewChanged(ControlView view) {
         synchronized (this) {
-            if (view.suspectParts().isEmpty() && unreportedSuspects.isEmpty() && blocked.isEmpty()) {
+            if (view.suspectParts().isEmpty() && unreportedSuspects.isEmpty() && blockedGroups.isEmpty()) {
                 return;
             }
             Set<SuspectPart> blockedNow =
                     view.suspectParts().stream().filter(SuspectPart::blocked).collect(Collectors.toUnmodifiableSet());
             unreportedSuspects.clear();
             view.suspectParts().forEach(suspect -> unreportedSuspects.add(suspect.part()));
-            adoptBlocked(blockedNow.stream().map(SuspectPart::part).collect(Collectors.toUnmodifiableSet()));
+            adoptBlocked(blockedNow);
             trials.update(blockedNow);
         }
         reportAnswers();
     }
 
-    private void adoptBlocked(Set<PromptPartId> next) {
-        Set<PromptPartId> added = new HashSet<>(next);
-        added.removeAll(blocked);
-        Set<PromptPartId> removed = new HashSet<>(blocked);
-        removed.removeAll(next);
-        added.forEach(part -> LOGGER.atWarning().log("%s: %s", LogEvent.PROMPT_PART_BLOCKED, part));
-        removed.forEach(part -> {
-            reportedBlockNanos.remove(part);
-            LOGGER.atInfo().log("%s: %s", LogEvent.PROMPT_PART_RELEASED, part);
+    private void adoptBlocked(Set<SuspectPart> blockedNow) {
+        Collection<Set<PromptPartId>> next = blockedNow.stream()
+                .collect(Collectors.groupingBy(
+                        SuspectPart::group, Collectors.mapping(SuspectPart::part, Collectors.toUnmodifiableSet())))
+                .values();
+        next.stream()
+                .filter(group -> !blockedGroups.contains(group))
+                .forEach(group -> LOGGER.atWarning().log("%s: %s", LogEvent.PROMPT_PART_BLOCKED, group));
+        blockedGroups.stream().filter(group -> !next.contains(group)).forEach(group -> {
+            reportedBlockNanos.remove(group);
+            LOGGER.atInfo().log("%s: %s", LogEvent.PROMPT_PART_RELEASED, group);
         });
-        blocked = next;
+        blockedGroups = List.copyOf(next);
     }
 
     private void reportAnswers() {
--- a/basilrill-library/src/main/java/org/basilrill/state/control/PartEvidence.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/PartEvidence.java
@@ -30,8 +30,12 @@
     /** Limits the size of the state; enough to compare the crashes of several parts. */
     private static final int MAXIMUM_CRASHES = 16;
 
-    private static final Duration FIRST_BLOCK = Duration.ofMinutes(1);
-    private static final int BLOCK_FACTOR = 8;
+    /** Short, so that a sound part that was blocked by mistake is soon served again. */
+    private static final Duration FIRST_BLOCK = Duration.ofSeconds(5);
+
+    /** Large, as each trial of a part that still crashes targets costs one. */
+    private static final int BLOCK_FACTOR = 12;
+
     private static final Duration LONGEST_BLOCK = Duration.ofHours(8);
 
     /** Identifies a crash: a target crashes once in each incarnation. */
--- a/basilrill-library/src/main/java/org/basilrill/state/control/PartSuspects.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/PartSuspects.java
@@ -4,12 +4,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.PromptPartId;
 import org.basilrill.state.control.ControlCommand.ReleasePart;
@@ -38,9 +38,13 @@
     /** Evidence by part, ordered by its last change, oldest first. */
     private final LinkedHashMap<PromptPartId, PartEvidence> suspects = new LinkedHashMap<>();
 
-    private final Set<PromptPartId> blocked = new HashSet<>();
+    /** Group number by blocked part; the parts of a group have the same crashes. */
+    private final Map<PromptPartId, Integer> blocked = new HashMap<>();
 
-    /** Counts a crash against the reported parts; returns those that are blocked. */
+    /**
+     * Counts a crash against the reported parts; returns those because of which the request is refused: the blocked
+     * ones whose whole group it contains.
+     */
     List<PromptPartId> report(ReportCrash command, long nowMillis) {
         for (PromptPartId part : command.promptParts()) {
             PartEvidence known = suspects.getOrDefault(part, PartEvidence.none(nowMillis));
@@ -51,7 +55,13 @@
         }
         dropExcess();
         updateBlocked();
-        return command.promptParts().stream().filter(blocked::contains).toList();
+        Set<Integer> incomplete = blocked.entrySet().stream()
+                .filter(entry -> !command.promptParts().contains(entry.getKey()))
+                .map(Map.Entry::getValue)
+                .collect(Collectors.toUnmodifiableSet());
+        return command.promptParts().stream()
+                .filter(part -> blocked.containsKey(part) && !incomplete.contains(blocked.get(part)))
+                .toList();
     }
 
     /** Discards the crashes that precede the reported responses. */
@@ -67,7 +77,7 @@
     /** Grants one request if the part is blocked and its block has lasted long enough; the next block is longer. */
     ControlResult requestTrial(RequestPartTrial command, long nowMillis) {
         PromptPartId part = command.part();
-        if (!blocked.contains(part) || nowMillis < suspects.get(part).trialMillis()) {
+        if (!blocked.containsKey(part) || nowMillis < suspects.get(part).trialMillis()) {
             return new ControlResult.Refused(ErrorCode.CRASH_SUSPECT, "no trial of the prompt part is due");
         }
         replace(part, suspects.get(part).afterTrial(nowMillis));
@@ -86,7 +96,7 @@
     boolean expire(long nowMillis) {
         boolean dropped = suspects.entrySet()
                 .removeIf(entry -> nowMillis - entry.getValue().changedMillis()
-                        > (blocked.contains(entry.getKey()) ? RETENTION_MILLIS : SUSPICION_MILLIS));
+                        > (blocked.containsKey(entry.getKey()) ? RETENTION_MILLIS : SUSPICION_MILLIS));
         if (dropped) {
             updateBlocked();
         }
@@ -98,9 +108,10 @@
                 .map(entry -> new SuspectPart(
                         entry.getKey(),
                         entry.getValue().crashes().size(),
-                        blocked.contains(entry.getKey())
+                        blocked.containsKey(entry.getKey())
                                 ? Optional.of(entry.getValue().block())
-                                : Optional.empty()))
+                                : Optional.empty(),
+                        blocked.getOrDefault(entry.getKey(), 0)))
                 .toList();
     }
 
@@ -135,10 +146,12 @@
 
     /**
      * Blocks the parts with sufficient evidence, except those that the other ones explain. Parts with the same crashes
-     * cannot be told apart and are blocked or explained together.
+     * cannot be told apart and form a group. Only requests with the whole group are refused: when the shared system
+     * prompt was blocked with the part that crashes targets, no request of its kind was served.
      */
     private void updateBlocked() {
         blocked.clear();
+        int groupCount = 0;
         Map<Set<CrashId>, List<PromptPartId>> groups = new LinkedHashMap<>();
         suspects.forEach((part, evidence) -> {
             if (evidence.suffices()) {
@@ -154,7 +167,8 @@
             if (crashes.stream().allMatch(crash -> explanations.get(crash) > 1)) {
                 crashes.forEach(crash -> explanations.merge(crash, -1, Integer::sum));
             } else {
-                blocked.addAll(groups.get(crashes));
+                int group = ++groupCount;
+                groups.get(crashes).forEach(part -> blocked.put(part, group));
             }
         }
     }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/SuspectPart.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/SuspectPart.java
@@ -9,9 +9,11 @@
  *
  * @param crashes crashes that count against the part
  * @param block time from the block until one request with the part is permitted as a trial; empty if not blocked
+ * @param group number of the group of blocked parts that the crashes do not tell apart; requests with all of them are
+ *     refused. Zero if not blocked
  */
-public record SuspectPart(PromptPartId part, int crashes, Optional<Duration> block) {
-    /** Returns whether requests with the part are refused. */
+public record SuspectPart(PromptPartId part, int crashes, Optional<Duration> block, int group) {
+    /** Returns whether requests with all parts of the group are refused. */
     public boolean blocked() {
         return block.isPresent();
     }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ViewCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ViewCodec.java
@@ -112,6 +112,7 @@
         org.basilrill.thrift.control.SuspectPart message =
                 new org.basilrill.thrift.control.SuspectPart(WireEnums.toWire(suspect.part()), suspect.crashes());
         suspect.block().map(Duration::toMillis).ifPresent(message::setBlockMillis);
+        message.setBlockGroup(suspect.group());
         return message;
     }
 
@@ -119,7 +120,8 @@
         Optional<Duration> block = message.isSetBlockMillis()
                 ? Optional.of(Duration.ofMillis(message.getBlockMillis()))
                 : Optional.empty();
-        return new SuspectPart(WireEnums.fromWire(message.getPart()), message.getCrashes(), block);
+        return new SuspectPart(
+                WireEnums.fromWire(message.getPart()), message.getCrashes(), block, message.getBlockGroup());
     }
 
     private static org.basilrill.thrift.control.ServiceVersions toWire(ServiceVersions versions) {
--- a/basilrill-thrift/src/main/thrift/control.thrift
+++ b/basilrill-thrift/src/main/thrift/control.thrift
@@ -410,6 +410,8 @@
   2: required i32 crashes
   /** Time from the block until one request is permitted as a trial; absent if the part is not blocked. */
   3: optional i64 blockMillis
+  /** Number of the group of parts that the crashes do not tell apart; absent if the part is not blocked. */
+  4: optional i32 blockGroup
 }
 
 struct ServiceVersions {
