Begin streams under a leader that cannot register software versions

By reading: in a rolling upgrade a leader of the earlier release refuses the command that registers a version, and every resumable stream at an instance of the new release would have ended with CONTROL_UNAVAILABLE. A refusal now counts as registered: streams begin as before, and one that another instance began is refused when it is taken up, because that leader cannot find its version. Not played with two releases; streamsBeginAlsoUnderALeaderThatCannotRegisterVersions has the case.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/stream/StreamVersionGuard.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/stream/StreamVersionGuard.java
@@ -143,7 +143,8 @@
     }
 
     private void registered(Version version, CompletableFuture<Void> registration, ControlResult result) {
-        if (result instanceof ControlResult.Done) {
+        // A leader of an earlier release refuses the command; streams then begin as they did before it existed.
+        if (result instanceof ControlResult.Done || result instanceof ControlResult.Refused) {
             registration.complete(null);
             return;
         }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/stream/SharedControl.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/stream/SharedControl.java
@@ -21,6 +21,7 @@
     private final List<Client> clients = new ArrayList<>();
     private long index;
     private boolean available = true;
+    private boolean earlierRelease;
 
     Client client() {
         Client client = new Client();
@@ -32,6 +33,11 @@
         available = isAvailable;
     }
 
+    /** Lets the log refuse all commands, as one of an earlier release refuses those that it does not know. */
+    void refuseCommands() {
+        earlierRelease = true;
+    }
+
     /** Delivers the current view to all instances, as their next pulls do. */
     void deliverViews() {
         clients.forEach(Client::deliver);
@@ -48,6 +54,10 @@
                 return CompletableFuture.failedFuture(
                         new BasilrillException(ErrorCode.CONTROL_UNAVAILABLE, "no leader in this test"));
             }
+            if (earlierRelease) {
+                return CompletableFuture.completedFuture(
+                        new ControlResult.Refused(ErrorCode.MESSAGE_MALFORMED, "unknown command in this test"));
+            }
             return CompletableFuture.completedFuture(
                     ResultCodec.decode(machine.apply(++index, CommandCodec.encode(command))));
         }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/stream/StreamVersionGuardTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/stream/StreamVersionGuardTest.java
@@ -97,6 +97,15 @@
         assertThat(find(second, "unknown"), is(Optional.of("v2")));
     }
 
+    /** Guards against an upgrade in which no stream begins until an instance of the new release leads the log. */
+    @Test
+    void streamsBeginAlsoUnderALeaderThatCannotRegisterVersions() {
+        control.refuseCommands();
+        begin(first, "r", OLD);
+        assertThat(find(first, "r"), is(Optional.of("v1")));
+        assertThat(find(second, "r"), is(Optional.empty()));
+    }
+
     /** Guards against a version that is used after it was retired, without being registered again. */
     @Test
     void aRetiredVersionIsRegisteredAgainBeforeItsNextStream() {
