Guard the wait of a lost request for its crash report

Two tests hold its response back: a lost request is not sent again before its report has a result, and is after 250 ms without one.

--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/PromptPartTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/PromptPartTest.java
@@ -6,6 +6,7 @@
 
 import io.opentelemetry.api.OpenTelemetry;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -101,6 +102,36 @@
         assertThat(third.stream().text(), containsString("CRASH_SUSPECT"));
     }
 
+    /** Guards against a second engine lost to a request while the report of its first crash is on its way. */
+    @Test
+    void aLostRequestWaitsForItsReportBeforeItIsSentAgain() {
+        fixture.connector().setAccepting(false);
+        crash("/r/x", 1);
+        crash("/r/x", 2);
+        send("/s/x", SYSTEM_AND_CRASHING, 3);
+        last().send();
+        List<FakeControl.Submission> reports = new ArrayList<>();
+        fixture.control().setDelivery(reports::add);
+        int before = fixture.connector().calls().size();
+        last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+        assertThat(fixture.connector().calls().size(), is(before));
+        reports.forEach(FakeControl.Submission::applyAndRespond);
+        assertThat(fixture.connector().calls().size(), is(before));
+    }
+
+    /** Guards against requests that fail with an engine because the control log has no leader. */
+    @Test
+    void aLostRequestIsSentAgainIfItsReportGetsNoResult() {
+        fixture.connector().setAccepting(false);
+        send("/s/x", SYSTEM_AND_CRASHING, 1);
+        last().send();
+        fixture.control().setDelivery(submission -> {});
+        last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+        assertThat(fixture.connector().calls().size(), is(1));
+        fixture.time().advance(Duration.ofMillis(250));
+        assertThat(fixture.connector().calls().size(), is(2));
+    }
+
     private void crashThreeTargets() {
         fixture.connector().setAccepting(false);
         for (int number = 1; number <= 3; number++) {
