Guard the registration of a software version before a stream begins

Trial: with the registration in StreamContinuity removed, no test of streams failed. The new test loses the commands: no stream begins, the request is refused and its slot released.

--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
@@ -155,6 +155,16 @@
         assertThat(takenUp.stream().text().contains("\"outcome\":\"not_run\""), is(true));
     }
 
+    /** Guards against a stream at a version that the control log does not know when the stream is taken up. */
+    @Test
+    void noStreamBeginsAtAVersionThatCannotBeRegistered() {
+        fixture.control().setDelivery(FakeControl.Submission::lose);
+        Started started = send("r-1");
+        assertThat(fixture.connector().calls().isEmpty(), is(true));
+        assertThat(started.stream().status(), is(503));
+        assertThat(fixture.services().openAssignments(), is(0));
+    }
+
     /** Begins a stream at the first target and leaves it incomplete. */
     private void cutStream(String requestId) {
         Started started = send(requestId);
