Guard the check of queued requests against blocked prompt parts

The new test queues a request before its part is blocked: it is refused once a target is assigned, and the slot is released.

--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeServices.java
@@ -48,6 +48,7 @@
     private final AtomicLong tokensUsed = new AtomicLong();
     private final List<AttemptResult> results = new CopyOnWriteArrayList<>();
     private volatile Optional<ErrorCode> admissionFailure = Optional.empty();
+    private volatile CompletableFuture<Void> queueReleased = CompletableFuture.completedFuture(null);
     private volatile int remainingRetries = Integer.MAX_VALUE;
 
     public FakeServices() {
@@ -208,8 +209,24 @@
         return targets.stream().anyMatch(target -> !used.contains(target.id()) && isOfVersion(target, destination));
     }
 
+    /** Queues requests from now on until {@link #releaseLater}. */
+    void holdQueue() {
+        queueReleased = new CompletableFuture<>();
+    }
+
+    /** Queues no further requests; returns the future on which the queued ones wait. */
+    CompletableFuture<Void> releaseLater() {
+        CompletableFuture<Void> queue = queueReleased;
+        queueReleased = CompletableFuture.completedFuture(null);
+        return queue;
+    }
+
     @Override
     public CompletableFuture<Assignment> dispatch(Request request) {
+        return queueReleased.thenCompose(released -> assign(request));
+    }
+
+    private CompletableFuture<Assignment> assign(Request request) {
         return targets.stream()
                 .filter(target -> !request.excludedTargets().contains(target.id()))
                 .filter(target -> isOfVersion(target, request.destination()))
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/PromptPartTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/PromptPartTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.instance.CoordinatorFixture.Started;
 import org.basilrill.protocol.instance.FakeConnector.FakeCall;
@@ -102,6 +103,20 @@
         assertThat(third.stream().text(), containsString("CRASH_SUSPECT"));
     }
 
+    /** Guards against requests that were queued before their part was blocked and are sent afterwards. */
+    @Test
+    void aQueuedRequestIsRefusedOnceItsPartIsBlocked() {
+        fixture.services().holdQueue();
+        Started queued = send("/r/x", SYSTEM_AND_CRASHING, 9);
+        CompletableFuture<Void> released = fixture.services().releaseLater();
+        crashThreeTargets();
+        int before = fixture.connector().calls().size();
+        released.complete(null);
+        assertThat(fixture.connector().calls().size(), is(before));
+        assertThat(queued.stream().text(), containsString("CRASH_SUSPECT"));
+        assertThat(fixture.services().openAssignments(), is(0));
+    }
+
     /** Guards against a second engine lost to a request while the report of its first crash is on its way. */
     @Test
     void aLostRequestWaitsForItsReportBeforeItIsSentAgain() {
