Try a group of blocked prompt parts once

A grant now counts for the whole group; aGroupOfPartsIsTriedOnce has the case. Responses that could not be reported are logged.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/crash/PromptPartGuard.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/crash/PromptPartGuard.java
@@ -166,7 +166,12 @@
             unreported.forEach(answer -> unreportedSuspects.remove(answer.part()));
         }
         if (!unreported.isEmpty()) {
-            control.submit(new ReportPartAnswers(unreported, 0), COMMAND_DEADLINE);
+            control.submit(new ReportPartAnswers(unreported, 0), COMMAND_DEADLINE)
+                    .whenComplete((result, problem) -> {
+                        if (problem != null) {
+                            LOGGER.atWarning().log("%s: %d responses", LogEvent.CRASH_REPORT_FAILED, unreported.size());
+                        }
+                    });
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/state/control/PartSuspects.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/PartSuspects.java
@@ -74,13 +74,18 @@
         updateBlocked();
     }
 
-    /** Grants one request if the part is blocked and its block has lasted long enough; the next block is longer. */
+    /** Grants one request with the group of a part whose block has lasted long enough; the next block is longer. */
     ControlResult requestTrial(RequestPartTrial command, long nowMillis) {
         PromptPartId part = command.part();
         if (!blocked.containsKey(part) || nowMillis < suspects.get(part).trialMillis()) {
             return new ControlResult.Refused(ErrorCode.CRASH_SUSPECT, "no trial of the prompt part is due");
         }
-        replace(part, suspects.get(part).afterTrial(nowMillis));
+        int group = blocked.get(part);
+        List<PromptPartId> tried = blocked.keySet().stream()
+                .filter(other -> blocked.get(other) == group)
+                .sorted(Comparator.comparing(PromptPartId::toString))
+                .toList();
+        tried.forEach(other -> replace(other, suspects.get(other).afterTrial(nowMillis)));
         return new ControlResult.Done();
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/state/control/PartSuspectsTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/PartSuspectsTest.java
@@ -179,6 +179,19 @@
         assertThat(suspects.view(), is(empty()));
     }
 
+    /** Guards against one trial for each part of a group, each of which costs a target. */
+    @Test
+    void aGroupOfPartsIsTriedOnce() {
+        for (int number = 1; number <= 3; number++) {
+            crash("engine-" + number, 1, number * SECOND, SYSTEM_PROMPT, CRASHING);
+        }
+        long due = 8 * SECOND;
+        assertThat(trial(due), is(new ControlResult.Done()));
+        assertThat(
+                suspects.requestTrial(new RequestPartTrial(SYSTEM_PROMPT, due), due),
+                is(instanceOf(ControlResult.Refused.class)));
+    }
+
     /** Guards against an operator's release that a replica forgets or a crash report that follows it. */
     @Test
     void aReleasedPartIsBlockedAgainOnlyAfterNewCrashes() {
