Write the log lines that were queued during the last write

Traced: if the log is closed while its writer thread is writing, the thread leaves its loop by the flag and not by the interrupt, and did not write what was queued meanwhile. So a process that stops could lose its last lines. The writer now writes a last batch either way. The new test closes the log during a write; it failed before (1 line, 2 expected).

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/log/BoundedLog.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/log/BoundedLog.java
@@ -103,8 +103,10 @@
                 writeBatch(queue.poll(1, TimeUnit.DAYS));
             }
         } catch (InterruptedException exception) {
-            writeBatch(null);
+            // The log is being closed.
         }
+        // Lines may have been queued during the last write.
+        writeBatch(null);
     }
 
     private void writeBatch(String first) {
--- a/basilrill-daemon/src/test/java/org/basilrill/daemon/log/BoundedLogTest.java
+++ b/basilrill-daemon/src/test/java/org/basilrill/daemon/log/BoundedLogTest.java
@@ -103,4 +103,40 @@
         release.countDown();
         log.close();
     }
+
+    /** Guards against lines that are lost if the log is closed while its writer thread is writing earlier ones. */
+    @Test
+    void linesThatAreQueuedDuringAWriteAreWrittenWhenTheLogIsClosed() throws Exception {
+        CountDownLatch writing = new CountDownLatch(1);
+        OutputStream slowOutput = new OutputStream() {
+            @Override
+            public void write(int value) {
+                output.write(value);
+            }
+
+            @Override
+            public void write(byte[] bytes, int offset, int length) {
+                output.write(bytes, offset, length);
+                if (writing.getCount() > 0) {
+                    writing.countDown();
+                    awaitInterrupt();
+                }
+            }
+        };
+        BoundedLog log = new BoundedLog(slowOutput, clock);
+        log.publish(info("E1 first"));
+        writing.await();
+        log.publish(info("E2 second"));
+        log.close();
+        assertThat(lines().size(), is(2));
+    }
+
+    /** Waits until the log interrupts its writer thread, which it does when it is closed. */
+    private static void awaitInterrupt() {
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException closed) {
+            // The log is being closed.
+        }
+    }
 }
