Move the interfaces of targets and callers out of protocol.instance

TargetConnector belongs to protocol.target, CallerStream and RunningRequest to protocol.caller. Exchanges that another instance carries will use them without depending on the request path. No behaviour changes.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CallerStream.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/CallerStream.java
@@ -1,6 +1,4 @@
-package org.basilrill.protocol.instance;
-
-import org.basilrill.protocol.caller.ResponseHead;
+package org.basilrill.protocol.caller;
 
 /**
  * Sends the response to one caller. The coordinator calls {@link #start} at most once, then {@link #write} any number
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RunningRequest.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/RunningRequest.java
@@ -1,4 +1,4 @@
-package org.basilrill.protocol.instance;
+package org.basilrill.protocol.caller;
 
 /** A request that was passed to the coordinator. Thread safe; no method blocks. */
 public interface RunningRequest {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstanceEnvironment.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstanceEnvironment.java
@@ -14,6 +14,7 @@
 import org.basilrill.api.Scheduler;
 import org.basilrill.coordination.control.ControlLog;
 import org.basilrill.coordination.placement.TargetOrderClient;
+import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.control.ControlStateMachine;
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -14,9 +14,11 @@
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.Outcome;
 import org.basilrill.api.PromptPartId;
+import org.basilrill.protocol.caller.CallerStream;
 import org.basilrill.protocol.caller.ErrorBody;
 import org.basilrill.protocol.caller.PlainResponse;
 import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.caller.RunningRequest;
 import org.basilrill.state.control.ControlView;
 
 /**
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestServices.java
@@ -16,6 +16,7 @@
 import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.coordination.stream.StreamVersionGuard;
 import org.basilrill.protocol.dialect.CallerDialect;
+import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.control.ControlClient;
 
 /**
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/ResponseRelay.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/ResponseRelay.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.basilrill.api.BasilrillException;
+import org.basilrill.protocol.caller.CallerStream;
 import org.basilrill.protocol.caller.EventBoundaries;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.PlainResponse;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/StartupQueue.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/StartupQueue.java
@@ -9,6 +9,8 @@
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
+import org.basilrill.protocol.caller.CallerStream;
+import org.basilrill.protocol.caller.RunningRequest;
 
 /**
  * Queues the requests that arrive before a starting instance has received its rules. The rules arrive shortly after the
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -16,6 +16,7 @@
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.dialect.TargetCall;
+import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /**
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetConnector.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/target/TargetConnector.java
@@ -1,4 +1,4 @@
-package org.basilrill.protocol.instance;
+package org.basilrill.protocol.target;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/AdministrationClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/AdministrationClient.java
@@ -17,7 +17,7 @@
 import org.basilrill.protocol.caller.PlainResponse;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.caller.ResponseHead;
-import org.basilrill.protocol.instance.TargetConnector;
+import org.basilrill.protocol.target.TargetConnector;
 
 /** Client of the administration routes of one instance, for command line programs. Blocks. Thread safe. */
 public final class AdministrationClient implements AutoCloseable {
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerExchange.java
@@ -22,11 +22,11 @@
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.LogEvent;
+import org.basilrill.protocol.caller.CallerStream;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.caller.ResponseHead;
-import org.basilrill.protocol.instance.CallerStream;
-import org.basilrill.protocol.instance.RunningRequest;
+import org.basilrill.protocol.caller.RunningRequest;
 
 /**
  * One request of a caller and the response to it, on one connection. Buffers the request body, starts the request and
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerRequestHandler.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerRequestHandler.java
@@ -10,14 +10,14 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.Outcome;
+import org.basilrill.protocol.caller.CallerStream;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.LocalRoutes;
 import org.basilrill.protocol.caller.PlainResponse;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.caller.ResponseHead;
-import org.basilrill.protocol.instance.CallerStream;
+import org.basilrill.protocol.caller.RunningRequest;
 import org.basilrill.protocol.instance.RequestCoordinator;
-import org.basilrill.protocol.instance.RunningRequest;
 
 /** Passes each request to the coordinator or to the routes that this instance serves itself. Thread safe. */
 final class CallerRequestHandler {
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineClient.java
@@ -13,7 +13,7 @@
 import org.basilrill.protocol.caller.PlainResponse;
 import org.basilrill.protocol.dialect.EngineDialect;
 import org.basilrill.protocol.dialect.EngineDialect.EngineRequest;
-import org.basilrill.protocol.instance.TargetConnector;
+import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.target.EngineOrder;
 import org.basilrill.state.target.EngineOrder.Response;
 import org.basilrill.state.target.EngineReport;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpTargetOrderClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpTargetOrderClient.java
@@ -13,7 +13,7 @@
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.PlainResponse;
 import org.basilrill.protocol.caller.ResponseHead;
-import org.basilrill.protocol.instance.TargetConnector;
+import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.protocol.target.TargetOrderCodec;
 import org.basilrill.state.control.OrderOutcome;
 import org.basilrill.state.target.TargetAnnouncement;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/ResponseCollector.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/ResponseCollector.java
@@ -10,7 +10,7 @@
 import org.basilrill.api.Scheduler;
 import org.basilrill.protocol.caller.PlainResponse;
 import org.basilrill.protocol.caller.ResponseHead;
-import org.basilrill.protocol.instance.TargetConnector;
+import org.basilrill.protocol.target.TargetConnector;
 
 /**
  * Sends one request and collects the whole response in memory. Used for target orders and by operators' programs, never
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -30,7 +30,7 @@
 import org.apache.hc.core5.reactor.IOSession;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.ResponseHead;
-import org.basilrill.protocol.instance.TargetConnector;
+import org.basilrill.protocol.target.TargetConnector;
 
 /**
  * One request to a target on one connection. Delivers the response to the listener as it arrives, and at most one final
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
@@ -27,7 +27,7 @@
 import org.apache.hc.core5.util.Timeout;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
-import org.basilrill.protocol.instance.TargetConnector;
+import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /**
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/CoordinatorFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/CoordinatorFixture.java
@@ -10,6 +10,7 @@
 import org.basilrill.api.VirtualTime;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.caller.RunningRequest;
 import org.basilrill.protocol.dialect.CallerDialect;
 
 /** A coordinator with in-memory fakes of its dependencies. Not thread safe. */
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
@@ -9,6 +9,7 @@
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.caller.ResponseHead;
+import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /** An in-memory connector: the test determines the events of each call. Not thread safe. */
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/PromptPartTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/PromptPartTest.java
@@ -14,6 +14,7 @@
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.instance.CoordinatorFixture.Started;
 import org.basilrill.protocol.instance.FakeConnector.FakeCall;
+import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.configuration.CallRoute;
 import org.basilrill.state.configuration.CallRoute.Kind;
 import org.basilrill.state.configuration.CallRoute.Share;
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RecordingStream.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RecordingStream.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import org.basilrill.protocol.caller.CallerStream;
 import org.basilrill.protocol.caller.ResponseHead;
 
 /** Records a response and the last violation of the contract of {@link CallerStream}. Not thread safe. */
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorFuzzTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorFuzzTest.java
@@ -19,6 +19,7 @@
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.instance.CoordinatorFixture.Started;
 import org.basilrill.protocol.instance.FakeConnector.FakeCall;
+import org.basilrill.protocol.target.TargetConnector;
 
 /**
  * Runs random histories of requests, failures, lost results of the control log, withdrawn keys and disconnected
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
@@ -17,6 +17,7 @@
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.instance.CoordinatorFixture.Started;
+import org.basilrill.protocol.target.TargetConnector;
 import org.junit.jupiter.api.Test;
 
 /** Tests the life cycle of requests with in-memory dependencies. */
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StartupQueueTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StartupQueueTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.basilrill.api.VirtualTime;
+import org.basilrill.protocol.caller.RunningRequest;
 import org.junit.jupiter.api.Test;
 
 /**
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
@@ -11,6 +11,7 @@
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.instance.CoordinatorFixture.Started;
 import org.basilrill.protocol.instance.FakeConnector.FakeCall;
+import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.configuration.CallRoute;
 import org.basilrill.state.configuration.CallRoute.Kind;
 import org.basilrill.state.configuration.CallRoute.Share;
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualCaller.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualCaller.java
@@ -8,11 +8,11 @@
 import java.util.Optional;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.MonotonicClock;
+import org.basilrill.protocol.caller.CallerStream;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.caller.ResponseHead;
-import org.basilrill.protocol.instance.CallerStream;
-import org.basilrill.protocol.instance.RunningRequest;
+import org.basilrill.protocol.caller.RunningRequest;
 
 /** Records what one caller receives for its request, and checks the response. Not thread safe. */
 public final class VirtualCaller implements CallerStream {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
@@ -18,9 +18,9 @@
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.RequestHead;
 import org.basilrill.protocol.caller.ResponseHead;
-import org.basilrill.protocol.instance.TargetConnector;
-import org.basilrill.protocol.instance.TargetConnector.Failure;
-import org.basilrill.protocol.instance.TargetConnector.FailureKind;
+import org.basilrill.protocol.target.TargetConnector;
+import org.basilrill.protocol.target.TargetConnector.Failure;
+import org.basilrill.protocol.target.TargetConnector.FailureKind;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /**
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTargets.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTargets.java
@@ -8,7 +8,7 @@
 import java.util.function.Consumer;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.TargetId;
-import org.basilrill.protocol.instance.TargetConnector;
+import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /** All simulated targets. Every instance can reach them, also when it is isolated from its peers. Not thread safe. */
