Reproduce callers of instances that are cut from all targets

Simulated instances can lose their paths to targets while both keep running: connections hang, are reset, or are refused while open ones live on.

--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualCaller.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualCaller.java
@@ -98,6 +98,11 @@
         return receivedText().contains("\"outcome\":\"not_run\"");
     }
 
+    /** Returns the time of the request. */
+    public long startNanos() {
+        return startNanos;
+    }
+
     /** Returns the time from the request to the end of the response, which must be finished. */
     public Duration elapsed() {
         return Duration.ofNanos(endNanos - startNanos);
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
@@ -283,7 +283,7 @@
                     scheduler,
                     new SplittableRandom(random.nextLong()),
                     channel,
-                    targets.connector(id, () -> alive),
+                    targets.connector(id, () -> alive, scheduler),
                     new NoTargetOrders(),
                     () -> WALL_CLOCK_START_MILLIS + time.nanos() / NANOS_PER_MILLISECOND,
                     OpenTelemetry.noop().getTracer("simulation"),
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
@@ -195,14 +195,34 @@
                 Optional.empty());
     }
 
+    /** Closes the connections of an instance without a response. */
+    void resetConnections(InstanceId instance) {
+        List<Exchange> lost = open.stream()
+                .filter(exchange -> exchange.sender.equals(instance))
+                .toList();
+        lost.forEach(exchange -> exchange.endWith(FailureKind.CONNECTION_LOST));
+    }
+
     /** Opens a connection from an instance; no events are delivered once the process of the instance has ended. */
     TargetConnector.Call open(
             InstanceId sender,
             BooleanSupplier alive,
             TargetConnector.Request request,
+            boolean fresh,
+            VirtualPaths paths,
             TargetConnector.Listener listener) {
-        Exchange exchange = new Exchange(sender, alive, request, listener);
-        time.schedule(ONE_WAY_DELAY, exchange::connected);
+        Exchange exchange = new Exchange(sender, alive, request, paths, listener);
+        Optional<VirtualPaths.Mode> cut = paths.cutOf(sender, id);
+        if (cut.isEmpty()) {
+            time.schedule(ONE_WAY_DELAY, exchange::connected);
+        } else if (cut.get() == VirtualPaths.Mode.REFUSE) {
+            time.schedule(ONE_WAY_DELAY, () -> exchange.endWith(FailureKind.UNREACHABLE));
+        } else if (fresh || cut.get() == VirtualPaths.Mode.RESET || random.nextBoolean()) {
+            time.schedule(VirtualPaths.CONNECT_TIMEOUT, () -> exchange.endWith(FailureKind.UNREACHABLE));
+        } else {
+            // A connection from before the cut takes the request, which is never received.
+            time.schedule(ONE_WAY_DELAY, listener::maySend);
+        }
         return exchange;
     }
 
@@ -215,6 +235,7 @@
         private final InstanceId sender;
         private final BooleanSupplier alive;
         private final TargetConnector.Request request;
+        private final VirtualPaths paths;
         private final TargetConnector.Listener listener;
         private boolean closed;
 
@@ -222,10 +243,12 @@
                 InstanceId sender,
                 BooleanSupplier alive,
                 TargetConnector.Request request,
+                VirtualPaths paths,
                 TargetConnector.Listener listener) {
             this.sender = sender;
             this.alive = alive;
             this.request = request;
+            this.paths = paths;
             this.listener = listener;
         }
 
@@ -323,13 +346,22 @@
             time.schedule(Duration.ofMillis(1 + random.nextInt(20)), () -> sendPart(body, part + 1, parts));
         }
 
+        /** Ends the connection at the instance; a request that was received runs on. */
+        private void endWith(FailureKind kind) {
+            if (!closed && alive.getAsBoolean()) {
+                closed = true;
+                open.remove(this);
+                listener.failed(new Failure(kind, false, "injected by the simulation"));
+            }
+        }
+
         private void fail(FailureKind kind) {
             deliver(() -> listener.failed(new Failure(kind, false, "injected by the simulation")));
             closed = true;
         }
 
         private void deliver(Runnable event) {
-            if (!closed && alive.getAsBoolean()) {
+            if (!closed && alive.getAsBoolean() && paths.passes(sender, id)) {
                 event.run();
             }
         }
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/VirtualFleet.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/VirtualFleet.java
@@ -80,6 +80,10 @@
         return callers;
     }
 
+    VirtualTargets allTargets() {
+        return targets;
+    }
+
     /** Sends requests at random instances for a while; the supplier returns the path and body of each. */
     void run(Duration duration, double requestsPerSecond, Duration deadline, Supplier<Content> contents) {
         double due = 0;
