--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -4,7 +4,9 @@
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 import java.util.ServiceLoader;
@@ -25,6 +27,7 @@
 import org.basilrill.coordination.consensus.ReplicaId;
 import org.basilrill.coordination.engine.EngineClient;
 import org.basilrill.coordination.membership.Membership.Member;
+import org.basilrill.coordination.membership.RelayAccess;
 import org.basilrill.daemon.settings.Settings;
 import org.basilrill.protocol.administration.AdministrationHandler;
 import org.basilrill.protocol.administration.AdministrationViews;
@@ -43,6 +46,7 @@
 import org.basilrill.protocol.instance.InterfaceOptions.EngineAccess;
 import org.basilrill.protocol.instance.RequestLimits;
 import org.basilrill.protocol.observation.MetricsRoute;
+import org.basilrill.protocol.relay.TargetAccess;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.control.ControlStateMachine;
 import org.basilrill.transport.http.GatewayRoutes;
@@ -62,6 +66,7 @@
 public final class InstanceDaemon {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration ADMINISTRATION_DEADLINE = Duration.ofSeconds(5);
+    private static final int RELAY_TOKEN_BYTES = 16;
     private static final Duration TARGET_ORDER_TIMEOUT = Duration.ofSeconds(2);
     /**
      * Maximum time that a stop spends on one handover step. The handover of buckets is optional: without it, the next
@@ -167,7 +172,8 @@
     }
 
     private CompletableFuture<Boolean> handOverLeadership() {
-        return replica.map(ControlReplica::handOverLeadership).orElseGet(() -> CompletableFuture.completedFuture(true));
+        return replica.map(controlReplica -> controlReplica.handOverLeadership(any -> true))
+                .orElseGet(() -> CompletableFuture.completedFuture(true));
     }
 
     /**
@@ -215,7 +221,16 @@
                 settings.operatorKeyHash().map(KeyHash::new),
                 replica.map(controlReplica -> new LocalReplica(
                         controlReplica, stateMachine, () -> membersOf(controlReplica), controlReplica::addContacts)),
-                interfaceOptions);
+                interfaceOptions,
+                settings.interfaces().relayAddress().map(this::relayPort));
+    }
+
+    private TargetAccess.Port relayPort(InetSocketAddress address) {
+        byte[] token = new byte[RELAY_TOKEN_BYTES];
+        new SecureRandom().nextBytes(token);
+        RelayAccess access =
+                new RelayAccess(hostAndPort(address), HexFormat.of().formatHex(token));
+        return new TargetAccess.Port(access, targetClient);
     }
 
     private HttpGateway createGateway(MetricRegistry metrics) {
@@ -226,7 +241,8 @@
                 instance.targets(),
                 instance.coordinator()::requestsInFlight,
                 instance.budgets()::snapshots,
-                () -> replica.map(ControlReplica::status));
+                () -> replica.map(ControlReplica::status),
+                instance.targetAccess());
         AdministrationHandler administration = new AdministrationHandler(
                 instance.control(),
                 this::rulesText,
@@ -249,9 +265,11 @@
                 GatewaySettings.defaults(settings.callerAddress())
                         .withOwnAddresses(
                                 settings.interfaces().ownAddresses(),
-                                settings.interfaces().metricsAddress()),
+                                settings.interfaces().metricsAddress())
+                        .withRelayAddress(settings.interfaces().relayAddress()),
                 instance.coordinator(),
                 routesWithMetrics,
+                instance.targetAccess().map(TargetAccess::service),
                 clock,
                 threads.scheduler());
     }
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/InterfaceSettings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/InterfaceSettings.java
@@ -12,6 +12,8 @@
  * @param dialect name of the dialect that callers, targets and operators use; basilrill's own API if absent
  * @param ownAddresses additional addresses for targets and operators; empty if they use the caller address
  * @param metricsAddress additional address for monitoring, besides the caller address
+ * @param relayAddress address at which other instances send exchanges with targets that this one carries for them; if
+ *     absent, it carries none and has none carried
  * @param foundsCluster whether the instance may found a new cluster at this start
  * @param listingValidity how long callers may cache the list of instances
  * @param listedInstances maximum number of instances in one list, if the dialect limits the number
@@ -27,6 +29,7 @@
         Optional<String> dialect,
         List<InetSocketAddress> ownAddresses,
         Optional<InetSocketAddress> metricsAddress,
+        Optional<InetSocketAddress> relayAddress,
         boolean foundsCluster,
         Duration listingValidity,
         Duration staleListingWait,
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -117,6 +117,7 @@
                 document.take("dialect").flatMap(this::text),
                 document.take("ownAddresses").flatMap(this::addresses).orElse(List.of()),
                 document.take("metricsAddress").flatMap(this::address),
+                document.take("relayAddress").flatMap(this::address),
                 document.take("foundsCluster").flatMap(this::flag).orElse(true),
                 listingValidity,
                 document.take("staleListingWaitMillis").flatMap(this::duration).orElse(listingValidity),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
@@ -7,9 +7,11 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.Outcome;
 import org.basilrill.coordination.consensus.ConsensusMessage.AppendResponse;
@@ -67,13 +69,14 @@
     }
 
     /**
-     * Hands the leadership over to the responsive voter with the highest matching index. The future completes with
-     * whether the leadership of this replica has ended.
+     * Hands the leadership over to the responsive voter with the highest matching index among those that match. The
+     * future completes with whether the leadership of this replica has ended.
      */
-    void handOver(CompletableFuture<Boolean> done) {
+    void handOver(Predicate<InstanceId> successors, CompletableFuture<Boolean> done) {
         long recent = state.now() - state.settings().minimumElectionTimeout().toNanos();
         Optional<PeerProgress> successor = peers.values().stream()
                 .filter(peer -> state.log().members().contains(peer.peer()) && peer.lastContactAt() > recent)
+                .filter(peer -> successors.test(peer.peer().instance()))
                 .max(Comparator.comparingLong(PeerProgress::matchIndex));
         if (handover.isPresent() || successor.isEmpty()) {
             done.complete(false);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -5,6 +5,7 @@
 import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
@@ -80,10 +81,12 @@
     /**
      * Hands the leadership over to an up-to-date follower without waiting for an election timeout.
      *
+     * @param successors selects the followers that may take over
      * @param done completed with true once this replica no longer leads, with false if no follower could take over
      */
-    public void handOverLeadership(CompletableFuture<Boolean> done) {
-        leadership.ifPresentOrElse(activeLeadership -> activeLeadership.handOver(done), () -> done.complete(true));
+    public void handOverLeadership(Predicate<InstanceId> successors, CompletableFuture<Boolean> done) {
+        leadership.ifPresentOrElse(
+                activeLeadership -> activeLeadership.handOver(successors, done), () -> done.complete(true));
     }
 
     /** Adds instances that receive join requests of this one. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLog.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.basilrill.api.InstanceId;
 
 /** Access to the control log through the replica of this instance. Implementations are thread safe and never block. */
@@ -29,6 +30,14 @@
     /** Returns whether this replica believes that it is the leader. */
     boolean isLeader();
 
+    /**
+     * Hands the leadership over to one of these replicas, if this replica leads and one of them has a recent copy of
+     * the log.
+     *
+     * @return whether this replica no longer leads; fails with {@code CONTROL_UNAVAILABLE} once the replica has stopped
+     */
+    CompletableFuture<Boolean> handOverLeadership(Predicate<InstanceId> successors);
+
     /** Returns the current term of this replica; it increases with each election. */
     long term();
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/Fact.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/Fact.java
@@ -1,5 +1,6 @@
 package org.basilrill.coordination.membership;
 
+import java.util.Optional;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
 import org.basilrill.state.target.TargetAnnouncement;
@@ -9,7 +10,12 @@
     /** Returns the key of the fact; a later fact of the same owner under the same key replaces it. */
     String key();
 
-    /** The state of an instance, published by itself; changes rarely. */
+    /**
+     * The state of an instance, published by itself; changes rarely.
+     *
+     * @param relay how it carries exchanges with targets for others, if it does
+     * @param cutFromTargets whether it has lost its own paths to most targets
+     */
     record InstanceFact(
             String dataCentre,
             String callerAddress,
@@ -17,9 +23,11 @@
             boolean draining,
             boolean current,
             long revision,
-            boolean replica)
+            boolean replica,
+            Optional<RelayAccess> relay,
+            boolean cutFromTargets)
             implements Fact {
-        /** Creates the fact for an instance without a replica of the control log. */
+        /** Creates the fact for an instance without a replica of the control log and without a relay. */
         public InstanceFact(
                 String dataCentre,
                 String callerAddress,
@@ -27,7 +35,7 @@
                 boolean draining,
                 boolean current,
                 long revision) {
-            this(dataCentre, callerAddress, peerAddress, draining, current, revision, false);
+            this(dataCentre, callerAddress, peerAddress, draining, current, revision, false, Optional.empty(), false);
         }
 
         @Override
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
@@ -195,7 +195,9 @@
                         state.fact(owner, InstanceLoadFact.class)
                                 .map(InstanceLoadFact::requestsInFlight)
                                 .orElse(0),
-                        fact.replica()));
+                        fact.replica(),
+                        fact.relay(),
+                        fact.cutFromTargets()));
     }
 
     private void exchange() {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/Membership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/Membership.java
@@ -23,6 +23,8 @@
      * @param revision revision of the rules in force there
      * @param requestsInFlight load, used to distribute the callers
      * @param replica whether it holds a replica of the control log
+     * @param relay how it carries exchanges with targets for others, if it does
+     * @param cutFromTargets whether it has lost its own paths to most targets
      */
     record Member(
             InstanceId id,
@@ -34,5 +36,7 @@
             boolean current,
             long revision,
             int requestsInFlight,
-            boolean replica) {}
+            boolean replica,
+            Optional<RelayAccess> relay,
+            boolean cutFromTargets) {}
 }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationViews.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationViews.java
@@ -16,6 +16,7 @@
 import org.basilrill.coordination.consensus.ReplicaStatus;
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.coordination.membership.Membership.Member;
+import org.basilrill.protocol.relay.TargetAccess;
 import org.basilrill.state.configuration.Rules;
 import org.basilrill.state.control.ControlClient;
 import org.basilrill.state.control.ControlView;
@@ -34,11 +35,13 @@
     private final IntSupplier requestsInFlight;
     private final Supplier<List<BudgetSnapshot>> budgets;
     private final Supplier<Optional<ReplicaStatus>> replica;
+    private final Optional<TargetAccess> targetAccess;
 
     /**
      * Creates the views of one instance.
      *
      * @param budgets token buckets known to this instance
+     * @param targetAccess paths to the targets, if they are observed
      * @param replica state of the replica of the control log on this instance, if it has one
      */
     public AdministrationViews(
@@ -48,7 +51,8 @@
             TargetDirectory targets,
             IntSupplier requestsInFlight,
             Supplier<List<BudgetSnapshot>> budgets,
-            Supplier<Optional<ReplicaStatus>> replica) {
+            Supplier<Optional<ReplicaStatus>> replica,
+            Optional<TargetAccess> targetAccess) {
         this.self = self;
         this.control = control;
         this.membership = membership;
@@ -56,6 +60,7 @@
         this.requestsInFlight = requestsInFlight;
         this.budgets = budgets;
         this.replica = replica;
+        this.targetAccess = targetAccess;
     }
 
     /** Returns the state of this instance, and all instances and targets with their state. */
@@ -66,6 +71,7 @@
         body.put("log_index", control.view().index());
         body.put("current", control.isCurrent());
         body.put("requests_in_flight", requestsInFlight.getAsInt());
+        targetAccess.ifPresent(access -> describe(access, body.putObject("target_paths")));
         replica.get().ifPresent(status -> describe(status, body.putObject("control_log")));
         ArrayNode instances = body.putArray("instances");
         membership.members().stream()
@@ -115,6 +121,13 @@
         return body;
     }
 
+    private static void describe(TargetAccess access, ObjectNode entry) {
+        entry.put("lost", access.lostPaths());
+        entry.put("exchanges_for_others", access.service().exchanges());
+        ObjectNode carriers = entry.putObject("exchanges_carried_by");
+        access.carriedByInstance().forEach((instance, count) -> carriers.put(instance.value(), count));
+    }
+
     private static void describe(ReplicaStatus status, ObjectNode entry) {
         entry.put("replica", status.self().toString());
         entry.put("role", status.role().name());
@@ -136,6 +149,7 @@
         entry.put("current", member.current());
         entry.put("revision", member.revision());
         entry.put("requests_in_flight", member.requestsInFlight());
+        entry.put("cut_from_targets", member.cutFromTargets());
         return entry;
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -22,13 +22,11 @@
 import org.basilrill.coordination.crash.PromptPartGuard;
 import org.basilrill.coordination.engine.EngineController;
 import org.basilrill.coordination.limit.LimitMessenger;
-import org.basilrill.coordination.limit.PermitIssuer;
 import org.basilrill.coordination.limit.TargetPermits;
 import org.basilrill.coordination.membership.Fact.BlockedRequestFact;
 import org.basilrill.coordination.membership.Fact.InstanceFact;
 import org.basilrill.coordination.membership.GossipMembership;
 import org.basilrill.coordination.membership.Membership;
-import org.basilrill.coordination.membership.Membership.Member;
 import org.basilrill.coordination.membership.ReplicaHolders;
 import org.basilrill.coordination.membership.TargetPublisher;
 import org.basilrill.coordination.placement.DemandReporter;
@@ -46,6 +44,7 @@
 import org.basilrill.protocol.peer.ThriftBudgetCodec;
 import org.basilrill.protocol.peer.ThriftLimitCodec;
 import org.basilrill.protocol.peer.ThriftPlacementCodec;
+import org.basilrill.protocol.relay.TargetAccess;
 import org.basilrill.state.configuration.Rules;
 import org.basilrill.state.target.AnnouncementReceiver;
 import org.basilrill.state.target.TargetChangeListener.Change;
@@ -65,6 +64,7 @@
     private final GossipMembership membership;
     private final TargetRegistry targets;
     private final TargetPublisher targetPublisher;
+    private final InstancePaths paths;
     private final ControlEndpoint controlEndpoint;
     private final ControlLogClient control;
     private final Optional<ControlLogServer> controlServer;
@@ -98,14 +98,9 @@
                 environment.clock(),
                 environment.interfaces().dialect().isPresent() ? Incarnations.START_TIMES : Incarnations.OF_ONE_TARGET);
         this.targetPublisher = new TargetPublisher(membership, targets, environment.clock());
+        this.paths = new InstancePaths(environment, membership, targets, this::publishOwnFacts, splitRandom());
         this.controlEndpoint = new ControlEndpoint(environment.self(), environment.channel(), environment.scheduler());
-        this.control = new ControlLogClient(
-                controlEndpoint,
-                environment.replicas(),
-                environment.interfaces().rulesFormat(),
-                environment.clock(),
-                environment.scheduler(),
-                splitRandom());
+        this.control = createControlClient();
         this.controlServer = environment.replica().map(this::createControlServer);
         this.budgets = new ClientBudgets(
                 environment.self(),
@@ -127,10 +122,15 @@
                 environment.scheduler());
         this.limitMessenger = new LimitMessenger(
                 environment.self(), environment.channel(), new ThriftLimitCodec(), environment.scheduler());
-        this.permits = createPermits();
-        Optional<PermitIssuer> permitIssuer = environment.replica().map(this::createPermitIssuer);
-        PlacementAssembly placementAssembly =
-                new PlacementAssembly(environment, control, targets, targetPublisher, placementMessenger, permitIssuer);
+        PermitAssembly permitAssembly = new PermitAssembly(environment, control, limitMessenger, membership);
+        this.permits = permitAssembly.permits(this::permitsChanged, splitRandom());
+        PlacementAssembly placementAssembly = new PlacementAssembly(
+                environment,
+                control,
+                targets,
+                targetPublisher,
+                placementMessenger,
+                environment.replica().map(permitAssembly::issuer));
         Optional<EngineAccess> engines = environment.interfaces().engines();
         this.placement =
                 engines.isPresent() ? Optional.empty() : environment.replica().map(placementAssembly::placement);
@@ -166,6 +166,7 @@
         demandReporter.start();
         placement.ifPresent(PlacementController::start);
         engineControl.ifPresent(EngineController::start);
+        paths.start();
         publishOwnFacts();
         membership.start();
     }
@@ -191,6 +192,7 @@
     /** Stops all components. A session that was not released expires. */
     public void stop() {
         membership.stop();
+        paths.stop();
         placement.ifPresent(PlacementController::stop);
         engineControl.ifPresent(EngineController::stop);
         control.stop();
@@ -244,6 +246,11 @@
         return placement.map(PlacementController::status);
     }
 
+    /** Returns how this instance reaches targets by way of others, if it does. */
+    public Optional<TargetAccess> targetAccess() {
+        return paths.access();
+    }
+
     /** Returns the list of instances for callers. */
     public InstanceListing listing() {
         return listing;
@@ -265,6 +272,16 @@
                 new MembershipChannel(environment.channel()));
     }
 
+    private ControlLogClient createControlClient() {
+        return new ControlLogClient(
+                controlEndpoint,
+                environment.replicas(),
+                environment.interfaces().rulesFormat(),
+                environment.clock(),
+                environment.scheduler(),
+                splitRandom());
+    }
+
     private ControlLogServer createControlServer(InstanceEnvironment.LocalReplica replica) {
         return new ControlLogServer(
                 controlEndpoint,
@@ -277,27 +294,6 @@
                 environment.wallClockMillis());
     }
 
-    private TargetPermits createPermits() {
-        return new TargetPermits(
-                new TargetPermits.Environment(
-                        control::leader,
-                        limitMessenger,
-                        this::permitsChanged,
-                        environment.clock(),
-                        environment.scheduler()),
-                splitRandom());
-    }
-
-    private PermitIssuer createPermitIssuer(InstanceEnvironment.LocalReplica replica) {
-        return new PermitIssuer(new PermitIssuer.Environment(
-                replica.log()::isLeader,
-                replica.log()::term,
-                () -> membership.members().stream().map(Member::id).toList(),
-                limitMessenger,
-                environment.clock(),
-                environment.scheduler()));
-    }
-
     private void permitsChanged(TargetId target) {
         targets.target(target).ifPresent(dispatcher::targetChanged);
     }
@@ -330,7 +326,7 @@
                 budgets,
                 dispatcher,
                 createRetryBudget(),
-                environment.connector(),
+                paths.connector(),
                 environment.clock(),
                 environment.scheduler(),
                 environment.wallClockMillis(),
@@ -371,9 +367,11 @@
                 draining,
                 control.isCurrent(),
                 control.view().rules().revision(),
-                environment.replica().isPresent()));
+                environment.replica().isPresent(),
+                paths.relay(),
+                paths.isCutOff()));
         updateReplicaContacts();
-        factPublisher.publishLoad(coordinator.requestsInFlight());
+        factPublisher.publishLoad(coordinator.requestsInFlight() + paths.exchangesForOthers());
         usableInstances = (int) membership.members().stream()
                 .filter(member -> !member.suspected() && !member.draining())
                 .count();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstanceEnvironment.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstanceEnvironment.java
@@ -14,6 +14,7 @@
 import org.basilrill.api.Scheduler;
 import org.basilrill.coordination.control.ControlLog;
 import org.basilrill.coordination.placement.TargetOrderClient;
+import org.basilrill.protocol.relay.TargetAccess;
 import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.control.ControlStateMachine;
@@ -30,6 +31,7 @@
  * @param firstOperatorKey hash of the operator key that may install the first rules
  * @param replica replica of the control log that this instance hosts, if any
  * @param interfaces options of the interfaces to callers, targets and operators
+ * @param relay relay of this instance and the way to those of others; without it, all exchanges use own paths
  */
 public record InstanceEnvironment(
         InstanceId self,
@@ -49,7 +51,8 @@
         RequestLimits limits,
         Optional<KeyHash> firstOperatorKey,
         Optional<LocalReplica> replica,
-        InterfaceOptions interfaces) {
+        InterfaceOptions interfaces,
+        Optional<TargetAccess.Port> relay) {
     public InstanceEnvironment {
         replicas = List.copyOf(replicas);
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstanceFactPublisher.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstanceFactPublisher.java
@@ -22,8 +22,9 @@
         if (publishedFact.filter(fact::equals).isPresent()) {
             return;
         }
-        boolean urgent =
-                publishedFact.filter(last -> last.draining() == fact.draining()).isEmpty();
+        boolean urgent = publishedFact
+                .filter(last -> last.draining() == fact.draining() && last.cutFromTargets() == fact.cutFromTargets())
+                .isEmpty();
         publishedFact = Optional.of(fact);
         if (urgent) {
             membership.publishUrgently(fact);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executor;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
+import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.PromptPartId;
 import org.basilrill.api.Scheduler;
@@ -130,8 +131,8 @@
                         plan.priority(),
                         owner.relay().lastEventId(),
                         services.tracing().fields(span)));
-        TargetConnector.Request request =
-                new TargetConnector.Request(plan.head().method(), plan.pathAndQuery(), headers, plan.body());
+        TargetConnector.Request request = new TargetConnector.Request(
+                plan.head().method(), plan.pathAndQuery(), headers, plan.body(), plan.requestId());
         call = services.connector().open(assignment.target(), request, freshConnection, this);
         scheduleProgressCheck(services.limits().progressDeadline());
     }
@@ -238,11 +239,28 @@
                 case UNREACHABLE -> unreachable(failure);
                 case CONNECTION_LOST -> connectionLost(failure);
                 case INVALID_ANSWER -> fail(ErrorCode.TARGET_FAILED, failure.detail(), false);
+                case PATH_LOST -> pathLost(failure);
                 default -> throw new IllegalStateException("unknown failure " + failure.kind());
             }
         });
     }
 
+    @Override
+    public void carriedBy(InstanceId relay) {
+        executeUnlessFinished(() -> owner.relay().decisionLog().addStep("carried by " + relay + " to", target()));
+    }
+
+    @Override
+    public boolean abandonsLostPath() {
+        return plan.repeatable();
+    }
+
+    /** Ends the attempt without a result for the target, whose health the loss of a path does not show. */
+    private void pathLost(TargetConnector.Failure failure) {
+        boolean mayHaveRun = !permit.revoke();
+        end(AttemptResult.CANCELLED, new AttemptFailure(ErrorCode.TARGET_FAILED, failure.detail(), mayHaveRun, false));
+    }
+
     /** Reports a timeout, so that a target that accepts no connection gets no request before a probe succeeds. */
     private void unreachable(TargetConnector.Failure failure) {
         permit.revoke();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
@@ -11,6 +11,7 @@
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
 import org.basilrill.coordination.membership.Fact;
+import org.basilrill.coordination.membership.RelayAccess;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.thrift.membership.BlockedRequestFact;
 import org.basilrill.thrift.membership.FactPayload;
@@ -39,6 +40,9 @@
                     instance.current(),
                     instance.revision());
             message.setReplica(instance.replica());
+            message.setCutFromTargets(instance.cutFromTargets());
+            instance.relay()
+                    .ifPresent(relay -> message.setRelayAddress(relay.address()).setRelayToken(relay.token()));
             return FactPayload.instance(message);
         }
         if (fact instanceof Fact.InstanceLoadFact load) {
@@ -75,7 +79,9 @@
                     instance.isDraining(),
                     instance.isCurrent(),
                     instance.getRevision(),
-                    instance.isReplica());
+                    instance.isReplica(),
+                    relayOf(instance),
+                    instance.isCutFromTargets());
         }
         if (payload.isSetInstanceLoad()) {
             return new Fact.InstanceLoadFact(payload.getInstanceLoad().getRequestsInFlight());
@@ -105,6 +111,12 @@
         throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "fact of an unknown type");
     }
 
+    private static Optional<RelayAccess> relayOf(InstanceFact instance) {
+        return instance.isSetRelayAddress() && instance.isSetRelayToken()
+                ? Optional.of(new RelayAccess(instance.getRelayAddress(), instance.getRelayToken()))
+                : Optional.empty();
+    }
+
     private static TargetFact encodeTarget(TargetAnnouncement announcement) {
         List<LoadedModelFact> contents = announcement.contents().entrySet().stream()
                 .map(entry -> new LoadedModelFact(
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/Relays.java
@@ -0,0 +1,86 @@
+package org.basilrill.protocol.relay;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.basilrill.api.InstanceId;
+import org.basilrill.coordination.membership.Membership.Member;
+import org.basilrill.coordination.membership.RelayAccess;
+import org.basilrill.coordination.path.RelaySelector;
+import org.basilrill.protocol.caller.ResponseHead;
+import org.basilrill.protocol.target.TargetConnector;
+import org.basilrill.state.target.TargetAnnouncement;
+
+/**
+ * The relays of the other instances.
+ *
+ * @param self name of this instance, for the logs of the others
+ */
+record Relays(RelaySelector selector, RelayClient client, InstanceId self) {
+    /** Instances that are asked about one target; more are of no use if the target has crashed. */
+    private static final int MAXIMUM_CHECKS = 2;
+
+    /** Sends a request to a target by way of a member. */
+    TargetConnector.Call open(
+            Member member,
+            TargetAnnouncement target,
+            TargetConnector.Request request,
+            boolean freshConnection,
+            TargetConnector.Listener listener) {
+        RelayAccess access = member.relay().orElseThrow();
+        return client.open(
+                access.address(),
+                RelayMessages.carry(request, target, access, self, freshConnection),
+                freshConnection,
+                listener);
+    }
+
+    /** Returns whether another instance reaches the target; false if none can tell. */
+    CompletableFuture<Boolean> reach(TargetAnnouncement target) {
+        return reach(target, new HashSet<>());
+    }
+
+    private CompletableFuture<Boolean> reach(TargetAnnouncement target, Set<InstanceId> tried) {
+        Optional<Member> relay = tried.size() < MAXIMUM_CHECKS ? selector.choose(tried) : Optional.empty();
+        if (relay.isEmpty()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        tried.add(relay.get().id());
+        RelayAccess access = relay.get().relay().orElseThrow();
+        CheckListener listener = new CheckListener();
+        client.open(access.address(), RelayMessages.check(target, access, self), false, listener);
+        return listener.reached.thenCompose(
+                reached -> reached ? CompletableFuture.completedFuture(true) : reach(target, tried));
+    }
+
+    /** Receives the result of a check. Thread safe. */
+    private static final class CheckListener implements TargetConnector.Listener {
+        private final CompletableFuture<Boolean> reached = new CompletableFuture<>();
+
+        @Override
+        public boolean maySend() {
+            return true;
+        }
+
+        @Override
+        public void headReceived(ResponseHead head) {
+            reached.complete(RelayMessages.result(head) == RelayResult.REACHED);
+        }
+
+        @Override
+        public void bodyReceived(byte[] bytes) {
+            // The response to a check has no body.
+        }
+
+        @Override
+        public void responseCompleted() {
+            reached.complete(false);
+        }
+
+        @Override
+        public void failed(TargetConnector.Failure failure) {
+            reached.complete(false);
+        }
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/target/TargetConnector.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/target/TargetConnector.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.basilrill.api.InstanceId;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.state.target.TargetAnnouncement;
@@ -23,15 +24,26 @@
      */
     CompletableFuture<Boolean> acceptsConnection(TargetAnnouncement target);
 
+    /** Closes the idle connections to a target, whose path was lost since they were used. */
+    default void discardIdleConnections(TargetAnnouncement target) {
+        // A connector without idle connections has nothing to close.
+    }
+
     /**
      * A request as a target receives it. The body must not be modified.
      *
      * @param pathAndQuery absolute path with the query
+     * @param requestId id of the caller's request, for logs; empty if no caller's request is sent
      */
-    record Request(String method, String pathAndQuery, List<HeaderField> headers, byte[] body) {
+    record Request(String method, String pathAndQuery, List<HeaderField> headers, byte[] body, String requestId) {
         public Request {
             headers = List.copyOf(headers);
         }
+
+        /** Creates a request that is not sent for a caller. */
+        public Request(String method, String pathAndQuery, List<HeaderField> headers, byte[] body) {
+            this(method, pathAndQuery, headers, body, "");
+        }
     }
 
     /** One exchange with a target. Thread safe. */
@@ -62,6 +74,19 @@
 
         /** Reports that the exchange failed. */
         void failed(Failure failure);
+
+        /** Reports, before the head, that another instance carries the exchange. */
+        default void carriedBy(InstanceId relay) {
+            // Most listeners do not depend on the way.
+        }
+
+        /**
+         * Returns whether the exchange fails with {@link FailureKind#PATH_LOST} when its path is lost, instead of
+         * waiting for the path to return.
+         */
+        default boolean abandonsLostPath() {
+            return true;
+        }
     }
 
     /**
@@ -78,6 +103,11 @@
         /** The connection closed before the response was complete. */
         CONNECTION_LOST,
         /** The response is not valid HTTP. */
-        INVALID_ANSWER
+        INVALID_ANSWER,
+        /**
+         * The way to the target was lost: this instance's own path, or the instance that carried the exchange. Shows
+         * nothing about the target.
+         */
+        PATH_LOST
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnections.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerConnections.java
@@ -26,7 +26,7 @@
     private static final int MAXIMUM_TRAILERS = 100;
 
     private final GatewaySettings settings;
-    private final Function<InetSocketAddress, CallerRequestHandler> handlerByAddress;
+    private final Function<InetSocketAddress, GatewayRequestHandler> handlerByAddress;
     private final MonotonicClock clock;
     private final HttpProcessor processor =
             new DefaultHttpProcessor(new ResponseDate(), new ResponseContent(), new ResponseConnControl());
@@ -44,7 +44,7 @@
      */
     CallerConnections(
             GatewaySettings settings,
-            Function<InetSocketAddress, CallerRequestHandler> handlerByAddress,
+            Function<InetSocketAddress, GatewayRequestHandler> handlerByAddress,
             MonotonicClock clock) {
         this.settings = settings;
         this.handlerByAddress = handlerByAddress;
@@ -67,7 +67,7 @@
         if (closing) {
             connection.closeWhenIdle();
         }
-        CallerRequestHandler requestHandler = handlerByAddress.apply((InetSocketAddress) session.getLocalAddress());
+        GatewayRequestHandler requestHandler = handlerByAddress.apply((InetSocketAddress) session.getLocalAddress());
         // The timeout depends on the state of the connection, so that of the reactor is disabled.
         session.setSocketTimeout(Timeout.DISABLED);
         return new ServerHttp1IOEventHandler(new CallerDuplexer(
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerExchange.java
@@ -46,7 +46,7 @@
     private static final ByteArrayOutputStream NO_BODY = new ByteArrayOutputStream(0);
 
     private final CallerConnection connection;
-    private final CallerRequestHandler requestHandler;
+    private final GatewayRequestHandler requestHandler;
     private final GatewaySettings settings;
     private final Runnable releaseAction = this::releaseResources;
     private final BodyMemoryLimiter bodyMemory;
@@ -74,7 +74,7 @@
 
     CallerExchange(
             CallerConnection connection,
-            CallerRequestHandler requestHandler,
+            GatewayRequestHandler requestHandler,
             GatewaySettings settings,
             BodyMemoryLimiter bodyMemory) {
         this.connection = connection;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerRequestHandler.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerRequestHandler.java
@@ -20,7 +20,7 @@
 import org.basilrill.protocol.instance.RequestCoordinator;
 
 /** Passes each request to the coordinator or to the routes that this instance serves itself. Thread safe. */
-final class CallerRequestHandler {
+final class CallerRequestHandler implements GatewayRequestHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final RequestCoordinator coordinator;
@@ -38,19 +38,20 @@
         this.isForTarget = isForTarget;
     }
 
-    /** Checks a request before its body is read; throws a {@link BasilrillException} if it is rejected. */
-    void check(RequestHead head) {
+    @Override
+    public void check(RequestHead head) {
         if (isForTarget.test(head)) {
             coordinator.check(head);
         }
     }
 
-    /** Sends the error response to a request that was not started. */
-    void reject(BasilrillException rejection, RequestHead head, CallerStream stream) {
+    @Override
+    public void reject(BasilrillException rejection, RequestHead head, CallerStream stream) {
         coordinator.refuse(rejection.withOutcome(Outcome.NOT_RUN), head, stream);
     }
 
-    RunningRequest start(RequestHead head, byte[] body, CallerStream stream) {
+    @Override
+    public RunningRequest start(RequestHead head, byte[] body, CallerStream stream) {
         if (isForTarget.test(head)) {
             return coordinator.start(head, body, stream);
         }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/GatewaySettings.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param ownAddresses addresses of the routes that the instance serves itself; if there are any, all requests to
  *     {@code address} are for targets
  * @param metricsAddress address for monitoring, which routes no requests to targets
+ * @param relayAddress address at which other instances send the exchanges that this one carries for them
  */
 public record GatewaySettings(
         InetSocketAddress address,
@@ -29,7 +30,8 @@
         long maximumBufferedBytes,
         int maximumHeadBytes,
         List<InetSocketAddress> ownAddresses,
-        Optional<InetSocketAddress> metricsAddress) {
+        Optional<InetSocketAddress> metricsAddress,
+        Optional<InetSocketAddress> relayAddress) {
     /**
      * Bodies may use one eighth of the heap. Each body is copied once while it grows and once for the target, so they
      * use at most three eighths in all.
@@ -58,14 +60,20 @@
                 maximumHeldBytes,
                 maximumHeadBytes,
                 List.of(),
+                Optional.empty(),
                 Optional.empty());
     }
 
-    /** Returns all listening addresses other than the one for callers. */
+    /** Returns all listening addresses of the routes that the instance serves itself. */
     List<InetSocketAddress> otherAddresses() {
         return Stream.concat(ownAddresses.stream(), metricsAddress.stream()).toList();
     }
 
+    /** Returns all listening addresses other than the one for callers. */
+    List<InetSocketAddress> additionalAddresses() {
+        return Stream.concat(otherAddresses().stream(), relayAddress.stream()).toList();
+    }
+
     /** Returns whether all requests to the address for callers are for targets. */
     boolean hasDedicatedCallerAddress() {
         return !ownAddresses.isEmpty();
@@ -82,7 +90,23 @@
                 maximumBufferedBytes,
                 maximumHeadBytes,
                 addresses,
-                metrics);
+                metrics,
+                relayAddress);
+    }
+
+    /** Returns the same settings with an address for the relay. */
+    public GatewaySettings withRelayAddress(Optional<InetSocketAddress> relay) {
+        return new GatewaySettings(
+                address,
+                ioThreads,
+                headTimeout,
+                idleTimeout,
+                maximumBodyBytes,
+                maximumBufferedBytes,
+                maximumHeadBytes,
+                ownAddresses,
+                metricsAddress,
+                relay);
     }
 
     /** Returns the default settings for an address, as listed in section 4.10 of the design page. */
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -24,6 +25,7 @@
 import org.basilrill.protocol.caller.CallerRoute;
 import org.basilrill.protocol.caller.LocalRoutes;
 import org.basilrill.protocol.instance.RequestCoordinator;
+import org.basilrill.protocol.relay.RelayService;
 import org.basilrill.transport.peer.BindFailure;
 
 /** HTTP server for callers, targets and operators, with graceful shutdown. Thread safe. */
@@ -47,16 +49,23 @@
     private final AtomicReference<StopReport> report = new AtomicReference<>(new StopReport(false, 0));
     private volatile ListenerEndpoint endpoint;
 
+    /**
+     * Creates a gateway that does not listen yet.
+     *
+     * @param relay carries exchanges for other instances; present if the settings have an address for it
+     */
     public HttpGateway(
             GatewaySettings settings,
             RequestCoordinator coordinator,
             LocalRoutes localRoutes,
+            Optional<RelayService> relay,
             MonotonicClock clock,
             Scheduler scheduler) {
         this.settings = settings;
         this.coordinator = coordinator;
         this.scheduler = scheduler;
-        connections = new CallerConnections(settings, handlerByAddress(settings, coordinator, localRoutes), clock);
+        connections =
+                new CallerConnections(settings, handlerByAddress(settings, coordinator, localRoutes, relay), clock);
         IOReactorConfig reactor = KeepAliveProbes.enable(IOReactorConfig.custom())
                 .setIoThreadCount(settings.ioThreads())
                 .setTcpNoDelay(true)
@@ -82,7 +91,7 @@
         server.start();
         try {
             endpoint = server.listen(settings.address(), URIScheme.HTTP).get();
-            for (InetSocketAddress other : settings.otherAddresses()) {
+            for (InetSocketAddress other : settings.additionalAddresses()) {
                 server.listen(other, URIScheme.HTTP).get();
             }
         } catch (ExecutionException exception) {
@@ -135,8 +144,11 @@
         return stopped;
     }
 
-    private static Function<InetSocketAddress, CallerRequestHandler> handlerByAddress(
-            GatewaySettings settings, RequestCoordinator coordinator, LocalRoutes localRoutes) {
+    private static Function<InetSocketAddress, GatewayRequestHandler> handlerByAddress(
+            GatewaySettings settings,
+            RequestCoordinator coordinator,
+            LocalRoutes localRoutes,
+            Optional<RelayService> relay) {
         boolean dedicated = settings.hasDedicatedCallerAddress();
         CallerRequestHandler callerHandler = new CallerRequestHandler(
                 coordinator, localRoutes, head -> dedicated || CallerRoute.matches(head.path()));
@@ -144,7 +156,14 @@
         Set<Integer> otherPorts = settings.otherAddresses().stream()
                 .map(InetSocketAddress::getPort)
                 .collect(Collectors.toSet());
-        return address -> otherPorts.contains(address.getPort()) ? localHandler : callerHandler;
+        Optional<GatewayRequestHandler> relayHandler = relay.map(RelayRequestHandler::new);
+        Optional<Integer> relayPort = settings.relayAddress().map(InetSocketAddress::getPort);
+        return address -> {
+            if (relayPort.filter(port -> port == address.getPort()).isPresent()) {
+                return relayHandler.orElseThrow();
+            }
+            return otherPorts.contains(address.getPort()) ? localHandler : callerHandler;
+        };
     }
 
     private void stopAccepting() {
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
@@ -27,6 +27,7 @@
 import org.apache.hc.core5.util.Timeout;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
+import org.basilrill.protocol.relay.RelayClient;
 import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.target.TargetAnnouncement;
 
@@ -34,12 +35,17 @@
  * HTTP/1.1 client for requests to targets, with one request at a time on each connection. A connection whose exchange
  * did not end cleanly is closed; an idle connection is reused only within a few seconds. Thread safe.
  */
-public final class TargetHttpClient implements TargetConnector, AutoCloseable {
+public final class TargetHttpClient implements TargetConnector, RelayClient, AutoCloseable {
     private static final int BUFFER_BYTES = 8 * 1024;
     /** With {@code MAXIMUM_HEADERS}, limits the memory of a response head: 50 endless heads must fit into the heap. */
     private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
 
     private static final int MAXIMUM_HEADERS = 64;
+    /**
+     * Connections open in a few milliseconds. A later one is not waited for, so that another instance can carry the
+     * exchange while its caller still waits.
+     */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     /** Connections are closed this long before the target would close them, so that no request is lost. */
     private static final Duration REUSE_MARGIN = Duration.ofMillis(500);
 
@@ -84,7 +90,7 @@
     public record Settings(int ioThreads, Duration connectTimeout, Duration maximumIdleTime, int windowBytes) {
         /** Returns the default settings with the given window. */
         public static Settings defaults(int windowBytes) {
-            return new Settings(2, Duration.ofSeconds(1), Duration.ofSeconds(5), windowBytes);
+            return new Settings(2, CONNECT_TIMEOUT, Duration.ofSeconds(5), windowBytes);
         }
     }
 
@@ -118,6 +124,26 @@
         return accepted;
     }
 
+    @Override
+    public Call open(String relayAddress, Request request, boolean freshConnection, Listener listener) {
+        int separator = relayAddress.lastIndexOf(':');
+        HttpHost host = new HttpHost(
+                "http", relayAddress.substring(0, separator), Integer.parseInt(relayAddress.substring(separator + 1)));
+        return open(host, request, freshConnection, listener);
+    }
+
+    @Override
+    public void discardIdleConnections(TargetAnnouncement target) {
+        Deque<IdleConnection> connections = idleConnections.get(new HttpHost("http", target.host(), target.port()));
+        if (connections == null) {
+            return;
+        }
+        synchronized (connections) {
+            connections.forEach(idle -> idle.session().close(CloseMode.IMMEDIATE));
+            connections.clear();
+        }
+    }
+
     /** Sends a request to an address, which need not be that of an announced target. */
     Call open(HttpHost host, Request request, boolean freshConnection, Listener listener) {
         TargetExchange exchange = new TargetExchange(
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
@@ -144,15 +145,10 @@
         return confirmed;
     }
 
-    /**
-     * Transfers the leadership to another replica if this replica is the leader.
-     *
-     * @return whether this replica is no longer the leader; fails with {@code CONTROL_UNAVAILABLE} once the replica has
-     *     stopped
-     */
-    public CompletableFuture<Boolean> handOverLeadership() {
+    @Override
+    public CompletableFuture<Boolean> handOverLeadership(Predicate<InstanceId> successors) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
-        submit(new Task(() -> replica.handOverLeadership(done), done::completeExceptionally));
+        submit(new Task(() -> replica.handOverLeadership(successors, done), done::completeExceptionally));
         return done;
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
@@ -166,7 +166,7 @@
     /** Requests that one replica hand its leadership over to another. */
     CompletableFuture<Boolean> handOver(InstanceId instance) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
-        nodes.get(instance).run(replica -> replica.handOverLeadership(done));
+        nodes.get(instance).run(replica -> replica.handOverLeadership(any -> true, done));
         return done;
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
@@ -178,6 +179,11 @@
             return isolated.contains(self) ? Optional.of(self).filter(id -> isLeader()) : leader;
         }
 
+        @Override
+        public CompletableFuture<Boolean> handOverLeadership(Predicate<InstanceId> successors) {
+            return CompletableFuture.completedFuture(false);
+        }
+
         @Override
         public boolean isLeader() {
             return believedTerm > 0 && (isolated.contains(self) || isActualLeader());
--- a/basilrill-library/src/test/java/org/basilrill/coordination/membership/ReplicaHoldersTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/membership/ReplicaHoldersTest.java
@@ -48,7 +48,7 @@
     }
 
     private static Membership.Member member(InstanceId id, boolean replica, boolean suspected) {
-        return new Membership.Member(id, "a", "", "", suspected, false, true, 1, 0, replica);
+        return new Membership.Member(id, "a", "", "", suspected, false, true, 1, 0, replica, Optional.empty(), false);
     }
 
     /** A membership that consists of the given members. */
--- a/basilrill-library/src/test/java/org/basilrill/coordination/stream/StreamVersionGuardTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/stream/StreamVersionGuardTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.TargetId;
 import org.basilrill.api.VirtualTime;
@@ -185,6 +186,11 @@
             return Optional.empty();
         }
 
+        @Override
+        public CompletableFuture<Boolean> handOverLeadership(Predicate<InstanceId> successors) {
+            return CompletableFuture.completedFuture(false);
+        }
+
         @Override
         public boolean isLeader() {
             return true;
--- a/basilrill-library/src/test/java/org/basilrill/protocol/caller/InstanceListingTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/caller/InstanceListingTest.java
@@ -35,6 +35,8 @@
                         true,
                         1,
                         0,
+                        false,
+                        Optional.empty(),
                         false))
                 .toList();
         Membership membership = new Membership() {
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayAddressesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayAddressesTest.java
@@ -44,6 +44,7 @@
                             .withOwnAddresses(List.of(), Optional.of(metricsAddress)),
                     fixture.coordinator(),
                     new MetricsRoute(metrics, LOCAL_ROUTES),
+                    Optional.empty(),
                     System::nanoTime,
                     GatewayFixture.scheduler(timer));
             gateway.start();
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -55,7 +56,7 @@
                 8 * 1024 * 1024,
                 maximumBufferedBytes,
                 16 * 1024);
-        gateway = new HttpGateway(settings, coordinator, routes, System::nanoTime, scheduler);
+        gateway = new HttpGateway(settings, coordinator, routes, Optional.empty(), System::nanoTime, scheduler);
         gateway.start();
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
@@ -81,7 +81,18 @@
 
     private static Membership.Member member(String name, boolean suspected, boolean draining, boolean current) {
         return new Membership.Member(
-                new InstanceId(name), "north", name + ":80", name + ":81", suspected, draining, current, 1, 0, false);
+                new InstanceId(name),
+                "north",
+                name + ":80",
+                name + ":81",
+                suspected,
+                draining,
+                current,
+                1,
+                0,
+                false,
+                Optional.empty(),
+                false);
     }
 
     private LocalRoutes routes() {
@@ -101,7 +112,8 @@
                 new FixedDirectory(announced),
                 () -> 3,
                 () -> List.of(BUDGET),
-                () -> Optional.of(REPLICA));
+                () -> Optional.of(REPLICA),
+                Optional.empty());
         AdministrationHandler administration = new AdministrationHandler(
                 control,
                 text,
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualInstances.java
@@ -74,6 +74,7 @@
     private final List<InstanceId> replicas;
     private final Map<InstanceId, VirtualStore> stores = new TreeMap<>();
     private final Map<InstanceId, Process> processes = new TreeMap<>();
+    private final VirtualRelays relays = new VirtualRelays(this::relayOf);
 
     public VirtualInstances(
             int count,
@@ -133,7 +134,8 @@
                         instance.targets(),
                         () -> 0,
                         () -> instance.budgets().snapshots(),
-                        Optional::empty),
+                        Optional::empty,
+                        instance.targetAccess()),
                 () -> instance.placement().map(PlacementView::describe).orElseGet(PlacementView::withoutReplica),
                 () -> {},
                 Optional.of(firstOperatorKey),
@@ -205,6 +207,12 @@
                 .isPresent();
     }
 
+    private Optional<VirtualRelays.Relay> relayOf(InstanceId id) {
+        return Optional.ofNullable(processes.get(id))
+                .map(process -> new VirtualRelays.Relay(
+                        process.instance.targetAccess().orElseThrow().service(), () -> process.alive));
+    }
+
     private boolean hasCurrentIncarnation(ReplicaId voter) {
         return stores.get(voter.instance()).incarnation() == voter.incarnation();
     }
@@ -291,7 +299,8 @@
                     RequestLimits.defaults(),
                     Optional.of(firstOperatorKey),
                     replica.map(log -> new LocalReplica(log, machine, () -> membersOf(log), holders -> {})),
-                    InterfaceOptions.defaults());
+                    InterfaceOptions.defaults(),
+                    Optional.of(relays.port(id, () -> alive, scheduler)));
         }
 
         private List<InstanceId> membersOf(VirtualReplica log) {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualPaths.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualPaths.java
@@ -47,5 +47,6 @@
         return cutOf(instance, target).filter(mode -> mode != Mode.REFUSE).isEmpty();
     }
 
+    /** How the paths of one instance to some targets are cut. */
     private record Cut(Mode mode, Predicate<TargetId> targets) {}
 }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualReplica.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualReplica.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.PeerHandler;
 import org.basilrill.api.Scheduler;
@@ -63,6 +64,13 @@
         return result;
     }
 
+    @Override
+    public CompletableFuture<Boolean> handOverLeadership(Predicate<InstanceId> successors) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        enqueue(() -> replica.handOverLeadership(successors, done));
+        return done;
+    }
+
     @Override
     public Optional<InstanceId> leader() {
         return status().leader();
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/CutFromTargetsTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/CutFromTargetsTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
 import java.util.List;
@@ -148,6 +149,26 @@
         assertThat(servedShare(fleet, settled, cutInstances::contains), greaterThan(REQUIRED_SHARE));
     }
 
+    /** Guards against target orders that reach nothing, because the leader that gives them is cut from all targets. */
+    @Test
+    void aLeaderThatIsCutFromAllTargetsHandsTheLeadershipOver() {
+        VirtualFleet fleet = fleet(41, 12, 6);
+        InstanceId leader = fleet.deployment().leader().orElseThrow();
+        cut(fleet, List.of(leader), Mode.HANG, target -> true);
+        run(fleet, Duration.ofSeconds(5));
+        assertThat(fleet.deployment().leader().orElseThrow(), is(not(leader)));
+    }
+
+    /** Guards against a leadership that moves from one cut replica to the next. */
+    @Test
+    void theLeadershipStaysIfNoReplicaReachesTheTargets() {
+        VirtualFleet fleet = fleet(42, 12, 6);
+        InstanceId leader = fleet.deployment().leader().orElseThrow();
+        cut(fleet, fleet.deployment().replicas(), Mode.REFUSE, target -> true);
+        run(fleet, Duration.ofSeconds(10));
+        assertThat(fleet.deployment().leader().orElseThrow(), is(leader));
+    }
+
     private static VirtualFleet fleet(long seed, int instances, int targets) {
         return new VirtualFleet(
                 seed, instances, targets, Optional.empty(), Optional.of(new ModelId(VirtualOperators.MODEL)));
--- a/basilrill-thrift/src/main/thrift/membership.thrift
+++ b/basilrill-thrift/src/main/thrift/membership.thrift
@@ -16,6 +16,12 @@
   6: required i64 revision
   /** Whether the instance has a replica of the control log. */
   7: optional bool replica
+  /** Address at which the instance carries exchanges with targets for others; absent if it does not. */
+  8: optional string relayAddress
+  /** Token that requests to the relay address must carry; present if and only if the address is. */
+  9: optional string relayToken
+  /** Whether the instance has lost its own paths to most targets. */
+  10: optional bool cutFromTargets
 }
 
 struct InstanceLoadFact {
