Send nothing to a target that states that it is leaving

A target that leaves says so in its responses, at times before its announcement says so, or while a late announcement still says that it is ready. No code read it, so requests went on to it (DRAIN).

Change: RestrictedConnector reads each response of a target on its way to the request path, own or carried for another instance, and checks again immediately before the first byte of a request is sent. A statement holds for the incarnation. If all targets of a service are leaving, requests are refused at once. Instances learn it from their own responses, not from each other: an older instance could not decode a new kind of fact.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -70,6 +70,7 @@
     TARGET_LIMIT_ENDED(411, "target no longer limits its requests per second"),
     TARGET_PERMITS_ISSUED(412, "replica issues the permits for a target with a limited request rate"),
     TARGET_PERMITS_ENDED(413, "replica issues no more permits, as the target no longer limits its requests"),
+    TARGET_STATED_LEAVING(414, "target states in a response that it is leaving"),
     TARGET_PATH_LOST(420, "instance lost its own path to a target that another instance reaches"),
     TARGET_PATH_RETURNED(421, "instance reaches a target by its own path again"),
     RELAY_REQUEST_REJECTED(422, "request to carry an exchange for another instance was rejected"),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/DispatchRefusals.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/DispatchRefusals.java
@@ -10,6 +10,7 @@
 import org.basilrill.coordination.admission.Dispatcher.Request;
 import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.coordination.limit.RequestPermits.ExpectedPermits;
+import org.basilrill.coordination.routing.TargetRestrictions;
 import org.basilrill.coordination.routing.TargetRouter;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetDirectory;
@@ -29,6 +30,7 @@
     private final MonotonicClock clock;
     private final DispatcherOptions options;
     private final RequestPermits permits;
+    private final TargetRestrictions restrictions;
 
     DispatchRefusals(
             TargetDirectory directory,
@@ -40,6 +42,7 @@
             DispatcherOptions options,
             RequestPermits permits) {
         this.permits = permits;
+        this.restrictions = router.restrictions();
         this.directory = directory;
         this.router = router;
         this.queues = queues;
@@ -64,6 +67,12 @@
                     .map(untilReady -> notReady(request.destination())
                             .withRetryAfter(retryAfter(untilReady.toNanos() - remainingNanos)));
         }
+        if (ready.stream().allMatch(restrictions::isLeaving)) {
+            return Optional.of(new BasilrillException(
+                    ErrorCode.NO_TARGET,
+                    String.format(
+                            "all %d targets of %s are leaving", ready.size(), DestinationStatistics.name(request))));
+        }
         if (ready.stream().allMatch(target -> request.excludedTargets().contains(target.id()))) {
             return Optional.of(new BasilrillException(
                     ErrorCode.NO_TARGET,
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
@@ -35,6 +35,7 @@
     private final IntSupplier instanceCount;
     private final RoutingOptions options;
     private final RequestPermits permits;
+    private final TargetRestrictions restrictions;
     private final CandidateSubset subset;
     private final PrefixAffinity affinity = new PrefixAffinity();
     private final Map<TargetId, TargetState> states = new ConcurrentHashMap<>();
@@ -47,7 +48,15 @@
             RandomGenerator random,
             IntSupplier instanceCount,
             RoutingOptions options) {
-        this(instance, dataCentre, clock, random, instanceCount, options, RequestPermits.UNLIMITED);
+        this(
+                instance,
+                dataCentre,
+                clock,
+                random,
+                instanceCount,
+                options,
+                RequestPermits.UNLIMITED,
+                new TargetRestrictions());
     }
 
     /**
@@ -55,6 +64,7 @@
      *
      * @param instanceCount number of instances that share the targets, including this one
      * @param permits permits for targets that state a request rate
+     * @param restrictions what targets have stated in their responses
      */
     public TargetRouter(
             InstanceId instance,
@@ -63,8 +73,10 @@
             RandomGenerator random,
             IntSupplier instanceCount,
             RoutingOptions options,
-            RequestPermits permits) {
+            RequestPermits permits,
+            TargetRestrictions restrictions) {
         this.permits = permits;
+        this.restrictions = restrictions;
         this.dataCentre = dataCentre;
         this.clock = clock;
         this.random = random;
@@ -145,7 +157,7 @@
             String destination, Collection<TargetAnnouncement> ready, Set<TargetId> excluded) {
         List<TargetAnnouncement> usable = new ArrayList<>(ready.size());
         for (TargetAnnouncement target : ready) {
-            if (target.leaving() || excluded.contains(target.id())) {
+            if (target.leaving() || excluded.contains(target.id()) || !restrictions.accepts(target)) {
                 continue;
             }
             TargetState state = stateOf(target);
@@ -181,6 +193,11 @@
         }
     }
 
+    /** Returns what targets have stated in their responses. */
+    public TargetRestrictions restrictions() {
+        return restrictions;
+    }
+
     /** Applies a cache event of a target. */
     public void received(CacheEvent event) {
         affinity.received(event);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/Dialect.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/dialect/Dialect.java
@@ -1,7 +1,9 @@
 package org.basilrill.protocol.dialect;
 
 import org.basilrill.protocol.caller.LocalRoutes;
+import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.state.configuration.RulesFormat;
+import org.basilrill.state.target.TargetNotices;
 
 /**
  * Message formats between an instance and its callers, operators, engines and other targets. A dialect translates
@@ -17,6 +19,9 @@
     /** Returns the format of state requests and target orders to engines. */
     EngineDialect engines();
 
+    /** Returns what a target states about itself in a response; in the response to any request. */
+    TargetNotices targetNotices(ResponseHead response);
+
     /** Returns the routes that the instance serves itself for targets, operators and callers. */
     LocalRoutes routes(InstanceAccess instance);
 }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -38,6 +38,7 @@
 import org.basilrill.coordination.stream.StreamVersionGuard;
 import org.basilrill.coordination.stream.VersionRetirement;
 import org.basilrill.protocol.caller.InstanceListing;
+import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.dialect.Dialect;
 import org.basilrill.protocol.instance.InterfaceOptions.EngineAccess;
 import org.basilrill.protocol.peer.GossipCodec;
@@ -47,6 +48,7 @@
 import org.basilrill.protocol.relay.TargetAccess;
 import org.basilrill.state.configuration.Rules;
 import org.basilrill.state.target.AnnouncementReceiver;
+import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetChangeListener.Change;
 import org.basilrill.state.target.TargetChangeListener.Kind;
 import org.basilrill.state.target.TargetDirectory;
@@ -246,6 +248,11 @@
         return placement.map(PlacementController::status);
     }
 
+    /** Records what a target states in its response to a request of this instance's own, such as a report request. */
+    public void observeTargetResponse(TargetAnnouncement target, ResponseHead response) {
+        paths.observe(target, response);
+    }
+
     /** Returns how this instance reaches targets by way of others, if it does. */
     public Optional<TargetAccess> targetAccess() {
         return paths.access();
@@ -306,7 +313,8 @@
                 splitRandom(),
                 () -> usableInstances,
                 RoutingOptions.defaults(),
-                permits);
+                permits,
+                paths.restrictions());
         return new FairDispatcher(
                 targets,
                 router,
@@ -325,7 +333,9 @@
                 control,
                 budgets,
                 dispatcher,
-                createRetryBudget(),
+                new SlidingRetryBudget(
+                        environment.clock(),
+                        requests -> environment.interfaces().retries().allowance(requests, usableInstances)),
                 paths.connector(),
                 environment.clock(),
                 environment.scheduler(),
@@ -343,12 +353,6 @@
                 environment.interfaces().dialect().map(Dialect::callers)));
     }
 
-    private SlidingRetryBudget createRetryBudget() {
-        return new SlidingRetryBudget(
-                environment.clock(),
-                requests -> environment.interfaces().retries().allowance(requests, usableInstances));
-    }
-
     private void targetChanged(Change change) {
         if (change.kind() == Kind.EXPIRED) {
             dispatcher.targetExpired(change.announcement().id());
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
@@ -5,16 +5,24 @@
 import org.basilrill.coordination.membership.GossipMembership;
 import org.basilrill.coordination.membership.RelayAccess;
 import org.basilrill.coordination.path.CutLeaderHandover;
+import org.basilrill.coordination.routing.TargetRestrictions;
+import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.relay.TargetAccess;
+import org.basilrill.protocol.target.NativeTargetNotices;
+import org.basilrill.protocol.target.RestrictedConnector;
 import org.basilrill.protocol.target.TargetConnector;
+import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetDirectory;
+import org.basilrill.state.target.TargetNotices;
 
 /**
- * The paths of one instance to the targets, with its relay if the environment has one. Without a relay, all exchanges
- * use own paths. Thread safe.
+ * How one instance reaches the targets: over its own paths and, if the environment has a relay, by way of others. Also
+ * keeps what targets state about themselves, which binds all requests that leave this instance. Thread safe.
  */
 final class InstancePaths {
     private final InstanceEnvironment environment;
+    private final TargetRestrictions restrictions;
+    private final TargetConnector direct;
     private final Optional<TargetAccess> access;
 
     /**
@@ -29,6 +37,8 @@
             Runnable cutListener,
             SplittableGenerator random) {
         this.environment = environment;
+        this.restrictions = new TargetRestrictions();
+        this.direct = new RestrictedConnector(environment.connector(), restrictions, this::noticesOf);
         this.access = environment
                 .relay()
                 .map(port -> new TargetAccess(new TargetAccess.Environment(
@@ -36,7 +46,7 @@
                         environment.dataCentre(),
                         membership,
                         targets,
-                        environment.connector(),
+                        direct,
                         port,
                         cutListener,
                         environment.clock(),
@@ -59,9 +69,19 @@
         return access;
     }
 
+    /** Returns what targets have stated in their responses. */
+    TargetRestrictions restrictions() {
+        return restrictions;
+    }
+
+    /** Records what a target states in a response that did not come through {@link #connector}. */
+    void observe(TargetAnnouncement target, ResponseHead response) {
+        restrictions.observe(target, noticesOf(response));
+    }
+
     /** Returns the connector for the requests of callers. */
     TargetConnector connector() {
-        return access.map(TargetAccess::connector).orElseGet(environment::connector);
+        return access.map(TargetAccess::connector).orElse(direct);
     }
 
     /** Returns how others reach the relay of this instance, if it has one. */
@@ -79,6 +99,14 @@
         return access.map(present -> present.service().exchanges()).orElse(0);
     }
 
+    private TargetNotices noticesOf(ResponseHead response) {
+        return environment
+                .interfaces()
+                .dialect()
+                .map(dialect -> dialect.targetNotices(response))
+                .orElseGet(() -> NativeTargetNotices.read(response));
+    }
+
     private void registerGauges(TargetAccess present) {
         environment.metrics().registerGauge("target_paths.lost", present::lostPaths);
         environment
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -240,6 +240,10 @@
                 case CONNECTION_LOST -> connectionLost(failure);
                 case INVALID_ANSWER -> fail(ErrorCode.TARGET_FAILED, failure.detail(), false);
                 case PATH_LOST -> pathLost(failure);
+                case NOT_ACCEPTED ->
+                    end(
+                            AttemptResult.REFUSED_FULL,
+                            new AttemptFailure(ErrorCode.TARGET_FULL, failure.detail(), false, false));
                 default -> throw new IllegalStateException("unknown failure " + failure.kind());
             }
         });
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayResult.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayResult.java
@@ -20,7 +20,9 @@
     /** The response of the target is not valid HTTP. */
     INVALID_RESPONSE("invalid-response"),
     /** The relay lost its own path to the target, which may have run the request. */
-    PATH_LOST("path-lost");
+    PATH_LOST("path-lost"),
+    /** The target has stated that it wants no request from the relay; nothing was sent. */
+    NOT_ACCEPTED("not-accepted");
 
     private final String text;
 
@@ -45,6 +47,7 @@
             case CONNECTION_LOST -> new Failure(FailureKind.CONNECTION_LOST, false, detail);
             case REUSED_CONNECTION_LOST -> new Failure(FailureKind.CONNECTION_LOST, true, detail);
             case INVALID_RESPONSE -> new Failure(FailureKind.INVALID_ANSWER, false, detail);
+            case NOT_ACCEPTED -> new Failure(FailureKind.NOT_ACCEPTED, false, detail);
             case PATH_LOST -> new Failure(FailureKind.PATH_LOST, false, detail);
             default -> new Failure(FailureKind.UNREACHABLE, false, detail);
         };
@@ -56,6 +59,7 @@
             case UNREACHABLE -> NOT_SENT;
             case INVALID_ANSWER -> INVALID_RESPONSE;
             case PATH_LOST -> PATH_LOST;
+            case NOT_ACCEPTED -> NOT_ACCEPTED;
             default -> failure.reusedConnection() ? REUSED_CONNECTION_LOST : CONNECTION_LOST;
         };
     }
--- /dev/null
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/target/NativeTargetNotices.java
@@ -0,0 +1,18 @@
+package org.basilrill.protocol.target;
+
+import org.basilrill.protocol.caller.ResponseHead;
+import org.basilrill.state.target.TargetNotices;
+
+/** Reads what a target states about itself in a response of the native API. Stateless and thread safe. */
+public final class NativeTargetNotices {
+    private static final String LEAVING = "x-target-leaving";
+    private static final String TRUE = "true";
+
+    private NativeTargetNotices() {}
+
+    /** Returns the notices in a response. */
+    public static TargetNotices read(ResponseHead response) {
+        return new TargetNotices(
+                response.header(LEAVING).filter(TRUE::equalsIgnoreCase).isPresent());
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/protocol/target/TargetConnector.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/target/TargetConnector.java
@@ -108,6 +108,8 @@
          * The way to the target was lost: this instance's own path, or the instance that carried the exchange. Shows
          * nothing about the target.
          */
-        PATH_LOST
+        PATH_LOST,
+        /** The target has stated that it wants no request from this instance; nothing was sent. */
+        NOT_ACCEPTED
     }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatcherFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatcherFixture.java
@@ -21,6 +21,7 @@
 import org.basilrill.coordination.admission.Dispatcher.Request;
 import org.basilrill.coordination.limit.RequestPermits;
 import org.basilrill.coordination.routing.RoutingOptions;
+import org.basilrill.coordination.routing.TargetRestrictions;
 import org.basilrill.coordination.routing.TargetRouter;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetChangeListener.Kind;
@@ -55,7 +56,8 @@
                 new SplittableRandom(seed),
                 () -> instances,
                 RoutingOptions.defaults(),
-                permits);
+                permits,
+                new TargetRestrictions());
         dispatcher = new FairDispatcher(
                 registry,
                 router,
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
@@ -50,6 +50,7 @@
     private Predicate<String> crashesOn = body -> false;
     private Duration downtime = Duration.ZERO;
     private final List<Long> crashNanos = new ArrayList<>();
+    private List<HeaderField> statedFields = List.of();
 
     /** Creates a target of a plain service, or of an engine on which the model is resident. */
     public VirtualTarget(
@@ -109,6 +110,11 @@
         this.responsesPerStatement = responsesPerStatement;
     }
 
+    /** Adds header fields to all responses from now on, in place of those added before. */
+    public void stateInResponses(HeaderField... fields) {
+        statedFields = List.of(fields);
+    }
+
     /** Returns what the responses stated about the request rate, in the order in which they were received. */
     public List<Statement> statements() {
         return statements;
@@ -320,6 +326,7 @@
             OptionalDouble rate = responses++ % responsesPerStatement == 0 ? statedRate : OptionalDouble.empty();
             rate.ifPresent(perSecond ->
                     headers.add(new HeaderField(ResponseHead.REQUEST_RATE_LIMIT, Double.toString(perSecond))));
+            headers.addAll(statedFields);
             ResponseHead head = new ResponseHead(200, headers);
             deliver(() -> {
                 statements.add(new Statement(sender, rate, time.nanos()));
