Send nothing to a target during the pause that it asks for

A target that refuses a request with 503 and Retry-After wants nothing from the instance for so long.

Change: the pause is kept for the incarnation of the target, per instance, and binds requests, retries, resumed streams, carried exchanges, report requests and orders. If all targets want nothing for longer than half of the time that the caller has, the request is refused at once with the shortest pause; otherwise it waits here.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -290,7 +290,12 @@
 
     private EngineAccess engineAccess(Dialect configured) {
         EngineClient engineClient = new HttpEngineClient(
-                targetClient, threads.scheduler(), configured.engines(), settings.instance(), TARGET_ORDER_TIMEOUT);
+                targetClient,
+                threads.scheduler(),
+                configured.engines(),
+                settings.instance(),
+                TARGET_ORDER_TIMEOUT,
+                (engine, response) -> instance.observeTargetResponse(engine, response));
         return new EngineAccess(engineClient, settings.interfaces().orderLease());
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/DispatchRefusals.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/DispatchRefusals.java
@@ -79,7 +79,7 @@
                     String.format(
                             "all %d targets of %s are excluded", ready.size(), DestinationStatistics.name(request))));
         }
-        return firstTokenTooLate(request, ready);
+        return pausedTooLong(request, ready).or(() -> firstTokenTooLate(request, ready));
     }
 
     /** Returns the reason to refuse a request that found no free slot, if it should not stay queued. */
@@ -112,6 +112,36 @@
                 : backlogTooLong(request, ahead, remainingNanos);
     }
 
+    /**
+     * Refuses a request if all its targets want none for longer than its caller is likely to wait here. Half of the
+     * remaining time is left for the request itself.
+     */
+    private Optional<BasilrillException> pausedTooLong(Request request, Collection<TargetAnnouncement> ready) {
+        Duration shortestPause = Duration.ofNanos(Long.MAX_VALUE);
+        for (TargetAnnouncement target : ready) {
+            if (request.excludedTargets().contains(target.id()) || restrictions.isLeaving(target)) {
+                continue;
+            }
+            Optional<Duration> pause = restrictions.remainingPause(target);
+            if (pause.isEmpty()) {
+                return Optional.empty();
+            }
+            if (pause.get().compareTo(shortestPause) < 0) {
+                shortestPause = pause.get();
+            }
+        }
+        long remainingNanos = request.deadlineNanos() - clock.nanos();
+        if (shortestPause.toNanos() <= remainingNanos / 2) {
+            return Optional.empty();
+        }
+        return Optional.of(new BasilrillException(
+                        ErrorCode.TARGET_FULL,
+                        String.format(
+                                "all targets of %s want no requests for %d ms",
+                                DestinationStatistics.name(request), shortestPause.toMillis()))
+                .withRetryAfter(shortestPause));
+    }
+
     /** Returns the failure of a request whose deadline passed while it was queued. */
     BasilrillException expired(Request request) {
         if (!isReady(request.destination())) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRestrictions.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRestrictions.java
@@ -1,9 +1,12 @@
 package org.basilrill.coordination.routing;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.basilrill.api.LogEvent;
+import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.TargetId;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetNotices;
@@ -12,13 +15,15 @@
  * Restricts the requests that this instance sends to a target to what the target has stated in its responses.
  *
  * <p>A target that states that it is leaving gets no further request for as long as its incarnation lasts, whatever it
- * announces: its announcements may be older than the response. Thread safe: guarded by its own lock.
+ * announces: its announcements may be older than the response. A target that refuses a request and names a time gets
+ * none until that time has passed. Thread safe: guarded by its own lock.
  */
 public final class TargetRestrictions {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     /** Targets that are remembered. An expired announcement is no reason to forget one, as it may be renewed. */
     private static final int MAXIMUM_TARGETS = 4096;
 
+    private final MonotonicClock clock;
     private final Map<TargetId, Restriction> restrictions = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<TargetId, Restriction> eldest) {
@@ -26,24 +31,37 @@
         }
     };
 
+    /** Creates restrictions for targets that have stated nothing. */
+    public TargetRestrictions(MonotonicClock clock) {
+        this.clock = clock;
+    }
+
     /** Records what a response of the target states. */
     public void observe(TargetAnnouncement target, TargetNotices notices) {
-        if (!notices.leaving()) {
-            return;
+        notices.pause().ifPresent(pause -> pauseFor(target, pause));
+        if (notices.leaving()) {
+            leaves(target);
         }
+    }
+
+    private synchronized void pauseFor(TargetAnnouncement target, Duration pause) {
+        restrictionOf(target).ifPresent(known -> known.pauseUntil(clock.nanos() + pause.toNanos()));
+    }
+
+    private void leaves(TargetAnnouncement target) {
         synchronized (this) {
-            Restriction known = restrictionOf(target);
-            if (known.leaving) {
+            Optional<Restriction> known = restrictionOf(target).filter(restriction -> !restriction.leaving);
+            if (known.isEmpty()) {
                 return;
             }
-            known.leaving = true;
+            known.get().leaving = true;
         }
         LOGGER.atInfo().log("%s: target %s", LogEvent.TARGET_STATED_LEAVING, target.id());
     }
 
     /** Returns whether the target accepts requests from this instance at present. */
     public synchronized boolean accepts(TargetAnnouncement target) {
-        return !isLeaving(target);
+        return !isLeaving(target) && remainingPause(target).isEmpty();
     }
 
     /** Returns whether the target has stated that it is leaving. */
@@ -52,22 +70,41 @@
         return known != null && known.incarnation == target.incarnation() && known.leaving;
     }
 
-    private Restriction restrictionOf(TargetAnnouncement target) {
+    /** Returns how long the target wants no request from this instance yet; empty if it wants some. */
+    public synchronized Optional<Duration> remainingPause(TargetAnnouncement target) {
+        Restriction known = restrictions.get(target.id());
+        if (known == null || known.incarnation != target.incarnation() || !known.paused) {
+            return Optional.empty();
+        }
+        Duration remaining = Duration.ofNanos(known.pauseEndNanos - clock.nanos());
+        return Optional.of(remaining).filter(left -> !left.isNegative() && !left.isZero());
+    }
+
+    /** Returns the restriction of an incarnation, a new one if needed; empty if a later incarnation is known. */
+    private Optional<Restriction> restrictionOf(TargetAnnouncement target) {
         Restriction known = restrictions.get(target.id());
         if (known == null || known.incarnation < target.incarnation()) {
             known = new Restriction(target.incarnation());
             restrictions.put(target.id(), known);
         }
-        return known;
+        return Optional.of(known).filter(restriction -> restriction.incarnation == target.incarnation());
     }
 
     /** What one incarnation of a target has stated; guarded by the lock of the owner. */
     private static final class Restriction {
         private final long incarnation;
         private boolean leaving;
+        private boolean paused;
+        private long pauseEndNanos;
 
         Restriction(long incarnation) {
             this.incarnation = incarnation;
         }
+
+        /** Begins or extends the pause; a response that crossed a later one does not end it sooner. */
+        void pauseUntil(long nanos) {
+            pauseEndNanos = paused && pauseEndNanos - nanos > 0 ? pauseEndNanos : nanos;
+            paused = true;
+        }
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
@@ -56,7 +56,7 @@
                 instanceCount,
                 options,
                 RequestPermits.UNLIMITED,
-                new TargetRestrictions());
+                new TargetRestrictions(clock));
     }
 
     /**
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -132,7 +132,8 @@
                 targets,
                 targetPublisher,
                 placementMessenger,
-                environment.replica().map(permitAssembly::issuer));
+                environment.replica().map(permitAssembly::issuer),
+                paths.restrictions());
         Optional<EngineAccess> engines = environment.interfaces().engines();
         this.placement =
                 engines.isPresent() ? Optional.empty() : environment.replica().map(placementAssembly::placement);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
@@ -37,7 +37,7 @@
             Runnable cutListener,
             SplittableGenerator random) {
         this.environment = environment;
-        this.restrictions = new TargetRestrictions();
+        this.restrictions = new TargetRestrictions(environment.clock());
         this.direct = new RestrictedConnector(environment.connector(), restrictions, this::noticesOf);
         this.access = environment
                 .relay()
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/PlacementAssembly.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/PlacementAssembly.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.basilrill.coordination.control.ControlLogClient;
 import org.basilrill.coordination.engine.EngineController;
+import org.basilrill.coordination.engine.RestrictedEngineClient;
 import org.basilrill.coordination.limit.ChargingEngineClient;
 import org.basilrill.coordination.limit.ChargingTargetOrderClient;
 import org.basilrill.coordination.limit.PermitIssuer;
@@ -13,6 +14,7 @@
 import org.basilrill.coordination.placement.PlacementEnvironment;
 import org.basilrill.coordination.placement.PlacementMessenger;
 import org.basilrill.coordination.placement.PlacementSettings;
+import org.basilrill.coordination.routing.TargetRestrictions;
 import org.basilrill.protocol.instance.InstanceEnvironment.LocalReplica;
 import org.basilrill.protocol.instance.InterfaceOptions.EngineAccess;
 import org.basilrill.state.target.TargetAnnouncement;
@@ -25,7 +27,8 @@
         TargetRegistry targets,
         TargetPublisher targetPublisher,
         PlacementMessenger messenger,
-        Optional<PermitIssuer> permitIssuer) {
+        Optional<PermitIssuer> permitIssuer,
+        TargetRestrictions restrictions) {
     /** Horizon of the demand by which models are loaded on engines. It is short because a load takes only seconds. */
     private static final Duration ENGINE_DEMAND_HORIZON = Duration.ofSeconds(4);
     /** Horizon of the demand by which models stay resident in engines. It is longer because recent demand may recur. */
@@ -60,7 +63,8 @@
                         replica.log()::term,
                         () -> replica.machine().view().rules(),
                         targets,
-                        new ChargingEngineClient(access.engineClient(), this::charge),
+                        new RestrictedEngineClient(
+                                new ChargingEngineClient(access.engineClient(), this::charge), restrictions),
                         targetPublisher::contentChanged,
                         messenger::sendReadiness,
                         this::isOverLimit,
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetNotices.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetNotices.java
@@ -1,11 +1,39 @@
 package org.basilrill.state.target;
 
+import java.math.BigDecimal;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
 /**
  * What a target states about itself in a response, whatever the request. Immutable and thread safe.
  *
  * @param leaving whether the target is about to stop and wants no new requests
+ * @param pause how long the target wants no request from this instance, counted from the response
  */
-public record TargetNotices(boolean leaving) {
+public record TargetNotices(boolean leaving, Optional<Duration> pause) {
     /** The notices of a response that states nothing. */
-    public static final TargetNotices NONE = new TargetNotices(false);
+    public static final TargetNotices NONE = new TargetNotices(false, Optional.empty());
+
+    /** Longer pauses are shortened to this; a target is hardly ever in service for as long. */
+    private static final Duration LONGEST_PAUSE = Duration.ofDays(1);
+
+    private static final Pattern SECONDS = Pattern.compile("[0-9]{1,40}(\\.[0-9]{1,40})?");
+    private static final BigDecimal NANOS_PER_SECOND = BigDecimal.valueOf(1_000_000_000L);
+
+    /**
+     * Parses the seconds of a pause, which may have a fraction.
+     *
+     * @return empty if the text is not a number, such as a date, or if the pause has no duration
+     */
+    public static Optional<Duration> parsePause(String seconds) {
+        String trimmed = seconds.trim();
+        if (!SECONDS.matcher(trimmed).matches()) {
+            return Optional.empty();
+        }
+        BigDecimal longest = BigDecimal.valueOf(LONGEST_PAUSE.toSeconds());
+        BigDecimal limited = new BigDecimal(trimmed).min(longest);
+        return Optional.of(Duration.ofNanos(limited.multiply(NANOS_PER_SECOND).longValue()))
+                .filter(pause -> !pause.isZero());
+    }
 }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineClient.java
@@ -5,12 +5,14 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.apache.hc.core5.http.HttpHost;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.Scheduler;
 import org.basilrill.coordination.engine.EngineClient;
 import org.basilrill.protocol.caller.PlainResponse;
+import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.dialect.EngineDialect;
 import org.basilrill.protocol.dialect.EngineDialect.EngineRequest;
 import org.basilrill.protocol.target.TargetConnector;
@@ -28,20 +30,28 @@
     private final EngineDialect dialect;
     private final InstanceId holder;
     private final Duration timeout;
+    private final BiConsumer<TargetAnnouncement, ResponseHead> responseObserver;
 
     /**
      * Creates the client of one instance.
      *
      * @param holder instance in whose name the orders are sent
      * @param timeout longest time until a response is complete
+     * @param responseObserver receives the head of each response, which may state something about the engine
      */
     public HttpEngineClient(
-            TargetHttpClient client, Scheduler scheduler, EngineDialect dialect, InstanceId holder, Duration timeout) {
+            TargetHttpClient client,
+            Scheduler scheduler,
+            EngineDialect dialect,
+            InstanceId holder,
+            Duration timeout,
+            BiConsumer<TargetAnnouncement, ResponseHead> responseObserver) {
         this.client = client;
         this.scheduler = scheduler;
         this.dialect = dialect;
         this.holder = holder;
         this.timeout = timeout;
+        this.responseObserver = responseObserver;
     }
 
     @Override
@@ -75,6 +85,11 @@
         TargetConnector.Request request = new TargetConnector.Request(
                 engineRequest.method(), engineRequest.path(), engineRequest.headers(), engineRequest.body());
         HttpHost host = new HttpHost("http", engine.host(), engine.port());
-        return ResponseCollector.sendOnReusedConnection(client, scheduler, host, request, timeout);
+        CompletableFuture<PlainResponse> response =
+                ResponseCollector.sendOnReusedConnection(client, scheduler, host, request, timeout);
+        return response.thenApply(received -> {
+            responseObserver.accept(engine, new ResponseHead(received.status(), received.headers()));
+            return received;
+        });
     }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatcherFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatcherFixture.java
@@ -57,7 +57,7 @@
                 () -> instances,
                 RoutingOptions.defaults(),
                 permits,
-                new TargetRestrictions());
+                new TargetRestrictions(time));
         dispatcher = new FairDispatcher(
                 registry,
                 router,
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
@@ -30,6 +30,7 @@
 public final class VirtualTarget {
     private static final Duration ONE_WAY_DELAY = Duration.ofMillis(1);
     private static final int RESPONSE_PARTS = 3;
+    private static final int SERVICE_UNAVAILABLE = 503;
 
     private final VirtualTime time;
     private final RandomGenerator random;
@@ -51,6 +52,8 @@
     private Duration downtime = Duration.ZERO;
     private final List<Long> crashNanos = new ArrayList<>();
     private List<HeaderField> statedFields = List.of();
+    private final List<Execution> refusals = new ArrayList<>();
+    private Optional<List<HeaderField>> refusalFields = Optional.empty();
 
     /** Creates a target of a plain service, or of an engine on which the model is resident. */
     public VirtualTarget(
@@ -110,6 +113,25 @@
         this.responsesPerStatement = responsesPerStatement;
     }
 
+    /**
+     * Refuses all requests without running them from now on.
+     *
+     * @param fields header fields of the refusals
+     */
+    public void refuse(HeaderField... fields) {
+        refusalFields = Optional.of(List.of(fields));
+    }
+
+    /** Runs requests again. */
+    public void stopRefusing() {
+        refusalFields = Optional.empty();
+    }
+
+    /** Returns the requests that were refused. */
+    public List<Execution> refusals() {
+        return refusals;
+    }
+
     /** Adds header fields to all responses from now on, in place of those added before. */
     public void stateInResponses(HeaderField... fields) {
         statedFields = List.of(fields);
@@ -292,7 +314,13 @@
             String requestId =
                     HeaderField.first(request.headers(), RequestHead.REQUEST_ID).orElse("");
             long leaving = isLeaving() ? time.nanos() - leavingSince : -1;
-            executions.add(new Execution(id, sender, requestId, body, time.nanos(), leaving));
+            Execution arrival = new Execution(id, sender, requestId, body, time.nanos(), leaving);
+            if (refusalFields.isPresent()) {
+                refusals.add(arrival);
+                respondWithRefusal(requestId, refusalFields.get());
+                return;
+            }
+            executions.add(arrival);
             if (occurs(Behaviour.CRASH)) {
                 crash();
             } else if (!occurs(Behaviour.UNRESPONSIVE)) {
@@ -300,6 +328,20 @@
             }
         }
 
+        private void respondWithRefusal(String requestId, List<HeaderField> fields) {
+            List<HeaderField> headers = new ArrayList<>(fields);
+            headers.add(new HeaderField(RequestHead.REQUEST_ID, requestId));
+            headers.addAll(statedFields);
+            open.remove(this);
+            time.schedule(
+                    ONE_WAY_DELAY,
+                    () -> deliver(() -> {
+                        listener.headReceived(new ResponseHead(SERVICE_UNAVAILABLE, headers));
+                        deliver(listener::responseCompleted);
+                        closed = true;
+                    }));
+        }
+
         private Duration serviceTime() {
             if (occurs(Behaviour.LATE)) {
                 return Duration.ofMillis(10_000 + random.nextInt(4000));
