Share the slots of targets that fail when they refuse many requests

Targets of a service may state that they fail if they have to refuse more than N requests in a second for want of room. Each instance decided by its own view: twelve instances, each a little over, are one flood, the load of a failed target floods the next, and a target that comes back is flooded by all (LIMIT).

Change: while a service is fragile, each instance uses its share of the slots of each target, which all compute alike from the membership; an instance that is refused all the same pauses so long that all together cause at most N refusals in a second. Permits of the leader were weighed and are not used (design 4.16).

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -71,6 +71,8 @@
     TARGET_PERMITS_ISSUED(412, "replica issues the permits for a target with a limited request rate"),
     TARGET_PERMITS_ENDED(413, "replica issues no more permits, as the target no longer limits its requests"),
     TARGET_STATED_LEAVING(414, "target states in a response that it is leaving"),
+    SERVICE_FRAGILE(415, "targets of a service state that they fail if they refuse more than a few requests a second"),
+    SERVICE_NO_LONGER_FRAGILE(416, "targets of a service no longer state that they fail if they refuse many requests"),
     TARGET_PATH_LOST(420, "instance lost its own path to a target that another instance reaches"),
     TARGET_PATH_RETURNED(421, "instance reaches a target by its own path again"),
     RELAY_REQUEST_REJECTED(422, "request to carry an exchange for another instance was rejected"),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRestrictions.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRestrictions.java
@@ -3,26 +3,35 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
+import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.TargetId;
 import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetDirectory;
 import org.basilrill.state.target.TargetNotices;
+import org.basilrill.state.target.TargetRegistry;
 
 /**
  * Restricts the requests that this instance sends to a target to what the target has stated in its responses.
  *
  * <p>A target that states that it is leaving gets no further request for as long as its incarnation lasts, whatever it
  * announces: its announcements may be older than the response. A target that refuses a request and names a time gets
- * none until that time has passed. Thread safe: guarded by its own lock.
+ * none until that time has passed. Targets that fail when they refuse too many requests get no more than this
+ * instance's share of their slots.
+ *
+ * <p>Thread safe: guarded by its own lock.
  */
 public final class TargetRestrictions {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     /** Targets that are remembered. An expired announcement is no reason to forget one, as it may be renewed. */
     private static final int MAXIMUM_TARGETS = 4096;
 
+    private final FragileServices fragileServices;
     private final MonotonicClock clock;
     private final Map<TargetId, Restriction> restrictions = new LinkedHashMap<>() {
         @Override
@@ -31,19 +40,50 @@
         }
     };
 
-    /** Creates restrictions for targets that have stated nothing. */
-    public TargetRestrictions(MonotonicClock clock) {
+    /**
+     * Creates restrictions for targets that have stated nothing.
+     *
+     * @param instances all known instances, this one included, in any order
+     */
+    public TargetRestrictions(
+            InstanceId self, Supplier<List<InstanceId>> instances, TargetDirectory directory, MonotonicClock clock) {
+        this.fragileServices = new FragileServices(self, instances, directory, clock);
         this.clock = clock;
     }
 
+    /** Returns restrictions of an instance that shares its targets with no other one. */
+    public static TargetRestrictions none(InstanceId self, MonotonicClock clock) {
+        return new TargetRestrictions(self, () -> List.of(self), new TargetRegistry(clock), clock);
+    }
+
     /** Records what a response of the target states. */
     public void observe(TargetAnnouncement target, TargetNotices notices) {
         notices.pause().ifPresent(pause -> pauseFor(target, pause));
+        observeRefusalLimit(target, notices);
         if (notices.leaving()) {
             leaves(target);
         }
     }
 
+    private void observeRefusalLimit(TargetAnnouncement target, TargetNotices notices) {
+        synchronized (this) {
+            boolean changed = fragileServices.observe(target, notices.refusalLimit());
+            if (notices.refused() && notices.refusalLimit().isPresent()) {
+                pauseFor(target, fragileServices.pauseAfterRefusal(target));
+            }
+            if (!changed) {
+                return;
+            }
+        }
+        LOGGER.atWarning().log(
+                "%s: service %s, %s",
+                notices.refusalLimit().isPresent() ? LogEvent.SERVICE_FRAGILE : LogEvent.SERVICE_NO_LONGER_FRAGILE,
+                target.service().orElse(""),
+                notices.refusalLimit()
+                        .map(limit -> limit + " refusals a second")
+                        .orElse("any number of refusals"));
+    }
+
     private synchronized void pauseFor(TargetAnnouncement target, Duration pause) {
         restrictionOf(target).ifPresent(known -> known.pauseUntil(clock.nanos() + pause.toNanos()));
     }
@@ -59,6 +99,11 @@
         LOGGER.atInfo().log("%s: target %s", LogEvent.TARGET_STATED_LEAVING, target.id());
     }
 
+    /** Returns how many requests this instance may have at the target at once; empty if it may use any free slot. */
+    public synchronized Optional<Integer> slotLimit(TargetAnnouncement target) {
+        return fragileServices.slotLimit(target);
+    }
+
     /** Returns whether the target accepts requests from this instance at present. */
     public synchronized boolean accepts(TargetAnnouncement target) {
         return !isLeaving(target) && remainingPause(target).isEmpty();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetRouter.java
@@ -56,7 +56,7 @@
                 instanceCount,
                 options,
                 RequestPermits.UNLIMITED,
-                new TargetRestrictions(clock));
+                TargetRestrictions.none(instance, clock));
     }
 
     /**
@@ -111,12 +111,16 @@
         return Optional.empty();
     }
 
+    private int slotLimit(TargetAnnouncement target) {
+        return restrictions.slotLimit(target).orElse(Integer.MAX_VALUE);
+    }
+
     /** Acquires a slot, and a permit if the target states a request rate. */
     private Optional<AcquiredSlot> tryAcquire(TargetAnnouncement target, long tokensToPrefill) {
         if (!permits.acquire(target)) {
             return Optional.empty();
         }
-        Optional<AcquiredSlot> slot = stateOf(target).tryAcquire(target, tokensToPrefill);
+        Optional<AcquiredSlot> slot = stateOf(target).tryAcquire(target, tokensToPrefill, slotLimit(target));
         if (slot.isEmpty()) {
             permits.release(target);
         }
@@ -168,7 +172,7 @@
         }
         List<TargetAnnouncement> free = new ArrayList<>(options.subsetSize());
         for (TargetAnnouncement target : subset.select(destination, usable)) {
-            if (stateOf(target).hasFreeSlot() && permits.isAvailable(target)) {
+            if (stateOf(target).hasFreeSlot(slotLimit(target)) && permits.isAvailable(target)) {
                 free.add(target);
             }
         }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/routing/TargetState.java
@@ -75,13 +75,18 @@
         slotLimit = slotLimitAfterReport(slots - reported, Math.max(1, instanceCount));
     }
 
-    synchronized boolean hasFreeSlot() {
-        return isFree(clock.nanos());
+    /**
+     * Returns whether this instance may use another slot.
+     *
+     * @param limit slots that this instance may use at once, besides the other limits
+     */
+    synchronized boolean hasFreeSlot(int limit) {
+        return slotsInUse < limit && isFree(clock.nanos());
     }
 
     /** Acquires a slot; empty if none is free or the target is ejected. */
-    synchronized Optional<AcquiredSlot> tryAcquire(TargetAnnouncement announcement, long tokensToRead) {
-        if (!isFree(clock.nanos())) {
+    synchronized Optional<AcquiredSlot> tryAcquire(TargetAnnouncement announcement, long tokensToRead, int limit) {
+        if (!hasFreeSlot(limit)) {
             return Optional.empty();
         }
         slotsInUse++;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
@@ -1,8 +1,11 @@
 package org.basilrill.protocol.instance;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator.SplittableGenerator;
+import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.membership.GossipMembership;
+import org.basilrill.coordination.membership.Membership;
 import org.basilrill.coordination.membership.RelayAccess;
 import org.basilrill.coordination.path.CutLeaderHandover;
 import org.basilrill.coordination.routing.TargetRestrictions;
@@ -37,7 +40,8 @@
             Runnable cutListener,
             SplittableGenerator random) {
         this.environment = environment;
-        this.restrictions = new TargetRestrictions(environment.clock());
+        this.restrictions =
+                new TargetRestrictions(environment.self(), () -> idsOf(membership), targets, environment.clock());
         this.direct = new RestrictedConnector(environment.connector(), restrictions, this::noticesOf);
         this.access = environment
                 .relay()
@@ -107,6 +111,10 @@
                 .orElseGet(() -> NativeTargetNotices.read(response));
     }
 
+    private static List<InstanceId> idsOf(Membership membership) {
+        return membership.members().stream().map(Membership.Member::id).toList();
+    }
+
     private void registerGauges(TargetAccess present) {
         environment.metrics().registerGauge("target_paths.lost", present::lostPaths);
         environment
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetNotices.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetNotices.java
@@ -10,15 +10,20 @@
  *
  * @param leaving whether the target is about to stop and wants no new requests
  * @param pause how long the target wants no request from this instance, counted from the response
+ * @param refusalLimit the target fails if it has to refuse more requests than this in a second for want of room; empty
+ *     if it bears any number
+ * @param refused whether the target has not run the request, for want of room
  */
-public record TargetNotices(boolean leaving, Optional<Duration> pause) {
+public record TargetNotices(
+        boolean leaving, Optional<Duration> pause, Optional<Integer> refusalLimit, boolean refused) {
     /** The notices of a response that states nothing. */
-    public static final TargetNotices NONE = new TargetNotices(false, Optional.empty());
+    public static final TargetNotices NONE = new TargetNotices(false, Optional.empty(), Optional.empty(), false);
 
     /** Longer pauses are shortened to this; a target is hardly ever in service for as long. */
     private static final Duration LONGEST_PAUSE = Duration.ofDays(1);
 
     private static final Pattern SECONDS = Pattern.compile("[0-9]{1,40}(\\.[0-9]{1,40})?");
+    private static final Pattern COUNT = Pattern.compile("[0-9]{1,9}");
     private static final BigDecimal NANOS_PER_SECOND = BigDecimal.valueOf(1_000_000_000L);
 
     /**
@@ -36,4 +41,10 @@
         return Optional.of(Duration.ofNanos(limited.multiply(NANOS_PER_SECOND).longValue()))
                 .filter(pause -> !pause.isZero());
     }
+
+    /** Parses the number of refusals; empty if it is not a whole number. */
+    public static Optional<Integer> parseRefusalLimit(String count) {
+        String trimmed = count.trim();
+        return COUNT.matcher(trimmed).matches() ? Optional.of(Integer.parseInt(trimmed)) : Optional.empty();
+    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatcherFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/admission/DispatcherFixture.java
@@ -57,7 +57,7 @@
                 () -> instances,
                 RoutingOptions.defaults(),
                 permits,
-                new TargetRestrictions(time));
+                TargetRestrictions.none(new InstanceId("one"), time));
         dispatcher = new FairDispatcher(
                 registry,
                 router,
--- a/basilrill-library/src/test/java/org/basilrill/coordination/routing/TargetRestrictionsTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/routing/TargetRestrictionsTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.basilrill.api.InstanceId;
 import org.basilrill.api.VirtualTime;
 import org.basilrill.protocol.instance.FakeServices;
 import org.basilrill.state.target.TargetAnnouncement;
@@ -17,7 +18,7 @@
 /** Tests that requests follow what targets state in their responses. */
 class TargetRestrictionsTest {
     private final VirtualTime time = new VirtualTime();
-    private final TargetRestrictions restrictions = new TargetRestrictions(time);
+    private final TargetRestrictions restrictions = TargetRestrictions.none(new InstanceId("one"), time);
     private final TargetAnnouncement target = FakeServices.target("target-1", 9001);
     private final TargetAnnouncement other = FakeServices.target("target-2", 9002);
 
@@ -72,7 +73,7 @@
     /** Guards against a target that gets no requests after it has started again. */
     @Test
     void statementsEndWithTheIncarnation() {
-        restrictions.observe(target, new TargetNotices(true, Optional.of(Duration.ofDays(1))));
+        restrictions.observe(target, notices(true, Optional.of(Duration.ofDays(1))));
         assertThat(restrictions.accepts(target), is(false));
         assertThat(restrictions.accepts(startedAgain(target)), is(true));
     }
@@ -81,14 +82,18 @@
     @Test
     void aLateResponseOfAnEarlierIncarnationRestrictsNothing() {
         TargetAnnouncement later = startedAgain(target);
-        restrictions.observe(later, new TargetNotices(false, Optional.of(Duration.ofSeconds(1))));
-        restrictions.observe(target, new TargetNotices(true, Optional.empty()));
+        restrictions.observe(later, notices(false, Optional.of(Duration.ofSeconds(1))));
+        restrictions.observe(target, notices(true, Optional.empty()));
         time.advance(Duration.ofSeconds(1));
         assertThat(restrictions.accepts(later), is(true));
     }
 
     private void pause(String seconds) {
-        restrictions.observe(target, new TargetNotices(false, TargetNotices.parsePause(seconds)));
+        restrictions.observe(target, notices(false, TargetNotices.parsePause(seconds)));
+    }
+
+    private static TargetNotices notices(boolean leaving, Optional<Duration> pause) {
+        return new TargetNotices(leaving, pause, Optional.empty(), false);
     }
 
     private static TargetAnnouncement startedAgain(TargetAnnouncement earlier) {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/HistoryChecks.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/HistoryChecks.java
@@ -11,7 +11,6 @@
 import java.util.TreeMap;
 import org.basilrill.api.InstanceId;
 import org.basilrill.protocol.instance.Instance;
-import org.basilrill.scaffold.virtual.VirtualTarget.Execution;
 
 /** Checks a simulated history against the invariants of section 1 of the design page. Not thread safe. */
 public final class HistoryChecks {
@@ -151,10 +150,10 @@
     }
 
     private void checkExecutions() {
-        Map<String, Execution> orders = new HashMap<>();
+        Map<String, TargetExecution> orders = new HashMap<>();
         targets.executions(execution -> {
             if (execution.body().startsWith("pay")) {
-                Execution other = orders.put(execution.body(), execution);
+                TargetExecution other = orders.put(execution.body(), execution);
                 if (other != null) {
                     violations.add("orders run once: " + other + " and " + execution);
                 }
@@ -167,7 +166,7 @@
     }
 
     /** Returns whether any instance was isolated between 2 s before the target began to leave and the execution. */
-    private boolean overlapsIsolation(Execution execution) {
+    private boolean overlapsIsolation(TargetExecution execution) {
         long from = execution.nanos() - execution.leavingNanos() - LEAVING_LIMIT.toNanos();
         return pastIsolations.stream()
                         .anyMatch(isolation -> isolation.from <= execution.nanos() && isolation.to >= from)
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualHistory.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualHistory.java
@@ -14,7 +14,6 @@
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
 import org.basilrill.protocol.instance.Instance;
-import org.basilrill.scaffold.virtual.VirtualTarget.Behaviour;
 import org.basilrill.state.configuration.KeyHash;
 
 /**
@@ -97,7 +96,8 @@
             network.inject(new VirtualNetwork.Faults(0.03, 0.03, 0.01));
         }
         if (disturbances.contains(Disturbance.TARGETS)) {
-            targets.all().forEach(target -> target.setBehaviours(EnumSet.of(Behaviour.values()[random.nextInt(6)])));
+            targets.all()
+                    .forEach(target -> target.setBehaviours(EnumSet.of(TargetBehaviour.values()[random.nextInt(6)])));
         }
         for (long end = time.nanos() + duration.toNanos(); time.nanos() < end; ) {
             performRandomActions();
@@ -156,7 +156,7 @@
                 isolate(id, true);
                 time.schedule(Duration.ofMillis(random.nextInt(20_000)), () -> isolate(id, false));
             }
-            case TARGETS -> anyTarget().setBehaviours(EnumSet.of(Behaviour.values()[random.nextInt(6)]));
+            case TARGETS -> anyTarget().setBehaviours(EnumSet.of(TargetBehaviour.values()[random.nextInt(6)]));
             case LEAVING -> anyTarget().leave();
             default -> throw new IllegalStateException("unknown kind of fault");
         }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTarget.java
@@ -37,23 +37,24 @@
     private final TargetId id;
     private final Optional<String> service;
     private final Map<ModelId, TargetAnnouncement.LoadedModel> contents;
-    private final List<Execution> executions = new ArrayList<>();
+    private final List<TargetExecution> executions = new ArrayList<>();
     private Set<Exchange> open = new HashSet<>();
-    private Set<Behaviour> behaviours = Set.of();
+    private Set<TargetBehaviour> behaviours = Set.of();
     private long incarnation = 1;
     private long sequence;
     private boolean up = true;
+    private int slots = 64;
     private long leavingSince = -1;
     private OptionalDouble statedRate = OptionalDouble.empty();
     private int responsesPerStatement = 1;
     private int responses;
-    private final List<Statement> statements = new ArrayList<>();
+    private final List<RateStatement> statements = new ArrayList<>();
     private Predicate<String> crashesOn = body -> false;
     private Duration downtime = Duration.ZERO;
     private final List<Long> crashNanos = new ArrayList<>();
     private List<HeaderField> statedFields = List.of();
-    private final List<Execution> refusals = new ArrayList<>();
-    private Optional<List<HeaderField>> refusalFields = Optional.empty();
+    private final VirtualRefusals refusals = new VirtualRefusals();
+    private Duration runTime = Duration.ZERO;
 
     /** Creates a target of a plain service, or of an engine on which the model is resident. */
     public VirtualTarget(
@@ -67,30 +68,6 @@
                 .orElse(Map.of());
     }
 
-    /** Faults, each of which affects one request in ten; without a fault the response starts after 5 to 50 ms. */
-    public enum Behaviour {
-        /** Responds after 1 to 3 s. */
-        SLOW,
-        /** Never responds. */
-        UNRESPONSIVE,
-        /** Responds after 10 to 14 s, when the request has timed out at the instance. */
-        LATE,
-        /** Closes the connection before the end of the response. */
-        CUT,
-        /** Sends the response to another request. */
-        WRONG_RESPONSE,
-        /** Crashes and closes all connections. */
-        CRASH
-    }
-
-    /**
-     * One request that the target received and executed.
-     *
-     * @param leavingNanos time for which the target had been leaving; negative if it was not leaving
-     */
-    public record Execution(
-            TargetId target, InstanceId sender, String requestId, String body, long nanos, long leavingNanos) {}
-
     /**
      * Returns the complete response to a request with the given body. Its token usage states that all charged tokens
      * were used.
@@ -100,9 +77,6 @@
                 + "data: " + body + "\n\n";
     }
 
-    /** A response that stated a request rate to an instance, empty if the response stated none. */
-    public record Statement(InstanceId instance, OptionalDouble perSecond, long nanos) {}
-
     /**
      * Sets the requests per second that responses state from now on.
      *
@@ -113,22 +87,18 @@
         this.responsesPerStatement = responsesPerStatement;
     }
 
-    /**
-     * Refuses all requests without running them from now on.
-     *
-     * @param fields header fields of the refusals
-     */
-    public void refuse(HeaderField... fields) {
-        refusalFields = Optional.of(List.of(fields));
+    /** Sets a time by which all requests run longer from now on. */
+    public void setRunTime(Duration additional) {
+        runTime = additional;
     }
 
-    /** Runs requests again. */
-    public void stopRefusing() {
-        refusalFields = Optional.empty();
+    /** Sets the slots that the target announces. */
+    public void setSlots(int count) {
+        slots = count;
     }
 
-    /** Returns the requests that were refused. */
-    public List<Execution> refusals() {
+    /** Returns the requests that the target refuses, and how it decides. */
+    public VirtualRefusals refusals() {
         return refusals;
     }
 
@@ -138,12 +108,12 @@
     }
 
     /** Returns what the responses stated about the request rate, in the order in which they were received. */
-    public List<Statement> statements() {
+    public List<RateStatement> statements() {
         return statements;
     }
 
     /** Sets the faults that may occur from now on. */
-    public void setBehaviours(Set<Behaviour> now) {
+    public void setBehaviours(Set<TargetBehaviour> now) {
         behaviours = now;
     }
 
@@ -174,6 +144,7 @@
     /** Starts the target again with a new incarnation. */
     public void restart() {
         up = true;
+        refusals.forget();
         leavingSince = -1;
         incarnation++;
         sequence = 0;
@@ -198,7 +169,7 @@
         return id;
     }
 
-    public List<Execution> executions() {
+    public List<TargetExecution> executions() {
         return executions;
     }
 
@@ -216,7 +187,7 @@
                 1,
                 contents,
                 Set.of(),
-                64,
+                slots,
                 new TargetAnnouncement.Load(0, 0),
                 true,
                 isLeaving(),
@@ -231,6 +202,14 @@
         lost.forEach(exchange -> exchange.endWith(FailureKind.CONNECTION_LOST));
     }
 
+    private void crashIfRefusedTooMany() {
+        if (refusals.exceedLimit(time.nanos())) {
+            crashNanos.add(time.nanos());
+            crash();
+            time.schedule(downtime, this::restart);
+        }
+    }
+
     /** Opens a connection from an instance; no events are delivered once the process of the instance has ended. */
     TargetConnector.Call open(
             InstanceId sender,
@@ -254,7 +233,7 @@
         return exchange;
     }
 
-    private boolean occurs(Behaviour behaviour) {
+    private boolean occurs(TargetBehaviour behaviour) {
         return behaviours.contains(behaviour) && random.nextInt(10) == 0;
     }
 
@@ -314,16 +293,17 @@
             String requestId =
                     HeaderField.first(request.headers(), RequestHead.REQUEST_ID).orElse("");
             long leaving = isLeaving() ? time.nanos() - leavingSince : -1;
-            Execution arrival = new Execution(id, sender, requestId, body, time.nanos(), leaving);
-            if (refusalFields.isPresent()) {
-                refusals.add(arrival);
-                respondWithRefusal(requestId, refusalFields.get());
+            TargetExecution arrival = new TargetExecution(id, sender, requestId, body, time.nanos(), leaving);
+            Optional<List<HeaderField>> refusal = refusals.refusalOf(arrival, open.size());
+            if (refusal.isPresent()) {
+                respondWithRefusal(requestId, refusal.get());
+                crashIfRefusedTooMany();
                 return;
             }
             executions.add(arrival);
-            if (occurs(Behaviour.CRASH)) {
+            if (occurs(TargetBehaviour.CRASH)) {
                 crash();
-            } else if (!occurs(Behaviour.UNRESPONSIVE)) {
+            } else if (!occurs(TargetBehaviour.UNRESPONSIVE)) {
                 time.schedule(serviceTime(), () -> respond(requestId, body));
             }
         }
@@ -343,12 +323,12 @@
         }
 
         private Duration serviceTime() {
-            if (occurs(Behaviour.LATE)) {
+            if (occurs(TargetBehaviour.LATE)) {
                 return Duration.ofMillis(10_000 + random.nextInt(4000));
             }
-            return occurs(Behaviour.SLOW)
+            return occurs(TargetBehaviour.SLOW)
                     ? Duration.ofMillis(1000 + random.nextInt(2000))
-                    : Duration.ofMillis(5 + random.nextInt(45));
+                    : runTime.plusMillis(5 + random.nextInt(45));
         }
 
         private void respond(String requestId, String request) {
@@ -358,8 +338,8 @@
                 time.schedule(downtime, VirtualTarget.this::restart);
                 return;
             }
-            boolean incomplete = occurs(Behaviour.CUT);
-            boolean wrongResponse = occurs(Behaviour.WRONG_RESPONSE);
+            boolean incomplete = occurs(TargetBehaviour.CUT);
+            boolean wrongResponse = occurs(TargetBehaviour.WRONG_RESPONSE);
             String body = expectedResponse(wrongResponse ? "another" : request);
             String echoed = wrongResponse ? "another" : requestId;
             String type = service.isPresent() ? "text/plain" : ResponseHead.EVENT_STREAM;
@@ -371,7 +351,7 @@
             headers.addAll(statedFields);
             ResponseHead head = new ResponseHead(200, headers);
             deliver(() -> {
-                statements.add(new Statement(sender, rate, time.nanos()));
+                statements.add(new RateStatement(sender, rate, time.nanos()));
                 listener.headReceived(head);
             });
             int parts = incomplete ? random.nextInt(RESPONSE_PARTS) : RESPONSE_PARTS;
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTargets.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualTargets.java
@@ -33,7 +33,7 @@
     }
 
     /** Passes every execution of every target to the consumer. */
-    public void executions(Consumer<VirtualTarget.Execution> consumer) {
+    public void executions(Consumer<TargetExecution> consumer) {
         targets.values().forEach(target -> target.executions().forEach(consumer));
     }
 
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/LeavingTargetTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/LeavingTargetTest.java
@@ -16,7 +16,6 @@
 import org.basilrill.api.ModelId;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.scaffold.virtual.VirtualFleet.Content;
-import org.basilrill.scaffold.virtual.VirtualTarget.Execution;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -43,7 +42,7 @@
         leaving.stateInResponses(LEAVING);
         run(fleet, Duration.ofSeconds(20));
         Map<InstanceId, Long> firstRequests = new HashMap<>();
-        List<Execution> late = leaving.executions().stream()
+        List<TargetExecution> late = leaving.executions().stream()
                 .filter(execution -> execution.nanos()
                         > firstRequests.computeIfAbsent(execution.sender(), sender -> execution.nanos())
                                 + DRAIN.toNanos())
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/PausedTargetTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/PausedTargetTest.java
@@ -37,7 +37,7 @@
     void anInstanceSendsNothingToATargetUntilThePauseEnds() {
         VirtualFleet fleet = fleet(1);
         VirtualTarget paused = fleet.target(0);
-        paused.refuse(TEN_SECONDS);
+        paused.refusals().refuseAll(TEN_SECONDS);
         run(fleet, Duration.ofSeconds(9));
         for (InstanceId instance : fleet.deployment().instances()) {
             assertThat(refusals(paused, instance), lessThanOrEqualTo(1 + ALLOWED_REQUESTS));
@@ -49,7 +49,7 @@
     @Test
     void requestsAreRefusedAtOnceWithTheShortestPause() {
         VirtualFleet fleet = fleet(2);
-        fleet.targets().forEach(target -> target.refuse(TEN_SECONDS));
+        fleet.targets().forEach(target -> target.refusals().refuseAll(TEN_SECONDS));
         run(fleet, Duration.ofSeconds(6));
         int settled = fleet.callers().size();
         run(fleet, Duration.ofSeconds(2));
@@ -67,9 +67,9 @@
     @Test
     void theTargetIsUsedAgainAfterThePause() {
         VirtualFleet fleet = fleet(3);
-        fleet.targets().forEach(target -> target.refuse(new HeaderField("retry-after", "2.5")));
+        fleet.targets().forEach(target -> target.refusals().refuseAll(new HeaderField("retry-after", "2.5")));
         run(fleet, Duration.ofSeconds(1));
-        fleet.targets().forEach(VirtualTarget::stopRefusing);
+        fleet.targets().forEach(target -> target.refusals().stop());
         run(fleet, Duration.ofSeconds(3));
         int settled = fleet.callers().size();
         run(fleet, Duration.ofSeconds(5));
@@ -93,7 +93,7 @@
     }
 
     private static long refusals(VirtualTarget target, InstanceId instance) {
-        return target.refusals().stream()
+        return target.refusals().refused().stream()
                 .filter(refusal -> refusal.sender().equals(instance))
                 .count();
     }
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitOracle.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/RateLimitOracle.java
@@ -8,8 +8,6 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.basilrill.api.InstanceId;
-import org.basilrill.scaffold.virtual.VirtualTarget.Execution;
-import org.basilrill.scaffold.virtual.VirtualTarget.Statement;
 
 /**
  * Checks the requests that a target received against the rates that it stated: in any 4 s from 3 s after the first
@@ -25,7 +23,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final VirtualTarget target;
-    private final Predicate<Execution> exempt;
+    private final Predicate<TargetExecution> exempt;
     /** Highest rate in force in the window that ends at a time, as the most permissive reading of the rule. */
     private final TreeMap<Long, Double> rates = new TreeMap<>();
 
@@ -34,10 +32,10 @@
      *
      * @param exempt requests that do not count, because their sender was restarted or isolated shortly before
      */
-    RateLimitOracle(VirtualTarget target, Predicate<Execution> exempt) {
+    RateLimitOracle(VirtualTarget target, Predicate<TargetExecution> exempt) {
         this.target = target;
         this.exempt = exempt;
-        for (Statement statement : target.statements()) {
+        for (RateStatement statement : target.statements()) {
             statement.perSecond().ifPresent(rate -> rates.put(statement.nanos(), rate));
         }
     }
@@ -55,7 +53,7 @@
         List<Long> counted = target.executions().stream()
                 .filter(execution -> execution.nanos() >= from && execution.nanos() <= untilNanos)
                 .filter(execution -> isInformed(informedSince, execution) && !exempt.test(execution))
-                .map(Execution::nanos)
+                .map(TargetExecution::nanos)
                 .toList();
         for (int last = 0, first = 0; last < counted.size(); last++) {
             while (counted.get(last) - counted.get(first) > WINDOW_NANOS) {
@@ -72,7 +70,7 @@
         return Optional.empty();
     }
 
-    private static boolean isInformed(Map<InstanceId, Long> informedSince, Execution execution) {
+    private static boolean isInformed(Map<InstanceId, Long> informedSince, TargetExecution execution) {
         Long since = informedSince.get(execution.sender());
         return since != null && execution.nanos() - since >= INFORMED_NANOS;
     }
