Guard against an instance that misses a new software version

Another operator reported an instance that was out of step while targets of a new version joined, and continued their streams at another version. It cannot happen here as far as it was looked at: an instance asks the control log for the version of a stream that it did not begin, a version is registered there before its first stream begins, and a cut instance gets no result and refuses. Left (read, not run): a target that starts again under its id with another version is known by its next heartbeat only.

--- a/basilrill-library/src/test/java/org/basilrill/coordination/stream/StreamVersionGuardTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/stream/StreamVersionGuardTest.java
@@ -125,6 +125,22 @@
         assertThat(find(second, "r"), is(Optional.of("v1")));
     }
 
+    /**
+     * Guards against an instance that was cut off or stood still while targets of a second version joined: it knows the
+     * first version only, and would continue a stream of the second one there.
+     */
+    @Test
+    void anInstanceWithAnOldViewDoesNotGuessTheVersionOfAStream() {
+        second.register(OLD).join();
+        control.deliverViews();
+        begin(first, "r", NEW);
+        assertThat(find(second, "r"), is(Optional.empty()));
+        settle();
+        control.deliverViews();
+        settle();
+        assertThat(find(second, "r"), is(Optional.of("v2")));
+    }
+
     private void bothVersions() {
         first.register(OLD).join();
         second.register(NEW).join();
