Leave out odd entries among the targets one by one

Another operator reported entries of another writer (nested deeply, a number too large, a port out of range) that ended the instances which read them. Deep nesting, long numbers, names given twice and bytes that are not UTF-8 were rejected already. One invalid fact in a message of the membership exchange kept all facts of its owner from being applied, again and again.

GossipCodecTest.anInvalidFactIsLeftOutAndTheOthersAreDecoded fails before.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
@@ -28,6 +28,8 @@
     /** Initial load of a decoded announcement. The actual load is sent as a separate fact. */
     private static final TargetAnnouncement.Load NO_LOAD = new TargetAnnouncement.Load(0, 0);
 
+    private static final int MAXIMUM_PORT = 65_535;
+
     private FactCodec() {}
 
     static FactPayload encode(Fact fact) {
@@ -145,6 +147,9 @@
     }
 
     private static TargetAnnouncement decodeTarget(TargetFact fact) {
+        if (fact.getPort() < 1 || fact.getPort() > MAXIMUM_PORT || fact.getSlots() < 0) {
+            throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "announcement with an invalid port or slots");
+        }
         Map<ModelId, TargetAnnouncement.LoadedModel> contents = new HashMap<>();
         for (LoadedModelFact model : fact.getContents()) {
             contents.put(
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/GossipCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/GossipCodec.java
@@ -1,8 +1,12 @@
 package org.basilrill.protocol.peer;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.basilrill.api.BasilrillException;
 import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
 import org.basilrill.coordination.membership.GossipMessage;
 import org.basilrill.coordination.membership.GossipMessage.DigestEntry;
 import org.basilrill.coordination.membership.GossipMessage.OwnerDelta;
@@ -11,6 +15,9 @@
 
 /** Encodes and decodes the gossip messages of the membership protocol. Stateless and thread safe. */
 public final class GossipCodec {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int REJECTION_LOG_SECONDS = 10;
+
     private GossipCodec() {}
 
     /** Encodes a message. */
@@ -65,9 +72,23 @@
                 delta.ageMillis());
     }
 
+    /**
+     * Decodes an item; empty if its fact is not valid. Without this, one invalid fact would keep all facts of its owner
+     * from being applied, as the owner sends them together again and again.
+     */
+    private static Optional<GossipMessage.Item> decodeItem(Item item) {
+        try {
+            return Optional.of(new GossipMessage.Item(item.getVersion(), FactCodec.decode(item.getPayload())));
+        } catch (BasilrillException invalid) {
+            LOGGER.atWarning().atMostEvery(REJECTION_LOG_SECONDS, TimeUnit.SECONDS).log(
+                    "%s: fact %s, %s", LogEvent.MESSAGE_REJECTED, item.getKey(), invalid.getMessage());
+            return Optional.empty();
+        }
+    }
+
     private static OwnerDelta decodeDelta(org.basilrill.thrift.membership.OwnerDelta delta) {
         List<GossipMessage.Item> items = delta.getItems().stream()
-                .map(item -> new GossipMessage.Item(item.getVersion(), FactCodec.decode(item.getPayload())))
+                .flatMap(item -> decodeItem(item).stream())
                 .toList();
         return new OwnerDelta(
                 new InstanceId(delta.getOwner()),
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.apache.hc.core5.http.HttpHost;
+import org.basilrill.api.BasilrillException;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.Scheduler;
@@ -61,7 +62,7 @@
                 logNoResponse(engine, failure);
                 return Optional.empty();
             }
-            return dialect.readReport(response);
+            return readReport(engine, response);
         });
     }
 
@@ -76,6 +77,16 @@
         });
     }
 
+    /** Reads a report; one that cannot be read is missing, so that the engine is asked again. */
+    private Optional<EngineReport> readReport(TargetAnnouncement engine, PlainResponse response) {
+        try {
+            return dialect.readReport(response);
+        } catch (BasilrillException invalid) {
+            logNoResponse(engine, invalid);
+            return Optional.empty();
+        }
+    }
+
     private static void logNoResponse(TargetAnnouncement engine, Throwable failure) {
         LOGGER.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
                 "%s: %s, %s", LogEvent.ENGINE_UNANSWERED, engine.id(), failure.getMessage());
--- a/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
@@ -19,6 +19,7 @@
 import org.basilrill.coordination.membership.GossipMessage.DigestEntry;
 import org.basilrill.coordination.membership.GossipMessage.Item;
 import org.basilrill.coordination.membership.GossipMessage.OwnerDelta;
+import org.basilrill.protocol.instance.FakeServices;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
 import org.junit.jupiter.api.Test;
@@ -87,4 +88,20 @@
         BasilrillException refusal = assertThrows(BasilrillException.class, () -> GossipCodec.decode(payload));
         assertThat(refusal.code(), is(ErrorCode.MESSAGE_MALFORMED));
     }
+
+    /** Guards against one invalid announcement that keeps all facts of its owner from being applied. */
+    @Test
+    void anInvalidFactIsLeftOutAndTheOthersAreDecoded() {
+        InstanceId owner = new InstanceId("i1");
+        TargetAnnouncement invalid = FakeServices.target("target-1", 70_000);
+        Fact.TargetFact valid = new Fact.TargetFact(FakeServices.target("target-2", 9002));
+        GossipMessage message = new GossipMessage(
+                Optional.empty(),
+                List.of(new OwnerDelta(
+                        owner, 1, 0, 2, List.of(new Item(1, new Fact.TargetFact(invalid)), new Item(2, valid)), 0)),
+                false);
+        List<Item> decoded =
+                GossipCodec.decode(GossipCodec.encode(message)).deltas().get(0).items();
+        assertThat(decoded.stream().map(Item::version).toList(), is(List.of(2L)));
+    }
 }
