Probe two targets when an instance has heard of none for a second

Now it probes after 1 s, two targets at once, so that one check tells a cut from a crashed target. Ruled out: fewer checks, as the cut has to be known within three seconds.

TargetPathsTest and CutFromTargetsTest pass.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
@@ -23,7 +23,7 @@
  * other instances, which is right also if the targets are gone.
  *
  * <p>Evidence comes from the exchanges that run anyway. A path whose exchanges get no bytes is probed with a
- * connection, and an idle instance probes a random target. The first lost path causes a probe of all others. A lost
+ * connection, and an idle instance probes two random targets. The first lost path causes a probe of all others. A lost
  * path returns after successful probes, each path by itself, so that work returns gradually.
  *
  * <p>Thread safe: guarded by its own lock; checks and listeners are called without it.
@@ -33,6 +33,8 @@
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
     /** Targets seldom let a request wait this long while they send nothing to any other. */
     private static final Duration SUSPICIOUS_SILENCE = Duration.ofMillis(600);
+    /** An instance that has heard of no target for this long probes some. */
+    private static final Duration IDLE_TIME = Duration.ofSeconds(1);
     /** Targets to which connections fail, while none is reached, before all paths are presumed to be lost. */
     private static final int FAILING_TARGETS_OF_A_CUT = 2;
     /** Probes per check of paths with waiting exchanges, so that busy targets get few additional connections. */
@@ -212,7 +214,7 @@
         environment.scheduler().schedule(CHECK_INTERVAL, this::check);
     }
 
-    /** Returns the targets to probe: those that exchanges wait for, or a random one if there was no contact at all. */
+    /** Returns the targets to probe: those that exchanges wait for, or random ones if there was no contact at all. */
     private List<TargetAnnouncement> suspiciousTargets(Collection<TargetAnnouncement> targets) {
         Collection<TargetId> waiting = environment.exchanges().waitingFor(SUSPICIOUS_SILENCE);
         synchronized (this) {
@@ -225,12 +227,19 @@
                     .filter(target -> pathTo(target).timeSinceContact(now).compareTo(SUSPICIOUS_SILENCE) >= 0)
                     .limit(PROBES_PER_CHECK)
                     .toList();
-            boolean idle = now - lastContactNanos >= SUSPICIOUS_SILENCE.toNanos();
-            if (!suspicious.isEmpty() || !idle || usable.isEmpty()) {
-                return suspicious;
-            }
-            return List.of(usable.get(environment.random().nextInt(usable.size())));
+            boolean idle = now - lastContactNanos >= IDLE_TIME.toNanos();
+            return suspicious.isEmpty() && idle ? randomTargets(usable) : suspicious;
+        }
+    }
+
+    /** Returns as many random targets as have to fail before the instance counts as cut. */
+    private List<TargetAnnouncement> randomTargets(List<TargetAnnouncement> usable) {
+        List<TargetAnnouncement> remaining = new ArrayList<>(usable);
+        List<TargetAnnouncement> chosen = new ArrayList<>();
+        while (!remaining.isEmpty() && chosen.size() < FAILING_TARGETS_OF_A_CUT) {
+            chosen.add(remaining.remove(environment.random().nextInt(remaining.size())));
         }
+        return chosen;
     }
 
     private void probe(TargetAnnouncement target) {
