Blame no request when all instances are cut from the targets

While every instance is cut, none can tell whether a target lives, and each one took its lost connections for crashes of all targets. By reading; the new case of CutFromTargetsTest passes with and without the change, as its requests share no prompt part.

Change: a check by other instances has three results. If none can tell and this instance is cut from most targets, the target counts as reachable, so that no crash is reported.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayingConnector.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayingConnector.java
@@ -32,9 +32,17 @@
     @Override
     public CompletableFuture<Boolean> acceptsConnection(TargetAnnouncement target) {
         if (paths.isLost(target.id())) {
-            return relays.reach(target);
+            return reachedByOthers(target);
         }
         return direct.acceptsConnection(target)
-                .thenCompose(accepted -> accepted ? CompletableFuture.completedFuture(true) : relays.reach(target));
+                .thenCompose(accepted -> accepted ? CompletableFuture.completedFuture(true) : reachedByOthers(target));
+    }
+
+    /**
+     * Returns whether another instance reaches the target. If none can tell and this instance has lost its paths to
+     * most targets, the target counts as reachable: a cut of all instances must not look like a crash of all targets.
+     */
+    private CompletableFuture<Boolean> reachedByOthers(TargetAnnouncement target) {
+        return relays.reach(target).thenApply(reached -> reached.orElseGet(paths::isCutOff));
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/Relays.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/Relays.java
@@ -36,27 +36,29 @@
                 listener);
     }
 
-    /** Returns whether another instance reaches the target; false if none can tell. */
-    CompletableFuture<Boolean> reach(TargetAnnouncement target) {
+    /** Returns whether another instance reaches the target; empty if none can tell. */
+    CompletableFuture<Optional<Boolean>> reach(TargetAnnouncement target) {
         return reach(target, new HashSet<>());
     }
 
-    private CompletableFuture<Boolean> reach(TargetAnnouncement target, Set<InstanceId> tried) {
+    private CompletableFuture<Optional<Boolean>> reach(TargetAnnouncement target, Set<InstanceId> tried) {
         Optional<Member> relay = tried.size() < MAXIMUM_CHECKS ? selector.choose(tried) : Optional.empty();
         if (relay.isEmpty()) {
-            return CompletableFuture.completedFuture(false);
+            return CompletableFuture.completedFuture(Optional.empty());
         }
         tried.add(relay.get().id());
         RelayAccess access = relay.get().relay().orElseThrow();
         CheckListener listener = new CheckListener();
         client.open(access.address(), RelayMessages.check(target, access, self), false, listener);
         return listener.reached.thenCompose(
-                reached -> reached ? CompletableFuture.completedFuture(true) : reach(target, tried));
+                result -> result.filter(reached -> reached).isPresent()
+                        ? CompletableFuture.completedFuture(result)
+                        : reach(target, tried).thenApply(next -> next.or(() -> result)));
     }
 
     /** Receives the result of a check. Thread safe. */
     private static final class CheckListener implements TargetConnector.Listener {
-        private final CompletableFuture<Boolean> reached = new CompletableFuture<>();
+        private final CompletableFuture<Optional<Boolean>> reached = new CompletableFuture<>();
 
         @Override
         public boolean maySend() {
@@ -65,7 +67,12 @@
 
         @Override
         public void headReceived(ResponseHead head) {
-            reached.complete(RelayMessages.result(head) == RelayResult.REACHED);
+            reached.complete(
+                    switch (RelayMessages.result(head)) {
+                        case REACHED -> Optional.of(true);
+                        case UNREACHABLE -> Optional.of(false);
+                        default -> Optional.empty();
+                    });
         }
 
         @Override
@@ -75,12 +82,12 @@
 
         @Override
         public void responseCompleted() {
-            reached.complete(false);
+            reached.complete(Optional.empty());
         }
 
         @Override
         public void failed(TargetConnector.Failure failure) {
-            reached.complete(false);
+            reached.complete(Optional.empty());
         }
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/TargetAccess.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/TargetAccess.java
@@ -35,7 +35,7 @@
         paths = new TargetPaths(new TargetPaths.Environment(
                 environment.targets()::targets,
                 environment.connector()::acceptsConnection,
-                relays::reach,
+                target -> relays.reach(target).thenApply(reached -> reached.orElse(false)),
                 registry,
                 environment.cutListener(),
                 environment.clock(),
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/CutFromTargetsTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/CutFromTargetsTest.java
@@ -107,6 +107,26 @@
         assertThat(blocked, is(0L));
     }
 
+    /** Guards against a cut of all instances that looks like a crash of all targets, as nobody can bear witness. */
+    @Test
+    void aCutOfAllInstancesBlocksNoRequest() {
+        VirtualFleet fleet = fleet(25, 12, 6);
+        List<InstanceId> all = fleet.deployment().instances();
+        for (Mode mode : Mode.values()) {
+            cut(fleet, all, mode, target -> true);
+            run(fleet, Duration.ofSeconds(5));
+            all.forEach(fleet.allTargets().paths()::join);
+            run(fleet, Duration.ofSeconds(5));
+        }
+        int settled = fleet.callers().size();
+        run(fleet, Duration.ofSeconds(5));
+        assertThat(servedShare(fleet, settled, id -> true), greaterThan(REQUIRED_SHARE));
+        long blocked = fleet.callers().stream()
+                .filter(caller -> caller.receivedText().contains("CRASH_SUSPECT"))
+                .count();
+        assertThat(blocked, is(0L));
+    }
+
     /** Guards against paths that are used again, and lost again, whenever a cut pauses. */
     @Test
     void aCutThatComesAndGoesEveryThreeSecondsIsBorne() {
