Share what tests of target statements and cuts have in common

ForwardingListener passes the events of a call on for the two listeners that change only some of them; VirtualFleet sends the requests and counts what was served for three test classes. No behaviour changes.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayableExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayableExchange.java
@@ -7,6 +7,7 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.membership.Membership.Member;
 import org.basilrill.protocol.caller.ResponseHead;
+import org.basilrill.protocol.target.ForwardingListener;
 import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.protocol.target.TargetConnector.Failure;
 import org.basilrill.protocol.target.TargetConnector.FailureKind;
@@ -118,25 +119,14 @@
     }
 
     /** The events of an exchange over this instance's own path. */
-    private final class DirectWay implements Listener {
-        @Override
-        public boolean maySend() {
-            return RelayableExchange.this.maySend();
+    private final class DirectWay extends ForwardingListener {
+        DirectWay() {
+            super(listener);
         }
 
         @Override
-        public void headReceived(ResponseHead head) {
-            listener.headReceived(head);
-        }
-
-        @Override
-        public void bodyReceived(byte[] bytes) {
-            listener.bodyReceived(bytes);
-        }
-
-        @Override
-        public void responseCompleted() {
-            listener.responseCompleted();
+        public boolean maySend() {
+            return RelayableExchange.this.maySend();
         }
 
         @Override
@@ -144,14 +134,9 @@
             if (failure.kind() == FailureKind.UNREACHABLE) {
                 notSent(failure);
             } else {
-                listener.failed(failure);
+                super.failed(failure);
             }
         }
-
-        @Override
-        public boolean abandonsLostPath() {
-            return listener.abandonsLostPath();
-        }
     }
 
     /** The events of an exchange that another instance carries. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/target/RestrictedConnector.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/target/RestrictedConnector.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
-import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.routing.TargetRestrictions;
 import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.state.target.TargetAnnouncement;
@@ -35,54 +34,33 @@
     }
 
     /** The events of one exchange. Thread safe, as its events come one at a time. */
-    private final class RestrictedListener implements Listener {
+    private final class RestrictedListener extends ForwardingListener {
         private final TargetAnnouncement target;
-        private final Listener listener;
         private volatile boolean restricted;
 
         RestrictedListener(TargetAnnouncement target, Listener listener) {
+            super(listener);
             this.target = target;
-            this.listener = listener;
         }
 
         @Override
         public boolean maySend() {
             restricted = !restrictions.accepts(target);
-            return !restricted && listener.maySend();
+            return !restricted && super.maySend();
         }
 
         @Override
         public void headReceived(ResponseHead head) {
             restrictions.observe(target, notices.apply(head));
-            listener.headReceived(head);
-        }
-
-        @Override
-        public void bodyReceived(byte[] bytes) {
-            listener.bodyReceived(bytes);
-        }
-
-        @Override
-        public void responseCompleted() {
-            listener.responseCompleted();
+            super.headReceived(head);
         }
 
         @Override
         public void failed(Failure failure) {
-            listener.failed(
+            super.failed(
                     restricted
                             ? new Failure(FailureKind.NOT_ACCEPTED, false, "the target wants no request from here")
                             : failure);
         }
-
-        @Override
-        public void carriedBy(InstanceId relay) {
-            listener.carriedBy(relay);
-        }
-
-        @Override
-        public boolean abandonsLostPath() {
-            return listener.abandonsLostPath();
-        }
     }
 }
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/CutFromTargetsTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/CutFromTargetsTest.java
@@ -14,7 +14,6 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
-import org.basilrill.scaffold.virtual.VirtualFleet.Content;
 import org.basilrill.scaffold.virtual.VirtualPaths.Mode;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -34,8 +33,6 @@
     /** Requests that a relay carries when it ends are lost. */
     private static final double RESTART_SHARE = 0.95;
 
-    private int requests;
-
     @BeforeEach
     void silenceLog() {
         LOGGER.setLevel(Level.OFF);
@@ -59,8 +56,8 @@
         run(fleet, CONTACT);
         int settled = fleet.callers().size();
         run(fleet, Duration.ofSeconds(10));
-        assertThat(servedShare(fleet, settled, cutInstances::contains), greaterThan(REQUIRED_SHARE));
-        assertThat(servedShare(fleet, settled, id -> !cutInstances.contains(id)), greaterThan(REQUIRED_SHARE));
+        assertThat(fleet.servedShare(settled, cutInstances::contains), greaterThan(REQUIRED_SHARE));
+        assertThat(fleet.servedShare(settled, id -> !cutInstances.contains(id)), greaterThan(REQUIRED_SHARE));
     }
 
     /** Guards against a cut from some targets only, which evidence about the others hides. */
@@ -75,7 +72,7 @@
         run(fleet, CONTACT);
         int settled = fleet.callers().size();
         run(fleet, Duration.ofSeconds(10));
-        assertThat(servedShare(fleet, settled, id -> true), greaterThan(REQUIRED_SHARE));
+        assertThat(fleet.servedShare(settled, id -> true), greaterThan(REQUIRED_SHARE));
     }
 
     /** Guards against instances that find a cut only by failed requests of their callers. */
@@ -87,7 +84,7 @@
         fleet.time().runFor(CONTACT);
         int settled = fleet.callers().size();
         run(fleet, Duration.ofSeconds(5));
-        assertThat(servedShare(fleet, settled, cutInstances::contains), greaterThan(REQUIRED_SHARE));
+        assertThat(fleet.servedShare(settled, cutInstances::contains), greaterThan(REQUIRED_SHARE));
     }
 
     /** Guards against a cut whose victims report running requests as the cause of crashes. */
@@ -120,7 +117,7 @@
         }
         int settled = fleet.callers().size();
         run(fleet, Duration.ofSeconds(5));
-        assertThat(servedShare(fleet, settled, id -> true), greaterThan(REQUIRED_SHARE));
+        assertThat(fleet.servedShare(settled, id -> true), greaterThan(REQUIRED_SHARE));
         long blocked = fleet.callers().stream()
                 .filter(caller -> caller.receivedText().contains("CRASH_SUSPECT"))
                 .count();
@@ -138,7 +135,7 @@
             cutInstances.forEach(fleet.allTargets().paths()::join);
             run(fleet, Duration.ofSeconds(3));
         }
-        assertThat(servedShare(fleet, 0, id -> true), greaterThan(REQUIRED_SHARE));
+        assertThat(fleet.servedShare(0, id -> true), greaterThan(REQUIRED_SHARE));
     }
 
     /** Guards against targets that stay ejected, or reached by way of others, long after the paths have returned. */
@@ -165,11 +162,11 @@
         VirtualFleet fleet = fleet(31, 100, 20);
         List<InstanceId> cutInstances = fleet.deployment().instances().subList(0, 70);
         cut(fleet, cutInstances, Mode.HANG, target -> true);
-        fleet.run(CONTACT, 2 * REQUESTS_PER_SECOND, DEADLINE, this::content);
+        fleet.runCompletions(CONTACT, 2 * REQUESTS_PER_SECOND, DEADLINE);
         int settled = fleet.callers().size();
-        fleet.run(Duration.ofSeconds(6), 2 * REQUESTS_PER_SECOND, DEADLINE, this::content);
+        fleet.runCompletions(Duration.ofSeconds(6), 2 * REQUESTS_PER_SECOND, DEADLINE);
         fleet.time().runFor(DEADLINE);
-        assertThat(servedShare(fleet, settled, cutInstances::contains), greaterThan(REQUIRED_SHARE));
+        assertThat(fleet.servedShare(settled, cutInstances::contains), greaterThan(REQUIRED_SHARE));
     }
 
     /** Guards against relays that are chosen again although they have ended, or do not know the token any more. */
@@ -194,7 +191,7 @@
             run(fleet, Duration.ofMillis(1400));
         }
         fleet.time().runFor(DEADLINE);
-        assertThat(servedShare(fleet, settled, cutInstances::contains), greaterThan(RESTART_SHARE));
+        assertThat(fleet.servedShare(settled, cutInstances::contains), greaterThan(RESTART_SHARE));
     }
 
     /** Guards against target orders that reach nothing, because the leader that gives them is cut from all targets. */
@@ -227,25 +224,7 @@
     }
 
     private void run(VirtualFleet fleet, Duration duration) {
-        fleet.run(duration, REQUESTS_PER_SECOND, DEADLINE, this::content);
-    }
-
-    private Content content() {
-        return new Content(
-                "/v1/completions",
-                String.format(
-                        "{\"model\":\"%s\",\"max_tokens\":20,\"prompt\":\"request %d\"}",
-                        VirtualOperators.MODEL, requests++));
+        fleet.runCompletions(duration, REQUESTS_PER_SECOND, DEADLINE);
     }
-
     /** Returns the share of the finished requests from the given index on, at these instances, that were served. */
-    private static double servedShare(VirtualFleet fleet, int firstCaller, Predicate<InstanceId> instances) {
-        List<VirtualCaller> callers = fleet
-                .callers()
-                .subList(firstCaller, fleet.callers().size())
-                .stream()
-                .filter(caller -> instances.test(caller.instance()) && caller.isFinished())
-                .toList();
-        return (double) callers.stream().filter(VirtualCaller::succeeded).count() / callers.size();
-    }
 }
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/LeavingTargetTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/LeavingTargetTest.java
@@ -15,7 +15,6 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
 import org.basilrill.protocol.caller.HeaderField;
-import org.basilrill.scaffold.virtual.VirtualFleet.Content;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -27,8 +26,6 @@
     /** Time after a statement from which no request may reach the target. */
     private static final Duration DRAIN = Duration.ofSeconds(2);
 
-    private int requests;
-
     @BeforeEach
     void silenceLog() {
         LOGGER.setLevel(Level.OFF);
@@ -48,7 +45,7 @@
                                 + DRAIN.toNanos())
                 .toList();
         assertThat(late, is(empty()));
-        assertThat(servedShare(fleet), greaterThan(0.99));
+        assertThat(fleet.servedShare(0, id -> true), greaterThan(0.99));
     }
 
     /** Guards against a statement that outlives the incarnation of the target that made it. */
@@ -76,11 +73,7 @@
         run(fleet, Duration.ofSeconds(2));
         List<VirtualCaller> callers =
                 fleet.callers().subList(settled, fleet.callers().size());
-        assertThat(
-                callers.stream()
-                        .allMatch(caller ->
-                                caller.reportsNotRun() && caller.elapsed().compareTo(Duration.ofMillis(10)) < 0),
-                is(true));
+        assertThat(fleet.allRefusedAtOnce(settled), is(true));
     }
 
     private static VirtualFleet fleet(long seed) {
@@ -88,20 +81,6 @@
     }
 
     private void run(VirtualFleet fleet, Duration duration) {
-        fleet.run(duration, 40, DEADLINE, this::content);
-    }
-
-    private Content content() {
-        return new Content(
-                "/v1/completions",
-                String.format(
-                        "{\"model\":\"%s\",\"max_tokens\":20,\"prompt\":\"request %d\"}",
-                        VirtualOperators.MODEL, requests++));
-    }
-
-    private static double servedShare(VirtualFleet fleet) {
-        List<VirtualCaller> finished =
-                fleet.callers().stream().filter(VirtualCaller::isFinished).toList();
-        return (double) finished.stream().filter(VirtualCaller::succeeded).count() / finished.size();
+        fleet.runCompletions(duration, 40, DEADLINE);
     }
 }
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/PausedTargetTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/PausedTargetTest.java
@@ -13,7 +13,6 @@
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
 import org.basilrill.protocol.caller.HeaderField;
-import org.basilrill.scaffold.virtual.VirtualFleet.Content;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -25,8 +24,6 @@
     /** Requests of one instance that may reach a target after the first refusal, as they were under way. */
     private static final long ALLOWED_REQUESTS = 2;
 
-    private int requests;
-
     @BeforeEach
     void silenceLog() {
         LOGGER.setLevel(Level.OFF);
@@ -42,7 +39,7 @@
         for (InstanceId instance : fleet.deployment().instances()) {
             assertThat(refusals(paused, instance), lessThanOrEqualTo(1 + ALLOWED_REQUESTS));
         }
-        assertThat(servedShare(fleet, 0), greaterThan(0.99));
+        assertThat(fleet.servedShare(0, id -> true), greaterThan(0.99));
     }
 
     /** Guards against callers that wait for targets none of which wants a request in time. */
@@ -55,12 +52,11 @@
         run(fleet, Duration.ofSeconds(2));
         List<VirtualCaller> callers =
                 fleet.callers().subList(settled, fleet.callers().size());
+        assertThat(fleet.allRefusedAtOnce(settled), is(true));
         assertThat(
-                callers.stream()
-                        .allMatch(caller ->
-                                caller.reportsNotRun() && caller.elapsed().compareTo(Duration.ofMillis(10)) < 0),
+                fleet.callersFrom(settled).stream()
+                        .allMatch(caller -> caller.receivedText().contains("retry_after_ms")),
                 is(true));
-        assertThat(callers.stream().allMatch(caller -> caller.receivedText().contains("retry_after_ms")), is(true));
     }
 
     /** Guards against targets that get no requests after their pause. */
@@ -73,7 +69,7 @@
         run(fleet, Duration.ofSeconds(3));
         int settled = fleet.callers().size();
         run(fleet, Duration.ofSeconds(5));
-        assertThat(servedShare(fleet, settled), greaterThan(0.99));
+        assertThat(fleet.servedShare(settled, id -> true), greaterThan(0.99));
     }
 
     private static VirtualFleet fleet(long seed) {
@@ -81,15 +77,7 @@
     }
 
     private void run(VirtualFleet fleet, Duration duration) {
-        fleet.run(duration, 40, DEADLINE, this::content);
-    }
-
-    private Content content() {
-        return new Content(
-                "/v1/completions",
-                String.format(
-                        "{\"model\":\"%s\",\"max_tokens\":20,\"prompt\":\"request %d\"}",
-                        VirtualOperators.MODEL, requests++));
+        fleet.runCompletions(duration, 40, DEADLINE);
     }
 
     private static long refusals(VirtualTarget target, InstanceId instance) {
@@ -97,14 +85,4 @@
                 .filter(refusal -> refusal.sender().equals(instance))
                 .count();
     }
-
-    private static double servedShare(VirtualFleet fleet, int firstCaller) {
-        List<VirtualCaller> finished = fleet
-                .callers()
-                .subList(firstCaller, fleet.callers().size())
-                .stream()
-                .filter(VirtualCaller::isFinished)
-                .toList();
-        return (double) finished.stream().filter(VirtualCaller::succeeded).count() / finished.size();
-    }
 }
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/VirtualFleet.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/VirtualFleet.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
@@ -17,6 +18,7 @@
 final class VirtualFleet {
     private static final Duration STEP = Duration.ofMillis(50);
     private static final Duration ANNOUNCEMENT_PERIOD = Duration.ofMillis(500);
+    private static final Duration AT_ONCE = Duration.ofMillis(10);
     private static final int REPLICAS = 3;
 
     private final VirtualTime time = new VirtualTime();
@@ -97,6 +99,38 @@
         }
     }
 
+    /** Sends completions at random instances for a while. */
+    void runCompletions(Duration duration, double requestsPerSecond, Duration deadline) {
+        run(
+                duration,
+                requestsPerSecond,
+                deadline,
+                () -> new Content(
+                        "/v1/completions",
+                        String.format(
+                                "{\"model\":\"%s\",\"max_tokens\":20,\"prompt\":\"request %d\"}",
+                                VirtualOperators.MODEL, callers.size())));
+    }
+
+    /** Returns the callers from the given index on. */
+    List<VirtualCaller> callersFrom(int firstCaller) {
+        return callers.subList(firstCaller, callers.size());
+    }
+
+    /** Returns the share of the finished requests from the given index on, at these instances, that were served. */
+    double servedShare(int firstCaller, Predicate<InstanceId> instances) {
+        List<VirtualCaller> finished = callersFrom(firstCaller).stream()
+                .filter(caller -> instances.test(caller.instance()) && caller.isFinished())
+                .toList();
+        return (double) finished.stream().filter(VirtualCaller::succeeded).count() / finished.size();
+    }
+
+    /** Returns whether all callers from the given index on were refused at once and truly, as nothing ran. */
+    boolean allRefusedAtOnce(int firstCaller) {
+        return callersFrom(firstCaller).stream()
+                .allMatch(caller -> caller.reportsNotRun() && caller.elapsed().compareTo(AT_ONCE) < 0);
+    }
+
     InstanceId randomInstance() {
         return deployment.instances().get(random.nextInt(deployment.instances().size()));
     }
