--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
@@ -194,6 +194,8 @@
         if (stopped) {
             return;
         }
+        // Scheduled first, so that a failure of one check does not end the checks.
+        environment.scheduler().schedule(CHECK_INTERVAL, this::check);
         Collection<TargetAnnouncement> targets = environment.targets().get();
         Map<TargetAnnouncement, Boolean> lost = new HashMap<>();
         List<TargetAnnouncement> due = new ArrayList<>();
@@ -211,7 +213,6 @@
         lost.forEach(environment.exchanges()::pathLost);
         due.addAll(suspiciousTargets(targets));
         due.forEach(this::probe);
-        environment.scheduler().schedule(CHECK_INTERVAL, this::check);
     }
 
     /** Returns the targets to probe: those that exchanges wait for, or random ones if there was no contact at all. */
