Observe what a target states in a response that a relay passes on

The relay observed the statement of a target, but the instance that passed the response on to its caller did not, so it would have sent on to a target that is leaving once its own path returned. By reading; the new test of RelayChoiceTest did not compile before, as there was nothing to observe with.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
@@ -53,6 +53,7 @@
                         direct,
                         port,
                         cutListener,
+                        this::observe,
                         environment.clock(),
                         environment.scheduler(),
                         random)));
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayableExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayableExchange.java
@@ -158,8 +158,10 @@
         public void headReceived(ResponseHead head) {
             RelayResult result = RelayMessages.result(head);
             if (result == RelayResult.RESPONSE) {
+                ResponseHead targetHead = RelayMessages.targetHead(head);
+                relays.responseObserver().accept(target, targetHead);
                 listener.carriedBy(relay);
-                listener.headReceived(RelayMessages.targetHead(head));
+                listener.headReceived(targetHead);
             } else {
                 failure = Optional.of(result.failure(RelayMessages.detail(head) + " at relay " + relay));
             }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/Relays.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/Relays.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import org.basilrill.api.InstanceId;
 import org.basilrill.coordination.membership.Membership.Member;
 import org.basilrill.coordination.membership.RelayAccess;
@@ -16,8 +17,13 @@
  * The relays of the other instances.
  *
  * @param self name of this instance, for the logs of the others
+ * @param responseObserver receives the head of each response of a target, which may state something about the target
  */
-record Relays(RelaySelector selector, RelayClient client, InstanceId self) {
+record Relays(
+        RelaySelector selector,
+        RelayClient client,
+        InstanceId self,
+        BiConsumer<TargetAnnouncement, ResponseHead> responseObserver) {
     /** Instances that are asked about one target; more are of no use if the target has crashed. */
     private static final int MAXIMUM_CHECKS = 2;
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/TargetAccess.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/TargetAccess.java
@@ -1,6 +1,7 @@
 package org.basilrill.protocol.relay;
 
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator.SplittableGenerator;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.MonotonicClock;
@@ -9,7 +10,9 @@
 import org.basilrill.coordination.membership.RelayAccess;
 import org.basilrill.coordination.path.RelaySelector;
 import org.basilrill.coordination.path.TargetPaths;
+import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.target.TargetConnector;
+import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetDirectory;
 
 /**
@@ -31,7 +34,8 @@
                 environment.membership(),
                 environment.clock(),
                 environment.random().split());
-        Relays relays = new Relays(selector, environment.port().client(), environment.self());
+        Relays relays =
+                new Relays(selector, environment.port().client(), environment.self(), environment.responseObserver());
         paths = new TargetPaths(new TargetPaths.Environment(
                 environment.targets()::targets,
                 environment.connector()::acceptsConnection,
@@ -58,6 +62,7 @@
      *
      * @param connector sends requests over this instance's own paths
      * @param cutListener called when the instance has lost all its paths
+     * @param responseObserver receives the head of each response that another instance passes on
      * @param random split for each part, so that no two share a generator
      */
     public record Environment(
@@ -68,6 +73,7 @@
             TargetConnector connector,
             Port port,
             Runnable cutListener,
+            BiConsumer<TargetAnnouncement, ResponseHead> responseObserver,
             MonotonicClock clock,
             Scheduler scheduler,
             SplittableGenerator random) {}
--- a/basilrill-library/src/test/java/org/basilrill/protocol/relay/RelayChoiceTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/relay/RelayChoiceTest.java
@@ -36,10 +36,12 @@
     private final TargetAnnouncement target = FakeServices.target("target-1", 9001);
     private final Map<String, RelayResult> results = new HashMap<>();
     private final List<String> opened = new ArrayList<>();
+    private final List<Integer> statements = new ArrayList<>();
     private final Relays relays = new Relays(
             new RelaySelector(new InstanceId("self"), "north", new FourRelays(), time, new SplittableRandom(7)),
             this::open,
-            new InstanceId("self"));
+            new InstanceId("self"),
+            (observed, head) -> statements.add(head.status()));
     private final Outcome outcome = new Outcome();
 
     /** Guards against requests that fail because relays have started again and do not know the published token. */
@@ -52,6 +54,13 @@
         assertThat(outcome.completed, is(true));
     }
 
+    /** Guards against a target that states that it is leaving and is used on by the instance that a relay serves. */
+    @Test
+    void whatATargetStatesIsObservedWhenARelayPassesItOn() {
+        send();
+        assertThat(statements, is(List.of(200)));
+    }
+
     /** Guards against a target that is ejected because the instances on the way to it were lost. */
     @Test
     void lostRelaysShowNothingAboutTheTarget() {
