--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPath.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPath.java
@@ -120,7 +120,7 @@
         return failures < 2 && timeSinceContact(now).compareTo(FRESH_CONTACT) < 0;
     }
 
-    /** Returns whether another instance is to be asked about the target now; if so, records the request. */
+    /** Returns whether another instance is to check the target now; if so, records the check. */
     boolean beginConfirmation(long now) {
         if (lost || confirming || now - nextConfirmationNanos < 0) {
             return false;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
@@ -33,7 +33,7 @@
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
     /** Targets seldom let a request wait this long while they send nothing to any other. */
     private static final Duration SUSPICIOUS_SILENCE = Duration.ofMillis(600);
-    /** An instance that has heard of no target for this long probes some. */
+    /** An instance without contact to any target for this long probes some. */
     private static final Duration IDLE_TIME = Duration.ofSeconds(1);
     /** Targets to which connections fail, while none is reached, before all paths are presumed to be lost. */
     private static final int FAILING_TARGETS_OF_A_CUT = 2;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayableExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayableExchange.java
@@ -32,8 +32,10 @@
     private final boolean freshConnection;
     private final Listener listener;
     private final Set<InstanceId> triedRelays = new HashSet<>();
-    private int unreached;
     private final AtomicBoolean permitted = new AtomicBoolean();
+    /** Relays that reported that the target accepts no connection. */
+    private int unreached;
+
     /** Releases the relay of the present way. */
     private volatile Runnable relayRelease = () -> {};
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/Relays.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/Relays.java
@@ -24,7 +24,7 @@
         RelayClient client,
         InstanceId self,
         BiConsumer<TargetAnnouncement, ResponseHead> responseObserver) {
-    /** Instances that are asked about one target; more are of no use if the target has crashed. */
+    /** Instances that check one target; more are of no use if the target has crashed. */
     private static final int MAXIMUM_CHECKS = 2;
 
     /** Sends a request to a target by way of a member. */
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineClient.java
@@ -77,7 +77,7 @@
         });
     }
 
-    /** Reads a report; one that cannot be read is missing, so that the engine is asked again. */
+    /** Reads a report; one that cannot be read is missing, so that it is requested again. */
     private Optional<EngineReport> readReport(TargetAnnouncement engine, PlainResponse response) {
         try {
             return dialect.readReport(response);
