--- a/basilrill-library/src/test/java/org/basilrill/state/configuration/RulesParserTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/configuration/RulesParserTest.java
@@ -168,9 +168,9 @@
     }
 
     @Test
-    void theExamplesOfTheRulesPageAreValidAndShowEveryRuleKind() throws IOException {
-        String page = Files.readString(Path.of("../docs/rules.md"));
-        String examples = Arrays.stream(page.split("\n"))
+    void theDocumentedExamplesAreValidAndShowEveryRuleKind() throws IOException {
+        String documentation = Files.readString(Path.of("../docs/rules.md"));
+        String examples = Arrays.stream(documentation.split("\n"))
                 .filter(line -> KINDS.stream().anyMatch(kind -> line.startsWith(kind + " ")) && line.contains("#"))
                 .collect(Collectors.joining("\n"));
         assertThat(faults(examples), is(empty()));
