Add a soak of random overlapping faults with the real programs

It checks that responses belong to their requests and end in time, that an order runs at most once and not after a refusal, that no target sees a key, and that all instances serve with the last accepted rules afterwards.

--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/Main.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/Main.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import org.apache.commons.cli.ParseException;
 import org.basilrill.scaffold.prove.ProveProgram;
+import org.basilrill.scaffold.prove.SoakProgram;
 import org.basilrill.scaffold.target.FakeTargetProgram;
 
 /** Entry point of the test programs. */
@@ -18,9 +19,10 @@
             case "target" -> FakeTargetProgram.run(rest);
             case "free-ports" -> FreePorts.find(Integer.parseInt(rest[0])).forEach(System.out::println);
             case "prove" -> ProveProgram.run(rest);
+            case "soak" -> SoakProgram.run(rest);
             default -> {
                 System.err.println(
-                        "usage: basilrill-scaffold target OPTIONS | free-ports COUNT | prove [NAME] [--seed N]");
+                        "usage: basilrill-scaffold target OPTIONS | free-ports COUNT | prove [NAME] [--seed N] | soak");
                 System.exit(2);
             }
         }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/Calls.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/Calls.java
@@ -54,7 +54,8 @@
         return "{\"order\":\"" + id + "\"}";
     }
 
-    private static String expectedStream(Call call) {
+    /** Returns the complete response to a streamed completion. */
+    static String expectedStream(Call call) {
         int tokens = Integer.parseInt(between(call.body(), "\"max_tokens\":", ","));
         String id = between(call.body(), "\"user\":\"", "\"");
         StringBuilder expected = new StringBuilder();
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/Deployment.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/Deployment.java
@@ -36,6 +36,7 @@
     private final List<Integer> callerPorts;
     private final List<Integer> peerPorts;
     private final List<Integer> listenPorts;
+    private final List<Integer> exchangePorts;
     private final Map<String, Relay> relays = new TreeMap<>();
     private final Map<String, Integer> targetPorts = new TreeMap<>();
 
@@ -45,8 +46,13 @@
      * @param instances number of instances
      * @param relayed whether all traffic between instances passes through relays
      * @param progressMillis longest time without progress of a target, in milliseconds
+     * @param carriesExchanges whether instances carry exchanges with targets for each other
      */
-    record DeploymentOptions(int instances, boolean relayed, int progressMillis) {
+    record DeploymentOptions(int instances, boolean relayed, int progressMillis, boolean carriesExchanges) {
+        DeploymentOptions(int instances, boolean relayed, int progressMillis) {
+            this(instances, relayed, progressMillis, false);
+        }
+
         static DeploymentOptions of(int instances) {
             return new DeploymentOptions(instances, false, 10_000);
         }
@@ -55,9 +61,10 @@
     Deployment(ScenarioEnvironment environment, DeploymentOptions deploymentOptions) throws IOException {
         this.environment = environment;
         this.deploymentOptions = deploymentOptions;
-        List<Integer> ports = FreePorts.find(deploymentOptions.instances() * 3);
+        List<Integer> ports = FreePorts.find(deploymentOptions.instances() * 4);
         callerPorts = ports.subList(0, deploymentOptions.instances());
         peerPorts = ports.subList(deploymentOptions.instances(), deploymentOptions.instances() * 2);
+        exchangePorts = ports.subList(deploymentOptions.instances() * 3, deploymentOptions.instances() * 4);
         listenPorts = deploymentOptions.relayed()
                 ? ports.subList(deploymentOptions.instances() * 2, deploymentOptions.instances() * 3)
                 : peerPorts;
@@ -156,6 +163,9 @@
                 "\"progressTimeoutMillis\": " + deploymentOptions.progressMillis(),
                 "\"operatorKeyHash\": \"sha256:"
                         + KeyHash.of(RuleText.OPERATOR_KEY).hexadecimal() + "\""));
+        if (deploymentOptions.carriesExchanges()) {
+            lines.add("\"relayAddress\": \"" + HOST + exchangePorts.get(index) + "\"");
+        }
         if (replica) {
             lines.add("\"dataFolder\": \"" + dataFolder(instance) + "\"");
         }
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/LoadClient.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/LoadClient.java
@@ -17,6 +17,8 @@
 
 /** Sends each request once and records it with its response. Thread safe. */
 final class LoadClient {
+    /** Failure of a request whose response did not end in time. */
+    static final String NO_RESPONSE = "no response in time";
     /** Time after the deadline at which the client stops waiting for the response. */
     private static final Duration RESPONSE_GRACE = Duration.ofSeconds(10);
 
@@ -46,7 +48,7 @@
             exchange = new Exchange(call, address, sent, System.nanoTime(), response.statusCode(), response.body(), "");
         } catch (TimeoutException exception) {
             future.cancel(true);
-            exchange = new Exchange(call, address, sent, System.nanoTime(), 0, "", "no response in time");
+            exchange = new Exchange(call, address, sent, System.nanoTime(), 0, "", NO_RESPONSE);
         } catch (ExecutionException exception) {
             String failure = exception.getCause() instanceof IOException problem
                     ? problem.toString()
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/ProveProgram.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/prove/ProveProgram.java
@@ -22,12 +22,14 @@
 
 /** Runs failure scenarios and prints the result of each. Stateless. */
 public final class ProveProgram {
+    /** Option with the seed of the random choices. */
+    static final String SEED = "seed";
+
     /** A scenario that takes longer fails, as its processes no longer make progress. */
     private static final Duration SCENARIO_LIMIT = Duration.ofSeconds(240);
 
     private static final int FAILED = 1;
     private static final int USAGE = 2;
-    private static final String SEED = "seed";
     private static final String DAEMON_JAR = "daemon-jar";
     private static final String SCAFFOLD_JAR = "scaffold-jar";
     private static final List<Scenario> SCENARIOS = List.of(
@@ -65,8 +67,8 @@
         System.exit(allProved ? 0 : FAILED);
     }
 
-    private static boolean prove(Scenario scenario, long seed, CommandLine line, PrintStream output)
-            throws IOException {
+    /** Runs one scenario with its own folder and processes, and prints its result; returns whether it succeeded. */
+    static boolean prove(Scenario scenario, long seed, CommandLine line, PrintStream output) throws IOException {
         Path folder = Files.createTempDirectory("basilrill-prove-");
         ProcessGroup processes = new ProcessGroup(folder);
         Thread cleaner = new Thread(processes::close, "process-cleaner");
@@ -127,7 +129,8 @@
         }
     }
 
-    private static Options options() {
+    /** Returns the options that name the programs and the seed. */
+    static Options options() {
         Options options = new Options();
         options.addOption(Option.builder().longOpt(SEED).hasArg().build());
         options.addOption(
