--- a/basilrill-library/src/test/java/org/basilrill/coordination/membership/ReplicaHoldersTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/membership/ReplicaHoldersTest.java
@@ -5,7 +5,6 @@
 import static org.hamcrest.Matchers.empty;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import org.basilrill.api.InstanceId;
@@ -50,12 +49,4 @@
     private static Membership.Member member(InstanceId id, boolean replica, boolean suspected) {
         return new Membership.Member(id, "a", "", "", suspected, false, true, 1, 0, replica, Optional.empty(), false);
     }
-
-    /** A membership that consists of the given members. */
-    private record FixedMembership(Collection<Member> members) implements Membership {
-        @Override
-        public Optional<Member> member(InstanceId id) {
-            return members.stream().filter(known -> known.id().equals(id)).findFirst();
-        }
-    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/protocol/caller/InstanceListingTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/caller/InstanceListingTest.java
@@ -8,7 +8,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -16,6 +15,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.basilrill.api.InstanceId;
+import org.basilrill.coordination.membership.FixedMembership;
 import org.basilrill.coordination.membership.Membership;
 import org.junit.jupiter.api.Test;
 
@@ -39,17 +39,7 @@
                         Optional.empty(),
                         false))
                 .toList();
-        Membership membership = new Membership() {
-            @Override
-            public Collection<Member> members() {
-                return members;
-            }
-
-            @Override
-            public Optional<Member> member(InstanceId id) {
-                return members.stream().filter(member -> member.id().equals(id)).findFirst();
-            }
-        };
+        Membership membership = new FixedMembership(members);
         return new InstanceListing(membership, SELF, new Random(7), Duration.ofSeconds(1));
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/protocol/relay/RelayChoiceTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/relay/RelayChoiceTest.java
@@ -6,15 +6,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.VirtualTime;
+import org.basilrill.coordination.membership.FixedMembership;
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.coordination.membership.RelayAccess;
 import org.basilrill.coordination.path.RelaySelector;
@@ -32,13 +31,17 @@
 class RelayChoiceTest {
     private static final Request REQUEST = new Request("POST", "/", List.of(), new byte[0]);
 
+    private static final Membership FOUR_RELAYS = new FixedMembership(IntStream.rangeClosed(1, 4)
+            .mapToObj(number -> FixedMembership.relay("relay-" + number, new RelayAccess("relay-" + number, "token")))
+            .toList());
+
     private final VirtualTime time = new VirtualTime();
     private final TargetAnnouncement target = FakeServices.target("target-1", 9001);
     private final Map<String, RelayResult> results = new HashMap<>();
     private final List<String> opened = new ArrayList<>();
     private final List<Integer> statements = new ArrayList<>();
     private final Relays relays = new Relays(
-            new RelaySelector(new InstanceId("self"), "north", new FourRelays(), time, new SplittableRandom(7)),
+            new RelaySelector(new InstanceId("self"), "north", FOUR_RELAYS, time, new SplittableRandom(7)),
             this::open,
             new InstanceId("self"),
             (observed, head) -> statements.add(head.status()));
@@ -140,31 +143,4 @@
             failures.add(failure.kind());
         }
     }
-
-    /** A membership with four instances that carry exchanges. */
-    private static final class FourRelays implements Membership {
-        @Override
-        public Collection<Member> members() {
-            return IntStream.rangeClosed(1, 4)
-                    .mapToObj(number -> new Member(
-                            new InstanceId("relay-" + number),
-                            "north",
-                            "",
-                            "",
-                            false,
-                            false,
-                            true,
-                            1,
-                            0,
-                            false,
-                            Optional.of(new RelayAccess("relay-" + number, "token")),
-                            false))
-                    .toList();
-        }
-
-        @Override
-        public Optional<Member> member(InstanceId id) {
-            return members().stream().filter(member -> member.id().equals(id)).findFirst();
-        }
-    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
@@ -32,6 +32,7 @@
 import org.basilrill.coordination.consensus.ReplicaId;
 import org.basilrill.coordination.consensus.ReplicaRole;
 import org.basilrill.coordination.consensus.ReplicaStatus;
+import org.basilrill.coordination.membership.FixedMembership;
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.protocol.administration.AdministrationHandler;
 import org.basilrill.protocol.administration.AdministrationViews;
@@ -270,19 +271,6 @@
         }
     }
 
-    /** A fixed membership. */
-    private record FixedMembership(List<Member> list) implements Membership {
-        @Override
-        public Collection<Member> members() {
-            return list;
-        }
-
-        @Override
-        public Optional<Member> member(InstanceId id) {
-            return list.stream().filter(member -> member.id().equals(id)).findFirst();
-        }
-    }
-
     /** A target directory backed by a list. */
     private record FixedDirectory(List<TargetAnnouncement> list) implements TargetDirectory {
         @Override
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/RelayFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/RelayFixture.java
@@ -21,7 +21,7 @@
 import org.basilrill.api.ModelId;
 import org.basilrill.api.Scheduler;
 import org.basilrill.api.TargetId;
-import org.basilrill.coordination.membership.Membership;
+import org.basilrill.coordination.membership.FixedMembership;
 import org.basilrill.coordination.membership.RelayAccess;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.ResponseHead;
@@ -93,7 +93,7 @@
         return new TargetAccess(new TargetAccess.Environment(
                 new InstanceId(name),
                 "north",
-                new OneRelay(access),
+                new FixedMembership(List.of(FixedMembership.relay("relay", access))),
                 new OneTarget(),
                 connector,
                 new TargetAccess.Port(access, client),
@@ -212,31 +212,6 @@
         }
     }
 
-    /** A membership with one instance that carries exchanges. */
-    private record OneRelay(RelayAccess access) implements Membership {
-        @Override
-        public Collection<Member> members() {
-            return List.of(new Member(
-                    new InstanceId("relay"),
-                    "north",
-                    "",
-                    "",
-                    false,
-                    false,
-                    true,
-                    1,
-                    0,
-                    false,
-                    Optional.of(access),
-                    false));
-        }
-
-        @Override
-        public Optional<Member> member(InstanceId id) {
-            return members().stream().filter(member -> member.id().equals(id)).findFirst();
-        }
-    }
-
     /** A directory with the target. */
     private final class OneTarget implements TargetDirectory {
         @Override
