Resume a replica of the control log after an outage of its disk

Cause: ControlReplica.fail stopped the replica for the rest of the life of its process after the first failed write, and FileDurableStore refused every later write. Both were meant for a disk in an unknown state; nothing made the state known again, and nothing ended the process. Ruled out: a disk that stays unwritable (no write was tried after the first failure), and a replica removed from the members (no event 206 or 213).

A process with a full disk starts, and its instance serves callers. Events 214 and 215, a gauge, the role SUSPENDED in status.

Conclusion: a failure that passes no longer costs a replica. Ending the process instead was rejected, since it cuts the callers of a sound instance.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -110,6 +110,9 @@
                 new LossTolerance(settings.interfaces().lossToleranceTokens()));
         ControlStateMachine stateMachine = new ControlStateMachine(interfaceOptions.rulesFormat());
         this.replica = settings.dataFolder().map(folder -> startReplica(folder, stateMachine));
+        replica.ifPresent(controlReplica -> metrics.registerGauge(
+                "control_log.seconds_without_disk",
+                () -> controlReplica.outage().map(Duration::toSeconds).orElse(0L)));
         this.instance = new Instance(environment(stateMachine, limits, metrics, interfaceOptions));
         this.gateway = createGateway(metrics);
     }
--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -31,6 +31,8 @@
     REPLICA_FAILED(211, "replica of the control log stopped because of a failure"),
     FOUNDING_PERMIT_NOT_KEPT(212, "permit to found a cluster could not be written to the data folder"),
     VOTER_REMOVED(213, "voter removed from the control log because it is unresponsive or was replaced"),
+    REPLICA_SUSPENDED(214, "replica of the control log takes no part because its disk cannot be written"),
+    REPLICA_RESUMED(215, "replica of the control log takes part again because its disk can be written"),
     SESSION_OPENED(250, "session with the control log opened"),
     SESSION_LOST(251, "session with the control log lost"),
     SESSION_EXPIRED(252, "session of an unresponsive instance expired"),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -27,7 +27,7 @@
  * One replica of the control log. The driver passes in messages, proposals, reads and ticks. After each group of them
  * it calls {@link #flush}, which syncs all queued proposals at once. The same inputs, clock and seed give the same
  * outputs. Not thread safe: called by one thread at a time. After an exception from the store the replica must not be
- * used further.
+ * used further; once the store is writable again, {@link #resume} creates its successor.
  */
 public final class Replica {
     private final ReplicaState state;
@@ -56,7 +56,11 @@
             ReplicatedStateMachine machine,
             ReplicaEnvironment environment,
             ConsensusSettings settings) {
-        this.state = new ReplicaState(self, store, machine, environment, settings);
+        this(founders, contacts, new ReplicaState(self, store, machine, environment, settings, 0));
+    }
+
+    private Replica(Collection<InstanceId> founders, Collection<InstanceId> contacts, ReplicaState state) {
+        this.state = state;
         this.contacts = new TreeSet<>(contacts);
         this.clusterBootstrap = new ClusterBootstrap(state, new TreeSet<>(founders));
         // The replica may have had contact with the leader just before a restart, so it refuses votes as if it had.
@@ -64,6 +68,26 @@
         resetElectionTimer();
     }
 
+    /**
+     * Creates the successor of a replica of this process whose store failed and is writable again. The state machine
+     * keeps its state, so that this instance never shows an older one.
+     *
+     * @param machine state machine of the earlier replica
+     * @param appliedIndex index of the last record that the state machine has applied
+     */
+    public static Replica resume(
+            InstanceId self,
+            Collection<InstanceId> founders,
+            Collection<InstanceId> contacts,
+            DurableStore store,
+            ReplicatedStateMachine machine,
+            ReplicaEnvironment environment,
+            ConsensusSettings settings,
+            long appliedIndex) {
+        ReplicaState resumed = new ReplicaState(self, store, machine, environment, settings, appliedIndex);
+        return new Replica(founders, contacts, resumed);
+    }
+
     /** Queues a command; see {@link org.basilrill.coordination.control.ControlLog#propose}. */
     public void propose(byte[] command, CompletableFuture<byte[]> result) {
         leadership.ifPresentOrElse(
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
@@ -35,7 +35,8 @@
             DurableStore store,
             ReplicatedStateMachine machine,
             ReplicaEnvironment environment,
-            ConsensusSettings settings) {
+            ConsensusSettings settings,
+            long appliedIndex) {
         this.self = new ReplicaId(instance, store.incarnation());
         this.store = store;
         this.machine = machine;
@@ -44,10 +45,17 @@
         this.log = new ReplicaLog(store, settings.retainedEntries());
         this.startNanos = environment.clock().nanos();
         this.vote = store.vote();
-        log.snapshot().ifPresent(snapshot -> {
+        this.commitIndex = appliedIndex;
+        log.snapshot().filter(snapshot -> snapshot.lastIndex() > appliedIndex).ifPresent(snapshot -> {
             machine.restore(snapshot.state());
             commitIndex = snapshot.lastIndex();
         });
+        if (commitIndex > log.lastIndex()) {
+            throw new BasilrillException(
+                    ErrorCode.LOG_CORRUPT,
+                    String.format(
+                            "the store ends at record %d, before applied record %d", log.lastIndex(), commitIndex));
+        }
     }
 
     ReplicaId self() {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaStatus.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaStatus.java
@@ -18,4 +18,16 @@
         Optional<InstanceId> leader,
         long commitIndex,
         long lastIndex,
-        MemberSet members) {}
+        MemberSet members) {
+
+    /** Returns the status of a replica whose data folder could not be opened yet. */
+    public static ReplicaStatus unopened(InstanceId self) {
+        ReplicaId unknown = new ReplicaId(self, AddressedMessage.ANY_INCARNATION);
+        return new ReplicaStatus(unknown, ReplicaRole.SUSPENDED, 0, Optional.empty(), 0, 0, MemberSet.empty());
+    }
+
+    /** Returns the status of this replica while it is suspended. */
+    public ReplicaStatus suspended() {
+        return new ReplicaStatus(self, ReplicaRole.SUSPENDED, term, Optional.empty(), commitIndex, lastIndex, members);
+    }
+}
--- a/basilrill-library/src/main/java/org/basilrill/transport/disk/DurableFiles.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/disk/DurableFiles.java
@@ -2,15 +2,11 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.Optional;
 import java.util.zip.CRC32C;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
+import org.basilrill.transport.disk.DataFolder.DataFile;
 
 /**
  * Replaces small files atomically and durably. A file holds either its old or its new content, with a checksum.
@@ -22,26 +18,29 @@
 
     private DurableFiles() {}
 
-    /** Replaces the content of the file. */
-    static void replace(Path file, byte[] content) {
-        Path temporary = file.resolveSibling(file.getFileName() + TEMPORARY_SUFFIX);
+    /** Replaces the content of the file. After a failure the file holds either content. */
+    static void replace(DataFolder folder, String name, byte[] content) throws IOException {
+        String temporary = name + TEMPORARY_SUFFIX;
         ByteBuffer buffer = ByteBuffer.allocate(CHECKSUM_BYTES + content.length)
                 .putInt(checksum(content))
                 .put(content)
                 .flip();
-        run(() -> {
-            try (FileChannel channel = FileChannel.open(
-                    temporary,
-                    StandardOpenOption.CREATE,
-                    StandardOpenOption.TRUNCATE_EXISTING,
-                    StandardOpenOption.WRITE)) {
-                writeFully(channel, buffer);
-                channel.force(true);
-            }
-            Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-            syncFolder(file.getParent());
-            return null;
-        });
+        // A file left by a failed attempt may have pages that never reach the disk, so a new file is created.
+        folder.delete(temporary);
+        DataFile file = folder.open(temporary);
+        try {
+            file.write(buffer, 0);
+            file.sync();
+        } finally {
+            file.close();
+        }
+        folder.rename(temporary, name);
+        folder.sync();
+    }
+
+    /** Returns whether the name is that of a file left by an interrupted {@link #replace}. */
+    static boolean isTemporary(String name) {
+        return name.endsWith(TEMPORARY_SUFFIX);
     }
 
     /**
@@ -49,41 +48,27 @@
      *
      * @throws BasilrillException with {@link ErrorCode#LOG_CORRUPT} if the checksum does not match
      */
-    static Optional<ByteBuffer> read(Path file) {
-        return run(() -> {
-            if (!Files.exists(file)) {
-                return Optional.empty();
-            }
-            byte[] stored = Files.readAllBytes(file);
-            if (stored.length < CHECKSUM_BYTES) {
-                throw corrupt(file, "is too short to hold a checksum");
-            }
-            ByteBuffer buffer = ByteBuffer.wrap(stored);
-            int expected = buffer.getInt();
-            CRC32C checksum = new CRC32C();
-            checksum.update(stored, CHECKSUM_BYTES, stored.length - CHECKSUM_BYTES);
-            if ((int) checksum.getValue() != expected) {
-                throw corrupt(file, "has a wrong checksum");
-            }
-            return Optional.of(buffer);
-        });
-    }
-
-    /** Syncs a folder, which makes the creation, renaming and deletion of its files durable. */
-    static void syncFolder(Path folder) throws IOException {
-        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-            channel.force(true);
+    static Optional<ByteBuffer> read(DataFolder folder, String name) throws IOException {
+        if (!folder.names().contains(name)) {
+            return Optional.empty();
         }
-    }
-
-    static void writeFully(FileChannel channel, ByteBuffer buffer) throws IOException {
-        while (buffer.hasRemaining()) {
-            channel.write(buffer);
+        byte[] stored = folder.read(name);
+        if (stored.length < CHECKSUM_BYTES) {
+            throw corrupt(folder, name, "is too short to hold a checksum");
+        }
+        ByteBuffer buffer = ByteBuffer.wrap(stored);
+        int expected = buffer.getInt();
+        CRC32C checksum = new CRC32C();
+        checksum.update(stored, CHECKSUM_BYTES, stored.length - CHECKSUM_BYTES);
+        if ((int) checksum.getValue() != expected) {
+            throw corrupt(folder, name, "has a wrong checksum");
         }
+        return Optional.of(buffer);
     }
 
-    static BasilrillException corrupt(Path file, String detail) {
-        return new BasilrillException(ErrorCode.LOG_CORRUPT, "file " + file + " " + detail);
+    static BasilrillException corrupt(DataFolder folder, String name, String detail) {
+        return new BasilrillException(
+                ErrorCode.LOG_CORRUPT, "file " + folder.path().resolve(name) + " " + detail);
     }
 
     /** Runs the action and converts an {@link IOException} into a failure with {@link ErrorCode#DISK_FAILED}. */
--- a/basilrill-library/src/main/java/org/basilrill/transport/disk/FileDurableStore.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/disk/FileDurableStore.java
@@ -2,42 +2,34 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.state.log.DurableStore;
 
 /**
  * Stores a replica's state in a folder: an identity file, a vote file, a snapshot file and numbered segments of
- * records. Segments are append-only. A truncation is written as a frame too, so that it is as atomic as an append. A
- * lock file prevents a second process from opening the folder. Called by one thread at a time. After a failed write or
- * sync every further write is refused, since the state of the disk is unknown.
+ * records. Segments are append-only. A truncation is written as a frame too, so that it is as atomic as an append.
+ * Called by one thread at a time. After a failed write or sync the state of the disk is unknown, so every further write
+ * is refused until {@link #recover} has removed what the failed write left. What the store returns is always what was
+ * synced.
  */
 public final class FileDurableStore implements DurableStore, AutoCloseable {
     private static final String IDENTITY_FILE = "identity";
     private static final String VOTE_FILE = "vote";
     private static final String SNAPSHOT_FILE = "snapshot";
-    private static final String LOCK_FILE = "lock";
     /**
      * Size from which a new segment is started. Smaller segments free space sooner after a snapshot, which is taken
      * every 8 MiB at the latest.
      */
     private static final long SEGMENT_BYTES = 4L << 20;
 
-    private final Path folder;
-    private final FileChannel lockChannel;
+    private final DataFolder folder;
     private final List<Segment> segments = new ArrayList<>();
     private final List<Position> positions = new ArrayList<>();
     private final boolean tornTailRemoved;
@@ -46,19 +38,20 @@
     private Vote vote;
     private Optional<Snapshot> snapshot;
     private boolean failed;
+    /** Whether the stored snapshot may be one whose saving failed. */
+    private boolean snapshotUncertain;
 
-    private FileDurableStore(Path folder, RandomGenerator random) throws IOException {
+    private FileDurableStore(DataFolder folder, RandomGenerator random) throws IOException {
         this.folder = folder;
-        Files.createDirectories(folder);
-        lockChannel = FileChannel.open(folder.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         try {
-            lock();
             incarnation = loadIdentity(random);
-            vote = DurableFiles.read(folder.resolve(VOTE_FILE))
+            vote = DurableFiles.read(folder, VOTE_FILE)
                     .map(FileDurableStore::decodeVote)
                     .orElse(new Vote(0, Optional.empty()));
-            snapshot = DurableFiles.read(folder.resolve(SNAPSHOT_FILE)).map(FileDurableStore::decodeSnapshot);
+            snapshot = DurableFiles.read(folder, SNAPSHOT_FILE).map(FileDurableStore::decodeSnapshot);
             tornTailRemoved = loadSegments();
+            deleteLeftovers();
+            rewriteUnsyncedState();
             deleteCoveredRecords();
         } catch (IOException | RuntimeException exception) {
             close();
@@ -75,7 +68,7 @@
      */
     public static FileDurableStore open(Path folder, RandomGenerator random) {
         try {
-            return new FileDurableStore(folder, random);
+            return new FileDurableStore(LocalDataFolder.open(folder), random);
         } catch (IOException exception) {
             throw new BasilrillException(
                     ErrorCode.DISK_FAILED,
@@ -84,6 +77,30 @@
         }
     }
 
+    /** Opens a folder; see {@link #open(Path, RandomGenerator)}. */
+    static FileDurableStore open(DataFolder folder, RandomGenerator random) {
+        return DurableFiles.run(() -> new FileDurableStore(folder, random));
+    }
+
+    /**
+     * Makes the store writable again after a failed write. Removes what the failed write may have left, and writes and
+     * syncs again what earlier writes may have left unsynced.
+     *
+     * @throws BasilrillException with {@code DISK_FAILED} if the disk still fails; the store then stays read-only
+     */
+    public void recover() {
+        DurableFiles.run(() -> {
+            deleteLeftovers();
+            if (!segments.isEmpty()) {
+                segments.get(segments.size() - 1).removeUnsyncedBytes();
+            }
+            rewriteUnsyncedState();
+            restoreSnapshot();
+            return null;
+        });
+        failed = false;
+    }
+
     /** Returns whether opening the folder removed a torn write, which was interrupted before its sync. */
     public boolean tornTailRemoved() {
         return tornTailRemoved;
@@ -101,11 +118,7 @@
 
     @Override
     public void saveVote(Vote saved) {
-        byte[] candidate = saved.votedFor().orElse("").getBytes(StandardCharsets.UTF_8);
-        ByteBuffer content = ByteBuffer.allocate(Long.BYTES + candidate.length)
-                .putLong(saved.term())
-                .put(candidate);
-        write(() -> DurableFiles.replace(folder.resolve(VOTE_FILE), content.array()));
+        write(() -> DurableFiles.replace(folder, VOTE_FILE, encodeVote(saved)));
         vote = saved;
     }
 
@@ -161,12 +174,10 @@
 
     @Override
     public void saveSnapshot(Snapshot saved) {
-        ByteBuffer content =
-                ByteBuffer.allocate(2 * Long.BYTES + Integer.BYTES + saved.members().length + saved.state().length);
-        content.putLong(saved.lastIndex()).putLong(saved.lastTerm());
-        content.putInt(saved.members().length).put(saved.members()).put(saved.state());
         write(() -> {
-            DurableFiles.replace(folder.resolve(SNAPSHOT_FILE), content.array());
+            snapshotUncertain = true;
+            DurableFiles.replace(folder, SNAPSHOT_FILE, encodeSnapshot(saved));
+            snapshotUncertain = false;
             snapshot = Optional.of(saved);
             deleteCoveredRecords();
         });
@@ -179,55 +190,70 @@
             for (Segment segment : segments) {
                 segment.close();
             }
-            lockChannel.close();
+            folder.close();
             return null;
         });
     }
 
-    private void lock() throws IOException {
-        try {
-            FileLock lock = lockChannel.tryLock();
-            if (lock != null) {
-                return;
-            }
-        } catch (OverlappingFileLockException exception) {
-            // The lock is held by this process itself; reported like a lock held by another process.
-        }
-        throw new BasilrillException(ErrorCode.DISK_FAILED, "data folder " + folder + " is in use");
-    }
-
     private long loadIdentity(RandomGenerator random) throws IOException {
-        Path file = folder.resolve(IDENTITY_FILE);
-        Optional<ByteBuffer> stored = DurableFiles.read(file);
+        Optional<ByteBuffer> stored = DurableFiles.read(folder, IDENTITY_FILE);
         if (stored.isPresent()) {
             return stored.get().getLong();
         }
-        boolean holdsData = Files.exists(folder.resolve(VOTE_FILE))
-                || Files.exists(folder.resolve(SNAPSHOT_FILE))
+        List<String> names = folder.names();
+        boolean holdsData = names.contains(VOTE_FILE)
+                || names.contains(SNAPSHOT_FILE)
                 || !segmentFiles().isEmpty();
         if (holdsData) {
-            throw DurableFiles.corrupt(file, "is missing from a folder that holds data");
+            throw DurableFiles.corrupt(folder, IDENTITY_FILE, "is missing from a folder that holds data");
         }
         long created = random.nextLong(1, Long.MAX_VALUE);
         DurableFiles.replace(
-                file, ByteBuffer.allocate(Long.BYTES).putLong(created).array());
+                folder,
+                IDENTITY_FILE,
+                ByteBuffer.allocate(Long.BYTES).putLong(created).array());
         return created;
     }
 
-    private List<Path> segmentFiles() throws IOException {
-        try (Stream<Path> files = Files.list(folder)) {
-            return files.filter(Segment::isSegment)
-                    .sorted(Comparator.comparing(Path::toString))
-                    .toList();
+    private List<String> segmentFiles() throws IOException {
+        return folder.names().stream().filter(Segment::isSegment).sorted().toList();
+    }
+
+    /** Deletes the files of interrupted writes, which also frees their space. */
+    private void deleteLeftovers() throws IOException {
+        List<String> used = segments.stream().map(Segment::name).toList();
+        for (String name : folder.names()) {
+            boolean unusedSegment = Segment.isSegment(name) && !used.contains(name);
+            if (unusedSegment || DurableFiles.isTemporary(name)) {
+                folder.delete(name);
+            }
+        }
+    }
+
+    /**
+     * Writes and syncs the last frame and the vote again. These are what a process that was killed, or a failed sync,
+     * may have left in the page cache alone. Before they count, they must be on the disk.
+     */
+    private void rewriteUnsyncedState() throws IOException {
+        for (int number = segments.size() - 1; number >= 0; number--) {
+            segments.get(number).rewriteLastFrame();
+            if (segments.get(number).size() > 0) {
+                break;
+            }
+        }
+        if (folder.names().contains(VOTE_FILE)) {
+            DurableFiles.replace(folder, VOTE_FILE, encodeVote(vote));
+        } else {
+            folder.sync();
         }
     }
 
     private boolean loadSegments() throws IOException {
         baseIndex = snapshot.map(Snapshot::lastIndex).orElse(0L);
-        List<Path> files = segmentFiles();
+        List<String> files = segmentFiles();
         boolean torn = false;
-        for (Path file : files) {
-            Segment segment = Segment.open(file);
+        for (String file : files) {
+            Segment segment = Segment.open(folder, file);
             segments.add(segment);
             boolean isLastSegment = segments.size() == files.size();
             torn = segment.load(incarnation, isLastSegment, (frame, offset) -> replay(file, segment, frame, offset));
@@ -236,10 +262,10 @@
     }
 
     /** Applies a frame read at startup: skips records covered by the snapshot and repeats truncations. */
-    private void replay(Path file, Segment segment, LogFrame frame, long offset) {
+    private void replay(String file, Segment segment, LogFrame frame, long offset) {
         if (!frame.isTruncation() && frame.lastIndex() > baseIndex && frame.firstIndex() > lastIndex() + 1) {
             throw DurableFiles.corrupt(
-                    file, String.format("has record %d after record %d", frame.firstIndex(), lastIndex()));
+                    folder, file, String.format("has record %d after record %d", frame.firstIndex(), lastIndex()));
         }
         updatePositions(segment, frame, offset);
     }
@@ -292,13 +318,13 @@
             deleted = true;
         }
         if (deleted) {
-            DurableFiles.syncFolder(folder);
+            folder.sync();
         }
     }
 
     private void write(WriteAction action) {
         if (failed) {
-            throw new BasilrillException(ErrorCode.DISK_FAILED, "an earlier write to " + folder + " failed");
+            throw new BasilrillException(ErrorCode.DISK_FAILED, "an earlier write to " + folder.path() + " failed");
         }
         failed = true;
         DurableFiles.run(() -> {
@@ -308,6 +334,38 @@
         failed = false;
     }
 
+    /** Replaces a snapshot whose saving failed by the last one that was saved. */
+    private void restoreSnapshot() throws IOException {
+        if (!snapshotUncertain) {
+            return;
+        }
+        if (snapshot.isPresent()) {
+            DurableFiles.replace(folder, SNAPSHOT_FILE, encodeSnapshot(snapshot.get()));
+        } else {
+            folder.delete(SNAPSHOT_FILE);
+            folder.sync();
+        }
+        snapshotUncertain = false;
+    }
+
+    private static byte[] encodeSnapshot(Snapshot encoded) {
+        return ByteBuffer.allocate(2 * Long.BYTES + Integer.BYTES + encoded.members().length + encoded.state().length)
+                .putLong(encoded.lastIndex())
+                .putLong(encoded.lastTerm())
+                .putInt(encoded.members().length)
+                .put(encoded.members())
+                .put(encoded.state())
+                .array();
+    }
+
+    private static byte[] encodeVote(Vote encoded) {
+        byte[] candidate = encoded.votedFor().orElse("").getBytes(StandardCharsets.UTF_8);
+        return ByteBuffer.allocate(Long.BYTES + candidate.length)
+                .putLong(encoded.term())
+                .put(candidate)
+                .array();
+    }
+
     private static Vote decodeVote(ByteBuffer content) {
         long term = content.getLong();
         String candidate = StandardCharsets.UTF_8.decode(content).toString();
--- a/basilrill-library/src/main/java/org/basilrill/transport/disk/FileFailure.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/disk/FileFailure.java
@@ -6,6 +6,8 @@
 import java.nio.file.DirectoryNotEmptyException;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.NoSuchFileException;
+import org.basilrill.api.BasilrillException;
+import org.basilrill.api.ErrorCode;
 
 /**
  * Formats failures of file operations, whose exception messages often contain only a path. Stateless and thread safe.
@@ -13,6 +15,18 @@
 public final class FileFailure {
     private FileFailure() {}
 
+    /**
+     * Returns whether a failure to open a data folder may pass without a change by an operator, as a full disk does. A
+     * folder that is missing, not accessible or in use stays so.
+     */
+    public static boolean mayPass(BasilrillException exception) {
+        return exception.code() == ErrorCode.DISK_FAILED
+                && exception.getCause() instanceof IOException cause
+                && !(cause instanceof NoSuchFileException)
+                && !(cause instanceof AccessDeniedException)
+                && !(cause instanceof FileAlreadyExistsException);
+    }
+
     /** Returns the reason, and the affected path if the exception contains one. */
     public static String reason(IOException exception) {
         String message = String.valueOf(exception.getMessage());
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
@@ -3,11 +3,14 @@
 import com.google.common.flogger.FluentLogger;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -16,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
@@ -34,11 +38,13 @@
 import org.basilrill.protocol.peer.ConsensusCodec;
 import org.basilrill.state.log.ReplicatedStateMachine;
 import org.basilrill.transport.disk.FileDurableStore;
+import org.basilrill.transport.disk.FileFailure;
 
 /**
  * Runs one replica of the control log on a thread of its own. Tasks that arrive while the thread is busy are run as one
  * group, with a single sync for all their proposals. Thread safe; only {@link #close} blocks. Futures complete on the
- * replica's thread, so callbacks must be short or asynchronous. A disk failure stops the replica permanently.
+ * replica's thread, so callbacks must be short or asynchronous. While the disk cannot be written the replica is
+ * suspended: it answers no message, and rejects proposals and reads at once. Any other failure stops it permanently.
  */
 public final class ControlReplica implements ControlLog, PeerHandler, AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -50,11 +56,18 @@
 
     private static final long STOP_SECONDS = 10;
 
-    private final FileDurableStore store;
-    private final Replica replica;
+    private final InstanceId self;
+    private final Collection<InstanceId> founders;
+    private final Set<InstanceId> contacts;
+    private final ReplicaStorage storage;
+    private final ReplicatedStateMachine machine;
+    private final ReplicaEnvironment environment;
     private final ScheduledExecutorService executor;
     private final ConcurrentLinkedQueue<Task> queuedTasks = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean scheduled = new AtomicBoolean();
+    /** Empty during an outage of the disk; used on the replica's thread. */
+    private Optional<Replica> replica = Optional.empty();
+
     private volatile ReplicaStatus status;
     private volatile Optional<BasilrillException> failure = Optional.empty();
 
@@ -62,17 +75,22 @@
             InstanceId self,
             Collection<InstanceId> founders,
             Collection<InstanceId> contacts,
-            FileDurableStore store,
+            Supplier<FileDurableStore> opener,
             ReplicatedStateMachine machine,
             PeerChannel channel) {
-        this.store = store;
-        ReplicaEnvironment environment = new ReplicaEnvironment(
+        this.self = self;
+        this.founders = founders;
+        this.contacts = ConcurrentHashMap.newKeySet();
+        this.contacts.addAll(contacts);
+        this.storage = new ReplicaStorage(opener, System::nanoTime);
+        this.machine = machine;
+        this.environment = new ReplicaEnvironment(
                 System::nanoTime,
                 new SecureRandom(),
                 (recipient, message) -> channel.send(recipient, PeerSubject.CONSENSUS, ConsensusCodec.encode(message)),
                 (event, detail) -> LOGGER.atInfo().log("%s: %s", event, detail));
-        this.replica = new Replica(self, founders, contacts, store, machine, environment, ConsensusSettings.standard());
-        this.status = replica.status();
+        this.status = ReplicaStatus.unopened(self);
+        open();
         this.executor = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "control-log");
             thread.setDaemon(true);
@@ -102,7 +120,8 @@
      * @param folder folder of the control log, created if missing
      * @param machine state machine in its initial state, used only on the replica's thread from now on
      * @param channel sends messages to the other replicas
-     * @throws BasilrillException with {@code DISK_FAILED} if the folder cannot be used
+     * @throws BasilrillException with {@code DISK_FAILED} if the folder cannot be used for a reason that does not pass;
+     *     with a full disk the replica starts suspended
      */
     public static ControlReplica start(
             InstanceId self,
@@ -111,44 +130,52 @@
             Path folder,
             ReplicatedStateMachine machine,
             PeerChannel channel) {
-        FileDurableStore store = ReplicaFolder.open(folder, new SecureRandom());
-        try {
-            return new ControlReplica(self, founders, contacts, store, machine, channel);
-        } catch (RuntimeException exception) {
-            store.close();
-            throw exception;
-        }
+        SecureRandom random = new SecureRandom();
+        return start(self, founders, contacts, () -> ReplicaFolder.open(folder, random), machine, channel);
+    }
+
+    /** Starts a replica on a store that the supplier opens; see the other methods. */
+    static ControlReplica start(
+            InstanceId self,
+            Collection<InstanceId> founders,
+            Collection<InstanceId> contacts,
+            Supplier<FileDurableStore> opener,
+            ReplicatedStateMachine machine,
+            PeerChannel channel) {
+        return new ControlReplica(self, founders, contacts, opener, machine, channel);
     }
 
     @Override
     public void received(InstanceId sender, byte[] payload) {
         AddressedMessage message = ConsensusCodec.decode(payload);
-        submit(new Task(() -> replica.received(sender, message), exception -> {}));
+        submit(new Task(active -> active.received(sender, message), exception -> {}));
     }
 
     /** Adds instances from which this replica requests admission while it is not a member. */
     public void addContacts(Collection<InstanceId> instances) {
-        submit(new Task(() -> replica.addContacts(instances), exception -> {}));
+        contacts.addAll(instances);
+        submit(new Task(active -> active.addContacts(instances), exception -> {}));
     }
 
     @Override
     public CompletableFuture<byte[]> propose(byte[] command) {
         CompletableFuture<byte[]> result = new CompletableFuture<>();
-        submit(new Task(() -> replica.propose(command, result), result::completeExceptionally));
+        submit(new Task(active -> active.propose(command, result), result::completeExceptionally));
         return result;
     }
 
     @Override
     public CompletableFuture<Long> confirm() {
         CompletableFuture<Long> confirmed = new CompletableFuture<>();
-        submit(new Task(() -> replica.confirm(confirmed), confirmed::completeExceptionally));
+        submit(new Task(active -> active.confirm(confirmed), confirmed::completeExceptionally));
         return confirmed;
     }
 
     @Override
     public CompletableFuture<Boolean> handOverLeadership(Predicate<InstanceId> successors) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
-        submit(new Task(() -> replica.handOverLeadership(successors, done), done::completeExceptionally));
+        // A suspended or stopped replica does not lead.
+        submit(new Task(active -> active.handOverLeadership(successors, done), exception -> done.complete(true)));
         return done;
     }
 
@@ -172,7 +199,12 @@
         return status;
     }
 
-    /** Returns the reason why the replica stopped; empty while it runs. */
+    /** Returns for how long the disk has not been writable; empty while it is. */
+    public Optional<Duration> outage() {
+        return storage.outageLength();
+    }
+
+    /** Returns the reason why the replica stopped for good; empty while it runs or is suspended. */
     public Optional<BasilrillException> failure() {
         return failure;
     }
@@ -202,8 +234,9 @@
 
     private void submit(Task task) {
         queuedTasks.add(task);
-        if (failure.isPresent()) {
-            rejectQueuedTasks(failure.get());
+        Optional<BasilrillException> unavailability = unavailability();
+        if (unavailability.isPresent()) {
+            rejectQueuedTasks(unavailability.get());
             return;
         }
         if (scheduled.compareAndSet(false, true)) {
@@ -216,24 +249,20 @@
         }
     }
 
+    private Optional<BasilrillException> unavailability() {
+        return failure.or(() -> storage.outage().map(DiskOutage::reason));
+    }
+
     private void runGroup(boolean tick) {
-        if (failure.isPresent()) {
-            rejectQueuedTasks(failure.get());
+        scheduled.set(false);
+        if (unavailability().isPresent()) {
+            rejectQueuedTasks(unavailability().get());
+            endOutageIfDue();
             return;
         }
-        scheduled.set(false);
         List<Task> executed = new ArrayList<>();
         try {
-            if (tick) {
-                replica.tick();
-            }
-            for (int count = 0; count < MAXIMUM_GROUP_TASKS && !queuedTasks.isEmpty(); count++) {
-                Task next = queuedTasks.poll();
-                executed.add(next);
-                next.action().run();
-            }
-            replica.flush();
-            status = replica.status();
+            runTasks(replica.orElseThrow(), tick, executed);
         } catch (RuntimeException exception) {
             fail(exception, executed);
             return;
@@ -243,26 +272,96 @@
         }
     }
 
+    private void runTasks(Replica active, boolean tick, List<Task> executed) {
+        if (tick) {
+            active.tick();
+        }
+        for (int count = 0; count < MAXIMUM_GROUP_TASKS && !queuedTasks.isEmpty(); count++) {
+            Task next = queuedTasks.poll();
+            executed.add(next);
+            next.action().accept(active);
+        }
+        active.flush();
+        status = active.status();
+    }
+
+    /** Opens the store at the start of the process. A failure that may pass begins an outage. */
+    private void open() {
+        try {
+            createReplica();
+        } catch (BasilrillException exception) {
+            if (!FileFailure.mayPass(exception)) {
+                storage.close();
+                throw exception;
+            }
+            storage.beginOutage(exception);
+        }
+    }
+
+    private void createReplica() {
+        replica = Optional.of(Replica.resume(
+                self,
+                founders,
+                contacts,
+                storage.use(),
+                machine,
+                environment,
+                ConsensusSettings.standard(),
+                status.commitIndex()));
+        status = replica.get().status();
+    }
+
+    private void endOutageIfDue() {
+        if (failure.isPresent() || !storage.isAttemptDue()) {
+            return;
+        }
+        try {
+            createReplica();
+        } catch (RuntimeException exception) {
+            if (ReplicaStorage.isDiskFailure(exception)) {
+                storage.attemptFailed();
+            } else {
+                fail(exception, List.of());
+            }
+            return;
+        }
+        storage.endOutage();
+    }
+
     /**
-     * Stops the replica after a failure of its disk or state. It must not respond to other replicas again, since votes
-     * or entries that it has acknowledged may be lost.
+     * Ends the use of the replica after a failure. What it acknowledged earlier is synced. The failed write was not
+     * acknowledged and may or may not be on the disk, so nothing is sent until the store has removed it.
      */
     private void fail(RuntimeException exception, List<Task> executed) {
         BasilrillException reason = exception instanceof BasilrillException typed
                 ? typed
                 : new BasilrillException(ErrorCode.INTERNAL, String.valueOf(exception.getMessage()), exception);
-        LOGGER.atSevere().withCause(exception).log("%s: %s", LogEvent.REPLICA_FAILED, reason.getMessage());
-        failure = Optional.of(reason);
-        stop();
+        if (ReplicaStorage.isDiskFailure(reason)) {
+            storage.beginOutage(reason);
+            endReplica();
+            status = status.suspended();
+            rejectQueuedTasks(reason);
+        } else {
+            LOGGER.atSevere().withCause(exception).log("%s: %s", LogEvent.REPLICA_FAILED, reason.getMessage());
+            failure = Optional.of(reason);
+            stop();
+        }
         BasilrillException unavailable = unavailable(reason).withOutcome(Outcome.MAY_HAVE_RUN);
         executed.forEach(task -> task.onRejection().accept(unavailable));
     }
 
+    private void endReplica() {
+        replica.ifPresent(active -> {
+            active.stop();
+            status = active.status();
+        });
+        replica = Optional.empty();
+    }
+
     private void stop() {
-        replica.stop();
-        status = replica.status();
+        endReplica();
         rejectQueuedTasks(failure.orElseThrow());
-        store.close();
+        storage.close();
     }
 
     private void rejectQueuedTasks(BasilrillException reason) {
@@ -273,9 +372,9 @@
 
     private static BasilrillException unavailable(BasilrillException reason) {
         return new BasilrillException(
-                ErrorCode.CONTROL_UNAVAILABLE, "the replica has stopped: " + reason.getMessage(), reason);
+                ErrorCode.CONTROL_UNAVAILABLE, "the replica takes no part: " + reason.getMessage(), reason);
     }
 
-    /** An action for the replica's thread, and a callback that is called instead once the replica has stopped. */
-    private record Task(Runnable action, Consumer<BasilrillException> onRejection) {}
+    /** An action for the replica's thread, and a callback that is called instead while there is no replica. */
+    private record Task(Consumer<Replica> action, Consumer<BasilrillException> onRejection) {}
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaFuzzTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicaFuzzTest.java
@@ -48,7 +48,7 @@
     Arbitrary<List<Action>> actions() {
         Arbitrary<Kind> kinds = Arbitraries.frequencyOf(
                 Tuple.of(9, Arbitraries.of(Kind.WRITE, Kind.READ)),
-                Tuple.of(6, Arbitraries.of(Kind.RESTART)),
+                Tuple.of(6, Arbitraries.of(Kind.RESTART, Kind.RESUME)),
                 Tuple.of(6, Arbitraries.of(Kind.RUN)),
                 Tuple.of(2, Arbitraries.of(Kind.CRASH, Kind.CRASH_IN_WRITE, Kind.LOSE_DISK)),
                 Tuple.of(
@@ -103,6 +103,7 @@
             case CRASH -> cluster.crash(instance);
             case CRASH_IN_WRITE -> cluster.store(instance).failNextWrite(action.argument() % 2 == 0);
             case RESTART -> cluster.restart(instance);
+            case RESUME -> cluster.resume(instance);
             case LOSE_DISK -> loseDisk(cluster, instance);
             case ISOLATE -> cluster.isolate(instance);
             case ISOLATE_LEADER -> isolateLeader(cluster, action.argument());
@@ -172,6 +173,7 @@
         cluster.setMessageFaults(0, 0, 0);
         for (int number = 0; number < size; number++) {
             cluster.store(cluster.instance(number)).repair();
+            cluster.resume(cluster.instance(number));
             cluster.restart(cluster.instance(number));
         }
     }
@@ -214,6 +216,7 @@
         CRASH,
         CRASH_IN_WRITE,
         RESTART,
+        RESUME,
         LOSE_DISK,
         ISOLATE,
         ISOLATE_LEADER,
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
@@ -125,6 +125,7 @@
         Node node = nodes.get(instance);
         node.replica.ifPresent(Replica::stop);
         node.replica = Optional.empty();
+        node.suspended = false;
     }
 
     void restart(InstanceId instance) {
@@ -135,6 +136,24 @@
         }
     }
 
+    /** Resumes a replica in place if its store failed; its state machine keeps its state. */
+    void resume(InstanceId instance) {
+        Node node = nodes.get(instance);
+        if (node.replica.isEmpty() && node.suspended) {
+            node.store.recover();
+            node.suspended = false;
+            node.replica = Optional.of(Replica.resume(
+                    instance,
+                    founders,
+                    founders,
+                    node.store,
+                    node.machine,
+                    environment(instance),
+                    settings,
+                    node.appliedIndex));
+        }
+    }
+
     /** Replaces the data folder of a replica by an empty one and restarts it. */
     void loseDisk(InstanceId instance) {
         crash(instance);
@@ -241,13 +260,16 @@
     private void start(InstanceId instance, InMemoryDurableStore store) {
         Node node = new Node(instance, store);
         nodes.put(instance, node);
-        ReplicaEnvironment environment = new ReplicaEnvironment(
+        node.replica = Optional.of(
+                new Replica(instance, founders, founders, store, node.machine, environment(instance), settings));
+    }
+
+    private ReplicaEnvironment environment(InstanceId instance) {
+        return new ReplicaEnvironment(
                 () -> CLOCK_ORIGIN + now,
                 new Random(random.nextLong()),
                 (recipient, message) -> send(instance, recipient, message),
                 (event, detail) -> events.add(event));
-        node.replica =
-                Optional.of(new Replica(instance, founders, founders, store, node.machine, environment, settings));
     }
 
     private void send(InstanceId sender, InstanceId recipient, AddressedMessage message) {
@@ -280,6 +302,8 @@
         private final InMemoryDurableStore store;
         private final HistoryMachine machine = new HistoryMachine(oracle);
         private Optional<Replica> replica = Optional.empty();
+        private boolean suspended;
+        private long appliedIndex;
 
         Node(InstanceId instance, InMemoryDurableStore store) {
             this.instance = instance;
@@ -304,7 +328,9 @@
                 if (exception.code() != ErrorCode.DISK_FAILED) {
                     throw exception;
                 }
+                appliedIndex = status().commitIndex();
                 crash(instance);
+                suspended = true;
                 return;
             }
             ReplicaStatus status = status();
--- a/basilrill-library/src/test/java/org/basilrill/state/log/InMemoryDurableStore.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/log/InMemoryDurableStore.java
@@ -16,6 +16,7 @@
     private Vote vote = new Vote(0, Optional.empty());
     private Optional<Snapshot> snapshot = Optional.empty();
     private Optional<Boolean> failAfterEffect = Optional.empty();
+    private Runnable undoFailedWrite = () -> {};
 
     private long largestWrite;
 
@@ -23,6 +24,15 @@
         this.incarnation = incarnation;
     }
 
+    /** Returns an independent store with the same content. */
+    public InMemoryDurableStore copy() {
+        InMemoryDurableStore copy = new InMemoryDurableStore(incarnation);
+        copy.records.addAll(records);
+        copy.vote = vote;
+        copy.snapshot = snapshot;
+        return copy;
+    }
+
     /** Makes the next write throw an exception, after it took effect or without effect. */
     public void failNextWrite(boolean afterEffect) {
         failAfterEffect = Optional.of(afterEffect);
@@ -38,6 +48,13 @@
         failAfterEffect = Optional.empty();
     }
 
+    /** Removes the effect of the last failed write, as a store does that becomes writable again in place. */
+    public void recover() {
+        repair();
+        undoFailedWrite.run();
+        undoFailedWrite = () -> {};
+    }
+
     @Override
     public long incarnation() {
         return incarnation;
@@ -115,6 +132,15 @@
             effect.run();
             return;
         }
+        List<LogRecord> recordsBefore = List.copyOf(records);
+        Vote voteBefore = vote;
+        Optional<Snapshot> snapshotBefore = snapshot;
+        undoFailedWrite = () -> {
+            records.clear();
+            records.addAll(recordsBefore);
+            vote = voteBefore;
+            snapshot = snapshotBefore;
+        };
         if (failAfterEffect.get()) {
             effect.run();
         }
--- a/basilrill-library/src/test/java/org/basilrill/transport/disk/FileDurableStoreFuzzTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/disk/FileDurableStoreFuzzTest.java
@@ -84,7 +84,9 @@
     private static void appendTornWrite(Path folder, long incarnation, long index, Random random) throws IOException {
         List<Path> segments;
         try (Stream<Path> files = Files.list(folder)) {
-            segments = files.filter(Segment::isSegment).sorted().toList();
+            segments = files.filter(file -> Segment.isSegment(file.getFileName().toString()))
+                    .sorted()
+                    .toList();
         }
         if (segments.isEmpty()) {
             return;
--- a/basilrill-library/src/test/java/org/basilrill/transport/disk/FileDurableStoreTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/disk/FileDurableStoreTest.java
@@ -250,7 +250,9 @@
 
     private List<Path> segments() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.filter(Segment::isSegment).sorted().toList();
+            return files.filter(file -> Segment.isSegment(file.getFileName().toString()))
+                    .sorted()
+                    .toList();
         }
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
@@ -18,12 +19,17 @@
 import java.util.stream.Stream;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.PeerChannel;
+import org.basilrill.coordination.consensus.ReplicaRole;
+import org.basilrill.coordination.consensus.ReplicaStatus;
 import org.basilrill.state.log.ReplicatedStateMachine;
+import org.basilrill.transport.disk.SimulatedDisk;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Runs replicas on real threads and files. Messages between them are passed within the process. */
+@Timeout(60)
 class ControlReplicaTest {
     private static final List<InstanceId> FOUNDERS =
             Stream.of("a", "b", "c").map(InstanceId::new).toList();
@@ -32,6 +38,7 @@
     private Path root;
 
     private final Map<InstanceId, ControlReplica> running = new ConcurrentHashMap<>();
+    private final Map<InstanceId, SimulatedDisk> disks = new ConcurrentHashMap<>();
 
     @AfterEach
     void stopAll() {
@@ -101,11 +108,121 @@
         assertThat(leader.confirm().isCompletedExceptionally(), is(true));
     }
 
-    private void start(InstanceId instance) {
-        PeerChannel channel = (recipient, subject, payload) ->
+    /**
+     * Guards against a replica that never writes again after its disk was full for a time: the next full disk then
+     * costs the majority.
+     */
+    @Test
+    void aReplicaWhoseDiskWasFullTakesPartAgain() {
+        FOUNDERS.forEach(this::startOnSimulatedDisk);
+        propose(1);
+        InstanceId first = leaderName();
+        disks.get(first).setFull(true);
+        proposeOnce(1);
+        awaitRole(first, ReplicaRole.SUSPENDED);
+        assertThat(propose(0) >= 1, is(true));
+        disks.get(first).setFull(false);
+        awaitCaughtUp(first);
+        InstanceId second = leaderName();
+        disks.get(second).setFull(true);
+        proposeOnce(1);
+        awaitRole(second, ReplicaRole.SUSPENDED);
+        assertThat(propose(0) >= 1, is(true));
+        assertThat(running.get(second).outage().isPresent(), is(true));
+        assertThat(running.get(first).outage().isPresent(), is(false));
+    }
+
+    /** Guards against the loss of acknowledged commands, or of the cluster, when all disks are full at once. */
+    @Test
+    void allReplicasReturnAfterAllDisksWereFull() {
+        FOUNDERS.forEach(this::startOnSimulatedDisk);
+        IntStream.range(0, 50).forEach(number -> propose(1));
+        disks.values().forEach(disk -> disk.setFull(true));
+        proposeOnce(0);
+        awaitRole(awaitSuspended(), ReplicaRole.SUSPENDED);
+        disks.values().forEach(disk -> disk.setFull(false));
+        assertThat(propose(0), is(50L));
+        FOUNDERS.forEach(this::awaitCaughtUp);
+    }
+
+    /** Guards against a process that cannot start, or whose replica never begins, while the disk is full. */
+    @Test
+    void aReplicaStartsSuspendedOnAFullDisk() {
+        InstanceId late = FOUNDERS.get(2);
+        SimulatedDisk full = new SimulatedDisk(7);
+        full.setFull(true);
+        disks.put(late, full);
+        FOUNDERS.forEach(this::startOnSimulatedDisk);
+        assertThat(running.get(late).status().role(), is(ReplicaRole.SUSPENDED));
+        assertThat(running.get(late).handOverLeadership(any -> true).join(), is(true));
+        full.setFull(false);
+        propose(1);
+        awaitCaughtUp(late);
+    }
+
+    private void startOnSimulatedDisk(InstanceId instance) {
+        SimulatedDisk disk = disks.computeIfAbsent(instance, name -> new SimulatedDisk(name.hashCode()));
+        running.put(
+                instance,
+                ControlReplica.start(
+                        instance,
+                        FOUNDERS,
+                        FOUNDERS,
+                        () -> disk.open(new Random(instance.hashCode())),
+                        new Sum(),
+                        channel(instance)));
+    }
+
+    private PeerChannel channel(InstanceId instance) {
+        return (recipient, subject, payload) ->
                 Optional.ofNullable(running.get(recipient)).ifPresent(replica -> replica.received(instance, payload));
+    }
+
+    private InstanceId leaderName() {
+        ControlReplica leader = awaitLeader();
+        return FOUNDERS.stream()
+                .filter(instance -> running.get(instance) == leader)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private InstanceId awaitSuspended() {
+        while (true) {
+            Optional<InstanceId> suspended = FOUNDERS.stream()
+                    .filter(instance -> running.get(instance).status().role() == ReplicaRole.SUSPENDED)
+                    .findFirst();
+            if (suspended.isPresent()) {
+                return suspended.get();
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    private void awaitRole(InstanceId instance, ReplicaRole role) {
+        while (running.get(instance).status().role() != role) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private void awaitCaughtUp(InstanceId instance) {
+        ReplicaStatus caughtUp = running.get(instance).status();
+        while (caughtUp.commitIndex() < awaitLeader().status().commitIndex()
+                || caughtUp.role() == ReplicaRole.SUSPENDED
+                || !caughtUp.members().contains(caughtUp.self())) {
+            Thread.onSpinWait();
+            caughtUp = running.get(instance).status();
+        }
+    }
+
+    /** Proposes once to the leader, whether or not the proposal succeeds. */
+    private void proposeOnce(int amount) {
+        awaitLeader().propose(new byte[] {(byte) amount}).exceptionally(failure -> new byte[0]);
+    }
+
+    private void start(InstanceId instance) {
         running.put(
-                instance, ControlReplica.start(instance, FOUNDERS, root.resolve(instance.value()), new Sum(), channel));
+                instance,
+                ControlReplica.start(instance, FOUNDERS, root.resolve(instance.value()), new Sum(), channel(instance)));
     }
 
     private void stop(InstanceId instance) {
