Limit the memory of all target responses together and end after errors

Instances accepted no connection any more, and their processes lived on.

Cause: one response could hold 2 MB on the heap (64 lines of 8 KiB, head and trailer, two bytes a character), and nothing limited all responses together. An error in a serving thread ended that thread, not the process. Ruled out: bodies, which have a window.

Change: ResponseMemory counts bytes where they are read. An exchange may read 64 KiB without delivering any; all together may hold a sixteenth of the heap, above which the largest exchange fails as an invalid response. Responses to orders are limited as reports are. FatalErrorHandler ends the process with event 109 and code 70; -XX:+ExitOnOutOfMemoryError is the last resort.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -99,6 +99,7 @@
         RequestLimits limits = requestLimits();
         this.targetClient = new TargetHttpClient(
                 TargetHttpClient.Settings.defaults(limits.windowBytes()), clock, threads.scheduler());
+        metrics.registerGauge("target_responses.held_bytes", targetClient::heldResponseBytes);
         this.dialect = settings.interfaces().dialect().map(this::createDialect);
         InterfaceOptions interfaceOptions = new InterfaceOptions(
                 dialect,
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/Main.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/Main.java
@@ -3,6 +3,7 @@
 import org.basilrill.daemon.command.CommandRunner;
 import org.basilrill.daemon.command.Commands;
 import org.basilrill.daemon.command.ExitCode;
+import org.basilrill.transport.threads.FatalErrorHandler;
 
 /** Entry point of the command line program. */
 public final class Main {
@@ -23,6 +24,7 @@
         if (System.getProperty(LOG_FORMAT_PROPERTY) == null) {
             System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
         }
+        FatalErrorHandler.install();
         ExitCode code = new CommandRunner(Commands.all(System.out), System.out, System.err).run(arguments);
         System.exit(code.number());
     }
--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -14,6 +14,7 @@
     SETTINGS_RELOADED(106, "changed settings were applied"),
     SETTINGS_REJECTED(107, "changed settings are invalid; the earlier ones stay in force"),
     KEPT_REQUESTS_STARTED(108, "requests queued until the instance received its rules were started"),
+    PROCESS_ENDED(109, "process ends after an error of the virtual machine"),
     PEER_CONNECTION_FAILED(120, "connection to another instance failed"),
     MESSAGE_REJECTED(121, "message from another instance could not be decoded"),
     INTERNAL_FAILURE(199, "unexpected failure"),
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpTargetOrderClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpTargetOrderClient.java
@@ -68,7 +68,7 @@
     }
 
     private CompletableFuture<PlainResponse> exchange(TargetAnnouncement target, TargetConnector.Request request) {
-        return ResponseCollector.sendOnNewConnection(
+        return ResponseCollector.sendOrder(
                 client, scheduler, new HttpHost("http", target.host(), target.port()), request, timeout);
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/ResponseCollector.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/ResponseCollector.java
@@ -13,14 +13,14 @@
 import org.basilrill.protocol.target.TargetConnector;
 
 /**
- * Sends one request and collects the whole response in memory. Used for target orders and by operators' programs, never
+ * Sends one request and collects the whole response in memory. Used for target orders, reports and operators' programs, never
  * for requests of callers. Thread safe: the events of a call are delivered one at a time.
  */
 final class ResponseCollector implements TargetConnector.Listener {
     /** Sufficient for the rules of a deployment, which operators' programs read. */
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
-    /** Sufficient for the report of an engine with hundreds of models. Small, because many engines report at once. */
-    private static final int MAXIMUM_REPORT_BYTES = 256 * 1024;
+    /** Sufficient for the report of an engine with hundreds of models. Small, because many targets respond at once. */
+    private static final int MAXIMUM_TARGET_RESPONSE_BYTES = 256 * 1024;
 
     private final int maximumBytes;
     private final CompletableFuture<PlainResponse> response = new CompletableFuture<>();
@@ -47,6 +47,17 @@
         return new ResponseCollector(MAXIMUM_RESPONSE_BYTES).send(client, scheduler, host, request, timeout, true);
     }
 
+    /** Sends an order to a target on a new connection; see {@link #sendOnNewConnection}. */
+    static CompletableFuture<PlainResponse> sendOrder(
+            TargetHttpClient client,
+            Scheduler scheduler,
+            HttpHost host,
+            TargetConnector.Request request,
+            Duration timeout) {
+        return new ResponseCollector(MAXIMUM_TARGET_RESPONSE_BYTES)
+                .send(client, scheduler, host, request, timeout, true);
+    }
+
     /**
      * Sends a request that may be lost and has a short response, on an idle connection if there is one; see
      * {@link #sendOnNewConnection}.
@@ -57,7 +68,8 @@
             HttpHost host,
             TargetConnector.Request request,
             Duration timeout) {
-        return new ResponseCollector(MAXIMUM_REPORT_BYTES).send(client, scheduler, host, request, timeout, false);
+        return new ResponseCollector(MAXIMUM_TARGET_RESPONSE_BYTES)
+                .send(client, scheduler, host, request, timeout, false);
     }
 
     private CompletableFuture<PlainResponse> send(
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
-import java.util.function.BooleanSupplier;
+import java.util.Optional;
+import java.util.function.Supplier;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
@@ -13,51 +16,87 @@
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 
 /**
  * HTTP/1.1 protocol of one connection to a target, with flow control: no more of a response is read than its window
- * allows. Without this limit, a connection is read for as long as the target sends faster than the caller reads: whole
+ * allows, and all bytes read are counted. Without this limit, a connection is read for as long as the target sends faster than the caller reads: whole
  * responses of 64 MB were buffered in memory while the caller read nothing. Used only by the thread of the connection.
  */
 final class TargetDuplexer extends ClientHttp1StreamDuplexer {
-    private final BooleanSupplier windowOpen;
+    private final Supplier<Optional<TargetExchange>> exchange;
 
     /**
      * Creates the protocol of a connection.
      *
-     * @param windowOpen whether more of the current response may be read
+     * @param exchange returns the current exchange of the connection
      */
-    TargetDuplexer(ProtocolIOSession session, HttpProcessor processor, Http1Config config, BooleanSupplier windowOpen) {
+    TargetDuplexer(
+            ProtocolIOSession session,
+            HttpProcessor processor,
+            Http1Config config,
+            Supplier<Optional<TargetExchange>> exchange) {
         super(
                 session,
                 processor,
                 config,
                 null,
                 DefaultConnectionReuseStrategy.INSTANCE,
-                new DefaultHttpResponseParserFactory(config).create(),
+                new CountingParser(new DefaultHttpResponseParserFactory(config).create(), exchange),
                 DefaultHttpRequestWriterFactory.INSTANCE.create(),
                 DefaultContentLengthStrategy.INSTANCE,
                 DefaultContentLengthStrategy.INSTANCE,
                 null);
-        this.windowOpen = windowOpen;
+        this.exchange = exchange;
     }
 
     @Override
     protected ContentDecoder createContentDecoder(
             long length, ReadableByteChannel channel, SessionInputBuffer buffer, BasicHttpTransportMetrics metrics)
             throws HttpException {
-        return super.createContentDecoder(length, new WindowChannel(channel, windowOpen), buffer, metrics);
+        return super.createContentDecoder(length, new WindowChannel(channel, exchange), buffer, metrics);
     }
 
-    /** Reads nothing while the window is closed. Bytes that are already buffered are still delivered. */
-    private record WindowChannel(ReadableByteChannel channel, BooleanSupplier windowOpen)
+    private static void count(Supplier<Optional<TargetExchange>> exchange, int bytes)
+            throws MessageConstraintException {
+        Optional<TargetExchange> current = exchange.get();
+        if (bytes > 0 && current.isPresent()) {
+            current.get().bytesRead(bytes);
+        }
+    }
+
+    /** Counts the bytes of heads. */
+    private record CountingParser(NHttpMessageParser<HttpResponse> parser, Supplier<Optional<TargetExchange>> exchange)
+            implements NHttpMessageParser<HttpResponse> {
+        @Override
+        public void reset() {
+            parser.reset();
+        }
+
+        @Override
+        public HttpResponse parse(SessionInputBuffer buffer, boolean endOfStream) throws IOException, HttpException {
+            int before = buffer.length();
+            HttpResponse response = parser.parse(buffer, endOfStream);
+            count(exchange, before - buffer.length());
+            return response;
+        }
+    }
+
+    /**
+     * Counts the bytes of bodies, chunk sizes and trailers. Reads nothing while the window is closed; bytes that are
+     * already buffered are still delivered.
+     */
+    private record WindowChannel(ReadableByteChannel channel, Supplier<Optional<TargetExchange>> exchange)
             implements ReadableByteChannel {
         @Override
         public int read(ByteBuffer target) throws IOException {
-            return windowOpen.getAsBoolean() ? channel.read(target) : 0;
+            boolean open = exchange.get().map(TargetExchange::isWindowOpen).orElse(true);
+            int bytes = open ? channel.read(target) : 0;
+            count(exchange, bytes);
+            return bytes;
         }
 
         @Override
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -50,6 +51,7 @@
     private final HttpHost host;
     private final TargetConnector.Request request;
     private final TargetConnector.Listener listener;
+    private final ResponseMemory memory;
     private final ReusableConnectionConsumer reusableConnections;
     private final Consumer<IOSession> exchangeEnded;
     /** Bytes of the response that may still be read; negative once more than that was delivered from the buffer. */
@@ -59,6 +61,7 @@
     private final AtomicBoolean finished = new AtomicBoolean();
     private final Object lock = new Object();
     private IOSession session;
+    private Optional<ResponseMemory.Holder> held = Optional.empty();
     private boolean reused;
     private CapacityChannel capacityChannel;
     private int windowExtension;
@@ -71,6 +74,7 @@
      * Creates an exchange that is not attached to a connection yet.
      *
      * @param windowBytes initial size of the window
+     * @param memory counts the bytes of the response
      * @param reusableConnections receives the connection if it can be used again
      * @param exchangeEnded receives the connection when the exchange ends on it
      */
@@ -79,11 +83,13 @@
             TargetConnector.Request request,
             TargetConnector.Listener listener,
             int windowBytes,
+            ResponseMemory memory,
             ReusableConnectionConsumer reusableConnections,
             Consumer<IOSession> exchangeEnded) {
         this.host = host;
         this.request = request;
         this.listener = listener;
+        this.memory = memory;
         this.reusableConnections = reusableConnections;
         this.exchangeEnded = exchangeEnded;
         window = new AtomicLong(windowBytes);
@@ -95,7 +101,23 @@
         synchronized (lock) {
             session = connection;
             reused = usedBefore;
-            return !finished.get();
+            if (finished.get()) {
+                return false;
+            }
+            held = Optional.of(memory.open(this::abortForMemory));
+            return true;
+        }
+    }
+
+    /**
+     * Counts bytes that were read from the connection.
+     *
+     * @throws MessageConstraintException if a head, a trailer or chunk sizes are too long
+     */
+    void bytesRead(int bytes) throws MessageConstraintException {
+        Optional<ResponseMemory.Holder> holder = held();
+        if (holder.isPresent()) {
+            holder.get().read(bytes);
         }
     }
 
@@ -113,6 +135,7 @@
     @Override
     public void extendWindow(int bytes) {
         window.addAndGet(bytes);
+        held().ifPresent(holder -> holder.consumed(bytes));
         synchronized (lock) {
             windowExtension += bytes;
         }
@@ -125,6 +148,7 @@
         synchronized (lock) {
             finished.set(true);
             connection = session;
+            held.ifPresent(ResponseMemory.Holder::close);
         }
         if (connection != null) {
             exchangeEnded.accept(connection);
@@ -184,6 +208,7 @@
         keepAlive = head.header(CONNECTION).filter(CLOSE::equalsIgnoreCase).isEmpty()
                 && response.getVersion().greaterEquals(HttpVersion.HTTP_1_1);
         keepAliveTimeout = head.header(KEEP_ALIVE).flatMap(TargetExchange::keepAliveTimeout);
+        held().ifPresent(ResponseMemory.Holder::retain);
         if (!finished.get()) {
             listener.headReceived(head);
         }
@@ -204,6 +229,7 @@
     public void consume(ByteBuffer source) {
         byte[] bytes = new byte[source.remaining()];
         window.addAndGet(-bytes.length);
+        held().ifPresent(holder -> holder.delivered(bytes.length));
         source.get(bytes);
         if (!finished.get()) {
             listener.bodyReceived(bytes);
@@ -218,6 +244,7 @@
     @Override
     public void failed(Exception cause) {
         if (finished.compareAndSet(false, true)) {
+            held().ifPresent(ResponseMemory.Holder::close);
             exchangeEnded.accept(session);
             boolean invalid = cause instanceof HttpException && !(cause instanceof ConnectionClosedException);
             report(
@@ -235,6 +262,7 @@
         if (!finished.compareAndSet(false, true)) {
             return;
         }
+        held().ifPresent(ResponseMemory.Holder::close);
         exchangeEnded.accept(session);
         if (keepAlive && requestSent) {
             reusableConnections.accept(host, session, keepAliveTimeout);
@@ -244,6 +272,24 @@
         listener.responseCompleted();
     }
 
+    private Optional<ResponseMemory.Holder> held() {
+        synchronized (lock) {
+            return held;
+        }
+    }
+
+    /** Ends the exchange because the responses of all exchanges hold too much memory. */
+    private void abortForMemory() {
+        if (!finished.compareAndSet(false, true)) {
+            return;
+        }
+        exchangeEnded.accept(session);
+        session.close(CloseMode.IMMEDIATE);
+        report(
+                TargetConnector.FailureKind.INVALID_ANSWER,
+                new HttpException("the responses of targets hold too much memory, this one the most"));
+    }
+
     private static Optional<Duration> keepAliveTimeout(String keepAlive) {
         Matcher matcher = KEEP_ALIVE_SECONDS.matcher(keepAlive);
         return matcher.find() ? Optional.of(Duration.ofSeconds(Long.parseLong(matcher.group(1)))) : Optional.empty();
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
@@ -37,7 +37,6 @@
  */
 public final class TargetHttpClient implements TargetConnector, RelayClient, AutoCloseable {
     private static final int BUFFER_BYTES = 8 * 1024;
-    /** With {@code MAXIMUM_HEADERS}, limits the memory of a response head: 50 endless heads must fit into the heap. */
     private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
 
     private static final int MAXIMUM_HEADERS = 64;
@@ -57,9 +56,15 @@
     /** Exchanges by the identifiers of their connections. */
     private final Map<String, TargetExchange> exchanges = new ConcurrentHashMap<>();
 
+    private final ResponseMemory memory;
     private volatile boolean closed;
 
     public TargetHttpClient(Settings settings, MonotonicClock clock, Scheduler scheduler) {
+        this(settings, clock, scheduler, ResponseMemory.forHeap());
+    }
+
+    TargetHttpClient(Settings settings, MonotonicClock clock, Scheduler scheduler, ResponseMemory memory) {
+        this.memory = memory;
         this.settings = settings;
         this.clock = clock;
         this.scheduler = scheduler;
@@ -74,8 +79,9 @@
                 .setTcpNoDelay(true)
                 .build();
         HttpProcessor processor = new DefaultHttpProcessor(new RequestTargetHost(), new RequestContent());
-        IOEventHandlerFactory handlerFactory = (session, attachment) -> new ClientHttp1IOEventHandler(
-                new TargetDuplexer(session, processor, http, () -> isWindowOpen(session.getId())));
+        IOEventHandlerFactory handlerFactory =
+                (session, attachment) -> new ClientHttp1IOEventHandler(new TargetDuplexer(
+                        session, processor, http, () -> Optional.ofNullable(exchanges.get(session.getId()))));
         requester = new AsyncRequester(handlerFactory, reactor, null, null, null, null, null);
         requester.start();
     }
@@ -151,6 +157,7 @@
                 request,
                 listener,
                 settings.windowBytes(),
+                memory,
                 this::keepForReuse,
                 session -> exchanges.remove(session.getId()));
         if (!freshConnection) {
@@ -179,6 +186,11 @@
         return exchange;
     }
 
+    /** Returns the bytes of responses that are held in memory, in all exchanges. */
+    public long heldResponseBytes() {
+        return memory.heldBytes();
+    }
+
     /** Returns the number of idle connections. */
     int idleConnectionCount() {
         int count = 0;
@@ -196,11 +208,6 @@
         requester.close(CloseMode.IMMEDIATE);
     }
 
-    private boolean isWindowOpen(String session) {
-        TargetExchange exchange = exchanges.get(session);
-        return exchange == null || exchange.isWindowOpen();
-    }
-
     private void execute(TargetExchange exchange, IOSession session, boolean reused) {
         exchanges.put(session.getId(), exchange);
         if (!exchange.attach(session, reused)) {
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
@@ -110,7 +110,7 @@
                     "cannot listen for instances on " + BindFailure.describe(address, exception),
                     exception);
         }
-        Thread serverThread = new Thread(server::serve, "peer-server");
+        Thread serverThread = new Thread(this::serve, "peer-server");
         serverThread.setDaemon(true);
         serverThread.start();
     }
@@ -139,6 +139,14 @@
         selector.close();
     }
 
+    /** Serves until the transport is closed. The server catches all errors of its thread and then returns. */
+    private void serve() {
+        server.serve();
+        if (!closed) {
+            throw new InternalError("the server for messages of other instances ended");
+        }
+    }
+
     /** Creates a link. The first one starts the periodic checks, which continue until the transport is closed. */
     private PeerLink link(InstanceId recipient) {
         if (checksScheduled.compareAndSet(false, true)) {
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
@@ -97,7 +97,10 @@
             return thread;
         });
         executor.scheduleWithFixedDelay(
-                () -> runGroup(true), TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+                FatalErrorHandler.reportingErrors(() -> runGroup(true)),
+                TICK_MILLISECONDS,
+                TICK_MILLISECONDS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Opens the data folder and starts a replica that requests admission from the founding replicas. */
@@ -241,7 +244,7 @@
         }
         if (scheduled.compareAndSet(false, true)) {
             try {
-                executor.execute(() -> runGroup(false));
+                executor.execute(FatalErrorHandler.reportingErrors(() -> runGroup(false)));
             } catch (RejectedExecutionException exception) {
                 rejectQueuedTasks(
                         new BasilrillException(ErrorCode.CONTROL_UNAVAILABLE, "the replica is closed", exception));
@@ -268,7 +271,7 @@
             return;
         }
         if (!queuedTasks.isEmpty() && scheduled.compareAndSet(false, true)) {
-            executor.execute(() -> runGroup(false));
+            executor.execute(FatalErrorHandler.reportingErrors(() -> runGroup(false)));
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ExecutorScheduler.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ExecutorScheduler.java
@@ -29,7 +29,8 @@
     @Override
     public Cancellable schedule(Duration delay, Runnable task) {
         try {
-            ScheduledFuture<?> future = timer.schedule(() -> submit(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+            ScheduledFuture<?> future = timer.schedule(
+                    FatalErrorHandler.reportingErrors(() -> submit(task)), delay.toNanos(), TimeUnit.NANOSECONDS);
             return () -> future.cancel(false);
         } catch (RejectedExecutionException exception) {
             return () -> {};
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayFixture.java
@@ -36,6 +36,15 @@
     }
 
     GatewayFixture(Duration progressDeadline, Duration headerWait, LocalRoutes routes, long maximumBufferedBytes) {
+        this(progressDeadline, headerWait, routes, maximumBufferedBytes, ResponseMemory.forHeap());
+    }
+
+    private GatewayFixture(
+            Duration progressDeadline,
+            Duration headerWait,
+            LocalRoutes routes,
+            long maximumBufferedBytes,
+            ResponseMemory memory) {
         Scheduler scheduler = scheduler(timer);
         Tracer tracer = SdkTracerProvider.builder().build().get("test");
         RequestLimits limits = new RequestLimits(
@@ -46,7 +55,8 @@
                 Duration.ofSeconds(1),
                 WINDOW_BYTES,
                 4);
-        client = new TargetHttpClient(TargetHttpClient.Settings.defaults(WINDOW_BYTES), System::nanoTime, scheduler);
+        client = new TargetHttpClient(
+                TargetHttpClient.Settings.defaults(WINDOW_BYTES), System::nanoTime, scheduler, memory);
         coordinator = new RequestCoordinator(services.with(client, System::nanoTime, scheduler, tracer, limits));
         GatewaySettings settings = new GatewaySettings(
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
@@ -64,6 +74,11 @@
         return new GatewayFixture(Duration.ofMinutes(1), Duration.ofSeconds(15), NO_ROUTES);
     }
 
+    /** Opens a gateway that counts the bytes of responses in the given memory. */
+    static GatewayFixture open(ResponseMemory memory) {
+        return new GatewayFixture(Duration.ofMinutes(1), Duration.ofSeconds(15), NO_ROUTES, 64 * 1024 * 1024, memory);
+    }
+
     static Scheduler scheduler(ScheduledExecutorService timer) {
         return (delay, task) -> {
             Future<?> scheduled = timer.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
