--- a/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
@@ -29,7 +29,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** Runs replicas on real threads and files. Messages between them are passed within the process. */
-@Timeout(60)
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class ControlReplicaTest {
     private static final List<InstanceId> FOUNDERS =
             Stream.of("a", "b", "c").map(InstanceId::new).toList();
