Pass no request on in the last part of a planned stop

Cause: a request that waited for a claim, tokens, a place or a second attempt was passed on up to the limit of the stop and then cut, though another instance could have served it; and new requests were taken until 3 s after the signal was handled, which is later than 3 s after it was sent. Ruled out: a cut without any response; at the limit each request gets what is known.

Change: in the last quarter of the limit a request that is not at a target is refused as not_run and no attempt begins; new requests are refused 500 ms before the instance stops listening.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -73,6 +73,12 @@
      * owner waits as it does after the loss of an instance.
      */
     private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(2);
+    /**
+     * Time before the end of the listing in which new requests are refused. A stop listens for as long as callers may
+     * use a list with this instance; the last requests would have the least time to end, and the signal may have been
+     * sent some time before it was handled.
+     */
+    private static final Duration LATE_REQUEST_MARGIN = Duration.ofMillis(500);
 
     private final Settings settings;
     private final DaemonThreads threads = new DaemonThreads();
@@ -159,7 +165,11 @@
                 .completeOnTimeout(null, HANDOVER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .thenCompose(buckets -> handOverLeadership());
         gateway.closeAfterResponses();
-        awaitListingExpiry();
+        Duration listed = settings.interfaces().staleListingWait();
+        Duration refused = listed.compareTo(LATE_REQUEST_MARGIN) < 0 ? listed : LATE_REQUEST_MARGIN;
+        pause(listed.minus(refused));
+        instance.coordinator().drain();
+        pause(refused);
         CompletableFuture<HttpGateway.StopReport> gatewayStopped = gateway.stop(settings.drainLimit());
         await(gatewayStopped, settings.drainLimit().plusSeconds(1));
         await(handedOver, HANDOVER_TIMEOUT);
@@ -180,15 +190,10 @@
                 .orElseGet(() -> CompletableFuture.completedFuture(true));
     }
 
-    /**
-     * Waits until no caller uses a list of instances that still contains this one. Callers may cache a response of GET
-     * /v1/instances for that long, and keep connecting here.
-     */
-    private void awaitListingExpiry() {
-        Duration validity = settings.interfaces().staleListingWait();
+    private static void pause(Duration time) {
         await(
-                new CompletableFuture<Void>().completeOnTimeout(null, validity.toMillis(), TimeUnit.MILLISECONDS),
-                validity.plusSeconds(1));
+                new CompletableFuture<Void>().completeOnTimeout(null, time.toMillis(), TimeUnit.MILLISECONDS),
+                time.plusSeconds(1));
     }
 
     private static void await(CompletableFuture<?> future, Duration limit) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -146,6 +146,14 @@
         return draining;
     }
 
+    /**
+     * Refuses all requests that are not at a target, so that their callers have time to send them elsewhere, and starts
+     * no further attempt.
+     */
+    public void startNoAttempts() {
+        List.copyOf(running).forEach(RequestExchange::startNoAttempt);
+    }
+
     /** Fails all running requests. */
     public void stopAll() {
         List.copyOf(running).forEach(RequestExchange::stop);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -53,6 +53,7 @@
     private boolean mayHaveRun;
     private boolean recordingOutcome;
     private boolean closed;
+    private boolean mayStartAttempts = true;
 
     RequestExchange(
             RequestServices services,
@@ -130,6 +131,16 @@
     }
 
     /** Fails the request because the instance is stopping. */
+    /** Refuses the request unless it is at a target now, and starts no further attempt. */
+    void startNoAttempt() {
+        execute(() -> {
+            mayStartAttempts = false;
+            if (attempt.isEmpty() && !recordingOutcome) {
+                stop();
+            }
+        });
+    }
+
     void stop() {
         execute(() -> failWith(ErrorCode.INSTANCE_DRAINING, "the instance stopped before the request was complete"));
     }
@@ -306,7 +317,10 @@
     }
 
     private boolean mayRetry(TargetAttempt.AttemptFailure failure) {
-        return (!relay.started() || relay.isResumable()) && !relay.finished() && retries.mayRetry(failure);
+        return mayStartAttempts
+                && (!relay.started() || relay.isResumable())
+                && !relay.finished()
+                && retries.mayRetry(failure);
     }
 
     private void responseStarted() {
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpGateway.java
@@ -35,6 +35,12 @@
     /** Timeout checks per head timeout. A timeout is detected late by at most a quarter of the head timeout. */
     private static final int CHECKS_PER_TIMEOUT = 4;
 
+    /**
+     * Share of the time limit of a stop that is left when no request is passed on any more. A request that is passed on
+     * later would be cut, while its caller can still send it to another instance.
+     */
+    private static final int LAST_PART_OF_STOP = 4;
+
     /** Time in which a caller can read the final error event before its connection is closed. */
     private static final Duration FINAL_ERROR_WAIT = Duration.ofMillis(500);
 
@@ -126,7 +132,7 @@
 
     /**
      * Stops the server: accepts no more connections, closes idle ones, waits for running requests until the limit, and
-     * aborts those that remain.
+     * aborts those that remain. Requests that are not at a target in the last part of that time are refused.
      *
      * @return completes once every connection is closed; the same future for every call
      */
@@ -137,8 +143,11 @@
         stopAccepting();
         CompletableFuture<Void> finished = CompletableFuture.allOf(coordinator.drain(), connections.closeWhenIdle());
         Scheduler.Cancellable timer = scheduler.schedule(limit, () -> abortRemaining(finished));
+        Duration lastPart = limit.dividedBy(LAST_PART_OF_STOP);
+        Scheduler.Cancellable lastStart = scheduler.schedule(limit.minus(lastPart), coordinator::startNoAttempts);
         finished.whenComplete((done, failure) -> {
             timer.cancel();
+            lastStart.cancel();
             complete();
         });
         return stopped;
