Continue a broken stream only with its next event

Cause: after a break, the response of the next target was checked for a status of 300 or above only. 200 with another content type, 204, a stream without an event, events without an id, and streams that end inside an event were passed on, and the stream ended as if complete.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/ResponseRelay.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/ResponseRelay.java
@@ -88,6 +88,18 @@
         }
     }
 
+    /** Returns whether a response that has started can be continued with the body of another one. */
+    boolean continuesWith(ResponseHead response) {
+        return response.status() == head.status() && response.isEventStream();
+    }
+
+    /** Returns whether the body of the target's response may end here; a stream must not end inside an event. */
+    boolean mayEnd() {
+        return head == null
+                || !head.isEventStream()
+                || boundaries.map(EventBoundaries::mayEnd).orElse(true);
+    }
+
     /** Returns whether the response has started and another target can resume it. */
     boolean isResumable() {
         return started && lastEventId().isPresent();
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -28,7 +28,6 @@
 final class TargetAttempt implements TargetConnector.Listener {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
-    private static final int FIRST_NON_SUCCESS_STATUS = 300;
     /** Connections within a region are accepted or refused in a few milliseconds. */
     private static final Duration LOSS_CONFIRMATION_TIMEOUT = Duration.ofMillis(100);
 
@@ -192,8 +191,11 @@
                 end(AttemptResult.REFUSED_FULL, new AttemptFailure(ErrorCode.TARGET_FULL, FULL_DETAIL, false, false));
                 return;
             }
-            if (owner.relay().started() && head.status() >= FIRST_NON_SUCCESS_STATUS) {
-                fail(ErrorCode.STREAM_CUT, "the target responded with status " + head.status(), false);
+            if (owner.relay().started() && !owner.relay().continuesWith(head)) {
+                fail(
+                        ErrorCode.STREAM_CUT,
+                        "the target resumed the stream with another response, status " + head.status(),
+                        false);
                 return;
             }
             if (head.status() >= FIRST_SERVER_ERROR_STATUS && owner.shouldRetryServerError()) {
@@ -225,6 +227,13 @@
     @Override
     public void responseCompleted() {
         executeUnlessFinished(() -> {
+            if (!owner.relay().mayEnd()) {
+                fail(
+                        ErrorCode.STREAM_CUT,
+                        "the stream ended inside an event, or before the event to resume with",
+                        false);
+                return;
+            }
             finish(responseResult);
             evidence.completed();
             owner.relay().decisionLog().attemptSucceeded(target());
