Do not trust the announced version of a target that refuses connections

Cause: the last announcement stays valid for 5 s, whatever shows that its sender has ended. Ruled out: a version that is retired or registered wrongly; both were in service.

Change: a target that refuses a connection, while this instance is not cut from all targets, gets an unconfirmed version until a later incarnation announces itself or 7 s have passed. No stream is resumed there under the announced version; streams that begin there are resumed there only. Weighed: leaving such targets out altogether, which would cost service when a connection is refused without a restart; and resets as a sign, which would leave no target after a reset of all connections.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -58,6 +59,7 @@
      * @param ownCheck opens a connection from this instance
      * @param otherCheck requests that another instance opens a connection
      * @param cutListener called when all paths are presumed to be lost
+     * @param refusalListener receives targets that refuse a connection, unless all paths are presumed to be lost
      * @param random chooses the target that an idle instance probes; used only under the lock of the paths
      */
     public record Environment(
@@ -66,6 +68,7 @@
             ConnectionCheck otherCheck,
             DirectExchanges exchanges,
             Runnable cutListener,
+            Consumer<TargetAnnouncement> refusalListener,
             MonotonicClock clock,
             Scheduler scheduler,
             RandomGenerator random) {}
@@ -116,6 +119,7 @@
      */
     public void connectionFailed(TargetAnnouncement target, Duration waited) {
         boolean confirm;
+        boolean refused;
         List<TargetAnnouncement> losses = List.of();
         synchronized (this) {
             long now = environment.clock().nanos();
@@ -124,10 +128,14 @@
             if (severalPathsFail()) {
                 losses = presumeAllLost(path.connectionsHang(), now);
             }
+            refused = losses.isEmpty() && !path.connectionsHang();
             confirm = losses.isEmpty() && !path.needsSecondFailure(now);
-            if (confirm && !path.beginConfirmation(now)) {
-                return;
-            }
+        }
+        if (refused) {
+            environment.refusalListener().accept(target);
+        }
+        if (confirm && !beginConfirmation(target)) {
+            return;
         }
         if (!losses.isEmpty()) {
             reportCut(losses);
@@ -138,6 +146,10 @@
         }
     }
 
+    private synchronized boolean beginConfirmation(TargetAnnouncement target) {
+        return pathTo(target).beginConfirmation(environment.clock().nanos());
+    }
+
     /** Returns whether connections to several targets failed since the last contact with any target. */
     private boolean severalPathsFail() {
         long failing = paths.values().stream()
--- a/basilrill-library/src/main/java/org/basilrill/coordination/stream/StreamVersionGuard.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/stream/StreamVersionGuard.java
@@ -74,11 +74,15 @@
     }
 
     /**
-     * Registers the version of a target, unless it is registered. Only then may a stream begin there.
+     * Registers the version of a target, unless it is registered. Only then may a stream begin there. An unconfirmed
+     * version is not registered; streams that begin with it are resumed at the same target only.
      *
      * @return fails with {@code CONTROL_UNAVAILABLE} if the control log returned no result in time
      */
     public CompletableFuture<Void> register(TargetAnnouncement target) {
+        if (target.hasUnconfirmedVersion()) {
+            return CompletableFuture.completedFuture(null);
+        }
         Version version = new Version(target.service().orElse(""), versionOf(target));
         CompletableFuture<Void> registration;
         synchronized (this) {
@@ -106,6 +110,9 @@
 
     /** Records the version that began the stream of a request. */
     public void streamBegan(String requestId, TargetAnnouncement target) {
+        if (target.hasUnconfirmedVersion()) {
+            return;
+        }
         StreamRecord record = new StreamRecord(requestId, target.service().orElse(""), versionOf(target));
         synchronized (this) {
             recent.add(record);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
@@ -1,9 +1,11 @@
 package org.basilrill.protocol.instance;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator.SplittableGenerator;
 import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
 import org.basilrill.coordination.membership.GossipMembership;
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.coordination.membership.RelayAccess;
@@ -15,14 +17,16 @@
 import org.basilrill.protocol.target.RestrictedConnector;
 import org.basilrill.protocol.target.TargetConnector;
 import org.basilrill.state.target.TargetAnnouncement;
-import org.basilrill.state.target.TargetDirectory;
 import org.basilrill.state.target.TargetNotices;
+import org.basilrill.state.target.TargetRegistry;
 
 /**
  * How one instance reaches the targets: over its own paths and, if the environment has a relay, by way of others. Also
  * keeps what targets state about themselves, which binds all requests that leave this instance. Thread safe.
  */
 final class InstancePaths {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final InstanceEnvironment environment;
     private final TargetRestrictions restrictions;
     private final TargetConnector direct;
@@ -36,7 +40,7 @@
     InstancePaths(
             InstanceEnvironment environment,
             GossipMembership membership,
-            TargetDirectory targets,
+            TargetRegistry targets,
             Runnable cutListener,
             SplittableGenerator random) {
         this.environment = environment;
@@ -53,6 +57,7 @@
                         direct,
                         port,
                         cutListener,
+                        target -> suspectRestart(targets, target),
                         this::observe,
                         environment.clock(),
                         environment.scheduler(),
@@ -61,6 +66,18 @@
         access.ifPresent(present -> handLeadershipOverWhenCut(present, membership));
     }
 
+    private static void suspectRestart(TargetRegistry targets, TargetAnnouncement target) {
+        boolean known = targets.target(target.id())
+                .filter(TargetAnnouncement::hasUnconfirmedVersion)
+                .isPresent();
+        targets.suspectRestart(target);
+        if (!known) {
+            LOGGER.atInfo().log(
+                    "%s: target %s, incarnation %d",
+                    LogEvent.TARGET_VERSION_UNCONFIRMED, target.id(), target.incarnation());
+        }
+    }
+
     void start() {
         access.ifPresent(TargetAccess::start);
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/TargetAccess.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/TargetAccess.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator.SplittableGenerator;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.MonotonicClock;
@@ -42,6 +43,7 @@
                 target -> relays.reach(target).thenApply(reached -> reached.orElse(false)),
                 registry,
                 environment.cutListener(),
+                environment.refusalListener(),
                 environment.clock(),
                 environment.scheduler(),
                 environment.random().split()));
@@ -62,6 +64,7 @@
      *
      * @param connector sends requests over this instance's own paths
      * @param cutListener called when the instance has lost all its paths
+     * @param refusalListener receives targets that refuse a connection while others accept them
      * @param responseObserver receives the head of each response that another instance passes on
      * @param random split for each part, so that no two share a generator
      */
@@ -73,6 +76,7 @@
             TargetConnector connector,
             Port port,
             Runnable cutListener,
+            Consumer<TargetAnnouncement> refusalListener,
             BiConsumer<TargetAnnouncement, ResponseHead> responseObserver,
             MonotonicClock clock,
             Scheduler scheduler,
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
@@ -39,6 +39,9 @@
         boolean enforcesFencing,
         boolean leaving,
         Optional<String> softwareVersion) {
+    /** Begins unconfirmed versions; a control character, so that no target announces such a version. */
+    private static final String UNCONFIRMED_VERSION = "\u0001unconfirmed ";
+
     public TargetAnnouncement {
         contents = Map.copyOf(contents);
         roles = Set.copyOf(roles);
@@ -120,6 +123,37 @@
                 softwareVersion);
     }
 
+    /**
+     * Returns the same announcement with an unconfirmed software version, which differs from that of every other target
+     * and incarnation.
+     */
+    public TargetAnnouncement withUnconfirmedVersion() {
+        return new TargetAnnouncement(
+                id,
+                incarnation,
+                sequence,
+                host,
+                port,
+                dataCentre,
+                service,
+                timeToLiveMillis,
+                memoryBytes,
+                contents,
+                roles,
+                slots,
+                load,
+                enforcesFencing,
+                leaving,
+                Optional.of(UNCONFIRMED_VERSION + id.value() + " " + incarnation));
+    }
+
+    /** Returns whether the target may have started again with another software version since this announcement. */
+    public boolean hasUnconfirmedVersion() {
+        return softwareVersion
+                .filter(version -> version.startsWith(UNCONFIRMED_VERSION))
+                .isPresent();
+    }
+
     /** Returns the same announcement with another sequence number. */
     public TargetAnnouncement withSequence(long other) {
         return new TargetAnnouncement(
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.TargetId;
@@ -42,6 +43,7 @@
     private final DestinationIndex<String> services = new DestinationIndex<>();
     private final List<TargetChangeListener> listeners = new CopyOnWriteArrayList<>();
     private final ContentChanges changes;
+    private final RestartSuspicions restartSuspicions;
     /** Announcement of the target that started last at each address. */
     private final Map<Address, TargetAnnouncement> latestByAddress = new ConcurrentHashMap<>();
 
@@ -55,6 +57,7 @@
         this.clock = clock;
         this.incarnations = incarnations;
         changes = new ContentChanges(clock);
+        restartSuspicions = new RestartSuspicions(clock);
         for (int number = 0; number < SHARDS; number++) {
             shards.add(new HashMap<>());
         }
@@ -86,7 +89,7 @@
      * @return whether it is unexpired and newer than the registered one; otherwise nothing changes
      */
     public boolean announce(TargetAnnouncement original, Duration age) {
-        TargetAnnouncement announcement = changes.withChanges(original);
+        TargetAnnouncement announcement = restartSuspicions.apply(changes.withChanges(original));
         long now = clock.nanos();
         long timeToLiveNanos =
                 Duration.ofMillis(announcement.timeToLiveMillis()).toNanos();
@@ -152,7 +155,7 @@
         if (announce(original)) {
             return;
         }
-        TargetAnnouncement announcement = changes.withChanges(original);
+        TargetAnnouncement announcement = restartSuspicions.apply(changes.withChanges(original));
         long now = clock.nanos();
         Map<TargetId, RegisteredAnnouncement> shard = shardOf(announcement.id());
         synchronized (shard) {
@@ -174,6 +177,19 @@
      */
     public void contentChanged(TargetId target, long incarnation, ModelId model, boolean resident) {
         changes.recordChange(target, incarnation, model, resident);
+        update(target, changes::withChanges);
+    }
+
+    /**
+     * Records that a target refused a connection, so that it may have started again with another software version. Its
+     * announced version is unconfirmed until it is heard of anew.
+     */
+    public void suspectRestart(TargetAnnouncement target) {
+        restartSuspicions.suspect(target);
+        update(target.id(), restartSuspicions::apply);
+    }
+
+    private void update(TargetId target, UnaryOperator<TargetAnnouncement> change) {
         Optional<TargetAnnouncement> changed = Optional.empty();
         Map<TargetId, RegisteredAnnouncement> shard = shardOf(target);
         synchronized (shard) {
@@ -181,8 +197,8 @@
             if (previous == null || !previous.isValidAt(clock.nanos())) {
                 return;
             }
-            TargetAnnouncement updated = changes.withChanges(previous.announcement());
-            if (!updated.contents().equals(previous.announcement().contents())) {
+            TargetAnnouncement updated = change.apply(previous.announcement());
+            if (!updated.equals(previous.announcement())) {
                 RegisteredAnnouncement registered =
                         new RegisteredAnnouncement(updated, previous.expiresNanos(), previous.removalReported());
                 shard.put(target, registered);
--- a/basilrill-library/src/test/java/org/basilrill/coordination/path/TargetPathsTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/path/TargetPathsTest.java
@@ -34,6 +34,7 @@
     private final Set<TargetId> crashed = new HashSet<>();
     private final Set<TargetId> waiting = new HashSet<>();
     private final List<TargetId> abandoned = new ArrayList<>();
+    private final List<TargetId> refused = new ArrayList<>();
     private boolean hangs = true;
     private int probes;
     private int cuts;
@@ -47,6 +48,7 @@
                 target -> CompletableFuture.completedFuture(!crashed.contains(target.id())),
                 new Exchanges(),
                 () -> cuts++,
+                target -> refused.add(target.id()),
                 time,
                 time,
                 new SplittableRandom(1)));
@@ -86,6 +88,23 @@
         assertThat(paths.lostPaths(), is(0));
     }
 
+    /** Guards against a restart that goes unnoticed, and against a cut that is taken for restarts of all targets. */
+    @Test
+    void aTargetThatRefusesAConnectionIsReportedButNotThoseBehindACut() {
+        crash(targets.get(0));
+        hangs = false;
+        contactAllBut(0);
+        paths.connectionLost(targets.get(0));
+        time.advance(Duration.ofMillis(10));
+        assertThat(refused, hasItem(targets.get(0).id()));
+        refused.clear();
+        crashed.clear();
+        hangs = true;
+        targets.forEach(target -> cut.add(target.id()));
+        time.advance(Duration.ofSeconds(5));
+        assertThat(refused, is(empty()));
+    }
+
     /** Guards against a path to one target that stays in use while only other instances reach the target. */
     @Test
     void aPathToOneTargetIsLostOnceAnotherInstanceReachesTheTarget() {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
@@ -65,6 +65,29 @@
         assertThat(takenUp.stream().text().contains("\"outcome\":\"not_run\""), is(true));
     }
 
+    /**
+     * Guards against a stream that begins at a target which has started again with other software, and is taken up at a
+     * target of the announced version.
+     */
+    @Test
+    void aStreamThatBeganUnderAnUnconfirmedVersionIsNotResumedElsewhere() {
+        CoordinatorFixture restarted = instance(OLD.withUnconfirmedVersion(), SECOND_OLD);
+        Started started = restarted.start(
+                CoordinatorFixture.head("POST", "/stream/x", "Host", HOST, RequestHead.REQUEST_ID, "r-1"), "body");
+        if (!restarted.connector().last().target().hasUnconfirmedVersion()) {
+            restarted.connector().last().fail(TargetConnector.FailureKind.UNREACHABLE, false);
+        }
+        assertThat(restarted.connector().last().target().hasUnconfirmedVersion(), is(true));
+        int calls = restarted.connector().calls().size();
+        restarted.connector().last().stream();
+        restarted.connector().last().data("id: 1\ndata: a\n\n");
+        restarted.connector().last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+        restarted.connector().calls().stream()
+                .skip(calls)
+                .forEach(call -> assertThat(call.target().hasUnconfirmedVersion(), is(true)));
+        assertThat(started.stream().text(), is("id: 1\ndata: a\n\n"));
+    }
+
     private static CoordinatorFixture instance(TargetAnnouncement... targets) {
         CoordinatorFixture fixture =
                 new CoordinatorFixture(0, OpenTelemetry.noop().getTracer("test"), Optional.of(new StubDialect()));
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/RelayFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/RelayFixture.java
@@ -98,6 +98,7 @@
                 connector,
                 new TargetAccess.Port(access, client),
                 () -> {},
+                refusing -> {},
                 (observed, head) -> {},
                 System::nanoTime,
                 scheduler,
