--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
@@ -39,8 +39,6 @@
         boolean enforcesFencing,
         boolean leaving,
         Optional<String> softwareVersion) {
-    /** Begins unconfirmed versions; a control character, so that no target announces such a version. */
-    private static final String UNCONFIRMED_VERSION = "\u0001unconfirmed ";
 
     public TargetAnnouncement {
         contents = Map.copyOf(contents);
@@ -144,14 +142,12 @@
                 load,
                 enforcesFencing,
                 leaving,
-                Optional.of(UNCONFIRMED_VERSION + id.value() + " " + incarnation));
+                Optional.of(UnconfirmedVersion.of(id, incarnation)));
     }
 
     /** Returns whether the target may have started again with another software version since this announcement. */
     public boolean hasUnconfirmedVersion() {
-        return softwareVersion
-                .filter(version -> version.startsWith(UNCONFIRMED_VERSION))
-                .isPresent();
+        return softwareVersion.filter(UnconfirmedVersion::matches).isPresent();
     }
 
     /** Returns the same announcement with another sequence number. */
