Give streams a second copy of their model at their version

Cause: copies of models were placed without regard to versions, so that a model often had one copy at each version and its streams no way out. Ruled out: take-ups refused for an unknown version; all refusals were NO_TARGET.

Change: while several versions are in service, a further copy goes first to an engine where it is the second one of its version, and free memory takes such a copy of the busiest models. No copy is evicted for it, and with one version nothing changes. The limits for busy engines move to a class of their own.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -38,16 +38,6 @@
     /** Demand in tokens per second below which a model gets no further copy. */
     private static final double NEGLIGIBLE_RATE = 200;
 
-    /**
-     * A last copy is evicted only while at most this share of the engines loads or unloads, so that it can be loaded
-     * again at once.
-     */
-    private static final double LAST_COPY_MAX_BUSY_SHARE = 0.2;
-    /**
-     * Share of the engines that may load or unload at the same time, so that most models keep their copies meanwhile.
-     */
-    private static final double MAX_BUSY_SHARE = 0.4;
-
     private final Rules rules;
     private final EnginePool pool;
     private final List<EngineState> engines;
@@ -65,6 +55,8 @@
     private final Set<EngineState> assignedEngines = new HashSet<>();
     private final List<PlannedOrder> orders = new ArrayList<>();
     private final AdapterPlanner adapters;
+    private final VersionCopies versionCopies;
+    private final BusyEngines busyEngines;
     private int remainingLoads;
     private boolean lastCopyEvicted;
 
@@ -83,7 +75,7 @@
         // A load for which an earlier decision reserved memory counts as ordered.
         this.remainingLoads = remainingLoads
                 - (int) this.engines.stream()
-                        .filter(EnginePlanner::awaitsStoreLoad)
+                        .filter(EngineState::awaitsStoreLoad)
                         .count();
         this.now = now;
         demand.forEach((model, modelDemand) -> {
@@ -96,6 +88,8 @@
             engine.readyModels().forEach(model -> readyCopies.merge(model, 1, Integer::sum));
         }
         adapters = new AdapterPlanner(rules, pool, demand, now);
+        versionCopies = new VersionCopies(this.engines);
+        busyEngines = new BusyEngines(this.engines);
     }
 
     /** Returns at most one order for each engine. */
@@ -107,6 +101,7 @@
         missingModels().forEach(this::placeModel);
         loadLocalModels();
         replicateBusiest();
+        replicateWithinVersions();
         return orders;
     }
 
@@ -133,13 +128,6 @@
         }
     }
 
-    /** Returns whether memory is reserved at the engine for a model that must be loaded from the weight store. */
-    private static boolean awaitsStoreLoad(EngineState engine) {
-        return engine.reservedModel()
-                .filter(model -> !engine.hasLocalWeights(model))
-                .isPresent();
-    }
-
     /** Returns the models without a copy: those with queued requests first, then by descending demand. */
     private List<ModelId> missingModels() {
         return pool.models().keySet().stream()
@@ -220,7 +208,7 @@
 
     /** Unloads the least needed copy on an engine where the model would then fit. */
     private void evictFor(ModelId model) {
-        if (isBusyLimitReached()) {
+        if (busyEngines.isLimitReached()) {
             return;
         }
         boolean waiting = waitingByBase.getOrDefault(model, 0) > 0;
@@ -253,30 +241,18 @@
                 && waitingByBase.getOrDefault(resident, 0) == 0
                 && rate(resident) < share * rate(next)
                 && !lastCopyEvicted
-                && busyEngines() <= Math.max(1, engines.size() * LAST_COPY_MAX_BUSY_SHARE);
+                && busyEngines.allowLastCopyEviction();
         return (readyCopies.getOrDefault(resident, 0) > 1 || replaceable)
                 && engine.isPastCooldown(resident, now)
                 && engine.usedBytes(rules) - bytes(resident) + bytes(next) <= pool.memoryBytes();
     }
 
-    private long busyEngines() {
-        return engines.stream().filter(EngineState::isBusy).count();
-    }
-
     private static Optional<EvictionCandidate> betterCandidate(
             Optional<EvictionCandidate> best, EvictionCandidate other) {
         return best.filter(current -> EvictionCandidate.BEST_FIRST.compare(current, other) <= 0)
                 .or(() -> Optional.of(other));
     }
 
-    /** Returns whether more engines than the limit load or unload, so that no further copy should be evicted. */
-    private boolean isBusyLimitReached() {
-        long busy = engines.stream()
-                .filter(engine -> engine.isBusy() || engine.reservedModel().isPresent())
-                .count();
-        return busy > Math.max(1, engines.size() * MAX_BUSY_SHARE);
-    }
-
     /** Loads models in demand from local weights on engines with free memory, for example after a restart. */
     private void loadLocalModels() {
         for (EngineState engine : engines) {
@@ -299,7 +275,7 @@
      * Loads another copy of the model with the highest demand per copy, evicting a copy with low demand if necessary.
      */
     private void replicateBusiest() {
-        if (isBusyLimitReached()) {
+        if (busyEngines.isLimitReached()) {
             return;
         }
         double mean = engines.stream().mapToDouble(this::servedRate).average().orElse(0);
@@ -315,6 +291,28 @@
                 .ifPresent(this::addCopy);
     }
 
+    /** While several software versions are in service, loads a second copy at one of them into free memory. */
+    private void replicateWithinVersions() {
+        if (!versionCopies.several() || busyEngines.isLimitReached()) {
+            return;
+        }
+        pool.models().keySet().stream()
+                .filter(model -> rate(model) > NEGLIGIBLE_RATE)
+                .sorted(Comparator.comparingDouble((ModelId model) -> -rate(model))
+                        .thenComparing(model -> model))
+                .flatMap(model -> secondAtItsVersion(model).stream())
+                .findFirst()
+                .ifPresent(order -> load(order.engine(), order.model()));
+    }
+
+    private Optional<PlannedOrder> secondAtItsVersion(ModelId model) {
+        return engines.stream()
+                .filter(engine -> versionCopies.wouldBeSecond(engine, model))
+                .filter(engine -> mayHostCopy(engine, model) && fits(engine, model))
+                .min(bestFirst(model))
+                .map(engine -> new PlannedOrder(engine, Action.LOAD, model));
+    }
+
     /** Returns whether all copies of a model are on engines that accept fewer requests than are queued for them. */
     private boolean isOnlyOverLimit(ModelId model) {
         return engines.stream()
@@ -334,7 +332,7 @@
     private void addCopy(ModelId model) {
         Optional<EngineState> withFreeMemory = engines.stream()
                 .filter(engine -> mayHostCopy(engine, model) && fits(engine, model))
-                .min(bestFirst(model));
+                .min(versionCopies.secondFirst(model).thenComparing(bestFirst(model)));
         if (withFreeMemory.isPresent()) {
             load(withFreeMemory.get(), model);
             return;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -96,6 +96,11 @@
         return !loading.isEmpty() || !unloading.isEmpty();
     }
 
+    /** Returns whether memory is reserved for a model that must be loaded from the weight store. */
+    boolean awaitsStoreLoad() {
+        return reservation.filter(model -> !hasLocalWeights(model)).isPresent();
+    }
+
     boolean isResidentOrLoading(ModelId model) {
         return residentOrLoading.contains(model);
     }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerFixture.java
@@ -80,6 +80,11 @@
     }
 
     static TargetAnnouncement announcement(TargetId id, long incarnation, Collection<ModelId> ready) {
+        return announcement("", id, incarnation, ready);
+    }
+
+    private static TargetAnnouncement announcement(
+            String version, TargetId id, long incarnation, Collection<ModelId> ready) {
         Map<ModelId, LoadedModel> residentModels = new HashMap<>();
         ready.forEach(model -> residentModels.put(model, new LoadedModel(0, 0, true)));
         return new TargetAnnouncement(
@@ -98,7 +103,7 @@
                 new TargetAnnouncement.Load(0, 0),
                 true,
                 false,
-                Optional.empty());
+                Optional.of(version).filter(stated -> !stated.isEmpty()));
     }
 
     Map<ModelId, ModelDemand> demand() {
@@ -127,6 +132,13 @@
         return engine;
     }
 
+    /** Returns an engine with another software version than the others. */
+    EngineState engineAt(String version, String id, ModelId... contents) {
+        EngineState engine = engine(id, contents);
+        engine.updateAnnouncement(announcement(version, new TargetId(id), 1, List.of(contents)));
+        return engine;
+    }
+
     EngineState engine(String id, ModelId... contents) {
         return engine(id, Set.of(), contents);
     }
