--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.Optional;
-import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
@@ -31,7 +30,7 @@
  */
 public final class Replica {
     private final ReplicaState state;
-    private final SortedSet<InstanceId> contacts;
+    private final JoinRequests joinRequests;
     private final ClusterBootstrap clusterBootstrap;
     private final SnapshotReceiver snapshotReceiver = new SnapshotReceiver();
     private Optional<Leadership> leadership = Optional.empty();
@@ -39,7 +38,6 @@
     private Optional<ReplicaId> leader = Optional.empty();
     private long lastLeaderContactAt;
     private long electionAt;
-    private long joinAt;
 
     /**
      * Recovers a replica from its store.
@@ -61,7 +59,7 @@
 
     private Replica(Collection<InstanceId> founders, Collection<InstanceId> contacts, ReplicaState state) {
         this.state = state;
-        this.contacts = new TreeSet<>(contacts);
+        this.joinRequests = new JoinRequests(state, contacts);
         this.clusterBootstrap = new ClusterBootstrap(state, new TreeSet<>(founders));
         // The replica may have had contact with the leader just before a restart, so it refuses votes as if it had.
         lastLeaderContactAt = state.now();
@@ -115,7 +113,7 @@
 
     /** Adds instances that receive join requests of this one. */
     public void addContacts(Collection<InstanceId> instances) {
-        contacts.addAll(instances);
+        joinRequests.addContacts(instances);
     }
 
     /** Handles one message. */
@@ -151,12 +149,12 @@
                 campaign();
             }
             if (isLeaderUnresponsive()) {
-                sendJoinRequests();
+                joinRequests.sendIfDue();
             }
             return;
         }
         clusterBootstrap.tick();
-        sendJoinRequests();
+        joinRequests.sendIfDue();
     }
 
     /** Writes and sends everything that previous calls queued. */
@@ -390,17 +388,6 @@
         }
     }
 
-    private void sendJoinRequests() {
-        if (state.now() < joinAt) {
-            return;
-        }
-        joinAt = state.now() + state.settings().joinInterval().toNanos();
-        SortedSet<InstanceId> recipients = new TreeSet<>(contacts);
-        state.log().members().voters().forEach(voter -> recipients.add(voter.instance()));
-        recipients.remove(state.self().instance());
-        recipients.forEach(instance -> state.sendToAnyIncarnation(instance, new JoinRequest()));
-    }
-
     private void resetElectionTimer() {
         electionAt = state.now() + state.electionTimeout();
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -1,7 +1,6 @@
 package org.basilrill.protocol.instance;
 
 import io.opentelemetry.api.trace.Span;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -26,9 +25,6 @@
  * caller received a failure, so that its outcome is recorded. Thread safe: all events run one at a time.
  */
 final class RequestExchange implements RunningRequest, TargetAttempt.Owner {
-    /** Approximate time until a slot of a full target becomes free, or another instance can carry a request. */
-    private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
-
     private final RequestServices services;
     private final RequestMetrics metrics;
     private final RequestPlan plan;
@@ -53,7 +49,6 @@
     private boolean mayHaveRun;
     private boolean recordingOutcome;
     private boolean closed;
-    private boolean mayStartAttempts = true;
 
     RequestExchange(
             RequestServices services,
@@ -134,7 +129,7 @@
     /** Refuses the request unless it is at a target now, and starts no further attempt. */
     void startNoAttempt() {
         execute(() -> {
-            mayStartAttempts = false;
+            retries.startNone();
             if (attempt.isEmpty() && !recordingOutcome) {
                 stop();
             }
@@ -228,15 +223,19 @@
             failWith(ErrorCode.CONTROL_UNAVAILABLE, "this instance has no session with the control log");
             return;
         }
-        handleResult(order.claim(retries.remainingTime()), (result, problem) -> {
-            if (problem != null) {
-                failRequest(problem.withOutcome(Outcome.NOT_RUN));
-            } else if (result instanceof ControlResult.OrderGranted) {
-                chargeTokens();
-            } else {
-                respondFromClaim(result);
-            }
-        });
+        order.claim(retries.remainingTime())
+                .whenComplete((result, problem) -> execute(() -> {
+                    if (closed) {
+                        return;
+                    }
+                    if (problem != null) {
+                        failRequest(FailureCauses.of(problem).withOutcome(Outcome.NOT_RUN));
+                    } else if (result instanceof ControlResult.OrderGranted) {
+                        chargeTokens();
+                    } else {
+                        respondFromClaim(result);
+                    }
+                }));
     }
 
     /** Responds to an order whose claim was not granted; records nothing because another attempt holds the claim. */
@@ -317,10 +316,7 @@
     }
 
     private boolean mayRetry(TargetAttempt.AttemptFailure failure) {
-        return mayStartAttempts
-                && (!relay.started() || relay.isResumable())
-                && !relay.finished()
-                && retries.mayRetry(failure);
+        return (!relay.started() || relay.isResumable()) && !relay.finished() && retries.mayRetry(failure);
     }
 
     private void responseStarted() {
@@ -341,10 +337,7 @@
     /** Fails the request; the outcome follows from whether bytes may have been sent to a target. */
     private void failWith(ErrorCode code, String detail) {
         revokePermit();
-        BasilrillException failure =
-                new BasilrillException(code, detail).withOutcome(mayHaveRun ? Outcome.MAY_HAVE_RUN : Outcome.NOT_RUN);
-        boolean passes = code == ErrorCode.TARGET_FULL || code == ErrorCode.NO_PATH;
-        failRequest(passes ? failure.withRetryAfter(RETRY_DELAY) : failure);
+        failRequest(FailureCauses.of(code, detail, mayHaveRun));
     }
 
     private void failRequest(BasilrillException failure) {
@@ -399,15 +392,6 @@
         future.whenComplete((value, problem) -> execute(() -> next.accept(value)));
     }
 
-    /** Passes the result or the failure to the handler, unless the request was closed in the meantime. */
-    private void handleResult(CompletableFuture<ControlResult> future, ResultHandler next) {
-        future.whenComplete((result, problem) -> execute(() -> {
-            if (!closed) {
-                next.handle(result, problem == null ? null : FailureCauses.of(problem));
-            }
-        }));
-    }
-
     private void execute(Runnable action) {
         executor.execute(action);
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Retries.java
@@ -21,6 +21,8 @@
     /** Whether the next attempt was already charged to the retry budget. */
     private boolean retryCharged;
 
+    private boolean stopped;
+
     Retries(RequestServices services, RequestPlan plan, long deadlineNanos) {
         this.services = services;
         this.plan = plan;
@@ -48,6 +50,11 @@
                 .orElse(deadlineNanos);
     }
 
+    /** Allows no further attempt. */
+    void startNone() {
+        stopped = true;
+    }
+
     /** Counts a new attempt; returns whether it is the first one. */
     boolean beginAttempt() {
         attempts++;
@@ -56,7 +63,8 @@
 
     /** Returns whether the request may be sent again; does not check the retry budget. */
     boolean mayRetry(AttemptFailure failure) {
-        return attempts < plan.attemptPolicy().maximumAttempts()
+        return !stopped
+                && attempts < plan.attemptPolicy().maximumAttempts()
                 && (!failure.mayHaveRun() || plan.repeatable())
                 && services.clock().nanos() - deadlineNanos < 0;
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -192,10 +192,7 @@
                 return;
             }
             if (owner.relay().started() && !owner.relay().continuesWith(head)) {
-                fail(
-                        ErrorCode.STREAM_CUT,
-                        "the target resumed the stream with another response, status " + head.status(),
-                        false);
+                fail(ErrorCode.STREAM_CUT, "resumed with another response, status " + head.status(), false);
                 return;
             }
             if (head.status() >= FIRST_SERVER_ERROR_STATUS && owner.shouldRetryServerError()) {
@@ -228,10 +225,7 @@
     public void responseCompleted() {
         executeUnlessFinished(() -> {
             if (!owner.relay().mayEnd()) {
-                fail(
-                        ErrorCode.STREAM_CUT,
-                        "the stream ended inside an event, or before the event to resume with",
-                        false);
+                fail(ErrorCode.STREAM_CUT, "the stream ended inside an event or before one", false);
                 return;
             }
             finish(responseResult);
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/ResponseCollector.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/ResponseCollector.java
@@ -13,8 +13,8 @@
 import org.basilrill.protocol.target.TargetConnector;
 
 /**
- * Sends one request and collects the whole response in memory. Used for target orders, reports and operators' programs, never
- * for requests of callers. Thread safe: the events of a call are delivered one at a time.
+ * Sends one request and collects the whole response in memory. Used for target orders, reports and operators' programs,
+ * never for requests of callers. Thread safe: the events of a call are delivered one at a time.
  */
 final class ResponseCollector implements TargetConnector.Listener {
     /** Sufficient for the rules of a deployment, which operators' programs read. */
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
@@ -23,8 +23,9 @@
 
 /**
  * HTTP/1.1 protocol of one connection to a target, with flow control: no more of a response is read than its window
- * allows, and all bytes read are counted. Without this limit, a connection is read for as long as the target sends faster than the caller reads: whole
- * responses of 64 MB were buffered in memory while the caller read nothing. Used only by the thread of the connection.
+ * allows, and all bytes read are counted. Without this limit, a connection is read for as long as the target sends
+ * faster than the caller reads: whole responses of 64 MB were buffered in memory while the caller read nothing. Used
+ * only by the thread of the connection.
  */
 final class TargetDuplexer extends ClientHttp1StreamDuplexer {
     private final Supplier<Optional<TargetExchange>> exchange;
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/FatalErrorHandler.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/FatalErrorHandler.java
@@ -10,11 +10,11 @@
  * are left to the threads. Thread safe.
  */
 public final class FatalErrorHandler implements Thread.UncaughtExceptionHandler {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
     /** Exit code of a process that ends after an error. */
     public static final int EXIT_CODE = 70;
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final IntConsumer halt;
     private final Thread.UncaughtExceptionHandler exceptions;
 
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/LastPartOfStopTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/LastPartOfStopTest.java
@@ -14,7 +14,7 @@
 class LastPartOfStopTest {
     private final CoordinatorFixture fixture = new CoordinatorFixture(3);
 
-    /** Guards against a request that is passed on at the end of a stop and cut, when another instance could serve it. */
+    /** Guards against a request that is passed on at the end of a stop and cut, though others could serve it. */
     @Test
     void aRequestThatIsNotAtATargetIsRefusedAsNotRun() {
         List<FakeControl.Submission> submissions = new ArrayList<>();
