Write what a graceful stop logs before the process ends

Cause, by reading: the last action of the process is a shutdown hook that returns as soon as event 102 is queued. The thread that writes the queue is a daemon thread, and nobody closed the log, so the virtual machine could end before the line was written. Ruled out: a stop that hangs or fails; the process had ended, with all earlier events written.

Change: the hook closes the log, which waits for the writer.

Evidence: ServeCommandStopTest fails with the close removed (run on this tree). The failure itself was not seen again.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/ServeCommand.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/ServeCommand.java
@@ -37,13 +37,13 @@
     }
 
     private static ExitCode run(CommandLine arguments) {
-        configureLogging();
+        BoundedLog log = configureLogging();
         Path file = Path.of(arguments.getOptionValue(SETTINGS));
         InstanceDaemon daemon = new InstanceDaemon(SettingsReader.read(file));
         daemon.start();
         // SIGHUP reloads the settings. Without a handler it ends the process.
         Signal.handle(new Signal(RELOAD_SIGNAL), signal -> reload(daemon, file));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(stopAndCloseLog(() -> stop(daemon), log), "shutdown"));
         try {
             daemon.awaitStop();
             return ExitCode.SUCCESS;
@@ -54,12 +54,25 @@
     }
 
     /** Replaces all log handlers with one that writes JSON lines to the standard output from its own thread. */
-    private static void configureLogging() {
+    private static BoundedLog configureLogging() {
         Logger root = Logger.getLogger("");
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        root.addHandler(new BoundedLog(System.out, Clock.systemUTC()));
+        BoundedLog log = new BoundedLog(System.out, Clock.systemUTC());
+        root.addHandler(log);
+        return log;
+    }
+
+    /**
+     * Returns the last action of the process. The process ends as soon as it returns, so it waits for the lines that the
+     * stop has logged; the thread that writes them would not be waited for.
+     */
+    static Runnable stopAndCloseLog(Runnable stop, BoundedLog log) {
+        return () -> {
+            stop.run();
+            log.close();
+        };
     }
 
     private static void reload(InstanceDaemon daemon, Path file) {
