End only the incarnation that a departure states

A departure that was read late ended the next incarnation of the same target until it started again (review, by reading): the message was applied to whatever incarnation was known. It now states the incarnation, if its sender does, and ends that one and earlier ones.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/TargetPublisher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/TargetPublisher.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
@@ -69,9 +70,9 @@
     }
 
     @Override
-    public void receiveDeregistration(TargetId target) {
+    public void receiveDeregistration(TargetId target, Optional<Long> incarnation) {
         registry.target(target)
-                .filter(known -> !known.leaving())
+                .filter(known -> !known.leaving() && known.isEndedBy(incarnation))
                 .ifPresent(known -> receiveAnnouncement(known.asLeaving()));
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetAnnouncement.java
@@ -179,6 +179,16 @@
         return sequence > other.sequence;
     }
 
+    /**
+     * Returns whether the departure of an incarnation ends this one too. A departure that is read late must not end the
+     * next incarnation of the target.
+     *
+     * @param departed the incarnation that departs; empty if it is unknown
+     */
+    public boolean isEndedBy(Optional<Long> departed) {
+        return departed.isEmpty() || departed.get() >= incarnation;
+    }
+
     /** Phase of a request that an engine runs. */
     public enum Role {
         PREFILL,
