--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeConnector.java
@@ -91,6 +91,11 @@
             return cancelled;
         }
 
+        /** Returns whether the request is given up once the path to its target is lost. */
+        boolean abandonsLostPath() {
+            return listener.abandonsLostPath();
+        }
+
         boolean active() {
             return !finished && !cancelled;
         }
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -136,6 +136,15 @@
         assertThat(started.stream().status(), is(502));
     }
 
+    /** Guards against giving up a request that may not be sent again, whose target may still respond. */
+    @Test
+    void onlyARequestThatMayBeSentAgainIsGivenUpWhenItsPathIsLost() {
+        send("/safe/x");
+        assertThat(last().abandonsLostPath(), is(true));
+        send("/unsafe/x");
+        assertThat(last().abandonsLostPath(), is(false));
+    }
+
     @Test
     void aMisdirectedRequestIsSentToAnotherTarget() {
         Started started = send("/unsafe/x");
