Fail at the start when the data folder cannot be used at its place

Since the replica starts suspended on a full disk, this failure counted as one that may pass: the platform reports it without an exception class of its own. Whether a failure may pass is now decided by the place: the nearest existing folder must be a folder that can be written.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/command/ServeCommand.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/command/ServeCommand.java
@@ -65,8 +65,8 @@
     }
 
     /**
-     * Returns the last action of the process. The process ends as soon as it returns, so it waits for the lines that the
-     * stop has logged; the thread that writes them would not be waited for.
+     * Returns the last action of the process. The process ends as soon as it returns, so it waits until the lines that
+     * the stop has logged are written.
      */
     static Runnable stopAndCloseLog(Runnable stop, BoundedLog log) {
         return () -> {
--- a/basilrill-library/src/main/java/org/basilrill/transport/disk/FileFailure.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/disk/FileFailure.java
@@ -5,7 +5,9 @@
 import java.nio.file.AccessDeniedException;
 import java.nio.file.DirectoryNotEmptyException;
 import java.nio.file.FileAlreadyExistsException;
+import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 
@@ -17,14 +19,15 @@
 
     /**
      * Returns whether a failure to open a data folder may pass without a change by an operator, as a full disk does. A
-     * folder that is missing, not accessible or in use stays so.
+     * folder that is in use, or that cannot be created or written at its place, stays so.
      */
-    public static boolean mayPass(BasilrillException exception) {
-        return exception.code() == ErrorCode.DISK_FAILED
-                && exception.getCause() instanceof IOException cause
-                && !(cause instanceof NoSuchFileException)
-                && !(cause instanceof AccessDeniedException)
-                && !(cause instanceof FileAlreadyExistsException);
+    public static boolean mayPass(BasilrillException exception, Path folder) {
+        boolean ofTheDisk = exception.code() == ErrorCode.DISK_FAILED && exception.getCause() instanceof IOException;
+        Path existing = folder.toAbsolutePath();
+        while (existing != null && !Files.exists(existing)) {
+            existing = existing.getParent();
+        }
+        return ofTheDisk && existing != null && Files.isDirectory(existing) && Files.isWritable(existing);
     }
 
     /** Returns the reason, and the affected path if the exception contains one. */
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import java.util.function.Supplier;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
@@ -37,7 +36,6 @@
 import org.basilrill.coordination.control.ControlLog;
 import org.basilrill.protocol.peer.ConsensusCodec;
 import org.basilrill.state.log.ReplicatedStateMachine;
-import org.basilrill.transport.disk.FileDurableStore;
 import org.basilrill.transport.disk.FileFailure;
 
 /**
@@ -75,14 +73,14 @@
             InstanceId self,
             Collection<InstanceId> founders,
             Collection<InstanceId> contacts,
-            Supplier<FileDurableStore> opener,
+            ReplicaStorage storage,
             ReplicatedStateMachine machine,
             PeerChannel channel) {
         this.self = self;
         this.founders = founders;
         this.contacts = ConcurrentHashMap.newKeySet();
         this.contacts.addAll(contacts);
-        this.storage = new ReplicaStorage(opener, System::nanoTime);
+        this.storage = storage;
         this.machine = machine;
         this.environment = new ReplicaEnvironment(
                 System::nanoTime,
@@ -134,18 +132,22 @@
             ReplicatedStateMachine machine,
             PeerChannel channel) {
         SecureRandom random = new SecureRandom();
-        return start(self, founders, contacts, () -> ReplicaFolder.open(folder, random), machine, channel);
+        ReplicaStorage storage = new ReplicaStorage(
+                () -> ReplicaFolder.open(folder, random),
+                failure -> FileFailure.mayPass(failure, folder),
+                System::nanoTime);
+        return start(self, founders, contacts, storage, machine, channel);
     }
 
-    /** Starts a replica on a store that the supplier opens; see the other methods. */
+    /** Starts a replica on the given storage; see the other methods. */
     static ControlReplica start(
             InstanceId self,
             Collection<InstanceId> founders,
             Collection<InstanceId> contacts,
-            Supplier<FileDurableStore> opener,
+            ReplicaStorage storage,
             ReplicatedStateMachine machine,
             PeerChannel channel) {
-        return new ControlReplica(self, founders, contacts, opener, machine, channel);
+        return new ControlReplica(self, founders, contacts, storage, machine, channel);
     }
 
     @Override
@@ -293,7 +295,7 @@
         try {
             createReplica();
         } catch (BasilrillException exception) {
-            if (!FileFailure.mayPass(exception)) {
+            if (!storage.mayPass(exception)) {
                 storage.close();
                 throw exception;
             }
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaStorage.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaStorage.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
@@ -18,12 +19,19 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Supplier<FileDurableStore> opener;
+    private final Predicate<BasilrillException> mayPass;
     private final MonotonicClock clock;
     private Optional<FileDurableStore> store = Optional.empty();
     private volatile Optional<DiskOutage> outage = Optional.empty();
 
-    ReplicaStorage(Supplier<FileDurableStore> opener, MonotonicClock clock) {
+    /**
+     * Creates the storage; it opens nothing yet.
+     *
+     * @param mayPass whether a failure of the first opening begins an outage
+     */
+    ReplicaStorage(Supplier<FileDurableStore> opener, Predicate<BasilrillException> mayPass, MonotonicClock clock) {
         this.opener = opener;
+        this.mayPass = mayPass;
         this.clock = clock;
     }
 
@@ -41,6 +49,11 @@
         return store.get();
     }
 
+    /** Returns whether a failure to open the store may pass by itself. */
+    boolean mayPass(BasilrillException failure) {
+        return mayPass.test(failure);
+    }
+
     /** Returns the current outage; empty while the disk is in use. */
     Optional<DiskOutage> outage() {
         return outage;
--- a/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
@@ -168,7 +168,8 @@
                         instance,
                         FOUNDERS,
                         FOUNDERS,
-                        () -> disk.open(new Random(instance.hashCode())),
+                        new ReplicaStorage(
+                                () -> disk.open(new Random(instance.hashCode())), failure -> true, System::nanoTime),
                         new Sum(),
                         channel(instance)));
     }
