Keep periodic work going after one failure

The exchange between instances, the expiry of sessions, the pulls of the view, the demand reports and the checks of peer connections scheduled their next run at the end of the last one, so one exception, for example of a listener, ended each of them for good while the process lived on. They are now scheduled in a finally block. GossipMembershipTest covers a listener that fails once; the others are by reading. Looked at and sound: the checks of paths, the ticks of the control log and of the engine and placement controllers.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogServer.java
@@ -237,12 +237,19 @@
         if (stopped) {
             return;
         }
+        try {
+            expireSessions();
+        } finally {
+            scheduler.schedule(EXPIRY_INTERVAL, this::expireAndRepeat);
+        }
+    }
+
+    private void expireSessions() {
         if (log.isLeader()) {
             sessionTracker
                     .takeExpired(log.term(), clock.nanos(), () -> machine.view().sessions())
                     .forEach(this::expire);
         }
-        scheduler.schedule(EXPIRY_INTERVAL, this::expireAndRepeat);
     }
 
     private void expire(Session session) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -203,8 +203,11 @@
             }
             respondedSinceLastPull = false;
         }
-        pull();
-        scheduler.schedule(PULL_INTERVAL, this::pullAndRepeat);
+        try {
+            pull();
+        } finally {
+            scheduler.schedule(PULL_INTERVAL, this::pullAndRepeat);
+        }
     }
 
     private void pull() {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/GossipMembership.java
@@ -204,13 +204,21 @@
         if (stopped) {
             return;
         }
+        // In a finally block, like other periodic work: a listener that fails once must not end the exchange for good.
+        try {
+            exchangeOnce();
+        } finally {
+            scheduler.schedule(period(), this::exchange);
+        }
+    }
+
+    private void exchangeOnce() {
         state.advance(clock.nanos());
         periodListeners.forEach(Runnable::run);
         removeUnresponsiveMembers();
         chooseMember()
                 .ifPresent(member ->
                         sender.accept(member, new GossipMessage(Optional.of(state.digest()), List.of(), true)));
-        scheduler.schedule(period(), this::exchange);
     }
 
     private Optional<InstanceId> chooseMember() {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/placement/DemandReporter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/placement/DemandReporter.java
@@ -109,11 +109,16 @@
     }
 
     private void tick() {
-        report();
-        synchronized (this) {
-            if (!stopped) {
-                scheduler.schedule(INTERVAL, this::tick);
-            }
+        try {
+            report();
+        } finally {
+            scheduleTick();
+        }
+    }
+
+    private synchronized void scheduleTick() {
+        if (!stopped) {
+            scheduler.schedule(INTERVAL, this::tick);
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
@@ -159,8 +159,11 @@
         if (closed) {
             return;
         }
-        links.values().forEach(PeerLink::checkTimeouts);
-        scheduler.schedule(CHECK_INTERVAL, this::checkLinks);
+        try {
+            links.values().forEach(PeerLink::checkTimeouts);
+        } finally {
+            scheduler.schedule(CHECK_INTERVAL, this::checkLinks);
+        }
     }
 
     private PeerConnection connect(InstanceId recipient) {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/membership/GossipMembershipTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/membership/GossipMembershipTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,6 +13,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiPredicate;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.VirtualTime;
@@ -151,6 +154,22 @@
         instances.values().forEach(GossipMembership::start);
     }
 
+    /** Guards against a listener that fails once and ends the exchange of this instance with all others for good. */
+    @Test
+    void theExchangeGoesOnAfterAListenerHasFailed() {
+        GossipMembership member = membership(FIRST, 1);
+        AtomicInteger periods = new AtomicInteger();
+        member.onPeriod(() -> {
+            if (periods.incrementAndGet() == 1) {
+                throw new IllegalStateException("failure planned by the test");
+            }
+        });
+        member.start();
+        assertThrows(IllegalStateException.class, () -> time.advance(Duration.ofSeconds(1)));
+        time.advance(Duration.ofSeconds(5));
+        assertThat(periods.get(), greaterThan(1));
+    }
+
     private GossipMembership membership(InstanceId id, long incarnation) {
         return new GossipMembership(
                 id, List.of(FIRST, new InstanceId("i1")), incarnation, time, time, random, (to, message) -> {
