--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -71,6 +71,23 @@
         return fixture.connector().calls().size();
     }
 
+    /** Guards against 404 for a route, or 401 for a key, that an instance has not received although it was acknowledged. */
+    @Test
+    void anInstanceThatIsNotCurrentDeniesNoRequestByItsRules() {
+        fixture.control().setCurrent(false);
+        assertThat(send("/added/x").stream().status(), is(503));
+        RequestHead withoutKey =
+                new RequestHead("POST", "/safe/x", Optional.empty(), List.of(new HeaderField("host", HOST)));
+        assertThat(fixture.start(withoutKey, "body").stream().status(), is(503));
+        fixture.control().install(rules(2, false));
+        assertThat(send("/safe/x").stream().status(), is(503));
+    }
+
+    @Test
+    void aCurrentInstanceDeniesRequestsForUnknownRoutes() {
+        assertThat(send("/added/x").stream().status(), is(404));
+    }
+
     /** Guards against a failure while the only engine with the model loads an adapter and refuses its requests. */
     @Test
     void aRequestForALoadingAdapterIsRetriedBeyondItsAttemptLimit() {
