Deny no request by rules that the instance cannot confirm

Cause: RequestCoordinator.authorize checked that the instance is current only after the planner had found route and key, and on its failure path only for KEY_UNKNOWN. NOT_FOUND and KEY_MISSING were answered by rules of any age, for as long as the instance could not confirm them. Class: a final answer that follows from state which is not confirmed.

Change: RuleDecisions passes a denial (401, 403, 404) on only while the instance is current, else it refuses with INSTANCE_NOT_CURRENT. The line of a refusal (E333) states the revision and the age of its confirmation, which told the hypotheses apart.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -131,6 +131,11 @@
         return registered && puller.isCurrent();
     }
 
+    @Override
+    public Optional<Duration> confirmationAge() {
+        return puller.confirmationAge();
+    }
+
     @Override
     public long sessionId() {
         return puller.sessionId();
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -114,6 +115,12 @@
         return isWithin(confirmedNanos, FRESHNESS_BOUND);
     }
 
+    synchronized Optional<Duration> confirmationAge() {
+        return confirmedNanos.isPresent()
+                ? Optional.of(Duration.ofNanos(clock.nanos() - confirmedNanos.getAsLong()))
+                : Optional.empty();
+    }
+
     synchronized boolean holdsSession() {
         return sessionId != 0 && isWithin(renewedNanos, SESSION_LEASE);
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -28,14 +28,12 @@
 public final class RequestCoordinator {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** Another instance may serve the request immediately; the delay avoids a second refusal by this instance. */
-    private static final Duration RETRY_ELSEWHERE_DELAY = Duration.ofMillis(500);
-
     private static final String STOPPING = "this instance is stopping";
 
     private final RequestServices services;
     private final RequestMetrics metrics;
     private final Planner planner;
+    private final RuleDecisions ruleDecisions;
     private final StartupQueue startupQueue;
     private final Set<RequestExchange> running = ConcurrentHashMap.newKeySet();
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -47,6 +45,7 @@
         planner = services.dialect()
                 .<Planner>map(dialect -> new RoutePlanner(dialect, services.random()))
                 .orElseGet(() -> new RequestPlanner(services.limits(), new IdentifierGenerator(services.random())));
+        ruleDecisions = new RuleDecisions(services.control());
         startupQueue = new StartupQueue(
                 () -> services.control().isCurrent()
                         && services.control().view().rules().revision() > 0,
@@ -88,7 +87,7 @@
         boolean trial;
         try {
             Planner.Authorization authorization = authorize(head, view);
-            plan = authorization.plan(body).afterWaiting(queuedFor);
+            plan = ruleDecisions.decide(() -> authorization.plan(body)).afterWaiting(queuedFor);
             requireNotSuspect(plan, view);
             trial = requirePartsNotBlocked(plan);
         } catch (BasilrillException failure) {
@@ -160,28 +159,16 @@
     }
 
     private Planner.Authorization authorize(RequestHead head, ControlView view) {
-        try {
-            Planner.Authorization authorization = planner.authorize(head, view.rules());
-            requireAcceptingRequests();
-            return authorization;
-        } catch (BasilrillException failure) {
-            // An instance that is not current may not have received the rules with this key yet.
-            if (failure.code() == ErrorCode.KEY_UNKNOWN) {
-                requireAcceptingRequests();
-            }
-            throw failure;
-        }
+        Planner.Authorization authorization = ruleDecisions.decide(() -> planner.authorize(head, view.rules()));
+        requireAcceptingRequests();
+        return authorization;
     }
 
     private void requireAcceptingRequests() {
         if (draining) {
             throw new BasilrillException(ErrorCode.INSTANCE_DRAINING, STOPPING);
         }
-        if (!services.control().isCurrent()) {
-            throw new BasilrillException(
-                            ErrorCode.INSTANCE_NOT_CURRENT, "this instance cannot confirm its rules; use another one")
-                    .withRetryAfter(RETRY_ELSEWHERE_DELAY);
-        }
+        ruleDecisions.requireCurrent();
     }
 
     private void requireNotSuspect(RequestPlan plan, ControlView view) {
@@ -207,13 +194,14 @@
     public RunningRequest refuse(BasilrillException failure, RequestHead head, CallerStream caller) {
         metrics.failed(failure.code());
         LOGGER.atInfo().log(
-                "%s: %s %s, %s %s: %s",
+                "%s: %s %s, %s %s: %s (%s)",
                 LogEvent.REQUEST_REFUSED,
                 planner.requestId(head),
                 failure.code(),
                 head.method(),
                 head.path(),
-                failure.getMessage());
+                failure.getMessage(),
+                ruleDecisions.describe());
         ResponseRelay.sendRefusal(caller, planner.requestId(head), errorResponse(failure));
         return new RefusedRequest();
     }
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlClient.java
@@ -1,6 +1,7 @@
 package org.basilrill.state.control;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /** Client of the control log, used by every instance wherever the replicas run. Implementations are thread safe. */
@@ -22,6 +23,11 @@
      */
     boolean isCurrent();
 
+    /**
+     * Returns the time since the last confirmed request for the view was sent; empty before the first confirmation.
+     */
+    Optional<Duration> confirmationAge();
+
     /** Returns the session of this instance; 0 while it has none. */
     long sessionId();
 
--- a/basilrill-library/src/test/java/org/basilrill/coordination/placement/FuzzController.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/placement/FuzzController.java
@@ -130,6 +130,11 @@
         return replica.view();
     }
 
+    @Override
+    public Optional<Duration> confirmationAge() {
+        return Optional.of(Duration.ZERO);
+    }
+
     @Override
     public boolean isCurrent() {
         return true;
--- a/basilrill-library/src/test/java/org/basilrill/coordination/stream/SharedControl.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/stream/SharedControl.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.basilrill.api.BasilrillException;
@@ -67,6 +68,11 @@
             return view;
         }
 
+        @Override
+        public Optional<Duration> confirmationAge() {
+            return Optional.of(Duration.ZERO);
+        }
+
         @Override
         public boolean isCurrent() {
             return true;
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeControl.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeControl.java
@@ -34,6 +34,7 @@
     private long machineIndex;
     private long timeMillis = 1_000_000;
     private volatile boolean current = true;
+    private volatile Duration confirmationAge = Duration.ZERO;
     private volatile Consumer<Submission> delivery = Submission::applyAndRespond;
 
     /** Sets the function that delivers commands and their results; the fuzz test delays and loses them. */
@@ -91,6 +92,11 @@
         current = isCurrent;
     }
 
+    /** Sets the age of the last confirmation of the view. */
+    public void setConfirmationAge(Duration age) {
+        confirmationAge = age;
+    }
+
     /** Returns all commands that were applied. */
     public synchronized List<ControlCommand> commands() {
         return List.copyOf(commands);
@@ -118,6 +124,11 @@
         return current;
     }
 
+    @Override
+    public Optional<Duration> confirmationAge() {
+        return Optional.of(confirmationAge);
+    }
+
     @Override
     public long sessionId() {
         return 7;
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualControlClient.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualControlClient.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.basilrill.api.BasilrillException;
@@ -72,6 +73,11 @@
         return time.nanos() - leaseRenewedAt < LEASE_NANOS;
     }
 
+    @Override
+    public Optional<Duration> confirmationAge() {
+        return Optional.of(Duration.ofNanos(time.nanos() - leaseRenewedAt));
+    }
+
     @Override
     public long sessionId() {
         return session;
--- a/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/BudgetConcurrencyTest.java
+++ b/basilrill-scaffold/src/test/java/org/basilrill/scaffold/virtual/BudgetConcurrencyTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -113,6 +114,11 @@
                     Map.of(OWNER, 1L, OTHER, 2L));
         }
 
+        @Override
+        public Optional<Duration> confirmationAge() {
+            return Optional.of(Duration.ZERO);
+        }
+
         @Override
         public boolean isCurrent() {
             return true;
