Deny no request once an acknowledged change must be in force

An instance counts as current for 3 s after the pull that confirmed its rules, but an acknowledged change must be in force after 2 s. If the control log is lost right after the acknowledgement, a current instance answered 404 for a route that a caller had been told of.

Change: a denial needs a confirmation younger than 1.5 s (three pulls).

Evidence: RoutedRequestTest.anInstanceDeniesNothingOnceAnAcknowledgedChangeMustBeInForce; without the bound it fails with 404 instead of 503.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RuleDecisions.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RuleDecisions.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.EnumSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.basilrill.api.BasilrillException;
@@ -13,6 +14,12 @@
  * so it must not follow from rules that acknowledged ones have replaced. Thread safe.
  */
 public final class RuleDecisions {
+    /**
+     * Age of the confirmation from which on no request is denied. Shorter than the 2 s after which an acknowledged change
+     * must be in force, and longer than two pulls.
+     */
+    static final Duration DENIAL_FRESHNESS_BOUND = Duration.ofMillis(1_500);
+
     /** Another instance may serve the request immediately; the delay avoids a second refusal by this instance. */
     private static final Duration RETRY_ELSEWHERE_DELAY = Duration.ofMillis(500);
 
@@ -39,7 +46,7 @@
         try {
             return decision.get();
         } catch (BasilrillException failure) {
-            if (DENIALS.contains(failure.code()) && !control.isCurrent()) {
+            if (DENIALS.contains(failure.code()) && !mayDeny()) {
                 throw notCurrent();
             }
             throw failure;
@@ -61,6 +68,13 @@
         return "rules " + control.view().rules().revision() + " " + age;
     }
 
+    private boolean mayDeny() {
+        Optional<Duration> age = control.confirmationAge();
+        return control.isCurrent()
+                && age.filter(confirmed -> confirmed.compareTo(DENIAL_FRESHNESS_BOUND) < 0)
+                        .isPresent();
+    }
+
     private static BasilrillException notCurrent() {
         return new BasilrillException(
                         ErrorCode.INSTANCE_NOT_CURRENT, "this instance cannot confirm its rules; use another one")
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -83,6 +83,15 @@
         assertThat(send("/safe/x").stream().status(), is(503));
     }
 
+    /** Guards against 404 for an added route from an instance that lost the control log after the acknowledgement. */
+    @Test
+    void anInstanceDeniesNothingOnceAnAcknowledgedChangeMustBeInForce() {
+        fixture.control().setConfirmationAge(Duration.ofMillis(1_499));
+        assertThat(send("/added/x").stream().status(), is(404));
+        fixture.control().setConfirmationAge(Duration.ofMillis(1_500));
+        assertThat(send("/added/x").stream().status(), is(503));
+    }
+
     @Test
     void aCurrentInstanceDeniesRequestsForUnknownRoutes() {
         assertThat(send("/added/x").stream().status(), is(404));
