Deny no operator by rules that the instance cannot confirm

Same class as the denials of callers: an instance without the control log answered 401 to an operator whose key it had not received, and 403 to one whose role had changed. It refuses with INSTANCE_NOT_CURRENT now.

Evidence: GatewayRoutesTest.anInstanceThatIsNotCurrentDeniesNoOperator; the code before answers 401 there.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
@@ -124,7 +124,15 @@
         if (noOperatorInRules && firstOperatorKey.filter(hash::equals).isPresent()) {
             return new Operator(FIRST_OPERATOR, Role.ADMIN);
         }
-        throw new BasilrillException(ErrorCode.KEY_UNKNOWN, "the key does not belong to an operator");
+        throw denial(ErrorCode.KEY_UNKNOWN, "the key does not belong to an operator");
+    }
+
+    /** Returns a denial, or a refusal if the rules that it follows from are not confirmed. */
+    private BasilrillException denial(ErrorCode code, String detail) {
+        return control.isCurrent()
+                ? new BasilrillException(code, detail)
+                : new BasilrillException(
+                        ErrorCode.INSTANCE_NOT_CURRENT, "this instance cannot confirm its rules; use another one");
     }
 
     private CompletableFuture<PlainResponse> replaceRules(RequestHead head, byte[] body, Operator operator) {
@@ -207,9 +215,9 @@
                 : new BasilrillException(ErrorCode.NOT_FOUND, "no route for " + head.path());
     }
 
-    private static void requireAdmin(Operator operator) {
+    private void requireAdmin(Operator operator) {
         if (operator.role() != Role.ADMIN) {
-            throw new BasilrillException(ErrorCode.FORBIDDEN, "operator " + operator.name() + " may only read");
+            throw denial(ErrorCode.FORBIDDEN, "operator " + operator.name() + " may only read");
         }
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/GatewayRoutesTest.java
@@ -213,6 +213,15 @@
         }
     }
 
+    /** Guards against 401 for a new operator whose key an instance without the control log has not received. */
+    @Test
+    void anInstanceThatIsNotCurrentDeniesNoOperator() {
+        control.setCurrent(false);
+        try (AdministrationClient unknown = operator(FakeServices.KEY)) {
+            assertThat(unknown.status().status(), is(503));
+        }
+    }
+
     /** Guards against administration without an operator's key, and against overwriting newer rules. */
     @Test
     void operatorsReadAndReplaceTheRules() {
