Count nothing as confirmed after a suspension of the machine

The monotonic clock does not count the time for which a machine is suspended. An instance that was suspended for seconds took its rules and its session for fresh, and ran requests by them, with withdrawn keys too, until its next pull.

Change: ConfirmationClock measures the age of a confirmation with the monotonic and the wall clock; while they differ by more than 500 ms, the age is unknown and the instance is not current.

Evidence: ControlLogTest.anInstanceIsNotCurrentAfterASuspensionUntilItsNextConfirmation (with the monotonic clock alone the instance is current there) and two tests of the limits. No report of users shows it.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
@@ -49,12 +50,14 @@
      *
      * @param replicas replicas named in the settings, at least one; pull responses may name others later
      * @param format format of the rules
+     * @param wallClockMillis compared with the monotonic clock, which does not count a suspension of the machine
      */
     public ControlLogClient(
             ControlEndpoint endpoint,
             List<InstanceId> replicas,
             RulesFormat format,
             MonotonicClock clock,
+            LongSupplier wallClockMillis,
             Scheduler scheduler,
             RandomGenerator random) {
         this.endpoint = endpoint;
@@ -62,7 +65,14 @@
         this.random = random;
         directory = new ReplicaDirectory(replicas, random);
         this.submitter = new CommandSubmitter(endpoint, directory, scheduler, random);
-        this.puller = new ViewPuller(endpoint, directory, viewHolder, format, clock, scheduler, random);
+        this.puller = new ViewPuller(
+                endpoint,
+                directory,
+                viewHolder,
+                format,
+                new ConfirmationClock(clock, wallClockMillis),
+                scheduler,
+                random);
         endpoint.attachClient(this::handle);
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -7,14 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
-import org.basilrill.api.MonotonicClock;
 import org.basilrill.api.Scheduler;
+import org.basilrill.coordination.control.ConfirmationClock.Instant;
 import org.basilrill.state.configuration.RulesFormat;
 import org.basilrill.state.configuration.RulesSource;
 import org.basilrill.state.control.ControlView;
@@ -25,7 +24,8 @@
 
 /**
  * Pulls the control view from a replica and tracks its freshness. Each pull contains the session and renews it. Ages
- * count from the time the confirmed pull was sent. Thread safe; sends outside its lock.
+ * count from the time the confirmed pull was sent; they are unknown, and nothing counts as current, after a suspension
+ * of the machine until the next confirmation. Thread safe; sends outside its lock.
  */
 final class ViewPuller {
     static final Duration PULL_INTERVAL = Duration.ofMillis(500);
@@ -46,15 +46,15 @@
     private final ReplicaDirectory directory;
     private final ViewHolder viewHolder;
     private final RulesFormat format;
-    private final MonotonicClock clock;
+    private final ConfirmationClock clock;
     private final Scheduler scheduler;
     private final LinkedHashMap<Long, Pull> pending = new LinkedHashMap<>();
     private InstanceId replica;
     private boolean respondedSinceLastPull = true;
     private long nextRequestId;
     private long sessionId;
-    private OptionalLong confirmedNanos = OptionalLong.empty();
-    private OptionalLong renewedNanos = OptionalLong.empty();
+    private Optional<Instant> confirmedAt = Optional.empty();
+    private Optional<Instant> renewedAt = Optional.empty();
     private Runnable sessionLost = () -> {};
     private final List<Read> reads = new ArrayList<>();
     private boolean readPullScheduled;
@@ -65,7 +65,7 @@
             ReplicaDirectory directory,
             ViewHolder viewHolder,
             RulesFormat format,
-            MonotonicClock clock,
+            ConfirmationClock clock,
             Scheduler scheduler,
             RandomGenerator random) {
         this.endpoint = endpoint;
@@ -94,7 +94,7 @@
     void openSession(long id) {
         synchronized (this) {
             sessionId = id;
-            renewedNanos = OptionalLong.empty();
+            renewedAt = Optional.empty();
         }
         pull();
     }
@@ -103,7 +103,7 @@
     synchronized long closeSession() {
         long closed = sessionId;
         sessionId = 0;
-        renewedNanos = OptionalLong.empty();
+        renewedAt = Optional.empty();
         return closed;
     }
 
@@ -111,18 +111,27 @@
         return sessionId;
     }
 
-    synchronized boolean isCurrent() {
-        return isWithin(confirmedNanos, FRESHNESS_BOUND);
+    boolean isCurrent() {
+        boolean pullNow;
+        synchronized (this) {
+            if (isWithin(confirmedAt, FRESHNESS_BOUND)) {
+                return true;
+            }
+            pullNow = confirmedAt.filter(clock::hasDiverged).isPresent() && !readPullScheduled;
+            readPullScheduled |= pullNow;
+        }
+        if (pullNow) {
+            scheduler.schedule(READ_BATCHING_DELAY, this::pullForReads);
+        }
+        return false;
     }
 
     synchronized Optional<Duration> confirmationAge() {
-        return confirmedNanos.isPresent()
-                ? Optional.of(Duration.ofNanos(clock.nanos() - confirmedNanos.getAsLong()))
-                : Optional.empty();
+        return confirmedAt.map(clock::age);
     }
 
     synchronized boolean holdsSession() {
-        return sessionId != 0 && isWithin(renewedNanos, SESSION_LEASE);
+        return sessionId != 0 && isWithin(renewedAt, SESSION_LEASE);
     }
 
     /** Completes once a pull sent after this call is confirmed; fails with {@code CONTROL_UNAVAILABLE}. */
@@ -168,14 +177,14 @@
                 return;
             }
             respondedSinceLastPull |= sender.equals(replica);
-            confirmedNanos = latestOf(confirmedNanos, pull.sentNanos());
+            confirmedAt = latestOf(confirmedAt, pull.sentAt());
             confirmedReads = takeConfirmedReads(response.getRequestId());
             if (pull.sessionId() != 0 && pull.sessionId() == sessionId) {
                 if (response.isSessionHeld()) {
-                    renewedNanos = latestOf(renewedNanos, pull.sentNanos());
+                    renewedAt = latestOf(renewedAt, pull.sentAt());
                 } else {
                     sessionId = 0;
-                    renewedNanos = OptionalLong.empty();
+                    renewedAt = Optional.empty();
                     lost = sessionLost;
                 }
             }
@@ -225,7 +234,7 @@
             recipient = replica;
             request = new PullRequest(
                     nextRequestId++, currentView.index(), currentView.rules().revision(), sessionId);
-            pending.put(request.getRequestId(), new Pull(clock.nanos(), sessionId));
+            pending.put(request.getRequestId(), new Pull(clock.now(), sessionId));
             if (pending.size() > MAXIMUM_PENDING) {
                 Iterator<Map.Entry<Long, Pull>> oldest = pending.entrySet().iterator();
                 oldest.next();
@@ -235,17 +244,17 @@
         endpoint.send(recipient, ControlMessage.pullRequest(request));
     }
 
-    private boolean isWithin(OptionalLong sentNanos, Duration bound) {
-        return sentNanos.isPresent() && clock.nanos() - sentNanos.getAsLong() < bound.toNanos();
+    private boolean isWithin(Optional<Instant> sentAt, Duration bound) {
+        return sentAt.filter(sent -> clock.isWithin(sent, bound)).isPresent();
     }
 
-    private static OptionalLong latestOf(OptionalLong known, long nanos) {
-        return known.isPresent() && known.getAsLong() - nanos >= 0 ? known : OptionalLong.of(nanos);
+    private static Optional<Instant> latestOf(Optional<Instant> known, Instant sentAt) {
+        return known.filter(at -> !sentAt.isAfter(at)).or(() -> Optional.of(sentAt));
     }
 
     /** A read, which any pull with the given or a later request id confirms. */
     private record Read(long firstRequestId, CompletableFuture<Void> confirmed) {}
 
     /** A pull without a response. */
-    private record Pull(long sentNanos, long sessionId) {}
+    private record Pull(Instant sentAt, long sessionId) {}
 }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -286,6 +286,7 @@
                 environment.replicas(),
                 environment.interfaces().rulesFormat(),
                 environment.clock(),
+                environment.wallClockMillis(),
                 environment.scheduler(),
                 splitRandom());
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstanceEnvironment.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstanceEnvironment.java
@@ -27,7 +27,7 @@
  * @param peerAddress IP address and port for other instances
  * @param replicas initial replicas of the control log, which are also the seeds of the membership
  * @param random split for each component, so that no two components share a generator
- * @param wallClockMillis used only for retention and as the incarnation of the instance
+ * @param wallClockMillis used for retention, as the incarnation of the instance, and to notice a suspension
  * @param firstOperatorKey hash of the operator key that may install the first rules
  * @param replica replica of the control log that this instance hosts, if any
  * @param interfaces options of the interfaces to callers, targets and operators
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
@@ -111,6 +111,34 @@
         assertThat(client.sessionId(), is(not(session)));
     }
 
+    /** Guards against requests run with a withdrawn key by an instance whose machine was suspended in the meantime. */
+    @Test
+    void anInstanceIsNotCurrentAfterASuspensionUntilItsNextConfirmation() {
+        start(client);
+        cluster.moveWallClock(Duration.ofSeconds(6));
+        assertThat(client.isCurrent(), is(false));
+        assertThat(client.holdsSession(), is(false));
+        cluster.time().advance(Duration.ofMillis(200));
+        assertThat(client.isCurrent(), is(true));
+        assertThat(client.holdsSession(), is(true));
+    }
+
+    @Test
+    void anInstanceIsNotCurrentAfterItsWallClockWasSetBackUntilItsNextConfirmation() {
+        start(client);
+        cluster.moveWallClock(Duration.ofSeconds(-2));
+        assertThat(client.isCurrent(), is(false));
+        cluster.time().advance(Duration.ofMillis(200));
+        assertThat(client.isCurrent(), is(true));
+    }
+
+    @Test
+    void aSmallAdjustmentOfTheWallClockLeavesAnInstanceCurrent() {
+        start(client);
+        cluster.moveWallClock(Duration.ofMillis(400));
+        assertThat(client.isCurrent(), is(true));
+    }
+
     @Test
     void aSessionIsExpiredOnlyAfterFiveSecondsAndItsClaimsBecomeUnknown() {
         ControlLogClient other = cluster.client(new InstanceId("other"));
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
@@ -33,6 +33,7 @@
     private final Set<InstanceId> isolated = new HashSet<>();
     private double lossProbability;
     private int delayMillis = 1;
+    private long wallClockOffsetMillis;
     private Optional<InstanceId> leader = Optional.empty();
     private long term;
 
@@ -60,7 +61,22 @@
 
     ControlLogClient client(InstanceId id) {
         return new ControlLogClient(
-                endpoint(id), replicas, RulesParser::parse, time, time, new Random(random.nextLong()));
+                endpoint(id),
+                replicas,
+                RulesParser::parse,
+                time,
+                this::wallClockMillis,
+                time,
+                new Random(random.nextLong()));
+    }
+
+    /** Sets the wall clock of all instances forward or back; to an instance, forward looks like a suspension. */
+    void moveWallClock(Duration difference) {
+        wallClockOffsetMillis += difference.toMillis();
+    }
+
+    private long wallClockMillis() {
+        return time.nanos() / 1_000_000 + wallClockOffsetMillis;
     }
 
     List<InstanceId> replicas() {
