Check in simulated histories that no accepted key is denied

A key that a revision put in force at least 2 s before a request is denied by no instance, connected or not. The histories checked until now that withdrawn keys stop, not that new ones work.

--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/HistoryChecks.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/HistoryChecks.java
@@ -17,6 +17,9 @@
     /** Longest time from the acceptance of a revision until it is in force on all instances; checked every 50 ms. */
     private static final Duration PROPAGATION_LIMIT = Duration.ofSeconds(6);
 
+    /** Time from the acceptance of a revision from which on no request is denied by an earlier one. */
+    private static final Duration DENIAL_LIMIT = Duration.ofSeconds(2);
+
     private static final Duration OBSERVATION_INTERVAL = Duration.ofMillis(50);
     private static final Duration LEAVING_LIMIT = Duration.ofSeconds(2);
     /**
@@ -117,6 +120,20 @@
         }
     }
 
+    /** Checks that an accepted key is denied by no instance, connected or not. */
+    private void checkDenial(VirtualCaller caller) {
+        String key = caller.call().key();
+        long acceptedBefore =
+                caller.startNanos() - DENIAL_LIMIT.plus(OBSERVATION_INTERVAL).toNanos();
+        boolean inForce = operators
+                .activatedNanos(key)
+                .filter(activated -> activated < acceptedBefore)
+                .isPresent();
+        if (caller.wasDenied() && inForce && operators.revokedNanos(key).isEmpty()) {
+            violations.add("denials follow from the newest rules: " + caller);
+        }
+    }
+
     /** Checks the response to a call. */
     void check(VirtualCaller caller) {
         caller.violation(VirtualTarget.expectedResponse(caller.call().body()), FIRST_BYTE_MARGIN, RESPONSE_END_MARGIN)
@@ -132,6 +149,7 @@
                 }
             });
         }
+        checkDenial(caller);
         operators
                 .revokedNanos(caller.call().key())
                 .ifPresent(revoked -> targets.executions(execution -> {
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualCaller.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualCaller.java
@@ -93,6 +93,11 @@
         return complete && status == 200 && !receivedText().contains("event: error");
     }
 
+    /** Returns whether the request was denied because its key is not in the rules. */
+    public boolean wasDenied() {
+        return status == 401;
+    }
+
     /** Returns whether the response states that the request did not run. */
     public boolean reportsNotRun() {
         return receivedText().contains("\"outcome\":\"not_run\"");
--- a/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualOperators.java
+++ b/basilrill-scaffold/src/main/java/org/basilrill/scaffold/virtual/VirtualOperators.java
@@ -7,13 +7,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.basilrill.api.AccountId;
@@ -47,7 +45,7 @@
     private final SpendingOracle spending;
     private final RevisionHistory history = new RevisionHistory();
     private final Map<String, Long> revokedNanos = new HashMap<>();
-    private final Set<String> activatedKeys = new HashSet<>();
+    private final Map<String, Long> activatedNanos = new HashMap<>();
     private final Map<String, KeyHash> keys = new LinkedHashMap<>();
     private final TreeMap<Long, Long> acceptedNanos = new TreeMap<>();
     private Rules newest = Rules.empty();
@@ -140,6 +138,11 @@
                 .orElseThrow();
     }
 
+    /** Returns the time at which the first revision with the key was accepted, if one was. */
+    public Optional<Long> activatedNanos(String key) {
+        return Optional.ofNullable(activatedNanos.get(key));
+    }
+
     /** Returns the time at which the key was revoked, if it was. */
     public Optional<Long> revokedNanos(String key) {
         return Optional.ofNullable(revokedNanos.get(key));
@@ -153,8 +156,8 @@
         keys.forEach((key, hash) -> {
             boolean valid = newest.accountOf(hash).isPresent();
             if (valid) {
-                activatedKeys.add(key);
-            } else if (activatedKeys.contains(key)) {
+                activatedNanos.putIfAbsent(key, time.nanos());
+            } else if (activatedNanos.containsKey(key)) {
                 revokedNanos.putIfAbsent(key, time.nanos());
             }
         });
