Deny no request by rules that were replaced during the decision

The independent review showed that a request could be denied by a view that was read before newer rules were confirmed: the age of the confirmation was that of the newer view. A denial now needs that the view of the decision is still the one in force. Operators are denied by the same class (RuleDecisions), and the bound is 1.2 s, so that with the tolerance of the clocks it stays below 2 s.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
@@ -20,12 +20,14 @@
 import org.basilrill.protocol.caller.ErrorBody;
 import org.basilrill.protocol.caller.PlainResponse;
 import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.caller.RuleDecisions;
 import org.basilrill.state.configuration.KeyHash;
 import org.basilrill.state.configuration.Rules.Operator;
 import org.basilrill.state.configuration.Rules.Role;
 import org.basilrill.state.control.ControlClient;
 import org.basilrill.state.control.ControlCommand;
 import org.basilrill.state.control.ControlResult;
+import org.basilrill.state.control.ControlView;
 
 /** Handles the administration routes, which require an operator's key. Thread safe. */
 public final class AdministrationHandler {
@@ -44,6 +46,7 @@
     private static final String FIRST_OPERATOR = "first-operator";
 
     private final ControlClient control;
+    private final RuleDecisions ruleDecisions;
     private final RulesReader rulesReader;
     private final AdministrationViews views;
     private final Supplier<ObjectNode> models;
@@ -68,6 +71,7 @@
             Optional<KeyHash> firstOperatorKey,
             Duration deadline) {
         this.control = control;
+        ruleDecisions = new RuleDecisions(control);
         this.rulesReader = rulesReader;
         this.views = views;
         this.models = models;
@@ -84,14 +88,15 @@
     /** Returns the response; completes exceptionally with a {@link BasilrillException} if the request is rejected. */
     public CompletableFuture<PlainResponse> handle(RequestHead head, byte[] body) {
         Operator operator;
+        ControlView view = control.view();
         try {
-            operator = authenticate(head);
+            operator = ruleDecisions.decide(view, () -> authenticate(head, view));
         } catch (BasilrillException refusal) {
             LOGGER.atWarning().log("%s: %s %s", LogEvent.OPERATOR_REFUSED, head.method(), head.path());
             return CompletableFuture.failedFuture(refusal);
         }
         try {
-            return route(head, body, operator);
+            return ruleDecisions.decide(view, () -> route(head, body, operator));
         } catch (BasilrillException refusal) {
             return CompletableFuture.failedFuture(refusal);
         }
@@ -111,28 +116,20 @@
         };
     }
 
-    private Operator authenticate(RequestHead head) {
+    private Operator authenticate(RequestHead head, ControlView view) {
         String key = head.key()
                 .orElseThrow(() -> new BasilrillException(
                         ErrorCode.KEY_MISSING, "send the operator's key as Authorization: Bearer"));
         KeyHash hash = KeyHash.of(key);
-        Operator known = control.view().rules().operators().get(hash);
+        Operator known = view.rules().operators().get(hash);
         if (known != null) {
             return known;
         }
-        boolean noOperatorInRules = control.view().rules().operators().isEmpty();
+        boolean noOperatorInRules = view.rules().operators().isEmpty();
         if (noOperatorInRules && firstOperatorKey.filter(hash::equals).isPresent()) {
             return new Operator(FIRST_OPERATOR, Role.ADMIN);
         }
-        throw denial(ErrorCode.KEY_UNKNOWN, "the key does not belong to an operator");
-    }
-
-    /** Returns a denial, or a refusal if the rules that it follows from are not confirmed. */
-    private BasilrillException denial(ErrorCode code, String detail) {
-        return control.isCurrent()
-                ? new BasilrillException(code, detail)
-                : new BasilrillException(
-                        ErrorCode.INSTANCE_NOT_CURRENT, "this instance cannot confirm its rules; use another one");
+        throw new BasilrillException(ErrorCode.KEY_UNKNOWN, "the key does not belong to an operator");
     }
 
     private CompletableFuture<PlainResponse> replaceRules(RequestHead head, byte[] body, Operator operator) {
@@ -215,9 +212,9 @@
                 : new BasilrillException(ErrorCode.NOT_FOUND, "no route for " + head.path());
     }
 
-    private void requireAdmin(Operator operator) {
+    private static void requireAdmin(Operator operator) {
         if (operator.role() != Role.ADMIN) {
-            throw denial(ErrorCode.FORBIDDEN, "operator " + operator.name() + " may only read");
+            throw new BasilrillException(ErrorCode.FORBIDDEN, "operator " + operator.name() + " may only read");
         }
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/caller/RuleDecisions.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/RuleDecisions.java
@@ -1,4 +1,4 @@
-package org.basilrill.protocol.instance;
+package org.basilrill.protocol.caller;
 
 import java.time.Duration;
 import java.util.EnumSet;
@@ -8,6 +8,7 @@
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.state.control.ControlClient;
+import org.basilrill.state.control.ControlView;
 
 /**
  * Checks that the rules are confirmed before a request is accepted or denied by them. Callers take a denial as final,
@@ -15,10 +16,10 @@
  */
 public final class RuleDecisions {
     /**
-     * Age of the confirmation from which on no request is denied. Shorter than the 2 s after which an acknowledged change
-     * must be in force, and longer than two pulls.
+     * Age of the confirmation from which on no request is denied. Longer than two pulls; with the clocks' tolerance still
+     * shorter than the 2 s after which an acknowledged change must be in force.
      */
-    static final Duration DENIAL_FRESHNESS_BOUND = Duration.ofMillis(1_500);
+    static final Duration DENIAL_FRESHNESS_BOUND = Duration.ofMillis(1_200);
 
     /** Another instance may serve the request immediately; the delay avoids a second refusal by this instance. */
     private static final Duration RETRY_ELSEWHERE_DELAY = Duration.ofMillis(500);
@@ -38,15 +39,16 @@
     }
 
     /**
-     * Returns the result of a decision by the rules.
+     * Returns the result of a decision by the rules of a view.
      *
+     * @param view view that the decision uses
      * @throws BasilrillException with {@code INSTANCE_NOT_CURRENT} in place of a denial by rules that are not confirmed
      */
-    public <T> T decide(Supplier<T> decision) {
+    public <T> T decide(ControlView view, Supplier<T> decision) {
         try {
             return decision.get();
         } catch (BasilrillException failure) {
-            if (DENIALS.contains(failure.code()) && !mayDeny()) {
+            if (DENIALS.contains(failure.code()) && !mayDeny(view)) {
                 throw notCurrent();
             }
             throw failure;
@@ -54,25 +56,27 @@
     }
 
     /** Throws {@code INSTANCE_NOT_CURRENT} unless requests may be accepted by the rules. */
-    void requireCurrent() {
+    public void requireCurrent() {
         if (!control.isCurrent()) {
             throw notCurrent();
         }
     }
 
     /** Returns the revision of the rules and the age of their confirmation, for the log. */
-    String describe() {
+    public String describe() {
         String age = control.confirmationAge()
                 .map(confirmed -> "confirmed " + confirmed.toMillis() + " ms ago")
                 .orElse("not confirmed");
         return "rules " + control.view().rules().revision() + " " + age;
     }
 
-    private boolean mayDeny() {
+    /** Reads the view in force last: the confirmation may be of one that was installed during the decision. */
+    private boolean mayDeny(ControlView view) {
         Optional<Duration> age = control.confirmationAge();
         return control.isCurrent()
                 && age.filter(confirmed -> confirmed.compareTo(DENIAL_FRESHNESS_BOUND) < 0)
-                        .isPresent();
+                        .isPresent()
+                && control.view().rules().revision() == view.rules().revision();
     }
 
     private static BasilrillException notCurrent() {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestCoordinator.java
@@ -18,6 +18,7 @@
 import org.basilrill.protocol.caller.ErrorBody;
 import org.basilrill.protocol.caller.PlainResponse;
 import org.basilrill.protocol.caller.RequestHead;
+import org.basilrill.protocol.caller.RuleDecisions;
 import org.basilrill.protocol.caller.RunningRequest;
 import org.basilrill.state.control.ControlView;
 
@@ -87,7 +88,7 @@
         boolean trial;
         try {
             Planner.Authorization authorization = authorize(head, view);
-            plan = ruleDecisions.decide(() -> authorization.plan(body)).afterWaiting(queuedFor);
+            plan = ruleDecisions.decide(view, () -> authorization.plan(body)).afterWaiting(queuedFor);
             requireNotSuspect(plan, view);
             trial = requirePartsNotBlocked(plan);
         } catch (BasilrillException failure) {
@@ -159,7 +160,7 @@
     }
 
     private Planner.Authorization authorize(RequestHead head, ControlView view) {
-        Planner.Authorization authorization = ruleDecisions.decide(() -> planner.authorize(head, view.rules()));
+        Planner.Authorization authorization = ruleDecisions.decide(view, () -> planner.authorize(head, view.rules()));
         requireAcceptingRequests();
         return authorization;
     }
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeControl.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/FakeControl.java
@@ -35,6 +35,7 @@
     private long timeMillis = 1_000_000;
     private volatile boolean current = true;
     private volatile Duration confirmationAge = Duration.ZERO;
+    private volatile Optional<Rules> nextRules = Optional.empty();
     private volatile Consumer<Submission> delivery = Submission::applyAndRespond;
 
     /** Sets the function that delivers commands and their results; the fuzz test delays and loses them. */
@@ -92,6 +93,11 @@
         current = isCurrent;
     }
 
+    /** Sets rules that are installed just before the age of the confirmation is next read. */
+    void installBeforeNextConfirmation(Rules rules) {
+        nextRules = Optional.of(rules);
+    }
+
     /** Sets the age of the last confirmation of the view. */
     public void setConfirmationAge(Duration age) {
         confirmationAge = age;
@@ -126,6 +132,9 @@
 
     @Override
     public Optional<Duration> confirmationAge() {
+        Optional<Rules> installed = nextRules;
+        nextRules = Optional.empty();
+        installed.ifPresent(this::install);
         return Optional.of(confirmationAge);
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -86,12 +86,20 @@
     /** Guards against 404 for an added route from an instance that lost the control log after the acknowledgement. */
     @Test
     void anInstanceDeniesNothingOnceAnAcknowledgedChangeMustBeInForce() {
-        fixture.control().setConfirmationAge(Duration.ofMillis(1_499));
+        fixture.control().setConfirmationAge(Duration.ofMillis(1_199));
         assertThat(send("/added/x").stream().status(), is(404));
-        fixture.control().setConfirmationAge(Duration.ofMillis(1_500));
+        fixture.control().setConfirmationAge(Duration.ofMillis(1_200));
         assertThat(send("/added/x").stream().status(), is(503));
     }
 
+    /** Guards against a denial by rules that newer ones replaced while the request was decided. */
+    @Test
+    void aRequestIsNotDeniedByRulesThatWereReplacedDuringTheDecision() {
+        fixture.control().installBeforeNextConfirmation(rules(2, true));
+        assertThat(send("/added/x").stream().status(), is(503));
+        assertThat(send("/added/x").stream().status(), is(404));
+    }
+
     @Test
     void aCurrentInstanceDeniesRequestsForUnknownRoutes() {
         assertThat(send("/added/x").stream().status(), is(404));
