--- a/basilrill-library/src/test/java/org/basilrill/transport/disk/SimulatedDisk.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/disk/SimulatedDisk.java
@@ -28,6 +28,7 @@
     private Map<String, Content> durableNames = new TreeMap<>();
     private volatile boolean full;
     private Optional<Integer> changesUntilFailure = Optional.empty();
+    private Runnable changeListener = () -> {};
 
     public SimulatedDisk(long seed) {
         this.random = new Random(seed);
@@ -44,12 +45,23 @@
     }
 
     /** Makes one change fail after the given number of changes, without, with a part of or with its whole effect. */
-    void failAfter(int changes) {
+    public void failAfter(int changes) {
         changesUntilFailure = Optional.of(changes);
     }
 
+    /** Ends all failures: changes succeed from now on. */
+    public void repair() {
+        full = false;
+        changesUntilFailure = Optional.empty();
+    }
+
+    /** Calls the listener before each change, so that a test can account for the time that it takes. */
+    public void setChangeListener(Runnable listener) {
+        changeListener = listener;
+    }
+
     /** Ends the use of all open files; the content is what the disk kept. */
-    void losePower() {
+    public void losePower() {
         changesUntilFailure = Optional.empty();
         Set<String> names = new HashSet<>(cachedNames.keySet());
         names.addAll(durableNames.keySet());
@@ -65,6 +77,7 @@
 
     /** Runs a change, which may fail without effect, with a part of it or with the whole effect. */
     private void change(Effect whole, Effect part) throws IOException {
+        changeListener.run();
         boolean fails = full || changesUntilFailure.filter(left -> left == 0).isPresent();
         changesUntilFailure = changesUntilFailure.filter(left -> left > 0).map(left -> left - 1);
         if (!fails) {
