Elect a leader while votes take longer to write than the election timeout

What callers saw: while the disks of two machines are slow (a vote takes 180 ms or more to write), changes are refused for as long as they are slow, though all processes run.

Cause: a candidate reset its election timer before it wrote its own vote, and a voter wrote a later term and its vote one after the other. The timer ran out before the votes were there, so the candidate began the next election and ignored them: 23 terms in 16 s without a leader.

Change: the timer begins after the vote is written, a voter writes term and vote at once, and replicas extend their election timeouts by the time that the four writes of an election took last, at most 2 s. With votes below 62 ms the timeouts stay as they are.

Evidence: aLeaderIsElectedWhileAllDisksAreSlow failed before with 50 ms a change ("acknowledged with 50 ms a change", PRE_CANDIDATE in term 23), and held with 10 and 30 ms. It holds with 10 to 100 ms now, as do ReplicaTest, ReplicaRulesTest, LeaderChangesTest and the schedules of passing faults.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -284,11 +284,14 @@
             state.send(from, new VoteResponse(responseTerm, true, granted));
             return;
         }
-        if (request.term() > state.term()) {
+        boolean laterTerm = request.term() > state.term();
+        if (laterTerm) {
             stepDown();
+        }
+        boolean granted = upToDate && (laterTerm || state.mayVoteFor(from));
+        if (laterTerm && !granted) {
             state.adoptTerm(request.term());
         }
-        boolean granted = upToDate && state.mayVoteFor(from);
         if (granted) {
             state.voteFor(request.term(), from);
             resetElectionTimer();
@@ -335,9 +338,9 @@
         if (request.term() != state.term() || leadership.isPresent() || !state.isVoter()) {
             return;
         }
-        resetElectionTimer();
         leader = Optional.empty();
         election = Optional.of(Election.voteAfterHandover(state));
+        resetElectionTimer();
         countVotes();
     }
 
@@ -346,8 +349,9 @@
             return;
         }
         if (election.get().isPreVote()) {
-            resetElectionTimer();
             election = Optional.of(Election.vote(state));
+            // Begins after the vote of this replica is written, so that the others have the whole time for theirs.
+            resetElectionTimer();
             countVotes();
             return;
         }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaState.java
@@ -24,6 +24,7 @@
     private final ReplicaEnvironment environment;
     private final ConsensusSettings settings;
     private final ReplicaLog log;
+    private final VoteDurations voteDurations = new VoteDurations();
     private final LeaderChanges leaderChanges = new LeaderChanges();
     private final long startNanos;
     private Vote vote;
@@ -89,19 +90,28 @@
     }
 
     /**
-     * Returns the maximum election timeout in nanoseconds, extended after frequent leader changes. A leader without
-     * contact with a majority for this long steps down.
+     * Returns the maximum election timeout in nanoseconds, extended after frequent leader changes and on a slow disk. A
+     * leader without contact with a majority for this long steps down.
      */
     long scaledMaximumElectionTimeout() {
-        return leaderChanges.timeoutFactor(now())
+        long scaled = leaderChanges.timeoutFactor(now())
                 * settings.maximumElectionTimeout().toNanos();
+        // Twice the extension of the minimum: candidates need a range of times in which one can win undisturbed.
+        return scaled + 2 * slowDiskExtension();
     }
 
-    /** Returns a random election timeout in nanoseconds; the randomness avoids simultaneous candidates. */
+    /**
+     * Returns a random election timeout in nanoseconds; the randomness avoids simultaneous candidates. On a slow disk
+     * it is extended by the time that the writes of an election take.
+     */
     long electionTimeout() {
         long factor = leaderChanges.timeoutFactor(now());
         long minimum = factor * settings.minimumElectionTimeout().toNanos();
-        return environment.random().nextLong(minimum, scaledMaximumElectionTimeout() + 1);
+        return environment.random().nextLong(minimum + slowDiskExtension(), scaledMaximumElectionTimeout() + 1);
+    }
+
+    private long slowDiskExtension() {
+        return voteDurations.extension(settings.minimumElectionTimeout().toNanos());
     }
 
     Vote vote() {
@@ -198,7 +208,9 @@
     }
 
     private void saveVote(Vote saved) {
+        long begin = now();
         store.saveVote(saved);
         vote = saved;
+        voteDurations.record(now() - begin);
     }
 }
