Fail messages that end early

Callers saw a 200 or 204 with an empty body, framed as whole, when a target stopped inside the head of its response and closed the connection: from the line "Content-Length: 0" on, from the status line of a 204 on, and from the "0" of the last chunk of a chunked body on. Orders, reports and responses of relays were read the same way, and a request whose chunked body ended inside its last line was run.

Cause: the HTTP library takes the end of the connection as the end of a line, of a head and of a chunked body.

MessageEnd hides the end of the connection from the parser and the decoder of the library and fails the exchange if their input ends before the message does. It serves the connections to targets, relays and instances, and those of callers. A cut head is now a lost connection; half a status line was an invalid response before.

EarlyEndTest sends every proper prefix of 18 responses, closed and reset, of a response byte by byte, through the gateway, through a relay, to an order client, and of three requests.

--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerDuplexer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerDuplexer.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.util.List;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
@@ -42,7 +43,7 @@
                 config,
                 null,
                 null,
-                new StrictRequestParser(settings.maximumHeadBytes(), connection),
+                MessageEnd.wholeHeads(new StrictRequestParser(settings.maximumHeadBytes(), connection)),
                 DefaultHttpResponseWriterFactory.INSTANCE.create(),
                 null,
                 null,
@@ -55,7 +56,9 @@
     protected ContentDecoder createContentDecoder(
             long length, ReadableByteChannel channel, SessionInputBuffer buffer, BasicHttpTransportMetrics metrics)
             throws HttpException {
-        ContentDecoder decoder = super.createContentDecoder(length, channel, buffer, metrics);
+        ContentDecoder decoder = length == ContentLengthStrategy.CHUNKED
+                ? MessageEnd.wholeChunks(channel, body -> super.createContentDecoder(length, body, buffer, metrics))
+                : super.createContentDecoder(length, channel, buffer, metrics);
         return decoder == null ? null : new TolerantDecoder(decoder, connection);
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
@@ -5,6 +5,7 @@
 import java.nio.channels.ReadableByteChannel;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.MessageConstraintException;
@@ -46,7 +47,8 @@
                 config,
                 null,
                 DefaultConnectionReuseStrategy.INSTANCE,
-                new CountingParser(new DefaultHttpResponseParserFactory(config).create(), exchange),
+                new CountingParser(
+                        MessageEnd.wholeHeads(new DefaultHttpResponseParserFactory(config).create()), exchange),
                 DefaultHttpRequestWriterFactory.INSTANCE.create(),
                 DefaultContentLengthStrategy.INSTANCE,
                 DefaultContentLengthStrategy.INSTANCE,
@@ -58,7 +60,10 @@
     protected ContentDecoder createContentDecoder(
             long length, ReadableByteChannel channel, SessionInputBuffer buffer, BasicHttpTransportMetrics metrics)
             throws HttpException {
-        return super.createContentDecoder(length, new WindowChannel(channel, exchange), buffer, metrics);
+        WindowChannel window = new WindowChannel(channel, exchange);
+        return length == ContentLengthStrategy.CHUNKED
+                ? MessageEnd.wholeChunks(window, body -> super.createContentDecoder(length, body, buffer, metrics))
+                : super.createContentDecoder(length, window, buffer, metrics);
     }
 
     private static void count(Supplier<Optional<TargetExchange>> exchange, int bytes)
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/RawHttp.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/RawHttp.java
@@ -52,6 +52,11 @@
         output.flush();
     }
 
+    /** Ends the sending side of the connection; responses can still be read. */
+    void endOutput() throws IOException {
+        socket.shutdownOutput();
+    }
+
     /** Reads a response head; returns an empty string at the end of the connection. */
     String readHead() throws IOException {
         return readHead(input);
