Accept only bytes after the request as the response of a target

Cause: a connection was given back to the pool while its buffer could still hold bytes; the parser kept part of a head between two requests; an answer with the id of another request left its connection in the pool, over a relay for good; cancelling a complete exchange closed a connection that may carry another request; requests, reports and orders shared connections.

Conclusion: the transport no longer mixes answers up to the moment at which the request is written.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayMessages.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayMessages.java
@@ -46,7 +46,7 @@
      * What a relay is requested to do.
      *
      * @param sender instance that handles the request of the caller
-     * @param requestId id of the caller's request, for the log
+     * @param requestId id of the caller's request; empty if the sender does not state it
      * @param checkOnly whether only a connection is to be opened
      */
     record Instruction(
@@ -105,14 +105,14 @@
     }
 
     /** Returns the request that a relay sends to the target. */
-    static Request toTarget(RequestHead head, byte[] body) {
+    static Request toTarget(RequestHead head, byte[] body, String requestId) {
         String query = head.query().map(text -> "?" + text).orElse("");
         List<HeaderField> headers = select(
                 head.headers(),
                 name -> !name.startsWith(PREFIX)
                         && !CONNECTION_FIELDS.contains(name)
                         && !name.equals(ResponseHead.CONTENT_LENGTH));
-        return new Request(head.method(), head.path() + query, headers, body);
+        return new Request(head.method(), head.path() + query, headers, body, requestId);
     }
 
     /** Returns the head that a relay sends for the head of a target's response. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayService.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/RelayService.java
@@ -83,7 +83,7 @@
         RelayedExchange exchange = new RelayedExchange(instruction.get(), stream, exchanges::decrementAndGet);
         exchange.attach(direct.open(
                 target.get(),
-                RelayMessages.toTarget(head, body),
+                RelayMessages.toTarget(head, body, instruction.get().requestId()),
                 instruction.get().freshConnection(),
                 exchange));
         return exchange;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/target/TargetConnector.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/target/TargetConnector.java
@@ -1,6 +1,7 @@
 package org.basilrill.protocol.target;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.basilrill.api.InstanceId;
 import org.basilrill.protocol.caller.HeaderField;
@@ -33,7 +34,7 @@
      * A request as a target receives it. The body must not be modified.
      *
      * @param pathAndQuery absolute path with the query
-     * @param requestId id of the caller's request, for logs; empty if no caller's request is sent
+     * @param requestId id of the caller's request; empty if no caller's request is sent
      */
     record Request(String method, String pathAndQuery, List<HeaderField> headers, byte[] body, String requestId) {
         public Request {
@@ -44,6 +45,16 @@
         public Request(String method, String pathAndQuery, List<HeaderField> headers, byte[] body) {
             this(method, pathAndQuery, headers, body, "");
         }
+
+        /** Returns the name of the field that carries the id, which a target may echo. */
+        public Optional<String> idField() {
+            return requestId.isEmpty()
+                    ? Optional.empty()
+                    : headers.stream()
+                            .filter(field -> field.value().equals(requestId))
+                            .map(HeaderField::name)
+                            .findFirst();
+        }
     }
 
     /** One exchange with a target. Thread safe. */
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/HttpEngineClient.java
@@ -57,24 +57,26 @@
 
     @Override
     public CompletableFuture<Optional<EngineReport>> report(TargetAnnouncement engine) {
-        return exchange(engine, dialect.reportRequest(engine)).handle((response, failure) -> {
-            if (failure != null) {
-                logNoResponse(engine, failure);
-                return Optional.empty();
-            }
-            return readReport(engine, response);
-        });
+        return exchange(engine, ConnectionPurpose.REPORTS, dialect.reportRequest(engine))
+                .handle((response, failure) -> {
+                    if (failure != null) {
+                        logNoResponse(engine, failure);
+                        return Optional.empty();
+                    }
+                    return readReport(engine, response);
+                });
     }
 
     @Override
     public CompletableFuture<Response> order(TargetAnnouncement engine, EngineOrder order) {
-        return exchange(engine, dialect.orderRequest(engine, order, holder)).handle((response, failure) -> {
-            if (failure != null) {
-                logNoResponse(engine, failure);
-                return Response.UNKNOWN;
-            }
-            return dialect.readOrderResponse(response);
-        });
+        return exchange(engine, ConnectionPurpose.ORDERS, dialect.orderRequest(engine, order, holder))
+                .handle((response, failure) -> {
+                    if (failure != null) {
+                        logNoResponse(engine, failure);
+                        return Response.UNKNOWN;
+                    }
+                    return dialect.readOrderResponse(response);
+                });
     }
 
     /** Reads a report; one that cannot be read is missing, so that it is requested again. */
@@ -92,12 +94,13 @@
                 "%s: %s, %s", LogEvent.ENGINE_UNANSWERED, engine.id(), failure.getMessage());
     }
 
-    private CompletableFuture<PlainResponse> exchange(TargetAnnouncement engine, EngineRequest engineRequest) {
+    private CompletableFuture<PlainResponse> exchange(
+            TargetAnnouncement engine, ConnectionPurpose purpose, EngineRequest engineRequest) {
         TargetConnector.Request request = new TargetConnector.Request(
                 engineRequest.method(), engineRequest.path(), engineRequest.headers(), engineRequest.body());
         HttpHost host = new HttpHost("http", engine.host(), engine.port());
         CompletableFuture<PlainResponse> response =
-                ResponseCollector.sendOnReusedConnection(client, scheduler, host, request, timeout);
+                ResponseCollector.sendOnReusedConnection(client, scheduler, host, purpose, request, timeout);
         return response.thenApply(received -> {
             responseObserver.accept(engine, new ResponseHead(received.status(), received.headers()));
             return received;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/ResponseCollector.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/ResponseCollector.java
@@ -44,7 +44,8 @@
             HttpHost host,
             TargetConnector.Request request,
             Duration timeout) {
-        return new ResponseCollector(MAXIMUM_RESPONSE_BYTES).send(client, scheduler, host, request, timeout, true);
+        return new ResponseCollector(MAXIMUM_RESPONSE_BYTES)
+                .send(client, scheduler, host, request, timeout, ConnectionPurpose.SINGLE);
     }
 
     /** Sends an order to a target on a new connection; see {@link #sendOnNewConnection}. */
@@ -55,21 +56,22 @@
             TargetConnector.Request request,
             Duration timeout) {
         return new ResponseCollector(MAXIMUM_TARGET_RESPONSE_BYTES)
-                .send(client, scheduler, host, request, timeout, true);
+                .send(client, scheduler, host, request, timeout, ConnectionPurpose.SINGLE);
     }
 
     /**
-     * Sends a request that may be lost and has a short response, on an idle connection if there is one; see
-     * {@link #sendOnNewConnection}.
+     * Sends a request that may be lost and has a short response, on an idle connection of the purpose if there is one;
+     * see {@link #sendOnNewConnection}.
      */
     static CompletableFuture<PlainResponse> sendOnReusedConnection(
             TargetHttpClient client,
             Scheduler scheduler,
             HttpHost host,
+            ConnectionPurpose purpose,
             TargetConnector.Request request,
             Duration timeout) {
         return new ResponseCollector(MAXIMUM_TARGET_RESPONSE_BYTES)
-                .send(client, scheduler, host, request, timeout, false);
+                .send(client, scheduler, host, request, timeout, purpose);
     }
 
     private CompletableFuture<PlainResponse> send(
@@ -78,8 +80,8 @@
             HttpHost host,
             TargetConnector.Request request,
             Duration timeout,
-            boolean freshConnection) {
-        call = client.open(host, request, freshConnection, this);
+            ConnectionPurpose purpose) {
+        call = client.open(host, purpose, request, this);
         Scheduler.Cancellable timer = scheduler.schedule(timeout, this::timedOut);
         response.whenComplete((value, failure) -> {
             timer.cancel();
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
@@ -46,7 +46,7 @@
                 config,
                 null,
                 DefaultConnectionReuseStrategy.INSTANCE,
-                new CountingParser(new DefaultHttpResponseParserFactory(config).create(), exchange),
+                new CountingParser(session, new DefaultHttpResponseParserFactory(config).create(), exchange),
                 DefaultHttpRequestWriterFactory.INSTANCE.create(),
                 DefaultContentLengthStrategy.INSTANCE,
                 DefaultContentLengthStrategy.INSTANCE,
@@ -69,8 +69,15 @@
         }
     }
 
-    /** Counts the bytes of heads. */
-    private record CountingParser(NHttpMessageParser<HttpResponse> parser, Supplier<Optional<TargetExchange>> exchange)
+    /**
+     * Counts the bytes of heads and closes the connection after the first byte that belongs to no request. Without
+     * this, part of a head that arrived between two requests stayed in the buffer, and its rest completed a response
+     * to the next request.
+     */
+    private record CountingParser(
+            ProtocolIOSession session,
+            NHttpMessageParser<HttpResponse> parser,
+            Supplier<Optional<TargetExchange>> exchange)
             implements NHttpMessageParser<HttpResponse> {
         @Override
         public void reset() {
@@ -80,6 +87,9 @@
         @Override
         public HttpResponse parse(SessionInputBuffer buffer, boolean endOfStream) throws IOException, HttpException {
             int before = buffer.length();
+            if (before > 0 && !exchange.get().map(TargetExchange::hasBegun).orElse(false)) {
+                throw StrayBytes.receivedOn(session);
+            }
             HttpResponse response = parser.parse(buffer, endOfStream);
             count(exchange, before - buffer.length());
             return response;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ConnectionClosedException;
@@ -37,6 +36,10 @@
  * One request to a target on one connection. Delivers the response to the listener as it arrives, and at most one final
  * event. Thread safe: the callbacks of the connection run on its thread; the window may be extended and the exchange
  * cancelled by any thread.
+ *
+ * <p>Only bytes that were received after the request began to be written are its response. The exchange owns its
+ * connection until its final event and does not touch the connection afterwards. A connection that is found closed or
+ * unclean before anything was sent is replaced by a new one.
  */
 final class TargetExchange implements AsyncClientExchangeHandler, TargetConnector.Call {
     private static final String TRANSFER_ENCODING = "transfer-encoding";
@@ -52,8 +55,7 @@
     private final TargetConnector.Request request;
     private final TargetConnector.Listener listener;
     private final ResponseMemory memory;
-    private final ReusableConnectionConsumer reusableConnections;
-    private final Consumer<IOSession> exchangeEnded;
+    private final ConnectionOwner owner;
     /** Bytes of the response that may still be read; negative once more than that was delivered from the buffer. */
     private final AtomicLong window;
 
@@ -61,8 +63,14 @@
     private final AtomicBoolean finished = new AtomicBoolean();
     private final Object lock = new Object();
     private IOSession session;
+    private ConnectionHistory history;
     private Optional<ResponseMemory.Holder> held = Optional.empty();
     private boolean reused;
+    private boolean cancelled;
+    /** The same request on another connection, if this connection was found unusable. */
+    private Optional<TargetConnector.Call> replacement = Optional.empty();
+
+    private volatile boolean begun;
     private CapacityChannel capacityChannel;
     private int windowExtension;
     private boolean requestSent;
@@ -75,8 +83,7 @@
      *
      * @param windowBytes initial size of the window
      * @param memory counts the bytes of the response
-     * @param reusableConnections receives the connection if it can be used again
-     * @param exchangeEnded receives the connection when the exchange ends on it
+     * @param owner receives the connection at the end of the exchange
      */
     TargetExchange(
             HttpHost host,
@@ -84,23 +91,22 @@
             TargetConnector.Listener listener,
             int windowBytes,
             ResponseMemory memory,
-            ReusableConnectionConsumer reusableConnections,
-            Consumer<IOSession> exchangeEnded) {
+            ConnectionOwner owner) {
         this.host = host;
         this.request = request;
         this.listener = listener;
         this.memory = memory;
-        this.reusableConnections = reusableConnections;
-        this.exchangeEnded = exchangeEnded;
+        this.owner = owner;
         window = new AtomicLong(windowBytes);
         body = ByteBuffer.wrap(request.body());
     }
 
     /** Attaches the exchange to its connection; returns false if it was cancelled before. */
-    boolean attach(IOSession connection, boolean usedBefore) {
+    boolean attach(IOSession connection, ConnectionHistory connectionHistory) {
         synchronized (lock) {
             session = connection;
-            reused = usedBefore;
+            history = connectionHistory;
+            reused = connectionHistory.isUsed();
             if (finished.get()) {
                 return false;
             }
@@ -127,6 +133,11 @@
         }
     }
 
+    /** Returns whether the request began to be written, so that bytes of the target may belong to its response. */
+    boolean hasBegun() {
+        return begun;
+    }
+
     /** Returns whether more of the response may be read from the connection. */
     boolean isWindowOpen() {
         return window.get() > 0;
@@ -134,6 +145,14 @@
 
     @Override
     public void extendWindow(int bytes) {
+        Optional<TargetConnector.Call> other;
+        synchronized (lock) {
+            other = replacement;
+        }
+        if (other.isPresent()) {
+            other.get().extendWindow(bytes);
+            return;
+        }
         window.addAndGet(bytes);
         held().ifPresent(holder -> holder.consumed(bytes));
         synchronized (lock) {
@@ -144,20 +163,27 @@
 
     @Override
     public void cancel() {
-        IOSession connection;
+        Optional<IOSession> owned;
+        Optional<TargetConnector.Call> other;
         synchronized (lock) {
-            finished.set(true);
-            connection = session;
+            cancelled = true;
+            other = replacement;
+            // After the final event the connection may carry another request.
+            owned = finished.compareAndSet(false, true) ? Optional.ofNullable(session) : Optional.empty();
             held.ifPresent(ResponseMemory.Holder::close);
         }
-        if (connection != null) {
-            exchangeEnded.accept(connection);
+        other.ifPresent(TargetConnector.Call::cancel);
+        owned.ifPresent(connection -> {
+            owner.ended(this, connection);
             connection.close(CloseMode.IMMEDIATE);
-        }
+        });
     }
 
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context) throws HttpException, IOException {
+        requireCleanConnection();
+        begun = true;
+        history.requestBegins(request);
         if (finished.get() || !listener.maySend()) {
             throw new ConnectionClosedException("the request was cancelled before it was sent");
         }
@@ -206,7 +232,8 @@
         }
         ResponseHead head = new ResponseHead(response.getCode(), headers);
         keepAlive = head.header(CONNECTION).filter(CLOSE::equalsIgnoreCase).isEmpty()
-                && response.getVersion().greaterEquals(HttpVersion.HTTP_1_1);
+                && response.getVersion().greaterEquals(HttpVersion.HTTP_1_1)
+                && history.isResponseTo(request, head);
         keepAliveTimeout = head.header(KEEP_ALIVE).flatMap(TargetExchange::keepAliveTimeout);
         held().ifPresent(ResponseMemory.Holder::retain);
         if (!finished.get()) {
@@ -245,7 +272,11 @@
     public void failed(Exception cause) {
         if (finished.compareAndSet(false, true)) {
             held().ifPresent(ResponseMemory.Holder::close);
-            exchangeEnded.accept(session);
+            owner.ended(this, session);
+            if (reused && !begun) {
+                replaceConnection();
+                return;
+            }
             boolean invalid = cause instanceof HttpException && !(cause instanceof ConnectionClosedException);
             report(
                     invalid ? TargetConnector.FailureKind.INVALID_ANSWER : TargetConnector.FailureKind.CONNECTION_LOST,
@@ -258,14 +289,38 @@
         failed(new ConnectionClosedException("the connection was closed"));
     }
 
+    /** Fails if the connection was closed or has delivered bytes since it was last used. */
+    private void requireCleanConnection() throws IOException {
+        int bytes = session.read(ByteBuffer.allocate(1));
+        if (bytes < 0) {
+            throw new ConnectionClosedException("the target closed the connection before the request was sent");
+        }
+        if (bytes > 0) {
+            throw StrayBytes.receivedOn(session);
+        }
+    }
+
+    /** Sends the request on a new connection, as nothing was sent on this one. */
+    private void replaceConnection() {
+        TargetConnector.Call other = owner.replace(request, listener);
+        boolean cancel;
+        synchronized (lock) {
+            replacement = Optional.of(other);
+            cancel = cancelled;
+        }
+        if (cancel) {
+            other.cancel();
+        }
+    }
+
     private void complete() {
         if (!finished.compareAndSet(false, true)) {
             return;
         }
         held().ifPresent(ResponseMemory.Holder::close);
-        exchangeEnded.accept(session);
+        owner.ended(this, session);
         if (keepAlive && requestSent) {
-            reusableConnections.accept(host, session, keepAliveTimeout);
+            owner.keep(session, history, keepAliveTimeout);
         } else {
             session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
         }
@@ -283,7 +338,7 @@
         if (!finished.compareAndSet(false, true)) {
             return;
         }
-        exchangeEnded.accept(session);
+        owner.ended(this, session);
         session.close(CloseMode.IMMEDIATE);
         report(
                 TargetConnector.FailureKind.INVALID_ANSWER,
@@ -295,17 +350,6 @@
         return matcher.find() ? Optional.of(Duration.ofSeconds(Long.parseLong(matcher.group(1)))) : Optional.empty();
     }
 
-    /** Receives connections that can be used again. */
-    @FunctionalInterface
-    interface ReusableConnectionConsumer {
-        /**
-         * Receives a connection after the end of its exchange.
-         *
-         * @param targetKeepAlive time for which the target keeps the connection open, if it states one
-         */
-        void accept(HttpHost host, IOSession session, Optional<Duration> targetKeepAlive);
-    }
-
     private void applyWindowExtension() {
         CapacityChannel channel;
         int bytes;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -32,8 +33,20 @@
 import org.basilrill.state.target.TargetAnnouncement;
 
 /**
- * HTTP/1.1 client for requests to targets, with one request at a time on each connection. A connection whose exchange
- * did not end cleanly is closed; an idle connection is reused only within a few seconds. Thread safe.
+ * HTTP/1.1 client for requests to targets, with one request at a time on each connection. An idle connection is reused
+ * only within a few seconds. Thread safe.
+ *
+ * <p>A target may answer a request twice, the second time late. Four rules keep such an answer from other requests:
+ *
+ * <ul>
+ *   <li>A connection is closed after the first byte that belongs to no request in flight, and when its exchange did not
+ *       end cleanly or had the response to another request.
+ *   <li>A response consists of bytes that were received after its request began to be written, on a connection that was
+ *       clean immediately before.
+ *   <li>No request goes over a connection that has carried its id, as a retry has the id of the first attempt; and each
+ *       connection serves one {@link ConnectionPurpose}.
+ *   <li>A response without an id is invalid on a connection whose target has echoed one.
+ * </ul>
  */
 public final class TargetHttpClient implements TargetConnector, RelayClient, AutoCloseable {
     private static final int BUFFER_BYTES = 8 * 1024;
@@ -52,7 +65,7 @@
     private final MonotonicClock clock;
     private final Scheduler scheduler;
     private final AsyncRequester requester;
-    private final Map<HttpHost, Deque<IdleConnection>> idleConnections = new ConcurrentHashMap<>();
+    private final Map<Pool, Deque<IdleConnection>> idleConnections = new ConcurrentHashMap<>();
     /** Exchanges by the identifiers of their connections. */
     private final Map<String, TargetExchange> exchanges = new ConcurrentHashMap<>();
 
@@ -103,7 +116,7 @@
     @Override
     public Call open(TargetAnnouncement target, Request request, boolean freshConnection, Listener listener) {
         HttpHost host = new HttpHost("http", target.host(), target.port());
-        return open(host, request, freshConnection, listener);
+        return open(new Pool(host, ConnectionPurpose.REQUESTS), request, freshConnection, listener);
     }
 
     @Override
@@ -135,12 +148,19 @@
         int separator = relayAddress.lastIndexOf(':');
         HttpHost host = new HttpHost(
                 "http", relayAddress.substring(0, separator), Integer.parseInt(relayAddress.substring(separator + 1)));
-        return open(host, request, freshConnection, listener);
+        return open(new Pool(host, ConnectionPurpose.RELAY), request, freshConnection, listener);
     }
 
     @Override
     public void discardIdleConnections(TargetAnnouncement target) {
-        Deque<IdleConnection> connections = idleConnections.get(new HttpHost("http", target.host(), target.port()));
+        HttpHost host = new HttpHost("http", target.host(), target.port());
+        for (ConnectionPurpose purpose : ConnectionPurpose.values()) {
+            discardIdleConnections(new Pool(host, purpose));
+        }
+    }
+
+    private void discardIdleConnections(Pool pool) {
+        Deque<IdleConnection> connections = idleConnections.get(pool);
         if (connections == null) {
             return;
         }
@@ -151,26 +171,23 @@
     }
 
     /** Sends a request to an address, which need not be that of an announced target. */
-    Call open(HttpHost host, Request request, boolean freshConnection, Listener listener) {
-        TargetExchange exchange = new TargetExchange(
-                host,
-                request,
-                listener,
-                settings.windowBytes(),
-                memory,
-                this::keepForReuse,
-                session -> exchanges.remove(session.getId()));
-        if (!freshConnection) {
-            IOSession session = takeIdleConnection(host);
-            if (session != null) {
-                execute(exchange, session, true);
-                return exchange;
-            }
+    Call open(HttpHost host, ConnectionPurpose purpose, Request request, Listener listener) {
+        return open(new Pool(host, purpose), request, !purpose.isReused(), listener);
+    }
+
+    private Call open(Pool pool, Request request, boolean freshConnection, Listener listener) {
+        TargetExchange exchange =
+                new TargetExchange(pool.host(), request, listener, settings.windowBytes(), memory, new Owner(pool));
+        Optional<IdleConnection> idle = freshConnection ? Optional.empty() : takeIdleConnection(pool, request);
+        if (idle.isPresent()) {
+            execute(exchange, idle.get().session(), idle.get().history());
+            return exchange;
         }
-        requester.requestSession(host, Timeout.of(settings.connectTimeout()), null, new FutureCallback<IOSession>() {
+        Timeout timeout = Timeout.of(settings.connectTimeout());
+        requester.requestSession(pool.host(), timeout, null, new FutureCallback<IOSession>() {
             @Override
             public void completed(IOSession session) {
-                execute(exchange, session, false);
+                execute(exchange, session, new ConnectionHistory(pool.purpose()));
             }
 
             @Override
@@ -208,9 +225,10 @@
         requester.close(CloseMode.IMMEDIATE);
     }
 
-    private void execute(TargetExchange exchange, IOSession session, boolean reused) {
+    private void execute(TargetExchange exchange, IOSession session, ConnectionHistory history) {
         exchanges.put(session.getId(), exchange);
-        if (!exchange.attach(session, reused)) {
+        if (!exchange.attach(session, history)) {
+            exchanges.remove(session.getId(), exchange);
             session.close(CloseMode.IMMEDIATE);
             return;
         }
@@ -219,31 +237,42 @@
         session.enqueue(new RequestExecutionCommand(exchange, HttpCoreContext.create()), Command.Priority.NORMAL);
     }
 
-    private IOSession takeIdleConnection(HttpHost host) {
-        Deque<IdleConnection> connections = idleConnections.get(host);
+    private Optional<IdleConnection> takeIdleConnection(Pool pool, Request request) {
+        Deque<IdleConnection> connections = idleConnections.get(pool);
         if (connections == null) {
-            return null;
+            return Optional.empty();
         }
         synchronized (connections) {
-            while (!connections.isEmpty()) {
-                IdleConnection candidate = connections.pop();
-                boolean unexpired = clock.nanos() - candidate.expiryNanos() < 0;
-                if (unexpired && candidate.session().getStatus() == IOSession.Status.ACTIVE) {
-                    return candidate.session();
+            Iterator<IdleConnection> candidates = connections.iterator();
+            while (candidates.hasNext()) {
+                IdleConnection candidate = candidates.next();
+                boolean usable = isUsable(candidate);
+                if (usable && candidate.history().hasCarried(request)) {
+                    continue;
+                }
+                candidates.remove();
+                if (usable) {
+                    return Optional.of(candidate);
                 }
                 candidate.session().enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
             }
         }
-        return null;
+        return Optional.empty();
+    }
+
+    private boolean isUsable(IdleConnection connection) {
+        return clock.nanos() - connection.expiryNanos() < 0
+                && connection.session().getStatus() == IOSession.Status.ACTIVE;
     }
 
     /** Keeps a connection for its next request, for less time than the target keeps it open. */
-    private void keepForReuse(HttpHost host, IOSession session, Optional<Duration> targetKeepAlive) {
+    private void keepForReuse(
+            Pool pool, IOSession session, ConnectionHistory history, Optional<Duration> targetKeepAlive) {
         Duration reuseTime = targetKeepAlive
                 .map(keepAlive -> keepAlive.minus(REUSE_MARGIN))
                 .filter(keepAlive -> keepAlive.compareTo(settings.maximumIdleTime()) < 0)
                 .orElse(settings.maximumIdleTime());
-        if (reuseTime.isNegative() || reuseTime.isZero()) {
+        if (!pool.purpose().isReused() || reuseTime.isNegative() || reuseTime.isZero()) {
             session.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
             return;
         }
@@ -251,8 +280,8 @@
             session.close(CloseMode.IMMEDIATE);
             return;
         }
-        IdleConnection entry = new IdleConnection(session, clock.nanos() + reuseTime.toNanos());
-        Deque<IdleConnection> connections = idleConnections.computeIfAbsent(host, unused -> new ArrayDeque<>());
+        IdleConnection entry = new IdleConnection(session, history, clock.nanos() + reuseTime.toNanos());
+        Deque<IdleConnection> connections = idleConnections.computeIfAbsent(pool, unused -> new ArrayDeque<>());
         synchronized (connections) {
             connections.push(entry);
         }
@@ -270,5 +299,32 @@
     }
 
     /** A connection that can be reused until it expires. */
-    private record IdleConnection(IOSession session, long expiryNanos) {}
+    private record IdleConnection(IOSession session, ConnectionHistory history, long expiryNanos) {}
+
+    /** The idle connections to one address for one purpose. */
+    private record Pool(HttpHost host, ConnectionPurpose purpose) {}
+
+    /** Receives the connections of the exchanges of one pool. */
+    private final class Owner implements ConnectionOwner {
+        private final Pool pool;
+
+        Owner(Pool pool) {
+            this.pool = pool;
+        }
+
+        @Override
+        public void ended(TargetExchange exchange, IOSession session) {
+            exchanges.remove(session.getId(), exchange);
+        }
+
+        @Override
+        public void keep(IOSession session, ConnectionHistory history, Optional<Duration> targetKeepAlive) {
+            keepForReuse(pool, session, history, targetKeepAlive);
+        }
+
+        @Override
+        public Call replace(Request request, Listener listener) {
+            return open(pool, request, true, listener);
+        }
+    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/EndlessResponseTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/EndlessResponseTest.java
@@ -139,7 +139,7 @@
             HttpHost host = new HttpHost("http", "127.0.0.1", target.port());
             for (int call = 0; call < CONCURRENT_REQUESTS; call++) {
                 TargetConnector.Request request = new TargetConnector.Request("GET", "/", List.of(), new byte[0]);
-                fixture.client().open(host, request, true, listener(failures));
+                fixture.client().open(host, ConnectionPurpose.SINGLE, request, listener(failures));
             }
             long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
             while (failures.size() < CONCURRENT_REQUESTS - 2 * MEMORY_BYTES / STALLED_BYTES) {
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/RelayFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/RelayFixture.java
@@ -112,7 +112,7 @@
     }
 
     /** Records the response to a request. Thread safe. */
-    static final class Response implements TargetConnector.Listener {
+    static class Response implements TargetConnector.Listener {
         private final CompletableFuture<TargetConnector.Call> call = new CompletableFuture<>();
         private final CountDownLatch ended = new CountDownLatch(1);
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
