--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
@@ -48,7 +48,9 @@
                 null,
                 DefaultConnectionReuseStrategy.INSTANCE,
                 new CountingParser(
-                        MessageEnd.wholeHeads(new DefaultHttpResponseParserFactory(config).create()), exchange),
+                        session,
+                        MessageEnd.wholeHeads(new DefaultHttpResponseParserFactory(config).create()),
+                        exchange),
                 DefaultHttpRequestWriterFactory.INSTANCE.create(),
                 DefaultContentLengthStrategy.INSTANCE,
                 DefaultContentLengthStrategy.INSTANCE,
@@ -74,8 +76,15 @@
         }
     }
 
-    /** Counts the bytes of heads. */
-    private record CountingParser(NHttpMessageParser<HttpResponse> parser, Supplier<Optional<TargetExchange>> exchange)
+    /**
+     * Counts the bytes of heads and closes the connection after the first byte that belongs to no request. Without
+     * this, part of a head that arrived between two requests stayed in the buffer, and its rest completed a response
+     * to the next request.
+     */
+    private record CountingParser(
+            ProtocolIOSession session,
+            NHttpMessageParser<HttpResponse> parser,
+            Supplier<Optional<TargetExchange>> exchange)
             implements NHttpMessageParser<HttpResponse> {
         @Override
         public void reset() {
@@ -85,6 +94,9 @@
         @Override
         public HttpResponse parse(SessionInputBuffer buffer, boolean endOfStream) throws IOException, HttpException {
             int before = buffer.length();
+            if (before > 0 && !exchange.get().map(TargetExchange::hasBegun).orElse(false)) {
+                throw StrayBytes.receivedOn(session);
+            }
             HttpResponse response = parser.parse(buffer, endOfStream);
             count(exchange, before - buffer.length());
             return response;
