Tell all instances which targets refused a connection

Cause: the sign of a restart (event 425) stayed at the instances that had a connection there.

Change: the targets that refused a connection are a fact of the instance that saw it, sent to every member at once and repeated by gossip. Receivers treat the announced version as unconfirmed like the sender. An exchange that began to receive bytes two seconds before the suspicion and goes on disproves it, so that a cut between one instance and a target costs the others little. Events 430 and 431.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -82,6 +82,8 @@
     RELAYED_EXCHANGE_FAILED(423, "exchange carried for another instance failed"),
     LEADER_CUT_FROM_TARGETS(424, "leader of the control log does not reach the targets and hands the leadership over"),
     TARGET_VERSION_UNCONFIRMED(425, "target refused a connection and may start again with other software"),
+    TARGET_RESTART_REPORTED(430, "another instance reported that a target refused a connection"),
+    TARGET_RESTART_DISPROVED(431, "target that refused a connection has not started again"),
     PLACEMENT_STARTED(450, "replica controls the placement"),
     PLACEMENT_STOPPED(451, "replica no longer controls the placement"),
     TARGET_ORDER_INTENDED(452, "target order committed"),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/Fact.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/Fact.java
@@ -1,8 +1,10 @@
 package org.basilrill.coordination.membership;
 
+import java.util.List;
 import java.util.Optional;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.TargetId;
+import org.basilrill.state.target.RestartSuspicion;
 import org.basilrill.state.target.TargetAnnouncement;
 
 /** A small fact that one instance, its owner, disseminates to all others. Immutable and thread safe. */
@@ -100,6 +102,21 @@
         }
     }
 
+    /**
+     * The targets that refused a connection of the owner of the fact lately. Later facts replace earlier ones, so each
+     * lists all that are still valid.
+     */
+    record RestartSuspicionsFact(List<RestartSuspicion> suspicions) implements Fact {
+        public RestartSuspicionsFact {
+            suspicions = List.copyOf(suspicions);
+        }
+
+        @Override
+        public String key() {
+            return "restart-suspicions";
+        }
+    }
+
     private static String targetKey(TargetId target) {
         return "target/" + target;
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -59,7 +58,7 @@
      * @param ownCheck opens a connection from this instance
      * @param otherCheck requests that another instance opens a connection
      * @param cutListener called when all paths are presumed to be lost
-     * @param refusalListener receives targets that refuse a connection, unless all paths are presumed to be lost
+     * @param restartEvidence receives targets that refuse a connection, unless all paths are presumed to be lost
      * @param random chooses the target that an idle instance probes; used only under the lock of the paths
      */
     public record Environment(
@@ -68,7 +67,7 @@
             ConnectionCheck otherCheck,
             DirectExchanges exchanges,
             Runnable cutListener,
-            Consumer<TargetAnnouncement> refusalListener,
+            RestartEvidence restartEvidence,
             MonotonicClock clock,
             Scheduler scheduler,
             RandomGenerator random) {}
@@ -107,6 +106,16 @@
         pathTo(target).contact(now);
     }
 
+    /**
+     * Records that an exchange received further bytes over this instance's own path.
+     *
+     * @param receivingSinceNanos when the exchange received its first bytes
+     */
+    public void exchangeContinues(TargetAnnouncement target, long receivingSinceNanos) {
+        contact(target);
+        environment.restartEvidence().exchangeContinues(target, receivingSinceNanos);
+    }
+
     /** Records that a connection to a target ended during an exchange, which may be caused by either end or between. */
     public void connectionLost(TargetAnnouncement target) {
         probe(target);
@@ -132,7 +141,7 @@
             confirm = losses.isEmpty() && !path.needsSecondFailure(now);
         }
         if (refused) {
-            environment.refusalListener().accept(target);
+            environment.restartEvidence().connectionRefused(target);
         }
         if (confirm && !beginConfirmation(target)) {
             return;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InstancePaths.java
@@ -1,14 +1,13 @@
 package org.basilrill.protocol.instance;
 
-import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator.SplittableGenerator;
 import org.basilrill.api.InstanceId;
-import org.basilrill.api.LogEvent;
 import org.basilrill.coordination.membership.GossipMembership;
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.coordination.membership.RelayAccess;
+import org.basilrill.coordination.membership.RestartNews;
 import org.basilrill.coordination.path.CutLeaderHandover;
 import org.basilrill.coordination.routing.TargetRestrictions;
 import org.basilrill.protocol.caller.ResponseHead;
@@ -25,8 +24,6 @@
  * keeps what targets state about themselves, which binds all requests that leave this instance. Thread safe.
  */
 final class InstancePaths {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
     private final InstanceEnvironment environment;
     private final TargetRestrictions restrictions;
     private final TargetConnector direct;
@@ -47,6 +44,7 @@
         this.restrictions =
                 new TargetRestrictions(environment.self(), () -> idsOf(membership), targets, environment.clock());
         this.direct = new RestrictedConnector(environment.connector(), restrictions, this::noticesOf);
+        RestartNews restartNews = new RestartNews(membership, targets, environment.clock());
         this.access = environment
                 .relay()
                 .map(port -> new TargetAccess(new TargetAccess.Environment(
@@ -57,7 +55,7 @@
                         direct,
                         port,
                         cutListener,
-                        target -> suspectRestart(targets, target),
+                        restartNews,
                         this::observe,
                         environment.clock(),
                         environment.scheduler(),
@@ -66,18 +64,6 @@
         access.ifPresent(present -> handLeadershipOverWhenCut(present, membership));
     }
 
-    private static void suspectRestart(TargetRegistry targets, TargetAnnouncement target) {
-        boolean known = targets.target(target.id())
-                .filter(TargetAnnouncement::hasUnconfirmedVersion)
-                .isPresent();
-        targets.suspectRestart(target);
-        if (!known) {
-            LOGGER.atInfo().log(
-                    "%s: target %s, incarnation %d",
-                    LogEvent.TARGET_VERSION_UNCONFIRMED, target.id(), target.incarnation());
-        }
-    }
-
     void start() {
         access.ifPresent(TargetAccess::start);
     }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
@@ -1,5 +1,6 @@
 package org.basilrill.protocol.peer;
 
+import java.time.Duration;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
@@ -12,12 +13,14 @@
 import org.basilrill.api.TargetId;
 import org.basilrill.coordination.membership.Fact;
 import org.basilrill.coordination.membership.RelayAccess;
+import org.basilrill.state.target.RestartSuspicion;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.thrift.membership.BlockedRequestFact;
 import org.basilrill.thrift.membership.FactPayload;
 import org.basilrill.thrift.membership.InstanceFact;
 import org.basilrill.thrift.membership.InstanceLoadFact;
 import org.basilrill.thrift.membership.LoadedModelFact;
+import org.basilrill.thrift.membership.RestartSuspicionsFact;
 import org.basilrill.thrift.membership.TargetContentFact;
 import org.basilrill.thrift.membership.TargetFact;
 import org.basilrill.thrift.membership.TargetGoneFact;
@@ -30,6 +33,9 @@
 
     private static final int MAXIMUM_PORT = 65_535;
 
+    /** Bounds what a wrong message can do; longer than any announcement is valid. */
+    private static final Duration MAXIMUM_SUSPICION = Duration.ofMinutes(1);
+
     private FactCodec() {}
 
     static FactPayload encode(Fact fact) {
@@ -67,6 +73,12 @@
                     content.model().value(),
                     content.present()));
         }
+        if (fact instanceof Fact.RestartSuspicionsFact restarts) {
+            return FactPayload.restartSuspicions(new RestartSuspicionsFact()
+                    .setSuspicions(restarts.suspicions().stream()
+                            .map(FactCodec::encodeSuspicion)
+                            .toList()));
+        }
         Fact.TargetGoneFact gone = (Fact.TargetGoneFact) fact;
         return FactPayload.targetGone(new TargetGoneFact(gone.target().value()));
     }
@@ -110,9 +122,35 @@
         if (payload.isSetBlockedRequest()) {
             return new Fact.BlockedRequestFact(payload.getBlockedRequest().getFingerprint());
         }
+        if (payload.isSetRestartSuspicions()) {
+            return new Fact.RestartSuspicionsFact(decodeSuspicions(payload.getRestartSuspicions()));
+        }
         throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "fact of an unknown type");
     }
 
+    private static org.basilrill.thrift.membership.RestartSuspicion encodeSuspicion(RestartSuspicion suspicion) {
+        return new org.basilrill.thrift.membership.RestartSuspicion()
+                .setTarget(suspicion.target().value())
+                .setIncarnation(suspicion.incarnation())
+                .setValidMillis(suspicion.validity().toMillis());
+    }
+
+    private static List<RestartSuspicion> decodeSuspicions(RestartSuspicionsFact fact) {
+        if (!fact.isSetSuspicions()) {
+            return List.of();
+        }
+        return fact.getSuspicions().stream()
+                .filter(suspicion -> suspicion.isSetTarget() && suspicion.isSetIncarnation())
+                .map(FactCodec::decodeSuspicion)
+                .toList();
+    }
+
+    private static RestartSuspicion decodeSuspicion(org.basilrill.thrift.membership.RestartSuspicion suspicion) {
+        long validMillis = Math.max(0, Math.min(suspicion.getValidMillis(), MAXIMUM_SUSPICION.toMillis()));
+        return new RestartSuspicion(
+                new TargetId(suspicion.getTarget()), suspicion.getIncarnation(), Duration.ofMillis(validMillis));
+    }
+
     private static Optional<RelayAccess> relayOf(InstanceFact instance) {
         return instance.isSetRelayAddress() && instance.isSetRelayToken()
                 ? Optional.of(new RelayAccess(instance.getRelayAddress(), instance.getRelayToken()))
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/DirectExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/DirectExchange.java
@@ -25,6 +25,8 @@
     private final AtomicBoolean finished = new AtomicBoolean();
     private final long startNanos;
     private volatile long lastProgressNanos;
+    /** Time of the first bytes; written once by the connector, which reports one event at a time. */
+    private long receivingSinceNanos;
 
     DirectExchange(
             TargetAnnouncement target,
@@ -83,6 +85,7 @@
 
     @Override
     public void headReceived(ResponseHead head) {
+        receivingSinceNanos = clock.nanos();
         recordProgress();
         if (!finished.get()) {
             listener.headReceived(head);
@@ -91,7 +94,8 @@
 
     @Override
     public void bodyReceived(byte[] bytes) {
-        recordProgress();
+        lastProgressNanos = clock.nanos();
+        paths.exchangeContinues(target, receivingSinceNanos);
         if (!finished.get()) {
             listener.bodyReceived(bytes);
         }
--- a/basilrill-library/src/main/java/org/basilrill/protocol/relay/TargetAccess.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/relay/TargetAccess.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator.SplittableGenerator;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.MonotonicClock;
@@ -10,6 +9,7 @@
 import org.basilrill.coordination.membership.Membership;
 import org.basilrill.coordination.membership.RelayAccess;
 import org.basilrill.coordination.path.RelaySelector;
+import org.basilrill.coordination.path.RestartEvidence;
 import org.basilrill.coordination.path.TargetPaths;
 import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.target.TargetConnector;
@@ -43,7 +43,7 @@
                 target -> relays.reach(target).thenApply(reached -> reached.orElse(false)),
                 registry,
                 environment.cutListener(),
-                environment.refusalListener(),
+                environment.restartEvidence(),
                 environment.clock(),
                 environment.scheduler(),
                 environment.random().split()));
@@ -64,7 +64,7 @@
      *
      * @param connector sends requests over this instance's own paths
      * @param cutListener called when the instance has lost all its paths
-     * @param refusalListener receives targets that refuse a connection while others accept them
+     * @param restartEvidence receives what the exchanges over own paths show of restarts of targets
      * @param responseObserver receives the head of each response that another instance passes on
      * @param random split for each part, so that no two share a generator
      */
@@ -76,7 +76,7 @@
             TargetConnector connector,
             Port port,
             Runnable cutListener,
-            Consumer<TargetAnnouncement> refusalListener,
+            RestartEvidence restartEvidence,
             BiConsumer<TargetAnnouncement, ResponseHead> responseObserver,
             MonotonicClock clock,
             Scheduler scheduler,
--- a/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/target/TargetRegistry.java
@@ -181,12 +181,24 @@
     }
 
     /**
-     * Records that a target refused a connection, so that it may have started again with another software version. Its
+     * Records that a target may have started again with another software version, as it refused a connection. Its
      * announced version is unconfirmed until it is heard of anew.
      */
-    public void suspectRestart(TargetAnnouncement target) {
-        restartSuspicions.suspect(target);
-        update(target.id(), restartSuspicions::apply);
+    public void suspectRestart(RestartSuspicion suspicion) {
+        restartSuspicions.suspect(suspicion);
+        update(suspicion.target(), restartSuspicions::apply);
+    }
+
+    /**
+     * Records that an exchange received further bytes. If it began well before the target was suspected of a restart,
+     * the suspicion ends, and the next announcement or renewal confirms the version.
+     *
+     * @param target as it was announced when the exchange began
+     * @param receivingSinceNanos when the exchange received its first bytes, on the monotonic clock
+     * @return whether a suspicion ended
+     */
+    public boolean exchangeContinues(TargetAnnouncement target, long receivingSinceNanos) {
+        return restartSuspicions.exchangeContinues(target, receivingSinceNanos);
     }
 
     private void update(TargetId target, UnaryOperator<TargetAnnouncement> change) {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
@@ -23,7 +23,7 @@
 
 /** Guards streams against events from targets of different software versions. */
 class StreamVersionTest {
-    private static final String HOST = "a.example";
+    static final String HOST = "a.example";
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
     private static final TargetAnnouncement OLD = FakeServices.target("old", 9001, "pool", "v1");
@@ -88,7 +88,7 @@
         assertThat(started.stream().text(), is("id: 1\ndata: a\n\n"));
     }
 
-    private static CoordinatorFixture instance(TargetAnnouncement... targets) {
+    static CoordinatorFixture instance(TargetAnnouncement... targets) {
         CoordinatorFixture fixture =
                 new CoordinatorFixture(0, OpenTelemetry.noop().getTracer("test"), Optional.of(new StubDialect()));
         fixture.control().install(rules());
--- a/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.List;
@@ -20,6 +21,7 @@
 import org.basilrill.coordination.membership.GossipMessage.Item;
 import org.basilrill.coordination.membership.GossipMessage.OwnerDelta;
 import org.basilrill.protocol.instance.FakeServices;
+import org.basilrill.state.target.RestartSuspicion;
 import org.basilrill.state.target.TargetAnnouncement;
 import org.basilrill.state.target.TargetAnnouncement.LoadedModel;
 import org.junit.jupiter.api.Test;
@@ -53,7 +55,11 @@
                 new Item(3, new Fact.TargetFact(announcement)),
                 new Item(4, new Fact.TargetLoadFact(target, new TargetAnnouncement.Load(1, 2))),
                 new Item(5, new Fact.TargetGoneFact(target)),
-                new Item(6, new Fact.BlockedRequestFact("5f")));
+                new Item(6, new Fact.BlockedRequestFact("5f")),
+                new Item(
+                        7,
+                        new Fact.RestartSuspicionsFact(
+                                List.of(new RestartSuspicion(target, 3, Duration.ofMillis(7000))))));
         GossipMessage message = new GossipMessage(
                 Optional.of(List.of(new DigestEntry(owner, 7, 8))),
                 List.of(new OwnerDelta(owner, 7, 0, 5, items, 250)),
@@ -61,6 +67,29 @@
         assertThat(GossipCodec.decode(GossipCodec.encode(message)), is(message));
     }
 
+    /** Guards against a kind of fact of a later build that keeps the other facts of its owner from being applied. */
+    @Test
+    void aFactOfAnUnknownKindIsLeftOutAndTheOthersAreDecoded() {
+        Fact.BlockedRequestFact known = new Fact.BlockedRequestFact("5f");
+        Fact.RestartSuspicionsFact later = new Fact.RestartSuspicionsFact(
+                List.of(new RestartSuspicion(new TargetId("engine-1"), 3, Duration.ofSeconds(7))));
+        GossipMessage message = new GossipMessage(
+                Optional.empty(),
+                List.of(new OwnerDelta(
+                        new InstanceId("i1"), 1, 0, 2, List.of(new Item(1, later), new Item(2, known)), 0)),
+                false);
+        byte[] payload = GossipCodec.encode(message);
+        // In the compact protocol, the union holds this field only: 0x8C is field 8, 0xEC field 14, which no build has.
+        for (int index = 0; index < payload.length; index++) {
+            if (payload[index] == (byte) 0x8C) {
+                payload[index] = (byte) 0xEC;
+            }
+        }
+        OwnerDelta decoded = GossipCodec.decode(payload).deltas().get(0);
+        assertThat(decoded.items(), is(List.of(new Item(2, known))));
+        assertThat(decoded.toVersion(), is(2L));
+    }
+
     @Test
     void aDamagedPayloadIsRefusedWithATypedError() {
         BasilrillException failure =
--- a/basilrill-library/src/test/java/org/basilrill/state/target/RestartSuspicionTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/target/RestartSuspicionTest.java
@@ -31,14 +31,14 @@
 
     @Test
     void theVersionIsUnconfirmedAfterARefusedConnection() {
-        registry.suspectRestart(current());
+        registry.suspectRestart(RestartSuspicion.of(current()));
         assertThat(current().hasUnconfirmedVersion(), is(true));
         assertThat(current().softwareVersion(), is(not(Optional.of("v1"))));
     }
 
     @Test
     void aLaterIncarnationConfirmsItsVersionAtOnce() {
-        registry.suspectRestart(current());
+        registry.suspectRestart(RestartSuspicion.of(current()));
         registry.announce(announcement(2, 1, "v2"));
         assertThat(current().softwareVersion(), is(Optional.of("v2")));
         registry.announce(announcement(2, 2, "v2"));
@@ -48,7 +48,7 @@
     /** The announcement may have been sent before the target ended. */
     @Test
     void anAnnouncementOfTheSameIncarnationDoesNotConfirmTheVersionAtOnce() {
-        registry.suspectRestart(current());
+        registry.suspectRestart(RestartSuspicion.of(current()));
         registry.announce(announcement(1, 2, "v1"));
         assertThat(current().hasUnconfirmedVersion(), is(true));
     }
@@ -56,7 +56,7 @@
     /** Guards against a target that only reset connections and is never trusted again. */
     @Test
     void aTargetThatGoesOnAnnouncingItselfIsConfirmedAfterAWhile() {
-        registry.suspectRestart(current());
+        registry.suspectRestart(RestartSuspicion.of(current()));
         for (int second = 2; second <= 10; second++) {
             time.advance(Duration.ofSeconds(1));
             registry.announce(announcement(1, second, "v1"));
@@ -64,6 +64,48 @@
         assertThat(current().softwareVersion(), is(Optional.of("v1")));
     }
 
+    /** Guards against a cut between one instance and a target, which makes the target useless for all others. */
+    @Test
+    void anExchangeFromBeforeTheSuspicionThatGoesOnEndsIt() {
+        long receivingSince = time.nanos();
+        time.advance(Duration.ofSeconds(3));
+        registry.announce(announcement(1, 2, "v1"));
+        registry.suspectRestart(RestartSuspicion.of(current()));
+        assertThat(registry.exchangeContinues(current(), receivingSince), is(false));
+        time.advance(Duration.ofMillis(300));
+        assertThat(registry.exchangeContinues(current(), receivingSince), is(true));
+        registry.announce(announcement(1, 3, "v1"));
+        assertThat(current().softwareVersion(), is(Optional.of("v1")));
+    }
+
+    /** The news may arrive after the target has started again and serves. */
+    @Test
+    void anExchangeThatMayHaveBegunAfterTheRestartDoesNotEndTheSuspicion() {
+        time.advance(Duration.ofSeconds(1));
+        long receivingSince = time.nanos();
+        time.advance(Duration.ofSeconds(1));
+        registry.suspectRestart(RestartSuspicion.of(current()));
+        time.advance(Duration.ofSeconds(2));
+        assertThat(registry.exchangeContinues(current(), receivingSince), is(false));
+        assertThat(current().hasUnconfirmedVersion(), is(true));
+    }
+
+    /** Guards against a suspicion that reaches this instance before the announcement that it is about. */
+    @Test
+    void aSuspicionOfALaterIncarnationHoldsForTheEarlierOne() {
+        registry.suspectRestart(new RestartSuspicion(ID, 2, Duration.ofSeconds(7)));
+        registry.announce(announcement(1, 2, "v1"));
+        assertThat(current().hasUnconfirmedVersion(), is(true));
+    }
+
+    /** Guards against late news of an incarnation that has been followed by another. */
+    @Test
+    void aSuspicionOfAnEarlierIncarnationHasNoEffect() {
+        registry.announce(announcement(2, 1, "v2"));
+        registry.suspectRestart(new RestartSuspicion(ID, 1, Duration.ofSeconds(7)));
+        assertThat(current().softwareVersion(), is(Optional.of("v2")));
+    }
+
     private TargetAnnouncement current() {
         return registry.target(ID).orElseThrow();
     }
--- a/basilrill-thrift/src/main/thrift/membership.thrift
+++ b/basilrill-thrift/src/main/thrift/membership.thrift
@@ -71,6 +71,19 @@
   4: required bool present
 }
 
+/** A target that refused a connection, so that it may start again with other software before it announces itself. */
+struct RestartSuspicion {
+  1: optional string target
+  2: optional i64 incarnation
+  /** Time for which the announced version of the incarnation does not count. */
+  3: optional i64 validMillis
+}
+
+/** All targets that the owner of the item suspects to have ended. */
+struct RestartSuspicionsFact {
+  1: optional list<RestartSuspicion> suspicions
+}
+
 union FactPayload {
   1: InstanceFact instance
   2: InstanceLoadFact instanceLoad
@@ -79,6 +92,7 @@
   5: TargetGoneFact targetGone
   6: BlockedRequestFact blockedRequest
   7: TargetContentFact targetContent
+  8: RestartSuspicionsFact restartSuspicions
 }
 
 struct Item {
