--- a/basilrill-library/src/test/java/org/basilrill/transport/http/EarlyEndTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/EarlyEndTest.java
@@ -302,7 +302,8 @@
     private Received exchange(RawTarget target) throws InterruptedException {
         Received received = new Received();
         TargetConnector.Request request = new TargetConnector.Request("GET", "/", List.of(), new byte[0]);
-        client.open(new HttpHost("http", "127.0.0.1", target.port()), request, true, received);
+        HttpHost host = new HttpHost("http", "127.0.0.1", target.port());
+        client.open(host, ConnectionPurpose.SINGLE, request, received);
         received.awaitEnd();
         return received;
     }
