Test that a change is acknowledged after each disk was full twice

Guards with real threads and FileDurableStore against the report that changes stay unanswered after the disks of counted machines were full one after the other.

--- a/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
@@ -160,6 +160,30 @@
         awaitCaughtUp(late);
     }
 
+    /**
+     * Guards against a log that no longer acknowledges after the disk of each replica was full for a time, one after
+     * the other and never two at once.
+     */
+    @Test
+    void aChangeIsAcknowledgedAfterEachDiskWasFullTwice() {
+        FOUNDERS.forEach(this::startOnSimulatedDisk);
+        IntStream.range(0, 50).forEach(number -> propose(1));
+        for (int round = 0; round < 2; round++) {
+            for (InstanceId next : FOUNDERS) {
+                FOUNDERS.forEach(this::awaitCaughtUp);
+                disks.get(next).setFull(true);
+                proposeOnce(0);
+                awaitRole(next, ReplicaRole.SUSPENDED);
+                assertThat(propose(0), is(50L));
+                disks.get(next).setFull(false);
+                awaitCaughtUp(next);
+            }
+        }
+        FOUNDERS.forEach(this::awaitCaughtUp);
+        assertThat(propose(1), is(51L));
+        assertThat(awaitLeader().confirm().join() > 50, is(true));
+    }
+
     private void startOnSimulatedDisk(InstanceId instance) {
         SimulatedDisk disk = disks.computeIfAbsent(instance, name -> new SimulatedDisk(name.hashCode()));
         running.put(
