Create a replica anew after any failure, or end the process

What callers saw: one exception on the thread of a replica, or one message with a record out of its place, stopped the replica for good (event 211) while its process lived on deaf. A second one cost the majority.

Cause: ControlReplica.fail took every failure but the disk's as final.

Change: a message that no correct replica sends is checked before it has an effect, and dropped (event 216). After any other exception the replica is suspended, its store is opened again and a new replica reads it, with a wait that grows with failures within 30 s. The process ends with code 70 only if the state machine threw, as it may have applied a part of a command, or at the seventh failure in a row. Events 211 and 215 say so; 211 no longer means an end. Ending the process at once was weighed: it cuts the callers of a sound instance, and one message from a peer could end every process.

Conclusion: a state machine that throws at a command ends the process of every replica, again after each start; before, it stopped every replica.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Leadership.java
@@ -151,6 +151,13 @@
         if (peer == null) {
             return;
         }
+        if (response.matched() && response.index() > state.log().lastIndex()) {
+            throw new BasilrillException(
+                    ErrorCode.MESSAGE_MALFORMED,
+                    String.format(
+                            "record %d matches, after %d",
+                            response.index(), state.log().lastIndex()));
+        }
         peer.recordContact(state.now(), response.round());
         if (response.matched()) {
             peer.recordMatch(response.index());
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -8,6 +8,7 @@
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
 import org.basilrill.coordination.consensus.ConsensusMessage.AppendRequest;
 import org.basilrill.coordination.consensus.ConsensusMessage.AppendResponse;
 import org.basilrill.coordination.consensus.ConsensusMessage.FoundRequest;
@@ -116,8 +117,20 @@
         joinRequests.addContacts(instances);
     }
 
-    /** Handles one message. */
+    /** Handles one message. One that no correct replica sends is dropped and reported. */
     public void received(InstanceId sender, AddressedMessage addressed) {
+        try {
+            MessageCheck.check(addressed.message());
+            handle(sender, addressed);
+        } catch (BasilrillException exception) {
+            if (exception.code() != ErrorCode.MESSAGE_MALFORMED) {
+                throw exception;
+            }
+            state.report(LogEvent.CONSENSUS_MESSAGE_DROPPED, "from " + sender + ": " + exception.getMessage());
+        }
+    }
+
+    private void handle(InstanceId sender, AddressedMessage addressed) {
         long recipient = addressed.recipientIncarnation();
         boolean forThisIncarnation = recipient == state.self().incarnation();
         ReplicaId from = new ReplicaId(sender, addressed.senderIncarnation());
@@ -367,7 +380,8 @@
             state.adoptTerm(term);
         }
         if (leadership.isPresent()) {
-            throw new BasilrillException(ErrorCode.INTERNAL, "two leaders in term " + term + ": " + from);
+            throw new BasilrillException(
+                    ErrorCode.MESSAGE_MALFORMED, "this replica leads term " + term + ", and so does the sender");
         }
         election = Optional.empty();
         leader = Optional.of(from);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaLog.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaLog.java
@@ -213,7 +213,7 @@
     private static void requireUncommitted(long index, long commitIndex) {
         if (index <= commitIndex) {
             throw new BasilrillException(
-                    ErrorCode.LOG_CORRUPT,
+                    ErrorCode.MESSAGE_MALFORMED,
                     String.format("the leader tried to replace record %d, which is committed on this replica", index));
         }
     }
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
@@ -41,8 +41,9 @@
 /**
  * Runs one replica of the control log on a thread of its own. Tasks that arrive while the thread is busy are run as one
  * group, with a single sync for all their proposals. Thread safe; only {@link #close} blocks. Futures complete on the
- * replica's thread, so callbacks must be short or asynchronous. While the disk cannot be written the replica is
- * suspended: it answers no message, and rejects proposals and reads at once. Any other failure stops it permanently.
+ * replica's thread, so callbacks must be short or asynchronous. While the disk cannot be written, and for a short time
+ * after any other failure, the replica is suspended: it answers no message, and rejects proposals and reads at once. A
+ * failure of the state machine, or failures without end, end the process.
  */
 public final class ControlReplica implements ControlLog, PeerHandler, AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -63,7 +64,7 @@
     private final ScheduledExecutorService executor;
     private final ConcurrentLinkedQueue<Task> queuedTasks = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean scheduled = new AtomicBoolean();
-    /** Empty during an outage of the disk; used on the replica's thread. */
+    /** Empty during an outage; used on the replica's thread. */
     private Optional<Replica> replica = Optional.empty();
 
     private volatile ReplicaStatus status;
@@ -81,7 +82,7 @@
         this.contacts = ConcurrentHashMap.newKeySet();
         this.contacts.addAll(contacts);
         this.storage = storage;
-        this.machine = machine;
+        this.machine = new GuardedStateMachine(machine);
         this.environment = new ReplicaEnvironment(
                 System::nanoTime,
                 new SecureRandom(),
@@ -206,10 +207,10 @@
 
     /** Returns for how long the disk has not been writable; empty while it is. */
     public Optional<Duration> outage() {
-        return storage.outageLength();
+        return storage.diskOutageLength();
     }
 
-    /** Returns the reason why the replica stopped for good; empty while it runs or is suspended. */
+    /** Returns the reason why the replica ended; empty while it runs or is suspended. */
     public Optional<BasilrillException> failure() {
         return failure;
     }
@@ -255,10 +256,19 @@
     }
 
     private Optional<BasilrillException> unavailability() {
-        return failure.or(() -> storage.outage().map(DiskOutage::reason));
+        return failure.or(() -> storage.outage().map(ReplicaOutage::reason));
     }
 
     private void runGroup(boolean tick) {
+        try {
+            runGroupOrFail(tick);
+        } catch (Error error) {
+            failure = Optional.of(new BasilrillException(ErrorCode.INTERNAL, String.valueOf(error), error));
+            throw error;
+        }
+    }
+
+    private void runGroupOrFail(boolean tick) {
         scheduled.set(false);
         if (unavailability().isPresent()) {
             rejectQueuedTasks(unavailability().get());
@@ -323,44 +333,52 @@
         try {
             createReplica();
         } catch (RuntimeException exception) {
-            if (ReplicaStorage.isDiskFailure(exception)) {
-                storage.attemptFailed();
-            } else {
-                fail(exception, List.of());
-            }
+            attemptFailed(exception);
             return;
         }
         storage.endOutage();
     }
 
+    private void attemptFailed(RuntimeException exception) {
+        if (ReplicaStorage.isDiskFailure(exception)) {
+            storage.attemptFailed();
+        } else {
+            storage.beginOutage(reasonOf(exception));
+        }
+    }
+
     /**
-     * Ends the use of the replica after a failure. What it acknowledged earlier is synced. The failed write was not
-     * acknowledged and may or may not be on the disk, so nothing is sent until the store has removed it.
+     * Suspends the replica after a failure. What it acknowledged earlier is synced. What failed was not acknowledged
+     * and may or may not be on the disk, so nothing is sent until the store has removed it and a new replica has read
+     * the store. The state machine keeps its state: it applied whole commands only.
      */
     private void fail(RuntimeException exception, List<Task> executed) {
-        BasilrillException reason = exception instanceof BasilrillException typed
-                ? typed
-                : new BasilrillException(ErrorCode.INTERNAL, String.valueOf(exception.getMessage()), exception);
-        if (ReplicaStorage.isDiskFailure(reason)) {
-            storage.beginOutage(reason);
-            endReplica();
-            status = status.suspended();
-            rejectQueuedTasks(reason);
-        } else {
-            LOGGER.atSevere().withCause(exception).log("%s: %s", LogEvent.REPLICA_FAILED, reason.getMessage());
-            failure = Optional.of(reason);
-            stop();
-        }
+        BasilrillException reason = reasonOf(exception);
+        endReplica();
+        status = status.suspended();
+        storage.beginOutage(reason);
+        rejectQueuedTasks(reason);
         BasilrillException unavailable = unavailable(reason).withOutcome(Outcome.MAY_HAVE_RUN);
         executed.forEach(task -> task.onRejection().accept(unavailable));
     }
 
+    private static BasilrillException reasonOf(RuntimeException exception) {
+        return exception instanceof BasilrillException typed
+                ? typed
+                : new BasilrillException(ErrorCode.INTERNAL, String.valueOf(exception), exception);
+    }
+
     private void endReplica() {
-        replica.ifPresent(active -> {
-            active.stop();
+        Optional<Replica> ended = replica;
+        replica = Optional.empty();
+        ended.ifPresent(active -> {
             status = active.status();
+            try {
+                active.stop();
+            } catch (RuntimeException exception) {
+                LOGGER.atSevere().withCause(exception).log("%s: %s", LogEvent.REPLICA_FAILED, exception.getMessage());
+            }
         });
-        replica = Optional.empty();
     }
 
     private void stop() {
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaStorage.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaStorage.java
@@ -12,8 +12,8 @@
 import org.basilrill.transport.disk.FileDurableStore;
 
 /**
- * The store of a replica across outages of its disk. An outage begins with a failed write or opening and ends when the
- * store is writable again. Used on the replica's thread, except for {@link #outage}, which is thread safe.
+ * The store of a replica across outages. An outage begins with a failed write or opening, or with another failure of
+ * the replica, and ends when the store is writable and a new replica has read it. Used on the replica's thread, except for {@link #outage}, which is thread safe.
  */
 final class ReplicaStorage {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -21,8 +21,9 @@
     private final Supplier<FileDurableStore> opener;
     private final Predicate<BasilrillException> mayPass;
     private final MonotonicClock clock;
+    private final RecentFailures recentFailures = new RecentFailures();
     private Optional<FileDurableStore> store = Optional.empty();
-    private volatile Optional<DiskOutage> outage = Optional.empty();
+    private volatile Optional<ReplicaOutage> outage = Optional.empty();
 
     /**
      * Creates the storage; it opens nothing yet.
@@ -36,7 +37,8 @@
     }
 
     /**
-     * Returns the store, which is writable. Opens it on the first call and makes it writable again on later calls.
+     * Returns the store, which is writable. Opens it on the first call and after a failure that was not the disk's, and
+     * makes it writable again otherwise.
      *
      * @throws BasilrillException with {@code DISK_FAILED} if the disk cannot be written
      */
@@ -55,22 +57,33 @@
     }
 
     /** Returns the current outage; empty while the disk is in use. */
-    Optional<DiskOutage> outage() {
+    Optional<ReplicaOutage> outage() {
         return outage;
     }
 
-    /** Returns for how long the disk has been in an outage. */
-    Optional<Duration> outageLength() {
-        return outage.map(current -> current.length(clock.nanos()));
+    /** Returns for how long the disk could not be written; empty while it can be. */
+    Optional<Duration> diskOutageLength() {
+        return outage.filter(current -> isDiskFailure(current.reason())).map(current -> current.length(clock.nanos()));
     }
 
     boolean isAttemptDue() {
         return outage.filter(current -> current.isAttemptDue(clock.nanos())).isPresent();
     }
 
+    /**
+     * Begins an outage because of the disk, or of another failure of the replica.
+     *
+     * @throws ReplicaError if the replica failed again and again for another reason than its disk
+     */
     void beginOutage(BasilrillException reason) {
-        LOGGER.atSevere().withCause(reason).log("%s: %s", LogEvent.REPLICA_SUSPENDED, reason.getMessage());
-        outage = Optional.of(DiskOutage.begin(reason, clock.nanos()));
+        if (isDiskFailure(reason)) {
+            LOGGER.atSevere().withCause(reason).log("%s: %s", LogEvent.REPLICA_SUSPENDED, reason.getMessage());
+            outage = Optional.of(ReplicaOutage.begin(reason, 0, clock.nanos()));
+            return;
+        }
+        LOGGER.atSevere().withCause(reason).log("%s: %s", LogEvent.REPLICA_FAILED, reason.getMessage());
+        closeStore();
+        outage = Optional.of(ReplicaOutage.begin(reason, recentFailures.record(reason, clock.nanos()), clock.nanos()));
     }
 
     /** Schedules the next attempt after a failed one. */
@@ -89,6 +102,16 @@
         store.ifPresent(FileDurableStore::close);
     }
 
+    /** Makes the next use open the store again, as what this process holds of it may be wrong. */
+    private void closeStore() {
+        try {
+            close();
+        } catch (BasilrillException exception) {
+            LOGGER.atWarning().log("%s: store not closed: %s", LogEvent.REPLICA_FAILED, exception.getMessage());
+        }
+        store = Optional.empty();
+    }
+
     static boolean isDiskFailure(RuntimeException exception) {
         return exception instanceof BasilrillException typed && typed.code() == ErrorCode.DISK_FAILED;
     }
--- a/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
@@ -19,8 +20,13 @@
 import java.util.stream.Stream;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.PeerChannel;
+import org.basilrill.coordination.consensus.AddressedMessage;
+import org.basilrill.coordination.consensus.ConsensusMessage.AppendRequest;
 import org.basilrill.coordination.consensus.ReplicaRole;
 import org.basilrill.coordination.consensus.ReplicaStatus;
+import org.basilrill.protocol.peer.ConsensusCodec;
+import org.basilrill.state.log.DurableStore.LogRecord;
+import org.basilrill.state.log.DurableStore.RecordKind;
 import org.basilrill.state.log.ReplicatedStateMachine;
 import org.basilrill.transport.disk.SimulatedDisk;
 import org.junit.jupiter.api.AfterEach;
@@ -39,6 +45,8 @@
 
     private final Map<InstanceId, ControlReplica> running = new ConcurrentHashMap<>();
     private final Map<InstanceId, SimulatedDisk> disks = new ConcurrentHashMap<>();
+    /** Replicas whose next message fails with an exception. */
+    private final Set<InstanceId> failNextSend = ConcurrentHashMap.newKeySet();
 
     @AfterEach
     void stopAll() {
@@ -184,6 +192,64 @@
         assertThat(awaitLeader().confirm().join() > 50, is(true));
     }
 
+    /** Guards against a replica that stays out for good after an exception on its thread, in a process that lives. */
+    @Test
+    void aReplicaThatThrowsOnceTakesPartAgain() {
+        FOUNDERS.forEach(this::startOnSimulatedDisk);
+        IntStream.range(0, 50).forEach(number -> propose(1));
+        InstanceId first = leaderName();
+        FOUNDERS.forEach(this::awaitCaughtUp);
+        failNextSend.add(first);
+        awaitRole(first, ReplicaRole.SUSPENDED);
+        assertThat(running.get(first).outage().isPresent(), is(false));
+        awaitCaughtUp(first);
+        FOUNDERS.forEach(this::awaitCaughtUp);
+        InstanceId second = leaderName();
+        disks.get(second).setFull(true);
+        proposeOnce(0);
+        awaitRole(second, ReplicaRole.SUSPENDED);
+        assertThat(propose(0), is(50L));
+    }
+
+    /** Guards against a message that ends the replica: a record out of its place failed the store, and so the replica. */
+    @Test
+    void aMessageThatNoReplicaSendsIsDropped() {
+        FOUNDERS.forEach(this::startOnSimulatedDisk);
+        propose(1);
+        InstanceId sender = FOUNDERS.get(0);
+        long incarnation = running.get(sender).status().self().incarnation();
+        LogRecord misplaced = new LogRecord(99, 1, RecordKind.COMMAND, new byte[] {1});
+        AppendRequest request = new AppendRequest(1_000, 1, 1, 99, 1, List.of(misplaced));
+        for (InstanceId recipient : FOUNDERS) {
+            ControlReplica replica = running.get(recipient);
+            AddressedMessage message =
+                    new AddressedMessage(incarnation, replica.status().self().incarnation(), request);
+            replica.received(sender, ConsensusCodec.encode(message));
+        }
+        assertThat(propose(0), is(1L));
+        FOUNDERS.forEach(this::awaitCaughtUp);
+        running.values().forEach(replica -> {
+            assertThat(replica.failure().isPresent(), is(false));
+            assertThat(replica.term() < 1_000, is(true));
+        });
+    }
+
+    /** Guards against a process that lives on with a state machine that applied a part of a command. */
+    @Test
+    void aFailureOfTheStateMachineEndsTheProcess() {
+        CompletableFuture<Integer> exitCode = new CompletableFuture<>();
+        Thread.UncaughtExceptionHandler before = Thread.getDefaultUncaughtExceptionHandler();
+        Thread.setDefaultUncaughtExceptionHandler(new FatalErrorHandler(
+                exitCode::complete, (thread, exception) -> exitCode.completeExceptionally(exception)));
+        try {
+            FOUNDERS.forEach(this::start);
+            awaitLeader().propose(new byte[0]);
+            assertThat(exitCode.join(), is(FatalErrorHandler.EXIT_CODE));
+        } finally {
+            Thread.setDefaultUncaughtExceptionHandler(before);
+        }
+    }
+
     private void startOnSimulatedDisk(InstanceId instance) {
         SimulatedDisk disk = disks.computeIfAbsent(instance, name -> new SimulatedDisk(name.hashCode()));
         running.put(
@@ -199,8 +265,12 @@
     }
 
     private PeerChannel channel(InstanceId instance) {
-        return (recipient, subject, payload) ->
-                Optional.ofNullable(running.get(recipient)).ifPresent(replica -> replica.received(instance, payload));
+        return (recipient, subject, payload) -> {
+            if (failNextSend.remove(instance)) {
+                throw new IllegalStateException("failure planned by the test");
+            }
+            Optional.ofNullable(running.get(recipient)).ifPresent(replica -> replica.received(instance, payload));
+        };
     }
 
     private InstanceId leaderName() {
