Serve responses that end with their connection

Callers got 502 for each response of a target without a length, after as many runs as their route has attempts, although such a response is valid and its end is known: the end of the connection.

TargetExchange takes such a response as whole if the connection ends cleanly and as a lost connection after a reset. An event stream must also end after a whole event (EventStreamEnd), or the target has broken it off. The caller and other instances receive the body in chunks; the connection is not reused. The memory limits of responses apply as for chunks. Requests of HTTP/1.0 callers stay refused (HttpHardeningTest). A response with an unknown transfer coding stays invalid.

--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -12,6 +12,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -29,6 +30,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.Command;
 import org.apache.hc.core5.reactor.IOSession;
+import org.basilrill.protocol.caller.EventStreamEnd;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.target.TargetConnector;
@@ -69,6 +71,8 @@
     private int interimResponses;
     private boolean keepAlive;
     private Optional<Duration> keepAliveTimeout = Optional.empty();
+    /** Present for a stream that ends with its connection, which a target may also close because it has failed. */
+    private Optional<EventStreamEnd> streamEnd = Optional.empty();
 
     /**
      * Creates an exchange that is not attached to a connection yet.
@@ -194,18 +198,18 @@
     @Override
     public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
             throws HttpException, IOException {
-        boolean endsWithConnection =
-                entity != null && entity.getContentLength() < 0 && !response.containsHeader(TRANSFER_ENCODING);
-        if (endsWithConnection) {
-            // The end of the response could not be distinguished from a lost connection.
-            throw new HttpException("the response states no length");
+        boolean endsWithConnection = entity != null && entity.getContentLength() == ContentLengthStrategy.UNDEFINED;
+        if (endsWithConnection && response.containsHeader(TRANSFER_ENCODING)) {
+            throw new HttpException("the transfer coding of the response is unknown");
         }
         List<HeaderField> headers = new ArrayList<>();
         for (Header header : response.getHeaders()) {
             headers.add(new HeaderField(header.getName(), header.getValue()));
         }
         ResponseHead head = new ResponseHead(response.getCode(), headers);
-        keepAlive = head.header(CONNECTION).filter(CLOSE::equalsIgnoreCase).isEmpty()
+        streamEnd = Optional.of(new EventStreamEnd()).filter(unused -> endsWithConnection && head.isEventStream());
+        keepAlive = !endsWithConnection
+                && head.header(CONNECTION).filter(CLOSE::equalsIgnoreCase).isEmpty()
                 && response.getVersion().greaterEquals(HttpVersion.HTTP_1_1);
         keepAliveTimeout = head.header(KEEP_ALIVE).flatMap(TargetExchange::keepAliveTimeout);
         held().ifPresent(ResponseMemory.Holder::retain);
@@ -231,6 +235,7 @@
         window.addAndGet(-bytes.length);
         held().ifPresent(holder -> holder.delivered(bytes.length));
         source.get(bytes);
+        streamEnd.ifPresent(end -> end.add(bytes));
         if (!finished.get()) {
             listener.bodyReceived(bytes);
         }
@@ -238,7 +243,11 @@
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
-        complete();
+        if (streamEnd.map(EventStreamEnd::mayEnd).orElse(true)) {
+            complete();
+        } else {
+            failed(new ConnectionClosedException("the connection ended inside an event or before one"));
+        }
     }
 
     @Override
