Suspect targets whose connections were lost while this instance stalled

Cause: a lost connection is no sign of a restart if the target accepts new ones. That holds only for an instance that runs.

Change: OwnStalls notices timers that are 200 ms late. A connection that is lost, or fails to open, up to a second after such a stall leaves the announced version unconfirmed at this instance, until an older exchange goes on or the target is heard of. Others are not told. Resets alone remain no sign at an instance that runs. Weighed: a lost connection as a sign at all times, which would leave no target after a reset of all connections, or beside targets that cut answers.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/membership/RestartNews.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/membership/RestartNews.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.MonotonicClock;
@@ -27,6 +28,8 @@
     /** A target that goes on refusing connections is reported again after this time, so that no instance forgets it. */
     private static final Duration REPETITION_INTERVAL = Duration.ofSeconds(1);
 
+    private static final int LOG_SECONDS = 1;
+
     private final GossipMembership membership;
     private final TargetRegistry registry;
     private final MonotonicClock clock;
@@ -54,6 +57,15 @@
         }
     }
 
+    /** Does not tell others, whose own exchanges show whether the target has ended unless they stalled too. */
+    @Override
+    public void restartMayBeMissed(TargetAnnouncement target) {
+        registry.suspectRestart(RestartSuspicion.of(target));
+        LOGGER.atInfo().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                "%s: target %s, incarnation %d",
+                LogEvent.TARGET_RESTART_MAY_BE_MISSED, target.id(), target.incarnation());
+    }
+
     @Override
     public void exchangeContinues(TargetAnnouncement target, long receivingSinceNanos) {
         if (registry.exchangeContinues(target, receivingSinceNanos)) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/RestartEvidence.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/RestartEvidence.java
@@ -11,6 +11,14 @@
     /** Reports a target that refused a connection, while not all paths are presumed to be lost. */
     void connectionRefused(TargetAnnouncement target);
 
+    /**
+     * Reports a target whose connection was lost, or could not be opened, after this instance itself had not run for a
+     * while: the target may have ended and started again unseen.
+     */
+    default void restartMayBeMissed(TargetAnnouncement target) {
+        // Only the coordination of restarts needs it.
+    }
+
     /**
      * Reports that an exchange received further bytes, so that the target has not started again since its first ones.
      *
--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
@@ -41,6 +41,7 @@
     private static final int PROBES_PER_CHECK = 2;
 
     private final Environment environment;
+    private final OwnStalls stalls;
     private final Map<TargetId, TargetPath> paths = new HashMap<>();
     private long lastContactNanos;
     private volatile boolean stopped;
@@ -48,6 +49,7 @@
     /** Creates the paths; all count as usable until evidence shows otherwise. */
     public TargetPaths(Environment environment) {
         this.environment = environment;
+        this.stalls = new OwnStalls(environment.clock(), environment.scheduler());
         this.lastContactNanos = environment.clock().nanos();
     }
 
@@ -75,11 +77,13 @@
     /** Starts the periodic checks. */
     public void start() {
         environment.scheduler().schedule(CHECK_INTERVAL, this::check);
+        stalls.start();
     }
 
     /** Stops the periodic checks. */
     public void stop() {
         stopped = true;
+        stalls.stop();
     }
 
     /** Returns whether this instance has lost its own path to the target. */
@@ -118,6 +122,9 @@
 
     /** Records that a connection to a target ended during an exchange, which may be caused by either end or between. */
     public void connectionLost(TargetAnnouncement target) {
+        if (stalls.stalledLately()) {
+            environment.restartEvidence().restartMayBeMissed(target);
+        }
         probe(target);
     }
 
@@ -142,6 +149,9 @@
         }
         if (refused) {
             environment.restartEvidence().connectionRefused(target);
+        } else if (stalls.stalledLately()) {
+            // After a stall, a refusal looks like a connection that hangs.
+            environment.restartEvidence().restartMayBeMissed(target);
         }
         if (confirm && !beginConfirmation(target)) {
             return;
--- a/basilrill-library/src/test/java/org/basilrill/coordination/path/TargetPathsTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/path/TargetPathsTest.java
@@ -35,6 +35,10 @@
     private final Set<TargetId> waiting = new HashSet<>();
     private final List<TargetId> abandoned = new ArrayList<>();
     private final List<TargetId> refused = new ArrayList<>();
+    private final List<TargetId> missed = new ArrayList<>();
+    /** Time by which the clock has advanced while no timer ran. */
+    private long stalledNanos;
+
     private boolean hangs = true;
     private int probes;
     private int cuts;
@@ -48,8 +52,8 @@
                 target -> CompletableFuture.completedFuture(!crashed.contains(target.id())),
                 new Exchanges(),
                 () -> cuts++,
-                target -> refused.add(target.id()),
-                time,
+                new Restarts(),
+                () -> time.nanos() + stalledNanos,
                 time,
                 new SplittableRandom(1)));
         paths.start();
@@ -105,6 +109,26 @@
         assertThat(refused, is(empty()));
     }
 
+    /**
+     * Guards against a target that starts again while this instance does not run: its connections are found lost when
+     * it accepts new ones, which is no sign of a restart otherwise.
+     */
+    @Test
+    void aConnectionThatWasLostWhileThisInstanceDidNotRunMayHideARestart() {
+        time.advance(Duration.ofSeconds(2));
+        paths.connectionLost(targets.get(0));
+        assertThat(missed, is(empty()));
+        stalledNanos += Duration.ofMillis(700).toNanos();
+        paths.connectionLost(targets.get(1));
+        assertThat(missed, is(List.of(targets.get(1).id())));
+        time.advance(Duration.ofMillis(200));
+        paths.connectionLost(targets.get(2));
+        assertThat(missed, hasItem(targets.get(2).id()));
+        time.advance(Duration.ofSeconds(2));
+        paths.connectionLost(targets.get(0));
+        assertThat(missed.contains(targets.get(0).id()), is(false));
+    }
+
     /** Guards against a path to one target that stays in use while only other instances reach the target. */
     @Test
     void aPathToOneTargetIsLostOnceAnotherInstanceReachesTheTarget() {
@@ -209,4 +233,17 @@
             }
         }
     }
+
+    /** Records the signs of restarts. */
+    private final class Restarts implements RestartEvidence {
+        @Override
+        public void connectionRefused(TargetAnnouncement target) {
+            refused.add(target.id());
+        }
+
+        @Override
+        public void restartMayBeMissed(TargetAnnouncement target) {
+            missed.add(target.id());
+        }
+    }
 }
