Keep unconfirmed versions out of the facts about targets

Change: FactCodec leaves an unconfirmed version out. Receivers know the target as leaving and send it nothing new.

Evidence: GossipCodecTest failed before (was "unconfirmed target-1 1") and passes.

--- a/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/peer/FactCodec.java
@@ -180,7 +180,11 @@
                 announcement.enforcesFencing(),
                 announcement.leaving());
         announcement.service().ifPresent(fact::setServiceName);
-        announcement.softwareVersion().ifPresent(fact::setSoftwareVersion);
+        // An unconfirmed version is a conclusion of this instance; others would register it as a version of the
+        // service.
+        if (!announcement.hasUnconfirmedVersion()) {
+            announcement.softwareVersion().ifPresent(fact::setSoftwareVersion);
+        }
         return fact;
     }
 
--- a/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/peer/GossipCodecTest.java
@@ -90,6 +90,26 @@
         assertThat(decoded.toVersion(), is(2L));
     }
 
+    /**
+     * Guards against an unconfirmed version that reaches other instances with the departure of its target: an instance
+     * of an earlier build would register it as a software version of the service.
+     */
+    @Test
+    void anUnconfirmedVersionIsNotSent() {
+        Fact.TargetFact departure = new Fact.TargetFact(
+                FakeServices.target("target-1", 9001).withUnconfirmedVersion().asLeaving());
+        GossipMessage message = new GossipMessage(
+                Optional.empty(),
+                List.of(new OwnerDelta(new InstanceId("i1"), 1, 0, 1, List.of(new Item(1, departure)), 0)),
+                false);
+        Item decoded = GossipCodec.decode(GossipCodec.encode(message))
+                .deltas()
+                .get(0)
+                .items()
+                .get(0);
+        assertThat(((Fact.TargetFact) decoded.fact()).announcement().softwareVersion(), is(Optional.empty()));
+    }
+
     @Test
     void aDamagedPayloadIsRefusedWithATypedError() {
         BasilrillException failure =
