Suspect targets to which connections fail without a refusal

Cause, by reading and not traced: a connection that fails later than 250 ms counts as one that hangs, and that was no sign of a restart, though the machine of a target may be down and a slow instance sees refusals that late.

Change: a connection that fails to open in any way, while not all paths are lost, leaves the announced version unconfirmed at this instance. Only refusals are told to others, as a hanging connection may be a cut of this instance.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -84,7 +84,7 @@
     TARGET_VERSION_UNCONFIRMED(425, "target refused a connection and may start again with other software"),
     TARGET_RESTART_REPORTED(430, "another instance reported that a target refused a connection"),
     TARGET_RESTART_DISPROVED(431, "target that refused a connection has not started again"),
-    TARGET_RESTART_MAY_BE_MISSED(432, "connection to a target was lost while this instance did not run"),
+    TARGET_RESTART_MAY_BE_MISSED(432, "target may have ended and started again unseen"),
     PLACEMENT_STARTED(450, "replica controls the placement"),
     PLACEMENT_STOPPED(451, "replica no longer controls the placement"),
     TARGET_ORDER_INTENDED(452, "target order committed"),
--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/RestartEvidence.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/RestartEvidence.java
@@ -12,8 +12,8 @@
     void connectionRefused(TargetAnnouncement target);
 
     /**
-     * Reports a target whose connection was lost, or could not be opened, after this instance itself had not run for a
-     * while: the target may have ended and started again unseen.
+     * Reports a target that may have ended and started again unseen: a connection to it was lost while this instance
+     * itself did not run, or failed to open without a refusal.
      */
     default void restartMayBeMissed(TargetAnnouncement target) {
         // Only the coordination of restarts needs it.
--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
@@ -135,6 +135,7 @@
      */
     public void connectionFailed(TargetAnnouncement target, Duration waited) {
         boolean confirm;
+        boolean pathsLost;
         boolean refused;
         List<TargetAnnouncement> losses = List.of();
         synchronized (this) {
@@ -144,13 +145,14 @@
             if (severalPathsFail()) {
                 losses = presumeAllLost(path.connectionsHang(), now);
             }
-            refused = losses.isEmpty() && !path.connectionsHang();
+            pathsLost = !losses.isEmpty();
+            refused = !pathsLost && !path.connectionsHang();
             confirm = losses.isEmpty() && !path.needsSecondFailure(now);
         }
         if (refused) {
             environment.restartEvidence().connectionRefused(target);
-        } else if (stalls.stalledLately()) {
-            // After a stall, a refusal looks like a connection that hangs.
+        } else if (!pathsLost) {
+            // The machine of the target may be down, or this instance was too slow to see the refusal in time.
             environment.restartEvidence().restartMayBeMissed(target);
         }
         if (confirm && !beginConfirmation(target)) {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/path/TargetPathsTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/path/TargetPathsTest.java
@@ -109,6 +109,15 @@
         assertThat(refused, is(empty()));
     }
 
+    /** Guards against a target that starts again after connections to it hung, as its machine was down. */
+    @Test
+    void aConnectionThatHangsMayHideARestart() {
+        contactAllBut(0);
+        paths.connectionFailed(targets.get(0), Duration.ofMillis(400));
+        assertThat(missed, is(List.of(targets.get(0).id())));
+        assertThat(refused, is(empty()));
+    }
+
     /**
      * Guards against a target that starts again while this instance does not run: its connections are found lost when
      * it accepts new ones, which is no sign of a restart otherwise.
