--- a/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/path/TargetPaths.java
@@ -41,6 +41,7 @@
     private static final int PROBES_PER_CHECK = 2;
 
     private final Environment environment;
+    private final OwnStalls stalls;
     private final Map<TargetId, TargetPath> paths = new HashMap<>();
     private long lastContactNanos;
     private volatile boolean stopped;
@@ -48,6 +49,7 @@
     /** Creates the paths; all count as usable until evidence shows otherwise. */
     public TargetPaths(Environment environment) {
         this.environment = environment;
+        this.stalls = new OwnStalls(environment.clock(), environment.scheduler());
         this.lastContactNanos = environment.clock().nanos();
     }
 
@@ -75,11 +77,13 @@
     /** Starts the periodic checks. */
     public void start() {
         environment.scheduler().schedule(CHECK_INTERVAL, this::check);
+        stalls.start();
     }
 
     /** Stops the periodic checks. */
     public void stop() {
         stopped = true;
+        stalls.stop();
     }
 
     /** Returns whether this instance has lost its own path to the target. */
@@ -118,6 +122,9 @@
 
     /** Records that a connection to a target ended during an exchange, which may be caused by either end or between. */
     public void connectionLost(TargetAnnouncement target) {
+        if (stalls.stalledLately()) {
+            environment.restartEvidence().restartMayBeMissed(target);
+        }
         probe(target);
     }
 
@@ -128,6 +135,7 @@
      */
     public void connectionFailed(TargetAnnouncement target, Duration waited) {
         boolean confirm;
+        boolean pathsLost;
         boolean refused;
         List<TargetAnnouncement> losses = List.of();
         synchronized (this) {
@@ -137,11 +145,15 @@
             if (severalPathsFail()) {
                 losses = presumeAllLost(path.connectionsHang(), now);
             }
-            refused = losses.isEmpty() && !path.connectionsHang();
+            pathsLost = !losses.isEmpty();
+            refused = !pathsLost && !path.connectionsHang();
             confirm = losses.isEmpty() && !path.needsSecondFailure(now);
         }
         if (refused) {
             environment.restartEvidence().connectionRefused(target);
+        } else if (!pathsLost) {
+            // The machine of the target may be down, or this instance was too slow to see the refusal in time.
+            environment.restartEvidence().restartMayBeMissed(target);
         }
         if (confirm && !beginConfirmation(target)) {
             return;
