Report when a replica knows no leader of the control log

What callers saw: changes were refused for hours, and no line and no gauge of an instance said that the control log had no majority, since when, and which voters were missing.

Change: the gauge control_log.seconds_without_leader, event 217 once after 2 s with the voters that the replica does not hear, and event 218 at the end. A learner, which begins no election, and a thread that hangs in a write count as without a leader. An unexpected exception outside the replica no longer ends the ticks of its thread without a line. The queue of a replica moves to a class of its own.

Evidence: LeaderWatchTest, LogEventTest, ControlReplicaTest, RecentFailuresTest and SlowDiskElectionTest pass.

--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -117,9 +117,7 @@
                 new LossTolerance(settings.interfaces().lossToleranceTokens()));
         ControlStateMachine stateMachine = new ControlStateMachine(interfaceOptions.rulesFormat());
         this.replica = settings.dataFolder().map(folder -> startReplica(folder, stateMachine));
-        replica.ifPresent(controlReplica -> metrics.registerGauge(
-                "control_log.seconds_without_disk",
-                () -> controlReplica.outage().map(Duration::toSeconds).orElse(0L)));
+        replica.ifPresent(controlReplica -> registerGauges(metrics, controlReplica));
         this.instance = new Instance(environment(stateMachine, limits, metrics, interfaceOptions));
         this.gateway = createGateway(metrics);
     }
@@ -308,6 +306,15 @@
         return new EngineAccess(engineClient, settings.interfaces().orderLease());
     }
 
+    private static void registerGauges(MetricRegistry metrics, ControlReplica controlReplica) {
+        metrics.registerGauge(
+                "control_log.seconds_without_disk",
+                () -> controlReplica.outage().map(Duration::toSeconds).orElse(0L));
+        metrics.registerGauge(
+                "control_log.seconds_without_leader",
+                () -> controlReplica.withoutLeader().map(Duration::toSeconds).orElse(0L));
+    }
+
     private ControlReplica startReplica(Path folder, ControlStateMachine stateMachine) {
         Set<InstanceId> seeds = settings.replicas().keySet();
         return ControlReplica.start(
--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -35,6 +35,8 @@
     REPLICA_SUSPENDED(214, "replica of the control log takes no part because its disk cannot be written"),
     REPLICA_RESUMED(215, "replica of the control log takes part again"),
     CONSENSUS_MESSAGE_DROPPED(216, "message of another replica of the control log is not valid and was dropped"),
+    CONTROL_LOG_WITHOUT_LEADER(217, "replica knows no leader of the control log, so no change is acknowledged"),
+    CONTROL_LOG_HAS_LEADER(218, "replica knows a leader of the control log again"),
     SESSION_OPENED(250, "session with the control log opened"),
     SESSION_LOST(251, "session with the control log lost"),
     SESSION_EXPIRED(252, "session of an unresponsive instance expired"),
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ControlReplica.java
@@ -11,13 +11,11 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
@@ -37,6 +35,7 @@
 import org.basilrill.protocol.peer.ConsensusCodec;
 import org.basilrill.state.log.ReplicatedStateMachine;
 import org.basilrill.transport.disk.FileFailure;
+import org.basilrill.transport.threads.ReplicaTasks.Task;
 
 /**
  * Runs one replica of the control log on a thread of its own. Tasks that arrive while the thread is busy are run as one
@@ -62,7 +61,8 @@
     private final ReplicatedStateMachine machine;
     private final ReplicaEnvironment environment;
     private final ScheduledExecutorService executor;
-    private final ConcurrentLinkedQueue<Task> queuedTasks = new ConcurrentLinkedQueue<>();
+    private final LeaderWatch leaderWatch = LeaderWatch.reportingToLog(System::nanoTime);
+    private final ReplicaTasks queuedTasks = new ReplicaTasks();
     private final AtomicBoolean scheduled = new AtomicBoolean();
     /** Empty during an outage; used on the replica's thread. */
     private Optional<Replica> replica = Optional.empty();
@@ -154,6 +154,7 @@
     @Override
     public void received(InstanceId sender, byte[] payload) {
         AddressedMessage message = ConsensusCodec.decode(payload);
+        leaderWatch.heard(sender);
         submit(new Task(active -> active.received(sender, message), exception -> {}));
     }
 
@@ -210,6 +211,11 @@
         return storage.diskOutageLength();
     }
 
+    /** Returns for how long this replica has known no leader; empty while it knows one. */
+    public Optional<Duration> withoutLeader() {
+        return leaderWatch.withoutLeader();
+    }
+
     /** Returns the reason why the replica ended; empty while it runs or is suspended. */
     public Optional<BasilrillException> failure() {
         return failure;
@@ -242,14 +248,14 @@
         queuedTasks.add(task);
         Optional<BasilrillException> unavailability = unavailability();
         if (unavailability.isPresent()) {
-            rejectQueuedTasks(unavailability.get());
+            queuedTasks.reject(unavailability.get());
             return;
         }
         if (scheduled.compareAndSet(false, true)) {
             try {
                 executor.execute(FatalErrorHandler.reportingErrors(() -> runGroup(false)));
             } catch (RejectedExecutionException exception) {
-                rejectQueuedTasks(
+                queuedTasks.reject(
                         new BasilrillException(ErrorCode.CONTROL_UNAVAILABLE, "the replica is closed", exception));
             }
         }
@@ -262,6 +268,12 @@
     private void runGroup(boolean tick) {
         try {
             runGroupOrFail(tick);
+            if (tick) {
+                leaderWatch.observe(status);
+            }
+        } catch (RuntimeException exception) {
+            // Propagated, it would end the ticks without a line.
+            LOGGER.atSevere().withCause(exception).log("%s: %s", LogEvent.REPLICA_FAILED, exception.getMessage());
         } catch (Error error) {
             failure = Optional.of(new BasilrillException(ErrorCode.INTERNAL, String.valueOf(error), error));
             throw error;
@@ -271,7 +283,7 @@
     private void runGroupOrFail(boolean tick) {
         scheduled.set(false);
         if (unavailability().isPresent()) {
-            rejectQueuedTasks(unavailability().get());
+            queuedTasks.reject(unavailability().get());
             endOutageIfDue();
             return;
         }
@@ -292,7 +304,7 @@
             active.tick();
         }
         for (int count = 0; count < MAXIMUM_GROUP_TASKS && !queuedTasks.isEmpty(); count++) {
-            Task next = queuedTasks.poll();
+            Task next = queuedTasks.poll().orElseThrow();
             executed.add(next);
             next.action().accept(active);
         }
@@ -333,41 +345,27 @@
         try {
             createReplica();
         } catch (RuntimeException exception) {
-            attemptFailed(exception);
+            storage.attemptFailed(exception);
             return;
         }
         storage.endOutage();
     }
 
-    private void attemptFailed(RuntimeException exception) {
-        if (ReplicaStorage.isDiskFailure(exception)) {
-            storage.attemptFailed();
-        } else {
-            storage.beginOutage(reasonOf(exception));
-        }
-    }
-
     /**
      * Suspends the replica after a failure. What it acknowledged earlier is synced. What failed was not acknowledged
      * and may or may not be on the disk, so nothing is sent until the store has removed it and a new replica has read
      * the store. The state machine keeps its state: it applied whole commands only.
      */
     private void fail(RuntimeException exception, List<Task> executed) {
-        BasilrillException reason = reasonOf(exception);
+        BasilrillException reason = ReplicaStorage.reasonOf(exception);
         endReplica();
         status = status.suspended();
         storage.beginOutage(reason);
-        rejectQueuedTasks(reason);
-        BasilrillException unavailable = unavailable(reason).withOutcome(Outcome.MAY_HAVE_RUN);
+        queuedTasks.reject(reason);
+        BasilrillException unavailable = ReplicaTasks.unavailable(reason).withOutcome(Outcome.MAY_HAVE_RUN);
         executed.forEach(task -> task.onRejection().accept(unavailable));
     }
 
-    private static BasilrillException reasonOf(RuntimeException exception) {
-        return exception instanceof BasilrillException typed
-                ? typed
-                : new BasilrillException(ErrorCode.INTERNAL, String.valueOf(exception), exception);
-    }
-
     private void endReplica() {
         Optional<Replica> ended = replica;
         replica = Optional.empty();
@@ -383,21 +381,7 @@
 
     private void stop() {
         endReplica();
-        rejectQueuedTasks(failure.orElseThrow());
+        queuedTasks.reject(failure.orElseThrow());
         storage.close();
     }
-
-    private void rejectQueuedTasks(BasilrillException reason) {
-        for (Task next = queuedTasks.poll(); next != null; next = queuedTasks.poll()) {
-            next.onRejection().accept(unavailable(reason));
-        }
-    }
-
-    private static BasilrillException unavailable(BasilrillException reason) {
-        return new BasilrillException(
-                ErrorCode.CONTROL_UNAVAILABLE, "the replica takes no part: " + reason.getMessage(), reason);
-    }
-
-    /** An action for the replica's thread, and a callback that is called instead while there is no replica. */
-    private record Task(Consumer<Replica> action, Consumer<BasilrillException> onRejection) {}
 }
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaStorage.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaStorage.java
@@ -87,8 +87,19 @@
     }
 
     /** Schedules the next attempt after a failed one. */
-    void attemptFailed() {
-        outage = outage.map(current -> current.afterFailedAttempt(clock.nanos()));
+    void attemptFailed(RuntimeException failure) {
+        if (isDiskFailure(failure)) {
+            outage = outage.map(current -> current.afterFailedAttempt(clock.nanos()));
+        } else {
+            beginOutage(reasonOf(failure));
+        }
+    }
+
+    /** Returns the failure with a code. */
+    static BasilrillException reasonOf(RuntimeException failure) {
+        return failure instanceof BasilrillException typed
+                ? typed
+                : new BasilrillException(ErrorCode.INTERNAL, String.valueOf(failure), failure);
     }
 
     void endOutage() {
--- a/basilrill-library/src/test/java/org/basilrill/transport/threads/VirtualReplica.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/threads/VirtualReplica.java
@@ -201,7 +201,7 @@
             createReplica();
         } catch (BasilrillException exception) {
             requireDiskFailure(exception);
-            storage.attemptFailed();
+            storage.attemptFailed(exception);
             return;
         }
         storage.endOutage();
