Test bytes before the request without a race

The test of bytes on a new connection passed only if the kernel delivered them before the client wrote, as it opened a real connection. TargetExchangeTest now holds the same with a connection that has an unread byte: the request is not written, no permission to send is asked for, a new connection is not replaced. In LateSecondAnswerTest bytes on an idle connection get 20 ms to arrive, and the sockets of the target that answers early stay referenced.

--- a/basilrill-library/src/test/java/org/basilrill/transport/http/LateSecondAnswerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/LateSecondAnswerTest.java
@@ -38,6 +38,9 @@
     private static final String SECOND_BODY = "an answer to the first request";
     private static final String REQUEST_ID = "x-request-id";
     private static final String PROMPT = "{\"model\":\"medal-match\",\"max_tokens\":20,\"prompt\":\"hi\"}";
+    /** The kernel may deliver written bytes shortly after the write, also on loopback. */
+    private static final int ARRIVAL_MILLIS = 20;
+
     private static final int PROMPT_BYTES = 4 * 1024 * 1024;
 
     /** The answer after which the target answers again. */
@@ -120,6 +123,9 @@
             assertThat(one.failures(), is(empty()));
             firstReceived.countDown();
             assertThat(repeated.await(20, TimeUnit.SECONDS), is(true));
+            if (!arrival.withTheFirst) {
+                TimeUnit.MILLISECONDS.sleep(ARRIVAL_MILLIS);
+            }
             Response two = send(fixture, target, request("POST", "next"));
             two.awaitEnd();
             assertThat(two.failures(), is(empty()));
@@ -239,43 +245,12 @@
         }
     }
 
-    /** Guards against bytes on a new connection that the target sent before it had received any request. */
-    @Test
-    void bytesOnANewConnectionBeforeTheRequestAreNoAnswer() throws Exception {
-        try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-                GatewayFixture fixture = GatewayFixture.open()) {
-            Response response = new Response() {
-                @Override
-                public boolean maySend() {
-                    throw new AssertionError("nothing may be sent");
-                }
-            };
-            HttpHost host = new HttpHost("http", "127.0.0.1", server.getLocalPort());
-            CountDownLatch sent = new CountDownLatch(1);
-            Thread sender = new Thread(() -> {
-                try (Socket socket = server.accept()) {
-                    socket.getOutputStream()
-                            .write(answer("early").replace("ID", "").getBytes(StandardCharsets.UTF_8));
-                    sent.countDown();
-                    socket.getInputStream().read();
-                } catch (IOException closed) {
-                    sent.countDown();
-                }
-            });
-            sender.start();
-            fixture.client().open(host, ConnectionPurpose.REQUESTS, request("POST", "first"), response);
-            response.awaitEnd();
-            assertThat(response.completed(), is(false));
-        }
-    }
-
     /** Guards against the rest of a connection whose target answered before it had received the whole request. */
     @Test
     void aConnectionWithAnEarlyAnswerIsNotUsedAgain() throws Exception {
-        AtomicInteger connections = new AtomicInteger();
         try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
                 GatewayFixture fixture = GatewayFixture.open()) {
-            Thread acceptor = new Thread(() -> answerEarly(server, connections));
+            Thread acceptor = new Thread(() -> answerEarly(server));
             acceptor.setDaemon(true);
             acceptor.start();
             HttpHost host = new HttpHost("http", "127.0.0.1", server.getLocalPort());
@@ -315,11 +290,13 @@
                 .join();
     }
 
-    private static void answerEarly(ServerSocket server, AtomicInteger connections) {
+    private static void answerEarly(ServerSocket server) {
+        List<Socket> sockets = new ArrayList<>();
         try {
             while (true) {
                 Socket socket = server.accept();
-                int number = connections.incrementAndGet();
+                sockets.add(socket);
+                int number = sockets.size();
                 RawHttp.readHead(socket.getInputStream());
                 String text = answer("early-" + number) + answer("late-" + number);
                 socket.getOutputStream().write(text.replace("ID", "").getBytes(StandardCharsets.UTF_8));
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/TargetExchangeTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/TargetExchangeTest.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.reactor.IOSession;
 import org.basilrill.protocol.target.TargetConnector;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -30,12 +31,32 @@
     @ValueSource(ints = {1, -1})
     void aRequestIsNotWrittenToAConnectionWithUnreadBytesOrAtItsEnd(int bytesRead) {
         ReplacedConnections owner = new ReplacedConnections();
-        RelayFixture.Response response = new RelayFixture.Response();
-        TargetExchange exchange = new TargetExchange(
-                new HttpHost("http", "127.0.0.1", 1), REQUEST, response, 1024, ResponseMemory.forHeap(), owner);
+        UnsentResponse response = new UnsentResponse();
         ConnectionHistory used = new ConnectionHistory(ConnectionPurpose.REQUESTS);
         used.requestBegins(REQUEST);
-        exchange.attach(session(bytesRead), used);
+        produceRequest(response, owner, session(bytesRead), used);
+        assertThat(owner.replacements, is(1));
+        assertThat(response.failures(), is(List.of()));
+    }
+
+    /**
+     * Guards against bytes that a target sends on a new connection before it has received any request. A new connection
+     * is not replaced, so that such a target does not receive connections without end.
+     */
+    @Test
+    void bytesOnANewConnectionBeforeTheRequestFailTheExchange() {
+        ReplacedConnections owner = new ReplacedConnections();
+        UnsentResponse response = new UnsentResponse();
+        produceRequest(response, owner, session(1), new ConnectionHistory(ConnectionPurpose.REQUESTS));
+        assertThat(owner.replacements, is(0));
+        assertThat(response.failures(), is(List.of(TargetConnector.FailureKind.CONNECTION_LOST)));
+    }
+
+    private static void produceRequest(
+            UnsentResponse response, ConnectionOwner owner, IOSession session, ConnectionHistory history) {
+        HttpHost host = new HttpHost("http", "127.0.0.1", 1);
+        TargetExchange exchange = new TargetExchange(host, REQUEST, response, 1024, ResponseMemory.forHeap(), owner);
+        exchange.attach(session, history);
         ConnectionClosedException refused = assertThrows(
                 ConnectionClosedException.class,
                 () -> exchange.produceRequest(
@@ -45,8 +66,6 @@
                         HttpCoreContext.create()));
         exchange.failed(refused);
         exchange.releaseResources();
-        assertThat(owner.replacements, is(1));
-        assertThat(response.failures(), is(List.of()));
     }
 
     private static IOSession session(int bytesRead) {
@@ -60,6 +79,14 @@
                 });
     }
 
+    /** Fails if the request may be sent, as it may then count as one that has run. */
+    private static final class UnsentResponse extends RelayFixture.Response {
+        @Override
+        public boolean maySend() {
+            throw new AssertionError("the request may be sent");
+        }
+    }
+
     /** Counts the exchanges that are sent on another connection. */
     private static final class ReplacedConnections implements ConnectionOwner {
         private int replacements;
