--- a/basilrill-library/src/test/java/org/basilrill/transport/http/LateSecondAnswerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/LateSecondAnswerTest.java
@@ -38,6 +38,9 @@
     private static final String SECOND_BODY = "an answer to the first request";
     private static final String REQUEST_ID = "x-request-id";
     private static final String PROMPT = "{\"model\":\"medal-match\",\"max_tokens\":20,\"prompt\":\"hi\"}";
+    /** The kernel may deliver written bytes shortly after the write, also on loopback. */
+    private static final int ARRIVAL_MILLIS = 20;
+
     private static final int PROMPT_BYTES = 4 * 1024 * 1024;
     private static final int NEW_CONNECTIONS = 20;
 
@@ -121,6 +124,9 @@
             assertThat(one.failures(), is(empty()));
             firstReceived.countDown();
             assertThat(repeated.await(20, TimeUnit.SECONDS), is(true));
+            if (!arrival.withTheFirst) {
+                TimeUnit.MILLISECONDS.sleep(ARRIVAL_MILLIS);
+            }
             Response two = send(fixture, target, request("POST", "next"));
             two.awaitEnd();
             assertThat(two.failures(), is(empty()));
@@ -278,10 +284,9 @@
     /** Guards against the rest of a connection whose target answered before it had received the whole request. */
     @Test
     void aConnectionWithAnEarlyAnswerIsNotUsedAgain() throws Exception {
-        AtomicInteger connections = new AtomicInteger();
         try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
                 GatewayFixture fixture = GatewayFixture.open()) {
-            Thread acceptor = new Thread(() -> answerEarly(server, connections));
+            Thread acceptor = new Thread(() -> answerEarly(server));
             acceptor.setDaemon(true);
             acceptor.start();
             HttpHost host = new HttpHost("http", "127.0.0.1", server.getLocalPort());
@@ -321,11 +326,13 @@
                 .join();
     }
 
-    private static void answerEarly(ServerSocket server, AtomicInteger connections) {
+    private static void answerEarly(ServerSocket server) {
+        List<Socket> sockets = new ArrayList<>();
         try {
             while (true) {
                 Socket socket = server.accept();
-                int number = connections.incrementAndGet();
+                sockets.add(socket);
+                int number = sockets.size();
                 RawHttp.readHead(socket.getInputStream());
                 String text = answer("early-" + number) + answer("late-" + number);
                 socket.getOutputStream().write(text.replace("ID", "").getBytes(StandardCharsets.UTF_8));
