--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/MessageCheck.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/MessageCheck.java
@@ -1,5 +1,6 @@
 package org.basilrill.coordination.consensus;
 
+import java.util.Optional;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.coordination.consensus.ConsensusMessage.AppendRequest;
@@ -22,11 +23,24 @@
     private MessageCheck() {}
 
     /**
-     * Checks one message.
+     * Handles a message unless it is not valid.
      *
-     * @throws BasilrillException with {@link ErrorCode#MESSAGE_MALFORMED} if the message is not valid
+     * @return why the message is not valid; empty if it was handled
      */
-    static void check(ConsensusMessage message) {
+    static Optional<String> handleIfValid(ConsensusMessage message, Runnable handler) {
+        try {
+            check(message);
+            handler.run();
+            return Optional.empty();
+        } catch (BasilrillException exception) {
+            if (exception.code() != ErrorCode.MESSAGE_MALFORMED) {
+                throw exception;
+            }
+            return Optional.of(exception.getMessage());
+        }
+    }
+
+    private static void check(ConsensusMessage message) {
         if (message instanceof AppendRequest request) {
             checkAppend(request);
         } else if (message instanceof AppendResponse response) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
@@ -119,15 +120,9 @@
 
     /** Handles one message. One that no correct replica sends is dropped and reported. */
     public void received(InstanceId sender, AddressedMessage addressed) {
-        try {
-            MessageCheck.check(addressed.message());
-            handle(sender, addressed);
-        } catch (BasilrillException exception) {
-            if (exception.code() != ErrorCode.MESSAGE_MALFORMED) {
-                throw exception;
-            }
-            state.report(LogEvent.CONSENSUS_MESSAGE_DROPPED, "from " + sender + ": " + exception.getMessage());
-        }
+        MessageCheck.handleIfValid(addressed.message(), () -> handle(sender, addressed))
+                .ifPresent(violation ->
+                        state.report(LogEvent.CONSENSUS_MESSAGE_DROPPED, "from " + sender + ": " + violation));
     }
 
     private void handle(InstanceId sender, AddressedMessage addressed) {
@@ -184,7 +179,7 @@
     public ReplicaStatus status() {
         return new ReplicaStatus(
                 state.self(),
-                role(),
+                ReplicaRole.of(leadership.isPresent(), state.isVoter(), election),
                 state.term(),
                 leader.map(ReplicaId::instance),
                 state.commitIndex(),
@@ -192,17 +187,6 @@
                 state.log().members());
     }
 
-    private ReplicaRole role() {
-        if (leadership.isPresent()) {
-            return ReplicaRole.LEADER;
-        }
-        if (!state.isVoter()) {
-            return ReplicaRole.LEARNER;
-        }
-        return election.map(running -> running.isPreVote() ? ReplicaRole.PRE_CANDIDATE : ReplicaRole.CANDIDATE)
-                .orElse(ReplicaRole.FOLLOWER);
-    }
-
     private void dispatch(ReplicaId from, ConsensusMessage message) {
         if (message instanceof AppendRequest request) {
             append(from, request);
@@ -320,10 +304,7 @@
                 < state.settings().minimumElectionTimeout().toNanos();
     }
 
-    /**
-     * Returns whether the leader is unresponsive. A voter removed while it was partitioned has no other sign of its
-     * removal, so it then also sends join requests.
-     */
+    /** Returns whether the leader is unresponsive, the only sign of its removal to a voter that was partitioned. */
     private boolean isLeaderUnresponsive() {
         return state.now() - lastLeaderContactAt
                 > state.settings().maximumElectionTimeout().toNanos();
@@ -341,18 +322,20 @@
     }
 
     private void campaign() {
-        resetElectionTimer();
-        leader = Optional.empty();
-        election = Optional.of(Election.preVote(state));
-        countVotes();
+        begin(Election::preVote);
     }
 
     private void campaignImmediately(TimeoutNow request) {
         if (request.term() != state.term() || leadership.isPresent() || !state.isVoter()) {
             return;
         }
+        begin(Election::voteAfterHandover);
+    }
+
+    /** The timer begins after the vote is written; see {@link #countVotes}. */
+    private void begin(Function<ReplicaState, Election> type) {
         leader = Optional.empty();
-        election = Optional.of(Election.voteAfterHandover(state));
+        election = Optional.of(type.apply(state));
         resetElectionTimer();
         countVotes();
     }
@@ -380,8 +363,7 @@
             state.adoptTerm(term);
         }
         if (leadership.isPresent()) {
-            throw new BasilrillException(
-                    ErrorCode.MESSAGE_MALFORMED, "this replica leads term " + term + ", and so does the sender");
+            throw new BasilrillException(ErrorCode.MESSAGE_MALFORMED, "two leaders in term " + term);
         }
         election = Optional.empty();
         leader = Optional.of(from);
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -112,7 +112,8 @@
     }
 
     /**
-     * Returns whether the view is confirmed. The first call after a suspension discards the confirmation and sends a pull.
+     * Returns whether the view is confirmed. The first call after a suspension discards the confirmation and sends a
+     * pull.
      */
     boolean isCurrent() {
         synchronized (this) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/caller/RuleDecisions.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/RuleDecisions.java
@@ -16,8 +16,8 @@
  */
 public final class RuleDecisions {
     /**
-     * Age of the confirmation from which on no request is denied. Longer than two pulls; with the clocks' tolerance still
-     * shorter than the 2 s after which an acknowledged change must be in force.
+     * Age of the confirmation from which on no request is denied. Longer than two pulls; with the tolerance of the
+     * clocks still shorter than the 2 s after which an acknowledged change must be in force.
      */
     static final Duration DENIAL_FRESHNESS_BOUND = Duration.ofMillis(1_200);
 
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -71,7 +71,7 @@
         return fixture.connector().calls().size();
     }
 
-    /** Guards against 404 for a route, or 401 for a key, that an instance has not received although it was acknowledged. */
+    /** Guards against 404 for a route, or 401 for a key, that is acknowledged but has not reached the instance. */
     @Test
     void anInstanceThatIsNotCurrentDeniesNoRequestByItsRules() {
         fixture.control().setCurrent(false);
