Fail a success that its target has not signed

No layer looked: the platform's folder forwarded the field and did not know its name.

The dialect states whether a response lacks the signature (RequestMessages.isUnsigned, false unless a dialect signs), and the attempt fails with TARGET_FAILED, so that it is retried where that is allowed.

RoutedRequestTest.anUnsignedSuccessIsAFailedAttempt failed before the attempt looked (one call instead of two).

--- a/basilrill-library/src/main/java/org/basilrill/protocol/dialect/RequestMessages.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/dialect/RequestMessages.java
@@ -28,6 +28,15 @@
      */
     boolean reportsMisdirected(ResponseHead response);
 
+    /**
+     * Returns whether the response is a success without the signature that each success of a target carries. It is no
+     * response of a target then, or not all of one.
+     */
+    default boolean isUnsigned(ResponseHead response) {
+        // Most targets do not sign their responses.
+        return false;
+    }
+
     /** Returns the target's load, if its response states it. */
     Optional<Load> load(ResponseHead response);
 
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -177,6 +177,10 @@
                 fail(ErrorCode.ANSWER_MISMATCH, "the response does not carry the ID of the request", false);
                 return;
             }
+            if (plan.messages().isUnsigned(head)) {
+                fail(ErrorCode.TARGET_FAILED, "the response is not signed, status " + head.status(), false);
+                return;
+            }
             owner.relay().decisionLog().addStep("status " + head.status() + " from", target());
             services.permits().observe(target(), plan.messages().requestRate(head));
             assignment.responseStarted(plan.messages().load(head));
@@ -382,17 +386,4 @@
     private void recordProgress() {
         lastProgressNanos = services.clock().nanos();
     }
-
-    /** Placeholder until the connector has returned the call. */
-    private static final class UnopenedCall implements TargetConnector.Call {
-        @Override
-        public void extendWindow(int bytes) {
-            throw new IllegalStateException("the call is not open");
-        }
-
-        @Override
-        public void cancel() {
-            // No call was opened.
-        }
-    }
 }
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -160,6 +160,23 @@
         assertThat(started.stream().status(), is(200));
     }
 
+    /** Guards against a success that reaches the caller without the signature of a target. */
+    @Test
+    void anUnsignedSuccessIsAFailedAttempt() {
+        Started safe = send("/safe/x");
+        last().send();
+        last().head(200, StubDialect.UNSIGNED, "r-1");
+        assertThat(calls(), is(2));
+        last().send();
+        last().head(200, "application/json", "r-1");
+        last().end();
+        assertThat(safe.stream().status(), is(200));
+        Started unsafe = send("/unsafe/x");
+        last().send();
+        last().head(200, StubDialect.UNSIGNED, "r-1");
+        assertThat(unsafe.stream().status(), is(502));
+    }
+
     @Test
     void aSafeRequestIsRetriedOnceAfterAServerError() {
         Started started = send("/safe/x");
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StubDialect.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StubDialect.java
@@ -26,6 +26,9 @@
     static final String FIRST_REQUEST = "x-first-request";
     static final String PROMPT_PARTS = "x-prompt-parts";
     static final String RAN_NOTHING = "x-ran-nothing";
+    /** Content type of responses without a signature. */
+    static final String UNSIGNED = "application/unsigned";
+
     private static final int MISDIRECTED = 421;
 
     @Override
@@ -89,6 +92,13 @@
             return response.status() == MISDIRECTED;
         }
 
+        @Override
+        public boolean isUnsigned(ResponseHead response) {
+            return response.header(ResponseHead.CONTENT_TYPE)
+                    .filter(UNSIGNED::equals)
+                    .isPresent();
+        }
+
         @Override
         public Optional<Load> load(ResponseHead response) {
             return Optional.empty();
