Hold that each target order uses a connection of its own

The outcome of an order carries no id, so a late repeat of one would pass for that of the next order on the same connection. The test passes (one run); it was not run on the code before.

--- a/basilrill-library/src/test/java/org/basilrill/transport/http/HttpTargetOrderClientTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/HttpTargetOrderClientTest.java
@@ -77,4 +77,20 @@
             assertThat(failure.getCause(), is(instanceOf(BasilrillException.class)));
         }
     }
+
+    /** Guards against a late repeat of the outcome of one order that passes for the outcome of the next one. */
+    @Test
+    void eachOrderUsesAConnectionOfItsOwn() throws Exception {
+        try (RawTarget target = new RawTarget(exchange -> {
+            exchange.respond(200, "{\"outcome\":\"done\"}");
+            exchange.respond(200, "{\"outcome\":\"done\"}");
+        })) {
+            TargetAnnouncement announcement = FakeServices.target("engine", target.port());
+            for (int order = 1; order <= 3; order++) {
+                assertThat(orderClient.send(announcement, ORDER).join(), is(Optional.of(OrderOutcome.DONE)));
+                assertThat(target.connections(), is(order));
+                assertThat(client.idleConnectionCount(), is(0));
+            }
+        }
+    }
 }
