Check the version of a continuation when its first events arrive

Nothing was checked between the assignment and the events. Found with it: a stream that began under an unconfirmed version had no record, and a stream without a record is taken to be of the only version in service, so it could be taken up at a target of the announced version.

Change: the first part of a continuation's body is refused (STREAM_CUT) before it reaches the caller unless what is known of the target now has the version that the stream requires; a stream that begins is recorded with what is known then, also if that is unconfirmed. Such a stream is taken up at the same target only.

Tests: StreamVersionTest failed in both new cases before ("id: 2" was sent on; a confirmed target was called).

--- a/basilrill-library/src/main/java/org/basilrill/coordination/stream/StreamVersionGuard.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/stream/StreamVersionGuard.java
@@ -25,6 +25,7 @@
 import org.basilrill.state.control.ControlView;
 import org.basilrill.state.control.ServiceVersions;
 import org.basilrill.state.target.TargetAnnouncement;
+import org.basilrill.state.target.TargetDirectory;
 
 /**
  * Ensures that a resumable stream continues only at targets of the software version that began it. A version is
@@ -54,6 +55,7 @@
 
     private final ControlClient control;
     private final Scheduler scheduler;
+    private final TargetDirectory targets;
     private final RecentStreams recent;
     private final Map<Version, CompletableFuture<Void>> registrations = new HashMap<>();
     private Set<Version> inService = Set.of();
@@ -61,9 +63,16 @@
     private List<StreamRecord> unrecorded = new ArrayList<>();
     private boolean recordScheduled;
 
-    public StreamVersionGuard(ControlClient control, MonotonicClock clock, Scheduler scheduler) {
+    /**
+     * Creates the guard of one instance.
+     *
+     * @param targets what is known of the targets now
+     */
+    public StreamVersionGuard(
+            ControlClient control, MonotonicClock clock, Scheduler scheduler, TargetDirectory targets) {
         this.control = control;
         this.scheduler = scheduler;
+        this.targets = targets;
         recent = new RecentStreams(clock);
         control.onView(this::viewChanged);
     }
@@ -73,6 +82,14 @@
         return target.softwareVersion().orElse(UNSTATED);
     }
 
+    /**
+     * Returns what is known now of the target of an attempt, which may have been suspected of a restart since it was
+     * chosen.
+     */
+    public TargetAnnouncement latest(TargetAnnouncement target) {
+        return targets.target(target.id()).orElse(target);
+    }
+
     /**
      * Registers the version of a target, unless it is registered. Only then may a stream begin there. An unconfirmed
      * version is not registered; streams that begin with it are resumed at the same target only.
@@ -108,15 +125,15 @@
         }
     }
 
-    /** Records the version that began the stream of a request. */
+    /**
+     * Records the version that began the stream of a request. An unconfirmed one is recorded even if the service has a
+     * single version, as a stream without a record is taken to be of that.
+     */
     public void streamBegan(String requestId, TargetAnnouncement target) {
-        if (target.hasUnconfirmedVersion()) {
-            return;
-        }
         StreamRecord record = new StreamRecord(requestId, target.service().orElse(""), versionOf(target));
         synchronized (this) {
             recent.add(record);
-            if (!several.contains(record.service())) {
+            if (!several.contains(record.service()) && !target.hasUnconfirmedVersion()) {
                 return;
             }
             unrecorded.add(record);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -147,7 +147,7 @@
                 environment.interfaces().listingValidity());
         this.blockedRequests = new BlockedRequests(
                 environment.clock(), request -> membership.publishUrgently(new BlockedRequestFact(request)));
-        this.streamVersions = new StreamVersionGuard(control, environment.clock(), environment.scheduler());
+        this.streamVersions = new StreamVersionGuard(control, environment.clock(), environment.scheduler(), targets);
         this.coordinator = createCoordinator();
         dispatcher.setAbsenceListener(
                 (target, model) -> targets.contentChanged(target.id(), target.incarnation(), model, false));
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -147,6 +147,7 @@
 
     @Override
     public void bodyReceived(byte[] bytes) {
+        attempt.ifPresent(continuity::bodyReceived);
         boolean beforeBody = !relay.started();
         if (!relay.writeBody(bytes)) {
             attempt.ifPresent(running -> running.extendWindow(bytes.length));
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/StreamContinuity.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/StreamContinuity.java
@@ -19,6 +19,8 @@
     private final RequestPlan plan;
     private final boolean resumable;
     private Optional<String> requiredVersion = Optional.empty();
+    /** The last attempt whose target was found to run the required version. */
+    private Optional<TargetAttempt> checked = Optional.empty();
 
     StreamContinuity(RequestServices services, RequestPlan plan) {
         this.services = services;
@@ -61,11 +63,30 @@
                 : CompletableFuture.completedFuture(null);
     }
 
+    /**
+     * Checks the target when the first part of its body arrives: an attempt may reach a target that has started again
+     * since it was chosen.
+     *
+     * @throws BasilrillException with {@code STREAM_CUT} if the target may run another version than the stream requires
+     */
+    void bodyReceived(TargetAttempt attempt) {
+        boolean first = checked.filter(known -> known == attempt).isEmpty();
+        checked = Optional.of(attempt);
+        if (first && requiredVersion.isPresent() && !requiredVersion.equals(Optional.of(versionOf(attempt.target())))) {
+            throw new BasilrillException(ErrorCode.STREAM_CUT, "the target may have started again with other software");
+        }
+    }
+
+    private String versionOf(TargetAnnouncement target) {
+        return StreamVersionGuard.versionOf(services.streams().latest(target));
+    }
+
     /** Records that the caller receives the first part of the response. */
     void responseStarted(TargetAnnouncement target) {
         if (resumable && requiredVersion.isEmpty()) {
-            requiredVersion = Optional.of(StreamVersionGuard.versionOf(target));
-            services.streams().streamBegan(plan.requestId(), target);
+            TargetAnnouncement latest = services.streams().latest(target);
+            requiredVersion = Optional.of(StreamVersionGuard.versionOf(latest));
+            services.streams().streamBegan(plan.requestId(), latest);
         }
     }
 }
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/StreamVersionTest.java
@@ -88,6 +88,36 @@
         assertThat(started.stream().text(), is("id: 1\ndata: a\n\n"));
     }
 
+    /**
+     * Guards against an attempt that began before the target was suspected of a restart, and reaches the next
+     * incarnation by way of others.
+     */
+    @Test
+    void aContinuationIsRefusedBeforeItsFirstEventIfTheTargetMayHaveStartedAgainMeanwhile() {
+        Started started = send("r-1");
+        begin(last());
+        FakeCall first = last();
+        first.fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+        assertThat(last().target(), is(OLD));
+        assertThat(last() == first, is(false));
+        fixture.services().targets().set(0, OLD.withUnconfirmedVersion());
+        finish(last());
+        assertThat(started.stream().text(), is("id: 1\ndata: a\n\n"));
+        assertThat(started.stream().aborted(), is(true));
+    }
+
+    /** Guards against a stream that is recorded under the version announced before the target started again. */
+    @Test
+    void aStreamThatBeginsAfterASuspicionIsNotTakenUpUnderTheVersionOfItsDispatch() {
+        Started started = send("r-1");
+        fixture.services().targets().set(0, OLD.withUnconfirmedVersion());
+        begin(last());
+        started.running().callerDisconnected();
+        fixture.services().targets().add(0, SECOND_OLD);
+        takeUp("r-2", "r-1");
+        assertThat(last().target(), is(OLD.withUnconfirmedVersion()));
+    }
+
     static CoordinatorFixture instance(TargetAnnouncement... targets) {
         CoordinatorFixture fixture =
                 new CoordinatorFixture(0, OpenTelemetry.noop().getTracer("test"), Optional.of(new StubDialect()));
