--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -58,8 +58,7 @@
 /**
  * One instance, assembled from an environment. Its entry points are {@link #handlers} (messages of other instances),
  * {@link #announcements} (announcements of targets), {@link #coordinator} (requests of callers), {@link #control}
- * (commands of operators) and the environment's scheduler (timers). Reads no wall clock, starts no thread and opens no
- * socket. Thread safe.
+ * (commands of operators) and the environment's scheduler (timers). Starts no thread, opens no socket. Thread safe.
  */
 public final class Instance {
     private final InstanceEnvironment environment;
