--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/MessageCheck.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/MessageCheck.java
@@ -1,5 +1,6 @@
 package org.basilrill.coordination.consensus;
 
+import java.util.function.Consumer;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.coordination.consensus.ConsensusMessage.AppendRequest;
@@ -22,11 +23,24 @@
     private MessageCheck() {}
 
     /**
-     * Checks one message.
+     * Runs the action that handles the message unless the message is not valid.
      *
-     * @throws BasilrillException with {@link ErrorCode#MESSAGE_MALFORMED} if the message is not valid
+     * @param action may itself throw with {@link ErrorCode#MESSAGE_MALFORMED}, before it changes the log
+     * @param invalid receives the violation of a message that is not valid
      */
-    static void check(ConsensusMessage message) {
+    static void runUnlessInvalid(ConsensusMessage message, Runnable action, Consumer<BasilrillException> invalid) {
+        try {
+            check(message);
+            action.run();
+        } catch (BasilrillException exception) {
+            if (exception.code() != ErrorCode.MESSAGE_MALFORMED) {
+                throw exception;
+            }
+            invalid.accept(exception);
+        }
+    }
+
+    private static void check(ConsensusMessage message) {
         if (message instanceof AppendRequest request) {
             checkAppend(request);
         } else if (message instanceof AppendResponse response) {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replica.java
@@ -119,15 +119,11 @@
 
     /** Handles one message. One that no correct replica sends is dropped and reported. */
     public void received(InstanceId sender, AddressedMessage addressed) {
-        try {
-            MessageCheck.check(addressed.message());
-            handle(sender, addressed);
-        } catch (BasilrillException exception) {
-            if (exception.code() != ErrorCode.MESSAGE_MALFORMED) {
-                throw exception;
-            }
-            state.report(LogEvent.CONSENSUS_MESSAGE_DROPPED, "from " + sender + ": " + exception.getMessage());
-        }
+        MessageCheck.runUnlessInvalid(
+                addressed.message(),
+                () -> handle(sender, addressed),
+                violation -> state.report(
+                        LogEvent.CONSENSUS_MESSAGE_DROPPED, "from " + sender + ": " + violation.getMessage()));
     }
 
     private void handle(InstanceId sender, AddressedMessage addressed) {
@@ -206,14 +202,10 @@
     private void dispatch(ReplicaId from, ConsensusMessage message) {
         if (message instanceof AppendRequest request) {
             append(from, request);
-        } else if (message instanceof AppendResponse response) {
-            if (isCurrent(response.term())) {
-                leadership.ifPresent(activeLeadership -> activeLeadership.responseReceived(from, response));
-            }
-        } else if (message instanceof SnapshotResponse response) {
-            if (isCurrent(response.term())) {
-                leadership.ifPresent(activeLeadership -> activeLeadership.responseReceived(from, response));
-            }
+        } else if (message instanceof AppendResponse response && isCurrent(response.term())) {
+            leadership.ifPresent(activeLeadership -> activeLeadership.responseReceived(from, response));
+        } else if (message instanceof SnapshotResponse response && isCurrent(response.term())) {
+            leadership.ifPresent(activeLeadership -> activeLeadership.responseReceived(from, response));
         } else if (message instanceof SnapshotChunk chunk) {
             installChunk(from, chunk);
         } else if (message instanceof VoteRequest request) {
@@ -244,11 +236,9 @@
         follow(from, request.term());
         ReplicaLog log = state.log();
         long previous = request.previousIndex();
-        boolean gap = previous > log.lastIndex();
-        boolean differs = !gap && previous > log.baseIndex() && log.termAt(previous) != request.previousTerm();
-        if (gap || differs) {
-            long retryAfter = gap ? log.lastIndex() : log.firstOfTermAt(previous) - 1;
-            long retryAfterIndex = Math.max(retryAfter, state.commitIndex());
+        Optional<Long> retryAfter = log.retryAfter(previous, request.previousTerm());
+        if (retryAfter.isPresent()) {
+            long retryAfterIndex = Math.max(retryAfter.get(), state.commitIndex());
             state.send(from, new AppendResponse(state.term(), false, retryAfterIndex, request.round()));
             return;
         }
@@ -302,12 +292,11 @@
             stepDown();
         }
         boolean granted = upToDate && (laterTerm || state.mayVoteFor(from));
-        if (laterTerm && !granted) {
-            state.adoptTerm(request.term());
-        }
         if (granted) {
             state.voteFor(request.term(), from);
             resetElectionTimer();
+        } else {
+            state.adoptTerm(request.term());
         }
         state.send(from, new VoteResponse(state.term(), false, granted));
     }
@@ -330,10 +319,8 @@
     }
 
     private void voteReceived(ReplicaId from, VoteResponse response) {
-        if (!response.granted() && !isCurrent(response.term())) {
-            return;
-        }
-        if (election.isEmpty()) {
+        boolean ofOtherTerm = !response.granted() && !isCurrent(response.term());
+        if (ofOtherTerm || election.isEmpty()) {
             return;
         }
         election.get().voteReceived(from, response);
@@ -341,9 +328,14 @@
     }
 
     private void campaign() {
-        resetElectionTimer();
+        begin(Election.preVote(state));
+    }
+
+    /** Begins the timeout after the vote of this replica is written, so that the others have all of it for theirs. */
+    private void begin(Election next) {
         leader = Optional.empty();
-        election = Optional.of(Election.preVote(state));
+        election = Optional.of(next);
+        resetElectionTimer();
         countVotes();
     }
 
@@ -351,10 +343,7 @@
         if (request.term() != state.term() || leadership.isPresent() || !state.isVoter()) {
             return;
         }
-        leader = Optional.empty();
-        election = Optional.of(Election.voteAfterHandover(state));
-        resetElectionTimer();
-        countVotes();
+        begin(Election.voteAfterHandover(state));
     }
 
     private void countVotes() {
@@ -362,10 +351,7 @@
             return;
         }
         if (election.get().isPreVote()) {
-            election = Optional.of(Election.vote(state));
-            // Begins after the vote of this replica is written, so that the others have the whole time for theirs.
-            resetElectionTimer();
-            countVotes();
+            begin(Election.vote(state));
             return;
         }
         election = Optional.empty();
@@ -401,9 +387,7 @@
     }
 
     private void commit(long index) {
-        if (index > state.commitIndex()) {
-            state.commitTo(index, (applied, result) -> {});
-        }
+        state.commitTo(index, (applied, result) -> {});
     }
 
     private void resetElectionTimer() {
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaLog.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/ReplicaLog.java
@@ -67,8 +67,17 @@
         return entries.get((int) (index - baseIndex - 1));
     }
 
+    /** Returns the index after which the leader retries if the record at the index is missing or has another term. */
+    Optional<Long> retryAfter(long previousIndex, long previousTerm) {
+        if (previousIndex > lastIndex()) {
+            return Optional.of(lastIndex());
+        }
+        boolean differs = previousIndex > baseIndex && termAt(previousIndex) != previousTerm;
+        return differs ? Optional.of(firstOfTermAt(previousIndex) - 1) : Optional.empty();
+    }
+
     /** Returns the lowest index of the unbroken run of records that share the term of the record at the index. */
-    long firstOfTermAt(long index) {
+    private long firstOfTermAt(long index) {
         long term = termAt(index);
         long first = index;
         while (first - 1 > baseIndex && termAt(first - 1) == term) {
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaOutage.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaOutage.java
@@ -4,8 +4,8 @@
 import org.basilrill.api.BasilrillException;
 
 /**
- * A period in which a replica takes no part because its disk cannot be written or it failed, with the time of the next attempt to use it. The wait
- * doubles after each failed attempt. Immutable and thread safe.
+ * A period in which a replica takes no part because its disk cannot be written or it failed, with the time of the next
+ * attempt to take part. The wait doubles after each failed attempt. Immutable and thread safe.
  *
  * @param reason the failure that began the outage
  * @param beganNanos time of that failure on the monotonic clock
--- a/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaStorage.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/threads/ReplicaStorage.java
@@ -13,7 +13,8 @@
 
 /**
  * The store of a replica across outages. An outage begins with a failed write or opening, or with another failure of
- * the replica, and ends when the store is writable and a new replica has read it. Used on the replica's thread, except for {@link #outage}, which is thread safe.
+ * the replica, and ends when the store is writable and a new replica has read it. Used on the replica's thread, except
+ * for {@link #outage}, which is thread safe.
  */
 final class ReplicaStorage {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/threads/ControlReplicaTest.java
@@ -211,7 +211,7 @@
         assertThat(propose(0), is(50L));
     }
 
-    /** Guards against a message that ends the replica: a record out of its place failed the store, and so the replica. */
+    /** Guards against a message that ends the replica: a record out of its place failed the store. */
     @Test
     void aMessageThatNoReplicaSendsIsDropped() {
         FOUNDERS.forEach(this::startOnSimulatedDisk);
