Keep copies of models in demand while engines crash

Cause: the planner takes the content of an engine from its last report, so copies at crashed engines, which are announced for seconds, count as present. Engines that are back then load missing models of little demand before a second copy of the busiest ones, and take no order for 6 s.

Change: copies at an engine that refused a connection since it was last heard of count only for models without notable demand, and such an engine gets no orders for models. Missing models with under 5 in 100 of the demand of a model with one copy come after the second copy of that. The leader logs the models in demand without a ready copy (E458).

Evidence: EnginePlannerLossTest, five of whose tests failed before, among them: expected a load of hot at the sound engine, was empty; expected a load of hot at the restarted engine, was a load of rare.

--- a/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/LogEvent.java
@@ -90,6 +90,7 @@
     UNLOAD_HELD_BACK(455, "unload postponed because no other copy is ready"),
     PLACEMENT_STEP_FAILED(456, "placement step failed and is repeated"),
     ENGINE_UNANSWERED(457, "engine sent no response to a report request or a target order"),
+    MODELS_UNSERVED(458, "the models in demand without a ready copy have changed"),
     LEADERSHIP_HANDOVER(540, "leader hands the leadership of the control log to another replica"),
     INSTANCE_NAME_IN_USE(541, "another process uses the name of this instance; this one refuses new work");
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineController.java
@@ -69,6 +69,7 @@
     private final Map<TargetId, EngineState> engines = new HashMap<>();
     private final Map<String, LoadRateLimiter> loadRateLimiters = new HashMap<>();
     private final RecentUnloads recentUnloads = new RecentUnloads();
+    private final UnservedModels unservedModels = new UnservedModels();
     private long observedTerm = -1;
     private long leaderSinceNanos;
     private long lastStepNanos;
@@ -262,9 +263,10 @@
             LoadRateLimiter rateLimiter =
                     loadRateLimiters.computeIfAbsent(pool.service(), absent -> new LoadRateLimiter(now));
             int loads = rateLimiter.availableLoads(pool.loadsPerSecond(), now);
-            new EnginePlanner(rules, pool, poolEngines, demand.demand(), loads, recentUnloads, now)
-                    .plan()
-                    .forEach(planned -> callbacks.add(send(planned, rateLimiter)));
+            EnginePlanner planner =
+                    new EnginePlanner(rules, pool, poolEngines, demand.demand(), loads, recentUnloads, now);
+            unservedModels.observe(pool, poolEngines, planner.unservedModels());
+            planner.plan().forEach(planned -> callbacks.add(send(planned, rateLimiter)));
             if (forecastDue) {
                 forecast(pool, poolEngines, now, callbacks);
             }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -3,12 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.basilrill.api.ModelId;
 import org.basilrill.coordination.placement.ModelDemand;
 import org.basilrill.state.configuration.EnginePool;
@@ -35,23 +35,14 @@
      * demand for that model.
      */
     private static final double LAST_COPY_DEMAND_SHARE = 0.05;
-    /** Demand in tokens per second below which a model gets no further copy. */
-    private static final double NEGLIGIBLE_RATE = 200;
 
     private final Rules rules;
     private final EnginePool pool;
     private final List<EngineState> engines;
     private final long now;
     private final RecentUnloads recentUnloads;
-    private final Map<ModelId, Double> rates = new HashMap<>();
-    /** Demand that protects copies from eviction: it follows a rise at once and a fall with a delay. */
-    private final Map<ModelId, Double> retentionRates = new HashMap<>();
-
-    private final Map<ModelId, Integer> waitingByBase = new HashMap<>();
-    private final Map<ModelId, Integer> copies = new HashMap<>();
-    /** Copies that can serve; loading copies cannot replace one that is unloaded. */
-    private final Map<ModelId, Integer> readyCopies = new HashMap<>();
-
+    private final PoolDemand demand;
+    private final CopyCounts copies;
     private final Set<EngineState> assignedEngines = new HashSet<>();
     private final List<PlannedOrder> orders = new ArrayList<>();
     private final AdapterPlanner adapters;
@@ -64,7 +55,7 @@
             Rules rules,
             EnginePool pool,
             Collection<EngineState> engines,
-            Map<ModelId, ModelDemand> demand,
+            Map<ModelId, ModelDemand> modelDemand,
             int remainingLoads,
             RecentUnloads recentUnloads,
             long now) {
@@ -78,33 +69,50 @@
                         .filter(EngineState::awaitsStoreLoad)
                         .count();
         this.now = now;
-        demand.forEach((model, modelDemand) -> {
-            rates.merge(model.base(), modelDemand.shortRate(), Double::sum);
-            retentionRates.merge(model.base(), modelDemand.rate(), Double::sum);
-            waitingByBase.merge(model.base(), modelDemand.waiting(), Integer::sum);
-        });
-        for (EngineState engine : this.engines) {
-            engine.residentOrLoadingModels().forEach(model -> copies.merge(model, 1, Integer::sum));
-            engine.readyModels().forEach(model -> readyCopies.merge(model, 1, Integer::sum));
-        }
-        adapters = new AdapterPlanner(rules, pool, demand, now);
+        demand = new PoolDemand(modelDemand);
+        copies = new CopyCounts(this.engines, demand);
+        adapters = new AdapterPlanner(rules, pool, modelDemand, now);
         versionCopies = new VersionCopies(this.engines);
         busyEngines = new BusyEngines(this.engines);
     }
 
+    /** Returns the models in demand that no engine serves, by name. */
+    List<ModelId> unservedModels() {
+        return pool.models().keySet().stream()
+                .filter(model -> demand.isNotable(model) || demand.isAwaited(model))
+                .filter(model -> copies.ready(model) == 0)
+                .sorted()
+                .toList();
+    }
+
     /** Returns at most one order for each engine. */
     List<PlannedOrder> plan() {
         // Adapters are placed first: they load in milliseconds, whereas an engine that loads a model accepts no order
         // for seconds.
         placeAdapters();
         loadReserved();
-        missingModels().forEach(this::placeModel);
+        placeMissingModels();
         loadLocalModels();
         replicateBusiest();
         replicateWithinVersions();
         return orders;
     }
 
+    private void placeMissingModels() {
+        MissingModels missing = new MissingModels(pool.models().keySet(), demand, copies);
+        missing.first().forEach(this::placeModel);
+        missing.secondCopies().forEach(this::loadSecondCopy);
+        missing.last().forEach(this::placeModel);
+    }
+
+    /** Loads a second copy into free memory, preferably where its weights are local. */
+    private void loadSecondCopy(ModelId model) {
+        engines.stream()
+                .filter(engine -> mayHostCopy(engine, model) && fits(engine, model))
+                .min(versionCopies.secondFirst(model).thenComparing(bestFirst(model)))
+                .ifPresent(engine -> load(engine, model));
+    }
+
     private void placeAdapters() {
         List<EngineState> free = engines.stream()
                 .filter(engine -> isFree(engine) && !engine.isBusy())
@@ -120,7 +128,7 @@
      */
     private void loadReserved() {
         for (EngineState engine : engines) {
-            if (isFree(engine) && !engine.isBusy()) {
+            if (acceptsModelOrder(engine)) {
                 engine.removeReservation()
                         .filter(model -> !engine.isResidentOrLoading(model) && fits(engine, model))
                         .ifPresent(model -> load(engine, model));
@@ -128,29 +136,6 @@
         }
     }
 
-    /** Returns the models without a copy: those with queued requests first, then by descending demand. */
-    private List<ModelId> missingModels() {
-        return pool.models().keySet().stream()
-                .filter(model -> copies(model) == 0)
-                .sorted(Comparator.comparing((ModelId model) -> waitingByBase.getOrDefault(model, 0) == 0)
-                        .thenComparingDouble(model -> -rate(model))
-                        .thenComparing(model -> model))
-                .toList();
-    }
-
-    /** Returns the demand for a model with its adapters, in tokens per second. */
-    private double rate(ModelId base) {
-        return rates.getOrDefault(base, 0.0);
-    }
-
-    private double retentionRate(ModelId base) {
-        return retentionRates.getOrDefault(base, 0.0);
-    }
-
-    private int copies(ModelId model) {
-        return copies.getOrDefault(model, 0);
-    }
-
     /**
      * Returns whether the model fits into the memory of the engine in addition to the model that memory is reserved
      * for.
@@ -173,6 +158,15 @@
         return !assignedEngines.contains(engine) && engine.isFree(now);
     }
 
+    private Stream<EngineState> reachable() {
+        return engines.stream().filter(engine -> !engine.refusesConnections());
+    }
+
+    /** Returns whether an order to load or unload a model may be sent to the engine now. */
+    private boolean acceptsModelOrder(EngineState engine) {
+        return isFree(engine) && !engine.isBusy() && !engine.refusesConnections();
+    }
+
     /**
      * Returns whether the model may be loaded. Local weights do not need the weight store, whose loads are limited.
      */
@@ -181,19 +175,19 @@
     }
 
     private void placeModel(ModelId model) {
-        if (engines.stream().anyMatch(engine -> engine.reservedModel().equals(Optional.of(model)))) {
+        if (reachable().anyMatch(engine -> engine.reservedModel().equals(Optional.of(model)))) {
             // Memory for it is being freed; a second copy would occupy the memory of another missing model.
             return;
         }
         Optional<EngineState> withFreeMemory = engines.stream()
-                .filter(engine -> isFree(engine) && !engine.isBusy() && fits(engine, model) && mayLoad(engine, model))
+                .filter(engine -> acceptsModelOrder(engine) && fits(engine, model) && mayLoad(engine, model))
                 .min(bestFirst(model));
         if (withFreeMemory.isPresent()) {
             load(withFreeMemory.get(), model);
             return;
         }
-        boolean inDemand = waitingByBase.getOrDefault(model, 0) > 0 || rate(model) > 0;
-        boolean memoryFreedSoon = engines.stream().anyMatch(engine -> !engine.isFree(now) && fits(engine, model));
+        boolean inDemand = demand.isAwaited(model) || demand.rate(model) > 0;
+        boolean memoryFreedSoon = reachable().anyMatch(engine -> !engine.isFree(now) && fits(engine, model));
         if (inDemand && !memoryFreedSoon) {
             evictFor(model);
         }
@@ -211,15 +205,15 @@
         if (busyEngines.isLimitReached()) {
             return;
         }
-        boolean waiting = waitingByBase.getOrDefault(model, 0) > 0;
+        boolean waiting = demand.isAwaited(model);
         Optional<EvictionCandidate> best = Optional.empty();
         for (EngineState engine : engines) {
-            if (!isFree(engine) || engine.isBusy() || !mayLoad(engine, model)) {
+            if (!acceptsModelOrder(engine) || !mayLoad(engine, model)) {
                 continue;
             }
             for (ModelId resident : engine.readyModels()) {
                 if (mayEvict(engine, resident, model, waiting ? 1 : 0)) {
-                    double loss = retentionRate(resident) / Math.max(1, copies(resident) - 1);
+                    double loss = demand.retentionRate(resident) / Math.max(1, copies.all(resident) - 1);
                     best = betterCandidate(
                             best, new EvictionCandidate(engine, resident, engine.hasLocalWeights(model), loss));
                 }
@@ -238,11 +232,11 @@
      */
     private boolean mayEvict(EngineState engine, ModelId resident, ModelId next, double share) {
         boolean replaceable = engine.hasLocalWeights(resident)
-                && waitingByBase.getOrDefault(resident, 0) == 0
-                && rate(resident) < share * rate(next)
+                && !demand.isAwaited(resident)
+                && demand.rate(resident) < share * demand.rate(next)
                 && !lastCopyEvicted
                 && busyEngines.allowLastCopyEviction();
-        return (readyCopies.getOrDefault(resident, 0) > 1 || replaceable)
+        return (copies.ready(resident) > 1 || replaceable)
                 && engine.isPastCooldown(resident, now)
                 && engine.usedBytes(rules) - bytes(resident) + bytes(next) <= pool.memoryBytes();
     }
@@ -256,16 +250,17 @@
     /** Loads models in demand from local weights on engines with free memory, for example after a restart. */
     private void loadLocalModels() {
         for (EngineState engine : engines) {
-            if (!isFree(engine) || engine.isBusy()) {
+            if (!acceptsModelOrder(engine)) {
                 continue;
             }
             pool.models().keySet().stream()
                     .filter(model -> !engine.isResidentOrLoading(model)
                             && engine.hasLocalWeights(model)
                             && engine.isPastCooldown(model, now)
-                            && rate(model) > NEGLIGIBLE_RATE
+                            && demand.isNotable(model)
                             && fits(engine, model))
-                    .max(Comparator.comparingDouble((ModelId model) -> rate(model) / Math.max(1, copies(model)))
+                    .max(Comparator.comparingDouble(
+                                    (ModelId model) -> demand.rate(model) / Math.max(1, copies.all(model)))
                             .thenComparing(model -> model))
                     .ifPresent(model -> load(engine, model));
         }
@@ -280,13 +275,13 @@
         }
         double mean = engines.stream().mapToDouble(this::servedRate).average().orElse(0);
         pool.models().keySet().stream()
-                .filter(model -> copies(model) > 0 && rate(model) > NEGLIGIBLE_RATE)
+                .filter(model -> copies.all(model) > 0 && demand.isNotable(model))
                 .filter(model -> lacksAdapterSlots(model)
                         || isOnlyOverLimit(model)
-                        || rate(model) / copies(model) > Math.max(MIN_OVERLOAD_RATE, OVERLOAD_FACTOR * mean))
+                        || demand.rate(model) / copies.all(model) > Math.max(MIN_OVERLOAD_RATE, OVERLOAD_FACTOR * mean))
                 .max(Comparator.comparing(this::isOnlyOverLimit)
                         .thenComparing(this::lacksAdapterSlots)
-                        .thenComparingDouble((ModelId model) -> rate(model) / copies(model))
+                        .thenComparingDouble((ModelId model) -> demand.rate(model) / copies.all(model))
                         .thenComparing(model -> model))
                 .ifPresent(this::addCopy);
     }
@@ -297,8 +292,8 @@
             return;
         }
         pool.models().keySet().stream()
-                .filter(model -> rate(model) > NEGLIGIBLE_RATE)
-                .sorted(Comparator.comparingDouble((ModelId model) -> -rate(model))
+                .filter(model -> demand.isNotable(model))
+                .sorted(Comparator.comparingDouble((ModelId model) -> -demand.rate(model))
                         .thenComparing(model -> model))
                 .flatMap(model -> secondAtItsVersion(model).stream())
                 .findFirst()
@@ -326,7 +321,7 @@
      */
     private boolean lacksAdapterSlots(ModelId model) {
         return adapters.hasWaitingRequests(model)
-                && adapters.adaptersInDemand(model) > copies(model) * pool.adapterSlots();
+                && adapters.adaptersInDemand(model) > copies.all(model) * pool.adapterSlots();
     }
 
     private void addCopy(ModelId model) {
@@ -337,15 +332,17 @@
             load(withFreeMemory.get(), model);
             return;
         }
-        double gain =
-                isOnlyOverLimit(model) ? rate(model) : rate(model) / copies(model) - rate(model) / (copies(model) + 1);
+        double gain = isOnlyOverLimit(model)
+                ? demand.rate(model)
+                : demand.rate(model) / copies.all(model) - demand.rate(model) / (copies.all(model) + 1);
         Optional<EvictionCandidate> best = Optional.empty();
         for (EngineState engine : engines) {
             if (!mayHostCopy(engine, model)) {
                 continue;
             }
             for (ModelId resident : engine.readyModels()) {
-                double loss = servedRate(engine) + retentionRate(resident) / Math.max(1, copies(resident) - 1);
+                double loss =
+                        servedRate(engine) + demand.retentionRate(resident) / Math.max(1, copies.all(resident) - 1);
                 if (loss < gain
                         && !recentUnloads.contains(resident, now)
                         && mayEvict(engine, resident, model, LAST_COPY_DEMAND_SHARE)) {
@@ -358,8 +355,7 @@
     }
 
     private boolean mayHostCopy(EngineState engine, ModelId model) {
-        return isFree(engine)
-                && !engine.isBusy()
+        return acceptsModelOrder(engine)
                 && !engine.isOverLimit()
                 && !engine.isResidentOrLoading(model)
                 && mayLoad(engine, model);
@@ -369,7 +365,7 @@
     private double servedRate(EngineState engine) {
         double load = 0;
         for (ModelId model : engine.readyModels()) {
-            load += rate(model) / Math.max(1, copies(model));
+            load += demand.rate(model) / Math.max(1, copies.all(model));
         }
         return load;
     }
@@ -378,19 +374,18 @@
         if (!engine.hasLocalWeights(model)) {
             remainingLoads--;
         }
-        copies.merge(model, 1, Integer::sum);
+        copies.loadPlanned(model);
         assignedEngines.add(engine);
         orders.add(new PlannedOrder(engine, Action.LOAD, model));
     }
 
     private void unload(EngineState engine, ModelId model, ModelId successor) {
         engine.reserveFor(successor);
-        lastCopyEvicted |= readyCopies.getOrDefault(model, 0) <= 1;
+        lastCopyEvicted |= copies.ready(model) <= 1;
         if (!engine.hasLocalWeights(successor)) {
             remainingLoads--;
         }
-        copies.merge(model, -1, Integer::sum);
-        readyCopies.merge(model, -1, Integer::sum);
+        copies.unloadPlanned(model);
         recentUnloads.add(model, now);
         assignedEngines.add(engine);
         orders.add(new PlannedOrder(engine, Action.UNLOAD, model));
--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EngineState.java
@@ -77,6 +77,14 @@
         overLimit = newValue;
     }
 
+    /**
+     * Returns whether the engine refused a connection since it was last heard of. It has probably crashed: it is back
+     * within seconds without the models in its memory, and is announced until then.
+     */
+    boolean refusesConnections() {
+        return announcement.hasUnconfirmedVersion();
+    }
+
     /** Returns whether a report must be requested before the next order. */
     boolean needsReport(long nowNanos) {
         return !awaitsResponse && !fenced && nowNanos - notBeforeNanos >= 0 && (acceptedOrders.isEmpty() || isBusy());
