Load further copies of overloaded models before rare missing ones

Cause: precedence over missing models of little demand ended with the second copy, and replication waits while many engines load.

Change: a model whose demand per copy exceeds the limit for replication takes free memory before missing models with under 5 in 100 of that demand. No copy is evicted for it.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -31,10 +31,7 @@
      * of an engine, and averages over the first seconds are unreliable.
      */
     private static final double MIN_OVERLOAD_RATE = 8_000;
-    /**
-     * The last copy of a model is evicted to replicate another model only if its demand is below this share of the
-     * demand for that model.
-     */
+    /** A last copy is evicted to replicate a model only if its demand is below this share of the demand for that. */
     private static final double LAST_COPY_DEMAND_SHARE = 0.05;
 
     private final PoolMemory memory;
@@ -113,10 +110,10 @@
     }
 
     private void placeMissingModels() {
-        MissingModels missing = new MissingModels(pool.models().keySet(), demand, copies);
+        MissingModels missing = new MissingModels(pool.models().keySet(), demand, copies, overloadRate());
         unserved.busiest(now).forEach(this::loadFromLocalWeights);
         missing.first().forEach(this::placeModel);
-        missing.secondCopies().forEach(this::loadFurtherCopy);
+        missing.furtherCopies().forEach(this::loadFurtherCopy);
         missing.last().forEach(this::placeModel);
     }
 
@@ -279,12 +276,12 @@
         if (busyEngines.isLimitReached()) {
             return;
         }
-        double mean = engines.stream().mapToDouble(this::servedRate).average().orElse(0);
+        double overloadRate = overloadRate();
         pool.models().keySet().stream()
                 .filter(model -> copies.all(model) > 0 && demand.isNotable(model))
                 .filter(model -> lacksAdapterSlots(model)
                         || isOnlyOverLimit(model)
-                        || demand.rate(model) / copies.all(model) > Math.max(MIN_OVERLOAD_RATE, OVERLOAD_FACTOR * mean))
+                        || demand.rate(model) / copies.all(model) > overloadRate)
                 .max(Comparator.comparing(this::isOnlyOverLimit)
                         .thenComparing(this::lacksAdapterSlots)
                         .thenComparingDouble((ModelId model) -> demand.rate(model) / copies.all(model))
@@ -292,6 +289,12 @@
                 .ifPresent(this::addCopy);
     }
 
+    /** Returns the demand per copy above which a model gets a further copy. */
+    private double overloadRate() {
+        double mean = engines.stream().mapToDouble(this::servedRate).average().orElse(0);
+        return Math.max(MIN_OVERLOAD_RATE, OVERLOAD_FACTOR * mean);
+    }
+
     /** While several software versions are in service, loads a second copy at one of them into free memory. */
     private void replicateWithinVersions() {
         if (!versionCopies.several() || busyEngines.isLimitReached()) {
@@ -320,10 +323,7 @@
                 .allMatch(EngineState::isOverLimit);
     }
 
-    /**
-     * Returns whether requests are queued for adapters that do not fit into the adapter slots of the copies of their
-     * model.
-     */
+    /** Returns whether requests are queued for adapters for which the copies of their model lack slots. */
     private boolean lacksAdapterSlots(ModelId model) {
         return adapters.hasWaitingRequests(model)
                 && adapters.adaptersInDemand(model) > copies.all(model) * pool.adapterSlots();
--- a/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerLossTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/engine/EnginePlannerLossTest.java
@@ -155,6 +155,18 @@
         assertThat(plan(), is(empty()));
     }
 
+    /** After six crashes, two copies had the demand that five had before, and nine rare models were loaded first. */
+    @Test
+    void aFurtherCopyOfAnOverloadedModelIsLoadedBeforeAMissingModelOfLittleDemandWhileManyEnginesLoad() {
+        engine("one", HOT, WARM);
+        engine("two", HOT, WARM);
+        List.of("a", "b", "c").forEach(id -> loading(engine(id, WARM), new ModelId("other")));
+        EngineState restarted = engine("restarted", Set.of(HOT, RARE));
+        setDemand(HOT, 200_000, 0);
+        setDemand(RARE, 900, 0);
+        assertThat(plan(), is(List.of(new PlannedOrder(restarted, Action.LOAD, HOT))));
+    }
+
     private static void loading(EngineState engine, ModelId model) {
         engine.requestSent();
         engine.orderResponseReceived(
