--- a/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/engine/EnginePlanner.java
@@ -3,12 +3,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.basilrill.api.ModelId;
 import org.basilrill.coordination.placement.ModelDemand;
 import org.basilrill.state.configuration.EnginePool;
@@ -30,28 +31,17 @@
      * of an engine, and averages over the first seconds are unreliable.
      */
     private static final double MIN_OVERLOAD_RATE = 8_000;
-    /**
-     * The last copy of a model is evicted to replicate another model only if its demand is below this share of the
-     * demand for that model.
-     */
+    /** A last copy is evicted to replicate a model only if its demand is below this share of the demand for that. */
     private static final double LAST_COPY_DEMAND_SHARE = 0.05;
-    /** Demand in tokens per second below which a model gets no further copy. */
-    private static final double NEGLIGIBLE_RATE = 200;
 
-    private final Rules rules;
+    private final PoolMemory memory;
     private final EnginePool pool;
     private final List<EngineState> engines;
     private final long now;
     private final RecentUnloads recentUnloads;
-    private final Map<ModelId, Double> rates = new HashMap<>();
-    /** Demand that protects copies from eviction: it follows a rise at once and a fall with a delay. */
-    private final Map<ModelId, Double> retentionRates = new HashMap<>();
-
-    private final Map<ModelId, Integer> waitingByBase = new HashMap<>();
-    private final Map<ModelId, Integer> copies = new HashMap<>();
-    /** Copies that can serve; loading copies cannot replace one that is unloaded. */
-    private final Map<ModelId, Integer> readyCopies = new HashMap<>();
-
+    private final PoolDemand demand;
+    private final CopyCounts copies;
+    private final UnservedModels unserved;
     private final Set<EngineState> assignedEngines = new HashSet<>();
     private final List<PlannedOrder> orders = new ArrayList<>();
     private final AdapterPlanner adapters;
@@ -64,13 +54,13 @@
             Rules rules,
             EnginePool pool,
             Collection<EngineState> engines,
-            Map<ModelId, ModelDemand> demand,
+            Map<ModelId, ModelDemand> modelDemand,
             int remainingLoads,
             RecentUnloads recentUnloads,
             long now) {
         this.recentUnloads = recentUnloads;
-        this.rules = rules;
         this.pool = pool;
+        memory = new PoolMemory(rules, pool);
         this.engines = List.copyOf(engines);
         // A load for which an earlier decision reserved memory counts as ordered.
         this.remainingLoads = remainingLoads
@@ -78,33 +68,64 @@
                         .filter(EngineState::awaitsStoreLoad)
                         .count();
         this.now = now;
-        demand.forEach((model, modelDemand) -> {
-            rates.merge(model.base(), modelDemand.shortRate(), Double::sum);
-            retentionRates.merge(model.base(), modelDemand.rate(), Double::sum);
-            waitingByBase.merge(model.base(), modelDemand.waiting(), Integer::sum);
-        });
-        for (EngineState engine : this.engines) {
-            engine.residentOrLoadingModels().forEach(model -> copies.merge(model, 1, Integer::sum));
-            engine.readyModels().forEach(model -> readyCopies.merge(model, 1, Integer::sum));
-        }
-        adapters = new AdapterPlanner(rules, pool, demand, now);
+        demand = new PoolDemand(modelDemand);
+        copies = new CopyCounts(this.engines, demand);
+        adapters = new AdapterPlanner(rules, pool, modelDemand, now);
+        unserved = new UnservedModels(pool, this.engines, demand);
         versionCopies = new VersionCopies(this.engines);
         busyEngines = new BusyEngines(this.engines);
     }
 
+    /** Returns the models in demand that no engine serves, by descending demand. */
+    List<ModelId> unservedModels() {
+        return unserved.all();
+    }
+
     /** Returns at most one order for each engine. */
     List<PlannedOrder> plan() {
         // Adapters are placed first: they load in milliseconds, whereas an engine that loads a model accepts no order
         // for seconds.
         placeAdapters();
         loadReserved();
-        missingModels().forEach(this::placeModel);
+        placeMissingModels();
         loadLocalModels();
         replicateBusiest();
         replicateWithinVersions();
         return orders;
     }
 
+    /**
+     * Loads a model that no engine serves where its weights are local, also while it is loaded from the weight store
+     * elsewhere, and evicts a copy of little demand if necessary.
+     */
+    private void loadFromLocalWeights(ModelId model) {
+        Optional<EngineState> withFreeMemory = engines.stream()
+                .filter(engine -> hasRoomFor(engine, model) && engine.hasLocalWeights(model))
+                .min(bestFirst(model));
+        if (withFreeMemory.isPresent()) {
+            load(withFreeMemory.get(), model);
+        } else {
+            evictFor(model, engine -> engine.hasLocalWeights(model), LAST_COPY_DEMAND_SHARE);
+        }
+    }
+
+    private void placeMissingModels() {
+        MissingModels missing = new MissingModels(pool.models().keySet(), demand, copies, overloadRate());
+        unserved.busiest(now).forEach(this::loadFromLocalWeights);
+        missing.first().forEach(this::placeModel);
+        missing.furtherCopies().forEach(this::loadFurtherCopy);
+        missing.last().forEach(this::placeModel);
+    }
+
+    /** Loads a further copy into free memory, preferably where its weights are local; returns whether there is any. */
+    private boolean loadFurtherCopy(ModelId model) {
+        Optional<EngineState> withFreeMemory = engines.stream()
+                .filter(engine -> hasRoomFor(engine, model))
+                .min(versionCopies.secondFirst(model).thenComparing(bestFirst(model)));
+        withFreeMemory.ifPresent(engine -> load(engine, model));
+        return withFreeMemory.isPresent();
+    }
+
     private void placeAdapters() {
         List<EngineState> free = engines.stream()
                 .filter(engine -> isFree(engine) && !engine.isBusy())
@@ -120,57 +141,25 @@
      */
     private void loadReserved() {
         for (EngineState engine : engines) {
-            if (isFree(engine) && !engine.isBusy()) {
+            if (acceptsModelOrder(engine)) {
                 engine.removeReservation()
-                        .filter(model -> !engine.isResidentOrLoading(model) && fits(engine, model))
+                        .filter(model -> !engine.isResidentOrLoading(model) && memory.fits(engine, model))
                         .ifPresent(model -> load(engine, model));
             }
         }
     }
 
-    /** Returns the models without a copy: those with queued requests first, then by descending demand. */
-    private List<ModelId> missingModels() {
-        return pool.models().keySet().stream()
-                .filter(model -> copies(model) == 0)
-                .sorted(Comparator.comparing((ModelId model) -> waitingByBase.getOrDefault(model, 0) == 0)
-                        .thenComparingDouble(model -> -rate(model))
-                        .thenComparing(model -> model))
-                .toList();
-    }
-
-    /** Returns the demand for a model with its adapters, in tokens per second. */
-    private double rate(ModelId base) {
-        return rates.getOrDefault(base, 0.0);
-    }
-
-    private double retentionRate(ModelId base) {
-        return retentionRates.getOrDefault(base, 0.0);
-    }
-
-    private int copies(ModelId model) {
-        return copies.getOrDefault(model, 0);
-    }
-
-    /**
-     * Returns whether the model fits into the memory of the engine in addition to the model that memory is reserved
-     * for.
-     */
-    private boolean fits(EngineState engine, ModelId model) {
-        long reserved = engine.reservedModel()
-                .filter(other -> !other.equals(model))
-                .map(this::bytes)
-                .orElse(0L);
-        return engine.usedBytes(rules) + reserved + bytes(model) <= pool.memoryBytes();
+    private boolean isFree(EngineState engine) {
+        return !assignedEngines.contains(engine) && engine.isFree(now);
     }
 
-    private long bytes(ModelId model) {
-        return Optional.ofNullable(rules.models().get(model))
-                .map(Rules.Model::memoryBytes)
-                .orElse(Long.MAX_VALUE / 4);
+    private Stream<EngineState> reachable() {
+        return engines.stream().filter(engine -> !engine.refusesConnections());
     }
 
-    private boolean isFree(EngineState engine) {
-        return !assignedEngines.contains(engine) && engine.isFree(now);
+    /** Returns whether an order to load or unload a model may be sent to the engine now. */
+    private boolean acceptsModelOrder(EngineState engine) {
+        return isFree(engine) && !engine.isBusy() && !engine.refusesConnections();
     }
 
     /**
@@ -181,21 +170,21 @@
     }
 
     private void placeModel(ModelId model) {
-        if (engines.stream().anyMatch(engine -> engine.reservedModel().equals(Optional.of(model)))) {
+        if (reachable().anyMatch(engine -> engine.reservedModel().equals(Optional.of(model)))) {
             // Memory for it is being freed; a second copy would occupy the memory of another missing model.
             return;
         }
         Optional<EngineState> withFreeMemory = engines.stream()
-                .filter(engine -> isFree(engine) && !engine.isBusy() && fits(engine, model) && mayLoad(engine, model))
+                .filter(engine -> acceptsModelOrder(engine) && memory.fits(engine, model) && mayLoad(engine, model))
                 .min(bestFirst(model));
         if (withFreeMemory.isPresent()) {
             load(withFreeMemory.get(), model);
             return;
         }
-        boolean inDemand = waitingByBase.getOrDefault(model, 0) > 0 || rate(model) > 0;
-        boolean memoryFreedSoon = engines.stream().anyMatch(engine -> !engine.isFree(now) && fits(engine, model));
-        if (inDemand && !memoryFreedSoon) {
-            evictFor(model);
+        boolean inDemand = demand.isAwaited(model) || demand.rate(model) > 0;
+        boolean memoryFreedSoon = reachable().anyMatch(engine -> !engine.isFree(now) && memory.fits(engine, model));
+        if (inDemand && !memoryFreedSoon && !busyEngines.isLimitReached()) {
+            evictFor(model, engine -> mayLoad(engine, model), demand.isAwaited(model) ? 1 : 0);
         }
     }
 
@@ -206,20 +195,20 @@
                 .thenComparingDouble(this::servedRate);
     }
 
-    /** Unloads the least needed copy on an engine where the model would then fit. */
-    private void evictFor(ModelId model) {
-        if (busyEngines.isLimitReached()) {
-            return;
-        }
-        boolean waiting = waitingByBase.getOrDefault(model, 0) > 0;
+    /**
+     * Unloads the least needed copy on an engine where the model would then fit.
+     *
+     * @param share a last copy may be evicted if its demand is below this share of the demand for the model
+     */
+    private void evictFor(ModelId model, Predicate<EngineState> mayHost, double share) {
         Optional<EvictionCandidate> best = Optional.empty();
         for (EngineState engine : engines) {
-            if (!isFree(engine) || engine.isBusy() || !mayLoad(engine, model)) {
+            if (!acceptsModelOrder(engine) || !mayHost.test(engine)) {
                 continue;
             }
             for (ModelId resident : engine.readyModels()) {
-                if (mayEvict(engine, resident, model, waiting ? 1 : 0)) {
-                    double loss = retentionRate(resident) / Math.max(1, copies(resident) - 1);
+                if (mayEvict(engine, resident, model, share)) {
+                    double loss = demand.retentionRate(resident) / Math.max(1, copies.all(resident) - 1);
                     best = betterCandidate(
                             best, new EvictionCandidate(engine, resident, engine.hasLocalWeights(model), loss));
                 }
@@ -238,13 +227,21 @@
      */
     private boolean mayEvict(EngineState engine, ModelId resident, ModelId next, double share) {
         boolean replaceable = engine.hasLocalWeights(resident)
-                && waitingByBase.getOrDefault(resident, 0) == 0
-                && rate(resident) < share * rate(next)
+                && !demand.isAwaited(resident)
+                && demand.rate(resident) < share * demand.rate(next)
                 && !lastCopyEvicted
-                && busyEngines.allowLastCopyEviction();
-        return (readyCopies.getOrDefault(resident, 0) > 1 || replaceable)
+                && (busyEngines.allowLastCopyEviction() || isFarMoreUrgent(next, resident));
+        return (copies.ready(resident) > 1 || replaceable)
                 && engine.isPastCooldown(resident, now)
-                && engine.usedBytes(rules) - bytes(resident) + bytes(next) <= pool.memoryBytes();
+                && memory.fitsInsteadOf(engine, resident, next);
+    }
+
+    /**
+     * Returns whether no engine serves a model in far more demand. As no chain of such evictions ends where it began,
+     * they may be made while many engines are busy.
+     */
+    private boolean isFarMoreUrgent(ModelId next, ModelId resident) {
+        return unserved.contains(next) && demand.rate(resident) < LAST_COPY_DEMAND_SHARE * demand.rate(next);
     }
 
     private static Optional<EvictionCandidate> betterCandidate(
@@ -256,16 +253,17 @@
     /** Loads models in demand from local weights on engines with free memory, for example after a restart. */
     private void loadLocalModels() {
         for (EngineState engine : engines) {
-            if (!isFree(engine) || engine.isBusy()) {
+            if (!acceptsModelOrder(engine)) {
                 continue;
             }
             pool.models().keySet().stream()
                     .filter(model -> !engine.isResidentOrLoading(model)
                             && engine.hasLocalWeights(model)
                             && engine.isPastCooldown(model, now)
-                            && rate(model) > NEGLIGIBLE_RATE
-                            && fits(engine, model))
-                    .max(Comparator.comparingDouble((ModelId model) -> rate(model) / Math.max(1, copies(model)))
+                            && demand.isNotable(model)
+                            && memory.fits(engine, model))
+                    .max(Comparator.comparingDouble(
+                                    (ModelId model) -> demand.rate(model) / Math.max(1, copies.all(model)))
                             .thenComparing(model -> model))
                     .ifPresent(model -> load(engine, model));
         }
@@ -278,27 +276,33 @@
         if (busyEngines.isLimitReached()) {
             return;
         }
-        double mean = engines.stream().mapToDouble(this::servedRate).average().orElse(0);
+        double overloadRate = overloadRate();
         pool.models().keySet().stream()
-                .filter(model -> copies(model) > 0 && rate(model) > NEGLIGIBLE_RATE)
+                .filter(model -> copies.all(model) > 0 && demand.isNotable(model))
                 .filter(model -> lacksAdapterSlots(model)
                         || isOnlyOverLimit(model)
-                        || rate(model) / copies(model) > Math.max(MIN_OVERLOAD_RATE, OVERLOAD_FACTOR * mean))
+                        || demand.rate(model) / copies.all(model) > overloadRate)
                 .max(Comparator.comparing(this::isOnlyOverLimit)
                         .thenComparing(this::lacksAdapterSlots)
-                        .thenComparingDouble((ModelId model) -> rate(model) / copies(model))
+                        .thenComparingDouble((ModelId model) -> demand.rate(model) / copies.all(model))
                         .thenComparing(model -> model))
                 .ifPresent(this::addCopy);
     }
 
+    /** Returns the demand per copy above which a model gets a further copy. */
+    private double overloadRate() {
+        double mean = engines.stream().mapToDouble(this::servedRate).average().orElse(0);
+        return Math.max(MIN_OVERLOAD_RATE, OVERLOAD_FACTOR * mean);
+    }
+
     /** While several software versions are in service, loads a second copy at one of them into free memory. */
     private void replicateWithinVersions() {
         if (!versionCopies.several() || busyEngines.isLimitReached()) {
             return;
         }
         pool.models().keySet().stream()
-                .filter(model -> rate(model) > NEGLIGIBLE_RATE)
-                .sorted(Comparator.comparingDouble((ModelId model) -> -rate(model))
+                .filter(model -> demand.isNotable(model))
+                .sorted(Comparator.comparingDouble((ModelId model) -> -demand.rate(model))
                         .thenComparing(model -> model))
                 .flatMap(model -> secondAtItsVersion(model).stream())
                 .findFirst()
@@ -307,8 +311,7 @@
 
     private Optional<PlannedOrder> secondAtItsVersion(ModelId model) {
         return engines.stream()
-                .filter(engine -> versionCopies.wouldBeSecond(engine, model))
-                .filter(engine -> mayHostCopy(engine, model) && fits(engine, model))
+                .filter(engine -> versionCopies.wouldBeSecond(engine, model) && hasRoomFor(engine, model))
                 .min(bestFirst(model))
                 .map(engine -> new PlannedOrder(engine, Action.LOAD, model));
     }
@@ -320,32 +323,27 @@
                 .allMatch(EngineState::isOverLimit);
     }
 
-    /**
-     * Returns whether requests are queued for adapters that do not fit into the adapter slots of the copies of their
-     * model.
-     */
+    /** Returns whether requests are queued for adapters for which the copies of their model lack slots. */
     private boolean lacksAdapterSlots(ModelId model) {
         return adapters.hasWaitingRequests(model)
-                && adapters.adaptersInDemand(model) > copies(model) * pool.adapterSlots();
+                && adapters.adaptersInDemand(model) > copies.all(model) * pool.adapterSlots();
     }
 
     private void addCopy(ModelId model) {
-        Optional<EngineState> withFreeMemory = engines.stream()
-                .filter(engine -> mayHostCopy(engine, model) && fits(engine, model))
-                .min(versionCopies.secondFirst(model).thenComparing(bestFirst(model)));
-        if (withFreeMemory.isPresent()) {
-            load(withFreeMemory.get(), model);
+        if (loadFurtherCopy(model)) {
             return;
         }
-        double gain =
-                isOnlyOverLimit(model) ? rate(model) : rate(model) / copies(model) - rate(model) / (copies(model) + 1);
+        double gain = isOnlyOverLimit(model)
+                ? demand.rate(model)
+                : demand.rate(model) / copies.all(model) - demand.rate(model) / (copies.all(model) + 1);
         Optional<EvictionCandidate> best = Optional.empty();
         for (EngineState engine : engines) {
             if (!mayHostCopy(engine, model)) {
                 continue;
             }
             for (ModelId resident : engine.readyModels()) {
-                double loss = servedRate(engine) + retentionRate(resident) / Math.max(1, copies(resident) - 1);
+                double loss =
+                        servedRate(engine) + demand.retentionRate(resident) / Math.max(1, copies.all(resident) - 1);
                 if (loss < gain
                         && !recentUnloads.contains(resident, now)
                         && mayEvict(engine, resident, model, LAST_COPY_DEMAND_SHARE)) {
@@ -357,9 +355,12 @@
         best.ifPresent(candidate -> unload(candidate.engine(), candidate.model(), model));
     }
 
+    private boolean hasRoomFor(EngineState engine, ModelId model) {
+        return mayHostCopy(engine, model) && memory.fits(engine, model);
+    }
+
     private boolean mayHostCopy(EngineState engine, ModelId model) {
-        return isFree(engine)
-                && !engine.isBusy()
+        return acceptsModelOrder(engine)
                 && !engine.isOverLimit()
                 && !engine.isResidentOrLoading(model)
                 && mayLoad(engine, model);
@@ -369,7 +370,7 @@
     private double servedRate(EngineState engine) {
         double load = 0;
         for (ModelId model : engine.readyModels()) {
-            load += rate(model) / Math.max(1, copies(model));
+            load += demand.rate(model) / Math.max(1, copies.all(model));
         }
         return load;
     }
@@ -378,19 +379,18 @@
         if (!engine.hasLocalWeights(model)) {
             remainingLoads--;
         }
-        copies.merge(model, 1, Integer::sum);
+        copies.loadPlanned(model);
         assignedEngines.add(engine);
         orders.add(new PlannedOrder(engine, Action.LOAD, model));
     }
 
     private void unload(EngineState engine, ModelId model, ModelId successor) {
         engine.reserveFor(successor);
-        lastCopyEvicted |= readyCopies.getOrDefault(model, 0) <= 1;
+        lastCopyEvicted |= copies.ready(model) <= 1;
         if (!engine.hasLocalWeights(successor)) {
             remainingLoads--;
         }
-        copies.merge(model, -1, Integer::sum);
-        readyCopies.merge(model, -1, Integer::sum);
+        copies.unloadPlanned(model);
         recentUnloads.add(model, now);
         assignedEngines.add(engine);
         orders.add(new PlannedOrder(engine, Action.UNLOAD, model));
