--- a/review/stand-ins-2/Worker.java
+++ b/review/stand-ins-2/Worker.java
@@ -36,6 +36,7 @@
     private volatile String state = "ready";
     private volatile String version = "v1";
     private volatile String extraFields = "";
+    private volatile long firstHeartbeatDelayMillis;
     private volatile ServerSocket server;
     private volatile long born;
     private volatile boolean up;
@@ -78,10 +79,25 @@
         extraFields = members;
     }
 
+    /** Sets the software version of the incarnations that start from now on. */
     void setVersion(String newVersion) {
         version = newVersion;
     }
 
+    String version() {
+        return version;
+    }
+
+    /** Delays the first heartbeat of the incarnations that start from now on. */
+    void delayFirstHeartbeat(long millis) {
+        firstHeartbeatDelayMillis = millis;
+    }
+
+    /** Returns how many requests run here. */
+    int running() {
+        return running.get();
+    }
+
     /** Starts a new incarnation, which accepts connections and announces itself. */
     void start() throws IOException {
         ServerSocket socket = new ServerSocket();
@@ -200,6 +216,7 @@
 
     private void beat(long incarnation) {
         int next = 0;
+        sleep(firstHeartbeatDelayMillis);
         while (up && born == incarnation) {
             String body = String.format(
                     Locale.ROOT,
