Reject responses with an invalid status line or field line

Callers received the response of a target in trouble as a complete one although a line of its head was spoilt: a blank, a control byte or a bracket in or after the name of a field, a folded or indented line, a control byte in a value, or a tab, two blanks or garbage around the status. Where the name of the field that states the length was spoilt, the response counted as one that ends with its connection, so that whatever came was the body.

Cause: the heads of targets were read by the default parser of the HTTP library, which skips or keeps such lines. Only the heads of callers had strict rules (StrictRequestParser).

Change: StrictResponseParser reads the heads of all responses, interim ones too: those of targets to requests, reports and orders, those of instances that carry a request, and those that the operators' client reads, as all go through TargetHttpClient. A broken rule ends the exchange as INVALID_ANSWER, with the rule as its detail, and closes the connection. Nothing of the head is delivered.

Decided: a status of 600 or more is invalid, and so is a folded line, which a gateway may answer with 502. Lines that end in a line feed alone, and a status line that ends after the status, stay valid, as no two programs read them differently.

Why it works: the parser accepts only what the grammar allows and has no way to skip a line, so a spoilt line can't turn into an unknown field.

--- a/basilrill-library/src/main/java/org/basilrill/transport/http/StrictRequestParser.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/StrictRequestParser.java
@@ -9,6 +9,7 @@
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
@@ -24,8 +25,6 @@
 final class StrictRequestParser implements NHttpMessageParser<HttpRequest> {
     private static final Pattern REQUEST_LINE =
             Pattern.compile("([A-Z]{1,16}) (/[\\x21-\\x7e&&[^#?]]*)(\\?[\\x21-\\x7e&&[^#]]*)? HTTP/1\\.1");
-    private static final Pattern HEADER_LINE =
-            Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \\t]*([\\x20-\\x7e\\t\\x80-\\xff]*?)[ \\t]*");
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,15}");
     private static final String CONTENT_LENGTH = "content-length";
     private static final String TRANSFER_ENCODING = "transfer-encoding";
@@ -65,12 +64,15 @@
             return parseLines(input, endOfStream);
         } catch (MessageConstraintException exception) {
             return reject(tooLarge());
+        } catch (ProtocolException exception) {
+            return reject(new BasilrillException(ErrorCode.MALFORMED_REQUEST, exception.getMessage()));
         } catch (BasilrillException rejection) {
             return reject(rejection);
         }
     }
 
-    private HttpRequest parseLines(SessionInputBuffer input, boolean endOfStream) throws IOException {
+    private HttpRequest parseLines(SessionInputBuffer input, boolean endOfStream)
+            throws IOException, ProtocolException {
         while (input.hasData()) {
             connection.headStarted();
             int lengthBefore = input.length();
@@ -94,7 +96,7 @@
     }
 
     /** Parses a line of the head. Skips empty lines before a request, as some callers send one after a body. */
-    private void readLine(String text) {
+    private void readLine(String text) throws ProtocolException {
         if (requestLine.isEmpty()) {
             if (!text.isEmpty()) {
                 Matcher matcher = REQUEST_LINE.matcher(text);
@@ -103,9 +105,7 @@
             }
             return;
         }
-        Matcher matcher = HEADER_LINE.matcher(text);
-        require(matcher.matches(), "a header line is malformed or folded");
-        headers.add(new HeaderField(matcher.group(1), matcher.group(2)));
+        headers.add(MessageFields.parse(text));
         if (headers.size() > MAXIMUM_HEADER_FIELDS) {
             throw tooLarge();
         }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
@@ -15,7 +15,6 @@
 import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
@@ -48,9 +47,7 @@
                 null,
                 DefaultConnectionReuseStrategy.INSTANCE,
                 new CountingParser(
-                        session,
-                        MessageEnd.wholeHeads(new DefaultHttpResponseParserFactory(config).create()),
-                        exchange),
+                        session, MessageEnd.wholeHeads(new StrictResponseParser(config.getMaxHeaderCount())), exchange),
                 DefaultHttpRequestWriterFactory.INSTANCE.create(),
                 DefaultContentLengthStrategy.INSTANCE,
                 DefaultContentLengthStrategy.INSTANCE,
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RoutedRequestTest.java
@@ -161,6 +161,22 @@
         assertThat(fixture.allResourcesReleased(), is(true));
     }
 
+    /** Guards against a stream that goes on with what a target sent under an invalid head. */
+    @Test
+    void aCutStreamIsNotContinuedWithAnInvalidResponse() {
+        Started started = send("/stream/x");
+        last().stream();
+        last().data("id: 1\ndata: a\n\n");
+        last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+        last().fail(TargetConnector.FailureKind.INVALID_ANSWER, false);
+        assertThat(calls(), is(3));
+        last().stream();
+        last().data("id: 2\ndata: b\n\n");
+        last().end();
+        assertThat(started.stream().text(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+        assertThat(started.stream().complete(), is(true));
+    }
+
     @Test
     void aCutStreamThatIsNotResumableIsAborted() {
         Started started = send("/once/x");
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/RawTarget.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/RawTarget.java
@@ -18,11 +18,22 @@
 /** A target on loopback that sends the raw bytes of a test script. The script runs once per request. */
 final class RawTarget implements AutoCloseable {
     private final ServerSocket server;
+    private final boolean readsBodies;
     private final Script script;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
 
     RawTarget(Script script) throws IOException {
+        this(true, script);
+    }
+
+    /**
+     * Creates a target.
+     *
+     * @param readsBodies whether the body of a request is read before the script runs, or left to the script
+     */
+    RawTarget(boolean readsBodies, Script script) throws IOException {
+        this.readsBodies = readsBodies;
         this.script = script;
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         start(this::accept);
@@ -50,6 +61,18 @@
             output.flush();
         }
 
+        /** Sends each character as the byte of its number. */
+        void sendBytes(String text) throws IOException {
+            output.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            output.flush();
+        }
+
+        /** Ends the connection at once; discards what was not sent yet. */
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         /** Waits until the other side closes or resets the connection. */
         void awaitClose() {
             try {
@@ -121,7 +144,7 @@
                 if (head.isEmpty()) {
                     return;
                 }
-                byte[] body = input.readNBytes(RawHttp.contentLength(head));
+                byte[] body = readsBodies ? input.readNBytes(RawHttp.contentLength(head)) : new byte[0];
                 requests.add(head + new String(body, StandardCharsets.UTF_8));
                 script.respond(new Exchange(head, body, input, socket.getOutputStream(), socket));
             }
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/RelayFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/RelayFixture.java
@@ -17,13 +17,13 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.ModelId;
 import org.basilrill.api.Scheduler;
 import org.basilrill.api.TargetId;
 import org.basilrill.coordination.membership.FixedMembership;
 import org.basilrill.coordination.membership.RelayAccess;
-import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.caller.ResponseHead;
 import org.basilrill.protocol.instance.FakeServices;
 import org.basilrill.protocol.relay.RelayService;
@@ -118,8 +118,8 @@
         private final CompletableFuture<TargetConnector.Call> call = new CompletableFuture<>();
         private final CountDownLatch ended = new CountDownLatch(1);
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private final List<TargetConnector.FailureKind> failures = new CopyOnWriteArrayList<>();
-        private volatile List<HeaderField> headers = List.of();
+        private final List<TargetConnector.Failure> failures = new CopyOnWriteArrayList<>();
+        private volatile Optional<ResponseHead> head = Optional.empty();
         private volatile boolean completed;
 
         @Override
@@ -128,8 +128,8 @@
         }
 
         @Override
-        public void headReceived(ResponseHead head) {
-            headers = head.headers();
+        public void headReceived(ResponseHead received) {
+            head = Optional.of(received);
         }
 
         @Override
@@ -148,7 +148,7 @@
 
         @Override
         public void failed(TargetConnector.Failure failure) {
-            failures.add(failure.kind());
+            failures.add(failure);
             ended.countDown();
         }
 
@@ -178,12 +178,21 @@
             return body.toString(StandardCharsets.UTF_8);
         }
 
+        Optional<ResponseHead> head() {
+            return head;
+        }
+
         Optional<String> header(String name) {
-            return HeaderField.first(headers, name);
+            return head.flatMap(received -> received.header(name));
         }
 
         List<TargetConnector.FailureKind> failures() {
-            return failures;
+            return failures.stream().map(TargetConnector.Failure::kind).toList();
+        }
+
+        /** Returns what the failures state about their causes, one line each. */
+        String failureDetails() {
+            return failures.stream().map(TargetConnector.Failure::detail).collect(Collectors.joining("\n"));
         }
 
         boolean completed() {
