Let all stalled responses begin before the sound request of a test

Cause: the target stalls the first 50 requests that it reads. The test sent the sound request once 44 of them had failed; up to 6 were still on their way. If the sound request overtook one of them, it was the one that stalled.

Change: the test also waits, within the same 20 s, until the target has read all 50.

--- a/basilrill-library/src/test/java/org/basilrill/transport/http/EndlessResponseTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/EndlessResponseTest.java
@@ -142,7 +142,9 @@
                 fixture.client().open(host, ConnectionPurpose.SINGLE, request, listener(failures));
             }
             long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
-            while (failures.size() < CONCURRENT_REQUESTS - 2 * MEMORY_BYTES / STALLED_BYTES) {
+            // A request that reaches the target after the sound one would let that one stall instead.
+            while (exchanges.get() < CONCURRENT_REQUESTS
+                    || failures.size() < CONCURRENT_REQUESTS - 2 * MEMORY_BYTES / STALLED_BYTES) {
                 assertThat("all but a few are aborted", System.nanoTime() < end);
                 assertThat(memory.heldBytes(), lessThan(MEMORY_BYTES + STALLED_BYTES));
             }
