Reject responses that do not state the length of their body in one way

Callers received a body that was not the target's where the head spoilt its length: Content-Length with a sign (+5), a length beside Transfer-Encoding (the HTTP library took the chunks; an instance behind a relay then cut the body to the length), two codings, and a 204 or an interim response that announced a body.

Cause: the library parses a length as a signed number, reads the first Transfer-Encoding only, and looks at neither where the other is present. StrictRequestParser had rules for this, for requests only.

Change: MessageFields states them once, for requests and responses: one field at most that states the length; Content-Length of digits that fit a long; Transfer-Encoding exactly chunked. A response with a 1xx status or 204 announces no body. TargetExchange no longer needs its own check of the coding.

Why it works: a head from which two programs could read two lengths is never accepted, so the body that is delivered is the one that its target framed.

--- a/basilrill-library/src/main/java/org/basilrill/transport/http/MessageFields.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/MessageFields.java
@@ -1,11 +1,13 @@
 package org.basilrill.transport.http;
 
+import java.util.List;
 import org.apache.hc.core5.http.ProtocolException;
 import org.basilrill.protocol.caller.HeaderField;
 
 /**
- * The rules for the field lines of HTTP messages (RFC 9110, section 5, and RFC 9112, section 5). They are the same for
- * requests and responses. Stateless and thread safe.
+ * The rules for the field lines of HTTP messages, those of trailers included, and for the fields that state the length
+ * of a body (RFC 9110, section 5, and RFC 9112, sections 5 and 6). They are the same for requests and responses.
+ * Stateless and thread safe.
  *
  * <p>A line that another program could read differently is an error. The HTTP library accepts blanks and control
  * characters in names, so that a spoilt field that states the length of the body passed for an unknown field.
@@ -13,6 +15,8 @@
 final class MessageFields {
     private static final char DELETE = 0x7f;
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
+    private static final String CONTENT_LENGTH = "content-length";
+    private static final String TRANSFER_ENCODING = "transfer-encoding";
 
     private MessageFields() {}
 
@@ -54,6 +58,45 @@
         return true;
     }
 
+    /**
+     * Requires that the fields state the length of the body once at most, and so that it can be read in one way only.
+     *
+     * @throws ProtocolException if a message has several fields that state it, a length that is not a decimal number,
+     *     or a transfer coding other than {@code chunked}
+     */
+    static void requireOneBodyLength(List<HeaderField> fields) throws ProtocolException {
+        int statements = 0;
+        for (HeaderField field : fields) {
+            if (field.name().equalsIgnoreCase(CONTENT_LENGTH)) {
+                statements++;
+                require(isLength(field.value()), "Content-Length is not a decimal number");
+            } else if (field.name().equalsIgnoreCase(TRANSFER_ENCODING)) {
+                statements++;
+                require(field.value().equalsIgnoreCase("chunked"), "Transfer-Encoding is not chunked");
+            }
+        }
+        require(statements <= 1, "the length of the body is stated more than once");
+    }
+
+    /** Returns whether fields with at most one valid length or coding state that a body follows. */
+    static boolean announceBody(List<HeaderField> fields) {
+        return HeaderField.first(fields, TRANSFER_ENCODING).isPresent()
+                || HeaderField.first(fields, CONTENT_LENGTH)
+                        .filter(length -> Long.parseLong(length) > 0)
+                        .isPresent();
+    }
+
+    private static boolean isLength(String value) {
+        if (value.isEmpty() || !value.chars().allMatch(MessageFields::isDigit)) {
+            return false;
+        }
+        try {
+            return Long.parseLong(value) >= 0;
+        } catch (NumberFormatException tooLarge) {
+            return false;
+        }
+    }
+
     private static boolean isToken(String text) {
         for (int index = 0; index < text.length(); index++) {
             char character = text.charAt(index);
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/StrictRequestParser.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/StrictRequestParser.java
@@ -25,9 +25,6 @@
 final class StrictRequestParser implements NHttpMessageParser<HttpRequest> {
     private static final Pattern REQUEST_LINE =
             Pattern.compile("([A-Z]{1,16}) (/[\\x21-\\x7e&&[^#?]]*)(\\?[\\x21-\\x7e&&[^#]]*)? HTTP/1\\.1");
-    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,15}");
-    private static final String CONTENT_LENGTH = "content-length";
-    private static final String TRANSFER_ENCODING = "transfer-encoding";
     private static final int MAXIMUM_HEADER_FIELDS = 100;
 
     private final int maximumHeadBytes;
@@ -111,12 +108,13 @@
         }
     }
 
-    private RequestHead head() {
+    private RequestHead head() throws ProtocolException {
         Matcher first = requestLine.orElseThrow();
         Optional<String> query = Optional.ofNullable(first.group(3)).map(text -> text.substring(1));
         RequestHead head = new RequestHead(first.group(1), first.group(2), query, headers);
         requireOneHost(head);
-        requireOneFraming(head);
+        MessageFields.requireOneBodyLength(headers);
+        require(count(head, "upgrade") == 0, "Upgrade is not supported");
         if (head.method().equals("CONNECT") || head.method().equals("TRACE")) {
             throw new BasilrillException(ErrorCode.METHOD_NOT_ALLOWED, head.method() + " is not supported");
         }
@@ -127,18 +125,6 @@
         require(count(head, "host") == 1, "exactly one Host is required");
     }
 
-    /** Rejects several lengths for one body, as other programs could then locate the next request differently. */
-    private static void requireOneFraming(RequestHead head) {
-        int lengths = count(head, CONTENT_LENGTH);
-        int encodings = count(head, TRANSFER_ENCODING);
-        require(lengths + encodings <= 1, "the length of the body is stated more than once");
-        head.header(CONTENT_LENGTH)
-                .ifPresent(value -> require(LENGTH.matcher(value).matches(), "Content-Length is not a number"));
-        head.header(TRANSFER_ENCODING)
-                .ifPresent(value -> require(value.equalsIgnoreCase("chunked"), "Transfer-Encoding is not chunked"));
-        require(count(head, "upgrade") == 0, "Upgrade is not supported");
-    }
-
     private static int count(RequestHead head, String name) {
         return (int) head.headers().stream()
                 .filter(field -> field.name().equalsIgnoreCase(name))
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/StrictResponseParser.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/StrictResponseParser.java
@@ -26,6 +26,8 @@
 final class StrictResponseParser implements NHttpMessageParser<HttpResponse> {
     private static final Pattern STATUS_LINE =
             Pattern.compile("HTTP/1\\.([0-9]) ([1-5][0-9]{2})(?: (.*))?", Pattern.DOTALL);
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int NO_CONTENT = 204;
 
     private final int maximumFields;
     private final CharArrayBuffer line = new CharArrayBuffer(256);
@@ -85,7 +87,13 @@
         fields.add(field);
     }
 
-    private HttpResponse head() {
+    private HttpResponse head() throws ProtocolException {
+        MessageFields.requireOneBodyLength(fields);
+        int status = response.getCode();
+        boolean mayHaveBody = status >= FIRST_FINAL_STATUS && status != NO_CONTENT;
+        if (!mayHaveBody && MessageFields.announceBody(fields)) {
+            throw new ProtocolException("a response with the status " + status + " announces a body");
+        }
         fields.forEach(field -> response.addHeader(field.name(), field.value()));
         return response;
     }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -44,7 +44,6 @@
  * unclean before anything was sent is replaced by a new one.
  */
 final class TargetExchange implements AsyncClientExchangeHandler, TargetConnector.Call {
-    private static final String TRANSFER_ENCODING = "transfer-encoding";
     private static final String CLOSE = "close";
     private static final String CONNECTION = "connection";
     private static final String KEEP_ALIVE = "keep-alive";
@@ -225,9 +224,6 @@
     public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
             throws HttpException, IOException {
         boolean endsWithConnection = entity != null && entity.getContentLength() == ContentLengthStrategy.UNDEFINED;
-        if (endsWithConnection && response.containsHeader(TRANSFER_ENCODING)) {
-            throw new HttpException("the transfer coding of the response is unknown");
-        }
         List<HeaderField> headers = new ArrayList<>();
         for (Header header : response.getHeaders()) {
             headers.add(new HeaderField(header.getName(), header.getValue()));
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/InvalidResponseTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/InvalidResponseTest.java
@@ -149,6 +149,10 @@
         requireRule("HTTP/1.1 200 OK\r\n: v\r\n\r\n", "no name");
         requireRule("HTTP/1.1 200 OK\r\n folded\r\n\r\n", "folded");
         requireRule("HTTP/1.1 200 OK\r\nX-A: \0\r\n\r\n", "a control character");
+        requireRule("HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello", "Content-Length");
+        requireRule("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nhello", "Transfer-Encoding");
+        requireRule("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello", "more than once");
+        requireRule("HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n", "announces a body");
     }
 
     /** Guards against a failed attempt that reaches the caller, that promises "not run", or that bans its target. */
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/ResponseSamples.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/ResponseSamples.java
@@ -78,18 +78,48 @@
                         OK + "X-B: b\r\n" + LENGTH + line + "\r\n\r\nhello"));
     }
 
+    static Stream<String> invalidBodyLengths() {
+        Stream<String> lengths = Stream.of(
+                        "+5", "-5", "0x5", "5h", "5 5", "", "5, 5", "5,", "five", "5.0", "9223372036854775808")
+                .map(length -> "Content-Length: " + length + "\r\n");
+        Stream<String> withoutChunks = Stream.of(LENGTH + LENGTH, LENGTH + "Content-Length: 4\r\n");
+        Stream<String> codings = Stream.of(
+                        CHUNKED + LENGTH,
+                        LENGTH + CHUNKED,
+                        CHUNKED + CHUNKED,
+                        "Transfer-Encoding: chunked, chunked\r\n",
+                        "Transfer-Encoding: gzip, chunked\r\n",
+                        "Transfer-Encoding: chunked;q=1\r\n",
+                        "Transfer-Encoding: gzip\r\n",
+                        "Transfer-Encoding: identity\r\n",
+                        "Transfer-Encoding: \r\n")
+                .map(coding -> OK + coding + "\r\n" + CHUNKS);
+        Stream<String> withoutBody = Stream.of(
+                "HTTP/1.1 204 No Content\r\n" + LENGTH + "\r\n",
+                "HTTP/1.1 204 No Content\r\n" + CHUNKED + "\r\n",
+                "HTTP/1.1 304 Not Modified\r\n" + LENGTH + CHUNKED + "\r\n",
+                "HTTP/1.1 304 Not Modified\r\nContent-Length: +5\r\n\r\n");
+        return Stream.of(
+                        Stream.concat(lengths, withoutChunks).map(fields -> OK + fields + "\r\nhello"),
+                        codings,
+                        withoutBody)
+                .flatMap(responses -> responses);
+    }
+
     static Stream<String> invalidInterimResponses() {
         return Stream.of(
                         "HTTP/1.1 103 Early Hints\r\nX A: v\r\n\r\n",
                         "HTTP/1.1 103 Early Hints\r\nX-A: v\0\r\n\r\n",
                         "HTTP/1.1 103 Early Hints\r\n folded\r\n\r\n",
                         "HTTP/1.1\t103 Early Hints\r\n\r\n",
+                        "HTTP/1.1 103 Early Hints\r\n" + LENGTH + "\r\n",
+                        "HTTP/1.1 103 Early Hints\r\n" + CHUNKED + "\r\n",
                         "HTTP/1.1 099 Early Hints\r\n\r\n")
                 .map(interim -> interim + SOUND);
     }
 
     static Stream<String> invalidHeads() {
-        return Stream.of(invalidStatusLines(), invalidFieldLines(), invalidInterimResponses())
+        return Stream.of(invalidStatusLines(), invalidFieldLines(), invalidBodyLengths(), invalidInterimResponses())
                 .flatMap(responses -> responses);
     }
 
