Reject chunked bodies with invalid sizes or trailers

Callers received, as a complete body, one whose chunk sizes had a sign or a blank (+5, " 5", "5 ", -0), whose data was longer than its chunk, or whose trailers held lines that are no fields. An instance that carried the request for another one passed such a body on in sound chunks. The same was true of callers' bodies: an order with such chunks ran.

Cause: the decoder of the HTTP library parses sizes as signed numbers after trimming, and reads trailers as leniently as heads.

Change: StrictChunkDecoder reads the chunked bodies of all messages, of targets, other instances and callers. It replaces MessageEnd.wholeChunks, as it never takes the end of the connection as the end of the body. Extensions and trailers are read and discarded, as before. An invalid chunk is an INVALID_ANSWER of the target instead of a lost connection, so it no longer makes the instance suspect a crash; a body that breaks off is a lost connection, as before.

Why it works: each line between the data is matched as a whole; nothing is trimmed or skipped.

--- a/basilrill-library/src/main/java/org/basilrill/transport/http/CallerDuplexer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/CallerDuplexer.java
@@ -27,6 +27,7 @@
  */
 final class CallerDuplexer extends ServerHttp1StreamDuplexer {
     private final CallerConnection connection;
+    private final int maximumTrailers;
 
     CallerDuplexer(
             ProtocolIOSession session,
@@ -50,6 +51,7 @@
                 null,
                 null);
         this.connection = connection;
+        maximumTrailers = config.getMaxHeaderCount();
     }
 
     @Override
@@ -57,7 +59,7 @@
             long length, ReadableByteChannel channel, SessionInputBuffer buffer, BasicHttpTransportMetrics metrics)
             throws HttpException {
         ContentDecoder decoder = length == ContentLengthStrategy.CHUNKED
-                ? MessageEnd.wholeChunks(channel, body -> super.createContentDecoder(length, body, buffer, metrics))
+                ? new StrictChunkDecoder(channel, buffer, metrics, maximumTrailers)
                 : super.createContentDecoder(length, channel, buffer, metrics);
         return decoder == null ? null : new TolerantDecoder(decoder, connection);
     }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
@@ -29,6 +29,7 @@
  */
 final class TargetDuplexer extends ClientHttp1StreamDuplexer {
     private final Supplier<Optional<TargetExchange>> exchange;
+    private final int maximumFields;
 
     /**
      * Creates the protocol of a connection.
@@ -53,6 +54,7 @@
                 DefaultContentLengthStrategy.INSTANCE,
                 null);
         this.exchange = exchange;
+        maximumFields = config.getMaxHeaderCount();
     }
 
     @Override
@@ -60,9 +62,10 @@
             long length, ReadableByteChannel channel, SessionInputBuffer buffer, BasicHttpTransportMetrics metrics)
             throws HttpException {
         WindowChannel window = new WindowChannel(channel, exchange);
-        return length == ContentLengthStrategy.CHUNKED
-                ? MessageEnd.wholeChunks(window, body -> super.createContentDecoder(length, body, buffer, metrics))
-                : super.createContentDecoder(length, window, buffer, metrics);
+        if (length == ContentLengthStrategy.CHUNKED) {
+            return new StrictChunkDecoder(window, buffer, metrics, maximumFields);
+        }
+        return super.createContentDecoder(length, window, buffer, metrics);
     }
 
     private static void count(Supplier<Optional<TargetExchange>> exchange, int bytes)
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -18,7 +18,9 @@
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.TruncatedChunkException;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -283,13 +285,19 @@
                 replaceConnection();
                 return;
             }
-            boolean invalid = cause instanceof HttpException && !(cause instanceof ConnectionClosedException);
             report(
-                    invalid ? TargetConnector.FailureKind.INVALID_ANSWER : TargetConnector.FailureKind.CONNECTION_LOST,
+                    isInvalidAnswer(cause)
+                            ? TargetConnector.FailureKind.INVALID_ANSWER
+                            : TargetConnector.FailureKind.CONNECTION_LOST,
                     cause);
         }
     }
 
+    private static boolean isInvalidAnswer(Exception cause) {
+        return cause instanceof HttpException
+                || cause instanceof MalformedChunkCodingException && !(cause instanceof TruncatedChunkException);
+    }
+
     @Override
     public void releaseResources() {
         failed(new ConnectionClosedException("the connection was closed"));
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/ResponseSamples.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/ResponseSamples.java
@@ -123,6 +123,36 @@
                 .flatMap(responses -> responses);
     }
 
+    /** What follows a sound head that states chunks. */
+    static Stream<String> invalidChunks() {
+        return Stream.of(
+                "+5\r\nhello\r\n0\r\n\r\n",
+                "-5\r\nhello\r\n0\r\n\r\n",
+                " 5\r\nhello\r\n0\r\n\r\n",
+                "5 \r\nhello\r\n0\r\n\r\n",
+                "\r\n5\r\nhello\r\n0\r\n\r\n",
+                "0x5\r\nhello\r\n0\r\n\r\n",
+                "5 5\r\nhello\r\n0\r\n\r\n",
+                "5,\r\nhello\r\n0\r\n\r\n",
+                "5;a\0\r\nhello\r\n0\r\n\r\n",
+                "5;a\rb\r\nhello\r\n0\r\n\r\n",
+                "no size\r\nhello\r\n0\r\n\r\n",
+                ";a=b\r\n\r\n",
+                "8000000000000000\r\nhello\r\n0\r\n\r\n",
+                "10000000000000005\r\nhello\r\n0\r\n\r\n",
+                "5\r\nhello0\r\n\r\n",
+                "5\r\nhello \r\n0\r\n\r\n",
+                "5\r\nhello\r\n-0\r\n\r\n",
+                "5\r\nhello\r\n+0\r\n\r\n",
+                "5\r\nhello\r\n\r\n\r\n",
+                "5\r\nhello\r\n0\r\nX A: v\r\n\r\n",
+                "5\r\nhello\r\n0\r\nX-A : v\r\n\r\n",
+                "5\r\nhello\r\n0\r\nX-\u0001A: v\r\n\r\n",
+                "5\r\nhello\r\n0\r\nX-A: \0\r\n\r\n",
+                "5\r\nhello\r\n0\r\nX-A: v\r\n folded\r\n\r\n",
+                "5\r\nhello\r\n0\r\nno field\r\n\r\n");
+    }
+
     /** Heads, each with its body, that states, chunks or leaves open its length. */
     static Stream<String> soundResponses() {
         return Stream.of(
