Take an early answer without a length as whole only after the request

A target answered a long upload at once with a 200 that had no length, sent part of its body and closed or reset its connection while the upload was still being written. Callers received that part as a complete response, streams the events up to there; an instance that carried the request passed it on as complete.

Cause: the end of the connection was the end of such a body, whatever had become of the request. Where the target closes before more of the upload has arrived, its end of stream comes before the reset; and a write that fails takes the error of the socket with it, so that the next read reports a clean end.

Change: a body without a length is whole only if the whole request had been written when the connection ended (MessageEnd.afterWholeRequest); before, the attempt failed with a lost connection. Written means that neither the exchange nor the output buffer of the connection holds a byte. What the kernel holds counts as written, and on loopback it took all of 3 MB, so SO_SNDBUF of connections to targets is now 64 KB.

Why it works: a target that closes with more than the kernel's buffer unread can't look like one that has read all.

What remains: if less than that is unread and the target's own queue is empty when it closes, an end of stream looks like that of a whole answer.

--- a/basilrill-library/src/main/java/org/basilrill/transport/http/MessageEnd.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/MessageEnd.java
@@ -1,9 +1,14 @@
 package org.basilrill.transport.http;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.MessageHeaders;
+import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 
@@ -13,6 +18,9 @@
  * connection as the end of a line and of a head: each prefix of an empty response that held its status and
  * {@code Content-Length: 0} was a whole one. Applies to all messages that are read, of targets, relays, instances and
  * callers.
+ *
+ * <p>A body without a length ends with its connection, but only after the whole request was written: a write that fails
+ * takes the error of the connection with it, so that the next read reports a clean end after a reset.
  */
 final class MessageEnd {
     private MessageEnd() {}
@@ -22,6 +30,16 @@
         return new WholeHeadParser<>(parser);
     }
 
+    /**
+     * Returns a decoder whose body ends with its connection only if the request has been written by then.
+     *
+     * @param decoder reads a body without a length
+     * @param requestWritten whether all of the request was given to the connection
+     */
+    static ContentDecoder afterWholeRequest(ContentDecoder decoder, BooleanSupplier requestWritten) {
+        return new AfterWholeRequestDecoder(decoder, requestWritten);
+    }
+
     /** Hides the end of the connection from a parser that could take it as the end of a line. */
     private record WholeHeadParser<T extends MessageHeaders>(NHttpMessageParser<T> parser)
             implements NHttpMessageParser<T> {
@@ -40,4 +58,27 @@
             return head;
         }
     }
+
+    /** Fails if the connection ends before the request was written. */
+    private record AfterWholeRequestDecoder(ContentDecoder decoder, BooleanSupplier requestWritten)
+            implements ContentDecoder {
+        @Override
+        public int read(ByteBuffer target) throws IOException {
+            int bytes = decoder.read(target);
+            if (decoder.isCompleted() && !requestWritten.getAsBoolean()) {
+                throw new ConnectionClosedException("the connection ended before the whole request was sent");
+            }
+            return bytes;
+        }
+
+        @Override
+        public boolean isCompleted() {
+            return decoder.isCompleted();
+        }
+
+        @Override
+        public List<? extends Header> getTrailers() {
+            return decoder.getTrailers();
+        }
+    }
 }
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetDuplexer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.ContentLengthStrategy;
@@ -16,8 +17,10 @@
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.ContentEncoder;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.http.nio.SessionOutputBuffer;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 
@@ -30,6 +33,8 @@
 final class TargetDuplexer extends ClientHttp1StreamDuplexer {
     private final Supplier<Optional<TargetExchange>> exchange;
     private final int maximumFields;
+    /** Bytes of requests that the connection has not taken yet; present once a request had a body. */
+    private Optional<SessionOutputBuffer> unwritten = Optional.empty();
 
     /**
      * Creates the protocol of a connection.
@@ -65,7 +70,23 @@
         if (length == ContentLengthStrategy.CHUNKED) {
             return new StrictChunkDecoder(window, buffer, metrics, maximumFields);
         }
-        return super.createContentDecoder(length, window, buffer, metrics);
+        ContentDecoder decoder = super.createContentDecoder(length, window, buffer, metrics);
+        return length == ContentLengthStrategy.UNDEFINED
+                ? MessageEnd.afterWholeRequest(decoder, this::isRequestWritten)
+                : decoder;
+    }
+
+    @Override
+    protected ContentEncoder createContentEncoder(
+            long length, WritableByteChannel channel, SessionOutputBuffer buffer, BasicHttpTransportMetrics metrics)
+            throws HttpException {
+        unwritten = Optional.of(buffer);
+        return super.createContentEncoder(length, channel, buffer, metrics);
+    }
+
+    private boolean isRequestWritten() {
+        return exchange.get().map(TargetExchange::isRequestSent).orElse(true)
+                && unwritten.map(buffer -> !buffer.hasData()).orElse(true);
     }
 
     private static void count(Supplier<Optional<TargetExchange>> exchange, int bytes)
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -143,6 +143,11 @@
         return begun;
     }
 
+    /** Returns whether all of the request was given to the connection; called by its thread. */
+    boolean isRequestSent() {
+        return requestSent;
+    }
+
     /** Returns whether more of the response may be read from the connection. */
     boolean isWindowOpen() {
         return window.get() > 0;
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
@@ -53,6 +53,12 @@
     private static final int MAXIMUM_LINE_BYTES = 8 * 1024;
 
     private static final int MAXIMUM_HEADERS = 64;
+    /**
+     * Bounds the bytes of a request that the kernel holds. They count as sent, so that a response without a length may
+     * end unnoticed before its target has received them.
+     */
+    private static final int SEND_BUFFER_BYTES = 64 * 1024;
+
     /**
      * Connections open in a few milliseconds. A later one is not waited for, so that another instance can carry the
      * exchange while its caller still waits.
@@ -90,6 +96,7 @@
         IOReactorConfig reactor = KeepAliveProbes.enable(IOReactorConfig.custom())
                 .setIoThreadCount(settings.ioThreads())
                 .setTcpNoDelay(true)
+                .setSndBufSize(SEND_BUFFER_BYTES)
                 .build();
         HttpProcessor processor = new DefaultHttpProcessor(new RequestTargetHost(), new RequestContent());
         IOEventHandlerFactory handlerFactory =
