Read an early answer that has arrived although a write fails

Callers received 502 for a whole answer, with a length or chunks, from a target that answers a long upload before it has read it and then closes its connection.

Cause: a failed write ended the exchange at once, also if the whole answer was already in the receive buffer of the socket, where a reset leaves it.

Change: TargetEventHandler takes a failed write as the end of sending only. What has arrived is read as usual, up to the end of the connection: a whole answer is whole, part of one is a lost connection, and an answer without a length isn't whole, as its request was not written. It applies only once the request has begun to be written and until its exchange ends (TargetExchange.awaitsResponse); otherwise a failed write closes the connection as before.

Why it works: after a failed write the socket can receive nothing more, so reading ends, and it is the reader that knows whether a response is whole.

--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetExchange.java
@@ -74,6 +74,7 @@
     private Optional<TargetConnector.Call> replacement = Optional.empty();
 
     private volatile boolean begun;
+    private volatile boolean sending;
     private CapacityChannel capacityChannel;
     private int windowExtension;
     private boolean requestSent;
@@ -143,6 +144,11 @@
         return begun;
     }
 
+    /** Returns whether part of the request may have been written and the exchange has not ended. */
+    boolean awaitsResponse() {
+        return sending && !finished.get();
+    }
+
     /** Returns whether all of the request was given to the connection; called by its thread. */
     boolean isRequestSent() {
         return requestSent;
@@ -201,6 +207,7 @@
         request.headers().forEach(field -> message.addHeader(field.name(), field.value()));
         boolean hasBody = request.body().length > 0;
         requestSent = !hasBody;
+        sending = true;
         channel.sendRequest(message, hasBody ? new BodyDetails(request.body().length) : null, context);
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/http/TargetHttpClient.java
@@ -8,11 +8,11 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequester;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.http.protocol.DefaultHttpProcessor;
@@ -99,9 +99,12 @@
                 .setSndBufSize(SEND_BUFFER_BYTES)
                 .build();
         HttpProcessor processor = new DefaultHttpProcessor(new RequestTargetHost(), new RequestContent());
-        IOEventHandlerFactory handlerFactory =
-                (session, attachment) -> new ClientHttp1IOEventHandler(new TargetDuplexer(
-                        session, processor, http, () -> Optional.ofNullable(exchanges.get(session.getId()))));
+        IOEventHandlerFactory handlerFactory = (session, attachment) -> {
+            Supplier<Optional<TargetExchange>> exchange = () -> Optional.ofNullable(exchanges.get(session.getId()));
+            return new TargetEventHandler(
+                    new TargetDuplexer(session, processor, http, exchange),
+                    () -> exchange.get().filter(TargetExchange::awaitsResponse).isPresent());
+        };
         requester = new AsyncRequester(handlerFactory, reactor, null, null, null, null, null);
         requester.start();
     }
--- a/basilrill-library/src/test/java/org/basilrill/transport/http/EarlyAnswerTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/EarlyAnswerTest.java
@@ -6,16 +6,23 @@
 import static org.hamcrest.Matchers.not;
 
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.apache.hc.core5.http.HttpHost;
 import org.basilrill.protocol.caller.HeaderField;
 import org.basilrill.protocol.instance.FakeServices;
 import org.basilrill.protocol.target.TargetConnector;
+import org.basilrill.protocol.target.TargetConnector.FailureKind;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Guards against an answer without a length that a target breaks off while its request is still being sent. A write
@@ -106,6 +113,55 @@
         }
     }
 
+    static Stream<Arguments> answersThatStateTheirEnds() {
+        return Arrays.stream(End.values())
+                .flatMap(end -> Stream.of(
+                        Arguments.of(end, "Content-Length: 5\r\n\r\nhello"),
+                        Arguments.of(end, "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")));
+    }
+
+    /** Guards against a whole answer that fails because its target did not read the whole request. */
+    @ParameterizedTest
+    @MethodSource("answersThatStateTheirEnds")
+    void anEarlyAnswerThatStatesItsEndIsWhole(End end, String answer) throws Exception {
+        try (RawTarget target = new RawTarget(false, exchange -> {
+            exchange.send(OK + answer);
+            end.of(exchange);
+        })) {
+            assertThat("whole answers", wholeAnswers(target), is(REPETITIONS));
+        }
+    }
+
+    /** Guards against an attempt that waits for an answer after its connection has ended without one. */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void aRequestThatIsCutOffWithoutAnAnswerFailsAtOnce(End end) throws Exception {
+        try (RawTarget target = new RawTarget(false, end::of)) {
+            for (int repetition = 0; repetition < REPETITIONS; repetition++) {
+                assertThat(upload(target).failures(), is(List.of(FailureKind.CONNECTION_LOST)));
+            }
+        }
+    }
+
+    /** Guards against an attempt that waits for an answer although nothing was sent. */
+    @Test
+    void aRequestThatIsCancelledBeforeItIsSentFailsAtOnce() throws Exception {
+        RelayFixture.Response cancelled = new RelayFixture.Response() {
+            @Override
+            public boolean maySend() {
+                return false;
+            }
+        };
+        TargetConnector.Request request = new TargetConnector.Request("POST", "/", List.of(), new byte[10]);
+        try (RawTarget target = new RawTarget(exchange -> exchange.respond(200, "{}"))) {
+            HttpHost host = new HttpHost("http", "127.0.0.1", target.port());
+            client.client().open(host, ConnectionPurpose.REQUESTS, request, cancelled);
+            cancelled.awaitEnd();
+            assertThat(cancelled.failures(), is(List.of(FailureKind.CONNECTION_LOST)));
+            assertThat(target.requests(), is(List.of()));
+        }
+    }
+
     /** Guards against an answer that fails because it began before the whole request was sent. */
     @ParameterizedTest
     @CsvSource({"'',hello", "'Content-Type: text/event-stream\r\n','id: 1\ndata: one\n\n'"})
