Keep the relay of tests from losing its port before it listens

Cause: RelayFixture took a port that the kernel chose, released it and bound it again as the relay's. In between, the gateway of the fixture binds an address for callers with port 0, and the kernel may give it the same port; so may any other program.

Change: the fixture takes a port from 20000 to 29999, below those that the kernel gives out by itself (32768 to 60999 here). The checks of the tests are untouched.

--- a/basilrill-library/src/test/java/org/basilrill/transport/http/RelayFixture.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/http/RelayFixture.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -16,6 +17,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.basilrill.api.InstanceId;
@@ -36,6 +38,8 @@
 final class RelayFixture implements AutoCloseable {
     private static final Duration LIMIT = Duration.ofSeconds(20);
     private static final int WINDOW_BYTES = 16 * 1024;
+    private static final int FIRST_RELAY_PORT = 20_000;
+    private static final int RELAY_PORTS = 10_000;
 
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private final GatewayFixture callers = GatewayFixture.open();
@@ -107,9 +111,15 @@
                 new SplittableRandom(1)));
     }
 
+    /** Returns a port that the kernel gives to no outgoing connection, as one could take it before the relay does. */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_RELAY_PORT, FIRST_RELAY_PORT + RELAY_PORTS);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException inUse) {
+                // Another port may be free.
+            }
         }
     }
 
