--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashGuard.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashGuard.java
@@ -108,7 +108,8 @@
         lostTargets.add(attempt.target().id());
         CompletableFuture<List<SuspectId>> report = report(services, plan, attempt, failure.suspects());
         if (plan.attemptPolicy().confirmsLossBeforeRetry()) {
-            return report.handle((refusing, problem) -> problem == null ? refusalCode(refusing) : failureOf(failure));
+            return report.handle(
+                    (refusing, problem) -> problem == null ? refusalCode(refusing) : Optional.of(failure.code()));
         }
         CompletableFuture<Optional<ErrorCode>> verdict = new CompletableFuture<>();
         Scheduler.Cancellable timer =
@@ -153,10 +154,6 @@
                 : Optional.of(ErrorCode.CRASH_SUSPECT);
     }
 
-    private static Optional<ErrorCode> failureOf(AttemptFailure failure) {
-        return Optional.of(failure.code());
-    }
-
     /** Returns the block by the last view, or one that another instance has announced since. */
     private static Optional<SuspectGuard.Block> blockOf(RequestServices services, RequestPlan plan) {
         Optional<SuspectGuard.Block> known = services.suspects()
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlView.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlView.java
@@ -14,7 +14,7 @@
  * @param bucketOwners owner of each client account's token bucket
  * @param blockedFingerprints requests that are refused as long as replicas of an earlier build judge them
  * @param sessions open sessions by instance
- * @param suspects requests and prompt parts that were at crashed targets, the blocked ones first
+ * @param suspects requests and prompt parts that were at crashed targets, in the order of their last change
  * @param serviceVersions software versions by service, ordered by name
  * @param evacuatedDataCentres log index of the begin of the evacuation, by data centre whose targets get no requests
  * @param endedEvacuations log index of the end of the last evacuation, by data centre that is not evacuated any more
--- a/basilrill-library/src/main/java/org/basilrill/state/control/SuspectKind.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/SuspectKind.java
@@ -7,13 +7,13 @@
 /** The limits by which suspects of one kind are judged. Immutable and thread safe. */
 enum SuspectKind {
     /**
-     * Trials grow by a moderate factor, as many sound requests may contain a part that was blocked by mistake. Three
-     * crashes are more than the usual number of attempts of one request, so that its parts are not blocked with it.
+     * Trials grow by a moderate factor, as many sound requests may contain a part that was blocked by mistake.
      */
     PROMPT_PART(512, Duration.ofMinutes(10), 12, Duration.ofHours(8)) {
         @Override
         boolean suffices(int crashes, long independent) {
-            return independent >= 3 || crashes >= 5 && independent >= 2;
+            return independent >= INDEPENDENT_CRASHES_OF_PART
+                    || crashes >= CRASHES_OF_PART && independent >= LEAST_INDEPENDENT_CRASHES;
         }
     },
 
@@ -24,7 +24,7 @@
     REQUEST(4_096, Duration.ofHours(24), 150, Duration.ofHours(24)) {
         @Override
         boolean suffices(int crashes, long independent) {
-            return crashes >= 3 && independent >= 2;
+            return crashes >= CRASHES_OF_REQUEST && independent >= LEAST_INDEPENDENT_CRASHES;
         }
     };
 
@@ -34,6 +34,16 @@
     /** Short, so that a sound suspect that was blocked by mistake is soon served again. */
     private static final Duration FIRST_BLOCK = Duration.ofSeconds(5);
 
+    /** More than the usual number of attempts of one request, so that its parts are not blocked with it. */
+    private static final int INDEPENDENT_CRASHES_OF_PART = 3;
+
+    /** Crashes that suffice to block a part although several of them came at once. */
+    private static final int CRASHES_OF_PART = 5;
+
+    private static final int CRASHES_OF_REQUEST = 3;
+
+    private static final int LEAST_INDEPENDENT_CRASHES = 2;
+
     private final int maximum;
     private final Duration suspicion;
     private final int blockFactor;
--- a/basilrill-library/src/main/java/org/basilrill/state/control/Suspects.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/Suspects.java
@@ -55,7 +55,7 @@
     record Trial(SuspectId suspect, long startMillis) {}
 
     /**
-     * Counts lost requests against their suspects, and responses for them. Their order has no effect: both have times.
+     * Counts lost requests against their suspects, and responses for them. Their times decide, not their order.
      *
      * @return for each lost request the suspects because of which it is refused: the blocked ones whose whole group it
      *     contains
@@ -99,9 +99,11 @@
 
     /** Discards the evidence against a suspect; returns whether there was any. */
     boolean release(SuspectId suspect) {
-        boolean known = suspects.remove(suspect) != null;
+        if (suspects.remove(suspect) == null) {
+            return false;
+        }
         updateBlocked();
-        return known;
+        return true;
     }
 
     /** Drops suspects without a recent crash; returns whether any was dropped. */
@@ -113,14 +115,19 @@
         return dropped;
     }
 
+    /** Returns the suspects in the order of their last change; if there are too many, the blocked ones first. */
     List<CrashSuspect> view() {
-        return suspects.entrySet().stream()
+        List<CrashSuspect> all = suspects.entrySet().stream()
                 .filter(entry -> entry.getKey() instanceof PromptPartId
                         || entry.getValue().crashes().size() >= REQUEST_CRASHES_IN_VIEW)
                 .map(entry -> status(entry.getKey(), entry.getValue()))
-                .sorted(Comparator.comparing(suspect -> !suspect.blocked()))
-                .limit(MAXIMUM_VIEW)
                 .toList();
+        return all.size() <= MAXIMUM_VIEW
+                ? all
+                : all.stream()
+                        .sorted(Comparator.comparing(suspect -> !suspect.blocked()))
+                        .limit(MAXIMUM_VIEW)
+                        .toList();
     }
 
     Optional<Trial> openTrial() {
