Take the detection of lost connections out of the attempt

LostConnection has what happens after a loss, ReadyTargets the choice among ready targets; the two tests of blocked requests stand with the other ones of crashes. No change of behaviour.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/admission/FairDispatcher.java
@@ -1,8 +1,6 @@
 package org.basilrill.coordination.admission;
 
 import java.time.Duration;
-import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -12,7 +10,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
-import java.util.stream.Collectors;
 import org.basilrill.api.AccountId;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.MonotonicClock;
@@ -36,7 +33,7 @@
  * cached prefixes are guarded by their own locks. Futures are completed and listeners called without the lock.
  */
 public final class FairDispatcher implements Dispatcher {
-    private final TargetDirectory directory;
+    private final ReadyTargets readyTargets;
     private final TargetRouter router;
     private final MonotonicClock clock;
     private final Scheduler scheduler;
@@ -74,7 +71,7 @@
             DemandListener demand,
             DispatcherOptions options,
             RequestPermits permits) {
-        this.directory = directory;
+        this.readyTargets = new ReadyTargets(directory, router);
         this.router = router;
         this.clock = clock;
         this.scheduler = scheduler;
@@ -99,24 +96,12 @@
 
     @Override
     public boolean hasOtherTarget(Destination destination, Set<TargetId> targets) {
-        return readyTargets(destination).stream().anyMatch(target -> !targets.contains(target.id()));
+        return readyTargets.hasOther(destination, targets);
     }
 
     @Override
     public Set<TargetId> allButLeastLoaded(Destination destination, Set<TargetId> excluded) {
-        return readyTargets(destination).stream()
-                .sorted(Comparator.<TargetAnnouncement, Boolean>comparing(target -> excluded.contains(target.id()))
-                        .thenComparingInt(this::requestsAt))
-                .skip(1)
-                .map(TargetAnnouncement::id)
-                .collect(Collectors.toUnmodifiableSet());
-    }
-
-    /** Returns the requests of this instance at the target, or all requests there if it announces more. */
-    private int requestsAt(TargetAnnouncement target) {
-        return Math.max(
-                router.slotsInUse(target),
-                target.load().running() + target.load().waiting());
+        return readyTargets.allButLeastLoaded(destination, excluded);
     }
 
     /**
@@ -184,7 +169,7 @@
         queues.add(queued);
         byDeadline.add(queued);
         statistics.enqueued(
-                request.destination(), !readyTargets(request.destination()).isEmpty(), clock.nanos());
+                request.destination(), !readyTargets.of(request.destination()).isEmpty(), clock.nanos());
         arrivingRequest = Optional.of(queued);
         assignQueued();
         arrivingRequest = Optional.empty();
@@ -247,14 +232,14 @@
         Optional<BasilrillException> refusal =
                 arrivingRequest.filter(queued::equals).isPresent()
                         ? Optional.empty()
-                        : refusals.tooLate(request, readyTargets(request.destination()));
+                        : refusals.tooLate(request, readyTargets.of(request.destination()));
         if (refusal.isPresent()) {
             lateRequests.put(queued, refusal.get());
             return Optional.empty();
         }
         return router.acquire(
                 DestinationStatistics.name(request),
-                readyTargets(request.destination()),
+                readyTargets.of(request.destination()),
                 request.excludedTargets(),
                 request.prompt(),
                 request.profile());
@@ -334,10 +319,6 @@
         recheck();
     }
 
-    private Collection<TargetAnnouncement> readyTargets(Destination destination) {
-        return router.restrictions().withoutEvacuated(destination.readyTargets(directory));
-    }
-
     /** A slot reserved for one request. Thread safe. */
     private final class SlotAssignment implements Assignment {
         private final Dispatched<AcquiredSlot> dispatched;
--- a/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/administration/AdministrationHandler.java
@@ -40,14 +40,15 @@
     public static final String DRAIN = "/admin/drain";
     public static final String SUSPECTS = "/admin/suspects";
 
-    /** The path of suspects in earlier builds. */
-    static final String PROMPT_PARTS = "/admin/prompt-parts";
     /** Prefix of the path that ends with the name of a data centre. */
     public static final String EVACUATIONS = "/admin/evacuations/";
 
     public static final String REVISION = "revision";
     public static final String TEXT = "text";
 
+    /** The path of suspects in earlier builds. */
+    static final String PROMPT_PARTS = "/admin/prompt-parts";
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Pattern REVISION_QUERY = Pattern.compile(REVISION + "=([0-9]{1,18})");
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashGuard.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/CrashGuard.java
@@ -1,16 +1,13 @@
 package org.basilrill.protocol.instance;
 
-import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
-import org.basilrill.api.LogEvent;
 import org.basilrill.api.PromptPartId;
 import org.basilrill.api.RequestFingerprintId;
 import org.basilrill.api.Scheduler;
@@ -24,8 +21,6 @@
  * as the only trial, and reports the targets that are lost while they run it. Not thread safe.
  */
 final class CrashGuard {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
     /** Longest delay of a retry for the crash report; a commit takes a few milliseconds while there is a leader. */
     private static final Duration REPORT_WAIT = Duration.ofMillis(250);
 
@@ -51,8 +46,8 @@
     }
 
     /**
-     * Completes once it is known whether the request may run; with the reason if it is refused. A request whose trial is
-     * due waits for the permission of the control log.
+     * Completes once it is known whether the request may run; with the reason if it is refused. A request whose trial
+     * is due waits for the permission of the control log.
      */
     CompletableFuture<Optional<BasilrillException>> admit() {
         Optional<SuspectGuard.Block> block = blockOf(services, plan);
@@ -106,7 +101,8 @@
      */
     CompletableFuture<Optional<ErrorCode>> targetLost(TargetAttempt attempt, AttemptFailure failure) {
         lostTargets.add(attempt.target().id());
-        CompletableFuture<List<SuspectId>> report = report(services, plan, attempt, failure.suspects());
+        CompletableFuture<List<SuspectId>> report =
+                attempt.lostConnection().reportCrash(services, plan, failure.suspects());
         if (plan.attemptPolicy().confirmsLossBeforeRetry()) {
             return report.handle(
                     (refusing, problem) -> problem == null ? refusalCode(refusing) : Optional.of(failure.code()));
@@ -121,33 +117,6 @@
         return verdict;
     }
 
-    /**
-     * Reports a lost request; a failure of the report is logged.
-     *
-     * @param suspects what may have crashed the target; empty if nothing did
-     * @return the blocked suspects because of which the request is refused
-     */
-    static CompletableFuture<List<SuspectId>> report(
-            RequestServices services, RequestPlan plan, TargetAttempt attempt, List<SuspectId> suspects) {
-        if (suspects.isEmpty()) {
-            return CompletableFuture.completedFuture(List.of());
-        }
-        LOGGER.atWarning().log(
-                "%s: target %s, incarnation %d, request %s sent %d ms ago, suspects %s",
-                LogEvent.TARGET_LOST,
-                attempt.target().id(),
-                attempt.target().incarnation(),
-                plan.requestId(),
-                TimeUnit.NANOSECONDS.toMillis(services.clock().nanos() - attempt.sentNanos()),
-                suspects);
-        CompletableFuture<List<SuspectId>> report =
-                services.suspects().requestLost(attempt.target(), suspects, attempt.sentNanos(), attempt.lostNanos());
-        report.thenAccept(refusing -> refusing.stream()
-                .filter(RequestFingerprintId.class::isInstance)
-                .forEach(request -> services.blockedRequests().block(request.toString())));
-        return report;
-    }
-
     private Optional<ErrorCode> refusalCode(List<SuspectId> refusing) {
         return refusing.isEmpty() && lostTargets.size() < LOST_TARGETS_LIMIT
                 ? Optional.empty()
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/Instance.java
@@ -136,7 +136,8 @@
                 environment.self(),
                 splitRandom(),
                 environment.interfaces().listingValidity());
-        this.blockedRequests = new BlockedRequests(environment.clock(), this::publishBlocked);
+        this.blockedRequests = new BlockedRequests(
+                environment.clock(), fingerprint -> membership.publishUrgently(new BlockedRequestFact(fingerprint)));
         this.suspects = new SuspectGuard(control, environment.clock(), environment.scheduler(), targets);
         this.streamVersions = new StreamVersionGuard(control, environment.clock(), environment.scheduler(), targets);
         this.coordinator = createCoordinator();
@@ -295,10 +296,6 @@
                 new MembershipChannel(environment.channel()));
     }
 
-    private void publishBlocked(String fingerprint) {
-        membership.publishUrgently(new BlockedRequestFact(fingerprint));
-    }
-
     private ClientBudgets createBudgets() {
         return new ClientBudgets(
                 environment.self(),
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestDispatch.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestDispatch.java
@@ -38,7 +38,8 @@
     CompletableFuture<Assignment> next(long deadlineNanos, long endNanos, Set<TargetId> excludedTargets) {
         Destination destination = continuity.destination();
         queued = services.dispatcher()
-                .dispatch(plan.dispatchRequest(deadlineNanos, endNanos, excludedTargets, destination));
+                .dispatch(plan.dispatchRequest(
+                        deadlineNanos, endNanos, crashGuard.excluded(excludedTargets), destination));
         queued.whenComplete((assignment, problem) -> {
             if (problem != null) {
                 new ResidencyRefusals(services.metrics()).observe(destination, problem);
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/RequestExchange.java
@@ -2,7 +2,6 @@
 
 import io.opentelemetry.api.trace.Span;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -10,7 +9,6 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.Outcome;
 import org.basilrill.api.Scheduler;
-import org.basilrill.api.TargetId;
 import org.basilrill.coordination.admission.Dispatcher.Assignment;
 import org.basilrill.coordination.admission.Dispatcher.AttemptResult;
 import org.basilrill.protocol.caller.CallerStream;
@@ -85,20 +83,13 @@
             deadlineTimer = services.scheduler().schedule(plan.deadline(), () -> execute(this::deadlinePassed));
             executeAfter(crashGuard.admit(), refusal -> {
                 if (!closed) {
-                    refusal.ifPresentOrElse(this::failRequest, this::claimOrCharge);
+                    refusal.ifPresentOrElse(
+                            this::failRequest, () -> claim.ifPresentOrElse(this::claimOrder, this::chargeTokens));
                 }
             });
         });
     }
 
-    private void claimOrCharge() {
-        if (claim.isPresent()) {
-            claimOrder(claim.get());
-        } else {
-            chargeTokens();
-        }
-    }
-
     @Override
     public void bytesWritten(int bytes) {
         execute(() -> {
@@ -134,7 +125,6 @@
         }
     }
 
-    /** Fails the request because the instance is stopping. */
     /** Refuses the request unless it is at a target now, and starts no further attempt. */
     void startNoAttempt() {
         execute(() -> {
@@ -145,6 +135,7 @@
         });
     }
 
+    /** Fails the request because the instance is stopping. */
     void stop() {
         execute(() -> failWith(ErrorCode.INSTANCE_DRAINING, "the instance stopped before the request was complete"));
     }
@@ -292,8 +283,7 @@
     }
 
     private void dispatch() {
-        Set<TargetId> excluded = crashGuard.excluded(excludedTargets.excluded());
-        dispatch.next(retries.callerTimeoutNanos(relay.started()), deadlineNanos, excluded)
+        dispatch.next(retries.callerTimeoutNanos(relay.started()), deadlineNanos, excludedTargets.excluded())
                 .whenComplete((assignment, problem) -> execute(() -> {
                     if (closed) {
                         Optional.ofNullable(assignment)
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/ResponseEvidence.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/ResponseEvidence.java
@@ -9,9 +9,10 @@
 import org.basilrill.protocol.caller.ResponseHead;
 
 /**
- * Decides for one attempt when the response of a target shows that the request does not crash it, and reports that. No
- * part of the prompt can be what crashes the target once it has responded for some time; it may send the beginning of an
- * event before it crashes. The request as a whole may still crash it until the response is complete. Not thread safe.
+ * Decides for one attempt when the response of a target shows that the request does not crash it, and reports that.
+ * No part of the prompt can be what crashes the target once it has responded for some time; it may send the beginning
+ * of an event before it crashes. The request as a whole may still crash it until the response is complete. Not thread
+ * safe.
  */
 final class ResponseEvidence {
     /** Longer than a target takes from the first byte of a response to the end of its first event. */
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/TargetAttempt.java
@@ -10,7 +10,6 @@
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
-import org.basilrill.api.RequestFingerprintId;
 import org.basilrill.api.Scheduler;
 import org.basilrill.api.SuspectId;
 import org.basilrill.coordination.admission.Dispatcher.Assignment;
@@ -114,14 +113,9 @@
         return assignment.target();
     }
 
-    /** Returns the time at which the attempt began; called only after {@link #open}. */
-    long sentNanos() {
-        return sentNanos;
-    }
-
-    /** Returns the time at which the connection was lost. */
-    long lostNanos() {
-        return lostNanos;
+    /** Returns the lost connection of a failed attempt. */
+    LostConnection lostConnection() {
+        return new LostConnection(target(), sentNanos, lostNanos);
     }
 
     void open(boolean freshConnection) {
@@ -287,13 +281,9 @@
     /** Ends the attempt without a result for the target, whose health the loss of a path does not show. */
     private void pathLost(TargetConnector.Failure failure) {
         boolean mayHaveRun = !permit.revoke();
+        lostNanos = services.clock().nanos();
         if (mayHaveRun) {
-            services.suspects()
-                    .connectionLost(
-                            target(),
-                            plan.suspects(),
-                            sentNanos,
-                            services.clock().nanos());
+            lostConnection().keepUnexplained(services, plan.suspects());
         }
         end(AttemptResult.CANCELLED, new AttemptFailure(ErrorCode.TARGET_FAILED, failure.detail(), mayHaveRun, false));
     }
@@ -314,7 +304,7 @@
         boolean confirmsLoss = plan.attemptPolicy().confirmsLossBeforeRetry();
         if (evidence.isEstablished()) {
             fail(ErrorCode.TARGET_FAILED, failure.detail(), confirmsLoss);
-            detectCrash();
+            lostConnection().detectCrash(services, plan);
             return;
         }
         boolean certainlyLost = confirmsLoss && (responseStarted || !failure.reusedConnection());
@@ -340,27 +330,12 @@
             boolean lost = mayHaveRun && (certainlyLost || !acceptsConnections);
             List<SuspectId> suspects = lost && !acceptsConnections ? plan.suspects() : List.of();
             if (mayHaveRun && acceptsConnections) {
-                services.suspects().connectionLost(target(), plan.suspects(), sentNanos, lostNanos);
+                lostConnection().keepUnexplained(services, plan.suspects());
             }
             end(AttemptResult.FAILED, new AttemptFailure(ErrorCode.TARGET_FAILED, detail, mayHaveRun, lost, suspects));
         });
     }
 
-    /**
-     * Reports a crash if the target accepts no new connection; a reset connection alone is no crash yet. The parts of the
-     * prompt are not suspects once a response is established, but the request as a whole is until it is complete.
-     */
-    private void detectCrash() {
-        services.connector().acceptsConnection(target()).thenAccept(accepts -> {
-            List<SuspectId> suspects = List.of(new RequestFingerprintId(plan.fingerprint()));
-            if (accepts) {
-                services.suspects().connectionLost(target(), suspects, sentNanos, lostNanos);
-            } else {
-                CrashGuard.report(services, plan, this, suspects);
-            }
-        });
-    }
-
     private void fail(ErrorCode code, String detail, boolean connectionLost) {
         boolean mayHaveRun = !permit.revoke();
         AttemptResult result = code == ErrorCode.TARGET_TIMEOUT ? AttemptResult.TIMED_OUT : AttemptResult.FAILED;
--- a/basilrill-library/src/main/java/org/basilrill/state/control/ControlCommand.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/ControlCommand.java
@@ -97,8 +97,8 @@
     }
 
     /**
-     * Records that a target was lost while it ran the request with this fingerprint. Proposed, like the other records of
-     * prompt parts, only while replicas may run that do not know {@link ReportCrashEvidence}.
+     * Records that a target was lost while it ran the request with this fingerprint. Proposed, like the other records
+     * of prompt parts, only while replicas may run that do not know {@link ReportCrashEvidence}.
      *
      * @param nowMillis wall-clock time, set by the leader
      * @param promptParts parts of the prompt that other requests may contain; empty once a response had begun
@@ -188,8 +188,8 @@
     record SuspectAnswer(SuspectId suspect, long ageMillis, Optional<String> softwareVersion) {}
 
     /**
-     * Requests permission to send one request with a blocked suspect, to find out whether it still crashes targets. Only
-     * one such permission is open at a time.
+     * Requests permission to send one request with a blocked suspect, to find out whether it still crashes targets.
+     * Only one such permission is open at a time.
      *
      * @param nowMillis wall-clock time, set by the leader
      */
--- a/basilrill-library/src/main/java/org/basilrill/state/control/CrashSuspects.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/CrashSuspects.java
@@ -25,9 +25,9 @@
 import org.basilrill.thrift.control.OpenTrialState;
 
 /**
- * Applies the records about requests and prompt parts that crash targets. Whole requests are judged as earlier builds do
- * until the first record of {@link FormatLevel#CRASH_EVIDENCE}, which shows that all replicas understand evidence; from
- * then on they are suspects like prompt parts, also in records of earlier builds. Not thread safe.
+ * Applies the records about requests and prompt parts that crash targets. Whole requests are judged as earlier builds
+ * do until the first record of {@link FormatLevel#CRASH_EVIDENCE}, which shows that all replicas understand evidence;
+ * from then on they are suspects like prompt parts, also in records of earlier builds. Not thread safe.
  */
 final class CrashSuspects {
     private final LostTargetCounts lostTargets = new LostTargetCounts();
--- a/basilrill-library/src/main/java/org/basilrill/state/control/SuspectKind.java
+++ b/basilrill-library/src/main/java/org/basilrill/state/control/SuspectKind.java
@@ -18,8 +18,8 @@
     },
 
     /**
-     * A request may return after hours, so its crashes are kept as long as its block. Only two trials fit into a day, as
-     * each one of a request that still crashes targets costs a target.
+     * A request may return after hours, so its crashes are kept as long as its block. Only two trials fit into a day,
+     * as each one of a request that still crashes targets costs a target.
      */
     REQUEST(4_096, Duration.ofHours(24), 150, Duration.ofHours(24)) {
         @Override
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCoordinatorTest.java
@@ -77,41 +77,6 @@
         assertThat(fixture.allResourcesReleased(), is(true));
     }
 
-    /** Guards against one more target lost to a request that is resent before the next pull of the control state. */
-    @Test
-    void aRequestIsRefusedFromTheMomentItsThirdTargetWasLost() {
-        fixture.connector().setAccepting(false);
-        fixture.complete();
-        for (int lost = 0; lost < 2; lost++) {
-            call().send();
-            call().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
-        }
-        assertThat(fixture.services().publishedFingerprints().isEmpty(), is(true));
-        fixture.control().advanceTime(Duration.ofSeconds(2));
-        fixture.complete();
-        call().send();
-        call().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
-        byte[] body = CoordinatorFixture.COMPLETION.getBytes(StandardCharsets.UTF_8);
-        String fingerprint = RequestFingerprint.ofContent(Optional.of(FakeServices.ACCOUNT), body);
-        assertThat(fixture.services().publishedFingerprints(), is(List.of(fingerprint)));
-        assertThat(fixture.control().view().blockedFingerprints().isEmpty(), is(true));
-        checkRefusal(fixture.complete(), ErrorCode.CRASH_SUSPECT, "not_run");
-        assertThat(fixture.connector().calls().size(), is(3));
-    }
-
-    /** Guards against sound requests that are refused because connections to targets that live on were reset. */
-    @Test
-    void resetConnectionsAreNoCrashes() {
-        for (int number = 0; number < 4; number++) {
-            fixture.complete();
-            call().send();
-            call().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
-            fixture.control().advanceTime(Duration.ofSeconds(1));
-        }
-        assertThat(fixture.control().view().suspects().isEmpty(), is(true));
-        assertThat(fixture.control().commands().isEmpty(), is(true));
-    }
-
     /** Guards against a crash on a reused connection that is treated as the close of an idle connection. */
     @Test
     void aLostReusedConnectionCountsAsACrashIfTheTargetAcceptsNoNewOne() {
--- a/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCrashTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/protocol/instance/RequestCrashTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.opentelemetry.api.OpenTelemetry;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +19,7 @@
 import org.basilrill.api.TargetId;
 import org.basilrill.coordination.crash.SuspectGuard;
 import org.basilrill.coordination.crash.SuspectGuard.Block;
+import org.basilrill.protocol.caller.RequestFingerprint;
 import org.basilrill.protocol.instance.CoordinatorFixture.Started;
 import org.basilrill.protocol.instance.FakeConnector.FakeCall;
 import org.basilrill.protocol.target.TargetConnector;
@@ -34,6 +36,44 @@
     private final CoordinatorFixture fixture =
             new CoordinatorFixture(3, OpenTelemetry.noop().getTracer("test"));
 
+    /** Guards against one more target lost to a request that is resent before the next pull of the control state. */
+    @Test
+    void aRequestIsRefusedFromTheMomentItsThirdTargetWasLost() {
+        fixture.connector().setAccepting(false);
+        fixture.complete();
+        for (int lost = 0; lost < 2; lost++) {
+            last().send();
+            last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+        }
+        assertThat(fixture.services().publishedFingerprints().isEmpty(), is(true));
+        fixture.control().advanceTime(Duration.ofSeconds(2));
+        fixture.complete();
+        last().send();
+        last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+        byte[] body = CoordinatorFixture.COMPLETION.getBytes(StandardCharsets.UTF_8);
+        String fingerprint = RequestFingerprint.ofContent(Optional.of(FakeServices.ACCOUNT), body);
+        assertThat(fixture.services().publishedFingerprints(), is(List.of(fingerprint)));
+        assertThat(fixture.control().view().blockedFingerprints().isEmpty(), is(true));
+        Started refused = fixture.complete();
+        assertThat(refused.stream().failedWith("CRASH_SUSPECT"), is(true));
+        assertThat(refused.stream().reportsOutcome("not_run"), is(true));
+        assertThat(refused.stream().terminations(), is(1));
+        assertThat(fixture.connector().calls().size(), is(3));
+    }
+
+    /** Guards against sound requests that are refused because connections to targets that live on were reset. */
+    @Test
+    void resetConnectionsAreNoCrashes() {
+        for (int number = 0; number < 4; number++) {
+            fixture.complete();
+            last().send();
+            last().fail(TargetConnector.FailureKind.CONNECTION_LOST, false);
+            fixture.control().advanceTime(Duration.ofSeconds(1));
+        }
+        assertThat(fixture.control().view().suspects().isEmpty(), is(true));
+        assertThat(fixture.control().commands().isEmpty(), is(true));
+    }
+
     /** Guards against a request whose begun response clears it each time, although it then crashes its target. */
     @Test
     void aRequestThatCrashesTargetsDuringItsResponseIsBlocked() {
--- a/basilrill-library/src/test/java/org/basilrill/state/control/RequestSuspectsTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/state/control/RequestSuspectsTest.java
@@ -48,7 +48,7 @@
         assertThat(crash("a", 3, 18 * SECOND, CRASHING), contains(CRASHING));
     }
 
-    /** Guards against a new incarnation whose crash is taken for that of the one before, as it was not announced yet. */
+    /** Guards against a crash that is taken for the one before, as the new incarnation was not announced yet. */
     @Test
     void aRequestSentAfterTheCrashOfAnIncarnationReachedAnotherOne() {
         crash("a", 1, 10 * SECOND, CRASHING);
