Report responses in the same order in each process

What callers would see: in some processes a sound prompt part that was suspected with a crashing one stayed refused for a minute.

Cause: SuspectGuard kept the suspects of its view in an unmodifiable set, whose order differs from process to process, so the control log got the same responses in another order and broke ties between parts otherwise.

With the order that a hash of the values gives, as before, 25 calls in as many processes held. The test fails before the change, but not always.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/crash/SuspectGuard.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/crash/SuspectGuard.java
@@ -61,7 +61,8 @@
     /** What was reported since the last view changed, so that one view causes one report for each software version. */
     private final Set<AnswerKey> reportedAnswers = new HashSet<>();
 
-    private Set<SuspectId> suspectsInView = Set.of();
+    /** Its order, in which responses are reported, is the same in each process, unlike that of unmodifiable sets. */
+    private Set<SuspectId> suspectsInView = new HashSet<>();
 
     /** Blocked suspects of the last view; requests that contain a whole group are refused. */
     private Set<Set<SuspectId>> blockedGroups = Set.of();
@@ -245,7 +246,8 @@
             Set<CrashSuspect> blockedNow =
                     view.suspects().stream().filter(CrashSuspect::blocked).collect(Collectors.toUnmodifiableSet());
             reportedAnswers.clear();
-            suspectsInView = view.suspects().stream().map(CrashSuspect::id).collect(Collectors.toUnmodifiableSet());
+            suspectsInView =
+                    view.suspects().stream().map(CrashSuspect::id).collect(Collectors.toCollection(HashSet::new));
             adoptBlocked(groups(view, blockedNow));
             trials.update(blockedNow);
         }
