--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
@@ -1,5 +1,6 @@
 package org.basilrill.coordination.consensus;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.basilrill.state.log.DurableStore.Snapshot;
 
@@ -65,6 +66,11 @@
         return inFlightIndex > 0 && now - sentAt < responseTimeout;
     }
 
+    /** Returns the age of the records or the chunk in flight, if any. */
+    Optional<Duration> overdue(long now) {
+        return inFlightIndex > 0 ? Optional.of(Duration.ofNanos(now - sentAt)) : Optional.empty();
+    }
+
     void recordSent(long lastIndex, long now) {
         inFlightIndex = lastIndex;
         sentAt = now;
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replicator.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replicator.java
@@ -1,7 +1,9 @@
 package org.basilrill.coordination.consensus;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import org.basilrill.api.LogEvent;
 import org.basilrill.coordination.consensus.ConsensusMessage.AppendRequest;
 import org.basilrill.coordination.consensus.ConsensusMessage.SnapshotChunk;
 import org.basilrill.state.log.DurableStore.LogRecord;
@@ -24,6 +26,7 @@
         if (upToDate || awaitsResponse(peer)) {
             return;
         }
+        peer.overdue(state.now()).ifPresent(age -> reportOverdue(peer, age));
         if (peer.nextIndex() <= state.log().baseIndex()) {
             sendChunk(peer, round);
             return;
@@ -47,6 +50,12 @@
         state.send(peer.peer(), request(previous, round, List.of()));
     }
 
+    private void reportOverdue(PeerProgress peer, Duration age) {
+        state.report(
+                LogEvent.RECORDS_SENT_AGAIN,
+                String.format("%s, from index %d, after %d ms", peer.peer(), peer.nextIndex(), age.toMillis()));
+    }
+
     private boolean awaitsResponse(PeerProgress peer) {
         return peer.awaitsResponse(state.now(), state.settings().heartbeat().toNanos());
     }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ViewPuller.java
@@ -1,5 +1,6 @@
 package org.basilrill.coordination.control;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -12,6 +13,7 @@
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.ErrorCode;
 import org.basilrill.api.InstanceId;
+import org.basilrill.api.LogEvent;
 import org.basilrill.api.Scheduler;
 import org.basilrill.coordination.control.ConfirmationClock.Instant;
 import org.basilrill.state.configuration.RulesFormat;
@@ -21,6 +23,7 @@
 import org.basilrill.thrift.control.ControlMessage;
 import org.basilrill.thrift.control.PullAnswer;
 import org.basilrill.thrift.control.PullRequest;
+import org.basilrill.thrift.control.ViewMessage;
 
 /**
  * Pulls the control view from a replica and tracks its freshness. Each pull contains the session and renews it. Ages
@@ -42,6 +45,8 @@
     /** Maximum number of pulls without a response; older ones no longer prove freshness. */
     private static final int MAXIMUM_PENDING = 8;
 
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     private final ControlEndpoint endpoint;
     private final ReplicaDirectory directory;
     private final ViewHolder viewHolder;
@@ -161,15 +166,7 @@
         if (response.isSetLeader()) {
             directory.recordLeader(new InstanceId(response.getLeader()));
         }
-        ControlView currentView = viewHolder.view();
-        if (response.isSetView() && response.getView().getIndex() > currentView.index()) {
-            if (response.getView().isSetRulesText()) {
-                viewHolder.updateRulesSource(new RulesSource(
-                        response.getView().getRulesRevision(),
-                        response.getView().getRulesText()));
-            }
-            viewHolder.install(ViewCodec.fromMessage(response.getView(), currentView.rules(), format));
-        }
+        installNewer(response);
         Runnable lost = () -> {};
         List<Read> confirmedReads;
         synchronized (this) {
@@ -197,6 +194,33 @@
         confirmedReads.forEach(read -> read.confirmed().complete(null));
     }
 
+    private void installNewer(PullAnswer response) {
+        ControlView currentView = viewHolder.view();
+        if (!response.isSetView() || response.getView().getIndex() <= currentView.index()) {
+            return;
+        }
+        ViewMessage message = response.getView();
+        Instant receivedAt = clock.now();
+        ControlView view = ViewCodec.fromMessage(message, currentView.rules(), format);
+        if (message.isSetRulesText()) {
+            viewHolder.updateRulesSource(new RulesSource(message.getRulesRevision(), message.getRulesText()));
+            LOGGER.atInfo().log(
+                    "%s: %d, %d characters, %s, decoded in %d ms",
+                    LogEvent.RULES_RECEIVED,
+                    message.getRulesRevision(),
+                    message.getRulesText().length(),
+                    pullAge(response.getRequestId()),
+                    clock.age(receivedAt).toMillis());
+        }
+        viewHolder.install(view);
+    }
+
+    private synchronized String pullAge(long requestId) {
+        return Optional.ofNullable(pending.get(requestId))
+                .map(pull -> "pulled " + clock.age(pull.sentAt()).toMillis() + " ms ago")
+                .orElse("pulled long ago");
+    }
+
     /** Removes and returns the reads that began before the pull was sent. Called with the lock held. */
     private List<Read> takeConfirmedReads(long requestId) {
         List<Read> taken = reads.stream()
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
@@ -2,12 +2,15 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -50,6 +53,9 @@
     private int lossPercent;
     private int duplicatePercent;
     private int delayPercent;
+    private OptionalLong linkRate = OptionalLong.empty();
+    private final Map<InstanceId, Long> linkIdleAt = new HashMap<>();
+    private long sentBytes;
 
     VirtualCluster(long seed, int size, ConsensusSettings settings) {
         this.random = new Random(seed);
@@ -81,6 +87,16 @@
         delayPercent = delayed;
     }
 
+    /** Sends all messages of an instance one after another from now on, at this rate. */
+    void limitLinks(long bytesPerMillisecond) {
+        linkRate = OptionalLong.of(bytesPerMillisecond);
+    }
+
+    /** Returns the bytes of all messages that were sent. */
+    long sentBytes() {
+        return sentBytes;
+    }
+
     HistoryOracle oracle() {
         return oracle;
     }
@@ -175,10 +191,16 @@
 
     /** Proposes a new command to one replica. */
     CompletableFuture<byte[]> propose(InstanceId instance) {
+        return propose(instance, Long.BYTES);
+    }
+
+    /** Proposes a new command of a size in bytes to one replica. */
+    CompletableFuture<byte[]> propose(InstanceId instance, int size) {
         CompletableFuture<byte[]> result = new CompletableFuture<>();
         long command = ++commandCount;
         result.thenAccept(encodedIndex -> oracle.acknowledged(HistoryMachine.number(encodedIndex), command));
-        nodes.get(instance).run(replica -> replica.propose(HistoryMachine.command(command), result));
+        byte[] encoded = Arrays.copyOf(HistoryMachine.command(command), size);
+        nodes.get(instance).run(replica -> replica.propose(encoded, result));
         return result;
     }
 
@@ -277,6 +299,7 @@
             return;
         }
         byte[] payload = ConsensusCodec.encode(message);
+        sentBytes += payload.length;
         int copies = occursAtRandom(duplicatePercent) ? 2 : 1;
         for (int copy = 0; copy < copies; copy++) {
             if (occursAtRandom(lossPercent)) {
@@ -285,10 +308,19 @@
             long delay = occursAtRandom(delayPercent)
                     ? random.nextLong(2_000 * MILLISECOND)
                     : random.nextLong(MILLISECOND / 4, 3 * MILLISECOND);
-            deliveries.add(new Delivery(now + delay, messageCount++, sender, recipient, payload));
+            long arrivesAt = linkRate.isPresent() ? sentOverLink(sender, payload.length) : now + delay;
+            deliveries.add(new Delivery(arrivesAt, messageCount++, sender, recipient, payload));
         }
     }
 
+    /** Returns when a message arrives that the instance's link carries after all earlier ones. */
+    private long sentOverLink(InstanceId sender, int bytes) {
+        long startsAt = Math.max(now, linkIdleAt.getOrDefault(sender, now));
+        long endsAt = startsAt + bytes * MILLISECOND / linkRate.orElseThrow();
+        linkIdleAt.put(sender, endsAt);
+        return endsAt + MILLISECOND;
+    }
+
     private boolean occursAtRandom(int percent) {
         return random.nextInt(100) < percent;
     }
