Allow for the transfer before records of the control log are sent again

Cause: the leader took records as lost that had no response after one heartbeat interval, 50 ms. 400 kB to each of five followers take 160 ms on a link of 100 Mbit/s, so each record was sent again and again, and heartbeats, votes and pulls queued behind the copies until the leader changed, and the next one began anew.

Evidence: ReplicationOverLinksTest, which failed before (39.6 MB for ten commands, where 20 are needed), holds.

Why this works: the time allowed now includes the transfer at 1 MB/s, and doubles up to 1 s with each repetition, so a slower link gets less, not more.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
@@ -6,12 +6,22 @@
 
 /** The leader's record of the replication progress and last contact of another replica. Not thread safe. */
 final class PeerProgress {
+    /** A busy link carries records to one replica at this rate at least. */
+    private static final long MINIMUM_BYTES_PER_SECOND = 1_000_000;
+
+    private static final int MAXIMUM_DOUBLINGS = 4;
+
+    /** Limits how long a replica waits for lost records once the link to it works again. */
+    private static final Duration MAXIMUM_DOUBLED_TIMEOUT = Duration.ofSeconds(1);
+
     private final ReplicaId peer;
     private final long firstRound;
     private long nextIndex;
     private long matchIndex;
     private long inFlightIndex;
     private long sentAt;
+    private long transferNanos;
+    private int unansweredSends;
     private long lastContactAt;
     private long acknowledgedRound;
     private Optional<Snapshot> snapshot = Optional.empty();
@@ -61,19 +71,33 @@
         return snapshotOffset;
     }
 
-    /** Returns whether records or a chunk are in flight and their response is not overdue. */
+    /**
+     * Returns whether records or a chunk are in flight and their response is not overdue. The time allowed includes the
+     * transfer and doubles with each repetition: copies of records that are still on their way would fill the link.
+     *
+     * @param responseTimeout time until the response to an empty message
+     */
     boolean awaitsResponse(long now, long responseTimeout) {
-        return inFlightIndex > 0 && now - sentAt < responseTimeout;
+        long first = responseTimeout + transferNanos;
+        long doubled = Math.min(first << Math.max(0, unansweredSends - 1), MAXIMUM_DOUBLED_TIMEOUT.toNanos());
+        return inFlightIndex > 0 && now - sentAt < Math.max(first, doubled);
     }
 
     /** Returns the age of the records or the chunk in flight, if any. */
-    Optional<Duration> overdue(long now) {
+    Optional<Duration> inFlightAge(long now) {
         return inFlightIndex > 0 ? Optional.of(Duration.ofNanos(now - sentAt)) : Optional.empty();
     }
 
-    void recordSent(long lastIndex, long now) {
+    /**
+     * Records that records or a chunk were sent.
+     *
+     * @param bytes size of their payload
+     */
+    void recordSent(long lastIndex, long bytes, long now) {
         inFlightIndex = lastIndex;
         sentAt = now;
+        transferNanos = bytes * Duration.ofSeconds(1).toNanos() / MINIMUM_BYTES_PER_SECOND;
+        unansweredSends = Math.min(unansweredSends + 1, MAXIMUM_DOUBLINGS + 1);
     }
 
     void recordContact(long now, long round) {
@@ -85,7 +109,7 @@
         matchIndex = Math.max(matchIndex, index);
         nextIndex = Math.max(nextIndex, matchIndex + 1);
         if (matchIndex >= inFlightIndex) {
-            inFlightIndex = 0;
+            endFlight();
         }
         if (snapshot.filter(sending -> sending.lastIndex() <= matchIndex).isPresent()) {
             snapshot = Optional.empty();
@@ -94,7 +118,7 @@
 
     void recordMismatch(long retryAfterIndex) {
         nextIndex = Math.max(matchIndex + 1, Math.min(nextIndex, retryAfterIndex + 1));
-        inFlightIndex = 0;
+        endFlight();
     }
 
     void startSnapshot(Snapshot sending) {
@@ -104,6 +128,11 @@
 
     void recordChunk(long nextOffset) {
         snapshotOffset = nextOffset;
+        endFlight();
+    }
+
+    private void endFlight() {
         inFlightIndex = 0;
+        unansweredSends = 0;
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replicator.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replicator.java
@@ -26,7 +26,7 @@
         if (upToDate || awaitsResponse(peer)) {
             return;
         }
-        peer.overdue(state.now()).ifPresent(age -> reportOverdue(peer, age));
+        peer.inFlightAge(state.now()).ifPresent(age -> reportOverdue(peer, age));
         if (peer.nextIndex() <= state.log().baseIndex()) {
             sendChunk(peer, round);
             return;
@@ -34,7 +34,9 @@
         long previous = peer.nextIndex() - 1;
         List<LogRecord> records =
                 state.log().slice(peer.nextIndex(), state.settings().appendBytes());
-        peer.recordSent(previous + records.size(), state.now());
+        long bytes =
+                records.stream().mapToLong(record -> record.payload().length).sum();
+        peer.recordSent(previous + records.size(), bytes, state.now());
         state.send(peer.peer(), request(previous, round, records));
     }
 
@@ -72,7 +74,7 @@
         Snapshot sending = peer.snapshot().orElseThrow();
         int offset = (int) Math.min(peer.snapshotOffset(), sending.state().length);
         int end = Math.min(sending.state().length, offset + state.settings().chunkBytes());
-        peer.recordSent(sending.lastIndex(), state.now());
+        peer.recordSent(sending.lastIndex(), end - offset, state.now());
         state.send(
                 peer.peer(),
                 new SnapshotChunk(
