--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/InstanceDaemon.java
@@ -120,7 +120,8 @@
                 settings.interfaces().predictiveRouting(),
                 new LossTolerance(settings.interfaces().lossToleranceTokens()),
                 settings.interfaces().coldLimits(),
-                settings.interfaces().recoveryPacing());
+                settings.interfaces().recoveryPacing(),
+                settings.interfaces().rulesInForceWithin());
         ControlStateMachine stateMachine = new ControlStateMachine(interfaceOptions.rulesFormat());
         this.replica = settings.dataFolder().map(folder -> startReplica(folder, stateMachine));
         replica.ifPresent(controlReplica -> registerGauges(metrics, controlReplica));
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/InterfaceSettings.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/InterfaceSettings.java
@@ -33,6 +33,7 @@
  *     rate; cold targets are limited only if this is set
  * @param coldRateSlack requests to a cold target that are allowed in any second besides; none if absent
  * @param recoveryPacing whether targets that have just started or were ejected get few requests at first
+ * @param rulesInForceWithin time from its acknowledgement in which a change of the rules has to be in force everywhere
  */
 public record InterfaceSettings(
         Optional<String> dialect,
@@ -53,7 +54,8 @@
         long lossToleranceTokens,
         Optional<Double> coldRateOverage,
         Optional<Double> coldRateSlack,
-        boolean recoveryPacing) {
+        boolean recoveryPacing,
+        Duration rulesInForceWithin) {
     public static final Duration DEFAULT_LISTING_VALIDITY = Duration.ofSeconds(5);
     public static final Duration DEFAULT_ANNOUNCEMENT_VALIDITY = Duration.ofSeconds(5);
     public static final double DEFAULT_RETRY_SHARE = 0.15;
--- a/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
+++ b/basilrill-daemon/src/main/java/org/basilrill/daemon/settings/SettingsReader.java
@@ -23,6 +23,7 @@
 import org.basilrill.daemon.TextFiles;
 import org.basilrill.daemon.settings.SettingsDocument.Field;
 import org.basilrill.daemon.settings.SettingsFault.Kind;
+import org.basilrill.protocol.instance.InterfaceOptions;
 import org.basilrill.state.configuration.RegionTable;
 
 /**
@@ -142,7 +143,10 @@
                         .longValue(),
                 document.take("coldRateOverage").flatMap(this::number),
                 document.take("coldRateSlack").flatMap(this::number),
-                document.take("recoveryPacing").flatMap(this::flag).orElse(false));
+                document.take("recoveryPacing").flatMap(this::flag).orElse(false),
+                document.take("rulesInForceMillis")
+                        .flatMap(this::duration)
+                        .orElse(InterfaceOptions.DEFAULT_RULES_IN_FORCE_WITHIN));
     }
 
     /** Returns the stated table. Without one, only the region of the own data centre is known, if it is stated. */
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/ControlLogClient.java
@@ -40,6 +40,7 @@
     private final ViewHolder viewHolder = new ViewHolder();
     private final CommandSubmitter submitter;
     private final ViewPuller puller;
+    private final AcknowledgementDelay acknowledgementDelay;
     /** Set when a session is opened, and cleared when another process is found to use the name of this instance. */
     private volatile boolean registered;
 
@@ -51,6 +52,7 @@
      * @param replicas replicas named in the settings, at least one; pull responses may name others later
      * @param format format of the rules
      * @param wallClockMillis compared with the monotonic clock, which does not count a suspension of the machine
+     * @param inForceWithin time from its acknowledgement in which an operator's change has to be in force everywhere
      */
     public ControlLogClient(
             ControlEndpoint endpoint,
@@ -59,8 +61,10 @@
             MonotonicClock clock,
             LongSupplier wallClockMillis,
             Scheduler scheduler,
-            RandomGenerator random) {
+            RandomGenerator random,
+            Duration inForceWithin) {
         this.endpoint = endpoint;
+        this.acknowledgementDelay = new AcknowledgementDelay(inForceWithin, scheduler);
         this.scheduler = scheduler;
         this.random = random;
         directory = new ReplicaDirectory(replicas, random);
@@ -117,9 +121,10 @@
         puller.stop();
     }
 
+    /** Submits a command; the result of an operator's change is delayed until it may be acknowledged. */
     @Override
     public CompletableFuture<ControlResult> submit(ControlCommand command, Duration deadline) {
-        return submitter.submit(command, deadline);
+        return acknowledgementDelay.apply(command, submitter.submit(command, deadline));
     }
 
     @Override
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/ControlAssembly.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/ControlAssembly.java
@@ -17,7 +17,8 @@
                 environment.clock(),
                 environment.wallClockMillis(),
                 environment.scheduler(),
-                random);
+                random,
+                environment.interfaces().rulesInForceWithin());
     }
 
     ControlLogServer server(LocalReplica replica, RandomGenerator random) {
--- a/basilrill-library/src/main/java/org/basilrill/protocol/instance/InterfaceOptions.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/instance/InterfaceOptions.java
@@ -24,6 +24,7 @@
  * @param lossTolerance tokens that an account may use above its limits when the owner of its bucket is lost
  * @param coldLimits bound of the requests to a cold target; empty if they are not limited
  * @param recoveryPacing whether targets that have just started or were ejected get few requests at first
+ * @param rulesInForceWithin time from its acknowledgement in which a change of the rules has to be in force everywhere
  */
 public record InterfaceOptions(
         Optional<Dialect> dialect,
@@ -35,7 +36,11 @@
         boolean predictiveRouting,
         LossTolerance lossTolerance,
         Optional<ColdLimits> coldLimits,
-        boolean recoveryPacing) {
+        boolean recoveryPacing,
+        Duration rulesInForceWithin) {
+    /** A time from which on changes are acknowledged as soon as they are committed. */
+    public static final Duration DEFAULT_RULES_IN_FORCE_WITHIN = Duration.ofSeconds(3);
+
     /**
      * Limits of the retries of all instances together, in any period of ten seconds.
      *
@@ -74,7 +79,8 @@
                 false,
                 LossTolerance.NONE,
                 Optional.empty(),
-                false);
+                false,
+                DEFAULT_RULES_IN_FORCE_WITHIN);
     }
 
     /** Returns the same options with a bound of the requests to cold targets. */
@@ -89,7 +95,8 @@
                 predictiveRouting,
                 lossTolerance,
                 Optional.of(limits),
-                recoveryPacing);
+                recoveryPacing,
+                rulesInForceWithin);
     }
 
     /** Returns the same options with the regions of the data centres. */
@@ -104,7 +111,8 @@
                 predictiveRouting,
                 lossTolerance,
                 coldLimits,
-                recoveryPacing);
+                recoveryPacing,
+                rulesInForceWithin);
     }
 
     /** Returns the same options with paces of targets that have just started or were ejected. */
@@ -119,7 +127,8 @@
                 predictiveRouting,
                 lossTolerance,
                 coldLimits,
-                true);
+                true,
+                rulesInForceWithin);
     }
 
     /** Returns the same options with or without forwarding of messages. */
@@ -134,7 +143,8 @@
                 predictiveRouting,
                 lossTolerance,
                 coldLimits,
-                recoveryPacing);
+                recoveryPacing,
+                rulesInForceWithin);
     }
 
     /** Returns the format of the rules. */
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/FakeCluster.java
@@ -62,7 +62,12 @@
         elect(replicas.get(0));
     }
 
+    /** Returns a client whose changes are acknowledged as soon as they are committed. */
     ControlLogClient client(InstanceId id) {
+        return client(id, ViewPuller.FRESHNESS_BOUND);
+    }
+
+    ControlLogClient client(InstanceId id, Duration inForceWithin) {
         return new ControlLogClient(
                 endpoint(id),
                 replicas,
@@ -70,7 +75,8 @@
                 time,
                 this::wallClockMillis,
                 time,
-                new Random(random.nextLong()));
+                new Random(random.nextLong()),
+                inForceWithin);
     }
 
     /** Sets the wall clock of all instances forward or back; to an instance, forward looks like a suspension. */
