Deflate large messages between instances

Callers saw: after the configuration had grown to 400 kB, rules took more than a second to reach the instances, and instances refused as not current while links were full.

Cause: each revision crosses each link whole: from the operator's instance to the leader, to five followers, and to each instance that pulls, again with each pull until the first has arrived.

Why this works: such text deflates to less than a tenth. An instance states in its messages that it reads deflated payloads; others deflate messages of 16 kB or more to it. Builds of earlier releases state nothing and get plain messages; a message that another instance passes on stays plain, as an earlier build would drop the mark. An inflated payload is limited like a frame.

--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/EnvelopeForwarder.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/EnvelopeForwarder.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.InstanceId;
@@ -81,8 +82,12 @@
         return false;
     }
 
-    /** Returns the observer of the link to an instance. */
-    LinkObserver observerOf(InstanceId recipient) {
+    /**
+     * Returns the observer of the link to an instance.
+     *
+     * @param asSubmitted returns a message in the form in which it was given to the link
+     */
+    LinkObserver observerOf(InstanceId recipient, UnaryOperator<Envelope> asSubmitted) {
         return new LinkObserver() {
             @Override
             public void delivered() {
@@ -93,7 +98,7 @@
             public void failed(List<Envelope> undelivered) {
                 forwarding.ifPresent(decisions -> {
                     decisions.failed(recipient);
-                    undelivered.forEach(envelope -> sendAgain(decisions, recipient, envelope));
+                    undelivered.forEach(envelope -> sendAgain(decisions, recipient, asSubmitted.apply(envelope)));
                 });
             }
         };
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerDispatcher.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerDispatcher.java
@@ -1,7 +1,6 @@
 package org.basilrill.transport.peer;
 
 import com.google.common.flogger.FluentLogger;
-import java.nio.ByteBuffer;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -11,7 +10,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
-import org.apache.thrift.TBaseHelper;
 import org.basilrill.api.BasilrillException;
 import org.basilrill.api.InstanceId;
 import org.basilrill.api.LogEvent;
@@ -32,6 +30,7 @@
     private final BiConsumer<InstanceId, String> addressListener;
     private final Predicate<Envelope> isForSelf;
     private final PeerTraffic traffic;
+    private final MessageCompression compression;
 
     /**
      * Creates a dispatcher.
@@ -44,12 +43,14 @@
             Executor executor,
             BiConsumer<InstanceId, String> addressListener,
             Predicate<Envelope> isForSelf,
-            PeerTraffic traffic) {
+            PeerTraffic traffic,
+            MessageCompression compression) {
         this.isForSelf = isForSelf;
         this.handlers = new EnumMap<>(handlers);
         this.executor = executor;
         this.addressListener = addressListener;
         this.traffic = traffic;
+        this.compression = compression;
     }
 
     @Override
@@ -63,20 +64,20 @@
     }
 
     private void submit(PeerHandler handler, Envelope envelope) {
-        byte[] payload = bytesOf(envelope.bufferForPayload());
         try {
-            executor.execute(() -> handle(handler, envelope, payload));
+            executor.execute(() -> handle(handler, envelope));
         } catch (RejectedExecutionException exception) {
             LOGGER.atFine().log("message dropped after shutdown");
         }
     }
 
-    private void handle(PeerHandler handler, Envelope envelope, byte[] payload) {
+    private void handle(PeerHandler handler, Envelope envelope) {
         String sender = envelope.getSender();
         try {
             InstanceId id = new InstanceId(sender);
             addressListener.accept(id, envelope.getSenderAddress());
-            handler.received(id, payload);
+            compression.observe(id, envelope);
+            handler.received(id, compression.payload(envelope));
         } catch (BasilrillException exception) {
             LOGGER.atWarning().log("%s: sender %s, %s", LogEvent.MESSAGE_REJECTED, sender, exception.getMessage());
         } catch (RuntimeException exception) {
@@ -90,8 +91,4 @@
                 .findFirst()
                 .map(handlers::get);
     }
-
-    private static byte[] bytesOf(ByteBuffer buffer) {
-        return TBaseHelper.byteBufferToByteArray(TBaseHelper.rightSize(buffer));
-    }
 }
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTraffic.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTraffic.java
@@ -20,7 +20,7 @@
      * Bytes of the field headers, the lengths (up to two bytes each) and the end marker of an envelope in the compact
      * protocol.
      */
-    private static final int ENVELOPE_FIELD_BYTES = 10;
+    private static final int ENVELOPE_FIELD_BYTES = 11;
 
     private final Map<PeerSubject, Totals> sent = new EnumMap<>(PeerSubject.class);
     private final Map<PeerSubject, Totals> received = new EnumMap<>(PeerSubject.class);
--- a/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
+++ b/basilrill-library/src/main/java/org/basilrill/transport/peer/PeerTransport.java
@@ -52,6 +52,7 @@
     private final Scheduler scheduler;
     private final PeerSelector selector = new PeerSelector();
     private final PeerTraffic traffic;
+    private final MessageCompression compression = new MessageCompression(MAXIMUM_FRAME_BYTES);
     private final EnvelopeForwarder forwarder;
     private final Map<PeerSubject, PeerHandler> handlers = new EnumMap<>(PeerSubject.class);
     private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
@@ -84,7 +85,7 @@
         this.forwarder = new EnvelopeForwarder(
                 self,
                 (recipient, envelope) ->
-                        links.computeIfAbsent(recipient, this::link).send(envelope),
+                        links.computeIfAbsent(recipient, this::link).send(compression.forLink(recipient, envelope)),
                 metrics);
     }
 
@@ -109,8 +110,8 @@
         ownAddress = announcedAddress.getAddress().getHostAddress() + ":" + announcedAddress.getPort();
         try {
             TNonblockingServerSocket socket = new TNonblockingServerSocket(address);
-            PeerDispatcher dispatcher =
-                    new PeerDispatcher(handlers, executor, this::recordSenderAddress, forwarder::isForSelf, traffic);
+            PeerDispatcher dispatcher = new PeerDispatcher(
+                    handlers, executor, this::recordSenderAddress, forwarder::isForSelf, traffic, compression);
             TNonblockingServer.Args arguments = new TNonblockingServer.Args(socket)
                     .transportFactory(new TFramedTransport.Factory(MAXIMUM_FRAME_BYTES))
                     .protocolFactory(new TCompactProtocol.Factory(MAXIMUM_FRAME_BYTES, MAXIMUM_BATCH_ENVELOPES))
@@ -139,6 +140,7 @@
         envelope.setSenderAddress(ownAddress);
         envelope.setSubject((short) subject.wireNumber());
         envelope.setPayload(payload);
+        envelope.setAcceptsDeflated(true);
         forwarder.send(recipient, subject, envelope);
     }
 
@@ -165,7 +167,8 @@
         if (checksScheduled.compareAndSet(false, true)) {
             scheduler.schedule(CHECK_INTERVAL, this::checkLinks);
         }
-        return new PeerLink(() -> connect(recipient), clock, traffic, forwarder.observerOf(recipient));
+        return new PeerLink(
+                () -> connect(recipient), clock, traffic, forwarder.observerOf(recipient, compression::plain));
     }
 
     private void checkLinks() {
--- a/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/transport/peer/PeerTransportTest.java
@@ -191,6 +191,24 @@
         assertThat(senderMetrics.counter("peer.sent.membership.bytes").getCount(), is(bytes));
     }
 
+    /** Guards against large messages that fill the links of small instances although both ends can deflate them. */
+    @Test
+    void aLargeMessageIsDeflatedOnceItsRecipientHasSentAMessage() throws Exception {
+        start();
+        InetSocketAddress addressOfOne = freeAddress();
+        sender.handle(PeerSubject.MEMBERSHIP, (from, payload) -> received.add(from + ":" + payload.length));
+        sender.start(addressOfOne, addressOfOne);
+        sender.send(TWO, PeerSubject.MEMBERSHIP, "hello".getBytes(StandardCharsets.UTF_8));
+        assertThat(received.poll(30, TimeUnit.SECONDS), is("one:hello"));
+        receiver.send(ONE, PeerSubject.MEMBERSHIP, new byte[1]);
+        assertThat(received.poll(30, TimeUnit.SECONDS), is("two:1"));
+        String large = "a route and another ".repeat(20_000);
+        sender.send(TWO, PeerSubject.MEMBERSHIP, large.getBytes(StandardCharsets.UTF_8));
+        assertThat(received.poll(30, TimeUnit.SECONDS), is("one:" + large));
+        long bytes = receiverMetrics.counter("peer.received.membership.bytes").getCount();
+        assertThat(bytes, lessThan(large.length() / 10L));
+    }
+
     private String pollWhileSending(String text) throws InterruptedException {
         String message = null;
         for (int attempt = 0; attempt < 600 && message == null; attempt++) {
--- a/basilrill-thrift/src/main/thrift/envelope.thrift
+++ b/basilrill-thrift/src/main/thrift/envelope.thrift
@@ -14,6 +14,10 @@
   5: optional string recipient
   /** Instance that passed the message on; absent if the sender sent it itself. */
   6: optional string forwarder
+  /** Whether the sender reads payloads that are deflated; earlier builds do not. */
+  7: optional bool acceptsDeflated
+  /** Whether the payload is deflated (RFC 1951 with the header of RFC 1950). */
+  8: optional bool deflated
 }
 
 /** Receives messages from other instances. */
