Allow for the transfer before a command is submitted again

Callers saw: nothing by itself. Found by looking for the cause of the records that were sent again and again: a command without a result after 300 ms was sent to the next replica, whatever its size. 400 kB of rules take longer on the links of a small instance, so copies filled the link behind the first one, and each copy that reached the leader was written to the log and replicated.

Why this works: the timeout of an attempt includes the transfer at 1 MB/s; a command of up to 1 kB has 300 ms as before.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/CommandSubmitter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/CommandSubmitter.java
@@ -27,9 +27,12 @@
  * replica until a result arrives or the deadline passes. Thread safe; sends and completes futures outside its lock.
  */
 final class CommandSubmitter {
-    /** Time to wait for the response of one replica; a commit within a region takes a few milliseconds. */
+    /** Time to wait for the response to a small command; a commit within a region takes a few milliseconds. */
     static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(300);
 
+    /** Rate at which busy links carry a command to the leader and on to a majority, at least. */
+    private static final long MINIMUM_BYTES_PER_MILLISECOND = 1_000;
+
     /** Pause after a response that names no leader; an election takes 250 to 500 ms. */
     static final Duration RETRY_PAUSE = Duration.ofMillis(50);
 
@@ -112,7 +115,8 @@
                 return;
             }
             pendingCommand.recipient = recipient;
-            pendingCommand.timer = scheduler.schedule(ATTEMPT_TIMEOUT, () -> attemptTimedOut(requestId, recipient));
+            pendingCommand.timer =
+                    scheduler.schedule(pendingCommand.attemptTimeout(), () -> attemptTimedOut(requestId, recipient));
             command = pendingCommand.command;
         }
         SubmitRequest request = new SubmitRequest(requestId, java.nio.ByteBuffer.wrap(command));
@@ -159,5 +163,10 @@
             this.command = command;
             this.description = description;
         }
+
+        /** Returns the timeout with the transfer, as copies would delay the command that is still on its way. */
+        private Duration attemptTimeout() {
+            return ATTEMPT_TIMEOUT.plusMillis(command.length / MINIMUM_BYTES_PER_MILLISECOND);
+        }
     }
 }
