--- a/basilrill-daemon/src/test/java/org/basilrill/daemon/settings/SettingsReaderTest.java
+++ b/basilrill-daemon/src/test/java/org/basilrill/daemon/settings/SettingsReaderTest.java
@@ -69,6 +69,16 @@
         assertThat(failure.getMessage(), containsString("a.json:5: field \"callerAddress\": must be an IP address"));
     }
 
+    /** Guards against an acknowledgement that is given by a bound other than the deployment's. */
+    @Test
+    void theTimeInWhichRulesHaveToBeInForceIsReadAndHasADefault() {
+        String stated = VALID.replace("\"drainLimitMillis\": 5000,", "\"rulesInForceMillis\": 2500,");
+        Settings settings = SettingsReader.parse("a.json", stated);
+        assertThat(settings.interfaces().rulesInForceWithin(), is(Duration.ofMillis(2_500)));
+        Settings withDefault = SettingsReader.parse("a.json", VALID);
+        assertThat(withDefault.interfaces().rulesInForceWithin(), is(Duration.ofSeconds(3)));
+    }
+
     /** Guards against a table of regions that is read wrongly, or in part. */
     @Test
     void regionsOfDataCentresAreRead() {
