--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
@@ -2,13 +2,11 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.basilrill.api.TransferTime;
 import org.basilrill.state.log.DurableStore.Snapshot;
 
 /** The leader's record of the replication progress and last contact of another replica. Not thread safe. */
 final class PeerProgress {
-    /** A busy link carries records to one replica at this rate at least. */
-    private static final long MINIMUM_BYTES_PER_SECOND = 1_000_000;
-
     private static final int MAXIMUM_DOUBLINGS = 4;
 
     /** Limits how long a replica waits for lost records once the link to it works again. */
@@ -96,7 +94,7 @@
     void recordSent(long lastIndex, long bytes, long now) {
         inFlightIndex = lastIndex;
         sentAt = now;
-        transferNanos = bytes * Duration.ofSeconds(1).toNanos() / MINIMUM_BYTES_PER_SECOND;
+        transferNanos = TransferTime.of(bytes).toNanos();
         unansweredSends = Math.min(unansweredSends + 1, MAXIMUM_DOUBLINGS + 1);
     }
 
--- a/basilrill-library/src/main/java/org/basilrill/coordination/control/CommandSubmitter.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/control/CommandSubmitter.java
@@ -13,6 +13,7 @@
 import org.basilrill.api.LogEvent;
 import org.basilrill.api.Outcome;
 import org.basilrill.api.Scheduler;
+import org.basilrill.api.TransferTime;
 import org.basilrill.state.control.CommandCodec;
 import org.basilrill.state.control.ControlCommand;
 import org.basilrill.state.control.ControlResult;
@@ -30,9 +31,6 @@
     /** Time to wait for the response to a small command; a commit within a region takes a few milliseconds. */
     static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(300);
 
-    /** Rate at which busy links carry a command to the leader and on to a majority, at least. */
-    private static final long MINIMUM_BYTES_PER_MILLISECOND = 1_000;
-
     /** Pause after a response that names no leader; an election takes 250 to 500 ms. */
     static final Duration RETRY_PAUSE = Duration.ofMillis(50);
 
@@ -166,7 +164,7 @@
 
         /** Returns the timeout with the transfer, as copies would delay the command that is still on its way. */
         private Duration attemptTimeout() {
-            return ATTEMPT_TIMEOUT.plusMillis(command.length / MINIMUM_BYTES_PER_MILLISECOND);
+            return ATTEMPT_TIMEOUT.plus(TransferTime.of(command.length));
         }
     }
 }
