--- a/basilrill-library/src/main/java/org/basilrill/api/TransferTime.java
+++ b/basilrill-library/src/main/java/org/basilrill/api/TransferTime.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 
 /**
- * Time that a message takes on the links between instances while these are busy. A timeout of a response includes it, because
- * copies of a message that is still on its way would delay it further. Stateless and thread safe.
+ * Time that a message takes on the links between instances while these are busy. A timeout of a response includes it,
+ * because copies of a message that is still on its way would delay it further. Stateless and thread safe.
  */
 public final class TransferTime {
     private static final long MINIMUM_BYTES_PER_SECOND = 1_000_000;
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicationOverLinksTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/ReplicationOverLinksTest.java
@@ -34,8 +34,8 @@
         assertThat(cluster.runUntil(() -> cluster.leader().isPresent(), TIME_LIMIT_MILLIS), is(true));
         cluster.run(TIME_LIMIT_MILLIS);
         InstanceId leader = cluster.leader().orElseThrow();
-        cluster.limitLinks(LINK_BYTES_PER_MILLISECOND);
-        long sentBefore = cluster.sentBytes();
+        cluster.links().limit(LINK_BYTES_PER_MILLISECOND);
+        long sentBefore = cluster.links().sentBytes();
         List<CompletableFuture<byte[]>> results = new ArrayList<>();
         for (int number = 0; number < COMMANDS; number++) {
             results.add(cluster.propose(leader, COMMAND_BYTES));
@@ -45,6 +45,6 @@
         }
         assertThat(cluster.leader().orElseThrow(), is(leader));
         long needed = (long) COMMANDS * COMMAND_BYTES * (REPLICAS - 1);
-        assertThat("bytes", cluster.sentBytes() - sentBefore, lessThan(needed * 5 / 4));
+        assertThat("bytes", cluster.links().sentBytes() - sentBefore, lessThan(needed * 5 / 4));
     }
 }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/consensus/VirtualCluster.java
@@ -5,7 +5,6 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -53,9 +52,7 @@
     private int lossPercent;
     private int duplicatePercent;
     private int delayPercent;
-    private OptionalLong linkRate = OptionalLong.empty();
-    private final Map<InstanceId, Long> linkIdleAt = new HashMap<>();
-    private long sentBytes;
+    private final VirtualLinks links = new VirtualLinks();
 
     VirtualCluster(long seed, int size, ConsensusSettings settings) {
         this.random = new Random(seed);
@@ -87,14 +84,8 @@
         delayPercent = delayed;
     }
 
-    /** Sends all messages of an instance one after another from now on, at this rate. */
-    void limitLinks(long bytesPerMillisecond) {
-        linkRate = OptionalLong.of(bytesPerMillisecond);
-    }
-
-    /** Returns the bytes of all messages that were sent. */
-    long sentBytes() {
-        return sentBytes;
+    VirtualLinks links() {
+        return links;
     }
 
     HistoryOracle oracle() {
@@ -299,7 +290,7 @@
             return;
         }
         byte[] payload = ConsensusCodec.encode(message);
-        sentBytes += payload.length;
+        OptionalLong overLink = links.send(sender, payload.length, now);
         int copies = occursAtRandom(duplicatePercent) ? 2 : 1;
         for (int copy = 0; copy < copies; copy++) {
             if (occursAtRandom(lossPercent)) {
@@ -308,19 +299,10 @@
             long delay = occursAtRandom(delayPercent)
                     ? random.nextLong(2_000 * MILLISECOND)
                     : random.nextLong(MILLISECOND / 4, 3 * MILLISECOND);
-            long arrivesAt = linkRate.isPresent() ? sentOverLink(sender, payload.length) : now + delay;
-            deliveries.add(new Delivery(arrivesAt, messageCount++, sender, recipient, payload));
+            deliveries.add(new Delivery(overLink.orElse(now + delay), messageCount++, sender, recipient, payload));
         }
     }
 
-    /** Returns when a message arrives that the instance's link carries after all earlier ones. */
-    private long sentOverLink(InstanceId sender, int bytes) {
-        long startsAt = Math.max(now, linkIdleAt.getOrDefault(sender, now));
-        long endsAt = startsAt + bytes * MILLISECOND / linkRate.orElseThrow();
-        linkIdleAt.put(sender, endsAt);
-        return endsAt + MILLISECOND;
-    }
-
     private boolean occursAtRandom(int percent) {
         return random.nextInt(100) < percent;
     }
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/AcknowledgedRulesTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/AcknowledgedRulesTest.java
@@ -25,7 +25,7 @@
     private static final Duration STEP = Duration.ofMillis(10);
     private static final int OFFSETS = 25;
 
-    /** Guards against requests that an instance runs by replaced rules because its pulls ended at the acknowledgement. */
+    /** Guards against requests run by replaced rules at an instance whose pulls ended at the acknowledgement. */
     @Test
     void noInstanceDecidesByReplacedRulesAfterTheBoundIfItIsCutOff() {
         forEachBoundAndOffset((bound, offset) -> {
--- a/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
+++ b/basilrill-library/src/test/java/org/basilrill/coordination/control/ControlLogTest.java
@@ -290,19 +290,6 @@
         assertThat(result.isDone(), is(true));
     }
 
-    /** Guards against copies of a large change that fill the link on which the first one is still on its way. */
-    @Test
-    void aLargeCommandIsSubmittedOnceWhileItsTransferTakesLongerThanASmallOne() {
-        start(client);
-        cluster.delayMessages(Duration.ofMillis(500));
-        int before = cluster.committedCommands();
-        String text = "account a rate 1 burst 1 # ana\n# " + "x".repeat(400_000) + " # ana";
-        CompletableFuture<ControlResult> result = client.submit(new ReplaceRules(0, text, "ana"), DEADLINE);
-        cluster.time().advance(DEADLINE);
-        assertThat(result.isDone(), is(true));
-        assertThat(cluster.committedCommands() - before, is(1));
-    }
-
     @Test
     void aSubmitterWithAWrongClockDoesNotMakeTheLogForgetFinishedOrders() {
         start(client);
