Keep the time allowed for records as one figure, and state why denials need more

The doubled timeout was computed from two counters; it is stored instead. The comment of the bound of denials named one deployment's 2 s.

--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/PeerProgress.java
@@ -7,8 +7,6 @@
 
 /** The leader's record of the replication progress and last contact of another replica. Not thread safe. */
 final class PeerProgress {
-    private static final int MAXIMUM_DOUBLINGS = 4;
-
     /** Limits how long a replica waits for lost records once the link to it works again. */
     private static final Duration MAXIMUM_DOUBLED_TIMEOUT = Duration.ofSeconds(1);
 
@@ -18,8 +16,7 @@
     private long matchIndex;
     private long inFlightIndex;
     private long sentAt;
-    private long transferNanos;
-    private int unansweredSends;
+    private long allowedNanos;
     private long lastContactAt;
     private long acknowledgedRound;
     private Optional<Snapshot> snapshot = Optional.empty();
@@ -69,16 +66,9 @@
         return snapshotOffset;
     }
 
-    /**
-     * Returns whether records or a chunk are in flight and their response is not overdue. The time allowed includes the
-     * transfer and doubles with each repetition: copies of records that are still on their way would fill the link.
-     *
-     * @param responseTimeout time until the response to an empty message
-     */
-    boolean awaitsResponse(long now, long responseTimeout) {
-        long first = responseTimeout + transferNanos;
-        long doubled = Math.min(first << Math.max(0, unansweredSends - 1), MAXIMUM_DOUBLED_TIMEOUT.toNanos());
-        return inFlightIndex > 0 && now - sentAt < Math.max(first, doubled);
+    /** Returns whether records or a chunk are in flight and their response is not overdue. */
+    boolean awaitsResponse(long now) {
+        return inFlightIndex > 0 && now - sentAt < allowedNanos;
     }
 
     /** Returns the age of the records or the chunk in flight, if any. */
@@ -87,15 +77,19 @@
     }
 
     /**
-     * Records that records or a chunk were sent.
+     * Records that records or a chunk were sent. The time allowed for the response includes the transfer and doubles
+     * with each repetition: copies of records that are still on their way would fill the link.
      *
      * @param bytes size of their payload
+     * @param responseTimeout time allowed for the response to an empty message
      */
-    void recordSent(long lastIndex, long bytes, long now) {
+    void recordSent(long lastIndex, long bytes, Duration responseTimeout, long now) {
+        long first = responseTimeout.plus(TransferTime.of(bytes)).toNanos();
+        boolean repeated = inFlightIndex > 0;
+        allowedNanos =
+                repeated ? Math.max(first, Math.min(2 * allowedNanos, MAXIMUM_DOUBLED_TIMEOUT.toNanos())) : first;
         inFlightIndex = lastIndex;
         sentAt = now;
-        transferNanos = TransferTime.of(bytes).toNanos();
-        unansweredSends = Math.min(unansweredSends + 1, MAXIMUM_DOUBLINGS + 1);
     }
 
     void recordContact(long now, long round) {
@@ -107,7 +101,7 @@
         matchIndex = Math.max(matchIndex, index);
         nextIndex = Math.max(nextIndex, matchIndex + 1);
         if (matchIndex >= inFlightIndex) {
-            endFlight();
+            inFlightIndex = 0;
         }
         if (snapshot.filter(sending -> sending.lastIndex() <= matchIndex).isPresent()) {
             snapshot = Optional.empty();
@@ -116,7 +110,7 @@
 
     void recordMismatch(long retryAfterIndex) {
         nextIndex = Math.max(matchIndex + 1, Math.min(nextIndex, retryAfterIndex + 1));
-        endFlight();
+        inFlightIndex = 0;
     }
 
     void startSnapshot(Snapshot sending) {
@@ -126,11 +120,6 @@
 
     void recordChunk(long nextOffset) {
         snapshotOffset = nextOffset;
-        endFlight();
-    }
-
-    private void endFlight() {
         inFlightIndex = 0;
-        unansweredSends = 0;
     }
 }
--- a/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replicator.java
+++ b/basilrill-library/src/main/java/org/basilrill/coordination/consensus/Replicator.java
@@ -23,7 +23,7 @@
     /** Sends the next records or chunk unless a response is pending or the peer is up to date. */
     void sendRecords(PeerProgress peer, long round) {
         boolean upToDate = peer.nextIndex() > state.log().lastIndex();
-        if (upToDate || awaitsResponse(peer)) {
+        if (upToDate || peer.awaitsResponse(state.now())) {
             return;
         }
         peer.inFlightAge(state.now()).ifPresent(age -> reportOverdue(peer, age));
@@ -36,13 +36,13 @@
                 state.log().slice(peer.nextIndex(), state.settings().appendBytes());
         long bytes =
                 records.stream().mapToLong(record -> record.payload().length).sum();
-        peer.recordSent(previous + records.size(), bytes, state.now());
+        peer.recordSent(previous + records.size(), bytes, state.settings().heartbeat(), state.now());
         state.send(peer.peer(), request(previous, round, records));
     }
 
     /** Sends a message of the round: records if any are due, otherwise an empty append request. */
     void heartbeat(PeerProgress peer, long round) {
-        boolean recordsDue = peer.nextIndex() <= state.log().lastIndex() && !awaitsResponse(peer);
+        boolean recordsDue = peer.nextIndex() <= state.log().lastIndex() && !peer.awaitsResponse(state.now());
         if (recordsDue) {
             sendRecords(peer, round);
             return;
@@ -58,10 +58,6 @@
                 String.format("%s, from index %d, after %d ms", peer.peer(), peer.nextIndex(), age.toMillis()));
     }
 
-    private boolean awaitsResponse(PeerProgress peer) {
-        return peer.awaitsResponse(state.now(), state.settings().heartbeat().toNanos());
-    }
-
     private AppendRequest request(long previous, long round, List<LogRecord> records) {
         long previousTerm = previous == 0 ? 0 : state.log().termAt(previous);
         return new AppendRequest(state.term(), previous, previousTerm, state.commitIndex(), round, records);
@@ -74,7 +70,7 @@
         Snapshot sending = peer.snapshot().orElseThrow();
         int offset = (int) Math.min(peer.snapshotOffset(), sending.state().length);
         int end = Math.min(sending.state().length, offset + state.settings().chunkBytes());
-        peer.recordSent(sending.lastIndex(), end - offset, state.now());
+        peer.recordSent(sending.lastIndex(), end - offset, state.settings().heartbeat(), state.now());
         state.send(
                 peer.peer(),
                 new SnapshotChunk(
--- a/basilrill-library/src/main/java/org/basilrill/protocol/caller/RuleDecisions.java
+++ b/basilrill-library/src/main/java/org/basilrill/protocol/caller/RuleDecisions.java
@@ -16,8 +16,9 @@
  */
 public final class RuleDecisions {
     /**
-     * Age of the confirmation from which on no request is denied. Longer than two pulls; with the tolerance of the
-     * clocks still shorter than the 2 s after which an acknowledged change must be in force.
+     * Age of the confirmation from which on no request is denied; longer than two pulls. An instance of an earlier
+     * release acknowledges a change when it is committed, so a denial, which callers take as final, needs a more recent
+     * confirmation than an acceptance.
      */
     static final Duration DENIAL_FRESHNESS_BOUND = Duration.ofMillis(1_200);
 
