--- a/review/stand-ins-3/FoundingCase.java
+++ b/review/stand-ins-3/FoundingCase.java
@@ -55,7 +55,7 @@
             }
             core = List.of(2, 3, 4);
         }
-        new OrderWorker("i-1", "ledger", "127.41.8.1", deployment.controlAddresses(), 0, 40);
+        new OrderWorker("i-1", "ledger", "127.41.8.1", deployment.controlAddresses(), 40);
         return awaitService(record, deployment, core);
     }
 
--- a/review/stand-ins-3/OrderWorker.java
+++ b/review/stand-ins-3/OrderWorker.java
@@ -11,11 +11,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
 /**
- * A sound worker of a plain service. It answers each request with 800 bytes and sends heartbeats. One in so many of its answers says that its connection closes, and then it closes it.
+ * A sound worker of a plain service. It answers each request with 800 bytes after some work, and sends heartbeats.
  */
 final class OrderWorker {
     private static final int HEARTBEAT_MILLIS = 1200;
@@ -25,25 +24,20 @@
     private final String id;
     private final String service;
     private final List<String> control;
-    private final int closesOneIn;
     private final int workMillis;
     private final ServerSocket listener;
     private final long born = System.currentTimeMillis();
-    private final AtomicInteger answers = new AtomicInteger();
     private final Set<String> received = ConcurrentHashMap.newKeySet();
 
     /**
      * Starts a worker.
      *
-     * @param closesOneIn one in so many answers closes its connection; 0 if none does
      * @param workMillis how long it works on a request
      */
-    OrderWorker(String id, String service, String ip, List<String> control, int closesOneIn, int workMillis)
-            throws IOException {
+    OrderWorker(String id, String service, String ip, List<String> control, int workMillis) throws IOException {
         this.id = id;
         this.service = service;
         this.control = control;
-        this.closesOneIn = closesOneIn;
         this.workMillis = workMillis;
         listener = new ServerSocket();
         listener.bind(new InetSocketAddress(InetAddress.getByName(ip), 0), 512);
@@ -56,13 +50,18 @@
         return received.contains(requestId);
     }
 
+    /** Returns the address at which this worker serves. */
+    String address() {
+        return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
+    }
+
     private void sendHeartbeats() {
         for (int sequence = 1; ; sequence++) {
             String[] address = control.get(sequence % control.size()).split(":");
             String body = String.format(
-                    "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"zone-1\",\"version\":\"v1\",\"slots\":64,"
+                    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-1\",\"version\":\"v1\",\"slots\":64,"
                             + "\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":%d,\"sequence\":%d}",
-                    service, listener.getInetAddress().getHostAddress(), listener.getLocalPort(), born, sequence);
+                    service, address(), born, sequence);
             Http.status(
                     address[0],
                     Integer.parseInt(address[1]),
@@ -89,35 +88,32 @@
     private void serve(Socket connection) {
         try (connection) {
             BufferedInputStream input = new BufferedInputStream(connection.getInputStream());
-            boolean keep = true;
-            while (keep) {
+            while (true) {
                 Http.Head head = Http.readHead(input);
                 Http.readBody(input, head);
-                keep = respond(head, connection.getOutputStream());
+                respond(head, connection.getOutputStream());
             }
         } catch (IOException exception) {
             // The other end closed the connection.
         }
     }
 
-    private boolean respond(Http.Head head, OutputStream output) throws IOException {
+    private void respond(Http.Head head, OutputStream output) throws IOException {
         String requestId = head.fields().get("request-id");
         if (requestId == null || !id.equals(head.fields().get("expect-instance"))) {
             String status = requestId == null ? "400 Bad Request\r\nNot-Executed: 1" : "421 Misdirected Request\r\nInstance-Id: " + id;
             output.write(("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
-            return true;
+            return;
         }
         received.add(requestId);
         LockSupport.parkNanos(workMillis * 1_000_000L);
-        boolean closes = closesOneIn > 0 && answers.incrementAndGet() % closesOneIn == 0;
         String text = "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nServer-Stamp: " + id + "." + requestId
-                + "\r\nServer-Load: 1,0,64\r\n" + (closes ? "Connection: close\r\n" : "") + "Content-Length: " + BODY_BYTES
+                + "\r\nServer-Load: 1,0,64\r\n" + "Content-Length: " + BODY_BYTES
                 + "\r\n\r\n";
         ByteArrayOutputStream message = new ByteArrayOutputStream();
         message.writeBytes(text.getBytes(StandardCharsets.ISO_8859_1));
         message.writeBytes(BODY);
         output.write(message.toByteArray());
-        return !closes;
     }
 
     private static void daemon(Runnable task) {
